--- /dev/null
+++ b/packages/nutmegproxy-admin/src/index.ts
@@ -0,0 +1,3 @@
+/** Public surface; filled by the package. */
+
+export {};
--- /dev/null
+++ b/packages/nutmegproxy-core/src/index.ts
@@ -0,0 +1,37 @@
+/** Public surface of the core. */
+
+export {after, ManualClock, SYSTEM_CLOCK} from './Clock.ts';
+export type {Clock, Instant, WallTime} from './Clock.ts';
+export {
+  CommandBus,
+  createCommand,
+  PRIORITY_HIGH,
+  PRIORITY_LOW,
+  PRIORITY_NORMAL,
+} from './CommandBus.ts';
+export type {Command, CommandHandler, Priority} from './CommandBus.ts';
+export type {EntryNode, NodeIdentity} from './EntryNode.ts';
+export {SILENT_EVENTS} from './EventSink.ts';
+export type {EventFields, EventKind, EventLevel, EventSink} from './EventSink.ts';
+export {brand} from './Ids.ts';
+export type {
+  AttemptId,
+  Branded,
+  CellId,
+  ChangeId,
+  DataCentreId,
+  EntryId,
+  IncarnationId,
+  JobId,
+  MinionId,
+  RackId,
+  RegionId,
+  RequestId,
+  TaskId,
+  TeamId,
+  VmId,
+  WorkerId,
+} from './Ids.ts';
+export {BrokenInvariant, invariant} from './Invariant.ts';
+export {mergeUnregister} from './Unregister.ts';
+export type {Unregister} from './Unregister.ts';
--- /dev/null
+++ b/packages/nutmegproxy-peers/src/index.ts
@@ -0,0 +1,3 @@
+/** Public surface of the links between entry VMs. */
+
+export type {Peer, PeerFailure, PeerHandler, PeerMesh, PeerMessage} from './PeerMesh.ts';
--- /dev/null
+++ b/packages/nutmegproxy-schema/src/Validator.ts
@@ -0,0 +1,16 @@
+/** The shape of a generated validator. */
+
+/** One violation of a schema. */
+export interface Violation {
+  /** JSON pointer to the value that violates the schema. */
+  readonly instancePath: string;
+  readonly keyword: string;
+  readonly message?: string;
+  readonly params: Readonly<Record<string, unknown>>;
+}
+
+/** Checks a value against a schema; after a failed check, `errors` holds the violations. */
+export interface Validator<Value> {
+  (value: unknown): value is Value;
+  errors?: readonly Violation[] | null;
+}
--- /dev/null
+++ b/packages/nutmegproxy-schema/src/index.ts
@@ -0,0 +1,39 @@
+/** Public surface of the generated types and validators. */
+
+export type {
+  Catalogue,
+  Drain,
+  Entry,
+  Limits,
+  Quota,
+  Stop,
+  Team,
+  WorkClass,
+} from './generated/catalogueTypes.ts';
+export {validateCatalogue} from './generated/catalogueValidators.js';
+export type {
+  AttemptReport,
+  Resources,
+  TaskStart,
+  Throttle,
+  Usage,
+  Vm,
+  VmReport,
+  WorkerReport,
+  WorkerSync,
+} from './generated/platformTypes.ts';
+export {
+  validateTaskStart,
+  validateVmReport,
+  validateWorkerReport,
+  validateWorkerSync,
+} from './generated/platformValidators.js';
+export type {
+  ListenAddresses,
+  Policies,
+  SecretReference,
+  Settings,
+  Timings,
+} from './generated/settingsTypes.ts';
+export {validateSettings} from './generated/settingsValidators.js';
+export type {Validator, Violation} from './Validator.ts';
--- /dev/null
+++ b/scripts/build.mjs
@@ -0,0 +1,26 @@
+// Bundles each program into dist/. A program is a package's src/main.ts.
+import {existsSync, readdirSync} from 'node:fs';
+
+import {build} from 'esbuild';
+
+// CommonJS has no import.meta.url, which libraries pass to createRequire when they load.
+const BANNER = "const importMetaUrl = require('node:url').pathToFileURL(process.execPath).href;";
+
+const entryPoints = readdirSync('packages')
+  .map((name) => ({in: `packages/${name}/src/main.ts`, out: name.replace('nutmegproxy-', '')}))
+  .filter((entry) => existsSync(entry.in));
+
+await build({
+  banner: {js: BANNER},
+  bundle: true,
+  define: {'import.meta.url': 'importMetaUrl'},
+  entryPoints,
+  format: 'cjs',
+  logLevel: 'warning',
+  outExtension: {'.js': '.cjs'},
+  outdir: 'dist',
+  platform: 'node',
+  sourcemap: true,
+  target: 'node20',
+});
+console.log(`built ${entryPoints.length} programs`);
