--- a/packages/nutmegproxy-catalogue/src/index.ts
+++ b/packages/nutmegproxy-catalogue/src/index.ts
@@ -1,3 +1,4 @@
-/** Public surface; filled by the package. */
+/** Public surface of the catalogue. */
 
-export {};
+export {CATALOGUE_CHANGED} from './CatalogueView.ts';
+export type {CatalogueSource, CatalogueView} from './CatalogueView.ts';
--- a/packages/nutmegproxy-core/src/index.ts
+++ b/packages/nutmegproxy-core/src/index.ts
@@ -33,5 +33,7 @@
   WorkerId,
 } from './Ids.ts';
 export {BrokenInvariant, invariant} from './Invariant.ts';
+export {DRAIN_STARTED} from './LifecycleCommands.ts';
+export type {DrainStart} from './LifecycleCommands.ts';
 export {mergeUnregister} from './Unregister.ts';
 export type {Unregister} from './Unregister.ts';
--- /dev/null
+++ b/packages/nutmegproxy-placement/src/index.ts
@@ -0,0 +1,11 @@
+/** Public surface of placement. */
+
+export type {
+  AttemptOutcome,
+  PlacedAttempt,
+  Placement,
+  PlacementDecision,
+  PlacementWish,
+  ThrottleWish,
+  WorkerProfile,
+} from './Placement.ts';
