Add authenticated links between entry VMs

Mutual HMAC challenge with the shared secret; frames are numbered and carry a MAC under a key derived from both greetings. Contract change: registerHandler takes an optional check of the body, and TargetedMesh adds setTargets. Ruled out: one key for both directions (a frame could be sent back to its sender).

--- /dev/null
+++ b/packages/nutmegproxy-peers/src/Handshake.ts
@@ -0,0 +1,78 @@
+/**
+ * Mutual authentication of a link. Each side sends a greeting with a fresh nonce, then an HMAC of
+ * both greetings and its role under the shared secret. The secret itself never leaves the process.
+ * A key for the frames that follow is derived in the same way.
+ */
+
+import type {NodeIdentity} from '@nutmegproxy/core';
+import type {Greeting} from '@nutmegproxy/schema';
+
+import {brand} from '@nutmegproxy/core';
+import {createHmac, randomBytes, timingSafeEqual} from 'node:crypto';
+
+import {NONCE_BYTES} from './PeersConstants.ts';
+
+export type LinkRole = 'dialler' | 'listener';
+
+/** Both greetings of a link, in the same order on both sides. */
+export interface Transcript {
+  readonly dialler: Greeting;
+  readonly listener: Greeting;
+}
+
+/** Makes this side's greeting with a fresh nonce. */
+export function createGreeting(identity: NodeIdentity, peerAddress: string): Greeting {
+  return {
+    dataCentre: identity.dataCentre,
+    incarnation: identity.incarnation,
+    kind: 'greeting',
+    nonce: randomBytes(NONCE_BYTES).toString('hex'),
+    peerAddress,
+    region: identity.region,
+    vm: identity.vm,
+  };
+}
+
+/** The identity that a greeting claims; to be trusted only after its proof. */
+export function readIdentity(greeting: Greeting): NodeIdentity {
+  return {
+    dataCentre: brand(greeting.dataCentre),
+    incarnation: brand(greeting.incarnation),
+    region: brand(greeting.region),
+    vm: brand(greeting.vm),
+  };
+}
+
+function serialise(greeting: Greeting): string {
+  const {dataCentre, incarnation, nonce, peerAddress, region, vm} = greeting;
+  return JSON.stringify([dataCentre, incarnation, nonce, peerAddress, region, vm]);
+}
+
+function authenticate(secret: string, purpose: string, transcript: Transcript): Buffer {
+  const {dialler, listener} = transcript;
+  return createHmac('sha256', secret)
+    .update(JSON.stringify([purpose, serialise(dialler), serialise(listener)]))
+    .digest();
+}
+
+/** The proof of the side that has `role`, as hexadecimal digits. */
+export function prove(secret: string, role: LinkRole, transcript: Transcript): string {
+  return authenticate(secret, `proof of ${role}`, transcript).toString('hex');
+}
+
+/** Whether `mac` is the proof of the side that has `role`. */
+export function verifyProof(
+  secret: string,
+  role: LinkRole,
+  transcript: Transcript,
+  mac: string,
+): boolean {
+  const expected = authenticate(secret, `proof of ${role}`, transcript);
+  const given = Buffer.from(mac, 'hex');
+  return given.length === expected.length && timingSafeEqual(given, expected);
+}
+
+/** Key that authenticates the frames sent by the side that has `role`. */
+export function deriveFrameKey(secret: string, role: LinkRole, transcript: Transcript): Buffer {
+  return authenticate(secret, `frames of ${role}`, transcript);
+}
--- /dev/null
+++ b/packages/nutmegproxy-peers/src/LinkOpener.ts
@@ -0,0 +1,99 @@
+/** Opens links: runs the handshake on a connected socket, as dialler or as listener. */
+
+import type {EntryNode} from '@nutmegproxy/core';
+import type {Greeting, Proof} from '@nutmegproxy/schema';
+import type {Result} from 'neverthrow';
+import type {WebSocket} from 'ws';
+
+import {validateGreeting, validateProof} from '@nutmegproxy/schema';
+import {pack} from 'msgpackr';
+import {err, ok} from 'neverthrow';
+
+import type {LinkRole, Transcript} from './Handshake.ts';
+import type {LinkParts} from './PeerLink.ts';
+
+import {unpackSafely} from './FrameCodec.ts';
+import {FrameInbox} from './FrameInbox.ts';
+import {createGreeting, deriveFrameKey, prove, readIdentity, verifyProof} from './Handshake.ts';
+import {HANDSHAKE_TIMEOUT_MS} from './PeersConstants.ts';
+
+/** What a handshake needs besides the socket. */
+export interface HandshakeContext {
+  readonly node: EntryNode;
+  readonly peerAddress: string;
+  readonly secret: string;
+}
+
+export type HandshakeFailure = 'bad greeting' | 'bad proof' | 'closed';
+
+const OTHER_ROLE: Readonly<Record<LinkRole, LinkRole>> = {
+  dialler: 'listener',
+  listener: 'dialler',
+};
+
+async function receive(inbox: FrameInbox): Promise<Result<unknown, HandshakeFailure>> {
+  const bytes = await inbox.next();
+  return bytes === undefined ? err('closed') : ok(unpackSafely(bytes));
+}
+
+function createTranscript(role: LinkRole, own: Greeting, theirs: Greeting): Transcript {
+  return role === 'dialler' ? {dialler: own, listener: theirs} : {dialler: theirs, listener: own};
+}
+
+async function exchange(
+  context: HandshakeContext,
+  socket: WebSocket,
+  inbox: FrameInbox,
+  role: LinkRole,
+): Promise<Result<LinkParts, HandshakeFailure>> {
+  const own = createGreeting(context.node.identity, context.peerAddress);
+  socket.send(pack(own));
+  const greeting = await receive(inbox);
+  if (greeting.isErr()) {
+    return err(greeting.error);
+  }
+  if (!validateGreeting(greeting.value)) {
+    return err('bad greeting');
+  }
+  const transcript = createTranscript(role, own, greeting.value);
+  const ownProof: Proof = {kind: 'proof', mac: prove(context.secret, role, transcript)};
+  socket.send(pack(ownProof));
+  const proof = await receive(inbox);
+  if (proof.isErr()) {
+    return err(proof.error);
+  }
+  const otherRole = OTHER_ROLE[role];
+  const valid =
+    validateProof(proof.value) &&
+    verifyProof(context.secret, otherRole, transcript, proof.value.mac);
+  if (!valid) {
+    return err('bad proof');
+  }
+  return ok({
+    identity: readIdentity(greeting.value),
+    inbox,
+    peerAddress: greeting.value.peerAddress,
+    receiveKey: deriveFrameKey(context.secret, otherRole, transcript),
+    role,
+    sendKey: deriveFrameKey(context.secret, role, transcript),
+    socket,
+  });
+}
+
+/** Runs the handshake within HANDSHAKE_TIMEOUT_MS; a failure leaves the socket closed. */
+export async function openLink(
+  context: HandshakeContext,
+  socket: WebSocket,
+  role: LinkRole,
+  inbox = new FrameInbox(socket),
+): Promise<Result<LinkParts, HandshakeFailure>> {
+  const timer = setTimeout(() => {
+    socket.terminate();
+  }, HANDSHAKE_TIMEOUT_MS);
+  const result = await exchange(context, socket, inbox, role);
+  clearTimeout(timer);
+  if (result.isErr()) {
+    socket.terminate();
+  }
+  return result;
+}
--- a/packages/nutmegproxy-peers/src/PeerMesh.ts
+++ b/packages/nutmegproxy-peers/src/PeerMesh.ts
@@ -24,12 +24,16 @@
 /** Handles a message of one type; what it returns is the answer to a request. */
 export type PeerHandler = (body: unknown, from: NodeIdentity, now: Instant) => unknown;
 
+/** Checks the body of a message type; the generated validators fit. */
+export type BodyCheck = (body: unknown) => boolean;
+
 export interface PeerMesh {
   /** Sends to every linked peer; there is no answer. */
   broadcast(message: PeerMessage): void;
   /** Linked peers, of any data centre. */
   peers(): readonly Peer[];
-  registerHandler(type: string, handler: PeerHandler): Unregister;
+  /** A message whose body fails `check` closes the link that it came over. */
+  registerHandler(type: string, handler: PeerHandler, check?: BodyCheck): Unregister;
   /** Sends and waits for the answer. A message reaches only the incarnation that is named. */
   request(
     to: VmId,
@@ -40,3 +44,8 @@
   /** Sends without an answer; false when there is no link. */
   send(to: VmId, message: PeerMessage): boolean;
 }
+
+/** A mesh that is told which addresses of its own data centre to keep links to. */
+export interface TargetedMesh extends PeerMesh {
+  setTargets(addresses: readonly string[]): void;
+}
--- /dev/null
+++ b/packages/nutmegproxy-peers/src/PendingRequests.ts
@@ -0,0 +1,63 @@
+/** Requests that wait for an answer over one link. */
+
+import type {Result} from 'neverthrow';
+
+import {err, ok} from 'neverthrow';
+
+import type {PeerFailure} from './PeerMesh.ts';
+
+import {MAX_REQUESTS_IN_FLIGHT} from './PeersConstants.ts';
+
+type Settle = (answer: Result<unknown, PeerFailure>) => void;
+
+/** Matches answers with requests; at most MAX_REQUESTS_IN_FLIGHT wait at one time. */
+export class PendingRequests {
+  #nextId = 1;
+  readonly #settlers = new Map<number, Settle>();
+
+  /** Settles the request `id`; an answer that comes late is dropped. */
+  answer(id: number, body: unknown, refused: string | undefined): void {
+    const result =
+      refused === undefined ? ok(body) : err({kind: 'refused' as const, message: refused});
+    this.#settlers.get(id)?.(result);
+  }
+
+  /** The link is gone: what was sent may have been handled. */
+  failAll(): void {
+    const failure: PeerFailure = {kind: 'unknown', message: 'the link closed before the answer'};
+    for (const settle of [...this.#settlers.values()]) {
+      settle(err(failure));
+    }
+  }
+
+  /** Calls `send` with a new request's id and waits for the answer; `send` tells whether it went. */
+  async start(
+    timeoutMs: number,
+    send: (id: number) => boolean,
+  ): Promise<Result<unknown, PeerFailure>> {
+    if (this.#settlers.size >= MAX_REQUESTS_IN_FLIGHT) {
+      return err({kind: 'unreachable', message: 'too many requests wait for this peer'});
+    }
+    const id = this.#nextId;
+    this.#nextId += 1;
+    const answer = this.#wait(id, timeoutMs);
+    if (!send(id)) {
+      this.#settlers.get(id)?.(err({kind: 'unreachable', message: 'the link is closed'}));
+    }
+    return answer;
+  }
+
+  #wait(id: number, timeoutMs: number): Promise<Result<unknown, PeerFailure>> {
+    return new Promise((resolve) => {
+      const settle: Settle = (answer) => {
+        clearTimeout(timer);
+        this.#settlers.delete(id);
+        resolve(answer);
+      };
+      const timer = setTimeout(() => {
+        settle(err({kind: 'unknown', message: 'no answer in time'}));
+      }, timeoutMs);
+      this.#settlers.set(id, settle);
+    });
+  }
+}
--- /dev/null
+++ b/packages/nutmegproxy-peers/src/TargetBook.ts
@@ -0,0 +1,91 @@
+/** Which addresses this process keeps links to, from seeds, the store's records and gossip. */
+
+import type {DataCentreId, NodeIdentity, VmId} from '@nutmegproxy/core';
+import type {KnownPeer} from '@nutmegproxy/schema';
+
+import {createHash} from 'node:crypto';
+
+import {LINKS_PER_DATA_CENTRE, MAX_KNOWN_PEERS} from './PeersConstants.ts';
+
+/** Weight of a pair of VMs; each VM prefers the peers with the highest weights. */
+export function weighPair(own: VmId, other: string): string {
+  return createHash('sha256').update(`${own}|${other}`).digest('hex');
+}
+
+/** Peers of one other data centre to dial: the first few by rendezvous hashing. */
+export function chooseRemote(own: VmId, peers: readonly KnownPeer[]): readonly KnownPeer[] {
+  return peers
+    .map((peer) => ({peer, weight: weighPair(own, peer.vm)}))
+    .sort((a, b) => (a.weight < b.weight ? 1 : -1))
+    .slice(0, LINKS_PER_DATA_CENTRE)
+    .map(({peer}) => peer);
+}
+
+export class TargetBook {
+  readonly #known = new Map<string, KnownPeer>();
+  readonly #own: NodeIdentity;
+  readonly #seeds: readonly string[];
+  #targets: readonly string[] = [];
+
+  constructor(own: NodeIdentity, seeds: readonly string[]) {
+    this.#own = own;
+    this.#seeds = seeds;
+  }
+
+  /** Addresses to dial: the whole of the own data centre, a few of each other one, and seeds. */
+  addresses(): ReadonlySet<string> {
+    const local: string[] = [];
+    const remote = new Map<string, KnownPeer[]>();
+    for (const peer of this.#known.values()) {
+      if (peer.dataCentre === this.#own.dataCentre) {
+        local.push(peer.peerAddress);
+      } else {
+        remote.set(peer.dataCentre, [...(remote.get(peer.dataCentre) ?? []), peer]);
+      }
+    }
+    const chosen = [...remote.values()].flatMap((peers) => chooseRemote(this.#own.vm, peers));
+    const unknownSeeds = this.#seeds.filter((seed) => !this.#known.has(seed));
+    return new Set([
+      ...this.#targets,
+      ...unknownSeeds,
+      ...local,
+      ...chosen.map(({peerAddress}) => peerAddress),
+    ]);
+  }
+
+  /** Known peers of any data centre, for gossip. */
+  known(): readonly KnownPeer[] {
+    return [...this.#known.values()];
+  }
+
+  /** Forgets an address that cannot be reached; its owner will be heard of again. */
+  forget(peerAddress: string): void {
+    this.#known.delete(peerAddress);
+  }
+
+  /** Remembers a peer; the oldest is dropped when the book is full. */
+  learn(peer: KnownPeer): void {
+    if (peer.vm === this.#own.vm) {
+      return;
+    }
+    this.#known.delete(peer.peerAddress);
+    this.#known.set(peer.peerAddress, peer);
+    if (this.#known.size > MAX_KNOWN_PEERS) {
+      const [oldest] = this.#known.keys();
+      this.forget(oldest ?? '');
+    }
+  }
+
+  setTargets(addresses: readonly string[]): void {
+    this.#targets = addresses.slice(0, MAX_KNOWN_PEERS);
+  }
+}
+
+/** The identity part of a known peer. */
+export function describePeer(identity: NodeIdentity, peerAddress: string): KnownPeer {
+  return {
+    dataCentre: identity.dataCentre satisfies DataCentreId,
+    peerAddress,
+    vm: identity.vm,
+  };
+}
--- a/packages/nutmegproxy-peers/src/index.ts
+++ b/packages/nutmegproxy-peers/src/index.ts
@@ -1,3 +1,13 @@
 /** Public surface of the links between entry VMs. */
 
-export type {Peer, PeerFailure, PeerHandler, PeerMesh, PeerMessage} from './PeerMesh.ts';
+export type {
+  BodyCheck,
+  Peer,
+  PeerFailure,
+  PeerHandler,
+  PeerMesh,
+  PeerMessage,
+  TargetedMesh,
+} from './PeerMesh.ts';
+export {WsPeerMesh} from './WsPeerMesh.ts';
+export type {WsPeerMeshOptions} from './WsPeerMesh.ts';
--- a/packages/nutmegproxy-schema/src/index.ts
+++ b/packages/nutmegproxy-schema/src/index.ts
@@ -11,6 +11,42 @@
   WorkClass,
 } from './generated/catalogueTypes.ts';
 export {validateCatalogue} from './generated/catalogueValidators.js';
+export type {
+  AllotmentRecord,
+  CellOwnerRecord,
+  CellRecord,
+  MemberRecord,
+  MinionRecord,
+  ReclaimedShare,
+  ShareRecord,
+  TenureRecord,
+} from './generated/membershipMessagesTypes.ts';
+export {
+  validateAllotmentRecord,
+  validateCellOwnerRecord,
+  validateDenyAnswer,
+  validateDenyRequest,
+  validateRecordNotice,
+  validateRelayAnswer,
+  validateRelayRequest,
+  validateTenureRecord,
+  validateVouchAnswer,
+  validateVouchRequest,
+} from './generated/membershipMessagesValidators.js';
+export type {
+  AnswerFrame,
+  Greeting,
+  HeartbeatFrame,
+  KnownPeer,
+  MessageFrame,
+  PeerFrame,
+  Proof,
+} from './generated/peersMessagesTypes.ts';
+export {
+  validateGreeting,
+  validatePeerFrame,
+  validateProof,
+} from './generated/peersMessagesValidators.js';
 export type {
   AttemptReport,
   Resources,
