--- a/packages/nutmegproxy-standins/src/index.ts
+++ b/packages/nutmegproxy-standins/src/index.ts
@@ -1,3 +1,4 @@
 /** Public surface; filled by the package. */
 
-export {};
+export {LocalMesh, LocalNetwork} from './LocalMesh.ts';
+export type {Passage} from './LocalMesh.ts';
