Add the placement baseline and the ledger of reservations

Placement.observe takes one observation with the instant of measurement, because reports lag and the policy must know what ran beside the attempt at that time. evictions() names attempts whose worker holds more than it can.

--- a/packages/nutmegproxy-placement/src/Placement.ts
+++ b/packages/nutmegproxy-placement/src/Placement.ts
@@ -38,6 +38,16 @@
   | {readonly kind: 'placed'; readonly reserved: Resources; readonly worker: WorkerId}
   | {readonly kind: 'wait'; readonly reason: string};
 
+/** One usage report of one attempt. */
+export interface AttemptObservation {
+  readonly attempt: AttemptId;
+  /** When the usage was measured, on this process's clock: the report's lag is already taken off. */
+  readonly measuredAt: Instant;
+  /** Share of the work that is done, 0 to 1. */
+  readonly progress: number;
+  readonly usage: Usage;
+}
+
 /** How an attempt ended, for learning. */
 export type AttemptOutcome = 'evicted' | 'failed' | 'lost' | 'refused' | 'succeeded';
 
@@ -57,8 +67,10 @@
   adopt(attempt: PlacedAttempt, now: Instant): void;
   /** Decides on one wish; a `placed` decision makes the reservation at once. */
   decide(wish: PlacementWish, now: Instant): PlacementDecision;
+  /** Attempts to evict because their worker turned out to hold more than it can. */
+  evictions(now: Instant): readonly AttemptId[];
   /** Learns from a usage report, which lags. */
-  observe(attempt: AttemptId, usage: Usage, progress: number, now: Instant): void;
+  observe(observation: AttemptObservation, now: Instant): void;
   /** Ends a reservation: the attempt certainly runs no longer. */
   release(attempt: AttemptId, outcome: AttemptOutcome, now: Instant): void;
   removeWorker(worker: WorkerId, now: Instant): void;
--- /dev/null
+++ b/packages/nutmegproxy-placement/src/TeamQuotas.ts
@@ -0,0 +1,53 @@
+/** What each team's running tasks hold against the share of its quota that this entry VM may use. */
+
+import type {TeamId} from '@nutmegproxy/core';
+import type {Quota, Resources} from '@nutmegproxy/schema';
+
+import type {PlacedAttempt, PlacementWish} from './Placement.ts';
+
+import {addResources, fitsInto, NO_RESOURCES, subtractResources} from './ResourcesUtils.ts';
+
+/** Whether a wish is within its team's quota now, could be later, or never can be. */
+export type QuotaVerdict = 'exceeded' | 'never' | 'within';
+
+/** Accounts for the teams' quotas; a team without a quota is not limited. */
+export class TeamQuotas {
+  readonly #held = new Map<TeamId, Resources>();
+  #shares: ReadonlyMap<TeamId, Quota> = new Map();
+
+  add(attempt: PlacedAttempt): void {
+    this.#held.set(attempt.team, addResources(this.held(attempt.team), attempt.reserved));
+  }
+
+  held(team: TeamId): Resources {
+    return this.#held.get(team) ?? NO_RESOURCES;
+  }
+
+  remove(attempt: PlacedAttempt): void {
+    this.#held.set(attempt.team, subtractResources(this.held(attempt.team), attempt.reserved));
+  }
+
+  setShares(shares: ReadonlyMap<TeamId, Quota>): void {
+    this.#shares = shares;
+  }
+
+  verdict(wish: PlacementWish, amount: Resources): QuotaVerdict {
+    const quota = this.#shares.get(wish.team);
+    if (!quota) {
+      return 'within';
+    }
+    const limit = toLimit(quota);
+    if (!fitsInto(wish.declared, limit)) {
+      return 'never';
+    }
+    return fitsInto(addResources(this.held(wish.team), amount), limit) ? 'within' : 'exceeded';
+  }
+}
+
+function toLimit(quota: Quota): Resources {
+  return {
+    accelerators: quota.accelerators ?? Infinity,
+    cpu: quota.cpu ?? Infinity,
+    memoryMb: quota.memoryMb ?? Infinity,
+  };
+}
--- a/packages/nutmegproxy-placement/src/index.ts
+++ b/packages/nutmegproxy-placement/src/index.ts
@@ -1,6 +1,7 @@
 /** Public surface of placement. */
 
 export type {
+  AttemptObservation,
   AttemptOutcome,
   PlacedAttempt,
   Placement,
@@ -9,3 +10,5 @@
   ThrottleWish,
   WorkerProfile,
 } from './Placement.ts';
+export {PLACEMENTS} from './Placements.ts';
+export type {PlacementMaker, PlacementName} from './Placements.ts';
