--- a/packages/nutmegproxy-standins/src/LocalMesh.ts
+++ b/packages/nutmegproxy-standins/src/LocalMesh.ts
@@ -31,7 +31,6 @@
 }
 
 const UNREACHABLE: PeerFailure = {kind: 'unreachable', message: 'the link is cut'};
-const UNKNOWN: PeerFailure = {kind: 'unknown', message: 'no answer in time'};
 
 /** Copies a body as the wire would, so that no two processes share an object. */
 function copyBody(body: unknown): unknown {
@@ -152,12 +151,13 @@
     to: VmId,
     incarnation: IncarnationId,
     message: PeerMessage,
+    timeoutMs: number,
   ): ResultAsync<unknown, PeerFailure> {
     const target = this.#others().find(({identity}) => identity.incarnation === incarnation);
     if (target?.identity.vm !== to || !this.#linked(to)) {
       return new ResultAsync(Promise.resolve(err(UNREACHABLE)));
     }
-    return new ResultAsync(this.#exchange(target, message));
+    return new ResultAsync(this.#exchange(target, message, timeoutMs));
   }
 
   send(to: VmId, message: PeerMessage): boolean {
@@ -175,7 +175,8 @@
     this.targets = addresses;
   }
 
-  async #exchange(target: LocalMesh, message: PeerMessage) {
+  async #exchange(target: LocalMesh, message: PeerMessage, timeoutMs: number) {
+    const late: PeerFailure = {kind: 'unknown', message: `no answer within ${timeoutMs} ms`};
     const copy = {...message, body: copyBody(message.body)};
     const deliveries: ReturnType<LocalMesh['receive']>[] = [];
     this.#network.deliver(this.identity.vm, target.identity.vm, () => {
@@ -183,13 +184,13 @@
     });
     const [received] = deliveries;
     if (deliveries.length === 0) {
-      return err(UNKNOWN);
+      return err(late);
     }
     if (received === undefined) {
       return err({kind: 'refused', message: 'no handler for this message'} as PeerFailure);
     }
     const answer = copyBody(await received.answer);
-    return this.#answersPass(target) ? ok(answer) : err(UNKNOWN);
+    return this.#answersPass(target) ? ok(answer) : err(late);
   }
 
   #answersPass(target: LocalMesh): boolean {
