--- /dev/null
+++ b/packages/nutmegproxy-membership/src/AllotmentRecordUtils.ts
@@ -0,0 +1,112 @@
+/** Reads and changes the allotment record as a value; every function returns a new record. */
+
+import type {DataCentreId, IncarnationId} from '@nutmegproxy/core';
+import type {AllotmentRecord, MemberRecord, MinionRecord} from '@nutmegproxy/schema';
+
+import {brand} from '@nutmegproxy/core';
+
+import type {Allotment, CellOwnership, Member, MinionShares} from './Membership.ts';
+
+/** The record before anyone has joined. */
+export const EMPTY_RECORD: AllotmentRecord = {
+  cells: [],
+  changeId: '',
+  epoch: 0,
+  members: [],
+  minions: [],
+  reclaimed: [],
+};
+
+export function findMember(record: AllotmentRecord, incarnation: string): MemberRecord | undefined {
+  return record.members.find((member) => member.incarnation === incarnation);
+}
+
+/** Incarnations of all members. */
+export function memberSet(record: AllotmentRecord): ReadonlySet<IncarnationId> {
+  return new Set(record.members.map(({incarnation}) => brand<IncarnationId>(incarnation)));
+}
+
+/** Members that may receive shares and cells. */
+export function activeMembers(record: AllotmentRecord): readonly MemberRecord[] {
+  return record.members.filter(({state}) => state === 'active');
+}
+
+/** Slots of a minion that `incarnation` holds. */
+export function shareOf(minion: MinionRecord, incarnation: string): number {
+  return minion.shares.find((share) => share.incarnation === incarnation)?.count ?? 0;
+}
+
+/** Slots of a minion that no member holds and that are not reclaimed; negative when too many are. */
+export function countFree(record: AllotmentRecord, minion: MinionRecord): number {
+  const held = minion.shares.reduce((sum, {count}) => sum + count, 0);
+  const reclaimed = record.reclaimed
+    .filter((each) => each.minion === minion.minion)
+    .reduce((sum, {count}) => sum + count, 0);
+  return minion.slots - held - reclaimed;
+}
+
+/** Sets one member's share of one minion. */
+export function withShare(minion: MinionRecord, incarnation: string, count: number): MinionRecord {
+  const rest = minion.shares.filter((share) => share.incarnation !== incarnation);
+  return {...minion, shares: count > 0 ? [...rest, {count, incarnation}] : rest};
+}
+
+/** Sets the fields of one member. */
+export function withMember(
+  record: AllotmentRecord,
+  incarnation: string,
+  change: Partial<MemberRecord>,
+): AllotmentRecord {
+  const members = record.members.map((member) =>
+    member.incarnation === incarnation ? {...member, ...change} : member,
+  );
+  return {...record, members};
+}
+
+/** Removes a member; its slots stay out of use as `reclaimed`, its cells keep it as owner. */
+export function withoutMember(record: AllotmentRecord, incarnation: string): AllotmentRecord {
+  const lost = record.minions
+    .map((minion) => ({count: shareOf(minion, incarnation), incarnation, minion: minion.minion}))
+    .filter(({count}) => count > 0);
+  return {
+    ...record,
+    members: record.members.filter((member) => member.incarnation !== incarnation),
+    minions: record.minions.map((minion) => withShare(minion, incarnation, 0)),
+    reclaimed: [...record.reclaimed, ...lost],
+  };
+}
+
+function toMember({incarnation, peerAddress, vm}: MemberRecord): [IncarnationId, Member] {
+  const id = brand<IncarnationId>(incarnation);
+  return [id, {incarnation: id, peerAddress, vm: brand(vm)}];
+}
+
+function toMinionShares({minion, shares, slots}: MinionRecord): MinionShares {
+  return {
+    minion: brand(minion),
+    shares: new Map(shares.map(({count, incarnation}) => [brand(incarnation), count])),
+    slots,
+  };
+}
+
+/** The record as features see it. */
+export function toAllotment(
+  record: AllotmentRecord,
+  dataCentre: DataCentreId,
+  modRevision: number,
+): Allotment {
+  const cells = record.cells.map(({cell, epoch, owner}): CellOwnership => ({
+    cell: brand(cell),
+    epoch,
+    owner: brand(owner),
+  }));
+  const minions = record.minions.map(toMinionShares);
+  return {
+    cells: new Map(cells.map((each) => [each.cell, each])),
+    dataCentre,
+    epoch: record.epoch,
+    members: new Map(record.members.map(toMember)),
+    minions: new Map(minions.map((each) => [each.minion, each])),
+    modRevision,
+  };
+}
--- a/packages/nutmegproxy-membership/src/Membership.ts
+++ b/packages/nutmegproxy-membership/src/Membership.ts
@@ -42,6 +42,11 @@
   allotment(): Allotment | undefined;
   /** Whether this process may use its shares and cells at `now`. Asked after every await. */
   holdsTenure(now: Instant): boolean;
+  /**
+   * Slots of a minion that this process may use or lend. It is lower than its share in the record
+   * while it gives slots up. Worth nothing without tenure.
+   */
+  ownShare(minion: MinionId): number;
   /** Instant at which tenure ends unless it is renewed before. */
   tenureEnds(): Instant;
 }
--- /dev/null
+++ b/packages/nutmegproxy-membership/src/MembershipConstants.ts
@@ -0,0 +1,25 @@
+/** Durations and bounds of membership. */
+
+export const TENURE_TTL_MS = 10_000;
+export const VOUCH_PERIOD_MS = 6_000;
+/** Longest time that a process may act on vouches alone, counted from its last lease renewal. */
+export const OUTAGE_LIMIT_MS = 2 * 60 * 60 * 1_000;
+/** Longest time that a request may occupy a slot. */
+export const REQUEST_LIMIT_MS = 60_000;
+export const LOAN_TERM_MS = 10_000;
+/** Share by which two clocks may differ in rate. */
+export const CLOCK_RATE_MARGIN = 0.05;
+export const TICK_MS = 1_000;
+export const RECORD_POLL_MS = 2_000;
+export const PEER_TIMEOUT_MS = 1_000;
+/** Part of the tenure's time to live after which the lease is renewed. */
+export const RENEW_SHARE = 0.3;
+/** Part of the time to live after which vouches are asked for beside the renewal. */
+export const LATE_SHARE = 0.5;
+/** Peers that are asked to relay a renewal at one time. */
+export const MAX_RELAYS = 3;
+/** Cells whose owner one transaction changes. */
+export const MAX_CELL_CHANGES = 48;
+export const MAX_REMEMBERED_INCARNATIONS = 1_024;
+/** Time that a planned stop waits for shares and cells to be given up. */
+export const LEAVE_LIMIT_MS = 90_000;
--- /dev/null
+++ b/packages/nutmegproxy-membership/src/MembershipKeys.ts
@@ -0,0 +1,29 @@
+/** Keys of membership in the store. */
+
+import type {CellId, DataCentreId, IncarnationId} from '@nutmegproxy/core';
+
+/** Keys of one data centre under the project's prefix. */
+export class MembershipKeys {
+  readonly #root: string;
+
+  constructor(prefix: string, dataCentre: DataCentreId) {
+    this.#root = `${prefix}/dc/${dataCentre}`;
+  }
+
+  allotment(): string {
+    return `${this.#root}/allotment`;
+  }
+
+  cellOwner(cell: CellId): string {
+    return `${this.#root}/cell/${cell}/owner`;
+  }
+
+  /** One key per incarnation, so that a restarted process need not wait for its old lease. */
+  tenure(incarnation: IncarnationId): string {
+    return `${this.tenurePrefix()}${incarnation}`;
+  }
+
+  tenurePrefix(): string {
+    return `${this.#root}/tenure/`;
+  }
+}
--- /dev/null
+++ b/packages/nutmegproxy-membership/src/MembershipServices.ts
@@ -0,0 +1,40 @@
+/** What membership is built on, shared by its parts. */
+
+import type {EntryNode, Instant} from '@nutmegproxy/core';
+import type {TargetedMesh} from '@nutmegproxy/peers';
+import type {Vm} from '@nutmegproxy/schema';
+import type {PlatformStore} from '@nutmegproxy/store';
+
+import type {RecordStore} from './RecordStore.ts';
+import type {RecordView} from './RecordView.ts';
+import type {TenurePeriods, TenureState} from './TenureState.ts';
+import type {VouchBook} from './VouchBook.ts';
+
+/** Periods that every process of a data centre must share, and the bounds of its own work. */
+export interface MembershipPeriods extends TenurePeriods {
+  readonly loanTermMs: number;
+  readonly requestLimitMs: number;
+}
+
+/** The VMs of the data centre, as membership needs them. */
+export interface VmSource {
+  vms(): readonly Vm[];
+}
+
+export interface MembershipServices {
+  readonly directory: VmSource;
+  readonly mesh: TargetedMesh;
+  readonly node: EntryNode;
+  readonly peerAddress: string;
+  readonly periods: MembershipPeriods;
+  readonly store: PlatformStore;
+}
+
+/** State that the parts of membership share. */
+export interface MembershipParts extends MembershipServices {
+  readonly book: VouchBook;
+  readonly now: () => Instant;
+  readonly recordStore: RecordStore;
+  readonly state: TenureState;
+  readonly view: RecordView;
+}
--- /dev/null
+++ b/packages/nutmegproxy-membership/src/RecordView.ts
@@ -0,0 +1,70 @@
+/** The newest reading of the record, and since when this process has seen what in it. */
+
+import type {IncarnationId, Instant} from '@nutmegproxy/core';
+import type {AllotmentRecord} from '@nutmegproxy/schema';
+
+import {after, brand} from '@nutmegproxy/core';
+
+import type {RecordReading} from './RecordStore.ts';
+
+import {EMPTY_RECORD, memberSet} from './AllotmentRecordUtils.ts';
+
+/** Remembers since when each item has been seen without a break. */
+class FirstSeen {
+  readonly #since = new Map<string, Instant>();
+
+  /** Whether `item` has been seen for at least `periodMs`. */
+  lasts(item: string, periodMs: number, now: Instant): boolean {
+    const since = this.#since.get(item);
+    return since !== undefined && now >= after(since, periodMs);
+  }
+
+  update(items: ReadonlySet<string>, now: Instant): void {
+    for (const item of [...this.#since.keys()].filter((each) => !items.has(each))) {
+      this.#since.delete(item);
+    }
+    for (const item of items) {
+      if (!this.#since.has(item)) {
+        this.#since.set(item, now);
+      }
+    }
+  }
+}
+
+export class RecordView {
+  /** Electors of some member that are members no more. */
+  readonly absentElectors = new FirstSeen();
+  /** Members without a tenure key. */
+  readonly keyless = new FirstSeen();
+  /** Removed members whose slots are reclaimed. */
+  readonly reclaimed = new FirstSeen();
+  #reading: RecordReading = {modRevision: 0, record: EMPTY_RECORD, tenures: new Map()};
+
+  get reading(): RecordReading {
+    return this.#reading;
+  }
+
+  get record(): AllotmentRecord {
+    return this.#reading.record;
+  }
+
+  /** Takes in a reading that arrived at `now`; an older one than the newest is ignored. */
+  adopt(reading: RecordReading, now: Instant): void {
+    if (reading.modRevision < this.#reading.modRevision) {
+      return;
+    }
+    this.#reading = reading;
+    const members = memberSet(reading.record);
+    const electors = reading.record.members.flatMap((member) => member.electors);
+    this.absentElectors.update(new Set(electors.filter((each) => !members.has(brand(each)))), now);
+    this.keyless.update(new Set([...members].filter((each) => !reading.tenures.has(each))), now);
+    this.reclaimed.update(
+      new Set(reading.record.reclaimed.map(({incarnation}) => incarnation)),
+      now,
+    );
+  }
+
+  hasMember(incarnation: IncarnationId): boolean {
+    return this.record.members.some((member) => member.incarnation === incarnation);
+  }
+}
--- /dev/null
+++ b/packages/nutmegproxy-membership/src/SharePlan.ts
@@ -0,0 +1,118 @@
+/** Which slots a member should give up or take; a member changes its own shares only. */
+
+import type {AllotmentRecord, MinionRecord} from '@nutmegproxy/schema';
+
+import {activeMembers, countFree, findMember, shareOf, withShare} from './AllotmentRecordUtils.ts';
+import {targetShare} from './ShareTargets.ts';
+
+/** A minion as the VM directory shows it. */
+export interface MinionCapacity {
+  readonly minion: string;
+  readonly slots: number;
+}
+
+/** A share that a member should lower. */
+export interface ShareSurplus {
+  readonly keep: number;
+  readonly minion: string;
+}
+
+type Capacities = ReadonlyMap<string, number>;
+
+/** Slots of each minion by id. */
+export function indexCapacities(minions: readonly MinionCapacity[]): Capacities {
+  return new Map(minions.map(({minion, slots}) => [minion, slots]));
+}
+
+function targetOf(
+  record: AllotmentRecord,
+  capacities: Capacities,
+  minion: MinionRecord,
+  own: string,
+): number {
+  const slots = capacities.get(minion.minion) ?? 0;
+  return targetShare(minion.minion, slots, activeMembers(record), own);
+}
+
+/** Shares of `own` that are above its target, or whose minion is gone. */
+export function chooseSurplusShares(
+  record: AllotmentRecord,
+  capacities: Capacities,
+  own: string,
+): readonly ShareSurplus[] {
+  return record.minions
+    .map((minion) => ({
+      held: shareOf(minion, own),
+      keep: targetOf(record, capacities, minion, own),
+      minion: minion.minion,
+    }))
+    .filter(({held, keep}) => keep < held);
+}
+
+/** Lowers the shares of `own` to what it keeps. */
+export function giveShares(
+  record: AllotmentRecord,
+  own: string,
+  gifts: ReadonlyMap<string, number>,
+): AllotmentRecord {
+  const minions = record.minions.map((minion) => {
+    const keep = gifts.get(minion.minion);
+    return keep === undefined || keep >= shareOf(minion, own)
+      ? minion
+      : withShare(minion, own, keep);
+  });
+  return {...record, minions};
+}
+
+/** Raises the shares of `own` towards its targets, as far as slots are free. */
+export function takeShares(
+  record: AllotmentRecord,
+  capacities: Capacities,
+  own: string,
+): AllotmentRecord {
+  if (findMember(record, own)?.state !== 'active') {
+    return record;
+  }
+  const minions = record.minions.map((minion) => {
+    const held = shareOf(minion, own);
+    const wanted = targetOf(record, capacities, minion, own) - held;
+    const taken = Math.min(wanted, countFree(record, minion));
+    return taken > 0 ? withShare(minion, own, held + taken) : minion;
+  });
+  return {...record, minions};
+}
+
+/** Splits new minions over the members, follows changed sizes and drops what nobody uses. */
+export function updateMinions(record: AllotmentRecord, capacities: Capacities): AllotmentRecord {
+  const recorded = new Set(record.minions.map(({minion}) => minion));
+  const reclaimed = new Set(record.reclaimed.map(({minion}) => minion));
+  const kept = record.minions
+    .map((minion) => ({...minion, slots: capacities.get(minion.minion) ?? minion.slots}))
+    .filter(
+      ({minion, shares}) => capacities.has(minion) || shares.length > 0 || reclaimed.has(minion),
+    );
+  const added = [...capacities]
+    .filter(([minion]) => !recorded.has(minion))
+    .map(([minion, slots]) => splitMinion(record, minion, slots));
+  return {...record, minions: [...kept, ...added]};
+}
+
+function splitMinion(record: AllotmentRecord, minion: string, slots: number): MinionRecord {
+  const active = activeMembers(record);
+  const shares = active
+    .map(({incarnation}) => ({
+      count: targetShare(minion, slots, active, incarnation),
+      incarnation,
+    }))
+    .filter(({count}) => count > 0);
+  return {minion, shares, slots};
+}
+
+/** Makes the slots of `incarnations` free, once their last requests must have ended. */
+export function freeReclaimed(
+  record: AllotmentRecord,
+  incarnations: ReadonlySet<string>,
+): AllotmentRecord {
+  const reclaimed = record.reclaimed.filter(({incarnation}) => !incarnations.has(incarnation));
+  return {...record, reclaimed};
+}
--- /dev/null
+++ b/packages/nutmegproxy-membership/src/registerMembership.ts
@@ -0,0 +1,117 @@
+/** Attaches membership to a node: two loops renew tenure and keep the record. */
+
+import type {DrainStart, EntryNode, Unregister} from '@nutmegproxy/core';
+import type {TargetedMesh} from '@nutmegproxy/peers';
+import type {PlatformStore} from '@nutmegproxy/store';
+
+import {DRAIN_STARTED, mergeUnregister, PRIORITY_LOW} from '@nutmegproxy/core';
+import {setTimeout as sleep} from 'node:timers/promises';
+
+import type {Membership} from './Membership.ts';
+import type {MembershipPeriods, VmSource} from './MembershipServices.ts';
+
+import {
+  LEAVE_LIMIT_MS,
+  LOAN_TERM_MS,
+  OUTAGE_LIMIT_MS,
+  RECORD_POLL_MS,
+  REQUEST_LIMIT_MS,
+  TENURE_TTL_MS,
+  TICK_MS,
+  VOUCH_PERIOD_MS,
+} from './MembershipConstants.ts';
+import {MembershipNode} from './MembershipNode.ts';
+
+export const DEFAULT_PERIODS: MembershipPeriods = {
+  loanTermMs: LOAN_TERM_MS,
+  outageLimitMs: OUTAGE_LIMIT_MS,
+  requestLimitMs: REQUEST_LIMIT_MS,
+  tenureTtlMs: TENURE_TTL_MS,
+  vouchPeriodMs: VOUCH_PERIOD_MS,
+};
+
+export interface MembershipOptions {
+  readonly directory: VmSource;
+  readonly mesh: TargetedMesh;
+  /** Address under which peers reach this process. */
+  readonly peerAddress: string;
+  readonly periods?: Partial<MembershipPeriods>;
+  readonly pollMs?: number;
+  /** Prefix of all keys in the store. */
+  readonly prefix: string;
+  readonly store: PlatformStore;
+  readonly tickMs?: number;
+}
+
+/** Sleeps until a time has passed or `wake` is called. */
+class Pause {
+  #controller = new AbortController();
+
+  async wait(milliseconds: number): Promise<void> {
+    const {signal} = this.#controller;
+    await sleep(milliseconds, undefined, {ref: false, signal}).catch(() => undefined);
+    this.#controller = new AbortController();
+  }
+
+  wake(): void {
+    this.#controller.abort();
+  }
+}
+
+/**
+ * Joins the data centre's record and stays in it. A planned stop gives up shares and cells first.
+ *
+ * @example
+ * const {membership, unregister} = registerMembership(node, {
+ *   directory, mesh, peerAddress: mesh.peerAddress, prefix: '/nutmegproxy', store,
+ * });
+ */
+export function registerMembership(
+  node: EntryNode,
+  options: MembershipOptions,
+): {membership: Membership; unregister: Unregister} {
+  const {directory, mesh, peerAddress, prefix, store} = options;
+  const periods = {...DEFAULT_PERIODS, ...options.periods};
+  const recordPause = new Pause();
+  const tenurePause = new Pause();
+  let running = true;
+  const membership = new MembershipNode(
+    {directory, mesh, node, peerAddress, periods, store},
+    {
+      onNotice: () => {
+        recordPause.wake();
+      },
+      prefix,
+    },
+  );
+  const keepRecord = async () => {
+    while (running && !membership.ended) {
+      await membership.stepRecord();
+      await recordPause.wait(options.pollMs ?? RECORD_POLL_MS);
+    }
+  };
+  const keepTenure = async () => {
+    while (running && !membership.ended) {
+      await membership.stepTenure(node.clock.monotonic());
+      await tenurePause.wait(options.tickMs ?? TICK_MS);
+    }
+  };
+  const loops = Promise.all([keepRecord(), keepTenure()]);
+  const drain = ({wait}: DrainStart) => {
+    membership.leave();
+    recordPause.wake();
+    const limit = sleep(LEAVE_LIMIT_MS, undefined, {ref: false});
+    wait(Promise.race([loops, limit]).then(() => undefined));
+    return false;
+  };
+  const unregister = mergeUnregister(
+    membership.unregister,
+    () => {
+      running = false;
+      recordPause.wake();
+      tenurePause.wake();
+    },
+    node.bus.register(DRAIN_STARTED, drain, PRIORITY_LOW),
+  );
+  return {membership, unregister};
+}
