Place tasks by learned sizes and interference, with quarantine and planned evictions

The learned policy stands beside first-fit in one table. It reserves the larger of declared and learned use (four times the declared size until three attempts have reported), keeps room for urgent tasks, evicts only when a late start is predicted, throttles before it evicts, and gives a worker that fails what its peers complete one trial task at a time.

--- /dev/null
+++ b/packages/nutmegproxy-placement/src/Claims.ts
@@ -0,0 +1,73 @@
+/** Room on workers that is kept for a task whose victims are being evicted. */
+
+import type {AttemptId, Instant, WorkerId} from '@nutmegproxy/core';
+import type {Resources} from '@nutmegproxy/schema';
+
+import {after} from '@nutmegproxy/core';
+
+import {addResources, NO_RESOURCES} from './ResourcesUtils.ts';
+
+/** A claim that has not been used by then is dropped: its task may be gone. */
+const CLAIM_LIFE_MS = 30_000;
+
+interface Claim {
+  readonly amount: Resources;
+  readonly expiresAt: Instant;
+  readonly worker: WorkerId;
+}
+
+/** Claims by the attempt that they are for. */
+export class Claims {
+  readonly #byAttempt = new Map<AttemptId, Claim>();
+  readonly #byWorker = new Map<WorkerId, Set<AttemptId>>();
+
+  add(attempt: AttemptId, worker: WorkerId, amount: Resources, now: Instant): void {
+    this.remove(attempt);
+    this.#byAttempt.set(attempt, {amount, expiresAt: after(now, CLAIM_LIFE_MS), worker});
+    const claims = this.#byWorker.get(worker) ?? new Set<AttemptId>();
+    claims.add(attempt);
+    this.#byWorker.set(worker, claims);
+  }
+
+  /** Amount that others than `attempt` have claimed on the worker. */
+  claimed(worker: WorkerId, attempt: AttemptId, now: Instant): Resources {
+    let sum = NO_RESOURCES;
+    for (const claimer of this.#byWorker.get(worker) ?? []) {
+      const claim = this.#byAttempt.get(claimer);
+      if (claim && claimer !== attempt && now < claim.expiresAt) {
+        sum = addResources(sum, claim.amount);
+      }
+    }
+    return sum;
+  }
+
+  /** The worker that the attempt has a claim on. */
+  claimOf(attempt: AttemptId, now: Instant): undefined | WorkerId {
+    const claim = this.#byAttempt.get(attempt);
+    return claim && now < claim.expiresAt ? claim.worker : undefined;
+  }
+
+  /** Drops claims that have expired; called now and then to bound the maps. */
+  expire(now: Instant): void {
+    for (const [attempt, claim] of this.#byAttempt) {
+      if (now < claim.expiresAt) {
+        // Claims stand in the order of their expiry.
+        return;
+      }
+      this.remove(attempt);
+    }
+  }
+
+  remove(attempt: AttemptId): void {
+    const claim = this.#byAttempt.get(attempt);
+    if (!claim) {
+      return;
+    }
+    this.#byAttempt.delete(attempt);
+    const claims = this.#byWorker.get(claim.worker);
+    claims?.delete(attempt);
+    if (claims?.size === 0) {
+      this.#byWorker.delete(claim.worker);
+    }
+  }
+}
--- /dev/null
+++ b/packages/nutmegproxy-placement/src/LearnedPlacement.ts
@@ -0,0 +1,350 @@
+/**
+ * The learned policy: sizes and run times from reports, interference between pairs of entries,
+ * room kept for urgent work, eviction only when a late start is predicted, quarantine of workers
+ * that fail what their peers complete.
+ */
+
+import type {AttemptId, EntryId, Instant, RackId, TeamId, WorkerId} from '@nutmegproxy/core';
+import type {Quota, Resources} from '@nutmegproxy/schema';
+
+import type {
+  AttemptObservation,
+  AttemptOutcome,
+  PlacedAttempt,
+  Placement,
+  PlacementDecision,
+  PlacementWish,
+  ThrottleWish,
+  WorkerProfile,
+} from './Placement.ts';
+import type {Run} from './RunHistory.ts';
+import type {WorkerLoad} from './WorkerLedger.ts';
+import type {Resident} from './WorkerScore.ts';
+
+import {Claims} from './Claims.ts';
+import {EntryEstimate} from './EntryEstimate.ts';
+import {EvictionPlanner} from './EvictionPlanner.ts';
+import {FleetRoom} from './FleetRoom.ts';
+import {Interference} from './Interference.ts';
+import {BATCH_AGEING_MS, CANDIDATE_LIMIT, SCAN_LIMIT} from './LearnedConstants.ts';
+import {Quarantine} from './Quarantine.ts';
+import {fitsInto, maxResources, subtractResources} from './ResourcesUtils.ts';
+import {RunHistory} from './RunHistory.ts';
+import {TeamQuotas} from './TeamQuotas.ts';
+import {Throttles} from './Throttles.ts';
+import {UrgentDemand} from './UrgentDemand.ts';
+import {WorkerIndex} from './WorkerIndex.ts';
+import {WorkerLedger} from './WorkerLedger.ts';
+import {scoreWorker} from './WorkerScore.ts';
+
+/** Outcomes that speak against the worker. */
+const FAILED_OUTCOMES: Record<AttemptOutcome, boolean | undefined> = {
+  evicted: undefined,
+  failed: true,
+  lost: true,
+  refused: undefined,
+  succeeded: false,
+};
+
+const QUOTA_REASONS = {
+  exceeded: {kind: 'wait', reason: "the team's quota is in use"},
+  never: {kind: 'impossible', reason: "the task is larger than its team's quota"},
+} satisfies Record<string, PlacementDecision>;
+
+/** Places by learned sizes and interference. */
+export class LearnedPlacement implements Placement {
+  readonly #claims = new Claims();
+  readonly #demand = new UrgentDemand();
+  readonly #estimates = new Map<EntryId, EntryEstimate>();
+  readonly #history = new RunHistory();
+  readonly #index = new WorkerIndex();
+  readonly #interference = new Interference();
+  readonly #peaks = new Map<AttemptId, {cpu: number; memoryMb: number}>();
+  readonly #planner: EvictionPlanner;
+  readonly #quarantine = new Quarantine();
+  readonly #quotas = new TeamQuotas();
+  readonly #rackCounts = new Map<string, number>();
+  readonly #room = new FleetRoom();
+  readonly #throttles = new Throttles();
+  readonly #ledger = new WorkerLedger((worker, load) => {
+    this.#index.update(worker, load);
+    this.#room.update(worker, load);
+  });
+
+  constructor() {
+    this.#planner = new EvictionPlanner(this.#ledger, this.#claims, (entry, declared) =>
+      this.#estimate(entry).runTimeMs(declared),
+    );
+  }
+
+  adopt(attempt: PlacedAttempt): void {
+    if (!this.#ledger.attempt(attempt.attempt)) {
+      this.#ledger.add(attempt);
+      this.#noteStart(attempt);
+    }
+  }
+
+  decide(wish: PlacementWish, now: Instant): PlacementDecision {
+    this.#claims.expire(now);
+    const largest = this.#room.largestWorker();
+    if (largest && !fitsInto(wish.declared, largest)) {
+      return {kind: 'impossible', reason: 'the task is larger than every worker'};
+    }
+    const reserved = this.#reservation(wish);
+    const verdict = this.#quotas.verdict(wish, reserved);
+    if (verdict !== 'within') {
+      return QUOTA_REASONS[verdict];
+    }
+    if (wish.class === 'batch' && !this.#leavesHeadroom(wish, reserved, now)) {
+      return {kind: 'wait', reason: 'the room left is kept for latency-critical tasks'};
+    }
+    const worker = this.#choose(wish, reserved, now);
+    return worker === undefined
+      ? this.#planner.plan(wish, reserved, now)
+      : this.#place(wish, reserved, worker, now);
+  }
+
+  evictions(now: Instant): readonly AttemptId[] {
+    return this.#planner.overdue(this.#room.overfull(), now);
+  }
+
+  observe(observation: AttemptObservation, now: Instant): void {
+    const attempt = this.#ledger.attempt(observation.attempt);
+    const load = attempt && this.#ledger.load(attempt.worker);
+    if (!load) {
+      return;
+    }
+    const {cpu, memoryMb, speed} = observation.usage;
+    const run = this.#history.run(attempt.worker, attempt.attempt);
+    if (run) {
+      run.cpuShare = cpu / Math.max(1, load.profile.capacity.cpu);
+    }
+    this.#learnSize(attempt, cpu, memoryMb);
+    if (speed !== undefined) {
+      this.#learnSpeed(attempt, speed, observation.measuredAt, now);
+    }
+  }
+
+  release(id: AttemptId, outcome: AttemptOutcome, now: Instant): void {
+    this.#claims.remove(id);
+    const attempt = this.#ledger.remove(id);
+    if (!attempt) {
+      return;
+    }
+    this.#noteEnd(attempt, now);
+    this.#planner.end(id, now);
+    const failed = FAILED_OUTCOMES[outcome];
+    if (failed !== undefined) {
+      this.#quarantine.end(attempt.worker, attempt.entry, failed, now);
+    }
+    if (outcome === 'succeeded') {
+      this.#estimate(attempt.entry).addRunTime(now - attempt.startedAt);
+    }
+  }
+
+  removeWorker(worker: WorkerId): void {
+    for (const {attempt} of this.#history.present(worker)) {
+      this.#countRack(this.#ledger.attempt(attempt), -1);
+    }
+    this.#ledger.removeWorker(worker);
+    this.#history.forget(worker);
+    this.#quarantine.forget(worker);
+  }
+
+  setQuotas(shares: ReadonlyMap<TeamId, Quota>): void {
+    this.#quotas.setShares(shares);
+  }
+
+  setWorker(worker: WorkerProfile): void {
+    this.#ledger.setWorker(worker);
+  }
+
+  throttles(): readonly ThrottleWish[] {
+    return this.#throttles.wishes();
+  }
+
+  #available(load: WorkerLoad, wish: PlacementWish, now: Instant): Resources {
+    return subtractResources(load.free, this.#claims.claimed(load.profile.id, wish.attempt, now));
+  }
+
+  #choose(wish: PlacementWish, reserved: Resources, now: Instant): undefined | WorkerId {
+    let best: undefined | {score: number; worker: WorkerId};
+    for (const load of this.#fitting(wish, reserved, now)) {
+      const score = scoreWorker(
+        wish,
+        reserved,
+        load,
+        this.#residents(load),
+        this.#interference,
+        (entry, rack) => this.#rackCounts.get(toRackKey(entry, rack)) ?? 0,
+        now,
+      );
+      if (!best || score < best.score) {
+        best = {score, worker: load.profile.id};
+      }
+    }
+    return best?.worker;
+  }
+
+  #estimate(entry: EntryId): EntryEstimate {
+    const known = this.#estimates.get(entry) ?? new EntryEstimate();
+    this.#estimates.set(entry, known);
+    return known;
+  }
+
+  *#fitting(wish: PlacementWish, reserved: Resources, now: Instant): Generator<WorkerLoad> {
+    const claimed = this.#claims.claimOf(wish.attempt, now);
+    let found = 0;
+    let scanned = 0;
+    for (const worker of this.#withClaim(claimed, reserved)) {
+      scanned += 1;
+      const load = this.#ledger.load(worker);
+      if (load && !load.profile.drained && this.#trusts(worker, wish, now)) {
+        if (fitsInto(reserved, this.#available(load, wish, now))) {
+          found += 1;
+          yield load;
+        }
+      }
+      if (found >= CANDIDATE_LIMIT || scanned >= SCAN_LIMIT) {
+        return;
+      }
+    }
+  }
+
+  #learnSize(attempt: PlacedAttempt, cpu: number, memoryMb: number): void {
+    const before = this.#peaks.get(attempt.attempt);
+    const peak = {
+      cpu: Math.max(before?.cpu ?? 0, cpu),
+      memoryMb: Math.max(before?.memoryMb ?? 0, memoryMb),
+    };
+    this.#peaks.set(attempt.attempt, peak);
+    const estimate = this.#estimate(attempt.entry);
+    if (!before || peak.cpu > before.cpu || peak.memoryMb > before.memoryMb) {
+      estimate.addPeak(peak.cpu, peak.memoryMb);
+    }
+    const measured = {accelerators: attempt.declared.accelerators, ...peak};
+    const wanted = maxResources(this.#reservation(attempt), measured);
+    if (!fitsInto(wanted, attempt.reserved) || !fitsInto(attempt.reserved, wanted)) {
+      this.#quotas.remove(attempt);
+      this.#ledger.resize(attempt.attempt, wanted);
+      this.#quotas.add({...attempt, reserved: wanted});
+    }
+  }
+
+  #learnSpeed(attempt: PlacedAttempt, speed: number, measuredAt: Instant, now: Instant): void {
+    const others = this.#history.coRunners(attempt.worker, attempt.attempt, measuredAt);
+    const coRunners = others.map(({cpuShare, entry}) => ({entry, share: cpuShare}));
+    this.#interference.learn(attempt.entry, coRunners, speed, now);
+    if (attempt.class !== 'latency-critical') {
+      return;
+    }
+    const worst = this.#worstDisturber(attempt.entry, others, now);
+    if (worst && this.#throttles.disturbed(worst.attempt, speed, now)) {
+      this.#planner.wish(worst.attempt);
+    }
+  }
+
+  #leavesHeadroom(wish: PlacementWish, reserved: Resources, now: Instant): boolean {
+    if (now - wish.queuedAt >= BATCH_AGEING_MS) {
+      return true;
+    }
+    return this.#room.holds(reserved, this.#demand.headroom(now));
+  }
+
+  #noteEnd(attempt: PlacedAttempt, now: Instant): void {
+    this.#quotas.remove(attempt);
+    this.#history.end(attempt.worker, attempt.attempt, now);
+    this.#peaks.delete(attempt.attempt);
+    this.#throttles.forget(attempt.attempt);
+    this.#countRack(attempt, -1);
+  }
+
+  #noteStart(attempt: PlacedAttempt): void {
+    this.#quotas.add(attempt);
+    const capacity = this.#ledger.load(attempt.worker)?.profile.capacity;
+    const run: Run = {
+      attempt: attempt.attempt,
+      cpuShare: attempt.reserved.cpu / Math.max(1, capacity?.cpu ?? 1),
+      endedAt: undefined,
+      entry: attempt.entry,
+      startedAt: attempt.startedAt,
+    };
+    this.#history.add(attempt.worker, run);
+    this.#countRack(attempt, 1);
+  }
+
+  #countRack(attempt: PlacedAttempt | undefined, change: number): void {
+    const rack = attempt && this.#ledger.load(attempt.worker)?.profile.rack;
+    if (attempt === undefined || rack === undefined) {
+      return;
+    }
+    const key = toRackKey(attempt.entry, rack);
+    const count = (this.#rackCounts.get(key) ?? 0) + change;
+    if (count > 0) {
+      this.#rackCounts.set(key, count);
+    } else {
+      this.#rackCounts.delete(key);
+    }
+  }
+
+  #place(
+    wish: PlacementWish,
+    reserved: Resources,
+    worker: WorkerId,
+    now: Instant,
+  ): PlacementDecision {
+    const placed = {...wish, reserved, startedAt: now, worker};
+    this.#ledger.reserve(placed);
+    this.#noteStart(placed);
+    this.#claims.remove(wish.attempt);
+    if (this.#quarantine.trust(worker, now) === 'canary') {
+      this.#quarantine.startCanary(worker);
+    }
+    if (wish.class === 'latency-critical') {
+      this.#demand.arrive(reserved, now);
+    }
+    return {kind: 'placed', reserved, worker};
+  }
+
+  #reservation(wish: PlacementWish): Resources {
+    const largest = this.#room.largestWorker() ?? wish.declared;
+    return this.#estimate(wish.entry).reservation(wish.declared, largest);
+  }
+
+  #residents(load: WorkerLoad): Resident[] {
+    return [...this.#history.present(load.profile.id)].map((run) => ({
+      class: this.#ledger.attempt(run.attempt)?.class ?? 'batch',
+      entry: run.entry,
+      share: run.cpuShare,
+    }));
+  }
+
+  #trusts(worker: WorkerId, wish: PlacementWish, now: Instant): boolean {
+    const trust = this.#quarantine.trust(worker, now);
+    // A trial is made with work that may wait, never with an urgent task.
+    return trust === 'open' || (trust === 'canary' && wish.class === 'batch');
+  }
+
+  *#withClaim(claimed: undefined | WorkerId, amount: Resources): Generator<WorkerId> {
+    if (claimed !== undefined) {
+      yield claimed;
+    }
+    yield* this.#index.candidates(amount);
+  }
+
+  #worstDisturber(entry: EntryId, others: readonly Run[], now: Instant): Run | undefined {
+    let worst: undefined | {harm: number; run: Run};
+    for (const run of others) {
+      const isBatch = this.#ledger.attempt(run.attempt)?.class === 'batch';
+      const harm = this.#interference.predict(entry, {entry: run.entry, share: run.cpuShare}, now);
+      if (isBatch && (!worst || harm.mean > worst.harm)) {
+        worst = {harm: harm.mean, run};
+      }
+    }
+    return worst?.run;
+  }
+}
+
+function toRackKey(entry: EntryId, rack: RackId): string {
+  return `${entry} ${rack}`;
+}
--- a/packages/nutmegproxy-placement/src/Placements.ts
+++ b/packages/nutmegproxy-placement/src/Placements.ts
@@ -3,18 +3,20 @@
 import type {Placement} from './Placement.ts';
 
 import {FirstFit} from './FirstFit.ts';
+import {LearnedPlacement} from './LearnedPlacement.ts';
 
-/** Makes a policy; `seed` fixes its random choices. */
-export type PlacementMaker = (seed: number) => Placement;
+/** Makes a policy. */
+export type PlacementMaker = () => Placement;
+
+export type PlacementName = 'first-fit' | 'learned';
 
 /**
  * Placement policies by name. `first-fit` is the baseline that the others are compared with.
  *
  * @example
- * const placement = PLACEMENTS['first-fit'](42);
+ * const placement = PLACEMENTS['first-fit']();
  */
-export const PLACEMENTS = {
+export const PLACEMENTS: Readonly<Record<PlacementName, PlacementMaker>> = {
   'first-fit': () => new FirstFit(),
-} satisfies Record<string, PlacementMaker>;
-
-export type PlacementName = keyof typeof PLACEMENTS;
+  learned: () => new LearnedPlacement(),
+};
--- /dev/null
+++ b/packages/nutmegproxy-placement/src/Victims.ts
@@ -0,0 +1,66 @@
+/** Chooses batch attempts to evict so that a wish fits on a worker. */
+
+import type {Instant} from '@nutmegproxy/core';
+import type {Resources} from '@nutmegproxy/schema';
+
+import type {PlacedAttempt} from './Placement.ts';
+
+import {addResources, fitsInto, subtractResources} from './ResourcesUtils.ts';
+
+/** Victims on one worker, with the work that evicting them loses. */
+export interface VictimChoice {
+  /** Core-milliseconds since the victims' last checkpoints. */
+  readonly cost: number;
+  readonly victims: readonly PlacedAttempt[];
+}
+
+/** Work that evicting an attempt loses, in core-milliseconds. */
+export function evictionCost(attempt: PlacedAttempt, now: Instant): number {
+  return Math.max(0, now - attempt.startedAt) * attempt.reserved.cpu;
+}
+
+/**
+ * The cheapest victims whose room, with what is free, holds `amount`; `undefined` when all of them
+ * together do not make enough room.
+ */
+export function chooseVictims(
+  evictable: readonly PlacedAttempt[],
+  amount: Resources,
+  free: Resources,
+  now: Instant,
+): undefined | VictimChoice {
+  const byCost = [...evictable].sort((a, b) => evictionCost(a, now) - evictionCost(b, now));
+  const chosen: PlacedAttempt[] = [];
+  let room = free;
+  for (const attempt of byCost) {
+    if (fitsInto(amount, room)) {
+      break;
+    }
+    chosen.push(attempt);
+    room = addResources(room, attempt.reserved);
+  }
+  if (!fitsInto(amount, room)) {
+    return undefined;
+  }
+  const victims = dropNeedless(chosen, amount, room);
+  const cost = victims.reduce((sum, attempt) => sum + evictionCost(attempt, now), 0);
+  return {cost, victims};
+}
+
+/** Drops victims, the dearest first, whose room turned out not to be needed. */
+function dropNeedless(
+  chosen: readonly PlacedAttempt[],
+  amount: Resources,
+  room: Resources,
+): PlacedAttempt[] {
+  const kept = new Set(chosen);
+  let left = room;
+  for (const attempt of [...chosen].reverse()) {
+    const without = subtractResources(left, attempt.reserved);
+    if (fitsInto(amount, without)) {
+      kept.delete(attempt);
+      left = without;
+    }
+  }
+  return [...kept];
+}
--- a/packages/nutmegproxy-placement/src/WorkerLedger.ts
+++ b/packages/nutmegproxy-placement/src/WorkerLedger.ts
@@ -31,6 +31,7 @@
 export class WorkerLedger {
   readonly #accounts = new Map<WorkerId, Account>();
   readonly #attempts = new Map<AttemptId, PlacedAttempt>();
+  #cursor: IterableIterator<Account> = this.#accounts.values();
   readonly #listener: LoadListener;
 
   constructor(listener: LoadListener = () => undefined) {
@@ -106,6 +107,21 @@
     }
   }
 
+  /** Up to `limit` workers, going round the fleet from call to call. */
+  *sample(limit: number): Generator<WorkerLoad> {
+    for (let count = Math.min(limit, this.#accounts.size); count > 0; count -= 1) {
+      let next = this.#cursor.next();
+      if (next.done) {
+        this.#cursor = this.#accounts.values();
+        next = this.#cursor.next();
+      }
+      if (next.done) {
+        return;
+      }
+      yield next.value;
+    }
+  }
+
   setWorker(profile: WorkerProfile): void {
     const account = this.#accounts.get(profile.id);
     if (account) {
--- /dev/null
+++ b/packages/nutmegproxy-placement/src/__tests__/unit/LearnedPlacement.test.ts
@@ -0,0 +1,164 @@
+import type {TeamId} from '@nutmegproxy/core';
+
+import {brand} from '@nutmegproxy/core';
+import assert from 'node:assert/strict';
+import {describe, it} from 'node:test';
+
+import {LearnedPlacement} from '../../LearnedPlacement.ts';
+import {
+  at,
+  attemptOf,
+  makeUrgentWish,
+  makeWish,
+  makeWorker,
+  showSizes,
+  workerOf,
+} from './PlacementFixtures.ts';
+
+const EIGHT_CORES = {accelerators: 0, cpu: 8, memoryMb: 8000};
+
+describe('LearnedPlacement', () => {
+  describe('decide', () => {
+    it('says at once that a task larger than every worker can never run', () => {
+      const placement = new LearnedPlacement();
+      placement.setWorker(makeWorker('w1'));
+      const declared = {accelerators: 1, cpu: 1, memoryMb: 1};
+      assert.equal(placement.decide(makeWish('a', {declared}), at(0)).kind, 'impossible');
+    });
+
+    it('says that a task larger than its quota can never run, and waits while it is in use', () => {
+      const placement = new LearnedPlacement();
+      placement.setWorker(makeWorker('w1'));
+      const team = brand<TeamId>('albarrada');
+      showSizes(placement, makeWish('s'), at(0));
+      placement.setQuotas(new Map([[team, {cpu: 1}]]));
+      const large = makeWish('a', {declared: {accelerators: 0, cpu: 2, memoryMb: 1}});
+      assert.equal(placement.decide(large, at(0)).kind, 'impossible');
+      assert.equal(placement.decide(makeWish('b'), at(0)).kind, 'placed');
+      assert.equal(placement.decide(makeWish('c'), at(0)).kind, 'wait');
+      placement.release(attemptOf('b'), 'succeeded', at(1));
+      assert.equal(placement.decide(makeWish('c'), at(1)).kind, 'placed');
+    });
+
+    it('reserves more than declared for an entry that was never seen', () => {
+      const placement = new LearnedPlacement();
+      placement.setWorker(makeWorker('w1'));
+      const decision = placement.decide(makeWish('a'), at(0));
+      const reserved = decision.kind === 'placed' ? decision.reserved.cpu : undefined;
+      assert.equal(reserved, 4);
+    });
+
+    it('keeps room for urgent tasks once it has seen them, until batch has waited long', () => {
+      const placement = new LearnedPlacement();
+      const half = {declared: {accelerators: 0, cpu: 7.5, memoryMb: 7000}};
+      showSizes(placement, makeWish('s', half), at(0));
+      showSizes(placement, makeUrgentWish('s'), at(0));
+      placement.setWorker(makeWorker('w1'));
+      assert.equal(placement.decide(makeUrgentWish('u'), at(0)).kind, 'placed');
+      assert.equal(placement.decide(makeWish('a', half), at(0)).kind, 'placed');
+      const filler = makeWish('b', half);
+      assert.equal(placement.decide(filler, at(0)).kind, 'wait');
+      assert.equal(placement.decide(filler, at(600_000)).kind, 'placed');
+    });
+  });
+
+  describe('eviction for an urgent task', () => {
+    function fillWithBatch(runTimeMs: number): LearnedPlacement {
+      const placement = new LearnedPlacement();
+      const wish = makeWish('s', {declared: EIGHT_CORES, declaredRunTimeMs: runTimeMs});
+      showSizes(placement, wish, at(0));
+      showSizes(placement, makeUrgentWish('s', {declared: EIGHT_CORES}), at(0));
+      placement.setWorker(makeWorker('w1'));
+      assert.equal(placement.decide({...wish, attempt: attemptOf('old')}, at(0)).kind, 'placed');
+      assert.equal(placement.decide({...wish, attempt: attemptOf('new')}, at(900)).kind, 'placed');
+      return placement;
+    }
+
+    const urgent = makeUrgentWish('u', {declared: EIGHT_CORES, queuedAt: at(1000)});
+
+    it('evicts the victim that loses the least work when a late start is predicted', () => {
+      const placement = fillWithBatch(3_600_000);
+      const decision = placement.decide(urgent, at(1000));
+      assert.deepEqual(decision, {
+        kind: 'evict',
+        victims: [attemptOf('new')],
+        worker: workerOf('w1'),
+      });
+    });
+
+    it('waits when room is predicted in time', () => {
+      const placement = fillWithBatch(2000);
+      assert.equal(placement.decide(urgent, at(1000)).kind, 'wait');
+    });
+
+    it('keeps the room for the task it was made for, and evicts no one else meanwhile', () => {
+      const placement = fillWithBatch(3_600_000);
+      placement.decide(urgent, at(1000));
+      assert.equal(placement.decide(urgent, at(1100)).kind, 'wait');
+      placement.release(attemptOf('new'), 'evicted', at(1200));
+      const other = makeWish('x', {declared: EIGHT_CORES});
+      assert.equal(placement.decide(other, at(1200)).kind, 'wait');
+      assert.equal(placement.decide(urgent, at(1200)).kind, 'placed');
+    });
+  });
+
+  describe('observe', () => {
+    it('asks for an eviction when tasks use more than their worker holds', () => {
+      const placement = new LearnedPlacement();
+      placement.setWorker(makeWorker('w1'));
+      for (const name of ['a', 'b', 'c', 'd']) {
+        assert.equal(placement.decide(makeWish(name), at(0)).kind, 'placed');
+      }
+      const usage = {at: 0, cpu: 6, memoryMb: 1000};
+      for (const name of ['a', 'b', 'c', 'd']) {
+        const attempt = attemptOf(name);
+        placement.observe({attempt, measuredAt: at(5), progress: 0, usage}, at(10));
+      }
+      const victims = placement.evictions(at(10));
+      assert.equal(victims.length, 2);
+      assert.deepEqual(placement.evictions(at(11)), []);
+    });
+
+    it('throttles the batch task that slows an urgent one, and evicts it when that is no help', () => {
+      const placement = new LearnedPlacement();
+      placement.setWorker(makeWorker('w1'));
+      placement.decide(makeUrgentWish('u'), at(0));
+      placement.decide(makeWish('noisy'), at(0));
+      const usage = {at: 0, cpu: 1, memoryMb: 1000, speed: 0.5};
+      const slow = {attempt: attemptOf('u'), progress: 0.1, usage};
+      placement.observe({...slow, measuredAt: at(100)}, at(1000));
+      assert.deepEqual(placement.throttles(), [{attempt: attemptOf('noisy'), share: 0.5}]);
+      placement.observe({...slow, measuredAt: at(4900)}, at(5000));
+      assert.deepEqual(placement.throttles(), [{attempt: attemptOf('noisy'), share: 0.25}]);
+      placement.observe({...slow, measuredAt: at(8900)}, at(9000));
+      assert.deepEqual(placement.evictions(at(9000)), [attemptOf('noisy')]);
+    });
+  });
+
+  describe('workers that fail everything', () => {
+    it('get nothing after failures their peers do not have, then one trial task', () => {
+      const placement = new LearnedPlacement();
+      placement.setWorker(makeWorker('good'));
+      for (const index of [1, 2, 3, 4, 5]) {
+        placement.adopt(placedOn('good', `g${index}`));
+        placement.release(attemptOf(`g${index}`), 'succeeded', at(10));
+      }
+      placement.setWorker(makeWorker('bad'));
+      placement.setWorker({...makeWorker('good'), drained: true});
+      for (const index of [1, 2, 3, 4, 5]) {
+        placement.adopt(placedOn('bad', `b${index}`));
+        placement.release(attemptOf(`b${index}`), 'failed', at(30));
+      }
+      assert.equal(placement.decide(makeWish('x'), at(40)).kind, 'wait');
+      assert.equal(placement.decide(makeWish('x'), at(40_000)).kind, 'placed');
+      assert.equal(placement.decide(makeWish('y'), at(40_000)).kind, 'wait');
+      placement.release(attemptOf('x'), 'succeeded', at(41_000));
+      assert.equal(placement.decide(makeWish('y'), at(41_000)).kind, 'placed');
+    });
+
+    function placedOn(worker: string, name: string) {
+      const wish = makeWish(name);
+      return {...wish, reserved: wish.declared, startedAt: at(0), worker: workerOf(worker)};
+    }
+  });
+});
--- /dev/null
+++ b/packages/nutmegproxy-placement/src/__tests__/unit/PlacementProperties.test.ts
@@ -0,0 +1,148 @@
+import type {AttemptId, WorkerId} from '@nutmegproxy/core';
+import type {Resources} from '@nutmegproxy/schema';
+
+import * as fc from 'fast-check';
+import assert from 'node:assert/strict';
+import {describe, it} from 'node:test';
+
+import type {Placement} from '../../Placement.ts';
+
+import {PLACEMENTS} from '../../Placements.ts';
+import {addResources, fitsInto, NO_RESOURCES} from '../../ResourcesUtils.ts';
+import {
+  at,
+  attemptOf,
+  makeUrgentWish,
+  makeWish,
+  makeWorker,
+  workerOf,
+} from './PlacementFixtures.ts';
+
+const SEED = 20_261_203;
+const WORKERS = ['w1', 'w2', 'w3'];
+
+type Step =
+  | {
+      readonly kind: 'decide';
+      readonly cpu: number;
+      readonly memoryMb: number;
+      readonly urgent: boolean;
+    }
+  | {readonly kind: 'end'; readonly index: number; readonly failed: boolean}
+  | {
+      readonly kind: 'observe';
+      readonly factor: number;
+      readonly index: number;
+      readonly speed: number;
+    }
+  | {readonly kind: 'worker'; readonly drained: boolean; readonly index: number};
+
+const STEP: fc.Arbitrary<Step> = fc.oneof(
+  fc.record({
+    cpu: fc.integer({max: 20, min: 1}),
+    kind: fc.constant('decide' as const),
+    memoryMb: fc.integer({max: 70_000, min: 1}),
+    urgent: fc.boolean(),
+  }),
+  fc.record({failed: fc.boolean(), index: fc.nat(30), kind: fc.constant('end' as const)}),
+  fc.record({
+    factor: fc.double({max: 4, min: 0.1, noNaN: true}),
+    index: fc.nat(30),
+    kind: fc.constant('observe' as const),
+    speed: fc.double({max: 1, min: 0.05, noNaN: true}),
+  }),
+  fc.record({drained: fc.boolean(), index: fc.nat(2), kind: fc.constant('worker' as const)}),
+);
+
+/** Follows one policy through the steps and keeps its own books of what was placed where. */
+class Bookkeeper {
+  readonly held = new Map<AttemptId, {reserved: Resources; worker: WorkerId}>();
+  readonly #placement: Placement;
+  #steps = 0;
+
+  constructor(placement: Placement) {
+    this.#placement = placement;
+    for (const name of WORKERS) {
+      placement.setWorker(makeWorker(name), at(0));
+    }
+  }
+
+  step(step: Step): void {
+    this.#steps += 1;
+    const now = at(this.#steps * 500);
+    const attempts = [...this.held.keys()];
+    const attempt =
+      'index' in step ? attempts[step.index % Math.max(1, attempts.length)] : undefined;
+    if (step.kind === 'decide') {
+      this.#decide(step.urgent, {accelerators: 0, cpu: step.cpu, memoryMb: step.memoryMb});
+    } else if (step.kind === 'worker') {
+      const name = WORKERS[step.index] ?? 'w1';
+      this.#placement.setWorker({...makeWorker(name), drained: step.drained}, now);
+    } else if (attempt !== undefined && step.kind === 'end') {
+      this.#placement.release(attempt, step.failed ? 'failed' : 'succeeded', now);
+      this.held.delete(attempt);
+    } else if (attempt !== undefined && step.kind === 'observe') {
+      const reserved = this.held.get(attempt)?.reserved ?? NO_RESOURCES;
+      const usage = {
+        at: 0,
+        cpu: reserved.cpu * step.factor,
+        memoryMb: reserved.memoryMb * step.factor,
+        speed: step.speed,
+      };
+      this.#placement.observe({attempt, measuredAt: now, progress: 0, usage}, now);
+    }
+  }
+
+  #decide(urgent: boolean, declared: Resources): void {
+    const make = urgent ? makeUrgentWish : makeWish;
+    const now = at(this.#steps * 500);
+    const wish = make(`attempt-${this.#steps}`, {declared, queuedAt: now});
+    const decision = this.#placement.decide(wish, now);
+    if (decision.kind === 'placed') {
+      assert.ok(fitsInto(declared, decision.reserved), 'a reservation is below the declared size');
+      this.held.set(wish.attempt, {reserved: decision.reserved, worker: decision.worker});
+    }
+    if (decision.kind === 'evict') {
+      assert.ok(decision.victims.length > 0);
+      for (const victim of decision.victims) {
+        assert.equal(this.held.get(victim)?.worker, decision.worker);
+      }
+    }
+  }
+}
+
+describe('every placement policy', () => {
+  for (const [name, make] of Object.entries(PLACEMENTS)) {
+    describe(name, () => {
+      it('never gives a worker more declared work than its capacity', () => {
+        fc.assert(
+          fc.property(fc.array(STEP, {maxLength: 80}), (steps) => {
+            const books = new Bookkeeper(make());
+            for (const step of steps) {
+              books.step(step);
+              for (const worker of WORKERS) {
+                const sum = [...books.held.values()]
+                  .filter((each) => each.worker === workerOf(worker))
+                  .map(({reserved}) => reserved)
+                  .reduce(addResources, NO_RESOURCES);
+                const {capacity} = makeWorker(worker);
+                assert.ok(fitsInto(sum, {...capacity}), `${worker} holds ${JSON.stringify(sum)}`);
+              }
+            }
+          }),
+          {numRuns: 200, seed: SEED},
+        );
+      });
+
+      it('places everything that fits once the fleet is empty again', () => {
+        const placement = make();
+        placement.setWorker(makeWorker('w1'), at(0));
+        for (let index = 0; index < 50; index += 1) {
+          const wish = makeWish(`a${index}`, {queuedAt: at(index)});
+          assert.equal(placement.decide(wish, at(index)).kind, 'placed');
+          placement.release(attemptOf(`a${index}`), 'succeeded', at(index));
+        }
+      });
+    });
+  }
+});
--- a/scripts/checkCatalogues.ts
+++ b/scripts/checkCatalogues.ts
@@ -11,6 +11,8 @@
 
 const EVENTS_PAGE = 'docs/EVENTS.md';
 const INVARIANT_CATALOGUE = 'docs/invariant-codes.json';
+/** Lines of doc comments, whose examples are no calls. */
+const COMMENT_LINE = /^\s*\*.*$/gm;
 const INVARIANT_CALL = /\binvariant\(\s*[\s\S]*?,\s*'([^']+)',?\s*\)/g;
 
 function findSources(folder: string): string[] {
@@ -60,7 +62,7 @@
 
 function readInvariants(sources: readonly string[]): string[] {
   const messages = sources.flatMap((path) =>
-    [...readFileSync(path, 'utf8').matchAll(INVARIANT_CALL)].map((match) => match[1] ?? ''),
+    [...readFileSync(path, 'utf8').replace(COMMENT_LINE, '').matchAll(INVARIANT_CALL)].map((match) => match[1] ?? ''),
   );
   return [...new Set(messages)].filter((message) => message.includes(': ')).sort();
 }
