Add settings, events and the frame of the administration API

Settings are read as JSON with comments; a fault names file, line, column, field and what was expected, and a field that stands twice is refused. Secrets are read by reference and print as [secret]. Events go to standard output and to a bounded ring. The administration API compares its bearer token in constant time and bounds bodies; features register routes.

--- /dev/null
+++ b/packages/nutmegproxy-admin/src/AdminApi.ts
@@ -0,0 +1,140 @@
+/** The operators' listener: HTTP with a bearer token; features register their routes. */
+
+import type {EntryNode, Unregister} from '@nutmegproxy/core';
+import type {IncomingMessage, Server, ServerResponse} from 'node:http';
+import type {AddressInfo} from 'node:net';
+
+import {createServer} from 'node:http';
+
+import type {AdminAnswer} from './AdminAnswer.ts';
+import type {AdminRoute, RouteMatch} from './AdminRoute.ts';
+
+import {answerError} from './AdminAnswer.ts';
+import {HEADERS_TIMEOUT_MS, MAX_CONNECTIONS, REQUEST_TIMEOUT_MS} from './AdminConstants.ts';
+import {ADMIN_EVENTS} from './AdminEvents.ts';
+import {matchPath} from './AdminRoute.ts';
+import {hasToken, readBody} from './AdminUtils.ts';
+
+function send(response: ServerResponse, answer: AdminAnswer): void {
+  const isJson = answer.kind === 'json';
+  const text = isJson ? `${JSON.stringify(answer.body)}\n` : answer.text;
+  const contentType = isJson ? 'application/json' : answer.contentType;
+  response.writeHead(answer.status, {
+    'cache-control': 'no-store',
+    'content-length': Buffer.byteLength(text),
+    'content-type': contentType,
+  });
+  response.end(text);
+}
+
+/** The administration API of one process. */
+export class AdminApi {
+  readonly #node: EntryNode;
+  readonly #routes: AdminRoute[] = [];
+  readonly #server: Server;
+  readonly #token: string;
+
+  /** `token` is what operators send as `authorization: Bearer <token>`. */
+  constructor(node: EntryNode, token: string) {
+    this.#node = node;
+    this.#token = token;
+    this.#server = createServer({
+      headersTimeout: HEADERS_TIMEOUT_MS,
+      requestTimeout: REQUEST_TIMEOUT_MS,
+    });
+    this.#server.maxConnections = MAX_CONNECTIONS;
+    this.#server.on('request', (request, response) => {
+      void this.#serve(request, response);
+    });
+  }
+
+  async close(): Promise<void> {
+    await new Promise<void>((resolve) => {
+      this.#server.close(() => {
+        resolve();
+      });
+      this.#server.closeIdleConnections();
+    });
+  }
+
+  /** Listens and returns the port; rejects when the address can't be had. */
+  async listen(host: string, port: number): Promise<number> {
+    await new Promise<void>((resolve, reject) => {
+      this.#server.once('error', reject);
+      this.#server.listen(port, host, resolve);
+    });
+    const address = this.#server.address() as AddressInfo;
+    this.#node.events.record(ADMIN_EVENTS.LISTENING, {port: address.port});
+    return address.port;
+  }
+
+  /** Adds a route; a later route never hides an earlier one. */
+  register(route: AdminRoute): Unregister {
+    this.#routes.push(route);
+    return () => {
+      const index = this.#routes.indexOf(route);
+      if (index >= 0) {
+        this.#routes.splice(index, 1);
+      }
+    };
+  }
+
+  async #answer(request: IncomingMessage): Promise<AdminAnswer> {
+    const url = new URL(request.url ?? '/', 'http://operators');
+    if (!hasToken(request.headers.authorization, this.#token)) {
+      this.#node.events.record(ADMIN_EVENTS.DENIED, {path: url.pathname});
+      return answerError({code: 'unauthorized', message: 'the operator token is wanted'});
+    }
+    const matches = this.#match(url.pathname);
+    const match = matches.find(({route}) => route.method === request.method);
+    if (match === undefined) {
+      return matches.length > 0
+        ? answerError({code: 'not-allowed', message: 'no such method on this path'})
+        : answerError({code: 'not-found', message: 'no such path'});
+    }
+    const body = await readBody(request);
+    if (body.isErr()) {
+      return answerError(body.error);
+    }
+    return match.route.handler({
+      body: body.value,
+      now: this.#node.clock.monotonic(),
+      params: match.params,
+      query: url.searchParams,
+    });
+  }
+
+  #match(path: string): readonly RouteMatch[] {
+    return this.#routes.flatMap((route) => {
+      const params = matchPath(route.path, path);
+      return params === undefined ? [] : [{params, route}];
+    });
+  }
+
+  async #serve(request: IncomingMessage, response: ServerResponse): Promise<void> {
+    try {
+      const answer = await this.#answer(request);
+      if (!request.complete) {
+        response.shouldKeepAlive = false;
+      }
+      send(response, answer);
+    } catch (error) {
+      const message = error instanceof Error ? error.message : String(error);
+      this.#node.events.record(ADMIN_EVENTS.FAILED, {message, path: request.url});
+      // The fault's own words may name what operators need not see; the log has them.
+      if (!response.headersSent) {
+        send(response, answerError({code: 'internal', message: 'the request failed; see the log'}));
+      }
+    }
+  }
+}
+
+/**
+ * Adds a route to the administration API.
+ *
+ * @example
+ * registerAdminRoute(api, {handler: () => answerJson({}), method: 'GET', path: '/v1/status'});
+ */
+export function registerAdminRoute(api: AdminApi, route: AdminRoute): Unregister {
+  return api.register(route);
+}
--- /dev/null
+++ b/packages/nutmegproxy-admin/src/AdminConstants.ts
@@ -0,0 +1,11 @@
+/** Bounds of the administration API. */
+
+/** A catalogue of 20,000 entries stays below this. */
+export const MAX_BODY_BYTES = 16 * 1024 * 1024;
+export const REQUEST_TIMEOUT_MS = 60_000;
+export const HEADERS_TIMEOUT_MS = 10_000;
+export const MAX_CONNECTIONS = 256;
+export const MAX_TIMELINE_EVENTS = 5_000;
+export const DEFAULT_CONFIRM_WAIT_MS = 9_000;
+export const MAX_CONFIRM_WAIT_MS = 30_000;
+export const MAX_LISTED_TASKS = 10_000;
--- /dev/null
+++ b/packages/nutmegproxy-admin/src/AdminEvents.ts
@@ -0,0 +1,9 @@
+/** Events of the administration API. */
+
+import type {EventKind} from '@nutmegproxy/core';
+
+export const ADMIN_EVENTS = {
+  DENIED: {code: 6001, level: 'warn', text: 'request without the operator token refused'},
+  FAILED: {code: 6002, level: 'error', text: 'request of an operator failed'},
+  LISTENING: {code: 6000, level: 'info', text: 'administration API is listening'},
+} satisfies Record<string, EventKind>;
--- /dev/null
+++ b/packages/nutmegproxy-admin/src/AdminUtils.ts
@@ -0,0 +1,50 @@
+/** Reading requests of the administration API. */
+
+import type {Result} from 'neverthrow';
+import type {IncomingMessage} from 'node:http';
+
+import {err, ok} from 'neverthrow';
+import {createHash, timingSafeEqual} from 'node:crypto';
+
+import type {AdminError} from './AdminAnswer.ts';
+
+import {MAX_BODY_BYTES} from './AdminConstants.ts';
+
+function digest(text: string): Buffer {
+  return createHash('sha256').update(text).digest();
+}
+
+/**
+ * Compares a header with the wanted bearer token in constant time.
+ *
+ * @example
+ * hasToken(request.headers.authorization, token);
+ */
+export function hasToken(header: string | undefined, token: string): boolean {
+  return timingSafeEqual(digest(header ?? ''), digest(`Bearer ${token}`));
+}
+
+function parseBody(text: string): Result<unknown, AdminError> {
+  if (text === '') {
+    return ok(undefined);
+  }
+  try {
+    return ok(JSON.parse(text) as unknown);
+  } catch {
+    return err({code: 'invalid', message: 'the body is no JSON'});
+  }
+}
+
+/** Reads a body whole, up to the limit. */
+export async function readBody(request: IncomingMessage): Promise<Result<unknown, AdminError>> {
+  const chunks: Buffer[] = [];
+  let length = 0;
+  for await (const chunk of request as AsyncIterable<Buffer>) {
+    length += chunk.length;
+    if (length > MAX_BODY_BYTES) {
+      return err({code: 'too-large', message: `the body exceeds ${MAX_BODY_BYTES} bytes`});
+    }
+    chunks.push(chunk);
+  }
+  return parseBody(Buffer.concat(chunks).toString('utf8'));
+}
--- a/packages/nutmegproxy-admin/src/index.ts
+++ b/packages/nutmegproxy-admin/src/index.ts
@@ -1,3 +1,7 @@
-/** Public surface; filled by the package. */
+/** Public surface of the administration API. */
 
-export {};
+export {answerError, answerJson} from './AdminAnswer.ts';
+export type {AdminAnswer, AdminError, AdminErrorCode} from './AdminAnswer.ts';
+export {AdminApi, registerAdminRoute} from './AdminApi.ts';
+export type {AdminHandler, AdminMethod, AdminRequest, AdminRoute} from './AdminRoute.ts';
+export {registerTimelineRoutes} from './TimelineRoutes.ts';
--- /dev/null
+++ b/packages/nutmegproxy-events/src/EventRing.ts
@@ -0,0 +1,65 @@
+/** The newest events of this process, in bounded memory, for the time line. */
+
+import type {EventFields, EventKind, WallTime} from '@nutmegproxy/core';
+
+import {invariant} from '@nutmegproxy/core';
+
+/** One event as it is kept and answered to operators. */
+export interface RecordedEvent {
+  readonly code: number;
+  readonly fields: EventFields;
+  readonly level: EventKind['level'];
+  /** Rises by one with each event of the process, from 1. */
+  readonly sequence: number;
+  readonly text: string;
+  readonly wall: WallTime;
+}
+
+/** Events after a sequence number. */
+export interface EventPage {
+  readonly events: readonly RecordedEvent[];
+  /** Events after the wanted number that the ring no longer holds. */
+  readonly missed: number;
+  /** Number to ask with next. */
+  readonly next: number;
+}
+
+/** Keeps the newest `capacity` events. */
+export class EventRing {
+  readonly #capacity: number;
+  #newest = 0;
+  readonly #slots: RecordedEvent[] = [];
+
+  constructor(capacity: number) {
+    invariant(capacity > 0, 'events: a ring without capacity');
+    this.#capacity = capacity;
+  }
+
+  add(kind: EventKind, fields: EventFields, wall: WallTime): void {
+    this.#newest += 1;
+    const {code, level, text} = kind;
+    this.#slots[this.#newest % this.#capacity] = {
+      code,
+      fields,
+      level,
+      sequence: this.#newest,
+      text,
+      wall,
+    };
+  }
+
+  /** At most `limit` events with a number above `sequence`, oldest first. */
+  since(sequence: number, limit: number): EventPage {
+    const oldest = Math.max(1, this.#newest - this.#capacity + 1);
+    const first = Math.max(sequence + 1, oldest);
+    const last = Math.min(this.#newest, first + limit - 1);
+    const events: RecordedEvent[] = [];
+    for (let number = first; number <= last; number += 1) {
+      const event = this.#slots[number % this.#capacity];
+      invariant(event !== undefined, 'events: a gap in the ring');
+      events.push(event);
+    }
+    const missed = Math.max(0, oldest - sequence - 1);
+    return {events, missed, next: Math.max(sequence, last)};
+  }
+}
--- /dev/null
+++ b/packages/nutmegproxy-events/src/__tests__/unit/EventLog.test.ts
@@ -0,0 +1,53 @@
+import type {EventKind, NodeIdentity} from '@nutmegproxy/core';
+
+import {brand, ManualClock} from '@nutmegproxy/core';
+import assert from 'node:assert/strict';
+import {describe, it} from 'node:test';
+
+import {EventLog, EventRing} from '../../index.ts';
+
+const KIND: EventKind = {code: 7, level: 'info', text: 'something happened'};
+const IDENTITY: NodeIdentity = {
+  dataCentre: brand('dc-a'),
+  incarnation: brand('i1'),
+  region: brand('north'),
+  vm: brand('entry-1'),
+};
+
+describe('EventRing', () => {
+  it('keeps the newest events and counts those it dropped', () => {
+    const clock = new ManualClock();
+    const ring = new EventRing(3);
+    for (let number = 1; number <= 5; number += 1) {
+      ring.add(KIND, {number}, clock.wall());
+    }
+    const page = ring.since(0, 2);
+    assert.deepEqual(
+      page.events.map((event) => event.sequence),
+      [3, 4],
+    );
+    assert.equal(page.missed, 2);
+    assert.equal(page.next, 4);
+    assert.deepEqual(ring.since(5, 10), {events: [], missed: 0, next: 5});
+  });
+});
+
+describe('EventLog', () => {
+  it('writes the code and hides fields that hold secrets', () => {
+    const lines: string[] = [];
+    const log = new EventLog({
+      clock: new ManualClock(),
+      destination: {write: (line: string) => lines.push(line)},
+      identity: IDENTITY,
+      level: 'info',
+      ringSize: 16,
+    });
+    log.record(KIND, {operatorToken: 'hidden', vm: 'entry-2'});
+    log.record({...KIND, level: 'debug'}, {});
+    assert.equal(lines.length, 1);
+    const line = JSON.parse(lines[0] ?? '') as Record<string, unknown>;
+    assert.equal(line.code, 7);
+    assert.deepEqual(line.fields, {operatorToken: '[secret]', vm: 'entry-2'});
+    assert.equal(log.since(0, 10).events.length, 2);
+  });
+});
--- a/packages/nutmegproxy-events/src/index.ts
+++ b/packages/nutmegproxy-events/src/index.ts
@@ -1,3 +1,7 @@
-/** Public surface; filled by the package. */
+/** Public surface of the events. */
 
-export {};
+export {EventLog} from './EventLog.ts';
+export type {EventLogOptions} from './EventLog.ts';
+export {EventRing} from './EventRing.ts';
+export type {EventPage, RecordedEvent} from './EventRing.ts';
+export {redact} from './EventUtils.ts';
--- /dev/null
+++ b/packages/nutmegproxy-settings/src/SecretReference.ts
@@ -0,0 +1,48 @@
+/** Finds a secret where the settings say that it is kept. */
+
+import type {SecretReference} from '@nutmegproxy/schema';
+import type {Result} from 'neverthrow';
+
+import {err, ok} from 'neverthrow';
+import {readFileSync} from 'node:fs';
+
+import {Secret} from './Secret.ts';
+
+/** Why a secret could not be read; never holds the secret. */
+export interface SecretFailure {
+  readonly message: string;
+}
+
+/** Names and values, such as `process.env`. */
+export type Environment = Readonly<Record<string, string | undefined>>;
+
+function wrap(text: string, source: string): Result<Secret, SecretFailure> {
+  const value = text.trim();
+  return value === '' ? err({message: `${source} holds no secret`}) : ok(new Secret(value));
+}
+
+function readFromFile(path: string): Result<Secret, SecretFailure> {
+  try {
+    return wrap(readFileSync(path, 'utf8'), `file ${path}`);
+  } catch (error) {
+    const {code} = error as NodeJS.ErrnoException;
+    return err({message: `file ${path} can't be read: ${code ?? 'unknown fault'}`});
+  }
+}
+
+/**
+ * Reads a secret from an environment variable or a file; white space around it is dropped.
+ *
+ * @example
+ * const token = resolveSecret({env: 'NUTMEGPROXY_TOKEN'}, process.env);
+ */
+export function resolveSecret(
+  reference: SecretReference,
+  environment: Environment,
+): Result<Secret, SecretFailure> {
+  if (reference.file !== undefined) {
+    return readFromFile(reference.file);
+  }
+  const name = reference.env ?? '';
+  return wrap(environment[name] ?? '', `environment variable ${name}`);
+}
--- /dev/null
+++ b/packages/nutmegproxy-settings/src/Settings.ts
@@ -0,0 +1,70 @@
+/** Reads the settings file: JSON with comments, checked against schema/settings.json. */
+
+import type {Settings} from '@nutmegproxy/schema';
+import type {Node, ParseError} from 'jsonc-parser';
+import type {Result} from 'neverthrow';
+
+import {validateSettings} from '@nutmegproxy/schema';
+import {getNodeValue, parseTree, printParseErrorCode} from 'jsonc-parser';
+import {err, ok} from 'neverthrow';
+
+import type {ResolvedSettings} from './ResolvedSettings.ts';
+import type {SettingsFailure, SettingsFault} from './SettingsFailure.ts';
+
+import {DEFAULT_KEY_PREFIX, DEFAULT_LOG, DEFAULT_TIMINGS} from './SettingsConstants.ts';
+import {findPlace, findRepeatedFields, toFault} from './SettingsUtils.ts';
+
+function withDefaults(settings: Settings): ResolvedSettings {
+  return {
+    dataCentre: settings.dataCentre,
+    listen: settings.listen,
+    log: {...DEFAULT_LOG, ...settings.log},
+    platform: {keyPrefix: DEFAULT_KEY_PREFIX, ...settings.platform},
+    policies: settings.policies ?? {},
+    region: settings.region,
+    secrets: settings.secrets,
+    seeds: settings.seeds ?? [],
+    timings: {...DEFAULT_TIMINGS, ...settings.timings},
+    vm: settings.vm,
+  };
+}
+
+function checkSyntax(text: string): Result<Node, readonly SettingsFault[]> {
+  const errors: ParseError[] = [];
+  const tree = parseTree(text, errors, {allowTrailingComma: true});
+  const faults = errors.map(({error, offset}) => ({
+    ...findPlace(text, offset),
+    expected: `expected JSON with comments, found ${printParseErrorCode(error)}`,
+    field: '',
+  }));
+  if (tree === undefined || faults.length > 0) {
+    const empty = {column: 1, expected: 'expected an object', field: '', line: 1};
+    return err(faults.length > 0 ? faults : [empty]);
+  }
+  return ok(tree);
+}
+
+function checkTree(text: string, tree: Node): Result<ResolvedSettings, readonly SettingsFault[]> {
+  const repeated = findRepeatedFields(text, tree, '');
+  const value: unknown = getNodeValue(tree);
+  if (!validateSettings(value)) {
+    const violations = validateSettings.errors ?? [];
+    return err([...repeated, ...violations.map((each) => toFault(text, tree, each))]);
+  }
+  return repeated.length > 0 ? err(repeated) : ok(withDefaults(value));
+}
+
+/**
+ * Reads settings from the text of a file; `path` only names the file in failures.
+ *
+ * @example
+ * const settings = readSettings(readFileSync(path, 'utf8'), path);
+ */
+export function readSettings(
+  text: string,
+  path: string,
+): Result<ResolvedSettings, SettingsFailure> {
+  return checkSyntax(text)
+    .andThen((tree) => checkTree(text, tree))
+    .mapErr((faults) => ({faults, path}));
+}
--- /dev/null
+++ b/packages/nutmegproxy-settings/src/SettingsConstants.ts
@@ -0,0 +1,19 @@
+/** Defaults of the settings that may be left out; docs/SETTINGS.md lists them. */
+
+export const DEFAULT_KEY_PREFIX = '/nutmegproxy';
+
+export const DEFAULT_LOG = {
+  level: 'info',
+  ringSize: 20_000,
+} as const;
+
+export const DEFAULT_TIMINGS = {
+  commitIntervalMs: 20,
+  heartbeatMs: 1_000,
+  stopDelayMs: 5_000,
+  storeTimeoutMs: 2_000,
+  taskLeaseMs: 15_000,
+  tenureTtlMs: 9_000,
+  vmListPollMs: 1_000,
+  workerSyncMs: 1_000,
+} as const;
