--- a/scripts/checkCatalogues.ts
+++ b/scripts/checkCatalogues.ts
@@ -62,7 +62,9 @@
 
 function readInvariants(sources: readonly string[]): string[] {
   const messages = sources.flatMap((path) =>
-    [...readFileSync(path, 'utf8').replace(COMMENT_LINE, '').matchAll(INVARIANT_CALL)].map((match) => match[1] ?? ''),
+    [...readFileSync(path, 'utf8').replace(COMMENT_LINE, '').matchAll(INVARIANT_CALL)].map(
+      (match) => match[1] ?? '',
+    ),
   );
   return [...new Set(messages)].filter((message) => message.includes(': ')).sort();
 }
