--- /dev/null
+++ b/packages/nutmegproxy-placement/src/TaskQueue.ts
@@ -0,0 +1,96 @@
+/** Tasks that wait for a worker. */
+
+import type {AttemptId, EntryId, Instant, TeamId} from '@nutmegproxy/core';
+
+import type {PlacementWish} from './Placement.ts';
+
+/** A task that waits, with what placement has to know of it. */
+export interface WaitingTask {
+  /** Whether it goes on from a checkpoint; such tasks go before fresh ones of their entry. */
+  readonly resumed: boolean;
+  readonly wish: PlacementWish;
+}
+
+/** The tasks of one entry, which have the same owner, class and declared size. */
+export interface Lane {
+  readonly entry: EntryId;
+  /** The task that goes first, or undefined when the lane is empty. */
+  first(): undefined | WaitingTask;
+  readonly size: number;
+  readonly team: TeamId;
+}
+
+/** How the lanes are ordered in one round of placement. */
+export type LaneOrder = (
+  lanes: readonly Lane[],
+  heldShare: (team: TeamId) => number,
+  now: Instant,
+) => readonly Lane[];
+
+class EntryLane implements Lane {
+  readonly entry: EntryId;
+  readonly fresh = new Map<AttemptId, WaitingTask>();
+  readonly resumed = new Map<AttemptId, WaitingTask>();
+  readonly team: TeamId;
+
+  constructor(wish: PlacementWish) {
+    this.entry = wish.entry;
+    this.team = wish.team;
+  }
+
+  get size(): number {
+    return this.fresh.size + this.resumed.size;
+  }
+
+  add(task: WaitingTask): void {
+    (task.resumed ? this.resumed : this.fresh).set(task.wish.attempt, task);
+  }
+
+  first(): undefined | WaitingTask {
+    const lane = this.resumed.size > 0 ? this.resumed : this.fresh;
+    const next = lane.values().next();
+    return next.done ? undefined : next.value;
+  }
+
+  remove(attempt: AttemptId): boolean {
+    return this.fresh.delete(attempt) || this.resumed.delete(attempt);
+  }
+}
+
+/**
+ * Waiting tasks in a lane for each entry. Adding, removing and finding the first task of a lane
+ * cost the same whatever waits, so a wave of cancellations costs no scan.
+ */
+export class TaskQueue {
+  readonly #lanes = new Map<EntryId, EntryLane>();
+  #size = 0;
+
+  get size(): number {
+    return this.#size;
+  }
+
+  add(task: WaitingTask): void {
+    const lane = this.#lanes.get(task.wish.entry) ?? new EntryLane(task.wish);
+    this.#lanes.set(task.wish.entry, lane);
+    const before = lane.size;
+    lane.add(task);
+    this.#size += lane.size - before;
+  }
+
+  lanes(): readonly Lane[] {
+    return [...this.#lanes.values()];
+  }
+
+  /** Removes a task; false when it does not wait here. */
+  remove(entry: EntryId, attempt: AttemptId): boolean {
+    const lane = this.#lanes.get(entry);
+    if (!lane?.remove(attempt)) {
+      return false;
+    }
+    this.#size -= 1;
+    if (lane.size === 0) {
+      this.#lanes.delete(entry);
+    }
+    return true;
+  }
+}
--- a/packages/nutmegproxy-placement/src/index.ts
+++ b/packages/nutmegproxy-placement/src/index.ts
@@ -1,5 +1,7 @@
 /** Public surface of placement. */
 
+export {LANE_ORDERS} from './LaneOrders.ts';
+export type {LaneOrderName} from './LaneOrders.ts';
 export type {
   AttemptObservation,
   AttemptOutcome,
@@ -10,5 +12,9 @@
   ThrottleWish,
   WorkerProfile,
 } from './Placement.ts';
+export {decideRound} from './PlacementRound.ts';
+export type {Round, RoundDecision} from './PlacementRound.ts';
 export {PLACEMENTS} from './Placements.ts';
 export type {PlacementMaker, PlacementName} from './Placements.ts';
+export {TaskQueue} from './TaskQueue.ts';
+export type {Lane, LaneOrder, WaitingTask} from './TaskQueue.ts';
