Add loans of slots between members

A loan has a term that the borrower counts from its question and the lender from its grant, so that no message is needed to take it back. Ruled out: loans without an end that are reconciled by reports; a takeover would have to wait for each remaining member's report. Found by the property test: a member lent on slots that it had borrowed itself; now only its own share is lent.

--- a/packages/nutmegproxy-membership/src/MembershipConstants.ts
+++ b/packages/nutmegproxy-membership/src/MembershipConstants.ts
@@ -23,3 +23,11 @@
 export const MAX_REMEMBERED_INCARNATIONS = 1_024;
 /** Time that a planned stop waits for shares and cells to be given up. */
 export const LEAVE_LIMIT_MS = 90_000;
+/** Peers that one borrowing asks in turn. */
+export const MAX_LENDERS_ASKED = 2;
+export const LOAN_TIMEOUT_MS = 250;
+export const LOAN_TICK_MS = 250;
+/** Part of a loan's term after which the borrower renews it. */
+export const LOAN_RENEW_SHARE = 0.5;
+/** Loans that a process grants, and that it holds, at one time. */
+export const MAX_LOANS = 4_096;
--- a/packages/nutmegproxy-membership/src/__tests__/fakes/Chaos.ts
+++ b/packages/nutmegproxy-membership/src/__tests__/fakes/Chaos.ts
@@ -1,8 +1,9 @@
 /** Random actions on a cluster, for property tests. */
 
-import {Cluster} from './Cluster.ts';
 import type {Process} from './Cluster.ts';
 
+import {Cluster} from './Cluster.ts';
+
 /** One action; `a` and `b` choose what it concerns. */
 export interface Action {
   readonly a: number;
@@ -110,6 +111,7 @@
     }
   },
   run: (world, a) => world.cluster.run(1 + (a % 6), world.active()),
+  runLong: (world, a) => world.cluster.run(20 + a, world.active()),
   start: (world, a, b) => pick(world.active(), a)?.start(b % 2 === 0 ? 'record' : 'tenure'),
   store: (world, a, b) => {
     for (const process of b % 3 === 0
@@ -152,7 +154,7 @@
   }
   await cluster.run(8);
   for (const {a, b, kind} of actions) {
-    await (HANDLERS[kind] as Handler)(world, a, b);
+    await HANDLERS[kind](world, a, b);
     cluster.check();
   }
   return cluster;
--- /dev/null
+++ b/packages/nutmegproxy-membership/src/__tests__/fakes/LoanWorld.ts
@@ -0,0 +1,181 @@
+/** Members with fixed shares of one minion, which lend slots to each other; moved by the test. */
+
+import type {Clock, EntryNode, Instant, MinionId, NodeIdentity} from '@nutmegproxy/core';
+
+import {brand, CommandBus, ManualClock, SILENT_EVENTS} from '@nutmegproxy/core';
+import {LocalNetwork} from '@nutmegproxy/standins';
+import assert from 'node:assert/strict';
+import {Registry} from 'prom-client';
+
+import type {Allotment, Membership} from '../../index.ts';
+
+import {SlotLoans} from '../../index.ts';
+
+export const MINION = brand<MinionId>('minion');
+export const LOAN_PERIODS = {loanTermMs: 2_000, requestLimitMs: 3_000};
+const SHARES = [3, 3, 2];
+const CLOCK_RATES = [1, 1.02, 0.98];
+/** What the record waits for before it gives a removed member's slots to others. */
+const RECLAIM_MS = (LOAN_PERIODS.loanTermMs + LOAN_PERIODS.requestLimitMs) * 1.05;
+
+function createIdentity(n: number): NodeIdentity {
+  return {
+    dataCentre: brand('dc'),
+    incarnation: brand(`n${n}.1`),
+    region: brand('region'),
+    vm: brand(`n${n}`),
+  };
+}
+
+const IDENTITIES = SHARES.map((_, n) => createIdentity(n));
+
+function identityOf(n: number): NodeIdentity {
+  return IDENTITIES[n] ?? createIdentity(n);
+}
+
+function createAllotment(): Allotment {
+  const members = IDENTITIES.map(({incarnation, vm}) => ({incarnation, peerAddress: vm, vm}));
+  const shares = new Map(members.map(({incarnation}, n) => [incarnation, SHARES[n] ?? 0]));
+  return {
+    cells: new Map(),
+    dataCentre: brand('dc'),
+    epoch: 1,
+    members: new Map(members.map((each) => [each.incarnation, each])),
+    minions: new Map([[MINION, {minion: MINION, shares, slots: 8}]]),
+    modRevision: 1,
+  };
+}
+
+export class LoanMember {
+  alive = true;
+  borrowed = 0;
+  readonly clock: Clock;
+  frozen = false;
+  readonly loans: SlotLoans;
+  share: number;
+  readonly #ends: number[] = [];
+  #lent = 0;
+  readonly #world: LoanWorld;
+
+  constructor(world: LoanWorld, n: number) {
+    const identity = identityOf(n);
+    const rate = CLOCK_RATES[n] ?? 1;
+    this.#world = world;
+    this.share = SHARES[n] ?? 0;
+    this.clock = {
+      monotonic: () => (world.clock.monotonic() * rate) as Instant,
+      wall: () => world.clock.wall(),
+    };
+    const node: EntryNode = {
+      bus: new CommandBus(),
+      clock: this.clock,
+      events: SILENT_EVENTS,
+      identity,
+      metrics: new Registry(),
+    };
+    const membership: Membership = {
+      allotment: () => world.allotment,
+      holdsTenure: () => this.alive,
+      ownShare: () => this.share,
+      tenureEnds: () => Infinity as Instant,
+    };
+    let count = 0;
+    this.loans = new SlotLoans(node, {
+      createLoanId: () => `${identity.incarnation}.${(count += 1)}`,
+      lender: {
+        restore: (_minion, back) => (this.#lent -= back),
+        take: (_minion, wanted) => {
+          const taken = Math.min(wanted, this.#idle());
+          this.#lent += taken;
+          return taken;
+        },
+      },
+      membership,
+      mesh: world.network.attach(identity, this.clock),
+      onEnded: (_minion, lost) => (this.borrowed -= lost),
+      periods: LOAN_PERIODS,
+    });
+  }
+
+  get identity(): NodeIdentity {
+    return identityOf(this.#world.members.indexOf(this));
+  }
+
+  async borrow(count: number): Promise<void> {
+    this.borrowed += await this.loans.borrow(MINION, count, this.clock.monotonic());
+  }
+
+  /** Starts as many requests as this member may. */
+  dispatch(): void {
+    this.loans.expire(this.clock.monotonic());
+    while (this.#idle() > 0) {
+      this.#ends.push(this.#world.clock.monotonic() + LOAN_PERIODS.requestLimitMs);
+    }
+  }
+
+  finish(count: number): void {
+    this.#ends.splice(0, count);
+  }
+
+  giveBack(): void {
+    const count = Math.min(this.borrowed, this.#idle());
+    this.borrowed -= count;
+    this.loans.giveBack(MINION, count);
+  }
+
+  running(): number {
+    const now = this.#world.clock.monotonic();
+    return this.#ends.filter((end) => end > now).length;
+  }
+
+  tick(): void {
+    const now = this.clock.monotonic();
+    this.loans.expire(now);
+    void this.loans.renew(now);
+  }
+
+  #idle(): number {
+    return Math.max(0, this.share + this.borrowed - this.#lent - this.running());
+  }
+}
+
+export class LoanWorld {
+  readonly allotment = createAllotment();
+  readonly clock = new ManualClock();
+  readonly members: LoanMember[] = [];
+  readonly network = new LocalNetwork();
+  #reclaim: undefined | {readonly at: number; readonly count: number};
+
+  constructor() {
+    for (const n of SHARES.keys()) {
+      this.members.push(new LoanMember(this, n));
+    }
+  }
+
+  advance(milliseconds: number): void {
+    this.clock.advance(milliseconds);
+    const due = this.#reclaim;
+    if (due !== undefined && this.clock.monotonic() >= due.at) {
+      this.#reclaim = undefined;
+      const heir = this.members.find((each) => each.alive);
+      if (heir !== undefined) {
+        heir.share += due.count;
+      }
+    }
+  }
+
+  check(): void {
+    const running = this.members.reduce((sum, each) => sum + each.running(), 0);
+    assert.ok(running <= 8, `${running} requests on 8 slots`);
+  }
+
+  /** Ends one member for good; its share goes to another one later. */
+  kill(member: LoanMember): void {
+    if (this.members.every((each) => each.alive)) {
+      member.alive = false;
+      this.network.detach(member.identity);
+      this.#reclaim = {at: this.clock.monotonic() + RECLAIM_MS, count: member.share};
+      member.share = 0;
+    }
+  }
+}
--- a/packages/nutmegproxy-membership/src/index.ts
+++ b/packages/nutmegproxy-membership/src/index.ts
@@ -1,5 +1,6 @@
 /** Public surface of membership. */
 
+export type {SlotLender} from './LentSlots.ts';
 export type {Allotment, CellOwnership, Member, Membership, MinionShares} from './Membership.ts';
 export {
   ALLOTMENT_CHANGED,
@@ -17,4 +18,7 @@
 export type {MembershipPeriods, MembershipServices, VmSource} from './MembershipServices.ts';
 export {DEFAULT_PERIODS, registerMembership} from './registerMembership.ts';
 export type {MembershipOptions} from './registerMembership.ts';
+export {registerSlotLoans} from './registerSlotLoans.ts';
 export {connectionShare} from './ShareTargets.ts';
+export {SlotLoans} from './SlotLoans.ts';
+export type {SlotLoansOptions} from './SlotLoans.ts';
