--- /dev/null
+++ b/packages/nutmegproxy-load/src/DecisionBench.ts
@@ -0,0 +1,196 @@
+/**
+ * Measures placement decisions alone, in process, against the size of the fleet. Nothing is
+ * simulated but the order of calls: arrivals, usage reports and ends of attempts.
+ */
+
+import type {AttemptId, EntryId, Instant, RackId, TeamId, WorkerId} from '@nutmegproxy/core';
+import type {Placement, PlacementName, PlacementWish} from '@nutmegproxy/placement';
+import type {Histogram} from 'hdr-histogram-js';
+
+import {brand} from '@nutmegproxy/core';
+import {PLACEMENTS} from '@nutmegproxy/placement';
+import {build} from 'hdr-histogram-js';
+import {uniformInt} from 'pure-rand/distribution/uniformInt';
+import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
+
+const WORKERS_PER_RACK = 30;
+const TEAMS = 180;
+const ENTRIES = 900;
+const TASKS_PER_WORKER = 10;
+const LATENCY_CRITICAL_PERCENT = 28;
+/** Time between two arrivals at 1,600 starts a second. */
+const ARRIVAL_INTERVAL_MS = 1 / 1.6;
+const CAPACITY = {accelerators: 0, cpu: 16, memoryMb: 60_000};
+
+/** What one run measured. */
+export interface DecisionFigures {
+  readonly decideP50Us: number;
+  readonly decideP99Us: number;
+  readonly heapBytesPerWorker: number;
+  readonly observeP50Us: number;
+  readonly placedShare: number;
+  readonly policy: PlacementName;
+  readonly releaseP50Us: number;
+  readonly workers: number;
+}
+
+interface Timers {
+  readonly decide: Histogram;
+  readonly observe: Histogram;
+  readonly release: Histogram;
+}
+
+/** Makes wishes of many entries from a seed. */
+class WishSource {
+  #count = 0;
+  readonly #random: ReturnType<typeof xoroshiro128plus>;
+
+  constructor(seed: number) {
+    this.#random = xoroshiro128plus(seed);
+  }
+
+  between(from: number, to: number): number {
+    return uniformInt(this.#random, from, to);
+  }
+
+  next(now: Instant): PlacementWish {
+    this.#count += 1;
+    const entry = this.between(0, ENTRIES - 1);
+    const isUrgent = (entry * 37) % 100 < LATENCY_CRITICAL_PERCENT;
+    return {
+      attempt: brand<AttemptId>(`attempt-${this.#count}`),
+      checkpointable: true,
+      class: isUrgent ? 'latency-critical' : 'batch',
+      declared: {accelerators: 0, cpu: 0.5 + (entry % 5) / 4, memoryMb: 500 + 400 * (entry % 7)},
+      declaredRunTimeMs: 30_000,
+      entry: brand<EntryId>(`entry-${entry}`),
+      queuedAt: now,
+      team: brand<TeamId>(`team-${entry % TEAMS}`),
+    };
+  }
+}
+
+function time<Value>(histogram: Histogram, action: () => Value): Value {
+  const start = process.hrtime.bigint();
+  const value = action();
+  histogram.recordValue(Number(process.hrtime.bigint() - start));
+  return value;
+}
+
+function heapBytes(): number {
+  globalThis.gc?.();
+  return process.memoryUsage().heapUsed;
+}
+
+function addWorkers(placement: Placement, workers: number, now: Instant): void {
+  for (let index = 0; index < workers; index += 1) {
+    const id = brand<WorkerId>(`worker-${index}`);
+    const rack = brand<RackId>(`rack-${Math.floor(index / WORKERS_PER_RACK)}`);
+    placement.setWorker({capacity: CAPACITY, drained: false, id, rack}, now);
+  }
+}
+
+/** Runs arrivals, reports and ends against one policy. */
+class DecisionRun {
+  readonly #placement: Placement;
+  placed = 0;
+  readonly #running: PlacementWish[] = [];
+  readonly #source: WishSource;
+  steps = 0;
+  readonly #timers: Timers;
+
+  constructor(placement: Placement, seed: number, timers: Timers) {
+    this.#placement = placement;
+    this.#source = new WishSource(seed);
+    this.#timers = timers;
+  }
+
+  /** One arrival; one report; one end when as many run as the fleet is planned for. */
+  step(targetRunning: number): void {
+    this.steps += 1;
+    const now = (this.steps * ARRIVAL_INTERVAL_MS) as Instant;
+    const wish = this.#source.next(now);
+    const decision = time(this.#timers.decide, () => this.#placement.decide(wish, now));
+    if (decision.kind === 'placed') {
+      this.placed += 1;
+      this.#running.push(wish);
+    }
+    this.#report(now);
+    if (this.#running.length >= targetRunning || decision.kind === 'wait') {
+      this.#end(now);
+    }
+  }
+
+  #end(now: Instant): void {
+    const index = this.#source.between(0, this.#running.length - 1);
+    const ended = this.#running[index];
+    const last = this.#running.pop();
+    if (!ended || !last) {
+      return;
+    }
+    if (last !== ended) {
+      this.#running[index] = last;
+    }
+    time(this.#timers.release, () => {
+      this.#placement.release(ended.attempt, 'succeeded', now);
+    });
+  }
+
+  #report(now: Instant): void {
+    const wish = this.#running[this.#source.between(0, Math.max(0, this.#running.length - 1))];
+    if (!wish) {
+      return;
+    }
+    const usage = {
+      at: 0,
+      cpu: (wish.declared.cpu * this.#source.between(50, 110)) / 100,
+      memoryMb: wish.declared.memoryMb,
+      speed: this.#source.between(60, 100) / 100,
+    };
+    const observation = {attempt: wish.attempt, measuredAt: now, progress: 0.5, usage};
+    time(this.#timers.observe, () => {
+      this.#placement.observe(observation, now);
+    });
+  }
+}
+
+/**
+ * Fills a fleet to its planned number of tasks, then measures `steps` arrivals.
+ *
+ * @example
+ * const figures = measureDecisions('learned', 6200, 20_000, 1);
+ */
+export function measureDecisions(
+  policy: PlacementName,
+  workers: number,
+  steps: number,
+  seed: number,
+): DecisionFigures {
+  const before = heapBytes();
+  const placement = PLACEMENTS[policy]();
+  addWorkers(placement, workers, 0 as Instant);
+  const timers = {decide: build(), observe: build(), release: build()};
+  const run = new DecisionRun(placement, seed, timers);
+  const target = workers * TASKS_PER_WORKER;
+  for (let step = 0; step < target * 1.5; step += 1) {
+    run.step(target);
+  }
+  const heap = heapBytes() - before;
+  for (const histogram of Object.values(timers)) {
+    histogram.reset();
+  }
+  const placedBefore = run.placed;
+  for (let step = 0; step < steps; step += 1) {
+    run.step(target);
+  }
+  return {
+    decideP50Us: timers.decide.getValueAtPercentile(50) / 1000,
+    decideP99Us: timers.decide.getValueAtPercentile(99) / 1000,
+    heapBytesPerWorker: Math.round(heap / workers),
+    observeP50Us: timers.observe.getValueAtPercentile(50) / 1000,
+    placedShare: (run.placed - placedBefore) / steps,
+    policy,
+    releaseP50Us: timers.release.getValueAtPercentile(50) / 1000,
+    workers,
+  };
+}
--- /dev/null
+++ b/packages/nutmegproxy-load/src/DecisionReport.ts
@@ -0,0 +1,29 @@
+/** Runs the decision benchmark at each size of the fleet and prints the figures. */
+
+import type {PlacementName} from '@nutmegproxy/placement';
+
+import {PLACEMENTS} from '@nutmegproxy/placement';
+
+import {measureDecisions} from './DecisionBench.ts';
+
+const FLEET_SIZES = [100, 1000, 6200];
+
+/** Options of the run. */
+export interface DecisionOptions {
+  readonly json: boolean;
+  readonly seed: number;
+  readonly steps: number;
+}
+
+/** Measures every policy at every size, in one run and on the same seed. */
+export function runDecisions({json, seed, steps}: DecisionOptions): void {
+  const policies = Object.keys(PLACEMENTS) as PlacementName[];
+  const figures = policies.flatMap((policy) =>
+    FLEET_SIZES.map((workers) => measureDecisions(policy, workers, steps, seed)),
+  );
+  if (json) {
+    console.log(JSON.stringify({figures, seed, steps}));
+  } else {
+    console.table(figures);
+  }
+}
--- a/scripts/build.mjs
+++ b/scripts/build.mjs
@@ -3,8 +3,9 @@
 
 import {build} from 'esbuild';
 
-// CommonJS has no import.meta.url, which libraries pass to createRequire when they load.
-const BANNER = "const importMetaUrl = require('node:url').pathToFileURL(process.execPath).href;";
+// CommonJS has no import.meta, whose url libraries pass to createRequire when they load.
+const BANNER =
+  "const importMeta = {url: require('node:url').pathToFileURL(process.execPath).href};";
 
 const entryPoints = readdirSync('packages')
   .map((name) => ({in: `packages/${name}/src/main.ts`, out: name.replace('nutmegproxy-', '')}))
@@ -13,7 +14,7 @@
 await build({
   banner: {js: BANNER},
   bundle: true,
-  define: {'import.meta.url': 'importMetaUrl'},
+  define: {'import.meta': 'importMeta'},
   entryPoints,
   format: 'cjs',
   logLevel: 'warning',
