Bound the learned pairs with an LRU cache in place of a re-inserted Map

Cause: Interference and Quarantine kept recency by deleting and inserting a Map key and read keys().next() to find the oldest; once the limit is reached a Map's iterator walks over all deleted slots first. Change: lru-cache. Ruled out: a smaller limit (it only moves the size at which the walk begins).

--- a/packages/nutmegproxy-placement/src/Interference.ts
+++ b/packages/nutmegproxy-placement/src/Interference.ts
@@ -6,6 +6,8 @@
 
 import type {EntryId, Instant} from '@nutmegproxy/core';
 
+import {LRUCache} from 'lru-cache';
+
 /** Mean for a pair that was never seen: a small slowdown. */
 const PRIOR_MEAN = 0.05;
 const PRIOR_VARIANCE = 0.25;
@@ -36,7 +38,7 @@
 
 /** Learns and predicts slowdowns for pairs of entries. */
 export class Interference {
-  readonly #pairs = new Map<string, Pair>();
+  readonly #pairs = new LRUCache<string, Pair>({max: PAIR_LIMIT});
 
   /** Learns from the speed of an attempt, 0 to 1, among its co-runners at that time. */
   learn(entry: EntryId, coRunners: readonly CoRunner[], speed: number, now: Instant): void {
@@ -75,22 +77,9 @@
     const pair = known ?? {mean: PRIOR_MEAN, updatedAt: now, variance: PRIOR_VARIANCE};
     pair.variance = grown(pair, now);
     pair.updatedAt = now;
-    // Maps keep insertion order: setting anew makes the pair the most recent one.
-    this.#pairs.delete(key);
     this.#pairs.set(key, pair);
-    this.#dropOldest();
     return pair;
   }
-
-  #dropOldest(): void {
-    if (this.#pairs.size <= PAIR_LIMIT) {
-      return;
-    }
-    const oldest = this.#pairs.keys().next();
-    if (!oldest.done) {
-      this.#pairs.delete(oldest.value);
-    }
-  }
 }
 
 function toKey(entry: EntryId, by: EntryId): string {
--- a/packages/nutmegproxy-placement/src/Quarantine.ts
+++ b/packages/nutmegproxy-placement/src/Quarantine.ts
@@ -3,6 +3,7 @@
 import type {EntryId, Instant, WorkerId} from '@nutmegproxy/core';
 
 import {after} from '@nutmegproxy/core';
+import {LRUCache} from 'lru-cache';
 
 /** Time in which a count loses half of its weight. */
 const HALF_LIFE_MS = 300_000;
@@ -41,7 +42,7 @@
   readonly failures: FadingCount;
   pausedUntil: Instant | undefined;
   pauseMs: number;
-  readonly tallies: Map<EntryId, Tally>;
+  readonly tallies: LRUCache<EntryId, Tally>;
 }
 
 /** Whether a worker takes tasks: all, none, or a single one as a trial. */
@@ -49,7 +50,7 @@
 
 /** Compares each worker's failures with what its entries fail elsewhere. */
 export class Quarantine {
-  readonly #entries = new Map<EntryId, Tally>();
+  readonly #entries = new LRUCache<EntryId, Tally>({max: ENTRY_LIMIT});
   readonly #workers = new Map<WorkerId, WorkerRecord>();
 
   /** Records how an attempt ended on a worker. */
@@ -62,8 +63,8 @@
       return;
     }
     // Failures on a suspect worker say nothing about the entry, so they are counted only here.
-    count(this.#entries, ENTRY_LIMIT, entry, failed, now);
-    count(record.tallies, WORKER_ENTRY_LIMIT, entry, failed, now);
+    count(this.#entries, entry, failed, now);
+    count(record.tallies, entry, failed, now);
     if (failed && this.#excess(record, now) >= EXCESS_FAILURES) {
       this.#pause(record, FIRST_PAUSE_MS, now);
     }
@@ -130,7 +131,7 @@
       failures: new FadingCount(),
       pausedUntil: undefined,
       pauseMs: FIRST_PAUSE_MS,
-      tallies: new Map(),
+      tallies: new LRUCache({max: WORKER_ENTRY_LIMIT}),
     };
     this.#workers.set(worker, record);
     return record;
@@ -138,8 +139,7 @@
 }
 
 function count(
-  tallies: Map<EntryId, Tally>,
-  limit: number,
+  tallies: LRUCache<EntryId, Tally>,
   entry: EntryId,
   failed: boolean,
   now: Instant,
@@ -147,10 +147,5 @@
   const tally = tallies.get(entry) ?? {failures: new FadingCount(), runs: new FadingCount()};
   tally.runs.add(1, now);
   tally.failures.add(failed ? 1 : 0, now);
-  tallies.delete(entry);
   tallies.set(entry, tally);
-  const oldest = tallies.keys().next();
-  if (tallies.size > limit && !oldest.done) {
-    tallies.delete(oldest.value);
-  }
 }
