Add the catalogue: parts per team, changes by compare-and-swap, exchange between peers

A change is one transaction with the head's revision as its condition and a unique change id; a lost answer is resolved by committing again under the same condition and reading the history. Only changed teams travel, from the store and between peers. The messages stand in schema/catalogue.json and not in a file of their own, since a schema can't refer to another file's definitions.

--- /dev/null
+++ b/packages/nutmegproxy-catalogue/src/CatalogueChecks.ts
@@ -0,0 +1,138 @@
+/** Checks of a catalogue document: the schema first, then what it means. */
+
+import type {Catalogue, Entry, Limits, Team} from '@nutmegproxy/schema';
+import type {Result} from 'neverthrow';
+
+import {validateCatalogue} from '@nutmegproxy/schema';
+import {err, ok} from 'neverthrow';
+
+/** One fault of a document. */
+export interface CatalogueFault {
+  readonly expected: string;
+  /** JSON pointer, such as `/entries/3/owner`. */
+  readonly path: string;
+}
+
+type LimitName = keyof Limits;
+
+/** Most faults that are answered; a document can hold thousands. */
+const MAX_FAULTS = 100;
+
+const OTHER_KIND_LIMITS: Readonly<Record<Entry['kind'], readonly LimitName[]>> = {
+  request: ['accelerators', 'attempts', 'cpu', 'memoryMb', 'runTimeMs'],
+  task: ['bodyBytes', 'queue', 'timeoutMs'],
+};
+
+const QUOTA_LIMITS = ['accelerators', 'cpu', 'memoryMb'] as const;
+
+function findRepeated(path: string, field: string, ids: readonly string[]): CatalogueFault[] {
+  const seen = new Set<string>();
+  return ids.flatMap((id, index) => {
+    if (!seen.has(id)) {
+      seen.add(id);
+      return [];
+    }
+    return [{expected: `expected ${id} only once`, path: `/${path}/${index}/${field}`}];
+  });
+}
+
+function checkRequest(entry: Entry, path: string): CatalogueFault[] {
+  const faults: CatalogueFault[] = [];
+  if (entry.service === undefined || entry.service === '') {
+    faults.push({expected: 'expected the service that answers it', path: `${path}/service`});
+  }
+  if (entry.checkpoint === true) {
+    faults.push({expected: 'expected no checkpoint for a request', path: `${path}/checkpoint`});
+  }
+  return faults;
+}
+
+function checkTask(entry: Entry, path: string): CatalogueFault[] {
+  const faults: CatalogueFault[] = [];
+  if (entry.service !== undefined) {
+    faults.push({expected: 'expected no service for a task', path: `${path}/service`});
+  }
+  for (const name of ['cpu', 'memoryMb'] as const) {
+    if (entry.limits[name] === undefined) {
+      faults.push({expected: `expected the declared ${name}`, path: `${path}/limits/${name}`});
+    }
+  }
+  return faults;
+}
+
+const KIND_CHECKS: Readonly<
+  Record<Entry['kind'], (entry: Entry, path: string) => CatalogueFault[]>
+> = {request: checkRequest, task: checkTask};
+
+function checkQuota(entry: Entry, team: Team, path: string): CatalogueFault[] {
+  return QUOTA_LIMITS.flatMap((name) => {
+    const quota = team.quota?.[name];
+    const limit = entry.limits[name] ?? 0;
+    const fits = quota === undefined || limit <= quota;
+    const expected = `expected at most ${quota ?? 0}, the quota of team ${team.id}`;
+    return fits ? [] : [{expected, path: `${path}/limits/${name}`}];
+  });
+}
+
+function checkEntry(
+  entry: Entry,
+  path: string,
+  teams: ReadonlyMap<string, Team>,
+): CatalogueFault[] {
+  const foreign = OTHER_KIND_LIMITS[entry.kind]
+    .filter((name) => entry.limits[name] !== undefined)
+    .map((name) => ({
+      expected: `expected no ${name} for a ${entry.kind}`,
+      path: `${path}/limits/${name}`,
+    }));
+  const team = teams.get(entry.owner);
+  const owner =
+    team === undefined
+      ? [
+          {
+            expected: `expected a team of this catalogue, found ${entry.owner}`,
+            path: `${path}/owner`,
+          },
+        ]
+      : checkQuota(entry, team, path);
+  return [...owner, ...KIND_CHECKS[entry.kind](entry, path), ...foreign];
+}
+
+function checkMeaning(document: Catalogue): CatalogueFault[] {
+  const teams = new Map(document.teams.map((team) => [team.id, team]));
+  const drains = (document.drains ?? []).map(({id, target}) => `${target} ${id}`);
+  const stops = (document.stops ?? []).map(({vm}) => vm);
+  const entryIds = document.entries.map(({id}) => id);
+  return [
+    ...findRepeated(
+      'teams',
+      'id',
+      document.teams.map(({id}) => id),
+    ),
+    ...findRepeated('entries', 'id', entryIds),
+    ...findRepeated('drains', 'id', drains),
+    ...findRepeated('stops', 'vm', stops),
+    ...document.entries.flatMap((entry, index) => checkEntry(entry, `/entries/${index}`, teams)),
+  ];
+}
+
+/**
+ * Checks a document whole; the faults name the path and what was expected.
+ *
+ * @example
+ * const checked = checkCatalogue(JSON.parse(text));
+ */
+export function checkCatalogue(document: unknown): Result<Catalogue, readonly CatalogueFault[]> {
+  if (!validateCatalogue(document)) {
+    const violations = (validateCatalogue.errors ?? []).slice(0, MAX_FAULTS);
+    return err(
+      violations.map(({instancePath, message, params}) => {
+        const name = params.missingProperty ?? params.additionalProperty;
+        const path = typeof name === 'string' ? `${instancePath}/${name}` : instancePath;
+        return {expected: message ?? 'expected another value', path};
+      }),
+    );
+  }
+  const faults = checkMeaning(document);
+  return faults.length > 0 ? err(faults.slice(0, MAX_FAULTS)) : ok(document);
+}
--- /dev/null
+++ b/packages/nutmegproxy-catalogue/src/CatalogueDiff.ts
@@ -0,0 +1,109 @@
+/** Differences between a revision and a document that an operator wrote. */
+
+import type {TeamId} from '@nutmegproxy/core';
+import type {Catalogue, Drain, Entry, Stop, Team} from '@nutmegproxy/schema';
+
+import {brand} from '@nutmegproxy/core';
+import {isDeepStrictEqual} from 'node:util';
+
+import type {CatalogueSnapshot} from './CatalogueSnapshot.ts';
+
+/** A team as the document states it, without a revision. */
+export interface TeamContent {
+  readonly entries: Entry[];
+  readonly team: Team;
+}
+
+export interface PlansContent {
+  readonly drains: Drain[];
+  readonly stops: Stop[];
+}
+
+/** The parts that differ. */
+export interface CatalogueDiff {
+  readonly changed: readonly TeamContent[];
+  readonly plans?: PlansContent;
+  readonly removed: readonly TeamId[];
+}
+
+/** One difference in words an operator can check. */
+export interface DiffLine {
+  readonly id: string;
+  readonly kind: 'drain' | 'entry' | 'stop' | 'team';
+  readonly sign: '+' | '-' | '~';
+}
+
+function byId(a: {readonly id: string}, b: {readonly id: string}): number {
+  return a.id < b.id ? -1 : 1;
+}
+
+function groupByTeam(document: Catalogue): ReadonlyMap<TeamId, TeamContent> {
+  const groups = new Map<TeamId, TeamContent>();
+  for (const team of document.teams) {
+    groups.set(brand<TeamId>(team.id), {entries: [], team});
+  }
+  for (const entry of [...document.entries].sort(byId)) {
+    groups.get(brand<TeamId>(entry.owner))?.entries.push(entry);
+  }
+  return groups;
+}
+
+/**
+ * Finds the parts of the document that differ from the snapshot.
+ *
+ * @example
+ * const diff = diffCatalogue(source.current(), document);
+ */
+export function diffCatalogue(snapshot: CatalogueSnapshot, document: Catalogue): CatalogueDiff {
+  const groups = groupByTeam(document);
+  const changed = [...groups].filter(([id, content]) => {
+    const part = snapshot.parts.get(id);
+    return !isDeepStrictEqual(content, part && {entries: part.entries, team: part.team});
+  });
+  const removed = [...snapshot.parts.keys()].filter((id) => !groups.has(id));
+  const plans = {drains: document.drains ?? [], stops: document.stops ?? []};
+  const known = {drains: snapshot.plans.drains, stops: snapshot.plans.stops};
+  const diff = {changed: changed.map(([, content]) => content), removed};
+  return isDeepStrictEqual(plans, known) ? diff : {...diff, plans};
+}
+
+/** Whether a diff changes anything. */
+export function isEmptyDiff(diff: CatalogueDiff): boolean {
+  return diff.changed.length === 0 && diff.removed.length === 0 && diff.plans === undefined;
+}
+
+function compareLists<Item>(
+  kind: DiffLine['kind'],
+  before: readonly Item[],
+  after: readonly Item[],
+  idOf: (item: Item) => string,
+): DiffLine[] {
+  const old = new Map(before.map((item) => [idOf(item), item]));
+  const fresh = new Map(after.map((item) => [idOf(item), item]));
+  const gone = [...old.keys()].filter((id) => !fresh.has(id));
+  const lines = [...fresh].flatMap<DiffLine>(([id, item]) => {
+    if (!old.has(id)) {
+      return [{id, kind, sign: '+'}];
+    }
+    return isDeepStrictEqual(old.get(id), item) ? [] : [{id, kind, sign: '~'}];
+  });
+  return [...gone.map<DiffLine>((id) => ({id, kind, sign: '-'})), ...lines];
+}
+
+/**
+ * Lists added (+), removed (-) and changed (~) items between two documents.
+ *
+ * @example
+ * for (const {id, kind, sign} of listDifferences(before, after)) {
+ *   console.log(`${sign} ${kind} ${id}`);
+ * }
+ */
+export function listDifferences(before: Catalogue, after: Catalogue): readonly DiffLine[] {
+  const drainId = ({id, target}: Drain): string => `${target} ${id}`;
+  return [
+    ...compareLists('team', before.teams, after.teams, ({id}) => id),
+    ...compareLists('entry', before.entries, after.entries, ({id}) => id),
+    ...compareLists('drain', before.drains ?? [], after.drains ?? [], drainId),
+    ...compareLists('stop', before.stops ?? [], after.stops ?? [], ({vm}) => vm),
+  ];
+}
--- /dev/null
+++ b/packages/nutmegproxy-catalogue/src/CatalogueExchange.ts
@@ -0,0 +1,195 @@
+/** Revisions between peers: who has which, and reading what is missing. */
+
+import type {EntryNode, NodeIdentity, TeamId, Unregister} from '@nutmegproxy/core';
+import type {PeerMesh} from '@nutmegproxy/peers';
+import type {AppliedList, CataloguePage, CatalogueQuery, TeamPart} from '@nutmegproxy/schema';
+
+import {brand, mergeUnregister} from '@nutmegproxy/core';
+import {
+  validateAppliedList,
+  validateAppliedRevision,
+  validateCataloguePage,
+  validateCatalogueQuery,
+} from '@nutmegproxy/schema';
+
+import type {CatalogueDelta, CatalogueSnapshot} from './CatalogueSnapshot.ts';
+import type {CatalogueState} from './CatalogueState.ts';
+
+import {AppliedRevisions} from './AppliedRevisions.ts';
+import {MAX_PAGES, PAGE_BYTES, PEER_TIMEOUT_MS} from './CatalogueConstants.ts';
+import {CATALOGUE_EVENTS} from './CatalogueEvents.ts';
+
+export const APPLIED_MESSAGE = 'catalogue.applied';
+export const APPLIED_QUERY_MESSAGE = 'catalogue.appliedQuery';
+export const PAGE_MESSAGE = 'catalogue.page';
+
+function takePage(teams: readonly TeamPart[]): readonly TeamPart[] {
+  const page: TeamPart[] = [];
+  let bytes = 0;
+  for (const part of teams) {
+    bytes += JSON.stringify(part).length;
+    if (page.length > 0 && bytes > PAGE_BYTES) {
+      break;
+    }
+    page.push(part);
+  }
+  return page;
+}
+
+/**
+ * Cuts the page that a query asks for out of a snapshot. A query that goes on with another
+ * revision than the snapshot's gets the first page of the newer one.
+ */
+export function buildPage(snapshot: CatalogueSnapshot, query: CatalogueQuery): CataloguePage {
+  const delta = snapshot.deltaSince(query.since);
+  const goesOn = query.revision === snapshot.revision ? query.after : undefined;
+  const sorted = [...delta.teams].sort((a, b) => (a.team.id < b.team.id ? -1 : 1));
+  const rest = goesOn === undefined ? sorted : sorted.filter(({team}) => team.id > goesOn);
+  const teams = takePage(rest);
+  const last = teams.at(-1)?.team.id;
+  return {
+    record: delta.record,
+    removed: [...delta.removed],
+    since: delta.since,
+    teams: [...teams],
+    ...(delta.plans === undefined ? {} : {plans: delta.plans}),
+    ...(last !== undefined && teams.length < rest.length ? {next: last} : {}),
+  };
+}
+
+function joinPages(pages: readonly CataloguePage[]): CatalogueDelta | undefined {
+  const last = pages.at(-1);
+  if (last === undefined) {
+    return undefined;
+  }
+  const {plans, record, removed, since} = last;
+  return {
+    record,
+    removed: removed.map((team) => brand<TeamId>(team)),
+    since,
+    teams: pages.flatMap((page) => page.teams),
+    ...(plans === undefined ? {} : {plans}),
+  };
+}
+
+/** Passes revisions on and answers peers that ask. */
+export class CatalogueExchange {
+  readonly applied = new AppliedRevisions();
+  #fetching = false;
+  readonly #mesh: PeerMesh;
+  readonly #node: EntryNode;
+  #nextPeer = 0;
+  readonly #state: CatalogueState;
+
+  constructor(node: EntryNode, mesh: PeerMesh, state: CatalogueState) {
+    this.#mesh = mesh;
+    this.#node = node;
+    this.#state = state;
+    this.applied.record(node.identity, 0);
+  }
+
+  /** Tells all linked peers the revision in force here. */
+  announce(): void {
+    const {revision} = this.#state.current();
+    this.applied.record(this.#node.identity, revision);
+    this.#mesh.broadcast({body: {revision}, type: APPLIED_MESSAGE});
+  }
+
+  /** Tells one linked peer, each call the next one, so that lost announcements are made good. */
+  announceToNext(): void {
+    const peers = this.#mesh.peers();
+    const peer = peers[this.#nextPeer % Math.max(1, peers.length)];
+    this.#nextPeer += 1;
+    if (peer !== undefined) {
+      const {revision} = this.#state.current();
+      this.#mesh.send(peer.identity.vm, {body: {revision}, type: APPLIED_MESSAGE});
+    }
+  }
+
+  /** Asks a peer which revisions are in force in its data centre. */
+  async queryApplied(peer: NodeIdentity): Promise<AppliedList | undefined> {
+    const message = {body: {}, type: APPLIED_QUERY_MESSAGE};
+    const answer = await this.#mesh.request(peer.vm, peer.incarnation, message, PEER_TIMEOUT_MS);
+    const body = answer.unwrapOr(undefined);
+    return validateAppliedList(body) ? body : undefined;
+  }
+
+  /** Revisions in force at the linked VMs of this data centre and here. */
+  listApplied(): AppliedList {
+    const {dataCentre} = this.#node.identity;
+    const linked = this.#mesh.peers().map(({identity}) => identity);
+    const local = linked.filter((each) => each.dataCentre === dataCentre);
+    return {dataCentre, vms: this.applied.listFor([this.#node.identity, ...local])};
+  }
+
+  register(): Unregister {
+    return mergeUnregister(
+      this.#mesh.registerHandler(APPLIED_MESSAGE, (body, from) => {
+        this.#hear(body, from);
+      }),
+      this.#mesh.registerHandler(APPLIED_QUERY_MESSAGE, () => this.listApplied()),
+      this.#mesh.registerHandler(PAGE_MESSAGE, (body) =>
+        validateCatalogueQuery(body) ? buildPage(this.#state.current(), body) : undefined,
+      ),
+    );
+  }
+
+  /** Reads what is missing here from a peer that has a higher revision. */
+  async #fetch(from: NodeIdentity): Promise<void> {
+    const {revision: since} = this.#state.current();
+    let pages: CataloguePage[] = [];
+    let query: CatalogueQuery = {since};
+    for (let count = 0; count < MAX_PAGES; count += 1) {
+      const message = {body: query, type: PAGE_MESSAGE};
+      const answer = await this.#mesh.request(from.vm, from.incarnation, message, PEER_TIMEOUT_MS);
+      const page = answer.unwrapOr(undefined);
+      if (!validateCataloguePage(page)) {
+        this.#reportMalformed(page, from);
+        return;
+      }
+      const {next, record} = page;
+      const sameRevision = pages[0]?.record.revision === record.revision;
+      pages = sameRevision ? [...pages, page] : [page];
+      if (next === undefined) {
+        break;
+      }
+      query = {after: next, revision: record.revision, since};
+    }
+    const delta = pages.at(-1)?.next === undefined ? joinPages(pages) : undefined;
+    if (delta !== undefined) {
+      this.#state.install(delta, 'peer');
+    }
+  }
+
+  async #fetchOnce(from: NodeIdentity): Promise<void> {
+    if (this.#fetching) {
+      return;
+    }
+    this.#fetching = true;
+    await this.#fetch(from);
+    this.#fetching = false;
+  }
+
+  #hear(body: unknown, from: NodeIdentity): void {
+    if (!validateAppliedRevision(body)) {
+      this.#reportMalformed(body, from);
+      return;
+    }
+    if (from.dataCentre === this.#node.identity.dataCentre) {
+      this.applied.record(from, body.revision);
+    }
+    const {revision} = this.#state.current();
+    if (body.revision > revision) {
+      void this.#fetchOnce(from);
+    } else if (body.revision < revision) {
+      this.#mesh.send(from.vm, {body: {revision}, type: APPLIED_MESSAGE});
+    }
+  }
+
+  #reportMalformed(body: unknown, from: NodeIdentity): void {
+    // No answer is no fault of the data: the peer is asked again at the next announcement.
+    if (body !== undefined) {
+      this.#node.events.record(CATALOGUE_EVENTS.MALFORMED, {vm: from.vm});
+    }
+  }
+}
--- /dev/null
+++ b/packages/nutmegproxy-catalogue/src/CatalogueFeature.ts
@@ -0,0 +1,90 @@
+/** The catalogue feature: registers the state, the follower, the exchange and the changes. */
+
+import type {EntryNode, Unregister} from '@nutmegproxy/core';
+import type {PeerMesh} from '@nutmegproxy/peers';
+import type {VmDirectory} from '@nutmegproxy/platform';
+import type {PlatformStore} from '@nutmegproxy/store';
+
+import {mergeUnregister, PRIORITY_LOW} from '@nutmegproxy/core';
+
+import type {CatalogueSource} from './CatalogueView.ts';
+
+import {CatalogueChanges} from './CatalogueChanges.ts';
+import {CatalogueConfirmer} from './CatalogueConfirmation.ts';
+import {EXCHANGE_INTERVAL_MS, FIRST_EXCHANGE_INTERVAL_MS} from './CatalogueConstants.ts';
+import {CatalogueExchange} from './CatalogueExchange.ts';
+import {CatalogueFollower} from './CatalogueFollower.ts';
+import {registerCatalogueMetrics} from './CatalogueMetrics.ts';
+import {CatalogueRepository} from './CatalogueRepository.ts';
+import {CatalogueState} from './CatalogueState.ts';
+import {waitUnless} from './CatalogueUtils.ts';
+import {CATALOGUE_CHANGED} from './CatalogueView.ts';
+
+export interface CatalogueServices {
+  /** Names the entry VMs that a change has to reach; without it, only linked peers are known. */
+  readonly directory?: VmDirectory;
+  /** Prefix of all keys in the store. */
+  readonly keyPrefix: string;
+  readonly mesh: PeerMesh;
+  readonly store: PlatformStore;
+}
+
+/** What the rest of the program uses of the catalogue. */
+export interface CatalogueFeature {
+  readonly changes: CatalogueChanges;
+  readonly confirmer: CatalogueConfirmer;
+  readonly repository: CatalogueRepository;
+  readonly source: CatalogueSource & Pick<CatalogueState, 'current'>;
+  readonly unregister: Unregister;
+}
+
+async function runExchange(
+  state: CatalogueState,
+  exchange: CatalogueExchange,
+  signal: AbortSignal,
+): Promise<void> {
+  while (!signal.aborted) {
+    const isKnown = state.current().revision > 0;
+    exchange.announceToNext();
+    await waitUnless(isKnown ? EXCHANGE_INTERVAL_MS : FIRST_EXCHANGE_INTERVAL_MS, signal);
+  }
+}
+
+/**
+ * Registers the catalogue on a node and starts following the store and the peers.
+ *
+ * @example
+ * const catalogue = registerCatalogue(node, {keyPrefix: '/nutmegproxy', mesh, store});
+ * catalogue.source.current().revision;
+ */
+export function registerCatalogue(node: EntryNode, services: CatalogueServices): CatalogueFeature {
+  const {directory, keyPrefix, mesh, store} = services;
+  const closed = new AbortController();
+  const repository = new CatalogueRepository(store, keyPrefix);
+  const state = new CatalogueState(node);
+  const exchange = new CatalogueExchange(node, mesh, state);
+  const follower = new CatalogueFollower(node, mesh, store, repository, state);
+  const announce = (): boolean => {
+    exchange.announce();
+    return false;
+  };
+  const unregister = mergeUnregister(
+    exchange.register(),
+    // Last, so that peers hear of a revision after it is in force here.
+    node.bus.register(CATALOGUE_CHANGED, announce, PRIORITY_LOW),
+    registerCatalogueMetrics(node, state),
+    () => {
+      closed.abort();
+      follower.close();
+    },
+  );
+  void follower.run();
+  void runExchange(state, exchange, closed.signal);
+  return {
+    changes: new CatalogueChanges(node, {follower, repository, state}),
+    confirmer: new CatalogueConfirmer(node, {directory, exchange, mesh}),
+    repository,
+    source: state,
+    unregister,
+  };
+}
--- /dev/null
+++ b/packages/nutmegproxy-catalogue/src/CatalogueMetrics.ts
@@ -0,0 +1,35 @@
+/** Metrics of the catalogue. */
+
+import type {EntryNode, Unregister} from '@nutmegproxy/core';
+
+import {Gauge} from 'prom-client';
+
+import type {CatalogueSource} from './CatalogueView.ts';
+
+const REVISION_METRIC = 'nutmegproxy_catalogue_revision';
+const ENTRIES_METRIC = 'nutmegproxy_catalogue_entries';
+
+/** Registers the revision in force and the number of its entries. */
+export function registerCatalogueMetrics(node: EntryNode, source: CatalogueSource): Unregister {
+  const registers = [node.metrics];
+  const revision = new Gauge({
+    collect: () => {
+      revision.set(source.current().revision);
+    },
+    help: 'Catalogue revision in force.',
+    name: REVISION_METRIC,
+    registers,
+  });
+  const entries = new Gauge({
+    collect: () => {
+      entries.set(source.current().entries.size);
+    },
+    help: 'Entries of the catalogue in force.',
+    name: ENTRIES_METRIC,
+    registers,
+  });
+  return () => {
+    node.metrics.removeSingleMetric(REVISION_METRIC);
+    node.metrics.removeSingleMetric(ENTRIES_METRIC);
+  };
+}
--- /dev/null
+++ b/packages/nutmegproxy-catalogue/src/CatalogueRepository.ts
@@ -0,0 +1,278 @@
+/** The catalogue in the platform's store: reading revisions and committing changes. */
+
+import type {TeamId} from '@nutmegproxy/core';
+import type {CatalogueRecord, PlansPart, TeamPart, Validator} from '@nutmegproxy/schema';
+import type {
+  Operation,
+  OperationAnswer,
+  PlatformStore,
+  StoredValue,
+  StoreFailure,
+  Transaction,
+} from '@nutmegproxy/store';
+import type {Result} from 'neverthrow';
+
+import {brand} from '@nutmegproxy/core';
+import {validateCatalogueRecord, validatePlansPart, validateTeamPart} from '@nutmegproxy/schema';
+import {err, ok} from 'neverthrow';
+
+import type {CatalogueDelta, CatalogueSnapshot} from './CatalogueSnapshot.ts';
+
+import {HISTORY_LENGTH, MAX_CATCH_UP_REVISIONS} from './CatalogueConstants.ts';
+import {CatalogueKeys} from './CatalogueKeys.ts';
+
+/** `moved`: the head changed while the parts were read; the reader starts again. */
+export interface RepositoryFailure {
+  readonly kind: 'malformed' | 'moved' | StoreFailure['kind'];
+  readonly message: string;
+}
+
+/** The head of the store; `modRevision` 0 when no change was ever accepted. */
+export interface CatalogueHead {
+  readonly modRevision: number;
+  readonly record: CatalogueRecord | undefined;
+}
+
+/** What became of a commit. */
+export type CommitOutcome =
+  {readonly head: CatalogueHead; readonly kind: 'conflict'} | {readonly kind: 'committed'};
+
+/** A change that is ready to be committed. */
+export interface PreparedChange {
+  readonly delta: CatalogueDelta;
+  readonly headModRevision: number;
+}
+
+const MALFORMED: RepositoryFailure = {
+  kind: 'malformed',
+  message: 'catalogue data in the store does not fit the schema',
+};
+
+function encode(value: unknown): Buffer {
+  return Buffer.from(JSON.stringify(value), 'utf8');
+}
+
+function decode<Value>(
+  stored: StoredValue | undefined,
+  validator: Validator<Value>,
+): Result<undefined | Value, RepositoryFailure> {
+  if (stored === undefined) {
+    return ok(undefined);
+  }
+  try {
+    const value: unknown = JSON.parse(stored.value.toString('utf8'));
+    return validator(value) ? ok(value) : err(MALFORMED);
+  } catch {
+    return err(MALFORMED);
+  }
+}
+
+function valuesOf(answer: OperationAnswer | undefined): readonly StoredValue[] {
+  return answer?.kind === 'get' ? answer.values : [];
+}
+
+function collect<Value>(
+  values: readonly StoredValue[],
+  validator: Validator<Value>,
+): Result<readonly Value[], RepositoryFailure> {
+  const found: Value[] = [];
+  for (const stored of values) {
+    const value = decode(stored, validator);
+    if (value.isErr()) {
+      return err(value.error);
+    }
+    if (value.value !== undefined) {
+      found.push(value.value);
+    }
+  }
+  return ok(found);
+}
+
+/** Reads and writes the catalogue's keys. */
+export class CatalogueRepository {
+  readonly keys: CatalogueKeys;
+  readonly #store: PlatformStore;
+
+  constructor(store: PlatformStore, prefix: string) {
+    this.keys = new CatalogueKeys(prefix);
+    this.#store = store;
+  }
+
+  /**
+   * Commits a change if the head is still the one it was prepared on. Safe to repeat after a lost
+   * answer: the condition lets it take effect once, and the history names the change.
+   */
+  async commit(change: PreparedChange): Promise<Result<CommitOutcome, RepositoryFailure>> {
+    const {record} = change.delta;
+    const answer = await this.#store.commit(this.#toTransaction(change));
+    if (answer.isErr()) {
+      return err(answer.error);
+    }
+    if (answer.value.succeeded) {
+      return ok({kind: 'committed'});
+    }
+    const [headAnswer, historyAnswer] = answer.value.answers;
+    const history = decode(valuesOf(historyAnswer)[0], validateCatalogueRecord);
+    if (history.isOk() && history.value?.change === record.change) {
+      return ok({kind: 'committed'});
+    }
+    const stored = valuesOf(headAnswer)[0];
+    return decode(stored, validateCatalogueRecord).map((head) => ({
+      head: {modRevision: stored?.modRevision ?? 0, record: head},
+      kind: 'conflict',
+    }));
+  }
+
+  async readHead(): Promise<Result<CatalogueHead, RepositoryFailure>> {
+    const get: Operation = {key: this.keys.head, kind: 'get'};
+    const answer = await this.#store.commit({compare: [], then: [get]});
+    if (answer.isErr()) {
+      return err(answer.error);
+    }
+    const stored = valuesOf(answer.value.answers[0])[0];
+    return decode(stored, validateCatalogueRecord).map((record) => ({
+      modRevision: stored?.modRevision ?? 0,
+      record,
+    }));
+  }
+
+  /** Accepted changes, newest first. */
+  async readHistory(): Promise<Result<readonly CatalogueRecord[], RepositoryFailure>> {
+    const get: Operation = {key: this.keys.historyPrefix, kind: 'get', prefix: true};
+    const answer = await this.#store.commit({compare: [], then: [get]});
+    if (answer.isErr()) {
+      return err(answer.error);
+    }
+    const records = collect(valuesOf(answer.value.answers[0]), validateCatalogueRecord);
+    return records.map((found) => [...found].sort((a, b) => b.revision - a.revision));
+  }
+
+  /** Reads what leads from `snapshot` to `head`; only the changed teams where that is known. */
+  async readDelta(
+    snapshot: CatalogueSnapshot,
+    head: CatalogueHead,
+  ): Promise<Result<CatalogueDelta | undefined, RepositoryFailure>> {
+    if (head.record === undefined || head.record.revision <= snapshot.revision) {
+      return ok(undefined);
+    }
+    const records = await this.#readRecords(snapshot.revision, head.record);
+    if (records.isErr()) {
+      return err(records.error);
+    }
+    return records.value === undefined
+      ? this.#readWhole(head)
+      : this.#readChanged(head, snapshot.revision, records.value);
+  }
+
+  async #readChanged(
+    head: CatalogueHead,
+    since: number,
+    records: readonly CatalogueRecord[],
+  ): Promise<Result<CatalogueDelta | undefined, RepositoryFailure>> {
+    const touched = records.flatMap((each) => [...each.changedTeams, ...each.removedTeams]);
+    const teams = [...new Set(touched)].map((team) => brand<TeamId>(team));
+    const gets = teams.map<Operation>((team) => ({key: this.keys.team(team), kind: 'get'}));
+    return this.#readParts(head, since, gets, (answers) => {
+      const missing = teams.filter((_, index) => valuesOf(answers[index]).length === 0);
+      return {removed: missing, values: answers.flatMap((answer) => [...valuesOf(answer)])};
+    });
+  }
+
+  async #readParts(
+    head: CatalogueHead,
+    since: number,
+    gets: readonly Operation[],
+    split: (answers: readonly OperationAnswer[]) => {
+      readonly removed: readonly TeamId[];
+      readonly values: readonly StoredValue[];
+    },
+  ): Promise<Result<CatalogueDelta | undefined, RepositoryFailure>> {
+    const answer = await this.#store.commit({
+      compare: [{key: this.keys.head, kind: 'modRevision', modRevision: head.modRevision}],
+      then: [{key: this.keys.plans, kind: 'get'}, ...gets],
+    });
+    if (answer.isErr()) {
+      return err(answer.error);
+    }
+    if (!answer.value.succeeded || head.record === undefined) {
+      return err({kind: 'moved', message: 'the catalogue changed while it was read'});
+    }
+    const record = head.record;
+    const [plansAnswer, ...rest] = answer.value.answers;
+    const {removed, values} = split(rest);
+    return decode<PlansPart>(valuesOf(plansAnswer)[0], validatePlansPart).andThen((plans) =>
+      collect<TeamPart>(values, validateTeamPart).map((teams) => ({
+        record,
+        removed,
+        since,
+        teams,
+        ...(plans === undefined ? {} : {plans}),
+      })),
+    );
+  }
+
+  /** The records after `since` up to the head; undefined when reading everything is better. */
+  async #readRecords(
+    since: number,
+    head: CatalogueRecord,
+  ): Promise<Result<readonly CatalogueRecord[] | undefined, RepositoryFailure>> {
+    if (since === head.revision - 1) {
+      return ok([head]);
+    }
+    if (since === 0 || head.revision - since > MAX_CATCH_UP_REVISIONS) {
+      return ok(undefined);
+    }
+    const revisions = Array.from({length: head.revision - since}, (_, i) => since + 1 + i);
+    const then = revisions.map<Operation>((revision) => ({
+      key: this.keys.history(revision),
+      kind: 'get',
+    }));
+    const answer = await this.#store.commit({compare: [], then});
+    if (answer.isErr()) {
+      return err(answer.error);
+    }
+    const values = answer.value.answers.flatMap((each) => [...valuesOf(each)]);
+    return collect(values, validateCatalogueRecord).map((records) => {
+      const teams = records.flatMap((each) => [...each.changedTeams, ...each.removedTeams]);
+      const complete = records.length === revisions.length && new Set(teams).size <= 100;
+      return complete ? records : undefined;
+    });
+  }
+
+  async #readWhole(
+    head: CatalogueHead,
+  ): Promise<Result<CatalogueDelta | undefined, RepositoryFailure>> {
+    const get: Operation = {key: this.keys.teamPrefix, kind: 'get', prefix: true};
+    return this.#readParts(head, 0, [get], (answers) => ({
+      removed: [],
+      values: valuesOf(answers[0]),
+    }));
+  }
+
+  #toTransaction({delta, headModRevision}: PreparedChange): Transaction {
+    const {plans, record, removed, teams} = delta;
+    const {keys} = this;
+    const historyKey = keys.history(record.revision);
+    const expired = record.revision - HISTORY_LENGTH;
+    const put = (key: string, value: unknown): Operation => ({
+      key,
+      kind: 'put',
+      value: encode(value),
+    });
+    return {
+      compare: [{key: keys.head, kind: 'modRevision', modRevision: headModRevision}],
+      otherwise: [
+        {key: keys.head, kind: 'get'},
+        {key: historyKey, kind: 'get'},
+      ],
+      then: [
+        put(keys.head, record),
+        put(historyKey, record),
+        ...teams.map((part) => put(keys.team(brand<TeamId>(part.team.id)), part)),
+        ...removed.map<Operation>((team) => ({key: keys.team(team), kind: 'delete'})),
+        ...(plans === undefined ? [] : [put(keys.plans, plans)]),
+        ...(expired > 0 ? [{key: keys.history(expired), kind: 'delete'} as const] : []),
+      ],
+    };
+  }
+}
--- /dev/null
+++ b/packages/nutmegproxy-catalogue/src/CatalogueState.ts
@@ -0,0 +1,43 @@
+/** The catalogue that is in force in this process. */
+
+import type {EntryNode} from '@nutmegproxy/core';
+
+import {invariant} from '@nutmegproxy/core';
+
+import type {CatalogueDelta} from './CatalogueSnapshot.ts';
+import type {CatalogueSource} from './CatalogueView.ts';
+
+import {CATALOGUE_EVENTS} from './CatalogueEvents.ts';
+import {CatalogueSnapshot} from './CatalogueSnapshot.ts';
+import {CATALOGUE_CHANGED} from './CatalogueView.ts';
+
+/** Holds the newest snapshot; only a higher revision replaces it. */
+export class CatalogueState implements CatalogueSource {
+  readonly #node: EntryNode;
+  #snapshot = CatalogueSnapshot.EMPTY;
+
+  constructor(node: EntryNode) {
+    this.#node = node;
+  }
+
+  current(): CatalogueSnapshot {
+    return this.#snapshot;
+  }
+
+  /** Puts a delta in force; false when it is not higher or doesn't build on what is known. */
+  install(delta: CatalogueDelta, source: 'change' | 'peer' | 'store'): boolean {
+    const {revision} = this.#snapshot;
+    const isHigher = delta.record.revision > revision;
+    const fits = delta.since === 0 || delta.since <= revision;
+    if (!isHigher || !fits) {
+      return false;
+    }
+    const next = this.#snapshot.apply(delta);
+    invariant(next.revision > revision, 'catalogue: a revision that is not higher was applied');
+    this.#snapshot = next;
+    const {change, revision: applied} = delta.record;
+    this.#node.events.record(CATALOGUE_EVENTS.APPLIED, {change, revision: applied, source});
+    this.#node.bus.dispatch(CATALOGUE_CHANGED, next);
+    return true;
+  }
+}
--- a/packages/nutmegproxy-schema/src/index.ts
+++ b/packages/nutmegproxy-schema/src/index.ts
@@ -1,16 +1,34 @@
 /** Public surface of the generated types and validators. */
 
 export type {
+  AppliedList,
+  AppliedRevision,
+  AppliedVm,
   Catalogue,
+  CataloguePage,
+  CatalogueQuery,
+  CatalogueRecord,
   Drain,
   Entry,
   Limits,
+  PlansPart,
   Quota,
   Stop,
   Team,
+  TeamPart,
   WorkClass,
 } from './generated/catalogueTypes.ts';
-export {validateCatalogue} from './generated/catalogueValidators.js';
+export {
+  validateAppliedList,
+  validateAppliedQuery,
+  validateAppliedRevision,
+  validateCatalogue,
+  validateCataloguePage,
+  validateCatalogueQuery,
+  validateCatalogueRecord,
+  validatePlansPart,
+  validateTeamPart,
+} from './generated/catalogueValidators.js';
 export type {
   AttemptReport,
   Resources,
