Add the store client and the stand-in for the store

EtcdStore talks to the etcd v3 JSON gateway through undici, one request a connection at a time. A call counts as unavailable only while its request was never started on a connection; a request that the library starts again is aborted. MemoryStore and StoreServer share StoreEngine.

--- /dev/null
+++ b/packages/nutmegproxy-standins/src/HttpListener.ts
@@ -0,0 +1,99 @@
+/** A small HTTP server for stand-ins: routes by method and path, JSON bodies, loopback only. */
+
+import type {IncomingMessage, Server, ServerResponse} from 'node:http';
+import type {AddressInfo} from 'node:net';
+
+import {createServer} from 'node:http';
+
+import {MAX_BODY_BYTES} from './StandinsConstants.ts';
+
+/** One request with its whole body. */
+export interface HttpExchange {
+  readonly body: Buffer;
+  readonly request: IncomingMessage;
+  readonly response: ServerResponse;
+}
+
+export type HttpHandler = (exchange: HttpExchange) => Promise<void> | void;
+
+/** Handlers by `METHOD /path`; `*` takes the rest. */
+export type HttpRoutes = Readonly<Record<string, HttpHandler>>;
+
+/** A running stand-in. */
+export interface Standin {
+  close(): Promise<void>;
+  readonly port: number;
+}
+
+/** Reads a whole body; undefined when it was cut short or is too long. */
+async function readBody(request: IncomingMessage): Promise<Buffer | undefined> {
+  const chunks: Buffer[] = [];
+  let length = 0;
+  try {
+    for await (const chunk of request as AsyncIterable<Buffer>) {
+      length += chunk.length;
+      if (length > MAX_BODY_BYTES) {
+        return undefined;
+      }
+      chunks.push(chunk);
+    }
+  } catch {
+    return undefined;
+  }
+  return Buffer.concat(chunks);
+}
+
+export function sendJson(response: ServerResponse, value: unknown, status = 200): void {
+  const text = JSON.stringify(value);
+  response.writeHead(status, {
+    'content-length': Buffer.byteLength(text),
+    'content-type': 'application/json',
+  });
+  response.end(text);
+}
+
+/** Parses a body that the caller trusts to have the right shape: control messages of tests. */
+export function readControl(body: Buffer): unknown {
+  return body.length === 0 ? {} : JSON.parse(body.toString());
+}
+
+async function route(routes: HttpRoutes, request: IncomingMessage, response: ServerResponse) {
+  const path = (request.url ?? '/').split('?')[0] ?? '/';
+  const handler = routes[`${request.method ?? 'GET'} ${path}`] ?? routes['*'];
+  const body = await readBody(request);
+  if (body === undefined) {
+    response.destroy();
+    return;
+  }
+  if (handler === undefined) {
+    sendJson(response, {error: 'not found'}, 404);
+    return;
+  }
+  try {
+    await handler({body, request, response});
+  } catch (error) {
+    sendJson(response, {error: String(error)}, 400);
+  }
+}
+
+function closeServer(server: Server): Promise<void> {
+  return new Promise((resolve) => {
+    server.close(() => {
+      resolve();
+    });
+    server.closeAllConnections();
+  });
+}
+
+/** Listens on the loopback address; port 0 takes any free one. */
+export async function listen(port: number, routes: HttpRoutes): Promise<Standin> {
+  const server = createServer((request, response) => {
+    void route(routes, request, response);
+  });
+  await new Promise<void>((resolve, reject) => {
+    server.once('error', reject);
+    server.listen(port, '127.0.0.1', resolve);
+  });
+  const address = server.address() as AddressInfo;
+  return {close: () => closeServer(server), port: address.port};
+}
--- /dev/null
+++ b/packages/nutmegproxy-standins/src/MemoryStore.ts
@@ -0,0 +1,166 @@
+/** A store within the process, for unit tests of features; it has the stand-in's core and faults. */
+
+import type {Clock} from '@nutmegproxy/core';
+import type {
+  LeaseAnswer,
+  LeaseId,
+  PlatformStore,
+  StoreFailure,
+  Transaction,
+  TransactionAnswer,
+  Watch,
+  WatchEvent,
+  WatchHandler,
+} from '@nutmegproxy/store';
+import type {Result} from 'neverthrow';
+
+import {SYSTEM_CLOCK} from '@nutmegproxy/core';
+import {isWrite} from '@nutmegproxy/store';
+import {err, ok, ResultAsync} from 'neverthrow';
+import {setTimeout as sleep} from 'node:timers/promises';
+
+import {StoreEngine} from './StoreEngine.ts';
+import {StoreFaults} from './StoreFaults.ts';
+
+/** Holds events back while the store is down. */
+class MemoryWatch {
+  #close: () => void = () => undefined;
+  readonly #engine: StoreEngine;
+  readonly #faults: StoreFaults;
+  readonly #handler: WatchHandler;
+  #open = true;
+  #pending: {readonly events: readonly WatchEvent[]; readonly revision: number}[] = [];
+
+  constructor(engine: StoreEngine, faults: StoreFaults, handler: WatchHandler) {
+    this.#engine = engine;
+    this.#faults = faults;
+    this.#handler = handler;
+  }
+
+  close(): void {
+    this.#open = false;
+    this.#close();
+  }
+
+  flush(): void {
+    queueMicrotask(() => {
+      if (!this.#open || this.#faults.down) {
+        return;
+      }
+      const batches = this.#pending;
+      this.#pending = [];
+      for (const {events, revision} of batches) {
+        this.#handler.onEvents(events, revision);
+      }
+    });
+  }
+
+  open(prefix: string, fromRevision: number): void {
+    const subscription = this.#engine.subscribe(prefix, fromRevision, (events, revision) => {
+      this.#pending.push({events, revision});
+      this.flush();
+    });
+    this.#close = subscription.close;
+    if (subscription.compactedRevision !== undefined) {
+      this.open(prefix, 0);
+      queueMicrotask(() => {
+        this.#handler.onBroken({kind: 'unavailable', message: 'revision is compacted'});
+      });
+      return;
+    }
+    if (subscription.missed.length > 0) {
+      this.#pending.push({events: subscription.missed, revision: subscription.revision});
+      this.flush();
+    }
+  }
+}
+
+/**
+ * One client of an engine. Several clients of one engine, each with faults of its own, stand for
+ * several processes.
+ *
+ * @example
+ * const store = new MemoryStore(new ManualClock());
+ * store.faults.change({loseNext: 1});
+ */
+export class MemoryStore implements PlatformStore {
+  readonly engine: StoreEngine;
+  readonly faults = new StoreFaults();
+  readonly #clock: Clock;
+  readonly #watches = new Set<MemoryWatch>();
+
+  constructor(clock: Clock = SYSTEM_CLOCK, engine = new StoreEngine()) {
+    this.#clock = clock;
+    this.engine = engine;
+    this.faults.onChange = () => {
+      for (const watch of this.#watches) {
+        watch.flush();
+      }
+    };
+  }
+
+  close(): Promise<void> {
+    for (const watch of this.#watches) {
+      watch.close();
+    }
+    this.#watches.clear();
+    return Promise.resolve();
+  }
+
+  commit(transaction: Transaction): ResultAsync<TransactionAnswer, StoreFailure> {
+    const lostKind = isWrite(transaction) ? 'unknown' : 'unavailable';
+    return this.#call(lostKind, () => this.engine.commit(transaction, this.#clock.monotonic()));
+  }
+
+  grantLease(ttlSeconds: number): ResultAsync<LeaseAnswer, StoreFailure> {
+    return this.#call('unknown', () => this.engine.grantLease(ttlSeconds, this.#clock.monotonic()));
+  }
+
+  keepLeaseAlive(lease: LeaseId): ResultAsync<LeaseAnswer, StoreFailure> {
+    return this.#call('unknown', () => this.engine.keepLeaseAlive(lease, this.#clock.monotonic()));
+  }
+
+  revokeLease(lease: LeaseId): ResultAsync<void, StoreFailure> {
+    return this.#call('unknown', () => {
+      this.engine.revokeLease(lease, this.#clock.monotonic());
+    });
+  }
+
+  /** Events arrive in a later microtask; those of an outage arrive after it. */
+  watch(prefix: string, fromRevision: number, handler: WatchHandler): Watch {
+    const watch = new MemoryWatch(this.engine, this.faults, handler);
+    watch.open(prefix, fromRevision);
+    this.#watches.add(watch);
+    return {
+      close: () => {
+        this.#watches.delete(watch);
+        watch.close();
+      },
+    };
+  }
+
+  #call<Answer>(
+    lostKind: StoreFailure['kind'],
+    effect: () => Answer,
+  ): ResultAsync<Answer, StoreFailure> {
+    return new ResultAsync(this.#run(lostKind, effect));
+  }
+
+  async #run<Answer>(
+    lostKind: StoreFailure['kind'],
+    effect: () => Answer,
+  ): Promise<Result<Answer, StoreFailure>> {
+    if (this.faults.delayMs > 0) {
+      await sleep(this.faults.delayMs);
+    } else {
+      await Promise.resolve();
+    }
+    if (this.faults.down) {
+      return err({kind: 'unavailable', message: 'the store is down'});
+    }
+    const answer = effect();
+    return this.faults.losesAnswer()
+      ? err({kind: lostKind, message: 'the answer was lost'})
+      : ok(answer);
+  }
+}
--- /dev/null
+++ b/packages/nutmegproxy-standins/src/StandinsConstants.ts
@@ -0,0 +1,9 @@
+/** Limits of the stand-ins. */
+
+export const HISTORY_CAPACITY = 200_000;
+export const LEASE_CHECK_INTERVAL_MS = 50;
+export const MAX_BODY_BYTES = 32 * 1024 * 1024;
+export const MAX_OPERATIONS = 128;
+export const MAX_VALUE_BYTES = 1024 * 1024;
+export const WATCH_BACKLOG_EVENTS = 100_000;
+export const WORKER_TICK_MS = 10;
--- /dev/null
+++ b/packages/nutmegproxy-standins/src/StoreServer.ts
@@ -0,0 +1,261 @@
+/** The stand-in for the platform's store: a subset of the etcd v3 JSON gateway, with faults. */
+
+import type {EtcdTransaction, LeaseId, WatchEvent} from '@nutmegproxy/store';
+import type {ServerResponse} from 'node:http';
+
+import {brand, SYSTEM_CLOCK} from '@nutmegproxy/core';
+import {decodeText, parseMessage} from '@nutmegproxy/store';
+import {setTimeout as sleep} from 'node:timers/promises';
+
+import type {HttpExchange, HttpRoutes, Standin} from './HttpListener.ts';
+import type {EngineOperation, EngineTransaction} from './StoreEngine.ts';
+import type {StoreFaultSettings} from './StoreFaults.ts';
+
+import {listen, readControl, sendJson} from './HttpListener.ts';
+import {LEASE_CHECK_INTERVAL_MS, MAX_OPERATIONS, MAX_VALUE_BYTES} from './StandinsConstants.ts';
+import {StoreEngine} from './StoreEngine.ts';
+import {StoreFaults} from './StoreFaults.ts';
+import {
+  decodeTransaction,
+  encodeHeader,
+  encodeTransactionAnswer,
+  encodeWatchEvent,
+} from './StoreWire.ts';
+
+/** Body of POST /control. */
+export interface StoreControl extends StoreFaultSettings {
+  /** Forgets the events of the past. */
+  readonly compact?: boolean;
+  /** Cuts the watches that are open. */
+  readonly cutWatches?: boolean;
+  readonly resetCounters?: boolean;
+}
+
+/** Calls since the start or the last reset, by kind; a waiting watch counts as one. */
+export type StoreCounters = Record<
+  'grant' | 'keepalive' | 'read' | 'revoke' | 'watch' | 'write',
+  number
+>;
+
+const NOT_FOUND_CODE = 5;
+const INVALID_CODE = 3;
+
+/** A refusal with its gRPC code. */
+class Refusal extends Error {
+  readonly code: number;
+
+  constructor(code: number, message: string) {
+    super(message);
+    this.code = code;
+  }
+}
+
+function createCounters(): StoreCounters {
+  return {grant: 0, keepalive: 0, read: 0, revoke: 0, watch: 0, write: 0};
+}
+
+function allOperations(transaction: EngineTransaction): readonly EngineOperation[] {
+  const own = [...transaction.then, ...(transaction.otherwise ?? [])];
+  return own.flatMap((operation) =>
+    operation.kind === 'transaction'
+      ? [operation, ...allOperations(operation.transaction)]
+      : [operation],
+  );
+}
+
+/** Keys that a side of a transaction may put; etcd refuses to put one twice. */
+function readPutKeys(operations: readonly EngineOperation[]): readonly string[] {
+  const keys = operations.flatMap((operation) => {
+    if (operation.kind === 'transaction') {
+      const {otherwise, then} = operation.transaction;
+      return [...new Set([...readPutKeys(then), ...readPutKeys(otherwise ?? [])])];
+    }
+    return operation.kind === 'put' ? [operation.key] : [];
+  });
+  if (new Set(keys).size < keys.length) {
+    throw new Refusal(INVALID_CODE, 'etcdserver: duplicate key given in txn request');
+  }
+  return keys;
+}
+
+/** One stand-in; `start` makes it listen. */
+export class StoreServer {
+  readonly engine = new StoreEngine();
+  readonly faults = new StoreFaults();
+  #counters = createCounters();
+  readonly #openWatches = new Set<ServerResponse>();
+
+  async start(port = 0): Promise<Standin> {
+    const standin = await listen(port, this.#routes());
+    const timer = setInterval(() => {
+      this.engine.expire(SYSTEM_CLOCK.monotonic());
+    }, LEASE_CHECK_INTERVAL_MS);
+    return {
+      close: () => {
+        clearInterval(timer);
+        return standin.close();
+      },
+      port: standin.port,
+    };
+  }
+
+  control(message: StoreControl): void {
+    this.faults.change(message);
+    if (message.compact === true) {
+      this.engine.compact();
+    }
+    if (message.resetCounters === true) {
+      this.#counters = createCounters();
+    }
+    if (message.cutWatches === true || message.down === true) {
+      this.#cutWatches();
+    }
+  }
+
+  get counters(): Readonly<StoreCounters> {
+    return this.#counters;
+  }
+
+  #routes(): HttpRoutes {
+    return {
+      'GET /counters': ({response}) => {
+        sendJson(response, this.#counters);
+      },
+      'POST /control': ({body, response}) => {
+        this.control(readControl(body) as StoreControl);
+        sendJson(response, {});
+      },
+      'POST /v3/kv/txn': (exchange) => this.#answer(exchange, (body) => this.#commit(body)),
+      'POST /v3/lease/grant': (exchange) => this.#answer(exchange, (body) => this.#grant(body)),
+      'POST /v3/lease/keepalive': (exchange) =>
+        this.#answer(exchange, (body) => this.#keepAlive(body)),
+      'POST /v3/lease/revoke': (exchange) => this.#answer(exchange, (body) => this.#revoke(body)),
+      'POST /v3/watch': (exchange) => {
+        this.#watch(exchange);
+      },
+    };
+  }
+
+  /** Carries out one call under the faults in force. */
+  async #answer(exchange: HttpExchange, effect: (body: unknown) => object): Promise<void> {
+    const {body, response} = exchange;
+    if (this.faults.delayMs > 0) {
+      await sleep(this.faults.delayMs);
+    }
+    if (this.faults.down) {
+      response.destroy();
+      return;
+    }
+    try {
+      const answer = effect(parseMessage(body.toString()));
+      if (this.faults.losesAnswer()) {
+        response.destroy();
+        return;
+      }
+      sendJson(response, answer);
+    } catch (error) {
+      const code = error instanceof Refusal ? error.code : INVALID_CODE;
+      const message = error instanceof Error ? error.message : String(error);
+      sendJson(response, {code, error: message, message}, 400);
+    }
+  }
+
+  #commit(body: unknown): object {
+    const transaction = decodeTransaction(body as EtcdTransaction);
+    const now = SYSTEM_CLOCK.monotonic();
+    const operations = allOperations(transaction);
+    const writes = operations.some(({kind}) => kind === 'put' || kind === 'delete');
+    this.#counters[writes ? 'write' : 'read'] += 1;
+    for (const operation of operations) {
+      this.#checkOperation(operation);
+    }
+    readPutKeys(transaction.then);
+    readPutKeys(transaction.otherwise ?? []);
+    if (transaction.then.length > MAX_OPERATIONS) {
+      throw new Refusal(INVALID_CODE, 'etcdserver: too many operations in txn request');
+    }
+    return encodeTransactionAnswer(this.engine.commit(transaction, now));
+  }
+
+  #checkOperation(operation: EngineOperation): void {
+    if (operation.kind !== 'put') {
+      return;
+    }
+    if (operation.value.length > MAX_VALUE_BYTES) {
+      throw new Refusal(INVALID_CODE, 'etcdserver: request is too large');
+    }
+    if (!this.engine.hasLease(operation.lease ?? '0', SYSTEM_CLOCK.monotonic())) {
+      throw new Refusal(NOT_FOUND_CODE, 'etcdserver: requested lease not found');
+    }
+  }
+
+  #grant(body: unknown): object {
+    this.#counters.grant += 1;
+    const {TTL} = body as {TTL?: string};
+    const answer = this.engine.grantLease(Number(TTL ?? 0), SYSTEM_CLOCK.monotonic());
+    return {
+      header: encodeHeader(this.engine.revision),
+      ID: answer.lease,
+      TTL: String(answer.ttlSeconds),
+    };
+  }
+
+  #keepAlive(body: unknown): object {
+    this.#counters.keepalive += 1;
+    const {ID} = body as {ID?: string};
+    const lease = brand<LeaseId>(ID ?? '0');
+    const answer = this.engine.keepLeaseAlive(lease, SYSTEM_CLOCK.monotonic());
+    const ttl = answer.ttlSeconds === 0 ? {} : {TTL: String(answer.ttlSeconds)};
+    return {result: {header: encodeHeader(this.engine.revision), ID: lease, ...ttl}};
+  }
+
+  #revoke(body: unknown): object {
+    this.#counters.revoke += 1;
+    const {ID} = body as {ID?: string};
+    if (!this.engine.revokeLease(brand<LeaseId>(ID ?? '0'), SYSTEM_CLOCK.monotonic())) {
+      throw new Refusal(NOT_FOUND_CODE, 'etcdserver: requested lease not found');
+    }
+    return {header: encodeHeader(this.engine.revision)};
+  }
+
+  #watch({body, response}: HttpExchange): void {
+    this.#counters.watch += 1;
+    if (this.faults.down) {
+      response.destroy();
+      return;
+    }
+    const {createRequest} = parseMessage(body.toString()) as {
+      createRequest: {key: string; startRevision?: string};
+    };
+    const send = (result: object): void => {
+      response.write(`${JSON.stringify({result})}\n`);
+    };
+    const sendEvents = (events: readonly WatchEvent[], revision: number): void => {
+      send({events: events.map(encodeWatchEvent), header: encodeHeader(revision)});
+    };
+    const fromRevision = Number(createRequest.startRevision ?? 0);
+    const prefix = decodeText(createRequest.key);
+    const subscription = this.engine.subscribe(prefix, fromRevision, sendEvents);
+    const header = encodeHeader(subscription.revision);
+    response.writeHead(200, {'content-type': 'application/json'});
+    send({created: true, header});
+    if (subscription.compactedRevision !== undefined) {
+      const compact_revision = String(subscription.compactedRevision);
+      send({canceled: true, compact_revision, header});
+    }
+    if (subscription.missed.length > 0) {
+      sendEvents(subscription.missed, subscription.revision);
+    }
+    this.#openWatches.add(response);
+    response.on('close', () => {
+      this.#openWatches.delete(response);
+      subscription.close();
+    });
+  }
+
+  #cutWatches(): void {
+    for (const response of this.#openWatches) {
+      response.destroy();
+    }
+  }
+}
--- a/packages/nutmegproxy-standins/src/index.ts
+++ b/packages/nutmegproxy-standins/src/index.ts
@@ -1,3 +1,10 @@
-/** Public surface; filled by the package. */
+/** Public surface of the stand-ins. */
 
-export {};
+export {listen, readControl, sendJson} from './HttpListener.ts';
+export type {HttpExchange, HttpHandler, HttpRoutes, Standin} from './HttpListener.ts';
+export {MemoryStore} from './MemoryStore.ts';
+export {StoreEngine} from './StoreEngine.ts';
+export {StoreFaults} from './StoreFaults.ts';
+export type {StoreFaultSettings} from './StoreFaults.ts';
+export {StoreServer} from './StoreServer.ts';
+export type {StoreControl, StoreCounters} from './StoreServer.ts';
--- /dev/null
+++ b/packages/nutmegproxy-store/src/EtcdJson.ts
@@ -0,0 +1,209 @@
+/** Translation between the store's interface and the etcd v3 JSON gateway's messages. */
+
+import {brand} from '@nutmegproxy/core';
+
+import type {
+  Comparison,
+  LeaseAnswer,
+  LeaseId,
+  Operation,
+  OperationAnswer,
+  StoredValue,
+  Transaction,
+  TransactionAnswer,
+  WatchEvent,
+} from './PlatformStore.ts';
+
+/** A key-value pair; 64-bit numbers are decimal strings, and default values are left out. */
+export interface EtcdKeyValue {
+  readonly createRevision?: string;
+  readonly key: string;
+  readonly lease?: string;
+  readonly modRevision?: string;
+  readonly value?: string;
+  readonly version?: string;
+}
+
+export interface EtcdHeader {
+  readonly revision?: string;
+}
+
+export interface EtcdCompare {
+  readonly createRevision?: string;
+  readonly key: string;
+  readonly modRevision?: string;
+  readonly result?: string;
+  readonly target?: string;
+  readonly value?: string;
+  readonly version?: string;
+}
+
+/** Exactly one of the fields is present. */
+export interface EtcdOperation {
+  readonly requestDeleteRange?: {readonly key: string; readonly rangeEnd?: string};
+  readonly requestPut?: {readonly key: string; readonly lease?: string; readonly value: string};
+  readonly requestRange?: {
+    readonly key: string;
+    readonly limit?: string;
+    readonly rangeEnd?: string;
+  };
+  readonly requestTxn?: EtcdTransaction;
+}
+
+export interface EtcdTransaction {
+  readonly compare?: readonly EtcdCompare[];
+  readonly failure?: readonly EtcdOperation[];
+  readonly success?: readonly EtcdOperation[];
+}
+
+/** Exactly one of the fields is present. */
+export interface EtcdOperationAnswer {
+  readonly responseDeleteRange?: {readonly deleted?: string};
+  readonly responsePut?: object;
+  readonly responseRange?: {readonly count?: string; readonly kvs?: readonly EtcdKeyValue[]};
+  readonly responseTxn?: EtcdTransactionAnswer;
+}
+
+export interface EtcdTransactionAnswer {
+  readonly header?: EtcdHeader;
+  readonly responses?: readonly EtcdOperationAnswer[];
+  readonly succeeded?: boolean;
+}
+
+export interface EtcdLeaseAnswer {
+  readonly ID?: string;
+  readonly TTL?: string;
+}
+
+export interface EtcdWatchEvent {
+  readonly kv: EtcdKeyValue;
+  readonly type?: string;
+}
+
+export interface EtcdWatchAnswer {
+  readonly canceled?: boolean;
+  readonly cancelReason?: string;
+  readonly compactRevision?: string;
+  readonly created?: boolean;
+  readonly events?: readonly EtcdWatchEvent[];
+  readonly header?: EtcdHeader;
+}
+
+function camelizeKey(key: string): string {
+  return key.replace(/_([a-z])/g, (_, letter: string) => letter.toUpperCase());
+}
+
+/** Parses a message; the gateway writes field names in snake case and reads both forms. */
+export function parseMessage(text: string): unknown {
+  return JSON.parse(text, (_key, value: unknown) => {
+    if (typeof value !== 'object' || value === null || Array.isArray(value)) {
+      return value;
+    }
+    return Object.fromEntries(
+      Object.entries(value).map(([key, each]) => [camelizeKey(key), each as unknown]),
+    );
+  });
+}
+
+export function encodeText(text: string): string {
+  return Buffer.from(text).toString('base64');
+}
+
+export function decodeText(encoded: string): string {
+  return Buffer.from(encoded, 'base64').toString();
+}
+
+/** First key after all keys with the prefix; the prefix ends with an ASCII character. */
+export function prefixEnd(prefix: string): string {
+  const bytes = Buffer.from(prefix);
+  const last = bytes.length - 1;
+  bytes[last] = (bytes[last] ?? 0) + 1;
+  return bytes.toString('base64');
+}
+
+function encodeRange(key: string, prefix: boolean | undefined) {
+  return prefix === true
+    ? {key: encodeText(key), rangeEnd: prefixEnd(key)}
+    : {key: encodeText(key)};
+}
+
+function encodeCompare(comparison: Comparison): EtcdCompare {
+  const key = encodeText(comparison.key);
+  if (comparison.kind === 'value') {
+    const value = comparison.value.toString('base64');
+    return {key, result: 'EQUAL', target: 'VALUE', value};
+  }
+  const modRevision = String(comparison.modRevision);
+  return {key, modRevision, result: 'EQUAL', target: 'MOD'};
+}
+
+type OperationEncoders = {
+  readonly [Kind in Operation['kind']]: (
+    operation: Extract<Operation, {kind: Kind}>,
+  ) => EtcdOperation;
+};
+
+const OPERATION_ENCODERS: OperationEncoders = {
+  delete: ({key, prefix}) => ({requestDeleteRange: encodeRange(key, prefix)}),
+  get: ({key, limit, prefix}) => ({
+    requestRange: {...encodeRange(key, prefix), limit: String(limit ?? 0)},
+  }),
+  put: ({key, lease, value}) => ({
+    requestPut: {key: encodeText(key), lease: lease ?? '0', value: value.toString('base64')},
+  }),
+  transaction: ({transaction}) => ({requestTxn: encodeTransaction(transaction)}),
+};
+
+function encodeOperation(operation: Operation): EtcdOperation {
+  const encode = OPERATION_ENCODERS[operation.kind] as (each: Operation) => EtcdOperation;
+  return encode(operation);
+}
+
+export function encodeTransaction(transaction: Transaction): EtcdTransaction {
+  return {
+    compare: transaction.compare.map(encodeCompare),
+    failure: (transaction.otherwise ?? []).map(encodeOperation),
+    success: transaction.then.map(encodeOperation),
+  };
+}
+
+export function decodeStoredValue(kv: EtcdKeyValue): StoredValue {
+  return {
+    createRevision: Number(kv.createRevision ?? 0),
+    key: decodeText(kv.key),
+    modRevision: Number(kv.modRevision ?? 0),
+    value: Buffer.from(kv.value ?? '', 'base64'),
+  };
+}
+
+function decodeOperationAnswer(answer: EtcdOperationAnswer): OperationAnswer {
+  if (answer.responseRange !== undefined) {
+    return {kind: 'get', values: (answer.responseRange.kvs ?? []).map(decodeStoredValue)};
+  }
+  if (answer.responseDeleteRange !== undefined) {
+    return {deleted: Number(answer.responseDeleteRange.deleted ?? 0), kind: 'delete'};
+  }
+  if (answer.responseTxn !== undefined) {
+    return {answer: decodeTransactionAnswer(answer.responseTxn), kind: 'transaction'};
+  }
+  return {kind: 'put'};
+}
+
+export function decodeTransactionAnswer(answer: EtcdTransactionAnswer): TransactionAnswer {
+  return {
+    answers: (answer.responses ?? []).map(decodeOperationAnswer),
+    revision: Number(answer.header?.revision ?? 0),
+    succeeded: answer.succeeded ?? false,
+  };
+}
+
+export function decodeLeaseAnswer(answer: EtcdLeaseAnswer): LeaseAnswer {
+  return {lease: brand<LeaseId>(answer.ID ?? '0'), ttlSeconds: Number(answer.TTL ?? 0)};
+}
+
+export function decodeWatchEvent(event: EtcdWatchEvent): WatchEvent {
+  const stored = decodeStoredValue(event.kv);
+  return event.type === 'DELETE'
+    ? {key: stored.key, kind: 'delete', modRevision: stored.modRevision}
+    : {kind: 'put', stored};
+}
--- /dev/null
+++ b/packages/nutmegproxy-store/src/EtcdStore.ts
@@ -0,0 +1,255 @@
+/** The platform's key-value service over the etcd v3 JSON gateway. */
+
+import type {Clock, EventSink} from '@nutmegproxy/core';
+import type {ResultAsync} from 'neverthrow';
+import type {Registry} from 'prom-client';
+
+import {err, errAsync, ok} from 'neverthrow';
+import {Agent} from 'undici';
+
+import type {EtcdLeaseAnswer, EtcdTransactionAnswer} from './EtcdJson.ts';
+import type {HttpAnswer, HttpFailure} from './HttpExchange.ts';
+import type {
+  LeaseAnswer,
+  LeaseId,
+  PlatformStore,
+  StoreFailure,
+  Transaction,
+  TransactionAnswer,
+  Watch,
+  WatchHandler,
+} from './PlatformStore.ts';
+import type {StoreCallKind, StoreMetrics} from './StoreMetrics.ts';
+
+import {EtcdEndpoints} from './EtcdEndpoints.ts';
+import {
+  decodeLeaseAnswer,
+  decodeTransactionAnswer,
+  encodeTransaction,
+  parseMessage,
+} from './EtcdJson.ts';
+import {EtcdWatch} from './EtcdWatch.ts';
+import {exchange} from './HttpExchange.ts';
+import {
+  CONNECT_TIMEOUT_MS,
+  CONNECTIONS_PER_URL,
+  DEFAULT_CALL_TIMEOUT_MS,
+  MAX_ANSWER_BYTES,
+} from './StoreConstants.ts';
+import {STORE_EVENTS} from './StoreEvents.ts';
+import {createStoreMetrics} from './StoreMetrics.ts';
+import {isWrite} from './StoreUtils.ts';
+
+/** What an `EtcdStore` is made of. */
+export interface EtcdStoreOptions {
+  readonly baseUrls: readonly string[];
+  readonly clock: Clock;
+  readonly events: EventSink;
+  readonly metrics: Registry;
+  readonly timeoutMs?: number;
+  /** A watch that hears nothing for so long is opened again. */
+  readonly watchIdleTimeoutMs?: number;
+}
+
+interface StoreCall {
+  readonly body: unknown;
+  readonly kind: StoreCallKind;
+  readonly path: string;
+}
+
+/** gRPC codes with which the gateway refuses a call before it has any effect. */
+const REJECTION_CODES = new Set([3, 5, 6, 7, 8, 9, 11, 12, 16]);
+/** Kinds of call whose repetition or loss changes nothing that a caller relies on. */
+const READ_KINDS: ReadonlySet<StoreCallKind> = new Set(['read']);
+
+function fail(kind: StoreFailure['kind'], message: string): StoreFailure {
+  return {kind, message};
+}
+
+/** The failure of a call that may have reached the store. */
+function failUnanswered(call: StoreCall, message: string): StoreFailure {
+  return fail(READ_KINDS.has(call.kind) ? 'unavailable' : 'unknown', message);
+}
+
+function classifyFailure(call: StoreCall, failure: HttpFailure): StoreFailure {
+  return failure.kind === 'not-sent'
+    ? fail('unavailable', failure.message)
+    : failUnanswered(call, failure.message);
+}
+
+function parseBody(body: Buffer): Record<string, unknown> | undefined {
+  try {
+    // Streaming calls answer with one message a line; the first one is the answer.
+    const parsed = parseMessage(body.toString().trim().split('\n')[0] ?? '');
+    return typeof parsed === 'object' && parsed !== null
+      ? (parsed as Record<string, unknown>)
+      : undefined;
+  } catch {
+    return undefined;
+  }
+}
+
+interface GatewayError {
+  readonly code?: number;
+  readonly message?: string;
+}
+
+/** Streaming calls nest the error; the others answer with it, and its `error` is a text. */
+function readError(message: Record<string, unknown> | undefined): GatewayError | undefined {
+  const nested = message?.error;
+  return typeof nested === 'object' && nested !== null ? nested : message;
+}
+
+function readAnswer(call: StoreCall, answer: HttpAnswer) {
+  const message = parseBody(answer.body);
+  const error = readError(message);
+  const failed = answer.status !== 200 || message?.error !== undefined;
+  if (failed && REJECTION_CODES.has(error?.code ?? -1)) {
+    return err(fail('rejected', error?.message ?? 'rejected'));
+  }
+  if (failed || message === undefined) {
+    return err(failUnanswered(call, error?.message ?? `status ${answer.status}`));
+  }
+  return ok(message.result ?? message);
+}
+
+/** Talks to one of several base URLs; a call that certainly had no effect tries the next one. */
+export class EtcdStore implements PlatformStore {
+  readonly #agent = new Agent({
+    connect: {timeout: CONNECT_TIMEOUT_MS},
+    connections: CONNECTIONS_PER_URL,
+    pipelining: 1,
+  });
+  readonly #clock: Clock;
+  readonly #endpoints: EtcdEndpoints;
+  readonly #events: EventSink;
+  #healthy = true;
+  readonly #metrics: StoreMetrics;
+  readonly #options: EtcdStoreOptions;
+  readonly #watches = new Set<EtcdWatch>();
+
+  constructor(options: EtcdStoreOptions) {
+    this.#options = options;
+    this.#clock = options.clock;
+    this.#events = options.events;
+    this.#endpoints = new EtcdEndpoints(options.baseUrls);
+    this.#metrics = createStoreMetrics(options.metrics);
+  }
+
+  async close(): Promise<void> {
+    for (const watch of this.#watches) {
+      watch.close();
+    }
+    await this.#agent.destroy();
+  }
+
+  commit(transaction: Transaction): ResultAsync<TransactionAnswer, StoreFailure> {
+    const kind = isWrite(transaction) ? 'write' : 'read';
+    const body = encodeTransaction(transaction);
+    return this.#call({body, kind, path: '/v3/kv/txn'}).map((answer) =>
+      decodeTransactionAnswer(answer as EtcdTransactionAnswer),
+    );
+  }
+
+  grantLease(ttlSeconds: number): ResultAsync<LeaseAnswer, StoreFailure> {
+    const body = {TTL: String(ttlSeconds)};
+    return this.#call({body, kind: 'grant', path: '/v3/lease/grant'}).map((answer) =>
+      decodeLeaseAnswer(answer as EtcdLeaseAnswer),
+    );
+  }
+
+  keepLeaseAlive(lease: LeaseId): ResultAsync<LeaseAnswer, StoreFailure> {
+    const call: StoreCall = {body: {ID: lease}, kind: 'keepalive', path: '/v3/lease/keepalive'};
+    return this.#call(call).map((answer) => ({
+      ...decodeLeaseAnswer(answer as EtcdLeaseAnswer),
+      lease,
+    }));
+  }
+
+  revokeLease(lease: LeaseId): ResultAsync<void, StoreFailure> {
+    const call: StoreCall = {body: {ID: lease}, kind: 'revoke', path: '/v3/lease/revoke'};
+    return this.#call(call).map(() => undefined);
+  }
+
+  watch(prefix: string, fromRevision: number, handler: WatchHandler): Watch {
+    const services = {
+      endpoints: this.#endpoints,
+      events: this.#events,
+      metrics: this.#metrics,
+      ...(this.#options.watchIdleTimeoutMs === undefined
+        ? {}
+        : {idleTimeoutMs: this.#options.watchIdleTimeoutMs}),
+    };
+    const watch = new EtcdWatch(services, prefix, fromRevision, handler);
+    this.#watches.add(watch);
+    return {
+      close: () => {
+        this.#watches.delete(watch);
+        watch.close();
+      },
+    };
+  }
+
+  #call(call: StoreCall): ResultAsync<unknown, StoreFailure> {
+    const startedAt = this.#clock.monotonic();
+    const deadline = startedAt + (this.#options.timeoutMs ?? DEFAULT_CALL_TIMEOUT_MS);
+    const outcome = this.#tryEndpoints(call, deadline, this.#endpoints.count);
+    const finish = (result: 'ok' | StoreFailure['kind']): void => {
+      this.#metrics.countCall(call.kind, result, this.#clock.monotonic() - startedAt);
+      this.#noteHealth(result === 'ok' || result === 'rejected');
+    };
+    return outcome
+      .andTee(() => {
+        finish('ok');
+      })
+      .orTee((failure) => {
+        finish(failure.kind);
+      });
+  }
+
+  #tryEndpoints(
+    call: StoreCall,
+    deadline: number,
+    attemptsLeft: number,
+  ): ResultAsync<unknown, StoreFailure> {
+    const baseUrl = this.#endpoints.current();
+    return this.#callEndpoint(call, baseUrl, deadline).orElse((failure) => {
+      if (failure.kind === 'rejected') {
+        return errAsync(failure);
+      }
+      this.#endpoints.leave(baseUrl);
+      const retryable = failure.kind === 'unavailable' && attemptsLeft > 1;
+      const inTime = this.#clock.monotonic() < deadline;
+      return retryable && inTime
+        ? this.#tryEndpoints(call, deadline, attemptsLeft - 1)
+        : errAsync(failure);
+    });
+  }
+
+  #callEndpoint(
+    call: StoreCall,
+    baseUrl: string,
+    deadline: number,
+  ): ResultAsync<unknown, StoreFailure> {
+    const url = new URL(baseUrl);
+    return exchange(this.#agent, {
+      body: JSON.stringify(call.body),
+      maxAnswerBytes: MAX_ANSWER_BYTES,
+      method: 'POST',
+      origin: url.origin,
+      path: `${url.pathname.replace(/\/$/, '')}${call.path}`,
+      timeoutMs: Math.max(1, deadline - this.#clock.monotonic()),
+    })
+      .mapErr((failure) => classifyFailure(call, failure))
+      .andThen((answer) => readAnswer(call, answer));
+  }
+
+  #noteHealth(healthy: boolean): void {
+    if (healthy === this.#healthy) {
+      return;
+    }
+    this.#healthy = healthy;
+    const kind = healthy ? STORE_EVENTS.CALL_RECOVERED : STORE_EVENTS.CALL_FAILED;
+    this.#events.record(kind, {endpoint: this.#endpoints.current()});
+  }
+}
--- /dev/null
+++ b/packages/nutmegproxy-store/src/HttpExchange.ts
@@ -0,0 +1,131 @@
+/** One HTTP exchange with a deadline, which tells whether anything of the request was sent. */
+
+import type {Result} from 'neverthrow';
+import type {Dispatcher} from 'undici';
+
+import {err, ok, ResultAsync} from 'neverthrow';
+
+/** A request; it is never sent a second time. */
+export interface HttpCall {
+  readonly body?: string;
+  readonly maxAnswerBytes: number;
+  readonly method: 'GET' | 'POST';
+  readonly origin: string;
+  readonly path: string;
+  readonly timeoutMs: number;
+}
+
+export interface HttpAnswer {
+  readonly body: Buffer;
+  readonly status: number;
+}
+
+/** `not-sent`: not one byte of the request left this process. */
+export interface HttpFailure {
+  readonly kind: 'not-sent' | 'sent';
+  readonly message: string;
+}
+
+type HttpOutcome = Result<HttpAnswer, HttpFailure>;
+
+/** Collects one answer and settles once. */
+class AnswerCollector implements Dispatcher.DispatchHandler {
+  readonly #chunks: Buffer[] = [];
+  #controller: Dispatcher.DispatchController | undefined;
+  readonly #maxBytes: number;
+  #receivedBytes = 0;
+  readonly #resolve: (outcome: HttpOutcome) => void;
+  #settled = false;
+  #status = 0;
+  readonly #timer: NodeJS.Timeout;
+
+  constructor(call: HttpCall, resolve: (outcome: HttpOutcome) => void) {
+    this.#maxBytes = call.maxAnswerBytes;
+    this.#resolve = resolve;
+    this.#timer = setTimeout(() => {
+      this.fail('deadline exceeded');
+    }, call.timeoutMs);
+  }
+
+  fail(message: string): void {
+    const kind = this.#controller === undefined ? 'not-sent' : 'sent';
+    this.#settle(err({kind, message}));
+    this.#controller?.abort(new Error(message));
+  }
+
+  onRequestStart(controller: Dispatcher.DispatchController): void {
+    if (this.#settled) {
+      // The deadline passed while the request waited for a connection: it must not be sent.
+      controller.abort(new Error('deadline exceeded'));
+      return;
+    }
+    if (this.#controller !== undefined) {
+      // The library starts a request again after some connection errors; a write must not be.
+      this.fail('the connection was lost');
+      controller.abort(new Error('the connection was lost'));
+      return;
+    }
+    this.#controller = controller;
+  }
+
+  onResponseData(_controller: Dispatcher.DispatchController, chunk: Buffer): void {
+    this.#receivedBytes += chunk.length;
+    if (this.#receivedBytes > this.#maxBytes) {
+      this.fail('the answer is too long');
+      return;
+    }
+    this.#chunks.push(chunk);
+  }
+
+  onResponseEnd(): void {
+    this.#settle(ok({body: Buffer.concat(this.#chunks), status: this.#status}));
+  }
+
+  onResponseError(_controller: Dispatcher.DispatchController, error: Error): void {
+    this.fail(error.message === '' ? error.name : error.message);
+  }
+
+  onResponseStart(_controller: Dispatcher.DispatchController, status: number): void {
+    this.#status = status;
+  }
+
+  #settle(outcome: HttpOutcome): void {
+    if (this.#settled) {
+      return;
+    }
+    this.#settled = true;
+    clearTimeout(this.#timer);
+    this.#resolve(outcome);
+  }
+}
+
+/**
+ * Sends a request once and collects the answer. Settles by the call's deadline.
+ *
+ * @example
+ * const answer = await exchange(pool, {maxAnswerBytes: 1024, method: 'GET', origin, path: '/vms', timeoutMs: 500});
+ */
+export function exchange(
+  dispatcher: Dispatcher,
+  call: HttpCall,
+): ResultAsync<HttpAnswer, HttpFailure> {
+  return new ResultAsync(
+    new Promise<HttpOutcome>((resolve) => {
+      const collector = new AnswerCollector(call, resolve);
+      try {
+        dispatcher.dispatch(
+          {
+            body: call.body ?? null,
+            headers: call.body === undefined ? {} : {'content-type': 'application/json'},
+            method: call.method,
+            origin: call.origin,
+            path: call.path,
+          },
+          collector,
+        );
+      } catch (error) {
+        collector.fail(String(error));
+      }
+    }),
+  );
+}
--- /dev/null
+++ b/packages/nutmegproxy-store/src/StoreUtils.ts
@@ -0,0 +1,84 @@
+/** Short forms of common transactions. */
+
+import type {ResultAsync} from 'neverthrow';
+
+import type {
+  LeaseId,
+  Operation,
+  PlatformStore,
+  StoredValue,
+  StoreFailure,
+  Transaction,
+  TransactionAnswer,
+} from './PlatformStore.ts';
+
+/** Values read at one revision of the store. */
+export interface PrefixSnapshot {
+  /** A watch that follows on starts at `revision + 1`. */
+  readonly revision: number;
+  readonly values: readonly StoredValue[];
+}
+
+function readValues(answer: TransactionAnswer): readonly StoredValue[] {
+  const first = answer.answers[0];
+  return first?.kind === 'get' ? first.values : [];
+}
+
+/** Whether any operation of the transaction, nested ones included, may change the store. */
+export function isWrite(transaction: Transaction): boolean {
+  return [...transaction.then, ...(transaction.otherwise ?? [])].some(isWriteOperation);
+}
+
+function isWriteOperation(operation: Operation): boolean {
+  return operation.kind === 'transaction'
+    ? isWrite(operation.transaction)
+    : operation.kind !== 'get';
+}
+
+/**
+ * Reads all keys with a prefix.
+ *
+ * @example
+ * const snapshot = await getPrefix(store, '/nutmegproxy/catalogue/');
+ */
+export function getPrefix(
+  store: PlatformStore,
+  prefix: string,
+): ResultAsync<PrefixSnapshot, StoreFailure> {
+  return store
+    .commit({compare: [], then: [{key: prefix, kind: 'get', prefix: true}]})
+    .map((answer) => ({revision: answer.revision, values: readValues(answer)}));
+}
+
+/**
+ * Reads one key; undefined when it is absent.
+ *
+ * @example
+ * const head = await getKey(store, '/nutmegproxy/catalogue/head');
+ */
+export function getKey(
+  store: PlatformStore,
+  key: string,
+): ResultAsync<StoredValue | undefined, StoreFailure> {
+  return store
+    .commit({compare: [], then: [{key, kind: 'get'}]})
+    .map((answer) => readValues(answer)[0]);
+}
+
+/**
+ * Writes one key without a condition.
+ *
+ * @example
+ * const revision = await put(store, '/nutmegproxy/demo', Buffer.from('1'));
+ */
+export function put(
+  store: PlatformStore,
+  key: string,
+  value: Buffer,
+  lease?: LeaseId,
+): ResultAsync<number, StoreFailure> {
+  const operation = lease === undefined ? {key, value} : {key, lease, value};
+  return store
+    .commit({compare: [], then: [{kind: 'put', ...operation}]})
+    .map((answer) => answer.revision);
+}
--- a/packages/nutmegproxy-store/src/index.ts
+++ b/packages/nutmegproxy-store/src/index.ts
@@ -1,5 +1,18 @@
 /** Public surface of the store client. */
 
+export {decodeText, encodeText, parseMessage} from './EtcdJson.ts';
+export type {
+  EtcdCompare,
+  EtcdKeyValue,
+  EtcdOperation,
+  EtcdOperationAnswer,
+  EtcdTransaction,
+  EtcdTransactionAnswer,
+} from './EtcdJson.ts';
+export {EtcdStore} from './EtcdStore.ts';
+export type {EtcdStoreOptions} from './EtcdStore.ts';
+export {exchange} from './HttpExchange.ts';
+export type {HttpAnswer, HttpCall, HttpFailure} from './HttpExchange.ts';
 export type {
   Comparison,
   LeaseAnswer,
@@ -15,3 +28,5 @@
   WatchEvent,
   WatchHandler,
 } from './PlatformStore.ts';
+export {getKey, getPrefix, isWrite, put} from './StoreUtils.ts';
+export type {PrefixSnapshot} from './StoreUtils.ts';
