--- a/packages/nutmegproxy-schema/src/index.ts
+++ b/packages/nutmegproxy-schema/src/index.ts
@@ -1,16 +1,70 @@
 /** Public surface of the generated types and validators. */
 
 export type {
+  AppliedList,
+  AppliedRevision,
+  AppliedVm,
   Catalogue,
+  CataloguePage,
+  CatalogueQuery,
+  CatalogueRecord,
   Drain,
   Entry,
   Limits,
+  PlansPart,
   Quota,
   Stop,
   Team,
+  TeamPart,
   WorkClass,
 } from './generated/catalogueTypes.ts';
-export {validateCatalogue} from './generated/catalogueValidators.js';
+export {
+  validateAppliedList,
+  validateAppliedQuery,
+  validateAppliedRevision,
+  validateCatalogue,
+  validateCataloguePage,
+  validateCatalogueQuery,
+  validateCatalogueRecord,
+  validatePlansPart,
+  validateTeamPart,
+} from './generated/catalogueValidators.js';
+export type {
+  AllotmentRecord,
+  CellOwnerRecord,
+  CellRecord,
+  MemberRecord,
+  MinionRecord,
+  ReclaimedShare,
+  ShareRecord,
+  TenureRecord,
+} from './generated/membershipMessagesTypes.ts';
+export {
+  validateAllotmentRecord,
+  validateCellOwnerRecord,
+  validateDenyAnswer,
+  validateDenyRequest,
+  validateRecordNotice,
+  validateRelayAnswer,
+  validateRelayRequest,
+  validateTenureRecord,
+  validateVouchAnswer,
+  validateVouchRequest,
+} from './generated/membershipMessagesValidators.js';
+export type {
+  AnswerFrame,
+  Greeting,
+  HeartbeatFrame,
+  KnownPeer,
+  MessageFrame,
+  PeerFrame,
+  Proof,
+} from './generated/peersMessagesTypes.ts';
+export {
+  validateGreeting,
+  validatePeerFrame,
+  validateProof,
+} from './generated/peersMessagesValidators.js';
 export type {
   AttemptReport,
   Resources,
--- a/packages/nutmegproxy-standins/src/index.ts
+++ b/packages/nutmegproxy-standins/src/index.ts
@@ -2,6 +2,8 @@
 
 export {listen, readControl, sendJson} from './HttpListener.ts';
 export type {HttpExchange, HttpHandler, HttpRoutes, Standin} from './HttpListener.ts';
+export {LocalMesh, LocalNetwork} from './LocalMesh.ts';
+export type {Passage} from './LocalMesh.ts';
 export {MemoryStore} from './MemoryStore.ts';
 export {StoreEngine} from './StoreEngine.ts';
 export {StoreFaults} from './StoreFaults.ts';
