--- a/packages/nutmegproxy-schema/src/index.ts
+++ b/packages/nutmegproxy-schema/src/index.ts
@@ -36,4 +36,45 @@
   Timings,
 } from './generated/settingsTypes.ts';
 export {validateSettings} from './generated/settingsValidators.js';
+export type {
+  AttemptReturned,
+  CellSnapshot,
+  EvictionIntended,
+  JobAccepted,
+  JobCancelled,
+  JobForgotten,
+  JobLocation,
+  JobRecord,
+  SnapshotHeader,
+  StartConfirmed,
+  StartIntended,
+  TaskChange,
+  TaskDelta,
+  TaskEnded,
+  TaskOutcome,
+  TaskRecord,
+} from './generated/taskLogTypes.ts';
+export {
+  validateCellSnapshot,
+  validateJobLocation,
+  validateSnapshotHeader,
+  validateTaskDelta,
+} from './generated/taskLogValidators.js';
+export type {
+  CellSummaries,
+  CellSummary,
+  TaskJobAnswer,
+  TaskJobQuery,
+  TaskSubmit,
+  TaskSubmitAnswer,
+} from './generated/tasksMessagesTypes.ts';
+export {
+  validateCellSummaries,
+  validateTaskJobAnswer,
+  validateTaskJobQuery,
+  validateTaskSubmit,
+  validateTaskSubmitAnswer,
+} from './generated/tasksMessagesValidators.js';
+export type {JobStatus, JobSubmission, TaskStatus} from './generated/tasksTypes.ts';
+export {validateJobStatus, validateJobSubmission} from './generated/tasksValidators.js';
 export type {Validator, Violation} from './Validator.ts';
--- /dev/null
+++ b/packages/nutmegproxy-tasks/src/Cell.ts
@@ -0,0 +1,164 @@
+/** One owned cell: its table, its log, and the fence that every act passes. */
+
+import type {CatalogueSource} from '@nutmegproxy/catalogue';
+import type {CellId, EntryNode, Instant, TeamId} from '@nutmegproxy/core';
+import type {Membership} from '@nutmegproxy/membership';
+import type {Placement} from '@nutmegproxy/placement';
+import type {Entry, Resources, TaskChange} from '@nutmegproxy/schema';
+
+import type {AppendOptions, AppendOutcome, CellLog} from './CellLog.ts';
+import type {TaskTable} from './TaskTable.ts';
+
+import {DEFAULT_DECLARED_CPU, DEFAULT_DECLARED_MEMORY_MB} from './TasksConstants.ts';
+import {TASKS_EVENTS} from './TasksEvents.ts';
+
+/** What a cell is made of. */
+export interface CellParts {
+  /** Instant at which the log was read under this ownership. */
+  readonly acquiredAt: Instant;
+  readonly catalogue: CatalogueSource;
+  readonly epoch: number;
+  readonly id: CellId;
+  readonly log: CellLog;
+  readonly membership: Membership;
+  readonly node: EntryNode;
+  readonly placement: Placement;
+  readonly table: TaskTable;
+}
+
+/**
+ * Resources that an entry declares for one task.
+ *
+ * @example
+ * const declared = declaredOf(entry); // {cpu: 1, memoryMb: 1024, accelerators: 0}
+ */
+export function declaredOf(entry: Entry): Resources {
+  return {
+    accelerators: entry.limits.accelerators ?? 0,
+    cpu: entry.limits.cpu ?? DEFAULT_DECLARED_CPU,
+    memoryMb: entry.limits.memoryMb ?? DEFAULT_DECLARED_MEMORY_MB,
+  };
+}
+
+/** Shared by the loops of one cell. */
+export class Cell {
+  readonly acquiredAt: Instant;
+  readonly catalogue: CatalogueSource;
+  readonly epoch: number;
+  readonly id: CellId;
+  readonly node: EntryNode;
+  readonly placement: Placement;
+  readonly table: TaskTable;
+  #appending = 0;
+  readonly #log: CellLog;
+  readonly #membership: Membership;
+  #quiet: (() => void) | undefined;
+  #stopped = false;
+  #truncation: Promise<void> | undefined;
+
+  constructor(parts: CellParts) {
+    this.acquiredAt = parts.acquiredAt;
+    this.catalogue = parts.catalogue;
+    this.epoch = parts.epoch;
+    this.id = parts.id;
+    this.node = parts.node;
+    this.placement = parts.placement;
+    this.table = parts.table;
+    this.#log = parts.log;
+    this.#membership = parts.membership;
+  }
+
+  get stopped(): boolean {
+    return this.#stopped;
+  }
+
+  /** Commits changes, then applies them. False: they are not in force, and the cell may be lost. */
+  async commit(changes: readonly TaskChange[], options: AppendOptions = {}): Promise<boolean> {
+    const outcome = await this.append(changes, options);
+    return outcome.kind === 'committed';
+  }
+
+  /** As `commit`, with the whole outcome. */
+  async append(
+    changes: readonly TaskChange[],
+    options: AppendOptions = {},
+  ): Promise<AppendOutcome> {
+    while (this.#truncation) {
+      await this.#truncation;
+    }
+    if (this.#stopped) {
+      return {kind: 'lost'};
+    }
+    this.#appending += 1;
+    const outcome = await this.#log.append(changes, options);
+    this.#appending -= 1;
+    if (outcome.kind === 'committed') {
+      changes.forEach((change) => {
+        this.table.apply(change);
+      });
+    }
+    if (outcome.kind === 'lost') {
+      this.#lose();
+    }
+    if (this.#appending === 0) {
+      this.#quiet?.();
+    }
+    return outcome;
+  }
+
+  /** Entry of the catalogue in force. */
+  entry(id: string): Entry | undefined {
+    return this.catalogue.current().entries.get(id as never);
+  }
+
+  /** The fence: asked after every await and before every message to a worker. */
+  mayAct(now: Instant): boolean {
+    return !this.#stopped && this.#membership.holdsTenure(now);
+  }
+
+  /** Ends all acting for the cell at once. */
+  stop(): void {
+    if (!this.#stopped) {
+      this.#stopped = true;
+      this.node.events.record(TASKS_EVENTS.CELL_STOPPED, {cell: this.id, epoch: this.epoch});
+    }
+  }
+
+  teamOf(entry: Entry | undefined): TeamId {
+    return (entry?.owner ?? '') as TeamId;
+  }
+
+  /** Writes a snapshot if one is due. Appends wait only until the table is copied. */
+  async truncate(): Promise<void> {
+    if (!this.#log.snapshotDue || this.#truncation || this.#stopped) {
+      return;
+    }
+    let reopen: () => void = () => undefined;
+    this.#truncation = new Promise((resolve) => {
+      reopen = resolve;
+    });
+    await this.#whenQuiet();
+    const written = this.#log.snapshot(this.table);
+    this.#truncation = undefined;
+    reopen();
+    if ((await written) === 'lost') {
+      this.#lose();
+    }
+  }
+
+  #lose(): void {
+    if (!this.#stopped) {
+      this.node.events.record(TASKS_EVENTS.CELL_LOST, {cell: this.id, epoch: this.epoch});
+    }
+    this.stop();
+  }
+
+  async #whenQuiet(): Promise<void> {
+    if (this.#appending > 0) {
+      await new Promise<void>((resolve) => {
+        this.#quiet = resolve;
+      });
+      this.#quiet = undefined;
+    }
+  }
+}
--- /dev/null
+++ b/packages/nutmegproxy-tasks/src/CellLog.ts
@@ -0,0 +1,224 @@
+/**
+ * The task log of one cell: deltas and snapshots in the platform's store, written only while this
+ * process owns the cell.
+ */
+
+import type {ChangeId} from '@nutmegproxy/core';
+import type {JobLocation, SnapshotHeader, TaskChange, TaskDelta} from '@nutmegproxy/schema';
+import type {Comparison, LeaseId, Operation, StoredValue} from '@nutmegproxy/store';
+
+import {brand, invariant} from '@nutmegproxy/core';
+import {validateJobLocation, validateTaskDelta} from '@nutmegproxy/schema';
+import {randomUUID} from 'node:crypto';
+
+import type {CommitOutcome, GroupCommit} from './GroupCommit.ts';
+import type {CellKeys} from './TaskKeys.ts';
+import type {TaskTable} from './TaskTable.ts';
+
+import {parseStored} from './StoredUtils.ts';
+import {
+  MAX_DELTA_BYTES,
+  SNAPSHOT_AFTER_BYTES,
+  SNAPSHOT_AFTER_DELTAS,
+  SNAPSHOT_CHUNK_BYTES,
+} from './TasksConstants.ts';
+
+/** Outcome of an append. `lost`: another process owns the cell; `exists`: the key made a job. */
+export type AppendOutcome =
+  | {readonly job: string; readonly kind: 'exists'}
+  | {readonly kind: 'committed'}
+  | {readonly kind: 'lost'}
+  | {readonly kind: 'unavailable'};
+
+/** Where a log goes on after recovery. */
+export interface LogPosition {
+  readonly bytes: number;
+  readonly deltas: number;
+  readonly epoch: number;
+  readonly generation: number;
+  readonly ownerRevision: number;
+  readonly sequence: number;
+  /** Generation of the snapshot that the header names; -1 when there is none. */
+  readonly snapshotGeneration: number;
+}
+
+/** Extra writes and conditions of one append. */
+export interface AppendOptions {
+  readonly failFast?: boolean;
+  /** Job keys whose retention ends with `lease`. */
+  readonly forget?: readonly {readonly job: string; readonly key: string}[];
+  /** Key that must be absent and then names the job. */
+  readonly jobKey?: {readonly job: string; readonly key: string};
+  readonly lease?: LeaseId;
+}
+
+function encode(value: unknown): Buffer {
+  return Buffer.from(JSON.stringify(value));
+}
+
+/** Appends deltas in order and replaces old ones by a snapshot. */
+export class CellLog {
+  #bytes: number;
+  readonly #commit: GroupCommit;
+  #deltas: number;
+  readonly #epoch: number;
+  #generation: number;
+  readonly #keys: CellKeys;
+  readonly #ownerRevision: number;
+  #sequence: number;
+  #snapshotGeneration: number;
+  #snapshotRunning = false;
+
+  constructor(keys: CellKeys, commit: GroupCommit, position: LogPosition) {
+    this.#bytes = position.bytes;
+    this.#commit = commit;
+    this.#deltas = position.deltas;
+    this.#epoch = position.epoch;
+    this.#generation = position.generation;
+    this.#keys = keys;
+    this.#ownerRevision = position.ownerRevision;
+    this.#sequence = position.sequence;
+    this.#snapshotGeneration = position.snapshotGeneration;
+  }
+
+  /** Whether enough deltas stand in the store for a snapshot to pay. */
+  get snapshotDue(): boolean {
+    const large = this.#deltas >= SNAPSHOT_AFTER_DELTAS || this.#bytes >= SNAPSHOT_AFTER_BYTES;
+    return large && !this.#snapshotRunning;
+  }
+
+  /** Commits `changes` as one delta. */
+  async append(
+    changes: readonly TaskChange[],
+    options: AppendOptions = {},
+  ): Promise<AppendOutcome> {
+    const changeId = brand<ChangeId>(randomUUID());
+    const delta: TaskDelta = {changeId, changes: [...changes], epoch: this.#epoch};
+    const value = encode(delta);
+    invariant(value.length <= MAX_DELTA_BYTES, 'tasks: a delta exceeds the limit of a value');
+    const deltaKey = this.#keys.delta(this.#generation, this.#sequence);
+    this.#sequence += 1;
+    this.#deltas += 1;
+    this.#bytes += value.length;
+    const {failFast = false, forget = [], jobKey, lease} = options;
+    const jobKeys = jobKey ? [jobKey.key] : [];
+    const outcome = await this.#commit.commit({
+      compare: [this.#ownership(), ...[deltaKey, ...jobKeys].map(absent)],
+      failFast,
+      readBack: [deltaKey, this.#keys.owner, ...jobKeys],
+      sizeBytes: value.length + forget.length * SMALL_VALUE_BYTES + SMALL_VALUE_BYTES,
+      then: [
+        {key: deltaKey, kind: 'put', value},
+        ...(jobKey ? [putLocation(jobKey)] : []),
+        ...forget.map((each) => putLocation(each, lease)),
+      ],
+    });
+    return this.#appendOutcome(outcome, changeId);
+  }
+
+  /**
+   * Writes the table as a snapshot and deletes the deltas that it covers. The table must hold all
+   * changes whose append has settled as committed, and no append may be waiting.
+   */
+  async snapshot(table: TaskTable): Promise<'committed' | 'lost' | 'unavailable'> {
+    invariant(!this.#snapshotRunning, 'tasks: two snapshots of one cell at a time');
+    this.#snapshotRunning = true;
+    const text = encode({jobs: table.snapshot()});
+    const covered = this.#generation;
+    // Appends from here on go to a new generation, which the snapshot leaves in place.
+    this.#generation += 1;
+    this.#sequence = 0;
+    this.#deltas = 0;
+    this.#bytes = 0;
+    const outcome = await this.#writeSnapshot(text, this.#generation, covered);
+    this.#snapshotRunning = false;
+    return outcome;
+  }
+
+  #appendOutcome(outcome: CommitOutcome, changeId: ChangeId): AppendOutcome {
+    if (outcome.kind !== 'refused') {
+      return outcome;
+    }
+    const [delta, owner, location] = outcome.found;
+    // The answer to an earlier commit of this delta was lost.
+    if (parseStored(delta, validateTaskDelta)?.changeId === changeId) {
+      return {kind: 'committed'};
+    }
+    const owned = owner?.modRevision === this.#ownerRevision;
+    const job = parseStored(location, validateJobLocation)?.job;
+    return owned && !delta && job !== undefined ? {job, kind: 'exists'} : {kind: 'lost'};
+  }
+
+  #ownership(): Comparison {
+    return {
+      key: this.#keys.owner,
+      kind: 'modRevision',
+      modRevision: this.#ownerRevision,
+    };
+  }
+
+  async #put(then: readonly Operation[], sizeBytes: number): Promise<CommitOutcome['kind']> {
+    const outcome = await this.#commit.commit({
+      compare: [this.#ownership()],
+      failFast: false,
+      readBack: [],
+      sizeBytes,
+      then,
+    });
+    return outcome.kind;
+  }
+
+  async #writeSnapshot(
+    text: Buffer,
+    generation: number,
+    covered: number,
+  ): Promise<'committed' | 'lost' | 'unavailable'> {
+    const chunks = Math.max(1, Math.ceil(text.length / SNAPSHOT_CHUNK_BYTES));
+    for (let index = 0; index < chunks; index += 1) {
+      const start = index * SNAPSHOT_CHUNK_BYTES;
+      const value = text.subarray(start, start + SNAPSHOT_CHUNK_BYTES);
+      const key = this.#keys.chunk(generation, index);
+      const kind = await this.#put([{key, kind: 'put', value}], value.length);
+      if (kind !== 'committed') {
+        return kind === 'refused' ? 'lost' : kind;
+      }
+    }
+    const header: SnapshotHeader = {chunks, generation};
+    const kind = await this.#put(
+      [{key: this.#keys.snapshot, kind: 'put', value: encode(header)}, ...this.#obsolete(covered)],
+      SMALL_VALUE_BYTES,
+    );
+    if (kind === 'committed') {
+      this.#snapshotGeneration = generation;
+    }
+    return kind === 'refused' ? 'lost' : kind;
+  }
+
+  /** Deletes of what a new snapshot replaces, also what an unfinished snapshot left behind. */
+  #obsolete(covered: number): Operation[] {
+    const first = Math.max(0, this.#snapshotGeneration);
+    const generations = Array.from({length: covered - first + 1}, (_, index) => first + index);
+    return generations.slice(-MAX_OBSOLETE_GENERATIONS).flatMap((each): Operation[] => [
+      {key: this.#keys.generation(each), kind: 'delete', prefix: true},
+      {key: this.#keys.chunks(each), kind: 'delete', prefix: true},
+    ]);
+  }
+}
+
+const MAX_OBSOLETE_GENERATIONS = 16;
+const SMALL_VALUE_BYTES = 512;
+
+function absent(key: string): Comparison {
+  return {key, kind: 'modRevision', modRevision: 0};
+}
+
+function putLocation(location: {job: string; key: string}, lease?: LeaseId): Operation {
+  const value: JobLocation = {job: location.job};
+  const put = {key: location.key, kind: 'put', value: encode(value)} as const;
+  return lease === undefined ? put : {...put, lease};
+}
+
+/** Whether a stored value stands for the ownership that a log was recovered under. */
+export function sameOwner(owner: StoredValue | undefined, position: LogPosition): boolean {
+  return owner?.modRevision === position.ownerRevision;
+}
--- /dev/null
+++ b/packages/nutmegproxy-tasks/src/CellRunner.ts
@@ -0,0 +1,321 @@
+/** Runs one owned cell: one loop that decides, and one loop per worker. */
+
+import type {AttemptId, EntryId, Instant, RackId, WallTime, WorkerId} from '@nutmegproxy/core';
+import type {VmDirectory, WorkerClient} from '@nutmegproxy/platform';
+import type {Quota, StartIntended, TaskStart, Throttle, Vm} from '@nutmegproxy/schema';
+import type {LeaseId} from '@nutmegproxy/store';
+
+import {after} from '@nutmegproxy/core';
+
+import type {Cell} from './Cell.ts';
+import type {Task} from './TaskModel.ts';
+import type {WorkerTimings} from './WorkerLink.ts';
+
+import {wait} from './AsyncUtils.ts';
+import {declaredOf} from './Cell.ts';
+import {cellOfWorker} from './CellUtils.ts';
+import {hashOfJob} from './JobIds.ts';
+import {defined} from './ObjectUtils.ts';
+import {byWorker, TaskDispatch} from './TaskDispatch.ts';
+import {jobKey} from './TaskKeys.ts';
+import {
+  DECISION_INTERVAL_MS,
+  DEFAULT_RUN_TIME_MS,
+  ENDED_JOB_RETENTION_MS,
+  MAX_ENDED_JOBS,
+  MAX_FORGOTTEN_PER_ROUND,
+  MAX_MOVES_PER_ROUND,
+} from './TasksConstants.ts';
+import {WorkerLink} from './WorkerLink.ts';
+
+/** What a runner needs besides its cell. */
+export interface RunnerServices {
+  readonly client: WorkerClient;
+  readonly directory: VmDirectory;
+  /** Lease of the keys of forgotten jobs; undefined while the store grants none. */
+  readonly forgottenLease: () => LeaseId | undefined;
+  /** Whether the store takes writes: without it nothing new is decided. */
+  readonly healthy: () => boolean;
+  readonly keyPrefix: string;
+  readonly quotas: () => ReadonlyMap<string, Quota>;
+  readonly timings: WorkerTimings;
+}
+
+/** The loops of one cell. */
+export class CellRunner {
+  readonly cell: Cell;
+  readonly #dispatch: TaskDispatch;
+  #draining = false;
+  readonly #links = new Map<WorkerId, WorkerLink>();
+  #rounds = 0;
+  readonly #services: RunnerServices;
+  readonly #starts = new Set<Promise<void>>();
+
+  constructor(cell: Cell, services: RunnerServices) {
+    this.cell = cell;
+    this.#dispatch = new TaskDispatch(cell);
+    this.#services = services;
+  }
+
+  /** Decides nothing more and settles once what was decided is sent; leases go on meanwhile. */
+  async drain(): Promise<void> {
+    this.#draining = true;
+    await Promise.all(this.#starts);
+  }
+
+  /** Free processors of the reachable workers. */
+  freeCpu(): number {
+    let free = 0;
+    for (const link of this.#links.values()) {
+      const capacity = this.#services.directory.vm(link.id as never)?.capacity;
+      if (link.reachable && capacity) {
+        const held = [...link.live.values()].map(({reserved}) => reserved?.cpu ?? 0);
+        free += held.reduce((sum, cpu) => sum - cpu, capacity.cpu);
+      }
+    }
+    return Math.max(0, free);
+  }
+
+  /** Takes over what the log shows, then decides until the cell stops. */
+  async run(): Promise<void> {
+    const {clock} = this.cell.node;
+    this.#matchWorkers(clock.monotonic());
+    this.#adopt(clock.monotonic(), clock.wall());
+    while (!this.cell.stopped) {
+      const now = clock.monotonic();
+      if (this.cell.mayAct(now)) {
+        this.#round(now, clock.wall());
+      }
+      await wait(DECISION_INTERVAL_MS);
+    }
+    this.#links.forEach((link) => {
+      link.close();
+    });
+  }
+
+  /** Reservations of all attempts in the log, also of those whose outcome is unknown. */
+  #adopt(now: Instant, wall: WallTime): void {
+    for (const task of this.cell.table.live) {
+      this.#linkOf(task).add(task);
+      const entry = this.cell.entry(task.job.entry);
+      const startedAt = after(now, (task.startedAt ?? wall) - wall);
+      if (task.reserved) {
+        this.cell.placement.adopt(
+          {
+            attempt: task.attempt as AttemptId,
+            checkpointable: entry?.checkpoint === true,
+            class: entry?.class ?? 'batch',
+            declared: entry ? declaredOf(entry) : task.reserved,
+            declaredRunTimeMs: entry?.limits.runTimeMs ?? DEFAULT_RUN_TIME_MS,
+            entry: task.job.entry as EntryId,
+            queuedAt: startedAt,
+            reserved: task.reserved,
+            startedAt,
+            team: this.cell.teamOf(entry),
+            worker: task.worker as WorkerId,
+          },
+          now,
+        );
+      }
+    }
+  }
+
+  async #evict(victims: Iterable<AttemptId>): Promise<void> {
+    const changes = this.#dispatch.evictions(victims);
+    if (changes.length > 0) {
+      await this.cell.commit(changes);
+      this.#dispatch.evictionsSettled(changes.map(({attempt}) => attempt as AttemptId));
+    }
+  }
+
+  /** Drops ended jobs; their keys stay in the store for the time of a lease. */
+  async #forget(wall: WallTime): Promise<void> {
+    const lease = this.#services.forgottenLease();
+    const excess = this.cell.table.endedJobs.size - MAX_ENDED_JOBS;
+    const jobs = [];
+    for (const job of this.cell.table.endedJobs) {
+      const old = wall - (job.endedAt ?? wall) > ENDED_JOB_RETENTION_MS;
+      if (jobs.length >= MAX_FORGOTTEN_PER_ROUND || (!old && jobs.length >= excess)) {
+        break;
+      }
+      jobs.push(job);
+    }
+    if (lease === undefined || jobs.length === 0) {
+      return;
+    }
+    await this.cell.commit(
+      jobs.map(({id}) => ({job: id, kind: 'job-forgotten'})),
+      {
+        forget: jobs.map(({id}) => ({
+          job: id,
+          key: jobKey(this.#services.keyPrefix, hashOfJob(id)),
+        })),
+        lease,
+      },
+    );
+  }
+
+  /** Makes the link of a worker that the log names though the list of VMs does not. */
+  #linkOf(task: Task): WorkerLink {
+    const id = task.worker as WorkerId;
+    return this.#links.get(id) ?? this.#openLink(id, '');
+  }
+
+  #matchWorkers(now: Instant): void {
+    const present = new Set<WorkerId>();
+    for (const vm of this.#services.directory.vms()) {
+      if (vm.role === 'worker' && cellOfWorker(vm) === this.cell.id) {
+        present.add(vm.id as WorkerId);
+        this.#setWorker(vm, now);
+      }
+    }
+    for (const [id, link] of this.#links) {
+      if (!present.has(id)) {
+        this.cell.placement.removeWorker(id, now);
+        if (link.live.size === 0) {
+          link.close();
+          this.#links.delete(id);
+        }
+      }
+    }
+  }
+
+  /** Attempts on drained or leaving workers that can go on elsewhere. */
+  #moves(): AttemptId[] {
+    const moves: AttemptId[] = [];
+    for (const link of this.#links.values()) {
+      const vm = this.#services.directory.vm(link.id as never);
+      if (vm && this.#isDrained(vm)) {
+        for (const [attempt, task] of link.live) {
+          const movable = this.cell.entry(task.job.entry)?.checkpoint === true;
+          if (movable && task.state === 'running' && moves.length < MAX_MOVES_PER_ROUND) {
+            moves.push(attempt as AttemptId);
+          }
+        }
+      }
+    }
+    return moves;
+  }
+
+  /** Enters a committed intent with its worker; a cancel that came first leaves no attempt. */
+  #hold(attempt: string, link: undefined | WorkerLink): void {
+    const task = this.cell.table.attempt(attempt);
+    if (task) {
+      link?.add(task);
+    } else {
+      const now = this.cell.node.clock.monotonic();
+      this.cell.placement.release(attempt as AttemptId, 'refused', now);
+    }
+  }
+
+  #isDrained(vm: Vm): boolean {
+    const catalogue = this.cell.catalogue.current();
+    return (
+      vm.state === 'leaving' ||
+      catalogue.isDrained('worker', vm.id) ||
+      catalogue.isDrained('rack', vm.rack ?? '') ||
+      catalogue.isDrained('data-centre', vm.dataCentre)
+    );
+  }
+
+  #openLink(id: WorkerId, address: string): WorkerLink {
+    const {client, timings} = this.#services;
+    const link = new WorkerLink(this.cell, client, {address, id}, timings);
+    this.#links.set(id, link);
+    void link.run();
+    return link;
+  }
+
+  #round(now: Instant, wall: WallTime): void {
+    this.#rounds += 1;
+    this.#matchWorkers(now);
+    this.cell.placement.setQuotas(this.#services.quotas() as never, now);
+    this.#throttle(now);
+    if (this.#draining || !this.#services.healthy()) {
+      return;
+    }
+    const round = this.#dispatch.decide({now, wall});
+    if (round.intents.length > 0) {
+      this.#track(this.#start(round.intents));
+    }
+    const victims = [...round.victims, ...this.cell.placement.evictions(now), ...this.#moves()];
+    void this.#evict(new Set(victims));
+    if (this.#rounds % HOUSEKEEPING_ROUNDS === 0) {
+      void this.#forget(wall);
+      void this.cell.truncate();
+    }
+  }
+
+  #setWorker(vm: Vm, now: Instant): void {
+    const id = vm.id as WorkerId;
+    const link = this.#links.get(id) ?? this.#openLink(id, vm.address);
+    link.address = vm.address;
+    this.cell.placement.setWorker(
+      {
+        capacity: vm.capacity ?? {accelerators: 0, cpu: 0, memoryMb: 0},
+        // A worker that does not answer counts as full.
+        drained: !link.reachable || this.#isDrained(vm),
+        id,
+        rack: (vm.rack ?? '') as RackId,
+      },
+      now,
+    );
+  }
+
+  async #start(intents: readonly StartIntended[]): Promise<void> {
+    const committed = await this.cell.commit(intents);
+    this.#dispatch.settled(intents);
+    if (!committed) {
+      return;
+    }
+    const sent = [...byWorker(intents)].map(async ([worker, group]) => {
+      const link = this.#links.get(worker);
+      group.forEach(({attempt}) => {
+        this.#hold(attempt, link);
+      });
+      await link?.start(group.flatMap((intent) => this.#startOf(intent)));
+    });
+    await Promise.all(sent);
+  }
+
+  #startOf(intent: StartIntended): TaskStart[] {
+    const task = this.cell.table.attempt(intent.attempt);
+    if (!task) {
+      return [];
+    }
+    return [
+      defined({
+        attempt: intent.attempt,
+        cellEpoch: this.cell.epoch,
+        checkpoint: task.checkpoint,
+        entry: task.job.entry,
+        input: task.job.input,
+        leaseMs: this.#services.timings.leaseMs,
+        reserved: intent.reserved,
+        startBefore: intent.startBefore,
+        task: intent.task,
+      }),
+    ];
+  }
+
+  #throttle(now: Instant): void {
+    const byLink = new Map<WorkerLink, Throttle[]>();
+    for (const wish of this.cell.placement.throttles(now)) {
+      const task = this.cell.table.attempt(wish.attempt);
+      const link = task && this.#links.get(task.worker as WorkerId);
+      if (link) {
+        byLink.set(link, [...(byLink.get(link) ?? []), wish]);
+      }
+    }
+    this.#links.forEach((link) => {
+      link.setThrottles(byLink.get(link) ?? []);
+    });
+  }
+
+  #track(work: Promise<void>): void {
+    this.#starts.add(work);
+    void work.finally(() => this.#starts.delete(work));
+  }
+}
+
+const HOUSEKEEPING_ROUNDS = 50;
--- /dev/null
+++ b/packages/nutmegproxy-tasks/src/JobIds.ts
@@ -0,0 +1,56 @@
+/** Job ids tell where the job is kept, so that any VM finds its owner without a store call. */
+
+import type {CellId, DataCentreId, JobId} from '@nutmegproxy/core';
+
+import {brand} from '@nutmegproxy/core';
+import {createHash} from 'node:crypto';
+
+const SEPARATOR = '~';
+const HASH_LENGTH = 32;
+
+/** The parts of a job's id. */
+export interface JobLocator {
+  readonly cell: CellId;
+  readonly dataCentre: DataCentreId;
+  readonly hash: string;
+}
+
+/**
+ * Hash of an idempotency key; equal keys give equal hashes.
+ *
+ * @example
+ * const hash = hashKey(request.headers['idempotency-key']);
+ */
+export function hashKey(key: string): string {
+  return createHash('sha256').update(key).digest('hex').slice(0, HASH_LENGTH);
+}
+
+/**
+ * Makes a job's id from its parts.
+ *
+ * @example
+ * const job = formatJobId({cell, dataCentre, hash: hashKey(key)});
+ */
+export function formatJobId(locator: JobLocator): JobId {
+  const parts = [locator.hash, locator.dataCentre, locator.cell];
+  return brand<JobId>(parts.map(encodeURIComponent).join(SEPARATOR));
+}
+
+/** The parts of a job's id; undefined when the text is none. */
+export function parseJobId(text: string): JobLocator | undefined {
+  const parts = text.split(SEPARATOR);
+  if (parts.length !== 3) {
+    return undefined;
+  }
+  try {
+    const [hash = '', dataCentre = '', cell = ''] = parts.map(decodeURIComponent);
+    return {cell: brand<CellId>(cell), dataCentre: brand<DataCentreId>(dataCentre), hash};
+  } catch {
+    return undefined;
+  }
+}
+
+/** The hash of the key that made a job. */
+export function hashOfJob(job: string): string {
+  return parseJobId(job)?.hash ?? job;
+}
--- /dev/null
+++ b/packages/nutmegproxy-tasks/src/JobService.ts
@@ -0,0 +1,184 @@
+/** Jobs of the cells that this VM owns: acceptance, state and cancellation. */
+
+import type {EntryNode} from '@nutmegproxy/core';
+import type {
+  JobCancelled,
+  JobStatus,
+  TaskJobAnswer,
+  TaskJobQuery,
+  TaskSubmit,
+  TaskSubmitAnswer,
+} from '@nutmegproxy/schema';
+
+import type {Cell} from './Cell.ts';
+import type {AppendOutcome} from './CellLog.ts';
+import type {Job} from './TaskModel.ts';
+
+import {withDeadline} from './AsyncUtils.ts';
+import {formatJobId} from './JobIds.ts';
+import {defined} from './ObjectUtils.ts';
+import {jobKey} from './TaskKeys.ts';
+import {taskIdOf, visibleState} from './TaskModel.ts';
+import {
+  MAX_JOBS_PER_CELL,
+  MAX_TASKS_IN_STATUS,
+  MAX_TASKS_PER_CELL,
+  SUBMISSION_TIMEOUT_MS,
+} from './TasksConstants.ts';
+import {TASKS_EVENTS} from './TasksEvents.ts';
+
+/** Finds an owned cell that has been recovered. */
+export type CellLookup = (cell: string) => Cell | undefined;
+
+/** A job's state as users see it. */
+export function statusOf(job: Job): JobStatus {
+  const counts: Record<string, number> = {};
+  for (const task of job.tasks) {
+    const state = visibleState(task);
+    counts[state] = (counts[state] ?? 0) + 1;
+  }
+  return defined({
+    cancelled: job.cancelled,
+    counts,
+    entry: job.entry,
+    impossible: job.queued > 0 ? job.impossible : undefined,
+    job: job.id,
+    tasks: job.tasks.slice(0, MAX_TASKS_IN_STATUS).map((task) =>
+      defined({
+        failures: task.failures,
+        outcome: task.outcome ?? (visibleState(task) === 'ended' ? 'cancelled' : undefined),
+        reason: task.reason,
+        resumed: task.checkpoint !== undefined,
+        state: visibleState(task),
+        task: taskIdOf(task),
+        worker: task.worker,
+      }),
+    ),
+  });
+}
+
+/** Answers for the cells that this VM owns. */
+export class JobService {
+  readonly #cancels = new Map<Cell, CancelBatch>();
+  readonly #cells: CellLookup;
+  readonly #keyPrefix: string;
+  readonly #node: EntryNode;
+
+  constructor(node: EntryNode, cells: CellLookup, keyPrefix: string) {
+    this.#cells = cells;
+    this.#keyPrefix = keyPrefix;
+    this.#node = node;
+  }
+
+  /** Accepts a job once the store has it; a known key gives the job that it made. */
+  async accept(submit: TaskSubmit): Promise<TaskSubmitAnswer> {
+    const cell = this.#cells(submit.cell);
+    if (!cell?.mayAct(this.#node.clock.monotonic())) {
+      return {kind: 'not-owner'};
+    }
+    const {table} = cell;
+    const tasks = table.taskCount + submit.count;
+    if (table.jobs.size >= MAX_JOBS_PER_CELL || tasks > MAX_TASKS_PER_CELL) {
+      return {kind: 'not-accepted', reason: "the cell's queue is full"};
+    }
+    const {dataCentre} = this.#node.identity;
+    const job = formatJobId({cell: cell.id, dataCentre, hash: submit.key});
+    const {count, entry, input} = submit;
+    const at = this.#node.clock.wall();
+    const accepted = defined({at, count, entry, input, job, kind: 'job-accepted'} as const);
+    const appended = cell.append([accepted], {
+      failFast: true,
+      jobKey: {job, key: jobKey(this.#keyPrefix, submit.key)},
+    });
+    const outcome = await withDeadline(appended, SUBMISSION_TIMEOUT_MS, {kind: 'unknown'} as const);
+    if (outcome.kind === 'committed') {
+      this.#node.events.record(TASKS_EVENTS.JOB_ACCEPTED, {count, entry, job});
+    }
+    return SUBMIT_ANSWERS[outcome.kind](outcome, job);
+  }
+
+  /** Reads or cancels a job. */
+  async query(query: TaskJobQuery): Promise<TaskJobAnswer> {
+    const cell = this.#cells(query.cell);
+    if (!cell?.mayAct(this.#node.clock.monotonic())) {
+      return {kind: 'not-owner'};
+    }
+    const job = cell.table.jobs.get(query.job);
+    if (!job) {
+      return {kind: 'missing'};
+    }
+    const cancelling = query.action === 'cancel' && !job.cancelled;
+    if (cancelling && !(await this.#cancel(cell, job))) {
+      return {kind: 'not-accepted'};
+    }
+    return {kind: 'found', status: JSON.stringify(statusOf(job))};
+  }
+
+  async #cancel(cell: Cell, job: Job): Promise<boolean> {
+    const batch = this.#cancels.get(cell) ?? new CancelBatch(cell);
+    this.#cancels.set(cell, batch);
+    const change = {at: this.#node.clock.wall(), job: job.id, kind: 'job-cancelled'} as const;
+    const done = await withDeadline(batch.add(change), SUBMISSION_TIMEOUT_MS, false);
+    if (batch.idle) {
+      this.#cancels.delete(cell);
+    }
+    if (done) {
+      this.#node.events.record(TASKS_EVENTS.JOB_CANCELLED, {job: job.id});
+    }
+    return done;
+  }
+}
+
+type SubmitOutcome = AppendOutcome | {readonly kind: 'unknown'};
+
+const SUBMIT_ANSWERS: Record<
+  SubmitOutcome['kind'],
+  (outcome: SubmitOutcome, job: string) => TaskSubmitAnswer
+> = {
+  committed: (_outcome, job) => ({job, kind: 'accepted'}),
+  exists: (outcome, job) => ({job: outcome.kind === 'exists' ? outcome.job : job, kind: 'exists'}),
+  lost: () => ({kind: 'not-owner'}),
+  unavailable: () => ({kind: 'not-accepted', reason: 'the store can not be reached'}),
+  unknown: () => ({kind: 'unknown', reason: 'the store has not answered'}),
+};
+
+const MAX_CANCELS_PER_DELTA = 1000;
+
+/** Gathers a cell's cancels while a commit is in flight, so that a wave of them is a few writes. */
+class CancelBatch {
+  readonly #cell: Cell;
+  #running = false;
+  #waiting: {change: JobCancelled; settle: (done: boolean) => void}[] = [];
+
+  constructor(cell: Cell) {
+    this.#cell = cell;
+  }
+
+  get idle(): boolean {
+    return !this.#running;
+  }
+
+  add(change: JobCancelled): Promise<boolean> {
+    return new Promise((settle) => {
+      this.#waiting.push({change, settle});
+      if (!this.#running) {
+        this.#running = true;
+        void this.#run();
+      }
+    });
+  }
+
+  async #run(): Promise<void> {
+    while (this.#waiting.length > 0) {
+      const batch = this.#waiting.splice(0, MAX_CANCELS_PER_DELTA);
+      const done = await this.#cell.commit(
+        batch.map(({change}) => change),
+        {failFast: true},
+      );
+      batch.forEach(({settle}) => {
+        settle(done);
+      });
+    }
+    this.#running = false;
+  }
+}
--- /dev/null
+++ b/packages/nutmegproxy-tasks/src/ObjectUtils.ts
@@ -0,0 +1,21 @@
+/** Objects without undefined properties, as messages and records need them. */
+
+type UndefinedKeys<Value> = {
+  [Key in keyof Value]: undefined extends Value[Key] ? Key : never;
+}[keyof Value];
+
+/** `Value` with each property that may be undefined made optional. */
+export type Defined<Value> = Omit<Value, UndefinedKeys<Value>> & {
+  [Key in UndefinedKeys<Value>]?: Exclude<Value[Key], undefined>;
+};
+
+/**
+ * A copy of an object without its undefined properties.
+ *
+ * @example
+ * const message = defined({entry: 'digest', input: undefined}); // {entry: 'digest'}
+ */
+export function defined<Value extends object>(value: Value): Defined<Value> {
+  const entries = Object.entries(value).filter(([, each]) => each !== undefined);
+  return Object.fromEntries(entries) as Defined<Value>;
+}
--- /dev/null
+++ b/packages/nutmegproxy-tasks/src/RegisterTasks.ts
@@ -0,0 +1,107 @@
+/** Registers the tasks feature on an entry VM's process. */
+
+import type {EntryNode, Unregister} from '@nutmegproxy/core';
+import type {PeerMesh} from '@nutmegproxy/peers';
+
+import {DRAIN_STARTED, mergeUnregister, PRIORITY_NORMAL} from '@nutmegproxy/core';
+import {validateCellSummaries, validateTaskJobQuery, validateTaskSubmit} from '@nutmegproxy/schema';
+
+import type {CellServices} from './CellSupervisor.ts';
+import type {RouteHandler} from './TaskRoutes.ts';
+
+import {wait} from './AsyncUtils.ts';
+import {CellSupervisor} from './CellSupervisor.ts';
+import {JobRouter, QUERY_MESSAGE, SUBMIT_MESSAGE, SUMMARIES_MESSAGE} from './JobRouter.ts';
+import {JobService} from './JobService.ts';
+import {SummaryBoard} from './SummaryBoard.ts';
+import {createTaskRoute, TASKS_PREFIX} from './TaskRoutes.ts';
+import {SUMMARY_INTERVAL_MS, SUPERVISION_INTERVAL_MS} from './TasksConstants.ts';
+
+/** What the feature needs from the others. */
+export interface TasksServices extends CellServices {
+  readonly mesh: PeerMesh;
+  /** Registers a handler for all paths under a prefix of the callers' listener. */
+  readonly registerRoute: (prefix: string, handler: RouteHandler) => Unregister;
+}
+
+/**
+ * Runs the cells that this VM owns, and serves /tasks to callers.
+ *
+ * @example
+ * const unregister = registerTasks(node, services);
+ */
+export function registerTasks(node: EntryNode, services: TasksServices): Unregister {
+  const supervisor = new CellSupervisor(node, services);
+  const board = new SummaryBoard();
+  const jobs = new JobService(node, (cell) => supervisor.cell(cell), services.keyPrefix);
+  const router = new JobRouter({...services, board, jobs, node});
+  const unregister = mergeUnregister(
+    () => {
+      supervisor.close();
+    },
+    registerMessages(services.mesh, board, jobs),
+    services.registerRoute(TASKS_PREFIX, createTaskRoute(router)),
+    registerDrain(node, supervisor),
+    startSummaries(node, services.mesh, supervisor, board),
+  );
+  void supervisor.run();
+  return unregister;
+}
+
+function registerDrain(node: EntryNode, supervisor: CellSupervisor): Unregister {
+  return node.bus.register(
+    DRAIN_STARTED,
+    ({wait: waitFor}) => {
+      waitFor(supervisor.drain());
+      return false;
+    },
+    PRIORITY_NORMAL,
+  );
+}
+
+function registerMessages(mesh: PeerMesh, board: SummaryBoard, jobs: JobService): Unregister {
+  return mergeUnregister(
+    mesh.registerHandler(SUBMIT_MESSAGE, (body) =>
+      validateTaskSubmit(body) ? jobs.accept(body) : undefined,
+    ),
+    mesh.registerHandler(QUERY_MESSAGE, (body) =>
+      validateTaskJobQuery(body) ? jobs.query(body) : undefined,
+    ),
+    mesh.registerHandler(SUMMARIES_MESSAGE, (body, from, now) => {
+      if (validateCellSummaries(body)) {
+        board.note(from, body.cells, now);
+      }
+      return undefined;
+    }),
+  );
+}
+
+/** Tells the peers, and this VM's own router, how much room the owned cells have. */
+function startSummaries(
+  node: EntryNode,
+  mesh: PeerMesh,
+  supervisor: CellSupervisor,
+  board: SummaryBoard,
+): Unregister {
+  let running = true;
+  let sentAt = -Infinity;
+  let sentCells = '';
+  const loop = async (): Promise<void> => {
+    while (running) {
+      const now = node.clock.monotonic();
+      const cells = supervisor.summaries();
+      const owned = cells.map(({cell, epoch}) => `${cell}:${epoch}`).join();
+      board.note(node.identity, cells, now);
+      if (owned !== sentCells || now - sentAt >= SUMMARY_INTERVAL_MS) {
+        sentAt = now;
+        sentCells = owned;
+        mesh.broadcast({body: {cells}, type: SUMMARIES_MESSAGE});
+      }
+      await wait(SUPERVISION_INTERVAL_MS);
+    }
+  };
+  void loop();
+  return () => {
+    running = false;
+  };
+}
--- /dev/null
+++ b/packages/nutmegproxy-tasks/src/TaskKeys.ts
@@ -0,0 +1,58 @@
+/** Keys of the task log in the platform's store. */
+
+import type {CellId, DataCentreId} from '@nutmegproxy/core';
+
+const SEQUENCE_DIGITS = 12;
+
+function padded(value: number): string {
+  return String(value).padStart(SEQUENCE_DIGITS, '0');
+}
+
+/** Keys of one cell. Deltas sort by generation, then by sequence number. */
+export class CellKeys {
+  readonly deltas: string;
+  readonly owner: string;
+  readonly snapshot: string;
+  readonly #root: string;
+
+  constructor(keyPrefix: string, dataCentre: DataCentreId, cell: CellId) {
+    this.#root = `${keyPrefix}/dc/${dataCentre}/cell/${cell}`;
+    this.deltas = `${this.#root}/delta/`;
+    this.owner = `${this.#root}/owner`;
+    this.snapshot = `${this.#root}/snapshot`;
+  }
+
+  chunk(generation: number, index: number): string {
+    return `${this.chunks(generation)}${padded(index)}`;
+  }
+
+  /** Prefix of one snapshot's chunks. */
+  chunks(generation: number): string {
+    return `${this.#root}/chunk/${padded(generation)}/`;
+  }
+
+  delta(generation: number, sequence: number): string {
+    return `${this.generation(generation)}${padded(sequence)}`;
+  }
+
+  /** Prefix of the deltas between two snapshots. */
+  generation(generation: number): string {
+    return `${this.deltas}${padded(generation)}/`;
+  }
+
+  /** Generation and sequence number of a delta's key. */
+  parseDelta(key: string): {generation: number; sequence: number} {
+    const [generation, sequence] = key.slice(this.deltas.length).split('/');
+    return {generation: Number(generation), sequence: Number(sequence)};
+  }
+}
+
+/**
+ * Key that holds the job made by an idempotency key's hash.
+ *
+ * @example
+ * jobKey('/nutmegproxy', '9f86d08…'); // '/nutmegproxy/jobs/9f86d08…'
+ */
+export function jobKey(keyPrefix: string, hash: string): string {
+  return `${keyPrefix}/jobs/${hash}`;
+}
--- /dev/null
+++ b/packages/nutmegproxy-tasks/src/TasksConstants.ts
@@ -0,0 +1,52 @@
+/** Limits and default durations of the tasks feature. */
+
+/** Items of one store transaction; nested conditions and operations stay under the store's 128. */
+export const MAX_ITEMS_PER_COMMIT = 64;
+export const MAX_COMMIT_BYTES = 900_000;
+export const MAX_DELTA_BYTES = 400_000;
+export const SNAPSHOT_CHUNK_BYTES = 400_000;
+/** Items that may wait for a commit; submissions beyond are refused. */
+export const MAX_WAITING_ITEMS = 4096;
+export const SNAPSHOT_AFTER_DELTAS = 256;
+export const SNAPSHOT_AFTER_BYTES = 2_000_000;
+export const DEFAULT_COMMIT_INTERVAL_MS = 10;
+export const MAX_COMMIT_INTERVAL_MS = 500;
+export const COMMIT_RETRY_MS = 200;
+/** How long a submission waits for the store's answer before its outcome is told as unknown. */
+export const SUBMISSION_TIMEOUT_MS = 3000;
+export const RETRY_AFTER_SECONDS = 1;
+export const PEER_TIMEOUT_MS = 4000;
+
+export const DEFAULT_TASK_LEASE_MS = 30_000;
+export const DEFAULT_WORKER_SYNC_MS = 1000;
+/** Time for a start to reach the worker, by the wall clock. */
+export const START_WINDOW_MS = 5000;
+/** Share by which two machines' clocks may run apart, and how far apart wall clocks may stand. */
+export const CLOCK_RATE_MARGIN = 0.01;
+export const CLOCK_SKEW_MS = 1000;
+export const RETRY_BASE_MS = 500;
+export const RETRY_MAX_MS = 60_000;
+export const DEFAULT_ATTEMPTS = 3;
+/** How long a wish that can't be placed is passed over, by kind of answer. */
+export const IMPOSSIBLE_RECHECK_MS = 5000;
+
+export const MAX_DECISIONS_PER_ROUND = 512;
+export const MAX_QUEUE_SCAN_PER_ROUND = 4096;
+export const DECISION_INTERVAL_MS = 20;
+export const SUPERVISION_INTERVAL_MS = 100;
+export const RECOVERY_RETRY_MS = 1000;
+export const SUMMARY_INTERVAL_MS = 1000;
+export const SUMMARY_MAX_AGE_MS = 10_000;
+export const ENDED_JOB_RETENTION_MS = 600_000;
+export const MAX_ENDED_JOBS = 5000;
+/** Queued and running jobs of one cell; submissions beyond are refused. */
+export const MAX_FORGOTTEN_PER_ROUND = 24;
+export const MAX_TASKS_PER_CELL = 100_000;
+export const FORGOTTEN_KEY_TTL_SECONDS = 86_400;
+export const FORGOTTEN_LEASE_AGE_MS = 3_600_000;
+export const MAX_JOBS_PER_CELL = 20_000;
+export const MAX_TASKS_IN_STATUS = 1000;
+export const MAX_MOVES_PER_ROUND = 64;
+export const DEFAULT_DECLARED_CPU = 1;
+export const DEFAULT_DECLARED_MEMORY_MB = 1024;
+export const DEFAULT_RUN_TIME_MS = 60_000;
--- /dev/null
+++ b/packages/nutmegproxy-tasks/src/__tests__/TestBench.ts
@@ -0,0 +1,272 @@
+/** A data centre of two entry VMs, one cell and two workers, all in memory. */
+
+import type {CatalogueView} from '@nutmegproxy/catalogue';
+import type {CellId, EntryNode, IncarnationId, NodeIdentity, Unregister} from '@nutmegproxy/core';
+import type {Allotment, Member, Membership} from '@nutmegproxy/membership';
+import type {PeerHandler, PeerMesh} from '@nutmegproxy/peers';
+import type {Placement} from '@nutmegproxy/placement';
+import type {Entry, JobStatus, Team, Vm} from '@nutmegproxy/schema';
+
+import {brand, CommandBus, DRAIN_STARTED, ManualClock, SILENT_EVENTS} from '@nutmegproxy/core';
+import {PLACEMENTS} from '@nutmegproxy/placement';
+import {errAsync, okAsync, ResultAsync} from 'neverthrow';
+import assert from 'node:assert/strict';
+import {setTimeout as delay} from 'node:timers/promises';
+import {Registry} from 'prom-client';
+
+import type {StoredOwner} from '../CellRecovery.ts';
+import type {RouteAnswer, RouteHandler} from '../TaskRoutes.ts';
+
+import {registerTasks} from '../RegisterTasks.ts';
+import {FakeWorkers} from './FakeWorkers.ts';
+import {MemoryStore} from './MemoryStore.ts';
+
+export const CELL = brand<CellId>('rack-1');
+export const DATA_CENTRE = 'dc1';
+export const LEASE_MS = 1000;
+const OWNER_KEY = `/n/dc/${DATA_CENTRE}/cell/${CELL}/owner`;
+const WAIT_STEP_MS = 5;
+const WAIT_STEPS = 2000;
+
+export const DIGEST: Entry = {
+  checkpoint: true,
+  class: 'batch',
+  id: 'digest',
+  kind: 'task',
+  limits: {attempts: 2, cpu: 4, memoryMb: 100},
+  owner: 'oportuna',
+};
+export const HUGE: Entry = {...DIGEST, id: 'huge', limits: {cpu: 100, memoryMb: 100}};
+export const IDLE_TEAM: Entry = {...DIGEST, id: 'idle-team', owner: 'idle'};
+
+/** One entry VM with the tasks feature. */
+export interface TestVm {
+  readonly call: (
+    method: string,
+    path: string,
+    body?: unknown,
+    key?: string,
+  ) => Promise<RouteAnswer>;
+  readonly identity: NodeIdentity;
+  readonly node: EntryNode;
+  tenure: boolean;
+  readonly unregister: Unregister;
+}
+
+/** Waits until `condition` holds; moves the clock by `stepMs` with each look. */
+export async function until(
+  condition: () => boolean | Promise<boolean>,
+  what: string,
+  step: () => void = () => undefined,
+): Promise<void> {
+  for (let index = 0; index < WAIT_STEPS; index += 1) {
+    if (await condition()) {
+      return;
+    }
+    step();
+    await delay(WAIT_STEP_MS);
+  }
+  assert.fail(`never came: ${what}`);
+}
+
+export class TestBench {
+  readonly clock = new ManualClock();
+  drained = new Set<string>();
+  epoch = 0;
+  owner: IncarnationId = brand<IncarnationId>('none');
+  placementOf: () => Placement = () => PLACEMENTS['first-fit']();
+  readonly store = new MemoryStore();
+  readonly vms: TestVm[] = [];
+  readonly workers = new FakeWorkers(this.clock);
+  readonly #handlers = new Map<string, Map<string, PeerHandler>>();
+
+  addVm(name: string): TestVm {
+    const identity: NodeIdentity = {
+      dataCentre: brand(DATA_CENTRE),
+      incarnation: brand(`${name}.${this.vms.length}`),
+      region: brand('r1'),
+      vm: brand(name),
+    };
+    const node: EntryNode = {
+      bus: new CommandBus(),
+      clock: this.clock,
+      events: SILENT_EVENTS,
+      identity,
+      metrics: new Registry(),
+    };
+    const routes: RouteHandler[] = [];
+    const state = {tenure: true};
+    const unregister = registerTasks(node, {
+      catalogue: {current: () => this.#view()},
+      commitIntervalMs: 1,
+      createPlacement: () => this.placementOf(),
+      directory: {
+        markLeaving: () => undefined,
+        vm: (id) => this.#vms().find((vm) => vm.id === id),
+        vms: () => this.#vms(),
+      },
+      keyPrefix: '/n',
+      membership: this.#membership(state),
+      mesh: this.#mesh(identity),
+      parseOwner: (value) => JSON.parse(value.toString()) as StoredOwner,
+      registerRoute: (_prefix, handler) => {
+        routes.push(handler);
+        return () => undefined;
+      },
+      store: this.store,
+      timings: {leaseMs: LEASE_MS, syncMs: 5},
+      workers: this.workers,
+    });
+    const call: TestVm['call'] = (method, path, body, key) => {
+      const headers = key === undefined ? {} : {'idempotency-key': key};
+      const [route] = routes;
+      assert.ok(route);
+      return route({body: Buffer.from(JSON.stringify(body ?? {})), headers, method, path});
+    };
+    const vm: TestVm = {
+      call,
+      identity,
+      node,
+      get tenure() {
+        return state.tenure;
+      },
+      set tenure(value) {
+        state.tenure = value;
+      },
+      unregister,
+    };
+    this.vms.push(vm);
+    return vm;
+  }
+
+  close(): void {
+    this.vms.forEach(({unregister}) => {
+      unregister();
+    });
+  }
+
+  async drain(vm: TestVm): Promise<void> {
+    const waits: Promise<void>[] = [];
+    vm.node.bus.dispatch(DRAIN_STARTED, {wait: (work) => waits.push(work)});
+    await Promise.all(waits);
+  }
+
+  /** Makes `vm` the owner of the cell, in the store and in the allotment. */
+  give(vm: TestVm): void {
+    this.epoch += 1;
+    this.owner = vm.identity.incarnation;
+    this.store.put(OWNER_KEY, {epoch: this.epoch, owner: this.owner});
+  }
+
+  async status(vm: TestVm, job: string): Promise<JobStatus> {
+    const answer = await vm.call('GET', `/tasks/${job}`);
+    assert.equal(answer.status, 200, answer.body);
+    return JSON.parse(answer.body) as JobStatus;
+  }
+
+  /** Submits through `vm`, waiting for the cell to be ready. */
+  async submit(vm: TestVm, count = 1, key?: string): Promise<string> {
+    let job = '';
+    await until(async () => {
+      const answer = await vm.call('POST', '/tasks', {count, entry: DIGEST.id}, key);
+      job = answer.status < 300 ? (JSON.parse(answer.body) as {job: string}).job : '';
+      return job !== '';
+    }, 'the submission is accepted');
+    return job;
+  }
+
+  /** Waits until the job's counts are as given. */
+  async untilCounts(
+    vm: TestVm,
+    job: string,
+    counts: Record<string, number>,
+    step?: () => void,
+  ): Promise<void> {
+    const wanted = JSON.stringify(Object.entries(counts).sort());
+    await until(
+      async () => {
+        const answer = await vm.call('GET', `/tasks/${job}`);
+        const found = answer.status === 200 && (JSON.parse(answer.body) as JobStatus);
+        return found !== false && JSON.stringify(Object.entries(found.counts).sort()) === wanted;
+      },
+      `${job} ${wanted}`,
+      step,
+    );
+  }
+
+  #membership(state: {tenure: boolean}): Membership {
+    return {
+      allotment: () => this.#allotment(),
+      holdsTenure: () => state.tenure,
+      tenureEnds: () => this.clock.monotonic(),
+    };
+  }
+
+  #allotment(): Allotment {
+    const members = this.vms.map(({identity}): Member => ({
+      incarnation: identity.incarnation,
+      peerAddress: '',
+      vm: identity.vm,
+    }));
+    return {
+      cells: new Map([[CELL, {cell: CELL, epoch: this.epoch, owner: this.owner}]]),
+      dataCentre: brand(DATA_CENTRE),
+      epoch: this.epoch,
+      members: new Map(members.map((member) => [member.incarnation, member])),
+      minions: new Map(),
+      modRevision: 1,
+    };
+  }
+
+  #mesh(from: NodeIdentity): PeerMesh {
+    const handlers = new Map<string, PeerHandler>();
+    this.#handlers.set(from.vm, handlers);
+    return {
+      broadcast: ({body, type}) => {
+        for (const [vm, each] of this.#handlers) {
+          if (vm !== from.vm) {
+            each.get(type)?.(body, from, this.clock.monotonic());
+          }
+        }
+      },
+      peers: () => [],
+      registerHandler: (type, handler) => {
+        handlers.set(type, handler);
+        return () => handlers.delete(type);
+      },
+      request: (to, _incarnation, {body, type}) => {
+        const handler = this.#handlers.get(to)?.get(type);
+        if (!handler) {
+          return errAsync({kind: 'unreachable', message: 'no link'});
+        }
+        const answer = handler(body, from, this.clock.monotonic());
+        return new ResultAsync(Promise.resolve(answer).then((value) => okAsync(value)));
+      },
+      send: () => true,
+    };
+  }
+
+  #view(): CatalogueView {
+    const entries = [DIGEST, HUGE, IDLE_TEAM].map((entry) => [brand(entry.id), entry] as const);
+    const teams: Team[] = [{id: 'oportuna'}, {id: 'idle', quota: {cpu: 0}}];
+    return {
+      entries: new Map(entries as never),
+      isDrained: (_target, id) => this.drained.has(id),
+      revision: 1,
+      stoppedVms: new Set(),
+      teams: new Map(teams.map((team) => [brand(team.id), team])),
+    };
+  }
+
+  #vms(): Vm[] {
+    return ['w1', 'w2'].map((id) => ({
+      address: id,
+      capacity: {accelerators: 0, cpu: 16, memoryMb: 60_000},
+      dataCentre: DATA_CENTRE,
+      id,
+      rack: CELL,
+      role: 'worker',
+      state: 'live',
+    }));
+  }
+}
--- /dev/null
+++ b/packages/nutmegproxy-tasks/src/__tests__/unit/Tasks.test.ts
@@ -0,0 +1,293 @@
+import assert from 'node:assert/strict';
+import {afterEach, beforeEach, describe, it} from 'node:test';
+
+import type {TestVm} from '../TestBench.ts';
+
+import {HUGE, IDLE_TEAM, LEASE_MS, TestBench, until} from '../TestBench.ts';
+
+describe('tasks', () => {
+  let bench: TestBench;
+  let first: TestVm;
+  let second: TestVm;
+
+  beforeEach(() => {
+    bench = new TestBench();
+    first = bench.addVm('vm-1');
+    second = bench.addVm('vm-2');
+    bench.give(first);
+  });
+
+  afterEach(() => {
+    bench.close();
+    assert.deepEqual(bench.workers.breaches, []);
+  });
+
+  const lapse = (): void => {
+    bench.clock.advance(LEASE_MS / 10);
+  };
+
+  describe('submission', () => {
+    it('runs the tasks of a job that any VM took', async () => {
+      const job = await bench.submit(second, 3);
+      await bench.untilCounts(second, job, {running: 3});
+      const {tasks} = await bench.status(first, job);
+      tasks.forEach(({task}) => {
+        bench.workers.finish(task, 'succeeded');
+      });
+      await bench.untilCounts(first, job, {ended: 3});
+    });
+
+    it('gives the same job for the same key, through any VM', async () => {
+      const job = await bench.submit(second, 1, 'march-digest');
+      const answer = await first.call('POST', '/tasks', {entry: 'digest'}, 'march-digest');
+      assert.equal(answer.status, 200);
+      assert.equal((JSON.parse(answer.body) as {job: string}).job, job);
+    });
+
+    it('gives one job for the same key twice at the same time', async () => {
+      await bench.submit(first);
+      const answers = await Promise.all(
+        [first, second].map((vm) => vm.call('POST', '/tasks', {entry: 'digest'}, 'same')),
+      );
+      assert.deepEqual(answers.map(({status}) => status).sort(), [200, 201]);
+      assert.equal(answers[0]?.body, answers[1]?.body);
+    });
+
+    it('refuses what can never run', async () => {
+      await bench.submit(first);
+      for (const entry of [HUGE.id, IDLE_TEAM.id, 'unknown']) {
+        const answer = await first.call('POST', '/tasks', {entry});
+        assert.equal(answer.status, 422, answer.body);
+        assert.equal(answer.headers['nutmegproxy-outcome'], 'not-run');
+      }
+    });
+
+    it('refuses at once while the store is down', async () => {
+      await bench.submit(first);
+      bench.store.faults = ['unavailable'];
+      bench.store.stuck = true;
+      const answer = await second.call('POST', '/tasks', {entry: 'digest'}, 'later');
+      assert.equal(answer.status, 503);
+      assert.equal(answer.headers['nutmegproxy-outcome'], 'not-run');
+      assert.ok(answer.headers['retry-after']);
+    });
+
+    it('accepts once though the answers of the store are lost', async () => {
+      await bench.submit(first);
+      for (const fault of ['lost-answer', 'late'] as const) {
+        bench.store.faults = [fault, fault];
+        const job = await bench.submit(second, 1, fault);
+        const again = await bench.submit(first, 1, fault);
+        assert.equal(again, job);
+      }
+    });
+  });
+
+  describe('starts', () => {
+    it('starts an attempt once though the answer of the worker is lost', async () => {
+      bench.workers.startFaults = ['lost-answer'];
+      const job = await bench.submit(first);
+      await bench.untilCounts(first, job, {running: 1});
+      assert.equal(bench.workers.starts.length, 1);
+    });
+
+    it('keeps the reservation of a start that never arrived until it can not arrive', async () => {
+      bench.workers.startFaults = ['lost'];
+      const job = await bench.submit(first);
+      await bench.untilCounts(first, job, {starting: 1});
+      await bench.untilCounts(first, job, {running: 1}, lapse);
+      assert.equal(bench.workers.starts.length, 1);
+    });
+
+    it('tries a refused start again', async () => {
+      bench.workers.startFaults = ['refuse'];
+      const job = await bench.submit(first);
+      await bench.untilCounts(first, job, {running: 1}, lapse);
+    });
+
+    it('gives a task up after its attempts', async () => {
+      const job = await bench.submit(first);
+      await until(
+        async () => (await bench.status(first, job)).counts.ended === 1,
+        'the task has ended',
+        () => {
+          bench.workers.finish(`${job}/0`, 'failed');
+          lapse();
+        },
+      );
+      const {tasks} = await bench.status(first, job);
+      assert.equal(tasks[0]?.outcome, 'failed');
+      assert.equal(tasks[0].failures, 1);
+    });
+
+    it('resumes the task of a worker that is gone, after its lease', async () => {
+      const job = await bench.submit(first);
+      await bench.untilCounts(first, job, {running: 1});
+      const {tasks} = await bench.status(first, job);
+      bench.workers.unreachable.add(tasks[0]?.worker ?? '');
+      await until(() => bench.workers.starts.length === 2, 'a second start', lapse);
+    });
+
+    it('renews leases while the store is down', async () => {
+      const job = await bench.submit(first);
+      await bench.untilCounts(first, job, {running: 1});
+      bench.store.faults = ['unavailable'];
+      bench.store.stuck = true;
+      let renewals = 0;
+      bench.workers.onSync = (_address, {renew = []}) => {
+        renewals += renew.length;
+      };
+      await until(
+        () => renewals > 40,
+        'renewals',
+        () => {
+          bench.clock.advance(LEASE_MS / 100);
+        },
+      );
+      assert.equal(bench.workers.running().length, 1);
+    });
+  });
+
+  describe('change of owner', () => {
+    for (const fault of ['lost', 'lost-answer'] as const) {
+      it(`takes over with a start in flight: ${fault}`, async () => {
+        bench.workers.startFaults = [fault];
+        const job = await bench.submit(first);
+        await until(() => bench.workers.startFaults.length === 0, 'the start is sent');
+        bench.give(second);
+        await bench.untilCounts(second, job, {running: 1}, lapse);
+        assert.equal(bench.workers.running().length, 1);
+      });
+    }
+
+    it('sends nothing once it is fenced, though the intent is committed', async () => {
+      const warm = await bench.submit(first);
+      await bench.untilCounts(first, warm, {running: 1});
+      bench.store.onCommit = ({then}) => {
+        const text = JSON.stringify(then, (_, value: unknown) => value);
+        const intent = Buffer.from('"start-intended"').toJSON().data.join(',');
+        if (text.includes(intent)) {
+          first.tenure = false;
+        }
+      };
+      const job = await bench.submit(first);
+      await until(() => !first.tenure, 'the fence falls');
+      assert.equal(bench.workers.starts.length, 1);
+      bench.store.onCommit = () => undefined;
+      bench.give(second);
+      await bench.untilCounts(second, job, {running: 1}, lapse);
+    });
+
+    it('writes nothing under an owner key that has changed', async () => {
+      const job = await bench.submit(first);
+      await bench.untilCounts(first, job, {running: 1});
+      // The allotment that this VM sees is stale: it still names the VM as the owner.
+      bench.store.put('/n/dc/dc1/cell/rack-1/owner', {epoch: 9, owner: 'vm-2.1'});
+      const answer = await first.call('POST', '/tasks', {entry: 'digest'}, 'stale');
+      assert.equal(answer.status, 503);
+      assert.equal(bench.store.values.has('/n/jobs/stale'), false);
+      assert.equal(bench.workers.starts.length, 1);
+    });
+
+    it('survives two changes of owner, one after the other', async () => {
+      const job = await bench.submit(first, 2);
+      bench.give(second);
+      bench.give(first);
+      await bench.untilCounts(first, job, {running: 2}, lapse);
+      assert.equal(bench.workers.running().length, 2);
+    });
+
+    it('stops acting after a drain, and the tasks run on', async () => {
+      const job = await bench.submit(first);
+      await bench.untilCounts(first, job, {running: 1});
+      await bench.drain(first);
+      bench.give(second);
+      await bench.untilCounts(second, job, {running: 1});
+      assert.equal(bench.workers.starts.length, 1);
+    });
+  });
+
+  describe('eviction', () => {
+    const drainWorkerOf = async (job: string): Promise<string> => {
+      const {tasks} = await bench.status(first, job);
+      const worker = tasks[0]?.worker ?? '';
+      bench.drained.add(worker);
+      return worker;
+    };
+
+    it('moves a task from a drained worker with its checkpoint', async () => {
+      const job = await bench.submit(first);
+      await bench.untilCounts(first, job, {running: 1});
+      await drainWorkerOf(job);
+      await until(() => bench.workers.starts.length === 2, 'a second start');
+      assert.equal(bench.workers.starts[1]?.checkpoint, `checkpoint of ${job}/0#0`);
+      await bench.untilCounts(first, job, {running: 1});
+    });
+
+    for (const step of ['eviction-intended', 'attempt-returned', 'start-intended']) {
+      it(`resumes once though the owner dies at ${step}, twice`, async () => {
+        const job = await bench.submit(first);
+        await bench.untilCounts(first, job, {running: 1});
+        await drainWorkerOf(job);
+        const marker = Buffer.from(`"${step}"`).toJSON().data.join(',');
+        let owner = first;
+        let deaths = 0;
+        bench.store.onCommit = ({then}) => {
+          if (deaths < 2 && JSON.stringify(then).includes(marker)) {
+            deaths += 1;
+            // The write takes effect, its writer never learns of it.
+            owner.tenure = false;
+            bench.store.faults = ['lost-answer'];
+          }
+        };
+        await until(
+          () => bench.workers.starts.length >= 2,
+          'the task is started again',
+          () => {
+            // An unsent start has to expire; else the lease must outlast the change of owner.
+            bench.clock.advance(LEASE_MS / (step === 'start-intended' ? 10 : 200));
+            if (!owner.tenure) {
+              const next = owner === first ? second : first;
+              next.tenure = true;
+              owner = next;
+              bench.give(next);
+            }
+          },
+        );
+        await bench.untilCounts(owner, job, {running: 1}, lapse);
+        assert.equal(bench.workers.running().length, 1);
+        const resumed = bench.workers.starts.filter(({checkpoint}) => checkpoint !== undefined);
+        assert.ok(resumed.length >= 1);
+      });
+    }
+  });
+
+  describe('cancellation', () => {
+    it('ends queued and running tasks', async () => {
+      const job = await bench.submit(first, 20);
+      await bench.untilCounts(first, job, {queued: 12, running: 8});
+      const answer = await second.call('DELETE', `/tasks/${job}`);
+      assert.equal(answer.status, 200);
+      await bench.untilCounts(second, job, {ended: 20});
+      assert.deepEqual(bench.workers.running(), []);
+    });
+
+    it('ends a task that is being evicted, and it does not resume', async () => {
+      const job = await bench.submit(first);
+      await bench.untilCounts(first, job, {running: 1});
+      bench.drained = new Set(['w1', 'w2']);
+      await first.call('DELETE', `/tasks/${job}`);
+      await bench.untilCounts(first, job, {ended: 1});
+      assert.equal(bench.workers.starts.length, 1);
+    });
+
+    it('ends a task whose start is unknown', async () => {
+      bench.workers.startFaults = ['lost-answer'];
+      const job = await bench.submit(first);
+      await until(() => bench.workers.starts.length === 1, 'the start is sent');
+      await first.call('DELETE', `/tasks/${job}`);
+      await bench.untilCounts(first, job, {ended: 1});
+      assert.deepEqual(bench.workers.running(), []);
+    });
+  });
+});
--- a/packages/nutmegproxy-tasks/src/index.ts
+++ b/packages/nutmegproxy-tasks/src/index.ts
@@ -1,3 +1,9 @@
-/** Public surface; filled by the package. */
+/** Public surface of tasks. */
 
-export {};
+export type {OwnerParser, StoredOwner} from './CellRecovery.ts';
+export type {CellServices} from './CellSupervisor.ts';
+export {cellOfWorker} from './CellUtils.ts';
+export {registerTasks} from './RegisterTasks.ts';
+export type {TasksServices} from './RegisterTasks.ts';
+export type {RouteAnswer, RouteHandler, RouteRequest} from './TaskRoutes.ts';
+export type {WorkerTimings} from './WorkerLink.ts';
