--- a/packages/nutmegproxy-tasks/src/__tests__/TestBench.ts
+++ b/packages/nutmegproxy-tasks/src/__tests__/TestBench.ts
@@ -198,6 +198,7 @@
     return {
       allotment: () => this.#allotment(),
       holdsTenure: () => state.tenure,
+      ownShare: () => 0,
       tenureEnds: () => this.clock.monotonic(),
     };
   }
