--- a/packages/nutmegproxy-membership/src/__tests__/fakes/Chaos.ts
+++ b/packages/nutmegproxy-membership/src/__tests__/fakes/Chaos.ts
@@ -13,7 +13,7 @@
 
 export type ActionKind = keyof typeof HANDLERS;
 
-const CLOCK_RATES = [1, 1.02, 0.98, 1.01];
+const CLOCK_RATES = [1, 1.04, 0.96, 1.02];
 const MAX_PROCESSES = 8;
 
 function pick<Item>(items: readonly Item[], index: number): Item | undefined {
--- a/packages/nutmegproxy-membership/src/__tests__/fakes/LoanWorld.ts
+++ b/packages/nutmegproxy-membership/src/__tests__/fakes/LoanWorld.ts
@@ -14,7 +14,7 @@
 export const MINION = brand<MinionId>('minion');
 export const LOAN_PERIODS = {loanTermMs: 2_000, requestLimitMs: 3_000};
 const SHARES = [3, 3, 2];
-const CLOCK_RATES = [1, 1.02, 0.98];
+const CLOCK_RATES = [1, 1.04, 0.96];
 /** What the record waits for before it gives a removed member's slots to others. */
 const RECLAIM_MS = (LOAN_PERIODS.loanTermMs + LOAN_PERIODS.requestLimitMs) * 1.05;
 
@@ -52,6 +52,8 @@
   readonly clock: Clock;
   frozen = false;
   readonly loans: SlotLoans;
+  /** Called while this member answers a peer that borrows. */
+  onTake: () => void = () => undefined;
   share: number;
   readonly #ends: number[] = [];
   #lent = 0;
@@ -85,6 +87,7 @@
       lender: {
         restore: (_minion, back) => (this.#lent -= back),
         take: (_minion, wanted) => {
+          this.onTake();
           const taken = Math.min(wanted, this.#idle());
           this.#lent += taken;
           return taken;
--- a/packages/nutmegproxy-membership/src/__tests__/unit/SlotLoans.test.ts
+++ b/packages/nutmegproxy-membership/src/__tests__/unit/SlotLoans.test.ts
@@ -100,6 +100,17 @@
       assert.equal(a.borrowed, 3);
     });
 
+    it('counts the term from the question, not from the answer', async () => {
+      const [world, a, b] = createPair();
+      b.onTake = () => {
+        world.advance(LOAN_PERIODS.loanTermMs * 0.6);
+      };
+      await a.borrow(3);
+      world.advance(LOAN_PERIODS.loanTermMs * 0.4);
+      a.loans.expire(a.clock.monotonic());
+      assert.equal(a.borrowed, 0);
+    });
+
     it('gives the lender its slots back when the answer was lost', async () => {
       const [world, a, b] = createPair();
       world.network.setPassage(b.identity.vm, a.identity.vm, 'cut');
