Add the VM directory, the worker client and the other stand-ins

Marks of leaving VMs are keyed by id and address, so that a lagging list never takes one back; peers hear of them at once and again for a minute. A list with a lower revision is set aside unless that lasts, and a VM goes only after three reports without it. The list is read with If-None-Match: at the planned size a poll a second of the whole list would take more than the 4 KB/s that control may use. exchange() takes headers now. platform.json states the bodies of POST /v1/start. A start whose answer is malformed or lacks a result counts as unknown: it may have started tasks.

--- /dev/null
+++ b/packages/nutmegproxy-platform/src/JoinedVmDirectory.ts
@@ -0,0 +1,106 @@
+/** The directory of VMs: the list's VMs joined with the marks of those that leave. */
+
+import type {EntryNode, Instant, VmId} from '@nutmegproxy/core';
+import type {PeerMesh} from '@nutmegproxy/peers';
+import type {LeavingMark, Vm, VmReport} from '@nutmegproxy/schema';
+
+import {after} from '@nutmegproxy/core';
+
+import type {LeavingSource, VmDirectory} from './VmDirectory.ts';
+
+import {LeavingMarks} from './LeavingMarks.ts';
+import {ListedVms} from './ListedVms.ts';
+import {MARK_REPEAT_MS, MARKS_PER_NOTICE, MAX_LEAVING_MARKS} from './PlatformConstants.ts';
+import {PLATFORM_EVENTS} from './PlatformEvents.ts';
+import {VMS_CHANGED} from './VmDirectory.ts';
+
+/** Type of the peer message that passes marks on. */
+export const LEAVING_NOTICE = 'platform.leaving';
+
+function toMark(vm: Vm): LeavingMark {
+  return {address: vm.address, vm: vm.id};
+}
+
+export class JoinedVmDirectory implements VmDirectory {
+  readonly #listed = new ListedVms();
+  readonly #marks: LeavingMarks;
+  readonly #mesh: PeerMesh;
+  readonly #node: EntryNode;
+  #vms: ReadonlyMap<string, Vm> = new Map();
+
+  constructor(node: EntryNode, mesh: PeerMesh, markCapacity = MAX_LEAVING_MARKS) {
+    this.#node = node;
+    this.#mesh = mesh;
+    this.#marks = new LeavingMarks(markCapacity);
+  }
+
+  markLeaving(vm: VmId, source: LeavingSource, now: Instant): void {
+    const listed = this.#listed.get(vm);
+    if (listed !== undefined) {
+      this.addMarks([toMark(listed)], source, now);
+    }
+  }
+
+  vm(id: VmId): undefined | Vm {
+    return this.#vms.get(id);
+  }
+
+  vms(): readonly Vm[] {
+    return [...this.#vms.values()];
+  }
+
+  /** Adds marks, tells the peers of those that no peer told, and joins anew. */
+  addMarks(marks: readonly LeavingMark[], source: LeavingSource, now: Instant): void {
+    const added = marks.filter((mark) => this.#marks.add(mark, now));
+    if (added.length === 0) {
+      return;
+    }
+    for (const mark of added) {
+      const fields = {address: mark.address, source, vm: mark.vm};
+      this.#node.events.record(PLATFORM_EVENTS.VM_LEAVING, fields);
+    }
+    this.#marks.trim((mark) => this.#listed.get(mark.vm)?.address === mark.address);
+    if (source !== 'peer') {
+      this.#tellPeers(added);
+    }
+    this.#join();
+  }
+
+  /** Repeats young marks for peers that were cut off when they were new. */
+  repeatMarks(now: Instant): void {
+    const since = after(now, -MARK_REPEAT_MS);
+    this.#tellPeers(this.#marks.learnedSince(since, MARKS_PER_NOTICE));
+  }
+
+  takeReport(report: VmReport, now: Instant): void {
+    const outcome = this.#listed.take(report);
+    if (outcome === 'older') {
+      const fields = {revision: report.revision};
+      this.#node.events.record(PLATFORM_EVENTS.VM_LIST_LOWER, fields);
+    }
+    if (outcome !== 'taken') {
+      return;
+    }
+    const leaving = report.vms.filter(({state}) => state === 'leaving');
+    this.addMarks(leaving.map(toMark), 'list', now);
+    this.#join();
+  }
+
+  #join(): void {
+    const joined = this.#listed
+      .vms()
+      .map((vm): Vm => (this.#marks.has(toMark(vm)) ? {...vm, state: 'leaving'} : vm));
+    const changed = JSON.stringify(joined) !== JSON.stringify(this.vms());
+    this.#vms = new Map(joined.map((vm) => [vm.id, vm]));
+    if (changed) {
+      this.#node.bus.dispatch(VMS_CHANGED, this);
+    }
+  }
+
+  #tellPeers(marks: readonly LeavingMark[]): void {
+    for (let start = 0; start < marks.length; start += MARKS_PER_NOTICE) {
+      const body = {marks: marks.slice(start, start + MARKS_PER_NOTICE)};
+      this.#mesh.broadcast({body, type: LEAVING_NOTICE});
+    }
+  }
+}
--- /dev/null
+++ b/packages/nutmegproxy-platform/src/VmDirectoryFeature.ts
@@ -0,0 +1,118 @@
+/** Attaches the directory of VMs to a process: polls the list and exchanges marks with peers. */
+
+import type {EntryNode, Unregister} from '@nutmegproxy/core';
+import type {PeerMesh} from '@nutmegproxy/peers';
+import type {LeavingNotice} from '@nutmegproxy/schema';
+
+import {mergeUnregister} from '@nutmegproxy/core';
+import {validateLeavingNotice} from '@nutmegproxy/schema';
+import {setTimeout as sleep} from 'node:timers/promises';
+import {Counter, Gauge} from 'prom-client';
+
+import type {VmDirectory} from './VmDirectory.ts';
+import type {PlatformFailure, VmList} from './VmList.ts';
+
+import {JoinedVmDirectory, LEAVING_NOTICE} from './JoinedVmDirectory.ts';
+import {MARK_REPEAT_INTERVAL_MS} from './PlatformConstants.ts';
+import {PLATFORM_EVENTS} from './PlatformEvents.ts';
+
+/** What the feature works with. */
+export interface VmDirectoryServices {
+  readonly mesh: PeerMesh;
+  readonly pollMs: number;
+  readonly vmList: VmList;
+}
+
+/** A directory that is kept current until `unregister` is called. */
+export interface VmDirectoryRegistration {
+  readonly directory: VmDirectory;
+  readonly unregister: Unregister;
+}
+
+function registerMetrics(node: EntryNode, directory: VmDirectory): Counter<'outcome'> {
+  new Gauge({
+    collect() {
+      this.reset();
+      for (const {role, state} of directory.vms()) {
+        this.inc({role, state});
+      }
+    },
+    help: 'VMs in the directory by role and state.',
+    labelNames: ['role', 'state'],
+    name: 'nutmegproxy_platform_vms',
+    registers: [node.metrics],
+  });
+  return new Counter({
+    help: 'Reads of the list of VMs by outcome.',
+    labelNames: ['outcome'],
+    name: 'nutmegproxy_platform_vm_list_reads_total',
+    registers: [node.metrics],
+  });
+}
+
+/** Runs `step` again and again until the returned function is called. */
+function repeat(step: () => Promise<void> | void, pauseMs: number): Unregister {
+  const aborter = new AbortController();
+  const run = async (): Promise<void> => {
+    while (!aborter.signal.aborted) {
+      await step();
+      await sleep(pauseMs, undefined, {signal: aborter.signal}).catch(() => undefined);
+    }
+  };
+  void run();
+  return () => {
+    aborter.abort();
+  };
+}
+
+function createPoll(node: EntryNode, vmList: VmList, directory: JoinedVmDirectory) {
+  const reads = registerMetrics(node, directory);
+  let healthy = true;
+  const noteFailure = (failure: PlatformFailure): void => {
+    reads.inc({outcome: failure.kind});
+    if (healthy) {
+      healthy = false;
+      const {kind, message} = failure;
+      node.events.record(PLATFORM_EVENTS.VM_LIST_FAILED, {kind, message});
+    }
+  };
+  return async (): Promise<void> => {
+    const report = await vmList.read();
+    if (report.isErr()) {
+      noteFailure(report.error);
+      return;
+    }
+    reads.inc({outcome: 'ok'});
+    if (!healthy) {
+      healthy = true;
+      node.events.record(PLATFORM_EVENTS.VM_LIST_RECOVERED, {});
+    }
+    directory.takeReport(report.value, node.clock.monotonic());
+  };
+}
+
+/**
+ * Keeps a directory of VMs: the platform's list joined with marks of leaving VMs, which peers pass
+ * on to one another.
+ *
+ * @example
+ * const {directory, unregister} = registerVmDirectory(node, {mesh, pollMs: 1_000, vmList});
+ */
+export function registerVmDirectory(
+  node: EntryNode,
+  {mesh, pollMs, vmList}: VmDirectoryServices,
+): VmDirectoryRegistration {
+  const directory = new JoinedVmDirectory(node, mesh);
+  const stopHandling = mesh.registerHandler(
+    LEAVING_NOTICE,
+    (body, _from, now) => {
+      directory.addMarks((body as LeavingNotice).marks, 'peer', now);
+    },
+    validateLeavingNotice,
+  );
+  const stopPolling = repeat(createPoll(node, vmList, directory), pollMs);
+  const stopRepeating = repeat(() => {
+    directory.repeatMarks(node.clock.monotonic());
+  }, MARK_REPEAT_INTERVAL_MS);
+  return {directory, unregister: mergeUnregister(stopHandling, stopPolling, stopRepeating)};
+}
--- /dev/null
+++ b/packages/nutmegproxy-platform/src/__tests__/unit/PlatformClients.test.ts
@@ -0,0 +1,93 @@
+import type {TaskStart, Vm} from '@nutmegproxy/schema';
+
+import {listen, sendJson, VmListServer, WorkerServer} from '@nutmegproxy/standins';
+import {deepEqual, equal} from 'node:assert/strict';
+import {describe, it} from 'node:test';
+
+import {HttpVmList, HttpWorkerClient} from '../../index.ts';
+
+const VM: Vm = {address: '10.0.0.1:1', dataCentre: 'dc1', id: 'm1', role: 'minion', state: 'live'};
+const START: TaskStart = {
+  attempt: 'a1',
+  entry: 'e',
+  input: '{"workMs":60000}',
+  leaseMs: 60_000,
+  reserved: {accelerators: 0, cpu: 1, memoryMb: 1},
+  startBefore: Date.now() + 60_000,
+  task: 't1',
+};
+
+describe('HttpVmList', () => {
+  it('reads the list, and gives the same report while the revision is unchanged', async () => {
+    const server = new VmListServer();
+    const standin = await server.start();
+    const list = new HttpVmList(`http://127.0.0.1:${standin.port}/`);
+    server.control({vms: [VM]});
+    const first = (await list.read())._unsafeUnwrap();
+    deepEqual(first, {revision: 1, vms: [VM]});
+    equal((await list.read())._unsafeUnwrap(), first);
+    server.control({freeze: true});
+    server.control({vms: []});
+    equal((await list.read())._unsafeUnwrap(), first);
+    server.control({freeze: false});
+    deepEqual((await list.read())._unsafeUnwrap(), {revision: 2, vms: []});
+    server.control({down: true});
+    equal((await list.read())._unsafeUnwrapErr().kind, 'unknown');
+    await list.close();
+    await standin.close();
+    const gone = new HttpVmList(`http://127.0.0.1:${standin.port}/`);
+    equal((await gone.read())._unsafeUnwrapErr().kind, 'unavailable');
+    await gone.close();
+  });
+
+  it('calls an answer of another shape malformed', async () => {
+    const standin = await listen(0, {
+      'GET /vms': ({response}) => {
+        sendJson(response, {vms: 'none'});
+      },
+    });
+    const list = new HttpVmList(`http://127.0.0.1:${standin.port}`);
+    equal((await list.read())._unsafeUnwrapErr().kind, 'malformed');
+    await list.close();
+    await standin.close();
+  });
+});
+
+describe('HttpWorkerClient', () => {
+  it('starts, reports and tells what is unknown from what is refused', async () => {
+    const worker = new WorkerServer('w1', {accelerators: 0, cpu: 1, memoryMb: 1000});
+    const standin = await worker.start();
+    const address = `127.0.0.1:${standin.port}`;
+    const client = new HttpWorkerClient();
+    worker.control({loseNext: 1});
+    equal((await client.start(address, [START]))._unsafeUnwrapErr().kind, 'unknown');
+    deepEqual((await client.start(address, [START]))._unsafeUnwrap(), [
+      {attempt: 'a1', started: true},
+    ]);
+    const report = (await client.sync(address, {stop: ['a1']}))._unsafeUnwrap();
+    deepEqual(
+      report.attempts.map(({state}) => state),
+      ['stopped'],
+    );
+    const malformed = {...START, leaseMs: 'long'} as unknown as TaskStart;
+    equal((await client.start(address, [malformed]))._unsafeUnwrapErr().kind, 'refused');
+    await client.close();
+    await standin.close();
+    const late = new HttpWorkerClient();
+    equal((await late.sync(address, {}))._unsafeUnwrapErr().kind, 'unavailable');
+    await late.close();
+  });
+
+  it('calls a start without a result unknown', async () => {
+    const standin = await listen(0, {
+      'POST /v1/start': ({response}) => {
+        sendJson(response, []);
+      },
+    });
+    const client = new HttpWorkerClient();
+    const outcome = await client.start(`127.0.0.1:${standin.port}`, [START]);
+    equal(outcome._unsafeUnwrapErr().kind, 'unknown');
+    await client.close();
+    await standin.close();
+  });
+});
--- a/packages/nutmegproxy-platform/src/index.ts
+++ b/packages/nutmegproxy-platform/src/index.ts
@@ -1,6 +1,10 @@
 /** Public surface of the platform's VM list and workers. */
 
+export {HttpVmList} from './HttpVmList.ts';
+export {HttpWorkerClient} from './HttpWorkerClient.ts';
 export {VMS_CHANGED} from './VmDirectory.ts';
 export type {LeavingSource, VmDirectory} from './VmDirectory.ts';
+export {registerVmDirectory} from './VmDirectoryFeature.ts';
+export type {VmDirectoryRegistration, VmDirectoryServices} from './VmDirectoryFeature.ts';
 export type {PlatformFailure, VmList} from './VmList.ts';
 export type {StartAnswer, WorkerClient} from './WorkerClient.ts';
--- a/packages/nutmegproxy-schema/src/index.ts
+++ b/packages/nutmegproxy-schema/src/index.ts
@@ -65,9 +65,12 @@
   validatePeerFrame,
   validateProof,
 } from './generated/peersMessagesValidators.js';
+export type {LeavingMark, LeavingNotice} from './generated/platformMessagesTypes.ts';
+export {validateLeavingNotice} from './generated/platformMessagesValidators.js';
 export type {
   AttemptReport,
   Resources,
+  StartResult,
   TaskStart,
   Throttle,
   Usage,
@@ -77,7 +80,9 @@
   WorkerSync,
 } from './generated/platformTypes.ts';
 export {
+  validateStartResults,
   validateTaskStart,
+  validateTaskStarts,
   validateVmReport,
   validateWorkerReport,
   validateWorkerSync,
--- a/packages/nutmegproxy-standins/src/HttpListener.ts
+++ b/packages/nutmegproxy-standins/src/HttpListener.ts
@@ -26,7 +26,7 @@
 }
 
 /** Reads a whole body; undefined when it was cut short or is too long. */
-async function readBody(request: IncomingMessage): Promise<Buffer | undefined> {
+export async function readBody(request: IncomingMessage): Promise<Buffer | undefined> {
   const chunks: Buffer[] = [];
   let length = 0;
   try {
@@ -85,11 +85,8 @@
   });
 }
 
-/** Listens on the loopback address; port 0 takes any free one. */
-export async function listen(port: number, routes: HttpRoutes): Promise<Standin> {
-  const server = createServer((request, response) => {
-    void route(routes, request, response);
-  });
+/** Makes a server listen on the loopback address; port 0 takes any free one. */
+export async function listenOn(server: Server, port: number): Promise<Standin> {
   await new Promise<void>((resolve, reject) => {
     server.once('error', reject);
     server.listen(port, '127.0.0.1', resolve);
@@ -97,3 +94,11 @@
   const address = server.address() as AddressInfo;
   return {close: () => closeServer(server), port: address.port};
 }
+
+/** Serves the routes on the loopback address. */
+export function listen(port: number, routes: HttpRoutes): Promise<Standin> {
+  const server = createServer((request, response) => {
+    void route(routes, request, response);
+  });
+  return listenOn(server, port);
+}
--- /dev/null
+++ b/packages/nutmegproxy-standins/src/MinionServer.ts
@@ -0,0 +1,257 @@
+/** The stand-in for a minion: answers requests, counts them and brings about faults. */
+
+import type {IncomingMessage, ServerResponse} from 'node:http';
+import type {Socket} from 'node:net';
+import type {RandomGenerator} from 'pure-rand/types/RandomGenerator';
+
+import {SYSTEM_CLOCK} from '@nutmegproxy/core';
+import {createServer} from 'node:http';
+import {setTimeout as sleep} from 'node:timers/promises';
+import {uniformFloat64} from 'pure-rand/distribution/uniformFloat64';
+import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
+
+import type {Standin} from './HttpListener.ts';
+
+import {listenOn, readBody, readControl, sendJson} from './HttpListener.ts';
+import {HISTORY_CAPACITY} from './StandinsConstants.ts';
+
+export const IDEMPOTENCY_HEADER = 'idempotency-key';
+export const LEAVING_HEADER = 'nutmegproxy-leaving';
+export const REFUSED_HEADER = 'nutmegproxy-refused';
+export const REQUEST_HEADER = 'nutmegproxy-request';
+
+const DEFAULT_ANSWER_BYTES = 256;
+
+/** `refuse` runs nothing; `reset` and `truncate` cut the answer at a byte after the work was done. */
+export type MinionFaultKind = 'hang' | 'none' | 'refuse' | 'reset' | 'truncate';
+
+export interface MinionFault {
+  readonly atByte?: number;
+  readonly kind: MinionFaultKind;
+  /** Requests that the fault strikes; all when it is missing. */
+  readonly next?: number;
+  readonly seed?: number;
+  /** Share of the requests that the fault strikes, 0 to 1. */
+  readonly share?: number;
+}
+
+/** Body of POST /control. */
+export interface MinionControl {
+  readonly answerBytes?: number;
+  readonly fault?: MinionFault;
+  readonly leaving?: boolean;
+  readonly serviceMs?: number;
+}
+
+/**
+ * One request as the minion saw it; times are wall times. `incomplete`: its body never came whole, so
+ * nothing was run; `cut`: it was run, and its answer did not go out whole.
+ */
+export interface MinionRequest {
+  bodyBytes: number;
+  endedAt?: number;
+  readonly idempotencyKey?: string;
+  outcome: 'answered' | 'cut' | 'incomplete' | 'refused' | 'running';
+  readonly request: string;
+  readonly startedAt: number;
+}
+
+export interface MinionCounters {
+  readonly concurrent: number;
+  readonly mostConcurrent: number;
+  readonly mostConnections: number;
+  readonly total: number;
+}
+
+export interface MinionLimits {
+  readonly connections: number;
+  readonly slots: number;
+}
+
+/**
+ * The answer that a minion gives to a request, so that callers can tell it from any other.
+ *
+ * @example
+ * const expected = minionAnswer('request-7', 256);
+ */
+export function minionAnswer(request: string, bytes: number): string {
+  const unit = `${request};`;
+  return unit.repeat(Math.ceil(bytes / unit.length)).slice(0, bytes);
+}
+
+function readHeader(request: IncomingMessage, name: string): string | undefined {
+  const value = request.headers[name];
+  return Array.isArray(value) ? value[0] : value;
+}
+
+type AnswerSender = (response: ServerResponse, body: string, fault: MinionFault) => void;
+
+function sendPart(response: ServerResponse, body: string, bytes: number, after: () => void): void {
+  response.writeHead(200, {'content-length': Buffer.byteLength(body)});
+  response.flushHeaders();
+  response.write(body.slice(0, bytes), after);
+}
+
+const ANSWER_SENDERS: Record<Exclude<MinionFaultKind, 'refuse'>, AnswerSender> = {
+  hang: () => undefined,
+  none: (response, body) => {
+    response.writeHead(200, {'content-length': Buffer.byteLength(body)});
+    response.end(body);
+  },
+  reset: (response, body, {atByte}) => {
+    sendPart(response, body, atByte ?? 0, () => response.socket?.resetAndDestroy());
+  },
+  truncate: (response, body, {atByte}) => {
+    sendPart(response, body, atByte ?? 0, () => response.socket?.end());
+  },
+};
+
+export class MinionServer {
+  #answerBytes = DEFAULT_ANSWER_BYTES;
+  #concurrent = 0;
+  readonly #connections = new Set<Socket>();
+  #fault: MinionFault = {kind: 'none'};
+  readonly #history: MinionRequest[] = [];
+  #leaving = false;
+  readonly #limits: MinionLimits;
+  #mostConcurrent = 0;
+  #mostConnections = 0;
+  #random: RandomGenerator = xoroshiro128plus(1);
+  #serviceMs = 0;
+  #total = 0;
+
+  constructor(limits: MinionLimits) {
+    this.#limits = limits;
+  }
+
+  get counters(): MinionCounters {
+    return {
+      concurrent: this.#concurrent,
+      mostConcurrent: this.#mostConcurrent,
+      mostConnections: this.#mostConnections,
+      total: this.#total,
+    };
+  }
+
+  get history(): readonly MinionRequest[] {
+    return this.#history;
+  }
+
+  control(message: MinionControl): void {
+    this.#answerBytes = message.answerBytes ?? this.#answerBytes;
+    this.#fault = message.fault ?? this.#fault;
+    this.#leaving = message.leaving ?? this.#leaving;
+    this.#serviceMs = message.serviceMs ?? this.#serviceMs;
+    if (message.fault?.seed !== undefined) {
+      this.#random = xoroshiro128plus(message.fault.seed);
+    }
+  }
+
+  start(port = 0): Promise<Standin> {
+    const server = createServer((request, response) => {
+      void this.#route(request, response);
+    });
+    return listenOn(server, port);
+  }
+
+  async #route(request: IncomingMessage, response: ServerResponse): Promise<void> {
+    const paths: Record<string, () => Promise<void> | void> = {
+      '/control': async () => {
+        const body = await readBody(request);
+        this.control(readControl(body ?? Buffer.alloc(0)) as MinionControl);
+        sendJson(response, {});
+      },
+      '/counters': () => {
+        sendJson(response, {...this.counters, limits: this.#limits});
+      },
+      '/history': () => {
+        sendJson(response, this.#history);
+      },
+    };
+    const handle = paths[request.url ?? '/'] ?? (() => this.#serve(request, response));
+    await handle();
+  }
+
+  async #serve(request: IncomingMessage, response: ServerResponse): Promise<void> {
+    this.#countConnection(request.socket);
+    this.#concurrent += 1;
+    this.#total += 1;
+    this.#mostConcurrent = Math.max(this.#mostConcurrent, this.#concurrent);
+    const record = this.#record(request);
+    response.on('close', () => {
+      this.#concurrent -= 1;
+      this.#finish(record, response.writableFinished);
+    });
+    const body = await readBody(request);
+    if (body === undefined) {
+      response.destroy();
+      return;
+    }
+    record.bodyBytes = body.length;
+    record.outcome = 'running';
+    await this.#run(record, response);
+  }
+
+  async #run(record: MinionRequest, response: ServerResponse): Promise<void> {
+    const fault = this.#strike();
+    if (this.#leaving) {
+      response.setHeader(LEAVING_HEADER, 'true');
+    }
+    if (fault.kind === 'refuse') {
+      record.outcome = 'refused';
+      response.setHeader(REFUSED_HEADER, 'true');
+      sendJson(response, {error: 'refused'}, 503);
+      return;
+    }
+    if (this.#serviceMs > 0) {
+      await sleep(this.#serviceMs);
+    }
+    const send = ANSWER_SENDERS[fault.kind];
+    send(response, minionAnswer(record.request, this.#answerBytes), fault);
+  }
+
+  /** The fault that strikes the present request. */
+  #strike(): MinionFault {
+    const fault = this.#fault;
+    if (fault.share !== undefined && uniformFloat64(this.#random) >= fault.share) {
+      return {kind: 'none'};
+    }
+    if (fault.next !== undefined) {
+      const next = fault.next - 1;
+      this.#fault = next > 0 ? {...fault, next} : {kind: 'none'};
+    }
+    return fault;
+  }
+
+  #record(request: IncomingMessage): MinionRequest {
+    const idempotencyKey = readHeader(request, IDEMPOTENCY_HEADER);
+    const record: MinionRequest = {
+      bodyBytes: 0,
+      ...(idempotencyKey === undefined ? {} : {idempotencyKey}),
+      outcome: 'incomplete',
+      request: readHeader(request, REQUEST_HEADER) ?? '',
+      startedAt: SYSTEM_CLOCK.wall(),
+    };
+    this.#history.push(record);
+    if (this.#history.length > HISTORY_CAPACITY) {
+      this.#history.shift();
+    }
+    return record;
+  }
+
+  #finish(record: MinionRequest, whole: boolean): void {
+    record.endedAt = SYSTEM_CLOCK.wall();
+    if (record.outcome === 'running') {
+      record.outcome = whole ? 'answered' : 'cut';
+    }
+  }
+
+  #countConnection(socket: Socket): void {
+    if (this.#connections.has(socket)) {
+      return;
+    }
+    this.#connections.add(socket);
+    this.#mostConnections = Math.max(this.#mostConnections, this.#connections.size);
+    socket.on('close', () => this.#connections.delete(socket));
+  }
+}
--- /dev/null
+++ b/packages/nutmegproxy-standins/src/TcpRelay.ts
@@ -0,0 +1,119 @@
+/** A TCP relay between a port and a target that cuts, delays and resets connections. */
+
+import type {AddressInfo, Socket} from 'node:net';
+
+import {connect, createServer} from 'node:net';
+
+import type {Standin} from './HttpListener.ts';
+
+import {listen, readControl, sendJson} from './HttpListener.ts';
+
+/** Which bytes are swallowed; connections that lost bytes are reset when the cut ends. */
+export type RelayCut = 'both' | 'from-target' | 'none' | 'to-target';
+
+/** Body of POST /control on the control port. */
+export interface RelayControl {
+  readonly cut?: RelayCut;
+  readonly delayMs?: number;
+  /** Resets all connections that are open now. */
+  readonly reset?: boolean;
+}
+
+export interface RelayTarget {
+  readonly host: string;
+  readonly port: number;
+}
+
+interface Passage {
+  readonly client: Socket;
+  lostBytes: boolean;
+  readonly target: Socket;
+}
+
+type Direction = 'from-target' | 'to-target';
+
+export class TcpRelay {
+  #cut: RelayCut = 'none';
+  #delayMs = 0;
+  readonly #passages = new Set<Passage>();
+  readonly #target: RelayTarget;
+
+  constructor(target: RelayTarget) {
+    this.#target = target;
+  }
+
+  control(message: RelayControl): void {
+    this.#delayMs = message.delayMs ?? this.#delayMs;
+    const healed = message.cut === 'none' && this.#cut !== 'none';
+    this.#cut = message.cut ?? this.#cut;
+    const struck = [...this.#passages].filter(
+      ({lostBytes}) => message.reset === true || (healed && lostBytes),
+    );
+    for (const passage of struck) {
+      passage.client.resetAndDestroy();
+      passage.target.resetAndDestroy();
+    }
+  }
+
+  /** Listens; the control API has a port of its own. */
+  async start(port = 0): Promise<Standin & {readonly controlPort: number}> {
+    const server = createServer((client) => {
+      this.#open(client);
+    });
+    await new Promise<void>((resolve, reject) => {
+      server.once('error', reject);
+      server.listen(port, '127.0.0.1', resolve);
+    });
+    const control = await listen(0, {
+      'POST /control': ({body, response}) => {
+        this.control(readControl(body) as RelayControl);
+        sendJson(response, {});
+      },
+    });
+    const close = async (): Promise<void> => {
+      await control.close();
+      this.control({reset: true});
+      await new Promise((resolve) => server.close(resolve));
+    };
+    const address = server.address() as AddressInfo;
+    return {close, controlPort: control.port, port: address.port};
+  }
+
+  #open(client: Socket): void {
+    const target = connect(this.#target.port, this.#target.host);
+    const passage: Passage = {client, lostBytes: false, target};
+    this.#passages.add(passage);
+    this.#pass(passage, client, target, 'to-target');
+    this.#pass(passage, target, client, 'from-target');
+  }
+
+  #pass(passage: Passage, from: Socket, to: Socket, direction: Direction): void {
+    from.setNoDelay(true);
+    from.on('data', (chunk) => {
+      this.#forward(passage, direction, () => to.write(chunk));
+    });
+    from.on('end', () => {
+      this.#forward(passage, direction, () => to.end());
+    });
+    from.on('error', () => {
+      to.destroy();
+    });
+    from.on('close', () => {
+      this.#passages.delete(passage);
+      this.#forward(passage, direction, () => to.destroy());
+    });
+  }
+
+  #forward(passage: Passage, direction: Direction, effect: () => void): void {
+    if (this.#cut === 'both' || this.#cut === direction) {
+      passage.lostBytes = true;
+      return;
+    }
+    if (this.#delayMs === 0) {
+      effect();
+      return;
+    }
+    // Timers of equal delay fire in order, so bytes keep theirs.
+    setTimeout(effect, this.#delayMs);
+  }
+}
--- /dev/null
+++ b/packages/nutmegproxy-standins/src/VmListServer.ts
@@ -0,0 +1,77 @@
+/** The stand-in for the platform's list of VMs; it can freeze and lag. */
+
+import type {Vm, VmReport} from '@nutmegproxy/schema';
+
+import {SYSTEM_CLOCK} from '@nutmegproxy/core';
+
+import type {HttpExchange, Standin} from './HttpListener.ts';
+
+import {listen, readControl, sendJson} from './HttpListener.ts';
+import {VM_LIST_HISTORY} from './StandinsConstants.ts';
+
+/** Body of POST /control. */
+export interface VmListControl {
+  readonly down?: boolean;
+  /** Shows the present list on, whatever is set. */
+  readonly freeze?: boolean;
+  /** Shows the list as it was so long ago. */
+  readonly lagMs?: number;
+  readonly vms?: readonly Vm[];
+}
+
+interface TimedReport {
+  readonly at: number;
+  readonly report: VmReport;
+}
+
+export class VmListServer {
+  #down = false;
+  #frozen: undefined | VmReport;
+  #lagMs = 0;
+  #reports: TimedReport[] = [{at: 0, report: {revision: 0, vms: []}}];
+
+  control(message: VmListControl, now: number = SYSTEM_CLOCK.monotonic()): void {
+    this.#down = message.down ?? this.#down;
+    this.#lagMs = message.lagMs ?? this.#lagMs;
+    if (message.freeze !== undefined) {
+      this.#frozen = message.freeze ? this.report(now) : undefined;
+    }
+    if (message.vms !== undefined) {
+      const revision = (this.#reports.at(-1)?.report.revision ?? 0) + 1;
+      this.#reports.push({at: now, report: {revision, vms: [...message.vms]}});
+      this.#reports = this.#reports.slice(-VM_LIST_HISTORY);
+    }
+  }
+
+  /** What the list shows at `now`. */
+  report(now: number): VmReport {
+    const visible = this.#reports.filter(({at}) => at <= now - this.#lagMs);
+    const latest = visible.at(-1) ?? this.#reports[0];
+    return this.#frozen ?? latest?.report ?? {revision: 0, vms: []};
+  }
+
+  start(port = 0): Promise<Standin> {
+    return listen(port, {
+      'GET /vms': (exchange) => {
+        this.#list(exchange);
+      },
+      'POST /control': ({body, response}) => {
+        this.control(readControl(body) as VmListControl);
+        sendJson(response, {});
+      },
+    });
+  }
+
+  #list({request, response}: HttpExchange): void {
+    if (this.#down) {
+      response.destroy();
+      return;
+    }
+    const report = this.report(SYSTEM_CLOCK.monotonic());
+    if (request.headers['if-none-match'] === `"${report.revision}"`) {
+      response.writeHead(304).end();
+      return;
+    }
+    sendJson(response, report);
+  }
+}
--- /dev/null
+++ b/packages/nutmegproxy-standins/src/WorkerModel.ts
@@ -0,0 +1,297 @@
+/** The stand-in worker without input or output: attempts, leases, speeds and history. */
+
+import type {Instant, WallTime} from '@nutmegproxy/core';
+import type {
+  AttemptReport,
+  Resources,
+  StartResult,
+  TaskStart,
+  Usage,
+  WorkerReport,
+  WorkerSync,
+} from '@nutmegproxy/schema';
+
+import {after} from '@nutmegproxy/core';
+
+import type {WorkInput} from './WorkerTask.ts';
+
+import {HISTORY_CAPACITY, USAGE_SAMPLE_INTERVAL_MS, USAGE_SAMPLES} from './StandinsConstants.ts';
+import {readCheckpoint, readWorkInput, writeCheckpoint} from './WorkerTask.ts';
+
+/** The present time on both clocks. */
+export interface Moment {
+  readonly monotonic: Instant;
+  readonly wall: WallTime;
+}
+
+/** A time in which an attempt ran; `endedAt` is missing while it runs. Wall times. */
+export interface AttemptInterval {
+  readonly attempt: string;
+  readonly cellEpoch?: number;
+  endedAt?: number;
+  endState?: AttemptReport['state'];
+  readonly entry: string;
+  readonly reserved: Resources;
+  /** Work that an earlier checkpoint had done when this attempt began. */
+  readonly resumedFromMs: number;
+  readonly startedAt: number;
+  readonly task: string;
+  readonly worker: string;
+}
+
+export interface WorkerFaults {
+  /** Every task fails as soon as it starts. */
+  readonly failEverything?: boolean;
+  /** How far usage reports lie in the past. */
+  readonly usageLagMs?: number;
+}
+
+interface Attempt {
+  doneMs: number;
+  error: string | undefined;
+  readonly interval: AttemptInterval;
+  leaseEnds: Instant;
+  readonly samples: Usage[];
+  share: number;
+  readonly start: TaskStart;
+  state: AttemptReport['state'];
+  readonly work: WorkInput;
+}
+
+/** Share of its speed that a task keeps when the worker's memory is overfull. */
+const OVERFULL_MEMORY_SPEED = 0.2;
+
+function endWork({work}: Attempt): number {
+  return work.fail ? work.workMs / 2 : work.workMs;
+}
+
+/** Starts all that it is given, whether it fits or not; the more is asked of it, the slower. */
+export class WorkerModel {
+  readonly #attempts = new Map<string, Attempt>();
+  readonly #capacity: Resources;
+  #failEverything = false;
+  readonly #history: AttemptInterval[] = [];
+  readonly #id: string;
+  #last: Moment | undefined;
+  #lastSample = Number.NEGATIVE_INFINITY;
+  #usageLagMs = 0;
+
+  constructor(id: string, capacity: Resources) {
+    this.#id = id;
+    this.#capacity = capacity;
+  }
+
+  /** Running intervals of all attempts, oldest first. */
+  get history(): readonly AttemptInterval[] {
+    return this.#history;
+  }
+
+  /** Lets time pass up to `now`: work proceeds, tasks end and leases lapse. */
+  advance(now: Moment): void {
+    let from = this.#last ?? now;
+    this.#last = now;
+    while (from.monotonic < now.monotonic) {
+      const stepMs = this.#nextStepMs(from, now);
+      this.#proceed(stepMs);
+      from = {
+        monotonic: after(from.monotonic, stepMs),
+        wall: (from.wall + stepMs) as WallTime,
+      };
+      this.#endDue(from);
+    }
+    this.#endDue(now);
+    this.#sample(now);
+  }
+
+  change(faults: WorkerFaults): void {
+    this.#failEverything = faults.failEverything ?? this.#failEverything;
+    this.#usageLagMs = faults.usageLagMs ?? this.#usageLagMs;
+  }
+
+  start(starts: readonly TaskStart[], now: Moment): readonly StartResult[] {
+    this.advance(now);
+    return starts.map((each) => this.#startOne(each, now));
+  }
+
+  sync(sync: WorkerSync, now: Moment): WorkerReport {
+    this.advance(now);
+    this.#renew(sync, now);
+    for (const {attempt, share} of sync.throttle ?? []) {
+      this.#withRunning(attempt, (running) => {
+        running.share = Math.min(1, Math.max(0, share));
+      });
+    }
+    for (const attempt of sync.checkpoint ?? []) {
+      this.#withRunning(attempt, (running) => {
+        this.#end(running, 'checkpointed', now);
+      });
+    }
+    for (const attempt of sync.stop ?? []) {
+      this.#withRunning(attempt, (running) => {
+        this.#end(running, 'stopped', now);
+      });
+    }
+    const report = this.#report(now);
+    this.#forget(sync.acknowledge ?? []);
+    return report;
+  }
+
+  #startOne(start: TaskStart, now: Moment): StartResult {
+    const {attempt} = start;
+    if (this.#attempts.has(attempt)) {
+      return {attempt, started: true};
+    }
+    if (now.wall > start.startBefore) {
+      return {attempt, reason: 'the start came too late', started: false};
+    }
+    const doneMs = readCheckpoint(start.checkpoint);
+    const interval: AttemptInterval = {
+      attempt,
+      ...(start.cellEpoch === undefined ? {} : {cellEpoch: start.cellEpoch}),
+      entry: start.entry,
+      reserved: start.reserved,
+      resumedFromMs: doneMs,
+      startedAt: now.wall,
+      task: start.task,
+      worker: this.#id,
+    };
+    this.#remember(interval);
+    this.#attempts.set(attempt, {
+      doneMs,
+      error: undefined,
+      interval,
+      leaseEnds: after(now.monotonic, start.leaseMs),
+      samples: [],
+      share: 1,
+      start,
+      state: 'running',
+      work: readWorkInput(start.input),
+    });
+    this.#endDue(now);
+    return {attempt, started: true};
+  }
+
+  #remember(interval: AttemptInterval): void {
+    this.#history.push(interval);
+    if (this.#history.length > HISTORY_CAPACITY) {
+      this.#history.shift();
+    }
+  }
+
+  #running(): readonly Attempt[] {
+    return [...this.#attempts.values()].filter(({state}) => state === 'running');
+  }
+
+  #withRunning(id: string, change: (attempt: Attempt) => void): void {
+    const attempt = this.#attempts.get(id);
+    if (attempt?.state === 'running') {
+      change(attempt);
+    }
+  }
+
+  #renew(sync: WorkerSync, now: Moment): void {
+    for (const id of sync.renew ?? []) {
+      this.#withRunning(id, (attempt) => {
+        attempt.leaseEnds = after(now.monotonic, sync.leaseMs ?? attempt.start.leaseMs);
+      });
+    }
+  }
+
+  #forget(ids: readonly string[]): void {
+    for (const id of ids) {
+      if (this.#attempts.get(id)?.state !== 'running') {
+        this.#attempts.delete(id);
+      }
+    }
+  }
+
+  /** Progress in ms of work per ms of time. */
+  #speed(attempt: Attempt, running: readonly Attempt[]): number {
+    const cpu = running.reduce((sum, {share, work}) => sum + work.cpu * share, 0);
+    const memoryMb = running.reduce((sum, {work}) => sum + work.memoryMb, 0);
+    const noise = running
+      .filter((other) => other !== attempt)
+      .reduce((rest, {share, work}) => rest * (1 - work.noise * share), 1);
+    const cpuSpeed = Math.min(1, this.#capacity.cpu / Math.max(cpu, Number.MIN_VALUE));
+    const memorySpeed = memoryMb > this.#capacity.memoryMb ? OVERFULL_MEMORY_SPEED : 1;
+    return attempt.share * cpuSpeed * memorySpeed * noise;
+  }
+
+  /** Time until the next end of a task or lease, at most until `now`. */
+  #nextStepMs(from: Moment, now: Moment): number {
+    const running = this.#running();
+    const ends = running.flatMap((attempt) => {
+      const speed = this.#speed(attempt, running);
+      const workLeftMs = endWork(attempt) - attempt.doneMs;
+      const leaseLeftMs = attempt.leaseEnds - from.monotonic;
+      return speed > 0 ? [workLeftMs / speed, leaseLeftMs] : [leaseLeftMs];
+    });
+    const steps = ends.filter((step) => step > 0);
+    return Math.min(now.monotonic - from.monotonic, ...steps);
+  }
+
+  #proceed(stepMs: number): void {
+    const running = this.#running();
+    const speeds = running.map((attempt) => this.#speed(attempt, running));
+    running.forEach((attempt, index) => {
+      attempt.doneMs += stepMs * (speeds[index] ?? 0);
+    });
+  }
+
+  #endDue(now: Moment): void {
+    for (const attempt of this.#running()) {
+      if (this.#failEverything) {
+        attempt.error = 'the worker fails everything';
+        this.#end(attempt, 'failed', now);
+      } else if (attempt.leaseEnds <= now.monotonic) {
+        this.#end(attempt, 'lapsed', now);
+      } else if (attempt.doneMs >= endWork(attempt) - 1e-6) {
+        attempt.error = attempt.work.fail ? 'the task failed' : undefined;
+        this.#end(attempt, attempt.work.fail ? 'failed' : 'succeeded', now);
+      }
+    }
+  }
+
+  #end(attempt: Attempt, state: AttemptReport['state'], now: Moment): void {
+    attempt.state = state;
+    attempt.interval.endedAt = now.wall;
+    attempt.interval.endState = state;
+  }
+
+  #sample(now: Moment): void {
+    if (now.monotonic - this.#lastSample < USAGE_SAMPLE_INTERVAL_MS) {
+      return;
+    }
+    this.#lastSample = now.monotonic;
+    const running = this.#running();
+    for (const attempt of running) {
+      const speed = this.#speed(attempt, running);
+      const {cpu, memoryMb} = attempt.work;
+      attempt.samples.push({at: now.wall, cpu: cpu * attempt.share, memoryMb, speed});
+      if (attempt.samples.length > USAGE_SAMPLES) {
+        attempt.samples.shift();
+      }
+    }
+  }
+
+  #report(now: Moment): WorkerReport {
+    const attempts = [...this.#attempts.values()].map((each) => this.#reportAttempt(each, now));
+    return {attempts, worker: this.#id};
+  }
+
+  #reportAttempt(attempt: Attempt, now: Moment): AttemptReport {
+    const {doneMs, error, samples, start, state, work} = attempt;
+    const usage = samples.findLast(({at}) => at <= now.wall - this.#usageLagMs);
+    return {
+      attempt: start.attempt,
+      entry: start.entry,
+      progress: Math.min(1, doneMs / work.workMs),
+      reserved: start.reserved,
+      state,
+      task: start.task,
+      ...(state === 'checkpointed' ? {checkpoint: writeCheckpoint(doneMs)} : {}),
+      ...(error === undefined ? {} : {error}),
+      ...(usage === undefined ? {} : {usage}),
+    };
+  }
+}
--- /dev/null
+++ b/packages/nutmegproxy-standins/src/WorkerServer.ts
@@ -0,0 +1,101 @@
+/** The stand-in for a worker over HTTP. */
+
+import type {Resources} from '@nutmegproxy/schema';
+
+import {SYSTEM_CLOCK} from '@nutmegproxy/core';
+import {validateTaskStarts, validateWorkerSync} from '@nutmegproxy/schema';
+import {setTimeout as sleep} from 'node:timers/promises';
+
+import type {HttpExchange, Standin} from './HttpListener.ts';
+import type {Moment, WorkerFaults} from './WorkerModel.ts';
+
+import {listen, readControl, sendJson} from './HttpListener.ts';
+import {WORKER_TICK_MS} from './StandinsConstants.ts';
+import {WorkerModel} from './WorkerModel.ts';
+
+/** Body of POST /control. */
+export interface WorkerControl extends WorkerFaults {
+  readonly delayMs?: number;
+  /** Answers that get lost after the effect: the next so many. */
+  readonly loseNext?: number;
+  /** No call has an effect or an answer; what runs goes on until its lease lapses. */
+  readonly unreachable?: boolean;
+}
+
+function readMoment(): Moment {
+  return {monotonic: SYSTEM_CLOCK.monotonic(), wall: SYSTEM_CLOCK.wall()};
+}
+
+export class WorkerServer {
+  #delayMs = 0;
+  #loseNext = 0;
+  readonly model: WorkerModel;
+  #unreachable = false;
+
+  constructor(id: string, capacity: Resources) {
+    this.model = new WorkerModel(id, capacity);
+  }
+
+  control(message: WorkerControl): void {
+    this.#delayMs = message.delayMs ?? this.#delayMs;
+    this.#loseNext = message.loseNext ?? this.#loseNext;
+    this.#unreachable = message.unreachable ?? this.#unreachable;
+    this.model.change(message);
+  }
+
+  async start(port = 0): Promise<Standin> {
+    const standin = await listen(port, {
+      'GET /history': ({response}) => {
+        this.model.advance(readMoment());
+        sendJson(response, this.model.history);
+      },
+      'POST /control': ({body, response}) => {
+        this.control(readControl(body) as WorkerControl);
+        sendJson(response, {});
+      },
+      'POST /v1/start': (exchange) => this.#answer(exchange, (body) => this.#start(body)),
+      'POST /v1/sync': (exchange) => this.#answer(exchange, (body) => this.#sync(body)),
+    });
+    const timer = setInterval(() => {
+      this.model.advance(readMoment());
+    }, WORKER_TICK_MS);
+    return {
+      close: () => {
+        clearInterval(timer);
+        return standin.close();
+      },
+      port: standin.port,
+    };
+  }
+
+  async #answer({body, response}: HttpExchange, effect: (body: unknown) => unknown) {
+    if (this.#delayMs > 0) {
+      await sleep(this.#delayMs);
+    }
+    if (this.#unreachable) {
+      response.destroy();
+      return;
+    }
+    const answer = effect(JSON.parse(body.toString()));
+    if (this.#loseNext > 0) {
+      this.#loseNext -= 1;
+      response.destroy();
+      return;
+    }
+    sendJson(response, answer);
+  }
+
+  #start(body: unknown): unknown {
+    if (!validateTaskStarts(body)) {
+      throw new Error('malformed starts');
+    }
+    return this.model.start(body, readMoment());
+  }
+
+  #sync(body: unknown): unknown {
+    if (!validateWorkerSync(body)) {
+      throw new Error('malformed sync');
+    }
+    return this.model.sync(body, readMoment());
+  }
+}
--- a/packages/nutmegproxy-standins/src/index.ts
+++ b/packages/nutmegproxy-standins/src/index.ts
@@ -5,8 +5,32 @@
 export {LocalMesh, LocalNetwork} from './LocalMesh.ts';
 export type {Passage} from './LocalMesh.ts';
 export {MemoryStore} from './MemoryStore.ts';
+export {
+  IDEMPOTENCY_HEADER,
+  LEAVING_HEADER,
+  minionAnswer,
+  MinionServer,
+  REFUSED_HEADER,
+  REQUEST_HEADER,
+} from './MinionServer.ts';
+export type {
+  MinionControl,
+  MinionCounters,
+  MinionFault,
+  MinionFaultKind,
+  MinionLimits,
+  MinionRequest,
+} from './MinionServer.ts';
 export {StoreEngine} from './StoreEngine.ts';
 export {StoreFaults} from './StoreFaults.ts';
 export type {StoreFaultSettings} from './StoreFaults.ts';
 export {StoreServer} from './StoreServer.ts';
 export type {StoreControl, StoreCounters} from './StoreServer.ts';
+export {TcpRelay} from './TcpRelay.ts';
+export type {RelayControl, RelayCut, RelayTarget} from './TcpRelay.ts';
+export {VmListServer} from './VmListServer.ts';
+export type {VmListControl} from './VmListServer.ts';
+export {WorkerModel} from './WorkerModel.ts';
+export type {AttemptInterval, Moment, WorkerFaults} from './WorkerModel.ts';
+export {WorkerServer} from './WorkerServer.ts';
+export type {WorkerControl} from './WorkerServer.ts';
--- a/packages/nutmegproxy-store/src/HttpExchange.ts
+++ b/packages/nutmegproxy-store/src/HttpExchange.ts
@@ -8,6 +8,7 @@
 /** A request; it is never sent a second time. */
 export interface HttpCall {
   readonly body?: string;
+  readonly headers?: Readonly<Record<string, string>>;
   readonly maxAnswerBytes: number;
   readonly method: 'GET' | 'POST';
   readonly origin: string;
@@ -99,6 +100,11 @@
   }
 }
 
+function readHeaders(call: HttpCall): Record<string, string> {
+  const type = call.body === undefined ? {} : {'content-type': 'application/json'};
+  return {...type, ...call.headers};
+}
+
 /**
  * Sends a request once and collects the answer. Settles by the call's deadline.
  *
@@ -116,7 +122,7 @@
         dispatcher.dispatch(
           {
             body: call.body ?? null,
-            headers: call.body === undefined ? {} : {'content-type': 'application/json'},
+            headers: readHeaders(call),
             method: call.method,
             origin: call.origin,
             path: call.path,
