--- /dev/null
+++ b/packages/nutmegproxy-admission/src/DeadlineQueue.ts
@@ -0,0 +1,199 @@
+/**
+ * Queue by class and deadline. Requests wait in a heap per entry, entries in a heap per team,
+ * teams in a heap per class; an entry or team at its limit is left out of the heap above it, so
+ * that every step takes logarithmic time.
+ */
+
+import type {EntryId, Instant, RequestId, TeamId} from '@nutmegproxy/core';
+import type {WorkClass} from '@nutmegproxy/schema';
+
+import type {QueueLimits, QueueRefusal, RequestQueue, WaitingRequest} from './RequestQueue.ts';
+
+import {
+  BATCH_AGE_MS,
+  LATENCY_GRANTS_PER_AGED_BATCH,
+  QUEUE_LENGTH_MAX,
+} from './AdmissionConstants.ts';
+import {DeadlineRank} from './DeadlineRank.ts';
+import {IndexedHeap} from './IndexedHeap.ts';
+import {QueueLoad} from './QueueLoad.ts';
+
+interface Waiting {
+  readonly rankBucket: number;
+  readonly request: WaitingRequest;
+}
+
+/** An entry under the team that owned it when the request came: owners can change meanwhile. */
+type GroupKey = `${TeamId} ${EntryId}`;
+
+function groupOf({entry, team}: WaitingRequest): GroupKey {
+  return `${team} ${entry}`;
+}
+
+/** Requests of one class, grouped by team and entry. */
+class ClassQueue {
+  readonly groups = new Map<GroupKey, IndexedHeap<WaitingRequest>>();
+  readonly rank = new DeadlineRank();
+  size = 0;
+  readonly teamGroups = new Map<TeamId, IndexedHeap<GroupKey>>();
+  readonly teams = new IndexedHeap<TeamId>();
+
+  first(): undefined | WaitingRequest {
+    const team = this.teams.peek()?.key;
+    const group = team === undefined ? undefined : this.teamGroups.get(team)?.peek()?.key;
+    return group === undefined ? undefined : this.groups.get(group)?.peek()?.key;
+  }
+
+  /** Puts a request's entry and team where their first deadlines and limits say. */
+  refresh(request: WaitingRequest, load: QueueLoad): void {
+    const group = groupOf(request);
+    const requests = this.groups.get(group);
+    const teamGroups = this.teamGroups.get(request.team) ?? new IndexedHeap<GroupKey>();
+    const first = requests?.peek();
+    if (requests !== undefined && first === undefined) {
+      this.groups.delete(group);
+    }
+    if (first === undefined || load.entryBlocked(request.entry)) {
+      teamGroups.delete(group);
+    } else {
+      teamGroups.set(group, first.priority);
+    }
+    this.#refreshTeam(request.team, teamGroups, load);
+  }
+
+  #refreshTeam(team: TeamId, groups: IndexedHeap<GroupKey>, load: QueueLoad): void {
+    const first = groups.peek();
+    if (first === undefined) {
+      this.teamGroups.delete(team);
+      this.teams.delete(team);
+      return;
+    }
+    this.teamGroups.set(team, groups);
+    if (load.teamBlocked(team)) {
+      this.teams.delete(team);
+      return;
+    }
+    this.teams.set(team, first.priority);
+  }
+}
+
+/**
+ * Latency-critical requests first, by earliest deadline; a batch request that has waited long
+ * passes after a bounded number of them. A request that can't meet its deadline by the expected
+ * wait is refused at once.
+ */
+export class DeadlineQueue implements RequestQueue {
+  readonly #classes: Record<WorkClass, ClassQueue> = {
+    batch: new ClassQueue(),
+    'latency-critical': new ClassQueue(),
+  };
+  #latencyGrants = 0;
+  readonly #limits: QueueLimits;
+  readonly #load: QueueLoad;
+  readonly #waiting = new Map<RequestId, Waiting>();
+
+  constructor(limits: QueueLimits) {
+    this.#limits = limits;
+    this.#load = new QueueLoad(limits);
+  }
+
+  cancel(id: RequestId): boolean {
+    const waiting = this.#waiting.get(id);
+    if (waiting === undefined) {
+      return false;
+    }
+    this.#remove(waiting);
+    this.#refresh(waiting.request);
+    return true;
+  }
+
+  finish(request: WaitingRequest, serviceMs: number | undefined): void {
+    this.#load.finish(request, serviceMs);
+    this.#refresh(request);
+  }
+
+  offer(request: WaitingRequest, now: Instant): QueueRefusal | undefined {
+    const waitMs = this.predictWaitMs(request, now);
+    const kind = this.#refusalKind(request, waitMs, now);
+    if (kind !== undefined) {
+      return {kind, retryAfterMs: waitMs};
+    }
+    const queue = this.#classes[request.class];
+    const requests = queue.groups.get(groupOf(request)) ?? new IndexedHeap<WaitingRequest>();
+    requests.set(request, request.deadline);
+    queue.groups.set(groupOf(request), requests);
+    queue.size += 1;
+    const rankBucket = queue.rank.add(request.deadline, now);
+    this.#waiting.set(request.id, {rankBucket, request});
+    this.#refresh(request);
+    return undefined;
+  }
+
+  predictWaitMs(request: WaitingRequest, now: Instant): number {
+    const rank = this.#classes[request.class].rank.ahead(request.deadline, now);
+    const before = request.class === 'batch' ? this.#classes['latency-critical'].size : 0;
+    return this.#load.predictWaitMs(rank + before);
+  }
+
+  refreshLimits(): void {
+    for (const {request} of this.#waiting.values()) {
+      this.#refresh(request);
+    }
+  }
+
+  get size(): number {
+    return this.#waiting.size;
+  }
+
+  take(now: Instant): undefined | WaitingRequest {
+    const request = this.#next(now);
+    const waiting = request === undefined ? undefined : this.#waiting.get(request.id);
+    if (request === undefined || waiting === undefined) {
+      return undefined;
+    }
+    this.#remove(waiting);
+    this.#load.start(request);
+    this.#refresh(request);
+    this.#latencyGrants = request.class === 'batch' ? 0 : this.#latencyGrants + 1;
+    return request;
+  }
+
+  #next(now: Instant): undefined | WaitingRequest {
+    const latency = this.#classes['latency-critical'].first();
+    const batch = this.#classes.batch.first();
+    if (latency === undefined || batch === undefined) {
+      return latency ?? batch;
+    }
+    const aged = now - batch.arrivedAt >= BATCH_AGE_MS;
+    return aged && this.#latencyGrants >= LATENCY_GRANTS_PER_AGED_BATCH ? batch : latency;
+  }
+
+  #refresh(request: WaitingRequest): void {
+    for (const queue of Object.values(this.#classes)) {
+      queue.refresh(request, this.#load);
+    }
+  }
+
+  #refusalKind(
+    request: WaitingRequest,
+    waitMs: number,
+    now: Instant,
+  ): QueueRefusal['kind'] | undefined {
+    if (this.#waiting.size >= QUEUE_LENGTH_MAX) {
+      return 'queue-full';
+    }
+    const sameEntry = this.#classes[request.class].groups.get(groupOf(request))?.size ?? 0;
+    if (sameEntry >= this.#limits.entryQueue(request.entry)) {
+      return 'entry-queue-full';
+    }
+    return now + waitMs >= request.deadline ? 'too-late' : undefined;
+  }
+
+  #remove({rankBucket, request}: Waiting): void {
+    const queue = this.#classes[request.class];
+    this.#waiting.delete(request.id);
+    queue.groups.get(groupOf(request))?.delete(request);
+    queue.rank.remove(rankBucket);
+    queue.size -= 1;
+  }
+}
--- /dev/null
+++ b/packages/nutmegproxy-admission/src/OutlierTracker.ts
@@ -0,0 +1,134 @@
+/** Ejects minions that fail more than their peers, and tries them again one request at a time. */
+
+import type {Instant, MinionId} from '@nutmegproxy/core';
+
+import {after} from '@nutmegproxy/core';
+
+import {
+  MOVING_MEAN_WEIGHT,
+  OUTLIER_EJECTED_SHARE_MAX,
+  OUTLIER_EJECTION_MAX_MS,
+  OUTLIER_EJECTION_MS,
+  OUTLIER_MARGIN,
+  OUTLIER_MIN_SAMPLES,
+  OUTLIER_MINIONS_MAX,
+  OUTLIER_TRIAL_MS,
+} from './AdmissionConstants.ts';
+
+interface MinionHealth {
+  ejectedUntil: Instant | undefined;
+  ejections: number;
+  failureRate: number;
+  samples: number;
+  trialEnds: Instant | undefined;
+}
+
+/** Failure rates of the minions of one service. */
+export class OutlierTracker {
+  #ejected = 0;
+  readonly #minions = new Map<MinionId, MinionHealth>();
+
+  /** Whether the minion may be given a request. */
+  allows(minion: MinionId, now: Instant): boolean {
+    const health = this.#minions.get(minion);
+    if (health?.ejectedUntil === undefined) {
+      return true;
+    }
+    const trialRuns = health.trialEnds !== undefined && now < health.trialEnds;
+    return now >= health.ejectedUntil && !trialRuns;
+  }
+
+  forget(minion: MinionId): void {
+    if (this.isEjected(minion)) {
+      this.#ejected -= 1;
+    }
+    this.#minions.delete(minion);
+  }
+
+  isEjected(minion: MinionId): boolean {
+    return this.#minions.get(minion)?.ejectedUntil !== undefined;
+  }
+
+  /** Records a result; returns whether it ejected the minion or let it return. */
+  record(minion: MinionId, succeeded: boolean, now: Instant): 'ejected' | 'returned' | undefined {
+    const health = this.#health(minion);
+    if (health.ejectedUntil !== undefined) {
+      return this.#endTrial(health, succeeded, now);
+    }
+    const failed = succeeded ? 0 : 1;
+    health.samples += 1;
+    const weight = Math.max(MOVING_MEAN_WEIGHT, 1 / health.samples);
+    health.failureRate += weight * (failed - health.failureRate);
+    if (!this.#isOutlier(minion, health)) {
+      return undefined;
+    }
+    this.#ejected += 1;
+    eject(health, now);
+    return 'ejected';
+  }
+
+  /** A request was given to the minion; when it stands ejected, this is its trial. */
+  start(minion: MinionId, now: Instant): void {
+    const health = this.#minions.get(minion);
+    if (health?.ejectedUntil !== undefined) {
+      health.trialEnds = after(now, OUTLIER_TRIAL_MS);
+    }
+  }
+
+  #endTrial(health: MinionHealth, succeeded: boolean, now: Instant): 'returned' | undefined {
+    if (health.trialEnds === undefined) {
+      // A result of a request that was sent before the ejection.
+      return undefined;
+    }
+    if (!succeeded) {
+      eject(health, now);
+      return undefined;
+    }
+    this.#ejected -= 1;
+    health.ejectedUntil = undefined;
+    health.trialEnds = undefined;
+    health.failureRate = 0;
+    health.samples = 0;
+    return 'returned';
+  }
+
+  #health(minion: MinionId): MinionHealth {
+    const known = this.#minions.get(minion);
+    if (known !== undefined) {
+      return known;
+    }
+    const [oldest] = this.#minions.keys();
+    if (this.#minions.size >= OUTLIER_MINIONS_MAX && oldest !== undefined) {
+      this.forget(oldest);
+    }
+    const health: MinionHealth = {
+      ejectedUntil: undefined,
+      ejections: 0,
+      failureRate: 0,
+      samples: 0,
+      trialEnds: undefined,
+    };
+    this.#minions.set(minion, health);
+    return health;
+  }
+
+  #isOutlier(minion: MinionId, health: MinionHealth): boolean {
+    if (health.samples < OUTLIER_MIN_SAMPLES) {
+      return false;
+    }
+    const peers = [...this.#minions].filter(
+      ([id, each]) => id !== minion && each.ejectedUntil === undefined && each.samples > 0,
+    );
+    const sum = peers.reduce((total, [, each]) => total + each.failureRate, 0);
+    const mean = peers.length === 0 ? 1 : sum / peers.length;
+    const mayEject = (this.#ejected + 1) / this.#minions.size <= OUTLIER_EJECTED_SHARE_MAX;
+    return mayEject && health.failureRate > mean + OUTLIER_MARGIN;
+  }
+}
+
+function eject(health: MinionHealth, now: Instant): void {
+  const milliseconds = OUTLIER_EJECTION_MS * 2 ** Math.min(10, health.ejections);
+  health.ejectedUntil = after(now, Math.min(OUTLIER_EJECTION_MAX_MS, milliseconds));
+  health.ejections += 1;
+  health.trialEnds = undefined;
+}
