--- /dev/null
+++ b/packages/nutmegproxy-requests/src/CallerListener.ts
@@ -0,0 +1,226 @@
+/** The listener for callers: connections, routes, health and the planned stop. */
+
+import type {EntryNode, Instant, RequestId, Unregister} from '@nutmegproxy/core';
+import type {IncomingMessage, Server, ServerResponse} from 'node:http';
+import type {AddressInfo} from 'node:net';
+import type {Duplex} from 'node:stream';
+
+import {brand, BrokenInvariant} from '@nutmegproxy/core';
+import {ResultAsync} from 'neverthrow';
+import {once} from 'node:events';
+import {createServer} from 'node:http';
+import {setTimeout as sleep} from 'node:timers/promises';
+
+import type {Refusal} from './Refusal.ts';
+
+import {sendRefusal} from './Refusal.ts';
+import {
+  CALLER_CONNECTIONS_MAX,
+  CALLER_HEADER_BYTES_MAX,
+  CALLER_HEADERS_TIMEOUT_MS,
+  CALLER_IDLE_TIMEOUT_MS,
+  DRAIN_POLL_MS,
+  STOP_LINGER_MS,
+} from './RequestsConstants.ts';
+import {REQUESTS_EVENTS} from './RequestsEvents.ts';
+
+/** One request as a route sees it. */
+export interface CallerExchange {
+  readonly arrivedAt: Instant;
+  readonly id: RequestId;
+  /** Path and query after the route's prefix. */
+  readonly path: string;
+  readonly request: IncomingMessage;
+  readonly response: ServerResponse;
+}
+
+/** Answers one request; settles when the answer has been handed to the connection. */
+export type CallerRouteHandler = (exchange: CallerExchange) => Promise<void>;
+
+export interface ListenFailure {
+  readonly message: string;
+}
+
+/** `refusing`: what comes from now on is answered as not run. */
+export type ListenerPhase = 'open' | 'refusing' | 'stopping';
+
+const CLIENT_ERROR_STATUSES: Record<string, string> = {
+  ERR_HTTP_REQUEST_TIMEOUT: '408 Request Timeout',
+  HPE_HEADER_OVERFLOW: '431 Request Header Fields Too Large',
+};
+
+export class CallerListener {
+  #inProgress = 0;
+  readonly #isReady: () => boolean;
+  #nextRequest = 0;
+  readonly #node: EntryNode;
+  #phase: ListenerPhase = 'open';
+  readonly #random: () => number;
+  readonly #routes = new Map<string, CallerRouteHandler>();
+  readonly #server: Server;
+
+  constructor(node: EntryNode, isReady: () => boolean, random: () => number) {
+    this.#isReady = isReady;
+    this.#node = node;
+    this.#random = random;
+    this.#server = createServer(
+      {
+        headersTimeout: CALLER_HEADERS_TIMEOUT_MS,
+        keepAliveTimeout: CALLER_IDLE_TIMEOUT_MS,
+        maxHeaderSize: CALLER_HEADER_BYTES_MAX,
+        // Bodies have a limit of their own: an entry's deadline may be long.
+        requestTimeout: 0,
+      },
+      (request, response) => {
+        void this.#serve(request, response);
+      },
+    );
+    this.#server.maxConnections = CALLER_CONNECTIONS_MAX;
+    this.#server.on('clientError', (error: NodeJS.ErrnoException, socket) => {
+      this.#handleClientError(error, socket);
+    });
+  }
+
+  /** Requests that are not answered yet. */
+  get inProgress(): number {
+    return this.#inProgress;
+  }
+
+  listen(host: string, port: number): ResultAsync<AddressInfo, ListenFailure> {
+    this.#server.listen({host, port});
+    const listening = once(this.#server, 'listening').then(
+      // A listener on an IP number has an address of this form.
+      () => this.#server.address() as AddressInfo,
+    );
+    return ResultAsync.fromPromise(listening, (error) => ({message: String(error)}));
+  }
+
+  /** Refuses the request that an exchange stands for. */
+  refuse({id, response}: CallerExchange, refusal: Refusal): void {
+    const {code, outcome} = refusal;
+    const kind = outcome === 'not-run' ? 'REQUEST_REFUSED' : 'REQUEST_FAILED';
+    this.#node.events.record(REQUESTS_EVENTS[kind], {code, outcome, request: id});
+    const close = this.#phase !== 'open';
+    sendRefusal(response, refusal, {close, random: this.#random(), request: id});
+  }
+
+  /** Sends requests below `prefix`, which starts and ends with a slash, to `handler`. */
+  registerRoute(prefix: string, handler: CallerRouteHandler): Unregister {
+    this.#routes.set(prefix, handler);
+    return () => {
+      if (this.#routes.get(prefix) === handler) {
+        this.#routes.delete(prefix);
+      }
+    };
+  }
+
+  /**
+   * Stops without cutting a request off: not ready, then refusing after `delayMs`, and closed when
+   * all answers are out. A second call waits for the same end.
+   */
+  async stop(delayMs: number): Promise<void> {
+    if (this.#phase === 'open') {
+      this.#phase = 'stopping';
+      this.#node.events.record(REQUESTS_EVENTS.STOP_STARTED, {delayMs});
+    }
+    await sleep(delayMs);
+    this.#phase = 'refusing';
+    this.#node.events.record(REQUESTS_EVENTS.STOP_REFUSING, {inProgress: this.#inProgress});
+    while (this.#inProgress > 0) {
+      await sleep(DRAIN_POLL_MS);
+    }
+    // A request may be on its way on an idle connection: it is still refused in due form.
+    await sleep(STOP_LINGER_MS);
+    const closed = this.#server.listening ? once(this.#server, 'close') : undefined;
+    this.#server.close();
+    this.#server.closeIdleConnections();
+    await closed;
+    this.#node.events.record(REQUESTS_EVENTS.STOP_FINISHED, {});
+  }
+
+  /** Closes at once; requests in progress are cut off. */
+  terminate(): void {
+    this.#server.close();
+    this.#server.closeAllConnections();
+  }
+
+  #createId(): RequestId {
+    this.#nextRequest += 1;
+    return brand<RequestId>(`${this.#node.identity.incarnation}-${this.#nextRequest.toString(36)}`);
+  }
+
+  #findRoute(path: string): undefined | {handler: CallerRouteHandler; prefix: string} {
+    const prefixes = [...this.#routes.keys()].filter((each) => path.startsWith(each));
+    const [prefix] = prefixes.sort((a, b) => b.length - a.length);
+    const handler = prefix === undefined ? undefined : this.#routes.get(prefix);
+    return prefix === undefined || handler === undefined ? undefined : {handler, prefix};
+  }
+
+  #handleClientError(error: NodeJS.ErrnoException, socket: Duplex): void {
+    const code = error.code ?? 'unknown';
+    this.#node.events.record(REQUESTS_EVENTS.MALFORMED_REQUEST, {code});
+    if (code === 'ECONNRESET' || !socket.writable) {
+      socket.destroy();
+      return;
+    }
+    const status = CLIENT_ERROR_STATUSES[code] ?? '400 Bad Request';
+    const head = `HTTP/1.1 ${status}\r\nconnection: close\r\nnutmegproxy-outcome: not-run`;
+    socket.end(`${head}\r\ncontent-length: 0\r\n\r\n`);
+  }
+
+  async #route(exchange: CallerExchange): Promise<void> {
+    const {path, request, response} = exchange;
+    if (path === '/health/live' || path === '/health/ready') {
+      const ready = this.#phase === 'open' && this.#isReady();
+      answerHealth(request, response, path === '/health/live' || ready);
+      return;
+    }
+    if (this.#phase === 'refusing') {
+      this.refuse(exchange, {code: 'stopping', outcome: 'not-run'});
+      return;
+    }
+    const route = this.#findRoute(path);
+    if (route === undefined) {
+      this.refuse(exchange, {code: 'unknown-route', outcome: 'not-run'});
+      return;
+    }
+    if (this.#phase === 'stopping') {
+      response.setHeader('connection', 'close');
+    }
+    await route.handler({...exchange, path: path.slice(route.prefix.length)});
+  }
+
+  async #serve(request: IncomingMessage, response: ServerResponse): Promise<void> {
+    const exchange: CallerExchange = {
+      arrivedAt: this.#node.clock.monotonic(),
+      id: this.#createId(),
+      path: request.url ?? '/',
+      request,
+      response,
+    };
+    this.#inProgress += 1;
+    // Errors of a caller's connection show as its close.
+    request.on('error', () => undefined);
+    response.on('error', () => undefined);
+    response.once('close', () => {
+      this.#inProgress -= 1;
+    });
+    try {
+      await this.#route(exchange);
+    } catch (error) {
+      if (error instanceof BrokenInvariant) {
+        throw error;
+      }
+      const fields = {message: String(error), request: exchange.id};
+      this.#node.events.record(REQUESTS_EVENTS.REQUEST_DEFECT, fields);
+      this.refuse(exchange, {code: 'internal', outcome: 'outcome-unknown'});
+    }
+  }
+}
+
+function answerHealth(request: IncomingMessage, response: ServerResponse, good: boolean): void {
+  const known = request.method === 'GET' || request.method === 'HEAD';
+  const status = good ? 200 : 503;
+  response.writeHead(known ? status : 405, {'content-type': 'text/plain'});
+  response.end(good ? 'ok\n' : 'not ready\n');
+}
--- /dev/null
+++ b/packages/nutmegproxy-requests/src/ConnectionPool.ts
@@ -0,0 +1,83 @@
+/** Idle connections to minions, kept for the next request. */
+
+import type {MinionId} from '@nutmegproxy/core';
+import type {Result} from 'neverthrow';
+
+import {ok} from 'neverthrow';
+
+import {type MinionConnection, openConnection} from './MinionConnection.ts';
+
+interface IdleConnections {
+  readonly address: string;
+  readonly connections: MinionConnection[];
+}
+
+/**
+ * The holder takes a slot before it asks for a connection and never keeps more idle ones than the
+ * slots that are left, so that connections stay within this process's slots.
+ */
+export class ConnectionPool {
+  readonly #idle = new Map<MinionId, IdleConnections>();
+
+  async close(): Promise<void> {
+    const minions = [...this.#idle.keys()];
+    await Promise.all(minions.map((minion) => this.trim(minion, 0)));
+  }
+
+  /** An idle connection to this address, or a new one. */
+  async connect(
+    minion: MinionId,
+    address: string,
+    signal: AbortSignal,
+  ): Promise<Result<MinionConnection, string>> {
+    const idle = this.#idle.get(minion);
+    if (idle !== undefined && idle.address !== address) {
+      await this.trim(minion, 0);
+    }
+    for (let next = idle?.connections.pop(); next !== undefined; next = idle?.connections.pop()) {
+      if (next.usable && idle?.address === address) {
+        return ok(next);
+      }
+      await next.close();
+    }
+    return openConnection(address, signal);
+  }
+
+  /** Keeps a connection whose exchange has ended whole; at most `idleMax` stay idle. */
+  async keep(
+    minion: MinionId,
+    address: string,
+    connection: MinionConnection,
+    idleMax: number,
+  ): Promise<void> {
+    const idle = this.#idle.get(minion) ?? {address, connections: []};
+    if (idle.address !== address || !connection.usable) {
+      await connection.close();
+      return;
+    }
+    idle.connections.push(connection);
+    this.#idle.set(minion, idle);
+    await this.trim(minion, idleMax);
+  }
+
+  /** Minions that have idle connections. */
+  minions(): readonly MinionId[] {
+    return [...this.#idle.keys()];
+  }
+
+  /** Closes dead connections, and the oldest of those beyond `idleMax`. */
+  async trim(minion: MinionId, idleMax: number): Promise<void> {
+    const idle = this.#idle.get(minion);
+    if (idle === undefined) {
+      return;
+    }
+    const usable = idle.connections.filter((each) => each.usable);
+    const dead = idle.connections.filter((each) => !each.usable);
+    const excess = usable.splice(0, Math.max(0, usable.length - idleMax));
+    idle.connections.splice(0, idle.connections.length, ...usable);
+    if (usable.length === 0) {
+      this.#idle.delete(minion);
+    }
+    await Promise.all([...dead, ...excess].map((each) => each.close()));
+  }
+}
--- /dev/null
+++ b/packages/nutmegproxy-requests/src/HeaderUtils.ts
@@ -0,0 +1,49 @@
+/** Headers that belong to one connection and must not be passed on. */
+
+import type {IncomingHttpHeaders} from 'node:http';
+
+const HOP_BY_HOP_HEADERS = new Set([
+  'connection',
+  'expect',
+  'keep-alive',
+  'proxy-authenticate',
+  'proxy-authorization',
+  'proxy-connection',
+  'te',
+  'trailer',
+  'transfer-encoding',
+  'upgrade',
+]);
+/** Headers that only this program may set on an answer. */
+const OWN_HEADERS_PREFIX = 'nutmegproxy-';
+
+/** Headers to pass on; values keep their order. */
+export type PassedHeaders = Record<string, string | string[]>;
+
+function isPassed(name: string, named: ReadonlySet<string>): boolean {
+  return !HOP_BY_HOP_HEADERS.has(name) && !named.has(name) && !name.startsWith(OWN_HEADERS_PREFIX);
+}
+
+/**
+ * Drops the headers of the connection, those that `connection` names, and the proxy's own.
+ *
+ * @example
+ * stripHeaders({connection: 'x-trace', 'x-trace': '1', accept: 'text/html'}); // {accept: 'text/html'}
+ */
+export function stripHeaders(headers: IncomingHttpHeaders): PassedHeaders {
+  const connection = headers.connection ?? '';
+  const named = new Set(connection.split(',').map((name) => name.trim().toLowerCase()));
+  const passed: PassedHeaders = {};
+  for (const [name, value] of Object.entries(headers)) {
+    if (value !== undefined && isPassed(name, named)) {
+      passed[name] = value;
+    }
+  }
+  return passed;
+}
+
+/** The only value of a header, or undefined when it is missing or stands more than once. */
+export function singleHeader(headers: IncomingHttpHeaders, name: string): string | undefined {
+  const value = headers[name];
+  return typeof value === 'string' ? value : undefined;
+}
--- /dev/null
+++ b/packages/nutmegproxy-requests/src/MinionConnection.ts
@@ -0,0 +1,124 @@
+/**
+ * One connection to a minion, on which one exchange runs at a time. Each connection has an undici
+ * client of its own whose only socket is opened here: the client can't reconnect, so nothing is
+ * ever sent a second time, and the socket's byte count tells whether anything was sent at all.
+ */
+
+import type {Result} from 'neverthrow';
+import type {Readable} from 'node:stream';
+import type {Dispatcher} from 'undici';
+
+import {err, ok} from 'neverthrow';
+import {once} from 'node:events';
+import {connect, type Socket} from 'node:net';
+import {Client} from 'undici';
+
+import type {PassedHeaders} from './HeaderUtils.ts';
+
+import {CONNECT_TIMEOUT_MS, IDLE_CONNECTION_MS} from './RequestsConstants.ts';
+
+/** What is sent to a minion. */
+export interface MinionRequest {
+  readonly body: Buffer | null | Readable;
+  readonly headers: PassedHeaders;
+  readonly method: string;
+  readonly path: string;
+}
+
+export type MinionAnswer = Dispatcher.ResponseData;
+
+/** `sent`: whether any byte of the request was handed to the connection. */
+export interface SendFailure {
+  readonly message: string;
+  readonly sent: boolean;
+}
+
+export class MinionConnection {
+  readonly #client: Client;
+  readonly #closed: Promise<void>;
+  readonly #socket: Socket;
+  #taken = false;
+
+  constructor(socket: Socket, address: string) {
+    this.#socket = socket;
+    this.#closed = new Promise((resolve) => {
+      if (socket.closed) {
+        resolve();
+      }
+      socket.once('close', () => {
+        resolve();
+      });
+    });
+    this.#client = new Client(`http://${address}`, {
+      bodyTimeout: 0,
+      connect: (_options, callback) => {
+        // undici goes on to write only when its connector answers later than it was called.
+        queueMicrotask(() => {
+          this.#giveSocket(callback);
+        });
+      },
+      headersTimeout: 0,
+      keepAliveTimeout: IDLE_CONNECTION_MS,
+      pipelining: 1,
+    });
+  }
+
+  /** Settles when the connection is certainly closed. */
+  async close(): Promise<void> {
+    this.#socket.destroy();
+    await this.#client.destroy().catch(() => undefined);
+    await this.#closed;
+  }
+
+  /** Sends a request; an answer's body must be read or the connection closed. */
+  async send(
+    request: MinionRequest,
+    signal: AbortSignal,
+  ): Promise<Result<MinionAnswer, SendFailure>> {
+    const writtenBefore = this.#socket.bytesWritten;
+    try {
+      return ok(await this.#client.request({...request, signal}));
+    } catch (error) {
+      const sent = this.#socket.bytesWritten > writtenBefore;
+      return err({message: String(error), sent});
+    }
+  }
+
+  get usable(): boolean {
+    return !this.#socket.destroyed && this.#socket.writable && !this.#socket.readableEnded;
+  }
+
+  #giveSocket(callback: (...result: [Error, null] | [null, Socket]) => void): void {
+    if (this.#taken || this.#socket.destroyed) {
+      callback(new Error('the connection is closed'), null);
+      return;
+    }
+    this.#taken = true;
+    callback(null, this.#socket);
+  }
+}
+
+/**
+ * Opens a connection to a minion at an `ip:port` address.
+ *
+ * @example
+ * const connection = await openConnection('127.0.0.1:8080', signal);
+ */
+export async function openConnection(
+  address: string,
+  signal: AbortSignal,
+): Promise<Result<MinionConnection, string>> {
+  const colon = address.lastIndexOf(':');
+  const host = address.slice(0, colon).replace(/^\[(.*)\]$/, '$1');
+  const socket = connect({host, noDelay: true, port: Number(address.slice(colon + 1))});
+  // Errors after this function has returned show as the close of the socket.
+  socket.on('error', () => undefined);
+  try {
+    const timeout = AbortSignal.timeout(CONNECT_TIMEOUT_MS);
+    await once(socket, 'connect', {signal: AbortSignal.any([signal, timeout])});
+    return ok(new MinionConnection(socket, address));
+  } catch (error) {
+    socket.destroy();
+    return err(String(error));
+  }
+}
--- /dev/null
+++ b/packages/nutmegproxy-requests/src/RequestsConstants.ts
@@ -0,0 +1,45 @@
+/** Constants of the requests feature. */
+
+export const HEADER_FIRST_TRY = 'nutmegproxy-first-try';
+export const HEADER_IDEMPOTENCY_KEY = 'idempotency-key';
+/** Set by a minion that gets no new work any more. */
+export const HEADER_LEAVING = 'nutmegproxy-leaving';
+export const HEADER_OUTCOME = 'nutmegproxy-outcome';
+/** Set by a minion, with status 503, that did not run the request. */
+export const HEADER_REFUSED = 'nutmegproxy-refused';
+export const HEADER_REQUEST = 'nutmegproxy-request';
+export const HEADER_RETRY_AFTER_MS = 'nutmegproxy-retry-after-ms';
+export const HEADER_TIMEOUT_MS = 'nutmegproxy-timeout-ms';
+
+export const ENTRIES_PREFIX = '/entries/';
+
+export const DEFAULT_TIMEOUT_MS = 30_000;
+export const DEFAULT_BODY_BYTES = 1_048_576;
+export const DEFAULT_ENTRY_QUEUE = 1024;
+
+/** Bodies up to this size are read before a slot is taken, and can be sent again. */
+export const BODY_HOLD_BYTES = 65_536;
+/** Answers of a known length up to this size are read whole before the caller gets any of it. */
+export const ANSWER_HOLD_BYTES = 65_536;
+export const BODY_STALL_MS = 10_000;
+
+export const CALLER_CONNECTIONS_MAX = 10_000;
+export const CALLER_HEADERS_TIMEOUT_MS = 10_000;
+export const CALLER_IDLE_TIMEOUT_MS = 60_000;
+export const CALLER_HEADER_BYTES_MAX = 16_384;
+/** How long a stopping process keeps idle caller connections, to refuse what still comes. */
+export const STOP_LINGER_MS = 200;
+export const DEFAULT_STOP_DELAY_MS = 5000;
+export const DRAIN_POLL_MS = 20;
+
+export const CONNECT_TIMEOUT_MS = 2000;
+export const IDLE_CONNECTION_MS = 4000;
+export const TRIES_MAX = 3;
+
+export const RETRY_AFTER_BASE_MS = 100;
+export const RETRY_AFTER_SPREAD_MS = 900;
+export const RETRY_AFTER_MAX_MS = 30_000;
+
+export const TICK_MS = 250;
+export const LOAN_SIZE_MAX = 2;
+export const LOAN_PAUSE_MS = 50;
--- /dev/null
+++ b/packages/nutmegproxy-requests/src/RequestsMetrics.ts
@@ -0,0 +1,42 @@
+/** Metrics of the requests feature. */
+
+import type {Registry} from 'prom-client';
+
+import {Counter, Gauge, Histogram} from 'prom-client';
+
+const DURATION_BUCKETS_S = [0.002, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 10, 60];
+
+export class RequestsMetrics {
+  /** Answers by the code of the proxy's refusal, or `answered`. */
+  readonly answers: Counter<'class' | 'code'>;
+  readonly duration: Histogram<'class'>;
+  readonly retries: Counter;
+  readonly waiting: Gauge;
+
+  constructor(registry: Registry) {
+    const registers = [registry];
+    this.answers = new Counter({
+      help: 'Requests of callers by how they were answered.',
+      labelNames: ['class', 'code'],
+      name: 'nutmegproxy_requests_answers_total',
+      registers,
+    });
+    this.duration = new Histogram({
+      buckets: DURATION_BUCKETS_S,
+      help: 'Time from the arrival of a request to the end of its answer.',
+      labelNames: ['class'],
+      name: 'nutmegproxy_requests_duration_seconds',
+      registers,
+    });
+    this.retries = new Counter({
+      help: 'Requests that were tried again.',
+      name: 'nutmegproxy_requests_retries_total',
+      registers,
+    });
+    this.waiting = new Gauge({
+      help: 'Requests of callers in progress, waiting or at a minion.',
+      name: 'nutmegproxy_requests_open_count',
+      registers,
+    });
+  }
+}
--- /dev/null
+++ b/packages/nutmegproxy-requests/src/SlotLedger.ts
@@ -0,0 +1,123 @@
+/** Slots of minions that this process may use, and those that it uses. */
+
+import type {MinionId} from '@nutmegproxy/core';
+
+import {invariant} from '@nutmegproxy/core';
+
+interface MinionSlots {
+  borrowed: number;
+  inFlight: number;
+  lent: number;
+  share: number;
+}
+
+/** Counts only; a slot in use is never taken away, and none is given out beyond the capacity. */
+export class SlotLedger {
+  readonly #minions = new Map<MinionId, MinionSlots>();
+
+  /** Takes a slot; false when none is idle. */
+  acquire(minion: MinionId): boolean {
+    const slots = this.#minions.get(minion);
+    if (slots === undefined || idleSlots(slots) < 1) {
+      return false;
+    }
+    slots.inFlight += 1;
+    return true;
+  }
+
+  /** Adds slots that a peer has lent. */
+  addBorrowed(minion: MinionId, count: number): void {
+    this.#slots(minion).borrowed += count;
+  }
+
+  borrowedMinions(): readonly MinionId[] {
+    return [...this.#minions].filter(([, slots]) => slots.borrowed > 0).map(([minion]) => minion);
+  }
+
+  /** Slots that may be used: the share, what is borrowed, less what is lent. */
+  capacity(minion: MinionId): number {
+    const slots = this.#minions.get(minion);
+    return slots === undefined ? 0 : capacityOf(slots);
+  }
+
+  idle(minion: MinionId): number {
+    const slots = this.#minions.get(minion);
+    return slots === undefined ? 0 : idleSlots(slots);
+  }
+
+  inFlight(minion: MinionId): number {
+    return this.#minions.get(minion)?.inFlight ?? 0;
+  }
+
+  /** Takes up to `count` idle slots out for a peer; returns how many. */
+  lend(minion: MinionId, count: number): number {
+    const slots = this.#minions.get(minion);
+    if (slots === undefined) {
+      return 0;
+    }
+    const lent = Math.min(count, idleSlots(slots));
+    slots.lent += lent;
+    return lent;
+  }
+
+  release(minion: MinionId): void {
+    const slots = this.#slots(minion);
+    invariant(slots.inFlight > 0, 'requests: released a slot that was not in use');
+    slots.inFlight -= 1;
+    this.#prune(minion, slots);
+  }
+
+  /** A peer has given back slots that were lent. */
+  restoreLent(minion: MinionId, count: number): void {
+    const slots = this.#slots(minion);
+    slots.lent = Math.max(0, slots.lent - count);
+    this.#prune(minion, slots);
+  }
+
+  /** Sets the shares of the allotment; a minion that is missing has none. */
+  setShares(shares: ReadonlyMap<MinionId, number>): void {
+    for (const [minion, slots] of this.#minions) {
+      slots.share = shares.get(minion) ?? 0;
+      this.#prune(minion, slots);
+    }
+    for (const [minion, share] of shares) {
+      if (share > 0) {
+        this.#slots(minion).share = share;
+      }
+    }
+  }
+
+  /** Takes out idle borrowed slots, to be given back; returns how many. */
+  takeBorrowed(minion: MinionId): number {
+    const slots = this.#slots(minion);
+    const count = Math.min(slots.borrowed, idleSlots(slots));
+    slots.borrowed -= count;
+    this.#prune(minion, slots);
+    return count;
+  }
+
+  #prune(minion: MinionId, slots: MinionSlots): void {
+    const inUse = slots.borrowed + slots.inFlight + slots.lent + slots.share;
+    if (inUse === 0) {
+      this.#minions.delete(minion);
+    }
+  }
+
+  #slots(minion: MinionId): MinionSlots {
+    const known = this.#minions.get(minion);
+    if (known !== undefined) {
+      return known;
+    }
+    const slots: MinionSlots = {borrowed: 0, inFlight: 0, lent: 0, share: 0};
+    this.#minions.set(minion, slots);
+    return slots;
+  }
+}
+
+function capacityOf({borrowed, lent, share}: MinionSlots): number {
+  return Math.max(0, share + borrowed - lent);
+}
+
+function idleSlots(slots: MinionSlots): number {
+  return Math.max(0, capacityOf(slots) - slots.inFlight);
+}
--- /dev/null
+++ b/packages/nutmegproxy-requests/src/__tests__/unit/Requests.test.ts
@@ -0,0 +1,332 @@
+import {DRAIN_STARTED} from '@nutmegproxy/core';
+import assert from 'node:assert/strict';
+import {connect} from 'node:net';
+import {describe, it} from 'node:test';
+
+import {
+  ALERTS,
+  answer,
+  cutAnswer,
+  FakeMinion,
+  PROOFS,
+  sendRaw,
+  until,
+  withBench,
+} from './RequestsBench.ts';
+
+const WHOLE = 'HTTP/1.1 200 OK\r\ncontent-length: 10\r\n\r\n0123456789';
+const CHUNKED = 'HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\na\r\n0123456789\r\n0\r\n\r\n';
+const CLOSING =
+  'HTTP/1.1 200 OK\r\nconnection: close\r\ntransfer-encoding: chunked\r\n\r\na\r\n0123456789\r\n0\r\n\r\n';
+
+interface Answer {
+  readonly aborted: boolean;
+  readonly headers: Headers | undefined;
+  readonly status: number;
+  readonly text: string;
+}
+
+async function ask(url: string, options: RequestInit = {}): Promise<Answer> {
+  const response = await fetch(url, options).catch(() => undefined);
+  if (response === undefined) {
+    return {aborted: true, headers: undefined, status: 0, text: ''};
+  }
+  const {headers, status} = response;
+  const text = await response.text().catch(() => undefined);
+  return {aborted: text === undefined, headers, status, text: text ?? ''};
+}
+
+const outcome = ({headers}: Answer): null | string | undefined =>
+  headers?.get('nutmegproxy-outcome');
+const POST = {body: 'send', method: 'POST'};
+
+describe('requests', () => {
+  describe('passing on', () => {
+    it('gives the caller the minion’s answer, without the headers of the connections', async () => {
+      const minion = new FakeMinion('m1', answer('hello', 'x-a: 1\r\nkeep-alive: timeout=9\r\n'));
+      await withBench({minions: [minion]}, async (bench) => {
+        const url = bench.url('/entries/alerts/a/b?c=1');
+        const got = await ask(url, {...POST, headers: {te: 'trailers', 'x-b': '2'}});
+        assert.equal(got.text, 'hello');
+        assert.equal(got.headers?.get('x-a'), '1');
+        assert.equal(got.headers.get('keep-alive')?.includes('9'), false);
+        const [arrival = ''] = minion.arrivals;
+        assert.match(arrival, /^POST \/a\/b\?c=1 HTTP\/1.1\r\n/);
+        assert.match(arrival, /x-b: 2/);
+        assert.doesNotMatch(arrival, /\r\nte:/i);
+        assert.match(arrival, /nutmegproxy-request: vm-1.1-1/);
+        assert.match(arrival, /send$/);
+      });
+    });
+
+    it('streams bodies beyond what is held, both ways', async () => {
+      const body = 'x'.repeat(300_000);
+      const minion = new FakeMinion('m1', answer('y'.repeat(300_000)));
+      await withBench({minions: [minion]}, async (bench) => {
+        const got = await ask(bench.url('/entries/alerts/'), {body, method: 'POST'});
+        assert.equal(got.text.length, 300_000);
+        assert.ok(minion.arrivals[0]?.endsWith(body));
+      });
+    });
+
+    it('gives each of many callers its own answer, within the slots', async () => {
+      const minions = ['m1', 'm2'].map((id) => new FakeMinion(id, () => undefined));
+      for (const minion of minions) {
+        minion.script = (socket, request) => {
+          const path = request.split(' ')[1] ?? '';
+          minion.running += 1;
+          minion.runningMax = Math.max(minion.runningMax, minion.running);
+          // Later requests are answered sooner, so that answers come out of order.
+          setTimeout(
+            () => {
+              minion.running -= 1;
+              answer(path)(socket, request);
+            },
+            20 - (Number(path.slice(1)) % 10) * 2,
+          );
+        };
+      }
+      await withBench({minions, shares: 3}, async (bench) => {
+        const paths = Array.from({length: 120}, (_, index) => `/${index}`);
+        const got = await Promise.all(
+          paths.map((path) => ask(bench.url(`/entries/alerts${path}`), POST)),
+        );
+        assert.deepEqual(
+          got.map(({text}) => text),
+          paths,
+        );
+        for (const minion of minions) {
+          assert.ok(minion.runningMax <= 3 && minion.connectionsMax <= 3);
+        }
+      });
+    });
+  });
+
+  describe('broken answers', () => {
+    for (const [name, text] of Object.entries({
+      chunked: CHUNKED,
+      closing: CLOSING,
+      length: WHOLE,
+    })) {
+      for (const how of ['end', 'reset'] as const) {
+        it(`${name}, ${how} at each byte: sent once, never taken for whole`, async () => {
+          const minion = new FakeMinion('m1', answer(''));
+          await withBench({minions: [minion]}, async (bench) => {
+            for (let bytes = 0; bytes < text.length; bytes += 1) {
+              minion.arrivals.length = 0;
+              minion.script = cutAnswer(text, bytes, how);
+              const got = await ask(bench.url('/entries/alerts/'), POST);
+              assert.equal(minion.arrivals.length, 1, `${bytes} bytes: sent more than once`);
+              const unknown = got.status === 502 && outcome(got) === 'outcome-unknown';
+              assert.ok(got.aborted || unknown, `${bytes} bytes: ${got.status} ${got.text}`);
+            }
+          });
+        });
+      }
+    }
+
+    it('refuses an answer whose end can’t be verified', async () => {
+      const text = 'HTTP/1.1 200 OK\r\n\r\npart';
+      const minion = new FakeMinion('m1', cutAnswer(text, text.length, 'end'));
+      await withBench({minions: [minion]}, async (bench) => {
+        const got = await ask(bench.url('/entries/alerts/'), POST);
+        assert.equal(outcome(got), 'outcome-unknown');
+      });
+    });
+
+    it('tries an idempotent request on another minion', async () => {
+      const bad = new FakeMinion('m1', cutAnswer(WHOLE, 0, 'reset'));
+      const good = new FakeMinion('m2', answer('good'));
+      await withBench({minions: [bad, good]}, async (bench) => {
+        for (let index = 0; index < 8; index += 1) {
+          const got = await ask(bench.url('/entries/proofs/'), POST);
+          assert.equal(got.text, 'good');
+        }
+        assert.ok(bad.arrivals.length > 0);
+      });
+    });
+  });
+
+  describe('refusals', () => {
+    it('says not-run when the minion refused, and tries another', async () => {
+      const refusing = new FakeMinion('m1', (socket) => {
+        socket.write('HTTP/1.1 503 Busy\r\nnutmegproxy-refused: true\r\ncontent-length: 0\r\n\r\n');
+      });
+      await withBench({minions: [refusing]}, async (bench) => {
+        const got = await ask(bench.url('/entries/alerts/'), POST);
+        assert.deepEqual([got.status, outcome(got)], [503, 'not-run']);
+        assert.ok(Number(got.headers?.get('retry-after')) >= 1);
+        assert.ok(Number(got.headers?.get('nutmegproxy-retry-after-ms')) > 0);
+      });
+    });
+
+    it('says not-run when no minion can be reached or none may be used', async () => {
+      const minion = new FakeMinion('m1', answer('x'));
+      await withBench({minions: [minion]}, async (bench) => {
+        bench.drained.add('minion m1');
+        assert.equal(outcome(await ask(bench.url('/entries/alerts/'), POST)), 'not-run');
+        bench.drained.clear();
+        bench.tenure = false;
+        assert.equal(outcome(await ask(bench.url('/entries/alerts/'), POST)), 'not-run');
+        assert.equal((await ask(bench.url('/health/ready'))).status, 503);
+        assert.equal((await ask(bench.url('/health/live'))).status, 200);
+        assert.equal(minion.arrivals.length, 0);
+      });
+    });
+
+    it('answers 404, 400 and 413 without asking a minion', async () => {
+      const minion = new FakeMinion('m1', answer('x'));
+      const small = {...ALERTS, id: 'small', limits: {bodyBytes: 3}};
+      await withBench({entries: [small], minions: [minion]}, async (bench) => {
+        const statuses = await Promise.all([
+          ask(bench.url('/entries/none/')),
+          ask(bench.url('/other')),
+          ask(bench.url('/entries/small/'), {headers: {'nutmegproxy-timeout-ms': 'soon'}}),
+          ask(bench.url('/entries/small/'), POST),
+        ]);
+        assert.deepEqual(
+          statuses.map(({status}) => status),
+          [404, 404, 400, 413],
+        );
+        assert.ok(statuses.every((each) => outcome(each) === 'not-run'));
+        const raw = await sendRaw(bench.port, 'GET / HTTP/1.1\r\nbad header\r\n\r\n');
+        assert.match(raw, /^HTTP\/1.1 400/);
+        assert.equal(minion.arrivals.length, 0);
+      });
+    });
+
+    it('ends at the deadline: unknown at a minion, not-run in the queue', async () => {
+      const minion = new FakeMinion('m1', () => undefined);
+      await withBench({minions: [minion], shares: 1}, async (bench) => {
+        const headers = {'nutmegproxy-timeout-ms': '150'};
+        const first = ask(bench.url('/entries/alerts/'), {...POST, headers});
+        await until(() => minion.arrivals.length === 1);
+        const second = await ask(bench.url('/entries/alerts/'), {
+          ...POST,
+          headers: {'nutmegproxy-timeout-ms': '60'},
+        });
+        assert.equal(outcome(second), 'not-run');
+        assert.equal(outcome(await first), 'outcome-unknown');
+        assert.equal(minion.arrivals.length, 1);
+      });
+    });
+  });
+
+  describe('callers that go away', () => {
+    it('frees the slot once the minion’s connection is closed', async () => {
+      const minion = new FakeMinion('m1', () => undefined);
+      await withBench({minions: [minion], shares: 1}, async (bench) => {
+        const socket = connect(bench.port, '127.0.0.1');
+        socket.write('GET /entries/alerts/ HTTP/1.1\r\nhost: a\r\n\r\n');
+        await until(() => minion.arrivals.length === 1);
+        socket.destroy();
+        await until(() => minion.connections === 0);
+        minion.script = answer('next');
+        assert.equal((await ask(bench.url('/entries/alerts/'), POST)).text, 'next');
+      });
+    });
+  });
+
+  describe('leaving and stopping', () => {
+    it('gives a minion that says it is leaving nothing more', async () => {
+      const leaving = new FakeMinion('m1', answer('bye', 'nutmegproxy-leaving: true\r\n'));
+      const staying = new FakeMinion('m2', answer('hi'));
+      await withBench({minions: [leaving, staying]}, async (bench) => {
+        const all = Array.from({length: 20}, () => bench.url('/entries/alerts/'));
+        for (const url of all) {
+          assert.equal((await ask(url, POST)).status, 200);
+        }
+        assert.equal(leaving.arrivals.length, 1);
+        assert.ok(bench.leaving.has('m1'));
+      });
+    });
+
+    it('a planned stop finishes what runs and refuses what comes later', async () => {
+      const minion = new FakeMinion('m1', () => undefined);
+      await withBench({minions: [minion], stopDelayMs: 100}, async (bench) => {
+        const early = ask(bench.url('/entries/alerts/early'), POST);
+        await until(() => minion.arrivals.length === 1);
+        const waits: Promise<void>[] = [];
+        bench.bus.dispatch(DRAIN_STARTED, {wait: (work) => waits.push(work)});
+        bench.bus.dispatch(DRAIN_STARTED, {wait: (work) => waits.push(work)});
+        assert.equal((await ask(bench.url('/health/ready'))).status, 503);
+        const late = ask(bench.url('/entries/alerts/late'), POST);
+        await until(() => minion.arrivals.length === 2);
+        minion.script = answer('third');
+        let refused = await ask(bench.url('/entries/alerts/'), POST);
+        while (refused.status === 200) {
+          refused = await ask(bench.url('/entries/alerts/'), POST);
+        }
+        assert.deepEqual([refused.status, outcome(refused)], [503, 'not-run']);
+        assert.equal(waits.length, 2);
+        const sockets = minion.sockets();
+        sockets.forEach((socket) => {
+          answer('done')(socket, '');
+        });
+        assert.deepEqual([(await early).text, (await late).text], ['done', 'done']);
+        await Promise.all(waits);
+      });
+    });
+  });
+
+  describe('limits', () => {
+    it('keeps an entry and a team within their limits', async () => {
+      const minion = new FakeMinion('m1', () => undefined);
+      minion.script = (socket, request) => {
+        minion.running += 1;
+        minion.runningMax = Math.max(minion.runningMax, minion.running);
+        setTimeout(() => {
+          minion.running -= 1;
+          answer('x')(socket, request);
+        }, 5);
+      };
+      const limited = {...PROOFS, limits: {concurrency: 2, timeoutMs: 4000}};
+      const teams = [{id: 'oportuna', quota: {requests: 1}}];
+      await withBench({entries: [limited], minions: [minion]}, async (bench) => {
+        await Promise.all(Array.from({length: 20}, () => ask(bench.url('/entries/proofs/'))));
+        assert.equal(minion.runningMax, 2);
+      });
+      const other = new FakeMinion('m1', minion.script);
+      minion.runningMax = 0;
+      await withBench({entries: [limited], minions: [other], teams}, async (bench) => {
+        await Promise.all(Array.from({length: 20}, () => ask(bench.url('/entries/proofs/'))));
+        assert.equal(minion.runningMax, 1);
+      });
+    });
+
+    it('borrows slots when it has none and gives them back when idle', async () => {
+      const minion = new FakeMinion('m1', answer('x'));
+      let lent = 0;
+      const loans = {
+        borrow: (_minion: string, count: number) => {
+          lent += count;
+          return Promise.resolve(count);
+        },
+        giveBack: (_minion: string, count: number) => {
+          lent -= count;
+        },
+      };
+      await withBench({loans, minions: [minion], shares: 0}, async (bench) => {
+        assert.equal((await ask(bench.url('/entries/alerts/'), POST)).text, 'x');
+        await until(() => lent === 0);
+        assert.equal(minion.connectionsMax, 1);
+      });
+    });
+
+    it('lends idle slots only', async () => {
+      const minion = new FakeMinion('m1', () => undefined);
+      await withBench({minions: [minion], shares: 2}, async (bench) => {
+        const pending = ask(bench.url('/entries/alerts/'), POST);
+        await until(() => minion.arrivals.length === 1);
+        assert.equal(bench.requests.lender.take(minion.id, 8), 1);
+        assert.equal(bench.requests.lender.take(minion.id, 8), 0);
+        bench.requests.lender.restore(minion.id, 1);
+        assert.equal(bench.requests.lender.take(minion.id, 8), 1);
+        minion.sockets().forEach((socket) => {
+          answer('x')(socket, '');
+        });
+        await pending;
+      });
+    });
+  });
+});
--- /dev/null
+++ b/packages/nutmegproxy-requests/src/__tests__/unit/RequestsBench.ts
@@ -0,0 +1,291 @@
+/** In-process fakes around the requests feature. */
+
+import type {CatalogueView} from '@nutmegproxy/catalogue';
+import type {EntryId, Instant, MinionId, NodeIdentity, TeamId} from '@nutmegproxy/core';
+import type {Allotment, Membership} from '@nutmegproxy/membership';
+import type {VmDirectory} from '@nutmegproxy/platform';
+import type {Entry, Settings, Team, Vm} from '@nutmegproxy/schema';
+import type {PlatformStore} from '@nutmegproxy/store';
+import type {AddressInfo, Socket} from 'node:net';
+
+import {brand, CommandBus, SILENT_EVENTS, SYSTEM_CLOCK} from '@nutmegproxy/core';
+import {once} from 'node:events';
+import {connect, createServer, type Server} from 'node:net';
+import {Registry} from 'prom-client';
+
+import type {Requests, SlotLoans} from '../../index.ts';
+
+import {registerRequests} from '../../index.ts';
+
+const WAIT_MAX_MS = 5000;
+
+/** What a fake minion does with each request that has arrived whole. */
+export type MinionScript = (socket: Socket, request: string) => void;
+
+/** A minion that speaks HTTP byte by byte as its script says. */
+export class FakeMinion {
+  /** Requests that arrived, whole or in part, one per connection and exchange. */
+  readonly arrivals: string[] = [];
+  connections = 0;
+  connectionsMax = 0;
+  readonly id: MinionId;
+  running = 0;
+  runningMax = 0;
+  script: MinionScript;
+  readonly #server: Server;
+  readonly #sockets = new Set<Socket>();
+
+  constructor(id: string, script: MinionScript) {
+    this.id = brand<MinionId>(id);
+    this.script = script;
+    this.#server = createServer((socket) => {
+      this.#accept(socket);
+    });
+  }
+
+  get address(): string {
+    return `127.0.0.1:${(this.#server.address() as AddressInfo).port}`;
+  }
+
+  close(): void {
+    this.#server.close();
+    this.#sockets.forEach((socket) => socket.destroy());
+  }
+
+  async listen(): Promise<void> {
+    this.#server.listen(0, '127.0.0.1');
+    await once(this.#server, 'listening');
+  }
+
+  sockets(): readonly Socket[] {
+    return [...this.#sockets];
+  }
+
+  #accept(socket: Socket): void {
+    let text = '';
+    this.#sockets.add(socket);
+    this.connections += 1;
+    this.connectionsMax = Math.max(this.connectionsMax, this.connections);
+    socket.on('error', () => undefined);
+    socket.on('close', () => {
+      this.#sockets.delete(socket);
+      this.connections -= 1;
+    });
+    socket.on('data', (chunk) => {
+      text += chunk.toString('latin1');
+      const end = requestEnd(text);
+      if (end === undefined) {
+        return;
+      }
+      const request = text.slice(0, end);
+      text = text.slice(end);
+      this.arrivals.push(request);
+      this.script(socket, request);
+    });
+  }
+}
+
+function requestEnd(text: string): number | undefined {
+  const headEnd = text.indexOf('\r\n\r\n');
+  if (headEnd < 0) {
+    return undefined;
+  }
+  const length = Number(/content-length: (\d+)/i.exec(text)?.[1] ?? 0);
+  const end = headEnd + 4 + length;
+  return text.length >= end ? end : undefined;
+}
+
+/** Answers 200 with a body. */
+export function answer(body: string, headers = ''): MinionScript {
+  return (socket) => {
+    socket.write(`HTTP/1.1 200 OK\r\n${headers}content-length: ${body.length}\r\n\r\n${body}`);
+  };
+}
+
+/** An answer's text up to `bytes`, after which the connection is reset or closed. */
+export function cutAnswer(text: string, bytes: number, how: 'end' | 'reset'): MinionScript {
+  return (socket) => {
+    socket.write(text.slice(0, bytes), () => {
+      if (how === 'end') {
+        socket.end();
+        return;
+      }
+      // The reset must not overtake the bytes before it.
+      setTimeout(() => socket.resetAndDestroy(), 10);
+    });
+  };
+}
+
+export interface BenchOptions {
+  readonly entries?: readonly Entry[];
+  readonly loans?: SlotLoans;
+  readonly minions: readonly FakeMinion[];
+  readonly policies?: Record<string, string>;
+  readonly shares?: number;
+  readonly stopDelayMs?: number;
+  readonly store?: PlatformStore;
+  readonly teams?: readonly Team[];
+}
+
+export const ALERTS: Entry = {
+  class: 'latency-critical',
+  id: 'alerts',
+  kind: 'request',
+  limits: {timeoutMs: 4000},
+  owner: 'oportuna',
+  service: 'mesa',
+};
+export const PROOFS: Entry = {...ALERTS, id: 'proofs', idempotent: true};
+
+/** The feature with fakes for all that it asks. */
+export class RequestsBench {
+  readonly bus = new CommandBus();
+  readonly drained = new Set<string>();
+  readonly identity: NodeIdentity = {
+    dataCentre: brand('dc-1'),
+    incarnation: brand('vm-1.1'),
+    region: brand('region-1'),
+    vm: brand('vm-1'),
+  };
+  readonly leaving = new Set<string>();
+  readonly metrics = new Registry();
+  port = 0;
+  readonly requests: Requests;
+  tenure = true;
+  readonly #minions: readonly FakeMinion[];
+
+  constructor(options: BenchOptions) {
+    this.#minions = options.minions;
+    const node = {
+      bus: this.bus,
+      clock: SYSTEM_CLOCK,
+      events: SILENT_EVENTS,
+      identity: this.identity,
+      metrics: this.metrics,
+    };
+    this.requests = registerRequests(node, {
+      catalogue: {current: this.#createView(options)},
+      directory: this.#createDirectory(),
+      ...(options.loans === undefined ? {} : {loans: options.loans}),
+      membership: this.#createMembership(options.shares ?? 4),
+      seed: 1,
+      settings: createSettings(options),
+      store: options.store ?? ({} as PlatformStore),
+    });
+  }
+
+  close(): void {
+    this.requests.unregister();
+    this.#minions.forEach((minion) => {
+      minion.close();
+    });
+  }
+
+  url(path: string): string {
+    return `http://127.0.0.1:${this.port}${path}`;
+  }
+
+  #createDirectory(): VmDirectory {
+    const toVm = (minion: FakeMinion): Vm => ({
+      address: minion.address,
+      connections: 64,
+      dataCentre: 'dc-1',
+      id: minion.id,
+      role: 'minion',
+      service: 'mesa',
+      slots: 8,
+      state: this.leaving.has(minion.id) ? 'leaving' : 'live',
+    });
+    return {
+      markLeaving: (vm) => {
+        this.leaving.add(vm);
+      },
+      vm: (id) => this.#minions.map(toVm).find((each) => each.id === id),
+      vms: () => this.#minions.map(toVm),
+    };
+  }
+
+  #createMembership(share: number): Membership {
+    const {dataCentre, incarnation, vm} = this.identity;
+    const allotment: Allotment = {
+      cells: new Map(),
+      dataCentre,
+      epoch: 1,
+      members: new Map([[incarnation, {incarnation, peerAddress: '127.0.0.1:1', vm}]]),
+      minions: new Map(
+        this.#minions.map(({id}) => [
+          id,
+          {minion: id, shares: new Map([[incarnation, share]]), slots: 8},
+        ]),
+      ),
+      modRevision: 1,
+    };
+    return {
+      allotment: () => allotment,
+      holdsTenure: () => this.tenure,
+      tenureEnds: () => Infinity as Instant,
+    };
+  }
+
+  #createView({entries = [ALERTS, PROOFS], teams = []}: BenchOptions): () => CatalogueView {
+    const view: CatalogueView = {
+      entries: new Map(entries.map((entry) => [brand<EntryId>(entry.id), entry])),
+      isDrained: (target, id) => this.drained.has(`${target} ${id}`),
+      revision: 1,
+      stoppedVms: new Set(),
+      teams: new Map(teams.map((team) => [brand<TeamId>(team.id), team])),
+    };
+    return () => view;
+  }
+}
+
+function createSettings({policies = {}, stopDelayMs = 0}: BenchOptions): Settings {
+  return {
+    dataCentre: 'dc-1',
+    listen: {callers: '127.0.0.1:0', operators: '127.0.0.1:0', peers: '127.0.0.1:0'},
+    platform: {store: ['http://127.0.0.1:1'], vmList: 'http://127.0.0.1:1'},
+    policies,
+    region: 'region-1',
+    secrets: {operator: {env: 'A'}, peer: {env: 'B'}},
+    timings: {stopDelayMs},
+    vm: 'vm-1',
+  };
+}
+
+/** Starts the feature with its minions and runs `body`; everything is closed after it. */
+export async function withBench(
+  options: BenchOptions,
+  body: (bench: RequestsBench) => Promise<void>,
+): Promise<void> {
+  await Promise.all(options.minions.map((minion) => minion.listen()));
+  const bench = new RequestsBench(options);
+  try {
+    const listening = await bench.requests.listen();
+    bench.port = listening._unsafeUnwrap().port;
+    await body(bench);
+  } finally {
+    bench.close();
+  }
+}
+
+/** Waits until `condition` holds. */
+export async function until(condition: () => boolean): Promise<void> {
+  const end = Date.now() + WAIT_MAX_MS;
+  while (!condition()) {
+    if (Date.now() > end) {
+      throw new Error('the condition did not come about');
+    }
+    await new Promise((resolve) => setTimeout(resolve, 5));
+  }
+}
+
+/** Sends raw bytes and collects what comes back until the connection closes. */
+export async function sendRaw(port: number, text: string): Promise<string> {
+  const socket = connect(port, '127.0.0.1');
+  let received = '';
+  socket.on('data', (chunk) => (received += chunk.toString()));
+  socket.on('error', () => undefined);
+  socket.write(text);
+  await once(socket, 'close');
+  return received;
+}
--- /dev/null
+++ b/packages/nutmegproxy-requests/src/registerRequests.ts
@@ -0,0 +1,192 @@
+/** Registers the requests feature on an entry VM's process. */
+
+import type {MinionChoicePolicy, QueuePolicy} from '@nutmegproxy/admission';
+import type {CatalogueSource} from '@nutmegproxy/catalogue';
+import type {DrainStart, EntryNode, Unregister} from '@nutmegproxy/core';
+import type {Membership} from '@nutmegproxy/membership';
+import type {VmDirectory} from '@nutmegproxy/platform';
+import type {Settings} from '@nutmegproxy/schema';
+import type {PlatformStore} from '@nutmegproxy/store';
+import type {ResultAsync} from 'neverthrow';
+import type {AddressInfo} from 'node:net';
+
+import {createRandom, MINION_CHOICES, REQUEST_QUEUES} from '@nutmegproxy/admission';
+import {CATALOGUE_CHANGED} from '@nutmegproxy/catalogue';
+import {DRAIN_STARTED, mergeUnregister, PRIORITY_NORMAL} from '@nutmegproxy/core';
+import {VMS_CHANGED} from '@nutmegproxy/platform';
+
+import type {CallerRouteHandler, ListenFailure} from './CallerListener.ts';
+import type {SlotLender, SlotLoans} from './SlotLoans.ts';
+
+import {CallerListener} from './CallerListener.ts';
+import {CatalogueLimits} from './CatalogueLimits.ts';
+import {ConnectionPool} from './ConnectionPool.ts';
+import {EntryRequests} from './EntryRequests.ts';
+import {MinionRoutes} from './MinionRoutes.ts';
+import {RequestDispatcher} from './RequestDispatcher.ts';
+import {DEFAULT_STOP_DELAY_MS, ENTRIES_PREFIX, TICK_MS} from './RequestsConstants.ts';
+import {REQUESTS_EVENTS} from './RequestsEvents.ts';
+import {RequestsMetrics} from './RequestsMetrics.ts';
+import {SlotLedger} from './SlotLedger.ts';
+
+/** What the requests feature needs from the others. */
+export interface RequestsServices {
+  readonly catalogue: CatalogueSource;
+  readonly directory: VmDirectory;
+  readonly loans?: SlotLoans;
+  readonly membership: Membership;
+  /** Seed of the random choices; a fixed one makes runs repeatable. */
+  readonly seed: number;
+  readonly settings: Settings;
+  readonly store: PlatformStore;
+}
+
+/** The running feature. */
+export interface Requests {
+  /** Deducts and restores slots that peers borrow from this process. */
+  readonly lender: SlotLender;
+  /** Starts to listen for callers at the address of the settings. */
+  listen(): ResultAsync<AddressInfo, ListenFailure>;
+  /** Serves another prefix, such as `/tasks/`, on the callers' listener. */
+  registerCallerRoute(prefix: string, handler: CallerRouteHandler): Unregister;
+  /** Closes at once and takes back all registrations. */
+  readonly unregister: Unregister;
+}
+
+function parseAddress(address: string): {host: string; port: number} {
+  const colon = address.lastIndexOf(':');
+  const host = address.slice(0, colon).replace(/^\[(.*)\]$/, '$1');
+  return {host, port: Number(address.slice(colon + 1))};
+}
+
+function pickPolicy<Name extends string>(
+  table: Record<Name, unknown>,
+  wished: string | undefined,
+  fallback: Name,
+): Name {
+  return wished !== undefined && Object.hasOwn(table, wished) ? (wished as Name) : fallback;
+}
+
+/** The parts of the feature, wired to each other. */
+function createParts(node: EntryNode, services: RequestsServices) {
+  const {catalogue, directory, loans, membership, seed, settings} = services;
+  const {identity} = node;
+  const random = createRandom(seed);
+  const ledger = new SlotLedger();
+  const pool = new ConnectionPool();
+  const routes = new MinionRoutes({catalogue, directory, identity, ledger, membership});
+  const {policies = {}} = settings;
+  const queue: QueuePolicy = pickPolicy(REQUEST_QUEUES, policies.requestQueue, 'deadline');
+  const choice: MinionChoicePolicy = pickPolicy(
+    MINION_CHOICES,
+    policies.minionChoice,
+    'power-of-two',
+  );
+  const dispatcher = new RequestDispatcher({
+    createChoice: () => MINION_CHOICES[choice](random),
+    createQueue: REQUEST_QUEUES[queue],
+    directory,
+    ledger,
+    limits: new CatalogueLimits({catalogue, directory, identity, membership}),
+    loans,
+    membership,
+    node,
+    pool,
+    routes,
+  });
+  const isReady = (): boolean =>
+    membership.holdsTenure(node.clock.monotonic()) && catalogue.current().revision > 0;
+  const listener = new CallerListener(node, isReady, random);
+  return {dispatcher, ledger, listener, pool, routes};
+}
+
+type Parts = ReturnType<typeof createParts>;
+
+function createLender({dispatcher, ledger, pool}: Parts, node: EntryNode): SlotLender {
+  return {
+    restore: (minion, count) => {
+      ledger.restoreLent(minion, count);
+      dispatcher.refresh(node.clock.monotonic());
+    },
+    take: (minion, count) => {
+      const lent = ledger.lend(minion, count);
+      void pool.trim(minion, ledger.idle(minion));
+      return lent;
+    },
+  };
+}
+
+/** Gives back idle borrowed slots, closes connections beyond the shares, and looks for work. */
+function tick({dispatcher, ledger, pool}: Parts, node: EntryNode, loans?: SlotLoans): void {
+  dispatcher.refresh(node.clock.monotonic());
+  for (const minion of ledger.borrowedMinions()) {
+    const count = ledger.takeBorrowed(minion);
+    if (count > 0) {
+      loans?.giveBack(minion, count);
+    }
+  }
+  for (const minion of pool.minions()) {
+    void pool.trim(minion, ledger.idle(minion));
+  }
+}
+
+/**
+ * Registers the requests feature. It serves callers once `listen` has been called.
+ *
+ * @example
+ * const requests = registerRequests(node, services);
+ * await requests.listen();
+ */
+export function registerRequests(node: EntryNode, services: RequestsServices): Requests {
+  const {catalogue, loans, settings} = services;
+  const parts = createParts(node, services);
+  const {dispatcher, listener, pool, routes} = parts;
+  const metrics = new RequestsMetrics(node.metrics);
+  const entries = new EntryRequests({catalogue, dispatcher, listener, metrics, node});
+  const look = (): boolean => {
+    routes.invalidate();
+    dispatcher.refresh(node.clock.monotonic());
+    return false;
+  };
+  const stop = async (): Promise<void> => {
+    await listener.stop(settings.timings?.stopDelayMs ?? DEFAULT_STOP_DELAY_MS);
+    await pool.close();
+    tick(parts, node, loans);
+  };
+  const startDrain = ({wait}: DrainStart): boolean => {
+    wait(stop());
+    return false;
+  };
+  const ticker = setInterval(() => {
+    metrics.waiting.set(listener.inProgress);
+    tick(parts, node, loans);
+  }, TICK_MS);
+  return {
+    lender: createLender(parts, node),
+    listen: () => {
+      const {host, port} = parseAddress(settings.listen.callers);
+      return listener
+        .listen(host, port)
+        .andTee((address) => {
+          node.events.record(REQUESTS_EVENTS.LISTENING, {port: address.port});
+        })
+        .orTee(({message}) => {
+          node.events.record(REQUESTS_EVENTS.LISTEN_FAILED, {message});
+        });
+    },
+    registerCallerRoute: (prefix, handler) => listener.registerRoute(prefix, handler),
+    unregister: mergeUnregister(
+      () => {
+        listener.terminate();
+        void pool.close();
+      },
+      () => {
+        clearInterval(ticker);
+      },
+      listener.registerRoute(ENTRIES_PREFIX, (exchange) => entries.handle(exchange)),
+      node.bus.register(CATALOGUE_CHANGED, look, PRIORITY_NORMAL),
+      node.bus.register(VMS_CHANGED, look, PRIORITY_NORMAL),
+      node.bus.register(DRAIN_STARTED, startDrain, PRIORITY_NORMAL),
+    ),
+  };
+}
