--- a/packages/nutmegproxy-requests/src/MinionExchange.ts
+++ b/packages/nutmegproxy-requests/src/MinionExchange.ts
@@ -18,7 +18,12 @@
 import {relayAnswer} from './AnswerRelay.ts';
 import {ABORT_DEADLINE} from './Call.ts';
 import {singleHeader} from './HeaderUtils.ts';
-import {HEADER_LEAVING, HEADER_REFUSED, HEADER_REQUEST} from './RequestsConstants.ts';
+import {
+  HEADER_LEAVING,
+  HEADER_REFUSED,
+  HEADER_REQUEST,
+  HEADER_TIMEOUT_MS,
+} from './RequestsConstants.ts';
 import {REQUESTS_EVENTS} from './RequestsEvents.ts';
 
 /** How a try ended. `answered`: the caller has the whole answer, or it is on its way. */
@@ -179,16 +184,19 @@
 
   async #send(connection: MinionConnection, now: Instant): Promise<TryEnd> {
     const {abort, body, headers, method, path, waiting} = this.#call;
-    const sending = connection.send(
+    const result = await connection.send(
       {
         body: body.payload(),
-        headers: {...headers, [HEADER_REQUEST]: waiting.id},
+        headers: {
+          ...headers,
+          [HEADER_REQUEST]: waiting.id,
+          [HEADER_TIMEOUT_MS]: String(Math.max(1, Math.floor(waiting.deadline - now))),
+        },
         method,
         path,
       },
       abort.signal,
     );
-    const result = await sending;
     if (result.isOk()) {
       return this.#answer(connection, result.value, now);
     }
--- a/packages/nutmegproxy-requests/src/MinionRoutes.ts
+++ b/packages/nutmegproxy-requests/src/MinionRoutes.ts
@@ -66,11 +66,15 @@
     );
   }
 
+  /** Reads the shares anew: the record or what is being given up has changed. */
+  refreshShares(): void {
+    this.#allotment = this.#sources.membership.allotment();
+    this.#setShares(this.#allotment);
+  }
+
   #refresh(): void {
-    const allotment = this.#sources.membership.allotment();
-    if (allotment !== this.#allotment) {
-      this.#allotment = allotment;
-      this.#setShares(allotment);
+    if (this.#sources.membership.allotment() !== this.#allotment) {
+      this.refreshShares();
     }
     const view = this.#sources.catalogue.current();
     if (!this.#stale && view === this.#view) {
@@ -95,10 +99,10 @@
   }
 
   #setShares(allotment: Allotment | undefined): void {
-    const {identity, ledger} = this.#sources;
+    const {ledger, membership} = this.#sources;
     const shares = new Map<MinionId, number>();
-    for (const [minion, slots] of allotment?.minions ?? []) {
-      shares.set(minion, slots.shares.get(identity.incarnation) ?? 0);
+    for (const minion of allotment?.minions.keys() ?? []) {
+      shares.set(minion, membership.ownShare(minion));
     }
     ledger.setShares(shares);
   }
--- a/packages/nutmegproxy-requests/src/RequestDispatcher.ts
+++ b/packages/nutmegproxy-requests/src/RequestDispatcher.ts
@@ -10,6 +10,7 @@
 import type {Outcome, Refusal, RefusalCode} from './Refusal.ts';
 import type {AdmissionRefusal} from './ServiceAdmission.ts';
 import type {SlotLoans} from './SlotLoans.ts';
+import type {TenureGuard} from './TenureGuard.ts';
 
 import {MinionExchange} from './MinionExchange.ts';
 import {TRIES_MAX} from './RequestsConstants.ts';
@@ -24,6 +25,7 @@
 export interface DispatcherParts extends Omit<ExchangeParts, 'outliers'> {
   readonly createChoice: () => MinionChoice;
   readonly createQueue: (limits: QueueLimits) => RequestQueue;
+  readonly guard: TenureGuard;
   readonly limits: Omit<QueueLimits, 'slots'>;
   readonly loans: SlotLoans | undefined;
 }
@@ -128,7 +130,8 @@
     }
     call.tried.add(granted.value.open.minion);
     const parts = {...this.#parts, outliers};
-    return new MinionExchange(parts, admission, call, granted.value).run();
+    const exchange = new MinionExchange(parts, admission, call, granted.value);
+    return this.#parts.guard.watch(call.abort, () => exchange.run());
   }
 }
 
--- a/packages/nutmegproxy-requests/src/RequestsConstants.ts
+++ b/packages/nutmegproxy-requests/src/RequestsConstants.ts
@@ -41,5 +41,7 @@
 export const RETRY_AFTER_MAX_MS = 30_000;
 
 export const TICK_MS = 250;
+/** Part of the request limit after which requests at minions end when tenure has been lost. */
+export const TENURE_LOSS_SHARE = 0.8;
 export const LOAN_SIZE_MAX = 2;
 export const LOAN_PAUSE_MS = 50;
--- a/packages/nutmegproxy-requests/src/SlotLedger.ts
+++ b/packages/nutmegproxy-requests/src/SlotLedger.ts
@@ -49,6 +49,12 @@
     return this.#minions.get(minion)?.inFlight ?? 0;
   }
 
+  /** Whether no more slots are in use or lent than this process may use and lend. */
+  isWithinShare(minion: MinionId): boolean {
+    const slots = this.#minions.get(minion);
+    return slots === undefined || slots.inFlight + slots.lent <= slots.share + slots.borrowed;
+  }
+
   /** Takes up to `count` idle slots out for a peer; returns how many. */
   lend(minion: MinionId, count: number): number {
     const slots = this.#minions.get(minion);
--- a/packages/nutmegproxy-requests/src/__tests__/unit/Requests.test.ts
+++ b/packages/nutmegproxy-requests/src/__tests__/unit/Requests.test.ts
@@ -1,4 +1,5 @@
 import {DRAIN_STARTED} from '@nutmegproxy/core';
+import {SHARE_RELEASE_WANTED} from '@nutmegproxy/membership';
 import assert from 'node:assert/strict';
 import {connect} from 'node:net';
 import {describe, it} from 'node:test';
@@ -313,6 +314,27 @@
       });
     });
 
+    it('reports a share as given up once no more than the rest is in use', async () => {
+      const minion = new FakeMinion('m1', () => undefined);
+      await withBench({minions: [minion], shares: 2}, async (bench) => {
+        const pending = [1, 2].map(() => ask(bench.url('/entries/alerts/'), POST));
+        await until(() => minion.arrivals.length === 2);
+        bench.share = 1;
+        let freed = false;
+        const released = () => {
+          freed = true;
+        };
+        bench.bus.dispatch(SHARE_RELEASE_WANTED, {keep: 1, minion: minion.id, released});
+        assert.equal(freed, false);
+        const [first, second] = minion.sockets();
+        assert.ok(first && second);
+        answer('x')(first, '');
+        await until(() => freed);
+        answer('x')(second, '');
+        await Promise.all(pending);
+      });
+    });
+
     it('lends idle slots only', async () => {
       const minion = new FakeMinion('m1', () => undefined);
       await withBench({minions: [minion], shares: 2}, async (bench) => {
--- a/packages/nutmegproxy-requests/src/__tests__/unit/RequestsBench.ts
+++ b/packages/nutmegproxy-requests/src/__tests__/unit/RequestsBench.ts
@@ -151,11 +151,13 @@
   readonly metrics = new Registry();
   port = 0;
   readonly requests: Requests;
+  share: number;
   tenure = true;
   readonly #minions: readonly FakeMinion[];
 
   constructor(options: BenchOptions) {
     this.#minions = options.minions;
+    this.share = options.shares ?? 4;
     const node = {
       bus: this.bus,
       clock: SYSTEM_CLOCK,
@@ -167,7 +169,7 @@
       catalogue: {current: this.#createView(options)},
       directory: this.#createDirectory(),
       ...(options.loans === undefined ? {} : {loans: options.loans}),
-      membership: this.#createMembership(options.shares ?? 4),
+      membership: this.#createMembership(),
       seed: 1,
       settings: createSettings(options),
       store: options.store ?? ({} as PlatformStore),
@@ -205,7 +207,7 @@
     };
   }
 
-  #createMembership(share: number): Membership {
+  #createMembership(): Membership {
     const {dataCentre, incarnation, vm} = this.identity;
     const allotment: Allotment = {
       cells: new Map(),
@@ -215,7 +217,7 @@
       minions: new Map(
         this.#minions.map(({id}) => [
           id,
-          {minion: id, shares: new Map([[incarnation, share]]), slots: 8},
+          {minion: id, shares: new Map([[incarnation, this.share]]), slots: 8},
         ]),
       ),
       modRevision: 1,
@@ -223,6 +225,7 @@
     return {
       allotment: () => allotment,
       holdsTenure: () => this.tenure,
+      ownShare: () => this.share,
       tenureEnds: () => Infinity as Instant,
     };
   }
--- a/packages/nutmegproxy-requests/src/registerRequests.ts
+++ b/packages/nutmegproxy-requests/src/registerRequests.ts
@@ -3,7 +3,7 @@
 import type {MinionChoicePolicy, QueuePolicy} from '@nutmegproxy/admission';
 import type {CatalogueSource} from '@nutmegproxy/catalogue';
 import type {DrainStart, EntryNode, Unregister} from '@nutmegproxy/core';
-import type {Membership} from '@nutmegproxy/membership';
+import type {Membership, ShareRelease} from '@nutmegproxy/membership';
 import type {VmDirectory} from '@nutmegproxy/platform';
 import type {Settings} from '@nutmegproxy/schema';
 import type {PlatformStore} from '@nutmegproxy/store';
@@ -13,6 +13,7 @@
 import {createRandom, MINION_CHOICES, REQUEST_QUEUES} from '@nutmegproxy/admission';
 import {CATALOGUE_CHANGED} from '@nutmegproxy/catalogue';
 import {DRAIN_STARTED, mergeUnregister, PRIORITY_NORMAL} from '@nutmegproxy/core';
+import {ALLOTMENT_CHANGED, SHARE_RELEASE_WANTED, TENURE_GAINED} from '@nutmegproxy/membership';
 import {VMS_CHANGED} from '@nutmegproxy/platform';
 
 import type {CallerRouteHandler, ListenFailure} from './CallerListener.ts';
@@ -27,7 +28,9 @@
 import {DEFAULT_STOP_DELAY_MS, ENTRIES_PREFIX, TICK_MS} from './RequestsConstants.ts';
 import {REQUESTS_EVENTS} from './RequestsEvents.ts';
 import {RequestsMetrics} from './RequestsMetrics.ts';
+import {ShareReleases} from './ShareReleases.ts';
 import {SlotLedger} from './SlotLedger.ts';
+import {TenureGuard} from './TenureGuard.ts';
 
 /** What the requests feature needs from the others. */
 export interface RequestsServices {
@@ -82,10 +85,12 @@
     policies.minionChoice,
     'power-of-two',
   );
+  const guard = new TenureGuard(membership);
   const dispatcher = new RequestDispatcher({
     createChoice: () => MINION_CHOICES[choice](random),
     createQueue: REQUEST_QUEUES[queue],
     directory,
+    guard,
     ledger,
     limits: new CatalogueLimits({catalogue, directory, identity, membership}),
     loans,
@@ -97,7 +102,8 @@
   const isReady = (): boolean =>
     membership.holdsTenure(node.clock.monotonic()) && catalogue.current().revision > 0;
   const listener = new CallerListener(node, isReady, random);
-  return {dispatcher, ledger, listener, pool, routes};
+  const releases = new ShareReleases(ledger);
+  return {dispatcher, guard, ledger, listener, pool, releases, routes};
 }
 
 type Parts = ReturnType<typeof createParts>;
@@ -117,8 +123,12 @@
 }
 
 /** Gives back idle borrowed slots, closes connections beyond the shares, and looks for work. */
-function tick({dispatcher, ledger, pool}: Parts, node: EntryNode, loans?: SlotLoans): void {
-  dispatcher.refresh(node.clock.monotonic());
+function tick(parts: Parts, node: EntryNode, loans?: SlotLoans): void {
+  const {dispatcher, guard, ledger, pool, releases} = parts;
+  const now = node.clock.monotonic();
+  guard.check(now);
+  dispatcher.refresh(now);
+  releases.check();
   for (const minion of ledger.borrowedMinions()) {
     const count = ledger.takeBorrowed(minion);
     if (count > 0) {
@@ -148,6 +158,15 @@
     dispatcher.refresh(node.clock.monotonic());
     return false;
   };
+  const lookAtShares = (): boolean => {
+    routes.refreshShares();
+    return look();
+  };
+  const releaseShare = (release: ShareRelease): boolean => {
+    lookAtShares();
+    parts.releases.add(release);
+    return true;
+  };
   const stop = async (): Promise<void> => {
     await listener.stop(settings.timings?.stopDelayMs ?? DEFAULT_STOP_DELAY_MS);
     await pool.close();
@@ -185,6 +204,9 @@
       },
       listener.registerRoute(ENTRIES_PREFIX, (exchange) => entries.handle(exchange)),
       node.bus.register(CATALOGUE_CHANGED, look, PRIORITY_NORMAL),
+      node.bus.register(ALLOTMENT_CHANGED, lookAtShares, PRIORITY_NORMAL),
+      node.bus.register(SHARE_RELEASE_WANTED, releaseShare, PRIORITY_NORMAL),
+      node.bus.register(TENURE_GAINED, look, PRIORITY_NORMAL),
       node.bus.register(VMS_CHANGED, look, PRIORITY_NORMAL),
       node.bus.register(DRAIN_STARTED, startDrain, PRIORITY_NORMAL),
     ),
