Take idempotency keys in the store before a request is sent

A claim is create-if-absent with a value that names the request, so making the same claim again after a lost answer reads back whether it took effect. Claims go in groups, one store call at a time, paced to a budget that the entry VMs share; final states follow lazily. A key is freed only while it is as its claim left it. Ruled out: a call per key (the store's budget), and waiting for the release before the refusal (the refusal is due at once).

--- a/packages/nutmegproxy-requests/src/EntryRequests.ts
+++ b/packages/nutmegproxy-requests/src/EntryRequests.ts
@@ -11,6 +11,7 @@
 
 import type {Call} from './Call.ts';
 import type {CallerExchange, CallerListener} from './CallerListener.ts';
+import type {KeyedDispatch} from './KeyedDispatch.ts';
 import type {Refusal, RefusalCode} from './Refusal.ts';
 import type {BodyFailure, RequestBody} from './RequestBody.ts';
 import type {RequestDispatcher} from './RequestDispatcher.ts';
@@ -23,6 +24,7 @@
   CALLER_IDLE_TIMEOUT_MS,
   DEFAULT_BODY_BYTES,
   DEFAULT_TIMEOUT_MS,
+  HEADER_IDEMPOTENCY_KEY,
   HEADER_TIMEOUT_MS,
 } from './RequestsConstants.ts';
 import {REQUESTS_EVENTS} from './RequestsEvents.ts';
@@ -33,6 +35,8 @@
 /** What a caller asks for, after the checks that need no body. */
 interface Target {
   readonly entry: RequestEntry;
+  /** Idempotency key of the caller. */
+  readonly key: string | undefined;
   /** Path and query for the minion. */
   readonly path: string;
   readonly timeoutMs: number;
@@ -42,6 +46,7 @@
 export interface EntryRequestsParts {
   readonly catalogue: CatalogueSource;
   readonly dispatcher: RequestDispatcher;
+  readonly keyed: KeyedDispatch;
   readonly listener: CallerListener;
   readonly metrics: RequestsMetrics;
   readonly node: EntryNode;
@@ -49,6 +54,7 @@
 
 const TARGET_PATTERN = /^([a-z0-9][a-z0-9.-]{0,62})(\/[^\s\p{Cc}]*)?(\?[^\s\p{Cc}]*)?$/u;
 const TIMEOUT_PATTERN = /^[1-9][0-9]{0,8}$/;
+const KEY_PATTERN = /^[\x20-\x7e]{1,255}$/;
 const IDEMPOTENT_METHODS = new Set(['GET', 'HEAD']);
 
 export class EntryRequests {
@@ -124,9 +130,13 @@
     if (wished !== undefined && (typeof wished !== 'string' || !TIMEOUT_PATTERN.test(wished))) {
       return err('malformed');
     }
+    const key = request.headers[HEADER_IDEMPOTENCY_KEY];
+    if (key !== undefined && (typeof key !== 'string' || !KEY_PATTERN.test(key))) {
+      return err('malformed');
+    }
     const limitMs = entry.limits.timeoutMs ?? DEFAULT_TIMEOUT_MS;
     const timeoutMs = Math.min(limitMs, Number(wished ?? limitMs));
-    return ok({entry, path: `${rest}${query}`, timeoutMs});
+    return ok({entry, key, path: `${rest}${query}`, timeoutMs});
   }
 
   #finish(exchange: CallerExchange, entry: RequestEntry): void {
@@ -159,7 +169,7 @@
   }
 
   async #run(exchange: CallerExchange, target: Target, abort: AbortController): Promise<void> {
-    const {entry} = target;
+    const {entry, key} = target;
     const limitBytes = entry.limits.bodyBytes ?? DEFAULT_BODY_BYTES;
     const body = await readRequestBody(exchange.request, limitBytes, abort.signal);
     if (body.isErr()) {
@@ -167,7 +177,10 @@
       return;
     }
     const call = this.#createCall(exchange, target, abort, body.value);
-    const end = await this.#parts.dispatcher.run(call);
+    const {dispatcher, keyed} = this.#parts;
+    const end = await (call.idempotent || key === undefined
+      ? dispatcher.run(call)
+      : keyed.run(call, key));
     if (end.kind === 'answered') {
       this.#finish(exchange, entry);
       return;
--- /dev/null
+++ b/packages/nutmegproxy-requests/src/KeyLeases.ts
@@ -0,0 +1,43 @@
+/** Store leases that let idempotency keys expire; one lease serves all keys of an hour. */
+
+import type {Clock} from '@nutmegproxy/core';
+import type {LeaseId, PlatformStore, StoreFailure} from '@nutmegproxy/store';
+import type {ResultAsync} from 'neverthrow';
+
+import {KEY_LEASE_PERIOD_MS, KEY_RETENTION_MS} from './RequestsConstants.ts';
+
+export class KeyLeases {
+  readonly #clock: Clock;
+  #current: ResultAsync<LeaseId, StoreFailure> | undefined;
+  #period = -1;
+  readonly #store: PlatformStore;
+
+  constructor(store: PlatformStore, clock: Clock) {
+    this.#clock = clock;
+    this.#store = store;
+  }
+
+  /** The lease for keys that are taken now; concurrent callers share one grant. */
+  current(): ResultAsync<LeaseId, StoreFailure> {
+    const period = Math.floor(this.#clock.monotonic() / KEY_LEASE_PERIOD_MS);
+    if (this.#current !== undefined && period === this.#period) {
+      return this.#current;
+    }
+    const ttlSeconds = (KEY_RETENTION_MS + KEY_LEASE_PERIOD_MS) / 1000;
+    const granted = this.#store
+      .grantLease(ttlSeconds)
+      .map(({lease}) => lease)
+      .mapErr((failure) => {
+        this.forget();
+        return failure;
+      });
+    this.#current = granted;
+    this.#period = period;
+    return granted;
+  }
+
+  /** The store does not know the lease any more. */
+  forget(): void {
+    this.#current = undefined;
+  }
+}
--- a/packages/nutmegproxy-requests/src/Refusal.ts
+++ b/packages/nutmegproxy-requests/src/Refusal.ts
@@ -4,6 +4,7 @@
 import type {ServerResponse} from 'node:http';
 
 import {
+  HEADER_FIRST_TRY,
   HEADER_OUTCOME,
   HEADER_REQUEST,
   HEADER_RETRY_AFTER_MS,
@@ -114,6 +115,9 @@
   response.setHeader('content-length', Buffer.byteLength(body));
   response.setHeader(HEADER_OUTCOME, outcome);
   response.setHeader(HEADER_REQUEST, context.request);
+  if (firstTry !== undefined) {
+    response.setHeader(HEADER_FIRST_TRY, firstTry);
+  }
   if (retry) {
     const retryAfterMs = spreadRetry(refusal, context.random);
     response.setHeader('retry-after', Math.ceil(retryAfterMs / 1000));
--- a/packages/nutmegproxy-requests/src/RequestsConstants.ts
+++ b/packages/nutmegproxy-requests/src/RequestsConstants.ts
@@ -14,6 +14,7 @@
 export const ENTRIES_PREFIX = '/entries/';
 
 export const DEFAULT_TIMEOUT_MS = 30_000;
+export const DEFAULT_KEY_PREFIX = '/nutmegproxy';
 export const DEFAULT_BODY_BYTES = 1_048_576;
 export const DEFAULT_ENTRY_QUEUE = 1024;
 
@@ -45,3 +46,20 @@
 export const TENURE_LOSS_SHARE = 0.8;
 export const LOAN_SIZE_MAX = 2;
 export const LOAN_PAUSE_MS = 50;
+
+/** Store calls for keys per second, over all entry VMs together. */
+export const KEY_CALLS_PER_SECOND = 120;
+/** Calls that one process may make at once after a quiet time. */
+export const KEY_CALLS_BURST = 10;
+/** Keys whose operations go in one store call. */
+export const KEYS_PER_CALL = 64;
+export const KEY_CLAIMS_MAX = 4096;
+export const KEY_NOTES_MAX = 8192;
+export const KEY_NOTE_DELAY_MS = 500;
+export const KEY_NOTE_TRIES_MAX = 5;
+/** How long keyed requests are refused at once after the store failed. */
+export const KEY_STORE_PAUSE_MS = 1000;
+export const KEY_RETENTION_MS = 86_400_000;
+export const KEY_LEASE_PERIOD_MS = 3_600_000;
+/** Longest time that a planned stop waits for the states of keys to be recorded. */
+export const KEY_SETTLE_MS = 2000;
--- /dev/null
+++ b/packages/nutmegproxy-requests/src/__tests__/unit/FakeStore.ts
@@ -0,0 +1,96 @@
+/** The store's transactions in memory, with failures before and after a call takes effect. */
+
+import type {
+  Comparison,
+  LeaseId,
+  Operation,
+  OperationAnswer,
+  PlatformStore,
+  StoredValue,
+  StoreFailure,
+  Transaction,
+  TransactionAnswer,
+} from '@nutmegproxy/store';
+
+import {brand} from '@nutmegproxy/core';
+import {errAsync, okAsync, type ResultAsync} from 'neverthrow';
+
+/** `lost-after` takes effect and loses the answer; `lost-before` has no effect. */
+export type StoreFault = 'lost-after' | 'lost-before' | 'unavailable';
+
+export class FakeStore implements PlatformStore {
+  calls = 0;
+  /** Faults of the next calls, in order; a missing one is none. */
+  readonly faults: (StoreFault | undefined)[] = [];
+  /** Fault of every call while it is set. */
+  outage: StoreFault | undefined;
+  readonly values = new Map<string, StoredValue>();
+  #revision = 0;
+
+  close(): Promise<void> {
+    return Promise.resolve();
+  }
+
+  commit(transaction: Transaction): ResultAsync<TransactionAnswer, StoreFailure> {
+    this.calls += 1;
+    const fault = this.faults.shift() ?? this.outage;
+    if (fault === 'unavailable') {
+      return errAsync({kind: 'unavailable', message: 'down'});
+    }
+    const answer = fault === 'lost-before' ? undefined : this.#apply(transaction);
+    return fault === undefined && answer !== undefined
+      ? okAsync(answer)
+      : errAsync({kind: 'unknown', message: 'lost'});
+  }
+
+  grantLease(ttlSeconds: number) {
+    return okAsync<{lease: LeaseId; ttlSeconds: number}, StoreFailure>({
+      lease: brand<LeaseId>('lease-1'),
+      ttlSeconds,
+    });
+  }
+
+  keepLeaseAlive(lease: LeaseId) {
+    return okAsync<{lease: LeaseId; ttlSeconds: number}, StoreFailure>({lease, ttlSeconds: 1});
+  }
+
+  revokeLease(): ResultAsync<void, StoreFailure> {
+    return okAsync(undefined);
+  }
+
+  watch() {
+    return {close: () => undefined};
+  }
+
+  #apply({compare, otherwise = [], then}: Transaction): TransactionAnswer {
+    this.#revision += 1;
+    const succeeded = compare.every((each) => this.#holds(each));
+    const answers = (succeeded ? then : otherwise).map((each) => this.#operate(each));
+    return {answers, revision: this.#revision, succeeded};
+  }
+
+  #holds(comparison: Comparison): boolean {
+    const stored = this.values.get(comparison.key);
+    return comparison.kind === 'modRevision'
+      ? (stored?.modRevision ?? 0) === comparison.modRevision
+      : stored?.value.equals(comparison.value) === true;
+  }
+
+  #operate(operation: Operation): OperationAnswer {
+    if (operation.kind === 'transaction') {
+      return {answer: this.#apply(operation.transaction), kind: 'transaction'};
+    }
+    const {key} = operation;
+    if (operation.kind === 'get') {
+      const stored = this.values.get(key);
+      return {kind: 'get', values: stored === undefined ? [] : [stored]};
+    }
+    if (operation.kind === 'delete') {
+      return {deleted: this.values.delete(key) ? 1 : 0, kind: 'delete'};
+    }
+    const revision = this.#revision;
+    const stored = {createRevision: revision, key, modRevision: revision, value: operation.value};
+    this.values.set(key, stored);
+    return {kind: 'put'};
+  }
+}
--- /dev/null
+++ b/packages/nutmegproxy-requests/src/__tests__/unit/RequestKeys.test.ts
@@ -0,0 +1,133 @@
+import assert from 'node:assert/strict';
+import {describe, it} from 'node:test';
+
+import type {BenchOptions, RequestsBench} from './RequestsBench.ts';
+
+import {FakeStore} from './FakeStore.ts';
+import {answer, cutAnswer, FakeMinion, until, withBench} from './RequestsBench.ts';
+
+const KEY = '/nutmegproxy/once/alerts/order%207';
+
+interface Setting {
+  readonly bench: RequestsBench;
+  readonly minion: FakeMinion;
+  readonly send: () => Promise<Response>;
+  readonly state: () => string | undefined;
+  readonly store: FakeStore;
+}
+
+async function withKeys(
+  body: (setting: Setting) => Promise<void>,
+  options: Partial<BenchOptions> = {},
+): Promise<void> {
+  const store = new FakeStore();
+  const minion = new FakeMinion('m1', answer('done'));
+  await withBench({...options, minions: [minion], store}, async (bench) => {
+    const send = (): Promise<Response> =>
+      fetch(bench.url('/entries/alerts/'), {
+        body: 'send',
+        headers: {'idempotency-key': 'order 7'},
+        method: 'POST',
+      });
+    const state = (): string | undefined => {
+      const text = store.values.get(KEY)?.value.toString();
+      return text === undefined ? undefined : (JSON.parse(text) as {state: string}).state;
+    };
+    await body({bench, minion, send, state, store});
+  });
+}
+
+const outcome = (response: Response): null | string => response.headers.get('nutmegproxy-outcome');
+
+describe('idempotency keys', () => {
+  it('run a request once and refuse the second try with the state of the first', async () => {
+    await withKeys(async ({minion, send, state}) => {
+      assert.equal((await send()).status, 200);
+      await until(() => state() === 'answered');
+      const second = await send();
+      assert.deepEqual([second.status, outcome(second)], [409, 'not-run']);
+      assert.equal(second.headers.get('nutmegproxy-first-try'), 'answered');
+      assert.equal(minion.arrivals.length, 1);
+    });
+  });
+
+  it('let one of many concurrent tries run', async () => {
+    await withKeys(async ({minion, send, store}) => {
+      const all = await Promise.all(Array.from({length: 20}, send));
+      assert.equal(all.filter(({status}) => status === 200).length, 1);
+      assert.equal(all.filter((each) => each.status === 409).length, 19);
+      assert.equal(minion.arrivals.length, 1);
+      assert.ok(store.calls <= 25, `${store.calls} calls`);
+    });
+  });
+
+  it('refuse at once as not run while the store is down', async () => {
+    await withKeys(async ({minion, send, store}) => {
+      store.outage = 'unavailable';
+      for (let index = 0; index < 5; index += 1) {
+        const refused = await send();
+        assert.deepEqual([refused.status, outcome(refused)], [503, 'not-run']);
+        assert.ok(Number(refused.headers.get('retry-after')) >= 1);
+      }
+      assert.equal(minion.arrivals.length, 0);
+    });
+  });
+
+  it('read back a claim whose answer was lost', async () => {
+    for (const fault of ['lost-after', 'lost-before'] as const) {
+      await withKeys(async ({minion, send, state, store}) => {
+        store.faults.push(fault);
+        assert.equal((await send()).status, 200, fault);
+        await until(() => state() === 'answered');
+        assert.equal(minion.arrivals.length, 1);
+      });
+    }
+  });
+
+  it('free a key again whose claim stayed unknown, once the store answers', async () => {
+    await withKeys(async ({minion, send, state, store}) => {
+      store.faults.push('lost-after', 'lost-after');
+      const refused = await send();
+      assert.equal(outcome(refused), 'not-run');
+      await until(() => state() === undefined);
+      assert.equal(minion.arrivals.length, 0);
+    });
+  });
+
+  it('free the key of a request that was not run, so that a retry may run', async () => {
+    await withKeys(async ({bench, minion, send, state}) => {
+      bench.drain('m1');
+      assert.equal(outcome(await send()), 'not-run');
+      await until(() => state() === undefined);
+      bench.drain();
+      assert.equal((await send()).status, 200);
+      assert.equal(minion.arrivals.length, 1);
+    });
+  });
+
+  it('keep the key of a request whose outcome is unknown', async () => {
+    await withKeys(async ({minion, send, state}) => {
+      minion.script = cutAnswer('', 0, 'reset');
+      assert.equal(outcome(await send()), 'outcome-unknown');
+      await until(() => state() === 'unknown');
+      const second = await send();
+      assert.equal(second.headers.get('nutmegproxy-first-try'), 'unknown');
+      assert.equal(minion.arrivals.length, 1);
+    });
+  });
+
+  it('commit many keys in few calls', async () => {
+    await withKeys(async ({bench, minion, store}) => {
+      const all = Array.from({length: 200}, (_, index) =>
+        fetch(bench.url('/entries/alerts/'), {
+          headers: {'idempotency-key': `key-${index}`},
+          method: 'POST',
+        }),
+      );
+      const statuses = (await Promise.all(all)).map(({status}) => status);
+      assert.ok(statuses.every((status) => status === 200));
+      assert.equal(minion.arrivals.length, 200);
+      assert.ok(store.calls < 100, `${store.calls} calls`);
+    });
+  });
+});
--- a/packages/nutmegproxy-requests/src/__tests__/unit/Requests.test.ts
+++ b/packages/nutmegproxy-requests/src/__tests__/unit/Requests.test.ts
@@ -164,9 +164,9 @@
     it('says not-run when no minion can be reached or none may be used', async () => {
       const minion = new FakeMinion('m1', answer('x'));
       await withBench({minions: [minion]}, async (bench) => {
-        bench.drained.add('minion m1');
+        bench.drain('m1');
         assert.equal(outcome(await ask(bench.url('/entries/alerts/'), POST)), 'not-run');
-        bench.drained.clear();
+        bench.drain();
         bench.tenure = false;
         assert.equal(outcome(await ask(bench.url('/entries/alerts/'), POST)), 'not-run');
         assert.equal((await ask(bench.url('/health/ready'))).status, 503);
--- a/packages/nutmegproxy-requests/src/__tests__/unit/RequestsBench.ts
+++ b/packages/nutmegproxy-requests/src/__tests__/unit/RequestsBench.ts
@@ -8,6 +8,7 @@
 import type {PlatformStore} from '@nutmegproxy/store';
 import type {AddressInfo, Socket} from 'node:net';
 
+import {CATALOGUE_CHANGED} from '@nutmegproxy/catalogue';
 import {brand, CommandBus, SILENT_EVENTS, SYSTEM_CLOCK} from '@nutmegproxy/core';
 import {once} from 'node:events';
 import {connect, createServer, type Server} from 'node:net';
@@ -24,6 +25,7 @@
 
 /** A minion that speaks HTTP byte by byte as its script says. */
 export class FakeMinion {
+  address = '';
   /** Requests that arrived, whole or in part, one per connection and exchange. */
   readonly arrivals: string[] = [];
   connections = 0;
@@ -43,10 +45,6 @@
     });
   }
 
-  get address(): string {
-    return `127.0.0.1:${(this.#server.address() as AddressInfo).port}`;
-  }
-
   close(): void {
     this.#server.close();
     this.#sockets.forEach((socket) => socket.destroy());
@@ -55,6 +53,7 @@
   async listen(): Promise<void> {
     this.#server.listen(0, '127.0.0.1');
     await once(this.#server, 'listening');
+    this.address = `127.0.0.1:${(this.#server.address() as AddressInfo).port}`;
   }
 
   sockets(): readonly Socket[] {
@@ -154,9 +153,11 @@
   share: number;
   tenure = true;
   readonly #minions: readonly FakeMinion[];
+  readonly #view: CatalogueView;
 
   constructor(options: BenchOptions) {
     this.#minions = options.minions;
+    this.#view = this.#createView(options);
     this.share = options.shares ?? 4;
     const node = {
       bus: this.bus,
@@ -166,7 +167,7 @@
       metrics: this.metrics,
     };
     this.requests = registerRequests(node, {
-      catalogue: {current: this.#createView(options)},
+      catalogue: {current: () => this.#view},
       directory: this.#createDirectory(),
       ...(options.loans === undefined ? {} : {loans: options.loans}),
       membership: this.#createMembership(),
@@ -183,6 +184,13 @@
     });
   }
 
+  /** Sets which minions are drained, as an accepted change of the catalogue does. */
+  drain(...minions: string[]): void {
+    this.drained.clear();
+    minions.forEach((minion) => this.drained.add(`minion ${minion}`));
+    this.bus.dispatch(CATALOGUE_CHANGED, this.#view);
+  }
+
   url(path: string): string {
     return `http://127.0.0.1:${this.port}${path}`;
   }
@@ -230,15 +238,14 @@
     };
   }
 
-  #createView({entries = [ALERTS, PROOFS], teams = []}: BenchOptions): () => CatalogueView {
-    const view: CatalogueView = {
+  #createView({entries = [ALERTS, PROOFS], teams = []}: BenchOptions): CatalogueView {
+    return {
       entries: new Map(entries.map((entry) => [brand<EntryId>(entry.id), entry])),
       isDrained: (target, id) => this.drained.has(`${target} ${id}`),
       revision: 1,
       stoppedVms: new Set(),
       teams: new Map(teams.map((team) => [brand<TeamId>(team.id), team])),
     };
-    return () => view;
   }
 }
 
--- a/packages/nutmegproxy-requests/src/registerRequests.ts
+++ b/packages/nutmegproxy-requests/src/registerRequests.ts
@@ -23,9 +23,16 @@
 import {CatalogueLimits} from './CatalogueLimits.ts';
 import {ConnectionPool} from './ConnectionPool.ts';
 import {EntryRequests} from './EntryRequests.ts';
+import {KeyedDispatch} from './KeyedDispatch.ts';
 import {MinionRoutes} from './MinionRoutes.ts';
 import {RequestDispatcher} from './RequestDispatcher.ts';
-import {DEFAULT_STOP_DELAY_MS, ENTRIES_PREFIX, TICK_MS} from './RequestsConstants.ts';
+import {RequestKeys} from './RequestKeys.ts';
+import {
+  DEFAULT_KEY_PREFIX,
+  DEFAULT_STOP_DELAY_MS,
+  ENTRIES_PREFIX,
+  TICK_MS,
+} from './RequestsConstants.ts';
 import {REQUESTS_EVENTS} from './RequestsEvents.ts';
 import {RequestsMetrics} from './RequestsMetrics.ts';
 import {ShareReleases} from './ShareReleases.ts';
@@ -72,7 +79,7 @@
 
 /** The parts of the feature, wired to each other. */
 function createParts(node: EntryNode, services: RequestsServices) {
-  const {catalogue, directory, loans, membership, seed, settings} = services;
+  const {catalogue, directory, loans, membership, seed, settings, store} = services;
   const {identity} = node;
   const random = createRandom(seed);
   const ledger = new SlotLedger();
@@ -99,11 +106,18 @@
     pool,
     routes,
   });
+  const keys = new RequestKeys({
+    clock: node.clock,
+    countVms: () => directory.vms().filter(({role}) => role === 'entry').length,
+    identity,
+    keyPrefix: settings.platform.keyPrefix ?? DEFAULT_KEY_PREFIX,
+    store,
+  });
   const isReady = (): boolean =>
     membership.holdsTenure(node.clock.monotonic()) && catalogue.current().revision > 0;
   const listener = new CallerListener(node, isReady, random);
   const releases = new ShareReleases(ledger);
-  return {dispatcher, guard, ledger, listener, pool, releases, routes};
+  return {dispatcher, guard, keys, ledger, listener, pool, releases, routes};
 }
 
 type Parts = ReturnType<typeof createParts>;
@@ -152,7 +166,8 @@
   const parts = createParts(node, services);
   const {dispatcher, listener, pool, routes} = parts;
   const metrics = new RequestsMetrics(node.metrics);
-  const entries = new EntryRequests({catalogue, dispatcher, listener, metrics, node});
+  const keyed = new KeyedDispatch(dispatcher, parts.keys);
+  const entries = new EntryRequests({catalogue, dispatcher, keyed, listener, metrics, node});
   const look = (): boolean => {
     routes.invalidate();
     dispatcher.refresh(node.clock.monotonic());
@@ -169,6 +184,7 @@
   };
   const stop = async (): Promise<void> => {
     await listener.stop(settings.timings?.stopDelayMs ?? DEFAULT_STOP_DELAY_MS);
+    await parts.keys.settle();
     await pool.close();
     tick(parts, node, loans);
   };
--- a/packages/nutmegproxy-schema/src/index.ts
+++ b/packages/nutmegproxy-schema/src/index.ts
@@ -82,6 +82,8 @@
   validateWorkerReport,
   validateWorkerSync,
 } from './generated/platformValidators.js';
+export type {RequestKeyRecord} from './generated/requestsMessagesTypes.ts';
+export {validateRequestKeyRecord} from './generated/requestsMessagesValidators.js';
 export type {
   ListenAddresses,
   Policies,
