--- a/packages/nutmegproxy-schema/src/index.ts
+++ b/packages/nutmegproxy-schema/src/index.ts
@@ -70,9 +70,12 @@
   validatePeerFrame,
   validateProof,
 } from './generated/peersMessagesValidators.js';
+export type {LeavingMark, LeavingNotice} from './generated/platformMessagesTypes.ts';
+export {validateLeavingNotice} from './generated/platformMessagesValidators.js';
 export type {
   AttemptReport,
   Resources,
+  StartResult,
   TaskStart,
   Throttle,
   Usage,
@@ -82,11 +85,15 @@
   WorkerSync,
 } from './generated/platformTypes.ts';
 export {
+  validateStartResults,
   validateTaskStart,
+  validateTaskStarts,
   validateVmReport,
   validateWorkerReport,
   validateWorkerSync,
 } from './generated/platformValidators.js';
+export type {RequestKeyRecord} from './generated/requestsMessagesTypes.ts';
+export {validateRequestKeyRecord} from './generated/requestsMessagesValidators.js';
 export type {
   ListenAddresses,
   Policies,
