--- a/packages/nutmegproxy-membership/src/registerMembership.ts
+++ b/packages/nutmegproxy-membership/src/registerMembership.ts
@@ -49,7 +49,7 @@
 
   async wait(milliseconds: number): Promise<void> {
     const {signal} = this.#controller;
-    await sleep(milliseconds, undefined, {ref: false, signal}).catch(() => undefined);
+    await sleep(milliseconds, undefined, {signal}).catch(() => undefined);
     this.#controller = new AbortController();
   }
 
--- a/packages/nutmegproxy-peers/src/FrameInbox.ts
+++ b/packages/nutmegproxy-peers/src/FrameInbox.ts
@@ -2,13 +2,14 @@
 
 import type {WebSocket} from 'ws';
 
-import {MAX_INBOX_BYTES} from './PeersConstants.ts';
+import {MAX_HANDSHAKE_BYTES, MAX_INBOX_BYTES} from './PeersConstants.ts';
 
 /** Frames of one socket in order of arrival; the socket is paused while the queue is full. */
 export class FrameInbox {
   #bytes = 0;
   #closed = false;
   readonly #frames: Buffer[] = [];
+  #limitBytes = MAX_HANDSHAKE_BYTES;
   readonly #socket: WebSocket;
   #wake: (() => void) | undefined;
 
@@ -33,12 +34,17 @@
     }
     const frame = this.#frames.shift();
     this.#bytes -= frame?.length ?? 0;
-    if (this.#socket.isPaused && this.#bytes <= MAX_INBOX_BYTES / 2) {
+    if (this.#socket.isPaused && this.#bytes <= this.#limitBytes / 2) {
       this.#socket.resume();
     }
     return frame;
   }
 
+  /** The other side is authenticated: more of its frames may wait. */
+  raiseLimit(): void {
+    this.#limitBytes = MAX_INBOX_BYTES;
+  }
+
   #close(): void {
     this.#closed = true;
     this.#wake?.();
@@ -47,7 +53,7 @@
   #push(frame: Buffer): void {
     this.#frames.push(frame);
     this.#bytes += frame.length;
-    if (this.#bytes >= MAX_INBOX_BYTES) {
+    if (this.#bytes >= this.#limitBytes) {
       this.#socket.pause();
     }
     this.#wake?.();
--- a/packages/nutmegproxy-peers/src/PeerLink.ts
+++ b/packages/nutmegproxy-peers/src/PeerLink.ts
@@ -10,14 +10,21 @@
 import type {PeerFailure, PeerMessage} from './PeerMesh.ts';
 
 import {FrameCodec} from './FrameCodec.ts';
-import {HEARTBEAT_MS, MAX_BUFFERED_BYTES, SILENCE_LIMIT_HEARTBEATS} from './PeersConstants.ts';
+import {
+  GOSSIP_AT_START,
+  GOSSIP_LATER,
+  HEARTBEAT_MS,
+  HEARTBEATS_PER_GOSSIP,
+  MAX_BUFFERED_BYTES,
+  SILENCE_LIMIT_HEARTBEATS,
+} from './PeersConstants.ts';
 import {PEERS_EVENTS} from './PeersEvents.ts';
 import {PendingRequests} from './PendingRequests.ts';
 
 /** What the mesh does for a link. */
 export interface LinkOwner {
   /** Some peers to tell the other side of. */
-  chooseGossip(): readonly KnownPeer[];
+  chooseGossip(count: number): readonly KnownPeer[];
   /** Handles a message; undefined when its type or body is not valid. */
   handle(message: MessageFrame, from: NodeIdentity): Promise<Result<unknown, string>> | undefined;
   learn(peers: readonly KnownPeer[]): void;
@@ -39,6 +46,7 @@
   lastHeard: Instant;
   readonly peerAddress: string;
   readonly role: LinkRole;
+  #beats = 0;
   readonly #decoder: FrameCodec;
   readonly #encoder: FrameCodec;
   readonly #inbox: FrameInbox;
@@ -72,7 +80,8 @@
 
   /** Reads frames until the link closes. */
   async run(): Promise<void> {
-    this.#sendHeartbeat();
+    this.#inbox.raiseLimit();
+    this.#sendHeartbeat(GOSSIP_AT_START);
     const timer = setInterval(() => {
       this.#beat(this.#node.clock.monotonic());
     }, HEARTBEAT_MS);
@@ -104,7 +113,8 @@
       this.close();
       return;
     }
-    this.#sendHeartbeat();
+    this.#beats += 1;
+    this.#sendHeartbeat(this.#beats % HEARTBEATS_PER_GOSSIP === 0 ? GOSSIP_LATER : 0);
   }
 
   /** Acts on one frame; false when it is not valid. */
@@ -157,7 +167,7 @@
     return true;
   }
 
-  #sendHeartbeat(): void {
-    this.#sendFrame({kind: 'heartbeat', known: [...this.#owner.chooseGossip()]});
+  #sendHeartbeat(gossip: number): void {
+    this.#sendFrame({kind: 'heartbeat', known: [...this.#owner.chooseGossip(gossip)]});
   }
 }
--- a/packages/nutmegproxy-peers/src/PeersConstants.ts
+++ b/packages/nutmegproxy-peers/src/PeersConstants.ts
@@ -6,15 +6,20 @@
 export const DIAL_RETRY_MIN_MS = 200;
 export const DIAL_RETRY_MAX_MS = 5_000;
 export const MAX_FRAME_BYTES = 2 * 1024 * 1024;
-export const MAX_BUFFERED_BYTES = 8 * 1024 * 1024;
+export const MAX_BUFFERED_BYTES = 4 * 1024 * 1024;
 /** Frames that have arrived and wait for the link's task. */
-export const MAX_INBOX_BYTES = 8 * 1024 * 1024;
+export const MAX_INBOX_BYTES = 2 * 1024 * 1024;
+/** The same before the other side has proved that it knows the secret. */
+export const MAX_HANDSHAKE_BYTES = 8 * 1024;
 export const MAX_REQUESTS_IN_FLIGHT = 1_024;
 export const MAX_HANDSHAKES = 32;
 export const MAX_KNOWN_PEERS = 512;
 export const MAX_LINKS = 256;
-export const GOSSIP_PER_HEARTBEAT = 8;
+/** Peers that a new link tells of at once, and that an open one tells of now and then. */
+export const GOSSIP_AT_START = 8;
+export const GOSSIP_LATER = 2;
+export const HEARTBEATS_PER_GOSSIP = 4;
 /** Links that a VM opens towards each other data centre. */
-export const LINKS_PER_DATA_CENTRE = 2;
+export const LINKS_PER_DATA_CENTRE = 1;
 export const FRAME_MAC_BYTES = 16;
 export const NONCE_BYTES = 32;
--- a/packages/nutmegproxy-peers/src/WsPeerMesh.ts
+++ b/packages/nutmegproxy-peers/src/WsPeerMesh.ts
@@ -30,7 +30,6 @@
 import {
   DIAL_RETRY_MAX_MS,
   DIAL_RETRY_MIN_MS,
-  GOSSIP_PER_HEARTBEAT,
   HANDSHAKE_TIMEOUT_MS,
   MAX_FRAME_BYTES,
   MAX_HANDSHAKES,
@@ -176,10 +175,10 @@
     });
   }
 
-  #chooseGossip(): readonly KnownPeer[] {
+  #chooseGossip(wanted: number): readonly KnownPeer[] {
     const links = this.#links.all();
     this.#gossipStart += 1;
-    const count = Math.min(GOSSIP_PER_HEARTBEAT, links.length);
+    const count = Math.min(wanted, links.length);
     return Array.from(
       {length: count},
       (_, offset) => links[(this.#gossipStart + offset) % links.length],
@@ -288,7 +287,7 @@
     const link = new PeerLink(
       this.#node,
       {
-        chooseGossip: () => this.#chooseGossip(),
+        chooseGossip: (count) => this.#chooseGossip(count),
         handle: (frame, from) => this.#handle(frame, from),
         learn: (peers) => {
           this.#learn(peers);
@@ -298,7 +297,7 @@
     );
     if (!this.#links.add(link)) {
       link.close();
-      return true;
+      return false;
     }
     await this.#runLink(link);
     return true;
