--- /dev/null
+++ b/packages/nutmegproxy-proof/src/CheckUtils.ts
@@ -0,0 +1,51 @@
+/** Helpers that several checkers share. */
+
+/** A time in which something ran; open ends last for ever. */
+export interface Interval {
+  readonly endedAt?: number;
+  readonly startedAt: number;
+}
+
+export function endOf(interval: Interval): number {
+  return interval.endedAt ?? Number.POSITIVE_INFINITY;
+}
+
+export function groupBy<Item>(
+  items: readonly Item[],
+  readKey: (item: Item) => string | undefined,
+): ReadonlyMap<string, readonly Item[]> {
+  const groups = new Map<string, Item[]>();
+  for (const item of items) {
+    const key = readKey(item);
+    if (key !== undefined) {
+      groups.set(key, [...(groups.get(key) ?? []), item]);
+    }
+  }
+  return groups;
+}
+
+export function byStart<Item extends Interval>(items: readonly Item[]): readonly Item[] {
+  return [...items].sort((a, b) => a.startedAt - b.startedAt);
+}
+
+/**
+ * The highest total of `weigh` over the items that run at one time. Times are whole milliseconds:
+ * an item that ends in the millisecond in which another starts doesn't overlap it.
+ */
+export function highestTotal<Item extends Interval>(
+  items: readonly Item[],
+  weigh: (item: Item) => number,
+): number {
+  const steps = items.flatMap((item) => [
+    {at: item.startedAt, change: weigh(item), order: 1},
+    {at: endOf(item), change: -weigh(item), order: 0},
+  ]);
+  steps.sort((a, b) => a.at - b.at || a.order - b.order);
+  let total = 0;
+  let highest = 0;
+  for (const {change} of steps) {
+    total += change;
+    highest = Math.max(highest, total);
+  }
+  return highest;
+}
--- /dev/null
+++ b/packages/nutmegproxy-proof/src/Checks.ts
@@ -0,0 +1,36 @@
+/** The checkers by name. */
+
+import type {History} from './History.ts';
+import type {HistoryCheck, InvariantName, Violation} from './Violation.ts';
+
+import {checkCatalogue} from './CatalogueChecks.ts';
+import {
+  checkAtMostOnce,
+  checkLeaving,
+  checkNotRun,
+  checkPlannedStop,
+  checkWholeAnswer,
+} from './RequestChecks.ts';
+import {checkCapacity, checkOnePlace, checkResumeOnce} from './WorkChecks.ts';
+
+export const CHECKS: Readonly<Record<InvariantName, HistoryCheck>> = {
+  'at-most-once': checkAtMostOnce,
+  capacity: checkCapacity,
+  catalogue: checkCatalogue,
+  leaving: checkLeaving,
+  'not-run': checkNotRun,
+  'one-place': checkOnePlace,
+  'planned-stop': checkPlannedStop,
+  'resume-once': checkResumeOnce,
+  'whole-answer': checkWholeAnswer,
+};
+
+/**
+ * Runs every checker over a history.
+ *
+ * @example
+ * const violations = checkHistory(recorder.close(true));
+ */
+export function checkHistory(history: History): readonly Violation[] {
+  return Object.values(CHECKS).flatMap((check) => check(history));
+}
--- /dev/null
+++ b/packages/nutmegproxy-proof/src/History.ts
@@ -0,0 +1,129 @@
+/**
+ * A history of a run: what callers, minions, workers, operators and entry VMs saw. All times are
+ * wall times in ms of one machine, so that they can be compared.
+ */
+
+import type {Resources} from '@nutmegproxy/schema';
+
+/**
+ * How a request ended for its caller. `cut`: the connection ended without a whole answer; `pending`:
+ * the run ended first.
+ */
+export type CallerOutcome = 'answered' | 'cut' | 'not-run' | 'outcome-unknown' | 'pending';
+
+/** One request as its caller saw it. */
+export interface CallerRequest {
+  readonly answer?: string;
+  readonly endedAt?: number;
+  readonly expectedAnswer?: string;
+  readonly idempotencyKey?: string;
+  readonly idempotent: boolean;
+  readonly outcome: CallerOutcome;
+  readonly request: string;
+  readonly startedAt: number;
+  /** Entry VM that the caller spoke to. */
+  readonly vm: string;
+}
+
+/** One run of a request at a minion. */
+export interface MinionRun {
+  readonly endedAt?: number;
+  readonly idempotencyKey?: string;
+  readonly minion: string;
+  readonly request: string;
+  readonly startedAt: number;
+}
+
+export type AttemptEnd = 'checkpointed' | 'failed' | 'lapsed' | 'running' | 'stopped' | 'succeeded';
+
+/** One running interval of a task at a worker. */
+export interface AttemptRun {
+  readonly attempt: string;
+  /** Work that was done at the end, in ms; a checkpoint carries it on. */
+  readonly doneMs?: number;
+  readonly endedAt?: number;
+  readonly endState?: AttemptEnd;
+  readonly reserved: Resources;
+  readonly resumedFromMs: number;
+  readonly startedAt: number;
+  readonly task: string;
+  readonly worker: string;
+}
+
+export interface WorkerSize {
+  readonly capacity: Resources;
+  readonly worker: string;
+}
+
+export interface MinionSize {
+  readonly minion: string;
+  readonly slots: number;
+}
+
+/** A minion was announced as leaving. */
+export interface Departure {
+  readonly at: number;
+  readonly minion: string;
+}
+
+/** A planned stop of an entry VM, from its announcement to the end of the process. */
+export interface PlannedStop {
+  readonly endedAt?: number;
+  readonly startedAt: number;
+  readonly vm: string;
+}
+
+/** A change that an operator was told is accepted. */
+export interface AcceptedRevision {
+  readonly at: number;
+  /** Tells the content of the catalogue at this revision. */
+  readonly digest: string;
+  readonly revision: number;
+}
+
+/** What an entry VM said is in force, when asked. */
+export interface SeenRevision {
+  readonly at: number;
+  readonly digest: string;
+  readonly revision: number;
+  readonly vm: string;
+}
+
+/** A time in which an entry VM was cut off, paused or dead; it can't hear of changes then. */
+export interface Absence {
+  readonly from: number;
+  readonly until: number;
+  readonly vm: string;
+}
+
+export interface History {
+  readonly absences: readonly Absence[];
+  readonly accepted: readonly AcceptedRevision[];
+  readonly attempts: readonly AttemptRun[];
+  /** Tasks whose cancellation was accepted; they needn't be resumed. */
+  readonly cancelledTasks: readonly string[];
+  readonly departures: readonly Departure[];
+  readonly minionRuns: readonly MinionRun[];
+  readonly minions: readonly MinionSize[];
+  readonly requests: readonly CallerRequest[];
+  readonly seen: readonly SeenRevision[];
+  /** Whether all work had the time to end before the history was closed. */
+  readonly settled: boolean;
+  readonly stops: readonly PlannedStop[];
+  readonly workers: readonly WorkerSize[];
+}
+
+export const EMPTY_HISTORY: History = {
+  absences: [],
+  accepted: [],
+  attempts: [],
+  cancelledTasks: [],
+  departures: [],
+  minionRuns: [],
+  minions: [],
+  requests: [],
+  seen: [],
+  settled: true,
+  stops: [],
+  workers: [],
+};
--- /dev/null
+++ b/packages/nutmegproxy-proof/src/HistoryRecorder.ts
@@ -0,0 +1,49 @@
+/** Collects the entries of a history while a run goes on. */
+
+import type {History} from './History.ts';
+
+import {EMPTY_HISTORY} from './History.ts';
+
+type Lists = {
+  -readonly [Name in Exclude<keyof History, 'settled'>]: History[Name][number][];
+};
+
+/** Most entries of one kind; a run that is longer is not checked, as its checks would err. */
+export const RECORDER_CAPACITY = 500_000;
+
+/**
+ * A recorder with one list per kind of entry.
+ *
+ * @example
+ * const recorder = new HistoryRecorder();
+ * recorder.add('departures', {at: Date.now(), minion: 'm1'});
+ * const violations = checkHistory(recorder.close(true));
+ */
+export class HistoryRecorder {
+  readonly #lists: Lists = {
+    absences: [],
+    accepted: [],
+    attempts: [],
+    cancelledTasks: [],
+    departures: [],
+    minionRuns: [],
+    minions: [],
+    requests: [],
+    seen: [],
+    stops: [],
+    workers: [],
+  };
+
+  add<Name extends keyof Lists>(name: Name, ...entries: readonly History[Name][number][]): void {
+    const list = this.#lists[name] as History[Name][number][];
+    if (list.length + entries.length > RECORDER_CAPACITY) {
+      throw new RangeError(`the history has too many ${name}`);
+    }
+    list.push(...entries);
+  }
+
+  /** The history so far; `settled` says that all work had the time to end. */
+  close(settled: boolean): History {
+    return structuredClone({...EMPTY_HISTORY, ...this.#lists, settled});
+  }
+}
--- /dev/null
+++ b/packages/nutmegproxy-proof/src/ManagedProcess.ts
@@ -0,0 +1,134 @@
+/** One child process of a proof: waits for its ready line, pauses, resumes and ends it. */
+
+import type {ChildProcess} from 'node:child_process';
+
+import {spawn} from 'node:child_process';
+import {once} from 'node:events';
+import {createInterface} from 'node:readline';
+
+const OUTPUT_LINES = 2_000;
+const READY_PREFIX = 'ready ';
+const READY_TIMEOUT_MS = 15_000;
+
+/** A Node program with its arguments. */
+export interface ProcessPlan {
+  readonly args: readonly string[];
+  readonly env?: Readonly<Record<string, string>>;
+  readonly name: string;
+  /** Path of the bundled program, for example `dist/cli.cjs`. */
+  readonly program: string;
+}
+
+/** How a process ended. */
+export interface ProcessEnd {
+  readonly code: null | number;
+  readonly signal: null | string;
+}
+
+export class ManagedProcess {
+  readonly #child: ChildProcess;
+  readonly #ended: Promise<ProcessEnd>;
+  readonly name: string;
+  readonly #output: string[] = [];
+  #ready: string | undefined;
+
+  constructor(plan: ProcessPlan) {
+    this.name = plan.name;
+    this.#child = spawn(process.execPath, [plan.program, ...plan.args], {
+      env: {...process.env, ...plan.env},
+      stdio: ['ignore', 'pipe', 'pipe'],
+    });
+    this.#ended = new Promise((resolve) => {
+      this.#child.once('close', (code, signal) => {
+        resolve({code, signal});
+      });
+    });
+    for (const stream of [this.#child.stdout, this.#child.stderr]) {
+      if (stream !== null) {
+        createInterface({input: stream}).on('line', (line) => {
+          this.#take(line);
+        });
+      }
+    }
+  }
+
+  /** The newest lines of output. */
+  get output(): readonly string[] {
+    return this.#output;
+  }
+
+  get pid(): number | undefined {
+    return this.#child.pid;
+  }
+
+  /** What stands after `ready ` in the ready line. */
+  get ready(): string {
+    return this.#ready ?? '';
+  }
+
+  get running(): boolean {
+    return this.#child.exitCode === null && this.#child.signalCode === null;
+  }
+
+  /** Ends the process at once, paused or not. */
+  kill(): Promise<ProcessEnd> {
+    return this.signal('SIGKILL');
+  }
+
+  pause(): void {
+    this.#child.kill('SIGSTOP');
+  }
+
+  resume(): void {
+    this.#child.kill('SIGCONT');
+  }
+
+  /** Sends a signal that ends the process and waits for its end. */
+  signal(name: 'SIGKILL' | 'SIGTERM'): Promise<ProcessEnd> {
+    if (this.running) {
+      this.#child.kill(name);
+    }
+    return this.#ended;
+  }
+
+  /** Kills without waiting; for the exit of this process. */
+  killNow(): void {
+    if (this.running) {
+      this.#child.kill('SIGKILL');
+    }
+  }
+
+  waitForEnd(): Promise<ProcessEnd> {
+    return this.#ended;
+  }
+
+  /** Waits for the ready line; rejects when the process ends or takes too long. */
+  async waitForReady(timeoutMs = READY_TIMEOUT_MS): Promise<string> {
+    const signal = AbortSignal.timeout(timeoutMs);
+    while (this.#ready === undefined && this.running && !signal.aborted) {
+      await this.#nextChange(signal);
+    }
+    if (this.#ready === undefined) {
+      const output = this.#output.slice(-20).join('\n');
+      throw new Error(`${this.name} did not become ready:\n${output}`);
+    }
+    return this.#ready;
+  }
+
+  async #nextChange(signal: AbortSignal): Promise<void> {
+    // An abort rejects; the caller looks at the signal itself.
+    const line = once(this.#child.stdout ?? this.#child, 'data', {signal}).catch(() => undefined);
+    await Promise.race([line, this.#ended]);
+    await new Promise((resolve) => setImmediate(resolve));
+  }
+
+  #take(line: string): void {
+    this.#output.push(line);
+    if (this.#output.length > OUTPUT_LINES) {
+      this.#output.shift();
+    }
+    if (this.#ready === undefined && line.startsWith(READY_PREFIX)) {
+      this.#ready = line.slice(READY_PREFIX.length);
+    }
+  }
+}
--- /dev/null
+++ b/packages/nutmegproxy-proof/src/RequestChecks.ts
@@ -0,0 +1,83 @@
+/** Checks of what callers are told and what minions run. */
+
+import type {CallerRequest, MinionRun} from './History.ts';
+import type {HistoryCheck, Violation} from './Violation.ts';
+
+import {endOf, groupBy} from './CheckUtils.ts';
+
+/** Time in which the news of a leaving minion must have reached every entry VM. */
+export const LEAVING_GRACE_MS = 5_000;
+
+/** Each caller gets the whole answer to its own request. */
+export const checkWholeAnswer: HistoryCheck = (history) =>
+  history.requests.flatMap(({answer, expectedAnswer, outcome, request}): Violation[] => {
+    const wrong = outcome === 'answered' && expectedAnswer !== undefined;
+    const message = `request ${request} got an answer that isn't its own or isn't whole`;
+    return wrong && answer !== expectedAnswer ? [{invariant: 'whole-answer', message}] : [];
+  });
+
+/** What is said not to have run did not run. */
+export const checkNotRun: HistoryCheck = (history) => {
+  const runs = groupBy(history.minionRuns, ({request}) => request);
+  return history.requests.flatMap(({outcome, request}): Violation[] => {
+    const run = runs.get(request)?.[0];
+    const message = `request ${request} was said not to have run, and ran at ${run?.minion ?? ''}`;
+    return outcome === 'not-run' && run !== undefined ? [{invariant: 'not-run', message}] : [];
+  });
+};
+
+function reportRepeats(
+  what: string,
+  groups: ReadonlyMap<string, readonly MinionRun[]>,
+): readonly Violation[] {
+  return [...groups].flatMap(([id, runs]): Violation[] => {
+    const places = runs.map(({minion}) => minion).join(', ');
+    const message = `${what} ${id} ran ${runs.length} times: ${places}`;
+    return runs.length > 1 ? [{invariant: 'at-most-once', message}] : [];
+  });
+}
+
+/** A non-idempotent request runs at most once, by its id and by its idempotency key. */
+export const checkAtMostOnce: HistoryCheck = (history) => {
+  const idempotent = new Set(
+    history.requests.filter((each) => each.idempotent).map(({request}) => request),
+  );
+  const runs = history.minionRuns.filter(({request}) => !idempotent.has(request));
+  return [
+    ...reportRepeats(
+      'request',
+      groupBy(runs, ({request}) => request),
+    ),
+    ...reportRepeats(
+      'idempotency key',
+      groupBy(runs, ({idempotencyKey}) => idempotencyKey),
+    ),
+  ];
+};
+
+/** A minion that leaves gets no new request after the grace. */
+export const checkLeaving: HistoryCheck = (history) =>
+  history.departures.flatMap(({at, minion}) =>
+    history.minionRuns
+      .filter((run) => run.minion === minion && run.startedAt > at + LEAVING_GRACE_MS)
+      .map(({request, startedAt}): Violation => {
+        const message = `minion ${minion} got ${request} ${startedAt - at} ms after it was leaving`;
+        return {invariant: 'leaving', message};
+      }),
+  );
+
+function wasCut({outcome}: CallerRequest): boolean {
+  return outcome === 'cut' || outcome === 'outcome-unknown';
+}
+
+/** A planned stop cuts off no request that its VM had taken. */
+export const checkPlannedStop: HistoryCheck = (history) =>
+  history.stops.flatMap((stop) =>
+    history.requests
+      .filter((request) => request.vm === stop.vm && wasCut(request))
+      .filter((request) => request.startedAt <= endOf(stop) && endOf(request) >= stop.startedAt)
+      .map(({outcome, request}): Violation => {
+        const message = `the planned stop of ${stop.vm} left ${request} with the outcome ${outcome}`;
+        return {invariant: 'planned-stop', message};
+      }),
+  );
--- /dev/null
+++ b/packages/nutmegproxy-proof/src/WorkChecks.ts
@@ -0,0 +1,88 @@
+/** Checks of what runs on workers and minions. */
+
+import type {AttemptRun, History, MinionSize, WorkerSize} from './History.ts';
+import type {HistoryCheck, Violation} from './Violation.ts';
+
+import {byStart, endOf, groupBy, highestTotal} from './CheckUtils.ts';
+
+const RESOURCES = ['accelerators', 'cpu', 'memoryMb'] as const;
+/** Sums of reservations are compared with room for rounding. */
+const ROUNDING = 1e-6;
+
+function checkWorker(worker: WorkerSize, history: History): readonly Violation[] {
+  const attempts = history.attempts.filter((attempt) => attempt.worker === worker.worker);
+  return RESOURCES.flatMap((resource): Violation[] => {
+    const highest = highestTotal(attempts, ({reserved}) => reserved[resource]);
+    const capacity = worker.capacity[resource];
+    const message = `worker ${worker.worker} was given ${highest} of ${capacity} ${resource}`;
+    return highest > capacity + ROUNDING ? [{invariant: 'capacity', message}] : [];
+  });
+}
+
+function checkMinion(minion: MinionSize, history: History): readonly Violation[] {
+  const runs = history.minionRuns.filter((run) => run.minion === minion.minion);
+  const highest = highestTotal(runs, () => 1);
+  const message = `minion ${minion.minion} had ${highest} requests in ${minion.slots} slots`;
+  return highest > minion.slots ? [{invariant: 'capacity', message}] : [];
+}
+
+/** No VM is given more work than it can hold. */
+export const checkCapacity: HistoryCheck = (history) => [
+  ...history.workers.flatMap((worker) => checkWorker(worker, history)),
+  ...history.minions.flatMap((minion) => checkMinion(minion, history)),
+];
+
+function checkTaskPlaces(task: string, attempts: readonly AttemptRun[]): readonly Violation[] {
+  const sorted = byStart(attempts);
+  return sorted.flatMap((attempt, index): Violation[] => {
+    const overlapping = sorted
+      .slice(0, index)
+      .find((earlier) => endOf(earlier) > attempt.startedAt);
+    if (overlapping === undefined) {
+      return [];
+    }
+    const places = `${overlapping.attempt} on ${overlapping.worker} and ${attempt.attempt} on ${attempt.worker}`;
+    return [{invariant: 'one-place', message: `task ${task} ran at one time as ${places}`}];
+  });
+}
+
+/** No task runs in two places at once. */
+export const checkOnePlace: HistoryCheck = (history) =>
+  [...groupBy(history.attempts, ({task}) => task)].flatMap(([task, attempts]) =>
+    checkTaskPlaces(task, attempts),
+  );
+
+function checkTaskResumes(
+  task: string,
+  attempts: readonly AttemptRun[],
+  history: History,
+): readonly Violation[] {
+  const violations: Violation[] = [];
+  const report = (message: string): void => {
+    violations.push({invariant: 'resume-once', message: `task ${task} ${message}`});
+  };
+  let checkpointMs = 0;
+  let waits = false;
+  let succeeded = 0;
+  for (const {attempt, doneMs, endState, resumedFromMs} of byStart(attempts)) {
+    if (resumedFromMs !== checkpointMs) {
+      report(`resumed in ${attempt} from ${resumedFromMs} ms, not from ${checkpointMs} ms`);
+    }
+    if (succeeded > 0) {
+      report(`started again in ${attempt} after it had succeeded`);
+    }
+    succeeded += endState === 'succeeded' ? 1 : 0;
+    waits = endState === 'checkpointed';
+    checkpointMs = waits ? (doneMs ?? 0) : checkpointMs;
+  }
+  if (waits && history.settled && !history.cancelledTasks.includes(task)) {
+    report('was evicted and never resumed');
+  }
+  return violations;
+}
+
+/** Evicted work resumes exactly once, from its newest checkpoint, and succeeds at most once. */
+export const checkResumeOnce: HistoryCheck = (history) =>
+  [...groupBy(history.attempts, ({task}) => task)].flatMap(([task, attempts]) =>
+    checkTaskResumes(task, attempts, history),
+  );
--- a/packages/nutmegproxy-standins/src/WorkerModel.ts
+++ b/packages/nutmegproxy-standins/src/WorkerModel.ts
@@ -28,6 +28,8 @@
 export interface AttemptInterval {
   readonly attempt: string;
   readonly cellEpoch?: number;
+  /** Work that had been done when the attempt ended. */
+  doneMs?: number;
   endedAt?: number;
   endState?: AttemptReport['state'];
   readonly entry: string;
@@ -254,6 +256,7 @@
 
   #end(attempt: Attempt, state: AttemptReport['state'], now: Moment): void {
     attempt.state = state;
+    attempt.interval.doneMs = attempt.doneMs;
     attempt.interval.endedAt = now.wall;
     attempt.interval.endState = state;
   }
