--- a/packages/nutmegproxy-tasks/src/Cell.ts
+++ b/packages/nutmegproxy-tasks/src/Cell.ts
@@ -52,6 +52,7 @@
   #appending = 0;
   readonly #log: CellLog;
   readonly #membership: Membership;
+  #closing = false;
   #quiet: (() => void) | undefined;
   #stopped = false;
   #truncation: Promise<void> | undefined;
@@ -86,7 +87,7 @@
     while (this.#truncation) {
       await this.#truncation;
     }
-    if (this.#stopped) {
+    if (this.#stopped || this.#closing) {
       return {kind: 'lost'};
     }
     this.#appending += 1;
@@ -116,6 +117,13 @@
     return !this.#stopped && this.#membership.holdsTenure(now);
   }
 
+  /** Takes no further changes; settles once those under way are settled. */
+  async quiesce(): Promise<void> {
+    this.#closing = true;
+    await this.#truncation;
+    await this.#whenQuiet();
+  }
+
   /** Ends all acting for the cell at once. */
   stop(): void {
     if (!this.#stopped) {
