--- a/packages/nutmegproxy-tasks/src/TaskDispatch.ts
+++ b/packages/nutmegproxy-tasks/src/TaskDispatch.ts
@@ -1,8 +1,8 @@
 /** Decides which queued tasks of a cell start where, and which attempts give way. */
 
-import type {AttemptId, EntryId, Instant, WallTime, WorkerId} from '@nutmegproxy/core';
-import type {PlacementDecision, PlacementWish} from '@nutmegproxy/placement';
-import type {Entry, EvictionIntended, StartIntended, WorkClass} from '@nutmegproxy/schema';
+import type {AttemptId, EntryId, Instant, TeamId, WallTime, WorkerId} from '@nutmegproxy/core';
+import type {Lane, LaneOrder, PlacementDecision, PlacementWish} from '@nutmegproxy/placement';
+import type {Entry, EvictionIntended, StartIntended} from '@nutmegproxy/schema';
 
 import {after} from '@nutmegproxy/core';
 
@@ -43,8 +43,6 @@
   readonly wall: WallTime;
 }
 
-const CLASS_ORDER: Record<WorkClass, number> = {batch: 1, 'latency-critical': 0};
-
 /** The wish of a task's next attempt. */
 export function wishOf(task: Task, entry: Entry, times: Times): PlacementWish {
   const waitedMs = Math.max(0, times.wall - (task.queuedAt ?? times.wall));
@@ -66,8 +64,8 @@
   readonly #handlers: DecisionHandlers = {
     evict: ({victims}, task, round) => {
       victims.forEach((victim) => round.victims.add(victim));
-      this.#awaited.set(task.job.entry, new Set(victims));
-      return 'enough';
+      this.#awaited.set(task, new Set(victims));
+      return 'more';
     },
     impossible: ({reason}, task, _round, times) => {
       if (task.job.impossible === undefined) {
@@ -80,10 +78,12 @@
     },
     placed: ({reserved, worker}, task, round, times) => {
       task.job.impossible = undefined;
+      const attempt = attemptIdOf(task);
       this.#deciding.add(task);
+      this.#intended.add(attempt);
       round.intents.push({
         at: times.wall,
-        attempt: attemptIdOf(task),
+        attempt,
         kind: 'start-intended',
         reserved,
         startBefore: times.wall + START_WINDOW_MS,
@@ -97,34 +97,40 @@
       return 'enough';
     },
   };
-  /** Victims whose end an entry's next task waits for. */
-  readonly #awaited = new Map<string, Set<AttemptId>>();
+  /** Victims whose end a queued task waits for. */
+  readonly #awaited = new Map<Task, Set<AttemptId>>();
   /** Tasks whose intents are not committed yet. */
   readonly #deciding = new Set<Task>();
+  /** Attempts of those tasks. */
+  readonly #intended = new Set<string>();
 
   readonly #evicting = new Set<AttemptId>();
+  readonly #order: LaneOrder;
+  /** Victims whose own intents are not committed yet. */
+  readonly #owed = new Set<AttemptId>();
 
-  constructor(cell: Cell) {
+  constructor(cell: Cell, order: LaneOrder) {
     this.#cell = cell;
+    this.#order = order;
   }
 
   /** Decides on queued tasks; placed ones hold their reservation from now on. */
   decide(times: Times): Round {
     const round: Round = {intents: [], victims: new Set()};
-    for (const entry of this.#entries()) {
+    this.#dropSettledWaits();
+    for (const entry of this.#entries(times)) {
       if (round.intents.length >= MAX_DECISIONS_PER_ROUND) {
         break;
       }
-      if (!this.#awaits(entry.id)) {
-        this.#decideEntry(entry, round, times);
-      }
+      this.#decideEntry(entry, round, times);
     }
     return round;
   }
 
   /** The intents of these tasks are settled, whichever way. */
   settled(intents: readonly StartIntended[]): void {
-    for (const {task} of intents) {
+    for (const {attempt, task} of intents) {
+      this.#intended.delete(attempt);
       const known = this.#cell.table.task(task);
       if (known) {
         this.#deciding.delete(known);
@@ -142,8 +148,13 @@
   /** Changes that evict `victims`, but for those that are being evicted already. */
   evictions(victims: Iterable<AttemptId>): EvictionIntended[] {
     const changes: EvictionIntended[] = [];
-    for (const attempt of victims) {
+    const wanted = new Set([...this.#owed, ...victims]);
+    this.#owed.clear();
+    for (const attempt of wanted) {
       const task = this.#cell.table.attempt(attempt);
+      if (!task && this.#intended.has(attempt)) {
+        this.#owed.add(attempt);
+      }
       if (task && task.state !== 'evicting' && !this.#evicting.has(attempt)) {
         this.#evicting.add(attempt);
         this.#cell.node.events.record(TASKS_EVENTS.TASK_EVICTED, {attempt, worker: task.worker});
@@ -153,15 +164,6 @@
     return changes;
   }
 
-  #awaits(entry: string): boolean {
-    const victims = this.#awaited.get(entry);
-    const waiting = [...(victims ?? [])].some((each) => this.#cell.table.attempt(each));
-    if (!waiting) {
-      this.#awaited.delete(entry);
-    }
-    return waiting;
-  }
-
   #decideEntry(entry: Entry, round: Round, times: Times): void {
     let scanned = 0;
     const postponed: Task[] = [];
@@ -170,7 +172,7 @@
       if (scanned > MAX_QUEUE_SCAN_PER_ROUND || round.intents.length >= MAX_DECISIONS_PER_ROUND) {
         break;
       }
-      if (this.#deciding.has(task)) {
+      if (this.#deciding.has(task) || this.#awaited.has(task)) {
         continue;
       }
       if ((task.notBefore ?? 0) > times.wall) {
@@ -190,23 +192,47 @@
     });
   }
 
-  /** Known entries with queued tasks: latency-critical first, then by the wait of the first task. */
-  #entries(): Entry[] {
-    const waiting: {entry: Entry; queuedAt: number}[] = [];
-    for (const id of this.#cell.table.queuedEntries) {
+  /** Forgets waits whose victims are gone, and those of tasks that wait no more. */
+  #dropSettledWaits(): void {
+    for (const [task, victims] of this.#awaited) {
+      const waiting = [...victims].some((each) => this.#cell.table.attempt(each));
+      if (!waiting || task.state !== 'queued' || task.job.cancelled) {
+        this.#awaited.delete(task);
+      }
+    }
+  }
+
+  /** Known entries with queued tasks, in the order of the policy. */
+  #entries(times: Times): Entry[] {
+    const lanes: Lane[] = [];
+    for (const id of [...this.#cell.table.queuedEntries]) {
       const entry = this.#cell.entry(id);
       const first = this.#cell.table.queuedOf(id).next().value as Task | undefined;
       if (first && !entry) {
         first.job.impossible = 'the catalogue has no such entry any more';
       }
       if (first && entry) {
-        waiting.push({entry, queuedAt: first.queuedAt ?? 0});
+        const wish = wishOf(first, entry, times);
+        const waiting = {resumed: first.checkpoint !== undefined, wish};
+        lanes.push({entry: wish.entry, first: () => waiting, size: 1, team: wish.team});
       }
     }
-    waiting.sort(
-      (a, b) => CLASS_ORDER[a.entry.class] - CLASS_ORDER[b.entry.class] || a.queuedAt - b.queuedAt,
-    );
-    return waiting.map(({entry}) => entry);
+    if (lanes.length === 0) {
+      return [];
+    }
+    const held = this.#heldCpu();
+    const ordered = this.#order(lanes, (team) => held.get(team) ?? 0, times.now);
+    return ordered.flatMap(({entry}) => this.#cell.entry(entry) ?? []);
+  }
+
+  /** Processors that each team's attempts hold in this cell. */
+  #heldCpu(): Map<TeamId, number> {
+    const held = new Map<TeamId, number>();
+    for (const {job, reserved} of this.#cell.table.live) {
+      const team = this.#cell.teamOf(this.#cell.entry(job.entry));
+      held.set(team, (held.get(team) ?? 0) + (reserved?.cpu ?? 0));
+    }
+    return held;
   }
 
   #handle(decision: PlacementDecision, task: Task, round: Round, times: Times): Next {
--- a/packages/nutmegproxy-tasks/src/__tests__/TestBench.ts
+++ b/packages/nutmegproxy-tasks/src/__tests__/TestBench.ts
@@ -8,15 +8,16 @@
 import type {Entry, JobStatus, Team, Vm} from '@nutmegproxy/schema';
 
 import {brand, CommandBus, DRAIN_STARTED, ManualClock, SILENT_EVENTS} from '@nutmegproxy/core';
-import {PLACEMENTS} from '@nutmegproxy/placement';
+import {CELL_RELEASE_WANTED} from '@nutmegproxy/membership';
+import {LANE_ORDERS, PLACEMENTS} from '@nutmegproxy/placement';
 import {errAsync, okAsync, ResultAsync} from 'neverthrow';
 import assert from 'node:assert/strict';
 import {setTimeout as delay} from 'node:timers/promises';
 import {Registry} from 'prom-client';
 
-import type {StoredOwner} from '../CellRecovery.ts';
 import type {RouteAnswer, RouteHandler} from '../TaskRoutes.ts';
 
+import {parseOwnerRecord} from '../CellRecovery.ts';
 import {registerTasks} from '../RegisterTasks.ts';
 import {FakeWorkers} from './FakeWorkers.ts';
 import {MemoryStore} from './MemoryStore.ts';
@@ -26,7 +27,7 @@
 export const LEASE_MS = 1000;
 const OWNER_KEY = `/n/dc/${DATA_CENTRE}/cell/${CELL}/owner`;
 const WAIT_STEP_MS = 5;
-const WAIT_STEPS = 2000;
+const WAIT_STEPS = 1000;
 
 export const DIGEST: Entry = {
   checkpoint: true,
@@ -106,9 +107,10 @@
         vms: () => this.#vms(),
       },
       keyPrefix: '/n',
+      laneOrder: LANE_ORDERS.fair,
       membership: this.#membership(state),
       mesh: this.#mesh(identity),
-      parseOwner: (value) => JSON.parse(value.toString()) as StoredOwner,
+      parseOwner: parseOwnerRecord,
       registerRoute: (_prefix, handler) => {
         routes.push(handler);
         return () => undefined;
@@ -145,6 +147,13 @@
     });
   }
 
+  /** Asks `vm` to hand the cell over, as membership does. */
+  async release(vm: TestVm): Promise<void> {
+    await new Promise<void>((released) => {
+      vm.node.bus.dispatch(CELL_RELEASE_WANTED, {cell: CELL, epoch: this.epoch, released});
+    });
+  }
+
   async drain(vm: TestVm): Promise<void> {
     const waits: Promise<void>[] = [];
     vm.node.bus.dispatch(DRAIN_STARTED, {wait: (work) => waits.push(work)});
