--- /dev/null
+++ b/packages/nutmegproxy-admin/src/CatalogueRoutes.ts
@@ -0,0 +1,230 @@
+/** Routes of the catalogue: reading, checking and changing it, its history, drains and stops. */
+
+import type {
+  AcceptedChange,
+  CatalogueFault,
+  CatalogueFeature,
+  ChangeFailure,
+} from '@nutmegproxy/catalogue';
+import type {Unregister} from '@nutmegproxy/core';
+import type {Drain} from '@nutmegproxy/schema';
+import type {Result} from 'neverthrow';
+
+import {checkCatalogue, listDifferences} from '@nutmegproxy/catalogue';
+import {mergeUnregister} from '@nutmegproxy/core';
+import {
+  validateCatalogueApply,
+  validateCatalogueCheck,
+  validateDrain,
+  validateStop,
+} from '@nutmegproxy/schema';
+
+import type {AdminAnswer} from './AdminAnswer.ts';
+import type {AdminApi} from './AdminApi.ts';
+import type {AdminRequest, AdminRoute} from './AdminRoute.ts';
+
+import {answerError, answerJson} from './AdminAnswer.ts';
+import {registerAdminRoute} from './AdminApi.ts';
+import {DEFAULT_CONFIRM_WAIT_MS, MAX_CONFIRM_WAIT_MS} from './AdminConstants.ts';
+
+type FailureAnswers = {
+  readonly [Kind in ChangeFailure['kind']]: (
+    failure: Extract<ChangeFailure, {kind: Kind}>,
+  ) => AdminAnswer;
+};
+
+function answerFaults(faults: readonly CatalogueFault[]): AdminAnswer {
+  const [first] = faults;
+  const field = first?.path ?? '/';
+  const message = first?.expected ?? 'the catalogue is not valid';
+  return answerError({code: 'invalid', field, message}, {faults});
+}
+
+const FAILURE_ANSWERS: FailureAnswers = {
+  conflict: ({current}) => {
+    const message = `another change was accepted before; the revision is ${current}`;
+    return answerError({code: 'conflict', message}, {current});
+  },
+  invalid: ({faults}) => answerFaults(faults),
+  unavailable: ({message}) =>
+    answerError({code: 'unavailable', message: `no change was made: ${message}`}),
+  unknown: ({change, message}) =>
+    answerError(
+      {code: 'unknown', message: `the change may have been accepted; see the history: ${message}`},
+      {change},
+    ),
+};
+
+function answerFailure(failure: ChangeFailure): AdminAnswer {
+  const handler = FAILURE_ANSWERS[failure.kind] as (failure: ChangeFailure) => AdminAnswer;
+  return handler(failure);
+}
+
+function answerShape(message: string): AdminAnswer {
+  return answerError({code: 'invalid', message});
+}
+
+/** How long the caller wants to wait for the VMs' confirmation. */
+function readWait(query: URLSearchParams): number | undefined {
+  const wait = Number(query.get('waitMs') ?? DEFAULT_CONFIRM_WAIT_MS);
+  return Number.isInteger(wait) && wait >= 0 && wait <= MAX_CONFIRM_WAIT_MS ? wait : undefined;
+}
+
+async function answerChange(
+  catalogue: CatalogueFeature,
+  request: AdminRequest,
+  change: () => Promise<Result<AcceptedChange, ChangeFailure>>,
+): Promise<AdminAnswer> {
+  const waitMs = readWait(request.query);
+  if (waitMs === undefined) {
+    const message = `expected 0 to ${MAX_CONFIRM_WAIT_MS} ms`;
+    return answerError({code: 'invalid', field: 'waitMs', message});
+  }
+  const outcome = await change();
+  if (outcome.isErr()) {
+    return answerFailure(outcome.error);
+  }
+  const {change: id, revision} = outcome.value;
+  const confirmation = await catalogue.confirmer.confirm(revision, waitMs, request.now);
+  return answerJson({change: id, confirmation, revision});
+}
+
+function readRoutes(catalogue: CatalogueFeature): readonly AdminRoute[] {
+  const {repository, source} = catalogue;
+  return [
+    {
+      handler: () => {
+        const snapshot = source.current();
+        return answerJson({catalogue: snapshot.toDocument(), revision: snapshot.revision});
+      },
+      method: 'GET',
+      path: '/v1/catalogue',
+    },
+    {
+      handler: ({body}) => {
+        if (!validateCatalogueCheck(body)) {
+          return answerShape('expected {"catalogue": {...}}');
+        }
+        const checked = checkCatalogue(body.catalogue);
+        if (checked.isErr()) {
+          return answerFaults(checked.error);
+        }
+        const snapshot = source.current();
+        const differences = listDifferences(snapshot.toDocument(), checked.value);
+        return answerJson({differences, revision: snapshot.revision});
+      },
+      method: 'POST',
+      path: '/v1/catalogue/check',
+    },
+    {
+      handler: async () => {
+        const history = await repository.readHistory();
+        return history.isOk()
+          ? answerJson({changes: history.value})
+          : answerError({code: 'unavailable', message: history.error.message});
+      },
+      method: 'GET',
+      path: '/v1/catalogue/history',
+    },
+  ];
+}
+
+function changeRoutes(catalogue: CatalogueFeature): readonly AdminRoute[] {
+  const {changes} = catalogue;
+  const isDrain =
+    ({id, target}: Readonly<Record<string, string>>) =>
+    (drain: Drain): boolean =>
+      drain.target === target && drain.id === id;
+  return [
+    {
+      handler: (request) => {
+        const {body, now} = request;
+        if (!validateCatalogueApply(body)) {
+          return answerShape('expected {"expectedRevision": 1, "catalogue": {...}}');
+        }
+        return answerChange(catalogue, request, () =>
+          changes.apply(body.catalogue, body.expectedRevision, now),
+        );
+      },
+      method: 'POST',
+      path: '/v1/catalogue',
+    },
+    {
+      handler: (request) => {
+        const {body, now} = request;
+        if (!validateDrain(body)) {
+          return answerShape('expected {"target": "worker", "id": "w1", "reason": "..."}');
+        }
+        const rest = (drain: Drain): boolean => !isDrain({...body})(drain);
+        return answerChange(catalogue, request, () =>
+          changes.editPlans(
+            ({drains, stops}) => ({drains: [...drains.filter(rest), body], stops}),
+            now,
+          ),
+        );
+      },
+      method: 'POST',
+      path: '/v1/drains',
+    },
+    {
+      handler: (request) => {
+        const matches = isDrain(request.params);
+        return answerChange(catalogue, request, () =>
+          changes.editPlans(
+            ({drains, stops}) => ({drains: drains.filter((drain) => !matches(drain)), stops}),
+            request.now,
+          ),
+        );
+      },
+      method: 'DELETE',
+      path: '/v1/drains/:target/:id',
+    },
+    ...stopRoutes(catalogue),
+  ];
+}
+
+function stopRoutes(catalogue: CatalogueFeature): readonly AdminRoute[] {
+  const {changes} = catalogue;
+  return [
+    {
+      handler: (request) => {
+        const {body, now} = request;
+        if (!validateStop(body)) {
+          return answerShape('expected {"vm": "entry-1", "reason": "..."}');
+        }
+        return answerChange(catalogue, request, () =>
+          changes.editPlans(({drains, stops}) => {
+            const rest = stops.filter(({vm}) => vm !== body.vm);
+            return {drains, stops: [...rest, body]};
+          }, now),
+        );
+      },
+      method: 'POST',
+      path: '/v1/stops',
+    },
+    {
+      handler: (request) => {
+        const {vm} = request.params;
+        return answerChange(catalogue, request, () =>
+          changes.editPlans(
+            ({drains, stops}) => ({drains, stops: stops.filter((stop) => stop.vm !== vm)}),
+            request.now,
+          ),
+        );
+      },
+      method: 'DELETE',
+      path: '/v1/stops/:vm',
+    },
+  ];
+}
+
+/**
+ * Registers the routes of the catalogue.
+ *
+ * @example
+ * const unregister = registerCatalogueRoutes(api, registerCatalogue(node, services));
+ */
+export function registerCatalogueRoutes(api: AdminApi, catalogue: CatalogueFeature): Unregister {
+  const routes = [...readRoutes(catalogue), ...changeRoutes(catalogue)];
+  return mergeUnregister(...routes.map((route) => registerAdminRoute(api, route)));
+}
--- /dev/null
+++ b/packages/nutmegproxy-admin/src/StatusRoute.ts
@@ -0,0 +1,32 @@
+/** The route that shows the state of one process. */
+
+import type {EntryNode, Unregister} from '@nutmegproxy/core';
+
+import type {AdminApi} from './AdminApi.ts';
+
+import {answerJson} from './AdminAnswer.ts';
+import {registerAdminRoute} from './AdminApi.ts';
+
+/** Reads one part of the status; its answer is sent as JSON. */
+export type StatusSection = () => unknown;
+
+/**
+ * Registers `GET /v1/status`; each section becomes a field of the answer.
+ *
+ * @example
+ * registerStatusRoute(api, node, {catalogue: () => ({revision: source.current().revision})});
+ */
+export function registerStatusRoute(
+  api: AdminApi,
+  node: EntryNode,
+  sections: Readonly<Record<string, StatusSection>>,
+): Unregister {
+  return registerAdminRoute(api, {
+    handler: () => {
+      const parts = Object.entries(sections).map(([name, read]) => [name, read()] as const);
+      return answerJson({...node.identity, ...Object.fromEntries(parts)});
+    },
+    method: 'GET',
+    path: '/v1/status',
+  });
+}
--- a/packages/nutmegproxy-admin/src/TimelineRoutes.ts
+++ b/packages/nutmegproxy-admin/src/TimelineRoutes.ts
@@ -1,35 +1,105 @@
-/** Routes that show what the process did: the time line and the metrics. */
+/** Routes that show what the processes did: the time line and the metrics. */
 
-import type {EntryNode, Unregister} from '@nutmegproxy/core';
-import type {EventLog} from '@nutmegproxy/events';
+import type {EntryNode, NodeIdentity, Unregister} from '@nutmegproxy/core';
+import type {EventLog, EventPage} from '@nutmegproxy/events';
+import type {PeerMesh} from '@nutmegproxy/peers';
 
 import {mergeUnregister} from '@nutmegproxy/core';
+import {validateTimelineQuery} from '@nutmegproxy/schema';
 
+import type {AdminAnswer} from './AdminAnswer.ts';
 import type {AdminApi} from './AdminApi.ts';
+import type {AdminRequest} from './AdminRoute.ts';
 
 import {answerError, answerJson} from './AdminAnswer.ts';
 import {registerAdminRoute} from './AdminApi.ts';
-import {MAX_TIMELINE_EVENTS} from './AdminConstants.ts';
+import {MAX_PEER_TIMELINE_EVENTS, MAX_TIMELINE_EVENTS, PEER_TIMEOUT_MS} from './AdminConstants.ts';
+
+const TIMELINE_MESSAGE = 'admin.timeline';
+
+export interface TimelineServices {
+  readonly log: EventLog;
+  readonly mesh: PeerMesh;
+}
+
+/** The events of one process. */
+export interface ProcessTimeline extends EventPage {
+  readonly dataCentre: string;
+  readonly incarnation: string;
+  readonly vm: string;
+}
+
+/** The newest `limit` events. */
+function newest(log: EventLog, limit: number): EventPage {
+  return log.since(Math.max(0, log.newest - limit), limit);
+}
+
+function nameProcess(
+  {dataCentre, incarnation, vm}: NodeIdentity,
+  page: EventPage,
+): ProcessTimeline {
+  return {dataCentre, incarnation, vm, ...page};
+}
+
+async function askPeers(mesh: PeerMesh): Promise<Pick<TimelineAnswer, 'processes' | 'unheard'>> {
+  const message = {body: {limit: MAX_PEER_TIMELINE_EVENTS}, type: TIMELINE_MESSAGE};
+  const peers = mesh.peers().map(({identity}) => identity);
+  const answers = await Promise.all(
+    peers.map(({incarnation, vm}) => mesh.request(vm, incarnation, message, PEER_TIMEOUT_MS)),
+  );
+  const unheard = peers.filter((_, index) => answers[index]?.isErr()).map(({vm}) => vm);
+  // Peers run the same program and are authenticated; the answer is only passed on as JSON.
+  const processes = answers
+    .filter((answer) => answer.isOk())
+    .map((answer) => answer.value as ProcessTimeline);
+  return {processes, unheard};
+}
+
+interface TimelineAnswer {
+  readonly processes: readonly ProcessTimeline[];
+  /** Linked VMs that did not answer. */
+  readonly unheard: readonly string[];
+}
+
+async function answerTimeline(
+  {query}: AdminRequest,
+  node: EntryNode,
+  {log, mesh}: TimelineServices,
+): Promise<AdminAnswer> {
+  if (query.get('scope') === 'all') {
+    const own = nameProcess(node.identity, newest(log, MAX_TIMELINE_EVENTS));
+    const {processes, unheard} = await askPeers(mesh);
+    return answerJson({processes: [own, ...processes], unheard});
+  }
+  const since = Number(query.get('since') ?? 0);
+  if (!Number.isSafeInteger(since) || since < 0) {
+    const message = 'expected the number of an event';
+    return answerError({code: 'invalid', field: 'since', message});
+  }
+  const own = nameProcess(node.identity, log.since(since, MAX_TIMELINE_EVENTS));
+  return answerJson({processes: [own], unheard: []});
+}
 
 /**
- * Registers `GET /v1/timeline?since=` and `GET /metrics`.
+ * Registers `GET /v1/timeline?since=` for this process, `?scope=all` for the linked peers too, and
+ * `GET /metrics`.
  *
  * @example
- * const unregister = registerTimelineRoutes(api, node, log);
+ * const unregister = registerTimelineRoutes(api, node, {log, mesh});
  */
-export function registerTimelineRoutes(api: AdminApi, node: EntryNode, log: EventLog): Unregister {
-  const {dataCentre, incarnation, vm} = node.identity;
+export function registerTimelineRoutes(
+  api: AdminApi,
+  node: EntryNode,
+  services: TimelineServices,
+): Unregister {
   return mergeUnregister(
+    services.mesh.registerHandler(TIMELINE_MESSAGE, (body) =>
+      validateTimelineQuery(body)
+        ? nameProcess(node.identity, newest(services.log, body.limit))
+        : undefined,
+    ),
     registerAdminRoute(api, {
-      handler: ({query}) => {
-        const since = Number(query.get('since') ?? 0);
-        if (!Number.isSafeInteger(since) || since < 0) {
-          const message = 'expected the number of an event';
-          return answerError({code: 'invalid', field: 'since', message});
-        }
-        const page = log.since(since, MAX_TIMELINE_EVENTS);
-        return answerJson({dataCentre, incarnation, vm, ...page});
-      },
+      handler: (request) => answerTimeline(request, node, services),
       method: 'GET',
       path: '/v1/timeline',
     }),
--- a/packages/nutmegproxy-admin/src/index.ts
+++ b/packages/nutmegproxy-admin/src/index.ts
@@ -4,4 +4,8 @@
 export type {AdminAnswer, AdminError, AdminErrorCode} from './AdminAnswer.ts';
 export {AdminApi, registerAdminRoute} from './AdminApi.ts';
 export type {AdminHandler, AdminMethod, AdminRequest, AdminRoute} from './AdminRoute.ts';
+export {registerCatalogueRoutes} from './CatalogueRoutes.ts';
+export {registerStatusRoute} from './StatusRoute.ts';
+export type {StatusSection} from './StatusRoute.ts';
 export {registerTimelineRoutes} from './TimelineRoutes.ts';
+export type {ProcessTimeline, TimelineServices} from './TimelineRoutes.ts';
--- a/packages/nutmegproxy-catalogue/src/CatalogueFeature.ts
+++ b/packages/nutmegproxy-catalogue/src/CatalogueFeature.ts
@@ -7,7 +7,7 @@
 
 import {mergeUnregister, PRIORITY_LOW} from '@nutmegproxy/core';
 
-import type {CatalogueSource} from './CatalogueView.ts';
+import type {SnapshotSource} from './CatalogueState.ts';
 
 import {CatalogueChanges} from './CatalogueChanges.ts';
 import {CatalogueConfirmer} from './CatalogueConfirmation.ts';
@@ -34,7 +34,7 @@
   readonly changes: CatalogueChanges;
   readonly confirmer: CatalogueConfirmer;
   readonly repository: CatalogueRepository;
-  readonly source: CatalogueSource & Pick<CatalogueState, 'current'>;
+  readonly source: SnapshotSource;
   readonly unregister: Unregister;
 }
 
--- a/packages/nutmegproxy-catalogue/src/CatalogueState.ts
+++ b/packages/nutmegproxy-catalogue/src/CatalogueState.ts
@@ -11,8 +11,13 @@
 import {CatalogueSnapshot} from './CatalogueSnapshot.ts';
 import {CATALOGUE_CHANGED} from './CatalogueView.ts';
 
+/** Gives the newest snapshot, with the parts that operators read and edit. */
+export interface SnapshotSource extends CatalogueSource {
+  current(): CatalogueSnapshot;
+}
+
 /** Holds the newest snapshot; only a higher revision replaces it. */
-export class CatalogueState implements CatalogueSource {
+export class CatalogueState implements SnapshotSource {
   readonly #node: EntryNode;
   #snapshot = CatalogueSnapshot.EMPTY;
 
--- /dev/null
+++ b/packages/nutmegproxy-catalogue/src/__tests__/unit/CatalogueDocuments.test.ts
@@ -0,0 +1,82 @@
+import type {Catalogue} from '@nutmegproxy/schema';
+
+import assert from 'node:assert/strict';
+import {describe, it} from 'node:test';
+
+import {checkCatalogue, listDifferences} from '../../index.ts';
+
+const VALID: Catalogue = {
+  entries: [
+    {
+      class: 'latency-critical',
+      id: 'alert',
+      kind: 'request',
+      limits: {timeoutMs: 500},
+      owner: 'alerts',
+      service: 'oportuna',
+    },
+    {class: 'batch', id: 'digest', kind: 'task', limits: {cpu: 2, memoryMb: 512}, owner: 'alerts'},
+  ],
+  teams: [{id: 'alerts', quota: {cpu: 100}}],
+};
+
+function faultPaths(document: unknown): string[] {
+  return checkCatalogue(document)
+    ._unsafeUnwrapErr()
+    .map(({path}) => path);
+}
+
+describe('checkCatalogue', () => {
+  it('takes a valid document', () => {
+    assert.equal(checkCatalogue(VALID).isOk(), true);
+  });
+
+  describe('names the path of', () => {
+    const [alert, digest] = VALID.entries;
+    const cases: readonly [string, unknown, string][] = [
+      ['an unknown field', {...VALID, colour: 1}, '/colour'],
+      ['an unknown owner', {...VALID, teams: []}, '/entries/0/owner'],
+      ['a repeated entry', {...VALID, entries: [alert, digest, alert]}, '/entries/2/id'],
+      ['a repeated team', {...VALID, teams: [...VALID.teams, {id: 'alerts'}]}, '/teams/1/id'],
+      [
+        'a request without service',
+        {...VALID, entries: [{...alert, service: ''}]},
+        '/entries/0/service',
+      ],
+      [
+        'a limit of the other kind',
+        {...VALID, entries: [{...alert, limits: {cpu: 1}}]},
+        '/entries/0/limits/cpu',
+      ],
+      [
+        'a task over its quota',
+        {...VALID, entries: [{...digest, limits: {cpu: 101, memoryMb: 1}}]},
+        '/entries/0/limits/cpu',
+      ],
+      [
+        'a task without memory',
+        {...VALID, entries: [{...digest, limits: {cpu: 1}}]},
+        '/entries/0/limits/memoryMb',
+      ],
+      ['a repeated stop', {...VALID, stops: [{vm: 'a'}, {vm: 'a'}]}, '/stops/1/vm'],
+    ];
+    for (const [name, document, path] of cases) {
+      it(name, () => {
+        assert.ok(faultPaths(document).includes(path), faultPaths(document).join(' '));
+      });
+    }
+  });
+});
+
+describe('listDifferences', () => {
+  it('lists what was added, removed and changed', () => {
+    const [alert] = VALID.entries;
+    const after: Catalogue = {
+      ...VALID,
+      drains: [{id: 'rack-1', target: 'rack'}],
+      entries: alert === undefined ? [] : [{...alert, limits: {timeoutMs: 900}}],
+    };
+    const lines = listDifferences(VALID, after).map(({id, kind, sign}) => `${sign}${kind} ${id}`);
+    assert.deepEqual(lines, ['-entry digest', '~entry alert', '+drain rack rack-1']);
+  });
+});
--- a/packages/nutmegproxy-catalogue/src/index.ts
+++ b/packages/nutmegproxy-catalogue/src/index.ts
@@ -13,5 +13,6 @@
 export {CatalogueKeys} from './CatalogueKeys.ts';
 export {CatalogueSnapshot} from './CatalogueSnapshot.ts';
 export type {CatalogueDelta} from './CatalogueSnapshot.ts';
+export type {SnapshotSource} from './CatalogueState.ts';
 export {CATALOGUE_CHANGED} from './CatalogueView.ts';
 export type {CatalogueSource, CatalogueView} from './CatalogueView.ts';
--- /dev/null
+++ b/packages/nutmegproxy-cli/src/ChangeReport.ts
@@ -0,0 +1,43 @@
+/** Reports how far an accepted change has come. */
+
+import type {Confirmation} from '@nutmegproxy/catalogue';
+
+import type {AdminCall} from './AdminClient.ts';
+import type {CommandContext} from './CommandContext.ts';
+
+import {DEFAULT_WAIT_MS} from './CliConstants.ts';
+import {reportFailure} from './CommandContext.ts';
+import {EXIT_NOT_CONFIRMED, EXIT_OK} from './ExitCodes.ts';
+
+/** Answer of the administration API to every change. */
+export interface ChangeAnswer {
+  readonly change?: string;
+  readonly confirmation: Confirmation;
+  readonly revision: number;
+}
+
+function describe({confirmation, revision}: ChangeAnswer): readonly string[] {
+  const places = confirmation.dataCentres.map(({applied, dataCentre, heard, missing}) => {
+    const inForce = applied.length > 0 ? `in force at ${applied.join(', ')}` : 'in force nowhere';
+    const open = missing.length > 0 ? `; not confirmed: ${missing.join(', ')}` : '';
+    return `  ${dataCentre}: ${heard ? inForce : 'not heard'}${open}`;
+  });
+  const state = confirmation.complete ? 'in force everywhere that is known' : 'accepted';
+  return [`revision ${revision} is ${state}`, ...places];
+}
+
+/** Sends a change, waits as long as the options say, and reports where it is in force. */
+export async function sendChange(context: CommandContext, call: AdminCall): Promise<number> {
+  const {json, waitSeconds} = context.options;
+  const waitMs = waitSeconds === undefined ? DEFAULT_WAIT_MS : Math.round(waitSeconds * 1_000);
+  const answer = await context.clients[0].call({...call, path: `${call.path}?waitMs=${waitMs}`});
+  if (answer.isErr()) {
+    return reportFailure(context, answer.error);
+  }
+  const change = answer.value as ChangeAnswer;
+  const lines = json ? [JSON.stringify(change, undefined, 2)] : describe(change);
+  for (const line of lines) {
+    context.printLine(line);
+  }
+  return change.confirmation.complete ? EXIT_OK : EXIT_NOT_CONFIRMED;
+}
--- /dev/null
+++ b/packages/nutmegproxy-cli/src/CommandContext.ts
@@ -0,0 +1,76 @@
+/** What a command works with, and how it reports. */
+
+import type {AdminCall, AdminCallFailure, AdminClient} from './AdminClient.ts';
+import type {CommandOptions} from './CommandLine.ts';
+
+import {
+  EXIT_CONFLICT,
+  EXIT_FAILED,
+  EXIT_OK,
+  EXIT_UNKNOWN,
+  EXIT_UNREACHABLE,
+  EXIT_USAGE,
+} from './ExitCodes.ts';
+
+export interface CommandContext {
+  /** One for each server that was named; at least one. */
+  readonly clients: readonly [AdminClient, ...AdminClient[]];
+  readonly options: CommandOptions;
+  readonly printError: (text: string) => void;
+  readonly printLine: (text: string) => void;
+  /** Words after the command's name. */
+  readonly words: readonly string[];
+}
+
+/** Carries a command out and returns its exit code. */
+export type Command = (context: CommandContext) => Promise<number>;
+
+const REFUSAL_EXITS: Readonly<Record<string, number>> = {
+  conflict: EXIT_CONFLICT,
+  invalid: EXIT_USAGE,
+  unavailable: EXIT_UNREACHABLE,
+  unknown: EXIT_UNKNOWN,
+};
+
+interface Fault {
+  readonly expected: string;
+  readonly path: string;
+}
+
+/** Prints a failed call and returns the exit code that stands for it. */
+export function reportFailure(context: CommandContext, failure: AdminCallFailure): number {
+  if (failure.kind === 'unreachable') {
+    context.printError(`unreachable: ${failure.message}`);
+    return EXIT_UNREACHABLE;
+  }
+  const faults = (failure.details.faults ?? []) as readonly Fault[];
+  context.printError(`${failure.code}: ${failure.message}`);
+  for (const {expected, path} of faults) {
+    context.printError(`  ${path}: ${expected}`);
+  }
+  return REFUSAL_EXITS[failure.code] ?? EXIT_FAILED;
+}
+
+/** Says what the command line lacks. */
+export function reportUsage(context: CommandContext, message: string): number {
+  context.printError(`usage: ${message}`);
+  return EXIT_USAGE;
+}
+
+/** Calls the first server and prints the answer: as JSON, or by `print`. */
+export async function callAndPrint(
+  context: CommandContext,
+  call: AdminCall,
+  print: (answer: unknown) => void,
+): Promise<number> {
+  const answer = await context.clients[0].call(call);
+  if (answer.isErr()) {
+    return reportFailure(context, answer.error);
+  }
+  if (context.options.json) {
+    context.printLine(JSON.stringify(answer.value, undefined, 2));
+  } else {
+    print(answer.value);
+  }
+  return EXIT_OK;
+}
--- /dev/null
+++ b/packages/nutmegproxy-cli/src/EntryProcess.ts
@@ -0,0 +1,104 @@
+/** One entry VM's process: its features, its listeners and its planned stop. */
+
+import type {EntryNode} from '@nutmegproxy/core';
+import type {EventLog} from '@nutmegproxy/events';
+import type {ResolvedSettings, Secret} from '@nutmegproxy/settings';
+import type {Result} from 'neverthrow';
+
+import {DRAIN_STARTED} from '@nutmegproxy/core';
+import {err, ok} from 'neverthrow';
+import {setTimeout as delay} from 'node:timers/promises';
+
+import type {Features} from './Features.ts';
+
+import {STOP_LIMIT_MS} from './CliConstants.ts';
+import {CLI_EVENTS} from './CliEvents.ts';
+import {startFeatures} from './Features.ts';
+import {createNode} from './NodeFactory.ts';
+
+/** Ports that the process listens on. */
+export interface ServingPorts {
+  readonly callers: number;
+  readonly operators: number;
+  readonly peers: number;
+}
+
+export interface EntrySecrets {
+  readonly operator: Secret;
+  readonly peer: Secret;
+}
+
+/** Why a process could not start, such as an address that is in use. */
+export interface StartFailure {
+  readonly message: string;
+}
+
+/** A serving process. */
+export class EntryProcess {
+  readonly log: EventLog;
+  readonly ports: ServingPorts;
+  /** Settles when a planned stop is complete, whoever began it. */
+  readonly stopped: Promise<void>;
+  readonly #features: Features;
+  readonly #node: EntryNode;
+  #resolveStopped: () => void = () => undefined;
+  #stopping = false;
+
+  constructor(node: EntryNode, log: EventLog, features: Features) {
+    this.log = log;
+    this.ports = features.ports;
+    this.#features = features;
+    this.#node = node;
+    this.stopped = new Promise((resolve) => {
+      this.#resolveStopped = resolve;
+    });
+  }
+
+  /** Begins the planned stop; a second call only waits for the same end. */
+  async stop(): Promise<void> {
+    if (!this.#stopping) {
+      this.#stopping = true;
+      await this.#drain();
+      await this.#features.close();
+      this.log.record(CLI_EVENTS.STOPPED, {});
+      this.#resolveStopped();
+    }
+    await this.stopped;
+  }
+
+  async #drain(): Promise<void> {
+    this.log.record(CLI_EVENTS.STOPPING, {});
+    const works: Promise<void>[] = [];
+    this.#node.bus.dispatch(DRAIN_STARTED, {
+      wait: (work) => {
+        works.push(work);
+      },
+    });
+    const limit = delay(STOP_LIMIT_MS, 'overdue' as const, {ref: false});
+    const outcome = await Promise.race([Promise.allSettled(works), limit]);
+    if (outcome === 'overdue') {
+      this.log.record(CLI_EVENTS.STOP_OVERDUE, {limitMs: STOP_LIMIT_MS});
+    }
+  }
+}
+
+/**
+ * Starts a process and all its listeners.
+ *
+ * @example
+ * const entry = await startEntryProcess(settings, secrets);
+ */
+export async function startEntryProcess(
+  settings: ResolvedSettings,
+  secrets: EntrySecrets,
+): Promise<Result<EntryProcess, StartFailure>> {
+  const {log, node} = createNode(settings);
+  log.record(CLI_EVENTS.STARTING, {});
+  const features = await startFeatures({log, node, secrets, settings});
+  if (features.isErr()) {
+    return err(features.error);
+  }
+  const entry = new EntryProcess(node, log, features.value);
+  log.record(CLI_EVENTS.SERVING, {...entry.ports});
+  return ok(entry);
+}
--- /dev/null
+++ b/packages/nutmegproxy-cli/src/NodeFactory.ts
@@ -0,0 +1,33 @@
+/** Makes the core that all features of a process are registered on. */
+
+import type {DataCentreId, EntryNode, IncarnationId, RegionId, VmId} from '@nutmegproxy/core';
+import type {ResolvedSettings} from '@nutmegproxy/settings';
+
+import {brand, CommandBus, SYSTEM_CLOCK} from '@nutmegproxy/core';
+import {EventLog} from '@nutmegproxy/events';
+import {randomUUID} from 'node:crypto';
+import {collectDefaultMetrics, Registry} from 'prom-client';
+
+/** A node with the log that its events go to. */
+export interface LoggedNode {
+  readonly log: EventLog;
+  readonly node: EntryNode;
+}
+
+/** Makes a node with a new incarnation. */
+export function createNode(settings: ResolvedSettings): LoggedNode {
+  const identity = {
+    dataCentre: brand<DataCentreId>(settings.dataCentre),
+    incarnation: brand<IncarnationId>(randomUUID()),
+    region: brand<RegionId>(settings.region),
+    vm: brand<VmId>(settings.vm),
+  };
+  const {level, ringSize} = settings.log;
+  const log = new EventLog({clock: SYSTEM_CLOCK, identity, level, ringSize});
+  const metrics = new Registry();
+  collectDefaultMetrics({register: metrics});
+  return {
+    log,
+    node: {bus: new CommandBus(), clock: SYSTEM_CLOCK, events: log, identity, metrics},
+  };
+}
--- /dev/null
+++ b/packages/nutmegproxy-cli/src/Serve.ts
@@ -0,0 +1,109 @@
+/** `nutmegproxy serve`: reads the settings, runs the process, and ends it in due form. */
+
+import type {ResolvedSettings} from '@nutmegproxy/settings';
+import type {Result} from 'neverthrow';
+
+import {BrokenInvariant} from '@nutmegproxy/core';
+import {describeSettingsFailure, readSettings, resolveSecret} from '@nutmegproxy/settings';
+import {err, ok} from 'neverthrow';
+import {readFileSync} from 'node:fs';
+
+import type {EntryProcess, EntrySecrets} from './EntryProcess.ts';
+
+import {CLI_EVENTS} from './CliEvents.ts';
+import {startEntryProcess} from './EntryProcess.ts';
+import {EXIT_BROKEN_INVARIANT, EXIT_FAILED, EXIT_OK, EXIT_USAGE} from './ExitCodes.ts';
+
+const STOP_SIGNALS = ['SIGINT', 'SIGTERM'] as const;
+
+export interface Printer {
+  readonly printError: (text: string) => void;
+  readonly printLine: (text: string) => void;
+}
+
+interface Configuration {
+  readonly secrets: EntrySecrets;
+  readonly settings: ResolvedSettings;
+}
+
+function readFile(path: string): Result<string, string> {
+  try {
+    return ok(readFileSync(path, 'utf8'));
+  } catch (error) {
+    return err(`${path} can't be read: ${(error as NodeJS.ErrnoException).code ?? 'unknown'}`);
+  }
+}
+
+function readConfiguration(
+  path: string,
+  environment: NodeJS.ProcessEnv,
+): Result<Configuration, string> {
+  const settings = readFile(path).andThen((text) =>
+    readSettings(text, path).mapErr(describeSettingsFailure),
+  );
+  return settings.andThen((value) => {
+    const operator = resolveSecret(value.secrets.operator, environment);
+    const peer = resolveSecret(value.secrets.peer, environment);
+    const named = operator
+      .mapErr(({message}) => `${path}: secrets.operator: ${message}`)
+      .andThen((first) =>
+        peer
+          .map((second) => ({operator: first, peer: second}))
+          .mapErr(({message}) => `${path}: secrets.peer: ${message}`),
+      );
+    return named.map((secrets) => ({secrets, settings: value}));
+  });
+}
+
+/** Ends the process when an invariant is broken; nothing else may catch one. */
+function watchInvariants(entry: EntryProcess): void {
+  const end = (error: unknown): void => {
+    const message = error instanceof Error ? error.message : String(error);
+    const stack = error instanceof Error ? error.stack : undefined;
+    entry.log.record(CLI_EVENTS.INVARIANT_BROKEN, {
+      kind: error instanceof BrokenInvariant ? 'invariant' : 'defect',
+      message,
+      stack,
+    });
+    process.exit(EXIT_BROKEN_INVARIANT);
+  };
+  process.on('uncaughtException', end);
+  process.on('unhandledRejection', end);
+}
+
+/**
+ * Serves until a planned stop is complete; returns the exit code. Once the listeners are open it
+ * prints `ready callers=<port> operators=<port> peers=<port>`.
+ */
+export async function serve(
+  path: string | undefined,
+  environment: NodeJS.ProcessEnv,
+  {printError, printLine}: Printer,
+): Promise<number> {
+  if (path === undefined) {
+    printError('usage: serve --settings FILE');
+    return EXIT_USAGE;
+  }
+  const configuration = readConfiguration(path, environment);
+  if (configuration.isErr()) {
+    printError(configuration.error);
+    return EXIT_USAGE;
+  }
+  const {secrets, settings} = configuration.value;
+  const started = await startEntryProcess(settings, secrets);
+  if (started.isErr()) {
+    printError(started.error.message);
+    return EXIT_FAILED;
+  }
+  const entry = started.value;
+  watchInvariants(entry);
+  for (const signal of STOP_SIGNALS) {
+    process.on(signal, () => {
+      void entry.stop();
+    });
+  }
+  const {callers, operators, peers} = entry.ports;
+  printLine(`ready callers=${callers} operators=${operators} peers=${peers}`);
+  await entry.stopped;
+  return EXIT_OK;
+}
--- /dev/null
+++ b/packages/nutmegproxy-cli/src/StatusCommands.ts
@@ -0,0 +1,25 @@
+/** `status` and `tasks`. */
+
+import type {Command} from './CommandContext.ts';
+
+import {callAndPrint} from './CommandContext.ts';
+
+function formatValue(value: unknown): string {
+  return typeof value === 'string' ? value : JSON.stringify(value);
+}
+
+export const runStatus: Command = (context) =>
+  callAndPrint(context, {method: 'GET', path: '/v1/status'}, (answer) => {
+    const status = answer as Readonly<Record<string, unknown>>;
+    for (const [name, value] of Object.entries(status)) {
+      context.printLine(`${name}: ${formatValue(value)}`);
+    }
+  });
+
+export const runTasks: Command = (context) =>
+  callAndPrint(context, {method: 'GET', path: '/v1/tasks'}, (answer) => {
+    const {tasks} = answer as {tasks: readonly unknown[]};
+    for (const task of tasks) {
+      context.printLine(formatValue(task));
+    }
+  });
--- /dev/null
+++ b/packages/nutmegproxy-cli/src/TimelineCommand.ts
@@ -0,0 +1,59 @@
+/** `timeline`: what all processes did, in one order. */
+
+import type {ProcessTimeline} from '@nutmegproxy/admin';
+
+import {writeFileSync} from 'node:fs';
+
+import type {Command, CommandContext} from './CommandContext.ts';
+import type {TimelineEntry} from './Timeline.ts';
+
+import {reportFailure, reportUsage} from './CommandContext.ts';
+import {EXIT_NOT_CONFIRMED, EXIT_OK} from './ExitCodes.ts';
+import {formatEntry, mergeTimelines, toTraceEvents} from './Timeline.ts';
+
+interface TimelineAnswer {
+  readonly processes: readonly ProcessTimeline[];
+  readonly unheard: readonly string[];
+}
+
+function print(context: CommandContext, entries: readonly TimelineEntry[]): number {
+  const {json, trace} = context.options;
+  if (trace !== undefined) {
+    try {
+      writeFileSync(trace, JSON.stringify({traceEvents: toTraceEvents(entries)}));
+    } catch (error) {
+      const {code} = error as NodeJS.ErrnoException;
+      return reportUsage(context, `${trace} can't be written: ${code ?? 'unknown fault'}`);
+    }
+    context.printError(`wrote ${entries.length} events to ${trace}`);
+  } else if (json) {
+    context.printLine(JSON.stringify(entries, undefined, 2));
+  } else {
+    entries.forEach((entry) => {
+      context.printLine(formatEntry(entry));
+    });
+  }
+  return EXIT_OK;
+}
+
+/** Exits with "not confirmed everywhere" when a known process did not answer. */
+export const runTimeline: Command = async (context) => {
+  const call = {method: 'GET', path: '/v1/timeline?scope=all'} as const;
+  const answers = await Promise.all(context.clients.map((client) => client.call(call)));
+  const timelines: ProcessTimeline[] = [];
+  const unheard = new Set<string>();
+  for (const answer of answers) {
+    if (answer.isErr()) {
+      return reportFailure(context, answer.error);
+    }
+    const {processes, unheard: silent} = answer.value as TimelineAnswer;
+    timelines.push(...processes);
+    silent.forEach((vm) => unheard.add(vm));
+  }
+  const code = print(context, mergeTimelines(timelines));
+  const missing = [...unheard].filter((vm) => !timelines.some((each) => each.vm === vm));
+  if (missing.length > 0) {
+    context.printError(`no answer from ${missing.join(', ')}`);
+  }
+  return code === EXIT_OK && missing.length > 0 ? EXIT_NOT_CONFIRMED : code;
+};
--- a/packages/nutmegproxy-cli/src/index.ts
+++ b/packages/nutmegproxy-cli/src/index.ts
@@ -1,3 +1,6 @@
-/** Public surface; filled by the package. */
+/** Public surface of the command: what tests and the demo start in their own process. */
 
-export {};
+export {EntryProcess, startEntryProcess} from './EntryProcess.ts';
+export type {EntrySecrets, ServingPorts, StartFailure} from './EntryProcess.ts';
+export {formatEntry, mergeTimelines, toTraceEvents} from './Timeline.ts';
+export type {TimelineEntry, TraceEvent} from './Timeline.ts';
--- /dev/null
+++ b/packages/nutmegproxy-cli/src/main.ts
@@ -0,0 +1,42 @@
+/** The nutmegproxy command. */
+
+import {parseCommandLine} from './CommandLine.ts';
+import {COMMANDS, createClients} from './Commands.ts';
+import {EXIT_USAGE} from './ExitCodes.ts';
+import {serve} from './Serve.ts';
+
+function printError(text: string): void {
+  process.stderr.write(`${text}\n`);
+}
+
+function printLine(text: string): void {
+  process.stdout.write(`${text}\n`);
+}
+
+async function run(argv: readonly string[]): Promise<number> {
+  const {options, showHelp, words} = parseCommandLine(argv);
+  const [name, ...rest] = words;
+  if (name === 'serve') {
+    return serve(options.settings, process.env, {printError, printLine});
+  }
+  const command = name !== undefined && Object.hasOwn(COMMANDS, name) ? COMMANDS[name] : undefined;
+  if (command === undefined) {
+    showHelp();
+    return EXIT_USAGE;
+  }
+  const clients = createClients(options, process.env);
+  if (clients.isErr()) {
+    printError(`usage: ${clients.error}`);
+    return EXIT_USAGE;
+  }
+  return command({clients: clients.value, options, printError, printLine, words: rest});
+}
+
+const argv = process.argv.slice(2);
+void run(argv).then((code) => {
+  if (argv[0] === 'serve') {
+    // The planned stop is complete; what is left are timers that wait for nothing.
+    process.exit(code);
+  }
+  process.exitCode = code;
+});
--- a/packages/nutmegproxy-events/src/EventLog.ts
+++ b/packages/nutmegproxy-events/src/EventLog.ts
@@ -41,6 +41,11 @@
     this.#ring = new EventRing(ringSize);
   }
 
+  /** Number of the newest event; 0 before the first. */
+  get newest(): number {
+    return this.#ring.newest;
+  }
+
   record(kind: EventKind, fields: EventFields): void {
     const shown = redact(fields);
     this.#ring.add(kind, shown, this.#clock.wall());
--- a/packages/nutmegproxy-events/src/EventRing.ts
+++ b/packages/nutmegproxy-events/src/EventRing.ts
@@ -35,6 +35,11 @@
     this.#capacity = capacity;
   }
 
+  /** Number of the newest event; 0 before the first. */
+  get newest(): number {
+    return this.#newest;
+  }
+
   add(kind: EventKind, fields: EventFields, wall: WallTime): void {
     this.#newest += 1;
     const {code, level, text} = kind;
--- a/packages/nutmegproxy-schema/src/index.ts
+++ b/packages/nutmegproxy-schema/src/index.ts
@@ -1,5 +1,11 @@
 /** Public surface of the generated types and validators. */
 
+export type {CatalogueApply, CatalogueCheck, TimelineQuery} from './generated/adminTypes.ts';
+export {
+  validateCatalogueApply,
+  validateCatalogueCheck,
+  validateTimelineQuery,
+} from './generated/adminValidators.js';
 export type {
   AppliedList,
   AppliedRevision,
@@ -26,7 +32,9 @@
   validateCataloguePage,
   validateCatalogueQuery,
   validateCatalogueRecord,
+  validateDrain,
   validatePlansPart,
+  validateStop,
   validateTeamPart,
 } from './generated/catalogueValidators.js';
 export type {
--- a/packages/nutmegproxy-settings/src/ResolvedSettings.ts
+++ b/packages/nutmegproxy-settings/src/ResolvedSettings.ts
@@ -7,22 +7,11 @@
   readonly ringSize: number;
 }
 
-export interface PlatformOptions {
-  readonly keyPrefix: string;
-  readonly store: readonly string[];
-  readonly vmList: string;
-}
-
 /** What the program works with after the file was read. */
-export interface ResolvedSettings {
-  readonly dataCentre: string;
-  readonly listen: Settings['listen'];
+export interface ResolvedSettings extends Settings {
   readonly log: LogOptions;
-  readonly platform: PlatformOptions;
+  readonly platform: Required<Settings['platform']>;
   readonly policies: Policies;
-  readonly region: string;
-  readonly secrets: Settings['secrets'];
-  readonly seeds: readonly string[];
+  readonly seeds: string[];
   readonly timings: Required<Timings>;
-  readonly vm: string;
 }
--- a/packages/nutmegproxy-settings/src/index.ts
+++ b/packages/nutmegproxy-settings/src/index.ts
@@ -1,6 +1,6 @@
 /** Public surface of the settings. */
 
-export type {LogOptions, PlatformOptions, ResolvedSettings} from './ResolvedSettings.ts';
+export type {LogOptions, ResolvedSettings} from './ResolvedSettings.ts';
 export {Secret} from './Secret.ts';
 export {resolveSecret} from './SecretReference.ts';
 export type {Environment, SecretFailure} from './SecretReference.ts';
--- /dev/null
+++ b/scripts/buildBinary.mjs
@@ -0,0 +1,23 @@
+// Makes dist/nutmegproxy: the bundled command inside a copy of the Node executable.
+import {execFileSync} from 'node:child_process';
+import {chmodSync, copyFileSync, rmSync, writeFileSync} from 'node:fs';
+
+import {inject} from 'postject';
+import {readFileSync} from 'node:fs';
+
+const BLOB = 'dist/nutmegproxy.blob';
+const CONFIG = 'dist/sea-config.json';
+const OUTPUT = 'dist/nutmegproxy';
+const FUSE = 'NODE_SEA_FUSE_fce680ab2cc467b6e072b8b5df1996b2';
+
+execFileSync(process.execPath, ['scripts/build.mjs'], {stdio: 'inherit'});
+writeFileSync(
+  CONFIG,
+  JSON.stringify({disableExperimentalSEAWarning: true, main: 'dist/cli.cjs', output: BLOB}),
+);
+execFileSync(process.execPath, ['--experimental-sea-config', CONFIG], {stdio: 'inherit'});
+rmSync(OUTPUT, {force: true});
+copyFileSync(process.execPath, OUTPUT);
+chmodSync(OUTPUT, 0o755);
+await inject(OUTPUT, 'NODE_SEA_BLOB', readFileSync(BLOB), {sentinelFuse: FUSE});
+console.log(`built ${OUTPUT}`);
