--- a/packages/nutmegproxy-cli/src/Features.ts
+++ b/packages/nutmegproxy-cli/src/Features.ts
@@ -63,11 +63,7 @@
   };
 }
 
-/** Starts all features; `onListedStop` is called when the catalogue lists this VM to stop. */
-export function startFeatures(
-  context: FeatureContext,
-  onListedStop: () => void,
-): Promise<Result<Features, StartFailure>> {
-  onListedStop;
+/** Starts all features. */
+export function startFeatures(context: FeatureContext): Promise<Result<Features, StartFailure>> {
   return attempt(() => compose(context));
 }
--- a/scripts/build.mjs
+++ b/scripts/build.mjs
@@ -12,6 +12,8 @@
   .filter((entry) => existsSync(entry.in));
 
 await build({
+  // The package's CommonJS form loads its parts by names that a bundler can't follow.
+  alias: {'jsonc-parser': 'jsonc-parser/lib/esm/main.js'},
   banner: {js: BANNER},
   bundle: true,
   define: {'import.meta': 'importMeta'},
