--- a/packages/nutmegproxy-cli/src/EntryProcess.ts
+++ b/packages/nutmegproxy-cli/src/EntryProcess.ts
@@ -94,11 +94,19 @@
 ): Promise<Result<EntryProcess, StartFailure>> {
   const {log, node} = createNode(settings);
   log.record(CLI_EVENTS.STARTING, {});
-  const features = await startFeatures({log, node, secrets, settings});
+  const listed = new AbortController();
+  const onListedStop = (): void => {
+    listed.abort();
+  };
+  const features = await startFeatures({log, node, onListedStop, secrets, settings});
   if (features.isErr()) {
     return err(features.error);
   }
   const entry = new EntryProcess(node, log, features.value);
+  listed.signal.addEventListener('abort', () => void entry.stop());
   log.record(CLI_EVENTS.SERVING, {...entry.ports});
+  if (listed.signal.aborted) {
+    void entry.stop();
+  }
   return ok(entry);
 }
--- a/packages/nutmegproxy-cli/src/Features.ts
+++ b/packages/nutmegproxy-cli/src/Features.ts
@@ -5,18 +5,29 @@
 import type {ResolvedSettings} from '@nutmegproxy/settings';
 import type {Result} from 'neverthrow';
 
-import {AdminApi, registerStatusRoute, registerTimelineRoutes} from '@nutmegproxy/admin';
+import {
+  AdminApi,
+  registerCatalogueRoutes,
+  registerStatusRoute,
+  registerTimelineRoutes,
+} from '@nutmegproxy/admin';
+import {registerCatalogue} from '@nutmegproxy/catalogue';
 import {mergeUnregister} from '@nutmegproxy/core';
 import {WsPeerMesh} from '@nutmegproxy/peers';
+import {EtcdStore} from '@nutmegproxy/store';
 import {err, ok} from 'neverthrow';
 
 import type {EntrySecrets, ServingPorts, StartFailure} from './EntryProcess.ts';
 
 import {splitHostPort} from './HostPort.ts';
+import {registerListedStop} from './ListedStop.ts';
+import {describeCatalogue} from './StatusSections.ts';
 
 export interface FeatureContext {
   readonly log: EventLog;
   readonly node: EntryNode;
+  /** Called when the catalogue lists this VM to stop. */
+  readonly onListedStop: () => void;
   readonly secrets: EntrySecrets;
   readonly settings: ResolvedSettings;
 }
@@ -44,10 +55,23 @@
     seeds: settings.seeds,
   });
   await mesh.start();
+  const {keyPrefix, store: baseUrls} = settings.platform;
+  const store = new EtcdStore({
+    baseUrls,
+    clock: node.clock,
+    events: node.events,
+    metrics: node.metrics,
+    timeoutMs: settings.timings.storeTimeoutMs,
+  });
+  const catalogue = registerCatalogue(node, {keyPrefix, mesh, store});
   const api = new AdminApi(node, secrets.operator.reveal());
   const unregister = mergeUnregister(
+    catalogue.unregister,
+    registerListedStop(node, catalogue.source, context.onListedStop),
+    registerCatalogueRoutes(api, catalogue),
     registerTimelineRoutes(api, node, {log, mesh}),
     registerStatusRoute(api, node, {
+      catalogue: () => describeCatalogue(catalogue.source),
       peers: () => mesh.peers().map(({identity}) => identity),
     }),
   );
@@ -58,6 +82,7 @@
       await api.close();
       unregister();
       await mesh.stop();
+      await store.close();
     },
     ports: {callers: 0, operators, peers: splitHostPort(mesh.peerAddress).port},
   };
