--- a/packages/nutmegproxy-cli/src/Features.ts
+++ b/packages/nutmegproxy-cli/src/Features.ts
@@ -1,6 +1,7 @@
 /** Composes the features of a process in the order in which they build on each other. */
 
-import type {EntryNode} from '@nutmegproxy/core';
+import type {CatalogueFeature} from '@nutmegproxy/catalogue';
+import type {EntryNode, Unregister} from '@nutmegproxy/core';
 import type {EventLog} from '@nutmegproxy/events';
 import type {ResolvedSettings} from '@nutmegproxy/settings';
 import type {Result} from 'neverthrow';
@@ -13,15 +14,17 @@
 } from '@nutmegproxy/admin';
 import {registerCatalogue} from '@nutmegproxy/catalogue';
 import {mergeUnregister} from '@nutmegproxy/core';
-import {WsPeerMesh} from '@nutmegproxy/peers';
-import {EtcdStore} from '@nutmegproxy/store';
 import {err, ok} from 'neverthrow';
 
 import type {EntrySecrets, ServingPorts, StartFailure} from './EntryProcess.ts';
+import type {PlatformConnections} from './PlatformConnections.ts';
+import type {WorkFeatures} from './WorkFeatures.ts';
 
 import {splitHostPort} from './HostPort.ts';
 import {registerListedStop} from './ListedStop.ts';
-import {describeCatalogue} from './StatusSections.ts';
+import {connectPlatform} from './PlatformConnections.ts';
+import {describeCatalogue, describeDirectory, describeMembership} from './StatusSections.ts';
+import {registerWork} from './WorkFeatures.ts';
 
 export interface FeatureContext {
   readonly log: EventLog;
@@ -39,56 +42,73 @@
   readonly ports: ServingPorts;
 }
 
-async function attempt<Value>(work: () => Promise<Value>): Promise<Result<Value, StartFailure>> {
-  try {
-    return ok(await work());
-  } catch (error) {
-    return err({message: error instanceof Error ? error.message : String(error)});
-  }
-}
-
-async function compose(context: FeatureContext): Promise<Features> {
-  const {log, node, secrets, settings} = context;
-  const mesh = new WsPeerMesh(node, {
-    listen: settings.listen.peers,
-    secret: secrets.peer.reveal(),
-    seeds: settings.seeds,
-  });
-  await mesh.start();
-  const {keyPrefix, store: baseUrls} = settings.platform;
-  const store = new EtcdStore({
-    baseUrls,
-    clock: node.clock,
-    events: node.events,
-    metrics: node.metrics,
-    timeoutMs: settings.timings.storeTimeoutMs,
-  });
-  const catalogue = registerCatalogue(node, {keyPrefix, mesh, store});
-  const api = new AdminApi(node, secrets.operator.reveal());
-  const unregister = mergeUnregister(
-    catalogue.unregister,
-    registerListedStop(node, catalogue.source, context.onListedStop),
+function registerRoutes(
+  api: AdminApi,
+  {log, node}: FeatureContext,
+  {directory, mesh}: PlatformConnections,
+  catalogue: CatalogueFeature,
+  {membership}: WorkFeatures,
+): Unregister {
+  return mergeUnregister(
     registerCatalogueRoutes(api, catalogue),
     registerTimelineRoutes(api, node, {log, mesh}),
     registerStatusRoute(api, node, {
       catalogue: () => describeCatalogue(catalogue.source),
+      membership: () => describeMembership(membership, node),
       peers: () => mesh.peers().map(({identity}) => identity),
+      vms: () => describeDirectory(directory),
     }),
   );
-  const {host, port} = splitHostPort(settings.listen.operators);
+}
+
+async function listen(
+  context: FeatureContext,
+  api: AdminApi,
+  platform: PlatformConnections,
+  {requests}: WorkFeatures,
+): Promise<Result<ServingPorts, StartFailure>> {
+  const {host, port} = splitHostPort(context.settings.listen.operators);
   const operators = await api.listen(host, port);
-  return {
-    close: async () => {
-      await api.close();
-      unregister();
-      await mesh.stop();
-      await store.close();
-    },
-    ports: {callers: 0, operators, peers: splitHostPort(mesh.peerAddress).port},
+  const peers = splitHostPort(platform.mesh.peerAddress).port;
+  const callers = await requests.listen();
+  return callers.map((address) => ({callers: address.port, operators, peers}));
+}
+
+async function compose(context: FeatureContext): Promise<Result<Features, StartFailure>> {
+  const {node, onListedStop, secrets, settings} = context;
+  const platform = await connectPlatform(context);
+  const {directory, mesh, store} = platform;
+  const {keyPrefix} = settings.platform;
+  const catalogue = registerCatalogue(node, {directory, keyPrefix, mesh, store});
+  const work = registerWork(context, platform, catalogue.source);
+  const api = new AdminApi(node, secrets.operator.reveal());
+  const unregister = mergeUnregister(
+    platform.unregister,
+    catalogue.unregister,
+    work.unregister,
+    registerRoutes(api, context, platform, catalogue, work),
+    registerListedStop(node, catalogue.source, onListedStop),
+  );
+  const close = async (): Promise<void> => {
+    await api.close();
+    unregister();
+    await platform.close();
   };
+  const ports = await listen(context, api, platform, work);
+  if (ports.isErr()) {
+    await close();
+    return err(ports.error);
+  }
+  return ok({close, ports: ports.value});
 }
 
 /** Starts all features. */
-export function startFeatures(context: FeatureContext): Promise<Result<Features, StartFailure>> {
-  return attempt(() => compose(context));
+export async function startFeatures(
+  context: FeatureContext,
+): Promise<Result<Features, StartFailure>> {
+  try {
+    return await compose(context);
+  } catch (error) {
+    return err({message: error instanceof Error ? error.message : String(error)});
+  }
 }
--- /dev/null
+++ b/packages/nutmegproxy-cli/src/PlatformConnections.ts
@@ -0,0 +1,60 @@
+/** Connections of a process to the platform and to the other entry VMs. */
+
+import type {EntryNode, Unregister} from '@nutmegproxy/core';
+import type {VmDirectory, WorkerClient} from '@nutmegproxy/platform';
+import type {PlatformStore} from '@nutmegproxy/store';
+
+import {WsPeerMesh} from '@nutmegproxy/peers';
+import {HttpVmList, HttpWorkerClient, registerVmDirectory} from '@nutmegproxy/platform';
+import {EtcdStore} from '@nutmegproxy/store';
+
+import type {FeatureContext} from './Features.ts';
+
+export interface PlatformConnections {
+  readonly close: () => Promise<void>;
+  readonly directory: VmDirectory;
+  readonly mesh: WsPeerMesh;
+  readonly store: PlatformStore;
+  readonly unregister: Unregister;
+  readonly workers: WorkerClient;
+}
+
+function createStore(node: EntryNode, {settings}: FeatureContext): PlatformStore {
+  return new EtcdStore({
+    baseUrls: settings.platform.store,
+    clock: node.clock,
+    events: node.events,
+    metrics: node.metrics,
+    timeoutMs: settings.timings.storeTimeoutMs,
+  });
+}
+
+/** Listens for peers and begins to follow the platform; rejects when the address can't be had. */
+export async function connectPlatform(context: FeatureContext): Promise<PlatformConnections> {
+  const {node, secrets, settings} = context;
+  const mesh = new WsPeerMesh(node, {
+    listen: settings.listen.peers,
+    secret: secrets.peer.reveal(),
+    seeds: settings.seeds,
+  });
+  await mesh.start();
+  const store = createStore(node, context);
+  const vmList = new HttpVmList(settings.platform.vmList);
+  const workers = new HttpWorkerClient();
+  const {directory, unregister} = registerVmDirectory(node, {
+    mesh,
+    pollMs: settings.timings.vmListPollMs,
+    vmList,
+  });
+  return {
+    close: async () => {
+      await mesh.stop();
+      await Promise.all([store.close(), vmList.close(), workers.close()]);
+    },
+    directory,
+    mesh,
+    store,
+    unregister,
+    workers,
+  };
+}
--- a/packages/nutmegproxy-cli/src/StatusSections.ts
+++ b/packages/nutmegproxy-cli/src/StatusSections.ts
@@ -1,6 +1,9 @@
 /** What `GET /v1/status` shows of each feature. */
 
 import type {SnapshotSource} from '@nutmegproxy/catalogue';
+import type {EntryNode} from '@nutmegproxy/core';
+import type {Membership} from '@nutmegproxy/membership';
+import type {VmDirectory} from '@nutmegproxy/platform';
 
 export interface CatalogueStatus {
   readonly change: string;
@@ -9,7 +12,55 @@
   readonly teams: number;
 }
 
+export interface MembershipStatus {
+  /** Cells of the data centre with their owners' incarnations. */
+  readonly cells: readonly {
+    readonly cell: string;
+    readonly epoch: number;
+    readonly owner: string;
+  }[];
+  readonly epoch: number;
+  readonly holdsTenure: boolean;
+  readonly members: readonly {readonly incarnation: string; readonly vm: string}[];
+  /** Slots of each minion that this process holds. */
+  readonly slots: readonly {
+    readonly held: number;
+    readonly minion: string;
+    readonly slots: number;
+  }[];
+}
+
+/** Numbers of known VMs by role and state. */
+export type DirectoryStatus = Readonly<Record<string, number>>;
+
 export function describeCatalogue(source: SnapshotSource): CatalogueStatus {
   const {entries, record, revision, teams} = source.current();
   return {change: record.change, entries: entries.size, revision, teams: teams.size};
 }
+
+export function describeDirectory(directory: VmDirectory): DirectoryStatus {
+  const counts: Record<string, number> = {};
+  for (const {role, state} of directory.vms()) {
+    const name = `${role} ${state}`;
+    counts[name] = (counts[name] ?? 0) + 1;
+  }
+  return counts;
+}
+
+export function describeMembership(membership: Membership, node: EntryNode): MembershipStatus {
+  const allotment = membership.allotment();
+  const {incarnation} = node.identity;
+  const members = [...(allotment?.members.values() ?? [])];
+  const minions = [...(allotment?.minions.values() ?? [])];
+  return {
+    cells: [...(allotment?.cells.values() ?? [])],
+    epoch: allotment?.epoch ?? 0,
+    holdsTenure: membership.holdsTenure(node.clock.monotonic()),
+    members: members.map(({incarnation: id, vm}) => ({incarnation: id, vm})),
+    slots: minions.map(({minion, shares, slots}) => ({
+      held: shares.get(incarnation) ?? 0,
+      minion,
+      slots,
+    })),
+  };
+}
--- /dev/null
+++ b/packages/nutmegproxy-cli/src/WorkFeatures.ts
@@ -0,0 +1,84 @@
+/** The features that serve callers: membership, requests and tasks. */
+
+import type {CatalogueSource} from '@nutmegproxy/catalogue';
+import type {Unregister} from '@nutmegproxy/core';
+import type {Membership} from '@nutmegproxy/membership';
+import type {PlacementName} from '@nutmegproxy/placement';
+import type {Requests} from '@nutmegproxy/requests';
+
+import {mergeUnregister} from '@nutmegproxy/core';
+import {registerMembership} from '@nutmegproxy/membership';
+import {PLACEMENTS} from '@nutmegproxy/placement';
+import {registerRequests} from '@nutmegproxy/requests';
+import {registerTasks} from '@nutmegproxy/tasks';
+import {randomInt} from 'node:crypto';
+
+import type {FeatureContext} from './Features.ts';
+import type {PlatformConnections} from './PlatformConnections.ts';
+
+import {parseCellOwner} from './CellOwner.ts';
+import {adaptTaskRoute} from './TaskRouteAdapter.ts';
+
+const MAX_SEED = 2 ** 31;
+const DEFAULT_PLACEMENT: PlacementName = 'learned';
+
+export interface WorkFeatures {
+  readonly membership: Membership;
+  readonly requests: Requests;
+  readonly unregister: Unregister;
+}
+
+function pickPlacement(wished: string | undefined): PlacementName {
+  return wished !== undefined && Object.hasOwn(PLACEMENTS, wished)
+    ? (wished as PlacementName)
+    : DEFAULT_PLACEMENT;
+}
+
+/** Registers membership, requests and tasks; callers are served once `listen` is called. */
+export function registerWork(
+  context: FeatureContext,
+  platform: PlatformConnections,
+  catalogue: CatalogueSource,
+): WorkFeatures {
+  const {node, settings} = context;
+  const {directory, mesh, store, workers} = platform;
+  const {keyPrefix} = settings.platform;
+  const {commitIntervalMs, taskLeaseMs, tenureTtlMs, workerSyncMs} = settings.timings;
+  const {membership, unregister: unregisterMembership} = registerMembership(node, {
+    directory,
+    mesh,
+    peerAddress: mesh.peerAddress,
+    periods: {tenureTtlMs},
+    prefix: keyPrefix,
+    store,
+  });
+  const requests = registerRequests(node, {
+    catalogue,
+    directory,
+    membership,
+    seed: randomInt(MAX_SEED),
+    settings,
+    store,
+  });
+  const placement = PLACEMENTS[pickPlacement(settings.policies.placement)];
+  const unregisterTasks = registerTasks(node, {
+    catalogue,
+    commitIntervalMs,
+    createPlacement: () => placement(),
+    directory,
+    keyPrefix,
+    membership,
+    mesh,
+    parseOwner: parseCellOwner,
+    registerRoute: (prefix, handler) =>
+      requests.registerCallerRoute(prefix, adaptTaskRoute(handler)),
+    store,
+    timings: {leaseMs: taskLeaseMs, syncMs: workerSyncMs},
+    workers,
+  });
+  return {
+    membership,
+    requests,
+    unregister: mergeUnregister(unregisterMembership, requests.unregister, unregisterTasks),
+  };
+}
--- /dev/null
+++ b/packages/nutmegproxy-demo/src/EntryChild.ts
@@ -0,0 +1,94 @@
+/** An entry VM's process of the demo, started as operators would start it. */
+
+import type {ChildProcess} from 'node:child_process';
+
+import {spawn} from 'node:child_process';
+import {once} from 'node:events';
+import {writeFileSync} from 'node:fs';
+import {join} from 'node:path';
+import {createInterface} from 'node:readline';
+
+import type {DemoPlatform} from './DemoPlatform.ts';
+
+import {CLI_PROGRAM, STOP_DELAY_MS} from './DemoConstants.ts';
+
+const READY_LINE = /^ready callers=(\d+) operators=(\d+) peers=(\d+)$/;
+
+export interface EntryPlan {
+  readonly dataCentre: string;
+  readonly environment: NodeJS.ProcessEnv;
+  /** Folder for the settings file. */
+  readonly folder: string;
+  readonly platform: DemoPlatform;
+  readonly seeds: readonly string[];
+  readonly vm: string;
+}
+
+/** A serving process with the addresses that it printed. */
+export interface EntryChild {
+  readonly callers: string;
+  /** The exit code, once the process has ended. */
+  readonly exited: Promise<number>;
+  readonly operators: string;
+  readonly peers: string;
+  terminate(): void;
+  readonly vm: string;
+}
+
+function writeSettings({dataCentre, folder, platform, seeds, vm}: EntryPlan): string {
+  const path = join(folder, `${vm}.jsonc`);
+  const any = '127.0.0.1:0';
+  const settings = {
+    dataCentre,
+    listen: {callers: any, operators: any, peers: any},
+    log: {level: 'info'},
+    platform: {store: [platform.store], vmList: platform.vmList},
+    region: 'demo',
+    secrets: {operator: {env: 'NUTMEGPROXY_TOKEN'}, peer: {env: 'NUTMEGPROXY_PEER_SECRET'}},
+    seeds,
+    timings: {stopDelayMs: STOP_DELAY_MS},
+    vm,
+  };
+  writeFileSync(path, `// Settings of ${vm}.\n${JSON.stringify(settings, undefined, 2)}\n`);
+  return path;
+}
+
+async function readReadyLine(child: ChildProcess): Promise<RegExpExecArray | undefined> {
+  if (child.stdout === null) {
+    return undefined;
+  }
+  for await (const line of createInterface({input: child.stdout})) {
+    const match = READY_LINE.exec(line);
+    if (match !== null) {
+      return match;
+    }
+  }
+  return undefined;
+}
+
+/** Starts a process and waits for its ready line; rejects when it ends before. */
+export async function startEntry(plan: EntryPlan): Promise<EntryChild> {
+  const path = writeSettings(plan);
+  const child = spawn(process.execPath, [CLI_PROGRAM, 'serve', '--settings', path], {
+    env: plan.environment,
+    stdio: ['ignore', 'pipe', 'inherit'],
+  });
+  const exited = once(child, 'exit').then(([code]) => (typeof code === 'number' ? code : -1));
+  const ready = await readReadyLine(child);
+  if (ready === undefined) {
+    throw new Error(`${plan.vm} ended before it was ready`);
+  }
+  // The log goes on; nobody reads it here.
+  child.stdout?.resume();
+  const [, callers = '', operators = '', peers = ''] = ready;
+  return {
+    callers: `http://127.0.0.1:${callers}`,
+    exited,
+    operators: `http://127.0.0.1:${operators}`,
+    peers: `127.0.0.1:${peers}`,
+    terminate: () => {
+      child.kill('SIGTERM');
+    },
+    vm: plan.vm,
+  };
+}
--- /dev/null
+++ b/packages/nutmegproxy-demo/src/Operator.ts
@@ -0,0 +1,39 @@
+/** An operator of the demo: runs the command as a person would. */
+
+import {spawn} from 'node:child_process';
+import {once} from 'node:events';
+import {text} from 'node:stream/consumers';
+
+import {CLI_PROGRAM} from './DemoConstants.ts';
+import {tell} from './DemoUtils.ts';
+
+export interface CommandResult {
+  readonly code: number;
+  readonly output: string;
+}
+
+/** Runs `nutmegproxy` with the given words and returns what it printed. */
+export async function runCommand(
+  words: readonly string[],
+  environment: NodeJS.ProcessEnv,
+): Promise<CommandResult> {
+  const child = spawn(process.execPath, [CLI_PROGRAM, ...words], {
+    env: environment,
+    stdio: ['ignore', 'pipe', 'inherit'],
+  });
+  const [output, [code]] = await Promise.all([text(child.stdout), once(child, 'exit')]);
+  return {code: typeof code === 'number' ? code : -1, output};
+}
+
+/** Runs a command, prints it with its output, and fails the demo when it fails. */
+export async function operate(
+  words: readonly string[],
+  environment: NodeJS.ProcessEnv,
+): Promise<void> {
+  tell(`$ nutmegproxy ${words.join(' ')}`);
+  const {code, output} = await runCommand(words, environment);
+  tell(output.trimEnd().replaceAll(/^/gm, '  '));
+  if (code !== 0) {
+    throw new Error(`the command ended with ${code}`);
+  }
+}
--- a/packages/nutmegproxy-settings/src/SettingsConstants.ts
+++ b/packages/nutmegproxy-settings/src/SettingsConstants.ts
@@ -8,12 +8,12 @@
 } as const;
 
 export const DEFAULT_TIMINGS = {
-  commitIntervalMs: 20,
+  commitIntervalMs: 10,
   heartbeatMs: 1_000,
   stopDelayMs: 5_000,
   storeTimeoutMs: 2_000,
-  taskLeaseMs: 15_000,
-  tenureTtlMs: 9_000,
+  taskLeaseMs: 30_000,
+  tenureTtlMs: 10_000,
   vmListPollMs: 1_000,
   workerSyncMs: 1_000,
 } as const;
