--- a/packages/nutmegproxy-schema/src/index.ts
+++ b/packages/nutmegproxy-schema/src/index.ts
@@ -73,9 +73,12 @@
   validatePeerFrame,
   validateProof,
 } from './generated/peersMessagesValidators.js';
+export type {LeavingMark, LeavingNotice} from './generated/platformMessagesTypes.ts';
+export {validateLeavingNotice} from './generated/platformMessagesValidators.js';
 export type {
   AttemptReport,
   Resources,
+  StartResult,
   TaskStart,
   Throttle,
   Usage,
@@ -85,7 +88,9 @@
   WorkerSync,
 } from './generated/platformTypes.ts';
 export {
+  validateStartResults,
   validateTaskStart,
+  validateTaskStarts,
   validateVmReport,
   validateWorkerReport,
   validateWorkerSync,
