--- a/packages/nutmegproxy-demo/src/DemoPlatform.ts
+++ b/packages/nutmegproxy-demo/src/DemoPlatform.ts
@@ -17,6 +17,8 @@
   readonly minions: ReadonlyMap<string, MinionServer>;
   readonly store: string;
   readonly vmList: string;
+  /** Workers by id. */
+  readonly workers: ReadonlyMap<string, WorkerServer>;
 }
 
 interface StartedVm {
@@ -43,9 +45,15 @@
   return {standin, vm};
 }
 
-async function startWorker(dataCentre: string, number: number): Promise<StartedVm> {
+async function startWorker(
+  dataCentre: string,
+  number: number,
+  workers: Map<string, WorkerServer>,
+): Promise<StartedVm> {
   const id = `worker-${dataCentre}-${number}`;
-  const standin = await new WorkerServer(id, WORKER_CAPACITY).start();
+  const server = new WorkerServer(id, WORKER_CAPACITY);
+  const standin = await server.start();
+  workers.set(id, server);
   const vm: Vm = {
     address: toAddress(standin),
     capacity: WORKER_CAPACITY,
@@ -61,6 +69,7 @@
 /** Starts all stand-ins on free ports of the loopback address. */
 export async function startPlatform(dataCentres: readonly string[]): Promise<DemoPlatform> {
   const minions = new Map<string, MinionServer>();
+  const workers = new Map<string, WorkerServer>();
   const store = await new StoreServer().start();
   const list = new VmListServer();
   const vmList = await list.start();
@@ -70,7 +79,7 @@
       started.push(await startMinion(dataCentre, service, minions));
     }
     for (let number = 1; number <= WORKERS_PER_DATA_CENTRE; number += 1) {
-      started.push(await startWorker(dataCentre, number));
+      started.push(await startWorker(dataCentre, number, workers));
     }
   }
   list.control({vms: started.map(({vm}) => vm)});
@@ -82,5 +91,6 @@
     minions,
     store: `http://${toAddress(store)}`,
     vmList: `http://${toAddress(vmList)}`,
+    workers,
   };
 }
--- a/packages/nutmegproxy-demo/src/DemoSteps.ts
+++ b/packages/nutmegproxy-demo/src/DemoSteps.ts
@@ -25,7 +25,6 @@
 interface TaskView {
   readonly state: string;
   readonly task: string;
-  readonly worker?: string;
 }
 
 interface JobView {
@@ -114,8 +113,10 @@
 /** A drained worker gets no new work. */
 export async function drainWorker(scene: DemoScene, worker: string): Promise<void> {
   await operate(['drain', 'worker', worker, '--reason', 'demo'], scene.environment);
-  const {tasks} = await runJob(scene, 'retouch', 2);
-  const used = [...new Set(tasks.map((task) => task.worker ?? 'unknown'))];
+  await runJob(scene, 'retouch', 2);
+  const used = [...scene.platform.workers]
+    .filter(([, {model}]) => model.history.some(({entry}) => entry === 'retouch'))
+    .map(([id]) => id);
   tell(`retouches ran on ${used.join(', ')}`);
   expect(!used.includes(worker), 'a drained worker runs nothing new');
   await operate(['undrain', 'worker', worker], scene.environment);
--- a/packages/nutmegproxy-demo/src/EntryChild.ts
+++ b/packages/nutmegproxy-demo/src/EntryChild.ts
@@ -29,6 +29,8 @@
   readonly callers: string;
   /** The exit code, once the process has ended. */
   readonly exited: Promise<number>;
+  /** Ends the process at once; for a demo that has failed. */
+  kill(): void;
   readonly operators: string;
   readonly peers: string;
   terminate(): void;
@@ -79,11 +81,14 @@
     throw new Error(`${plan.vm} ended before it was ready`);
   }
   // The log goes on; nobody reads it here.
-  child.stdout?.resume();
+  child.stdout.resume();
   const [, callers = '', operators = '', peers = ''] = ready;
   return {
     callers: `http://127.0.0.1:${callers}`,
     exited,
+    kill: () => {
+      child.kill('SIGKILL');
+    },
     operators: `http://127.0.0.1:${operators}`,
     peers: `127.0.0.1:${peers}`,
     terminate: () => {
--- a/packages/nutmegproxy-demo/src/Operator.ts
+++ b/packages/nutmegproxy-demo/src/Operator.ts
@@ -21,8 +21,9 @@
     env: environment,
     stdio: ['ignore', 'pipe', 'inherit'],
   });
-  const [output, [code]] = await Promise.all([text(child.stdout), once(child, 'exit')]);
-  return {code: typeof code === 'number' ? code : -1, output};
+  const exited = once(child, 'exit') as Promise<[null | number]>;
+  const [output, [code]] = await Promise.all([text(child.stdout), exited]);
+  return {code: code ?? -1, output};
 }
 
 /** Runs a command, prints it with its output, and fails the demo when it fails. */
--- a/packages/nutmegproxy-demo/src/main.ts
+++ b/packages/nutmegproxy-demo/src/main.ts
@@ -87,7 +87,7 @@
       tell('the demo is complete');
     } catch (error) {
       for (const entry of [first, second, third]) {
-        entry.terminate();
+        entry.kill();
       }
       throw error;
     }
