--- a/packages/nutmegproxy-schema/src/index.ts
+++ b/packages/nutmegproxy-schema/src/index.ts
@@ -52,6 +52,11 @@
   validateCellOwnerRecord,
   validateDenyAnswer,
   validateDenyRequest,
+  validateLoanAnswer,
+  validateLoanRenewal,
+  validateLoanRenewalAnswer,
+  validateLoanRequest,
+  validateLoanReturn,
   validateRecordNotice,
   validateRelayAnswer,
   validateRelayRequest,
@@ -95,6 +100,8 @@
   validateWorkerReport,
   validateWorkerSync,
 } from './generated/platformValidators.js';
+export type {RequestKeyRecord} from './generated/requestsMessagesTypes.ts';
+export {validateRequestKeyRecord} from './generated/requestsMessagesValidators.js';
 export type {
   ListenAddresses,
   Policies,
