--- a/packages/nutmegproxy-cli/src/WorkFeatures.ts
+++ b/packages/nutmegproxy-cli/src/WorkFeatures.ts
@@ -3,12 +3,11 @@
 import type {CatalogueSource} from '@nutmegproxy/catalogue';
 import type {Unregister} from '@nutmegproxy/core';
 import type {Membership} from '@nutmegproxy/membership';
-import type {PlacementName} from '@nutmegproxy/placement';
 import type {Requests} from '@nutmegproxy/requests';
 
 import {mergeUnregister} from '@nutmegproxy/core';
 import {registerMembership} from '@nutmegproxy/membership';
-import {PLACEMENTS} from '@nutmegproxy/placement';
+import {LANE_ORDERS, PLACEMENTS} from '@nutmegproxy/placement';
 import {registerRequests} from '@nutmegproxy/requests';
 import {registerTasks} from '@nutmegproxy/tasks';
 import {randomInt} from 'node:crypto';
@@ -20,7 +19,6 @@
 import {adaptTaskRoute} from './TaskRouteAdapter.ts';
 
 const MAX_SEED = 2 ** 31;
-const DEFAULT_PLACEMENT: PlacementName = 'learned';
 
 export interface WorkFeatures {
   readonly membership: Membership;
@@ -28,12 +26,6 @@
   readonly unregister: Unregister;
 }
 
-function pickPlacement(wished: string | undefined): PlacementName {
-  return wished !== undefined && Object.hasOwn(PLACEMENTS, wished)
-    ? (wished as PlacementName)
-    : DEFAULT_PLACEMENT;
-}
-
 /** Registers membership, requests and tasks; callers are served once `listen` is called. */
 export function registerWork(
   context: FeatureContext,
@@ -60,13 +52,14 @@
     settings,
     store,
   });
-  const placement = PLACEMENTS[pickPlacement(settings.policies.placement)];
+  const placement = PLACEMENTS[settings.policies.placement];
   const unregisterTasks = registerTasks(node, {
     catalogue,
     commitIntervalMs,
-    createPlacement: () => placement(),
+    createPlacement: placement,
     directory,
     keyPrefix,
+    laneOrder: LANE_ORDERS[settings.policies.laneOrder],
     membership,
     mesh,
     parseOwner: parseCellOwner,
--- a/packages/nutmegproxy-requests/src/registerRequests.ts
+++ b/packages/nutmegproxy-requests/src/registerRequests.ts
@@ -63,20 +63,15 @@
   readonly unregister: Unregister;
 }
 
+const DEFAULT_MINION_CHOICE: MinionChoicePolicy = 'power-of-two';
+const DEFAULT_REQUEST_QUEUE: QueuePolicy = 'deadline';
+
 function parseAddress(address: string): {host: string; port: number} {
   const colon = address.lastIndexOf(':');
   const host = address.slice(0, colon).replace(/^\[(.*)\]$/, '$1');
   return {host, port: Number(address.slice(colon + 1))};
 }
 
-function pickPolicy<Name extends string>(
-  table: Record<Name, unknown>,
-  wished: string | undefined,
-  fallback: Name,
-): Name {
-  return wished !== undefined && Object.hasOwn(table, wished) ? (wished as Name) : fallback;
-}
-
 /** The parts of the feature, wired to each other. */
 function createParts(node: EntryNode, services: RequestsServices) {
   const {catalogue, directory, loans, membership, seed, settings, store} = services;
@@ -86,12 +81,8 @@
   const pool = new ConnectionPool();
   const routes = new MinionRoutes({catalogue, directory, identity, ledger, membership});
   const {policies = {}} = settings;
-  const queue: QueuePolicy = pickPolicy(REQUEST_QUEUES, policies.requestQueue, 'deadline');
-  const choice: MinionChoicePolicy = pickPolicy(
-    MINION_CHOICES,
-    policies.minionChoice,
-    'power-of-two',
-  );
+  const choice = policies.minionChoice ?? DEFAULT_MINION_CHOICE;
+  const queue = policies.requestQueue ?? DEFAULT_REQUEST_QUEUE;
   const guard = new TenureGuard(membership);
   const dispatcher = new RequestDispatcher({
     createChoice: () => MINION_CHOICES[choice](random),
--- a/packages/nutmegproxy-settings/src/ResolvedSettings.ts
+++ b/packages/nutmegproxy-settings/src/ResolvedSettings.ts
@@ -11,7 +11,7 @@
 export interface ResolvedSettings extends Settings {
   readonly log: LogOptions;
   readonly platform: Required<Settings['platform']>;
-  readonly policies: Policies;
+  readonly policies: Required<Policies>;
   readonly seeds: string[];
   readonly timings: Required<Timings>;
 }
--- a/packages/nutmegproxy-settings/src/Settings.ts
+++ b/packages/nutmegproxy-settings/src/Settings.ts
@@ -11,7 +11,12 @@
 import type {ResolvedSettings} from './ResolvedSettings.ts';
 import type {SettingsFailure, SettingsFault} from './SettingsFailure.ts';
 
-import {DEFAULT_KEY_PREFIX, DEFAULT_LOG, DEFAULT_TIMINGS} from './SettingsConstants.ts';
+import {
+  DEFAULT_KEY_PREFIX,
+  DEFAULT_LOG,
+  DEFAULT_POLICIES,
+  DEFAULT_TIMINGS,
+} from './SettingsConstants.ts';
 import {findPlace, findRepeatedFields, toFault} from './SettingsUtils.ts';
 
 function withDefaults(settings: Settings): ResolvedSettings {
@@ -20,7 +25,7 @@
     listen: settings.listen,
     log: {...DEFAULT_LOG, ...settings.log},
     platform: {keyPrefix: DEFAULT_KEY_PREFIX, ...settings.platform},
-    policies: settings.policies ?? {},
+    policies: {...DEFAULT_POLICIES, ...settings.policies},
     region: settings.region,
     secrets: settings.secrets,
     seeds: settings.seeds ?? [],
--- a/packages/nutmegproxy-settings/src/SettingsConstants.ts
+++ b/packages/nutmegproxy-settings/src/SettingsConstants.ts
@@ -7,6 +7,13 @@
   ringSize: 20_000,
 } as const;
 
+export const DEFAULT_POLICIES = {
+  laneOrder: 'fair',
+  minionChoice: 'power-of-two',
+  placement: 'learned',
+  requestQueue: 'deadline',
+} as const;
+
 export const DEFAULT_TIMINGS = {
   commitIntervalMs: 10,
   heartbeatMs: 1_000,
