--- /dev/null
+++ b/packages/nutmegproxy-cli/src/Features.ts
@@ -0,0 +1,114 @@
+/** Composes the features of a process in the order in which they build on each other. */
+
+import type {CatalogueFeature} from '@nutmegproxy/catalogue';
+import type {EntryNode, Unregister} from '@nutmegproxy/core';
+import type {EventLog} from '@nutmegproxy/events';
+import type {ResolvedSettings} from '@nutmegproxy/settings';
+import type {Result} from 'neverthrow';
+
+import {
+  AdminApi,
+  registerCatalogueRoutes,
+  registerStatusRoute,
+  registerTimelineRoutes,
+} from '@nutmegproxy/admin';
+import {registerCatalogue} from '@nutmegproxy/catalogue';
+import {mergeUnregister} from '@nutmegproxy/core';
+import {err, ok} from 'neverthrow';
+
+import type {EntrySecrets, ServingPorts, StartFailure} from './EntryProcess.ts';
+import type {PlatformConnections} from './PlatformConnections.ts';
+import type {WorkFeatures} from './WorkFeatures.ts';
+
+import {splitHostPort} from './HostPort.ts';
+import {registerListedStop} from './ListedStop.ts';
+import {connectPlatform} from './PlatformConnections.ts';
+import {describeCatalogue, describeDirectory, describeMembership} from './StatusSections.ts';
+import {registerWork} from './WorkFeatures.ts';
+
+export interface FeatureContext {
+  readonly log: EventLog;
+  readonly node: EntryNode;
+  /** Called when the catalogue lists this VM to stop. */
+  readonly onListedStop: () => void;
+  readonly secrets: EntrySecrets;
+  readonly settings: ResolvedSettings;
+}
+
+/** All features of a process, running. */
+export interface Features {
+  /** Closes listeners and connections; after the planned stop. */
+  readonly close: () => Promise<void>;
+  readonly ports: ServingPorts;
+}
+
+function registerRoutes(
+  api: AdminApi,
+  {log, node}: FeatureContext,
+  {directory, mesh}: PlatformConnections,
+  catalogue: CatalogueFeature,
+  {membership}: WorkFeatures,
+): Unregister {
+  return mergeUnregister(
+    registerCatalogueRoutes(api, catalogue),
+    registerTimelineRoutes(api, node, {log, mesh}),
+    registerStatusRoute(api, node, {
+      catalogue: () => describeCatalogue(catalogue.source),
+      membership: () => describeMembership(membership, node),
+      peers: () => mesh.peers().map(({identity}) => identity),
+      vms: () => describeDirectory(directory),
+    }),
+  );
+}
+
+async function listen(
+  context: FeatureContext,
+  api: AdminApi,
+  platform: PlatformConnections,
+  {requests}: WorkFeatures,
+): Promise<Result<ServingPorts, StartFailure>> {
+  const {host, port} = splitHostPort(context.settings.listen.operators);
+  const operators = await api.listen(host, port);
+  const peers = splitHostPort(platform.mesh.peerAddress).port;
+  const callers = await requests.listen();
+  return callers.map((address) => ({callers: address.port, operators, peers}));
+}
+
+async function compose(context: FeatureContext): Promise<Result<Features, StartFailure>> {
+  const {node, onListedStop, secrets, settings} = context;
+  const platform = await connectPlatform(context);
+  const {directory, mesh, store} = platform;
+  const {keyPrefix} = settings.platform;
+  const catalogue = registerCatalogue(node, {directory, keyPrefix, mesh, store});
+  const work = registerWork(context, platform, catalogue.source);
+  const api = new AdminApi(node, secrets.operator.reveal());
+  const unregister = mergeUnregister(
+    platform.unregister,
+    catalogue.unregister,
+    work.unregister,
+    registerRoutes(api, context, platform, catalogue, work),
+    registerListedStop(node, catalogue.source, onListedStop),
+  );
+  const close = async (): Promise<void> => {
+    await api.close();
+    unregister();
+    await platform.close();
+  };
+  const ports = await listen(context, api, platform, work);
+  if (ports.isErr()) {
+    await close();
+    return err(ports.error);
+  }
+  return ok({close, ports: ports.value});
+}
+
+/** Starts all features. */
+export async function startFeatures(
+  context: FeatureContext,
+): Promise<Result<Features, StartFailure>> {
+  try {
+    return await compose(context);
+  } catch (error) {
+    return err({message: error instanceof Error ? error.message : String(error)});
+  }
+}
--- a/packages/nutmegproxy-settings/src/SettingsConstants.ts
+++ b/packages/nutmegproxy-settings/src/SettingsConstants.ts
@@ -7,13 +7,20 @@
   ringSize: 20_000,
 } as const;
 
+export const DEFAULT_POLICIES = {
+  laneOrder: 'fair',
+  minionChoice: 'power-of-two',
+  placement: 'learned',
+  requestQueue: 'deadline',
+} as const;
+
 export const DEFAULT_TIMINGS = {
-  commitIntervalMs: 20,
+  commitIntervalMs: 10,
   heartbeatMs: 1_000,
   stopDelayMs: 5_000,
   storeTimeoutMs: 2_000,
-  taskLeaseMs: 15_000,
-  tenureTtlMs: 9_000,
+  taskLeaseMs: 30_000,
+  tenureTtlMs: 10_000,
   vmListPollMs: 1_000,
   workerSyncMs: 1_000,
 } as const;
--- a/packages/nutmegproxy-tasks/src/GroupCommit.ts
+++ b/packages/nutmegproxy-tasks/src/GroupCommit.ts
@@ -74,13 +74,20 @@
   readonly #intervalMs: number;
   readonly #items: Counter;
   readonly #node: EntryNode;
+  readonly #retryMs: number;
   #running = false;
   readonly #store: PlatformStore;
   #waiting: WaitingItem[] = [];
 
-  constructor(node: EntryNode, store: PlatformStore, intervalMs: number) {
+  constructor(
+    node: EntryNode,
+    store: PlatformStore,
+    intervalMs: number,
+    retryMs: number = COMMIT_RETRY_MS,
+  ) {
     this.#intervalMs = intervalMs;
     this.#node = node;
+    this.#retryMs = retryMs;
     this.#store = store;
     this.#duration = new Histogram({
       buckets: [0.002, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5],
@@ -196,7 +203,7 @@
       const startedAt = this.#node.clock.monotonic();
       await this.#commitBatch(this.#takeBatch());
       const tookMs = this.#node.clock.monotonic() - startedAt;
-      pauseMs = this.#healthy ? this.#nextIntervalMs(tookMs) : COMMIT_RETRY_MS;
+      pauseMs = this.#healthy ? this.#nextIntervalMs(tookMs) : this.#retryMs;
     }
     this.#running = false;
   }
--- a/packages/nutmegproxy-tasks/src/index.ts
+++ b/packages/nutmegproxy-tasks/src/index.ts
@@ -1,8 +1,12 @@
 /** Public surface of tasks. */
 
+export {adaptRoute} from './CallerAdapter.ts';
+export type {RouteExchange} from './CallerAdapter.ts';
+
+export {parseOwnerRecord} from './CellRecovery.ts';
 export type {OwnerParser, StoredOwner} from './CellRecovery.ts';
 export type {CellServices} from './CellSupervisor.ts';
-export {cellOfWorker} from './CellUtils.ts';
+export {isWorkerOf} from './CellUtils.ts';
 export {registerTasks} from './RegisterTasks.ts';
 export type {TasksServices} from './RegisterTasks.ts';
 export type {RouteAnswer, RouteHandler, RouteRequest} from './TaskRoutes.ts';
