--- a/packages/nutmegproxy-membership/src/MembershipConstants.ts
+++ b/packages/nutmegproxy-membership/src/MembershipConstants.ts
@@ -12,6 +12,9 @@
 export const TICK_MS = 1_000;
 export const RECORD_POLL_MS = 2_000;
 export const PEER_TIMEOUT_MS = 1_000;
+/** Longest tick and poll as parts of the tenure's time to live. */
+export const TICK_SHARE = 0.1;
+export const POLL_SHARE = 0.2;
 /** Part of the tenure's time to live after which the lease is renewed. */
 export const RENEW_SHARE = 0.3;
 /** Part of the time to live after which vouches are asked for beside the renewal. */
@@ -31,3 +34,5 @@
 export const LOAN_RENEW_SHARE = 0.5;
 /** Loans that a process grants, and that it holds, at one time. */
 export const MAX_LOANS = 4_096;
+/** Interval of record steps during a planned stop, so that it takes seconds only. */
+export const LEAVE_POLL_MS = 250;
--- a/packages/nutmegproxy-membership/src/registerMembership.ts
+++ b/packages/nutmegproxy-membership/src/registerMembership.ts
@@ -12,12 +12,15 @@
 
 import {
   LEAVE_LIMIT_MS,
+  LEAVE_POLL_MS,
   LOAN_TERM_MS,
   OUTAGE_LIMIT_MS,
+  POLL_SHARE,
   RECORD_POLL_MS,
   REQUEST_LIMIT_MS,
   TENURE_TTL_MS,
   TICK_MS,
+  TICK_SHARE,
   VOUCH_PERIOD_MS,
 } from './MembershipConstants.ts';
 import {MembershipNode} from './MembershipNode.ts';
@@ -72,8 +75,12 @@
 ): {membership: Membership; unregister: Unregister} {
   const {directory, mesh, peerAddress, prefix, store} = options;
   const periods = {...DEFAULT_PERIODS, ...options.periods};
+  // A short tenure has to be looked after more often.
+  const tickMs = options.tickMs ?? Math.min(TICK_MS, periods.tenureTtlMs * TICK_SHARE);
+  const pollMs = options.pollMs ?? Math.min(RECORD_POLL_MS, periods.tenureTtlMs * POLL_SHARE);
   const recordPause = new Pause();
   const tenurePause = new Pause();
+  let leaving = false;
   let running = true;
   const membership = new MembershipNode(
     {directory, mesh, node, peerAddress, periods, store},
@@ -87,17 +94,18 @@
   const keepRecord = async () => {
     while (running && !membership.ended) {
       await membership.stepRecord();
-      await recordPause.wait(options.pollMs ?? RECORD_POLL_MS);
+      await recordPause.wait(leaving ? Math.min(pollMs, LEAVE_POLL_MS) : pollMs);
     }
   };
   const keepTenure = async () => {
     while (running && !membership.ended) {
       await membership.stepTenure(node.clock.monotonic());
-      await tenurePause.wait(options.tickMs ?? TICK_MS);
+      await tenurePause.wait(tickMs);
     }
   };
   const loops = Promise.all([keepRecord(), keepTenure()]);
   const drain = ({wait}: DrainStart) => {
+    leaving = true;
     membership.leave();
     recordPause.wake();
     const limit = sleep(LEAVE_LIMIT_MS, undefined, {ref: false});
