--- a/packages/nutmegproxy-membership/src/MembershipMessages.ts
+++ b/packages/nutmegproxy-membership/src/MembershipMessages.ts
@@ -1,6 +1,6 @@
 /** Messages between the members of a data centre, and what answers them. */
 
-import type {NodeIdentity, Unregister} from '@nutmegproxy/core';
+import type {IncarnationId, NodeIdentity, Unregister} from '@nutmegproxy/core';
 import type {LeaseId} from '@nutmegproxy/store';
 
 import {brand, mergeUnregister} from '@nutmegproxy/core';
@@ -36,11 +36,11 @@
 
 /** Denies a member of the record, as the answer to a peer or for this process itself. */
 export function denyMember(parts: MembershipParts, incarnation: string): boolean {
-  const member = brand(incarnation);
-  const denied =
-    parts.view.hasMember(brand(incarnation)) && parts.book.deny(brand(incarnation), parts.now());
-  if (denied) {
-    parts.node.events.record(MEMBERSHIP_EVENTS.DENIED, {incarnation: member});
+  const member = brand<IncarnationId>(incarnation);
+  const before = parts.book.denies(member);
+  const denied = parts.view.hasMember(member) && parts.book.deny(member, parts.now());
+  if (denied && !before) {
+    parts.node.events.record(MEMBERSHIP_EVENTS.DENIED, {incarnation});
   }
   return denied;
 }
--- a/packages/nutmegproxy-membership/src/VouchBook.ts
+++ b/packages/nutmegproxy-membership/src/VouchBook.ts
@@ -35,6 +35,10 @@
     return true;
   }
 
+  denies(member: IncarnationId): boolean {
+    return this.#denied.has(member);
+  }
+
   /** Forgets incarnations that are in the record no more; they are never vouched for again. */
   keepOnly(members: ReadonlySet<IncarnationId>): void {
     for (const incarnation of [...this.#denied, ...this.#vouchedAt.keys()]) {
