Transfer only changes of the list of VMs; open quiet watches again without noise

A whole list at the planned size is over a megabyte, and it changes more than once a minute. Changes since the last read are asked for, and a list that can't tell them goes on working. A watch that heard nothing no longer counts as cut, moves no call to another endpoint, and waits 3 s at most for its first answer. The directory keeps its array of VMs, as features read it in their loops.

--- a/packages/nutmegproxy-platform/src/HttpVmList.ts
+++ b/packages/nutmegproxy-platform/src/HttpVmList.ts
@@ -1,10 +1,10 @@
 /** The platform's list of VMs over HTTP. */
 
 import type {VmReport} from '@nutmegproxy/schema';
-import type {ResultAsync} from 'neverthrow';
+import type {Result, ResultAsync} from 'neverthrow';
 
 import {validateVmReport} from '@nutmegproxy/schema';
-import {ok} from 'neverthrow';
+import {err, ok} from 'neverthrow';
 import {Agent} from 'undici';
 
 import type {PlatformFailure, VmList} from './VmList.ts';
@@ -14,9 +14,30 @@
 
 const NOT_MODIFIED = 304;
 
+/** Joins a report of changes with the report that it builds on. */
+function mergeReport(
+  last: undefined | VmReport,
+  report: VmReport,
+): Result<VmReport, PlatformFailure> {
+  if (report.since === undefined) {
+    return ok(report);
+  }
+  if (last?.revision !== report.since) {
+    return err({kind: 'malformed', message: 'the changes build on another revision'});
+  }
+  const vms = new Map(last.vms.map((vm) => [vm.id, vm]));
+  for (const id of report.removed ?? []) {
+    vms.delete(id);
+  }
+  for (const vm of report.vms) {
+    vms.set(vm.id, vm);
+  }
+  return ok({revision: report.revision, vms: [...vms.values()]});
+}
+
 /**
- * Reads `GET <base URL>/vms`. While the revision is unchanged, the same report object is returned and the
- * list itself isn't transferred.
+ * Reads `GET <base URL>/vms`. Every report that is returned shows the whole list; only the changes
+ * since the last read are transferred when the list can tell them, and nothing while there are none.
  *
  * @example
  * const report = await new HttpVmList('http://10.0.0.5:8500').read();
@@ -38,19 +59,25 @@
 
   read(): ResultAsync<VmReport, PlatformFailure> {
     const last = this.#last;
+    const query = last === undefined ? '' : `?since=${last.revision}`;
     return sendPlatform(this.#agent, {
       headers: last === undefined ? {} : {'if-none-match': `"${last.revision}"`},
       method: 'GET',
       origin: this.#baseUrl.origin,
-      path: `${this.#baseUrl.pathname.replace(/\/$/, '')}/vms`,
+      path: `${this.#baseUrl.pathname.replace(/\/$/, '')}/vms${query}`,
       timeoutMs: this.#timeoutMs,
-    }).andThen((answer) => {
-      if (answer.status === NOT_MODIFIED && last !== undefined) {
-        return ok(last);
-      }
-      return readAnswer(answer, validateVmReport).andTee((report) => {
+    })
+      .andThen((answer) =>
+        answer.status === NOT_MODIFIED && last !== undefined
+          ? ok(last)
+          : readAnswer(answer, validateVmReport).andThen((report) => mergeReport(last, report)),
+      )
+      .andTee((report) => {
         this.#last = report;
+      })
+      .orTee((failure) => {
+        // The next read asks for the whole list.
+        this.#last = failure.kind === 'malformed' ? undefined : this.#last;
       });
-    });
   }
 }
--- a/packages/nutmegproxy-platform/src/JoinedVmDirectory.ts
+++ b/packages/nutmegproxy-platform/src/JoinedVmDirectory.ts
@@ -26,7 +26,8 @@
   readonly #marks: LeavingMarks;
   readonly #mesh: PeerMesh;
   readonly #node: EntryNode;
-  #vms: ReadonlyMap<string, Vm> = new Map();
+  #vms: readonly Vm[] = [];
+  #vmsById: ReadonlyMap<string, Vm> = new Map();
 
   constructor(node: EntryNode, mesh: PeerMesh, markCapacity = MAX_LEAVING_MARKS) {
     this.#node = node;
@@ -42,11 +43,11 @@
   }
 
   vm(id: VmId): undefined | Vm {
-    return this.#vms.get(id);
+    return this.#vmsById.get(id);
   }
 
   vms(): readonly Vm[] {
-    return [...this.#vms.values()];
+    return this.#vms;
   }
 
   /** Adds marks, tells the peers of those that no peer told, and joins anew. */
@@ -90,11 +91,12 @@
     const joined = this.#listed
       .vms()
       .map((vm): Vm => (this.#marks.has(toMark(vm)) ? {...vm, state: 'leaving'} : vm));
-    const changed = JSON.stringify(joined) !== JSON.stringify(this.vms());
-    this.#vms = new Map(joined.map((vm) => [vm.id, vm]));
-    if (changed) {
-      this.#node.bus.dispatch(VMS_CHANGED, this);
+    if (JSON.stringify(joined) === JSON.stringify(this.#vms)) {
+      return;
     }
+    this.#vms = joined;
+    this.#vmsById = new Map(joined.map((vm) => [vm.id, vm]));
+    this.#node.bus.dispatch(VMS_CHANGED, this);
   }
 
   #tellPeers(marks: readonly LeavingMark[]): void {
--- a/packages/nutmegproxy-platform/src/__tests__/unit/PlatformClients.test.ts
+++ b/packages/nutmegproxy-platform/src/__tests__/unit/PlatformClients.test.ts
@@ -40,6 +40,45 @@
     await gone.close();
   });
 
+  it('joins changes to what it read before', async () => {
+    const server = new VmListServer();
+    const standin = await server.start();
+    const list = new HttpVmList(`http://127.0.0.1:${standin.port}`);
+    const [b, c] = [
+      {...VM, id: 'm2'},
+      {...VM, id: 'm3'},
+    ];
+    server.control({vms: [VM, b]});
+    await list.read();
+    const leaving: Vm = {...VM, state: 'leaving'};
+    server.control({vms: [leaving, c]});
+    deepEqual((await list.read())._unsafeUnwrap(), {revision: 2, vms: [leaving, c]});
+    await list.close();
+    await standin.close();
+  });
+
+  it('reads the whole list again after changes that build on another revision', async () => {
+    const answers = [
+      {revision: 1, vms: [VM]},
+      {revision: 7, since: 6, vms: []},
+      {revision: 7, vms: []},
+    ];
+    const paths: (string | undefined)[] = [];
+    const standin = await listen(0, {
+      'GET /vms': ({request, response}) => {
+        paths.push(request.url);
+        sendJson(response, answers[paths.length - 1]);
+      },
+    });
+    const list = new HttpVmList(`http://127.0.0.1:${standin.port}`);
+    await list.read();
+    equal((await list.read())._unsafeUnwrapErr().kind, 'malformed');
+    deepEqual((await list.read())._unsafeUnwrap(), {revision: 7, vms: []});
+    deepEqual(paths, ['/vms', '/vms?since=1', '/vms']);
+    await list.close();
+    await standin.close();
+  });
+
   it('calls an answer of another shape malformed', async () => {
     const standin = await listen(0, {
       'GET /vms': ({response}) => {
--- a/packages/nutmegproxy-standins/src/VmListServer.ts
+++ b/packages/nutmegproxy-standins/src/VmListServer.ts
@@ -24,6 +24,18 @@
   readonly report: VmReport;
 }
 
+/** What a reader of `base` needs in order to know `report`. */
+function readChanges(base: VmReport, report: VmReport): VmReport {
+  const before = new Map(base.vms.map((vm) => [vm.id, JSON.stringify(vm)]));
+  const listed = new Set(report.vms.map(({id}) => id));
+  return {
+    removed: [...before.keys()].filter((id) => !listed.has(id)),
+    revision: report.revision,
+    since: base.revision,
+    vms: report.vms.filter((vm) => before.get(vm.id) !== JSON.stringify(vm)),
+  };
+}
+
 export class VmListServer {
   #down = false;
   #frozen: undefined | VmReport;
@@ -72,6 +84,8 @@
       response.writeHead(304).end();
       return;
     }
-    sendJson(response, report);
+    const since = new URL(request.url ?? '/', 'http://list').searchParams.get('since');
+    const base = this.#reports.find((each) => String(each.report.revision) === since)?.report;
+    sendJson(response, base === undefined ? report : readChanges(base, report));
   }
 }
--- a/packages/nutmegproxy-store/src/EtcdWatch.ts
+++ b/packages/nutmegproxy-store/src/EtcdWatch.ts
@@ -3,7 +3,7 @@
 import type {EventSink} from '@nutmegproxy/core';
 
 import {setTimeout as sleep} from 'node:timers/promises';
-import {Client} from 'undici';
+import {Client, errors} from 'undici';
 
 import type {EtcdEndpoints} from './EtcdEndpoints.ts';
 import type {EtcdWatchAnswer} from './EtcdJson.ts';
@@ -17,6 +17,7 @@
   WATCH_MAX_MESSAGE_CHARACTERS,
   WATCH_MAX_RETRY_DELAY_MS,
   WATCH_MIN_RETRY_DELAY_MS,
+  WATCH_OPEN_TIMEOUT_MS,
 } from './StoreConstants.ts';
 import {STORE_EVENTS} from './StoreEvents.ts';
 
@@ -33,6 +34,8 @@
   readonly result?: EtcdWatchAnswer;
 }
 
+const QUIET = 'nothing was heard';
+
 /** Splits a stream of text into lines. */
 async function* readLines(chunks: AsyncIterable<Buffer>): AsyncGenerator<string> {
   const decoder = new TextDecoder();
@@ -88,9 +91,12 @@
       if (this.#isClosed()) {
         return;
       }
-      this.#services.events.record(STORE_EVENTS.WATCH_CUT, {prefix: this.#prefix, reason});
-      this.#services.endpoints.leave(baseUrl);
-      await this.#pause();
+      // A quiet watch is opened again at once, as nothing tells it from one that is cut.
+      if (reason !== QUIET) {
+        this.#services.events.record(STORE_EVENTS.WATCH_CUT, {prefix: this.#prefix, reason});
+        this.#services.endpoints.leave(baseUrl);
+        await this.#pause();
+      }
     }
   }
 
@@ -99,6 +105,7 @@
     const client = new Client(new URL(baseUrl).origin, {
       bodyTimeout: this.#services.idleTimeoutMs ?? WATCH_IDLE_TIMEOUT_MS,
       connect: {timeout: CONNECT_TIMEOUT_MS},
+      headersTimeout: WATCH_OPEN_TIMEOUT_MS,
     });
     this.#services.metrics.countWatch(1);
     try {
@@ -112,7 +119,7 @@
       this.#services.metrics.countCall('watch', answer.statusCode === 200 ? 'ok' : 'rejected', 0);
       return await this.#readAnswers(answer.body);
     } catch (error) {
-      return String(error);
+      return error instanceof errors.BodyTimeoutError ? QUIET : String(error);
     } finally {
       this.#services.metrics.countWatch(-1);
       void client.destroy();
--- a/packages/nutmegproxy-store/src/StoreConstants.ts
+++ b/packages/nutmegproxy-store/src/StoreConstants.ts
@@ -8,3 +8,4 @@
 export const WATCH_MAX_MESSAGE_CHARACTERS = 32 * 1024 * 1024;
 export const WATCH_MAX_RETRY_DELAY_MS = 2_000;
 export const WATCH_MIN_RETRY_DELAY_MS = 100;
+export const WATCH_OPEN_TIMEOUT_MS = 3_000;
--- a/packages/nutmegproxy-store/src/__tests__/unit/EtcdStore.test.ts
+++ b/packages/nutmegproxy-store/src/__tests__/unit/EtcdStore.test.ts
@@ -234,6 +234,29 @@
       watch.close();
     });
 
+    it('is opened again when it hears nothing, and misses nothing', async () => {
+      const hasty = new EtcdStore({
+        baseUrls: [`http://127.0.0.1:${standin.port}`],
+        clock: SYSTEM_CLOCK,
+        events: SILENT_EVENTS,
+        metrics: new Registry(),
+        watchIdleTimeoutMs: 20,
+      });
+      const seen: number[] = [];
+      const watch = hasty.watch('/w', 0, {
+        onBroken: () => undefined,
+        onEvents: (_events, revision) => {
+          seen.push(revision);
+        },
+      });
+      await waitFor(() => server.counters.watch >= 3);
+      const revision = (await put(store, '/w', Buffer.from('1')))._unsafeUnwrap();
+      await waitFor(() => seen.length === 1);
+      deepEqual(seen, [revision]);
+      watch.close();
+      await hasty.close();
+    });
+
     it('says that it is broken once it is open again when events were lost', async () => {
       const start = (await put(store, '/w', Buffer.from('0')))._unsafeUnwrap();
       await put(store, '/w', Buffer.from('1'));
