Check the history of a run of entry VMs under faults

Three entry VMs' processes serve 8 callers and a job of 12 tasks while minions reset answers, the store loses answers, one process is paused, one killed and replaced, one cut from the store, and the store is down. Capacity is now judged by what each attempt needs (the larger of declared and real use) and each single reservation by the worker's size. Before, the sums of reservations at the start were taken: a first run of an entry reserves a whole worker, and its owner lowers that while it runs, which the worker can't see; the first trials reported 14 of 8 cores so, while declared and real use never passed 8.

--- a/packages/nutmegproxy-proof/src/History.ts
+++ b/packages/nutmegproxy-proof/src/History.ts
@@ -43,6 +43,9 @@
   readonly doneMs?: number;
   readonly endedAt?: number;
   readonly endState?: AttemptEnd;
+  /** The larger of what the catalogue declares and what the task really uses. */
+  readonly needed: Resources;
+  /** Reservation when it was started; its owner may lower it later without the worker's knowledge. */
   readonly reserved: Resources;
   readonly resumedFromMs: number;
   readonly startedAt: number;
--- /dev/null
+++ b/packages/nutmegproxy-proof/src/ProofCaller.ts
@@ -0,0 +1,118 @@
+/** A caller of a proof: sends one request after another and records what it is told. */
+
+import type {RandomGenerator} from 'pure-rand/types/RandomGenerator';
+
+import {minionAnswer} from '@nutmegproxy/standins';
+import {uniformInt} from 'pure-rand/distribution/uniformInt';
+import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
+import {request} from 'undici';
+
+import type {CallerOutcome, CallerRequest} from './History.ts';
+import type {HistoryRecorder} from './HistoryRecorder.ts';
+import type {ProofEntry} from './ProofEntry.ts';
+
+const ANSWER_BYTES = 256;
+const CALL_TIMEOUT_MS = 10_000;
+/** One request in so many carries an idempotency key and is tried twice. */
+const KEYED_EVERY = 3;
+/** Failures of a connection that never came about: the system was told nothing. */
+const UNCONNECTED = new Set(['ECONNREFUSED', 'UND_ERR_CONNECT_TIMEOUT']);
+
+interface Told {
+  readonly answer?: string;
+  readonly expectedAnswer?: string;
+  readonly outcome: CallerOutcome;
+}
+
+function readHeader(headers: Record<string, string | string[] | undefined>, name: string) {
+  const value = headers[name];
+  return Array.isArray(value) ? value[0] : value;
+}
+
+async function send(url: string, headers: Record<string, string>): Promise<Told | undefined> {
+  try {
+    const answer = await request(url, {
+      body: 'work',
+      headers,
+      headersTimeout: CALL_TIMEOUT_MS,
+      method: 'POST',
+      reset: true,
+    });
+    const text = await answer.body.text();
+    const outcome = readHeader(answer.headers, 'nutmegproxy-outcome');
+    if (outcome !== undefined) {
+      return {outcome: outcome as CallerOutcome};
+    }
+    const id = readHeader(answer.headers, 'nutmegproxy-request') ?? '';
+    return {answer: text, expectedAnswer: minionAnswer(id, ANSWER_BYTES), outcome: 'answered'};
+  } catch (error) {
+    const {code = ''} = error as {code?: string};
+    return UNCONNECTED.has(code) ? undefined : {outcome: 'cut'};
+  }
+}
+
+/** Sends requests through entry VMs that it picks by its seed. */
+export class ProofCaller {
+  readonly #entries: readonly ProofEntry[];
+  readonly #name: string;
+  readonly #random: RandomGenerator;
+  readonly #recorder: HistoryRecorder;
+  #sent = 0;
+
+  constructor(
+    name: string,
+    seed: number,
+    entries: readonly ProofEntry[],
+    recorder: HistoryRecorder,
+  ) {
+    this.#name = name;
+    this.#random = xoroshiro128plus(seed);
+    this.#entries = entries;
+    this.#recorder = recorder;
+  }
+
+  /** Sends until `isOver`; returns how many requests were answered. */
+  async run(isOver: () => boolean): Promise<number> {
+    let answered = 0;
+    while (!isOver()) {
+      const idempotent = this.#pick(2) === 0;
+      const keyed = !idempotent && this.#pick(KEYED_EVERY) === 0;
+      this.#sent += 1;
+      const key = keyed ? `${this.#name}-key-${this.#sent}` : undefined;
+      for (let tries = keyed ? 2 : 1; tries > 0; tries -= 1) {
+        answered += (await this.#sendOne(idempotent, key)) === 'answered' ? 1 : 0;
+      }
+    }
+    return answered;
+  }
+
+  async #sendOne(idempotent: boolean, key: string | undefined) {
+    const entry = this.#entries[this.#pick(this.#entries.length)];
+    if (entry === undefined) {
+      return undefined;
+    }
+    this.#sent += 1;
+    const name = `${this.#name}-${this.#sent}`;
+    const startedAt = Date.now();
+    const url = `${entry.callers}/entries/${idempotent ? 'proof' : 'alert'}/${name}`;
+    const told = await send(url, key === undefined ? {} : {'idempotency-key': key});
+    if (told === undefined) {
+      return undefined;
+    }
+    const record: CallerRequest = {
+      endedAt: Date.now(),
+      idempotent,
+      request: name,
+      startedAt,
+      vm: entry.vm,
+      ...told,
+      ...(key === undefined ? {} : {idempotencyKey: key}),
+    };
+    this.#recorder.add('requests', record);
+    return told.outcome;
+  }
+
+  #pick(count: number): number {
+    return uniformInt(this.#random, 0, count - 1);
+  }
+}
--- a/packages/nutmegproxy-proof/src/StandinHistory.ts
+++ b/packages/nutmegproxy-proof/src/StandinHistory.ts
@@ -1,5 +1,6 @@
 /** Turns what stand-ins recorded into entries of a history. */
 
+import type {Resources} from '@nutmegproxy/schema';
 import type {AttemptInterval, MinionRequest} from '@nutmegproxy/standins';
 
 import type {AttemptRun, MinionRun} from './History.ts';
@@ -23,19 +24,21 @@
     }));
 }
 
-/** The attempts at one worker, from its `GET /history`. */
-export function readAttemptRuns(intervals: readonly AttemptInterval[]): readonly AttemptRun[] {
-  return intervals.map(
-    ({attempt, doneMs, endedAt, endState, reserved, resumedFromMs, startedAt, task, worker}) => ({
-      attempt,
-      reserved,
-      resumedFromMs,
-      startedAt,
-      task,
-      worker,
-      ...(doneMs === undefined ? {} : {doneMs}),
-      ...(endedAt === undefined ? {} : {endedAt}),
-      ...(endState === undefined ? {} : {endState}),
-    }),
-  );
+function readLarger(used: Resources, declared: Resources | undefined): Resources {
+  return {
+    accelerators: Math.max(used.accelerators, declared?.accelerators ?? 0),
+    cpu: Math.max(used.cpu, declared?.cpu ?? 0),
+    memoryMb: Math.max(used.memoryMb, declared?.memoryMb ?? 0),
+  };
+}
+
+/** The attempts at one worker, from its `GET /history`, with what each entry declares. */
+export function readAttemptRuns(
+  intervals: readonly AttemptInterval[],
+  declared: ReadonlyMap<string, Resources>,
+): readonly AttemptRun[] {
+  return intervals.map(({entry, used, ...rest}) => ({
+    ...rest,
+    needed: readLarger(used, declared.get(entry)),
+  }));
 }
--- /dev/null
+++ b/packages/nutmegproxy-proof/src/__tests__/integration/FaultRun.test.ts
@@ -0,0 +1,187 @@
+import type {Catalogue} from '@nutmegproxy/schema';
+
+import {deepEqual, ok} from 'node:assert/strict';
+import {after, before, describe, it} from 'node:test';
+import {setTimeout as sleep} from 'node:timers/promises';
+import {request} from 'undici';
+
+import type {CatalogueAnswer} from '../../ProofEntry.ts';
+
+import {groupBy} from '../../CheckUtils.ts';
+import {checkHistory, HistoryRecorder, ProcessGroup} from '../../index.ts';
+import {ProofCaller} from '../../ProofCaller.ts';
+import {ProofEntry} from '../../ProofEntry.ts';
+import {ProofPlatform} from '../../ProofPlatform.ts';
+
+const SEED = 20_261_203;
+const CALLERS = 8;
+const DECLARED = {accelerators: 0, cpu: 2, memoryMb: 1_000};
+const TASKS = 12;
+
+function catalogueWith(queue: number): Catalogue {
+  const request = {
+    class: 'latency-critical',
+    kind: 'request',
+    owner: 't',
+    service: 'mesa',
+  } as const;
+  const limits = {queue, timeoutMs: 5_000};
+  return {
+    entries: [
+      {...request, id: 'alert', limits},
+      {...request, id: 'proof', idempotent: true, limits},
+      {
+        checkpoint: true,
+        class: 'batch',
+        id: 'digest',
+        kind: 'task',
+        limits: {attempts: 5, ...DECLARED, runTimeMs: 500},
+        owner: 't',
+      },
+    ],
+    teams: [{id: 't', quota: {cpu: 100, requests: 100}}],
+  };
+}
+
+async function waitFor(what: string, condition: () => Promise<boolean>): Promise<void> {
+  const limit = Date.now() + 40_000;
+  while (!(await condition())) {
+    ok(Date.now() < limit, `${what}: never`);
+    await sleep(50);
+  }
+}
+
+describe('a run under faults', () => {
+  const group = new ProcessGroup();
+  const platform = new ProofPlatform({minions: 3, slots: 4, workerCpu: 8, workers: 2});
+  const recorder = new HistoryRecorder();
+  const entries = ['e1', 'e2', 'e3'].map((vm) => new ProofEntry(vm, group, platform));
+  const [first, second, third] = entries as [ProofEntry, ProofEntry, ProofEntry];
+
+  async function applyCatalogue(entry: ProofEntry, revision: number, queue: number) {
+    const body = {catalogue: catalogueWith(queue), expectedRevision: revision};
+    const answer = await entry.operate('POST', '/v1/catalogue', body);
+    if (answer === undefined) {
+      return false;
+    }
+    const at = Date.now();
+    const shown = (await entry.operate('GET', '/v1/catalogue')) as CatalogueAnswer | undefined;
+    if (shown?.revision === (answer as CatalogueAnswer).revision) {
+      const digest = JSON.stringify(shown.catalogue);
+      recorder.add('accepted', {at, digest, revision: shown.revision});
+    }
+    return true;
+  }
+
+  async function look(entry: ProofEntry): Promise<void> {
+    const shown = (await entry.operate('GET', '/v1/catalogue')) as CatalogueAnswer | undefined;
+    if (shown !== undefined) {
+      const digest = JSON.stringify(shown.catalogue);
+      recorder.add('seen', {at: Date.now(), digest, revision: shown.revision, vm: entry.vm});
+    }
+  }
+
+  /** Brings about a fault of an entry VM and records when it can't hear of changes. */
+  async function strike(entry: ProofEntry, fault: () => Promise<void>): Promise<void> {
+    const from = Date.now();
+    await fault();
+    recorder.add('absences', {from, until: Date.now(), vm: entry.vm});
+  }
+
+  async function bringFaults(): Promise<void> {
+    for (const minion of platform.minions.values()) {
+      minion.control({fault: {atByte: 10, kind: 'reset', seed: SEED, share: 0.05}, serviceMs: 10});
+    }
+    platform.store.control({loseShare: 0.1, seed: SEED});
+    await strike(second, async () => {
+      second.process?.pause();
+      await sleep(2_000);
+      second.process?.resume();
+    });
+    await strike(third, async () => {
+      await third.process?.kill();
+      await sleep(500);
+      await third.start([first.peers]);
+    });
+    await strike(first, async () => {
+      first.relay?.control({cut: 'both'});
+      await sleep(2_000);
+      first.relay?.control({cut: 'none'});
+    });
+    await Promise.all(
+      entries.map((entry) =>
+        strike(entry, async () => {
+          platform.store.control({down: true});
+          await sleep(1_500);
+          platform.store.control({down: false});
+        }),
+      ),
+    );
+    platform.store.control({loseShare: 0});
+  }
+
+  async function submitTasks(entry: ProofEntry): Promise<string | undefined> {
+    const input = JSON.stringify({workMs: 300});
+    const answer = await request(`${entry.callers}/tasks`, {
+      body: JSON.stringify({count: TASKS, entry: 'digest', input}),
+      headers: {'content-type': 'application/json'},
+      method: 'POST',
+      reset: true,
+    });
+    const {job} = (await answer.body.json()) as {job?: string};
+    return job;
+  }
+
+  before(async () => {
+    await platform.start();
+    await first.start([]);
+    await second.start([first.peers]);
+    await third.start([first.peers]);
+    await waitFor('the catalogue is accepted', () => applyCatalogue(first, 0, 100));
+    for (const entry of entries) {
+      await waitFor(`${entry.vm} is ready`, () => entry.isReady());
+    }
+  });
+
+  after(async () => {
+    await group.close();
+    await platform.close();
+  });
+
+  it('shows no violation of what must always hold', async () => {
+    const aborter = new AbortController();
+    const isOver = (): boolean => aborter.signal.aborted;
+    const looking = (async () => {
+      while (!isOver()) {
+        await Promise.all(entries.map(look));
+        await sleep(200);
+      }
+    })();
+    const callers = Array.from(
+      {length: CALLERS},
+      (_, index) => new ProofCaller(`c${index}`, SEED + index, entries, recorder),
+    );
+    const calling = callers.map((caller) => caller.run(isOver));
+    const job = await submitTasks(first);
+    ok(job !== undefined, 'the job was accepted');
+    await bringFaults();
+    await waitFor('a second catalogue is accepted', () => applyCatalogue(second, 1, 90));
+    await waitFor('all tasks have succeeded', () => {
+      const attempts = [...platform.workers.values()].flatMap(({model}) => model.history);
+      const done = attempts.filter(({endState}) => endState === 'succeeded');
+      return Promise.resolve(new Set(done.map(({task}) => task)).size === TASKS);
+    });
+    aborter.abort();
+    const answered = (await Promise.all(calling)).reduce((sum, count) => sum + count, 0);
+    await looking;
+    platform.record(recorder, new Map([['digest', DECLARED]]));
+    const history = recorder.close(false);
+    const outcomes = groupBy(history.requests, ({outcome}) => outcome);
+    console.log([...outcomes].map(([name, list]) => `${name} ${list.length}`).join(', '));
+    ok(answered > 0, 'requests were answered');
+    ok(history.minionRuns.length > 0, 'minions ran requests');
+    ok(history.accepted.length > 0, 'a change was accepted and seen');
+    ok(history.seen.length > 0, 'entry VMs showed their revisions');
+    deepEqual(checkHistory(history).slice(0, 10), []);
+  });
+});
--- a/packages/nutmegproxy-proof/src/__tests__/unit/Checks.test.ts
+++ b/packages/nutmegproxy-proof/src/__tests__/unit/Checks.test.ts
@@ -15,6 +15,7 @@
     attempt: name,
     endedAt,
     endState: 'succeeded',
+    needed: ONE_CORE,
     reserved: ONE_CORE,
     resumedFromMs: 0,
     startedAt,
--- a/packages/nutmegproxy-standins/src/MinionServer.ts
+++ b/packages/nutmegproxy-standins/src/MinionServer.ts
@@ -52,6 +52,7 @@
   endedAt?: number;
   readonly idempotencyKey?: string;
   outcome: 'answered' | 'cut' | 'incomplete' | 'refused' | 'running';
+  readonly path: string;
   readonly request: string;
   readonly startedAt: number;
 }
@@ -229,6 +230,7 @@
       bodyBytes: 0,
       ...(idempotencyKey === undefined ? {} : {idempotencyKey}),
       outcome: 'incomplete',
+      path: request.url ?? '/',
       request: readHeader(request, REQUEST_HEADER) ?? '',
       startedAt: SYSTEM_CLOCK.wall(),
     };
--- a/packages/nutmegproxy-standins/src/WorkerModel.ts
+++ b/packages/nutmegproxy-standins/src/WorkerModel.ts
@@ -38,6 +38,8 @@
   readonly resumedFromMs: number;
   readonly startedAt: number;
   readonly task: string;
+  /** What the task really uses. */
+  readonly used: Resources;
   readonly worker: string;
 }
 
@@ -147,6 +149,7 @@
       return {attempt, reason: 'the start came too late', started: false};
     }
     const doneMs = readCheckpoint(start.checkpoint);
+    const work = readWorkInput(start.input);
     const interval: AttemptInterval = {
       attempt,
       ...(start.cellEpoch === undefined ? {} : {cellEpoch: start.cellEpoch}),
@@ -155,6 +158,11 @@
       resumedFromMs: doneMs,
       startedAt: now.wall,
       task: start.task,
+      used: {
+        accelerators: start.reserved.accelerators,
+        cpu: work.cpu,
+        memoryMb: work.memoryMb,
+      },
       worker: this.#id,
     };
     this.#remember(interval);
@@ -167,7 +175,7 @@
       share: 1,
       start,
       state: 'running',
-      work: readWorkInput(start.input),
+      work,
     });
     this.#endDue(now);
     return {attempt, started: true};
