--- a/packages/nutmegproxy-tasks/src/CellSupervisor.ts
+++ b/packages/nutmegproxy-tasks/src/CellSupervisor.ts
@@ -2,8 +2,8 @@
 
 import type {CatalogueSource} from '@nutmegproxy/catalogue';
 import type {CellId, EntryNode, Instant, TeamId} from '@nutmegproxy/core';
-import type {CellOwnership, Membership} from '@nutmegproxy/membership';
-import type {Placement} from '@nutmegproxy/placement';
+import type {CellOwnership, CellRelease, Membership} from '@nutmegproxy/membership';
+import type {LaneOrder, Placement} from '@nutmegproxy/placement';
 import type {VmDirectory, WorkerClient} from '@nutmegproxy/platform';
 import type {CellSummary, Quota, Resources} from '@nutmegproxy/schema';
 import type {LeaseId, PlatformStore} from '@nutmegproxy/store';
@@ -18,7 +18,7 @@
 import {CellLog} from './CellLog.ts';
 import {recoverCell} from './CellRecovery.ts';
 import {CellRunner} from './CellRunner.ts';
-import {cellOfWorker} from './CellUtils.ts';
+import {isWorkerOf} from './CellUtils.ts';
 import {GroupCommit} from './GroupCommit.ts';
 import {cellName, knownCells, quotaShares} from './QuotaShares.ts';
 import {CellKeys} from './TaskKeys.ts';
@@ -38,6 +38,7 @@
   readonly createPlacement: (cell: CellId) => Placement;
   readonly directory: VmDirectory;
   readonly keyPrefix: string;
+  readonly laneOrder: LaneOrder;
   readonly membership: Membership;
   readonly parseOwner: OwnerParser;
   readonly store: PlatformStore;
@@ -62,6 +63,8 @@
   #granting = false;
   readonly #node: EntryNode;
   #quotas: ReadonlyMap<CellId, ReadonlyMap<TeamId, Quota>> = new Map();
+  /** Epochs under which cells were given up; they are not taken up again. */
+  readonly #released = new Map<CellId, number>();
   readonly #services: CellServices;
   readonly #slots = new Map<CellId, Slot>();
 
@@ -83,15 +86,22 @@
     void this.#commit.close();
   }
 
-  /** Finishes what was decided, then stops acting. Tasks run on under their leases. */
+  /**
+   * Decides nothing more and settles once all decisions are sent and written. Leases are renewed
+   * until the cells are handed over.
+   */
   async drain(): Promise<void> {
     this.#draining = true;
     const runners = [...this.#slots.values()].flatMap(({runner}) => runner ?? []);
     await Promise.all(runners.map((runner) => runner.drain()));
     await this.#commit.flushed();
-    runners.forEach((runner) => {
-      runner.cell.stop();
-    });
+  }
+
+  /** Hands a cell over: `released` is called once nothing is sent or written for it any more. */
+  release({cell, epoch, released}: CellRelease): void {
+    this.#released.set(cell, epoch);
+    const slot = this.#slots.get(cell);
+    void this.#handOver(slot?.epoch === epoch ? slot.runner : undefined, released);
   }
 
   /** Follows the allotment until closed. */
@@ -130,6 +140,9 @@
     this.#shareQuotas([...owned.keys()]);
     this.#renewForgottenLease(now);
     for (const [id, {epoch}] of owned) {
+      if (this.#released.get(id) === epoch) {
+        continue;
+      }
       const slot = this.#slots.get(id) ?? {epoch, retryAt: now, runner: undefined, state: 'idle'};
       this.#slots.set(id, slot);
       if (slot.state === 'idle' && slot.retryAt <= now) {
@@ -138,10 +151,25 @@
     }
   }
 
+  async #handOver(runner: CellRunner | undefined, released: () => void): Promise<void> {
+    if (runner) {
+      await runner.drain();
+      await runner.cell.quiesce();
+      runner.cell.stop();
+    }
+    released();
+  }
+
+  #isWanted(id: CellId, slot: Slot): boolean {
+    const released = this.#released.get(id) === slot.epoch;
+    return this.#slots.get(id) === slot && !released && !this.#closed && !this.#draining;
+  }
+
   #largest(id: CellId): Resources {
+    const {dataCentre} = this.#node.identity;
     const largest = {accelerators: 0, cpu: 0, memoryMb: 0};
     for (const vm of this.#services.directory.vms()) {
-      if (vm.role === 'worker' && vm.capacity && cellOfWorker(vm) === id) {
+      if (vm.capacity && isWorkerOf(vm, dataCentre, id)) {
         largest.accelerators = Math.max(largest.accelerators, vm.capacity.accelerators);
         largest.cpu = Math.max(largest.cpu, vm.capacity.cpu);
         largest.memoryMb = Math.max(largest.memoryMb, vm.capacity.memoryMb);
@@ -157,8 +185,10 @@
     const keys = new CellKeys(keyPrefix, identity.dataCentre, id);
     const recovered = await recoverCell(store, keys, parseOwner, identity.incarnation);
     const now = clock.monotonic();
-    const wanted = this.#slots.get(id) === slot && !this.#closed && !this.#draining;
-    if (recovered.isErr() || !wanted || !this.#services.membership.holdsTenure(now)) {
+    const wanted = this.#isWanted(id, slot);
+    const current = recovered.isOk() && recovered.value.position.epoch === slot.epoch;
+    const tenure = this.#services.membership.holdsTenure(now);
+    if (recovered.isErr() || !current || !wanted || !tenure) {
       if (recovered.isErr() && recovered.error.kind === 'malformed') {
         events.record(TASKS_EVENTS.LOG_MALFORMED, {cell: id, message: recovered.error.message});
       }
@@ -206,8 +236,7 @@
   }
 
   #start(id: CellId, slot: Slot, keys: CellKeys, recovered: RecoveredCell): void {
-    const {catalogue, createPlacement, directory, keyPrefix, membership, timings, workers} =
-      this.#services;
+    const {catalogue, createPlacement, directory, membership, timings, workers} = this.#services;
     const {position, table} = recovered;
     const cell = new Cell({
       acquiredAt: this.#node.clock.monotonic(),
@@ -225,7 +254,8 @@
       directory,
       forgottenLease: () => this.#forgotten?.lease,
       healthy: () => this.#commit.healthy,
-      keyPrefix,
+      keyPrefix: this.#services.keyPrefix,
+      laneOrder: this.#services.laneOrder,
       quotas: () => this.#quotas.get(id) ?? new Map(),
       timings,
     });
--- a/packages/nutmegproxy-tasks/src/CellUtils.ts
+++ b/packages/nutmegproxy-tasks/src/CellUtils.ts
@@ -1,15 +1,14 @@
 /** Which workers make up a cell. */
 
+import type {DataCentreId} from '@nutmegproxy/core';
 import type {Vm} from '@nutmegproxy/schema';
 
-const DEFAULT_CELL = 'no-rack';
-
 /**
- * The cell that a worker belongs to: its rack.
+ * Whether a VM is a worker of the cell, which is a rack of the data centre.
  *
  * @example
- * const cell = brand<CellId>(cellOfWorker(vm));
+ * const workers = directory.vms().filter((vm) => isWorkerOf(vm, dataCentre, cell));
  */
-export function cellOfWorker(vm: Vm): string {
-  return vm.rack ?? DEFAULT_CELL;
+export function isWorkerOf(vm: Vm, dataCentre: DataCentreId, cell: string): boolean {
+  return vm.role === 'worker' && vm.dataCentre === dataCentre && vm.rack === cell;
 }
--- a/packages/nutmegproxy-tasks/src/QuotaShares.ts
+++ b/packages/nutmegproxy-tasks/src/QuotaShares.ts
@@ -11,7 +11,6 @@
 import {createHash} from 'node:crypto';
 
 import {declaredOf} from './Cell.ts';
-import {cellOfWorker} from './CellUtils.ts';
 import {defined} from './ObjectUtils.ts';
 
 /** Name of a cell that is unique over all data centres. */
@@ -21,8 +20,10 @@
 
 /** Names of all cells that the known workers make up, sorted. */
 export function knownCells(vms: readonly Vm[]): readonly string[] {
-  const workers = vms.filter(({role}) => role === 'worker');
-  return [...new Set(workers.map((vm) => cellName(vm.dataCentre, cellOfWorker(vm))))].sort();
+  const names = vms.flatMap(({dataCentre, rack, role}) =>
+    role === 'worker' && rack !== undefined ? [cellName(dataCentre, rack)] : [],
+  );
+  return [...new Set(names)].sort();
 }
 
 /** A team's share in one cell; undefined when the team has no quota. */
--- a/packages/nutmegproxy-tasks/src/RegisterTasks.ts
+++ b/packages/nutmegproxy-tasks/src/RegisterTasks.ts
@@ -4,6 +4,13 @@
 import type {PeerMesh} from '@nutmegproxy/peers';
 
 import {DRAIN_STARTED, mergeUnregister, PRIORITY_NORMAL} from '@nutmegproxy/core';
+import {
+  ALLOTMENT_CHANGED,
+  CELL_ACQUIRED,
+  CELL_LOST,
+  CELL_RELEASE_WANTED,
+  TENURE_LOST,
+} from '@nutmegproxy/membership';
 import {validateCellSummaries, validateTaskJobQuery, validateTaskSubmit} from '@nutmegproxy/schema';
 
 import type {CellServices} from './CellSupervisor.ts';
@@ -42,6 +49,7 @@
     registerMessages(services.mesh, board, jobs),
     services.registerRoute(TASKS_PREFIX, createTaskRoute(router)),
     registerDrain(node, supervisor),
+    registerOwnership(node, supervisor),
     startSummaries(node, services.mesh, supervisor, board),
   );
   void supervisor.run();
@@ -76,6 +84,28 @@
   );
 }
 
+/** Follows changes of ownership at once; the supervisor's own look is the backstop. */
+function registerOwnership(node: EntryNode, supervisor: CellSupervisor): Unregister {
+  const look = (): boolean => {
+    supervisor.supervise(node.clock.monotonic());
+    return false;
+  };
+  return mergeUnregister(
+    node.bus.register(ALLOTMENT_CHANGED, look, PRIORITY_NORMAL),
+    node.bus.register(CELL_ACQUIRED, look, PRIORITY_NORMAL),
+    node.bus.register(CELL_LOST, look, PRIORITY_NORMAL),
+    node.bus.register(TENURE_LOST, look, PRIORITY_NORMAL),
+    node.bus.register(
+      CELL_RELEASE_WANTED,
+      (release) => {
+        supervisor.release(release);
+        return true;
+      },
+      PRIORITY_NORMAL,
+    ),
+  );
+}
+
 /** Tells the peers, and this VM's own router, how much room the owned cells have. */
 function startSummaries(
   node: EntryNode,
--- a/packages/nutmegproxy-tasks/src/__tests__/unit/Tasks.test.ts
+++ b/packages/nutmegproxy-tasks/src/__tests__/unit/Tasks.test.ts
@@ -197,14 +197,34 @@
       assert.equal(bench.workers.running().length, 2);
     });
 
-    it('stops acting after a drain, and the tasks run on', async () => {
+    it('decides nothing after a drain, and renews leases until the cell is handed over', async () => {
       const job = await bench.submit(first);
       await bench.untilCounts(first, job, {running: 1});
       await bench.drain(first);
+      let syncs = 0;
+      bench.workers.onSync = () => {
+        syncs += 1;
+      };
+      await until(() => syncs > 4, 'renewals go on');
+      await bench.release(first);
+      bench.workers.finish(`${job}/0`, 'succeeded');
       bench.give(second);
-      await bench.untilCounts(second, job, {running: 1});
+      await bench.untilCounts(second, job, {ended: 1});
       assert.equal(bench.workers.starts.length, 1);
     });
+
+    it('writes nothing for a cell that it has handed over', async () => {
+      const job = await bench.submit(first, 3);
+      await bench.untilCounts(first, job, {running: 3});
+      await bench.release(first);
+      const before = [...bench.store.values.keys()].length;
+      bench.workers.finish(`${job}/0`, 'succeeded');
+      const cancelled = await first.call('DELETE', `/tasks/${job}`);
+      assert.equal(cancelled.status, 503);
+      assert.equal([...bench.store.values.keys()].length, before);
+      bench.give(second);
+      await bench.untilCounts(second, job, {ended: 1, running: 2});
+    });
   });
 
   describe('eviction', () => {
