Tell own slots from borrowed ones, and end loans that are over

Borrowed slots go back a bounded time after their loan: a request on one ends within the request limit that the lender counts on. Only slots of the own share are lent or given up. Tests reset connections while a request is being sent and take tenure, minions and callers away while requests wait.

--- a/packages/nutmegproxy-requests/src/MinionExchange.ts
+++ b/packages/nutmegproxy-requests/src/MinionExchange.ts
@@ -25,6 +25,7 @@
   HEADER_TIMEOUT_MS,
 } from './RequestsConstants.ts';
 import {REQUESTS_EVENTS} from './RequestsEvents.ts';
+import {EXCHANGE_LIMIT_MS} from './TenureGuard.ts';
 
 /** How a try ended. `answered`: the caller has the whole answer, or it is on its way. */
 export type TryEnd =
@@ -82,7 +83,22 @@
       void this.#keep(connected.value, NOTHING_LEARNED);
       return this.#fail(barrier, 'not-run');
     }
-    return this.#send(connected.value, now);
+    const cap = this.#capTime();
+    try {
+      return await this.#send(connected.value, now);
+    } finally {
+      clearTimeout(cap);
+    }
+  }
+
+  /** A borrowed slot goes back a bounded time after its loan has ended. */
+  #capTime(): NodeJS.Timeout | undefined {
+    if (this.#grant.origin === 'own') {
+      return undefined;
+    }
+    return setTimeout(() => {
+      this.#call.abort.abort(ABORT_DEADLINE);
+    }, EXCHANGE_LIMIT_MS);
   }
 
   async #answer(
--- a/packages/nutmegproxy-requests/src/ServiceAdmission.ts
+++ b/packages/nutmegproxy-requests/src/ServiceAdmission.ts
@@ -18,7 +18,7 @@
 import {err, ok} from 'neverthrow';
 
 import type {MinionRoutes, OpenMinion} from './MinionRoutes.ts';
-import type {SlotLedger} from './SlotLedger.ts';
+import type {SlotLedger, SlotOrigin} from './SlotLedger.ts';
 import type {SlotLoans} from './SlotLoans.ts';
 
 import {LOAN_PAUSE_MS, LOAN_SIZE_MAX} from './RequestsConstants.ts';
@@ -26,6 +26,7 @@
 /** A slot of a minion, held until `release`. */
 export interface Grant {
   readonly open: OpenMinion;
+  readonly origin: SlotOrigin;
   readonly request: WaitingRequest;
 }
 
@@ -64,6 +65,7 @@
 export class ServiceAdmission {
   readonly #latencies = new Map<MinionId, LatencyEstimate>();
   #loanAsked = false;
+  #loanTurn = 0;
   #nextLoan = 0 as Instant;
   readonly #parts: AdmissionParts;
   readonly #waiters = new Map<RequestId, Waiter>();
@@ -80,11 +82,12 @@
 
   /** Grants slots to waiting requests for as long as there are any of both. */
   pump(now: Instant): void {
-    const {membership, queue} = this.#parts;
+    const {loans, membership, queue} = this.#parts;
     if (queue.size > 0 && !membership.holdsTenure(now)) {
       this.#refuseAll({kind: 'no-tenure'});
       return;
     }
+    loans?.expire(now);
     while (queue.size > 0) {
       const candidates = this.#candidates(now);
       if (candidates.length === 0) {
@@ -159,11 +162,12 @@
   async #borrow(now: Instant): Promise<void> {
     const {ledger, loans, queue, routes, service} = this.#parts;
     const open = routes.open(service);
-    const target = open[Math.floor(now) % Math.max(1, open.length)];
+    const target = open[this.#loanTurn % Math.max(1, open.length)];
     if (loans === undefined || target === undefined || this.#loanAsked || now < this.#nextLoan) {
       return;
     }
     this.#loanAsked = true;
+    this.#loanTurn += 1;
     const wanted = Math.min(LOAN_SIZE_MAX, queue.size);
     const count = await loans.borrow(target.minion, wanted, now).catch(() => 0);
     this.#loanAsked = false;
@@ -198,13 +202,14 @@
     const untried = candidates.filter(({minion}) => waiter?.tried.has(minion) !== true);
     const chosen = choose(untried.length > 0 ? untried : candidates, now);
     const open = routes.open(service).find(({minion}) => minion === chosen?.minion);
-    if (waiter === undefined || open === undefined || !ledger.acquire(open.minion)) {
+    const origin = open === undefined ? undefined : ledger.acquire(open.minion);
+    if (waiter === undefined || open === undefined || origin === undefined) {
       queue.finish(request, undefined);
       waiter?.settle(err({kind: 'no-minion'}));
       return;
     }
     outliers.start(open.minion, now);
-    waiter.settle(ok({open, request}));
+    waiter.settle(ok({open, origin, request}));
   }
 
   #handleShortage(now: Instant): void {
--- a/packages/nutmegproxy-requests/src/SlotLedger.ts
+++ b/packages/nutmegproxy-requests/src/SlotLedger.ts
@@ -5,24 +5,28 @@
 import {invariant} from '@nutmegproxy/core';
 
 interface MinionSlots {
+  /** Below 0 for a moment when a loan ends before it is added. */
   borrowed: number;
   inFlight: number;
   lent: number;
   share: number;
 }
 
+/** Requests on borrowed slots end sooner than their deadline may say. */
+export type SlotOrigin = 'borrowed' | 'own';
+
 /** Counts only; a slot in use is never taken away, and none is given out beyond the capacity. */
 export class SlotLedger {
   readonly #minions = new Map<MinionId, MinionSlots>();
 
-  /** Takes a slot; false when none is idle. */
-  acquire(minion: MinionId): boolean {
+  /** Takes a slot and tells whose it is; undefined when none is idle. */
+  acquire(minion: MinionId): SlotOrigin | undefined {
     const slots = this.#minions.get(minion);
     if (slots === undefined || idleSlots(slots) < 1) {
-      return false;
+      return undefined;
     }
     slots.inFlight += 1;
-    return true;
+    return slots.inFlight <= slots.share - slots.lent ? 'own' : 'borrowed';
   }
 
   /** Adds slots that a peer has lent. */
@@ -40,6 +44,13 @@
     return slots === undefined ? 0 : capacityOf(slots);
   }
 
+  /** Borrowed slots are not to be used any more; requests on them may still end. */
+  endBorrowed(minion: MinionId, count: number): void {
+    const slots = this.#slots(minion);
+    slots.borrowed -= count;
+    this.#prune(minion, slots);
+  }
+
   idle(minion: MinionId): number {
     const slots = this.#minions.get(minion);
     return slots === undefined ? 0 : idleSlots(slots);
@@ -49,19 +60,20 @@
     return this.#minions.get(minion)?.inFlight ?? 0;
   }
 
-  /** Whether no more slots are in use or lent than this process may use and lend. */
+  /** Whether no more slots are in use or lent than the share, even without what is borrowed. */
   isWithinShare(minion: MinionId): boolean {
     const slots = this.#minions.get(minion);
-    return slots === undefined || slots.inFlight + slots.lent <= slots.share + slots.borrowed;
+    return slots === undefined || slots.inFlight + slots.lent <= slots.share;
   }
 
-  /** Takes up to `count` idle slots out for a peer; returns how many. */
+  /** Takes up to `count` idle slots of the own share out for a peer; returns how many. */
   lend(minion: MinionId, count: number): number {
     const slots = this.#minions.get(minion);
     if (slots === undefined) {
       return 0;
     }
-    const lent = Math.min(count, idleSlots(slots));
+    const idle = slots.share - slots.lent - slots.inFlight;
+    const lent = Math.max(0, Math.min(count, idle));
     slots.lent += lent;
     return lent;
   }
@@ -96,15 +108,14 @@
   /** Takes out idle borrowed slots, to be given back; returns how many. */
   takeBorrowed(minion: MinionId): number {
     const slots = this.#slots(minion);
-    const count = Math.min(slots.borrowed, idleSlots(slots));
+    const count = Math.max(0, Math.min(slots.borrowed, idleSlots(slots)));
     slots.borrowed -= count;
     this.#prune(minion, slots);
     return count;
   }
 
   #prune(minion: MinionId, slots: MinionSlots): void {
-    const inUse = slots.borrowed + slots.inFlight + slots.lent + slots.share;
-    if (inUse === 0) {
+    if (Object.values(slots).every((count) => count === 0)) {
       this.#minions.delete(minion);
     }
   }
--- a/packages/nutmegproxy-requests/src/TenureGuard.ts
+++ b/packages/nutmegproxy-requests/src/TenureGuard.ts
@@ -8,6 +8,9 @@
 import {ABORT_DEADLINE} from './Call.ts';
 import {TENURE_LOSS_SHARE} from './RequestsConstants.ts';
 
+/** Longest time at a minion after the right to its slot has ended. */
+export const EXCHANGE_LIMIT_MS = DEFAULT_PERIODS.requestLimitMs * TENURE_LOSS_SHARE;
+
 /** Knows the requests that are at minions. */
 export class TenureGuard {
   readonly #aborts = new Set<AbortController>();
@@ -25,7 +28,7 @@
       return;
     }
     this.#lostAt ??= Math.min(now, this.#membership.tenureEnds()) as Instant;
-    if (now - this.#lostAt < DEFAULT_PERIODS.requestLimitMs * TENURE_LOSS_SHARE) {
+    if (now - this.#lostAt < EXCHANGE_LIMIT_MS) {
       return;
     }
     for (const abort of this.#aborts) {
--- /dev/null
+++ b/packages/nutmegproxy-requests/src/__tests__/unit/Faults.test.ts
@@ -0,0 +1,181 @@
+import assert from 'node:assert/strict';
+import {once} from 'node:events';
+import {type AddressInfo, connect, createServer} from 'node:net';
+import {describe, it} from 'node:test';
+
+import {openConnection} from '../../MinionConnection.ts';
+import {ALERTS, answer, FakeMinion, sendRaw, until, withBench} from './RequestsBench.ts';
+
+const REQUEST = {body: Buffer.from('send'), headers: {}, method: 'POST', path: '/'};
+const NEVER = new AbortController().signal;
+
+/** Reads `bytes` of each request and then resets the connection. */
+async function withResetter(
+  bytes: number,
+  body: (address: string, connections: () => number) => Promise<void>,
+): Promise<void> {
+  let connections = 0;
+  const server = createServer((socket) => {
+    let read = 0;
+    connections += 1;
+    socket.on('error', () => undefined);
+    socket.on('data', (chunk) => {
+      read += chunk.length;
+      if (read >= bytes) {
+        socket.resetAndDestroy();
+      }
+    });
+  });
+  server.listen(0, '127.0.0.1');
+  await once(server, 'listening');
+  const {port} = server.address() as AddressInfo;
+  try {
+    await body(`127.0.0.1:${port}`, () => connections);
+  } finally {
+    server.close();
+  }
+}
+
+describe('MinionConnection', () => {
+  for (const bytes of [1, 40, 90]) {
+    it(`never sends again after a reset at byte ${bytes} of the request`, async () => {
+      await withResetter(bytes, async (address, connections) => {
+        const opened = await openConnection(address, NEVER);
+        const connection = opened._unsafeUnwrap();
+        const first = await connection.send(REQUEST, NEVER);
+        assert.ok(first.isErr());
+        const second = await connection.send(REQUEST, NEVER);
+        assert.equal(second._unsafeUnwrapErr().sent, false);
+        await connection.close();
+        assert.equal(connections(), 1);
+        assert.equal(connection.usable, false);
+      });
+    });
+  }
+
+  it('says that nothing was sent on a connection that is closed already', async () => {
+    await withResetter(1, async (address) => {
+      const connection = (await openConnection(address, NEVER))._unsafeUnwrap();
+      await connection.close();
+      const failure = (await connection.send(REQUEST, NEVER))._unsafeUnwrapErr();
+      assert.equal(failure.sent, false);
+    });
+  });
+
+  it('says that nothing was sent when the call was cancelled before', async () => {
+    await withResetter(1, async (address) => {
+      const connection = (await openConnection(address, NEVER))._unsafeUnwrap();
+      const failure = (await connection.send(REQUEST, AbortSignal.abort()))._unsafeUnwrapErr();
+      assert.equal(failure.sent, false);
+      await connection.close();
+    });
+  });
+
+  it('fails to open where nobody listens', async () => {
+    const server = createServer().listen(0, '127.0.0.1');
+    await once(server, 'listening');
+    const {port} = server.address() as AddressInfo;
+    server.close();
+    await once(server, 'close');
+    assert.ok((await openConnection(`127.0.0.1:${port}`, NEVER)).isErr());
+  });
+});
+
+describe('requests under faults', () => {
+  const post = (url: string): Promise<Response> => fetch(url, {body: 'send', method: 'POST'});
+  const outcome = (response: Response): null | string =>
+    response.headers.get('nutmegproxy-outcome');
+
+  it('retries what was not sent, also when it is not idempotent', async () => {
+    const gone = new FakeMinion('m1', answer('gone'));
+    const good = new FakeMinion('m2', answer('good'));
+    await withBench({minions: [gone, good]}, async (bench) => {
+      gone.close();
+      for (let index = 0; index < 6; index += 1) {
+        assert.equal(await (await post(bench.url('/entries/alerts/'))).text(), 'good');
+      }
+      assert.equal(gone.arrivals.length, 0);
+      assert.equal(good.arrivals.length, 6);
+    });
+  });
+
+  it('answers those that wait at once when tenure is lost', async () => {
+    const minion = new FakeMinion('m1', () => undefined);
+    await withBench({minions: [minion], shares: 1}, async (bench) => {
+      const first = post(bench.url('/entries/alerts/'));
+      await until(() => minion.arrivals.length === 1);
+      const waiting = post(bench.url('/entries/alerts/'));
+      bench.tenure = false;
+      assert.equal(outcome(await waiting), 'not-run');
+      const [socket] = minion.sockets();
+      assert.ok(socket);
+      answer('late')(socket, '');
+      assert.equal(await (await first).text(), 'late');
+      assert.equal(minion.arrivals.length, 1);
+    });
+  });
+
+  it('sends nothing when the minion leaves while the request waits', async () => {
+    const minion = new FakeMinion('m1', () => undefined);
+    await withBench({minions: [minion], shares: 1}, async (bench) => {
+      const first = post(bench.url('/entries/alerts/'));
+      await until(() => minion.arrivals.length === 1);
+      const waiting = post(bench.url('/entries/alerts/'));
+      bench.drain('m1');
+      assert.equal(outcome(await waiting), 'not-run');
+      const [socket] = minion.sockets();
+      assert.ok(socket);
+      answer('finished')(socket, '');
+      assert.equal(await (await first).text(), 'finished');
+      assert.equal(minion.arrivals.length, 1);
+    });
+  });
+
+  it('forgets a waiting request whose caller went away', async () => {
+    const minion = new FakeMinion('m1', () => undefined);
+    await withBench({minions: [minion], shares: 1}, async (bench) => {
+      const first = post(bench.url('/entries/alerts/first'));
+      await until(() => minion.arrivals.length === 1);
+      const leaver = connect(bench.port, '127.0.0.1');
+      leaver.write('POST /entries/alerts/leaver HTTP/1.1\r\nhost: a\r\ncontent-length: 0\r\n\r\n');
+      await until(() => bench.waiting() === 2);
+      leaver.destroy();
+      await until(() => bench.waiting() === 1);
+      minion.script = answer('x');
+      const [socket] = minion.sockets();
+      assert.ok(socket);
+      answer('x')(socket, '');
+      await first;
+      assert.equal((await post(bench.url('/entries/alerts/next'))).status, 200);
+      assert.ok(minion.arrivals.every((arrival) => !arrival.includes('leaver')));
+    });
+  });
+
+  it('sends nothing of a body that breaks off or grows too large', async () => {
+    const minion = new FakeMinion('m1', answer('x'));
+    const small = {...ALERTS, limits: {bodyBytes: 100}};
+    await withBench({entries: [small], minions: [minion]}, async (bench) => {
+      const head = 'POST /entries/alerts/ HTTP/1.1\r\nhost: a\r\nconnection: close\r\n';
+      const large = `${head}transfer-encoding: chunked\r\n\r\nff\r\n${'x'.repeat(255)}\r\n0\r\n\r\n`;
+      assert.match(await sendRaw(bench.port, large), /^HTTP\/1.1 413/);
+      const caller = connect(bench.port, '127.0.0.1');
+      caller.write(`${head}content-length: 50\r\n\r\nhalf`);
+      await until(() => bench.waiting() === 1);
+      caller.destroy();
+      await until(() => bench.waiting() === 0);
+      assert.equal(minion.arrivals.length, 0);
+    });
+  });
+
+  it('passes an idle connection that the minion has closed by', async () => {
+    const minion = new FakeMinion('m1', answer('x'));
+    await withBench({minions: [minion], shares: 1}, async (bench) => {
+      for (let index = 0; index < 5; index += 1) {
+        assert.equal((await post(bench.url('/entries/alerts/'))).status, 200);
+        minion.sockets().forEach((socket) => socket.end());
+        await until(() => minion.connections === 0);
+      }
+      assert.equal(minion.arrivals.length, 5);
+    });
+  });
+});
--- a/packages/nutmegproxy-requests/src/__tests__/unit/Requests.test.ts
+++ b/packages/nutmegproxy-requests/src/__tests__/unit/Requests.test.ts
@@ -303,6 +303,7 @@
           lent += count;
           return Promise.resolve(count);
         },
+        expire: () => undefined,
         giveBack: (_minion: string, count: number) => {
           lent -= count;
         },
--- a/packages/nutmegproxy-requests/src/__tests__/unit/RequestsBench.ts
+++ b/packages/nutmegproxy-requests/src/__tests__/unit/RequestsBench.ts
@@ -184,6 +184,11 @@
     });
   }
 
+  /** Requests of callers that are not answered yet. */
+  waiting(): number {
+    return this.requests.openRequests();
+  }
+
   /** Sets which minions are drained, as an accepted change of the catalogue does. */
   drain(...minions: string[]): void {
     this.drained.clear();
--- a/packages/nutmegproxy-requests/src/registerRequests.ts
+++ b/packages/nutmegproxy-requests/src/registerRequests.ts
@@ -57,6 +57,8 @@
   readonly lender: SlotLender;
   /** Starts to listen for callers at the address of the settings. */
   listen(): ResultAsync<AddressInfo, ListenFailure>;
+  /** Requests of callers that wait or run. */
+  openRequests(): number;
   /** Serves another prefix, such as `/tasks/`, on the callers' listener. */
   registerCallerRoute(prefix: string, handler: CallerRouteHandler): Unregister;
   /** Closes at once and takes back all registrations. */
@@ -124,6 +126,10 @@
 
 function createLender({dispatcher, ledger, pool}: Parts, node: EntryNode): SlotLender {
   return {
+    end: (minion, count) => {
+      ledger.endBorrowed(minion, count);
+      void pool.trim(minion, ledger.idle(minion));
+    },
     restore: (minion, count) => {
       ledger.restoreLent(minion, count);
       dispatcher.refresh(node.clock.monotonic());
@@ -140,6 +146,7 @@
 function tick(parts: Parts, node: EntryNode, loans?: SlotLoans): void {
   const {dispatcher, guard, ledger, pool, releases} = parts;
   const now = node.clock.monotonic();
+  loans?.expire(now);
   guard.check(now);
   dispatcher.refresh(now);
   releases.check();
@@ -209,6 +216,7 @@
           node.events.record(REQUESTS_EVENTS.LISTEN_FAILED, {message});
         });
     },
+    openRequests: () => listener.inProgress,
     registerCallerRoute: (prefix, handler) => listener.registerRoute(prefix, handler),
     unregister: mergeUnregister(
       () => {
