--- a/packages/nutmegproxy-tasks/src/CellRecovery.ts
+++ b/packages/nutmegproxy-tasks/src/CellRecovery.ts
@@ -5,7 +5,12 @@
 import type {Operation, PlatformStore, StoredValue, StoreFailure} from '@nutmegproxy/store';
 import type {Result} from 'neverthrow';
 
-import {validateCellSnapshot, validateSnapshotHeader, validateTaskDelta} from '@nutmegproxy/schema';
+import {
+  validateCellOwnerRecord,
+  validateCellSnapshot,
+  validateSnapshotHeader,
+  validateTaskDelta,
+} from '@nutmegproxy/schema';
 import {err, ok} from 'neverthrow';
 
 import type {LogPosition} from './CellLog.ts';
@@ -23,6 +28,12 @@
 /** Reads the value of an owner key; undefined when it can't be read. */
 export type OwnerParser = (value: Buffer) => StoredOwner | undefined;
 
+/** Reads the owner keys that membership writes. */
+export function parseOwnerRecord(value: Buffer): StoredOwner | undefined {
+  const record = parseJson(value.toString(), validateCellOwnerRecord);
+  return record && {epoch: record.epoch, owner: record.owner as IncarnationId};
+}
+
 /** `not-owner`: the store names another owner. `malformed`: a value can't be read. */
 export interface RecoveryFailure {
   readonly kind: 'malformed' | 'not-owner' | 'store';
--- a/packages/nutmegproxy-tasks/src/CellRunner.ts
+++ b/packages/nutmegproxy-tasks/src/CellRunner.ts
@@ -1,6 +1,7 @@
 /** Runs one owned cell: one loop that decides, and one loop per worker. */
 
 import type {AttemptId, EntryId, Instant, RackId, WallTime, WorkerId} from '@nutmegproxy/core';
+import type {LaneOrder} from '@nutmegproxy/placement';
 import type {VmDirectory, WorkerClient} from '@nutmegproxy/platform';
 import type {Quota, StartIntended, TaskStart, Throttle, Vm} from '@nutmegproxy/schema';
 import type {LeaseId} from '@nutmegproxy/store';
@@ -13,7 +14,7 @@
 
 import {wait} from './AsyncUtils.ts';
 import {declaredOf} from './Cell.ts';
-import {cellOfWorker} from './CellUtils.ts';
+import {isWorkerOf} from './CellUtils.ts';
 import {hashOfJob} from './JobIds.ts';
 import {defined} from './ObjectUtils.ts';
 import {byWorker, TaskDispatch} from './TaskDispatch.ts';
@@ -37,6 +38,7 @@
   /** Whether the store takes writes: without it nothing new is decided. */
   readonly healthy: () => boolean;
   readonly keyPrefix: string;
+  readonly laneOrder: LaneOrder;
   readonly quotas: () => ReadonlyMap<string, Quota>;
   readonly timings: WorkerTimings;
 }
@@ -53,7 +55,7 @@
 
   constructor(cell: Cell, services: RunnerServices) {
     this.cell = cell;
-    this.#dispatch = new TaskDispatch(cell);
+    this.#dispatch = new TaskDispatch(cell, services.laneOrder);
     this.#services = services;
   }
 
@@ -162,9 +164,10 @@
   }
 
   #matchWorkers(now: Instant): void {
+    const {dataCentre} = this.cell.node.identity;
     const present = new Set<WorkerId>();
     for (const vm of this.#services.directory.vms()) {
-      if (vm.role === 'worker' && cellOfWorker(vm) === this.cell.id) {
+      if (isWorkerOf(vm, dataCentre, this.cell.id)) {
         present.add(vm.id as WorkerId);
         this.#setWorker(vm, now);
       }
--- a/packages/nutmegproxy-tasks/src/TasksConstants.ts
+++ b/packages/nutmegproxy-tasks/src/TasksConstants.ts
@@ -1,5 +1,8 @@
 /** Limits and default durations of the tasks feature. */
 
+/** A job's input in JSON, with room for escapes. */
+export const MAX_BODY_BYTES = 320_000;
+
 /** Items of one store transaction; nested conditions and operations stay under the store's 128. */
 export const MAX_ITEMS_PER_COMMIT = 64;
 export const MAX_COMMIT_BYTES = 900_000;
