Keep the task logs of all VMs within one budget of store writes

Cause: at a fixed interval of 20 ms each VM could commit 50 times a second, and 72 VMs 3,600 times, while the store takes several hundred.

Change: the least time between two commits grows with the number of linked VMs, so that all together stay at 250 a second; the first commit after a pause goes at once.

--- a/packages/nutmegproxy-tasks/src/CellLog.ts
+++ b/packages/nutmegproxy-tasks/src/CellLog.ts
@@ -5,7 +5,7 @@
 
 import type {ChangeId} from '@nutmegproxy/core';
 import type {JobLocation, SnapshotHeader, TaskChange, TaskDelta} from '@nutmegproxy/schema';
-import type {Comparison, LeaseId, Operation, StoredValue} from '@nutmegproxy/store';
+import type {Comparison, LeaseId, Operation} from '@nutmegproxy/store';
 
 import {brand, invariant} from '@nutmegproxy/core';
 import {validateJobLocation, validateTaskDelta} from '@nutmegproxy/schema';
@@ -18,7 +18,8 @@
 import {parseStored} from './StoredUtils.ts';
 import {
   MAX_DELTA_BYTES,
-  SNAPSHOT_AFTER_BYTES,
+  MAX_DELTA_BYTES_PER_SNAPSHOT,
+  MIN_DELTA_BYTES_PER_SNAPSHOT,
   SNAPSHOT_AFTER_DELTAS,
   SNAPSHOT_CHUNK_BYTES,
 } from './TasksConstants.ts';
@@ -38,6 +39,7 @@
   readonly generation: number;
   readonly ownerRevision: number;
   readonly sequence: number;
+  readonly snapshotBytes: number;
   /** Generation of the snapshot that the header names; -1 when there is none. */
   readonly snapshotGeneration: number;
 }
@@ -66,6 +68,7 @@
   readonly #keys: CellKeys;
   readonly #ownerRevision: number;
   #sequence: number;
+  #snapshotBytes: number;
   #snapshotGeneration: number;
   #snapshotRunning = false;
 
@@ -78,13 +81,15 @@
     this.#keys = keys;
     this.#ownerRevision = position.ownerRevision;
     this.#sequence = position.sequence;
+    this.#snapshotBytes = position.snapshotBytes;
     this.#snapshotGeneration = position.snapshotGeneration;
   }
 
   /** Whether enough deltas stand in the store for a snapshot to pay. */
   get snapshotDue(): boolean {
-    const large = this.#deltas >= SNAPSHOT_AFTER_DELTAS || this.#bytes >= SNAPSHOT_AFTER_BYTES;
-    return large && !this.#snapshotRunning;
+    const limit = Math.max(MIN_DELTA_BYTES_PER_SNAPSHOT, this.#snapshotBytes);
+    const large = this.#bytes >= Math.min(MAX_DELTA_BYTES_PER_SNAPSHOT, limit);
+    return (large || this.#deltas >= SNAPSHOT_AFTER_DELTAS) && !this.#snapshotRunning;
   }
 
   /** Commits `changes` as one delta. */
@@ -124,6 +129,7 @@
     invariant(!this.#snapshotRunning, 'tasks: two snapshots of one cell at a time');
     this.#snapshotRunning = true;
     const text = encode({jobs: table.snapshot()});
+    this.#snapshotBytes = text.length;
     const covered = this.#generation;
     // Appends from here on go to a new generation, which the snapshot leaves in place.
     this.#generation += 1;
@@ -217,8 +223,3 @@
   const put = {key: location.key, kind: 'put', value: encode(value)} as const;
   return lease === undefined ? put : {...put, lease};
 }
-
-/** Whether a stored value stands for the ownership that a log was recovered under. */
-export function sameOwner(owner: StoredValue | undefined, position: LogPosition): boolean {
-  return owner?.modRevision === position.ownerRevision;
-}
--- a/packages/nutmegproxy-tasks/src/CellRecovery.ts
+++ b/packages/nutmegproxy-tasks/src/CellRecovery.ts
@@ -17,6 +17,7 @@
 import type {CellKeys} from './TaskKeys.ts';
 
 import {parseJson, parseStored} from './StoredUtils.ts';
+import {SNAPSHOT_CHUNK_BYTES} from './TasksConstants.ts';
 import {TaskTable} from './TaskTable.ts';
 
 /** Owner of a cell as its key in the store says. */
@@ -172,6 +173,16 @@
     deltas += 1;
   }
   const ownerRevision = content.owner?.modRevision ?? 0;
-  const position = {bytes, deltas, epoch, generation, ownerRevision, sequence, snapshotGeneration};
+  const snapshotBytes = (content.header?.chunks ?? 0) * SNAPSHOT_CHUNK_BYTES;
+  const position = {
+    bytes,
+    deltas,
+    epoch,
+    generation,
+    ownerRevision,
+    sequence,
+    snapshotBytes,
+    snapshotGeneration,
+  };
   return ok({position, table});
 }
--- a/packages/nutmegproxy-tasks/src/CellSupervisor.ts
+++ b/packages/nutmegproxy-tasks/src/CellSupervisor.ts
@@ -33,7 +33,8 @@
 /** What the cells work with. */
 export interface CellServices {
   readonly catalogue: CatalogueSource;
-  readonly commitIntervalMs: number;
+  /** Least time between two commits of this VM. */
+  readonly commitIntervalMs: () => number;
   /** Makes a policy of its own for each cell: a cell's reservations go with its owner. */
   readonly createPlacement: (cell: CellId) => Placement;
   readonly directory: VmDirectory;
--- a/packages/nutmegproxy-tasks/src/GroupCommit.ts
+++ b/packages/nutmegproxy-tasks/src/GroupCommit.ts
@@ -4,7 +4,7 @@
  * touch the others.
  */
 
-import type {EntryNode} from '@nutmegproxy/core';
+import type {EntryNode, Instant} from '@nutmegproxy/core';
 import type {
   Comparison,
   Operation,
@@ -71,18 +71,22 @@
   readonly #duration: Histogram;
   #healthy = true;
   #idle: Promise<void> = Promise.resolve();
-  readonly #intervalMs: number;
+  readonly #intervalMs: () => number;
   readonly #items: Counter;
+  #lastCommitAt: Instant | undefined;
   readonly #node: EntryNode;
   readonly #retryMs: number;
   #running = false;
   readonly #store: PlatformStore;
+  /** Time that the last commit took. */
+  #tookMs = 0;
   #waiting: WaitingItem[] = [];
 
+  /** `intervalMs` is asked before each commit: the least time between two commits. */
   constructor(
     node: EntryNode,
     store: PlatformStore,
-    intervalMs: number,
+    intervalMs: () => number,
     retryMs: number = COMMIT_RETRY_MS,
   ) {
     this.#intervalMs = intervalMs;
@@ -147,7 +151,8 @@
         },
       })),
     });
-    this.#duration.observe((this.#node.clock.monotonic() - startedAt) / 1000);
+    this.#tookMs = this.#node.clock.monotonic() - startedAt;
+    this.#duration.observe(this.#tookMs / 1000);
     if (result.isOk()) {
       this.#healthy = true;
       this.#batchLimit = Math.min(MAX_ITEMS_PER_COMMIT, this.#batchLimit * 2);
@@ -188,22 +193,28 @@
     this.#waiting = kept;
   }
 
-  #nextIntervalMs(tookMs: number): number {
-    return Math.min(MAX_COMMIT_INTERVAL_MS, Math.max(this.#intervalMs, tookMs));
+  /** Time to wait after a commit that was sent at `startedAt`: a slow store is asked less often. */
+  #pauseMs(startedAt: Instant): number {
+    if (!this.#healthy) {
+      return this.#retryMs;
+    }
+    const now = this.#node.clock.monotonic();
+    const intervalMs = Math.max(
+      this.#intervalMs(),
+      Math.min(MAX_COMMIT_INTERVAL_MS, 2 * this.#tookMs),
+    );
+    return Math.max(0, startedAt + intervalMs - now);
   }
 
   async #run(): Promise<void> {
-    let pauseMs = this.#intervalMs;
     while (this.#waiting.length > 0) {
-      await wait(pauseMs);
+      await wait(this.#lastCommitAt === undefined ? 0 : this.#pauseMs(this.#lastCommitAt));
       if (this.#closed) {
         this.#settleClosed();
         break;
       }
-      const startedAt = this.#node.clock.monotonic();
+      this.#lastCommitAt = this.#node.clock.monotonic();
       await this.#commitBatch(this.#takeBatch());
-      const tookMs = this.#node.clock.monotonic() - startedAt;
-      pauseMs = this.#healthy ? this.#nextIntervalMs(tookMs) : this.#retryMs;
     }
     this.#running = false;
   }
--- a/packages/nutmegproxy-tasks/src/RegisterTasks.ts
+++ b/packages/nutmegproxy-tasks/src/RegisterTasks.ts
@@ -22,10 +22,17 @@
 import {JobService} from './JobService.ts';
 import {SummaryBoard} from './SummaryBoard.ts';
 import {createTaskRoute, TASKS_PREFIX} from './TaskRoutes.ts';
-import {SUMMARY_INTERVAL_MS, SUPERVISION_INTERVAL_MS} from './TasksConstants.ts';
+import {
+  COMMITS_PER_SECOND_OF_ALL_VMS,
+  MS_PER_SECOND,
+  SUMMARY_INTERVAL_MS,
+  SUPERVISION_INTERVAL_MS,
+} from './TasksConstants.ts';
 
 /** What the feature needs from the others. */
-export interface TasksServices extends CellServices {
+export interface TasksServices extends Omit<CellServices, 'commitIntervalMs'> {
+  /** Least time between two commits of this VM, whatever the number of VMs. */
+  readonly commitIntervalMs: number;
   readonly mesh: PeerMesh;
   /** Registers a handler for all paths under a prefix of the callers' listener. */
   readonly registerRoute: (prefix: string, handler: RouteHandler) => Unregister;
@@ -38,7 +45,9 @@
  * const unregister = registerTasks(node, services);
  */
 export function registerTasks(node: EntryNode, services: TasksServices): Unregister {
-  const supervisor = new CellSupervisor(node, services);
+  const commitIntervalMs = (): number =>
+    Math.max(services.commitIntervalMs, shareIntervalMs(services.mesh.peers().length + 1));
+  const supervisor = new CellSupervisor(node, {...services, commitIntervalMs});
   const board = new SummaryBoard();
   const jobs = new JobService(node, (cell) => supervisor.cell(cell), services.keyPrefix);
   const router = new JobRouter({...services, board, jobs, node});
@@ -56,6 +65,11 @@
   return unregister;
 }
 
+/** Interval at which so many VMs together keep to the store's budget for the task log. */
+function shareIntervalMs(vms: number): number {
+  return (vms * MS_PER_SECOND) / COMMITS_PER_SECOND_OF_ALL_VMS;
+}
+
 function registerDrain(node: EntryNode, supervisor: CellSupervisor): Unregister {
   return node.bus.register(
     DRAIN_STARTED,
--- a/packages/nutmegproxy-tasks/src/TasksConstants.ts
+++ b/packages/nutmegproxy-tasks/src/TasksConstants.ts
@@ -10,9 +10,13 @@
 export const SNAPSHOT_CHUNK_BYTES = 400_000;
 /** Items that may wait for a commit; submissions beyond are refused. */
 export const MAX_WAITING_ITEMS = 4096;
-export const SNAPSHOT_AFTER_DELTAS = 256;
-export const SNAPSHOT_AFTER_BYTES = 2_000_000;
-export const DEFAULT_COMMIT_INTERVAL_MS = 10;
+export const SNAPSHOT_AFTER_DELTAS = 2048;
+/** Deltas grow to the size of the snapshot before it is written again, within these bounds. */
+export const MIN_DELTA_BYTES_PER_SNAPSHOT = 500_000;
+export const MAX_DELTA_BYTES_PER_SNAPSHOT = 8_000_000;
+export const MS_PER_SECOND = 1000;
+/** Share of the store's writes that the task logs of all VMs may take together. */
+export const COMMITS_PER_SECOND_OF_ALL_VMS = 250;
 export const MAX_COMMIT_INTERVAL_MS = 500;
 export const COMMIT_RETRY_MS = 200;
 /** How long a submission waits for the store's answer before its outcome is told as unknown. */
@@ -20,8 +24,6 @@
 export const RETRY_AFTER_SECONDS = 1;
 export const PEER_TIMEOUT_MS = 4000;
 
-export const DEFAULT_TASK_LEASE_MS = 30_000;
-export const DEFAULT_WORKER_SYNC_MS = 1000;
 /** Time for a start to reach the worker, by the wall clock. */
 export const START_WINDOW_MS = 5000;
 /** Share by which two machines' clocks may run apart, and how far apart wall clocks may stand. */
--- a/packages/nutmegproxy-tasks/src/__tests__/unit/CellLog.test.ts
+++ b/packages/nutmegproxy-tasks/src/__tests__/unit/CellLog.test.ts
@@ -31,7 +31,7 @@
     identity: {} as never,
     metrics: new Registry(),
   };
-  const commit = new GroupCommit(node, store, 0, 0);
+  const commit = new GroupCommit(node, store, () => 0, 0);
   const recovered = await recoverCell(store, keys, parseOwner, OWNER);
   assert.ok(recovered.isOk());
   const {position, table} = recovered.value;
--- /dev/null
+++ b/packages/nutmegproxy-tasks/src/__tests__/unit/GroupCommit.test.ts
@@ -0,0 +1,101 @@
+import {CommandBus, ManualClock, SILENT_EVENTS} from '@nutmegproxy/core';
+import assert from 'node:assert/strict';
+import {after, beforeEach, describe, it} from 'node:test';
+import {Registry} from 'prom-client';
+
+import type {CommitItem} from '../../GroupCommit.ts';
+
+import {GroupCommit} from '../../GroupCommit.ts';
+import {MemoryStore} from '../MemoryStore.ts';
+
+function create(key: string, failFast = false): CommitItem {
+  return {
+    compare: [{key, kind: 'modRevision', modRevision: 0}],
+    failFast,
+    readBack: [key],
+    sizeBytes: 10,
+    then: [{key, kind: 'put', value: Buffer.from('1')}],
+  };
+}
+
+describe('group commit', () => {
+  const keepAlive = setInterval(() => undefined, 1000);
+  after(() => {
+    clearInterval(keepAlive);
+  });
+
+  let commit: GroupCommit;
+  let store: MemoryStore;
+
+  beforeEach(() => {
+    store = new MemoryStore();
+    const node = {
+      bus: new CommandBus(),
+      clock: new ManualClock(),
+      events: SILENT_EVENTS,
+      identity: {} as never,
+      metrics: new Registry(),
+    };
+    commit = new GroupCommit(node, store, () => 0, 0);
+  });
+
+  it('commits what waits in one transaction', async () => {
+    const outcomes = await Promise.all(['a', 'b', 'c'].map((key) => commit.commit(create(key))));
+    assert.deepEqual(
+      outcomes.map(({kind}) => kind),
+      ['committed', 'committed', 'committed'],
+    );
+    assert.equal(store.commits, 1);
+  });
+
+  it('lets a failed condition of one item leave the others alone', async () => {
+    store.put('b', 1);
+    const outcomes = await Promise.all(['a', 'b', 'c'].map((key) => commit.commit(create(key))));
+    assert.deepEqual(
+      outcomes.map(({kind}) => kind),
+      ['committed', 'refused', 'committed'],
+    );
+  });
+
+  it('never writes a key twice in one transaction', async () => {
+    const outcomes = await Promise.all(['a', 'a'].map((key) => commit.commit(create(key))));
+    assert.deepEqual(
+      outcomes.map(({kind}) => kind),
+      ['committed', 'refused'],
+    );
+  });
+
+  it('keeps each transaction below the limits of the store', async () => {
+    const counts: number[] = [];
+    store.onCommit = ({then}) => counts.push(then.length);
+    const keys = Array.from({length: 300}, (_, index) => `k${index}`);
+    await Promise.all(keys.map((key) => commit.commit(create(key))));
+    assert.ok(Math.max(...counts) <= 64);
+    assert.equal(store.values.size, 300);
+  });
+
+  it('tries the rest again after a rejection, one by one', async () => {
+    store.faults = ['rejected', 'rejected'];
+    const outcomes = await Promise.all(['a', 'b'].map((key) => commit.commit(create(key))));
+    assert.deepEqual(
+      outcomes.map(({kind}) => kind),
+      ['refused', 'committed'],
+    );
+  });
+
+  it('refuses hasty items while the store is down, and keeps the others', async () => {
+    store.faults = ['unavailable', 'unavailable'];
+    const patient = commit.commit(create('a'));
+    const hasty = await commit.commit(create('b', true));
+    assert.equal(hasty.kind, 'unavailable');
+    assert.equal((await patient).kind, 'committed');
+    assert.equal(store.values.has('b'), false);
+  });
+
+  it('never says that a hasty item had no effect when it may have one', async () => {
+    store.faults = ['late', 'unavailable'];
+    const outcome = await commit.commit(create('a', true));
+    assert.notEqual(outcome.kind, 'unavailable');
+    assert.equal(store.values.has('a'), true);
+  });
+});
--- /dev/null
+++ b/packages/nutmegproxy-tasks/src/__tests__/unit/QuotaShares.test.ts
@@ -0,0 +1,36 @@
+import type {CatalogueView} from '@nutmegproxy/catalogue';
+import type {Team} from '@nutmegproxy/schema';
+
+import * as fc from 'fast-check';
+import assert from 'node:assert/strict';
+import {describe, it} from 'node:test';
+
+import {quotaShare} from '../../QuotaShares.ts';
+
+const SEED = 20_261_203;
+
+describe('quota shares', () => {
+  it('never exceed the quota together, and each holds the largest task', () => {
+    fc.assert(
+      fc.property(
+        fc.integer({max: 40, min: 1}),
+        fc.integer({max: 64, min: 1}),
+        fc.integer({max: 500, min: 0}),
+        (cellCount, cpu, quotaCpu) => {
+          const team: Team = {id: 't', quota: {cpu: quotaCpu}};
+          const entry = {id: 'e', kind: 'task', limits: {cpu, memoryMb: 1}, owner: 't'};
+          const view = {entries: new Map([['e', entry]])} as unknown as CatalogueView;
+          const cells = Array.from({length: cellCount}, (_, index) => `dc/${index}`);
+          const shares = cells.map((cell) => quotaShare(team, view, cells, cell)?.cpu ?? 0);
+          const sum = shares.reduce((total, share) => total + share, 0);
+          assert.ok(sum <= quotaCpu + 1e-9);
+          if (cpu <= quotaCpu) {
+            assert.ok(shares.every((share) => share === 0 || share >= cpu - 1e-9));
+            assert.ok(shares.some((share) => share > 0));
+          }
+        },
+      ),
+      {seed: SEED},
+    );
+  });
+});
