--- a/packages/nutmegproxy-tasks/src/__tests__/TestBench.ts
+++ b/packages/nutmegproxy-tasks/src/__tests__/TestBench.ts
@@ -4,7 +4,7 @@
 import type {CellId, EntryNode, IncarnationId, NodeIdentity, Unregister} from '@nutmegproxy/core';
 import type {Allotment, Member, Membership} from '@nutmegproxy/membership';
 import type {PeerHandler, PeerMesh} from '@nutmegproxy/peers';
-import type {Placement} from '@nutmegproxy/placement';
+import type {Placement, PlacementDecision, PlacementWish} from '@nutmegproxy/placement';
 import type {Entry, JobStatus, Team, Vm} from '@nutmegproxy/schema';
 
 import {brand, CommandBus, DRAIN_STARTED, ManualClock, SILENT_EVENTS} from '@nutmegproxy/core';
@@ -38,6 +38,7 @@
   owner: 'oportuna',
 };
 export const HUGE: Entry = {...DIGEST, id: 'huge', limits: {cpu: 100, memoryMb: 100}};
+export const URGENT: Entry = {...DIGEST, class: 'latency-critical', id: 'urgent'};
 export const IDLE_TEAM: Entry = {...DIGEST, id: 'idle-team', owner: 'idle'};
 
 /** One entry VM with the tasks feature. */
@@ -75,7 +76,10 @@
   drained = new Set<string>();
   epoch = 0;
   owner: IncarnationId = brand<IncarnationId>('none');
-  placementOf: () => Placement = () => PLACEMENTS['first-fit']();
+  /** Steps in before the policy decides. */
+  readonly policy: {
+    decide: (wish: PlacementWish, decide: () => PlacementDecision) => PlacementDecision;
+  } = {decide: (_wish, decide) => decide()};
   readonly store = new MemoryStore();
   readonly vms: TestVm[] = [];
   readonly workers = new FakeWorkers(this.clock);
@@ -100,7 +104,7 @@
     const unregister = registerTasks(node, {
       catalogue: {current: () => this.#view()},
       commitIntervalMs: 1,
-      createPlacement: () => this.placementOf(),
+      createPlacement: () => this.#createPlacement(),
       directory: {
         markLeaving: () => undefined,
         vm: (id) => this.#vms().find((vm) => vm.id === id),
@@ -174,10 +178,10 @@
   }
 
   /** Submits through `vm`, waiting for the cell to be ready. */
-  async submit(vm: TestVm, count = 1, key?: string): Promise<string> {
+  async submit(vm: TestVm, count = 1, key?: string, entry = DIGEST.id): Promise<string> {
     let job = '';
     await until(async () => {
-      const answer = await vm.call('POST', '/tasks', {count, entry: DIGEST.id}, key);
+      const answer = await vm.call('POST', '/tasks', {count, entry}, key);
       job = answer.status < 300 ? (JSON.parse(answer.body) as {job: string}).job : '';
       return job !== '';
     }, 'the submission is accepted');
@@ -203,6 +207,13 @@
     );
   }
 
+  #createPlacement(): Placement {
+    const placement = PLACEMENTS['first-fit']();
+    const decide = placement.decide.bind(placement);
+    placement.decide = (wish, now) => this.policy.decide(wish, () => decide(wish, now));
+    return placement;
+  }
+
   #membership(state: {tenure: boolean}): Membership {
     return {
       allotment: () => this.#allotment(),
@@ -257,7 +268,9 @@
   }
 
   #view(): CatalogueView {
-    const entries = [DIGEST, HUGE, IDLE_TEAM].map((entry) => [brand(entry.id), entry] as const);
+    const entries = [DIGEST, HUGE, IDLE_TEAM, URGENT].map(
+      (entry) => [brand(entry.id), entry] as const,
+    );
     const teams: Team[] = [{id: 'oportuna'}, {id: 'idle', quota: {cpu: 0}}];
     return {
       entries: new Map(entries as never),
--- a/packages/nutmegproxy-tasks/src/__tests__/unit/Tasks.test.ts
+++ b/packages/nutmegproxy-tasks/src/__tests__/unit/Tasks.test.ts
@@ -1,9 +1,10 @@
+import {brand} from '@nutmegproxy/core';
 import assert from 'node:assert/strict';
 import {afterEach, beforeEach, describe, it} from 'node:test';
 
 import type {TestVm} from '../TestBench.ts';
 
-import {HUGE, IDLE_TEAM, LEASE_MS, TestBench, until} from '../TestBench.ts';
+import {HUGE, IDLE_TEAM, LEASE_MS, TestBench, until, URGENT} from '../TestBench.ts';
 
 describe('tasks', () => {
   let bench: TestBench;
@@ -160,6 +161,43 @@
       });
     }
 
+    for (const step of ['start-intended', 'start-confirmed', 'task-ended']) {
+      for (const fault of ['lost-answer', 'unavailable'] as const) {
+        it(`ends a task once though the owner dies twice at ${step}: ${fault}`, async () => {
+          const job = await bench.submit(first);
+          const marker = Buffer.from(`"${step}"`).toJSON().data.join(',');
+          let owner = first;
+          let deaths = 0;
+          bench.store.onCommit = ({then}) => {
+            if (deaths < 2 && JSON.stringify(then).includes(marker)) {
+              deaths += 1;
+              owner.tenure = false;
+              bench.store.faults = [fault];
+            }
+          };
+          await until(
+            () => deaths === 2 && bench.workers.running().length <= 1 && owner.tenure,
+            'two deaths',
+            () => {
+              bench.clock.advance(LEASE_MS / (step === 'start-intended' ? 10 : 200));
+              bench.workers.finish(`${job}/0`, 'succeeded');
+              if (!owner.tenure) {
+                owner = owner === first ? second : first;
+                owner.tenure = true;
+                bench.give(owner);
+              }
+            },
+          );
+          await bench.untilCounts(owner, job, {ended: 1}, () => {
+            bench.workers.finish(`${job}/0`, 'succeeded');
+            lapse();
+          });
+          const {tasks} = await bench.status(owner, job);
+          assert.equal(tasks[0]?.outcome, 'succeeded');
+        });
+      }
+    }
+
     it('sends nothing once it is fenced, though the intent is committed', async () => {
       const warm = await bench.submit(first);
       await bench.untilCounts(first, warm, {running: 1});
@@ -244,6 +282,26 @@
       await bench.untilCounts(first, job, {running: 1});
     });
 
+    it('makes room for an urgent task, and the victim resumes later', async () => {
+      const batch = await bench.submit(first, 8);
+      await bench.untilCounts(first, batch, {running: 8});
+      const victim = bench.workers.running()[0] ?? '';
+      let evicted = false;
+      bench.policy.decide = (wish, decide) => {
+        if (wish.class === 'batch' || evicted) {
+          return decide();
+        }
+        evicted = true;
+        return {kind: 'evict', victims: [brand(victim)], worker: brand('w1')};
+      };
+      const urgent = await bench.submit(first, 1, 'urgent', URGENT.id);
+      await bench.untilCounts(first, urgent, {running: 1});
+      await bench.untilCounts(first, batch, {queued: 1, running: 7});
+      bench.workers.finish(`${urgent}/0`, 'succeeded');
+      await bench.untilCounts(first, batch, {running: 8});
+      assert.equal(bench.workers.starts.at(-1)?.checkpoint, `checkpoint of ${victim}`);
+    });
+
     for (const step of ['eviction-intended', 'attempt-returned', 'start-intended']) {
       it(`resumes once though the owner dies at ${step}, twice`, async () => {
         const job = await bench.submit(first);
