--- /dev/null
+++ b/packages/nutmegproxy-tasks/src/__tests__/unit/WorkerReports.test.ts
@@ -0,0 +1,97 @@
+import type {Instant, WallTime} from '@nutmegproxy/core';
+
+import assert from 'node:assert/strict';
+import {describe, it} from 'node:test';
+
+import type {Task} from '../../TaskModel.ts';
+
+import {CLOCK_SKEW_MS} from '../../TasksConstants.ts';
+import {TaskTable} from '../../TaskTable.ts';
+import {backoffMs, judgeReport, judgeSilence, longestLeaseMs} from '../../WorkerReports.ts';
+
+const LEASE_MS = 1000;
+const START_BEFORE = 50_000;
+const ATTEMPT = 'j/0#0';
+
+function startedTable(): {table: TaskTable; task: Task} {
+  const table = new TaskTable();
+  table.apply({at: 1, count: 1, entry: 'e', job: 'j', kind: 'job-accepted'});
+  table.apply({
+    at: 2,
+    attempt: ATTEMPT,
+    kind: 'start-intended',
+    reserved: {accelerators: 0, cpu: 1, memoryMb: 1},
+    startBefore: START_BEFORE,
+    task: 'j/0',
+    worker: 'w',
+  });
+  const task = table.attempt(ATTEMPT);
+  assert.ok(task);
+  return {table, task};
+}
+
+function silence(sinceLeaseMs: number, wall: number) {
+  const times = {now: sinceLeaseMs as Instant, wall: wall as WallTime};
+  return judgeSilence(startedTable().task, 0 as Instant, LEASE_MS, times);
+}
+
+describe('worker reports', () => {
+  describe('silence', () => {
+    const late = START_BEFORE * 2;
+    const startLapses = START_BEFORE + CLOCK_SKEW_MS + LEASE_MS;
+
+    it('ends an attempt only after a renewal that was never answered has lapsed', () => {
+      assert.equal(silence(2 * LEASE_MS, late), undefined);
+      assert.equal(silence(longestLeaseMs(LEASE_MS), late), undefined);
+      assert.ok(silence(longestLeaseMs(LEASE_MS) + 1, late));
+    });
+
+    it('ends a start only after the lease of one that came at the last moment', () => {
+      assert.equal(silence(late, START_BEFORE + CLOCK_SKEW_MS), undefined);
+      assert.equal(silence(late, startLapses), undefined);
+      assert.ok(silence(late, startLapses + LEASE_MS));
+    });
+  });
+
+  describe('cancelled jobs', () => {
+    for (const state of ['checkpointed', 'failed', 'lapsed', 'stopped'] as const) {
+      it(`do not resume after ${state}`, () => {
+        const {table, task} = startedTable();
+        table.apply({at: 3, job: 'j', kind: 'job-cancelled'});
+        const report = {attempt: ATTEMPT, state, task: 'j/0'};
+        const verdict = judgeReport(task, report, undefined, 4 as WallTime);
+        assert.ok(verdict);
+        table.apply(verdict.change);
+        assert.equal(task.state, 'ended');
+        assert.equal(task.outcome, 'cancelled');
+        assert.equal(table.endedJobs.size, 1);
+      });
+    }
+
+    it('take no start whose intent comes after the cancel', () => {
+      const table = new TaskTable();
+      table.apply({at: 1, count: 1, entry: 'e', job: 'j', kind: 'job-accepted'});
+      table.apply({at: 2, job: 'j', kind: 'job-cancelled'});
+      table.apply({
+        at: 2,
+        attempt: ATTEMPT,
+        kind: 'start-intended',
+        reserved: {accelerators: 0, cpu: 1, memoryMb: 1},
+        startBefore: START_BEFORE,
+        task: 'j/0',
+        worker: 'w',
+      });
+      assert.equal(table.liveCount, 0);
+    });
+  });
+
+  describe('retries', () => {
+    it('wait longer with each failure, up to a bound', () => {
+      const waits = Array.from({length: 40}, (_, failures) => backoffMs(failures));
+      waits.forEach((each, index) => {
+        assert.ok(index === 0 || each >= (waits[index - 1] ?? 0));
+      });
+      assert.ok(Math.max(...waits) <= 60_000);
+    });
+  });
+});
