--- a/packages/nutmegproxy-schema/src/index.ts
+++ b/packages/nutmegproxy-schema/src/index.ts
@@ -1,5 +1,11 @@
 /** Public surface of the generated types and validators. */
 
+export type {CatalogueApply, CatalogueCheck, TimelineQuery} from './generated/adminTypes.ts';
+export {
+  validateCatalogueApply,
+  validateCatalogueCheck,
+  validateTimelineQuery,
+} from './generated/adminValidators.js';
 export type {
   AppliedList,
   AppliedRevision,
@@ -26,7 +32,9 @@
   validateCataloguePage,
   validateCatalogueQuery,
   validateCatalogueRecord,
+  validateDrain,
   validatePlansPart,
+  validateStop,
   validateTeamPart,
 } from './generated/catalogueValidators.js';
 export type {
@@ -44,6 +52,11 @@
   validateCellOwnerRecord,
   validateDenyAnswer,
   validateDenyRequest,
+  validateLoanAnswer,
+  validateLoanRenewal,
+  validateLoanRenewalAnswer,
+  validateLoanRequest,
+  validateLoanReturn,
   validateRecordNotice,
   validateRelayAnswer,
   validateRelayRequest,
@@ -65,9 +78,12 @@
   validatePeerFrame,
   validateProof,
 } from './generated/peersMessagesValidators.js';
+export type {LeavingMark, LeavingNotice} from './generated/platformMessagesTypes.ts';
+export {validateLeavingNotice} from './generated/platformMessagesValidators.js';
 export type {
   AttemptReport,
   Resources,
+  StartResult,
   TaskStart,
   Throttle,
   Usage,
@@ -77,11 +93,15 @@
   WorkerSync,
 } from './generated/platformTypes.ts';
 export {
+  validateStartResults,
   validateTaskStart,
+  validateTaskStarts,
   validateVmReport,
   validateWorkerReport,
   validateWorkerSync,
 } from './generated/platformValidators.js';
+export type {RequestKeyRecord} from './generated/requestsMessagesTypes.ts';
+export {validateRequestKeyRecord} from './generated/requestsMessagesValidators.js';
 export type {
   ListenAddresses,
   Policies,
