Lend and borrow slots in the serving process

registerSlotLoans was never called by serve: each VM served with its own share only. The requests feature now takes registerLoans, which it calls with its lender, so that both sides are bound without a late assignment; onEnded lowers the ledger's borrowed count.

A request on a borrowed slot is sent only when its loan is still running at the instant of sending: the process may have been paused between the grant and the open connection.

--- a/packages/nutmegproxy-cli/src/WorkFeatures.ts
+++ b/packages/nutmegproxy-cli/src/WorkFeatures.ts
@@ -6,7 +6,7 @@
 import type {Requests} from '@nutmegproxy/requests';
 
 import {mergeUnregister} from '@nutmegproxy/core';
-import {registerMembership} from '@nutmegproxy/membership';
+import {registerMembership, registerSlotLoans} from '@nutmegproxy/membership';
 import {LANE_ORDERS, PLACEMENTS} from '@nutmegproxy/placement';
 import {registerRequests} from '@nutmegproxy/requests';
 import {registerTasks} from '@nutmegproxy/tasks';
@@ -48,6 +48,15 @@
     catalogue,
     directory,
     membership,
+    registerLoans: (lender) =>
+      registerSlotLoans(node, {
+        lender,
+        membership,
+        mesh,
+        onEnded: (minion, count) => {
+          lender.end(minion, count);
+        },
+      }),
     seed: randomInt(MAX_SEED),
     settings,
     store,
--- a/packages/nutmegproxy-requests/src/MinionExchange.ts
+++ b/packages/nutmegproxy-requests/src/MinionExchange.ts
@@ -14,6 +14,7 @@
 import type {Outcome, RefusalCode} from './Refusal.ts';
 import type {ExchangeResult, Grant, ServiceAdmission} from './ServiceAdmission.ts';
 import type {SlotLedger} from './SlotLedger.ts';
+import type {SlotLoans} from './SlotLoans.ts';
 
 import {relayAnswer} from './AnswerRelay.ts';
 import {ABORT_DEADLINE} from './Call.ts';
@@ -44,6 +45,7 @@
 export interface ExchangeParts {
   readonly directory: VmDirectory;
   readonly ledger: SlotLedger;
+  readonly loans: SlotLoans | undefined;
   readonly membership: Membership;
   readonly node: EntryNode;
   readonly outliers: OutlierTracker;
@@ -147,6 +149,9 @@
     if (this.#call.abort.signal.aborted) {
       return 'deadline-passed';
     }
+    if (this.#isLoanOver(now)) {
+      return 'no-minion';
+    }
     return this.#parts.routes.isOpen(this.#grant.open) ? undefined : 'no-minion';
   }
 
@@ -172,6 +177,16 @@
     node.events.record(REQUESTS_EVENTS.MINION_LEAVING, {minion});
   }
 
+  /** The process may have been paused since the slot was granted. */
+  #isLoanOver(now: Instant): boolean {
+    const {ledger, loans} = this.#parts;
+    if (this.#grant.origin === 'own') {
+      return false;
+    }
+    loans?.expire(now);
+    return ledger.isOverdrawn(this.#grant.open.minion);
+  }
+
   async #keep(connection: MinionConnection, result: ExchangeResult): Promise<void> {
     const {ledger, pool} = this.#parts;
     const {address, minion} = this.#grant.open;
--- a/packages/nutmegproxy-requests/src/RequestDispatcher.ts
+++ b/packages/nutmegproxy-requests/src/RequestDispatcher.ts
@@ -9,7 +9,6 @@
 import type {ExchangeParts, TryEnd} from './MinionExchange.ts';
 import type {Outcome, Refusal, RefusalCode} from './Refusal.ts';
 import type {AdmissionRefusal} from './ServiceAdmission.ts';
-import type {SlotLoans} from './SlotLoans.ts';
 import type {TenureGuard} from './TenureGuard.ts';
 
 import {MinionExchange} from './MinionExchange.ts';
@@ -27,7 +26,6 @@
   readonly createQueue: (limits: QueueLimits) => RequestQueue;
   readonly guard: TenureGuard;
   readonly limits: Omit<QueueLimits, 'slots'>;
-  readonly loans: SlotLoans | undefined;
 }
 
 interface Service {
--- a/packages/nutmegproxy-requests/src/SlotLedger.ts
+++ b/packages/nutmegproxy-requests/src/SlotLedger.ts
@@ -60,6 +60,12 @@
     return this.#minions.get(minion)?.inFlight ?? 0;
   }
 
+  /** Whether more slots are in use than there are, as after the end of a loan. */
+  isOverdrawn(minion: MinionId): boolean {
+    const slots = this.#minions.get(minion);
+    return slots !== undefined && slots.inFlight > capacityOf(slots);
+  }
+
   /** Whether no more slots are in use or lent than the share, even without what is borrowed. */
   isWithinShare(minion: MinionId): boolean {
     const slots = this.#minions.get(minion);
--- a/packages/nutmegproxy-requests/src/__tests__/unit/Requests.test.ts
+++ b/packages/nutmegproxy-requests/src/__tests__/unit/Requests.test.ts
@@ -4,6 +4,8 @@
 import {connect} from 'node:net';
 import {describe, it} from 'node:test';
 
+import type {SlotLender} from '../../index.ts';
+
 import {
   ALERTS,
   answer,
@@ -315,6 +317,34 @@
       });
     });
 
+    it('sends nothing on a slot whose loan ended while the connection was opened', async () => {
+      const minion = new FakeMinion('m1', answer('x'));
+      let asked = 0;
+      let checks = 0;
+      const loans = {
+        borrow: () => {
+          asked += 1;
+          checks = 0;
+          return Promise.resolve(1);
+        },
+        expire: () => {
+          checks += 1;
+          // The first check comes before the slot is given to the request, the second after it.
+          if (asked === 1 && checks === 2) {
+            lender?.end(minion.id, 1);
+          }
+        },
+        giveBack: () => undefined,
+      };
+      let lender: SlotLender | undefined;
+      await withBench({loans, minions: [minion], shares: 0}, async (bench) => {
+        lender = bench.requests.lender;
+        assert.equal((await ask(bench.url('/entries/alerts/'), POST)).text, 'x');
+        assert.equal(asked, 2);
+        assert.equal(minion.arrivals.length, 1);
+      });
+    });
+
     it('reports a share as given up once no more than the rest is in use', async () => {
       const minion = new FakeMinion('m1', () => undefined);
       await withBench({minions: [minion], shares: 2}, async (bench) => {
--- a/packages/nutmegproxy-requests/src/__tests__/unit/RequestsBench.ts
+++ b/packages/nutmegproxy-requests/src/__tests__/unit/RequestsBench.ts
@@ -156,6 +156,7 @@
   readonly #view: CatalogueView;
 
   constructor(options: BenchOptions) {
+    const {loans} = options;
     this.#minions = options.minions;
     this.#view = this.#createView(options);
     this.share = options.shares ?? 4;
@@ -169,8 +170,8 @@
     this.requests = registerRequests(node, {
       catalogue: {current: () => this.#view},
       directory: this.#createDirectory(),
-      ...(options.loans === undefined ? {} : {loans: options.loans}),
       membership: this.#createMembership(),
+      ...(loans === undefined ? {} : {registerLoans: () => ({loans, unregister: () => undefined})}),
       seed: 1,
       settings: createSettings(options),
       store: options.store ?? ({} as PlatformStore),
--- a/packages/nutmegproxy-requests/src/registerRequests.ts
+++ b/packages/nutmegproxy-requests/src/registerRequests.ts
@@ -39,12 +39,19 @@
 import {SlotLedger} from './SlotLedger.ts';
 import {TenureGuard} from './TenureGuard.ts';
 
+/** Loans that run until `unregister` is called. */
+export interface LoansRegistration {
+  readonly loans: SlotLoans;
+  readonly unregister: Unregister;
+}
+
 /** What the requests feature needs from the others. */
 export interface RequestsServices {
   readonly catalogue: CatalogueSource;
   readonly directory: VmDirectory;
-  readonly loans?: SlotLoans;
   readonly membership: Membership;
+  /** Begins loans with peers, which take slots from `lender`; without it nothing is borrowed. */
+  readonly registerLoans?: (lender: SlotLender) => LoansRegistration;
   /** Seed of the random choices; a fixed one makes runs repeatable. */
   readonly seed: number;
   readonly settings: Settings;
@@ -74,9 +81,32 @@
   return {host, port: Number(address.slice(colon + 1))};
 }
 
+/** `lookForWork` is called when slots have come back. */
+function createLender(
+  ledger: SlotLedger,
+  pool: ConnectionPool,
+  lookForWork: () => void,
+): SlotLender {
+  return {
+    end: (minion, count) => {
+      ledger.endBorrowed(minion, count);
+      void pool.trim(minion, ledger.idle(minion));
+    },
+    restore: (minion, count) => {
+      ledger.restoreLent(minion, count);
+      lookForWork();
+    },
+    take: (minion, count) => {
+      const lent = ledger.lend(minion, count);
+      void pool.trim(minion, ledger.idle(minion));
+      return lent;
+    },
+  };
+}
+
 /** The parts of the feature, wired to each other. */
 function createParts(node: EntryNode, services: RequestsServices) {
-  const {catalogue, directory, loans, membership, seed, settings, store} = services;
+  const {catalogue, directory, membership, seed, settings, store} = services;
   const {identity} = node;
   const random = createRandom(seed);
   const ledger = new SlotLedger();
@@ -86,6 +116,11 @@
   const choice = policies.minionChoice ?? DEFAULT_MINION_CHOICE;
   const queue = policies.requestQueue ?? DEFAULT_REQUEST_QUEUE;
   const guard = new TenureGuard(membership);
+  const lender = createLender(ledger, pool, () => {
+    dispatcher.refresh(node.clock.monotonic());
+  });
+  const registration = services.registerLoans?.(lender);
+  const loans = registration?.loans;
   const dispatcher = new RequestDispatcher({
     createChoice: () => MINION_CHOICES[choice](random),
     createQueue: REQUEST_QUEUES[queue],
@@ -110,32 +145,27 @@
     membership.holdsTenure(node.clock.monotonic()) && catalogue.current().revision > 0;
   const listener = new CallerListener(node, isReady, random);
   const releases = new ShareReleases(ledger);
-  return {dispatcher, guard, keys, ledger, listener, pool, releases, routes};
-}
-
-type Parts = ReturnType<typeof createParts>;
-
-function createLender({dispatcher, ledger, pool}: Parts, node: EntryNode): SlotLender {
+  const unregisterLoans: Unregister = () => registration?.unregister();
   return {
-    end: (minion, count) => {
-      ledger.endBorrowed(minion, count);
-      void pool.trim(minion, ledger.idle(minion));
-    },
-    restore: (minion, count) => {
-      ledger.restoreLent(minion, count);
-      dispatcher.refresh(node.clock.monotonic());
-    },
-    take: (minion, count) => {
-      const lent = ledger.lend(minion, count);
-      void pool.trim(minion, ledger.idle(minion));
-      return lent;
-    },
+    dispatcher,
+    guard,
+    keys,
+    ledger,
+    lender,
+    listener,
+    loans,
+    pool,
+    releases,
+    routes,
+    unregisterLoans,
   };
 }
 
+type Parts = ReturnType<typeof createParts>;
+
 /** Gives back idle borrowed slots, closes connections beyond the shares, and looks for work. */
-function tick(parts: Parts, node: EntryNode, loans?: SlotLoans): void {
-  const {dispatcher, guard, ledger, pool, releases} = parts;
+function tick(parts: Parts, node: EntryNode): void {
+  const {dispatcher, guard, ledger, loans, pool, releases} = parts;
   const now = node.clock.monotonic();
   loans?.expire(now);
   guard.check(now);
@@ -160,7 +190,7 @@
  * await requests.listen();
  */
 export function registerRequests(node: EntryNode, services: RequestsServices): Requests {
-  const {catalogue, loans, settings} = services;
+  const {catalogue, settings} = services;
   const parts = createParts(node, services);
   const {dispatcher, listener, pool, routes} = parts;
   const metrics = new RequestsMetrics(node.metrics);
@@ -184,7 +214,7 @@
     await listener.stop(settings.timings?.stopDelayMs ?? DEFAULT_STOP_DELAY_MS);
     await parts.keys.settle();
     await pool.close();
-    tick(parts, node, loans);
+    tick(parts, node);
   };
   const startDrain = ({wait}: DrainStart): boolean => {
     wait(stop());
@@ -192,10 +222,10 @@
   };
   const ticker = setInterval(() => {
     metrics.waiting.set(listener.inProgress);
-    tick(parts, node, loans);
+    tick(parts, node);
   }, TICK_MS);
   return {
-    lender: createLender(parts, node),
+    lender: parts.lender,
     listen: () => {
       const {host, port} = parseAddress(settings.listen.callers);
       return listener
@@ -217,6 +247,7 @@
       () => {
         clearInterval(ticker);
       },
+      parts.unregisterLoans,
       listener.registerRoute(ENTRIES_PREFIX, (exchange) => entries.handle(exchange)),
       node.bus.register(CATALOGUE_CHANGED, look, PRIORITY_NORMAL),
       node.bus.register(ALLOTMENT_CHANGED, lookAtShares, PRIORITY_NORMAL),
