Count idempotency keys of jobs per entry

Cause: two teams that chose the same key would have been given one job: the second submission was answered with the other team's.

Change: the key's hash takes in the entry.

--- a/packages/nutmegproxy-tasks/src/JobIds.ts
+++ b/packages/nutmegproxy-tasks/src/JobIds.ts
@@ -16,20 +16,20 @@
 }
 
 /**
- * Hash of an idempotency key; equal keys give equal hashes.
+ * Hash of an idempotency key. Keys count per entry: two teams may choose the same key.
  *
  * @example
- * const hash = hashKey(request.headers['idempotency-key']);
+ * const hash = hashKey(entry.id, key);
  */
-export function hashKey(key: string): string {
-  return createHash('sha256').update(key).digest('hex').slice(0, HASH_LENGTH);
+export function hashKey(entry: string, key: string): string {
+  return createHash('sha256').update(`${entry}\n${key}`).digest('hex').slice(0, HASH_LENGTH);
 }
 
 /**
  * Makes a job's id from its parts.
  *
  * @example
- * const job = formatJobId({cell, dataCentre, hash: hashKey(key)});
+ * const job = formatJobId({cell, dataCentre, hash: hashKey(entry.id, key)});
  */
 export function formatJobId(locator: JobLocator): JobId {
   const parts = [locator.hash, locator.dataCentre, locator.cell];
--- a/packages/nutmegproxy-tasks/src/JobRouter.ts
+++ b/packages/nutmegproxy-tasks/src/JobRouter.ts
@@ -114,7 +114,7 @@
       return {kind: 'impossible', reason: impossible};
     }
     const {count = 1, input} = submission;
-    const message = defined({count, entry: entry.id, input, key: hashKey(key)});
+    const message = defined({count, entry: entry.id, input, key: hashKey(entry.id, key)});
     let answer: TaskSubmitAnswer = {kind: 'not-accepted', reason: 'no cell has an owner in reach'};
     for (const offer of this.#offers(entry).slice(0, MAX_CELLS_TRIED)) {
       answer = await this.#submitTo(offer, {...message, cell: offer.cell});
--- a/packages/nutmegproxy-tasks/src/__tests__/unit/Tasks.test.ts
+++ b/packages/nutmegproxy-tasks/src/__tests__/unit/Tasks.test.ts
@@ -45,6 +45,12 @@
       assert.equal((JSON.parse(answer.body) as {job: string}).job, job);
     });
 
+    it('counts keys per entry', async () => {
+      const digest = await bench.submit(first, 1, 'one');
+      const urgent = await bench.submit(first, 1, 'one', URGENT.id);
+      assert.notEqual(digest, urgent);
+    });
+
     it('gives one job for the same key twice at the same time', async () => {
       await bench.submit(first);
       const answers = await Promise.all(
