Bound what callers and workers can put into a delta

Cause: an input of 262,144 characters can be 786 kB in UTF-8, over the limit of a delta, and the invariant that guards it would have stopped the process at a caller's wish; a worker's error text and checkpoint had no bound at all.

Change: such an input is refused as not run by the cell's owner; texts are cut, long checkpoints are not kept, and verdicts go in deltas of twelve.

--- a/packages/nutmegproxy-tasks/src/JobService.ts
+++ b/packages/nutmegproxy-tasks/src/JobService.ts
@@ -20,6 +20,7 @@
 import {jobKey} from './TaskKeys.ts';
 import {taskIdOf, visibleState} from './TaskModel.ts';
 import {
+  MAX_INPUT_BYTES,
   MAX_JOBS_PER_CELL,
   MAX_TASKS_IN_STATUS,
   MAX_TASKS_PER_CELL,
@@ -76,6 +77,10 @@
     if (!cell?.mayAct(this.#node.clock.monotonic())) {
       return {kind: 'not-owner'};
     }
+    const inputBytes = Buffer.byteLength(JSON.stringify(submit.input ?? ''));
+    if (inputBytes > MAX_INPUT_BYTES) {
+      return {kind: 'impossible', reason: 'the input is too large'};
+    }
     const {table} = cell;
     const tasks = table.taskCount + submit.count;
     if (table.jobs.size >= MAX_JOBS_PER_CELL || tasks > MAX_TASKS_PER_CELL) {
--- a/packages/nutmegproxy-tasks/src/TasksConstants.ts
+++ b/packages/nutmegproxy-tasks/src/TasksConstants.ts
@@ -6,6 +6,12 @@
 /** Items of one store transaction; nested conditions and operations stay under the store's 128. */
 export const MAX_ITEMS_PER_COMMIT = 64;
 export const MAX_COMMIT_BYTES = 900_000;
+/** Largest input of a job, as JSON in UTF-8. */
+export const MAX_INPUT_BYTES = 300_000;
+/** A longer checkpoint is not kept: its task starts from the beginning. */
+export const MAX_CHECKPOINT_LENGTH = 4096;
+export const MAX_REASON_LENGTH = 500;
+export const MAX_VERDICTS_PER_DELTA = 12;
 export const MAX_DELTA_BYTES = 400_000;
 export const SNAPSHOT_CHUNK_BYTES = 400_000;
 /** Items that may wait for a commit; submissions beyond are refused. */
--- a/packages/nutmegproxy-tasks/src/WorkerLink.ts
+++ b/packages/nutmegproxy-tasks/src/WorkerLink.ts
@@ -18,6 +18,7 @@
 
 import {wait} from './AsyncUtils.ts';
 import {isLive} from './TaskModel.ts';
+import {MAX_VERDICTS_PER_DELTA} from './TasksConstants.ts';
 import {TASKS_EVENTS} from './TasksEvents.ts';
 import {judgeRefusal, judgeReport, judgeSilence} from './WorkerReports.ts';
 
@@ -182,11 +183,17 @@
     return [...this.#throttles, ...lifted.map((attempt) => ({attempt, share: 1}))];
   }
 
-  /** Commits verdicts, then ends the reservations that they end. */
+  /** Commits verdicts in deltas of bounded size. */
   async #conclude(verdicts: readonly AttemptVerdict[]): Promise<void> {
-    if (verdicts.length === 0) {
-      return;
+    const groups: Promise<void>[] = [];
+    for (let start = 0; start < verdicts.length; start += MAX_VERDICTS_PER_DELTA) {
+      groups.push(this.#concludeGroup(verdicts.slice(start, start + MAX_VERDICTS_PER_DELTA)));
     }
+    await Promise.all(groups);
+  }
+
+  /** Commits verdicts, then ends the reservations that they end. */
+  async #concludeGroup(verdicts: readonly AttemptVerdict[]): Promise<void> {
     verdicts.forEach(({attempt}) => this.#ending.add(attempt));
     const committed = await this.#cell.commit(verdicts.map(({change}) => change));
     verdicts.forEach(({attempt}) => this.#ending.delete(attempt));
--- a/packages/nutmegproxy-tasks/src/WorkerReports.ts
+++ b/packages/nutmegproxy-tasks/src/WorkerReports.ts
@@ -12,6 +12,8 @@
   CLOCK_RATE_MARGIN,
   CLOCK_SKEW_MS,
   DEFAULT_ATTEMPTS,
+  MAX_CHECKPOINT_LENGTH,
+  MAX_REASON_LENGTH,
   RETRY_BASE_MS,
   RETRY_MAX_MS,
 } from './TasksConstants.ts';
@@ -53,12 +55,13 @@
   checkpoint?: string,
 ): AttemptVerdict {
   const attempt = task.attempt ?? '';
+  const kept = (checkpoint?.length ?? 0) <= MAX_CHECKPOINT_LENGTH ? checkpoint : undefined;
   return {
     attempt,
     change: defined({
       at: wall,
       attempt,
-      checkpoint,
+      checkpoint: kept,
       failed: false,
       kind: 'attempt-returned',
       task: taskIdOf(task),
@@ -76,7 +79,7 @@
   const limit = entry?.limits.attempts ?? DEFAULT_ATTEMPTS;
   const attempt = report.attempt;
   if (task.failures + 1 >= limit && !task.job.cancelled) {
-    const reason = report.error ?? 'the attempt failed';
+    const reason = (report.error ?? 'the attempt failed').slice(0, MAX_REASON_LENGTH);
     return {
       attempt,
       change: {at: wall, kind: 'task-ended', outcome: 'failed', reason, task: taskIdOf(task)},
--- a/packages/nutmegproxy-tasks/src/__tests__/unit/Tasks.test.ts
+++ b/packages/nutmegproxy-tasks/src/__tests__/unit/Tasks.test.ts
@@ -45,6 +45,14 @@
       assert.equal((JSON.parse(answer.body) as {job: string}).job, job);
     });
 
+    it('refuses an input that no delta holds', async () => {
+      await bench.submit(first);
+      const input = 'ñ'.repeat(200_000);
+      const answer = await second.call('POST', '/tasks', {entry: 'digest', input});
+      assert.equal(answer.status, 422);
+      assert.equal(answer.headers['nutmegproxy-outcome'], 'not-run');
+    });
+
     it('counts keys per entry', async () => {
       const digest = await bench.submit(first, 1, 'one');
       const urgent = await bench.submit(first, 1, 'one', URGENT.id);
--- a/packages/nutmegproxy-tasks/src/__tests__/unit/WorkerReports.test.ts
+++ b/packages/nutmegproxy-tasks/src/__tests__/unit/WorkerReports.test.ts
@@ -85,6 +85,19 @@
     });
   });
 
+  describe('sizes', () => {
+    it('of what a worker says are bounded before they are logged', () => {
+      const long = 'x'.repeat(1_000_000);
+      const report = {attempt: ATTEMPT, checkpoint: long, error: long, task: 'j/0'};
+      const {task} = startedTable();
+      task.failures = 99;
+      for (const state of ['checkpointed', 'failed', 'lapsed', 'stopped'] as const) {
+        const verdict = judgeReport(task, {...report, state}, undefined, 4 as WallTime);
+        assert.ok(JSON.stringify(verdict).length < 10_000);
+      }
+    });
+  });
+
   describe('retries', () => {
     it('wait longer with each failure, up to a bound', () => {
       const waits = Array.from({length: 40}, (_, failures) => backoffMs(failures));
