--- a/packages/nutmegproxy-proof/src/CatalogueChecks.ts
+++ b/packages/nutmegproxy-proof/src/CatalogueChecks.ts
@@ -26,14 +26,22 @@
   return deadline;
 }
 
+/** Only a new process may show 0, as it knows no catalogue yet; nothing else may go back. */
 function checkOrder(vm: string, seen: readonly SeenRevision[]): readonly Violation[] {
-  const sorted = [...seen].sort((a, b) => a.at - b.at);
-  return sorted.flatMap((each, index) => {
-    const before = sorted[index - 1];
-    return before !== undefined && each.revision < before.revision
-      ? [report(`${vm} went back from revision ${before.revision} to ${each.revision}`)]
-      : [];
-  });
+  const violations: Violation[] = [];
+  const informed = new Set<string>();
+  let highest = 0;
+  for (const {process, revision} of [...seen].sort((a, b) => a.at - b.at)) {
+    const isBlank = revision === 0 && !informed.has(process);
+    if (revision < highest && !isBlank) {
+      violations.push(report(`${vm} went back from revision ${highest} to ${revision}`));
+    }
+    highest = Math.max(highest, revision);
+    if (revision > 0) {
+      informed.add(process);
+    }
+  }
+  return violations;
 }
 
 function checkInForce(
--- a/packages/nutmegproxy-proof/src/History.ts
+++ b/packages/nutmegproxy-proof/src/History.ts
@@ -88,6 +88,8 @@
 export interface SeenRevision {
   readonly at: number;
   readonly digest: string;
+  /** Tells the VM's processes apart; a new one shows 0 until it knows the catalogue. */
+  readonly process: string;
   readonly revision: number;
   readonly vm: string;
 }
