--- a/packages/nutmegproxy-tasks/src/CellRecovery.ts
+++ b/packages/nutmegproxy-tasks/src/CellRecovery.ts
@@ -5,13 +5,19 @@
 import type {Operation, PlatformStore, StoredValue, StoreFailure} from '@nutmegproxy/store';
 import type {Result} from 'neverthrow';
 
-import {validateCellSnapshot, validateSnapshotHeader, validateTaskDelta} from '@nutmegproxy/schema';
+import {
+  validateCellOwnerRecord,
+  validateCellSnapshot,
+  validateSnapshotHeader,
+  validateTaskDelta,
+} from '@nutmegproxy/schema';
 import {err, ok} from 'neverthrow';
 
 import type {LogPosition} from './CellLog.ts';
 import type {CellKeys} from './TaskKeys.ts';
 
 import {parseJson, parseStored} from './StoredUtils.ts';
+import {SNAPSHOT_CHUNK_BYTES} from './TasksConstants.ts';
 import {TaskTable} from './TaskTable.ts';
 
 /** Owner of a cell as its key in the store says. */
@@ -23,6 +29,12 @@
 /** Reads the value of an owner key; undefined when it can't be read. */
 export type OwnerParser = (value: Buffer) => StoredOwner | undefined;
 
+/** Reads the owner keys that membership writes. */
+export function parseOwnerRecord(value: Buffer): StoredOwner | undefined {
+  const record = parseJson(value.toString(), validateCellOwnerRecord);
+  return record && {epoch: record.epoch, owner: record.owner as IncarnationId};
+}
+
 /** `not-owner`: the store names another owner. `malformed`: a value can't be read. */
 export interface RecoveryFailure {
   readonly kind: 'malformed' | 'not-owner' | 'store';
@@ -161,6 +173,16 @@
     deltas += 1;
   }
   const ownerRevision = content.owner?.modRevision ?? 0;
-  const position = {bytes, deltas, epoch, generation, ownerRevision, sequence, snapshotGeneration};
+  const snapshotBytes = (content.header?.chunks ?? 0) * SNAPSHOT_CHUNK_BYTES;
+  const position = {
+    bytes,
+    deltas,
+    epoch,
+    generation,
+    ownerRevision,
+    sequence,
+    snapshotBytes,
+    snapshotGeneration,
+  };
   return ok({position, table});
 }
--- a/packages/nutmegproxy-tasks/src/RegisterTasks.ts
+++ b/packages/nutmegproxy-tasks/src/RegisterTasks.ts
@@ -4,6 +4,13 @@
 import type {PeerMesh} from '@nutmegproxy/peers';
 
 import {DRAIN_STARTED, mergeUnregister, PRIORITY_NORMAL} from '@nutmegproxy/core';
+import {
+  ALLOTMENT_CHANGED,
+  CELL_ACQUIRED,
+  CELL_LOST,
+  CELL_RELEASE_WANTED,
+  TENURE_LOST,
+} from '@nutmegproxy/membership';
 import {validateCellSummaries, validateTaskJobQuery, validateTaskSubmit} from '@nutmegproxy/schema';
 
 import type {CellServices} from './CellSupervisor.ts';
@@ -15,10 +22,17 @@
 import {JobService} from './JobService.ts';
 import {SummaryBoard} from './SummaryBoard.ts';
 import {createTaskRoute, TASKS_PREFIX} from './TaskRoutes.ts';
-import {SUMMARY_INTERVAL_MS, SUPERVISION_INTERVAL_MS} from './TasksConstants.ts';
+import {
+  COMMITS_PER_SECOND_OF_ALL_VMS,
+  MS_PER_SECOND,
+  SUMMARY_INTERVAL_MS,
+  SUPERVISION_INTERVAL_MS,
+} from './TasksConstants.ts';
 
 /** What the feature needs from the others. */
-export interface TasksServices extends CellServices {
+export interface TasksServices extends Omit<CellServices, 'commitIntervalMs'> {
+  /** Least time between two commits of this VM, whatever the number of VMs. */
+  readonly commitIntervalMs: number;
   readonly mesh: PeerMesh;
   /** Registers a handler for all paths under a prefix of the callers' listener. */
   readonly registerRoute: (prefix: string, handler: RouteHandler) => Unregister;
@@ -31,7 +45,9 @@
  * const unregister = registerTasks(node, services);
  */
 export function registerTasks(node: EntryNode, services: TasksServices): Unregister {
-  const supervisor = new CellSupervisor(node, services);
+  const commitIntervalMs = (): number =>
+    Math.max(services.commitIntervalMs, shareIntervalMs(services.mesh.peers().length + 1));
+  const supervisor = new CellSupervisor(node, {...services, commitIntervalMs});
   const board = new SummaryBoard();
   const jobs = new JobService(node, (cell) => supervisor.cell(cell), services.keyPrefix);
   const router = new JobRouter({...services, board, jobs, node});
@@ -42,12 +58,18 @@
     registerMessages(services.mesh, board, jobs),
     services.registerRoute(TASKS_PREFIX, createTaskRoute(router)),
     registerDrain(node, supervisor),
+    registerOwnership(node, supervisor),
     startSummaries(node, services.mesh, supervisor, board),
   );
   void supervisor.run();
   return unregister;
 }
 
+/** Interval at which so many VMs together keep to the store's budget for the task log. */
+function shareIntervalMs(vms: number): number {
+  return (vms * MS_PER_SECOND) / COMMITS_PER_SECOND_OF_ALL_VMS;
+}
+
 function registerDrain(node: EntryNode, supervisor: CellSupervisor): Unregister {
   return node.bus.register(
     DRAIN_STARTED,
@@ -76,6 +98,28 @@
   );
 }
 
+/** Follows changes of ownership at once; the supervisor's own look is the backstop. */
+function registerOwnership(node: EntryNode, supervisor: CellSupervisor): Unregister {
+  const look = (): boolean => {
+    supervisor.supervise(node.clock.monotonic());
+    return false;
+  };
+  return mergeUnregister(
+    node.bus.register(ALLOTMENT_CHANGED, look, PRIORITY_NORMAL),
+    node.bus.register(CELL_ACQUIRED, look, PRIORITY_NORMAL),
+    node.bus.register(CELL_LOST, look, PRIORITY_NORMAL),
+    node.bus.register(TENURE_LOST, look, PRIORITY_NORMAL),
+    node.bus.register(
+      CELL_RELEASE_WANTED,
+      (release) => {
+        supervisor.release(release);
+        return true;
+      },
+      PRIORITY_NORMAL,
+    ),
+  );
+}
+
 /** Tells the peers, and this VM's own router, how much room the owned cells have. */
 function startSummaries(
   node: EntryNode,
--- a/packages/nutmegproxy-tasks/src/__tests__/TestBench.ts
+++ b/packages/nutmegproxy-tasks/src/__tests__/TestBench.ts
@@ -4,19 +4,20 @@
 import type {CellId, EntryNode, IncarnationId, NodeIdentity, Unregister} from '@nutmegproxy/core';
 import type {Allotment, Member, Membership} from '@nutmegproxy/membership';
 import type {PeerHandler, PeerMesh} from '@nutmegproxy/peers';
-import type {Placement} from '@nutmegproxy/placement';
+import type {Placement, PlacementDecision, PlacementWish} from '@nutmegproxy/placement';
 import type {Entry, JobStatus, Team, Vm} from '@nutmegproxy/schema';
 
 import {brand, CommandBus, DRAIN_STARTED, ManualClock, SILENT_EVENTS} from '@nutmegproxy/core';
-import {PLACEMENTS} from '@nutmegproxy/placement';
+import {CELL_RELEASE_WANTED} from '@nutmegproxy/membership';
+import {LANE_ORDERS, PLACEMENTS} from '@nutmegproxy/placement';
 import {errAsync, okAsync, ResultAsync} from 'neverthrow';
 import assert from 'node:assert/strict';
 import {setTimeout as delay} from 'node:timers/promises';
 import {Registry} from 'prom-client';
 
-import type {StoredOwner} from '../CellRecovery.ts';
 import type {RouteAnswer, RouteHandler} from '../TaskRoutes.ts';
 
+import {parseOwnerRecord} from '../CellRecovery.ts';
 import {registerTasks} from '../RegisterTasks.ts';
 import {FakeWorkers} from './FakeWorkers.ts';
 import {MemoryStore} from './MemoryStore.ts';
@@ -26,7 +27,7 @@
 export const LEASE_MS = 1000;
 const OWNER_KEY = `/n/dc/${DATA_CENTRE}/cell/${CELL}/owner`;
 const WAIT_STEP_MS = 5;
-const WAIT_STEPS = 2000;
+const WAIT_STEPS = 1000;
 
 export const DIGEST: Entry = {
   checkpoint: true,
@@ -37,6 +38,7 @@
   owner: 'oportuna',
 };
 export const HUGE: Entry = {...DIGEST, id: 'huge', limits: {cpu: 100, memoryMb: 100}};
+export const URGENT: Entry = {...DIGEST, class: 'latency-critical', id: 'urgent'};
 export const IDLE_TEAM: Entry = {...DIGEST, id: 'idle-team', owner: 'idle'};
 
 /** One entry VM with the tasks feature. */
@@ -74,7 +76,10 @@
   drained = new Set<string>();
   epoch = 0;
   owner: IncarnationId = brand<IncarnationId>('none');
-  placementOf: () => Placement = () => PLACEMENTS['first-fit']();
+  /** Steps in before the policy decides. */
+  readonly policy: {
+    decide: (wish: PlacementWish, decide: () => PlacementDecision) => PlacementDecision;
+  } = {decide: (_wish, decide) => decide()};
   readonly store = new MemoryStore();
   readonly vms: TestVm[] = [];
   readonly workers = new FakeWorkers(this.clock);
@@ -99,16 +104,17 @@
     const unregister = registerTasks(node, {
       catalogue: {current: () => this.#view()},
       commitIntervalMs: 1,
-      createPlacement: () => this.placementOf(),
+      createPlacement: () => this.#createPlacement(),
       directory: {
         markLeaving: () => undefined,
         vm: (id) => this.#vms().find((vm) => vm.id === id),
         vms: () => this.#vms(),
       },
       keyPrefix: '/n',
+      laneOrder: LANE_ORDERS.fair,
       membership: this.#membership(state),
       mesh: this.#mesh(identity),
-      parseOwner: (value) => JSON.parse(value.toString()) as StoredOwner,
+      parseOwner: parseOwnerRecord,
       registerRoute: (_prefix, handler) => {
         routes.push(handler);
         return () => undefined;
@@ -145,6 +151,13 @@
     });
   }
 
+  /** Asks `vm` to hand the cell over, as membership does. */
+  async release(vm: TestVm): Promise<void> {
+    await new Promise<void>((released) => {
+      vm.node.bus.dispatch(CELL_RELEASE_WANTED, {cell: CELL, epoch: this.epoch, released});
+    });
+  }
+
   async drain(vm: TestVm): Promise<void> {
     const waits: Promise<void>[] = [];
     vm.node.bus.dispatch(DRAIN_STARTED, {wait: (work) => waits.push(work)});
@@ -165,10 +178,10 @@
   }
 
   /** Submits through `vm`, waiting for the cell to be ready. */
-  async submit(vm: TestVm, count = 1, key?: string): Promise<string> {
+  async submit(vm: TestVm, count = 1, key?: string, entry = DIGEST.id): Promise<string> {
     let job = '';
     await until(async () => {
-      const answer = await vm.call('POST', '/tasks', {count, entry: DIGEST.id}, key);
+      const answer = await vm.call('POST', '/tasks', {count, entry}, key);
       job = answer.status < 300 ? (JSON.parse(answer.body) as {job: string}).job : '';
       return job !== '';
     }, 'the submission is accepted');
@@ -194,6 +207,13 @@
     );
   }
 
+  #createPlacement(): Placement {
+    const placement = PLACEMENTS['first-fit']();
+    const decide = placement.decide.bind(placement);
+    placement.decide = (wish, now) => this.policy.decide(wish, () => decide(wish, now));
+    return placement;
+  }
+
   #membership(state: {tenure: boolean}): Membership {
     return {
       allotment: () => this.#allotment(),
@@ -248,7 +268,9 @@
   }
 
   #view(): CatalogueView {
-    const entries = [DIGEST, HUGE, IDLE_TEAM].map((entry) => [brand(entry.id), entry] as const);
+    const entries = [DIGEST, HUGE, IDLE_TEAM, URGENT].map(
+      (entry) => [brand(entry.id), entry] as const,
+    );
     const teams: Team[] = [{id: 'oportuna'}, {id: 'idle', quota: {cpu: 0}}];
     return {
       entries: new Map(entries as never),
