--- a/packages/nutmegproxy-admin/src/AdminConstants.ts
+++ b/packages/nutmegproxy-admin/src/AdminConstants.ts
@@ -8,7 +8,7 @@
 export const MAX_TIMELINE_EVENTS = 5_000;
 export const DEFAULT_CONFIRM_WAIT_MS = 9_000;
 export const MAX_CONFIRM_WAIT_MS = 30_000;
-export const MAX_LISTED_TASKS = 10_000;
+export const MAX_LISTED_JOBS = 1_000;
 /** Events that one peer adds to a time line over all processes. */
 export const MAX_PEER_TIMELINE_EVENTS = 2_000;
 export const PEER_TIMEOUT_MS = 3_000;
--- a/packages/nutmegproxy-admin/src/index.ts
+++ b/packages/nutmegproxy-admin/src/index.ts
@@ -7,5 +7,7 @@
 export {registerCatalogueRoutes} from './CatalogueRoutes.ts';
 export {registerStatusRoute} from './StatusRoute.ts';
 export type {StatusSection} from './StatusRoute.ts';
+export {registerTasksRoute} from './TasksRoute.ts';
+export type {JobLister} from './TasksRoute.ts';
 export {registerTimelineRoutes} from './TimelineRoutes.ts';
 export type {ProcessTimeline, TimelineServices} from './TimelineRoutes.ts';
--- a/packages/nutmegproxy-cli/src/EntryProcess.ts
+++ b/packages/nutmegproxy-cli/src/EntryProcess.ts
@@ -5,7 +5,8 @@
 import type {ResolvedSettings, Secret} from '@nutmegproxy/settings';
 import type {Result} from 'neverthrow';
 
-import {DRAIN_STARTED} from '@nutmegproxy/core';
+import {DRAIN_STARTED, PRIORITY_LOW} from '@nutmegproxy/core';
+import {MEMBER_REMOVED} from '@nutmegproxy/membership';
 import {err, ok} from 'neverthrow';
 import {setTimeout as delay} from 'node:timers/promises';
 
@@ -33,15 +34,21 @@
   readonly message: string;
 }
 
+/**
+ * Why a process has ended. `removed`: peers took it out of the record, as after a long pause; only a
+ * new incarnation can join again.
+ */
+export type EntryEnd = 'removed' | 'stopped';
+
 /** A serving process. */
 export class EntryProcess {
   readonly log: EventLog;
   readonly ports: ServingPorts;
-  /** Settles when a planned stop is complete, whoever began it. */
-  readonly stopped: Promise<void>;
+  /** Settles when the end is complete, whoever began it. */
+  readonly ended: Promise<EntryEnd>;
   readonly #features: Features;
   readonly #node: EntryNode;
-  #resolveStopped: () => void = () => undefined;
+  #resolveEnded: (end: EntryEnd) => void = () => undefined;
   #stopping = false;
 
   constructor(node: EntryNode, log: EventLog, features: Features) {
@@ -49,25 +56,30 @@
     this.ports = features.ports;
     this.#features = features;
     this.#node = node;
-    this.stopped = new Promise((resolve) => {
-      this.#resolveStopped = resolve;
+    this.ended = new Promise((resolve) => {
+      this.#resolveEnded = resolve;
     });
+    const onRemoved = (): boolean => {
+      void this.stop('removed');
+      return false;
+    };
+    node.bus.register(MEMBER_REMOVED, onRemoved, PRIORITY_LOW);
   }
 
   /** Begins the planned stop; a second call only waits for the same end. */
-  async stop(): Promise<void> {
+  async stop(end: EntryEnd = 'stopped'): Promise<void> {
     if (!this.#stopping) {
       this.#stopping = true;
-      await this.#drain();
+      await this.#drain(end);
       await this.#features.close();
-      this.log.record(CLI_EVENTS.STOPPED, {});
-      this.#resolveStopped();
+      this.log.record(CLI_EVENTS.STOPPED, {end});
+      this.#resolveEnded(end);
     }
-    await this.stopped;
+    await this.ended;
   }
 
-  async #drain(): Promise<void> {
-    this.log.record(CLI_EVENTS.STOPPING, {});
+  async #drain(end: EntryEnd): Promise<void> {
+    this.log.record(CLI_EVENTS.STOPPING, {end});
     const works: Promise<void>[] = [];
     this.#node.bus.dispatch(DRAIN_STARTED, {
       wait: (work) => {
--- a/packages/nutmegproxy-cli/src/Features.ts
+++ b/packages/nutmegproxy-cli/src/Features.ts
@@ -10,6 +10,7 @@
   AdminApi,
   registerCatalogueRoutes,
   registerStatusRoute,
+  registerTasksRoute,
   registerTimelineRoutes,
 } from '@nutmegproxy/admin';
 import {registerCatalogue} from '@nutmegproxy/catalogue';
@@ -47,11 +48,12 @@
   {log, node}: FeatureContext,
   {directory, mesh}: PlatformConnections,
   catalogue: CatalogueFeature,
-  {membership}: WorkFeatures,
+  {membership, tasks}: WorkFeatures,
 ): Unregister {
   return mergeUnregister(
     registerCatalogueRoutes(api, catalogue),
     registerTimelineRoutes(api, node, {log, mesh}),
+    registerTasksRoute(api, tasks.listJobs),
     registerStatusRoute(api, node, {
       catalogue: () => describeCatalogue(catalogue.source),
       membership: () => describeMembership(membership, node),
--- a/packages/nutmegproxy-cli/src/Serve.ts
+++ b/packages/nutmegproxy-cli/src/Serve.ts
@@ -55,20 +55,50 @@
   });
 }
 
-/** Ends the process when an invariant is broken; nothing else may catch one. */
-function watchInvariants(entry: EntryProcess): void {
-  const end = (error: unknown): void => {
-    const message = error instanceof Error ? error.message : String(error);
-    const stack = error instanceof Error ? error.stack : undefined;
-    entry.log.record(CLI_EVENTS.INVARIANT_BROKEN, {
-      kind: error instanceof BrokenInvariant ? 'invariant' : 'defect',
-      message,
-      stack,
-    });
-    process.exit(EXIT_BROKEN_INVARIANT);
-  };
-  process.on('uncaughtException', end);
-  process.on('unhandledRejection', end);
+/** The process that serves now, and whether an operator wants it to end. */
+class Service {
+  #current: EntryProcess | undefined;
+  #stopWanted = false;
+
+  /** Serves until a planned stop; a process that was removed begins again as a new incarnation. */
+  async run({secrets, settings}: Configuration, printer: Printer): Promise<number> {
+    for (;;) {
+      const started = await startEntryProcess(settings, secrets);
+      if (started.isErr()) {
+        printer.printError(started.error.message);
+        return EXIT_FAILED;
+      }
+      this.#current = started.value;
+      const {callers, operators, peers} = this.#current.ports;
+      printer.printLine(`ready callers=${callers} operators=${operators} peers=${peers}`);
+      if (this.#stopWanted) {
+        this.stop();
+      }
+      const end = await this.#current.ended;
+      if (end === 'stopped' || this.#stopWanted) {
+        return EXIT_OK;
+      }
+    }
+  }
+
+  stop(): void {
+    this.#stopWanted = true;
+    void this.#current?.stop();
+  }
+
+  /** Ends the process when an invariant is broken; nothing else may catch one. */
+  watchInvariants(printError: Printer['printError']): void {
+    const end = (error: unknown): void => {
+      const message = error instanceof Error ? error.message : String(error);
+      const stack = error instanceof Error ? error.stack : undefined;
+      const kind = error instanceof BrokenInvariant ? 'invariant' : 'defect';
+      printError(`${kind}: ${message}`);
+      this.#current?.log.record(CLI_EVENTS.INVARIANT_BROKEN, {kind, message, stack});
+      process.exit(EXIT_BROKEN_INVARIANT);
+    };
+    process.on('uncaughtException', end);
+    process.on('unhandledRejection', end);
+  }
 }
 
 /**
@@ -78,32 +108,23 @@
 export async function serve(
   path: string | undefined,
   environment: NodeJS.ProcessEnv,
-  {printError, printLine}: Printer,
+  printer: Printer,
 ): Promise<number> {
   if (path === undefined) {
-    printError('usage: serve --settings FILE');
+    printer.printError('usage: serve --settings FILE');
     return EXIT_USAGE;
   }
   const configuration = readConfiguration(path, environment);
   if (configuration.isErr()) {
-    printError(configuration.error);
+    printer.printError(configuration.error);
     return EXIT_USAGE;
   }
-  const {secrets, settings} = configuration.value;
-  const started = await startEntryProcess(settings, secrets);
-  if (started.isErr()) {
-    printError(started.error.message);
-    return EXIT_FAILED;
-  }
-  const entry = started.value;
-  watchInvariants(entry);
+  const service = new Service();
+  service.watchInvariants(printer.printError);
   for (const signal of STOP_SIGNALS) {
     process.on(signal, () => {
-      void entry.stop();
+      service.stop();
     });
   }
-  const {callers, operators, peers} = entry.ports;
-  printLine(`ready callers=${callers} operators=${operators} peers=${peers}`);
-  await entry.stopped;
-  return EXIT_OK;
+  return service.run(configuration.value, printer);
 }
--- a/packages/nutmegproxy-cli/src/StatusCommands.ts
+++ b/packages/nutmegproxy-cli/src/StatusCommands.ts
@@ -1,5 +1,7 @@
 /** `status` and `tasks`. */
 
+import type {JobStatus} from '@nutmegproxy/schema';
+
 import type {Command} from './CommandContext.ts';
 
 import {callAndPrint} from './CommandContext.ts';
@@ -18,8 +20,9 @@
 
 export const runTasks: Command = (context) =>
   callAndPrint(context, {method: 'GET', path: '/v1/tasks'}, (answer) => {
-    const {tasks} = answer as {tasks: readonly unknown[]};
-    for (const task of tasks) {
-      context.printLine(formatValue(task));
+    const {jobs} = answer as {jobs: readonly JobStatus[]};
+    for (const {cancelled, counts, entry, job} of jobs) {
+      const state = cancelled ? 'cancelled' : 'open';
+      context.printLine(`${job} ${entry} ${state} ${JSON.stringify(counts)}`);
     }
   });
--- a/packages/nutmegproxy-cli/src/WorkFeatures.ts
+++ b/packages/nutmegproxy-cli/src/WorkFeatures.ts
@@ -3,12 +3,13 @@
 import type {CatalogueSource} from '@nutmegproxy/catalogue';
 import type {Unregister} from '@nutmegproxy/core';
 import type {Membership} from '@nutmegproxy/membership';
-import type {PlacementName} from '@nutmegproxy/placement';
+import type {LaneOrderName, PlacementName} from '@nutmegproxy/placement';
 import type {Requests} from '@nutmegproxy/requests';
+import type {Tasks} from '@nutmegproxy/tasks';
 
 import {mergeUnregister} from '@nutmegproxy/core';
 import {registerMembership} from '@nutmegproxy/membership';
-import {PLACEMENTS} from '@nutmegproxy/placement';
+import {LANE_ORDERS, PLACEMENTS} from '@nutmegproxy/placement';
 import {registerRequests} from '@nutmegproxy/requests';
 import {registerTasks} from '@nutmegproxy/tasks';
 import {randomInt} from 'node:crypto';
@@ -20,18 +21,23 @@
 import {adaptTaskRoute} from './TaskRouteAdapter.ts';
 
 const MAX_SEED = 2 ** 31;
+const DEFAULT_LANE_ORDER: LaneOrderName = 'fair';
 const DEFAULT_PLACEMENT: PlacementName = 'learned';
 
 export interface WorkFeatures {
   readonly membership: Membership;
   readonly requests: Requests;
+  readonly tasks: Tasks;
   readonly unregister: Unregister;
 }
 
-function pickPlacement(wished: string | undefined): PlacementName {
-  return wished !== undefined && Object.hasOwn(PLACEMENTS, wished)
-    ? (wished as PlacementName)
-    : DEFAULT_PLACEMENT;
+/** The wished entry of a table of policies; the default when there is no such entry. */
+function pickPolicy<Name extends string>(
+  table: Readonly<Record<Name, unknown>>,
+  wished: string | undefined,
+  fallback: Name,
+): Name {
+  return wished !== undefined && Object.hasOwn(table, wished) ? (wished as Name) : fallback;
 }
 
 /** Registers membership, requests and tasks; callers are served once `listen` is called. */
@@ -60,13 +66,15 @@
     settings,
     store,
   });
-  const placement = PLACEMENTS[pickPlacement(settings.policies.placement)];
-  const unregisterTasks = registerTasks(node, {
+  const placementName = pickPolicy(PLACEMENTS, settings.policies.placement, DEFAULT_PLACEMENT);
+  const orderName = pickPolicy(LANE_ORDERS, settings.policies.laneOrder, DEFAULT_LANE_ORDER);
+  const tasks = registerTasks(node, {
     catalogue,
     commitIntervalMs,
-    createPlacement: () => placement(),
+    createPlacement: () => PLACEMENTS[placementName](),
     directory,
     keyPrefix,
+    laneOrder: LANE_ORDERS[orderName],
     membership,
     mesh,
     parseOwner: parseCellOwner,
@@ -79,6 +87,7 @@
   return {
     membership,
     requests,
-    unregister: mergeUnregister(unregisterMembership, requests.unregister, unregisterTasks),
+    tasks,
+    unregister: mergeUnregister(unregisterMembership, requests.unregister, tasks.unregister),
   };
 }
--- a/packages/nutmegproxy-cli/src/index.ts
+++ b/packages/nutmegproxy-cli/src/index.ts
@@ -1,6 +1,6 @@
 /** Public surface of the command: what tests and the demo start in their own process. */
 
 export {EntryProcess, startEntryProcess} from './EntryProcess.ts';
-export type {EntrySecrets, ServingPorts, StartFailure} from './EntryProcess.ts';
+export type {EntryEnd, EntrySecrets, ServingPorts, StartFailure} from './EntryProcess.ts';
 export {formatEntry, mergeTimelines, toTraceEvents} from './Timeline.ts';
 export type {TimelineEntry, TraceEvent} from './Timeline.ts';
--- a/packages/nutmegproxy-demo/src/main.ts
+++ b/packages/nutmegproxy-demo/src/main.ts
@@ -58,6 +58,7 @@
   await sendTwice(scene);
   await runDigests(scene);
   await drainWorker(scene, 'worker-dc-a-1');
+  await operate(['tasks'], scene.environment);
   await stopEntry(scene);
   await operate(['status'], scene.environment);
 }
--- a/packages/nutmegproxy-tasks/src/CellSupervisor.ts
+++ b/packages/nutmegproxy-tasks/src/CellSupervisor.ts
@@ -113,6 +113,11 @@
     }
   }
 
+  /** The recovered cells that this VM owns. */
+  cells(): readonly Cell[] {
+    return [...this.#slots.keys()].flatMap((id) => this.cell(id) ?? []);
+  }
+
   /** Rooms of the owned cells. */
   summaries(): CellSummary[] {
     return [...this.#slots.values()].flatMap(({runner}) => {
--- a/packages/nutmegproxy-tasks/src/RegisterTasks.ts
+++ b/packages/nutmegproxy-tasks/src/RegisterTasks.ts
@@ -2,6 +2,7 @@
 
 import type {EntryNode, Unregister} from '@nutmegproxy/core';
 import type {PeerMesh} from '@nutmegproxy/peers';
+import type {JobStatus} from '@nutmegproxy/schema';
 
 import {DRAIN_STARTED, mergeUnregister, PRIORITY_NORMAL} from '@nutmegproxy/core';
 import {
@@ -19,7 +20,7 @@
 import {wait} from './AsyncUtils.ts';
 import {CellSupervisor} from './CellSupervisor.ts';
 import {JobRouter, QUERY_MESSAGE, SUBMIT_MESSAGE, SUMMARIES_MESSAGE} from './JobRouter.ts';
-import {JobService} from './JobService.ts';
+import {JobService, statusOf} from './JobService.ts';
 import {SummaryBoard} from './SummaryBoard.ts';
 import {createTaskRoute, TASKS_PREFIX} from './TaskRoutes.ts';
 import {
@@ -38,13 +39,20 @@
   readonly registerRoute: (prefix: string, handler: RouteHandler) => Unregister;
 }
 
+/** The running feature. */
+export interface Tasks {
+  /** At most `limit` jobs of the cells that this VM owns, without their single tasks. */
+  readonly listJobs: (limit: number) => readonly JobStatus[];
+  readonly unregister: Unregister;
+}
+
 /**
  * Runs the cells that this VM owns, and serves /tasks to callers.
  *
  * @example
- * const unregister = registerTasks(node, services);
+ * const {unregister} = registerTasks(node, services);
  */
-export function registerTasks(node: EntryNode, services: TasksServices): Unregister {
+export function registerTasks(node: EntryNode, services: TasksServices): Tasks {
   const commitIntervalMs = (): number =>
     Math.max(services.commitIntervalMs, shareIntervalMs(services.mesh.peers().length + 1));
   const supervisor = new CellSupervisor(node, {...services, commitIntervalMs});
@@ -62,7 +70,12 @@
     startSummaries(node, services.mesh, supervisor, board),
   );
   void supervisor.run();
-  return unregister;
+  return {listJobs: (limit) => listJobs(supervisor, limit), unregister};
+}
+
+function listJobs(supervisor: CellSupervisor, limit: number): readonly JobStatus[] {
+  const jobs = supervisor.cells().flatMap(({table}) => [...table.jobs.values()]);
+  return jobs.slice(0, limit).map((job) => ({...statusOf(job), tasks: []}));
 }
 
 /** Interval at which so many VMs together keep to the store's budget for the task log. */
--- a/packages/nutmegproxy-tasks/src/__tests__/TestBench.ts
+++ b/packages/nutmegproxy-tasks/src/__tests__/TestBench.ts
@@ -101,7 +101,7 @@
     };
     const routes: RouteHandler[] = [];
     const state = {tenure: true};
-    const unregister = registerTasks(node, {
+    const {unregister} = registerTasks(node, {
       catalogue: {current: () => this.#view()},
       commitIntervalMs: 1,
       createPlacement: () => this.#createPlacement(),
--- a/packages/nutmegproxy-tasks/src/index.ts
+++ b/packages/nutmegproxy-tasks/src/index.ts
@@ -8,6 +8,6 @@
 export type {CellServices} from './CellSupervisor.ts';
 export {isWorkerOf} from './CellUtils.ts';
 export {registerTasks} from './RegisterTasks.ts';
-export type {TasksServices} from './RegisterTasks.ts';
+export type {Tasks, TasksServices} from './RegisterTasks.ts';
 export type {RouteAnswer, RouteHandler, RouteRequest} from './TaskRoutes.ts';
 export type {WorkerTimings} from './WorkerLink.ts';
