--- a/packages/nutmegproxy-cli/src/WorkFeatures.ts
+++ b/packages/nutmegproxy-cli/src/WorkFeatures.ts
@@ -3,7 +3,6 @@
 import type {CatalogueSource} from '@nutmegproxy/catalogue';
 import type {Unregister} from '@nutmegproxy/core';
 import type {Membership} from '@nutmegproxy/membership';
-import type {LaneOrderName, PlacementName} from '@nutmegproxy/placement';
 import type {Requests} from '@nutmegproxy/requests';
 import type {Tasks} from '@nutmegproxy/tasks';
 
@@ -21,8 +20,6 @@
 import {adaptTaskRoute} from './TaskRouteAdapter.ts';
 
 const MAX_SEED = 2 ** 31;
-const DEFAULT_LANE_ORDER: LaneOrderName = 'fair';
-const DEFAULT_PLACEMENT: PlacementName = 'learned';
 
 export interface WorkFeatures {
   readonly membership: Membership;
@@ -31,15 +28,6 @@
   readonly unregister: Unregister;
 }
 
-/** The wished entry of a table of policies; the default when there is no such entry. */
-function pickPolicy<Name extends string>(
-  table: Readonly<Record<Name, unknown>>,
-  wished: string | undefined,
-  fallback: Name,
-): Name {
-  return wished !== undefined && Object.hasOwn(table, wished) ? (wished as Name) : fallback;
-}
-
 /** Registers membership, requests and tasks; callers are served once `listen` is called. */
 export function registerWork(
   context: FeatureContext,
@@ -66,15 +54,14 @@
     settings,
     store,
   });
-  const placementName = pickPolicy(PLACEMENTS, settings.policies.placement, DEFAULT_PLACEMENT);
-  const orderName = pickPolicy(LANE_ORDERS, settings.policies.laneOrder, DEFAULT_LANE_ORDER);
+  const placement = PLACEMENTS[settings.policies.placement];
   const tasks = registerTasks(node, {
     catalogue,
     commitIntervalMs,
-    createPlacement: () => PLACEMENTS[placementName](),
+    createPlacement: placement,
     directory,
     keyPrefix,
-    laneOrder: LANE_ORDERS[orderName],
+    laneOrder: LANE_ORDERS[settings.policies.laneOrder],
     membership,
     mesh,
     parseOwner: parseCellOwner,
