--- a/packages/nutmegproxy-requests/src/__tests__/unit/RequestsBench.ts
+++ b/packages/nutmegproxy-requests/src/__tests__/unit/RequestsBench.ts
@@ -66,9 +66,16 @@
     this.connections += 1;
     this.connectionsMax = Math.max(this.connectionsMax, this.connections);
     socket.on('error', () => undefined);
+    let counted = true;
+    const leave = (): void => {
+      this.connections -= counted ? 1 : 0;
+      counted = false;
+    };
+    // The minion is done with a connection once it has closed its own end.
+    socket.on('finish', leave);
     socket.on('close', () => {
       this.#sockets.delete(socket);
-      this.connections -= 1;
+      leave();
     });
     socket.on('data', (chunk) => {
       text += chunk.toString('latin1');
