--- a/packages/nutmegproxy-cli/src/WorkFeatures.ts
+++ b/packages/nutmegproxy-cli/src/WorkFeatures.ts
@@ -7,7 +7,7 @@
 import type {Tasks} from '@nutmegproxy/tasks';
 
 import {mergeUnregister} from '@nutmegproxy/core';
-import {registerMembership} from '@nutmegproxy/membership';
+import {registerMembership, registerSlotLoans} from '@nutmegproxy/membership';
 import {LANE_ORDERS, PLACEMENTS} from '@nutmegproxy/placement';
 import {registerRequests} from '@nutmegproxy/requests';
 import {registerTasks} from '@nutmegproxy/tasks';
@@ -17,6 +17,7 @@
 import type {PlatformConnections} from './PlatformConnections.ts';
 
 import {parseCellOwner} from './CellOwner.ts';
+import {LateLoans} from './LateLoans.ts';
 import {adaptTaskRoute} from './TaskRouteAdapter.ts';
 
 const MAX_SEED = 2 ** 31;
@@ -46,14 +47,25 @@
     prefix: keyPrefix,
     store,
   });
+  const lateLoans = new LateLoans();
   const requests = registerRequests(node, {
     catalogue,
     directory,
+    loans: lateLoans,
     membership,
     seed: randomInt(MAX_SEED),
     settings,
     store,
   });
+  const {loans, unregister: unregisterLoans} = registerSlotLoans(node, {
+    lender: requests.lender,
+    membership,
+    mesh,
+    onEnded: (minion, count) => {
+      requests.lender.end(minion, count);
+    },
+  });
+  lateLoans.attach(loans);
   const placement = PLACEMENTS[settings.policies.placement];
   const tasks = registerTasks(node, {
     catalogue,
@@ -75,6 +87,11 @@
     membership,
     requests,
     tasks,
-    unregister: mergeUnregister(unregisterMembership, requests.unregister, tasks.unregister),
+    unregister: mergeUnregister(
+      unregisterMembership,
+      requests.unregister,
+      unregisterLoans,
+      tasks.unregister,
+    ),
   };
 }
