--- a/packages/nutmegproxy-cli/src/WorkFeatures.ts
+++ b/packages/nutmegproxy-cli/src/WorkFeatures.ts
@@ -1,9 +1,10 @@
 /** The features that serve callers: membership, requests and tasks. */
 
 import type {CatalogueSource} from '@nutmegproxy/catalogue';
-import type {Unregister} from '@nutmegproxy/core';
+import type {EntryNode, Unregister} from '@nutmegproxy/core';
 import type {Membership} from '@nutmegproxy/membership';
-import type {Requests} from '@nutmegproxy/requests';
+import type {PeerMesh} from '@nutmegproxy/peers';
+import type {LoansRegistration, Requests, SlotLender} from '@nutmegproxy/requests';
 import type {Tasks} from '@nutmegproxy/tasks';
 
 import {mergeUnregister} from '@nutmegproxy/core';
@@ -29,6 +30,23 @@
   readonly unregister: Unregister;
 }
 
+/** Loans that lower the slots of the requests feature on both sides. */
+function createLoans(
+  node: EntryNode,
+  membership: Membership,
+  mesh: PeerMesh,
+): (lender: SlotLender) => LoansRegistration {
+  return (lender) =>
+    registerSlotLoans(node, {
+      lender,
+      membership,
+      mesh,
+      onEnded: (minion, count) => {
+        lender.end(minion, count);
+      },
+    });
+}
+
 /** Registers membership, requests and tasks; callers are served once `listen` is called. */
 export function registerWork(
   context: FeatureContext,
@@ -53,15 +71,7 @@
     directory,
     loans: lateLoans,
     membership,
-    registerLoans: (lender) =>
-      registerSlotLoans(node, {
-        lender,
-        membership,
-        mesh,
-        onEnded: (minion, count) => {
-          lender.end(minion, count);
-        },
-      }),
+    registerLoans: createLoans(node, membership, mesh),
     seed: randomInt(MAX_SEED),
     settings,
     store,
