--- a/packages/nutmegproxy-cli/src/WorkFeatures.ts
+++ b/packages/nutmegproxy-cli/src/WorkFeatures.ts
@@ -18,7 +18,6 @@
 import type {PlatformConnections} from './PlatformConnections.ts';
 
 import {parseCellOwner} from './CellOwner.ts';
-import {LateLoans} from './LateLoans.ts';
 import {adaptTaskRoute} from './TaskRouteAdapter.ts';
 
 const MAX_SEED = 2 ** 31;
@@ -65,26 +64,15 @@
     prefix: keyPrefix,
     store,
   });
-  const lateLoans = new LateLoans();
   const requests = registerRequests(node, {
     catalogue,
     directory,
-    loans: lateLoans,
     membership,
     registerLoans: createLoans(node, membership, mesh),
     seed: randomInt(MAX_SEED),
     settings,
     store,
   });
-  const {loans, unregister: unregisterLoans} = registerSlotLoans(node, {
-    lender: requests.lender,
-    membership,
-    mesh,
-    onEnded: (minion, count) => {
-      requests.lender.end(minion, count);
-    },
-  });
-  lateLoans.attach(loans);
   const placement = PLACEMENTS[settings.policies.placement];
   const tasks = registerTasks(node, {
     catalogue,
@@ -106,11 +94,6 @@
     membership,
     requests,
     tasks,
-    unregister: mergeUnregister(
-      unregisterMembership,
-      requests.unregister,
-      unregisterLoans,
-      tasks.unregister,
-    ),
+    unregister: mergeUnregister(unregisterMembership, requests.unregister, tasks.unregister),
   };
 }
