--- a/packages/nutmegproxy-membership/src/MembershipCommands.ts
+++ b/packages/nutmegproxy-membership/src/MembershipCommands.ts
@@ -18,7 +18,7 @@
  */
 export const TENURE_LOST = createCommand<{readonly at: Instant}>('TENURE_LOST');
 
-/** This process was removed from the record; only a restart brings it back. */
+/** This incarnation has left the record or was removed; only a new one can join again. */
 export const MEMBER_REMOVED = createCommand<{readonly at: Instant}>('MEMBER_REMOVED');
 
 /** A cell that this process owns from now on. */
--- a/packages/nutmegproxy-membership/src/MembershipEvents.ts
+++ b/packages/nutmegproxy-membership/src/MembershipEvents.ts
@@ -25,7 +25,7 @@
   REMOVED: {
     code: 2308,
     level: 'error',
-    text: 'This process was removed from the allotment record; it must be restarted.',
+    text: 'This process was removed from the allotment record; it begins again as a new incarnation.',
   },
   TENURE_GAINED: {code: 2303, level: 'info', text: 'This process holds tenure.'},
   TENURE_LOST: {
