Remove members whose VM the platform has ended

Two of three entry VMs that died within the tenure's time to live and came back at new addresses left their shares and cells unused for the outage limit of 2 h: no majority of their electors was left to deny them, and the dead can't be told from a part that is cut off and vouches for itself.

The platform's list is evidence: an entry VM that it once showed to this process and that five successive reads no longer show has been ended. It is removed as soon as its key is absent, and one vouch period later it counts as an elector that has denied. Ruled out: a flag in the record that a member was listed, which would help a data centre that restarts as a whole but lets a reader whose list lags take a VM that it doesn't show yet for ended.

The random property runs end VMs, let the list lag and leave a VM out of one read. Without the change 'is replaced although no majority of its electors is left' and 'can vouch for nobody any more' fail.

--- a/packages/nutmegproxy-cli/src/PlatformConnections.ts
+++ b/packages/nutmegproxy-cli/src/PlatformConnections.ts
@@ -1,7 +1,7 @@
 /** Connections of a process to the platform and to the other entry VMs. */
 
 import type {EntryNode, Unregister} from '@nutmegproxy/core';
-import type {VmDirectory, WorkerClient} from '@nutmegproxy/platform';
+import type {VmDepartures, VmDirectory, WorkerClient} from '@nutmegproxy/platform';
 import type {PlatformStore} from '@nutmegproxy/store';
 
 import {WsPeerMesh} from '@nutmegproxy/peers';
@@ -12,6 +12,7 @@
 
 export interface PlatformConnections {
   readonly close: () => Promise<void>;
+  readonly departures: VmDepartures;
   readonly directory: VmDirectory;
   readonly mesh: WsPeerMesh;
   readonly store: PlatformStore;
@@ -41,7 +42,7 @@
   const store = createStore(node, context);
   const vmList = new HttpVmList(settings.platform.vmList);
   const workers = new HttpWorkerClient();
-  const {directory, unregister} = registerVmDirectory(node, {
+  const {departures, directory, unregister} = registerVmDirectory(node, {
     mesh,
     pollMs: settings.timings.vmListPollMs,
     vmList,
@@ -51,6 +52,7 @@
       await mesh.stop();
       await Promise.all([store.close(), vmList.close(), workers.close()]);
     },
+    departures,
     directory,
     mesh,
     store,
--- a/packages/nutmegproxy-cli/src/WorkFeatures.ts
+++ b/packages/nutmegproxy-cli/src/WorkFeatures.ts
@@ -53,10 +53,11 @@
   catalogue: CatalogueSource,
 ): WorkFeatures {
   const {node, settings} = context;
-  const {directory, mesh, store, workers} = platform;
+  const {departures, directory, mesh, store, workers} = platform;
   const {keyPrefix} = settings.platform;
   const {commitIntervalMs, taskLeaseMs, tenureTtlMs, workerSyncMs} = settings.timings;
   const {membership, unregister: unregisterMembership} = registerMembership(node, {
+    departures,
     directory,
     mesh,
     peerAddress: mesh.peerAddress,
--- a/packages/nutmegproxy-cli/src/__tests__/unit/WorkFeatures.test.ts
+++ b/packages/nutmegproxy-cli/src/__tests__/unit/WorkFeatures.test.ts
@@ -81,6 +81,7 @@
     },
     {
       close: () => Promise.resolve(),
+      departures: {departedSince: () => undefined},
       directory: {
         markLeaving: () => undefined,
         vm: (id) => vms.find((each) => each.id === id),
--- a/packages/nutmegproxy-membership/src/MembershipServices.ts
+++ b/packages/nutmegproxy-membership/src/MembershipServices.ts
@@ -2,6 +2,7 @@
 
 import type {EntryNode, Instant} from '@nutmegproxy/core';
 import type {TargetedMesh} from '@nutmegproxy/peers';
+import type {VmDepartures} from '@nutmegproxy/platform';
 import type {Vm} from '@nutmegproxy/schema';
 import type {PlatformStore} from '@nutmegproxy/store';
 
@@ -22,6 +23,7 @@
 }
 
 export interface MembershipServices {
+  readonly departures: VmDepartures;
   readonly directory: VmSource;
   readonly mesh: TargetedMesh;
   readonly node: EntryNode;
--- a/packages/nutmegproxy-membership/src/Takeover.ts
+++ b/packages/nutmegproxy-membership/src/Takeover.ts
@@ -1,12 +1,13 @@
 /**
- * Decides which members may be removed: their tenure key is gone, and so many of their electors
- * have denied them or are gone themselves that no majority can vouch for them any more.
+ * Decides which members may be removed: their tenure key is gone, and either the platform has ended
+ * their VM, or so many of their electors have denied them or are gone themselves that no majority
+ * can vouch for them any more.
  */
 
 import type {IncarnationId, Instant} from '@nutmegproxy/core';
 import type {MemberRecord} from '@nutmegproxy/schema';
 
-import {brand} from '@nutmegproxy/core';
+import {after, brand} from '@nutmegproxy/core';
 import {validateDenyAnswer} from '@nutmegproxy/schema';
 
 import type {MembershipParts} from './MembershipServices.ts';
@@ -74,8 +75,30 @@
     }
   }
 
-  #isRemovable({electors, incarnation}: MemberRecord, now: Instant): boolean {
+  /** Since when a member's VM is known to have been ended by the platform. */
+  #endedSince({incarnation, peerAddress, vm}: MemberRecord): Instant | undefined {
+    const {departures, mesh, view} = this.#parts;
+    const linked = mesh.peers().some(({identity}) => identity.incarnation === incarnation);
+    if (linked || view.reading.tenures.has(brand(incarnation))) {
+      return undefined;
+    }
+    return departures.departedSince(brand(vm), peerAddress.slice(0, peerAddress.lastIndexOf(':')));
+  }
+
+  /** Whether an elector's last vouch, given before its VM was ended, counts no more. */
+  #isElectorEnded(incarnation: string, now: Instant): boolean {
+    const {periods, view} = this.#parts;
+    const elector = findMember(view.record, incarnation);
+    const since = elector === undefined ? undefined : this.#endedSince(elector);
+    return since !== undefined && now >= after(since, lengthen(periods.vouchPeriodMs));
+  }
+
+  #isRemovable(member: MemberRecord, now: Instant): boolean {
+    const {electors, incarnation} = member;
     const {periods, view} = this.#parts;
+    if (this.#endedSince(member) !== undefined) {
+      return true;
+    }
     if (view.keyless.lasts(incarnation, lengthen(periods.outageLimitMs), now)) {
       return true;
     }
@@ -83,7 +106,10 @@
     const vouchMs = lengthen(periods.vouchPeriodMs);
     // A removed elector vouched last before its removal, so one vouch period later it counts no more.
     const able = electors.filter(
-      (each) => denials?.has(each) !== true && !view.absentElectors.lasts(each, vouchMs, now),
+      (each) =>
+        denials?.has(each) !== true &&
+        !view.absentElectors.lasts(each, vouchMs, now) &&
+        !this.#isElectorEnded(each, now),
     );
     return able.length < countMajority(electors.length);
   }
--- a/packages/nutmegproxy-membership/src/__tests__/fakes/Chaos.ts
+++ b/packages/nutmegproxy-membership/src/__tests__/fakes/Chaos.ts
@@ -56,6 +56,12 @@
       }
     }
   },
+  end: (world, a) => {
+    const vm = pick(world.cluster.processes, a)?.node.identity.vm;
+    if (vm !== undefined && world.active().some(({node}) => node.identity.vm !== vm)) {
+      world.cluster.end(vm);
+    }
+  },
   expire: ({cluster}, a) => {
     cluster.expireCall(a % Math.max(1, cluster.engine.calls.length));
   },
@@ -66,11 +72,21 @@
       world.frozen.add(process);
     }
   },
+  glitch: async (world, a, b) => {
+    const reader = pick(world.active(), a);
+    reader?.readList(pick(world.cluster.processes, b)?.node.identity.vm);
+    reader?.start('record');
+    await world.cluster.breathe();
+    reader?.readList();
+  },
   kill: (world, a) => {
     if (world.active().length > 1) {
       pick(world.active(), a)?.kill();
     }
   },
+  lag: ({cluster}, a) => {
+    cluster.list.lag = a % 4;
+  },
   leave: (world, a) => {
     if (world.active().length > 1) {
       pick(world.active(), a)?.membership.leave();
@@ -103,7 +119,9 @@
     }
   },
   restart: ({cluster}, a) => {
-    const dead = cluster.processes.filter((each) => !each.alive);
+    const dead = cluster.processes.filter(
+      ({alive, node}) => !alive && !cluster.ended.has(node.identity.vm),
+    );
     const vm = pick(dead, a)?.node.identity.vm;
     const back = cluster.processes.some((each) => each.alive && each.node.identity.vm === vm);
     if (vm !== undefined && !back && cluster.processes.length < MAX_PROCESSES) {
--- a/packages/nutmegproxy-membership/src/__tests__/fakes/Cluster.ts
+++ b/packages/nutmegproxy-membership/src/__tests__/fakes/Cluster.ts
@@ -4,6 +4,7 @@
 import type {AllotmentRecord, Vm} from '@nutmegproxy/schema';
 
 import {brand, CommandBus, ManualClock, PRIORITY_NORMAL, SILENT_EVENTS} from '@nutmegproxy/core';
+import {DepartureBook} from '@nutmegproxy/platform';
 import {LocalNetwork} from '@nutmegproxy/standins';
 import assert from 'node:assert/strict';
 import {Registry} from 'prom-client';
@@ -12,6 +13,7 @@
 
 import {MembershipNode, SHARE_RELEASE_WANTED} from '../../index.ts';
 import {GatedStore, StoreEngine} from './GatedStore.ts';
+import {LaggingList} from './LaggingList.ts';
 
 export const PERIODS: MembershipPeriods = {
   loanTermMs: 2_000,
@@ -53,11 +55,13 @@
 export class Process {
   alive = true;
   readonly clock: Clock;
+  readonly departures = new DepartureBook();
   readonly membership: MembershipNode;
   readonly node: EntryNode;
   occupied: Occupancy[] = [];
   readonly store: GatedStore;
   #busy = new Set<string>();
+  #listRevision = 0;
   readonly #cluster: Cluster;
   #releases: {readonly keep: number; readonly minion: MinionId; readonly released: () => void}[] =
     [];
@@ -86,6 +90,7 @@
     let changes = 0;
     this.membership = new MembershipNode(
       {
+        departures: this.departures,
         directory: {vms: () => cluster.vms},
         mesh: cluster.network.attach(this.node.identity, this.clock),
         node: this.node,
@@ -100,6 +105,14 @@
     );
   }
 
+  /** Reads the list of VMs; `hidden` is a VM that the list wrongly leaves out. */
+  readList(hidden?: string): void {
+    const report = this.#cluster.list.read(this.#listRevision);
+    this.#listRevision = report.revision;
+    const vms = report.vms.filter(({id}) => id !== hidden);
+    this.departures.take({...report, vms}, this.clock.monotonic());
+  }
+
   holds(): boolean {
     return this.membership.holdsTenure(this.clock.monotonic());
   }
@@ -163,7 +176,10 @@
 export class Cluster {
   readonly cells: readonly CellId[];
   readonly clock = new ManualClock();
+  /** VMs that the platform has ended. */
+  readonly ended = new Set<string>();
   readonly engine = new StoreEngine(this.clock);
+  readonly list = new LaggingList();
   readonly minions: readonly MinionId[];
   readonly network = new LocalNetwork();
   readonly processes: Process[] = [];
@@ -189,9 +205,19 @@
     this.#generation += 1;
     const process = new Process(this, vm, this.#generation, rate);
     this.processes.push(process);
+    this.list.add(vm);
     return process;
   }
 
+  /** The platform ends a VM for good: its process dies, and then the list drops it. */
+  end(vm: string): void {
+    for (const process of this.processes.filter(({node}) => node.identity.vm === vm)) {
+      process.kill();
+    }
+    this.ended.add(vm);
+    this.list.remove(vm);
+  }
+
   /** Checks all that must hold at every moment. */
   check(): void {
     for (const cell of this.cells) {
@@ -250,6 +276,9 @@
       this.clock.advance(1_000);
       for (const process of active) {
         process.settleReleases();
+        if (process.alive) {
+          process.readList();
+        }
         process.start('tenure');
         process.start('record');
       }
--- a/packages/nutmegproxy-membership/src/__tests__/unit/Membership.test.ts
+++ b/packages/nutmegproxy-membership/src/__tests__/unit/Membership.test.ts
@@ -9,8 +9,12 @@
 
 const SETTLE_SECONDS = 20;
 
-async function createCluster(vms: readonly string[]): Promise<[Cluster, ...Process[]]> {
+async function createCluster(
+  vms: readonly string[],
+  unlisted: readonly string[] = [],
+): Promise<[Cluster, ...Process[]]> {
   const cluster = new Cluster(3, 5);
+  cluster.list.unlisted = new Set(unlisted);
   const processes = vms.map((vm) => cluster.add(vm));
   await cluster.run(SETTLE_SECONDS);
   return [cluster, ...processes];
@@ -139,6 +143,71 @@
     });
   });
 
+  describe('a VM that the platform has ended', () => {
+    /** Members a and b, cut off from the store and c, keep each other going. */
+    async function cutOff(
+      unlisted: readonly string[] = [],
+    ): Promise<[Cluster, Process, Process, Process]> {
+      const [cluster, a, b, c] = await createCluster(['a', 'b', 'c'], unlisted);
+      assert.ok(a && b && c);
+      for (const cut of [a, b]) {
+        cut.store.down = true;
+        cluster.network.setPassage(c.node.identity.vm, cut.node.identity.vm, 'cut');
+        cluster.network.setPassage(cut.node.identity.vm, c.node.identity.vm, 'cut');
+      }
+      await cluster.run(40);
+      assert.ok(a.holds() && b.holds());
+      return [cluster, a, b, c];
+    }
+
+    it('is replaced although no majority of its electors is left', async () => {
+      const [cluster] = await createCluster(['a', 'b', 'c']);
+      cluster.list.lag = 1;
+      cluster.end('a');
+      cluster.end('b');
+      cluster.add('d');
+      cluster.add('e');
+      await cluster.run(PERIODS.tenureTtlMs / 1_000 + 5);
+      assert.deepEqual(members(cluster), ['c', 'd', 'e']);
+      await cluster.run(SETTLE_SECONDS);
+      assert.deepEqual(sumShares(cluster), [8, 8, 8]);
+    });
+
+    it('can vouch for nobody any more', async () => {
+      const [cluster, a, b, c] = await cutOff();
+      // a is still there and cannot be asked; without b it has no majority.
+      cluster.end('b');
+      cluster.list.lag = 0;
+      await cluster.run(2);
+      assert.deepEqual(members(cluster), ['a', 'b', 'c']);
+      await cluster.run(SETTLE_SECONDS);
+      assert.equal(a.holds(), false);
+      assert.equal(b.alive, false);
+      assert.ok(c.holds());
+      assert.deepEqual(members(cluster), ['c']);
+    });
+
+    it('is not one that a read of the list has left out', async () => {
+      const [cluster, a, b, c] = await cutOff();
+      for (let n = 0; n < 10; n += 1) {
+        c.readList('a');
+        c.start('record');
+        await cluster.settle();
+        cluster.check();
+        await cluster.run(1);
+      }
+      assert.ok(a.holds() && b.holds());
+      assert.deepEqual(members(cluster), ['a', 'b', 'c']);
+    });
+
+    it('is not one that the list has never shown', async () => {
+      const [cluster, a, b] = await cutOff(['a', 'b']);
+      await cluster.run(SETTLE_SECONDS);
+      assert.ok(a.holds() && b.holds());
+      assert.deepEqual(members(cluster), ['a', 'b', 'c']);
+    });
+  });
+
   describe('an outage of the store', () => {
     it('leaves tenure where a majority is linked, and ends it at the outage limit', async () => {
       const [cluster, a] = await createCluster(['a', 'b', 'c']);
--- a/packages/nutmegproxy-membership/src/__tests__/unit/registerMembership.test.ts
+++ b/packages/nutmegproxy-membership/src/__tests__/unit/registerMembership.test.ts
@@ -64,6 +64,7 @@
       node.bus.register(CELL_ACQUIRED, (cell) => acquired.push(cell) < 0, 0);
       const mesh = network.attach(node.identity, node.clock);
       const {membership, unregister} = registerMembership(node, {
+        departures: {departedSince: () => undefined},
         directory: {vms: () => VMS},
         mesh,
         peerAddress: `${vm}:1`,
--- a/packages/nutmegproxy-membership/src/registerMembership.ts
+++ b/packages/nutmegproxy-membership/src/registerMembership.ts
@@ -2,6 +2,7 @@
 
 import type {DrainStart, EntryNode, Unregister} from '@nutmegproxy/core';
 import type {TargetedMesh} from '@nutmegproxy/peers';
+import type {VmDepartures} from '@nutmegproxy/platform';
 import type {PlatformStore} from '@nutmegproxy/store';
 
 import {DRAIN_STARTED, mergeUnregister, PRIORITY_LOW} from '@nutmegproxy/core';
@@ -34,6 +35,8 @@
 };
 
 export interface MembershipOptions {
+  /** Entry VMs that the platform has ended. */
+  readonly departures: VmDepartures;
   readonly directory: VmSource;
   readonly mesh: TargetedMesh;
   /** Address under which peers reach this process. */
@@ -66,14 +69,14 @@
  *
  * @example
  * const {membership, unregister} = registerMembership(node, {
- *   directory, mesh, peerAddress: mesh.peerAddress, prefix: '/nutmegproxy', store,
+ *   departures, directory, mesh, peerAddress: mesh.peerAddress, prefix: '/nutmegproxy', store,
  * });
  */
 export function registerMembership(
   node: EntryNode,
   options: MembershipOptions,
 ): {membership: Membership; unregister: Unregister} {
-  const {directory, mesh, peerAddress, prefix, store} = options;
+  const {departures, directory, mesh, peerAddress, prefix, store} = options;
   const periods = {...DEFAULT_PERIODS, ...options.periods};
   // A short tenure has to be looked after more often.
   const tickMs = options.tickMs ?? Math.min(TICK_MS, periods.tenureTtlMs * TICK_SHARE);
@@ -83,7 +86,7 @@
   let leaving = false;
   let running = true;
   const membership = new MembershipNode(
-    {directory, mesh, node, peerAddress, periods, store},
+    {departures, directory, mesh, node, peerAddress, periods, store},
     {
       onNotice: () => {
         recordPause.wake();
--- a/packages/nutmegproxy-platform/src/VmDirectoryFeature.ts
+++ b/packages/nutmegproxy-platform/src/VmDirectoryFeature.ts
@@ -1,20 +1,22 @@
 /** Attaches the directory of VMs to a process: polls the list and exchanges marks with peers. */
 
-import type {EntryNode, Unregister} from '@nutmegproxy/core';
+import type {EntryNode, Instant, Unregister} from '@nutmegproxy/core';
 import type {PeerMesh} from '@nutmegproxy/peers';
-import type {LeavingNotice} from '@nutmegproxy/schema';
+import type {LeavingNotice, VmReport} from '@nutmegproxy/schema';
 
 import {mergeUnregister} from '@nutmegproxy/core';
 import {validateLeavingNotice} from '@nutmegproxy/schema';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {Counter, Gauge} from 'prom-client';
 
+import type {VmDepartures} from './VmDepartures.ts';
 import type {VmDirectory} from './VmDirectory.ts';
 import type {PlatformFailure, VmList} from './VmList.ts';
 
 import {JoinedVmDirectory, LEAVING_NOTICE} from './JoinedVmDirectory.ts';
 import {MARK_REPEAT_INTERVAL_MS} from './PlatformConstants.ts';
 import {PLATFORM_EVENTS} from './PlatformEvents.ts';
+import {DepartureBook} from './VmDepartures.ts';
 
 /** What the feature works with. */
 export interface VmDirectoryServices {
@@ -25,6 +27,7 @@
 
 /** A directory that is kept current until `unregister` is called. */
 export interface VmDirectoryRegistration {
+  readonly departures: VmDepartures;
   readonly directory: VmDirectory;
   readonly unregister: Unregister;
 }
@@ -65,7 +68,12 @@
   };
 }
 
-function createPoll(node: EntryNode, vmList: VmList, directory: JoinedVmDirectory) {
+function createPoll(
+  node: EntryNode,
+  vmList: VmList,
+  takeReport: (report: VmReport, now: Instant) => void,
+  directory: VmDirectory,
+) {
   const reads = registerMetrics(node, directory);
   let healthy = true;
   const noteFailure = (failure: PlatformFailure): void => {
@@ -87,7 +95,7 @@
       healthy = true;
       node.events.record(PLATFORM_EVENTS.VM_LIST_RECOVERED, {});
     }
-    directory.takeReport(report.value, node.clock.monotonic());
+    takeReport(report.value, node.clock.monotonic());
   };
 }
 
@@ -102,6 +110,7 @@
   node: EntryNode,
   {mesh, pollMs, vmList}: VmDirectoryServices,
 ): VmDirectoryRegistration {
+  const departures = new DepartureBook();
   const directory = new JoinedVmDirectory(node, mesh);
   const stopHandling = mesh.registerHandler(
     LEAVING_NOTICE,
@@ -110,9 +119,14 @@
     },
     validateLeavingNotice,
   );
-  const stopPolling = repeat(createPoll(node, vmList, directory), pollMs);
+  const takeReport = (report: VmReport, now: Instant): void => {
+    departures.take(report, now);
+    directory.takeReport(report, now);
+  };
+  const stopPolling = repeat(createPoll(node, vmList, takeReport, directory), pollMs);
   const stopRepeating = repeat(() => {
     directory.repeatMarks(node.clock.monotonic());
   }, MARK_REPEAT_INTERVAL_MS);
-  return {directory, unregister: mergeUnregister(stopHandling, stopPolling, stopRepeating)};
+  const unregister = mergeUnregister(stopHandling, stopPolling, stopRepeating);
+  return {departures, directory, unregister};
 }
--- a/packages/nutmegproxy-platform/src/index.ts
+++ b/packages/nutmegproxy-platform/src/index.ts
@@ -2,6 +2,8 @@
 
 export {HttpVmList} from './HttpVmList.ts';
 export {HttpWorkerClient} from './HttpWorkerClient.ts';
+export {DepartureBook} from './VmDepartures.ts';
+export type {VmDepartures} from './VmDepartures.ts';
 export {VMS_CHANGED} from './VmDirectory.ts';
 export type {LeavingSource, VmDirectory} from './VmDirectory.ts';
 export {registerVmDirectory} from './VmDirectoryFeature.ts';
