Keep a slot until the minion has closed its end of the connection

Cause: a slot was free as soon as this end was closed, before the minion had noticed, so that for a moment the minion could hold one connection more. Change: a connection that is given up is half-closed, and its slot is free when the minion closes too, or after a bounded wait. A cancelled exchange is no longer passed to undici as a signal, since that cuts the connection off at once; the caller is answered without waiting for the close. The test with a minion that doesn't notice fails when close() destroys the socket (2 connections at a share of 1) and passes now.

--- a/packages/nutmegproxy-requests/src/AnswerRelay.ts
+++ b/packages/nutmegproxy-requests/src/AnswerRelay.ts
@@ -7,6 +7,7 @@
 
 import type {MinionAnswer} from './MinionConnection.ts';
 
+import {ABORTED, untilAborted} from './AbortUtils.ts';
 import {stripHeaders} from './HeaderUtils.ts';
 import {ANSWER_HOLD_BYTES, HEADER_REQUEST} from './RequestsConstants.ts';
 
@@ -84,6 +85,15 @@
   }
 }
 
+/** Reads on without use, so that the end of the minion's connection is seen. */
+async function discardRest(chunks: AsyncIterator<Buffer>): Promise<void> {
+  try {
+    while ((await chunks.next()).done !== true);
+  } catch {
+    // The connection is closed, which is what this waits for.
+  }
+}
+
 /**
  * Reads the answer to its verified end. The minion's part is over when this settles, except after
  * `broken` and `unframed`, when its connection has to be closed.
@@ -95,11 +105,20 @@
     return {kind: 'unframed'};
   }
   const writer = new RelayWriter(answer, target);
+  const chunks = answer.body[Symbol.asyncIterator]() as AsyncIterator<Buffer>;
   try {
-    for await (const chunk of answer.body) {
-      await writer.write(chunk as Buffer);
+    for (;;) {
+      const next = await untilAborted(chunks.next(), target.signal);
+      if (next === ABORTED) {
+        throw new Error('cancelled');
+      }
+      if (next.done === true) {
+        break;
+      }
+      await writer.write(next.value);
     }
   } catch (error) {
+    void discardRest(chunks);
     return {kind: 'broken', message: String(error), started: writer.started};
   }
   writer.end();
--- a/packages/nutmegproxy-requests/src/KeyedDispatch.ts
+++ b/packages/nutmegproxy-requests/src/KeyedDispatch.ts
@@ -5,25 +5,7 @@
 import type {CallEnd} from './RequestDispatcher.ts';
 import type {ClaimResult, KeyClaim, RequestKeys} from './RequestKeys.ts';
 
-const ABORTED = Symbol('aborted');
-
-async function untilAborted<Value>(
-  work: Promise<Value>,
-  signal: AbortSignal,
-): Promise<typeof ABORTED | Value> {
-  let stop = (): void => undefined;
-  const aborted = new Promise<typeof ABORTED>((resolve) => {
-    stop = () => {
-      resolve(ABORTED);
-    };
-    signal.addEventListener('abort', stop);
-  });
-  try {
-    return signal.aborted ? ABORTED : await Promise.race([work, aborted]);
-  } finally {
-    signal.removeEventListener('abort', stop);
-  }
-}
+import {ABORTED, untilAborted} from './AbortUtils.ts';
 
 /** Runs calls at most once per key, over all entry VMs. */
 export class KeyedDispatch {
--- a/packages/nutmegproxy-requests/src/MinionConnection.ts
+++ b/packages/nutmegproxy-requests/src/MinionConnection.ts
@@ -15,7 +15,8 @@
 
 import type {PassedHeaders} from './HeaderUtils.ts';
 
-import {CONNECT_TIMEOUT_MS, IDLE_CONNECTION_MS} from './RequestsConstants.ts';
+import {ABORTED, untilAborted} from './AbortUtils.ts';
+import {CLOSE_WAIT_MS, CONNECT_TIMEOUT_MS, IDLE_CONNECTION_MS} from './RequestsConstants.ts';
 
 /** What is sent to a minion. */
 export interface MinionRequest {
@@ -63,11 +64,19 @@
     });
   }
 
-  /** Settles when the connection is certainly closed. */
+  /**
+   * Closes this end and settles when the minion has closed its own, so that it has noticed; one
+   * that doesn't is cut off after a bounded wait.
+   */
   async close(): Promise<void> {
-    this.#socket.destroy();
-    await this.#client.destroy().catch(() => undefined);
+    this.#socket.end();
+    const timer = setTimeout(() => this.#socket.destroy(), CLOSE_WAIT_MS);
+    if (!this.#taken) {
+      this.#socket.resume();
+    }
     await this.#closed;
+    clearTimeout(timer);
+    await this.#client.destroy().catch(() => undefined);
   }
 
   /** Sends a request; an answer's body must be read or the connection closed. */
@@ -75,9 +84,23 @@
     request: MinionRequest,
     signal: AbortSignal,
   ): Promise<Result<MinionAnswer, SendFailure>> {
+    if (signal.aborted) {
+      return err({message: 'cancelled before it was sent', sent: false});
+    }
     const writtenBefore = this.#socket.bytesWritten;
+    const sending = this.#client.request(request);
     try {
-      return ok(await this.#client.request({...request, signal}));
+      const answer = await untilAborted(sending, signal);
+      if (answer !== ABORTED) {
+        return ok(answer);
+      }
+      void discardAnswer(sending);
+      const sent = this.#socket.bytesWritten > writtenBefore;
+      if (!sent) {
+        // What has not been written must not be written any more.
+        this.#socket.destroy();
+      }
+      return err({message: 'cancelled', sent});
     } catch (error) {
       const sent = this.#socket.bytesWritten > writtenBefore;
       return err({message: String(error), sent});
@@ -98,6 +121,17 @@
   }
 }
 
+/** Reads an answer that nobody waits for, so that the end of its connection is seen. */
+async function discardAnswer(sending: Promise<MinionAnswer>): Promise<void> {
+  try {
+    const {body} = await sending;
+    body.on('error', () => undefined);
+    body.resume();
+  } catch {
+    // The exchange was given up already.
+  }
+}
+
 /**
  * Opens a connection to a minion at an `ip:port` address.
  *
--- a/packages/nutmegproxy-requests/src/RequestsConstants.ts
+++ b/packages/nutmegproxy-requests/src/RequestsConstants.ts
@@ -34,6 +34,8 @@
 export const DRAIN_POLL_MS = 20;
 
 export const CONNECT_TIMEOUT_MS = 2000;
+/** How long a minion may take to close its end of a connection that is given up. */
+export const CLOSE_WAIT_MS = 1000;
 export const IDLE_CONNECTION_MS = 4000;
 export const TRIES_MAX = 3;
 
--- a/packages/nutmegproxy-requests/src/__tests__/unit/Faults.test.ts
+++ b/packages/nutmegproxy-requests/src/__tests__/unit/Faults.test.ts
@@ -131,6 +131,24 @@
     });
   });
 
+  it('keeps the slot of a cancelled request until the minion has noticed', async () => {
+    const minion = new FakeMinion('m1', () => undefined, true);
+    await withBench({minions: [minion], shares: 1}, async (bench) => {
+      const cancel = new AbortController();
+      const first = fetch(bench.url('/entries/alerts/'), {signal: cancel.signal});
+      await until(() => minion.arrivals.length === 1);
+      cancel.abort();
+      await assert.rejects(first);
+      minion.script = answer('x');
+      const second = post(bench.url('/entries/alerts/'));
+      await new Promise((resolve) => setTimeout(resolve, 50));
+      assert.equal(minion.connectionsMax, 1);
+      minion.sockets().forEach((socket) => socket.end());
+      assert.equal((await second).status, 200);
+      assert.equal(minion.connectionsMax, 1);
+    });
+  });
+
   it('forgets a waiting request whose caller went away', async () => {
     const minion = new FakeMinion('m1', () => undefined);
     await withBench({minions: [minion], shares: 1}, async (bench) => {
--- /dev/null
+++ b/packages/nutmegproxy-requests/src/__tests__/unit/History.test.ts
@@ -0,0 +1,110 @@
+/** Runs callers and faulty minions at random and checks the history of what was run. */
+
+import type {Random} from '@nutmegproxy/admission';
+
+import {createRandom} from '@nutmegproxy/admission';
+import assert from 'node:assert/strict';
+import {describe, it} from 'node:test';
+
+import type {MinionScript} from './RequestsBench.ts';
+
+import {answer, cutAnswer, FakeMinion, withBench} from './RequestsBench.ts';
+
+const SEEDS = [11, 23, 47];
+const REQUESTS = 150;
+
+interface Run {
+  readonly minion: string;
+  readonly tag: string;
+}
+
+interface Told {
+  readonly outcome: null | string | undefined;
+  readonly tag: string;
+  readonly text: string | undefined;
+}
+
+function wholeAnswer(tag: string): string {
+  return `HTTP/1.1 200 OK\r\ncontent-length: ${tag.length}\r\n\r\n${tag}`;
+}
+
+const REFUSAL = 'HTTP/1.1 503 Busy\r\nnutmegproxy-refused: true\r\ncontent-length: 0\r\n\r\n';
+
+/** A minion that runs each request it doesn't refuse, and answers late, in part or not at all. */
+function createScript(random: Random, minion: string, runs: Run[]): MinionScript {
+  return (socket, request) => {
+    const tag = /x-tag: (\S+)/.exec(request)?.[1] ?? '';
+    const choice = random();
+    if (choice < 0.1) {
+      socket.write(REFUSAL);
+      return;
+    }
+    runs.push({minion, tag});
+    const text = wholeAnswer(tag);
+    if (choice < 0.25) {
+      const how = random() < 0.5 ? 'end' : 'reset';
+      cutAnswer(text, Math.floor(random() * text.length), how)(socket, request);
+      return;
+    }
+    if (choice < 0.3) {
+      return;
+    }
+    setTimeout(() => {
+      answer(tag)(socket, request);
+    }, random() * 10);
+  };
+}
+
+async function ask(url: string, tag: string, random: Random): Promise<Told> {
+  const cancel = random() < 0.1 ? AbortSignal.timeout(1 + Math.floor(random() * 10)) : undefined;
+  const headers = {'nutmegproxy-timeout-ms': '300', 'x-tag': tag};
+  const options = {body: tag, headers, method: 'POST'};
+  try {
+    const response = await fetch(
+      url,
+      cancel === undefined ? options : {...options, signal: cancel},
+    );
+    const outcome = response.headers.get('nutmegproxy-outcome');
+    return {outcome, tag, text: await response.text()};
+  } catch {
+    return {outcome: undefined, tag, text: undefined};
+  }
+}
+
+function checkHistory(told: readonly Told[], runs: readonly Run[], idempotent: boolean): void {
+  for (const {outcome, tag, text} of told) {
+    const count = runs.filter((run) => run.tag === tag).length;
+    if (!idempotent) {
+      assert.ok(count <= 1, `${tag} ran ${count} times`);
+    }
+    if (outcome === 'not-run') {
+      assert.equal(count, 0, `${tag} is said not to have run`);
+    }
+    if (outcome === null && text !== undefined) {
+      assert.equal(text, tag, `${tag} got ${text}`);
+    }
+  }
+}
+
+describe('history of requests', () => {
+  for (const seed of SEEDS) {
+    for (const entry of ['alerts', 'proofs']) {
+      it(`of ${entry}, seed ${seed}: own whole answers, at most once, not-run is true`, async () => {
+        const random = createRandom(seed);
+        const runs: Run[] = [];
+        const ids = ['m1', 'm2', 'm3'];
+        const minions = ids.map((id) => new FakeMinion(id, createScript(random, id, runs)));
+        await withBench({minions, shares: 3}, async (bench) => {
+          const tags = Array.from({length: REQUESTS}, (_, index) => `tag-${seed}-${index}`);
+          const url = bench.url(`/entries/${entry}/`);
+          const told = await Promise.all(tags.map((tag) => ask(url, tag, random)));
+          checkHistory(told, runs, entry === 'proofs');
+          assert.ok(told.some(({outcome}) => outcome === null));
+          minions.forEach(({connectionsMax}) => {
+            assert.ok(connectionsMax <= 3, `${connectionsMax} connections`);
+          });
+        });
+      });
+    }
+  }
+});
--- a/packages/nutmegproxy-requests/src/__tests__/unit/RequestsBench.ts
+++ b/packages/nutmegproxy-requests/src/__tests__/unit/RequestsBench.ts
@@ -37,10 +37,10 @@
   readonly #server: Server;
   readonly #sockets = new Set<Socket>();
 
-  constructor(id: string, script: MinionScript) {
+  constructor(id: string, script: MinionScript, allowHalfOpen = false) {
     this.id = brand<MinionId>(id);
     this.script = script;
-    this.#server = createServer((socket) => {
+    this.#server = createServer({allowHalfOpen}, (socket) => {
       this.#accept(socket);
     });
   }
@@ -66,9 +66,16 @@
     this.connections += 1;
     this.connectionsMax = Math.max(this.connectionsMax, this.connections);
     socket.on('error', () => undefined);
+    let counted = true;
+    const leave = (): void => {
+      this.connections -= counted ? 1 : 0;
+      counted = false;
+    };
+    // The minion is done with a connection once it has closed its own end.
+    socket.on('finish', leave);
     socket.on('close', () => {
       this.#sockets.delete(socket);
-      this.connections -= 1;
+      leave();
     });
     socket.on('data', (chunk) => {
       text += chunk.toString('latin1');
