--- a/packages/nutmegproxy-requests/src/EntryRequests.ts
+++ b/packages/nutmegproxy-requests/src/EntryRequests.ts
@@ -122,7 +122,11 @@
       return err('malformed');
     }
     const [, id = '', rest = '/', query = ''] = match;
-    const entry = this.#parts.catalogue.current().entries.get(brand<EntryId>(id));
+    const view = this.#parts.catalogue.current();
+    if (view.revision === 0) {
+      return err('no-catalogue');
+    }
+    const entry = view.entries.get(brand<EntryId>(id));
     if (entry === undefined || !isRequestEntry(entry)) {
       return err('unknown-entry');
     }
--- a/packages/nutmegproxy-requests/src/Refusal.ts
+++ b/packages/nutmegproxy-requests/src/Refusal.ts
@@ -31,6 +31,7 @@
   | 'minion-failed'
   | 'minion-refused'
   | 'minion-unreachable'
+  | 'no-catalogue'
   | 'no-minion'
   | 'no-tenure'
   | 'queue-full'
@@ -60,6 +61,7 @@
   'minion-failed': {message: 'The minion failed.', retry: false, status: 502},
   'minion-refused': {message: 'The minion refused the request.', retry: true, status: 503},
   'minion-unreachable': {message: 'No minion could be reached.', retry: true, status: 503},
+  'no-catalogue': {message: 'This VM knows no catalogue yet.', retry: true, status: 503},
   'no-minion': {message: 'No minion of the service is available.', retry: true, status: 503},
   'no-tenure': {message: 'This VM may not use its slots at present.', retry: true, status: 503},
   'queue-full': {message: 'Too many requests wait.', retry: true, status: 503},
--- a/packages/nutmegproxy-requests/src/__tests__/unit/Requests.test.ts
+++ b/packages/nutmegproxy-requests/src/__tests__/unit/Requests.test.ts
@@ -196,6 +196,15 @@
       });
     });
 
+    it('says not-run and to come again while it knows no catalogue', async () => {
+      const minion = new FakeMinion('m1', answer('x'));
+      await withBench({entries: [], minions: [minion], revision: 0}, async (bench) => {
+        const got = await ask(bench.url('/entries/alerts/'), POST);
+        assert.deepEqual([got.status, outcome(got)], [503, 'not-run']);
+        assert.equal((await ask(bench.url('/health/ready'))).status, 503);
+      });
+    });
+
     it('ends at the deadline: unknown at a minion, not-run in the queue', async () => {
       const minion = new FakeMinion('m1', () => undefined);
       await withBench({minions: [minion], shares: 1}, async (bench) => {
--- a/packages/nutmegproxy-requests/src/__tests__/unit/RequestsBench.ts
+++ b/packages/nutmegproxy-requests/src/__tests__/unit/RequestsBench.ts
@@ -127,6 +127,7 @@
   readonly loans?: SlotLoans;
   readonly minions: readonly FakeMinion[];
   readonly policies?: Record<string, string>;
+  readonly revision?: number;
   readonly shares?: number;
   readonly stopDelayMs?: number;
   readonly store?: PlatformStore;
@@ -250,11 +251,11 @@
     };
   }
 
-  #createView({entries = [ALERTS, PROOFS], teams = []}: BenchOptions): CatalogueView {
+  #createView({entries = [ALERTS, PROOFS], revision = 1, teams = []}: BenchOptions): CatalogueView {
     return {
       entries: new Map(entries.map((entry) => [brand<EntryId>(entry.id), entry])),
       isDrained: (target, id) => this.drained.has(`${target} ${id}`),
-      revision: 1,
+      revision,
       stoppedVms: new Set(),
       teams: new Map(teams.map((team) => [brand<TeamId>(team.id), team])),
     };
