Accept catalogue changes of all teams at once; confirm over the record's members

Cause: a change was limited to 100 teams by the 128 operations of one transaction, so the 180 teams of the planned size could not be applied in one step; and an entry VM that had died and was on no list was not named as missing. Change: team parts go in nested transactions of 100, under the one condition on the head; confirmation counts the members of the allotment record. Ruled out: several transactions under a staged head (readers would need a second indirection), and reading all tenure keys on each change.

--- a/packages/nutmegproxy-catalogue/src/CatalogueConstants.ts
+++ b/packages/nutmegproxy-catalogue/src/CatalogueConstants.ts
@@ -2,8 +2,12 @@
 
 /** Accepted changes that the history keeps. */
 export const HISTORY_LENGTH = 500;
-/** A transaction of the store holds at most 128 operations, and the head and history need some. */
-export const MAX_CHANGED_TEAMS = 100;
+/** Teams in one nested transaction; the store takes at most 128 operations in each. */
+export const TEAMS_PER_TRANSACTION = 100;
+/** Teams that one change may touch; their nested transactions stay within 128 operations. */
+export const MAX_CHANGED_TEAMS = 10_000;
+/** Changed teams up to which a reader reads them one by one; above, it reads everything. */
+export const MAX_TEAM_READS = 100;
 /** Bytes of all parts of one change; the store takes about 1.5 MB in one call. */
 export const MAX_CHANGE_BYTES = 1_000_000;
 /** Removed teams that a process remembers, so that peers can be told of them. */
--- a/packages/nutmegproxy-catalogue/src/CatalogueExchange.ts
+++ b/packages/nutmegproxy-catalogue/src/CatalogueExchange.ts
@@ -76,12 +76,19 @@
 export class CatalogueExchange {
   readonly applied = new AppliedRevisions();
   #fetching = false;
+  readonly #members: () => readonly NodeIdentity[];
   readonly #mesh: PeerMesh;
   readonly #node: EntryNode;
   #nextPeer = 0;
   readonly #state: CatalogueState;
 
-  constructor(node: EntryNode, mesh: PeerMesh, state: CatalogueState) {
+  constructor(
+    node: EntryNode,
+    mesh: PeerMesh,
+    state: CatalogueState,
+    members: () => readonly NodeIdentity[],
+  ) {
+    this.#members = members;
     this.#mesh = mesh;
     this.#node = node;
     this.#state = state;
@@ -114,12 +121,14 @@
     return validateAppliedList(body) ? body : undefined;
   }
 
-  /** Revisions in force at the linked VMs of this data centre and here. */
+  /** Revisions in force here, at the linked VMs of this data centre and at its members. */
   listApplied(): AppliedList {
     const {dataCentre} = this.#node.identity;
     const linked = this.#mesh.peers().map(({identity}) => identity);
     const local = linked.filter((each) => each.dataCentre === dataCentre);
-    return {dataCentre, vms: this.applied.listFor([this.#node.identity, ...local])};
+    const known = [this.#node.identity, ...local, ...this.#members()];
+    const processes = new Map(known.map((each) => [each.incarnation, each]));
+    return {dataCentre, vms: this.applied.listFor([...processes.values()])};
   }
 
   register(): Unregister {
--- a/packages/nutmegproxy-catalogue/src/CatalogueFeature.ts
+++ b/packages/nutmegproxy-catalogue/src/CatalogueFeature.ts
@@ -1,6 +1,6 @@
 /** The catalogue feature: registers the state, the follower, the exchange and the changes. */
 
-import type {EntryNode, Unregister} from '@nutmegproxy/core';
+import type {EntryNode, NodeIdentity, Unregister} from '@nutmegproxy/core';
 import type {PeerMesh} from '@nutmegproxy/peers';
 import type {VmDirectory} from '@nutmegproxy/platform';
 import type {PlatformStore} from '@nutmegproxy/store';
@@ -25,6 +25,8 @@
   readonly directory?: VmDirectory;
   /** Prefix of all keys in the store. */
   readonly keyPrefix: string;
+  /** Processes in the data centre's record, whether there is a link to them or not. */
+  readonly members: () => readonly NodeIdentity[];
   readonly mesh: PeerMesh;
   readonly store: PlatformStore;
 }
@@ -54,15 +56,15 @@
  * Registers the catalogue on a node and starts following the store and the peers.
  *
  * @example
- * const catalogue = registerCatalogue(node, {keyPrefix: '/nutmegproxy', mesh, store});
+ * const catalogue = registerCatalogue(node, {keyPrefix: '/nutmegproxy', members, mesh, store});
  * catalogue.source.current().revision;
  */
 export function registerCatalogue(node: EntryNode, services: CatalogueServices): CatalogueFeature {
-  const {directory, keyPrefix, mesh, store} = services;
+  const {directory, keyPrefix, members, mesh, store} = services;
   const closed = new AbortController();
   const repository = new CatalogueRepository(store, keyPrefix);
   const state = new CatalogueState(node);
-  const exchange = new CatalogueExchange(node, mesh, state);
+  const exchange = new CatalogueExchange(node, mesh, state, members);
   const follower = new CatalogueFollower(node, mesh, store, repository, state);
   const announce = (): boolean => {
     exchange.announce();
--- a/packages/nutmegproxy-catalogue/src/CatalogueRepository.ts
+++ b/packages/nutmegproxy-catalogue/src/CatalogueRepository.ts
@@ -18,7 +18,12 @@
 
 import type {CatalogueDelta, CatalogueSnapshot} from './CatalogueSnapshot.ts';
 
-import {HISTORY_LENGTH, MAX_CATCH_UP_REVISIONS} from './CatalogueConstants.ts';
+import {
+  HISTORY_LENGTH,
+  MAX_CATCH_UP_REVISIONS,
+  MAX_TEAM_READS,
+  TEAMS_PER_TRANSACTION,
+} from './CatalogueConstants.ts';
 import {CatalogueKeys} from './CatalogueKeys.ts';
 
 /** `moved`: the head changed while the parts were read; the reader starts again. */
@@ -88,6 +93,23 @@
   return ok(found);
 }
 
+/** Different teams that the changes touched. */
+function countTeams(records: readonly CatalogueRecord[]): number {
+  return new Set(records.flatMap((each) => [...each.changedTeams, ...each.removedTeams])).size;
+}
+
+/** Packs operations into nested transactions, as the store limits the operations in each. */
+function nest(operations: readonly Operation[]): Operation[] {
+  const starts = Array.from(
+    {length: Math.ceil(operations.length / TEAMS_PER_TRANSACTION)},
+    (_, index) => index * TEAMS_PER_TRANSACTION,
+  );
+  return starts.map((start) => {
+    const then = operations.slice(start, start + TEAMS_PER_TRANSACTION);
+    return {kind: 'transaction', transaction: {compare: [], then}};
+  });
+}
+
 /** Reads and writes the catalogue's keys. */
 export class CatalogueRepository {
   readonly keys: CatalogueKeys;
@@ -217,7 +239,7 @@
     head: CatalogueRecord,
   ): Promise<Result<readonly CatalogueRecord[] | undefined, RepositoryFailure>> {
     if (since === head.revision - 1) {
-      return ok([head]);
+      return ok(countTeams([head]) <= MAX_TEAM_READS ? [head] : undefined);
     }
     if (since === 0 || head.revision - since > MAX_CATCH_UP_REVISIONS) {
       return ok(undefined);
@@ -233,9 +255,8 @@
     }
     const values = answer.value.answers.flatMap((each) => [...valuesOf(each)]);
     return collect(values, validateCatalogueRecord).map((records) => {
-      const teams = records.flatMap((each) => [...each.changedTeams, ...each.removedTeams]);
-      const complete = records.length === revisions.length && new Set(teams).size <= 100;
-      return complete ? records : undefined;
+      const isComplete = records.length === revisions.length;
+      return isComplete && countTeams(records) <= MAX_TEAM_READS ? records : undefined;
     });
   }
 
@@ -268,8 +289,10 @@
       then: [
         put(keys.head, record),
         put(historyKey, record),
-        ...teams.map((part) => put(keys.team(brand<TeamId>(part.team.id)), part)),
-        ...removed.map<Operation>((team) => ({key: keys.team(team), kind: 'delete'})),
+        ...nest([
+          ...teams.map((part) => put(keys.team(brand<TeamId>(part.team.id)), part)),
+          ...removed.map<Operation>((team) => ({key: keys.team(team), kind: 'delete'})),
+        ]),
         ...(plans === undefined ? [] : [put(keys.plans, plans)]),
         ...(expired > 0 ? [{key: keys.history(expired), kind: 'delete'} as const] : []),
       ],
--- a/packages/nutmegproxy-catalogue/src/__tests__/unit/CatalogueFeature.test.ts
+++ b/packages/nutmegproxy-catalogue/src/__tests__/unit/CatalogueFeature.test.ts
@@ -1,4 +1,4 @@
-import type {EntryNode} from '@nutmegproxy/core';
+import type {EntryNode, NodeIdentity} from '@nutmegproxy/core';
 import type {Catalogue} from '@nutmegproxy/schema';
 
 import {brand, CommandBus, SILENT_EVENTS, SYSTEM_CLOCK} from '@nutmegproxy/core';
@@ -52,7 +52,12 @@
   let network: LocalNetwork;
   let processes: Process[];
 
-  function start(vm: string, dataCentre = 'dc-a', ownEngine = engine): Process {
+  function start(
+    vm: string,
+    dataCentre = 'dc-a',
+    ownEngine = engine,
+    members: readonly NodeIdentity[] = [],
+  ): Process {
     const node: EntryNode = {
       bus: new CommandBus(),
       clock: SYSTEM_CLOCK,
@@ -67,7 +72,12 @@
     };
     const store = new MemoryStore(SYSTEM_CLOCK, ownEngine);
     const mesh = network.attach(node.identity, SYSTEM_CLOCK);
-    const catalogue = registerCatalogue(node, {keyPrefix: PREFIX, mesh, store});
+    const catalogue = registerCatalogue(node, {
+      keyPrefix: PREFIX,
+      members: () => members,
+      mesh,
+      store,
+    });
     const started = {catalogue, node, store};
     processes.push(started);
     return started;
@@ -147,6 +157,19 @@
       assert.deepEqual(revisions, ['one@1', 'three@1', 'two@2']);
     });
 
+    it('are accepted in one step for more teams than one transaction holds operations', async () => {
+      const [process, other] = [start('entry-1'), start('entry-2')];
+      const names = Array.from({length: 180}, (_, index) => `team-${String(index)}`);
+      const outcome = await apply(process, createDocument(names), 0);
+      assert.equal(outcome.isOk() && outcome.value.revision, 1);
+      await waitFor(() => revisionOf(other) === 1, 'the other process knows revision 1');
+      assert.equal(other.catalogue.source.current().teams.size, 180);
+      const removed = await apply(process, createDocument(['team-7']), 1);
+      assert.equal(removed.isOk() && removed.value.revision, 2);
+      await waitFor(() => revisionOf(other) === 2, 'the other process knows revision 2');
+      assert.deepEqual([...other.catalogue.source.current().teams.keys()], ['team-7']);
+    });
+
     it('change nothing when the document is the same', async () => {
       const process = start('entry-1');
       await apply(process, createDocument(['one']), 0);
@@ -236,6 +259,20 @@
       const cut = partial.dataCentres.find(({dataCentre}) => dataCentre === 'dc-b');
       assert.deepEqual(cut, {applied: [], dataCentre: 'dc-b', heard: false, missing: ['entry-3']});
     });
+
+    it('names a member of the data centre that has no link and is on no list', async () => {
+      const gone: NodeIdentity = {
+        dataCentre: brand('dc-a'),
+        incarnation: brand('entry-9-1'),
+        region: brand('north'),
+        vm: brand('entry-9'),
+      };
+      const a = start('entry-1', 'dc-a', engine, [gone]);
+      await apply(a, createDocument(['one']), 0);
+      const partial = await a.catalogue.confirmer.confirm(1, 0, SYSTEM_CLOCK.monotonic());
+      assert.equal(partial.complete, false);
+      assert.deepEqual(partial.dataCentres[0]?.missing, ['entry-9']);
+    });
   });
 });
 
--- a/packages/nutmegproxy-cli/src/Features.ts
+++ b/packages/nutmegproxy-cli/src/Features.ts
@@ -1,8 +1,9 @@
 /** Composes the features of a process in the order in which they build on each other. */
 
 import type {CatalogueFeature} from '@nutmegproxy/catalogue';
-import type {EntryNode, Unregister} from '@nutmegproxy/core';
+import type {EntryNode, NodeIdentity, Unregister} from '@nutmegproxy/core';
 import type {EventLog} from '@nutmegproxy/events';
+import type {Membership} from '@nutmegproxy/membership';
 import type {ResolvedSettings} from '@nutmegproxy/settings';
 import type {Result} from 'neverthrow';
 
@@ -63,6 +64,12 @@
   );
 }
 
+/** Processes in the record of this data centre. */
+function listMembers({identity}: EntryNode, membership: Membership | undefined): NodeIdentity[] {
+  const members = [...(membership?.allotment()?.members.values() ?? [])];
+  return members.map(({incarnation, vm}) => ({...identity, incarnation, vm}));
+}
+
 async function listen(
   context: FeatureContext,
   api: AdminApi,
@@ -81,8 +88,11 @@
   const platform = await connectPlatform(context);
   const {directory, mesh, store} = platform;
   const {keyPrefix} = settings.platform;
-  const catalogue = registerCatalogue(node, {directory, keyPrefix, mesh, store});
+  const membership: {current?: Membership} = {};
+  const members = (): NodeIdentity[] => listMembers(node, membership.current);
+  const catalogue = registerCatalogue(node, {directory, keyPrefix, members, mesh, store});
   const work = registerWork(context, platform, catalogue.source);
+  membership.current = work.membership;
   const api = new AdminApi(node, secrets.operator.reveal());
   const unregister = mergeUnregister(
     platform.unregister,
