Let the test run pass over failures that KNOWN-RED.txt lists, and print them

Tried by hand: a listed failure passes and is printed; an unlisted one, a listed one beside an unlisted one, and a file that does not load fail the run.

--- a/scripts/test.mjs
+++ b/scripts/test.mjs
@@ -1,8 +1,12 @@
 // Runs the test files. Arguments narrow the run to files whose path contains one of them.
+// Failures that KNOWN-RED.txt lists are printed and passed over; any other failure fails the run.
 import {spawnSync} from 'node:child_process';
-import {readdirSync} from 'node:fs';
+import {existsSync, mkdtempSync, readdirSync, readFileSync, rmSync} from 'node:fs';
+import {tmpdir} from 'node:os';
 import {join} from 'node:path';
 
+const KNOWN_RED_FILE = 'KNOWN-RED.txt';
+const KNOWN_RED_PREFIX = 'test: ';
 const TEST_TIMEOUT_MS = 300_000;
 
 function findTests(folder) {
@@ -14,6 +18,38 @@
   });
 }
 
+function readLines(path) {
+  return existsSync(path) ? readFileSync(path, 'utf8').split('\n').filter(Boolean) : [];
+}
+
+function readKnownRed() {
+  return readLines(KNOWN_RED_FILE)
+    .filter((line) => line.startsWith(KNOWN_RED_PREFIX))
+    .map((line) => line.slice(KNOWN_RED_PREFIX.length).trim());
+}
+
+function runTests(files, failuresPath) {
+  const reporters = [
+    '--test-reporter=spec',
+    '--test-reporter-destination=stdout',
+    '--test-reporter=./scripts/failureReporter.mjs',
+    `--test-reporter-destination=${failuresPath}`,
+  ];
+  const limits = ['--test-concurrency=4', `--test-timeout=${TEST_TIMEOUT_MS}`];
+  const options = ['--import', 'tsx', '--test', ...reporters, ...limits];
+  return spawnSync(process.execPath, [...options, ...files], {stdio: 'inherit'}).status ?? 1;
+}
+
+/** The exit code after the failures that are known: zero only when there are no others. */
+function judge(status, failures) {
+  const knownRed = new Set(readKnownRed());
+  const known = failures.filter((name) => knownRed.has(name));
+  for (const name of known) {
+    console.log(`known red, see ${KNOWN_RED_FILE}: ${name}`);
+  }
+  return status !== 0 && failures.length > 0 && known.length === failures.length ? 0 : status;
+}
+
 const wanted = process.argv.slice(2);
 const files = findTests('packages')
   .filter((path) => wanted.length === 0 || wanted.some((part) => path.includes(part)))
@@ -22,17 +58,9 @@
   console.error('no test file matches');
   process.exit(1);
 }
-const result = spawnSync(
-  process.execPath,
-  [
-    '--import',
-    'tsx',
-    '--test',
-    '--test-reporter=spec',
-    '--test-concurrency=4',
-    `--test-timeout=${TEST_TIMEOUT_MS}`,
-    ...files,
-  ],
-  {stdio: 'inherit'},
-);
-process.exit(result.status ?? 1);
+const folder = mkdtempSync(join(tmpdir(), 'nutmegproxy-test-'));
+const failuresPath = join(folder, 'failures.txt');
+const status = runTests(files, failuresPath);
+const failures = readLines(failuresPath);
+rmSync(folder, {recursive: true});
+process.exit(judge(status, failures));
