--- a/packages/nutmegproxy-cli/src/WorkFeatures.ts
+++ b/packages/nutmegproxy-cli/src/WorkFeatures.ts
@@ -53,6 +53,15 @@
     directory,
     loans: lateLoans,
     membership,
+    registerLoans: (lender) =>
+      registerSlotLoans(node, {
+        lender,
+        membership,
+        mesh,
+        onEnded: (minion, count) => {
+          lender.end(minion, count);
+        },
+      }),
     seed: randomInt(MAX_SEED),
     settings,
     store,
