Share what is learned about entries between cells and entry VMs

Cause: each cell's policy learned sizes, run times, failure rates and interference for itself, and a change of owner lost them. Change: EntryKnowledge holds them for all cells of a process; LearnedPlacement keeps the reservations. New peer messages placement/learned (what is new, at most every 2 s, 64 entries and 128 pairs) and placement/overview (asked once by a new process); schema/placementMessages.json. Samples merge by their number, pairs by their variances. Ruled out: the whole knowledge in each message, as samples would count again. Not measured yet; the tests show the sharing, its bounds and that no reservation falls below the declared size.

--- a/packages/nutmegproxy-cli/src/WorkFeatures.ts
+++ b/packages/nutmegproxy-cli/src/WorkFeatures.ts
@@ -7,9 +7,9 @@
 
 import {mergeUnregister} from '@nutmegproxy/core';
 import {registerMembership} from '@nutmegproxy/membership';
-import {LANE_ORDERS, PLACEMENTS} from '@nutmegproxy/placement';
+import {EntryKnowledge, LANE_ORDERS, PLACEMENTS} from '@nutmegproxy/placement';
 import {registerRequests} from '@nutmegproxy/requests';
-import {registerTasks} from '@nutmegproxy/tasks';
+import {registerKnowledge, registerTasks} from '@nutmegproxy/tasks';
 import {randomInt} from 'node:crypto';
 
 import type {FeatureContext} from './Features.ts';
@@ -53,10 +53,11 @@
     store,
   });
   const placement = PLACEMENTS[settings.policies.placement];
+  const knowledge = new EntryKnowledge();
   const unregisterTasks = registerTasks(node, {
     catalogue,
     commitIntervalMs,
-    createPlacement: placement,
+    createPlacement: () => placement(knowledge),
     directory,
     keyPrefix,
     laneOrder: LANE_ORDERS[settings.policies.laneOrder],
@@ -72,6 +73,11 @@
   return {
     membership,
     requests,
-    unregister: mergeUnregister(unregisterMembership, requests.unregister, unregisterTasks),
+    unregister: mergeUnregister(
+      unregisterMembership,
+      requests.unregister,
+      unregisterTasks,
+      registerKnowledge(node, mesh, knowledge),
+    ),
   };
 }
--- a/packages/nutmegproxy-placement/src/EntryEstimate.ts
+++ b/packages/nutmegproxy-placement/src/EntryEstimate.ts
@@ -1,11 +1,10 @@
 /** What runs of one catalogue entry have shown about its size and run time. */
 
-import type {Resources} from '@nutmegproxy/schema';
+import type {EntrySummary, Resources} from '@nutmegproxy/schema';
 
+import {FadingSeries} from './FadingSeries.ts';
 import {maxResources, minResources, scaleResources} from './ResourcesUtils.ts';
 
-/** Weight that each later sample leaves to the earlier ones: the past fades as the entry changes. */
-const FADE = 0.98;
 /** Reports of this many attempts are needed before the declared size is trusted as a bound. */
 const TRUSTED_SAMPLES = 3;
 /** Declared sizes are off by up to this factor; an unknown entry reserves as much. */
@@ -15,34 +14,8 @@
 /** A reservation needs no more than this above the largest recent sample. */
 const LARGEST_SAMPLE_FACTOR = 1.1;
 
-/** Mean and variance of a fading series, and its fading maximum. */
-export class FadingSeries {
-  #largest = 0;
-  #mean = 0;
-  #variance = 0;
-  #weight = 0;
-
-  add(sample: number): void {
-    this.#weight = this.#weight * FADE + 1;
-    const difference = sample - this.#mean;
-    const share = 1 / this.#weight;
-    this.#mean += difference * share;
-    this.#variance = (1 - share) * (this.#variance + share * difference * difference);
-    this.#largest = Math.max(sample, this.#mean + (this.#largest - this.#mean) * FADE);
-  }
-
-  deviation(): number {
-    return Math.sqrt(this.#variance);
-  }
-
-  largest(): number {
-    return this.#largest;
-  }
-
-  mean(): number {
-    return this.#mean;
-  }
-}
+/** The part of a summary that an estimate gives. */
+export type EstimateSummary = Pick<EntrySummary, 'cpu' | 'logRunTime' | 'memoryMb'>;
 
 function bound(series: FadingSeries): number {
   const spread = series.mean() + SIZE_DEVIATIONS * series.deviation();
@@ -54,27 +27,30 @@
   readonly #cpu = new FadingSeries();
   readonly #logRunTime = new FadingSeries();
   readonly #memoryMb = new FadingSeries();
-  #runs = 0;
-  #samples = 0;
 
   /** Adds the largest usage that one attempt has shown. */
   addPeak(cpu: number, memoryMb: number): void {
-    this.#samples += 1;
     this.#cpu.add(cpu);
     this.#memoryMb.add(memoryMb);
   }
 
   addRunTime(runTimeMs: number): void {
-    this.#runs += 1;
     this.#logRunTime.add(Math.log(Math.max(1, runTimeMs)));
   }
 
+  /** Adds what was learned elsewhere. */
+  merge({cpu, logRunTime, memoryMb}: EstimateSummary): void {
+    this.#cpu.merge(cpu);
+    this.#logRunTime.merge(logRunTime);
+    this.#memoryMb.merge(memoryMb);
+  }
+
   /**
    * Amount to reserve: never below the declared size, above it when runs have used more. An entry
    * that has shown too little reserves as much as declarations are known to be off, within `largest`.
    */
   reservation(declared: Resources, largest: Resources): Resources {
-    if (this.#samples < TRUSTED_SAMPLES) {
+    if (this.#cpu.count < TRUSTED_SAMPLES) {
       const cautious = scaleResources(declared, UNKNOWN_SIZE_FACTOR);
       return maxResources(declared, minResources(cautious, largest));
     }
@@ -87,6 +63,14 @@
 
   /** Median run time in milliseconds. */
   runTimeMs(declaredRunTimeMs: number): number {
-    return this.#runs === 0 ? declaredRunTimeMs : Math.exp(this.#logRunTime.mean());
+    return this.#logRunTime.count === 0 ? declaredRunTimeMs : Math.exp(this.#logRunTime.mean());
+  }
+
+  summary(): EstimateSummary {
+    return {
+      cpu: this.#cpu.summary(),
+      logRunTime: this.#logRunTime.summary(),
+      memoryMb: this.#memoryMb.summary(),
+    };
   }
 }
--- /dev/null
+++ b/packages/nutmegproxy-placement/src/EntryKnowledge.ts
@@ -0,0 +1,137 @@
+/**
+ * What is learned about entries: sizes, run times, failure rates and interference. One for all
+ * cells of a process; peers tell each other what is new. Reservations are no part of it.
+ */
+
+import type {EntryId, Instant} from '@nutmegproxy/core';
+import type {EntrySummary, KnowledgeSummary, Resources} from '@nutmegproxy/schema';
+
+import {LRUCache} from 'lru-cache';
+
+import type {Outcomes} from './FailureRates.ts';
+
+import {EntryEstimate} from './EntryEstimate.ts';
+import {FailureRates} from './FailureRates.ts';
+import {Interference} from './Interference.ts';
+
+/** Entries kept; the one that was used least recently goes first. */
+const ENTRY_LIMIT = 20_000;
+/** Entries that wait to be told to peers. */
+const UNTOLD_LIMIT = 2048;
+/** Bounds of one summary; the schema has the same. */
+const ENTRIES_PER_SUMMARY = 64;
+const PAIRS_PER_SUMMARY = 128;
+/** A summary counts for no more samples than this, so that a wrong one gives way. */
+const LARGEST_COUNT = 32;
+
+interface Untold {
+  readonly estimate: EntryEstimate;
+  failures: number;
+  runs: number;
+}
+
+/** Shared by the cells of one process. */
+export class EntryKnowledge {
+  readonly interference = new Interference();
+  readonly #estimates = new LRUCache<EntryId, EntryEstimate>({max: ENTRY_LIMIT});
+  readonly #failures = new FailureRates(ENTRY_LIMIT);
+  readonly #untold = new LRUCache<EntryId, Untold>({max: UNTOLD_LIMIT});
+
+  /** Adds ended attempts. */
+  addOutcomes(entry: EntryId, outcomes: Outcomes, now: Instant): void {
+    this.#failures.add(entry, outcomes, now);
+    const untold = this.#untoldOf(entry);
+    untold.failures += outcomes.failures;
+    untold.runs += outcomes.runs;
+  }
+
+  /** Adds the largest usage that one attempt has shown. */
+  addPeak(entry: EntryId, cpu: number, memoryMb: number): void {
+    this.#estimate(entry).addPeak(cpu, memoryMb);
+    this.#untoldOf(entry).estimate.addPeak(cpu, memoryMb);
+  }
+
+  addRunTime(entry: EntryId, runTimeMs: number): void {
+    this.#estimate(entry).addRunTime(runTimeMs);
+    this.#untoldOf(entry).estimate.addRunTime(runTimeMs);
+  }
+
+  /** Learns from a peer; it is not told on. */
+  merge({entries, pairs}: KnowledgeSummary, now: Instant): void {
+    for (const summary of entries) {
+      const entry = summary.entry as EntryId;
+      this.#estimate(entry).merge({
+        cpu: limited(summary.cpu),
+        logRunTime: limited(summary.logRunTime),
+        memoryMb: limited(summary.memoryMb),
+      });
+      const {failures, runs} = summary;
+      this.#failures.add(entry, {failures: Math.min(failures, runs), runs}, now);
+    }
+    for (const pair of pairs) {
+      this.interference.merge(pair, now);
+    }
+  }
+
+  outcomes(entry: EntryId, now: Instant): Outcomes {
+    return this.#failures.outcomes(entry, now);
+  }
+
+  /** Amount to reserve for a task of the entry; never below the declared size. */
+  reservation(entry: EntryId, declared: Resources, largest: Resources): Resources {
+    return this.#estimate(entry).reservation(declared, largest);
+  }
+
+  runTimeMs(entry: EntryId, declaredMs: number): number {
+    return this.#estimate(entry).runTimeMs(declaredMs);
+  }
+
+  /**
+   * The entries and pairs that were used last, with all that is known of them, for a peer that has
+   * just started.
+   */
+  overview(now: Instant): KnowledgeSummary {
+    const entries = [...this.#estimates.entries()]
+      .slice(0, ENTRIES_PER_SUMMARY)
+      .map(([entry, estimate]) => ({
+        entry,
+        ...this.#failures.outcomes(entry, now),
+        ...estimate.summary(),
+      }));
+    return {entries, pairs: this.interference.overview(PAIRS_PER_SUMMARY)};
+  }
+
+  /**
+   * Takes what was learned here since the last call, as much as one message holds; undefined when
+   * there is nothing.
+   *
+   * @example
+   * const summary = knowledge.take();
+   */
+  take(): KnowledgeSummary | undefined {
+    const pairs = this.interference.take(PAIRS_PER_SUMMARY);
+    const entries = [...this.#untold.entries()]
+      .slice(0, ENTRIES_PER_SUMMARY)
+      .map(([entry, {estimate, failures, runs}]): EntrySummary => {
+        this.#untold.delete(entry);
+        return {entry, failures, runs, ...estimate.summary()};
+      });
+    return entries.length + pairs.length > 0 ? {entries, pairs} : undefined;
+  }
+
+  #estimate(entry: EntryId): EntryEstimate {
+    const known = this.#estimates.get(entry) ?? new EntryEstimate();
+    this.#estimates.set(entry, known);
+    return known;
+  }
+
+  #untoldOf(entry: EntryId): Untold {
+    const untold = this.#untold.get(entry) ?? {estimate: new EntryEstimate(), failures: 0, runs: 0};
+    this.#untold.set(entry, untold);
+    return untold;
+  }
+}
+
+function limited(series: EntrySummary['cpu']): EntrySummary['cpu'] {
+  return {...series, count: Math.min(series.count, LARGEST_COUNT)};
+}
--- /dev/null
+++ b/packages/nutmegproxy-placement/src/FadingSeries.ts
@@ -0,0 +1,62 @@
+/** A series of samples in which the past fades. */
+
+import type {SeriesSummary} from '@nutmegproxy/schema';
+
+/** Weight that each later sample leaves to the earlier ones: the past fades as the entry changes. */
+const FADE = 0.98;
+
+/** Mean and variance of a fading series, and its fading maximum. */
+export class FadingSeries {
+  #count = 0;
+  #largest = 0;
+  #mean = 0;
+  #variance = 0;
+  #weight = 0;
+
+  /** Samples that were added, whatever their weight now. */
+  get count(): number {
+    return this.#count;
+  }
+
+  add(sample: number): void {
+    this.merge({count: 1, largest: sample, mean: sample, variance: 0});
+  }
+
+  deviation(): number {
+    return Math.sqrt(this.#variance);
+  }
+
+  largest(): number {
+    return this.#largest;
+  }
+
+  mean(): number {
+    return this.#mean;
+  }
+
+  /** Adds samples that were summed up elsewhere, by their number. */
+  merge({count, largest, mean, variance}: SeriesSummary): void {
+    if (count <= 0) {
+      return;
+    }
+    const fade = FADE ** count;
+    const before = this.#weight * fade;
+    this.#weight = before + count;
+    this.#count += count;
+    const difference = mean - this.#mean;
+    const share = count / this.#weight;
+    const within = (1 - share) * this.#variance + share * variance;
+    this.#variance = within + share * (1 - share) * difference * difference;
+    this.#mean += difference * share;
+    this.#largest = Math.max(largest, this.#mean + (this.#largest - this.#mean) * fade);
+  }
+
+  summary(): SeriesSummary {
+    return {
+      count: this.#count,
+      largest: this.#largest,
+      mean: this.#mean,
+      variance: this.#variance,
+    };
+  }
+}
--- a/packages/nutmegproxy-placement/src/LearnedPlacement.ts
+++ b/packages/nutmegproxy-placement/src/LearnedPlacement.ts
@@ -4,7 +4,7 @@
  * that fail what their peers complete.
  */
 
-import type {AttemptId, EntryId, Instant, RackId, TeamId, WorkerId} from '@nutmegproxy/core';
+import type {AttemptId, EntryId, Instant, TeamId, WorkerId} from '@nutmegproxy/core';
 import type {Quota, Resources} from '@nutmegproxy/schema';
 
 import type {
@@ -22,12 +22,12 @@
 import type {Resident} from './WorkerScore.ts';
 
 import {Claims} from './Claims.ts';
-import {EntryEstimate} from './EntryEstimate.ts';
+import {EntryKnowledge} from './EntryKnowledge.ts';
 import {EvictionPlanner} from './EvictionPlanner.ts';
 import {FleetRoom} from './FleetRoom.ts';
-import {Interference} from './Interference.ts';
 import {BATCH_AGEING_MS, CANDIDATE_LIMIT, SCAN_LIMIT} from './LearnedConstants.ts';
 import {Quarantine} from './Quarantine.ts';
+import {RackCounts} from './RackCounts.ts';
 import {fitsInto, maxResources, subtractResources} from './ResourcesUtils.ts';
 import {RunHistory} from './RunHistory.ts';
 import {TeamQuotas} from './TeamQuotas.ts';
@@ -55,15 +55,14 @@
 export class LearnedPlacement implements Placement {
   readonly #claims = new Claims();
   readonly #demand = new UrgentDemand();
-  readonly #estimates = new Map<EntryId, EntryEstimate>();
   readonly #history = new RunHistory();
   readonly #index = new WorkerIndex();
-  readonly #interference = new Interference();
+  readonly #knowledge: EntryKnowledge;
   readonly #peaks = new Map<AttemptId, {cpu: number; memoryMb: number}>();
   readonly #planner: EvictionPlanner;
-  readonly #quarantine = new Quarantine();
+  readonly #quarantine: Quarantine;
   readonly #quotas = new TeamQuotas();
-  readonly #rackCounts = new Map<string, number>();
+  readonly #rackCounts = new RackCounts();
   readonly #room = new FleetRoom();
   readonly #throttles = new Throttles();
   readonly #ledger = new WorkerLedger((worker, load) => {
@@ -71,10 +70,12 @@
     this.#room.update(worker, load);
   });
 
-  constructor() {
+  constructor(knowledge = new EntryKnowledge()) {
+    this.#knowledge = knowledge;
     this.#planner = new EvictionPlanner(this.#ledger, this.#claims, (entry, declared) =>
-      this.#estimate(entry).runTimeMs(declared),
+      knowledge.runTimeMs(entry, declared),
     );
+    this.#quarantine = new Quarantine(knowledge);
   }
 
   adopt(attempt: PlacedAttempt): void {
@@ -138,13 +139,13 @@
       this.#quarantine.end(attempt.worker, attempt.entry, failed, now);
     }
     if (outcome === 'succeeded') {
-      this.#estimate(attempt.entry).addRunTime(now - attempt.startedAt);
+      this.#knowledge.addRunTime(attempt.entry, now - attempt.startedAt);
     }
   }
 
   removeWorker(worker: WorkerId): void {
-    for (const {attempt} of this.#history.present(worker)) {
-      this.#countRack(this.#ledger.attempt(attempt), -1);
+    for (const {entry} of this.#history.present(worker)) {
+      this.#countRack(entry, worker, -1);
     }
     this.#ledger.removeWorker(worker);
     this.#history.forget(worker);
@@ -175,8 +176,8 @@
         reserved,
         load,
         this.#residents(load),
-        this.#interference,
-        (entry, rack) => this.#rackCounts.get(toRackKey(entry, rack)) ?? 0,
+        this.#knowledge.interference,
+        (entry, rack) => this.#rackCounts.count(entry, rack),
         now,
       );
       if (!best || score < best.score) {
@@ -186,12 +187,6 @@
     return best?.worker;
   }
 
-  #estimate(entry: EntryId): EntryEstimate {
-    const known = this.#estimates.get(entry) ?? new EntryEstimate();
-    this.#estimates.set(entry, known);
-    return known;
-  }
-
   *#fitting(wish: PlacementWish, reserved: Resources, now: Instant): Generator<WorkerLoad> {
     const claimed = this.#claims.claimOf(wish.attempt, now);
     let found = 0;
@@ -218,9 +213,8 @@
       memoryMb: Math.max(before?.memoryMb ?? 0, memoryMb),
     };
     this.#peaks.set(attempt.attempt, peak);
-    const estimate = this.#estimate(attempt.entry);
     if (!before || peak.cpu > before.cpu || peak.memoryMb > before.memoryMb) {
-      estimate.addPeak(peak.cpu, peak.memoryMb);
+      this.#knowledge.addPeak(attempt.entry, peak.cpu, peak.memoryMb);
     }
     const measured = {accelerators: attempt.declared.accelerators, ...peak};
     const wanted = maxResources(this.#reservation(attempt), measured);
@@ -234,7 +228,7 @@
   #learnSpeed(attempt: PlacedAttempt, speed: number, measuredAt: Instant, now: Instant): void {
     const others = this.#history.coRunners(attempt.worker, attempt.attempt, measuredAt);
     const coRunners = others.map(({cpuShare, entry}) => ({entry, share: cpuShare}));
-    this.#interference.learn(attempt.entry, coRunners, speed, now);
+    this.#knowledge.interference.learn(attempt.entry, coRunners, speed, now);
     if (attempt.class !== 'latency-critical') {
       return;
     }
@@ -256,7 +250,7 @@
     this.#history.end(attempt.worker, attempt.attempt, now);
     this.#peaks.delete(attempt.attempt);
     this.#throttles.forget(attempt.attempt);
-    this.#countRack(attempt, -1);
+    this.#countRack(attempt.entry, attempt.worker, -1);
   }
 
   #noteStart(attempt: PlacedAttempt): void {
@@ -270,21 +264,11 @@
       startedAt: attempt.startedAt,
     };
     this.#history.add(attempt.worker, run);
-    this.#countRack(attempt, 1);
+    this.#countRack(attempt.entry, attempt.worker, 1);
   }
 
-  #countRack(attempt: PlacedAttempt | undefined, change: number): void {
-    const rack = attempt && this.#ledger.load(attempt.worker)?.profile.rack;
-    if (attempt === undefined || rack === undefined) {
-      return;
-    }
-    const key = toRackKey(attempt.entry, rack);
-    const count = (this.#rackCounts.get(key) ?? 0) + change;
-    if (count > 0) {
-      this.#rackCounts.set(key, count);
-    } else {
-      this.#rackCounts.delete(key);
-    }
+  #countRack(entry: EntryId, worker: WorkerId, change: number): void {
+    this.#rackCounts.change(entry, this.#ledger.load(worker)?.profile.rack, change);
   }
 
   #place(
@@ -308,7 +292,7 @@
 
   #reservation(wish: PlacementWish): Resources {
     const largest = this.#room.largestWorker() ?? wish.declared;
-    return this.#estimate(wish.entry).reservation(wish.declared, largest);
+    return this.#knowledge.reservation(wish.entry, wish.declared, largest);
   }
 
   #residents(load: WorkerLoad): Resident[] {
@@ -336,7 +320,11 @@
     let worst: undefined | {harm: number; run: Run};
     for (const run of others) {
       const isBatch = this.#ledger.attempt(run.attempt)?.class === 'batch';
-      const harm = this.#interference.predict(entry, {entry: run.entry, share: run.cpuShare}, now);
+      const harm = this.#knowledge.interference.predict(
+        entry,
+        {entry: run.entry, share: run.cpuShare},
+        now,
+      );
       if (isBatch && (!worst || harm.mean > worst.harm)) {
         worst = {harm: harm.mean, run};
       }
@@ -344,7 +332,3 @@
     return worst?.run;
   }
 }
-
-function toRackKey(entry: EntryId, rack: RackId): string {
-  return `${entry} ${rack}`;
-}
--- a/packages/nutmegproxy-placement/src/Placements.ts
+++ b/packages/nutmegproxy-placement/src/Placements.ts
@@ -1,12 +1,13 @@
 /** The placement policies by name; settings name the one to use. */
 
+import type {EntryKnowledge} from './EntryKnowledge.ts';
 import type {Placement} from './Placement.ts';
 
 import {FirstFit} from './FirstFit.ts';
 import {LearnedPlacement} from './LearnedPlacement.ts';
 
-/** Makes a policy. */
-export type PlacementMaker = () => Placement;
+/** Makes a policy for one cell; policies that are given the same knowledge learn together. */
+export type PlacementMaker = (knowledge?: EntryKnowledge) => Placement;
 
 export type PlacementName = 'first-fit' | 'learned';
 
@@ -18,5 +19,5 @@
  */
 export const PLACEMENTS: Readonly<Record<PlacementName, PlacementMaker>> = {
   'first-fit': () => new FirstFit(),
-  learned: () => new LearnedPlacement(),
+  learned: (knowledge) => new LearnedPlacement(knowledge),
 };
--- a/packages/nutmegproxy-placement/src/Quarantine.ts
+++ b/packages/nutmegproxy-placement/src/Quarantine.ts
@@ -3,46 +3,25 @@
 import type {EntryId, Instant, WorkerId} from '@nutmegproxy/core';
 
 import {after} from '@nutmegproxy/core';
-import {LRUCache} from 'lru-cache';
 
-/** Time in which a count loses half of its weight. */
-const HALF_LIFE_MS = 300_000;
+import type {EntryKnowledge} from './EntryKnowledge.ts';
+
+import {FadingCount, FailureRates} from './FailureRates.ts';
+
 /** Failures beyond twice those that the entries' own failure rates explain. */
 const EXCESS_FAILURES = 3;
 const FIRST_PAUSE_MS = 30_000;
 const LONGEST_PAUSE_MS = 600_000;
-/** Entries whose failure rate is kept, in all and for each worker; the oldest goes first. */
-const ENTRY_LIMIT = 20_000;
+/** Entries whose failure rate is kept for each worker. */
 const WORKER_ENTRY_LIMIT = 256;
 
-/** A count that fades with time. */
-class FadingCount {
-  #at = 0;
-  #value = 0;
-
-  add(amount: number, now: Instant): void {
-    this.#value = this.value(now) + amount;
-    this.#at = now;
-  }
-
-  value(now: Instant): number {
-    return this.#value * 0.5 ** (Math.max(0, now - this.#at) / HALF_LIFE_MS);
-  }
-}
-
-/** How attempts of an entry have ended. */
-interface Tally {
-  readonly failures: FadingCount;
-  readonly runs: FadingCount;
-}
-
 interface WorkerRecord {
   canary: boolean;
   readonly expected: FadingCount;
   readonly failures: FadingCount;
+  readonly own: FailureRates;
   pausedUntil: Instant | undefined;
   pauseMs: number;
-  readonly tallies: LRUCache<EntryId, Tally>;
 }
 
 /** Whether a worker takes tasks: all, none, or a single one as a trial. */
@@ -50,9 +29,13 @@
 
 /** Compares each worker's failures with what its entries fail elsewhere. */
 export class Quarantine {
-  readonly #entries = new LRUCache<EntryId, Tally>({max: ENTRY_LIMIT});
+  readonly #knowledge: EntryKnowledge;
   readonly #workers = new Map<WorkerId, WorkerRecord>();
 
+  constructor(knowledge: EntryKnowledge) {
+    this.#knowledge = knowledge;
+  }
+
   /** Records how an attempt ended on a worker. */
   end(worker: WorkerId, entry: EntryId, failed: boolean, now: Instant): void {
     const record = this.#record(worker);
@@ -63,8 +46,9 @@
       return;
     }
     // Failures on a suspect worker say nothing about the entry, so they are counted only here.
-    count(this.#entries, entry, failed, now);
-    count(record.tallies, entry, failed, now);
+    const outcomes = {failures: failed ? 1 : 0, runs: 1};
+    this.#knowledge.addOutcomes(entry, outcomes, now);
+    record.own.add(entry, outcomes, now);
     if (failed && this.#excess(record, now) >= EXCESS_FAILURES) {
       this.#pause(record, FIRST_PAUSE_MS, now);
     }
@@ -107,10 +91,10 @@
   }
 
   #failureRateElsewhere(record: WorkerRecord, entry: EntryId, now: Instant): number {
-    const all = this.#entries.get(entry);
-    const own = record.tallies.get(entry);
-    const runs = (all?.runs.value(now) ?? 0) - (own?.runs.value(now) ?? 0);
-    const failures = (all?.failures.value(now) ?? 0) - (own?.failures.value(now) ?? 0);
+    const all = this.#knowledge.outcomes(entry, now);
+    const own = record.own.outcomes(entry, now);
+    const runs = all.runs - own.runs;
+    const failures = all.failures - own.failures;
     // One success is assumed, so that a first failure does not make the entry the culprit.
     return Math.max(0, failures) / (Math.max(0, runs) + 1);
   }
@@ -129,23 +113,11 @@
       canary: false,
       expected: new FadingCount(),
       failures: new FadingCount(),
+      own: new FailureRates(WORKER_ENTRY_LIMIT),
       pausedUntil: undefined,
       pauseMs: FIRST_PAUSE_MS,
-      tallies: new LRUCache({max: WORKER_ENTRY_LIMIT}),
     };
     this.#workers.set(worker, record);
     return record;
   }
 }
-
-function count(
-  tallies: LRUCache<EntryId, Tally>,
-  entry: EntryId,
-  failed: boolean,
-  now: Instant,
-): void {
-  const tally = tallies.get(entry) ?? {failures: new FadingCount(), runs: new FadingCount()};
-  tally.runs.add(1, now);
-  tally.failures.add(failed ? 1 : 0, now);
-  tallies.set(entry, tally);
-}
--- a/packages/nutmegproxy-placement/src/index.ts
+++ b/packages/nutmegproxy-placement/src/index.ts
@@ -1,5 +1,6 @@
 /** Public surface of placement. */
 
+export {EntryKnowledge} from './EntryKnowledge.ts';
 export {LANE_ORDERS} from './LaneOrders.ts';
 export type {LaneOrderName} from './LaneOrders.ts';
 export type {
--- a/packages/nutmegproxy-schema/src/index.ts
+++ b/packages/nutmegproxy-schema/src/index.ts
@@ -78,6 +78,13 @@
   validatePeerFrame,
   validateProof,
 } from './generated/peersMessagesValidators.js';
+export type {
+  EntrySummary,
+  KnowledgeSummary,
+  PairSummary,
+  SeriesSummary,
+} from './generated/placementMessagesTypes.ts';
+export {validateKnowledgeSummary} from './generated/placementMessagesValidators.js';
 export type {LeavingMark, LeavingNotice} from './generated/platformMessagesTypes.ts';
 export {validateLeavingNotice} from './generated/platformMessagesValidators.js';
 export type {
--- a/packages/nutmegproxy-tasks/src/TasksConstants.ts
+++ b/packages/nutmegproxy-tasks/src/TasksConstants.ts
@@ -48,6 +48,7 @@
 export const RECOVERY_RETRY_MS = 1000;
 export const SUMMARY_INTERVAL_MS = 1000;
 export const SUMMARY_MAX_AGE_MS = 10_000;
+export const KNOWLEDGE_INTERVAL_MS = 2000;
 export const ENDED_JOB_RETENTION_MS = 600_000;
 export const MAX_ENDED_JOBS = 5000;
 /** Queued and running jobs of one cell; submissions beyond are refused. */
--- a/packages/nutmegproxy-tasks/src/__tests__/TestBench.ts
+++ b/packages/nutmegproxy-tasks/src/__tests__/TestBench.ts
@@ -171,6 +171,10 @@
     this.store.put(OWNER_KEY, {epoch: this.epoch, owner: this.owner});
   }
 
+  meshOf({identity}: TestVm): PeerMesh {
+    return this.#mesh(identity);
+  }
+
   async status(vm: TestVm, job: string): Promise<JobStatus> {
     const answer = await vm.call('GET', `/tasks/${job}`);
     assert.equal(answer.status, 200, answer.body);
@@ -240,7 +244,7 @@
   }
 
   #mesh(from: NodeIdentity): PeerMesh {
-    const handlers = new Map<string, PeerHandler>();
+    const handlers = this.#handlers.get(from.vm) ?? new Map<string, PeerHandler>();
     this.#handlers.set(from.vm, handlers);
     return {
       broadcast: ({body, type}) => {
@@ -250,7 +254,10 @@
           }
         }
       },
-      peers: () => [],
+      peers: () =>
+        this.vms
+          .filter(({identity}) => identity.vm !== from.vm)
+          .map(({identity}) => ({identity, lastHeard: this.clock.monotonic()})),
       registerHandler: (type, handler) => {
         handlers.set(type, handler);
         return () => handlers.delete(type);
--- a/packages/nutmegproxy-tasks/src/index.ts
+++ b/packages/nutmegproxy-tasks/src/index.ts
@@ -7,6 +7,7 @@
 export type {OwnerParser, StoredOwner} from './CellRecovery.ts';
 export type {CellServices} from './CellSupervisor.ts';
 export {isWorkerOf} from './CellUtils.ts';
+export {registerKnowledge} from './KnowledgeExchange.ts';
 export {registerTasks} from './RegisterTasks.ts';
 export type {TasksServices} from './RegisterTasks.ts';
 export type {RouteAnswer, RouteHandler, RouteRequest} from './TaskRoutes.ts';
