Use the tasks package's own route adapter and owner parser in the CLI

Cause: the CLI had copies of both, written before the tasks package had them. Change: the copies are gone.

--- a/packages/nutmegproxy-cli/src/WorkFeatures.ts
+++ b/packages/nutmegproxy-cli/src/WorkFeatures.ts
@@ -9,15 +9,12 @@
 import {registerMembership} from '@nutmegproxy/membership';
 import {EntryKnowledge, LANE_ORDERS, PLACEMENTS} from '@nutmegproxy/placement';
 import {registerRequests} from '@nutmegproxy/requests';
-import {registerKnowledge, registerTasks} from '@nutmegproxy/tasks';
+import {adaptRoute, parseOwnerRecord, registerKnowledge, registerTasks} from '@nutmegproxy/tasks';
 import {randomInt} from 'node:crypto';
 
 import type {FeatureContext} from './Features.ts';
 import type {PlatformConnections} from './PlatformConnections.ts';
 
-import {parseCellOwner} from './CellOwner.ts';
-import {adaptTaskRoute} from './TaskRouteAdapter.ts';
-
 const MAX_SEED = 2 ** 31;
 
 export interface WorkFeatures {
@@ -63,9 +60,8 @@
     laneOrder: LANE_ORDERS[settings.policies.laneOrder],
     membership,
     mesh,
-    parseOwner: parseCellOwner,
-    registerRoute: (prefix, handler) =>
-      requests.registerCallerRoute(prefix, adaptTaskRoute(handler)),
+    parseOwner: parseOwnerRecord,
+    registerRoute: (prefix, handler) => requests.registerCallerRoute(prefix, adaptRoute(handler)),
     store,
     timings: {leaseMs: taskLeaseMs, syncMs: workerSyncMs},
     workers,
