--- a/packages/nutmegproxy-cli/src/WorkFeatures.ts
+++ b/packages/nutmegproxy-cli/src/WorkFeatures.ts
@@ -17,8 +17,6 @@
 import type {FeatureContext} from './Features.ts';
 import type {PlatformConnections} from './PlatformConnections.ts';
 
-import {LateLoans} from './LateLoans.ts';
-
 const MAX_SEED = 2 ** 31;
 
 export interface WorkFeatures {
@@ -63,26 +61,15 @@
     prefix: keyPrefix,
     store,
   });
-  const lateLoans = new LateLoans();
   const requests = registerRequests(node, {
     catalogue,
     directory,
-    loans: lateLoans,
     membership,
     registerLoans: createLoans(node, membership, mesh),
     seed: randomInt(MAX_SEED),
     settings,
     store,
   });
-  const {loans, unregister: unregisterLoans} = registerSlotLoans(node, {
-    lender: requests.lender,
-    membership,
-    mesh,
-    onEnded: (minion, count) => {
-      requests.lender.end(minion, count);
-    },
-  });
-  lateLoans.attach(loans);
   const placement = PLACEMENTS[settings.policies.placement];
   const knowledge = new EntryKnowledge();
   const tasks = registerTasks(node, {
@@ -107,7 +94,6 @@
     unregister: mergeUnregister(
       unregisterMembership,
       requests.unregister,
-      unregisterLoans,
       tasks.unregister,
       registerKnowledge(node, mesh, knowledge),
     ),
