Tell an unknown catalogue from an empty one

Cause: a process that had heard neither the store nor a peer answered GET /v1/catalogue with an empty catalogue at revision 0, which an operator or a check could take for a catalogue that went back. Change: 503 until the store or a peer has said what the catalogue is; status shows that, and whether the store answered the last read.

--- a/packages/nutmegproxy-admin/src/CatalogueRoutes.ts
+++ b/packages/nutmegproxy-admin/src/CatalogueRoutes.ts
@@ -94,6 +94,9 @@
   return [
     {
       handler: () => {
+        if (!source.isKnown()) {
+          return answerError({code: 'unavailable', message: 'no catalogue is known here yet'});
+        }
         const snapshot = source.current();
         return answerJson({catalogue: snapshot.toDocument(), revision: snapshot.revision});
       },
--- a/packages/nutmegproxy-catalogue/src/CatalogueFeature.ts
+++ b/packages/nutmegproxy-catalogue/src/CatalogueFeature.ts
@@ -35,6 +35,8 @@
 export interface CatalogueFeature {
   readonly changes: CatalogueChanges;
   readonly confirmer: CatalogueConfirmer;
+  /** Whether the last read of the store was answered. */
+  readonly isStoreAnswering: () => boolean;
   readonly repository: CatalogueRepository;
   readonly source: SnapshotSource;
   readonly unregister: Unregister;
@@ -85,6 +87,7 @@
   return {
     changes: new CatalogueChanges(node, {follower, repository, state}),
     confirmer: new CatalogueConfirmer(node, {directory, exchange, mesh}),
+    isStoreAnswering: () => follower.isStoreAnswering(),
     repository,
     source: state,
     unregister,
--- a/packages/nutmegproxy-catalogue/src/CatalogueFollower.ts
+++ b/packages/nutmegproxy-catalogue/src/CatalogueFollower.ts
@@ -60,6 +60,11 @@
     return this.#catchUp(head.value);
   }
 
+  /** Whether the last read of the store was answered. */
+  isStoreAnswering(): boolean {
+    return this.#storeAnswers;
+  }
+
   /** The loop of this follower; ends after `close`. */
   async run(): Promise<void> {
     while (!this.#closed.signal.aborted) {
@@ -79,6 +84,9 @@
       this.#node.events.record(CATALOGUE_EVENTS.STORE_BEHIND, fields);
       return 'current';
     }
+    if (stored === 0) {
+      this.#state.markEmpty();
+    }
     const delta = await this.#repository.readDelta(snapshot, head);
     if (delta.isErr()) {
       this.#reportFailure(delta.error.message);
--- a/packages/nutmegproxy-catalogue/src/CatalogueState.ts
+++ b/packages/nutmegproxy-catalogue/src/CatalogueState.ts
@@ -14,10 +14,13 @@
 /** Gives the newest snapshot, with the parts that operators read and edit. */
 export interface SnapshotSource extends CatalogueSource {
   current(): CatalogueSnapshot;
+  /** False until the store or a peer has said what the catalogue is; empty is an answer too. */
+  isKnown(): boolean;
 }
 
 /** Holds the newest snapshot; only a higher revision replaces it. */
 export class CatalogueState implements SnapshotSource {
+  #known = false;
   readonly #node: EntryNode;
   #snapshot = CatalogueSnapshot.EMPTY;
 
@@ -40,9 +43,19 @@
     const next = this.#snapshot.apply(delta);
     invariant(next.revision > revision, 'catalogue: a revision that is not higher was applied');
     this.#snapshot = next;
+    this.#known = true;
     const {change, revision: applied} = delta.record;
     this.#node.events.record(CATALOGUE_EVENTS.APPLIED, {change, revision: applied, source});
     this.#node.bus.dispatch(CATALOGUE_CHANGED, next);
     return true;
   }
+
+  isKnown(): boolean {
+    return this.#known;
+  }
+
+  /** The store has no catalogue yet, so that the empty one is in force. */
+  markEmpty(): void {
+    this.#known = true;
+  }
 }
--- a/packages/nutmegproxy-catalogue/src/__tests__/unit/CatalogueFeature.test.ts
+++ b/packages/nutmegproxy-catalogue/src/__tests__/unit/CatalogueFeature.test.ts
@@ -213,6 +213,16 @@
       await waitFor(() => revisionOf(b) === 1, 'entry-2 heard from entry-1');
     });
 
+    it('is not known to a process that has heard neither the store nor a peer', async () => {
+      const process = start('entry-1');
+      process.store.faults.change({down: true});
+      assert.equal(process.catalogue.source.isKnown(), false);
+      await waitFor(() => !process.catalogue.isStoreAnswering(), 'the store does not answer');
+      assert.equal(process.catalogue.source.isKnown(), false);
+      process.store.faults.change({down: false});
+      await waitFor(() => process.catalogue.source.isKnown(), 'the empty catalogue is known');
+    });
+
     it('reaches a process that starts during an outage of the store', async () => {
       const a = start('entry-1');
       await apply(a, createDocument(['one', 'two']), 0);
--- a/packages/nutmegproxy-cli/src/Features.ts
+++ b/packages/nutmegproxy-cli/src/Features.ts
@@ -56,7 +56,7 @@
     registerTimelineRoutes(api, node, {log, mesh}),
     registerTasksRoute(api, tasks.listJobs),
     registerStatusRoute(api, node, {
-      catalogue: () => describeCatalogue(catalogue.source),
+      catalogue: () => describeCatalogue(catalogue),
       membership: () => describeMembership(membership, node),
       peers: () => mesh.peers().map(({identity}) => identity),
       vms: () => describeDirectory(directory),
--- a/packages/nutmegproxy-cli/src/StatusSections.ts
+++ b/packages/nutmegproxy-cli/src/StatusSections.ts
@@ -1,6 +1,6 @@
 /** What `GET /v1/status` shows of each feature. */
 
-import type {SnapshotSource} from '@nutmegproxy/catalogue';
+import type {CatalogueFeature} from '@nutmegproxy/catalogue';
 import type {EntryNode} from '@nutmegproxy/core';
 import type {Membership} from '@nutmegproxy/membership';
 import type {VmDirectory} from '@nutmegproxy/platform';
@@ -8,7 +8,11 @@
 export interface CatalogueStatus {
   readonly change: string;
   readonly entries: number;
+  /** False until the store or a peer has said what the catalogue is. */
+  readonly known: boolean;
   readonly revision: number;
+  /** Whether the store answered when the catalogue was last read from it. */
+  readonly storeAnswers: boolean;
   readonly teams: number;
 }
 
@@ -33,9 +37,16 @@
 /** Numbers of known VMs by role and state. */
 export type DirectoryStatus = Readonly<Record<string, number>>;
 
-export function describeCatalogue(source: SnapshotSource): CatalogueStatus {
-  const {entries, record, revision, teams} = source.current();
-  return {change: record.change, entries: entries.size, revision, teams: teams.size};
+export function describeCatalogue(catalogue: CatalogueFeature): CatalogueStatus {
+  const {entries, record, revision, teams} = catalogue.source.current();
+  return {
+    change: record.change,
+    entries: entries.size,
+    known: catalogue.source.isKnown(),
+    revision,
+    storeAnswers: catalogue.isStoreAnswering(),
+    teams: teams.size,
+  };
 }
 
 export function describeDirectory(directory: VmDirectory): DirectoryStatus {
