--- a/packages/nutmegproxy-cli/src/WorkFeatures.ts
+++ b/packages/nutmegproxy-cli/src/WorkFeatures.ts
@@ -9,17 +9,14 @@
 
 import {mergeUnregister} from '@nutmegproxy/core';
 import {registerMembership, registerSlotLoans} from '@nutmegproxy/membership';
-import {LANE_ORDERS, PLACEMENTS} from '@nutmegproxy/placement';
+import {EntryKnowledge, LANE_ORDERS, PLACEMENTS} from '@nutmegproxy/placement';
 import {registerRequests} from '@nutmegproxy/requests';
-import {registerTasks} from '@nutmegproxy/tasks';
+import {adaptRoute, parseOwnerRecord, registerKnowledge, registerTasks} from '@nutmegproxy/tasks';
 import {randomInt} from 'node:crypto';
 
 import type {FeatureContext} from './Features.ts';
 import type {PlatformConnections} from './PlatformConnections.ts';
 
-import {parseCellOwner} from './CellOwner.ts';
-import {adaptTaskRoute} from './TaskRouteAdapter.ts';
-
 const MAX_SEED = 2 ** 31;
 
 export interface WorkFeatures {
@@ -75,18 +72,18 @@
     store,
   });
   const placement = PLACEMENTS[settings.policies.placement];
+  const knowledge = new EntryKnowledge();
   const tasks = registerTasks(node, {
     catalogue,
     commitIntervalMs,
-    createPlacement: placement,
+    createPlacement: () => placement(knowledge),
     directory,
     keyPrefix,
     laneOrder: LANE_ORDERS[settings.policies.laneOrder],
     membership,
     mesh,
-    parseOwner: parseCellOwner,
-    registerRoute: (prefix, handler) =>
-      requests.registerCallerRoute(prefix, adaptTaskRoute(handler)),
+    parseOwner: parseOwnerRecord,
+    registerRoute: (prefix, handler) => requests.registerCallerRoute(prefix, adaptRoute(handler)),
     store,
     timings: {leaseMs: taskLeaseMs, syncMs: workerSyncMs},
     workers,
@@ -95,6 +92,11 @@
     membership,
     requests,
     tasks,
-    unregister: mergeUnregister(unregisterMembership, requests.unregister, tasks.unregister),
+    unregister: mergeUnregister(
+      unregisterMembership,
+      requests.unregister,
+      tasks.unregister,
+      registerKnowledge(node, mesh, knowledge),
+    ),
   };
 }
