Make the outage limit and the vouch period settings that all members share

The first member writes its periods into the record; a process with other ones does not join and says so (event 2311). They are not adopted from the record: a process would then run on other timings than its settings say. A data centre whose last member is gone, or a VM that succeeds itself, may change them. 'that differ from those of the members keep a process out' fails without the check.

--- a/packages/nutmegproxy-cli/src/WorkFeatures.ts
+++ b/packages/nutmegproxy-cli/src/WorkFeatures.ts
@@ -52,13 +52,14 @@
   const {node, settings} = context;
   const {departures, directory, mesh, store, workers} = platform;
   const {keyPrefix} = settings.platform;
-  const {commitIntervalMs, taskLeaseMs, tenureTtlMs, workerSyncMs} = settings.timings;
+  const {commitIntervalMs, taskLeaseMs, workerSyncMs} = settings.timings;
+  const {outageLimitMs, tenureTtlMs, vouchPeriodMs} = settings.timings;
   const {membership, unregister: unregisterMembership} = registerMembership(node, {
     departures,
     directory,
     mesh,
     peerAddress: mesh.peerAddress,
-    periods: {tenureTtlMs},
+    periods: {outageLimitMs, tenureTtlMs, vouchPeriodMs},
     prefix: keyPrefix,
     store,
   });
--- a/packages/nutmegproxy-membership/src/MembershipEvents.ts
+++ b/packages/nutmegproxy-membership/src/MembershipEvents.ts
@@ -17,6 +17,11 @@
     level: 'warn',
     text: 'A member whose tenure had ended was removed from the allotment record.',
   },
+  PERIODS_DIFFER: {
+    code: 2311,
+    level: 'error',
+    text: 'This process does not join: its timings differ from those of the members.',
+  },
   RECORD_INVALID: {
     code: 2309,
     level: 'error',
--- a/packages/nutmegproxy-membership/src/RecordKeeper.ts
+++ b/packages/nutmegproxy-membership/src/RecordKeeper.ts
@@ -4,6 +4,7 @@
 import type {AllotmentRecord, MemberRecord} from '@nutmegproxy/schema';
 
 import {brand} from '@nutmegproxy/core';
+import {isDeepStrictEqual} from 'node:util';
 
 import type {MembershipParts} from './MembershipServices.ts';
 import type {PlanInputs} from './RecordPlan.ts';
@@ -34,6 +35,8 @@
   #left = false;
   readonly #parts: MembershipParts;
   #pending: PendingElectors | undefined;
+  /** Whether the event of a refused join has been recorded. */
+  #refused = false;
   readonly #takeover: Takeover;
   readonly #tenure: TenureKeeper;
 
@@ -135,11 +138,15 @@
       this.#left = true;
       return;
     }
+    const others = this.#withoutPredecessor(reading.record);
+    if (!this.#sharesPeriods(others)) {
+      return;
+    }
     const granted = await this.#tenure.grant();
     if (granted === undefined) {
       return;
     }
-    const to = this.#withOwn(this.#withoutPredecessor(reading.record));
+    const to = this.#withOwn(others);
     const tenure = {lease: granted.lease, record: this.#tenure.describe()};
     const outcome = await this.#change({from: reading, tenure, to});
     if (outcome === 'committed') {
@@ -251,9 +258,24 @@
     }
   }
 
+  /** Members count with each other's periods, so only those with the same ones may join. */
+  #sharesPeriods({members, periods}: AllotmentRecord): boolean {
+    const {node, periods: own} = this.#parts;
+    if (members.length === 0 || periods === undefined || isDeepStrictEqual(periods, own)) {
+      return true;
+    }
+    if (!this.#refused) {
+      this.#refused = true;
+      const fields = {members: JSON.stringify(periods), own: JSON.stringify(own)};
+      node.events.record(MEMBERSHIP_EVENTS.PERIODS_DIFFER, fields);
+    }
+    return false;
+  }
+
   #withOwn(record: AllotmentRecord): AllotmentRecord {
     const own: MemberRecord = {...this.#tenure.describe(), electors: [], state: 'active'};
-    const draft = {...record, members: [...record.members, own]};
+    const {periods} = this.#parts;
+    const draft = {...record, members: [...record.members, own], periods};
     const members = draft.members.map((member) =>
       member === own ? {...member, electors: listElectors(draft)} : member,
     );
--- a/packages/nutmegproxy-membership/src/__tests__/fakes/Cluster.ts
+++ b/packages/nutmegproxy-membership/src/__tests__/fakes/Cluster.ts
@@ -66,7 +66,13 @@
   #releases: {readonly keep: number; readonly minion: MinionId; readonly released: () => void}[] =
     [];
 
-  constructor(cluster: Cluster, vm: string, generation: number, rate: number) {
+  constructor(
+    cluster: Cluster,
+    vm: string,
+    generation: number,
+    rate: number,
+    periods: MembershipPeriods,
+  ) {
     this.#cluster = cluster;
     this.clock = new DriftingClock(cluster.clock, rate);
     this.store = new GatedStore(cluster.engine);
@@ -95,7 +101,7 @@
         mesh: cluster.network.attach(this.node.identity, this.clock),
         node: this.node,
         peerAddress: `${vm}:1`,
-        periods: PERIODS,
+        periods,
         store: this.store,
       },
       {
@@ -201,9 +207,9 @@
     }
   }
 
-  add(vm: string, rate = 1): Process {
+  add(vm: string, rate = 1, periods = PERIODS): Process {
     this.#generation += 1;
-    const process = new Process(this, vm, this.#generation, rate);
+    const process = new Process(this, vm, this.#generation, rate, periods);
     this.processes.push(process);
     this.list.add(vm);
     return process;
--- a/packages/nutmegproxy-membership/src/__tests__/unit/Membership.test.ts
+++ b/packages/nutmegproxy-membership/src/__tests__/unit/Membership.test.ts
@@ -62,6 +62,28 @@
     });
   });
 
+  describe('periods', () => {
+    const other = {...PERIODS, outageLimitMs: PERIODS.outageLimitMs * 2};
+
+    it('that differ from those of the members keep a process out', async () => {
+      const [cluster] = await createCluster(['a']);
+      const b = cluster.add('b', 1, other);
+      await cluster.run(SETTLE_SECONDS);
+      assert.equal(b.holds(), false);
+      assert.deepEqual(members(cluster), ['a']);
+    });
+
+    it('can be changed once no member is left', async () => {
+      const [cluster, a] = await createCluster(['a']);
+      a?.membership.leave();
+      await cluster.run(SETTLE_SECONDS);
+      const b = cluster.add('b', 1, other);
+      await cluster.run(SETTLE_SECONDS);
+      assert.ok(b.holds());
+      assert.deepEqual(cluster.record()?.periods, other);
+    });
+  });
+
   describe('a planned stop', () => {
     it('hands over shares and cells and leaves', async () => {
       const [cluster, a] = await createCluster(['a', 'b', 'c']);
--- a/packages/nutmegproxy-settings/src/SettingsConstants.ts
+++ b/packages/nutmegproxy-settings/src/SettingsConstants.ts
@@ -17,10 +17,12 @@
 export const DEFAULT_TIMINGS = {
   commitIntervalMs: 10,
   heartbeatMs: 1_000,
+  outageLimitMs: 7_200_000,
   stopDelayMs: 5_000,
   storeTimeoutMs: 2_000,
   taskLeaseMs: 30_000,
   tenureTtlMs: 10_000,
   vmListPollMs: 1_000,
+  vouchPeriodMs: 6_000,
   workerSyncMs: 1_000,
 } as const;
