Count links, tenure, members, cells and loans; show lent and borrowed slots

Metrics of peers (links, links opened, bytes and messages by direction and type) and of membership (tenure held and left, members, cells owned, slots held, lent and borrowed, removals). status shows for each minion what this process has lent, borrowed and in use, from the ledger that requests count with. The assertions in WorkFeatures.test.ts name metrics that did not exist before.

--- a/packages/nutmegproxy-cli/src/Features.ts
+++ b/packages/nutmegproxy-cli/src/Features.ts
@@ -49,7 +49,7 @@
   {log, node}: FeatureContext,
   {directory, mesh}: PlatformConnections,
   catalogue: CatalogueFeature,
-  {membership, tasks}: WorkFeatures,
+  {membership, requests, tasks}: WorkFeatures,
 ): Unregister {
   return mergeUnregister(
     registerCatalogueRoutes(api, catalogue),
@@ -57,7 +57,7 @@
     registerTasksRoute(api, tasks.listJobs),
     registerStatusRoute(api, node, {
       catalogue: () => describeCatalogue(catalogue),
-      membership: () => describeMembership(membership, node),
+      membership: () => describeMembership(membership, node, requests),
       peers: () => mesh.peers().map(({identity}) => identity),
       vms: () => describeDirectory(directory),
     }),
--- a/packages/nutmegproxy-cli/src/StatusSections.ts
+++ b/packages/nutmegproxy-cli/src/StatusSections.ts
@@ -4,6 +4,7 @@
 import type {EntryNode} from '@nutmegproxy/core';
 import type {Membership} from '@nutmegproxy/membership';
 import type {VmDirectory} from '@nutmegproxy/platform';
+import type {Requests} from '@nutmegproxy/requests';
 
 export interface CatalogueStatus {
   readonly change: string;
@@ -28,7 +29,10 @@
   readonly members: readonly {readonly incarnation: string; readonly vm: string}[];
   /** Slots of each minion that this process holds. */
   readonly slots: readonly {
+    readonly borrowed: number;
     readonly held: number;
+    readonly inFlight: number;
+    readonly lent: number;
     readonly minion: string;
     readonly slots: number;
   }[];
@@ -58,7 +62,11 @@
   return counts;
 }
 
-export function describeMembership(membership: Membership, node: EntryNode): MembershipStatus {
+export function describeMembership(
+  membership: Membership,
+  node: EntryNode,
+  requests: Pick<Requests, 'slotUse'>,
+): MembershipStatus {
   const allotment = membership.allotment();
   const {incarnation} = node.identity;
   const members = [...(allotment?.members.values() ?? [])];
@@ -72,6 +80,7 @@
       held: shares.get(incarnation) ?? 0,
       minion,
       slots,
+      ...requests.slotUse(minion),
     })),
   };
 }
--- a/packages/nutmegproxy-cli/src/__tests__/unit/WorkFeatures.test.ts
+++ b/packages/nutmegproxy-cli/src/__tests__/unit/WorkFeatures.test.ts
@@ -1,4 +1,5 @@
 import type {CatalogueView} from '@nutmegproxy/catalogue';
+import type {SlotUse} from '@nutmegproxy/requests';
 import type {Entry, Vm} from '@nutmegproxy/schema';
 import type {PlatformStore} from '@nutmegproxy/store';
 
@@ -40,7 +41,9 @@
 interface RunningVm {
   readonly close: () => Promise<void>;
   readonly holds: () => number;
+  readonly metrics: () => Promise<string>;
   readonly url: string;
+  readonly use: () => SlotUse;
 }
 
 async function until(condition: () => boolean): Promise<void> {
@@ -101,7 +104,9 @@
       await Promise.all([mesh.stop(), workers.close()]);
     },
     holds: () => work.membership.ownShare(brand('minion-1')),
+    metrics: () => node.metrics.metrics(),
     url: `http://127.0.0.1:${port}/entries/alerts/`,
+    use: () => work.requests.slotUse(brand('minion-1')),
   };
 }
 
@@ -135,6 +140,20 @@
       assert.ok(answers.every(({status}) => status === 200));
       assert.ok(minion.counters.mostConcurrent > SLOTS / 2);
       assert.ok(minion.counters.mostConcurrent <= SLOTS);
+      const metrics = await first.metrics();
+      assert.match(metrics, /^nutmegproxy_membership_tenure_held 1$/m);
+      assert.match(metrics, /^nutmegproxy_membership_members 2$/m);
+      assert.match(metrics, /^nutmegproxy_membership_slots_held 4$/m);
+      assert.match(metrics, /^nutmegproxy_membership_slots_borrowed \d+$/m);
+      assert.match(metrics, /^nutmegproxy_membership_slots_lent 0$/m);
+      assert.match(metrics, /^nutmegproxy_peers_links 1$/m);
+      assert.match(metrics, /^nutmegproxy_peers_traffic_bytes_total\{direction="in"\} [1-9]/m);
+      assert.match(
+        metrics,
+        /^nutmegproxy_peers_messages_total\{direction="out",type="membership\/borrow"\} [1-9]/m,
+      );
+      await until(() => first.use().borrowed === 0);
+      assert.deepEqual(first.use(), {borrowed: 0, inFlight: 0, lent: 0});
     } finally {
       await Promise.all(entries.map((entry) => entry.close()));
       await standin.close();
--- a/packages/nutmegproxy-membership/src/LentSlots.ts
+++ b/packages/nutmegproxy-membership/src/LentSlots.ts
@@ -49,6 +49,10 @@
       .reduce((sum, {count}) => sum + count, 0);
   }
 
+  countAll(): number {
+    return [...this.#loans.values()].reduce((sum, {count}) => sum + count, 0);
+  }
+
   /** Takes back the loans that have lapsed. */
   expire(now: Instant): void {
     for (const [id, loan] of this.#loans) {
--- a/packages/nutmegproxy-membership/src/MembershipNode.ts
+++ b/packages/nutmegproxy-membership/src/MembershipNode.ts
@@ -60,6 +60,11 @@
     return this.#records.ended;
   }
 
+  /** Members that this process has removed from the record. */
+  get removals(): number {
+    return this.#records.removals;
+  }
+
   allotment(): Allotment | undefined {
     const {modRevision, record} = this.#parts.view.reading;
     if (modRevision === 0) {
--- a/packages/nutmegproxy-membership/src/RecordKeeper.ts
+++ b/packages/nutmegproxy-membership/src/RecordKeeper.ts
@@ -30,6 +30,7 @@
 
 export class RecordKeeper {
   readonly releases: ReleaseBook;
+  removals = 0;
   #joined = false;
   #leaving = false;
   #left = false;
@@ -181,6 +182,7 @@
     }
     if (outcome === 'committed') {
       for (const incarnation of removable) {
+        this.removals += 1;
         node.events.record(MEMBERSHIP_EVENTS.MEMBER_REMOVED, {incarnation});
       }
       await this.#readAgain();
--- a/packages/nutmegproxy-membership/src/SlotLoans.ts
+++ b/packages/nutmegproxy-membership/src/SlotLoans.ts
@@ -133,6 +133,16 @@
     }
   }
 
+  /** Slots of all minions that this process has borrowed. */
+  countBorrowed(): number {
+    return this.#borrowed.all().reduce((sum, {count}) => sum + count, 0);
+  }
+
+  /** Slots of all minions that this process has lent. */
+  countLent(): number {
+    return this.#lent.countAll();
+  }
+
   /** Slots of a minion that this process has lent. */
   lent(minion: MinionId): number {
     return this.#lent.count(minion);
--- a/packages/nutmegproxy-membership/src/registerMembership.ts
+++ b/packages/nutmegproxy-membership/src/registerMembership.ts
@@ -24,6 +24,7 @@
   TICK_SHARE,
   VOUCH_PERIOD_MS,
 } from './MembershipConstants.ts';
+import {registerMembershipMetrics} from './MembershipMetrics.ts';
 import {MembershipNode} from './MembershipNode.ts';
 
 export const DEFAULT_PERIODS: MembershipPeriods = {
@@ -94,6 +95,7 @@
       prefix,
     },
   );
+  registerMembershipMetrics(node, membership);
   const keepRecord = async () => {
     while (running && !membership.ended) {
       await membership.stepRecord();
--- a/packages/nutmegproxy-membership/src/registerSlotLoans.ts
+++ b/packages/nutmegproxy-membership/src/registerSlotLoans.ts
@@ -7,6 +7,7 @@
 import type {SlotLoansOptions} from './SlotLoans.ts';
 
 import {LOAN_TICK_MS} from './MembershipConstants.ts';
+import {registerLoanMetrics} from './MembershipMetrics.ts';
 import {DEFAULT_PERIODS} from './registerMembership.ts';
 import {SlotLoans} from './SlotLoans.ts';
 
@@ -21,6 +22,7 @@
   options: Omit<SlotLoansOptions, 'periods'> & Partial<Pick<SlotLoansOptions, 'periods'>>,
 ): {loans: SlotLoans; unregister: Unregister} {
   const loans = new SlotLoans(node, {periods: DEFAULT_PERIODS, ...options});
+  registerLoanMetrics(node, loans);
   const timer = setInterval(() => {
     const now = node.clock.monotonic();
     loans.expire(now);
--- a/packages/nutmegproxy-peers/src/PeerLink.ts
+++ b/packages/nutmegproxy-peers/src/PeerLink.ts
@@ -8,6 +8,7 @@
 import type {FrameInbox} from './FrameInbox.ts';
 import type {LinkRole} from './Handshake.ts';
 import type {PeerFailure, PeerMessage} from './PeerMesh.ts';
+import type {PeersMetrics} from './PeersMetrics.ts';
 
 import {FrameCodec} from './FrameCodec.ts';
 import {
@@ -50,12 +51,13 @@
   readonly #decoder: FrameCodec;
   readonly #encoder: FrameCodec;
   readonly #inbox: FrameInbox;
+  readonly #metrics: PeersMetrics;
   readonly #node: EntryNode;
   readonly #owner: LinkOwner;
   readonly #pending = new PendingRequests();
   readonly #socket: WebSocket;
 
-  constructor(node: EntryNode, owner: LinkOwner, parts: LinkParts) {
+  constructor(node: EntryNode, owner: LinkOwner, parts: LinkParts, metrics: PeersMetrics) {
     this.identity = parts.identity;
     this.lastHeard = node.clock.monotonic();
     this.peerAddress = parts.peerAddress;
@@ -63,6 +65,7 @@
     this.#decoder = new FrameCodec(parts.receiveKey);
     this.#encoder = new FrameCodec(parts.sendKey);
     this.#inbox = parts.inbox;
+    this.#metrics = metrics;
     this.#node = node;
     this.#owner = owner;
     this.#socket = parts.socket;
@@ -145,6 +148,7 @@
         return;
       }
       this.lastHeard = this.#node.clock.monotonic();
+      this.#metrics.countBytes('in', bytes.length);
       const frame = this.#decoder.decode(bytes);
       if (frame.isErr() || !this.#handleFrame(frame.value)) {
         const reason = frame.isErr() ? frame.error : 'unknown type or body';
@@ -163,7 +167,12 @@
       this.close();
       return false;
     }
-    this.#socket.send(this.#encoder.encode(frame));
+    const bytes = this.#encoder.encode(frame);
+    this.#socket.send(bytes);
+    this.#metrics.countBytes('out', bytes.length);
+    if (frame.kind === 'message') {
+      this.#metrics.countMessage('out', frame.type);
+    }
     return true;
   }
 
--- a/packages/nutmegproxy-peers/src/WsPeerMesh.ts
+++ b/packages/nutmegproxy-peers/src/WsPeerMesh.ts
@@ -35,6 +35,7 @@
   MAX_HANDSHAKES,
 } from './PeersConstants.ts';
 import {PEERS_EVENTS} from './PeersEvents.ts';
+import {PeersMetrics} from './PeersMetrics.ts';
 import {describePeer, TargetBook} from './TargetBook.ts';
 
 export interface WsPeerMeshOptions {
@@ -64,6 +65,7 @@
   readonly #handlers = new Map<string, Registration>();
   #handshakes = 0;
   readonly #links: LinkTable;
+  readonly #metrics: PeersMetrics;
   readonly #node: EntryNode;
   readonly #options: WsPeerMeshOptions;
   #peerAddress = '';
@@ -76,6 +78,7 @@
     this.#options = options;
     this.#book = new TargetBook(node.identity, options.seeds);
     this.#links = new LinkTable(node.identity);
+    this.#metrics = new PeersMetrics(node.metrics, () => this.#links.all().length);
   }
 
   /** Address that this process listens on; known after `start`. */
@@ -223,6 +226,7 @@
     if (registration === undefined) {
       return Promise.resolve(err('no handler for this type'));
     }
+    this.#metrics.countMessage('in', frame.type);
     if (!registration.check(frame.body)) {
       return undefined;
     }
@@ -257,6 +261,7 @@
 
   async #runLink(link: PeerLink): Promise<void> {
     const fields = {address: link.peerAddress, role: link.role, vm: link.identity.vm};
+    this.#metrics.countLinkOpened();
     this.#node.events.record(PEERS_EVENTS.LINK_OPEN, fields);
     this.#learn([describePeer(link.identity, link.peerAddress)]);
     await link.run();
@@ -294,6 +299,7 @@
         },
       },
       parts.value,
+      this.#metrics,
     );
     if (!this.#links.add(link)) {
       link.close();
--- a/packages/nutmegproxy-requests/src/SlotLedger.ts
+++ b/packages/nutmegproxy-requests/src/SlotLedger.ts
@@ -12,6 +12,13 @@
   share: number;
 }
 
+/** Slots of one minion that are in use, and that move between peers. */
+export interface SlotUse {
+  readonly borrowed: number;
+  readonly inFlight: number;
+  readonly lent: number;
+}
+
 /** Requests on borrowed slots end sooner than their deadline may say. */
 export type SlotOrigin = 'borrowed' | 'own';
 
@@ -60,6 +67,12 @@
     return this.#minions.get(minion)?.inFlight ?? 0;
   }
 
+  /** How the slots of a minion stand at present. */
+  use(minion: MinionId): SlotUse {
+    const {borrowed = 0, inFlight = 0, lent = 0} = this.#minions.get(minion) ?? {};
+    return {borrowed, inFlight, lent};
+  }
+
   /** Whether more slots are in use than there are, as after the end of a loan. */
   isOverdrawn(minion: MinionId): boolean {
     const slots = this.#minions.get(minion);
--- a/packages/nutmegproxy-requests/src/index.ts
+++ b/packages/nutmegproxy-requests/src/index.ts
@@ -7,4 +7,5 @@
 export type {LoansRegistration, Requests, RequestsServices} from './registerRequests.ts';
 export {HEADER_OUTCOME, HEADER_REQUEST} from './RequestsConstants.ts';
 export {splitShare} from './ShareUtils.ts';
+export type {SlotUse} from './SlotLedger.ts';
 export type {SlotLender, SlotLoans} from './SlotLoans.ts';
--- a/packages/nutmegproxy-requests/src/registerRequests.ts
+++ b/packages/nutmegproxy-requests/src/registerRequests.ts
@@ -2,7 +2,7 @@
 
 import type {MinionChoicePolicy, QueuePolicy} from '@nutmegproxy/admission';
 import type {CatalogueSource} from '@nutmegproxy/catalogue';
-import type {DrainStart, EntryNode, Unregister} from '@nutmegproxy/core';
+import type {DrainStart, EntryNode, MinionId, Unregister} from '@nutmegproxy/core';
 import type {Membership, ShareRelease} from '@nutmegproxy/membership';
 import type {VmDirectory} from '@nutmegproxy/platform';
 import type {Settings} from '@nutmegproxy/schema';
@@ -17,6 +17,7 @@
 import {VMS_CHANGED} from '@nutmegproxy/platform';
 
 import type {CallerRouteHandler, ListenFailure} from './CallerListener.ts';
+import type {SlotUse} from './SlotLedger.ts';
 import type {SlotLender, SlotLoans} from './SlotLoans.ts';
 
 import {CallerListener} from './CallerListener.ts';
@@ -68,6 +69,8 @@
   openRequests(): number;
   /** Serves another prefix, such as `/tasks/`, on the callers' listener. */
   registerCallerRoute(prefix: string, handler: CallerRouteHandler): Unregister;
+  /** How this process's slots of a minion stand at present. */
+  slotUse(minion: MinionId): SlotUse;
   /** Closes at once and takes back all registrations. */
   readonly unregister: Unregister;
 }
@@ -239,6 +242,7 @@
     },
     openRequests: () => listener.inProgress,
     registerCallerRoute: (prefix, handler) => listener.registerRoute(prefix, handler),
+    slotUse: (minion) => parts.ledger.use(minion),
     unregister: mergeUnregister(
       () => {
         listener.terminate();
