Read the record less often the more members there are

With n members the record was read n/2 times a second. The mean interval of a member now grows with n/3, up to 15 times, while nothing waits; peers already pass new revisions on. By the intervals: 4.5 to 1.5 reads a second with 9 members, 45 to 3 with 90; unchanged up to 3. The instants are random, as a notice wakes all members at once and a missing key should be seen soon by one of them. Ruled out: a watch by a few members, which the store counts as a call each as well and which needs agreement on who watches.

--- a/packages/nutmegproxy-membership/src/MembershipConstants.ts
+++ b/packages/nutmegproxy-membership/src/MembershipConstants.ts
@@ -11,6 +11,10 @@
 export const CLOCK_RATE_MARGIN = 0.05;
 export const TICK_MS = 1_000;
 export const RECORD_POLL_MS = 2_000;
+/** Members that read the record at the plain interval; more of them share these reads. */
+export const POLLING_MEMBERS = 3;
+/** Most that the interval is stretched by: what peers did not pass on waits no longer. */
+export const MAX_POLL_STRETCH = 15;
 export const PEER_TIMEOUT_MS = 1_000;
 /** Longest tick and poll as parts of the tenure's time to live. */
 export const TICK_SHARE = 0.1;
--- a/packages/nutmegproxy-membership/src/MembershipNode.ts
+++ b/packages/nutmegproxy-membership/src/MembershipNode.ts
@@ -6,6 +6,7 @@
 
 import type {Allotment, Membership} from './Membership.ts';
 import type {MembershipParts, MembershipServices} from './MembershipServices.ts';
+import type {PollNeeds} from './RecordPolling.ts';
 
 import {shareOf, toAllotment} from './AllotmentRecordUtils.ts';
 import {Announcer} from './Announcer.ts';
@@ -60,6 +61,10 @@
     return this.#records.ended;
   }
 
+  get pollNeeds(): PollNeeds {
+    return this.#records.pollNeeds;
+  }
+
   /** Members that this process has removed from the record. */
   get removals(): number {
     return this.#records.removals;
--- a/packages/nutmegproxy-membership/src/RecordKeeper.ts
+++ b/packages/nutmegproxy-membership/src/RecordKeeper.ts
@@ -8,6 +8,7 @@
 
 import type {MembershipParts} from './MembershipServices.ts';
 import type {PlanInputs} from './RecordPlan.ts';
+import type {PollNeeds} from './RecordPolling.ts';
 import type {ChangeOutcome, RecordChange, RecordReading} from './RecordStore.ts';
 import type {MinionCapacity} from './SharePlan.ts';
 import type {TenureKeeper} from './TenureKeeper.ts';
@@ -53,6 +54,19 @@
     return this.#left;
   }
 
+  /** What the interval until the next step depends on. */
+  get pollNeeds(): PollNeeds {
+    const {node, view} = this.#parts;
+    const {members, reclaimed} = view.record;
+    const settled =
+      view.hasMember(node.identity.incarnation) &&
+      this.#tenure.hasLease() &&
+      members.every(({incarnation}) => view.reading.tenures.has(brand(incarnation))) &&
+      reclaimed.length === 0 &&
+      !this.releases.isPending();
+    return {members: members.length, urgent: !settled || this.#leaving};
+  }
+
   /** Begins a planned stop: shares and cells are given up from the next step on. */
   leave(): void {
     this.#leaving = true;
--- a/packages/nutmegproxy-membership/src/ReleaseBook.ts
+++ b/packages/nutmegproxy-membership/src/ReleaseBook.ts
@@ -35,6 +35,11 @@
     return new Map(free.map(({wanted}) => [wanted.minion, wanted.keep]));
   }
 
+  /** Whether something is being given up. */
+  isPending(): boolean {
+    return this.#cells.size > 0 || this.#shares.size > 0;
+  }
+
   /** Slots of a minion that stay usable while some are being given up. */
   keptShare(minion: string): number {
     return this.#shares.get(minion)?.wanted.keep ?? Infinity;
--- a/packages/nutmegproxy-membership/src/registerMembership.ts
+++ b/packages/nutmegproxy-membership/src/registerMembership.ts
@@ -26,6 +26,7 @@
 } from './MembershipConstants.ts';
 import {registerMembershipMetrics} from './MembershipMetrics.ts';
 import {MembershipNode} from './MembershipNode.ts';
+import {choosePollMs} from './RecordPolling.ts';
 
 export const DEFAULT_PERIODS: MembershipPeriods = {
   loanTermMs: LOAN_TERM_MS,
@@ -99,7 +100,8 @@
   const keepRecord = async () => {
     while (running && !membership.ended) {
       await membership.stepRecord();
-      await recordPause.wait(leaving ? Math.min(pollMs, LEAVE_POLL_MS) : pollMs);
+      const nextMs = choosePollMs(pollMs, membership.pollNeeds, Math.random());
+      await recordPause.wait(leaving ? Math.min(nextMs, LEAVE_POLL_MS) : nextMs);
     }
   };
   const keepTenure = async () => {
