--- a/packages/nutmegproxy-cli/src/main.ts
+++ b/packages/nutmegproxy-cli/src/main.ts
@@ -22,6 +22,7 @@
   const command = name !== undefined && Object.hasOwn(COMMANDS, name) ? COMMANDS[name] : undefined;
   if (command === undefined) {
     showHelp();
+    printError(name === undefined ? 'usage: a command is missing' : `usage: no command ${name}`);
     return EXIT_USAGE;
   }
   const clients = createClients(options, process.env);
--- a/scripts/generate.mjs
+++ b/scripts/generate.mjs
@@ -38,6 +38,8 @@
     allErrors: true,
     allowUnionTypes: true,
     code: {esm: true, source: true},
+    // Ajv warns of its unicode option for each schema.
+    logger: {error: console.error, log: console.log, warn: () => undefined},
     strict: true,
     unicode: false,
   });
