--- a/packages/nutmegproxy-cli/src/WorkFeatures.ts
+++ b/packages/nutmegproxy-cli/src/WorkFeatures.ts
@@ -4,9 +4,10 @@
 import type {Unregister} from '@nutmegproxy/core';
 import type {Membership} from '@nutmegproxy/membership';
 import type {Requests} from '@nutmegproxy/requests';
+import type {Tasks} from '@nutmegproxy/tasks';
 
 import {mergeUnregister} from '@nutmegproxy/core';
-import {registerMembership} from '@nutmegproxy/membership';
+import {registerMembership, registerSlotLoans} from '@nutmegproxy/membership';
 import {LANE_ORDERS, PLACEMENTS} from '@nutmegproxy/placement';
 import {registerRequests} from '@nutmegproxy/requests';
 import {registerTasks} from '@nutmegproxy/tasks';
@@ -16,6 +17,7 @@
 import type {PlatformConnections} from './PlatformConnections.ts';
 
 import {parseCellOwner} from './CellOwner.ts';
+import {LateLoans} from './LateLoans.ts';
 import {adaptTaskRoute} from './TaskRouteAdapter.ts';
 
 const MAX_SEED = 2 ** 31;
@@ -23,6 +25,7 @@
 export interface WorkFeatures {
   readonly membership: Membership;
   readonly requests: Requests;
+  readonly tasks: Tasks;
   readonly unregister: Unregister;
 }
 
@@ -44,16 +47,27 @@
     prefix: keyPrefix,
     store,
   });
+  const lateLoans = new LateLoans();
   const requests = registerRequests(node, {
     catalogue,
     directory,
+    loans: lateLoans,
     membership,
     seed: randomInt(MAX_SEED),
     settings,
     store,
   });
+  const {loans, unregister: unregisterLoans} = registerSlotLoans(node, {
+    lender: requests.lender,
+    membership,
+    mesh,
+    onEnded: (minion, count) => {
+      requests.lender.end(minion, count);
+    },
+  });
+  lateLoans.attach(loans);
   const placement = PLACEMENTS[settings.policies.placement];
-  const unregisterTasks = registerTasks(node, {
+  const tasks = registerTasks(node, {
     catalogue,
     commitIntervalMs,
     createPlacement: placement,
@@ -72,6 +86,12 @@
   return {
     membership,
     requests,
-    unregister: mergeUnregister(unregisterMembership, requests.unregister, unregisterTasks),
+    tasks,
+    unregister: mergeUnregister(
+      unregisterMembership,
+      requests.unregister,
+      unregisterLoans,
+      tasks.unregister,
+    ),
   };
 }
