Measure requests in an open loop against real processes

Latency counts from the intended time; policies run on the same seeds, in turn. The stand-in for a minion takes service times from a header and a factor; a metric shows the slots of a VM.

--- /dev/null
+++ b/packages/nutmegproxy-load/src/Balancer.ts
@@ -0,0 +1,43 @@
+/** Stands for the platform's balancer: gives callers the entry VMs that say they are ready. */
+
+import {setTimeout as sleep} from 'node:timers/promises';
+
+import {BALANCER_POLL_MS} from './LoadConstants.ts';
+
+/** An entry VM as the balancer sees it. */
+export interface BalancedEntry {
+  /** Base URL for callers. */
+  readonly callers: string;
+  isReady(): Promise<boolean>;
+}
+
+export class Balancer {
+  readonly #entries: readonly BalancedEntry[];
+  #isOpen = true;
+  #ready: readonly BalancedEntry[];
+  #turn = 0;
+
+  constructor(entries: readonly BalancedEntry[]) {
+    this.#entries = entries;
+    this.#ready = entries;
+  }
+
+  close(): void {
+    this.#isOpen = false;
+  }
+
+  /** The entry VM for the next request, in turn. */
+  next(): BalancedEntry | undefined {
+    this.#turn += 1;
+    return this.#ready[this.#turn % Math.max(1, this.#ready.length)];
+  }
+
+  /** Asks all entry VMs again and again until `close`. */
+  async run(): Promise<void> {
+    while (this.#isOpen) {
+      await sleep(BALANCER_POLL_MS);
+      const states = await Promise.all(this.#entries.map((entry) => entry.isReady()));
+      this.#ready = this.#entries.filter((_entry, index) => states[index]);
+    }
+  }
+}
--- /dev/null
+++ b/packages/nutmegproxy-load/src/Faults.ts
@@ -0,0 +1,94 @@
+/** Brings about the faults of a scenario at their times. */
+
+import type {Fault, Scenario} from '@nutmegproxy/schema';
+
+import {setTimeout as sleep} from 'node:timers/promises';
+
+import type {LoadCluster, LoadMinion} from './LoadCluster.ts';
+
+interface FaultHandler {
+  /** Ends the fault; undefined when it lasts. */
+  readonly end?: (cluster: LoadCluster, fault: Fault) => Promise<unknown>;
+  readonly start: (cluster: LoadCluster, fault: Fault) => Promise<unknown>;
+}
+
+function strikeMinions(
+  {minions}: LoadCluster,
+  {count = 1}: Fault,
+  strike: (minion: LoadMinion) => Promise<unknown>,
+): Promise<unknown> {
+  return Promise.all(minions.slice(0, count).map(strike));
+}
+
+function slowMinions(cluster: LoadCluster, fault: Fault, serviceFactor: number): Promise<unknown> {
+  return strikeMinions(cluster, fault, (minion) => cluster.controlMinion(minion, {serviceFactor}));
+}
+
+async function controlPlatform(cluster: LoadCluster, down: boolean): Promise<void> {
+  await Promise.all([cluster.controlStore({down}), cluster.controlList({down})]);
+}
+
+async function letMinionsLeave(cluster: LoadCluster, fault: Fault): Promise<void> {
+  const ids = cluster.minions.slice(0, fault.count ?? 1).map(({id}) => id);
+  await cluster.listAsLeaving(new Set(ids));
+  await strikeMinions(cluster, fault, (minion) => cluster.controlMinion(minion, {leaving: true}));
+}
+
+/** Faults of the callers are the open loop's part. */
+const CALLERS_PART: FaultHandler = {start: () => Promise.resolve()};
+
+const FAULT_HANDLERS: Readonly<Record<Fault['kind'], FaultHandler>> = {
+  cancellations: CALLERS_PART,
+  'entry-kill': {start: ({entries}) => Promise.resolve(entries.at(-1)?.process?.kill())},
+  'entry-stop': {
+    start: ({entries}) => Promise.resolve(entries.at(-1)?.process?.signal('SIGTERM')),
+  },
+  'list-lag': {start: (cluster, {delayMs = 0}) => cluster.controlList({lagMs: delayMs})},
+  load: CALLERS_PART,
+  'minions-fail': {
+    start: (cluster, fault) => strikeMinions(cluster, fault, ({process}) => process.kill()),
+  },
+  'minions-leave': {start: letMinionsLeave},
+  'minions-slow': {
+    end: (cluster, fault) => slowMinions(cluster, fault, 1),
+    start: (cluster, fault) => slowMinions(cluster, fault, fault.factor ?? 1),
+  },
+  'platform-cut': {
+    end: (cluster) => controlPlatform(cluster, false),
+    start: (cluster) => controlPlatform(cluster, true),
+  },
+  retries: CALLERS_PART,
+  'store-down': {
+    end: (cluster) => cluster.controlStore({down: false}),
+    start: (cluster) => cluster.controlStore({down: true}),
+  },
+  'store-slow': {
+    end: (cluster) => cluster.controlStore({delayMs: 0}),
+    start: (cluster, {delayMs = 0}) => cluster.controlStore({delayMs}),
+  },
+};
+
+async function waitUntilTime(timeMs: number): Promise<void> {
+  await sleep(Math.max(0, timeMs - performance.now()));
+}
+
+async function runFault(cluster: LoadCluster, fault: Fault, zeroMs: number): Promise<void> {
+  const {end, start} = FAULT_HANDLERS[fault.kind];
+  await waitUntilTime(zeroMs + fault.atMs);
+  // A planned stop takes its time; the end of another fault must not wait for it.
+  const started = start(cluster, fault);
+  if (end !== undefined && fault.untilMs !== undefined) {
+    await waitUntilTime(zeroMs + fault.untilMs);
+    await end(cluster, fault);
+  }
+  await started;
+}
+
+/** Runs all faults; `zeroMs` is the end of the warm-up on this process's monotonic clock. */
+export async function runFaults(
+  cluster: LoadCluster,
+  {faults = []}: Scenario,
+  zeroMs: number,
+): Promise<void> {
+  await Promise.all(faults.map((fault) => runFault(cluster, fault, zeroMs)));
+}
--- /dev/null
+++ b/packages/nutmegproxy-load/src/LoadCluster.ts
@@ -0,0 +1,136 @@
+/** The processes of a load run: platform, minions and entry VMs of one data centre. */
+
+import type {ManagedProcess} from '@nutmegproxy/proof';
+import type {Policies, Scenario, Vm} from '@nutmegproxy/schema';
+import type {MinionControl, StoreFaultSettings, VmListControl} from '@nutmegproxy/standins';
+
+import {ProcessGroup} from '@nutmegproxy/proof';
+import {request} from 'undici';
+
+import {LOAD_DATA_CENTRE, STANDINS_PROGRAM} from './LoadConstants.ts';
+import {LoadEntry} from './LoadEntry.ts';
+import {createCatalogue, waitUntil} from './LoadUtils.ts';
+
+/** A minion's stand-in in a process of its own. */
+export interface LoadMinion {
+  readonly id: string;
+  readonly process: ManagedProcess;
+  readonly url: string;
+}
+
+export class LoadCluster {
+  readonly entries: LoadEntry[] = [];
+  readonly #group = new ProcessGroup();
+  #listUrl = '';
+  readonly minions: LoadMinion[] = [];
+  readonly #scenario: Scenario;
+  #storeUrl = '';
+  #vms: Vm[] = [];
+
+  constructor(scenario: Scenario) {
+    this.#scenario = scenario;
+  }
+
+  async close(): Promise<void> {
+    await this.#group.close();
+  }
+
+  async controlList(message: VmListControl): Promise<void> {
+    await postControl(this.#listUrl, message);
+  }
+
+  async controlMinion({url}: LoadMinion, message: MinionControl): Promise<void> {
+    await postControl(url, message);
+  }
+
+  async controlStore(message: StoreFaultSettings): Promise<void> {
+    await postControl(this.#storeUrl, message);
+  }
+
+  /** Shows minions as leaving in the list of VMs. */
+  async listAsLeaving(ids: ReadonlySet<string>): Promise<void> {
+    this.#vms = this.#vms.map((vm) => (ids.has(vm.id) ? {...vm, state: 'leaving'} : vm));
+    await this.controlList({vms: this.#vms});
+  }
+
+  /** Starts all processes and waits until every entry VM has its share of every minion. */
+  async start(policies: Policies): Promise<void> {
+    const [store, list] = await Promise.all([
+      this.#startStandin('store'),
+      this.#startStandin('vm-list'),
+    ]);
+    this.#storeUrl = toUrl(store);
+    this.#listUrl = toUrl(list);
+    await this.#startMinions();
+    await this.controlList({vms: this.#vms});
+    await this.#startEntries(policies);
+    await this.controlList({vms: this.#vms});
+    const catalogue = createCatalogue(this.#scenario);
+    const [first] = this.entries;
+    await waitUntil('the catalogue', async () => (await first?.applyCatalogue(catalogue)) === true);
+    const shares = this.#scenario.minions * this.#scenario.slots;
+    await waitUntil('the shares', () => this.#hasShares(shares));
+  }
+
+  /** Whether the entry VMs together hold all slots, none without a fair part of them. */
+  async #hasShares(slots: number): Promise<boolean> {
+    const ready = await Promise.all(this.entries.map((entry) => entry.isReady()));
+    if (!ready.every(Boolean)) {
+      return false;
+    }
+    const shares = await Promise.all(this.entries.map((entry) => entry.countSlots()));
+    const fair = Math.floor(slots / this.entries.length / 2);
+    return shares.every((share) => share >= fair);
+  }
+
+  async #startEntries(policies: Policies): Promise<void> {
+    for (let index = 1; index <= this.#scenario.entryVms; index += 1) {
+      const seeds = this.entries.map(({peers}) => peers);
+      const entry = new LoadEntry(`entry-${index}`, this.#group);
+      await entry.start({listUrl: this.#listUrl, policies, seeds, storeUrl: this.#storeUrl});
+      this.entries.push(entry);
+      this.#vms.push({
+        address: new URL(entry.callers).host,
+        dataCentre: LOAD_DATA_CENTRE,
+        id: entry.vm,
+        role: 'entry',
+        state: 'live',
+      });
+    }
+  }
+
+  async #startMinions(): Promise<void> {
+    const {connections, deployment, minions, slots} = this.#scenario;
+    const args = ['--connections', String(connections), '--slots', String(slots)];
+    for (let index = 1; index <= minions; index += 1) {
+      const id = `minion-${index}`;
+      const process = await this.#startStandin('minion', args);
+      const url = toUrl(process);
+      this.minions.push({id, process, url});
+      this.#vms.push({
+        address: new URL(url).host,
+        connections,
+        dataCentre: LOAD_DATA_CENTRE,
+        id,
+        role: 'minion',
+        service: deployment,
+        slots,
+        state: 'live',
+      });
+    }
+  }
+
+  #startStandin(kind: string, args: readonly string[] = []): Promise<ManagedProcess> {
+    return this.#group.start({args: [kind, ...args], name: kind, program: STANDINS_PROGRAM});
+  }
+}
+
+function toUrl({ready}: ManagedProcess): string {
+  return `http://127.0.0.1:${ready}`;
+}
+
+async function postControl(url: string, message: object): Promise<void> {
+  const body = JSON.stringify(message);
+  const answer = await request(`${url}/control`, {body, method: 'POST', reset: true});
+  await answer.body.dump();
+}
--- /dev/null
+++ b/packages/nutmegproxy-load/src/LoadConstants.ts
@@ -0,0 +1,20 @@
+/** Constants of the load runs. */
+
+export const CLI_PROGRAM = 'dist/cli.cjs';
+export const STANDINS_PROGRAM = 'dist/standins.cjs';
+export const LOAD_DATA_CENTRE = 'dc1';
+export const LOAD_TEAM = 'load';
+
+/** Time over the deadline after which a caller stops to wait. */
+export const CALLER_GRACE_MS = 2000;
+/** Time after which a caller of a cancellation wave gives up. */
+export const CANCEL_AFTER_MS = 20;
+export const BALANCER_POLL_MS = 200;
+export const READY_TIMEOUT_MS = 30_000;
+export const READY_POLL_MS = 50;
+/** Longest service time as a multiple of the mean. */
+export const SERVICE_TIME_SPREAD_MAX = 4;
+export const TIMELINE_STEP_MS = 500;
+/** Highest latency that a histogram tells apart, in µs. */
+export const HIGHEST_LATENCY_US = 120_000_000;
+export const BENCH_LOAD_SHARE = 0.5;
--- /dev/null
+++ b/packages/nutmegproxy-load/src/LoadEntry.ts
@@ -0,0 +1,106 @@
+/** An entry VM of a load run. */
+
+import type {ManagedProcess, ProcessGroup} from '@nutmegproxy/proof';
+import type {Catalogue, Policies, Settings} from '@nutmegproxy/schema';
+
+import {mkdtempSync, rmSync, writeFileSync} from 'node:fs';
+import {tmpdir} from 'node:os';
+import {dirname, join} from 'node:path';
+import {request} from 'undici';
+
+import {CLI_PROGRAM, LOAD_DATA_CENTRE} from './LoadConstants.ts';
+
+const OPERATOR_TOKEN = 'load-operator-token-0123456789abcdef';
+const PEER_SECRET = 'load-peer-secret-0123456789abcdef012';
+const READY_LINE = /^callers=(\d+) operators=(\d+) peers=(\d+)$/;
+const SLOTS_METRIC = /^nutmegproxy_requests_slots_count\{state="share"\} (\d+)/m;
+
+/** What an entry VM is started with. */
+export interface EntryPlan {
+  readonly listUrl: string;
+  readonly policies: Policies;
+  readonly seeds: readonly string[];
+  readonly storeUrl: string;
+}
+
+export class LoadEntry {
+  callers = '';
+  readonly #group: ProcessGroup;
+  #operators = '';
+  peers = '';
+  #process: ManagedProcess | undefined;
+  readonly vm: string;
+
+  constructor(vm: string, group: ProcessGroup) {
+    this.vm = vm;
+    this.#group = group;
+  }
+
+  get process(): ManagedProcess | undefined {
+    return this.#process;
+  }
+
+  /** Replaces the catalogue; false when the VM did not accept it. */
+  async applyCatalogue(catalogue: Catalogue): Promise<boolean> {
+    const answer = await request(`${this.#operators}/v1/catalogue`, {
+      body: JSON.stringify({catalogue, expectedRevision: 0}),
+      headers: {authorization: `Bearer ${OPERATOR_TOKEN}`, 'content-type': 'application/json'},
+      method: 'POST',
+      reset: true,
+    }).catch(() => undefined);
+    await answer?.body.dump();
+    return answer?.statusCode === 200;
+  }
+
+  /** Slots that this VM's shares give it over all minions. */
+  async countSlots(): Promise<number> {
+    const answer = await request(`${this.#operators}/metrics`, {
+      headers: {authorization: `Bearer ${OPERATOR_TOKEN}`},
+      reset: true,
+    }).catch(() => undefined);
+    const text = (await answer?.body.text().catch(() => '')) ?? '';
+    return Number(SLOTS_METRIC.exec(text)?.[1] ?? 0);
+  }
+
+  async isReady(): Promise<boolean> {
+    const answer = await request(`${this.callers}/health/ready`, {reset: true}).catch(
+      () => undefined,
+    );
+    await answer?.body.dump().catch(() => undefined);
+    return answer?.statusCode === 200;
+  }
+
+  async start(plan: EntryPlan): Promise<void> {
+    const path = this.#writeSettings(plan);
+    this.#process = await this.#group.start({
+      args: ['serve', '--settings', path],
+      env: {NUTMEGPROXY_PEER_SECRET: PEER_SECRET, NUTMEGPROXY_TOKEN: OPERATOR_TOKEN},
+      name: this.vm,
+      program: CLI_PROGRAM,
+    });
+    const [, callers = '', operators = '', peers = ''] = READY_LINE.exec(this.#process.ready) ?? [];
+    this.callers = `http://127.0.0.1:${callers}`;
+    this.#operators = `http://127.0.0.1:${operators}`;
+    this.peers = `127.0.0.1:${peers}`;
+    rmSync(dirname(path), {recursive: true});
+  }
+
+  #writeSettings({listUrl, policies, seeds, storeUrl}: EntryPlan): string {
+    const any = '127.0.0.1:0';
+    const settings: Settings = {
+      dataCentre: LOAD_DATA_CENTRE,
+      listen: {callers: any, operators: any, peers: any},
+      log: {level: 'error'},
+      platform: {store: [storeUrl], vmList: listUrl},
+      policies,
+      region: 'load',
+      secrets: {operator: {env: 'NUTMEGPROXY_TOKEN'}, peer: {env: 'NUTMEGPROXY_PEER_SECRET'}},
+      seeds: [...seeds],
+      timings: {stopDelayMs: 1000, vmListPollMs: 500},
+      vm: this.vm,
+    };
+    const path = join(mkdtempSync(join(tmpdir(), 'nutmegproxy-load-')), `${this.vm}.jsonc`);
+    writeFileSync(path, JSON.stringify(settings));
+    return path;
+  }
+}
--- /dev/null
+++ b/packages/nutmegproxy-load/src/LoadFigures.ts
@@ -0,0 +1,155 @@
+/** What the callers of one run saw, by class. */
+
+import type {WorkClass} from '@nutmegproxy/schema';
+import type {Histogram} from 'hdr-histogram-js';
+
+import {build} from 'hdr-histogram-js';
+
+import {HIGHEST_LATENCY_US, TIMELINE_STEP_MS} from './LoadConstants.ts';
+
+/**
+ * How a request ended for its caller. `unreachable`: no connection came about; `unknown`: the
+ * outcome is unknown, or the answer never came whole; `cancelled`: the caller gave up by itself.
+ */
+export type CallEnding = 'answered' | 'cancelled' | 'not-run' | 'unknown' | 'unreachable';
+
+/** One request as its caller saw it; times are in ms. */
+export interface CallRecord {
+  readonly class: WorkClass;
+  /** From the intended time of sending to the end. */
+  readonly elapsedMs: number;
+  readonly ending: CallEnding;
+  /** Intended time after the warm-up. */
+  readonly intendedMs: number;
+  readonly onTime: boolean;
+  /** Whether a refusal said when to try again. */
+  readonly retryAfter: boolean;
+}
+
+/** Latencies of the requests that were meant to be sent in one step of time. */
+export interface TimelinePoint {
+  readonly atMs: number;
+  readonly p50Ms: number;
+  readonly p99Ms: number;
+}
+
+/** Figures of one class in one run. */
+export interface ClassFigures {
+  readonly answered: number;
+  readonly cancelled: number;
+  readonly notRun: number;
+  /** Refusals without a time after which to try again. */
+  readonly notRunBare: number;
+  /** Share of all requests but the cancelled that were answered within their deadline. */
+  readonly onTimeShare: number;
+  readonly p50Ms: number;
+  readonly p999Ms: number;
+  readonly p99Ms: number;
+  readonly percentiles: readonly number[];
+  readonly refusalP50Ms: number;
+  readonly refusalP99Ms: number;
+  readonly sent: number;
+  readonly timeline: readonly TimelinePoint[];
+  readonly unknown: number;
+  readonly unreachable: number;
+}
+
+/** Percentiles of the distribution plot. */
+export const PLOT_PERCENTILES = [0, 10, 25, 50, 75, 90, 95, 99, 99.5, 99.9, 99.99, 100];
+
+function createHistogram(): Histogram {
+  return build({highestTrackableValue: HIGHEST_LATENCY_US, numberOfSignificantValueDigits: 3});
+}
+
+function record(histogram: Histogram, elapsedMs: number): void {
+  const us = Math.max(1, Math.round(elapsedMs * 1000));
+  histogram.recordValue(Math.min(HIGHEST_LATENCY_US, us));
+}
+
+function readMs(histogram: Histogram, percentile: number): number {
+  const us = histogram.totalCount === 0 ? 0 : histogram.getValueAtPercentile(percentile);
+  return us / 1000;
+}
+
+/** Collects the records of one class. */
+class ClassRecorder {
+  readonly #answers = createHistogram();
+  readonly #counts: Record<CallEnding, number> = {
+    answered: 0,
+    cancelled: 0,
+    'not-run': 0,
+    unknown: 0,
+    unreachable: 0,
+  };
+  #notRunBare = 0;
+  #onTime = 0;
+  readonly #refusals = createHistogram();
+  readonly #steps = new Map<number, Histogram>();
+
+  add({elapsedMs, ending, intendedMs, onTime, retryAfter}: CallRecord): void {
+    this.#counts[ending] += 1;
+    this.#onTime += onTime ? 1 : 0;
+    if (ending === 'not-run') {
+      record(this.#refusals, elapsedMs);
+      this.#notRunBare += retryAfter ? 0 : 1;
+    }
+    if (ending === 'answered') {
+      record(this.#answers, elapsedMs);
+      record(this.#step(intendedMs), elapsedMs);
+    }
+  }
+
+  read(): ClassFigures {
+    const counts = this.#counts;
+    const sent = Object.values(counts).reduce((sum, count) => sum + count, 0);
+    return {
+      answered: counts.answered,
+      cancelled: counts.cancelled,
+      notRun: counts['not-run'],
+      notRunBare: this.#notRunBare,
+      onTimeShare: this.#onTime / Math.max(1, sent - counts.cancelled),
+      p50Ms: readMs(this.#answers, 50),
+      p999Ms: readMs(this.#answers, 99.9),
+      p99Ms: readMs(this.#answers, 99),
+      percentiles: PLOT_PERCENTILES.map((each) => readMs(this.#answers, each)),
+      refusalP50Ms: readMs(this.#refusals, 50),
+      refusalP99Ms: readMs(this.#refusals, 99),
+      sent,
+      timeline: this.#readTimeline(),
+      unknown: counts.unknown,
+      unreachable: counts.unreachable,
+    };
+  }
+
+  #readTimeline(): TimelinePoint[] {
+    return [...this.#steps]
+      .sort(([a], [b]) => a - b)
+      .map(([step, histogram]) => ({
+        atMs: step * TIMELINE_STEP_MS,
+        p50Ms: readMs(histogram, 50),
+        p99Ms: readMs(histogram, 99),
+      }));
+  }
+
+  #step(intendedMs: number): Histogram {
+    const step = Math.floor(intendedMs / TIMELINE_STEP_MS);
+    const histogram = this.#steps.get(step) ?? createHistogram();
+    this.#steps.set(step, histogram);
+    return histogram;
+  }
+}
+
+/** Figures of all classes of one run. */
+export class LoadRecorder {
+  readonly #classes = new Map<WorkClass, ClassRecorder>();
+
+  add(call: CallRecord): void {
+    const recorder = this.#classes.get(call.class) ?? new ClassRecorder();
+    this.#classes.set(call.class, recorder);
+    recorder.add(call);
+  }
+
+  read(): ReadonlyMap<WorkClass, ClassFigures> {
+    return new Map([...this.#classes].map(([name, recorder]) => [name, recorder.read()]));
+  }
+}
--- /dev/null
+++ b/packages/nutmegproxy-load/src/RequestRun.ts
@@ -0,0 +1,71 @@
+/** Runs scenarios of requests against real processes, once per policy and seed. */
+
+import type {Policies, Scenario, WorkClass} from '@nutmegproxy/schema';
+
+import type {ClassFigures} from './LoadFigures.ts';
+
+import {drawArrivals} from './Arrivals.ts';
+import {Balancer} from './Balancer.ts';
+import {runFaults} from './Faults.ts';
+import {LoadCluster} from './LoadCluster.ts';
+import {LoadRecorder} from './LoadFigures.ts';
+import {OpenLoop} from './OpenLoop.ts';
+
+/** A named choice of policies. */
+export interface PolicyArm {
+  readonly name: string;
+  readonly policies: Policies;
+}
+
+/** What one run showed. */
+export interface RunFigures {
+  readonly arm: string;
+  readonly classes: ReadonlyMap<WorkClass, ClassFigures>;
+  readonly seed: number;
+  /** Longest time by which the callers sent late; figures of a run with a long one mean little. */
+  readonly senderLateMs: number;
+}
+
+/** Runs a scenario once. */
+export async function runScenario(
+  scenario: Scenario,
+  {name, policies}: PolicyArm,
+  seed: number,
+): Promise<RunFigures> {
+  const cluster = new LoadCluster(scenario);
+  try {
+    await cluster.start(policies);
+    const recorder = new LoadRecorder();
+    const balancer = new Balancer(cluster.entries);
+    const watching = balancer.run();
+    const startMs = performance.now();
+    const loop = new OpenLoop({balancer, recorder, scenario, startMs});
+    await Promise.all([
+      loop.run(drawArrivals(scenario, seed)),
+      runFaults(cluster, scenario, startMs + scenario.warmUpMs),
+    ]);
+    balancer.close();
+    await watching;
+    return {arm: name, classes: recorder.read(), seed, senderLateMs: loop.latestMs};
+  } finally {
+    await cluster.close();
+  }
+}
+
+/** Runs each policy on the same seeds, turn by turn, so that a busy machine strikes all alike. */
+export async function compareArms(
+  scenario: Scenario,
+  arms: readonly PolicyArm[],
+  seeds: readonly number[],
+  onRun: (figures: RunFigures) => void = () => undefined,
+): Promise<readonly RunFigures[]> {
+  const runs: RunFigures[] = [];
+  for (const seed of seeds) {
+    for (const arm of arms) {
+      const figures = await runScenario(scenario, arm, seed);
+      runs.push(figures);
+      onRun(figures);
+    }
+  }
+  return runs;
+}
--- a/packages/nutmegproxy-requests/src/RequestsMetrics.ts
+++ b/packages/nutmegproxy-requests/src/RequestsMetrics.ts
@@ -11,6 +11,8 @@
   readonly answers: Counter<'class' | 'code'>;
   readonly duration: Histogram<'class'>;
   readonly retries: Counter;
+  /** Slots of all minions by `share`, `borrowed`, `lent` and `inFlight`. */
+  readonly slots: Gauge<'state'>;
   readonly waiting: Gauge;
 
   constructor(registry: Registry) {
@@ -33,6 +35,12 @@
       name: 'nutmegproxy_requests_retries_total',
       registers,
     });
+    this.slots = new Gauge({
+      help: 'Slots of minions of this VM: share, borrowed, lent, in use.',
+      labelNames: ['state'],
+      name: 'nutmegproxy_requests_slots_count',
+      registers,
+    });
     this.waiting = new Gauge({
       help: 'Requests of callers in progress, waiting or at a minion.',
       name: 'nutmegproxy_requests_open_count',
--- a/packages/nutmegproxy-requests/src/SlotLedger.ts
+++ b/packages/nutmegproxy-requests/src/SlotLedger.ts
@@ -4,7 +4,8 @@
 
 import {invariant} from '@nutmegproxy/core';
 
-interface MinionSlots {
+/** Counts of slots. */
+export interface SlotCounts {
   /** Below 0 for a moment when a loan ends before it is added. */
   borrowed: number;
   inFlight: number;
@@ -17,7 +18,7 @@
 
 /** Counts only; a slot in use is never taken away, and none is given out beyond the capacity. */
 export class SlotLedger {
-  readonly #minions = new Map<MinionId, MinionSlots>();
+  readonly #minions = new Map<MinionId, SlotCounts>();
 
   /** Takes a slot and tells whose it is; undefined when none is idle. */
   acquire(minion: MinionId): SlotOrigin | undefined {
@@ -114,27 +115,39 @@
     return count;
   }
 
-  #prune(minion: MinionId, slots: MinionSlots): void {
+  /** Counts over all minions. */
+  totals(): Readonly<SlotCounts> {
+    const totals: SlotCounts = {borrowed: 0, inFlight: 0, lent: 0, share: 0};
+    for (const {borrowed, inFlight, lent, share} of this.#minions.values()) {
+      totals.borrowed += borrowed;
+      totals.inFlight += inFlight;
+      totals.lent += lent;
+      totals.share += share;
+    }
+    return totals;
+  }
+
+  #prune(minion: MinionId, slots: SlotCounts): void {
     if (Object.values(slots).every((count) => count === 0)) {
       this.#minions.delete(minion);
     }
   }
 
-  #slots(minion: MinionId): MinionSlots {
+  #slots(minion: MinionId): SlotCounts {
     const known = this.#minions.get(minion);
     if (known !== undefined) {
       return known;
     }
-    const slots: MinionSlots = {borrowed: 0, inFlight: 0, lent: 0, share: 0};
+    const slots: SlotCounts = {borrowed: 0, inFlight: 0, lent: 0, share: 0};
     this.#minions.set(minion, slots);
     return slots;
   }
 }
 
-function capacityOf({borrowed, lent, share}: MinionSlots): number {
+function capacityOf({borrowed, lent, share}: SlotCounts): number {
   return Math.max(0, share + borrowed - lent);
 }
 
-function idleSlots(slots: MinionSlots): number {
+function idleSlots(slots: SlotCounts): number {
   return Math.max(0, capacityOf(slots) - slots.inFlight);
 }
--- a/packages/nutmegproxy-requests/src/registerRequests.ts
+++ b/packages/nutmegproxy-requests/src/registerRequests.ts
@@ -152,6 +152,13 @@
   }
 }
 
+function recordLoad(metrics: RequestsMetrics, {ledger, listener}: Parts): void {
+  metrics.waiting.set(listener.inProgress);
+  for (const [state, count] of Object.entries(ledger.totals())) {
+    metrics.slots.set({state}, count);
+  }
+}
+
 /**
  * Registers the requests feature. It serves callers once `listen` has been called.
  *
@@ -191,8 +198,8 @@
     return false;
   };
   const ticker = setInterval(() => {
-    metrics.waiting.set(listener.inProgress);
     tick(parts, node, loans);
+    recordLoad(metrics, parts);
   }, TICK_MS);
   return {
     lender: createLender(parts, node),
--- a/packages/nutmegproxy-schema/src/index.ts
+++ b/packages/nutmegproxy-schema/src/index.ts
@@ -102,6 +102,8 @@
 } from './generated/platformValidators.js';
 export type {RequestKeyRecord} from './generated/requestsMessagesTypes.ts';
 export {validateRequestKeyRecord} from './generated/requestsMessagesValidators.js';
+export type {Fault, Scenario, Traffic} from './generated/scenarioTypes.ts';
+export {validateScenario} from './generated/scenarioValidators.js';
 export type {
   ListenAddresses,
   Policies,
--- a/packages/nutmegproxy-standins/src/MinionServer.ts
+++ b/packages/nutmegproxy-standins/src/MinionServer.ts
@@ -19,6 +19,8 @@
 export const LEAVING_HEADER = 'nutmegproxy-leaving';
 export const REFUSED_HEADER = 'nutmegproxy-refused';
 export const REQUEST_HEADER = 'nutmegproxy-request';
+/** Set by callers of a measurement: the time that this request takes, in ms. */
+export const SERVICE_TIME_HEADER = 'standin-service-ms';
 
 const DEFAULT_ANSWER_BYTES = 256;
 
@@ -40,6 +42,8 @@
   readonly answerBytes?: number;
   readonly fault?: MinionFault;
   readonly leaving?: boolean;
+  /** Service times are multiplied by it. */
+  readonly serviceFactor?: number;
   readonly serviceMs?: number;
 }
 
@@ -118,6 +122,7 @@
   #mostConcurrent = 0;
   #mostConnections = 0;
   #random: RandomGenerator = xoroshiro128plus(1);
+  #serviceFactor = 1;
   #serviceMs = 0;
   #total = 0;
 
@@ -142,6 +147,7 @@
     this.#answerBytes = message.answerBytes ?? this.#answerBytes;
     this.#fault = message.fault ?? this.#fault;
     this.#leaving = message.leaving ?? this.#leaving;
+    this.#serviceFactor = message.serviceFactor ?? this.#serviceFactor;
     this.#serviceMs = message.serviceMs ?? this.#serviceMs;
     if (message.fault?.seed !== undefined) {
       this.#random = xoroshiro128plus(message.fault.seed);
@@ -190,10 +196,11 @@
     }
     record.bodyBytes = body.length;
     record.outcome = 'running';
-    await this.#run(record, response);
+    const serviceMs = Number(readHeader(request, SERVICE_TIME_HEADER) ?? this.#serviceMs);
+    await this.#run(record, response, serviceMs * this.#serviceFactor);
   }
 
-  async #run(record: MinionRequest, response: ServerResponse): Promise<void> {
+  async #run(record: MinionRequest, response: ServerResponse, serviceMs: number): Promise<void> {
     const fault = this.#strike();
     if (this.#leaving) {
       response.setHeader(LEAVING_HEADER, 'true');
@@ -204,8 +211,8 @@
       sendJson(response, {error: 'refused'}, 503);
       return;
     }
-    if (this.#serviceMs > 0) {
-      await sleep(this.#serviceMs);
+    if (serviceMs > 0) {
+      await sleep(serviceMs);
     }
     const send = ANSWER_SENDERS[fault.kind];
     send(response, minionAnswer(record.request, this.#answerBytes), fault);
--- a/packages/nutmegproxy-standins/src/index.ts
+++ b/packages/nutmegproxy-standins/src/index.ts
@@ -12,6 +12,7 @@
   MinionServer,
   REFUSED_HEADER,
   REQUEST_HEADER,
+  SERVICE_TIME_HEADER,
 } from './MinionServer.ts';
 export type {
   MinionControl,
