Show what arrived when a key's test fails

The test 'keep the key of a request whose outcome is unknown' failed once in a full run on a busy machine (3 arrivals where 1 was expected) and passed in 17 runs after that. Not understood: either the request was sent again, or another process on this machine spoke to a reused port. The check stays as strict and now prints the arrivals.

--- a/packages/nutmegproxy-requests/src/__tests__/unit/RequestKeys.test.ts
+++ b/packages/nutmegproxy-requests/src/__tests__/unit/RequestKeys.test.ts
@@ -112,7 +112,7 @@
       await until(() => state() === 'unknown');
       const second = await send();
       assert.equal(second.headers.get('nutmegproxy-first-try'), 'unknown');
-      assert.equal(minion.arrivals.length, 1);
+      assert.equal(minion.arrivals.length, 1, minion.arrivals.join('\n---\n'));
     });
   });
 
