Keep the instant at which tenure ended when a member leaves the record

Seen: FaultRun 'cuts off no request in a planned stop under load' failed in 2 of 16 runs on a busy machine; a request on a borrowed slot was ended as outcome-unknown with deadline-passed 1 s after it began (deadline 5 s). Cause: after a member left the record, TenureState.ends() was minus infinity, and TenureGuard counts the time a request may go on at a minion from there, so it ended at once all that still ran on borrowed slots. endLease had the same fault when the store said that the lease was gone. Change: ends() stays the instant at which tenure ended, at the latest the one at which the end was learned. Ruled out: counting from the instant of learning alone, which would let a process that was paused go on beyond what the others wait for.

--- a/packages/nutmegproxy-membership/src/RecordKeeper.ts
+++ b/packages/nutmegproxy-membership/src/RecordKeeper.ts
@@ -122,7 +122,7 @@
   /** The record no longer names this process, after it once did. */
   async #end(): Promise<void> {
     this.#left = true;
-    this.#parts.state.remove();
+    this.#parts.state.remove(this.#parts.now());
     this.#parts.node.events.record(
       this.#leaving ? MEMBERSHIP_EVENTS.LEFT : MEMBERSHIP_EVENTS.REMOVED,
       {},
--- a/packages/nutmegproxy-membership/src/TenureKeeper.ts
+++ b/packages/nutmegproxy-membership/src/TenureKeeper.ts
@@ -69,7 +69,7 @@
   async revoke(): Promise<void> {
     const lease = this.#lease;
     this.#lease = undefined;
-    this.#parts.state.endLease();
+    this.#parts.state.endLease(this.#parts.now());
     if (lease !== undefined) {
       await this.#parts.store.revokeLease(lease);
     }
@@ -120,7 +120,7 @@
     }
     if (!this.#suffices(answer.value)) {
       this.#lease = undefined;
-      this.#parts.state.endLease();
+      this.#parts.state.endLease(this.#parts.now());
       return false;
     }
     this.#parts.state.renewLease(sent);
--- a/packages/nutmegproxy-membership/src/TenureState.ts
+++ b/packages/nutmegproxy-membership/src/TenureState.ts
@@ -37,7 +37,7 @@
   #leaseRenewed: Instant = NEVER;
   readonly #own: IncarnationId;
   readonly #periods: TenurePeriods;
-  #removed = false;
+  #removedAt: Instant | undefined;
   readonly #vouches = new Map<IncarnationId, Instant>();
 
   constructor(own: IncarnationId, periods: TenurePeriods) {
@@ -47,7 +47,7 @@
 
   /** Whether the lease alone, without any vouch, gives tenure. */
   holdsLease(now: Instant): boolean {
-    return !this.#removed && now < this.#leaseEnds;
+    return this.#removedAt === undefined && now < this.#leaseEnds;
   }
 
   /** When the lease was last renewed, as far as this process knows. */
@@ -55,27 +55,25 @@
     return this.#leaseRenewed;
   }
 
-  /** The store has ended the lease. */
-  endLease(): void {
-    this.#leaseEnds = NEVER;
+  /** The lease was heard at `now` to have ended, or is given up. */
+  endLease(now: Instant): void {
+    this.#leaseEnds = Math.min(this.#leaseEnds, now) as Instant;
   }
 
   holds(now: Instant): boolean {
     return now < this.ends();
   }
 
-  /** Instant at which tenure ends. */
+  /** Instant at which tenure ends, or at which it ended: work under it counts its time from there. */
   ends(): Instant {
-    if (this.#removed) {
-      return NEVER;
-    }
-    const vouchEnds = Math.min(this.#vouchEnds(), this.#outageEnds()) as Instant;
-    return Math.max(this.#leaseEnds, vouchEnds) as Instant;
+    const vouchEnds = Math.min(this.#vouchEnds(), this.#outageEnds());
+    const ends = Math.max(this.#leaseEnds, vouchEnds);
+    return Math.min(ends, this.#removedAt ?? Infinity) as Instant;
   }
 
-  /** The record no longer names this incarnation; that is final. */
-  remove(): void {
-    this.#removed = true;
+  /** The record no longer names this incarnation, as was learned at `now`; that is final. */
+  remove(now: Instant): void {
+    this.#removedAt ??= now;
   }
 
   /** A renewal succeeded that was sent at `sent`. */
