capacity: measure what an entry VM spends on control against one size at a time

TcpRelay of the stand-ins counts the bytes it passes; readBody is exported. Bytes of peer links are what the kernel counted less what the stand-ins saw. Ruled out: ss per socket, which loses sockets that have closed; a metric of the product for peer bytes, which would count frames before the library adds to them.

--- /dev/null
+++ b/packages/nutmegproxy-capacity/src/CapacityFigures.ts
@@ -0,0 +1,90 @@
+/** What a measurement counted, as rates of one entry VM. */
+
+import type {StoreCounters} from '@nutmegproxy/standins';
+
+import {mean, sum} from 'simple-statistics';
+
+import type {EntryTotals} from './MeasuredEntry.ts';
+import type {FleetCounts} from './WorkerFleet.ts';
+
+/** Totals of all that is measured, at one instant. */
+export interface CapacityTotals {
+  /** Monotonic time in ms. */
+  readonly at: number;
+  readonly entries: readonly EntryTotals[];
+  readonly fleet: FleetCounts;
+  /** Jobs and catalogue changes that weren't accepted. */
+  readonly refused: number;
+  readonly storeCalls: StoreCounters;
+}
+
+/** Means over the entry VMs; bytes are per second and count both directions. */
+export interface CapacityFigures {
+  readonly cpuPercent: number;
+  readonly keepalives: number;
+  readonly listBytes: number;
+  readonly peerBytes: number;
+  readonly refused: number;
+  readonly residentMb: number;
+  readonly startsDone: number;
+  readonly storeBytes: number;
+  readonly storeReads: number;
+  readonly storeWrites: number;
+  readonly syncs: number;
+  readonly watches: number;
+  readonly workerBytes: number;
+}
+
+const BYTES_PER_MB = 1_000_000;
+const MS_PER_SECOND = 1_000;
+const PERCENT = 100;
+
+function countWay(totals: EntryTotals, way: 'list' | 'store'): number {
+  return totals[way]['from-target'] + totals[way]['to-target'];
+}
+
+/** Sums of all entry VMs at one instant. */
+function addUp({entries, fleet, refused, storeCalls}: CapacityTotals) {
+  const system = sum(entries.map(({readBytes, writtenBytes}) => readBytes + writtenBytes));
+  const list = sum(entries.map((each) => countWay(each, 'list')));
+  const store = sum(entries.map((each) => countWay(each, 'store')));
+  const worker = fleet.receivedBytes + fleet.sentBytes;
+  return {
+    cpuMs: sum(entries.map(({cpuMs}) => cpuMs)),
+    keepalives: storeCalls.keepalive + storeCalls.grant + storeCalls.revoke,
+    list,
+    // What the platform's stand-ins did not see went to other entry VMs.
+    peer: system - list - store - worker,
+    reads: storeCalls.read,
+    refused,
+    startsDone: fleet.started,
+    store,
+    syncs: fleet.syncs,
+    watches: storeCalls.watch,
+    worker,
+    writes: storeCalls.write,
+  };
+}
+
+/** Turns two readings into rates of one entry VM. */
+export function compareTotals(before: CapacityTotals, after: CapacityTotals): CapacityFigures {
+  const seconds = (after.at - before.at) / MS_PER_SECOND;
+  const [from, to] = [addUp(before), addUp(after)];
+  const rate = (name: keyof typeof from): number =>
+    (to[name] - from[name]) / seconds / after.entries.length;
+  return {
+    cpuPercent: (rate('cpuMs') / MS_PER_SECOND) * PERCENT,
+    keepalives: rate('keepalives'),
+    listBytes: rate('list'),
+    peerBytes: rate('peer'),
+    refused: to.refused - from.refused,
+    residentMb: mean(after.entries.map(({residentBytes}) => residentBytes)) / BYTES_PER_MB,
+    startsDone: rate('startsDone'),
+    storeBytes: rate('store'),
+    storeReads: rate('reads'),
+    storeWrites: rate('writes'),
+    syncs: rate('syncs'),
+    watches: rate('watches'),
+    workerBytes: rate('worker'),
+  };
+}
--- /dev/null
+++ b/packages/nutmegproxy-capacity/src/CapacityPlatform.ts
@@ -0,0 +1,92 @@
+/** The platform of a measurement: a store, a list of VMs and workers, each way to them counted. */
+
+import type {Vm} from '@nutmegproxy/schema';
+import type {Standin, StoreCounters} from '@nutmegproxy/standins';
+
+import {StoreServer, TcpRelay, VmListServer} from '@nutmegproxy/standins';
+
+import type {CapacitySize} from './CapacitySize.ts';
+import type {CountedWay} from './MeasuredEntry.ts';
+
+import {DATA_CENTRE, MINION_CONNECTIONS, MINION_SLOTS, SERVICE} from './CapacityConstants.ts';
+import {describeWorker, WorkerFleet} from './WorkerFleet.ts';
+
+/** Nothing listens there: these VMs belong to other data centres or get no requests. */
+const SILENT_ADDRESS = '127.0.0.1:9';
+const ELSEWHERE = 'dc-elsewhere';
+
+function describeMinion(index: number): Vm {
+  return {
+    address: SILENT_ADDRESS,
+    connections: MINION_CONNECTIONS,
+    dataCentre: DATA_CENTRE,
+    id: `minion-${index}`,
+    role: 'minion',
+    service: SERVICE,
+    slots: MINION_SLOTS,
+    state: 'live',
+  };
+}
+
+function describeAll(count: number, describe: (index: number) => Vm): readonly Vm[] {
+  return Array.from({length: count}, (_, index) => describe(index));
+}
+
+export class CapacityPlatform {
+  readonly fleet = new WorkerFleet();
+  readonly #list = new VmListServer();
+  #listPort = 0;
+  readonly #started: Standin[] = [];
+  readonly #store = new StoreServer();
+  #storePort = 0;
+  #vms: readonly Vm[] = [];
+
+  get storeCalls(): StoreCounters {
+    return {...this.#store.counters};
+  }
+
+  /** Marks one listed VM of another data centre as leaving, or as live again. */
+  changeList(): void {
+    const last = this.#vms.at(-1);
+    if (last !== undefined) {
+      const state = last.state === 'live' ? 'leaving' : 'live';
+      this.#vms = [...this.#vms.slice(0, -1), {...last, state}];
+      this.#list.control({vms: this.#vms});
+    }
+  }
+
+  async close(): Promise<void> {
+    await Promise.all([this.fleet.close(), ...this.#started.map((standin) => standin.close())]);
+  }
+
+  openList(): Promise<CountedWay> {
+    return this.#openWay(this.#listPort);
+  }
+
+  openStore(): Promise<CountedWay> {
+    return this.#openWay(this.#storePort);
+  }
+
+  async start({listedElsewhere, minions, workers}: CapacitySize): Promise<void> {
+    this.#storePort = (await this.#keep(this.#store.start())).port;
+    this.#listPort = (await this.#keep(this.#list.start())).port;
+    this.#vms = [
+      ...(await this.fleet.start(workers)),
+      ...describeAll(minions, describeMinion),
+      ...describeAll(listedElsewhere, (index) => describeWorker(index, SILENT_ADDRESS, ELSEWHERE)),
+    ];
+    this.#list.control({vms: this.#vms});
+  }
+
+  async #keep<Started extends Standin>(starting: Promise<Started>): Promise<Started> {
+    const standin = await starting;
+    this.#started.push(standin);
+    return standin;
+  }
+
+  async #openWay(port: number): Promise<CountedWay> {
+    const relay = new TcpRelay({host: '127.0.0.1', port});
+    const standin = await this.#keep(relay.start());
+    return {relay, url: `http://127.0.0.1:${standin.port}`};
+  }
+}
--- /dev/null
+++ b/packages/nutmegproxy-capacity/src/CapacitySize.ts
@@ -0,0 +1,55 @@
+/** What one measurement sets up, and its defaults. */
+
+/** Sizes of one measurement; rates are per second unless the name says otherwise. */
+export interface CapacitySize {
+  readonly catalogueChangesPerMinute: number;
+  readonly catalogueEntries: number;
+  /** Entry VMs of the data centre that is measured. */
+  readonly entries: number;
+  readonly listChanges: number;
+  /** Workers of other data centres in the list of VMs; nobody calls them. */
+  readonly listedElsewhere: number;
+  readonly minions: number;
+  readonly otherDataCentres: number;
+  readonly runningTasks: number;
+  readonly starts: number;
+  readonly workers: number;
+}
+
+export const SMALLEST_SIZE: CapacitySize = {
+  catalogueChangesPerMinute: 0,
+  catalogueEntries: 1,
+  entries: 1,
+  listChanges: 0,
+  listedElsewhere: 0,
+  minions: 0,
+  otherDataCentres: 0,
+  runningTasks: 0,
+  starts: 0,
+  workers: 0,
+};
+
+/** One factor and the values at which the rest stays as it is. */
+export interface CapacityExperiment {
+  readonly base: Partial<CapacitySize>;
+  readonly factor: keyof CapacitySize;
+  readonly values: readonly number[];
+}
+
+/** The measurements by name. */
+export const EXPERIMENTS: Readonly<Record<string, CapacityExperiment>> = {
+  'catalogue-changes': {
+    base: {catalogueEntries: 9_000, entries: 2},
+    factor: 'catalogueChangesPerMinute',
+    values: [0, 6, 30],
+  },
+  'catalogue-entries': {base: {}, factor: 'catalogueEntries', values: [100, 1_000, 9_000]},
+  'data-centres': {base: {entries: 2}, factor: 'otherDataCentres', values: [0, 1, 3, 5]},
+  entries: {base: {}, factor: 'entries', values: [1, 2, 4, 8]},
+  'list-changes': {base: {listedElsewhere: 6_200}, factor: 'listChanges', values: [0, 1, 4]},
+  'listed-vms': {base: {}, factor: 'listedElsewhere', values: [0, 2_000, 6_200]},
+  minions: {base: {entries: 2}, factor: 'minions', values: [10, 100, 700]},
+  'running-tasks': {base: {workers: 500}, factor: 'runningTasks', values: [100, 1_000, 5_000]},
+  starts: {base: {workers: 100}, factor: 'starts', values: [1, 20, 100]},
+  workers: {base: {}, factor: 'workers', values: [10, 100, 500]},
+};
--- /dev/null
+++ b/packages/nutmegproxy-capacity/src/MeasuredEntry.ts
@@ -0,0 +1,123 @@
+/** An entry VM with the product's default timings, whose ways to the platform count bytes. */
+
+import type {ProcessGroup} from '@nutmegproxy/proof';
+import type {RelayBytes, TcpRelay} from '@nutmegproxy/standins';
+
+import {mkdtempSync, rmSync, writeFileSync} from 'node:fs';
+import {tmpdir} from 'node:os';
+import {dirname, join} from 'node:path';
+import {request} from 'undici';
+
+import type {ProcessUsage} from './ProcessUsage.ts';
+
+import {CLI_PROGRAM, OPERATOR_TOKEN, PEER_SECRET} from './CapacityConstants.ts';
+import {readUsage} from './ProcessUsage.ts';
+
+/** A way to a stand-in that counts the bytes on it. */
+export interface CountedWay {
+  readonly relay: TcpRelay;
+  readonly url: string;
+}
+
+export interface EntryPlan {
+  readonly dataCentre: string;
+  readonly list: CountedWay;
+  readonly store: CountedWay;
+  readonly vm: string;
+}
+
+/** Totals of one entry VM since its start. */
+export interface EntryTotals extends ProcessUsage {
+  readonly list: RelayBytes;
+  readonly store: RelayBytes;
+}
+
+const READY_LINE = /^callers=(\d+) operators=(\d+) peers=(\d+)$/;
+
+function writeSettings({dataCentre, list, store, vm}: EntryPlan, seeds: readonly string[]): string {
+  const any = '127.0.0.1:0';
+  const settings = {
+    dataCentre,
+    listen: {callers: any, operators: any, peers: any},
+    log: {level: 'warn'},
+    platform: {store: [store.url], vmList: list.url},
+    region: 'capacity',
+    secrets: {operator: {env: 'NUTMEGPROXY_TOKEN'}, peer: {env: 'NUTMEGPROXY_PEER_SECRET'}},
+    seeds,
+    vm,
+  };
+  const path = join(mkdtempSync(join(tmpdir(), 'nutmegproxy-capacity-')), `${vm}.jsonc`);
+  writeFileSync(path, JSON.stringify(settings));
+  return path;
+}
+
+export class MeasuredEntry {
+  readonly #callers: string;
+  readonly #operators: string;
+  readonly peers: string;
+  readonly #pid: number;
+  readonly #plan: EntryPlan;
+
+  private constructor(plan: EntryPlan, pid: number, ready: string) {
+    const [, callers = '', operators = '', peers = ''] = READY_LINE.exec(ready) ?? [];
+    this.#callers = `http://127.0.0.1:${callers}`;
+    this.#operators = `http://127.0.0.1:${operators}`;
+    this.peers = `127.0.0.1:${peers}`;
+    this.#pid = pid;
+    this.#plan = plan;
+  }
+
+  static async start(
+    group: ProcessGroup,
+    plan: EntryPlan,
+    seeds: readonly string[],
+  ): Promise<MeasuredEntry> {
+    const settings = writeSettings(plan, seeds);
+    const child = await group.start({
+      args: ['serve', '--settings', settings],
+      env: {NUTMEGPROXY_PEER_SECRET: PEER_SECRET, NUTMEGPROXY_TOKEN: OPERATOR_TOKEN},
+      name: plan.vm,
+      program: CLI_PROGRAM,
+    });
+    rmSync(dirname(settings), {recursive: true});
+    return new MeasuredEntry(plan, child.pid ?? 0, child.ready);
+  }
+
+  get totals(): EntryTotals {
+    const {list, store} = this.#plan;
+    return {...readUsage(this.#pid), list: {...list.relay.bytes}, store: {...store.relay.bytes}};
+  }
+
+  /** Sends an operator's call; returns the status and the parsed answer. */
+  async operate(method: 'GET' | 'POST', path: string, body?: unknown) {
+    const answer = await request(`${this.#operators}${path}`, {
+      ...(body === undefined ? {} : {body: JSON.stringify(body)}),
+      headers: {
+        authorization: `Bearer ${OPERATOR_TOKEN}`,
+        ...(body === undefined ? {} : {'content-type': 'application/json'}),
+      },
+      method,
+      reset: true,
+    });
+    return {body: await answer.body.json(), status: answer.statusCode};
+  }
+
+  async isReady(): Promise<boolean> {
+    const answer = await request(`${this.#callers}/health/ready`, {reset: true});
+    await answer.body.dump();
+    return answer.statusCode === 200;
+  }
+
+  /** Submits one job; returns whether it was accepted. */
+  async submit(entry: string, count: number, workMs: number): Promise<boolean> {
+    const input = JSON.stringify({cpu: 0.1, workMs});
+    const answer = await request(`${this.#callers}/tasks`, {
+      body: JSON.stringify({count, entry, input}),
+      headers: {'content-type': 'application/json'},
+      method: 'POST',
+      reset: true,
+    });
+    await answer.body.dump();
+    return answer.statusCode === 201;
+  }
+}
--- a/packages/nutmegproxy-standins/src/TcpRelay.ts
+++ b/packages/nutmegproxy-standins/src/TcpRelay.ts
@@ -32,7 +32,11 @@
 
 type Direction = 'from-target' | 'to-target';
 
+/** Bytes that arrived from each side since the start. */
+export type RelayBytes = Record<Direction, number>;
+
 export class TcpRelay {
+  readonly #bytes: RelayBytes = {'from-target': 0, 'to-target': 0};
   #cut: RelayCut = 'none';
   #delayMs = 0;
   readonly #passages = new Set<Passage>();
@@ -42,6 +46,10 @@
     this.#target = target;
   }
 
+  get bytes(): Readonly<RelayBytes> {
+    return this.#bytes;
+  }
+
   control(message: RelayControl): void {
     this.#delayMs = message.delayMs ?? this.#delayMs;
     const healed = message.cut === 'none' && this.#cut !== 'none';
@@ -90,6 +98,7 @@
   #pass(passage: Passage, from: Socket, to: Socket, direction: Direction): void {
     from.setNoDelay(true);
     from.on('data', (chunk) => {
+      this.#bytes[direction] += chunk.length;
       this.#forward(passage, direction, () => to.write(chunk));
     });
     from.on('end', () => {
--- a/packages/nutmegproxy-standins/src/index.ts
+++ b/packages/nutmegproxy-standins/src/index.ts
@@ -1,6 +1,6 @@
 /** Public surface of the stand-ins. */
 
-export {listen, readControl, sendJson} from './HttpListener.ts';
+export {listen, readBody, readControl, sendJson} from './HttpListener.ts';
 export type {HttpExchange, HttpHandler, HttpRoutes, Standin} from './HttpListener.ts';
 export {LocalMesh, LocalNetwork} from './LocalMesh.ts';
 export type {Passage} from './LocalMesh.ts';
@@ -27,7 +27,7 @@
 export {StoreServer} from './StoreServer.ts';
 export type {StoreControl, StoreCounters} from './StoreServer.ts';
 export {TcpRelay} from './TcpRelay.ts';
-export type {RelayControl, RelayCut, RelayTarget} from './TcpRelay.ts';
+export type {RelayBytes, RelayControl, RelayCut, RelayTarget} from './TcpRelay.ts';
 export {VmListServer} from './VmListServer.ts';
 export type {VmListControl} from './VmListServer.ts';
 export {WorkerModel} from './WorkerModel.ts';
