tasks: compute quota shares once for a catalogue and a list of VMs

A CPU profile showed it. Change: cells, ranks, largest tasks and shares are remembered by identity of the immutable list and catalogue (WeakMap); shares of a cell are found by rank, without a search. Ruled out: a slower supervision interval, which would delay the stop of lost cells and stay quadratic. At most 1,000 teams are ranked for one list of cells. Tests: shares are the same object while nothing changes, and follow a change of either.

--- a/packages/nutmegproxy-tasks/src/ObjectUtils.ts
+++ b/packages/nutmegproxy-tasks/src/ObjectUtils.ts
@@ -19,3 +19,21 @@
   const entries = Object.entries(value).filter(([, each]) => each !== undefined);
   return Object.fromEntries(entries) as Defined<Value>;
 }
+
+/**
+ * Remembers what was computed for an object for as long as the object lives; for arguments that are
+ * never changed in place.
+ *
+ * @example
+ * const countVms = memoizeByIdentity((vms: readonly Vm[]) => vms.length);
+ */
+export function memoizeByIdentity<Key extends object, Value>(
+  compute: (key: Key) => Value,
+): (key: Key) => Value {
+  const values = new WeakMap<Key, {readonly value: Value}>();
+  return (key) => {
+    const known = values.get(key) ?? {value: compute(key)};
+    values.set(key, known);
+    return known.value;
+  };
+}
--- a/packages/nutmegproxy-tasks/src/QuotaShares.ts
+++ b/packages/nutmegproxy-tasks/src/QuotaShares.ts
@@ -11,20 +11,44 @@
 import {createHash} from 'node:crypto';
 
 import {declaredOf} from './Cell.ts';
-import {defined} from './ObjectUtils.ts';
+import {defined, memoizeByIdentity} from './ObjectUtils.ts';
+
+const MAX_RANKED_TEAMS = 1000;
+const NOTHING: Resources = {accelerators: 0, cpu: 0, memoryMb: 0};
+
+/** Shares of one cell by team; remembered for a catalogue and a list of cells. */
+type SharesByCell = Map<string, ReadonlyMap<TeamId, Quota>>;
 
 /** Name of a cell that is unique over all data centres. */
 export function cellName(dataCentre: DataCentreId | string, cell: CellId | string): string {
   return `${dataCentre}/${cell}`;
 }
 
-/** Names of all cells that the known workers make up, sorted. */
-export function knownCells(vms: readonly Vm[]): readonly string[] {
+/** Names of all cells that the known workers make up, sorted; the same array for the same list. */
+export const knownCells = memoizeByIdentity((vms: readonly Vm[]): readonly string[] => {
   const names = vms.flatMap(({dataCentre, rack, role}) =>
     role === 'worker' && rack !== undefined ? [cellName(dataCentre, rack)] : [],
   );
   return [...new Set(names)].sort();
-}
+});
+
+/** Ranks of cells by team, for one list of cells. */
+const rankings = memoizeByIdentity<readonly string[], Map<string, ReadonlyMap<string, number>>>(
+  () => new Map(),
+);
+
+const sharesByCell = memoizeByIdentity<CatalogueView, (cells: readonly string[]) => SharesByCell>(
+  () => memoizeByIdentity(() => new Map()),
+);
+
+const largestTasks = memoizeByIdentity((view: CatalogueView): ReadonlyMap<string, Resources> => {
+  const tasks = [...view.entries.values()].filter(({kind}) => kind === 'task');
+  const largest = new Map<string, Resources>();
+  for (const entry of tasks) {
+    largest.set(entry.owner, largerOf(largest.get(entry.owner) ?? NOTHING, declaredOf(entry)));
+  }
+  return largest;
+});
 
 /** A team's share in one cell; undefined when the team has no quota. */
 export function quotaShare(
@@ -37,12 +61,9 @@
   if (!quota) {
     return undefined;
   }
-  const holders = shareHolders(
-    team.id,
-    shareCount(quota, largestTask(team.id, view), cells),
-    cells,
-  );
-  const share = holders.includes(cell) ? 1 / holders.length : 0;
+  const count = shareCount(quota, largestTasks(view).get(team.id) ?? NOTHING, cells);
+  const rank = rankCells(team.id, cells).get(cell) ?? count;
+  const share = rank < count ? 1 / count : 0;
   return defined({
     accelerators: scaled(quota.accelerators, share),
     cpu: scaled(quota.cpu, share),
@@ -61,6 +82,11 @@
   cells: readonly string[],
   cell: string,
 ): ReadonlyMap<TeamId, Quota> {
+  const remembered = sharesByCell(view)(cells);
+  const known = remembered.get(cell);
+  if (known) {
+    return known;
+  }
   const shares = new Map<TeamId, Quota>();
   for (const [id, team] of view.teams) {
     const share = quotaShare(team, view, cells, cell);
@@ -68,20 +94,16 @@
       shares.set(id, share);
     }
   }
+  remembered.set(cell, shares);
   return shares;
 }
 
-function largestTask(team: string, view: CatalogueView): Resources {
-  const largest = {accelerators: 0, cpu: 0, memoryMb: 0};
-  for (const entry of view.entries.values()) {
-    if (entry.owner === team && entry.kind === 'task') {
-      const declared = declaredOf(entry);
-      largest.accelerators = Math.max(largest.accelerators, declared.accelerators);
-      largest.cpu = Math.max(largest.cpu, declared.cpu);
-      largest.memoryMb = Math.max(largest.memoryMb, declared.memoryMb);
-    }
-  }
-  return largest;
+function largerOf(a: Resources, b: Resources): Resources {
+  return {
+    accelerators: Math.max(a.accelerators, b.accelerators),
+    cpu: Math.max(a.cpu, b.cpu),
+    memoryMb: Math.max(a.memoryMb, b.memoryMb),
+  };
 }
 
 function scaled(limit: number | undefined, share: number): number | undefined {
@@ -99,11 +121,21 @@
   return Math.max(1, Math.min(cells.length, ...counts));
 }
 
-function shareHolders(team: string, count: number, cells: readonly string[]): readonly string[] {
-  const ranked = cells.map((cell) => ({
+/** Ranks of the cells for a team; hashed once for each list of cells. */
+function rankCells(team: string, cells: readonly string[]): ReadonlyMap<string, number> {
+  const known = rankings(cells);
+  const ranks = known.get(team) ?? hashRanks(team, cells);
+  if (known.size < MAX_RANKED_TEAMS) {
+    known.set(team, ranks);
+  }
+  return ranks;
+}
+
+function hashRanks(team: string, cells: readonly string[]): ReadonlyMap<string, number> {
+  const hashed = cells.map((cell) => ({
     cell,
-    rank: createHash('sha256').update(`${team}\n${cell}`).digest('hex'),
+    hash: createHash('sha256').update(`${team}\n${cell}`).digest('hex'),
   }));
-  ranked.sort((a, b) => (a.rank < b.rank ? -1 : 1));
-  return ranked.slice(0, count).map(({cell}) => cell);
+  hashed.sort((a, b) => (a.hash < b.hash ? -1 : 1));
+  return new Map(hashed.map(({cell}, rank) => [cell, rank]));
 }
--- a/packages/nutmegproxy-tasks/src/__tests__/unit/QuotaShares.test.ts
+++ b/packages/nutmegproxy-tasks/src/__tests__/unit/QuotaShares.test.ts
@@ -5,7 +5,7 @@
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
 
-import {quotaShare} from '../../QuotaShares.ts';
+import {knownCells, quotaShare, quotaShares} from '../../QuotaShares.ts';
 
 const SEED = 20_261_203;
 
@@ -33,4 +33,32 @@
       {seed: SEED},
     );
   });
+
+  describe('of an unchanged catalogue and list of VMs', () => {
+    const vms = ['r1', 'r2'].map((rack) => ({
+      address: '127.0.0.1:1',
+      dataCentre: 'dc',
+      id: rack,
+      rack,
+      role: 'worker' as const,
+      state: 'live' as const,
+    }));
+    const viewOf = (cpu: number): CatalogueView =>
+      ({entries: new Map(), teams: new Map([['t', {id: 't', quota: {cpu}}]])}) as never;
+
+    it('are not computed again', () => {
+      const view = viewOf(8);
+      assert.equal(knownCells(vms), knownCells(vms));
+      const shares = quotaShares(view, knownCells(vms), 'dc/r1');
+      assert.equal(quotaShares(view, knownCells(vms), 'dc/r1'), shares);
+    });
+
+    it('follow a change of either', () => {
+      const cells = knownCells(vms);
+      assert.equal(quotaShares(viewOf(8), cells, 'dc/r1').get('t' as never)?.cpu, 4);
+      assert.equal(quotaShares(viewOf(6), cells, 'dc/r1').get('t' as never)?.cpu, 3);
+      const fewer = knownCells(vms.slice(0, 1));
+      assert.equal(quotaShares(viewOf(8), fewer, 'dc/r1').get('t' as never)?.cpu, 8);
+    });
+  });
 });
