membership: poll without the record while it is unchanged

Cause: each entry VM read the whole allotment record every 2 s; it grows with minions x members. Change: the poll's transaction compares the record's revision and reads the record only when it has changed; tenure keys are read as before, in the same transaction, so a reading stays consistent. Store calls unchanged. Ruled out: watches, which count as calls and would need a poll beside them anyway.

--- a/packages/nutmegproxy-membership/src/RecordKeeper.ts
+++ b/packages/nutmegproxy-membership/src/RecordKeeper.ts
@@ -56,7 +56,7 @@
 
   /** Reads the record and does what is due. */
   async step(): Promise<void> {
-    const reading = await this.#parts.recordStore.read();
+    const reading = await this.#parts.recordStore.read(this.#parts.view.reading);
     if (this.#left) {
       return;
     }
@@ -225,7 +225,7 @@
   }
 
   async #readAgain(): Promise<void> {
-    const reading = await this.#parts.recordStore.read();
+    const reading = await this.#parts.recordStore.read(this.#parts.view.reading);
     if (reading.isOk()) {
       this.#adopt(reading.value);
       if (!this.#parts.view.hasMember(this.#parts.node.identity.incarnation)) {
--- a/packages/nutmegproxy-membership/src/RecordStore.ts
+++ b/packages/nutmegproxy-membership/src/RecordStore.ts
@@ -81,6 +81,18 @@
   return tenures;
 }
 
+function parseReading(
+  answer: OperationAnswer | undefined,
+  tenures: RecordReading['tenures'],
+): Result<RecordReading, ReadFailure> {
+  const [stored] = valuesOf(answer);
+  const record = stored === undefined ? EMPTY_RECORD : parseJson(stored.value);
+  if (!validateAllotmentRecord(record)) {
+    return err('invalid');
+  }
+  return ok({modRevision: stored?.modRevision ?? 0, record, tenures});
+}
+
 function changedCells(change: RecordChange): readonly CellRecord[] {
   const before = new Map(change.from.record.cells.map(({cell, epoch}) => [cell, epoch]));
   return change.to.cells.filter(({cell, epoch}) => before.get(cell) !== epoch);
@@ -136,24 +148,27 @@
     return ok(found);
   }
 
-  async read(): Promise<Result<RecordReading, ReadFailure>> {
-    const answer = await this.#store.commit({
-      compare: [],
-      then: [
-        {key: this.#keys.allotment(), kind: 'get'},
-        {key: this.#keys.tenurePrefix(), kind: 'get', prefix: true},
-      ],
-    });
+  /** Reads both in one transaction; the record itself only when it is not as `known` shows it. */
+  async read(known?: RecordReading): Promise<Result<RecordReading, ReadFailure>> {
+    const tenures: Operation = {key: this.#keys.tenurePrefix(), kind: 'get', prefix: true};
+    const all: readonly Operation[] = [tenures, {key: this.#keys.allotment(), kind: 'get'}];
+    const answer = await this.#store.commit(
+      known === undefined
+        ? {compare: [], then: all}
+        : {
+            compare: this.#conditions({from: known, to: known.record}),
+            otherwise: all,
+            then: [tenures],
+          },
+    );
     if (answer.isErr()) {
       return err('unavailable');
     }
-    const [stored] = valuesOf(answer.value.answers[0]);
-    const tenures = parseTenures(valuesOf(answer.value.answers[1]));
-    const record = stored === undefined ? EMPTY_RECORD : parseJson(stored.value);
-    if (!validateAllotmentRecord(record)) {
-      return err('invalid');
-    }
-    return ok({modRevision: stored?.modRevision ?? 0, record, tenures});
+    const {answers, succeeded} = answer.value;
+    const found = parseTenures(valuesOf(answers[0]));
+    return known !== undefined && succeeded
+      ? ok({...known, tenures: found})
+      : parseReading(answers[1], found);
   }
 
   /**
