capacity: read the bytes of peer links from the kernel's list of sockets

Cause: what /proc/<pid>/io counts beyond the stand-ins also holds wake-ups between a process's own threads: one entry VM without peers showed 4 to 1,961 bytes a second of 'peer' bytes. Change: ss lists each link with its bytes; links last as long as the processes.

--- a/packages/nutmegproxy-capacity/src/CapacityBench.ts
+++ b/packages/nutmegproxy-capacity/src/CapacityBench.ts
@@ -27,6 +27,7 @@
 import {CapacityPlatform} from './CapacityPlatform.ts';
 import {buildCatalogue} from './CatalogueModel.ts';
 import {MeasuredEntry} from './MeasuredEntry.ts';
+import {readLinkBytes} from './PeerSockets.ts';
 
 export interface BenchTimes {
   readonly settleSeconds: number;
@@ -102,6 +103,9 @@
       at: performance.now(),
       entries: this.#entries.map(({totals}) => totals),
       fleet: this.#platform.fleet.counts,
+      linkBytes: readLinkBytes(
+        new Set(this.#entries.map(({peers}) => Number(peers.split(':')[1]))),
+      ),
       refused: this.#refused,
       storeCalls: this.#platform.storeCalls satisfies StoreCounters,
     };
--- a/packages/nutmegproxy-capacity/src/CapacityFigures.ts
+++ b/packages/nutmegproxy-capacity/src/CapacityFigures.ts
@@ -13,6 +13,8 @@
   readonly at: number;
   readonly entries: readonly EntryTotals[];
   readonly fleet: FleetCounts;
+  /** Bytes of all links between entry VMs, each counted at one end. */
+  readonly linkBytes: number;
   /** Jobs and catalogue changes that weren't accepted. */
   readonly refused: number;
   readonly storeCalls: StoreCounters;
@@ -44,8 +46,7 @@
 }
 
 /** Sums of all entry VMs at one instant. */
-function addUp({entries, fleet, refused, storeCalls}: CapacityTotals) {
-  const system = sum(entries.map(({readBytes, writtenBytes}) => readBytes + writtenBytes));
+function addUp({entries, fleet, linkBytes, refused, storeCalls}: CapacityTotals) {
   const list = sum(entries.map((each) => countWay(each, 'list')));
   const store = sum(entries.map((each) => countWay(each, 'store')));
   const worker = fleet.receivedBytes + fleet.sentBytes;
@@ -53,8 +54,8 @@
     cpuMs: sum(entries.map(({cpuMs}) => cpuMs)),
     keepalives: storeCalls.keepalive + storeCalls.grant + storeCalls.revoke,
     list,
-    // What the platform's stand-ins did not see went to other entry VMs.
-    peer: system - list - store - worker,
+    // One end receives what the other sends, and both spend it.
+    peer: 2 * linkBytes,
     reads: storeCalls.read,
     refused,
     startsDone: fleet.started,
--- /dev/null
+++ b/packages/nutmegproxy-capacity/src/PeerSockets.ts
@@ -0,0 +1,31 @@
+/** Bytes on the links between entry VMs, as the kernel's list of sockets shows them. */
+
+import {execFileSync} from 'node:child_process';
+
+const LIST_ARGUMENTS = ['-tinH', 'state', 'established'];
+
+function readCount(details: string, name: string): number {
+  return Number(new RegExp(`\\b${name}:(\\d+)`).exec(details)?.[1] ?? 0);
+}
+
+/**
+ * Adds up the bytes of all connections that were accepted on one of the ports: both directions of a
+ * connection, seen from the end that accepted it.
+ */
+export function sumBytes(listing: string, ports: ReadonlySet<number>): number {
+  const lines = listing.split('\n');
+  let bytes = 0;
+  for (const [index, line] of lines.entries()) {
+    const [, , local = ''] = line.trim().split(/\s+/);
+    if (!/^\s/.test(line) && ports.has(Number(local.split(':').at(-1)))) {
+      const details = lines[index + 1] ?? '';
+      bytes += readCount(details, 'bytes_sent') + readCount(details, 'bytes_received');
+    }
+  }
+  return bytes;
+}
+
+/** Reads the present sum for links that were accepted on these ports; links that closed are missed. */
+export function readLinkBytes(ports: ReadonlySet<number>): number {
+  return sumBytes(execFileSync('ss', LIST_ARGUMENTS, {encoding: 'utf8'}), ports);
+}
--- a/packages/nutmegproxy-capacity/src/ProcessUsage.ts
+++ b/packages/nutmegproxy-capacity/src/ProcessUsage.ts
@@ -5,10 +5,7 @@
 /** Totals since the start of the process, but for the resident memory. */
 export interface ProcessUsage {
   readonly cpuMs: number;
-  /** Bytes that were read and written by system calls, on whatever file or socket. */
-  readonly readBytes: number;
   readonly residentBytes: number;
-  readonly writtenBytes: number;
 }
 
 const MS_PER_TICK = 10;
@@ -16,25 +13,19 @@
 const USER_TICKS_FIELD = 11;
 const SYSTEM_TICKS_FIELD = 12;
 
-function readNamed(text: string, name: string): number {
-  return Number(new RegExp(`^${name}: (\\d+)$`, 'm').exec(text)?.[1] ?? 0);
-}
-
-/** Reads the kernel's texts `stat`, `statm` and `io` of one process. */
-export function parseUsage(stat: string, statm: string, io: string): ProcessUsage {
+/** Reads the kernel's texts `stat` and `statm` of one process. */
+export function parseUsage(stat: string, statm: string): ProcessUsage {
   // The program's name stands in parentheses and may hold spaces.
   const fields = stat.slice(stat.lastIndexOf(')') + 2).split(' ');
   const ticks = Number(fields[USER_TICKS_FIELD]) + Number(fields[SYSTEM_TICKS_FIELD]);
   return {
     cpuMs: ticks * MS_PER_TICK,
-    readBytes: readNamed(io, 'rchar'),
     residentBytes: Number(statm.split(' ')[1]) * PAGE_BYTES,
-    writtenBytes: readNamed(io, 'wchar'),
   };
 }
 
 /** Reads what a process of this user has used. */
 export function readUsage(pid: number): ProcessUsage {
   const read = (name: string): string => readFileSync(`/proc/${pid}/${name}`, 'utf8');
-  return parseUsage(read('stat'), read('statm'), read('io'));
+  return parseUsage(read('stat'), read('statm'));
 }
--- a/packages/nutmegproxy-capacity/src/__tests__/unit/CapacityFigures.test.ts
+++ b/packages/nutmegproxy-capacity/src/__tests__/unit/CapacityFigures.test.ts
@@ -4,6 +4,7 @@
 import type {CapacityTotals} from '../../CapacityFigures.ts';
 
 import {compareTotals} from '../../CapacityFigures.ts';
+import {sumBytes} from '../../PeerSockets.ts';
 import {parseUsage} from '../../ProcessUsage.ts';
 
 const NO_CALLS = {grant: 0, keepalive: 0, read: 0, revoke: 0, watch: 0, write: 0};
@@ -12,15 +13,14 @@
   const entry = {
     cpuMs: 40 * scale,
     list: {'from-target': 200 * scale, 'to-target': 100 * scale},
-    readBytes: 5_000 * scale,
     residentBytes: 90_000_000,
     store: {'from-target': 400 * scale, 'to-target': 300 * scale},
-    writtenBytes: 1_000 * scale,
   };
   return {
     at,
     entries: [entry, entry],
     fleet: {receivedBytes: 1_000 * scale, sentBytes: 3_000 * scale, started: 8 * scale, syncs: 0},
+    linkBytes: 1_500 * scale,
     refused: 0,
     storeCalls: {...NO_CALLS, grant: scale, keepalive: scale, read: 4 * scale, write: 2 * scale},
   };
@@ -38,11 +38,11 @@
     equal(figures.residentMb, 90);
   });
 
-  it('counts as peer bytes what the platform did not see', () => {
+  it('counts bytes by the other side, a link at both of its ends', () => {
     equal(figures.listBytes, 300);
     equal(figures.storeBytes, 700);
     equal(figures.workerBytes, 2_000);
-    equal(figures.peerBytes, 6_000 - 300 - 700 - 2_000);
+    equal(figures.peerBytes, 1_500);
   });
 
   it('gives nothing for two equal readings at different times', () => {
@@ -55,12 +55,25 @@
 describe('parseUsage', () => {
   it('reads a program whose name holds spaces and parentheses', () => {
     const stat = '17 (node (x) y) S 1 17 17 0 -1 4194304 9 0 0 0 250 50 0 0 20 0 11 0 77 1 2';
-    const usage = parseUsage(stat, '3000 200 100 1 0 50 0', 'rchar: 70\nwchar: 30\nsyscr: 1\n');
+    const usage = parseUsage(stat, '3000 200 100 1 0 50 0');
     deepEqual(usage, {
       cpuMs: 3_000,
-      readBytes: 70,
       residentBytes: 819_200,
-      writtenBytes: 30,
     });
   });
 });
+
+describe('sumBytes', () => {
+  it('counts the connections that were accepted on the ports', () => {
+    const listing = [
+      '0 0 127.0.0.1:7001 127.0.0.1:50000',
+      '\t cubic bytes_sent:100 bytes_acked:100 bytes_received:20 segs_out:3',
+      '0 0 127.0.0.1:50000 127.0.0.1:7001',
+      '\t cubic bytes_sent:20 bytes_acked:20 bytes_received:100 segs_out:3',
+      '0 0 127.0.0.1:7002 127.0.0.1:50001',
+      '\t cubic bytes_sent:5 bytes_acked:5 bytes_received:4 segs_out:3',
+      '',
+    ].join('\n');
+    equal(sumBytes(listing, new Set([7001, 7002])), 129);
+  });
+});
