--- a/packages/nutmegproxy-membership/src/RecordKeeper.ts
+++ b/packages/nutmegproxy-membership/src/RecordKeeper.ts
@@ -74,7 +74,7 @@
 
   /** Reads the record and does what is due. */
   async step(): Promise<void> {
-    const reading = await this.#parts.recordStore.read();
+    const reading = await this.#parts.recordStore.read(this.#parts.view.reading);
     if (this.#left) {
       return;
     }
@@ -140,7 +140,7 @@
   /** The record no longer names this process, after it once did. */
   async #end(): Promise<void> {
     this.#left = true;
-    this.#parts.state.remove();
+    this.#parts.state.remove(this.#parts.now());
     this.#parts.node.events.record(
       this.#leaving ? MEMBERSHIP_EVENTS.LEFT : MEMBERSHIP_EVENTS.REMOVED,
       {},
@@ -248,7 +248,7 @@
   }
 
   async #readAgain(): Promise<void> {
-    const reading = await this.#parts.recordStore.read();
+    const reading = await this.#parts.recordStore.read(this.#parts.view.reading);
     if (reading.isOk()) {
       this.#adopt(reading.value);
       if (!this.#parts.view.hasMember(this.#parts.node.identity.incarnation)) {
--- a/packages/nutmegproxy-requests/src/registerRequests.ts
+++ b/packages/nutmegproxy-requests/src/registerRequests.ts
@@ -185,6 +185,13 @@
   }
 }
 
+function recordLoad(metrics: RequestsMetrics, {ledger, listener}: Parts): void {
+  metrics.waiting.set(listener.inProgress);
+  for (const [state, count] of Object.entries(ledger.totals())) {
+    metrics.slots.set({state}, count);
+  }
+}
+
 /**
  * Registers the requests feature. It serves callers once `listen` has been called.
  *
@@ -224,8 +231,8 @@
     return false;
   };
   const ticker = setInterval(() => {
-    metrics.waiting.set(listener.inProgress);
     tick(parts, node);
+    recordLoad(metrics, parts);
   }, TICK_MS);
   return {
     lender: parts.lender,
