--- a/packages/nutmegproxy-cli/src/WorkFeatures.ts
+++ b/packages/nutmegproxy-cli/src/WorkFeatures.ts
@@ -1,25 +1,22 @@
 /** The features that serve callers: membership, requests and tasks. */
 
 import type {CatalogueSource} from '@nutmegproxy/catalogue';
-import type {Unregister} from '@nutmegproxy/core';
+import type {EntryNode, Unregister} from '@nutmegproxy/core';
 import type {Membership} from '@nutmegproxy/membership';
-import type {Requests} from '@nutmegproxy/requests';
+import type {PeerMesh} from '@nutmegproxy/peers';
+import type {LoansRegistration, Requests, SlotLender} from '@nutmegproxy/requests';
 import type {Tasks} from '@nutmegproxy/tasks';
 
 import {mergeUnregister} from '@nutmegproxy/core';
 import {registerMembership, registerSlotLoans} from '@nutmegproxy/membership';
-import {LANE_ORDERS, PLACEMENTS} from '@nutmegproxy/placement';
+import {EntryKnowledge, LANE_ORDERS, PLACEMENTS} from '@nutmegproxy/placement';
 import {registerRequests} from '@nutmegproxy/requests';
-import {registerTasks} from '@nutmegproxy/tasks';
+import {adaptRoute, parseOwnerRecord, registerKnowledge, registerTasks} from '@nutmegproxy/tasks';
 import {randomInt} from 'node:crypto';
 
 import type {FeatureContext} from './Features.ts';
 import type {PlatformConnections} from './PlatformConnections.ts';
 
-import {parseCellOwner} from './CellOwner.ts';
-import {LateLoans} from './LateLoans.ts';
-import {adaptTaskRoute} from './TaskRouteAdapter.ts';
-
 const MAX_SEED = 2 ** 31;
 
 export interface WorkFeatures {
@@ -29,6 +26,23 @@
   readonly unregister: Unregister;
 }
 
+/** Loans that lower the slots of the requests feature on both sides. */
+function createLoans(
+  node: EntryNode,
+  membership: Membership,
+  mesh: PeerMesh,
+): (lender: SlotLender) => LoansRegistration {
+  return (lender) =>
+    registerSlotLoans(node, {
+      lender,
+      membership,
+      mesh,
+      onEnded: (minion, count) => {
+        lender.end(minion, count);
+      },
+    });
+}
+
 /** Registers membership, requests and tasks; callers are served once `listen` is called. */
 export function registerWork(
   context: FeatureContext,
@@ -47,38 +61,28 @@
     prefix: keyPrefix,
     store,
   });
-  const lateLoans = new LateLoans();
   const requests = registerRequests(node, {
     catalogue,
     directory,
-    loans: lateLoans,
     membership,
+    registerLoans: createLoans(node, membership, mesh),
     seed: randomInt(MAX_SEED),
     settings,
     store,
   });
-  const {loans, unregister: unregisterLoans} = registerSlotLoans(node, {
-    lender: requests.lender,
-    membership,
-    mesh,
-    onEnded: (minion, count) => {
-      requests.lender.end(minion, count);
-    },
-  });
-  lateLoans.attach(loans);
   const placement = PLACEMENTS[settings.policies.placement];
+  const knowledge = new EntryKnowledge();
   const tasks = registerTasks(node, {
     catalogue,
     commitIntervalMs,
-    createPlacement: placement,
+    createPlacement: () => placement(knowledge),
     directory,
     keyPrefix,
     laneOrder: LANE_ORDERS[settings.policies.laneOrder],
     membership,
     mesh,
-    parseOwner: parseCellOwner,
-    registerRoute: (prefix, handler) =>
-      requests.registerCallerRoute(prefix, adaptTaskRoute(handler)),
+    parseOwner: parseOwnerRecord,
+    registerRoute: (prefix, handler) => requests.registerCallerRoute(prefix, adaptRoute(handler)),
     store,
     timings: {leaseMs: taskLeaseMs, syncMs: workerSyncMs},
     workers,
@@ -90,8 +94,8 @@
     unregister: mergeUnregister(
       unregisterMembership,
       requests.unregister,
-      unregisterLoans,
       tasks.unregister,
+      registerKnowledge(node, mesh, knowledge),
     ),
   };
 }
