Admit by measured pace and time at the minion; refuse the rest at once

Causes: the expected wait took all slots for the class although batch took a third of the slot time, and left no time for the minion, so slots worked on requests that were cut off at their deadline.

Change: the expected wait is the larger of that by count and that by the measured gaps between grants; the mean service time of the entry and eight mean deviations must fit in before the deadline; a request that waits and has less than three left is refused before it takes a slot; an aged batch request passes after 8 latency-critical ones, not 4.

--- a/packages/nutmegproxy-admission/src/AdmissionConstants.ts
+++ b/packages/nutmegproxy-admission/src/AdmissionConstants.ts
@@ -1,12 +1,26 @@
 /** Constants of admission. */
 
 /** Latency-critical requests that may pass a batch request that has waited long enough. */
-export const LATENCY_GRANTS_PER_AGED_BATCH = 4;
+export const LATENCY_GRANTS_PER_AGED_BATCH = 8;
 export const BATCH_AGE_MS = 500;
 /** Most requests that wait for one service in one process. */
 export const QUEUE_LENGTH_MAX = 4096;
 
 export const SERVICE_TIME_INITIAL_MS = 20;
+/** Mean deviations over the mean within which nearly all service times lie. */
+export const SERVICE_TIME_DEVIATIONS_MAX = 8;
+/** Mean deviations over the mean that a waiting request must have left when it is given a slot. */
+export const SERVICE_TIME_DEVIATIONS_MIN = 3;
+export const SERVICE_TIME_WEIGHT = 0.02;
+/** Most part of a request's whole time that is kept for the minion. */
+export const SERVICE_TIME_SHARE_MAX = 0.5;
+/** Entries whose service times are remembered. */
+export const SERVICE_TIME_ENTRIES_MAX = 4096;
+/** Grants after which the measured pace of a class is believed. */
+export const PACE_MIN_GRANTS = 20;
+export const PACE_WEIGHT = 0.01;
+/** Factor on the expected wait of a request that is to be let in. */
+export const WAIT_MARGIN = 1.25;
 /** Weight of the newest measurement in a moving mean. */
 export const MOVING_MEAN_WEIGHT = 0.1;
 /** Half-life of a latency estimate that gets no new measurement. */
--- a/packages/nutmegproxy-admission/src/DeadlineQueue.ts
+++ b/packages/nutmegproxy-admission/src/DeadlineQueue.ts
@@ -13,10 +13,15 @@
   BATCH_AGE_MS,
   LATENCY_GRANTS_PER_AGED_BATCH,
   QUEUE_LENGTH_MAX,
+  SERVICE_TIME_DEVIATIONS_MAX,
+  SERVICE_TIME_DEVIATIONS_MIN,
+  WAIT_MARGIN,
 } from './AdmissionConstants.ts';
 import {DeadlineRank} from './DeadlineRank.ts';
+import {GrantPace} from './GrantPace.ts';
 import {IndexedHeap} from './IndexedHeap.ts';
 import {QueueLoad} from './QueueLoad.ts';
+import {ServiceTimes} from './ServiceTimes.ts';
 
 interface Waiting {
   readonly rankBucket: number;
@@ -33,6 +38,7 @@
 /** Requests of one class, grouped by team and entry. */
 class ClassQueue {
   readonly groups = new Map<GroupKey, IndexedHeap<WaitingRequest>>();
+  readonly pace = new GrantPace();
   readonly rank = new DeadlineRank();
   size = 0;
   readonly teamGroups = new Map<TeamId, IndexedHeap<GroupKey>>();
@@ -90,6 +96,7 @@
   #latencyGrants = 0;
   readonly #limits: QueueLimits;
   readonly #load: QueueLoad;
+  readonly #serviceTimes = new ServiceTimes();
   readonly #waiting = new Map<RequestId, Waiting>();
 
   constructor(limits: QueueLimits) {
@@ -107,8 +114,23 @@
     return true;
   }
 
+  dropLate(now: Instant): readonly WaitingRequest[] {
+    const late: WaitingRequest[] = [];
+    for (let next = this.#next(now); next !== undefined; next = this.#next(now)) {
+      if (now + this.#serviceTimes.reserveMs(next, SERVICE_TIME_DEVIATIONS_MIN) < next.deadline) {
+        break;
+      }
+      late.push(next);
+      this.cancel(next.id);
+    }
+    return late;
+  }
+
   finish(request: WaitingRequest, serviceMs: number | undefined): void {
     this.#load.finish(request, serviceMs);
+    if (serviceMs !== undefined) {
+      this.#serviceTimes.record(request.entry, serviceMs);
+    }
     this.#refresh(request);
   }
 
@@ -130,9 +152,11 @@
   }
 
   predictWaitMs(request: WaitingRequest, now: Instant): number {
-    const rank = this.#classes[request.class].rank.ahead(request.deadline, now);
+    const {pace, rank} = this.#classes[request.class];
+    const ahead = rank.ahead(request.deadline, now);
     const before = request.class === 'batch' ? this.#classes['latency-critical'].size : 0;
-    return this.#load.predictWaitMs(rank + before);
+    const byCountMs = this.#load.predictWaitMs(ahead + before);
+    return byCountMs === 0 ? 0 : Math.max(byCountMs, pace.predictWaitMs(ahead, now) ?? 0);
   }
 
   refreshLimits(): void {
@@ -154,6 +178,8 @@
     this.#remove(waiting);
     this.#load.start(request);
     this.#refresh(request);
+    const {pace, size} = this.#classes[request.class];
+    pace.grant(now, size);
     this.#latencyGrants = request.class === 'batch' ? 0 : this.#latencyGrants + 1;
     return request;
   }
@@ -186,7 +212,11 @@
     if (sameEntry >= this.#limits.entryQueue(request.entry)) {
       return 'entry-queue-full';
     }
-    return now + waitMs >= request.deadline ? 'too-late' : undefined;
+    if (waitMs === 0) {
+      return now >= request.deadline ? 'too-late' : undefined;
+    }
+    const serviceMs = this.#serviceTimes.reserveMs(request, SERVICE_TIME_DEVIATIONS_MAX);
+    return now + WAIT_MARGIN * waitMs + serviceMs >= request.deadline ? 'too-late' : undefined;
   }
 
   #remove({rankBucket, request}: Waiting): void {
--- a/packages/nutmegproxy-admission/src/FirstComeQueue.ts
+++ b/packages/nutmegproxy-admission/src/FirstComeQueue.ts
@@ -28,6 +28,11 @@
     return true;
   }
 
+  /** The baseline drops nothing. */
+  dropLate(): readonly WaitingRequest[] {
+    return [];
+  }
+
   finish(request: WaitingRequest, serviceMs: number | undefined): void {
     this.#load.finish(request, serviceMs);
   }
--- a/packages/nutmegproxy-admission/src/RequestQueue.ts
+++ b/packages/nutmegproxy-admission/src/RequestQueue.ts
@@ -42,6 +42,8 @@
 export interface RequestQueue {
   /** Takes out a waiting request; false when it waits no longer. */
   cancel(id: RequestId): boolean;
+  /** Takes out waiting requests that would miss their deadline even if they were given a slot. */
+  dropLate(now: Instant): readonly WaitingRequest[];
   /** Ends a request that `take` gave out, after `serviceMs` at the minion. */
   finish(request: WaitingRequest, serviceMs: number | undefined): void;
   /** Lets a request wait, or says at once why it may not. */
--- /dev/null
+++ b/packages/nutmegproxy-admission/src/ServiceTimes.ts
@@ -0,0 +1,43 @@
+/** How long requests of each entry take at a minion: mean and mean deviation. */
+
+import type {EntryId} from '@nutmegproxy/core';
+
+import type {WaitingRequest} from './RequestQueue.ts';
+
+import {
+  SERVICE_TIME_ENTRIES_MAX,
+  SERVICE_TIME_SHARE_MAX,
+  SERVICE_TIME_WEIGHT,
+} from './AdmissionConstants.ts';
+
+interface ServiceTime {
+  deviationMs: number;
+  meanMs: number;
+}
+
+/** Remembers a bounded number of entries; the one that was first seen is forgotten first. */
+export class ServiceTimes {
+  readonly #times = new Map<EntryId, ServiceTime>();
+
+  record(entry: EntryId, serviceMs: number): void {
+    const known = this.#times.get(entry);
+    if (known !== undefined) {
+      const error = serviceMs - known.meanMs;
+      known.meanMs += SERVICE_TIME_WEIGHT * error;
+      known.deviationMs += SERVICE_TIME_WEIGHT * (Math.abs(error) - known.deviationMs);
+      return;
+    }
+    const [oldest] = this.#times.keys();
+    if (oldest !== undefined && this.#times.size >= SERVICE_TIME_ENTRIES_MAX) {
+      this.#times.delete(oldest);
+    }
+    this.#times.set(entry, {deviationMs: serviceMs / 4, meanMs: serviceMs});
+  }
+
+  /** Mean and `deviations` times the mean deviation, to be kept for the minion; at most a part of the request's whole time; 0 when unknown. */
+  reserveMs({arrivedAt, deadline, entry}: WaitingRequest, deviations: number): number {
+    const {deviationMs, meanMs} = this.#times.get(entry) ?? {deviationMs: 0, meanMs: 0};
+    const longMs = meanMs + deviations * deviationMs;
+    return Math.min(longMs, SERVICE_TIME_SHARE_MAX * (deadline - arrivedAt));
+  }
+}
--- /dev/null
+++ b/packages/nutmegproxy-admission/src/__tests__/unit/Overload.test.ts
@@ -0,0 +1,109 @@
+import type {EntryId, Instant, RequestId, TeamId} from '@nutmegproxy/core';
+
+import {brand} from '@nutmegproxy/core';
+import {deepEqual, equal, ok} from 'node:assert/strict';
+import {describe, it} from 'node:test';
+
+import type {QueueLimits, WaitingRequest} from '../../index.ts';
+
+import {GrantPace} from '../../GrantPace.ts';
+import {REQUEST_QUEUES} from '../../index.ts';
+import {ServiceTimes} from '../../ServiceTimes.ts';
+
+const LIMITS: QueueLimits = {
+  entryConcurrency: () => Infinity,
+  entryQueue: () => Infinity,
+  slots: () => 1,
+  teamConcurrency: () => Infinity,
+};
+
+let nextId = 0;
+
+function request(arrivedAt: number, deadline: number, entry = 'alert'): WaitingRequest {
+  nextId += 1;
+  return {
+    arrivedAt: arrivedAt as Instant,
+    class: 'latency-critical',
+    deadline: deadline as Instant,
+    entry: brand<EntryId>(entry),
+    id: brand<RequestId>(`request-${nextId}`),
+    team: brand<TeamId>('team'),
+  };
+}
+
+describe('GrantPace', () => {
+  it('predicts by the gaps of grants while requests wait, and grows while none is granted', () => {
+    const pace = new GrantPace();
+    equal(pace.predictWaitMs(5, 0 as Instant), undefined);
+    for (let now = 0; now <= 1000; now += 10) {
+      pace.grant(now as Instant, 3);
+    }
+    equal(pace.predictWaitMs(9, 1000 as Instant), 100);
+    equal(pace.predictWaitMs(9, 1510 as Instant), 600);
+  });
+
+  it('leaves out the time in which nothing waits', () => {
+    const pace = new GrantPace();
+    for (let now = 0; now <= 1000; now += 10) {
+      pace.grant(now as Instant, now === 1000 ? 0 : 3);
+    }
+    equal(pace.predictWaitMs(9, 1001 as Instant), undefined);
+    pace.grant(9000 as Instant, 3);
+    equal(pace.predictWaitMs(9, 9000 as Instant), 100);
+  });
+});
+
+describe('ServiceTimes', () => {
+  it('reserves the mean and its deviation for each entry, at most a part of the time', () => {
+    const times = new ServiceTimes();
+    const alert = request(0, 1000);
+    equal(times.reserveMs(alert, 8), 0);
+    for (let index = 0; index < 2000; index += 1) {
+      times.record(alert.entry, index % 2 === 0 ? 40 : 60);
+    }
+    ok(Math.abs(times.reserveMs(alert, 0) - 50) < 1);
+    ok(Math.abs(times.reserveMs(alert, 3) - 80) < 2);
+    equal(times.reserveMs(request(0, 100), 8), 50);
+    equal(times.reserveMs(request(0, 1000, 'other'), 8), 0);
+  });
+});
+
+describe('DeadlineQueue in overload', () => {
+  it('takes out what would not be answered in time, and keeps the rest', () => {
+    const queue = REQUEST_QUEUES.deadline(LIMITS);
+    const first = request(0, 10_000);
+    queue.offer(first, 0 as Instant);
+    queue.take(0 as Instant);
+    queue.finish(first, 100);
+    const late = request(0, 1000);
+    const good = request(0, 5000);
+    equal(queue.offer(late, 0 as Instant), undefined);
+    equal(queue.offer(good, 0 as Instant), undefined);
+    deepEqual(queue.dropLate(800 as Instant), []);
+    deepEqual(queue.dropLate(950 as Instant), [late]);
+    equal(queue.size, 1);
+    equal(queue.take(950 as Instant), good);
+  });
+
+  it('lets in only what ends in time: wait and service together', () => {
+    const queue = REQUEST_QUEUES.deadline(LIMITS);
+    let now = 0;
+    let late = 0;
+    let refused = 0;
+    // One slot, 20 ms a request, arrivals every 10 ms with 500 ms to go.
+    for (let index = 0; index < 2000; index += 1) {
+      now = index * 10;
+      refused += queue.offer(request(now, now + 500), now as Instant) === undefined ? 0 : 1;
+      if (index % 2 === 0) {
+        late += queue.dropLate(now as Instant).length;
+        const taken = queue.take(now as Instant);
+        if (taken !== undefined) {
+          ok(now + 20 <= taken.deadline);
+          queue.finish(taken, 20);
+        }
+      }
+    }
+    ok(late <= 10, `${late} were refused after they had waited`);
+    ok(Math.abs(refused - 1000) < 60, `${refused} were refused`);
+  });
+});
--- a/packages/nutmegproxy-load/src/LoadConstants.ts
+++ b/packages/nutmegproxy-load/src/LoadConstants.ts
@@ -17,4 +17,5 @@
 export const TIMELINE_STEP_MS = 500;
 /** Highest latency that a histogram tells apart, in µs. */
 export const HIGHEST_LATENCY_US = 120_000_000;
-export const BENCH_LOAD_SHARE = 0.5;
+/** A refusal that took longer did not come at once. */
+export const AT_ONCE_MS = 200;
--- a/packages/nutmegproxy-load/src/LoadFigures.ts
+++ b/packages/nutmegproxy-load/src/LoadFigures.ts
@@ -5,7 +5,7 @@
 
 import {build} from 'hdr-histogram-js';
 
-import {HIGHEST_LATENCY_US, TIMELINE_STEP_MS} from './LoadConstants.ts';
+import {AT_ONCE_MS, HIGHEST_LATENCY_US, TIMELINE_STEP_MS} from './LoadConstants.ts';
 
 /**
  * How a request ended for its caller. `unreachable`: no connection came about; `unknown`: the
@@ -40,6 +40,8 @@
   readonly notRun: number;
   /** Refusals without a time after which to try again. */
   readonly notRunBare: number;
+  /** Refusals that did not come at once. */
+  readonly notRunLate: number;
   /** Share of all requests but the cancelled that were answered within their deadline. */
   readonly onTimeShare: number;
   readonly p50Ms: number;
@@ -82,6 +84,7 @@
     unreachable: 0,
   };
   #notRunBare = 0;
+  #notRunLate = 0;
   #onTime = 0;
   readonly #refusals = createHistogram();
   readonly #steps = new Map<number, Histogram>();
@@ -92,6 +95,7 @@
     if (ending === 'not-run') {
       record(this.#refusals, elapsedMs);
       this.#notRunBare += retryAfter ? 0 : 1;
+      this.#notRunLate += elapsedMs > AT_ONCE_MS ? 1 : 0;
     }
     if (ending === 'answered') {
       record(this.#answers, elapsedMs);
@@ -107,6 +111,7 @@
       cancelled: counts.cancelled,
       notRun: counts['not-run'],
       notRunBare: this.#notRunBare,
+      notRunLate: this.#notRunLate,
       onTimeShare: this.#onTime / Math.max(1, sent - counts.cancelled),
       p50Ms: readMs(this.#answers, 50),
       p999Ms: readMs(this.#answers, 99.9),
--- a/packages/nutmegproxy-load/src/RequestReport.ts
+++ b/packages/nutmegproxy-load/src/RequestReport.ts
@@ -48,6 +48,7 @@
   {digits: 0, read: ({p999Ms}) => p999Ms, title: 'p99.9 ms'},
   {digits: 2, read: ({onTimeShare}) => 100 * onTimeShare, title: 'on time %'},
   {digits: 0, read: ({notRun}) => notRun, title: 'not run'},
+  {digits: 0, read: ({notRunLate}) => notRunLate, title: 'refused after 200 ms'},
   {digits: 0, read: ({notRunBare}) => notRunBare, title: 'no retry-after'},
   {digits: 1, read: ({refusalP50Ms}) => refusalP50Ms, title: 'refusal p50 ms'},
   {digits: 1, read: ({refusalP99Ms}) => refusalP99Ms, title: 'refusal p99 ms'},
--- a/packages/nutmegproxy-requests/src/ServiceAdmission.ts
+++ b/packages/nutmegproxy-requests/src/ServiceAdmission.ts
@@ -94,6 +94,7 @@
         this.#handleShortage(now);
         return;
       }
+      this.#refuseLate(now);
       const request = queue.take(now);
       if (request === undefined) {
         return;
@@ -221,6 +222,14 @@
     void this.#borrow(now);
   }
 
+  /** A request that can't be answered in time is told so now, and takes no slot. */
+  #refuseLate(now: Instant): void {
+    for (const request of this.#parts.queue.dropLate(now)) {
+      const retryAfterMs = this.#parts.queue.predictWaitMs(request, now);
+      this.#waiters.get(request.id)?.settle(err({kind: 'too-late', retryAfterMs}));
+    }
+  }
+
   #refuseAll(refusal: AdmissionRefusal): void {
     for (const [id, waiter] of this.#waiters) {
       if (this.#parts.queue.cancel(id)) {
