Measure one entry VM against direct calls; forget the pace when nobody waits

'load entry' sends arrivals in turn through an entry VM and straight to a minion, then calls without a pause and reads the process's time. A queue whose callers had all gone kept the instant of its last grant, so that a later request would have been refused as behind a long stall: a test shows it.

--- a/packages/nutmegproxy-admission/src/DeadlineQueue.ts
+++ b/packages/nutmegproxy-admission/src/DeadlineQueue.ts
@@ -179,7 +179,9 @@
     this.#load.start(request);
     this.#refresh(request);
     const {pace, size} = this.#classes[request.class];
-    pace.grant(now, size);
+    if (size > 0) {
+      pace.grant(now);
+    }
     this.#latencyGrants = request.class === 'batch' ? 0 : this.#latencyGrants + 1;
     return request;
   }
@@ -225,5 +227,9 @@
     queue.groups.get(groupOf(request))?.delete(request);
     queue.rank.remove(rankBucket);
     queue.size -= 1;
+    if (queue.size === 0) {
+      // Only time in which requests wait tells the pace.
+      queue.pace.pause();
+    }
   }
 }
--- a/packages/nutmegproxy-admission/src/GrantPace.ts
+++ b/packages/nutmegproxy-admission/src/GrantPace.ts
@@ -12,16 +12,20 @@
   #grants = 0;
   #latest: Instant | undefined;
 
-  /** A request was granted; `waiting` more of the class still wait. */
-  grant(now: Instant, waiting: number): void {
+  /** No request of the class waits any more. */
+  pause(): void {
+    this.#latest = undefined;
+  }
+
+  /** A request that waited was granted a slot. */
+  grant(now: Instant): void {
     if (this.#latest !== undefined) {
       const gapMs = now - this.#latest;
       const weight = Math.max(PACE_WEIGHT, 1 / (this.#grants + 1));
       this.#gapMs += weight * (gapMs - this.#gapMs);
       this.#grants += 1;
     }
-    // Only time in which requests wait tells the pace.
-    this.#latest = waiting > 0 ? now : undefined;
+    this.#latest = now;
   }
 
   /** The wait behind `ahead` waiting requests; undefined while too few grants were seen. */
--- a/packages/nutmegproxy-admission/src/__tests__/unit/Overload.test.ts
+++ b/packages/nutmegproxy-admission/src/__tests__/unit/Overload.test.ts
@@ -36,7 +36,7 @@
     const pace = new GrantPace();
     equal(pace.predictWaitMs(5, 0 as Instant), undefined);
     for (let now = 0; now <= 1000; now += 10) {
-      pace.grant(now as Instant, 3);
+      pace.grant(now as Instant);
     }
     equal(pace.predictWaitMs(9, 1000 as Instant), 100);
     equal(pace.predictWaitMs(9, 1510 as Instant), 600);
@@ -45,10 +45,11 @@
   it('leaves out the time in which nothing waits', () => {
     const pace = new GrantPace();
     for (let now = 0; now <= 1000; now += 10) {
-      pace.grant(now as Instant, now === 1000 ? 0 : 3);
+      pace.grant(now as Instant);
     }
+    pace.pause();
     equal(pace.predictWaitMs(9, 1001 as Instant), undefined);
-    pace.grant(9000 as Instant, 3);
+    pace.grant(9000 as Instant);
     equal(pace.predictWaitMs(9, 9000 as Instant), 100);
   });
 });
@@ -85,6 +86,25 @@
     equal(queue.take(950 as Instant), good);
   });
 
+  it('forgets a stall that ended because all callers went away', () => {
+    const queue = REQUEST_QUEUES.deadline(LIMITS);
+    for (let now = 0; now < 500; now += 10) {
+      queue.offer(request(now, now + 10_000), now as Instant);
+      queue.offer(request(now, now + 10_000), now as Instant);
+      const taken = queue.take(now as Instant);
+      ok(taken);
+      queue.finish(taken, 10);
+    }
+    const waiting = Array.from({length: 100}, () => queue.take(500 as Instant));
+    const open = waiting.filter((each) => each !== undefined);
+    const last = request(500, 10_000);
+    queue.offer(last, 500 as Instant);
+    queue.cancel(last.id);
+    const next = request(60_000, 61_000);
+    equal(queue.offer(next, 60_000 as Instant)?.kind, undefined);
+    ok(open.length > 0);
+  });
+
   it('lets in only what ends in time: wait and service together', () => {
     const queue = REQUEST_QUEUES.deadline(LIMITS);
     let now = 0;
--- a/packages/nutmegproxy-load/src/main.ts
+++ b/packages/nutmegproxy-load/src/main.ts
@@ -3,12 +3,14 @@
 import meow from 'meow';
 
 import {runDecisions} from './DecisionReport.ts';
+import {runBench} from './RequestBench.ts';
 import {runRequests} from './RequestCommand.ts';
 
 const cli = meow(
   `
   Usage
     $ load decisions   placement decisions against the size of the fleet
+    $ load entry       latency that one entry VM adds, and the processor time of a request
     $ load requests    requests through entry VMs, against stand-ins, in an open loop
 
   Options
@@ -17,7 +19,7 @@
     --policy KEY=A,B requests: compare policies; KEY is queue or choice; may stand twice
     --scenario FILE  requests: the scenario
     --seed N         seed of the run (default 1)
-    --seeds K        requests: run K seeds, from --seed on (default 1)
+    --seeds K        entry, requests: run K seeds, from --seed on (default 1)
     --steps N        decisions: arrivals that are measured at each size (default 20000)
 
   Examples
@@ -40,6 +42,7 @@
 
 const COMMANDS: Readonly<Record<string, (flags: typeof cli.flags) => Promise<void> | void>> = {
   decisions: runDecisions,
+  entry: runBench,
   requests: runRequests,
 };
 
