Refuse at once where a limit leaves a VM no part; count limits in the expected wait

A limit below the number of VMs gave some VMs a part of 0, whose callers waited until their deadline. They are refused at once as 'no-share'. The wait that an entry's or team's limit imposes counts in the expected wait.

--- a/packages/nutmegproxy-admission/src/DeadlineQueue.ts
+++ b/packages/nutmegproxy-admission/src/DeadlineQueue.ts
@@ -135,6 +135,9 @@
   }
 
   offer(request: WaitingRequest, now: Instant): QueueRefusal | undefined {
+    if (this.#load.hasNoShare(request)) {
+      return {kind: 'no-share', retryAfterMs: 0};
+    }
     const waitMs = this.predictWaitMs(request, now);
     const kind = this.#refusalKind(request, waitMs, now);
     if (kind !== undefined) {
@@ -145,6 +148,7 @@
     requests.set(request, request.deadline);
     queue.groups.set(groupOf(request), requests);
     queue.size += 1;
+    this.#load.countWaiting(request, 1);
     const rankBucket = queue.rank.add(request.deadline, now);
     this.#waiting.set(request.id, {rankBucket, request});
     this.#refresh(request);
@@ -156,7 +160,10 @@
     const ahead = rank.ahead(request.deadline, now);
     const before = request.class === 'batch' ? this.#classes['latency-critical'].size : 0;
     const byCountMs = this.#load.predictWaitMs(ahead + before);
-    return byCountMs === 0 ? 0 : Math.max(byCountMs, pace.predictWaitMs(ahead, now) ?? 0);
+    const bySlotsMs =
+      byCountMs === 0 ? 0 : Math.max(byCountMs, pace.predictWaitMs(ahead, now) ?? 0);
+    const serviceMs = this.#serviceTimes.meanMs(request.entry);
+    return Math.max(bySlotsMs, this.#load.predictLimitWaitMs(request, serviceMs));
   }
 
   refreshLimits(): void {
@@ -227,6 +234,7 @@
     queue.groups.get(groupOf(request))?.delete(request);
     queue.rank.remove(rankBucket);
     queue.size -= 1;
+    this.#load.countWaiting(request, -1);
     if (queue.size === 0) {
       // Only time in which requests wait tells the pace.
       queue.pace.pause();
--- a/packages/nutmegproxy-admission/src/FirstComeQueue.ts
+++ b/packages/nutmegproxy-admission/src/FirstComeQueue.ts
@@ -38,6 +38,9 @@
   }
 
   offer(request: WaitingRequest): QueueRefusal | undefined {
+    if (this.#load.hasNoShare(request)) {
+      return {kind: 'no-share', retryAfterMs: 0};
+    }
     const retryAfterMs = this.predictWaitMs();
     if (this.#waiting.size >= QUEUE_LENGTH_MAX) {
       return {kind: 'queue-full', retryAfterMs};
--- a/packages/nutmegproxy-admission/src/QueueLoad.ts
+++ b/packages/nutmegproxy-admission/src/QueueLoad.ts
@@ -13,6 +13,8 @@
   #running = 0;
   #serviceMs = SERVICE_TIME_INITIAL_MS;
   readonly #teams = new Map<TeamId, number>();
+  readonly #waitingEntries = new Map<EntryId, number>();
+  readonly #waitingTeams = new Map<TeamId, number>();
 
   constructor(limits: QueueLimits) {
     this.#limits = limits;
@@ -22,6 +24,27 @@
     return (this.#entries.get(entry) ?? 0) >= this.#limits.entryConcurrency(entry);
   }
 
+  /** Whether a limit leaves this process no part at all, so that waiting is of no use. */
+  hasNoShare({entry, team}: WaitingRequest): boolean {
+    return this.#limits.entryConcurrency(entry) <= 0 || this.#limits.teamConcurrency(team) <= 0;
+  }
+
+  /** Wait of a request at the limits of its entry and team, each request taking `serviceMs`. */
+  predictLimitWaitMs({entry, team}: WaitingRequest, serviceMs: number): number {
+    const entryOpen = (this.#entries.get(entry) ?? 0) + (this.#waitingEntries.get(entry) ?? 0);
+    const teamOpen = (this.#teams.get(team) ?? 0) + (this.#waitingTeams.get(team) ?? 0);
+    return Math.max(
+      limitWaitMs(entryOpen, this.#limits.entryConcurrency(entry), serviceMs),
+      limitWaitMs(teamOpen, this.#limits.teamConcurrency(team), serviceMs),
+    );
+  }
+
+  /** Counts a request that begins (1) or ends (-1) to wait. */
+  countWaiting({entry, team}: WaitingRequest, by: -1 | 1): void {
+    addCount(this.#waitingEntries, entry, by);
+    addCount(this.#waitingTeams, team, by);
+  }
+
   finish(request: WaitingRequest, serviceMs: number | undefined): void {
     this.#count(request, -1);
     if (serviceMs !== undefined) {
@@ -54,6 +77,11 @@
   }
 }
 
+/** Wait until the requests that are `open`, waiting or running, are fewer than `limit`. */
+function limitWaitMs(open: number, limit: number, serviceMs: number): number {
+  return open < limit ? 0 : ((open - limit + 1) * serviceMs) / Math.max(1, limit);
+}
+
 function addCount<Key>(counts: Map<Key, number>, key: Key, by: number): void {
   const count = (counts.get(key) ?? 0) + by;
   if (count === 0) {
--- a/packages/nutmegproxy-admission/src/RequestQueue.ts
+++ b/packages/nutmegproxy-admission/src/RequestQueue.ts
@@ -28,9 +28,9 @@
   teamConcurrency(team: TeamId): number;
 }
 
-/** Why a request may not wait. */
+/** Why a request may not wait; `no-share`: a limit leaves this process no part. */
 export interface QueueRefusal {
-  readonly kind: 'entry-queue-full' | 'queue-full' | 'too-late';
+  readonly kind: 'entry-queue-full' | 'no-share' | 'queue-full' | 'too-late';
   /** After how long another try may succeed. */
   readonly retryAfterMs: number;
 }
--- a/packages/nutmegproxy-admission/src/ServiceTimes.ts
+++ b/packages/nutmegproxy-admission/src/ServiceTimes.ts
@@ -34,6 +34,11 @@
     this.#times.set(entry, {deviationMs: serviceMs / 4, meanMs: serviceMs});
   }
 
+  /** Mean time of the entry's requests; 0 when unknown. */
+  meanMs(entry: EntryId): number {
+    return this.#times.get(entry)?.meanMs ?? 0;
+  }
+
   /** Mean and `deviations` times the mean deviation, to be kept for the minion; at most a part of the request's whole time; 0 when unknown. */
   reserveMs({arrivedAt, deadline, entry}: WaitingRequest, deviations: number): number {
     const {deviationMs, meanMs} = this.#times.get(entry) ?? {deviationMs: 0, meanMs: 0};
--- a/packages/nutmegproxy-admission/src/__tests__/unit/Overload.test.ts
+++ b/packages/nutmegproxy-admission/src/__tests__/unit/Overload.test.ts
@@ -127,3 +127,28 @@
     ok(Math.abs(refused - 1000) < 60, `${refused} were refused`);
   });
 });
+
+describe('limits', () => {
+  for (const policy of ['deadline', 'first-come'] as const) {
+    it(`are no reason to wait where there is no part of them (${policy})`, () => {
+      const noEntry = REQUEST_QUEUES[policy]({...LIMITS, entryConcurrency: () => 0});
+      equal(noEntry.offer(request(0, 1000), 0 as Instant)?.kind, 'no-share');
+      const noTeam = REQUEST_QUEUES[policy]({...LIMITS, teamConcurrency: () => 0});
+      equal(noTeam.offer(request(0, 1000), 0 as Instant)?.kind, 'no-share');
+    });
+  }
+
+  it('count in the expected wait, so that the rest is refused at once', () => {
+    const limits = {...LIMITS, entryConcurrency: () => 2, slots: () => 100};
+    const queue = REQUEST_QUEUES.deadline(limits);
+    const first = request(0, 1000);
+    queue.offer(first, 0 as Instant);
+    queue.take(0 as Instant);
+    queue.finish(first, 100);
+    const kinds = Array.from({length: 40}, () => queue.offer(request(0, 1000), 0 as Instant)?.kind);
+    const admitted = kinds.filter((kind) => kind === undefined).length;
+    ok(admitted > 5 && admitted < 20, `${admitted} were let in`);
+    equal(kinds.at(-1), 'too-late');
+    equal(queue.offer(request(0, 1000, 'other'), 0 as Instant), undefined);
+  });
+});
--- a/packages/nutmegproxy-requests/src/Refusal.ts
+++ b/packages/nutmegproxy-requests/src/Refusal.ts
@@ -33,6 +33,7 @@
   | 'minion-unreachable'
   | 'no-catalogue'
   | 'no-minion'
+  | 'no-share'
   | 'no-tenure'
   | 'queue-full'
   | 'stopping'
@@ -63,6 +64,7 @@
   'minion-unreachable': {message: 'No minion could be reached.', retry: true, status: 503},
   'no-catalogue': {message: 'This VM knows no catalogue yet.', retry: true, status: 503},
   'no-minion': {message: 'No minion of the service is available.', retry: true, status: 503},
+  'no-share': {message: 'This VM has no part of the limit.', retry: true, status: 503},
   'no-tenure': {message: 'This VM may not use its slots at present.', retry: true, status: 503},
   'queue-full': {message: 'Too many requests wait.', retry: true, status: 503},
   stopping: {message: 'This VM is stopping.', retry: true, status: 503},
--- a/packages/nutmegproxy-requests/src/RequestDispatcher.ts
+++ b/packages/nutmegproxy-requests/src/RequestDispatcher.ts
@@ -39,6 +39,7 @@
 const ADMISSION_CODES: Record<AdmissionRefusal['kind'], RefusalCode> = {
   'entry-queue-full': 'entry-queue-full',
   'no-minion': 'no-minion',
+  'no-share': 'no-share',
   'no-tenure': 'no-tenure',
   'queue-full': 'queue-full',
   'too-late': 'too-late',
--- a/packages/nutmegproxy-requests/src/__tests__/unit/Requests.test.ts
+++ b/packages/nutmegproxy-requests/src/__tests__/unit/Requests.test.ts
@@ -306,6 +306,19 @@
       });
     });
 
+    it('refuses at once, with a time to try again, where it has no part of a limit', async () => {
+      const minion = new FakeMinion('m1', answer('x'));
+      const teams = [{id: 'oportuna', quota: {requests: 0}}];
+      await withBench({entries: [PROOFS], minions: [minion], teams}, async (bench) => {
+        const response = await fetch(bench.url('/entries/proofs/'));
+        assert.equal(response.status, 503);
+        assert.equal(response.headers.get('nutmegproxy-outcome'), 'not-run');
+        assert.ok(Number(response.headers.get('retry-after')) >= 1);
+        assert.match(await response.text(), /no-share/);
+        assert.equal(minion.arrivals.length, 0);
+      });
+    });
+
     it('borrows slots when it has none and gives them back when idle', async () => {
       const minion = new FakeMinion('m1', answer('x'));
       let lent = 0;
