--- a/packages/nutmegproxy-admission/src/FirstComeQueue.ts
+++ b/packages/nutmegproxy-admission/src/FirstComeQueue.ts
@@ -28,11 +28,19 @@
     return true;
   }
 
+  /** The baseline drops nothing. */
+  dropLate(): readonly WaitingRequest[] {
+    return [];
+  }
+
   finish(request: WaitingRequest, serviceMs: number | undefined): void {
     this.#load.finish(request, serviceMs);
   }
 
   offer(request: WaitingRequest): QueueRefusal | undefined {
+    if (this.#load.hasNoShare(request)) {
+      return {kind: 'no-share', retryAfterMs: 0};
+    }
     const retryAfterMs = this.predictWaitMs();
     if (this.#waiting.size >= QUEUE_LENGTH_MAX) {
       return {kind: 'queue-full', retryAfterMs};
--- a/packages/nutmegproxy-admission/src/RequestQueue.ts
+++ b/packages/nutmegproxy-admission/src/RequestQueue.ts
@@ -28,9 +28,9 @@
   teamConcurrency(team: TeamId): number;
 }
 
-/** Why a request may not wait. */
+/** Why a request may not wait; `no-share`: a limit leaves this process no part. */
 export interface QueueRefusal {
-  readonly kind: 'entry-queue-full' | 'queue-full' | 'too-late';
+  readonly kind: 'entry-queue-full' | 'no-share' | 'queue-full' | 'too-late';
   /** After how long another try may succeed. */
   readonly retryAfterMs: number;
 }
@@ -42,6 +42,8 @@
 export interface RequestQueue {
   /** Takes out a waiting request; false when it waits no longer. */
   cancel(id: RequestId): boolean;
+  /** Takes out waiting requests that would miss their deadline even if they were given a slot. */
+  dropLate(now: Instant): readonly WaitingRequest[];
   /** Ends a request that `take` gave out, after `serviceMs` at the minion. */
   finish(request: WaitingRequest, serviceMs: number | undefined): void;
   /** Lets a request wait, or says at once why it may not. */
