Run every connection of a proof's entry processes through one hub

Cause: only the way to the store of one VM could be cut; peers advertise the address they listen on, so that no relay fits between them. Change: entry processes load a module that sends each outgoing connection to a hub, led by the opener's name and the port; the hub cuts any direction between any two places. The fault run's cut of the store goes through it in place of the relay, as strict as before. Ruled out: an advertised address in the settings only for tests.

--- a/packages/nutmegproxy-proof/src/ProofEntry.ts
+++ b/packages/nutmegproxy-proof/src/ProofEntry.ts
@@ -1,7 +1,5 @@
 /** An entry VM of a proof: settings, process and the calls that operators and callers make. */
 
-import type {TcpRelay} from '@nutmegproxy/standins';
-
 import {mkdtempSync, rmSync, writeFileSync} from 'node:fs';
 import {tmpdir} from 'node:os';
 import {dirname, join} from 'node:path';
@@ -47,18 +45,23 @@
   };
 }
 
-/** One entry VM; its process can be replaced, its way to the store cut. */
+/** One entry VM; its process can be replaced, and its connections run through the network. */
 export class ProofEntry {
+  readonly dataCentre: string;
   readonly #group: ProcessGroup;
   readonly #platform: ProofPlatform;
   #ports: EntryPorts = {callers: '', operators: '', peers: ''};
   #process: ManagedProcess | undefined;
-  relay: TcpRelay | undefined;
-  #storeUrl = '';
   readonly vm: string;
 
-  constructor(vm: string, group: ProcessGroup, platform: ProofPlatform) {
+  constructor(
+    vm: string,
+    group: ProcessGroup,
+    platform: ProofPlatform,
+    dataCentre = PROOF_DATA_CENTRE,
+  ) {
     this.vm = vm;
+    this.dataCentre = dataCentre;
     this.#group = group;
     this.#platform = platform;
   }
@@ -77,19 +80,19 @@
 
   /** Starts a process, also in place of one that has ended. */
   async start(seeds: readonly string[]): Promise<void> {
-    if (this.relay === undefined) {
-      const {relay, url} = await this.#platform.openStoreRelay();
-      this.relay = relay;
-      this.#storeUrl = url;
-    }
     const settings = this.#writeSettings(seeds);
     this.#process = await this.#group.start({
       args: ['serve', '--settings', settings],
-      env: {NUTMEGPROXY_PEER_SECRET: PEER_SECRET, NUTMEGPROXY_TOKEN: OPERATOR_TOKEN},
+      env: {
+        ...this.#platform.network.environment(this.vm),
+        NUTMEGPROXY_PEER_SECRET: PEER_SECRET,
+        NUTMEGPROXY_TOKEN: OPERATOR_TOKEN,
+      },
       name: this.vm,
       program: CLI_PROGRAM,
     });
     this.#ports = readPorts(this.#process.ready);
+    this.#platform.network.name(Number(this.peers.split(':')[1]), this.vm);
     rmSync(dirname(settings), {recursive: true});
   }
 
@@ -103,7 +106,7 @@
   }
 
   /** Sends an operator's call; undefined when it wasn't answered with 200. */
-  async operate(method: 'GET' | 'POST', path: string, body?: unknown): Promise<unknown> {
+  async operate(method: 'DELETE' | 'GET' | 'POST', path: string, body?: unknown): Promise<unknown> {
     const answer = await request(`${this.#ports.operators}${path}`, {
       ...(body === undefined ? {} : {body: JSON.stringify(body)}),
       headers: {
@@ -121,10 +124,10 @@
   #writeSettings(seeds: readonly string[]): string {
     const any = '127.0.0.1:0';
     const settings = {
-      dataCentre: PROOF_DATA_CENTRE,
+      dataCentre: this.dataCentre,
       listen: {callers: any, operators: any, peers: any},
       log: {level: 'warn'},
-      platform: {store: [this.#storeUrl], vmList: this.#platform.vmListUrl},
+      platform: {store: [this.#platform.storeUrl], vmList: this.#platform.vmListUrl},
       region: 'proof',
       secrets: {operator: {env: 'NUTMEGPROXY_TOKEN'}, peer: {env: 'NUTMEGPROXY_PEER_SECRET'}},
       seeds,
--- a/packages/nutmegproxy-proof/src/ProofPlatform.ts
+++ b/packages/nutmegproxy-proof/src/ProofPlatform.ts
@@ -3,22 +3,19 @@
 import type {Resources, Vm} from '@nutmegproxy/schema';
 import type {Standin} from '@nutmegproxy/standins';
 
-import {
-  MinionServer,
-  StoreServer,
-  TcpRelay,
-  VmListServer,
-  WorkerServer,
-} from '@nutmegproxy/standins';
+import {MinionServer, StoreServer, VmListServer, WorkerServer} from '@nutmegproxy/standins';
 
 import type {History} from './History.ts';
 
+import {ProofNetwork} from './ProofNetwork.ts';
 import {readAttemptRuns, readMinionRuns} from './StandinHistory.ts';
 
 export const PROOF_DATA_CENTRE = 'dc1';
 
-/** How many stand-ins to start and what each holds. */
+/** How many stand-ins to start in each data centre and what each holds. */
 export interface PlatformSize {
+  /** `dc1` alone when it is missing. */
+  readonly dataCentres?: readonly string[];
   readonly minions: number;
   readonly slots: number;
   readonly workerCpu: number;
@@ -39,42 +36,52 @@
   readonly #closers: Standin[] = [];
   readonly list = new VmListServer();
   readonly minions = new Map<string, MinionServer>();
+  readonly network = new ProofNetwork();
   readonly #size: PlatformSize;
   readonly store = new StoreServer();
-  #storePort = 0;
+  #storeUrl = '';
   #vmListUrl = '';
+  #vms: readonly Vm[] = [];
   readonly workers = new Map<string, WorkerServer>();
 
   constructor(size: PlatformSize) {
     this.#size = size;
   }
 
+  get storeUrl(): string {
+    return this.#storeUrl;
+  }
+
   get vmListUrl(): string {
     return this.#vmListUrl;
   }
 
   async close(): Promise<void> {
+    await this.network.close();
     await Promise.all(this.#closers.map((standin) => standin.close()));
   }
 
   async start(): Promise<void> {
-    this.#storePort = (await this.#keep(this.store.start())).port;
-    this.#vmListUrl = `http://${toAddress(await this.#keep(this.list.start()))}`;
+    await this.network.start();
+    this.#storeUrl = `http://${await this.#open('store', this.store.start())}`;
+    this.#vmListUrl = `http://${await this.#open('vm-list', this.list.start())}`;
     const vms: Vm[] = [];
-    for (let index = 1; index <= this.#size.minions; index += 1) {
-      vms.push(await this.#startMinion(`minion-${index}`));
-    }
-    for (let index = 1; index <= this.#size.workers; index += 1) {
-      vms.push(await this.#startWorker(`worker-${index}`));
+    for (const dataCentre of this.#size.dataCentres ?? [PROOF_DATA_CENTRE]) {
+      for (let index = 1; index <= this.#size.minions; index += 1) {
+        vms.push(await this.#startMinion(`${dataCentre}-minion-${index}`, dataCentre));
+      }
+      for (let index = 1; index <= this.#size.workers; index += 1) {
+        vms.push(await this.#startWorker(`${dataCentre}-worker-${index}`, dataCentre));
+      }
     }
+    this.#vms = vms;
     this.list.control({vms});
   }
 
-  /** A way to the store that can be cut for one entry VM. */
-  async openStoreRelay(): Promise<{readonly relay: TcpRelay; readonly url: string}> {
-    const relay = new TcpRelay({host: '127.0.0.1', port: this.#storePort});
-    const standin = await this.#keep(relay.start());
-    return {relay, url: `http://${toAddress(standin)}`};
+  /** Shows one VM as live or leaving in the list. */
+  show(id: string, state: Vm['state']): void {
+    this.#vms = this.#vms.map((vm) => (vm.id === id ? {...vm, state} : vm));
+    this.list.control({vms: this.#vms});
   }
 
   /** What the minions and workers saw since the start; a request is named by the end of its path. */
@@ -98,27 +105,27 @@
     return {accelerators: 0, cpu: this.#size.workerCpu, memoryMb: MEMORY_MB};
   }
 
-  async #keep<Started extends Standin>(starting: Promise<Started>): Promise<Started> {
+  /** Starts a stand-in that the network knows by its name; returns its address. */
+  async #open(place: string, starting: Promise<Standin>): Promise<string> {
     const standin = await starting;
     this.#closers.push(standin);
-    return standin;
+    this.network.name(standin.port, place);
+    return toAddress(standin);
   }
 
-  async #startMinion(id: string): Promise<Vm> {
+  async #startMinion(id: string, dataCentre: string): Promise<Vm> {
     const limits = {connections: CONNECTIONS, slots: this.#size.slots};
     const server = new MinionServer(limits);
     this.minions.set(id, server);
-    const address = toAddress(await this.#keep(server.start()));
-    const dataCentre = PROOF_DATA_CENTRE;
+    const address = await this.#open(id, server.start());
     return {address, dataCentre, id, role: 'minion', service: 'mesa', state: 'live', ...limits};
   }
 
-  async #startWorker(id: string): Promise<Vm> {
+  async #startWorker(id: string, dataCentre: string): Promise<Vm> {
     const capacity = this.#capacity();
     const server = new WorkerServer(id, capacity);
     this.workers.set(id, server);
-    const address = toAddress(await this.#keep(server.start()));
-    const dataCentre = PROOF_DATA_CENTRE;
+    const address = await this.#open(id, server.start());
     return {address, capacity, dataCentre, id, rack: 'rack-1', role: 'worker', state: 'live'};
   }
 }
--- a/packages/nutmegproxy-proof/src/__tests__/integration/FaultRun.test.ts
+++ b/packages/nutmegproxy-proof/src/__tests__/integration/FaultRun.test.ts
@@ -107,9 +107,11 @@
       await third.start([first.peers]);
     });
     await strike(first, async () => {
-      first.relay?.control({cut: 'both'});
+      platform.network.cut(first.vm, 'store');
+      platform.network.cut('store', first.vm);
       await sleep(2_000);
-      first.relay?.control({cut: 'none'});
+      platform.network.heal(first.vm, 'store');
+      platform.network.heal('store', first.vm);
     });
     await Promise.all(
       entries.map((entry) =>
