Prove runs of seeded faults over two data centres

Cause: the fault run had one fixed order of faults in one data centre. Change: npm run prove draws a schedule of 27 kinds of faults from each seed, runs requests, keyed retries, jobs, cancels, urgent tasks and racing operators through five entry processes, waits until all that was accepted has ended, and checks the nine invariants and three more: accepted changes stand in the history, accepted jobs end and one key makes one job, and every request gets a final answer. Departures count from when a VM can read the list again; a planned stop answers only for cuts that no fault of the minion, the VM or the store explains.

--- /dev/null
+++ b/packages/nutmegproxy-proof/src/AcceptanceChecks.ts
@@ -0,0 +1,40 @@
+/** Checks that nothing accepted is lost and that every caller got a final answer. */
+
+import type {HistoryCheck, Violation} from './Violation.ts';
+
+import {groupBy, overlapsAbsence} from './CheckUtils.ts';
+
+/** Every accepted change stands in the catalogue's history at its revision. */
+export const checkAcceptedChange: HistoryCheck = ({accepted, listedChanges}) => {
+  const listed = new Map(listedChanges.map(({change, revision}) => [change, revision]));
+  return accepted.flatMap(({change, revision}): Violation[] => {
+    const isKept = listed.size === 0 || change === undefined || listed.get(change) === revision;
+    const message = `change ${change ?? ''}, accepted as revision ${revision}, has vanished`;
+    return isKept ? [] : [{invariant: 'accepted-change', message}];
+  });
+};
+
+/** Every accepted job ends, and one idempotency key makes one job. */
+export const checkAcceptedJob: HistoryCheck = ({jobs, settled}) => {
+  const perKey = [...groupBy(jobs, ({key}) => key)].flatMap(([key, answers]): Violation[] => {
+    const ids = new Set(answers.map(({job}) => job));
+    const message = `key ${key} made the jobs ${[...ids].join(', ')}`;
+    return ids.size > 1 ? [{invariant: 'accepted-job', message}] : [];
+  });
+  const open = jobs
+    .filter(({ended}) => settled && !ended)
+    .map(({job}): Violation => ({invariant: 'accepted-job', message: `job ${job} never ended`}));
+  return [...perKey, ...open];
+};
+
+/** A caller waits in vain only while its VM is paused or dead. */
+export const checkFinalAnswer: HistoryCheck = ({absences, requests}) =>
+  requests
+    .filter(({outcome}) => outcome === 'pending')
+    .filter((request) => {
+      const here = absences.filter(({vm}) => vm === request.vm);
+      return !overlapsAbsence(request, here);
+    })
+    .map(({request, vm}): Violation => {
+      return {invariant: 'final-answer', message: `${request} got no final answer from ${vm}`};
+    });
--- a/packages/nutmegproxy-proof/src/CheckUtils.ts
+++ b/packages/nutmegproxy-proof/src/CheckUtils.ts
@@ -1,5 +1,7 @@
 /** Helpers that several checkers share. */
 
+import type {Absence} from './History.ts';
+
 /** A time in which something ran; open ends last for ever. */
 export interface Interval {
   readonly endedAt?: number;
@@ -49,3 +51,23 @@
   }
   return highest;
 }
+
+/** The end of `limitMs` after `startedAt`; each absence that comes before it starts the time anew. */
+export function extendDeadline(
+  startedAt: number,
+  limitMs: number,
+  absences: readonly Absence[],
+): number {
+  let deadline = startedAt + limitMs;
+  for (const {from, until} of [...absences].sort((a, b) => a.from - b.from)) {
+    if (from <= deadline && until >= startedAt) {
+      deadline = Math.max(deadline, until + limitMs);
+    }
+  }
+  return deadline;
+}
+
+/** Whether an interval and one of the absences overlap. */
+export function overlapsAbsence(interval: Interval, absences: readonly Absence[]): boolean {
+  return absences.some(({from, until}) => interval.startedAt <= until && endOf(interval) >= from);
+}
--- a/packages/nutmegproxy-proof/src/Checks.ts
+++ b/packages/nutmegproxy-proof/src/Checks.ts
@@ -3,6 +3,7 @@
 import type {History} from './History.ts';
 import type {HistoryCheck, InvariantName, Violation} from './Violation.ts';
 
+import {checkAcceptedChange, checkAcceptedJob, checkFinalAnswer} from './AcceptanceChecks.ts';
 import {checkCatalogue} from './CatalogueChecks.ts';
 import {
   checkAtMostOnce,
@@ -14,9 +15,12 @@
 import {checkCapacity, checkOnePlace, checkResumeOnce} from './WorkChecks.ts';
 
 export const CHECKS: Readonly<Record<InvariantName, HistoryCheck>> = {
+  'accepted-change': checkAcceptedChange,
+  'accepted-job': checkAcceptedJob,
   'at-most-once': checkAtMostOnce,
   capacity: checkCapacity,
   catalogue: checkCatalogue,
+  'final-answer': checkFinalAnswer,
   leaving: checkLeaving,
   'not-run': checkNotRun,
   'one-place': checkOnePlace,
--- a/packages/nutmegproxy-proof/src/History.ts
+++ b/packages/nutmegproxy-proof/src/History.ts
@@ -32,6 +32,8 @@
   readonly minion: string;
   readonly request: string;
   readonly startedAt: number;
+  /** The minion itself kept or cut the answer, as a fault told it to. */
+  readonly struck?: boolean;
 }
 
 export type AttemptEnd = 'checkpointed' | 'failed' | 'lapsed' | 'running' | 'stopped' | 'succeeded';
@@ -79,8 +81,10 @@
 /** A change that an operator was told is accepted. */
 export interface AcceptedRevision {
   readonly at: number;
-  /** Tells the content of the catalogue at this revision. */
-  readonly digest: string;
+  /** Id of the change. */
+  readonly change?: string;
+  /** Tells the content of the catalogue at this revision, if it could be read. */
+  readonly digest?: string;
   readonly revision: number;
 }
 
@@ -101,13 +105,33 @@
   readonly vm: string;
 }
 
+/** A job that a caller was told is accepted, once for each answer that said so. */
+export interface AcceptedJob {
+  readonly at: number;
+  /** Whether all its tasks had ended when the history was closed. */
+  ended: boolean;
+  readonly job: string;
+  readonly key: string;
+}
+
+/** One line of the catalogue's history as it stood at the end. */
+export interface ListedChange {
+  readonly change: string;
+  readonly revision: number;
+}
+
 export interface History {
   readonly absences: readonly Absence[];
   readonly accepted: readonly AcceptedRevision[];
   readonly attempts: readonly AttemptRun[];
+  /** Times in which an entry VM can't read the list of VMs. */
+  readonly blindTimes: readonly Absence[];
   /** Tasks whose cancellation was accepted; they needn't be resumed. */
   readonly cancelledTasks: readonly string[];
   readonly departures: readonly Departure[];
+  readonly jobs: readonly AcceptedJob[];
+  /** Empty when the catalogue's history was not read. */
+  readonly listedChanges: readonly ListedChange[];
   readonly minionRuns: readonly MinionRun[];
   readonly minions: readonly MinionSize[];
   readonly requests: readonly CallerRequest[];
@@ -115,6 +139,8 @@
   /** Whether all work had the time to end before the history was closed. */
   readonly settled: boolean;
   readonly stops: readonly PlannedStop[];
+  /** Times in which the store was down, slow or lost answers, for a VM. */
+  readonly storeFaults: readonly Absence[];
   readonly workers: readonly WorkerSize[];
 }
 
@@ -122,13 +148,17 @@
   absences: [],
   accepted: [],
   attempts: [],
+  blindTimes: [],
   cancelledTasks: [],
   departures: [],
+  jobs: [],
+  listedChanges: [],
   minionRuns: [],
   minions: [],
   requests: [],
   seen: [],
   settled: true,
   stops: [],
+  storeFaults: [],
   workers: [],
 };
--- a/packages/nutmegproxy-proof/src/HistoryRecorder.ts
+++ b/packages/nutmegproxy-proof/src/HistoryRecorder.ts
@@ -24,13 +24,17 @@
     absences: [],
     accepted: [],
     attempts: [],
+    blindTimes: [],
     cancelledTasks: [],
     departures: [],
+    jobs: [],
+    listedChanges: [],
     minionRuns: [],
     minions: [],
     requests: [],
     seen: [],
     stops: [],
+    storeFaults: [],
     workers: [],
   };
 
--- a/packages/nutmegproxy-proof/src/ManagedProcess.ts
+++ b/packages/nutmegproxy-proof/src/ManagedProcess.ts
@@ -83,6 +83,11 @@
     this.#child.kill('SIGCONT');
   }
 
+  /** Sends a signal without waiting for its effect. */
+  ask(name: 'SIGTERM'): void {
+    this.#child.kill(name);
+  }
+
   /** Sends a signal that ends the process and waits for its end. */
   signal(name: 'SIGKILL' | 'SIGTERM'): Promise<ProcessEnd> {
     if (this.running) {
--- /dev/null
+++ b/packages/nutmegproxy-proof/src/ProveJobs.ts
@@ -0,0 +1,151 @@
+/** Callers that submit jobs: with keys, again through another VM when the outcome is unknown. */
+
+import type {RandomGenerator} from 'pure-rand/types/RandomGenerator';
+
+import {setTimeout as sleep} from 'node:timers/promises';
+import {uniformInt} from 'pure-rand/distribution/uniformInt';
+import {request} from 'undici';
+
+import type {AcceptedJob} from './History.ts';
+import type {ProofEntry} from './ProofEntry.ts';
+import type {ProveScene} from './ProveScene.ts';
+
+import {pick} from './ProveScene.ts';
+
+const CALL_TIMEOUT_MS = 20_000;
+/** Tries of one submission; one that stays unknown counts as not accepted. */
+const MAX_TRIES = 30;
+const RETRY_PAUSE_MS = 250;
+
+interface TaskAnswer {
+  readonly body: {
+    readonly counts?: Readonly<Record<string, number>>;
+    readonly job?: string;
+    readonly tasks?: readonly {readonly task: string}[];
+  };
+  readonly status: number;
+}
+
+async function call(
+  entry: ProofEntry,
+  method: 'DELETE' | 'GET' | 'POST',
+  path: string,
+  options: {readonly body?: string; readonly headers?: Record<string, string>} = {},
+): Promise<TaskAnswer | undefined> {
+  try {
+    const answer = await request(`${entry.callers}${path}`, {
+      ...options,
+      bodyTimeout: CALL_TIMEOUT_MS,
+      headersTimeout: CALL_TIMEOUT_MS,
+      method,
+      reset: true,
+    });
+    const body = (await answer.body.json()) as TaskAnswer['body'];
+    return {body, status: answer.statusCode};
+  } catch {
+    return undefined;
+  }
+}
+
+/** Jobs of a run; every accepted one has to end. */
+export class ProveJobs {
+  readonly #accepted = new Map<string, AcceptedJob>();
+  cancelled = 0;
+  readonly #scene: ProveScene;
+  submitted = 0;
+  unknown = 0;
+
+  constructor(scene: ProveScene) {
+    this.#scene = scene;
+  }
+
+  get accepted(): number {
+    return this.#accepted.size;
+  }
+
+  /** Asks for each job that isn't known to have ended; true when all have. */
+  async allEnded(): Promise<boolean> {
+    const open = [...this.#accepted.values()].filter(({ended}) => !ended);
+    await Promise.all(
+      open.map(async (job) => {
+        for (const entry of this.#scene.entries) {
+          const answer = await call(entry, 'GET', `/tasks/${job.job}`);
+          if (answer?.status === 200 && answer.body.counts !== undefined) {
+            const states = Object.entries(answer.body.counts).filter(([, count]) => count > 0);
+            job.ended = states.every(([state]) => state === 'ended');
+            return;
+          }
+        }
+      }),
+    );
+    return open.every(({ended}) => ended);
+  }
+
+  /** Copies what is known of the jobs into the history. */
+  record(): void {
+    this.#scene.recorder.add('jobs', ...this.#accepted.values());
+  }
+
+  /** Submits jobs, and cancels some, until `isOver`. */
+  async run(random: RandomGenerator, name: string, isOver: () => boolean): Promise<void> {
+    for (let index = 1; !isOver(); index += 1) {
+      const entry = pick(random, ['digest', 'digest', 'retouch', 'urgent']);
+      const count = uniformInt(random, 1, entry === 'urgent' ? 2 : 6);
+      const workMs = uniformInt(random, 100, entry === 'urgent' ? 400 : 1_200);
+      const cancels = uniformInt(random, 0, 5) === 0;
+      const body = JSON.stringify({count, entry, input: JSON.stringify({cpu: 1, workMs})});
+      const job = await this.#submit(random, `${name}-${index}`, body, isOver);
+      await sleep(uniformInt(random, 150, 500));
+      if (job !== undefined && cancels) {
+        await this.#cancel(pick(random, this.#scene.entries), job);
+      }
+    }
+  }
+
+  async #cancel(entry: ProofEntry, job: string): Promise<void> {
+    const {recorder} = this.#scene;
+    // The tasks are noted first: an answer that gets lost may have cancelled them.
+    const shown = await call(entry, 'GET', `/tasks/${job}`);
+    recorder.add('cancelledTasks', ...(shown?.body.tasks ?? []).map(({task}) => task));
+    const answer = shown?.status === 200 ? await call(entry, 'DELETE', `/tasks/${job}`) : undefined;
+    this.cancelled += answer?.status === 200 ? 1 : 0;
+  }
+
+  async #submit(
+    random: RandomGenerator,
+    key: string,
+    body: string,
+    isOver: () => boolean,
+  ): Promise<string | undefined> {
+    const headers = {'content-type': 'application/json', 'idempotency-key': key};
+    this.submitted += 1;
+    // One that is accepted is now and then sent again, and must make no second job.
+    const repeats = uniformInt(random, 0, 4) === 0;
+    let job: string | undefined;
+    for (let tries = 0; tries < MAX_TRIES && !isOver(); tries += 1) {
+      const answer = await call(pick(random, this.#scene.entries), 'POST', '/tasks', {
+        body,
+        headers,
+      });
+      const accepted = answer?.status === 200 || answer?.status === 201;
+      if (accepted && answer.body.job !== undefined) {
+        this.#accept(key, answer.body.job);
+        if (!repeats || job !== undefined) {
+          return answer.body.job;
+        }
+        job = answer.body.job;
+      } else {
+        this.unknown += 1;
+      }
+      await sleep(RETRY_PAUSE_MS);
+    }
+    return job;
+  }
+
+  #accept(key: string, job: string): void {
+    const name = `${key} ${job}`;
+    if (!this.#accepted.has(name)) {
+      this.#accepted.set(name, {at: Date.now(), ended: false, job, key});
+    }
+  }
+}
--- /dev/null
+++ b/packages/nutmegproxy-proof/src/ProveOperators.ts
@@ -0,0 +1,128 @@
+/** Operators who race each other on the catalogue, and a look-out that reads what is in force. */
+
+import type {Catalogue} from '@nutmegproxy/schema';
+import type {RandomGenerator} from 'pure-rand/types/RandomGenerator';
+
+import {setTimeout as sleep} from 'node:timers/promises';
+import {uniformInt} from 'pure-rand/distribution/uniformInt';
+
+import type {ListedChange} from './History.ts';
+import type {CatalogueAnswer, ProofEntry} from './ProofEntry.ts';
+import type {ProveScene} from './ProveScene.ts';
+
+import {DECLARED_TASKS, LOOK_INTERVAL_MS} from './ProveConstants.ts';
+import {pick} from './ProveScene.ts';
+
+const READ_TRIES = 100;
+const READ_PAUSE_MS = 200;
+
+interface ChangeAnswer {
+  /** Missing when the document was in force already, so that nothing was changed. */
+  readonly change?: string;
+  readonly revision: number;
+}
+
+/** The catalogue of the runs; operators change the length of the queues. */
+export function proveCatalogue(queue: number): Catalogue {
+  const request = {
+    class: 'latency-critical',
+    kind: 'request',
+    owner: 'desk',
+    service: 'mesa',
+  } as const;
+  const limits = {queue, timeoutMs: 3_000};
+  const task = {checkpoint: true, class: 'batch', kind: 'task', owner: 'desk'} as const;
+  return {
+    entries: [
+      {...request, id: 'alert', limits},
+      {...request, id: 'proof', idempotent: true, limits},
+      {...task, id: 'digest', limits: {attempts: 50, ...DECLARED_TASKS.digest, runTimeMs: 600}},
+      {
+        ...task,
+        checkpoint: false,
+        id: 'retouch',
+        limits: {attempts: 50, ...DECLARED_TASKS.retouch, runTimeMs: 600},
+      },
+      {
+        ...task,
+        class: 'latency-critical',
+        id: 'urgent',
+        limits: {attempts: 50, ...DECLARED_TASKS.urgent, runTimeMs: 300},
+      },
+    ],
+    teams: [{id: 'desk', quota: {cpu: 200, requests: 200}}],
+  };
+}
+
+export class ProveOperators {
+  accepted = 0;
+  refused = 0;
+  readonly #scene: ProveScene;
+
+  constructor(scene: ProveScene) {
+    this.#scene = scene;
+  }
+
+  /** Changes the catalogue through one VM; the expected revision is what that VM shows. */
+  async change(entry: ProofEntry, queue: number): Promise<boolean> {
+    const before = (await entry.operate('GET', '/v1/catalogue')) as CatalogueAnswer | undefined;
+    if (before === undefined) {
+      return false;
+    }
+    const answer = (await entry.operate('POST', '/v1/catalogue?waitMs=0', {
+      catalogue: proveCatalogue(queue),
+      expectedRevision: before.revision,
+    })) as ChangeAnswer | undefined;
+    if (answer === undefined) {
+      this.refused += 1;
+      return false;
+    }
+    const {change, revision} = answer;
+    if (change === undefined) {
+      return true;
+    }
+    this.accepted += 1;
+    this.#scene.recorder.add('accepted', {at: Date.now(), change, revision});
+    return true;
+  }
+
+  /** Reads what every VM shows, until `isOver`. */
+  async look(isOver: () => boolean): Promise<void> {
+    while (!isOver()) {
+      await Promise.all(this.#scene.entries.map((entry) => this.#lookAt(entry)));
+      await sleep(LOOK_INTERVAL_MS);
+    }
+  }
+
+  async race(random: RandomGenerator, isOver: () => boolean): Promise<void> {
+    while (!isOver()) {
+      await this.change(pick(random, this.#scene.entries), uniformInt(random, 20, 120));
+      await sleep(uniformInt(random, 200, 900));
+    }
+  }
+
+  /** Reads the history of all changes once the faults are over. */
+  async recordHistory(): Promise<boolean> {
+    for (let tries = 0; tries < READ_TRIES; tries += 1) {
+      const entry = this.#scene.entries[tries % this.#scene.entries.length];
+      const answer = (await entry?.operate('GET', '/v1/catalogue/history')) as
+        undefined | {readonly changes: readonly ListedChange[]};
+      if (answer !== undefined) {
+        this.#scene.recorder.add('listedChanges', ...answer.changes);
+        return true;
+      }
+      await sleep(READ_PAUSE_MS);
+    }
+    return false;
+  }
+
+  async #lookAt(entry: ProofEntry): Promise<void> {
+    const process = String(entry.process?.pid);
+    const shown = (await entry.operate('GET', '/v1/catalogue')) as CatalogueAnswer | undefined;
+    if (shown !== undefined && String(entry.process?.pid) === process) {
+      const digest = JSON.stringify(shown.catalogue);
+      const {revision} = shown;
+      this.#scene.recorder.add('seen', {at: Date.now(), digest, process, revision, vm: entry.vm});
+    }
+  }
+}
--- /dev/null
+++ b/packages/nutmegproxy-proof/src/ProveRun.ts
@@ -0,0 +1,192 @@
+/** One run of the prover: a seeded workload under seeded faults, then every check. */
+
+import type {RandomGenerator} from 'pure-rand/types/RandomGenerator';
+
+import {setTimeout as sleep} from 'node:timers/promises';
+import {uniformInt} from 'pure-rand/distribution/uniformInt';
+import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
+
+import type {History} from './History.ts';
+import type {FaultName} from './ProveFaults.ts';
+import type {Violation} from './Violation.ts';
+
+import {checkHistory} from './Checks.ts';
+import {ProofCaller} from './ProofCaller.ts';
+import {
+  CALLER_PAUSE_MS,
+  CALLERS,
+  DECLARED_TASKS,
+  FAULT_ROUNDS,
+  SETTLE_LIMIT_MS,
+  START_LIMIT_MS,
+} from './ProveConstants.ts';
+import {FAULT_NAMES, FAULTS} from './ProveFaults.ts';
+import {ProveJobs} from './ProveJobs.ts';
+import {ProveOperators} from './ProveOperators.ts';
+import {pick, ProveScene} from './ProveScene.ts';
+import {holdsWithin, waitUntil} from './ProveUtils.ts';
+
+export interface RunPlan {
+  /** Faults to draw from; all when it is missing. */
+  readonly faults?: readonly FaultName[];
+  readonly seed: number;
+}
+
+export interface RunReport {
+  readonly durationMs: number;
+  readonly faults: readonly FaultName[];
+  readonly history: History;
+  /** Operations by kind. */
+  readonly operations: Readonly<Record<string, number>>;
+  readonly seed: number;
+  readonly violations: readonly Violation[];
+}
+
+/** One fault of a schedule; faults of one round overlap, and may be the same. */
+export interface ScheduledFault {
+  readonly delayMs: number;
+  readonly name: FaultName;
+  readonly round: number;
+  readonly seed: number;
+}
+
+/** Draws the faults of a run from its seed alone. */
+export function drawSchedule({faults = FAULT_NAMES, seed}: RunPlan): readonly ScheduledFault[] {
+  const random = xoroshiro128plus(seed);
+  return Array.from({length: FAULT_ROUNDS}, (_, round) =>
+    Array.from({length: uniformInt(random, 1, 3)}, (): ScheduledFault => {
+      const delayMs = uniformInt(random, 0, 600);
+      return {delayMs, name: pick(random, faults), round, seed: uniformInt(random, 1, 2 ** 30)};
+    }),
+  ).flat();
+}
+
+async function bringFaults(scene: ProveScene, schedule: readonly ScheduledFault[]) {
+  for (let round = 0; round < FAULT_ROUNDS; round += 1) {
+    const together = schedule.filter((fault) => fault.round === round);
+    await Promise.all(
+      together.map(async ({delayMs, name, seed}) => {
+        await sleep(delayMs);
+        await FAULTS[name](scene, xoroshiro128plus(seed));
+      }),
+    );
+  }
+}
+
+function endFaults({platform}: ProveScene): void {
+  platform.store.control({delayMs: 0, down: false, loseShare: 0});
+  platform.list.control({freeze: false});
+  for (const minion of platform.minions.values()) {
+    minion.control({fault: {kind: 'none'}});
+  }
+  for (const worker of platform.workers.values()) {
+    worker.control({delayMs: 0, failEverything: false, loseNext: 0, unreachable: false});
+  }
+}
+
+/** Counts entries by a name that each gives. */
+export function countBy<Item>(items: readonly Item[], name: (item: Item) => string) {
+  const counts: Record<string, number> = {};
+  for (const item of items) {
+    counts[name(item)] = (counts[name(item)] ?? 0) + 1;
+  }
+  return counts;
+}
+
+function countOperations(history: History, jobs: ProveJobs, operators: ProveOperators) {
+  const evictions = history.attempts.filter(({endState}) => endState === 'checkpointed');
+  return {
+    ...countBy(history.requests, ({outcome}) => `requests ${outcome}`),
+    ...countBy(history.attempts, ({endState}) => `attempts ${endState ?? 'running'}`),
+    'catalogue changes accepted': operators.accepted,
+    'catalogue changes refused': operators.refused,
+    'catalogue states seen': history.seen.length,
+    checkpoints: evictions.length,
+    'jobs accepted': jobs.accepted,
+    'jobs cancelled': jobs.cancelled,
+    'jobs submitted': jobs.submitted,
+    'jobs tried again': jobs.unknown,
+    'planned stops': history.stops.length,
+    'runs at minions': history.minionRuns.length,
+  };
+}
+
+/** The parts of a run that act until they are told to end. */
+function startWorkload(
+  scene: ProveScene,
+  random: RandomGenerator,
+  jobs: ProveJobs,
+  operators: ProveOperators,
+  isOver: () => boolean,
+): Promise<unknown> {
+  const seeds = (): number => uniformInt(random, 1, 2 ** 30);
+  const callers = Array.from({length: CALLERS}, (_, index) =>
+    new ProofCaller(`c${index}`, seeds(), scene.entries, scene.recorder, CALLER_PAUSE_MS).run(
+      isOver,
+    ),
+  );
+  return Promise.all([
+    ...callers,
+    jobs.run(xoroshiro128plus(seeds()), 'j0', isOver),
+    jobs.run(xoroshiro128plus(seeds()), 'j1', isOver),
+    operators.race(xoroshiro128plus(seeds()), isOver),
+    operators.race(xoroshiro128plus(seeds()), isOver),
+  ]);
+}
+
+function readHistory(scene: ProveScene, settled: boolean): History {
+  const declared = new Map(Object.entries(DECLARED_TASKS));
+  return {...scene.recorder.close(settled), ...scene.platform.read(declared)};
+}
+
+async function prove(scene: ProveScene, plan: RunPlan) {
+  const schedule = drawSchedule(plan);
+  const jobs = new ProveJobs(scene);
+  const operators = new ProveOperators(scene);
+  const [first] = scene.entries;
+  await scene.start();
+  await waitUntil('the first catalogue is accepted', START_LIMIT_MS, async () => {
+    return first !== undefined && (await operators.change(first, 100));
+  });
+  await scene.waitForReady(START_LIMIT_MS);
+  const load = new AbortController();
+  const looks = new AbortController();
+  const random = xoroshiro128plus(plan.seed + 1);
+  const working = startWorkload(scene, random, jobs, operators, () => load.signal.aborted);
+  const looking = operators.look(() => looks.signal.aborted);
+  await bringFaults(scene, schedule);
+  endFaults(scene);
+  load.abort();
+  await working;
+  await holdsWithin(SETTLE_LIMIT_MS, () => jobs.allEnded());
+  jobs.record();
+  const listed = await operators.recordHistory();
+  looks.abort();
+  await looking;
+  const history = readHistory(scene, true);
+  const violations: readonly Violation[] = [
+    ...checkHistory(history),
+    ...(listed
+      ? []
+      : [{invariant: 'final-answer', message: 'no VM showed the history of changes'} as const]),
+  ];
+  const operations = countOperations(history, jobs, operators);
+  return {faults: schedule.map(({name}) => name), history, operations, violations};
+}
+
+/**
+ * Runs one seed and ends every process that it started.
+ *
+ * @example
+ * const {violations} = await runSeed({faults: ['kill'], seed: 7});
+ */
+export async function runSeed(plan: RunPlan): Promise<RunReport> {
+  const startedAt = Date.now();
+  const scene = new ProveScene();
+  try {
+    const result = await prove(scene, plan);
+    return {...result, durationMs: Date.now() - startedAt, seed: plan.seed};
+  } finally {
+    await scene.close();
+  }
+}
--- a/packages/nutmegproxy-proof/src/StandinHistory.ts
+++ b/packages/nutmegproxy-proof/src/StandinHistory.ts
@@ -15,12 +15,13 @@
 ): readonly MinionRun[] {
   return requests
     .filter(({outcome}) => RAN.has(outcome))
-    .map(({endedAt, idempotencyKey, request, startedAt}) => ({
+    .map(({endedAt, idempotencyKey, request, startedAt, struck}) => ({
       minion,
       request,
       startedAt,
       ...(endedAt === undefined ? {} : {endedAt}),
       ...(idempotencyKey === undefined ? {} : {idempotencyKey}),
+      ...(struck === true ? {struck} : {}),
     }));
 }
 
--- /dev/null
+++ b/packages/nutmegproxy-proof/src/main.ts
@@ -0,0 +1,82 @@
+/** The prover: `proof [--seed N] [--runs K] [--faults a,b] [--parallel P] [--json] [--out FILE]`. */
+
+import meow from 'meow';
+import {writeFileSync} from 'node:fs';
+
+import type {FaultName} from './ProveFaults.ts';
+
+import {FAULT_NAMES} from './ProveFaults.ts';
+import {formatRun, formatSummary, ProveTotals, replayCommand} from './ProveReport.ts';
+import {runSeed} from './ProveRun.ts';
+
+const cli = meow(
+  `
+  Usage
+    $ npm run prove -- [options]
+
+  Options
+    --faults a,b  faults to draw from (default all)
+    --json        print the summary as JSON
+    --out FILE    write the histories of runs with violations, one JSON line each
+    --parallel P  runs at one time (default 2)
+    --runs K      number of runs, with the seeds from --seed on (default 1)
+    --seed N      first seed (default 1)
+
+  Exit status: 0 without a violation, 1 with one or a broken run, 2 for a wrong option.
+  Faults: ${FAULT_NAMES.join(', ')}
+`,
+  {
+    flags: {
+      faults: {default: '', type: 'string'},
+      json: {default: false, type: 'boolean'},
+      out: {type: 'string'},
+      parallel: {default: 2, type: 'number'},
+      runs: {default: 1, type: 'number'},
+      seed: {default: 1, type: 'number'},
+    },
+    importMeta: import.meta,
+  },
+);
+
+function isFault(name: string): name is FaultName {
+  return name in Object.fromEntries(FAULT_NAMES.map((each) => [each, true]));
+}
+
+async function runOne(seed: number, chosen: readonly FaultName[], totals: ProveTotals) {
+  try {
+    const report = await runSeed({seed, ...(chosen.length > 0 ? {faults: chosen} : {})});
+    totals.add(report);
+    if (!cli.flags.json || report.violations.length > 0) {
+      console.error(formatRun(report, chosen));
+    }
+    if (cli.flags.out !== undefined && report.violations.length > 0) {
+      writeFileSync(cli.flags.out, `${JSON.stringify(report)}\n`, {flag: 'a'});
+    }
+  } catch (error) {
+    totals.addBroken({error: String(error), seed});
+    console.error(
+      `seed ${seed}: broken: ${String(error)}\n  replay: ${replayCommand(seed, chosen)}`,
+    );
+  }
+}
+
+async function main(): Promise<void> {
+  const names = cli.flags.faults.split(',').filter((name) => name !== '');
+  const chosen = names.filter(isFault);
+  if (chosen.length < names.length) {
+    cli.showHelp(2);
+  }
+  const totals = new ProveTotals();
+  const seeds = Array.from({length: cli.flags.runs}, (_, index) => cli.flags.seed + index);
+  const lane = async (): Promise<void> => {
+    for (let seed = seeds.shift(); seed !== undefined; seed = seeds.shift()) {
+      await runOne(seed, chosen, totals);
+    }
+  };
+  await Promise.all(Array.from({length: cli.flags.parallel}, lane));
+  const summary = totals.summary();
+  console.log(cli.flags.json ? JSON.stringify(summary) : formatSummary(summary));
+  process.exitCode = summary.violatedSeeds.length + summary.broken.length > 0 ? 1 : 0;
+}
+
+void main();
--- a/packages/nutmegproxy-standins/src/MinionServer.ts
+++ b/packages/nutmegproxy-standins/src/MinionServer.ts
@@ -55,6 +55,8 @@
   readonly path: string;
   readonly request: string;
   readonly startedAt: number;
+  /** A fault kept or cut the answer. */
+  struck?: boolean;
 }
 
 export interface MinionCounters {
@@ -204,6 +206,9 @@
       sendJson(response, {error: 'refused'}, 503);
       return;
     }
+    if (fault.kind !== 'none') {
+      record.struck = true;
+    }
     if (this.#serviceMs > 0) {
       await sleep(this.#serviceMs);
     }
