--- /dev/null
+++ b/packages/nutmegproxy-proof/src/__tests__/integration/Prove.test.ts
@@ -0,0 +1,18 @@
+import {deepEqual, ok} from 'node:assert/strict';
+import {describe, it} from 'node:test';
+
+import {runSeed} from '../../ProveRun.ts';
+
+/** Runs that bring about a pause, a kill, a cut, losses and a stop. */
+const SEEDS = [1, 2];
+
+describe('the prover', () => {
+  for (const seed of SEEDS) {
+    it(`shows no violation with seed ${seed}`, async () => {
+      const {operations, violations} = await runSeed({seed});
+      ok((operations['requests answered'] ?? 0) > 0, 'requests were answered');
+      ok((operations['jobs accepted'] ?? 0) > 0, 'jobs were accepted');
+      deepEqual(violations.slice(0, 10), []);
+    });
+  }
+});
--- a/packages/nutmegproxy-proof/src/__tests__/unit/Checks.test.ts
+++ b/packages/nutmegproxy-proof/src/__tests__/unit/Checks.test.ts
@@ -52,6 +52,12 @@
 const CHECKPOINTED = {doneMs: 7, endState: 'checkpointed', task: 't'} as const;
 const ACCEPTED = [{at: 0, digest: 'b', revision: 2}];
 
+const JOB = {at: 0, ended: true, job: 'j', key: 'k'};
+const DEPARTURES = [{at: 0, minion: 'm1'}];
+const STOPS = [{endedAt: 30, startedAt: 15, vm: 'e1'}];
+const CUT = request('r', {outcome: 'cut'});
+const LATE_RUN = [run('r', {endedAt: 9_010, startedAt: 9_000})];
+
 const EXAMPLES: Record<string, Example & {readonly invariant: InvariantName}> = {
   'a caller is told that a request was not run': {
     accept: {requests: [request('r', {outcome: 'not-run'})]},
@@ -66,6 +72,33 @@
       requests: [request('r', {outcome: 'outcome-unknown'})],
     },
   },
+  'a caller waits in vain': {
+    accept: {
+      absences: [{from: 0, until: 15, vm: 'e1'}],
+      requests: [request('r', {outcome: 'pending'})],
+    },
+    invariant: 'final-answer',
+    reject: {
+      absences: [{from: 0, until: 15, vm: 'e2'}],
+      requests: [request('r', {outcome: 'pending'})],
+    },
+  },
+  'a change is not in the history': {
+    accept: {
+      accepted: [{at: 0, change: 'c', revision: 2}],
+      listedChanges: [{change: 'c', revision: 2}],
+    },
+    invariant: 'accepted-change',
+    reject: {
+      accepted: [{at: 0, change: 'd', revision: 2}],
+      listedChanges: [{change: 'c', revision: 2}],
+    },
+  },
+  'a job never ends': {
+    accept: {jobs: [JOB]},
+    invariant: 'accepted-job',
+    reject: {jobs: [{...JOB, ended: false}]},
+  },
   'a key is used for two requests': {
     accept: {minionRuns: [run('r', {idempotencyKey: 'k'})], requests: [request('s')]},
     invariant: 'at-most-once',
@@ -73,6 +106,16 @@
       minionRuns: [run('r', {idempotencyKey: 'k'}), run('s', {idempotencyKey: 'k'})],
     },
   },
+  'a key makes two jobs': {
+    accept: {jobs: [JOB, JOB, {...JOB, job: 'l', key: 'm'}]},
+    invariant: 'accepted-job',
+    reject: {jobs: [JOB, {...JOB, job: 'l'}]},
+  },
+  'a minion cuts an answer during a stop': {
+    accept: {minionRuns: [run('r', {struck: true})], requests: [CUT], stops: STOPS},
+    invariant: 'planned-stop',
+    reject: {minionRuns: [run('r')], requests: [CUT], stops: STOPS},
+  },
   'a minion has one slot': {
     accept: {minionRuns: [run('r'), run('s', {startedAt: 20})], minions: MINIONS},
     invariant: 'capacity',
@@ -83,6 +126,21 @@
     invariant: 'leaving',
     reject: {departures: [{at: 0, minion: 'm1'}], minionRuns: [run('r', {startedAt: 5001})]},
   },
+  'a minion leaves while a VM is blind': {
+    accept: {
+      blindTimes: [{from: 0, until: 6_000, vm: 'e1'}],
+      departures: DEPARTURES,
+      minionRuns: LATE_RUN,
+      requests: [request('r')],
+    },
+    invariant: 'leaving',
+    reject: {
+      blindTimes: [{from: 0, until: 6_000, vm: 'e2'}],
+      departures: DEPARTURES,
+      minionRuns: LATE_RUN,
+      requests: [request('r')],
+    },
+  },
   'an answer comes': {
     accept: {requests: [request('r'), request('s', {answer: 'x', outcome: 'cut'})]},
     invariant: 'whole-answer',
@@ -161,6 +219,11 @@
       seen: [{at: 69_001, digest: 'a', process: 'p1', revision: 1, vm: 'e1'}],
     },
   },
+  'a VM is paused before a stop': {
+    accept: {absences: [{from: 5, until: 12, vm: 'e1'}], requests: [CUT], stops: STOPS},
+    invariant: 'planned-stop',
+    reject: {absences: [{from: 5, until: 9, vm: 'e1'}], requests: [CUT], stops: STOPS},
+  },
   'a VM is replaced': {
     accept: {
       seen: [
