--- a/packages/nutmegproxy-cli/src/WorkFeatures.ts
+++ b/packages/nutmegproxy-cli/src/WorkFeatures.ts
@@ -1,31 +1,48 @@
 /** The features that serve callers: membership, requests and tasks. */
 
 import type {CatalogueSource} from '@nutmegproxy/catalogue';
-import type {Unregister} from '@nutmegproxy/core';
+import type {EntryNode, Unregister} from '@nutmegproxy/core';
 import type {Membership} from '@nutmegproxy/membership';
-import type {Requests} from '@nutmegproxy/requests';
+import type {PeerMesh} from '@nutmegproxy/peers';
+import type {LoansRegistration, Requests, SlotLender} from '@nutmegproxy/requests';
+import type {Tasks} from '@nutmegproxy/tasks';
 
 import {mergeUnregister} from '@nutmegproxy/core';
-import {registerMembership} from '@nutmegproxy/membership';
-import {LANE_ORDERS, PLACEMENTS} from '@nutmegproxy/placement';
+import {registerMembership, registerSlotLoans} from '@nutmegproxy/membership';
+import {EntryKnowledge, LANE_ORDERS, PLACEMENTS} from '@nutmegproxy/placement';
 import {registerRequests} from '@nutmegproxy/requests';
-import {registerTasks} from '@nutmegproxy/tasks';
+import {adaptRoute, parseOwnerRecord, registerKnowledge, registerTasks} from '@nutmegproxy/tasks';
 import {randomInt} from 'node:crypto';
 
 import type {FeatureContext} from './Features.ts';
 import type {PlatformConnections} from './PlatformConnections.ts';
 
-import {parseCellOwner} from './CellOwner.ts';
-import {adaptTaskRoute} from './TaskRouteAdapter.ts';
-
 const MAX_SEED = 2 ** 31;
 
 export interface WorkFeatures {
   readonly membership: Membership;
   readonly requests: Requests;
+  readonly tasks: Tasks;
   readonly unregister: Unregister;
 }
 
+/** Loans that lower the slots of the requests feature on both sides. */
+function createLoans(
+  node: EntryNode,
+  membership: Membership,
+  mesh: PeerMesh,
+): (lender: SlotLender) => LoansRegistration {
+  return (lender) =>
+    registerSlotLoans(node, {
+      lender,
+      membership,
+      mesh,
+      onEnded: (minion, count) => {
+        lender.end(minion, count);
+      },
+    });
+}
+
 /** Registers membership, requests and tasks; callers are served once `listen` is called. */
 export function registerWork(
   context: FeatureContext,
@@ -33,10 +50,11 @@
   catalogue: CatalogueSource,
 ): WorkFeatures {
   const {node, settings} = context;
-  const {directory, mesh, store, workers} = platform;
+  const {departures, directory, mesh, store, workers} = platform;
   const {keyPrefix} = settings.platform;
   const {commitIntervalMs, taskLeaseMs, tenureTtlMs, workerSyncMs} = settings.timings;
   const {membership, unregister: unregisterMembership} = registerMembership(node, {
+    departures,
     directory,
     mesh,
     peerAddress: mesh.peerAddress,
@@ -48,23 +66,24 @@
     catalogue,
     directory,
     membership,
+    registerLoans: createLoans(node, membership, mesh),
     seed: randomInt(MAX_SEED),
     settings,
     store,
   });
   const placement = PLACEMENTS[settings.policies.placement];
-  const unregisterTasks = registerTasks(node, {
+  const knowledge = new EntryKnowledge();
+  const tasks = registerTasks(node, {
     catalogue,
     commitIntervalMs,
-    createPlacement: placement,
+    createPlacement: () => placement(knowledge),
     directory,
     keyPrefix,
     laneOrder: LANE_ORDERS[settings.policies.laneOrder],
     membership,
     mesh,
-    parseOwner: parseCellOwner,
-    registerRoute: (prefix, handler) =>
-      requests.registerCallerRoute(prefix, adaptTaskRoute(handler)),
+    parseOwner: parseOwnerRecord,
+    registerRoute: (prefix, handler) => requests.registerCallerRoute(prefix, adaptRoute(handler)),
     store,
     timings: {leaseMs: taskLeaseMs, syncMs: workerSyncMs},
     workers,
@@ -72,6 +91,12 @@
   return {
     membership,
     requests,
-    unregister: mergeUnregister(unregisterMembership, requests.unregister, unregisterTasks),
+    tasks,
+    unregister: mergeUnregister(
+      unregisterMembership,
+      requests.unregister,
+      tasks.unregister,
+      registerKnowledge(node, mesh, knowledge),
+    ),
   };
 }
--- a/packages/nutmegproxy-membership/src/registerMembership.ts
+++ b/packages/nutmegproxy-membership/src/registerMembership.ts
@@ -2,6 +2,7 @@
 
 import type {DrainStart, EntryNode, Unregister} from '@nutmegproxy/core';
 import type {TargetedMesh} from '@nutmegproxy/peers';
+import type {VmDepartures} from '@nutmegproxy/platform';
 import type {PlatformStore} from '@nutmegproxy/store';
 
 import {DRAIN_STARTED, mergeUnregister, PRIORITY_LOW} from '@nutmegproxy/core';
@@ -12,12 +13,15 @@
 
 import {
   LEAVE_LIMIT_MS,
+  LEAVE_POLL_MS,
   LOAN_TERM_MS,
   OUTAGE_LIMIT_MS,
+  POLL_SHARE,
   RECORD_POLL_MS,
   REQUEST_LIMIT_MS,
   TENURE_TTL_MS,
   TICK_MS,
+  TICK_SHARE,
   VOUCH_PERIOD_MS,
 } from './MembershipConstants.ts';
 import {MembershipNode} from './MembershipNode.ts';
@@ -31,6 +35,8 @@
 };
 
 export interface MembershipOptions {
+  /** Entry VMs that the platform has ended. */
+  readonly departures: VmDepartures;
   readonly directory: VmSource;
   readonly mesh: TargetedMesh;
   /** Address under which peers reach this process. */
@@ -63,20 +69,24 @@
  *
  * @example
  * const {membership, unregister} = registerMembership(node, {
- *   directory, mesh, peerAddress: mesh.peerAddress, prefix: '/nutmegproxy', store,
+ *   departures, directory, mesh, peerAddress: mesh.peerAddress, prefix: '/nutmegproxy', store,
  * });
  */
 export function registerMembership(
   node: EntryNode,
   options: MembershipOptions,
 ): {membership: Membership; unregister: Unregister} {
-  const {directory, mesh, peerAddress, prefix, store} = options;
+  const {departures, directory, mesh, peerAddress, prefix, store} = options;
   const periods = {...DEFAULT_PERIODS, ...options.periods};
+  // A short tenure has to be looked after more often.
+  const tickMs = options.tickMs ?? Math.min(TICK_MS, periods.tenureTtlMs * TICK_SHARE);
+  const pollMs = options.pollMs ?? Math.min(RECORD_POLL_MS, periods.tenureTtlMs * POLL_SHARE);
   const recordPause = new Pause();
   const tenurePause = new Pause();
+  let leaving = false;
   let running = true;
   const membership = new MembershipNode(
-    {directory, mesh, node, peerAddress, periods, store},
+    {departures, directory, mesh, node, peerAddress, periods, store},
     {
       onNotice: () => {
         recordPause.wake();
@@ -87,17 +97,18 @@
   const keepRecord = async () => {
     while (running && !membership.ended) {
       await membership.stepRecord();
-      await recordPause.wait(options.pollMs ?? RECORD_POLL_MS);
+      await recordPause.wait(leaving ? Math.min(pollMs, LEAVE_POLL_MS) : pollMs);
     }
   };
   const keepTenure = async () => {
     while (running && !membership.ended) {
       await membership.stepTenure(node.clock.monotonic());
-      await tenurePause.wait(options.tickMs ?? TICK_MS);
+      await tenurePause.wait(tickMs);
     }
   };
   const loops = Promise.all([keepRecord(), keepTenure()]);
   const drain = ({wait}: DrainStart) => {
+    leaving = true;
     membership.leave();
     recordPause.wake();
     const limit = sleep(LEAVE_LIMIT_MS, undefined, {ref: false});
--- a/packages/nutmegproxy-requests/src/__tests__/unit/RequestsBench.ts
+++ b/packages/nutmegproxy-requests/src/__tests__/unit/RequestsBench.ts
@@ -37,10 +37,10 @@
   readonly #server: Server;
   readonly #sockets = new Set<Socket>();
 
-  constructor(id: string, script: MinionScript) {
+  constructor(id: string, script: MinionScript, allowHalfOpen = false) {
     this.id = brand<MinionId>(id);
     this.script = script;
-    this.#server = createServer((socket) => {
+    this.#server = createServer({allowHalfOpen}, (socket) => {
       this.#accept(socket);
     });
   }
@@ -66,9 +66,16 @@
     this.connections += 1;
     this.connectionsMax = Math.max(this.connectionsMax, this.connections);
     socket.on('error', () => undefined);
+    let counted = true;
+    const leave = (): void => {
+      this.connections -= counted ? 1 : 0;
+      counted = false;
+    };
+    // The minion is done with a connection once it has closed its own end.
+    socket.on('finish', leave);
     socket.on('close', () => {
       this.#sockets.delete(socket);
-      this.connections -= 1;
+      leave();
     });
     socket.on('data', (chunk) => {
       text += chunk.toString('latin1');
@@ -120,6 +127,7 @@
   readonly loans?: SlotLoans;
   readonly minions: readonly FakeMinion[];
   readonly policies?: Record<string, string>;
+  readonly revision?: number;
   readonly shares?: number;
   readonly stopDelayMs?: number;
   readonly store?: PlatformStore;
@@ -156,6 +164,7 @@
   readonly #view: CatalogueView;
 
   constructor(options: BenchOptions) {
+    const {loans} = options;
     this.#minions = options.minions;
     this.#view = this.#createView(options);
     this.share = options.shares ?? 4;
@@ -169,8 +178,8 @@
     this.requests = registerRequests(node, {
       catalogue: {current: () => this.#view},
       directory: this.#createDirectory(),
-      ...(options.loans === undefined ? {} : {loans: options.loans}),
       membership: this.#createMembership(),
+      ...(loans === undefined ? {} : {registerLoans: () => ({loans, unregister: () => undefined})}),
       seed: 1,
       settings: createSettings(options),
       store: options.store ?? ({} as PlatformStore),
@@ -243,11 +252,11 @@
     };
   }
 
-  #createView({entries = [ALERTS, PROOFS], teams = []}: BenchOptions): CatalogueView {
+  #createView({entries = [ALERTS, PROOFS], revision = 1, teams = []}: BenchOptions): CatalogueView {
     return {
       entries: new Map(entries.map((entry) => [brand<EntryId>(entry.id), entry])),
       isDrained: (target, id) => this.drained.has(`${target} ${id}`),
-      revision: 1,
+      revision,
       stoppedVms: new Set(),
       teams: new Map(teams.map((team) => [brand<TeamId>(team.id), team])),
     };
--- a/packages/nutmegproxy-schema/src/index.ts
+++ b/packages/nutmegproxy-schema/src/index.ts
@@ -78,6 +78,13 @@
   validatePeerFrame,
   validateProof,
 } from './generated/peersMessagesValidators.js';
+export type {
+  EntrySummary,
+  KnowledgeSummary,
+  PairSummary,
+  SeriesSummary,
+} from './generated/placementMessagesTypes.ts';
+export {validateKnowledgeSummary} from './generated/placementMessagesValidators.js';
 export type {LeavingMark, LeavingNotice} from './generated/platformMessagesTypes.ts';
 export {validateLeavingNotice} from './generated/platformMessagesValidators.js';
 export type {
@@ -102,6 +109,8 @@
 } from './generated/platformValidators.js';
 export type {RequestKeyRecord} from './generated/requestsMessagesTypes.ts';
 export {validateRequestKeyRecord} from './generated/requestsMessagesValidators.js';
+export type {Fault, Scenario, Traffic} from './generated/scenarioTypes.ts';
+export {validateScenario} from './generated/scenarioValidators.js';
 export type {
   ListenAddresses,
   Policies,
