--- a/packages/nutmegproxy-proof/src/CatalogueChecks.ts
+++ b/packages/nutmegproxy-proof/src/CatalogueChecks.ts
@@ -43,8 +43,13 @@
   history: History,
 ): readonly Violation[] {
   const deadline = readDeadline(vm, accepted.at, history);
+  const returns = history.absences.filter((absence) => absence.vm === vm).map(({until}) => until);
+  // A new process knows nothing at first, however long ago the change was accepted.
+  const isBlank = ({at, revision}: SeenRevision): boolean =>
+    revision === 0 && returns.some((until) => until <= at && at <= until + IN_FORCE_LIMIT_MS);
   return seen
     .filter(({at, revision}) => at > deadline && revision < accepted.revision)
+    .filter((each) => !isBlank(each))
     .slice(0, 1)
     .map(({at, revision}) => {
       const lateMs = at - accepted.at;
--- a/packages/nutmegproxy-proof/src/ProofNetwork.ts
+++ b/packages/nutmegproxy-proof/src/ProofNetwork.ts
@@ -43,6 +43,15 @@
   return `${from}>${to}`;
 }
 
+/** A socket whose end is on its way can't be reset: its handle would stay open and spin. */
+function breakOff(socket: Socket): void {
+  if (socket.writableEnded) {
+    socket.destroy();
+  } else {
+    socket.resetAndDestroy();
+  }
+}
+
 /**
  * A hub with cuts by direction.
  *
@@ -153,7 +162,9 @@
       this.#forward(passage, name, () => sink.end());
     });
     source.on('error', () => {
-      this.#forward(passage, name, () => sink.resetAndDestroy());
+      this.#forward(passage, name, () => {
+        breakOff(sink);
+      });
     });
     source.on('close', () => {
       this.#forward(passage, name, () => sink.destroy());
@@ -172,8 +183,8 @@
   }
 
   #reset(passage: Passage): void {
-    passage.client.resetAndDestroy();
-    passage.target.resetAndDestroy();
+    breakOff(passage.client);
+    breakOff(passage.target);
     this.#passages.delete(passage);
   }
 }
