Enforce the concurrency of task entries by shares of cells

Cause: limits.concurrency, per data centre, bounded requests only. Change: each cell of a data centre has a fixed share of it, by the hash that divides quotas; a round starts no more attempts of an entry than its share, and jobs are offered only to cells with a share. No call per decision. Ruled out: shares by the cells a VM owns, pooled over them: a cell that moves brings attempts that the new owner's pool has not counted. Partial: a cell that loses its share keeps what is queued there. The new test of a job in Tasks.test.ts failed before (all three ran at once).

--- a/packages/nutmegproxy-tasks/src/CellRunner.ts
+++ b/packages/nutmegproxy-tasks/src/CellRunner.ts
@@ -3,7 +3,7 @@
 import type {AttemptId, EntryId, Instant, RackId, WallTime, WorkerId} from '@nutmegproxy/core';
 import type {LaneOrder} from '@nutmegproxy/placement';
 import type {VmDirectory, WorkerClient} from '@nutmegproxy/platform';
-import type {Quota, StartIntended, TaskStart, Throttle, Vm} from '@nutmegproxy/schema';
+import type {Entry, Quota, StartIntended, TaskStart, Throttle, Vm} from '@nutmegproxy/schema';
 import type {LeaseId} from '@nutmegproxy/store';
 
 import {after} from '@nutmegproxy/core';
@@ -32,6 +32,8 @@
 /** What a runner needs besides its cell. */
 export interface RunnerServices {
   readonly client: WorkerClient;
+  /** Tasks of the entry that may run in this cell at one time. */
+  readonly concurrency: (entry: Entry) => number;
   readonly directory: VmDirectory;
   /** Lease of the keys of forgotten jobs; undefined while the store grants none. */
   readonly forgottenLease: () => LeaseId | undefined;
@@ -55,7 +57,7 @@
 
   constructor(cell: Cell, services: RunnerServices) {
     this.cell = cell;
-    this.#dispatch = new TaskDispatch(cell, services.laneOrder);
+    this.#dispatch = new TaskDispatch(cell, services.laneOrder, services.concurrency);
     this.#services = services;
   }
 
--- a/packages/nutmegproxy-tasks/src/CellSupervisor.ts
+++ b/packages/nutmegproxy-tasks/src/CellSupervisor.ts
@@ -5,7 +5,7 @@
 import type {CellOwnership, CellRelease, Membership} from '@nutmegproxy/membership';
 import type {LaneOrder, Placement} from '@nutmegproxy/placement';
 import type {VmDirectory, WorkerClient} from '@nutmegproxy/platform';
-import type {CellSummary, Quota, Resources} from '@nutmegproxy/schema';
+import type {CellSummary, Entry, Quota, Resources} from '@nutmegproxy/schema';
 import type {LeaseId, PlatformStore} from '@nutmegproxy/store';
 
 import {after} from '@nutmegproxy/core';
@@ -19,6 +19,7 @@
 import {recoverCell} from './CellRecovery.ts';
 import {CellRunner} from './CellRunner.ts';
 import {isWorkerOf} from './CellUtils.ts';
+import {concurrencyShare} from './ConcurrencyShares.ts';
 import {GroupCommit} from './GroupCommit.ts';
 import {cellName, knownCells, quotaShares} from './QuotaShares.ts';
 import {CellKeys} from './TaskKeys.ts';
@@ -63,6 +64,7 @@
   #forgotten: {readonly at: Instant; readonly lease: LeaseId} | undefined;
   #granting = false;
   readonly #node: EntryNode;
+  #knownCells: readonly string[] = [];
   #quotas: ReadonlyMap<CellId, ReadonlyMap<TeamId, Quota>> = new Map();
   /** Epochs under which cells were given up; they are not taken up again. */
   readonly #released = new Map<CellId, number>();
@@ -157,6 +159,11 @@
     }
   }
 
+  #concurrency(entry: Entry, cell: CellId): number {
+    const {dataCentre} = this.#node.identity;
+    return concurrencyShare(entry, this.#knownCells, dataCentre, cellName(dataCentre, cell));
+  }
+
   async #handOver(runner: CellRunner | undefined, released: () => void): Promise<void> {
     if (runner) {
       await runner.drain();
@@ -234,6 +241,7 @@
     const {catalogue, directory} = this.#services;
     const view = catalogue.current();
     const cells = knownCells(directory.vms());
+    this.#knownCells = cells;
     const {dataCentre} = this.#node.identity;
     const shares = owned.map(
       (id) => [id, quotaShares(view, cells, cellName(dataCentre, id))] as const,
@@ -257,6 +265,7 @@
     });
     slot.runner = new CellRunner(cell, {
       client: workers,
+      concurrency: (entry) => this.#concurrency(entry, id),
       directory,
       forgottenLease: () => this.#forgotten?.lease,
       healthy: () => this.#commit.healthy,
--- a/packages/nutmegproxy-tasks/src/JobRouter.ts
+++ b/packages/nutmegproxy-tasks/src/JobRouter.ts
@@ -31,6 +31,7 @@
 
 import {declaredOf} from './Cell.ts';
 import {recoverCell} from './CellRecovery.ts';
+import {concurrencyShare} from './ConcurrencyShares.ts';
 import {hashKey, parseJobId} from './JobIds.ts';
 import {statusOf} from './JobService.ts';
 import {defined} from './ObjectUtils.ts';
@@ -162,7 +163,7 @@
     return identity.incarnation === this.#services.node.identity.incarnation;
   }
 
-  /** Cells that can hold a task of the entry and have a share of its team's quota. */
+  /** Cells that can hold a task of the entry and have shares of its concurrency and its team's quota. */
   #offers(entry: Entry): CellOffer[] {
     const {board, catalogue, directory, node} = this.#services;
     const view = catalogue.current();
@@ -174,7 +175,8 @@
       .filter(({cell, dataCentre, summary}) => {
         const name = cellName(dataCentre, cell);
         const share = team && quotaShare(team, view, cells, name);
-        return fits(declared, summary.largest) && fits(declared, share);
+        const mayRun = concurrencyShare(entry, cells, dataCentre, name) > 0;
+        return mayRun && fits(declared, summary.largest) && fits(declared, share);
       });
   }
 
--- a/packages/nutmegproxy-tasks/src/QuotaShares.ts
+++ b/packages/nutmegproxy-tasks/src/QuotaShares.ts
@@ -99,10 +99,15 @@
   return Math.max(1, Math.min(cells.length, ...counts));
 }
 
-function shareHolders(team: string, count: number, cells: readonly string[]): readonly string[] {
+/** The `count` cells that hold shares of what `owner` has; the same for all who know `cells`. */
+export function shareHolders(
+  owner: string,
+  count: number,
+  cells: readonly string[],
+): readonly string[] {
   const ranked = cells.map((cell) => ({
     cell,
-    rank: createHash('sha256').update(`${team}\n${cell}`).digest('hex'),
+    rank: createHash('sha256').update(`${owner}\n${cell}`).digest('hex'),
   }));
   ranked.sort((a, b) => (a.rank < b.rank ? -1 : 1));
   return ranked.slice(0, count).map(({cell}) => cell);
--- a/packages/nutmegproxy-tasks/src/TaskDispatch.ts
+++ b/packages/nutmegproxy-tasks/src/TaskDispatch.ts
@@ -61,6 +61,7 @@
 /** Walks the queue entry by entry: once an entry's task has to wait, the others of it wait too. */
 export class TaskDispatch {
   readonly #cell: Cell;
+  readonly #concurrency: (entry: Entry) => number;
   readonly #handlers: DecisionHandlers = {
     evict: ({victims}, task, round) => {
       victims.forEach((victim) => round.victims.add(victim));
@@ -109,8 +110,9 @@
   /** Victims whose own intents are not committed yet. */
   readonly #owed = new Set<AttemptId>();
 
-  constructor(cell: Cell, order: LaneOrder) {
+  constructor(cell: Cell, order: LaneOrder, concurrency: (entry: Entry) => number) {
     this.#cell = cell;
+    this.#concurrency = concurrency;
     this.#order = order;
   }
 
@@ -118,11 +120,13 @@
   decide(times: Times): Round {
     const round: Round = {intents: [], victims: new Set()};
     this.#dropSettledWaits();
+    const counts = this.#counts();
     for (const entry of this.#entries(times)) {
       if (round.intents.length >= MAX_DECISIONS_PER_ROUND) {
         break;
       }
-      this.#decideEntry(entry, round, times);
+      const room = this.#concurrency(entry) - (counts.get(entry.id) ?? 0);
+      this.#decideEntry(entry, round, times, room);
     }
     return round;
   }
@@ -164,12 +168,23 @@
     return changes;
   }
 
-  #decideEntry(entry: Entry, round: Round, times: Times): void {
+  /** Attempts by entry, whether their intents are committed yet or not. */
+  #counts(): Map<string, number> {
+    const counts = new Map<string, number>();
+    const undecided = [...this.#deciding].filter(({state}) => state === 'queued');
+    for (const {job} of [...this.#cell.table.live, ...undecided]) {
+      counts.set(job.entry, (counts.get(job.entry) ?? 0) + 1);
+    }
+    return counts;
+  }
+
+  #decideEntry(entry: Entry, round: Round, times: Times, room: number): void {
     let scanned = 0;
+    const most = Math.min(MAX_DECISIONS_PER_ROUND, round.intents.length + room);
     const postponed: Task[] = [];
     for (const task of this.#cell.table.queuedOf(entry.id)) {
       scanned += 1;
-      if (scanned > MAX_QUEUE_SCAN_PER_ROUND || round.intents.length >= MAX_DECISIONS_PER_ROUND) {
+      if (scanned > MAX_QUEUE_SCAN_PER_ROUND || round.intents.length >= most) {
         break;
       }
       if (this.#deciding.has(task) || this.#awaited.has(task)) {
--- a/packages/nutmegproxy-tasks/src/__tests__/TestBench.ts
+++ b/packages/nutmegproxy-tasks/src/__tests__/TestBench.ts
@@ -41,6 +41,8 @@
 export const URGENT: Entry = {...DIGEST, class: 'latency-critical', id: 'urgent'};
 export const IDLE_TEAM: Entry = {...DIGEST, id: 'idle-team', owner: 'idle'};
 
+export const SINGLE: Entry = {...DIGEST, id: 'single', limits: {concurrency: 1, cpu: 1}};
+
 /** One entry VM with the tasks feature. */
 export interface TestVm {
   readonly call: (
@@ -275,7 +277,7 @@
   }
 
   #view(): CatalogueView {
-    const entries = [DIGEST, HUGE, IDLE_TEAM, URGENT].map(
+    const entries = [DIGEST, HUGE, IDLE_TEAM, SINGLE, URGENT].map(
       (entry) => [brand(entry.id), entry] as const,
     );
     const teams: Team[] = [{id: 'oportuna'}, {id: 'idle', quota: {cpu: 0}}];
--- a/packages/nutmegproxy-tasks/src/__tests__/unit/Tasks.test.ts
+++ b/packages/nutmegproxy-tasks/src/__tests__/unit/Tasks.test.ts
@@ -4,7 +4,7 @@
 
 import type {TestVm} from '../TestBench.ts';
 
-import {HUGE, IDLE_TEAM, LEASE_MS, TestBench, until, URGENT} from '../TestBench.ts';
+import {HUGE, IDLE_TEAM, LEASE_MS, SINGLE, TestBench, until, URGENT} from '../TestBench.ts';
 
 describe('tasks', () => {
   let bench: TestBench;
@@ -38,6 +38,19 @@
       await bench.untilCounts(first, job, {ended: 3});
     });
 
+    it('runs no more tasks of an entry at one time than its concurrency allows', async () => {
+      const job = await bench.submit(second, 3, 'one-by-one', SINGLE.id);
+      for (const ended of [0, 1, 2]) {
+        const queued = 2 - ended;
+        const counts = {...(ended ? {ended} : {}), ...(queued ? {queued} : {}), running: 1};
+        await bench.untilCounts(first, job, counts);
+        const {tasks} = await bench.status(first, job);
+        const running = tasks.find(({state}) => state === 'running');
+        bench.workers.finish(running?.task ?? '', 'succeeded');
+      }
+      await bench.untilCounts(first, job, {ended: 3});
+    });
+
     it('gives the same job for the same key, through any VM', async () => {
       const job = await bench.submit(second, 1, 'march-digest');
       const answer = await first.call('POST', '/tasks', {entry: 'digest'}, 'march-digest');
