Hold room for a large task that smaller ones keep passing

Cause: ageing put such a task first but held no room, so each end of a small attempt let the next small one in. Change: batch that has waited 10 minutes claims the worker on which room comes soonest; one claim a cell. A claim of batch does not hold up urgent work. The forecast counts several ends in a row and is used for evictions too, which now also pass over workers in quarantine. The new test failed with the claim taken out (the small task was placed).

--- a/packages/nutmegproxy-placement/src/Claims.ts
+++ b/packages/nutmegproxy-placement/src/Claims.ts
@@ -1,10 +1,12 @@
-/** Room on workers that is kept for a task whose victims are being evicted. */
+/** Room on workers that is kept for a task until it can start there. */
 
 import type {AttemptId, Instant, WorkerId} from '@nutmegproxy/core';
-import type {Resources} from '@nutmegproxy/schema';
+import type {Resources, WorkClass} from '@nutmegproxy/schema';
 
 import {after} from '@nutmegproxy/core';
 
+import type {PlacementWish} from './Placement.ts';
+
 import {addResources, NO_RESOURCES} from './ResourcesUtils.ts';
 
 /** A claim that has not been used by then is dropped: its task may be gone. */
@@ -12,6 +14,7 @@
 
 interface Claim {
   readonly amount: Resources;
+  readonly class: WorkClass;
   readonly expiresAt: Instant;
   readonly worker: WorkerId;
 }
@@ -21,20 +24,23 @@
   readonly #byAttempt = new Map<AttemptId, Claim>();
   readonly #byWorker = new Map<WorkerId, Set<AttemptId>>();
 
-  add(attempt: AttemptId, worker: WorkerId, amount: Resources, now: Instant): void {
+  add(wish: PlacementWish, worker: WorkerId, amount: Resources, now: Instant): void {
+    const {attempt} = wish;
     this.remove(attempt);
-    this.#byAttempt.set(attempt, {amount, expiresAt: after(now, CLAIM_LIFE_MS), worker});
+    const expiresAt = after(now, CLAIM_LIFE_MS);
+    this.#byAttempt.set(attempt, {amount, class: wish.class, expiresAt, worker});
     const claims = this.#byWorker.get(worker) ?? new Set<AttemptId>();
     claims.add(attempt);
     this.#byWorker.set(worker, claims);
   }
 
-  /** Amount that others than `attempt` have claimed on the worker. */
-  claimed(worker: WorkerId, attempt: AttemptId, now: Instant): Resources {
+  /** Amount that others have claimed there; a claim of batch does not hold up urgent work. */
+  claimed(worker: WorkerId, wish: PlacementWish, now: Instant): Resources {
     let sum = NO_RESOURCES;
     for (const claimer of this.#byWorker.get(worker) ?? []) {
       const claim = this.#byAttempt.get(claimer);
-      if (claim && claimer !== attempt && now < claim.expiresAt) {
+      const counts = wish.class === 'batch' || claim?.class !== 'batch';
+      if (claim && counts && claimer !== wish.attempt && now < claim.expiresAt) {
         sum = addResources(sum, claim.amount);
       }
     }
--- a/packages/nutmegproxy-placement/src/EvictionPlanner.ts
+++ b/packages/nutmegproxy-placement/src/EvictionPlanner.ts
@@ -10,6 +10,7 @@
 
 import {EXPECTED_EVICTION_MS, SCAN_LIMIT, URGENT_START_LIMIT_MS} from './LearnedConstants.ts';
 import {addResources, fitsInto, NO_RESOURCES, subtractResources} from './ResourcesUtils.ts';
+import {predictAttempts, roomInMs} from './RoomForecast.ts';
 import {chooseVictims} from './Victims.ts';
 
 /** Weight of the latest eviction in the expected duration. */
@@ -62,21 +63,26 @@
   }
 
   /** Decides for a wish that found no room: wait, or evict when it would start too late. */
-  plan(wish: PlacementWish, reserved: Resources, now: Instant): PlacementDecision {
+  plan(
+    wish: PlacementWish,
+    reserved: Resources,
+    trusts: (load: WorkerLoad) => boolean,
+    now: Instant,
+  ): PlacementDecision {
     const waiting: PlacementDecision = {kind: 'wait', reason: 'no worker has room'};
     if (wish.class === 'batch' || this.#claims.claimOf(wish.attempt, now) !== undefined) {
       return waiting;
     }
     const leftMs = wish.queuedAt + URGENT_START_LIMIT_MS - this.#durationMs - now;
-    const {best, roomInMs} = this.#scan(wish, reserved, now);
-    if (!best || roomInMs < leftMs) {
+    const {best, soonestMs} = this.#scan(wish, reserved, trusts, now);
+    if (!best || soonestMs < leftMs) {
       return waiting;
     }
     const victims = best.victims.map(({attempt}) => attempt);
     for (const victim of victims) {
       this.#pending.set(victim, now);
     }
-    this.#claims.add(wish.attempt, best.worker, reserved, now);
+    this.#claims.add(wish, best.worker, reserved, now);
     return {kind: 'evict', victims, worker: best.worker};
   }
 
@@ -112,37 +118,27 @@
     return (choice?.victims ?? []).map(({attempt}) => attempt);
   }
 
-  #roomInMs(load: WorkerLoad, reserved: Resources, now: Instant): number {
-    let soonest = Infinity;
-    for (const id of load.attempts) {
-      const attempt = this.#ledger.attempt(id);
-      if (attempt && fitsInto(reserved, addResources(load.free, attempt.reserved))) {
-        const runTimeMs = this.#runTime(attempt.entry, attempt.declaredRunTimeMs);
-        soonest = Math.min(soonest, Math.max(0, attempt.startedAt + runTimeMs - now));
-      }
-    }
-    return soonest;
-  }
-
   #scan(
     wish: PlacementWish,
     reserved: Resources,
+    trusts: (load: WorkerLoad) => boolean,
     now: Instant,
-  ): {best: Plan | undefined; roomInMs: number} {
+  ): {best: Plan | undefined; soonestMs: number} {
     let best: Plan | undefined;
-    let roomInMs = Infinity;
+    let soonestMs = Infinity;
     for (const load of this.#ledger.sample(SCAN_LIMIT)) {
-      if (load.profile.drained || !fitsInto(reserved, load.profile.capacity)) {
+      if (!trusts(load) || !fitsInto(reserved, load.profile.capacity)) {
         continue;
       }
-      const claimed = this.#claims.claimed(load.profile.id, wish.attempt, now);
+      const claimed = this.#claims.claimed(load.profile.id, wish, now);
       const free = subtractResources(load.free, claimed);
-      roomInMs = Math.min(roomInMs, this.#roomInMs(load, reserved, now));
+      const attempts = predictAttempts(load, this.#ledger, this.#runTime);
+      soonestMs = Math.min(soonestMs, roomInMs(reserved, free, attempts, now));
       const choice = chooseVictims(this.#evictable(load), reserved, free, now);
       if (choice && choice.victims.length > 0 && (!best || choice.cost < best.cost)) {
         best = {...choice, worker: load.profile.id};
       }
     }
-    return {best, roomInMs};
+    return {best, soonestMs};
   }
 }
--- a/packages/nutmegproxy-placement/src/LearnedPlacement.ts
+++ b/packages/nutmegproxy-placement/src/LearnedPlacement.ts
@@ -7,6 +7,7 @@
 import type {AttemptId, EntryId, Instant, TeamId, WorkerId} from '@nutmegproxy/core';
 import type {Quota, Resources} from '@nutmegproxy/schema';
 
+import type {RunTimePrediction} from './EvictionPlanner.ts';
 import type {
   AttemptObservation,
   AttemptOutcome,
@@ -21,6 +22,7 @@
 import type {WorkerLoad} from './WorkerLedger.ts';
 import type {Resident} from './WorkerScore.ts';
 
+import {AgedClaim} from './AgedClaim.ts';
 import {Claims} from './Claims.ts';
 import {EntryKnowledge} from './EntryKnowledge.ts';
 import {EvictionPlanner} from './EvictionPlanner.ts';
@@ -53,6 +55,7 @@
 
 /** Places by learned sizes and interference. */
 export class LearnedPlacement implements Placement {
+  readonly #agedClaim: AgedClaim;
   readonly #claims = new Claims();
   readonly #demand = new UrgentDemand();
   readonly #history = new RunHistory();
@@ -72,9 +75,9 @@
 
   constructor(knowledge = new EntryKnowledge()) {
     this.#knowledge = knowledge;
-    this.#planner = new EvictionPlanner(this.#ledger, this.#claims, (entry, declared) =>
-      knowledge.runTimeMs(entry, declared),
-    );
+    const runTime: RunTimePrediction = (entry, declared) => knowledge.runTimeMs(entry, declared);
+    this.#agedClaim = new AgedClaim(this.#ledger, this.#claims, runTime);
+    this.#planner = new EvictionPlanner(this.#ledger, this.#claims, runTime);
     this.#quarantine = new Quarantine(knowledge);
   }
 
@@ -100,9 +103,14 @@
       return {kind: 'wait', reason: 'the room left is kept for latency-critical tasks'};
     }
     const worker = this.#choose(wish, reserved, now);
-    return worker === undefined
-      ? this.#planner.plan(wish, reserved, now)
-      : this.#place(wish, reserved, worker, now);
+    if (worker !== undefined) {
+      return this.#place(wish, reserved, worker, now);
+    }
+    const trusts = (load: WorkerLoad): boolean => this.#trusts(load, wish, now);
+    if (wish.class === 'batch' && now - wish.queuedAt >= BATCH_AGEING_MS) {
+      this.#agedClaim.hold(wish, reserved, trusts, now);
+    }
+    return this.#planner.plan(wish, reserved, trusts, now);
   }
 
   evictions(now: Instant): readonly AttemptId[] {
@@ -165,7 +173,7 @@
   }
 
   #available(load: WorkerLoad, wish: PlacementWish, now: Instant): Resources {
-    return subtractResources(load.free, this.#claims.claimed(load.profile.id, wish.attempt, now));
+    return subtractResources(load.free, this.#claims.claimed(load.profile.id, wish, now));
   }
 
   #choose(wish: PlacementWish, reserved: Resources, now: Instant): undefined | WorkerId {
@@ -194,7 +202,7 @@
     for (const worker of this.#withClaim(claimed, reserved)) {
       scanned += 1;
       const load = this.#ledger.load(worker);
-      if (load && !load.profile.drained && this.#trusts(worker, wish, now)) {
+      if (load && this.#trusts(load, wish, now)) {
         if (fitsInto(reserved, this.#available(load, wish, now))) {
           found += 1;
           yield load;
@@ -303,8 +311,8 @@
     }));
   }
 
-  #trusts(worker: WorkerId, wish: PlacementWish, now: Instant): boolean {
-    const trust = this.#quarantine.trust(worker, now);
+  #trusts({profile}: WorkerLoad, wish: PlacementWish, now: Instant): boolean {
+    const trust = profile.drained ? 'none' : this.#quarantine.trust(profile.id, now);
     // A trial is made with work that may wait, never with an urgent task.
     return trust === 'open' || (trust === 'canary' && wish.class === 'batch');
   }
--- a/packages/nutmegproxy-placement/src/__tests__/unit/LearnedPlacement.test.ts
+++ b/packages/nutmegproxy-placement/src/__tests__/unit/LearnedPlacement.test.ts
@@ -1,4 +1,4 @@
-import type {TeamId} from '@nutmegproxy/core';
+import type {EntryId, TeamId} from '@nutmegproxy/core';
 
 import {brand} from '@nutmegproxy/core';
 import assert from 'node:assert/strict';
@@ -62,6 +62,30 @@
     });
   });
 
+  describe('a large task that smaller ones keep passing', () => {
+    it('gets the worker on which room comes soonest, and urgent work still goes first', () => {
+      const placement = new LearnedPlacement();
+      const small = makeWish('s', {declared: EIGHT_CORES});
+      const declared = {...EIGHT_CORES, cpu: 16};
+      const large = makeWish('large', {declared, entry: brand<EntryId>('large')});
+      showSizes(placement, small, at(0));
+      showSizes(placement, large, at(0));
+      showSizes(placement, makeUrgentWish('s', {declared: EIGHT_CORES}), at(0));
+      placement.setWorker(makeWorker('w1'));
+      const late = (name: string) => ({...small, attempt: attemptOf(name), queuedAt: at(600_000)});
+      assert.equal(placement.decide(late('a'), at(600_000)).kind, 'placed');
+      assert.equal(placement.decide(late('b'), at(600_000)).kind, 'placed');
+      assert.equal(placement.decide(large, at(600_000)).kind, 'wait');
+      placement.release(attemptOf('a'), 'succeeded', at(600_001));
+      assert.equal(placement.decide(late('c'), at(600_002)).kind, 'wait');
+      const urgent = makeUrgentWish('u', {declared: EIGHT_CORES, queuedAt: at(600_002)});
+      assert.equal(placement.decide(urgent, at(600_002)).kind, 'placed');
+      placement.release(attemptOf('u'), 'succeeded', at(600_003));
+      placement.release(attemptOf('b'), 'succeeded', at(600_003));
+      assert.equal(placement.decide(large, at(600_004)).kind, 'placed');
+    });
+  });
+
   describe('eviction for an urgent task', () => {
     function fillWithBatch(runTimeMs: number): LearnedPlacement {
       const placement = new LearnedPlacement();
