--- a/packages/nutmegproxy-standins/src/WorkerModel.ts
+++ b/packages/nutmegproxy-standins/src/WorkerModel.ts
@@ -219,9 +219,10 @@
   #speed(attempt: Attempt, running: readonly Attempt[]): number {
     const cpu = running.reduce((sum, {share, work}) => sum + work.cpu * share, 0);
     const memoryMb = running.reduce((sum, {work}) => sum + work.memoryMb, 0);
+    const {entry} = attempt.interval;
     const noise = running
       .filter((other) => other !== attempt)
-      .reduce((rest, {share, work}) => rest * (1 - work.noise * share), 1);
+      .reduce((rest, {share, work}) => rest * (1 - (work.noiseTo[entry] ?? work.noise) * share), 1);
     const cpuSpeed = Math.min(1, this.#capacity.cpu / Math.max(cpu, Number.MIN_VALUE));
     const memorySpeed = memoryMb > this.#capacity.memoryMb ? OVERFULL_MEMORY_SPEED : 1;
     return attempt.share * cpuSpeed * memorySpeed * noise;
--- a/packages/nutmegproxy-standins/src/WorkerTask.ts
+++ b/packages/nutmegproxy-standins/src/WorkerTask.ts
@@ -9,11 +9,20 @@
   readonly memoryMb: number;
   /** Share of their speed that other tasks on the worker lose to this one, 0 to 1. */
   readonly noise: number;
+  /** Noise to tasks of certain entries, in place of `noise`. */
+  readonly noiseTo: Readonly<Record<string, number>>;
   /** Run time when the task has what it uses. */
   readonly workMs: number;
 }
 
-const DEFAULT_WORK: WorkInput = {cpu: 1, fail: false, memoryMb: 100, noise: 0, workMs: 100};
+const DEFAULT_WORK: WorkInput = {
+  cpu: 1,
+  fail: false,
+  memoryMb: 100,
+  noise: 0,
+  noiseTo: {},
+  workMs: 100,
+};
 const CHECKPOINT_PREFIX = 'done-ms:';
 
 /** Reads an input; one that isn't JSON gets the defaults. */
--- a/packages/nutmegproxy-standins/src/__tests__/unit/WorkerModel.test.ts
+++ b/packages/nutmegproxy-standins/src/__tests__/unit/WorkerModel.test.ts
@@ -67,6 +67,18 @@
       deepEqual(ends, [200, 300]);
     });
 
+    it('slows the entries that a task is noisy to', () => {
+      const bench = new Bench();
+      const work = {cpu: 0.5, workMs: 100};
+      bench.start('noisy', {cpu: 0.5, noiseTo: {victim: 0.5}, workMs: 1000});
+      bench.start('a', work, {entry: 'victim'});
+      bench.start('b', work, {entry: 'other'});
+      bench.clock.advance(100);
+      deepEqual(bench.states(), {a: 'running', b: 'succeeded', noisy: 'running'});
+      bench.clock.advance(100);
+      deepEqual(bench.states(), {a: 'succeeded', b: 'succeeded', noisy: 'running'});
+    });
+
     it('lets leases lapse unless they are renewed', () => {
       const bench = new Bench();
       bench.start('a', {workMs: 9000}, {leaseMs: 100});
