Evict for urgent work when that makes room sooner than waiting

Cause: the experiment's tail of start delays: an urgent task waited for any room predicted before the 7 s limit less an eviction. Change: it waits only for room predicted within the measured duration of an eviction. The new test failed before (wait).

--- a/packages/nutmegproxy-load/src/TaskFigures.ts
+++ b/packages/nutmegproxy-load/src/TaskFigures.ts
@@ -120,7 +120,7 @@
   let evictions = 0;
   for (const {doneMs: done = 0, endState, entry, resumedFromMs, task, used} of attempts) {
     const [job = ''] = task.split('/');
-    if (isUrgent(entry) || cancelled.has(job)) {
+    if (isUrgent(entry) || endState === undefined || cancelled.has(job)) {
       continue;
     }
     const workMs = used.cpu * (done - resumedFromMs);
--- a/packages/nutmegproxy-load/src/__tests__/unit/TaskFigures.test.ts
+++ b/packages/nutmegproxy-load/src/__tests__/unit/TaskFigures.test.ts
@@ -55,6 +55,7 @@
         attemptOf('train', 'a', {doneMs: 1000, endedAt: 1000, endState: 'checkpointed'}),
         attemptOf('train', 'b', {doneMs: 500, endedAt: 1000, endState: 'lapsed'}),
         attemptOf('train', 'c', {doneMs: 500, endedAt: 500, endState: 'stopped'}),
+        attemptOf('train', 'b', {resumedFromMs: 400, startedAt: 1000}),
       ],
       endedAt: 1000,
       impossible: 0,
--- a/packages/nutmegproxy-placement/src/EvictionPlanner.ts
+++ b/packages/nutmegproxy-placement/src/EvictionPlanner.ts
@@ -74,8 +74,10 @@
       return waiting;
     }
     const leftMs = wish.queuedAt + URGENT_START_LIMIT_MS - this.#durationMs - now;
+    // Room that comes no later than an eviction would make it is waited for.
+    const patienceMs = Math.min(leftMs, this.#durationMs);
     const {best, soonestMs} = this.#scan(wish, reserved, trusts, now);
-    if (!best || soonestMs < leftMs) {
+    if (!best || soonestMs < patienceMs) {
       return waiting;
     }
     const victims = best.victims.map(({attempt}) => attempt);
--- a/packages/nutmegproxy-placement/src/__tests__/unit/LearnedPlacement.test.ts
+++ b/packages/nutmegproxy-placement/src/__tests__/unit/LearnedPlacement.test.ts
@@ -110,6 +110,11 @@
       });
     });
 
+    it('evicts when that makes room sooner than waiting, though the limit would allow it', () => {
+      const placement = fillWithBatch(5000);
+      assert.equal(placement.decide(urgent, at(1000)).kind, 'evict');
+    });
+
     it('waits when room is predicted in time', () => {
       const placement = fillWithBatch(2000);
       assert.equal(placement.decide(urgent, at(1000)).kind, 'wait');
