Send jobs to cells by the processors that are left

Cause: the room of a cell was its free processors less the number of queued tasks, so one job of large tasks weighed as little as one of small ones, and jobs that came together through a cell's owner all chose the same cell. Weighed for queued jobs: moving queued tasks in one transaction of two logs (not built: the job's id names its cell, so reads, cancels and the key would have to follow); parts of a job in several cells (needs a parent job). Jobs still stay in the cell that took them.

--- a/packages/nutmegproxy-tasks/src/CellSupervisor.ts
+++ b/packages/nutmegproxy-tasks/src/CellSupervisor.ts
@@ -14,7 +14,7 @@
 import type {WorkerTimings} from './WorkerLink.ts';
 
 import {wait} from './AsyncUtils.ts';
-import {Cell} from './Cell.ts';
+import {Cell, declaredOf} from './Cell.ts';
 import {CellLog} from './CellLog.ts';
 import {recoverCell} from './CellRecovery.ts';
 import {CellRunner} from './CellRunner.ts';
@@ -127,8 +127,11 @@
         return [];
       }
       const {epoch, id, table} = runner.cell;
-      const queued = [...table.jobs.values()].reduce((sum, job) => sum + job.queued, 0);
-      return [{cell: id, epoch, freeCpu: runner.freeCpu(), largest: this.#largest(id), queued}];
+      const jobs = [...table.jobs.values()];
+      const queued = jobs.reduce((sum, job) => sum + job.queued, 0);
+      const queuedCpu = jobs.reduce((sum, job) => sum + job.queued * this.#cpuOf(job.entry), 0);
+      const largest = this.#largest(id);
+      return [{cell: id, epoch, freeCpu: runner.freeCpu(), largest, queued, queuedCpu}];
     });
   }
 
@@ -164,6 +167,11 @@
     return concurrencyShare(entry, this.#knownCells, dataCentre, cellName(dataCentre, cell));
   }
 
+  #cpuOf(id: string): number {
+    const entry = this.#services.catalogue.current().entries.get(id as never);
+    return entry ? declaredOf(entry).cpu : 0;
+  }
+
   async #handOver(runner: CellRunner | undefined, released: () => void): Promise<void> {
     if (runner) {
       await runner.drain();
--- a/packages/nutmegproxy-tasks/src/JobRouter.ts
+++ b/packages/nutmegproxy-tasks/src/JobRouter.ts
@@ -118,6 +118,8 @@
     const message = defined({count, entry: entry.id, input, key: hashKey(entry.id, key)});
     let answer: TaskSubmitAnswer = {kind: 'not-accepted', reason: 'no cell has an owner in reach'};
     for (const offer of this.#offers(entry).slice(0, MAX_CELLS_TRIED)) {
+      // Counted at once, so that jobs that come together do not all choose the same cell.
+      this.#services.board.noteAssigned(offer, count * declaredOf(entry).cpu);
       answer = await this.#submitTo(offer, {...message, cell: offer.cell});
       if (!TRY_NEXT[answer.kind]) {
         return answer;
@@ -238,7 +240,6 @@
     if (answer === 'unknown') {
       return {kind: 'unknown', reason: "the cell's owner has not answered"};
     }
-    this.#services.board.noteAssigned(offer, submit.count);
     return answer;
   }
 }
--- a/packages/nutmegproxy-tasks/src/SummaryBoard.ts
+++ b/packages/nutmegproxy-tasks/src/SummaryBoard.ts
@@ -14,8 +14,8 @@
 }
 
 interface Account extends CellOffer {
-  /** Tasks sent there since the summary. */
-  assigned: number;
+  /** Declared processors of the tasks sent there since the summary. */
+  assignedCpu: number;
   readonly heardAt: Instant;
 }
 
@@ -38,16 +38,16 @@
       if (newer && (known || this.#accounts.size < MAX_CELLS)) {
         const cell = summary.cell as CellId;
         const {dataCentre} = owner;
-        this.#accounts.set(key, {assigned: 0, cell, dataCentre, heardAt: now, owner, summary});
+        this.#accounts.set(key, {assignedCpu: 0, cell, dataCentre, heardAt: now, owner, summary});
       }
     }
   }
 
-  /** Counts tasks that were sent to a cell, until its next summary. */
-  noteAssigned(offer: CellOffer, count: number): void {
+  /** Counts processors of tasks that were sent to a cell, until its next summary. */
+  noteAssigned(offer: CellOffer, cpu: number): void {
     const account = this.#accounts.get(keyOf(offer.dataCentre, offer.cell));
     if (account) {
-      account.assigned += count;
+      account.assignedCpu += cpu;
     }
   }
 
@@ -69,5 +69,5 @@
 }
 
 function roomOf(account: Account): number {
-  return account.summary.freeCpu - account.summary.queued - account.assigned;
+  return account.summary.freeCpu - account.summary.queuedCpu - account.assignedCpu;
 }
