--- a/packages/nutmegproxy-cli/src/WorkFeatures.ts
+++ b/packages/nutmegproxy-cli/src/WorkFeatures.ts
@@ -1,9 +1,10 @@
 /** The features that serve callers: membership, requests and tasks. */
 
 import type {CatalogueSource} from '@nutmegproxy/catalogue';
-import type {Unregister} from '@nutmegproxy/core';
+import type {EntryNode, Unregister} from '@nutmegproxy/core';
 import type {Membership} from '@nutmegproxy/membership';
-import type {Requests} from '@nutmegproxy/requests';
+import type {PeerMesh} from '@nutmegproxy/peers';
+import type {LoansRegistration, Requests, SlotLender} from '@nutmegproxy/requests';
 import type {Tasks} from '@nutmegproxy/tasks';
 
 import {mergeUnregister} from '@nutmegproxy/core';
@@ -16,8 +17,6 @@
 import type {FeatureContext} from './Features.ts';
 import type {PlatformConnections} from './PlatformConnections.ts';
 
-import {LateLoans} from './LateLoans.ts';
-
 const MAX_SEED = 2 ** 31;
 
 export interface WorkFeatures {
@@ -27,6 +26,23 @@
   readonly unregister: Unregister;
 }
 
+/** Loans that lower the slots of the requests feature on both sides. */
+function createLoans(
+  node: EntryNode,
+  membership: Membership,
+  mesh: PeerMesh,
+): (lender: SlotLender) => LoansRegistration {
+  return (lender) =>
+    registerSlotLoans(node, {
+      lender,
+      membership,
+      mesh,
+      onEnded: (minion, count) => {
+        lender.end(minion, count);
+      },
+    });
+}
+
 /** Registers membership, requests and tasks; callers are served once `listen` is called. */
 export function registerWork(
   context: FeatureContext,
@@ -34,10 +50,11 @@
   catalogue: CatalogueSource,
 ): WorkFeatures {
   const {node, settings} = context;
-  const {directory, mesh, store, workers} = platform;
+  const {departures, directory, mesh, store, workers} = platform;
   const {keyPrefix} = settings.platform;
   const {commitIntervalMs, taskLeaseMs, tenureTtlMs, workerSyncMs} = settings.timings;
   const {membership, unregister: unregisterMembership} = registerMembership(node, {
+    departures,
     directory,
     mesh,
     peerAddress: mesh.peerAddress,
@@ -45,25 +62,15 @@
     prefix: keyPrefix,
     store,
   });
-  const lateLoans = new LateLoans();
   const requests = registerRequests(node, {
     catalogue,
     directory,
-    loans: lateLoans,
     membership,
+    registerLoans: createLoans(node, membership, mesh),
     seed: randomInt(MAX_SEED),
     settings,
     store,
   });
-  const {loans, unregister: unregisterLoans} = registerSlotLoans(node, {
-    lender: requests.lender,
-    membership,
-    mesh,
-    onEnded: (minion, count) => {
-      requests.lender.end(minion, count);
-    },
-  });
-  lateLoans.attach(loans);
   const placement = PLACEMENTS[settings.policies.placement];
   const knowledge = new EntryKnowledge();
   const tasks = registerTasks(node, {
@@ -88,7 +95,6 @@
     unregister: mergeUnregister(
       unregisterMembership,
       requests.unregister,
-      unregisterLoans,
       tasks.unregister,
       registerKnowledge(node, mesh, knowledge),
     ),
--- a/packages/nutmegproxy-load/src/TaskExperiment.ts
+++ b/packages/nutmegproxy-load/src/TaskExperiment.ts
@@ -25,8 +25,8 @@
   /** Whether the baseline is run too. */
   readonly baseline: boolean;
   readonly json: boolean;
-  readonly runs: number;
   readonly seed: number;
+  readonly seeds: number;
 }
 
 type Submission = 'impossible' | 'unaccepted' | AcceptedJob;
@@ -117,10 +117,10 @@
 }
 
 /** Runs each seed under each pair of policies, one after the other, and prints the figures. */
-export async function runTasks({baseline, json, runs, seed}: TaskOptions): Promise<void> {
+export async function runTasks({baseline, json, seed, seeds}: TaskOptions): Promise<void> {
   const compared = baseline ? [BASELINE, LEARNED] : [LEARNED];
   const rows: (TaskFigures & {policy: string; seed: number})[] = [];
-  for (let each = seed; each < seed + runs; each += 1) {
+  for (let each = seed; each < seed + seeds; each += 1) {
     for (const policies of compared) {
       const policy = `${policies.placement}+${policies.laneOrder}`;
       rows.push({policy, seed: each, ...(await measure(policies, each))});
--- a/packages/nutmegproxy-load/src/main.ts
+++ b/packages/nutmegproxy-load/src/main.ts
@@ -1,8 +1,9 @@
-/** The load and benchmark program: `load decisions [--steps N] [--seed N] [--json]`. */
+/** The load and benchmark program; `load --help` shows its commands. */
 
 import meow from 'meow';
 
 import {runDecisions} from './DecisionReport.ts';
+import {runRequests} from './RequestCommand.ts';
 import {runTasks} from './TaskExperiment.ts';
 
 const cli = meow(
@@ -10,23 +11,31 @@
   Usage
     $ load decisions   placement decisions against the size of the fleet
     $ load tasks       the baseline's task policies against the learned ones, on real processes
+    $ load requests    requests through entry VMs, against stand-ins, in an open loop
 
   Options
-    --no-baseline  leave the baseline out of the command tasks
-    --json     print JSON in place of a table
-    --runs N   seeds that are run by the command tasks (default 5)
-    --seed N   seed of the run (default 1)
-    --steps N  arrivals that are measured at each size (default 20000)
+    --no-baseline    tasks: leave the baseline out
+    --json           print JSON in place of a table
+    --plot FILE      requests: write latencies as an SVG picture
+    --policy KEY=A,B requests: compare policies; KEY is queue or choice; may stand twice
+    --scenario FILE  requests: the scenario
+    --seed N         seed of the run (default 1)
+    --seeds K        requests, tasks: run K seeds, from --seed on (default 1)
+    --steps N        decisions: arrivals that are measured at each size (default 20000)
 
   Examples
     $ node --expose-gc dist/load.cjs decisions --seed 7
+    $ node dist/load.cjs requests --scenario packages/nutmegproxy-load/scenarios/mesa-overload.jsonc
 `,
   {
     flags: {
       baseline: {default: true, type: 'boolean'},
       json: {default: false, type: 'boolean'},
-      runs: {default: 5, type: 'number'},
+      plot: {type: 'string'},
+      policy: {default: [], isMultiple: true, type: 'string'},
+      scenario: {default: '', type: 'string'},
       seed: {default: 1, type: 'number'},
+      seeds: {default: 1, type: 'number'},
       steps: {default: 20_000, type: 'number'},
     },
     importMeta: import.meta,
@@ -35,6 +44,7 @@
 
 const COMMANDS: Readonly<Record<string, (flags: typeof cli.flags) => Promise<void> | void>> = {
   decisions: runDecisions,
+  requests: runRequests,
   tasks: runTasks,
 };
 
