--- a/packages/nutmegproxy-tasks/src/ConcurrencyShares.ts
+++ b/packages/nutmegproxy-tasks/src/ConcurrencyShares.ts
@@ -7,12 +7,16 @@
 import type {DataCentreId} from '@nutmegproxy/core';
 import type {Entry} from '@nutmegproxy/schema';
 
-import {shareHolders} from './QuotaShares.ts';
+import {rankCells} from './QuotaShares.ts';
 
 /** Tasks of an entry that one cell ought to be able to run at one time. */
 const TASKS_PER_SHARE = 8;
 /** With fewer cells, an outage of one would stop the entry. */
 const LEAST_HOLDERS = 2;
+/** Answers kept for each list of cells. */
+const MAX_REMEMBERED = 4096;
+/** Holders by list of cells; a list that is no longer used takes its answers with it. */
+const REMEMBERED = new WeakMap<readonly string[], Map<string, readonly string[]>>();
 
 /**
  * Tasks of the entry that may run in a cell at one time; Infinity when the entry has no limit. The
@@ -31,9 +35,7 @@
   if (concurrency === undefined) {
     return Infinity;
   }
-  const local = cells.filter((name) => name.startsWith(`${dataCentre}/`));
-  const wanted = Math.max(LEAST_HOLDERS, Math.floor(concurrency / TASKS_PER_SHARE));
-  const holders = shareHolders(entry.id, Math.min(wanted, concurrency), local);
+  const holders = holdersOf(entry.id, concurrency, cells, dataCentre);
   const place = holders.indexOf(cell);
   if (place < 0) {
     return 0;
@@ -41,3 +43,29 @@
   const extra = place < concurrency % holders.length ? 1 : 0;
   return Math.floor(concurrency / holders.length) + extra;
 }
+
+/** Cells of the data centre with a share, in their order. */
+function holdersOf(
+  entry: string,
+  concurrency: number,
+  cells: readonly string[],
+  dataCentre: string,
+): readonly string[] {
+  const remembered = REMEMBERED.get(cells) ?? new Map<string, readonly string[]>();
+  REMEMBERED.set(cells, remembered);
+  const key = `${dataCentre} ${concurrency} ${entry}`;
+  const known = remembered.get(key);
+  if (known) {
+    return known;
+  }
+  const ranks = rankCells(entry, cells);
+  const wanted = Math.max(LEAST_HOLDERS, Math.floor(concurrency / TASKS_PER_SHARE));
+  const holders = cells
+    .filter((name) => name.startsWith(`${dataCentre}/`))
+    .sort((a, b) => (ranks.get(a) ?? 0) - (ranks.get(b) ?? 0))
+    .slice(0, Math.min(wanted, concurrency));
+  if (remembered.size < MAX_REMEMBERED) {
+    remembered.set(key, holders);
+  }
+  return holders;
+}
