--- a/packages/nutmegproxy-load/src/main.ts
+++ b/packages/nutmegproxy-load/src/main.ts
@@ -5,21 +5,24 @@
 import {runDecisions} from './DecisionReport.ts';
 import {runBench} from './RequestBench.ts';
 import {runRequests} from './RequestCommand.ts';
+import {runTasks} from './TaskExperiment.ts';
 
 const cli = meow(
   `
   Usage
     $ load decisions   placement decisions against the size of the fleet
     $ load entry       latency that one entry VM adds, and the processor time of a request
+    $ load tasks       the baseline's task policies against the learned ones, on real processes
     $ load requests    requests through entry VMs, against stand-ins, in an open loop
 
   Options
+    --no-baseline    tasks: leave the baseline out
     --json           print JSON in place of a table
     --plot FILE      requests: write latencies as an SVG picture
     --policy KEY=A,B requests: compare policies; KEY is queue or choice; may stand twice
     --scenario FILE  requests: the scenario
     --seed N         seed of the run (default 1)
-    --seeds K        entry, requests: run K seeds, from --seed on (default 1)
+    --seeds K        entry, requests, tasks: run K seeds, from --seed on (default 1)
     --steps N        decisions: arrivals that are measured at each size (default 20000)
 
   Examples
@@ -28,6 +31,7 @@
 `,
   {
     flags: {
+      baseline: {default: true, type: 'boolean'},
       json: {default: false, type: 'boolean'},
       plot: {type: 'string'},
       policy: {default: [], isMultiple: true, type: 'string'},
@@ -44,6 +48,7 @@
   decisions: runDecisions,
   entry: runBench,
   requests: runRequests,
+  tasks: runTasks,
 };
 
 const run = COMMANDS[cli.input[0] ?? ''];
--- a/packages/nutmegproxy-tasks/src/JobRouter.ts
+++ b/packages/nutmegproxy-tasks/src/JobRouter.ts
@@ -31,6 +31,7 @@
 
 import {declaredOf} from './Cell.ts';
 import {recoverCell} from './CellRecovery.ts';
+import {concurrencyShare} from './ConcurrencyShares.ts';
 import {hashKey, parseJobId} from './JobIds.ts';
 import {statusOf} from './JobService.ts';
 import {defined} from './ObjectUtils.ts';
@@ -117,6 +118,8 @@
     const message = defined({count, entry: entry.id, input, key: hashKey(entry.id, key)});
     let answer: TaskSubmitAnswer = {kind: 'not-accepted', reason: 'no cell has an owner in reach'};
     for (const offer of this.#offers(entry).slice(0, MAX_CELLS_TRIED)) {
+      // Counted at once, so that jobs that come together do not all choose the same cell.
+      this.#services.board.noteAssigned(offer, count * declaredOf(entry).cpu);
       answer = await this.#submitTo(offer, {...message, cell: offer.cell});
       if (!TRY_NEXT[answer.kind]) {
         return answer;
@@ -162,7 +165,7 @@
     return identity.incarnation === this.#services.node.identity.incarnation;
   }
 
-  /** Cells that can hold a task of the entry and have a share of its team's quota. */
+  /** Cells that can hold a task of the entry and have shares of its concurrency and its team's quota. */
   #offers(entry: Entry): CellOffer[] {
     const {board, catalogue, directory, node} = this.#services;
     const view = catalogue.current();
@@ -174,7 +177,8 @@
       .filter(({cell, dataCentre, summary}) => {
         const name = cellName(dataCentre, cell);
         const share = team && quotaShare(team, view, cells, name);
-        return fits(declared, summary.largest) && fits(declared, share);
+        const mayRun = concurrencyShare(entry, cells, dataCentre, name) > 0;
+        return mayRun && fits(declared, summary.largest) && fits(declared, share);
       });
   }
 
@@ -236,7 +240,6 @@
     if (answer === 'unknown') {
       return {kind: 'unknown', reason: "the cell's owner has not answered"};
     }
-    this.#services.board.noteAssigned(offer, submit.count);
     return answer;
   }
 }
--- a/packages/nutmegproxy-tasks/src/QuotaShares.ts
+++ b/packages/nutmegproxy-tasks/src/QuotaShares.ts
@@ -121,8 +121,8 @@
   return Math.max(1, Math.min(cells.length, ...counts));
 }
 
-/** Ranks of the cells for a team; hashed once for each list of cells. */
-function rankCells(team: string, cells: readonly string[]): ReadonlyMap<string, number> {
+/** Ranks of the cells for the owner of a limit; hashed once for each list of cells. */
+export function rankCells(team: string, cells: readonly string[]): ReadonlyMap<string, number> {
   const known = rankings(cells);
   const ranks = known.get(team) ?? hashRanks(team, cells);
   if (known.size < MAX_RANKED_TEAMS) {
