--- a/packages/nutmegproxy-capacity/src/PeerSockets.ts
+++ b/packages/nutmegproxy-capacity/src/PeerSockets.ts
@@ -3,6 +3,7 @@
 import {execFileSync} from 'node:child_process';
 
 const LIST_ARGUMENTS = ['-tinH', 'state', 'established'];
+const MAX_LISTING_BYTES = 64 * 1024 * 1024;
 
 function readCount(details: string, name: string): number {
   return Number(new RegExp(`\\b${name}:(\\d+)`).exec(details)?.[1] ?? 0);
@@ -27,5 +28,7 @@
 
 /** Reads the present sum for links that were accepted on these ports; links that closed are missed. */
 export function readLinkBytes(ports: ReadonlySet<number>): number {
-  return sumBytes(execFileSync('ss', LIST_ARGUMENTS, {encoding: 'utf8'}), ports);
+  const filter = [...ports].map((port) => `sport = :${port}`).join(' or ');
+  const options = {encoding: 'utf8', maxBuffer: MAX_LISTING_BYTES} as const;
+  return sumBytes(execFileSync('ss', [...LIST_ARGUMENTS, `( ${filter} )`], options), ports);
 }
