tasks: pace commits by the listed entry VMs, not only by the linked ones

Cause: the interval between two commits was the number of linked peers and oneself / 250 s. A VM has links to its own data centre and to a few VMs of each other one, so with 81 entry VMs it counted about 25, and all together could write three times their 250 commits a second (worked out).

--- a/packages/nutmegproxy-capacity/src/CapacityPlatform.ts
+++ b/packages/nutmegproxy-capacity/src/CapacityPlatform.ts
@@ -28,6 +28,16 @@
   };
 }
 
+function describeEntry(index: number): Vm {
+  return {
+    address: SILENT_ADDRESS,
+    dataCentre: ELSEWHERE,
+    id: `${ELSEWHERE}-entry-${index}`,
+    role: 'entry',
+    state: 'live',
+  };
+}
+
 function describeAll(count: number, describe: (index: number) => Vm): readonly Vm[] {
   return Array.from({length: count}, (_, index) => describe(index));
 }
@@ -67,11 +77,12 @@
     return this.#openWay(this.#storePort);
   }
 
-  async start({listedElsewhere, minions, workers}: CapacitySize): Promise<void> {
+  async start({listedElsewhere, listedEntries, minions, workers}: CapacitySize): Promise<void> {
     this.#storePort = (await this.#keep(this.#store.start())).port;
     this.#listPort = (await this.#keep(this.#list.start())).port;
     this.#vms = [
       ...(await this.fleet.start(workers)),
+      ...describeAll(listedEntries, describeEntry),
       ...describeAll(minions, describeMinion),
       ...describeAll(listedElsewhere, (index) => describeWorker(index, SILENT_ADDRESS, ELSEWHERE)),
     ];
--- a/packages/nutmegproxy-capacity/src/CapacitySize.ts
+++ b/packages/nutmegproxy-capacity/src/CapacitySize.ts
@@ -9,6 +9,8 @@
   readonly listChanges: number;
   /** Workers of other data centres in the list of VMs; nobody calls them. */
   readonly listedElsewhere: number;
+  /** Entry VMs of other data centres in the list of VMs; nobody calls them. */
+  readonly listedEntries: number;
   readonly minions: number;
   readonly otherDataCentres: number;
   readonly runningTasks: number;
@@ -22,6 +24,7 @@
   entries: 1,
   listChanges: 0,
   listedElsewhere: 0,
+  listedEntries: 0,
   minions: 0,
   otherDataCentres: 0,
   runningTasks: 0,
@@ -44,9 +47,15 @@
     values: [0, 6, 30],
   },
   'catalogue-entries': {base: {}, factor: 'catalogueEntries', values: [100, 1_000, 9_000]},
+  cells: {base: {entries: 4}, factor: 'workers', values: [10, 100, 300]},
   'data-centres': {base: {entries: 2}, factor: 'otherDataCentres', values: [0, 1, 3, 5]},
   entries: {base: {}, factor: 'entries', values: [1, 2, 4, 8]},
   'list-changes': {base: {listedElsewhere: 6_200}, factor: 'listChanges', values: [0, 1, 4]},
+  'listed-entries': {
+    base: {starts: 100, workers: 100},
+    factor: 'listedEntries',
+    values: [1, 27, 81],
+  },
   'listed-vms': {base: {}, factor: 'listedElsewhere', values: [0, 2_000, 6_200]},
   minions: {base: {entries: 2}, factor: 'minions', values: [10, 100, 700]},
   'running-tasks': {base: {workers: 500}, factor: 'runningTasks', values: [100, 1_000, 5_000]},
--- /dev/null
+++ b/packages/nutmegproxy-tasks/src/CommitInterval.ts
@@ -0,0 +1,22 @@
+/** How often a VM may commit, so that all VMs together keep to their share of the store's writes. */
+
+import type {Vm} from '@nutmegproxy/schema';
+
+import {memoizeByIdentity} from './ObjectUtils.ts';
+import {COMMITS_PER_SECOND_OF_ALL_VMS, MS_PER_SECOND} from './TasksConstants.ts';
+
+const countListed = memoizeByIdentity(
+  (vms: readonly Vm[]) => vms.filter(({role}) => role === 'entry').length,
+);
+
+/**
+ * Least time between two commits of one VM. A VM has links to a few VMs of other data centres only, so
+ * the list of VMs counts too.
+ *
+ * @example
+ * shareIntervalMs(24, directory.vms()); // 324 with 81 entry VMs in the list
+ */
+export function shareIntervalMs(linkedPeers: number, vms: readonly Vm[]): number {
+  const entryVms = Math.max(linkedPeers + 1, countListed(vms));
+  return (entryVms * MS_PER_SECOND) / COMMITS_PER_SECOND_OF_ALL_VMS;
+}
--- a/packages/nutmegproxy-tasks/src/RegisterTasks.ts
+++ b/packages/nutmegproxy-tasks/src/RegisterTasks.ts
@@ -19,16 +19,12 @@
 
 import {wait} from './AsyncUtils.ts';
 import {CellSupervisor} from './CellSupervisor.ts';
+import {shareIntervalMs} from './CommitInterval.ts';
 import {JobRouter, QUERY_MESSAGE, SUBMIT_MESSAGE, SUMMARIES_MESSAGE} from './JobRouter.ts';
 import {JobService, statusOf} from './JobService.ts';
 import {SummaryBoard} from './SummaryBoard.ts';
 import {createTaskRoute, TASKS_PREFIX} from './TaskRoutes.ts';
-import {
-  COMMITS_PER_SECOND_OF_ALL_VMS,
-  MS_PER_SECOND,
-  SUMMARY_INTERVAL_MS,
-  SUPERVISION_INTERVAL_MS,
-} from './TasksConstants.ts';
+import {SUMMARY_INTERVAL_MS, SUPERVISION_INTERVAL_MS} from './TasksConstants.ts';
 
 /** What the feature needs from the others. */
 export interface TasksServices extends Omit<CellServices, 'commitIntervalMs'> {
@@ -54,7 +50,10 @@
  */
 export function registerTasks(node: EntryNode, services: TasksServices): Tasks {
   const commitIntervalMs = (): number =>
-    Math.max(services.commitIntervalMs, shareIntervalMs(services.mesh.peers().length + 1));
+    Math.max(
+      services.commitIntervalMs,
+      shareIntervalMs(services.mesh.peers().length, services.directory.vms()),
+    );
   const supervisor = new CellSupervisor(node, {...services, commitIntervalMs});
   const board = new SummaryBoard();
   const jobs = new JobService(node, (cell) => supervisor.cell(cell), services.keyPrefix);
@@ -78,11 +77,6 @@
   return jobs.slice(0, limit).map((job) => ({...statusOf(job), tasks: []}));
 }
 
-/** Interval at which so many VMs together keep to the store's budget for the task log. */
-function shareIntervalMs(vms: number): number {
-  return (vms * MS_PER_SECOND) / COMMITS_PER_SECOND_OF_ALL_VMS;
-}
-
 function registerDrain(node: EntryNode, supervisor: CellSupervisor): Unregister {
   return node.bus.register(
     DRAIN_STARTED,
