--- a/packages/nutmegproxy-membership/src/RecordKeeper.ts
+++ b/packages/nutmegproxy-membership/src/RecordKeeper.ts
@@ -4,9 +4,11 @@
 import type {AllotmentRecord, MemberRecord} from '@nutmegproxy/schema';
 
 import {brand} from '@nutmegproxy/core';
+import {isDeepStrictEqual} from 'node:util';
 
 import type {MembershipParts} from './MembershipServices.ts';
 import type {PlanInputs} from './RecordPlan.ts';
+import type {PollNeeds} from './RecordPolling.ts';
 import type {ChangeOutcome, RecordChange, RecordReading} from './RecordStore.ts';
 import type {MinionCapacity} from './SharePlan.ts';
 import type {TenureKeeper} from './TenureKeeper.ts';
@@ -29,11 +31,14 @@
 
 export class RecordKeeper {
   readonly releases: ReleaseBook;
+  removals = 0;
   #joined = false;
   #leaving = false;
   #left = false;
   readonly #parts: MembershipParts;
   #pending: PendingElectors | undefined;
+  /** Whether the event of a refused join has been recorded. */
+  #refused = false;
   readonly #takeover: Takeover;
   readonly #tenure: TenureKeeper;
 
@@ -49,6 +54,19 @@
     return this.#left;
   }
 
+  /** What the interval until the next step depends on. */
+  get pollNeeds(): PollNeeds {
+    const {node, view} = this.#parts;
+    const {members, reclaimed} = view.record;
+    const settled =
+      view.hasMember(node.identity.incarnation) &&
+      this.#tenure.hasLease() &&
+      members.every(({incarnation}) => view.reading.tenures.has(brand(incarnation))) &&
+      reclaimed.length === 0 &&
+      !this.releases.isPending();
+    return {members: members.length, urgent: !settled || this.#leaving};
+  }
+
   /** Begins a planned stop: shares and cells are given up from the next step on. */
   leave(): void {
     this.#leaving = true;
@@ -135,11 +153,15 @@
       this.#left = true;
       return;
     }
+    const others = this.#withoutPredecessor(reading.record);
+    if (!this.#sharesPeriods(others)) {
+      return;
+    }
     const granted = await this.#tenure.grant();
     if (granted === undefined) {
       return;
     }
-    const to = this.#withOwn(this.#withoutPredecessor(reading.record));
+    const to = this.#withOwn(others);
     const tenure = {lease: granted.lease, record: this.#tenure.describe()};
     const outcome = await this.#change({from: reading, tenure, to});
     if (outcome === 'committed') {
@@ -174,6 +196,7 @@
     }
     if (outcome === 'committed') {
       for (const incarnation of removable) {
+        this.removals += 1;
         node.events.record(MEMBERSHIP_EVENTS.MEMBER_REMOVED, {incarnation});
       }
       await this.#readAgain();
@@ -251,9 +274,24 @@
     }
   }
 
+  /** Members count with each other's periods, so only those with the same ones may join. */
+  #sharesPeriods({members, periods}: AllotmentRecord): boolean {
+    const {node, periods: own} = this.#parts;
+    if (members.length === 0 || periods === undefined || isDeepStrictEqual(periods, own)) {
+      return true;
+    }
+    if (!this.#refused) {
+      this.#refused = true;
+      const fields = {members: JSON.stringify(periods), own: JSON.stringify(own)};
+      node.events.record(MEMBERSHIP_EVENTS.PERIODS_DIFFER, fields);
+    }
+    return false;
+  }
+
   #withOwn(record: AllotmentRecord): AllotmentRecord {
     const own: MemberRecord = {...this.#tenure.describe(), electors: [], state: 'active'};
-    const draft = {...record, members: [...record.members, own]};
+    const {periods} = this.#parts;
+    const draft = {...record, members: [...record.members, own], periods};
     const members = draft.members.map((member) =>
       member === own ? {...member, electors: listElectors(draft)} : member,
     );
