Tell workers the expected size; hold the cautious surplus in the ledger alone

Seen: the proof's checker found attempts whose reservations, as told to the worker, summed up to 14 of 8 cores. Cause: an unknown entry was started with four times its declared size; once three reports had come the ledger shrank to the learned size and gave the rest away, while the workers and the log still held the first amounts. Reports of one attempt also counted as several attempts, so one attempt sufficed. Change: the worker is told max(declared, learned), never taken back while the attempt runs; the surplus stands in the ledger alone. A rise of an attempt's usage counts as no further attempt. Ruled out: never shrinking the cautious amount (long attempts would hold four times their size to their end).

--- a/packages/nutmegproxy-placement/src/EntryEstimate.ts
+++ b/packages/nutmegproxy-placement/src/EntryEstimate.ts
@@ -28,12 +28,18 @@
   readonly #logRunTime = new FadingSeries();
   readonly #memoryMb = new FadingSeries();
 
-  /** Adds the largest usage that one attempt has shown. */
-  addPeak(cpu: number, memoryMb: number): void {
+  /** Adds the first usage that an attempt has shown. */
+  addFirst(cpu: number, memoryMb: number): void {
     this.#cpu.add(cpu);
     this.#memoryMb.add(memoryMb);
   }
 
+  /** Adds a higher usage of an attempt that was added before; it counts as no further attempt. */
+  addRise(cpu: number, memoryMb: number): void {
+    this.#cpu.addAgain(cpu);
+    this.#memoryMb.addAgain(memoryMb);
+  }
+
   addRunTime(runTimeMs: number): void {
     this.#logRunTime.add(Math.log(Math.max(1, runTimeMs)));
   }
@@ -45,6 +51,18 @@
     this.#memoryMb.merge(memoryMb);
   }
 
+  /** Amount that the entry is known to need: the declared size, or more when runs have used more. */
+  expected(declared: Resources): Resources {
+    if (this.#cpu.count < TRUSTED_SAMPLES) {
+      return declared;
+    }
+    return maxResources(declared, {
+      accelerators: declared.accelerators,
+      cpu: bound(this.#cpu),
+      memoryMb: bound(this.#memoryMb),
+    });
+  }
+
   /**
    * Amount to reserve: never below the declared size, above it when runs have used more. An entry
    * that has shown too little reserves as much as declarations are known to be off, within `largest`.
@@ -54,11 +72,7 @@
       const cautious = scaleResources(declared, UNKNOWN_SIZE_FACTOR);
       return maxResources(declared, minResources(cautious, largest));
     }
-    return maxResources(declared, {
-      accelerators: declared.accelerators,
-      cpu: bound(this.#cpu),
-      memoryMb: bound(this.#memoryMb),
-    });
+    return this.expected(declared);
   }
 
   /** Median run time in milliseconds. */
--- a/packages/nutmegproxy-placement/src/EntryKnowledge.ts
+++ b/packages/nutmegproxy-placement/src/EntryKnowledge.ts
@@ -46,9 +46,14 @@
   }
 
   /** Adds the largest usage that one attempt has shown. */
-  addPeak(entry: EntryId, cpu: number, memoryMb: number): void {
-    this.#estimate(entry).addPeak(cpu, memoryMb);
-    this.#untoldOf(entry).estimate.addPeak(cpu, memoryMb);
+  addFirst(entry: EntryId, cpu: number, memoryMb: number): void {
+    this.#estimate(entry).addFirst(cpu, memoryMb);
+    this.#untoldOf(entry).estimate.addFirst(cpu, memoryMb);
+  }
+
+  addRise(entry: EntryId, cpu: number, memoryMb: number): void {
+    this.#estimate(entry).addRise(cpu, memoryMb);
+    this.#untoldOf(entry).estimate.addRise(cpu, memoryMb);
   }
 
   addRunTime(entry: EntryId, runTimeMs: number): void {
@@ -78,6 +83,10 @@
   }
 
   /** Amount to reserve for a task of the entry; never below the declared size. */
+  expected(entry: EntryId, declared: Resources): Resources {
+    return this.#estimate(entry).expected(declared);
+  }
+
   reservation(entry: EntryId, declared: Resources, largest: Resources): Resources {
     return this.#estimate(entry).reservation(declared, largest);
   }
--- a/packages/nutmegproxy-placement/src/FadingSeries.ts
+++ b/packages/nutmegproxy-placement/src/FadingSeries.ts
@@ -13,7 +13,7 @@
   #variance = 0;
   #weight = 0;
 
-  /** Samples that were added, whatever their weight now. */
+  /** Sources of samples that were added, whatever their weight now. */
   get count(): number {
     return this.#count;
   }
@@ -22,6 +22,12 @@
     this.merge({count: 1, largest: sample, mean: sample, variance: 0});
   }
 
+  /** Adds a later sample of a source that was counted before. */
+  addAgain(sample: number): void {
+    this.add(sample);
+    this.#count -= 1;
+  }
+
   deviation(): number {
     return Math.sqrt(this.#variance);
   }
--- a/packages/nutmegproxy-placement/src/LearnedPlacement.ts
+++ b/packages/nutmegproxy-placement/src/LearnedPlacement.ts
@@ -68,6 +68,8 @@
   readonly #rackCounts = new RackCounts();
   readonly #room = new FleetRoom();
   readonly #throttles = new Throttles();
+  /** Reservations as the workers and the log know them; never above those in the ledger. */
+  readonly #told = new Map<AttemptId, Resources>();
   readonly #ledger = new WorkerLedger((worker, load) => {
     this.#index.update(worker, load);
     this.#room.update(worker, load);
@@ -84,6 +86,7 @@
   adopt(attempt: PlacedAttempt): void {
     if (!this.#ledger.attempt(attempt.attempt)) {
       this.#ledger.add(attempt);
+      this.#told.set(attempt.attempt, attempt.reserved);
       this.#noteStart(attempt);
     }
   }
@@ -221,11 +224,15 @@
       memoryMb: Math.max(before?.memoryMb ?? 0, memoryMb),
     };
     this.#peaks.set(attempt.attempt, peak);
-    if (!before || peak.cpu > before.cpu || peak.memoryMb > before.memoryMb) {
-      this.#knowledge.addPeak(attempt.entry, peak.cpu, peak.memoryMb);
+    if (!before) {
+      this.#knowledge.addFirst(attempt.entry, peak.cpu, peak.memoryMb);
+    } else if (peak.cpu > before.cpu || peak.memoryMb > before.memoryMb) {
+      this.#knowledge.addRise(attempt.entry, peak.cpu, peak.memoryMb);
     }
     const measured = {accelerators: attempt.declared.accelerators, ...peak};
-    const wanted = maxResources(this.#reservation(attempt), measured);
+    // What the worker was told is never taken back while the attempt runs.
+    const told = this.#told.get(attempt.attempt) ?? attempt.declared;
+    const wanted = maxResources(maxResources(this.#reservation(attempt), measured), told);
     if (!fitsInto(wanted, attempt.reserved) || !fitsInto(attempt.reserved, wanted)) {
       this.#quotas.remove(attempt);
       this.#ledger.resize(attempt.attempt, wanted);
@@ -257,6 +264,7 @@
     this.#quotas.remove(attempt);
     this.#history.end(attempt.worker, attempt.attempt, now);
     this.#peaks.delete(attempt.attempt);
+    this.#told.delete(attempt.attempt);
     this.#throttles.forget(attempt.attempt);
     this.#countRack(attempt.entry, attempt.worker, -1);
   }
@@ -295,7 +303,10 @@
     if (wish.class === 'latency-critical') {
       this.#demand.arrive(reserved, now);
     }
-    return {kind: 'placed', reserved, worker};
+    // The surplus for an entry that is little known is held here alone and may shrink later.
+    const told = this.#knowledge.expected(wish.entry, wish.declared);
+    this.#told.set(wish.attempt, told);
+    return {kind: 'placed', reserved: told, worker};
   }
 
   #reservation(wish: PlacementWish): Resources {
