Keep foreign connections out of the fake minions; end a failed mesh test

A failed mesh test left its meshes open. Change: fake minions listen on a loopback address of their own process, which nobody redials; meshes are closed after each test. Ruled out by reading: a retry after sent bytes, which needs the socket's count of written bytes not to have risen.

--- a/packages/nutmegproxy-peers/src/__tests__/unit/WsPeerMesh.test.ts
+++ b/packages/nutmegproxy-peers/src/__tests__/unit/WsPeerMesh.test.ts
@@ -2,7 +2,7 @@
 
 import {brand, CommandBus, SYSTEM_CLOCK} from '@nutmegproxy/core';
 import assert from 'node:assert/strict';
-import {describe, it} from 'node:test';
+import {afterEach, describe, it} from 'node:test';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {Registry} from 'prom-client';
 import {WebSocket} from 'ws';
@@ -17,6 +17,9 @@
   readonly node: EntryNode;
 }
 
+/** Meshes of the running test; one that failed must not keep the process alive. */
+const OPEN = new Set<Fixture>();
+
 async function createMesh(vm: string, seeds: string[], secret = 'secret'): Promise<Fixture> {
   const codes: number[] = [];
   const node: EntryNode = {
@@ -33,7 +36,9 @@
   };
   const mesh = new WsPeerMesh(node, {listen: '127.0.0.1:0', secret, seeds});
   await mesh.start();
-  return {codes, mesh, node};
+  const fixture = {codes, mesh, node};
+  OPEN.add(fixture);
+  return fixture;
 }
 
 async function waitFor(condition: () => boolean): Promise<void> {
@@ -44,18 +49,18 @@
   }
 }
 
-async function stopAll(fixtures: readonly Fixture[]): Promise<void> {
-  await Promise.all(fixtures.map(({mesh}) => mesh.stop()));
-}
-
 describe('WsPeerMesh', () => {
+  afterEach(async () => {
+    await Promise.all([...OPEN].map(({mesh}) => mesh.stop()));
+    OPEN.clear();
+  });
+
   describe('discovery', () => {
     it('links all processes of a data centre from one seed', async () => {
       const a = await createMesh('a', []);
       const b = await createMesh('b', [a.mesh.peerAddress]);
       const c = await createMesh('c', [a.mesh.peerAddress]);
       await waitFor(() => [a, b, c].every(({mesh}) => mesh.peers().length === 2));
-      await stopAll([a, b, c]);
     });
 
     it('keeps one link per pair when both sides dial', async () => {
@@ -73,7 +78,6 @@
         return answered;
       });
       assert.equal(a.mesh.peers().length, 1);
-      await stopAll([a, b]);
     });
   });
 
@@ -93,7 +97,6 @@
       assert.equal(silent._unsafeUnwrapErr().kind, 'unknown');
       const absent = await a.mesh.request(vm, brand('b-0'), {body: 4, type: 'double'}, 1_000);
       assert.equal(absent._unsafeUnwrapErr().kind, 'unreachable');
-      await stopAll([a, b]);
     });
   });
 
@@ -106,7 +109,6 @@
       await waitFor(() => a.mesh.peers().length === 1);
       assert.equal(intruder.mesh.peers().length, 0);
       assert.equal(a.mesh.peers()[0]?.identity.vm, b.node.identity.vm);
-      await stopAll([a, b, intruder]);
     });
 
     it('closes a connection that sends no greeting', async () => {
@@ -117,7 +119,6 @@
       });
       await new Promise((resolve) => socket.once('close', resolve));
       assert.ok(a.codes.includes(2202));
-      await stopAll([a]);
     });
   });
 
@@ -134,7 +135,6 @@
       a.mesh.send(b.node.identity.vm, {body: 'text', type: 'number'});
       await waitFor(() => b.codes.includes(2203));
       await waitFor(() => b.codes.filter((code) => code === 2200).length === 2);
-      await stopAll([a, b]);
     });
   });
 });
--- a/packages/nutmegproxy-requests/src/__tests__/unit/RequestsBench.ts
+++ b/packages/nutmegproxy-requests/src/__tests__/unit/RequestsBench.ts
@@ -23,6 +23,12 @@
 /** What a fake minion does with each request that has arrived whole. */
 export type MinionScript = (socket: Socket, request: string) => void;
 
+/**
+ * A loopback address of this process alone. Other tests redial ports that their servers have given
+ * up; such a port may be given to a server here, and what they send is no request of this test.
+ */
+const OWN_ADDRESS = `127.${64 + ((process.pid >> 16) % 64)}.${(process.pid >> 8) % 256}.${process.pid % 256}`;
+
 /** A minion that speaks HTTP byte by byte as its script says. */
 export class FakeMinion {
   address = '';
@@ -51,9 +57,9 @@
   }
 
   async listen(): Promise<void> {
-    this.#server.listen(0, '127.0.0.1');
+    this.#server.listen(0, OWN_ADDRESS);
     await once(this.#server, 'listening');
-    this.address = `127.0.0.1:${(this.#server.address() as AddressInfo).port}`;
+    this.address = `${OWN_ADDRESS}:${(this.#server.address() as AddressInfo).port}`;
   }
 
   sockets(): readonly Socket[] {
