Close the listener of a stopping process only when callers have turned away

Cause, not proved: connections that wait to be accepted when the listener closes are reset by the kernel; the listener closed 200 ms after the last answer, whether callers still came or not. Change: it closes when no request has come for 300 ms, at the latest after 5 s. Ruled out: a longer fixed wait (a caller may come at its end as well), and closing later than the balancer's delay alone. The new test failed before: the 11th of 40 late requests found nobody.

--- a/packages/nutmegproxy-requests/src/CallerListener.ts
+++ b/packages/nutmegproxy-requests/src/CallerListener.ts
@@ -5,7 +5,7 @@
 import type {AddressInfo} from 'node:net';
 import type {Duplex} from 'node:stream';
 
-import {brand, BrokenInvariant} from '@nutmegproxy/core';
+import {after, brand, BrokenInvariant} from '@nutmegproxy/core';
 import {ResultAsync} from 'neverthrow';
 import {once} from 'node:events';
 import {createServer} from 'node:http';
@@ -20,6 +20,7 @@
   CALLER_HEADERS_TIMEOUT_MS,
   CALLER_IDLE_TIMEOUT_MS,
   DRAIN_POLL_MS,
+  STOP_LINGER_LIMIT_MS,
   STOP_LINGER_MS,
 } from './RequestsConstants.ts';
 import {REQUESTS_EVENTS} from './RequestsEvents.ts';
@@ -52,6 +53,7 @@
 export class CallerListener {
   #inProgress = 0;
   readonly #isReady: () => boolean;
+  #lastRefusedAt: Instant = 0 as Instant;
   #nextRequest = 0;
   readonly #node: EntryNode;
   #phase: ListenerPhase = 'open';
@@ -129,8 +131,7 @@
     while (this.#inProgress > 0) {
       await sleep(DRAIN_POLL_MS);
     }
-    // A request may be on its way on an idle connection: it is still refused in due form.
-    await sleep(STOP_LINGER_MS);
+    await this.#waitForQuiet();
     const closed = this.#server.listening ? once(this.#server, 'close') : undefined;
     this.#server.close();
     this.#server.closeIdleConnections();
@@ -176,6 +177,7 @@
       return;
     }
     if (this.#phase === 'refusing') {
+      this.#lastRefusedAt = exchange.arrivedAt;
       this.refuse(exchange, {code: 'stopping', outcome: 'not-run'});
       return;
     }
@@ -190,6 +192,23 @@
     await route.handler({...exchange, path: path.slice(route.prefix.length)});
   }
 
+  /**
+   * Waits until callers have turned elsewhere. A request on its way on an idle connection, or on one
+   * that waits to be accepted, would be reset by the close; until then it is refused in due form.
+   */
+  async #waitForQuiet(): Promise<void> {
+    const {clock} = this.#node;
+    const limit = after(clock.monotonic(), STOP_LINGER_LIMIT_MS);
+    this.#lastRefusedAt = clock.monotonic();
+    for (let now = clock.monotonic(); now < limit; now = clock.monotonic()) {
+      const leftMs = after(this.#lastRefusedAt, STOP_LINGER_MS) - now;
+      if (leftMs <= 0) {
+        return;
+      }
+      await sleep(leftMs);
+    }
+  }
+
   async #serve(request: IncomingMessage, response: ServerResponse): Promise<void> {
     const exchange: CallerExchange = {
       arrivedAt: this.#node.clock.monotonic(),
--- a/packages/nutmegproxy-requests/src/RequestsConstants.ts
+++ b/packages/nutmegproxy-requests/src/RequestsConstants.ts
@@ -28,8 +28,10 @@
 export const CALLER_HEADERS_TIMEOUT_MS = 10_000;
 export const CALLER_IDLE_TIMEOUT_MS = 60_000;
 export const CALLER_HEADER_BYTES_MAX = 16_384;
-/** How long a stopping process keeps idle caller connections, to refuse what still comes. */
-export const STOP_LINGER_MS = 200;
+/** Time without a request after which a stopping process closes its listener. */
+export const STOP_LINGER_MS = 300;
+/** Longest time that requests which still come put the close of the listener off. */
+export const STOP_LINGER_LIMIT_MS = 5000;
 export const DEFAULT_STOP_DELAY_MS = 5000;
 export const DRAIN_POLL_MS = 20;
 
