Model the balancer in the prover's planned stops

The prover's callers went on to a stopping VM until its listener closed, so a request could wait to be accepted in the moment of the close, which no process can answer. Callers now leave a VM 200 ms after it has said that it is not ready; until then, and on connections that they hold, they still must not be cut.

--- a/packages/nutmegproxy-proof/src/ProofCaller.ts
+++ b/packages/nutmegproxy-proof/src/ProofCaller.ts
@@ -99,7 +99,9 @@
   }
 
   async #sendOne(idempotent: boolean, key: string | undefined) {
-    const entry = this.#entries[this.#pick(this.#entries.length)];
+    const balanced = this.#entries.filter((each) => each.balanced);
+    const open = balanced.length > 0 ? balanced : this.#entries;
+    const entry = open[this.#pick(open.length)];
     if (entry === undefined) {
       return undefined;
     }
--- a/packages/nutmegproxy-proof/src/ProofEntry.ts
+++ b/packages/nutmegproxy-proof/src/ProofEntry.ts
@@ -47,6 +47,8 @@
 
 /** One entry VM; its process can be replaced, and its connections run through the network. */
 export class ProofEntry {
+  /** Whether the balancer sends callers here; it takes a VM out that stops as planned. */
+  balanced = true;
   readonly dataCentre: string;
   readonly #group: ProcessGroup;
   readonly #platform: ProofPlatform;
@@ -92,6 +94,7 @@
       program: CLI_PROGRAM,
     });
     this.#ports = readPorts(this.#process.ready);
+    this.balanced = true;
     this.#platform.network.name(Number(this.peers.split(':')[1]), this.vm);
     rmSync(dirname(settings), {recursive: true});
   }
--- a/packages/nutmegproxy-proof/src/ProveStops.ts
+++ b/packages/nutmegproxy-proof/src/ProveStops.ts
@@ -13,6 +13,8 @@
 
 const DELIST_LIMIT_MS = 20_000;
 const STOP_LIMIT_MS = 30_000;
+/** Between the balancer's reading of not ready and its last caller. */
+const BALANCER_LAG_MS = 200;
 
 type StopWay = 'listed' | 'signal' | 'signal-twice';
 
@@ -47,12 +49,21 @@
   });
 }
 
+/** The balancer takes a VM out a while after it has said that it is not ready. */
+async function unbalance(entry: ProofEntry): Promise<void> {
+  await holdsWithin(STOP_LIMIT_MS, async () => !(await entry.isReady()));
+  await sleep(BALANCER_LAG_MS);
+  entry.balanced = false;
+}
+
 async function stop(scene: ProveScene, entry: ProofEntry, helper: ProofEntry, way: StopWay) {
   const startedAt = Date.now();
   await WAYS[way](scene, entry, helper);
+  const unbalanced = unbalance(entry);
   const limit = sleep(STOP_LIMIT_MS, undefined, {ref: false});
   const end = await Promise.race([entry.process?.waitForEnd(), limit]);
   const endedAt = Date.now();
+  await unbalanced;
   scene.recorder.add('stops', {endedAt, startedAt, vm: entry.vm});
   await scene.during(['absences', 'blindTimes'], [entry], async () => {
     if (end === undefined) {
