--- /dev/null
+++ b/packages/nutmegproxy-requests/src/__tests__/unit/PlannedStop.test.ts
@@ -0,0 +1,48 @@
+import {DRAIN_STARTED} from '@nutmegproxy/core';
+import assert from 'node:assert/strict';
+import {describe, it} from 'node:test';
+import {setTimeout as sleep} from 'node:timers/promises';
+
+import type {RequestsBench} from './RequestsBench.ts';
+
+import {answer, FakeMinion, until, withBench} from './RequestsBench.ts';
+
+function send(bench: RequestsBench, path: string): Promise<Response> {
+  return fetch(bench.url(`/entries/alerts/${path}`), {
+    body: 'send',
+    headers: {connection: 'close'},
+    method: 'POST',
+  });
+}
+
+describe('the end of a planned stop', () => {
+  it('waits for a request that runs longer than callers keep coming', async () => {
+    const minion = new FakeMinion('m1', () => undefined);
+    await withBench({minions: [minion]}, async (bench) => {
+      const early = send(bench, 'early');
+      await until(() => minion.arrivals.length === 1);
+      const waits: Promise<void>[] = [];
+      bench.bus.dispatch(DRAIN_STARTED, {wait: (work) => waits.push(work)});
+      await sleep(1000);
+      minion.sockets().forEach((socket) => {
+        answer('done')(socket, '');
+      });
+      assert.equal(await (await early).text(), 'done');
+      await Promise.all(waits);
+    });
+  });
+
+  it('is put off while requests still come, and each of them is answered', async () => {
+    await withBench({minions: []}, async (bench) => {
+      const waits: Promise<void>[] = [];
+      bench.bus.dispatch(DRAIN_STARTED, {wait: (work) => waits.push(work)});
+      for (let sent = 0; sent < 40; sent += 1) {
+        const late = await send(bench, '');
+        assert.deepEqual([late.status, late.headers.get('nutmegproxy-outcome')], [503, 'not-run']);
+        await late.text();
+        await sleep(20);
+      }
+      await Promise.all(waits);
+    });
+  });
+});
--- a/packages/nutmegproxy-requests/src/__tests__/unit/Requests.test.ts
+++ b/packages/nutmegproxy-requests/src/__tests__/unit/Requests.test.ts
@@ -3,7 +3,6 @@
 import assert from 'node:assert/strict';
 import {connect} from 'node:net';
 import {describe, it} from 'node:test';
-import {setTimeout as sleep} from 'node:timers/promises';
 
 import type {SlotLender} from '../../index.ts';
 
@@ -282,21 +281,6 @@
     });
   });
 
-  describe('the end of a planned stop', () => {
-    it('is put off while requests still come, and each of them is answered', async () => {
-      await withBench({minions: []}, async (bench) => {
-        const waits: Promise<void>[] = [];
-        bench.bus.dispatch(DRAIN_STARTED, {wait: (work) => waits.push(work)});
-        for (let sent = 0; sent < 40; sent += 1) {
-          const late = await ask(bench.url('/entries/alerts/'), POST);
-          assert.deepEqual([late.status, outcome(late)], [503, 'not-run']);
-          await sleep(20);
-        }
-        await Promise.all(waits);
-      });
-    });
-  });
-
   describe('limits', () => {
     it('keeps an entry and a team within their limits', async () => {
       const minion = new FakeMinion('m1', () => undefined);
--- /dev/null
+++ b/scripts/mutants.mjs
@@ -0,0 +1,271 @@
+// Mutation check: switches one mechanism off at a time in a scratch copy and runs the tests that must
+// then fail. Prints a table; exits with 1 when a mutant survives. Arguments narrow the run to mutants
+// whose name contains one of them. It takes some minutes and is not part of CI.
+import {spawnSync} from 'node:child_process';
+import {
+  cpSync,
+  mkdirSync,
+  mkdtempSync,
+  readdirSync,
+  readFileSync,
+  rmSync,
+  symlinkSync,
+  writeFileSync,
+} from 'node:fs';
+import {tmpdir} from 'node:os';
+import {join, resolve} from 'node:path';
+
+const TEST_TIMEOUT_MS = 240_000;
+const COPIED = ['package.json', 'packages', 'schema', 'scripts', 'tsconfig.json'];
+const SCOPE = '@nutmegproxy';
+
+const MUTANTS = [
+  {
+    edits: [['if (slots === undefined || idleSlots(slots) < 1) {', 'if (slots === undefined) {']],
+    file: 'nutmegproxy-requests/src/SlotLedger.ts',
+    invariant: 'capacity',
+    name: 'a slot is given out though none is idle',
+    tests: ['nutmegproxy-requests/src/__tests__/unit/SlotLedger.test.ts'],
+  },
+  {
+    edits: [['    slots.lent += lent;\n', '']],
+    file: 'nutmegproxy-requests/src/SlotLedger.ts',
+    invariant: 'capacity',
+    name: 'the lender does not deduct what it lends',
+    tests: ['nutmegproxy-requests/src/__tests__/unit/SlotLedger.test.ts'],
+  },
+  {
+    edits: [
+      [
+        'const wanted = maxResources(maxResources(this.#reservation(attempt), measured), told);',
+        'const wanted = maxResources(this.#reservation(attempt), measured);',
+      ],
+      [
+        'const told = this.#knowledge.expected(wish.entry, wish.declared);',
+        'const told = reserved;',
+      ],
+    ],
+    file: 'nutmegproxy-placement/src/LearnedPlacement.ts',
+    invariant: 'capacity',
+    name: 'what a worker was told shrinks while the attempt runs',
+    tests: ['nutmegproxy-placement/src/__tests__/unit/LearnedPlacement.test.ts'],
+  },
+  {
+    edits: [['fitsInto(attempt.reserved, account.free)', 'true']],
+    file: 'nutmegproxy-placement/src/WorkerLedger.ts',
+    fileAlso: 'nutmegproxy-placement/src/FirstFit.ts',
+    editsAlso: [['!profile.drained && fitsInto(wish.declared, free)', '!profile.drained']],
+    invariant: 'capacity',
+    name: 'a task is placed where it does not fit',
+    tests: ['nutmegproxy-placement/src/__tests__/unit/PlacementProperties.test.ts'],
+  },
+  {
+    edits: [
+      ['return !this.#stopped && this.#membership.holdsTenure(now);', 'return !this.#stopped;'],
+    ],
+    file: 'nutmegproxy-tasks/src/Cell.ts',
+    invariant: 'one place',
+    name: 'a start is sent without tenure',
+    tests: ['nutmegproxy-tasks/src/__tests__/unit/Tasks.test.ts'],
+  },
+  {
+    edits: [
+      [
+        "      kind: 'modRevision',\n      modRevision: this.#ownerRevision,",
+        "      kind: 'modRevision',\n      modRevision: 0,",
+      ],
+      ['      key: this.#keys.owner,', "      key: '/no-such-key',"],
+    ],
+    file: 'nutmegproxy-tasks/src/CellLog.ts',
+    invariant: 'one place',
+    name: 'the log is written without the owner key as a condition',
+    tests: ['nutmegproxy-tasks/src/__tests__/unit/CellLog.test.ts'],
+  },
+  {
+    edits: [['if (counts || this.#denied', 'if (this.#denied']],
+    file: 'nutmegproxy-membership/src/VouchBook.ts',
+    invariant: 'one place',
+    name: 'a member denies one that it has just vouched for',
+    tests: ['nutmegproxy-membership/src/__tests__/unit/VouchBook.test.ts'],
+  },
+  {
+    edits: [['able.length < countMajority(electors.length)', 'able.length <= electors.length']],
+    file: 'nutmegproxy-membership/src/Takeover.ts',
+    invariant: 'one place',
+    name: 'a member is removed without the denials of its electors',
+    tests: [
+      'nutmegproxy-membership/src/__tests__/unit/Membership.test.ts',
+      'nutmegproxy-membership/src/__tests__/unit/Tenure.test.ts',
+    ],
+  },
+  {
+    edits: [['return lapsed && startLapsed ? returned', 'return startLapsed ? returned']],
+    file: 'nutmegproxy-tasks/src/WorkerReports.ts',
+    invariant: 'resume once',
+    name: 'a silent attempt is queued again before its lease has lapsed',
+    tests: ['nutmegproxy-tasks/src/__tests__/unit/WorkerReports.test.ts'],
+  },
+  {
+    edits: [
+      [
+        "  running: (task, report) =>\n    task.state === 'starting'",
+        "  running: (task, report, _entry, wall) =>\n    task.state === 'evicting'\n      ? returned(task, wall, 'evicted', report.checkpoint)\n      : task.state === 'starting'",
+      ],
+    ],
+    file: 'nutmegproxy-tasks/src/WorkerReports.ts',
+    invariant: 'resume once',
+    name: 'an evicted attempt is queued again before its stop is confirmed',
+    tests: ['nutmegproxy-tasks/src/__tests__/unit/Tasks.test.ts'],
+  },
+  {
+    edits: [
+      ['  writer.end();\n', ''],
+      [
+        "    return {kind: 'broken', message: String(error), started: writer.started};",
+        "    writer.end();\n    return {kind: 'whole'};",
+      ],
+    ],
+    file: 'nutmegproxy-requests/src/AnswerRelay.ts',
+    invariant: 'whole answer',
+    name: 'a truncated answer is ended as if it were whole',
+    tests: ['nutmegproxy-requests/src/__tests__/unit/Requests.test.ts'],
+  },
+  {
+    edits: [
+      [
+        'const sent = this.#socket.bytesWritten > writtenBefore;\n      return err({message: String(error), sent});',
+        'return err({message: String(error), sent: false});',
+      ],
+    ],
+    file: 'nutmegproxy-requests/src/MinionConnection.ts',
+    invariant: 'not run',
+    name: 'a request that was sent is called not run',
+    tests: ['nutmegproxy-requests/src/__tests__/unit/Requests.test.ts'],
+  },
+  {
+    edits: [
+      ["const harmless = end.outcome === 'not-run' || idempotent;", 'const harmless = true;'],
+    ],
+    file: 'nutmegproxy-requests/src/RequestDispatcher.ts',
+    invariant: 'at most once',
+    name: 'a request that is not idempotent is sent again',
+    tests: ['nutmegproxy-requests/src/__tests__/unit/Requests.test.ts'],
+  },
+  {
+    edits: [["    compare: [{key, kind: 'modRevision', modRevision: 0}],", '    compare: [],']],
+    file: 'nutmegproxy-requests/src/RequestKeys.ts',
+    invariant: 'at most once',
+    name: 'an idempotency key is taken though it exists',
+    tests: ['nutmegproxy-requests/src/__tests__/unit/RequestKeys.test.ts'],
+  },
+  {
+    edits: [['return this.#marks.has(markKey(mark));', 'return false;']],
+    file: 'nutmegproxy-platform/src/LeavingMarks.ts',
+    invariant: 'leaving',
+    name: 'a lagging list revives a VM that is leaving',
+    tests: ['nutmegproxy-platform/src/__tests__/unit/VmDirectory.test.ts'],
+  },
+  {
+    edits: [
+      ['while (this.#inProgress > 0) {', 'while (this.#inProgress < 0) {'],
+      ['this.#server.closeIdleConnections();', 'this.#server.closeAllConnections();'],
+    ],
+    file: 'nutmegproxy-requests/src/CallerListener.ts',
+    invariant: 'planned stop',
+    name: 'a planned stop does not wait for what runs',
+    tests: ['nutmegproxy-requests/src/__tests__/unit/PlannedStop.test.ts'],
+  },
+  {
+    edits: [
+      ['if (!isHigher || !fits) {', 'if (!fits) {'],
+      [
+        "    invariant(next.revision > revision, 'catalogue: a revision that is not higher was applied');\n",
+        '',
+      ],
+    ],
+    file: 'nutmegproxy-catalogue/src/CatalogueState.ts',
+    invariant: 'catalogue',
+    name: 'a lower revision is applied',
+    tests: ['nutmegproxy-catalogue/src/__tests__/unit/CatalogueState.test.ts'],
+  },
+  {
+    edits: [
+      [
+        "compare: [{key: keys.head, kind: 'modRevision', modRevision: headModRevision}],",
+        'compare: [],',
+      ],
+    ],
+    file: 'nutmegproxy-catalogue/src/CatalogueRepository.ts',
+    invariant: 'catalogue',
+    name: 'two operators who race are both accepted',
+    tests: ['nutmegproxy-catalogue/src/__tests__/unit/CatalogueFeature.test.ts'],
+  },
+];
+
+/** A copy whose own packages, and not the originals, are found under their scope. */
+function makeCopy() {
+  const copy = mkdtempSync(join(tmpdir(), 'nutmegproxy-mutants-'));
+  for (const name of COPIED) {
+    cpSync(name, join(copy, name), {recursive: true});
+  }
+  mkdirSync(join(copy, 'node_modules', SCOPE), {recursive: true});
+  for (const name of readdirSync('node_modules').filter((each) => each !== SCOPE)) {
+    symlinkSync(resolve('node_modules', name), join(copy, 'node_modules', name));
+  }
+  for (const folder of readdirSync('packages')) {
+    const part = folder.replace('nutmegproxy-', '');
+    symlinkSync(join(copy, 'packages', folder), join(copy, 'node_modules', SCOPE, part));
+  }
+  return copy;
+}
+
+function applyEdits(path, edits) {
+  const original = readFileSync(path, 'utf8');
+  let text = original;
+  for (const [from, to] of edits) {
+    if (text.split(from).length !== 2) {
+      throw new Error(
+        `${path}: the text to replace stands ${text.split(from).length - 1} times: ${from}`,
+      );
+    }
+    text = text.replace(from, () => to);
+  }
+  writeFileSync(path, text);
+  return () => writeFileSync(path, original);
+}
+
+function runTests(copy, tests) {
+  const files = tests.map((test) => join('packages', test));
+  const options = ['--import', 'tsx', '--test', `--test-timeout=${TEST_TIMEOUT_MS}`];
+  return spawnSync(process.execPath, [...options, ...files], {cwd: copy, stdio: 'ignore'}).status;
+}
+
+function tryMutant(copy, {edits, editsAlso, file, fileAlso, invariant, name, tests}) {
+  const undo = [applyEdits(join(copy, 'packages', file), edits)];
+  if (fileAlso !== undefined) {
+    undo.push(applyEdits(join(copy, 'packages', fileAlso), editsAlso));
+  }
+  const verdict = runTests(copy, tests) === 0 ? 'SURVIVED' : 'red';
+  undo.forEach((take) => {
+    take();
+  });
+  console.log(`| ${invariant} | ${name} | ${verdict} |`);
+  return verdict === 'red';
+}
+
+const wanted = process.argv.slice(2);
+const chosen = MUTANTS.filter(
+  ({name}) => wanted.length === 0 || wanted.some((part) => name.includes(part)),
+);
+const copy = makeCopy();
+const unmutated = [...new Set(chosen.flatMap(({tests}) => tests))];
+if (runTests(copy, unmutated) !== 0) {
+  console.error('the tests fail without a mutation');
+  rmSync(copy, {recursive: true});
+  process.exit(2);
+}
+console.log('| invariant | mechanism switched off | tests |\n| --- | --- | --- |');
+const caught = chosen.filter((mutant) => tryMutant(copy, mutant)).length;
+rmSync(copy, {recursive: true});
+console.log(`${caught} of ${chosen.length} mutants are caught`);
+process.exit(caught === chosen.length ? 0 : 1);
