Share what the placement policies decide on an exceeded quota

Both policies spelled out the same two decisions. They stand once now, beside the verdict that they follow from.

--- a/packages/nutmegproxy-placement/src/FirstFit.ts
+++ b/packages/nutmegproxy-placement/src/FirstFit.ts
@@ -13,7 +13,7 @@
 } from './Placement.ts';
 
 import {fitsInto} from './ResourcesUtils.ts';
-import {TeamQuotas} from './TeamQuotas.ts';
+import {QUOTA_DECISIONS, TeamQuotas} from './TeamQuotas.ts';
 import {WorkerLedger} from './WorkerLedger.ts';
 
 /** First fit by declared sizes; evicts nothing and throttles nothing. */
@@ -31,11 +31,8 @@
 
   decide(wish: PlacementWish, now: Instant): PlacementDecision {
     const verdict = this.#quotas.verdict(wish, wish.declared);
-    if (verdict === 'never') {
-      return {kind: 'impossible', reason: "the task is larger than its team's quota"};
-    }
-    if (verdict === 'exceeded') {
-      return {kind: 'wait', reason: "the team's quota is in use"};
+    if (verdict !== 'within') {
+      return QUOTA_DECISIONS[verdict];
     }
     return this.#firstFit(wish, now);
   }
--- a/packages/nutmegproxy-placement/src/LearnedPlacement.ts
+++ b/packages/nutmegproxy-placement/src/LearnedPlacement.ts
@@ -32,7 +32,7 @@
 import {RackCounts} from './RackCounts.ts';
 import {fitsInto, maxResources, subtractResources} from './ResourcesUtils.ts';
 import {RunHistory} from './RunHistory.ts';
-import {TeamQuotas} from './TeamQuotas.ts';
+import {QUOTA_DECISIONS, TeamQuotas} from './TeamQuotas.ts';
 import {Throttles} from './Throttles.ts';
 import {UrgentDemand} from './UrgentDemand.ts';
 import {WorkerIndex} from './WorkerIndex.ts';
@@ -48,11 +48,6 @@
   succeeded: false,
 };
 
-const QUOTA_REASONS = {
-  exceeded: {kind: 'wait', reason: "the team's quota is in use"},
-  never: {kind: 'impossible', reason: "the task is larger than its team's quota"},
-} satisfies Record<string, PlacementDecision>;
-
 /** Places by learned sizes and interference. */
 export class LearnedPlacement implements Placement {
   readonly #agedClaim: AgedClaim;
@@ -100,7 +95,7 @@
     const reserved = this.#reservation(wish);
     const verdict = this.#quotas.verdict(wish, reserved);
     if (verdict !== 'within') {
-      return QUOTA_REASONS[verdict];
+      return QUOTA_DECISIONS[verdict];
     }
     if (wish.class === 'batch' && !this.#leavesHeadroom(wish, reserved, now)) {
       return {kind: 'wait', reason: 'the room left is kept for latency-critical tasks'};
--- a/packages/nutmegproxy-placement/src/TeamQuotas.ts
+++ b/packages/nutmegproxy-placement/src/TeamQuotas.ts
@@ -3,13 +3,20 @@
 import type {TeamId} from '@nutmegproxy/core';
 import type {Quota, Resources} from '@nutmegproxy/schema';
 
-import type {PlacedAttempt, PlacementWish} from './Placement.ts';
+import type {PlacedAttempt, PlacementDecision, PlacementWish} from './Placement.ts';
 
 import {addResources, fitsInto, NO_RESOURCES, subtractResources} from './ResourcesUtils.ts';
 
 /** Whether a wish is within its team's quota now, could be later, or never can be. */
 export type QuotaVerdict = 'exceeded' | 'never' | 'within';
 
+/** What every policy decides on a wish that its team's quota does not allow. */
+export const QUOTA_DECISIONS: Readonly<Record<Exclude<QuotaVerdict, 'within'>, PlacementDecision>> =
+  {
+    exceeded: {kind: 'wait', reason: "the team's quota is in use"},
+    never: {kind: 'impossible', reason: "the task is larger than its team's quota"},
+  };
+
 /** Accounts for the teams' quotas; a team without a quota is not limited. */
 export class TeamQuotas {
   readonly #held = new Map<TeamId, Resources>();
