Place filling tasks by the pressure they put on tails, learned for each pair of images

Cause: serving tasks reserve 650 to 700 of 840 cores from the start and use half of them; filling tasks that stayed off their minions starved. A trial that placed them anywhere showed that tails depend on the pair of images, not on the number of tasks (most pairs: 20 ms; some: over 400 ms).

--- a/packages/nutmegproxy-owner/src/MinionSession.ts
+++ b/packages/nutmegproxy-owner/src/MinionSession.ts
@@ -38,6 +38,8 @@
   readonly onChange: () => void;
   /** Called when a minion shows that another VM owns the fleet. */
   readonly onFenced: () => void;
+  /** Called after each listing was applied. */
+  readonly onListed: (minion: MinionState, now: Instant) => void;
   readonly onRunDone: (run: Run, durationMs: number) => void;
   readonly orders: MinionOrders;
   readonly tenure: Tenure;
@@ -128,7 +130,7 @@
   }
 
   #applyListing(listing: MinionListing, askedAt: Instant, now: Instant): void {
-    const {fleet} = this.#context;
+    const {fleet, onListed} = this.#context;
     if (listing.bornAt !== undefined && listing.bornAt !== this.#bornAt) {
       if (this.#bornAt !== undefined) {
         this.restart(listing.bornAt);
@@ -142,6 +144,7 @@
     this.#seen = Math.max(this.#seen, ...listing.ended.map(({sequence}) => sequence));
     this.minion.isReported = true;
     this.#noteAnswer(now);
+    onListed(this.minion, now);
     this.#resume();
   }
 
--- a/packages/nutmegproxy-owner/src/Owner.ts
+++ b/packages/nutmegproxy-owner/src/Owner.ts
@@ -9,7 +9,6 @@
 import {FLEET_PREFIX} from '@nutmegproxy/jobs';
 import {
   Fleet,
-  isUsable,
   planStarts,
   type QueuePolicy,
   summarizeFleet,
@@ -60,7 +59,7 @@
   readonly #options: OwnerOptions;
   #publishedWaiting = '';
   readonly #roster: Roster;
-  readonly #sharing = new SharingPolicy();
+  readonly #sharing = new SharingPolicy(this.#estimate);
   #stopReason: string | undefined;
   #summarizedAt = -Infinity;
   #wake: (() => void) | undefined;
@@ -97,6 +96,10 @@
         journal: this.#journal,
         onChange,
         onFenced,
+        onListed: (minion, now) => {
+          this.#sharing.model.observe(minion, now);
+          this.#sharing.moveDisturbers(this.#fleet, minion, now);
+        },
         onRunDone: ({step}, durationMs) => {
           this.#estimate.note(step.job.request.queue, step.shape, durationMs);
         },
@@ -151,9 +154,6 @@
       fleet.recoveryRevision = 0;
       events.record(OWNER_EVENTS.RECOVERY_DONE, {term: tenure.term});
     }
-    const usable = [...fleet.minions.values()].filter((minion) => isUsable(minion, now));
-    this.#sharing.refreshReserve(usable);
-    this.#sharing.moveDisturbers(fleet, now);
     const starts = planStarts(fleet, {
       advice: {isPermitted: () => undefined},
       estimate: this.#estimate,
--- a/packages/nutmegproxy-scheduling/src/MinionState.ts
+++ b/packages/nutmegproxy-scheduling/src/MinionState.ts
@@ -26,6 +26,9 @@
   readonly service: ServiceId;
 }
 
+/** Share of their reservation that serving tasks use on average. */
+const SERVING_USE = 0.5;
+
 /** Uses of a minion's processors that are told apart when work is placed. */
 export type WorkKind = 'filling' | 'ordinary' | 'serving';
 
@@ -68,9 +71,11 @@
     return this.description.id;
   }
 
-  /** Processors that neither reservations nor filling tasks use, in thousandths of a core. */
+  /** Processors that are expected to be unused, in thousandths of a core. */
   get spareCpuMilli(): number {
-    return this.description.capacity.cpuMilli - this.reserved.cpuMilli - this.fillingCpuMilli;
+    const unusedByServing = this.servingCpuMilli * (1 - SERVING_USE);
+    const {cpuMilli} = this.description.capacity;
+    return cpuMilli - this.reserved.cpuMilli + unusedByServing - this.fillingCpuMilli;
   }
 
   addRun(run: Run): void {
--- a/packages/nutmegproxy-scheduling/src/Placement.ts
+++ b/packages/nutmegproxy-scheduling/src/Placement.ts
@@ -1,9 +1,8 @@
 /**
  * Which minion a task is placed on.
  *
- * Serving tasks are packed onto few minions, so that filling tasks, which disturb them, have the
- * rest. Ordinary tasks take what serving minions leave first, since they disturb nobody there and
- * take no processors from filling tasks. Filling tasks go where most processors are unused.
+ * Serving tasks are packed, by image where possible, so that filling tasks find minions whose
+ * serving tasks bear them. Ordinary and filling tasks go where most processors are unused.
  */
 
 import type {Instant} from '@nutmegproxy/core';
@@ -15,50 +14,50 @@
 
 /** Time in milliseconds that an entry may be missing before its minion gets no more work. */
 const UNLISTED_GRACE_MS = 2_500;
-/** Share of a minion's processors that serving tasks may reserve; tails grow with the load. */
-const SERVING_DENSITY = 1;
 /** Share of its processors that a filling task must find unused. */
 const FILLING_SHARE = 1;
 /** Cost of a rack other than the one that holds the data, in thousandths of a core. */
 const REMOTE_RACK_COST = 100_000;
 
-/** How minions stand towards serving work, as far as placement needs it. */
+/** How minions stand towards sharing, as far as placement needs it. */
 export interface PlacementView {
-  /** Whether the minion is kept free of filling tasks for serving ones. */
-  readonly isReserved: (minion: MinionState) => boolean;
-  /** Whether a filling task may start beside the minion's serving tasks. */
-  readonly mayFill: (minion: MinionState, shape: StepShape) => boolean;
+  /** Cost of a filling task; undefined when it would disturb serving tasks too much. */
+  readonly fillingCost: (minion: MinionState, step: StepState) => number | undefined;
+  /** Cost of a serving task, in thousandths of a core. */
+  readonly servingCost: (minion: MinionState, shape: StepShape) => number;
 }
 
 interface KindPlacement {
-  /** Lower is better. */
-  readonly cost: (minion: MinionState, shape: StepShape, view: PlacementView) => number;
-  readonly fits: (minion: MinionState, shape: StepShape, view: PlacementView) => boolean;
+  /** Lower is better; undefined when the task must not run there. */
+  readonly cost: (
+    minion: MinionState,
+    step: StepState,
+    view: PlacementView,
+  ) => number | undefined;
 }
 
+/** Preference for minions that serve already, above any amount of processors. */
 const SERVED_MINION_BONUS = 1_000_000;
 
 const KIND_PLACEMENTS: Readonly<Record<WorkKind, KindPlacement>> = {
   filling: {
-    cost: (minion) => -minion.spareCpuMilli + minion.servingRuns * SERVED_MINION_BONUS,
-    fits: (minion, shape, view) =>
-      minion.spareCpuMilli >= shape.resources.cpuMilli * FILLING_SHARE &&
-      view.mayFill(minion, shape),
+    cost: (minion, step, view) => {
+      const sharing =
+        minion.spareCpuMilli >= step.shape.resources.cpuMilli * FILLING_SHARE
+          ? view.fillingCost(minion, step)
+          : undefined;
+      return sharing === undefined ? undefined : sharing - minion.spareCpuMilli;
+    },
   },
   ordinary: {
-    cost: (minion, _shape, view) =>
-      -minion.spareCpuMilli -
-      (minion.servingRuns > 0 || view.isReserved(minion) ? SERVED_MINION_BONUS : 0),
-    fits: () => true,
+    cost: (minion) => -minion.spareCpuMilli,
   },
   serving: {
-    cost: (minion, _shape, view) =>
-      minion.servingRuns > 0
-        ? -minion.servingCpuMilli - 2 * SERVED_MINION_BONUS + minion.fillingCpuMilli
-        : minion.fillingCpuMilli - (view.isReserved(minion) ? SERVED_MINION_BONUS : 0),
-    fits: (minion, shape) =>
-      minion.servingCpuMilli + shape.resources.cpuMilli <=
-      minion.description.capacity.cpuMilli * SERVING_DENSITY,
+    cost: (minion, {shape}, view) =>
+      view.servingCost(minion, shape) +
+      minion.fillingCpuMilli -
+      minion.servingCpuMilli -
+      (minion.servingRuns > 0 ? SERVED_MINION_BONUS : 0),
   },
 };
 
@@ -101,21 +100,19 @@
   isAllowed: (minion: MinionState) => boolean,
 ): MinionState | undefined {
   const {shape} = step;
-  const {cost, fits} = KIND_PLACEMENTS[workKind(shape)];
+  const {cost} = KIND_PLACEMENTS[workKind(shape)];
   let best: MinionState | undefined;
   let bestCost = Infinity;
   for (const minion of minions) {
     const isCandidate =
-      minion.hasRoom(shape) &&
-      isPermitted(step, minion) &&
-      fits(minion, shape, view) &&
-      isAllowed(minion);
-    if (!isCandidate) {
+      minion.hasRoom(shape) && isPermitted(step, minion) && isAllowed(minion);
+    const own = isCandidate ? cost(minion, step, view) : undefined;
+    if (own === undefined) {
       continue;
     }
     const isRemote =
       shape.preferredRack !== undefined && shape.preferredRack !== minion.description.rack;
-    const total = cost(minion, shape, view) + (isRemote ? REMOTE_RACK_COST : 0);
+    const total = own + (isRemote ? REMOTE_RACK_COST : 0);
     if (total < bestCost) {
       best = minion;
       bestCost = total;
--- a/packages/nutmegproxy-scheduling/src/SharingPolicy.ts
+++ b/packages/nutmegproxy-scheduling/src/SharingPolicy.ts
@@ -1,81 +1,148 @@
 /**
- * Filling work beside serving work. Filling tasks disturb serving ones by amounts that differ
- * between images. Minions with serving tasks, and a reserve for the next ones, are kept free of
- * filling tasks; where both meet all the same and a tail passes its bound, a filling task moves off.
+ * Filling work beside serving work, for loads in which serving tasks reserve most of the fleet and
+ * use half of it. A filling task goes where the tails beside it are expected to stay within their
+ * bounds for as long as it runs. Where a tail passes its bound all the same, the filling task that
+ * presses it most moves off.
  */
 
 import type {Instant} from '@nutmegproxy/core';
-import type {Run} from '@nutmegproxy/jobs';
+import type {Run, StepShape} from '@nutmegproxy/jobs';
 
 import type {Fleet} from './Fleet.ts';
 import type {MinionState} from './MinionState.ts';
+import type {WorkEstimate} from './WorkEstimate.ts';
 
-/** Share of the fleet kept free for serving tasks that are yet to come. */
-const RESERVE_SHARE = 0.05;
+import {referenceCores, type Disturber, TailModel} from './TailModel.ts';
+
+/** Share of its bound up to which a utilization may be planned. */
+const PLANNED_SHARE = 0.97;
 /** Share of its bound at which a tail is acted upon; reports are half a second old. */
-const TAIL_ALERT_SHARE = 0.9;
+const TAIL_ALERT_SHARE = 0.95;
+/** Rise of a serving task's load in a second at most, as a share of what it can serve. */
+const LOAD_RISE_PER_S = 0.08;
+/** Highest load that is expected of a serving task. */
+const PEAK_LOAD = 0.68;
+/** Time ahead in milliseconds beyond which load is taken at its peak. */
+const HORIZON_MS = 4_000;
 /** Time between two moves on one minion in milliseconds; a tail shows the effect after one look. */
-const MOVE_PAUSE_MS = 700;
-
-function worstTailShare(minion: MinionState): number {
-  let worst = 0;
-  for (const {reading, step} of minion.runs) {
-    const target = step.shape.tailTargetMs;
-    if (target !== undefined && target > 0 && reading !== undefined) {
-      worst = Math.max(worst, reading / target);
-    }
-  }
-  return worst;
-}
+const MOVE_PAUSE_MS = 600;
+/** Cost of one unit of utilization beside unused processors, in thousandths of a core. */
+const UTILIZATION_COST = 12_000;
 
 export class SharingPolicy {
-  readonly #lastMove = new Map<MinionState, Instant>();
-  #reserved: ReadonlySet<MinionState> = new Set();
+  readonly model = new TailModel();
+  readonly #estimate: WorkEstimate;
+  readonly #lastMove = new WeakMap<MinionState, Instant>();
 
-  /** Whether the minion is kept for serving tasks. */
-  readonly isReserved = (minion: MinionState): boolean => this.#reserved.has(minion);
+  constructor(estimate: WorkEstimate) {
+    this.#estimate = estimate;
+  }
 
-  /** Whether a filling task may start on the minion. */
-  readonly mayFill = (minion: MinionState): boolean =>
-    minion.servingRuns === 0 && !this.#reserved.has(minion);
+  /**
+   * Cost of a filling task on a minion in thousandths of a core, beside the processors it uses;
+   * undefined when it would press a tail over its bound.
+   */
+  fillingCost(minion: MinionState, step: Run['step']): number | undefined {
+    if (minion.servingRuns === 0) {
+      return 0;
+    }
+    const {shape} = step;
+    const durationMs = this.#estimate.taskMs(step.job.request.queue, shape);
+    const added = {
+      cores: referenceCores(shape.resources.cpuMilli, minion),
+      image: shape.image ?? '',
+    };
+    const disturbers = this.model.disturbers(minion);
+    let worst = 0;
+    for (const serving of minion.runs) {
+      if (serving.step.shape.tailTargetMs === undefined) {
+        continue;
+      }
+      const share = this.#plannedShare(serving, disturbers, added, durationMs);
+      if (share > PLANNED_SHARE) {
+        return undefined;
+      }
+      worst = Math.max(worst, share);
+    }
+    return worst * UTILIZATION_COST;
+  }
 
-  /** Chooses anew which minions without serving tasks are kept for them. */
-  refreshReserve(usable: readonly MinionState[]): void {
-    const wanted = Math.ceil(usable.length * RESERVE_SHARE);
-    const free = usable
-      .filter(({servingRuns}) => servingRuns === 0)
-      .sort(
-        (a, b) =>
-          Number(this.#reserved.has(b)) - Number(this.#reserved.has(a)) ||
-          a.fillingCpuMilli - b.fillingCpuMilli,
-      );
-    this.#reserved = new Set(free.slice(0, wanted));
+  /** Cost of a serving task on a minion: how near its tail would come to the bound. */
+  servingCost(minion: MinionState, shape: StepShape): number {
+    const images = new Set<string | undefined>();
+    for (const run of minion.runs) {
+      if (run.step.shape.longRunning) {
+        images.add(run.step.shape.image);
+      }
+    }
+    // Minions of one image leave room beside them for every filling image that it bears.
+    const strangers = images.size - (images.has(shape.image) ? 1 : 0);
+    return strangers * UTILIZATION_COST;
   }
 
   /** Orders filling runs off minions whose serving tasks are near or over their bounds. */
-  moveDisturbers(fleet: Fleet, now: Instant): void {
-    for (const minion of fleet.minions.values()) {
-      const isPaused = now - (this.#lastMove.get(minion) ?? -Infinity) < MOVE_PAUSE_MS;
-      if (minion.servingRuns === 0 || isPaused || worstTailShare(minion) < TAIL_ALERT_SHARE) {
+  moveDisturbers(fleet: Fleet, minion: MinionState, now: Instant): void {
+    const isPaused = now - (this.#lastMove.get(minion) ?? -Infinity) < MOVE_PAUSE_MS;
+    const pressed = isPaused ? undefined : findPressed(minion);
+    const disturber = pressed === undefined ? undefined : this.#findDisturber(minion, pressed);
+    if (disturber !== undefined) {
+      this.#lastMove.set(minion, now);
+      fleet.stopRun(disturber, 'interference');
+    }
+  }
+
+  /** The filling run that presses a serving run most. */
+  #findDisturber(minion: MinionState, pressed: Run): Run | undefined {
+    let worst: Run | undefined;
+    let worstPressure = 0;
+    for (const run of minion.runs) {
+      if (!run.step.shape.fillsSpareCpu || run.phase !== 'running') {
         continue;
       }
-      const disturber = findDisturber(minion);
-      if (disturber !== undefined) {
-        this.#lastMove.set(minion, now);
-        fleet.stopRun(disturber, 'interference');
+      const cores = referenceCores(run.reading ?? 0, minion);
+      const pressure = cores * this.model.pressure(pressed, run.step.shape.image ?? '');
+      if (pressure > worstPressure) {
+        worst = run;
+        worstPressure = pressure;
       }
     }
+    return worst;
+  }
+
+  /** Share of its bound that a serving run's utilization is expected to reach. */
+  #plannedShare(
+    serving: Run,
+    disturbers: readonly Disturber[],
+    added: Disturber,
+    durationMs: number,
+  ): number {
+    const riseMs = Math.min(durationMs, HORIZON_MS);
+    const load = this.model.load(serving);
+    const expected = Math.min(
+      Math.max(PEAK_LOAD, load),
+      load + (riseMs / 1000) * LOAD_RISE_PER_S,
+    );
+    const pressure =
+      this.model.totalPressure(serving, disturbers) +
+      added.cores * this.model.pressure(serving, added.image);
+    // Without pressure the tail is the serving task's own matter.
+    return pressure <= 0
+      ? 0
+      : (expected * (1 + pressure)) / this.model.utilizationBound(serving);
   }
 }
 
-/** The filling run with the largest use of processors that is not close to its end. */
-function findDisturber(minion: MinionState): Run | undefined {
-  let largest: Run | undefined;
+/** The serving run whose tail is furthest over the bound; undefined when all are within. */
+function findPressed(minion: MinionState): Run | undefined {
+  let pressed: Run | undefined;
+  let worst = TAIL_ALERT_SHARE;
   for (const run of minion.runs) {
-    const isMovable = run.step.shape.fillsSpareCpu && run.phase === 'running';
-    if (isMovable && (run.reading ?? 0) >= (largest?.reading ?? 0)) {
-      largest = run;
+    const target = run.step.shape.tailTargetMs;
+    const share = target === undefined ? 0 : (run.reading ?? 0) / target;
+    if (share > worst) {
+      pressed = run;
+      worst = share;
     }
   }
-  return largest;
+  return pressed;
 }
--- a/packages/nutmegproxy-scheduling/src/index.ts
+++ b/packages/nutmegproxy-scheduling/src/index.ts
@@ -20,4 +20,6 @@
 export {SharingPolicy} from './SharingPolicy.ts';
 export {collectReadySteps, planStarts} from './StartPlanner.ts';
 export type {AdviceView, PlanContext} from './StartPlanner.ts';
+export {referenceCores, TailModel} from './TailModel.ts';
+export type {Disturber} from './TailModel.ts';
 export {WorkEstimate} from './WorkEstimate.ts';
