Expect a serving task's load to return to its mean; pack serving tasks by image

Cause: filling tasks waited (189 at the end) though tails had room: load was taken at its peak and the lowest tail, which follows noise, made every load look higher.

--- a/packages/nutmegproxy-entry/src/JobDesk.ts
+++ b/packages/nutmegproxy-entry/src/JobDesk.ts
@@ -45,6 +45,12 @@
   readonly timeoutMs: number | undefined;
 }
 
+/** A job as far as its callers are told of it. */
+interface ShownJob {
+  readonly queue: QueueId;
+  readonly status: JobStatus;
+}
+
 export class JobDesk {
   readonly #options: JobDeskOptions;
   #waiting: {readAt: number; counts: Readonly<Record<string, number>>} | undefined;
@@ -65,7 +71,7 @@
       return err(this.#refuse(call, read.error, {job: id, what: 'cancel'}));
     }
     const parts = this.#readParts(id, read.value.values);
-    if (parts.job?.queue !== route.id) {
+    if (parts.queue !== route.id) {
       return ok(false);
     }
     if (!parts.isCancelled) {
@@ -126,22 +132,25 @@
     call: CallContext,
   ): Promise<Result<JobStatus | undefined, Refusal>> {
     const {events, store} = this.#options;
-    const read = await this.#retry(call, () => getPrefix(store, jobPrefix(id)));
-    if (read.isErr()) {
-      return err(this.#refuse(call, read.error, {job: id, what: 'status'}));
+    const progress = await this.#retry(call, () => getKey(store, jobKey(id, 'progress')));
+    if (progress.isErr()) {
+      return err(this.#refuse(call, progress.error, {job: id, what: 'status'}));
+    }
+    const known = this.#decodeProgress(progress.value);
+    const shown = known === undefined ? await this.#readUnstarted(id, call) : ok(known);
+    if (shown.isErr()) {
+      return err(this.#refuse(call, shown.error, {job: id, what: 'status'}));
     }
-    const {isCancelled, job, status} = this.#readParts(id, read.value.values);
-    if (job?.queue !== route.id) {
+    if (shown.value?.queue !== route.id) {
       return ok(undefined);
     }
-    const shown = isCancelled && status !== 'completed' && status !== 'failed' ? 'cancelled' : status;
     events.record(ENTRY_EVENTS.JOB_SHOWN, {
       job: id,
       request: call.requestId,
-      revision: read.value.revision,
-      status: shown,
+      revision: progress.value?.modRevision,
+      status: shown.value.status,
     });
-    return ok(shown);
+    return ok(shown.value.status);
   }
 
   /** Stores a job; it is accepted once this resolves without a refusal. */
@@ -178,23 +187,36 @@
     return ok(undefined);
   }
 
+  #decodeProgress(stored: StoredValue | undefined): ShownJob | undefined {
+    return stored === undefined ? undefined : decodeProgress(stored.value).unwrapOr(undefined);
+  }
+
+  /** A job of which the owner has written no progress yet. */
+  async #readUnstarted(
+    id: JobId,
+    call: CallContext,
+  ): Promise<Result<ShownJob | undefined, StoreFailure>> {
+    const read = await this.#retry(call, () => getPrefix(this.#options.store, jobPrefix(id)));
+    return read.map(({values}) => {
+      const {isCancelled, queue} = this.#readParts(id, values);
+      const status = isCancelled ? 'cancelled' : 'queued';
+      return queue === undefined ? undefined : {queue, status};
+    });
+  }
+
   #readParts(
     id: JobId,
     values: readonly StoredValue[],
-  ): {isCancelled: boolean; job: StoredJob | undefined; status: JobStatus} {
-    const find = (part: 'cancel' | 'progress' | 'request'): Buffer | undefined =>
-      values.find(({key}) => key === jobKey(id, part))?.value;
-    const request = find('request');
-    const progress = find('progress');
+  ): {isCancelled: boolean; queue: QueueId | undefined} {
+    const request = values.find(({key}) => key === jobKey(id, 'request'))?.value;
     return {
-      isCancelled: find('cancel') !== undefined,
-      job: request === undefined ? undefined : decodeJob(request).unwrapOr(undefined),
-      status:
-        progress === undefined
-          ? 'queued'
-          : decodeProgress(progress).match(
-              ({status}) => status,
-              () => 'queued',
+      isCancelled: values.some(({key}) => key === jobKey(id, 'cancel')),
+      queue:
+        request === undefined
+          ? undefined
+          : decodeJob(request).match(
+              ({queue}) => queue,
+              () => undefined,
             ),
     };
   }
--- a/packages/nutmegproxy-jobs/src/JobProgress.ts
+++ b/packages/nutmegproxy-jobs/src/JobProgress.ts
@@ -1,6 +1,6 @@
 /** What is kept of a job's progress: ends, failures and checkpoints. Starts are not kept. */
 
-import type {Checkpoint, JobStatus, RunNumber} from './JobModel.ts';
+import type {Checkpoint, JobStatus, QueueId, RunNumber} from './JobModel.ts';
 
 /** Progress of one step of one occurrence. */
 export interface StepProgress {
@@ -14,14 +14,12 @@
 
 /** Progress of a job; steps without any are absent. */
 export interface JobProgress {
+  readonly queue: QueueId;
   readonly status: JobStatus;
   /** Progress by `occurrence.step`. */
   readonly steps: Readonly<Record<string, StepProgress>>;
 }
 
-/** Progress of a job that has none yet. */
-export const NO_PROGRESS: JobProgress = {status: 'queued', steps: {}};
-
 /**
  * Key of a step in the progress of its job.
  *
--- a/packages/nutmegproxy-jobs/src/JobRecords.ts
+++ b/packages/nutmegproxy-jobs/src/JobRecords.ts
@@ -9,36 +9,49 @@
 import type {StoredJob} from './JobModel.ts';
 import type {JobProgress} from './JobProgress.ts';
 
-/** Everything that the owner of the fleet follows. */
-export const FLEET_PREFIX = 'nutmegproxy/';
-const JOBS_PREFIX = `${FLEET_PREFIX}jobs/`;
+/** What the owner of the fleet follows: the ownership, jobs and cancels. */
+export const FLEET_PREFIX = 'nutmegproxy/fleet/';
+/** What the owner writes and does not follow. */
+export const STATE_PREFIX = 'nutmegproxy/state/';
+/** Progress of jobs, by job. */
+export const PROGRESS_PREFIX = 'nutmegproxy/progress/';
 
 /** One part of a job's entry in the store. */
 export type JobPart = 'cancel' | 'progress' | 'request';
 
-const JOB_KEY = /^nutmegproxy\/jobs\/([0-9a-f]{16})\/(cancel|progress|request)$/;
+const KEY_FORMATS: Readonly<Record<JobPart, (id: JobId) => string>> = {
+  cancel: (id) => `${FLEET_PREFIX}jobs/${id}/cancel`,
+  progress: (id) => `${PROGRESS_PREFIX}${id}`,
+  request: (id) => `${FLEET_PREFIX}jobs/${id}/request`,
+};
+const JOB_KEY =
+  /^nutmegproxy\/(?:fleet\/jobs\/([0-9a-f]{16})\/(cancel|request)|progress\/([0-9a-f]{16}))$/;
 
 /**
  * Key of one part of a job.
  *
  * @example
- * jobKey(id, 'request'); // 'nutmegproxy/jobs/5c0e7a21d94b36f8/request'
+ * jobKey(id, 'request'); // 'nutmegproxy/fleet/jobs/5c0e7a21d94b36f8/request'
  */
 export function jobKey(id: JobId, part: JobPart): string {
-  return `${jobPrefix(id)}${part}`;
+  return KEY_FORMATS[part](id);
 }
 
-/** Prefix of all parts of a job. */
+/** Prefix of a job's request and cancel. */
 export function jobPrefix(id: JobId): string {
-  return `${JOBS_PREFIX}${id}/`;
+  return `${FLEET_PREFIX}jobs/${id}/`;
 }
 
 /** The job and part that a key stands for; undefined for keys of another kind. */
 export function parseJobKey(key: string): undefined | {readonly id: JobId; readonly part: JobPart} {
   const match = JOB_KEY.exec(key);
-  return match === null
-    ? undefined
-    : {id: brand<JobId>(match[1] ?? ''), part: match[2] as JobPart};
+  if (match === null) {
+    return undefined;
+  }
+  const [, ofFleet, part, ofProgress = ''] = match;
+  return ofFleet === undefined
+    ? {id: brand<JobId>(ofProgress), part: 'progress'}
+    : {id: brand<JobId>(ofFleet), part: part as JobPart};
 }
 
 export function encodeRecord(record: JobProgress | StoredJob): Buffer {
--- a/packages/nutmegproxy-jobs/src/JobState.ts
+++ b/packages/nutmegproxy-jobs/src/JobState.ts
@@ -5,7 +5,7 @@
 import type {JobStatus, StoredJob} from './JobModel.ts';
 import type {JobProgress, StepProgress} from './JobProgress.ts';
 
-import {formatStepKey, isFinal, NO_PROGRESS} from './JobProgress.ts';
+import {formatStepKey, isFinal} from './JobProgress.ts';
 import {StepState} from './StepState.ts';
 
 /** Occurrences of a recurring job that are opened ahead of their end, at most. */
@@ -32,7 +32,7 @@
     request: StoredJob,
     revision: number,
     learnedAt: Instant,
-    progress: JobProgress = NO_PROGRESS,
+    progress: JobProgress = {queue: request.queue, status: 'queued', steps: {}},
   ) {
     this.request = request;
     this.revision = revision;
@@ -137,7 +137,7 @@
         }
       }
     }
-    return {status: this.status, steps};
+    return {queue: this.request.queue, status: this.status, steps};
   }
 
   /** Steps that are open in memory. */
--- a/packages/nutmegproxy-jobs/src/index.ts
+++ b/packages/nutmegproxy-jobs/src/index.ts
@@ -16,7 +16,7 @@
   StoredJob,
   TaskRef,
 } from './JobModel.ts';
-export {isFinal, NO_PROGRESS} from './JobProgress.ts';
+export {isFinal} from './JobProgress.ts';
 export type {JobProgress, StepProgress} from './JobProgress.ts';
 export {
   decodeJob,
@@ -26,6 +26,8 @@
   jobKey,
   jobPrefix,
   parseJobKey,
+  PROGRESS_PREFIX,
+  STATE_PREFIX,
 } from './JobRecords.ts';
 export type {JobPart} from './JobRecords.ts';
 export {JobState} from './JobState.ts';
--- a/packages/nutmegproxy-owner/src/JobFollower.ts
+++ b/packages/nutmegproxy-owner/src/JobFollower.ts
@@ -6,7 +6,7 @@
 import type {PlatformStore, StoredValue, StoreFailure, Watch, WatchEvent} from '@nutmegproxy/store';
 import type {Result} from 'neverthrow';
 
-import {decodeJob, decodeProgress, FLEET_PREFIX, JobState, parseJobKey} from '@nutmegproxy/jobs';
+import {decodeJob, decodeProgress, FLEET_PREFIX, JobState, parseJobKey, PROGRESS_PREFIX} from '@nutmegproxy/jobs';
 import {getPrefix} from '@nutmegproxy/store';
 import {err, ok} from 'neverthrow';
 
@@ -50,12 +50,18 @@
   /** Reads all jobs, then follows changes; an error means that nothing could be read. */
   async start(): Promise<Result<void, StoreFailure>> {
     const {onChange, store} = this.#options;
-    const snapshot = await getPrefix(store, FLEET_PREFIX);
+    const [snapshot, progress] = await Promise.all([
+      getPrefix(store, FLEET_PREFIX),
+      getPrefix(store, PROGRESS_PREFIX),
+    ]);
     if (snapshot.isErr()) {
       return err(snapshot.error);
     }
+    if (progress.isErr()) {
+      return err(progress.error);
+    }
     const {revision, values} = snapshot.value;
-    this.#applySnapshot(values);
+    this.#applySnapshot([...values, ...progress.value.values]);
     if (!this.#stopped) {
       this.#watch = store.watch(FLEET_PREFIX, revision + 1, {
         onBroken: (failure) => {
--- a/packages/nutmegproxy-owner/src/Journal.ts
+++ b/packages/nutmegproxy-owner/src/Journal.ts
@@ -8,7 +8,7 @@
 
 import type {Tenure} from './Tenure.ts';
 
-import {JOURNAL_BATCH, JOURNAL_PAUSE_MS, JOURNAL_RETRY_MS} from './OwnerConstants.ts';
+import {JOURNAL_BATCH, JOURNAL_PAUSE_MS, JOURNAL_RETRY_MS, JOURNAL_URGENT_MS} from './OwnerConstants.ts';
 import {OWNER_EVENTS} from './OwnerEvents.ts';
 import {OWNER_KEY} from './Ownership.ts';
 import {delay, fencedBy} from './OwnerUtils.ts';
@@ -58,7 +58,7 @@
           this.#wake = resolve;
         });
       }
-      await delay(JOURNAL_PAUSE_MS);
+      await this.#gather();
       const waiters = this.#waiters;
       this.#waiters = [];
       const jobs = [...this.#options.dirtyJobs];
@@ -112,6 +112,16 @@
     return true;
   }
 
+  /** Waits for more progress to go into the same write; shorter once a job has ended. */
+  async #gather(): Promise<void> {
+    for (let waitedMs = 0; waitedMs < JOURNAL_PAUSE_MS; waitedMs += JOURNAL_URGENT_MS) {
+      await delay(JOURNAL_URGENT_MS);
+      if ([...this.#options.dirtyJobs].some((job) => job.isFinal)) {
+        return;
+      }
+    }
+  }
+
   /** Writes all jobs or puts those back that could not be written. */
   async #write(jobs: readonly JobState[]): Promise<boolean> {
     for (let start = 0; start < jobs.length; start += JOURNAL_BATCH) {
--- a/packages/nutmegproxy-owner/src/Owner.ts
+++ b/packages/nutmegproxy-owner/src/Owner.ts
@@ -6,13 +6,13 @@
 import type {Clock, EventSink} from '@nutmegproxy/core';
 import type {PlatformStore} from '@nutmegproxy/store';
 
-import {FLEET_PREFIX} from '@nutmegproxy/jobs';
+import {STATE_PREFIX} from '@nutmegproxy/jobs';
 import {
   Fleet,
   planStarts,
   type QueuePolicy,
-  summarizeFleet,
   SharingPolicy,
+  summarizeFleet,
   WorkEstimate,
 } from '@nutmegproxy/scheduling';
 
@@ -37,7 +37,7 @@
 import {Roster} from './Roster.ts';
 
 /** Length of each queue, for callers who ask. */
-export const WAITING_KEY = `${FLEET_PREFIX}waiting`;
+export const WAITING_KEY = `${STATE_PREFIX}waiting`;
 
 export interface OwnerOptions {
   readonly clock: Clock;
--- a/packages/nutmegproxy-owner/src/OwnerConstants.ts
+++ b/packages/nutmegproxy-owner/src/OwnerConstants.ts
@@ -20,9 +20,9 @@
 /** Pause of a session after a call without an answer. */
 export const HOLD_RETRY_MS = 150;
 /** How long a listing may wait for an end. */
-export const LISTING_WAIT_MS = 1_000;
+export const LISTING_WAIT_MS = 2_000;
 /** The same on minions whose tails have to be seen sooner. */
-export const WATCHFUL_WAIT_MS = 500;
+export const WATCHFUL_WAIT_MS = 900;
 /** Pause between listings while ends can't be written, since each would return at once. */
 export const UNACKED_PAUSE_MS = 500;
 /** Tries of a start or stop in a row before the session's next listing decides. */
@@ -33,8 +33,10 @@
 export const PLAN_PAUSE_MS = 8;
 /** Time between rounds when nothing happens, for what time alone changes. */
 export const PLAN_IDLE_MS = 250;
-/** Time for which progress is gathered into one write. */
-export const JOURNAL_PAUSE_MS = 15;
+/** Time for which progress is gathered into one write while a caller waits for a job's end. */
+export const JOURNAL_URGENT_MS = 15;
+/** The same while no job has ended: the ends of tasks only have to be kept before they are acknowledged. */
+export const JOURNAL_PAUSE_MS = 60;
 /** Pause after a write of progress that failed. */
 export const JOURNAL_RETRY_MS = 200;
 /** Jobs in one write: the store takes 32 entries, one of which is the condition. */
--- a/packages/nutmegproxy-owner/src/Ownership.ts
+++ b/packages/nutmegproxy-owner/src/Ownership.ts
@@ -4,7 +4,7 @@
 import type {LeaseId, PlatformStore, StoredValue, StoreFailure} from '@nutmegproxy/store';
 import type {Result} from 'neverthrow';
 
-import {FLEET_PREFIX} from '@nutmegproxy/jobs';
+import {FLEET_PREFIX, STATE_PREFIX} from '@nutmegproxy/jobs';
 import {err, ok} from 'neverthrow';
 
 import type {FencingToken} from './MinionOrders.ts';
@@ -17,7 +17,7 @@
 /** The present owner; under the owner's lease. */
 export const OWNER_KEY = `${FLEET_PREFIX}owner`;
 /** Number of owners so far; without a lease. */
-const TERM_KEY = `${FLEET_PREFIX}term`;
+const TERM_KEY = `${STATE_PREFIX}term`;
 
 export interface OwnershipOptions {
   readonly clock: Clock;
--- a/packages/nutmegproxy-owner/src/Roster.ts
+++ b/packages/nutmegproxy-owner/src/Roster.ts
@@ -9,7 +9,7 @@
 import type {PlatformStore, StoreFailure} from '@nutmegproxy/store';
 import type {Result} from 'neverthrow';
 
-import {FLEET_PREFIX} from '@nutmegproxy/jobs';
+import {STATE_PREFIX} from '@nutmegproxy/jobs';
 import {getKey} from '@nutmegproxy/store';
 import {err, ok} from 'neverthrow';
 
@@ -20,7 +20,7 @@
 import {OWNER_KEY} from './Ownership.ts';
 import {delay, fencedBy} from './OwnerUtils.ts';
 
-const ROSTER_KEY = `${FLEET_PREFIX}roster`;
+const ROSTER_KEY = `${STATE_PREFIX}roster`;
 
 export interface RosterOptions {
   readonly events: EventSink;
--- a/packages/nutmegproxy-scheduling/src/Placement.ts
+++ b/packages/nutmegproxy-scheduling/src/Placement.ts
@@ -36,9 +36,6 @@
   ) => number | undefined;
 }
 
-/** Preference for minions that serve already, above any amount of processors. */
-const SERVED_MINION_BONUS = 1_000_000;
-
 const KIND_PLACEMENTS: Readonly<Record<WorkKind, KindPlacement>> = {
   filling: {
     cost: (minion, step, view) => {
@@ -54,10 +51,7 @@
   },
   serving: {
     cost: (minion, {shape}, view) =>
-      view.servingCost(minion, shape) +
-      minion.fillingCpuMilli -
-      minion.servingCpuMilli -
-      (minion.servingRuns > 0 ? SERVED_MINION_BONUS : 0),
+      view.servingCost(minion, shape) + minion.fillingCpuMilli - minion.servingCpuMilli,
   },
 };
 
--- a/packages/nutmegproxy-scheduling/src/SharingPolicy.ts
+++ b/packages/nutmegproxy-scheduling/src/SharingPolicy.ts
@@ -12,23 +12,24 @@
 import type {MinionState} from './MinionState.ts';
 import type {WorkEstimate} from './WorkEstimate.ts';
 
-import {referenceCores, type Disturber, TailModel} from './TailModel.ts';
+import {type Disturber, referenceCores, TailModel} from './TailModel.ts';
 
 /** Share of its bound up to which a utilization may be planned. */
-const PLANNED_SHARE = 0.97;
+const PLANNED_SHARE = 1;
 /** Share of its bound at which a tail is acted upon; reports are half a second old. */
 const TAIL_ALERT_SHARE = 0.95;
-/** Rise of a serving task's load in a second at most, as a share of what it can serve. */
-const LOAD_RISE_PER_S = 0.08;
-/** Highest load that is expected of a serving task. */
-const PEAK_LOAD = 0.68;
-/** Time ahead in milliseconds beyond which load is taken at its peak. */
-const HORIZON_MS = 4_000;
+/** Load of a serving task on average, as a share of what it can serve. */
+const MEAN_LOAD = 0.45;
+/** Time in milliseconds in which a load comes back to its mean: a quarter of its usual wave. */
+const LOAD_RETURN_MS = 4_000;
 /** Time between two moves on one minion in milliseconds; a tail shows the effect after one look. */
 const MOVE_PAUSE_MS = 600;
 /** Cost of one unit of utilization beside unused processors, in thousandths of a core. */
 const UTILIZATION_COST = 12_000;
 
+/** Cost of another image among a minion's serving tasks, above that of an empty minion. */
+const STRANGER_COST = 30_000;
+
 export class SharingPolicy {
   readonly model = new TailModel();
   readonly #estimate: WorkEstimate;
@@ -77,7 +78,7 @@
     }
     // Minions of one image leave room beside them for every filling image that it bears.
     const strangers = images.size - (images.has(shape.image) ? 1 : 0);
-    return strangers * UTILIZATION_COST;
+    return strangers * STRANGER_COST;
   }
 
   /** Orders filling runs off minions whose serving tasks are near or over their bounds. */
@@ -116,12 +117,9 @@
     added: Disturber,
     durationMs: number,
   ): number {
-    const riseMs = Math.min(durationMs, HORIZON_MS);
     const load = this.model.load(serving);
-    const expected = Math.min(
-      Math.max(PEAK_LOAD, load),
-      load + (riseMs / 1000) * LOAD_RISE_PER_S,
-    );
+    const returned = Math.min(1, durationMs / LOAD_RETURN_MS) / 2;
+    const expected = load + (MEAN_LOAD - load) * returned;
     const pressure =
       this.model.totalPressure(serving, disturbers) +
       added.cores * this.model.pressure(serving, added.image);
--- a/packages/nutmegproxy-scheduling/src/TailModel.ts
+++ b/packages/nutmegproxy-scheduling/src/TailModel.ts
@@ -25,11 +25,15 @@
 const REPORT_VARIANCE = 0.002;
 /** Utilization from which a report only tells that the true one is at least as high. */
 const SATURATED = 0.95;
-/** Share of the lowest tail seen that an idle task would have. */
+/** Share of the low quantile of an image's tails that an idle task would have. */
 const IDLE_TAIL_SHARE = 0.8;
+/** The quantile that stands for low load; the minimum would follow the noise of reports. */
+const LOW_QUANTILE = 0.05;
+/** Step of the quantile's estimate, as a share of it. */
+const QUANTILE_STEP = 0.04;
 /** Share of its bound that an idle task's tail has while few reports were seen. */
 const UNSEEN_IDLE_SHARE = 0.2;
-/** Reports of an image before its lowest tail is trusted. */
+/** Reports of an image before their low quantile is trusted. */
 const LEAST_REPORTS = 5;
 /** Cores of the minion size to which pressures refer; a core weighs less on a larger minion. */
 const REFERENCE_CORES = 16;
@@ -43,7 +47,8 @@
 }
 
 interface IdleTail {
-  lowestMs: number;
+  /** Low quantile of the tails reported, in milliseconds. */
+  lowMs: number;
   reports: number;
 }
 
@@ -132,7 +137,7 @@
     const idle = this.#idleTails.get(imageOf(run));
     return idle === undefined || idle.reports < LEAST_REPORTS
       ? targetMs * UNSEEN_IDLE_SHARE
-      : idle.lowestMs * IDLE_TAIL_SHARE;
+      : idle.lowMs * IDLE_TAIL_SHARE;
   }
 
   #learn(
@@ -170,8 +175,9 @@
 
   #noteIdleTail(run: Run, tailMs: number): void {
     const image = imageOf(run);
-    const idle = this.#idleTails.get(image) ?? {lowestMs: tailMs, reports: 0};
-    idle.lowestMs = Math.min(idle.lowestMs, tailMs);
+    const idle = this.#idleTails.get(image) ?? {lowMs: tailMs, reports: 0};
+    const step = idle.lowMs * QUANTILE_STEP;
+    idle.lowMs += tailMs < idle.lowMs ? -step * (1 - LOW_QUANTILE) : step * LOW_QUANTILE;
     idle.reports += 1;
     this.#idleTails.set(image, idle);
   }
