--- a/packages/nutmegproxy-owner/src/MinionSession.ts
+++ b/packages/nutmegproxy-owner/src/MinionSession.ts
@@ -138,7 +138,6 @@
       this.#bornAt = listing.bornAt;
     }
     this.minion.clock.observe(listing.clockMs, now);
-    this.minion.clock.settle();
     this.#noteDurations(listing, now);
     reviewListing(fleet, this.minion, listing, {askedAt, now, seenThrough: this.#seen});
     this.#seen = Math.max(this.#seen, ...listing.ended.map(({sequence}) => sequence));
--- a/packages/nutmegproxy-owner/src/Owner.ts
+++ b/packages/nutmegproxy-owner/src/Owner.ts
@@ -112,7 +112,7 @@
   /** Owns the fleet until the tenure ends; returns why it ended. */
   async run(): Promise<string> {
     const {events, tenure} = this.#options;
-    events.record(OWNER_EVENTS.RECOVERY_STARTED, {term: tenure.term, token: tenure.token});
+    events.record(OWNER_EVENTS.RECOVERY_STARTED, {fence: tenure.token, term: tenure.term});
     void this.#journal.run();
     await this.#recover();
     void this.#publishWaiting();
--- a/packages/nutmegproxy-owner/src/OwnerCandidate.ts
+++ b/packages/nutmegproxy-owner/src/OwnerCandidate.ts
@@ -114,8 +114,8 @@
 
   async #own(tenure: Tenure): Promise<void> {
     const {createOwner, events, vm} = this.#options;
-    const {term, token} = tenure;
-    events.record(OWNER_EVENTS.OWNERSHIP_TAKEN, {term, token, vm});
+    const {term, token: fence} = tenure;
+    events.record(OWNER_EVENTS.OWNERSHIP_TAKEN, {fence, term, vm});
     this.#tenure = tenure;
     this.#owner = createOwner(tenure);
     void this.#ownership.renew(tenure);
--- a/packages/nutmegproxy-scheduling/src/HoldClock.ts
+++ b/packages/nutmegproxy-scheduling/src/HoldClock.ts
@@ -4,6 +4,8 @@
 
 /** Largest rate by which a minion's clock may run slow, from the platform's bounds. */
 const SLOW_CLOCK_RATE = 0.02;
+/** Longest hold in milliseconds that a minion grants, from the platform's bounds. */
+const LONGEST_HOLD_MS = 10_000;
 /** Added before a hold counts as lapsed, in milliseconds: the minion's timers fire slightly late. */
 const LAPSE_MARGIN_MS = 250;
 
@@ -35,7 +37,13 @@
     this.#unheardUntil = instant;
   }
 
+  /** Notes a value of the minion's clock that an answer carried. */
   observe(clockMs: number, receivedAt: Instant): void {
+    if (this.#reading === undefined) {
+      // Another owner may have granted a hold before this one heard of the minion.
+      this.#heldUntilMs = clockMs + LONGEST_HOLD_MS;
+      this.#unheardUntil = undefined;
+    }
     // Answers may overtake each other; the newest clock value is the best.
     if (this.#reading === undefined || clockMs >= this.#reading.clockMs) {
       this.#reading = {clockMs, receivedAt};
@@ -67,9 +75,4 @@
     const elapsedMs = (now - this.#reading.receivedAt) * (1 - SLOW_CLOCK_RATE);
     return this.#reading.clockMs + elapsedMs > this.#heldUntilMs + LAPSE_MARGIN_MS;
   }
-
-  /** A former owner's holds are known from the minion's own list from now on. */
-  settle(): void {
-    this.#unheardUntil = undefined;
-  }
 }
