--- a/packages/nutmegproxy-owner/src/Journal.ts
+++ b/packages/nutmegproxy-owner/src/Journal.ts
@@ -25,6 +25,7 @@
 
 export class Journal {
   readonly #options: JournalOptions;
+  #isWriting = false;
   #stopped = false;
   #wake: (() => void) | undefined;
   #waiters: (() => void)[] = [];
@@ -35,7 +36,9 @@
 
   /** Whether everything noted so far is in the store. */
   get isClean(): boolean {
-    return this.#options.dirtyJobs.size === 0 && this.#waiters.length === 0;
+    return (
+      this.#options.dirtyJobs.size === 0 && this.#waiters.length === 0 && !this.#isWriting
+    );
   }
 
   /** Resolves once everything noted so far is in the store; not before the store answers. */
@@ -63,7 +66,10 @@
       this.#waiters = [];
       const jobs = [...this.#options.dirtyJobs];
       this.#options.dirtyJobs.clear();
-      if (await this.#write(jobs)) {
+      this.#isWriting = true;
+      const isWritten = await this.#write(jobs);
+      this.#isWriting = false;
+      if (isWritten) {
         for (const resolve of waiters) {
           resolve();
         }
