--- /dev/null
+++ b/packages/nutmegproxy-owner/src/__tests__/unit/Journal.test.ts
@@ -0,0 +1,104 @@
+import type {Instant, JobId, WallTime} from '@nutmegproxy/core';
+import type {QueueId, ServiceId} from '@nutmegproxy/jobs';
+import type {LeaseId} from '@nutmegproxy/store';
+
+import {brand, SILENT_EVENTS} from '@nutmegproxy/core';
+import {JobState} from '@nutmegproxy/jobs';
+import {MemoryStore} from '@nutmegproxy/standins';
+import {put} from '@nutmegproxy/store';
+import assert from 'node:assert/strict';
+import {after, afterEach, beforeEach, describe, it} from 'node:test';
+
+import type {FencingToken} from '../../MinionOrders.ts';
+
+import {Journal} from '../../Journal.ts';
+import {OWNER_KEY} from '../../Ownership.ts';
+import {Tenure} from '../../Tenure.ts';
+
+function createJob(): JobState {
+  return new JobState(
+    {
+      acceptedAt: 0 as WallTime,
+      id: brand<JobId>('00000000000000a1'),
+      payload: '',
+      queue: 'queue' as QueueId,
+      recurrence: undefined,
+      service: 'service' as ServiceId,
+      steps: [],
+    },
+    1,
+    0 as Instant,
+  );
+}
+
+async function settle(): Promise<void> {
+  await new Promise((resolve) => setTimeout(resolve, 20));
+}
+
+describe('Journal', () => {
+  // The journal's own timers keep no process alive.
+  const keepAlive = setInterval(() => undefined, 1_000);
+  after(() => {
+    clearInterval(keepAlive);
+  });
+
+  const dirtyJobs = new Set<JobState>();
+  let fenced: number;
+  let journal: Journal;
+  let store: MemoryStore;
+
+  beforeEach(async () => {
+    dirtyJobs.clear();
+    fenced = 0;
+    store = new MemoryStore();
+    const revision = (await put(store, OWNER_KEY, Buffer.from('vm')))._unsafeUnwrap();
+    const grant = {lease: '1' as LeaseId, term: 0, token: revision as FencingToken};
+    const tenure = new Tenure(grant, 0 as Instant, 0 as WallTime);
+    const onFenced = (): void => {
+      fenced += 1;
+    };
+    journal = new Journal({dirtyJobs, events: SILENT_EVENTS, onFenced, store, tenure});
+    void journal.run();
+  });
+
+  afterEach(() => {
+    journal.stop();
+  });
+
+  it('is not flushed while a write is under way', async () => {
+    store.faults.change({delayMs: 50});
+    dirtyJobs.add(createJob());
+    journal.wake();
+    // The journal takes the job out of the set when it begins to write.
+    while (dirtyJobs.size > 0) {
+      await new Promise((resolve) => setImmediate(resolve));
+    }
+    assert.equal(journal.isClean, false);
+    await journal.flushed();
+    assert.equal(journal.isClean, true);
+  });
+
+  it('keeps what could not be written', async () => {
+    store.faults.change({down: true});
+    dirtyJobs.add(createJob());
+    let isFlushed = false;
+    void journal.flushed().then(() => {
+      isFlushed = true;
+    });
+    await settle();
+    assert.equal(isFlushed, false);
+    store.faults.change({down: false});
+    await journal.flushed();
+    assert.equal(dirtyJobs.size, 0);
+  });
+
+  it('tells when another owner has taken over, and writes nothing', async () => {
+    await put(store, OWNER_KEY, Buffer.from('another'));
+    dirtyJobs.add(createJob());
+    journal.wake();
+    while (fenced === 0) {
+      await settle();
+    }
+    assert.equal(dirtyJobs.size, 1);
+  });
+});
