--- /dev/null
+++ b/packages/nutmegproxy-owner/src/Knowledge.ts
@@ -0,0 +1,83 @@
+/** Keeps what an owner has learned in the store, so that the next one need not learn it again. */
+
+import type {Clock, EventSink} from '@nutmegproxy/core';
+import type {DurationKnowledge, TailKnowledge, TailModel, WorkEstimate} from '@nutmegproxy/scheduling';
+import type {PlatformStore} from '@nutmegproxy/store';
+
+import {STATE_PREFIX} from '@nutmegproxy/jobs';
+import {getKey} from '@nutmegproxy/store';
+
+import type {Tenure} from './Tenure.ts';
+
+import {KNOWLEDGE_PAUSE_MS} from './OwnerConstants.ts';
+import {OWNER_EVENTS} from './OwnerEvents.ts';
+import {OWNER_KEY} from './Ownership.ts';
+import {delay, fencedBy} from './OwnerUtils.ts';
+
+const KNOWLEDGE_KEY = `${STATE_PREFIX}knowledge`;
+
+interface KnowledgeRecord {
+  readonly durations: DurationKnowledge;
+  readonly tails: TailKnowledge;
+}
+
+export interface KnowledgeOptions {
+  readonly clock: Clock;
+  readonly estimate: WorkEstimate;
+  readonly events: EventSink;
+  readonly model: TailModel;
+  readonly store: PlatformStore;
+  readonly tenure: Tenure;
+}
+
+export class Knowledge {
+  readonly #options: KnowledgeOptions;
+  #written = '';
+
+  constructor(options: KnowledgeOptions) {
+    this.#options = options;
+  }
+
+  /** Takes over what the former owner kept; without it, everything is learned anew. */
+  async read(): Promise<void> {
+    const {clock, estimate, events, model, store} = this.#options;
+    const stored = await getKey(store, KNOWLEDGE_KEY);
+    if (stored.isErr() || stored.value === undefined) {
+      return;
+    }
+    try {
+      const {durations, tails} = JSON.parse(stored.value.value.toString()) as KnowledgeRecord;
+      estimate.import(durations);
+      model.import(tails, clock.monotonic());
+    } catch (error) {
+      const message = error instanceof Error ? error.message : String(error);
+      events.record(OWNER_EVENTS.RECORD_MALFORMED, {key: KNOWLEDGE_KEY, message});
+    }
+  }
+
+  /** Writes what is new from time to time while the ownership lasts. */
+  async run(isActing: () => boolean): Promise<void> {
+    const {estimate, events, model, store, tenure} = this.#options;
+    for (;;) {
+      await delay(KNOWLEDGE_PAUSE_MS);
+      if (!isActing()) {
+        return;
+      }
+      const record: KnowledgeRecord = {durations: estimate.export(), tails: model.export()};
+      const text = JSON.stringify(record);
+      if (text === this.#written) {
+        continue;
+      }
+      const written = await store.commit({
+        compare: [fencedBy(OWNER_KEY, tenure)],
+        then: [{key: KNOWLEDGE_KEY, kind: 'put', value: Buffer.from(text)}],
+      });
+      if (written.isOk()) {
+        this.#written = text;
+      } else {
+        const {kind, message} = written.error;
+        events.record(OWNER_EVENTS.JOURNAL_FAILED, {kind, message, what: 'knowledge'});
+      }
+    }
+  }
+}
--- a/packages/nutmegproxy-owner/src/MinionSession.ts
+++ b/packages/nutmegproxy-owner/src/MinionSession.ts
@@ -22,6 +22,7 @@
   LISTING_WAIT_MS,
   ORDER_RETRY_MS,
   ORDER_TRIES,
+  PRESSED_WAIT_MS,
   UNACKED_PAUSE_MS,
   WATCHFUL_WAIT_MS,
 } from './OwnerConstants.ts';
@@ -33,6 +34,8 @@
   readonly events: EventSink;
   readonly findTicket: (run: Run) => Ticket | undefined;
   readonly fleet: Fleet;
+  /** Whether a serving task of the minion is near or over its bound. */
+  readonly isPressed: (minion: MinionState) => boolean;
   readonly journal: Journal;
   /** Called after anything that may allow new starts. */
   readonly onChange: () => void;
@@ -192,6 +195,9 @@
       return 0;
     }
     const {fillingCpuMilli, servingRuns} = this.minion;
+    if (this.#context.isPressed(this.minion)) {
+      return PRESSED_WAIT_MS;
+    }
     return servingRuns > 0 && fillingCpuMilli > 0 ? WATCHFUL_WAIT_MS : LISTING_WAIT_MS;
   }
 
--- a/packages/nutmegproxy-owner/src/Owner.ts
+++ b/packages/nutmegproxy-owner/src/Owner.ts
@@ -23,6 +23,7 @@
 import {FleetFollower} from './FleetFollower.ts';
 import {JobFollower} from './JobFollower.ts';
 import {Journal} from './Journal.ts';
+import {Knowledge} from './Knowledge.ts';
 import {
   FOLLOW_RETRY_MS,
   PLAN_IDLE_MS,
@@ -55,6 +56,7 @@
   readonly #fleet: Fleet;
   readonly #jobs: JobFollower;
   readonly #journal: Journal;
+  readonly #knowledge: Knowledge;
   readonly #minions: FleetFollower;
   readonly #options: OwnerOptions;
   #publishedWaiting = '';
@@ -79,6 +81,14 @@
     const {dirtyJobs} = this.#fleet;
     this.#journal = new Journal({dirtyJobs, events, onFenced, store, tenure});
     this.#roster = new Roster({events, onFenced, store, tenure});
+    this.#knowledge = new Knowledge({
+      clock,
+      estimate: this.#estimate,
+      events,
+      model: this.#sharing.model,
+      store,
+      tenure,
+    });
     const fleet = this.#fleet;
     this.#jobs = new JobFollower({clock, events, fleet, onChange, onFenced, store, tenure});
     this.#minions = new FleetFollower({
@@ -93,6 +103,7 @@
         events,
         findTicket: () => undefined,
         fleet,
+        isPressed: (minion) => this.#sharing.isPressed(minion),
         journal: this.#journal,
         onChange,
         onFenced,
@@ -116,6 +127,7 @@
     void this.#journal.run();
     await this.#recover();
     void this.#publishWaiting();
+    void this.#knowledge.run(() => this.#isActing());
     while (this.#isActing()) {
       this.#plan();
       await this.#sleep();
@@ -208,7 +220,11 @@
   async #recover(): Promise<void> {
     const {events} = this.#options;
     while (this.#isActing()) {
-      const [jobs, former] = await Promise.all([this.#jobs.start(), this.#roster.read()]);
+      const [jobs, former] = await Promise.all([
+        this.#jobs.start(),
+        this.#roster.read(),
+        this.#knowledge.read(),
+      ]);
       const minions = former.isOk() ? await this.#minions.start(former.value) : former;
       if (jobs.isOk() && minions.isOk()) {
         return;
--- a/packages/nutmegproxy-scheduling/src/SharingPolicy.ts
+++ b/packages/nutmegproxy-scheduling/src/SharingPolicy.ts
@@ -24,6 +24,11 @@
 const LOAD_RETURN_MS = 4_000;
 /** Time between two moves on one minion in milliseconds; a tail shows the effect after one look. */
 const MOVE_PAUSE_MS = 600;
+/**
+ * Time in milliseconds after which no filling task stays beside a tail that is over its bound; with
+ * a look and a stop it is well below the platform's bound on harm, 4 s.
+ */
+const MOVE_ALL_AFTER_MS = 1_500;
 /** Cost of one unit of utilization beside unused processors, in thousandths of a core. */
 const UTILIZATION_COST = 12_000;
 
@@ -34,6 +39,7 @@
   readonly model = new TailModel();
   readonly #estimate: WorkEstimate;
   readonly #lastMove = new WeakMap<MinionState, Instant>();
+  readonly #pressedSince = new WeakMap<MinionState, Instant>();
 
   constructor(estimate: WorkEstimate) {
     this.#estimate = estimate;
@@ -81,11 +87,33 @@
     return strangers * STRANGER_COST;
   }
 
-  /** Orders filling runs off minions whose serving tasks are near or over their bounds. */
+  /** Whether a serving task of the minion is near or over its bound, so that it is watched closely. */
+  isPressed(minion: MinionState): boolean {
+    return this.#pressedSince.has(minion);
+  }
+
+  /**
+   * Orders filling runs off a minion whose serving tasks are near or over their bounds: the one that
+   * presses most, one after the other, and all of them once a tail has been over for long.
+   */
   moveDisturbers(fleet: Fleet, minion: MinionState, now: Instant): void {
+    const pressed = findPressed(minion);
+    if (pressed === undefined) {
+      this.#pressedSince.delete(minion);
+      return;
+    }
+    const since = this.#pressedSince.get(minion) ?? now;
+    this.#pressedSince.set(minion, since);
+    if (now - since >= MOVE_ALL_AFTER_MS) {
+      for (const run of minion.runs) {
+        if (run.step.shape.fillsSpareCpu) {
+          fleet.stopRun(run, 'interference');
+        }
+      }
+      return;
+    }
     const isPaused = now - (this.#lastMove.get(minion) ?? -Infinity) < MOVE_PAUSE_MS;
-    const pressed = isPaused ? undefined : findPressed(minion);
-    const disturber = pressed === undefined ? undefined : this.#findDisturber(minion, pressed);
+    const disturber = isPaused ? undefined : this.#findDisturber(minion, pressed);
     if (disturber !== undefined) {
       this.#lastMove.set(minion, now);
       fleet.stopRun(disturber, 'interference');
--- a/packages/nutmegproxy-scheduling/src/TailModel.ts
+++ b/packages/nutmegproxy-scheduling/src/TailModel.ts
@@ -40,6 +40,9 @@
 /** Age in milliseconds from which a filling run shows in the tails beside it. */
 const VISIBLE_AFTER_MS = 500;
 
+/** Images of each kind that are remembered; bounds the memory and the record in the store. */
+const MOST_IMAGES = 200;
+
 interface Estimate {
   mean: number;
   updatedAt: Instant;
@@ -52,6 +55,14 @@
   reports: number;
 }
 
+/** What was learned of images, in a form that can be kept; times are not part of it. */
+export interface TailKnowledge {
+  /** Low quantile of the tails and number of reports, by serving image. */
+  readonly idleTails: Readonly<Record<string, readonly [lowMs: number, reports: number]>>;
+  /** Mean and variance of the pressure, by serving and filling image. */
+  readonly pressures: Readonly<Record<string, Readonly<Record<string, readonly [number, number]>>>>;
+}
+
 /** A filling run, or one that may come, as far as it disturbs others. */
 export interface Disturber {
   /** Cores in use, in units of the reference size. */
@@ -85,6 +96,37 @@
     return found;
   }
 
+  /** What was learned so far, to be kept for the next owner. */
+  export(): TailKnowledge {
+    return {
+      idleTails: Object.fromEntries(
+        [...this.#idleTails].map(([image, {lowMs, reports}]) => [image, [lowMs, reports]]),
+      ),
+      pressures: Object.fromEntries(
+        [...this.#pressures].map(([serving, pairs]) => [
+          serving,
+          Object.fromEntries(
+            [...pairs].map(([filling, {mean, variance}]) => [filling, [mean, variance]]),
+          ),
+        ]),
+      ),
+    };
+  }
+
+  /** Takes over what a former owner learned. */
+  import({idleTails, pressures}: TailKnowledge, now: Instant): void {
+    for (const [image, [lowMs, reports]] of Object.entries(idleTails)) {
+      this.#idleTails.set(image, {lowMs, reports});
+    }
+    for (const [serving, pairs] of Object.entries(pressures)) {
+      const known = new Map<string, Estimate>();
+      for (const [filling, [mean, variance]] of Object.entries(pairs)) {
+        known.set(filling, {mean, updatedAt: now, variance});
+      }
+      this.#pressures.set(serving, known);
+    }
+  }
+
   /** Load of a serving run without others' pressure, 0 to 1. */
   load(run: Run): number {
     return this.#loads.get(run)?.mean ?? PRIOR_LOAD.mean;
@@ -173,6 +215,14 @@
     load.variance *= 1 - gain * factor;
   }
 
+  /** Forgets the image that was learned first when there are too many. */
+  #bound(images: Map<string, unknown>): void {
+    const [oldest] = images.keys();
+    if (images.size > MOST_IMAGES && oldest !== undefined) {
+      images.delete(oldest);
+    }
+  }
+
   #noteIdleTail(run: Run, tailMs: number): void {
     const image = imageOf(run);
     const idle = this.#idleTails.get(image) ?? {lowMs: tailMs, reports: 0};
@@ -180,6 +230,7 @@
     idle.lowMs += tailMs < idle.lowMs ? -step * (1 - LOW_QUANTILE) : step * LOW_QUANTILE;
     idle.reports += 1;
     this.#idleTails.set(image, idle);
+    this.#bound(this.#idleTails);
   }
 
   #touchLoad(run: Run, now: Instant): Estimate {
@@ -196,8 +247,10 @@
   #touchPair(serving: string, filling: string, now: Instant): Estimate {
     const pairs = this.#pressures.get(serving) ?? new Map<string, Estimate>();
     this.#pressures.set(serving, pairs);
+    this.#bound(this.#pressures);
     const pair = pairs.get(filling) ?? {...PRIOR_PRESSURE, updatedAt: now};
     pairs.set(filling, pair);
+    this.#bound(pairs);
     pair.variance = Math.min(
       PRIOR_PRESSURE.variance,
       pair.variance + ((now - pair.updatedAt) / 1000) * PRESSURE_DRIFT_PER_S,
--- a/packages/nutmegproxy-scheduling/src/WorkEstimate.ts
+++ b/packages/nutmegproxy-scheduling/src/WorkEstimate.ts
@@ -12,6 +12,9 @@
 /** Bounds on one measured ratio, so that a single odd run teaches little. */
 const RATIO_BOUNDS = {least: 0.2, most: 5};
 
+/** Queues and images that are remembered; bounds the memory and the record in the store. */
+const MOST_KEYS = 2_000;
+
 interface Learned {
   durationMs: number;
   ratio: number;
@@ -21,9 +24,24 @@
   return `${queue} ${image ?? ''}`;
 }
 
+/** What was learned of durations, in a form that can be kept. */
+export type DurationKnowledge = Readonly<Record<string, Readonly<Learned>>>;
+
 export class WorkEstimate {
   readonly #learned = new Map<string, Learned>();
 
+  /** What was learned so far, to be kept for the next owner. */
+  export(): DurationKnowledge {
+    return Object.fromEntries(this.#learned);
+  }
+
+  /** Takes over what a former owner learned. */
+  import(knowledge: DurationKnowledge): void {
+    for (const [key, learned] of Object.entries(knowledge)) {
+      this.#learned.set(key, {...learned});
+    }
+  }
+
   /** Notes how long a run that resumed from nothing took until it was done. */
   note(queue: QueueId, shape: StepShape, durationMs: number): void {
     const key = formatKey(queue, shape.image);
@@ -34,6 +52,10 @@
     const learned = this.#learned.get(key);
     if (learned === undefined) {
       this.#learned.set(key, {durationMs, ratio});
+      const [oldest] = this.#learned.keys();
+      if (this.#learned.size > MOST_KEYS && oldest !== undefined) {
+        this.#learned.delete(oldest);
+      }
       return;
     }
     learned.durationMs += LEARNING_RATE * (durationMs - learned.durationMs);
--- a/packages/nutmegproxy-scheduling/src/index.ts
+++ b/packages/nutmegproxy-scheduling/src/index.ts
@@ -21,5 +21,6 @@
 export {collectReadySteps, planStarts} from './StartPlanner.ts';
 export type {AdviceView, PlanContext} from './StartPlanner.ts';
 export {referenceCores, TailModel} from './TailModel.ts';
-export type {Disturber} from './TailModel.ts';
+export type {Disturber, TailKnowledge} from './TailModel.ts';
 export {WorkEstimate} from './WorkEstimate.ts';
+export type {DurationKnowledge} from './WorkEstimate.ts';
