--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -2,7 +2,7 @@
 import tseslint from 'typescript-eslint';
 
 export default tseslint.config(
-  {ignores: ['**/dist/**', '**/generated/**', '**/node_modules/**']},
+  {ignores: ['**/dist/**', '**/target/**', '**/generated/**', '**/node_modules/**']},
   {
     extends: [tseslint.configs.strictTypeChecked, tseslint.configs.stylisticTypeChecked],
     files: ['**/*.ts'],
--- a/packages/nutmegproxy-emulator/src/__tests__/unit/JobSamples.ts
+++ b/packages/nutmegproxy-emulator/src/__tests__/unit/JobSamples.ts
@@ -57,7 +57,10 @@
   };
 }
 
-export function describeMinion(name: string, change: Partial<MinionDescription> = {}): MinionDescription {
+export function describeMinion(
+  name: string,
+  change: Partial<MinionDescription> = {},
+): MinionDescription {
   return {
     address: `${name}:1`,
     bornAt: 1,
--- a/packages/nutmegproxy-emulator/src/__tests__/unit/Owner.test.ts
+++ b/packages/nutmegproxy-emulator/src/__tests__/unit/Owner.test.ts
@@ -12,7 +12,14 @@
 
 import {EmulatedFleet} from '../../EmulatedFleet.ts';
 import {EmulatedMinion} from '../../EmulatedMinion.ts';
-import {describeMinion, startOwner, stepShape, storedJob, submitJob, waitFor} from './JobSamples.ts';
+import {
+  describeMinion,
+  startOwner,
+  stepShape,
+  storedJob,
+  submitJob,
+  waitFor,
+} from './JobSamples.ts';
 
 describe('Owner', () => {
   let behaviour: (task: string) => TaskBehaviour;
@@ -75,7 +82,10 @@
     it('runs its steps in order, each task once, and is shown as completed', async () => {
       const minions = [addMinion('m1'), addMinion('m2')];
       await start('vm-1');
-      await submitJob(store, storedJob(1, [stepShape({count: 5}), stepShape({after: [0], count: 3})]));
+      await submitJob(
+        store,
+        storedJob(1, [stepShape({count: 5}), stepShape({after: [0], count: 3})]),
+      );
       await waitForStatus(1, 'completed');
       const runs = minions.flatMap(({records}) => records);
       assert.equal(runs.length, 8);
--- a/packages/nutmegproxy-entry/src/JobDesk.ts
+++ b/packages/nutmegproxy-entry/src/JobDesk.ts
@@ -60,11 +60,7 @@
   }
 
   /** Records that the job is to be cancelled; false when there is no such job. */
-  async cancel(
-    route: QueueRoute,
-    id: JobId,
-    call: CallContext,
-  ): Promise<Result<boolean, Refusal>> {
+  async cancel(route: QueueRoute, id: JobId, call: CallContext): Promise<Result<boolean, Refusal>> {
     const {events} = this.#options;
     const read = await this.#retry(call, () => getPrefix(this.#options.store, jobPrefix(id)));
     if (read.isErr()) {
--- a/packages/nutmegproxy-events/src/LogStream.ts
+++ b/packages/nutmegproxy-events/src/LogStream.ts
@@ -57,7 +57,11 @@
     }
     this.#allowance -= line.length;
     if (this.#left > 0) {
-      const note = {leftOutBytes: this.#leftBytes, leftOutLines: this.#left, msg: 'Lines left out.'};
+      const note = {
+        leftOutBytes: this.#leftBytes,
+        leftOutLines: this.#left,
+        msg: 'Lines left out.',
+      };
       this.#output.write(`${JSON.stringify(note)}\n`);
       this.#left = 0;
       this.#leftBytes = 0;
--- a/packages/nutmegproxy-jobs/src/JobState.ts
+++ b/packages/nutmegproxy-jobs/src/JobState.ts
@@ -82,7 +82,11 @@
   /** The occurrences that are due and not finished, oldest first. */
   *openOccurrences(wall: WallTime): Generator<readonly StepState[]> {
     let open = 0;
-    for (let number = 0; number < this.occurrenceCount && open < MAX_OPEN_OCCURRENCES; number += 1) {
+    for (
+      let number = 0;
+      number < this.occurrenceCount && open < MAX_OPEN_OCCURRENCES;
+      number += 1
+    ) {
       if (this.#finished.has(number)) {
         continue;
       }
--- a/packages/nutmegproxy-owner/src/FleetFollower.ts
+++ b/packages/nutmegproxy-owner/src/FleetFollower.ts
@@ -13,12 +13,7 @@
 import type {Roster} from './Roster.ts';
 
 import {MinionSession, type SessionContext} from './MinionSession.ts';
-import {
-  FOLLOW_RETRY_MS,
-  HOLD_MS,
-  LEASE_TTL_MS,
-  UNPROVED_GRACE_MS,
-} from './OwnerConstants.ts';
+import {FOLLOW_RETRY_MS, HOLD_MS, LEASE_TTL_MS, UNPROVED_GRACE_MS} from './OwnerConstants.ts';
 import {OWNER_EVENTS} from './OwnerEvents.ts';
 import {delay} from './OwnerUtils.ts';
 
--- a/packages/nutmegproxy-owner/src/JobFollower.ts
+++ b/packages/nutmegproxy-owner/src/JobFollower.ts
@@ -6,7 +6,14 @@
 import type {PlatformStore, StoredValue, StoreFailure, Watch, WatchEvent} from '@nutmegproxy/store';
 import type {Result} from 'neverthrow';
 
-import {decodeJob, decodeProgress, FLEET_PREFIX, JobState, parseJobKey, PROGRESS_PREFIX} from '@nutmegproxy/jobs';
+import {
+  decodeJob,
+  decodeProgress,
+  FLEET_PREFIX,
+  JobState,
+  parseJobKey,
+  PROGRESS_PREFIX,
+} from '@nutmegproxy/jobs';
 import {getPrefix} from '@nutmegproxy/store';
 import {err, ok} from 'neverthrow';
 
@@ -132,8 +139,7 @@
     const parts = values.map((stored) => ({parsed: parseJobKey(stored.key), stored}));
     const progress = new Map<string, JobProgress>();
     for (const {parsed, stored} of parts) {
-      const record =
-        parsed?.part === 'progress' ? this.#decode(stored, decodeProgress) : undefined;
+      const record = parsed?.part === 'progress' ? this.#decode(stored, decodeProgress) : undefined;
       if (parsed !== undefined && record !== undefined) {
         progress.set(parsed.id, record);
       }
--- a/packages/nutmegproxy-owner/src/Journal.ts
+++ b/packages/nutmegproxy-owner/src/Journal.ts
@@ -8,7 +8,12 @@
 
 import type {Tenure} from './Tenure.ts';
 
-import {JOURNAL_BATCH, JOURNAL_PAUSE_MS, JOURNAL_RETRY_MS, JOURNAL_URGENT_MS} from './OwnerConstants.ts';
+import {
+  JOURNAL_BATCH,
+  JOURNAL_PAUSE_MS,
+  JOURNAL_RETRY_MS,
+  JOURNAL_URGENT_MS,
+} from './OwnerConstants.ts';
 import {OWNER_EVENTS} from './OwnerEvents.ts';
 import {OWNER_KEY} from './Ownership.ts';
 import {delay, fencedBy} from './OwnerUtils.ts';
@@ -36,9 +41,7 @@
 
   /** Whether everything noted so far is in the store. */
   get isClean(): boolean {
-    return (
-      this.#options.dirtyJobs.size === 0 && this.#waiters.length === 0 && !this.#isWriting
-    );
+    return this.#options.dirtyJobs.size === 0 && this.#waiters.length === 0 && !this.#isWriting;
   }
 
   /** Resolves once everything noted so far is in the store; not before the store answers. */
--- a/packages/nutmegproxy-owner/src/Knowledge.ts
+++ b/packages/nutmegproxy-owner/src/Knowledge.ts
@@ -1,7 +1,12 @@
 /** Keeps what an owner has learned in the store, so that the next one need not learn it again. */
 
 import type {Clock, EventSink} from '@nutmegproxy/core';
-import type {DurationKnowledge, TailKnowledge, TailModel, WorkEstimate} from '@nutmegproxy/scheduling';
+import type {
+  DurationKnowledge,
+  TailKnowledge,
+  TailModel,
+  WorkEstimate,
+} from '@nutmegproxy/scheduling';
 import type {PlatformStore} from '@nutmegproxy/store';
 
 import {STATE_PREFIX} from '@nutmegproxy/jobs';
--- a/packages/nutmegproxy-scheduling/src/Fleet.ts
+++ b/packages/nutmegproxy-scheduling/src/Fleet.ts
@@ -58,7 +58,13 @@
   }
 
   /** Books a run that a minion listed and this owner did not start. */
-  adoptRun(step: StepState, task: TaskRef, number: RunNumber, minion: MinionState, now: Instant): Run {
+  adoptRun(
+    step: StepState,
+    task: TaskRef,
+    number: RunNumber,
+    minion: MinionState,
+    now: Instant,
+  ): Run {
     const run = this.#bookRun(step, task, number, minion, now);
     run.phase = 'running';
     run.confirmedAt = now;
@@ -148,7 +154,13 @@
   }
 
   /** Books a run that is about to be started. */
-  startRun(step: StepState, index: number, minion: MinionState, now: Instant, number?: RunNumber): Run {
+  startRun(
+    step: StepState,
+    index: number,
+    minion: MinionState,
+    now: Instant,
+    number?: RunNumber,
+  ): Run {
     const task = {index, job: step.job.id, occurrence: step.occurrence, step: step.number};
     const chosen = number ?? step.nextRunNumber(index, this.runNumberBase);
     const run = this.#bookRun(step, task, chosen, minion, now);
@@ -219,7 +231,9 @@
 
   #noteDone(step: StepState, index: number): void {
     // One end of a gang stands for all of its members.
-    const indexes = step.shape.gang ? Array.from({length: step.shape.count}, (_, at) => at) : [index];
+    const indexes = step.shape.gang
+      ? Array.from({length: step.shape.count}, (_, at) => at)
+      : [index];
     const isNew = indexes.map((each) => step.markDone(each)).includes(true);
     if (!isNew) {
       return;
--- a/packages/nutmegproxy-scheduling/src/ListingReview.ts
+++ b/packages/nutmegproxy-scheduling/src/ListingReview.ts
@@ -1,14 +1,7 @@
 /** Applies what a minion lists of its runs and ends to the owner's books. */
 
 import type {Instant} from '@nutmegproxy/core';
-import type {
-  Checkpoint,
-  Run,
-  RunNumber,
-  RunOutcome,
-  StepState,
-  TaskRef,
-} from '@nutmegproxy/jobs';
+import type {Checkpoint, Run, RunNumber, RunOutcome, StepState, TaskRef} from '@nutmegproxy/jobs';
 
 import type {Fleet} from './Fleet.ts';
 import type {MinionState} from './MinionState.ts';
@@ -51,9 +44,7 @@
   minion: MinionState,
   {number, task}: EndReport | RunReport,
 ): Run | undefined {
-  return step
-    .runsOf(task.index)
-    .find((run) => run.number === number && run.minion === minion.id);
+  return step.runsOf(task.index).find((run) => run.number === number && run.minion === minion.id);
 }
 
 function refreshRun(run: Run, report: RunReport, now: Instant): void {
@@ -76,7 +67,12 @@
   );
 }
 
-function reviewRunning(fleet: Fleet, minion: MinionState, report: RunReport, now: Instant): boolean {
+function reviewRunning(
+  fleet: Fleet,
+  minion: MinionState,
+  report: RunReport,
+  now: Instant,
+): boolean {
   const step = findStep(fleet, report.task);
   const run = step === undefined ? undefined : findRun(step, minion, report);
   if (run !== undefined) {
--- a/packages/nutmegproxy-scheduling/src/Placement.ts
+++ b/packages/nutmegproxy-scheduling/src/Placement.ts
@@ -29,11 +29,7 @@
 
 interface KindPlacement {
   /** Lower is better; undefined when the task must not run there. */
-  readonly cost: (
-    minion: MinionState,
-    step: StepState,
-    view: PlacementView,
-  ) => number | undefined;
+  readonly cost: (minion: MinionState, step: StepState, view: PlacementView) => number | undefined;
 }
 
 const KIND_PLACEMENTS: Readonly<Record<WorkKind, KindPlacement>> = {
@@ -98,8 +94,7 @@
   let best: MinionState | undefined;
   let bestCost = Infinity;
   for (const minion of minions) {
-    const isCandidate =
-      minion.hasRoom(shape) && isPermitted(step, minion) && isAllowed(minion);
+    const isCandidate = minion.hasRoom(shape) && isPermitted(step, minion) && isAllowed(minion);
     const own = isCandidate ? cost(minion, step, view) : undefined;
     if (own === undefined) {
       continue;
--- a/packages/nutmegproxy-scheduling/src/SharingPolicy.ts
+++ b/packages/nutmegproxy-scheduling/src/SharingPolicy.ts
@@ -152,9 +152,7 @@
       this.model.totalPressure(serving, disturbers) +
       added.cores * this.model.pressure(serving, added.image);
     // Without pressure the tail is the serving task's own matter.
-    return pressure <= 0
-      ? 0
-      : (expected * (1 + pressure)) / this.model.utilizationBound(serving);
+    return pressure <= 0 ? 0 : (expected * (1 + pressure)) / this.model.utilizationBound(serving);
   }
 }
 
--- a/scripts/checkCatalogues.ts
+++ b/scripts/checkCatalogues.ts
@@ -81,7 +81,7 @@
   return `${JSON.stringify(current, undefined, 2)}\n`;
 }
 
-const sources = findSources('packages');
+const sources = ['packages', 'platform'].flatMap(findSources);
 const events = await readEvents(sources);
 const codes = events.map(({code}) => code);
 const repeated = codes.filter((code, index) => codes.indexOf(code) !== index);
