--- a/packages/nutmegproxy-emulator/src/__tests__/unit/JobSamples.ts
+++ b/packages/nutmegproxy-emulator/src/__tests__/unit/JobSamples.ts
@@ -98,6 +98,7 @@
   }
   const tenure = taken.value;
   const owner = new Owner({
+    advice: undefined,
     clock,
     directory: fleet,
     events: SILENT_EVENTS,
--- a/packages/nutmegproxy-owner/src/FleetFollower.ts
+++ b/packages/nutmegproxy-owner/src/FleetFollower.ts
@@ -213,6 +213,7 @@
       events.record(OWNER_EVENTS.MINION_CHANGED, {change, minion: minion.id, unlistedMs});
     }
     minion.unlistedSince = undefined;
+    minion.drainingSince = description.isDraining ? (minion.drainingSince ?? now) : undefined;
     if (description.bornAt !== former.bornAt && former.bornAt !== undefined) {
       session.restart(description.bornAt);
     }
--- a/packages/nutmegproxy-owner/src/Journal.ts
+++ b/packages/nutmegproxy-owner/src/Journal.ts
@@ -65,6 +65,9 @@
         });
       }
       await this.#gather();
+      if (this.#stopped) {
+        return;
+      }
       const waiters = this.#waiters;
       this.#waiters = [];
       const jobs = [...this.#options.dirtyJobs];
--- a/packages/nutmegproxy-owner/src/MinionOrders.ts
+++ b/packages/nutmegproxy-owner/src/MinionOrders.ts
@@ -2,15 +2,12 @@
 
 import type {Branded, MinionId, TaskId} from '@nutmegproxy/core';
 import type {Checkpoint, RunNumber} from '@nutmegproxy/jobs';
-import type {MinionListing} from '@nutmegproxy/scheduling';
+import type {MinionListing, Ticket} from '@nutmegproxy/scheduling';
 import type {ResultAsync} from 'neverthrow';
 
 /** Rises with each owner; minions ignore orders with a lower one than the highest they saw. */
 export type FencingToken = Branded<number, 'FencingToken'>;
 
-/** Proof by an external service that a step may run on a minion. */
-export type Ticket = Branded<string, 'Ticket'>;
-
 /** Which minion an order is for. */
 export interface MinionTarget {
   /** IP number and port. */
--- a/packages/nutmegproxy-owner/src/MinionSession.ts
+++ b/packages/nutmegproxy-owner/src/MinionSession.ts
@@ -7,13 +7,13 @@
 
 import type {Clock, EventSink, Instant} from '@nutmegproxy/core';
 import type {Run, RunNumber, TaskRef} from '@nutmegproxy/jobs';
-import type {Fleet, MinionListing, MinionState, StopOrder} from '@nutmegproxy/scheduling';
+import type {Fleet, MinionListing, MinionState, StopOrder, Ticket} from '@nutmegproxy/scheduling';
 
 import {formatTaskName} from '@nutmegproxy/jobs';
 import {describeRun, reviewListing} from '@nutmegproxy/scheduling';
 
 import type {Journal} from './Journal.ts';
-import type {MinionOrders, MinionTarget, OrderFailure, Ticket} from './MinionOrders.ts';
+import type {MinionOrders, MinionTarget, OrderFailure} from './MinionOrders.ts';
 import type {Tenure} from './Tenure.ts';
 
 import {
@@ -44,7 +44,10 @@
   /** Called after each listing was applied. */
   readonly onListed: (minion: MinionState, now: Instant) => void;
   readonly onRunDone: (run: Run, durationMs: number) => void;
+  readonly onTicketRejected: (run: Run) => void;
   readonly orders: MinionOrders;
+  /** Time in milliseconds until a run of the minion should have ended. */
+  readonly overdueInMs: (minion: MinionState, now: Instant) => number;
   readonly tenure: Tenure;
 }
 
@@ -162,7 +165,7 @@
       ackedThrough: this.#acked,
       token: tenure.token,
       untilMs: this.minion.clock.grant(HOLD_MS, askedAt),
-      waitMs: this.#chooseWait(),
+      waitMs: this.#chooseWait(askedAt),
     });
     if (this.#stopped) {
       return true;
@@ -190,7 +193,7 @@
     await Promise.race([flushed, delay(UNACKED_PAUSE_MS)]);
   }
 
-  #chooseWait(): number {
+  #chooseWait(now: Instant): number {
     if (!this.minion.clock.isKnown || this.minion.missedCalls > 0) {
       return 0;
     }
@@ -198,7 +201,11 @@
     if (this.#context.isPressed(this.minion)) {
       return PRESSED_WAIT_MS;
     }
-    return servingRuns > 0 && fillingCpuMilli > 0 ? WATCHFUL_WAIT_MS : LISTING_WAIT_MS;
+    if (servingRuns > 0 && fillingCpuMilli > 0) {
+      return WATCHFUL_WAIT_MS;
+    }
+    const overdueInMs = this.#context.overdueInMs(this.minion, now);
+    return Math.round(Math.min(LISTING_WAIT_MS, Math.max(WATCHFUL_WAIT_MS, overdueInMs)));
   }
 
   #isActing(): boolean {
@@ -320,11 +327,14 @@
       return 'unknown';
     }
     if (kind === 'unhealthy') {
-      this.minion.trust.noteStall(now);
+      this.#context.fleet.distrust(this.minion, 'refuses starts', now);
     }
     if (kind === 'no-room' || kind === 'invalid') {
       run.step.avoid(run.task.index, this.minion.id);
     }
+    if (kind === 'no-ticket') {
+      this.#context.onTicketRejected(run);
+    }
     if (this.#uncertain.has(run)) {
       this.#context.fleet.stopRun(run, 'unknown');
       return 'unknown';
--- a/packages/nutmegproxy-owner/src/Owner.ts
+++ b/packages/nutmegproxy-owner/src/Owner.ts
@@ -8,18 +8,22 @@
 
 import {STATE_PREFIX} from '@nutmegproxy/jobs';
 import {
+  evacuate,
   Fleet,
   planStarts,
   type QueuePolicy,
+  RunProgress,
   SharingPolicy,
   summarizeFleet,
   WorkEstimate,
 } from '@nutmegproxy/scheduling';
 
+import type {AdviceClient} from './AdviceClient.ts';
 import type {MinionDirectory} from './MinionDirectory.ts';
 import type {MinionOrders} from './MinionOrders.ts';
 import type {Tenure} from './Tenure.ts';
 
+import {AdviceDesk} from './AdviceDesk.ts';
 import {FleetFollower} from './FleetFollower.ts';
 import {JobFollower} from './JobFollower.ts';
 import {Journal} from './Journal.ts';
@@ -41,6 +45,8 @@
 export const WAITING_KEY = `${STATE_PREFIX}waiting`;
 
 export interface OwnerOptions {
+  /** Undefined where no service permits minions. */
+  readonly advice: AdviceClient | undefined;
   readonly clock: Clock;
   readonly directory: MinionDirectory;
   readonly events: EventSink;
@@ -52,6 +58,7 @@
 }
 
 export class Owner {
+  readonly #advice: AdviceDesk;
   readonly #estimate = new WorkEstimate();
   readonly #fleet: Fleet;
   readonly #jobs: JobFollower;
@@ -59,6 +66,7 @@
   readonly #knowledge: Knowledge;
   readonly #minions: FleetFollower;
   readonly #options: OwnerOptions;
+  readonly #progress = new RunProgress(this.#estimate);
   #publishedWaiting = '';
   readonly #roster: Roster;
   readonly #sharing = new SharingPolicy(this.#estimate);
@@ -90,6 +98,7 @@
       tenure,
     });
     const fleet = this.#fleet;
+    this.#advice = new AdviceDesk({client: options.advice, clock, events, fleet, onChange});
     this.#jobs = new JobFollower({clock, events, fleet, onChange, onFenced, store, tenure});
     this.#minions = new FleetFollower({
       clock,
@@ -101,20 +110,26 @@
       session: {
         clock,
         events,
-        findTicket: () => undefined,
+        findTicket: ({minion, step}) => this.#advice.findTicket(step, minion),
         fleet,
         isPressed: (minion) => this.#sharing.isPressed(minion),
         journal: this.#journal,
         onChange,
         onFenced,
         onListed: (minion, now) => {
+          this.#progress.review(this.#fleet, minion, now);
+          evacuate(this.#fleet, minion, this.#estimate, now);
           this.#sharing.model.observe(minion, now);
           this.#sharing.moveDisturbers(this.#fleet, minion, now);
         },
         onRunDone: ({step}, durationMs) => {
           this.#estimate.note(step.job.request.queue, step.shape, durationMs);
         },
+        onTicketRejected: ({minion, step}) => {
+          this.#advice.withdraw(step, minion);
+        },
         orders,
+        overdueInMs: (minion, now) => this.#progress.overdueInMs(minion, now),
         tenure,
       },
     });
@@ -126,6 +141,7 @@
     events.record(OWNER_EVENTS.RECOVERY_STARTED, {fence: tenure.token, term: tenure.term});
     void this.#journal.run();
     await this.#recover();
+    void this.#advice.run(() => this.#isActing());
     void this.#publishWaiting();
     void this.#knowledge.run(() => this.#isActing());
     while (this.#isActing()) {
@@ -167,7 +183,7 @@
       events.record(OWNER_EVENTS.RECOVERY_DONE, {term: tenure.term});
     }
     const starts = planStarts(fleet, {
-      advice: {isPermitted: () => undefined},
+      advice: {isPermitted: (step, minion) => this.#advice.book.isPermitted(step, minion, now)},
       estimate: this.#estimate,
       now,
       view: this.#sharing,
--- a/packages/nutmegproxy-owner/src/OwnerConstants.ts
+++ b/packages/nutmegproxy-owner/src/OwnerConstants.ts
@@ -55,3 +55,7 @@
 export const RETENTION_MARGIN_MS = 30_000;
 /** Time between two summaries of the fleet in the log. */
 export const SUMMARY_PAUSE_MS = 2_000;
+/** Pause between looks for something to ask the advising service. */
+export const ADVICE_IDLE_MS = 20;
+/** Time for an answer of the advising service beyond the time that it is known to take. */
+export const ADVICE_SLACK_MS = 1_000;
--- a/packages/nutmegproxy-owner/src/OwnerEvents.ts
+++ b/packages/nutmegproxy-owner/src/OwnerEvents.ts
@@ -3,6 +3,8 @@
 import type {EventKind} from '@nutmegproxy/core';
 
 export const OWNER_EVENTS = {
+  ADVICE_FAILED: {code: 8151, level: 'warn', text: 'The advising service gave no answer.'},
+  ADVICE_GIVEN: {code: 8150, level: 'info', text: 'A step is permitted on some minions.'},
   FLEET_SUMMARY: {code: 8140, level: 'info', text: 'Room and work of the fleet.'},
   HOLD_LAPSED: {code: 8131, level: 'warn', text: 'Every hold on a silent minion has lapsed.'},
   JOB_LEARNED: {code: 8120, level: 'info', text: 'The owner learned of an accepted job.'},
--- a/packages/nutmegproxy-owner/src/index.ts
+++ b/packages/nutmegproxy-owner/src/index.ts
@@ -1,5 +1,6 @@
 /** Public surface of the owner of the fleet. */
 
+export type {AdviceAnswer, AdviceClient, AdviceFailure} from './AdviceClient.ts';
 export type {MinionChange, MinionDirectory, MinionSnapshot} from './MinionDirectory.ts';
 export type {
   FencingToken,
@@ -12,7 +13,6 @@
   PaceOrder,
   RunOrder,
   StartOrder,
-  Ticket,
 } from './MinionOrders.ts';
 export {Owner, WAITING_KEY} from './Owner.ts';
 export type {OwnerOptions} from './Owner.ts';
--- /dev/null
+++ b/packages/nutmegproxy-scheduling/src/AdviceBook.ts
@@ -0,0 +1,108 @@
+/**
+ * Permissions of an external service that says on which minions a step may run. It answers one call
+ * at a time and takes longer for more minions, so steps are asked for ahead of need and answers are
+ * kept while they are valid.
+ */
+
+import type {Branded, Instant, MinionId} from '@nutmegproxy/core';
+import type {StepState} from '@nutmegproxy/jobs';
+
+import type {Fleet} from './Fleet.ts';
+import type {MinionState} from './MinionState.ts';
+
+import {isPermitted} from './Placement.ts';
+
+/** Proof that a step may run on a minion. */
+export type Ticket = Branded<string, 'Ticket'>;
+
+/** Minions asked for in one call: a larger call keeps the first start waiting. */
+const MINIONS_PER_CALL = 30;
+/** Time in milliseconds before its end at which a ticket is no longer used. */
+const TICKET_MARGIN_MS = 500;
+
+interface Permission {
+  readonly bornAt: number | undefined;
+  /** Undefined when the step may not run on the minion. */
+  readonly ticket: Ticket | undefined;
+  readonly validUntil: Instant;
+}
+
+/** What to ask the service next. */
+export interface AdviceQuestion {
+  readonly minions: readonly MinionState[];
+  readonly step: StepState;
+}
+
+export class AdviceBook {
+  readonly #permissions = new WeakMap<StepState, Map<MinionId, Permission>>();
+
+  /** The next call: the first step in the given order that lacks permissions for its tasks. */
+  chooseQuestion(
+    fleet: Fleet,
+    steps: readonly StepState[],
+    minions: readonly MinionState[],
+    now: Instant,
+  ): AdviceQuestion | undefined {
+    for (const step of steps) {
+      const policy = fleet.policy(step.job);
+      if (policy.advice === undefined) {
+        continue;
+      }
+      const candidates = minions.filter(
+        (minion) =>
+          minion.description.service === policy.service &&
+          isPermitted(step, minion) &&
+          minion.hasRoom(step.shape),
+      );
+      const permitted = candidates.filter((minion) => this.isPermitted(step, minion, now) === true);
+      const unknown = candidates.filter(
+        (minion) => this.isPermitted(step, minion, now) === undefined,
+      );
+      if (permitted.length < step.waiting.size && unknown.length > 0) {
+        return {minions: unknown.slice(0, MINIONS_PER_CALL), step};
+      }
+    }
+    return undefined;
+  }
+
+  /** Whether the step may run on the minion; undefined while that is not known. */
+  isPermitted(step: StepState, minion: MinionState, now: Instant): boolean | undefined {
+    const known = this.#find(step, minion);
+    if (known === undefined) {
+      return undefined;
+    }
+    if (known.ticket === undefined) {
+      return false;
+    }
+    return now < known.validUntil - TICKET_MARGIN_MS ? true : undefined;
+  }
+
+  /** Notes an answer about the minions that were asked for. */
+  note(
+    {minions, step}: AdviceQuestion,
+    tickets: ReadonlyMap<MinionId, Ticket>,
+    validUntil: Instant,
+  ): void {
+    const known = this.#permissions.get(step) ?? new Map<MinionId, Permission>();
+    this.#permissions.set(step, known);
+    for (const {description, id} of minions) {
+      known.set(id, {bornAt: description.bornAt, ticket: tickets.get(id), validUntil});
+    }
+  }
+
+  /** The ticket for a start of the step on the minion. */
+  ticket(step: StepState, minion: MinionState): Ticket | undefined {
+    return this.#find(step, minion)?.ticket;
+  }
+
+  /** A ticket was rejected: the service has to be asked again. */
+  withdraw(step: StepState, minion: MinionState): void {
+    this.#permissions.get(step)?.delete(minion.id);
+  }
+
+  /** A permission holds for one life of its minion. */
+  #find(step: StepState, {description, id}: MinionState): Permission | undefined {
+    const known = this.#permissions.get(step)?.get(id);
+    return known?.bornAt === description.bornAt ? known : undefined;
+  }
+}
--- a/packages/nutmegproxy-scheduling/src/Fleet.ts
+++ b/packages/nutmegproxy-scheduling/src/Fleet.ts
@@ -83,6 +83,13 @@
     this.#stopAll(job, 'cancelled');
   }
 
+  /** Rests a minion that stalls what it starts. */
+  distrust(minion: MinionState, reason: string, now: Instant): void {
+    if (minion.trust.noteStall(now)) {
+      this.#events.record(SCHEDULING_EVENTS.MINION_RESTED, {minion: minion.id, reason});
+    }
+  }
+
   /** Notes how a run of the books ended and what follows for its task, gang and job. */
   endRun(run: Run, outcome: RunOutcome, checkpoint: Checkpoint | undefined, now: Instant): void {
     this.#release(run);
--- a/packages/nutmegproxy-scheduling/src/MinionState.ts
+++ b/packages/nutmegproxy-scheduling/src/MinionState.ts
@@ -26,6 +26,8 @@
   readonly service: ServiceId;
 }
 
+/** Time in milliseconds for which a measured speed counts. */
+const SPEED_VALID_MS = 3_000;
 /** Share of their reservation that serving tasks use on average. */
 const SERVING_USE = 0.5;
 
@@ -43,6 +45,8 @@
 export class MinionState {
   readonly clock = new HoldClock();
   description: MinionDescription;
+  /** When it was first known to leave; undefined while it is not. */
+  drainingSince: Instant | undefined;
   /** Processors that filling tasks ask for, in thousandths of a core. */
   fillingCpuMilli = 0;
   /** Runs that are not in this owner's books; nothing is placed beside them. */
@@ -62,6 +66,8 @@
   servingCpuMilli = 0;
   servingRuns = 0;
   readonly trust = new MinionTrust();
+  #speed = 1;
+  #speedAt = -Infinity;
 
   constructor(description: MinionDescription) {
     this.description = description;
@@ -78,6 +84,18 @@
     return cpuMilli - this.reserved.cpuMilli + unusedByServing - this.fillingCpuMilli;
   }
 
+  /** Speed of its runs against what is expected, 1 when nothing speaks against it. */
+  speed(now: Instant): number {
+    // An old measurement gives way, so that a minion that has recovered is tried again.
+    return now - this.#speedAt < SPEED_VALID_MS ? this.#speed : 1;
+  }
+
+  /** Notes a measured speed with a weight from 0 to 1. */
+  noteSpeed(speed: number, weight: number, now: Instant): void {
+    this.#speed = this.speed(now) * (1 - weight) + speed * weight;
+    this.#speedAt = now;
+  }
+
   addRun(run: Run): void {
     this.runs.add(run);
     this.#count(run, 1);
--- a/packages/nutmegproxy-scheduling/src/Placement.ts
+++ b/packages/nutmegproxy-scheduling/src/Placement.ts
@@ -19,6 +19,10 @@
 /** Cost of a rack other than the one that holds the data, in thousandths of a core. */
 const REMOTE_RACK_COST = 100_000;
 
+/** Speed below which a minion is only used when no other has room. */
+const SLOW_SPEED = 0.45;
+const SLOW_COST = 200_000;
+
 /** How minions stand towards sharing, as far as placement needs it. */
 export interface PlacementView {
   /** Cost of a filling task; undefined when it would disturb serving tasks too much. */
@@ -81,13 +85,14 @@
  * choice, for instance to minions on which the task has not failed.
  *
  * @example
- * const minion = chooseMinion(step, usable, view, () => true);
+ * const minion = chooseMinion(step, usable, view, () => true, now);
  */
 export function chooseMinion(
   step: StepState,
   minions: readonly MinionState[],
   view: PlacementView,
   isAllowed: (minion: MinionState) => boolean,
+  now: Instant,
 ): MinionState | undefined {
   const {shape} = step;
   const {cost} = KIND_PLACEMENTS[workKind(shape)];
@@ -101,7 +106,8 @@
     }
     const isRemote =
       shape.preferredRack !== undefined && shape.preferredRack !== minion.description.rack;
-    const total = own + (isRemote ? REMOTE_RACK_COST : 0);
+    const slowness = minion.speed(now) < SLOW_SPEED ? SLOW_COST : 0;
+    const total = own + slowness + (isRemote ? REMOTE_RACK_COST : 0);
     if (total < bestCost) {
       best = minion;
       bestCost = total;
--- a/packages/nutmegproxy-scheduling/src/StartPlanner.ts
+++ b/packages/nutmegproxy-scheduling/src/StartPlanner.ts
@@ -8,6 +8,7 @@
 import type {PlacementView} from './Placement.ts';
 import type {WorkEstimate} from './WorkEstimate.ts';
 
+import {planCopies} from './CopyPlanner.ts';
 import {orderSteps} from './JobOrder.ts';
 import {chooseMinion, isUsable} from './Placement.ts';
 
@@ -68,7 +69,7 @@
   }
 
   run(): Run[] {
-    const {estimate, now, wall} = this.#context;
+    const {estimate, now, view, wall} = this.#context;
     const ready = collectReadySteps(this.#fleet, now, wall);
     for (const {step} of orderSteps(this.#fleet, ready, estimate, wall)) {
       if (step.shape.gang) {
@@ -77,7 +78,17 @@
         this.#placeTasks(step);
       }
     }
-    return this.#starts;
+    const usable = [...this.#usable.values()].flat();
+    return [...this.#starts, ...planCopies(this.#fleet, usable, view, estimate, now)];
+  }
+
+  #choose(
+    step: StepState,
+    index: number,
+    minions: readonly MinionState[],
+  ): MinionState | undefined {
+    const {now, view} = this.#context;
+    return chooseMinion(step, minions, view, (minion) => this.#isAllowed(step, index, minion), now);
   }
 
   /** Whether the minion suits the task: permitted, and none on which it failed. */
@@ -120,9 +131,7 @@
     const minions = this.#minions(step);
     for (const index of [...step.waiting]) {
       const minion =
-        chooseMinion(step, minions, this.#context.view, (each) =>
-          this.#isAllowed(step, index, each),
-        ) ?? this.#chooseAvoided(step, index, minions);
+        this.#choose(step, index, minions) ?? this.#chooseAvoided(step, index, minions);
       if (minion === undefined) {
         return;
       }
@@ -141,9 +150,7 @@
       return undefined;
     }
     step.avoided.delete(index);
-    return chooseMinion(step, minions, this.#context.view, (each) =>
-      this.#isAllowed(step, index, each),
-    );
+    return this.#choose(step, index, minions);
   }
 
   #tryGang(step: StepState, minions: readonly MinionState[]): boolean {
@@ -151,12 +158,10 @@
     const number = Math.max(
       ...indexes.map((index) => step.nextRunNumber(index, this.#fleet.runNumberBase)),
     ) as RunNumber;
-    const {now, view} = this.#context;
+    const {now} = this.#context;
     const runs: Run[] = [];
     for (const index of indexes) {
-      const minion = chooseMinion(step, minions, view, (each) =>
-        this.#isAllowed(step, index, each),
-      );
+      const minion = this.#choose(step, index, minions);
       if (minion === undefined) {
         for (const run of runs) {
           this.#fleet.withdrawRun(run);
--- a/packages/nutmegproxy-scheduling/src/index.ts
+++ b/packages/nutmegproxy-scheduling/src/index.ts
@@ -1,5 +1,8 @@
 /** Public surface of the decisions. */
 
+export {AdviceBook} from './AdviceBook.ts';
+export type {AdviceQuestion, Ticket} from './AdviceBook.ts';
+export {evacuate} from './Evacuation.ts';
 export {describeRun, Fleet} from './Fleet.ts';
 export type {StopOrder, StopReason} from './Fleet.ts';
 export {summarizeFleet} from './FleetSummary.ts';
@@ -16,6 +19,7 @@
 export type {PlacementView} from './Placement.ts';
 export {RETIRED_QUEUE} from './QueuePolicy.ts';
 export type {AdvicePolicy, QueuePolicy} from './QueuePolicy.ts';
+export {RunProgress} from './RunProgress.ts';
 export {SCHEDULING_EVENTS} from './SchedulingEvents.ts';
 export {SharingPolicy} from './SharingPolicy.ts';
 export {collectReadySteps, planStarts} from './StartPlanner.ts';
