Grant a silent minion no further holds, so that its runs lapse and start again

Ruled out: the wait of a new owner alone (it ends after 16.5 s). Owner.test 'a minion that falls silent' fails without the change.

--- a/packages/nutmegproxy-emulator/src/__tests__/unit/JobSamples.ts
+++ b/packages/nutmegproxy-emulator/src/__tests__/unit/JobSamples.ts
@@ -1,6 +1,15 @@
 /** Jobs, minions and owners for the tests of this package. */
 
-import type {Clock, DataCentreId, JobId, MinionId, RackId, VmId, WallTime} from '@nutmegproxy/core';
+import type {
+  Clock,
+  DataCentreId,
+  Instant,
+  JobId,
+  MinionId,
+  RackId,
+  VmId,
+  WallTime,
+} from '@nutmegproxy/core';
 import type {QueueId, ServiceId, StepShape, StoredJob} from '@nutmegproxy/jobs';
 import type {MinionDescription, QueuePolicy} from '@nutmegproxy/scheduling';
 import type {PlatformStore} from '@nutmegproxy/store';
@@ -84,6 +93,14 @@
   }
 }
 
+/** A clock that runs faster than time, so that holds lapse soon. */
+export function fastClock(factor: number): Clock {
+  return {
+    monotonic: () => (performance.now() * factor) as Instant,
+    wall: () => (Date.now() + performance.now() * (factor - 1)) as WallTime,
+  };
+}
+
 /** Takes the ownership and runs an owner; the tenure is not renewed by itself. */
 export async function startOwner(
   clock: Clock,
--- a/packages/nutmegproxy-emulator/src/__tests__/unit/Owner.test.ts
+++ b/packages/nutmegproxy-emulator/src/__tests__/unit/Owner.test.ts
@@ -14,6 +14,7 @@
 import {EmulatedMinion} from '../../EmulatedMinion.ts';
 import {
   describeMinion,
+  fastClock,
   startOwner,
   stepShape,
   storedJob,
@@ -190,6 +191,33 @@
     });
   });
 
+  describe('a minion that falls silent', () => {
+    it('loses its runs once its hold has lapsed, and they start elsewhere', async () => {
+      // Ten times as fast as time, so that a hold lapses within a second.
+      const clock = fastClock(10);
+      fleet = new EmulatedFleet(clock);
+      const silent = addMinion('m1');
+      behaviour = () => ({durationMs: Infinity, outcome: 'done'});
+      const {owner, tenure} = await startOwner(clock, store, fleet, 'vm-1');
+      const renewal = setInterval(() => {
+        tenure.prove(clock.monotonic(), clock.wall());
+      }, 20);
+      stops.push(() => {
+        clearInterval(renewal);
+        owner.stop('end of test');
+      });
+      await submitJob(store, storedJob(1, [stepShape({longRunning: true})]));
+      await waitFor('the task runs', () => silent.live.length === 1);
+      const other = addMinion('m2');
+      const cutAt = clock.monotonic();
+      fleet.faults(brand<MinionId>('m1')).isCutOff = true;
+      await waitFor('the task runs elsewhere', () => other.live.length === 1, 5_000);
+      assert.ok(clock.monotonic() - cutAt >= 7_000, 'started again before the hold had lapsed');
+      silent.advance(clock.monotonic());
+      assert.deepEqual(silent.live, []);
+    });
+  });
+
   describe('a minion that begins a new life', () => {
     it('has lost its runs, which start again', async () => {
       const minion = addMinion('m1');
--- a/packages/nutmegproxy-owner/src/MinionSession.ts
+++ b/packages/nutmegproxy-owner/src/MinionSession.ts
@@ -164,7 +164,7 @@
     const answer = await orders.hold(this.#target, {
       ackedThrough: this.#acked,
       token: tenure.token,
-      untilMs: this.minion.clock.grant(HOLD_MS, askedAt),
+      untilMs: this.#grantHold(askedAt),
       waitMs: this.#chooseWait(askedAt),
     });
     if (this.#stopped) {
@@ -208,6 +208,14 @@
     return Math.round(Math.min(LISTING_WAIT_MS, Math.max(WATCHFUL_WAIT_MS, overdueInMs)));
   }
 
+  /**
+   * The hold that a listing carries. A silent minion is granted none, so that what it has lapses in
+   * bounded time.
+   */
+  #grantHold(now: Instant): number | undefined {
+    return this.minion.missedCalls > 0 ? undefined : this.minion.clock.grant(HOLD_MS, now);
+  }
+
   #isActing(): boolean {
     const {clock, tenure} = this.#context;
     return !this.#stopped && tenure.state(clock.monotonic(), clock.wall()) !== 'over';
@@ -280,8 +288,8 @@
 
   async #tryStart(run: Run): Promise<StartEnd> {
     const {clock, findTicket, orders, tenure} = this.#context;
+    const untilMs = this.minion.clock.grant(HOLD_MS, clock.monotonic());
     for (let attempt = 0; attempt < ORDER_TRIES; attempt += 1) {
-      const untilMs = this.minion.clock.grant(HOLD_MS, clock.monotonic());
       if (untilMs === undefined || !this.#isActing() || run.phase !== 'starting') {
         return this.#uncertain.has(run) ? 'unknown' : 'not-started';
       }
