Mark silent minions in the roster with their runs and the end of their holds

Now a mark tells what may run there and until when; the rest starts at once. Owner.test 'starts at once what a minion that was lost before can not have' fails without it.

--- a/packages/nutmegproxy-emulator/src/EmulatedMinion.ts
+++ b/packages/nutmegproxy-emulator/src/EmulatedMinion.ts
@@ -45,6 +45,8 @@
 export class EmulatedMinion {
   description: MinionDescription;
   readonly records: RecordedRun[] = [];
+  /** Listings that were answered. */
+  reports = 0;
   readonly #behave: (task: TaskRef, number: RunNumber) => TaskBehaviour;
   readonly #ends: EndReport[] = [];
   #heldUntilMs = 0;
@@ -85,6 +87,7 @@
       return err(refused);
     }
     this.#extend(order.untilMs);
+    this.reports += 1;
     const kept = this.#ends.filter(({sequence}) => sequence > order.ackedThrough);
     this.#ends.splice(0, this.#ends.length, ...kept);
     return ok({
--- a/packages/nutmegproxy-emulator/src/__tests__/unit/Owner.test.ts
+++ b/packages/nutmegproxy-emulator/src/__tests__/unit/Owner.test.ts
@@ -169,6 +169,31 @@
       assert.equal(minion.live.length, 1);
     });
 
+    it('starts at once what a minion that was lost before can not have', async () => {
+      const lost = addMinion('m1');
+      const first = await start('vm-1');
+      await waitFor('the minion has reported', () => lost.reports > 0);
+      fleet.faults(brand<MinionId>('m1')).isCutOff = true;
+      await new Promise((resolve) => setTimeout(resolve, 700));
+      addMinion('m2');
+      behaviour = () => ({durationMs: 20, outcome: 'done'});
+      await submitJob(store, storedJob(1, [stepShape({count: 2}), stepShape({after: [0]})]));
+      await waitForStatus(1, 'completed');
+      behaviour = () => ({durationMs: 60_000, outcome: 'done'});
+      first.owner.stop('killed');
+      await submitJob(store, storedJob(2, [stepShape()]));
+      await first.ownership.resign(first.tenure, 'killed');
+      const other = addMinion('m3');
+      await start('vm-2');
+      await waitFor(
+        'the job runs',
+        () => allRuns().some(({task}) => task.endsWith('2.0.0.0')),
+        2_000,
+      );
+      assert.equal(lost.records.length, 0);
+      assert.ok(other.records.length <= 1);
+    });
+
     it('fences the former owner at the minions', async () => {
       addMinion('m1');
       const first = await start('vm-1');
--- a/packages/nutmegproxy-owner/src/FleetFollower.ts
+++ b/packages/nutmegproxy-owner/src/FleetFollower.ts
@@ -1,19 +1,26 @@
 /** Keeps a session with every minion that is listed or may still run something. */
 
-import type {Clock, EventSink, Instant, MinionId} from '@nutmegproxy/core';
+import type {Clock, EventSink, Instant, MinionId, WallTime} from '@nutmegproxy/core';
 import type {Run} from '@nutmegproxy/jobs';
 import type {Fleet, MinionDescription, StopOrder} from '@nutmegproxy/scheduling';
 import type {StoreFailure, Watch} from '@nutmegproxy/store';
 import type {Result} from 'neverthrow';
 
+import {formatTaskName, parseTaskName} from '@nutmegproxy/jobs';
 import {MinionState} from '@nutmegproxy/scheduling';
 import {err, ok} from 'neverthrow';
 
 import type {MinionChange, MinionDirectory} from './MinionDirectory.ts';
-import type {Roster} from './Roster.ts';
+import type {Roster, RosterEntry, SilentMark} from './Roster.ts';
 
 import {MinionSession, type SessionContext} from './MinionSession.ts';
-import {FOLLOW_RETRY_MS, HOLD_MS, LEASE_TTL_MS, UNPROVED_GRACE_MS} from './OwnerConstants.ts';
+import {
+  FOLLOW_RETRY_MS,
+  HOLD_MS,
+  LEASE_TTL_MS,
+  UNPROVED_GRACE_MS,
+  WALL_SKEW_MS,
+} from './OwnerConstants.ts';
 import {OWNER_EVENTS} from './OwnerEvents.ts';
 import {delay} from './OwnerUtils.ts';
 
@@ -35,6 +42,8 @@
 }
 
 export class FleetFollower {
+  /** Minions whose mark is being withdrawn. */
+  readonly #clearing = new Set<MinionState>();
   readonly #options: FleetFollowerOptions;
   readonly #sessions = new Map<MinionId, MinionSession>();
   #stopped = false;
@@ -65,7 +74,7 @@
   }
 
   /** Lists the minions and begins to follow them; at the start of an ownership also the roster. */
-  async start(former: readonly MinionDescription[]): Promise<Result<void, StoreFailure>> {
+  async start(former: readonly RosterEntry[]): Promise<Result<void, StoreFailure>> {
     const {clock, directory, roster} = this.#options;
     const snapshot = await directory.list();
     if (snapshot.isErr()) {
@@ -78,12 +87,15 @@
         minion.minion.unlistedSince ??= now;
       }
     }
-    const missing = former.filter(({id}) => !listed.has(id));
-    for (const description of [...snapshot.value.minions, ...missing]) {
+    const missing = former.filter(({description: {id}}) => !listed.has(id));
+    for (const description of [
+      ...snapshot.value.minions,
+      ...missing.map((entry) => entry.description),
+    ]) {
       this.#update(description, now);
     }
-    for (const {id} of [...former]) {
-      this.#suspect(id, now, !listed.has(id));
+    for (const entry of former) {
+      this.#suspect(entry, now, !listed.has(entry.description.id));
     }
     this.#watch = directory.watch(snapshot.value.revision + 1, {
       onBroken: (failure) => {
@@ -102,6 +114,30 @@
     this.#watch?.close();
   }
 
+  /** Keeps what a silent minion may run, for the next owner. */
+  noteSilent(minion: MinionState): void {
+    const {clock, roster} = this.#options;
+    const heldUntil = clock.wall() + minion.clock.lapsesInMs(clock.monotonic());
+    roster.markSilent(minion.description, {
+      heldUntil: heldUntil as WallTime,
+      runs: [...minion.runs].map(({number, task}) => [formatTaskName(task), number]),
+    });
+  }
+
+  /** Grants a minion holds again once the store no longer says that it has none. */
+  noteAnswering(minion: MinionState): void {
+    const {onChange, roster} = this.#options;
+    if (this.#clearing.has(minion)) {
+      return;
+    }
+    this.#clearing.add(minion);
+    void roster.clearSilent(minion.description).then(() => {
+      this.#clearing.delete(minion);
+      minion.isMarkedSilent = false;
+      onChange();
+    });
+  }
+
   startRun(run: Run): void {
     void this.#sessions.get(run.minion)?.start(run);
   }
@@ -169,16 +205,37 @@
     }
   }
 
-  #suspect(id: MinionId, now: Instant, isMissing: boolean): void {
+  /** A minion of the former owner: what runs there is known from its mark or from its listing. */
+  #suspect({description: {id}, silent}: RosterEntry, now: Instant, isMissing: boolean): void {
     const minion = this.#sessions.get(id)?.minion;
     if (minion === undefined || minion.isReported) {
       return;
     }
-    minion.clock.assumeHeldUntil((now + FORMER_HOLD_MS) as Instant);
-    this.#unsettled.add(minion);
     if (isMissing) {
       minion.unlistedSince ??= now;
     }
+    if (silent === undefined) {
+      minion.clock.assumeHeldUntil((now + FORMER_HOLD_MS) as Instant);
+      this.#unsettled.add(minion);
+      return;
+    }
+    this.#adoptMarked(minion, silent, now);
+  }
+
+  /** Books the runs that a silent minion may have until its holds have ended. */
+  #adoptMarked(minion: MinionState, {heldUntil, runs}: SilentMark, now: Instant): void {
+    const {clock, fleet} = this.#options;
+    minion.isMarkedSilent = true;
+    const leftMs = Math.max(0, heldUntil + WALL_SKEW_MS - clock.wall());
+    minion.clock.assumeHeldUntil((now + leftMs) as Instant);
+    for (const [name, number] of leftMs > 0 ? runs : []) {
+      const task = parseTaskName(name);
+      const step = task && fleet.jobs.get(task.job)?.occurrence(task.occurrence)?.[task.step];
+      const mayRun = step?.waiting.has(task?.index ?? -1) === true && !step.job.isFinal;
+      if (task !== undefined && step !== undefined && mayRun) {
+        fleet.adoptRun(step, task, number, minion, now);
+      }
+    }
   }
 
   #unlist(id: MinionId, now: Instant): void {
--- a/packages/nutmegproxy-owner/src/Journal.ts
+++ b/packages/nutmegproxy-owner/src/Journal.ts
@@ -65,7 +65,7 @@
         });
       }
       await this.#gather();
-      if (this.#stopped) {
+      if (this.#hasStopped()) {
         return;
       }
       const waiters = this.#waiters;
@@ -97,6 +97,11 @@
     this.#wake = undefined;
   }
 
+  /** Read anew after each wait. */
+  #hasStopped(): boolean {
+    return this.#stopped;
+  }
+
   async #commit(batch: readonly JobState[]): Promise<boolean> {
     const {events, onFenced, store, tenure} = this.#options;
     const written = await store.commit({
--- a/packages/nutmegproxy-owner/src/MinionSession.ts
+++ b/packages/nutmegproxy-owner/src/MinionSession.ts
@@ -23,6 +23,7 @@
   ORDER_RETRY_MS,
   ORDER_TRIES,
   PRESSED_WAIT_MS,
+  SILENT_AFTER_CALLS,
   UNACKED_PAUSE_MS,
   WATCHFUL_WAIT_MS,
 } from './OwnerConstants.ts';
@@ -37,6 +38,8 @@
   /** Whether a serving task of the minion is near or over its bound. */
   readonly isPressed: (minion: MinionState) => boolean;
   readonly journal: Journal;
+  /** Called when a minion that is marked as silent answers. */
+  readonly onAnswering: (minion: MinionState) => void;
   /** Called after anything that may allow new starts. */
   readonly onChange: () => void;
   /** Called when a minion shows that another VM owns the fleet. */
@@ -44,6 +47,8 @@
   /** Called after each listing was applied. */
   readonly onListed: (minion: MinionState, now: Instant) => void;
   readonly onRunDone: (run: Run, durationMs: number) => void;
+  /** Called when a minion has left several calls without an answer. */
+  readonly onSilent: (minion: MinionState) => void;
   readonly onTicketRejected: (run: Run) => void;
   readonly orders: MinionOrders;
   /** Time in milliseconds until a run of the minion should have ended. */
@@ -213,7 +218,8 @@
    * bounded time.
    */
   #grantHold(now: Instant): number | undefined {
-    return this.minion.missedCalls > 0 ? undefined : this.minion.clock.grant(HOLD_MS, now);
+    const isSilent = this.minion.missedCalls > 0 || this.minion.isMarkedSilent;
+    return isSilent ? undefined : this.minion.clock.grant(HOLD_MS, now);
   }
 
   #isActing(): boolean {
@@ -229,6 +235,9 @@
     }
     this.minion.lastAnswerAt = now;
     this.minion.missedCalls = 0;
+    if (this.minion.isMarkedSilent) {
+      this.#context.onAnswering(this.minion);
+    }
   }
 
   #noteDurations({ended}: MinionListing, now: Instant): void {
@@ -244,7 +253,7 @@
   }
 
   #noteFailure({clockMs, kind, message}: OrderFailure, what: string): void {
-    const {clock, events, onFenced} = this.#context;
+    const {clock, events, onFenced, onSilent} = this.#context;
     const {id} = this.minion;
     if (clockMs !== undefined) {
       this.minion.clock.observe(clockMs, clock.monotonic());
@@ -258,6 +267,10 @@
       if (this.minion.missedCalls === 1) {
         events.record(OWNER_EVENTS.MINION_UNREACHED, {message, minion: id, what});
       }
+      if (this.minion.missedCalls >= SILENT_AFTER_CALLS && !this.minion.isMarkedSilent) {
+        this.minion.isMarkedSilent = true;
+        onSilent(this.minion);
+      }
       return;
     }
     events.record(OWNER_EVENTS.ORDER_FAILED, {kind, message, minion: id, what});
@@ -288,7 +301,7 @@
 
   async #tryStart(run: Run): Promise<StartEnd> {
     const {clock, findTicket, orders, tenure} = this.#context;
-    const untilMs = this.minion.clock.grant(HOLD_MS, clock.monotonic());
+    const untilMs = this.#grantHold(clock.monotonic());
     for (let attempt = 0; attempt < ORDER_TRIES; attempt += 1) {
       if (untilMs === undefined || !this.#isActing() || run.phase !== 'starting') {
         return this.#uncertain.has(run) ? 'unknown' : 'not-started';
--- a/packages/nutmegproxy-owner/src/Owner.ts
+++ b/packages/nutmegproxy-owner/src/Owner.ts
@@ -114,6 +114,9 @@
         fleet,
         isPressed: (minion) => this.#sharing.isPressed(minion),
         journal: this.#journal,
+        onAnswering: (minion) => {
+          this.#minions.noteAnswering(minion);
+        },
         onChange,
         onFenced,
         onListed: (minion, now) => {
@@ -125,6 +128,9 @@
         onRunDone: ({step}, durationMs) => {
           this.#estimate.note(step.job.request.queue, step.shape, durationMs);
         },
+        onSilent: (minion) => {
+          this.#minions.noteSilent(minion);
+        },
         onTicketRejected: ({minion, step}) => {
           this.#advice.withdraw(step, minion);
         },
--- a/packages/nutmegproxy-owner/src/OwnerConstants.ts
+++ b/packages/nutmegproxy-owner/src/OwnerConstants.ts
@@ -8,7 +8,7 @@
  * Time for which an owner acts on without proof of its lease, so that work goes on while the store
  * is away. Longer than the outages that the users' sheets list.
  */
-export const UNPROVED_GRACE_MS = 6_000;
+export const UNPROVED_GRACE_MS = 4_500;
 /** Most by which the wall clock may run ahead of the steady one before ownership needs a proof. */
 export const CLOCK_GAP_MS = 500;
 /** Spread of the first tries to take a free ownership, so that not all entry VMs write at once. */
@@ -16,7 +16,11 @@
 /** Pause after a failed try to take ownership. */
 export const TAKEOVER_RETRY_MS = 300;
 /** Time for which runs may live on without a renewal; longer than a takeover with a lost write. */
-export const HOLD_MS = 8_000;
+export const HOLD_MS = 7_500;
+/** Calls without an answer in a row after which a minion is marked as silent. */
+export const SILENT_AFTER_CALLS = 2;
+/** Most by which the wall clocks of two VMs may differ, with a step of one of them. */
+export const WALL_SKEW_MS = 2_500;
 /** Pause of a session after a call without an answer. */
 export const HOLD_RETRY_MS = 150;
 /** How long a listing may wait for an end. */
--- a/packages/nutmegproxy-owner/src/Roster.ts
+++ b/packages/nutmegproxy-owner/src/Roster.ts
@@ -2,9 +2,14 @@
  * The minions on which an owner may have runs, kept in the store. A listing of the platform can
  * lapse while its minion works on, so the next owner has to know of the minions that are missing
  * there. A minion gets work only once it stands in the roster.
+ *
+ * A minion that falls silent is marked with the runs that it may have and with the end of its holds;
+ * it is granted no further ones until the mark is withdrawn. The next owner then knows what may run
+ * on a minion that it can't reach, and for how long.
  */
 
-import type {EventSink, MinionId} from '@nutmegproxy/core';
+import type {EventSink, MinionId, WallTime} from '@nutmegproxy/core';
+import type {RunNumber} from '@nutmegproxy/jobs';
 import type {MinionDescription} from '@nutmegproxy/scheduling';
 import type {PlatformStore, StoreFailure} from '@nutmegproxy/store';
 import type {Result} from 'neverthrow';
@@ -22,6 +27,19 @@
 
 const ROSTER_KEY = `${STATE_PREFIX}roster`;
 
+/** What is kept of a minion that does not answer. */
+export interface SilentMark {
+  /** When its holds have certainly ended, by the clock of the VM that wrote this. */
+  readonly heldUntil: WallTime;
+  /** Names and numbers of the runs that it may have. */
+  readonly runs: readonly (readonly [task: string, number: RunNumber])[];
+}
+
+export interface RosterEntry {
+  readonly description: MinionDescription;
+  readonly silent?: SilentMark;
+}
+
 export interface RosterOptions {
   readonly events: EventSink;
   readonly onFenced: () => void;
@@ -30,11 +48,13 @@
 }
 
 export class Roster {
-  readonly #entries = new Map<MinionId, MinionDescription>();
+  readonly #entries = new Map<MinionId, RosterEntry>();
+  #isStale = false;
   readonly #options: RosterOptions;
   #stopped = false;
+  /** Minions that the store may show as silent. */
+  #storedMarks: ReadonlySet<MinionId> = new Set();
   #writing: Promise<void> | undefined;
-  #isStale = false;
 
   constructor(options: RosterOptions) {
     this.#options = options;
@@ -42,60 +62,99 @@
 
   /** Resolves once the minions stand in the store's roster. */
   async add(minions: readonly MinionDescription[]): Promise<void> {
-    const added = minions.filter(({id}) => !this.#entries.has(id));
-    if (added.length === 0) {
-      return this.#writing;
-    }
-    for (const minion of added) {
-      this.#entries.set(minion.id, minion);
+    for (const description of minions) {
+      if (!this.#entries.has(description.id)) {
+        this.#entries.set(description.id, {description});
+        this.#isStale = true;
+      }
     }
+    await this.#flush();
+  }
+
+  /** Withdraws the mark of a minion that answers again; resolves once the store has that. */
+  async clearSilent(description: MinionDescription): Promise<void> {
+    this.#entries.set(description.id, {description});
     this.#isStale = true;
-    this.#writing ??= this.#write();
-    return this.#writing;
+    const flushed = this.#flush();
+    if (this.#storedMarks.has(description.id)) {
+      await flushed;
+    }
   }
 
   close(): void {
     this.#stopped = true;
   }
 
-  /** Minions of the former owner's roster. */
-  async read(): Promise<Result<readonly MinionDescription[], StoreFailure>> {
+  /** Marks a minion that does not answer. */
+  markSilent(description: MinionDescription, silent: SilentMark): void {
+    this.#entries.set(description.id, {description, silent});
+    this.#isStale = true;
+    void this.#flush();
+  }
+
+  /** The former owner's roster. */
+  async read(): Promise<Result<readonly RosterEntry[], StoreFailure>> {
     const stored = await getKey(this.#options.store, ROSTER_KEY);
     if (stored.isErr()) {
       return err(stored.error);
     }
     const text = stored.value?.value.toString() ?? '[]';
-    const minions = JSON.parse(text) as MinionDescription[];
-    for (const minion of minions) {
-      this.#entries.set(minion.id, minion);
+    const entries = JSON.parse(text) as RosterEntry[];
+    for (const entry of entries) {
+      this.#entries.set(entry.description.id, entry);
     }
-    return ok(minions);
+    this.#storedMarks = findMarks(entries);
+    return ok(entries);
   }
 
-  /** A minion on which nothing runs any more; leaves the store with the next write. */
+  /** A minion on which nothing runs any more. */
   remove(id: MinionId): void {
-    this.#entries.delete(id);
+    this.#isStale = this.#entries.delete(id) || this.#isStale;
+    void this.#flush();
+  }
+
+  /** Resolves once everything noted so far is in the store. */
+  async #flush(): Promise<void> {
+    while (this.#isStale && !this.#stopped) {
+      this.#writing ??= this.#write();
+      await this.#writing;
+    }
+    await this.#writing;
   }
 
   async #write(): Promise<void> {
     const {events, onFenced, store, tenure} = this.#options;
-    while (this.#isStale && !this.#stopped) {
-      this.#isStale = false;
-      const value = Buffer.from(JSON.stringify([...this.#entries.values()]));
-      const written = await store.commit({
-        compare: [fencedBy(OWNER_KEY, tenure)],
-        then: [{key: ROSTER_KEY, kind: 'put', value}],
-      });
-      if (written.isErr()) {
-        const {kind, message} = written.error;
-        events.record(OWNER_EVENTS.JOURNAL_FAILED, {kind, message, what: 'roster'});
-        this.#isStale = true;
-        await delay(JOURNAL_RETRY_MS);
-      } else if (!written.value.succeeded) {
-        this.#stopped = true;
-        onFenced();
-      }
+    // Entries that are noted in the same turn go into one write.
+    await delay(0);
+    this.#isStale = false;
+    const entries = [...this.#entries.values()];
+    const marks = findMarks(entries);
+    const formerMarks = this.#storedMarks;
+    this.#storedMarks = new Set([...formerMarks, ...marks]);
+    const value = Buffer.from(JSON.stringify(entries));
+    const written = await store.commit({
+      compare: [fencedBy(OWNER_KEY, tenure)],
+      then: [{key: ROSTER_KEY, kind: 'put', value}],
+    });
+    if (written.isErr()) {
+      const {kind, message} = written.error;
+      events.record(OWNER_EVENTS.JOURNAL_FAILED, {kind, message, what: 'roster'});
+      this.#isStale = true;
+      // A write without an answer may have taken effect, or may yet.
+      this.#storedMarks = kind === 'unknown' ? this.#storedMarks : formerMarks;
+      await delay(JOURNAL_RETRY_MS);
+    } else if (written.value.succeeded) {
+      this.#storedMarks = marks;
+    } else {
+      this.#stopped = true;
+      onFenced();
     }
     this.#writing = undefined;
   }
 }
+
+function findMarks(entries: readonly RosterEntry[]): ReadonlySet<MinionId> {
+  return new Set(
+    entries.filter(({silent}) => silent !== undefined).map(({description}) => description.id),
+  );
+}
--- a/packages/nutmegproxy-scheduling/src/HoldClock.ts
+++ b/packages/nutmegproxy-scheduling/src/HoldClock.ts
@@ -64,6 +64,16 @@
     return until;
   }
 
+  /** Time in milliseconds after which every hold granted so far has certainly ended. */
+  lapsesInMs(now: Instant): number {
+    const former = Math.max(0, (this.#unheardUntil ?? now) - now);
+    if (this.#reading === undefined) {
+      return former;
+    }
+    const leftMs = this.#heldUntilMs + LAPSE_MARGIN_MS - this.#reading.clockMs;
+    return Math.max(0, leftMs / (1 - SLOW_CLOCK_RATE) - (now - this.#reading.receivedAt));
+  }
+
   /** Whether every hold has certainly ended, so that nothing runs on the minion. */
   isLapsed(now: Instant): boolean {
     if (this.#unheardUntil !== undefined && now < this.#unheardUntil) {
--- a/packages/nutmegproxy-scheduling/src/MinionState.ts
+++ b/packages/nutmegproxy-scheduling/src/MinionState.ts
@@ -55,6 +55,8 @@
   unlistedSince: Instant | undefined;
   /** Whether it has told this owner what runs there. */
   isReported = false;
+  /** Whether the store says that it is granted no holds; they begin again once that is withdrawn. */
+  isMarkedSilent = false;
   /** When it last answered; undefined before. */
   lastAnswerAt: Instant | undefined;
   /** Calls without an answer since the last answer. */
--- a/packages/nutmegproxy-scheduling/src/Placement.ts
+++ b/packages/nutmegproxy-scheduling/src/Placement.ts
@@ -66,6 +66,7 @@
     isListed &&
     !isDraining &&
     minion.missedCalls === 0 &&
+    !minion.isMarkedSilent &&
     minion.foreignRuns === 0 &&
     (level === 'trusted' || (level === 'trial' && minion.runs.size === 0))
   );
