--- a/packages/nutmegproxy-scheduling/src/StartPlanner.ts
+++ b/packages/nutmegproxy-scheduling/src/StartPlanner.ts
@@ -12,6 +12,12 @@
 import {orderSteps} from './JobOrder.ts';
 import {chooseMinion, isUsable} from './Placement.ts';
 
+/**
+ * Share of a service's processors beyond which no further long-running job begins. What long-running
+ * jobs take is not given back for minutes, and short work that finds no room is late at once.
+ */
+const LONG_RUNNING_CEILING = 0.88;
+
 /** Permissions of an external service, where a queue needs them. */
 export interface AdviceView {
   /** Whether the step may run on the minion; undefined while that is not known. */
@@ -127,8 +133,26 @@
     }
   }
 
+  /** Whether a long-running job that has not begun would take room that short work needs. */
+  #isHeldBack(step: StepState, minions: readonly MinionState[]): boolean {
+    const {job, shape} = step;
+    if (!shape.longRunning || job.started) {
+      return false;
+    }
+    let capacity = 0;
+    let reserved = shape.resources.cpuMilli * shape.count;
+    for (const {description, reserved: taken} of minions) {
+      capacity += description.capacity.cpuMilli;
+      reserved += taken.cpuMilli;
+    }
+    return reserved > capacity * LONG_RUNNING_CEILING;
+  }
+
   #placeTasks(step: StepState): void {
     const minions = this.#minions(step);
+    if (this.#isHeldBack(step, minions)) {
+      return;
+    }
     for (const index of [...step.waiting]) {
       const minion =
         this.#choose(step, index, minions) ?? this.#chooseAvoided(step, index, minions);
--- /dev/null
+++ b/packages/nutmegproxy-scheduling/src/__tests__/unit/Samples.ts
@@ -0,0 +1,129 @@
+/** Jobs, minions and contexts for the tests of the decisions. */
+
+import type {DataCentreId, Instant, JobId, MinionId, RackId, WallTime} from '@nutmegproxy/core';
+import type {QueueId, Run, ServiceId, StepShape} from '@nutmegproxy/jobs';
+
+import {brand, SILENT_EVENTS} from '@nutmegproxy/core';
+import {JobState} from '@nutmegproxy/jobs';
+
+import type {MinionDescription} from '../../MinionState.ts';
+import type {PlacementView} from '../../Placement.ts';
+import type {QueuePolicy} from '../../QueuePolicy.ts';
+
+import {Fleet} from '../../Fleet.ts';
+import {MinionState} from '../../MinionState.ts';
+import {planStarts} from '../../StartPlanner.ts';
+import {WorkEstimate} from '../../WorkEstimate.ts';
+
+export const SERVICE = 'mesa' as ServiceId;
+export const FREE_SHARING: PlacementView = {fillingCost: () => 0, servingCost: () => 0};
+
+export const at = (ms: number): Instant => ms as Instant;
+export const wallAt = (ms: number): WallTime => ms as WallTime;
+
+export function queue(id: string, change: Partial<QueuePolicy> = {}): QueuePolicy {
+  return {
+    advice: undefined,
+    id: id as QueueId,
+    maxAttempts: 2,
+    priority: 0,
+    service: SERVICE,
+    stretch: 2,
+    targetDurationMs: 1000,
+    ...change,
+  };
+}
+
+export function shape(change: Partial<StepShape> = {}): StepShape {
+  return {
+    after: [],
+    checkpoints: false,
+    count: 1,
+    disruptionBudget: undefined,
+    estimateMs: 1000,
+    fillsSpareCpu: false,
+    gang: false,
+    image: undefined,
+    longRunning: false,
+    maxPerMinion: undefined,
+    preferredRack: undefined,
+    rackLocal: false,
+    requiredLabel: undefined,
+    resources: {cpuMilli: 1000, gpus: 0, memoryMb: 100},
+    speculative: false,
+    tailTargetMs: undefined,
+    ...change,
+  };
+}
+
+/** A fleet of minions of four cores that have reported. */
+export class SampleFleet {
+  readonly estimate = new WorkEstimate();
+  readonly fleet = new Fleet(SILENT_EVENTS);
+  #jobs = 0;
+
+  constructor(minions: number, queues: readonly QueuePolicy[] = [queue('proofs')]) {
+    for (const policy of queues) {
+      this.fleet.queues.set(policy.id, policy);
+    }
+    for (let number = 1; number <= minions; number += 1) {
+      this.addMinion(`m${number}`);
+    }
+  }
+
+  addJob(queueId: string, steps: readonly StepShape[], acceptedAtMs = 0): JobState {
+    this.#jobs += 1;
+    const id = brand<JobId>(this.#jobs.toString(16).padStart(16, '0'));
+    const request = {
+      acceptedAt: wallAt(acceptedAtMs),
+      id,
+      payload: '',
+      queue: queueId as QueueId,
+      recurrence: undefined,
+      service: SERVICE,
+      steps,
+    };
+    const job = new JobState(request, this.#jobs, at(0));
+    this.fleet.jobs.set(id, job);
+    return job;
+  }
+
+  addMinion(name: string, change: Partial<MinionDescription> = {}): MinionState {
+    const minion = new MinionState({
+      address: `${name}:1`,
+      bornAt: 1,
+      capacity: {cpuMilli: 4000, gpus: 0, memoryMb: 8000},
+      dataCentre: brand<DataCentreId>('dc'),
+      id: brand<MinionId>(name),
+      isDraining: false,
+      labels: ['a', 'r1'],
+      leavesInMs: undefined,
+      machine: undefined,
+      rack: brand<RackId>('r1'),
+      service: SERVICE,
+      ...change,
+    });
+    minion.isReported = true;
+    this.fleet.minions.set(minion.id, minion);
+    return minion;
+  }
+
+  /** Ends all live runs of a job. */
+  finish(job: JobState, now: Instant): void {
+    for (const step of job.steps()) {
+      for (const run of [...step.runs()]) {
+        this.fleet.endRun(run, 'done', undefined, now);
+      }
+    }
+  }
+
+  plan(nowMs: number, view: PlacementView = FREE_SHARING): Run[] {
+    return planStarts(this.fleet, {
+      advice: {isPermitted: () => undefined},
+      estimate: this.estimate,
+      now: at(nowMs),
+      view,
+      wall: wallAt(nowMs),
+    });
+  }
+}
--- /dev/null
+++ b/packages/nutmegproxy-scheduling/src/__tests__/unit/StartPlanner.test.ts
@@ -0,0 +1,174 @@
+import type {RunNumber} from '@nutmegproxy/jobs';
+
+import assert from 'node:assert/strict';
+import {describe, it} from 'node:test';
+
+import {at, queue, SampleFleet, shape} from './Samples.ts';
+
+describe('planStarts', () => {
+  describe('room', () => {
+    it('never places more on a minion than it has', () => {
+      const sample = new SampleFleet(2);
+      sample.addJob('proofs', [shape({count: 20})]);
+      assert.equal(sample.plan(0).length, 8);
+      assert.equal(sample.plan(1).length, 0);
+    });
+
+    it('counts what is being stopped until its end', () => {
+      const sample = new SampleFleet(1);
+      const job = sample.addJob('proofs', [shape({count: 4})]);
+      sample.plan(0);
+      sample.fleet.cancelJob(job);
+      sample.addJob('proofs', [shape()]);
+      assert.equal(sample.plan(1).length, 0);
+      sample.finish(job, at(2));
+      assert.equal(sample.plan(3).length, 1);
+    });
+
+    it('does not count the processors of filling tasks', () => {
+      const sample = new SampleFleet(1);
+      sample.addJob('proofs', [shape({count: 4, fillsSpareCpu: true})]);
+      sample.addJob('proofs', [shape({count: 4})]);
+      assert.equal(sample.plan(0).length, 8);
+    });
+  });
+
+  describe('conditions of a step', () => {
+    it('waits for the steps before it', () => {
+      const sample = new SampleFleet(1);
+      const job = sample.addJob('proofs', [shape(), shape({after: [0]})]);
+      assert.deepEqual(
+        sample.plan(0).map(({task}) => task.step),
+        [0],
+      );
+      sample.finish(job, at(5));
+      assert.deepEqual(
+        sample.plan(6).map(({task}) => task.step),
+        [1],
+      );
+    });
+
+    it('keeps to the number of tasks that may share a minion', () => {
+      const sample = new SampleFleet(3);
+      sample.addJob('proofs', [shape({count: 5, maxPerMinion: 1})]);
+      const runs = sample.plan(0);
+      assert.equal(runs.length, 3);
+      assert.equal(new Set(runs.map(({minion}) => minion)).size, 3);
+    });
+
+    it('needs the label', () => {
+      const sample = new SampleFleet(1);
+      sample.addMinion('gpu', {labels: ['b', 'r1']});
+      sample.addJob('proofs', [shape({requiredLabel: 'b'})]);
+      assert.deepEqual(
+        sample.plan(0).map(({minion}) => minion),
+        ['gpu'],
+      );
+    });
+
+    it('starts a gang whole, under one number, or not at all', () => {
+      const sample = new SampleFleet(1);
+      sample.addJob('proofs', [shape({count: 5, gang: true})]);
+      assert.equal(sample.plan(0).length, 0);
+      assert.equal([...sample.fleet.minions.values()][0]?.reserved.cpuMilli, 0);
+      sample.addMinion('m2');
+      const runs = sample.plan(1);
+      assert.equal(runs.length, 5);
+      assert.equal(new Set(runs.map(({number}) => number)).size, 1);
+    });
+
+    it('starts nothing on a leaving, silent or resting minion', () => {
+      const sample = new SampleFleet(0);
+      sample.addMinion('leaving', {isDraining: true});
+      sample.addMinion('silent').missedCalls = 1;
+      sample.addMinion('marked').isMarkedSilent = true;
+      sample.addMinion('resting').trust.noteStall(at(0));
+      sample.addJob('proofs', [shape()]);
+      assert.equal(sample.plan(1).length, 0);
+    });
+  });
+
+  describe('after a failed run', () => {
+    it('goes elsewhere under a higher number', () => {
+      const sample = new SampleFleet(2);
+      sample.addJob('proofs', [shape()]);
+      const [first] = sample.plan(0);
+      assert.ok(first);
+      sample.fleet.endRun(first, 'failed', undefined, at(1));
+      const [second] = sample.plan(2);
+      assert.ok(second);
+      assert.notEqual(second.minion, first.minion);
+      assert.ok(second.number > first.number);
+    });
+
+    it('fails the job after as many failures as its queue allows', () => {
+      const sample = new SampleFleet(3);
+      const job = sample.addJob('proofs', [shape()]);
+      for (const now of [0, 10]) {
+        const [run] = sample.plan(now);
+        assert.ok(run);
+        sample.fleet.endRun(run, 'failed', undefined, at(now + 1));
+      }
+      assert.equal(job.status, 'failed');
+      assert.equal(sample.plan(20).length, 0);
+    });
+
+    it('counts one failed run once, though two owners hear of it', () => {
+      const sample = new SampleFleet(2);
+      const job = sample.addJob('proofs', [shape()]);
+      const step = job.occurrence(0)?.[0];
+      assert.ok(step);
+      const task = {index: 0, job: job.id, occurrence: 0, step: 0};
+      sample.fleet.noteEnd(step, task, 1 as RunNumber, 'failed', undefined);
+      sample.fleet.noteEnd(step, task, 1 as RunNumber, 'failed', undefined);
+      assert.equal(job.status, 'queued');
+    });
+  });
+
+  describe('order', () => {
+    it('serves the queue with the lower priority number first', () => {
+      const sample = new SampleFleet(1, [queue('digests', {priority: 2}), queue('alerts')]);
+      sample.addJob('digests', [shape({count: 4})]);
+      const alert = sample.addJob('alerts', [shape({count: 4})]);
+      assert.deepEqual(new Set(sample.plan(0).map(({task}) => task.job)), new Set([alert.id]));
+    });
+
+    it('puts jobs that can be in time before those that are overdue', () => {
+      const sample = new SampleFleet(1);
+      sample.addJob('proofs', [shape({count: 4})], -60_000);
+      const fresh = sample.addJob('proofs', [shape({count: 4})]);
+      assert.deepEqual(new Set(sample.plan(0).map(({task}) => task.job)), new Set([fresh.id]));
+    });
+  });
+
+  describe('long-running jobs that would take the whole fleet', () => {
+    /** Callers of short work, four tasks every 100 ms, beside jobs that never give room back. */
+    function countShortStarts(longJobs: number): number {
+      const sample = new SampleFleet(10);
+      for (let job = 0; job < longJobs; job += 1) {
+        sample.addJob('proofs', [shape({count: 4, longRunning: true})]);
+      }
+      sample.plan(0);
+      let started = 0;
+      for (let now = 100; now <= 2_000; now += 100) {
+        const job = sample.addJob('proofs', [shape({count: 4, estimateMs: 100})], now);
+        started += sample.plan(now).filter(({task}) => task.job === job.id).length;
+        sample.finish(job, at(now + 99));
+      }
+      return started;
+    }
+
+    it('leave room, so that short work starts at once', () => {
+      assert.equal(countShortStarts(12), 80);
+    });
+
+    it('begin as long as there is room beside them', () => {
+      const sample = new SampleFleet(10);
+      const jobs = Array.from({length: 8}, () =>
+        sample.addJob('proofs', [shape({count: 4, longRunning: true})]),
+      );
+      sample.plan(0);
+      assert.ok(jobs.every(({started}) => started));
+    });
+  });
+});
