--- a/packages/nutmegproxy-scheduling/src/Fleet.ts
+++ b/packages/nutmegproxy-scheduling/src/Fleet.ts
@@ -104,7 +104,10 @@
       this.#events.record(SCHEDULING_EVENTS.MINION_TRUSTED, {minion: run.minion});
     }
     if (outcome === 'failed') {
-      run.step.avoid(run.task.index, run.minion);
+      // Long-running tasks may fail at any time and start again in the room that they had.
+      if (!run.step.shape.longRunning) {
+        run.step.avoid(run.task.index, run.minion);
+      }
       if (minion?.trust.noteFailure(run.task.job, now)) {
         this.#events.record(SCHEDULING_EVENTS.MINION_RESTED, {
           minion: run.minion,
--- a/packages/nutmegproxy-scheduling/src/JobOrder.ts
+++ b/packages/nutmegproxy-scheduling/src/JobOrder.ts
@@ -1,6 +1,6 @@
 /**
  * The order in which steps get room, for loads that exceed it. Priorities of queues come first.
- * Within one priority, jobs that can still meet their objective go before those that can only be
+ * Within one priority, interrupted long-running tasks come back first. Then jobs that can still meet their objective go before those that can only be
  * late, and these before those whose result is no longer awaited; among equals the one with the
  * least work left goes first, which finishes the most jobs in time.
  */
@@ -22,6 +22,8 @@
 const PUNCTUALITY_RANK: Readonly<Record<Punctuality, number>> = {late: 1, 'on-time': 0, overdue: 2};
 
 export interface OrderedStep {
+  /** Whether tasks of a long-running job were interrupted, so that its users are without them. */
+  readonly isInterrupted: boolean;
   readonly priority: number;
   readonly punctuality: Punctuality;
   readonly step: StepState;
@@ -50,6 +52,7 @@
 function compare(a: OrderedStep, b: OrderedStep): number {
   return (
     a.priority - b.priority ||
+    Number(b.isInterrupted) - Number(a.isInterrupted) ||
     PUNCTUALITY_RANK[a.punctuality] - PUNCTUALITY_RANK[b.punctuality] ||
     a.weight - b.weight
   );
@@ -70,6 +73,7 @@
       const left = estimate.remaining(job.occurrence(occurrence) ?? []);
       const objectiveMs = stretch * estimate.chainMs(job) + targetDurationMs;
       return {
+        isInterrupted: step.shape.longRunning && job.started,
         priority,
         punctuality: judgePunctuality({elapsedMs, objectiveMs, remainingMs: left.chainMs}),
         step,
--- a/packages/nutmegproxy-scheduling/src/StartPlanner.ts
+++ b/packages/nutmegproxy-scheduling/src/StartPlanner.ts
@@ -105,7 +105,8 @@
     }
     // A task on its last attempt goes to a minion that nothing speaks against.
     const failures = step.failures.get(index)?.length ?? 0;
-    if (failures > 0 && failures >= maxAttempts - 1 && minion.trust.isDoubted) {
+    const isLastAttempt = failures > 0 && failures >= maxAttempts - 1;
+    if (isLastAttempt && !step.shape.longRunning && minion.trust.isDoubted) {
       return false;
     }
     return policy === undefined || this.#context.advice.isPermitted(step, minion) === true;
--- a/packages/nutmegproxy-scheduling/src/__tests__/unit/StartPlanner.test.ts
+++ b/packages/nutmegproxy-scheduling/src/__tests__/unit/StartPlanner.test.ts
@@ -141,6 +141,23 @@
     });
   });
 
+  describe('a long-running task that fails', () => {
+    it('starts again at once, before short work takes its room', () => {
+      const sample = new SampleFleet(2);
+      const lasting = sample.addJob('proofs', [shape({count: 6, longRunning: true})]);
+      const runs = sample.plan(0);
+      const failed = runs.find(({task}) => task.job === lasting.id);
+      assert.ok(failed);
+      for (let job = 0; job < 3; job += 1) {
+        sample.addJob('proofs', [shape({count: 2, estimateMs: 100})]);
+      }
+      sample.plan(1);
+      sample.fleet.endRun(failed, 'failed', undefined, at(2));
+      const [first] = sample.plan(3);
+      assert.equal(first?.task.job, lasting.id);
+    });
+  });
+
   describe('long-running jobs that would take the whole fleet', () => {
     /** Callers of short work, four tasks every 100 ms, beside jobs that never give room back. */
     function countShortStarts(longJobs: number): number {
