--- a/packages/nutmegproxy-store/src/index.ts
+++ b/packages/nutmegproxy-store/src/index.ts
@@ -28,5 +28,7 @@
   WatchEvent,
   WatchHandler,
 } from './PlatformStore.ts';
+export {createStoreMetrics} from './StoreMetrics.ts';
+export type {StoreCallKind, StoreCallOutcome, StoreMetrics} from './StoreMetrics.ts';
 export {getKey, getPrefix, isWrite, put} from './StoreUtils.ts';
 export type {PrefixSnapshot} from './StoreUtils.ts';
