--- a/packages/nutmegproxy-scheduling/src/SharingPolicy.ts
+++ b/packages/nutmegproxy-scheduling/src/SharingPolicy.ts
@@ -30,7 +30,7 @@
  */
 const MOVE_ALL_AFTER_MS = 1_500;
 /** Cost of one unit of utilization beside unused processors, in thousandths of a core. */
-const UTILIZATION_COST = 12_000;
+const UTILIZATION_COST = 40_000;
 
 /** Cost of another image among a minion's serving tasks, above that of an empty minion. */
 const STRANGER_COST = 30_000;
