--- a/packages/nutmegproxy-scheduling/src/SharingPolicy.ts
+++ b/packages/nutmegproxy-scheduling/src/SharingPolicy.ts
@@ -15,7 +15,7 @@
 import {type Disturber, referenceCores, TailModel} from './TailModel.ts';
 
 /** Share of its bound up to which a utilization may be planned. */
-const PLANNED_SHARE = 1;
+const PLANNED_SHARE = 0.9;
 /** Share of its bound at which a tail is acted upon; reports are half a second old. */
 const TAIL_ALERT_SHARE = 0.95;
 /** Load of a serving task on average, as a share of what it can serve. */
