--- /dev/null
+++ b/packages/nutmegproxy-cli/src/Explain.ts
@@ -0,0 +1,113 @@
+/** The story of one request or job from the logs of all processes. */
+
+import type {EventFields} from '@nutmegproxy/core';
+
+import {ENTRY_EVENTS} from '@nutmegproxy/entry';
+import {OWNER_EVENTS} from '@nutmegproxy/owner';
+import {SCHEDULING_EVENTS} from '@nutmegproxy/scheduling';
+
+/** One line of a log. */
+export interface LogLine {
+  readonly code: number;
+  readonly fields: EventFields;
+  readonly msg: string;
+  /** Unix milliseconds, by the clock of the VM. */
+  readonly time: number;
+  readonly vm: string;
+}
+
+/** Time in milliseconds before and after the story in which events of others may explain it. */
+const MARGIN_MS = {after: 5_000, before: 1_000};
+
+/** Events that concern everything that runs, whoever the caller was. */
+const SHARED_CODES: ReadonlySet<number> = new Set([
+  ENTRY_EVENTS.STORE_LOST.code,
+  ENTRY_EVENTS.STORE_REGAINED.code,
+  OWNER_EVENTS.OWNERSHIP_LOST.code,
+  OWNER_EVENTS.OWNERSHIP_TAKEN.code,
+  OWNER_EVENTS.OWNERSHIP_UNPROVED.code,
+  OWNER_EVENTS.RECOVERY_DONE.code,
+]);
+
+/** Events of a minion that explain what became of its runs. */
+const MINION_CODES: ReadonlySet<number> = new Set([
+  OWNER_EVENTS.HOLD_LAPSED.code,
+  OWNER_EVENTS.MINION_CHANGED.code,
+  OWNER_EVENTS.MINION_REACHED.code,
+  OWNER_EVENTS.MINION_RESTARTED.code,
+  OWNER_EVENTS.MINION_UNREACHED.code,
+  OWNER_EVENTS.ORDER_FAILED.code,
+  SCHEDULING_EVENTS.MINION_RESTED.code,
+  SCHEDULING_EVENTS.MINION_TRUSTED.code,
+]);
+
+/**
+ * Reads a log line; undefined when it is none. Text before the JSON, as log collectors add it, is
+ * passed over.
+ *
+ * @example
+ * parseLogLine('{"time":1,"vm":"edge-1","code":8211,"fields":{},"msg":"A job was stored."}')?.code;
+ */
+export function parseLogLine(text: string): LogLine | undefined {
+  const start = text.indexOf('{');
+  if (start < 0) {
+    return undefined;
+  }
+  try {
+    const line = JSON.parse(text.slice(start)) as Partial<LogLine>;
+    return line.code === undefined || line.fields === undefined ? undefined : (line as LogLine);
+  } catch {
+    // A line that was cut off by a stop of its process tells nothing.
+    return undefined;
+  }
+}
+
+function findJobs(lines: readonly LogLine[], id: string): ReadonlySet<unknown> {
+  const ofRequest = lines.filter(({fields}) => fields.request === id);
+  return new Set([id, ...ofRequest.flatMap(({fields}) => fields.job ?? [])]);
+}
+
+/** The lines that tell of the request or job and what happened to it, oldest first. */
+export function selectStory(lines: readonly LogLine[], id: string): readonly LogLine[] {
+  const jobs = findJobs(lines, id);
+  const own = lines.filter(({fields}) => jobs.has(fields.job) || fields.request === id);
+  if (own.length === 0) {
+    return [];
+  }
+  const times = own.map(({time}) => time);
+  const [first, last] = [
+    Math.min(...times) - MARGIN_MS.before,
+    Math.max(...times) + MARGIN_MS.after,
+  ];
+  const minions = new Set(own.flatMap(({fields}) => fields.minion ?? []));
+  const around = lines.filter(
+    ({code, fields, time}) =>
+      time >= first &&
+      time <= last &&
+      (SHARED_CODES.has(code) ||
+        (MINION_CODES.has(code) && minions.has(fields.minion ?? '') && !jobs.has(fields.job))),
+  );
+  return [...own, ...around].sort((a, b) => a.time - b.time);
+}
+
+/** One line of the story, with the time since its first line in seconds. */
+export function formatStoryLine({code, fields, msg, time, vm}: LogLine, startMs: number): string {
+  const since = ((time - startMs) / 1000).toFixed(3).padStart(9);
+  const details = Object.entries(fields)
+    .map(([name, value]) => `${name}=${String(value)}`)
+    .join(' ');
+  return `${since} s  ${vm}  ${code}  ${msg} ${details}`;
+}
+
+/**
+ * Explains a request or a job from log lines.
+ *
+ * @example
+ * explain(readFileSync('edge.log', 'utf8').split('\n'), '5c0e7a21d94b36f8').join('\n');
+ */
+export function explain(texts: readonly string[], id: string): readonly string[] {
+  const lines = texts.flatMap((text) => parseLogLine(text) ?? []);
+  const story = selectStory(lines, id);
+  const start = story[0]?.time ?? 0;
+  return story.map((line) => formatStoryLine(line, start));
+}
--- /dev/null
+++ b/packages/nutmegproxy-cli/src/ExplainCommand.ts
@@ -0,0 +1,36 @@
+/** `nutmegproxy explain ID [FILE...]`: the story of a request from log files or standard input. */
+
+import {readFileSync} from 'node:fs';
+
+import type {Printer} from './Serve.ts';
+
+import {EXIT_FAILED, EXIT_OK, EXIT_USAGE} from './ExitCodes.ts';
+import {explain} from './Explain.ts';
+
+const STANDARD_INPUT = 0;
+
+/** Prints the story and returns the exit code; needs no server. */
+export function runExplain(words: readonly string[], printer: Printer): number {
+  const [id, ...files] = words;
+  if (id === undefined) {
+    printer.printError('usage: explain ID [FILE...]');
+    return EXIT_USAGE;
+  }
+  let texts: string[];
+  try {
+    const sources = files.length === 0 ? [STANDARD_INPUT] : files;
+    texts = sources.flatMap((source) => readFileSync(source, 'utf8').split('\n'));
+  } catch (error) {
+    printer.printError(error instanceof Error ? error.message : String(error));
+    return EXIT_FAILED;
+  }
+  const story = explain(texts, id);
+  if (story.length === 0) {
+    printer.printError(`no line names ${id}`);
+    return EXIT_FAILED;
+  }
+  for (const line of story) {
+    printer.printLine(line);
+  }
+  return EXIT_OK;
+}
--- a/packages/nutmegproxy-cli/src/Help.ts
+++ b/packages/nutmegproxy-cli/src/Help.ts
@@ -7,6 +7,7 @@
     $ nutmegproxy drain|undrain minion|worker|rack|data-centre ID
     $ nutmegproxy stop|unstop VM
     $ nutmegproxy status|tasks|timeline
+    $ nutmegproxy explain ID [FILE...]
 
   Options
     --settings FILE   settings of the entry VM, JSON with comments (serve)
--- /dev/null
+++ b/packages/nutmegproxy-cli/src/__tests__/unit/Explain.test.ts
@@ -0,0 +1,45 @@
+import assert from 'node:assert/strict';
+import {describe, it} from 'node:test';
+
+import {explain, parseLogLine} from '../../Explain.ts';
+
+function line(time: number, vm: string, code: number, fields: Record<string, unknown>): string {
+  return JSON.stringify({code, fields, level: 30, msg: `event ${code}`, time, vm});
+}
+
+const LOG = [
+  line(1_000, 'edge-a', 8211, {job: 'j1', request: 'r1'}),
+  line(1_010, 'edge-b', 8010, {job: 'j1', minion: 'm1', run: 1, task: 'j1.0.0.0'}),
+  line(1_020, 'edge-b', 8010, {job: 'j2', minion: 'm2', run: 1, task: 'j2.0.0.0'}),
+  line(2_000, 'edge-b', 8135, {minion: 'm1', what: 'hold'}),
+  line(2_100, 'edge-b', 8135, {minion: 'm2', what: 'hold'}),
+  line(2_500, 'edge-c', 8101, {fence: 9, term: 1}),
+  line(9_000, 'edge-c', 8013, {job: 'j1', minion: 'm1', reason: 'hold lapsed'}),
+  line(60_000, 'edge-c', 8101, {fence: 99, term: 2}),
+  'not a log line',
+];
+
+describe('explain', () => {
+  it('leads from the id of a request to its job and what befell it', () => {
+    const story = explain(LOG, 'r1');
+    assert.equal(story.length, 5);
+    assert.match(story[0] ?? '', /edge-a {2}8211 .*job=j1/);
+    assert.match(story.at(-1) ?? '', /8013 .*reason=hold lapsed/);
+  });
+
+  it('shows the faults of the minions and owners that were involved, and of no others', () => {
+    const story = explain(LOG, 'j1').join('\n');
+    assert.match(story, /8135 .*minion=m1/);
+    assert.match(story, /8101 .*term=1/);
+    assert.doesNotMatch(story, /m2|term=2/);
+  });
+
+  it('tells nothing of an id that no line names', () => {
+    assert.deepEqual(explain(LOG, 'r9'), []);
+  });
+
+  it('passes over text that a collector puts before the line', () => {
+    assert.equal(parseLogLine(`12.5 edge-a ${LOG[0] ?? ''}`)?.code, 8211);
+    assert.equal(parseLogLine('{"level":30,"time":1'), undefined);
+  });
+});
--- a/packages/nutmegproxy-cli/src/main.ts
+++ b/packages/nutmegproxy-cli/src/main.ts
@@ -3,6 +3,7 @@
 import {parseCommandLine} from './CommandLine.ts';
 import {COMMANDS, createClients} from './Commands.ts';
 import {EXIT_USAGE} from './ExitCodes.ts';
+import {runExplain} from './ExplainCommand.ts';
 import {serve} from './Serve.ts';
 
 function printError(text: string): void {
@@ -19,6 +20,9 @@
   if (name === 'serve') {
     return serve(options.settings, process.env, {printError, printLine});
   }
+  if (name === 'explain') {
+    return runExplain(rest, {printError, printLine});
+  }
   const command = name !== undefined && Object.hasOwn(COMMANDS, name) ? COMMANDS[name] : undefined;
   if (command === undefined) {
     showHelp();
