--- a/packages/nutmegproxy-entry/src/EntryEvents.ts
+++ b/packages/nutmegproxy-entry/src/EntryEvents.ts
@@ -3,6 +3,11 @@
 import type {EventKind} from '@nutmegproxy/core';
 
 export const ENTRY_EVENTS = {
+  CALL_FORWARDED: {
+    code: 8215,
+    level: 'info',
+    text: 'A request was passed on to an entry VM that may reach the store.',
+  },
   CALL_REFUSED: {code: 8210, level: 'info', text: "A caller's request was refused."},
   CANCEL_ACCEPTED: {code: 8213, level: 'info', text: 'The cancelling of a job was recorded.'},
   CONFIGURATION_APPLIED: {code: 8201, level: 'info', text: 'A configuration is in force.'},
@@ -16,4 +21,9 @@
   SETTINGS_RELOADED: {code: 8205, level: 'info', text: 'The settings file was read again.'},
   STORE_LOST: {code: 8220, level: 'warn', text: 'The store does not answer.'},
   STORE_REGAINED: {code: 8221, level: 'info', text: 'The store answers again.'},
+  VM_NOT_LISTED: {
+    code: 8222,
+    level: 'warn',
+    text: 'This VM could not enter itself in the list of VMs.',
+  },
 } satisfies Record<string, EventKind>;
--- a/packages/nutmegproxy-entry/src/JobDesk.ts
+++ b/packages/nutmegproxy-entry/src/JobDesk.ts
@@ -13,14 +13,9 @@
 import type {QueueRoute} from './Configuration.ts';
 import type {StoreHealth} from './StoreHealth.ts';
 
-import {
-  RETRY_AFTER_MS,
-  RETRY_AFTER_SPREAD_MS,
-  SUBMIT_BUDGET_MS,
-  SUBMIT_RETRY_MS,
-  WAITING_CACHE_MS,
-} from './EntryConstants.ts';
+import {SUBMIT_BUDGET_MS, SUBMIT_RETRY_MS, WAITING_CACHE_MS} from './EntryConstants.ts';
 import {ENTRY_EVENTS} from './EntryEvents.ts';
+import {chooseRetryAfter} from './RetryAfter.ts';
 
 /** `not-run`: nothing was done and nothing will be. `unknown`: the call may have taken effect. */
 export interface Refusal {
@@ -110,8 +105,8 @@
 
   /** A refusal that did not reach the store, for instance for want of a configuration. */
   refuse(call: CallContext, reason: string): Refusal {
-    const {events, random} = this.#options;
-    const retryAfterMs = Math.round(RETRY_AFTER_MS + random() * RETRY_AFTER_SPREAD_MS);
+    const {events} = this.#options;
+    const retryAfterMs = this.#chooseRetryAfter();
     events.record(ENTRY_EVENTS.CALL_REFUSED, {
       kind: 'not-run',
       reason,
@@ -183,6 +178,11 @@
     return ok(undefined);
   }
 
+  #chooseRetryAfter(): number {
+    const {clock, health, random} = this.#options;
+    return chooseRetryAfter(health.failingForMs(clock.monotonic()), random());
+  }
+
   #decodeProgress(stored: StoredValue | undefined): ShownJob | undefined {
     return stored === undefined ? undefined : decodeProgress(stored.value).unwrapOr(undefined);
   }
@@ -222,9 +222,9 @@
     failure: StoreFailure,
     fields: Readonly<Record<string, string>>,
   ): Refusal {
-    const {events, random} = this.#options;
+    const {events} = this.#options;
     const kind = failure.kind === 'unknown' ? 'unknown' : 'not-run';
-    const retryAfterMs = Math.round(RETRY_AFTER_MS + random() * RETRY_AFTER_SPREAD_MS);
+    const retryAfterMs = this.#chooseRetryAfter();
     events.record(ENTRY_EVENTS.CALL_REFUSED, {
       ...fields,
       kind,
--- /dev/null
+++ b/packages/nutmegproxy-entry/src/PeerChoice.ts
@@ -0,0 +1,37 @@
+/**
+ * Which entry VM a request is passed on to when this one can't reach the store, for outages that
+ * some VMs have and others do not.
+ */
+
+import type {DataCentreId, Instant, VmId} from '@nutmegproxy/core';
+
+import type {EntryVm} from './VmRegistry.ts';
+
+/** Time in milliseconds for which a VM that could not help is asked last. */
+const REST_MS = 1_000;
+
+export class PeerChoice {
+  readonly #failedAt = new Map<VmId, Instant>();
+  readonly #ownDataCentre: DataCentreId;
+
+  constructor(ownDataCentre: DataCentreId) {
+    this.#ownDataCentre = ownDataCentre;
+  }
+
+  /**
+   * The VMs to try, best first: those that did not fail of late, then those of the own data centre.
+   * `random` is a number from 0 to 1 that spreads the load.
+   */
+  choose(others: readonly EntryVm[], count: number, random: number, now: Instant): EntryVm[] {
+    const start = Math.floor(random * others.length);
+    const rotated = [...others.slice(start), ...others.slice(0, start)];
+    const rank = ({dataCentre, vm}: EntryVm): number =>
+      (now - (this.#failedAt.get(vm) ?? -Infinity) < REST_MS ? 2 : 0) +
+      (dataCentre === this.#ownDataCentre ? 0 : 1);
+    return rotated.sort((a, b) => rank(a) - rank(b)).slice(0, count);
+  }
+
+  noteFailure(vm: VmId, now: Instant): void {
+    this.#failedAt.set(vm, now);
+  }
+}
--- a/packages/nutmegproxy-entry/src/StoreHealth.ts
+++ b/packages/nutmegproxy-entry/src/StoreHealth.ts
@@ -20,6 +20,11 @@
     return this.#failingSince === undefined || now - this.#failingSince < STORE_SILENCE_MS;
   }
 
+  /** Time in milliseconds since the first failure; 0 while the store answers. */
+  failingForMs(now: Instant): number {
+    return this.#failingSince === undefined ? 0 : now - this.#failingSince;
+  }
+
   note(isAnswered: boolean, now: Instant): void {
     if (isAnswered) {
       if (this.#isLost) {
--- /dev/null
+++ b/packages/nutmegproxy-entry/src/__tests__/unit/JobDesk.test.ts
@@ -0,0 +1,122 @@
+import type {Instant, JobId, RequestId} from '@nutmegproxy/core';
+import type {JobRequest, QueueId, ServiceId} from '@nutmegproxy/jobs';
+
+import {brand, SILENT_EVENTS, SYSTEM_CLOCK} from '@nutmegproxy/core';
+import {jobKey} from '@nutmegproxy/jobs';
+import {MemoryStore} from '@nutmegproxy/standins';
+import {getKey, put} from '@nutmegproxy/store';
+import assert from 'node:assert/strict';
+import {after, beforeEach, describe, it} from 'node:test';
+
+import type {QueueRoute} from '../../Configuration.ts';
+
+import {JobDesk} from '../../JobDesk.ts';
+import {chooseRetryAfter} from '../../RetryAfter.ts';
+import {StoreHealth} from '../../StoreHealth.ts';
+
+const ROUTE: QueueRoute = {
+  advice: undefined,
+  host: 'host',
+  id: 'proofs' as QueueId,
+  maxAttempts: 2,
+  pathPrefix: '/p/',
+  priority: 0,
+  service: 'mesa' as ServiceId,
+  stretch: 2,
+  targetDurationMs: 1000,
+};
+const CALL = {requestId: brand<RequestId>('request-1'), timeoutMs: 400};
+const ID = brand<JobId>('00000000000000a1');
+const JOB: JobRequest = {id: ID, payload: '', recurrence: undefined, steps: []};
+
+describe('JobDesk', () => {
+  // The retries' own timers keep no process alive.
+  const keepAlive = setInterval(() => undefined, 1_000);
+  after(() => {
+    clearInterval(keepAlive);
+  });
+  let desk: JobDesk;
+  let health: StoreHealth;
+  let store: MemoryStore;
+
+  beforeEach(() => {
+    store = new MemoryStore();
+    health = new StoreHealth(SILENT_EVENTS);
+    desk = new JobDesk({
+      clock: SYSTEM_CLOCK,
+      events: SILENT_EVENTS,
+      health,
+      random: () => 0.5,
+      store,
+    });
+  });
+
+  describe('submit', () => {
+    it('accepts a job once it is stored, and the same job again as one job', async () => {
+      assert.ok((await desk.submit(ROUTE, JOB, CALL)).isOk());
+      const first = (await getKey(store, jobKey(ID, 'request')))._unsafeUnwrap();
+      assert.ok((await desk.submit(ROUTE, JOB, CALL)).isOk());
+      const second = (await getKey(store, jobKey(ID, 'request')))._unsafeUnwrap();
+      assert.equal(second?.modRevision, first?.modRevision);
+    });
+
+    it('says that a job has not run only when its write can not have taken effect', async () => {
+      store.faults.change({down: true});
+      const refused = await desk.submit(ROUTE, JOB, CALL);
+      assert.equal(refused._unsafeUnwrapErr().kind, 'not-run');
+    });
+
+    it('does not say so when the answer to its write was lost', async () => {
+      store.faults.change({loseShare: 1});
+      const refused = await desk.submit(ROUTE, JOB, CALL);
+      assert.equal(refused._unsafeUnwrapErr().kind, 'unknown');
+    });
+
+    it('finds a write that took effect though its answer was lost', async () => {
+      store.faults.change({loseNext: 1});
+      assert.ok((await desk.submit(ROUTE, JOB, CALL)).isOk());
+    });
+
+    it('refuses at once while the store is known to be away', async () => {
+      const now = SYSTEM_CLOCK.monotonic();
+      health.note(false, (now - 5_000) as Instant);
+      const started = performance.now();
+      const refused = await desk.submit(ROUTE, JOB, CALL);
+      assert.equal(refused._unsafeUnwrapErr().kind, 'not-run');
+      assert.ok(performance.now() - started < 50);
+      assert.equal((await getKey(store, jobKey(ID, 'request')))._unsafeUnwrap(), undefined);
+    });
+  });
+
+  describe('status', () => {
+    it('is queued before any progress and cancelled after a cancel', async () => {
+      await desk.submit(ROUTE, JOB, CALL);
+      assert.equal((await desk.status(ROUTE, ID, CALL))._unsafeUnwrap(), 'queued');
+      assert.equal((await desk.cancel(ROUTE, ID, CALL))._unsafeUnwrap(), true);
+      assert.equal((await desk.status(ROUTE, ID, CALL))._unsafeUnwrap(), 'cancelled');
+    });
+
+    it('is nothing for a job that was never submitted or is of another queue', async () => {
+      assert.equal((await desk.status(ROUTE, ID, CALL))._unsafeUnwrap(), undefined);
+      await desk.submit(ROUTE, JOB, CALL);
+      const other = {...ROUTE, id: 'other' as QueueId};
+      assert.equal((await desk.status(other, ID, CALL))._unsafeUnwrap(), undefined);
+      assert.equal((await desk.cancel(other, ID, CALL))._unsafeUnwrap(), false);
+    });
+
+    it('passes over a progress record that can not be read', async () => {
+      await desk.submit(ROUTE, JOB, CALL);
+      await put(store, jobKey(ID, 'progress'), Buffer.from('{'));
+      assert.equal((await desk.status(ROUTE, ID, CALL))._unsafeUnwrap(), 'queued');
+    });
+  });
+
+  describe('chooseRetryAfter', () => {
+    it('names the expected rest of an outage and spreads callers', () => {
+      assert.equal(chooseRetryAfter(0, 0), 2_500);
+      assert.equal(chooseRetryAfter(3_000, 0), 1_000);
+      assert.equal(chooseRetryAfter(3_000, 1), 2_000);
+      assert.equal(chooseRetryAfter(60_000, 0), 500);
+    });
+  });
+});
--- /dev/null
+++ b/packages/nutmegproxy-entry/src/__tests__/unit/PeerChoice.test.ts
@@ -0,0 +1,49 @@
+import type {DataCentreId, Instant, VmId} from '@nutmegproxy/core';
+
+import {brand} from '@nutmegproxy/core';
+import assert from 'node:assert/strict';
+import {describe, it} from 'node:test';
+
+import type {EntryVm} from '../../VmRegistry.ts';
+
+import {PeerChoice} from '../../PeerChoice.ts';
+
+const at = (ms: number): Instant => ms as Instant;
+
+function vm(name: string, dataCentre: string): EntryVm {
+  return {
+    address: `${name}:1`,
+    dataCentre: brand<DataCentreId>(dataCentre),
+    vm: brand<VmId>(name),
+  };
+}
+
+describe('PeerChoice', () => {
+  const others = [vm('b1', 'dc-b'), vm('a2', 'dc-a'), vm('a3', 'dc-a')];
+
+  it('prefers the own data centre', () => {
+    const choice = new PeerChoice(brand<DataCentreId>('dc-a'));
+    const names = choice.choose(others, 2, 0, at(0)).map((each) => each.vm);
+    assert.deepEqual(names.sort(), ['a2', 'a3']);
+  });
+
+  it('asks a VM that failed of late last, and again after a rest', () => {
+    const choice = new PeerChoice(brand<DataCentreId>('dc-a'));
+    choice.noteFailure(brand<VmId>('a2'), at(0));
+    assert.equal(choice.choose(others, 1, 0, at(100))[0]?.vm, 'a3');
+    assert.equal(choice.choose(others, 3, 0, at(100)).at(-1)?.vm, 'a2');
+    assert.notEqual(choice.choose(others, 3, 0, at(2_000)).at(-1)?.vm, 'a2');
+  });
+
+  it('spreads the load over VMs that suit alike', () => {
+    const choice = new PeerChoice(brand<DataCentreId>('dc-c'));
+    const first = new Set(
+      [0, 0.4, 0.7].map((random) => choice.choose(others, 1, random, at(0))[0]?.vm),
+    );
+    assert.equal(first.size, 3);
+  });
+
+  it('knows nobody to ask when no other VM is listed', () => {
+    assert.deepEqual(new PeerChoice(brand<DataCentreId>('dc-a')).choose([], 2, 0.9, at(0)), []);
+  });
+});
