--- a/packages/nutmegproxy-entry/src/EntryEvents.ts
+++ b/packages/nutmegproxy-entry/src/EntryEvents.ts
@@ -8,7 +8,7 @@
     level: 'info',
     text: 'A request was passed on to an entry VM that may reach the store.',
   },
-  CALL_REFUSED: {code: 8210, level: 'info', text: "A caller's request was refused."},
+  CALL_REFUSED: {code: 8210, level: 'info', text: 'This VM could not serve a request itself.'},
   CANCEL_ACCEPTED: {code: 8213, level: 'info', text: 'The cancelling of a job was recorded.'},
   CONFIGURATION_APPLIED: {code: 8201, level: 'info', text: 'A configuration is in force.'},
   JOB_ACCEPTED: {code: 8211, level: 'info', text: 'A job was stored and accepted.'},
