Write logs in pieces that a pipe takes whole; number the lines

Ruled out: the rate bound (no 'Lines left out') and the buffer's bound. LogStream.test: rate, count of what is left out, a reader that stops.

--- a/packages/nutmegproxy-events/src/EventLog.ts
+++ b/packages/nutmegproxy-events/src/EventLog.ts
@@ -49,7 +49,11 @@
   record(kind: EventKind, fields: EventFields): void {
     const shown = redact(fields);
     this.#ring.add(kind, shown, this.#clock.wall());
-    this.#logger[kind.level]({code: kind.code, fields: shown}, kind.text);
+    // A gap in the numbers shows that lines were left out or lost on their way.
+    this.#logger[kind.level](
+      {code: kind.code, fields: shown, sequence: this.#ring.newest},
+      kind.text,
+    );
   }
 
   /** At most `limit` events after `sequence`, oldest first. */
--- a/packages/nutmegproxy-events/src/LogStream.ts
+++ b/packages/nutmegproxy-events/src/LogStream.ts
@@ -9,6 +9,8 @@
 
 /** Bytes that wait for a slow reader at most; the memory that a log may take. */
 const MAX_WAITING_BYTES = 1_048_576;
+/** Largest single write: one that a pipe takes whole or not at all, so that no line is torn. */
+const MAX_WRITE_BYTES = 4_096;
 /** Burst that may exceed the rate, in seconds of it. */
 const BURST_S = 2;
 
@@ -34,7 +36,13 @@
     this.#allowance = options.bytesPerSecond * BURST_S;
     this.#refilledAt = options.now();
     this.#output =
-      options.output ?? pino.destination({fd: 1, maxLength: MAX_WAITING_BYTES, sync: false});
+      options.output ??
+      pino.destination({
+        fd: 1,
+        maxLength: MAX_WAITING_BYTES,
+        maxWrite: MAX_WRITE_BYTES,
+        sync: false,
+      });
   }
 
   /** Lines that were left out since the last one that passed. */
--- /dev/null
+++ b/packages/nutmegproxy-events/src/__tests__/unit/LogStream.test.ts
@@ -0,0 +1,72 @@
+import assert from 'node:assert/strict';
+import {spawn} from 'node:child_process';
+import {once} from 'node:events';
+import {describe, it} from 'node:test';
+
+import {LogStream} from '../../LogStream.ts';
+
+const LINE = `${'x'.repeat(99)}\n`;
+
+describe('LogStream', () => {
+  function open(): {lines: string[]; stream: LogStream; tick: (ms: number) => void} {
+    let now = 0;
+    const lines: string[] = [];
+    const stream = new LogStream({
+      bytesPerSecond: 1_000,
+      now: () => now,
+      output: {
+        write: (line) => {
+          lines.push(line);
+        },
+      },
+    });
+    return {
+      lines,
+      stream,
+      tick: (ms) => {
+        now += ms;
+      },
+    };
+  }
+
+  it('passes lines within the rate', () => {
+    const {lines, stream, tick} = open();
+    for (let second = 0; second < 10; second += 1) {
+      for (let line = 0; line < 10; line += 1) {
+        stream.write(LINE);
+      }
+      tick(1_000);
+    }
+    assert.equal(lines.length, 100);
+  });
+
+  it('leaves out what exceeds it, and says how much', () => {
+    const {lines, stream, tick} = open();
+    for (let line = 0; line < 50; line += 1) {
+      stream.write(LINE);
+    }
+    assert.equal(lines.length, 20);
+    assert.equal(stream.leftOut, 30);
+    tick(5_000);
+    stream.write(LINE);
+    assert.match(lines[20] ?? '', /"leftOutBytes":3000,"leftOutLines":30/);
+    assert.equal(stream.leftOut, 0);
+  });
+
+  it('never waits for a reader that has stopped', async () => {
+    const program = `
+      import {LogStream} from ${JSON.stringify(new URL('../../LogStream.ts', import.meta.url).href)};
+      const stream = new LogStream({bytesPerSecond: 1e9, now: () => performance.now()});
+      for (let line = 0; line < 100_000; line += 1) stream.write('x'.repeat(99) + '\\n');
+      process.stderr.write('written');
+      setTimeout(() => process.exit(0), 50);
+    `;
+    const args = ['--import', 'tsx', '--input-type=module', '--eval', program];
+    // Nobody reads the child's standard output, so that its pipe stays full.
+    const child = spawn(process.execPath, args, {stdio: ['ignore', 'pipe', 'pipe']});
+    const [told] = (await once(child.stderr, 'data')) as [Buffer];
+    assert.equal(told.toString(), 'written');
+    child.kill('SIGKILL');
+    await once(child, 'exit');
+  });
+});
