Keep a foreign run booked until its end; let a higher number replace a run that is only known from a record

Ruled out: the gate of recovery and the roster's order of writes. ListingReview.test fails without either half.

--- a/packages/nutmegproxy-jobs/src/StepState.ts
+++ b/packages/nutmegproxy-jobs/src/StepState.ts
@@ -19,6 +19,8 @@
   checkpoint: Checkpoint | undefined;
   /** When the minion confirmed the run; undefined before. */
   confirmedAt: Instant | undefined;
+  /** Whether it is only known from a former owner's record, not from its minion. */
+  isAssumed: boolean;
   readonly minion: MinionId;
   readonly number: RunNumber;
   /** Share of its speed that the minion lets the run work at, 0 to 100. */
--- a/packages/nutmegproxy-owner/src/FleetFollower.ts
+++ b/packages/nutmegproxy-owner/src/FleetFollower.ts
@@ -233,7 +233,7 @@
       const step = task && fleet.jobs.get(task.job)?.occurrence(task.occurrence)?.[task.step];
       const mayRun = step?.waiting.has(task?.index ?? -1) === true && !step.job.isFinal;
       if (task !== undefined && step !== undefined && mayRun) {
-        fleet.adoptRun(step, task, number, minion, now);
+        fleet.adoptRun(step, task, number, minion, now).isAssumed = true;
       }
     }
   }
--- a/packages/nutmegproxy-scheduling/src/Fleet.ts
+++ b/packages/nutmegproxy-scheduling/src/Fleet.ts
@@ -209,6 +209,7 @@
     const run: Run = {
       checkpoint: undefined,
       confirmedAt: undefined,
+      isAssumed: false,
       minion: minion.id,
       number,
       paceShare: 100,
--- a/packages/nutmegproxy-scheduling/src/ListingReview.ts
+++ b/packages/nutmegproxy-scheduling/src/ListingReview.ts
@@ -48,6 +48,7 @@
 }
 
 function refreshRun(run: Run, report: RunReport, now: Instant): void {
+  run.isAssumed = false;
   run.percent = report.percent;
   run.reading = report.reading;
   run.checkpoint = report.checkpoint ?? run.checkpoint;
@@ -62,31 +63,52 @@
   return (
     !step.job.isFinal &&
     !step.done.has(task.index) &&
-    task.index < step.shape.count &&
     (step.shape.speculative || step.runsOf(task.index).length === 0)
   );
 }
 
+/**
+ * Drops runs that are only known from a former owner's record when a run with a higher number
+ * shows: its starter was certain that they were over.
+ */
+function dropSuperseded(fleet: Fleet, step: StepState, {number, task}: RunReport): void {
+  if (step.shape.speculative) {
+    return;
+  }
+  for (const run of [...step.runsOf(task.index)]) {
+    if (run.isAssumed && run.number < number) {
+      fleet.loseRun(run, 'superseded');
+    }
+  }
+}
+
+/** Books a run that a minion lists; false when its task is not known. */
 function reviewRunning(
   fleet: Fleet,
   minion: MinionState,
   report: RunReport,
   now: Instant,
 ): boolean {
-  const step = findStep(fleet, report.task);
-  const run = step === undefined ? undefined : findRun(step, minion, report);
-  if (run !== undefined) {
-    refreshRun(run, report, now);
-    return true;
+  const {number, task} = report;
+  const step = findStep(fleet, task);
+  if (step === undefined || task.index >= step.shape.count) {
+    fleet.stops.push({minion: minion.id, number, reason: 'unknown', task});
+    return false;
   }
-  if (step !== undefined && mayAdopt(step, report)) {
-    refreshRun(fleet.adoptRun(step, report.task, report.number, minion, now), report, now);
+  const known = findRun(step, minion, report);
+  if (known !== undefined) {
+    refreshRun(known, report, now);
     return true;
   }
-  step?.noteRunNumber(report.task.index, report.number);
-  const {number, task} = report;
-  fleet.stops.push({minion: minion.id, number, reason: 'unknown', task});
-  return false;
+  dropSuperseded(fleet, step, report);
+  const isWanted = mayAdopt(step, report);
+  const run = fleet.adoptRun(step, task, number, minion, now);
+  refreshRun(run, report, now);
+  if (!isWanted) {
+    // It stays booked until its end, so that its task does not start beside it.
+    fleet.stopRun(run, 'unknown');
+  }
+  return true;
 }
 
 function reviewEnd(fleet: Fleet, minion: MinionState, report: EndReport, now: Instant): void {
