--- a/packages/nutmegproxy-emulator/src/__tests__/unit/Owner.test.ts
+++ b/packages/nutmegproxy-emulator/src/__tests__/unit/Owner.test.ts
@@ -194,6 +194,25 @@
       assert.ok(other.records.length <= 1);
     });
 
+    it('takes no silence for knowledge of what runs on a minion that never reported', async () => {
+      const minion = addMinion('m1');
+      behaviour = () => ({durationMs: 60_000, outcome: 'done'});
+      const first = await start('vm-1');
+      await submitJob(store, storedJob(1, [stepShape()]));
+      await waitFor('the task runs', () => minion.live.length === 1);
+      first.owner.stop('killed');
+      await first.ownership.resign(first.tenure, 'killed');
+      fleet.faults(brand<MinionId>('m1')).isCutOff = true;
+      const second = await start('vm-2');
+      await new Promise((resolve) => setTimeout(resolve, 800));
+      second.owner.stop('killed');
+      await second.ownership.resign(second.tenure, 'killed');
+      const other = addMinion('m2');
+      await start('vm-3');
+      await new Promise((resolve) => setTimeout(resolve, 800));
+      assert.equal(other.records.length, 0);
+    });
+
     it('fences the former owner at the minions', async () => {
       addMinion('m1');
       const first = await start('vm-1');
@@ -255,5 +274,20 @@
       await waitForStatus(1, 'completed');
       assert.equal(minion.records.length, 4);
     });
+
+    it('is told twice, by its listing and by its entry, and loses its runs once', async () => {
+      const minion = addMinion('m1');
+      behaviour = () => ({durationMs: 400, outcome: 'done'});
+      await start('vm-1');
+      await submitJob(store, storedJob(1, [stepShape()]));
+      await waitFor('the task runs', () => minion.live.length === 1);
+      await new Promise((resolve) => setTimeout(resolve, 50));
+      minion.restart(2);
+      await waitFor('the task runs again', () => minion.records.length === 2);
+      await new Promise((resolve) => setTimeout(resolve, 50));
+      fleet.add(minion);
+      await waitForStatus(1, 'completed');
+      assert.equal(minion.records.length, 2);
+    });
   });
 });
--- a/packages/nutmegproxy-jobs/src/StepState.ts
+++ b/packages/nutmegproxy-jobs/src/StepState.ts
@@ -49,6 +49,8 @@
   readonly shape: StepShape;
   /** When the step's earlier steps had ended; undefined before. */
   readyAt: Instant | undefined;
+  /** Minions on which a run of the task is over whose end is not known, by task index. */
+  readonly uncertain = new Map<number, Set<MinionId>>();
   /** Indexes of tasks that are not done and have no live run. */
   readonly waiting = new Set<number>();
   readonly #lastRun = new Map<number, RunNumber>();
@@ -116,6 +118,23 @@
     this.avoided.set(index, minions.add(minion));
   }
 
+  /** The ends of runs on the minion are known, or never will be. */
+  clearUncertain(minion: MinionId): void {
+    for (const minions of this.uncertain.values()) {
+      minions.delete(minion);
+    }
+  }
+
+  /** Runs of the task that have failed or may have. */
+  countPossibleFailures(index: number): number {
+    return (this.failures.get(index)?.length ?? 0) + (this.uncertain.get(index)?.size ?? 0);
+  }
+
+  noteUncertain(index: number, minion: MinionId): void {
+    const minions = this.uncertain.get(index) ?? new Set();
+    this.uncertain.set(index, minions.add(minion));
+  }
+
   /** Counts a failed run once; false when it was counted before. */
   markFailed(index: number, number: RunNumber): boolean {
     const numbers = this.failures.get(index) ?? [];
--- a/packages/nutmegproxy-owner/src/FleetFollower.ts
+++ b/packages/nutmegproxy-owner/src/FleetFollower.ts
@@ -156,9 +156,7 @@
       if (minion.runs.size > 0) {
         const fields = {minion: id, runs: minion.runs.size};
         events.record(OWNER_EVENTS.HOLD_LAPSED, fields);
-        for (const run of [...minion.runs]) {
-          fleet.loseRun(run, 'hold lapsed');
-        }
+        fleet.lapse(minion);
       }
       if (minion.unlistedSince !== undefined && now - minion.unlistedSince > GONE_AFTER_MS) {
         this.#forget(id);
@@ -185,7 +183,11 @@
 
   #forget(id: MinionId): void {
     const {events, fleet, roster} = this.#options;
-    this.#sessions.get(id)?.close();
+    const session = this.#sessions.get(id);
+    if (session !== undefined) {
+      session.close();
+      fleet.settleEnds(session.minion);
+    }
     this.#sessions.delete(id);
     fleet.minions.delete(id);
     roster.remove(id);
@@ -228,12 +230,16 @@
     minion.isMarkedSilent = true;
     const leftMs = Math.max(0, heldUntil + WALL_SKEW_MS - clock.wall());
     minion.clock.assumeHeldUntil((now + leftMs) as Instant);
-    for (const [name, number] of leftMs > 0 ? runs : []) {
+    for (const [name, number] of runs) {
       const task = parseTaskName(name);
       const step = task && fleet.jobs.get(task.job)?.occurrence(task.occurrence)?.[task.step];
-      const mayRun = step?.waiting.has(task?.index ?? -1) === true && !step.job.isFinal;
-      if (task !== undefined && step !== undefined && mayRun) {
+      if (task === undefined || step?.waiting.has(task.index) !== true || step.job.isFinal) {
+        continue;
+      }
+      if (leftMs > 0) {
         fleet.adoptRun(step, task, number, minion, now).isAssumed = true;
+      } else {
+        fleet.noteUncertain(step, task.index, minion);
       }
     }
   }
@@ -271,8 +277,6 @@
     }
     minion.unlistedSince = undefined;
     minion.drainingSince = description.isDraining ? (minion.drainingSince ?? now) : undefined;
-    if (description.bornAt !== former.bornAt && former.bornAt !== undefined) {
-      session.restart(description.bornAt);
-    }
+    session.noteLife(description.bornAt);
   }
 }
--- a/packages/nutmegproxy-owner/src/MinionSession.ts
+++ b/packages/nutmegproxy-owner/src/MinionSession.ts
@@ -87,14 +87,33 @@
     this.#context.orders.release(this.#target);
   }
 
+  /**
+   * Compares the start of the minion's life with the one that is known. Its listings and its entry
+   * both tell it; only the first of them means that the former life's runs are over.
+   */
+  noteLife(bornAt: number | undefined): void {
+    if (bornAt === undefined || bornAt === this.#bornAt) {
+      return;
+    }
+    const isRestart = this.#bornAt !== undefined;
+    // An entry may be older than a listing; lives follow each other in time.
+    if (isRestart && bornAt < (this.#bornAt ?? 0)) {
+      return;
+    }
+    this.#bornAt = bornAt;
+    if (isRestart) {
+      this.#restart(bornAt);
+    }
+  }
+
   /** The minion began a new life: nothing of the former one runs any more. */
-  restart(bornAt: number | undefined): void {
+  #restart(bornAt: number): void {
     const {events, fleet} = this.#context;
     events.record(OWNER_EVENTS.MINION_RESTARTED, {bornAt, minion: this.minion.id});
-    this.#bornAt = bornAt;
     this.#acked = 0;
     this.#seen = 0;
     this.minion.clock.reset();
+    fleet.settleEnds(this.minion);
     for (const run of [...this.minion.runs]) {
       if (run.confirmedAt === undefined) {
         // The start may still reach the new life; its number is stopped there first.
@@ -142,18 +161,14 @@
 
   #applyListing(listing: MinionListing, askedAt: Instant, now: Instant): void {
     const {fleet, onListed} = this.#context;
-    if (listing.bornAt !== undefined && listing.bornAt !== this.#bornAt) {
-      if (this.#bornAt !== undefined) {
-        this.restart(listing.bornAt);
-      }
-      this.#bornAt = listing.bornAt;
-    }
+    this.noteLife(listing.bornAt);
     this.minion.clock.observe(listing.clockMs, now);
     this.#noteDurations(listing, now);
     reviewListing(fleet, this.minion, listing, {askedAt, now, seenThrough: this.#seen});
     this.#seen = Math.max(this.#seen, ...listing.ended.map(({sequence}) => sequence));
     this.minion.isReported = true;
     this.#noteAnswer(now);
+    fleet.settleEnds(this.minion);
     onListed(this.minion, now);
     this.#resume();
   }
@@ -267,7 +282,12 @@
       if (this.minion.missedCalls === 1) {
         events.record(OWNER_EVENTS.MINION_UNREACHED, {message, minion: id, what});
       }
-      if (this.minion.missedCalls >= SILENT_AFTER_CALLS && !this.minion.isMarkedSilent) {
+      // Of a minion that has not reported, this owner does not know what it may run.
+      const isNewlySilent =
+        this.minion.missedCalls >= SILENT_AFTER_CALLS &&
+        this.minion.isReported &&
+        !this.minion.isMarkedSilent;
+      if (isNewlySilent) {
         this.minion.isMarkedSilent = true;
         onSilent(this.minion);
       }
--- a/packages/nutmegproxy-scheduling/src/Fleet.ts
+++ b/packages/nutmegproxy-scheduling/src/Fleet.ts
@@ -117,6 +117,28 @@
     }
   }
 
+  /** The holds on a silent minion have lapsed: its runs are over, and their ends not known yet. */
+  lapse(minion: MinionState): void {
+    for (const run of [...minion.runs]) {
+      this.noteUncertain(run.step, run.task.index, minion);
+      this.loseRun(run, 'hold lapsed');
+    }
+  }
+
+  /** A run may have failed on a minion that can still tell. */
+  noteUncertain(step: StepState, index: number, minion: MinionState): void {
+    step.noteUncertain(index, minion.id);
+    minion.uncertainSteps.add(step);
+  }
+
+  /** The minion has told its ends, or never will. */
+  settleEnds(minion: MinionState): void {
+    for (const step of minion.uncertainSteps) {
+      step.clearUncertain(minion.id);
+    }
+    minion.uncertainSteps.clear();
+  }
+
   /** A run is over without a listed end: its hold lapsed or its minion restarted. */
   loseRun(run: Run, reason: string): void {
     this.#release(run);
--- a/packages/nutmegproxy-scheduling/src/MinionState.ts
+++ b/packages/nutmegproxy-scheduling/src/MinionState.ts
@@ -1,7 +1,7 @@
 /** One life of a minion: what it is, what runs there, and how much room is left. */
 
 import type {Branded, DataCentreId, Instant, MinionId, RackId} from '@nutmegproxy/core';
-import type {Resources, Run, ServiceId} from '@nutmegproxy/jobs';
+import type {Resources, Run, ServiceId, StepState} from '@nutmegproxy/jobs';
 
 import {HoldClock} from './HoldClock.ts';
 import {MinionTrust} from './MinionTrust.ts';
@@ -53,6 +53,8 @@
   foreignRuns = 0;
   /** Since when its entry is missing; a listing may lapse though the minion lives. */
   unlistedSince: Instant | undefined;
+  /** Steps with runs here whose ends are not known. */
+  readonly uncertainSteps = new Set<StepState>();
   /** Whether it has told this owner what runs there. */
   isReported = false;
   /** Whether the store says that it is granted no holds; they begin again once that is withdrawn. */
--- a/packages/nutmegproxy-scheduling/src/StartPlanner.ts
+++ b/packages/nutmegproxy-scheduling/src/StartPlanner.ts
@@ -103,6 +103,10 @@
     if (step.avoided.get(index)?.has(minion.id)) {
       return false;
     }
+    // A run whose end is not known yet may have failed and count as an attempt.
+    if (!step.shape.longRunning && step.countPossibleFailures(index) >= maxAttempts) {
+      return false;
+    }
     // A task on its last attempt goes to a minion that nothing speaks against.
     const failures = step.failures.get(index)?.length ?? 0;
     const isLastAttempt = failures > 0 && failures >= maxAttempts - 1;
--- a/packages/nutmegproxy-scheduling/src/__tests__/unit/StartPlanner.test.ts
+++ b/packages/nutmegproxy-scheduling/src/__tests__/unit/StartPlanner.test.ts
@@ -113,6 +113,23 @@
       assert.equal(sample.plan(20).length, 0);
     });
 
+    it('waits for the end of a lost run that may have been the last attempt', () => {
+      const sample = new SampleFleet(3);
+      sample.addJob('proofs', [shape()]);
+      const [first] = sample.plan(0);
+      assert.ok(first);
+      const silent = sample.fleet.minions.get(first.minion);
+      assert.ok(silent);
+      sample.fleet.lapse(silent);
+      silent.missedCalls = 2;
+      const [second] = sample.plan(10);
+      assert.ok(second, 'one attempt is left whatever became of the first');
+      sample.fleet.endRun(second, 'failed', undefined, at(20));
+      assert.equal(sample.plan(30).length, 0);
+      sample.fleet.settleEnds(silent);
+      assert.equal(sample.plan(40).length, 1);
+    });
+
     it('counts one failed run once, though two owners hear of it', () => {
       const sample = new SampleFleet(2);
       const job = sample.addJob('proofs', [shape()]);
