--- a/packages/nutmegproxy-emulator/src/__tests__/unit/Owner.test.ts
+++ b/packages/nutmegproxy-emulator/src/__tests__/unit/Owner.test.ts
@@ -284,10 +284,22 @@
       await new Promise((resolve) => setTimeout(resolve, 50));
       minion.restart(2);
       await waitFor('the task runs again', () => minion.records.length === 2);
-      await new Promise((resolve) => setTimeout(resolve, 50));
+      // A roomier minion would be chosen for a task that seemed to wait.
+      const other = new EmulatedMinion(
+        describeMinion('m2', {capacity: {cpuMilli: 8000, gpus: 0, memoryMb: 8000}}),
+        (task) => behaviour(task.job),
+      );
+      fleet.add(other);
+      await waitFor('the other minion has reported', () => other.reports > 1);
+      // Its listings are held up, so that they can not set a mistake right at once.
+      const faults = fleet.faults(minion.description.id);
+      faults.isCutOff = true;
       fleet.add(minion);
+      await new Promise((resolve) => setTimeout(resolve, 100));
+      faults.isCutOff = false;
       await waitForStatus(1, 'completed');
       assert.equal(minion.records.length, 2);
+      assert.equal(other.records.length, 0);
     });
   });
 });
--- a/packages/nutmegproxy-scheduling/src/Placement.ts
+++ b/packages/nutmegproxy-scheduling/src/Placement.ts
@@ -63,6 +63,7 @@
   const level = minion.trust.level(now);
   return (
     minion.isReported &&
+    minion.clock.isKnown &&
     isListed &&
     !isDraining &&
     minion.missedCalls === 0 &&
--- a/packages/nutmegproxy-scheduling/src/__tests__/unit/Samples.ts
+++ b/packages/nutmegproxy-scheduling/src/__tests__/unit/Samples.ts
@@ -104,6 +104,7 @@
       ...change,
     });
     minion.isReported = true;
+    minion.clock.observe(0, at(0));
     this.fleet.minions.set(minion.id, minion);
     return minion;
   }
