--- a/packages/nutmegproxy-owner/src/OwnerConstants.ts
+++ b/packages/nutmegproxy-owner/src/OwnerConstants.ts
@@ -8,7 +8,7 @@
  * Time for which an owner acts on without proof of its lease, so that work goes on while the store
  * is away. Longer than the outages that the users' sheets list.
  */
-export const UNPROVED_GRACE_MS = 4_500;
+export const UNPROVED_GRACE_MS = 6_500;
 /** Most by which the wall clock may run ahead of the steady one before ownership needs a proof. */
 export const CLOCK_GAP_MS = 500;
 /** Spread of the first tries to take a free ownership, so that not all entry VMs write at once. */
