--- a/packages/nutmegproxy-emulator/src/__tests__/unit/JobSamples.ts
+++ b/packages/nutmegproxy-emulator/src/__tests__/unit/JobSamples.ts
@@ -121,6 +121,7 @@
     events: SILENT_EVENTS,
     orders: fleet,
     queues: () => [QUEUE],
+    statusMs: 0,
     store,
     tenure,
   });
--- /dev/null
+++ b/packages/nutmegproxy-emulator/src/__tests__/unit/Retention.test.ts
@@ -0,0 +1,53 @@
+import {jobKey} from '@nutmegproxy/jobs';
+import {MemoryStore} from '@nutmegproxy/standins';
+import {getKey} from '@nutmegproxy/store';
+import assert from 'node:assert/strict';
+import {describe, it} from 'node:test';
+
+import {EmulatedFleet} from '../../EmulatedFleet.ts';
+import {EmulatedMinion} from '../../EmulatedMinion.ts';
+import {
+  describeMinion,
+  fastClock,
+  startOwner,
+  stepShape,
+  storedJob,
+  submitJob,
+  waitFor,
+} from './JobSamples.ts';
+
+describe('Retention', () => {
+  it('removes an ended job after its time, and no other', async () => {
+    // Forty times as fast as time, so that the time for which jobs are kept passes in a second.
+    const clock = fastClock(40);
+    const store = new MemoryStore();
+    const fleet = new EmulatedFleet(clock);
+    fleet.add(
+      new EmulatedMinion(describeMinion('m1'), ({job}) => ({
+        durationMs: job.endsWith('1') ? 100 : Infinity,
+        outcome: 'done',
+      })),
+    );
+    const {owner, tenure} = await startOwner(clock, store, fleet);
+    const renewal = setInterval(() => {
+      tenure.prove(clock.monotonic(), clock.wall());
+    }, 10);
+    const ended = storedJob(1, [stepShape()]);
+    const lasting = storedJob(2, [stepShape({longRunning: true})]);
+    await submitJob(store, ended);
+    await submitJob(store, lasting);
+    let isGone = false;
+    const look = setInterval(() => {
+      void getKey(store, jobKey(ended.id, 'request')).then((found) => {
+        isGone ||= found.isOk() && found.value === undefined;
+      });
+    }, 20);
+    await waitFor('the ended job is removed', () => isGone);
+    assert.ok((await getKey(store, jobKey(lasting.id, 'request')))._unsafeUnwrap());
+    assert.equal((await getKey(store, jobKey(ended.id, 'progress')))._unsafeUnwrap(), undefined);
+    clearInterval(look);
+    clearInterval(renewal);
+    owner.stop('end of test');
+    await store.close();
+  });
+});
--- a/packages/nutmegproxy-owner/src/Owner.ts
+++ b/packages/nutmegproxy-owner/src/Owner.ts
@@ -32,6 +32,8 @@
   FOLLOW_RETRY_MS,
   PLAN_IDLE_MS,
   PLAN_PAUSE_MS,
+  RETENTION_MARGIN_MS,
+  RETENTION_PAUSE_MS,
   RUN_NUMBERS_PER_TERM,
   SUMMARY_PAUSE_MS,
   WAITING_PUBLISH_MS,
@@ -39,6 +41,7 @@
 import {OWNER_EVENTS} from './OwnerEvents.ts';
 import {OWNER_KEY} from './Ownership.ts';
 import {delay, fencedBy} from './OwnerUtils.ts';
+import {Retention} from './Retention.ts';
 import {Roster} from './Roster.ts';
 
 /** Length of each queue, for callers who ask. */
@@ -53,6 +56,8 @@
   readonly orders: MinionOrders;
   /** Queues of the configuration in force. */
   readonly queues: () => readonly QueuePolicy[];
+  /** Time in milliseconds for which the state of an ended job is told. */
+  readonly statusMs: number;
   readonly store: PlatformStore;
   readonly tenure: Tenure;
 }
@@ -149,6 +154,7 @@
     await this.#recover();
     void this.#advice.run(() => this.#isActing());
     void this.#publishWaiting();
+    void this.#removeOldJobs();
     void this.#knowledge.run(() => this.#isActing());
     while (this.#isActing()) {
       this.#plan();
@@ -238,6 +244,16 @@
     }
   }
 
+  async #removeOldJobs(): Promise<void> {
+    const {clock, events, statusMs, store, tenure} = this.#options;
+    const retentionMs = statusMs + RETENTION_MARGIN_MS;
+    const retention = new Retention({events, fleet: this.#fleet, retentionMs, store, tenure});
+    while (this.#isActing()) {
+      await delay(RETENTION_PAUSE_MS);
+      await retention.sweep(clock.monotonic());
+    }
+  }
+
   /** Reads jobs, the former roster and the list of minions, until all have been read. */
   async #recover(): Promise<void> {
     const {events} = this.#options;
--- a/packages/nutmegproxy-owner/src/OwnerConstants.ts
+++ b/packages/nutmegproxy-owner/src/OwnerConstants.ts
@@ -63,3 +63,7 @@
 export const ADVICE_IDLE_MS = 20;
 /** Time for an answer of the advising service beyond the time that it is known to take. */
 export const ADVICE_SLACK_MS = 1_000;
+/** Jobs removed in one write: three keys each, within the store's 32 entries. */
+export const RETENTION_BATCH = 10;
+/** Pause between removals of old jobs: ten jobs in 250 ms keep up with 40 jobs a second. */
+export const RETENTION_PAUSE_MS = 250;
--- a/packages/nutmegproxy-owner/src/OwnerEvents.ts
+++ b/packages/nutmegproxy-owner/src/OwnerEvents.ts
@@ -8,6 +8,11 @@
   FLEET_SUMMARY: {code: 8140, level: 'info', text: 'Room and work of the fleet.'},
   HOLD_LAPSED: {code: 8131, level: 'warn', text: 'Every hold on a silent minion has lapsed.'},
   JOB_LEARNED: {code: 8120, level: 'info', text: 'The owner learned of an accepted job.'},
+  JOBS_REMOVED: {
+    code: 8112,
+    level: 'info',
+    text: 'Records of jobs that ended long ago were removed.',
+  },
   JOURNAL_FAILED: {code: 8111, level: 'warn', text: 'Progress could not be written to the store.'},
   JOURNAL_WRITTEN: {code: 8110, level: 'info', text: 'Progress of jobs was written to the store.'},
   MINION_CHANGED: {code: 8132, level: 'info', text: 'A minion joined, changed or left the list.'},
--- /dev/null
+++ b/packages/nutmegproxy-owner/src/Retention.ts
@@ -0,0 +1,85 @@
+/** Removes the records of jobs that ended long ago, so that the store and the owner's books stay bounded. */
+
+import type {EventSink, Instant, JobId} from '@nutmegproxy/core';
+import type {Fleet} from '@nutmegproxy/scheduling';
+import type {PlatformStore} from '@nutmegproxy/store';
+
+import {jobKey, type JobPart} from '@nutmegproxy/jobs';
+
+import type {Tenure} from './Tenure.ts';
+
+import {RETENTION_BATCH} from './OwnerConstants.ts';
+import {OWNER_EVENTS} from './OwnerEvents.ts';
+import {OWNER_KEY} from './Ownership.ts';
+import {fencedBy} from './OwnerUtils.ts';
+
+const PARTS: readonly JobPart[] = ['cancel', 'progress', 'request'];
+
+export interface RetentionOptions {
+  readonly events: EventSink;
+  readonly fleet: Fleet;
+  /** Time in milliseconds for which an ended job is kept. */
+  readonly retentionMs: number;
+  readonly store: PlatformStore;
+  readonly tenure: Tenure;
+}
+
+export class Retention {
+  /** When each ended job was first seen as ended; a new owner counts anew. */
+  readonly #endedAt = new Map<JobId, Instant>();
+  readonly #options: RetentionOptions;
+
+  constructor(options: RetentionOptions) {
+    this.#options = options;
+  }
+
+  /** Removes one batch of the jobs whose time is over. */
+  async sweep(now: Instant): Promise<void> {
+    const {events, fleet, store, tenure} = this.#options;
+    const over = this.#chooseOver(now);
+    if (over.length === 0) {
+      return;
+    }
+    const removed = await store.commit({
+      compare: [fencedBy(OWNER_KEY, tenure)],
+      then: over.flatMap((id) =>
+        PARTS.map((part) => ({key: jobKey(id, part), kind: 'delete' as const})),
+      ),
+    });
+    if (removed.isErr()) {
+      const {kind, message} = removed.error;
+      events.record(OWNER_EVENTS.JOURNAL_FAILED, {kind, message, what: 'removal of old jobs'});
+      return;
+    }
+    for (const id of over) {
+      fleet.jobs.delete(id);
+      this.#endedAt.delete(id);
+    }
+    events.record(OWNER_EVENTS.JOBS_REMOVED, {jobs: over.join(' ')});
+  }
+
+  #chooseOver(now: Instant): JobId[] {
+    const {fleet, retentionMs} = this.#options;
+    const over: JobId[] = [];
+    for (const job of fleet.jobs.values()) {
+      if (!job.isFinal || fleet.dirtyJobs.has(job) || hasRuns(job)) {
+        continue;
+      }
+      const endedAt = this.#endedAt.get(job.id) ?? now;
+      this.#endedAt.set(job.id, endedAt);
+      if (now - endedAt > retentionMs && over.length < RETENTION_BATCH) {
+        over.push(job.id);
+      }
+    }
+    return over;
+  }
+}
+
+function hasRuns(job: {readonly steps: () => Iterable<{readonly liveRuns: number}>}): boolean {
+  for (const step of job.steps()) {
+    if (step.liveRuns > 0) {
+      return true;
+    }
+  }
+  return false;
+}
