Leave starts that a restarted minion may have carried out to its next listing

Only runs that the former life listed are lost with it. Owner.test 'keeps a start that reached the new life' fails without the change.

--- a/packages/nutmegproxy-emulator/src/EmulatedFleet.ts
+++ b/packages/nutmegproxy-emulator/src/EmulatedFleet.ts
@@ -28,6 +28,8 @@
 
 /** What happens to the orders for one minion. */
 export interface OrderFaults {
+  /** Listings get no answer; other orders do. */
+  holdsAreLost: boolean;
   /** Neither orders nor answers arrive. */
   isCutOff: boolean;
   /** Starts are carried out this much later and get no answer, in milliseconds; 0 for none. */
@@ -51,7 +53,11 @@
   }
 
   faults(id: MinionId): OrderFaults {
-    const faults = this.#faults.get(id) ?? {isCutOff: false, startsLateMs: 0};
+    const faults = this.#faults.get(id) ?? {
+      holdsAreLost: false,
+      isCutOff: false,
+      startsLateMs: 0,
+    };
     this.#faults.set(id, faults);
     return faults;
   }
@@ -59,6 +65,10 @@
   hold(target: MinionTarget, order: HoldOrder): ResultAsync<MinionListing, OrderFailure> {
     return this.#call(target, async (minion) => {
       await sleep(Math.min(order.waitMs, LISTING_WAIT_MS));
+      if (this.faults(target.id).holdsAreLost) {
+        await sleep(ORDER_TIMEOUT_MS);
+        return err(UNANSWERED);
+      }
       return minion.hold(order, this.#now());
     });
   }
--- a/packages/nutmegproxy-emulator/src/__tests__/unit/Owner.test.ts
+++ b/packages/nutmegproxy-emulator/src/__tests__/unit/Owner.test.ts
@@ -275,6 +275,25 @@
       assert.equal(minion.records.length, 4);
     });
 
+    it('keeps a start that reached the new life before the owner heard of it', async () => {
+      const minion = addMinion('m1');
+      behaviour = () => ({durationMs: 400, outcome: 'done'});
+      await start('vm-1');
+      await waitFor('the minion has reported', () => minion.reports > 1);
+      const faults = fleet.faults(minion.description.id);
+      faults.holdsAreLost = true;
+      minion.restart(2);
+      await submitJob(store, storedJob(1, [stepShape()]));
+      await waitFor('the task runs', () => minion.live.length === 1);
+      const other = addMinion('m2');
+      await waitFor('the other minion has reported', () => other.reports > 1);
+      fleet.add(minion);
+      await new Promise((resolve) => setTimeout(resolve, 100));
+      faults.holdsAreLost = false;
+      await waitForStatus(1, 'completed');
+      assert.equal(minion.records.length + other.records.length, 1);
+    });
+
     it('is told twice, by its listing and by its entry, and loses its runs once', async () => {
       const minion = addMinion('m1');
       behaviour = () => ({durationMs: 400, outcome: 'done'});
--- a/packages/nutmegproxy-jobs/src/StepState.ts
+++ b/packages/nutmegproxy-jobs/src/StepState.ts
@@ -14,13 +14,19 @@
  */
 export type RunPhase = 'running' | 'starting' | 'stopping';
 
+/**
+ * `order`: this owner sent its start. `record`: a former owner's record names it. `listing`: its
+ * minion has listed it.
+ */
+export type RunEvidence = 'listing' | 'order' | 'record';
+
 /** A live run of a task, or one that may be live. */
 export interface Run {
   checkpoint: Checkpoint | undefined;
   /** When the minion confirmed the run; undefined before. */
   confirmedAt: Instant | undefined;
-  /** Whether it is only known from a former owner's record, not from its minion. */
-  isAssumed: boolean;
+  /** What shows that the run exists. */
+  knownFrom: RunEvidence;
   readonly minion: MinionId;
   readonly number: RunNumber;
   /** Share of its speed that the minion lets the run work at, 0 to 100. */
--- a/packages/nutmegproxy-jobs/src/index.ts
+++ b/packages/nutmegproxy-jobs/src/index.ts
@@ -32,5 +32,5 @@
 export type {JobPart} from './JobRecords.ts';
 export {JobState} from './JobState.ts';
 export {StepState} from './StepState.ts';
-export type {Run, RunPhase} from './StepState.ts';
+export type {Run, RunEvidence, RunPhase} from './StepState.ts';
 export {formatTaskName, parseTaskName} from './TaskName.ts';
--- a/packages/nutmegproxy-owner/src/FleetFollower.ts
+++ b/packages/nutmegproxy-owner/src/FleetFollower.ts
@@ -237,7 +237,7 @@
         continue;
       }
       if (leftMs > 0) {
-        fleet.adoptRun(step, task, number, minion, now).isAssumed = true;
+        fleet.adoptRun(step, task, number, minion, now).knownFrom = 'record';
       } else {
         fleet.noteUncertain(step, task.index, minion);
       }
--- a/packages/nutmegproxy-owner/src/MinionSession.ts
+++ b/packages/nutmegproxy-owner/src/MinionSession.ts
@@ -115,10 +115,8 @@
     this.minion.clock.reset();
     fleet.settleEnds(this.minion);
     for (const run of [...this.minion.runs]) {
-      if (run.confirmedAt === undefined) {
-        // The start may still reach the new life; its number is stopped there first.
-        fleet.stopRun(run, 'unknown');
-      } else {
+      // A start that was sent meanwhile may have reached the new life; the next listing tells.
+      if (run.knownFrom !== 'order') {
         fleet.loseRun(run, 'minion restarted');
       }
     }
--- a/packages/nutmegproxy-scheduling/src/Fleet.ts
+++ b/packages/nutmegproxy-scheduling/src/Fleet.ts
@@ -231,7 +231,7 @@
     const run: Run = {
       checkpoint: undefined,
       confirmedAt: undefined,
-      isAssumed: false,
+      knownFrom: 'order',
       minion: minion.id,
       number,
       paceShare: 100,
--- a/packages/nutmegproxy-scheduling/src/ListingReview.ts
+++ b/packages/nutmegproxy-scheduling/src/ListingReview.ts
@@ -48,7 +48,7 @@
 }
 
 function refreshRun(run: Run, report: RunReport, now: Instant): void {
-  run.isAssumed = false;
+  run.knownFrom = 'listing';
   run.percent = report.percent;
   run.reading = report.reading;
   run.checkpoint = report.checkpoint ?? run.checkpoint;
@@ -76,7 +76,7 @@
     return;
   }
   for (const run of [...step.runsOf(task.index)]) {
-    if (run.isAssumed && run.number < number) {
+    if (run.knownFrom === 'record' && run.number < number) {
       fleet.loseRun(run, 'superseded');
     }
   }
--- a/packages/nutmegproxy-scheduling/src/__tests__/unit/ListingReview.test.ts
+++ b/packages/nutmegproxy-scheduling/src/__tests__/unit/ListingReview.test.ts
@@ -77,7 +77,7 @@
       const job = sample.addJob('proofs', [shape()]);
       const task = {index: 0, job: job.id, occurrence: 0, step: 0};
       const assumed = sample.fleet.adoptRun(stepOf(job), task, 1 as RunNumber, lost, at(0));
-      assumed.isAssumed = true;
+      assumed.knownFrom = 'record';
       review(sample, live, {running: [running(job, 2)]});
       assert.equal(sample.fleet.stops.length, 0);
       assert.equal(lost.runs.size, 0);
