--- a/packages/nutmegproxy-jobs/src/StepState.ts
+++ b/packages/nutmegproxy-jobs/src/StepState.ts
@@ -53,6 +53,8 @@
   readonly number: number;
   readonly occurrence: number;
   readonly shape: StepShape;
+  /** When a task of the step was last placed; undefined before. */
+  placedAt: Instant | undefined;
   /** When the step's earlier steps had ended; undefined before. */
   readyAt: Instant | undefined;
   /** Minions on which a run of the task is over whose end is not known, by task index. */
--- a/packages/nutmegproxy-scheduling/src/Fleet.ts
+++ b/packages/nutmegproxy-scheduling/src/Fleet.ts
@@ -197,6 +197,7 @@
     const chosen = number ?? step.nextRunNumber(index, this.runNumberBase);
     const run = this.#bookRun(step, task, chosen, minion, now);
     run.checkpoint = step.checkpoints.get(index);
+    step.placedAt = now;
     this.#events.record(SCHEDULING_EVENTS.RUN_PLACED, {
       ...describeRun(run),
       reportAgeMs: Math.round(now - (minion.lastAnswerAt ?? now)),
--- a/packages/nutmegproxy-scheduling/src/Placement.ts
+++ b/packages/nutmegproxy-scheduling/src/Placement.ts
@@ -26,22 +26,27 @@
 /** How minions stand towards sharing, as far as placement needs it. */
 export interface PlacementView {
   /** Cost of a filling task; undefined when it would disturb serving tasks too much. */
-  readonly fillingCost: (minion: MinionState, step: StepState) => number | undefined;
+  readonly fillingCost: (minion: MinionState, step: StepState, now: Instant) => number | undefined;
   /** Cost of a serving task, in thousandths of a core. */
   readonly servingCost: (minion: MinionState, shape: StepShape) => number;
 }
 
 interface KindPlacement {
   /** Lower is better; undefined when the task must not run there. */
-  readonly cost: (minion: MinionState, step: StepState, view: PlacementView) => number | undefined;
+  readonly cost: (
+    minion: MinionState,
+    step: StepState,
+    view: PlacementView,
+    now: Instant,
+  ) => number | undefined;
 }
 
 const KIND_PLACEMENTS: Readonly<Record<WorkKind, KindPlacement>> = {
   filling: {
-    cost: (minion, step, view) => {
+    cost: (minion, step, view, now) => {
       const sharing =
         minion.spareCpuMilli >= step.shape.resources.cpuMilli * FILLING_SHARE
-          ? view.fillingCost(minion, step)
+          ? view.fillingCost(minion, step, now)
           : undefined;
       return sharing === undefined ? undefined : sharing - minion.spareCpuMilli;
     },
@@ -102,7 +107,7 @@
   let bestCost = Infinity;
   for (const minion of minions) {
     const isCandidate = minion.hasRoom(shape) && isPermitted(step, minion) && isAllowed(minion);
-    const own = isCandidate ? cost(minion, step, view) : undefined;
+    const own = isCandidate ? cost(minion, step, view, now) : undefined;
     if (own === undefined) {
       continue;
     }
--- a/packages/nutmegproxy-scheduling/src/SharingPolicy.ts
+++ b/packages/nutmegproxy-scheduling/src/SharingPolicy.ts
@@ -16,6 +16,10 @@
 
 /** Share of its bound up to which a utilization may be planned. */
 const PLANNED_SHARE = 0.9;
+/** Time in milliseconds that a step waits for a minion whose serving tasks bear it. */
+const PATIENCE_MS = 4_000;
+/** Rise of the planned share with each second beyond that: a step that no minion bears still runs. */
+const IMPATIENCE_PER_S = 0.15;
 /** Share of its bound at which a tail is acted upon; reports are half a second old. */
 const TAIL_ALERT_SHARE = 0.95;
 /** Load of a serving task on average, as a share of what it can serve. */
@@ -49,7 +53,7 @@
    * Cost of a filling task on a minion in thousandths of a core, beside the processors it uses;
    * undefined when it would press a tail over its bound.
    */
-  fillingCost(minion: MinionState, step: Run['step']): number | undefined {
+  fillingCost(minion: MinionState, step: Run['step'], now: Instant): number | undefined {
     if (minion.servingRuns === 0) {
       return 0;
     }
@@ -60,13 +64,14 @@
       image: shape.image ?? '',
     };
     const disturbers = this.model.disturbers(minion);
+    const limit = chooseLimit(now - (step.placedAt ?? step.readyAt ?? now));
     let worst = 0;
     for (const serving of minion.runs) {
       if (serving.step.shape.tailTargetMs === undefined) {
         continue;
       }
       const share = this.#plannedShare(serving, disturbers, added, durationMs);
-      if (share > PLANNED_SHARE) {
+      if (share > limit) {
         return undefined;
       }
       worst = Math.max(worst, share);
@@ -156,6 +161,11 @@
   }
 }
 
+/** The share of its bound that may be planned for a step that has waited for `waitedMs`. */
+function chooseLimit(waitedMs: number): number {
+  return PLANNED_SHARE + (Math.max(0, waitedMs - PATIENCE_MS) / 1_000) * IMPATIENCE_PER_S;
+}
+
 /** The serving run whose tail is furthest over the bound; undefined when all are within. */
 function findPressed(minion: MinionState): Run | undefined {
   let pressed: Run | undefined;
--- /dev/null
+++ b/packages/nutmegproxy-scheduling/src/__tests__/unit/SharingPolicy.test.ts
@@ -0,0 +1,146 @@
+import type {Run} from '@nutmegproxy/jobs';
+
+import assert from 'node:assert/strict';
+import {describe, it} from 'node:test';
+
+import type {MinionState} from '../../MinionState.ts';
+
+import {SharingPolicy} from '../../SharingPolicy.ts';
+import {at, SampleFleet, shape} from './Samples.ts';
+
+/** Tail of an idle serving task and the bound of all, in milliseconds. */
+const IDLE_MS = 10;
+const TARGET_MS = 50;
+/** Load of a serving task, as a share of what it can serve. */
+const LOAD = 0.45;
+
+/** A fleet in which one image of filling tasks disturbs, and another does not. */
+class Sharing {
+  readonly sample = new SampleFleet(0);
+  readonly policy = new SharingPolicy(this.sample.estimate);
+  #now = 0;
+
+  /** A minion with one serving task at work. */
+  addServing(name: string, image: string): MinionState {
+    const minion = this.sample.addMinion(name);
+    const serving = shape({
+      image,
+      longRunning: true,
+      resources: {cpuMilli: 1000, gpus: 0, memoryMb: 100},
+      tailTargetMs: TARGET_MS,
+    });
+    const step = this.sample.addJob('proofs', [serving]).occurrence(0)?.[0];
+    assert.ok(step);
+    this.confirm(this.sample.fleet.startRun(step, 0, minion, at(this.#now)));
+    return minion;
+  }
+
+  addFilling(image: string): Run['step'] {
+    const filling = shape({checkpoints: true, estimateMs: 2000, fillsSpareCpu: true, image});
+    const step = this.sample.addJob('proofs', [filling]).occurrence(0)?.[0];
+    assert.ok(step);
+    return step;
+  }
+
+  confirm(run: Run): Run {
+    run.phase = 'running';
+    run.confirmedAt = at(this.#now);
+    run.percent = run.step.shape.longRunning ? 100 : 10;
+    run.reading = run.step.shape.longRunning ? undefined : 1000;
+    return run;
+  }
+
+  /** Looks at a minion once a second; `pressure` is what its filling tasks add to the load. */
+  look(minion: MinionState, times: number, pressure: number): void {
+    for (let time = 0; time < times; time += 1) {
+      this.#now += 1000;
+      for (const run of minion.runs) {
+        if (run.step.shape.longRunning) {
+          run.reading = IDLE_MS / (1 - Math.min(0.98, LOAD * (1 + pressure)));
+        }
+      }
+      this.policy.model.observe(minion, at(this.#now));
+      this.policy.moveDisturbers(this.sample.fleet, minion, at(this.#now));
+    }
+  }
+
+  /** Lets an image of filling tasks run beside a serving task until its effect is known. */
+  teach(serving: MinionState, image: string, pressure: number): void {
+    this.look(serving, 10, 0);
+    const run = this.confirm(
+      this.sample.fleet.startRun(this.addFilling(image), 0, serving, at(this.#now)),
+    );
+    this.look(serving, 10, pressure);
+    this.sample.fleet.endRun(run, 'done', undefined, at(this.#now));
+    this.sample.fleet.stops.length = 0;
+  }
+
+  cost(minion: MinionState, step: Run['step'], waitedMs = 0): number | undefined {
+    step.readyAt = at(this.#now - waitedMs);
+    return this.policy.fillingCost(minion, step, at(this.#now));
+  }
+}
+
+describe('SharingPolicy', () => {
+  it('lets filling tasks beside serving ones that they do not disturb', () => {
+    const sharing = new Sharing();
+    const minion = sharing.addServing('m1', 'shop');
+    sharing.teach(minion, 'quiet', 0.02);
+    assert.notEqual(sharing.cost(minion, sharing.addFilling('quiet')), undefined);
+  });
+
+  it('keeps an image away from the serving images that it disturbs, and from these alone', () => {
+    const sharing = new Sharing();
+    const sensitive = sharing.addServing('m1', 'shop');
+    const robust = sharing.addServing('m2', 'mail');
+    sharing.teach(sensitive, 'noisy', 1);
+    sharing.teach(robust, 'noisy', 0.02);
+    assert.equal(sharing.cost(sensitive, sharing.addFilling('noisy')), undefined);
+    assert.notEqual(sharing.cost(robust, sharing.addFilling('noisy')), undefined);
+    assert.notEqual(sharing.cost(sensitive, sharing.addFilling('quiet')), undefined);
+  });
+
+  it('runs a step that no minion bears after a while', () => {
+    const sharing = new Sharing();
+    const sensitive = sharing.addServing('m1', 'shop');
+    sharing.teach(sensitive, 'noisy', 1);
+    const step = sharing.addFilling('noisy');
+    assert.equal(sharing.cost(sensitive, step, 3_000), undefined);
+    assert.notEqual(sharing.cost(sensitive, step, 12_000), undefined);
+  });
+
+  it('moves the filling task that presses most off a tail over its bound', () => {
+    const sharing = new Sharing();
+    const minion = sharing.addServing('m1', 'shop');
+    sharing.teach(minion, 'noisy', 1);
+    sharing.teach(minion, 'quiet', 0.02);
+    const {fleet} = sharing.sample;
+    const noisy = sharing.confirm(fleet.startRun(sharing.addFilling('noisy'), 0, minion, at(0)));
+    sharing.confirm(fleet.startRun(sharing.addFilling('quiet'), 0, minion, at(0)));
+    sharing.look(minion, 1, 1);
+    assert.deepEqual(
+      fleet.stops.map(({reason, task}) => [task.job, reason]),
+      [[noisy.task.job, 'interference']],
+    );
+  });
+
+  it('moves all of them off a tail that stays over its bound', () => {
+    const sharing = new Sharing();
+    const minion = sharing.addServing('m1', 'shop');
+    const {fleet} = sharing.sample;
+    for (const image of ['a', 'b', 'c']) {
+      sharing.confirm(fleet.startRun(sharing.addFilling(image), 0, minion, at(0)));
+    }
+    sharing.look(minion, 4, 1);
+    assert.equal(fleet.stops.length, 3);
+  });
+
+  it('hands what it learned to the next owner', () => {
+    const sharing = new Sharing();
+    sharing.teach(sharing.addServing('m1', 'shop'), 'noisy', 1);
+    const next = new Sharing();
+    next.policy.model.import(sharing.policy.model.export(), at(0));
+    const minion = next.addServing('m1', 'shop');
+    assert.equal(next.cost(minion, next.addFilling('noisy')), undefined);
+  });
+});
