--- /dev/null
+++ b/packages/nutmegproxy-entry/src/__tests__/unit/ConfigurationFollower.test.ts
@@ -0,0 +1,65 @@
+import type {QueueId, ServiceId} from '@nutmegproxy/jobs';
+
+import {SILENT_EVENTS} from '@nutmegproxy/core';
+import {okAsync} from 'neverthrow';
+import assert from 'node:assert/strict';
+import {afterEach, beforeEach, describe, it} from 'node:test';
+
+import type {Configuration, ConfigurationSource} from '../../Configuration.ts';
+
+import {ConfigurationFollower} from '../../ConfigurationFollower.ts';
+
+function configuration(version: number, ...prefixes: string[]): Configuration {
+  return {
+    limits: {bodyBytes: 1, headerBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1},
+    routes: prefixes.map((pathPrefix) => ({
+      advice: undefined,
+      host: 'Queue.example',
+      id: pathPrefix as QueueId,
+      maxAttempts: 1,
+      pathPrefix,
+      priority: 0,
+      service: 'mesa' as ServiceId,
+      stretch: 1,
+      targetDurationMs: 1,
+    })),
+    version,
+  };
+}
+
+describe('ConfigurationFollower', () => {
+  let change: (next: Configuration) => void;
+  let follower: ConfigurationFollower;
+
+  beforeEach(async () => {
+    const source: ConfigurationSource = {
+      read: () => okAsync({configuration: configuration(5, '/a/', '/a/b/'), revision: 1}),
+      watch: (_from, handler) => {
+        change = handler.onChange;
+        return {close: () => undefined};
+      },
+    };
+    follower = new ConfigurationFollower(source, SILENT_EVENTS);
+    void follower.run();
+    await new Promise((resolve) => setTimeout(resolve, 10));
+  });
+
+  afterEach(() => {
+    follower.close();
+  });
+
+  it('finds the queue by host and longest prefix', () => {
+    assert.equal(follower.table?.find('queue.example:80', '/a/b/1')?.id, '/a/b/');
+    assert.equal(follower.table?.find('queue.example', '/a/1')?.id, '/a/');
+    assert.equal(follower.table?.find('other.example', '/a/1'), undefined);
+    assert.equal(follower.table?.find('queue.example', '/c/1'), undefined);
+  });
+
+  it('applies a higher version and never goes back', () => {
+    change(configuration(9, '/c/'));
+    assert.equal(follower.table?.find('queue.example', '/a/1'), undefined);
+    change(configuration(7, '/a/'));
+    assert.equal(follower.table?.version, 9);
+    assert.equal(follower.table?.find('queue.example', '/a/1'), undefined);
+  });
+});
