--- a/packages/nutmegproxy-entry/src/JobDesk.ts
+++ b/packages/nutmegproxy-entry/src/JobDesk.ts
@@ -2,6 +2,7 @@
 
 import type {Clock, EventSink, JobId, RequestId} from '@nutmegproxy/core';
 import type {JobRequest, JobStatus, QueueId, StoredJob} from '@nutmegproxy/jobs';
+import type {WaitingRecord} from '@nutmegproxy/owner';
 import type {PlatformStore, StoredValue, StoreFailure} from '@nutmegproxy/store';
 import type {Result} from 'neverthrow';
 
@@ -94,10 +95,7 @@
         return err(this.#refuse(call, read.error, {queue, what: 'count'}));
       }
       const text = read.value?.value.toString();
-      const counts =
-        text === undefined
-          ? {}
-          : (JSON.parse(text) as {counts: Readonly<Record<string, number>>}).counts;
+      const counts = text === undefined ? {} : (JSON.parse(text) as WaitingRecord).counts;
       this.#waiting = {counts, readAt: now};
     }
     return ok(this.#waiting.counts[queue] ?? 0);
--- a/packages/nutmegproxy-entry/src/__tests__/unit/ConfigurationFollower.test.ts
+++ b/packages/nutmegproxy-entry/src/__tests__/unit/ConfigurationFollower.test.ts
@@ -6,6 +6,7 @@
 import {afterEach, beforeEach, describe, it} from 'node:test';
 
 import type {Configuration, ConfigurationSource} from '../../Configuration.ts';
+import type {RouteTable} from '../../RouteTable.ts';
 
 import {ConfigurationFollower} from '../../ConfigurationFollower.ts';
 
@@ -27,6 +28,11 @@
   };
 }
 
+function tableOf(follower: ConfigurationFollower): RouteTable {
+  assert.ok(follower.table);
+  return follower.table;
+}
+
 describe('ConfigurationFollower', () => {
   let change: (next: Configuration) => void;
   let follower: ConfigurationFollower;
@@ -49,17 +55,17 @@
   });
 
   it('finds the queue by host and longest prefix', () => {
-    assert.equal(follower.table?.find('queue.example:80', '/a/b/1')?.id, '/a/b/');
-    assert.equal(follower.table?.find('queue.example', '/a/1')?.id, '/a/');
-    assert.equal(follower.table?.find('other.example', '/a/1'), undefined);
-    assert.equal(follower.table?.find('queue.example', '/c/1'), undefined);
+    assert.equal(tableOf(follower).find('queue.example:80', '/a/b/1')?.id, '/a/b/');
+    assert.equal(tableOf(follower).find('queue.example', '/a/1')?.id, '/a/');
+    assert.equal(tableOf(follower).find('other.example', '/a/1'), undefined);
+    assert.equal(tableOf(follower).find('queue.example', '/c/1'), undefined);
   });
 
   it('applies a higher version and never goes back', () => {
     change(configuration(9, '/c/'));
-    assert.equal(follower.table?.find('queue.example', '/a/1'), undefined);
+    assert.equal(tableOf(follower).find('queue.example', '/a/1'), undefined);
     change(configuration(7, '/a/'));
-    assert.equal(follower.table?.version, 9);
-    assert.equal(follower.table?.find('queue.example', '/a/1'), undefined);
+    assert.equal(tableOf(follower).version, 9);
+    assert.equal(tableOf(follower).find('queue.example', '/a/1'), undefined);
   });
 });
--- a/packages/nutmegproxy-owner/src/FleetFollower.ts
+++ b/packages/nutmegproxy-owner/src/FleetFollower.ts
@@ -12,8 +12,9 @@
 
 import type {MinionChange, MinionDirectory} from './MinionDirectory.ts';
 import type {Roster, RosterEntry, SilentMark} from './Roster.ts';
+import type {SessionContext} from './SessionContext.ts';
 
-import {MinionSession, type SessionContext} from './MinionSession.ts';
+import {MinionSession} from './MinionSession.ts';
 import {
   FOLLOW_RETRY_MS,
   HOLD_MS,
--- a/packages/nutmegproxy-owner/src/MinionSession.ts
+++ b/packages/nutmegproxy-owner/src/MinionSession.ts
@@ -1,63 +1,27 @@
-/**
- * The owner's talk with one minion: it renews the hold, lists what runs there and what ended, and
- * carries orders. A start without an answer is sent again under the same number, which the minion
- * carries out once; a run that is no longer wanted is stopped under its number, after which the
- * minion rejects it even when the start arrives late.
- */
+/** The owner's talk with one minion: it renews the hold and lists what runs there and what ended. */
 
-import type {Clock, EventSink, Instant} from '@nutmegproxy/core';
-import type {Run, RunNumber, TaskRef} from '@nutmegproxy/jobs';
-import type {Fleet, MinionListing, MinionState, StopOrder, Ticket} from '@nutmegproxy/scheduling';
+import type {Instant} from '@nutmegproxy/core';
+import type {Run} from '@nutmegproxy/jobs';
+import type {MinionListing, MinionState, StopOrder} from '@nutmegproxy/scheduling';
 
-import {formatTaskName} from '@nutmegproxy/jobs';
-import {describeRun, reviewListing} from '@nutmegproxy/scheduling';
+import {reviewListing} from '@nutmegproxy/scheduling';
 
 import type {Journal} from './Journal.ts';
-import type {MinionOrders, MinionTarget, OrderFailure} from './MinionOrders.ts';
-import type {Tenure} from './Tenure.ts';
+import type {MinionTarget, OrderFailure} from './MinionOrders.ts';
+import type {SessionContext} from './SessionContext.ts';
 
 import {
   HOLD_MS,
   HOLD_RETRY_MS,
   LISTING_WAIT_MS,
-  ORDER_RETRY_MS,
-  ORDER_TRIES,
   PRESSED_WAIT_MS,
   SILENT_AFTER_CALLS,
   UNACKED_PAUSE_MS,
   WATCHFUL_WAIT_MS,
 } from './OwnerConstants.ts';
 import {OWNER_EVENTS} from './OwnerEvents.ts';
-import {delay} from './OwnerUtils.ts';
-
-export interface SessionContext {
-  readonly clock: Clock;
-  readonly events: EventSink;
-  readonly findTicket: (run: Run) => Ticket | undefined;
-  readonly fleet: Fleet;
-  /** Whether a serving task of the minion is near or over its bound. */
-  readonly isPressed: (minion: MinionState) => boolean;
-  readonly journal: Journal;
-  /** Called when a minion that is marked as silent answers. */
-  readonly onAnswering: (minion: MinionState) => void;
-  /** Called after anything that may allow new starts. */
-  readonly onChange: () => void;
-  /** Called when a minion shows that another VM owns the fleet. */
-  readonly onFenced: () => void;
-  /** Called after each listing was applied. */
-  readonly onListed: (minion: MinionState, now: Instant) => void;
-  readonly onRunDone: (run: Run, durationMs: number) => void;
-  /** Called when a minion has left several calls without an answer. */
-  readonly onSilent: (minion: MinionState) => void;
-  readonly onTicketRejected: (run: Run) => void;
-  readonly orders: MinionOrders;
-  /** Time in milliseconds until a run of the minion should have ended. */
-  readonly overdueInMs: (minion: MinionState, now: Instant) => number;
-  readonly tenure: Tenure;
-}
-
-/** Outcome of a start that ended its tries. */
-type StartEnd = 'confirmed' | 'not-started' | 'unknown';
+import {delay, isSameTask} from './OwnerUtils.ts';
+import {RunOrders} from './RunOrders.ts';
 
 export class MinionSession {
   readonly minion: MinionState;
@@ -66,14 +30,18 @@
   readonly #context: SessionContext;
   #seen = 0;
   #stopped = false;
-  readonly #starting = new Set<Run>();
-  readonly #stopping = new Set<string>();
-  /** Runs of which a start got no answer, so that it may still be carried out. */
-  readonly #uncertain = new WeakSet<Run>();
+  readonly #runOrders: RunOrders;
 
   constructor(context: SessionContext, minion: MinionState) {
     this.#context = context;
     this.minion = minion;
+    this.#runOrders = new RunOrders(context, minion, {
+      grantHold: (now) => this.#grantHold(now),
+      isActing: () => this.#isActing(),
+      noteFailure: (failure, what) => {
+        this.#noteFailure(failure, what);
+      },
+    });
     this.#bornAt = minion.description.bornAt;
   }
 
@@ -132,29 +100,14 @@
     }
   }
 
-  /** Sends the start of a booked run until it is confirmed or can't be carried out. */
-  async start(run: Run): Promise<void> {
-    if (this.#starting.has(run)) {
-      return;
-    }
-    this.#starting.add(run);
-    const end = await this.#tryStart(run);
-    this.#starting.delete(run);
-    if (end === 'not-started' && run.phase === 'starting' && this.minion.runs.has(run)) {
-      this.#context.fleet.withdrawRun(run);
-    }
-    this.#context.onChange();
+  /** Sends the start of a booked run. */
+  start(run: Run): Promise<void> {
+    return this.#runOrders.start(run);
   }
 
-  /** Sends a stop until it is carried out. */
-  async stop(order: StopOrder): Promise<void> {
-    const key = formatOrder(order.task, order.number);
-    if (this.#stopping.has(key)) {
-      return;
-    }
-    this.#stopping.add(key);
-    await this.#tryStop(order);
-    this.#stopping.delete(key);
+  /** Sends a stop. */
+  stop(order: StopOrder): Promise<void> {
+    return this.#runOrders.stop(order);
   }
 
   #applyListing(listing: MinionListing, askedAt: Instant, now: Instant): void {
@@ -168,7 +121,7 @@
     this.#noteAnswer(now);
     fleet.settleEnds(this.minion);
     onListed(this.minion, now);
-    this.#resume();
+    this.#runOrders.resume();
   }
 
   /** Lists once; false when a pause has to follow. */
@@ -304,127 +257,4 @@
       this.#context.fleet.loseRun(run, 'address taken by another minion');
     }
   }
-
-  /** Takes up starts and stops again that ended their tries while the minion did not answer. */
-  #resume(): void {
-    for (const run of this.minion.runs) {
-      if (run.phase === 'starting') {
-        void this.start(run);
-      } else if (run.phase === 'stopping') {
-        const {minion, number, task} = run;
-        void this.stop({minion, number, reason: 'unknown', task});
-      }
-    }
-  }
-
-  async #tryStart(run: Run): Promise<StartEnd> {
-    const {clock, findTicket, orders, tenure} = this.#context;
-    const untilMs = this.#grantHold(clock.monotonic());
-    for (let attempt = 0; attempt < ORDER_TRIES; attempt += 1) {
-      if (untilMs === undefined || !this.#isActing() || run.phase !== 'starting') {
-        return this.#uncertain.has(run) ? 'unknown' : 'not-started';
-      }
-      const answer = await orders.start(this.#target, {
-        checkpoint: run.checkpoint,
-        number: run.number,
-        payload: run.step.job.request.payload,
-        task: formatTaskName(run.task),
-        ticket: findTicket(run),
-        token: tenure.token,
-        untilMs,
-      });
-      const now = clock.monotonic();
-      if (answer.isOk()) {
-        this.minion.clock.observe(answer.value.clockMs, now);
-        run.confirmedAt ??= now;
-        confirmPhase(run);
-        return 'confirmed';
-      }
-      this.#noteFailure(answer.error, `start of ${describeRun(run).task}/${run.number}`);
-      const end = this.#judgeStart(run, answer.error, now);
-      if (end !== undefined) {
-        return end;
-      }
-      await delay(ORDER_RETRY_MS);
-    }
-    return 'unknown';
-  }
-
-  /** What a failed start means; undefined when it is to be sent again. */
-  #judgeStart(run: Run, {kind}: OrderFailure, now: Instant): StartEnd | undefined {
-    if (kind === 'unanswered') {
-      this.#uncertain.add(run);
-      return undefined;
-    }
-    if (kind === 'late') {
-      return undefined;
-    }
-    if (kind === 'outdated') {
-      // The run has been there: the next listing tells how it ended.
-      run.confirmedAt ??= now;
-      run.phase = 'running';
-      return 'unknown';
-    }
-    if (kind === 'unhealthy') {
-      this.#context.fleet.distrust(this.minion, 'refuses starts', now);
-    }
-    if (kind === 'no-room' || kind === 'invalid') {
-      run.step.avoid(run.task.index, this.minion.id);
-    }
-    if (kind === 'no-ticket') {
-      this.#context.onTicketRejected(run);
-    }
-    if (this.#uncertain.has(run)) {
-      this.#context.fleet.stopRun(run, 'unknown');
-      return 'unknown';
-    }
-    return 'not-started';
-  }
-
-  async #tryStop({number, task}: StopOrder): Promise<void> {
-    const {clock, orders, tenure} = this.#context;
-    for (let attempt = 0; attempt < ORDER_TRIES && this.#isActing(); attempt += 1) {
-      const answer = await orders.stop(this.#target, {
-        number,
-        task: formatTaskName(task),
-        token: tenure.token,
-      });
-      if (answer.isOk()) {
-        this.minion.clock.observe(answer.value.clockMs, clock.monotonic());
-        this.#noteStopped(task, number, clock.monotonic());
-        return;
-      }
-      this.#noteFailure(answer.error, `stop of ${formatOrder(task, number)}`);
-      if (answer.error.kind !== 'unanswered') {
-        return;
-      }
-      await delay(ORDER_RETRY_MS);
-    }
-  }
-
-  /** A run that was never confirmed is over once its number is stopped and it is not listed. */
-  #noteStopped(task: TaskRef, number: RunNumber, now: Instant): void {
-    for (const run of this.minion.runs) {
-      if (run.number === number && isSameTask(run.task, task)) {
-        run.confirmedAt ??= now;
-      }
-    }
-  }
-}
-
-/** A stop that was ordered while the start was under way stays in force. */
-function confirmPhase(run: Run): void {
-  if (run.phase === 'starting') {
-    run.phase = 'running';
-  }
-}
-
-function formatOrder(task: TaskRef, number: RunNumber): string {
-  return `${formatTaskName(task)}/${number}`;
-}
-
-function isSameTask(a: TaskRef, b: TaskRef): boolean {
-  return (
-    a.job === b.job && a.occurrence === b.occurrence && a.step === b.step && a.index === b.index
-  );
 }
--- a/packages/nutmegproxy-owner/src/Owner.ts
+++ b/packages/nutmegproxy-owner/src/Owner.ts
@@ -6,7 +6,6 @@
 import type {Clock, EventSink} from '@nutmegproxy/core';
 import type {PlatformStore} from '@nutmegproxy/store';
 
-import {STATE_PREFIX} from '@nutmegproxy/jobs';
 import {
   evacuate,
   Fleet,
@@ -36,16 +35,12 @@
   RETENTION_PAUSE_MS,
   RUN_NUMBERS_PER_TERM,
   SUMMARY_PAUSE_MS,
-  WAITING_PUBLISH_MS,
 } from './OwnerConstants.ts';
 import {OWNER_EVENTS} from './OwnerEvents.ts';
-import {OWNER_KEY} from './Ownership.ts';
-import {delay, fencedBy} from './OwnerUtils.ts';
+import {delay} from './OwnerUtils.ts';
 import {Retention} from './Retention.ts';
 import {Roster} from './Roster.ts';
-
-/** Length of each queue, for callers who ask. */
-export const WAITING_KEY = `${STATE_PREFIX}waiting`;
+import {WaitingBoard} from './WaitingBoard.ts';
 
 export interface OwnerOptions {
   /** Undefined where no service permits minions. */
@@ -72,11 +67,11 @@
   readonly #minions: FleetFollower;
   readonly #options: OwnerOptions;
   readonly #progress = new RunProgress(this.#estimate);
-  #publishedWaiting = '';
   readonly #roster: Roster;
   readonly #sharing = new SharingPolicy(this.#estimate);
   #stopReason: string | undefined;
   #summarizedAt = -Infinity;
+  readonly #waiting: WaitingBoard;
   #wake: (() => void) | undefined;
 
   constructor(options: OwnerOptions) {
@@ -103,6 +98,7 @@
       tenure,
     });
     const fleet = this.#fleet;
+    this.#waiting = new WaitingBoard({events, fleet, store, tenure});
     this.#advice = new AdviceDesk({client: options.advice, clock, events, fleet, onChange});
     this.#jobs = new JobFollower({clock, events, fleet, onChange, onFenced, store, tenure});
     this.#minions = new FleetFollower({
@@ -153,7 +149,7 @@
     void this.#journal.run();
     await this.#recover();
     void this.#advice.run(() => this.#isActing());
-    void this.#publishWaiting();
+    void this.#waiting.run(() => this.#isActing());
     void this.#removeOldJobs();
     void this.#knowledge.run(() => this.#isActing());
     while (this.#isActing()) {
@@ -216,34 +212,6 @@
     }
   }
 
-  async #publishWaiting(): Promise<void> {
-    const {clock, events, store, tenure} = this.#options;
-    while (this.#isActing()) {
-      const counts: Record<string, number> = {};
-      for (const job of this.#fleet.jobs.values()) {
-        if (!job.started && !job.isFinal) {
-          const {queue} = job.request;
-          counts[queue] = (counts[queue] ?? 0) + 1;
-        }
-      }
-      const text = JSON.stringify(counts);
-      if (text !== this.#publishedWaiting) {
-        const value = Buffer.from(JSON.stringify({at: clock.wall(), counts}));
-        const written = await store.commit({
-          compare: [fencedBy(OWNER_KEY, tenure)],
-          then: [{key: WAITING_KEY, kind: 'put', value}],
-        });
-        if (written.isOk()) {
-          this.#publishedWaiting = text;
-        } else {
-          const {kind, message} = written.error;
-          events.record(OWNER_EVENTS.JOURNAL_FAILED, {kind, message, what: 'waiting jobs'});
-        }
-      }
-      await delay(WAITING_PUBLISH_MS);
-    }
-  }
-
   async #removeOldJobs(): Promise<void> {
     const {clock, events, statusMs, store, tenure} = this.#options;
     const retentionMs = statusMs + RETENTION_MARGIN_MS;
--- a/packages/nutmegproxy-owner/src/OwnerUtils.ts
+++ b/packages/nutmegproxy-owner/src/OwnerUtils.ts
@@ -1,5 +1,7 @@
 /** Small functions of the owner's loops. */
 
+import type {TaskRef} from '@nutmegproxy/jobs';
+
 import type {Tenure} from './Tenure.ts';
 
 /** Waits; the timer keeps no process alive. */
@@ -16,3 +18,10 @@
 ): {key: string; kind: 'modRevision'; modRevision: number} {
   return {key: ownerKey, kind: 'modRevision', modRevision: tenure.token};
 }
+
+/** Whether two references name the same task. */
+export function isSameTask(a: TaskRef, b: TaskRef): boolean {
+  return (
+    a.job === b.job && a.occurrence === b.occurrence && a.step === b.step && a.index === b.index
+  );
+}
--- /dev/null
+++ b/packages/nutmegproxy-owner/src/SessionContext.ts
@@ -0,0 +1,35 @@
+/** What the sessions with all minions share. */
+
+import type {Clock, EventSink, Instant} from '@nutmegproxy/core';
+import type {Run} from '@nutmegproxy/jobs';
+import type {Fleet, MinionState, Ticket} from '@nutmegproxy/scheduling';
+
+import type {Journal} from './Journal.ts';
+import type {MinionOrders} from './MinionOrders.ts';
+import type {Tenure} from './Tenure.ts';
+
+export interface SessionContext {
+  readonly clock: Clock;
+  readonly events: EventSink;
+  readonly findTicket: (run: Run) => Ticket | undefined;
+  readonly fleet: Fleet;
+  /** Whether a serving task of the minion is near or over its bound. */
+  readonly isPressed: (minion: MinionState) => boolean;
+  readonly journal: Journal;
+  /** Called when a minion that is marked as silent answers. */
+  readonly onAnswering: (minion: MinionState) => void;
+  /** Called after anything that may allow new starts. */
+  readonly onChange: () => void;
+  /** Called when a minion shows that another VM owns the fleet. */
+  readonly onFenced: () => void;
+  /** Called after each listing was applied. */
+  readonly onListed: (minion: MinionState, now: Instant) => void;
+  readonly onRunDone: (run: Run, durationMs: number) => void;
+  /** Called when a minion has left several calls without an answer. */
+  readonly onSilent: (minion: MinionState) => void;
+  readonly onTicketRejected: (run: Run) => void;
+  readonly orders: MinionOrders;
+  /** Time in milliseconds until a run of the minion should have ended. */
+  readonly overdueInMs: (minion: MinionState, now: Instant) => number;
+  readonly tenure: Tenure;
+}
--- a/packages/nutmegproxy-owner/src/index.ts
+++ b/packages/nutmegproxy-owner/src/index.ts
@@ -14,10 +14,12 @@
   RunOrder,
   StartOrder,
 } from './MinionOrders.ts';
-export {Owner, WAITING_KEY} from './Owner.ts';
+export {Owner} from './Owner.ts';
 export type {OwnerOptions} from './Owner.ts';
 export {OwnerCandidate} from './OwnerCandidate.ts';
 export type {CandidateOptions} from './OwnerCandidate.ts';
 export {OWNER_EVENTS} from './OwnerEvents.ts';
 export {OWNER_KEY, Ownership} from './Ownership.ts';
 export {Tenure} from './Tenure.ts';
+export {WAITING_KEY} from './WaitingBoard.ts';
+export type {WaitingRecord} from './WaitingBoard.ts';
--- a/packages/nutmegproxy-scheduling/src/Fleet.ts
+++ b/packages/nutmegproxy-scheduling/src/Fleet.ts
@@ -12,32 +12,13 @@
   TaskRef,
 } from '@nutmegproxy/jobs';
 
-import {formatTaskName} from '@nutmegproxy/jobs';
-
 import type {MinionState} from './MinionState.ts';
 import type {QueuePolicy} from './QueuePolicy.ts';
+import type {StopOrder, StopReason} from './StopOrder.ts';
 
 import {RETIRED_QUEUE} from './QueuePolicy.ts';
 import {SCHEDULING_EVENTS} from './SchedulingEvents.ts';
-
-/** Why a run is stopped. */
-export type StopReason =
-  | 'cancelled'
-  | 'duplicate'
-  | 'evacuated'
-  | 'gang-broken'
-  | 'interference'
-  | 'job-over'
-  | 'stalled'
-  | 'unknown';
-
-/** An order to stop a run, also one that is not in the books. */
-export interface StopOrder {
-  readonly minion: MinionId;
-  readonly number: RunNumber;
-  readonly reason: StopReason;
-  readonly task: TaskRef;
-}
+import {describeRun} from './StopOrder.ts';
 
 export class Fleet {
   /** Jobs whose progress has to be written to the store. */
@@ -311,13 +292,3 @@
     }
   }
 }
-
-/** Fields of an event that name a run. */
-export function describeRun(run: Run): {job: JobId; minion: MinionId; run: number; task: string} {
-  return {
-    job: run.task.job,
-    minion: run.minion,
-    run: run.number,
-    task: formatTaskName(run.task),
-  };
-}
--- a/packages/nutmegproxy-scheduling/src/index.ts
+++ b/packages/nutmegproxy-scheduling/src/index.ts
@@ -3,8 +3,7 @@
 export {AdviceBook} from './AdviceBook.ts';
 export type {AdviceQuestion, Ticket} from './AdviceBook.ts';
 export {evacuate} from './Evacuation.ts';
-export {describeRun, Fleet} from './Fleet.ts';
-export type {StopOrder, StopReason} from './Fleet.ts';
+export {Fleet} from './Fleet.ts';
 export {summarizeFleet} from './FleetSummary.ts';
 export {HoldClock} from './HoldClock.ts';
 export {judgePunctuality, orderSteps} from './JobOrder.ts';
@@ -24,6 +23,8 @@
 export {SharingPolicy} from './SharingPolicy.ts';
 export {collectReadySteps, planStarts} from './StartPlanner.ts';
 export type {AdviceView, PlanContext} from './StartPlanner.ts';
+export {describeRun} from './StopOrder.ts';
+export type {StopOrder, StopReason} from './StopOrder.ts';
 export {referenceCores, TailModel} from './TailModel.ts';
 export type {Disturber, TailKnowledge} from './TailModel.ts';
 export {WorkEstimate} from './WorkEstimate.ts';
