--- a/packages/nutmegproxy-entry/src/PeerChoice.ts
+++ b/packages/nutmegproxy-entry/src/PeerChoice.ts
@@ -7,7 +7,10 @@
 
 import type {EntryVm} from './VmRegistry.ts';
 
-/** Time in milliseconds for which a VM that could not help is asked last. */
+/**
+ * Time in milliseconds for which a VM that could not help is not asked. While the store is away for
+ * all, each VM then asks each other one once a second, and refuses the rest at once.
+ */
 const REST_MS = 1_000;
 
 export class PeerChoice {
@@ -19,15 +22,14 @@
   }
 
   /**
-   * The VMs to try, best first: those that did not fail of late, then those of the own data centre.
+   * The VMs to try, those of the own data centre first; none that failed of late.
    * `random` is a number from 0 to 1 that spreads the load.
    */
   choose(others: readonly EntryVm[], count: number, random: number, now: Instant): EntryVm[] {
-    const start = Math.floor(random * others.length);
-    const rotated = [...others.slice(start), ...others.slice(0, start)];
-    const rank = ({dataCentre, vm}: EntryVm): number =>
-      (now - (this.#failedAt.get(vm) ?? -Infinity) < REST_MS ? 2 : 0) +
-      (dataCentre === this.#ownDataCentre ? 0 : 1);
+    const able = others.filter(({vm}) => now - (this.#failedAt.get(vm) ?? -Infinity) >= REST_MS);
+    const start = Math.floor(random * able.length);
+    const rotated = [...able.slice(start), ...able.slice(0, start)];
+    const rank = ({dataCentre}: EntryVm): number => (dataCentre === this.#ownDataCentre ? 0 : 1);
     return rotated.sort((a, b) => rank(a) - rank(b)).slice(0, count);
   }
 
