--- a/packages/nutmegproxy-emulator/src/__tests__/unit/Owner.test.ts
+++ b/packages/nutmegproxy-emulator/src/__tests__/unit/Owner.test.ts
@@ -262,6 +262,33 @@
     });
   });
 
+  describe('an owner without proof of its lease', () => {
+    it('takes no silent minion for lapsed, since another owner may hold it', async () => {
+      const clock = fastClock(10);
+      fleet = new EmulatedFleet(clock);
+      const silent = addMinion('m1');
+      behaviour = () => ({durationMs: Infinity, outcome: 'done'});
+      const {ended, owner, tenure} = await startOwner(clock, store, fleet, 'vm-1');
+      const renewal = setInterval(() => {
+        tenure.prove(clock.monotonic(), clock.wall());
+      }, 20);
+      stops.push(() => {
+        clearInterval(renewal);
+        owner.stop('end of test');
+      });
+      await submitJob(store, storedJob(1, [stepShape({longRunning: true})]));
+      await waitFor('the task runs', () => silent.live.length === 1);
+      const other = addMinion('m2');
+      // The hold that a former owner may have granted has to lie behind.
+      await new Promise((resolve) => setTimeout(resolve, 400));
+      fleet.faults(brand<MinionId>('m1')).isCutOff = true;
+      await new Promise((resolve) => setTimeout(resolve, 60));
+      clearInterval(renewal);
+      await ended;
+      assert.equal(other.records.length, 0);
+    });
+  });
+
   describe('a minion that begins a new life', () => {
     it('has lost its runs, which start again', async () => {
       const minion = addMinion('m1');
--- a/packages/nutmegproxy-owner/src/FleetFollower.ts
+++ b/packages/nutmegproxy-owner/src/FleetFollower.ts
@@ -64,10 +64,13 @@
     }
   }
 
-  /** Whether every minion of a former owner has reported or can't run anything any more. */
-  isSettled(now: Instant): boolean {
+  /**
+   * Whether every minion of a former owner has reported, or could not run anything any more when
+   * the ownership was last proved.
+   */
+  isSettled(provedAt: Instant): boolean {
     for (const minion of this.#unsettled) {
-      if (minion.isReported || minion.clock.isLapsed(now)) {
+      if (minion.isReported || minion.clock.isLapsed(provedAt)) {
         this.#unsettled.delete(minion);
       }
     }
@@ -147,11 +150,14 @@
     void this.#sessions.get(order.minion)?.stop(order);
   }
 
-  /** Ends what has certainly lapsed and forgets minions that are gone. */
-  sweep(now: Instant): void {
+  /**
+   * Ends what has certainly lapsed and forgets minions that are gone. A hold has lapsed for certain
+   * if it had when the ownership was last proved: another owner may have renewed it since.
+   */
+  sweep(provedAt: Instant, now: Instant): void {
     const {events, fleet} = this.#options;
     for (const [id, {minion}] of this.#sessions) {
-      if (!minion.clock.isLapsed(now)) {
+      if (!minion.clock.isLapsed(provedAt)) {
         continue;
       }
       if (minion.runs.size > 0) {
--- a/packages/nutmegproxy-owner/src/Owner.ts
+++ b/packages/nutmegproxy-owner/src/Owner.ts
@@ -185,8 +185,8 @@
     for (const queue of queues()) {
       fleet.queues.set(queue.id, queue);
     }
-    this.#minions.sweep(now);
-    if (fleet.recoveryRevision > 0 && this.#minions.isSettled(now)) {
+    this.#minions.sweep(tenure.provedAt, now);
+    if (fleet.recoveryRevision > 0 && this.#minions.isSettled(tenure.provedAt)) {
       fleet.recoveryRevision = 0;
       events.record(OWNER_EVENTS.RECOVERY_DONE, {term: tenure.term});
     }
--- a/packages/nutmegproxy-owner/src/Tenure.ts
+++ b/packages/nutmegproxy-owner/src/Tenure.ts
@@ -31,6 +31,11 @@
     this.#wallOffset = wall - askedAt;
   }
 
+  /** When the last call was sent that proved the lease. Nobody else owned the fleet by then. */
+  get provedAt(): Instant {
+    return this.#provedAt;
+  }
+
   end(): void {
     this.#isOver = true;
   }
