--- a/packages/nutmegproxy-entry/src/EntryConstants.ts
+++ b/packages/nutmegproxy-entry/src/EntryConstants.ts
@@ -32,3 +32,5 @@
 export const FORWARD_TRIES = 2;
 /** Time in milliseconds for a request that is passed on. */
 export const FORWARD_TIMEOUT_MS = 1_200;
+/** Time in milliseconds after its start at which a VM first reads the list. */
+export const VM_FIRST_LIST_MS = 700;
--- a/packages/nutmegproxy-entry/src/VmRegistry.ts
+++ b/packages/nutmegproxy-entry/src/VmRegistry.ts
@@ -6,7 +6,12 @@
 import {STATE_PREFIX} from '@nutmegproxy/jobs';
 import {getPrefix, put} from '@nutmegproxy/store';
 
-import {VM_LEASE_TTL_MS, VM_LIST_PAUSE_MS, VM_RENEWAL_PAUSE_MS} from './EntryConstants.ts';
+import {
+  VM_FIRST_LIST_MS,
+  VM_LEASE_TTL_MS,
+  VM_LIST_PAUSE_MS,
+  VM_RENEWAL_PAUSE_MS,
+} from './EntryConstants.ts';
 import {ENTRY_EVENTS} from './EntryEvents.ts';
 
 const VMS_PREFIX = `${STATE_PREFIX}vms/`;
@@ -15,6 +20,8 @@
 export interface EntryVm {
   /** IP number and port. */
   readonly address: string;
+  /** Processor time in cores. */
+  readonly cores: number;
   readonly dataCentre: DataCentreId;
   readonly vm: VmId;
 }
@@ -55,7 +62,10 @@
   /** Keeps this VM on the list and follows the others until it is closed. */
   run(): void {
     void this.#repeat(VM_RENEWAL_PAUSE_MS, () => this.#renew());
-    void this.#repeat(VM_LIST_PAUSE_MS, () => this.#refresh());
+    // All VMs of a system start together: they are on the list a little later.
+    setTimeout(() => {
+      void this.#repeat(VM_LIST_PAUSE_MS, () => this.#refresh());
+    }, VM_FIRST_LIST_MS).unref();
   }
 
   async #refresh(): Promise<void> {
--- a/packages/nutmegproxy-entry/src/__tests__/unit/PeerChoice.test.ts
+++ b/packages/nutmegproxy-entry/src/__tests__/unit/PeerChoice.test.ts
@@ -13,6 +13,7 @@
 function vm(name: string, dataCentre: string): EntryVm {
   return {
     address: `${name}:1`,
+    cores: 1,
     dataCentre: brand<DataCentreId>(dataCentre),
     vm: brand<VmId>(name),
   };
--- a/packages/nutmegproxy-owner/src/OwnerCandidate.ts
+++ b/packages/nutmegproxy-owner/src/OwnerCandidate.ts
@@ -8,8 +8,14 @@
 import type {Owner} from './Owner.ts';
 import type {Tenure} from './Tenure.ts';
 
-import {FOLLOW_RETRY_MS, TAKEOVER_RETRY_MS, TAKEOVER_SPREAD_MS} from './OwnerConstants.ts';
+import {
+  FOLLOW_RETRY_MS,
+  HAND_OVER_LOOK_MS,
+  TAKEOVER_RETRY_MS,
+  TAKEOVER_SPREAD_MS,
+} from './OwnerConstants.ts';
 import {OWNER_EVENTS} from './OwnerEvents.ts';
+import {choosePreferenceMs, shouldHandOver} from './OwnerPreference.ts';
 import {OWNER_KEY, Ownership} from './Ownership.ts';
 import {delay} from './OwnerUtils.ts';
 
@@ -19,8 +25,10 @@
   readonly events: EventSink;
   /** Whether this VM can own the fleet now; one without a configuration can't. */
   readonly isAble: () => boolean;
-  /** Wait before a try in milliseconds: lower on VMs that suit better. */
-  readonly preferenceMs: number;
+  /** Cores of the other entry VMs, as far as they are known. */
+  readonly otherCores: () => readonly number[];
+  /** Processor time of this VM in cores. */
+  readonly ownCores: number;
   /** A number from 0 to 1. */
   readonly random: () => number;
   readonly store: PlatformStore;
@@ -55,7 +63,8 @@
         });
         continue;
       }
-      const {isAble, preferenceMs, random} = this.#options;
+      const {isAble, otherCores, ownCores, random} = this.#options;
+      const preferenceMs = choosePreferenceMs(ownCores, otherCores());
       await delay(preferenceMs + random() * TAKEOVER_SPREAD_MS);
       if (!this.#mayTake() || !isAble()) {
         await delay(TAKEOVER_RETRY_MS);
@@ -119,6 +128,7 @@
     this.#tenure = tenure;
     this.#owner = createOwner(tenure);
     void this.#ownership.renew(tenure);
+    void this.#watchForLarger(this.#owner);
     const reason = await this.#owner.run();
     this.#owner = undefined;
     this.#tenure = undefined;
@@ -127,6 +137,19 @@
     }
   }
 
+  /** Gives the ownership up when a larger VM can take it. */
+  async #watchForLarger(owner: Owner): Promise<void> {
+    const {clock, otherCores, ownCores} = this.#options;
+    const ownedSince = clock.monotonic();
+    while (this.#owner === owner) {
+      await delay(HAND_OVER_LOOK_MS);
+      if (shouldHandOver(ownCores, otherCores(), clock.monotonic() - ownedSince)) {
+        owner.stop('a larger VM is up');
+        return;
+      }
+    }
+  }
+
   async #takeOnce(): Promise<void> {
     const taken = await this.#ownership.take();
     if (taken.isOk()) {
--- a/packages/nutmegproxy-owner/src/OwnerConstants.ts
+++ b/packages/nutmegproxy-owner/src/OwnerConstants.ts
@@ -67,3 +67,5 @@
 export const RETENTION_BATCH = 10;
 /** Pause between removals of old jobs: ten jobs in 250 ms keep up with 40 jobs a second. */
 export const RETENTION_PAUSE_MS = 250;
+/** Pause between looks for a larger VM to hand over to; the list of VMs is some seconds old anyway. */
+export const HAND_OVER_LOOK_MS = 1_000;
