--- a/packages/nutmegproxy-emulator/src/EmulatedMinion.ts
+++ b/packages/nutmegproxy-emulator/src/EmulatedMinion.ts
@@ -49,7 +49,7 @@
   reports = 0;
   readonly #behave: (task: TaskRef, number: RunNumber) => TaskBehaviour;
   readonly #ends: EndReport[] = [];
-  #heldUntilMs = 0;
+  #holdEndMs = 0;
   readonly #live = new Map<string, LiveRun>();
   /** Highest number of a run that was stopped or has ended, by task. */
   readonly #usedNumbers = new Map<string, number>();
@@ -74,8 +74,8 @@
     for (const [name, run] of this.#live) {
       if (run.dueMs <= nowMs) {
         this.#end(name, run, run.outcome, run.dueMs);
-      } else if (this.#heldUntilMs <= nowMs) {
-        this.#end(name, run, 'lapsed', this.#heldUntilMs);
+      } else if (this.#holdEndMs <= nowMs) {
+        this.#end(name, run, 'lapsed', this.#holdEndMs);
       }
     }
   }
@@ -114,7 +114,7 @@
     this.#usedNumbers.clear();
     this.#sequence = 0;
     this.#token = 0;
-    this.#heldUntilMs = 0;
+    this.#holdEndMs = 0;
     this.description = {...this.description, bornAt};
   }
 
@@ -191,7 +191,7 @@
   }
 
   #extend(untilMs: number | undefined): void {
-    this.#heldUntilMs = Math.max(this.#heldUntilMs, untilMs ?? 0);
+    this.#holdEndMs = Math.max(this.#holdEndMs, untilMs ?? 0);
   }
 
   #useNumber(name: string, number: number): void {
--- a/packages/nutmegproxy-owner/src/MinionOrders.ts
+++ b/packages/nutmegproxy-owner/src/MinionOrders.ts
@@ -6,7 +6,7 @@
 import type {ResultAsync} from 'neverthrow';
 
 /** Rises with each owner; minions ignore orders with a lower one than the highest they saw. */
-export type FencingToken = Branded<number, 'FencingToken'>;
+export type OwnerToken = Branded<number, 'OwnerToken'>;
 
 /** Which minion an order is for. */
 export interface MinionTarget {
@@ -18,7 +18,7 @@
 export interface HoldOrder {
   /** Ends up to this sequence number are recorded and may be forgotten. */
   readonly ackedThrough: number;
-  readonly token: FencingToken;
+  readonly token: OwnerToken;
   /** Everything on the minion may live until then, on its own clock; undefined leaves it as it is. */
   readonly untilMs: number | undefined;
   /** Time in milliseconds that the answer may wait for an end. */
@@ -31,7 +31,7 @@
   readonly payload: string;
   readonly task: TaskId;
   readonly ticket: Ticket | undefined;
-  readonly token: FencingToken;
+  readonly token: OwnerToken;
   /** Everything on the minion may live until then, on its own clock. */
   readonly untilMs: number;
 }
@@ -39,7 +39,7 @@
 export interface RunOrder {
   readonly number: RunNumber;
   readonly task: TaskId;
-  readonly token: FencingToken;
+  readonly token: OwnerToken;
 }
 
 export interface PaceOrder extends RunOrder {
--- a/packages/nutmegproxy-owner/src/MinionSession.ts
+++ b/packages/nutmegproxy-owner/src/MinionSession.ts
@@ -14,7 +14,7 @@
   HOLD_MS,
   HOLD_RETRY_MS,
   LISTING_WAIT_MS,
-  PRESSED_WAIT_MS,
+  NEAR_BOUND_WAIT_MS,
   SILENT_AFTER_CALLS,
   UNACKED_PAUSE_MS,
   WATCHFUL_WAIT_MS,
@@ -169,8 +169,8 @@
       return 0;
     }
     const {fillingCpuMilli, servingRuns} = this.minion;
-    if (this.#context.isPressed(this.minion)) {
-      return PRESSED_WAIT_MS;
+    if (this.#context.isNearBound(this.minion)) {
+      return NEAR_BOUND_WAIT_MS;
     }
     if (servingRuns > 0 && fillingCpuMilli > 0) {
       return WATCHFUL_WAIT_MS;
--- a/packages/nutmegproxy-owner/src/Owner.ts
+++ b/packages/nutmegproxy-owner/src/Owner.ts
@@ -113,7 +113,7 @@
         events,
         findTicket: ({minion, step}) => this.#advice.findTicket(step, minion),
         fleet,
-        isPressed: (minion) => this.#sharing.isPressed(minion),
+        isNearBound: (minion) => this.#sharing.isNearBound(minion),
         journal: this.#journal,
         onAnswering: (minion) => {
           this.#minions.noteAnswering(minion);
--- a/packages/nutmegproxy-owner/src/OwnerConstants.ts
+++ b/packages/nutmegproxy-owner/src/OwnerConstants.ts
@@ -28,7 +28,7 @@
 /** The same on minions whose tails have to be seen sooner. */
 export const WATCHFUL_WAIT_MS = 900;
 /** The same while a tail is over its bound. */
-export const PRESSED_WAIT_MS = 400;
+export const NEAR_BOUND_WAIT_MS = 400;
 /** Time between two records of what was learned, for the next owner. */
 export const KNOWLEDGE_PAUSE_MS = 3_000;
 /** Pause between listings while ends can't be written, since each would return at once. */
--- a/packages/nutmegproxy-owner/src/Ownership.ts
+++ b/packages/nutmegproxy-owner/src/Ownership.ts
@@ -7,7 +7,7 @@
 import {FLEET_PREFIX, STATE_PREFIX} from '@nutmegproxy/jobs';
 import {err, ok} from 'neverthrow';
 
-import type {FencingToken} from './MinionOrders.ts';
+import type {OwnerToken} from './MinionOrders.ts';
 
 import {LEASE_TTL_MS, RENEWAL_PAUSE_MS} from './OwnerConstants.ts';
 import {OWNER_EVENTS} from './OwnerEvents.ts';
@@ -117,7 +117,7 @@
   async #write(
     lease: LeaseId,
     previous: StoredValue | undefined,
-  ): Promise<Result<{term: number; token: FencingToken}, TakeFailure>> {
+  ): Promise<Result<{term: number; token: OwnerToken}, TakeFailure>> {
     const {store, vm} = this.#options;
     const term = previous === undefined ? 0 : Number(previous.value.toString()) + 1;
     const owner = JSON.stringify({lease, vm});
@@ -133,7 +133,7 @@
     });
     if (written.isOk()) {
       return written.value.succeeded
-        ? ok({term, token: written.value.revision as FencingToken})
+        ? ok({term, token: written.value.revision as OwnerToken})
         : err({kind: 'taken', message: 'another VM was faster'});
     }
     if (written.error.kind !== 'unknown') {
@@ -146,7 +146,7 @@
     }
     const found = records.value.owner;
     return found?.value.toString() === owner
-      ? ok({term, token: found.modRevision as FencingToken})
+      ? ok({term, token: found.modRevision as OwnerToken})
       : err(written.error);
   }
 }
--- a/packages/nutmegproxy-owner/src/SessionContext.ts
+++ b/packages/nutmegproxy-owner/src/SessionContext.ts
@@ -14,7 +14,7 @@
   readonly findTicket: (run: Run) => Ticket | undefined;
   readonly fleet: Fleet;
   /** Whether a serving task of the minion is near or over its bound. */
-  readonly isPressed: (minion: MinionState) => boolean;
+  readonly isNearBound: (minion: MinionState) => boolean;
   readonly journal: Journal;
   /** Called when a minion that is marked as silent answers. */
   readonly onAnswering: (minion: MinionState) => void;
--- a/packages/nutmegproxy-owner/src/Tenure.ts
+++ b/packages/nutmegproxy-owner/src/Tenure.ts
@@ -3,7 +3,7 @@
 import type {Instant, WallTime} from '@nutmegproxy/core';
 import type {LeaseId} from '@nutmegproxy/store';
 
-import type {FencingToken} from './MinionOrders.ts';
+import type {OwnerToken} from './MinionOrders.ts';
 
 import {CLOCK_GAP_MS, LEASE_TTL_MS, UNPROVED_GRACE_MS} from './OwnerConstants.ts';
 
@@ -14,13 +14,13 @@
   readonly lease: LeaseId;
   /** Number of this owner among all owners of the fleet, from 0. */
   readonly term: number;
-  readonly token: FencingToken;
+  readonly token: OwnerToken;
   #isOver = false;
   #provedAt: Instant;
   #wallOffset: number;
 
   constructor(
-    grant: {readonly lease: LeaseId; readonly term: number; readonly token: FencingToken},
+    grant: {readonly lease: LeaseId; readonly term: number; readonly token: OwnerToken},
     askedAt: Instant,
     wall: WallTime,
   ) {
@@ -58,9 +58,4 @@
     }
     return ageMs > LEASE_TTL_MS || wasSuspended ? 'unproved' : 'proved';
   }
-
-  /** Whether the machine may have been suspended since the last proof. */
-  mayHaveSlept(now: Instant, wall: WallTime): boolean {
-    return wall - now - this.#wallOffset > CLOCK_GAP_MS;
-  }
 }
--- a/packages/nutmegproxy-owner/src/__tests__/unit/Journal.test.ts
+++ b/packages/nutmegproxy-owner/src/__tests__/unit/Journal.test.ts
@@ -9,7 +9,7 @@
 import assert from 'node:assert/strict';
 import {after, afterEach, beforeEach, describe, it} from 'node:test';
 
-import type {FencingToken} from '../../MinionOrders.ts';
+import type {OwnerToken} from '../../MinionOrders.ts';
 
 import {Journal} from '../../Journal.ts';
 import {OWNER_KEY} from '../../Ownership.ts';
@@ -52,7 +52,7 @@
     fenced = 0;
     store = new MemoryStore();
     const revision = (await put(store, OWNER_KEY, Buffer.from('vm')))._unsafeUnwrap();
-    const grant = {lease: '1' as LeaseId, term: 0, token: revision as FencingToken};
+    const grant = {lease: '1' as LeaseId, term: 0, token: revision as OwnerToken};
     const tenure = new Tenure(grant, 0 as Instant, 0 as WallTime);
     const onFenced = (): void => {
       fenced += 1;
--- a/packages/nutmegproxy-owner/src/index.ts
+++ b/packages/nutmegproxy-owner/src/index.ts
@@ -3,13 +3,13 @@
 export type {AdviceAnswer, AdviceClient, AdviceFailure} from './AdviceClient.ts';
 export type {MinionChange, MinionDirectory, MinionSnapshot} from './MinionDirectory.ts';
 export type {
-  FencingToken,
   HoldOrder,
   MinionOrders,
   MinionTarget,
   OrderAnswer,
   OrderFailure,
   OrderFailureKind,
+  OwnerToken,
   PaceOrder,
   RunOrder,
   StartOrder,
--- a/packages/nutmegproxy-scheduling/src/Fleet.ts
+++ b/packages/nutmegproxy-scheduling/src/Fleet.ts
@@ -64,10 +64,10 @@
     this.#stopAll(job, 'cancelled');
   }
 
-  /** Rests a minion that stalls what it starts. */
+  /** Quarantines a minion that stalls what it starts. */
   distrust(minion: MinionState, reason: string, now: Instant): void {
     if (minion.trust.noteStall(now)) {
-      this.#events.record(SCHEDULING_EVENTS.MINION_RESTED, {minion: minion.id, reason});
+      this.#events.record(SCHEDULING_EVENTS.MINION_QUARANTINED, {minion: minion.id, reason});
     }
   }
 
@@ -90,7 +90,7 @@
         run.step.avoid(run.task.index, run.minion);
       }
       if (minion?.trust.noteFailure(run.task.job, now)) {
-        this.#events.record(SCHEDULING_EVENTS.MINION_RESTED, {
+        this.#events.record(SCHEDULING_EVENTS.MINION_QUARANTINED, {
           minion: run.minion,
           reason: 'failures',
         });
--- a/packages/nutmegproxy-scheduling/src/HoldClock.ts
+++ b/packages/nutmegproxy-scheduling/src/HoldClock.ts
@@ -16,7 +16,7 @@
 
 /** Estimates a minion's clock and remembers the longest hold that was asked for. */
 export class HoldClock {
-  #heldUntilMs = 0;
+  #holdEndMs = 0;
   #reading: Reading | undefined;
   /** Bound on a former owner's holds while the minion was never heard; undefined for none. */
   #unheardUntil: Instant | undefined;
@@ -27,7 +27,7 @@
 
   /** The minion restarted: its clock begins anew and nothing that was held is left. */
   reset(): void {
-    this.#heldUntilMs = 0;
+    this.#holdEndMs = 0;
     this.#reading = undefined;
     this.#unheardUntil = undefined;
   }
@@ -41,7 +41,7 @@
   observe(clockMs: number, receivedAt: Instant): void {
     if (this.#reading === undefined) {
       // Another owner may have granted a hold before this one heard of the minion.
-      this.#heldUntilMs = clockMs + LONGEST_HOLD_MS;
+      this.#holdEndMs = clockMs + LONGEST_HOLD_MS;
       this.#unheardUntil = undefined;
     }
     // Answers may overtake each other; the newest clock value is the best.
@@ -60,7 +60,7 @@
       return undefined;
     }
     const until = Math.floor(this.#reading.clockMs + (now - this.#reading.receivedAt) + holdMs);
-    this.#heldUntilMs = Math.max(this.#heldUntilMs, until);
+    this.#holdEndMs = Math.max(this.#holdEndMs, until);
     return until;
   }
 
@@ -70,7 +70,7 @@
     if (this.#reading === undefined) {
       return former;
     }
-    const leftMs = this.#heldUntilMs + LAPSE_MARGIN_MS - this.#reading.clockMs;
+    const leftMs = this.#holdEndMs + LAPSE_MARGIN_MS - this.#reading.clockMs;
     return Math.max(0, leftMs / (1 - SLOW_CLOCK_RATE) - (now - this.#reading.receivedAt));
   }
 
@@ -83,6 +83,6 @@
       return this.#unheardUntil !== undefined;
     }
     const elapsedMs = (now - this.#reading.receivedAt) * (1 - SLOW_CLOCK_RATE);
-    return this.#reading.clockMs + elapsedMs > this.#heldUntilMs + LAPSE_MARGIN_MS;
+    return this.#reading.clockMs + elapsedMs > this.#holdEndMs + LAPSE_MARGIN_MS;
   }
 }
--- a/packages/nutmegproxy-scheduling/src/MinionState.ts
+++ b/packages/nutmegproxy-scheduling/src/MinionState.ts
@@ -1,7 +1,7 @@
 /** One life of a minion: what it is, what runs there, and how much room is left. */
 
 import type {Branded, DataCentreId, Instant, MinionId, RackId} from '@nutmegproxy/core';
-import type {Resources, Run, ServiceId, StepState} from '@nutmegproxy/jobs';
+import type {Resources, Run, ServiceId, StepShape, StepState} from '@nutmegproxy/jobs';
 
 import {HoldClock} from './HoldClock.ts';
 import {MinionTrust} from './MinionTrust.ts';
@@ -35,7 +35,7 @@
 export type WorkKind = 'filling' | 'ordinary' | 'serving';
 
 /** The kind of work that the tasks of a run's step are. */
-export function workKind(shape: Run['step']['shape']): WorkKind {
+export function workKind(shape: StepShape): WorkKind {
   if (shape.fillsSpareCpu) {
     return 'filling';
   }
@@ -106,9 +106,9 @@
   }
 
   /** Whether a task of the shape fits in the room that is not reserved. */
-  hasRoom({resources, ...shape}: Run['step']['shape']): boolean {
+  hasRoom({fillsSpareCpu, resources}: StepShape): boolean {
     const {capacity} = this.description;
-    const cpuMilli = shape.fillsSpareCpu ? 0 : resources.cpuMilli;
+    const cpuMilli = fillsSpareCpu ? 0 : resources.cpuMilli;
     return (
       this.reserved.cpuMilli + cpuMilli <= capacity.cpuMilli &&
       this.reserved.memoryMb + resources.memoryMb <= capacity.memoryMb &&
--- a/packages/nutmegproxy-scheduling/src/MinionTrust.ts
+++ b/packages/nutmegproxy-scheduling/src/MinionTrust.ts
@@ -5,65 +5,65 @@
 
 import type {Instant, JobId} from '@nutmegproxy/core';
 
-/** Failures of different jobs without a success between them after which a minion is rested. */
-const FAILURES_TO_REST = 2;
-/** First rest in milliseconds; long enough that a short fault mostly passes. */
-const FIRST_REST_MS = 2_000;
-/** Longest rest in milliseconds; bounds how long a healed minion stays unused. */
-const LONGEST_REST_MS = 8_000;
+/** Failures of different jobs without a success between them after which a minion is quarantined. */
+const FAILURES_TO_QUARANTINE = 2;
+/** First quarantine in milliseconds; long enough that a short fault mostly passes. */
+const FIRST_QUARANTINE_MS = 2_000;
+/** Longest quarantine in milliseconds; bounds how long a healed minion stays unused. */
+const LONGEST_QUARANTINE_MS = 8_000;
 
-/** `trusted`: gets any work. `trial`: may get one run. `resting`: gets none. */
-export type TrustLevel = 'resting' | 'trial' | 'trusted';
+/** `trusted`: gets any work. `trial`: may get one run. `quarantined`: gets none. */
+export type TrustLevel = 'quarantined' | 'trial' | 'trusted';
 
 export class MinionTrust {
   readonly #failedJobs = new Set<JobId>();
-  #restMs = FIRST_REST_MS;
-  #restUntil: Instant | undefined;
+  #quarantineMs = FIRST_QUARANTINE_MS;
+  #quarantinedUntil: Instant | undefined;
   #stalls = 0;
 
   /** Whether the minion has failed something since its last success. */
   get isDoubted(): boolean {
-    return this.#failedJobs.size > 0 || this.#stalls > 0 || this.#restUntil !== undefined;
+    return this.#failedJobs.size > 0 || this.#stalls > 0 || this.#quarantinedUntil !== undefined;
   }
 
   level(now: Instant): TrustLevel {
-    if (this.#restUntil === undefined) {
+    if (this.#quarantinedUntil === undefined) {
       return 'trusted';
     }
-    return now < this.#restUntil ? 'resting' : 'trial';
+    return now < this.#quarantinedUntil ? 'quarantined' : 'trial';
   }
 
-  /** Notes a failed run; true when the minion is rested from now on. */
+  /** Notes a failed run; true when the minion is quarantined from now on. */
   noteFailure(job: JobId, now: Instant): boolean {
     this.#failedJobs.add(job);
-    return this.#failedJobs.size >= FAILURES_TO_REST || this.#restUntil !== undefined
-      ? this.#rest(now)
+    return this.#failedJobs.size >= FAILURES_TO_QUARANTINE || this.#quarantinedUntil !== undefined
+      ? this.#quarantine(now)
       : false;
   }
 
   /** Notes a run that made no progress. */
   noteStall(now: Instant): boolean {
     this.#stalls += 1;
-    return this.#rest(now);
+    return this.#quarantine(now);
   }
 
-  /** Notes a run that ended well; true when it ends a rest. */
+  /** Notes a run that ended well; true when it ends a quarantine. */
   noteSuccess(): boolean {
-    const wasResting = this.#restUntil !== undefined;
+    const wasQuarantined = this.#quarantinedUntil !== undefined;
     this.#failedJobs.clear();
-    this.#restMs = FIRST_REST_MS;
-    this.#restUntil = undefined;
+    this.#quarantineMs = FIRST_QUARANTINE_MS;
+    this.#quarantinedUntil = undefined;
     this.#stalls = 0;
-    return wasResting;
+    return wasQuarantined;
   }
 
-  #rest(now: Instant): boolean {
-    const alreadyResting = this.level(now) === 'resting';
-    if (alreadyResting) {
+  #quarantine(now: Instant): boolean {
+    const isAlreadyQuarantined = this.level(now) === 'quarantined';
+    if (isAlreadyQuarantined) {
       return false;
     }
-    this.#restUntil = (now + this.#restMs) as Instant;
-    this.#restMs = Math.min(this.#restMs * 2, LONGEST_REST_MS);
+    this.#quarantinedUntil = (now + this.#quarantineMs) as Instant;
+    this.#quarantineMs = Math.min(this.#quarantineMs * 2, LONGEST_QUARANTINE_MS);
     return true;
   }
 }
--- a/packages/nutmegproxy-scheduling/src/SharingPolicy.ts
+++ b/packages/nutmegproxy-scheduling/src/SharingPolicy.ts
@@ -6,7 +6,7 @@
  */
 
 import type {Instant} from '@nutmegproxy/core';
-import type {Run, StepShape} from '@nutmegproxy/jobs';
+import type {Run, StepShape, StepState} from '@nutmegproxy/jobs';
 
 import type {Fleet} from './Fleet.ts';
 import type {MinionState} from './MinionState.ts';
@@ -17,9 +17,9 @@
 /** Share of its bound up to which a utilization may be planned. */
 const PLANNED_SHARE = 0.9;
 /** Time in milliseconds that a step waits for a minion whose serving tasks bear it. */
-const PATIENCE_MS = 4_000;
+const STRICT_LIMIT_MS = 4_000;
 /** Rise of the planned share with each second beyond that: a step that no minion bears still runs. */
-const IMPATIENCE_PER_S = 0.15;
+const LIMIT_RISE_PER_S = 0.15;
 /** Share of its bound at which a tail is acted upon; reports are half a second old. */
 const TAIL_ALERT_SHARE = 0.95;
 /** Load of a serving task on average, as a share of what it can serve. */
@@ -37,13 +37,13 @@
 const UTILIZATION_COST = 40_000;
 
 /** Cost of another image among a minion's serving tasks, above that of an empty minion. */
-const STRANGER_COST = 30_000;
+const MIXED_IMAGES_COST = 30_000;
 
 export class SharingPolicy {
   readonly model = new TailModel();
   readonly #estimate: WorkEstimate;
   readonly #lastMove = new WeakMap<MinionState, Instant>();
-  readonly #pressedSince = new WeakMap<MinionState, Instant>();
+  readonly #nearBoundSince = new WeakMap<MinionState, Instant>();
 
   constructor(estimate: WorkEstimate) {
     this.#estimate = estimate;
@@ -53,7 +53,7 @@
    * Cost of a filling task on a minion in thousandths of a core, beside the processors it uses;
    * undefined when it would press a tail over its bound.
    */
-  fillingCost(minion: MinionState, step: Run['step'], now: Instant): number | undefined {
+  fillingCost(minion: MinionState, step: StepState, now: Instant): number | undefined {
     if (minion.servingRuns === 0) {
       return 0;
     }
@@ -79,7 +79,7 @@
     return worst * UTILIZATION_COST;
   }
 
-  /** Cost of a serving task on a minion: how near its tail would come to the bound. */
+  /** Cost of a serving task on a minion: other images among its serving tasks. */
   servingCost(minion: MinionState, shape: StepShape): number {
     const images = new Set<string | undefined>();
     for (const run of minion.runs) {
@@ -88,13 +88,13 @@
       }
     }
     // Minions of one image leave room beside them for every filling image that it bears.
-    const strangers = images.size - (images.has(shape.image) ? 1 : 0);
-    return strangers * STRANGER_COST;
+    const otherImages = images.size - (images.has(shape.image) ? 1 : 0);
+    return otherImages * MIXED_IMAGES_COST;
   }
 
   /** Whether a serving task of the minion is near or over its bound, so that it is watched closely. */
-  isPressed(minion: MinionState): boolean {
-    return this.#pressedSince.has(minion);
+  isNearBound(minion: MinionState): boolean {
+    return this.#nearBoundSince.has(minion);
   }
 
   /**
@@ -102,13 +102,13 @@
    * presses most, one after the other, and all of them once a tail has been over for long.
    */
   moveDisturbers(fleet: Fleet, minion: MinionState, now: Instant): void {
-    const pressed = findPressed(minion);
+    const pressed = findMostPressed(minion);
     if (pressed === undefined) {
-      this.#pressedSince.delete(minion);
+      this.#nearBoundSince.delete(minion);
       return;
     }
-    const since = this.#pressedSince.get(minion) ?? now;
-    this.#pressedSince.set(minion, since);
+    const since = this.#nearBoundSince.get(minion) ?? now;
+    this.#nearBoundSince.set(minion, since);
     if (now - since >= MOVE_ALL_AFTER_MS) {
       for (const run of minion.runs) {
         if (run.step.shape.fillsSpareCpu) {
@@ -163,11 +163,11 @@
 
 /** The share of its bound that may be planned for a step that has waited for `waitedMs`. */
 function chooseLimit(waitedMs: number): number {
-  return PLANNED_SHARE + (Math.max(0, waitedMs - PATIENCE_MS) / 1_000) * IMPATIENCE_PER_S;
+  return PLANNED_SHARE + (Math.max(0, waitedMs - STRICT_LIMIT_MS) / 1_000) * LIMIT_RISE_PER_S;
 }
 
 /** The serving run whose tail is furthest over the bound; undefined when all are within. */
-function findPressed(minion: MinionState): Run | undefined {
+function findMostPressed(minion: MinionState): Run | undefined {
   let pressed: Run | undefined;
   let worst = TAIL_ALERT_SHARE;
   for (const run of minion.runs) {
--- a/packages/nutmegproxy-scheduling/src/__tests__/unit/StartPlanner.test.ts
+++ b/packages/nutmegproxy-scheduling/src/__tests__/unit/StartPlanner.test.ts
@@ -82,7 +82,7 @@
       sample.addMinion('leaving', {isDraining: true});
       sample.addMinion('silent').missedCalls = 1;
       sample.addMinion('marked').isMarkedSilent = true;
-      sample.addMinion('resting').trust.noteStall(at(0));
+      sample.addMinion('quarantined').trust.noteStall(at(0));
       sample.addJob('proofs', [shape()]);
       assert.equal(sample.plan(1).length, 0);
     });
