--- /dev/null
+++ b/packages/nutmegproxy-scheduling/src/__tests__/unit/JobOrder.test.ts
@@ -0,0 +1,64 @@
+import assert from 'node:assert/strict';
+import {describe, it} from 'node:test';
+
+import {judgePunctuality, orderSteps} from '../../JobOrder.ts';
+import {at, queue, SampleFleet, shape, wallAt} from './Samples.ts';
+
+describe('judgePunctuality', () => {
+  it('compares the expected end with the objective and three times that', () => {
+    const objectiveMs = 2_000;
+    assert.equal(judgePunctuality({elapsedMs: 500, objectiveMs, remainingMs: 1_500}), 'on-time');
+    assert.equal(judgePunctuality({elapsedMs: 600, objectiveMs, remainingMs: 1_500}), 'late');
+    assert.equal(judgePunctuality({elapsedMs: 5_000, objectiveMs, remainingMs: 1_500}), 'overdue');
+  });
+});
+
+describe('orderSteps', () => {
+  function order(sample: SampleFleet, nowMs: number): string[] {
+    const steps = [...sample.fleet.jobs.values()].flatMap((job) => job.occurrence(0) ?? []);
+    return orderSteps(sample.fleet, steps, sample.estimate, wallAt(nowMs)).map(
+      ({step}) => step.job.id,
+    );
+  }
+
+  it('puts the job with the least work left first among equals', () => {
+    const sample = new SampleFleet(0);
+    const large = sample.addJob('proofs', [shape({count: 10})]);
+    const small = sample.addJob('proofs', [shape({count: 2})]);
+    assert.deepEqual(order(sample, 0), [small.id, large.id]);
+  });
+
+  it('lets a large job that has waited pass a small one', () => {
+    const sample = new SampleFleet(0, [queue('proofs', {targetDurationMs: 60_000})]);
+    const large = sample.addJob('proofs', [shape({count: 4})], 0);
+    const small = sample.addJob('proofs', [shape({count: 2})], 20_000);
+    assert.deepEqual(order(sample, 20_000), [large.id, small.id]);
+  });
+
+  it('puts the queue with the lower priority number before all else', () => {
+    const sample = new SampleFleet(0, [queue('alerts'), queue('digests', {priority: 2})]);
+    const digest = sample.addJob('digests', [shape()]);
+    const alert = sample.addJob('alerts', [shape({count: 50})], -100_000);
+    assert.deepEqual(order(sample, 0), [alert.id, digest.id]);
+  });
+});
+
+describe('a recurring job', () => {
+  it('starts each occurrence when it is due, also beside an earlier one', () => {
+    const sample = new SampleFleet(1);
+    const job = sample.addJob('proofs', [shape()]);
+    const recurrence = {count: 3, firstAt: wallAt(1_000), intervalMs: 500};
+    Object.assign(job.request, {recurrence});
+    assert.equal(sample.plan(999).length, 0);
+    assert.deepEqual(
+      sample.plan(1_000).map(({task}) => task.occurrence),
+      [0],
+    );
+    assert.deepEqual(
+      sample.plan(2_100).map(({task}) => task.occurrence),
+      [1, 2],
+    );
+    sample.finish(job, at(2_200));
+    assert.equal(job.status, 'completed');
+  });
+});
--- /dev/null
+++ b/packages/nutmegproxy-scheduling/src/__tests__/unit/MinionTrust.test.ts
@@ -0,0 +1,61 @@
+import type {JobId} from '@nutmegproxy/core';
+
+import {brand} from '@nutmegproxy/core';
+import assert from 'node:assert/strict';
+import {describe, it} from 'node:test';
+
+import {MinionTrust} from '../../MinionTrust.ts';
+import {at, SampleFleet, shape} from './Samples.ts';
+
+const [JOB_A, JOB_B] = [brand<JobId>('a'), brand<JobId>('b')];
+
+describe('MinionTrust', () => {
+  it('quarantines a minion that fails two jobs in a row, not one job twice', () => {
+    const trust = new MinionTrust();
+    assert.equal(trust.noteFailure(JOB_A, at(0)), false);
+    assert.equal(trust.noteFailure(JOB_A, at(1)), false);
+    assert.equal(trust.noteFailure(JOB_B, at(2)), true);
+    assert.equal(trust.level(at(3)), 'quarantined');
+  });
+
+  it('gives one trial after a while, and longer quarantines after failed trials', () => {
+    const trust = new MinionTrust();
+    trust.noteStall(at(0));
+    assert.equal(trust.level(at(1_999)), 'quarantined');
+    assert.equal(trust.level(at(2_000)), 'trial');
+    trust.noteFailure(JOB_A, at(2_100));
+    assert.equal(trust.level(at(6_000)), 'quarantined');
+    assert.equal(trust.level(at(6_200)), 'trial');
+  });
+
+  it('trusts a minion again that does well on its trial', () => {
+    const trust = new MinionTrust();
+    trust.noteStall(at(0));
+    assert.equal(trust.noteSuccess(), true);
+    assert.equal(trust.level(at(1)), 'trusted');
+    assert.equal(trust.isDoubted, false);
+  });
+
+  describe('under a load in which one minion fails all that it starts', () => {
+    /** Plays jobs of one task on four minions of which m1 fails each run; returns failed jobs. */
+    function playJobs(jobs: number): number {
+      const sample = new SampleFleet(4);
+      let failed = 0;
+      for (let now = 0; now < jobs * 50; now += 50) {
+        const job = sample.addJob('proofs', [shape({estimateMs: 40})], now);
+        for (let attempt = 0; attempt < 3; attempt += 1) {
+          for (const run of sample.plan(now + attempt)) {
+            const outcome = run.minion === 'm1' ? 'failed' : 'done';
+            sample.fleet.endRun(run, outcome, undefined, at(now + attempt));
+          }
+        }
+        failed += job.status === 'failed' ? 1 : 0;
+      }
+      return failed;
+    }
+
+    it('no job fails, since it gets little work and no last attempt', () => {
+      assert.equal(playJobs(100), 0);
+    });
+  });
+});
