--- a/packages/nutmegproxy-owner/src/FleetFollower.ts
+++ b/packages/nutmegproxy-owner/src/FleetFollower.ts
@@ -79,7 +79,7 @@
 
   /** Lists the minions and begins to follow them; at the start of an ownership also the roster. */
   async start(former: readonly RosterEntry[]): Promise<Result<void, StoreFailure>> {
-    const {clock, directory, roster} = this.#options;
+    const {clock, directory} = this.#options;
     const snapshot = await directory.list();
     if (snapshot.isErr()) {
       return err(snapshot.error);
@@ -109,7 +109,7 @@
         this.#apply(changes);
       },
     });
-    await roster.add(snapshot.value.minions);
+    this.#enroll(snapshot.value.minions);
     return ok(undefined);
   }
 
@@ -172,8 +172,7 @@
   }
 
   #apply(changes: readonly MinionChange[]): void {
-    const {clock, onChange, roster} = this.#options;
-    const now = clock.monotonic();
+    const now = this.#options.clock.monotonic();
     const added: MinionDescription[] = [];
     for (const {description, id} of changes) {
       if (description === undefined) {
@@ -185,7 +184,21 @@
       }
       this.#update(description, now);
     }
-    void roster.add(added).then(onChange);
+    this.#enroll(added);
+  }
+
+  /** Lets minions have work once the store's roster names them. */
+  #enroll(minions: readonly MinionDescription[]): void {
+    const {fleet, onChange, roster} = this.#options;
+    void roster.add(minions).then(() => {
+      for (const {id} of minions) {
+        const minion = fleet.minions.get(id);
+        if (minion !== undefined) {
+          minion.isEnrolled = true;
+        }
+      }
+      onChange();
+    });
   }
 
   #forget(id: MinionId): void {
@@ -217,7 +230,11 @@
   /** A minion of the former owner: what runs there is known from its mark or from its listing. */
   #suspect({description: {id}, silent}: RosterEntry, now: Instant, isMissing: boolean): void {
     const minion = this.#sessions.get(id)?.minion;
-    if (minion === undefined || minion.isReported) {
+    if (minion === undefined) {
+      return;
+    }
+    minion.isEnrolled = true;
+    if (minion.isReported) {
       return;
     }
     if (isMissing) {
--- a/packages/nutmegproxy-scheduling/src/MinionState.ts
+++ b/packages/nutmegproxy-scheduling/src/MinionState.ts
@@ -57,6 +57,8 @@
   readonly uncertainSteps = new Set<StepState>();
   /** Whether it has told this owner what runs there. */
   isReported = false;
+  /** Whether the store's roster names it, so that the next owner will ask what runs there. */
+  isEnrolled = false;
   /** Whether the store says that it is granted no holds; they begin again once that is withdrawn. */
   isMarkedSilent = false;
   /** When it last answered; undefined before. */
--- a/packages/nutmegproxy-scheduling/src/Placement.ts
+++ b/packages/nutmegproxy-scheduling/src/Placement.ts
@@ -67,6 +67,7 @@
     minion.unlistedSince === undefined || now - minion.unlistedSince < UNLISTED_GRACE_MS;
   const level = minion.trust.level(now);
   return (
+    minion.isEnrolled &&
     minion.isReported &&
     minion.clock.isKnown &&
     isListed &&
--- a/packages/nutmegproxy-scheduling/src/__tests__/unit/Samples.ts
+++ b/packages/nutmegproxy-scheduling/src/__tests__/unit/Samples.ts
@@ -103,6 +103,7 @@
       service: SERVICE,
       ...change,
     });
+    minion.isEnrolled = true;
     minion.isReported = true;
     minion.clock.observe(0, at(0));
     this.fleet.minions.set(minion.id, minion);
--- a/packages/nutmegproxy-scheduling/src/__tests__/unit/StartPlanner.test.ts
+++ b/packages/nutmegproxy-scheduling/src/__tests__/unit/StartPlanner.test.ts
@@ -77,8 +77,9 @@
       assert.equal(new Set(runs.map(({number}) => number)).size, 1);
     });
 
-    it('starts nothing on a leaving, silent or resting minion', () => {
+    it('starts nothing on a leaving, silent, quarantined or unenrolled minion', () => {
       const sample = new SampleFleet(0);
+      sample.addMinion('unenrolled').isEnrolled = false;
       sample.addMinion('leaving', {isDraining: true});
       sample.addMinion('silent').missedCalls = 1;
       sample.addMinion('marked').isMarkedSilent = true;
