--- a/packages/nutmegproxy-entry/src/JobDesk.ts
+++ b/packages/nutmegproxy-entry/src/JobDesk.ts
@@ -181,6 +181,7 @@
     return chooseRetryAfter(health.failingForMs(clock.monotonic()), random());
   }
 
+  /** A record that can't be read is reported by the owner, which writes it anew. */
   #decodeProgress(stored: StoredValue | undefined): ShownJob | undefined {
     return stored === undefined ? undefined : decodeProgress(stored.value).unwrapOr(undefined);
   }
--- a/packages/nutmegproxy-owner/src/Knowledge.ts
+++ b/packages/nutmegproxy-owner/src/Knowledge.ts
@@ -47,7 +47,12 @@
   async read(): Promise<void> {
     const {clock, estimate, events, model, store} = this.#options;
     const stored = await getKey(store, KNOWLEDGE_KEY);
-    if (stored.isErr() || stored.value === undefined) {
+    if (stored.isErr()) {
+      const {message} = stored.error;
+      events.record(OWNER_EVENTS.STORE_FOLLOW_FAILED, {message, what: 'knowledge'});
+      return;
+    }
+    if (stored.value === undefined) {
       return;
     }
     try {
