--- a/packages/nutmegproxy-catalogue/src/CatalogueConfirmation.ts
+++ b/packages/nutmegproxy-catalogue/src/CatalogueConfirmation.ts
@@ -2,8 +2,8 @@
 
 import type {EntryNode, Instant} from '@nutmegproxy/core';
 import type {PeerMesh} from '@nutmegproxy/peers';
-import type {VmDirectory} from '@nutmegproxy/platform';
 import type {AppliedList} from '@nutmegproxy/schema';
+import type {VmDirectory} from '@nutmegproxy/workers';
 
 import {after} from '@nutmegproxy/core';
 import {setTimeout as delay} from 'node:timers/promises';
--- a/packages/nutmegproxy-catalogue/src/CatalogueFeature.ts
+++ b/packages/nutmegproxy-catalogue/src/CatalogueFeature.ts
@@ -2,8 +2,8 @@
 
 import type {EntryNode, NodeIdentity, Unregister} from '@nutmegproxy/core';
 import type {PeerMesh} from '@nutmegproxy/peers';
-import type {VmDirectory} from '@nutmegproxy/platform';
 import type {PlatformStore} from '@nutmegproxy/store';
+import type {VmDirectory} from '@nutmegproxy/workers';
 
 import {mergeUnregister, PRIORITY_LOW} from '@nutmegproxy/core';
 
--- a/packages/nutmegproxy-cli/src/PlatformConnections.ts
+++ b/packages/nutmegproxy-cli/src/PlatformConnections.ts
@@ -1,12 +1,12 @@
 /** Connections of a process to the platform and to the other entry VMs. */
 
 import type {EntryNode, Unregister} from '@nutmegproxy/core';
-import type {VmDepartures, VmDirectory, WorkerClient} from '@nutmegproxy/platform';
 import type {PlatformStore} from '@nutmegproxy/store';
+import type {VmDepartures, VmDirectory, WorkerClient} from '@nutmegproxy/workers';
 
 import {WsPeerMesh} from '@nutmegproxy/peers';
-import {HttpVmList, HttpWorkerClient, registerVmDirectory} from '@nutmegproxy/platform';
 import {EtcdStore} from '@nutmegproxy/store';
+import {HttpVmList, HttpWorkerClient, registerVmDirectory} from '@nutmegproxy/workers';
 
 import type {FeatureContext} from './Features.ts';
 
--- a/packages/nutmegproxy-cli/src/StatusSections.ts
+++ b/packages/nutmegproxy-cli/src/StatusSections.ts
@@ -3,8 +3,8 @@
 import type {CatalogueFeature} from '@nutmegproxy/catalogue';
 import type {EntryNode} from '@nutmegproxy/core';
 import type {Membership} from '@nutmegproxy/membership';
-import type {VmDirectory} from '@nutmegproxy/platform';
 import type {Requests} from '@nutmegproxy/requests';
+import type {VmDirectory} from '@nutmegproxy/workers';
 
 export interface CatalogueStatus {
   readonly change: string;
--- a/packages/nutmegproxy-cli/src/__tests__/unit/WorkFeatures.test.ts
+++ b/packages/nutmegproxy-cli/src/__tests__/unit/WorkFeatures.test.ts
@@ -5,9 +5,9 @@
 
 import {brand} from '@nutmegproxy/core';
 import {WsPeerMesh} from '@nutmegproxy/peers';
-import {HttpWorkerClient} from '@nutmegproxy/platform';
 import {readSettings} from '@nutmegproxy/settings';
 import {MemoryStore, MinionServer} from '@nutmegproxy/standins';
+import {HttpWorkerClient} from '@nutmegproxy/workers';
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
 import {setTimeout as sleep} from 'node:timers/promises';
--- a/packages/nutmegproxy-membership/src/MembershipServices.ts
+++ b/packages/nutmegproxy-membership/src/MembershipServices.ts
@@ -2,9 +2,9 @@
 
 import type {EntryNode, Instant} from '@nutmegproxy/core';
 import type {TargetedMesh} from '@nutmegproxy/peers';
-import type {VmDepartures} from '@nutmegproxy/platform';
 import type {Vm} from '@nutmegproxy/schema';
 import type {PlatformStore} from '@nutmegproxy/store';
+import type {VmDepartures} from '@nutmegproxy/workers';
 
 import type {RecordStore} from './RecordStore.ts';
 import type {RecordView} from './RecordView.ts';
--- a/packages/nutmegproxy-membership/src/__tests__/fakes/Cluster.ts
+++ b/packages/nutmegproxy-membership/src/__tests__/fakes/Cluster.ts
@@ -4,8 +4,8 @@
 import type {AllotmentRecord, Vm} from '@nutmegproxy/schema';
 
 import {brand, CommandBus, ManualClock, PRIORITY_NORMAL, SILENT_EVENTS} from '@nutmegproxy/core';
-import {DepartureBook} from '@nutmegproxy/platform';
 import {LocalNetwork} from '@nutmegproxy/standins';
+import {DepartureBook} from '@nutmegproxy/workers';
 import assert from 'node:assert/strict';
 import {Registry} from 'prom-client';
 
--- a/packages/nutmegproxy-membership/src/registerMembership.ts
+++ b/packages/nutmegproxy-membership/src/registerMembership.ts
@@ -2,8 +2,8 @@
 
 import type {DrainStart, EntryNode, Unregister} from '@nutmegproxy/core';
 import type {TargetedMesh} from '@nutmegproxy/peers';
-import type {VmDepartures} from '@nutmegproxy/platform';
 import type {PlatformStore} from '@nutmegproxy/store';
+import type {VmDepartures} from '@nutmegproxy/workers';
 
 import {DRAIN_STARTED, mergeUnregister, PRIORITY_LOW} from '@nutmegproxy/core';
 import {setTimeout as sleep} from 'node:timers/promises';
--- a/packages/nutmegproxy-requests/src/CatalogueLimits.ts
+++ b/packages/nutmegproxy-requests/src/CatalogueLimits.ts
@@ -4,7 +4,7 @@
 import type {CatalogueSource} from '@nutmegproxy/catalogue';
 import type {EntryId, NodeIdentity, TeamId} from '@nutmegproxy/core';
 import type {Membership} from '@nutmegproxy/membership';
-import type {VmDirectory} from '@nutmegproxy/platform';
+import type {VmDirectory} from '@nutmegproxy/workers';
 
 import {DEFAULT_ENTRY_QUEUE} from './RequestsConstants.ts';
 import {splitShare} from './ShareUtils.ts';
--- a/packages/nutmegproxy-requests/src/MinionExchange.ts
+++ b/packages/nutmegproxy-requests/src/MinionExchange.ts
@@ -3,7 +3,7 @@
 import type {OutlierTracker} from '@nutmegproxy/admission';
 import type {EntryNode, Instant, VmId} from '@nutmegproxy/core';
 import type {Membership} from '@nutmegproxy/membership';
-import type {VmDirectory} from '@nutmegproxy/platform';
+import type {VmDirectory} from '@nutmegproxy/workers';
 
 import {brand} from '@nutmegproxy/core';
 
--- a/packages/nutmegproxy-requests/src/MinionRoutes.ts
+++ b/packages/nutmegproxy-requests/src/MinionRoutes.ts
@@ -3,8 +3,8 @@
 import type {CatalogueSource, CatalogueView} from '@nutmegproxy/catalogue';
 import type {DataCentreId, MinionId, NodeIdentity, VmId} from '@nutmegproxy/core';
 import type {Allotment, Membership} from '@nutmegproxy/membership';
-import type {VmDirectory} from '@nutmegproxy/platform';
 import type {Vm} from '@nutmegproxy/schema';
+import type {VmDirectory} from '@nutmegproxy/workers';
 
 import {brand} from '@nutmegproxy/core';
 
--- a/packages/nutmegproxy-requests/src/__tests__/unit/RequestsBench.ts
+++ b/packages/nutmegproxy-requests/src/__tests__/unit/RequestsBench.ts
@@ -3,9 +3,9 @@
 import type {CatalogueView} from '@nutmegproxy/catalogue';
 import type {EntryId, Instant, MinionId, NodeIdentity, TeamId} from '@nutmegproxy/core';
 import type {Allotment, Membership} from '@nutmegproxy/membership';
-import type {VmDirectory} from '@nutmegproxy/platform';
 import type {Entry, Settings, Team, Vm} from '@nutmegproxy/schema';
 import type {PlatformStore} from '@nutmegproxy/store';
+import type {VmDirectory} from '@nutmegproxy/workers';
 import type {AddressInfo, Socket} from 'node:net';
 
 import {CATALOGUE_CHANGED} from '@nutmegproxy/catalogue';
--- a/packages/nutmegproxy-requests/src/registerRequests.ts
+++ b/packages/nutmegproxy-requests/src/registerRequests.ts
@@ -4,9 +4,9 @@
 import type {CatalogueSource} from '@nutmegproxy/catalogue';
 import type {DrainStart, EntryNode, MinionId, Unregister} from '@nutmegproxy/core';
 import type {Membership, ShareRelease} from '@nutmegproxy/membership';
-import type {VmDirectory} from '@nutmegproxy/platform';
 import type {Settings} from '@nutmegproxy/schema';
 import type {PlatformStore} from '@nutmegproxy/store';
+import type {VmDirectory} from '@nutmegproxy/workers';
 import type {ResultAsync} from 'neverthrow';
 import type {AddressInfo} from 'node:net';
 
@@ -14,7 +14,7 @@
 import {CATALOGUE_CHANGED} from '@nutmegproxy/catalogue';
 import {DRAIN_STARTED, mergeUnregister, PRIORITY_NORMAL} from '@nutmegproxy/core';
 import {ALLOTMENT_CHANGED, SHARE_RELEASE_WANTED, TENURE_GAINED} from '@nutmegproxy/membership';
-import {VMS_CHANGED} from '@nutmegproxy/platform';
+import {VMS_CHANGED} from '@nutmegproxy/workers';
 
 import type {CallerRouteHandler, ListenFailure} from './CallerListener.ts';
 import type {SlotUse} from './SlotLedger.ts';
--- a/packages/nutmegproxy-tasks/src/CellRunner.ts
+++ b/packages/nutmegproxy-tasks/src/CellRunner.ts
@@ -2,9 +2,9 @@
 
 import type {AttemptId, EntryId, Instant, RackId, WallTime, WorkerId} from '@nutmegproxy/core';
 import type {LaneOrder} from '@nutmegproxy/placement';
-import type {VmDirectory, WorkerClient} from '@nutmegproxy/platform';
 import type {Entry, Quota, StartIntended, TaskStart, Throttle, Vm} from '@nutmegproxy/schema';
 import type {LeaseId} from '@nutmegproxy/store';
+import type {VmDirectory, WorkerClient} from '@nutmegproxy/workers';
 
 import {after} from '@nutmegproxy/core';
 
--- a/packages/nutmegproxy-tasks/src/CellSupervisor.ts
+++ b/packages/nutmegproxy-tasks/src/CellSupervisor.ts
@@ -4,9 +4,9 @@
 import type {CellId, EntryNode, Instant, TeamId} from '@nutmegproxy/core';
 import type {CellOwnership, CellRelease, Membership} from '@nutmegproxy/membership';
 import type {LaneOrder, Placement} from '@nutmegproxy/placement';
-import type {VmDirectory, WorkerClient} from '@nutmegproxy/platform';
 import type {CellSummary, Entry, Quota, Resources} from '@nutmegproxy/schema';
 import type {LeaseId, PlatformStore} from '@nutmegproxy/store';
+import type {VmDirectory, WorkerClient} from '@nutmegproxy/workers';
 
 import {after} from '@nutmegproxy/core';
 
--- a/packages/nutmegproxy-tasks/src/JobRouter.ts
+++ b/packages/nutmegproxy-tasks/src/JobRouter.ts
@@ -4,7 +4,6 @@
 import type {EntryNode, IncarnationId, NodeIdentity, TeamId} from '@nutmegproxy/core';
 import type {Membership} from '@nutmegproxy/membership';
 import type {PeerMesh} from '@nutmegproxy/peers';
-import type {VmDirectory} from '@nutmegproxy/platform';
 import type {
   Entry,
   JobStatus,
@@ -17,6 +16,7 @@
   Validator,
 } from '@nutmegproxy/schema';
 import type {PlatformStore} from '@nutmegproxy/store';
+import type {VmDirectory} from '@nutmegproxy/workers';
 
 import {
   validateJobStatus,
--- a/packages/nutmegproxy-tasks/src/WorkerLink.ts
+++ b/packages/nutmegproxy-tasks/src/WorkerLink.ts
@@ -1,7 +1,6 @@
 /** One worker of an owned cell: its starts, and one loop that renews, steers and acknowledges. */
 
 import type {AttemptId, Instant, WallTime, WorkerId} from '@nutmegproxy/core';
-import type {StartAnswer, WorkerClient} from '@nutmegproxy/platform';
 import type {
   AttemptReport,
   TaskStart,
@@ -9,6 +8,7 @@
   WorkerReport,
   WorkerSync,
 } from '@nutmegproxy/schema';
+import type {StartAnswer, WorkerClient} from '@nutmegproxy/workers';
 
 import {after} from '@nutmegproxy/core';
 
--- a/packages/nutmegproxy-tasks/src/__tests__/FakeWorkers.ts
+++ b/packages/nutmegproxy-tasks/src/__tests__/FakeWorkers.ts
@@ -1,8 +1,8 @@
 /** Workers in memory, which check that no task runs twice and none holds more than it has. */
 
 import type {ManualClock} from '@nutmegproxy/core';
-import type {PlatformFailure, StartAnswer, WorkerClient} from '@nutmegproxy/platform';
 import type {AttemptReport, TaskStart, WorkerReport, WorkerSync} from '@nutmegproxy/schema';
+import type {PlatformFailure, StartAnswer, WorkerClient} from '@nutmegproxy/workers';
 import type {ResultAsync} from 'neverthrow';
 
 import {errAsync, okAsync} from 'neverthrow';
--- a/scripts/mutants.mjs
+++ b/scripts/mutants.mjs
@@ -160,10 +160,10 @@
   },
   {
     edits: [['return this.#marks.has(markKey(mark));', 'return false;']],
-    file: 'nutmegproxy-platform/src/LeavingMarks.ts',
+    file: 'nutmegproxy-workers/src/LeavingMarks.ts',
     invariant: 'leaving',
     name: 'a lagging list revives a VM that is leaving',
-    tests: ['nutmegproxy-platform/src/__tests__/unit/VmDirectory.test.ts'],
+    tests: ['nutmegproxy-workers/src/__tests__/unit/VmDirectory.test.ts'],
   },
   {
     edits: [
