--- a/packages/nutmegproxy-owner/src/JobFollower.ts
+++ b/packages/nutmegproxy-owner/src/JobFollower.ts
@@ -86,13 +86,14 @@
     return ok(undefined);
   }
 
-  #addJob(stored: StoredValue, progress: JobProgress | undefined): void {
+  #addJob(stored: StoredValue, progress?: JobProgress, progressRevision = 0): void {
     const {clock, events, fleet} = this.#options;
     const request = this.#decode(stored, decodeJob);
     if (request === undefined || fleet.jobs.has(request.id)) {
       return;
     }
     const job = new JobState(request, stored.createRevision, clock.monotonic(), progress);
+    job.progressRevision = progressRevision;
     fleet.jobs.set(job.id, job);
     const {queue, steps} = request;
     events.record(OWNER_EVENTS.JOB_LEARNED, {
@@ -120,7 +121,7 @@
       return;
     }
     if (parsed.part === 'request') {
-      this.#addJob(event.stored, undefined);
+      this.#addJob(event.stored);
     } else if (parsed.part === 'cancel') {
       const job = fleet.jobs.get(parsed.id);
       if (job !== undefined) {
@@ -138,15 +139,17 @@
     }
     const parts = values.map((stored) => ({parsed: parseJobKey(stored.key), stored}));
     const progress = new Map<string, JobProgress>();
+    const revisions = new Map<string, number>();
     for (const {parsed, stored} of parts) {
       const record = parsed?.part === 'progress' ? this.#decode(stored, decodeProgress) : undefined;
       if (parsed !== undefined && record !== undefined) {
         progress.set(parsed.id, record);
+        revisions.set(parsed.id, stored.modRevision);
       }
     }
     for (const {parsed, stored} of parts) {
       if (parsed?.part === 'request') {
-        this.#addJob(stored, progress.get(parsed.id));
+        this.#addJob(stored, progress.get(parsed.id), revisions.get(parsed.id));
       }
     }
     for (const {parsed} of parts) {
--- a/packages/nutmegproxy-owner/src/Journal.ts
+++ b/packages/nutmegproxy-owner/src/Journal.ts
@@ -5,6 +5,7 @@
 import type {PlatformStore} from '@nutmegproxy/store';
 
 import {encodeRecord, jobKey} from '@nutmegproxy/jobs';
+import {getKey} from '@nutmegproxy/store';
 
 import type {Tenure} from './Tenure.ts';
 
@@ -102,10 +103,21 @@
     return this.#stopped;
   }
 
+  /**
+   * Writes a batch on the condition that no other write of its jobs came between, since one without
+   * an answer may be carried out seconds later and must not replace newer progress.
+   */
   async #commit(batch: readonly JobState[]): Promise<boolean> {
-    const {events, onFenced, store, tenure} = this.#options;
+    const {events, store, tenure} = this.#options;
     const written = await store.commit({
-      compare: [fencedBy(OWNER_KEY, tenure)],
+      compare: [
+        fencedBy(OWNER_KEY, tenure),
+        ...batch.map(({id, progressRevision}) => ({
+          key: jobKey(id, 'progress'),
+          kind: 'modRevision' as const,
+          modRevision: progressRevision,
+        })),
+      ],
       then: batch.map((job) => ({
         key: jobKey(job.id, 'progress'),
         kind: 'put' as const,
@@ -118,10 +130,12 @@
       return false;
     }
     if (!written.value.succeeded) {
-      this.#stopped = true;
-      onFenced();
+      await this.#refreshRevisions(batch);
       return false;
     }
+    for (const job of batch) {
+      job.progressRevision = written.value.revision;
+    }
     events.record(OWNER_EVENTS.JOURNAL_WRITTEN, {
       jobs: batch.map(({id, status}) => `${id}:${status}`).join(' '),
       revision: written.value.revision,
@@ -129,6 +143,23 @@
     return true;
   }
 
+  /** Finds out why a condition failed: another owner, or a write of this one that came late. */
+  async #refreshRevisions(batch: readonly JobState[]): Promise<void> {
+    const {onFenced, store, tenure} = this.#options;
+    const owner = await getKey(store, OWNER_KEY);
+    if (owner.isOk() && owner.value?.modRevision !== tenure.token) {
+      this.#stopped = true;
+      onFenced();
+      return;
+    }
+    for (const job of batch) {
+      const stored = await getKey(store, jobKey(job.id, 'progress'));
+      if (stored.isOk()) {
+        job.progressRevision = stored.value?.modRevision ?? 0;
+      }
+    }
+  }
+
   /** Waits for more progress to go into the same write; shorter once a job has ended. */
   async #gather(): Promise<void> {
     for (let waitedMs = 0; waitedMs < JOURNAL_PAUSE_MS; waitedMs += JOURNAL_URGENT_MS) {
--- a/packages/nutmegproxy-owner/src/OwnerConstants.ts
+++ b/packages/nutmegproxy-owner/src/OwnerConstants.ts
@@ -47,8 +47,8 @@
 export const JOURNAL_PAUSE_MS = 60;
 /** Pause after a write of progress that failed. */
 export const JOURNAL_RETRY_MS = 200;
-/** Jobs in one write: the store takes 32 entries, one of which is the condition. */
-export const JOURNAL_BATCH = 30;
+/** Jobs in one write: the store takes 32 entries, and each job has a condition and a value. */
+export const JOURNAL_BATCH = 15;
 /** Time between publications of the queues' lengths; callers may be told a number 2 s old. */
 export const WAITING_PUBLISH_MS = 700;
 /** Pause after the store could not be followed. */
--- a/packages/nutmegproxy-owner/src/__tests__/unit/Journal.test.ts
+++ b/packages/nutmegproxy-owner/src/__tests__/unit/Journal.test.ts
@@ -3,9 +3,10 @@
 import type {LeaseId} from '@nutmegproxy/store';
 
 import {brand, SILENT_EVENTS} from '@nutmegproxy/core';
-import {JobState} from '@nutmegproxy/jobs';
+import {jobKey, JobState} from '@nutmegproxy/jobs';
 import {MemoryStore} from '@nutmegproxy/standins';
-import {put} from '@nutmegproxy/store';
+import {getKey, put} from '@nutmegproxy/store';
+import {errAsync} from 'neverthrow';
 import assert from 'node:assert/strict';
 import {after, afterEach, beforeEach, describe, it} from 'node:test';
 
@@ -101,4 +102,27 @@
     }
     assert.equal(dirtyJobs.size, 1);
   });
+
+  it('lets no write that comes late replace newer progress', async () => {
+    const job = createJob();
+    const late: (() => Promise<unknown>)[] = [];
+    const commit = store.commit.bind(store);
+    store.commit = (transaction) => {
+      if (late.length === 0 && transaction.then.some(({kind}) => kind === 'put')) {
+        late.push(async () => commit(transaction));
+        return errAsync({kind: 'unknown', message: 'the answer was lost'});
+      }
+      return commit(transaction);
+    };
+    dirtyJobs.add(job);
+    journal.wake();
+    while (late.length === 0) {
+      await settle();
+    }
+    job.status = 'completed';
+    await journal.flushed();
+    await late[0]?.();
+    const stored = (await getKey(store, jobKey(job.id, 'progress')))._unsafeUnwrap();
+    assert.match(stored?.value.toString() ?? '', /"status":"completed"/);
+  });
 });
