Remove repeated work and copies found in reading the change again

- StartPlanner and RouteTable copied a growing array for each minion and each route; they append now.
The planner does so in every round.
- Owner refilled the fleet's queues in every planning round; it does so only when the configuration gives another array.
- `fencedBy` names the owner's key itself; every caller passed the same.
- Removed what nothing read: JobState.cancelled, learnedAt and nextDueAt, OwnerCandidate.isOwner, and the event 8015, which was never recorded.

No decision, bound or assertion changes; two test set-ups lose an argument that the constructor of JobState no longer takes.

--- a/packages/nutmegproxy-core/src/index.ts
+++ b/packages/nutmegproxy-core/src/index.ts
@@ -10,6 +10,7 @@
   PRIORITY_NORMAL,
 } from './CommandBus.ts';
 export type {Command, CommandHandler, Priority} from './CommandBus.ts';
+export {delay} from './Delay.ts';
 export type {EntryNode, NodeIdentity} from './EntryNode.ts';
 export {SILENT_EVENTS} from './EventSink.ts';
 export type {EventFields, EventKind, EventLevel, EventSink} from './EventSink.ts';
--- a/packages/nutmegproxy-entry/src/ConfigurationFollower.ts
+++ b/packages/nutmegproxy-entry/src/ConfigurationFollower.ts
@@ -4,6 +4,8 @@
 import type {QueuePolicy} from '@nutmegproxy/scheduling';
 import type {Watch} from '@nutmegproxy/store';
 
+import {delay} from '@nutmegproxy/core';
+
 import type {Configuration, ConfigurationSource} from './Configuration.ts';
 
 import {FOLLOW_RETRY_MS} from './EntryConstants.ts';
@@ -51,7 +53,7 @@
         }
         await this.#follow(revision + 1);
       }
-      await new Promise((resolve) => setTimeout(resolve, FOLLOW_RETRY_MS).unref());
+      await delay(FOLLOW_RETRY_MS);
     }
   }
 
--- a/packages/nutmegproxy-entry/src/JobDesk.ts
+++ b/packages/nutmegproxy-entry/src/JobDesk.ts
@@ -6,6 +6,7 @@
 import type {PlatformStore, StoredValue, StoreFailure} from '@nutmegproxy/store';
 import type {Result} from 'neverthrow';
 
+import {delay} from '@nutmegproxy/core';
 import {decodeJob, decodeProgress, encodeRecord, jobKey, jobPrefix} from '@nutmegproxy/jobs';
 import {WAITING_KEY} from '@nutmegproxy/owner';
 import {getKey, getPrefix} from '@nutmegproxy/store';
@@ -257,7 +258,7 @@
         const kind = isUncertain ? 'unknown' : answer.error.kind;
         return err({kind, message: answer.error.message});
       }
-      await new Promise((resolve) => setTimeout(resolve, SUBMIT_RETRY_MS).unref());
+      await delay(SUBMIT_RETRY_MS);
     }
   }
 }
--- a/packages/nutmegproxy-entry/src/RouteTable.ts
+++ b/packages/nutmegproxy-entry/src/RouteTable.ts
@@ -10,7 +10,12 @@
     this.version = version;
     for (const route of routes) {
       const host = route.host.toLowerCase();
-      this.#byHost.set(host, [...(this.#byHost.get(host) ?? []), route]);
+      const others = this.#byHost.get(host);
+      if (others === undefined) {
+        this.#byHost.set(host, [route]);
+      } else {
+        others.push(route);
+      }
     }
     for (const ofHost of this.#byHost.values()) {
       ofHost.sort((a, b) => b.pathPrefix.length - a.pathPrefix.length);
--- a/packages/nutmegproxy-entry/src/VmRegistry.ts
+++ b/packages/nutmegproxy-entry/src/VmRegistry.ts
@@ -3,6 +3,7 @@
 import type {DataCentreId, EventSink, VmId} from '@nutmegproxy/core';
 import type {LeaseId, PlatformStore} from '@nutmegproxy/store';
 
+import {delay} from '@nutmegproxy/core';
 import {STATE_PREFIX} from '@nutmegproxy/jobs';
 import {getPrefix, put} from '@nutmegproxy/store';
 
@@ -112,7 +113,7 @@
   async #repeat(pauseMs: number, act: () => Promise<void>): Promise<void> {
     while (!this.#stopped) {
       await act();
-      await new Promise((resolve) => setTimeout(resolve, pauseMs).unref());
+      await delay(pauseMs);
     }
   }
 
--- a/packages/nutmegproxy-jobs/src/JobState.ts
+++ b/packages/nutmegproxy-jobs/src/JobState.ts
@@ -1,6 +1,6 @@
 /** A job as the owner of the fleet knows it. */
 
-import type {Instant, JobId, WallTime} from '@nutmegproxy/core';
+import type {JobId, WallTime} from '@nutmegproxy/core';
 
 import type {JobStatus, StoredJob} from './JobModel.ts';
 import type {JobProgress, StepProgress} from './JobProgress.ts';
@@ -13,12 +13,9 @@
 
 /** Tracks the occurrences and steps of a job. */
 export class JobState {
-  /** When this owner learned of the job. */
-  readonly learnedAt: Instant;
   readonly request: StoredJob;
   /** Store revision at which the job was accepted. */
   readonly revision: number;
-  cancelled = false;
   /** Revision of the progress record; 0 before the first. */
   progressRevision = 0;
   status: JobStatus;
@@ -31,12 +28,10 @@
   constructor(
     request: StoredJob,
     revision: number,
-    learnedAt: Instant,
     progress: JobProgress = {queue: request.queue, status: 'queued', steps: {}},
   ) {
     this.request = request;
     this.revision = revision;
-    this.learnedAt = learnedAt;
     this.status = progress.status;
     this.started = progress.status !== 'queued';
     this.#progress = progress;
@@ -105,16 +100,6 @@
     }
   }
 
-  /** When the next occurrence becomes due; undefined when none is left. */
-  nextDueAt(wall: WallTime): undefined | WallTime {
-    for (let number = 0; number < this.occurrenceCount; number += 1) {
-      if (this.dueAt(number) > wall) {
-        return this.dueAt(number);
-      }
-    }
-    return undefined;
-  }
-
   /** Whether every task of every occurrence is done. */
   isDone(): boolean {
     for (let number = 0; number < this.occurrenceCount; number += 1) {
--- a/packages/nutmegproxy-owner/src/AdviceDesk.ts
+++ b/packages/nutmegproxy-owner/src/AdviceDesk.ts
@@ -4,13 +4,13 @@
 import type {StepState} from '@nutmegproxy/jobs';
 import type {AdviceQuestion, Fleet, Ticket} from '@nutmegproxy/scheduling';
 
+import {delay} from '@nutmegproxy/core';
 import {AdviceBook, isUsable} from '@nutmegproxy/scheduling';
 
 import type {AdviceClient} from './AdviceClient.ts';
 
 import {ADVICE_IDLE_MS, ADVICE_SLACK_MS} from './OwnerConstants.ts';
 import {OWNER_EVENTS} from './OwnerEvents.ts';
-import {delay} from './OwnerUtils.ts';
 
 export interface AdviceDeskOptions {
   readonly client: AdviceClient | undefined;
--- a/packages/nutmegproxy-owner/src/FleetFollower.ts
+++ b/packages/nutmegproxy-owner/src/FleetFollower.ts
@@ -6,6 +6,7 @@
 import type {StoreFailure, Watch} from '@nutmegproxy/store';
 import type {Result} from 'neverthrow';
 
+import {delay} from '@nutmegproxy/core';
 import {formatTaskName, parseTaskName} from '@nutmegproxy/jobs';
 import {MinionState} from '@nutmegproxy/scheduling';
 import {err, ok} from 'neverthrow';
@@ -23,7 +24,6 @@
   WALL_SKEW_MS,
 } from './OwnerConstants.ts';
 import {OWNER_EVENTS} from './OwnerEvents.ts';
-import {delay} from './OwnerUtils.ts';
 
 /** Slow clocks and delays on the way lengthen a former owner's holds by less than this, in ms. */
 const FORMER_HOLD_MARGIN_MS = 500;
--- a/packages/nutmegproxy-owner/src/JobFollower.ts
+++ b/packages/nutmegproxy-owner/src/JobFollower.ts
@@ -6,6 +6,7 @@
 import type {PlatformStore, StoredValue, StoreFailure, Watch, WatchEvent} from '@nutmegproxy/store';
 import type {Result} from 'neverthrow';
 
+import {delay} from '@nutmegproxy/core';
 import {
   decodeJob,
   decodeProgress,
@@ -22,7 +23,6 @@
 import {FOLLOW_RETRY_MS} from './OwnerConstants.ts';
 import {OWNER_EVENTS} from './OwnerEvents.ts';
 import {OWNER_KEY} from './Ownership.ts';
-import {delay} from './OwnerUtils.ts';
 
 export interface JobFollowerOptions {
   readonly clock: Clock;
@@ -92,7 +92,7 @@
     if (request === undefined || fleet.jobs.has(request.id)) {
       return;
     }
-    const job = new JobState(request, stored.createRevision, clock.monotonic(), progress);
+    const job = new JobState(request, stored.createRevision, progress);
     job.progressRevision = progressRevision;
     fleet.jobs.set(job.id, job);
     const {queue, steps} = request;
--- a/packages/nutmegproxy-owner/src/Journal.ts
+++ b/packages/nutmegproxy-owner/src/Journal.ts
@@ -4,6 +4,7 @@
 import type {JobState} from '@nutmegproxy/jobs';
 import type {PlatformStore} from '@nutmegproxy/store';
 
+import {delay} from '@nutmegproxy/core';
 import {encodeRecord, jobKey} from '@nutmegproxy/jobs';
 import {getKey} from '@nutmegproxy/store';
 
@@ -17,7 +18,7 @@
 } from './OwnerConstants.ts';
 import {OWNER_EVENTS} from './OwnerEvents.ts';
 import {OWNER_KEY} from './Ownership.ts';
-import {delay, fencedBy} from './OwnerUtils.ts';
+import {fencedBy} from './OwnerUtils.ts';
 
 export interface JournalOptions {
   /** Jobs with progress that is not written yet; the journal takes them out. */
@@ -111,7 +112,7 @@
     const {events, store, tenure} = this.#options;
     const written = await store.commit({
       compare: [
-        fencedBy(OWNER_KEY, tenure),
+        fencedBy(tenure),
         ...batch.map(({id, progressRevision}) => ({
           key: jobKey(id, 'progress'),
           kind: 'modRevision' as const,
--- a/packages/nutmegproxy-owner/src/Knowledge.ts
+++ b/packages/nutmegproxy-owner/src/Knowledge.ts
@@ -9,6 +9,7 @@
 } from '@nutmegproxy/scheduling';
 import type {PlatformStore} from '@nutmegproxy/store';
 
+import {delay} from '@nutmegproxy/core';
 import {STATE_PREFIX} from '@nutmegproxy/jobs';
 import {getKey} from '@nutmegproxy/store';
 
@@ -16,8 +17,7 @@
 
 import {KNOWLEDGE_PAUSE_MS} from './OwnerConstants.ts';
 import {OWNER_EVENTS} from './OwnerEvents.ts';
-import {OWNER_KEY} from './Ownership.ts';
-import {delay, fencedBy} from './OwnerUtils.ts';
+import {fencedBy} from './OwnerUtils.ts';
 
 const KNOWLEDGE_KEY = `${STATE_PREFIX}knowledge`;
 
@@ -79,7 +79,7 @@
         continue;
       }
       const written = await store.commit({
-        compare: [fencedBy(OWNER_KEY, tenure)],
+        compare: [fencedBy(tenure)],
         then: [{key: KNOWLEDGE_KEY, kind: 'put', value: Buffer.from(text)}],
       });
       if (written.isOk()) {
--- a/packages/nutmegproxy-owner/src/MinionSession.ts
+++ b/packages/nutmegproxy-owner/src/MinionSession.ts
@@ -4,6 +4,7 @@
 import type {Run} from '@nutmegproxy/jobs';
 import type {MinionListing, MinionState, StopOrder} from '@nutmegproxy/scheduling';
 
+import {delay} from '@nutmegproxy/core';
 import {reviewListing} from '@nutmegproxy/scheduling';
 
 import type {Journal} from './Journal.ts';
@@ -20,7 +21,7 @@
   WATCHFUL_WAIT_MS,
 } from './OwnerConstants.ts';
 import {OWNER_EVENTS} from './OwnerEvents.ts';
-import {delay, isSameTask} from './OwnerUtils.ts';
+import {isSameTask} from './OwnerUtils.ts';
 import {RunOrders} from './RunOrders.ts';
 
 export class MinionSession {
--- a/packages/nutmegproxy-owner/src/Owner.ts
+++ b/packages/nutmegproxy-owner/src/Owner.ts
@@ -6,6 +6,7 @@
 import type {Clock, EventSink} from '@nutmegproxy/core';
 import type {PlatformStore} from '@nutmegproxy/store';
 
+import {delay} from '@nutmegproxy/core';
 import {
   evacuate,
   Fleet,
@@ -37,7 +38,6 @@
   SUMMARY_PAUSE_MS,
 } from './OwnerConstants.ts';
 import {OWNER_EVENTS} from './OwnerEvents.ts';
-import {delay} from './OwnerUtils.ts';
 import {Retention} from './Retention.ts';
 import {Roster} from './Roster.ts';
 import {WaitingBoard} from './WaitingBoard.ts';
@@ -49,7 +49,7 @@
   readonly directory: MinionDirectory;
   readonly events: EventSink;
   readonly orders: MinionOrders;
-  /** Queues of the configuration in force. */
+  /** Queues of the configuration in force; another array once they have changed. */
   readonly queues: () => readonly QueuePolicy[];
   /** Time in milliseconds for which the state of an ended job is told. */
   readonly statusMs: number;
@@ -63,10 +63,12 @@
   readonly #fleet: Fleet;
   readonly #jobs: JobFollower;
   readonly #journal: Journal;
+  #isWoken = false;
   readonly #knowledge: Knowledge;
   readonly #minions: FleetFollower;
   readonly #options: OwnerOptions;
   readonly #progress = new RunProgress(this.#estimate);
+  #queues: readonly QueuePolicy[] | undefined;
   readonly #roster: Roster;
   readonly #sharing = new SharingPolicy(this.#estimate);
   #stopReason: string | undefined;
@@ -181,10 +183,7 @@
     const now = clock.monotonic();
     const wall = clock.wall();
     const fleet = this.#fleet;
-    fleet.queues.clear();
-    for (const queue of queues()) {
-      fleet.queues.set(queue.id, queue);
-    }
+    this.#takeQueues(queues());
     this.#minions.sweep(tenure.provedAt, now);
     if (fleet.recoveryRevision > 0 && this.#minions.isSettled(tenure.provedAt)) {
       fleet.recoveryRevision = 0;
@@ -261,7 +260,17 @@
     this.#isWoken = false;
   }
 
-  #isWoken = false;
+  /** Copies the queues into the fleet, unless it has them. */
+  #takeQueues(queues: readonly QueuePolicy[]): void {
+    if (queues === this.#queues) {
+      return;
+    }
+    this.#queues = queues;
+    this.#fleet.queues.clear();
+    for (const queue of queues) {
+      this.#fleet.queues.set(queue.id, queue);
+    }
+  }
 
   #wakeUp(): void {
     this.#isWoken = true;
--- a/packages/nutmegproxy-owner/src/OwnerCandidate.ts
+++ b/packages/nutmegproxy-owner/src/OwnerCandidate.ts
@@ -3,6 +3,7 @@
 import type {Clock, EventSink, VmId} from '@nutmegproxy/core';
 import type {PlatformStore, Watch} from '@nutmegproxy/store';
 
+import {delay} from '@nutmegproxy/core';
 import {getKey} from '@nutmegproxy/store';
 
 import type {Owner} from './Owner.ts';
@@ -17,7 +18,6 @@
 import {OWNER_EVENTS} from './OwnerEvents.ts';
 import {choosePreferenceMs, shouldHandOver} from './OwnerPreference.ts';
 import {OWNER_KEY, Ownership} from './Ownership.ts';
-import {delay} from './OwnerUtils.ts';
 
 export interface CandidateOptions {
   readonly clock: Clock;
@@ -50,10 +50,6 @@
     this.#ownership = new Ownership(options);
   }
 
-  get isOwner(): boolean {
-    return this.#owner !== undefined;
-  }
-
   async run(): Promise<void> {
     void this.#follow();
     while (!this.#stopped) {
--- a/packages/nutmegproxy-owner/src/OwnerUtils.ts
+++ b/packages/nutmegproxy-owner/src/OwnerUtils.ts
@@ -4,19 +4,15 @@
 
 import type {Tenure} from './Tenure.ts';
 
-/** Waits; the timer keeps no process alive. */
-export function delay(milliseconds: number): Promise<void> {
-  return new Promise((resolve) => {
-    setTimeout(resolve, milliseconds).unref();
-  });
-}
+import {OWNER_KEY} from './Ownership.ts';
 
 /** Condition under which a write of the owner takes effect: nobody else has taken over. */
-export function fencedBy(
-  ownerKey: string,
-  tenure: Tenure,
-): {key: string; kind: 'modRevision'; modRevision: number} {
-  return {key: ownerKey, kind: 'modRevision', modRevision: tenure.token};
+export function fencedBy(tenure: Tenure): {
+  key: string;
+  kind: 'modRevision';
+  modRevision: number;
+} {
+  return {key: OWNER_KEY, kind: 'modRevision', modRevision: tenure.token};
 }
 
 /** Whether two references name the same task. */
--- a/packages/nutmegproxy-owner/src/Ownership.ts
+++ b/packages/nutmegproxy-owner/src/Ownership.ts
@@ -4,6 +4,7 @@
 import type {LeaseId, PlatformStore, StoredValue, StoreFailure} from '@nutmegproxy/store';
 import type {Result} from 'neverthrow';
 
+import {delay} from '@nutmegproxy/core';
 import {FLEET_PREFIX, STATE_PREFIX} from '@nutmegproxy/jobs';
 import {err, ok} from 'neverthrow';
 
@@ -11,7 +12,6 @@
 
 import {LEASE_TTL_MS, RENEWAL_PAUSE_MS} from './OwnerConstants.ts';
 import {OWNER_EVENTS} from './OwnerEvents.ts';
-import {delay} from './OwnerUtils.ts';
 import {Tenure} from './Tenure.ts';
 
 /** The present owner; under the owner's lease. */
--- a/packages/nutmegproxy-owner/src/Retention.ts
+++ b/packages/nutmegproxy-owner/src/Retention.ts
@@ -10,7 +10,6 @@
 
 import {RETENTION_BATCH} from './OwnerConstants.ts';
 import {OWNER_EVENTS} from './OwnerEvents.ts';
-import {OWNER_KEY} from './Ownership.ts';
 import {fencedBy} from './OwnerUtils.ts';
 
 const PARTS: readonly JobPart[] = ['cancel', 'progress', 'request'];
@@ -41,7 +40,7 @@
       return;
     }
     const removed = await store.commit({
-      compare: [fencedBy(OWNER_KEY, tenure)],
+      compare: [fencedBy(tenure)],
       then: over.flatMap((id) =>
         PARTS.map((part) => ({key: jobKey(id, part), kind: 'delete' as const})),
       ),
--- a/packages/nutmegproxy-owner/src/Roster.ts
+++ b/packages/nutmegproxy-owner/src/Roster.ts
@@ -14,6 +14,7 @@
 import type {PlatformStore, StoreFailure} from '@nutmegproxy/store';
 import type {Result} from 'neverthrow';
 
+import {delay} from '@nutmegproxy/core';
 import {STATE_PREFIX} from '@nutmegproxy/jobs';
 import {getKey} from '@nutmegproxy/store';
 import {err, ok} from 'neverthrow';
@@ -22,8 +23,7 @@
 
 import {JOURNAL_RETRY_MS} from './OwnerConstants.ts';
 import {OWNER_EVENTS} from './OwnerEvents.ts';
-import {OWNER_KEY} from './Ownership.ts';
-import {delay, fencedBy} from './OwnerUtils.ts';
+import {fencedBy} from './OwnerUtils.ts';
 
 const ROSTER_KEY = `${STATE_PREFIX}roster`;
 
@@ -133,7 +133,7 @@
     this.#storedMarks = new Set([...formerMarks, ...marks]);
     const value = Buffer.from(JSON.stringify(entries));
     const written = await store.commit({
-      compare: [fencedBy(OWNER_KEY, tenure)],
+      compare: [fencedBy(tenure)],
       then: [{key: ROSTER_KEY, kind: 'put', value}],
     });
     if (written.isErr()) {
--- a/packages/nutmegproxy-owner/src/RunOrders.ts
+++ b/packages/nutmegproxy-owner/src/RunOrders.ts
@@ -8,6 +8,7 @@
 import type {Run, RunNumber, TaskRef} from '@nutmegproxy/jobs';
 import type {MinionState, StopOrder} from '@nutmegproxy/scheduling';
 
+import {delay} from '@nutmegproxy/core';
 import {formatTaskName} from '@nutmegproxy/jobs';
 import {describeRun} from '@nutmegproxy/scheduling';
 
@@ -15,7 +16,7 @@
 import type {SessionContext} from './SessionContext.ts';
 
 import {ORDER_RETRY_MS, ORDER_TRIES} from './OwnerConstants.ts';
-import {delay, isSameTask} from './OwnerUtils.ts';
+import {isSameTask} from './OwnerUtils.ts';
 
 /** What a session does for the orders that it carries. */
 export interface OrderLink {
--- a/packages/nutmegproxy-owner/src/WaitingBoard.ts
+++ b/packages/nutmegproxy-owner/src/WaitingBoard.ts
@@ -4,14 +4,14 @@
 import type {Fleet} from '@nutmegproxy/scheduling';
 import type {PlatformStore} from '@nutmegproxy/store';
 
+import {delay} from '@nutmegproxy/core';
 import {STATE_PREFIX} from '@nutmegproxy/jobs';
 
 import type {Tenure} from './Tenure.ts';
 
 import {WAITING_PUBLISH_MS} from './OwnerConstants.ts';
 import {OWNER_EVENTS} from './OwnerEvents.ts';
-import {OWNER_KEY} from './Ownership.ts';
-import {delay, fencedBy} from './OwnerUtils.ts';
+import {fencedBy} from './OwnerUtils.ts';
 
 /** Holds a `WaitingRecord` as JSON. */
 export const WAITING_KEY = `${STATE_PREFIX}waiting`;
@@ -62,7 +62,7 @@
       return;
     }
     const written = await store.commit({
-      compare: [fencedBy(OWNER_KEY, tenure)],
+      compare: [fencedBy(tenure)],
       then: [{key: WAITING_KEY, kind: 'put', value: Buffer.from(text)}],
     });
     if (written.isOk()) {
--- a/packages/nutmegproxy-owner/src/__tests__/unit/Journal.test.ts
+++ b/packages/nutmegproxy-owner/src/__tests__/unit/Journal.test.ts
@@ -28,7 +28,6 @@
       steps: [],
     },
     1,
-    0 as Instant,
   );
 }
 
--- a/packages/nutmegproxy-scheduling/src/Fleet.ts
+++ b/packages/nutmegproxy-scheduling/src/Fleet.ts
@@ -54,7 +54,6 @@
   }
 
   cancelJob(job: JobState): void {
-    job.cancelled = true;
     if (job.isFinal) {
       return;
     }
--- a/packages/nutmegproxy-scheduling/src/SchedulingEvents.ts
+++ b/packages/nutmegproxy-scheduling/src/SchedulingEvents.ts
@@ -21,5 +21,4 @@
   RUN_LOST: {code: 8013, level: 'warn', text: 'A run is over though its minion listed no end.'},
   RUN_PLACED: {code: 8010, level: 'info', text: 'A task was placed on a minion.'},
   RUN_STOPPED: {code: 8014, level: 'info', text: 'A stop of a run was ordered.'},
-  STEP_WAITS: {code: 8015, level: 'info', text: 'A step waits for room or for permitted minions.'},
 } satisfies Record<string, EventKind>;
--- a/packages/nutmegproxy-scheduling/src/StartPlanner.ts
+++ b/packages/nutmegproxy-scheduling/src/StartPlanner.ts
@@ -69,7 +69,12 @@
     for (const minion of fleet.minions.values()) {
       if (isUsable(minion, context.now)) {
         const {service} = minion.description;
-        this.#usable.set(service, [...(this.#usable.get(service) ?? []), minion]);
+        const others = this.#usable.get(service);
+        if (others === undefined) {
+          this.#usable.set(service, [minion]);
+        } else {
+          others.push(minion);
+        }
       }
     }
   }
--- a/packages/nutmegproxy-scheduling/src/__tests__/unit/Samples.ts
+++ b/packages/nutmegproxy-scheduling/src/__tests__/unit/Samples.ts
@@ -83,7 +83,7 @@
       service: SERVICE,
       steps,
     };
-    const job = new JobState(request, this.#jobs, at(0));
+    const job = new JobState(request, this.#jobs);
     this.fleet.jobs.set(id, job);
     return job;
   }
