Write every record of the owner under the condition of its last revision

Cause: a write without an answer may be carried out seconds later while its condition holds. Roster, queue lengths and knowledge were conditional on the ownership alone, so an old roster could replace a newer one: a mark of a silent minion that had been withdrawn came back, and the next owner would have counted its runs as lapsed while they ran on.

Change: OwnerRecord, one key with its revision, serves all three; the condition and the log line stood three times. Retention stays as it is: it only removes what is final.

Ruled out: reading the roster back before each write, which costs a call.

Tests: OwnerRecord.test fails first (a withdrawn mark comes back).

--- a/packages/nutmegproxy-owner/src/Journal.ts
+++ b/packages/nutmegproxy-owner/src/Journal.ts
@@ -17,8 +17,7 @@
   JOURNAL_URGENT_MS,
 } from './OwnerConstants.ts';
 import {OWNER_EVENTS} from './OwnerEvents.ts';
-import {OWNER_KEY} from './Ownership.ts';
-import {fencedBy} from './OwnerUtils.ts';
+import {fencedBy, isOwnedBy} from './OwnerUtils.ts';
 
 export interface JournalOptions {
   /** Jobs with progress that is not written yet; the journal takes them out. */
@@ -147,8 +146,8 @@
   /** Finds out why a condition failed: another owner, or a write of this one that came late. */
   async #refreshRevisions(batch: readonly JobState[]): Promise<void> {
     const {onFenced, store, tenure} = this.#options;
-    const owner = await getKey(store, OWNER_KEY);
-    if (owner.isOk() && owner.value?.modRevision !== tenure.token) {
+    const owned = await isOwnedBy(store, tenure);
+    if (owned.isOk() && !owned.value) {
       this.#stopped = true;
       onFenced();
       return;
--- a/packages/nutmegproxy-owner/src/Knowledge.ts
+++ b/packages/nutmegproxy-owner/src/Knowledge.ts
@@ -11,13 +11,12 @@
 
 import {delay} from '@nutmegproxy/core';
 import {STATE_PREFIX} from '@nutmegproxy/jobs';
-import {getKey} from '@nutmegproxy/store';
 
 import type {Tenure} from './Tenure.ts';
 
 import {KNOWLEDGE_PAUSE_MS} from './OwnerConstants.ts';
 import {OWNER_EVENTS} from './OwnerEvents.ts';
-import {fencedBy} from './OwnerUtils.ts';
+import {OwnerRecord} from './OwnerRecord.ts';
 
 const KNOWLEDGE_KEY = `${STATE_PREFIX}knowledge`;
 
@@ -37,16 +36,18 @@
 
 export class Knowledge {
   readonly #options: KnowledgeOptions;
+  readonly #record: OwnerRecord;
   #written = '';
 
   constructor(options: KnowledgeOptions) {
     this.#options = options;
+    this.#record = new OwnerRecord({...options, key: KNOWLEDGE_KEY});
   }
 
   /** Takes over what the former owner kept; without it, everything is learned anew. */
   async read(): Promise<void> {
-    const {clock, estimate, events, model, store} = this.#options;
-    const stored = await getKey(store, KNOWLEDGE_KEY);
+    const {clock, estimate, events, model} = this.#options;
+    const stored = await this.#record.read();
     if (stored.isErr()) {
       const {message} = stored.error;
       events.record(OWNER_EVENTS.STORE_FOLLOW_FAILED, {message, what: 'knowledge'});
@@ -67,7 +68,7 @@
 
   /** Writes what is new from time to time while the ownership lasts. */
   async run(isActing: () => boolean): Promise<void> {
-    const {estimate, events, model, store, tenure} = this.#options;
+    const {estimate, model} = this.#options;
     for (;;) {
       await delay(KNOWLEDGE_PAUSE_MS);
       if (!isActing()) {
@@ -75,18 +76,8 @@
       }
       const record: KnowledgeRecord = {durations: estimate.export(), tails: model.export()};
       const text = JSON.stringify(record);
-      if (text === this.#written) {
-        continue;
-      }
-      const written = await store.commit({
-        compare: [fencedBy(tenure)],
-        then: [{key: KNOWLEDGE_KEY, kind: 'put', value: Buffer.from(text)}],
-      });
-      if (written.isOk()) {
+      if (text !== this.#written && (await this.#record.write(Buffer.from(text))) === 'written') {
         this.#written = text;
-      } else {
-        const {kind, message} = written.error;
-        events.record(OWNER_EVENTS.JOURNAL_FAILED, {kind, message, what: 'knowledge'});
       }
     }
   }
--- a/packages/nutmegproxy-owner/src/OwnerUtils.ts
+++ b/packages/nutmegproxy-owner/src/OwnerUtils.ts
@@ -1,6 +1,10 @@
 /** Small functions of the owner's loops. */
 
 import type {TaskRef} from '@nutmegproxy/jobs';
+import type {PlatformStore, StoreFailure} from '@nutmegproxy/store';
+import type {Result} from 'neverthrow';
+
+import {getKey} from '@nutmegproxy/store';
 
 import type {Tenure} from './Tenure.ts';
 
@@ -15,6 +19,15 @@
   return {key: OWNER_KEY, kind: 'modRevision', modRevision: tenure.token};
 }
 
+/** Whether the store shows that the tenure still owns the fleet. */
+export async function isOwnedBy(
+  store: PlatformStore,
+  tenure: Tenure,
+): Promise<Result<boolean, StoreFailure>> {
+  const owner = await getKey(store, OWNER_KEY);
+  return owner.map((stored) => stored?.modRevision === tenure.token);
+}
+
 /** Whether two references name the same task. */
 export function isSameTask(a: TaskRef, b: TaskRef): boolean {
   return (
--- a/packages/nutmegproxy-owner/src/Roster.ts
+++ b/packages/nutmegproxy-owner/src/Roster.ts
@@ -16,14 +16,12 @@
 
 import {delay} from '@nutmegproxy/core';
 import {STATE_PREFIX} from '@nutmegproxy/jobs';
-import {getKey} from '@nutmegproxy/store';
 import {err, ok} from 'neverthrow';
 
 import type {Tenure} from './Tenure.ts';
 
 import {JOURNAL_RETRY_MS} from './OwnerConstants.ts';
-import {OWNER_EVENTS} from './OwnerEvents.ts';
-import {fencedBy} from './OwnerUtils.ts';
+import {OwnerRecord} from './OwnerRecord.ts';
 
 const ROSTER_KEY = `${STATE_PREFIX}roster`;
 
@@ -51,6 +49,7 @@
   readonly #entries = new Map<MinionId, RosterEntry>();
   #isStale = false;
   readonly #options: RosterOptions;
+  readonly #record: OwnerRecord;
   #stopped = false;
   /** Minions that the store may show as silent. */
   #storedMarks: ReadonlySet<MinionId> = new Set();
@@ -58,6 +57,7 @@
 
   constructor(options: RosterOptions) {
     this.#options = options;
+    this.#record = new OwnerRecord({...options, key: ROSTER_KEY});
   }
 
   /** Resolves once the minions stand in the store's roster. */
@@ -94,7 +94,7 @@
 
   /** The former owner's roster. */
   async read(): Promise<Result<readonly RosterEntry[], StoreFailure>> {
-    const stored = await getKey(this.#options.store, ROSTER_KEY);
+    const stored = await this.#record.read();
     if (stored.isErr()) {
       return err(stored.error);
     }
@@ -123,7 +123,6 @@
   }
 
   async #write(): Promise<void> {
-    const {events, onFenced, store, tenure} = this.#options;
     // Entries that are noted in the same turn go into one write.
     await delay(0);
     this.#isStale = false;
@@ -131,23 +130,17 @@
     const marks = findMarks(entries);
     const formerMarks = this.#storedMarks;
     this.#storedMarks = new Set([...formerMarks, ...marks]);
-    const value = Buffer.from(JSON.stringify(entries));
-    const written = await store.commit({
-      compare: [fencedBy(tenure)],
-      then: [{key: ROSTER_KEY, kind: 'put', value}],
-    });
-    if (written.isErr()) {
-      const {kind, message} = written.error;
-      events.record(OWNER_EVENTS.JOURNAL_FAILED, {kind, message, what: 'roster'});
+    const outcome = await this.#record.write(Buffer.from(JSON.stringify(entries)));
+    if (outcome === 'written') {
+      this.#storedMarks = marks;
+    } else if (outcome === 'fenced') {
+      this.#stopped = true;
+      this.#options.onFenced();
+    } else {
       this.#isStale = true;
       // A write without an answer may have taken effect, or may yet.
-      this.#storedMarks = kind === 'unknown' ? this.#storedMarks : formerMarks;
+      this.#storedMarks = outcome === 'unknown' ? this.#storedMarks : formerMarks;
       await delay(JOURNAL_RETRY_MS);
-    } else if (written.value.succeeded) {
-      this.#storedMarks = marks;
-    } else {
-      this.#stopped = true;
-      onFenced();
     }
     this.#writing = undefined;
   }
--- a/packages/nutmegproxy-owner/src/WaitingBoard.ts
+++ b/packages/nutmegproxy-owner/src/WaitingBoard.ts
@@ -10,8 +10,7 @@
 import type {Tenure} from './Tenure.ts';
 
 import {WAITING_PUBLISH_MS} from './OwnerConstants.ts';
-import {OWNER_EVENTS} from './OwnerEvents.ts';
-import {fencedBy} from './OwnerUtils.ts';
+import {OwnerRecord} from './OwnerRecord.ts';
 
 /** Holds a `WaitingRecord` as JSON. */
 export const WAITING_KEY = `${STATE_PREFIX}waiting`;
@@ -31,9 +30,11 @@
 export class WaitingBoard {
   readonly #options: WaitingBoardOptions;
   #published = '';
+  readonly #record: OwnerRecord;
 
   constructor(options: WaitingBoardOptions) {
     this.#options = options;
+    this.#record = new OwnerRecord({...options, key: WAITING_KEY});
   }
 
   /** Publishes changes while the ownership lasts. */
@@ -56,20 +57,9 @@
   }
 
   async #publish(): Promise<void> {
-    const {events, store, tenure} = this.#options;
     const text = JSON.stringify(this.#count());
-    if (text === this.#published) {
-      return;
-    }
-    const written = await store.commit({
-      compare: [fencedBy(tenure)],
-      then: [{key: WAITING_KEY, kind: 'put', value: Buffer.from(text)}],
-    });
-    if (written.isOk()) {
+    if (text !== this.#published && (await this.#record.write(Buffer.from(text))) === 'written') {
       this.#published = text;
-    } else {
-      const {kind, message} = written.error;
-      events.record(OWNER_EVENTS.JOURNAL_FAILED, {kind, message, what: 'waiting jobs'});
     }
   }
 }
--- a/packages/nutmegproxy-owner/src/__tests__/unit/Journal.test.ts
+++ b/packages/nutmegproxy-owner/src/__tests__/unit/Journal.test.ts
@@ -1,20 +1,16 @@
-import type {Instant, JobId, WallTime} from '@nutmegproxy/core';
+import type {JobId, WallTime} from '@nutmegproxy/core';
 import type {QueueId, ServiceId} from '@nutmegproxy/jobs';
-import type {LeaseId} from '@nutmegproxy/store';
 
 import {brand, SILENT_EVENTS} from '@nutmegproxy/core';
 import {jobKey, JobState} from '@nutmegproxy/jobs';
 import {MemoryStore} from '@nutmegproxy/standins';
 import {getKey, put} from '@nutmegproxy/store';
-import {errAsync} from 'neverthrow';
 import assert from 'node:assert/strict';
 import {after, afterEach, beforeEach, describe, it} from 'node:test';
 
-import type {OwnerToken} from '../../MinionOrders.ts';
-
 import {Journal} from '../../Journal.ts';
 import {OWNER_KEY} from '../../Ownership.ts';
-import {Tenure} from '../../Tenure.ts';
+import {delayNextWrite, settle, takeOwnership} from './OwnerSamples.ts';
 
 function createJob(): JobState {
   return new JobState(
@@ -31,10 +27,6 @@
   );
 }
 
-async function settle(): Promise<void> {
-  await new Promise((resolve) => setTimeout(resolve, 20));
-}
-
 describe('Journal', () => {
   // The journal's own timers keep no process alive.
   const keepAlive = setInterval(() => undefined, 1_000);
@@ -51,9 +43,7 @@
     dirtyJobs.clear();
     fenced = 0;
     store = new MemoryStore();
-    const revision = (await put(store, OWNER_KEY, Buffer.from('vm')))._unsafeUnwrap();
-    const grant = {lease: '1' as LeaseId, term: 0, token: revision as OwnerToken};
-    const tenure = new Tenure(grant, 0 as Instant, 0 as WallTime);
+    const tenure = await takeOwnership(store);
     const onFenced = (): void => {
       fenced += 1;
     };
@@ -104,15 +94,7 @@
 
   it('lets no write that comes late replace newer progress', async () => {
     const job = createJob();
-    const late: (() => Promise<unknown>)[] = [];
-    const commit = store.commit.bind(store);
-    store.commit = (transaction) => {
-      if (late.length === 0 && transaction.then.some(({kind}) => kind === 'put')) {
-        late.push(async () => commit(transaction));
-        return errAsync({kind: 'unknown', message: 'the answer was lost'});
-      }
-      return commit(transaction);
-    };
+    const late = delayNextWrite(store);
     dirtyJobs.add(job);
     journal.wake();
     while (late.length === 0) {
@@ -120,7 +102,7 @@
     }
     job.status = 'completed';
     await journal.flushed();
-    await late[0]?.();
+    await late[0]?.arrive();
     const stored = (await getKey(store, jobKey(job.id, 'progress')))._unsafeUnwrap();
     assert.match(stored?.value.toString() ?? '', /"status":"completed"/);
   });
--- /dev/null
+++ b/packages/nutmegproxy-owner/src/__tests__/unit/OwnerRecord.test.ts
@@ -0,0 +1,108 @@
+import type {DataCentreId, MinionId, WallTime} from '@nutmegproxy/core';
+import type {ServiceId} from '@nutmegproxy/jobs';
+import type {MinionDescription} from '@nutmegproxy/scheduling';
+
+import {brand, SILENT_EVENTS} from '@nutmegproxy/core';
+import {MemoryStore} from '@nutmegproxy/standins';
+import {getKey, put} from '@nutmegproxy/store';
+import assert from 'node:assert/strict';
+import {after, beforeEach, describe, it} from 'node:test';
+
+import type {Tenure} from '../../Tenure.ts';
+
+import {OwnerRecord} from '../../OwnerRecord.ts';
+import {OWNER_KEY} from '../../Ownership.ts';
+import {Roster} from '../../Roster.ts';
+import {delayNextWrite, takeOwnership} from './OwnerSamples.ts';
+
+const KEY = 'record';
+const MINION: MinionDescription = {
+  address: '127.0.0.1:1',
+  bornAt: undefined,
+  capacity: {cpuMilli: 16_000, gpus: 0, memoryMb: 64_000},
+  dataCentre: brand<DataCentreId>('dc'),
+  id: brand<MinionId>('m1'),
+  isDraining: false,
+  labels: [],
+  leavesInMs: undefined,
+  machine: undefined,
+  rack: undefined,
+  service: 'service' as ServiceId,
+};
+
+describe('records of the owner', () => {
+  // A record's pauses keep no process alive.
+  const keepAlive = setInterval(() => undefined, 1_000);
+  after(() => {
+    clearInterval(keepAlive);
+  });
+
+  let store: MemoryStore;
+  let tenure: Tenure;
+
+  beforeEach(async () => {
+    store = new MemoryStore();
+    tenure = await takeOwnership(store);
+  });
+
+  describe('OwnerRecord', () => {
+    let record: OwnerRecord;
+
+    beforeEach(() => {
+      record = new OwnerRecord({events: SILENT_EVENTS, key: KEY, store, tenure});
+    });
+
+    it('writes one value after the other', async () => {
+      assert.equal(await record.write(Buffer.from('1')), 'written');
+      assert.equal(await record.write(Buffer.from('2')), 'written');
+      const stored = (await getKey(store, KEY))._unsafeUnwrap();
+      assert.equal(stored?.value.toString(), '2');
+    });
+
+    it('lets no write that comes late replace a newer value', async () => {
+      const late = delayNextWrite(store);
+      assert.equal(await record.write(Buffer.from('old')), 'unknown');
+      assert.equal(await record.write(Buffer.from('new')), 'written');
+      await late[0]?.arrive();
+      const stored = (await getKey(store, KEY))._unsafeUnwrap();
+      assert.equal(stored?.value.toString(), 'new');
+    });
+
+    it('writes on after a write that came late', async () => {
+      const late = delayNextWrite(store);
+      assert.equal(await record.write(Buffer.from('old')), 'unknown');
+      await late[0]?.arrive();
+      assert.equal(await record.write(Buffer.from('new')), 'failed');
+      assert.equal(await record.write(Buffer.from('new')), 'written');
+    });
+
+    it('tells that another VM owns the fleet, and writes nothing', async () => {
+      await put(store, OWNER_KEY, Buffer.from('another'));
+      assert.equal(await record.write(Buffer.from('1')), 'fenced');
+      assert.equal((await getKey(store, KEY))._unsafeUnwrap(), undefined);
+    });
+
+    it('says that nothing was written while the store is away', async () => {
+      store.faults.change({down: true});
+      assert.equal(await record.write(Buffer.from('1')), 'failed');
+    });
+  });
+
+  describe('Roster', () => {
+    it('keeps a mark withdrawn when the write of the mark comes late', async () => {
+      const onFenced = (): void => undefined;
+      const roster = new Roster({events: SILENT_EVENTS, onFenced, store, tenure});
+      await roster.add([MINION]);
+      const late = delayNextWrite(store);
+      roster.markSilent(MINION, {heldUntil: 1 as WallTime, runs: []});
+      while (late.length === 0) {
+        await new Promise((resolve) => setImmediate(resolve));
+      }
+      await roster.clearSilent(MINION);
+      await late[0]?.arrive();
+      const next = new Roster({events: SILENT_EVENTS, onFenced, store, tenure});
+      const [entry] = (await next.read())._unsafeUnwrap();
+      assert.equal(entry?.silent, undefined);
+    });
+  });
+});
