Foretell the loads of serving steps, so that filling tasks go where tails will bear them

The model expected a load to return to its mean; fitted to 4,699 listings, the loads are waves of one period, and all tasks of a step share one. A filling task placed at the mean of a rising load met its crest.

Change: LoadWaves, a Kalman filter of mean and wave for each serving step, for 16 candidate periods of which the best foreteller counts. A filling task is placed by the highest load that is expected while it runs, with half a deviation of load and pressure, up to the bound itself. The reports of a step's tasks on one minion count as one; the waves go to the next owner.

Tests: SharingPolicy.test, a task beside a load that is about to fall, not one about to rise, fails first; LoadWave.test.

--- a/packages/nutmegproxy-owner/src/Knowledge.ts
+++ b/packages/nutmegproxy-owner/src/Knowledge.ts
@@ -59,7 +59,7 @@
     try {
       const {durations, tails} = JSON.parse(stored.value.value.toString()) as KnowledgeRecord;
       estimate.import(durations);
-      model.import(tails, clock.monotonic());
+      model.import(tails, clock.monotonic(), clock.wall());
     } catch (error) {
       const message = error instanceof Error ? error.message : String(error);
       events.record(OWNER_EVENTS.RECORD_MALFORMED, {key: KNOWLEDGE_KEY, message});
@@ -68,13 +68,14 @@
 
   /** Writes what is new from time to time while the ownership lasts. */
   async run(isActing: () => boolean): Promise<void> {
-    const {estimate, model} = this.#options;
+    const {clock, estimate, model} = this.#options;
     for (;;) {
       await delay(KNOWLEDGE_PAUSE_MS);
       if (!isActing()) {
         return;
       }
-      const record: KnowledgeRecord = {durations: estimate.export(), tails: model.export()};
+      const tails = model.export(clock.monotonic(), clock.wall());
+      const record: KnowledgeRecord = {durations: estimate.export(), tails};
       const text = JSON.stringify(record);
       if (text !== this.#written && (await this.#record.write(Buffer.from(text))) === 'written') {
         this.#written = text;
--- a/packages/nutmegproxy-scheduling/src/SharingPolicy.ts
+++ b/packages/nutmegproxy-scheduling/src/SharingPolicy.ts
@@ -15,17 +15,19 @@
 import {type Disturber, referenceCores, TailModel} from './TailModel.ts';
 
 /** Share of its bound up to which a utilization may be planned. */
-const PLANNED_SHARE = 0.9;
+const PLANNED_SHARE = 1;
 /** Time in milliseconds that a step waits for a minion whose serving tasks bear it. */
 const STRICT_LIMIT_MS = 4_000;
 /** Rise of the planned share with each second beyond that: a step that no minion bears still runs. */
 const LIMIT_RISE_PER_S = 0.15;
 /** Share of its bound at which a tail is acted upon; reports are half a second old. */
 const TAIL_ALERT_SHARE = 0.95;
-/** Load of a serving task on average, as a share of what it can serve. */
-const MEAN_LOAD = 0.45;
-/** Time in milliseconds in which a load comes back to its mean: a quarter of its usual wave. */
-const LOAD_RETURN_MS = 4_000;
+/** Standard deviations of a load that are added to the one expected: its users may come early. */
+const LOAD_MARGIN = 0.5;
+/** The same for pressures: a pair of images that was never seen may disturb much. */
+const PRESSURE_MARGIN = 0.5;
+/** Instants within a filling task's duration at which the load beside it is looked at. */
+const FORECASTS = 4;
 /** Time between two moves on one minion in milliseconds; a tail shows the effect after one look. */
 const MOVE_PAUSE_MS = 600;
 /**
@@ -39,10 +41,18 @@
 /** Cost of another image among a minion's serving tasks, above that of an empty minion. */
 const MIXED_IMAGES_COST = 30_000;
 
+interface PeakLoad {
+  readonly at: Instant;
+  readonly durationMs: number;
+  readonly load: number;
+}
+
 export class SharingPolicy {
   readonly model = new TailModel();
   readonly #estimate: WorkEstimate;
   readonly #lastMove = new WeakMap<MinionState, Instant>();
+  /** The peak that was last expected for a step: one round of planning asks for it many times. */
+  readonly #peaks = new WeakMap<StepState, PeakLoad>();
   readonly #nearBoundSince = new WeakMap<MinionState, Instant>();
 
   constructor(estimate: WorkEstimate) {
@@ -63,14 +73,18 @@
       cores: referenceCores(shape.resources.cpuMilli, minion),
       image: shape.image ?? '',
     };
-    const disturbers = this.model.disturbers(minion);
+    const disturbers = [...this.model.disturbers(minion), added];
     const limit = chooseLimit(now - (step.placedAt ?? step.readyAt ?? now));
+    const judged = new Set<StepState>();
     let worst = 0;
     for (const serving of minion.runs) {
-      if (serving.step.shape.tailTargetMs === undefined) {
+      // Tasks of one step share their load and their image.
+      if (serving.step.shape.tailTargetMs === undefined || judged.has(serving.step)) {
         continue;
       }
-      const share = this.#plannedShare(serving, disturbers, added, durationMs);
+      judged.add(serving.step);
+      const load = this.#peakLoad(serving, durationMs, now);
+      const share = this.#plannedShare(serving, disturbers, load);
       if (share > limit) {
         return undefined;
       }
@@ -134,7 +148,7 @@
         continue;
       }
       const cores = referenceCores(run.reading ?? 0, minion);
-      const pressure = cores * this.model.pressure(pressed, run.step.shape.image ?? '');
+      const pressure = cores * this.model.pressure(pressed, run.step.shape.image ?? '').mean;
       if (pressure > worstPressure) {
         worst = run;
         worstPressure = pressure;
@@ -143,21 +157,28 @@
     return worst;
   }
 
+  /** Highest load of a serving run that is expected within a time, with a margin. */
+  #peakLoad(serving: Run, durationMs: number, now: Instant): number {
+    const known = this.#peaks.get(serving.step);
+    if (known?.at === now && known.durationMs === durationMs) {
+      return known.load;
+    }
+    let load = 0;
+    for (let index = 0; index <= FORECASTS; index += 1) {
+      const at = (now + (durationMs * index) / FORECASTS) as Instant;
+      const {mean, variance} = this.model.load(serving, at);
+      load = Math.max(load, mean + LOAD_MARGIN * Math.sqrt(variance));
+    }
+    this.#peaks.set(serving.step, {at: now, durationMs, load});
+    return load;
+  }
+
   /** Share of its bound that a serving run's utilization is expected to reach. */
-  #plannedShare(
-    serving: Run,
-    disturbers: readonly Disturber[],
-    added: Disturber,
-    durationMs: number,
-  ): number {
-    const load = this.model.load(serving);
-    const returned = Math.min(1, durationMs / LOAD_RETURN_MS) / 2;
-    const expected = load + (MEAN_LOAD - load) * returned;
-    const pressure =
-      this.model.totalPressure(serving, disturbers) +
-      added.cores * this.model.pressure(serving, added.image);
+  #plannedShare(serving: Run, disturbers: readonly Disturber[], load: number): number {
+    const {mean, variance} = this.model.totalPressure(serving, disturbers);
+    const pressure = mean + PRESSURE_MARGIN * Math.sqrt(variance);
     // Without pressure the tail is the serving task's own matter.
-    return pressure <= 0 ? 0 : (expected * (1 + pressure)) / this.model.utilizationBound(serving);
+    return pressure <= 0 ? 0 : (load * (1 + pressure)) / this.model.utilizationBound(serving);
   }
 }
 
--- a/packages/nutmegproxy-scheduling/src/TailModel.ts
+++ b/packages/nutmegproxy-scheduling/src/TailModel.ts
@@ -4,25 +4,27 @@
  * A serving task is seen as a queue whose response time grows as 1 / (1 - utilization). Filling
  * tasks beside it raise its utilization in proportion to the processors they use, by a factor that
  * differs for each pair of images: utilization = load x (1 + sum of pressure x cores). The load of
- * each serving run and the pressure of each pair are estimated together by a Kalman filter with a
- * diagonal covariance.
+ * each serving step and the pressure of each pair are estimated together by Kalman filters.
  */
 
-import type {Instant} from '@nutmegproxy/core';
-import type {Run} from '@nutmegproxy/jobs';
+import type {Instant, WallTime} from '@nutmegproxy/core';
+import type {Run, StepState} from '@nutmegproxy/jobs';
 
+import type {Expectation, WaveKnowledge} from './LoadWave.ts';
 import type {MinionState} from './MinionState.ts';
 
-/** Load of a serving task before it was seen, as a share of what it can serve. */
-const PRIOR_LOAD = {mean: 0.45, variance: 0.04};
-/** Growth of a load's variance per second: callers' load drifts by about 0.08 in a second. */
-const LOAD_DRIFT_PER_S = 0.006;
+import {LoadWaves} from './LoadWave.ts';
+
 /** Pressure of one core of a pair that was never seen; most pairs disturb little. */
 const PRIOR_PRESSURE = {mean: 0.03, variance: 0.04};
 /** Growth of a pressure's variance per second, so that old knowledge gives way. */
 const PRESSURE_DRIFT_PER_S = 0.000_05;
 /** Variance of one utilization that a report gives; reports are rough. */
 const REPORT_VARIANCE = 0.002;
+/** Reports of one listing that count as independent: what is rough in them is partly common. */
+const MOST_INDEPENDENT = 4;
+/** Least utilization that a report shows; below it a tail tells nothing. */
+const LEAST_UTILIZATION = 0.01;
 /** Utilization from which a report only tells that the true one is at least as high. */
 const SATURATED = 0.95;
 /** Share of the low quantile of an image's tails that an idle task would have. */
@@ -61,6 +63,7 @@
   readonly idleTails: Readonly<Record<string, readonly [lowMs: number, reports: number]>>;
   /** Mean and variance of the pressure, by serving and filling image. */
   readonly pressures: Readonly<Record<string, Readonly<Record<string, readonly [number, number]>>>>;
+  readonly waves: WaveKnowledge;
 }
 
 /** A filling run, or one that may come, as far as it disturbs others. */
@@ -81,7 +84,7 @@
 
 export class TailModel {
   readonly #idleTails = new Map<string, IdleTail>();
-  readonly #loads = new WeakMap<Run, Estimate>();
+  readonly #waves = new LoadWaves();
   readonly #pressures = new Map<string, Map<string, Estimate>>();
 
   /** Filling runs of a minion, with the processors that they use. */
@@ -97,7 +100,7 @@
   }
 
   /** What was learned so far, to be kept for the next owner. */
-  export(): TailKnowledge {
+  export(now: Instant, wall: WallTime): TailKnowledge {
     return {
       idleTails: Object.fromEntries(
         [...this.#idleTails].map(([image, {lowMs, reports}]) => [image, [lowMs, reports]]),
@@ -110,11 +113,13 @@
           ),
         ]),
       ),
+      waves: this.#waves.export(now, wall),
     };
   }
 
   /** Takes over what a former owner learned. */
-  import({idleTails, pressures}: TailKnowledge, now: Instant): void {
+  import({idleTails, pressures, waves}: TailKnowledge, now: Instant, wall: WallTime): void {
+    this.#waves.import(waves, now, wall);
     for (const [image, [lowMs, reports]] of Object.entries(idleTails)) {
       this.#idleTails.set(image, {lowMs, reports});
     }
@@ -127,9 +132,9 @@
     }
   }
 
-  /** Load of a serving run without others' pressure, 0 to 1. */
-  load(run: Run): number {
-    return this.#loads.get(run)?.mean ?? PRIOR_LOAD.mean;
+  /** Load of a serving run without others' pressure at an instant, also a later one. */
+  load({step}: Run, at: Instant): Expectation {
+    return this.#waves.forecast(step, at);
   }
 
   /** Learns from the newest reports of a minion. */
@@ -147,24 +152,36 @@
         });
       }
     }
+    // Tasks of one step share their load and their image, so their reports tell the same.
+    const reports = new Map<StepState, Run[]>();
     for (const run of minion.runs) {
-      const {tailTargetMs} = run.step.shape;
-      if (tailTargetMs !== undefined && run.percent >= 100 && (run.reading ?? 0) > 0) {
-        this.#learn(run, run.reading ?? 0, tailTargetMs, visible, now);
+      const {step} = run;
+      if (step.shape.tailTargetMs !== undefined && run.percent >= 100 && (run.reading ?? 0) > 0) {
+        const others = reports.get(step);
+        if (others === undefined) {
+          reports.set(step, [run]);
+        } else {
+          others.push(run);
+        }
       }
     }
+    for (const [step, runs] of reports) {
+      this.#learn(step, runs, visible, now);
+    }
   }
 
   /** Pressure of one reference core of a filling image on a serving image. */
-  pressure(serving: Run, image: string): number {
-    return this.#pressures.get(imageOf(serving))?.get(image)?.mean ?? PRIOR_PRESSURE.mean;
+  pressure(serving: Run, image: string): Expectation {
+    return this.#pressures.get(imageOf(serving))?.get(image) ?? PRIOR_PRESSURE;
   }
 
   /** Sum of the pressures on a serving run. */
-  totalPressure(serving: Run, disturbers: readonly Disturber[]): number {
-    let total = 0;
+  totalPressure(serving: Run, disturbers: readonly Disturber[]): Expectation {
+    const total = {mean: 0, variance: 0};
     for (const {cores, image} of disturbers) {
-      total += cores * this.pressure(serving, image);
+      const {mean, variance} = this.pressure(serving, image);
+      total.mean += cores * mean;
+      total.variance += cores ** 2 * variance;
     }
     return total;
   }
@@ -182,37 +199,43 @@
       : idle.lowMs * IDLE_TAIL_SHARE;
   }
 
-  #learn(
-    run: Run,
-    tailMs: number,
-    targetMs: number,
-    visible: readonly Disturber[],
-    now: Instant,
-  ): void {
-    this.#noteIdleTail(run, tailMs);
-    const seen = Math.min(SATURATED, Math.max(0.01, 1 - this.#idleTailMs(run, targetMs) / tailMs));
-    const load = this.#touchLoad(run, now);
+  #learn(step: StepState, runs: readonly Run[], visible: readonly Disturber[], now: Instant): void {
+    const seen = runs.reduce((sum, run) => sum + this.#readUtilization(run), 0) / runs.length;
+    const reportVariance = REPORT_VARIANCE / Math.min(runs.length, MOST_INDEPENDENT);
+    const load = this.#waves.forecast(step, now);
     const terms = visible
       .filter(({cores}) => cores > 0)
-      .map(({cores, image}) => ({cores, pair: this.#touchPair(imageOf(run), image, now)}));
+      .map(({cores, image}) => ({
+        cores,
+        pair: this.#touchPair(step.shape.image ?? '', image, now),
+      }));
     const factor = terms.reduce((sum, {cores, pair}) => sum + cores * pair.mean, 1);
     const error = seen - load.mean * factor;
     if (seen >= SATURATED && error < 0) {
       return;
     }
-    const variance = terms.reduce(
+    const pressureVariance = terms.reduce(
       (sum, {cores, pair}) => sum + (load.mean * cores) ** 2 * pair.variance,
-      factor ** 2 * load.variance + REPORT_VARIANCE,
+      0,
     );
+    const variance = pressureVariance + factor ** 2 * load.variance + reportVariance;
     for (const {cores, pair} of terms) {
       const slope = load.mean * cores;
       const gain = (slope * pair.variance) / variance;
       pair.mean = Math.max(0, pair.mean + gain * error);
       pair.variance *= 1 - gain * slope;
     }
-    const gain = (factor * load.variance) / variance;
-    load.mean = Math.min(1, Math.max(0.01, load.mean + gain * error));
-    load.variance *= 1 - gain * factor;
+    const report = {slope: factor, value: seen, variance: pressureVariance + reportVariance};
+    this.#waves.learn(step, report, now);
+  }
+
+  /** Utilization that a serving run's reported tail shows. */
+  #readUtilization(run: Run): number {
+    const {reading = 0, step} = run;
+    const {tailTargetMs = Infinity} = step.shape;
+    this.#noteIdleTail(run, reading);
+    const utilization = 1 - this.#idleTailMs(run, tailTargetMs) / reading;
+    return Math.min(SATURATED, Math.max(LEAST_UTILIZATION, utilization));
   }
 
   /** Forgets the image that was learned first when there are too many. */
@@ -233,17 +256,6 @@
     this.#bound(this.#idleTails);
   }
 
-  #touchLoad(run: Run, now: Instant): Estimate {
-    const load = this.#loads.get(run) ?? {...PRIOR_LOAD, updatedAt: now};
-    load.variance = Math.min(
-      PRIOR_LOAD.variance,
-      load.variance + ((now - load.updatedAt) / 1000) * LOAD_DRIFT_PER_S,
-    );
-    load.updatedAt = now;
-    this.#loads.set(run, load);
-    return load;
-  }
-
   #touchPair(serving: string, filling: string, now: Instant): Estimate {
     const pairs = this.#pressures.get(serving) ?? new Map<string, Estimate>();
     this.#pressures.set(serving, pairs);
--- a/packages/nutmegproxy-scheduling/src/__tests__/unit/SharingPolicy.test.ts
+++ b/packages/nutmegproxy-scheduling/src/__tests__/unit/SharingPolicy.test.ts
@@ -6,13 +6,16 @@
 import type {MinionState} from '../../MinionState.ts';
 
 import {SharingPolicy} from '../../SharingPolicy.ts';
-import {at, SampleFleet, shape} from './Samples.ts';
+import {at, SampleFleet, shape, wallAt} from './Samples.ts';
 
 /** Tail of an idle serving task and the bound of all, in milliseconds. */
 const IDLE_MS = 10;
 const TARGET_MS = 50;
 /** Load of a serving task, as a share of what it can serve. */
 const LOAD = 0.45;
+/** Share by which a load swings about its mean, and the time of one wave in milliseconds. */
+const SWING = 0.5;
+const WAVE_MS = 14_000;
 
 /** A fleet in which one image of filling tasks disturbs, and another does not. */
 class Sharing {
@@ -20,6 +23,10 @@
   readonly policy = new SharingPolicy(this.sample.estimate);
   #now = 0;
 
+  get seconds(): number {
+    return this.#now / 1000;
+  }
+
   /** A minion with one serving task at work. */
   addServing(name: string, image: string): MinionState {
     const minion = this.sample.addMinion(name);
@@ -54,14 +61,32 @@
   look(minion: MinionState, times: number, pressure: number): void {
     for (let time = 0; time < times; time += 1) {
       this.#now += 1000;
-      for (const run of minion.runs) {
-        if (run.step.shape.longRunning) {
-          run.reading = IDLE_MS / (1 - Math.min(0.98, LOAD * (1 + pressure)));
-        }
+      this.#lookOnce(minion, LOAD * (1 + pressure));
+    }
+  }
+
+  /**
+   * Looks at minions once a second for a time. The loads of their serving tasks come and go in waves
+   * that start at the given phases.
+   */
+  lookAtWaves(phases: ReadonlyMap<MinionState, number>, seconds: number): void {
+    for (let time = 0; time < seconds; time += 1) {
+      this.#now += 1000;
+      for (const [minion, phase] of phases) {
+        const angle = (2 * Math.PI * this.#now) / WAVE_MS + phase;
+        this.#lookOnce(minion, LOAD * (1 + SWING * Math.sin(angle)));
+      }
+    }
+  }
+
+  #lookOnce(minion: MinionState, utilization: number): void {
+    for (const run of minion.runs) {
+      if (run.step.shape.longRunning) {
+        run.reading = IDLE_MS / (1 - Math.min(0.98, utilization));
       }
-      this.policy.model.observe(minion, at(this.#now));
-      this.policy.moveDisturbers(this.sample.fleet, minion, at(this.#now));
     }
+    this.policy.model.observe(minion, at(this.#now));
+    this.policy.moveDisturbers(this.sample.fleet, minion, at(this.#now));
   }
 
   /** Lets an image of filling tasks run beside a serving task until its effect is known. */
@@ -100,6 +125,24 @@
     assert.notEqual(sharing.cost(sensitive, sharing.addFilling('quiet')), undefined);
   });
 
+  it('places a disturbing task beside a load that is about to fall, not one about to rise', () => {
+    const sharing = new Sharing();
+    sharing.teach(sharing.addServing('m0', 'shop'), 'noisy', 0.35);
+    const rising = sharing.addServing('m1', 'shop');
+    const falling = sharing.addServing('m2', 'shop');
+    // Both loads pass their mean at the end, and so read the same.
+    const phases = new Map([
+      [rising, 0],
+      [falling, Math.PI],
+    ]);
+    sharing.lookAtWaves(phases, 84 - sharing.seconds);
+    assert.equal(rising.runs.values().next().value?.reading?.toFixed(1), '18.2');
+    assert.equal(falling.runs.values().next().value?.reading?.toFixed(1), '18.2');
+    const step = sharing.addFilling('noisy');
+    assert.equal(sharing.cost(rising, step), undefined);
+    assert.notEqual(sharing.cost(falling, step), undefined);
+  });
+
   it('runs a step that no minion bears after a while', () => {
     const sharing = new Sharing();
     const sensitive = sharing.addServing('m1', 'shop');
@@ -139,7 +182,7 @@
     const sharing = new Sharing();
     sharing.teach(sharing.addServing('m1', 'shop'), 'noisy', 1);
     const next = new Sharing();
-    next.policy.model.import(sharing.policy.model.export(), at(0));
+    next.policy.model.import(sharing.policy.model.export(at(0), wallAt(0)), at(0), wallAt(0));
     const minion = next.addServing('m1', 'shop');
     assert.equal(next.cost(minion, next.addFilling('noisy')), undefined);
   });
