Start again at once what a new owner saw run itself

The owner waited until 50.4 s for three minions that had left while the store was away; until then no task of a job from before its time was started.

Change: a task whose run the owner saw live in a listing has no other run of a former owner: the minion takes no order of those any more, and they start a task anew only once its run is over. Such tasks start during the recovery.

Ruled out: taking a missing entry for a minion that is gone: a minion that is cut off from the store runs on until its hold has lapsed. Taking a listed end for proof: the former owner may have seen it and started the task elsewhere.

Tests: StartPlanner.test, recovery; both fail first or guard the other way.

--- a/packages/nutmegproxy-jobs/src/StepState.ts
+++ b/packages/nutmegproxy-jobs/src/StepState.ts
@@ -59,6 +59,8 @@
   placedAt: Instant | undefined;
   /** When the step's earlier steps had ended; undefined before. */
   readyAt: Instant | undefined;
+  /** Tasks whose last run this owner saw live, so that no other run of a former owner can be. */
+  readonly settled = new Set<number>();
   /** Minions on which a run of the task is over whose end is not known, by task index. */
   readonly uncertain = new Map<number, Set<MinionId>>();
   /** Indexes of tasks that are not done and have no live run. */
--- a/packages/nutmegproxy-scheduling/src/ListingReview.ts
+++ b/packages/nutmegproxy-scheduling/src/ListingReview.ts
@@ -104,7 +104,9 @@
   const isWanted = mayAdopt(step, report);
   const run = fleet.adoptRun(step, task, number, minion, now);
   refreshRun(run, report, now);
-  if (!isWanted) {
+  if (isWanted) {
+    step.settled.add(task.index);
+  } else {
     // It stays booked until its end, so that its task does not start beside it.
     fleet.stopRun(run, 'unknown');
   }
--- a/packages/nutmegproxy-scheduling/src/StartPlanner.ts
+++ b/packages/nutmegproxy-scheduling/src/StartPlanner.ts
@@ -45,16 +45,27 @@
   return step.shape.after.every((earlier) => siblings[earlier]?.isDone ?? false);
 }
 
+/**
+ * The waiting tasks of a step that no run of a former owner can be alive of. While the minions are not
+ * all accounted for, these are the ones whose last run this owner saw itself.
+ */
+function listStartable(fleet: Fleet, {job, settled, waiting}: StepState): number[] {
+  const indexes = [...waiting];
+  return job.revision <= fleet.recoveryRevision
+    ? indexes.filter((index) => settled.has(index))
+    : indexes;
+}
+
 /** The steps with tasks that wait and may start. */
 export function collectReadySteps(fleet: Fleet, now: Instant, wall: WallTime): StepState[] {
   const ready: StepState[] = [];
   for (const job of fleet.jobs.values()) {
-    if (job.isFinal || job.revision <= fleet.recoveryRevision) {
+    if (job.isFinal) {
       continue;
     }
     for (const steps of job.openOccurrences(wall)) {
       for (const step of steps) {
-        if (step.waiting.size > 0 && isReady(step, steps)) {
+        if (listStartable(fleet, step).length > 0 && isReady(step, steps)) {
           step.readyAt ??= now;
           ready.push(step);
         }
@@ -135,7 +146,8 @@
 
   /** Places all tasks of a gang, or none of them; on one rack where that matters and one has room. */
   #placeGang(step: StepState): void {
-    if (step.liveRuns > 0) {
+    const isWhole = listStartable(this.#fleet, step).length === step.waiting.size;
+    if (step.liveRuns > 0 || !isWhole) {
       return;
     }
     const minions = this.#minions(step);
@@ -178,7 +190,7 @@
       return;
     }
     let ranking = this.#rank(step, minions);
-    for (const [order, index] of [...step.waiting].entries()) {
+    for (const [order, index] of listStartable(this.#fleet, step).entries()) {
       const minion =
         this.#choose(step, index, ranking) ?? this.#chooseAvoided(step, index, minions, ranking);
       if (minion === undefined) {
--- a/packages/nutmegproxy-scheduling/src/__tests__/unit/StartPlanner.test.ts
+++ b/packages/nutmegproxy-scheduling/src/__tests__/unit/StartPlanner.test.ts
@@ -3,6 +3,7 @@
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
 
+import {reviewListing} from '../../ListingReview.ts';
 import {at, queue, SampleFleet, shape} from './Samples.ts';
 
 describe('planStarts', () => {
@@ -79,6 +80,49 @@
     });
   });
 
+  describe('recovery', () => {
+    it('starts again what it saw run, while other tasks of former owners wait', () => {
+      const sample = new SampleFleet(2);
+      const job = sample.addJob('proofs', [shape({count: 2, longRunning: true})]);
+      const [minion] = [...sample.fleet.minions.values()];
+      assert.ok(minion);
+      sample.fleet.recoveryRevision = job.revision;
+      const task = {index: 1, job: job.id, occurrence: 0, step: 0};
+      const number = 1001 as RunNumber;
+      const report = {checkpoint: undefined, number, percent: 100, reading: 10, task};
+      const listing = {bornAt: 1, clockMs: 0, ended: [], running: [report]};
+      reviewListing(sample.fleet, minion, listing, {askedAt: at(0), now: at(1), seenThrough: 0});
+      assert.equal(sample.plan(2).length, 0);
+      const end = {checkpoint: undefined, number, outcome: 'failed' as const, sequence: 1, task};
+      const ended = {bornAt: 1, clockMs: 0, ended: [end], running: []};
+      reviewListing(sample.fleet, minion, ended, {askedAt: at(3), now: at(4), seenThrough: 0});
+      assert.deepEqual(
+        sample.plan(5).map((run) => run.task.index),
+        [1],
+      );
+      sample.fleet.recoveryRevision = 0;
+      assert.deepEqual(
+        sample.plan(6).map((run) => run.task.index),
+        [0],
+      );
+    });
+
+    it('does not take an end for proof when it did not see the run', () => {
+      const sample = new SampleFleet(2);
+      const job = sample.addJob('proofs', [shape({longRunning: true})]);
+      const [minion] = [...sample.fleet.minions.values()];
+      assert.ok(minion);
+      sample.fleet.recoveryRevision = job.revision;
+      const task = {index: 0, job: job.id, occurrence: 0, step: 0};
+      const number = 1001 as RunNumber;
+      const end = {checkpoint: undefined, number, outcome: 'failed' as const, sequence: 1, task};
+      const ended = {bornAt: 1, clockMs: 0, ended: [end], running: []};
+      reviewListing(sample.fleet, minion, ended, {askedAt: at(0), now: at(1), seenThrough: 0});
+      // The former owner may have seen the end and started the task elsewhere.
+      assert.equal(sample.plan(2).length, 0);
+    });
+  });
+
   describe('conditions of a step', () => {
     it('waits for the steps before it', () => {
       const sample = new SampleFleet(1);
