--- a/packages/nutmegproxy-scheduling/src/LoadWave.ts
+++ b/packages/nutmegproxy-scheduling/src/LoadWave.ts
@@ -37,7 +37,7 @@
 
 /** What a report tells of a load: a value that grows with it. */
 export interface LoadReport {
-  /** What the report reads at a load of nothing, and how much more per unit of load. */
+  /** How much the value grows per unit of load. */
   readonly slope: number;
   readonly value: number;
   /** Variance of the reading for other causes than the load. */
@@ -97,7 +97,8 @@
     const basis = this.#basis(at);
     const spread = this.#spread(basis);
     const mean = Math.min(1, Math.max(LEAST_LOAD, dot(basis, this.#state)));
-    return {mean, variance: dot(basis, spread)};
+    // Rounding may leave a variance of nothing slightly below it.
+    return {mean, variance: Math.max(0, dot(basis, spread))};
   }
 
   /** Takes a report in; returns the log-likelihood that it had. */
@@ -105,7 +106,7 @@
     this.#age(now);
     const basis = this.#basis(now);
     const spread = this.#spread(basis);
-    const total = slope ** 2 * dot(basis, spread) + variance;
+    const total = slope ** 2 * Math.max(0, dot(basis, spread)) + variance;
     const error = value - slope * dot(basis, this.#state);
     const gains = spread.map((each) => (slope * each) / total);
     for (const [row, gain] of gains.entries()) {
--- a/packages/nutmegproxy-scheduling/src/__tests__/unit/LoadWave.test.ts
+++ b/packages/nutmegproxy-scheduling/src/__tests__/unit/LoadWave.test.ts
@@ -68,6 +68,18 @@
       assert.ok(waves.forecast(step, at(5_000)).variance < before / 4);
     });
 
+    it('stays sound for a step that lasts for hours and is looked at in bursts', () => {
+      const step = createStep(new SampleFleet(0));
+      const waves = new LoadWaves();
+      for (let look = 0; look < 20_000; look += 1) {
+        const ms = Math.floor(look / 20) * 10_000;
+        const value = waveAt(ms, 14_000, 0);
+        waves.learn(step, {slope: 1, value, variance: VARIANCE / 1000}, at(ms));
+      }
+      const {mean, variance} = waves.forecast(step, at(10_000_000));
+      assert.ok(mean > 0 && mean <= 1 && variance >= 0 && variance < 0.1);
+    });
+
     it('tells the load from a report that others have raised', () => {
       const sample = new SampleFleet(0);
       const waves = new LoadWaves();
