Test the grouping of keys without a verdict on timing

The number of groups depends on how many of 200 HTTP requests arrive while one call is under way; beside the load they came over 1.5 s. The product was right.

The HTTP test keeps its other checks.

--- /dev/null
+++ b/packages/nutmegproxy-requests/src/__tests__/unit/KeyCommitter.test.ts
@@ -0,0 +1,43 @@
+import {SYSTEM_CLOCK} from '@nutmegproxy/core';
+import assert from 'node:assert/strict';
+import {describe, it} from 'node:test';
+
+import {KeyCommitter} from '../../KeyCommitter.ts';
+import {KeyPace} from '../../KeyPace.ts';
+import {KEYS_PER_CALL} from '../../RequestsConstants.ts';
+import {FakeStore} from './FakeStore.ts';
+
+const KEYS = 200;
+
+function createCommitter(store: FakeStore): KeyCommitter {
+  return new KeyCommitter(store, new KeyPace(() => 1), SYSTEM_CLOCK);
+}
+
+describe('KeyCommitter', () => {
+  it('commits many keys in as few calls as have room for them', async () => {
+    const store = new FakeStore();
+    const committer = createCommitter(store);
+    const results = await Promise.all(
+      Array.from({length: KEYS}, (_, index) => {
+        const key = `key-${index}`;
+        const then = [{key, kind: 'put' as const, value: Buffer.from('claimed')}];
+        return committer.commit({key, transaction: {compare: [], then}});
+      }),
+    );
+    assert.ok(results.every((result) => result.isOk() && result.value.succeeded));
+    assert.equal(store.calls, Math.ceil(KEYS / KEYS_PER_CALL));
+  });
+
+  it('lets a note go with the next call that has room', async () => {
+    const store = new FakeStore();
+    const committer = createCommitter(store);
+    const write = (key: string): Parameters<KeyCommitter['commit']>[0] => ({
+      key,
+      transaction: {compare: [], then: [{key, kind: 'put', value: Buffer.from('x')}]},
+    });
+    const noted = committer.note(write('noted'));
+    await committer.commit(write('urgent'));
+    assert.ok((await noted).isOk());
+    assert.equal(store.calls, 1);
+  });
+});
--- a/packages/nutmegproxy-requests/src/__tests__/unit/RequestKeys.test.ts
+++ b/packages/nutmegproxy-requests/src/__tests__/unit/RequestKeys.test.ts
@@ -116,8 +116,8 @@
     });
   });
 
-  it('commit many keys in few calls', async () => {
-    await withKeys(async ({bench, minion, store}) => {
+  it('let many requests with keys of their own run', async () => {
+    await withKeys(async ({bench, minion}) => {
       const all = Array.from({length: 200}, (_, index) =>
         fetch(bench.url('/entries/alerts/'), {
           headers: {'idempotency-key': `key-${index}`},
@@ -127,7 +127,6 @@
       const statuses = (await Promise.all(all)).map(({status}) => status);
       assert.ok(statuses.every((status) => status === 200));
       assert.equal(minion.arrivals.length, 200);
-      assert.ok(store.calls < 100, `${store.calls} calls`);
     });
   });
 });
