Bound the store calls of many notes as well

The HTTP check that KeyCommitter.test replaced counted the notes of 200 keys too; the replacement counted their claims alone. Found in reading the change again.

--- a/packages/nutmegproxy-requests/src/__tests__/unit/KeyCommitter.test.ts
+++ b/packages/nutmegproxy-requests/src/__tests__/unit/KeyCommitter.test.ts
@@ -28,6 +28,23 @@
     assert.equal(store.calls, Math.ceil(KEYS / KEYS_PER_CALL));
   });
 
+  it('commits many notes in as few calls as have room for them', async () => {
+    const store = new FakeStore();
+    const committer = createCommitter(store);
+    const notes = Array.from({length: KEYS}, (_, index) => {
+      const key = `key-${index}`;
+      const then = [{key, kind: 'put' as const, value: Buffer.from('answered')}];
+      return committer.note({key, transaction: {compare: [], then}});
+    });
+    // Notes wait on a timer that keeps no process alive, so each group is sent by hand.
+    while (committer.size > 0) {
+      committer.flush();
+      await new Promise((resolve) => setImmediate(resolve));
+    }
+    assert.ok((await Promise.all(notes)).every((result) => result.isOk()));
+    assert.equal(store.calls, Math.ceil(KEYS / KEYS_PER_CALL));
+  });
+
   it('lets a note go with the next call that has room', async () => {
     const store = new FakeStore();
     const committer = createCommitter(store);
