--- a/packages/nutmegproxy-entry/src/EntryEvents.ts
+++ b/packages/nutmegproxy-entry/src/EntryEvents.ts
@@ -25,6 +25,16 @@
   PROCESS_STARTED: {code: 8202, level: 'info', text: 'The process has started.'},
   PROCESS_STOPPED: {code: 8204, level: 'info', text: 'The process is exiting.'},
   PROCESS_STOPPING: {code: 8203, level: 'info', text: 'A planned stop has begun.'},
+  QUEUE_LENGTH_RETURNED: {
+    code: 8216,
+    level: 'info',
+    text: "A queue's length was returned to a caller.",
+  },
+  ROUTE_NOT_FOUND: {
+    code: 8217,
+    level: 'info',
+    text: 'A request matched no route of the configuration in effect.',
+  },
   SETTINGS_REJECTED: {code: 8206, level: 'error', text: 'The settings file is not valid.'},
   SETTINGS_RELOADED: {code: 8205, level: 'info', text: 'The settings file was reloaded.'},
   STORE_RECOVERED: {code: 8221, level: 'info', text: 'The store answers again.'},
--- a/packages/nutmegproxy-store/src/HttpExchange.ts
+++ b/packages/nutmegproxy-store/src/HttpExchange.ts
@@ -25,6 +25,8 @@
 export interface HttpFailure {
   readonly kind: 'not-sent' | 'sent';
   readonly message: string;
+  /** Size in bytes of the part of the response body that had arrived. */
+  readonly receivedBytes: number;
 }
 
 type HttpOutcome = Result<HttpResponse, HttpFailure>;
@@ -50,7 +52,7 @@
 
   fail(message: string): void {
     const kind = this.#controller === undefined ? 'not-sent' : 'sent';
-    this.#settle(err({kind, message}));
+    this.#settle(err({kind, message, receivedBytes: this.#receivedBytes}));
     this.#controller?.abort(new Error(message));
   }
 
