Read the tests of KNOWN-RED.txt from indented lines

The entries of KNOWN-RED.txt are indented, but the test run looked for lines that begin with 'test: ', so it would have failed on the two listed tests (planned-stop, malformed-message-link) in place of printing them.

--- a/scripts/test.mjs
+++ b/scripts/test.mjs
@@ -24,6 +24,7 @@
 
 function readKnownRed() {
   return readLines(KNOWN_RED_FILE)
+    .map((line) => line.trim())
     .filter((line) => line.startsWith(KNOWN_RED_PREFIX))
     .map((line) => line.slice(KNOWN_RED_PREFIX.length).trim());
 }
