Break a watch whose missed changes exceed the maximum size of a response

A watch response above 8 MiB was aborted and asked for again from the same revision until the store had compacted the history. A VM that is cut off while a large configuration changes seven times would serve from the old version for 20 s after its return.

The length in the headers is checked before the body arrives, and the watch breaks, so that its user reads the current values, as after a compaction. Size limits of other responses end the call earlier but as before.

--- a/packages/nutmegproxy-store/src/HttpExchange.ts
+++ b/packages/nutmegproxy-store/src/HttpExchange.ts
@@ -1,6 +1,7 @@
 /** Sends an HTTP request with a deadline; a failure says whether the request may have been sent. */
 
 import type {Result} from 'neverthrow';
+import type {IncomingHttpHeaders} from 'node:http';
 import type {Dispatcher} from 'undici';
 
 import {err, ok, ResultAsync} from 'neverthrow';
@@ -30,12 +31,16 @@
 
 /** `not-sent`: no byte of the request left this process. */
 export interface HttpFailure {
+  /** Whether the response exceeds `maxResponseBytes`, so that a repetition fails as well. */
+  readonly isTooLong: boolean;
   readonly kind: 'not-sent' | 'sent';
   readonly message: string;
   /** Size in bytes of the part of the response body that had arrived. */
   readonly receivedBytes: number;
 }
 
+const TOO_LONG = 'the answer is too long';
+
 type HttpOutcome = Result<HttpResponse, HttpFailure>;
 
 /** Collects a response and settles once. */
@@ -57,9 +62,9 @@
     this.#timer = this.#failAfter(request.timeoutMs, 'deadline exceeded');
   }
 
-  fail(message: string): void {
+  fail(message: string, isTooLong = false): void {
     const kind = this.#controller === undefined ? 'not-sent' : 'sent';
-    this.#settle(err({kind, message, receivedBytes: this.#receivedBytes}));
+    this.#settle(err({isTooLong, kind, message, receivedBytes: this.#receivedBytes}));
     this.#controller?.abort(new Error(message));
   }
 
@@ -81,7 +86,7 @@
   onResponseData(_controller: Dispatcher.DispatchController, chunk: Buffer): void {
     this.#receivedBytes += chunk.length;
     if (this.#receivedBytes > this.#maxBytes) {
-      this.fail('the answer is too long');
+      this.fail(TOO_LONG, true);
       return;
     }
     this.#chunks.push(chunk);
@@ -98,8 +103,16 @@
     this.fail(error.message === '' ? error.name : error.message);
   }
 
-  onResponseStart(_controller: Dispatcher.DispatchController, status: number): void {
+  onResponseStart(
+    _controller: Dispatcher.DispatchController,
+    status: number,
+    headers: IncomingHttpHeaders,
+  ): void {
     this.#status = status;
+    if (Number(headers['content-length'] ?? 0) > this.#maxBytes) {
+      this.fail(TOO_LONG, true);
+      return;
+    }
     if (this.#bodyStallTimeoutMs !== undefined) {
       clearTimeout(this.#timer);
       this.#timer = this.#failAfter(this.#bodyStallTimeoutMs, 'the response body stalled');
