Log failed reads of the configuration and broken watches

A VM without a configuration, or with an old one, left no line that its reads failed or that its watch broke. 8207 is logged for the first of successive failures, 8208 for each broken watch, both with the version in effect.

--- a/packages/nutmegproxy-entry/src/ConfigurationFollower.ts
+++ b/packages/nutmegproxy-entry/src/ConfigurationFollower.ts
@@ -44,8 +44,16 @@
 
   /** Reads and watches the configuration until `close` is called. */
   async run(): Promise<void> {
+    let isReadable = true;
     while (!this.#stopped) {
       const read = await this.#source.read();
+      // Only the first of successive failures is logged.
+      if (read.isErr() && isReadable) {
+        const {message} = read.error;
+        const fields = {message, version: this.#configuration?.version};
+        this.#events.record(ENTRY_EVENTS.CONFIGURATION_READ_FAILED, fields);
+      }
+      isReadable = read.isOk();
       if (read.isOk()) {
         const {configuration, revision} = read.value;
         if (configuration !== undefined) {
@@ -73,8 +81,10 @@
   #follow(fromRevision: number): Promise<void> {
     return new Promise((resolve) => {
       this.#watch = this.#source.watch(fromRevision, {
-        onBroken: () => {
+        onBroken: ({message}) => {
           this.#watch?.close();
+          const fields = {message, version: this.#configuration?.version};
+          this.#events.record(ENTRY_EVENTS.CONFIGURATION_WATCH_BROKEN, fields);
           resolve();
         },
         onChange: (configuration) => {
--- a/packages/nutmegproxy-entry/src/EntryEvents.ts
+++ b/packages/nutmegproxy-entry/src/EntryEvents.ts
@@ -11,6 +11,16 @@
   CALL_REFUSED: {code: 8210, level: 'info', text: 'This VM could not serve a request itself.'},
   CANCEL_ACCEPTED: {code: 8213, level: 'info', text: 'The cancellation of a job was recorded.'},
   CONFIGURATION_APPLIED: {code: 8201, level: 'info', text: 'A configuration was applied.'},
+  CONFIGURATION_READ_FAILED: {
+    code: 8207,
+    level: 'warn',
+    text: 'The configuration could not be read; it is read again.',
+  },
+  CONFIGURATION_WATCH_BROKEN: {
+    code: 8208,
+    level: 'info',
+    text: 'The watch of the configuration broke; the newest configuration is read.',
+  },
   JOB_ACCEPTED: {code: 8211, level: 'info', text: 'A job was stored and accepted.'},
   JOB_ALREADY_STORED: {
     code: 8212,
--- a/packages/nutmegproxy-entry/src/__tests__/unit/ConfigurationFollower.test.ts
+++ b/packages/nutmegproxy-entry/src/__tests__/unit/ConfigurationFollower.test.ts
@@ -1,7 +1,8 @@
 import type {QueueId, ServiceId} from '@nutmegproxy/jobs';
+import type {StoreFailure} from '@nutmegproxy/store';
 
 import {SILENT_EVENTS} from '@nutmegproxy/core';
-import {okAsync} from 'neverthrow';
+import {errAsync, okAsync} from 'neverthrow';
 import assert from 'node:assert/strict';
 import {afterEach, beforeEach, describe, it} from 'node:test';
 
@@ -9,6 +10,7 @@
 import type {RouteTable} from '../../RouteTable.ts';
 
 import {ConfigurationFollower} from '../../ConfigurationFollower.ts';
+import {ENTRY_EVENTS} from '../../EntryEvents.ts';
 
 function createConfiguration(version: number, ...prefixes: string[]): Configuration {
   return {
@@ -61,6 +63,35 @@
     assert.equal(getRouteTable(follower).find('queue.example', '/c/1'), undefined);
   });
 
+  it('logs the first of successive failed reads, and a broken watch', async () => {
+    const failure: StoreFailure = {kind: 'unavailable', message: 'no response'};
+    const loggedCodes: number[] = [];
+    const outcomes = [errAsync(failure), errAsync(failure)];
+    let breakWatch: (() => void) | undefined;
+    const reader = new ConfigurationFollower(
+      {
+        read: () => outcomes.pop() ?? okAsync({configuration: undefined, revision: 1}),
+        watch: (_from, handler) => {
+          breakWatch = () => {
+            handler.onBroken(failure);
+          };
+          return {close: () => undefined};
+        },
+      },
+      {record: ({code}) => loggedCodes.push(code)},
+    );
+    void reader.run();
+    while (breakWatch === undefined) {
+      await new Promise((resolve) => setTimeout(resolve, 10));
+    }
+    reader.close();
+    breakWatch();
+    assert.deepEqual(loggedCodes, [
+      ENTRY_EVENTS.CONFIGURATION_READ_FAILED.code,
+      ENTRY_EVENTS.CONFIGURATION_WATCH_BROKEN.code,
+    ]);
+  });
+
   it('applies a higher version and ignores a lower one', () => {
     notifyChange(createConfiguration(9, '/c/'));
     assert.equal(getRouteTable(follower).find('queue.example', '/a/1'), undefined);
