Read etcd values and VM lists of any size over slow links

Both now fail after 1 s without data. Writes, leases and calls to workers keep their timeout for the whole response: their responses fit into a few packets, and the callers rely on the bound.

--- a/packages/nutmegproxy-standins/src/HttpListener.ts
+++ b/packages/nutmegproxy-standins/src/HttpListener.ts
@@ -3,9 +3,10 @@
 import type {IncomingMessage, Server, ServerResponse} from 'node:http';
 import type {AddressInfo} from 'node:net';
 
+import {delay} from '@nutmegproxy/core';
 import {createServer} from 'node:http';
 
-import {MAX_BODY_BYTES} from './StandinsConstants.ts';
+import {MAX_BODY_BYTES, PART_INTERVAL_MS} from './StandinsConstants.ts';
 
 /** One request with its complete body. */
 export interface HttpExchange {
@@ -52,6 +53,22 @@
   response.end(text);
 }
 
+/** Sends a response with the status 200 in parts, as a link of `bytesPerSecond` would deliver it. */
+export async function sendJsonAtRate(
+  response: ServerResponse,
+  value: unknown,
+  bytesPerSecond: number,
+): Promise<void> {
+  const body = Buffer.from(JSON.stringify(value));
+  const partBytes = Math.ceil((bytesPerSecond * PART_INTERVAL_MS) / 1_000);
+  response.writeHead(200, {'content-length': body.length, 'content-type': 'application/json'});
+  for (let sent = 0; sent < body.length && !response.destroyed; sent += partBytes) {
+    await delay(PART_INTERVAL_MS);
+    response.write(body.subarray(sent, sent + partBytes));
+  }
+  response.end();
+}
+
 /** Parses a control message of a test without validating it. */
 export function parseControl(body: Buffer): unknown {
   return body.length === 0 ? {} : JSON.parse(body.toString());
--- a/packages/nutmegproxy-standins/src/StandinsConstants.ts
+++ b/packages/nutmegproxy-standins/src/StandinsConstants.ts
@@ -10,3 +10,5 @@
 export const USAGE_SAMPLE_INTERVAL_MS = 50;
 export const USAGE_SAMPLES = 200;
 export const WORKER_TICK_MS = 10;
+/** Interval in milliseconds between the parts of a response that is sent at a limited rate. */
+export const PART_INTERVAL_MS = 50;
--- a/packages/nutmegproxy-standins/src/index.ts
+++ b/packages/nutmegproxy-standins/src/index.ts
@@ -1,6 +1,6 @@
 /** Public API of the stand-ins. */
 
-export {listen, parseControl, readBody, sendJson} from './HttpListener.ts';
+export {listen, parseControl, readBody, sendJson, sendJsonAtRate} from './HttpListener.ts';
 export type {HttpExchange, HttpHandler, HttpRoutes, Standin} from './HttpListener.ts';
 export {LocalMesh, LocalNetwork} from './LocalMesh.ts';
 export type {LinkState} from './LocalMesh.ts';
--- a/packages/nutmegproxy-store/src/EtcdStore.ts
+++ b/packages/nutmegproxy-store/src/EtcdStore.ts
@@ -31,6 +31,7 @@
 import {EtcdWatch} from './EtcdWatch.ts';
 import {exchange} from './HttpExchange.ts';
 import {
+  BODY_STALL_TIMEOUT_MS,
   CONNECT_TIMEOUT_MS,
   CONNECTIONS_PER_URL,
   DEFAULT_CALL_TIMEOUT_MS,
@@ -239,6 +240,7 @@
   ): ResultAsync<unknown, StoreFailure> {
     const url = new URL(baseUrl);
     return exchange(this.#agent, {
+      ...(READ_KINDS.has(call.kind) ? {bodyStallTimeoutMs: BODY_STALL_TIMEOUT_MS} : {}),
       body: JSON.stringify(call.body),
       maxResponseBytes: MAX_RESPONSE_BYTES,
       method: 'POST',
--- a/packages/nutmegproxy-store/src/StoreConstants.ts
+++ b/packages/nutmegproxy-store/src/StoreConstants.ts
@@ -1,5 +1,10 @@
 /** Timeouts and limits of the store client. */
 
+/**
+ * Maximum time in milliseconds between two parts of a response body: a lost packet is sent again
+ * several times within it.
+ */
+export const BODY_STALL_TIMEOUT_MS = 1_000;
 export const CONNECTIONS_PER_URL = 4;
 export const CONNECT_TIMEOUT_MS = 1_000;
 export const DEFAULT_CALL_TIMEOUT_MS = 1_500;
--- a/packages/nutmegproxy-store/src/__tests__/unit/EtcdStore.test.ts
+++ b/packages/nutmegproxy-store/src/__tests__/unit/EtcdStore.test.ts
@@ -2,7 +2,7 @@
 import type {AddressInfo, Server} from 'node:net';
 
 import {SILENT_EVENTS, SYSTEM_CLOCK} from '@nutmegproxy/core';
-import {StoreServer} from '@nutmegproxy/standins';
+import {listen, sendJsonAtRate, StoreServer} from '@nutmegproxy/standins';
 import {ok as assertOk, deepEqual, equal} from 'node:assert/strict';
 import {createServer} from 'node:net';
 import {afterEach, beforeEach, describe, it} from 'node:test';
@@ -130,6 +130,21 @@
       equal((await getKey(store, '/a'))._unsafeUnwrapErr().kind, 'unavailable');
     });
 
+    it('reads values whose transfer takes longer than the timeout of a call', async () => {
+      const slow = await listen(0, {
+        'POST /v3/kv/txn': ({response}) => {
+          const kvs = [{key: Buffer.from('/a').toString('base64'), value: 'AAAA'.repeat(5_000)}];
+          const found = {header: {revision: '1'}, responses: [{responseRange: {kvs}}]};
+          return sendJsonAtRate(response, {...found, succeeded: true}, 20_000);
+        },
+      });
+      const shortTimeoutStore = connect([`http://127.0.0.1:${slow.port}`], 400);
+      const read = await getKey(shortTimeoutStore, '/a');
+      await shortTimeoutStore.close();
+      await slow.close();
+      equal(read._unsafeUnwrap()?.value.length, 15_000);
+    });
+
     it('fails with unknown when a write exceeds its deadline', async () => {
       const shortTimeoutStore = connect([`http://127.0.0.1:${standin.port}`], 50);
       server.control({delayMs: 400});
--- a/packages/nutmegproxy-store/src/index.ts
+++ b/packages/nutmegproxy-store/src/index.ts
@@ -28,6 +28,7 @@
   WatchEvent,
   WatchHandler,
 } from './PlatformStore.ts';
+export {BODY_STALL_TIMEOUT_MS} from './StoreConstants.ts';
 export {createStoreMetrics} from './StoreMetrics.ts';
 export type {StoreCallKind, StoreCallOutcome, StoreMetrics} from './StoreMetrics.ts';
 export {getKey, getPrefix, isWrite, put} from './StoreUtils.ts';
--- a/packages/nutmegproxy-workers/src/HttpVmList.ts
+++ b/packages/nutmegproxy-workers/src/HttpVmList.ts
@@ -4,6 +4,7 @@
 import type {Result, ResultAsync} from 'neverthrow';
 
 import {validateVmReport} from '@nutmegproxy/schema';
+import {BODY_STALL_TIMEOUT_MS} from '@nutmegproxy/store';
 import {err, ok} from 'neverthrow';
 import {Agent} from 'undici';
 
@@ -61,6 +62,7 @@
     const last = this.#lastReport;
     const query = last === undefined ? '' : `?since=${last.revision}`;
     return sendPlatformCall(this.#agent, {
+      bodyStallTimeoutMs: BODY_STALL_TIMEOUT_MS,
       headers: last === undefined ? {} : {'if-none-match': `"${last.revision}"`},
       method: 'GET',
       origin: this.#baseUrl.origin,
--- a/packages/nutmegproxy-workers/src/__tests__/unit/PlatformClients.test.ts
+++ b/packages/nutmegproxy-workers/src/__tests__/unit/PlatformClients.test.ts
@@ -1,6 +1,6 @@
 import type {TaskStart, Vm} from '@nutmegproxy/schema';
 
-import {listen, sendJson, VmListServer, WorkerServer} from '@nutmegproxy/standins';
+import {listen, sendJson, sendJsonAtRate, VmListServer, WorkerServer} from '@nutmegproxy/standins';
 import {deepEqual, equal} from 'node:assert/strict';
 import {describe, it} from 'node:test';
 
@@ -79,6 +79,18 @@
     await standin.close();
   });
 
+  it('reads a list whose transfer takes longer than the timeout of a call', async () => {
+    const vms = Array.from({length: 200}, (_, index): Vm => ({...VM, id: `m${index}`}));
+    const standin = await listen(0, {
+      'GET /vms': ({response}) => sendJsonAtRate(response, {revision: 1, vms}, 20_000),
+    });
+    const list = new HttpVmList(`http://127.0.0.1:${standin.port}`, 300);
+    const report = await list.read();
+    await list.close();
+    await standin.close();
+    equal(report._unsafeUnwrap().vms.length, 200);
+  });
+
   it('reports a response that violates the schema as malformed', async () => {
     const standin = await listen(0, {
       'GET /vms': ({response}) => {
