--- a/packages/nutmegproxy-emulator/src/__tests__/unit/Owner.test.ts
+++ b/packages/nutmegproxy-emulator/src/__tests__/unit/Owner.test.ts
@@ -197,6 +197,47 @@
       assert.ok(other.records.length <= 1);
     });
 
+    describe('after an outage of the store in which a minion was lost', () => {
+      let first: Awaited<ReturnType<typeof start>>;
+
+      async function loseMinionInOutage(): Promise<void> {
+        store.faults.change({down: true});
+        fleet.faults(brand<MinionId>('m1')).isUnreachable = true;
+        await new Promise((resolve) => setTimeout(resolve, 700));
+        first.owner.stop('lease not renewed');
+        store.faults.change({down: false});
+      }
+
+      beforeEach(async () => {
+        const lost = addMinion('m1');
+        first = await start('vm-1');
+        await waitFor('the minion has reported', () => lost.answeredPolls > 0);
+      });
+
+      it('starts a job at once that the lost minion can not run', async () => {
+        await loseMinionInOutage();
+        await submitJob(store, createStoredJob(1, [createStepShape()]));
+        await first.election.resign(first.ownership, 'lease not renewed');
+        addMinion('m2');
+        await start('vm-2');
+        await waitFor('the job runs', () => allRuns().length === 1, 10_000);
+      });
+
+      it('does not start a task again that the lost minion may run', async () => {
+        behaviour = () => ({durationMs: 60_000, outcome: 'done'});
+        await submitJob(store, createStoredJob(1, [createStepShape()]));
+        await waitFor('the task runs', () => allRuns().length === 1);
+        await loseMinionInOutage();
+        await submitJob(store, createStoredJob(2, [createStepShape()]));
+        await first.election.resign(first.ownership, 'lease not renewed');
+        addMinion('m2');
+        await start('vm-2');
+        await waitFor('the other job runs', () => allRuns().length === 2, 10_000);
+        await new Promise((resolve) => setTimeout(resolve, 400));
+        assert.equal(allRuns().length, 2);
+      });
+    });
+
     it('does not record an empty run list for a silent minion that never reported', async () => {
       const minion = addMinion('m1');
       behaviour = () => ({durationMs: 60_000, outcome: 'done'});
