Begin the takeover delays of all VMs with the first configuration

Cause: while no other VM is known, smaller VMs wait longer before they acquire the ownership. The wait began with the process, but no VM can own the fleet before it has a configuration, which comes 0.5 s later: by then the waits of the larger VMs had ended without effect and begun again, and a small VM's was about to end.

Change: the wait begins once the VM could own the fleet. The new test of OwnerCandidate failed before (the small VM became owner).

--- a/packages/nutmegproxy-owner/src/OwnerCandidate.ts
+++ b/packages/nutmegproxy-owner/src/OwnerCandidate.ts
@@ -60,13 +60,16 @@
         continue;
       }
       const {canOwn, otherCores, ownCores, random} = this.#options;
-      const takeoverDelayMs = chooseTakeoverDelayMs(ownCores, otherCores());
-      await delay(takeoverDelayMs + random() * TAKEOVER_JITTER_MS);
-      if (!this.#canAcquire() || !canOwn()) {
+      // The delays of all VMs have to begin with the same event, or they would not order them.
+      if (!canOwn()) {
         await delay(TAKEOVER_RETRY_MS);
         continue;
       }
-      await this.#tryAcquire();
+      const takeoverDelayMs = chooseTakeoverDelayMs(ownCores, otherCores());
+      await delay(takeoverDelayMs + random() * TAKEOVER_JITTER_MS);
+      if (this.#canAcquire()) {
+        await this.#tryAcquire();
+      }
     }
   }
 
--- /dev/null
+++ b/packages/nutmegproxy-owner/src/__tests__/unit/OwnerCandidate.test.ts
@@ -0,0 +1,67 @@
+import type {VmId} from '@nutmegproxy/core';
+
+import {brand, SILENT_EVENTS, SYSTEM_CLOCK} from '@nutmegproxy/core';
+import {MemoryStore} from '@nutmegproxy/standins';
+import assert from 'node:assert/strict';
+import {afterEach, beforeEach, describe, it} from 'node:test';
+
+import type {Owner} from '../../Owner.ts';
+
+import {OwnerCandidate} from '../../OwnerCandidate.ts';
+
+const SMALL_VM_CORES = 0.324;
+const LARGE_VM_CORES = 1.35;
+
+describe('OwnerCandidate', () => {
+  let candidates: OwnerCandidate[];
+  let isConfigured: boolean;
+  let keepAlive: NodeJS.Timeout;
+  let owners: string[];
+  let store: MemoryStore;
+
+  function startCandidate(vm: string, ownCores: number): void {
+    const candidate = new OwnerCandidate({
+      canOwn: () => isConfigured,
+      clock: SYSTEM_CLOCK,
+      createOwner: () => {
+        owners.push(vm);
+        const run = (): Promise<string> => new Promise(() => undefined);
+        return {run, stop: () => undefined} as unknown as Owner;
+      },
+      events: SILENT_EVENTS,
+      otherCores: () => [],
+      ownCores,
+      random: () => 0,
+      store,
+      vm: brand<VmId>(vm),
+    });
+    candidates.push(candidate);
+    void candidate.run();
+  }
+
+  beforeEach(() => {
+    // The timers under test do not keep the process alive.
+    keepAlive = setInterval(() => undefined, 1_000);
+    candidates = [];
+    isConfigured = false;
+    owners = [];
+    store = new MemoryStore();
+  });
+
+  afterEach(async () => {
+    clearInterval(keepAlive);
+    await Promise.all(candidates.map((candidate) => candidate.stop()));
+    await store.close();
+  });
+
+  it('lets a larger VM own the fleet when the configuration arrives after the start', async () => {
+    startCandidate('small', SMALL_VM_CORES);
+    startCandidate('large', LARGE_VM_CORES);
+    await new Promise((resolve) => setTimeout(resolve, 400));
+    isConfigured = true;
+    while (owners.length === 0) {
+      await new Promise((resolve) => setTimeout(resolve, 10));
+    }
+    assert.deepEqual(owners, ['large']);
+  });
+});
