Keep the listener of a stopping process open after a stall

Cause: the listener is closed after 300 ms without a new request, by the clock. When the process was stalled meanwhile, by load or suspension, that timer runs before the connections that wait in the kernel are accepted.

Change: the period is waited for in parts of 50 ms, and begins anew after a part that took more than 50 ms too long; the limit of 5 s stays. The new test, which stalls the process for 400 ms after each response, failed before (ECONNRESET).

--- a/packages/nutmegproxy-requests/src/CallerListener.ts
+++ b/packages/nutmegproxy-requests/src/CallerListener.ts
@@ -22,6 +22,7 @@
   MAX_CALLER_HEADER_BYTES,
   MAX_STOP_IDLE_WAIT_MS,
   STOP_IDLE_PERIOD_MS,
+  STOP_IDLE_SLICE_MS,
 } from './RequestsConstants.ts';
 import {REQUESTS_EVENTS} from './RequestsEvents.ts';
 
@@ -207,7 +208,13 @@
       if (remainingMs <= 0) {
         return;
       }
-      await sleep(remainingMs);
+      const sliceMs = Math.min(remainingMs, STOP_IDLE_SLICE_MS);
+      await sleep(sliceMs);
+      const overdueMs = clock.monotonic() - now - sliceMs;
+      if (overdueMs > STOP_IDLE_SLICE_MS) {
+        // Requests that arrived while the process was stalled have not been accepted yet.
+        this.#lastRefusedAt = clock.monotonic();
+      }
     }
   }
 
--- a/packages/nutmegproxy-requests/src/RequestsConstants.ts
+++ b/packages/nutmegproxy-requests/src/RequestsConstants.ts
@@ -30,6 +30,8 @@
 export const MAX_CALLER_HEADER_BYTES = 16_384;
 /** Time without new requests after which a stopping process closes its listener. */
 export const STOP_IDLE_PERIOD_MS = 300;
+/** Parts in which that period is waited for, to detect a stall of the process. */
+export const STOP_IDLE_SLICE_MS = 50;
 /** Maximum time for which new requests delay the closing of the listener. */
 export const MAX_STOP_IDLE_WAIT_MS = 5000;
 export const DEFAULT_STOP_DELAY_MS = 5000;
--- a/packages/nutmegproxy-requests/src/__tests__/unit/PlannedStop.test.ts
+++ b/packages/nutmegproxy-requests/src/__tests__/unit/PlannedStop.test.ts
@@ -32,6 +32,21 @@
     });
   });
 
+  it('does not close its listener because the process was stalled', async () => {
+    await withHarness({minions: []}, async (harness) => {
+      const waits: Promise<void>[] = [];
+      harness.bus.dispatch(DRAIN_STARTED, {wait: (work) => waits.push(work)});
+      for (let sent = 0; sent < 3; sent += 1) {
+        const late = await send(harness, '');
+        assert.equal(late.status, 503);
+        await late.text();
+        const stalledUntil = performance.now() + 400;
+        while (performance.now() < stalledUntil);
+      }
+      await Promise.all(waits);
+    });
+  });
+
   it('is delayed while requests arrive, and responds to each of them', async () => {
     await withHarness({minions: []}, async (harness) => {
       const waits: Promise<void>[] = [];
