--- a/packages/nutmegproxy-standins/src/HttpListener.ts
+++ b/packages/nutmegproxy-standins/src/HttpListener.ts
@@ -62,7 +62,8 @@
   const body = Buffer.from(JSON.stringify(value));
   const partBytes = Math.ceil((bytesPerSecond * PART_INTERVAL_MS) / 1_000);
   response.writeHead(200, {'content-length': body.length, 'content-type': 'application/json'});
-  for (let sent = 0; sent < body.length && !response.destroyed; sent += partBytes) {
+  response.write(body.subarray(0, partBytes));
+  for (let sent = partBytes; sent < body.length && !response.destroyed; sent += partBytes) {
     await delay(PART_INTERVAL_MS);
     response.write(body.subarray(sent, sent + partBytes));
   }
