Hand over the silent minions with the runs whose results are not stored

What callers saw: after a takeover, accepted tasks that had not started waited for 17 s when minions were lost during an outage of the store (recovery-waits, LOST).

The record of a silent minion now names its runs and those whose results it has listed but which are not acknowledged, since a result is acknowledged only once it is stored. The next owner keeps them reserved until the minion lists the results again or its lease has expired. The same holds for the records in the roster, where the owner could end between the write of the record and that of the progress.

--- a/packages/nutmegproxy-owner/src/MinionSession.ts
+++ b/packages/nutmegproxy-owner/src/MinionSession.ts
@@ -2,7 +2,7 @@
 
 import type {Instant} from '@nutmegproxy/core';
 import type {Run} from '@nutmegproxy/jobs';
-import type {MinionListing, MinionState, StopRequest} from '@nutmegproxy/scheduling';
+import type {MinionListing, MinionState, RunResult, StopRequest} from '@nutmegproxy/scheduling';
 
 import {delay} from '@nutmegproxy/core';
 import {reconcileListing} from '@nutmegproxy/scheduling';
@@ -30,6 +30,8 @@
   #bornAt: number | undefined;
   readonly #context: SessionContext;
   #appliedThrough = 0;
+  /** Results of the last listing: all that this session has not acknowledged. */
+  #listedResults: readonly RunResult[] = [];
   #stopped = false;
   readonly #runOrders: RunOrders;
 
@@ -46,6 +48,11 @@
     this.#bornAt = minion.description.bornAt;
   }
 
+  /** Results that are applied but may not be stored yet; the minion lists them again. */
+  get unstoredResults(): readonly RunResult[] {
+    return this.#listedResults.filter(({sequence}) => sequence > this.#acknowledgedThrough);
+  }
+
   get #target(): MinionTarget {
     return {address: this.minion.description.address, id: this.minion.id};
   }
@@ -81,6 +88,7 @@
     events.record(OWNER_EVENTS.MINION_RESTARTED, {bornAt, minion: this.minion.id});
     this.#acknowledgedThrough = 0;
     this.#appliedThrough = 0;
+    this.#listedResults = [];
     this.minion.leaseClock.reset();
     fleet.clearUnknownResults(this.minion);
     for (const run of [...this.minion.runs]) {
@@ -121,6 +129,7 @@
       now,
       requestedAt,
     });
+    this.#listedResults = listing.ended;
     this.#appliedThrough = Math.max(
       this.#appliedThrough,
       ...listing.ended.map(({sequence}) => sequence),
--- a/packages/nutmegproxy-owner/src/MinionSessions.ts
+++ b/packages/nutmegproxy-owner/src/MinionSessions.ts
@@ -1,28 +1,23 @@
 /** Keeps a session with every minion that the directory lists or that may have live runs. */
 
-import type {Clock, EventSink, Instant, MinionId, WallTime} from '@nutmegproxy/core';
+import type {Clock, EventSink, Instant, MinionId} from '@nutmegproxy/core';
 import type {Run} from '@nutmegproxy/jobs';
 import type {Fleet, MinionDescription, StopRequest} from '@nutmegproxy/scheduling';
 import type {StoreFailure, Watch} from '@nutmegproxy/store';
 import type {Result} from 'neverthrow';
 
 import {delay} from '@nutmegproxy/core';
-import {formatTaskName, parseTaskName} from '@nutmegproxy/jobs';
 import {MinionState} from '@nutmegproxy/scheduling';
 import {err, ok} from 'neverthrow';
 
 import type {MinionChange, MinionDirectory} from './MinionDirectory.ts';
-import type {Roster, RosterEntry, SilentMinionRecord} from './Roster.ts';
+import type {Roster, RosterEntry} from './Roster.ts';
 import type {SessionContext} from './SessionContext.ts';
 
 import {MinionSession} from './MinionSession.ts';
-import {
-  MAX_FORMER_LEASE_MS,
-  MAX_WALL_CLOCK_SKEW_MS,
-  REMOVE_UNLISTED_AFTER_MS,
-  STORE_RETRY_MS,
-} from './OwnerConstants.ts';
+import {MAX_FORMER_LEASE_MS, REMOVE_UNLISTED_AFTER_MS, STORE_RETRY_MS} from './OwnerConstants.ts';
 import {OWNER_EVENTS} from './OwnerEvents.ts';
+import {adoptRecordedRuns, createSilentRecord} from './SilentRecords.ts';
 
 export interface MinionSessionsOptions {
   readonly clock: Clock;
@@ -108,6 +103,23 @@
     return ok(undefined);
   }
 
+  /** Adopts what the former owner knew of silent minions that have not reported to this one. */
+  applyHandover(former: readonly RosterEntry[]): void {
+    const {clock, fleet, roster} = this.#options;
+    const now = clock.monotonic();
+    for (const {description, silent} of former) {
+      const minion = this.#sessions.get(description.id)?.minion;
+      if (
+        silent !== undefined &&
+        minion?.hasReported === false &&
+        this.#unreported.delete(minion)
+      ) {
+        adoptRecordedRuns(fleet, minion, silent, {now, wall: clock.wall()});
+        roster.markSilent(description, silent);
+      }
+    }
+  }
+
   /** Closes the watch until the next start. */
   pause(): void {
     this.#watch?.close();
@@ -116,11 +128,9 @@
   /** Records for the next owner what a silent minion may run. */
   recordSilent(minion: MinionState): void {
     const {clock, roster} = this.#options;
-    const leasedUntil = clock.wall() + minion.leaseClock.expiresInMs(clock.monotonic());
-    roster.markSilent(minion.description, {
-      heldUntil: leasedUntil as WallTime,
-      runs: [...minion.runs].map(({number, task}) => [formatTaskName(task), number]),
-    });
+    const time = {now: clock.monotonic(), wall: clock.wall()};
+    const unstoredResults = this.#sessions.get(minion.id)?.unstoredResults ?? [];
+    roster.markSilent(minion.description, createSilentRecord(minion, unstoredResults, time));
   }
 
   /** Removes the silent record of a minion; its lease is renewed again once that is stored. */
@@ -228,6 +238,7 @@
 
   /** Recovers a minion of the former owner, whose runs its silent record or its listing names. */
   #recoverMinion({description: {id}, silent}: RosterEntry, now: Instant, isMissing: boolean): void {
+    const {clock, fleet} = this.#options;
     const minion = this.#sessions.get(id)?.minion;
     if (minion === undefined) {
       return;
@@ -244,31 +255,7 @@
       this.#unreported.add(minion);
       return;
     }
-    this.#adoptRecordedRuns(minion, silent, now);
-  }
-
-  /** Reserves capacity for the runs that a silent minion may have until its lease has expired. */
-  #adoptRecordedRuns(
-    minion: MinionState,
-    {heldUntil, runs}: SilentMinionRecord,
-    now: Instant,
-  ): void {
-    const {clock, fleet} = this.#options;
-    minion.isRecordedUnreachable = true;
-    const remainingMs = Math.max(0, heldUntil + MAX_WALL_CLOCK_SKEW_MS - clock.wall());
-    minion.leaseClock.assumeLeasedUntil((now + remainingMs) as Instant);
-    for (const [name, number] of runs) {
-      const task = parseTaskName(name);
-      const step = task && fleet.jobs.get(task.job)?.occurrence(task.occurrence)?.[task.step];
-      if (task === undefined || step?.waiting.has(task.index) !== true || step.job.isFinal) {
-        continue;
-      }
-      if (remainingMs > 0) {
-        fleet.adoptRun(step, task, number, minion, now).knownFrom = 'record';
-      } else {
-        fleet.recordUnknownResult(step, task.index, minion);
-      }
-    }
+    adoptRecordedRuns(fleet, minion, silent, {now, wall: clock.wall()});
   }
 
   #markUnlisted(id: MinionId, now: Instant): void {
--- a/packages/nutmegproxy-owner/src/Owner.ts
+++ b/packages/nutmegproxy-owner/src/Owner.ts
@@ -24,6 +24,7 @@
 import type {MinionOrders} from './MinionOrders.ts';
 
 import {AdvicePrefetcher} from './AdvicePrefetcher.ts';
+import {Handover} from './Handover.ts';
 import {JobWatcher} from './JobWatcher.ts';
 import {Journal} from './Journal.ts';
 import {LearnedEstimates} from './LearnedEstimates.ts';
@@ -61,6 +62,7 @@
   readonly #advice: AdvicePrefetcher;
   readonly #estimator = new DurationEstimator();
   readonly #fleet: Fleet;
+  readonly #handover: Handover;
   readonly #jobs: JobWatcher;
   readonly #journal: Journal;
   #hasChanged = false;
@@ -91,6 +93,7 @@
     const {dirtyJobs} = this.#fleet;
     this.#journal = new Journal({dirtyJobs, events, onFenced, ownership, store});
     this.#roster = new Roster({events, onFenced, ownership, store});
+    this.#handover = new Handover({clock, events, ownership, store});
     this.#learnedEstimates = new LearnedEstimates({
       clock,
       estimator: this.#estimator,
@@ -150,6 +153,7 @@
     events.record(OWNER_EVENTS.RECOVERY_STARTED, {fence: ownership.token, term: ownership.term});
     void this.#journal.run();
     await this.#recover();
+    void this.#receiveHandover();
     void this.#advice.run(() => this.#isActing());
     void this.#queueLengths.run(() => this.#isActing());
     void this.#removeOldJobs();
@@ -163,6 +167,7 @@
     this.#minions.close();
     this.#journal.stop();
     this.#roster.close();
+    void this.#handover.send(this.#roster.silentEntries);
     return this.#stopReason ?? 'lease not renewed';
   }
 
@@ -212,6 +217,17 @@
     }
   }
 
+  /** Learns from the former owner what minions may run that have not reported. */
+  async #receiveHandover(): Promise<void> {
+    const silent = await this.#handover.receive(
+      () => this.#isActing() && this.#fleet.recoveryRevision > 0,
+    );
+    if (silent !== undefined) {
+      this.#minions.applyHandover(silent);
+      this.#wakeUp();
+    }
+  }
+
   async #removeOldJobs(): Promise<void> {
     const {clock, events, ownership, statusRetentionMs, store} = this.#options;
     const retentionMs = statusRetentionMs + RETENTION_MARGIN_MS;
--- a/packages/nutmegproxy-owner/src/Roster.ts
+++ b/packages/nutmegproxy-owner/src/Roster.ts
@@ -60,6 +60,11 @@
     this.#record = new OwnerRecord({...options, key: ROSTER_KEY});
   }
 
+  /** The minions that are recorded as silent, whether or not the record is stored. */
+  get silentEntries(): readonly RosterEntry[] {
+    return [...this.#entries.values()].filter(({silent}) => silent !== undefined);
+  }
+
   /** Adds minions; resolves once the stored roster contains them. */
   async add(minions: readonly MinionDescription[]): Promise<void> {
     for (const description of minions) {
--- /dev/null
+++ b/packages/nutmegproxy-owner/src/SilentRecords.ts
@@ -0,0 +1,58 @@
+/** Converts between the runs of a silent minion and the record of them for the next owner. */
+
+import type {Instant, WallTime} from '@nutmegproxy/core';
+import type {Fleet, MinionState, RunResult} from '@nutmegproxy/scheduling';
+
+import {formatTaskName, parseTaskName} from '@nutmegproxy/jobs';
+
+import type {SilentMinionRecord} from './Roster.ts';
+
+import {MAX_WALL_CLOCK_SKEW_MS} from './OwnerConstants.ts';
+
+/** The present time on both clocks of this process. */
+interface PresentTime {
+  readonly now: Instant;
+  readonly wall: WallTime;
+}
+
+/** Reserves capacity for the runs that a silent minion may have until its lease has expired. */
+export function adoptRecordedRuns(
+  fleet: Fleet,
+  minion: MinionState,
+  {heldUntil, runs}: SilentMinionRecord,
+  {now, wall}: PresentTime,
+): void {
+  minion.isRecordedUnreachable = true;
+  const remainingMs = Math.max(0, heldUntil + MAX_WALL_CLOCK_SKEW_MS - wall);
+  minion.leaseClock.assumeLeasedUntil((now + remainingMs) as Instant);
+  for (const [name, number] of runs) {
+    const task = parseTaskName(name);
+    const step = task && fleet.jobs.get(task.job)?.occurrence(task.occurrence)?.[task.step];
+    if (task === undefined || step?.waiting.has(task.index) !== true || step.job.isFinal) {
+      continue;
+    }
+    if (remainingMs > 0) {
+      fleet.adoptRun(step, task, number, minion, now).knownFrom = 'record';
+    } else {
+      fleet.recordUnknownResult(step, task.index, minion);
+    }
+  }
+}
+
+/**
+ * Returns the record of what a silent minion may run, and until when. Runs whose results are not
+ * stored count as well: the next owner learns their results only from the minion.
+ */
+export function createSilentRecord(
+  minion: MinionState,
+  unstoredResults: readonly RunResult[],
+  {now, wall}: PresentTime,
+): SilentMinionRecord {
+  return {
+    heldUntil: (wall + minion.leaseClock.expiresInMs(now)) as WallTime,
+    runs: [...minion.runs, ...unstoredResults].map(({number, task}) => [
+      formatTaskName(task),
+      number,
+    ]),
+  };
+}
