--- a/packages/nutmegproxy-owner/src/Handover.ts
+++ b/packages/nutmegproxy-owner/src/Handover.ts
@@ -54,6 +54,9 @@
         events.record(OWNER_EVENTS.HANDOVER_RECEIVED, fields);
         return record.silent;
       }
+      if (stored.isErr()) {
+        this.#recordFailure(stored.error.message);
+      }
       await delay(HANDOVER_READ_INTERVAL_MS);
     }
     return undefined;
@@ -90,13 +93,16 @@
         events.record(OWNER_EVENTS.HANDOVER_SENT, {minions: silent.length, term});
         return;
       }
+      if (written.isErr()) {
+        this.#recordFailure(written.error.message);
+      }
       await delay(STORE_RETRY_MS);
     }
-    events.record(OWNER_EVENTS.JOURNAL_FAILED, {
-      key: HANDOVER_KEY,
-      kind: 'unavailable',
-      message: 'not stored in time',
-    });
+  }
+
+  #recordFailure(message: string): void {
+    const fields = {message, what: 'handover'};
+    this.#options.events.record(OWNER_EVENTS.STORE_CALL_FAILED, fields);
   }
 
   #decode(stored: StoredValue | undefined): HandoverRecord | undefined {
