Keep the last of several recorded runs of a task

A task had failed on one silent minion, its result not stored, and ran again on another silent minion. Both runs were recorded; the next owner adopted the failed one and left out the live one, and started the task again once the first minion had listed the failure.

Of several recorded runs of a task the one with the highest number is adopted, as for listed runs: the former owner started it because the others were over. The new test failed before (a third run).

--- a/packages/nutmegproxy-emulator/src/__tests__/unit/Owner.test.ts
+++ b/packages/nutmegproxy-emulator/src/__tests__/unit/Owner.test.ts
@@ -238,6 +238,33 @@
       });
     });
 
+    it('does not start a task again when an earlier run of it is reported by a lost minion', async () => {
+      const earlier = addMinion('m1');
+      const first = await start('vm-1');
+      behaviour = () => ({durationMs: 1_000, outcome: 'failed'});
+      await submitJob(store, createStoredJob(1, [createStepShape()]));
+      await waitFor('the first run', () => earlier.liveTasks.length === 1);
+      const later = addMinion('m2');
+      await waitFor('the second minion has reported', () => later.answeredPolls > 0);
+      store.faults.change({down: true});
+      behaviour = () => ({durationMs: 60_000, outcome: 'done'});
+      await waitFor('the second run', () => later.liveTasks.length === 1);
+      for (const {description} of [earlier, later]) {
+        fleet.faults(description.id).isUnreachable = true;
+      }
+      await new Promise((resolve) => setTimeout(resolve, 1_500));
+      first.owner.stop('lease not renewed');
+      store.faults.change({down: false});
+      await first.election.resign(first.ownership, 'lease not renewed');
+      const other = addMinion('m3');
+      await start('vm-2');
+      await new Promise((resolve) => setTimeout(resolve, 700));
+      fleet.faults(earlier.description.id).isUnreachable = false;
+      await new Promise((resolve) => setTimeout(resolve, 700));
+      assert.equal(other.records.length, 0);
+      assert.equal(earlier.records.length, 1);
+    });
+
     it('does not record an empty run list for a silent minion that never reported', async () => {
       const minion = addMinion('m1');
       behaviour = () => ({durationMs: 60_000, outcome: 'done'});
--- a/packages/nutmegproxy-owner/src/SilentRecords.ts
+++ b/packages/nutmegproxy-owner/src/SilentRecords.ts
@@ -4,6 +4,7 @@
 import type {Fleet, MinionState, RunResult} from '@nutmegproxy/scheduling';
 
 import {formatTaskName, parseTaskName} from '@nutmegproxy/jobs';
+import {dropSupersededRuns} from '@nutmegproxy/scheduling';
 
 import type {SilentMinionRecord} from './Roster.ts';
 
@@ -28,7 +29,12 @@
   for (const [name, number] of runs) {
     const task = parseTaskName(name);
     const step = task && fleet.jobs.get(task.job)?.occurrence(task.occurrence)?.[task.step];
-    if (task === undefined || step?.waiting.has(task.index) !== true || step.job.isFinal) {
+    if (task === undefined || step === undefined || step.job.isFinal) {
+      continue;
+    }
+    // Of several recorded runs of a task only the last may be live.
+    dropSupersededRuns(fleet, step, {number, task});
+    if (!step.waiting.has(task.index)) {
       continue;
     }
     if (remainingMs > 0) {
--- a/packages/nutmegproxy-scheduling/src/ListingReconciler.ts
+++ b/packages/nutmegproxy-scheduling/src/ListingReconciler.ts
@@ -68,10 +68,14 @@
 }
 
 /**
- * Removes runs that are only known from a former owner's record when a run with a higher number is
- * listed: the owner that started it was certain that they were over.
+ * Removes runs of a task that are only known from a former owner's record and have a lower number
+ * than another run of it: the owner that started the other one was certain that they were over.
  */
-function dropSupersededRuns(fleet: Fleet, step: StepState, {number, task}: RunReport): void {
+export function dropSupersededRuns(
+  fleet: Fleet,
+  step: StepState,
+  {number, task}: Pick<RunReport, 'number' | 'task'>,
+): void {
   if (step.shape.speculative) {
     return;
   }
