--- a/packages/nutmegproxy-owner/src/Handover.ts
+++ b/packages/nutmegproxy-owner/src/ClosingRecords.ts
@@ -15,28 +15,32 @@
 import type {FleetOwnership} from './FleetOwnership.ts';
 import type {RosterEntry} from './Roster.ts';
 
-import {HANDOVER_READ_INTERVAL_MS, MAX_FORMER_LEASE_MS, STORE_RETRY_MS} from './OwnerConstants.ts';
+import {
+  CLOSING_RECORD_READ_INTERVAL_MS,
+  MAX_FORMER_LEASE_MS,
+  STORE_RETRY_MS,
+} from './OwnerConstants.ts';
 import {OWNER_EVENTS} from './OwnerEvents.ts';
 
-const HANDOVER_KEY = `${STATE_PREFIX}handover`;
+const CLOSING_RECORD_KEY = `${STATE_PREFIX}closing`;
 
 /** Stored value: the silent minions of the owner of a term. */
-interface HandoverRecord {
+interface ClosingRecord {
   readonly silent: readonly RosterEntry[];
   readonly term: number;
 }
 
-export interface HandoverOptions {
+export interface ClosingRecordsOptions {
   readonly clock: Clock;
   readonly events: EventSink;
   readonly ownership: FleetOwnership;
   readonly store: PlatformStore;
 }
 
-export class Handover {
-  readonly #options: HandoverOptions;
+export class ClosingRecords {
+  readonly #options: ClosingRecordsOptions;
 
-  constructor(options: HandoverOptions) {
+  constructor(options: ClosingRecordsOptions) {
     this.#options = options;
   }
 
@@ -47,17 +51,17 @@
   async receive(isAwaited: () => boolean): Promise<readonly RosterEntry[] | undefined> {
     const {events, ownership, store} = this.#options;
     while (isAwaited()) {
-      const stored = await getKey(store, HANDOVER_KEY);
+      const stored = await getKey(store, CLOSING_RECORD_KEY);
       const record = stored.isOk() ? this.#decode(stored.value) : undefined;
       if (record?.term === ownership.term - 1) {
         const fields = {minions: record.silent.length, term: record.term};
-        events.record(OWNER_EVENTS.HANDOVER_RECEIVED, fields);
+        events.record(OWNER_EVENTS.CLOSING_RECORD_RECEIVED, fields);
         return record.silent;
       }
       if (stored.isErr()) {
         this.#recordFailure(stored.error.message);
       }
-      await delay(HANDOVER_READ_INTERVAL_MS);
+      await delay(CLOSING_RECORD_READ_INTERVAL_MS);
     }
     return undefined;
   }
@@ -73,24 +77,24 @@
     if (silent.length === 0) {
       return;
     }
-    const record: HandoverRecord = {silent, term};
+    const record: ClosingRecord = {silent, term};
     const value = Buffer.from(JSON.stringify(record));
     const deadline = after(clock.monotonic(), MAX_FORMER_LEASE_MS);
     while (clock.monotonic() < deadline) {
-      const stored = await getKey(store, HANDOVER_KEY);
+      const stored = await getKey(store, CLOSING_RECORD_KEY);
       if (stored.isOk() && (this.#decode(stored.value)?.term ?? -1) >= term) {
         return;
       }
       const written = await stored.asyncAndThen((former) =>
         store.commit({
           compare: [
-            {key: HANDOVER_KEY, kind: 'modRevision', modRevision: former?.modRevision ?? 0},
+            {key: CLOSING_RECORD_KEY, kind: 'modRevision', modRevision: former?.modRevision ?? 0},
           ],
-          then: [{key: HANDOVER_KEY, kind: 'put', value}],
+          then: [{key: CLOSING_RECORD_KEY, kind: 'put', value}],
         }),
       );
       if (written.isOk() && written.value.succeeded) {
-        events.record(OWNER_EVENTS.HANDOVER_SENT, {minions: silent.length, term});
+        events.record(OWNER_EVENTS.CLOSING_RECORD_STORED, {minions: silent.length, term});
         return;
       }
       if (written.isErr()) {
@@ -101,18 +105,21 @@
   }
 
   #recordFailure(message: string): void {
-    const fields = {message, what: 'handover'};
+    const fields = {message, what: 'closing record'};
     this.#options.events.record(OWNER_EVENTS.STORE_CALL_FAILED, fields);
   }
 
-  #decode(stored: StoredValue | undefined): HandoverRecord | undefined {
+  #decode(stored: StoredValue | undefined): ClosingRecord | undefined {
     if (stored === undefined) {
       return undefined;
     }
     return parseRecord(stored.value.toString()).match(
-      (record): HandoverRecord | undefined => record,
+      (record): ClosingRecord | undefined => record,
       (message) => {
-        this.#options.events.record(OWNER_EVENTS.RECORD_MALFORMED, {key: HANDOVER_KEY, message});
+        this.#options.events.record(OWNER_EVENTS.RECORD_MALFORMED, {
+          key: CLOSING_RECORD_KEY,
+          message,
+        });
         return undefined;
       },
     );
@@ -120,6 +127,6 @@
 }
 
 const parseRecord = Result.fromThrowable(
-  (text: string) => JSON.parse(text) as HandoverRecord,
+  (text: string) => JSON.parse(text) as ClosingRecord,
   String,
 );
--- a/packages/nutmegproxy-owner/src/MinionSessions.ts
+++ b/packages/nutmegproxy-owner/src/MinionSessions.ts
@@ -104,7 +104,7 @@
   }
 
   /** Adopts what the former owner knew of silent minions that have not reported to this one. */
-  applyHandover(former: readonly RosterEntry[]): void {
+  applyClosingRecord(former: readonly RosterEntry[]): void {
     const {clock, fleet, roster} = this.#options;
     const now = clock.monotonic();
     for (const {description, silent} of former) {
--- a/packages/nutmegproxy-owner/src/Owner.ts
+++ b/packages/nutmegproxy-owner/src/Owner.ts
@@ -24,7 +24,7 @@
 import type {MinionOrders} from './MinionOrders.ts';
 
 import {AdvicePrefetcher} from './AdvicePrefetcher.ts';
-import {Handover} from './Handover.ts';
+import {ClosingRecords} from './ClosingRecords.ts';
 import {JobWatcher} from './JobWatcher.ts';
 import {Journal} from './Journal.ts';
 import {LearnedEstimates} from './LearnedEstimates.ts';
@@ -62,7 +62,7 @@
   readonly #advice: AdvicePrefetcher;
   readonly #estimator = new DurationEstimator();
   readonly #fleet: Fleet;
-  readonly #handover: Handover;
+  readonly #closingRecords: ClosingRecords;
   readonly #jobs: JobWatcher;
   readonly #journal: Journal;
   #hasChanged = false;
@@ -93,7 +93,7 @@
     const {dirtyJobs} = this.#fleet;
     this.#journal = new Journal({dirtyJobs, events, onFenced, ownership, store});
     this.#roster = new Roster({events, onFenced, ownership, store});
-    this.#handover = new Handover({clock, events, ownership, store});
+    this.#closingRecords = new ClosingRecords({clock, events, ownership, store});
     this.#learnedEstimates = new LearnedEstimates({
       clock,
       estimator: this.#estimator,
@@ -153,7 +153,7 @@
     events.record(OWNER_EVENTS.RECOVERY_STARTED, {fence: ownership.token, term: ownership.term});
     void this.#journal.run();
     await this.#recover();
-    void this.#receiveHandover();
+    void this.#receiveClosingRecord();
     void this.#advice.run(() => this.#isActing());
     void this.#queueLengths.run(() => this.#isActing());
     void this.#removeOldJobs();
@@ -167,7 +167,7 @@
     this.#minions.close();
     this.#journal.stop();
     this.#roster.close();
-    void this.#handover.send(this.#roster.silentEntries);
+    void this.#closingRecords.send(this.#roster.silentEntries);
     return this.#stopReason ?? 'lease not renewed';
   }
 
@@ -218,12 +218,12 @@
   }
 
   /** Learns from the former owner what minions may run that have not reported. */
-  async #receiveHandover(): Promise<void> {
-    const silent = await this.#handover.receive(
+  async #receiveClosingRecord(): Promise<void> {
+    const silent = await this.#closingRecords.receive(
       () => this.#isActing() && this.#fleet.recoveryRevision > 0,
     );
     if (silent !== undefined) {
-      this.#minions.applyHandover(silent);
+      this.#minions.applyClosingRecord(silent);
       this.#wakeUp();
     }
   }
--- a/packages/nutmegproxy-owner/src/OwnerConstants.ts
+++ b/packages/nutmegproxy-owner/src/OwnerConstants.ts
@@ -81,7 +81,7 @@
 /** Longest time for which runs of a former owner may stay alive without being listed. */
 export const MAX_FORMER_LEASE_MS =
   OWNERSHIP_TTL_MS + UNCONFIRMED_GRACE_MS + MINION_LEASE_MS + FORMER_LEASE_MARGIN_MS;
-/** Pause between reads of the former owner's handover while minions have not reported. */
-export const HANDOVER_READ_INTERVAL_MS = 300;
+/** Pause between reads of the former owner's closing record while minions have not reported. */
+export const CLOSING_RECORD_READ_INTERVAL_MS = 300;
 /** Time after which a minion without an entry in the directory is removed. */
 export const REMOVE_UNLISTED_AFTER_MS = 3_000;
--- a/packages/nutmegproxy-owner/src/OwnerEvents.ts
+++ b/packages/nutmegproxy-owner/src/OwnerEvents.ts
@@ -9,17 +9,17 @@
     level: 'info',
     text: 'The advising service answered on which minions a step may run.',
   },
-  FLEET_SUMMARY: {code: 8140, level: 'info', text: 'Capacity and workload of the fleet.'},
-  HANDOVER_RECEIVED: {
+  CLOSING_RECORD_RECEIVED: {
     code: 8106,
     level: 'info',
     text: 'The owner received which minions were silent when the former ownership ended.',
   },
-  HANDOVER_SENT: {
+  CLOSING_RECORD_STORED: {
     code: 8107,
     level: 'info',
     text: 'A former owner stored which minions were silent when its ownership ended.',
   },
+  FLEET_SUMMARY: {code: 8140, level: 'info', text: 'Capacity and workload of the fleet.'},
   JOB_DISCOVERED: {code: 8120, level: 'info', text: 'The owner received an accepted job.'},
   JOBS_REMOVED: {
     code: 8112,
--- a/packages/nutmegproxy-owner/src/__tests__/unit/Handover.test.ts
+++ b/packages/nutmegproxy-owner/src/__tests__/unit/ClosingRecords.test.ts
@@ -11,12 +11,12 @@
 import type {OwnershipToken} from '../../MinionOrders.ts';
 import type {RosterEntry} from '../../Roster.ts';
 
+import {ClosingRecords} from '../../ClosingRecords.ts';
 import {FleetOwnership} from '../../FleetOwnership.ts';
-import {Handover} from '../../Handover.ts';
 import {OWNER_EVENTS} from '../../OwnerEvents.ts';
 import {delayNextWrite} from './OwnerSamples.ts';
 
-const HANDOVER_KEY_SUFFIX = 'handover';
+const CLOSING_KEY_SUFFIX = 'closing';
 
 function createEntry(name: string): RosterEntry {
   return {
@@ -25,14 +25,14 @@
   };
 }
 
-describe('Handover', () => {
+describe('ClosingRecords', () => {
   let keepAlive: NodeJS.Timeout;
   let loggedCodes: number[];
   let store: MemoryStore;
 
-  function open(term: number): Handover {
+  function open(term: number): ClosingRecords {
     const grant = {lease: '1' as LeaseId, term, token: term as OwnershipToken};
-    return new Handover({
+    return new ClosingRecords({
       clock: SYSTEM_CLOCK,
       events: {record: ({code}) => loggedCodes.push(code)},
       ownership: new FleetOwnership(grant, 0 as Instant, 0 as WallTime),
@@ -105,7 +105,7 @@
   it('logs a malformed record and waits on', async () => {
     await open(3).send([createEntry('m1')]);
     const {values} = (await getPrefix(store, ''))._unsafeUnwrap();
-    const key = values.find((stored) => stored.key.endsWith(HANDOVER_KEY_SUFFIX))?.key ?? '';
+    const key = values.find((stored) => stored.key.endsWith(CLOSING_KEY_SUFFIX))?.key ?? '';
     await put(store, key, Buffer.from('{'));
     assert.equal(await receive(4), undefined);
     assert.ok(loggedCodes.includes(OWNER_EVENTS.RECORD_MALFORMED.code));
