--- a/packages/nutmegproxy-owner/src/MinionSessions.ts
+++ b/packages/nutmegproxy-owner/src/MinionSessions.ts
@@ -1,6 +1,6 @@
 /** Keeps a session with every minion that the directory lists or that may have live runs. */
 
-import type {Clock, EventSink, Instant, MinionId} from '@nutmegproxy/core';
+import type {Clock, EventFields, EventSink, Instant, MinionId} from '@nutmegproxy/core';
 import type {Run} from '@nutmegproxy/jobs';
 import type {Fleet, MinionDescription, StopRequest} from '@nutmegproxy/scheduling';
 import type {StoreFailure, Watch} from '@nutmegproxy/store';
@@ -18,6 +18,7 @@
 import {MAX_FORMER_LEASE_MS, REMOVE_UNLISTED_AFTER_MS, STORE_RETRY_MS} from './OwnerConstants.ts';
 import {OWNER_EVENTS} from './OwnerEvents.ts';
 import {adoptRecordedRuns, createSilentRecord} from './SilentRecords.ts';
+import {UnreportedMinions} from './UnreportedMinions.ts';
 
 export interface MinionSessionsOptions {
   readonly clock: Clock;
@@ -35,8 +36,7 @@
   readonly #options: MinionSessionsOptions;
   readonly #sessions = new Map<MinionId, MinionSession>();
   #stopped = false;
-  /** Minions that may have runs of a former owner and have not reported yet. */
-  readonly #unreported = new Set<MinionState>();
+  readonly #unreported = new UnreportedMinions();
   #watch: undefined | Watch;
 
   constructor(options: MinionSessionsOptions) {
@@ -56,12 +56,12 @@
    * ownership was last confirmed.
    */
   isRecovered(confirmedAt: Instant): boolean {
-    for (const minion of this.#unreported) {
-      if (minion.hasReported || minion.leaseClock.isExpired(confirmedAt)) {
-        this.#unreported.delete(minion);
-      }
-    }
-    return this.#unreported.size === 0;
+    return this.#unreported.isEmpty(confirmedAt);
+  }
+
+  /** Returns which minions recovery waits for, as event fields. */
+  describeUnreported(now: Instant): EventFields {
+    return this.#unreported.describe(now);
   }
 
   /**
@@ -112,7 +112,7 @@
       if (
         silent !== undefined &&
         minion?.hasReported === false &&
-        this.#unreported.delete(minion)
+        this.#unreported.remove(minion)
       ) {
         adoptRecordedRuns(fleet, minion, silent, {now, wall: clock.wall()});
         roster.markSilent(description, silent);
--- a/packages/nutmegproxy-owner/src/Owner.ts
+++ b/packages/nutmegproxy-owner/src/Owner.ts
@@ -90,8 +90,8 @@
     this.#fleet = new Fleet(events);
     this.#fleet.runNumberBase = ownership.term * RUN_NUMBERS_PER_TERM + 1;
     this.#fleet.recoveryRevision = ownership.token;
-    const {dirtyJobs} = this.#fleet;
-    this.#journal = new Journal({dirtyJobs, events, onFenced, ownership, store});
+    const fleet = this.#fleet;
+    this.#journal = new Journal({dirtyJobs: fleet.dirtyJobs, events, onFenced, ownership, store});
     this.#roster = new Roster({events, onFenced, ownership, store});
     this.#closingRecords = new ClosingRecords({clock, events, ownership, store});
     this.#learnedEstimates = new LearnedEstimates({
@@ -102,7 +102,6 @@
       ownership,
       store,
     });
-    const fleet = this.#fleet;
     this.#queueLengths = new QueueLengthPublisher({events, fleet, ownership, store});
     this.#advice = new AdvicePrefetcher({client: options.advice, clock, events, fleet, onChange});
     this.#jobs = new JobWatcher({clock, events, fleet, onChange, onFenced, ownership, store});
@@ -205,6 +204,9 @@
     if (now - this.#summarizedAt > SUMMARY_INTERVAL_MS) {
       this.#summarizedAt = now;
       events.record(OWNER_EVENTS.FLEET_SUMMARY, summarizeFleet(fleet, now, wall));
+      if (fleet.recoveryRevision > 0) {
+        events.record(OWNER_EVENTS.RECOVERY_WAITING, this.#minions.describeUnreported(now));
+      }
     }
     for (const run of starts) {
       this.#minions.startRun(run);
--- a/packages/nutmegproxy-owner/src/OwnerEvents.ts
+++ b/packages/nutmegproxy-owner/src/OwnerEvents.ts
@@ -72,5 +72,10 @@
     level: 'info',
     text: 'Recovery has started: the owner reads jobs and minions.',
   },
+  RECOVERY_WAITING: {
+    code: 8108,
+    level: 'info',
+    text: 'Recovery waits for minions that have neither reported nor lost their lease.',
+  },
   STORE_CALL_FAILED: {code: 8122, level: 'warn', text: 'A call to the store or a watch failed.'},
 } satisfies Record<string, EventKind>;
--- a/packages/nutmegproxy-scheduling/src/FleetSummary.ts
+++ b/packages/nutmegproxy-scheduling/src/FleetSummary.ts
@@ -7,7 +7,7 @@
 
 import {classifyWork} from './MinionState.ts';
 import {isSchedulable} from './Placement.ts';
-import {collectReadySteps} from './StartPlanner.ts';
+import {collectReadySteps, countHeldTasks} from './StartPlanner.ts';
 
 /** Returns totals over the fleet as event fields; processors are in whole cores. */
 export function summarizeFleet(fleet: Fleet, now: Instant, wall: WallTime): EventFields {
@@ -32,6 +32,7 @@
   return {
     capacityCores: Math.round(capacity / 1000),
     fillingCores: Math.round(backfill / 1000),
+    heldTasks: countHeldTasks(fleet, wall),
     jobs: fleet.jobs.size,
     minions: fleet.minions.size,
     reservedCores: Math.round(reserved / 1000),
--- a/packages/nutmegproxy-scheduling/src/StartPlanner.ts
+++ b/packages/nutmegproxy-scheduling/src/StartPlanner.ts
@@ -75,6 +75,24 @@
   return ready;
 }
 
+/** Returns the number of tasks whose turn has come and that wait for the recovery to complete. */
+export function countHeldTasks(fleet: Fleet, wall: WallTime): number {
+  let held = 0;
+  for (const job of fleet.jobs.values()) {
+    if (job.isFinal || job.revision > fleet.recoveryRevision) {
+      continue;
+    }
+    for (const steps of job.openOccurrences(wall)) {
+      for (const step of steps) {
+        held += isReady(step, steps)
+          ? step.waiting.size - listStartableTasks(fleet, step).length
+          : 0;
+      }
+    }
+  }
+  return held;
+}
+
 /** One planning round. */
 class PlanningRound {
   readonly #context: PlanContext;
