--- a/packages/nutmegproxy-emulator/src/EmulatedFleet.ts
+++ b/packages/nutmegproxy-emulator/src/EmulatedFleet.ts
@@ -52,6 +52,12 @@
     this.#notifyWatchers([{description: minion.description, id}]);
   }
 
+  /** Removes a minion that has left: its runs are over and it no longer responds. */
+  remove(id: MinionId): void {
+    this.minions.delete(id);
+    this.#notifyWatchers([{description: undefined, id}]);
+  }
+
   faults(id: MinionId): OrderFaults {
     const faults = this.#faults.get(id) ?? {
       arePollAnswersLost: false,
