Hand over the runs of all minions when an ownership ends, not only those of silent ones

Callers saw that tasks which waited when the owner changed were not started for 16.5 s, lasting ones included (LOST). A minion that leaves between the former owner's last call and the next owner's first one does not report, and the closing record named only minions that had missed two calls before. Until its leases had certainly expired, 16.5 s after the takeover, any task might have had a run there. An owner that ended before this wait was over passed nothing on, so in a series of takeovers each one began the wait anew.

The closing record now contains, for every minion, the runs that it may have and how long its lease lasts. The next owner uses that for minions that miss two calls without having reported: their runs keep their tasks waiting until the lease has expired, everything else starts. Minions that an owner has not reached keep the account of the owner before, whichever of the two records is stored first. The lease is given as a duration from the write, which a reader may count from its read, so the 2.5 s for differing wall clocks are not added. A record holds 20,000 runs (some 600 KB) at most. Records of earlier versions are read, and these read the new ones (the entries of silent minions are unchanged).

--- a/packages/nutmegproxy-owner/src/ClosingRecords.ts
+++ b/packages/nutmegproxy-owner/src/ClosingRecords.ts
@@ -1,10 +1,11 @@
 /**
- * Passes on what an owner knew of silent minions when its ownership ended. While the store is
- * unavailable the roster can't be written, and without it the next owner has to wait until every
- * lease that the former one may have granted has expired.
+ * Passes on what an owner knew of the runs of all minions when its ownership ended. The next owner
+ * learns the runs of a minion from its report; a minion that has left or can't be reached does not
+ * report, and without a record every lease that the former owner may have granted has to expire
+ * before the next one starts anything.
  */
 
-import type {Clock, EventSink} from '@nutmegproxy/core';
+import type {Clock, EventFields, EventSink, Instant, MinionId} from '@nutmegproxy/core';
 import type {PlatformStore, StoredValue} from '@nutmegproxy/store';
 
 import {after, delay} from '@nutmegproxy/core';
@@ -13,7 +14,7 @@
 import {Result} from 'neverthrow';
 
 import type {FleetOwnership} from './FleetOwnership.ts';
-import type {RosterEntry} from './Roster.ts';
+import type {RosterEntry, SilentMinionRecord} from './Roster.ts';
 
 import {
   CLOSING_RECORD_READ_INTERVAL_MS,
@@ -24,8 +25,25 @@
 
 const CLOSING_RECORD_KEY = `${STATE_PREFIX}closing`;
 
-/** Stored value: the silent minions of the owner of a term. */
-interface ClosingRecord {
+/** Maximum number of runs in a record, so that it fits into a value of the store. */
+const MAX_RECORDED_RUNS = 20_000;
+
+/** What an owner knew of the runs of a minion when its ownership ended. */
+export interface MinionAccount {
+  /**
+   * Time in milliseconds after which the minion's lease has certainly expired, counted from the
+   * write of the record. A reader may count it from its read, which is later.
+   */
+  readonly heldForMs: number;
+  readonly id: MinionId;
+  /** Runs that it may have; undefined when the owner did not know them. */
+  readonly runs?: SilentMinionRecord['runs'] | undefined;
+}
+
+/** Stored value: what the owner of a term knew when its ownership ended. */
+export interface ClosingRecord {
+  readonly accounts: readonly MinionAccount[];
+  /** Entries of the minions that did not respond. */
   readonly silent: readonly RosterEntry[];
   readonly term: number;
 }
@@ -45,56 +63,59 @@
   }
 
   /**
-   * Waits for the record of the former owner while `isAwaited` returns true; resolves with
-   * undefined when there was none.
+   * Calls `onRecord` with the record of the former owner and again whenever it was completed, while
+   * `isAwaited` returns true.
    */
-  async receive(isAwaited: () => boolean): Promise<readonly RosterEntry[] | undefined> {
+  async receive(
+    isAwaited: () => boolean,
+    onRecord: (record: ClosingRecord) => void,
+  ): Promise<void> {
     const {events, ownership, store} = this.#options;
+    let revision = 0;
     while (isAwaited()) {
       const stored = await getKey(store, CLOSING_RECORD_KEY);
       const record = stored.isOk() ? this.#decode(stored.value) : undefined;
-      if (record?.term === ownership.term - 1) {
-        const fields = {minions: record.silent.length, term: record.term};
-        events.record(OWNER_EVENTS.CLOSING_RECORD_RECEIVED, fields);
-        return record.silent;
+      const storedRevision = stored.unwrapOr(undefined)?.modRevision ?? 0;
+      if (record?.term === ownership.term - 1 && storedRevision > revision) {
+        revision = storedRevision;
+        events.record(OWNER_EVENTS.CLOSING_RECORD_RECEIVED, describeRecord(record));
+        onRecord(record);
       }
       if (stored.isErr()) {
         this.#recordFailure(stored.error.message);
       }
       await delay(CLOSING_RECORD_READ_INTERVAL_MS);
     }
-    return undefined;
   }
 
   /**
-   * Stores the silent minions of an ownership that has ended, if there are any. The write does not
-   * depend on the ownership, but never replaces the record of a later owner. It is repeated until the
-   * next owner no longer waits for it.
+   * Stores what the owner of an ownership that has ended knows now. The write does not depend on the
+   * ownership. It is repeated until the next owner no longer waits for it.
    */
-  async send(silent: readonly RosterEntry[]): Promise<void> {
+  async send(accounts: readonly MinionAccount[], silent: readonly RosterEntry[]): Promise<void> {
     const {clock, events, ownership, store} = this.#options;
     const {term} = ownership;
-    if (silent.length === 0) {
-      return;
-    }
-    const record: ClosingRecord = {silent, term};
-    const value = Buffer.from(JSON.stringify(record));
-    const deadline = after(clock.monotonic(), MAX_FORMER_LEASE_MS);
+    const endedAt = clock.monotonic();
+    const deadline = after(endedAt, MAX_FORMER_LEASE_MS);
     while (clock.monotonic() < deadline) {
       const stored = await getKey(store, CLOSING_RECORD_KEY);
-      if (stored.isOk() && (this.#decode(stored.value)?.term ?? -1) >= term) {
+      const present = stored.isOk() ? this.#decode(stored.value) : undefined;
+      const own = {accounts: subtractElapsed(accounts, endedAt, clock.monotonic()), silent, term};
+      const record = combineRecords(own, present);
+      if (record === undefined) {
         return;
       }
-      const written = await stored.asyncAndThen((former) =>
+      const value = Buffer.from(JSON.stringify(record));
+      const written = await stored.asyncAndThen((replaced) =>
         store.commit({
           compare: [
-            {key: CLOSING_RECORD_KEY, kind: 'modRevision', modRevision: former?.modRevision ?? 0},
+            {key: CLOSING_RECORD_KEY, kind: 'modRevision', modRevision: replaced?.modRevision ?? 0},
           ],
           then: [{key: CLOSING_RECORD_KEY, kind: 'put', value}],
         }),
       );
       if (written.isOk() && written.value.succeeded) {
-        events.record(OWNER_EVENTS.CLOSING_RECORD_STORED, {minions: silent.length, term});
+        events.record(OWNER_EVENTS.CLOSING_RECORD_STORED, {...describeRecord(record), term});
         return;
       }
       if (written.isErr()) {
@@ -114,7 +135,8 @@
       return undefined;
     }
     return parseRecord(stored.value.toString()).match(
-      (record): ClosingRecord | undefined => record,
+      // Records of earlier versions contain no accounts.
+      (record): ClosingRecord | undefined => ({...record, accounts: record.accounts ?? []}),
       (message) => {
         this.#options.events.record(OWNER_EVENTS.RECORD_MALFORMED, {
           key: CLOSING_RECORD_KEY,
@@ -127,6 +149,82 @@
 }
 
 const parseRecord = Result.fromThrowable(
-  (text: string) => JSON.parse(text) as ClosingRecord,
+  (text: string) => JSON.parse(text) as Partial<ClosingRecord> & Omit<ClosingRecord, 'accounts'>,
   String,
 );
+
+function subtractElapsed(
+  accounts: readonly MinionAccount[],
+  since: Instant,
+  now: Instant,
+): MinionAccount[] {
+  return accounts.map((account) => ({
+    ...account,
+    heldForMs: Math.max(0, account.heldForMs - (now - since)),
+  }));
+}
+
+/**
+ * Returns the record to store in place of the present one; undefined when that has to stay. Records
+ * of consecutive owners are combined: an owner may end before it has reached all minions, and its
+ * record may be stored before or after that of its predecessor.
+ */
+function combineRecords(
+  own: ClosingRecord,
+  present: ClosingRecord | undefined,
+): ClosingRecord | undefined {
+  const termsAhead = (present?.term ?? -Infinity) - own.term;
+  if (present === undefined || termsAhead < -1) {
+    return limitRuns(own);
+  }
+  if (termsAhead === -1) {
+    return limitRuns(addFormer(own, present));
+  }
+  return termsAhead === 1 && lacksRuns(present, own)
+    ? limitRuns(addFormer(present, own))
+    : undefined;
+}
+
+/** Whether the former owner knew the runs of a minion that the record does not name. */
+function lacksRuns(record: ClosingRecord, former: ClosingRecord): boolean {
+  const known = new Set(record.accounts.filter(({runs}) => runs !== undefined).map(({id}) => id));
+  return former.accounts.some(({id, runs}) => runs !== undefined && !known.has(id));
+}
+
+/** Adds what the owner before knew of minions that the owner of the record has not reached. */
+function addFormer(own: ClosingRecord, former: ClosingRecord): ClosingRecord {
+  const formerAccounts = new Map(former.accounts.map((account) => [account.id, account]));
+  const known = new Set<MinionId>();
+  const accounts = own.accounts.map((account): MinionAccount => {
+    const {heldForMs, id, runs} = account;
+    const formerAccount = formerAccounts.get(id);
+    formerAccounts.delete(id);
+    if (runs !== undefined) {
+      known.add(id);
+    }
+    return runs !== undefined || formerAccount === undefined
+      ? account
+      : {...formerAccount, heldForMs: Math.min(heldForMs, formerAccount.heldForMs)};
+  });
+  const formerSilent = former.silent.filter(({description}) => !known.has(description.id));
+  return {
+    accounts: [...accounts, ...formerAccounts.values()],
+    silent: [...own.silent, ...formerSilent],
+    term: own.term,
+  };
+}
+
+/** Omits the runs of the last minions when there are too many; their leases then have to expire. */
+function limitRuns(record: ClosingRecord): ClosingRecord {
+  let total = 0;
+  const accounts = record.accounts.map((account) => {
+    total += account.runs?.length ?? 0;
+    return total <= MAX_RECORDED_RUNS ? account : {heldForMs: account.heldForMs, id: account.id};
+  });
+  return {...record, accounts};
+}
+
+function describeRecord({accounts, silent, term}: ClosingRecord): EventFields {
+  const known = accounts.filter(({runs}) => runs !== undefined).length;
+  return {accounts: known, minions: silent.length, term};
+}
--- /dev/null
+++ b/packages/nutmegproxy-owner/src/MinionRecovery.ts
@@ -0,0 +1,126 @@
+/**
+ * Determines what minions may run of which this owner has no report: from the roster and the closing
+ * record of the former owner after a takeover, and from its own state once a minion falls silent.
+ */
+
+import type {Clock, EventFields, Instant, MinionId} from '@nutmegproxy/core';
+import type {Fleet, MinionState, RunResult} from '@nutmegproxy/scheduling';
+
+import {after} from '@nutmegproxy/core';
+
+import type {ClosingRecord, MinionAccount} from './ClosingRecords.ts';
+import type {Roster, SilentMinionRecord} from './Roster.ts';
+
+import {MAX_FORMER_LEASE_MS} from './OwnerConstants.ts';
+import {
+  adoptRecordedRuns,
+  createSilentRecord,
+  listPossibleRuns,
+  resolveSilentRecord,
+} from './SilentRecords.ts';
+import {UnreportedMinions} from './UnreportedMinions.ts';
+
+export interface MinionRecoveryOptions {
+  readonly clock: Clock;
+  readonly fleet: Fleet;
+  readonly onChange: () => void;
+  readonly roster: Roster;
+}
+
+export class MinionRecovery {
+  /** Minions whose silent record is being removed. */
+  readonly #clearing = new Set<MinionState>();
+  readonly #options: MinionRecoveryOptions;
+  readonly #unreported = new UnreportedMinions();
+
+  constructor(options: MinionRecoveryOptions) {
+    this.#options = options;
+  }
+
+  /** Returns which minions recovery waits for, as event fields. */
+  describe(now: Instant): EventFields {
+    return this.#unreported.describe(now);
+  }
+
+  /**
+   * Whether the runs of every minion of a former owner are known, or its lease had expired when the
+   * ownership was last confirmed.
+   */
+  isComplete(confirmedAt: Instant): boolean {
+    return this.#unreported.isEmpty(confirmedAt);
+  }
+
+  /** Expects the report of a minion of the former owner, unless the roster names its runs. */
+  expect(minion: MinionState, silent: SilentMinionRecord | undefined, now: Instant): void {
+    if (silent === undefined) {
+      minion.leaseClock.assumeLeasedUntil(after(now, MAX_FORMER_LEASE_MS));
+      this.#unreported.add(minion);
+      return;
+    }
+    const {clock, fleet} = this.#options;
+    adoptRecordedRuns(fleet, minion, resolveSilentRecord(silent, clock.wall()), now);
+  }
+
+  /** Receives what the former owner knew of minions that have not reported to this one. */
+  receive(
+    {accounts, silent}: ClosingRecord,
+    findMinion: (id: MinionId) => MinionState | undefined,
+  ): void {
+    const {clock, fleet, roster} = this.#options;
+    const now = clock.monotonic();
+    this.#unreported.keepAccounts(accounts, now);
+    for (const {description, silent: record} of silent) {
+      const minion = findMinion(description.id);
+      if (record === undefined || minion === undefined || !this.#unreported.has(minion)) {
+        continue;
+      }
+      const {remainingMs, runs} = resolveSilentRecord(record, clock.wall());
+      const leasedMs = Math.min(remainingMs, minion.leaseClock.expiresInMs(now));
+      adoptRecordedRuns(fleet, minion, {remainingMs: leasedMs, runs}, now);
+      roster.markSilent(description, record);
+    }
+  }
+
+  /** Returns what this owner knows of the runs of a minion. */
+  getAccount(
+    minion: MinionState,
+    unstoredResults: readonly RunResult[],
+    now: Instant,
+  ): MinionAccount {
+    return {
+      heldForMs: Math.ceil(minion.leaseClock.expiresInMs(now)),
+      id: minion.id,
+      runs: minion.areRunsKnown
+        ? listPossibleRuns(minion, unstoredResults)
+        : this.#unreported.findRuns(minion, now)?.runs,
+    };
+  }
+
+  /** Records for the next owner what a silent minion may run, once that is known. */
+  recordSilent(minion: MinionState, unstoredResults: readonly RunResult[]): void {
+    const {clock, fleet, roster} = this.#options;
+    const time = {now: clock.monotonic(), wall: clock.wall()};
+    const former = this.#unreported.findRuns(minion, time.now);
+    if (former !== undefined) {
+      adoptRecordedRuns(fleet, minion, former, time.now);
+    }
+    if (minion.areRunsKnown) {
+      minion.isRecordedUnreachable = true;
+      roster.markSilent(minion.description, createSilentRecord(minion, unstoredResults, time));
+    }
+  }
+
+  /** Removes the silent record of a minion; its lease is renewed again once that is stored. */
+  clearSilent(minion: MinionState): void {
+    const {onChange, roster} = this.#options;
+    if (this.#clearing.has(minion)) {
+      return;
+    }
+    this.#clearing.add(minion);
+    void roster.clearSilent(minion.description).then(() => {
+      this.#clearing.delete(minion);
+      minion.isRecordedUnreachable = false;
+      onChange();
+    });
+  }
+}
--- a/packages/nutmegproxy-owner/src/MinionSession.ts
+++ b/packages/nutmegproxy-owner/src/MinionSession.ts
@@ -134,6 +134,7 @@
       this.#appliedThrough,
       ...listing.ended.map(({sequence}) => sequence),
     );
+    this.minion.areRunsKnown = true;
     this.minion.hasReported = true;
     this.#recordResponse(now);
     fleet.clearUnknownResults(this.minion);
@@ -250,13 +251,8 @@
       if (this.minion.missedCalls === 1) {
         events.record(OWNER_EVENTS.MINION_UNREACHABLE, {message, minion: id, what});
       }
-      // This owner doesn't know what a minion may run that has never reported.
-      const isNewlySilent =
-        this.minion.missedCalls >= SILENT_AFTER_MISSED_CALLS &&
-        this.minion.hasReported &&
-        !this.minion.isRecordedUnreachable;
-      if (isNewlySilent) {
-        this.minion.isRecordedUnreachable = true;
+      const isSilent = this.minion.missedCalls >= SILENT_AFTER_MISSED_CALLS;
+      if (isSilent && !this.minion.isRecordedUnreachable) {
         onSilent(this.minion);
       }
       return;
@@ -269,6 +265,7 @@
 
   /** Another minion responds at the address, so no run of this one is live any more. */
   #endIncarnation(): void {
+    this.minion.areRunsKnown = true;
     this.minion.hasReported = false;
     for (const run of [...this.minion.runs]) {
       this.#context.fleet.recordLostRun(run, 'address taken by another minion');
--- a/packages/nutmegproxy-owner/src/MinionSessions.ts
+++ b/packages/nutmegproxy-owner/src/MinionSessions.ts
@@ -1,6 +1,6 @@
 /** Keeps a session with every minion that the directory lists or that may have live runs. */
 
-import type {Clock, EventFields, EventSink, Instant, MinionId} from '@nutmegproxy/core';
+import type {Clock, EventSink, Instant, MinionId} from '@nutmegproxy/core';
 import type {Run} from '@nutmegproxy/jobs';
 import type {Fleet, MinionDescription, StopRequest} from '@nutmegproxy/scheduling';
 import type {StoreFailure, Watch} from '@nutmegproxy/store';
@@ -10,15 +10,15 @@
 import {MinionState} from '@nutmegproxy/scheduling';
 import {err, ok} from 'neverthrow';
 
+import type {MinionAccount} from './ClosingRecords.ts';
 import type {MinionChange, MinionDirectory} from './MinionDirectory.ts';
 import type {Roster, RosterEntry} from './Roster.ts';
 import type {SessionContext} from './SessionContext.ts';
 
+import {MinionRecovery} from './MinionRecovery.ts';
 import {MinionSession} from './MinionSession.ts';
-import {MAX_FORMER_LEASE_MS, REMOVE_UNLISTED_AFTER_MS, STORE_RETRY_MS} from './OwnerConstants.ts';
+import {REMOVE_UNLISTED_AFTER_MS, STORE_RETRY_MS} from './OwnerConstants.ts';
 import {OWNER_EVENTS} from './OwnerEvents.ts';
-import {adoptRecordedRuns, createSilentRecord} from './SilentRecords.ts';
-import {UnreportedMinions} from './UnreportedMinions.ts';
 
 export interface MinionSessionsOptions {
   readonly clock: Clock;
@@ -31,16 +31,15 @@
 }
 
 export class MinionSessions {
-  /** Minions whose silent record is being removed. */
-  readonly #clearing = new Set<MinionState>();
+  readonly recovery: MinionRecovery;
   readonly #options: MinionSessionsOptions;
   readonly #sessions = new Map<MinionId, MinionSession>();
   #stopped = false;
-  readonly #unreported = new UnreportedMinions();
   #watch: undefined | Watch;
 
   constructor(options: MinionSessionsOptions) {
     this.#options = options;
+    this.recovery = new MinionRecovery(options);
   }
 
   close(): void {
@@ -51,19 +50,6 @@
     }
   }
 
-  /**
-   * Whether every minion of a former owner has reported, or its lease had expired when the
-   * ownership was last confirmed.
-   */
-  isRecovered(confirmedAt: Instant): boolean {
-    return this.#unreported.isEmpty(confirmedAt);
-  }
-
-  /** Returns which minions recovery waits for, as event fields. */
-  describeUnreported(now: Instant): EventFields {
-    return this.#unreported.describe(now);
-  }
-
   /**
    * Reads the directory and watches it. At the start of an ownership `former` is the former owner's
    * roster, otherwise it is empty.
@@ -103,21 +89,17 @@
     return ok(undefined);
   }
 
-  /** Adopts what the former owner knew of silent minions that have not reported to this one. */
-  applyClosingRecord(former: readonly RosterEntry[]): void {
-    const {clock, fleet, roster} = this.#options;
-    const now = clock.monotonic();
-    for (const {description, silent} of former) {
-      const minion = this.#sessions.get(description.id)?.minion;
-      if (
-        silent !== undefined &&
-        minion?.hasReported === false &&
-        this.#unreported.remove(minion)
-      ) {
-        adoptRecordedRuns(fleet, minion, silent, {now, wall: clock.wall()});
-        roster.markSilent(description, silent);
-      }
-    }
+  /** Returns the minion with an id, if there is a session with it. */
+  findMinion(id: MinionId): MinionState | undefined {
+    return this.#sessions.get(id)?.minion;
+  }
+
+  /** Returns what is known of the runs of each minion, those that may be leaving first. */
+  listAccounts(): MinionAccount[] {
+    const now = this.#options.clock.monotonic();
+    return [...this.#sessions.values()]
+      .sort((a, b) => Number(mayBeLeaving(b.minion)) - Number(mayBeLeaving(a.minion)))
+      .map(({minion, unstoredResults}) => this.recovery.getAccount(minion, unstoredResults, now));
   }
 
   /** Closes the watch until the next start. */
@@ -127,24 +109,8 @@
 
   /** Records for the next owner what a silent minion may run. */
   recordSilent(minion: MinionState): void {
-    const {clock, roster} = this.#options;
-    const time = {now: clock.monotonic(), wall: clock.wall()};
     const unstoredResults = this.#sessions.get(minion.id)?.unstoredResults ?? [];
-    roster.markSilent(minion.description, createSilentRecord(minion, unstoredResults, time));
-  }
-
-  /** Removes the silent record of a minion; its lease is renewed again once that is stored. */
-  clearSilent(minion: MinionState): void {
-    const {onChange, roster} = this.#options;
-    if (this.#clearing.has(minion)) {
-      return;
-    }
-    this.#clearing.add(minion);
-    void roster.clearSilent(minion.description).then(() => {
-      this.#clearing.delete(minion);
-      minion.isRecordedUnreachable = false;
-      onChange();
-    });
+    this.recovery.recordSilent(minion, unstoredResults);
   }
 
   startRun(run: Run): void {
@@ -236,26 +202,20 @@
     }
   }
 
-  /** Recovers a minion of the former owner, whose runs its silent record or its listing names. */
+  /** Recovers a minion of the former owner, whose runs its silent record or its report names. */
   #recoverMinion({description: {id}, silent}: RosterEntry, now: Instant, isMissing: boolean): void {
-    const {clock, fleet} = this.#options;
-    const minion = this.#sessions.get(id)?.minion;
+    const minion = this.findMinion(id);
     if (minion === undefined) {
       return;
     }
     minion.isRegistered = true;
-    if (minion.hasReported) {
+    if (minion.areRunsKnown) {
       return;
     }
     if (isMissing) {
       minion.unlistedSince ??= now;
     }
-    if (silent === undefined) {
-      minion.leaseClock.assumeLeasedUntil((now + MAX_FORMER_LEASE_MS) as Instant);
-      this.#unreported.add(minion);
-      return;
-    }
-    adoptRecordedRuns(fleet, minion, silent, {now, wall: clock.wall()});
+    this.recovery.expect(minion, silent, now);
   }
 
   #markUnlisted(id: MinionId, now: Instant): void {
@@ -294,3 +254,7 @@
     session.observeIncarnation(description.bornAt);
   }
 }
+
+function mayBeLeaving({description, missedCalls, unlistedSince}: MinionState): boolean {
+  return description.isDraining || missedCalls > 0 || unlistedSince !== undefined;
+}
--- a/packages/nutmegproxy-owner/src/Owner.ts
+++ b/packages/nutmegproxy-owner/src/Owner.ts
@@ -120,7 +120,7 @@
         isNearTarget: (minion) => this.#sharing.isNearTarget(minion),
         journal: this.#journal,
         onAnswering: (minion) => {
-          this.#minions.clearSilent(minion);
+          this.#minions.recovery.clearSilent(minion);
         },
         onChange,
         onFenced,
@@ -166,7 +166,7 @@
     this.#minions.close();
     this.#journal.stop();
     this.#roster.close();
-    void this.#closingRecords.send(this.#roster.silentEntries);
+    void this.#closingRecords.send(this.#minions.listAccounts(), this.#roster.silentEntries);
     return this.#stopReason ?? 'lease not renewed';
   }
 
@@ -190,7 +190,7 @@
     const fleet = this.#fleet;
     this.#updateQueues(queues());
     this.#minions.sweep(ownership.confirmedAt, now);
-    if (fleet.recoveryRevision > 0 && this.#minions.isRecovered(ownership.confirmedAt)) {
+    if (fleet.recoveryRevision > 0 && this.#minions.recovery.isComplete(ownership.confirmedAt)) {
       fleet.recoveryRevision = 0;
       events.record(OWNER_EVENTS.RECOVERY_DONE, {term: ownership.term});
     }
@@ -205,7 +205,7 @@
       this.#summarizedAt = now;
       events.record(OWNER_EVENTS.FLEET_SUMMARY, summarizeFleet(fleet, now, wall));
       if (fleet.recoveryRevision > 0) {
-        events.record(OWNER_EVENTS.RECOVERY_WAITING, this.#minions.describeUnreported(now));
+        events.record(OWNER_EVENTS.RECOVERY_WAITING, this.#minions.recovery.describe(now));
       }
     }
     for (const run of starts) {
@@ -219,15 +219,13 @@
     }
   }
 
-  /** Learns from the former owner what minions may run that have not reported. */
-  async #receiveClosingRecord(): Promise<void> {
-    const silent = await this.#closingRecords.receive(
-      () => this.#isActing() && this.#fleet.recoveryRevision > 0,
-    );
-    if (silent !== undefined) {
-      this.#minions.applyClosingRecord(silent);
+  /** Learns from the former owner what minions may run that do not report. */
+  #receiveClosingRecord(): Promise<void> {
+    const isAwaited = (): boolean => this.#isActing() && this.#fleet.recoveryRevision > 0;
+    return this.#closingRecords.receive(isAwaited, (record) => {
+      this.#minions.recovery.receive(record, (id) => this.#minions.findMinion(id));
       this.#wakeUp();
-    }
+    });
   }
 
   async #removeOldJobs(): Promise<void> {
--- a/packages/nutmegproxy-owner/src/OwnerEvents.ts
+++ b/packages/nutmegproxy-owner/src/OwnerEvents.ts
@@ -12,12 +12,12 @@
   CLOSING_RECORD_RECEIVED: {
     code: 8106,
     level: 'info',
-    text: 'The owner received which minions were silent when the former ownership ended.',
+    text: 'The owner received what minions may run from the owner before.',
   },
   CLOSING_RECORD_STORED: {
     code: 8107,
     level: 'info',
-    text: 'A former owner stored which minions were silent when its ownership ended.',
+    text: 'A former owner stored what minions may run as of the end of its ownership.',
   },
   FLEET_SUMMARY: {code: 8140, level: 'info', text: 'Capacity and workload of the fleet.'},
   JOB_DISCOVERED: {code: 8120, level: 'info', text: 'The owner received an accepted job.'},
--- a/packages/nutmegproxy-owner/src/SilentRecords.ts
+++ b/packages/nutmegproxy-owner/src/SilentRecords.ts
@@ -10,21 +10,35 @@
 
 import {MAX_WALL_CLOCK_SKEW_MS} from './OwnerConstants.ts';
 
+/** Runs that a minion may have, and the time after which its lease has certainly expired. */
+export interface RecordedRuns {
+  readonly remainingMs: number;
+  readonly runs: SilentMinionRecord['runs'];
+}
+
 /** The present time on both clocks of this process. */
 interface PresentTime {
   readonly now: Instant;
   readonly wall: WallTime;
 }
 
+/** Converts a record by the wall clock, which may differ from that of the VM that wrote it. */
+export function resolveSilentRecord(
+  {heldUntil, runs}: SilentMinionRecord,
+  wall: WallTime,
+): RecordedRuns {
+  return {remainingMs: Math.max(0, heldUntil + MAX_WALL_CLOCK_SKEW_MS - wall), runs};
+}
+
 /** Reserves capacity for the runs that a silent minion may have until its lease has expired. */
 export function adoptRecordedRuns(
   fleet: Fleet,
   minion: MinionState,
-  {heldUntil, runs}: SilentMinionRecord,
-  {now, wall}: PresentTime,
+  {remainingMs, runs}: RecordedRuns,
+  now: Instant,
 ): void {
   minion.isRecordedUnreachable = true;
-  const remainingMs = Math.max(0, heldUntil + MAX_WALL_CLOCK_SKEW_MS - wall);
+  minion.areRunsKnown = true;
   minion.leaseClock.assumeLeasedUntil((now + remainingMs) as Instant);
   for (const [name, number] of runs) {
     const task = parseTaskName(name);
@@ -46,9 +60,20 @@
 }
 
 /**
- * Returns the record of what a silent minion may run, and until when. Runs whose results are not
- * stored count as well: the next owner learns their results only from the minion.
+ * Lists the runs that a minion may have. Runs whose results are not stored count as well: the next
+ * owner learns their results only from the minion.
  */
+export function listPossibleRuns(
+  minion: MinionState,
+  unstoredResults: readonly RunResult[],
+): SilentMinionRecord['runs'] {
+  return [...minion.runs, ...unstoredResults].map(({number, task}) => [
+    formatTaskName(task),
+    number,
+  ]);
+}
+
+/** Returns the record of what a silent minion may run, and until when. */
 export function createSilentRecord(
   minion: MinionState,
   unstoredResults: readonly RunResult[],
@@ -56,9 +81,6 @@
 ): SilentMinionRecord {
   return {
     heldUntil: (wall + minion.leaseClock.expiresInMs(now)) as WallTime,
-    runs: [...minion.runs, ...unstoredResults].map(({number, task}) => [
-      formatTaskName(task),
-      number,
-    ]),
+    runs: listPossibleRuns(minion, unstoredResults),
   };
 }
--- a/packages/nutmegproxy-owner/src/UnreportedMinions.ts
+++ b/packages/nutmegproxy-owner/src/UnreportedMinions.ts
@@ -1,30 +1,68 @@
 /**
- * Minions that may have runs of a former owner and have not reported yet. Recovery waits until each
- * of them has reported or its leases have expired.
+ * Minions that may have runs of a former owner and have not reported yet, and what the former owner
+ * knew of their runs when its ownership ended. Recovery waits until the runs of each of them are
+ * known or its leases have expired.
  */
 
-import type {EventFields, Instant} from '@nutmegproxy/core';
+import type {EventFields, Instant, MinionId} from '@nutmegproxy/core';
 import type {MinionState} from '@nutmegproxy/scheduling';
 
+import {after} from '@nutmegproxy/core';
+
+import type {MinionAccount} from './ClosingRecords.ts';
+import type {RecordedRuns} from './SilentRecords.ts';
+
 /** Maximum number of minions that a log line names. */
 const MAX_NAMED_MINIONS = 5;
 
+/** An account whose lease expiry is on the clock of this process. */
+interface ReceivedAccount {
+  readonly leasedUntil: Instant;
+  readonly runs: MinionAccount['runs'];
+}
+
 export class UnreportedMinions {
+  readonly #accounts = new Map<MinionId, ReceivedAccount>();
   readonly #minions = new Set<MinionState>();
 
   add(minion: MinionState): void {
     this.#minions.add(minion);
   }
 
-  /** Removes a minion whose runs are known from elsewhere; returns whether recovery waited for it. */
-  remove(minion: MinionState): boolean {
-    return this.#minions.delete(minion);
+  /** Whether recovery waits for the minion. */
+  has(minion: MinionState): boolean {
+    return this.#minions.has(minion) && !minion.areRunsKnown;
+  }
+
+  /** Keeps the accounts of the former owner, which were read at `now`, until they are needed. */
+  keepAccounts(accounts: readonly MinionAccount[], now: Instant): void {
+    for (const {heldForMs, id, runs} of accounts) {
+      this.#accounts.set(id, {leasedUntil: after(now, heldForMs), runs});
+    }
+    for (const {id, leaseClock} of this.#minions) {
+      const account = this.#accounts.get(id);
+      if (account !== undefined) {
+        leaseClock.shortenAssumedLease(account.leasedUntil);
+      }
+    }
+  }
+
+  /**
+   * Returns the runs that an unreported minion may have, by the former owner's account; undefined
+   * when recovery does not wait for the minion, or when its runs are not known.
+   */
+  findRuns(minion: MinionState, now: Instant): RecordedRuns | undefined {
+    const account = this.#accounts.get(minion.id);
+    if (account?.runs === undefined || !this.has(minion)) {
+      return undefined;
+    }
+    return {remainingMs: Math.max(0, account.leasedUntil - now), runs: account.runs};
   }
 
   /** Whether no minion is left; `confirmedAt` is when the ownership was last confirmed. */
   isEmpty(confirmedAt: Instant): boolean {
     for (const minion of this.#minions) {
-      if (minion.hasReported || minion.leaseClock.isExpired(confirmedAt)) {
+      if (minion.areRunsKnown || minion.leaseClock.isExpired(confirmedAt)) {
         this.#minions.delete(minion);
       }
     }
@@ -36,6 +74,7 @@
     const minions = [...this.#minions];
     const expiresInMs = minions.map(({leaseClock}) => leaseClock.expiresInMs(now));
     return {
+      accounts: minions.filter(({id}) => this.#accounts.get(id)?.runs !== undefined).length,
       longestMs: Math.round(Math.max(0, ...expiresInMs)),
       minions: minions.length,
       named: minions
--- a/packages/nutmegproxy-owner/src/__tests__/unit/UnreportedMinions.test.ts
+++ b/packages/nutmegproxy-owner/src/__tests__/unit/UnreportedMinions.test.ts
@@ -23,6 +23,7 @@
   it('names the minions that recovery waits for, and for how long', () => {
     minion.unlistedSince = now;
     assert.deepEqual(unreported.describe(now), {
+      accounts: 0,
       longestMs: 5_000,
       minions: 1,
       named: 'm1',
@@ -34,4 +35,24 @@
     assert.equal(unreported.isEmpty(now), false);
     assert.equal(unreported.isEmpty(6_000 as Instant), true);
   });
+
+  describe('an account of the former owner', () => {
+    it('names the runs of a minion until it has reported', () => {
+      assert.equal(unreported.findRuns(minion, now), undefined);
+      unreported.keepAccounts([{heldForMs: 3_000, id: minion.id, runs: []}], now);
+      assert.deepEqual(unreported.findRuns(minion, 2_000 as Instant), {
+        remainingMs: 2_000,
+        runs: [],
+      });
+      minion.areRunsKnown = true;
+      assert.equal(unreported.findRuns(minion, now), undefined);
+    });
+
+    it('shortens the wait for a minion whose runs the former owner did not know', () => {
+      unreported.keepAccounts([{heldForMs: 2_000, id: minion.id}], now);
+      assert.equal(unreported.findRuns(minion, now), undefined);
+      assert.equal(unreported.isEmpty(2_900 as Instant), false);
+      assert.equal(unreported.isEmpty(3_100 as Instant), true);
+    });
+  });
 });
--- a/packages/nutmegproxy-scheduling/src/LeaseClock.ts
+++ b/packages/nutmegproxy-scheduling/src/LeaseClock.ts
@@ -37,6 +37,13 @@
     this.#formerLeaseUntil = instant;
   }
 
+  /** Lowers the assumed expiry of a former owner's leases, if there is one. */
+  shortenAssumedLease(instant: Instant): void {
+    if (this.#formerLeaseUntil !== undefined && instant < this.#formerLeaseUntil) {
+      this.#formerLeaseUntil = instant;
+    }
+  }
+
   /** Records a reading of the minion's clock from a response received at `receivedAt`. */
   observe(clockMs: number, receivedAt: Instant): void {
     if (this.#reading === undefined) {
--- a/packages/nutmegproxy-scheduling/src/MinionState.ts
+++ b/packages/nutmegproxy-scheduling/src/MinionState.ts
@@ -58,6 +58,8 @@
   unlistedSince: Instant | undefined;
   /** Steps with runs on this minion whose results are not known. */
   readonly unknownResultSteps = new Set<StepState>();
+  /** Whether this owner knows its runs, from its report or from a record of a former owner. */
+  areRunsKnown = false;
   /** Whether it has reported its runs to this owner. */
   hasReported = false;
   /** Whether the roster in the store names it, so that the next owner polls it for its runs. */
