Assume that a former owner granted no more than the lease that owners grant

A task of a minion that left around a takeover started again up to 10.4 s after the new owner's first call to that minion. When an owner first reads a minion's clock it assumed the longest lease that a minion accepts, 10 s, though no owner has ever granted more than 7.5 s; the constant now stands beside the estimate. An earlier owner is fenced at the minion by the call that returned the reading, so it grants none later.

--- a/packages/nutmegproxy-emulator/src/__tests__/unit/JobSamples.ts
+++ b/packages/nutmegproxy-emulator/src/__tests__/unit/JobSamples.ts
@@ -3,6 +3,7 @@
 import type {
   Clock,
   DataCentreId,
+  EventSink,
   Instant,
   JobId,
   MinionId,
@@ -107,6 +108,7 @@
   store: PlatformStore,
   fleet: EmulatedFleet,
   vm = 'vm-1',
+  events: EventSink = SILENT_EVENTS,
 ): Promise<{
   ended: Promise<string>;
   owner: Owner;
@@ -123,7 +125,7 @@
     advice: undefined,
     clock,
     directory: fleet,
-    events: SILENT_EVENTS,
+    events,
     orders: fleet,
     ownership,
     queues: () => [QUEUE],
--- a/packages/nutmegproxy-owner/src/MinionSession.ts
+++ b/packages/nutmegproxy-owner/src/MinionSession.ts
@@ -5,14 +5,13 @@
 import type {MinionListing, MinionState, RunResult, StopRequest} from '@nutmegproxy/scheduling';
 
 import {delay} from '@nutmegproxy/core';
-import {reconcileListing} from '@nutmegproxy/scheduling';
+import {MINION_LEASE_MS, reconcileListing} from '@nutmegproxy/scheduling';
 
 import type {Journal} from './Journal.ts';
 import type {MinionTarget, OrderFailure} from './MinionOrders.ts';
 import type {SessionContext} from './SessionContext.ts';
 
 import {
-  MINION_LEASE_MS,
   NEAR_TARGET_POLL_WAIT_MS,
   POLL_RETRY_MS,
   POLL_WAIT_MS,
--- a/packages/nutmegproxy-owner/src/OwnerConstants.ts
+++ b/packages/nutmegproxy-owner/src/OwnerConstants.ts
@@ -1,5 +1,7 @@
 /** Times and limits of the owner of the fleet. */
 
+import {MINION_LEASE_MS} from '@nutmegproxy/scheduling';
+
 /** Time to live of the ownership lease; bounds how long the fleet has no owner after a crash. */
 export const OWNERSHIP_TTL_MS = 2_000;
 /** Pause between renewals: four fit into the lease's time to live, so that two may be lost. */
@@ -18,8 +20,6 @@
 export const TAKEOVER_JITTER_MS = 150;
 /** Pause after a failed attempt to acquire the ownership. */
 export const TAKEOVER_RETRY_MS = 300;
-/** Duration of a minion lease; longer than a takeover in which one write is lost. */
-export const MINION_LEASE_MS = 7_500;
 /** Consecutive calls without a response after which a minion is flagged as silent. */
 export const SILENT_AFTER_MISSED_CALLS = 2;
 /** Largest difference between the wall clocks of two VMs, including a step of one of them. */
--- a/packages/nutmegproxy-scheduling/src/LeaseClock.ts
+++ b/packages/nutmegproxy-scheduling/src/LeaseClock.ts
@@ -4,8 +4,8 @@
 
 /** Maximum rate by which a minion's clock may run slow, as the platform specifies. */
 const MAX_CLOCK_LAG_RATE = 0.02;
-/** Longest lease in milliseconds that a minion accepts, as the platform specifies. */
-const MAX_LEASE_MS = 10_000;
+/** Duration of a minion lease in milliseconds; longer than a takeover in which one write is lost. */
+export const MINION_LEASE_MS = 7_500;
 /** Added to the expiry of a lease, in milliseconds, because minions' timers fire slightly late. */
 const EXPIRY_MARGIN_MS = 250;
 
@@ -48,7 +48,7 @@
   observe(clockMs: number, receivedAt: Instant): void {
     if (this.#reading === undefined) {
       // Another owner may have granted a lease before this one discovered the minion.
-      this.#leaseEndMs = clockMs + MAX_LEASE_MS;
+      this.#leaseEndMs = clockMs + MINION_LEASE_MS;
       this.#formerLeaseUntil = undefined;
     }
     // Responses may arrive out of order; the latest clock value is the most accurate.
--- a/packages/nutmegproxy-scheduling/src/index.ts
+++ b/packages/nutmegproxy-scheduling/src/index.ts
@@ -9,7 +9,7 @@
 export {summarizeFleet} from './FleetSummary.ts';
 export {classifyPunctuality, orderSteps} from './JobOrder.ts';
 export type {OrderedStep, Punctuality} from './JobOrder.ts';
-export {LeaseClock} from './LeaseClock.ts';
+export {LeaseClock, MINION_LEASE_MS} from './LeaseClock.ts';
 export {dropSupersededRuns, reconcileListing} from './ListingReconciler.ts';
 export type {MinionListing, RunReport, RunResult} from './ListingReconciler.ts';
 export {MinionRanking} from './MinionRanking.ts';
