Stop the lasting tasks of a draining minion at once, not when its poll returns

A draining minion leaves 2 s after its notice, and the stop of its lasting tasks waited for the response to the poll in progress, up to 2 s.

Draining minions are now evacuated in each round of planning, which follows a change of an entry within milliseconds.

--- a/packages/nutmegproxy-emulator/src/EmulatedFleet.ts
+++ b/packages/nutmegproxy-emulator/src/EmulatedFleet.ts
@@ -23,7 +23,7 @@
 
 /** Time after which an order without a response fails, as on the platform. */
 const ORDER_TIMEOUT_MS = 40;
-/** Longest time that a poll waits; short, so that tests are quick. */
+/** Default of the longest time that a poll waits; short, so that tests are quick. */
 const MAX_POLL_WAIT_MS = 10;
 
 /** Injected faults of the orders for one minion. */
@@ -37,6 +37,8 @@
 }
 
 export class EmulatedFleet implements MinionDirectory, MinionOrders {
+  /** Longest time in milliseconds that a poll waits. */
+  maxPollWaitMs = MAX_POLL_WAIT_MS;
   readonly minions = new Map<MinionId, EmulatedMinion>();
   readonly #clock: Clock;
   readonly #faults = new Map<MinionId, OrderFaults>();
@@ -70,7 +72,7 @@
 
   poll(target: MinionTarget, order: PollOrder): ResultAsync<MinionListing, OrderFailure> {
     return this.#call(target, async (minion) => {
-      await sleep(Math.min(order.waitMs, MAX_POLL_WAIT_MS));
+      await sleep(Math.min(order.waitMs, this.maxPollWaitMs));
       if (this.faults(target.id).arePollAnswersLost) {
         await sleep(ORDER_TIMEOUT_MS);
         return err(UNANSWERED);
--- a/packages/nutmegproxy-owner/src/Owner.ts
+++ b/packages/nutmegproxy-owner/src/Owner.ts
@@ -126,7 +126,6 @@
         onFenced,
         onListed: (minion, now) => {
           this.#progressMonitor.checkProgress(this.#fleet, minion, now);
-          evacuateMinion(this.#fleet, minion, this.#estimator, now);
           this.#sharing.model.observe(minion, now);
           this.#sharing.evictInterferingRuns(this.#fleet, minion, now);
         },
@@ -194,6 +193,9 @@
       fleet.recoveryRevision = 0;
       events.record(OWNER_EVENTS.RECOVERY_DONE, {term: ownership.term});
     }
+    for (const minion of fleet.minions.values()) {
+      evacuateMinion(fleet, minion, this.#estimator, now);
+    }
     const starts = planStarts(fleet, {
       advice: {isPermitted: (step, minion) => this.#advice.cache.isPermitted(step, minion, now)},
       estimator: this.#estimator,
