--- a/packages/nutmegproxy-jobs/src/index.ts
+++ b/packages/nutmegproxy-jobs/src/index.ts
@@ -33,4 +33,4 @@
 export type {JobValidationError} from './JobValidation.ts';
 export {StepState} from './StepState.ts';
 export type {Run, RunPhase, RunSource} from './StepState.ts';
-export {formatTaskName, parseTaskName} from './TaskName.ts';
+export {formatRunName, formatTaskName, parseTaskName} from './TaskName.ts';
--- a/packages/nutmegproxy-owner/src/RunOrders.ts
+++ b/packages/nutmegproxy-owner/src/RunOrders.ts
@@ -9,8 +9,7 @@
 import type {MinionState, StopRequest} from '@nutmegproxy/scheduling';
 
 import {delay} from '@nutmegproxy/core';
-import {formatTaskName} from '@nutmegproxy/jobs';
-import {describeRun} from '@nutmegproxy/scheduling';
+import {formatRunName, formatTaskName} from '@nutmegproxy/jobs';
 
 import type {MinionTarget, OrderFailure} from './MinionOrders.ts';
 import type {SessionContext} from './SessionContext.ts';
@@ -72,7 +71,7 @@
 
   /** Sends a stop until the minion responds or the attempts are used up. */
   async stop(request: StopRequest): Promise<void> {
-    const key = formatRun(request.task, request.number);
+    const key = formatRunName(request.task, request.number);
     if (this.#stopping.has(key)) {
       return;
     }
@@ -108,7 +107,7 @@
         markRunning(run);
         return 'confirmed';
       }
-      this.#hooks.handleFailure(answer.error, `start of ${describeRun(run).task}/${run.number}`);
+      this.#hooks.handleFailure(answer.error, `start of ${formatRunName(run.task, run.number)}`);
       const result = this.#handleStartFailure(run, answer.error, now);
       if (result !== undefined) {
         return result;
@@ -162,7 +161,7 @@
         this.#confirmStop(task, number, clock.monotonic());
         return;
       }
-      this.#hooks.handleFailure(answer.error, `stop of ${formatRun(task, number)}`);
+      this.#hooks.handleFailure(answer.error, `stop of ${formatRunName(task, number)}`);
       if (answer.error.kind !== 'unanswered') {
         return;
       }
@@ -186,7 +185,3 @@
     run.phase = 'running';
   }
 }
-
-function formatRun(task: TaskRef, number: RunNumber): string {
-  return `${formatTaskName(task)}/${number}`;
-}
--- a/packages/nutmegproxy-scheduling/src/ListingReconciler.ts
+++ b/packages/nutmegproxy-scheduling/src/ListingReconciler.ts
@@ -3,6 +3,8 @@
 import type {Instant} from '@nutmegproxy/core';
 import type {Checkpoint, Run, RunNumber, RunOutcome, StepState, TaskRef} from '@nutmegproxy/jobs';
 
+import {formatRunName} from '@nutmegproxy/jobs';
+
 import type {Fleet} from './Fleet.ts';
 import type {MinionState} from './MinionState.ts';
 
@@ -153,7 +155,3 @@
     }
   }
 }
-
-function formatRunName({index, job, occurrence, step}: TaskRef, number: RunNumber): string {
-  return `${job}.${occurrence}.${step}.${index}/${number}`;
-}
--- a/packages/nutmegproxy-scheduling/src/index.ts
+++ b/packages/nutmegproxy-scheduling/src/index.ts
@@ -26,7 +26,6 @@
 export {SharingPolicy} from './SharingPolicy.ts';
 export {collectReadySteps, planStarts} from './StartPlanner.ts';
 export type {AdviceLookup, PlanContext} from './StartPlanner.ts';
-export {describeRun} from './StopRequest.ts';
 export type {StopReason, StopRequest} from './StopRequest.ts';
 export {TailLatencyModel, toReferenceCores} from './TailLatencyModel.ts';
 export type {InterferingTask, TailModelSnapshot} from './TailLatencyModel.ts';
