--- a/packages/nutmegproxy-scheduling/src/Fleet.ts
+++ b/packages/nutmegproxy-scheduling/src/Fleet.ts
@@ -16,6 +16,7 @@
 import type {QueuePolicy} from './QueuePolicy.ts';
 import type {StopReason, StopRequest} from './StopRequest.ts';
 
+import {createRun} from './FleetUtils.ts';
 import {DEFAULT_QUEUE_POLICY} from './QueuePolicy.ts';
 import {SCHEDULING_EVENTS} from './SchedulingEvents.ts';
 import {describeRun} from './StopRequest.ts';
@@ -214,20 +215,7 @@
     minion: MinionState,
     now: Instant,
   ): Run {
-    const run: Run = {
-      checkpoint: undefined,
-      confirmedAt: undefined,
-      knownFrom: 'order',
-      minion: minion.id,
-      number,
-      paceShare: 100,
-      percent: 0,
-      phase: 'starting',
-      reading: undefined,
-      sentAt: now,
-      step,
-      task,
-    };
+    const run = createRun(step, task, number, minion.id, now);
     step.addRun(run);
     minion.addRun(run);
     if (!step.job.hasStarted) {
