Log the runs adopted from one listing or silent record in one line

Operators saw: in the first seconds after a takeover of a large fleet, lines on recovery (8104, 8106, 8108) and on decisions were dropped and counted. Cause: 8012 was written for each adopted run and used up `log.bytesPerSecond`. Change: 8012 keeps its code and names all runs that were adopted from one listing or silent record of a minion: `named` as TASK/RUN, `runs` their number, `minion`. It still precedes the stops (8014) of adopted runs that are not wanted, which are therefore requested after the whole listing was read. `explain` finds the line by the jobs of the runs that it names, and with it the minion's other events; lines of the former form are still found. nutmegproxy_events_total{code="8012"} now counts lines, not runs.

--- a/packages/nutmegproxy-cli/src/Explain.ts
+++ b/packages/nutmegproxy-cli/src/Explain.ts
@@ -4,7 +4,7 @@
 
 import {ENTRY_EVENTS} from '@nutmegproxy/entry';
 import {OWNER_EVENTS} from '@nutmegproxy/owner';
-import {SCHEDULING_EVENTS} from '@nutmegproxy/scheduling';
+import {findNamedJobs, SCHEDULING_EVENTS} from '@nutmegproxy/scheduling';
 
 /** One line of a log. */
 export interface LogLine {
@@ -67,10 +67,19 @@
   return new Set([id, ...requestLines.flatMap(({fields}) => fields.job ?? [])]);
 }
 
+/** Whether a line is about one of the jobs: by its id, or by the runs that it names. */
+function concernsJob({code, fields}: LogLine, jobs: ReadonlySet<unknown>): boolean {
+  return (
+    jobs.has(fields.job) ||
+    (code === SCHEDULING_EVENTS.RUNS_ADOPTED.code &&
+      findNamedJobs(fields).some((job) => jobs.has(job)))
+  );
+}
+
 /** Returns the lines about a request or job and the events that affected it, oldest first. */
 export function selectRelevantLines(lines: readonly LogLine[], id: string): readonly LogLine[] {
   const jobs = findJobIds(lines, id);
-  const ownLines = lines.filter(({fields}) => jobs.has(fields.job) || fields.request === id);
+  const ownLines = lines.filter((line) => concernsJob(line, jobs) || line.fields.request === id);
   if (ownLines.length === 0) {
     return [];
   }
--- a/packages/nutmegproxy-cli/src/__tests__/unit/Explain.test.ts
+++ b/packages/nutmegproxy-cli/src/__tests__/unit/Explain.test.ts
@@ -39,6 +39,28 @@
     assert.doesNotMatch(explanation, /m2|term=2/);
   });
 
+  it('includes the adoption of a run by the next owner, and events of the minion that listed it', () => {
+    const job = '3f6718a4051e2adb';
+    const other = '778dbe0ed9382b09';
+    const log = [
+      formatLine(1_000, 'edge-a', 8211, {job, request: 'r1'}),
+      formatLine(2_000, 'edge-c', 8012, {minion: 'm1', named: `${other}.0.0.0/7`, runs: 1}),
+      formatLine(2_010, 'edge-c', 8012, {
+        minion: 'm2',
+        named: `${other}.0.0.1/8 ${job}.0.0.0/9`,
+        runs: 2,
+      }),
+      formatLine(2_011, 'edge-c', 8133, {minion: 'm1'}),
+      formatLine(2_012, 'edge-c', 8133, {minion: 'm2'}),
+    ];
+    for (const id of ['r1', job]) {
+      const explanation = explain(log, id);
+      assert.equal(explanation.length, 3);
+      assert.match(explanation[1] ?? '', /8012 .*minion=m2 .*3f6718a4051e2adb\.0\.0\.0\/9/);
+      assert.match(explanation[2] ?? '', /8133 .*minion=m2/);
+    }
+  });
+
   it('returns nothing for an id that no line contains', () => {
     assert.deepEqual(explain(LOG, 'r9'), []);
   });
--- a/packages/nutmegproxy-emulator/src/__tests__/unit/JobSamples.ts
+++ b/packages/nutmegproxy-emulator/src/__tests__/unit/JobSamples.ts
@@ -3,6 +3,7 @@
 import type {
   Clock,
   DataCentreId,
+  EventSink,
   Instant,
   JobId,
   MinionId,
@@ -107,13 +108,14 @@
   store: PlatformStore,
   fleet: EmulatedFleet,
   vm = 'vm-1',
+  events: EventSink = SILENT_EVENTS,
 ): Promise<{
   ended: Promise<string>;
   owner: Owner;
   election: OwnerElection;
   ownership: FleetOwnership;
 }> {
-  const election = new OwnerElection({clock, events: SILENT_EVENTS, store, vm: brand<VmId>(vm)});
+  const election = new OwnerElection({clock, events, store, vm: brand<VmId>(vm)});
   const acquired = await election.acquire();
   if (acquired.isErr()) {
     throw new Error(acquired.error.message);
@@ -123,7 +125,7 @@
     advice: undefined,
     clock,
     directory: fleet,
-    events: SILENT_EVENTS,
+    events,
     orders: fleet,
     ownership,
     queues: () => [QUEUE],
--- a/packages/nutmegproxy-owner/src/SilentRecords.ts
+++ b/packages/nutmegproxy-owner/src/SilentRecords.ts
@@ -1,6 +1,7 @@
 /** Converts between the runs of a silent minion and the record of them for the next owner. */
 
 import type {Instant, WallTime} from '@nutmegproxy/core';
+import type {Run} from '@nutmegproxy/jobs';
 import type {Fleet, MinionState, RunResult} from '@nutmegproxy/scheduling';
 
 import {formatTaskName, parseTaskName} from '@nutmegproxy/jobs';
@@ -26,6 +27,7 @@
   minion.isRecordedUnreachable = true;
   const remainingMs = Math.max(0, heldUntil + MAX_WALL_CLOCK_SKEW_MS - wall);
   minion.leaseClock.assumeLeasedUntil((now + remainingMs) as Instant);
+  const adopted: Run[] = [];
   for (const [name, number] of runs) {
     const task = parseTaskName(name);
     const step = task && fleet.jobs.get(task.job)?.occurrence(task.occurrence)?.[task.step];
@@ -38,11 +40,14 @@
       continue;
     }
     if (remainingMs > 0) {
-      fleet.adoptRun(step, task, number, minion, now).knownFrom = 'record';
+      const run = fleet.adoptRun(step, task, number, minion, now);
+      run.knownFrom = 'record';
+      adopted.push(run);
     } else {
       fleet.recordUnknownResult(step, task.index, minion);
     }
   }
+  fleet.recordAdoption(minion, adopted);
 }
 
 /**
--- a/packages/nutmegproxy-scheduling/src/Fleet.ts
+++ b/packages/nutmegproxy-scheduling/src/Fleet.ts
@@ -18,8 +18,8 @@
 
 import {createRun} from './FleetUtils.ts';
 import {DEFAULT_QUEUE_POLICY} from './QueuePolicy.ts';
+import {describeRun, describeRuns} from './RunFields.ts';
 import {SCHEDULING_EVENTS} from './SchedulingEvents.ts';
-import {describeRun} from './StopRequest.ts';
 
 export class Fleet {
   /** When speculative runs were last planned. */
@@ -41,7 +41,10 @@
     this.#events = events;
   }
 
-  /** Adds a run that this owner did not start, such as one that a minion listed. */
+  /**
+   * Adds a run that this owner did not start, such as one that a minion listed. The caller records
+   * the runs that it adopts together by `recordAdoption`.
+   */
   adoptRun(
     step: StepState,
     task: TaskRef,
@@ -52,7 +55,6 @@
     const run = this.#addRun(step, task, number, minion, now);
     run.phase = 'running';
     run.confirmedAt = now;
-    this.#events.record(SCHEDULING_EVENTS.RUN_ADOPTED, describeRun(run));
     return run;
   }
 
@@ -111,6 +113,13 @@
     }
   }
 
+  /** Logs the runs that were adopted from one listing or silent record of a minion. */
+  recordAdoption(minion: MinionState, runs: readonly Run[]): void {
+    for (const fields of describeRuns(minion.id, runs)) {
+      this.#events.record(SCHEDULING_EVENTS.RUNS_ADOPTED, fields);
+    }
+  }
+
   /** Records that a run may have failed on a minion that can still report its result. */
   recordUnknownResult(step: StepState, index: number, minion: MinionState): void {
     step.recordUnknownResult(index, minion.id);
--- a/packages/nutmegproxy-scheduling/src/ListingReconciler.ts
+++ b/packages/nutmegproxy-scheduling/src/ListingReconciler.ts
@@ -88,30 +88,45 @@
   }
 }
 
-/** Adds or updates a run that a minion lists; returns false when its task is not known. */
-function reconcileRun(fleet: Fleet, minion: MinionState, report: RunReport, now: Instant): boolean {
-  const {number, task} = report;
-  const step = findStep(fleet, task);
-  if (step === undefined || task.index >= step.shape.count) {
-    fleet.pendingStops.push({minion: minion.id, number, reason: 'unknown', task});
-    return false;
-  }
-  const known = findRun(step, minion, report);
-  if (known !== undefined) {
-    updateRun(known, report, now);
-    return true;
+/** Adds or updates the live runs that a minion lists; stops those that are not wanted. */
+function reconcileRuns(
+  fleet: Fleet,
+  minion: MinionState,
+  reports: readonly RunReport[],
+  now: Instant,
+): void {
+  const adopted: Run[] = [];
+  const unwanted: Run[] = [];
+  minion.unknownRuns = 0;
+  for (const report of reports) {
+    const {number, task} = report;
+    const step = findStep(fleet, task);
+    if (step === undefined || task.index >= step.shape.count) {
+      fleet.pendingStops.push({minion: minion.id, number, reason: 'unknown', task});
+      minion.unknownRuns += 1;
+      continue;
+    }
+    const known = findRun(step, minion, report);
+    if (known !== undefined) {
+      updateRun(known, report, now);
+      continue;
+    }
+    dropSupersededRuns(fleet, step, report);
+    const isWanted = canAdopt(step, report);
+    const run = fleet.adoptRun(step, task, number, minion, now);
+    updateRun(run, report, now);
+    adopted.push(run);
+    if (isWanted) {
+      step.recoveredTasks.add(task.index);
+    } else {
+      unwanted.push(run);
+    }
   }
-  dropSupersededRuns(fleet, step, report);
-  const isWanted = canAdopt(step, report);
-  const run = fleet.adoptRun(step, task, number, minion, now);
-  updateRun(run, report, now);
-  if (isWanted) {
-    step.recoveredTasks.add(task.index);
-  } else {
+  fleet.recordAdoption(minion, adopted);
+  for (const run of unwanted) {
     // The run is kept until its result is known, so that its task doesn't start a second time.
     fleet.stopRun(run, 'unknown');
   }
-  return true;
 }
 
 function applyRunResult(fleet: Fleet, minion: MinionState, result: RunResult, now: Instant): void {
@@ -142,12 +157,7 @@
     }
   }
   const listed = new Set(listing.running.map(({number, task}) => formatRunName(task, number)));
-  minion.unknownRuns = 0;
-  for (const report of listing.running) {
-    if (!reconcileRun(fleet, minion, report, now)) {
-      minion.unknownRuns += 1;
-    }
-  }
+  reconcileRuns(fleet, minion, listing.running, now);
   for (const run of [...minion.runs]) {
     const wasConfirmedBefore = run.confirmedAt !== undefined && run.confirmedAt < requestedAt;
     if (wasConfirmedBefore && !listed.has(formatRunName(run.task, run.number))) {
--- a/packages/nutmegproxy-scheduling/src/SchedulingEvents.ts
+++ b/packages/nutmegproxy-scheduling/src/SchedulingEvents.ts
@@ -20,13 +20,13 @@
     level: 'info',
     text: 'The quarantine of a minion ended after a successful run.',
   },
-  RUN_ADOPTED: {
-    code: 8012,
-    level: 'info',
-    text: 'A run that this owner did not start was adopted.',
-  },
   RUN_ENDED: {code: 8011, level: 'info', text: 'A run ended.'},
   RUN_LOST: {code: 8013, level: 'warn', text: 'A run ended without a reported result.'},
   RUN_PLACED: {code: 8010, level: 'info', text: 'A task was placed on a minion.'},
   RUN_STOPPED: {code: 8014, level: 'info', text: 'A stop of a run was requested.'},
+  RUNS_ADOPTED: {
+    code: 8012,
+    level: 'info',
+    text: 'Runs of a minion that this owner did not start were adopted.',
+  },
 } satisfies Record<string, EventKind>;
--- a/packages/nutmegproxy-scheduling/src/StopRequest.ts
+++ b/packages/nutmegproxy-scheduling/src/StopRequest.ts
@@ -1,9 +1,7 @@
-/** Requests to stop runs, and the event fields that identify a run. */
+/** Requests to stop runs. */
 
-import type {JobId, MinionId} from '@nutmegproxy/core';
-import type {Run, RunNumber, TaskRef} from '@nutmegproxy/jobs';
-
-import {formatTaskName} from '@nutmegproxy/jobs';
+import type {MinionId} from '@nutmegproxy/core';
+import type {RunNumber, TaskRef} from '@nutmegproxy/jobs';
 
 /** Why a run is stopped. */
 export type StopReason =
@@ -23,13 +21,3 @@
   readonly reason: StopReason;
   readonly task: TaskRef;
 }
-
-/** Returns the event fields that identify a run. */
-export function describeRun(run: Run): {job: JobId; minion: MinionId; run: number; task: string} {
-  return {
-    job: run.task.job,
-    minion: run.minion,
-    run: run.number,
-    task: formatTaskName(run.task),
-  };
-}
--- a/packages/nutmegproxy-scheduling/src/__tests__/unit/ListingReconciler.test.ts
+++ b/packages/nutmegproxy-scheduling/src/__tests__/unit/ListingReconciler.test.ts
@@ -7,7 +7,8 @@
 import type {MinionState} from '../../MinionState.ts';
 
 import {reconcileListing} from '../../ListingReconciler.ts';
-import {at, SampleFleet, shape} from './Samples.ts';
+import {SCHEDULING_EVENTS} from '../../SchedulingEvents.ts';
+import {at, queue, RecordedEvents, SampleFleet, shape} from './Samples.ts';
 
 function getFirstStep(job: JobState): StepState {
   const step = job.occurrence(0)?.[0];
@@ -94,6 +95,30 @@
     });
   });
 
+  describe('the events of a listing', () => {
+    it('name all runs that it adopts once, before the stops of those that are not wanted', () => {
+      const log = new RecordedEvents();
+      const sample = new SampleFleet(0, [queue('proofs')], log);
+      const minion = sample.addMinion('m1');
+      const [first, second] = [
+        sample.addJob('proofs', [shape()]),
+        sample.addJob('proofs', [shape()]),
+      ];
+      const listing = {running: [running(first, 1), running(second, 7), running(second, 6)]};
+      reconcile(sample, minion, listing);
+      reconcile(sample, minion, listing);
+      const named = `${first.id}.0.0.0/1 ${second.id}.0.0.0/7 ${second.id}.0.0.0/6`;
+      const task = `${second.id}.0.0.0`;
+      assert.deepEqual(log.events, [
+        {fields: {minion: 'm1', named, runs: 3}, kind: SCHEDULING_EVENTS.RUNS_ADOPTED},
+        {
+          fields: {job: second.id, minion: 'm1', reason: 'unknown', run: 6, task},
+          kind: SCHEDULING_EVENTS.RUN_STOPPED,
+        },
+      ]);
+    });
+  });
+
   describe('a result', () => {
     it('is applied once, although it is listed until it is acknowledged', () => {
       const sample = new SampleFleet(1);
--- a/packages/nutmegproxy-scheduling/src/__tests__/unit/Samples.ts
+++ b/packages/nutmegproxy-scheduling/src/__tests__/unit/Samples.ts
@@ -1,6 +1,16 @@
 /** Sample jobs, minions and planning contexts for the tests of this package. */
 
-import type {DataCentreId, Instant, JobId, MinionId, RackId, WallTime} from '@nutmegproxy/core';
+import type {
+  DataCentreId,
+  EventFields,
+  EventKind,
+  EventSink,
+  Instant,
+  JobId,
+  MinionId,
+  RackId,
+  WallTime,
+} from '@nutmegproxy/core';
 import type {QueueId, Run, ServiceId, StepShape} from '@nutmegproxy/jobs';
 
 import {brand, SILENT_EVENTS} from '@nutmegproxy/core';
@@ -56,13 +66,27 @@
   };
 }
 
+/** Keeps all events. */
+export class RecordedEvents implements EventSink {
+  readonly events: {readonly fields: EventFields; readonly kind: EventKind}[] = [];
+
+  record(kind: EventKind, fields: EventFields): void {
+    this.events.push({fields, kind});
+  }
+}
+
 /** A fleet of minions with four cores each that have reported their runs. */
 export class SampleFleet {
   readonly estimator = new DurationEstimator();
-  readonly fleet = new Fleet(SILENT_EVENTS);
+  readonly fleet: Fleet;
   #jobs = 0;
 
-  constructor(minions: number, queues: readonly QueuePolicy[] = [queue('proofs')]) {
+  constructor(
+    minions: number,
+    queues: readonly QueuePolicy[] = [queue('proofs')],
+    events: EventSink = SILENT_EVENTS,
+  ) {
+    this.fleet = new Fleet(events);
     for (const policy of queues) {
       this.fleet.queues.set(policy.id, policy);
     }
