Count the listed minions in one line at the start of an ownership

Cause: 8132 `change=listed` was written for each minion of the first list, although each is named again when it first responds (8133) or fails to (8135, 8130). Only the service, and the address and the data centre of a minion that does not respond, stood in no other line. It was also written for minions that are only in the former owner's roster, which are not listed. Change: 8136 counts the listed minions and those of the former owner that are not listed; 8132 `change=unlisted` names each of the latter. 8133, 8135 and 8130 carry the address, the data centre and the service. A minion that is listed later, or by a new list after the watch broke, keeps its own 8132. `explain` includes 8136. 8132 keeps its code and fields; 8136 uses names that were there.

The address in 8130 has no test of its own: the emulated minions reject no call as another incarnation.

--- a/packages/nutmegproxy-cli/src/__tests__/unit/Explain.test.ts
+++ b/packages/nutmegproxy-cli/src/__tests__/unit/Explain.test.ts
@@ -44,6 +44,7 @@
     const other = '778dbe0ed9382b09';
     const log = [
       formatLine(1_000, 'edge-a', 8211, {job, request: 'r1'}),
+      formatLine(1_990, 'edge-c', 8136, {minions: 2, unlisted: 0}),
       formatLine(2_000, 'edge-c', 8012, {minion: 'm1', named: `${other}.0.0.0/7`, runs: 1}),
       formatLine(2_010, 'edge-c', 8012, {
         minion: 'm2',
@@ -55,9 +56,10 @@
     ];
     for (const id of ['r1', job]) {
       const explanation = explain(log, id);
-      assert.equal(explanation.length, 3);
-      assert.match(explanation[1] ?? '', /8012 .*minion=m2 .*3f6718a4051e2adb\.0\.0\.0\/9/);
-      assert.match(explanation[2] ?? '', /8133 .*minion=m2/);
+      assert.equal(explanation.length, 4);
+      assert.match(explanation[1] ?? '', /8136 .*minions=2/);
+      assert.match(explanation[2] ?? '', /8012 .*minion=m2 .*3f6718a4051e2adb\.0\.0\.0\/9/);
+      assert.match(explanation[3] ?? '', /8133 .*minion=m2/);
     }
   });
 
--- a/packages/nutmegproxy-emulator/src/EmulatedFleet.ts
+++ b/packages/nutmegproxy-emulator/src/EmulatedFleet.ts
@@ -36,11 +36,13 @@
   startDelayMs: number;
 }
 
+type WatchHandler = Parameters<MinionDirectory['watch']>[1];
+
 export class EmulatedFleet implements MinionDirectory, MinionOrders {
   readonly minions = new Map<MinionId, EmulatedMinion>();
   readonly #clock: Clock;
   readonly #faults = new Map<MinionId, OrderFaults>();
-  readonly #watchers = new Set<(changes: readonly MinionChange[]) => void>();
+  readonly #watchers = new Set<WatchHandler>();
 
   constructor(clock: Clock) {
     this.#clock = clock;
@@ -102,20 +104,27 @@
     return this.#call(target, (minion) => Promise.resolve(minion.stop(order, this.#now())));
   }
 
-  watch(
-    _fromRevision: number,
-    handler: {readonly onChanges: (changes: readonly MinionChange[]) => void},
-  ): Watch {
-    this.#watchers.add(handler.onChanges);
+  watch(_fromRevision: number, handler: WatchHandler): Watch {
+    this.#watchers.add(handler);
     return {
       close: () => {
-        this.#watchers.delete(handler.onChanges);
+        this.#watchers.delete(handler);
       },
     };
   }
 
+  /** Breaks all watches after a change that they do not report. */
+  breakWatches(change: () => void): void {
+    const broken = [...this.#watchers];
+    this.#watchers.clear();
+    change();
+    for (const {onBroken} of broken) {
+      onBroken({kind: 'unavailable', message: 'the watch broke'});
+    }
+  }
+
   #notifyWatchers(changes: readonly MinionChange[]): void {
-    for (const onChanges of this.#watchers) {
+    for (const {onChanges} of this.#watchers) {
       onChanges(changes);
     }
   }
--- a/packages/nutmegproxy-owner/src/MinionSession.ts
+++ b/packages/nutmegproxy-owner/src/MinionSession.ts
@@ -1,6 +1,6 @@
 /** Polls one minion: renews its lease and lists its live runs and the results of ended ones. */
 
-import type {Instant} from '@nutmegproxy/core';
+import type {EventFields, Instant} from '@nutmegproxy/core';
 import type {Run} from '@nutmegproxy/jobs';
 import type {MinionListing, MinionState, RunResult, StopRequest} from '@nutmegproxy/scheduling';
 
@@ -48,6 +48,12 @@
     this.#bornAt = minion.description.bornAt;
   }
 
+  /** Event fields that identify the minion and say where it is. */
+  get eventFields(): EventFields {
+    const {address, dataCentre, id, service} = this.minion.description;
+    return {address, dataCentre, minion: id, service};
+  }
+
   /** Results that are applied but may not be stored yet; the minion lists them again. */
   get unstoredResults(): readonly RunResult[] {
     return this.#listedResults.filter(({sequence}) => sequence > this.#acknowledgedThrough);
@@ -212,9 +218,7 @@
 
   #recordResponse(now: Instant): void {
     if (this.minion.missedCalls > 0 || this.minion.lastAnswerAt === undefined) {
-      const {address, dataCentre} = this.minion.description;
-      const fields = {address, dataCentre, minion: this.minion.id};
-      this.#context.events.record(OWNER_EVENTS.MINION_REACHED, fields);
+      this.#context.events.record(OWNER_EVENTS.MINION_REACHED, this.eventFields);
     }
     this.minion.lastAnswerAt = now;
     this.minion.missedCalls = 0;
@@ -237,7 +241,7 @@
 
   #handleFailure({clockMs, kind, message}: OrderFailure, what: string): void {
     const {clock, events, onFenced, onSilent} = this.#context;
-    const {id} = this.minion;
+    const fields = {...this.eventFields, message, what};
     if (clockMs !== undefined) {
       this.minion.leaseClock.observe(clockMs, clock.monotonic());
     }
@@ -248,7 +252,7 @@
     if (kind === 'unanswered') {
       this.minion.missedCalls += 1;
       if (this.minion.missedCalls === 1) {
-        events.record(OWNER_EVENTS.MINION_UNREACHABLE, {message, minion: id, what});
+        events.record(OWNER_EVENTS.MINION_UNREACHABLE, fields);
       }
       // This owner doesn't know what a minion may run that has never reported.
       const isNewlySilent =
@@ -261,7 +265,7 @@
       }
       return;
     }
-    events.record(OWNER_EVENTS.ORDER_FAILED, {kind, message, minion: id, what});
+    events.record(OWNER_EVENTS.ORDER_FAILED, {...fields, kind});
     if (kind === 'other-life') {
       this.#endIncarnation();
     }
--- a/packages/nutmegproxy-owner/src/MinionSessions.ts
+++ b/packages/nutmegproxy-owner/src/MinionSessions.ts
@@ -69,7 +69,7 @@
    * roster, otherwise it is empty.
    */
   async start(former: readonly RosterEntry[]): Promise<Result<void, StoreFailure>> {
-    const {clock, directory} = this.#options;
+    const {clock, directory, events} = this.#options;
     const snapshot = await directory.list();
     if (snapshot.isErr()) {
       return err(snapshot.error);
@@ -82,11 +82,14 @@
       }
     }
     const missing = former.filter(({description: {id}}) => !listed.has(id));
+    events.record(OWNER_EVENTS.MINIONS_LISTED, {minions: listed.size, unlisted: missing.length});
+    // Each minion of the first list is logged only when it responds or fails to.
+    const change = this.#sessions.size === 0 ? undefined : 'listed';
     for (const description of [
       ...snapshot.value.minions,
       ...missing.map((entry) => entry.description),
     ]) {
-      this.#update(description, now);
+      this.#update(description, now, listed.has(description.id) ? change : 'unlisted');
     }
     for (const entry of former) {
       this.#recoverMinion(entry, now, !listed.has(entry.description.id));
@@ -191,7 +194,7 @@
       if (!this.#sessions.has(id)) {
         added.push(description);
       }
-      this.#update(description, now);
+      this.#update(description, now, 'listed');
     }
     this.#enroll(added);
   }
@@ -267,7 +270,7 @@
     }
   }
 
-  #update(description: MinionDescription, now: Instant): void {
+  #update(description: MinionDescription, now: Instant, change: string | undefined): void {
     const {events, fleet, session: context} = this.#options;
     const session = this.#sessions.get(description.id);
     if (session === undefined) {
@@ -275,9 +278,9 @@
       const opened = new MinionSession(context, minion);
       this.#sessions.set(minion.id, opened);
       fleet.minions.set(minion.id, minion);
-      const {address, dataCentre, service} = description;
-      const fields = {address, change: 'listed', dataCentre, minion: minion.id, service};
-      events.record(OWNER_EVENTS.MINION_CHANGED, fields);
+      if (change !== undefined) {
+        events.record(OWNER_EVENTS.MINION_CHANGED, {change, ...opened.eventFields});
+      }
       void opened.run();
       return;
     }
--- a/packages/nutmegproxy-owner/src/OwnerEvents.ts
+++ b/packages/nutmegproxy-owner/src/OwnerEvents.ts
@@ -49,6 +49,7 @@
     text: 'A minion has restarted; runs of its former incarnation are lost.',
   },
   MINION_UNREACHABLE: {code: 8135, level: 'warn', text: 'A minion does not answer calls.'},
+  MINIONS_LISTED: {code: 8136, level: 'info', text: 'The owner read the list of minions.'},
   ORDER_FAILED: {code: 8130, level: 'warn', text: 'A minion rejected an order.'},
   OWNERSHIP_ACQUIRED: {
     code: 8101,
