--- a/packages/nutmegproxy-emulator/src/__tests__/unit/JobSamples.ts
+++ b/packages/nutmegproxy-emulator/src/__tests__/unit/JobSamples.ts
@@ -115,7 +115,7 @@
   election: OwnerElection;
   ownership: FleetOwnership;
 }> {
-  const election = new OwnerElection({clock, events: SILENT_EVENTS, store, vm: brand<VmId>(vm)});
+  const election = new OwnerElection({clock, events, store, vm: brand<VmId>(vm)});
   const acquired = await election.acquire();
   if (acquired.isErr()) {
     throw new Error(acquired.error.message);
--- a/packages/nutmegproxy-scheduling/src/index.ts
+++ b/packages/nutmegproxy-scheduling/src/index.ts
@@ -21,12 +21,12 @@
 export type {SharingCosts} from './Placement.ts';
 export {DEFAULT_QUEUE_POLICY} from './QueuePolicy.ts';
 export type {AdvicePolicy, QueuePolicy} from './QueuePolicy.ts';
+export {findNamedJobs} from './RunFields.ts';
 export {RunProgressMonitor} from './RunProgressMonitor.ts';
 export {SCHEDULING_EVENTS} from './SchedulingEvents.ts';
 export {SharingPolicy} from './SharingPolicy.ts';
 export {collectReadySteps, planStarts} from './StartPlanner.ts';
 export type {AdviceLookup, PlanContext} from './StartPlanner.ts';
-export {describeRun} from './StopRequest.ts';
 export type {StopReason, StopRequest} from './StopRequest.ts';
 export {TailLatencyModel, toReferenceCores} from './TailLatencyModel.ts';
 export type {InterferingTask, TailModelSnapshot} from './TailLatencyModel.ts';
