Record the runs of draining minions, so that the next owner of a killed one does not wait for them

An owner that is killed stores no closing record.

The roster now names the runs of a minion that begins to drain, and again once none is left. The minion gets no new runs, so they can only become fewer. The next owner keeps only these tasks waiting. A minion that no longer drains gets work once the record is removed.

The three tests fail before: the roster names no runs of a draining minion.

--- a/packages/nutmegproxy-emulator/src/__tests__/unit/Recovery.test.ts
+++ b/packages/nutmegproxy-emulator/src/__tests__/unit/Recovery.test.ts
@@ -1,8 +1,13 @@
 import type {EventKind} from '@nutmegproxy/core';
+import type {PlatformStore} from '@nutmegproxy/store';
 
 import {ManualClock} from '@nutmegproxy/core';
+import {STATE_PREFIX} from '@nutmegproxy/jobs';
 import {OWNER_EVENTS} from '@nutmegproxy/owner';
 import {MemoryStore} from '@nutmegproxy/standins';
+import {getKey} from '@nutmegproxy/store';
+import {errAsync} from 'neverthrow';
+import assert from 'node:assert/strict';
 import {afterEach, beforeEach, describe, it} from 'node:test';
 
 import {EmulatedFleet} from '../../EmulatedFleet.ts';
@@ -38,8 +43,11 @@
     return minion;
   }
 
-  async function start(vm: string): ReturnType<typeof startOwner> {
-    const started = await startOwner(clock, store, fleet, vm, {
+  async function start(
+    vm: string,
+    ownerStore: PlatformStore = store,
+  ): ReturnType<typeof startOwner> {
+    const started = await startOwner(clock, ownerStore, fleet, vm, {
       record: (kind) => events.push(kind),
     });
     const renewal = setInterval(() => {
@@ -120,4 +128,101 @@
       await waitFor('the task runs', () => other.liveTasks.length === 1, REACTION_MS);
     });
   });
+
+  describe('a draining minion that leaves when its owner is killed', () => {
+    let draining: EmulatedMinion;
+    let first: Awaited<ReturnType<typeof start>>;
+    let kill: () => void;
+
+    beforeEach(async () => {
+      draining = addMinion('m1');
+      const [ownerStore, isolate] = createIsolatableStore(store);
+      first = await start('vm-1', ownerStore);
+      kill = () => {
+        isolate();
+        first.owner.stop('killed');
+      };
+      await waitFor('the minion has reported', () => draining.answeredPolls > 0);
+    });
+
+    async function drain(): Promise<void> {
+      draining.description = {...draining.description, isDraining: true};
+      fleet.add(draining);
+      await waitForRoster((roster) => roster.includes('"draining"'));
+    }
+
+    async function waitForRoster(isExpected: (roster: string) => boolean): Promise<void> {
+      let roster = '';
+      const timer = setInterval(() => {
+        void getKey(store, `${STATE_PREFIX}roster`).then((stored) => {
+          roster = stored.unwrapOr(undefined)?.value.toString() ?? '';
+        });
+      }, 5);
+      try {
+        await waitFor('the roster is stored', () => isExpected(roster), REACTION_MS);
+      } finally {
+        clearInterval(timer);
+      }
+    }
+
+    async function takeOver(): Promise<EmulatedMinion> {
+      kill();
+      fleet.remove(draining.description.id);
+      await store.revokeLease(first.ownership.lease);
+      const other = addMinion('m2');
+      await start('vm-2');
+      return other;
+    }
+
+    it('does not delay the tasks that it can not run', async () => {
+      await drain();
+      const job = createStoredJob(1, [createStepShape({longRunning: true})]);
+      await submitJob(store, job);
+      const other = await takeOver();
+      await waitFor('the task runs', () => other.liveTasks.length === 1, REACTION_MS);
+    });
+
+    it('delays the tasks that it may still run until its lease has expired', async () => {
+      await submitJob(store, createStoredJob(1, [createStepShape()]));
+      await waitFor('the task runs', () => draining.liveTasks.length === 1);
+      await drain();
+      const other = await takeOver();
+      await submitJob(store, createStoredJob(2, [createStepShape()]));
+      await waitFor('the other task runs', () => other.liveTasks.length === 1, REACTION_MS);
+      await new Promise((resolve) => setTimeout(resolve, 500));
+      assert.deepEqual(
+        other.liveTasks.filter((name) => name.includes('1.0.0.0')),
+        [],
+      );
+    });
+
+    it('gets work again only once the record of its runs is removed', async () => {
+      await drain();
+      await submitJob(store, createStoredJob(1, [createStepShape({longRunning: true})]));
+      await new Promise((resolve) => setTimeout(resolve, 100));
+      store.faults.change({down: true});
+      draining.description = {...draining.description, isDraining: false};
+      fleet.add(draining);
+      await new Promise((resolve) => setTimeout(resolve, 100));
+      assert.deepEqual(draining.liveTasks, []);
+      store.faults.change({down: false});
+      await waitFor('the task runs', () => draining.liveTasks.length === 1, REACTION_MS);
+      await waitForRoster((roster) => !roster.includes('"draining"'));
+    });
+  });
 });
+
+/** Returns a view of a store, and a function after which calls through this view fail. */
+function createIsolatableStore(store: MemoryStore): [store: PlatformStore, isolate: () => void] {
+  let isIsolated = false;
+  const view = new Proxy<PlatformStore>(store, {
+    get: (target, name: keyof PlatformStore) => {
+      const method = target[name].bind(target) as (...args: unknown[]) => unknown;
+      return (...args: unknown[]) =>
+        isIsolated && name !== 'watch'
+          ? errAsync({kind: 'unavailable', message: 'isolated'})
+          : method(...args);
+    },
+  });
+  return [view, () => (isIsolated = true)];
+}
--- a/packages/nutmegproxy-owner/src/MinionRecovery.ts
+++ b/packages/nutmegproxy-owner/src/MinionRecovery.ts
@@ -9,7 +9,7 @@
 import {after} from '@nutmegproxy/core';
 
 import type {ClosingRecord, MinionAccount} from './ClosingRecords.ts';
-import type {Roster, SilentMinionRecord} from './Roster.ts';
+import type {Roster, RosterEntry} from './Roster.ts';
 
 import {MAX_FORMER_LEASE_MS} from './OwnerConstants.ts';
 import {
@@ -28,8 +28,10 @@
 }
 
 export class MinionRecovery {
-  /** Minions whose silent record is being removed. */
+  /** Minions whose record is being removed. */
   readonly #clearing = new Set<MinionState>();
+  /** Numbers of runs in the records of draining minions. */
+  readonly #drainingRuns = new WeakMap<MinionState, number>();
   readonly #options: MinionRecoveryOptions;
   readonly #unreported = new UnreportedMinions();
 
@@ -50,15 +52,20 @@
     return this.#unreported.isEmpty(confirmedAt);
   }
 
-  /** Expects the report of a minion of the former owner, unless the roster names its runs. */
-  expect(minion: MinionState, silent: SilentMinionRecord | undefined, now: Instant): void {
-    if (silent === undefined) {
-      minion.leaseClock.assumeLeasedUntil(after(now, MAX_FORMER_LEASE_MS));
-      this.#unreported.add(minion);
+  /** Expects the report of a minion of the former owner, unless the roster flags it as silent. */
+  expect(minion: MinionState, {draining, silent}: RosterEntry, now: Instant): void {
+    const {clock, fleet} = this.#options;
+    if (silent !== undefined) {
+      adoptRecordedRuns(fleet, minion, resolveSilentRecord(silent, clock.wall()), now);
       return;
     }
-    const {clock, fleet} = this.#options;
-    adoptRecordedRuns(fleet, minion, resolveSilentRecord(silent, clock.wall()), now);
+    minion.leaseClock.assumeLeasedUntil(after(now, MAX_FORMER_LEASE_MS));
+    this.#unreported.add(minion);
+    if (draining !== undefined) {
+      const {runs} = draining;
+      minion.isRecordedDraining = true;
+      this.#unreported.keepAccounts([{heldForMs: MAX_FORMER_LEASE_MS, id: minion.id, runs}], now);
+    }
   }
 
   /** Receives what the former owner knew of minions that have not reported to this one. */
@@ -110,16 +117,43 @@
     }
   }
 
-  /** Removes the silent record of a minion; its lease is renewed again once that is stored. */
-  clearSilent(minion: MinionState): void {
+  /**
+   * Keeps the record of a minion's runs in step with whether it drains: names its runs when it begins
+   * to drain and once none is left, and removes the record when it no longer drains.
+   */
+  updateDrainingRecord(minion: MinionState, unstoredResults: readonly RunResult[]): void {
+    const {description, isRecordedDraining, isRecordedUnreachable} = minion;
+    if (isRecordedUnreachable || !minion.areRunsKnown) {
+      return;
+    }
+    if (!description.isDraining) {
+      if (isRecordedDraining) {
+        this.clearRecord(minion);
+      }
+      return;
+    }
+    const runs = listPossibleRuns(minion, unstoredResults);
+    const recorded = isRecordedDraining ? this.#drainingRuns.get(minion) : undefined;
+    if (recorded === undefined || (recorded > 0 && runs.length === 0)) {
+      minion.isRecordedDraining = true;
+      this.#drainingRuns.set(minion, runs.length);
+      this.#options.roster.markDraining(description, {runs});
+    }
+  }
+
+  /** Removes the record of a minion's runs; it gets leases and work again once that is stored. */
+  clearRecord(minion: MinionState): void {
     const {onChange, roster} = this.#options;
     if (this.#clearing.has(minion)) {
       return;
     }
     this.#clearing.add(minion);
-    void roster.clearSilent(minion.description).then(() => {
+    void roster.clearRecord(minion.description).then(() => {
       this.#clearing.delete(minion);
-      minion.isRecordedUnreachable = false;
+      // Another record may have been made meanwhile.
+      const entry = roster.find(minion.id);
+      minion.isRecordedDraining = entry?.draining !== undefined;
+      minion.isRecordedUnreachable = entry?.silent !== undefined;
       onChange();
     });
   }
--- a/packages/nutmegproxy-owner/src/MinionSessions.ts
+++ b/packages/nutmegproxy-owner/src/MinionSessions.ts
@@ -131,7 +131,11 @@
    */
   sweep(confirmedAt: Instant, now: Instant): void {
     const {events, fleet} = this.#options;
-    for (const [id, {minion}] of this.#sessions) {
+    for (const [id, session] of this.#sessions) {
+      const {minion} = session;
+      if (minion.description.isDraining || minion.isRecordedDraining) {
+        this.recovery.updateDrainingRecord(minion, session.unstoredResults);
+      }
       if (!minion.leaseClock.isExpired(confirmedAt)) {
         continue;
       }
@@ -206,8 +210,8 @@
   }
 
   /** Recovers a minion of the former owner, whose runs its silent record or its report names. */
-  #recoverMinion({description: {id}, silent}: RosterEntry, now: Instant, isMissing: boolean): void {
-    const minion = this.findMinion(id);
+  #recoverMinion(entry: RosterEntry, now: Instant, isMissing: boolean): void {
+    const minion = this.findMinion(entry.description.id);
     if (minion === undefined) {
       return;
     }
@@ -218,7 +222,7 @@
     if (minion.areRunsKnown) {
       return;
     }
-    this.recovery.expect(minion, silent, now);
+    this.recovery.expect(minion, entry, now);
   }
 
   #markUnlisted(id: MinionId, now: Instant): void {
--- a/packages/nutmegproxy-owner/src/Owner.ts
+++ b/packages/nutmegproxy-owner/src/Owner.ts
@@ -120,7 +120,7 @@
         isNearTarget: (minion) => this.#sharing.isNearTarget(minion),
         journal: this.#journal,
         onAnswering: (minion) => {
-          this.#minions.recovery.clearSilent(minion);
+          this.#minions.recovery.clearRecord(minion);
         },
         onChange,
         onFenced,
--- a/packages/nutmegproxy-owner/src/Roster.ts
+++ b/packages/nutmegproxy-owner/src/Roster.ts
@@ -5,7 +5,8 @@
  *
  * For a silent minion the roster stores the runs that it may have and when its lease expires; its
  * lease is not renewed until that record is removed. The next owner then knows what may run on a
- * minion that it can't reach, and until when.
+ * minion that it can't reach, and until when. For a draining minion it stores the runs that it may
+ * have, since the minion may have left before the next owner's first call.
  */
 
 import type {EventSink, MinionId, WallTime} from '@nutmegproxy/core';
@@ -33,8 +34,15 @@
   readonly runs: readonly (readonly [task: string, number: RunNumber])[];
 }
 
+/** What is stored of a draining minion. */
+export interface DrainingMinionRecord {
+  /** Runs that it may have; it gets no others while this is stored. */
+  readonly runs: SilentMinionRecord['runs'];
+}
+
 export interface RosterEntry {
   readonly description: MinionDescription;
+  readonly draining?: DrainingMinionRecord;
   readonly silent?: SilentMinionRecord;
 }
 
@@ -51,8 +59,8 @@
   readonly #options: RosterOptions;
   readonly #record: OwnerRecord;
   #stopped = false;
-  /** Minions that the stored roster may flag as silent. */
-  #storedSilent: ReadonlySet<MinionId> = new Set();
+  /** Minions whose runs the stored roster may name. */
+  #storedRecords: ReadonlySet<MinionId> = new Set();
   #writing: Promise<void> | undefined;
 
   constructor(options: RosterOptions) {
@@ -76,12 +84,12 @@
     await this.#flush();
   }
 
-  /** Removes the silent record of a minion that responds again; resolves once that is stored. */
-  async clearSilent(description: MinionDescription): Promise<void> {
+  /** Removes the record of a minion's runs; resolves once that is stored. */
+  async clearRecord(description: MinionDescription): Promise<void> {
     this.#entries.set(description.id, {description});
     this.#isStale = true;
     const flushed = this.#flush();
-    if (this.#storedSilent.has(description.id)) {
+    if (this.#storedRecords.has(description.id)) {
       await flushed;
     }
   }
@@ -90,6 +98,18 @@
     this.#stopped = true;
   }
 
+  /** Returns the entry of a minion, whether or not it is stored. */
+  find(id: MinionId): RosterEntry | undefined {
+    return this.#entries.get(id);
+  }
+
+  /** Records what a draining minion may run. */
+  markDraining(description: MinionDescription, draining: DrainingMinionRecord): void {
+    this.#entries.set(description.id, {description, draining});
+    this.#isStale = true;
+    void this.#flush();
+  }
+
   /** Records that a minion does not respond. */
   markSilent(description: MinionDescription, silent: SilentMinionRecord): void {
     this.#entries.set(description.id, {description, silent});
@@ -108,7 +128,7 @@
     for (const entry of entries) {
       this.#entries.set(entry.description.id, entry);
     }
-    this.#storedSilent = findSilent(entries);
+    this.#storedRecords = findRecorded(entries);
     return ok(entries);
   }
 
@@ -132,27 +152,29 @@
     await delay(0);
     this.#isStale = false;
     const entries = [...this.#entries.values()];
-    const silent = findSilent(entries);
-    const formerSilent = this.#storedSilent;
-    this.#storedSilent = new Set([...formerSilent, ...silent]);
+    const recorded = findRecorded(entries);
+    const formerRecords = this.#storedRecords;
+    this.#storedRecords = new Set([...formerRecords, ...recorded]);
     const outcome = await this.#record.write(Buffer.from(JSON.stringify(entries)));
     if (outcome === 'written') {
-      this.#storedSilent = silent;
+      this.#storedRecords = recorded;
     } else if (outcome === 'fenced') {
       this.#stopped = true;
       this.#options.onFenced();
     } else {
       this.#isStale = true;
       // A write without a response may have been carried out, or may be later.
-      this.#storedSilent = outcome === 'unknown' ? this.#storedSilent : formerSilent;
+      this.#storedRecords = outcome === 'unknown' ? this.#storedRecords : formerRecords;
       await delay(JOURNAL_RETRY_MS);
     }
     this.#writing = undefined;
   }
 }
 
-function findSilent(entries: readonly RosterEntry[]): ReadonlySet<MinionId> {
+function findRecorded(entries: readonly RosterEntry[]): ReadonlySet<MinionId> {
   return new Set(
-    entries.filter(({silent}) => silent !== undefined).map(({description}) => description.id),
+    entries
+      .filter(({draining, silent}) => draining !== undefined || silent !== undefined)
+      .map(({description}) => description.id),
   );
 }
--- a/packages/nutmegproxy-owner/src/UnreportedMinions.ts
+++ b/packages/nutmegproxy-owner/src/UnreportedMinions.ts
@@ -37,7 +37,12 @@
   /** Keeps the accounts of the former owner, which were read at `now`, until they are needed. */
   keepAccounts(accounts: readonly MinionAccount[], now: Instant): void {
     for (const {heldForMs, id, runs} of accounts) {
-      this.#accounts.set(id, {leasedUntil: after(now, heldForMs), runs});
+      const known = this.#accounts.get(id);
+      this.#accounts.set(id, {
+        leasedUntil: after(now, heldForMs),
+        // The owner before may not have reached a minion whose runs the roster names.
+        runs: runs ?? known?.runs,
+      });
     }
     for (const {id, leaseClock} of this.#minions) {
       const account = this.#accounts.get(id);
--- a/packages/nutmegproxy-owner/src/__tests__/unit/OwnerRecord.test.ts
+++ b/packages/nutmegproxy-owner/src/__tests__/unit/OwnerRecord.test.ts
@@ -98,7 +98,7 @@
       while (late.length === 0) {
         await new Promise((resolve) => setImmediate(resolve));
       }
-      await roster.clearSilent(MINION);
+      await roster.clearRecord(MINION);
       await late[0]?.arrive();
       const next = new Roster({events: SILENT_EVENTS, onFenced, ownership, store});
       const [entry] = (await next.read())._unsafeUnwrap();
--- a/packages/nutmegproxy-scheduling/src/MinionState.ts
+++ b/packages/nutmegproxy-scheduling/src/MinionState.ts
@@ -64,6 +64,8 @@
   hasReported = false;
   /** Whether the roster in the store names it, so that the next owner polls it for its runs. */
   isRegistered = false;
+  /** Whether the store names its runs because it drains. It gets no work until that is removed. */
+  isRecordedDraining = false;
   /** Whether the store records it as unreachable. It gets no leases until that entry is removed. */
   isRecordedUnreachable = false;
   /** When it last responded; undefined before its first response. */
--- a/packages/nutmegproxy-scheduling/src/Placement.ts
+++ b/packages/nutmegproxy-scheduling/src/Placement.ts
@@ -78,6 +78,7 @@
     isListed &&
     !isDraining &&
     minion.missedCalls === 0 &&
+    !minion.isRecordedDraining &&
     !minion.isRecordedUnreachable &&
     minion.unknownRuns === 0 &&
     (level === 'trusted' || (level === 'trial' && minion.runs.size === 0))
