Bound the wait for a minion that restarts and leaves before it responds

A task that was started on a minion just as that restarted was never started elsewhere when the minion then left without a response: after the restart its lease clock had no reading and no assumed expiry, so its lease never expired. In a takeover, recovery waited for such a minion without end. Now the longest former lease is assumed.

The 7.5 s that assumes for every minion do not hold for an incarnation that is younger than 20 s: an order whose lease was computed for the clock of the incarnation before can reach it, and then lasts as long as the minion accepts (10 s).

Recovery.test's new case failed before: the task did not run within 20 s.

--- a/packages/nutmegproxy-emulator/src/__tests__/unit/Recovery.test.ts
+++ b/packages/nutmegproxy-emulator/src/__tests__/unit/Recovery.test.ts
@@ -4,6 +4,7 @@
 import {ManualClock} from '@nutmegproxy/core';
 import {STATE_PREFIX} from '@nutmegproxy/jobs';
 import {OWNER_EVENTS} from '@nutmegproxy/owner';
+import {SCHEDULING_EVENTS} from '@nutmegproxy/scheduling';
 import {MemoryStore} from '@nutmegproxy/standins';
 import {getKey} from '@nutmegproxy/store';
 import {errAsync} from 'neverthrow';
@@ -210,6 +211,30 @@
       await waitForRoster((roster) => !roster.includes('"draining"'));
     });
   });
+
+  describe('a minion that restarts and leaves before it reports', () => {
+    it('delays the tasks that it may have for a bounded time', async () => {
+      const restarting = addMinion('m1');
+      const {ownership} = await start('vm-1');
+      await waitFor('the minion has reported', () => restarting.answeredPolls > 0);
+      const faults = fleet.faults(restarting.description.id);
+      faults.startDelayMs = 60_000;
+      await submitJob(store, createStoredJob(1, [createStepShape({longRunning: true})]));
+      await waitFor('the task is sent', () => events.includes(SCHEDULING_EVENTS.RUN_PLACED));
+      faults.isUnreachable = true;
+      restarting.restart(2);
+      fleet.add(restarting);
+      await waitFor('the restart is seen', () => events.includes(OWNER_EVENTS.MINION_RESTARTED));
+      fleet.remove(restarting.description.id);
+      const other = addMinion('m2');
+      await waitFor('the other minion has reported', () => other.answeredPolls > 0);
+      for (let elapsedMs = 0; elapsedMs < 20_000; elapsedMs += 5_000) {
+        clock.advance(5_000);
+        ownership.confirm(clock.monotonic(), clock.wall());
+      }
+      await waitFor('the task runs', () => other.liveTasks.length === 1, REACTION_MS);
+    });
+  });
 });
 
 /** Returns a view of a store, and a function after which calls through this view fail. */
--- a/packages/nutmegproxy-owner/src/MinionSession.ts
+++ b/packages/nutmegproxy-owner/src/MinionSession.ts
@@ -4,7 +4,7 @@
 import type {Run} from '@nutmegproxy/jobs';
 import type {MinionListing, MinionState, RunResult, StopRequest} from '@nutmegproxy/scheduling';
 
-import {delay} from '@nutmegproxy/core';
+import {after, delay} from '@nutmegproxy/core';
 import {MINION_LEASE_MS, reconcileListing} from '@nutmegproxy/scheduling';
 
 import type {Journal} from './Journal.ts';
@@ -12,6 +12,8 @@
 import type {SessionContext} from './SessionContext.ts';
 
 import {
+  ESTABLISHED_AFTER_MS,
+  MAX_FORMER_LEASE_MS,
   NEAR_TARGET_POLL_WAIT_MS,
   POLL_RETRY_MS,
   POLL_WAIT_MS,
@@ -45,6 +47,9 @@
       isActing: () => this.#isActing(),
     });
     this.#bornAt = minion.description.bornAt;
+    if (context.clock.wall() - (this.#bornAt ?? Infinity) > ESTABLISHED_AFTER_MS) {
+      minion.leaseClock.assumeUsualLeases();
+    }
   }
 
   /** Event fields that identify the minion and say where it is. */
@@ -89,12 +94,12 @@
 
   /** Handles a new incarnation of the minion: no run of the former one is live any more. */
   #handleRestart(bornAt: number): void {
-    const {events, fleet} = this.#context;
+    const {clock, events, fleet} = this.#context;
     events.record(OWNER_EVENTS.MINION_RESTARTED, {bornAt, minion: this.minion.id});
     this.#acknowledgedThrough = 0;
     this.#appliedThrough = 0;
     this.#listedResults = [];
-    this.minion.leaseClock.reset();
+    this.minion.leaseClock.reset(after(clock.monotonic(), MAX_FORMER_LEASE_MS));
     fleet.clearUnknownResults(this.minion);
     for (const run of [...this.minion.runs]) {
       // A start that was sent meanwhile may have reached the new incarnation; the next poll decides.
--- a/packages/nutmegproxy-scheduling/src/LeaseClock.ts
+++ b/packages/nutmegproxy-scheduling/src/LeaseClock.ts
@@ -4,6 +4,8 @@
 
 /** Maximum rate by which a minion's clock may run slow, as the platform specifies. */
 const MAX_CLOCK_LAG_RATE = 0.02;
+/** Longest lease in milliseconds that a minion accepts, as the platform specifies. */
+const MAX_LEASE_MS = 10_000;
 /** Duration of a minion lease in milliseconds; longer than a takeover in which one write is lost. */
 export const MINION_LEASE_MS = 7_500;
 /** Added to the expiry of a lease, in milliseconds, because minions' timers fire slightly late. */
@@ -16,20 +18,34 @@
 
 /** Tracks a minion's clock and the latest expiry of the leases granted to it. */
 export class LeaseClock {
+  /** Longest lease that a former owner may have granted. */
+  #formerLeaseMs = MAX_LEASE_MS;
   #leaseEndMs = 0;
   #reading: ClockReading | undefined;
-  /** Latest expiry of a former owner's leases, until the minion responds; undefined for none. */
+  /** Latest expiry of leases of unknown length, until the minion responds; undefined for none. */
   #formerLeaseUntil: Instant | undefined;
 
   get hasReading(): boolean {
     return this.#reading !== undefined;
   }
 
-  /** Called when the minion restarted: its clock is reset and its former leases are void. */
-  reset(): void {
+  /**
+   * Called when the minion restarted: its clock is reset and its former leases are void. Until it
+   * responds, assumes that leases of orders that reached the new incarnation expire at `instant`.
+   */
+  reset(instant: Instant): void {
+    this.#formerLeaseMs = MAX_LEASE_MS;
     this.#leaseEndMs = 0;
     this.#reading = undefined;
-    this.#formerLeaseUntil = undefined;
+    this.#formerLeaseUntil = instant;
+  }
+
+  /**
+   * Assumes that former owners granted leases of the usual duration only. Leases that are computed
+   * for the clock of a former incarnation last as long as the minion accepts.
+   */
+  assumeUsualLeases(): void {
+    this.#formerLeaseMs = MINION_LEASE_MS;
   }
 
   /** Until the minion responds, assumes that a former owner's leases expire at `instant`. */
@@ -48,7 +64,7 @@
   observe(clockMs: number, receivedAt: Instant): void {
     if (this.#reading === undefined) {
       // Another owner may have granted a lease before this one discovered the minion.
-      this.#leaseEndMs = clockMs + MINION_LEASE_MS;
+      this.#leaseEndMs = clockMs + this.#formerLeaseMs;
       this.#formerLeaseUntil = undefined;
     }
     // Responses may arrive out of order; the latest clock value is the most accurate.
