Count the calls that an unreported minion rejects as missed

A minion that answers each call with 429 or 503 after a takeover held back all waiting tasks for 16.5 s: it never reports, and only calls without a response let the former owner's account of it be used. Such a minion has done nothing, so its lease is not renewed and its runs end. The test fails before.

--- a/packages/nutmegproxy-emulator/src/__tests__/unit/Recovery.test.ts
+++ b/packages/nutmegproxy-emulator/src/__tests__/unit/Recovery.test.ts
@@ -235,6 +235,20 @@
       await waitFor('the task runs', () => other.liveTasks.length === 1, REACTION_MS);
     });
   });
+
+  describe('a minion that rejects all calls', () => {
+    it('does not delay the tasks that it can not run', async () => {
+      const unhealthy = addMinion('m1');
+      const first = await start('vm-1');
+      await waitFor('the minion has reported', () => unhealthy.answeredPolls > 0);
+      fleet.faults(unhealthy.description.id).isUnhealthy = true;
+      await stopAsPlanned(first);
+      await submitJob(store, createStoredJob(1, [createStepShape()]));
+      const other = addMinion('m2');
+      await start('vm-2');
+      await waitFor('the task runs', () => other.liveTasks.length === 1, REACTION_MS);
+    });
+  });
 });
 
 /** Returns a view of a store, and a function after which calls through this view fail. */
--- a/packages/nutmegproxy-owner/src/MinionSession.ts
+++ b/packages/nutmegproxy-owner/src/MinionSession.ts
@@ -254,7 +254,7 @@
       onFenced();
       return;
     }
-    if (kind === 'unanswered') {
+    if (kind === 'unanswered' || (kind === 'unhealthy' && !this.minion.hasReported)) {
       this.minion.missedCalls += 1;
       if (this.minion.missedCalls === 1) {
         events.record(OWNER_EVENTS.MINION_UNREACHABLE, fields);
