Closing record: drop minions that have left, and check what is read

An owner passed on the accounts of minions that had left long before, so the record only grew. It now adds what the owner before knew of the minions that it has itself, or of all when it ended before it had read which there are. A lease that an owner may have renewed without knowing the runs no longer gets the shorter duration of the owner before (suspected, not seen). A record that is JSON of another shape is logged as malformed, once for each write. Runs of silent minions count towards the limit of runs. The test of dropped minions failed before.

--- a/packages/nutmegproxy-owner/src/ClosingRecords.ts
+++ b/packages/nutmegproxy-owner/src/ClosingRecords.ts
@@ -11,7 +11,7 @@
 import {after, delay} from '@nutmegproxy/core';
 import {STATE_PREFIX} from '@nutmegproxy/jobs';
 import {getKey} from '@nutmegproxy/store';
-import {Result} from 'neverthrow';
+import {err, ok, Result} from 'neverthrow';
 
 import type {FleetOwnership} from './FleetOwnership.ts';
 import type {RosterEntry, SilentMinionRecord} from './Roster.ts';
@@ -36,6 +36,8 @@
    */
   readonly heldForMs: number;
   readonly id: MinionId;
+  /** Whether the owner may have renewed the lease although it did not know the runs. */
+  readonly mayBeRenewed?: boolean;
   /** Runs that it may have; undefined when the owner did not know them. */
   readonly runs?: SilentMinionRecord['runs'] | undefined;
 }
@@ -74,10 +76,11 @@
     let revision = 0;
     while (isAwaited()) {
       const stored = await getKey(store, CLOSING_RECORD_KEY);
-      const record = stored.isOk() ? this.#decode(stored.value) : undefined;
-      const storedRevision = stored.unwrapOr(undefined)?.modRevision ?? 0;
-      if (record?.term === ownership.term - 1 && storedRevision > revision) {
-        revision = storedRevision;
+      const value = stored.unwrapOr(undefined);
+      const isNew = (value?.modRevision ?? 0) > revision;
+      revision = value?.modRevision ?? revision;
+      const record = isNew ? this.#decode(value) : undefined;
+      if (record?.term === ownership.term - 1) {
         events.record(OWNER_EVENTS.CLOSING_RECORD_RECEIVED, describeRecord(record));
         onRecord(record);
       }
@@ -135,8 +138,7 @@
       return undefined;
     }
     return parseRecord(stored.value.toString()).match(
-      // Records of earlier versions contain no accounts.
-      (record): ClosingRecord | undefined => ({...record, accounts: record.accounts ?? []}),
+      (record): ClosingRecord | undefined => record,
       (message) => {
         this.#options.events.record(OWNER_EVENTS.RECORD_MALFORMED, {
           key: CLOSING_RECORD_KEY,
@@ -148,10 +150,17 @@
   }
 }
 
-const parseRecord = Result.fromThrowable(
-  (text: string) => JSON.parse(text) as Partial<ClosingRecord> & Omit<ClosingRecord, 'accounts'>,
-  String,
-);
+const parseJson = Result.fromThrowable((text: string) => JSON.parse(text) as unknown, String);
+
+function parseRecord(text: string): Result<ClosingRecord, string> {
+  return parseJson(text).andThen((value) => {
+    const {accounts, silent, term} = (value ?? {}) as Partial<ClosingRecord>;
+    return term === undefined || silent === undefined
+      ? err('term or silent is missing')
+      : // Records of earlier versions contain no accounts.
+        ok({accounts: accounts ?? [], silent, term});
+  });
+}
 
 function subtractElapsed(
   accounts: readonly MinionAccount[],
@@ -187,36 +196,43 @@
 
 /** Whether the former owner knew the runs of a minion that the record does not name. */
 function lacksRuns(record: ClosingRecord, former: ClosingRecord): boolean {
-  const known = new Set(record.accounts.filter(({runs}) => runs !== undefined).map(({id}) => id));
-  return former.accounts.some(({id, runs}) => runs !== undefined && !known.has(id));
+  const unknown = new Set(record.accounts.filter(({runs}) => runs === undefined).map(({id}) => id));
+  return former.accounts.some(
+    ({id, runs}) => runs !== undefined && (record.accounts.length === 0 || unknown.has(id)),
+  );
 }
 
-/** Adds what the owner before knew of minions that the owner of the record has not reached. */
+/**
+ * Adds what the owner before knew of minions that the owner of the record has not reached: of all,
+ * when its ownership ended before it had read which minions there are.
+ */
 function addFormer(own: ClosingRecord, former: ClosingRecord): ClosingRecord {
+  if (own.accounts.length === 0) {
+    return {...former, term: own.term};
+  }
   const formerAccounts = new Map(former.accounts.map((account) => [account.id, account]));
-  const known = new Set<MinionId>();
+  const unknown = new Set<MinionId>();
   const accounts = own.accounts.map((account): MinionAccount => {
-    const {heldForMs, id, runs} = account;
+    const {heldForMs, id, mayBeRenewed, runs} = account;
     const formerAccount = formerAccounts.get(id);
-    formerAccounts.delete(id);
     if (runs !== undefined) {
-      known.add(id);
+      return account;
     }
-    return runs !== undefined || formerAccount === undefined
+    unknown.add(id);
+    return formerAccount === undefined
       ? account
-      : {...formerAccount, heldForMs: Math.min(heldForMs, formerAccount.heldForMs)};
+      : {
+          ...formerAccount,
+          heldForMs: mayBeRenewed ? heldForMs : Math.min(heldForMs, formerAccount.heldForMs),
+        };
   });
-  const formerSilent = former.silent.filter(({description}) => !known.has(description.id));
-  return {
-    accounts: [...accounts, ...formerAccounts.values()],
-    silent: [...own.silent, ...formerSilent],
-    term: own.term,
-  };
+  const formerSilent = former.silent.filter(({description}) => unknown.has(description.id));
+  return {accounts, silent: [...own.silent, ...formerSilent], term: own.term};
 }
 
 /** Omits the runs of the last minions when there are too many; their leases then have to expire. */
 function limitRuns(record: ClosingRecord): ClosingRecord {
-  let total = 0;
+  let total = record.silent.reduce((sum, {silent}) => sum + (silent?.runs.length ?? 0), 0);
   const accounts = record.accounts.map((account) => {
     total += account.runs?.length ?? 0;
     return total <= MAX_RECORDED_RUNS ? account : {heldForMs: account.heldForMs, id: account.id};
--- a/packages/nutmegproxy-owner/src/__tests__/unit/ClosingRecords.test.ts
+++ b/packages/nutmegproxy-owner/src/__tests__/unit/ClosingRecords.test.ts
@@ -153,8 +153,8 @@
 
     it('keep what the owner before knew of minions that an owner did not reach', async () => {
       await open(3).send([createAccount('m1', 2), createAccount('m2', 2)], [createEntry('m3')]);
-      await open(4).send([createAccount('m1'), createAccount('m2', 1)], []);
-      assert.deepEqual(await readRuns(5), {m1: 2, m2: 1});
+      await open(4).send([createAccount('m1'), createAccount('m2', 1), createAccount('m3')], []);
+      assert.deepEqual(await readRuns(5), {m1: 2, m2: 1, m3: undefined});
       assert.deepEqual(await readNames(5), ['m3']);
     });
 
@@ -170,6 +170,20 @@
       assert.deepEqual(await readRuns(5), {m1: undefined});
     });
 
+    it('are dropped once the minion has left and its lease has expired', async () => {
+      for (let term = 3; term < 23; term += 1) {
+        await open(term).send([createAccount(`m${term}`, 1)], []);
+        clock.advance(60_000);
+      }
+      assert.deepEqual(await readRuns(23), {m22: 1});
+    });
+
+    it('do not end before a lease that an owner may have renewed without knowing the runs', async () => {
+      await open(3).send([{...createAccount('m1', 2), heldForMs: 1_000}], []);
+      await open(4).send([{...createAccount('m1'), mayBeRenewed: true}], []);
+      assert.equal((await receive(5))?.accounts[0]?.heldForMs, 7_000);
+    });
+
     it('omit runs that do not fit into a value of the store', async () => {
       await open(3).send([createAccount('m1', 15_000), createAccount('m2', 15_000)], []);
       assert.deepEqual(await readRuns(4), {m1: 15_000, m2: undefined});
@@ -180,8 +194,10 @@
     await open(3).send([], [createEntry('m1')]);
     const {values} = (await getPrefix(store, ''))._unsafeUnwrap();
     const key = values.find((stored) => stored.key.endsWith(CLOSING_KEY_SUFFIX))?.key ?? '';
-    await put(store, key, Buffer.from('{'));
-    assert.equal(await receive(4), undefined);
+    for (const malformed of ['{', 'null', '{}']) {
+      await put(store, key, Buffer.from(malformed));
+      assert.equal(await receive(4), undefined);
+    }
     assert.ok(loggedCodes.includes(OWNER_EVENTS.RECORD_MALFORMED.code));
   });
 });
