Start the sessions with the minions only once the jobs are read

When a new owner's first read of the jobs failed, its minions were asked meanwhile. All runs that they listed belonged to no known job, so each was stopped, and its task started elsewhere while the stop was under way: a task ran twice.

--- a/packages/nutmegproxy-owner/src/Owner.ts
+++ b/packages/nutmegproxy-owner/src/Owner.ts
@@ -17,6 +17,7 @@
   SharingPolicy,
   summarizeFleet,
 } from '@nutmegproxy/scheduling';
+import {err} from 'neverthrow';
 
 import type {AdviceClient} from './AdviceClient.ts';
 import type {FleetOwnership} from './FleetOwnership.ts';
@@ -249,15 +250,14 @@
         this.#roster.read(),
         this.#learnedEstimates.read(),
       ]);
-      const minions = former.isOk() ? await this.#minions.start(former.value) : former;
-      if (jobs.isOk() && minions.isOk()) {
+      // Runs in a listing whose jobs have not been read would be taken for unknown and stopped.
+      const roster = jobs.isOk() ? former : err(jobs.error);
+      const minions = roster.isOk() ? await this.#minions.start(roster.value) : roster;
+      if (minions.isOk()) {
         return;
       }
-      const failure = jobs.isErr() ? jobs.error : minions.isErr() ? minions.error : undefined;
-      events.record(OWNER_EVENTS.STORE_CALL_FAILED, {
-        message: failure?.message,
-        what: 'recovery',
-      });
+      const {message} = minions.error;
+      events.record(OWNER_EVENTS.STORE_CALL_FAILED, {message, what: 'recovery'});
       this.#jobs.pause();
       this.#minions.pause();
       await delay(STORE_RETRY_MS);
