Don't wait for minions that certainly run nothing

A minion that was added and left before it had responded stayed in the roster without end, since its lease clock had neither a reading nor an assumed expiry; nothing is started on a minion that the roster does not name, so it runs nothing. An unreachable minion whose lease had expired for one owner got no silent record, so that the next one waited for it again. And a rejection as unhealthy no longer ends the assumption on former leases, since such a call has not stored the token.

--- /dev/null
+++ b/packages/nutmegproxy-emulator/src/__tests__/unit/StoreSamples.ts
@@ -0,0 +1,49 @@
+/** Views of a store for the tests of this package. */
+
+import type {MemoryStore} from '@nutmegproxy/standins';
+import type {PlatformStore} from '@nutmegproxy/store';
+
+import {STATE_PREFIX} from '@nutmegproxy/jobs';
+import {getKey} from '@nutmegproxy/store';
+import {errAsync} from 'neverthrow';
+
+import {waitFor} from './JobSamples.ts';
+
+/** Time in milliseconds between two reads of the roster. */
+const READ_INTERVAL_MS = 5;
+/** Time in milliseconds in which an owner stores its roster. */
+const STORED_WITHIN_MS = 5_000;
+
+/** Returns a view of a store whose calls fail while `isFailing` returns true for their arguments. */
+export function createFailingStore(
+  store: MemoryStore,
+  isFailing: (args: readonly unknown[]) => boolean,
+): PlatformStore {
+  return new Proxy<PlatformStore>(store, {
+    get: (target, name: keyof PlatformStore) => {
+      const method = target[name].bind(target) as (...args: unknown[]) => unknown;
+      return (...args: unknown[]) =>
+        name !== 'watch' && isFailing(args)
+          ? errAsync({kind: 'unavailable', message: 'injected'})
+          : method(...args);
+    },
+  });
+}
+
+/** Waits until the stored roster meets a condition. */
+export async function waitForRoster(
+  store: MemoryStore,
+  isExpected: (roster: string) => boolean,
+): Promise<void> {
+  let roster = '';
+  const timer = setInterval(() => {
+    void getKey(store, `${STATE_PREFIX}roster`).then((stored) => {
+      roster = stored.unwrapOr(undefined)?.value.toString() ?? '';
+    });
+  }, READ_INTERVAL_MS);
+  try {
+    await waitFor('the roster is stored', () => isExpected(roster), STORED_WITHIN_MS);
+  } finally {
+    clearInterval(timer);
+  }
+}
--- a/packages/nutmegproxy-owner/src/MinionRecovery.ts
+++ b/packages/nutmegproxy-owner/src/MinionRecovery.ts
@@ -59,6 +59,7 @@
       adoptRecordedRuns(fleet, minion, resolveSilentRecord(silent, clock.wall()), now);
       return;
     }
+    minion.areRunsKnown = false;
     minion.leaseClock.assumeLeasedUntil(after(now, MAX_FORMER_LEASE_MS));
     this.#unreported.add(minion);
     if (draining !== undefined) {
@@ -97,6 +98,7 @@
     return {
       heldForMs: Math.ceil(minion.leaseClock.expiresInMs(now)),
       id: minion.id,
+      mayBeRenewed: minion.leaseClock.hasReading,
       runs: minion.areRunsKnown
         ? listPossibleRuns(minion, unstoredResults)
         : this.#unreported.findRuns(minion, now)?.runs,
--- a/packages/nutmegproxy-owner/src/MinionSession.ts
+++ b/packages/nutmegproxy-owner/src/MinionSession.ts
@@ -247,7 +247,9 @@
   #handleFailure({clockMs, kind, message}: OrderFailure, what: string): void {
     const {clock, events, onFenced, onSilent} = this.#context;
     const fields = {...this.eventFields, message, what};
-    if (clockMs !== undefined) {
+    // A minion that rejects a call as unhealthy has not stored the token, so a former owner may still
+    // renew its lease.
+    if (clockMs !== undefined && kind !== 'unhealthy') {
       this.minion.leaseClock.observe(clockMs, clock.monotonic());
     }
     if (kind === 'fenced') {
--- a/packages/nutmegproxy-owner/src/MinionSessions.ts
+++ b/packages/nutmegproxy-owner/src/MinionSessions.ts
@@ -219,7 +219,7 @@
     if (isMissing) {
       minion.unlistedSince ??= now;
     }
-    if (minion.areRunsKnown) {
+    if (minion.hasReported) {
       return;
     }
     this.recovery.expect(minion, entry, now);
@@ -239,6 +239,9 @@
     const session = this.#sessions.get(description.id);
     if (session === undefined) {
       const minion = new MinionState(description);
+      // An owner starts nothing on a minion before the stored roster names it.
+      minion.areRunsKnown = true;
+      minion.leaseClock.assumeLeasedUntil(now);
       const opened = new MinionSession(context, minion);
       this.#sessions.set(minion.id, opened);
       fleet.minions.set(minion.id, minion);
--- a/packages/nutmegproxy-owner/src/UnreportedMinions.ts
+++ b/packages/nutmegproxy-owner/src/UnreportedMinions.ts
@@ -68,6 +68,8 @@
   isEmpty(confirmedAt: Instant): boolean {
     for (const minion of this.#minions) {
       if (minion.areRunsKnown || minion.leaseClock.isExpired(confirmedAt)) {
+        // Nothing runs there once every lease has expired.
+        minion.areRunsKnown = true;
         this.#minions.delete(minion);
       }
     }
