Emulated minion: a restart records when it ended the runs

The records of the runs that a restart ended had no time of end, so a check of how long a task did not run could not count from it, and the soak's check for overlapping runs passed over what followed such a run.

--- a/packages/nutmegproxy-emulator/src/EmulatedMinion.ts
+++ b/packages/nutmegproxy-emulator/src/EmulatedMinion.ts
@@ -105,9 +105,10 @@
   }
 
   /** Begins a new incarnation, which has no runs and no memory of the former one. */
-  restart(bornAt: number): void {
+  restart(bornAt: number, nowMs: number): void {
+    this.advance(nowMs);
     for (const {record} of this.#liveRuns.values()) {
-      record.endedAtMs ??= -1;
+      record.endedAtMs = nowMs;
     }
     this.#liveRuns.clear();
     this.#results.length = 0;
--- a/packages/nutmegproxy-emulator/src/__tests__/unit/Owner.test.ts
+++ b/packages/nutmegproxy-emulator/src/__tests__/unit/Owner.test.ts
@@ -374,7 +374,7 @@
       await submitJob(store, createStoredJob(1, [createStepShape({count: 2})]));
       await waitFor('both tasks run', () => minion.liveTasks.length === 2);
       await new Promise((resolve) => setTimeout(resolve, 50));
-      minion.restart(2);
+      minion.restart(2, SYSTEM_CLOCK.monotonic());
       await waitForStatus(1, 'completed');
       assert.equal(minion.records.length, 4);
     });
@@ -386,7 +386,7 @@
       await waitFor('the minion has reported', () => minion.answeredPolls > 1);
       const faults = fleet.faults(minion.description.id);
       faults.arePollAnswersLost = true;
-      minion.restart(2);
+      minion.restart(2, SYSTEM_CLOCK.monotonic());
       await submitJob(store, createStoredJob(1, [createStepShape()]));
       await waitFor('the task runs', () => minion.liveTasks.length === 1);
       const other = addMinion('m2');
@@ -405,7 +405,7 @@
       await submitJob(store, createStoredJob(1, [createStepShape()]));
       await waitFor('the task runs', () => minion.liveTasks.length === 1);
       await new Promise((resolve) => setTimeout(resolve, 50));
-      minion.restart(2);
+      minion.restart(2, SYSTEM_CLOCK.monotonic());
       await waitFor('the task runs again', () => minion.records.length === 2);
       // A task that was wrongly taken for lost would start on this larger minion.
       const other = new EmulatedMinion(
