--- a/packages/nutmegproxy-emulator/src/__tests__/unit/Recovery.test.ts
+++ b/packages/nutmegproxy-emulator/src/__tests__/unit/Recovery.test.ts
@@ -209,7 +209,7 @@
       await submitJob(store, createStoredJob(1, [createStepShape({longRunning: true})]));
       await waitFor('the task is sent', () => events.includes(SCHEDULING_EVENTS.RUN_PLACED));
       faults.isUnreachable = true;
-      restarting.restart(2);
+      restarting.restart(2, clock.monotonic());
       fleet.add(restarting);
       await waitFor('the restart is seen', () => events.includes(OWNER_EVENTS.MINION_RESTARTED));
       fleet.remove(restarting.description.id);
--- a/packages/nutmegproxy-emulator/src/__tests__/unit/UnreachedMinions.test.ts
+++ b/packages/nutmegproxy-emulator/src/__tests__/unit/UnreachedMinions.test.ts
@@ -60,8 +60,8 @@
   }
 
   restartAt(nowMs: number, bornAt: number): void {
+    this.restart(bornAt, nowMs - this.#startedAt);
     this.#startedAt = nowMs;
-    this.restart(bornAt);
   }
 }
 
@@ -299,7 +299,7 @@
       await submitJob(store, createStoredJob(1, [createStepShape({longRunning: true})]));
       const {ownership} = await start('vm-2');
       await new Promise((resolve) => setTimeout(resolve, 300));
-      restarting.restart(2);
+      restarting.restart(2, clock.monotonic());
       fleet.add(restarting);
       for (let elapsed = 0; elapsed < 60_000; elapsed += 1_000) {
         clock.advance(1_000);
