Accounts: keep what they say of failures, read them less often, and never fill in for a reached minion

The silent record that is made from an account keeps its runs also when their lease has expired, since each may have failed and counts as an attempt. A record that was cut to the limit of runs is not completed from the record of the owner before, whose runs may be over. The pause between reads of the record grows from 0.3 s to 2 s: the record of a large fleet would take half of a link of 10 Mbit/s for as long as a recovery lasts. A call that fails after its minion was removed no longer adds the minion to the roster again. A minion that drains at a takeover counts its remaining time from there.

--- a/packages/nutmegproxy-owner/src/ClosingRecords.ts
+++ b/packages/nutmegproxy-owner/src/ClosingRecords.ts
@@ -2,7 +2,8 @@
  * Passes on what an owner knew of the runs of all minions when its ownership ended. The next owner
  * learns the runs of a minion from its report; a minion that has left or can't be reached does not
  * report, and without a record every lease that the former owner may have granted has to expire
- * before the next one starts anything.
+ * before the next one starts anything. A minion without an account, or whose account lists no runs at
+ * all (undefined), may run anything.
  */
 
 import type {Clock, EventFields, EventSink, Instant, MinionId} from '@nutmegproxy/core';
@@ -18,6 +19,7 @@
 
 import {
   CLOSING_RECORD_READ_INTERVAL_MS,
+  MAX_CLOSING_RECORD_READ_INTERVAL_MS,
   MAX_FORMER_LEASE_MS,
   STORE_RETRY_MS,
 } from './OwnerConstants.ts';
@@ -73,6 +75,7 @@
     onRecord: (record: ClosingRecord) => void,
   ): Promise<void> {
     const {events, ownership, store} = this.#options;
+    let pauseMs = CLOSING_RECORD_READ_INTERVAL_MS;
     let revision = 0;
     while (isAwaited()) {
       const stored = await getKey(store, CLOSING_RECORD_KEY);
@@ -87,7 +90,8 @@
       if (stored.isErr()) {
         this.#recordFailure(stored.error.message);
       }
-      await delay(CLOSING_RECORD_READ_INTERVAL_MS);
+      await delay(pauseMs);
+      pauseMs = Math.min(pauseMs * 2, MAX_CLOSING_RECORD_READ_INTERVAL_MS);
     }
   }
 
@@ -196,12 +200,17 @@
 
 /** Whether the former owner knew the runs of a minion that the record does not name. */
 function lacksRuns(record: ClosingRecord, former: ClosingRecord): boolean {
-  const unknown = new Set(record.accounts.filter(({runs}) => runs === undefined).map(({id}) => id));
+  const unreached = new Set(record.accounts.filter(isUnreached).map(({id}) => id));
   return former.accounts.some(
-    ({id, runs}) => runs !== undefined && (record.accounts.length === 0 || unknown.has(id)),
+    ({id, runs}) => runs !== undefined && (record.accounts.length === 0 || unreached.has(id)),
   );
 }
 
+/** Whether the owner never had a response from the minion, so that it gave it no lease and no run. */
+function isUnreached({mayBeRenewed = false, runs}: MinionAccount): boolean {
+  return runs === undefined && !mayBeRenewed;
+}
+
 /**
  * Adds what the owner before knew of minions that the owner of the record has not reached: of all,
  * when its ownership ended before it had read which minions there are.
@@ -211,22 +220,19 @@
     return {...former, term: own.term};
   }
   const formerAccounts = new Map(former.accounts.map((account) => [account.id, account]));
-  const unknown = new Set<MinionId>();
+  const unreached = new Set<MinionId>();
   const accounts = own.accounts.map((account): MinionAccount => {
-    const {heldForMs, id, mayBeRenewed, runs} = account;
-    const formerAccount = formerAccounts.get(id);
-    if (runs !== undefined) {
+    const {heldForMs, id} = account;
+    if (!isUnreached(account)) {
       return account;
     }
-    unknown.add(id);
+    unreached.add(id);
+    const formerAccount = formerAccounts.get(id);
     return formerAccount === undefined
       ? account
-      : {
-          ...formerAccount,
-          heldForMs: mayBeRenewed ? heldForMs : Math.min(heldForMs, formerAccount.heldForMs),
-        };
+      : {...formerAccount, heldForMs: Math.min(heldForMs, formerAccount.heldForMs)};
   });
-  const formerSilent = former.silent.filter(({description}) => unknown.has(description.id));
+  const formerSilent = former.silent.filter(({description}) => unreached.has(description.id));
   return {accounts, silent: [...own.silent, ...formerSilent], term: own.term};
 }
 
@@ -235,7 +241,7 @@
   let total = record.silent.reduce((sum, {silent}) => sum + (silent?.runs.length ?? 0), 0);
   const accounts = record.accounts.map((account) => {
     total += account.runs?.length ?? 0;
-    return total <= MAX_RECORDED_RUNS ? account : {heldForMs: account.heldForMs, id: account.id};
+    return total <= MAX_RECORDED_RUNS ? account : {...account, runs: undefined};
   });
   return {...record, accounts};
 }
--- a/packages/nutmegproxy-owner/src/MinionRecovery.ts
+++ b/packages/nutmegproxy-owner/src/MinionRecovery.ts
@@ -3,7 +3,7 @@
  * record of the former owner after a takeover, and from its own state once a minion falls silent.
  */
 
-import type {Clock, EventFields, Instant, MinionId} from '@nutmegproxy/core';
+import type {Clock, EventFields, Instant, MinionId, WallTime} from '@nutmegproxy/core';
 import type {Fleet, MinionState, RunResult} from '@nutmegproxy/scheduling';
 
 import {after} from '@nutmegproxy/core';
@@ -112,8 +112,9 @@
     const former = this.#unreported.findRuns(minion, time.now);
     if (former !== undefined) {
       adoptRecordedRuns(fleet, minion, former, time.now);
-    }
-    if (minion.areRunsKnown) {
+      const heldUntil = (time.wall + former.remainingMs) as WallTime;
+      roster.markSilent(minion.description, {heldUntil, runs: former.runs});
+    } else if (minion.areRunsKnown) {
       minion.isRecordedUnreachable = true;
       roster.markSilent(minion.description, createSilentRecord(minion, unstoredResults, time));
     }
--- a/packages/nutmegproxy-owner/src/MinionSession.ts
+++ b/packages/nutmegproxy-owner/src/MinionSession.ts
@@ -262,7 +262,7 @@
         events.record(OWNER_EVENTS.MINION_UNREACHABLE, fields);
       }
       const isSilent = this.minion.missedCalls >= SILENT_AFTER_MISSED_CALLS;
-      if (isSilent && !this.minion.isRecordedUnreachable) {
+      if (isSilent && !this.minion.isRecordedUnreachable && !this.#stopped) {
         onSilent(this.minion);
       }
       return;
--- a/packages/nutmegproxy-owner/src/MinionSessions.ts
+++ b/packages/nutmegproxy-owner/src/MinionSessions.ts
@@ -241,6 +241,7 @@
       const minion = new MinionState(description);
       // An owner starts nothing on a minion before the stored roster names it.
       minion.areRunsKnown = true;
+      minion.drainingSince = description.isDraining ? now : undefined;
       minion.leaseClock.assumeLeasedUntil(now);
       const opened = new MinionSession(context, minion);
       this.#sessions.set(minion.id, opened);
--- a/packages/nutmegproxy-owner/src/OwnerConstants.ts
+++ b/packages/nutmegproxy-owner/src/OwnerConstants.ts
@@ -85,5 +85,7 @@
   OWNERSHIP_TTL_MS + UNCONFIRMED_GRACE_MS + MINION_LEASE_MS + FORMER_LEASE_MARGIN_MS;
 /** Pause between reads of the former owner's closing record while minions have not reported. */
 export const CLOSING_RECORD_READ_INTERVAL_MS = 300;
+/** Longest such pause; the record of a large fleet takes part of a slow link with each read. */
+export const MAX_CLOSING_RECORD_READ_INTERVAL_MS = 2_000;
 /** Time after which a minion without an entry in the directory is removed. */
 export const REMOVE_UNLISTED_AFTER_MS = 3_000;
--- a/packages/nutmegproxy-scheduling/src/MinionState.ts
+++ b/packages/nutmegproxy-scheduling/src/MinionState.ts
@@ -58,7 +58,10 @@
   unlistedSince: Instant | undefined;
   /** Steps with runs on this minion whose results are not known. */
   readonly unknownResultSteps = new Set<StepState>();
-  /** Whether this owner knows its runs, from its report or from a record of a former owner. */
+  /**
+   * Whether this owner knows its runs: from its report or a former owner's record, or because it can't
+   * have any.
+   */
   areRunsKnown = false;
   /** Whether it has reported its runs to this owner. */
   hasReported = false;
