Accounts and draining records: hold for restarts under the same id and beside earlier versions

Found by a second review, each shown by a test that fails on: a task ran twice - when a start had reached a new incarnation under the same id, for whose clock its lease was not computed: the account's lease was too short. An account with starts that no listing confirms now holds for the longest lease. - when such a restart became known only after the account was used: the run counted as lost. Runs of a minion that has not reported stay until it does, or until the longest lease has expired; an account does not shorten that. - when a process of an earlier version had kept a draining record and started work on that minion. The record now names the term of its writer and holds for the next owner only. A closing record of an earlier version was taken for that of an owner that had read no minions, and replaced.

--- a/packages/nutmegproxy-emulator/src/__tests__/unit/UnreachedMinions.test.ts
+++ b/packages/nutmegproxy-emulator/src/__tests__/unit/UnreachedMinions.test.ts
@@ -11,8 +11,9 @@
 import type {Result, ResultAsync} from 'neverthrow';
 
 import {ManualClock} from '@nutmegproxy/core';
-import {PROGRESS_PREFIX} from '@nutmegproxy/jobs';
+import {PROGRESS_PREFIX, STATE_PREFIX} from '@nutmegproxy/jobs';
 import {MemoryStore} from '@nutmegproxy/standins';
+import {getKey, put} from '@nutmegproxy/store';
 import {errAsync} from 'neverthrow';
 import assert from 'node:assert/strict';
 import {afterEach, beforeEach, describe, it} from 'node:test';
@@ -200,6 +201,96 @@
     assert.equal(live.length, 1, `live runs: ${live.join(' ')}`);
   });
 
+  it('does not start a task again on the lease in an account that was computed for a former incarnation', async () => {
+    clock.advance(500_000);
+    const minion = new RestartingMinion(createMinionDescription('m1'), LASTING);
+    fleet.add(minion);
+    const first = await start('vm-1');
+    await waitFor('the minion has reported', () => minion.answeredPolls > 3);
+    // The start reaches the new incarnation; the poll in flight has not returned.
+    fleet.maxPollWaitMs = 10_000;
+    await new Promise((resolve) => setTimeout(resolve, 100));
+    minion.restartAt(clock.monotonic(), 2);
+    await submitJob(store, createStoredJob(1, [createStepShape({longRunning: true})]));
+    await waitFor('the task runs', () => minion.liveTasks.length === 1);
+    await new Promise((resolve) => setTimeout(resolve, 50));
+    // The first owner ends before it learns of the restart.
+    first.owner.stop('planned stop');
+    await first.election.resign(first.ownership, 'planned stop');
+    fleet.maxPollWaitMs = 10;
+    fleet.faults(minion.description.id).isUnreachable = true;
+    fleet.add(minion);
+    const other = addMinion('m2');
+    const {ownership} = await start('vm-2');
+    await waitFor('the other minion has reported', () => other.answeredPolls > 0);
+    await new Promise((resolve) => setTimeout(resolve, 800));
+    for (let elapsed = 0; elapsed < 9_500; elapsed += 500) {
+      clock.advance(500);
+      ownership.confirm(clock.monotonic(), clock.wall());
+      await new Promise((resolve) => setTimeout(resolve, 20));
+    }
+    await new Promise((resolve) => setTimeout(resolve, 600));
+    minion.advanceTo(clock.monotonic());
+    const live = [...minion.liveTasks, ...other.liveTasks];
+    assert.equal(live.length, 1, `live runs: ${live.join(' ')}`);
+  });
+
+  it('does not take a run in an account for lost at a restart that its start may have reached', async () => {
+    clock.advance(500_000);
+    const minion = new RestartingMinion(createMinionDescription('m1'), LASTING);
+    fleet.add(minion);
+    const first = await start('vm-1');
+    await waitFor('the minion has reported', () => minion.answeredPolls > 3);
+    // The start reaches the new incarnation; the poll in flight has not returned.
+    fleet.maxPollWaitMs = 10_000;
+    await new Promise((resolve) => setTimeout(resolve, 100));
+    const before = minion.description;
+    minion.restartAt(clock.monotonic(), 2);
+    const after = minion.description;
+    // The directory does not contain the new incarnation yet.
+    Object.defineProperty(minion, 'description', {value: before, writable: true});
+    await submitJob(store, createStoredJob(1, [createStepShape({longRunning: true})]));
+    await waitFor('the task runs', () => minion.liveTasks.length === 1);
+    await new Promise((resolve) => setTimeout(resolve, 50));
+    first.owner.stop('planned stop');
+    await first.election.resign(first.ownership, 'planned stop');
+    fleet.maxPollWaitMs = 10;
+    fleet.faults(minion.description.id).isUnreachable = true;
+    const other = addMinion('m2');
+    await start('vm-2');
+    await waitFor('the other minion has reported', () => other.answeredPolls > 0);
+    // The minion missed calls and counts as running what the account names.
+    await new Promise((resolve) => setTimeout(resolve, 1_500));
+    assert.equal(other.liveTasks.length, 0);
+    Object.defineProperty(minion, 'description', {value: {...after, bornAt: 2}, writable: true});
+    fleet.add(minion);
+    // No time passes, so that the lease of the first run has not expired.
+    await new Promise((resolve) => setTimeout(resolve, 1_000));
+    const live = [...minion.liveTasks, ...other.liveTasks];
+    assert.equal(live.length, 1, `live runs: ${live.join(' ')}`);
+  });
+
+  it('does not wait for ever for the result of a run in an account of a listed minion that is not reached', async () => {
+    const minion = addMinion('m1');
+    const first = await start('vm-1');
+    await waitFor('the minion has reported', () => minion.answeredPolls > 3);
+    await submitJob(store, createStoredJob(1, [createStepShape()]));
+    await waitFor('the task runs', () => minion.liveTasks.length === 1);
+    first.owner.stop('planned stop');
+    await first.election.resign(first.ownership, 'planned stop');
+    fleet.faults(minion.description.id).isUnreachable = true;
+    const other = addMinion('m2');
+    const {ownership} = await start('vm-2');
+    await waitFor('the other minion has reported', () => other.answeredPolls > 0);
+    await new Promise((resolve) => setTimeout(resolve, 800));
+    for (let elapsed = 0; elapsed < 60_000; elapsed += 1_000) {
+      clock.advance(1_000);
+      ownership.confirm(clock.monotonic(), clock.wall());
+      await new Promise((resolve) => setTimeout(resolve, 20));
+    }
+    await waitFor('the task runs', () => other.liveTasks.length === 1, 1_000);
+  });
+
   it('starts no task that runs when the jobs are read only at the second attempt', async () => {
     const first = addMinion('m1');
     const {kill} = await startKillable('vm-1');
@@ -244,6 +335,30 @@
   });
 
   describe('when owners are killed', () => {
+    it('does not start a task again that an earlier version started on a minion whose draining record it kept', async () => {
+      const first = addMinion('m1');
+      const {kill} = await startKillable('vm-1');
+      await submitJob(store, createStoredJob(1, [createStepShape({longRunning: true})]));
+      await waitFor('the task runs', () => first.liveTasks.length === 1);
+      await kill();
+      // An earlier version writes the entries that it read unchanged, with fields that it doesn't know: a
+      // minion that drained and started again under its id keeps its record while it gets runs.
+      const key = `${STATE_PREFIX}roster`;
+      const stored = (await getKey(store, key)).unwrapOr(undefined)?.value.toString() ?? '[]';
+      const entries = (JSON.parse(stored) as object[]).map((entry) => ({
+        ...entry,
+        draining: {runs: [], term: -1},
+      }));
+      await put(store, key, Buffer.from(JSON.stringify(entries)));
+      fleet.faults(first.description.id).isUnreachable = true;
+      const other = addMinion('m2');
+      await start('vm-2');
+      await waitFor('the other minion has reported', () => other.answeredPolls > 0);
+      // No time passes, so that the lease of the first run has not expired.
+      await new Promise((resolve) => setTimeout(resolve, 1_500));
+      const live = [...first.liveTasks, ...other.liveTasks];
+      assert.equal(live.length, 1, `live runs: ${live.join(' ')}`);
+    });
     it('does not wait for a minion that no owner ever reached and that left long before', async () => {
       const other = addMinion('m2');
       fleet.faults(createMinionDescription('m1').id).isUnreachable = true;
--- a/packages/nutmegproxy-owner/src/ClosingRecords.ts
+++ b/packages/nutmegproxy-owner/src/ClosingRecords.ts
@@ -46,7 +46,8 @@
 
 /** Stored value: what the owner of a term knew when its ownership ended. */
 export interface ClosingRecord {
-  readonly accounts: readonly MinionAccount[];
+  /** Undefined in records of earlier versions; empty when the owner had not read its minions. */
+  readonly accounts?: readonly MinionAccount[] | undefined;
   /** Entries of the minions that did not respond. */
   readonly silent: readonly RosterEntry[];
   readonly term: number;
@@ -161,8 +162,7 @@
     const {accounts, silent, term} = (value ?? {}) as Partial<ClosingRecord>;
     return term === undefined || silent === undefined
       ? err('term or silent is missing')
-      : // Records of earlier versions contain no accounts.
-        ok({accounts: accounts ?? [], silent, term});
+      : ok({accounts, silent, term});
   });
 }
 
@@ -199,11 +199,11 @@
 }
 
 /** Whether the former owner knew the runs of a minion that the record does not name. */
-function lacksRuns(record: ClosingRecord, former: ClosingRecord): boolean {
-  const unreached = new Set(record.accounts.filter(isUnreached).map(({id}) => id));
-  return former.accounts.some(
-    ({id, runs}) => runs !== undefined && (record.accounts.length === 0 || unreached.has(id)),
-  );
+function lacksRuns({accounts}: ClosingRecord, former: ClosingRecord): boolean {
+  const unreached = new Set(accounts?.filter(isUnreached).map(({id}) => id));
+  const isLacking = ({id, runs}: MinionAccount): boolean =>
+    runs !== undefined && (accounts?.length === 0 || unreached.has(id));
+  return former.accounts?.some(isLacking) ?? false;
 }
 
 /** Whether the owner never had a response from the minion, so that it gave it no lease and no run. */
@@ -216,12 +216,12 @@
  * when its ownership ended before it had read which minions there are.
  */
 function addFormer(own: ClosingRecord, former: ClosingRecord): ClosingRecord {
-  if (own.accounts.length === 0) {
+  if (own.accounts?.length === 0) {
     return {...former, term: own.term};
   }
-  const formerAccounts = new Map(former.accounts.map((account) => [account.id, account]));
+  const formerAccounts = new Map(former.accounts?.map((account) => [account.id, account]));
   const unreached = new Set<MinionId>();
-  const accounts = own.accounts.map((account): MinionAccount => {
+  const accounts = own.accounts?.map((account): MinionAccount => {
     const {heldForMs, id} = account;
     if (!isUnreached(account)) {
       return account;
@@ -239,14 +239,14 @@
 /** Omits the runs of the last minions when there are too many; their leases then have to expire. */
 function limitRuns(record: ClosingRecord): ClosingRecord {
   let total = record.silent.reduce((sum, {silent}) => sum + (silent?.runs.length ?? 0), 0);
-  const accounts = record.accounts.map((account) => {
+  const accounts = record.accounts?.map((account) => {
     total += account.runs?.length ?? 0;
     return total <= MAX_RECORDED_RUNS ? account : {...account, runs: undefined};
   });
   return {...record, accounts};
 }
 
-function describeRecord({accounts, silent, term}: ClosingRecord): EventFields {
+function describeRecord({accounts = [], silent, term}: ClosingRecord): EventFields {
   const known = accounts.filter(({runs}) => runs !== undefined).length;
   return {accounts: known, minions: silent.length, term};
 }
--- a/packages/nutmegproxy-owner/src/MinionRecovery.ts
+++ b/packages/nutmegproxy-owner/src/MinionRecovery.ts
@@ -9,6 +9,7 @@
 import {after} from '@nutmegproxy/core';
 
 import type {ClosingRecord, MinionAccount} from './ClosingRecords.ts';
+import type {FleetOwnership} from './FleetOwnership.ts';
 import type {Roster, RosterEntry} from './Roster.ts';
 
 import {MAX_FORMER_LEASE_MS} from './OwnerConstants.ts';
@@ -24,6 +25,7 @@
   readonly clock: Clock;
   readonly fleet: Fleet;
   readonly onChange: () => void;
+  readonly ownership: FleetOwnership;
   readonly roster: Roster;
 }
 
@@ -54,7 +56,7 @@
 
   /** Expects the report of a minion of the former owner, unless the roster flags it as silent. */
   expect(minion: MinionState, {draining, silent}: RosterEntry, now: Instant): void {
-    const {clock, fleet} = this.#options;
+    const {clock, fleet, ownership} = this.#options;
     if (silent !== undefined) {
       adoptRecordedRuns(fleet, minion, resolveSilentRecord(silent, clock.wall()), now);
       return;
@@ -62,16 +64,17 @@
     minion.areRunsKnown = false;
     minion.leaseClock.assumeLeasedUntil(after(now, MAX_FORMER_LEASE_MS));
     this.#unreported.add(minion);
-    if (draining !== undefined) {
+    minion.isRecordedDraining = draining !== undefined;
+    // An owner of an earlier version keeps the record, but not to it.
+    if (draining?.term === ownership.term - 1) {
       const {runs} = draining;
-      minion.isRecordedDraining = true;
       this.#unreported.keepAccounts([{heldForMs: MAX_FORMER_LEASE_MS, id: minion.id, runs}], now);
     }
   }
 
   /** Receives what the former owner knew of minions that have not reported to this one. */
   receive(
-    {accounts, silent}: ClosingRecord,
+    {accounts = [], silent}: ClosingRecord,
     findMinion: (id: MinionId) => MinionState | undefined,
   ): void {
     const {clock, fleet, roster} = this.#options;
@@ -95,8 +98,12 @@
     unstoredResults: readonly RunResult[],
     now: Instant,
   ): MinionAccount {
+    // A start that no listing confirms may have reached a new incarnation, for whose clock its lease
+    // was not computed.
+    const isCertain = [...minion.runs].every(({knownFrom}) => knownFrom !== 'order');
+    const leasedMs = Math.ceil(minion.leaseClock.expiresInMs(now));
     return {
-      heldForMs: Math.ceil(minion.leaseClock.expiresInMs(now)),
+      heldForMs: isCertain ? leasedMs : Math.max(leasedMs, MAX_FORMER_LEASE_MS),
       id: minion.id,
       mayBeRenewed: minion.leaseClock.hasReading,
       runs: minion.areRunsKnown
@@ -140,7 +147,8 @@
     if (recorded === undefined || (recorded > 0 && runs.length === 0)) {
       minion.isRecordedDraining = true;
       this.#drainingRuns.set(minion, runs.length);
-      this.#options.roster.markDraining(description, {runs});
+      const {ownership, roster} = this.#options;
+      roster.markDraining(description, {runs, term: ownership.term});
     }
   }
 
--- a/packages/nutmegproxy-owner/src/MinionSession.ts
+++ b/packages/nutmegproxy-owner/src/MinionSession.ts
@@ -103,7 +103,9 @@
     fleet.clearUnknownResults(this.minion);
     for (const run of [...this.minion.runs]) {
       // A start that was sent meanwhile may have reached the new incarnation; the next poll decides.
-      if (run.knownFrom !== 'order') {
+      // So may a former owner's start, of a run that only its record names.
+      const wasListed = this.minion.hasReported && run.knownFrom !== 'order';
+      if (wasListed) {
         fleet.recordLostRun(run, 'minion restarted');
       }
     }
--- a/packages/nutmegproxy-owner/src/MinionSessions.ts
+++ b/packages/nutmegproxy-owner/src/MinionSessions.ts
@@ -39,7 +39,7 @@
 
   constructor(options: MinionSessionsOptions) {
     this.#options = options;
-    this.recovery = new MinionRecovery(options);
+    this.recovery = new MinionRecovery({...options, ownership: options.session.ownership});
   }
 
   close(): void {
--- a/packages/nutmegproxy-owner/src/Roster.ts
+++ b/packages/nutmegproxy-owner/src/Roster.ts
@@ -38,6 +38,8 @@
 export interface DrainingMinionRecord {
   /** Runs that it may have; it gets no others while this is stored. */
   readonly runs: SilentMinionRecord['runs'];
+  /** Term of the owner that wrote this; it says nothing of later owners' runs. */
+  readonly term: number;
 }
 
 export interface RosterEntry {
--- a/packages/nutmegproxy-owner/src/UnreportedMinions.ts
+++ b/packages/nutmegproxy-owner/src/UnreportedMinions.ts
@@ -61,7 +61,7 @@
     if (account?.runs === undefined || !this.has(minion)) {
       return undefined;
     }
-    return {remainingMs: Math.max(0, account.leasedUntil - now), runs: account.runs};
+    return {remainingMs: minion.leaseClock.expiresInMs(now), runs: account.runs};
   }
 
   /** Whether no minion is left; `confirmedAt` is when the ownership was last confirmed. */
--- a/packages/nutmegproxy-owner/src/__tests__/unit/ClosingRecords.test.ts
+++ b/packages/nutmegproxy-owner/src/__tests__/unit/ClosingRecords.test.ts
@@ -131,7 +131,7 @@
     const isDone = (): boolean => received.length >= 2;
     const receiving = open(5).receive(
       () => !isDone(),
-      ({accounts}) => received.push(accounts.filter(({runs}) => runs !== undefined).length),
+      ({accounts = []}) => received.push(accounts.filter(({runs}) => runs !== undefined).length),
     );
     await new Promise((resolve) => setTimeout(resolve, 20));
     assert.deepEqual(received, [0]);
@@ -141,6 +141,17 @@
   });
 
   describe('accounts of minions', () => {
+    it('are not taken for those of a later owner of an earlier version, whose records contain none', async () => {
+      await open(4).send([], [createEntry('m2')]);
+      const {values} = (await getPrefix(store, ''))._unsafeUnwrap();
+      const key = values.find((stored) => stored.key.endsWith(CLOSING_KEY_SUFFIX))?.key ?? '';
+      // That owner may have started runs on any minion; it stores only the silent ones.
+      const later = JSON.stringify({silent: [createEntry('m2')], term: 4});
+      await put(store, key, Buffer.from(later));
+      await open(3).send([createAccount('m1', 0)], []);
+      assert.deepEqual(await readRuns(5), {});
+      assert.deepEqual(await readNames(5), ['m2']);
+    });
     it('say how long a lease lasts from the time of the write', async () => {
       store.faults.change({down: true});
       const sent = open(3).send([createAccount('m1', 1)], []);
@@ -148,7 +159,7 @@
       clock.advance(2_000);
       store.faults.change({down: false});
       await sent;
-      assert.equal((await receive(4))?.accounts[0]?.heldForMs, 5_000);
+      assert.equal((await receive(4))?.accounts?.[0]?.heldForMs, 5_000);
     });
 
     it('keep what the owner before knew of minions that an owner did not reach', async () => {
@@ -181,7 +192,7 @@
     it('do not end before a lease that an owner may have renewed without knowing the runs', async () => {
       await open(3).send([{...createAccount('m1', 2), heldForMs: 1_000}], []);
       await open(4).send([{...createAccount('m1'), mayBeRenewed: true}], []);
-      assert.equal((await receive(5))?.accounts[0]?.heldForMs, 7_000);
+      assert.equal((await receive(5))?.accounts?.[0]?.heldForMs, 7_000);
     });
 
     it('omit runs that do not fit into a value of the store', async () => {
--- a/packages/nutmegproxy-scheduling/src/LeaseClock.ts
+++ b/packages/nutmegproxy-scheduling/src/LeaseClock.ts
@@ -20,6 +20,7 @@
 export class LeaseClock {
   /** Longest lease that a former owner may have granted. */
   #formerLeaseMs = MAX_LEASE_MS;
+  #hasRestarted = false;
   #leaseEndMs = 0;
   #reading: ClockReading | undefined;
   /** Latest expiry of leases of unknown length, until the minion responds; undefined for none. */
@@ -38,6 +39,7 @@
     this.#leaseEndMs = 0;
     this.#reading = undefined;
     this.#formerLeaseUntil = instant;
+    this.#hasRestarted = true;
   }
 
   /**
@@ -53,9 +55,13 @@
     this.#formerLeaseUntil = instant;
   }
 
-  /** Lowers the assumed expiry of a former owner's leases, if there is one. */
+  /**
+   * Lowers the assumed expiry of a former owner's leases, if there is one. A former owner's account
+   * does not say how long leases of a new incarnation last.
+   */
   shortenAssumedLease(instant: Instant): void {
-    if (this.#formerLeaseUntil !== undefined && instant < this.#formerLeaseUntil) {
+    const until = this.#formerLeaseUntil;
+    if (until !== undefined && instant < until && !this.#hasRestarted) {
       this.#formerLeaseUntil = instant;
     }
   }
