--- a/packages/nutmegproxy-owner/src/MinionRecovery.ts
+++ b/packages/nutmegproxy-owner/src/MinionRecovery.ts
@@ -54,7 +54,10 @@
     return this.#unreported.isEmpty(confirmedAt);
   }
 
-  /** Expects the report of a minion of the former owner, unless the roster flags it as silent. */
+  /**
+   * Waits for the report of a minion that the former owner's roster names, unless the roster flags it
+   * as silent: then its record names the runs that it may have.
+   */
   expect(minion: MinionState, {draining, silent}: RosterEntry, now: Instant): void {
     const {clock, fleet, ownership} = this.#options;
     if (silent !== undefined) {
@@ -65,7 +68,7 @@
     minion.leaseClock.assumeLeasedUntil(after(now, MAX_FORMER_LEASE_MS));
     this.#unreported.add(minion);
     minion.isRecordedDraining = draining !== undefined;
-    // An owner of an earlier version keeps the record, but not to it.
+    // An owner of an earlier version stores the record again but may start runs in spite of it.
     if (draining?.term === ownership.term - 1) {
       const {runs} = draining;
       this.#unreported.keepAccounts([{heldForMs: MAX_FORMER_LEASE_MS, id: minion.id, runs}], now);
@@ -92,7 +95,7 @@
     }
   }
 
-  /** Returns what this owner knows of the runs of a minion. */
+  /** Returns what this owner knows of the runs of a minion, for the next owner. */
   getAccount(
     minion: MinionState,
     unstoredResults: readonly RunResult[],
--- a/packages/nutmegproxy-owner/src/MinionSession.ts
+++ b/packages/nutmegproxy-owner/src/MinionSession.ts
@@ -102,8 +102,8 @@
     this.minion.leaseClock.reset(after(clock.monotonic(), MAX_FORMER_LEASE_MS));
     fleet.clearUnknownResults(this.minion);
     for (const run of [...this.minion.runs]) {
-      // A start that was sent meanwhile may have reached the new incarnation; the next poll decides.
-      // So may a former owner's start, of a run that only its record names.
+      // A start that was sent meanwhile may have reached the new incarnation, and so may a former
+      // owner's start that only its record names; the next poll decides.
       const wasListed = this.minion.hasReported && run.knownFrom !== 'order';
       if (wasListed) {
         fleet.recordLostRun(run, 'minion restarted');
--- a/packages/nutmegproxy-owner/src/Roster.ts
+++ b/packages/nutmegproxy-owner/src/Roster.ts
@@ -38,7 +38,7 @@
 export interface DrainingMinionRecord {
   /** Runs that it may have; it gets no others while this is stored. */
   readonly runs: SilentMinionRecord['runs'];
-  /** Term of the owner that wrote this; it says nothing of later owners' runs. */
+  /** Term of the owner that wrote this; a later owner may have started other runs. */
   readonly term: number;
 }
 
