--- a/packages/nutmegproxy-owner/src/SilentRecords.ts
+++ b/packages/nutmegproxy-owner/src/SilentRecords.ts
@@ -4,8 +4,9 @@
 import type {Run} from '@nutmegproxy/jobs';
 import type {Fleet, MinionState, RunResult} from '@nutmegproxy/scheduling';
 
+import {after} from '@nutmegproxy/core';
 import {formatTaskName, parseTaskName} from '@nutmegproxy/jobs';
-import {dropSupersededRuns} from '@nutmegproxy/scheduling';
+import {dropSupersededRuns, findStep} from '@nutmegproxy/scheduling';
 
 import type {SilentMinionRecord} from './Roster.ts';
 
@@ -40,11 +41,11 @@
 ): void {
   minion.isRecordedUnreachable = true;
   minion.areRunsKnown = true;
-  minion.leaseClock.assumeLeasedUntil((now + remainingMs) as Instant);
+  minion.leaseClock.assumeLeasedUntil(after(now, remainingMs));
   const adopted: Run[] = [];
   for (const [name, number] of runs) {
     const task = parseTaskName(name);
-    const step = task && fleet.jobs.get(task.job)?.occurrence(task.occurrence)?.[task.step];
+    const step = task && findStep(fleet, task);
     if (task === undefined || step === undefined || step.job.isFinal) {
       continue;
     }
--- a/packages/nutmegproxy-scheduling/src/ListingReconciler.ts
+++ b/packages/nutmegproxy-scheduling/src/ListingReconciler.ts
@@ -37,7 +37,8 @@
   readonly running: readonly RunReport[];
 }
 
-function findStep(fleet: Fleet, {job, occurrence, step}: TaskRef): StepState | undefined {
+/** Returns the step of a task; undefined when its job is not known. */
+export function findStep(fleet: Fleet, {job, occurrence, step}: TaskRef): StepState | undefined {
   return fleet.jobs.get(job)?.occurrence(occurrence)?.[step];
 }
 
--- a/packages/nutmegproxy-scheduling/src/index.ts
+++ b/packages/nutmegproxy-scheduling/src/index.ts
@@ -10,7 +10,7 @@
 export {classifyPunctuality, orderSteps} from './JobOrder.ts';
 export type {OrderedStep, Punctuality} from './JobOrder.ts';
 export {LeaseClock, MINION_LEASE_MS} from './LeaseClock.ts';
-export {dropSupersededRuns, reconcileListing} from './ListingReconciler.ts';
+export {dropSupersededRuns, findStep, reconcileListing} from './ListingReconciler.ts';
 export type {MinionListing, RunReport, RunResult} from './ListingReconciler.ts';
 export {MinionRanking} from './MinionRanking.ts';
 export {classifyWork, MinionState} from './MinionState.ts';
