Owner: remove what starting the sessions after the jobs made dead

Since the sessions start once, after the jobs and the roster were read. Before it a start could have to be undone and repeated: nothing is open that pause would close, and no minion has reported when its former runs are recovered.

--- a/packages/nutmegproxy-owner/src/MinionSessions.ts
+++ b/packages/nutmegproxy-owner/src/MinionSessions.ts
@@ -105,11 +105,6 @@
       .map(({minion, unstoredResults}) => this.recovery.getAccount(minion, unstoredResults, now));
   }
 
-  /** Closes the watch until the next start. */
-  pause(): void {
-    this.#watch?.close();
-  }
-
   /** Records for the next owner what a silent minion may run. */
   recordSilent(minion: MinionState): void {
     const unstoredResults = this.#sessions.get(minion.id)?.unstoredResults ?? [];
@@ -219,9 +214,6 @@
     if (isMissing) {
       minion.unlistedSince ??= now;
     }
-    if (minion.hasReported) {
-      return;
-    }
     this.recovery.expect(minion, entry, now);
   }
 
--- a/packages/nutmegproxy-owner/src/Owner.ts
+++ b/packages/nutmegproxy-owner/src/Owner.ts
@@ -17,7 +17,6 @@
   SharingPolicy,
   summarizeFleet,
 } from '@nutmegproxy/scheduling';
-import {err} from 'neverthrow';
 
 import type {AdviceClient} from './AdviceClient.ts';
 import type {FleetOwnership} from './FleetOwnership.ts';
@@ -251,15 +250,14 @@
         this.#learnedEstimates.read(),
       ]);
       // Runs in a listing whose jobs have not been read would be taken for unknown and stopped.
-      const roster = jobs.isOk() ? former : err(jobs.error);
-      const minions = roster.isOk() ? await this.#minions.start(roster.value) : roster;
+      const read = jobs.andThen(() => former);
+      const minions = read.isOk() ? await this.#minions.start(read.value) : read;
       if (minions.isOk()) {
         return;
       }
       const {message} = minions.error;
       events.record(OWNER_EVENTS.STORE_CALL_FAILED, {message, what: 'recovery'});
       this.#jobs.pause();
-      this.#minions.pause();
       await delay(STORE_RETRY_MS);
     }
   }
