Unreported minions: keep the runs alone, and let membership decide whether they are known

The lease clock already holds how long a minion's lease may last, so a second expiry beside the runs said nothing new. The draining record was passed as an account with an invented duration. Runs count as known unless a minion is added to the unreported ones, which each creation of a minion had to say.

--- a/packages/nutmegproxy-owner/src/MinionRecovery.ts
+++ b/packages/nutmegproxy-owner/src/MinionRecovery.ts
@@ -64,15 +64,11 @@
       adoptRecordedRuns(fleet, minion, resolveSilentRecord(silent, clock.wall()), now);
       return;
     }
-    minion.areRunsKnown = false;
     minion.leaseClock.assumeLeasedUntil(after(now, MAX_FORMER_LEASE_MS));
-    this.#unreported.add(minion);
     minion.isRecordedDraining = draining !== undefined;
     // An owner of an earlier version stores the record again but may start runs in spite of it.
-    if (draining?.term === ownership.term - 1) {
-      const {runs} = draining;
-      this.#unreported.keepAccounts([{heldForMs: MAX_FORMER_LEASE_MS, id: minion.id, runs}], now);
-    }
+    const isCurrent = draining?.term === ownership.term - 1;
+    this.#unreported.add(minion, isCurrent ? draining.runs : undefined);
   }
 
   /** Receives what the former owner knew of minions that have not reported to this one. */
--- a/packages/nutmegproxy-owner/src/MinionSessions.ts
+++ b/packages/nutmegproxy-owner/src/MinionSessions.ts
@@ -231,8 +231,6 @@
     const session = this.#sessions.get(description.id);
     if (session === undefined) {
       const minion = new MinionState(description);
-      // An owner starts nothing on a minion before the stored roster names it.
-      minion.areRunsKnown = true;
       minion.drainingSince = description.isDraining ? now : undefined;
       minion.leaseClock.assumeLeasedUntil(now);
       const opened = new MinionSession(context, minion);
--- a/packages/nutmegproxy-owner/src/UnreportedMinions.ts
+++ b/packages/nutmegproxy-owner/src/UnreportedMinions.ts
@@ -15,18 +15,18 @@
 /** Maximum number of minions that a log line names. */
 const MAX_NAMED_MINIONS = 5;
 
-/** An account whose lease expiry is on the clock of this process. */
-interface ReceivedAccount {
-  readonly leasedUntil: Instant;
-  readonly runs: MinionAccount['runs'];
-}
-
 export class UnreportedMinions {
-  readonly #accounts = new Map<MinionId, ReceivedAccount>();
   readonly #minions = new Set<MinionState>();
+  /** Runs that minions may have, as far as records of former owners name them. */
+  readonly #runs = new Map<MinionId, RecordedRuns['runs']>();
 
-  add(minion: MinionState): void {
+  /** Adds a minion, with the runs that the roster names, if any. */
+  add(minion: MinionState, runs?: RecordedRuns['runs']): void {
+    minion.areRunsKnown = false;
     this.#minions.add(minion);
+    if (runs !== undefined) {
+      this.#runs.set(minion.id, runs);
+    }
   }
 
   /** Whether recovery waits for the minion. */
@@ -36,18 +36,15 @@
 
   /** Keeps the accounts of the former owner, which were read at `now`, until they are needed. */
   keepAccounts(accounts: readonly MinionAccount[], now: Instant): void {
-    for (const {heldForMs, id, runs} of accounts) {
-      const known = this.#accounts.get(id);
-      this.#accounts.set(id, {
-        leasedUntil: after(now, heldForMs),
-        // The owner before may not have reached a minion whose runs the roster names.
-        runs: runs ?? known?.runs,
-      });
-    }
+    const accountById = new Map(accounts.map((account) => [account.id, account]));
     for (const {id, leaseClock} of this.#minions) {
-      const account = this.#accounts.get(id);
+      const account = accountById.get(id);
       if (account !== undefined) {
-        leaseClock.shortenAssumedLease(account.leasedUntil);
+        leaseClock.shortenAssumedLease(after(now, account.heldForMs));
+      }
+      // The owner before may not have reached a minion whose runs the roster names.
+      if (account?.runs !== undefined) {
+        this.#runs.set(id, account.runs);
       }
     }
   }
@@ -57,11 +54,8 @@
    * when recovery does not wait for the minion, or when its runs are not known.
    */
   findRuns(minion: MinionState, now: Instant): RecordedRuns | undefined {
-    const account = this.#accounts.get(minion.id);
-    if (account?.runs === undefined || !this.has(minion)) {
-      return undefined;
-    }
-    return {remainingMs: minion.leaseClock.expiresInMs(now), runs: account.runs};
+    const runs = this.has(minion) ? this.#runs.get(minion.id) : undefined;
+    return runs && {remainingMs: minion.leaseClock.expiresInMs(now), runs};
   }
 
   /** Whether no minion is left; `confirmedAt` is when the ownership was last confirmed. */
@@ -81,7 +75,7 @@
     const minions = [...this.#minions];
     const expiresInMs = minions.map(({leaseClock}) => leaseClock.expiresInMs(now));
     return {
-      accounts: minions.filter(({id}) => this.#accounts.get(id)?.runs !== undefined).length,
+      accounts: minions.filter(({id}) => this.#runs.has(id)).length,
       longestMs: Math.round(Math.max(0, ...expiresInMs)),
       minions: minions.length,
       named: minions
--- a/packages/nutmegproxy-scheduling/src/MinionState.ts
+++ b/packages/nutmegproxy-scheduling/src/MinionState.ts
@@ -59,10 +59,10 @@
   /** Steps with runs on this minion whose results are not known. */
   readonly unknownResultSteps = new Set<StepState>();
   /**
-   * Whether this owner knows its runs: from its report or a former owner's record, or because it can't
-   * have any.
+   * Whether this owner knows its runs. False for a minion of a former owner until it reports, a record
+   * names its runs or its leases have expired: others get no run before the stored roster names them.
    */
-  areRunsKnown = false;
+  areRunsKnown = true;
   /** Whether it has reported its runs to this owner. */
   hasReported = false;
   /** Whether the roster in the store names it, so that the next owner polls it for its runs. */
