Draining records: ask the roster what is recorded, and name the runs only when they are written

A second map repeated the number of runs that the roster's entry holds. Each round of planning formatted the names of all runs of each draining minion to compare that number. The roster's three changes of an entry are one function now, and minions are found by the fleet's map, which the sessions fill in the same step.

--- a/packages/nutmegproxy-owner/src/MinionRecovery.ts
+++ b/packages/nutmegproxy-owner/src/MinionRecovery.ts
@@ -3,7 +3,7 @@
  * record of the former owner after a takeover, and from its own state once a minion falls silent.
  */
 
-import type {Clock, EventFields, Instant, MinionId, WallTime} from '@nutmegproxy/core';
+import type {Clock, EventFields, Instant, WallTime} from '@nutmegproxy/core';
 import type {Fleet, MinionState, RunResult} from '@nutmegproxy/scheduling';
 
 import {after} from '@nutmegproxy/core';
@@ -32,8 +32,6 @@
 export class MinionRecovery {
   /** Minions whose record is being removed. */
   readonly #clearing = new Set<MinionState>();
-  /** Numbers of runs in the records of draining minions. */
-  readonly #drainingRuns = new WeakMap<MinionState, number>();
   readonly #options: MinionRecoveryOptions;
   readonly #unreported = new UnreportedMinions();
 
@@ -72,15 +70,12 @@
   }
 
   /** Receives what the former owner knew of minions that have not reported to this one. */
-  receive(
-    {accounts = [], silent}: ClosingRecord,
-    findMinion: (id: MinionId) => MinionState | undefined,
-  ): void {
+  receive({accounts = [], silent}: ClosingRecord): void {
     const {clock, fleet, roster} = this.#options;
     const now = clock.monotonic();
     this.#unreported.keepAccounts(accounts, now);
     for (const {description, silent: record} of silent) {
-      const minion = findMinion(description.id);
+      const minion = fleet.minions.get(description.id);
       if (record === undefined || minion === undefined || !this.#unreported.has(minion)) {
         continue;
       }
@@ -131,6 +126,7 @@
    * to drain and once none is left, and removes the record when it no longer drains.
    */
   updateDrainingRecord(minion: MinionState, unstoredResults: readonly RunResult[]): void {
+    const {ownership, roster} = this.#options;
     const {description, isRecordedDraining, isRecordedUnreachable} = minion;
     if (isRecordedUnreachable || !minion.areRunsKnown) {
       return;
@@ -141,13 +137,13 @@
       }
       return;
     }
-    const runs = listPossibleRuns(minion, unstoredResults);
-    const recorded = isRecordedDraining ? this.#drainingRuns.get(minion) : undefined;
-    if (recorded === undefined || (recorded > 0 && runs.length === 0)) {
+    const {term} = ownership;
+    const recorded = roster.find(minion.id)?.draining;
+    const isRunless = minion.runs.size === 0 && unstoredResults.length === 0;
+    const isCurrent = recorded?.term === term && (recorded.runs.length === 0 || !isRunless);
+    if (!isCurrent) {
       minion.isRecordedDraining = true;
-      this.#drainingRuns.set(minion, runs.length);
-      const {ownership, roster} = this.#options;
-      roster.markDraining(description, {runs, term: ownership.term});
+      roster.markDraining(description, {runs: listPossibleRuns(minion, unstoredResults), term});
     }
   }
 
--- a/packages/nutmegproxy-owner/src/MinionSessions.ts
+++ b/packages/nutmegproxy-owner/src/MinionSessions.ts
@@ -92,11 +92,6 @@
     return ok(undefined);
   }
 
-  /** Returns the minion with an id, if there is a session with it. */
-  findMinion(id: MinionId): MinionState | undefined {
-    return this.#sessions.get(id)?.minion;
-  }
-
   /** Returns what is known of the runs of each minion, those that may be leaving first. */
   listAccounts(): MinionAccount[] {
     const now = this.#options.clock.monotonic();
@@ -206,7 +201,7 @@
 
   /** Recovers a minion of the former owner, whose runs its silent record or its report names. */
   #recoverMinion(entry: RosterEntry, now: Instant, isMissing: boolean): void {
-    const minion = this.findMinion(entry.description.id);
+    const minion = this.#options.fleet.minions.get(entry.description.id);
     if (minion === undefined) {
       return;
     }
--- a/packages/nutmegproxy-owner/src/Owner.ts
+++ b/packages/nutmegproxy-owner/src/Owner.ts
@@ -225,7 +225,7 @@
   #receiveClosingRecord(): Promise<void> {
     const isAwaited = (): boolean => this.#isActing() && this.#fleet.recoveryRevision > 0;
     return this.#closingRecords.receive(isAwaited, (record) => {
-      this.#minions.recovery.receive(record, (id) => this.#minions.findMinion(id));
+      this.#minions.recovery.receive(record);
       this.#wakeUp();
     });
   }
--- a/packages/nutmegproxy-owner/src/Roster.ts
+++ b/packages/nutmegproxy-owner/src/Roster.ts
@@ -88,9 +88,7 @@
 
   /** Removes the record of a minion's runs; resolves once that is stored. */
   async clearRecord(description: MinionDescription): Promise<void> {
-    this.#entries.set(description.id, {description});
-    this.#isStale = true;
-    const flushed = this.#flush();
+    const flushed = this.#replace({description});
     if (this.#storedRecords.has(description.id)) {
       await flushed;
     }
@@ -107,16 +105,12 @@
 
   /** Records what a draining minion may run. */
   markDraining(description: MinionDescription, draining: DrainingMinionRecord): void {
-    this.#entries.set(description.id, {description, draining});
-    this.#isStale = true;
-    void this.#flush();
+    void this.#replace({description, draining});
   }
 
   /** Records that a minion does not respond. */
   markSilent(description: MinionDescription, silent: SilentMinionRecord): void {
-    this.#entries.set(description.id, {description, silent});
-    this.#isStale = true;
-    void this.#flush();
+    void this.#replace({description, silent});
   }
 
   /** Reads the former owner's roster. */
@@ -140,6 +134,13 @@
     void this.#flush();
   }
 
+  /** Replaces the entry of a minion; resolves once that is stored. */
+  #replace(entry: RosterEntry): Promise<void> {
+    this.#entries.set(entry.description.id, entry);
+    this.#isStale = true;
+    return this.#flush();
+  }
+
   /** Resolves once all changes made so far are stored. */
   async #flush(): Promise<void> {
     while (this.#isStale && !this.#stopped) {
