Recovery tests: one harness for owners that follow one another

The harness of takeovers stood twice, in Recovery.test and UnreachedMinions.test, with its own minion fleet that rejects polls. It is one file now, and the emulated fleet takes the rejection as a fault.

--- a/packages/nutmegproxy-emulator/src/EmulatedFleet.ts
+++ b/packages/nutmegproxy-emulator/src/EmulatedFleet.ts
@@ -30,10 +30,10 @@
 export interface OrderFaults {
   /** The responses to polls are lost; those to other orders arrive. */
   arePollAnswersLost: boolean;
-  /** The minion responds to each call that it can't serve it now, and does nothing. */
-  isUnhealthy: boolean;
   /** Neither orders nor their responses arrive. */
   isUnreachable: boolean;
+  /** The minion's response to each call, which it does not carry out; undefined for no fault. */
+  rejection: OrderFailure | undefined;
   /** Starts are carried out after this delay in milliseconds and get no response; 0 for no fault. */
   startDelayMs: number;
 }
@@ -67,8 +67,8 @@
   faults(id: MinionId): OrderFaults {
     const faults = this.#faults.get(id) ?? {
       arePollAnswersLost: false,
-      isUnhealthy: false,
       isUnreachable: false,
+      rejection: undefined,
       startDelayMs: 0,
     };
     this.#faults.set(id, faults);
@@ -156,8 +156,9 @@
       await sleep(ORDER_TIMEOUT_MS);
       return err(UNANSWERED);
     }
-    if (this.faults(target.id).isUnhealthy) {
-      return err(UNHEALTHY);
+    const {rejection} = this.faults(target.id);
+    if (rejection !== undefined) {
+      return err(rejection);
     }
     const answer = await act(minion);
     return this.faults(target.id).isUnreachable
@@ -176,8 +177,6 @@
   message: 'deadline exceeded',
 };
 
-const UNHEALTHY: OrderFailure = {clockMs: undefined, kind: 'unhealthy', message: 'status 503'};
-
 function sleep(milliseconds: number): Promise<void> {
   return new Promise((resolve) => {
     setTimeout(resolve, milliseconds);
--- /dev/null
+++ b/packages/nutmegproxy-emulator/src/__tests__/unit/TakeoverHarness.ts
@@ -0,0 +1,103 @@
+/** Owners that follow one another on an emulated fleet, with a clock that stands still by itself. */
+
+import type {EventKind} from '@nutmegproxy/core';
+import type {FleetOwnership} from '@nutmegproxy/owner';
+import type {PlatformStore} from '@nutmegproxy/store';
+
+import {ManualClock} from '@nutmegproxy/core';
+import {MemoryStore} from '@nutmegproxy/standins';
+
+import type {TaskBehaviour} from '../../EmulatedMinion.ts';
+
+import {EmulatedFleet} from '../../EmulatedFleet.ts';
+import {EmulatedMinion} from '../../EmulatedMinion.ts';
+import {createMinionDescription, startOwner} from './JobSamples.ts';
+import {createFailingStore} from './StoreSamples.ts';
+
+const LEASE_RENEWAL_MS = 400;
+
+export type StartedOwner = Awaited<ReturnType<typeof startOwner>>;
+
+/** An owner that can be killed: it stores nothing any more, and its ownership is free. */
+export interface KillableOwner {
+  readonly kill: () => Promise<void>;
+  readonly started: StartedOwner;
+}
+
+/** Behaviour of tasks that last. */
+export function runForever(): TaskBehaviour {
+  return {durationMs: Infinity, outcome: 'done'};
+}
+
+/** Waits in real time. */
+export function sleep(milliseconds: number): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, milliseconds));
+}
+
+export class TakeoverHarness {
+  readonly clock = new ManualClock(Date.now());
+  /** Kinds of the events of all owners. */
+  readonly events: EventKind[] = [];
+  readonly fleet = new EmulatedFleet(this.clock);
+  readonly store = new MemoryStore();
+  readonly #stops: (() => void)[] = [];
+
+  addMinion(name: string): EmulatedMinion {
+    const minion = new EmulatedMinion(createMinionDescription(name), runForever);
+    this.fleet.add(minion);
+    return minion;
+  }
+
+  async close(): Promise<void> {
+    for (const stop of this.#stops.splice(0)) {
+      stop();
+    }
+    await this.store.close();
+  }
+
+  /** Lets time pass in steps while the ownership is confirmed, with a real pause after each. */
+  async passTime(
+    ownership: FleetOwnership,
+    totalMs: number,
+    stepMs: number,
+    pauseMs = 20,
+  ): Promise<void> {
+    for (let elapsedMs = 0; elapsedMs < totalMs; elapsedMs += stepMs) {
+      this.clock.advance(stepMs);
+      ownership.confirm(this.clock.monotonic(), this.clock.wall());
+      await sleep(pauseMs);
+    }
+  }
+
+  /** Starts an owner whose ownership lease is renewed until the harness is closed. */
+  async start(vm: string, store: PlatformStore = this.store): Promise<StartedOwner> {
+    const started = await startOwner(this.clock, store, this.fleet, vm, {
+      record: (kind) => this.events.push(kind),
+    });
+    const renewal = setInterval(() => {
+      void this.store.keepLeaseAlive(started.ownership.lease);
+    }, LEASE_RENEWAL_MS);
+    this.#stops.push(() => {
+      clearInterval(renewal);
+      started.owner.stop('end of test');
+    });
+    return started;
+  }
+
+  async startKillable(vm: string): Promise<KillableOwner> {
+    let isIsolated = false;
+    const view = createFailingStore(this.store, () => isIsolated);
+    const started = await this.start(vm, view);
+    const kill = async (): Promise<void> => {
+      isIsolated = true;
+      started.owner.stop('killed');
+      await this.store.revokeLease(started.ownership.lease);
+    };
+    return {kill, started};
+  }
+
+  async stopAsPlanned({election, owner, ownership}: StartedOwner): Promise<void> {
+    owner.stop('planned stop');
+    await election.resign(ownership, 'planned stop');
+  }
+}
