--- a/packages/nutmegproxy-entry/src/JobApi.ts
+++ b/packages/nutmegproxy-entry/src/JobApi.ts
@@ -277,11 +277,12 @@
     for (;;) {
       const result = await attempt();
       const now = clock.monotonic();
-      if (result.isOk() || result.error.kind === 'rejected') {
+      if (result.isOk()) {
         return result;
       }
       mayHaveTakenEffect ||= result.error.kind === 'unknown';
-      if (now - startedAt + STORE_RETRY_DELAY_MS > budgetMs) {
+      const isRejected = result.error.kind === 'rejected';
+      if (isRejected || now - startedAt + STORE_RETRY_DELAY_MS > budgetMs) {
         const kind = mayHaveTakenEffect ? 'unknown' : result.error.kind;
         return err({kind, message: result.error.message});
       }
--- a/packages/nutmegproxy-entry/src/__tests__/unit/JobApi.test.ts
+++ b/packages/nutmegproxy-entry/src/__tests__/unit/JobApi.test.ts
@@ -1,10 +1,12 @@
 import type {Instant, JobId, RequestId} from '@nutmegproxy/core';
 import type {JobRequest, QueueId, ServiceId} from '@nutmegproxy/jobs';
+import type {StoreFailure} from '@nutmegproxy/store';
 
 import {brand, SILENT_EVENTS, SYSTEM_CLOCK} from '@nutmegproxy/core';
 import {formatJobKey} from '@nutmegproxy/jobs';
 import {MemoryStore} from '@nutmegproxy/standins';
 import {getKey, put} from '@nutmegproxy/store';
+import {errAsync} from 'neverthrow';
 import assert from 'node:assert/strict';
 import {after, beforeEach, describe, it} from 'node:test';
 
@@ -26,6 +28,7 @@
   targetDurationMs: 1000,
 };
 const CALL = {requestId: brand<RequestId>('request-1'), timeoutMs: 400};
+const UNAVAILABLE: StoreFailure = {kind: 'unavailable', message: 'down'};
 const ID = brand<JobId>('00000000000000a1');
 const JOB: JobRequest = {id: ID, payload: '', recurrence: undefined, steps: []};
 
@@ -42,14 +45,18 @@
   beforeEach(() => {
     store = new MemoryStore();
     health = new StoreHealth(SILENT_EVENTS);
-    api = new JobApi({
+    api = createApi(store);
+  });
+
+  function createApi(jobStore: MemoryStore): JobApi {
+    return new JobApi({
       clock: SYSTEM_CLOCK,
       events: SILENT_EVENTS,
       health,
       random: () => 0.5,
-      store,
+      store: jobStore,
     });
-  });
+  }
 
   describe('submit', () => {
     it('accepts a job once it is stored, and does not store it again on resubmission', async () => {
@@ -72,6 +79,19 @@
       assert.equal(refused._unsafeUnwrapErr().kind, 'unknown');
     });
 
+    it('refuses with unknown when a rejected attempt follows one whose response was lost', async () => {
+      const outcomes: StoreFailure[] = [
+        {kind: 'unknown', message: 'the connection was lost'},
+        {kind: 'rejected', message: 'status 400'},
+      ];
+      const failing = new MemoryStore();
+      failing.commit = () => errAsync(outcomes.shift() ?? UNAVAILABLE);
+      const refused = await createApi(failing).submit(ROUTE, JOB, CALL);
+      assert.equal(refused._unsafeUnwrapErr().kind, 'unknown');
+      assert.deepEqual(outcomes, []);
+      await failing.close();
+    });
+
     it('accepts a job whose write took effect although one response was lost', async () => {
       store.faults.change({loseNext: 1});
       assert.ok((await api.submit(ROUTE, JOB, CALL)).isOk());
