Planning: sharing costs and load filters are computed once for what has not changed

Cause: half of the owner's planning time at 625 minions went into the costs of backfill tasks. For each pair of step and minion the backfill runs of the minion were listed anew, the serving steps collected, the duration estimated; each listing updated 16 load filters of each serving step with arrays.

Change: the serving steps of a minion with the pressure on them are kept for the instant and until its runs change; duration and limit once for a backfill step; the load filters work on numbers, and the phases of all periods are computed once for an instant.

--- a/packages/nutmegproxy-scheduling/src/LoadForecaster.ts
+++ b/packages/nutmegproxy-scheduling/src/LoadForecaster.ts
@@ -13,8 +13,8 @@
 const PRIOR_MEAN_LOAD = 0.45;
 /** Lower bound on a forecast load: a running step is never completely idle. */
 const MIN_LOAD = 0.01;
-/** Variances of the mean and of the cosine and sine amplitudes for a step without reports. */
-const PRIOR_VARIANCES = [0.01, 0.03, 0.03] as const;
+/** Variances of the mean and of the amplitudes of cosine and sine for a step without reports. */
+const PRIOR_VARIANCES = {amplitude: 0.03, mean: 0.01};
 /** Variance of an imported load, which is seconds old and from an owner whose clock may differ. */
 const IMPORTED_VARIANCE = 0.003;
 /** Growth of each variance per second; reports lose their weight within about ten seconds. */
@@ -58,84 +58,119 @@
   readonly steps: Readonly<Record<string, LoadRecord>>;
 }
 
-/** Kalman filter of one step's load with a given period. Its state is mean, cosine and sine. */
+/** Cosine and sine of a candidate period's wave at an instant. */
+interface WavePhase {
+  readonly cosine: number;
+  readonly sine: number;
+}
+
+function computePhase(periodMs: number, at: Instant): WavePhase {
+  const angle = (2 * Math.PI * at) / periodMs;
+  return {cosine: Math.cos(angle), sine: Math.sin(angle)};
+}
+
+/**
+ * Kalman filter of one step's load with a given period. Its state is the mean and the amplitudes of
+ * cosine and sine. A listing updates the filters of all its serving steps, so the three dimensions
+ * are written out, without arrays.
+ */
 class LoadFilter {
-  readonly #covariance: number[][] = PRIOR_VARIANCES.map((variance, row) =>
-    PRIOR_VARIANCES.map((_, column) => (row === column ? variance : 0)),
-  );
-  readonly #periodMs: number;
-  readonly #state: number[] = [PRIOR_MEAN_LOAD, 0, 0];
+  #mean = PRIOR_MEAN_LOAD;
+  #cosine = 0;
+  #sine = 0;
+  /** Covariance of mean, cosine and sine; it is symmetric. */
+  #meanVariance = PRIOR_VARIANCES.mean;
+  #cosineVariance = PRIOR_VARIANCES.amplitude;
+  #sineVariance = PRIOR_VARIANCES.amplitude;
+  #meanCosine = 0;
+  #meanSine = 0;
+  #cosineSine = 0;
   #updatedAt: Instant;
 
-  constructor(periodMs: number, now: Instant) {
-    this.#periodMs = periodMs;
+  constructor(now: Instant) {
     this.#updatedAt = now;
   }
 
   /** Returns the load at an instant in a form that doesn't depend on the clock. */
-  exportRecord(now: Instant): LoadRecord {
-    const [mean = 0, cosine = 0, sine = 0] = this.#state;
-    const [, x = 0, y = 0] = this.#computeBasis(now);
-    return [round(mean), round(cosine * x + sine * y), round(sine * x - cosine * y)];
+  exportRecord({cosine, sine}: WavePhase): LoadRecord {
+    return [
+      round(this.#mean),
+      round(this.#cosine * cosine + this.#sine * sine),
+      round(this.#sine * cosine - this.#cosine * sine),
+    ];
   }
 
   /** Sets the state from a record of the load at an instant. */
-  importRecord([mean, deviation, quarterLater]: LoadRecord, at: Instant): void {
-    const [, x = 0, y = 0] = this.#computeBasis(at);
-    this.#state.splice(
-      0,
-      3,
-      mean,
-      deviation * x - quarterLater * y,
-      deviation * y + quarterLater * x,
-    );
-    for (const [row, covariances] of this.#covariance.entries()) {
-      covariances[row] = IMPORTED_VARIANCE;
-    }
+  importRecord([mean, deviation, quarterLater]: LoadRecord, {cosine, sine}: WavePhase): void {
+    this.#mean = mean;
+    this.#cosine = deviation * cosine - quarterLater * sine;
+    this.#sine = deviation * sine + quarterLater * cosine;
+    this.#meanVariance = IMPORTED_VARIANCE;
+    this.#cosineVariance = IMPORTED_VARIANCE;
+    this.#sineVariance = IMPORTED_VARIANCE;
+    this.#meanCosine = 0;
+    this.#meanSine = 0;
+    this.#cosineSine = 0;
   }
 
-  forecast(at: Instant): Estimate {
-    const basis = this.#computeBasis(at);
-    const projected = this.#projectCovariance(basis);
-    const mean = Math.min(1, Math.max(MIN_LOAD, dot(basis, this.#state)));
+  forecast({cosine, sine}: WavePhase): Estimate {
+    const mean = this.#mean + this.#cosine * cosine + this.#sine * sine;
+    const variance =
+      this.#projectMean(cosine, sine) +
+      cosine * this.#projectCosine(cosine, sine) +
+      sine * this.#projectSine(cosine, sine);
     // Rounding errors may make a variance of zero slightly negative.
-    return {mean, variance: Math.max(0, dot(basis, projected))};
+    return {mean: Math.min(1, Math.max(MIN_LOAD, mean)), variance: Math.max(0, variance)};
   }
 
   /** Updates the state with an observation; returns the observation's log-likelihood. */
-  update({slope, value, variance}: LoadObservation, now: Instant): number {
+  update(
+    {slope, value, variance}: LoadObservation,
+    {cosine, sine}: WavePhase,
+    now: Instant,
+  ): number {
     this.#addDrift(now);
-    const basis = this.#computeBasis(now);
-    const projected = this.#projectCovariance(basis);
-    const total = slope ** 2 * Math.max(0, dot(basis, projected)) + variance;
-    const residual = value - slope * dot(basis, this.#state);
-    const gains = projected.map((each) => (slope * each) / total);
-    for (const [row, gain] of gains.entries()) {
-      this.#state[row] = (this.#state[row] ?? 0) + gain * residual;
-      const covariances = this.#covariance[row] ?? [];
-      for (const [column, each] of projected.entries()) {
-        covariances[column] = (covariances[column] ?? 0) - gain * slope * each;
-      }
-    }
+    const mean = this.#projectMean(cosine, sine);
+    const cosineShare = this.#projectCosine(cosine, sine);
+    const sineShare = this.#projectSine(cosine, sine);
+    const projected = Math.max(0, mean + cosine * cosineShare + sine * sineShare);
+    const total = slope ** 2 * projected + variance;
+    const expected = this.#mean + this.#cosine * cosine + this.#sine * sine;
+    const residual = value - slope * expected;
+    const gain = (slope * residual) / total;
+    this.#mean += gain * mean;
+    this.#cosine += gain * cosineShare;
+    this.#sine += gain * sineShare;
+    const reduction = slope ** 2 / total;
+    this.#meanVariance -= reduction * mean ** 2;
+    this.#cosineVariance -= reduction * cosineShare ** 2;
+    this.#sineVariance -= reduction * sineShare ** 2;
+    this.#meanCosine -= reduction * mean * cosineShare;
+    this.#meanSine -= reduction * mean * sineShare;
+    this.#cosineSine -= reduction * cosineShare * sineShare;
     return -(residual ** 2 / total + Math.log(total)) / 2;
   }
 
   #addDrift(now: Instant): void {
     const drift = (Math.max(0, now - this.#updatedAt) / 1000) * VARIANCE_DRIFT_PER_S;
+    const {amplitude, mean} = PRIOR_VARIANCES;
     this.#updatedAt = now;
-    for (const [row, prior] of PRIOR_VARIANCES.entries()) {
-      const covariances = this.#covariance[row] ?? [];
-      covariances[row] = Math.min(prior, (covariances[row] ?? 0) + drift);
-    }
+    this.#meanVariance = Math.min(mean, this.#meanVariance + drift);
+    this.#cosineVariance = Math.min(amplitude, this.#cosineVariance + drift);
+    this.#sineVariance = Math.min(amplitude, this.#sineVariance + drift);
   }
 
-  #computeBasis(at: Instant): readonly number[] {
-    const angle = (2 * Math.PI * at) / this.#periodMs;
-    return [1, Math.cos(angle), Math.sin(angle)];
+  /** The covariance's row of the mean, multiplied with the basis (1, cosine, sine). */
+  #projectMean(cosine: number, sine: number): number {
+    return this.#meanVariance + this.#meanCosine * cosine + this.#meanSine * sine;
   }
 
-  #projectCovariance(basis: readonly number[]): number[] {
-    return this.#covariance.map((row) => dot(row, basis));
+  #projectCosine(cosine: number, sine: number): number {
+    return this.#meanCosine + this.#cosineVariance * cosine + this.#cosineSine * sine;
+  }
+
+  #projectSine(cosine: number, sine: number): number {
+    return this.#meanSine + this.#cosineSine * cosine + this.#sineVariance * sine;
   }
 }
 
@@ -144,6 +179,8 @@
   readonly #filters = new Map<StepState, LoadFilter[]>();
   /** Snapshot of a former owner, and when it was exported on this process's clock. */
   #imported: undefined | {readonly at: Instant; readonly snapshot: LoadSnapshot};
+  /** Phases at the instant of the last reports. */
+  #phases: undefined | {readonly at: Instant; readonly phases: readonly WavePhase[]};
   #selected = Math.floor(PERIOD_COUNT / 2);
   /** Moving average of the log-likelihood per report, for each candidate period. */
   readonly #logLikelihoods: number[] = Array.from({length: PERIOD_COUNT}, () => 0);
@@ -151,18 +188,24 @@
   /** Returns the expected load of a step at an instant, which may be in the future. */
   forecast(step: StepState, at: Instant): Estimate {
     const filter = this.#filters.get(step)?.[this.#selected];
-    return filter?.forecast(at) ?? {mean: PRIOR_MEAN_LOAD, variance: PRIOR_VARIANCES[0]};
+    return (
+      filter?.forecast(computePhase(this.periodMs, at)) ?? {
+        mean: PRIOR_MEAN_LOAD,
+        variance: PRIOR_VARIANCES.mean,
+      }
+    );
   }
 
   /** Returns a snapshot for the next owner; removes the steps of jobs that are over. */
   export(now: Instant, wall: WallTime): LoadSnapshot {
     const steps: Record<string, LoadRecord> = {};
+    const phase = computePhase(this.periodMs, now);
     for (const [step, filters] of this.#filters) {
       const filter = filters[this.#selected];
       if (step.job.isFinal || filter === undefined) {
         this.#filters.delete(step);
       } else {
-        steps[formatStepKey(step)] = filter.exportRecord(now);
+        steps[formatStepKey(step)] = filter.exportRecord(phase);
       }
     }
     return {at: wall, period: this.#selected, steps};
@@ -179,18 +222,17 @@
 
   update(step: StepState, observation: LoadObservation, now: Instant): void {
     const filters = this.#filters.get(step) ?? this.#createFilters(step, now);
-    for (const [index, filter] of filters.entries()) {
-      const average = this.#logLikelihoods[index] ?? 0;
-      this.#logLikelihoods[index] =
-        average + LIKELIHOOD_SMOOTHING * (filter.update(observation, now) - average);
-    }
-    const best = this.#logLikelihoods.indexOf(Math.max(...this.#logLikelihoods));
-    if (
-      (this.#logLikelihoods[best] ?? 0) >
-      (this.#logLikelihoods[this.#selected] ?? 0) + MIN_SWITCH_GAIN
-    ) {
-      this.#selected = best;
+    const phases = this.#listPhases(now);
+    for (let index = 0; index < PERIOD_COUNT; index += 1) {
+      const filter = filters[index];
+      const phase = phases[index];
+      if (filter !== undefined && phase !== undefined) {
+        const average = this.#logLikelihoods[index] ?? 0;
+        const likelihood = filter.update(observation, phase, now);
+        this.#logLikelihoods[index] = average + LIKELIHOOD_SMOOTHING * (likelihood - average);
+      }
     }
+    this.#selectPeriod();
   }
 
   /** The selected period, in milliseconds. */
@@ -199,20 +241,39 @@
   }
 
   #createFilters(step: StepState, now: Instant): LoadFilter[] {
-    const filters = this.#logLikelihoods.map(
-      (_, index) => new LoadFilter(computePeriodMs(index), now),
-    );
+    const filters = this.#logLikelihoods.map(() => new LoadFilter(now));
     const record = this.#imported?.snapshot.steps[formatStepKey(step)];
     if (record !== undefined && this.#imported !== undefined) {
-      filters[this.#imported.snapshot.period]?.importRecord(record, this.#imported.at);
+      const {at, snapshot} = this.#imported;
+      const phase = computePhase(computePeriodMs(snapshot.period), at);
+      filters[snapshot.period]?.importRecord(record, phase);
     }
     this.#filters.set(step, filters);
     return filters;
   }
-}
 
-function dot(a: readonly number[], b: readonly number[]): number {
-  return a.reduce((sum, each, index) => sum + each * (b[index] ?? 0), 0);
+  /** Returns the phases of all candidate periods, computed once for the reports of an instant. */
+  #listPhases(now: Instant): readonly WavePhase[] {
+    if (this.#phases?.at !== now) {
+      const phases = PERIODS_MS.map((periodMs) => computePhase(periodMs, now));
+      this.#phases = {at: now, phases};
+    }
+    return this.#phases.phases;
+  }
+
+  /** Selects the period with the highest likelihood if it is clearly higher. */
+  #selectPeriod(): void {
+    let best = this.#selected;
+    for (let index = 0; index < PERIOD_COUNT; index += 1) {
+      if ((this.#logLikelihoods[index] ?? 0) > (this.#logLikelihoods[best] ?? 0)) {
+        best = index;
+      }
+    }
+    const gain = (this.#logLikelihoods[best] ?? 0) - (this.#logLikelihoods[this.#selected] ?? 0);
+    if (gain > MIN_SWITCH_GAIN) {
+      this.#selected = best;
+    }
+  }
 }
 
 function formatStepKey({job, number, occurrence}: StepState): string {
@@ -226,3 +287,5 @@
 function computePeriodMs(index: number): number {
   return MIN_PERIOD_MS * PERIOD_RATIO ** index;
 }
+
+const PERIODS_MS = Array.from({length: PERIOD_COUNT}, (_, index) => computePeriodMs(index));
--- a/packages/nutmegproxy-scheduling/src/MinionState.ts
+++ b/packages/nutmegproxy-scheduling/src/MinionState.ts
@@ -52,6 +52,8 @@
   drainingSince: Instant | undefined;
   /** Processors requested by backfill tasks, in thousandths of a core. */
   backfillCpuMilli = 0;
+  /** Number of runs that were added or removed so far; shows whether a derived value is current. */
+  runChanges = 0;
   /** Number of runs that belong to no known task; nothing is placed on the minion beside them. */
   unknownRuns = 0;
   /** Since when its entry is missing; an entry may expire although the minion is alive. */
@@ -136,6 +138,7 @@
 
   #adjustReservations({step: {shape}}: Run, sign: -1 | 1): void {
     const {cpuMilli, gpus, memoryMb} = shape.resources;
+    this.runChanges += 1;
     this.reserved.gpus += sign * gpus;
     this.reserved.memoryMb += sign * memoryMb;
     const kind = classifyWork(shape);
--- a/packages/nutmegproxy-scheduling/src/SharingPolicy.ts
+++ b/packages/nutmegproxy-scheduling/src/SharingPolicy.ts
@@ -11,9 +11,10 @@
 
 import type {DurationEstimator} from './DurationEstimator.ts';
 import type {Fleet} from './Fleet.ts';
+import type {Estimate} from './LoadForecaster.ts';
 import type {MinionState} from './MinionState.ts';
 
-import {type InterferingTask, TailLatencyModel, toReferenceCores} from './TailLatencyModel.ts';
+import {TailLatencyModel, toReferenceCores} from './TailLatencyModel.ts';
 
 /** Highest planned utilization, as a share of the utilization at the latency target. */
 const MAX_PLANNED_SHARE = 1;
@@ -46,6 +47,29 @@
  */
 const MIXED_IMAGES_COST = 30_000;
 
+/** A serving step on a minion, with one of its runs there. */
+interface ServedStep {
+  /** Total pressure of the backfill runs on the minion. */
+  readonly pressure: Estimate;
+  readonly run: Run;
+  readonly utilizationAtTarget: number;
+}
+
+interface ServedSteps {
+  readonly at: Instant;
+  readonly runChanges: number;
+  readonly steps: readonly ServedStep[];
+}
+
+interface BackfillDescription {
+  readonly at: Instant;
+  readonly durationMs: number;
+  readonly step: StepState;
+  /** Highest planned utilization, as a share of the utilization at the latency target. */
+  readonly utilizationLimit: number;
+  readonly waitsSince: Instant;
+}
+
 interface PeakLoad {
   readonly at: Instant;
   readonly durationMs: number;
@@ -58,6 +82,8 @@
   readonly #lastEvictedAt = new WeakMap<MinionState, Instant>();
   /** Last forecast peak load of each step, since one planning round needs it many times. */
   readonly #peaks = new WeakMap<StepState, PeakLoad>();
+  #lastBackfill: BackfillDescription | undefined;
+  readonly #servedSteps = new WeakMap<MinionState, ServedSteps>();
   readonly #nearTargetSince = new WeakMap<MinionState, Instant>();
 
   constructor(estimator: DurationEstimator) {
@@ -72,25 +98,20 @@
     if (minion.servingRuns === 0) {
       return 0;
     }
-    const {shape} = step;
-    const durationMs = this.#estimator.estimateTaskMs(step.job.request.queue, shape);
-    const added = {
-      cores: toReferenceCores(shape.resources.cpuMilli, minion),
-      image: shape.image ?? '',
-    };
-    const interfering = [...this.model.listInterferingTasks(minion), added];
-    const limit = chooseUtilizationLimit(now - (step.placedAt ?? step.readyAt ?? now));
-    const checkedSteps = new Set<StepState>();
+    const {cpuMilli} = step.shape.resources;
+    const image = step.shape.image ?? '';
+    const cores = toReferenceCores(cpuMilli, minion);
+    const {durationMs, utilizationLimit} = this.#describeBackfill(step, now);
     let worst = 0;
-    for (const serving of minion.runs) {
-      // Tasks of one step share their load and their image.
-      if (serving.step.shape.tailTargetMs === undefined || checkedSteps.has(serving.step)) {
-        continue;
-      }
-      checkedSteps.add(serving.step);
-      const load = this.#forecastPeakLoad(serving, durationMs, now);
-      const share = this.#forecastUtilizationShare(serving, interfering, load);
-      if (share > limit) {
+    for (const served of this.#listServedSteps(minion, now)) {
+      const added = this.model.estimatePressure(served.run, image);
+      const pressure = {
+        mean: served.pressure.mean + cores * added.mean,
+        variance: served.pressure.variance + cores ** 2 * added.variance,
+      };
+      const load = this.#forecastPeakLoad(served.run, durationMs, now);
+      const share = computeUtilizationShare(load, pressure, served.utilizationAtTarget);
+      if (share > utilizationLimit) {
         return undefined;
       }
       worst = Math.max(worst, share);
@@ -179,21 +200,59 @@
     return load;
   }
 
-  /** Returns the forecast utilization as a share of that at the serving run's latency target. */
-  #forecastUtilizationShare(
-    serving: Run,
-    interfering: readonly InterferingTask[],
-    load: number,
-  ): number {
-    const {mean, variance} = this.model.sumPressures(serving, interfering);
-    const pressure = mean + PRESSURE_MARGIN_DEVIATIONS * Math.sqrt(variance);
-    // Without pressure, backfill doesn't affect the tail latency.
-    return pressure <= 0
-      ? 0
-      : (load * (1 + pressure)) / this.model.computeUtilizationAtTarget(serving);
+  /** Returns the serving steps on a minion, computed once for the backfill steps of a round. */
+  #listServedSteps(minion: MinionState, now: Instant): readonly ServedStep[] {
+    const known = this.#servedSteps.get(minion);
+    if (known?.at === now && known.runChanges === minion.runChanges) {
+      return known.steps;
+    }
+    const interfering = this.model.listInterferingTasks(minion);
+    const steps = new Map<StepState, ServedStep>();
+    for (const run of minion.runs) {
+      // Tasks of one step share their load and their image.
+      if (run.step.shape.tailTargetMs !== undefined && !steps.has(run.step)) {
+        steps.set(run.step, {
+          pressure: this.model.sumPressures(run, interfering),
+          run,
+          utilizationAtTarget: this.model.computeUtilizationAtTarget(run),
+        });
+      }
+    }
+    const served = {at: now, runChanges: minion.runChanges, steps: [...steps.values()]};
+    this.#servedSteps.set(minion, served);
+    return served.steps;
+  }
+
+  /** Returns what the costs of a backfill step on all minions have in common. */
+  #describeBackfill(step: StepState, now: Instant): BackfillDescription {
+    const known = this.#lastBackfill;
+    const waitsSince = step.placedAt ?? step.readyAt ?? now;
+    if (known?.step === step && known.at === now && known.waitsSince === waitsSince) {
+      return known;
+    }
+    const description = {
+      at: now,
+      durationMs: this.#estimator.estimateTaskMs(step.job.request.queue, step.shape),
+      step,
+      utilizationLimit: chooseUtilizationLimit(now - waitsSince),
+      waitsSince,
+    };
+    this.#lastBackfill = description;
+    return description;
   }
 }
 
+/** Returns the forecast utilization as a share of that at the serving run's latency target. */
+function computeUtilizationShare(
+  load: number,
+  {mean, variance}: Estimate,
+  utilizationAtTarget: number,
+): number {
+  const pressure = mean + PRESSURE_MARGIN_DEVIATIONS * Math.sqrt(variance);
+  // Without pressure, backfill doesn't affect the tail latency.
+  return pressure <= 0 ? 0 : (load * (1 + pressure)) / utilizationAtTarget;
+}
+
 /** Returns the share up to which utilization may be planned for a step that waited `waitedMs`. */
 function chooseUtilizationLimit(waitedMs: number): number {
   return MAX_PLANNED_SHARE + (Math.max(0, waitedMs - STRICT_LIMIT_MS) / 1_000) * LIMIT_RISE_PER_S;
