--- a/packages/nutmegproxy-owner/src/MinionSession.ts
+++ b/packages/nutmegproxy-owner/src/MinionSession.ts
@@ -14,15 +14,13 @@
 import {
   ESTABLISHED_AFTER_MS,
   MAX_FORMER_LEASE_MS,
-  NEAR_TARGET_POLL_WAIT_MS,
   POLL_RETRY_MS,
-  POLL_WAIT_MS,
-  SHORT_POLL_WAIT_MS,
   SILENT_AFTER_MISSED_CALLS,
   UNACKNOWLEDGED_PAUSE_MS,
 } from './OwnerConstants.ts';
 import {OWNER_EVENTS} from './OwnerEvents.ts';
 import {isSameTask} from './OwnerUtils.ts';
+import {choosePollDelayMs, choosePollWaitMs} from './PollPacing.ts';
 import {RunOrders} from './RunOrders.ts';
 
 export class MinionSession {
@@ -182,6 +180,7 @@
     if (answer.value.ended.length > 0) {
       await this.#awaitStored(journal);
     }
+    await this.#awaitNextPoll(now);
     return hadReading || this.minion.leaseClock.hasReading;
   }
 
@@ -195,18 +194,20 @@
   }
 
   #chooseWaitMs(now: Instant): number {
-    if (!this.minion.leaseClock.hasReading || this.minion.missedCalls > 0) {
-      return 0;
-    }
-    const {backfillCpuMilli, servingRuns} = this.minion;
-    if (this.#context.isNearTarget(this.minion)) {
-      return NEAR_TARGET_POLL_WAIT_MS;
-    }
-    if (servingRuns > 0 && backfillCpuMilli > 0) {
-      return SHORT_POLL_WAIT_MS;
+    return choosePollWaitMs(this.minion, {
+      isNearTarget: this.#context.isNearTarget(this.minion),
+      overdueInMs: this.#context.overdueInMs(this.minion, now),
+    });
+  }
+
+  /** Waits until the next poll is due, counted from the last response. */
+  async #awaitNextPoll(answeredAt: Instant): Promise<void> {
+    const {clock, fleet} = this.#context;
+    const delayMs = choosePollDelayMs(this.minion, fleet.minions.size);
+    const remainingMs = delayMs - (clock.monotonic() - answeredAt);
+    if (remainingMs > 0) {
+      await delay(remainingMs);
     }
-    const overdueInMs = this.#context.overdueInMs(this.minion, now);
-    return Math.round(Math.min(POLL_WAIT_MS, Math.max(SHORT_POLL_WAIT_MS, overdueInMs)));
   }
 
   /**
--- a/packages/nutmegproxy-owner/src/Owner.ts
+++ b/packages/nutmegproxy-owner/src/Owner.ts
@@ -36,6 +36,7 @@
   RUN_NUMBERS_PER_TERM,
   STORE_RETRY_MS,
   SUMMARY_INTERVAL_MS,
+  SWEEP_INTERVAL_MS,
 } from './OwnerConstants.ts';
 import {OWNER_EVENTS} from './OwnerEvents.ts';
 import {choosePlanPause} from './OwnerUtils.ts';
@@ -75,6 +76,7 @@
   readonly #sharing = new SharingPolicy(this.#estimator);
   #stopReason: string | undefined;
   #summarizedAt = -Infinity;
+  #sweptAt = -Infinity;
   readonly #queueLengths: QueueLengthPublisher;
   #wake: (() => void) | undefined;
 
@@ -188,7 +190,10 @@
     const wall = clock.wall();
     const fleet = this.#fleet;
     this.#updateQueues(queues());
-    this.#minions.sweep(ownership.confirmedAt, now);
+    if (now - this.#sweptAt >= SWEEP_INTERVAL_MS) {
+      this.#sweptAt = now;
+      this.#minions.sweep(ownership.confirmedAt, now);
+    }
     if (fleet.recoveryRevision > 0 && this.#minions.recovery.isComplete(ownership.confirmedAt)) {
       fleet.recoveryRevision = 0;
       events.record(OWNER_EVENTS.RECOVERY_DONE, {term: ownership.term});
--- /dev/null
+++ b/packages/nutmegproxy-owner/src/PollPacing.ts
@@ -0,0 +1,67 @@
+/**
+ * Decides how long polls wait on a minion, and how long the next one is delayed. This matters in
+ * large fleets with much backfill: a poll returns at the end of the first run, so that hundreds of
+ * minions with short backfill tasks would take most of the owner's processor time with a poll for
+ * each task. The delay lets one poll report several of them.
+ */
+
+import type {MinionState} from '@nutmegproxy/scheduling';
+
+import {classifyWork} from '@nutmegproxy/scheduling';
+
+import {NEAR_TARGET_POLL_WAIT_MS, POLL_WAIT_MS, SHORT_POLL_WAIT_MS} from './OwnerConstants.ts';
+
+/** Polls per second of all minions up to which the next poll of a minion is not delayed. */
+const UNDELAYED_POLLS_PER_SECOND = 1_500;
+/** Longest delay in milliseconds; it adds to the time until backfill jobs are completed. */
+const MAX_POLL_DELAY_MS = 400;
+
+/**
+ * Returns the time in milliseconds that a poll waits on the minion for the end of a run.
+ * `overdueInMs` is the time until a run of the minion takes longer than expected.
+ */
+export function choosePollWaitMs(
+  minion: MinionState,
+  conditions: {readonly isNearTarget: boolean; readonly overdueInMs: number},
+): number {
+  if (!minion.leaseClock.hasReading || minion.missedCalls > 0) {
+    return 0;
+  }
+  if (conditions.isNearTarget) {
+    return NEAR_TARGET_POLL_WAIT_MS;
+  }
+  if (minion.servingRuns > 0 && minion.backfillCpuMilli > 0) {
+    return SHORT_POLL_WAIT_MS;
+  }
+  const untilOverdueMs = Math.max(SHORT_POLL_WAIT_MS, conditions.overdueInMs);
+  return Math.round(Math.min(POLL_WAIT_MS, untilOverdueMs));
+}
+
+/** Whether somebody waits for the next result on the minion more than for those of backfill. */
+function hasUrgentRuns(minion: MinionState): boolean {
+  for (const {phase, step} of minion.runs) {
+    if (phase === 'stopping' || classifyWork(step.shape) === 'ordinary') {
+      return true;
+    }
+  }
+  return false;
+}
+
+/**
+ * Returns the delay of the next poll of a minion after a response, in milliseconds. It keeps the
+ * polls of a fleet of that many minions near a constant rate; a minion with urgent runs is not
+ * delayed.
+ *
+ * @example
+ * choosePollDelayMs(minion, 300); // 200
+ */
+export function choosePollDelayMs(minion: MinionState, minions: number): number {
+  const isUrgent =
+    !minion.leaseClock.hasReading ||
+    minion.missedCalls > 0 ||
+    minion.description.isDraining ||
+    hasUrgentRuns(minion);
+  return isUrgent
+    ? 0
+    : Math.min(MAX_POLL_DELAY_MS, Math.round((minions * 1_000) / UNDELAYED_POLLS_PER_SECOND));
+}
--- /dev/null
+++ b/packages/nutmegproxy-owner/src/__tests__/unit/PollPacing.test.ts
@@ -0,0 +1,131 @@
+import type {DataCentreId, Instant, JobId, MinionId, WallTime} from '@nutmegproxy/core';
+import type {QueueId, ServiceId, StepShape} from '@nutmegproxy/jobs';
+
+import {brand, SILENT_EVENTS} from '@nutmegproxy/core';
+import {JobState} from '@nutmegproxy/jobs';
+import {Fleet, MinionState} from '@nutmegproxy/scheduling';
+import assert from 'node:assert/strict';
+import {beforeEach, describe, it} from 'node:test';
+
+import {POLL_WAIT_MS, SHORT_POLL_WAIT_MS} from '../../OwnerConstants.ts';
+import {choosePollDelayMs, choosePollWaitMs} from '../../PollPacing.ts';
+
+const NOW = 0 as Instant;
+const SERVICE = 'mesa' as ServiceId;
+const SMALL_FLEET = 45;
+const LARGE_FLEET = 600;
+const SHAPE: StepShape = {
+  after: [],
+  checkpoints: false,
+  count: 1,
+  disruptionBudget: undefined,
+  estimateMs: 1_000,
+  fillsSpareCpu: false,
+  gang: false,
+  image: undefined,
+  longRunning: false,
+  maxPerMinion: undefined,
+  preferredRack: undefined,
+  rackLocal: false,
+  requiredLabel: undefined,
+  resources: {cpuMilli: 1_000, gpus: 0, memoryMb: 100},
+  speculative: false,
+  tailTargetMs: undefined,
+};
+const BACKFILL: StepShape = {...SHAPE, fillsSpareCpu: true};
+const SERVING: StepShape = {...SHAPE, longRunning: true, tailTargetMs: 50};
+
+describe('Pacing of polls', () => {
+  let fleet: Fleet;
+  let minion: MinionState;
+  let jobs: number;
+
+  function run(shape: StepShape): void {
+    jobs += 1;
+    const request = {
+      acceptedAt: 0 as WallTime,
+      id: brand<JobId>(jobs.toString(16).padStart(16, '0')),
+      payload: '',
+      queue: 'proofs' as QueueId,
+      recurrence: undefined,
+      service: SERVICE,
+      steps: [shape],
+    };
+    const step = new JobState(request, jobs).occurrence(0)?.[0];
+    assert.ok(step);
+    fleet.startRun(step, 0, minion, NOW);
+  }
+
+  beforeEach(() => {
+    jobs = 0;
+    fleet = new Fleet(SILENT_EVENTS);
+    minion = new MinionState({
+      address: 'm1:1',
+      bornAt: 1,
+      capacity: {cpuMilli: 16_000, gpus: 0, memoryMb: 64_000},
+      dataCentre: brand<DataCentreId>('dc'),
+      id: brand<MinionId>('m1'),
+      isDraining: false,
+      labels: [],
+      leavesInMs: undefined,
+      machine: undefined,
+      rack: undefined,
+      service: SERVICE,
+    });
+    minion.leaseClock.observe(0, NOW);
+    fleet.minions.set(minion.id, minion);
+  });
+
+  describe('the delay of the next poll', () => {
+    it('grows with the fleet while only backfill and serving tasks run', () => {
+      run(BACKFILL);
+      run(SERVING);
+      const small = choosePollDelayMs(minion, SMALL_FLEET);
+      const large = choosePollDelayMs(minion, LARGE_FLEET);
+      assert.ok(small <= 50, `${small} ms`);
+      assert.ok(large > small * 5, `${large} ms`);
+      assert.ok(choosePollDelayMs(minion, 100 * LARGE_FLEET) <= 500);
+    });
+
+    it('is zero while an ordinary task runs', () => {
+      run(BACKFILL);
+      run(SHAPE);
+      assert.equal(choosePollDelayMs(minion, LARGE_FLEET), 0);
+    });
+
+    it('is zero while a run is being stopped, since its processors are waited for', () => {
+      run(BACKFILL);
+      for (const each of minion.runs) {
+        fleet.stopRun(each, 'interference');
+      }
+      assert.equal(choosePollDelayMs(minion, LARGE_FLEET), 0);
+    });
+
+    it('is zero for a minion that drains, has not responded or has no reading of its clock', () => {
+      run(BACKFILL);
+      minion.missedCalls = 1;
+      assert.equal(choosePollDelayMs(minion, LARGE_FLEET), 0);
+      minion.missedCalls = 0;
+      minion.description = {...minion.description, isDraining: true};
+      assert.equal(choosePollDelayMs(minion, LARGE_FLEET), 0);
+      const unread = new MinionState(minion.description);
+      assert.equal(choosePollDelayMs(unread, LARGE_FLEET), 0);
+    });
+  });
+
+  describe('the wait of a poll', () => {
+    it('is short beside backfill on a minion with serving tasks', () => {
+      const conditions = {isNearTarget: false, overdueInMs: Infinity};
+      run(SERVING);
+      assert.equal(choosePollWaitMs(minion, conditions), POLL_WAIT_MS);
+      run(BACKFILL);
+      assert.equal(choosePollWaitMs(minion, conditions), SHORT_POLL_WAIT_MS);
+    });
+
+    it('ends when a run is overdue', () => {
+      run(SHAPE);
+      const conditions = {isNearTarget: false, overdueInMs: 1_234.5};
+      assert.equal(choosePollWaitMs(minion, conditions), 1_235);
+    });
+  });
+});
--- a/packages/nutmegproxy-scheduling/src/ListingReconciler.ts
+++ b/packages/nutmegproxy-scheduling/src/ListingReconciler.ts
@@ -3,8 +3,6 @@
 import type {Instant} from '@nutmegproxy/core';
 import type {Checkpoint, Run, RunNumber, RunOutcome, StepState, TaskRef} from '@nutmegproxy/jobs';
 
-import {formatRunName} from '@nutmegproxy/jobs';
-
 import type {Fleet} from './Fleet.ts';
 import type {MinionState} from './MinionState.ts';
 
@@ -89,13 +87,17 @@
   }
 }
 
-/** Adds or updates the live runs that a minion lists; stops those that are not wanted. */
+/**
+ * Adds or updates the live runs that a minion lists; stops those that are not wanted. Returns the
+ * listed runs.
+ */
 function reconcileRuns(
   fleet: Fleet,
   minion: MinionState,
   reports: readonly RunReport[],
   now: Instant,
-): void {
+): ReadonlySet<Run> {
+  const listed = new Set<Run>();
   const adopted: Run[] = [];
   const unwanted: Run[] = [];
   minion.unknownRuns = 0;
@@ -110,12 +112,14 @@
     const known = findRun(step, minion, report);
     if (known !== undefined) {
       updateRun(known, report, now);
+      listed.add(known);
       continue;
     }
     dropSupersededRuns(fleet, step, report);
     const isWanted = canAdopt(step, report);
     const run = fleet.adoptRun(step, task, number, minion, now);
     updateRun(run, report, now);
+    listed.add(run);
     adopted.push(run);
     if (isWanted) {
       step.recoveredTasks.add(task.index);
@@ -128,6 +132,7 @@
     // The run is kept until its result is known, so that its task doesn't start a second time.
     fleet.stopRun(run, 'unknown');
   }
+  return listed;
 }
 
 function applyRunResult(fleet: Fleet, minion: MinionState, result: RunResult, now: Instant): void {
@@ -157,11 +162,10 @@
       applyRunResult(fleet, minion, result, now);
     }
   }
-  const listed = new Set(listing.running.map(({number, task}) => formatRunName(task, number)));
-  reconcileRuns(fleet, minion, listing.running, now);
+  const listed = reconcileRuns(fleet, minion, listing.running, now);
   for (const run of [...minion.runs]) {
     const wasConfirmedBefore = run.confirmedAt !== undefined && run.confirmedAt < requestedAt;
-    if (wasConfirmedBefore && !listed.has(formatRunName(run.task, run.number))) {
+    if (wasConfirmedBefore && !listed.has(run)) {
       fleet.recordLostRun(run, 'not listed');
     }
   }
