Placement: ordinary tasks are packed, so that large urgent ones find room; a load simulation

Load: serving tasks reserve four fifths of the processors and the urgent jobs' tasks need a third of a minion or more; a tenth of the minions is lost. Cause: ordinary tasks went to the minion with most unused processors, and so broke up the room that is left.

Change: an ordinary task goes where it leaves the least room, and away from minions whose backfill it would slow.

--- /dev/null
+++ b/packages/nutmegproxy-emulator/src/FleetSimulation.ts
@@ -0,0 +1,252 @@
+/**
+ * Plays a load against the owner's decisions in simulated time, without a network: jobs arrive,
+ * rounds of planning start and stop runs, and minions report the ends of runs after a delay.
+ */
+
+import type {Instant, MinionId, WallTime} from '@nutmegproxy/core';
+import type {Run} from '@nutmegproxy/jobs';
+import type {MinionDescription, SharingCosts} from '@nutmegproxy/scheduling';
+
+import {SILENT_EVENTS} from '@nutmegproxy/core';
+import {JobState} from '@nutmegproxy/jobs';
+import {
+  DurationEstimator,
+  Fleet,
+  MinionState,
+  planStarts,
+  SharingPolicy,
+} from '@nutmegproxy/scheduling';
+
+import type {SimulatedJob} from './Workload.ts';
+
+import {Agenda} from './Agenda.ts';
+import {SimulatedTailLatency} from './SimulatedTailLatency.ts';
+
+/** Delay in milliseconds from a decision to the start of its run. */
+const START_DELAY_MS = 10;
+/** Delay in milliseconds from the end of a run to its report. */
+const REPORT_DELAY_MS = 10;
+/** Duration of a stop in milliseconds. */
+const STOP_MS = 300;
+/** Time in milliseconds that a run spends on loading its checkpoint. */
+const RESTORE_MS = 600;
+/** Time in milliseconds between two reports of a minion with serving tasks. */
+const REPORT_INTERVAL_MS = 900;
+/** Progress of a serving task that is at work. */
+const WORKING_PERCENT = 100;
+
+export interface FleetSimulationOptions {
+  /** Replaces costs of placement, for a comparison of policies. */
+  readonly createSharingCosts?: (policy: SharingPolicy) => SharingCosts;
+  readonly durationMs: number;
+  readonly jobs: readonly SimulatedJob[];
+  readonly minions: readonly MinionDescription[];
+  /** Time in milliseconds from one round of planning to the next. */
+  readonly roundMs: number;
+  /** Seed of the phases of serving loads and of the pressures of image pairs. */
+  readonly seed: number;
+}
+
+/** What the callers of one job saw; times in milliseconds of the simulation. */
+export interface JobHistory {
+  completedMs: number | undefined;
+  readonly job: SimulatedJob;
+  /** Time for which tasks of a long-running job were at work, summed over its tasks. */
+  servedTaskMs: number;
+}
+
+export interface SimulationResult {
+  readonly histories: readonly JobHistory[];
+  /** Core-seconds of runs that were stopped without a checkpoint. */
+  readonly lostCoreS: number;
+  /** Time for which serving tasks exceeded their targets, in seconds. */
+  readonly overTargetS: number;
+  readonly rounds: number;
+  readonly starts: number;
+  readonly stops: number;
+}
+
+interface LiveRun {
+  readonly durationMs: number;
+  readonly run: Run;
+  readonly startsMs: number;
+}
+
+export class FleetSimulation {
+  readonly fleet = new Fleet(SILENT_EVENTS);
+  readonly #agenda = new Agenda();
+  readonly #estimator = new DurationEstimator();
+  readonly #histories = new Map<string, JobHistory>();
+  readonly #live = new Map<Run, LiveRun>();
+  readonly #options: FleetSimulationOptions;
+  readonly #result = {lostCoreS: 0, overTargetS: 0, rounds: 0, starts: 0, stops: 0};
+  readonly #saved = new Map<string, number>();
+  readonly #sharing = new SharingPolicy(this.#estimator);
+  readonly #sharingCosts: SharingCosts;
+  readonly #tails: SimulatedTailLatency;
+  #nowMs = 0;
+
+  constructor(options: FleetSimulationOptions) {
+    this.#options = options;
+    this.#sharingCosts = options.createSharingCosts?.(this.#sharing) ?? this.#sharing;
+    this.#tails = new SimulatedTailLatency(options.seed);
+    for (const [index, description] of options.minions.entries()) {
+      this.#addMinion(description, index);
+    }
+    for (const job of options.jobs) {
+      this.fleet.queues.set(job.jobClass.policy.id, job.jobClass.policy);
+      this.#agenda.add(job.arrivesMs, () => {
+        this.#submit(job);
+      });
+    }
+  }
+
+  run(): SimulationResult {
+    const {durationMs, roundMs} = this.#options;
+    for (; this.#nowMs < durationMs; this.#nowMs += roundMs) {
+      this.#agenda.runUntil(this.#nowMs);
+      this.#plan();
+    }
+    for (const live of this.#live.values()) {
+      this.#countService(live, durationMs);
+    }
+    return {...this.#result, histories: [...this.#histories.values()]};
+  }
+
+  get #now(): Instant {
+    return this.#nowMs as Instant;
+  }
+
+  #addMinion(description: MinionDescription, index: number): void {
+    const minion = new MinionState(description);
+    minion.isRegistered = true;
+    minion.hasReported = true;
+    minion.leaseClock.observe(0, 0 as Instant);
+    this.fleet.minions.set(minion.id, minion);
+    this.#scheduleReport(minion.id, index % REPORT_INTERVAL_MS);
+  }
+
+  #scheduleReport(id: MinionId, atMs: number): void {
+    this.#agenda.add(atMs, () => {
+      const minion = this.fleet.minions.get(id);
+      if (minion !== undefined) {
+        this.#report(minion);
+        this.#scheduleReport(id, atMs + REPORT_INTERVAL_MS);
+      }
+    });
+  }
+
+  /** Lets a minion report the tail latencies of its serving runs. */
+  #report(minion: MinionState): void {
+    if (minion.servingRuns === 0) {
+      return;
+    }
+    const overTarget = this.#tails.report(minion, this.#now);
+    this.#result.overTargetS += (overTarget * REPORT_INTERVAL_MS) / 1000;
+    this.#sharing.model.observe(minion, this.#now);
+    this.#sharing.evictInterferingRuns(this.fleet, minion, this.#now);
+  }
+
+  #submit(job: SimulatedJob): void {
+    const state = new JobState(job.request, 1);
+    this.fleet.jobs.set(state.id, state);
+    this.#histories.set(state.id, {completedMs: undefined, job, servedTaskMs: 0});
+  }
+
+  #plan(): void {
+    this.#result.rounds += 1;
+    const starts = planStarts(this.fleet, {
+      advice: {isPermitted: () => undefined},
+      estimator: this.#estimator,
+      now: this.#now,
+      sharingCosts: this.#sharingCosts,
+      wall: this.#nowMs as WallTime,
+    });
+    for (const run of starts) {
+      this.#start(run);
+    }
+    for (const {minion, number, task} of this.fleet.pendingStops.splice(0)) {
+      const run = [...(this.fleet.minions.get(minion)?.runs ?? [])].find(
+        (each) => each.number === number && each.task.job === task.job && isSameIndex(each, task),
+      );
+      if (run !== undefined) {
+        this.#agenda.add(this.#nowMs + STOP_MS, () => {
+          this.#stop(run);
+        });
+      }
+    }
+    this.#removeEndedJobs();
+  }
+
+  #removeEndedJobs(): void {
+    for (const job of this.fleet.jobs.values()) {
+      if (job.isFinal) {
+        this.fleet.jobs.delete(job.id);
+      }
+    }
+  }
+
+  #start(run: Run): void {
+    this.#result.starts += 1;
+    const history = this.#histories.get(run.task.job);
+    const workMs = history?.job.taskMs[run.task.step] ?? 0;
+    const savedMs = this.#saved.get(formatTask(run)) ?? 0;
+    const startsMs = this.#nowMs + START_DELAY_MS;
+    const durationMs = workMs - savedMs + (savedMs > 0 ? RESTORE_MS : 0);
+    this.#live.set(run, {durationMs, run, startsMs});
+    run.phase = 'running';
+    run.percent = run.step.shape.longRunning ? WORKING_PERCENT : 0;
+    run.confirmedAt = startsMs as Instant;
+    this.#agenda.add(startsMs + durationMs + REPORT_DELAY_MS, () => {
+      this.#finish(run);
+    });
+  }
+
+  #finish(run: Run): void {
+    const live = this.#live.get(run);
+    if (live === undefined) {
+      return;
+    }
+    this.#live.delete(run);
+    this.#countService(live, this.#nowMs);
+    const {job, shape} = run.step;
+    this.#estimator.recordDuration(job.request.queue, shape, live.durationMs);
+    this.fleet.finishRun(run, 'done', undefined, this.#now);
+    const history = this.#histories.get(job.id);
+    if (job.isFinal && history !== undefined) {
+      history.completedMs = this.#nowMs;
+    }
+  }
+
+  #stop(run: Run): void {
+    const live = this.#live.get(run);
+    if (live === undefined) {
+      return;
+    }
+    this.#live.delete(run);
+    this.#countService(live, this.#nowMs);
+    this.#result.stops += 1;
+    const workedMs = Math.max(0, this.#nowMs - STOP_MS - live.startsMs);
+    if (run.step.shape.checkpoints) {
+      this.#saved.set(formatTask(run), (this.#saved.get(formatTask(run)) ?? 0) + workedMs);
+    } else {
+      this.#result.lostCoreS += (workedMs * run.step.shape.resources.cpuMilli) / 1_000_000;
+    }
+    this.fleet.finishRun(run, 'stopped', undefined, this.#now);
+  }
+
+  #countService({run, startsMs}: LiveRun, untilMs: number): void {
+    const history = this.#histories.get(run.task.job);
+    if (run.step.shape.longRunning && history !== undefined) {
+      history.servedTaskMs += Math.max(0, untilMs - startsMs);
+    }
+  }
+}
+
+function formatTask({task: {index, job, step}}: Run): string {
+  return `${job}.${step}.${index}`;
+}
+
+function isSameIndex({task}: Run, {index, step}: Run['task']): boolean {
+  return task.index === index && task.step === step;
+}
--- /dev/null
+++ b/packages/nutmegproxy-emulator/src/SimulationReport.ts
@@ -0,0 +1,78 @@
+/** What the callers of each queue got in a simulation. */
+
+import type {QueueId} from '@nutmegproxy/jobs';
+
+import type {JobHistory, SimulationResult} from './FleetSimulation.ts';
+
+/** Multiple of its objective after which a job's result has no value left. */
+const OVERDUE_OBJECTIVE_RATIO = 3;
+
+/** Jobs of one queue; a share is of the work of all its jobs in core-seconds. */
+export interface QueueReport {
+  readonly jobs: number;
+  readonly lateShare: number;
+  readonly onTimeShare: number;
+  /** Share of the time owed for which tasks of long-running jobs were at work. */
+  readonly servedShare: number;
+}
+
+function computeObjectiveMs({job: {jobClass, taskMs}}: JobHistory): number {
+  const {stretch, targetDurationMs} = jobClass.policy;
+  return taskMs.reduce((sum, each) => sum + each, 0) * stretch + targetDurationMs;
+}
+
+function computeWork({job: {request, taskMs}}: JobHistory): number {
+  return request.steps.reduce(
+    (sum, {count, resources}, step) => sum + count * resources.cpuMilli * (taskMs[step] ?? 0),
+    0,
+  );
+}
+
+function sumOwedTaskMs({job: {arrivesMs, request}}: JobHistory, endMs: number): number {
+  return (request.steps[0]?.count ?? 0) * (endMs - arrivesMs);
+}
+
+function reportQueue(histories: readonly JobHistory[], endMs: number): QueueReport {
+  let work = 0;
+  let onTime = 0;
+  let late = 0;
+  let servedMs = 0;
+  let owedMs = 0;
+  for (const history of histories) {
+    const jobWork = computeWork(history);
+    const tookMs = (history.completedMs ?? Infinity) - history.job.arrivesMs;
+    const objectiveMs = computeObjectiveMs(history);
+    work += jobWork;
+    if (tookMs <= objectiveMs) {
+      onTime += jobWork;
+    } else if (tookMs <= objectiveMs * OVERDUE_OBJECTIVE_RATIO) {
+      late += jobWork;
+    }
+    servedMs += history.servedTaskMs;
+    owedMs += sumOwedTaskMs(history, endMs);
+  }
+  return {
+    jobs: histories.length,
+    lateShare: late / work,
+    onTimeShare: onTime / work,
+    servedShare: servedMs / owedMs,
+  };
+}
+
+/**
+ * Returns a report for each queue of a simulation that ended at `endMs`.
+ *
+ * @example
+ * reportQueues(simulation.run(), 40_000).get('match-alert' as QueueId)?.onTimeShare; // 0.97
+ */
+export function reportQueues(
+  {histories}: SimulationResult,
+  endMs: number,
+): ReadonlyMap<QueueId, QueueReport> {
+  const byQueue = new Map<QueueId, JobHistory[]>();
+  for (const history of histories) {
+    const {queue} = history.job.request;
+    byQueue.set(queue, [...(byQueue.get(queue) ?? []), history]);
+  }
+  return new Map([...byQueue].map(([queue, jobs]) => [queue, reportQueue(jobs, endMs)]));
+}
--- a/packages/nutmegproxy-scheduling/src/Placement.ts
+++ b/packages/nutmegproxy-scheduling/src/Placement.ts
@@ -2,8 +2,8 @@
  * Computes the cost of placing a task on a minion.
  *
  * Serving tasks are packed, by image where possible, so that backfill tasks find minions whose
- * serving tasks tolerate them. Ordinary and backfill tasks prefer minions with the most unused
- * processors.
+ * serving tasks tolerate them. Ordinary tasks are packed too, so that large ones find room. Backfill
+ * tasks prefer minions with the most unused processors.
  */
 
 import type {Instant} from '@nutmegproxy/core';
@@ -25,13 +25,15 @@
 /** Cost of a minion below that speed, in thousandths of a core. */
 const SLOW_MINION_COST = 200_000;
 
-/** Costs of running serving and backfill tasks on the same minion. */
+/** Costs of running tasks of different kinds on the same minion. */
 export interface SharingCosts {
   /**
    * Cost of a backfill task, in thousandths of a core; undefined when it would interfere too much
    * with serving tasks.
    */
   readonly backfillCost: (minion: MinionState, step: StepState, now: Instant) => number | undefined;
+  /** Cost of an ordinary task, in thousandths of a core. */
+  readonly ordinaryCost: (minion: MinionState, shape: StepShape) => number;
   /** Cost of a serving task, in thousandths of a core. */
   readonly servingCost: (minion: MinionState, shape: StepShape) => number;
 }
@@ -57,7 +59,7 @@
     },
   },
   ordinary: {
-    cost: (minion) => -minion.spareCpuMilli,
+    cost: (minion, {shape}, sharingCosts) => sharingCosts.ordinaryCost(minion, shape),
   },
   serving: {
     cost: (minion, {shape}, sharingCosts) =>
--- a/packages/nutmegproxy-scheduling/src/SharingPolicy.ts
+++ b/packages/nutmegproxy-scheduling/src/SharingPolicy.ts
@@ -46,6 +46,11 @@
  * cost of an empty minion, which is therefore preferred.
  */
 const MIXED_IMAGES_COST = 30_000;
+/**
+ * Cost of each thousandth of a core that an ordinary task takes from running backfill tasks. These
+ * slow down, and only the room that is reserved for other work is lost to large tasks.
+ */
+const DISPLACED_BACKFILL_COST = 2;
 
 /** A serving step on a minion, with one of its runs there. */
 interface ServedStep {
@@ -119,6 +124,18 @@
     return worst * UTILIZATION_COST;
   }
 
+  /**
+   * Returns the cost of an ordinary task on a minion: the room that is not reserved on it, so that
+   * tasks are packed and minions with much room are left to large tasks, and the processors that
+   * backfill tasks lose. This matters when serving tasks reserve most of the fleet and the large
+   * tasks among the ordinary ones are urgent.
+   */
+  ordinaryCost(minion: MinionState, {resources}: StepShape): number {
+    const room = minion.description.capacity.cpuMilli - minion.reserved.cpuMilli;
+    const displaced = Math.max(0, resources.cpuMilli - minion.spareCpuMilli);
+    return room + displaced * DISPLACED_BACKFILL_COST;
+  }
+
   /** Returns the cost of a serving task on a minion, from the other images of its serving tasks. */
   servingCost(minion: MinionState, shape: StepShape): number {
     const images = new Set<string | undefined>();
--- a/packages/nutmegproxy-scheduling/src/__tests__/unit/Samples.ts
+++ b/packages/nutmegproxy-scheduling/src/__tests__/unit/Samples.ts
@@ -26,7 +26,11 @@
 import {planStarts} from '../../StartPlanner.ts';
 
 export const SERVICE = 'mesa' as ServiceId;
-export const NO_SHARING_COSTS: SharingCosts = {backfillCost: () => 0, servingCost: () => 0};
+export const NO_SHARING_COSTS: SharingCosts = {
+  backfillCost: () => 0,
+  ordinaryCost: ({spareCpuMilli}) => -spareCpuMilli,
+  servingCost: () => 0,
+};
 
 export const at = (ms: number): Instant => ms as Instant;
 export const wallAt = (ms: number): WallTime => ms as WallTime;
--- a/packages/nutmegproxy-scheduling/src/__tests__/unit/StartPlanner.test.ts
+++ b/packages/nutmegproxy-scheduling/src/__tests__/unit/StartPlanner.test.ts
@@ -4,7 +4,7 @@
 import {describe, it} from 'node:test';
 
 import {reconcileListing} from '../../ListingReconciler.ts';
-import {at, queue, SampleFleet, shape} from './Samples.ts';
+import {at, NO_SHARING_COSTS, queue, SampleFleet, shape} from './Samples.ts';
 
 describe('planStarts', () => {
   describe('capacity', () => {
@@ -41,11 +41,11 @@
       const step = job.occurrence(0)?.[0];
       // Costs that allow a step only after a wait, as on minions with serving tasks.
       const sharingCosts = {
+        ...NO_SHARING_COSTS,
         backfillCost: (): number | undefined =>
           (step?.placedAt ?? step?.readyAt ?? 0) < 5_000 && step?.readyAt !== undefined
             ? 0
             : undefined,
-        servingCost: () => 0,
       };
       assert.ok(step);
       step.readyAt = at(0);
@@ -56,11 +56,11 @@
       const sample = new SampleFleet(1);
       let calls = 0;
       const sharingCosts = {
+        ...NO_SHARING_COSTS,
         backfillCost: (): undefined => {
           calls += 1;
           return undefined;
         },
-        servingCost: () => 0,
       };
       sample.addJob('proofs', [shape({fillsSpareCpu: true})]);
       sample.plan(0, sharingCosts);
