Starts in flight follow the owner's own delay; a stall no longer fails answered calls

Its own processor needs longer for them than the timeout of 500 ms; each timeout closes a connection and repeats the start, also when the minion drains meanwhile. And after a stall, timers run before the data that has arrived is read, so that answered calls fail.

Change: StartLimiter bounds the starts in flight by the duration of the calls; nothing is placed while more starts wait than are in flight, so that urgent tasks overtake. A start that waited is sent only if its run is still wanted and its minion does not drain, with a lease computed when it is sent. A call fails one turn of the event loop after its timeout.

--- a/packages/nutmegproxy-jobs/src/StepState.ts
+++ b/packages/nutmegproxy-jobs/src/StepState.ts
@@ -36,7 +36,8 @@
   phase: RunPhase;
   /** Tail latency in milliseconds of a serving run; processor use in thousandths of a core of others. */
   reading: number | undefined;
-  readonly sentAt: Instant;
+  /** When the start was last sent; when it was decided on before that. */
+  sentAt: Instant;
   readonly step: StepState;
   readonly task: TaskRef;
 }
--- a/packages/nutmegproxy-owner/src/AdvicePrefetcher.ts
+++ b/packages/nutmegproxy-owner/src/AdvicePrefetcher.ts
@@ -2,7 +2,7 @@
 
 import type {Clock, EventSink, Instant, MinionId} from '@nutmegproxy/core';
 import type {StepState} from '@nutmegproxy/jobs';
-import type {AdviceQuery, Fleet, Ticket} from '@nutmegproxy/scheduling';
+import type {AdviceLookup, AdviceQuery, Fleet, Ticket} from '@nutmegproxy/scheduling';
 
 import {delay} from '@nutmegproxy/core';
 import {AdviceCache, isSchedulable} from '@nutmegproxy/scheduling';
@@ -33,6 +33,11 @@
     return state === undefined ? undefined : this.cache.findTicket(step, state);
   }
 
+  /** Returns the permissions that are known at an instant. */
+  createLookup(now: Instant): AdviceLookup {
+    return {isPermitted: (step, minion) => this.cache.isPermitted(step, minion, now)};
+  }
+
   /** Calls the service while `isActing` returns true. */
   async run(isActing: () => boolean): Promise<void> {
     const {client, clock} = this.#options;
--- a/packages/nutmegproxy-owner/src/Owner.ts
+++ b/packages/nutmegproxy-owner/src/Owner.ts
@@ -31,18 +31,17 @@
 import {MinionSessions} from './MinionSessions.ts';
 import {
   MAX_PLAN_IDLE_MS,
-  RETENTION_INTERVAL_MS,
   RETENTION_MARGIN_MS,
   RUN_NUMBERS_PER_TERM,
   STORE_RETRY_MS,
   SUMMARY_INTERVAL_MS,
-  SWEEP_INTERVAL_MS,
 } from './OwnerConstants.ts';
 import {OWNER_EVENTS} from './OwnerEvents.ts';
 import {choosePlanPause} from './OwnerUtils.ts';
 import {QueueLengthPublisher} from './QueueLengthPublisher.ts';
 import {Retention} from './Retention.ts';
 import {Roster} from './Roster.ts';
+import {StartLimiter} from './StartLimiter.ts';
 
 export interface OwnerOptions {
   /** Client of the advising service; undefined where the platform has none. */
@@ -72,11 +71,12 @@
   readonly #options: OwnerOptions;
   readonly #progressMonitor = new RunProgressMonitor(this.#estimator);
   #queues: readonly QueuePolicy[] | undefined;
+  readonly #retention: Retention;
   readonly #roster: Roster;
   readonly #sharing = new SharingPolicy(this.#estimator);
+  readonly #startLimiter = new StartLimiter();
   #stopReason: string | undefined;
   #summarizedAt = -Infinity;
-  #sweptAt = -Infinity;
   readonly #queueLengths: QueueLengthPublisher;
   #wake: (() => void) | undefined;
 
@@ -104,6 +104,8 @@
       ownership,
       store,
     });
+    const retentionMs = options.statusRetentionMs + RETENTION_MARGIN_MS;
+    this.#retention = new Retention({clock, events, fleet, ownership, retentionMs, store});
     this.#queueLengths = new QueueLengthPublisher({events, fleet, ownership, store});
     this.#advice = new AdvicePrefetcher({client: options.advice, clock, events, fleet, onChange});
     this.#jobs = new JobWatcher({clock, events, fleet, onChange, onFenced, ownership, store});
@@ -143,6 +145,7 @@
         orders,
         overdueInMs: (minion, now) => this.#progressMonitor.overdueInMs(minion, now),
         ownership,
+        startLimiter: this.#startLimiter,
       },
     });
   }
@@ -156,7 +159,7 @@
     void this.#receiveClosingRecord();
     void this.#advice.run(() => this.#isActing());
     void this.#queueLengths.run(() => this.#isActing());
-    void this.#removeOldJobs();
+    void this.#retention.run(() => this.#isActing());
     void this.#learnedEstimates.run(() => this.#isActing());
     while (this.#isActing()) {
       const startedAt = clock.monotonic();
@@ -186,14 +189,10 @@
   /** Runs one round of planning and sends the resulting starts and stops. */
   #plan(): void {
     const {clock, events, ownership, queues} = this.#options;
-    const now = clock.monotonic();
-    const wall = clock.wall();
+    const [now, wall] = [clock.monotonic(), clock.wall()];
     const fleet = this.#fleet;
     this.#updateQueues(queues());
-    if (now - this.#sweptAt >= SWEEP_INTERVAL_MS) {
-      this.#sweptAt = now;
-      this.#minions.sweep(ownership.confirmedAt, now);
-    }
+    this.#minions.sweep(ownership.confirmedAt, now);
     if (fleet.recoveryRevision > 0 && this.#minions.recovery.isComplete(ownership.confirmedAt)) {
       fleet.recoveryRevision = 0;
       events.record(OWNER_EVENTS.RECOVERY_DONE, {term: ownership.term});
@@ -201,13 +200,15 @@
     for (const minion of fleet.minions.values()) {
       evacuateMinion(fleet, minion, this.#estimator, now);
     }
-    const starts = planStarts(fleet, {
-      advice: {isPermitted: (step, minion) => this.#advice.cache.isPermitted(step, minion, now)},
-      estimator: this.#estimator,
-      now,
-      sharingCosts: this.#sharing,
-      wall,
-    });
+    const starts = this.#startLimiter.isBacklogged
+      ? []
+      : planStarts(fleet, {
+          advice: this.#advice.createLookup(now),
+          estimator: this.#estimator,
+          now,
+          sharingCosts: this.#sharing,
+          wall,
+        });
     if (now - this.#summarizedAt > SUMMARY_INTERVAL_MS) {
       this.#summarizedAt = now;
       events.record(OWNER_EVENTS.FLEET_SUMMARY, summarizeFleet(fleet, now, wall));
@@ -235,16 +236,6 @@
     });
   }
 
-  async #removeOldJobs(): Promise<void> {
-    const {clock, events, ownership, statusRetentionMs, store} = this.#options;
-    const retentionMs = statusRetentionMs + RETENTION_MARGIN_MS;
-    const retention = new Retention({events, fleet: this.#fleet, ownership, retentionMs, store});
-    while (this.#isActing()) {
-      await delay(RETENTION_INTERVAL_MS);
-      await retention.sweep(clock.monotonic());
-    }
-  }
-
   /** Reads the jobs, the former owner's roster and the minions; retries until all were read. */
   async #recover(): Promise<void> {
     const {events} = this.#options;
--- a/packages/nutmegproxy-owner/src/OwnerConstants.ts
+++ b/packages/nutmegproxy-owner/src/OwnerConstants.ts
@@ -66,8 +66,6 @@
 export const RUN_NUMBERS_PER_TERM = 1_000;
 /** Time for which records of an ended job are kept beyond the configured retention. */
 export const RETENTION_MARGIN_MS = 30_000;
-/** Time between two checks of all minions for expired leases; those last seconds. */
-export const SWEEP_INTERVAL_MS = 50;
 /** Time between two summaries of the fleet in the log. */
 export const SUMMARY_INTERVAL_MS = 2_000;
 /** Pause between checks for queries to the advising service. */
--- a/packages/nutmegproxy-owner/src/Retention.ts
+++ b/packages/nutmegproxy-owner/src/Retention.ts
@@ -1,20 +1,22 @@
 /** Removes records of ended jobs after their retention time, to bound the store and the owner's memory. */
 
-import type {EventSink, Instant, JobId} from '@nutmegproxy/core';
+import type {Clock, EventSink, Instant, JobId} from '@nutmegproxy/core';
 import type {Fleet} from '@nutmegproxy/scheduling';
 import type {PlatformStore} from '@nutmegproxy/store';
 
+import {delay} from '@nutmegproxy/core';
 import {formatJobKey, type JobPart} from '@nutmegproxy/jobs';
 
 import type {FleetOwnership} from './FleetOwnership.ts';
 
-import {RETENTION_BATCH_JOBS} from './OwnerConstants.ts';
+import {RETENTION_BATCH_JOBS, RETENTION_INTERVAL_MS} from './OwnerConstants.ts';
 import {OWNER_EVENTS} from './OwnerEvents.ts';
 import {createFencingCondition} from './OwnerUtils.ts';
 
 const PARTS: readonly JobPart[] = ['cancel', 'progress', 'request'];
 
 export interface RetentionOptions {
+  readonly clock: Clock;
   readonly events: EventSink;
   readonly fleet: Fleet;
   readonly ownership: FleetOwnership;
@@ -32,6 +34,14 @@
     this.#options = options;
   }
 
+  /** Removes old jobs while `isActing` returns true. */
+  async run(isActing: () => boolean): Promise<void> {
+    while (isActing()) {
+      await delay(RETENTION_INTERVAL_MS);
+      await this.sweep(this.#options.clock.monotonic());
+    }
+  }
+
   /** Removes one batch of the jobs whose retention time has passed. */
   async sweep(now: Instant): Promise<void> {
     const {events, fleet, ownership, store} = this.#options;
--- a/packages/nutmegproxy-owner/src/RunOrders.ts
+++ b/packages/nutmegproxy-owner/src/RunOrders.ts
@@ -85,12 +85,16 @@
   }
 
   async #tryStart(run: Run): Promise<StartResult> {
-    const {clock, findTicket, orders, ownership} = this.#context;
-    const untilMs = this.#hooks.grantLease(clock.monotonic());
+    const {clock, findTicket, orders, ownership, startLimiter} = this.#context;
     for (let attempt = 0; attempt < ORDER_ATTEMPTS; attempt += 1) {
-      if (untilMs === undefined || !this.#hooks.isActing() || run.phase !== 'starting') {
+      await startLimiter.enter();
+      const sentAt = clock.monotonic();
+      const untilMs = this.#hooks.grantLease(sentAt);
+      if (untilMs === undefined || !this.#canSend(run)) {
+        startLimiter.leave(0, sentAt);
         return this.#unansweredStarts.has(run) ? 'unknown' : 'not-started';
       }
+      run.sentAt = sentAt;
       const answer = await orders.start(this.#target, {
         checkpoint: run.checkpoint,
         number: run.number,
@@ -101,6 +105,7 @@
         untilMs,
       });
       const now = clock.monotonic();
+      startLimiter.leave(now - sentAt, now);
       if (answer.isOk()) {
         this.#minion.leaseClock.observe(answer.value.clockMs, now);
         run.confirmedAt ??= now;
@@ -117,6 +122,19 @@
     return 'unknown';
   }
 
+  /**
+   * Whether the start may still be sent; while it waited, its run may have been given up, and its
+   * minion may have begun to drain.
+   */
+  #canSend(run: Run): boolean {
+    return (
+      this.#hooks.isActing() &&
+      run.phase === 'starting' &&
+      this.#minion.runs.has(run) &&
+      !this.#minion.description.isDraining
+    );
+  }
+
   /** Handles a failed start; returns undefined when it has to be sent again. */
   #handleStartFailure(run: Run, {kind}: OrderFailure, now: Instant): StartResult | undefined {
     if (kind === 'unanswered') {
--- a/packages/nutmegproxy-owner/src/SessionContext.ts
+++ b/packages/nutmegproxy-owner/src/SessionContext.ts
@@ -7,6 +7,7 @@
 import type {FleetOwnership} from './FleetOwnership.ts';
 import type {Journal} from './Journal.ts';
 import type {MinionOrders} from './MinionOrders.ts';
+import type {StartLimiter} from './StartLimiter.ts';
 
 export interface SessionContext {
   readonly clock: Clock;
@@ -32,4 +33,5 @@
   /** Time in milliseconds until a run of the minion is overdue. */
   readonly overdueInMs: (minion: MinionState, now: Instant) => number;
   readonly ownership: FleetOwnership;
+  readonly startLimiter: StartLimiter;
 }
--- /dev/null
+++ b/packages/nutmegproxy-owner/src/StartLimiter.ts
@@ -0,0 +1,75 @@
+/**
+ * Limits the starts that are in flight at the same time. This matters when thousands of tasks become
+ * startable at once, as after a takeover: an owner that sends all their starts together is busy for
+ * longer than their timeout, and the repeated starts keep it busy.
+ *
+ * The limit follows the duration of the calls, which includes the delay of this process: it rises
+ * while calls are fast, and falls when they take long.
+ */
+
+/** Starts in flight before any call was measured, and the bounds of the limit. */
+const INITIAL_LIMIT = 64;
+const MIN_LIMIT = 16;
+const MAX_LIMIT = 512;
+/** Duration of a call in milliseconds up to which the limit rises; minions respond in a few. */
+const FAST_CALL_MS = 60;
+/** Duration of a call in milliseconds from which the limit falls; well below the timeout. */
+const SLOW_CALL_MS = 200;
+/** Factor by which a slow call lowers the limit. */
+const BACKOFF_FACTOR = 0.8;
+/** Time in milliseconds after a reduction in which no other follows: the calls in flight are slow too. */
+const BACKOFF_INTERVAL_MS = 100;
+
+export class StartLimiter {
+  #inFlight = 0;
+  #limit = INITIAL_LIMIT;
+  #reducedAtMs = -Infinity;
+  readonly #waiting: (() => void)[] = [];
+
+  /**
+   * Whether more starts wait than are in flight. Further tasks are then not placed: they would be
+   * sent after these, however urgent they are.
+   */
+  get isBacklogged(): boolean {
+    return this.#waiting.length >= this.#limit;
+  }
+
+  /** Most starts that may be in flight now. */
+  get limit(): number {
+    return Math.floor(this.#limit);
+  }
+
+  /** Resolves when the caller may send a start. It calls `leave` after the call has ended. */
+  async enter(): Promise<void> {
+    if (this.#inFlight < this.limit) {
+      this.#inFlight += 1;
+      return;
+    }
+    await new Promise<void>((resolve) => {
+      this.#waiting.push(resolve);
+    });
+  }
+
+  /** Ends a call that took `durationMs`, and lets the next ones be sent. */
+  leave(durationMs: number, nowMs: number): void {
+    this.#inFlight -= 1;
+    this.#adjustLimit(durationMs, nowMs);
+    while (this.#inFlight < this.limit) {
+      const next = this.#waiting.shift();
+      if (next === undefined) {
+        return;
+      }
+      this.#inFlight += 1;
+      next();
+    }
+  }
+
+  #adjustLimit(durationMs: number, nowMs: number): void {
+    if (durationMs <= FAST_CALL_MS) {
+      this.#limit = Math.min(MAX_LIMIT, this.#limit + 1 / this.#limit);
+    } else if (durationMs >= SLOW_CALL_MS && nowMs - this.#reducedAtMs >= BACKOFF_INTERVAL_MS) {
+      this.#limit = Math.max(MIN_LIMIT, this.#limit * BACKOFF_FACTOR);
+      this.#reducedAtMs = nowMs;
+    }
+  }
+}
--- /dev/null
+++ b/packages/nutmegproxy-owner/src/__tests__/unit/StartLimiter.test.ts
@@ -0,0 +1,127 @@
+import assert from 'node:assert/strict';
+import {describe, it} from 'node:test';
+
+import {StartLimiter} from '../../StartLimiter.ts';
+
+/** Timeout of a call in milliseconds. */
+const TIMEOUT_MS = 500;
+/** Processor time that a call takes from its owner, in milliseconds. */
+const COST_MS = 2;
+/** Duration of the simulated load in milliseconds. */
+const DURATION_MS = 10_000;
+
+/** Lets the promises that are resolved already continue. */
+async function settle(): Promise<void> {
+  await new Promise((resolve) => setImmediate(resolve));
+}
+
+/**
+ * Plays starts on an owner whose processor handles calls one after the other: a call that is not
+ * handled within its timeout has cost as much and is repeated. Returns the number of answered calls.
+ */
+class SlowOwner {
+  answered = 0;
+  readonly #calls: {readonly sentAtMs: number}[] = [];
+  readonly #limiter: StartLimiter | undefined;
+  #nowMs = 0;
+
+  constructor(limiter: StartLimiter | undefined) {
+    this.#limiter = limiter;
+  }
+
+  /** Offers `starts` every 100 ms. */
+  async play(starts: number): Promise<number> {
+    for (; this.#nowMs < DURATION_MS; this.#nowMs += COST_MS) {
+      if (this.#nowMs % 100 === 0 && this.#limiter?.isBacklogged !== true) {
+        for (let index = 0; index < starts; index += 1) {
+          void this.#send();
+        }
+        await settle();
+      }
+      await this.#handleNext();
+    }
+    return this.answered;
+  }
+
+  async #handleNext(): Promise<void> {
+    const call = this.#calls.shift();
+    if (call === undefined) {
+      return;
+    }
+    const durationMs = this.#nowMs - call.sentAtMs;
+    this.#limiter?.leave(Math.min(durationMs, TIMEOUT_MS), this.#nowMs);
+    if (durationMs > TIMEOUT_MS) {
+      void this.#send();
+    } else {
+      this.answered += 1;
+    }
+    await settle();
+  }
+
+  async #send(): Promise<void> {
+    await this.#limiter?.enter();
+    this.#calls.push({sentAtMs: this.#nowMs});
+  }
+}
+
+describe('StartLimiter', () => {
+  const capacity = DURATION_MS / COST_MS;
+
+  for (const load of [1, 2, 5]) {
+    it(`keeps an owner at four fifths of its capacity or more at ${load} times that load`, async () => {
+      const answered = await new SlowOwner(new StartLimiter()).play((load * 100) / COST_MS);
+      assert.ok(answered >= 0.8 * capacity, `${answered} of ${capacity}`);
+    });
+  }
+
+  it('is what keeps it there: without a limit the owner repeats starts that have timed out', async () => {
+    const answered = await new SlowOwner(undefined).play((5 * 100) / COST_MS);
+    assert.ok(answered < 0.5 * capacity, `${answered} of ${capacity}`);
+  });
+
+  it('sends starts in the order in which they were requested', async () => {
+    const limiter = new StartLimiter();
+    const order: number[] = [];
+    for (let index = 0; index < limiter.limit + 3; index += 1) {
+      void limiter.enter().then(() => order.push(index));
+    }
+    await settle();
+    assert.equal(order.length, limiter.limit);
+    limiter.leave(1, 0);
+    limiter.leave(1, 0);
+    await settle();
+    assert.deepEqual(
+      order,
+      [...order].sort((a, b) => a - b),
+    );
+    assert.ok(order.length >= limiter.limit + 1);
+  });
+
+  it('lowers the limit once for the slow calls that were in flight together, and raises it again', () => {
+    const limiter = new StartLimiter();
+    const before = limiter.limit;
+    for (let index = 0; index < 10; index += 1) {
+      void limiter.enter();
+    }
+    for (let index = 0; index < 10; index += 1) {
+      limiter.leave(400, 1_000);
+    }
+    const reduced = limiter.limit;
+    assert.ok(reduced < before && reduced > before / 2, `${reduced}`);
+    for (let index = 0; index < 2_000; index += 1) {
+      void limiter.enter();
+      limiter.leave(4, 2_000);
+    }
+    assert.ok(limiter.limit >= before, `${limiter.limit}`);
+  });
+
+  it('has a backlog only when more starts wait than may be in flight', async () => {
+    const limiter = new StartLimiter();
+    for (let index = 0; index < 2 * limiter.limit; index += 1) {
+      assert.equal(limiter.isBacklogged, false);
+      void limiter.enter();
+    }
+    await settle();
+    assert.equal(limiter.isBacklogged, true);
+  });
+});
--- a/packages/nutmegproxy-store/src/HttpExchange.ts
+++ b/packages/nutmegproxy-store/src/HttpExchange.ts
@@ -121,7 +121,16 @@
 
   #failAfter(ms: number, message: string): NodeJS.Timeout {
     return setTimeout(() => {
-      this.fail(message);
+      const receivedBytes = this.#receivedBytes;
+      const status = this.#status;
+      // After a stall of this process, timers run before the data that has arrived meanwhile is read.
+      setImmediate(() => {
+        const hasProgressed = this.#receivedBytes > receivedBytes || this.#status !== status;
+        const isTimerRestarted = hasProgressed && this.#bodyStallTimeoutMs !== undefined;
+        if (!this.#settled && !isTimerRestarted) {
+          this.fail(message);
+        }
+      });
     }, ms);
   }
 
