--- a/packages/nutmegproxy-owner/src/Owner.ts
+++ b/packages/nutmegproxy-owner/src/Owner.ts
@@ -211,7 +211,10 @@
         });
     if (now - this.#summarizedAt > SUMMARY_INTERVAL_MS) {
       this.#summarizedAt = now;
-      events.record(OWNER_EVENTS.FLEET_SUMMARY, summarizeFleet(fleet, now, wall));
+      events.record(OWNER_EVENTS.FLEET_SUMMARY, {
+        ...summarizeFleet(fleet, now, wall),
+        ...this.#startLimiter.eventFields,
+      });
       if (fleet.recoveryRevision > 0) {
         events.record(OWNER_EVENTS.RECOVERY_WAITING, this.#minions.recovery.describe(now));
       }
--- a/packages/nutmegproxy-owner/src/StartLimiter.ts
+++ b/packages/nutmegproxy-owner/src/StartLimiter.ts
@@ -7,6 +7,8 @@
  * while calls are fast, and falls when they take long.
  */
 
+import type {EventFields} from '@nutmegproxy/core';
+
 /** Starts in flight before any call was measured, and the bounds of the limit. */
 const INITIAL_LIMIT = 64;
 const MIN_LIMIT = 16;
@@ -39,6 +41,11 @@
     return Math.floor(this.#limit);
   }
 
+  /** Event fields that say what the limit is and how many starts wait for it. */
+  get eventFields(): EventFields {
+    return {startLimit: this.limit, startsWaiting: this.#waiting.length};
+  }
+
   /** Resolves when the caller may send a start. It calls `leave` after the call has ended. */
   async enter(): Promise<void> {
     if (this.#inFlight < this.limit) {
