Ownership: the time of a suspension counts

Reported by operators of similar systems: a process that had been paused acted on a permission that had run out. Here: an owner whose VM was suspended for 20 s woke with an ownership that was unproved, not over, since the monotonic clock does not count a suspension, and gave orders until its next renewal was answered, for up to 8.5 s if the store was not reached. Minions that the next owner has reached fence it; one that only the former owner reaches takes its starts and renewals, after the time for which the next owner waits. Found by reading; two of six tests fail without the change.

Change: the lead of the wall clock over the monotonic one is added to the age of the last renewal. A time of day that jumps forward by 8.5 s or more between two renewals ends the ownership as well; smaller jumps and jumps back don't.

--- a/packages/nutmegproxy-owner/src/FleetOwnership.ts
+++ b/packages/nutmegproxy-owner/src/FleetOwnership.ts
@@ -51,11 +51,13 @@
 
   /**
    * Returns whether orders may be given. A wall clock that ran ahead of the monotonic clock may
-   * mean that the machine was suspended; the lease then counts as valid only after a renewal.
+   * mean that the machine was suspended. That time counts, and the lease counts as valid only after
+   * a renewal.
    */
   state(now: Instant, wall: WallTime): OwnershipState {
-    const ageMs = now - this.#confirmedAt;
-    const wasSuspended = wall - now - this.#wallOffset > MAX_CLOCK_GAP_MS;
+    const suspendedMs = wall - now - this.#wallOffset;
+    const wasSuspended = suspendedMs > MAX_CLOCK_GAP_MS;
+    const ageMs = now - this.#confirmedAt + (wasSuspended ? suspendedMs : 0);
     if (this.#isOver || ageMs > OWNERSHIP_TTL_MS + UNCONFIRMED_GRACE_MS) {
       return 'over';
     }
--- /dev/null
+++ b/packages/nutmegproxy-owner/src/__tests__/unit/FleetOwnership.test.ts
@@ -0,0 +1,75 @@
+import type {Instant, WallTime} from '@nutmegproxy/core';
+import type {LeaseId} from '@nutmegproxy/store';
+
+import * as fc from 'fast-check';
+import assert from 'node:assert/strict';
+import {beforeEach, describe, it} from 'node:test';
+
+import type {OwnershipToken} from '../../MinionOrders.ts';
+
+import {FleetOwnership} from '../../FleetOwnership.ts';
+import {OWNERSHIP_TTL_MS, UNCONFIRMED_GRACE_MS} from '../../OwnerConstants.ts';
+
+const WALL_OFFSET_MS = 1_700_000_000_000;
+const CONFIRMED_AT_MS = 10_000;
+/** Time in milliseconds after the last renewal for which the next owner expects orders of this one. */
+const MAX_ACTING_MS = OWNERSHIP_TTL_MS + UNCONFIRMED_GRACE_MS;
+
+describe('FleetOwnership', () => {
+  let ownership: FleetOwnership;
+
+  /** State after `elapsedMs` on the monotonic clock, while the wall clock is ahead by `aheadMs`. */
+  function stateAfter(elapsedMs: number, aheadMs = 0): string {
+    const now = (CONFIRMED_AT_MS + elapsedMs) as Instant;
+    return ownership.state(now, (now + WALL_OFFSET_MS + aheadMs) as WallTime);
+  }
+
+  beforeEach(() => {
+    ownership = new FleetOwnership(
+      {lease: '1' as LeaseId, term: 0, token: 1 as OwnershipToken},
+      CONFIRMED_AT_MS as Instant,
+      (CONFIRMED_AT_MS + WALL_OFFSET_MS) as WallTime,
+    );
+  });
+
+  it('is proved while its lease is valid, then unproved, then over', () => {
+    assert.equal(stateAfter(OWNERSHIP_TTL_MS), 'proved');
+    assert.equal(stateAfter(OWNERSHIP_TTL_MS + 1), 'unproved');
+    assert.equal(stateAfter(MAX_ACTING_MS + 1), 'over');
+  });
+
+  describe('after a suspension, which the monotonic clock does not count', () => {
+    it('is unproved until a renewal', () => {
+      assert.equal(stateAfter(10, 1_000), 'unproved');
+      const now = (CONFIRMED_AT_MS + 20) as Instant;
+      const wall = (now + WALL_OFFSET_MS + 1_000) as WallTime;
+      ownership.confirm(now, wall);
+      assert.equal(ownership.state(now, wall), 'proved');
+    });
+
+    it('is over when it has lasted longer than the next owner waits for', () => {
+      assert.equal(stateAfter(10, MAX_ACTING_MS), 'over');
+    });
+
+    it('never allows orders later than that, by either clock', () => {
+      fc.assert(
+        fc.property(fc.nat(30_000), fc.nat(30_000), (elapsedMs, suspendedMs) => {
+          const isOver = stateAfter(elapsedMs, suspendedMs) === 'over';
+          const isLate = elapsedMs + suspendedMs > MAX_ACTING_MS + 500;
+          assert.ok(isOver || !isLate);
+        }),
+        {seed: 7},
+      );
+    });
+  });
+
+  it('does not end when the time of day jumps by seconds, forward or back', () => {
+    assert.equal(stateAfter(10, 5_000), 'unproved');
+    assert.equal(stateAfter(10, -5_000), 'proved');
+  });
+
+  it('stays over once it has ended', () => {
+    ownership.end();
+    assert.equal(stateAfter(0), 'over');
+  });
+});
