Log: a line that would be dropped is not formatted

Change: the event log asks its destination first; the counts of dropped lines, the ring and the metrics are as before.

--- a/packages/nutmegproxy-events/src/EventLog.ts
+++ b/packages/nutmegproxy-events/src/EventLog.ts
@@ -17,10 +17,16 @@
 import {EventRing} from './EventRing.ts';
 import {redact} from './EventUtils.ts';
 
+/** Destination of log lines, which may drop lines before they are formatted. */
+export interface LogDestination extends DestinationStream {
+  /** Drops the next line if none can be written now; returns whether it did. */
+  dropIfExhausted?(): boolean;
+}
+
 export interface EventLogOptions {
   readonly clock: Clock;
   /** Destination of the log lines; standard output by default. */
-  readonly destination?: DestinationStream;
+  readonly destination?: LogDestination;
   readonly identity: NodeIdentity;
   /** Lowest level that is logged; the ring buffer keeps events of every level. */
   readonly level: EventLevel;
@@ -30,6 +36,7 @@
 /** Logs events with a sequence number and keeps the newest for the timeline. */
 export class EventLog implements EventSink {
   readonly #clock: Clock;
+  readonly #destination: LogDestination | undefined;
   readonly #logger: Logger;
   readonly #ring: EventRing;
 
@@ -37,6 +44,7 @@
     const {dataCentre, incarnation, vm} = identity;
     const base = {dataCentre, incarnation, vm};
     this.#clock = clock;
+    this.#destination = destination;
     this.#logger = pino({base, level}, destination ?? pino.destination({fd: 1, sync: true}));
     this.#ring = new EventRing(ringSize);
   }
@@ -49,6 +57,10 @@
   record(kind: EventKind, fields: EventFields): void {
     const redacted = redact(fields);
     this.#ring.add(kind, redacted, this.#clock.wall());
+    const isLogged = this.#logger.isLevelEnabled(kind.level);
+    if (isLogged && this.#destination?.dropIfExhausted?.() === true) {
+      return;
+    }
     // A gap in the sequence numbers shows that log lines were dropped or lost.
     this.#logger[kind.level](
       {code: kind.code, fields: redacted, sequence: this.#ring.newestSequence},
--- a/packages/nutmegproxy-events/src/LogStream.ts
+++ b/packages/nutmegproxy-events/src/LogStream.ts
@@ -11,6 +11,8 @@
 const MAX_BUFFERED_BYTES = 1_048_576;
 /** Maximum size of a write in bytes: a pipe accepts it whole or not at all, so no line is split. */
 const MAX_WRITE_BYTES = 4_096;
+/** Size in bytes below which there is no line: each names its VM, its code and its text. */
+const MIN_LINE_BYTES = 200;
 /** Burst above the rate limit that is allowed, in seconds at that rate. */
 const BURST_SECONDS = 2;
 
@@ -26,6 +28,7 @@
 export class LogStream implements DestinationStream {
   #availableBytes: number;
   #droppedLines = 0;
+  /** Size of those of the dropped lines whose text was produced. */
   #droppedBytes = 0;
   readonly #options: LogStreamOptions;
   readonly #output: DestinationStream;
@@ -50,14 +53,16 @@
     return this.#droppedLines;
   }
 
+  /** Drops the next line if none fits now, so that its text need not be produced. */
+  dropIfExhausted(): boolean {
+    this.#refill();
+    const isExhausted = this.#availableBytes < MIN_LINE_BYTES;
+    this.#droppedLines += isExhausted ? 1 : 0;
+    return isExhausted;
+  }
+
   write(line: string): void {
-    const {bytesPerSecond, now} = this.#options;
-    const nowMs = now();
-    this.#availableBytes = Math.min(
-      bytesPerSecond * BURST_SECONDS,
-      this.#availableBytes + ((nowMs - this.#refilledAt) / 1000) * bytesPerSecond,
-    );
-    this.#refilledAt = nowMs;
+    this.#refill();
     if (line.length > this.#availableBytes) {
       this.#droppedLines += 1;
       this.#droppedBytes += line.length;
@@ -76,4 +81,14 @@
     }
     this.#output.write(line);
   }
+
+  #refill(): void {
+    const {bytesPerSecond, now} = this.#options;
+    const nowMs = now();
+    this.#availableBytes = Math.min(
+      bytesPerSecond * BURST_SECONDS,
+      this.#availableBytes + ((nowMs - this.#refilledAt) / 1000) * bytesPerSecond,
+    );
+    this.#refilledAt = nowMs;
+  }
 }
--- a/packages/nutmegproxy-events/src/__tests__/unit/LogStream.test.ts
+++ b/packages/nutmegproxy-events/src/__tests__/unit/LogStream.test.ts
@@ -53,6 +53,20 @@
     assert.equal(stream.droppedLines, 0);
   });
 
+  it('drops a line before it is formatted when none fits, and counts it', () => {
+    const {advance, lines, stream} = createStream();
+    for (let line = 0; line < 19; line += 1) {
+      assert.equal(stream.dropIfExhausted(), false);
+      stream.write(LINE);
+    }
+    assert.equal(stream.dropIfExhausted(), true);
+    assert.equal(stream.droppedLines, 1);
+    advance(1_000);
+    assert.equal(stream.dropIfExhausted(), false);
+    stream.write(LINE);
+    assert.match(lines.at(-2) ?? '', /"leftOutLines":1,/);
+  });
+
   it('never blocks on a reader that has stopped reading', async () => {
     const program = `
       import {LogStream} from ${JSON.stringify(new URL('../../LogStream.ts', import.meta.url).href)};
