Starts in flight: the limit falls only when most calls are slow, and has wider bounds

Change: the limit falls when half of the last calls took 300 ms or more; it starts at 128, is 32 at the least, and rises by four for each window of fast calls.

--- a/packages/nutmegproxy-owner/src/StartLimiter.ts
+++ b/packages/nutmegproxy-owner/src/StartLimiter.ts
@@ -4,21 +4,28 @@
  * longer than their timeout, and the repeated starts keep it busy.
  *
  * The limit follows the duration of the calls, which includes the delay of this process: it rises
- * while calls are fast, and falls when they take long.
+ * while calls are fast, and falls when most of them take long. A few slow calls are due to their
+ * minions.
  */
 
 import type {EventFields} from '@nutmegproxy/core';
 
 /** Starts in flight before any call was measured, and the bounds of the limit. */
-const INITIAL_LIMIT = 64;
-const MIN_LIMIT = 16;
+const INITIAL_LIMIT = 128;
+const MIN_LIMIT = 32;
 const MAX_LIMIT = 512;
 /** Duration of a call in milliseconds up to which the limit rises; minions respond in a few. */
-const FAST_CALL_MS = 60;
+const FAST_CALL_MS = 100;
 /** Duration of a call in milliseconds from which the limit falls; well below the timeout. */
-const SLOW_CALL_MS = 200;
+const SLOW_CALL_MS = 300;
+/** Growth of the limit by a full window of fast calls. */
+const GROWTH_PER_WINDOW = 4;
 /** Factor by which a slow call lowers the limit. */
 const BACKOFF_FACTOR = 0.8;
+/** Share of slow calls from which the limit falls. */
+const SLOW_SHARE = 0.5;
+/** Weight of a call in the share of slow calls. */
+const SLOW_SHARE_SMOOTHING = 1 / 16;
 /** Time in milliseconds after a reduction in which no other follows: the calls in flight are slow too. */
 const BACKOFF_INTERVAL_MS = 100;
 
@@ -26,6 +33,7 @@
   #inFlight = 0;
   #limit = INITIAL_LIMIT;
   #reducedAtMs = -Infinity;
+  #slowShare = 0;
   readonly #waiting: (() => void)[] = [];
 
   /**
@@ -72,9 +80,12 @@
   }
 
   #adjustLimit(durationMs: number, nowMs: number): void {
+    const isSlow = durationMs >= SLOW_CALL_MS;
+    this.#slowShare += SLOW_SHARE_SMOOTHING * (Number(isSlow) - this.#slowShare);
+    const isReducible = nowMs - this.#reducedAtMs >= BACKOFF_INTERVAL_MS;
     if (durationMs <= FAST_CALL_MS) {
-      this.#limit = Math.min(MAX_LIMIT, this.#limit + 1 / this.#limit);
-    } else if (durationMs >= SLOW_CALL_MS && nowMs - this.#reducedAtMs >= BACKOFF_INTERVAL_MS) {
+      this.#limit = Math.min(MAX_LIMIT, this.#limit + GROWTH_PER_WINDOW / this.#limit);
+    } else if (isSlow && this.#slowShare >= SLOW_SHARE && isReducible) {
       this.#limit = Math.max(MIN_LIMIT, this.#limit * BACKOFF_FACTOR);
       this.#reducedAtMs = nowMs;
     }
