--- a/packages/nutmegproxy-owner/src/__tests__/unit/OwnerSamples.ts
+++ b/packages/nutmegproxy-owner/src/__tests__/unit/OwnerSamples.ts
@@ -1,16 +1,75 @@
 /** Helpers for the tests of the owner's records. */
 
-import type {Instant, WallTime} from '@nutmegproxy/core';
+import type {DataCentreId, Instant, JobId, MinionId, WallTime} from '@nutmegproxy/core';
+import type {QueueId, ServiceId, StepShape, StepState} from '@nutmegproxy/jobs';
 import type {LeaseId, PlatformStore} from '@nutmegproxy/store';
 
+import {brand} from '@nutmegproxy/core';
+import {JobState} from '@nutmegproxy/jobs';
+import {MinionState} from '@nutmegproxy/scheduling';
 import {put} from '@nutmegproxy/store';
 import {errAsync} from 'neverthrow';
+import assert from 'node:assert/strict';
 
 import type {OwnershipToken} from '../../MinionOrders.ts';
 
 import {FleetOwnership} from '../../FleetOwnership.ts';
 import {OWNER_KEY} from '../../OwnerElection.ts';
 
+const SERVICE = 'mesa' as ServiceId;
+
+/** Creates a minion of 16 cores that has not responded yet. */
+export function createMinion(): MinionState {
+  return new MinionState({
+    address: 'm1:1',
+    bornAt: 1,
+    capacity: {cpuMilli: 16_000, gpus: 0, memoryMb: 64_000},
+    dataCentre: brand<DataCentreId>('dc'),
+    id: brand<MinionId>('m1'),
+    isDraining: false,
+    labels: [],
+    leavesInMs: undefined,
+    machine: undefined,
+    rack: undefined,
+    service: SERVICE,
+  });
+}
+
+/** Creates the step of a job with one task; the number makes the job's ID. */
+export function createStep(job: number, change: Partial<StepShape> = {}): StepState {
+  const shape: StepShape = {
+    after: [],
+    checkpoints: false,
+    count: 1,
+    disruptionBudget: undefined,
+    estimateMs: 1_000,
+    fillsSpareCpu: false,
+    gang: false,
+    image: undefined,
+    longRunning: false,
+    maxPerMinion: undefined,
+    preferredRack: undefined,
+    rackLocal: false,
+    requiredLabel: undefined,
+    resources: {cpuMilli: 1_000, gpus: 0, memoryMb: 100},
+    speculative: false,
+    tailTargetMs: undefined,
+    ...change,
+  };
+  const request = {
+    acceptedAt: 0 as WallTime,
+    id: brand<JobId>(job.toString(16).padStart(16, '0')),
+    payload: '',
+    queue: 'proofs' as QueueId,
+    recurrence: undefined,
+    service: SERVICE,
+    steps: [shape],
+  };
+  const step = new JobState(request, job).occurrence(0)?.[0];
+  assert.ok(step);
+  return step;
+}
+
 /** Waits until the store has responded. */
 export async function waitForStore(): Promise<void> {
   await new Promise((resolve) => setTimeout(resolve, 20));
--- a/packages/nutmegproxy-owner/src/__tests__/unit/PollPacing.test.ts
+++ b/packages/nutmegproxy-owner/src/__tests__/unit/PollPacing.test.ts
@@ -1,77 +1,37 @@
-import type {DataCentreId, Instant, JobId, MinionId, WallTime} from '@nutmegproxy/core';
-import type {QueueId, ServiceId, StepShape} from '@nutmegproxy/jobs';
+import type {Instant} from '@nutmegproxy/core';
+import type {StepShape} from '@nutmegproxy/jobs';
+import type {MinionState} from '@nutmegproxy/scheduling';
 
-import {brand, SILENT_EVENTS} from '@nutmegproxy/core';
-import {JobState} from '@nutmegproxy/jobs';
-import {Fleet, MinionState} from '@nutmegproxy/scheduling';
+import {SILENT_EVENTS} from '@nutmegproxy/core';
+import {Fleet} from '@nutmegproxy/scheduling';
 import assert from 'node:assert/strict';
 import {beforeEach, describe, it} from 'node:test';
 
 import {POLL_WAIT_MS, SHORT_POLL_WAIT_MS} from '../../OwnerConstants.ts';
 import {choosePollDelayMs, choosePollWaitMs} from '../../PollPacing.ts';
+import {createMinion, createStep} from './OwnerSamples.ts';
 
 const NOW = 0 as Instant;
-const SERVICE = 'mesa' as ServiceId;
 const SMALL_FLEET = 45;
 const LARGE_FLEET = 600;
-const SHAPE: StepShape = {
-  after: [],
-  checkpoints: false,
-  count: 1,
-  disruptionBudget: undefined,
-  estimateMs: 1_000,
-  fillsSpareCpu: false,
-  gang: false,
-  image: undefined,
-  longRunning: false,
-  maxPerMinion: undefined,
-  preferredRack: undefined,
-  rackLocal: false,
-  requiredLabel: undefined,
-  resources: {cpuMilli: 1_000, gpus: 0, memoryMb: 100},
-  speculative: false,
-  tailTargetMs: undefined,
-};
-const BACKFILL: StepShape = {...SHAPE, fillsSpareCpu: true};
-const SERVING: StepShape = {...SHAPE, longRunning: true, tailTargetMs: 50};
+const ORDINARY = {};
+const BACKFILL = {fillsSpareCpu: true};
+const SERVING = {longRunning: true, tailTargetMs: 50};
 
 describe('Pacing of polls', () => {
   let fleet: Fleet;
   let minion: MinionState;
   let jobs: number;
 
-  function run(shape: StepShape): void {
+  function run(shape: Partial<StepShape>): void {
     jobs += 1;
-    const request = {
-      acceptedAt: 0 as WallTime,
-      id: brand<JobId>(jobs.toString(16).padStart(16, '0')),
-      payload: '',
-      queue: 'proofs' as QueueId,
-      recurrence: undefined,
-      service: SERVICE,
-      steps: [shape],
-    };
-    const step = new JobState(request, jobs).occurrence(0)?.[0];
-    assert.ok(step);
-    fleet.startRun(step, 0, minion, NOW);
+    fleet.startRun(createStep(jobs, shape), 0, minion, NOW);
   }
 
   beforeEach(() => {
     jobs = 0;
     fleet = new Fleet(SILENT_EVENTS);
-    minion = new MinionState({
-      address: 'm1:1',
-      bornAt: 1,
-      capacity: {cpuMilli: 16_000, gpus: 0, memoryMb: 64_000},
-      dataCentre: brand<DataCentreId>('dc'),
-      id: brand<MinionId>('m1'),
-      isDraining: false,
-      labels: [],
-      leavesInMs: undefined,
-      machine: undefined,
-      rack: undefined,
-      service: SERVICE,
-    });
+    minion = createMinion();
     minion.leaseClock.observe(0, NOW);
     fleet.minions.set(minion.id, minion);
   });
@@ -89,7 +49,7 @@
 
     it('is zero while an ordinary task runs', () => {
       run(BACKFILL);
-      run(SHAPE);
+      run(ORDINARY);
       assert.equal(choosePollDelayMs(minion, LARGE_FLEET), 0);
     });
 
@@ -108,8 +68,7 @@
       minion.missedCalls = 0;
       minion.description = {...minion.description, isDraining: true};
       assert.equal(choosePollDelayMs(minion, LARGE_FLEET), 0);
-      const unread = new MinionState(minion.description);
-      assert.equal(choosePollDelayMs(unread, LARGE_FLEET), 0);
+      assert.equal(choosePollDelayMs(createMinion(), LARGE_FLEET), 0);
     });
   });
 
@@ -123,7 +82,7 @@
     });
 
     it('ends when a run is overdue', () => {
-      run(SHAPE);
+      run(ORDINARY);
       const conditions = {isNearTarget: false, overdueInMs: 1_234.5};
       assert.equal(choosePollWaitMs(minion, conditions), 1_235);
     });
--- a/packages/nutmegproxy-owner/src/__tests__/unit/RunOrders.test.ts
+++ b/packages/nutmegproxy-owner/src/__tests__/unit/RunOrders.test.ts
@@ -1,9 +1,9 @@
-import type {DataCentreId, Instant, JobId, MinionId, WallTime} from '@nutmegproxy/core';
-import type {QueueId, Run, ServiceId} from '@nutmegproxy/jobs';
+import type {Instant} from '@nutmegproxy/core';
+import type {Run} from '@nutmegproxy/jobs';
+import type {MinionState} from '@nutmegproxy/scheduling';
 
-import {brand, SILENT_EVENTS, SYSTEM_CLOCK} from '@nutmegproxy/core';
-import {JobState} from '@nutmegproxy/jobs';
-import {Fleet, MinionState} from '@nutmegproxy/scheduling';
+import {SILENT_EVENTS, SYSTEM_CLOCK} from '@nutmegproxy/core';
+import {Fleet} from '@nutmegproxy/scheduling';
 import {MemoryStore} from '@nutmegproxy/standins';
 import {okAsync} from 'neverthrow';
 import assert from 'node:assert/strict';
@@ -14,9 +14,7 @@
 
 import {RunOrders} from '../../RunOrders.ts';
 import {StartLimiter} from '../../StartLimiter.ts';
-import {acquireOwnership} from './OwnerSamples.ts';
-
-const SERVICE = 'mesa' as ServiceId;
+import {acquireOwnership, createMinion, createStep} from './OwnerSamples.ts';
 
 describe('RunOrders', () => {
   let fleet: Fleet;
@@ -32,51 +30,9 @@
     store = new MemoryStore();
     fleet = new Fleet(SILENT_EVENTS);
     limiter = new StartLimiter();
-    minion = new MinionState({
-      address: 'm1:1',
-      bornAt: 1,
-      capacity: {cpuMilli: 16_000, gpus: 0, memoryMb: 64_000},
-      dataCentre: brand<DataCentreId>('dc'),
-      id: brand<MinionId>('m1'),
-      isDraining: false,
-      labels: [],
-      leavesInMs: undefined,
-      machine: undefined,
-      rack: undefined,
-      service: SERVICE,
-    });
+    minion = createMinion();
     fleet.minions.set(minion.id, minion);
-    const request = {
-      acceptedAt: 0 as WallTime,
-      id: brand<JobId>('00000000000000a1'),
-      payload: '',
-      queue: 'proofs' as QueueId,
-      recurrence: undefined,
-      service: SERVICE,
-      steps: [
-        {
-          after: [],
-          checkpoints: false,
-          count: 1,
-          disruptionBudget: undefined,
-          estimateMs: 1_000,
-          fillsSpareCpu: false,
-          gang: false,
-          image: undefined,
-          longRunning: false,
-          maxPerMinion: undefined,
-          preferredRack: undefined,
-          rackLocal: false,
-          requiredLabel: undefined,
-          resources: {cpuMilli: 1_000, gpus: 0, memoryMb: 100},
-          speculative: false,
-          tailTargetMs: undefined,
-        },
-      ],
-    };
-    const step = new JobState(request, 1).occurrence(0)?.[0];
-    assert.ok(step);
-    run = fleet.startRun(step, 0, minion, 0 as Instant);
+    run = fleet.startRun(createStep(1), 0, minion, 0 as Instant);
     const answer = {clockMs: 1};
     const minionOrders: Partial<MinionOrders> = {
       start: (_target, {task}) => {
