--- a/packages/nutmegproxy-scheduling/src/SharingPolicy.ts
+++ b/packages/nutmegproxy-scheduling/src/SharingPolicy.ts
@@ -47,8 +47,8 @@
  */
 const MIXED_IMAGES_COST = 30_000;
 /**
- * Cost of each thousandth of a core that an ordinary task takes from running backfill tasks. These
- * slow down, and only the room that is reserved for other work is lost to large tasks.
+ * Cost of each thousandth of a core that an ordinary task takes from running backfill tasks, which
+ * slow down.
  */
 const DISPLACED_BACKFILL_COST = 2;
 
