--- a/packages/nutmegproxy-emulator/src/FleetSimulation.ts
+++ b/packages/nutmegproxy-emulator/src/FleetSimulation.ts
@@ -8,9 +8,10 @@
 import type {MinionDescription, SharingCosts} from '@nutmegproxy/scheduling';
 
 import {SILENT_EVENTS} from '@nutmegproxy/core';
-import {JobState} from '@nutmegproxy/jobs';
+import {formatTaskName, JobState} from '@nutmegproxy/jobs';
 import {
   DurationEstimator,
+  findStep,
   Fleet,
   MinionState,
   planStarts,
@@ -166,9 +167,8 @@
       this.#start(run);
     }
     for (const {minion, number, task} of this.fleet.pendingStops.splice(0)) {
-      const run = [...(this.fleet.minions.get(minion)?.runs ?? [])].find(
-        (each) => each.number === number && each.task.job === task.job && isSameIndex(each, task),
-      );
+      const runs = findStep(this.fleet, task)?.runsOf(task.index);
+      const run = runs?.find((each) => each.number === number && each.minion === minion);
       if (run !== undefined) {
         this.#agenda.add(this.#nowMs + STOP_MS, () => {
           this.#stop(run);
@@ -190,7 +190,7 @@
     this.#result.starts += 1;
     const history = this.#histories.get(run.task.job);
     const workMs = history?.job.taskMs[run.task.step] ?? 0;
-    const savedMs = this.#saved.get(formatTask(run)) ?? 0;
+    const savedMs = this.#saved.get(formatTaskName(run.task)) ?? 0;
     const startsMs = this.#nowMs + START_DELAY_MS;
     const durationMs = workMs - savedMs + (savedMs > 0 ? RESTORE_MS : 0);
     this.#live.set(run, {durationMs, run, startsMs});
@@ -202,13 +202,21 @@
     });
   }
 
-  #finish(run: Run): void {
+  /** Ends a run on its minion; returns undefined when it has ended before. */
+  #end(run: Run): LiveRun | undefined {
     const live = this.#live.get(run);
+    if (live !== undefined) {
+      this.#live.delete(run);
+      this.#countService(live, this.#nowMs);
+    }
+    return live;
+  }
+
+  #finish(run: Run): void {
+    const live = this.#end(run);
     if (live === undefined) {
       return;
     }
-    this.#live.delete(run);
-    this.#countService(live, this.#nowMs);
     const {job, shape} = run.step;
     this.#estimator.recordDuration(job.request.queue, shape, live.durationMs);
     this.fleet.finishRun(run, 'done', undefined, this.#now);
@@ -219,16 +227,15 @@
   }
 
   #stop(run: Run): void {
-    const live = this.#live.get(run);
+    const live = this.#end(run);
     if (live === undefined) {
       return;
     }
-    this.#live.delete(run);
-    this.#countService(live, this.#nowMs);
     this.#result.stops += 1;
     const workedMs = Math.max(0, this.#nowMs - STOP_MS - live.startsMs);
     if (run.step.shape.checkpoints) {
-      this.#saved.set(formatTask(run), (this.#saved.get(formatTask(run)) ?? 0) + workedMs);
+      const task = formatTaskName(run.task);
+      this.#saved.set(task, (this.#saved.get(task) ?? 0) + workedMs);
     } else {
       this.#result.lostCoreS += (workedMs * run.step.shape.resources.cpuMilli) / 1_000_000;
     }
@@ -242,11 +249,3 @@
     }
   }
 }
-
-function formatTask({task: {index, job, step}}: Run): string {
-  return `${job}.${step}.${index}`;
-}
-
-function isSameIndex({task}: Run, {index, step}: Run['task']): boolean {
-  return task.index === index && task.step === step;
-}
--- a/packages/nutmegproxy-emulator/src/SimulationReport.ts
+++ b/packages/nutmegproxy-emulator/src/SimulationReport.ts
@@ -2,10 +2,9 @@
 
 import type {QueueId} from '@nutmegproxy/jobs';
 
-import type {JobHistory, SimulationResult} from './FleetSimulation.ts';
+import {classifyPunctuality} from '@nutmegproxy/scheduling';
 
-/** Multiple of its objective after which a job's result has no value left. */
-const OVERDUE_OBJECTIVE_RATIO = 3;
+import type {JobHistory, SimulationResult} from './FleetSimulation.ts';
 
 /** Jobs of one queue; a share is of the work of all its jobs in core-seconds. */
 export interface QueueReport {
@@ -40,14 +39,14 @@
   let owedMs = 0;
   for (const history of histories) {
     const jobWork = computeWork(history);
-    const tookMs = (history.completedMs ?? Infinity) - history.job.arrivesMs;
-    const objectiveMs = computeObjectiveMs(history);
+    const punctuality = classifyPunctuality({
+      elapsedMs: (history.completedMs ?? Infinity) - history.job.arrivesMs,
+      objectiveMs: computeObjectiveMs(history),
+      remainingMs: 0,
+    });
     work += jobWork;
-    if (tookMs <= objectiveMs) {
-      onTime += jobWork;
-    } else if (tookMs <= objectiveMs * OVERDUE_OBJECTIVE_RATIO) {
-      late += jobWork;
-    }
+    onTime += punctuality === 'on-time' ? jobWork : 0;
+    late += punctuality === 'late' ? jobWork : 0;
     servedMs += history.servedTaskMs;
     owedMs += sumOwedTaskMs(history, endMs);
   }
--- a/packages/nutmegproxy-emulator/src/Workload.ts
+++ b/packages/nutmegproxy-emulator/src/Workload.ts
@@ -64,7 +64,12 @@
   return Math.min(max, Math.exp(location + spread * drawNormal(random)));
 }
 
-function drawShape(random: RandomGenerator, jobClass: JobClass, step: number): StepShape {
+function drawShape(
+  random: RandomGenerator,
+  jobClass: JobClass,
+  step: number,
+  estimateMs: number,
+): StepShape {
   const {apartShare, checkpoints, cpuMilli, images, longRunning, memoryMb, tailTargetMs, tasks} =
     jobClass;
   const kind = longRunning ? 'serving' : 'batch';
@@ -73,7 +78,7 @@
     checkpoints,
     count: Math.max(1, Math.round(draw(random, tasks))),
     disruptionBudget: undefined,
-    estimateMs: undefined,
+    estimateMs,
     fillsSpareCpu: uniformFloat64(random) < jobClass.backfillShare,
     gang: false,
     image: `${kind}-${Math.floor(uniformFloat64(random) * images)}`,
@@ -106,10 +111,7 @@
     this.#jobs += 1;
     const count = Math.max(1, Math.round(draw(this.#random, jobClass.steps)));
     const taskMs = Array.from({length: count}, () => draw(this.#random, jobClass.durationMs));
-    const steps = taskMs.map((estimateMs, step) => ({
-      ...drawShape(this.#random, jobClass, step),
-      estimateMs,
-    }));
+    const steps = taskMs.map((each, step) => drawShape(this.#random, jobClass, step, each));
     const request: StoredJob = {
       acceptedAt: arrivesMs as WallTime,
       id: brand<JobId>(this.#jobs.toString(16).padStart(16, '0')),
--- a/packages/nutmegproxy-events/src/LogStream.ts
+++ b/packages/nutmegproxy-events/src/LogStream.ts
@@ -7,6 +7,8 @@
 
 import {pino} from 'pino';
 
+import type {LogDestination} from './EventLog.ts';
+
 /** Maximum number of bytes buffered for a slow reader; bounds the memory of the log. */
 const MAX_BUFFERED_BYTES = 1_048_576;
 /** Maximum size of a write in bytes: a pipe accepts it whole or not at all, so no line is split. */
@@ -25,7 +27,7 @@
 }
 
 /** A log destination that limits the bytes per second. */
-export class LogStream implements DestinationStream {
+export class LogStream implements LogDestination {
   #availableBytes: number;
   #droppedLines = 0;
   /** Size of those of the dropped lines whose text was produced. */
--- a/packages/nutmegproxy-events/src/index.ts
+++ b/packages/nutmegproxy-events/src/index.ts
@@ -1,7 +1,7 @@
 /** Public API of the event log. */
 
 export {EventLog} from './EventLog.ts';
-export type {EventLogOptions} from './EventLog.ts';
+export type {EventLogOptions, LogDestination} from './EventLog.ts';
 export {EventMetrics} from './EventMetrics.ts';
 export type {EventMetricsOptions} from './EventMetrics.ts';
 export {EventRing} from './EventRing.ts';
--- a/packages/nutmegproxy-owner/src/AdvicePrefetcher.ts
+++ b/packages/nutmegproxy-owner/src/AdvicePrefetcher.ts
@@ -21,7 +21,7 @@
 }
 
 export class AdvicePrefetcher {
-  readonly cache = new AdviceCache();
+  readonly #cache = new AdviceCache();
   readonly #options: AdvicePrefetcherOptions;
 
   constructor(options: AdvicePrefetcherOptions) {
@@ -30,12 +30,12 @@
 
   findTicket(step: StepState, minion: MinionId): Ticket | undefined {
     const state = this.#options.fleet.minions.get(minion);
-    return state === undefined ? undefined : this.cache.findTicket(step, state);
+    return state === undefined ? undefined : this.#cache.findTicket(step, state);
   }
 
   /** Returns the permissions that are known at an instant. */
   createLookup(now: Instant): AdviceLookup {
-    return {isPermitted: (step, minion) => this.cache.isPermitted(step, minion, now)};
+    return {isPermitted: (step, minion) => this.#cache.isPermitted(step, minion, now)};
   }
 
   /** Calls the service while `isActing` returns true. */
@@ -52,7 +52,7 @@
   invalidate(step: StepState, minion: MinionId): void {
     const state = this.#options.fleet.minions.get(minion);
     if (state !== undefined) {
-      this.cache.invalidate(step, state);
+      this.#cache.invalidate(step, state);
     }
   }
 
@@ -72,7 +72,7 @@
     }
     const {tickets} = answer.value;
     const validMs = answer.value.validMs ?? policy?.validMs ?? 0;
-    this.cache.recordResponse(query, tickets, (requestedAt + validMs) as Instant);
+    this.#cache.recordResponse(query, tickets, (requestedAt + validMs) as Instant);
     events.record(OWNER_EVENTS.ADVICE_RECEIVED, {
       asked: ids.length,
       job: step.job.id,
@@ -103,6 +103,6 @@
       }
     }
     const schedulable = [...fleet.minions.values()].filter((minion) => isSchedulable(minion, now));
-    return this.cache.chooseQuery(fleet, [...ready, ...later], schedulable, now);
+    return this.#cache.chooseQuery(fleet, [...ready, ...later], schedulable, now);
   }
 }
--- a/packages/nutmegproxy-owner/src/Owner.ts
+++ b/packages/nutmegproxy-owner/src/Owner.ts
@@ -189,7 +189,8 @@
   /** Runs one round of planning and sends the resulting starts and stops. */
   #plan(): void {
     const {clock, events, ownership, queues} = this.#options;
-    const [now, wall] = [clock.monotonic(), clock.wall()];
+    const now = clock.monotonic();
+    const wall = clock.wall();
     const fleet = this.#fleet;
     this.#updateQueues(queues());
     this.#minions.sweep(ownership.confirmedAt, now);
--- a/packages/nutmegproxy-scheduling/src/LoadForecaster.ts
+++ b/packages/nutmegproxy-scheduling/src/LoadForecaster.ts
@@ -25,6 +25,11 @@
 const PERIOD_RATIO = 1.1;
 /** Number of candidate periods; the longest is 33 s, and longer waves look like a drifting mean. */
 const PERIOD_COUNT = 16;
+/** The candidate periods in milliseconds. */
+const PERIODS_MS = Array.from(
+  {length: PERIOD_COUNT},
+  (_, index) => MIN_PERIOD_MS * PERIOD_RATIO ** index,
+);
 /** Weight of a report in a candidate's average likelihood; about a thousand reports count. */
 const LIKELIHOOD_SMOOTHING = 0.001;
 /** Gain in log-likelihood per report at which another period replaces the selected one. */
@@ -237,7 +242,7 @@
 
   /** The selected period, in milliseconds. */
   get periodMs(): number {
-    return computePeriodMs(this.#selected);
+    return PERIODS_MS[this.#selected] ?? MIN_PERIOD_MS;
   }
 
   #createFilters(step: StepState, now: Instant): LoadFilter[] {
@@ -245,8 +250,10 @@
     const record = this.#imported?.snapshot.steps[formatStepKey(step)];
     if (record !== undefined && this.#imported !== undefined) {
       const {at, snapshot} = this.#imported;
-      const phase = computePhase(computePeriodMs(snapshot.period), at);
-      filters[snapshot.period]?.importRecord(record, phase);
+      const periodMs = PERIODS_MS[snapshot.period];
+      if (periodMs !== undefined) {
+        filters[snapshot.period]?.importRecord(record, computePhase(periodMs, at));
+      }
     }
     this.#filters.set(step, filters);
     return filters;
@@ -283,9 +290,3 @@
 function round(value: number): number {
   return Number(value.toFixed(3));
 }
-
-function computePeriodMs(index: number): number {
-  return MIN_PERIOD_MS * PERIOD_RATIO ** index;
-}
-
-const PERIODS_MS = Array.from({length: PERIOD_COUNT}, (_, index) => computePeriodMs(index));
