Start limit: a start that was not sent is not measured

When most starts of an owner time out, its limit of starts in flight stays up, so it goes on sending more than it can handle. Cause: RunOrders#tryStart left the limiter by leave(0, ...) for a start that waited and was then not sent (its run was lost or stopped, its minion fell silent or drains). A call of 0 ms counts as fast and raises the limit. Change: StartLimiter.leaveUnsent ends the turn without a measurement; leave measures and then does the same. Ruled out: measuring the time in the queue instead (it says how many wait, not how long calls take).

--- a/packages/nutmegproxy-owner/src/RunOrders.ts
+++ b/packages/nutmegproxy-owner/src/RunOrders.ts
@@ -91,7 +91,7 @@
       const sentAt = clock.monotonic();
       const untilMs = this.#hooks.grantLease(sentAt);
       if (untilMs === undefined || !this.#canSend(run)) {
-        startLimiter.leave(0, sentAt);
+        startLimiter.leaveUnsent();
         return this.#unansweredStarts.has(run) ? 'unknown' : 'not-started';
       }
       run.sentAt = sentAt;
--- a/packages/nutmegproxy-owner/src/StartLimiter.ts
+++ b/packages/nutmegproxy-owner/src/StartLimiter.ts
@@ -54,7 +54,10 @@
     return {startLimit: this.limit, startsWaiting: this.#waiting.length};
   }
 
-  /** Resolves when the caller may send a start. It calls `leave` after the call has ended. */
+  /**
+   * Resolves when the caller may send a start. It calls `leave` after the call has ended, or
+   * `leaveUnsent` if it sends none.
+   */
   async enter(): Promise<void> {
     if (this.#inFlight < this.limit) {
       this.#inFlight += 1;
@@ -67,8 +70,13 @@
 
   /** Ends a call that took `durationMs`, and lets the next ones be sent. */
   leave(durationMs: number, nowMs: number): void {
-    this.#inFlight -= 1;
     this.#adjustLimit(durationMs, nowMs);
+    this.leaveUnsent();
+  }
+
+  /** Lets the next starts be sent in place of one that was given up, which says nothing of durations. */
+  leaveUnsent(): void {
+    this.#inFlight -= 1;
     while (this.#inFlight < this.limit) {
       const next = this.#waiting.shift();
       if (next === undefined) {
--- a/packages/nutmegproxy-owner/src/__tests__/unit/RunOrders.test.ts
+++ b/packages/nutmegproxy-owner/src/__tests__/unit/RunOrders.test.ts
@@ -99,6 +99,21 @@
       assert.equal(run.step.waiting.size, 1);
     });
 
+    it('is not measured when it is not sent, since that says nothing about the duration of calls', async () => {
+      const before = limiter.limit;
+      const started: Promise<void>[] = [];
+      for (let index = 0; index < 100; index += 1) {
+        const lost = fleet.startRun(createStep(index + 2), 0, minion, 0 as Instant);
+        started.push(orders.start(lost));
+        fleet.recordLostRun(lost, 'lease expired');
+      }
+      // A call of this duration does not change the limit.
+      limiter.leave(200, 0);
+      await Promise.all(started);
+      assert.deepEqual(sent, []);
+      assert.equal(limiter.limit, before);
+    });
+
     it('lets the next one be sent also when it is not sent itself', async () => {
       const started = orders.start(run);
       const next = limiter.enter();
