Builds replace the programs as a whole

Cause: esbuild truncates the program and writes it in place; a process that starts meanwhile reads an empty program (which ends with code 0) or a half one (a syntax error, code 1). buildBinary removed dist/nutmegproxy and injected into it in place. Change: both scripts write beside (the name of the build's process in it, so that two builds don't share a file) and rename; the source maps too. Ruled out: building into another folder and renaming that (a rename can't replace a folder that has files).

--- a/scripts/build.mjs
+++ b/scripts/build.mjs
@@ -1,8 +1,10 @@
 // Bundles each program (a package's src/main.ts) into dist/.
-import {existsSync, readdirSync} from 'node:fs';
+import {existsSync, mkdirSync, readdirSync, writeFileSync} from 'node:fs';
 
 import {build} from 'esbuild';
 
+import {replaceFile} from './replaceFile.mjs';
+
 // Replaces import.meta, which CommonJS lacks; libraries pass its url to createRequire on load.
 const BANNER =
   "const importMeta = {url: require('node:url').pathToFileURL(process.execPath).href};";
@@ -13,8 +15,9 @@
   .map((name) => ({in: `packages/${name}/src/main.ts`, out: name.replace('nutmegproxy-', '')}))
   .filter((entry) => existsSync(entry.in));
 const entryPoints = isTarget ? [{in: 'platform/src/main.ts', out: 'nutmegproxy'}] : programs;
+const outdir = isTarget ? 'target' : 'dist';
 
-await build({
+const {outputFiles} = await build({
   // The package's CommonJS build requires its modules dynamically, which a bundler cannot resolve.
   alias: {'jsonc-parser': 'jsonc-parser/lib/esm/main.js'},
   banner: {js: BANNER},
@@ -24,9 +27,14 @@
   format: 'cjs',
   logLevel: 'warning',
   outExtension: {'.js': '.cjs'},
-  outdir: isTarget ? 'target' : 'dist',
+  outdir,
   platform: 'node',
   sourcemap: !isTarget,
   target: 'node20',
+  write: false,
 });
+mkdirSync(outdir, {recursive: true});
+for (const {contents, path} of outputFiles) {
+  await replaceFile(path, (written) => writeFileSync(written, contents));
+}
 console.log(`built ${entryPoints.length} programs`);
--- a/scripts/buildBinary.mjs
+++ b/scripts/buildBinary.mjs
@@ -1,9 +1,10 @@
 // Builds dist/nutmegproxy: a copy of the Node executable with the bundled command embedded.
 import {execFileSync} from 'node:child_process';
-import {chmodSync, copyFileSync, rmSync, writeFileSync} from 'node:fs';
+import {chmodSync, copyFileSync, readFileSync, writeFileSync} from 'node:fs';
 
 import {inject} from 'postject';
-import {readFileSync} from 'node:fs';
+
+import {replaceFile} from './replaceFile.mjs';
 
 const BLOB = 'dist/nutmegproxy.blob';
 const CONFIG = 'dist/sea-config.json';
@@ -16,8 +17,9 @@
   JSON.stringify({disableExperimentalSEAWarning: true, main: 'dist/cli.cjs', output: BLOB}),
 );
 execFileSync(process.execPath, ['--experimental-sea-config', CONFIG], {stdio: 'inherit'});
-rmSync(OUTPUT, {force: true});
-copyFileSync(process.execPath, OUTPUT);
-chmodSync(OUTPUT, 0o755);
-await inject(OUTPUT, 'NODE_SEA_BLOB', readFileSync(BLOB), {sentinelFuse: FUSE});
+await replaceFile(OUTPUT, async (written) => {
+  copyFileSync(process.execPath, written);
+  chmodSync(written, 0o755);
+  await inject(written, 'NODE_SEA_BLOB', readFileSync(BLOB), {sentinelFuse: FUSE});
+});
 console.log(`built ${OUTPUT}`);
