Owner: a VM that is stopped while it acquires the ownership gives it up

Callers saw lasting tasks idle after a series of planned restarts. Three terms followed one another within 2.5 s, although no process was killed.

Cause: OwnerCandidate ran an owner on an ownership whose acquisition was in flight when the VM was stopped. stop() had nothing to resign yet, and the owner's end is followed by no resignation once the VM is stopped. So a process that was about to exit recovered the fleet and renewed the ownership until its exit. No closing record followed, as after a kill.

Evidence: the new test failed on the unchanged code (an owner was created after stop()).

Ruled out: letting stop() wait for the acquisition. The process serves its callers for some seconds after it, and a store that does not respond would delay its exit.

--- a/packages/nutmegproxy-owner/src/OwnerCandidate.ts
+++ b/packages/nutmegproxy-owner/src/OwnerCandidate.ts
@@ -121,9 +121,7 @@
   }
 
   async #runOwner(ownership: FleetOwnership): Promise<void> {
-    const {createOwner, events, vm} = this.#options;
-    const {term, token: fence} = ownership;
-    events.record(OWNER_EVENTS.OWNERSHIP_ACQUIRED, {fence, term, vm});
+    const {createOwner} = this.#options;
     this.#ownership = ownership;
     this.#owner = createOwner(ownership);
     void this.#election.renew(ownership);
@@ -150,9 +148,15 @@
   }
 
   async #tryAcquire(): Promise<void> {
+    const {events, vm} = this.#options;
     const acquired = await this.#election.acquire();
     if (acquired.isOk()) {
-      await this.#runOwner(acquired.value);
+      const {term, token: fence} = acquired.value;
+      events.record(OWNER_EVENTS.OWNERSHIP_ACQUIRED, {fence, term, vm});
+      // An owner in a process that is about to exit would only delay the takeover by another VM.
+      await (this.#stopped
+        ? this.#election.resign(acquired.value, 'planned stop')
+        : this.#runOwner(acquired.value));
       await this.#readOwner();
       return;
     }
@@ -162,11 +166,7 @@
       return;
     }
     const {kind, message} = acquired.error;
-    this.#options.events.record(OWNER_EVENTS.STORE_CALL_FAILED, {
-      kind,
-      message,
-      what: 'take',
-    });
+    events.record(OWNER_EVENTS.STORE_CALL_FAILED, {kind, message, what: 'take'});
     await delay(TAKEOVER_RETRY_MS);
   }
 
--- a/packages/nutmegproxy-owner/src/__tests__/unit/OwnerCandidate.test.ts
+++ b/packages/nutmegproxy-owner/src/__tests__/unit/OwnerCandidate.test.ts
@@ -2,12 +2,15 @@
 
 import {brand, SILENT_EVENTS, SYSTEM_CLOCK} from '@nutmegproxy/core';
 import {MemoryStore} from '@nutmegproxy/standins';
+import {getKey} from '@nutmegproxy/store';
+import {ResultAsync} from 'neverthrow';
 import assert from 'node:assert/strict';
 import {afterEach, beforeEach, describe, it} from 'node:test';
 
 import type {Owner} from '../../Owner.ts';
 
 import {OwnerCandidate} from '../../OwnerCandidate.ts';
+import {OWNER_KEY} from '../../OwnerElection.ts';
 
 const SMALL_VM_CORES = 0.324;
 const LARGE_VM_CORES = 1.35;
@@ -19,7 +22,7 @@
   let owners: string[];
   let store: MemoryStore;
 
-  function startCandidate(vm: string, ownCores: number): void {
+  function startCandidate(vm: string, ownCores: number): OwnerCandidate {
     const candidate = new OwnerCandidate({
       canOwn: () => isConfigured,
       clock: SYSTEM_CLOCK,
@@ -37,6 +40,29 @@
     });
     candidates.push(candidate);
     void candidate.run();
+    return candidate;
+  }
+
+  /** Holds back the responses to writes of the ownership until the returned function is called. */
+  function holdAcquisitions(): {readonly isHeld: () => boolean; readonly release: () => void} {
+    let isHeld = false;
+    let release = (): void => undefined;
+    const held = new Promise<void>((resolve) => {
+      release = resolve;
+    });
+    const commit = store.commit.bind(store);
+    store.commit = (transaction) => {
+      const response = commit(transaction);
+      const isAcquisition = transaction.then.some(
+        (operation) => operation.kind === 'put' && operation.key === OWNER_KEY,
+      );
+      if (!isAcquisition) {
+        return response;
+      }
+      isHeld = true;
+      return new ResultAsync(held.then(() => response));
+    };
+    return {isHeld: () => isHeld, release};
   }
 
   beforeEach(() => {
@@ -64,4 +90,19 @@
     }
     assert.deepEqual(owners, ['large']);
   });
+
+  it('runs no owner and gives the ownership up when it is stopped while it acquires it', async () => {
+    isConfigured = true;
+    const {isHeld, release} = holdAcquisitions();
+    const candidate = startCandidate('large', LARGE_VM_CORES);
+    while (!isHeld()) {
+      await new Promise((resolve) => setTimeout(resolve, 10));
+    }
+    const stopped = candidate.stop();
+    release();
+    await stopped;
+    await new Promise((resolve) => setTimeout(resolve, 100));
+    assert.deepEqual(owners, []);
+    assert.equal((await getKey(store, OWNER_KEY))._unsafeUnwrap(), undefined);
+  });
 });
