Starts: none to a minion that has shrunk since the task was placed

Seen by: nobody yet; found when the new rule (a minion's Capacity may shrink while it runs) was traced through the code. Cause: the capacity was checked when a task was placed, and not when its start was sent. A start that waited in the start limit, was sent again after a lost response, or was sent again by a later listing went to a minion that was over its capacity by then. A minion that doesn't guard its capacity starts it (LIMIT). Change: RunOrders gives a start up while what is reserved on its minion exceeds its capacity (8137, reason over-capacity); as each frees its reservation, only as many as are too many are given up. One without a response is stopped under its number, since it may be carried out late (8014, over-capacity). Evidence: four tests of RunOrders.test, "a start to a minion that shrinks meanwhile", failed before (the starts were sent). ChangingCapacity.test guards what held before this change: no start by the planner until enough has ended, what is being stopped counts, no speculative run, gang member or backfill, lasting tasks stay, growth is used in the next round, and a backfill run that stalls for lack of processors doesn't quarantine its minion. Ruled out: moving lasting tasks off (PLATFORM.md says why); leaving an unanswered start to the next listing (the call may still be on its way and be carried out after it).

--- a/packages/nutmegproxy-owner/src/OwnerEvents.ts
+++ b/packages/nutmegproxy-owner/src/OwnerEvents.ts
@@ -78,5 +78,10 @@
     level: 'info',
     text: 'Recovery waits for minions that have neither reported nor lost their lease.',
   },
+  START_GIVEN_UP: {
+    code: 8137,
+    level: 'info',
+    text: 'A start was given up, since its minion has shrunk since the task was placed.',
+  },
   STORE_CALL_FAILED: {code: 8122, level: 'warn', text: 'A call to the store or a watch failed.'},
 } satisfies Record<string, EventKind>;
--- a/packages/nutmegproxy-owner/src/RunOrders.ts
+++ b/packages/nutmegproxy-owner/src/RunOrders.ts
@@ -10,11 +10,13 @@
 
 import {delay} from '@nutmegproxy/core';
 import {formatRunName, formatTaskName} from '@nutmegproxy/jobs';
+import {describeRun} from '@nutmegproxy/scheduling';
 
 import type {MinionTarget, OrderFailure} from './MinionOrders.ts';
 import type {SessionContext} from './SessionContext.ts';
 
 import {ORDER_ATTEMPTS, ORDER_RETRY_MS} from './OwnerConstants.ts';
+import {OWNER_EVENTS} from './OwnerEvents.ts';
 import {isSameTask} from './OwnerUtils.ts';
 
 /** Functions of the session that sends the orders. */
@@ -94,6 +96,10 @@
         startLimiter.leaveUnsent();
         return this.#unansweredStarts.has(run) ? 'unknown' : 'not-started';
       }
+      if (this.#minion.isOverCapacity) {
+        startLimiter.leaveUnsent();
+        return this.#giveUp(run);
+      }
       run.sentAt = sentAt;
       const answer = await orders.start(this.#target, {
         checkpoint: run.checkpoint,
@@ -135,6 +141,27 @@
     );
   }
 
+  /**
+   * Gives up a start to a minion that has shrunk since the run was placed. A start that got no
+   * response may still be carried out, so it is stopped.
+   */
+  #giveUp(run: Run): StartResult {
+    const {events, fleet} = this.#context;
+    const wasSent = this.#unansweredStarts.has(run);
+    const {capacity} = this.#minion.description;
+    events.record(OWNER_EVENTS.START_GIVEN_UP, {
+      ...describeRun(run),
+      cpuMilli: capacity.cpuMilli,
+      reason: 'over-capacity',
+      reservedCpuMilli: this.#minion.reserved.cpuMilli,
+      wasSent,
+    });
+    if (wasSent) {
+      fleet.stopRun(run, 'over-capacity');
+    }
+    return wasSent ? 'unknown' : 'not-started';
+  }
+
   /** Handles a failed start; returns undefined when it has to be sent again. */
   #handleStartFailure(run: Run, {kind}: OrderFailure, now: Instant): StartResult | undefined {
     if (kind === 'unanswered') {
--- a/packages/nutmegproxy-owner/src/__tests__/unit/RunOrders.test.ts
+++ b/packages/nutmegproxy-owner/src/__tests__/unit/RunOrders.test.ts
@@ -1,22 +1,31 @@
-import type {Instant} from '@nutmegproxy/core';
+import type {EventFields, EventKind, Instant} from '@nutmegproxy/core';
 import type {Run} from '@nutmegproxy/jobs';
 import type {MinionState} from '@nutmegproxy/scheduling';
 
 import {SILENT_EVENTS, SYSTEM_CLOCK} from '@nutmegproxy/core';
 import {Fleet} from '@nutmegproxy/scheduling';
 import {MemoryStore} from '@nutmegproxy/standins';
-import {okAsync} from 'neverthrow';
+import {errAsync, okAsync} from 'neverthrow';
 import assert from 'node:assert/strict';
 import {afterEach, beforeEach, describe, it} from 'node:test';
 
-import type {MinionOrders} from '../../MinionOrders.ts';
+import type {MinionOrders, OrderFailure} from '../../MinionOrders.ts';
 import type {SessionContext} from '../../SessionContext.ts';
 
+import {OWNER_EVENTS} from '../../OwnerEvents.ts';
 import {RunOrders} from '../../RunOrders.ts';
 import {StartLimiter} from '../../StartLimiter.ts';
 import {acquireOwnership, createMinion, createStep} from './OwnerSamples.ts';
 
+const UNANSWERED: OrderFailure = {
+  clockMs: undefined,
+  kind: 'unanswered',
+  message: 'deadline exceeded',
+};
+
 describe('RunOrders', () => {
+  let events: {readonly fields: EventFields; readonly kind: EventKind}[];
+  let failure: OrderFailure | undefined;
   let fleet: Fleet;
   let limiter: StartLimiter;
   let minion: MinionState;
@@ -25,7 +34,15 @@
   let sent: string[];
   let store: MemoryStore;
 
+  /** Changes the minion's processors as its entry does; it has 16 cores at first. */
+  function resize(cpuMilli: number): void {
+    const {description} = minion;
+    minion.description = {...description, capacity: {...description.capacity, cpuMilli}};
+  }
+
   beforeEach(async () => {
+    events = [];
+    failure = undefined;
     sent = [];
     store = new MemoryStore();
     fleet = new Fleet(SILENT_EVENTS);
@@ -37,12 +54,16 @@
     const minionOrders: Partial<MinionOrders> = {
       start: (_target, {task}) => {
         sent.push(task);
-        return okAsync(answer);
+        return failure === undefined ? okAsync(answer) : errAsync(failure);
       },
     };
     const context: Partial<SessionContext> = {
       clock: SYSTEM_CLOCK,
-      events: SILENT_EVENTS,
+      events: {
+        record: (kind, fields) => {
+          events.push({fields, kind});
+        },
+      },
       findTicket: () => undefined,
       fleet,
       onChange: () => undefined,
@@ -122,4 +143,63 @@
       await Promise.all([started, next]);
     });
   });
+
+  describe('a start to a minion that shrinks meanwhile', () => {
+    it('is not sent when its minion would be over its capacity, and its task waits again', async () => {
+      const started = orders.start(run);
+      resize(999);
+      limiter.leave(1, 0);
+      await started;
+      assert.deepEqual(sent, []);
+      assert.equal(run.step.waiting.size, 1);
+      assert.equal(minion.runs.size, 0);
+      assert.deepEqual(
+        events.map(({fields: {minion: id, reason, task}, kind}) => ({id, kind, reason, task})),
+        [
+          {
+            id: 'm1',
+            kind: OWNER_EVENTS.START_GIVEN_UP,
+            reason: 'over-capacity',
+            task: '0000000000000001.0.0.0',
+          },
+        ],
+      );
+    });
+
+    it('is sent if it still fits; only as many as are too many are given up', async () => {
+      const more = [2, 3, 4].map((job) => fleet.startRun(createStep(job), 0, minion, 0 as Instant));
+      const started = [run, ...more].map((each) => orders.start(each));
+      resize(2_000);
+      limiter.leave(200, 0);
+      await Promise.all(started);
+      assert.equal(sent.length, 2);
+      assert.equal(minion.reserved.cpuMilli, 2_000);
+    });
+
+    it('is not sent while what is being stopped there leaves no room', async () => {
+      const stopping = fleet.startRun(createStep(2), 0, minion, 0 as Instant);
+      fleet.stopRun(stopping, 'cancelled');
+      const started = orders.start(run);
+      resize(1_500);
+      limiter.leave(1, 0);
+      await started;
+      assert.deepEqual(sent, []);
+    });
+
+    it('is stopped when its response was lost, since it may be carried out late', async () => {
+      failure = UNANSWERED;
+      limiter.leave(1, 0);
+      const started = orders.start(run);
+      await new Promise((resolve) => setImmediate(resolve));
+      resize(999);
+      await started;
+      assert.equal(sent.length, 1);
+      assert.equal(run.phase, 'stopping');
+      assert.deepEqual(
+        fleet.pendingStops.map(({number, reason}) => ({number, reason})),
+        [{number: run.number, reason: 'over-capacity'}],
+      );
+      assert.equal(minion.reserved.cpuMilli, 1_000);
+    });
+  });
 });
--- a/packages/nutmegproxy-scheduling/src/MinionState.ts
+++ b/packages/nutmegproxy-scheduling/src/MinionState.ts
@@ -14,6 +14,7 @@
   readonly address: string;
   /** Start of this incarnation in Unix milliseconds; undefined when it is not reported. */
   readonly bornAt: number | undefined;
+  /** May shrink below what is reserved, and grow again, while the minion runs. */
   readonly capacity: Resources;
   readonly dataCentre: DataCentreId;
   readonly id: MinionId;
@@ -102,6 +103,16 @@
     return cpuMilli - this.reserved.cpuMilli + unusedByServing - this.backfillCpuMilli;
   }
 
+  /** Whether its runs reserve more than its capacity, which may have shrunk since they were placed. */
+  get isOverCapacity(): boolean {
+    const {cpuMilli, gpus, memoryMb} = this.description.capacity;
+    return (
+      this.reserved.cpuMilli > cpuMilli ||
+      this.reserved.memoryMb > memoryMb ||
+      this.reserved.gpus > gpus
+    );
+  }
+
   /** Returns the speed of its runs relative to their estimates; 1 without a recent measurement. */
   estimateSpeed(now: Instant): number {
     // Old measurements are ignored, so that a minion that has recovered gets work again.
--- /dev/null
+++ b/packages/nutmegproxy-scheduling/src/__tests__/unit/ChangingCapacity.test.ts
@@ -0,0 +1,93 @@
+import assert from 'node:assert/strict';
+import {beforeEach, describe, it} from 'node:test';
+
+import type {MinionState} from '../../MinionState.ts';
+
+import {RunProgressMonitor} from '../../RunProgressMonitor.ts';
+import {at, SampleFleet, shape} from './Samples.ts';
+
+describe('A minion whose capacity changes while it runs', () => {
+  let minion: MinionState;
+  let sample: SampleFleet;
+
+  function resize(cpuMilli: number): void {
+    const {description} = minion;
+    minion.description = {...description, capacity: {...description.capacity, cpuMilli}};
+  }
+
+  beforeEach(() => {
+    sample = new SampleFleet(0);
+    minion = sample.addMinion('m1');
+  });
+
+  describe('that shrinks below what is reserved', () => {
+    it('gets no start until enough has ended; what is being stopped still counts', () => {
+      const first = sample.addJob('proofs', [shape({count: 2})]);
+      const second = sample.addJob('proofs', [shape({count: 2})]);
+      assert.equal(sample.plan(0).length, 4);
+      resize(2_000);
+      sample.addJob('proofs', [shape()]);
+      sample.fleet.cancelJob(first);
+      assert.equal(sample.plan(1).length, 0);
+      sample.finishRuns(first, at(2));
+      assert.equal(sample.plan(3).length, 0);
+      sample.finishRuns(second, at(4));
+      assert.equal(sample.plan(5).length, 1);
+    });
+
+    it('gets no speculative run, no member of a gang and no backfill', () => {
+      sample.addJob('proofs', [shape({count: 3, longRunning: true})]);
+      sample.plan(0);
+      resize(2_500);
+      const late = sample.addMinion('m2', {capacity: {cpuMilli: 1_000, gpus: 0, memoryMb: 8_000}});
+      sample.addJob('proofs', [shape({speculative: true})]);
+      assert.equal(sample.plan(1).length, 1);
+      for (const run of late.runs) {
+        run.phase = 'running';
+      }
+      sample.addJob('proofs', [shape({count: 2, gang: true})]);
+      sample.addJob('proofs', [shape({fillsSpareCpu: true})]);
+      assert.equal(sample.plan(60_000).length, 0);
+      resize(4_000);
+      assert.equal(sample.plan(60_200).length, 2);
+    });
+
+    it('keeps its lasting tasks, since moving them makes them unavailable for no gain', () => {
+      sample.addMinion('m2');
+      const job = sample.addJob('proofs', [shape({count: 6, longRunning: true, maxPerMinion: 3})]);
+      sample.plan(0);
+      resize(1_000);
+      sample.plan(1);
+      assert.equal(job.occurrence(0)?.[0]?.liveRuns, 6);
+      assert.deepEqual(sample.fleet.pendingStops, []);
+    });
+  });
+
+  it('gets starts in the next round once it has grown', () => {
+    resize(1_000);
+    sample.addJob('proofs', [shape({count: 4})]);
+    assert.equal(sample.plan(0).length, 1);
+    resize(4_000);
+    assert.equal(sample.plan(1).length, 3);
+  });
+
+  it('is not blamed for a backfill run that has stalled for lack of processors', () => {
+    const backfill = shape({checkpoints: true, fillsSpareCpu: true});
+    const step = sample.addJob('proofs', [backfill]).occurrence(0)?.[0];
+    sample.addJob('proofs', [shape({count: 3})]);
+    const runs = sample.plan(0);
+    for (const run of runs) {
+      run.phase = 'running';
+      run.percent = run.step === step ? 10 : 100;
+    }
+    resize(2_000);
+    const monitor = new RunProgressMonitor(sample.estimator);
+    monitor.checkProgress(sample.fleet, minion, at(100));
+    monitor.checkProgress(sample.fleet, minion, at(2_000));
+    assert.deepEqual(
+      sample.fleet.pendingStops.map(({reason}) => reason),
+      ['stalled'],
+    );
+    assert.equal(minion.trust.level(at(2_000)), 'trusted');
+  });
+});
--- a/packages/nutmegproxy-scheduling/src/index.ts
+++ b/packages/nutmegproxy-scheduling/src/index.ts
@@ -21,7 +21,7 @@
 export type {SharingCosts} from './Placement.ts';
 export {DEFAULT_QUEUE_POLICY} from './QueuePolicy.ts';
 export type {AdvicePolicy, QueuePolicy} from './QueuePolicy.ts';
-export {findNamedJobs} from './RunFields.ts';
+export {describeRun, findNamedJobs} from './RunFields.ts';
 export {RunProgressMonitor} from './RunProgressMonitor.ts';
 export {SCHEDULING_EVENTS} from './SchedulingEvents.ts';
 export {SharingPolicy} from './SharingPolicy.ts';
