Tail latency model: a minion without processors leaves the estimates finite

Cause: backfill's cores are scaled by the minion's processors. With none left, one report of a serving task beside backfill that still uses some made the pressure of that pair of images and the load of that step NaN, on all minions, and the next owner reads them as null from the store: the pair's and the step's backfill decisions are lost. Change: a minion counts as one core at least there. Evidence: ChangingCapacity.test, "leaves the estimates finite when it has no processors left", failed before (the exported model had null for the pair's mean and variance and for the step's load) and passes now; SharingPolicy.test passes. Ruled out: skipping the reports of such minions (their tail latencies are still those of the step's load).

--- a/packages/nutmegproxy-scheduling/src/TailLatencyModel.ts
+++ b/packages/nutmegproxy-scheduling/src/TailLatencyModel.ts
@@ -44,6 +44,8 @@
 const MIN_REPORTS = 5;
 /** Cores of the minion to which pressures refer; one core matters less on a larger minion. */
 const REFERENCE_CORES = 16;
+/** Lower bound on the processors of a minion, which may shrink to none, in thousandths of a core. */
+const MIN_CAPACITY_CPU_MILLI = 1_000;
 /** Age in milliseconds from which a backfill run affects the reported tail latencies. */
 const MIN_VISIBLE_AGE_MS = 500;
 
@@ -80,7 +82,8 @@
 
 /** Returns the cores of a task, scaled to a minion of the reference size. */
 export function toReferenceCores(cpuMilli: number, minion: MinionState): number {
-  return (cpuMilli * REFERENCE_CORES) / minion.description.capacity.cpuMilli;
+  const capacityCpuMilli = Math.max(MIN_CAPACITY_CPU_MILLI, minion.description.capacity.cpuMilli);
+  return (cpuMilli * REFERENCE_CORES) / capacityCpuMilli;
 }
 
 function getImage(run: Run): string {
--- a/packages/nutmegproxy-scheduling/src/__tests__/unit/ChangingCapacity.test.ts
+++ b/packages/nutmegproxy-scheduling/src/__tests__/unit/ChangingCapacity.test.ts
@@ -4,7 +4,8 @@
 import type {MinionState} from '../../MinionState.ts';
 
 import {RunProgressMonitor} from '../../RunProgressMonitor.ts';
-import {at, SampleFleet, shape} from './Samples.ts';
+import {SharingPolicy} from '../../SharingPolicy.ts';
+import {at, SampleFleet, shape, wallAt} from './Samples.ts';
 
 describe('A minion whose capacity changes while it runs', () => {
   let minion: MinionState;
@@ -90,4 +91,31 @@
     );
     assert.equal(minion.trust.level(at(2_000)), 'trusted');
   });
+
+  it('leaves the estimates finite when it has no processors left', () => {
+    const policy = new SharingPolicy(sample.estimator);
+    const serving = shape({image: 'serving', longRunning: true, tailTargetMs: 50});
+    const backfill = shape({checkpoints: true, fillsSpareCpu: true, image: 'backfill'});
+    sample.addJob('proofs', [serving]);
+    sample.addJob('proofs', [backfill]);
+    for (const run of sample.plan(0, policy)) {
+      run.phase = 'running';
+      run.confirmedAt = at(0);
+      run.percent = run.step.shape.longRunning ? 100 : 10;
+      run.reading = run.step.shape.longRunning ? 30 : 200;
+    }
+    assert.equal(minion.runs.size, 2);
+    resize(0);
+    for (let second = 1; second < 5; second += 1) {
+      policy.model.observe(minion, at(second * 1_000));
+    }
+    resize(4_000);
+    policy.model.observe(minion, at(6_000));
+    const text = JSON.stringify(policy.model.export(at(6_000), wallAt(6_000)));
+    assert.doesNotMatch(text, /null/);
+    const [run] = minion.runs;
+    assert.ok(run);
+    const {mean, variance} = policy.model.estimatePressure(run, 'backfill');
+    assert.ok(Number.isFinite(mean) && Number.isFinite(variance), `${mean} ${variance}`);
+  });
 });
