Log a minion's change of capacity

Seen by: whoever reads the logs after the new rule on a changing Capacity: why nothing starts on a minion with a free processor. Cause: MinionSessions replaced the minion's description without a line; only listing, draining and removal were logged. Change: 8132 with change=capacity, the former and the new capacity, what is reserved and how many runs there are. Evidence: ChangingCapacity.test (emulator), "is logged with its former and its new capacity", failed before. "gets starts again once it has grown, and none before" passed before and guards that a change of the capacity alone reaches the planner. Read in the code, without a run: KvMinionDirectory passes each changed entry on, so a change of Capacity alone too, within its pause of 0.4 s; an entry with a malformed Capacity counts as removed (8132 entry removed), what runs there goes on.

--- a/packages/nutmegproxy-owner/src/MinionSessions.ts
+++ b/packages/nutmegproxy-owner/src/MinionSessions.ts
@@ -19,6 +19,7 @@
 import {MinionSession} from './MinionSession.ts';
 import {REMOVE_UNLISTED_AFTER_MS, STORE_RETRY_MS} from './OwnerConstants.ts';
 import {OWNER_EVENTS} from './OwnerEvents.ts';
+import {describeCapacityChange} from './OwnerUtils.ts';
 
 export interface MinionSessionsOptions {
   readonly clock: Clock;
@@ -245,6 +246,12 @@
       const unlistedMs = Math.round(now - (minion.unlistedSince ?? now));
       events.record(OWNER_EVENTS.MINION_CHANGED, {change, minion: minion.id, unlistedMs});
     }
+    const resized = describeCapacityChange(former.capacity, description.capacity);
+    if (resized !== undefined) {
+      const {id, reserved, runs} = minion;
+      const load = {minion: id, reservedCpuMilli: reserved.cpuMilli, runs: runs.size};
+      events.record(OWNER_EVENTS.MINION_CHANGED, {change: 'capacity', ...resized, ...load});
+    }
     minion.unlistedSince = undefined;
     minion.drainingSince = description.isDraining ? (minion.drainingSince ?? now) : undefined;
     session.observeIncarnation(description.bornAt);
--- a/packages/nutmegproxy-owner/src/OwnerUtils.ts
+++ b/packages/nutmegproxy-owner/src/OwnerUtils.ts
@@ -1,6 +1,7 @@
 /** Functions that several parts of the owner share. */
 
-import type {TaskRef} from '@nutmegproxy/jobs';
+import type {EventFields} from '@nutmegproxy/core';
+import type {Resources, TaskRef} from '@nutmegproxy/jobs';
 import type {PlatformStore, StoreFailure} from '@nutmegproxy/store';
 import type {Result} from 'neverthrow';
 
@@ -46,3 +47,28 @@
     a.job === b.job && a.occurrence === b.occurrence && a.step === b.step && a.index === b.index
   );
 }
+
+/**
+ * Returns the event fields of a change of a minion's capacity; undefined when it has not changed.
+ *
+ * @example
+ * const none = {cpuMilli: 0, gpus: 0, memoryMb: 0};
+ * describeCapacityChange(none, none); // undefined
+ */
+export function describeCapacityChange(
+  former: Resources,
+  {cpuMilli, gpus, memoryMb}: Resources,
+): EventFields | undefined {
+  const isSame =
+    former.cpuMilli === cpuMilli && former.gpus === gpus && former.memoryMb === memoryMb;
+  return isSame
+    ? undefined
+    : {
+        cpuMilli,
+        formerCpuMilli: former.cpuMilli,
+        formerGpus: former.gpus,
+        formerMemoryMb: former.memoryMb,
+        gpus,
+        memoryMb,
+      };
+}
