Owner: log a stored closing record that is not used

The report's timeline could not tell a broken chain of closing records from a record that does not name the minion: no line said that a stored record was read and not used. 8109 says so once for each revision of the record, with the term of the record and the own one.

--- a/packages/nutmegproxy-owner/src/ClosingRecords.ts
+++ b/packages/nutmegproxy-owner/src/ClosingRecords.ts
@@ -87,6 +87,9 @@
       if (record?.term === ownership.term - 1) {
         events.record(OWNER_EVENTS.CLOSING_RECORD_RECEIVED, describeRecord(record));
         onRecord(record);
+      } else if (record !== undefined) {
+        const fields = {...describeRecord(record), recordTerm: record.term, term: ownership.term};
+        events.record(OWNER_EVENTS.CLOSING_RECORD_UNUSED, fields);
       }
       if (stored.isErr()) {
         this.#recordFailure(stored.error.message);
--- a/packages/nutmegproxy-owner/src/OwnerEvents.ts
+++ b/packages/nutmegproxy-owner/src/OwnerEvents.ts
@@ -19,6 +19,11 @@
     level: 'info',
     text: 'A former owner stored what minions may run as of the end of its ownership.',
   },
+  CLOSING_RECORD_UNUSED: {
+    code: 8109,
+    level: 'warn',
+    text: 'The stored closing record is not that of the owner before, so it is not used.',
+  },
   FLEET_SUMMARY: {code: 8140, level: 'info', text: 'Capacity and workload of the fleet.'},
   JOB_DISCOVERED: {code: 8120, level: 'info', text: 'The owner received an accepted job.'},
   JOBS_REMOVED: {
--- a/packages/nutmegproxy-owner/src/__tests__/unit/ClosingRecords.test.ts
+++ b/packages/nutmegproxy-owner/src/__tests__/unit/ClosingRecords.test.ts
@@ -1,4 +1,4 @@
-import type {Instant, MinionId, WallTime} from '@nutmegproxy/core';
+import type {EventFields, Instant, MinionId, WallTime} from '@nutmegproxy/core';
 import type {RunNumber} from '@nutmegproxy/jobs';
 import type {MinionDescription} from '@nutmegproxy/scheduling';
 import type {LeaseId} from '@nutmegproxy/store';
@@ -39,17 +39,32 @@
   };
 }
 
+/** Returns a function that returns true as often as given. */
+function createCountdown(times: number): () => boolean {
+  let calls = 0;
+  return () => {
+    calls += 1;
+    return calls <= times;
+  };
+}
+
 describe('ClosingRecords', () => {
   let clock: ManualClock;
   let keepAlive: NodeJS.Timeout;
   let loggedCodes: number[];
+  let loggedFields: EventFields[];
   let store: MemoryStore;
 
   function open(term: number): ClosingRecords {
     const grant = {lease: '1' as LeaseId, term, token: term as OwnershipToken};
     return new ClosingRecords({
       clock,
-      events: {record: ({code}) => loggedCodes.push(code)},
+      events: {
+        record: ({code}, fields) => {
+          loggedCodes.push(code);
+          loggedFields.push(fields);
+        },
+      },
       ownership: new FleetOwnership(grant, 0 as Instant, 0 as WallTime),
       store,
     });
@@ -58,16 +73,9 @@
   /** Reads once. */
   async function receive(term: number): Promise<ClosingRecord | undefined> {
     let received: ClosingRecord | undefined;
-    let reads = 0;
-    await open(term).receive(
-      () => {
-        reads += 1;
-        return reads <= 1;
-      },
-      (record) => {
-        received = record;
-      },
-    );
+    await open(term).receive(createCountdown(1), (record) => {
+      received = record;
+    });
     return received;
   }
 
@@ -85,6 +93,7 @@
     keepAlive = setInterval(() => undefined, 1_000);
     clock = new ManualClock();
     loggedCodes = [];
+    loggedFields = [];
     store = new MemoryStore();
   });
 
@@ -201,6 +210,13 @@
     });
   });
 
+  it('logs once that it is not used by an owner that is not the next one', async () => {
+    await open(3).send([createAccount('m1', 2)], []);
+    await open(5).receive(createCountdown(2), () => undefined);
+    const unused = loggedFields.filter(({recordTerm}) => recordTerm !== undefined);
+    assert.deepEqual(unused, [{accounts: 1, minions: 0, recordTerm: 3, term: 5}]);
+  });
+
   it('logs a malformed record and waits on', async () => {
     await open(3).send([], [createEntry('m1')]);
     const {values} = (await getPrefix(store, ''))._unsafeUnwrap();
