RunOrders.test: keep the process alive while a start waits to be sent again

"is stopped when its response was lost" was cancelled in a run of three packages' tests: the pause before the next attempt doesn't keep the process alive, and nothing else did ("Promise resolution is still pending"). The test now holds a timer over that wait; what it checks is the same.

--- a/packages/nutmegproxy-owner/src/__tests__/unit/RunOrders.test.ts
+++ b/packages/nutmegproxy-owner/src/__tests__/unit/RunOrders.test.ts
@@ -192,7 +192,10 @@
       const started = orders.start(run);
       await new Promise((resolve) => setImmediate(resolve));
       resize(999);
+      // The pause before the start is sent again does not keep the process alive.
+      const alive = setInterval(() => undefined, 1_000);
       await started;
+      clearInterval(alive);
       assert.equal(sent.length, 1);
       assert.equal(run.phase, 'stopping');
       assert.deepEqual(
