Roster: keep the capacity of a minion current

Seen by: nobody yet; found when the new rule on a changing Capacity was traced over a takeover. Cause: the roster keeps what a minion said of itself at its first use. A new owner that finds the minion's entry missing, as for some 2 s after an outage of the store, takes the description from the roster and gives the minion work for 2.5 s; a minion that had shrunk since is brought over its capacity (LIMIT). Change: a changed capacity is stored in the roster, when the entry changes and when a new owner first reads it. Evidence: ChangingCapacity.test (emulator), two tests on the stored roster, failed before. That a new owner then starts nothing there is read in the code (it places by this description), not shown by a run. Ruled out: no work for unlisted minions after a takeover (the whole fleet may be unlisted for 2 s after an outage).

--- a/packages/nutmegproxy-emulator/src/__tests__/unit/ChangingCapacity.test.ts
+++ b/packages/nutmegproxy-emulator/src/__tests__/unit/ChangingCapacity.test.ts
@@ -1,8 +1,11 @@
 import type {EventFields, EventKind} from '@nutmegproxy/core';
+import type {MinionDescription} from '@nutmegproxy/scheduling';
 
 import {SYSTEM_CLOCK} from '@nutmegproxy/core';
+import {STATE_PREFIX} from '@nutmegproxy/jobs';
 import {OWNER_EVENTS} from '@nutmegproxy/owner';
 import {MemoryStore} from '@nutmegproxy/standins';
+import {getPrefix} from '@nutmegproxy/store';
 import assert from 'node:assert/strict';
 import {afterEach, beforeEach, describe, it} from 'node:test';
 
@@ -18,6 +21,10 @@
 } from './JobSamples.ts';
 import {runForever} from './TakeoverHarness.ts';
 
+const ROSTER_KEY = `${STATE_PREFIX}roster`;
+
+type StoredRoster = readonly {readonly description: MinionDescription}[];
+
 describe('A minion whose capacity changes while it runs', () => {
   let events: {readonly fields: EventFields; readonly kind: EventKind}[];
   let fleet: EmulatedFleet;
@@ -89,4 +96,29 @@
     resize(4_000);
     await waitFor('the task runs', () => minion.liveTasks.length === 4);
   });
+
+  describe('has its new capacity in the roster, for an owner that finds its entry missing,', () => {
+    async function waitForStoredCapacity(cpuMilli: number): Promise<void> {
+      let stored: StoredRoster = [];
+      await waitFor('the roster is stored', () => {
+        void getPrefix(store, ROSTER_KEY).map(({values}) => {
+          stored = JSON.parse(values[0]?.value.toString() ?? '[]') as StoredRoster;
+        });
+        return stored[0]?.description.capacity.cpuMilli === cpuMilli;
+      });
+    }
+
+    it('when its entry changes', async () => {
+      resize(2_000);
+      await waitForStoredCapacity(2_000);
+    });
+
+    it('when it has changed while there was no owner', async () => {
+      started.owner.stop('end of the first owner');
+      await started.election.resign(started.ownership, 'end of the first owner');
+      resize(2_000);
+      started = await startOwner(SYSTEM_CLOCK, store, fleet, 'vm-2');
+      await waitForStoredCapacity(2_000);
+    });
+  });
 });
--- a/packages/nutmegproxy-owner/src/MinionSessions.ts
+++ b/packages/nutmegproxy-owner/src/MinionSessions.ts
@@ -223,8 +223,9 @@
   }
 
   #update(description: MinionDescription, now: Instant, change: string | undefined): void {
-    const {events, fleet, session: context} = this.#options;
+    const {events, fleet, roster, session: context} = this.#options;
     const session = this.#sessions.get(description.id);
+    roster.updateCapacity(description);
     if (session === undefined) {
       const minion = new MinionState(description);
       minion.drainingSince = description.isDraining ? now : undefined;
--- a/packages/nutmegproxy-owner/src/Roster.ts
+++ b/packages/nutmegproxy-owner/src/Roster.ts
@@ -23,6 +23,7 @@
 
 import {JOURNAL_RETRY_MS} from './OwnerConstants.ts';
 import {OwnerRecord} from './OwnerRecord.ts';
+import {describeCapacityChange} from './OwnerUtils.ts';
 
 const ROSTER_KEY = `${STATE_PREFIX}roster`;
 
@@ -134,6 +135,21 @@
     void this.#flush();
   }
 
+  /**
+   * Stores a minion's capacity if it has changed: the next owner places by it while the directory
+   * lacks the minion's entry.
+   */
+  updateCapacity(description: MinionDescription): void {
+    const entry = this.#entries.get(description.id);
+    const former = entry?.description.capacity;
+    if (
+      former !== undefined &&
+      describeCapacityChange(former, description.capacity) !== undefined
+    ) {
+      void this.#replace({...entry, description});
+    }
+  }
+
   /** Replaces the entry of a minion; resolves once that is stored. */
   #replace(entry: RosterEntry): Promise<void> {
     this.#entries.set(entry.description.id, entry);
