Gangs: a member that does not start takes the others along

Seen by: nobody yet; found when starts to a shrunk minion were traced. Members that had started wait for the missing one until their timeout, hold their resources and end as incomplete. Cause: a start that was given up or rejected (over capacity, draining, no room, no ticket) discarded its own run only; the gang is placed anew only once none of its runs is live. A run that is lost or ends stops its gang; one that did not start did not. Evidence: RunOrders.test, "takes its gang along", failed before (the other member kept running) and passes now.

--- a/packages/nutmegproxy-owner/src/RunOrders.ts
+++ b/packages/nutmegproxy-owner/src/RunOrders.ts
@@ -67,6 +67,7 @@
     this.#starting.delete(run);
     if (result === 'not-started' && run.phase === 'starting' && this.#minion.runs.has(run)) {
       this.#context.fleet.discardRun(run);
+      this.#stopGang(run);
     }
     this.#context.onChange();
   }
@@ -162,6 +163,15 @@
     return wasSent ? 'unknown' : 'not-started';
   }
 
+  /** Stops the other members of a gang of which one did not start, since they would wait for it in vain. */
+  #stopGang({step}: Run): void {
+    if (step.shape.gang) {
+      for (const member of step.runs()) {
+        this.#context.fleet.stopRun(member, 'gang-broken');
+      }
+    }
+  }
+
   /** Handles a failed start; returns undefined when it has to be sent again. */
   #handleStartFailure(run: Run, {kind}: OrderFailure, now: Instant): StartResult | undefined {
     if (kind === 'unanswered') {
--- a/packages/nutmegproxy-owner/src/__tests__/unit/RunOrders.test.ts
+++ b/packages/nutmegproxy-owner/src/__tests__/unit/RunOrders.test.ts
@@ -204,5 +204,24 @@
       );
       assert.equal(minion.reserved.cpuMilli, 1_000);
     });
+
+    it('takes its gang along, whose other members would wait for it in vain', async () => {
+      const step = createStep(2, {count: 2, gang: true});
+      const [first, second] = [0, 1].map((index) =>
+        fleet.startRun(step, index, minion, 0 as Instant, run.number),
+      );
+      assert.ok(first && second);
+      fleet.recordLostRun(run, 'lease expired');
+      limiter.leave(1, 0);
+      await orders.start(first);
+      await limiter.enter();
+      const started = orders.start(second);
+      resize(1_999);
+      limiter.leave(1, 0);
+      await started;
+      assert.equal(sent.length, 1);
+      assert.equal(first.phase, 'stopping');
+      assert.ok(!minion.runs.has(second));
+    });
   });
 });
