Progress: the crashes of minions under a task, and the start of a suspected one, can be stored

Both are optional fields of a step's progress. An occurrence with a recorded trial is opened when the progress is read, so that the report of its minion finds it; a step whose crashes were dropped leaves the stored progress.

--- a/packages/nutmegproxy-jobs/src/JobProgress.ts
+++ b/packages/nutmegproxy-jobs/src/JobProgress.ts
@@ -1,9 +1,13 @@
-/** The stored progress of a job: completed tasks, failed runs and checkpoints, but no starts. */
+/**
+ * The stored progress of a job: completed tasks, failed runs, checkpoints and crashes
+ * of minions, but no starts other than those of suspected tasks.
+ */
 
 import type {Checkpoint, JobStatus, QueueId, RunNumber} from './JobModel.ts';
+import type {StepCrashProgress} from './StepCrashes.ts';
 
 /** Progress of one step of one occurrence. */
-export interface StepProgress {
+export interface StepProgress extends StepCrashProgress {
   /** Latest checkpoint by task index. */
   readonly checkpoints: Readonly<Record<number, Checkpoint>>;
   /** Indexes of the tasks that are done. */
--- a/packages/nutmegproxy-jobs/src/JobState.ts
+++ b/packages/nutmegproxy-jobs/src/JobState.ts
@@ -35,6 +35,12 @@
     this.status = progress.status;
     this.hasStarted = progress.status !== 'queued';
     this.#progress = progress;
+    for (const [key, {trials}] of Object.entries(progress.steps)) {
+      if (trials !== undefined) {
+        // The minion of the trial may report before the occurrence is planned.
+        this.occurrence(Number.parseInt(key, 10));
+      }
+    }
   }
 
   get id(): JobId {
@@ -121,8 +127,12 @@
     for (const states of this.#occurrences.values()) {
       for (const state of states) {
         const progress = state.exportProgress();
-        if (progress !== undefined) {
-          steps[formatStepKey(state.occurrence, state.number)] = progress;
+        const key = formatStepKey(state.occurrence, state.number);
+        if (progress === undefined) {
+          // Its crashes were dropped.
+          Reflect.deleteProperty(steps, key);
+        } else {
+          steps[key] = progress;
         }
       }
     }
--- a/packages/nutmegproxy-jobs/src/StepState.ts
+++ b/packages/nutmegproxy-jobs/src/StepState.ts
@@ -8,6 +8,8 @@
 import type {StepProgress} from './JobProgress.ts';
 import type {JobState} from './JobState.ts';
 
+import {StepCrashes} from './StepCrashes.ts';
+
 /**
  * `starting`: not yet confirmed by its minion. `running`: confirmed by its minion. `stopping`: a
  * stop was ordered; the run keeps its capacity until its result is listed.
@@ -45,6 +47,8 @@
 /** Tracks which tasks of a step are waiting, running or done. */
 export class StepState {
   readonly checkpoints = new Map<number, Checkpoint>();
+  /** Crashes of minions under the tasks. */
+  readonly crashes: StepCrashes;
   readonly done = new Set<number>();
   /** Numbers of the failed runs, by task index. */
   readonly failures = new Map<number, RunNumber[]>();
@@ -84,6 +88,7 @@
     this.occurrence = occurrence;
     this.number = number;
     this.shape = shape;
+    this.crashes = new StepCrashes(progress);
     for (const index of progress?.done ?? []) {
       this.done.add(index);
     }
@@ -169,6 +174,7 @@
     this.done.add(index);
     this.waiting.delete(index);
     this.checkpoints.delete(index);
+    this.crashes.clear(index);
     return true;
   }
 
@@ -183,13 +189,15 @@
 
   /** Returns the step's progress as it is stored; undefined when there is none. */
   exportProgress(): StepProgress | undefined {
-    if (this.done.size + this.failures.size + this.checkpoints.size === 0) {
+    const recorded = this.done.size + this.failures.size + this.checkpoints.size;
+    if (recorded === 0 && this.crashes.isEmpty) {
       return undefined;
     }
     return {
       checkpoints: Object.fromEntries(this.checkpoints),
       done: [...this.done],
       failures: Object.fromEntries(this.failures),
+      ...this.crashes.exportProgress(),
     };
   }
 
@@ -201,6 +209,7 @@
     invariant(runs !== undefined && position >= 0, 'jobs: a run was removed twice');
     runs.splice(position, 1);
     this.#perMinion.set(run.minion, this.countRunsOn(run.minion) - 1);
+    this.crashes.endTrial(index, run.number);
     if (runs.length === 0) {
       this.#runs.delete(index);
       if (!this.done.has(index)) {
