--- a/packages/nutmegproxy-cli/src/Explain.ts
+++ b/packages/nutmegproxy-cli/src/Explain.ts
@@ -38,10 +38,17 @@
   OWNER_EVENTS.MINION_RESTARTED.code,
   OWNER_EVENTS.MINION_UNREACHABLE.code,
   OWNER_EVENTS.ORDER_FAILED.code,
+  SCHEDULING_EVENTS.MINION_CRASHED.code,
   SCHEDULING_EVENTS.MINION_QUARANTINED.code,
   SCHEDULING_EVENTS.MINION_TRUSTED.code,
 ]);
 
+/** Codes of events that name the runs that they concern. */
+const NAMING_EVENT_CODES: ReadonlySet<number> = new Set([
+  SCHEDULING_EVENTS.CRASHED_RUNS.code,
+  SCHEDULING_EVENTS.RUNS_ADOPTED.code,
+]);
+
 /**
  * Parses a log line; returns undefined if it is none. Text before the JSON, such as a prefix added
  * by a log collector, is skipped.
@@ -72,8 +79,7 @@
 function concernsJob({code, fields}: LogLine, jobs: ReadonlySet<unknown>): boolean {
   return (
     jobs.has(fields.job) ||
-    (code === SCHEDULING_EVENTS.RUNS_ADOPTED.code &&
-      findNamedJobs(fields).some((job) => jobs.has(job)))
+    (NAMING_EVENT_CODES.has(code) && findNamedJobs(fields).some((job) => jobs.has(job)))
   );
 }
 
--- a/packages/nutmegproxy-emulator/src/EmulatedFleet.ts
+++ b/packages/nutmegproxy-emulator/src/EmulatedFleet.ts
@@ -64,6 +64,16 @@
     this.#notifyWatchers([{description: undefined, id}]);
   }
 
+  /** Replaces a minion that has crashed: another one responds at its address. */
+  replace(former: MinionId, minion: EmulatedMinion): void {
+    this.faults(former).rejection = {
+      clockMs: undefined,
+      kind: 'other-life',
+      message: 'another minion',
+    };
+    this.add(minion);
+  }
+
   faults(id: MinionId): OrderFaults {
     const faults = this.#faults.get(id) ?? {
       arePollAnswersLost: false,
@@ -160,8 +170,11 @@
     if (rejection !== undefined) {
       return err(rejection);
     }
+    if (minion.isDown(this.#now())) {
+      return err(UNANSWERED);
+    }
     const answer = await act(minion);
-    return this.faults(target.id).isUnreachable
+    return this.faults(target.id).isUnreachable || minion.isDown(this.#now())
       ? err(UNANSWERED)
       : answer.andThen((each) => ok(each));
   }
--- a/packages/nutmegproxy-emulator/src/EmulatedMinion.ts
+++ b/packages/nutmegproxy-emulator/src/EmulatedMinion.ts
@@ -20,6 +20,8 @@
 
 /** How an emulated task behaves. */
 export interface TaskBehaviour {
+  /** Time in milliseconds for which the minion is down, when the run crashes it at its end. */
+  readonly crashDownMs?: number;
   /** Duration of a run in milliseconds; Infinity for a long-running task. */
   readonly durationMs: number;
   readonly outcome: RunOutcome;
@@ -36,6 +38,7 @@
 
 interface LiveRun {
   readonly checkpoint: Checkpoint | undefined;
+  readonly crashDownMs: number | undefined;
   readonly dueMs: number;
   readonly outcome: RunOutcome;
   readonly record: RecordedRun;
@@ -55,6 +58,7 @@
   readonly #usedNumbers = new Map<string, number>();
   #sequence = 0;
   #token = 0;
+  #upAtMs = 0;
 
   constructor(
     description: MinionDescription,
@@ -71,6 +75,12 @@
 
   /** Ends runs whose duration has passed, and all runs once the lease has expired. */
   advance(nowMs: number): void {
+    const crashing = [...this.#liveRuns.values()].find(
+      ({crashDownMs, dueMs}) => crashDownMs !== undefined && dueMs <= nowMs,
+    );
+    if (crashing?.crashDownMs !== undefined) {
+      this.crash(crashing.crashDownMs, crashing.dueMs);
+    }
     for (const [name, run] of this.#liveRuns) {
       if (run.dueMs <= nowMs) {
         this.#finishRun(name, run, run.outcome, run.dueMs);
@@ -80,6 +90,18 @@
     }
   }
 
+  /** Ends all runs at once; the minion responds again after a time, in a new incarnation. */
+  crash(downMs: number, nowMs: number): void {
+    this.#upAtMs = nowMs + downMs;
+    this.#beginIncarnation((this.description.bornAt ?? 0) + 1, nowMs);
+  }
+
+  /** Whether the minion has crashed and doesn't respond yet. */
+  isDown(nowMs: number): boolean {
+    this.advance(nowMs);
+    return nowMs < this.#upAtMs;
+  }
+
   poll(order: PollOrder, nowMs: number): Result<MinionListing, OrderFailure> {
     this.advance(nowMs);
     const rejection = this.#checkToken(order.token, nowMs);
@@ -107,6 +129,10 @@
   /** Begins a new incarnation, which has no runs and no memory of the former one. */
   restart(bornAt: number, nowMs: number): void {
     this.advance(nowMs);
+    this.#beginIncarnation(bornAt, nowMs);
+  }
+
+  #beginIncarnation(bornAt: number, nowMs: number): void {
     for (const {record} of this.#liveRuns.values()) {
       record.endedAtMs = nowMs;
     }
@@ -140,7 +166,7 @@
     if (task === undefined) {
       return err(createFailure('invalid', nowMs));
     }
-    const {durationMs, outcome} = this.#chooseBehaviour(task, order.number);
+    const {crashDownMs, durationMs, outcome} = this.#chooseBehaviour(task, order.number);
     const record: RecordedRun = {
       endedAtMs: undefined,
       number: order.number,
@@ -150,7 +176,8 @@
     };
     this.records.push(record);
     const {checkpoint} = order;
-    this.#liveRuns.set(order.task, {checkpoint, dueMs: nowMs + durationMs, outcome, record, task});
+    const dueMs = nowMs + durationMs;
+    this.#liveRuns.set(order.task, {checkpoint, crashDownMs, dueMs, outcome, record, task});
     return ok({clockMs: nowMs});
   }
 
--- a/packages/nutmegproxy-owner/src/MinionSession.ts
+++ b/packages/nutmegproxy-owner/src/MinionSession.ts
@@ -5,7 +5,12 @@
 import type {MinionListing, MinionState, RunResult, StopRequest} from '@nutmegproxy/scheduling';
 
 import {after, delay} from '@nutmegproxy/core';
-import {MINION_LEASE_MS, reconcileListing} from '@nutmegproxy/scheduling';
+import {
+  MINION_LEASE_MS,
+  reconcileListing,
+  recordMinionCrash,
+  recordReplacement,
+} from '@nutmegproxy/scheduling';
 
 import type {Journal} from './Journal.ts';
 import type {MinionTarget, OrderFailure} from './MinionOrders.ts';
@@ -85,6 +90,7 @@
       return;
     }
     this.#bornAt = bornAt;
+    this.minion.bornAt = bornAt;
     if (isRestart) {
       this.#handleRestart(bornAt);
     }
@@ -99,6 +105,7 @@
     this.#listedResults = [];
     this.minion.leaseClock.reset(after(clock.monotonic(), MAX_FORMER_LEASE_MS));
     fleet.clearUnknownResults(this.minion);
+    recordMinionCrash(fleet, this.minion, clock.monotonic());
     for (const run of [...this.minion.runs]) {
       // A start that was sent meanwhile may have reached the new incarnation, and so may a former
       // owner's start that only its record names; the next poll decides.
@@ -230,6 +237,7 @@
     }
     this.minion.lastAnswerAt = now;
     this.minion.missedCalls = 0;
+    this.minion.silentSince = undefined;
     if (this.minion.isRecordedUnreachable) {
       this.#context.onAnswering(this.minion);
     }
@@ -261,6 +269,7 @@
     }
     if (kind === 'unanswered' || (kind === 'unhealthy' && !this.minion.hasReported)) {
       this.minion.missedCalls += 1;
+      this.minion.silentSince ??= clock.monotonic();
       if (this.minion.missedCalls === 1) {
         events.record(OWNER_EVENTS.MINION_UNREACHABLE, fields);
       }
@@ -278,10 +287,12 @@
 
   /** Another minion responds at the address, so no run of this one is live any more. */
   #endIncarnation(): void {
+    const {clock, fleet} = this.#context;
+    recordReplacement(fleet, this.minion, clock.monotonic());
     this.minion.areRunsKnown = true;
     this.minion.hasReported = false;
     for (const run of [...this.minion.runs]) {
-      this.#context.fleet.recordLostRun(run, 'address taken by another minion');
+      fleet.recordLostRun(run, 'address taken by another minion');
     }
   }
 }
--- a/packages/nutmegproxy-owner/src/PollPacing.ts
+++ b/packages/nutmegproxy-owner/src/PollPacing.ts
@@ -27,7 +27,7 @@
   if (!minion.leaseClock.hasReading || minion.missedCalls > 0) {
     return 0;
   }
-  if (conditions.isNearTarget) {
+  if (conditions.isNearTarget || minion.trialRun !== undefined) {
     return NEAR_TARGET_POLL_WAIT_MS;
   }
   if (minion.servingRuns > 0 && minion.backfillCpuMilli > 0) {
@@ -60,6 +60,7 @@
     !minion.leaseClock.hasReading ||
     minion.missedCalls > 0 ||
     minion.description.isDraining ||
+    minion.trialRun !== undefined ||
     hasUrgentRuns(minion);
   return isUrgent
     ? 0
--- a/packages/nutmegproxy-owner/src/RunOrders.ts
+++ b/packages/nutmegproxy-owner/src/RunOrders.ts
@@ -61,6 +61,10 @@
       return;
     }
     this.#starting.add(run);
+    if (run.step.crashes.trials.get(run.task.index)?.run === run.number) {
+      // The next owner has to know of a start that may crash the minion before its report.
+      await this.#context.journal.flush();
+    }
     const result = await this.#tryStart(run);
     this.#starting.delete(run);
     if (result === 'not-started' && run.phase === 'starting' && this.#minion.runs.has(run)) {
--- /dev/null
+++ b/packages/nutmegproxy-scheduling/src/CrashAttribution.ts
@@ -0,0 +1,119 @@
+/**
+ * Decides who is to blame for the crash of a minion: its machine, or a task that it ran. Tasks that
+ * crash their minion do so at the start or in the same phase of each run, while failures of machines
+ * and racks end runs of any age, on several minions at once.
+ */
+
+import type {Instant, JobId, MinionId} from '@nutmegproxy/core';
+import type {CrashEvidence, Run} from '@nutmegproxy/jobs';
+
+/** Age in milliseconds below which a run is suspected of the crash of its minion. */
+export const FRESH_RUN_MS = 500;
+/** Age in milliseconds from which a run is not suspected, however often its minions crash. */
+export const MAX_CRASH_AGE_MS = 10_000;
+/** Uncertainty in milliseconds of the times between which a minion failed. */
+const OUTAGE_MARGIN_MS = 500;
+
+/**
+ * `outage`: several machines failed together. `planned`: the minion was draining. `unknown`: this
+ * owner did not know its runs.
+ */
+export type CrashCause = 'machine' | 'outage' | 'planned' | 'task' | 'unknown';
+
+/** A run on a minion that crashed. */
+export interface ExposedRun {
+  /** Time in milliseconds for which the run is known to have been live before the crash. */
+  readonly ageMs: number;
+  /** Whether the run is young enough, or on trial. */
+  readonly isSuspect: boolean;
+  readonly run: Run;
+}
+
+/** The failure of a minion, some time between its last response and its first missed call. */
+export interface MinionOutage {
+  readonly from: Instant;
+  /** Whether a task may be to blame. */
+  readonly hasSuspects: boolean;
+  readonly minion: MinionId;
+  readonly until: Instant;
+}
+
+/** Runs to record a crash of, and how strongly it speaks against them. */
+export interface CrashAttribution {
+  readonly cause: CrashCause;
+  readonly evidence: CrashEvidence;
+  readonly recorded: readonly ExposedRun[];
+}
+
+export interface CrashInputs {
+  /** Whether the minion has reported its runs to this owner. */
+  readonly areRunsKnown: boolean;
+  readonly exposed: readonly ExposedRun[];
+  readonly isDraining: boolean;
+  /** Outages of other minions at the same time. */
+  readonly others: readonly MinionOutage[];
+}
+
+/** What is known of a run when its age is computed. */
+export type RunTimes = Pick<Run, 'confirmedAt' | 'number'>;
+
+/**
+ * Returns for how long a run is known to have been live when its minion last responded. The age of
+ * a former owner's run is not known, and it was live when this owner first saw it.
+ *
+ * @example
+ * computeProvenAge({confirmedAt: 1_000, number: 1}, {provenAt: 1_400, runNumberBase: 1}); // 400
+ */
+export function computeProvenAge(
+  {confirmedAt, number}: RunTimes,
+  {provenAt, runNumberBase}: {readonly provenAt: Instant; readonly runNumberBase: number},
+): number {
+  const ageMs = Math.max(0, Math.round(provenAt - (confirmedAt ?? provenAt)));
+  return number < runNumberBase ? Math.max(ageMs, FRESH_RUN_MS) : ageMs;
+}
+
+/** Whether two minions may have failed at the same time. */
+export function isSimultaneous(
+  one: Pick<MinionOutage, 'from' | 'until'>,
+  other: Pick<MinionOutage, 'from' | 'until'>,
+): boolean {
+  return one.from <= other.until + OUTAGE_MARGIN_MS && other.from <= one.until + OUTAGE_MARGIN_MS;
+}
+
+function countJobs(exposed: readonly ExposedRun[]): number {
+  return new Set<JobId>(exposed.map(({run}) => run.task.job)).size;
+}
+
+/** Blames young runs, unless machines without any young run failed at the same time. */
+function attributeByExposure(inputs: CrashInputs): CrashAttribution {
+  const {areRunsKnown, exposed, isDraining, others} = inputs;
+  const suspects = exposed.filter(({isSuspect}) => isSuspect);
+  if (isDraining) {
+    return {cause: 'planned', evidence: 'coincident', recorded: []};
+  }
+  if (suspects.length === 0 && !areRunsKnown) {
+    return {cause: 'unknown', evidence: 'coincident', recorded: []};
+  }
+  if (suspects.length === 0) {
+    // A task that crashes its minion late in its run is only found by the next crash under it.
+    const recorded = exposed.filter(({ageMs}) => ageMs < MAX_CRASH_AGE_MS);
+    const isIsolated = others.length === 0;
+    return {cause: 'machine', evidence: 'shared', recorded: isIsolated ? recorded : []};
+  }
+  if (others.some(({hasSuspects}) => !hasSuspects)) {
+    return {cause: 'outage', evidence: 'coincident', recorded: suspects};
+  }
+  const evidence = countJobs(exposed) === 1 ? 'alone' : 'shared';
+  return {cause: 'task', evidence, recorded: suspects};
+}
+
+/** Ways of attributing the crash of a minion. */
+export const CRASH_ATTRIBUTIONS = {
+  byExposure: attributeByExposure,
+  /** Baseline: no crash counts against a task. */
+  byMachine: ({isDraining}): CrashAttribution => ({
+    cause: isDraining ? 'planned' : 'machine',
+    evidence: 'coincident',
+    recorded: [],
+  }),
+} satisfies Record<string, (inputs: CrashInputs) => CrashAttribution>;
--- /dev/null
+++ b/packages/nutmegproxy-scheduling/src/CrashRecorder.ts
@@ -0,0 +1,168 @@
+/** Records the crashes of minions under the tasks that may have caused them. */
+
+import type {Instant} from '@nutmegproxy/core';
+import type {StepState, TaskCrash} from '@nutmegproxy/jobs';
+
+import {formatTaskName} from '@nutmegproxy/jobs';
+
+import type {ExposedRun, MinionOutage} from './CrashAttribution.ts';
+import type {Fleet} from './Fleet.ts';
+import type {MinionState} from './MinionState.ts';
+
+import {CRASH_ATTRIBUTIONS, isSimultaneous} from './CrashAttribution.ts';
+import {CRASH_VERDICTS, listCrashes} from './CrashVerdict.ts';
+import {describeRun, describeRuns} from './RunFields.ts';
+import {SCHEDULING_EVENTS} from './SchedulingEvents.ts';
+
+function describeOutage(
+  minion: MinionState,
+  exposed: readonly ExposedRun[],
+  now: Instant,
+): MinionOutage {
+  const until = minion.silentSince ?? now;
+  return {
+    from: Math.min(minion.lastProofAt, until) as Instant,
+    hasSuspects: exposed.some(({isSuspect}) => isSuspect),
+    minion: minion.id,
+    until,
+  };
+}
+
+/** Returns the outages of other minions at the same time: crashes, and minions that are silent. */
+function listOtherOutages(fleet: Fleet, outage: MinionOutage, now: Instant): MinionOutage[] {
+  const silent = [...fleet.minions.values()]
+    .filter(
+      ({hasReported, id, silentSince}) =>
+        hasReported && id !== outage.minion && silentSince !== undefined,
+    )
+    .map((minion) => describeOutage(minion, minion.listExposedRuns(fleet.runNumberBase), now))
+    .filter((other) => isSimultaneous(other, outage));
+  return [...fleet.outages.findSimultaneous(outage), ...silent];
+}
+
+/** Marks what a task was blamed for as coincident, once a machine is known to have failed then. */
+function excuseTasks(fleet: Fleet, outage: MinionOutage): void {
+  for (const {blamed} of fleet.outages.findSimultaneous(outage)) {
+    for (const run of blamed) {
+      if (run.step.crashes.excuse(run.task.index, run.number)) {
+        fleet.dirtyJobs.add(run.step.job);
+        fleet.events.record(SCHEDULING_EVENTS.CRASH_EXCUSED, {
+          ...describeRun(run),
+          otherMinion: outage.minion,
+        });
+      }
+    }
+  }
+}
+
+/** Records the crash of a minion under a run of a task. */
+function recordTaskCrash(
+  fleet: Fleet,
+  step: StepState,
+  index: number,
+  crash: TaskCrash,
+  now: Instant,
+): void {
+  const {job} = step;
+  if (job.isFinal || step.done.has(index) || !step.crashes.record(index, crash, now)) {
+    return;
+  }
+  fleet.dirtyJobs.add(job);
+  const crashes = step.crashes.of(index);
+  fleet.events.record(SCHEDULING_EVENTS.TASK_CRASHED_MINION, {
+    ageMs: crash.ageMs,
+    crashes: crashes.length,
+    evidence: crash.evidence,
+    job: job.id,
+    minion: crash.minion,
+    run: crash.run,
+    task: formatTaskName({index, job: job.id, occurrence: step.occurrence, step: step.number}),
+    verdict: CRASH_VERDICTS.byTrial(listCrashes(step, index)),
+  });
+}
+
+/**
+ * Records trials of a former owner, or of a lease that expired meanwhile, on a minion that has
+ * crashed since. What else has failed at that time is not known.
+ */
+export function resolveTrials(fleet: Fleet, minion: MinionState, now: Instant): void {
+  const {address, isDraining} = minion.description;
+  for (const job of fleet.jobs.values()) {
+    for (const step of job.steps()) {
+      for (const [index, {bornAt, minion: id, run}] of step.crashes.trials) {
+        if (id !== minion.id || bornAt === undefined || bornAt === minion.bornAt) {
+          continue;
+        }
+        step.crashes.endTrial(index, run);
+        fleet.dirtyJobs.add(job);
+        if (!isDraining) {
+          const crash = {address, ageMs: 0, evidence: 'shared', minion: id, run} as const;
+          recordTaskCrash(fleet, step, index, crash, now);
+        }
+      }
+    }
+  }
+}
+
+/**
+ * Records the crash of a minion, before its runs are removed. Starts without a response are stopped,
+ * as they would be sent again under the same number and crash the new incarnation too.
+ */
+export function recordMinionCrash(fleet: Fleet, minion: MinionState, now: Instant): void {
+  const {address, isDraining} = minion.description;
+  const exposed = minion.listExposedRuns(fleet.runNumberBase);
+  minion.lapsedRuns = [];
+  const outage = describeOutage(minion, exposed, now);
+  const others = listOtherOutages(fleet, outage, now);
+  const {cause, evidence, recorded} = CRASH_ATTRIBUTIONS.byExposure({
+    areRunsKnown: minion.hasReported,
+    exposed,
+    isDraining,
+    others,
+  });
+  fleet.events.record(SCHEDULING_EVENTS.MINION_CRASHED, {
+    cause,
+    evidence,
+    minion: minion.id,
+    otherOutages: others.map(({minion: id}) => id).join(' '),
+    runs: exposed.length,
+    silentMs: Math.round(now - outage.until),
+    suspects: recorded.length,
+  });
+  for (const fields of describeRuns(
+    minion.id,
+    exposed.map(({run}) => run),
+  )) {
+    fleet.events.record(SCHEDULING_EVENTS.CRASHED_RUNS, fields);
+  }
+  for (const {run} of cause === 'unknown' ? [] : exposed) {
+    run.step.crashes.endTrial(run.task.index, run.number);
+  }
+  for (const {ageMs, run} of recorded) {
+    const crash = {address, ageMs, evidence, minion: minion.id, run: run.number};
+    recordTaskCrash(fleet, run.step, run.task.index, crash, now);
+  }
+  resolveTrials(fleet, minion, now);
+  if (cause === 'machine' || cause === 'outage' || cause === 'task') {
+    fleet.outages.add({...outage, blamed: recorded.map(({run}) => run)});
+  }
+  if (cause === 'machine') {
+    excuseTasks(fleet, outage);
+  }
+  for (const run of minion.runs) {
+    const wasSentBefore = minion.silentSince !== undefined && run.sentAt <= minion.silentSince;
+    if (run.phase === 'starting' && wasSentBefore) {
+      fleet.stopRun(run, 'minion-crashed');
+    }
+  }
+}
+
+/** Records that another minion responds at a minion's address: the minion has crashed or left. */
+export function recordReplacement(fleet: Fleet, minion: MinionState, now: Instant): void {
+  minion.bornAt = undefined;
+  if (minion.hasReported || minion.runs.size > 0) {
+    recordMinionCrash(fleet, minion, now);
+  } else {
+    resolveTrials(fleet, minion, now);
+  }
+}
--- /dev/null
+++ b/packages/nutmegproxy-scheduling/src/CrashVerdict.ts
@@ -0,0 +1,72 @@
+/** Judges a task by the crashes of minions under its runs. */
+
+import type {StepState, TaskCrash} from '@nutmegproxy/jobs';
+
+import {FRESH_RUN_MS} from './CrashAttribution.ts';
+
+/** Number of minions that have crashed under a task that is given up. */
+const MIN_MINIONS = 2;
+/** Crashes under young runs after which a task is given up though other jobs ran beside it. */
+const MAX_SHARED_CRASHES = 3;
+/** The same where other machines failed at the same time each time; the users' bound is five starts. */
+const MAX_FRESH_CRASHES = 4;
+/** Shortest and longest trial in milliseconds. */
+const MIN_TRIAL_MS = 500;
+const MAX_TRIAL_MS = 5_000;
+/** Length of a trial as a multiple of the age at which minions crashed before. */
+const TRIAL_AGE_RATIO = 1.5;
+
+/**
+ * `clear`: starts like any other. `suspect`: its next start is a trial. `guilty`: it is given up.
+ */
+export type TaskVerdict = 'clear' | 'guilty' | 'suspect';
+
+/** Counts minions by their addresses: a minion may restart under another id. */
+function countMinions(crashes: readonly TaskCrash[]): number {
+  return new Set(crashes.map(({address}) => address)).size;
+}
+
+/** Counts starts; the members of a gang start under one number. */
+function countStarts(crashes: readonly TaskCrash[]): number {
+  return new Set(crashes.map(({run}) => run)).size;
+}
+
+function judgeByTrial(crashes: readonly TaskCrash[]): TaskVerdict {
+  const fresh = crashes.filter(({ageMs}) => ageMs < FRESH_RUN_MS);
+  const blamed = crashes.filter(({evidence}) => evidence !== 'coincident');
+  const alone = blamed.filter(({evidence}) => evidence === 'alone');
+  const strong = blamed.filter((crash) => fresh.includes(crash) || alone.includes(crash));
+  const isProven =
+    alone.length > 0 &&
+    (countMinions(strong) >= MIN_MINIONS || countStarts(blamed) >= MAX_SHARED_CRASHES);
+  const isRepeated =
+    countStarts(strong) >= MAX_SHARED_CRASHES || countStarts(fresh) >= MAX_FRESH_CRASHES;
+  const isConfirmed = countMinions(crashes) >= MIN_MINIONS && countStarts(crashes) > 1;
+  if (isConfirmed && (isProven || isRepeated)) {
+    return 'guilty';
+  }
+  return strong.length > 0 || isConfirmed ? 'suspect' : 'clear';
+}
+
+/** Ways of judging a task. */
+export const CRASH_VERDICTS = {
+  /** Baseline: a task is started as often as its minions crash. */
+  acquit: (): TaskVerdict => 'clear',
+  byTrial: judgeByTrial,
+} satisfies Record<string, (crashes: readonly TaskCrash[]) => TaskVerdict>;
+
+/** Returns the crashes under a task; a gang is judged by those under all of its members. */
+export function listCrashes({crashes, shape}: StepState, index: number): readonly TaskCrash[] {
+  return shape.gang ? crashes.indexes.flatMap((each) => crashes.of(each)) : crashes.of(index);
+}
+
+/**
+ * Returns how long a run has to be live, in milliseconds, until its trial ends.
+ *
+ * @example
+ * computeTrialMs([{address, ageMs: 800, evidence: 'shared', minion, run}]); // 1200
+ */
+export function computeTrialMs(crashes: readonly TaskCrash[]): number {
+  const ageMs = Math.max(0, ...crashes.map((crash) => crash.ageMs));
+  return Math.min(MAX_TRIAL_MS, Math.max(MIN_TRIAL_MS, ageMs * TRIAL_AGE_RATIO));
+}
--- a/packages/nutmegproxy-scheduling/src/Fleet.ts
+++ b/packages/nutmegproxy-scheduling/src/Fleet.ts
@@ -17,6 +17,7 @@
 import type {StopReason, StopRequest} from './StopRequest.ts';
 
 import {createRun} from './FleetUtils.ts';
+import {OutageLog} from './OutageLog.ts';
 import {DEFAULT_QUEUE_POLICY} from './QueuePolicy.ts';
 import {describeRun, describeRuns} from './RunFields.ts';
 import {SCHEDULING_EVENTS} from './SchedulingEvents.ts';
@@ -35,10 +36,12 @@
   runNumberBase = 1;
   /** Stop requests that have not been sent yet. */
   readonly pendingStops: StopRequest[] = [];
-  readonly #events: EventSink;
+  /** Recent crashes of minions. */
+  readonly outages = new OutageLog();
+  readonly events: EventSink;
 
   constructor(events: EventSink) {
-    this.#events = events;
+    this.events = events;
   }
 
   /**
@@ -64,21 +67,21 @@
     }
     job.status = 'cancelled';
     this.dirtyJobs.add(job);
-    this.#events.record(SCHEDULING_EVENTS.JOB_CANCELLED, {job: job.id});
+    this.events.record(SCHEDULING_EVENTS.JOB_CANCELLED, {job: job.id});
     this.#stopAll(job, 'cancelled');
   }
 
   /** Quarantines a minion whose runs stall or that refuses starts. */
   quarantineMinion(minion: MinionState, reason: string, now: Instant): void {
     if (minion.trust.recordStall(now)) {
-      this.#events.record(SCHEDULING_EVENTS.MINION_QUARANTINED, {minion: minion.id, reason});
+      this.events.record(SCHEDULING_EVENTS.MINION_QUARANTINED, {minion: minion.id, reason});
     }
   }
 
   /** Removes a run and applies its result to its task, gang, job and minion. */
   finishRun(run: Run, outcome: RunOutcome, checkpoint: Checkpoint | undefined, now: Instant): void {
     this.#removeRun(run);
-    this.#events.record(SCHEDULING_EVENTS.RUN_ENDED, {
+    this.events.record(SCHEDULING_EVENTS.RUN_ENDED, {
       ...describeRun(run),
       ms: Math.round(now - run.sentAt),
       outcome,
@@ -86,7 +89,7 @@
     this.applyResult(run.step, run.task, run.number, outcome, checkpoint ?? run.checkpoint);
     const minion = this.minions.get(run.minion);
     if (outcome === 'done' && minion?.trust.recordSuccess()) {
-      this.#events.record(SCHEDULING_EVENTS.MINION_TRUSTED, {minion: run.minion});
+      this.events.record(SCHEDULING_EVENTS.MINION_TRUSTED, {minion: run.minion});
     }
     if (outcome === 'failed') {
       // Long-running tasks may fail at any time and restart on the capacity that they had.
@@ -94,7 +97,7 @@
         run.step.avoid(run.task.index, run.minion);
       }
       if (minion?.trust.recordFailure(run.task.job, now)) {
-        this.#events.record(SCHEDULING_EVENTS.MINION_QUARANTINED, {
+        this.events.record(SCHEDULING_EVENTS.MINION_QUARANTINED, {
           minion: run.minion,
           reason: 'failures',
         });
@@ -102,11 +105,9 @@
     }
   }
 
-  /**
-   * Removes the runs of an unreachable minion whose lease has expired. Their results are not known
-   * yet.
-   */
+  /** Removes the runs of a silent minion whose lease has expired; their results are not known yet. */
   expireLease(minion: MinionState): void {
+    minion.lapsedRuns = minion.listExposedRuns(this.runNumberBase);
     for (const run of [...minion.runs]) {
       this.recordUnknownResult(run.step, run.task.index, minion);
       this.recordLostRun(run, 'hold lapsed');
@@ -116,7 +117,7 @@
   /** Logs the runs that were adopted from one listing or silent record of a minion. */
   recordAdoption(minion: MinionState, runs: readonly Run[]): void {
     for (const fields of describeRuns(minion.id, runs)) {
-      this.#events.record(SCHEDULING_EVENTS.RUNS_ADOPTED, fields);
+      this.events.record(SCHEDULING_EVENTS.RUNS_ADOPTED, fields);
     }
   }
 
@@ -137,7 +138,7 @@
   /** Removes a run without a reported result, as its lease expired or its minion restarted. */
   recordLostRun(run: Run, reason: string): void {
     this.#removeRun(run);
-    this.#events.record(SCHEDULING_EVENTS.RUN_LOST, {...describeRun(run), reason});
+    this.events.record(SCHEDULING_EVENTS.RUN_LOST, {...describeRun(run), reason});
     if (run.checkpoint !== undefined && run.step.shape.checkpoints) {
       run.step.checkpoints.set(run.task.index, run.checkpoint);
     }
@@ -193,7 +194,7 @@
     const run = this.#addRun(step, task, chosen, minion, now);
     run.checkpoint = step.checkpoints.get(index);
     step.placedAt = now;
-    this.#events.record(SCHEDULING_EVENTS.RUN_PLACED, {
+    this.events.record(SCHEDULING_EVENTS.RUN_PLACED, {
       ...describeRun(run),
       reportAgeMs: Math.round(now - (minion.lastAnswerAt ?? now)),
       spareCpuMilli: minion.spareCpuMilli,
@@ -208,7 +209,7 @@
       return;
     }
     run.phase = 'stopping';
-    this.#events.record(SCHEDULING_EVENTS.RUN_STOPPED, {...describeRun(run), reason});
+    this.events.record(SCHEDULING_EVENTS.RUN_STOPPED, {...describeRun(run), reason});
     this.pendingStops.push({minion: run.minion, number: run.number, reason, task: run.task});
   }
 
@@ -237,11 +238,11 @@
     return run;
   }
 
-  #finishJob(job: JobState, status: 'completed' | 'failed'): void {
+  finishJob(job: JobState, status: 'completed' | 'failed'): void {
     job.status = status;
     this.dirtyJobs.add(job);
     const kind = status === 'completed' ? 'JOB_COMPLETED' : 'JOB_FAILED';
-    this.#events.record(SCHEDULING_EVENTS[kind], {job: job.id});
+    this.events.record(SCHEDULING_EVENTS[kind], {job: job.id});
     this.#stopAll(job, 'job-over');
   }
 
@@ -259,7 +260,7 @@
       this.stopRun(run, 'duplicate');
     }
     if (!step.job.isFinal && step.job.isDone()) {
-      this.#finishJob(step.job, 'completed');
+      this.finishJob(step.job, 'completed');
     }
   }
 
@@ -273,7 +274,7 @@
     const hasExhaustedAttempts =
       !step.shape.longRunning && failures >= this.resolveQueuePolicy(step.job).maxAttempts;
     if (hasExhaustedAttempts && !step.job.isFinal) {
-      this.#finishJob(step.job, 'failed');
+      this.finishJob(step.job, 'failed');
     }
   }
 
--- a/packages/nutmegproxy-scheduling/src/FleetSummary.ts
+++ b/packages/nutmegproxy-scheduling/src/FleetSummary.ts
@@ -7,7 +7,7 @@
 
 import {classifyWork} from './MinionState.ts';
 import {isSchedulable} from './Placement.ts';
-import {collectReadySteps, countHeldTasks} from './StartPlanner.ts';
+import {collectReadySteps, countHeldTasks} from './ReadySteps.ts';
 
 /** Returns totals over the fleet as event fields; processors are in whole cores. */
 export function summarizeFleet(fleet: Fleet, now: Instant, wall: WallTime): EventFields {
--- a/packages/nutmegproxy-scheduling/src/ListingReconciler.ts
+++ b/packages/nutmegproxy-scheduling/src/ListingReconciler.ts
@@ -6,6 +6,9 @@
 import type {Fleet} from './Fleet.ts';
 import type {MinionState} from './MinionState.ts';
 
+import {resolveTrials} from './CrashRecorder.ts';
+import {reviewTrials} from './TaskTrials.ts';
+
 /** Progress of a live run, as listed by its minion. */
 export interface RunReport {
   readonly checkpoint: Checkpoint | undefined;
@@ -157,6 +160,11 @@
   times: {readonly requestedAt: Instant; readonly now: Instant; readonly appliedThrough: number},
 ): void {
   const {appliedThrough, now, requestedAt} = times;
+  const {trialRun} = minion;
+  minion.lapsedRuns = [];
+  if (!minion.hasReported) {
+    resolveTrials(fleet, minion, now);
+  }
   for (const result of listing.ended) {
     if (result.sequence > appliedThrough) {
       applyRunResult(fleet, minion, result, now);
@@ -169,4 +177,5 @@
       fleet.recordLostRun(run, 'not listed');
     }
   }
+  reviewTrials(fleet, minion, listing, trialRun, now);
 }
--- a/packages/nutmegproxy-scheduling/src/MinionState.ts
+++ b/packages/nutmegproxy-scheduling/src/MinionState.ts
@@ -3,6 +3,9 @@
 import type {Branded, DataCentreId, Instant, MinionId, RackId} from '@nutmegproxy/core';
 import type {Resources, Run, ServiceId, StepShape, StepState} from '@nutmegproxy/jobs';
 
+import type {ExposedRun} from './CrashAttribution.ts';
+
+import {computeProvenAge, FRESH_RUN_MS} from './CrashAttribution.ts';
 import {LeaseClock} from './LeaseClock.ts';
 import {MinionTrust} from './MinionTrust.ts';
 
@@ -75,8 +78,16 @@
   isRecordedUnreachable = false;
   /** When it last responded; undefined before its first response. */
   lastAnswerAt: Instant | undefined;
+  /** Start of the latest known incarnation in Unix milliseconds. */
+  bornAt: number | undefined;
+  /** Runs that were live when its lease expired, until it responds. */
+  lapsedRuns: readonly ExposedRun[] = [];
   /** Calls without a response since the last response. */
   missedCalls = 0;
+  /** When the first of these calls failed; undefined while it responds. */
+  silentSince: Instant | undefined;
+  /** Run of a suspected task, beside which nothing is placed. */
+  trialRun: Run | undefined;
   /** Reserved resources; the processors of backfill tasks are not included. */
   reserved = {cpuMilli: 0, gpus: 0, memoryMb: 0};
   readonly runs = new Set<Run>();
@@ -89,12 +100,19 @@
 
   constructor(description: MinionDescription) {
     this.description = description;
+    this.bornAt = description.bornAt;
   }
 
   get id(): MinionId {
     return this.description.id;
   }
 
+  /** When it was last known to respond, to a poll or to a start. */
+  get lastProofAt(): Instant {
+    const confirmed = [...this.runs].map(({confirmedAt}) => confirmedAt ?? -Infinity);
+    return Math.max(this.lastAnswerAt ?? -Infinity, ...confirmed) as Instant;
+  }
+
   /** Expected unused processors, in thousandths of a core. */
   get spareCpuMilli(): number {
     const unusedByServing = this.servingCpuMilli * (1 - SERVING_UTILIZATION);
@@ -130,7 +148,18 @@
     );
   }
 
+  /** Returns the runs that end when it crashes; `runNumberBase` is the lowest of this owner. */
+  listExposedRuns(runNumberBase: number): ExposedRun[] {
+    const times = {provenAt: this.lastProofAt, runNumberBase};
+    const live = [...this.runs].map((run) => {
+      const ageMs = computeProvenAge(run, times);
+      return {ageMs, isSuspect: ageMs < FRESH_RUN_MS || run === this.trialRun, run};
+    });
+    return [...this.lapsedRuns, ...live];
+  }
+
   removeRun(run: Run): void {
+    this.trialRun = this.trialRun === run ? undefined : this.trialRun;
     if (this.runs.delete(run)) {
       this.#adjustReservations(run, -1);
     }
--- a/packages/nutmegproxy-scheduling/src/Placement.ts
+++ b/packages/nutmegproxy-scheduling/src/Placement.ts
@@ -82,6 +82,7 @@
     minion.missedCalls === 0 &&
     !minion.isRecordedDraining &&
     !minion.isRecordedUnreachable &&
+    minion.trialRun === undefined &&
     minion.unknownRuns === 0 &&
     (level === 'trusted' || (level === 'trial' && minion.runs.size === 0))
   );
--- /dev/null
+++ b/packages/nutmegproxy-scheduling/src/ReadySteps.ts
@@ -0,0 +1,62 @@
+/** Finds the steps and tasks whose turn has come. */
+
+import type {Instant, WallTime} from '@nutmegproxy/core';
+import type {StepState} from '@nutmegproxy/jobs';
+
+import type {Fleet} from './Fleet.ts';
+
+/** Whether all steps that the step depends on are completed. */
+function isReady(step: StepState, siblings: readonly StepState[]): boolean {
+  return step.shape.after.every((earlier) => siblings[earlier]?.isDone ?? false);
+}
+
+/**
+ * Returns the waiting tasks of a step that can't have a live run from a former owner. During
+ * recovery, these are the tasks whose last run this owner has seen itself.
+ */
+export function listStartableTasks(
+  fleet: Fleet,
+  {job, recoveredTasks, waiting}: StepState,
+): number[] {
+  const indexes = [...waiting];
+  return job.revision <= fleet.recoveryRevision
+    ? indexes.filter((index) => recoveredTasks.has(index))
+    : indexes;
+}
+
+/** Returns the steps with waiting tasks that may start. */
+export function collectReadySteps(fleet: Fleet, now: Instant, wall: WallTime): StepState[] {
+  const ready: StepState[] = [];
+  for (const job of fleet.jobs.values()) {
+    if (job.isFinal) {
+      continue;
+    }
+    for (const steps of job.openOccurrences(wall)) {
+      for (const step of steps) {
+        if (listStartableTasks(fleet, step).length > 0 && isReady(step, steps)) {
+          step.readyAt ??= now;
+          ready.push(step);
+        }
+      }
+    }
+  }
+  return ready;
+}
+
+/** Returns the number of tasks whose turn has come and that wait for the recovery to complete. */
+export function countHeldTasks(fleet: Fleet, wall: WallTime): number {
+  let held = 0;
+  for (const job of fleet.jobs.values()) {
+    if (job.isFinal || job.revision > fleet.recoveryRevision) {
+      continue;
+    }
+    for (const steps of job.openOccurrences(wall)) {
+      for (const step of steps) {
+        held += isReady(step, steps)
+          ? step.waiting.size - listStartableTasks(fleet, step).length
+          : 0;
+      }
+    }
+  }
+  return held;
+}
--- a/packages/nutmegproxy-scheduling/src/SchedulingEvents.ts
+++ b/packages/nutmegproxy-scheduling/src/SchedulingEvents.ts
@@ -3,12 +3,23 @@
 import type {EventKind} from '@nutmegproxy/core';
 
 export const SCHEDULING_EVENTS = {
+  CRASH_EXCUSED: {
+    code: 8019,
+    level: 'info',
+    text: 'The crash of a minion no longer speaks against a task: a machine failed at the same time.',
+  },
+  CRASHED_RUNS: {code: 8023, level: 'info', text: 'Runs that a minion had when it crashed.'},
   JOB_CANCELLED: {code: 8003, level: 'info', text: 'A job was cancelled; its runs are stopped.'},
   JOB_COMPLETED: {code: 8001, level: 'info', text: 'All tasks of a job are completed.'},
   JOB_FAILED: {
     code: 8002,
     level: 'warn',
-    text: 'A job failed: one of its tasks failed as often as its queue allows.',
+    text: 'A job failed: one of its tasks failed as often as its queue allows, or was given up.',
+  },
+  MINION_CRASHED: {
+    code: 8022,
+    level: 'warn',
+    text: 'A minion crashed; the cause was attributed to its machine or to its suspect runs.',
   },
   MINION_QUARANTINED: {
     code: 8020,
@@ -29,4 +40,24 @@
     level: 'info',
     text: 'Runs of a minion that this owner did not start were adopted.',
   },
+  TASK_CRASHED_MINION: {
+    code: 8015,
+    level: 'warn',
+    text: 'A task is suspected of the crash of its minion, or may be if another one crashes.',
+  },
+  TASK_GIVEN_UP: {
+    code: 8018,
+    level: 'error',
+    text: 'A task was given up because minions crash under it; its job fails.',
+  },
+  TRIAL_PASSED: {
+    code: 8017,
+    level: 'info',
+    text: 'A suspected task was started and its minion did not crash.',
+  },
+  TRIAL_STARTED: {
+    code: 8016,
+    level: 'info',
+    text: 'A suspected task was placed on a minion that gets no other work meanwhile.',
+  },
 } satisfies Record<string, EventKind>;
--- a/packages/nutmegproxy-scheduling/src/SpeculationPlanner.ts
+++ b/packages/nutmegproxy-scheduling/src/SpeculationPlanner.ts
@@ -44,8 +44,9 @@
   for (const minion of fleet.minions.values()) {
     for (const run of [...minion.runs]) {
       const {shape} = run.step;
-      const canSpeculate = shape.speculative && !shape.gang && !shape.longRunning;
       const {index} = run.task;
+      const isSuspect = run.step.crashes.of(index).length > 0;
+      const canSpeculate = shape.speculative && !shape.gang && !shape.longRunning && !isSuspect;
       if (!canSpeculate || run.step.runsOf(index).length > 1 || !isLate(run, estimator, now)) {
         continue;
       }
--- a/packages/nutmegproxy-scheduling/src/StartPlanner.ts
+++ b/packages/nutmegproxy-scheduling/src/StartPlanner.ts
@@ -7,11 +7,14 @@
 import type {Fleet} from './Fleet.ts';
 import type {MinionState} from './MinionState.ts';
 import type {SharingCosts} from './Placement.ts';
+import type {TrialPlan} from './TaskTrials.ts';
 
 import {orderSteps} from './JobOrder.ts';
 import {MinionRanking} from './MinionRanking.ts';
-import {isSchedulable} from './Placement.ts';
+import {computePlacementCost, isSchedulable} from './Placement.ts';
+import {collectReadySteps, listStartableTasks} from './ReadySteps.ts';
 import {planSpeculativeRuns} from './SpeculationPlanner.ts';
+import {planTrials, recordTrial} from './TaskTrials.ts';
 
 /**
  * Share of a service's processors above which no further long-running job starts. Long-running jobs
@@ -40,59 +43,6 @@
   readonly wall: WallTime;
 }
 
-/** Whether all steps that the step depends on are completed. */
-function isReady(step: StepState, siblings: readonly StepState[]): boolean {
-  return step.shape.after.every((earlier) => siblings[earlier]?.isDone ?? false);
-}
-
-/**
- * Returns the waiting tasks of a step that can't have a live run from a former owner. During
- * recovery, these are the tasks whose last run this owner has seen itself.
- */
-function listStartableTasks(fleet: Fleet, {job, recoveredTasks, waiting}: StepState): number[] {
-  const indexes = [...waiting];
-  return job.revision <= fleet.recoveryRevision
-    ? indexes.filter((index) => recoveredTasks.has(index))
-    : indexes;
-}
-
-/** Returns the steps with waiting tasks that may start. */
-export function collectReadySteps(fleet: Fleet, now: Instant, wall: WallTime): StepState[] {
-  const ready: StepState[] = [];
-  for (const job of fleet.jobs.values()) {
-    if (job.isFinal) {
-      continue;
-    }
-    for (const steps of job.openOccurrences(wall)) {
-      for (const step of steps) {
-        if (listStartableTasks(fleet, step).length > 0 && isReady(step, steps)) {
-          step.readyAt ??= now;
-          ready.push(step);
-        }
-      }
-    }
-  }
-  return ready;
-}
-
-/** Returns the number of tasks whose turn has come and that wait for the recovery to complete. */
-export function countHeldTasks(fleet: Fleet, wall: WallTime): number {
-  let held = 0;
-  for (const job of fleet.jobs.values()) {
-    if (job.isFinal || job.revision > fleet.recoveryRevision) {
-      continue;
-    }
-    for (const steps of job.openOccurrences(wall)) {
-      for (const step of steps) {
-        held += isReady(step, steps)
-          ? step.waiting.size - listStartableTasks(fleet, step).length
-          : 0;
-      }
-    }
-  }
-  return held;
-}
-
 /** One planning round. */
 class PlanningRound {
   readonly #context: PlanContext;
@@ -119,7 +69,9 @@
   run(): Run[] {
     const {estimator, now, sharingCosts, wall} = this.#context;
     const ready = collectReadySteps(this.#fleet, now, wall);
-    for (const {step} of orderSteps(this.#fleet, ready, estimator, wall)) {
+    const trials = this.#planTrials(ready);
+    const others = ready.filter(({job}) => !trials.held.has(job) && !job.isFinal);
+    for (const {step} of orderSteps(this.#fleet, others, estimator, wall)) {
       if (step.shape.gang) {
         this.#placeGang(step);
       } else {
@@ -128,6 +80,7 @@
     }
     const schedulable = [...this.#schedulable.values()].flat();
     return [
+      ...trials.starts,
       ...this.#starts,
       ...planSpeculativeRuns(this.#fleet, schedulable, sharingCosts, estimator, now),
     ];
@@ -142,6 +95,27 @@
     return new MinionRanking(step, minions, sharingCosts, now);
   }
 
+  #planTrials(ready: readonly StepState[]): TrialPlan {
+    const {now, sharingCosts} = this.#context;
+    const plan = planTrials(this.#fleet, ready, {
+      listMinions: (step, index) =>
+        this.#listMinions(step).filter(
+          (minion) =>
+            this.#isAllowed(step, index, minion) &&
+            computePlacementCost(step, minion, sharingCosts, now) !== undefined,
+        ),
+      listStartable: (step) => listStartableTasks(this.#fleet, step),
+      now,
+    });
+    if (plan.starts.length > 0) {
+      for (const [service, minions] of this.#schedulable) {
+        const free = minions.filter(({trialRun}) => trialRun === undefined);
+        this.#schedulable.set(service, free);
+      }
+    }
+    return plan;
+  }
+
   /** Whether the task may run on the minion: it is permitted and the task has not failed there. */
   #isAllowed(step: StepState, index: number, minion: MinionState): boolean {
     const {advice: policy, maxAttempts} = this.#fleet.resolveQueuePolicy(step.job);
@@ -263,6 +237,11 @@
       runs.push(this.#fleet.startRun(step, index, minion, now, number));
       ranking.refresh(minion);
     }
+    if (!step.crashes.isEmpty) {
+      for (const run of runs) {
+        recordTrial(this.#fleet, run);
+      }
+    }
     this.#starts.push(...runs);
     return true;
   }
--- a/packages/nutmegproxy-scheduling/src/StopRequest.ts
+++ b/packages/nutmegproxy-scheduling/src/StopRequest.ts
@@ -11,6 +11,7 @@
   | 'gang-broken'
   | 'interference'
   | 'job-over'
+  | 'minion-crashed'
   | 'stalled'
   | 'unknown';
 
--- /dev/null
+++ b/packages/nutmegproxy-scheduling/src/TaskTrials.ts
@@ -0,0 +1,225 @@
+/**
+ * Starts suspected tasks on trial: each alone on its minion, which gets no other work until the task
+ * has run for some time. All other tasks of its job wait for the verdict.
+ */
+
+import type {Instant} from '@nutmegproxy/core';
+import type {JobState, Run, StepState} from '@nutmegproxy/jobs';
+
+import {formatTaskName} from '@nutmegproxy/jobs';
+
+import type {Fleet} from './Fleet.ts';
+import type {MinionListing} from './ListingReconciler.ts';
+import type {MinionState} from './MinionState.ts';
+
+import {MAX_CRASH_AGE_MS} from './CrashAttribution.ts';
+import {computeTrialMs, CRASH_VERDICTS, listCrashes} from './CrashVerdict.ts';
+import {describeRun} from './RunFields.ts';
+import {SCHEDULING_EVENTS} from './SchedulingEvents.ts';
+
+/** Time in milliseconds after a crash in which other machines may turn out to have failed with it. */
+const VERDICT_PAUSE_MS = 2_500;
+/** Time in milliseconds for which a trial waits for a minion without runs. */
+const EMPTY_MINION_WAIT_MS = 700;
+/** Time in milliseconds after which a task that is hardly suspected starts without a trial. */
+const MAX_TRIAL_WAIT_MS = 2_000;
+/** Largest share of the minions that are reserved for trials, and the least number of trials. */
+const MAX_TRIAL_SHARE = 0.15;
+const MIN_TRIALS = 2;
+
+export interface TrialContext {
+  /** Minions that can run a task now: they have capacity and meet its constraints. */
+  readonly listMinions: (step: StepState, index: number) => readonly MinionState[];
+  /** Indexes of the tasks of a step that may start now. */
+  readonly listStartable: (step: StepState) => readonly number[];
+  readonly now: Instant;
+}
+
+export interface TrialPlan {
+  /** Jobs whose tasks must not start otherwise. */
+  readonly held: ReadonlySet<JobState>;
+  readonly starts: readonly Run[];
+}
+
+interface Suspect {
+  readonly index: number;
+  readonly step: StepState;
+  readonly waitedMs: number;
+}
+
+/** Gives up a task and with it its job. */
+function giveUpTask(fleet: Fleet, step: StepState, index: number): void {
+  const {job} = step;
+  const crashes = listCrashes(step, index);
+  fleet.events.record(SCHEDULING_EVENTS.TASK_GIVEN_UP, {
+    crashes: crashes.length,
+    evidence: crashes.map(({evidence}) => evidence).join(' '),
+    job: job.id,
+    minions: crashes.map(({minion}) => minion).join(' '),
+    task: formatTaskName({index, job: job.id, occurrence: step.occurrence, step: step.number}),
+  });
+  fleet.finishJob(job, 'failed');
+}
+
+function countCrashes({job}: StepState): number {
+  let crashes = 0;
+  for (const step of job.steps()) {
+    crashes += step.crashes.indexes.reduce((sum, each) => sum + step.crashes.of(each).length, 0);
+  }
+  return crashes;
+}
+
+/** Orders suspects by how much speaks against them and their jobs. */
+function compareSuspects(a: Suspect, b: Suspect): number {
+  const byTask = b.step.crashes.of(b.index).length - a.step.crashes.of(a.index).length;
+  return byTask || countCrashes(b.step) - countCrashes(a.step) || b.waitedMs - a.waitedMs;
+}
+
+/** Chooses a minion without runs; after a wait one with few of them, and without serving tasks. */
+function chooseMinion(
+  {index, step, waitedMs}: Suspect,
+  context: TrialContext,
+): MinionState | undefined {
+  const crashed = new Set(step.crashes.of(index).map(({address}) => address));
+  const able = context.listMinions(step, index).filter(({trialRun}) => trialRun === undefined);
+  const others = able.filter(({description}) => !crashed.has(description.address));
+  const empty = others.find(({runs}) => runs.size === 0);
+  if (empty !== undefined || waitedMs < EMPTY_MINION_WAIT_MS) {
+    return empty;
+  }
+  const [least] = [...(others.length > 0 ? others : able)].sort(
+    (a, b) => a.servingRuns - b.servingRuns || a.runs.size - b.runs.size,
+  );
+  return least;
+}
+
+/** Records a start that may crash its minion, so that the store names it before it is sent. */
+export function recordTrial(fleet: Fleet, run: Run): void {
+  const bornAt = fleet.minions.get(run.minion)?.bornAt;
+  run.step.crashes.trials.set(run.task.index, {
+    ...(bornAt !== undefined && {bornAt}),
+    minion: run.minion,
+    run: run.number,
+  });
+  fleet.dirtyJobs.add(run.step.job);
+}
+
+function startTrial(
+  fleet: Fleet,
+  {index, step, waitedMs}: Suspect,
+  minion: MinionState,
+  now: Instant,
+): Run {
+  const beside = minion.runs.size;
+  const run = fleet.startRun(step, index, minion, now);
+  minion.trialRun = run;
+  recordTrial(fleet, run);
+  fleet.events.record(SCHEDULING_EVENTS.TRIAL_STARTED, {
+    ...describeRun(run),
+    beside,
+    crashes: step.crashes.of(index).length,
+    waitedMs: Math.round(waitedMs),
+  });
+  return run;
+}
+
+/** Plans the trials of the steps that are ready, and gives up tasks that are found guilty. */
+export function planTrials(
+  fleet: Fleet,
+  ready: readonly StepState[],
+  context: TrialContext,
+): TrialPlan {
+  const {now} = context;
+  const held = new Set<JobState>();
+  const starts: Run[] = [];
+  const suspects: Suspect[] = [];
+  for (const step of ready.filter(({crashes}) => !crashes.isEmpty)) {
+    for (const index of context.listStartable(step)) {
+      const verdict = CRASH_VERDICTS.byTrial(listCrashes(step, index));
+      if (verdict === 'clear' || step.job.isFinal) {
+        continue;
+      }
+      const waitedMs = now - step.crashes.consideredAt(index, now);
+      if (verdict === 'guilty') {
+        held.add(step.job);
+        if (waitedMs >= VERDICT_PAUSE_MS) {
+          giveUpTask(fleet, step, index);
+        }
+      } else if (!step.shape.gang) {
+        suspects.push({index, step, waitedMs});
+      }
+    }
+  }
+  let trials = 0;
+  for (const {trialRun} of fleet.minions.values()) {
+    if (trialRun !== undefined) {
+      trials += 1;
+      held.add(trialRun.step.job);
+    }
+  }
+  const maxTrials = Math.max(MIN_TRIALS, Math.floor(fleet.minions.size * MAX_TRIAL_SHARE));
+  for (const suspect of suspects.sort(compareSuspects)) {
+    const {index, step, waitedMs} = suspect;
+    if (held.has(step.job)) {
+      continue;
+    }
+    const minion = trials < maxTrials ? chooseMinion(suspect, context) : undefined;
+    if (minion !== undefined) {
+      trials += 1;
+      starts.push(startTrial(fleet, suspect, minion, now));
+    }
+    if (minion !== undefined || waitedMs < MAX_TRIAL_WAIT_MS || step.crashes.of(index).length > 1) {
+      held.add(step.job);
+    }
+  }
+  return {held, starts};
+}
+
+/** Ends a trial that the minion has survived; single crashes no longer speak against the job. */
+function passTrial(fleet: Fleet, minion: MinionState, run: Run, now: Instant): void {
+  minion.trialRun = undefined;
+  fleet.events.record(SCHEDULING_EVENTS.TRIAL_PASSED, {
+    ...describeRun(run),
+    ms: Math.round(now - run.sentAt),
+  });
+  for (const step of run.step.job.steps()) {
+    for (const index of step.crashes.indexes) {
+      const crashes = step.crashes.of(index);
+      const [only] = crashes;
+      if (crashes.length === 1 && only !== undefined) {
+        step.crashes.excuse(index, only.run);
+      }
+    }
+  }
+  fleet.dirtyJobs.add(run.step.job);
+}
+
+/** Ends the trial on a minion, and drops crashes under runs that have been live for long. */
+export function reviewTrials(
+  fleet: Fleet,
+  minion: MinionState,
+  {ended}: MinionListing,
+  trial: Run | undefined,
+  now: Instant,
+): void {
+  if (trial !== undefined) {
+    const {index} = trial.task;
+    const ageMs = now - (trial.confirmedAt ?? now);
+    const hasEnded = ended.some(
+      ({number, outcome, task}) =>
+        number === trial.number &&
+        formatTaskName(task) === formatTaskName(trial.task) &&
+        (outcome === 'done' || outcome === 'failed'),
+    );
+    const isLive = minion.trialRun === trial;
+    if (hasEnded || (isLive && ageMs >= computeTrialMs(trial.step.crashes.of(index)))) {
+      passTrial(fleet, minion, trial, now);
+    }
+  }
+  for (const {confirmedAt, step, task} of minion.runs) {
+    const ageMs = now - (confirmedAt ?? now);
+    if (!step.crashes.isEmpty && ageMs >= MAX_CRASH_AGE_MS && step.crashes.clear(task.index)) {
+      fleet.dirtyJobs.add(step.job);
+    }
+  }
+}
--- /dev/null
+++ b/packages/nutmegproxy-scheduling/src/__tests__/unit/CrashAttribution.test.ts
@@ -0,0 +1,166 @@
+import type {JobState, Run} from '@nutmegproxy/jobs';
+
+import assert from 'node:assert/strict';
+import {describe, it} from 'node:test';
+
+import type {MinionState} from '../../MinionState.ts';
+
+import {CRASH_ATTRIBUTIONS} from '../../CrashAttribution.ts';
+import {recordMinionCrash} from '../../CrashRecorder.ts';
+import {CRASH_VERDICTS} from '../../CrashVerdict.ts';
+import {at, SampleFleet, shape} from './Samples.ts';
+
+/** Confirms the runs of a minion at a time. */
+function confirmRuns({runs}: MinionState, atMs: number): void {
+  for (const run of runs) {
+    run.phase = 'running';
+    run.confirmedAt = at(atMs);
+    run.knownFrom = 'listing';
+  }
+}
+
+/** Crashes a minion, which last responded at `atMs` and is back two seconds later. */
+function crash({fleet}: SampleFleet, minion: MinionState, atMs: number): void {
+  minion.lastAnswerAt = at(atMs);
+  minion.silentSince = at(atMs + 20);
+  minion.bornAt = (minion.bornAt ?? 0) + 1;
+  recordMinionCrash(fleet, minion, at(atMs + 2_000));
+  for (const run of [...minion.runs]) {
+    fleet.recordLostRun(run, 'minion restarted');
+  }
+  minion.silentSince = undefined;
+}
+
+function listEvidence(job: JobState): string[] {
+  return [...job.steps()].flatMap(({crashes}) =>
+    crashes.indexes.flatMap((index) => crashes.of(index).map(({evidence}) => evidence)),
+  );
+}
+
+function startOn(sample: SampleFleet, job: JobState, minion: MinionState, atMs: number): Run {
+  const step = job.occurrence(0)?.[0];
+  const index = [...(step?.waiting ?? [])][0];
+  assert.ok(step !== undefined && index !== undefined);
+  return sample.fleet.startRun(step, index, minion, at(atMs));
+}
+
+describe('CRASH_ATTRIBUTIONS', () => {
+  it('counts a crash against runs that had just started, unlike the baseline', () => {
+    const sample = new SampleFleet(0);
+    const minion = sample.addMinion('m1');
+    const [old, young] = [0, 1].map(() => sample.addJob('proofs', [shape()]));
+    assert.ok(old && young);
+    startOn(sample, old, minion, 0);
+    confirmRuns(minion, 0);
+    startOn(sample, young, minion, 3_000).confirmedAt = at(3_001);
+    const exposed = minion.listExposedRuns(1);
+    const inputs = {areRunsKnown: true, exposed, isDraining: false, others: []};
+    assert.equal(CRASH_ATTRIBUTIONS.byMachine(inputs).recorded.length, 0);
+    crash(sample, minion, 3_010);
+    assert.deepEqual(listEvidence(young), ['shared']);
+    assert.deepEqual(listEvidence(old), []);
+  });
+
+  it('does not count the departure of a draining minion', () => {
+    const sample = new SampleFleet(0);
+    const minion = sample.addMinion('m1', {isDraining: true});
+    const job = sample.addJob('proofs', [shape()]);
+    startOn(sample, job, minion, 0);
+    crash(sample, minion, 10);
+    assert.deepEqual(listEvidence(job), []);
+  });
+
+  it('counts no machines that fail together with one that ran nothing young', () => {
+    const sample = new SampleFleet(3);
+    const [idle, first, second] = [...sample.fleet.minions.values()];
+    assert.ok(idle && first && second);
+    const jobs = [first, second].map((minion) => {
+      const job = sample.addJob('proofs', [shape()]);
+      startOn(sample, job, minion, 100);
+      return job;
+    });
+    // The idle one is noticed between the others, and has not restarted yet when the first one has.
+    crash(sample, first, 110);
+    assert.deepEqual(jobs.map(listEvidence), [['alone'], []]);
+    crash(sample, idle, 110);
+    crash(sample, second, 110);
+    assert.deepEqual(jobs.map(listEvidence), [['coincident'], ['coincident']]);
+  });
+
+  it('suspects a run under which two minions crash late, and not one that ran for long', () => {
+    const sample = new SampleFleet(2);
+    const late = sample.addJob('proofs', [shape()]);
+    const long = sample.addJob('proofs', [shape()]);
+    const step = late.occurrence(0)?.[0];
+    let now = 0;
+    for (const minion of sample.fleet.minions.values()) {
+      startOn(sample, long, minion, now);
+      confirmRuns(minion, now);
+      startOn(sample, late, minion, now + 19_000).confirmedAt = at(now + 19_000);
+      crash(sample, minion, now + 20_000);
+      now += 40_000;
+    }
+    assert.deepEqual(listEvidence(long), []);
+    assert.equal(CRASH_VERDICTS.byTrial(step?.crashes.of(0) ?? []), 'suspect');
+  });
+});
+
+describe('planTrials', () => {
+  /** Lets a task of a job crash the minions on which it starts, until its job ends. */
+  function crashUntilFailed(sample: SampleFleet, job: JobState, beside: JobState): number {
+    let starts = 0;
+    for (let now = 0; now < 60_000 && !job.isFinal; now += 100) {
+      for (const run of sample.plan(now)) {
+        run.confirmedAt = at(now);
+        run.phase = 'running';
+        run.knownFrom = 'listing';
+      }
+      for (const minion of sample.fleet.minions.values()) {
+        if ([...minion.runs].some(({step}) => step.job === job)) {
+          starts += 1;
+          crash(sample, minion, now + 10);
+        }
+      }
+    }
+    assert.ok(!beside.isFinal);
+    return starts;
+  }
+
+  it('gives up a task after two crashes, the second one alone on its minion', () => {
+    const sample = new SampleFleet(3);
+    const good = sample.addJob('proofs', [shape({count: 3, longRunning: true})]);
+    const deadly = sample.addJob('proofs', [shape()]);
+    assert.equal(crashUntilFailed(sample, deadly, good), 2);
+    assert.equal(deadly.status, 'failed');
+  });
+
+  it('gives up a task after three crashes when no minion is free for it', () => {
+    const sample = new SampleFleet(3);
+    const good = sample.addJob('proofs', [shape({count: 6, longRunning: true, maxPerMinion: 2})]);
+    sample.plan(0);
+    for (const minion of sample.fleet.minions.values()) {
+      confirmRuns(minion, -60_000);
+    }
+    const deadly = sample.addJob('proofs', [shape()]);
+    assert.ok(crashUntilFailed(sample, deadly, good) <= 3);
+    assert.equal(deadly.status, 'failed');
+  });
+
+  it('places nothing beside a task on trial and holds the rest of its job', () => {
+    const sample = new SampleFleet(3);
+    const job = sample.addJob('proofs', [shape({count: 4})]);
+    const [minion] = [...sample.fleet.minions.values()];
+    assert.ok(minion);
+    startOn(sample, job, minion, 0);
+    crash(sample, minion, 10);
+    const starts = sample.plan(3_000);
+    assert.equal(starts.length, 1);
+    const trial = sample.fleet.minions.get(starts[0]?.minion ?? minion.id);
+    assert.equal(trial?.trialRun, starts[0]);
+    assert.notEqual(trial?.id, minion.id);
+    sample.addJob('proofs', [shape({count: 6})]);
+    const others = sample.plan(3_010);
+    assert.equal(others.length, 6);
+    assert.ok(others.every(({minion: id}) => id !== trial?.id));
+  });
+});
--- a/packages/nutmegproxy-scheduling/src/index.ts
+++ b/packages/nutmegproxy-scheduling/src/index.ts
@@ -2,6 +2,11 @@
 
 export {AdviceCache} from './AdviceCache.ts';
 export type {AdviceQuery, Ticket} from './AdviceCache.ts';
+export {computeProvenAge, CRASH_ATTRIBUTIONS} from './CrashAttribution.ts';
+export type {CrashAttribution, CrashCause, ExposedRun, MinionOutage} from './CrashAttribution.ts';
+export {recordMinionCrash, recordReplacement} from './CrashRecorder.ts';
+export {computeTrialMs, CRASH_VERDICTS} from './CrashVerdict.ts';
+export type {TaskVerdict} from './CrashVerdict.ts';
 export {DurationEstimator} from './DurationEstimator.ts';
 export type {DurationSnapshot} from './DurationEstimator.ts';
 export {evacuateMinion} from './Evacuation.ts';
@@ -21,11 +26,12 @@
 export type {SharingCosts} from './Placement.ts';
 export {DEFAULT_QUEUE_POLICY} from './QueuePolicy.ts';
 export type {AdvicePolicy, QueuePolicy} from './QueuePolicy.ts';
+export {collectReadySteps} from './ReadySteps.ts';
 export {findNamedJobs} from './RunFields.ts';
 export {RunProgressMonitor} from './RunProgressMonitor.ts';
 export {SCHEDULING_EVENTS} from './SchedulingEvents.ts';
 export {SharingPolicy} from './SharingPolicy.ts';
-export {collectReadySteps, planStarts} from './StartPlanner.ts';
+export {planStarts} from './StartPlanner.ts';
 export type {AdviceLookup, PlanContext} from './StartPlanner.ts';
 export type {StopReason, StopRequest} from './StopRequest.ts';
 export {TailLatencyModel, toReferenceCores} from './TailLatencyModel.ts';
