--- a/packages/nutmegproxy-cli/src/__tests__/unit/Explain.test.ts
+++ b/packages/nutmegproxy-cli/src/__tests__/unit/Explain.test.ts
@@ -63,6 +63,25 @@
     }
   });
 
+  it('includes the crashes of the minions under a task that was given up, and what ran there', () => {
+    const job = '3f6718a4051e2adb';
+    const task = `${job}.0.0.0`;
+    const log = [
+      formatLine(1_000, 'edge-a', 8010, {job, minion: 'm1', run: 1, task}),
+      formatLine(4_000, 'edge-a', 8022, {cause: 'task', minion: 'm1'}),
+      formatLine(4_001, 'edge-a', 8023, {
+        minion: 'm1',
+        named: `${task}/1 0000dbd257ca0032.0.0.1/1`,
+      }),
+      formatLine(4_002, 'edge-a', 8015, {job, minion: 'm1', run: 1, task}),
+      formatLine(4_003, 'edge-a', 8022, {cause: 'task', minion: 'm2'}),
+      formatLine(9_000, 'edge-a', 8018, {job, minions: 'm1 m3', task}),
+      formatLine(9_001, 'edge-a', 8002, {job}),
+    ];
+    const codes = explain(log, job).map((line) => / {2}(\d{4}) {2}/.exec(line)?.[1]);
+    assert.deepEqual(codes, ['8010', '8022', '8023', '8015', '8018', '8002']);
+  });
+
   it('returns nothing for an id that no line contains', () => {
     assert.deepEqual(explain(LOG, 'r9'), []);
   });
