Crashes: a start that its minion did not confirm is no crash under the task

Such a start still makes the task suspect, but only crashes under confirmed starts count for the two minions; likewise a former owner's trial, which may not have been sent. Four crashes under young runs of any kind still end the task, for the bound on its starts.

--- a/packages/nutmegproxy-jobs/src/StepCrashes.ts
+++ b/packages/nutmegproxy-jobs/src/StepCrashes.ts
@@ -6,9 +6,10 @@
 
 /**
  * `alone`: the minion ran no other job. `shared`: other jobs may be to blame. `coincident`: other
- * minions failed at the same time, so that the machines are likely to blame.
+ * minions failed at the same time, so that the machines are likely to blame. `unconfirmed`: the
+ * minion had not confirmed the start, and may have been down before.
  */
-export type CrashEvidence = 'alone' | 'coincident' | 'shared';
+export type CrashEvidence = 'alone' | 'coincident' | 'shared' | 'unconfirmed';
 
 /** A crash of a minion that had a run of the task; stored in the job's progress. */
 export interface TaskCrash {
--- a/packages/nutmegproxy-scheduling/src/CrashRecorder.ts
+++ b/packages/nutmegproxy-scheduling/src/CrashRecorder.ts
@@ -83,7 +83,7 @@
 
 /**
  * Records trials of a former owner, or of a lease that expired meanwhile, on a minion that has
- * crashed since. What else has failed at that time is not known.
+ * crashed since. Whether the start was sent, and what else has failed, is not known.
  */
 export function resolveTrials(fleet: Fleet, minion: MinionState, now: Instant): void {
   const {address, isDraining} = minion.description;
@@ -96,7 +96,7 @@
         step.crashes.endTrial(index, run);
         fleet.dirtyJobs.add(job);
         if (!isDraining) {
-          const crash = {address, ageMs: 0, evidence: 'shared', minion: id, run} as const;
+          const crash = {address, ageMs: 0, evidence: 'unconfirmed', minion: id, run} as const;
           recordTaskCrash(fleet, step, index, crash, now);
         }
       }
@@ -139,7 +139,14 @@
     run.step.crashes.endTrial(run.task.index, run.number);
   }
   for (const {ageMs, run} of recorded) {
-    const crash = {address, ageMs, evidence, minion: minion.id, run: run.number};
+    const isConfirmed = run.confirmedAt !== undefined || evidence === 'coincident';
+    const crash = {
+      address,
+      ageMs,
+      evidence: isConfirmed ? evidence : ('unconfirmed' as const),
+      minion: minion.id,
+      run: run.number,
+    };
     recordTaskCrash(fleet, run.step, run.task.index, crash, now);
   }
   resolveTrials(fleet, minion, now);
--- a/packages/nutmegproxy-scheduling/src/CrashVerdict.ts
+++ b/packages/nutmegproxy-scheduling/src/CrashVerdict.ts
@@ -8,7 +8,7 @@
 const MIN_MINIONS = 2;
 /** Crashes under young runs after which a task is given up though other jobs ran beside it. */
 const MAX_SHARED_CRASHES = 3;
-/** The same where other machines failed at the same time each time; the users' bound is five starts. */
+/** The same where machines may have failed each time; the users' bound is five starts. */
 const MAX_FRESH_CRASHES = 4;
 /** Shortest and longest trial in milliseconds. */
 const MIN_TRIAL_MS = 500;
@@ -33,19 +33,20 @@
 
 function judgeByTrial(crashes: readonly TaskCrash[]): TaskVerdict {
   const fresh = crashes.filter(({ageMs}) => ageMs < FRESH_RUN_MS);
-  const blamed = crashes.filter(({evidence}) => evidence !== 'coincident');
+  const blamed = crashes.filter(({evidence}) => evidence === 'alone' || evidence === 'shared');
   const alone = blamed.filter(({evidence}) => evidence === 'alone');
   const strong = blamed.filter((crash) => fresh.includes(crash) || alone.includes(crash));
   const isProven =
     alone.length > 0 &&
     (countMinions(strong) >= MIN_MINIONS || countStarts(blamed) >= MAX_SHARED_CRASHES);
-  const isRepeated =
-    countStarts(strong) >= MAX_SHARED_CRASHES || countStarts(fresh) >= MAX_FRESH_CRASHES;
-  const isConfirmed = countMinions(crashes) >= MIN_MINIONS && countStarts(crashes) > 1;
-  if (isConfirmed && (isProven || isRepeated)) {
+  const isRepeated = countStarts(strong) >= MAX_SHARED_CRASHES;
+  const isConfirmed = countMinions(blamed) >= MIN_MINIONS && countStarts(blamed) > 1;
+  const isExhausted = countStarts(fresh) >= MAX_FRESH_CRASHES && countMinions(fresh) >= MIN_MINIONS;
+  if (isExhausted || (isConfirmed && (isProven || isRepeated))) {
     return 'guilty';
   }
-  return strong.length > 0 || isConfirmed ? 'suspect' : 'clear';
+  const isSuspect = fresh.some(({evidence}) => evidence !== 'coincident') || alone.length > 0;
+  return isSuspect || countStarts(crashes) > 1 ? 'suspect' : 'clear';
 }
 
 /** Ways of judging a task. */
--- a/packages/nutmegproxy-scheduling/src/MinionState.ts
+++ b/packages/nutmegproxy-scheduling/src/MinionState.ts
@@ -153,7 +153,8 @@
     const times = {provenAt: this.lastProofAt, runNumberBase};
     const live = [...this.runs].map((run) => {
       const ageMs = computeProvenAge(run, times);
-      return {ageMs, isSuspect: ageMs < FRESH_RUN_MS || run === this.trialRun, run};
+      const isOnTrial = run.step.crashes.trials.get(run.task.index)?.run === run.number;
+      return {ageMs, isSuspect: ageMs < FRESH_RUN_MS || isOnTrial, run};
     });
     return [...this.lapsedRuns, ...live];
   }
--- a/packages/nutmegproxy-scheduling/src/TaskTrials.ts
+++ b/packages/nutmegproxy-scheduling/src/TaskTrials.ts
@@ -78,10 +78,10 @@
 /** Chooses a minion without runs; after a wait one with few of them, and without serving tasks. */
 function chooseMinion(
   {index, step, waitedMs}: Suspect,
-  context: TrialContext,
+  minions: readonly MinionState[],
 ): MinionState | undefined {
   const crashed = new Set(step.crashes.of(index).map(({address}) => address));
-  const able = context.listMinions(step, index).filter(({trialRun}) => trialRun === undefined);
+  const able = minions.filter(({trialRun}) => trialRun === undefined);
   const others = able.filter(({description}) => !crashed.has(description.address));
   const empty = others.find(({runs}) => runs.size === 0);
   if (empty !== undefined || waitedMs < EMPTY_MINION_WAIT_MS) {
@@ -163,12 +163,15 @@
     if (held.has(step.job)) {
       continue;
     }
-    const minion = trials < maxTrials ? chooseMinion(suspect, context) : undefined;
+    const able = context.listMinions(step, index);
+    const minion = trials < maxTrials ? chooseMinion(suspect, able) : undefined;
     if (minion !== undefined) {
       trials += 1;
       starts.push(startTrial(fleet, suspect, minion, now));
     }
-    if (minion !== undefined || waitedMs < MAX_TRIAL_WAIT_MS || step.crashes.of(index).length > 1) {
+    // Without a minion that can run it, the task is left to the rules of all tasks.
+    const isHardlySuspected = step.crashes.of(index).length === 1 || able.length === 0;
+    if (minion !== undefined || waitedMs < MAX_TRIAL_WAIT_MS || !isHardlySuspected) {
       held.add(step.job);
     }
   }
@@ -178,6 +181,7 @@
 /** Ends a trial that the minion has survived; single crashes no longer speak against the job. */
 function passTrial(fleet: Fleet, minion: MinionState, run: Run, now: Instant): void {
   minion.trialRun = undefined;
+  run.step.crashes.endTrial(run.task.index, run.number);
   fleet.events.record(SCHEDULING_EVENTS.TRIAL_PASSED, {
     ...describeRun(run),
     ms: Math.round(now - run.sentAt),
--- a/packages/nutmegproxy-scheduling/src/__tests__/unit/CrashAttribution.test.ts
+++ b/packages/nutmegproxy-scheduling/src/__tests__/unit/CrashAttribution.test.ts
@@ -1,4 +1,4 @@
-import type {JobState, Run} from '@nutmegproxy/jobs';
+import type {JobState, Run, RunNumber, TaskCrash} from '@nutmegproxy/jobs';
 
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
@@ -41,7 +41,9 @@
   const step = job.occurrence(0)?.[0];
   const index = [...(step?.waiting ?? [])][0];
   assert.ok(step !== undefined && index !== undefined);
-  return sample.fleet.startRun(step, index, minion, at(atMs));
+  const run = sample.fleet.startRun(step, index, minion, at(atMs));
+  run.confirmedAt = at(atMs);
+  return run;
 }
 
 describe('CRASH_ATTRIBUTIONS', () => {
@@ -61,6 +63,20 @@
     assert.deepEqual(listEvidence(old), []);
   });
 
+  it('counts no start that its minion did not confirm, as it may have crashed before', () => {
+    const sample = new SampleFleet(2);
+    const job = sample.addJob('proofs', [shape()]);
+    const step = job.occurrence(0)?.[0];
+    const [down, other] = [...sample.fleet.minions.values()];
+    assert.ok(down && other);
+    startOn(sample, job, down, 100).confirmedAt = undefined;
+    crash(sample, down, 90);
+    startOn(sample, job, other, 20_000);
+    crash(sample, other, 20_010);
+    assert.deepEqual(listEvidence(job), ['unconfirmed', 'alone']);
+    assert.equal(CRASH_VERDICTS.byTrial(step?.crashes.of(0) ?? []), 'suspect');
+  });
+
   it('does not count the departure of a draining minion', () => {
     const sample = new SampleFleet(0);
     const minion = sample.addMinion('m1', {isDraining: true});
@@ -146,6 +162,36 @@
     assert.equal(deadly.status, 'failed');
   });
 
+  it('counts a crash in the trial of a run that the next owner has adopted', () => {
+    const sample = new SampleFleet(1);
+    const [minion] = [...sample.fleet.minions.values()];
+    const job = sample.addJob('proofs', [shape({longRunning: true})]);
+    const step = job.occurrence(0)?.[0];
+    assert.ok(minion && step);
+    sample.fleet.runNumberBase = 1_001;
+    step.crashes.trials.set(0, {bornAt: 1, minion: minion.id, run: 2 as RunNumber});
+    const task = {index: 0, job: job.id, occurrence: 0, step: 0};
+    sample.fleet.adoptRun(step, task, 2 as RunNumber, minion, at(0));
+    crash(sample, minion, 2_000);
+    assert.deepEqual(listEvidence(job), ['alone']);
+  });
+
+  it('leaves a task that no minion can run on trial to the rules of all tasks', () => {
+    const sample = new SampleFleet(2);
+    const job = sample.addJob('proofs', [shape({count: 2})]);
+    const step = job.occurrence(0)?.[0];
+    assert.ok(step);
+    for (const minion of sample.fleet.minions.values()) {
+      const run = startOn(sample, job, minion, 0);
+      run.step.avoid(0, minion.id);
+      run.step.avoid(1, minion.id);
+      crash(sample, minion, 10);
+    }
+    step.crashes.record(0, {...step.crashes.of(0)[0], run: 9} as TaskCrash, at(2_000));
+    assert.equal(sample.plan(2_100).length, 0);
+    assert.ok(sample.plan(6_000).length > 0);
+  });
+
   it('places nothing beside a task on trial and holds the rest of its job', () => {
     const sample = new SampleFleet(3);
     const job = sample.addJob('proofs', [shape({count: 4})]);
