Emulated minion: a crash that is due follows the minion's own clock

The check whether a minion is down advanced it by the fleet's clock, which ended the runs of minions with a clock of their own: four tests of UnreachedMinions failed.

--- a/packages/nutmegproxy-emulator/src/EmulatedMinion.ts
+++ b/packages/nutmegproxy-emulator/src/EmulatedMinion.ts
@@ -58,7 +58,7 @@
   readonly #usedNumbers = new Map<string, number>();
   #sequence = 0;
   #token = 0;
-  #upAtMs = 0;
+  #upAtMs = -Infinity;
 
   constructor(
     description: MinionDescription,
@@ -75,12 +75,7 @@
 
   /** Ends runs whose duration has passed, and all runs once the lease has expired. */
   advance(nowMs: number): void {
-    const crashing = [...this.#liveRuns.values()].find(
-      ({crashDownMs, dueMs}) => crashDownMs !== undefined && dueMs <= nowMs,
-    );
-    if (crashing?.crashDownMs !== undefined) {
-      this.crash(crashing.crashDownMs, crashing.dueMs);
-    }
+    this.#crashIfDue(nowMs);
     for (const [name, run] of this.#liveRuns) {
       if (run.dueMs <= nowMs) {
         this.#finishRun(name, run, run.outcome, run.dueMs);
@@ -98,7 +93,7 @@
 
   /** Whether the minion has crashed and doesn't respond yet. */
   isDown(nowMs: number): boolean {
-    this.advance(nowMs);
+    this.#crashIfDue(nowMs);
     return nowMs < this.#upAtMs;
   }
 
@@ -195,6 +190,15 @@
     return ok({clockMs: nowMs});
   }
 
+  #crashIfDue(nowMs: number): void {
+    const crashing = [...this.#liveRuns.values()].find(
+      ({crashDownMs, dueMs}) => crashDownMs !== undefined && dueMs <= nowMs,
+    );
+    if (crashing?.crashDownMs !== undefined) {
+      this.crash(crashing.crashDownMs, crashing.dueMs);
+    }
+  }
+
   #checkToken(token: number, nowMs: number): OrderFailure | undefined {
     if (token < this.#token) {
       return createFailure('fenced', nowMs);
