Trials: a start whose record can't be stored is given up after a second

Found by the review: while the store does not respond, a suspected task's start waited for its record for as long as that lasted; its minion got no other work, and the rest of its job waited. It now is placed again after 1 s.

--- a/packages/nutmegproxy-owner/src/OwnerConstants.ts
+++ b/packages/nutmegproxy-owner/src/OwnerConstants.ts
@@ -40,6 +40,8 @@
 export const UNACKNOWLEDGED_PAUSE_MS = 500;
 /** Consecutive attempts to send a start or stop; after them the next poll decides. */
 export const ORDER_ATTEMPTS = 4;
+/** Longest wait for the record of a suspected task's start; the task is then placed again. */
+export const TRIAL_RECORD_TIMEOUT_MS = 1_000;
 /** Pause between two attempts to send an order. */
 export const ORDER_RETRY_MS = 60;
 /** Shortest pause between two rounds of planning; changes within it are planned together. */
--- a/packages/nutmegproxy-owner/src/RunOrders.ts
+++ b/packages/nutmegproxy-owner/src/RunOrders.ts
@@ -15,7 +15,7 @@
 import type {MinionTarget, OrderFailure} from './MinionOrders.ts';
 import type {SessionContext} from './SessionContext.ts';
 
-import {ORDER_ATTEMPTS, ORDER_RETRY_MS} from './OwnerConstants.ts';
+import {ORDER_ATTEMPTS, ORDER_RETRY_MS, TRIAL_RECORD_TIMEOUT_MS} from './OwnerConstants.ts';
 import {OWNER_EVENTS} from './OwnerEvents.ts';
 import {isSameTask} from './OwnerUtils.ts';
 
@@ -63,11 +63,9 @@
       return;
     }
     this.#starting.add(run);
-    if (run.step.crashes.trials.get(run.task.index)?.run === run.number) {
-      // The next owner has to know of a start that may crash the minion before its report.
-      await this.#context.journal.flush();
-    }
-    const result = await this.#tryStart(run);
+    const isOnTrial = run.step.crashes.trials.get(run.task.index)?.run === run.number;
+    const isRecorded = !isOnTrial || (await this.#awaitTrialRecord());
+    const result = isRecorded ? await this.#tryStart(run) : 'not-started';
     this.#starting.delete(run);
     if (result === 'not-started' && run.phase === 'starting' && this.#minion.runs.has(run)) {
       this.#context.fleet.discardRun(run);
@@ -87,6 +85,15 @@
     this.#stopping.delete(key);
   }
 
+  /**
+   * Waits until a start that may crash the minion is stored, since the next owner has to know of it;
+   * false when the store does not respond, so that the minion is free again.
+   */
+  async #awaitTrialRecord(): Promise<boolean> {
+    const stored = this.#context.journal.flush().then(() => true);
+    return Promise.race([stored, delay(TRIAL_RECORD_TIMEOUT_MS).then(() => false)]);
+  }
+
   get #target(): MinionTarget {
     return {address: this.#minion.description.address, id: this.#minion.id};
   }
