Crashes: who is blamed where machines fail together, late, or in turn (review)

Without a job that all of them ran, the machines are to blame. - A gang was judged by the crashes of all members; now each member by its own. - A task that crashes late in its run was never given up without an empty minion (11 starts in 60 s), or beside another of its job (20 starts). Four crashes without a failed machine decide; crashes beside others count as coincident and lead to a trial. - A lasting job with one suspect was idle as a whole, for 15 s in the calm. Only the suspect waits, for at most 2 s unless more than one crash speaks strongly against it. - A stored trial that was never sent was counted at a much later restart of its minion. A trial prefers the minion that has been up longest. One test stays red and is listed: a run that ended while its minion was cut off is blamed for the crash of that minion behind the cut; from what the owner sees the two can't be told apart.

--- a/packages/nutmegproxy-jobs/src/JobState.ts
+++ b/packages/nutmegproxy-jobs/src/JobState.ts
@@ -21,6 +21,8 @@
   status: JobStatus;
   /** Whether a task of the job has started, under this owner or a former one. */
   hasStarted: boolean;
+  /** Whether starts of suspected tasks were stored for the job. */
+  mayHaveTrials = false;
   readonly #finished = new Set<number>();
   readonly #occurrences = new Map<number, readonly StepState[]>();
   readonly #progress: JobProgress;
@@ -37,6 +39,7 @@
     this.#progress = progress;
     for (const [key, {trials}] of Object.entries(progress.steps)) {
       if (trials !== undefined) {
+        this.mayHaveTrials = true;
         // The minion of the trial may report before the occurrence is planned.
         this.occurrence(Number.parseInt(key, 10));
       }
--- a/packages/nutmegproxy-scheduling/src/CrashAttribution.ts
+++ b/packages/nutmegproxy-scheduling/src/CrashAttribution.ts
@@ -32,9 +32,9 @@
 /** The failure of a minion, some time between its last response and its first missed call. */
 export interface MinionOutage {
   readonly from: Instant;
-  /** Whether a task may be to blame. */
-  readonly hasSuspects: boolean;
   readonly minion: MinionId;
+  /** Jobs of the runs that may be to blame. */
+  readonly suspectJobs: ReadonlySet<JobId>;
   readonly until: Instant;
 }
 
@@ -80,11 +80,22 @@
   return one.from <= other.until + OUTAGE_MARGIN_MS && other.from <= one.until + OUTAGE_MARGIN_MS;
 }
 
-function countJobs(exposed: readonly ExposedRun[]): number {
-  return new Set<JobId>(exposed.map(({run}) => run.task.job)).size;
+/** Returns the jobs of runs. */
+export function listJobs(exposed: readonly ExposedRun[]): ReadonlySet<JobId> {
+  return new Set(exposed.map(({run}) => run.task.job));
 }
 
-/** Blames young runs, unless machines without any young run failed at the same time. */
+/** Whether no job can be to blame for all outages, so that the machines failed together. */
+function haveDifferentCauses(
+  suspects: readonly ExposedRun[],
+  others: readonly MinionOutage[],
+): boolean {
+  return ![...listJobs(suspects)].some((job) =>
+    others.every(({suspectJobs}) => suspectJobs.has(job)),
+  );
+}
+
+/** Blames young runs, unless other minions failed at the same time without a run of the same job. */
 function attributeByExposure(inputs: CrashInputs): CrashAttribution {
   const {areRunsKnown, exposed, isDraining, others} = inputs;
   const suspects = exposed.filter(({isSuspect}) => isSuspect);
@@ -97,13 +108,18 @@
   if (suspects.length === 0) {
     // A task that crashes its minion late in its run is only found by the next crash under it.
     const recorded = exposed.filter(({ageMs}) => ageMs < MAX_CRASH_AGE_MS);
-    const isIsolated = others.length === 0;
-    return {cause: 'machine', evidence: 'shared', recorded: isIsolated ? recorded : []};
+    return others.length === 0
+      ? {cause: 'machine', evidence: 'shared', recorded}
+      : {
+          cause: 'machine',
+          evidence: 'coincident',
+          recorded: recorded.filter(({run}) => !run.step.shape.longRunning),
+        };
   }
-  if (others.some(({hasSuspects}) => !hasSuspects)) {
+  if (haveDifferentCauses(suspects, others)) {
     return {cause: 'outage', evidence: 'coincident', recorded: suspects};
   }
-  const evidence = countJobs(exposed) === 1 ? 'alone' : 'shared';
+  const evidence = listJobs(exposed).size === 1 ? 'alone' : 'shared';
   return {cause: 'task', evidence, recorded: suspects};
 }
 
--- a/packages/nutmegproxy-scheduling/src/CrashRecorder.ts
+++ b/packages/nutmegproxy-scheduling/src/CrashRecorder.ts
@@ -1,7 +1,7 @@
 /** Records the crashes of minions under the tasks that may have caused them. */
 
 import type {Instant} from '@nutmegproxy/core';
-import type {StepState, TaskCrash} from '@nutmegproxy/jobs';
+import type {StepState, TaskCrash, TaskTrial} from '@nutmegproxy/jobs';
 
 import {formatTaskName} from '@nutmegproxy/jobs';
 
@@ -9,11 +9,17 @@
 import type {Fleet} from './Fleet.ts';
 import type {MinionState} from './MinionState.ts';
 
-import {CRASH_ATTRIBUTIONS, isSimultaneous} from './CrashAttribution.ts';
-import {CRASH_VERDICTS, listCrashes} from './CrashVerdict.ts';
+import {CRASH_ATTRIBUTIONS, isSimultaneous, listJobs} from './CrashAttribution.ts';
+import {CRASH_VERDICTS} from './CrashVerdict.ts';
 import {describeRun, describeRuns} from './RunFields.ts';
 import {SCHEDULING_EVENTS} from './SchedulingEvents.ts';
 
+interface StoredTrial {
+  readonly index: number;
+  readonly step: StepState;
+  readonly trial: TaskTrial;
+}
+
 function describeOutage(
   minion: MinionState,
   exposed: readonly ExposedRun[],
@@ -22,8 +28,8 @@
   const until = minion.silentSince ?? now;
   return {
     from: Math.min(minion.lastProofAt, until) as Instant,
-    hasSuspects: exposed.some(({isSuspect}) => isSuspect),
     minion: minion.id,
+    suspectJobs: listJobs(exposed.filter(({isSuspect}) => isSuspect)),
     until,
   };
 }
@@ -77,29 +83,60 @@
     minion: crash.minion,
     run: crash.run,
     task: formatTaskName({index, job: job.id, occurrence: step.occurrence, step: step.number}),
-    verdict: CRASH_VERDICTS.byTrial(listCrashes(step, index)),
+    verdict: CRASH_VERDICTS.byTrial(crashes),
   });
 }
 
+/** Lists the stored trials on a minion. */
+function listTrialsOn(fleet: Fleet, {id}: MinionState): StoredTrial[] {
+  const stored: StoredTrial[] = [];
+  for (const job of fleet.jobs.values()) {
+    if (!job.mayHaveTrials) {
+      continue;
+    }
+    for (const step of job.steps()) {
+      for (const [index, trial] of step.crashes.trials) {
+        if (trial.minion === id) {
+          stored.push({index, step, trial});
+        }
+      }
+    }
+  }
+  return stored;
+}
+
 /**
  * Records trials of a former owner, or of a lease that expired meanwhile, on a minion that has
  * crashed since. Whether the start was sent, and what else has failed, is not known.
  */
 export function resolveTrials(fleet: Fleet, minion: MinionState, now: Instant): void {
   const {address, isDraining} = minion.description;
-  for (const job of fleet.jobs.values()) {
-    for (const step of job.steps()) {
-      for (const [index, {bornAt, minion: id, run}] of step.crashes.trials) {
-        if (id !== minion.id || bornAt === undefined || bornAt === minion.bornAt) {
-          continue;
-        }
-        step.crashes.endTrial(index, run);
-        fleet.dirtyJobs.add(job);
-        if (!isDraining) {
-          const crash = {address, ageMs: 0, evidence: 'unconfirmed', minion: id, run} as const;
-          recordTaskCrash(fleet, step, index, crash, now);
-        }
-      }
+  for (const {index, step, trial} of listTrialsOn(fleet, minion)) {
+    const {bornAt, run} = trial;
+    if (bornAt === undefined || bornAt === minion.bornAt) {
+      continue;
+    }
+    step.crashes.endTrial(index, run);
+    fleet.dirtyJobs.add(step.job);
+    if (!isDraining) {
+      const evidence = 'unconfirmed' as const;
+      recordTaskCrash(
+        fleet,
+        step,
+        index,
+        {address, ageMs: 0, evidence, minion: minion.id, run},
+        now,
+      );
+    }
+  }
+}
+
+/** Ends trials whose minion has reported and does not run them: their starts were never sent. */
+export function dropUnsentTrials(fleet: Fleet, minion: MinionState): void {
+  for (const {index, step, trial} of listTrialsOn(fleet, minion)) {
+    const isLive = step.runsOf(index).some(({number}) => number === trial.run);
+    if (!isLive && trial.bornAt === minion.bornAt && step.crashes.endTrial(index, trial.run)) {
+      fleet.dirtyJobs.add(step.job);
     }
   }
 }
--- a/packages/nutmegproxy-scheduling/src/CrashVerdict.ts
+++ b/packages/nutmegproxy-scheduling/src/CrashVerdict.ts
@@ -1,6 +1,6 @@
 /** Judges a task by the crashes of minions under its runs. */
 
-import type {StepState, TaskCrash} from '@nutmegproxy/jobs';
+import type {TaskCrash} from '@nutmegproxy/jobs';
 
 import {FRESH_RUN_MS} from './CrashAttribution.ts';
 
@@ -10,6 +10,8 @@
 const MAX_SHARED_CRASHES = 3;
 /** The same where machines may have failed each time; the users' bound is five starts. */
 const MAX_FRESH_CRASHES = 4;
+/** The same for runs of any age where no machine is known to have failed. */
+const MAX_BLAMED_CRASHES = 4;
 /** Shortest and longest trial in milliseconds. */
 const MIN_TRIAL_MS = 500;
 const MAX_TRIAL_MS = 5_000;
@@ -42,11 +44,19 @@
   const isRepeated = countStarts(strong) >= MAX_SHARED_CRASHES;
   const isConfirmed = countMinions(blamed) >= MIN_MINIONS && countStarts(blamed) > 1;
   const isExhausted = countStarts(fresh) >= MAX_FRESH_CRASHES && countMinions(fresh) >= MIN_MINIONS;
-  if (isExhausted || (isConfirmed && (isProven || isRepeated))) {
+  const isOften = countStarts(blamed) >= MAX_BLAMED_CRASHES;
+  if (isExhausted || (isConfirmed && (isProven || isRepeated || isOften))) {
     return 'guilty';
   }
-  const isSuspect = fresh.some(({evidence}) => evidence !== 'coincident') || alone.length > 0;
-  return isSuspect || countStarts(crashes) > 1 ? 'suspect' : 'clear';
+  return isStronglySuspected(crashes) || countStarts(crashes) > 1 ? 'suspect' : 'clear';
+}
+
+/** Whether a task needs a trial; others start without one when no minion is free for it. */
+export function isStronglySuspected(crashes: readonly TaskCrash[]): boolean {
+  return crashes.some(
+    ({ageMs, evidence}) =>
+      evidence === 'alone' || (ageMs < FRESH_RUN_MS && evidence !== 'coincident'),
+  );
 }
 
 /** Ways of judging a task. */
@@ -56,11 +66,6 @@
   byTrial: judgeByTrial,
 } satisfies Record<string, (crashes: readonly TaskCrash[]) => TaskVerdict>;
 
-/** Returns the crashes under a task; a gang is judged by those under all of its members. */
-export function listCrashes({crashes, shape}: StepState, index: number): readonly TaskCrash[] {
-  return shape.gang ? crashes.indexes.flatMap((each) => crashes.of(each)) : crashes.of(index);
-}
-
 /**
  * Returns how long a run has to be live, in milliseconds, until its trial ends.
  *
--- a/packages/nutmegproxy-scheduling/src/ListingReconciler.ts
+++ b/packages/nutmegproxy-scheduling/src/ListingReconciler.ts
@@ -6,7 +6,7 @@
 import type {Fleet} from './Fleet.ts';
 import type {MinionState} from './MinionState.ts';
 
-import {resolveTrials} from './CrashRecorder.ts';
+import {dropUnsentTrials, resolveTrials} from './CrashRecorder.ts';
 import {reviewTrials} from './TaskTrials.ts';
 
 /** Progress of a live run, as listed by its minion. */
@@ -177,5 +177,8 @@
       fleet.recordLostRun(run, 'not listed');
     }
   }
+  if (!minion.hasReported) {
+    dropUnsentTrials(fleet, minion);
+  }
   reviewTrials(fleet, minion, listing, trialRun, now);
 }
--- a/packages/nutmegproxy-scheduling/src/OutageLog.ts
+++ b/packages/nutmegproxy-scheduling/src/OutageLog.ts
@@ -22,7 +22,7 @@
   }
 
   /** Returns the outages of other minions that may have been at the same time. */
-  findSimultaneous(outage: Omit<MinionOutage, 'hasSuspects'>): readonly RecordedOutage[] {
+  findSimultaneous(outage: Omit<MinionOutage, 'suspectJobs'>): readonly RecordedOutage[] {
     return this.#outages.filter(
       (other) => other.minion !== outage.minion && isSimultaneous(other, outage),
     );
--- a/packages/nutmegproxy-scheduling/src/StartPlanner.ts
+++ b/packages/nutmegproxy-scheduling/src/StartPlanner.ts
@@ -47,6 +47,8 @@
 class PlanningRound {
   readonly #context: PlanContext;
   readonly #fleet: Fleet;
+  /** Suspected tasks of lasting jobs that start on trial only. */
+  #heldTasks: TrialPlan['heldTasks'] = new Map();
   readonly #starts: Run[] = [];
   readonly #schedulable = new Map<ServiceId, MinionState[]>();
 
@@ -70,6 +72,7 @@
     const {estimator, now, sharingCosts, wall} = this.#context;
     const ready = collectReadySteps(this.#fleet, now, wall);
     const trials = this.#planTrials(ready);
+    this.#heldTasks = trials.heldTasks;
     const others = ready.filter(({job}) => !trials.held.has(job) && !job.isFinal);
     for (const {step} of orderSteps(this.#fleet, others, estimator, wall)) {
       if (step.shape.gang) {
@@ -185,7 +188,9 @@
       return;
     }
     let ranking = this.#rank(step, minions);
-    for (const [order, index] of listStartableTasks(this.#fleet, step).entries()) {
+    const held = this.#heldTasks.get(step);
+    const startable = listStartableTasks(this.#fleet, step).filter((index) => !held?.has(index));
+    for (const [order, index] of startable.entries()) {
       const minion =
         this.#choose(step, index, ranking) ??
         this.#chooseAvoidedMinion(step, index, minions, ranking);
--- a/packages/nutmegproxy-scheduling/src/TaskTrials.ts
+++ b/packages/nutmegproxy-scheduling/src/TaskTrials.ts
@@ -1,6 +1,7 @@
 /**
  * Starts suspected tasks on trial: each alone on its minion, which gets no other work until the task
- * has run for some time. All other tasks of its job wait for the verdict.
+ * has run for some time. All other tasks of its job wait for the verdict, unless the job is to last:
+ * its tasks serve users while they run, whatever becomes of the others.
  */
 
 import type {Instant} from '@nutmegproxy/core';
@@ -13,7 +14,7 @@
 import type {MinionState} from './MinionState.ts';
 
 import {MAX_CRASH_AGE_MS} from './CrashAttribution.ts';
-import {computeTrialMs, CRASH_VERDICTS, listCrashes} from './CrashVerdict.ts';
+import {computeTrialMs, CRASH_VERDICTS, isStronglySuspected} from './CrashVerdict.ts';
 import {describeRun} from './RunFields.ts';
 import {SCHEDULING_EVENTS} from './SchedulingEvents.ts';
 
@@ -38,6 +39,8 @@
 export interface TrialPlan {
   /** Jobs whose tasks must not start otherwise. */
   readonly held: ReadonlySet<JobState>;
+  /** Tasks of lasting jobs that must not start otherwise, by step. */
+  readonly heldTasks: ReadonlyMap<StepState, ReadonlySet<number>>;
   readonly starts: readonly Run[];
 }
 
@@ -50,7 +53,7 @@
 /** Gives up a task and with it its job. */
 function giveUpTask(fleet: Fleet, step: StepState, index: number): void {
   const {job} = step;
-  const crashes = listCrashes(step, index);
+  const crashes = step.crashes.of(index);
   fleet.events.record(SCHEDULING_EVENTS.TASK_GIVEN_UP, {
     crashes: crashes.length,
     evidence: crashes.map(({evidence}) => evidence).join(' '),
@@ -83,7 +86,10 @@
   const crashed = new Set(step.crashes.of(index).map(({address}) => address));
   const able = minions.filter(({trialRun}) => trialRun === undefined);
   const others = able.filter(({description}) => !crashed.has(description.address));
-  const empty = others.find(({runs}) => runs.size === 0);
+  // A minion that has been up for long is less likely to fail by itself.
+  const [empty] = others
+    .filter(({runs}) => runs.size === 0)
+    .sort((a, b) => (a.bornAt ?? Infinity) - (b.bornAt ?? Infinity));
   if (empty !== undefined || waitedMs < EMPTY_MINION_WAIT_MS) {
     return empty;
   }
@@ -101,6 +107,7 @@
     minion: run.minion,
     run: run.number,
   });
+  run.step.job.mayHaveTrials = true;
   fleet.dirtyJobs.add(run.step.job);
 }
 
@@ -131,11 +138,12 @@
 ): TrialPlan {
   const {now} = context;
   const held = new Set<JobState>();
+  const heldTasks = new Map<StepState, Set<number>>();
   const starts: Run[] = [];
   const suspects: Suspect[] = [];
   for (const step of ready.filter(({crashes}) => !crashes.isEmpty)) {
     for (const index of context.listStartable(step)) {
-      const verdict = CRASH_VERDICTS.byTrial(listCrashes(step, index));
+      const verdict = CRASH_VERDICTS.byTrial(step.crashes.of(index));
       if (verdict === 'clear' || step.job.isFinal) {
         continue;
       }
@@ -151,10 +159,14 @@
     }
   }
   let trials = 0;
+  const triedJobs = new Set<JobState>();
   for (const {trialRun} of fleet.minions.values()) {
     if (trialRun !== undefined) {
       trials += 1;
-      held.add(trialRun.step.job);
+      triedJobs.add(trialRun.step.job);
+      if (!trialRun.step.shape.longRunning) {
+        held.add(trialRun.step.job);
+      }
     }
   }
   const maxTrials = Math.max(MIN_TRIALS, Math.floor(fleet.minions.size * MAX_TRIAL_SHARE));
@@ -164,18 +176,26 @@
       continue;
     }
     const able = context.listMinions(step, index);
-    const minion = trials < maxTrials ? chooseMinion(suspect, able) : undefined;
+    const isPossible = trials < maxTrials && !triedJobs.has(step.job);
+    const minion = isPossible ? chooseMinion(suspect, able) : undefined;
     if (minion !== undefined) {
       trials += 1;
+      triedJobs.add(step.job);
       starts.push(startTrial(fleet, suspect, minion, now));
     }
     // Without a minion that can run it, the task is left to the rules of all tasks.
-    const isHardlySuspected = step.crashes.of(index).length === 1 || able.length === 0;
-    if (minion !== undefined || waitedMs < MAX_TRIAL_WAIT_MS || !isHardlySuspected) {
+    const crashes = step.crashes.of(index);
+    const needsTrial = crashes.length > 1 && able.length > 0 && isStronglySuspected(crashes);
+    if (minion === undefined && waitedMs >= MAX_TRIAL_WAIT_MS && !needsTrial) {
+      continue;
+    }
+    if (step.shape.longRunning) {
+      heldTasks.set(step, (heldTasks.get(step) ?? new Set()).add(index));
+    } else {
       held.add(step.job);
     }
   }
-  return {held, starts};
+  return {held, heldTasks, starts};
 }
 
 /** Ends a trial that the minion has survived; single crashes no longer speak against the job. */
--- /dev/null
+++ b/packages/nutmegproxy-scheduling/src/__tests__/unit/TaskTrials.test.ts
@@ -0,0 +1,275 @@
+import type {JobState, Run} from '@nutmegproxy/jobs';
+
+import assert from 'node:assert/strict';
+import {describe, it} from 'node:test';
+
+import type {MinionState} from '../../MinionState.ts';
+
+import {recordMinionCrash} from '../../CrashRecorder.ts';
+import {reconcileListing} from '../../ListingReconciler.ts';
+import {at, SampleFleet, shape} from './Samples.ts';
+
+/** When a minion that has crashed is back. */
+const upAt = new WeakMap<MinionState, number>();
+
+/** Confirms all starts of a minion that are not confirmed. */
+function confirm({runs}: MinionState, atMs: number): void {
+  for (const run of runs) {
+    run.phase = run.phase === 'starting' ? 'running' : run.phase;
+    run.confirmedAt ??= at(atMs);
+    run.knownFrom = 'listing';
+  }
+}
+
+/** Lets a minion respond, with all of its runs live. */
+function respond({fleet}: SampleFleet, minion: MinionState, nowMs: number): void {
+  confirm(minion, nowMs);
+  minion.lastAnswerAt = at(nowMs);
+  const listing = {
+    bornAt: minion.bornAt,
+    clockMs: nowMs,
+    ended: [],
+    running: [...minion.runs].map(({number, task}) => ({
+      checkpoint: undefined,
+      number,
+      percent: 0,
+      reading: undefined,
+      task,
+    })),
+  };
+  const times = {appliedThrough: 0, now: at(nowMs), requestedAt: at(nowMs)};
+  reconcileListing(fleet, minion, listing, times);
+}
+
+/** Crashes minions at the same time; each is back two seconds later. */
+function crash({fleet}: SampleFleet, minions: readonly MinionState[], atMs: number): void {
+  for (const minion of minions) {
+    minion.lastAnswerAt ??= at(atMs);
+    upAt.set(minion, atMs + 2_000);
+    minion.silentSince = at(atMs + 20);
+  }
+  for (const minion of minions) {
+    minion.bornAt = (minion.bornAt ?? 0) + 1;
+    recordMinionCrash(fleet, minion, at(atMs + 2_000));
+    for (const run of [...minion.runs]) {
+      fleet.recordLostRun(run, 'minion restarted');
+    }
+    minion.silentSince = undefined;
+    minion.missedCalls = 1;
+  }
+}
+
+function startOn(
+  sample: SampleFleet,
+  job: JobState,
+  minion: MinionState,
+  atMs: number,
+  chosen?: number,
+): Run {
+  const step = job.occurrence(0)?.[0];
+  const index = chosen ?? step?.waiting.values().next().value;
+  assert.ok(step !== undefined && index !== undefined);
+  const run = sample.fleet.startRun(step, index, minion, at(atMs));
+  confirm(minion, atMs);
+  return run;
+}
+
+/** Plans every 100 ms while all minions respond; calls `onStep` after each round. */
+function play(
+  sample: SampleFleet,
+  fromMs: number,
+  untilMs: number,
+  onStep: (now: number) => void = () => undefined,
+): void {
+  for (let now = fromMs; now < untilMs; now += 100) {
+    for (const minion of sample.fleet.minions.values()) {
+      minion.missedCalls = now < (upAt.get(minion) ?? 0) ? 1 : 0;
+    }
+    sample.plan(now);
+    for (const minion of sample.fleet.minions.values()) {
+      if (minion.missedCalls === 0) {
+        respond(sample, minion, now);
+      }
+    }
+    onStep(now);
+  }
+}
+
+describe('A task that crashes its minion some time after its start', () => {
+  /** Counts the starts of the most started task while each run crashes its minion at an age. */
+  function countStarts(sample: SampleFleet, job: JobState, ageMs: number): number {
+    const starts = new Map<number, number>();
+    const seen = new Set<Run>();
+    play(sample, 0, 60_000, (now) => {
+      const due: MinionState[] = [];
+      for (const minion of sample.fleet.minions.values()) {
+        for (const run of minion.runs) {
+          if (run.step.job === job && !seen.has(run)) {
+            seen.add(run);
+            starts.set(run.task.index, (starts.get(run.task.index) ?? 0) + 1);
+          }
+          if (run.step.job === job && now - (run.confirmedAt ?? now) >= ageMs) {
+            due.push(minion);
+          }
+        }
+      }
+      crash(sample, [...new Set(due)], now);
+    });
+    return Math.max(...starts.values());
+  }
+
+  it('is given up though no minion is free of other runs', () => {
+    const sample = new SampleFleet(4);
+    const good = sample.addJob('proofs', [shape({count: 8, longRunning: true, maxPerMinion: 2})]);
+    sample.plan(0);
+    const deadly = sample.addJob('proofs', [shape()]);
+    const starts = countStarts(sample, deadly, 3_000);
+    assert.ok(starts <= 5, `${starts} starts`);
+    assert.equal(good.isFinal, false);
+  });
+
+  it('is given up on idle minions', () => {
+    const sample = new SampleFleet(6);
+    const deadly = sample.addJob('proofs', [shape()]);
+    const starts = countStarts(sample, deadly, 3_000);
+    assert.ok(starts <= 5, `${starts} starts`);
+  });
+
+  it('is given up though another task of its job does the same at the same time', () => {
+    const sample = new SampleFleet(6);
+    const deadly = sample.addJob('proofs', [shape({count: 2, maxPerMinion: 1})]);
+    const starts = countStarts(sample, deadly, 3_000);
+    assert.ok(starts <= 5, `${starts} starts`);
+  });
+});
+
+describe('A good job', () => {
+  it('is not given up when no task of its gang has lost two minions', () => {
+    const sample = new SampleFleet(8);
+    const gang = sample.addJob('proofs', [shape({count: 3, gang: true, maxPerMinion: 1})]);
+    const step = gang.occurrence(0)?.[0];
+    for (const [round, index] of [0, 1].entries()) {
+      const now = round * 10_000;
+      for (const each of sample.fleet.minions.values()) {
+        each.missedCalls = 0;
+      }
+      sample.plan(now);
+      const run = step?.runsOf(index)[0];
+      const minion = run && sample.fleet.minions.get(run.minion);
+      assert.ok(minion);
+      for (const each of sample.fleet.minions.values()) {
+        respond(sample, each, now + 50);
+      }
+      crash(sample, [minion], now + 100);
+      for (const other of [...step.runs()]) {
+        sample.fleet.discardRun(other);
+      }
+      sample.fleet.pendingStops.splice(0);
+    }
+    play(sample, 13_000, 20_000);
+    assert.notEqual(gang.status, 'failed');
+  });
+
+  it('is not given up when its rack fails twice, with starts on each minion of the rack', () => {
+    const sample = new SampleFleet(0);
+    const rack = Array.from({length: 8}, (_, each) => sample.addMinion(`m${each}`));
+    const jobs = rack.map((minion) => {
+      const job = sample.addJob('proofs', [shape()]);
+      startOn(sample, job, minion, 0);
+      return job;
+    });
+    crash(sample, rack, 100);
+    // New work fills the minions that are back, as the others do.
+    const stream = rack.map(() => sample.addJob('proofs', [shape({count: 4})]));
+    for (const minion of rack) {
+      minion.missedCalls = 0;
+    }
+    sample.plan(2_200);
+    for (const minion of rack) {
+      confirm(minion, 2_200);
+      minion.lastAnswerAt = at(2_210);
+    }
+    assert.ok(rack.every(({runs}) => runs.size > 0));
+    crash(sample, rack, 2_300);
+    play(sample, 4_400, 12_000);
+    assert.deepEqual(
+      [...jobs, ...stream].filter(({status}) => status === 'failed').map(({id}) => id),
+      [],
+    );
+  });
+
+  it('is not given up for a stored trial that was never sent', () => {
+    const sample = new SampleFleet(4);
+    const [first, second] = [...sample.fleet.minions.values()];
+    assert.ok(first && second);
+    const job = sample.addJob('proofs', [shape()]);
+    startOn(sample, job, first, 0);
+    crash(sample, [first], 10);
+    // The former owner stored a trial and was killed before it sent it.
+    const step = job.occurrence(0)?.[0];
+    step?.crashes.trials.set(0, {bornAt: 1, minion: second.id, run: 2 as Run['number']});
+    sample.fleet.runNumberBase = 1_000;
+    second.hasReported = false;
+    respond(sample, second, 2_500);
+    second.hasReported = true;
+    // Its minion is alive and has no run. It fails a minute later, while the task runs elsewhere.
+    const elsewhere = [...sample.fleet.minions.values()][2];
+    assert.ok(elsewhere);
+    startOn(sample, job, elsewhere, 62_300);
+    second.lastAnswerAt = at(62_500);
+    crash(sample, [second], 62_500);
+    assert.equal(step?.crashes.of(0).length, 1);
+  });
+});
+
+describe('A lasting job', () => {
+  it('has no task that is idle for nine seconds in the calm after two failures of machines', () => {
+    const sample = new SampleFleet(12);
+    const job = sample.addJob('proofs', [shape({count: 6, longRunning: true, maxPerMinion: 3})]);
+    const step = job.occurrence(0)?.[0];
+    assert.ok(step);
+    const [first, second] = [...sample.fleet.minions.values()];
+    assert.ok(first && second);
+    // Three tasks are on each of two minions, which fail one after the other.
+    for (let task = 0; task < 3; task += 1) {
+      startOn(sample, job, first, 0, task);
+    }
+    first.lastAnswerAt = at(4_000);
+    crash(sample, [first], 4_000);
+    for (let task = 0; task < 3; task += 1) {
+      startOn(sample, job, second, 6_100, task);
+    }
+    second.lastAnswerAt = at(10_100);
+    crash(sample, [second], 10_100);
+    const idleSince = new Map(Array.from({length: 6}, (_, index) => [index, 12_100]));
+    let longestMs = 0;
+    play(sample, 12_100, 60_000, (now) => {
+      for (const [index, since] of idleSince) {
+        if (step.runsOf(index).length > 0) {
+          idleSince.set(index, now);
+        }
+        longestMs = Math.max(longestMs, now - since);
+      }
+    });
+    assert.ok(longestMs < 9_000, `${longestMs} ms`);
+  });
+});
+
+describe('A suspected task', () => {
+  it('does not wait for ever when it avoids all minions', () => {
+    const sample = new SampleFleet(2);
+    const [first, second] = [...sample.fleet.minions.values()];
+    assert.ok(first && second);
+    const job = sample.addJob('proofs', [shape({count: 2})]);
+    const step = job.occurrence(0)?.[0];
+    for (const [round, minion] of [first, second].entries()) {
+      startOn(sample, job, minion, round * 4_000, 0);
+      minion.lastAnswerAt = at(round * 4_000 + 1_000);
+      crash(sample, [minion], round * 4_000 + 1_000);
+      // It stalled or found no room there, too.
+      step?.avoid(0, minion.id);
+    }
+    play(sample, 8_000, 60_000);
+    assert.equal(step?.runsOf(0).length, 1);
+  });
+});
