--- a/packages/nutmegproxy-owner/src/OwnerEvents.ts
+++ b/packages/nutmegproxy-owner/src/OwnerEvents.ts
@@ -19,6 +19,11 @@
     level: 'info',
     text: 'A former owner stored what minions may run as of the end of its ownership.',
   },
+  CLOSING_RECORD_UNUSED: {
+    code: 8109,
+    level: 'warn',
+    text: 'The stored closing record is not that of the owner before, so it is not used.',
+  },
   FLEET_SUMMARY: {code: 8140, level: 'info', text: 'Capacity and workload of the fleet.'},
   JOB_DISCOVERED: {code: 8120, level: 'info', text: 'The owner received an accepted job.'},
   JOBS_REMOVED: {
@@ -78,5 +83,10 @@
     level: 'info',
     text: 'Recovery waits for minions that have neither reported nor lost their lease.',
   },
+  START_GIVEN_UP: {
+    code: 8137,
+    level: 'info',
+    text: 'A start was given up, since its minion has shrunk since the task was placed.',
+  },
   STORE_CALL_FAILED: {code: 8122, level: 'warn', text: 'A call to the store or a watch failed.'},
 } satisfies Record<string, EventKind>;
