--- a/packages/nutmegproxy-owner/src/MinionSession.ts
+++ b/packages/nutmegproxy-owner/src/MinionSession.ts
@@ -5,7 +5,12 @@
 import type {MinionListing, MinionState, RunResult, StopRequest} from '@nutmegproxy/scheduling';
 
 import {after, delay} from '@nutmegproxy/core';
-import {MINION_LEASE_MS, reconcileListing} from '@nutmegproxy/scheduling';
+import {
+  MINION_LEASE_MS,
+  reconcileListing,
+  recordMinionCrash,
+  recordReplacement,
+} from '@nutmegproxy/scheduling';
 
 import type {Journal} from './Journal.ts';
 import type {MinionTarget, OrderFailure} from './MinionOrders.ts';
@@ -85,6 +90,7 @@
       return;
     }
     this.#bornAt = bornAt;
+    this.minion.bornAt = bornAt;
     if (isRestart) {
       this.#handleRestart(bornAt);
     }
@@ -99,6 +105,7 @@
     this.#listedResults = [];
     this.minion.leaseClock.reset(after(clock.monotonic(), MAX_FORMER_LEASE_MS));
     fleet.clearUnknownResults(this.minion);
+    recordMinionCrash(fleet, this.minion, clock.monotonic());
     for (const run of [...this.minion.runs]) {
       // A start that was sent meanwhile may have reached the new incarnation, and so may a former
       // owner's start that only its record names; the next poll decides.
@@ -180,6 +187,9 @@
     if (answer.value.ended.length > 0) {
       await this.#awaitStored(journal);
     }
+    if (!this.minion.isRegistered) {
+      await this.#context.recordUse(this.minion);
+    }
     await this.#awaitNextPoll(now);
     return hadReading || this.minion.leaseClock.hasReading;
   }
@@ -194,10 +204,11 @@
   }
 
   #chooseWaitMs(now: Instant): number {
-    return choosePollWaitMs(this.minion, {
+    const waitMs = choosePollWaitMs(this.minion, {
       isNearTarget: this.#context.isNearTarget(this.minion),
       overdueInMs: this.#context.overdueInMs(this.minion, now),
     });
+    return this.minion.isRegistered ? waitMs : 0;
   }
 
   /** Waits until the next poll is due, counted from the last response. */
@@ -212,11 +223,14 @@
 
   /**
    * Returns the expiry that a poll or start grants, on the minion's clock. A silent minion is
-   * granted none, so that its lease expires in bounded time.
+   * granted none, so that its lease expires in bounded time, and neither is one of which the store
+   * does not say that this owner uses it.
    */
   #grantLease(now: Instant): number | undefined {
     const isSilent = this.minion.missedCalls > 0 || this.minion.isRecordedUnreachable;
-    return isSilent ? undefined : this.minion.leaseClock.grantLease(MINION_LEASE_MS, now);
+    return isSilent || !this.minion.isRegistered
+      ? undefined
+      : this.minion.leaseClock.grantLease(MINION_LEASE_MS, now);
   }
 
   #isActing(): boolean {
@@ -230,6 +244,7 @@
     }
     this.minion.lastAnswerAt = now;
     this.minion.missedCalls = 0;
+    this.minion.silentSince = undefined;
     if (this.minion.isRecordedUnreachable) {
       this.#context.onAnswering(this.minion);
     }
@@ -261,6 +276,7 @@
     }
     if (kind === 'unanswered' || (kind === 'unhealthy' && !this.minion.hasReported)) {
       this.minion.missedCalls += 1;
+      this.minion.silentSince ??= clock.monotonic();
       if (this.minion.missedCalls === 1) {
         events.record(OWNER_EVENTS.MINION_UNREACHABLE, fields);
       }
@@ -278,10 +294,12 @@
 
   /** Another minion responds at the address, so no run of this one is live any more. */
   #endIncarnation(): void {
+    const {clock, fleet} = this.#context;
+    recordReplacement(fleet, this.minion, clock.monotonic());
     this.minion.areRunsKnown = true;
     this.minion.hasReported = false;
     for (const run of [...this.minion.runs]) {
-      this.#context.fleet.recordLostRun(run, 'address taken by another minion');
+      fleet.recordLostRun(run, 'address taken by another minion');
     }
   }
 }
--- a/packages/nutmegproxy-owner/src/RunOrders.ts
+++ b/packages/nutmegproxy-owner/src/RunOrders.ts
@@ -63,10 +63,15 @@
       return;
     }
     this.#starting.add(run);
+    if (run.step.crashes.trials.get(run.task.index)?.run === run.number) {
+      // The next owner has to know of a start that may crash the minion before its report.
+      await this.#context.journal.flush();
+    }
     const result = await this.#tryStart(run);
     this.#starting.delete(run);
     if (result === 'not-started' && run.phase === 'starting' && this.#minion.runs.has(run)) {
       this.#context.fleet.discardRun(run);
+      this.#stopGang(run);
     }
     this.#context.onChange();
   }
@@ -162,6 +167,15 @@
     return wasSent ? 'unknown' : 'not-started';
   }
 
+  /** Stops the other members of a gang of which one did not start, since they would wait for it in vain. */
+  #stopGang({step}: Run): void {
+    if (step.shape.gang) {
+      for (const member of step.runs()) {
+        this.#context.fleet.stopRun(member, 'gang-broken');
+      }
+    }
+  }
+
   /** Handles a failed start; returns undefined when it has to be sent again. */
   #handleStartFailure(run: Run, {kind}: OrderFailure, now: Instant): StartResult | undefined {
     if (kind === 'unanswered') {
