Owner: a malformed recovery record or sequence of recording owners does not end the process

Every VM that acquired the ownership ended with an uncaught exception, one after another, as long as the value stood. A malformed record now counts as any use by any former owner, a malformed sequence as interrupted; both are logged (malformed record).

--- a/packages/nutmegproxy-owner/src/OwnerElection.ts
+++ b/packages/nutmegproxy-owner/src/OwnerElection.ts
@@ -2,11 +2,10 @@
 
 import type {Clock, EventSink, VmId} from '@nutmegproxy/core';
 import type {LeaseId, PlatformStore, StoredValue, StoreFailure} from '@nutmegproxy/store';
-import type {Result} from 'neverthrow';
 
 import {delay} from '@nutmegproxy/core';
 import {FLEET_PREFIX, STATE_PREFIX} from '@nutmegproxy/jobs';
-import {err, ok} from 'neverthrow';
+import {err, ok, Result} from 'neverthrow';
 
 import type {OwnershipGrant} from './FleetOwnership.ts';
 import type {OwnershipToken} from './MinionOrders.ts';
@@ -139,9 +138,9 @@
     lease: LeaseId,
     {recording, term: previous}: ElectionRecords,
   ): Promise<Result<Omit<OwnershipGrant, 'lease'>, AcquireFailure>> {
-    const {store, vm} = this.#options;
+    const {events, store, vm} = this.#options;
     const term = previous === undefined ? 0 : Number(previous.value.toString()) + 1;
-    const recordingSince = findRecordingSince(recording, term);
+    const recordingSince = findRecordingSince(recording, term, events);
     const owner = JSON.stringify({lease, vm});
     const written = await store.commit({
       compare: [
@@ -178,8 +177,21 @@
   }
 }
 
+const parseJson = Result.fromThrowable((text: string) => JSON.parse(text) as unknown, String);
+
 /** Returns the first term of the sequence of recording owners that an owner of `term` continues. */
-function findRecordingSince(recording: StoredValue | undefined, term: number): number {
-  const former = recording && (JSON.parse(recording.value.toString()) as RecordingTerms);
-  return former?.term === term - 1 ? former.since : term;
+function findRecordingSince(
+  recording: StoredValue | undefined,
+  term: number,
+  events: EventSink,
+): number {
+  if (recording === undefined) {
+    return term;
+  }
+  const parsed = parseJson(recording.value.toString());
+  if (parsed.isErr()) {
+    events.record(OWNER_EVENTS.RECORD_MALFORMED, {key: RECORDING_KEY, message: parsed.error});
+  }
+  const former = (parsed.unwrapOr(undefined) ?? {}) as Partial<RecordingTerms>;
+  return former.term === term - 1 ? (former.since ?? term) : term;
 }
--- a/packages/nutmegproxy-owner/src/RecoveryRecord.ts
+++ b/packages/nutmegproxy-owner/src/RecoveryRecord.ts
@@ -7,16 +7,16 @@
 
 import type {EventSink, MinionId, WallTime} from '@nutmegproxy/core';
 import type {PlatformStore, StoreFailure} from '@nutmegproxy/store';
-import type {Result} from 'neverthrow';
 
 import {delay} from '@nutmegproxy/core';
 import {STATE_PREFIX} from '@nutmegproxy/jobs';
-import {err, ok} from 'neverthrow';
+import {err, ok, Result} from 'neverthrow';
 
 import type {FleetOwnership} from './FleetOwnership.ts';
 import type {SilentMinionRecord} from './Roster.ts';
 
 import {JOURNAL_RETRY_MS} from './OwnerConstants.ts';
+import {OWNER_EVENTS} from './OwnerEvents.ts';
 import {OwnerRecord} from './OwnerRecord.ts';
 
 const RECOVERY_KEY = `${STATE_PREFIX}recovery`;
@@ -53,6 +53,7 @@
 
 export class RecoveryRecord {
   #former: ReadonlyMap<MinionId, FormerUse> | undefined;
+  #isMalformed = false;
   #isStale = false;
   readonly #options: RecoveryRecordOptions;
   readonly #record: OwnerRecord;
@@ -76,7 +77,9 @@
    * can have left a run there.
    */
   findFormerUse(id: MinionId): FormerUse | undefined {
-    const lastTerm = this.#options.ownership.recordingSince - 1;
+    const {recordingSince, term} = this.#options.ownership;
+    // Any former owner may have used any minion when what they recorded can't be read.
+    const lastTerm = (this.#isMalformed ? term : recordingSince) - 1;
     return this.#former === undefined ? {lastTerm} : this.#former.get(id);
   }
 
@@ -88,7 +91,13 @@
       return err(stored.error);
     }
     if (stored.value !== undefined) {
-      const former = JSON.parse(stored.value.value.toString()) as StoredRecovery;
+      const former = parseRecovery(stored.value.value.toString());
+      this.#isMalformed = former === undefined;
+      if (former === undefined) {
+        const message = 'term, awaited or used is missing';
+        this.#options.events.record(OWNER_EVENTS.RECORD_MALFORMED, {key: RECOVERY_KEY, message});
+        return ok(undefined);
+      }
       // An owner of an earlier version may have used any minion after the record was written.
       const isCurrent = former.term >= ownership.recordingSince;
       this.#former = isCurrent ? indexFormerUses(former) : undefined;
@@ -147,6 +156,15 @@
   }
 }
 
+const parseJson = Result.fromThrowable((text: string) => JSON.parse(text) as unknown);
+
+function parseRecovery(text: string): StoredRecovery | undefined {
+  const {awaited, term, used} = (parseJson(text).unwrapOr(null) ?? {}) as Partial<StoredRecovery>;
+  return Array.isArray(awaited) && Array.isArray(used) && term !== undefined
+    ? {awaited, term, used}
+    : undefined;
+}
+
 function indexFormerUses({awaited, term, used}: StoredRecovery): ReadonlyMap<MinionId, FormerUse> {
   return new Map<MinionId, FormerUse>([
     ...awaited.map((minion) => [minion.id, minion] as const),
