Owner: the lease of a failed acquisition is revoked

An acquisition that was carried out, but whose response and the read after it were lost, kept the ownership key from every VM, its own included, until the lease expired (2 s). The lease is revoked at once, which also makes a write fail that is carried out later.

--- a/packages/nutmegproxy-owner/src/OwnerElection.ts
+++ b/packages/nutmegproxy-owner/src/OwnerElection.ts
@@ -55,15 +55,10 @@
 
   /** Releases the ownership, so that another VM can acquire it at once. */
   async resign(ownership: FleetOwnership, reason: string): Promise<void> {
-    const {events, store, vm} = this.#options;
+    const {events, vm} = this.#options;
     ownership.end();
     events.record(OWNER_EVENTS.OWNERSHIP_LOST, {reason, term: ownership.term, vm});
-    const revoked = await store.revokeLease(ownership.lease);
-    if (revoked.isErr()) {
-      // The lease expires by itself after its time to live.
-      const {kind, message} = revoked.error;
-      events.record(OWNER_EVENTS.STORE_CALL_FAILED, {kind, message, what: 'end of lease'});
-    }
+    await this.#revoke(ownership.lease);
   }
 
   /** Renews the lease until the ownership has ended. */
@@ -112,11 +107,25 @@
       return err(lease.error);
     }
     const written = await this.#write(lease.value.lease, records.value);
+    if (written.isErr()) {
+      // A write that is carried out later fails without its lease.
+      await this.#revoke(lease.value.lease);
+    }
     return written.map(
       (grant) => new FleetOwnership({lease: lease.value.lease, ...grant}, requestedAt, wall),
     );
   }
 
+  async #revoke(lease: LeaseId): Promise<void> {
+    const {events, store} = this.#options;
+    const revoked = await store.revokeLease(lease);
+    if (revoked.isErr()) {
+      // The lease expires by itself after its time to live.
+      const {kind, message} = revoked.error;
+      events.record(OWNER_EVENTS.STORE_CALL_FAILED, {kind, message, what: 'end of lease'});
+    }
+  }
+
   async #read(): Promise<Result<ElectionRecords, StoreFailure>> {
     const {store} = this.#options;
     const answer = await store.commit({
