--- a/packages/nutmegproxy-emulator/src/__tests__/unit/RecoverySeriesReview.test.ts
+++ b/packages/nutmegproxy-emulator/src/__tests__/unit/RecoveryUnderFaults.test.ts
@@ -67,7 +67,7 @@
   });
 }
 
-describe('Recovery in a series of takeovers, as reviewed', () => {
+describe('Recovery beside other faults', () => {
   let harness: TakeoverHarness;
   let minion: EmulatedMinion;
 
