--- a/packages/nutmegproxy-owner/src/OwnerElection.ts
+++ b/packages/nutmegproxy-owner/src/OwnerElection.ts
@@ -2,11 +2,10 @@
 
 import type {Clock, EventSink, VmId} from '@nutmegproxy/core';
 import type {LeaseId, PlatformStore, StoredValue, StoreFailure} from '@nutmegproxy/store';
-import type {Result} from 'neverthrow';
 
 import {delay} from '@nutmegproxy/core';
 import {FLEET_PREFIX, STATE_PREFIX} from '@nutmegproxy/jobs';
-import {err, ok} from 'neverthrow';
+import {err, ok, Result} from 'neverthrow';
 
 import type {OwnershipGrant} from './FleetOwnership.ts';
 import type {OwnershipToken} from './MinionOrders.ts';
@@ -56,15 +55,10 @@
 
   /** Releases the ownership, so that another VM can acquire it at once. */
   async resign(ownership: FleetOwnership, reason: string): Promise<void> {
-    const {events, store, vm} = this.#options;
+    const {events, vm} = this.#options;
     ownership.end();
     events.record(OWNER_EVENTS.OWNERSHIP_LOST, {reason, term: ownership.term, vm});
-    const revoked = await store.revokeLease(ownership.lease);
-    if (revoked.isErr()) {
-      // The lease expires by itself after its time to live.
-      const {kind, message} = revoked.error;
-      events.record(OWNER_EVENTS.STORE_CALL_FAILED, {kind, message, what: 'end of lease'});
-    }
+    await this.#revoke(ownership.lease);
   }
 
   /** Renews the lease until the ownership has ended. */
@@ -113,11 +107,25 @@
       return err(lease.error);
     }
     const written = await this.#write(lease.value.lease, records.value);
+    if (written.isErr()) {
+      // A write that is carried out later fails without its lease.
+      await this.#revoke(lease.value.lease);
+    }
     return written.map(
       (grant) => new FleetOwnership({lease: lease.value.lease, ...grant}, requestedAt, wall),
     );
   }
 
+  async #revoke(lease: LeaseId): Promise<void> {
+    const {events, store} = this.#options;
+    const revoked = await store.revokeLease(lease);
+    if (revoked.isErr()) {
+      // The lease expires by itself after its time to live.
+      const {kind, message} = revoked.error;
+      events.record(OWNER_EVENTS.STORE_CALL_FAILED, {kind, message, what: 'end of lease'});
+    }
+  }
+
   async #read(): Promise<Result<ElectionRecords, StoreFailure>> {
     const {store} = this.#options;
     const answer = await store.commit({
@@ -139,9 +147,9 @@
     lease: LeaseId,
     {recording, term: previous}: ElectionRecords,
   ): Promise<Result<Omit<OwnershipGrant, 'lease'>, AcquireFailure>> {
-    const {store, vm} = this.#options;
+    const {events, store, vm} = this.#options;
     const term = previous === undefined ? 0 : Number(previous.value.toString()) + 1;
-    const recordingSince = findRecordingSince(recording, term);
+    const recordingSince = findRecordingSince(recording, term, events);
     const owner = JSON.stringify({lease, vm});
     const written = await store.commit({
       compare: [
@@ -178,8 +186,21 @@
   }
 }
 
+const parseJson = Result.fromThrowable((text: string) => JSON.parse(text) as unknown, String);
+
 /** Returns the first term of the sequence of recording owners that an owner of `term` continues. */
-function findRecordingSince(recording: StoredValue | undefined, term: number): number {
-  const former = recording && (JSON.parse(recording.value.toString()) as RecordingTerms);
-  return former?.term === term - 1 ? former.since : term;
+function findRecordingSince(
+  recording: StoredValue | undefined,
+  term: number,
+  events: EventSink,
+): number {
+  if (recording === undefined) {
+    return term;
+  }
+  const parsed = parseJson(recording.value.toString());
+  if (parsed.isErr()) {
+    events.record(OWNER_EVENTS.RECORD_MALFORMED, {key: RECORDING_KEY, message: parsed.error});
+  }
+  const former = (parsed.unwrapOr(undefined) ?? {}) as Partial<RecordingTerms>;
+  return former.term === term - 1 ? (former.since ?? term) : term;
 }
