--- a/packages/nutmegproxy-emulator/src/EmulatedFleet.ts
+++ b/packages/nutmegproxy-emulator/src/EmulatedFleet.ts
@@ -113,7 +113,8 @@
     const {startDelayMs} = this.faults(target.id);
     return this.#call(target, async (minion) => {
       if (startDelayMs > 0) {
-        setTimeout(() => minion.start(order, this.#now()), startDelayMs);
+        // A start that is still delayed must not keep a test's process alive.
+        setTimeout(() => minion.start(order, this.#now()), startDelayMs).unref();
         await sleep(ORDER_TIMEOUT_MS);
         return err(UNANSWERED);
       }
