Crashes: three crashes under a young run decide, also where machines failed at the time of each

So a task started six times. With three it starts five times at most after two killed owners. A task under which three minions crashed within half a second of its start each time may be given up whatever failed with them.

--- a/packages/nutmegproxy-scheduling/src/CrashVerdict.ts
+++ b/packages/nutmegproxy-scheduling/src/CrashVerdict.ts
@@ -8,7 +8,9 @@
 const MIN_MINIONS = 2;
 /** Crashes under young runs after which a task is given up though other jobs ran beside it. */
 const MAX_SHARED_CRASHES = 3;
-/** The same where machines may have failed each time; the users' bound is five starts. */
+/** The same where machines may have failed each time. Each owner that is killed may leave one uncounted. */
+const MAX_CONFIRMED_CRASHES = 3;
+/** The same where the minions may have been down before the starts. */
 const MAX_FRESH_CRASHES = 4;
 /** The same for runs of any age where no machine is known to have failed. */
 const MAX_BLAMED_CRASHES = 4;
@@ -43,7 +45,10 @@
     (countMinions(strong) >= MIN_MINIONS || countStarts(blamed) >= MAX_SHARED_CRASHES);
   const isRepeated = countStarts(strong) >= MAX_SHARED_CRASHES;
   const isConfirmed = countMinions(blamed) >= MIN_MINIONS && countStarts(blamed) > 1;
-  const isExhausted = countStarts(fresh) >= MAX_FRESH_CRASHES && countMinions(fresh) >= MIN_MINIONS;
+  const confirmed = fresh.filter(({evidence}) => evidence !== 'unconfirmed');
+  const isExhausted =
+    countMinions(fresh) >= MIN_MINIONS &&
+    (countStarts(confirmed) >= MAX_CONFIRMED_CRASHES || countStarts(fresh) >= MAX_FRESH_CRASHES);
   const isOften = countStarts(blamed) >= MAX_BLAMED_CRASHES;
   if (isExhausted || (isConfirmed && (isProven || isRepeated || isOften))) {
     return 'guilty';
--- a/packages/nutmegproxy-scheduling/src/__tests__/unit/TaskTrials.test.ts
+++ b/packages/nutmegproxy-scheduling/src/__tests__/unit/TaskTrials.test.ts
@@ -6,6 +6,7 @@
 import type {MinionState} from '../../MinionState.ts';
 
 import {recordMinionCrash} from '../../CrashRecorder.ts';
+import {CRASH_VERDICTS} from '../../CrashVerdict.ts';
 import {reconcileListing} from '../../ListingReconciler.ts';
 import {at, SampleFleet, shape} from './Samples.ts';
 
@@ -128,6 +129,18 @@
     assert.equal(good.isFinal, false);
   });
 
+  it('is given up after three crashes though other machines failed at the time of each', () => {
+    const crashes = [1, 2, 3].map((run) => ({
+      address: `m${run}:1`,
+      ageMs: 0,
+      evidence: 'coincident' as const,
+      minion: `m${run}` as MinionState['id'],
+      run: run as Run['number'],
+    }));
+    assert.equal(CRASH_VERDICTS.byTrial(crashes.slice(0, 2)), 'suspect');
+    assert.equal(CRASH_VERDICTS.byTrial(crashes), 'guilty');
+  });
+
   it('is given up on idle minions', () => {
     const sample = new SampleFleet(6);
     const deadly = sample.addJob('proofs', [shape()]);
