--- a/packages/nutmegproxy-owner/src/ClosingRecords.ts
+++ b/packages/nutmegproxy-owner/src/ClosingRecords.ts
@@ -8,11 +8,12 @@
 
 import type {Clock, EventFields, EventSink, Instant, MinionId} from '@nutmegproxy/core';
 import type {PlatformStore, StoredValue} from '@nutmegproxy/store';
+import type {Result} from 'neverthrow';
 
 import {after, delay} from '@nutmegproxy/core';
 import {STATE_PREFIX} from '@nutmegproxy/jobs';
 import {getKey} from '@nutmegproxy/store';
-import {err, ok, Result} from 'neverthrow';
+import {err, ok} from 'neverthrow';
 
 import type {FleetOwnership} from './FleetOwnership.ts';
 import type {RosterEntry, SilentMinionRecord} from './Roster.ts';
@@ -24,6 +25,7 @@
   STORE_RETRY_MS,
 } from './OwnerConstants.ts';
 import {OWNER_EVENTS} from './OwnerEvents.ts';
+import {parseJson} from './StoredJson.ts';
 
 const CLOSING_RECORD_KEY = `${STATE_PREFIX}closing`;
 
@@ -166,8 +168,6 @@
   }
 }
 
-const parseJson = Result.fromThrowable((text: string) => JSON.parse(text) as unknown, String);
-
 function parseRecord(text: string): Result<ClosingRecord, string> {
   return parseJson(text).andThen((value) => {
     const {accounts, silent, term} = (value ?? {}) as Partial<ClosingRecord>;
--- a/packages/nutmegproxy-owner/src/OwnerElection.ts
+++ b/packages/nutmegproxy-owner/src/OwnerElection.ts
@@ -2,10 +2,11 @@
 
 import type {Clock, EventSink, VmId} from '@nutmegproxy/core';
 import type {LeaseId, PlatformStore, StoredValue, StoreFailure} from '@nutmegproxy/store';
+import type {Result} from 'neverthrow';
 
 import {delay} from '@nutmegproxy/core';
 import {FLEET_PREFIX, STATE_PREFIX} from '@nutmegproxy/jobs';
-import {err, ok, Result} from 'neverthrow';
+import {err, ok} from 'neverthrow';
 
 import type {OwnershipGrant} from './FleetOwnership.ts';
 import type {OwnershipToken} from './MinionOrders.ts';
@@ -13,6 +14,7 @@
 import {FleetOwnership} from './FleetOwnership.ts';
 import {OWNERSHIP_RENEWAL_INTERVAL_MS, OWNERSHIP_TTL_MS} from './OwnerConstants.ts';
 import {OWNER_EVENTS} from './OwnerEvents.ts';
+import {parseJson} from './StoredJson.ts';
 
 /** Key of the current owner; bound to the ownership lease. */
 export const OWNER_KEY = `${FLEET_PREFIX}owner`;
@@ -186,8 +188,6 @@
   }
 }
 
-const parseJson = Result.fromThrowable((text: string) => JSON.parse(text) as unknown, String);
-
 /** Returns the first term of the sequence of recording owners that an owner of `term` continues. */
 function findRecordingSince(
   recording: StoredValue | undefined,
--- a/packages/nutmegproxy-owner/src/RecoveryRecord.ts
+++ b/packages/nutmegproxy-owner/src/RecoveryRecord.ts
@@ -7,10 +7,11 @@
 
 import type {EventSink, MinionId, WallTime} from '@nutmegproxy/core';
 import type {PlatformStore, StoreFailure} from '@nutmegproxy/store';
+import type {Result} from 'neverthrow';
 
 import {delay} from '@nutmegproxy/core';
 import {STATE_PREFIX} from '@nutmegproxy/jobs';
-import {err, ok, Result} from 'neverthrow';
+import {err, ok} from 'neverthrow';
 
 import type {FleetOwnership} from './FleetOwnership.ts';
 import type {SilentMinionRecord} from './Roster.ts';
@@ -18,6 +19,7 @@
 import {JOURNAL_RETRY_MS} from './OwnerConstants.ts';
 import {OWNER_EVENTS} from './OwnerEvents.ts';
 import {OwnerRecord} from './OwnerRecord.ts';
+import {parseJson} from './StoredJson.ts';
 
 const RECOVERY_KEY = `${STATE_PREFIX}recovery`;
 
@@ -156,8 +158,6 @@
   }
 }
 
-const parseJson = Result.fromThrowable((text: string) => JSON.parse(text) as unknown);
-
 function parseRecovery(text: string): StoredRecovery | undefined {
   const {awaited, term, used} = (parseJson(text).unwrapOr(null) ?? {}) as Partial<StoredRecovery>;
   return Array.isArray(awaited) && Array.isArray(used) && term !== undefined
