Owner: minion leases end soon after the last confirmation of the ownership

Cause: an owner without the store renews the leases of its minions until it stops acting, 8.5 s after its last confirmation, and each renewal lasted for 7.5 s. The next owner can't tell such an owner from a killed one, so it waited for 16.5 s for a minion that it could not reach.

Change: a lease ends 9.5 s after the last confirmation at the latest. That shortens none while the ownership is proved. The next owner waits for 10 s, or as before when an owner of an earlier version may have granted the lease (`leaseCapSince` in state/recording) or when the start may have reached a new incarnation.

Ruled out: storing where each lasting task was started. Leases that end with the store's, since a store outage of 6.8 s must not end running work.

--- a/packages/nutmegproxy-emulator/src/__tests__/unit/TakeoverHarness.ts
+++ b/packages/nutmegproxy-emulator/src/__tests__/unit/TakeoverHarness.ts
@@ -70,8 +70,12 @@
   }
 
   /** Starts an owner whose ownership lease is renewed until the harness is closed. */
-  async start(vm: string, store: PlatformStore = this.store): Promise<StartedOwner> {
-    const started = await startOwner(this.clock, store, this.fleet, vm, {
+  async start(
+    vm: string,
+    store: PlatformStore = this.store,
+    fleet: EmulatedFleet = this.fleet,
+  ): Promise<StartedOwner> {
+    const started = await startOwner(this.clock, store, fleet, vm, {
       record: (kind) => this.events.push(kind),
     });
     const renewal = setInterval(() => {
--- a/packages/nutmegproxy-owner/src/FleetOwnership.ts
+++ b/packages/nutmegproxy-owner/src/FleetOwnership.ts
@@ -5,7 +5,12 @@
 
 import type {OwnershipToken} from './MinionOrders.ts';
 
-import {MAX_CLOCK_GAP_MS, OWNERSHIP_TTL_MS, UNCONFIRMED_GRACE_MS} from './OwnerConstants.ts';
+import {
+  MAX_CLOCK_GAP_MS,
+  MAX_LEASE_SINCE_CONFIRMED_MS,
+  OWNERSHIP_TTL_MS,
+  UNCONFIRMED_GRACE_MS,
+} from './OwnerConstants.ts';
 
 /**
  * `proved`: the lease is valid. `unproved`: the lease may have expired, and orders are still
@@ -16,6 +21,8 @@
 export interface OwnershipGrant {
   readonly lease: LeaseId;
   /** Default: this owner is the first one. */
+  readonly leaseCapSince?: number;
+  /** Default: this owner is the first one. */
   readonly recordingSince?: number;
   readonly term: number;
   readonly token: OwnershipToken;
@@ -23,6 +30,8 @@
 
 export class FleetOwnership {
   readonly lease: LeaseId;
+  /** First term of the latest unbroken sequence of owners that limit minion leases by their confirmation. */
+  readonly leaseCapSince: number;
   /** First term of the latest unbroken sequence of owners that record which minions they use. */
   readonly recordingSince: number;
   /** Sequence number of this ownership among all of the fleet, from 0. */
@@ -34,6 +43,7 @@
 
   constructor(grant: OwnershipGrant, requestedAt: Instant, wall: WallTime) {
     this.lease = grant.lease;
+    this.leaseCapSince = grant.leaseCapSince ?? grant.term;
     this.recordingSince = grant.recordingSince ?? grant.term;
     this.term = grant.term;
     this.token = grant.token;
@@ -62,12 +72,28 @@
    * a renewal.
    */
   state(now: Instant, wall: WallTime): OwnershipState {
-    const suspendedMs = wall - now - this.#wallOffset;
-    const wasSuspended = suspendedMs > MAX_CLOCK_GAP_MS;
-    const ageMs = now - this.#confirmedAt + (wasSuspended ? suspendedMs : 0);
+    const {ageMs, wasSuspended} = this.#measureAge(now, wall);
     if (this.#isOver || ageMs > OWNERSHIP_TTL_MS + UNCONFIRMED_GRACE_MS) {
       return 'over';
     }
     return ageMs > OWNERSHIP_TTL_MS || wasSuspended ? 'unproved' : 'proved';
   }
+
+  /**
+   * Returns the longest minion lease in milliseconds that may be granted now, so that the next owner knows when
+   * the leases of a minion have expired that it can't reach.
+   */
+  maxMinionLeaseMs(now: Instant, wall: WallTime): number {
+    return Math.max(0, MAX_LEASE_SINCE_CONFIRMED_MS - this.#measureAge(now, wall).ageMs);
+  }
+
+  /** Returns the time since the last confirmation; that for which the machine was suspended counts. */
+  #measureAge(
+    now: Instant,
+    wall: WallTime,
+  ): {readonly ageMs: number; readonly wasSuspended: boolean} {
+    const suspendedMs = wall - now - this.#wallOffset;
+    const wasSuspended = suspendedMs > MAX_CLOCK_GAP_MS;
+    return {ageMs: now - this.#confirmedAt + (wasSuspended ? suspendedMs : 0), wasSuspended};
+  }
 }
--- a/packages/nutmegproxy-owner/src/MinionRecovery.ts
+++ b/packages/nutmegproxy-owner/src/MinionRecovery.ts
@@ -15,7 +15,12 @@
 import type {AwaitedMinion, FormerUse, RecoveryRecord} from './RecoveryRecord.ts';
 import type {Roster, RosterEntry} from './Roster.ts';
 
-import {MAX_FORMER_LEASE_MS, MAX_WALL_CLOCK_SKEW_MS, REPORT_WAIT_MS} from './OwnerConstants.ts';
+import {
+  MAX_FORMER_LEASE_MS,
+  MAX_UNCAPPED_LEASE_MS,
+  MAX_WALL_CLOCK_SKEW_MS,
+  REPORT_WAIT_MS,
+} from './OwnerConstants.ts';
 import {
   adoptRecordedRuns,
   createSilentRecord,
@@ -94,7 +99,9 @@
     }
     this.#unused.set(minion.id, {former, minion});
     const remainingMs = findRemainingMs(former, clock.wall());
-    const heldForMs = Math.min(MAX_FORMER_LEASE_MS, Math.max(REPORT_WAIT_MS, remainingMs));
+    const isCapped = former.lastTerm >= ownership.leaseCapSince;
+    const longestMs = isCapped ? MAX_FORMER_LEASE_MS : MAX_UNCAPPED_LEASE_MS;
+    const heldForMs = Math.min(longestMs, Math.max(REPORT_WAIT_MS, remainingMs));
     minion.leaseClock.assumeLeasedUntil(after(now, heldForMs));
     // An owner of an earlier version stores the record again but may start runs in spite of it.
     const isCurrent = draining !== undefined && draining.term >= former.lastTerm;
@@ -163,7 +170,7 @@
     const isCertain = [...minion.runs].every(({knownFrom}) => knownFrom !== 'order');
     const leasedMs = Math.ceil(minion.leaseClock.expiresInMs(now));
     return {
-      heldForMs: isCertain ? leasedMs : Math.max(leasedMs, MAX_FORMER_LEASE_MS),
+      heldForMs: isCertain ? leasedMs : Math.max(leasedMs, MAX_UNCAPPED_LEASE_MS),
       id: minion.id,
       lastTerm: this.#unused.get(minion.id)?.former.lastTerm,
       mayBeRenewed: minion.leaseClock.hasReading,
--- a/packages/nutmegproxy-owner/src/MinionSession.ts
+++ b/packages/nutmegproxy-owner/src/MinionSession.ts
@@ -18,7 +18,7 @@
 
 import {
   ESTABLISHED_AFTER_MS,
-  MAX_FORMER_LEASE_MS,
+  MAX_UNCAPPED_LEASE_MS,
   POLL_RETRY_MS,
   SILENT_AFTER_MISSED_CALLS,
   UNACKNOWLEDGED_PAUSE_MS,
@@ -103,7 +103,7 @@
     this.#acknowledgedThrough = 0;
     this.#appliedThrough = 0;
     this.#listedResults = [];
-    this.minion.leaseClock.reset(after(clock.monotonic(), MAX_FORMER_LEASE_MS));
+    this.minion.leaseClock.reset(after(clock.monotonic(), MAX_UNCAPPED_LEASE_MS));
     fleet.clearUnknownResults(this.minion);
     recordMinionCrash(fleet, this.minion, clock.monotonic());
     for (const run of [...this.minion.runs]) {
@@ -227,10 +227,13 @@
    * does not say that this owner uses it.
    */
   #grantLease(now: Instant): number | undefined {
+    const {clock, ownership} = this.#context;
     const isSilent = this.minion.missedCalls > 0 || this.minion.isRecordedUnreachable;
-    return isSilent || !this.minion.isRegistered
-      ? undefined
-      : this.minion.leaseClock.grantLease(MINION_LEASE_MS, now);
+    if (isSilent || !this.minion.isRegistered) {
+      return undefined;
+    }
+    const leaseMs = Math.min(MINION_LEASE_MS, ownership.maxMinionLeaseMs(now, clock.wall()));
+    return this.minion.leaseClock.grantLease(leaseMs, now);
   }
 
   #isActing(): boolean {
--- a/packages/nutmegproxy-owner/src/OwnerConstants.ts
+++ b/packages/nutmegproxy-owner/src/OwnerConstants.ts
@@ -80,10 +80,20 @@
 export const RETENTION_INTERVAL_MS = 250;
 /** Pause between checks for a larger VM to hand over to; the list of VMs is some seconds old anyway. */
 export const HANDOVER_CHECK_INTERVAL_MS = 1_000;
+/**
+ * Longest time from the last confirmation of an ownership to the end of a minion lease granted under it. Leases that
+ * are granted while the ownership is proved are not shortened by it.
+ */
+export const MAX_LEASE_SINCE_CONFIRMED_MS = OWNERSHIP_TTL_MS + MINION_LEASE_MS;
 /** Upper bound of what slow clocks and network delays add to a former owner's minion leases. */
 const FORMER_LEASE_MARGIN_MS = 500;
 /** Longest time for which runs of a former owner may stay alive without being listed. */
-export const MAX_FORMER_LEASE_MS =
+export const MAX_FORMER_LEASE_MS = MAX_LEASE_SINCE_CONFIRMED_MS + FORMER_LEASE_MARGIN_MS;
+/**
+ * The same where leases may last for their full duration whenever they were granted: those of owners of earlier
+ * versions, and those of starts that reached a new incarnation, which has another clock.
+ */
+export const MAX_UNCAPPED_LEASE_MS =
   OWNERSHIP_TTL_MS + UNCONFIRMED_GRACE_MS + MINION_LEASE_MS + FORMER_LEASE_MARGIN_MS;
 /**
  * Shortest wait for the report of a minion that a former owner used, although its lease has expired:
--- a/packages/nutmegproxy-owner/src/OwnerElection.ts
+++ b/packages/nutmegproxy-owner/src/OwnerElection.ts
@@ -36,8 +36,10 @@
 /** Why the ownership was not acquired: another VM owns the fleet, or the store call failed. */
 export type AcquireFailure = StoreFailure | {readonly kind: 'taken'; readonly message: string};
 
-/** Stored value of the sequence: its first and its last term. */
+/** Stored value of the sequence. */
 interface RecordingTerms {
+  /** First term since which all owners limit minion leases; earlier versions store none. */
+  readonly leaseCapSince?: number;
   readonly since: number;
   readonly term: number;
 }
@@ -151,7 +153,7 @@
   ): Promise<Result<Omit<OwnershipGrant, 'lease'>, AcquireFailure>> {
     const {events, store, vm} = this.#options;
     const term = previous === undefined ? 0 : Number(previous.value.toString()) + 1;
-    const recordingSince = findRecordingSince(recording, term, events);
+    const {leaseCapSince, since: recordingSince} = continueSequence(recording, term, events);
     const owner = JSON.stringify({lease, vm});
     const written = await store.commit({
       compare: [
@@ -164,13 +166,13 @@
         {
           key: RECORDING_KEY,
           kind: 'put',
-          value: Buffer.from(JSON.stringify({since: recordingSince, term})),
+          value: Buffer.from(JSON.stringify({leaseCapSince, since: recordingSince, term})),
         },
       ],
     });
     if (written.isOk()) {
       return written.value.succeeded
-        ? ok({recordingSince, term, token: written.value.revision as OwnershipToken})
+        ? ok({leaseCapSince, recordingSince, term, token: written.value.revision as OwnershipToken})
         : err({kind: 'taken', message: 'another VM acquired the ownership first'});
     }
     if (written.error.kind !== 'unknown') {
@@ -183,24 +185,26 @@
     }
     const found = records.value.owner;
     return found?.value.toString() === owner
-      ? ok({recordingSince, term, token: found.modRevision as OwnershipToken})
+      ? ok({leaseCapSince, recordingSince, term, token: found.modRevision as OwnershipToken})
       : err(written.error);
   }
 }
 
-/** Returns the first term of the sequence of recording owners that an owner of `term` continues. */
-function findRecordingSince(
+/** Returns the stored value of the sequence that an owner of `term` continues. */
+function continueSequence(
   recording: StoredValue | undefined,
   term: number,
   events: EventSink,
-): number {
+): Required<RecordingTerms> {
+  const first = {leaseCapSince: term, since: term, term};
   if (recording === undefined) {
-    return term;
+    return first;
   }
   const parsed = parseJson(recording.value.toString());
   if (parsed.isErr()) {
     events.record(OWNER_EVENTS.RECORD_MALFORMED, {key: RECORDING_KEY, message: parsed.error});
   }
   const former = (parsed.unwrapOr(undefined) ?? {}) as Partial<RecordingTerms>;
-  return former.term === term - 1 ? (former.since ?? term) : term;
+  const {leaseCapSince = term, since = term} = former.term === term - 1 ? former : first;
+  return {leaseCapSince, since, term};
 }
