Owner: renew leases before the record of use is stored

Cause: since no lease was renewed before state/recovery named the minion as used, so that a stored expiry of a lease stayed true after an owner that was killed before it had stored anything. While the store was down, no lease of a new owner was renewed at all.

Change: leases are renewed from the first response on; starts still wait for the record. What is stored of runs holds as before, since a renewal starts nothing. What is stored of the time holds only while no owner may have renewed the lease since: `leaseTerm` is the last term that may have, beside `lastTerm` for starts. It applies to the expiry in the recovery record, to the times in closing records, to silent records in closing records and to records that are combined. An owner names the expiry of an awaited minion's lease only when the minion is silent or unlisted and it has not renewed that lease; from then on it renews it only once the minion is stored as used.

Ruled out: the rule of the review alone (a stored expiry is unknown when a term in between wrote no record). Gating the renewals only after the first record is stored would leave the fault when the outage begins between the two writes.

state/recording stores its last term as `lastTerm` in place of `term`: an owner of an earlier version would trust a stored expiry after owners that renewed without a record, so the sequence breaks for it, and once for this one.

A cost: an owner that is killed before it has missed two calls to a listed minion without named runs (or before any record) leaves no expiry, so its successor waits the longest lease.

--- a/packages/nutmegproxy-owner/src/ClosingRecords.ts
+++ b/packages/nutmegproxy-owner/src/ClosingRecords.ts
@@ -42,6 +42,8 @@
   readonly id: MinionId;
   /** Last term in which another owner may have used it; undefined when this one has. */
   readonly lastTerm?: number | undefined;
+  /** Last term in which another owner may have renewed its lease; undefined as `lastTerm`. */
+  readonly leaseTerm?: number | undefined;
   /** Whether the owner may have renewed the lease although it did not know the runs. */
   readonly mayBeRenewed?: boolean;
   /** Runs that it may have; undefined when the owner did not know them. */
@@ -233,19 +235,24 @@
     return {...former, term: own.term};
   }
   const formerAccounts = new Map(former.accounts?.map((account) => [account.id, account]));
-  const unreached = new Set<MinionId>();
+  const unrenewed = new Set<MinionId>();
   const accounts = own.accounts?.map((account): MinionAccount => {
-    const {heldForMs, id, lastTerm = own.term - 1} = account;
+    const {heldForMs, id, lastTerm = own.term - 1, leaseTerm = lastTerm} = account;
     if (!isUnreached(account) || former.term < lastTerm) {
       return account;
     }
-    unreached.add(id);
+    if (former.term >= leaseTerm) {
+      unrenewed.add(id);
+    }
     const formerAccount = formerAccounts.get(id);
-    return formerAccount === undefined
-      ? account
-      : {...formerAccount, heldForMs: Math.min(heldForMs, formerAccount.heldForMs), lastTerm};
+    if (formerAccount === undefined) {
+      return account;
+    }
+    const formerHeldForMs = unrenewed.has(id) ? formerAccount.heldForMs : Infinity;
+    const leasedForMs = Math.min(heldForMs, formerHeldForMs);
+    return {...formerAccount, heldForMs: leasedForMs, lastTerm, leaseTerm};
   });
-  const formerSilent = former.silent.filter(({description}) => unreached.has(description.id));
+  const formerSilent = former.silent.filter(({description}) => unrenewed.has(description.id));
   return {accounts, silent: [...own.silent, ...formerSilent], term: own.term};
 }
 
--- a/packages/nutmegproxy-owner/src/MinionRecovery.ts
+++ b/packages/nutmegproxy-owner/src/MinionRecovery.ts
@@ -42,6 +42,11 @@
 export class MinionRecovery {
   /** Minions whose record is being removed. */
   readonly #clearing = new Set<MinionState>();
+  /**
+   * Minions that this owner has not recorded as used: `held` when a record may name the expiry of the
+   * lease, `renewed` when this owner may have renewed it.
+   */
+  readonly #leases = new Map<MinionId, 'held' | 'renewed'>();
   readonly #options: MinionRecoveryOptions;
   readonly #unreported = new UnreportedMinions();
   /** Minions on which former owners may have left runs, until this owner uses them. */
@@ -83,9 +88,9 @@
     const {clock, fleet, ownership, record} = this.#options;
     const former = record.findFormerUse(minion.id);
     if (silent !== undefined) {
-      const {lastTerm = ownership.term - 1} = former ?? {};
+      const {lastTerm = ownership.term - 1, leaseTerm = ownership.term - 1} = former ?? {};
       adoptRecordedRuns(fleet, minion, resolveSilentRecord(silent, clock.wall()), now);
-      this.#unused.set(minion.id, {former: {...silent, lastTerm}, minion});
+      this.#unused.set(minion.id, {former: {...silent, lastTerm, leaseTerm}, minion});
       return;
     }
     minion.isRecordedDraining = draining !== undefined;
@@ -103,6 +108,7 @@
 
   /** Forgets a minion on which nothing runs any more. */
   forget(id: MinionId): void {
+    this.#leases.delete(id);
     this.#unused.delete(id);
     this.#options.record.remove(id);
   }
@@ -112,6 +118,21 @@
     return this.#unused.has(id);
   }
 
+  /**
+   * Whether the lease of a minion may be renewed. Before it is stored that this owner uses the minion,
+   * that is so unless the next owner may count on a stored expiry.
+   */
+  permitRenewal({id, isRegistered, leaseClock}: MinionState): boolean {
+    if (isRegistered) {
+      return true;
+    }
+    if (!leaseClock.hasReading || this.#leases.get(id) === 'held') {
+      return false;
+    }
+    this.#leases.set(id, 'renewed');
+    return true;
+  }
+
   /** Reads which minions former owners used. */
   read(): Promise<Result<void, StoreFailure>> {
     return this.#options.record.read();
@@ -129,7 +150,11 @@
     const now = clock.monotonic();
     const isCurrent = (id: MinionId): boolean =>
       (this.#unused.get(id)?.former.lastTerm ?? Infinity) <= term;
-    const current = accounts.filter(({id}) => isCurrent(id));
+    const isLeaseCurrent = (id: MinionId): boolean =>
+      (this.#unused.get(id)?.former.leaseTerm ?? Infinity) <= term;
+    const current = accounts
+      .filter(({id}) => isCurrent(id))
+      .map((each) => (isLeaseCurrent(each.id) ? each : {...each, heldForMs: Infinity}));
     this.#unreported.keepAccounts(current, now);
     for (const {heldForMs, id} of current) {
       this.#unused.get(id)?.minion.leaseClock.shortenAssumedLease(after(now, heldForMs));
@@ -145,9 +170,13 @@
         continue;
       }
       const {remainingMs, runs} = resolveSilentRecord(record, clock.wall());
-      const leasedMs = Math.min(remainingMs, minion.leaseClock.expiresInMs(now));
+      const presentMs = minion.leaseClock.expiresInMs(now);
+      const leasedMs = isLeaseCurrent(minion.id) ? Math.min(remainingMs, presentMs) : presentMs;
       adoptRecordedRuns(fleet, minion, {remainingMs: leasedMs, runs}, now);
-      roster.markSilent(description, record);
+      const heldUntil = isLeaseCurrent(minion.id)
+        ? record.heldUntil
+        : (Math.ceil(clock.wall() + presentMs) as WallTime);
+      roster.markSilent(description, {heldUntil, runs});
     }
     void recoveryRecord.update();
   }
@@ -166,7 +195,8 @@
       heldForMs: isCertain ? leasedMs : Math.max(leasedMs, MAX_FORMER_LEASE_MS),
       id: minion.id,
       lastTerm: this.#unused.get(minion.id)?.former.lastTerm,
-      mayBeRenewed: minion.leaseClock.hasReading,
+      leaseTerm: this.#unused.get(minion.id)?.former.leaseTerm,
+      mayBeRenewed: minion.leaseClock.hasReading || this.#leases.get(minion.id) === 'renewed',
       runs: minion.areRunsKnown
         ? listPossibleRuns(minion, unstoredResults)
         : this.#unreported.findRuns(minion, now)?.runs,
@@ -185,6 +215,8 @@
     } else if (minion.areRunsKnown) {
       minion.isRecordedUnreachable = true;
       roster.markSilent(minion.description, createSilentRecord(minion, unstoredResults, time));
+    } else if (this.#canHold(minion)) {
+      void this.#options.record.update();
     }
   }
 
@@ -231,17 +263,30 @@
     });
   }
 
+  /** Whether the expiry of a lease can be stored, after which this owner does not renew it. */
+  #canHold({id, isRecordedUnreachable, missedCalls, unlistedSince}: MinionState): boolean {
+    const isSilent = isRecordedUnreachable || missedCalls > 0 || unlistedSince !== undefined;
+    return isSilent && this.#unused.has(id) && !this.#leases.has(id);
+  }
+
   /** Lists the minions on which former owners may have left runs and that this owner has not used. */
   #listAwaited(): AwaitedMinion[] {
-    const {clock} = this.#options;
+    const {clock, ownership} = this.#options;
     const now = clock.monotonic();
     const wall = clock.wall();
-    return [...this.#unused].map(([id, {former, minion}]) => ({
-      heldUntil: this.#findHeldUntil(minion, former, now, wall),
-      id,
-      lastTerm: former.lastTerm,
-      runs: this.#unreported.findNamedRuns(id) ?? former.runs,
-    }));
+    return [...this.#unused].map(([id, {former, minion}]) => {
+      if (this.#canHold(minion)) {
+        this.#leases.set(id, 'held');
+      }
+      const isHeld = this.#leases.get(id) === 'held';
+      return {
+        heldUntil: isHeld ? this.#findHeldUntil(minion, former, now, wall) : undefined,
+        id,
+        lastTerm: former.lastTerm,
+        leaseTerm: isHeld ? former.leaseTerm : ownership.term,
+        runs: this.#unreported.findNamedRuns(id) ?? former.runs,
+      };
+    });
   }
 
   /**
--- a/packages/nutmegproxy-owner/src/MinionSession.ts
+++ b/packages/nutmegproxy-owner/src/MinionSession.ts
@@ -43,7 +43,7 @@
     this.#context = context;
     this.minion = minion;
     this.#runOrders = new RunOrders(context, minion, {
-      grantLease: (now) => this.#grantLease(now),
+      grantLease: (now) => (minion.isRegistered ? this.#grantLease(now) : undefined),
       handleFailure: (failure, what) => {
         this.#handleFailure(failure, what);
       },
@@ -223,12 +223,12 @@
 
   /**
    * Returns the expiry that a poll or start grants, on the minion's clock. A silent minion is
-   * granted none, so that its lease expires in bounded time, and neither is one of which the store
-   * does not say that this owner uses it.
+   * granted none, so that its lease expires in bounded time, and neither is one of whose lease a
+   * record may name the expiry.
    */
   #grantLease(now: Instant): number | undefined {
     const isSilent = this.minion.missedCalls > 0 || this.minion.isRecordedUnreachable;
-    return isSilent || !this.minion.isRegistered
+    return isSilent || !this.#context.permitRenewal(this.minion)
       ? undefined
       : this.minion.leaseClock.grantLease(MINION_LEASE_MS, now);
   }
--- a/packages/nutmegproxy-owner/src/MinionSessions.ts
+++ b/packages/nutmegproxy-owner/src/MinionSessions.ts
@@ -33,7 +33,7 @@
   readonly fleet: Fleet;
   readonly onChange: () => void;
   readonly roster: Roster;
-  readonly session: Omit<SessionContext, 'recordUse'>;
+  readonly session: Omit<SessionContext, 'permitRenewal' | 'recordUse'>;
   readonly store: PlatformStore;
 }
 
@@ -50,7 +50,11 @@
     const {session, store} = options;
     const record = new RecoveryRecord({...session, store});
     this.recovery = new MinionRecovery({...options, ownership: session.ownership, record});
-    this.#context = {...session, recordUse: (minion) => this.#recordUse(minion)};
+    this.#context = {
+      ...session,
+      permitRenewal: (minion) => this.recovery.permitRenewal(minion),
+      recordUse: (minion) => this.#recordUse(minion),
+    };
   }
 
   close(): void {
@@ -184,7 +188,7 @@
     }
   }
 
-  /** Lets a minion get leases and work once it is stored that it may have runs of this owner. */
+  /** Lets a minion get work once it is stored that it may have runs of this owner. */
   async #recordUse(minion: MinionState): Promise<void> {
     const {onChange, roster} = this.#options;
     const stored = Promise.all([
--- a/packages/nutmegproxy-owner/src/OwnerElection.ts
+++ b/packages/nutmegproxy-owner/src/OwnerElection.ts
@@ -36,10 +36,13 @@
 /** Why the ownership was not acquired: another VM owns the fleet, or the store call failed. */
 export type AcquireFailure = StoreFailure | {readonly kind: 'taken'; readonly message: string};
 
-/** Stored value of the sequence: its first and its last term. */
+/**
+ * Stored value of the sequence: its first and its last term. Earlier versions, which take a stored
+ * expiry of a lease for valid after any number of owners, look for the last one as `term`.
+ */
 interface RecordingTerms {
+  readonly lastTerm: number;
   readonly since: number;
-  readonly term: number;
 }
 
 interface ElectionRecords {
@@ -164,7 +167,7 @@
         {
           key: RECORDING_KEY,
           kind: 'put',
-          value: Buffer.from(JSON.stringify({since: recordingSince, term})),
+          value: Buffer.from(JSON.stringify({lastTerm: term, since: recordingSince})),
         },
       ],
     });
@@ -202,5 +205,5 @@
     events.record(OWNER_EVENTS.RECORD_MALFORMED, {key: RECORDING_KEY, message: parsed.error});
   }
   const former = (parsed.unwrapOr(undefined) ?? {}) as Partial<RecordingTerms>;
-  return former.term === term - 1 ? (former.since ?? term) : term;
+  return former.lastTerm === term - 1 ? (former.since ?? term) : term;
 }
--- a/packages/nutmegproxy-owner/src/RecoveryRecord.ts
+++ b/packages/nutmegproxy-owner/src/RecoveryRecord.ts
@@ -1,8 +1,12 @@
 /**
  * Stores which minions an owner uses and what it still awaits from former owners, so that an owner
- * that is killed loses nothing of what its successor has to know. An owner grants a minion a lease
- * and sends it starts only once the stored record names the minion as used. So whatever the owners
- * after the writer of the record did, until another one replaced it, they used no minion.
+ * that is killed loses nothing of what its successor has to know. An owner sends a minion starts
+ * only once the stored record names the minion as used. So whatever the owners after the writer of
+ * the record did, until another one replaced it, they started nothing.
+ *
+ * They may have renewed leases: running work would expire if an owner whose store is unavailable
+ * renewed none. So a stored expiry of a lease holds only for the owner after its writer, and an owner
+ * that has stored one renews that lease only once the record names the minion as used.
  */
 
 import type {EventSink, MinionId, WallTime} from '@nutmegproxy/core';
@@ -27,8 +31,10 @@
 export interface FormerUse {
   /** When its lease has certainly expired, by the wall clock of the VM that wrote this. */
   readonly heldUntil?: undefined | WallTime;
-  /** Last term in which an owner may have used the minion. */
+  /** Last term in which an owner may have started runs on the minion. */
   readonly lastTerm: number;
+  /** Last term in which an owner may have renewed its lease. */
+  readonly leaseTerm: number;
   /** Runs that it may have; undefined when any may be there. */
   readonly runs?: SilentMinionRecord['runs'] | undefined;
 }
@@ -82,7 +88,7 @@
     const {recordingSince, term} = this.#options.ownership;
     // Any former owner may have used any minion when what they recorded can't be read.
     const lastTerm = (this.#isMalformed ? term : recordingSince) - 1;
-    return this.#former === undefined ? {lastTerm} : this.#former.get(id);
+    return this.#former === undefined ? {lastTerm, leaseTerm: term - 1} : this.#former.get(id);
   }
 
   /** Reads what the former owners recorded. */
@@ -102,7 +108,7 @@
       }
       // An owner of an earlier version may have used any minion after the record was written.
       const isCurrent = former.term >= ownership.recordingSince;
-      this.#former = isCurrent ? indexFormerUses(former) : undefined;
+      this.#former = isCurrent ? indexFormerUses(former, ownership.term - 1) : undefined;
     }
     return ok(undefined);
   }
@@ -165,9 +171,17 @@
     : undefined;
 }
 
-function indexFormerUses({awaited, term, used}: StoredRecovery): ReadonlyMap<MinionId, FormerUse> {
+/** Returns what is known of each minion; the owners after the writer up to `formerTerm` stored nothing. */
+function indexFormerUses(
+  {awaited, term, used}: StoredRecovery,
+  formerTerm: number,
+): ReadonlyMap<MinionId, FormerUse> {
+  const isLatest = term === formerTerm;
   return new Map<MinionId, FormerUse>([
-    ...awaited.map((minion) => [minion.id, minion] as const),
-    ...used.map((id) => [id, {lastTerm: term}] as const),
+    ...awaited.map((minion) => {
+      const leases = isLatest ? {} : {heldUntil: undefined, leaseTerm: formerTerm};
+      return [minion.id, {...minion, ...leases}] as const;
+    }),
+    ...used.map((id) => [id, {lastTerm: term, leaseTerm: formerTerm}] as const),
   ]);
 }
--- a/packages/nutmegproxy-owner/src/SessionContext.ts
+++ b/packages/nutmegproxy-owner/src/SessionContext.ts
@@ -33,6 +33,8 @@
   /** Time in milliseconds until a run of the minion is overdue. */
   readonly overdueInMs: (minion: MinionState, now: Instant) => number;
   readonly ownership: FleetOwnership;
+  /** Whether the lease of a minion may be renewed now. */
+  readonly permitRenewal: (minion: MinionState) => boolean;
   /** Records that this owner uses a minion; resolves once that is stored, or after a short time. */
   readonly recordUse: (minion: MinionState) => Promise<void>;
   readonly startLimiter: StartLimiter;
--- a/packages/nutmegproxy-owner/src/__tests__/unit/ClosingRecords.test.ts
+++ b/packages/nutmegproxy-owner/src/__tests__/unit/ClosingRecords.test.ts
@@ -204,6 +204,15 @@
       assert.equal((await receive(5))?.accounts?.[0]?.heldForMs, 7_000);
     });
 
+    it('do not end before a lease that an owner in between may have renewed without recording it', async () => {
+      await open(3).send([{...createAccount('m1', 2), heldForMs: 1_000}], [createEntry('m1')]);
+      await open(5).send([{...createAccount('m1'), lastTerm: 3, leaseTerm: 4}], []);
+      const {accounts, silent} = (await receive(6)) ?? {};
+      assert.equal(accounts?.[0]?.runs?.length, 2);
+      assert.equal(accounts[0].heldForMs, 7_000);
+      assert.deepEqual(silent, []);
+    });
+
     it('omit runs that do not fit into a value of the store', async () => {
       await open(3).send([createAccount('m1', 15_000), createAccount('m2', 15_000)], []);
       assert.deepEqual(await readRuns(4), {m1: 15_000, m2: undefined});
