--- a/packages/nutmegproxy-owner/src/FleetOwnership.ts
+++ b/packages/nutmegproxy-owner/src/FleetOwnership.ts
@@ -21,8 +21,6 @@
 export interface OwnershipGrant {
   readonly lease: LeaseId;
   /** Default: this owner is the first one. */
-  readonly leaseCapSince?: number;
-  /** Default: this owner is the first one. */
   readonly recordingSince?: number;
   readonly term: number;
   readonly token: OwnershipToken;
@@ -30,8 +28,6 @@
 
 export class FleetOwnership {
   readonly lease: LeaseId;
-  /** First term of the latest unbroken sequence of owners that limit minion leases by their confirmation. */
-  readonly leaseCapSince: number;
   /** First term of the latest unbroken sequence of owners that record which minions they use. */
   readonly recordingSince: number;
   /** Sequence number of this ownership among all of the fleet, from 0. */
@@ -43,7 +39,6 @@
 
   constructor(grant: OwnershipGrant, requestedAt: Instant, wall: WallTime) {
     this.lease = grant.lease;
-    this.leaseCapSince = grant.leaseCapSince ?? grant.term;
     this.recordingSince = grant.recordingSince ?? grant.term;
     this.term = grant.term;
     this.token = grant.token;
--- a/packages/nutmegproxy-owner/src/OwnerElection.ts
+++ b/packages/nutmegproxy-owner/src/OwnerElection.ts
@@ -36,12 +36,13 @@
 /** Why the ownership was not acquired: another VM owns the fleet, or the store call failed. */
 export type AcquireFailure = StoreFailure | {readonly kind: 'taken'; readonly message: string};
 
-/** Stored value of the sequence. */
+/**
+ * Stored value of the sequence: its first and its last term. Earlier versions, which take a stored
+ * expiry of a lease for valid after any number of owners, look for the last one as `term`.
+ */
 interface RecordingTerms {
-  /** First term since which all owners limit minion leases; earlier versions store none. */
-  readonly leaseCapSince?: number;
+  readonly lastTerm: number;
   readonly since: number;
-  readonly term: number;
 }
 
 interface ElectionRecords {
@@ -153,7 +154,7 @@
   ): Promise<Result<Omit<OwnershipGrant, 'lease'>, AcquireFailure>> {
     const {events, store, vm} = this.#options;
     const term = previous === undefined ? 0 : Number(previous.value.toString()) + 1;
-    const {leaseCapSince, since: recordingSince} = continueSequence(recording, term, events);
+    const recordingSince = findRecordingSince(recording, term, events);
     const owner = JSON.stringify({lease, vm});
     const written = await store.commit({
       compare: [
@@ -166,13 +167,13 @@
         {
           key: RECORDING_KEY,
           kind: 'put',
-          value: Buffer.from(JSON.stringify({leaseCapSince, since: recordingSince, term})),
+          value: Buffer.from(JSON.stringify({lastTerm: term, since: recordingSince})),
         },
       ],
     });
     if (written.isOk()) {
       return written.value.succeeded
-        ? ok({leaseCapSince, recordingSince, term, token: written.value.revision as OwnershipToken})
+        ? ok({recordingSince, term, token: written.value.revision as OwnershipToken})
         : err({kind: 'taken', message: 'another VM acquired the ownership first'});
     }
     if (written.error.kind !== 'unknown') {
@@ -185,26 +186,24 @@
     }
     const found = records.value.owner;
     return found?.value.toString() === owner
-      ? ok({leaseCapSince, recordingSince, term, token: found.modRevision as OwnershipToken})
+      ? ok({recordingSince, term, token: found.modRevision as OwnershipToken})
       : err(written.error);
   }
 }
 
-/** Returns the stored value of the sequence that an owner of `term` continues. */
-function continueSequence(
+/** Returns the first term of the sequence of recording owners that an owner of `term` continues. */
+function findRecordingSince(
   recording: StoredValue | undefined,
   term: number,
   events: EventSink,
-): Required<RecordingTerms> {
-  const first = {leaseCapSince: term, since: term, term};
+): number {
   if (recording === undefined) {
-    return first;
+    return term;
   }
   const parsed = parseJson(recording.value.toString());
   if (parsed.isErr()) {
     events.record(OWNER_EVENTS.RECORD_MALFORMED, {key: RECORDING_KEY, message: parsed.error});
   }
   const former = (parsed.unwrapOr(undefined) ?? {}) as Partial<RecordingTerms>;
-  const {leaseCapSince = term, since = term} = former.term === term - 1 ? former : first;
-  return {leaseCapSince, since, term};
+  return former.lastTerm === term - 1 ? (former.since ?? term) : term;
 }
