Gangs: judge a whole gang by the crashes under all its members

Cause: each member was judged by the crashes under itself, and a gang is placed on the same minions, in the same order, each time. All crashes under a member were then of one minion, and a verdict takes two; only a change of the order in which members wait ended it.

Change: a gang is given up once two minions have crashed under young runs of any of its members and three of its starts are blamed, or four whatever failed with them. Machines that fail together count less than under one task, since a gang is on many of them.

Ruled out: taking the crashes of one minion for a verdict (the users' rule names two minions); pooling crashes of any age (four minions that fail under a good gang of a few seconds would end it; a test shows it is kept).

Tests: GangCrashes.test, at policy level without clocks.

--- a/packages/nutmegproxy-scheduling/src/CrashRecorder.ts
+++ b/packages/nutmegproxy-scheduling/src/CrashRecorder.ts
@@ -10,7 +10,7 @@
 import type {MinionState} from './MinionState.ts';
 
 import {CRASH_ATTRIBUTIONS, isSimultaneous, listJobs} from './CrashAttribution.ts';
-import {CRASH_VERDICTS} from './CrashVerdict.ts';
+import {judgeTask} from './CrashVerdict.ts';
 import {describeRun, describeRuns} from './RunFields.ts';
 import {SCHEDULING_EVENTS} from './SchedulingEvents.ts';
 
@@ -83,7 +83,7 @@
     minion: crash.minion,
     run: crash.run,
     task: formatTaskName({index, job: job.id, occurrence: step.occurrence, step: step.number}),
-    verdict: CRASH_VERDICTS.byTrial(crashes),
+    verdict: judgeTask(step, index),
   });
 }
 
--- a/packages/nutmegproxy-scheduling/src/CrashVerdict.ts
+++ b/packages/nutmegproxy-scheduling/src/CrashVerdict.ts
@@ -1,6 +1,6 @@
 /** Judges a task by the crashes of minions under its runs. */
 
-import type {TaskCrash} from '@nutmegproxy/jobs';
+import type {StepState, TaskCrash} from '@nutmegproxy/jobs';
 
 import {FRESH_RUN_MS} from './CrashAttribution.ts';
 
@@ -56,6 +56,22 @@
   return isStronglySuspected(crashes) || countStarts(crashes) > 1 ? 'suspect' : 'clear';
 }
 
+/**
+ * Judges a whole gang by the crashes under its young runs, whichever members they are under. Its
+ * members are on many machines, so those that failed together count less than under one task.
+ */
+function judgeGang(crashes: readonly TaskCrash[]): TaskVerdict {
+  const fresh = crashes.filter(({ageMs}) => ageMs < FRESH_RUN_MS);
+  const blamed = fresh.filter(({evidence}) => evidence === 'alone' || evidence === 'shared');
+  const isExhausted =
+    countMinions(fresh) >= MIN_MINIONS &&
+    (countStarts(blamed) >= MAX_SHARED_CRASHES || countStarts(fresh) >= MAX_FRESH_CRASHES);
+  if (isExhausted) {
+    return 'guilty';
+  }
+  return countStarts(crashes) > 0 ? 'suspect' : 'clear';
+}
+
 /** Whether a task needs a trial; others start without one when no minion is free for it. */
 export function isStronglySuspected(crashes: readonly TaskCrash[]): boolean {
   return crashes.some(
@@ -68,6 +84,7 @@
 export const CRASH_VERDICTS = {
   /** Baseline: a task is started as often as its minions crash. */
   acquit: (): TaskVerdict => 'clear',
+  byGang: judgeGang,
   byTrial: judgeByTrial,
 } satisfies Record<string, (crashes: readonly TaskCrash[]) => TaskVerdict>;
 
@@ -81,3 +98,16 @@
   const ageMs = Math.max(0, ...crashes.map((crash) => crash.ageMs));
   return Math.min(MAX_TRIAL_MS, Math.max(MIN_TRIAL_MS, ageMs * TRIAL_AGE_RATIO));
 }
+
+/** Returns the crashes that speak against a task: of a gang's member, those under all members. */
+export function listCrashes({crashes, shape}: StepState, index: number): readonly TaskCrash[] {
+  return shape.gang ? crashes.indexes.flatMap((each) => crashes.of(each)) : crashes.of(index);
+}
+
+/** Judges a task, and the gang that it belongs to. */
+export function judgeTask(step: StepState, index: number): TaskVerdict {
+  const verdict = CRASH_VERDICTS.byTrial(step.crashes.of(index));
+  const isGangGuilty =
+    step.shape.gang && CRASH_VERDICTS.byGang(listCrashes(step, index)) === 'guilty';
+  return isGangGuilty ? 'guilty' : verdict;
+}
--- a/packages/nutmegproxy-scheduling/src/StartPlanner.ts
+++ b/packages/nutmegproxy-scheduling/src/StartPlanner.ts
@@ -9,6 +9,7 @@
 import type {SharingCosts} from './Placement.ts';
 import type {TrialPlan} from './TaskTrials.ts';
 
+import {listCrashes} from './CrashVerdict.ts';
 import {orderSteps} from './JobOrder.ts';
 import {MinionRanking} from './MinionRanking.ts';
 import {computePlacementCost, isSchedulable} from './Placement.ts';
@@ -93,6 +94,27 @@
     return ranking.choose((minion) => this.#isAllowed(step, index, minion));
   }
 
+  /**
+   * Chooses a minion for a member of a gang: if possible one that has not crashed under the gang, so
+   * that the crashes tell its members from the machines, or else one that has not under the member.
+   */
+  #chooseForMember(
+    step: StepState,
+    index: number,
+    ranking: MinionRanking,
+  ): MinionState | undefined {
+    for (const crashes of [listCrashes(step, index), step.crashes.of(index)]) {
+      const crashed = new Set(crashes.map(({address}) => address));
+      const minion = ranking.choose(
+        (each) => !crashed.has(each.description.address) && this.#isAllowed(step, index, each),
+      );
+      if (minion !== undefined) {
+        return minion;
+      }
+    }
+    return this.#choose(step, index, ranking);
+  }
+
   #rank(step: StepState, minions: readonly MinionState[]): MinionRanking {
     const {now, sharingCosts} = this.#context;
     return new MinionRanking(step, minions, sharingCosts, now);
@@ -232,7 +254,7 @@
     const ranking = this.#rank(step, minions);
     const runs: Run[] = [];
     for (const index of indexes) {
-      const minion = this.#choose(step, index, ranking);
+      const minion = this.#chooseForMember(step, index, ranking);
       if (minion === undefined) {
         for (const run of runs) {
           this.#fleet.discardRun(run);
--- a/packages/nutmegproxy-scheduling/src/TaskTrials.ts
+++ b/packages/nutmegproxy-scheduling/src/TaskTrials.ts
@@ -14,7 +14,7 @@
 import type {MinionState} from './MinionState.ts';
 
 import {MAX_CRASH_AGE_MS} from './CrashAttribution.ts';
-import {computeTrialMs, CRASH_VERDICTS, isStronglySuspected} from './CrashVerdict.ts';
+import {computeTrialMs, isStronglySuspected, judgeTask, listCrashes} from './CrashVerdict.ts';
 import {describeRun} from './RunFields.ts';
 import {SCHEDULING_EVENTS} from './SchedulingEvents.ts';
 
@@ -53,7 +53,7 @@
 /** Gives up a task and with it its job. */
 function giveUpTask(fleet: Fleet, step: StepState, index: number): void {
   const {job} = step;
-  const crashes = step.crashes.of(index);
+  const crashes = listCrashes(step, index);
   fleet.events.record(SCHEDULING_EVENTS.TASK_GIVEN_UP, {
     crashes: crashes.length,
     evidence: crashes.map(({evidence}) => evidence).join(' '),
@@ -130,6 +130,12 @@
   return run;
 }
 
+/** Returns for how long a task, or its whole gang, has waited since the last crash under it. */
+function computeWaitedMs({crashes, shape}: StepState, index: number, now: Instant): number {
+  const indexes = shape.gang ? crashes.indexes : [index];
+  return Math.min(...indexes.map((each) => now - crashes.consideredAt(each, now)));
+}
+
 /** Plans the trials of the steps that are ready, and gives up tasks that are found guilty. */
 export function planTrials(
   fleet: Fleet,
@@ -143,11 +149,11 @@
   const suspects: Suspect[] = [];
   for (const step of ready.filter(({crashes}) => !crashes.isEmpty)) {
     for (const index of context.listStartable(step)) {
-      const verdict = CRASH_VERDICTS.byTrial(step.crashes.of(index));
+      const verdict = judgeTask(step, index);
       if (verdict === 'clear' || step.job.isFinal) {
         continue;
       }
-      const waitedMs = now - step.crashes.consideredAt(index, now);
+      const waitedMs = computeWaitedMs(step, index, now);
       if (verdict === 'guilty') {
         held.add(step.job);
         if (waitedMs >= VERDICT_PAUSE_MS) {
