Silent records name the runs that had just started on the minion

Seen by callers: a task that crashes each minion was started again by each owner when owners are killed in turn while the minion is down, and its job did not end: in the emulator six starts and no verdict (the test ends there).

Cause: a first start is stored nowhere. An owner that ends before the minion is back takes the crash with it, and the next one finds a minion that it never saw in another incarnation and blames nobody.

Change: the record of a silent minion, which is stored anyway, names the runs that the minion had confirmed and that were young (`suspects`, with the start time of the incarnation). The next owner counts an unconfirmed crash under them if the minion is then in another incarnation, as for a trial; four such starts on two minions end a task. From the first one on, starts are trials, which are stored before they are sent. No further write, and records of earlier versions are read as before.

Not counted: a minion that drains, a start that was not confirmed, a run that had been live for 0.5 s, and a minion that comes back in its incarnation.

Ruled out: a trial record for each first start (each job waits for a write); trial records at the time of the silence (a good run that outlives a cut would stay on trial, and a write for each job).

What remains: an owner that is killed before the record is stored, about 0.3 s after the crash, still leaves a first start uncounted.

--- a/packages/nutmegproxy-owner/src/MinionRecovery.ts
+++ b/packages/nutmegproxy-owner/src/MinionRecovery.ts
@@ -144,9 +144,9 @@
       ) {
         continue;
       }
-      const {remainingMs, runs} = resolveSilentRecord(record, clock.wall());
-      const leasedMs = Math.min(remainingMs, minion.leaseClock.expiresInMs(now));
-      adoptRecordedRuns(fleet, minion, {remainingMs: leasedMs, runs}, now);
+      const recorded = resolveSilentRecord(record, clock.wall());
+      const remainingMs = Math.min(recorded.remainingMs, minion.leaseClock.expiresInMs(now));
+      adoptRecordedRuns(fleet, minion, {...recorded, remainingMs}, now);
       roster.markSilent(description, record);
     }
     void recoveryRecord.update();
@@ -184,7 +184,10 @@
       roster.markSilent(minion.description, {heldUntil, runs: former.runs});
     } else if (minion.areRunsKnown) {
       minion.isRecordedUnreachable = true;
-      roster.markSilent(minion.description, createSilentRecord(minion, unstoredResults, time));
+      roster.markSilent(
+        minion.description,
+        createSilentRecord(fleet, minion, unstoredResults, time),
+      );
     }
   }
 
--- a/packages/nutmegproxy-owner/src/Roster.ts
+++ b/packages/nutmegproxy-owner/src/Roster.ts
@@ -27,12 +27,21 @@
 
 const ROSTER_KEY = `${STATE_PREFIX}roster`;
 
+/** Runs that had just started when their minion fell silent: suspects if it has crashed. */
+export interface SuspectRuns {
+  /** Start of the minion's incarnation in Unix milliseconds. */
+  readonly bornAt: number;
+  readonly runs: SilentMinionRecord['runs'];
+}
+
 /** What is stored of a minion that does not respond. */
 export interface SilentMinionRecord {
   /** When its lease has certainly expired, by the wall clock of the VM that wrote this. */
   readonly heldUntil: WallTime;
   /** Task names and run numbers of the runs that it may have. */
   readonly runs: readonly (readonly [task: string, number: RunNumber])[];
+  /** Absent when there are none, and in records of earlier versions. */
+  readonly suspects?: SuspectRuns;
 }
 
 /** What is stored of a draining minion. */
--- a/packages/nutmegproxy-owner/src/SilentRecords.ts
+++ b/packages/nutmegproxy-owner/src/SilentRecords.ts
@@ -2,13 +2,13 @@
 
 import type {Instant, WallTime} from '@nutmegproxy/core';
 import type {Run} from '@nutmegproxy/jobs';
-import type {Fleet, MinionState, RunResult} from '@nutmegproxy/scheduling';
+import type {Fleet, FormerSuspect, MinionState, RunResult} from '@nutmegproxy/scheduling';
 
 import {after} from '@nutmegproxy/core';
 import {formatTaskName, parseTaskName} from '@nutmegproxy/jobs';
-import {dropSupersededRuns, findStep} from '@nutmegproxy/scheduling';
+import {dropSupersededRuns, findStep, FRESH_RUN_MS} from '@nutmegproxy/scheduling';
 
-import type {SilentMinionRecord} from './Roster.ts';
+import type {SilentMinionRecord, SuspectRuns} from './Roster.ts';
 
 import {MAX_WALL_CLOCK_SKEW_MS} from './OwnerConstants.ts';
 
@@ -16,6 +16,7 @@
 export interface RecordedRuns {
   readonly remainingMs: number;
   readonly runs: SilentMinionRecord['runs'];
+  readonly suspects?: SuspectRuns | undefined;
 }
 
 /** The present time on both clocks of this process. */
@@ -26,19 +27,34 @@
 
 /** Converts a record by the wall clock, which may differ from that of the VM that wrote it. */
 export function resolveSilentRecord(
-  {heldUntil, runs}: SilentMinionRecord,
+  {heldUntil, runs, suspects}: SilentMinionRecord,
   wall: WallTime,
 ): RecordedRuns {
-  return {remainingMs: Math.max(0, heldUntil + MAX_WALL_CLOCK_SKEW_MS - wall), runs};
+  return {remainingMs: Math.max(0, heldUntil + MAX_WALL_CLOCK_SKEW_MS - wall), runs, suspects};
+}
+
+/** Finds the tasks of suspects whose jobs are not over. */
+function findSuspects(fleet: Fleet, {runs}: SuspectRuns): FormerSuspect[] {
+  return runs.flatMap(([name, number]) => {
+    const task = parseTaskName(name);
+    const step = task && findStep(fleet, task);
+    return task === undefined || step === undefined || step.job.isFinal
+      ? []
+      : [{index: task.index, number, step}];
+  });
 }
 
 /** Reserves capacity for the runs that a silent minion may have until its lease has expired. */
 export function adoptRecordedRuns(
   fleet: Fleet,
   minion: MinionState,
-  {remainingMs, runs}: RecordedRuns,
+  {remainingMs, runs, suspects}: RecordedRuns,
   now: Instant,
 ): void {
+  minion.formerSuspects = suspects && {
+    bornAt: suspects.bornAt,
+    runs: findSuspects(fleet, suspects),
+  };
   minion.isRecordedUnreachable = true;
   minion.areRunsKnown = true;
   minion.leaseClock.assumeLeasedUntil(after(now, remainingMs));
@@ -79,8 +95,24 @@
   ]);
 }
 
+/** Lists the runs that may have crashed a silent minion; a minion that drains may just have left. */
+function listSuspects(
+  {runNumberBase}: Fleet,
+  minion: MinionState,
+): Pick<SilentMinionRecord, 'suspects'> {
+  const {bornAt, description} = minion;
+  const runs = minion
+    .listExposedRuns(runNumberBase)
+    .filter(({ageMs, run}) => ageMs < FRESH_RUN_MS && run.confirmedAt !== undefined)
+    .map(({run}) => [formatTaskName(run.task), run.number] as const);
+  return bornAt === undefined || description.isDraining || runs.length === 0
+    ? {}
+    : {suspects: {bornAt, runs}};
+}
+
 /** Returns the record of what a silent minion may run, and until when. */
 export function createSilentRecord(
+  fleet: Fleet,
   minion: MinionState,
   unstoredResults: readonly RunResult[],
   {now, wall}: PresentTime,
@@ -88,5 +120,6 @@
   return {
     heldUntil: (wall + minion.leaseClock.expiresInMs(now)) as WallTime,
     runs: listPossibleRuns(minion, unstoredResults),
+    ...listSuspects(fleet, minion),
   };
 }
--- a/packages/nutmegproxy-scheduling/src/CrashAttribution.ts
+++ b/packages/nutmegproxy-scheduling/src/CrashAttribution.ts
@@ -5,7 +5,7 @@
  */
 
 import type {Instant, JobId, MinionId} from '@nutmegproxy/core';
-import type {CrashEvidence, Run} from '@nutmegproxy/jobs';
+import type {CrashEvidence, Run, RunNumber, StepState} from '@nutmegproxy/jobs';
 
 /** Age in milliseconds below which a run is suspected of the crash of its minion. */
 export const FRESH_RUN_MS = 500;
@@ -29,6 +29,13 @@
   readonly run: Run;
 }
 
+/** A run that had just started when a former owner found its minion silent. */
+export interface FormerSuspect {
+  readonly index: number;
+  readonly number: RunNumber;
+  readonly step: StepState;
+}
+
 /** The failure of a minion, some time between its last response and its first missed call. */
 export interface MinionOutage {
   readonly from: Instant;
--- a/packages/nutmegproxy-scheduling/src/CrashRecorder.ts
+++ b/packages/nutmegproxy-scheduling/src/CrashRecorder.ts
@@ -87,6 +87,24 @@
   });
 }
 
+/**
+ * Records the crash of a minion that a former owner found silent. Whether other machines failed with
+ * it is not known.
+ */
+function resolveFormerSuspects(fleet: Fleet, minion: MinionState, now: Instant): void {
+  const {formerSuspects, id} = minion;
+  const {address, isDraining} = minion.description;
+  minion.formerSuspects = undefined;
+  if (formerSuspects === undefined || formerSuspects.bornAt === minion.bornAt || isDraining) {
+    return;
+  }
+  for (const {index, number, step} of formerSuspects.runs) {
+    const evidence = 'unconfirmed' as const;
+    const crash = {address, ageMs: 0, evidence, minion: id, run: number};
+    recordTaskCrash(fleet, step, index, crash, now);
+  }
+}
+
 /** Lists the stored trials on a minion. */
 function listTrialsOn(fleet: Fleet, {id}: MinionState): StoredTrial[] {
   const stored: StoredTrial[] = [];
@@ -106,10 +124,11 @@
 }
 
 /**
- * Records trials of a former owner, or of a lease that expired meanwhile, on a minion that has
- * crashed since. Whether the start was sent, and what else has failed, is not known.
+ * Records suspects of a former owner, and trials of one or of a lease that expired meanwhile, on a
+ * minion that has crashed since. Whether the start was sent, and what else has failed, is not known.
  */
 export function resolveTrials(fleet: Fleet, minion: MinionState, now: Instant): void {
+  resolveFormerSuspects(fleet, minion, now);
   const {address, isDraining} = minion.description;
   for (const {index, step, trial} of listTrialsOn(fleet, minion)) {
     const {bornAt, run} = trial;
--- a/packages/nutmegproxy-scheduling/src/MinionState.ts
+++ b/packages/nutmegproxy-scheduling/src/MinionState.ts
@@ -3,7 +3,7 @@
 import type {Branded, DataCentreId, Instant, MinionId, RackId} from '@nutmegproxy/core';
 import type {Resources, Run, ServiceId, StepShape, StepState} from '@nutmegproxy/jobs';
 
-import type {ExposedRun} from './CrashAttribution.ts';
+import type {ExposedRun, FormerSuspect} from './CrashAttribution.ts';
 
 import {computeProvenAge, FRESH_RUN_MS} from './CrashAttribution.ts';
 import {LeaseClock} from './LeaseClock.ts';
@@ -83,6 +83,11 @@
   bornAt: number | undefined;
   /** Runs that were live when its lease expired, until it responds. */
   lapsedRuns: readonly ExposedRun[] = [];
+  /**
+   * Runs that a former owner's record names as suspects if the minion has crashed since, in the
+   * incarnation that started at `bornAt`; undefined once it has responded.
+   */
+  formerSuspects: {readonly bornAt: number; readonly runs: readonly FormerSuspect[]} | undefined;
   /** Calls without a response since the last response. */
   missedCalls = 0;
   /** When the first of these calls failed; undefined while it responds. */
--- a/packages/nutmegproxy-scheduling/src/index.ts
+++ b/packages/nutmegproxy-scheduling/src/index.ts
@@ -2,8 +2,14 @@
 
 export {AdviceCache} from './AdviceCache.ts';
 export type {AdviceQuery, Ticket} from './AdviceCache.ts';
-export {computeProvenAge, CRASH_ATTRIBUTIONS} from './CrashAttribution.ts';
-export type {CrashAttribution, CrashCause, ExposedRun, MinionOutage} from './CrashAttribution.ts';
+export {computeProvenAge, CRASH_ATTRIBUTIONS, FRESH_RUN_MS} from './CrashAttribution.ts';
+export type {
+  CrashAttribution,
+  CrashCause,
+  ExposedRun,
+  FormerSuspect,
+  MinionOutage,
+} from './CrashAttribution.ts';
 export {recordMinionCrash, recordReplacement} from './CrashRecorder.ts';
 export {computeTrialMs, CRASH_VERDICTS} from './CrashVerdict.ts';
 export type {TaskVerdict} from './CrashVerdict.ts';
