Crashes behind a cut do not speak for guilt: calls that time out are told from closed connections

Cause: the owner took the minion to have crashed when it last responded, with the young run. Both a cut and a crash were `unanswered` calls.

Change: a failed call says whether it timed out. A minion that crashes closes its connections and refuses others; one that is cut off leaves calls without a response. When the first missed call before a restart timed out, the time of the crash is not known, and the crash is `unconfirmed`: it makes a suspect, and four such crashes under young runs end a task instead of two or three.

Not solved: a cut that resets connections looks like a crash, as before. A machine that a task takes down without closing connections needs four crashes.

The emulated fleet fails calls alike: timeouts while unreachable, closed connections while down.

--- a/packages/nutmegproxy-emulator/src/EmulatedFleet.ts
+++ b/packages/nutmegproxy-emulator/src/EmulatedFleet.ts
@@ -90,7 +90,7 @@
       await sleep(Math.min(order.waitMs, this.maxPollWaitMs));
       if (this.faults(target.id).arePollAnswersLost) {
         await sleep(ORDER_TIMEOUT_MS);
-        return err(UNANSWERED);
+        return err(TIMED_OUT);
       }
       return minion.poll(order, this.#now());
     });
@@ -116,7 +116,7 @@
         // A start that is still delayed must not keep a test's process alive.
         setTimeout(() => minion.start(order, this.#now()), startDelayMs).unref();
         await sleep(ORDER_TIMEOUT_MS);
-        return err(UNANSWERED);
+        return err(TIMED_OUT);
       }
       return minion.start(order, this.#now());
     });
@@ -165,19 +165,20 @@
     const minion = this.minions.get(target.id);
     if (minion === undefined || this.faults(target.id).isUnreachable) {
       await sleep(ORDER_TIMEOUT_MS);
-      return err(UNANSWERED);
+      return err(TIMED_OUT);
     }
     const {rejection} = this.faults(target.id);
     if (rejection !== undefined) {
       return err(rejection);
     }
     if (minion.isDown(this.#now())) {
-      return err(UNANSWERED);
+      return err(CLOSED);
     }
     const answer = await act(minion);
-    return this.faults(target.id).isUnreachable || minion.isDown(this.#now())
-      ? err(UNANSWERED)
-      : answer.andThen((each) => ok(each));
+    if (this.faults(target.id).isUnreachable) {
+      return err(TIMED_OUT);
+    }
+    return minion.isDown(this.#now()) ? err(CLOSED) : answer.andThen((each) => ok(each));
   }
 
   #now(): Instant {
@@ -185,11 +186,19 @@
   }
 }
 
-const UNANSWERED: OrderFailure = {
+const TIMED_OUT: OrderFailure = {
   clockMs: undefined,
+  isTimeout: true,
   kind: 'unanswered',
   message: 'deadline exceeded',
 };
+/** A minion that crashes closes its connections, and refuses others while it is down. */
+const CLOSED: OrderFailure = {
+  clockMs: undefined,
+  isTimeout: false,
+  kind: 'unanswered',
+  message: 'other side closed',
+};
 
 function sleep(milliseconds: number): Promise<void> {
   return new Promise((resolve) => {
--- a/packages/nutmegproxy-jobs/src/StepCrashes.ts
+++ b/packages/nutmegproxy-jobs/src/StepCrashes.ts
@@ -7,7 +7,7 @@
 /**
  * `alone`: the minion ran no other job. `shared`: other jobs may be to blame. `coincident`: other
  * minions failed at the same time, so that the machines are likely to blame. `unconfirmed`: the
- * minion had not confirmed the start, and may have been down before.
+ * minion had not confirmed the start and may have been down before, or was cut off before it crashed.
  */
 export type CrashEvidence = 'alone' | 'coincident' | 'shared' | 'unconfirmed';
 
--- a/packages/nutmegproxy-owner/src/MinionOrders.ts
+++ b/packages/nutmegproxy-owner/src/MinionOrders.ts
@@ -68,6 +68,8 @@
 export interface OrderFailure {
   /** The minion's clock in milliseconds; undefined when the response doesn't contain it. */
   readonly clockMs: number | undefined;
+  /** Whether the call timed out; a minion that crashes closes its connections at once. */
+  readonly isTimeout?: boolean;
   readonly kind: OrderFailureKind;
   readonly message: string;
 }
--- a/packages/nutmegproxy-owner/src/MinionSession.ts
+++ b/packages/nutmegproxy-owner/src/MinionSession.ts
@@ -245,6 +245,7 @@
     this.minion.lastAnswerAt = now;
     this.minion.missedCalls = 0;
     this.minion.silentSince = undefined;
+    this.minion.mayBeCutOff = false;
     if (this.minion.isRecordedUnreachable) {
       this.#context.onAnswering(this.minion);
     }
@@ -262,7 +263,8 @@
     }
   }
 
-  #handleFailure({clockMs, kind, message}: OrderFailure, what: string): void {
+  #handleFailure(failure: OrderFailure, what: string): void {
+    const {clockMs, isTimeout = false, kind, message} = failure;
     const {clock, events, onFenced, onSilent} = this.#context;
     const fields = {...this.eventFields, message, what};
     // A minion that rejects a call as unhealthy has not stored the token, so a former owner may still
@@ -278,6 +280,7 @@
       this.minion.missedCalls += 1;
       this.minion.silentSince ??= clock.monotonic();
       if (this.minion.missedCalls === 1) {
+        this.minion.mayBeCutOff = isTimeout;
         events.record(OWNER_EVENTS.MINION_UNREACHABLE, fields);
       }
       const isSilent = this.minion.missedCalls >= SILENT_AFTER_MISSED_CALLS;
--- a/packages/nutmegproxy-scheduling/src/CrashRecorder.ts
+++ b/packages/nutmegproxy-scheduling/src/CrashRecorder.ts
@@ -179,6 +179,7 @@
   fleet.events.record(SCHEDULING_EVENTS.MINION_CRASHED, {
     cause,
     evidence,
+    mayBeCutOff: minion.mayBeCutOff,
     minion: minion.id,
     otherOutages: others.map(({minion: id}) => id).join(' '),
     runs: exposed.length,
@@ -195,7 +196,9 @@
     run.step.crashes.endTrial(run.task.index, run.number);
   }
   for (const {ageMs, run} of recorded) {
-    const isConfirmed = run.confirmedAt !== undefined || evidence === 'coincident';
+    // When a minion that was cut off crashed is not known: its runs may have been over by then.
+    const wasLive = run.confirmedAt !== undefined && !minion.mayBeCutOff;
+    const isConfirmed = wasLive || evidence === 'coincident';
     const crash = {
       address,
       ageMs,
--- a/packages/nutmegproxy-scheduling/src/MinionState.ts
+++ b/packages/nutmegproxy-scheduling/src/MinionState.ts
@@ -92,6 +92,8 @@
   missedCalls = 0;
   /** When the first of these calls failed; undefined while it responds. */
   silentSince: Instant | undefined;
+  /** Whether the first of these calls timed out, so that it may have been cut off before it crashed. */
+  mayBeCutOff = false;
   /** Run of a suspected task, beside which nothing is placed. */
   trialRun: Run | undefined;
   /** Reserved resources; the processors of backfill tasks are not included. */
--- a/packages/nutmegproxy-store/src/__tests__/unit/HttpExchange.test.ts
+++ b/packages/nutmegproxy-store/src/__tests__/unit/HttpExchange.test.ts
@@ -18,6 +18,8 @@
   parentPort.postMessage('received');
   if (request.url === '/answered') {
     setTimeout(() => response.end('done'), 100);
+  } else if (request.url === '/closed') {
+    request.socket.destroy();
   }
 });
 server.listen(0, '127.0.0.1', () => parentPort.postMessage(server.address().port));
@@ -57,6 +59,13 @@
     });
   }
 
+  it('tells a call that timed out from one whose connection was closed', async () => {
+    assert.equal((await send('/unanswered'))._unsafeUnwrapErr().isTimeout, true);
+    assert.equal((await send('/closed'))._unsafeUnwrapErr().isTimeout, false);
+    await worker.terminate();
+    assert.equal((await send('/refused'))._unsafeUnwrapErr().isTimeout, false);
+  });
+
   describe('a stall of this process beyond the timeout', () => {
     it('does not fail a call whose response has arrived', async () => {
       const response = send('/answered');
