Trials: a log line when a trial's record can't be stored

BlamelessTasks' test of a failing store asks for it and passes (3 of 3 of its file, once); without the event it could not compile, so it was not run before the change.

--- a/packages/nutmegproxy-emulator/src/__tests__/unit/BlamelessTasks.test.ts
+++ b/packages/nutmegproxy-emulator/src/__tests__/unit/BlamelessTasks.test.ts
@@ -1,4 +1,5 @@
 import {SYSTEM_CLOCK} from '@nutmegproxy/core';
+import {OWNER_EVENTS} from '@nutmegproxy/owner';
 import {SCHEDULING_EVENTS} from '@nutmegproxy/scheduling';
 import assert from 'node:assert/strict';
 import {afterEach, beforeEach, describe, it} from 'node:test';
@@ -40,6 +41,7 @@
     second.crash(150, SYSTEM_CLOCK.monotonic());
     await new Promise((resolve) => setTimeout(resolve, 4_000));
     assert.equal(harness.countEvents(SCHEDULING_EVENTS.TASK_GIVEN_UP), 0);
+    assert.ok(harness.countEvents(OWNER_EVENTS.TRIAL_NOT_STORED) > 0);
     harness.isStoreDown = false;
     await new Promise((resolve) => setTimeout(resolve, 1_000));
     assert.equal((await harness.readProgress(good))?.status, 'running');
--- a/packages/nutmegproxy-owner/src/OwnerEvents.ts
+++ b/packages/nutmegproxy-owner/src/OwnerEvents.ts
@@ -89,4 +89,9 @@
     text: 'A start was given up, since its minion has shrunk since the task was placed.',
   },
   STORE_CALL_FAILED: {code: 8122, level: 'warn', text: 'A call to the store or a watch failed.'},
+  TRIAL_NOT_STORED: {
+    code: 8138,
+    level: 'warn',
+    text: 'The start of a suspected task could not be stored in time; it is not sent.',
+  },
 } satisfies Record<string, EventKind>;
--- a/packages/nutmegproxy-owner/src/RunOrders.ts
+++ b/packages/nutmegproxy-owner/src/RunOrders.ts
@@ -64,7 +64,7 @@
     }
     this.#starting.add(run);
     const isOnTrial = run.step.crashes.trials.get(run.task.index)?.run === run.number;
-    const isRecorded = !isOnTrial || (await this.#awaitTrialRecord());
+    const isRecorded = !isOnTrial || (await this.#awaitTrialRecord(run));
     const result = isRecorded ? await this.#tryStart(run) : 'not-started';
     this.#starting.delete(run);
     if (result === 'not-started' && run.phase === 'starting' && this.#minion.runs.has(run)) {
@@ -89,9 +89,14 @@
    * Waits until a start that may crash the minion is stored, since the next owner has to know of it;
    * false when the store does not respond, so that the minion is free again.
    */
-  async #awaitTrialRecord(): Promise<boolean> {
-    const stored = this.#context.journal.flush().then(() => true);
-    return Promise.race([stored, delay(TRIAL_RECORD_TIMEOUT_MS).then(() => false)]);
+  async #awaitTrialRecord(run: Run): Promise<boolean> {
+    const {events, journal} = this.#context;
+    const stored = journal.flush().then(() => true);
+    const isStored = await Promise.race([stored, delay(TRIAL_RECORD_TIMEOUT_MS).then(() => false)]);
+    if (!isStored) {
+      events.record(OWNER_EVENTS.TRIAL_NOT_STORED, describeRun(run));
+    }
+    return isStored;
   }
 
   get #target(): MinionTarget {
