--- a/packages/nutmegproxy-owner/src/MinionRecovery.ts
+++ b/packages/nutmegproxy-owner/src/MinionRecovery.ts
@@ -177,14 +177,15 @@
       ) {
         continue;
       }
-      const {remainingMs, runs} = resolveSilentRecord(record, clock.wall());
+      const recorded = resolveSilentRecord(record, clock.wall());
       const presentMs = minion.leaseClock.expiresInMs(now);
-      const leasedMs = isLeaseCurrent(minion.id) ? Math.min(remainingMs, presentMs) : presentMs;
-      adoptRecordedRuns(fleet, minion, {remainingMs: leasedMs, runs}, now);
-      const heldUntil = isLeaseCurrent(minion.id)
+      const isCurrentLease = isLeaseCurrent(minion.id);
+      const remainingMs = isCurrentLease ? Math.min(recorded.remainingMs, presentMs) : presentMs;
+      adoptRecordedRuns(fleet, minion, {...recorded, remainingMs}, now);
+      const heldUntil = isCurrentLease
         ? record.heldUntil
         : (Math.ceil(clock.wall() + presentMs) as WallTime);
-      roster.markSilent(description, {heldUntil, runs});
+      roster.markSilent(description, {...record, heldUntil});
     }
     void recoveryRecord.update();
   }
@@ -224,7 +225,10 @@
       roster.markSilent(minion.description, {heldUntil, runs: former.runs});
     } else if (minion.areRunsKnown) {
       minion.isRecordedUnreachable = true;
-      roster.markSilent(minion.description, createSilentRecord(minion, unstoredResults, time));
+      roster.markSilent(
+        minion.description,
+        createSilentRecord(fleet, minion, unstoredResults, time),
+      );
     } else if (this.#canHold(minion)) {
       void this.#options.record.update();
     }
--- a/packages/nutmegproxy-scheduling/src/CrashRecorder.ts
+++ b/packages/nutmegproxy-scheduling/src/CrashRecorder.ts
@@ -10,7 +10,7 @@
 import type {MinionState} from './MinionState.ts';
 
 import {CRASH_ATTRIBUTIONS, isSimultaneous, listJobs} from './CrashAttribution.ts';
-import {CRASH_VERDICTS} from './CrashVerdict.ts';
+import {judgeTask} from './CrashVerdict.ts';
 import {describeRun, describeRuns} from './RunFields.ts';
 import {SCHEDULING_EVENTS} from './SchedulingEvents.ts';
 
@@ -83,10 +83,28 @@
     minion: crash.minion,
     run: crash.run,
     task: formatTaskName({index, job: job.id, occurrence: step.occurrence, step: step.number}),
-    verdict: CRASH_VERDICTS.byTrial(crashes),
+    verdict: judgeTask(step, index),
   });
 }
 
+/**
+ * Records the crash of a minion that a former owner found silent. Whether other machines failed with
+ * it is not known.
+ */
+function resolveFormerSuspects(fleet: Fleet, minion: MinionState, now: Instant): void {
+  const {formerSuspects, id} = minion;
+  const {address, isDraining} = minion.description;
+  minion.formerSuspects = undefined;
+  if (formerSuspects === undefined || formerSuspects.bornAt === minion.bornAt || isDraining) {
+    return;
+  }
+  for (const {index, number, step} of formerSuspects.runs) {
+    const evidence = 'unconfirmed' as const;
+    const crash = {address, ageMs: 0, evidence, minion: id, run: number};
+    recordTaskCrash(fleet, step, index, crash, now);
+  }
+}
+
 /** Lists the stored trials on a minion. */
 function listTrialsOn(fleet: Fleet, {id}: MinionState): StoredTrial[] {
   const stored: StoredTrial[] = [];
@@ -106,10 +124,11 @@
 }
 
 /**
- * Records trials of a former owner, or of a lease that expired meanwhile, on a minion that has
- * crashed since. Whether the start was sent, and what else has failed, is not known.
+ * Records suspects of a former owner, and trials of one or of a lease that expired meanwhile, on a
+ * minion that has crashed since. Whether the start was sent, and what else has failed, is not known.
  */
 export function resolveTrials(fleet: Fleet, minion: MinionState, now: Instant): void {
+  resolveFormerSuspects(fleet, minion, now);
   const {address, isDraining} = minion.description;
   for (const {index, step, trial} of listTrialsOn(fleet, minion)) {
     const {bornAt, run} = trial;
@@ -160,6 +179,7 @@
   fleet.events.record(SCHEDULING_EVENTS.MINION_CRASHED, {
     cause,
     evidence,
+    mayBeCutOff: minion.mayBeCutOff,
     minion: minion.id,
     otherOutages: others.map(({minion: id}) => id).join(' '),
     runs: exposed.length,
@@ -176,7 +196,9 @@
     run.step.crashes.endTrial(run.task.index, run.number);
   }
   for (const {ageMs, run} of recorded) {
-    const isConfirmed = run.confirmedAt !== undefined || evidence === 'coincident';
+    // When a minion that was cut off crashed is not known: its runs may have been over by then.
+    const wasLive = run.confirmedAt !== undefined && !minion.mayBeCutOff;
+    const isConfirmed = wasLive || evidence === 'coincident';
     const crash = {
       address,
       ageMs,
