Start nothing on a view of the directory that is older than a draining minion serves

Cause: the owner learns of draining minions by its watch of the directory, and nothing bounded the age of what it knows. A watch whose calls fail or are late, or a stall of the process after which a round of planning runs before the responses are read, lets it place on a minion that has long drained. The check before a start is sent looks at the same view.

Change: a watch says as of when all changes are known, which is when its last successful call was sent. Nothing is placed or sent while that was more than 2 s ago. While the watch or a new listing fails, the age counts only up to the last renewal of the ownership, so that work goes on while the store is down.

--- a/packages/nutmegproxy-emulator/src/EmulatedFleet.ts
+++ b/packages/nutmegproxy-emulator/src/EmulatedFleet.ts
@@ -7,6 +7,7 @@
   MinionOrders,
   MinionSnapshot,
   MinionTarget,
+  MinionWatch,
   OrderAnswer,
   OrderFailure,
   PollOrder,
@@ -14,7 +15,7 @@
   StartOrder,
 } from '@nutmegproxy/owner';
 import type {MinionListing} from '@nutmegproxy/scheduling';
-import type {StoreFailure, Watch} from '@nutmegproxy/store';
+import type {StoreFailure} from '@nutmegproxy/store';
 import type {Result} from 'neverthrow';
 
 import {err, ok, okAsync, ResultAsync} from 'neverthrow';
@@ -43,9 +44,14 @@
 export class EmulatedFleet implements MinionDirectory, MinionOrders {
   /** Longest time in milliseconds that a poll waits. */
   maxPollWaitMs = MAX_POLL_WAIT_MS;
+  /** Whether the calls of watches fail while they are delayed. */
+  areWatchesFailing = false;
   readonly minions = new Map<MinionId, EmulatedMinion>();
   readonly #clock: Clock;
   readonly #faults = new Map<MinionId, OrderFaults>();
+  /** Changes that delayed watches have not reported; undefined while they are not delayed. */
+  #delayedChanges: MinionChange[] | undefined;
+  #delayedSince: Instant | undefined;
   readonly #watchers = new Set<WatchHandler>();
 
   constructor(clock: Clock) {
@@ -126,15 +132,38 @@
     return this.#call(target, (minion) => Promise.resolve(minion.stop(order, this.#now())));
   }
 
-  watch(_fromRevision: number, handler: WatchHandler): Watch {
+  watch(_fromRevision: number, handler: WatchHandler): MinionWatch {
     this.#watchers.add(handler);
+    const findCurrentAsOf = (): Instant => this.#delayedSince ?? this.#now();
+    const isFailing = (): boolean => this.areWatchesFailing;
     return {
       close: () => {
         this.#watchers.delete(handler);
       },
+      get currentAsOf() {
+        return findCurrentAsOf();
+      },
+      get isFailing() {
+        return isFailing();
+      },
     };
   }
 
+  /** Lets watches report no changes until `resumeWatches` is called. */
+  delayWatches(): void {
+    this.#delayedChanges ??= [];
+    this.#delayedSince ??= this.#now();
+  }
+
+  /** Reports the delayed changes. */
+  resumeWatches(): void {
+    const changes = this.#delayedChanges ?? [];
+    this.#delayedChanges = undefined;
+    this.#delayedSince = undefined;
+    this.areWatchesFailing = false;
+    this.#notifyWatchers(changes);
+  }
+
   /** Breaks all watches after a change that they do not report. */
   breakWatches(change: () => void): void {
     const broken = [...this.#watchers];
@@ -146,6 +175,10 @@
   }
 
   #notifyWatchers(changes: readonly MinionChange[]): void {
+    if (this.#delayedChanges !== undefined) {
+      this.#delayedChanges.push(...changes);
+      return;
+    }
     for (const {onChanges} of this.#watchers) {
       onChanges(changes);
     }
--- a/packages/nutmegproxy-owner/src/MinionDirectory.ts
+++ b/packages/nutmegproxy-owner/src/MinionDirectory.ts
@@ -1,6 +1,6 @@
 /** The platform's directory of minions. Each platform's adapter implements this interface. */
 
-import type {MinionId} from '@nutmegproxy/core';
+import type {Instant, MinionId} from '@nutmegproxy/core';
 import type {MinionDescription} from '@nutmegproxy/scheduling';
 import type {StoreFailure, Watch} from '@nutmegproxy/store';
 import type {ResultAsync} from 'neverthrow';
@@ -17,6 +17,14 @@
   readonly revision: number;
 }
 
+/** A watch of the directory, and which state of it has been reported. */
+export interface MinionWatch extends Watch {
+  /** All changes made before this instant have been reported; undefined while none are known to be. */
+  readonly currentAsOf: Instant | undefined;
+  /** Whether the last call to the directory failed. */
+  readonly isFailing: boolean;
+}
+
 export interface MinionDirectory {
   list(): ResultAsync<MinionSnapshot, StoreFailure>;
   /** Reports changes until it is closed; after `onBroken` the caller has to list again. */
@@ -26,5 +34,5 @@
       readonly onBroken: (failure: StoreFailure) => void;
       readonly onChanges: (changes: readonly MinionChange[]) => void;
     },
-  ): Watch;
+  ): MinionWatch;
 }
--- a/packages/nutmegproxy-owner/src/MinionSessions.ts
+++ b/packages/nutmegproxy-owner/src/MinionSessions.ts
@@ -3,7 +3,7 @@
 import type {Clock, EventSink, Instant, MinionId} from '@nutmegproxy/core';
 import type {Run} from '@nutmegproxy/jobs';
 import type {Fleet, MinionDescription, StopRequest} from '@nutmegproxy/scheduling';
-import type {PlatformStore, StoreFailure, Watch} from '@nutmegproxy/store';
+import type {PlatformStore, StoreFailure} from '@nutmegproxy/store';
 import type {Result} from 'neverthrow';
 
 import {delay} from '@nutmegproxy/core';
@@ -11,13 +11,15 @@
 import {err, ok} from 'neverthrow';
 
 import type {MinionAccount} from './ClosingRecords.ts';
-import type {MinionChange, MinionDirectory} from './MinionDirectory.ts';
+import type {MinionChange, MinionDirectory, MinionWatch} from './MinionDirectory.ts';
 import type {Roster, RosterEntry} from './Roster.ts';
 import type {SessionContext} from './SessionContext.ts';
 
+import {DirectoryAge} from './DirectoryAge.ts';
 import {MinionRecovery} from './MinionRecovery.ts';
 import {MinionSession} from './MinionSession.ts';
 import {
+  MAX_DIRECTORY_AGE_MS,
   REMOVE_UNLISTED_AFTER_MS,
   STORE_RETRY_MS,
   UNACKNOWLEDGED_PAUSE_MS,
@@ -33,24 +35,29 @@
   readonly fleet: Fleet;
   readonly onChange: () => void;
   readonly roster: Roster;
-  readonly session: Omit<SessionContext, 'recordUse'>;
+  readonly session: Omit<SessionContext, 'isDirectoryOutdated' | 'recordUse'>;
   readonly store: PlatformStore;
 }
 
 export class MinionSessions {
   readonly recovery: MinionRecovery;
   readonly #context: SessionContext;
+  readonly #directoryAge = new DirectoryAge();
   readonly #options: MinionSessionsOptions;
   readonly #sessions = new Map<MinionId, MinionSession>();
   #stopped = false;
-  #watch: undefined | Watch;
+  #watch: MinionWatch | undefined;
 
   constructor(options: MinionSessionsOptions) {
     this.#options = options;
     const {session, store} = options;
     const record = new RecoveryRecord({...session, store});
     this.recovery = new MinionRecovery({...options, ownership: session.ownership, record});
-    this.#context = {...session, recordUse: (minion) => this.#recordUse(minion)};
+    this.#context = {
+      ...session,
+      isDirectoryOutdated: (now) => this.isDirectoryOutdated(now),
+      recordUse: (minion) => this.#recordUse(minion),
+    };
   }
 
   close(): void {
@@ -68,6 +75,7 @@
    */
   async start(former: readonly RosterEntry[]): Promise<Result<void, StoreFailure>> {
     const {clock, directory, events, roster} = this.#options;
+    const listedAt = clock.monotonic();
     const snapshot = await directory.list();
     if (snapshot.isErr()) {
       return err(snapshot.error);
@@ -100,6 +108,7 @@
         this.#apply(changes);
       },
     });
+    this.#directoryAge.finishListing(this.#watch, listedAt);
     void roster.add(snapshot.value.minions);
     this.recovery.begin();
     const known = new Set(former.map(({description}) => description.id));
@@ -107,6 +116,16 @@
     return ok(undefined);
   }
 
+  /** Returns the largest age of the view of the directory, see `DirectoryAge`. */
+  computeDirectoryAge(now: Instant): number {
+    return this.#directoryAge.compute(this.#options.session.ownership.confirmedAt, now);
+  }
+
+  /** Whether a minion may have begun to drain so long ago, unseen, that nothing may start now. */
+  isDirectoryOutdated(now: Instant): boolean {
+    return this.computeDirectoryAge(now) > MAX_DIRECTORY_AGE_MS;
+  }
+
   /** Returns what is known of the runs of each minion, those that may be leaving first. */
   listAccounts(): MinionAccount[] {
     const now = this.#options.clock.monotonic();
@@ -214,6 +233,7 @@
   async #restart(failure: StoreFailure): Promise<void> {
     const {events} = this.#options;
     this.#watch?.close();
+    this.#directoryAge.beginListing();
     events.record(OWNER_EVENTS.STORE_CALL_FAILED, {message: failure.message, what: 'minions'});
     while (!this.#stopped) {
       const started = await this.start([]);
--- a/packages/nutmegproxy-owner/src/Owner.ts
+++ b/packages/nutmegproxy-owner/src/Owner.ts
@@ -202,7 +202,8 @@
     for (const minion of fleet.minions.values()) {
       evacuateMinion(fleet, minion, this.#estimator, now);
     }
-    const starts = this.#startLimiter.isBacklogged
+    const isHeld = this.#startLimiter.isBacklogged || this.#minions.isDirectoryOutdated(now);
+    const starts = isHeld
       ? []
       : planStarts(fleet, {
           advice: this.#advice.createLookup(now),
@@ -216,6 +217,7 @@
       events.record(OWNER_EVENTS.FLEET_SUMMARY, {
         ...summarizeFleet(fleet, now, wall),
         ...this.#startLimiter.eventFields,
+        directoryAgeMs: Math.round(this.#minions.computeDirectoryAge(now)),
       });
       if (fleet.recoveryRevision > 0) {
         events.record(OWNER_EVENTS.RECOVERY_WAITING, this.#minions.recovery.describe(now));
--- a/packages/nutmegproxy-owner/src/OwnerConstants.ts
+++ b/packages/nutmegproxy-owner/src/OwnerConstants.ts
@@ -94,5 +94,10 @@
 export const CLOSING_RECORD_READ_INTERVAL_MS = 300;
 /** Longest such pause; the record of a large fleet takes part of a slow link with each read. */
 export const MAX_CLOSING_RECORD_READ_INTERVAL_MS = 2_000;
+/**
+ * Age in milliseconds of the view of the directory beyond which nothing is started: a draining
+ * minion serves for no longer than this.
+ */
+export const MAX_DIRECTORY_AGE_MS = 2_000;
 /** Time after which a minion without an entry in the directory is removed. */
 export const REMOVE_UNLISTED_AFTER_MS = 3_000;
--- a/packages/nutmegproxy-owner/src/RunOrders.ts
+++ b/packages/nutmegproxy-owner/src/RunOrders.ts
@@ -104,7 +104,7 @@
       await startLimiter.enter();
       const sentAt = clock.monotonic();
       const untilMs = this.#hooks.grantLease(sentAt);
-      if (untilMs === undefined || !this.#canSend(run)) {
+      if (untilMs === undefined || !this.#canSend(run, sentAt)) {
         startLimiter.leaveUnsent();
         return this.#unansweredStarts.has(run) ? 'unknown' : 'not-started';
       }
@@ -142,14 +142,15 @@
 
   /**
    * Whether the start may still be sent; while it waited, its run may have been given up, and its
-   * minion may have begun to drain.
+   * minion may have begun to drain, also unseen.
    */
-  #canSend(run: Run): boolean {
+  #canSend(run: Run, now: Instant): boolean {
     return (
       this.#hooks.isActing() &&
       run.phase === 'starting' &&
       this.#minion.runs.has(run) &&
-      !this.#minion.description.isDraining
+      !this.#minion.description.isDraining &&
+      !this.#context.isDirectoryOutdated(now)
     );
   }
 
--- a/packages/nutmegproxy-owner/src/SessionContext.ts
+++ b/packages/nutmegproxy-owner/src/SessionContext.ts
@@ -14,6 +14,8 @@
   readonly events: EventSink;
   readonly findTicket: (run: Run) => Ticket | undefined;
   readonly fleet: Fleet;
+  /** Whether a minion may have begun to drain so long ago, unseen, that nothing may start now. */
+  readonly isDirectoryOutdated: (now: Instant) => boolean;
   /** Whether the tail latency of a serving task of the minion is near or over its target. */
   readonly isNearTarget: (minion: MinionState) => boolean;
   readonly journal: Journal;
--- a/packages/nutmegproxy-owner/src/__tests__/unit/RunOrders.test.ts
+++ b/packages/nutmegproxy-owner/src/__tests__/unit/RunOrders.test.ts
@@ -27,6 +27,7 @@
   let events: {readonly fields: EventFields; readonly kind: EventKind}[];
   let failure: OrderFailure | undefined;
   let fleet: Fleet;
+  let isDirectoryOutdated: boolean;
   let limiter: StartLimiter;
   let minion: MinionState;
   let orders: RunOrders;
@@ -43,6 +44,7 @@
   beforeEach(async () => {
     events = [];
     failure = undefined;
+    isDirectoryOutdated = false;
     sent = [];
     store = new MemoryStore();
     fleet = new Fleet(SILENT_EVENTS);
@@ -66,6 +68,7 @@
       },
       findTicket: () => undefined,
       fleet,
+      isDirectoryOutdated: () => isDirectoryOutdated,
       onChange: () => undefined,
       orders: minionOrders as MinionOrders,
       ownership: await acquireOwnership(store),
@@ -120,6 +123,15 @@
       assert.equal(run.step.waiting.size, 1);
     });
 
+    it('is not sent when its minion may be draining unseen meanwhile, and its task waits again', async () => {
+      const started = orders.start(run);
+      isDirectoryOutdated = true;
+      limiter.leave(1, 0);
+      await started;
+      assert.deepEqual(sent, []);
+      assert.equal(run.step.waiting.size, 1);
+    });
+
     it('is not measured when it is not sent, since that says nothing about the duration of calls', async () => {
       const before = limiter.limit;
       const started: Promise<void>[] = [];
--- a/packages/nutmegproxy-owner/src/index.ts
+++ b/packages/nutmegproxy-owner/src/index.ts
@@ -2,7 +2,12 @@
 
 export type {AdviceAnswer, AdviceClient, AdviceFailure} from './AdviceClient.ts';
 export {FleetOwnership} from './FleetOwnership.ts';
-export type {MinionChange, MinionDirectory, MinionSnapshot} from './MinionDirectory.ts';
+export type {
+  MinionChange,
+  MinionDirectory,
+  MinionSnapshot,
+  MinionWatch,
+} from './MinionDirectory.ts';
 export type {
   MinionOrders,
   MinionTarget,
