Crashes late in a run behind timeouts are bounded too

A task that crashed each minion 0.7 s after its start was tried without end (24 starts in two minutes, CrashAttribution.test) when the first missed call timed out: such a crash is unconfirmed, and unconfirmed ones counted under young runs only. Five starts of any age, on two minions, end it now; coincident crashes do not count.

--- a/packages/nutmegproxy-scheduling/src/CrashVerdict.ts
+++ b/packages/nutmegproxy-scheduling/src/CrashVerdict.ts
@@ -14,6 +14,8 @@
 const MAX_FRESH_CRASHES = 4;
 /** The same for runs of any age where no machine is known to have failed. */
 const MAX_BLAMED_CRASHES = 4;
+/** The same for runs of any age where no machine is known to have failed and the minions may have been cut off. */
+const MAX_UNCONFIRMED_CRASHES = 5;
 /** Shortest and longest trial in milliseconds. */
 const MIN_TRIAL_MS = 500;
 const MAX_TRIAL_MS = 5_000;
@@ -50,7 +52,10 @@
     countMinions(fresh) >= MIN_MINIONS &&
     (countStarts(confirmed) >= MAX_CONFIRMED_CRASHES || countStarts(fresh) >= MAX_FRESH_CRASHES);
   const isOften = countStarts(blamed) >= MAX_BLAMED_CRASHES;
-  if (isExhausted || (isConfirmed && (isProven || isRepeated || isOften))) {
+  const possible = crashes.filter(({evidence}) => evidence !== 'coincident');
+  const isOverdue =
+    countMinions(possible) >= MIN_MINIONS && countStarts(possible) >= MAX_UNCONFIRMED_CRASHES;
+  if (isExhausted || isOverdue || (isConfirmed && (isProven || isRepeated || isOften))) {
     return 'guilty';
   }
   return isStronglySuspected(crashes) || countStarts(crashes) > 1 ? 'suspect' : 'clear';
--- a/packages/nutmegproxy-scheduling/src/__tests__/unit/CrashAttribution.test.ts
+++ b/packages/nutmegproxy-scheduling/src/__tests__/unit/CrashAttribution.test.ts
@@ -193,6 +193,26 @@
     assert.equal(deadly.status, 'failed');
   });
 
+  it('gives up a task that crashes each minion later in its run when the crashes may have been cuts', () => {
+    const maxStarts = 5;
+    const sample = new SampleFleet(8);
+    const deadly = sample.addJob('proofs', [shape()]);
+    let starts = 0;
+    for (let now = 0; now < 120_000 && !deadly.isFinal; now += 5_000) {
+      for (const run of sample.plan(now)) {
+        starts += 1;
+        run.confirmedAt = at(now);
+        run.phase = 'running';
+        run.knownFrom = 'listing';
+        const minion = sample.fleet.minions.get(run.minion);
+        assert.ok(minion);
+        crash(sample, minion, now + 700, {mayBeCutOff: true});
+      }
+    }
+    assert.ok(starts <= maxStarts, `${starts} starts`);
+    assert.equal(deadly.status, 'failed');
+  });
+
   it('counts a crash in the trial of a run that the next owner has adopted', () => {
     const sample = new SampleFleet(1);
     const [minion] = [...sample.fleet.minions.values()];
