Recovery tests: one test of whether a store call writes a key

isRecoveryWrite of RecoverySeries and RecoveryUnderFaults repeated isWriteOf of StoreSamples; both call it now.

--- a/packages/nutmegproxy-emulator/src/__tests__/unit/RecoverySeries.test.ts
+++ b/packages/nutmegproxy-emulator/src/__tests__/unit/RecoverySeries.test.ts
@@ -17,6 +17,7 @@
   submitJob,
   waitFor,
 } from './JobSamples.ts';
+import {isWriteOf} from './StoreSamples.ts';
 import {sleep, TakeoverHarness} from './TakeoverHarness.ts';
 
 /** Time in milliseconds after its last run within which a long-running task has to run again. */
@@ -32,8 +33,7 @@
 
 /** Whether the arguments of a store call are a write of the record of used minions. */
 function isRecoveryWrite(args: readonly unknown[]): boolean {
-  const text = JSON.stringify(args);
-  return text.includes('"put"') && text.includes(`${STATE_PREFIX}recovery`);
+  return isWriteOf(`${STATE_PREFIX}recovery`, args);
 }
 
 describe('Recovery in a series of takeovers', () => {
--- a/packages/nutmegproxy-emulator/src/__tests__/unit/RecoveryUnderFaults.test.ts
+++ b/packages/nutmegproxy-emulator/src/__tests__/unit/RecoveryUnderFaults.test.ts
@@ -13,6 +13,7 @@
 import type {EmulatedMinion} from '../../EmulatedMinion.ts';
 
 import {createStepShape, createStoredJob, submitJob, waitFor} from './JobSamples.ts';
+import {isWriteOf} from './StoreSamples.ts';
 import {sleep, TakeoverHarness} from './TakeoverHarness.ts';
 
 /** Time in milliseconds after its last run within which a long-running task has to run again. */
@@ -34,8 +35,7 @@
 const STORE_CALL_TIMEOUT_MS = 900;
 
 function isRecoveryWrite(args: readonly unknown[]): boolean {
-  const text = JSON.stringify(args);
-  return text.includes('"put"') && text.includes(`${STATE_PREFIX}recovery`);
+  return isWriteOf(`${STATE_PREFIX}recovery`, args);
 }
 
 /** Returns a view of a store that is slow and carries out the first recovery write without a response. */
