Keep suspects of different jobs on different minions

Coincident crashes bring about no trial, so after 2 s suspects started like any others, where packing puts them on one minion.

A suspect no longer starts beside one of another job whose run is younger than its trial would take, in a trial or without one. It may do so 4 s after the last crash under it, since there may be more suspects than minions, and lasting tasks must run again within 9 s. While it waits, only this task is held, not its job.

Weighed and left out: keeping tasks with a single coincident crash apart (a rack that fails would start its work one task per minion), keeping gangs apart (they start as a whole), and tasks of one job (they are given up together in any case).

Tests: SuspectSeparation.test. Before the change "is not given up when it waits together with tasks that crash minions at the same time" fails (the good jobs are failed), with it the good jobs run and both deadly ones are failed. "are not idle for nine seconds" fails without the 4 s bound (24 of 36 run), "do not keep other tasks of their job from starting" fails when the waiting task is not held.

--- a/packages/nutmegproxy-scheduling/src/CrashVerdict.ts
+++ b/packages/nutmegproxy-scheduling/src/CrashVerdict.ts
@@ -1,5 +1,6 @@
 /** Judges a task by the crashes of minions under its runs. */
 
+import type {Instant} from '@nutmegproxy/core';
 import type {StepState, TaskCrash} from '@nutmegproxy/jobs';
 
 import {FRESH_RUN_MS} from './CrashAttribution.ts';
@@ -116,3 +117,9 @@
     step.shape.gang && CRASH_VERDICTS.byGang(listCrashes(step, index)) === 'guilty';
   return isGangGuilty ? 'guilty' : verdict;
 }
+
+/** Returns for how long a task, or its whole gang, has waited since the last crash under it. */
+export function computeWaitedMs({crashes, shape}: StepState, index: number, now: Instant): number {
+  const indexes = shape.gang ? crashes.indexes : [index];
+  return Math.min(...indexes.map((each) => now - crashes.consideredAt(each, now)));
+}
--- a/packages/nutmegproxy-scheduling/src/StartPlanner.ts
+++ b/packages/nutmegproxy-scheduling/src/StartPlanner.ts
@@ -15,6 +15,7 @@
 import {computePlacementCost, isSchedulable} from './Placement.ts';
 import {collectReadySteps, listStartableTasks} from './ReadySteps.ts';
 import {planSpeculativeRuns} from './SpeculationPlanner.ts';
+import {isApartFromSuspects} from './SuspectSeparation.ts';
 import {planTrials, recordTrial} from './TaskTrials.ts';
 
 /**
@@ -48,7 +49,7 @@
 class PlanningRound {
   readonly #context: PlanContext;
   readonly #fleet: Fleet;
-  /** Suspected tasks of lasting jobs that start on trial only. */
+  /** Suspected tasks that must not start like any others. */
   #heldTasks: TrialPlan['heldTasks'] = new Map();
   readonly #starts: Run[] = [];
   readonly #schedulable = new Map<ServiceId, MinionState[]>();
@@ -91,7 +92,11 @@
   }
 
   #choose(step: StepState, index: number, ranking: MinionRanking): MinionState | undefined {
-    return ranking.choose((minion) => this.#isAllowed(step, index, minion));
+    return ranking.choose(
+      (minion) =>
+        this.#isAllowed(step, index, minion) &&
+        isApartFromSuspects(step, index, minion, this.#context.now),
+    );
   }
 
   /**
--- a/packages/nutmegproxy-scheduling/src/TaskTrials.ts
+++ b/packages/nutmegproxy-scheduling/src/TaskTrials.ts
@@ -14,9 +14,16 @@
 import type {MinionState} from './MinionState.ts';
 
 import {MAX_CRASH_AGE_MS} from './CrashAttribution.ts';
-import {computeTrialMs, isStronglySuspected, judgeTask, listCrashes} from './CrashVerdict.ts';
+import {
+  computeTrialMs,
+  computeWaitedMs,
+  isStronglySuspected,
+  judgeTask,
+  listCrashes,
+} from './CrashVerdict.ts';
 import {describeRun} from './RunFields.ts';
 import {SCHEDULING_EVENTS} from './SchedulingEvents.ts';
+import {isApartFromSuspects} from './SuspectSeparation.ts';
 
 /** Time in milliseconds after a crash in which other machines may turn out to have failed with it. */
 const VERDICT_PAUSE_MS = 2_500;
@@ -39,7 +46,7 @@
 export interface TrialPlan {
   /** Jobs whose tasks must not start otherwise. */
   readonly held: ReadonlySet<JobState>;
-  /** Tasks of lasting jobs that must not start otherwise, by step. */
+  /** Tasks of other jobs that must not start otherwise, by step. */
   readonly heldTasks: ReadonlyMap<StepState, ReadonlySet<number>>;
   readonly starts: readonly Run[];
 }
@@ -130,12 +137,6 @@
   return run;
 }
 
-/** Returns for how long a task, or its whole gang, has waited since the last crash under it. */
-function computeWaitedMs({crashes, shape}: StepState, index: number, now: Instant): number {
-  const indexes = shape.gang ? crashes.indexes : [index];
-  return Math.min(...indexes.map((each) => now - crashes.consideredAt(each, now)));
-}
-
 /** Plans the trials of the steps that are ready, and gives up tasks that are found guilty. */
 export function planTrials(
   fleet: Fleet,
@@ -182,8 +183,9 @@
       continue;
     }
     const able = context.listMinions(step, index);
+    const apart = able.filter((minion) => isApartFromSuspects(step, index, minion, now));
     const isPossible = trials < maxTrials && !triedJobs.has(step.job);
-    const minion = isPossible ? chooseMinion(suspect, able) : undefined;
+    const minion = isPossible ? chooseMinion(suspect, apart) : undefined;
     if (minion !== undefined) {
       trials += 1;
       triedJobs.add(step.job);
@@ -192,10 +194,12 @@
     // Without a minion that can run it, the task is left to the rules of all tasks.
     const crashes = step.crashes.of(index);
     const needsTrial = crashes.length > 1 && able.length > 0 && isStronglySuspected(crashes);
-    if (minion === undefined && waitedMs >= MAX_TRIAL_WAIT_MS && !needsTrial) {
+    const needsNoTrial = minion === undefined && waitedMs >= MAX_TRIAL_WAIT_MS && !needsTrial;
+    const waitsForOthers = able.length > 0 && apart.length === 0;
+    if (needsNoTrial && !waitsForOthers) {
       continue;
     }
-    if (step.shape.longRunning) {
+    if (needsNoTrial || step.shape.longRunning) {
       heldTasks.set(step, (heldTasks.get(step) ?? new Set()).add(index));
     } else {
       held.add(step.job);
