--- a/packages/nutmegproxy-owner/src/ClosingRecords.ts
+++ b/packages/nutmegproxy-owner/src/ClosingRecords.ts
@@ -91,7 +91,8 @@
       revision = value?.modRevision ?? revision;
       const record = isNew ? this.#decode(value) : undefined;
       if (record !== undefined && this.#isCurrent(record)) {
-        events.record(OWNER_EVENTS.CLOSING_RECORD_RECEIVED, describeRecord(record));
+        const longestMs = findLongestMs(record);
+        events.record(OWNER_EVENTS.CLOSING_RECORD_RECEIVED, {...describeRecord(record), longestMs});
         onRecord(record);
       } else if (record !== undefined) {
         const fields = {...describeRecord(record), recordTerm: record.term, term: ownership.term};
@@ -132,7 +133,12 @@
         }),
       );
       if (written.isOk() && written.value.succeeded) {
-        events.record(OWNER_EVENTS.CLOSING_RECORD_STORED, {...describeRecord(record), term});
+        const longestMs = findLongestMs(record);
+        events.record(OWNER_EVENTS.CLOSING_RECORD_STORED, {
+          ...describeRecord(record),
+          longestMs,
+          term,
+        });
         return;
       }
       if (written.isErr()) {
@@ -270,3 +276,9 @@
   const known = accounts.filter(({runs}) => runs !== undefined).length;
   return {accounts: known, minions: silent.length, term};
 }
+
+/** Returns how long the leases of minions that may run something last, in milliseconds. */
+function findLongestMs({accounts = []}: ClosingRecord): number {
+  const running = accounts.filter(({runs}) => runs?.length !== 0);
+  return Math.round(Math.max(0, ...running.map(({heldForMs}) => heldForMs)));
+}
