A term without a lease does not make the leases before it count as the longest

Cause: a VM that is stopped while it acquires the ownership resigns at once and stores no closing record. The term counts all the same: the next owner took it for one in which leases may have been renewed, so the times in the closing record of the term before did not count, and the minion's lease counted as the longest one (10 s) from its own start.

Change: an ownership notes whether a minion lease may have been granted under it. When it ends in order without one, the transaction that frees the ownership also stores in state/recording the last term in which one may have been granted (leaseTerm). It is conditional on the ownership, so a delayed write changes nothing, and it is read in the same transaction as the term. An owner that is killed or whose write fails leaves no mark and counts as before.

Ruled out: an empty closing record of such a term. Where it comes before that of the owner before, it is refused as outdated (two terms ahead), and the mark is lost.

--- /dev/null
+++ b/packages/nutmegproxy-emulator/src/__tests__/unit/PlannedStops.test.ts
@@ -0,0 +1,71 @@
+import type {VmId} from '@nutmegproxy/core';
+
+import {brand, SILENT_EVENTS} from '@nutmegproxy/core';
+import {OwnerElection} from '@nutmegproxy/owner';
+import {afterEach, beforeEach, describe, it} from 'node:test';
+
+import type {EmulatedMinion} from '../../EmulatedMinion.ts';
+
+import {createStepShape, createStoredJob, submitJob, waitFor} from './JobSamples.ts';
+import {sleep, TakeoverHarness} from './TakeoverHarness.ts';
+
+/** Time in milliseconds after its last run within which a long-running task has to run again. */
+const RESTART_DEADLINE_MS = 9_000;
+/** Time in real milliseconds in which the owners under test act on what has happened. */
+const REACTION_MS = 5_000;
+const SETTLED_MS = 500;
+/** Time in milliseconds that passes in each step, and the real pause after it. */
+const STEP_MS = 250;
+const STEP_PAUSE_MS = 60;
+
+describe('Planned stops in a series', () => {
+  let harness: TakeoverHarness;
+  let minion: EmulatedMinion;
+
+  beforeEach(() => {
+    harness = new TakeoverHarness();
+    minion = harness.addMinion('m1');
+  });
+
+  afterEach(async () => {
+    await harness.close();
+  });
+
+  async function runLastingTask(): Promise<void> {
+    await submitJob(harness.store, createStoredJob(1, [createStepShape({longRunning: true})]));
+    await waitFor('the task runs', () => minion.liveTasks.length === 1);
+    const {answeredPolls} = minion;
+    await waitFor('the run is listed', () => minion.answeredPolls > answeredPolls + 1);
+    await sleep(SETTLED_MS);
+  }
+
+  /** Acquires the ownership and gives it up, as a VM does that is stopped meanwhile. */
+  async function acquireAndResign(vm: string): Promise<void> {
+    const {clock, store} = harness;
+    const election = new OwnerElection({
+      clock,
+      events: SILENT_EVENTS,
+      store,
+      vm: brand<VmId>(vm),
+    });
+    const acquired = await election.acquire();
+    await election.resign(acquired._unsafeUnwrap(), 'planned stop');
+  }
+
+  describe('a VM that is stopped while it acquires the ownership', () => {
+    it('does not delay a task of a minion that left until the longest lease has passed', async () => {
+      const first = await harness.start('vm-1');
+      await runLastingTask();
+      await harness.stopAsPlanned(first);
+      harness.fleet.remove(minion.description.id);
+      await sleep(SETTLED_MS);
+      await acquireAndResign('vm-2');
+      const other = harness.addMinion('m2');
+      const {ownership} = await harness.start('vm-3');
+      await waitFor('the minion has reported', () => other.answeredPolls > 0);
+      await sleep(SETTLED_MS);
+      await harness.passTime(ownership, RESTART_DEADLINE_MS, STEP_MS, STEP_PAUSE_MS);
+      await waitFor('the task runs again', () => other.liveTasks.length === 1, REACTION_MS);
+    });
+  });
+});
--- a/packages/nutmegproxy-owner/src/FleetOwnership.ts
+++ b/packages/nutmegproxy-owner/src/FleetOwnership.ts
@@ -19,6 +19,8 @@
 export type OwnershipState = 'over' | 'proved' | 'unproved';
 
 export interface OwnershipGrant {
+  /** Default: the term before. */
+  readonly formerLeaseTerm?: number;
   readonly lease: LeaseId;
   /** Default: this owner is the first one. */
   readonly recordingSince?: number;
@@ -27,17 +29,21 @@
 }
 
 export class FleetOwnership {
+  /** Last term before this one in which an owner may have granted a minion lease; -1 for none. */
+  readonly formerLeaseTerm: number;
   readonly lease: LeaseId;
   /** First term of the latest unbroken sequence of owners that record which minions they use. */
   readonly recordingSince: number;
   /** Sequence number of this ownership among all of the fleet, from 0. */
   readonly term: number;
   readonly token: OwnershipToken;
+  #hasGrantedLease = false;
   #isOver = false;
   #confirmedAt: Instant;
   #wallOffset: number;
 
   constructor(grant: OwnershipGrant, requestedAt: Instant, wall: WallTime) {
+    this.formerLeaseTerm = grant.formerLeaseTerm ?? grant.term - 1;
     this.lease = grant.lease;
     this.recordingSince = grant.recordingSince ?? grant.term;
     this.term = grant.term;
@@ -51,10 +57,20 @@
     return this.#confirmedAt;
   }
 
+  /** Whether a minion lease may have been granted under this ownership. */
+  get hasGrantedLease(): boolean {
+    return this.#hasGrantedLease;
+  }
+
   end(): void {
     this.#isOver = true;
   }
 
+  /** Records that a minion lease may be granted from now on. */
+  recordLeaseGrant(): void {
+    this.#hasGrantedLease = true;
+  }
+
   /** Records that a call sent at `requestedAt` renewed the lease. */
   confirm(requestedAt: Instant, wall: WallTime): void {
     this.#confirmedAt = requestedAt;
--- a/packages/nutmegproxy-owner/src/MinionSession.ts
+++ b/packages/nutmegproxy-owner/src/MinionSession.ts
@@ -232,6 +232,7 @@
     if (isSilent || !this.#context.permitRenewal(this.minion)) {
       return undefined;
     }
+    ownership.recordLeaseGrant();
     const leaseMs = Math.min(MINION_LEASE_MS, ownership.maxMinionLeaseMs(now, clock.wall()));
     return this.minion.leaseClock.grantLease(leaseMs, now);
   }
--- a/packages/nutmegproxy-owner/src/OwnerElection.ts
+++ b/packages/nutmegproxy-owner/src/OwnerElection.ts
@@ -42,6 +42,8 @@
  */
 interface RecordingTerms {
   readonly lastTerm: number;
+  /** Last term in which an owner may have granted a minion lease; default: `lastTerm`. */
+  readonly leaseTerm?: number;
   readonly since: number;
 }
 
@@ -63,6 +65,9 @@
     const {events, vm} = this.#options;
     ownership.end();
     events.record(OWNER_EVENTS.OWNERSHIP_LOST, {reason, term: ownership.term, vm});
+    if (!ownership.hasGrantedLease) {
+      await this.#releaseUnused(ownership);
+    }
     await this.#revoke(ownership.lease);
   }
 
@@ -121,6 +126,35 @@
     );
   }
 
+  /**
+   * Releases an ownership under which no minion lease was granted, and records that: for the next
+   * owner the minions' leases are as the owner before left them.
+   */
+  async #releaseUnused({
+    formerLeaseTerm,
+    recordingSince,
+    term,
+    token,
+  }: FleetOwnership): Promise<void> {
+    const {events, store} = this.#options;
+    const terms: RecordingTerms = {
+      lastTerm: term,
+      leaseTerm: formerLeaseTerm,
+      since: recordingSince,
+    };
+    const released = await store.commit({
+      compare: [{key: OWNER_KEY, kind: 'modRevision', modRevision: token}],
+      then: [
+        {key: RECORDING_KEY, kind: 'put', value: Buffer.from(JSON.stringify(terms))},
+        {key: OWNER_KEY, kind: 'delete'},
+      ],
+    });
+    if (released.isErr()) {
+      const {kind, message} = released.error;
+      events.record(OWNER_EVENTS.STORE_CALL_FAILED, {kind, message, what: 'end of unused term'});
+    }
+  }
+
   async #revoke(lease: LeaseId): Promise<void> {
     const {events, store} = this.#options;
     const revoked = await store.revokeLease(lease);
@@ -154,7 +188,8 @@
   ): Promise<Result<Omit<OwnershipGrant, 'lease'>, AcquireFailure>> {
     const {events, store, vm} = this.#options;
     const term = previous === undefined ? 0 : Number(previous.value.toString()) + 1;
-    const recordingSince = findRecordingSince(recording, term, events);
+    const former = findFormerTerms(recording, term, events);
+    const terms: RecordingTerms = {lastTerm: term, since: former.recordingSince};
     const owner = JSON.stringify({lease, vm});
     const written = await store.commit({
       compare: [
@@ -164,16 +199,12 @@
       then: [
         {key: OWNER_KEY, kind: 'put', lease, value: Buffer.from(owner)},
         {key: TERM_KEY, kind: 'put', value: Buffer.from(String(term))},
-        {
-          key: RECORDING_KEY,
-          kind: 'put',
-          value: Buffer.from(JSON.stringify({lastTerm: term, since: recordingSince})),
-        },
+        {key: RECORDING_KEY, kind: 'put', value: Buffer.from(JSON.stringify(terms))},
       ],
     });
     if (written.isOk()) {
       return written.value.succeeded
-        ? ok({recordingSince, term, token: written.value.revision as OwnershipToken})
+        ? ok({...former, term, token: written.value.revision as OwnershipToken})
         : err({kind: 'taken', message: 'another VM acquired the ownership first'});
     }
     if (written.error.kind !== 'unknown') {
@@ -186,24 +217,28 @@
     }
     const found = records.value.owner;
     return found?.value.toString() === owner
-      ? ok({recordingSince, term, token: found.modRevision as OwnershipToken})
+      ? ok({...former, term, token: found.modRevision as OwnershipToken})
       : err(written.error);
   }
 }
 
-/** Returns the first term of the sequence of recording owners that an owner of `term` continues. */
-function findRecordingSince(
+/** Returns what an owner of `term` has to know of the terms before. */
+function findFormerTerms(
   recording: StoredValue | undefined,
   term: number,
   events: EventSink,
-): number {
+): Required<Pick<OwnershipGrant, 'formerLeaseTerm' | 'recordingSince'>> {
+  const unknown = {formerLeaseTerm: term - 1, recordingSince: term};
   if (recording === undefined) {
-    return term;
+    return unknown;
   }
   const parsed = parseJson(recording.value.toString());
   if (parsed.isErr()) {
     events.record(OWNER_EVENTS.RECORD_MALFORMED, {key: RECORDING_KEY, message: parsed.error});
   }
-  const former = (parsed.unwrapOr(undefined) ?? {}) as Partial<RecordingTerms>;
-  return former.lastTerm === term - 1 ? (former.since ?? term) : term;
+  const {lastTerm, leaseTerm, since} = (parsed.unwrapOr(undefined) ??
+    {}) as Partial<RecordingTerms>;
+  return lastTerm === term - 1
+    ? {formerLeaseTerm: leaseTerm ?? term - 1, recordingSince: since ?? term}
+    : unknown;
 }
--- a/packages/nutmegproxy-owner/src/RecoveryRecord.ts
+++ b/packages/nutmegproxy-owner/src/RecoveryRecord.ts
@@ -85,10 +85,12 @@
    * can have left a run there.
    */
   findFormerUse(id: MinionId): FormerUse | undefined {
-    const {recordingSince, term} = this.#options.ownership;
+    const {formerLeaseTerm, recordingSince, term} = this.#options.ownership;
     // Any former owner may have used any minion when what they recorded can't be read.
     const lastTerm = (this.#isMalformed ? term : recordingSince) - 1;
-    return this.#former === undefined ? {lastTerm, leaseTerm: term - 1} : this.#former.get(id);
+    return this.#former === undefined
+      ? {lastTerm, leaseTerm: formerLeaseTerm}
+      : this.#former.get(id);
   }
 
   /** Reads what the former owners recorded. */
@@ -108,7 +110,7 @@
       }
       // An owner of an earlier version may have used any minion after the record was written.
       const isCurrent = former.term >= ownership.recordingSince;
-      this.#former = isCurrent ? indexFormerUses(former, ownership.term - 1) : undefined;
+      this.#former = isCurrent ? indexFormerUses(former, ownership.formerLeaseTerm) : undefined;
     }
     return ok(undefined);
   }
@@ -171,17 +173,22 @@
     : undefined;
 }
 
-/** Returns what is known of each minion; the owners after the writer up to `formerTerm` stored nothing. */
+/**
+ * Returns what is known of each minion. The owners after the writer stored nothing, and those after
+ * `formerLeaseTerm`, which the writer may be one of, granted no lease.
+ */
 function indexFormerUses(
   {awaited, term, used}: StoredRecovery,
-  formerTerm: number,
+  formerLeaseTerm: number,
 ): ReadonlyMap<MinionId, FormerUse> {
-  const isLatest = term === formerTerm;
+  const isLatest = term >= formerLeaseTerm;
   return new Map<MinionId, FormerUse>([
     ...awaited.map((minion) => {
-      const leases = isLatest ? {} : {heldUntil: undefined, leaseTerm: formerTerm};
+      const leases = isLatest
+        ? {leaseTerm: Math.min(minion.leaseTerm, formerLeaseTerm)}
+        : {heldUntil: undefined, leaseTerm: formerLeaseTerm};
       return [minion.id, {...minion, ...leases}] as const;
     }),
-    ...used.map((id) => [id, {lastTerm: term, leaseTerm: formerTerm}] as const),
+    ...used.map((id) => [id, {lastTerm: term, leaseTerm: formerLeaseTerm}] as const),
   ]);
 }
