Times of a closing record count from when a VM knew that it was stored

Cause: a reader counted heldForMs from its read, so each VM that owned the fleet for a moment added the time until the next one's read: 0.5 s and more for each stop, and up to 2 s where its reads had backed off.

Change: each VM notes at which instant it knew that the store had reached which revision (RevisionLog), from the changes of the ownership that every VM watches anyway, and from its own acquisition. A record with an earlier revision was stored by then, so its times count from then. So do those that an owner passes on from the record before. A VM that has seen nothing since counts from its read, as before. No stored value changes.

Ruled out: instants by wall clock. They need 2.5 s for the clocks of two VMs; the revision needs none.

--- a/packages/nutmegproxy-emulator/src/__tests__/unit/JobSamples.ts
+++ b/packages/nutmegproxy-emulator/src/__tests__/unit/JobSamples.ts
@@ -17,7 +17,7 @@
 
 import {brand, SILENT_EVENTS} from '@nutmegproxy/core';
 import {encodeRecord, formatJobKey} from '@nutmegproxy/jobs';
-import {type FleetOwnership, Owner, OwnerElection} from '@nutmegproxy/owner';
+import {type FleetOwnership, Owner, OwnerElection, type OwnerOptions} from '@nutmegproxy/owner';
 import {put} from '@nutmegproxy/store';
 
 import type {EmulatedFleet} from '../../EmulatedFleet.ts';
@@ -121,18 +121,23 @@
     throw new Error(acquired.error.message);
   }
   const ownership = acquired.value;
-  const owner = new Owner({
+  const owner = createOwner({clock, events, ownership, store}, fleet);
+  return {election, ended: owner.run(), owner, ownership};
+}
+
+/** Creates an owner of a fleet with one queue. */
+export function createOwner(
+  options: Pick<OwnerOptions, 'clock' | 'events' | 'ownership' | 'store'>,
+  fleet: EmulatedFleet,
+): Owner {
+  return new Owner({
+    ...options,
     advice: undefined,
-    clock,
     directory: fleet,
-    events,
     orders: fleet,
-    ownership,
     queues: () => [QUEUE],
     statusRetentionMs: 0,
-    store,
   });
-  return {election, ended: owner.run(), owner, ownership};
 }
 
 /** Waits until a condition holds; fails after a timeout. */
--- a/packages/nutmegproxy-emulator/src/__tests__/unit/PlannedStops.test.ts
+++ b/packages/nutmegproxy-emulator/src/__tests__/unit/PlannedStops.test.ts
@@ -2,6 +2,7 @@
 
 import {brand, SILENT_EVENTS} from '@nutmegproxy/core';
 import {OwnerElection} from '@nutmegproxy/owner';
+import assert from 'node:assert/strict';
 import {afterEach, beforeEach, describe, it} from 'node:test';
 
 import type {EmulatedMinion} from '../../EmulatedMinion.ts';
@@ -14,6 +15,8 @@
 /** Time in real milliseconds in which the owners under test act on what has happened. */
 const REACTION_MS = 5_000;
 const SETTLED_MS = 500;
+/** Time in milliseconds for which a planned stop leaves the fleet without an owner. */
+const TAKEOVER_MS = 500;
 /** Time in milliseconds that passes in each step, and the real pause after it. */
 const STEP_MS = 250;
 const STEP_PAUSE_MS = 60;
@@ -52,6 +55,31 @@
     await election.resign(acquired._unsafeUnwrap(), 'planned stop');
   }
 
+  describe('VMs that are stopped one after the other', () => {
+    it('do not lengthen the lease of a minion that left, which each counts from its own read', async () => {
+      const first = await harness.start('vm-1');
+      await runLastingTask();
+      const last = harness.startWaitingVm('vm-5');
+      await harness.stopAsPlanned(first);
+      harness.fleet.remove(minion.description.id);
+      await sleep(SETTLED_MS);
+      for (const vm of ['vm-2', 'vm-3', 'vm-4']) {
+        await acquireAndResign(vm);
+        await sleep(SETTLED_MS);
+        harness.clock.advance(TAKEOVER_MS);
+      }
+      last.isAllowed = true;
+      await waitFor('the VM owns the fleet', () => last.ownership !== undefined);
+      const other = harness.addMinion('m2');
+      await waitFor('the minion has reported', () => other.answeredPolls > 0);
+      await sleep(SETTLED_MS);
+      const remainingMs = RESTART_DEADLINE_MS - 3 * TAKEOVER_MS;
+      assert.ok(last.ownership);
+      await harness.passTime(last.ownership, remainingMs, STEP_MS, STEP_PAUSE_MS);
+      await waitFor('the task runs again', () => other.liveTasks.length === 1, REACTION_MS);
+    });
+  });
+
   describe('a VM that is stopped while it acquires the ownership', () => {
     it('does not delay a task of a minion that left until the longest lease has passed', async () => {
       const first = await harness.start('vm-1');
--- a/packages/nutmegproxy-emulator/src/__tests__/unit/TakeoverHarness.ts
+++ b/packages/nutmegproxy-emulator/src/__tests__/unit/TakeoverHarness.ts
@@ -1,17 +1,18 @@
 /** Owners that follow one another on an emulated fleet, with a clock that stands still by itself. */
 
-import type {EventKind} from '@nutmegproxy/core';
+import type {EventKind, EventSink, VmId} from '@nutmegproxy/core';
 import type {FleetOwnership} from '@nutmegproxy/owner';
 import type {PlatformStore} from '@nutmegproxy/store';
 
-import {ManualClock} from '@nutmegproxy/core';
+import {brand, ManualClock} from '@nutmegproxy/core';
+import {OwnerCandidate} from '@nutmegproxy/owner';
 import {MemoryStore} from '@nutmegproxy/standins';
 
 import type {TaskBehaviour} from '../../EmulatedMinion.ts';
 
 import {EmulatedFleet} from '../../EmulatedFleet.ts';
 import {EmulatedMinion} from '../../EmulatedMinion.ts';
-import {createMinionDescription, startOwner} from './JobSamples.ts';
+import {createMinionDescription, createOwner, startOwner} from './JobSamples.ts';
 import {createFailingStore} from './StoreSamples.ts';
 
 const LEASE_RENEWAL_MS = 400;
@@ -24,6 +25,13 @@
   readonly started: StartedOwner;
 }
 
+/** A VM that acquires the ownership once it is allowed to. */
+export interface WaitingVm {
+  isAllowed: boolean;
+  /** Undefined until it has acquired it. */
+  ownership: FleetOwnership | undefined;
+}
+
 /** Behaviour of tasks that last. */
 export function runForever(): TaskBehaviour {
   return {durationMs: Infinity, outcome: 'done'};
@@ -104,6 +112,32 @@
     return {kill, started};
   }
 
+  /** Starts a VM that watches the ownership, and acquires it only once it is allowed to. */
+  startWaitingVm(vm: string): WaitingVm {
+    const {clock, fleet, store} = this;
+    const events: EventSink = {record: (kind) => this.events.push(kind)};
+    const waiting: WaitingVm = {isAllowed: false, ownership: undefined};
+    const candidate = new OwnerCandidate({
+      canOwn: () => waiting.isAllowed,
+      clock,
+      createOwner: (ownership) => {
+        waiting.ownership = ownership;
+        return createOwner({clock, events, ownership, store}, fleet);
+      },
+      events,
+      otherCores: () => [],
+      ownCores: 1,
+      random: () => 0,
+      store,
+      vm: brand<VmId>(vm),
+    });
+    void candidate.run();
+    this.#stops.push(() => {
+      void candidate.stop();
+    });
+    return waiting;
+  }
+
   async stopAsPlanned({election, owner, ownership}: StartedOwner): Promise<void> {
     owner.stop('planned stop');
     await election.resign(ownership, 'planned stop');
--- a/packages/nutmegproxy-owner/src/ClosingRecords.ts
+++ b/packages/nutmegproxy-owner/src/ClosingRecords.ts
@@ -36,7 +36,7 @@
 export interface MinionAccount {
   /**
    * Time in milliseconds after which the minion's lease has certainly expired, counted from the
-   * write of the record. A reader may count it from its read, which is later.
+   * write of the record. A reader counts it from when it first knew of a later state of the store.
    */
   readonly heldForMs: number;
   readonly id: MinionId;
@@ -76,6 +76,7 @@
   /**
    * Calls `onRecord` with the record of a former owner and again whenever it was completed, while
    * `isAwaited` returns true. The owners after it recorded which minions they used, if there are any.
+   * The times of the record count from the call.
    */
   async receive(
     isAwaited: () => boolean,
@@ -159,12 +160,19 @@
     this.#options.events.record(OWNER_EVENTS.STORE_CALL_FAILED, fields);
   }
 
+  /** Decodes a stored record; its times then count from now. */
   #decode(stored: StoredValue | undefined): ClosingRecord | undefined {
     if (stored === undefined) {
       return undefined;
     }
+    const {clock, ownership} = this.#options;
+    const now = clock.monotonic();
+    const storedBy = ownership.revisions.findSeenAt(stored.modRevision, now);
     return parseRecord(stored.value.toString()).match(
-      (record): ClosingRecord | undefined => record,
+      (record): ClosingRecord | undefined => ({
+        ...record,
+        accounts: record.accounts && subtractElapsed(record.accounts, storedBy, now),
+      }),
       (message) => {
         this.#options.events.record(OWNER_EVENTS.RECORD_MALFORMED, {
           key: CLOSING_RECORD_KEY,
--- a/packages/nutmegproxy-owner/src/FleetOwnership.ts
+++ b/packages/nutmegproxy-owner/src/FleetOwnership.ts
@@ -11,6 +11,7 @@
   OWNERSHIP_TTL_MS,
   UNCONFIRMED_GRACE_MS,
 } from './OwnerConstants.ts';
+import {RevisionLog} from './RevisionLog.ts';
 
 /**
  * `proved`: the lease is valid. `unproved`: the lease may have expired, and orders are still
@@ -24,6 +25,8 @@
   readonly lease: LeaseId;
   /** Default: this owner is the first one. */
   readonly recordingSince?: number;
+  /** Default: an empty one. */
+  readonly revisions?: RevisionLog;
   readonly term: number;
   readonly token: OwnershipToken;
 }
@@ -34,6 +37,8 @@
   readonly lease: LeaseId;
   /** First term of the latest unbroken sequence of owners that record which minions they use. */
   readonly recordingSince: number;
+  /** When this process knew which state of the store. */
+  readonly revisions: RevisionLog;
   /** Sequence number of this ownership among all of the fleet, from 0. */
   readonly term: number;
   readonly token: OwnershipToken;
@@ -46,6 +51,7 @@
     this.formerLeaseTerm = grant.formerLeaseTerm ?? grant.term - 1;
     this.lease = grant.lease;
     this.recordingSince = grant.recordingSince ?? grant.term;
+    this.revisions = grant.revisions ?? new RevisionLog();
     this.term = grant.term;
     this.token = grant.token;
     this.#confirmedAt = requestedAt;
--- a/packages/nutmegproxy-owner/src/OwnerCandidate.ts
+++ b/packages/nutmegproxy-owner/src/OwnerCandidate.ts
@@ -88,7 +88,8 @@
   }
 
   async #watchOwner(): Promise<void> {
-    const {events, store} = this.#options;
+    const {clock, events, store} = this.#options;
+    const {revisions} = this.#election;
     while (!this.#stopped) {
       const read = await store.commit({compare: [], then: [{key: OWNER_KEY, kind: 'get'}]});
       if (read.isErr()) {
@@ -97,6 +98,7 @@
         await delay(STORE_RETRY_MS);
         continue;
       }
+      revisions.record(read.value.revision, clock.monotonic());
       const first = read.value.responses[0];
       this.#setOwned(first?.kind === 'get' && first.values.length > 0);
       await new Promise<void>((resolve) => {
@@ -105,7 +107,8 @@
             this.#watch?.close();
             resolve();
           },
-          onEvents: (changes) => {
+          onEvents: (changes, revision) => {
+            revisions.record(revision, clock.monotonic());
             this.#setOwned(changes.at(-1)?.kind === 'put');
           },
         });
--- a/packages/nutmegproxy-owner/src/OwnerElection.ts
+++ b/packages/nutmegproxy-owner/src/OwnerElection.ts
@@ -14,6 +14,7 @@
 import {FleetOwnership} from './FleetOwnership.ts';
 import {OWNERSHIP_RENEWAL_INTERVAL_MS, OWNERSHIP_TTL_MS} from './OwnerConstants.ts';
 import {OWNER_EVENTS} from './OwnerEvents.ts';
+import {RevisionLog} from './RevisionLog.ts';
 import {parseJson} from './StoredJson.ts';
 
 /** Key of the current owner; bound to the ownership lease. */
@@ -54,6 +55,8 @@
 }
 
 export class OwnerElection {
+  /** When this process knew which state of the store; candidates add the changes of ownership. */
+  readonly revisions = new RevisionLog();
   readonly #options: ElectionOptions;
 
   constructor(options: ElectionOptions) {
@@ -121,9 +124,11 @@
       // A write that is carried out later fails without its lease.
       await this.#revoke(lease.value.lease);
     }
-    return written.map(
-      (grant) => new FleetOwnership({lease: lease.value.lease, ...grant}, requestedAt, wall),
-    );
+    const {revisions} = this;
+    return written.map((grant) => {
+      revisions.record(grant.token, clock.monotonic());
+      return new FleetOwnership({lease: lease.value.lease, revisions, ...grant}, requestedAt, wall);
+    });
   }
 
   /**
@@ -185,7 +190,7 @@
   async #write(
     lease: LeaseId,
     {recording, term: previous}: ElectionRecords,
-  ): Promise<Result<Omit<OwnershipGrant, 'lease'>, AcquireFailure>> {
+  ): Promise<Result<Omit<OwnershipGrant, 'lease' | 'revisions'>, AcquireFailure>> {
     const {events, store, vm} = this.#options;
     const term = previous === undefined ? 0 : Number(previous.value.toString()) + 1;
     const former = findFormerTerms(recording, term, events);
--- /dev/null
+++ b/packages/nutmegproxy-owner/src/RevisionLog.ts
@@ -0,0 +1,40 @@
+/**
+ * When this process first knew that the store had reached which revision. What is stored with a
+ * revision was stored by then, although it may be read later.
+ */
+
+import type {Instant} from '@nutmegproxy/core';
+
+/** Ownership changes that are remembered; the leases of former owners end within a few of them. */
+const MAX_ENTRIES = 64;
+
+interface Sighting {
+  readonly revision: number;
+  readonly seenAt: Instant;
+}
+
+/**
+ * @example
+ * const log = new RevisionLog();
+ * log.record(7, clock.monotonic());
+ * log.findSeenAt(6, clock.monotonic()); // when revision 7 was recorded
+ */
+export class RevisionLog {
+  readonly #sightings: Sighting[] = [];
+
+  /** Records that the store had reached a revision by `now`. */
+  record(revision: number, now: Instant): void {
+    if (revision <= (this.#sightings.at(-1)?.revision ?? -1)) {
+      return;
+    }
+    this.#sightings.push({revision, seenAt: now});
+    if (this.#sightings.length > MAX_ENTRIES) {
+      this.#sightings.shift();
+    }
+  }
+
+  /** Returns the earliest known instant by which the store had reached a revision; at most `now`. */
+  findSeenAt(revision: number, now: Instant): Instant {
+    return this.#sightings.find((each) => each.revision >= revision)?.seenAt ?? now;
+  }
+}
