--- a/packages/nutmegproxy-owner/src/FleetOwnership.ts
+++ b/packages/nutmegproxy-owner/src/FleetOwnership.ts
@@ -11,6 +11,7 @@
   OWNERSHIP_TTL_MS,
   UNCONFIRMED_GRACE_MS,
 } from './OwnerConstants.ts';
+import {RevisionLog} from './RevisionLog.ts';
 
 /**
  * `proved`: the lease is valid. `unproved`: the lease may have expired, and orders are still
@@ -19,27 +20,38 @@
 export type OwnershipState = 'over' | 'proved' | 'unproved';
 
 export interface OwnershipGrant {
+  /** Default: the term before. */
+  readonly formerLeaseTerm?: number;
   readonly lease: LeaseId;
   /** Default: this owner is the first one. */
   readonly recordingSince?: number;
+  /** Default: an empty one. */
+  readonly revisions?: RevisionLog;
   readonly term: number;
   readonly token: OwnershipToken;
 }
 
 export class FleetOwnership {
+  /** Last term before this one in which an owner may have granted a minion lease; -1 for none. */
+  readonly formerLeaseTerm: number;
   readonly lease: LeaseId;
   /** First term of the latest unbroken sequence of owners that record which minions they use. */
   readonly recordingSince: number;
+  /** When this process knew which state of the store. */
+  readonly revisions: RevisionLog;
   /** Sequence number of this ownership among all of the fleet, from 0. */
   readonly term: number;
   readonly token: OwnershipToken;
+  #hasGrantedLease = false;
   #isOver = false;
   #confirmedAt: Instant;
   #wallOffset: number;
 
   constructor(grant: OwnershipGrant, requestedAt: Instant, wall: WallTime) {
+    this.formerLeaseTerm = grant.formerLeaseTerm ?? grant.term - 1;
     this.lease = grant.lease;
     this.recordingSince = grant.recordingSince ?? grant.term;
+    this.revisions = grant.revisions ?? new RevisionLog();
     this.term = grant.term;
     this.token = grant.token;
     this.#confirmedAt = requestedAt;
@@ -51,10 +63,20 @@
     return this.#confirmedAt;
   }
 
+  /** Whether a minion lease may have been granted under this ownership. */
+  get hasGrantedLease(): boolean {
+    return this.#hasGrantedLease;
+  }
+
   end(): void {
     this.#isOver = true;
   }
 
+  /** Records that a minion lease may be granted from now on. */
+  recordLeaseGrant(): void {
+    this.#hasGrantedLease = true;
+  }
+
   /** Records that a call sent at `requestedAt` renewed the lease. */
   confirm(requestedAt: Instant, wall: WallTime): void {
     this.#confirmedAt = requestedAt;
