A waiting owner reads the closing record when it is stored

Cause: the reads back off from 0.3 to 2 s, and a record that is stored after the acquisition counts from the read that finds it.

Change: between two reads the owner watches the key, and reads again once it has changed. The pause stays as the longest one.

Ruled out: a short constant pause, since each read moves the whole record; and a conditional read, since the platform's store client ignores conditions of transactions that only read.

Figures: ClosingRecords > is received when it is stored, not at the next read (timers stand still in it) failed on the code before and passes; the other 16 tests of the file pass before and after.

--- a/packages/nutmegproxy-owner/src/ClosingRecords.ts
+++ b/packages/nutmegproxy-owner/src/ClosingRecords.ts
@@ -25,6 +25,7 @@
   STORE_RETRY_MS,
 } from './OwnerConstants.ts';
 import {OWNER_EVENTS} from './OwnerEvents.ts';
+import {awaitChange} from './OwnerUtils.ts';
 import {parseJson} from './StoredJson.ts';
 
 const CLOSING_RECORD_KEY = `${STATE_PREFIX}closing`;
@@ -86,8 +87,12 @@
     let pauseMs = CLOSING_RECORD_READ_INTERVAL_MS;
     let revision = 0;
     while (isAwaited()) {
-      const stored = await getKey(store, CLOSING_RECORD_KEY);
-      const value = stored.unwrapOr(undefined);
+      const stored = await store.commit({
+        compare: [],
+        then: [{key: CLOSING_RECORD_KEY, kind: 'get'}],
+      });
+      const first = stored.isOk() ? stored.value.responses[0] : undefined;
+      const value = first?.kind === 'get' ? first.values[0] : undefined;
       const isNew = (value?.modRevision ?? 0) > revision;
       revision = value?.modRevision ?? revision;
       const record = isNew ? this.#decode(value) : undefined;
@@ -102,7 +107,9 @@
       if (stored.isErr()) {
         this.#recordFailure(stored.error.message);
       }
-      await delay(pauseMs);
+      await (stored.isOk()
+        ? awaitChange(store, CLOSING_RECORD_KEY, stored.value.revision, pauseMs)
+        : delay(pauseMs));
       pauseMs = Math.min(pauseMs * 2, MAX_CLOSING_RECORD_READ_INTERVAL_MS);
     }
   }
--- a/packages/nutmegproxy-owner/src/OwnerUtils.ts
+++ b/packages/nutmegproxy-owner/src/OwnerUtils.ts
@@ -5,6 +5,7 @@
 import type {PlatformStore, StoreFailure} from '@nutmegproxy/store';
 import type {Result} from 'neverthrow';
 
+import {delay} from '@nutmegproxy/core';
 import {getKey} from '@nutmegproxy/store';
 
 import type {FleetOwnership} from './FleetOwnership.ts';
@@ -72,3 +73,25 @@
         memoryMb,
       };
 }
+
+/** Waits until a key has changed since a revision of the store, at most for the given time. */
+export async function awaitChange(
+  store: PlatformStore,
+  key: string,
+  revision: number,
+  timeoutMs: number,
+): Promise<void> {
+  let onChange = (): void => undefined;
+  const changed = new Promise<void>((resolve) => {
+    onChange = resolve;
+  });
+  const watch = store.watch(key, revision + 1, {
+    // The caller reads the key again after the time.
+    onBroken: () => undefined,
+    onEvents: () => {
+      onChange();
+    },
+  });
+  await Promise.race([changed, delay(timeoutMs)]);
+  watch.close();
+}
--- a/packages/nutmegproxy-owner/src/__tests__/unit/ClosingRecords.test.ts
+++ b/packages/nutmegproxy-owner/src/__tests__/unit/ClosingRecords.test.ts
@@ -19,6 +19,8 @@
 import {delayNextWrite} from './OwnerSamples.ts';
 
 const CLOSING_KEY_SUFFIX = 'closing';
+/** Turns of the event loop in which everything happens that waits for no timer. */
+const TURNS = 50;
 
 function createEntry(name: string): RosterEntry {
   return {
@@ -149,6 +151,23 @@
     assert.deepEqual(received, [0, 1]);
   });
 
+  it('is received when it is stored, not at the next read', async (context) => {
+    context.mock.timers.enable({apis: ['setTimeout']});
+    let isReceived = false;
+    void open(4).receive(
+      () => !isReceived,
+      () => {
+        isReceived = true;
+      },
+    );
+    await new Promise((resolve) => setImmediate(resolve));
+    await open(3).send([createAccount('m1', 1)], []);
+    for (let turn = 0; turn < TURNS; turn += 1) {
+      await new Promise((resolve) => setImmediate(resolve));
+    }
+    assert.ok(isReceived);
+  });
+
   describe('accounts of minions', () => {
     it('are not taken for those of a later owner of an earlier version, whose records contain none', async () => {
       await open(4).send([], [createEntry('m2')]);
