Owner: the summary of the fleet says how busy the event loop is and how long first starts take

8140 had the state of the fleet, but not of its owner. Whether callers wait for room, for a round of planning or for a processor that is full could only be told from 8120, 8010 and 8011 of each task, of which a large fleet's log drops most.

Now: share of time that the event loop is busy and that rounds of planning take, polls and starts a second, and by kind of work the mean time from readiness to the first placement of a step and from there to its confirmation. Sums of one interval, no timer, one map entry for each step.

--- a/packages/nutmegproxy-owner/src/MinionSession.ts
+++ b/packages/nutmegproxy-owner/src/MinionSession.ts
@@ -161,12 +161,13 @@
 
   /** Polls once; false when a pause has to follow. */
   async #poll(): Promise<boolean> {
-    const {clock, journal, onChange, orders, ownership} = this.#context;
+    const {clock, journal, load, onChange, orders, ownership} = this.#context;
     const requestedAt = clock.monotonic();
     if (ownership.state(requestedAt, clock.wall()) === 'over') {
       this.#context.onFenced();
       return false;
     }
+    load.recordPoll();
     const answer = await orders.poll(this.#target, {
       ackedThrough: this.#acknowledgedThrough,
       token: ownership.token,
--- a/packages/nutmegproxy-owner/src/Owner.ts
+++ b/packages/nutmegproxy-owner/src/Owner.ts
@@ -3,7 +3,8 @@
  * then plans starts whenever something changes.
  */
 
-import type {Clock, EventSink} from '@nutmegproxy/core';
+import type {Clock, EventSink, Instant} from '@nutmegproxy/core';
+import type {MinionState} from '@nutmegproxy/scheduling';
 import type {PlatformStore} from '@nutmegproxy/store';
 
 import {delay} from '@nutmegproxy/core';
@@ -37,6 +38,7 @@
   SUMMARY_INTERVAL_MS,
 } from './OwnerConstants.ts';
 import {OWNER_EVENTS} from './OwnerEvents.ts';
+import {OwnerLoad} from './OwnerLoad.ts';
 import {choosePlanPause} from './OwnerUtils.ts';
 import {QueueLengthPublisher} from './QueueLengthPublisher.ts';
 import {Retention} from './Retention.ts';
@@ -67,6 +69,7 @@
   readonly #journal: Journal;
   #hasChanged = false;
   readonly #learnedEstimates: LearnedEstimates;
+  readonly #load = new OwnerLoad();
   readonly #minions: MinionSessions;
   readonly #options: OwnerOptions;
   readonly #progressMonitor = new RunProgressMonitor(this.#estimator);
@@ -123,15 +126,14 @@
         fleet,
         isNearTarget: (minion) => this.#sharing.isNearTarget(minion),
         journal: this.#journal,
+        load: this.#load,
         onAnswering: (minion) => {
           this.#minions.recovery.clearRecord(minion);
         },
         onChange,
         onFenced,
         onListed: (minion, now) => {
-          this.#progressMonitor.checkProgress(this.#fleet, minion, now);
-          this.#sharing.model.observe(minion, now);
-          this.#sharing.evictInterferingRuns(this.#fleet, minion, now);
+          this.#reviewRuns(minion, now);
         },
         onRunDone: ({step}, durationMs) => {
           this.#estimator.recordDuration(step.job.request.queue, step.shape, durationMs);
@@ -165,7 +167,9 @@
     while (this.#isActing()) {
       const startedAt = clock.monotonic();
       this.#plan();
-      await this.#sleep(choosePlanPause(clock.monotonic() - startedAt));
+      const roundMs = clock.monotonic() - startedAt;
+      this.#load.recordRound(roundMs);
+      await this.#sleep(choosePlanPause(roundMs));
     }
     this.#jobs.close();
     this.#minions.close();
@@ -217,6 +221,7 @@
       events.record(OWNER_EVENTS.FLEET_SUMMARY, {
         ...summarizeFleet(fleet, now, wall),
         ...this.#startLimiter.eventFields,
+        ...this.#load.takeFields(),
         directoryAgeMs: Math.round(this.#minions.computeDirectoryAge(now)),
       });
       if (fleet.recoveryRevision > 0) {
@@ -224,6 +229,7 @@
       }
     }
     for (const run of starts) {
+      this.#load.recordPlaced(run, now);
       this.#minions.startRun(run);
     }
     for (const request of fleet.pendingStops.splice(0)) {
@@ -266,6 +272,13 @@
     }
   }
 
+  /** Reviews the speed and the tail latencies of a minion's runs after a listing. */
+  #reviewRuns(minion: MinionState, now: Instant): void {
+    this.#progressMonitor.checkProgress(this.#fleet, minion, now);
+    this.#sharing.model.observe(minion, now);
+    this.#sharing.evictInterferingRuns(this.#fleet, minion, now);
+  }
+
   /** Waits for a change that may allow new starts, but at least `pauseMs` milliseconds. */
   async #sleep(pauseMs: number): Promise<void> {
     await delay(pauseMs);
--- a/packages/nutmegproxy-owner/src/RunOrders.ts
+++ b/packages/nutmegproxy-owner/src/RunOrders.ts
@@ -104,7 +104,7 @@
   }
 
   async #tryStart(run: Run): Promise<StartResult> {
-    const {clock, findTicket, orders, ownership, startLimiter} = this.#context;
+    const {clock, findTicket, load, orders, ownership, startLimiter} = this.#context;
     for (let attempt = 0; attempt < ORDER_ATTEMPTS; attempt += 1) {
       await startLimiter.enter();
       const sentAt = clock.monotonic();
@@ -134,6 +134,7 @@
         run.isClockConfirmed = leaseClock.isContinuedBy(answer.value.clockMs, sentAt);
         leaseClock.observe(answer.value.clockMs, now);
         run.confirmedAt ??= now;
+        load.recordConfirmed(run, now);
         markRunning(run);
         return 'confirmed';
       }
--- a/packages/nutmegproxy-owner/src/SessionContext.ts
+++ b/packages/nutmegproxy-owner/src/SessionContext.ts
@@ -7,6 +7,7 @@
 import type {FleetOwnership} from './FleetOwnership.ts';
 import type {Journal} from './Journal.ts';
 import type {MinionOrders} from './MinionOrders.ts';
+import type {OwnerLoad} from './OwnerLoad.ts';
 import type {StartLimiter} from './StartLimiter.ts';
 
 export interface SessionContext {
@@ -19,6 +20,7 @@
   /** Whether the tail latency of a serving task of the minion is near or over its target. */
   readonly isNearTarget: (minion: MinionState) => boolean;
   readonly journal: Journal;
+  readonly load: OwnerLoad;
   /** Called when a minion that is flagged as silent responds. */
   readonly onAnswering: (minion: MinionState) => void;
   /** Called after anything that may allow new starts. */
--- a/packages/nutmegproxy-owner/src/__tests__/unit/RunOrders.test.ts
+++ b/packages/nutmegproxy-owner/src/__tests__/unit/RunOrders.test.ts
@@ -13,6 +13,7 @@
 import type {SessionContext} from '../../SessionContext.ts';
 
 import {OWNER_EVENTS} from '../../OwnerEvents.ts';
+import {OwnerLoad} from '../../OwnerLoad.ts';
 import {RunOrders} from '../../RunOrders.ts';
 import {StartLimiter} from '../../StartLimiter.ts';
 import {acquireOwnership, createMinion, createStep} from './OwnerSamples.ts';
@@ -69,6 +70,7 @@
       findTicket: () => undefined,
       fleet,
       isDirectoryOutdated: () => isDirectoryOutdated,
+      load: new OwnerLoad(),
       onChange: () => undefined,
       orders: minionOrders as MinionOrders,
       ownership: await acquireOwnership(store),
