--- a/packages/nutmegproxy-emulator/src/__tests__/unit/PlannedStops.test.ts
+++ b/packages/nutmegproxy-emulator/src/__tests__/unit/PlannedStops.test.ts
@@ -80,6 +80,25 @@
     });
   });
 
+  describe('an owner that is stopped before it has received the closing record', () => {
+    it('does not add the difference of two wall clocks to the lease of a silent minion', async () => {
+      const first = await harness.start('vm-1');
+      await runLastingTask();
+      harness.fleet.remove(minion.description.id);
+      await sleep(SETTLED_MS);
+      await harness.stopAsPlanned(first);
+      await sleep(SETTLED_MS);
+      await harness.stopAsPlanned(await harness.start('vm-2'));
+      await sleep(SETTLED_MS);
+      const other = harness.addMinion('m2');
+      const {ownership} = await harness.start('vm-3');
+      await waitFor('the minion has reported', () => other.answeredPolls > 0);
+      await sleep(SETTLED_MS);
+      await harness.passTime(ownership, RESTART_DEADLINE_MS, STEP_MS, STEP_PAUSE_MS);
+      await waitFor('the task runs again', () => other.liveTasks.length === 1, REACTION_MS);
+    });
+  });
+
   describe('a VM that is stopped while it acquires the ownership', () => {
     it('does not delay a task of a minion that left until the longest lease has passed', async () => {
       const first = await harness.start('vm-1');
