A minion that no owner used in an earlier incarnation has usual leases

Cause: the first reading of a minion younger than 20 s counts its lease as the longest that minions accept, 10 s, since an order that was computed for the clock of an earlier incarnation may have reached it. Most young minions never had an earlier one.

Change: an owner that sees a minion appear stores the start of that incarnation in the roster (firstBornAt) before its first start there; records that replace the entry keep it. While the minion reports the same start, its leases count as the usual 7.5 s. Not stored for minions that a new owner finds in its first listing, unless it is the first owner of all, nor for one that it has removed before.

Ruled out: the start in the description of the entry, which records replace after a restart.

PlannedStops > a minion that has just started and leaves right after a takeover: failed before (not running 9 s after it left), passes with the change. OwnerRecord: two tests of the field.

--- a/packages/nutmegproxy-emulator/src/__tests__/unit/PlannedStops.test.ts
+++ b/packages/nutmegproxy-emulator/src/__tests__/unit/PlannedStops.test.ts
@@ -99,6 +99,25 @@
     });
   });
 
+  describe('a minion that has just started and leaves right after a takeover', () => {
+    it('does not delay its task for as long as a minion may hold a lease', async () => {
+      harness.fleet.remove(minion.description.id);
+      minion = harness.addMinion('m2', harness.clock.wall());
+      const first = await harness.start('vm-1');
+      await runLastingTask();
+      await harness.stopAsPlanned(first);
+      await sleep(SETTLED_MS);
+      const {answeredPolls} = minion;
+      const {ownership} = await harness.start('vm-2');
+      await waitFor('the minion has reported', () => minion.answeredPolls > answeredPolls + 1);
+      harness.fleet.remove(minion.description.id);
+      const other = harness.addMinion('m3');
+      await sleep(SETTLED_MS);
+      await harness.passTime(ownership, RESTART_DEADLINE_MS, STEP_MS, STEP_PAUSE_MS);
+      await waitFor('the task runs again', () => other.liveTasks.length === 1, REACTION_MS);
+    });
+  });
+
   describe('a VM that is stopped while it acquires the ownership', () => {
     it('does not delay a task of a minion that left until the longest lease has passed', async () => {
       const first = await harness.start('vm-1');
--- a/packages/nutmegproxy-emulator/src/__tests__/unit/TakeoverHarness.ts
+++ b/packages/nutmegproxy-emulator/src/__tests__/unit/TakeoverHarness.ts
@@ -50,8 +50,13 @@
   readonly store = new MemoryStore();
   readonly #stops: (() => void)[] = [];
 
-  addMinion(name: string): EmulatedMinion {
-    const minion = new EmulatedMinion(createMinionDescription(name), runForever);
+  /** Adds a minion that started at `bornAt`, in Unix milliseconds; default: long ago. */
+  addMinion(name: string, bornAt?: number): EmulatedMinion {
+    const description = createMinionDescription(name);
+    const minion = new EmulatedMinion(
+      bornAt === undefined ? description : {...description, bornAt},
+      runForever,
+    );
     this.fleet.add(minion);
     return minion;
   }
--- a/packages/nutmegproxy-owner/src/MinionSessions.ts
+++ b/packages/nutmegproxy-owner/src/MinionSessions.ts
@@ -75,7 +75,7 @@
    * roster, otherwise it is empty.
    */
   async start(former: readonly RosterEntry[]): Promise<Result<void, StoreFailure>> {
-    const {clock, directory, events, roster} = this.#options;
+    const {clock, directory, events} = this.#options;
     const listedAt = clock.monotonic();
     const snapshot = await directory.list();
     if (snapshot.isErr()) {
@@ -110,7 +110,7 @@
       },
     });
     this.#directoryAge.finishListing(this.#watch, listedAt);
-    void roster.add(snapshot.value.minions);
+    this.#addToRoster(snapshot.value.minions, this.#options.session.ownership.term === 0);
     this.recovery.begin();
     const known = new Set(former.map(({description}) => description.id));
     this.#enroll(snapshot.value.minions.filter(({id}) => !known.has(id)));
@@ -191,9 +191,29 @@
       }
       this.#update(description, now, 'listed');
     }
+    this.#addToRoster(added, true);
     this.#enroll(added);
   }
 
+  #addToRoster(minions: readonly MinionDescription[], areNew: boolean): void {
+    void this.#options.roster.add(minions, areNew);
+    for (const {id} of minions) {
+      this.#assumeUsualLeases(id);
+    }
+  }
+
+  /**
+   * Orders that were computed for another incarnation's clock may grant longer leases; a minion whose
+   * first incarnation is the present one got none.
+   */
+  #assumeUsualLeases(id: MinionId): void {
+    const firstBornAt = this.#options.roster.find(id)?.firstBornAt;
+    const minion = this.#sessions.get(id)?.minion;
+    if (firstBornAt !== undefined && minion?.bornAt === firstBornAt) {
+      minion.leaseClock.assumeUsualLeases();
+    }
+  }
+
   /** Lets minions that no former owner knew get work, before they have reported. */
   #enroll(minions: readonly MinionDescription[]): void {
     for (const {id} of minions) {
@@ -254,6 +274,7 @@
     if (isMissing) {
       minion.unlistedSince ??= now;
     }
+    this.#assumeUsualLeases(minion.id);
     this.recovery.expect(minion, entry, now);
   }
 
--- a/packages/nutmegproxy-owner/src/Roster.ts
+++ b/packages/nutmegproxy-owner/src/Roster.ts
@@ -55,6 +55,11 @@
 export interface RosterEntry {
   readonly description: MinionDescription;
   readonly draining?: DrainingMinionRecord;
+  /**
+   * Start of the minion's first incarnation that an owner sent orders to, in Unix milliseconds;
+   * absent when it is not known, and in entries of earlier versions.
+   */
+  readonly firstBornAt?: number | undefined;
   readonly silent?: SilentMinionRecord;
 }
 
@@ -70,6 +75,7 @@
   #isStale = false;
   readonly #options: RosterOptions;
   readonly #record: OwnerRecord;
+  readonly #removed = new Set<MinionId>();
   #stopped = false;
   /** Minions whose runs the stored roster may name. */
   #storedRecords: ReadonlySet<MinionId> = new Set();
@@ -85,11 +91,16 @@
     return [...this.#entries.values()].filter(({silent}) => silent !== undefined);
   }
 
-  /** Adds minions; resolves once the stored roster contains them. */
-  async add(minions: readonly MinionDescription[]): Promise<void> {
+  /**
+   * Adds minions; resolves once the stored roster contains them. `areNew`: no owner before this one
+   * can have sent them orders.
+   */
+  async add(minions: readonly MinionDescription[], areNew = false): Promise<void> {
     for (const description of minions) {
-      if (!this.#entries.has(description.id)) {
-        this.#entries.set(description.id, {description});
+      const {bornAt, id} = description;
+      if (!this.#entries.has(id)) {
+        const firstBornAt = areNew && !this.#removed.has(id) ? bornAt : undefined;
+        this.#entries.set(id, {description, firstBornAt});
         this.#isStale = true;
       }
     }
@@ -141,6 +152,7 @@
   /** Removes a minion on which nothing runs any more. */
   remove(id: MinionId): void {
     this.#isStale = this.#entries.delete(id) || this.#isStale;
+    this.#removed.add(id);
     void this.#flush();
   }
 
@@ -159,9 +171,10 @@
     }
   }
 
-  /** Replaces the entry of a minion; resolves once that is stored. */
+  /** Replaces the records of a minion's entry; resolves once that is stored. */
   #replace(entry: RosterEntry): Promise<void> {
-    this.#entries.set(entry.description.id, entry);
+    const {id} = entry.description;
+    this.#entries.set(id, {...entry, firstBornAt: this.#entries.get(id)?.firstBornAt});
     this.#isStale = true;
     return this.#flush();
   }
--- a/packages/nutmegproxy-owner/src/__tests__/unit/OwnerRecord.test.ts
+++ b/packages/nutmegproxy-owner/src/__tests__/unit/OwnerRecord.test.ts
@@ -104,5 +104,30 @@
       const [entry] = (await next.read())._unsafeUnwrap();
       assert.equal(entry?.silent, undefined);
     });
+
+    describe('the first start of a minion', () => {
+      const onFenced = (): void => undefined;
+      const restarted = {...MINION, bornAt: 2};
+      let roster: Roster;
+
+      beforeEach(async () => {
+        roster = new Roster({events: SILENT_EVENTS, onFenced, ownership, store});
+        await roster.add([{...MINION, bornAt: 1}], true);
+      });
+
+      it('is kept when its records are replaced after a restart', async () => {
+        roster.markDraining(restarted, {runs: [], term: 0});
+        await roster.clearRecord(restarted);
+        const next = new Roster({events: SILENT_EVENTS, onFenced, ownership, store});
+        const [entry] = (await next.read())._unsafeUnwrap();
+        assert.equal(entry?.firstBornAt, 1);
+      });
+
+      it('is not known of a minion that was removed and is added again', async () => {
+        roster.remove(MINION.id);
+        await roster.add([restarted], true);
+        assert.equal(roster.find(MINION.id)?.firstBornAt, undefined);
+      });
+    });
   });
 });
