Log why a long-running job waits to start

It names its job, so `explain` shows it. At most one line every 5 s for each step, and none in the first second of a wait.

The limit moves to a file of its own, unchanged, so that the log and the planner read the same figures.

--- a/packages/nutmegproxy-scheduling/src/Fleet.ts
+++ b/packages/nutmegproxy-scheduling/src/Fleet.ts
@@ -21,6 +21,7 @@
 import {DEFAULT_QUEUE_POLICY} from './QueuePolicy.ts';
 import {describeRun, describeRuns} from './RunFields.ts';
 import {SCHEDULING_EVENTS} from './SchedulingEvents.ts';
+import {StartWaitLog} from './StartWaitLog.ts';
 
 export class Fleet {
   /** When speculative runs were last planned. */
@@ -38,6 +39,7 @@
   readonly pendingStops: StopRequest[] = [];
   /** Recent crashes of minions. */
   readonly outages = new OutageLog();
+  readonly startWaits = new StartWaitLog();
   readonly events: EventSink;
 
   constructor(events: EventSink) {
--- a/packages/nutmegproxy-scheduling/src/SchedulingEvents.ts
+++ b/packages/nutmegproxy-scheduling/src/SchedulingEvents.ts
@@ -16,6 +16,11 @@
     level: 'warn',
     text: 'A job failed: one of its tasks failed as often as its queue allows, or was given up.',
   },
+  LONG_RUNNING_JOB_WAITING: {
+    code: 8024,
+    level: 'info',
+    text: 'A long-running job waits to start: the room for such jobs is used, or no minion fits.',
+  },
   MINION_CRASHED: {
     code: 8022,
     level: 'warn',
--- a/packages/nutmegproxy-scheduling/src/StartPlanner.ts
+++ b/packages/nutmegproxy-scheduling/src/StartPlanner.ts
@@ -5,24 +5,21 @@
 
 import type {DurationEstimator} from './DurationEstimator.ts';
 import type {Fleet} from './Fleet.ts';
+import type {LongRunningRoom} from './LongRunningRoom.ts';
 import type {MinionState} from './MinionState.ts';
 import type {SharingCosts} from './Placement.ts';
+import type {StartWaitReason} from './StartWaitLog.ts';
 import type {TrialPlan} from './TaskTrials.ts';
 
 import {listCrashes} from './CrashVerdict.ts';
 import {orderSteps} from './JobOrder.ts';
+import {measureLongRunningRoom} from './LongRunningRoom.ts';
 import {MinionRanking} from './MinionRanking.ts';
 import {computePlacementCost, isSchedulable} from './Placement.ts';
 import {collectReadySteps, listStartableTasks} from './ReadySteps.ts';
 import {planSpeculativeRuns} from './SpeculationPlanner.ts';
 import {planTrials, recordTrial} from './TaskTrials.ts';
 
-/**
- * Share of a service's processors above which no further long-running job starts. Long-running jobs
- * don't release their processors for minutes, and short work without free capacity is late at once.
- */
-const MAX_LONG_RUNNING_SHARE = 0.88;
-
 /**
  * Time in milliseconds after which placement of a backfill step that found no minion is retried.
  * Otherwise such steps would take most of the planning time in a backlog. The serving loads that
@@ -189,13 +186,19 @@
     if (!shape.longRunning || job.hasStarted) {
       return false;
     }
-    let capacity = 0;
-    let reserved = shape.resources.cpuMilli * shape.count;
-    for (const {description, reserved: minionReserved} of minions) {
-      capacity += description.capacity.cpuMilli;
-      reserved += minionReserved.cpuMilli;
+    const room = measureLongRunningRoom(minions);
+    const isExceeded =
+      room.reservedMilli + shape.resources.cpuMilli * shape.count > room.limitMilli;
+    if (isExceeded) {
+      this.#recordWait(step, 'limit', room);
     }
-    return reserved > capacity * MAX_LONG_RUNNING_SHARE;
+    return isExceeded;
+  }
+
+  #recordWait(step: StepState, reason: StartWaitReason, room: LongRunningRoom): void {
+    const {now, wall} = this.#context;
+    const waitedMs = wall - step.job.dueAt(step.occurrence);
+    this.#fleet.startWaits.record({reason, room, step, waitedMs}, this.#fleet.events, now);
   }
 
   /** Whether a backfill step found no minion within the retry interval. */
@@ -218,6 +221,9 @@
         this.#chooseAvoidedMinion(step, index, minions, ranking);
       if (minion === undefined) {
         step.blockedAt = this.#context.now;
+        if (step.shape.longRunning) {
+          this.#recordWait(step, 'no-minion', measureLongRunningRoom(minions));
+        }
         return;
       }
       this.#starts.push(this.#fleet.startRun(step, index, minion, this.#context.now));
