Start lasting tasks one by one, so that a wide job does not wait for ever

Tasks of a lasting job now start one by one within the limit; interrupted ones restart in any case. Tasks that never ran come after short work that has value left, by the processors that their job lacks, halved by each 4 s of waiting, and while one waits for the limit no later job takes what becomes free, unless no minion fits it. The limit is 0.85 of the processors (0.88 before). Fleet.ts, placement and gangs are unchanged: nothing starts beyond a minion's capacity.

Restart after a takeover, by reading: runs named by records, closing records and listings (also of those that ended) are known, and their tasks restart without limit. Tasks of a started job without a known run are bounded by lasting reservations only and by no other job. Remaining gap: a task whose run was accounted for before the takeover, not yet restarted and not listed any more waits when the lasting tasks that remain reserve over 0.85 of a fleet that has shrunk.

--- a/packages/nutmegproxy-emulator/src/SimulationReport.ts
+++ b/packages/nutmegproxy-emulator/src/SimulationReport.ts
@@ -6,6 +6,15 @@
 
 import type {JobHistory, SimulationResult} from './FleetSimulation.ts';
 
+/** Mean share of what they are owed that jobs get, by the size of the job. */
+export interface SizeReport {
+  readonly all: number;
+  /** Of the tenth of the jobs with the most work. */
+  readonly largestTenth: number;
+  /** Of the fifth of the jobs below that. */
+  readonly nextFifth: number;
+}
+
 /** Jobs of one queue; a share is of the work of all its jobs in core-seconds. */
 export interface QueueReport {
   readonly jobs: number;
@@ -13,6 +22,7 @@
   readonly onTimeShare: number;
   /** Share of the time owed for which tasks of long-running jobs were at work. */
   readonly servedShare: number;
+  readonly sizes: SizeReport;
 }
 
 function computeObjectiveMs({job: {jobClass, taskMs}}: JobHistory): number {
@@ -31,6 +41,27 @@
   return (request.steps[0]?.count ?? 0) * (endMs - arrivesMs);
 }
 
+/** Returns the share of the owed time of a long-running job, or whether another job is completed. */
+function computeJobShare(history: JobHistory, endMs: number): number {
+  return history.job.jobClass.longRunning
+    ? history.servedTaskMs / sumOwedTaskMs(history, endMs)
+    : Number(history.completedMs !== undefined);
+}
+
+function reportSizes(histories: readonly JobHistory[], endMs: number): SizeReport {
+  const shares = [...histories]
+    .sort((a, b) => computeWork(b) - computeWork(a))
+    .map((history) => computeJobShare(history, endMs));
+  const tenth = Math.ceil(shares.length / 10);
+  const average = (part: readonly number[]): number =>
+    part.reduce((sum, share) => sum + share, 0) / part.length;
+  return {
+    all: average(shares),
+    largestTenth: average(shares.slice(0, tenth)),
+    nextFifth: average(shares.slice(tenth, 3 * tenth)),
+  };
+}
+
 function reportQueue(histories: readonly JobHistory[], endMs: number): QueueReport {
   let work = 0;
   let onTime = 0;
@@ -55,6 +86,7 @@
     lateShare: late / work,
     onTimeShare: onTime / work,
     servedShare: servedMs / owedMs,
+    sizes: reportSizes(histories, endMs),
   };
 }
 
--- a/packages/nutmegproxy-jobs/src/JobState.ts
+++ b/packages/nutmegproxy-jobs/src/JobState.ts
@@ -21,6 +21,8 @@
   status: JobStatus;
   /** Whether a task of the job has started, under this owner or a former one. */
   hasStarted: boolean;
+  /** Whether a task of the job had started under a former owner. */
+  readonly hadStarted: boolean;
   /** Whether starts of suspected tasks were stored for the job. */
   mayHaveTrials = false;
   readonly #finished = new Set<number>();
@@ -35,7 +37,8 @@
     this.request = request;
     this.revision = revision;
     this.status = progress.status;
-    this.hasStarted = progress.status !== 'queued';
+    this.hadStarted = progress.status !== 'queued';
+    this.hasStarted = this.hadStarted;
     this.#progress = progress;
     for (const [key, {trials}] of Object.entries(progress.steps)) {
       if (trials !== undefined) {
--- a/packages/nutmegproxy-jobs/src/StepState.ts
+++ b/packages/nutmegproxy-jobs/src/StepState.ts
@@ -153,6 +153,11 @@
     return (this.failures.get(index)?.length ?? 0) + (this.unknownResults.get(index)?.size ?? 0);
   }
 
+  /** Whether a run of the task is known, live or over. */
+  hasRun(index: number): boolean {
+    return this.#lastRun.has(index) || this.failures.has(index);
+  }
+
   recordUnknownResult(index: number, minion: MinionId): void {
     const minions = this.unknownResults.get(index) ?? new Set();
     this.unknownResults.set(index, minions.add(minion));
--- a/packages/nutmegproxy-scheduling/src/JobOrder.ts
+++ b/packages/nutmegproxy-scheduling/src/JobOrder.ts
@@ -3,7 +3,8 @@
  * first. Within one priority, interrupted long-running tasks are restarted first. Then jobs that
  * can still meet their objective precede those that can only be late, and these precede jobs whose
  * result has no value left. Among equals, the job with the least remaining work is first, so that
- * the most jobs finish in time.
+ * the most jobs finish in time. Long-running tasks that have not run follow work whose result has
+ * value left; among these, the job that lacks the least processors is first.
  */
 
 import type {WallTime} from '@nutmegproxy/core';
@@ -17,6 +18,12 @@
 /** Wait in milliseconds that halves a job's weight, so that large jobs don't starve. */
 const AGING_HALF_WEIGHT_MS = 4_000;
 
+/**
+ * Rank of the tasks of long-running jobs that have not run. They precede work whose result has no
+ * value left, and follow all other work of their priority, which needs its processors for seconds.
+ */
+const LONG_RUNNING_RANK = 1.5;
+
 /** `on-time`: meets the objective. `late`: the result has value left. `overdue`: it has none. */
 export type Punctuality = 'late' | 'on-time' | 'overdue';
 
@@ -30,9 +37,13 @@
   /** Whether tasks of a long-running job were interrupted, so that its users lack them. */
   readonly isInterrupted: boolean;
   readonly priority: number;
-  readonly punctuality: Punctuality;
+  /** Rank within the priority, lowest first. */
+  readonly rank: number;
   readonly step: StepState;
-  /** Remaining core-milliseconds, reduced for the time that the job has waited. */
+  /**
+   * Remaining core-milliseconds, or the processors that a long-running step lacks, reduced for the
+   * time that the job has waited.
+   */
   readonly weight: number;
 }
 
@@ -55,11 +66,24 @@
   return endMs <= job.objectiveMs * OVERDUE_OBJECTIVE_RATIO ? 'late' : 'overdue';
 }
 
+/** Whether tasks of a long-running step were interrupted, or may have been under a former owner. */
+function isInterrupted(step: StepState): boolean {
+  return (
+    step.shape.longRunning &&
+    (step.job.hadStarted || [...step.waiting].some((index) => step.hasRun(index)))
+  );
+}
+
+/** A long-running job keeps its processors, so that its duration says nothing of what others wait for. */
+function weigh({shape, waiting}: StepState, remainingCoreMs: number): number {
+  return shape.longRunning ? waiting.size * shape.resources.cpuMilli : remainingCoreMs;
+}
+
 function compareSteps(a: OrderedStep, b: OrderedStep): number {
   return (
     a.priority - b.priority ||
     Number(b.isInterrupted) - Number(a.isInterrupted) ||
-    PUNCTUALITY_RANKS[a.punctuality] - PUNCTUALITY_RANKS[b.punctuality] ||
+    a.rank - b.rank ||
     a.weight - b.weight
   );
 }
@@ -78,16 +102,17 @@
       const elapsedMs = Math.max(0, wall - job.dueAt(occurrence));
       const remaining = estimator.estimateRemaining(job.occurrence(occurrence) ?? []);
       const objectiveMs = stretch * estimator.estimateCriticalPathMs(job) + targetDurationMs;
+      const punctuality = classifyPunctuality({
+        elapsedMs,
+        objectiveMs,
+        remainingMs: remaining.criticalPathMs,
+      });
       return {
-        isInterrupted: step.shape.longRunning && job.hasStarted,
+        isInterrupted: isInterrupted(step),
         priority,
-        punctuality: classifyPunctuality({
-          elapsedMs,
-          objectiveMs,
-          remainingMs: remaining.criticalPathMs,
-        }),
+        rank: step.shape.longRunning ? LONG_RUNNING_RANK : PUNCTUALITY_RANKS[punctuality],
         step,
-        weight: remaining.coreMs / (1 + elapsedMs / AGING_HALF_WEIGHT_MS),
+        weight: weigh(step, remaining.coreMs) / (1 + elapsedMs / AGING_HALF_WEIGHT_MS),
       };
     })
     .sort(compareSteps);
--- a/packages/nutmegproxy-scheduling/src/LongRunningRoom.ts
+++ b/packages/nutmegproxy-scheduling/src/LongRunningRoom.ts
@@ -3,10 +3,10 @@
 import type {MinionState} from './MinionState.ts';
 
 /**
- * Share of a service's processors above which no further long-running job starts. Long-running jobs
+ * Share of a service's processors above which no further long-running task starts. Long-running jobs
  * don't release their processors for minutes, and short work without free capacity is late at once.
  */
-const MAX_LONG_RUNNING_SHARE = 0.88;
+const MAX_LONG_RUNNING_SHARE = 0.85;
 
 /** Processors of a service, in thousandths of a core. */
 export interface LongRunningRoom {
--- a/packages/nutmegproxy-scheduling/src/StartPlanner.ts
+++ b/packages/nutmegproxy-scheduling/src/StartPlanner.ts
@@ -5,15 +5,13 @@
 
 import type {DurationEstimator} from './DurationEstimator.ts';
 import type {Fleet} from './Fleet.ts';
-import type {LongRunningRoom} from './LongRunningRoom.ts';
 import type {MinionState} from './MinionState.ts';
 import type {SharingCosts} from './Placement.ts';
-import type {StartWaitReason} from './StartWaitLog.ts';
 import type {TrialPlan} from './TaskTrials.ts';
 
 import {listCrashes} from './CrashVerdict.ts';
 import {orderSteps} from './JobOrder.ts';
-import {measureLongRunningRoom} from './LongRunningRoom.ts';
+import {LongRunningStarts} from './LongRunningStarts.ts';
 import {MinionRanking} from './MinionRanking.ts';
 import {computePlacementCost, isSchedulable} from './Placement.ts';
 import {collectReadySteps, listStartableTasks} from './ReadySteps.ts';
@@ -48,12 +46,14 @@
   readonly #fleet: Fleet;
   /** Suspected tasks that must not start like any others. */
   #heldTasks: TrialPlan['heldTasks'] = new Map();
+  readonly #longRunningStarts: LongRunningStarts;
   readonly #starts: Run[] = [];
   readonly #schedulable = new Map<ServiceId, MinionState[]>();
 
   constructor(fleet: Fleet, context: PlanContext) {
     this.#fleet = fleet;
     this.#context = context;
+    this.#longRunningStarts = new LongRunningStarts(fleet, context.now, context.wall);
     for (const minion of fleet.minions.values()) {
       if (isSchedulable(minion, context.now)) {
         const {service} = minion.description;
@@ -185,27 +185,6 @@
     }
   }
 
-  /** Whether starting the long-running job would take capacity that is reserved for short work. */
-  #exceedsLongRunningLimit(step: StepState, minions: readonly MinionState[]): boolean {
-    const {job, shape} = step;
-    if (!shape.longRunning || job.hasStarted) {
-      return false;
-    }
-    const room = measureLongRunningRoom(minions);
-    const isExceeded =
-      room.reservedMilli + shape.resources.cpuMilli * shape.count > room.limitMilli;
-    if (isExceeded) {
-      this.#recordWait(step, 'limit', room);
-    }
-    return isExceeded;
-  }
-
-  #recordWait(step: StepState, reason: StartWaitReason, room: LongRunningRoom): void {
-    const {now, wall} = this.#context;
-    const waitedMs = wall - step.job.dueAt(step.occurrence);
-    this.#fleet.startWaits.record({reason, room, step, waitedMs}, this.#fleet.events, now);
-  }
-
   /** Whether a backfill step found no minion within the retry interval. */
   #isInBackoff({blockedAt, shape}: StepState): boolean {
     const blockedForMs = this.#context.now - (blockedAt ?? -Infinity);
@@ -214,12 +193,15 @@
 
   #placeTasks(step: StepState): void {
     const minions = this.#listMinions(step);
-    if (this.#exceedsLongRunningLimit(step, minions) || this.#isInBackoff(step)) {
+    if (this.#isInBackoff(step)) {
       return;
     }
-    let ranking = this.#rank(step, minions);
     const held = this.#heldTasks.get(step);
-    const startable = listStartableTasks(this.#fleet, step).filter((index) => !held?.has(index));
+    const waiting = listStartableTasks(this.#fleet, step).filter((index) => !held?.has(index));
+    const startable = step.shape.longRunning
+      ? this.#longRunningStarts.admit(step, waiting, minions)
+      : waiting;
+    let ranking = this.#rank(step, minions);
     for (const [order, index] of startable.entries()) {
       const minion =
         this.#choose(step, index, ranking) ??
@@ -227,7 +209,7 @@
       if (minion === undefined) {
         step.blockedAt = this.#context.now;
         if (step.shape.longRunning) {
-          this.#recordWait(step, 'no-minion', measureLongRunningRoom(minions));
+          this.#longRunningStarts.recordNoMinion(step, minions);
         }
         return;
       }
@@ -239,6 +221,9 @@
         ranking.refresh(minion);
       }
     }
+    if (startable.length < waiting.length) {
+      this.#longRunningStarts.holdLaterJobs(step, minions);
+    }
   }
 
   /** Chooses a minion for a task that avoids all minions, by allowing all of them again. */
--- a/packages/nutmegproxy-scheduling/src/__tests__/unit/JobOrder.test.ts
+++ b/packages/nutmegproxy-scheduling/src/__tests__/unit/JobOrder.test.ts
@@ -38,6 +38,47 @@
     assert.deepEqual(order(sample, 20_000), [large.id, small.id]);
   });
 
+  describe('long-running jobs', () => {
+    const AGING_HALF_WEIGHT_MS = 4_000;
+
+    for (const ratio of [2, 6, 12]) {
+      it(`precede one that lacks ${ratio} times the processors no longer than the aging bound`, () => {
+        const boundMs = (ratio - 1) * AGING_HALF_WEIGHT_MS;
+        const sample = new SampleFleet(0);
+        const wide = sample.addJob('proofs', [shape({count: 2 * ratio, longRunning: true})], 0);
+        const narrow = shape({count: 2, longRunning: true});
+        const before = sample.addJob('proofs', [narrow], boundMs - 1);
+        assert.deepEqual(order(sample, boundMs - 1), [before.id, wide.id]);
+        sample.fleet.jobs.delete(before.id);
+        const after = sample.addJob('proofs', [narrow], boundMs + 1);
+        assert.deepEqual(order(sample, boundMs + 1), [wide.id, after.id]);
+      });
+    }
+
+    it('follow short work that has value left and precede work that has none', () => {
+      const sample = new SampleFleet(0);
+      const overdue = sample.addJob('proofs', [shape()], 0);
+      const late = sample.addJob('proofs', [shape()], 15_000);
+      const lasting = sample.addJob('proofs', [shape({longRunning: true})], 0);
+      assert.deepEqual(order(sample, 20_000), [late.id, lasting.id, overdue.id]);
+    });
+  });
+
+  describe('a stream of small jobs', () => {
+    /** Wait in milliseconds after which a new job of a tenth of the work is not first any more. */
+    const AGING_BOUND_MS = 36_000;
+
+    it('does not precede a job of ten times the work for longer than the aging bound', () => {
+      const sample = new SampleFleet(0, [queue('proofs', {targetDurationMs: 600_000})]);
+      const large = sample.addJob('proofs', [shape({count: 10})], 0);
+      const before = sample.addJob('proofs', [shape()], AGING_BOUND_MS - 1);
+      assert.deepEqual(order(sample, AGING_BOUND_MS - 1), [before.id, large.id]);
+      sample.fleet.jobs.delete(before.id);
+      const after = sample.addJob('proofs', [shape()], AGING_BOUND_MS + 1);
+      assert.deepEqual(order(sample, AGING_BOUND_MS + 1), [large.id, after.id]);
+    });
+  });
+
   it('orders by the priority number of the queue first, lowest first', () => {
     const sample = new SampleFleet(0, [queue('alerts'), queue('digests', {priority: 2})]);
     const digest = sample.addJob('digests', [shape()]);
--- a/packages/nutmegproxy-scheduling/src/__tests__/unit/StartPlanner.test.ts
+++ b/packages/nutmegproxy-scheduling/src/__tests__/unit/StartPlanner.test.ts
@@ -1,4 +1,4 @@
-import type {RunNumber} from '@nutmegproxy/jobs';
+import type {JobState, RunNumber} from '@nutmegproxy/jobs';
 
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
@@ -311,4 +311,82 @@
       assert.ok(jobs.every(({hasStarted}) => hasStarted));
     });
   });
+
+  describe('a wide long-running job beside a stream of narrow ones', () => {
+    const ROUND_MS = 100;
+    const NARROW_MS = 8_000;
+    const TASKS = 12;
+    /** Wait in milliseconds after which no later job precedes it, and in which room for it is released. */
+    const BOUND_MS = 30_000;
+
+    /** Returns how many tasks of the wide job are at work after the bound. */
+    function countWideRuns(): number {
+      const sample = new SampleFleet(10);
+      const live: {endsAtMs: number; job: JobState}[] = [];
+      for (let job = 0; job < 16; job += 1) {
+        live.push({
+          endsAtMs: (job + 1) * 500,
+          job: sample.addJob('proofs', [shape({count: 2, longRunning: true})]),
+        });
+      }
+      sample.plan(0);
+      const wide = sample.addJob('proofs', [shape({count: TASKS, longRunning: true})], 1);
+      for (let now = ROUND_MS; now <= BOUND_MS; now += ROUND_MS) {
+        if (now % 500 === 0) {
+          const job = sample.addJob('proofs', [shape({count: 2, longRunning: true})], now);
+          live.push({endsAtMs: now + NARROW_MS, job});
+        }
+        for (const {job} of live.filter(({endsAtMs}) => endsAtMs === now)) {
+          sample.finishRuns(job, at(now));
+        }
+        const short = sample.addJob('proofs', [shape({count: 2, estimateMs: 100})], now);
+        sample.plan(now);
+        sample.finishRuns(short, at(now + ROUND_MS - 1));
+      }
+      return [...wide.steps()].reduce((sum, {liveRuns}) => sum + liveRuns, 0);
+    }
+
+    it('has all its tasks at work within the bound, although each later one needs less', () => {
+      assert.equal(countWideRuns(), TASKS);
+    });
+  });
+
+  describe('a long-running job of which not all tasks have room', () => {
+    it('starts as many as have, and the others do not precede short work', () => {
+      const sample = new SampleFleet(10);
+      const job = sample.addJob('proofs', [shape({count: 50, longRunning: true})]);
+      assert.equal(sample.plan(0).length, 34);
+      const short = sample.addJob('proofs', [shape({count: 6})], 1);
+      assert.deepEqual(
+        sample.plan(1).map(({task}) => task.job),
+        Array.from({length: 6}, () => short.id),
+      );
+      assert.equal(job.status, 'running');
+    });
+
+    it('does not keep later jobs waiting when no minion fits a task of it', () => {
+      const sample = new SampleFleet(10);
+      const unfit = shape({count: 50, longRunning: true, requiredLabel: 'none'});
+      sample.addJob('proofs', [unfit]);
+      const later = sample.addJob('proofs', [shape({count: 2, longRunning: true})], 60_000);
+      assert.deepEqual(
+        sample.plan(61_000).map(({task}) => task.job),
+        [later.id, later.id],
+      );
+    });
+
+    it('restarts an interrupted task above the limit', () => {
+      const sample = new SampleFleet(10);
+      sample.addJob('proofs', [shape({count: 50, longRunning: true})]);
+      const [run] = sample.plan(0);
+      assert.ok(run, 'no task started');
+      sample.addJob('proofs', [shape({count: 4})], 1);
+      sample.plan(1);
+      sample.fleet.finishRun(run, 'failed', undefined, at(2));
+      assert.deepEqual(
+        sample.plan(3).map(({task}) => task.index),
+        [run.task.index],
+      );
+    });
+  });
 });
