--- a/packages/nutmegproxy-scheduling/src/StartPlanner.ts
+++ b/packages/nutmegproxy-scheduling/src/StartPlanner.ts
@@ -11,6 +11,7 @@
 
 import {listCrashes} from './CrashVerdict.ts';
 import {orderSteps} from './JobOrder.ts';
+import {LongRunningStarts} from './LongRunningStarts.ts';
 import {MinionRanking} from './MinionRanking.ts';
 import {computePlacementCost, isSchedulable} from './Placement.ts';
 import {collectReadySteps, listStartableTasks} from './ReadySteps.ts';
@@ -18,12 +19,6 @@
 import {isApartFromSuspects} from './SuspectSeparation.ts';
 import {planTrials, recordTrial} from './TaskTrials.ts';
 
-/**
- * Share of a service's processors above which no further long-running job starts. Long-running jobs
- * don't release their processors for minutes, and short work without free capacity is late at once.
- */
-const MAX_LONG_RUNNING_SHARE = 0.88;
-
 /**
  * Time in milliseconds after which placement of a backfill step that found no minion is retried.
  * Otherwise such steps would take most of the planning time in a backlog. The serving loads that
@@ -51,12 +46,14 @@
   readonly #fleet: Fleet;
   /** Suspected tasks that must not start like any others. */
   #heldTasks: TrialPlan['heldTasks'] = new Map();
+  readonly #longRunningStarts: LongRunningStarts;
   readonly #starts: Run[] = [];
   readonly #schedulable = new Map<ServiceId, MinionState[]>();
 
   constructor(fleet: Fleet, context: PlanContext) {
     this.#fleet = fleet;
     this.#context = context;
+    this.#longRunningStarts = new LongRunningStarts(fleet, context.now, context.wall);
     for (const minion of fleet.minions.values()) {
       if (isSchedulable(minion, context.now)) {
         const {service} = minion.description;
@@ -188,21 +185,6 @@
     }
   }
 
-  /** Whether starting the long-running job would take capacity that is reserved for short work. */
-  #exceedsLongRunningLimit(step: StepState, minions: readonly MinionState[]): boolean {
-    const {job, shape} = step;
-    if (!shape.longRunning || job.hasStarted) {
-      return false;
-    }
-    let capacity = 0;
-    let reserved = shape.resources.cpuMilli * shape.count;
-    for (const {description, reserved: minionReserved} of minions) {
-      capacity += description.capacity.cpuMilli;
-      reserved += minionReserved.cpuMilli;
-    }
-    return reserved > capacity * MAX_LONG_RUNNING_SHARE;
-  }
-
   /** Whether a backfill step found no minion within the retry interval. */
   #isInBackoff({blockedAt, shape}: StepState): boolean {
     const blockedForMs = this.#context.now - (blockedAt ?? -Infinity);
@@ -211,18 +193,24 @@
 
   #placeTasks(step: StepState): void {
     const minions = this.#listMinions(step);
-    if (this.#exceedsLongRunningLimit(step, minions) || this.#isInBackoff(step)) {
+    if (this.#isInBackoff(step)) {
       return;
     }
-    let ranking = this.#rank(step, minions);
     const held = this.#heldTasks.get(step);
-    const startable = listStartableTasks(this.#fleet, step).filter((index) => !held?.has(index));
+    const waiting = listStartableTasks(this.#fleet, step).filter((index) => !held?.has(index));
+    const startable = step.shape.longRunning
+      ? this.#longRunningStarts.admit(step, waiting, minions)
+      : waiting;
+    let ranking = this.#rank(step, minions);
     for (const [order, index] of startable.entries()) {
       const minion =
         this.#choose(step, index, ranking) ??
         this.#chooseAvoidedMinion(step, index, minions, ranking);
       if (minion === undefined) {
         step.blockedAt = this.#context.now;
+        if (step.shape.longRunning) {
+          this.#longRunningStarts.recordNoMinion(step, minions);
+        }
         return;
       }
       this.#starts.push(this.#fleet.startRun(step, index, minion, this.#context.now));
@@ -233,6 +221,9 @@
         ranking.refresh(minion);
       }
     }
+    if (startable.length < waiting.length) {
+      this.#longRunningStarts.holdLaterJobs(step, minions);
+    }
   }
 
   /** Chooses a minion for a task that avoids all minions, by allowing all of them again. */
