A closing record that is stored after the recovery counts for silent minions

Cause: a silent record gives the end of the lease by the wall clock of another VM, which counts with 2.5 s. The account in the closing record gives it without them, but the next owner read that record only while its recovery waited for a report, and a minion whose runs the roster names is not waited for.

Change: the owner receives closing records as long as, too, a minion that it has not used has runs of a record, its lease has not expired and no account has told its end.

Ruled out: that this shortens a lease that this owner renewed. A minion that has responded has a reading of its clock, for which an assumed expiry does not count, and a silent one is granted none. The term of the lease is compared as before.

--- a/packages/nutmegproxy-emulator/src/__tests__/unit/PlannedStops.test.ts
+++ b/packages/nutmegproxy-emulator/src/__tests__/unit/PlannedStops.test.ts
@@ -1,6 +1,7 @@
 import type {VmId} from '@nutmegproxy/core';
 
 import {brand, SILENT_EVENTS} from '@nutmegproxy/core';
+import {STATE_PREFIX} from '@nutmegproxy/jobs';
 import {OwnerElection} from '@nutmegproxy/owner';
 import assert from 'node:assert/strict';
 import {afterEach, beforeEach, describe, it} from 'node:test';
@@ -8,6 +9,7 @@
 import type {EmulatedMinion} from '../../EmulatedMinion.ts';
 
 import {createStepShape, createStoredJob, submitJob, waitFor} from './JobSamples.ts';
+import {isWriteOf, waitForRecord, waitForRoster} from './StoreSamples.ts';
 import {sleep, TakeoverHarness} from './TakeoverHarness.ts';
 
 /** Time in milliseconds after its last run within which a long-running task has to run again. */
@@ -20,6 +22,7 @@
 /** Time in milliseconds that passes in each step, and the real pause after it. */
 const STEP_MS = 250;
 const STEP_PAUSE_MS = 60;
+const CLOSING_KEY = `${STATE_PREFIX}closing`;
 
 describe('Planned stops in a series', () => {
   let harness: TakeoverHarness;
@@ -80,6 +83,31 @@
     });
   });
 
+  describe('a minion that the roster records as silent', () => {
+    it('does not keep its task waiting by the wall clock when the closing record is stored late', async () => {
+      let isDelayed = false;
+      const isFailing = (args: readonly unknown[]): boolean =>
+        isDelayed && isWriteOf(CLOSING_KEY, args);
+      const {started} = await harness.startKillable('vm-1', isFailing);
+      await runLastingTask();
+      const other = harness.addMinion('m2');
+      await waitFor('the other minion has reported', () => other.answeredPolls > 0);
+      harness.fleet.remove(minion.description.id);
+      await waitForRoster(harness.store, (roster) => roster.includes('"heldUntil"'));
+      isDelayed = true;
+      await harness.stopAsPlanned(started);
+      const {answeredPolls} = other;
+      const {ownership} = await harness.start('vm-2');
+      await waitFor('the other minion has reported', () => other.answeredPolls > answeredPolls + 1);
+      await sleep(SETTLED_MS);
+      isDelayed = false;
+      await waitForRecord(harness.store, CLOSING_KEY, (text) => text !== '');
+      await sleep(SETTLED_MS);
+      await harness.passTime(ownership, RESTART_DEADLINE_MS, STEP_MS, STEP_PAUSE_MS);
+      await waitFor('the task runs again', () => other.liveTasks.length === 1, REACTION_MS);
+    });
+  });
+
   describe('a VM that is stopped while it acquires the ownership', () => {
     it('does not delay a task of a minion that left until the longest lease has passed', async () => {
       const first = await harness.start('vm-1');
--- a/packages/nutmegproxy-owner/src/MinionRecovery.ts
+++ b/packages/nutmegproxy-owner/src/MinionRecovery.ts
@@ -45,6 +45,8 @@
 }
 
 export class MinionRecovery {
+  /** Minions of whose lease a former owner's account told the end. */
+  readonly #accounted = new Set<MinionId>();
   /** Minions whose record is being removed. */
   readonly #clearing = new Set<MinionState>();
   /**
@@ -121,6 +123,17 @@
     this.#options.record.remove(id);
   }
 
+  /**
+   * Whether a former owner's account may end the wait for a minion whose runs are known: the lease in
+   * its record counts longer, since it is given by the wall clock of another VM.
+   */
+  isAccountAwaited(now: Instant): boolean {
+    return [...this.#unused].some(
+      ([id, {minion}]) =>
+        minion.runs.size > 0 && !this.#accounted.has(id) && !minion.leaseClock.isExpired(now),
+    );
+  }
+
   /** Whether former owners may have left runs on a minion that this owner has not used. */
   isAwaited(id: MinionId): boolean {
     return this.#unused.has(id);
@@ -166,6 +179,9 @@
     this.#unreported.keepAccounts(current, now);
     for (const {heldForMs, id} of current) {
       this.#unused.get(id)?.minion.leaseClock.shortenAssumedLease(after(now, heldForMs));
+      if (heldForMs < Infinity) {
+        this.#accounted.add(id);
+      }
     }
     for (const {description, silent: record} of silent) {
       const minion = fleet.minions.get(description.id);
--- a/packages/nutmegproxy-owner/src/Owner.ts
+++ b/packages/nutmegproxy-owner/src/Owner.ts
@@ -236,7 +236,11 @@
 
   /** Learns from the former owner what minions may run that do not report. */
   #receiveClosingRecord(): Promise<void> {
-    const isAwaited = (): boolean => this.#isActing() && this.#fleet.recoveryRevision > 0;
+    const {clock} = this.#options;
+    const isAwaited = (): boolean =>
+      this.#isActing() &&
+      (this.#fleet.recoveryRevision > 0 ||
+        this.#minions.recovery.isAccountAwaited(clock.monotonic()));
     return this.#closingRecords.receive(isAwaited, (record) => {
       this.#minions.recovery.receive(record);
       this.#wakeUp();
