--- a/packages/nutmegproxy-emulator/src/__tests__/unit/UnrecordedRenewals.test.ts
+++ b/packages/nutmegproxy-emulator/src/__tests__/unit/UnrecordedRenewals.test.ts
@@ -1,4 +1,4 @@
-import type {MinionTarget, PollOrder} from '@nutmegproxy/owner';
+import type {FleetOwnership, MinionTarget, PollOrder} from '@nutmegproxy/owner';
 
 import {STATE_PREFIX} from '@nutmegproxy/jobs';
 import {MAX_FORMER_LEASE_MS} from '@nutmegproxy/owner';
@@ -63,20 +63,29 @@
     setReachable(true);
   }
 
-  /** Lets an owner renew the lease and kills it. */
-  async function renewAndKill({kill, started}: KillableOwner): Promise<void> {
+  /** Lets an owner renew the lease until it loses the minion. */
+  async function renew({started}: KillableOwner): Promise<void> {
     const {answeredPolls} = used;
     await waitFor('the minion has reported', () => used.answeredPolls > answeredPolls + 1);
     await harness.passTime(started.ownership, RENEWED_FOR_MS, STEP_MS, STEP_PAUSE_MS);
     assert.equal(used.liveTasks.length, 1);
     setReachable(false);
-    await kill();
+  }
+
+  /** Lets an owner renew the lease and kills it. */
+  async function renewAndKill(owner: KillableOwner): Promise<void> {
+    await renew(owner);
+    await owner.kill();
   }
 
   /** Checks that the next owner starts the task again, but not while its last run may be live. */
   async function assertRunsAgainOnce(vm: string): Promise<void> {
-    const other = harness.addMinion('m2');
     const {ownership} = await harness.start(vm);
+    await assertRunsAgainUnder(ownership);
+  }
+
+  async function assertRunsAgainUnder(ownership: FleetOwnership): Promise<void> {
+    const other = harness.addMinion('m2');
     await waitFor('the other minion has reported', () => other.answeredPolls > 0);
     await sleep(SETTLED_MS);
     for (let elapsedMs = 0; elapsedMs < MAX_FORMER_LEASE_MS + 1_000; elapsedMs += STEP_MS) {
@@ -131,6 +140,24 @@
     await assertRunsAgainOnce('vm-3');
   });
 
+  it('do not let a task run twice when the owner that granted them ends in order and stores nothing', async () => {
+    const first = await runLastingTask('vm-1');
+    // It observes when the account of the first owner is stored.
+    const third = harness.startWaitingVm('vm-3');
+    await harness.stopAsPlanned(first.started);
+    await sleep(SETTLED_MS);
+    const second = await harness.startKillable(
+      'vm-2',
+      (args) => isWriteOf(RECOVERY_KEY, args) || isWriteOf(CLOSING_KEY, args),
+    );
+    await renew(second);
+    await harness.stopAsPlanned(second.started);
+    third.isAllowed = true;
+    await waitFor('the last VM owns the fleet', () => third.ownership !== undefined);
+    assert.ok(third.ownership);
+    await assertRunsAgainUnder(third.ownership);
+  });
+
   it('are not granted once the expiry of the lease may be stored', async () => {
     const first = await runLastingTask('vm-1');
     await first.kill();
