--- /dev/null
+++ b/packages/nutmegproxy-owner/src/__tests__/unit/RevisionLog.test.ts
@@ -0,0 +1,42 @@
+import type {Instant} from '@nutmegproxy/core';
+
+import assert from 'node:assert/strict';
+import {beforeEach, describe, it} from 'node:test';
+
+import {RevisionLog} from '../../RevisionLog.ts';
+
+/** More ownership changes than are remembered. */
+const MANY_CHANGES = 200;
+const NOW = 90_000 as Instant;
+
+describe('RevisionLog', () => {
+  let log: RevisionLog;
+
+  beforeEach(() => {
+    log = new RevisionLog();
+    log.record(10, 1_000 as Instant);
+    log.record(20, 2_000 as Instant);
+  });
+
+  it('takes nothing for stored before the store was known to have reached its revision', () => {
+    assert.equal(log.findSeenAt(10, NOW), 1_000);
+    assert.equal(log.findSeenAt(11, NOW), 2_000);
+    assert.equal(log.findSeenAt(20, NOW), 2_000);
+    assert.equal(log.findSeenAt(21, NOW), NOW);
+  });
+
+  it('keeps the first instant when a state is reported again or late', () => {
+    log.record(20, 3_000 as Instant);
+    log.record(15, 4_000 as Instant);
+    assert.equal(log.findSeenAt(15, NOW), 2_000);
+    assert.equal(log.findSeenAt(20, NOW), 2_000);
+  });
+
+  it('counts from a later instant what was stored before all that it remembers', () => {
+    for (let change = 1; change <= MANY_CHANGES; change += 1) {
+      log.record(20 + change, (2_000 + change) as Instant);
+    }
+    assert.ok(log.findSeenAt(10, NOW) > 2_000);
+    assert.ok(log.findSeenAt(10, NOW) < NOW);
+  });
+});
