Tasks of a job that a former owner had started pass the limit of lasting work

The task's run was stopped and accounted for before the takeover and found no minion then, so the next owner did not know that it had run.

Change: all tasks of a job that a former owner had started count as interrupted, as before. The few that have not run of a job that was half started pass the limit with them.

--- a/packages/nutmegproxy-scheduling/src/LongRunningStarts.ts
+++ b/packages/nutmegproxy-scheduling/src/LongRunningStarts.ts
@@ -17,22 +17,21 @@
 /**
  * Returns those of a long-running step's startable tasks that may start: interrupted ones in any
  * case, others within the limit, and none of these while an earlier job is held. Of a job that a
- * former owner had started, it is not known which tasks have run: these may take all of the limit
- * that other long-running tasks leave.
+ * former owner had started, it is not known which tasks have run, so all count as interrupted.
  */
 function admitTasks(
   step: StepState,
   startable: readonly number[],
-  {limitMilli, reservedMilli, servingMilli}: LongRunningRoom,
+  {limitMilli, reservedMilli}: LongRunningRoom,
   isHeld: boolean,
 ): readonly number[] {
-  const {hadStarted} = step.job;
   const {cpuMilli} = step.shape.resources;
-  const interrupted = startable.filter((index) => step.hasRun(index));
-  const others = startable.filter((index) => !step.hasRun(index));
-  const usedMilli = (hadStarted ? servingMilli : reservedMilli) + interrupted.length * cpuMilli;
+  const isInterrupted = (index: number): boolean => step.job.hadStarted || step.hasRun(index);
+  const interrupted = startable.filter(isInterrupted);
+  const others = startable.filter((index) => !isInterrupted(index));
+  const usedMilli = reservedMilli + interrupted.length * cpuMilli;
   const freeTasks = Math.floor((limitMilli - usedMilli) / Math.max(1, cpuMilli));
-  return [...interrupted, ...others.slice(0, isHeld && !hadStarted ? 0 : Math.max(0, freeTasks))];
+  return [...interrupted, ...others.slice(0, isHeld ? 0 : Math.max(0, freeTasks))];
 }
 
 /** The starts of long-running tasks in one planning round. */
--- a/packages/nutmegproxy-scheduling/src/__tests__/unit/Samples.ts
+++ b/packages/nutmegproxy-scheduling/src/__tests__/unit/Samples.ts
@@ -11,7 +11,7 @@
   RackId,
   WallTime,
 } from '@nutmegproxy/core';
-import type {QueueId, Run, ServiceId, StepShape} from '@nutmegproxy/jobs';
+import type {JobStatus, QueueId, Run, ServiceId, StepShape} from '@nutmegproxy/jobs';
 
 import {brand, SILENT_EVENTS} from '@nutmegproxy/core';
 import {JobState} from '@nutmegproxy/jobs';
@@ -99,7 +99,12 @@
     }
   }
 
-  addJob(queueId: string, steps: readonly StepShape[], acceptedAtMs = 0): JobState {
+  addJob(
+    queueId: string,
+    steps: readonly StepShape[],
+    acceptedAtMs = 0,
+    status: JobStatus = 'queued',
+  ): JobState {
     this.#jobs += 1;
     const id = brand<JobId>(this.#jobs.toString(16).padStart(16, '0'));
     const request = {
@@ -111,7 +116,8 @@
       service: SERVICE,
       steps,
     };
-    const job = new JobState(request, this.#jobs);
+    const progress = {queue: request.queue, status, steps: {}};
+    const job = new JobState(request, this.#jobs, progress);
     this.fleet.jobs.set(id, job);
     return job;
   }
--- a/packages/nutmegproxy-scheduling/src/__tests__/unit/StartPlanner.test.ts
+++ b/packages/nutmegproxy-scheduling/src/__tests__/unit/StartPlanner.test.ts
@@ -388,5 +388,16 @@
         [run.task.index],
       );
     });
+
+    it('restarts a task above the limit when a former owner had started its job', () => {
+      const sample = new SampleFleet(10);
+      sample.addJob('proofs', [shape({count: 50, longRunning: true})]);
+      assert.notEqual(sample.plan(0).length, 0);
+      const started = sample.addJob('proofs', [shape({longRunning: true})], 1, 'running');
+      assert.deepEqual(
+        sample.plan(1).map(({step}) => step.job),
+        [started],
+      );
+    });
   });
 });
