A full owner starts urgent work first and limits the rate of deferrable starts

Long-running tasks are never held back. - Two thirds of a limited budget go to the jobs that have waited longest. With none, the largest tenth of the backfill jobs was completed less than half as often as all.

--- a/packages/nutmegproxy-emulator/src/FleetSimulation.ts
+++ b/packages/nutmegproxy-emulator/src/FleetSimulation.ts
@@ -13,11 +13,13 @@
   DurationEstimator,
   findStep,
   Fleet,
+  isDeferrable,
   MinionState,
   planStarts,
   SharingPolicy,
 } from '@nutmegproxy/scheduling';
 
+import type {SimulatedOwnerTime} from './SimulatedOwnerTime.ts';
 import type {SimulatedJob} from './Workload.ts';
 
 import {Agenda} from './Agenda.ts';
@@ -42,10 +44,17 @@
   readonly durationMs: number;
   readonly jobs: readonly SimulatedJob[];
   readonly minions: readonly MinionDescription[];
+  /** Processor time of the owner; absent for an owner that takes none. */
+  readonly ownerTime?: SimulatedOwnerTime;
   /** Time in milliseconds from one round of planning to the next. */
   readonly roundMs: number;
   /** Seed of the phases of serving loads and of the pressures of image pairs. */
   readonly seed: number;
+  /** Returns how many deferrable starts a round may make; absent when they are not limited. */
+  readonly throttle?: {
+    readonly getAllowance: (now: Instant) => number;
+    readonly recordStarts: (count: number) => void;
+  };
 }
 
 /** What the callers of one job saw; times in milliseconds of the simulation. */
@@ -156,13 +165,18 @@
 
   #plan(): void {
     this.#result.rounds += 1;
+    const {throttle} = this.#options;
     const starts = planStarts(this.fleet, {
       advice: {isPermitted: () => undefined},
+      deferrableStarts: throttle?.getAllowance(this.#now) ?? Infinity,
       estimator: this.#estimator,
       now: this.#now,
       sharingCosts: this.#sharingCosts,
       wall: this.#nowMs as WallTime,
     });
+    throttle?.recordStarts(
+      starts.filter(({step}) => isDeferrable(step, this.fleet.resolveQueuePolicy(step.job))).length,
+    );
     for (const run of starts) {
       this.#start(run);
     }
@@ -191,17 +205,25 @@
     const history = this.#histories.get(run.task.job);
     const workMs = history?.job.taskMs[run.task.step] ?? 0;
     const savedMs = this.#saved.get(formatTaskName(run.task)) ?? 0;
-    const startsMs = this.#nowMs + START_DELAY_MS;
+    const startsMs = this.#spendOwnerTime() + START_DELAY_MS;
     const durationMs = workMs - savedMs + (savedMs > 0 ? RESTORE_MS : 0);
     this.#live.set(run, {durationMs, run, startsMs});
     run.phase = 'running';
     run.percent = run.step.shape.longRunning ? WORKING_PERCENT : 0;
     run.confirmedAt = startsMs as Instant;
-    this.#agenda.add(startsMs + durationMs + REPORT_DELAY_MS, () => {
-      this.#finish(run);
+    const reportedMs = startsMs + durationMs + REPORT_DELAY_MS;
+    this.#agenda.add(reportedMs, () => {
+      this.#agenda.add(this.#spendOwnerTime(reportedMs), () => {
+        this.#finish(run);
+      });
     });
   }
 
+  /** Returns the time in milliseconds at which the owner has made or received a call. */
+  #spendOwnerTime(nowMs = this.#nowMs): number {
+    return this.#options.ownerTime?.spend(nowMs) ?? nowMs;
+  }
+
   /** Ends a run on its minion; returns undefined when it has ended before. */
   #end(run: Run): LiveRun | undefined {
     const live = this.#live.get(run);
--- a/packages/nutmegproxy-owner/src/Owner.ts
+++ b/packages/nutmegproxy-owner/src/Owner.ts
@@ -12,6 +12,7 @@
   DurationEstimator,
   evacuateMinion,
   Fleet,
+  isDeferrable,
   planStarts,
   type QueuePolicy,
   RunProgressMonitor,
@@ -44,6 +45,7 @@
 import {Retention} from './Retention.ts';
 import {Roster} from './Roster.ts';
 import {StartLimiter} from './StartLimiter.ts';
+import {StartThrottle} from './StartThrottle.ts';
 
 export interface OwnerOptions {
   /** Client of the advising service; undefined where the platform has none. */
@@ -78,6 +80,7 @@
   readonly #roster: Roster;
   readonly #sharing = new SharingPolicy(this.#estimator);
   readonly #startLimiter = new StartLimiter();
+  readonly #startThrottle = new StartThrottle();
   #stopReason: string | undefined;
   #summarizedAt = -Infinity;
   readonly #queueLengths: QueueLengthPublisher;
@@ -206,11 +209,13 @@
     for (const minion of fleet.minions.values()) {
       evacuateMinion(fleet, minion, this.#estimator, now);
     }
+    const deferrableStarts = this.#startThrottle.getAllowance(now);
     const isHeld = this.#startLimiter.isBacklogged || this.#minions.isDirectoryOutdated(now);
     const starts = isHeld
       ? []
       : planStarts(fleet, {
           advice: this.#advice.createLookup(now),
+          deferrableStarts,
           estimator: this.#estimator,
           now,
           sharingCosts: this.#sharing,
@@ -221,6 +226,7 @@
       events.record(OWNER_EVENTS.FLEET_SUMMARY, {
         ...summarizeFleet(fleet, now, wall),
         ...this.#startLimiter.eventFields,
+        ...this.#startThrottle.eventFields,
         ...this.#load.takeFields(),
         directoryAgeMs: Math.round(this.#minions.computeDirectoryAge(now)),
       });
@@ -228,6 +234,10 @@
         events.record(OWNER_EVENTS.RECOVERY_WAITING, this.#minions.recovery.describe(now));
       }
     }
+    const deferred = starts.filter(({step}) =>
+      isDeferrable(step, fleet.resolveQueuePolicy(step.job)),
+    );
+    this.#startThrottle.recordStarts(deferred.length);
     for (const run of starts) {
       this.#load.recordPlaced(run, now);
       this.#minions.startRun(run);
--- a/packages/nutmegproxy-owner/src/index.ts
+++ b/packages/nutmegproxy-owner/src/index.ts
@@ -29,3 +29,4 @@
 export {OWNER_EVENTS} from './OwnerEvents.ts';
 export {QUEUE_LENGTHS_KEY} from './QueueLengthPublisher.ts';
 export type {QueueLengths} from './QueueLengthPublisher.ts';
+export {StartThrottle} from './StartThrottle.ts';
--- /dev/null
+++ b/packages/nutmegproxy-scheduling/src/StartBudget.ts
@@ -0,0 +1,94 @@
+/**
+ * Limits the starts of deferrable work in one round of planning. An owner whose process is full makes
+ * fewer of them, so that it has time for urgent work.
+ */
+
+import type {StepState} from '@nutmegproxy/jobs';
+
+import type {QueuePolicy} from './QueuePolicy.ts';
+
+/** Priority of the queues whose work is never deferred. */
+const URGENT_PRIORITY = 0;
+/**
+ * Share of a limited budget for the jobs that have waited longest. Otherwise the jobs with the most
+ * work, which come last in the usual order, would not start while the owner is full.
+ */
+const LONGEST_WAITING_SHARE = 2 / 3;
+
+/** Number of starts that may still be made; Infinity does not limit them. */
+export class StartBudget {
+  #remaining: number;
+
+  constructor(limit: number) {
+    this.#remaining = limit;
+  }
+
+  get isUsedUp(): boolean {
+    return this.#remaining <= 0;
+  }
+
+  get remaining(): number {
+    return this.#remaining;
+  }
+
+  /** Counts starts; a gang, which is started whole, may exceed the budget. */
+  take(starts: number): void {
+    this.#remaining -= starts;
+  }
+}
+
+export interface BudgetedPlacement {
+  readonly isDeferrable: (step: StepState) => boolean;
+  /** Most starts of deferrable steps; Infinity does not limit them. */
+  readonly limit: number;
+  /** Places the tasks of a step while the budget is not used up. */
+  readonly place: (step: StepState, budget: StartBudget) => void;
+}
+
+/**
+ * Whether the starts of a step may be delayed in favour of other queues. Long-running tasks are not:
+ * somebody relies on them at all times.
+ */
+export function isDeferrable(
+  {shape}: StepState,
+  {priority}: Pick<QueuePolicy, 'priority'>,
+): boolean {
+  return priority > URGENT_PRIORITY && !shape.longRunning;
+}
+
+function placeAll(
+  steps: readonly StepState[],
+  budget: StartBudget,
+  {place}: BudgetedPlacement,
+): void {
+  for (const step of steps) {
+    if (budget.isUsedUp) {
+      return;
+    }
+    place(step, budget);
+  }
+}
+
+/** Places steps in the given order, and deferrable ones after the others if they are limited. */
+export function placeWithinBudget(
+  ordered: readonly StepState[],
+  placement: BudgetedPlacement,
+): void {
+  const {limit} = placement;
+  const unlimited = new StartBudget(Infinity);
+  if (limit === Infinity) {
+    placeAll(ordered, unlimited, placement);
+    return;
+  }
+  const deferrable = ordered.filter(placement.isDeferrable);
+  const urgent = ordered.filter((step) => !placement.isDeferrable(step));
+  const longestWaiting = deferrable.toSorted(
+    (a, b) => a.job.dueAt(a.occurrence) - b.job.dueAt(b.occurrence),
+  );
+  const part = new StartBudget(Math.ceil(limit * LONGEST_WAITING_SHARE));
+  const rest = new StartBudget(limit - part.remaining);
+  placeAll(urgent, unlimited, placement);
+  placeAll(longestWaiting, part, placement);
+  rest.take(-part.remaining);
+  placeAll(deferrable, rest, placement);
+}
--- a/packages/nutmegproxy-scheduling/src/StartPlanner.ts
+++ b/packages/nutmegproxy-scheduling/src/StartPlanner.ts
@@ -7,6 +7,7 @@
 import type {Fleet} from './Fleet.ts';
 import type {MinionState} from './MinionState.ts';
 import type {SharingCosts} from './Placement.ts';
+import type {StartBudget} from './StartBudget.ts';
 import type {TrialPlan} from './TaskTrials.ts';
 
 import {listCrashes} from './CrashVerdict.ts';
@@ -16,6 +17,7 @@
 import {computePlacementCost, isSchedulable} from './Placement.ts';
 import {collectReadySteps, listStartableTasks} from './ReadySteps.ts';
 import {planSpeculativeRuns} from './SpeculationPlanner.ts';
+import {isDeferrable, placeWithinBudget} from './StartBudget.ts';
 import {isApartFromSuspects} from './SuspectSeparation.ts';
 import {planTrials, recordTrial} from './TaskTrials.ts';
 
@@ -34,6 +36,8 @@
 
 export interface PlanContext {
   readonly advice: AdviceLookup;
+  /** Most starts of deferrable work in this round; absent when they are not limited. */
+  readonly deferrableStarts?: number;
   readonly estimator: DurationEstimator;
   readonly now: Instant;
   readonly sharingCosts: SharingCosts;
@@ -73,13 +77,18 @@
     const trials = this.#planTrials(ready);
     this.#heldTasks = trials.heldTasks;
     const others = ready.filter(({job}) => !trials.held.has(job) && !job.isFinal);
-    for (const {step} of orderSteps(this.#fleet, others, estimator, wall)) {
-      if (step.shape.gang) {
-        this.#placeGang(step);
-      } else {
-        this.#placeTasks(step);
-      }
-    }
+    const ordered = orderSteps(this.#fleet, others, estimator, wall).map(({step}) => step);
+    placeWithinBudget(ordered, {
+      isDeferrable: (step) => isDeferrable(step, this.#fleet.resolveQueuePolicy(step.job)),
+      limit: this.#context.deferrableStarts ?? Infinity,
+      place: (step, budget) => {
+        if (step.shape.gang) {
+          this.#placeGang(step, budget);
+        } else {
+          this.#placeTasks(step, budget);
+        }
+      },
+    });
     const schedulable = [...this.#schedulable.values()].flat();
     return [
       ...trials.starts,
@@ -167,7 +176,7 @@
   }
 
   /** Places all tasks of a gang or none; rack-local gangs on a single rack if one has capacity. */
-  #placeGang(step: StepState): void {
+  #placeGang(step: StepState, budget: StartBudget): void {
     const isWhole = listStartableTasks(this.#fleet, step).length === step.waiting.size;
     if (step.liveRuns > 0 || !isWhole) {
       return;
@@ -180,6 +189,7 @@
       : [];
     for (const candidates of [...racks, minions]) {
       if (this.#tryPlaceGang(step, candidates)) {
+        budget.take(step.liveRuns);
         return;
       }
     }
@@ -191,7 +201,7 @@
     return shape.fillsSpareCpu && blockedForMs < BACKFILL_RETRY_MS;
   }
 
-  #placeTasks(step: StepState): void {
+  #placeTasks(step: StepState, budget: StartBudget): void {
     const minions = this.#listMinions(step);
     if (this.#isInBackoff(step)) {
       return;
@@ -203,6 +213,9 @@
       : waiting;
     let ranking = this.#rank(step, minions);
     for (const [order, index] of startable.entries()) {
+      if (budget.isUsedUp) {
+        return;
+      }
       const minion =
         this.#choose(step, index, ranking) ??
         this.#chooseAvoidedMinion(step, index, minions, ranking);
@@ -214,6 +227,7 @@
         return;
       }
       this.#starts.push(this.#fleet.startRun(step, index, minion, this.#context.now));
+      budget.take(1);
       if (order === 0 && step.shape.fillsSpareCpu) {
         // Costs depend on how long the step has waited, and its first placed task resets that.
         ranking = this.#rank(step, minions);
