Other entry VMs carry out the owner's orders in a large fleet

An owner with more than 300 minions for each core of its VM sends its orders (polls, starts, stops, pace) over a link to relays: one or a few of the largest VMs of each minion's data centre, one for each 150 minions, chosen by hash, so that the choice and the connections outlast the owner. Relays decide nothing; orders carry the owner's token. A batch that was held up for 0.5 s, or through a suspension of the relay, is dropped and the link closed. When a link is lost the owner sends the open orders itself: minions carry out an order once. Smaller fleets have no relays.

Tests: packages/nutmegproxy-relay.

--- a/packages/nutmegproxy-entry/src/VmRegistry.ts
+++ b/packages/nutmegproxy-entry/src/VmRegistry.ts
@@ -24,6 +24,8 @@
   /** Processor time in cores. */
   readonly cores: number;
   readonly dataCentre: DataCentreId;
+  /** IP number and port at which it carries out orders for the owner; absent when it doesn't. */
+  readonly relayAddress?: string;
   readonly vm: VmId;
 }
 
--- a/packages/nutmegproxy-owner/src/MinionOrders.ts
+++ b/packages/nutmegproxy-owner/src/MinionOrders.ts
@@ -1,6 +1,6 @@
 /** Orders from the owner to minions. Each platform's adapter implements this interface. */
 
-import type {Branded, MinionId, TaskId} from '@nutmegproxy/core';
+import type {Branded, DataCentreId, MinionId, TaskId} from '@nutmegproxy/core';
 import type {Checkpoint, RunNumber} from '@nutmegproxy/jobs';
 import type {MinionListing, Ticket} from '@nutmegproxy/scheduling';
 import type {ResultAsync} from 'neverthrow';
@@ -12,6 +12,7 @@
 export interface MinionTarget {
   /** IP address and port. */
   readonly address: string;
+  readonly dataCentre: DataCentreId;
   readonly id: MinionId;
 }
 
--- a/packages/nutmegproxy-owner/src/MinionSession.ts
+++ b/packages/nutmegproxy-owner/src/MinionSession.ts
@@ -67,7 +67,8 @@
   }
 
   get #target(): MinionTarget {
-    return {address: this.minion.description.address, id: this.minion.id};
+    const {address, dataCentre, id} = this.minion.description;
+    return {address, dataCentre, id};
   }
 
   /** Closes the session; orders in flight complete or time out by themselves. */
--- a/packages/nutmegproxy-owner/src/RunOrders.ts
+++ b/packages/nutmegproxy-owner/src/RunOrders.ts
@@ -100,7 +100,8 @@
   }
 
   get #target(): MinionTarget {
-    return {address: this.#minion.description.address, id: this.#minion.id};
+    const {address, dataCentre, id} = this.#minion.description;
+    return {address, dataCentre, id};
   }
 
   async #tryStart(run: Run): Promise<StartResult> {
--- /dev/null
+++ b/packages/nutmegproxy-relay/src/OwnerLink.ts
@@ -0,0 +1,109 @@
+/** A relay's side of its link to an owner. */
+
+import type {Clock, EventSink} from '@nutmegproxy/core';
+import type {WebSocket} from 'ws';
+
+import type {OrderBatch, RelayedOrder, RelayedOutcome} from './RelayMessages.ts';
+
+import {
+  MAX_BATCH_DELAY_MS,
+  MAX_BUFFERED_BYTES,
+  OUTCOME_DELAY_MS,
+  RELAY_HEARTBEAT_MS,
+} from './RelayConstants.ts';
+import {RELAY_EVENTS} from './RelayEvents.ts';
+import {decodeOrders, encodeBatch} from './RelayMessages.ts';
+
+export interface OwnerLinkOptions {
+  readonly clock: Clock;
+  readonly events: EventSink;
+  /** Carries out an order; never rejects. */
+  readonly execute: (order: RelayedOrder) => Promise<RelayedOutcome>;
+  readonly onClosed: () => void;
+  readonly socket: WebSocket;
+}
+
+export class OwnerLink {
+  readonly #heartbeatTimer: NodeJS.Timeout;
+  readonly #options: OwnerLinkOptions;
+  /** Smallest difference between this VM's clock at the receipt of a batch and the owner's at its sending. */
+  #leastDelayMs = Infinity;
+  #outcomes: RelayedOutcome[] = [];
+
+  constructor(options: OwnerLinkOptions) {
+    this.#options = options;
+    const {events, onClosed, socket} = options;
+    events.record(RELAY_EVENTS.OWNER_LINKED, {});
+    socket.on('message', (data) => {
+      this.#receive(data as Buffer);
+    });
+    // A close event follows each error.
+    socket.on('error', () => undefined);
+    socket.on('close', () => {
+      clearInterval(this.#heartbeatTimer);
+      events.record(RELAY_EVENTS.OWNER_UNLINKED, {});
+      onClosed();
+    });
+    this.#heartbeatTimer = setInterval(() => {
+      this.#flush();
+    }, RELAY_HEARTBEAT_MS);
+    this.#heartbeatTimer.unref();
+  }
+
+  close(): void {
+    this.#options.socket.terminate();
+  }
+
+  #flush(): void {
+    const {socket} = this.#options;
+    if (socket.readyState !== socket.OPEN) {
+      return;
+    }
+    const outcomes = this.#outcomes;
+    this.#outcomes = [];
+    socket.send(encodeBatch({outcomes}));
+    if (socket.bufferedAmount > MAX_BUFFERED_BYTES) {
+      this.close();
+    }
+  }
+
+  /**
+   * Whether a batch was held up. The clocks of two VMs differ, so its delay is compared with that of
+   * the fastest batch. This process may have been suspended since the batch arrived.
+   */
+  #isLate({sentAt}: OrderBatch): boolean {
+    const delayMs = this.#options.clock.wall() - sentAt;
+    this.#leastDelayMs = Math.min(this.#leastDelayMs, delayMs);
+    return delayMs - this.#leastDelayMs > MAX_BATCH_DELAY_MS;
+  }
+
+  #receive(bytes: Buffer): void {
+    const {events, execute} = this.#options;
+    const batch = decodeOrders(bytes);
+    if (batch.isErr()) {
+      events.record(RELAY_EVENTS.MESSAGE_MALFORMED, {message: batch.error});
+      this.close();
+      return;
+    }
+    if (this.#isLate(batch.value)) {
+      const {orders, sentAt} = batch.value;
+      events.record(RELAY_EVENTS.BATCH_LATE, {orders: orders.length, sentAt});
+      this.close();
+      return;
+    }
+    for (const order of batch.value.orders) {
+      void execute(order).then((outcome) => {
+        this.#report(outcome);
+      });
+    }
+  }
+
+  #report(outcome: RelayedOutcome): void {
+    if (this.#outcomes.length === 0) {
+      setTimeout(() => {
+        this.#flush();
+      }, OUTCOME_DELAY_MS);
+    }
+    this.#outcomes.push(outcome);
+  }
+}
--- /dev/null
+++ b/packages/nutmegproxy-relay/src/RelayMessages.ts
@@ -0,0 +1,85 @@
+/** Messages between an owner and a relay: orders in one direction, their outcomes in the other. */
+
+import type {
+  MinionTarget,
+  OrderFailure,
+  PaceOrder,
+  PollOrder,
+  RunOrder,
+  StartOrder,
+} from '@nutmegproxy/owner';
+import type {MinionListing} from '@nutmegproxy/scheduling';
+import type {Validator} from '@nutmegproxy/schema';
+import type {Result} from 'neverthrow';
+
+import {validateOrderBatch, validateOutcomeBatch} from '@nutmegproxy/schema';
+import {Packr} from 'msgpackr';
+import {err, ok} from 'neverthrow';
+
+/** The orders that are relayed, by kind. */
+export interface OrderByKind {
+  readonly pace: PaceOrder;
+  readonly poll: PollOrder;
+  readonly start: StartOrder;
+  readonly stop: RunOrder;
+}
+
+export type OrderKind = keyof OrderByKind;
+
+/** An order of one kind; its id is unique on its link. */
+export interface OrderOfKind<Kind extends OrderKind> {
+  readonly id: number;
+  readonly kind: Kind;
+  readonly order: OrderByKind[Kind];
+  readonly target: MinionTarget;
+}
+
+export type RelayedOrder = {[Kind in OrderKind]: OrderOfKind<Kind>}[OrderKind];
+
+export interface OrderBatch {
+  readonly orders: readonly RelayedOrder[];
+  /** When the first of the orders was issued, in milliseconds of the owner's wall clock. */
+  readonly sentAt: number;
+}
+
+/** What a minion responded: a failure, a listing to a poll, or its clock to any other order. */
+export interface RelayedOutcome {
+  readonly clockMs?: number;
+  readonly failure?: OrderFailure;
+  readonly id: number;
+  readonly listing?: MinionListing;
+}
+
+export interface OutcomeBatch {
+  /** Empty in a message that only shows that the relay is up. */
+  readonly outcomes: readonly RelayedOutcome[];
+}
+
+// Records shorten the many objects of one shape in a message.
+const PACKR = new Packr({useRecords: true});
+
+/** Encodes a batch of either direction as MessagePack. */
+export function encodeBatch(batch: OrderBatch | OutcomeBatch): Buffer {
+  return PACKR.pack(batch);
+}
+
+function decode<Batch>(bytes: Buffer, isValid: Validator<unknown>): Result<Batch, string> {
+  let batch: unknown;
+  try {
+    batch = PACKR.unpack(bytes);
+  } catch (error) {
+    return err(error instanceof Error ? error.message : String(error));
+  }
+  // The schema describes the same shapes without branded ids.
+  return isValid(batch) ? ok(batch as Batch) : err(isValid.errors?.[0]?.instancePath ?? 'shape');
+}
+
+/** Decodes a message of an owner; the error says what is malformed. */
+export function decodeOrders(bytes: Buffer): Result<OrderBatch, string> {
+  return decode(bytes, validateOrderBatch);
+}
+
+/** Decodes a message of a relay; the error says what is malformed. */
+export function decodeOutcomes(bytes: Buffer): Result<OutcomeBatch, string> {
+  return decode(bytes, validateOutcomeBatch);
+}
