An odd entry among those of the minions names no minion and ends no process

What operators saw: one entry of another writer, with a port out of range or a deeply nested field, ended each owner in turn, for good, since the stored roster keeps the entry.

Cause: foreign text became a typed value unchecked (class: unvalidated input at the boundary), and an exception in one minion's session ended the process.

- One check of a minion's description (schema/fleetRecords.json, checkMinion): address, sizes and ranges of all fields.
- An unexpected error in a session is logged (8137) and the next poll follows.
- The same in the list of VMs, which each VM parsed unchecked in a loop that nobody awaits.

--- a/packages/nutmegproxy-entry/src/EntryEvents.ts
+++ b/packages/nutmegproxy-entry/src/EntryEvents.ts
@@ -49,6 +49,11 @@
   SETTINGS_RELOADED: {code: 8205, level: 'info', text: 'The settings file was reloaded.'},
   STORE_RECOVERED: {code: 8221, level: 'info', text: 'The store answers again.'},
   STORE_UNAVAILABLE: {code: 8220, level: 'warn', text: 'The store does not answer.'},
+  VM_ENTRY_MALFORMED: {
+    code: 8223,
+    level: 'warn',
+    text: 'An entry in the list of VMs is malformed.',
+  },
   VM_REGISTRATION_FAILED: {
     code: 8222,
     level: 'warn',
--- a/packages/nutmegproxy-entry/src/VmRegistry.ts
+++ b/packages/nutmegproxy-entry/src/VmRegistry.ts
@@ -1,11 +1,13 @@
 /** Registers this entry VM in the store under a lease, and lists the other registered VMs. */
 
 import type {DataCentreId, EventSink, VmId} from '@nutmegproxy/core';
-import type {LeaseId, PlatformStore} from '@nutmegproxy/store';
+import type {LeaseId, PlatformStore, StoredValue} from '@nutmegproxy/store';
 
 import {delay} from '@nutmegproxy/core';
 import {STATE_PREFIX} from '@nutmegproxy/jobs';
+import {validateRegisteredVm} from '@nutmegproxy/schema';
 import {getPrefix, put} from '@nutmegproxy/store';
+import {Result} from 'neverthrow';
 
 import {
   VM_FIRST_LIST_DELAY_MS,
@@ -29,6 +31,8 @@
   readonly vm: VmId;
 }
 
+const parseJson = Result.fromThrowable((text: string) => JSON.parse(text) as unknown);
+
 export interface VmRegistryOptions {
   readonly events: EventSink;
   readonly self: EntryVm;
@@ -72,6 +76,16 @@
     }, VM_FIRST_LIST_DELAY_MS).unref();
   }
 
+  #decode({key, value}: StoredValue): EntryVm | undefined {
+    const parsed = parseJson(value.toString());
+    if (parsed.isOk() && validateRegisteredVm(parsed.value)) {
+      // The schema describes the same fields without branded ids.
+      return parsed.value as unknown as EntryVm;
+    }
+    this.#options.events.record(ENTRY_EVENTS.VM_ENTRY_MALFORMED, {key});
+    return undefined;
+  }
+
   async #refresh(): Promise<void> {
     const {self, store} = this.#options;
     const listed = await getPrefix(store, VMS_PREFIX);
@@ -80,7 +94,7 @@
       return;
     }
     this.#peers = listed.value.values
-      .map(({value}) => JSON.parse(value.toString()) as EntryVm)
+      .flatMap((stored) => this.#decode(stored) ?? [])
       .filter(({vm}) => vm !== self.vm);
   }
 
--- a/packages/nutmegproxy-owner/src/MinionSession.ts
+++ b/packages/nutmegproxy-owner/src/MinionSession.ts
@@ -4,7 +4,7 @@
 import type {Run} from '@nutmegproxy/jobs';
 import type {MinionListing, MinionState, RunResult, StopRequest} from '@nutmegproxy/scheduling';
 
-import {after, delay} from '@nutmegproxy/core';
+import {after, BrokenInvariant, delay} from '@nutmegproxy/core';
 import {
   MINION_LEASE_MS,
   reconcileListing,
@@ -120,7 +120,7 @@
   /** Polls the minion until the session is closed. */
   async run(): Promise<void> {
     while (!this.#stopped) {
-      const canContinue = await this.#poll();
+      const canContinue = await this.#poll().catch((error: unknown) => this.#recover(error));
       if (!canContinue) {
         await delay(POLL_RETRY_MS);
       }
@@ -137,6 +137,19 @@
     return this.#runOrders.stop(request);
   }
 
+  /**
+   * Keeps an unexpected error of one minion's session from ending the process; the next poll repeats
+   * what was left undone. A broken invariant still ends it.
+   */
+  #recover(error: unknown): false {
+    if (error instanceof BrokenInvariant) {
+      throw error;
+    }
+    const message = error instanceof Error ? error.message : String(error);
+    this.#context.events.record(OWNER_EVENTS.SESSION_FAILED, {...this.eventFields, message});
+    return false;
+  }
+
   #applyListing(listing: MinionListing, requestedAt: Instant, now: Instant): void {
     const {fleet, onListed} = this.#context;
     this.observeIncarnation(listing.bornAt);
--- a/packages/nutmegproxy-owner/src/Owner.ts
+++ b/packages/nutmegproxy-owner/src/Owner.ts
@@ -100,7 +100,7 @@
     this.#fleet.recoveryRevision = ownership.token;
     const fleet = this.#fleet;
     this.#journal = new Journal({dirtyJobs: fleet.dirtyJobs, events, onFenced, ownership, store});
-    this.#roster = new Roster({events, onFenced, ownership, store});
+    this.#roster = new Roster({clock, events, onFenced, ownership, store});
     this.#closingRecords = new ClosingRecords({clock, events, ownership, store});
     this.#learnedEstimates = new LearnedEstimates({
       clock,
--- a/packages/nutmegproxy-owner/src/OwnerEvents.ts
+++ b/packages/nutmegproxy-owner/src/OwnerEvents.ts
@@ -83,6 +83,11 @@
     level: 'info',
     text: 'Recovery waits for minions that have neither reported nor lost their lease.',
   },
+  SESSION_FAILED: {
+    code: 8137,
+    level: 'error',
+    text: 'The session of a minion met an unexpected error; its next poll follows.',
+  },
   START_GIVEN_UP: {
     code: 8137,
     level: 'info',
--- a/packages/nutmegproxy-owner/src/Roster.ts
+++ b/packages/nutmegproxy-owner/src/Roster.ts
@@ -9,7 +9,7 @@
  * have, since the minion may have left before the next owner's first call.
  */
 
-import type {EventSink, MinionId, WallTime} from '@nutmegproxy/core';
+import type {Clock, EventSink, MinionId, WallTime} from '@nutmegproxy/core';
 import type {RunNumber} from '@nutmegproxy/jobs';
 import type {MinionDescription} from '@nutmegproxy/scheduling';
 import type {PlatformStore, StoreFailure} from '@nutmegproxy/store';
@@ -17,13 +17,16 @@
 
 import {delay} from '@nutmegproxy/core';
 import {STATE_PREFIX} from '@nutmegproxy/jobs';
+import {checkMinion} from '@nutmegproxy/scheduling';
 import {err, ok} from 'neverthrow';
 
 import type {FleetOwnership} from './FleetOwnership.ts';
 
 import {JOURNAL_RETRY_MS} from './OwnerConstants.ts';
+import {OWNER_EVENTS} from './OwnerEvents.ts';
 import {OwnerRecord} from './OwnerRecord.ts';
 import {describeCapacityChange} from './OwnerUtils.ts';
+import {parseJson} from './StoredJson.ts';
 
 const ROSTER_KEY = `${STATE_PREFIX}roster`;
 
@@ -64,6 +67,7 @@
 }
 
 export interface RosterOptions {
+  readonly clock: Clock;
   readonly events: EventSink;
   readonly onFenced: () => void;
   readonly ownership: FleetOwnership;
@@ -140,8 +144,7 @@
     if (stored.isErr()) {
       return err(stored.error);
     }
-    const text = stored.value?.value.toString() ?? '[]';
-    const entries = JSON.parse(text) as RosterEntry[];
+    const entries = this.#decode(stored.value?.value.toString() ?? '[]');
     for (const entry of entries) {
       this.#entries.set(entry.description.id, entry);
     }
@@ -171,6 +174,29 @@
     }
   }
 
+  /**
+   * Decodes a stored roster. An entry whose description is not valid names no minion; earlier
+   * versions stored entries of other writers unchecked.
+   */
+  #decode(text: string): RosterEntry[] {
+    const {clock, events} = this.#options;
+    const parsed = parseJson(text);
+    if (parsed.isErr() || !Array.isArray(parsed.value)) {
+      const message = parsed.isErr() ? parsed.error : 'not a list';
+      events.record(OWNER_EVENTS.RECORD_MALFORMED, {key: ROSTER_KEY, message});
+      return [];
+    }
+    const entries = parsed.value as RosterEntry[];
+    const valid = entries.filter(
+      ({description}) => checkMinion(description, clock.wall()) !== undefined,
+    );
+    if (valid.length < entries.length) {
+      const message = `${entries.length - valid.length} entries name no minion`;
+      events.record(OWNER_EVENTS.RECORD_MALFORMED, {key: ROSTER_KEY, message});
+    }
+    return valid;
+  }
+
   /** Replaces the records of a minion's entry; resolves once that is stored. */
   #replace(entry: RosterEntry): Promise<void> {
     const {id} = entry.description;
--- a/packages/nutmegproxy-schema/src/index.ts
+++ b/packages/nutmegproxy-schema/src/index.ts
@@ -39,6 +39,8 @@
 } from './generated/catalogueValidators.js';
 export type {EntrySettings} from './generated/entrySettingsTypes.ts';
 export {validateEntrySettings} from './generated/entrySettingsValidators.js';
+export type {RegisteredVm} from './generated/fleetRecordsTypes.ts';
+export {validateFleetMinion, validateRegisteredVm} from './generated/fleetRecordsValidators.js';
 export type {
   AllotmentRecord,
   CellOwnerRecord,
