The rate of deferrable starts follows the smoothed use of the loop

Use and rate are smoothed, the rate changes in proportion to the distance from the target (0.9), and it is left alone while few deferrable starts are made.

--- a/packages/nutmegproxy-owner/src/StartThrottle.ts
+++ b/packages/nutmegproxy-owner/src/StartThrottle.ts
@@ -12,16 +12,19 @@
 import type {LoopTimes} from './OwnerLoad.ts';
 
 /** Use of the event loop above which deferrable starts are delayed. */
-const TARGET_USE = 0.95;
+const TARGET_USE = 0.9;
 /** Shortest time in milliseconds over which the use is measured. */
 const SAMPLE_MS = 100;
 /** Bounds of the rate in starts per second. */
 const MIN_RATE = 20;
 const MAX_RATE = 5_000;
-/** Factor by which a sample above the target lowers the rate. */
-const BACKOFF_FACTOR = 0.85;
-/** Factor and amount by which a sample below the target raises the rate. */
-const GROWTH_FACTOR = 1.05;
+/** Weight of a sample in the smoothed use and rate; single samples are full while a round is planned. */
+const SMOOTHING = 0.3;
+/** Relative reduction of the rate by a sample, for each unit of use above the target. */
+const BACKOFF_GAIN = 5;
+/** Relative growth of the rate by a sample, for each unit of use below the target. */
+const GROWTH_GAIN = 0.5;
+/** Growth by a sample, in starts per second. */
 const GROWTH_PER_SAMPLE = 5;
 /** Time in milliseconds whose unused starts may be made at once. */
 const BURST_MS = 250;
@@ -33,7 +36,9 @@
   readonly #readLoop: () => LoopTimes;
   #sampledAt: Instant | undefined;
   #started = 0;
+  #startedPerS = 0;
   #updatedAt: Instant | undefined;
+  #use = 0;
 
   constructor(readLoop: () => LoopTimes = () => performance.eventLoopUtilization()) {
     this.#readLoop = readLoop;
@@ -71,19 +76,22 @@
     const use = activeMs / Math.max(1, activeMs + loop.idle - this.#loop.idle);
     this.#loop = loop;
     if (this.#sampledAt !== undefined) {
-      this.#adjustRate(use, (this.#started * 1_000) / elapsedMs);
+      this.#use += SMOOTHING * (use - this.#use);
+      this.#startedPerS += SMOOTHING * ((this.#started * 1_000) / elapsedMs - this.#startedPerS);
+      this.#adjustRate(this.#use - TARGET_USE);
     }
     this.#sampledAt = now;
     this.#started = 0;
   }
 
-  #adjustRate(use: number, startedPerS: number): void {
-    if (use > TARGET_USE) {
-      // A rate that is not used up does not limit anything, so the reduction begins at what was started.
-      const reduced = Math.min(this.#rate, Math.max(startedPerS, MIN_RATE)) * BACKOFF_FACTOR;
-      this.#rate = Math.max(MIN_RATE, reduced);
-    } else {
-      this.#rate = Math.min(MAX_RATE, this.#rate * GROWTH_FACTOR + GROWTH_PER_SAMPLE);
+  #adjustRate(excess: number): void {
+    if (excess <= 0) {
+      const grown = this.#rate * (1 - GROWTH_GAIN * excess) + GROWTH_PER_SAMPLE;
+      this.#rate = Math.min(MAX_RATE, grown);
+    } else if (this.#startedPerS >= MIN_RATE) {
+      // A rate above what is started limits nothing. With few starts, it is other work that fills the loop.
+      const limiting = Math.min(this.#rate, this.#startedPerS);
+      this.#rate = Math.max(MIN_RATE, limiting * (1 - BACKOFF_GAIN * excess));
     }
   }
 }
--- a/packages/nutmegproxy-owner/src/__tests__/unit/OwnerRecord.test.ts
+++ b/packages/nutmegproxy-owner/src/__tests__/unit/OwnerRecord.test.ts
@@ -91,7 +91,13 @@
   describe('Roster', () => {
     it('does not let a delayed write restore a silent record that was removed', async () => {
       const onFenced = (): void => undefined;
-      const roster = new Roster({clock: SYSTEM_CLOCK, events: SILENT_EVENTS, onFenced, ownership, store});
+      const roster = new Roster({
+        clock: SYSTEM_CLOCK,
+        events: SILENT_EVENTS,
+        onFenced,
+        ownership,
+        store,
+      });
       await roster.add([MINION]);
       const late = delayNextWrite(store);
       roster.markSilent(MINION, {heldUntil: 1 as WallTime, runs: []});
@@ -100,7 +106,13 @@
       }
       await roster.clearRecord(MINION);
       await late[0]?.arrive();
-      const next = new Roster({clock: SYSTEM_CLOCK, events: SILENT_EVENTS, onFenced, ownership, store});
+      const next = new Roster({
+        clock: SYSTEM_CLOCK,
+        events: SILENT_EVENTS,
+        onFenced,
+        ownership,
+        store,
+      });
       const [entry] = (await next.read())._unsafeUnwrap();
       assert.equal(entry?.silent, undefined);
     });
@@ -111,14 +123,26 @@
       let roster: Roster;
 
       beforeEach(async () => {
-        roster = new Roster({clock: SYSTEM_CLOCK, events: SILENT_EVENTS, onFenced, ownership, store});
+        roster = new Roster({
+          clock: SYSTEM_CLOCK,
+          events: SILENT_EVENTS,
+          onFenced,
+          ownership,
+          store,
+        });
         await roster.add([{...MINION, bornAt: 1}], true);
       });
 
       it('is kept when its records are replaced after a restart', async () => {
         roster.markDraining(restarted, {runs: [], term: 0});
         await roster.clearRecord(restarted);
-        const next = new Roster({clock: SYSTEM_CLOCK, events: SILENT_EVENTS, onFenced, ownership, store});
+        const next = new Roster({
+          clock: SYSTEM_CLOCK,
+          events: SILENT_EVENTS,
+          onFenced,
+          ownership,
+          store,
+        });
         const [entry] = (await next.read())._unsafeUnwrap();
         assert.equal(entry?.firstBornAt, 1);
       });
--- a/packages/nutmegproxy-owner/src/__tests__/unit/StartThrottle.test.ts
+++ b/packages/nutmegproxy-owner/src/__tests__/unit/StartThrottle.test.ts
@@ -41,14 +41,34 @@
     assert.equal(passSeconds(2, 0.9, 1_000), 20_000);
   });
 
-  it('lowers the rate while the loop is full, from what is started', () => {
+  it('lowers the rate while the loop stays full, from what is started', () => {
     passSeconds(1, 0.5, 60);
+    passSeconds(1, 1, 60);
     const first = passSeconds(1, 1, 60);
     const second = passSeconds(1, 1, 60);
     assert.ok(first < 600, `first ${first}`);
     assert.ok(second < first / 2, `first ${first}, second ${second}`);
   });
 
+  it('does not lower the rate because of single full samples', () => {
+    for (let second = 0; second < 5; second += 1) {
+      pass(1, 60);
+      assert.equal(passSeconds(0.9, 0.7, 60), 540);
+    }
+  });
+
+  it('does not lower the rate while other work fills the loop', () => {
+    passSeconds(5, 1, 0);
+    assert.equal(pass(1, 60), 60);
+  });
+
+  it('uses the time that the loop has left within a second', () => {
+    passSeconds(5, 1, 60);
+    passSeconds(1, 0.6, 60);
+    const starts = passSeconds(1, 0.6, 60);
+    assert.ok(starts > 300, `starts ${starts}`);
+  });
+
   it('always lets some starts pass', () => {
     passSeconds(10, 1, 60);
     assert.ok(passSeconds(1, 1, 60) > 0);
