--- a/packages/nutmegproxy-owner/src/StartThrottle.ts
+++ b/packages/nutmegproxy-owner/src/StartThrottle.ts
@@ -89,7 +89,7 @@
       const grown = this.#rate * (1 - GROWTH_GAIN * excess) + GROWTH_PER_SAMPLE;
       this.#rate = Math.min(MAX_RATE, grown);
     } else if (this.#startedPerS >= MIN_RATE) {
-      // A rate above what is started limits nothing. With few starts, it is other work that fills the loop.
+      // A rate above what is started limits nothing. With few starts, other work fills the loop.
       const limiting = Math.min(this.#rate, this.#startedPerS);
       this.#rate = Math.max(MIN_RATE, limiting * (1 - BACKOFF_GAIN * excess));
     }
