--- a/packages/nutmegproxy-owner/src/OwnerEvents.ts
+++ b/packages/nutmegproxy-owner/src/OwnerEvents.ts
@@ -84,7 +84,7 @@
     text: 'Recovery waits for minions that have neither reported nor lost their lease.',
   },
   SESSION_FAILED: {
-    code: 8137,
+    code: 8139,
     level: 'error',
     text: 'The session of a minion met an unexpected error; its next poll follows.',
   },
