--- a/packages/nutmegproxy-owner/src/MinionOrders.ts
+++ b/packages/nutmegproxy-owner/src/MinionOrders.ts
@@ -86,6 +86,8 @@
   disconnect(target: MinionTarget): void;
   pace(target: MinionTarget, order: PaceOrder): ResultAsync<OrderAnswer, OrderFailure>;
   poll(target: MinionTarget, order: PollOrder): ResultAsync<MinionListing, OrderFailure>;
+  /** Prepares for orders to these minions; resolves within a fraction of a second. */
+  prepare?(targets: readonly MinionTarget[]): Promise<void>;
   start(target: MinionTarget, order: StartOrder): ResultAsync<OrderAnswer, OrderFailure>;
   stop(target: MinionTarget, order: RunOrder): ResultAsync<OrderAnswer, OrderFailure>;
 }
--- a/packages/nutmegproxy-owner/src/MinionSessions.ts
+++ b/packages/nutmegproxy-owner/src/MinionSessions.ts
@@ -75,17 +75,18 @@
    * roster, otherwise it is empty.
    */
   async start(former: readonly RosterEntry[]): Promise<Result<void, StoreFailure>> {
-    const {clock, directory, events} = this.#options;
+    const {clock, directory, events, session} = this.#options;
     const listedAt = clock.monotonic();
     const snapshot = await directory.list();
     if (snapshot.isErr()) {
       return err(snapshot.error);
     }
+    await session.orders.prepare?.(snapshot.value.minions);
     const now = clock.monotonic();
     const listed = new Set(snapshot.value.minions.map(({id}) => id));
-    for (const session of this.#sessions.values()) {
-      if (!listed.has(session.minion.id)) {
-        session.minion.unlistedSince ??= now;
+    for (const {minion} of this.#sessions.values()) {
+      if (!listed.has(minion.id)) {
+        minion.unlistedSince ??= now;
       }
     }
     const missing = former.filter(({description: {id}}) => !listed.has(id));
@@ -110,7 +111,7 @@
       },
     });
     this.#directoryAge.finishListing(this.#watch, listedAt);
-    this.#addToRoster(snapshot.value.minions, this.#options.session.ownership.term === 0);
+    this.#addToRoster(snapshot.value.minions, session.ownership.term === 0);
     this.recovery.begin();
     const known = new Set(former.map(({description}) => description.id));
     this.#enroll(snapshot.value.minions.filter(({id}) => !known.has(id)));
--- a/packages/nutmegproxy-relay/src/OwnerLink.ts
+++ b/packages/nutmegproxy-relay/src/OwnerLink.ts
@@ -15,6 +15,8 @@
 import {decodeOrders, encodeBatch} from './RelayMessages.ts';
 
 export interface OwnerLinkOptions {
+  /** IP address of the owner. */
+  readonly address: string;
   readonly clock: Clock;
   readonly events: EventSink;
   /** Carries out an order; never rejects. */
@@ -32,8 +34,8 @@
 
   constructor(options: OwnerLinkOptions) {
     this.#options = options;
-    const {events, onClosed, socket} = options;
-    events.record(RELAY_EVENTS.OWNER_LINKED, {});
+    const {address, events, onClosed, socket} = options;
+    events.record(RELAY_EVENTS.OWNER_LINKED, {address});
     socket.on('message', (data) => {
       this.#receive(data as Buffer);
     });
@@ -41,7 +43,7 @@
     socket.on('error', () => undefined);
     socket.on('close', () => {
       clearInterval(this.#heartbeatTimer);
-      events.record(RELAY_EVENTS.OWNER_UNLINKED, {});
+      events.record(RELAY_EVENTS.OWNER_UNLINKED, {address});
       onClosed();
     });
     this.#heartbeatTimer = setInterval(() => {
@@ -78,16 +80,16 @@
   }
 
   #receive(bytes: Buffer): void {
-    const {events, execute} = this.#options;
+    const {address, events, execute} = this.#options;
     const batch = decodeOrders(bytes);
     if (batch.isErr()) {
-      events.record(RELAY_EVENTS.MESSAGE_MALFORMED, {message: batch.error});
+      events.record(RELAY_EVENTS.MESSAGE_MALFORMED, {address, message: batch.error});
       this.close();
       return;
     }
     if (this.#isLate(batch.value)) {
       const {orders, sentAt} = batch.value;
-      events.record(RELAY_EVENTS.BATCH_LATE, {orders: orders.length, sentAt});
+      events.record(RELAY_EVENTS.BATCH_LATE, {address, orders: orders.length, sentAt});
       this.close();
       return;
     }
--- a/packages/nutmegproxy-relay/src/RelayConstants.ts
+++ b/packages/nutmegproxy-relay/src/RelayConstants.ts
@@ -16,6 +16,8 @@
 export const MAX_LINK_SILENCE_MS = 1_000;
 /** Timeout in milliseconds of the connection to a relay. */
 export const LINK_CONNECT_TIMEOUT_MS = 1_000;
+/** Longest time in milliseconds that an owner waits for its links before its first orders. */
+export const LINK_PREPARATION_MS = 300;
 /** Time in milliseconds for which a relay is not used after its link was lost. */
 export const RELAY_COOLDOWN_MS = 5_000;
 /**
--- a/packages/nutmegproxy-relay/src/RelayEvents.ts
+++ b/packages/nutmegproxy-relay/src/RelayEvents.ts
@@ -14,6 +14,7 @@
     text: 'A link to a relay was lost; the owner sends the open orders itself.',
   },
   LINK_OPEN: {code: 8160, level: 'info', text: 'A link to a relay was opened.'},
+  LISTENER_FAILED: {code: 8166, level: 'error', text: "A relay's listener failed."},
   MESSAGE_MALFORMED: {
     code: 8162,
     level: 'warn',
--- a/packages/nutmegproxy-relay/src/RelayLink.ts
+++ b/packages/nutmegproxy-relay/src/RelayLink.ts
@@ -45,6 +45,8 @@
   #checkedAt: Instant;
   #isLost = false;
   #lastId = 0;
+  /** Resolves when the link is open or lost. */
+  readonly opened: Promise<void>;
   readonly #options: RelayLinkOptions;
   readonly #pending = new Map<number, PendingOrder>();
   #receivedAt: Instant;
@@ -61,16 +63,20 @@
       maxPayload: MAX_MESSAGE_BYTES,
       perMessageDeflate: false,
     });
-    this.#socket.on('open', () => {
-      this.#receivedAt = clock.monotonic();
-      options.events.record(RELAY_EVENTS.LINK_OPEN, this.#fields);
+    this.opened = new Promise((resolve) => {
+      this.#socket.on('open', () => {
+        this.#receivedAt = clock.monotonic();
+        options.events.record(RELAY_EVENTS.LINK_OPEN, this.#fields);
+        resolve();
+      });
+      this.#socket.on('close', () => {
+        this.#lose('closed');
+        resolve();
+      });
     });
     this.#socket.on('message', (data) => {
       this.#receive(data as Buffer);
     });
-    this.#socket.on('close', () => {
-      this.#lose('closed');
-    });
     this.#socket.on('error', ({message}) => {
       this.#lose(message);
     });
@@ -127,7 +133,7 @@
       return;
     }
     const [oldest] = this.#pending.values();
-    if (oldest !== undefined && now > oldest.deadline + MAX_LINK_SILENCE_MS) {
+    if (oldest !== undefined && now > oldest.deadline) {
       this.#lose('an order got no outcome');
     }
   }
--- a/packages/nutmegproxy-relay/src/RelayRoutes.ts
+++ b/packages/nutmegproxy-relay/src/RelayRoutes.ts
@@ -93,8 +93,9 @@
   }
 
   /** Returns the relay of a minion; undefined when the owner sends its orders itself. */
-  find({dataCentre, id}: MinionTarget, now: Instant): Relay | undefined {
-    this.#addMinion(id, dataCentre);
+  find(target: MinionTarget, now: Instant): Relay | undefined {
+    const {dataCentre, id} = target;
+    this.addMinion(target);
     if (!this.isRelaying) {
       return undefined;
     }
@@ -125,7 +126,8 @@
     this.#clear();
   }
 
-  #addMinion(id: MinionId, dataCentre: DataCentreId): void {
+  /** Counts a minion, whose data centre may have changed. */
+  addMinion({dataCentre, id}: MinionTarget): void {
     const former = this.#dataCentreByMinion.get(id);
     if (former === dataCentre) {
       return;
--- a/packages/nutmegproxy-relay/src/RelayServer.ts
+++ b/packages/nutmegproxy-relay/src/RelayServer.ts
@@ -80,8 +80,8 @@
       port,
     });
     this.#server = server;
-    server.on('connection', (socket) => {
-      this.#accept(socket);
+    server.on('connection', (socket, request) => {
+      this.#accept(socket, request.socket.remoteAddress ?? '');
     });
     this.#sweepTimer = setInterval(() => {
       this.#disconnectIdle(this.#options.clock.monotonic());
@@ -93,14 +93,15 @@
     });
     return ResultAsync.fromPromise(opened, String).map(() => {
       server.on('error', ({message}) => {
-        events.record(RELAY_EVENTS.MESSAGE_MALFORMED, {message});
+        events.record(RELAY_EVENTS.LISTENER_FAILED, {message});
       });
     });
   }
 
-  #accept(socket: WebSocket): void {
+  #accept(socket: WebSocket, address: string): void {
     const {clock, events} = this.#options;
     const link = new OwnerLink({
+      address,
       clock,
       events,
       execute: (order) => this.#execute(order),
--- a/packages/nutmegproxy-relay/src/RelayedMinionOrders.ts
+++ b/packages/nutmegproxy-relay/src/RelayedMinionOrders.ts
@@ -18,13 +18,14 @@
 import type {MinionListing} from '@nutmegproxy/scheduling';
 import type {Result} from 'neverthrow';
 
+import {delay} from '@nutmegproxy/core';
 import {err, ok, ResultAsync} from 'neverthrow';
 
 import type {UnsentOrder} from './RelayLink.ts';
 import type {RelayedOutcome} from './RelayMessages.ts';
 import type {Relay, RelayCandidate} from './RelayRoutes.ts';
 
-import {RELAYED_ORDER_TIMEOUT_MS} from './RelayConstants.ts';
+import {LINK_PREPARATION_MS, RELAYED_ORDER_TIMEOUT_MS} from './RelayConstants.ts';
 import {RelayLink} from './RelayLink.ts';
 import {RelayRoutes} from './RelayRoutes.ts';
 
@@ -72,6 +73,24 @@
     );
   }
 
+  /** Opens the links to the relays of these minions; resolves when they are open or lost. */
+  async prepare(targets: readonly MinionTarget[]): Promise<void> {
+    const now = this.#options.clock.monotonic();
+    for (const target of targets) {
+      this.#routes.addMinion(target);
+    }
+    for (const target of targets) {
+      const relay = this.#routes.find(target, now);
+      if (relay !== undefined) {
+        this.#findLink(relay);
+      }
+    }
+    const opened = [...this.#links.values()].map((link) => link.opened);
+    if (opened.length > 0) {
+      await Promise.race([Promise.all(opened), delay(LINK_PREPARATION_MS)]);
+    }
+  }
+
   start(target: MinionTarget, order: StartOrder): ResultAsync<OrderAnswer, OrderFailure> {
     return this.#send({kind: 'start', order, target}, readAnswer, () =>
       this.#options.direct.start(target, order),
--- a/packages/nutmegproxy-relay/src/__tests__/unit/RelayedMinionOrders.test.ts
+++ b/packages/nutmegproxy-relay/src/__tests__/unit/RelayedMinionOrders.test.ts
@@ -141,6 +141,24 @@
     assert.deepEqual(minions.starts, ['m1 by owner']);
   });
 
+  it('sends its first orders by relays that it has prepared for', async () => {
+    await startRelay('vm-1');
+    await orders.prepare([createTarget('m1'), createTarget('m2')]);
+    await orders.start(createTarget('m1'), createStart());
+    await orders.start(createTarget('m2'), createStart());
+    assert.deepEqual(minions.starts, ['m1 by vm-1', 'm2 by vm-1']);
+    orders.disconnect(createTarget('m1'));
+    orders.disconnect(createTarget('m2'));
+  });
+
+  it('does not wait for a relay that does not respond', async () => {
+    candidates.push(createCandidate('vm-1', {relayAddress: `${HOST}:1`}));
+    await orders.prepare([createTarget('m1')]);
+    await orders.start(createTarget('m1'), createStart());
+    assert.deepEqual(minions.starts, ['m1 by owner']);
+    orders.disconnect(createTarget('m1'));
+  });
+
   describe('with a relay', () => {
     let relay: RelayServer;
 
