--- a/packages/nutmegproxy-entry/src/VmRegistry.ts
+++ b/packages/nutmegproxy-entry/src/VmRegistry.ts
@@ -5,9 +5,9 @@
 
 import {delay} from '@nutmegproxy/core';
 import {STATE_PREFIX} from '@nutmegproxy/jobs';
+import {parseJson} from '@nutmegproxy/owner';
 import {validateRegisteredVm} from '@nutmegproxy/schema';
 import {getPrefix, put} from '@nutmegproxy/store';
-import {Result} from 'neverthrow';
 
 import {
   VM_FIRST_LIST_DELAY_MS,
@@ -31,8 +31,6 @@
   readonly vm: VmId;
 }
 
-const parseJson = Result.fromThrowable((text: string) => JSON.parse(text) as unknown);
-
 export interface VmRegistryOptions {
   readonly events: EventSink;
   readonly self: EntryVm;
--- a/packages/nutmegproxy-owner/src/index.ts
+++ b/packages/nutmegproxy-owner/src/index.ts
@@ -30,3 +30,4 @@
 export {QUEUE_LENGTHS_KEY} from './QueueLengthPublisher.ts';
 export type {QueueLengths} from './QueueLengthPublisher.ts';
 export {StartThrottle} from './StartThrottle.ts';
+export {parseJson} from './StoredJson.ts';
