Orders are not sent again by an owner that was suspended or has ended

Read in review of the relays: when a link was lost, the owner sent each open order again, also one that it had issued before it was suspended, and those that were open when its ownership ended. Such an order would act on a permission that had run out; a token protects a minion only once the next owner has reached it. Orders older than 0.5 s by the wall clock (polls: besides what they wait) now count as unanswered, and links that an ended owner closes fail their orders. Both tests failed before.

Also: the change between direct and relayed orders has hysteresis; an address in the list of VMs that no URL can be built from names no VM.

--- a/packages/nutmegproxy-entry/src/VmRegistry.ts
+++ b/packages/nutmegproxy-entry/src/VmRegistry.ts
@@ -1,11 +1,13 @@
 /** Registers this entry VM in the store under a lease, and lists the other registered VMs. */
 
 import type {DataCentreId, EventSink, VmId} from '@nutmegproxy/core';
+import type {RegisteredVm} from '@nutmegproxy/schema';
 import type {LeaseId, PlatformStore, StoredValue} from '@nutmegproxy/store';
 
 import {delay} from '@nutmegproxy/core';
 import {STATE_PREFIX} from '@nutmegproxy/jobs';
 import {parseJson} from '@nutmegproxy/owner';
+import {isCallAddress} from '@nutmegproxy/scheduling';
 import {validateRegisteredVm} from '@nutmegproxy/schema';
 import {getPrefix, put} from '@nutmegproxy/store';
 
@@ -37,6 +39,14 @@
   readonly store: PlatformStore;
 }
 
+function isUsable(value: unknown): value is RegisteredVm {
+  return (
+    validateRegisteredVm(value) &&
+    isCallAddress(value.address) &&
+    (value.relayAddress === undefined || isCallAddress(value.relayAddress))
+  );
+}
+
 export class VmRegistry {
   #lease: LeaseId | undefined;
   readonly #options: VmRegistryOptions;
@@ -76,7 +86,7 @@
 
   #decode({key, value}: StoredValue): EntryVm | undefined {
     const parsed = parseJson(value.toString());
-    if (parsed.isOk() && validateRegisteredVm(parsed.value)) {
+    if (parsed.isOk() && isUsable(parsed.value)) {
       // The schema describes the same fields without branded ids.
       return parsed.value as unknown as EntryVm;
     }
--- a/packages/nutmegproxy-entry/src/__tests__/unit/VmRegistry.test.ts
+++ b/packages/nutmegproxy-entry/src/__tests__/unit/VmRegistry.test.ts
@@ -52,6 +52,7 @@
       'odd-2': JSON.stringify({...other, address: '10.0.0.1:99999'}),
       'odd-3': JSON.stringify({...other, cores: -1}),
       'odd-4': `${'['.repeat(20_000)}${']'.repeat(20_000)}`,
+      'odd-5': JSON.stringify({...other, relayAddress: '10.0.0.400:81'}),
       'vm-2': JSON.stringify(other),
     };
     for (const [name, value] of Object.entries(values)) {
@@ -63,6 +64,6 @@
     }
     assert.deepEqual(registry.peers, [other]);
     const malformed = events.filter((kind) => kind === ENTRY_EVENTS.VM_ENTRY_MALFORMED);
-    assert.equal(malformed.length, 4);
+    assert.equal(malformed.length, 5);
   });
 });
--- a/packages/nutmegproxy-relay/src/RelayConstants.ts
+++ b/packages/nutmegproxy-relay/src/RelayConstants.ts
@@ -2,6 +2,8 @@
 
 /** Most minions that an owner sends its orders to by itself, for each core of its VM. */
 export const DIRECT_MINIONS_PER_CORE = 300;
+/** Share of that number below which it sends all orders by itself again. */
+export const DIRECT_AGAIN_SHARE = 0.8;
 /** Minions of a data centre for each of its relays. */
 export const MINIONS_PER_RELAY = 150;
 /** Share of the largest VM's cores from which a VM of its data centre is a relay. */
@@ -32,6 +34,11 @@
  * relay does not carry out what was held up for longer, for instance while it was suspended.
  */
 export const MAX_BATCH_DELAY_MS = 500;
+/**
+ * Age in milliseconds, besides what a poll waits, up to which an order is sent again when its link is lost. An
+ * older one may have been held up while this process was suspended, and the owner has to decide anew.
+ */
+export const MAX_RESENT_AGE_MS = 500;
 /** Unsent bytes at which a link is closed, because the other side does not read. */
 export const MAX_BUFFERED_BYTES = 4 * 1024 * 1024;
 /** Largest message in bytes: some hundred listings with all their runs. */
--- a/packages/nutmegproxy-relay/src/RelayLink.ts
+++ b/packages/nutmegproxy-relay/src/RelayLink.ts
@@ -1,6 +1,7 @@
 /** The owner's link to one relay: sends orders in batches and matches their outcomes. */
 
 import type {Clock, EventSink, Instant} from '@nutmegproxy/core';
+import type {OrderFailure} from '@nutmegproxy/owner';
 
 import {invariant} from '@nutmegproxy/core';
 import {WebSocket} from 'ws';
@@ -90,8 +91,15 @@
     return !this.#isLost && this.#socket.readyState === WebSocket.OPEN;
   }
 
+  /** Closes the link for good; its open orders fail. */
   close(): void {
-    this.#lose('no longer used');
+    const failure = {
+      clockMs: undefined,
+      isTimeout: true,
+      kind: 'unanswered',
+      message: 'the link was closed',
+    } as const;
+    this.#lose('no longer used', failure);
   }
 
   /**
@@ -165,7 +173,7 @@
     }
   }
 
-  #lose(reason: string): void {
+  #lose(reason: string, failure?: OrderFailure): void {
     if (this.#isLost) {
       return;
     }
@@ -175,10 +183,10 @@
     events.record(RELAY_EVENTS.LINK_LOST, {...this.#fields, orders: this.#pending.size, reason});
     this.#socket.terminate();
     onLost();
-    const pending = [...this.#pending.values()];
+    const pending = [...this.#pending];
     this.#pending.clear();
-    for (const {settle} of pending) {
-      settle(undefined);
+    for (const [id, {settle}] of pending) {
+      settle(failure === undefined ? undefined : {failure, id});
     }
   }
 }
--- a/packages/nutmegproxy-relay/src/RelayRoutes.ts
+++ b/packages/nutmegproxy-relay/src/RelayRoutes.ts
@@ -10,6 +10,7 @@
 import {createHash} from 'node:crypto';
 
 import {
+  DIRECT_AGAIN_SHARE,
   DIRECT_MINIONS_PER_CORE,
   MIN_RELAY_CORES_SHARE,
   MINIONS_PER_RELAY,
@@ -80,6 +81,7 @@
   readonly #dataCentreByMinion = new Map<MinionId, DataCentreId>();
   readonly #relays = new Map<DataCentreId, readonly Relay[]>();
   readonly #lostAt = new Map<VmId, Instant>();
+  #isRelaying = false;
   readonly #options: RelayRoutesOptions;
   readonly #routes = new Map<MinionId, Relay | undefined>();
 
@@ -87,16 +89,22 @@
     this.#options = options;
   }
 
-  /** Whether the fleet is too large for this VM to send all orders by itself. */
-  get isRelaying(): boolean {
-    return this.#dataCentreByMinion.size > this.#options.ownCores * DIRECT_MINIONS_PER_CORE;
+  get isEmpty(): boolean {
+    return this.#dataCentreByMinion.size === 0;
+  }
+
+  /** Decides whether the fleet is too large for this VM to send all orders by itself. */
+  #updateRelaying(): void {
+    const limit = this.#options.ownCores * DIRECT_MINIONS_PER_CORE;
+    const minions = this.#dataCentreByMinion.size;
+    this.#isRelaying = minions > (this.#isRelaying ? limit * DIRECT_AGAIN_SHARE : limit);
   }
 
   /** Returns the relay of a minion; undefined when the owner sends its orders itself. */
   find(target: MinionTarget, now: Instant): Relay | undefined {
     const {dataCentre, id} = target;
     this.addMinion(target);
-    if (!this.isRelaying) {
+    if (!this.#isRelaying) {
       return undefined;
     }
     const candidates = this.#options.candidates();
@@ -118,6 +126,7 @@
     }
     this.#dataCentreByMinion.delete(id);
     this.#routes.delete(id);
+    this.#updateRelaying();
   }
 
   /** Excludes a relay for some seconds. */
@@ -138,6 +147,7 @@
     this.#dataCentreByMinion.set(id, dataCentre);
     const minions = this.#dataCentres.get(dataCentre) ?? new Set<MinionId>();
     this.#dataCentres.set(dataCentre, minions.add(id));
+    this.#updateRelaying();
   }
 
   #clear(): void {
--- a/packages/nutmegproxy-relay/src/RelayedMinionOrders.ts
+++ b/packages/nutmegproxy-relay/src/RelayedMinionOrders.ts
@@ -1,7 +1,7 @@
 /**
  * Sends the orders of an owner. In a large fleet, other entry VMs carry them out, so that the owner's
- * process has time to plan. An order whose link is lost is sent again by the owner itself: minions
- * carry out the same order once.
+ * process has time to plan. A recent order whose link is lost is sent again by the owner itself:
+ * minions carry out the same order once.
  */
 
 import type {Clock, EventSink, VmId} from '@nutmegproxy/core';
@@ -25,10 +25,22 @@
 import type {RelayedOutcome} from './RelayMessages.ts';
 import type {Relay, RelayCandidate} from './RelayRoutes.ts';
 
-import {LINK_PREPARATION_MS, RELAYED_ORDER_TIMEOUT_MS} from './RelayConstants.ts';
+import {
+  LINK_PREPARATION_MS,
+  MAX_RESENT_AGE_MS,
+  RELAYED_ORDER_TIMEOUT_MS,
+} from './RelayConstants.ts';
 import {RelayLink} from './RelayLink.ts';
 import {RelayRoutes} from './RelayRoutes.ts';
 
+const LINK_LOST: OrderFailure = {
+  clockMs: undefined,
+  // The minion has not closed its connections, so that it need not have crashed.
+  isTimeout: true,
+  kind: 'unanswered',
+  message: 'the link was lost',
+};
+
 export interface RelayedMinionOrdersOptions {
   /** See `RelayRoutesOptions`. */
   readonly candidates: () => readonly RelayCandidate[];
@@ -53,7 +65,7 @@
   disconnect(target: MinionTarget): void {
     this.#routes.removeMinion(target.id);
     this.#options.direct.disconnect(target);
-    if (!this.#routes.isRelaying) {
+    if (this.#routes.isEmpty) {
       this.#closeLinks();
     }
   }
@@ -120,14 +132,19 @@
     if (relay === undefined || link === undefined) {
       return sendDirectly();
     }
+    const {clock} = this.#options;
+    const issuedAt = clock.wall();
     const relayed = async (): Promise<Result<Answer, OrderFailure>> => {
       const outcome = await link.send(order, waitMs + RELAYED_ORDER_TIMEOUT_MS);
-      if (outcome?.failure !== undefined) {
-        const {failure} = outcome;
-        return err({...failure, message: `${failure.message}, relayed by ${relay.vm}`});
-      }
       const answer = outcome === undefined ? undefined : read(outcome);
-      return answer === undefined ? sendDirectly() : ok(answer);
+      if (answer !== undefined) {
+        return ok(answer);
+      }
+      if (outcome?.failure === undefined && clock.wall() - issuedAt <= waitMs + MAX_RESENT_AGE_MS) {
+        return sendDirectly();
+      }
+      const {message, ...failure} = outcome?.failure ?? LINK_LOST;
+      return err({...failure, message: `${message}, relayed by ${relay.vm}`});
     };
     return new ResultAsync(relayed());
   }
--- a/packages/nutmegproxy-relay/src/__tests__/unit/RelayRoutes.test.ts
+++ b/packages/nutmegproxy-relay/src/__tests__/unit/RelayRoutes.test.ts
@@ -60,8 +60,12 @@
       assert.equal(routes.find(createTarget('other', 'dc-b'), at(0)), undefined);
     });
 
-    it('leaves the fleet to the owner again once it has shrunk', () => {
-      for (let index = 0; index < 20; index += 1) {
+    it('leaves the fleet to the owner again once it has clearly shrunk', () => {
+      for (let index = 0; index < 12; index += 1) {
+        routes.removeMinion(createTarget(`m${index}`).id);
+      }
+      assert.ok(routes.find(createTarget('m30'), at(0)) !== undefined);
+      for (let index = 12; index < 20; index += 1) {
         routes.removeMinion(createTarget(`m${index}`).id);
       }
       assert.equal(routes.find(createTarget('m30'), at(0)), undefined);
--- a/packages/nutmegproxy-relay/src/__tests__/unit/RelayedMinionOrders.test.ts
+++ b/packages/nutmegproxy-relay/src/__tests__/unit/RelayedMinionOrders.test.ts
@@ -55,6 +55,13 @@
   }
 }
 
+function createClock(aheadMs: () => number): Clock {
+  return {
+    monotonic: () => SYSTEM_CLOCK.monotonic(),
+    wall: () => (SYSTEM_CLOCK.wall() + aheadMs()) as WallTime,
+  };
+}
+
 function createStart(): StartOrder {
   return {
     checkpoint: undefined,
@@ -82,15 +89,14 @@
   let events: EventKind[];
   let minions: RecordedMinions;
   let orders: RelayedMinionOrders;
+  /** Time in milliseconds by which the owner's wall clock is ahead. */
+  let ownerAheadMs: number;
   const relays: RelayServer[] = [];
   /** Time in milliseconds by which the relays' wall clock is ahead. */
   let relayAheadMs: number;
 
   async function startRelay(name: string): Promise<RelayServer> {
-    const clock: Clock = {
-      monotonic: () => SYSTEM_CLOCK.monotonic(),
-      wall: () => (SYSTEM_CLOCK.wall() + relayAheadMs) as WallTime,
-    };
+    const clock = createClock(() => relayAheadMs);
     const relay = new RelayServer({
       clock,
       events: {record: (kind) => events.push(kind)},
@@ -118,10 +124,11 @@
     candidates = [];
     events = [];
     minions = new RecordedMinions();
+    ownerAheadMs = 0;
     relayAheadMs = 0;
     orders = new RelayedMinionOrders({
       candidates: () => candidates,
-      clock: SYSTEM_CLOCK,
+      clock: createClock(() => ownerAheadMs),
       direct: minions.orders('owner'),
       events: {record: (kind) => events.push(kind)},
       ownCores: 0,
@@ -197,6 +204,25 @@
       assert.deepEqual(minions.starts, ['probe by vm-1', 'probe by owner']);
     });
 
+    it('does not send an order again after this process was suspended', async () => {
+      minions.blocked = new Promise(() => undefined);
+      const answer = orders.start(createTarget('probe'), createStart());
+      await waitFor('the relay sends the start', () => minions.starts.length === 1);
+      ownerAheadMs = 5_000;
+      relay.close();
+      assert.equal((await answer)._unsafeUnwrapErr().kind, 'unanswered');
+      assert.deepEqual(minions.starts, ['probe by vm-1']);
+    });
+
+    it('does not send an order again once the owner uses no minion any more', async () => {
+      minions.blocked = new Promise(() => undefined);
+      const answer = orders.start(createTarget('probe'), createStart());
+      await waitFor('the relay sends the start', () => minions.starts.length === 1);
+      orders.disconnect(createTarget('probe'));
+      assert.equal((await answer)._unsafeUnwrapErr().kind, 'unanswered');
+      assert.deepEqual(minions.starts, ['probe by vm-1']);
+    });
+
     it('drops orders that were held up on their way, and the owner sends them itself', async () => {
       relayAheadMs = 2_000;
       const answer = await orders.start(createTarget('probe'), createStart());
--- a/packages/nutmegproxy-scheduling/src/MinionCheck.ts
+++ b/packages/nutmegproxy-scheduling/src/MinionCheck.ts
@@ -12,6 +12,11 @@
 /** Largest lead in milliseconds of a minion's wall clock over that of a VM. */
 const MAX_CLOCK_LEAD_MS = 86_400_000;
 
+/** Whether a connection can be made to an address of the form that the schema describes. */
+export function isCallAddress(address: string): boolean {
+  return URL.canParse(`http://${address}`);
+}
+
 /**
  * Returns the description if all its fields are in range; otherwise undefined. `wall` is the present
  * time: no minion can have started after it.
@@ -24,7 +29,7 @@
     return undefined;
   }
   const {address, bornAt = 0} = description;
-  const isUsable = URL.canParse(`http://${address}`) && bornAt <= wall + MAX_CLOCK_LEAD_MS;
+  const isUsable = isCallAddress(address) && bornAt <= wall + MAX_CLOCK_LEAD_MS;
   // The schema describes the same fields without branded ids.
   return isUsable ? (description as unknown as MinionDescription) : undefined;
 }
--- a/packages/nutmegproxy-scheduling/src/index.ts
+++ b/packages/nutmegproxy-scheduling/src/index.ts
@@ -23,7 +23,7 @@
 export {LeaseClock, MINION_LEASE_MS} from './LeaseClock.ts';
 export {dropSupersededRuns, findStep, reconcileListing} from './ListingReconciler.ts';
 export type {MinionListing, RunReport, RunResult} from './ListingReconciler.ts';
-export {checkMinion} from './MinionCheck.ts';
+export {checkMinion, isCallAddress} from './MinionCheck.ts';
 export {MinionRanking} from './MinionRanking.ts';
 export {classifyWork, MinionState} from './MinionState.ts';
 export type {MachineId, MinionDescription, WorkKind} from './MinionState.ts';
