One count of deferrable starts; types of the relay schema that nobody used are gone

Read in the review of the whole change: the owner, the simulation and the planner each resolved a step's queue for isDeferrable, and the first two counted the starts in the same words. isDeferrable now takes the fleet, and countDeferrable serves both. Five exported types had no user.

--- a/packages/nutmegproxy-emulator/src/FleetSimulation.ts
+++ b/packages/nutmegproxy-emulator/src/FleetSimulation.ts
@@ -10,10 +10,10 @@
 import {SILENT_EVENTS} from '@nutmegproxy/core';
 import {formatTaskName, JobState} from '@nutmegproxy/jobs';
 import {
+  countDeferrable,
   DurationEstimator,
   findStep,
   Fleet,
-  isDeferrable,
   MinionState,
   planStarts,
   SharingPolicy,
@@ -174,9 +174,7 @@
       sharingCosts: this.#sharingCosts,
       wall: this.#nowMs as WallTime,
     });
-    throttle?.recordStarts(
-      starts.filter(({step}) => isDeferrable(step, this.fleet.resolveQueuePolicy(step.job))).length,
-    );
+    throttle?.recordStarts(countDeferrable(this.fleet, starts));
     for (const run of starts) {
       this.#start(run);
     }
--- a/packages/nutmegproxy-owner/src/Owner.ts
+++ b/packages/nutmegproxy-owner/src/Owner.ts
@@ -9,10 +9,10 @@
 
 import {delay} from '@nutmegproxy/core';
 import {
+  countDeferrable,
   DurationEstimator,
   evacuateMinion,
   Fleet,
-  isDeferrable,
   planStarts,
   type QueuePolicy,
   RunProgressMonitor,
@@ -234,10 +234,7 @@
         events.record(OWNER_EVENTS.RECOVERY_WAITING, this.#minions.recovery.describe(now));
       }
     }
-    const deferred = starts.filter(({step}) =>
-      isDeferrable(step, fleet.resolveQueuePolicy(step.job)),
-    );
-    this.#startThrottle.recordStarts(deferred.length);
+    this.#startThrottle.recordStarts(countDeferrable(fleet, starts));
     for (const run of starts) {
       this.#load.recordPlaced(run, now);
       this.#minions.startRun(run);
--- a/packages/nutmegproxy-scheduling/src/StartBudget.ts
+++ b/packages/nutmegproxy-scheduling/src/StartBudget.ts
@@ -3,9 +3,9 @@
  * fewer of them, so that it has time for urgent work.
  */
 
-import type {StepState} from '@nutmegproxy/jobs';
+import type {Run, StepState} from '@nutmegproxy/jobs';
 
-import type {QueuePolicy} from './QueuePolicy.ts';
+import type {Fleet} from './Fleet.ts';
 
 /** Priority of the queues whose work is never deferred. */
 const URGENT_PRIORITY = 0;
@@ -49,11 +49,13 @@
  * Whether the starts of a step may be delayed in favour of other queues. Long-running tasks are not:
  * somebody relies on them at all times.
  */
-export function isDeferrable(
-  {shape}: StepState,
-  {priority}: Pick<QueuePolicy, 'priority'>,
-): boolean {
-  return priority > URGENT_PRIORITY && !shape.longRunning;
+export function isDeferrable(fleet: Fleet, {job, shape}: StepState): boolean {
+  return fleet.resolveQueuePolicy(job).priority > URGENT_PRIORITY && !shape.longRunning;
+}
+
+/** Returns how many of the runs belong to deferrable steps. */
+export function countDeferrable(fleet: Fleet, runs: readonly Run[]): number {
+  return runs.filter(({step}) => isDeferrable(fleet, step)).length;
 }
 
 function placeAll(
--- a/packages/nutmegproxy-scheduling/src/StartPlanner.ts
+++ b/packages/nutmegproxy-scheduling/src/StartPlanner.ts
@@ -79,7 +79,7 @@
     const others = ready.filter(({job}) => !trials.held.has(job) && !job.isFinal);
     const ordered = orderSteps(this.#fleet, others, estimator, wall).map(({step}) => step);
     placeWithinBudget(ordered, {
-      isDeferrable: (step) => isDeferrable(step, this.#fleet.resolveQueuePolicy(step.job)),
+      isDeferrable: (step) => isDeferrable(this.#fleet, step),
       limit: this.#context.deferrableStarts ?? Infinity,
       place: (step, budget) => {
         if (step.shape.gang) {
--- a/packages/nutmegproxy-scheduling/src/index.ts
+++ b/packages/nutmegproxy-scheduling/src/index.ts
@@ -38,7 +38,7 @@
 export {RunProgressMonitor} from './RunProgressMonitor.ts';
 export {SCHEDULING_EVENTS} from './SchedulingEvents.ts';
 export {SharingPolicy} from './SharingPolicy.ts';
-export {isDeferrable} from './StartBudget.ts';
+export {countDeferrable} from './StartBudget.ts';
 export {planStarts} from './StartPlanner.ts';
 export type {AdviceLookup, PlanContext} from './StartPlanner.ts';
 export type {StopReason, StopRequest} from './StopRequest.ts';
--- a/packages/nutmegproxy-schema/src/index.ts
+++ b/packages/nutmegproxy-schema/src/index.ts
@@ -111,13 +111,6 @@
   validateWorkerReport,
   validateWorkerSync,
 } from './generated/platformValidators.js';
-export type {
-  OrderBatch,
-  OutcomeBatch,
-  RelayedListing,
-  RelayedOrder,
-  RelayedOutcome,
-} from './generated/relayMessagesTypes.ts';
 export {validateOrderBatch, validateOutcomeBatch} from './generated/relayMessagesValidators.js';
 export type {RequestKeyRecord} from './generated/requestsMessagesTypes.ts';
 export {validateRequestKeyRecord} from './generated/requestsMessagesValidators.js';
