Owner logs what each long-running task waits for that does not run

No line said of a task that could run what withholds it: 8108 names minions and ends with the recovery, 8024 is about placement only.

No logic of starts is changed.

--- a/packages/nutmegproxy-owner/src/MinionRecovery.ts
+++ b/packages/nutmegproxy-owner/src/MinionRecovery.ts
@@ -78,6 +78,11 @@
     return this.#unreported.describe(now);
   }
 
+  /** Returns the longest time in milliseconds for which recovery may still wait. */
+  findRemainingMs(now: Instant): number {
+    return this.#unreported.findRemainingMs(now);
+  }
+
   /**
    * Whether the runs of every minion of a former owner are known, or its lease had expired when the
    * ownership was last confirmed.
@@ -105,7 +110,7 @@
       return;
     }
     this.#unused.set(minion.id, {former, minion});
-    const remainingMs = findRemainingMs(former, clock.wall());
+    const remainingMs = findRecordedMs(former, clock.wall());
     // Owners of earlier versions grant leases that do not end with their confirmation.
     const isCapped = former.lastTerm >= ownership.recordingSince;
     const longestMs = isCapped ? MAX_FORMER_LEASE_MS : MAX_UNCAPPED_LEASE_MS;
@@ -336,6 +341,6 @@
 }
 
 /** Returns the time in milliseconds after which the lease of a minion has certainly expired. */
-function findRemainingMs({heldUntil = Infinity as WallTime}: FormerUse, wall: WallTime): number {
+function findRecordedMs({heldUntil = Infinity as WallTime}: FormerUse, wall: WallTime): number {
   return Math.max(0, heldUntil + MAX_WALL_CLOCK_SKEW_MS - wall);
 }
--- a/packages/nutmegproxy-owner/src/Owner.ts
+++ b/packages/nutmegproxy-owner/src/Owner.ts
@@ -18,6 +18,7 @@
   RunProgressMonitor,
   SharingPolicy,
   summarizeFleet,
+  WithheldTaskLog,
 } from '@nutmegproxy/scheduling';
 
 import type {AdviceClient} from './AdviceClient.ts';
@@ -85,6 +86,7 @@
   #summarizedAt = -Infinity;
   readonly #queueLengths: QueueLengthPublisher;
   #wake: (() => void) | undefined;
+  readonly #withheldTasks = new WithheldTaskLog();
 
   constructor(options: OwnerOptions) {
     const {clock, directory, events, orders, ownership, store} = options;
@@ -234,6 +236,8 @@
         events.record(OWNER_EVENTS.RECOVERY_WAITING, this.#minions.recovery.describe(now));
       }
     }
+    const recoveryMs = this.#minions.recovery.findRemainingMs(now);
+    this.#withheldTasks.review(fleet, {now, recoveryMs, wall});
     this.#startThrottle.recordStarts(countDeferrable(fleet, starts));
     for (const run of starts) {
       this.#load.recordPlaced(run, now);
--- a/packages/nutmegproxy-owner/src/UnreportedMinions.ts
+++ b/packages/nutmegproxy-owner/src/UnreportedMinions.ts
@@ -75,13 +75,17 @@
     return this.#minions.size === 0;
   }
 
+  /** Returns the longest time in milliseconds until the leases of all minions have expired. */
+  findRemainingMs(now: Instant): number {
+    return Math.max(0, ...[...this.#minions].map(({leaseClock}) => leaseClock.expiresInMs(now)));
+  }
+
   /** Returns which minions recovery waits for and at most how long, as event fields. */
   describe(now: Instant): EventFields {
     const minions = [...this.#minions];
-    const expiresInMs = minions.map(({leaseClock}) => leaseClock.expiresInMs(now));
     return {
       accounts: minions.filter(({id}) => this.#runs.has(id)).length,
-      longestMs: Math.round(Math.max(0, ...expiresInMs)),
+      longestMs: Math.round(this.findRemainingMs(now)),
       minions: minions.length,
       named: minions
         .slice(0, MAX_NAMED_MINIONS)
--- a/packages/nutmegproxy-scheduling/src/SchedulingEvents.ts
+++ b/packages/nutmegproxy-scheduling/src/SchedulingEvents.ts
@@ -55,6 +55,11 @@
     level: 'error',
     text: 'A task was given up because minions crash under it; its job fails.',
   },
+  TASK_WITHHELD: {
+    code: 8025,
+    level: 'info',
+    text: 'A task of a long-running job does not run: what it waits for and for how long.',
+  },
   TRIAL_PASSED: {
     code: 8017,
     level: 'info',
--- a/packages/nutmegproxy-scheduling/src/index.ts
+++ b/packages/nutmegproxy-scheduling/src/index.ts
@@ -44,3 +44,4 @@
 export type {StopReason, StopRequest} from './StopRequest.ts';
 export {TailLatencyModel, toReferenceCores} from './TailLatencyModel.ts';
 export type {InterferingTask, TailModelSnapshot} from './TailLatencyModel.ts';
+export {WithheldTaskLog} from './WithheldTaskLog.ts';
