An owner takes a minion for gone whose machine runs another minion or none

What callers saw: a lasting task whose minion had drained and left around a series of takeovers had no run for 13.7 s. The last owner counts the lease of such a minion as 10 s from its own start: it has no response and no instant, and the owners before it were ended before they could store one.

A minion is one life of a machine. MachineReview asks the platform's list of machines about minions that may have runs, do not respond, and have drained or not reported to this owner. When two lists in a row show the machine without the minion, its confirmed runs are over and its leases are void, whoever granted them; 8141 says so. A minion that is cut off stays on its machine: its leases decide as before, and so they do while the list is unavailable. A start without a response keeps its lease, since it may reach another incarnation. A crash that this owner saw is left to the judgement of crashes, so that a task that crashes minions does not start sooner than it is suspected.

Test: GoneMinions.

Ruled out: the directory alone. An entry that is removed less than three heartbeats after its last write was not removed for silence, but the next owner has not seen that write; the history of the store would have to be read at each takeover.

--- a/packages/nutmegproxy-emulator/src/EmulatedFleet.ts
+++ b/packages/nutmegproxy-emulator/src/EmulatedFleet.ts
@@ -20,6 +20,7 @@
 
 import {err, ok, okAsync, ResultAsync} from 'neverthrow';
 
+import type {EmulatedMachineList} from './EmulatedMachineList.ts';
 import type {EmulatedMinion} from './EmulatedMinion.ts';
 
 /** Time after which an order without a response fails, as on the platform. */
@@ -46,6 +47,8 @@
   maxPollWaitMs = MAX_POLL_WAIT_MS;
   /** Whether the calls of watches fail while they are delayed. */
   areWatchesFailing = false;
+  /** Undefined for a platform without a list of machines. */
+  machineList: EmulatedMachineList | undefined;
   readonly minions = new Map<MinionId, EmulatedMinion>();
   readonly #clock: Clock;
   readonly #faults = new Map<MinionId, OrderFaults>();
--- a/packages/nutmegproxy-emulator/src/__tests__/unit/JobSamples.ts
+++ b/packages/nutmegproxy-emulator/src/__tests__/unit/JobSamples.ts
@@ -134,6 +134,7 @@
     ...options,
     advice: undefined,
     directory: fleet,
+    machines: fleet.machineList,
     orders: fleet,
     queues: () => [QUEUE],
     statusRetentionMs: 0,
--- a/packages/nutmegproxy-emulator/src/__tests__/unit/TakeoverHarness.ts
+++ b/packages/nutmegproxy-emulator/src/__tests__/unit/TakeoverHarness.ts
@@ -11,6 +11,7 @@
 import type {TaskBehaviour} from '../../EmulatedMinion.ts';
 
 import {EmulatedFleet} from '../../EmulatedFleet.ts';
+import {EmulatedMachineList} from '../../EmulatedMachineList.ts';
 import {EmulatedMinion} from '../../EmulatedMinion.ts';
 import {createMinionDescription, createOwner, startOwner} from './JobSamples.ts';
 import {createFailingStore} from './StoreSamples.ts';
@@ -52,7 +53,7 @@
 
   /** Adds a minion that started at `bornAt`, in Unix milliseconds; default: long ago. */
   addMinion(name: string, bornAt?: number): EmulatedMinion {
-    const description = createMinionDescription(name);
+    const description = createMinionDescription(name, {machine: brand(`machine of ${name}`)});
     const minion = new EmulatedMinion(
       bornAt === undefined ? description : {...description, bornAt},
       runForever,
@@ -61,6 +62,13 @@
     return minion;
   }
 
+  /** Gives the owners that are started from now on a list of the machines. */
+  addMachineList(): EmulatedMachineList {
+    const list = new EmulatedMachineList(this.clock, this.fleet.minions);
+    this.fleet.machineList = list;
+    return list;
+  }
+
   async close(): Promise<void> {
     for (const stop of this.#stops.splice(0)) {
       stop();
--- a/packages/nutmegproxy-emulator/src/index.ts
+++ b/packages/nutmegproxy-emulator/src/index.ts
@@ -2,6 +2,7 @@
 
 export {EmulatedFleet} from './EmulatedFleet.ts';
 export type {OrderFaults} from './EmulatedFleet.ts';
+export {EmulatedMachineList} from './EmulatedMachineList.ts';
 export {EmulatedMinion} from './EmulatedMinion.ts';
 export type {RecordedRun, TaskBehaviour} from './EmulatedMinion.ts';
 export {FleetSimulation} from './FleetSimulation.ts';
--- a/packages/nutmegproxy-owner/src/MinionSessions.ts
+++ b/packages/nutmegproxy-owner/src/MinionSessions.ts
@@ -11,11 +11,13 @@
 import {err, ok} from 'neverthrow';
 
 import type {MinionAccount} from './ClosingRecords.ts';
+import type {MachineList} from './MachineList.ts';
 import type {MinionChange, MinionDirectory, MinionWatch} from './MinionDirectory.ts';
 import type {Roster, RosterEntry} from './Roster.ts';
 import type {SessionContext} from './SessionContext.ts';
 
 import {DirectoryAge} from './DirectoryAge.ts';
+import {MachineReview} from './MachineReview.ts';
 import {MinionRecovery} from './MinionRecovery.ts';
 import {MinionSession} from './MinionSession.ts';
 import {
@@ -33,6 +35,7 @@
   readonly directory: MinionDirectory;
   readonly events: EventSink;
   readonly fleet: Fleet;
+  readonly machines: MachineList | undefined;
   readonly onChange: () => void;
   readonly roster: Roster;
   readonly session: Omit<SessionContext, 'isDirectoryOutdated' | 'permitRenewal' | 'recordUse'>;
@@ -43,6 +46,7 @@
   readonly recovery: MinionRecovery;
   readonly #context: SessionContext;
   readonly #directoryAge = new DirectoryAge();
+  readonly #machineReview: MachineReview;
   readonly #options: MinionSessionsOptions;
   readonly #sessions = new Map<MinionId, MinionSession>();
   #stopped = false;
@@ -53,6 +57,13 @@
     const {session, store} = options;
     const record = new RecoveryRecord({...session, store});
     this.recovery = new MinionRecovery({...options, ownership: session.ownership, record});
+    this.#machineReview = new MachineReview({
+      ...options,
+      onGone: (minion) => {
+        this.#endLife(minion);
+      },
+      ownership: session.ownership,
+    });
     this.#context = {
       ...session,
       isDirectoryOutdated: (now) => this.isDirectoryOutdated(now),
@@ -142,6 +153,11 @@
     this.recovery.recordSilent(minion, unstoredResults);
   }
 
+  /** Finds minions that are gone by the platform's list of machines, while `isActing` returns true. */
+  reviewMachines(isActing: () => boolean): Promise<void> {
+    return this.#machineReview.run(isActing);
+  }
+
   startRun(run: Run): void {
     void this.#sessions.get(run.minion)?.start(run);
   }
@@ -215,6 +231,19 @@
     }
   }
 
+  /**
+   * Ends what ran on a minion that is gone. A start without a response may still reach another
+   * incarnation under its id, so such runs keep its lease.
+   */
+  #endLife(minion: MinionState): void {
+    const {fleet, onChange} = this.#options;
+    fleet.loseConfirmedRuns(minion);
+    if (minion.runs.size === 0) {
+      minion.leaseClock.end();
+    }
+    onChange();
+  }
+
   /** Lets minions that no former owner knew get work, before they have reported. */
   #enroll(minions: readonly MinionDescription[]): void {
     for (const {id} of minions) {
--- a/packages/nutmegproxy-owner/src/Owner.ts
+++ b/packages/nutmegproxy-owner/src/Owner.ts
@@ -23,6 +23,7 @@
 
 import type {AdviceClient} from './AdviceClient.ts';
 import type {FleetOwnership} from './FleetOwnership.ts';
+import type {MachineList} from './MachineList.ts';
 import type {MinionDirectory} from './MinionDirectory.ts';
 import type {MinionOrders} from './MinionOrders.ts';
 
@@ -54,6 +55,8 @@
   readonly clock: Clock;
   readonly directory: MinionDirectory;
   readonly events: EventSink;
+  /** The platform's list of machines; undefined where it has none. */
+  readonly machines: MachineList | undefined;
   readonly orders: MinionOrders;
   readonly ownership: FleetOwnership;
   /** Returns the configured queues; a new array after each change of the configuration. */
@@ -122,6 +125,7 @@
       directory,
       events,
       fleet,
+      machines: options.machines,
       onChange,
       roster: this.#roster,
       session: {
@@ -165,6 +169,7 @@
     void this.#journal.run();
     await this.#recover();
     void this.#receiveClosingRecord();
+    void this.#minions.reviewMachines(() => this.#isActing());
     void this.#advice.run(() => this.#isActing());
     void this.#queueLengths.run(() => this.#isActing());
     void this.#retention.run(() => this.#isActing());
--- a/packages/nutmegproxy-owner/src/OwnerEvents.ts
+++ b/packages/nutmegproxy-owner/src/OwnerEvents.ts
@@ -47,6 +47,11 @@
     level: 'info',
     text: 'A minion was listed, changed, unlisted or removed.',
   },
+  MINION_GONE: {
+    code: 8141,
+    level: 'info',
+    text: 'The machine of a silent minion runs another minion or none; its confirmed runs are over.',
+  },
   MINION_REACHED: {code: 8133, level: 'info', text: 'A minion answers calls.'},
   MINION_RESTARTED: {
     code: 8134,
--- a/packages/nutmegproxy-owner/src/index.ts
+++ b/packages/nutmegproxy-owner/src/index.ts
@@ -2,6 +2,7 @@
 
 export type {AdviceAnswer, AdviceClient, AdviceFailure} from './AdviceClient.ts';
 export {FleetOwnership} from './FleetOwnership.ts';
+export type {MachineList, MachineOccupants} from './MachineList.ts';
 export type {
   MinionChange,
   MinionDirectory,
--- a/packages/nutmegproxy-scheduling/src/LeaseClock.ts
+++ b/packages/nutmegproxy-scheduling/src/LeaseClock.ts
@@ -42,6 +42,11 @@
     this.#hasRestarted = true;
   }
 
+  /** Called when the minion is gone: all leases granted to it are void. */
+  end(): void {
+    this.reset(-Infinity as Instant);
+  }
+
   /**
    * Assumes that former owners granted leases of the usual duration only. Leases that are computed
    * for the clock of a former incarnation last as long as the minion accepts.
