A minion counts as gone only when its id cannot return

What callers could see: two live runs of a task, or a task that crashes minions started once more than allowed.

Causes, all in the first form of MachineReview: - A machine that is listed without a minion may start it again under its id. A former owner's start without a response, which only its record names or nobody knows, then reaches the new incarnation before the next owner's first call. - A restart that the directory shows while the list is read was ignored. - Runs were dropped without judging the crash, so a stored trial was never counted. - Only the machine that the entry names was looked up, and an empty list was believed.

Change: gone is a minion whose machine runs another minion, or is no longer listed while its entry is gone too. It ends as one at whose address another minion responds (#endIncarnation), which counts trials and suspects; a silent record with suspects is no exception any more. A minion that has just become absent is asked about at once, also while another one is cut off.

GoneMinions: a machine without a minion no longer counts, so the crash with the owner is one whose machine runs another minion; a start without a response no longer keeps the lease, since the id can't return.

--- a/packages/nutmegproxy-emulator/src/EmulatedMachineList.ts
+++ b/packages/nutmegproxy-emulator/src/EmulatedMachineList.ts
@@ -6,6 +6,7 @@
 import type {StoreFailure} from '@nutmegproxy/store';
 import type {ResultAsync} from 'neverthrow';
 
+import {brand} from '@nutmegproxy/core';
 import {errAsync, okAsync} from 'neverthrow';
 
 import type {EmulatedMinion} from './EmulatedMinion.ts';
@@ -15,8 +16,10 @@
   calls = 0;
   isDown = false;
   readonly #clock: Clock;
-  /** Minions whose machine is shown without them, although they are up. */
+  /** Minions whose machine is shown without a minion. */
   readonly hidden = new Set<MinionId>();
+  /** Minions whose machine is shown with another minion. */
+  readonly replaced = new Set<MinionId>();
   readonly #minions: ReadonlyMap<MinionId, EmulatedMinion>;
 
   constructor(clock: Clock, minions: ReadonlyMap<MinionId, EmulatedMinion>) {
@@ -35,7 +38,8 @@
       const {id, machine} = minion.description;
       if (machine !== undefined) {
         const isUp = !minion.isDown(now) && !this.hidden.has(id);
-        occupants.set(machine, isUp ? id : undefined);
+        const occupant = this.replaced.has(id) ? brand<MinionId>(`after ${id}`) : id;
+        occupants.set(machine, isUp ? occupant : undefined);
       }
     }
     return okAsync(occupants);
--- a/packages/nutmegproxy-owner/src/MinionSession.ts
+++ b/packages/nutmegproxy-owner/src/MinionSession.ts
@@ -117,6 +117,12 @@
     }
   }
 
+  /** Ends what ran on a minion that is gone for good, whatever leases it had. */
+  endLife(): void {
+    this.#endIncarnation('minion gone');
+    this.minion.leaseClock.end();
+  }
+
   /** Polls the minion until the session is closed. */
   async run(): Promise<void> {
     while (!this.#stopped) {
@@ -310,18 +316,18 @@
     }
     events.record(OWNER_EVENTS.ORDER_FAILED, {...fields, kind});
     if (kind === 'other-life') {
-      this.#endIncarnation();
+      this.#endIncarnation('address taken by another minion');
     }
   }
 
-  /** Another minion responds at the address, so no run of this one is live any more. */
-  #endIncarnation(): void {
+  /** Handles that no run of the minion is live any more. */
+  #endIncarnation(reason: string): void {
     const {clock, fleet} = this.#context;
     recordReplacement(fleet, this.minion, clock.monotonic());
     this.minion.areRunsKnown = true;
     this.minion.hasReported = false;
     for (const run of [...this.minion.runs]) {
-      fleet.recordLostRun(run, 'address taken by another minion');
+      fleet.recordLostRun(run, reason);
     }
   }
 }
--- a/packages/nutmegproxy-owner/src/MinionSessions.ts
+++ b/packages/nutmegproxy-owner/src/MinionSessions.ts
@@ -59,8 +59,9 @@
     this.recovery = new MinionRecovery({...options, ownership: session.ownership, record});
     this.#machineReview = new MachineReview({
       ...options,
-      onGone: (minion) => {
-        this.#endLife(minion);
+      onGone: ({id}) => {
+        this.#sessions.get(id)?.endLife();
+        options.onChange();
       },
       ownership: session.ownership,
     });
@@ -231,19 +232,6 @@
     }
   }
 
-  /**
-   * Ends what ran on a minion that is gone. A start without a response may still reach another
-   * incarnation under its id, so such runs keep its lease.
-   */
-  #endLife(minion: MinionState): void {
-    const {fleet, onChange} = this.#options;
-    fleet.loseConfirmedRuns(minion);
-    if (minion.runs.size === 0) {
-      minion.leaseClock.end();
-    }
-    onChange();
-  }
-
   /** Lets minions that no former owner knew get work, before they have reported. */
   #enroll(minions: readonly MinionDescription[]): void {
     for (const {id} of minions) {
--- a/packages/nutmegproxy-owner/src/OwnerConstants.ts
+++ b/packages/nutmegproxy-owner/src/OwnerConstants.ts
@@ -109,11 +109,11 @@
  * minion serves for no longer than this.
  */
 export const MAX_DIRECTORY_AGE_MS = 2_000;
-/** Pause before the first reviews of the platform's list of machines; it doubles with each. */
-export const MACHINE_REVIEW_INTERVAL_MS = 250;
-/** Longest such pause, for minions that stay cut off. */
-export const MACHINE_REVIEW_MAX_INTERVAL_MS = 2_000;
-/** Consecutive lists of machines that have to agree; the pages of one list may be from different times. */
-export const MACHINE_SIGHTINGS = 2;
+/** Pause between checks for minions that the list of machines may show to be gone. */
+export const MACHINE_REVIEW_INTERVAL_MS = 200;
+/** Most such checks between two lists of machines, for minions that stay cut off. */
+export const MAX_REVIEWS_WITHOUT_LIST = 9;
+/** Lists in a row that have to agree: the pages of one may be from different times. */
+export const MACHINE_LISTS = 2;
 /** Time after which a minion without an entry in the directory is removed. */
 export const REMOVE_UNLISTED_AFTER_MS = 3_000;
--- a/packages/nutmegproxy-owner/src/OwnerEvents.ts
+++ b/packages/nutmegproxy-owner/src/OwnerEvents.ts
@@ -50,7 +50,7 @@
   MINION_GONE: {
     code: 8141,
     level: 'info',
-    text: 'The machine of a silent minion runs another minion or none; its confirmed runs are over.',
+    text: 'The machine of a silent minion runs another one or is gone; the runs of the minion are over.',
   },
   MINION_REACHED: {code: 8133, level: 'info', text: 'A minion answers calls.'},
   MINION_RESTARTED: {
--- a/packages/nutmegproxy-scheduling/src/Fleet.ts
+++ b/packages/nutmegproxy-scheduling/src/Fleet.ts
@@ -110,13 +110,10 @@
   /** Removes the runs of a silent minion whose lease has expired; their results are not known yet. */
   expireLease(minion: MinionState): void {
     minion.lapsedRuns = minion.listExposedRuns(this.runNumberBase);
-    this.#loseRuns(minion, [...minion.runs], 'hold lapsed');
-  }
-
-  /** Removes the runs that a minion that is gone had confirmed; their results are not known. */
-  loseConfirmedRuns(minion: MinionState): void {
-    const confirmed = [...minion.runs].filter(({confirmedAt}) => confirmedAt !== undefined);
-    this.#loseRuns(minion, confirmed, 'minion gone');
+    for (const run of [...minion.runs]) {
+      this.recordUnknownResult(run.step, run.task.index, minion);
+      this.recordLostRun(run, 'hold lapsed');
+    }
   }
 
   /** Logs the runs that were adopted from one listing or silent record of a minion. */
@@ -283,13 +280,6 @@
     }
   }
 
-  #loseRuns(minion: MinionState, runs: readonly Run[], reason: string): void {
-    for (const run of runs) {
-      this.recordUnknownResult(run.step, run.task.index, minion);
-      this.recordLostRun(run, reason);
-    }
-  }
-
   #removeRun(run: Run): void {
     run.step.removeRun(run);
     this.minions.get(run.minion)?.removeRun(run);
