The listed end of a run ends earlier runs of its task that only a record names

What callers could see: a lasting task does not run for up to 10.5 s after a takeover although the end of its last run is listed.

Cause: a former owner's record names an older run of the task, on a minion that has left. The owner that started the later run was certain that the older one was over. A listed live run ends such runs (dropSupersededRuns), a listed end did not, and a record that is adopted after it did not look at the last known number.

Change: ends drop superseded runs too, and a recorded run below the last known number is not adopted. Whether it failed is not known, so it counts as a possible failure as long as its minion may say so, also beside a live run, as after an expired lease.

--- a/packages/nutmegproxy-jobs/src/StepState.ts
+++ b/packages/nutmegproxy-jobs/src/StepState.ts
@@ -158,6 +158,11 @@
     return this.#lastRun.has(index) || this.failures.has(index);
   }
 
+  /** Returns the highest known number of a run of the task, live or over. */
+  findLastRun(index: number): RunNumber | undefined {
+    return this.#lastRun.get(index);
+  }
+
   recordUnknownResult(index: number, minion: MinionId): void {
     const minions = this.unknownResults.get(index) ?? new Set();
     this.unknownResults.set(index, minions.add(minion));
--- a/packages/nutmegproxy-owner/src/SilentRecords.ts
+++ b/packages/nutmegproxy-owner/src/SilentRecords.ts
@@ -1,7 +1,7 @@
 /** Converts between the runs of a silent minion and the record of them for the next owner. */
 
 import type {Instant, WallTime} from '@nutmegproxy/core';
-import type {Run} from '@nutmegproxy/jobs';
+import type {Run, RunNumber, StepState} from '@nutmegproxy/jobs';
 import type {Fleet, FormerSuspect, MinionState, RunResult} from '@nutmegproxy/scheduling';
 
 import {after} from '@nutmegproxy/core';
@@ -44,6 +44,11 @@
   });
 }
 
+/** Whether a later run of the task is known: the owner that started it was certain that this one was over. */
+function isSuperseded(step: StepState, index: number, number: RunNumber): boolean {
+  return !step.shape.speculative && (step.findLastRun(index) ?? number) > number;
+}
+
 /** Reserves capacity for the runs that a silent minion may have until its lease has expired. */
 export function adoptRecordedRuns(
   fleet: Fleet,
@@ -70,7 +75,7 @@
     if (!step.waiting.has(task.index)) {
       continue;
     }
-    if (remainingMs > 0) {
+    if (remainingMs > 0 && !isSuperseded(step, task.index, number)) {
       const run = fleet.adoptRun(step, task, number, minion, now);
       run.knownFrom = 'record';
       adopted.push(run);
--- a/packages/nutmegproxy-scheduling/src/ListingReconciler.ts
+++ b/packages/nutmegproxy-scheduling/src/ListingReconciler.ts
@@ -85,6 +85,10 @@
   }
   for (const run of [...step.runsOf(task.index)]) {
     if (run.knownFrom === 'record' && run.number < number) {
+      const minion = fleet.minions.get(run.minion);
+      if (minion !== undefined) {
+        fleet.recordUnknownResult(step, task.index, minion);
+      }
       fleet.recordLostRun(run, 'superseded');
     }
   }
@@ -144,6 +148,7 @@
   if (run !== undefined) {
     fleet.finishRun(run, result.outcome, result.checkpoint, now);
   } else if (step !== undefined) {
+    dropSupersededRuns(fleet, step, result);
     fleet.applyResult(step, result.task, result.number, result.outcome, result.checkpoint);
   }
 }
--- a/packages/nutmegproxy-scheduling/src/__tests__/unit/ListingReconciler.test.ts
+++ b/packages/nutmegproxy-scheduling/src/__tests__/unit/ListingReconciler.test.ts
@@ -85,6 +85,20 @@
       assert.equal(live.runs.size, 1);
     });
 
+    it('ends one with a lower number that is only known from a record when its own end is listed', () => {
+      const sample = new SampleFleet(0);
+      const [lost, live] = [sample.addMinion('m1'), sample.addMinion('m2')];
+      const job = sample.addJob('proofs', [shape()]);
+      const step = getFirstStep(job);
+      const task = {index: 0, job: job.id, occurrence: 0, step: 0};
+      const assumed = sample.fleet.adoptRun(step, task, 1 as RunNumber, lost, at(0));
+      assumed.knownFrom = 'record';
+      reconcile(sample, live, {ended: [ended(job, 2, 'failed')]});
+      assert.equal(lost.runs.size, 0);
+      // The earlier run may have failed too, and its minion may still say so.
+      assert.equal(step.countPossibleFailures(0), 2);
+    });
+
     it('is stopped when its job is over', () => {
       const sample = new SampleFleet(0);
       const minion = sample.addMinion('m1');
