A start without a response is stopped when its minion drains

What callers could see: a task waits for as long as its minion drains, at times many seconds, and for the lease after that.

Cause: a draining minion gets no starts, so the start is not sent again; it may be carried out late, so it is not given up; and only running tasks are evacuated. Nothing ended the doubt while the minion responded.

Change: once the minion has listed its runs, such a start is stopped. The minion then rejects its number, however late the start arrives, and the next listing frees the task. A start that is still being sent, or was never sent, is handled as before. MachineReview compares response times strictly: a response at the instant of the request says nothing.

Tests: SilentMinions (by the review), both cases failed before and pass; GoneMinions, the start without a response passes.

--- a/packages/nutmegproxy-owner/src/MachineReview.ts
+++ b/packages/nutmegproxy-owner/src/MachineReview.ts
@@ -88,7 +88,7 @@
     }
     for (const {bornAt, machine, minion} of absent) {
       const isSame = minion.bornAt === bornAt && fleet.minions.get(minion.id) === minion;
-      const hasAnswered = (minion.lastAnswerAt ?? -Infinity) >= requestedAt;
+      const hasAnswered = (minion.lastAnswerAt ?? -Infinity) > requestedAt;
       const isGone = !shown.has(minion.id) && hasNewLife(occupants, machine, minion);
       if (!isSame || hasAnswered || !isAbsent(minion) || !isGone) {
         this.#agreeing.set(minion.id, 0);
--- a/packages/nutmegproxy-owner/src/RunOrders.ts
+++ b/packages/nutmegproxy-owner/src/RunOrders.ts
@@ -48,7 +48,9 @@
   /** Retries starts and stops whose attempts were used up while the minion did not respond. */
   resume(): void {
     for (const run of this.#minion.runs) {
-      if (run.phase === 'starting') {
+      if (run.phase === 'starting' && this.#isAbandoned(run)) {
+        this.#context.fleet.stopRun(run, 'evacuated');
+      } else if (run.phase === 'starting') {
         void this.start(run);
       } else if (run.phase === 'stopping') {
         const {minion, number, task} = run;
@@ -85,6 +87,12 @@
     this.#stopping.delete(key);
   }
 
+  /** Whether a start without a response is not sent again, since its minion drains. */
+  #isAbandoned(run: Run): boolean {
+    const {isDraining} = this.#minion.description;
+    return isDraining && this.#unansweredStarts.has(run) && !this.#starting.has(run);
+  }
+
   /**
    * Waits until a start that may crash the minion is stored, since the next owner has to know of it;
    * false when the store does not respond, so that the minion is free again.
