A later start time in an entry ends no run while the minion responds with its own

What callers saw: nothing that was traced to it; found by reading. When an entry of another writer under a live minion's id has a later `born`, the owner takes the minion for restarted: its runs count as lost and start again elsewhere while they run, what has just started there counts as having crashed it, and its lease counts as void.

Cause: MinionSession.observeIncarnation took the directory for as good a witness as the minion itself. Now a later start time in the entry of a minion that responds is a question for its next poll: the former start time in the listing denies it (8142), a failed poll confirms it. For a minion that does not respond or has not reported to this owner it counts at once, as before.

Why that is sound: until the poll has ended, the owner acts as if the watch had reported the restart later, which it must bear anyway (a watch may be 2 s late; DelayedDirectory, UnreachedMinions). Only a poll that was sent after the report is heard, since the response to an earlier one may be older than the restart. That poll acknowledges no results, since a new incarnation numbers its own from 1 and forgets those that are acknowledged, and it does not wait on the minion. A restart of a minion that is cut off without a missed call so far is known when the poll in flight times out, 2.5 s later at most than before.

Ruled out: to withhold leases until the poll has ended, since starts on the minion would be given up and placed again each round; to ignore such an entry of a silent minion, since a restart there would be known only when its lease expires. Not covered: an odd entry while the minion misses calls, and one that differs in its address too, so that the poll fails.

Test: OddMinions, "An entry with a later start time than the minion responds with". Before, two of its five cases failed: the lasting task got a second run and the first was stopped, and with an odd entry each 0.5 s no run was left on the minion. The three of real restarts (that responds, that can't be reached, that rejects calls) passed before and after.

--- a/packages/nutmegproxy-owner/src/MinionSession.ts
+++ b/packages/nutmegproxy-owner/src/MinionSession.ts
@@ -33,6 +33,8 @@
   #acknowledgedThrough = 0;
   #bornAt: number | undefined;
   readonly #context: SessionContext;
+  /** Start time of an incarnation that only the directory reports; the next poll decides whether it is. */
+  #reportedBornAt: number | undefined;
   #appliedThrough = 0;
   /** Results of the last listing: all that this session has not acknowledged. */
   #listedResults: readonly RunResult[] = [];
@@ -78,21 +80,43 @@
   }
 
   /**
-   * Detects a new incarnation of the minion by its start time. Both a listing and the minion's
-   * entry in the directory report it; only the first report means that the former runs are over.
+   * Detects a new incarnation of the minion by the start time in its entry. The entry may be another
+   * writer's, so a minion that responds is asked first. It may also be older than a listing, so an
+   * earlier start time is ignored.
    */
-  observeIncarnation(bornAt: number | undefined): void {
-    if (bornAt === undefined || bornAt === this.#bornAt) {
-      return;
+  observeEntry(bornAt: number | undefined): void {
+    const isLater = bornAt !== undefined && bornAt > (this.#bornAt ?? Infinity);
+    if (isLater && this.minion.hasReported && this.minion.missedCalls === 0) {
+      this.#reportedBornAt = bornAt;
+    } else {
+      this.#observeIncarnation(bornAt);
+    }
+  }
+
+  /**
+   * Detects a new incarnation by the start time in the response to a poll. `reportedBornAt` is the one
+   * that the directory alone had reported when the poll was sent.
+   */
+  #observeListing(bornAt: number | undefined, reportedBornAt: number | undefined): void {
+    const isDecisive = reportedBornAt !== undefined && reportedBornAt === this.#reportedBornAt;
+    if (isDecisive && bornAt !== undefined && bornAt <= (this.#bornAt ?? -Infinity)) {
+      this.#reportedBornAt = undefined;
+      const fields = {bornAt, entryBornAt: reportedBornAt, minion: this.minion.id};
+      this.#context.events.record(OWNER_EVENTS.RESTART_DENIED, fields);
     }
-    const isRestart = this.#bornAt !== undefined;
-    // An entry of the directory may be older than a listing, so an earlier start time is ignored.
-    if (isRestart && bornAt < (this.#bornAt ?? 0)) {
+    this.#observeIncarnation(bornAt ?? (isDecisive ? reportedBornAt : undefined));
+  }
+
+  /** Only the first report of a later start time means that the former runs are over. */
+  #observeIncarnation(bornAt: number | undefined): void {
+    const former = this.#bornAt;
+    if (bornAt === undefined || bornAt <= (former ?? -Infinity)) {
       return;
     }
     this.#bornAt = bornAt;
+    this.#reportedBornAt = undefined;
     this.minion.bornAt = bornAt;
-    if (isRestart) {
+    if (former !== undefined) {
       this.#handleRestart(bornAt);
     }
   }
@@ -152,7 +176,6 @@
 
   #applyListing(listing: MinionListing, requestedAt: Instant, now: Instant): void {
     const {fleet, onListed} = this.#context;
-    this.observeIncarnation(listing.bornAt);
     this.minion.leaseClock.observe(listing.clockMs, now);
     this.#recordDurations(listing, now);
     reconcileListing(fleet, this.minion, listing, {
@@ -182,8 +205,10 @@
       return false;
     }
     load.recordPoll();
+    const reportedBornAt = this.#reportedBornAt;
     const answer = await orders.poll(this.#target, {
-      ackedThrough: this.#acknowledgedThrough,
+      // A new incarnation numbers its results anew, and would drop those that this one acknowledges.
+      ackedThrough: reportedBornAt === undefined ? this.#acknowledgedThrough : 0,
       token: ownership.token,
       untilMs: this.#grantLease(requestedAt),
       waitMs: this.#chooseWaitMs(requestedAt),
@@ -193,10 +218,13 @@
     }
     const now = clock.monotonic();
     if (answer.isErr()) {
+      // Nothing speaks against a restart that the directory reports.
+      this.#observeIncarnation(this.#reportedBornAt);
       this.#handleFailure(answer.error, 'hold');
       return false;
     }
     const hadReading = this.minion.leaseClock.hasReading;
+    this.#observeListing(answer.value.bornAt, reportedBornAt);
     this.#applyListing(answer.value, requestedAt, now);
     onChange();
     if (answer.value.ended.length > 0) {
@@ -223,7 +251,7 @@
       isNearTarget: this.#context.isNearTarget(this.minion),
       overdueInMs: this.#context.overdueInMs(this.minion, now),
     });
-    return this.minion.isRegistered ? waitMs : 0;
+    return this.minion.isRegistered && this.#reportedBornAt === undefined ? waitMs : 0;
   }
 
   /** Waits until the next poll is due, counted from the last response. */
--- a/packages/nutmegproxy-owner/src/MinionSessions.ts
+++ b/packages/nutmegproxy-owner/src/MinionSessions.ts
@@ -350,7 +350,7 @@
     }
     minion.unlistedSince = undefined;
     minion.drainingSince = description.isDraining ? (minion.drainingSince ?? now) : undefined;
-    session.observeIncarnation(description.bornAt);
+    session.observeEntry(description.bornAt);
   }
 }
 
--- a/packages/nutmegproxy-owner/src/OwnerEvents.ts
+++ b/packages/nutmegproxy-owner/src/OwnerEvents.ts
@@ -88,6 +88,11 @@
     level: 'info',
     text: 'Recovery waits for minions that have neither reported nor lost their lease.',
   },
+  RESTART_DENIED: {
+    code: 8142,
+    level: 'warn',
+    text: 'A minion responds with its former start time, so a later one in its entry is ignored.',
+  },
   SESSION_FAILED: {
     code: 8139,
     level: 'error',
