Trials that end in crashes at the same time do not excuse each other

What callers saw: two jobs whose tasks crash their minions some seconds after each start go on crashing minions for ever.

Cause: minions that fail at about the same time without a suspected run of one job count as failed by their machines. Tasks that crashed minions together become suspects together, are put on trial together and crash their minions together again. Each of these crashes counted as coincident; late ones of that kind never add up to a verdict.

Now an outage of a minion with a trial says nothing of another minion with a trial. Any other machine that fails with them, idle or with a young run, still excuses both.

Ruled out: to look at trials only when no other run is on the minion, since a trial may be beside other runs after 0.7 s. To start one trial at a time, since suspects would wait for one another (not tried).

Not mended: uncounted first crashes.

--- a/packages/nutmegproxy-scheduling/src/CrashAttribution.ts
+++ b/packages/nutmegproxy-scheduling/src/CrashAttribution.ts
@@ -24,6 +24,7 @@
 export interface ExposedRun {
   /** Time in milliseconds for which the run is known to have been live before the crash. */
   readonly ageMs: number;
+  readonly isOnTrial: boolean;
   /** Whether the run is young enough, or on trial. */
   readonly isSuspect: boolean;
   readonly run: Run;
@@ -39,6 +40,8 @@
 /** The failure of a minion, some time between its last response and its first missed call. */
 export interface MinionOutage {
   readonly from: Instant;
+  /** Whether a run on it was on trial. */
+  readonly hasTrial: boolean;
   readonly minion: MinionId;
   /** Jobs of the runs that may be to blame. */
   readonly suspectJobs: ReadonlySet<JobId>;
@@ -92,6 +95,18 @@
   return new Set(exposed.map(({run}) => run.task.job));
 }
 
+/**
+ * Returns the other outages that may show that machines failed together. Tasks that are suspected at the
+ * same time crash their minions at the same time again, so one trial says nothing of another.
+ */
+function selectTelling(
+  exposed: readonly ExposedRun[],
+  others: readonly MinionOutage[],
+): readonly MinionOutage[] {
+  const hasTrial = exposed.some(({isOnTrial}) => isOnTrial);
+  return hasTrial ? others.filter((other) => !other.hasTrial) : others;
+}
+
 /** Whether no job can be to blame for all outages, so that the machines failed together. */
 function haveDifferentCauses(
   suspects: readonly ExposedRun[],
@@ -123,7 +138,7 @@
           recorded: recorded.filter(({run}) => !run.step.shape.longRunning),
         };
   }
-  if (haveDifferentCauses(suspects, others)) {
+  if (haveDifferentCauses(suspects, selectTelling(exposed, others))) {
     return {cause: 'outage', evidence: 'coincident', recorded: suspects};
   }
   const evidence = listJobs(exposed).size === 1 ? 'alone' : 'shared';
--- a/packages/nutmegproxy-scheduling/src/CrashRecorder.ts
+++ b/packages/nutmegproxy-scheduling/src/CrashRecorder.ts
@@ -28,6 +28,7 @@
   const until = minion.silentSince ?? now;
   return {
     from: Math.min(minion.lastProofAt, until) as Instant,
+    hasTrial: exposed.some(({isOnTrial}) => isOnTrial),
     minion: minion.id,
     suspectJobs: listJobs(exposed.filter(({isSuspect}) => isSuspect)),
     until,
--- a/packages/nutmegproxy-scheduling/src/MinionState.ts
+++ b/packages/nutmegproxy-scheduling/src/MinionState.ts
@@ -172,7 +172,7 @@
     const live = [...this.runs].map((run) => {
       const ageMs = computeProvenAge(run, times);
       const isOnTrial = run.step.crashes.trials.get(run.task.index)?.run === run.number;
-      return {ageMs, isSuspect: ageMs < FRESH_RUN_MS || isOnTrial, run};
+      return {ageMs, isOnTrial, isSuspect: ageMs < FRESH_RUN_MS || isOnTrial, run};
     });
     return [...this.lapsedRuns, ...live];
   }
--- a/packages/nutmegproxy-scheduling/src/__tests__/unit/CrashAttribution.test.ts
+++ b/packages/nutmegproxy-scheduling/src/__tests__/unit/CrashAttribution.test.ts
@@ -121,6 +121,45 @@
     assert.deepEqual(jobs.map(listEvidence), [['coincident'], ['coincident']]);
   });
 
+  describe('of two minions with a trial each at the same time', () => {
+    function crashOnTrial(sample: SampleFleet, others: readonly MinionState[]): string[] {
+      const trials = ['t1', 't2'].map((name) => {
+        const minion = sample.addMinion(name);
+        const job = sample.addJob('proofs', [shape()]);
+        startOn(sample, job, minion, 1_000);
+        const {number} = [...minion.runs][0] ?? {};
+        assert.ok(number !== undefined);
+        const trial = {bornAt: 1, minion: minion.id, run: number};
+        job.occurrence(0)?.[0]?.crashes.trials.set(0, trial);
+        return {job, minion};
+      });
+      for (const minion of [...others, ...trials.map((each) => each.minion)]) {
+        crash(sample, minion, 4_000);
+      }
+      return trials.flatMap(({job}) => listEvidence(job));
+    }
+
+    it('counts both against the tasks on trial', () => {
+      const sample = new SampleFleet(0);
+      assert.deepEqual(crashOnTrial(sample, []), ['alone', 'alone']);
+    });
+
+    it('counts neither when another machine fails with them', () => {
+      const sample = new SampleFleet(1);
+      const others = [...sample.fleet.minions.values()];
+      assert.deepEqual(crashOnTrial(sample, others), ['coincident', 'coincident']);
+    });
+
+    it('counts neither when another task had just started on a third one', () => {
+      const sample = new SampleFleet(1);
+      const others = [...sample.fleet.minions.values()];
+      for (const minion of others) {
+        startOn(sample, sample.addJob('proofs', [shape()]), minion, 4_000);
+      }
+      assert.deepEqual(crashOnTrial(sample, others), ['coincident', 'coincident']);
+    });
+  });
+
   it('suspects a run under which two minions crash late, and not one that ran for long', () => {
     const sample = new SampleFleet(2);
     const late = sample.addJob('proofs', [shape()]);
--- a/packages/nutmegproxy-scheduling/src/__tests__/unit/TaskTrials.test.ts
+++ b/packages/nutmegproxy-scheduling/src/__tests__/unit/TaskTrials.test.ts
@@ -1,5 +1,6 @@
 import type {JobState, Run} from '@nutmegproxy/jobs';
 
+import {formatTaskName} from '@nutmegproxy/jobs';
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
 
@@ -11,18 +12,22 @@
 
 describe('A task that crashes its minion some time after its start', () => {
   /** Counts the starts of the most started task while each run crashes its minion at an age. */
-  function countStarts(sample: SampleFleet, job: JobState, ageMs: number): number {
-    const starts = new Map<number, number>();
+  function countStarts(sample: SampleFleet, jobs: readonly JobState[], ageMs: number): number {
+    const starts = new Map<string, number>();
     const seen = new Set<Run>();
     play(sample, 0, 60_000, (now) => {
       const due: MinionState[] = [];
       for (const minion of sample.fleet.minions.values()) {
         for (const run of minion.runs) {
-          if (run.step.job === job && !seen.has(run)) {
+          if (!jobs.includes(run.step.job)) {
+            continue;
+          }
+          if (!seen.has(run)) {
+            const name = formatTaskName(run.task);
             seen.add(run);
-            starts.set(run.task.index, (starts.get(run.task.index) ?? 0) + 1);
+            starts.set(name, (starts.get(name) ?? 0) + 1);
           }
-          if (run.step.job === job && now - (run.confirmedAt ?? now) >= ageMs) {
+          if (now - (run.confirmedAt ?? now) >= ageMs) {
             due.push(minion);
           }
         }
@@ -37,7 +42,7 @@
     const good = sample.addJob('proofs', [shape({count: 8, longRunning: true, maxPerMinion: 2})]);
     sample.plan(0);
     const deadly = sample.addJob('proofs', [shape()]);
-    const starts = countStarts(sample, deadly, 3_000);
+    const starts = countStarts(sample, [deadly], 3_000);
     assert.ok(starts <= 5, `${starts} starts`);
     assert.equal(good.isFinal, false);
   });
@@ -57,14 +62,27 @@
   it('is given up on idle minions', () => {
     const sample = new SampleFleet(6);
     const deadly = sample.addJob('proofs', [shape()]);
-    const starts = countStarts(sample, deadly, 3_000);
+    const starts = countStarts(sample, [deadly], 3_000);
     assert.ok(starts <= 5, `${starts} starts`);
   });
 
+  for (const ageMs of [0, 400, 3_000]) {
+    it(`is given up though tasks of two jobs do the same, each ${ageMs} ms after its start`, () => {
+      const sample = new SampleFleet(8);
+      const jobs = [0, 1].map(() => sample.addJob('proofs', [shape()]));
+      const starts = countStarts(sample, jobs, ageMs);
+      assert.ok(starts <= 5, `${starts} starts`);
+      assert.deepEqual(
+        jobs.map(({status}) => status),
+        ['failed', 'failed'],
+      );
+    });
+  }
+
   it('is given up though another task of its job does the same at the same time', () => {
     const sample = new SampleFleet(6);
     const deadly = sample.addJob('proofs', [shape({count: 2, maxPerMinion: 1})]);
-    const starts = countStarts(sample, deadly, 3_000);
+    const starts = countStarts(sample, [deadly], 3_000);
     assert.ok(starts <= 5, `${starts} starts`);
   });
 });
