Three crashes give a task up when one of them was alone, though others are unconfirmed

Cause: an owner that is killed leaves a crash under a first start uncounted. A crash of a minion that ran nothing but the task speaks against the task more than the coincident ones that count in full; with one among them, three are enough.

Ruled out: three without one that was alone, since a minion that was cut off may have ended the run before it crashed. A record of first starts would count all, and costs a write for each start.

--- a/packages/nutmegproxy-scheduling/src/CrashVerdict.ts
+++ b/packages/nutmegproxy-scheduling/src/CrashVerdict.ts
@@ -11,7 +11,7 @@
 const MAX_SHARED_CRASHES = 3;
 /** The same where machines may have failed each time. Each owner that is killed may leave one uncounted. */
 const MAX_CONFIRMED_CRASHES = 3;
-/** The same where the minions may have been down before the starts. */
+/** The same where the minions may have been down before the starts, and none was alone with the task. */
 const MAX_FRESH_CRASHES = 4;
 /** The same for runs of any age where no machine is known to have failed. */
 const MAX_BLAMED_CRASHES = 4;
@@ -49,9 +49,10 @@
   const isRepeated = countStarts(strong) >= MAX_SHARED_CRASHES;
   const isConfirmed = countMinions(blamed) >= MIN_MINIONS && countStarts(blamed) > 1;
   const confirmed = fresh.filter(({evidence}) => evidence !== 'unconfirmed');
+  const maxFresh = alone.length > 0 ? MAX_CONFIRMED_CRASHES : MAX_FRESH_CRASHES;
   const isExhausted =
     countMinions(fresh) >= MIN_MINIONS &&
-    (countStarts(confirmed) >= MAX_CONFIRMED_CRASHES || countStarts(fresh) >= MAX_FRESH_CRASHES);
+    (countStarts(confirmed) >= MAX_CONFIRMED_CRASHES || countStarts(fresh) >= maxFresh);
   const isOften = countStarts(blamed) >= MAX_BLAMED_CRASHES;
   const possible = crashes.filter(({evidence}) => evidence !== 'coincident');
   const isOverdue =
--- a/packages/nutmegproxy-scheduling/src/__tests__/unit/TaskTrials.test.ts
+++ b/packages/nutmegproxy-scheduling/src/__tests__/unit/TaskTrials.test.ts
@@ -1,9 +1,10 @@
-import type {JobState, Run} from '@nutmegproxy/jobs';
+import type {CrashEvidence, JobState, Run} from '@nutmegproxy/jobs';
 
 import {formatTaskName} from '@nutmegproxy/jobs';
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
 
+import type {TaskVerdict} from '../../CrashVerdict.ts';
 import type {MinionState} from '../../MinionState.ts';
 
 import {CRASH_VERDICTS} from '../../CrashVerdict.ts';
@@ -59,6 +60,31 @@
     assert.equal(CRASH_VERDICTS.byTrial(crashes), 'guilty');
   });
 
+  describe('and under whose starts other crashes may have been cuts', () => {
+    function judge(...evidence: readonly CrashEvidence[]): TaskVerdict {
+      const crashes = evidence.map((each, index) => ({
+        address: `m${index % 2}:1`,
+        ageMs: 0,
+        evidence: each,
+        minion: `m${index % 2}` as MinionState['id'],
+        run: (index + 1) as Run['number'],
+      }));
+      return CRASH_VERDICTS.byTrial(crashes);
+    }
+
+    it('is given up after three crashes, one of them alone on its minion', () => {
+      assert.equal(judge('unconfirmed', 'alone'), 'suspect');
+      assert.equal(judge('unconfirmed', 'alone', 'unconfirmed'), 'guilty');
+      assert.equal(judge('coincident', 'unconfirmed', 'alone'), 'guilty');
+    });
+
+    it('is not given up after three of them, when machines may have failed each time', () => {
+      assert.equal(judge('unconfirmed', 'unconfirmed', 'unconfirmed'), 'suspect');
+      assert.equal(judge('coincident', 'unconfirmed', 'coincident'), 'suspect');
+      assert.equal(judge('unconfirmed', 'shared', 'unconfirmed'), 'suspect');
+    });
+  });
+
   it('is given up on idle minions', () => {
     const sample = new SampleFleet(6);
     const deadly = sample.addJob('proofs', [shape()]);
