--- a/packages/nutmegproxy-scheduling/src/__tests__/unit/TaskTrials.test.ts
+++ b/packages/nutmegproxy-scheduling/src/__tests__/unit/TaskTrials.test.ts
@@ -1,8 +1,10 @@
-import type {JobState, Run} from '@nutmegproxy/jobs';
+import type {CrashEvidence, JobState, Run} from '@nutmegproxy/jobs';
 
+import {formatTaskName} from '@nutmegproxy/jobs';
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
 
+import type {TaskVerdict} from '../../CrashVerdict.ts';
 import type {MinionState} from '../../MinionState.ts';
 
 import {CRASH_VERDICTS} from '../../CrashVerdict.ts';
@@ -11,18 +13,22 @@
 
 describe('A task that crashes its minion some time after its start', () => {
   /** Counts the starts of the most started task while each run crashes its minion at an age. */
-  function countStarts(sample: SampleFleet, job: JobState, ageMs: number): number {
-    const starts = new Map<number, number>();
+  function countStarts(sample: SampleFleet, jobs: readonly JobState[], ageMs: number): number {
+    const starts = new Map<string, number>();
     const seen = new Set<Run>();
     play(sample, 0, 60_000, (now) => {
       const due: MinionState[] = [];
       for (const minion of sample.fleet.minions.values()) {
         for (const run of minion.runs) {
-          if (run.step.job === job && !seen.has(run)) {
+          if (!jobs.includes(run.step.job)) {
+            continue;
+          }
+          if (!seen.has(run)) {
+            const name = formatTaskName(run.task);
             seen.add(run);
-            starts.set(run.task.index, (starts.get(run.task.index) ?? 0) + 1);
+            starts.set(name, (starts.get(name) ?? 0) + 1);
           }
-          if (run.step.job === job && now - (run.confirmedAt ?? now) >= ageMs) {
+          if (now - (run.confirmedAt ?? now) >= ageMs) {
             due.push(minion);
           }
         }
@@ -37,7 +43,7 @@
     const good = sample.addJob('proofs', [shape({count: 8, longRunning: true, maxPerMinion: 2})]);
     sample.plan(0);
     const deadly = sample.addJob('proofs', [shape()]);
-    const starts = countStarts(sample, deadly, 3_000);
+    const starts = countStarts(sample, [deadly], 3_000);
     assert.ok(starts <= 5, `${starts} starts`);
     assert.equal(good.isFinal, false);
   });
@@ -54,17 +60,55 @@
     assert.equal(CRASH_VERDICTS.byTrial(crashes), 'guilty');
   });
 
+  describe('and under whose starts other crashes may have been cuts', () => {
+    function judge(...evidence: readonly CrashEvidence[]): TaskVerdict {
+      const crashes = evidence.map((each, index) => ({
+        address: `m${index % 2}:1`,
+        ageMs: 0,
+        evidence: each,
+        minion: `m${index % 2}` as MinionState['id'],
+        run: (index + 1) as Run['number'],
+      }));
+      return CRASH_VERDICTS.byTrial(crashes);
+    }
+
+    it('is given up after three crashes, one of them alone on its minion', () => {
+      assert.equal(judge('unconfirmed', 'alone'), 'suspect');
+      assert.equal(judge('unconfirmed', 'alone', 'unconfirmed'), 'guilty');
+      assert.equal(judge('coincident', 'unconfirmed', 'alone'), 'guilty');
+    });
+
+    it('is not given up after three of them, when machines may have failed each time', () => {
+      assert.equal(judge('unconfirmed', 'unconfirmed', 'unconfirmed'), 'suspect');
+      assert.equal(judge('coincident', 'unconfirmed', 'coincident'), 'suspect');
+      assert.equal(judge('unconfirmed', 'shared', 'unconfirmed'), 'suspect');
+    });
+  });
+
   it('is given up on idle minions', () => {
     const sample = new SampleFleet(6);
     const deadly = sample.addJob('proofs', [shape()]);
-    const starts = countStarts(sample, deadly, 3_000);
+    const starts = countStarts(sample, [deadly], 3_000);
     assert.ok(starts <= 5, `${starts} starts`);
   });
 
+  for (const ageMs of [0, 400, 3_000]) {
+    it(`is given up though tasks of two jobs do the same, each ${ageMs} ms after its start`, () => {
+      const sample = new SampleFleet(8);
+      const jobs = [0, 1].map(() => sample.addJob('proofs', [shape()]));
+      const starts = countStarts(sample, jobs, ageMs);
+      assert.ok(starts <= 5, `${starts} starts`);
+      assert.deepEqual(
+        jobs.map(({status}) => status),
+        ['failed', 'failed'],
+      );
+    });
+  }
+
   it('is given up though another task of its job does the same at the same time', () => {
     const sample = new SampleFleet(6);
     const deadly = sample.addJob('proofs', [shape({count: 2, maxPerMinion: 1})]);
-    const starts = countStarts(sample, deadly, 3_000);
+    const starts = countStarts(sample, [deadly], 3_000);
     assert.ok(starts <= 5, `${starts} starts`);
   });
 });
