--- a/packages/nutmegproxy-emulator/src/__tests__/unit/CrashHarness.ts
+++ b/packages/nutmegproxy-emulator/src/__tests__/unit/CrashHarness.ts
@@ -2,8 +2,9 @@
 
 import type {EventFields, EventKind} from '@nutmegproxy/core';
 import type {JobProgress, StoredJob} from '@nutmegproxy/jobs';
+import type {MachineId} from '@nutmegproxy/scheduling';
 
-import {SYSTEM_CLOCK} from '@nutmegproxy/core';
+import {brand, SYSTEM_CLOCK} from '@nutmegproxy/core';
 import {decodeProgress, formatJobKey} from '@nutmegproxy/jobs';
 import {MemoryStore} from '@nutmegproxy/standins';
 import {getKey} from '@nutmegproxy/store';
@@ -30,7 +31,7 @@
 
   addMinion(name: string, address = `${name}:1`): EmulatedMinion {
     const minion = new EmulatedMinion(
-      createMinionDescription(name, {address}),
+      createMinionDescription(name, {address, machine: brand<MachineId>(`machine of ${name}`)}),
       ({job}) => this.behaviours.get(job) ?? {durationMs: 20, outcome: 'done'},
     );
     this.fleet.add(minion);
