A minion with a stored trial is left to the judgement of crashes, not to the list of machines

MachineReview took a minion for gone that crashed in a trial together with its owner, so that the task on trial started again before the crash counted, and its new trial replaced the record. A minion that does not drain and that a stored trial names now waits for its return or its lease, as one with suspects does, and as without the list.

Ruled out: counting the crash at once when the list shows the machine without the minion; an unseen departure, which the list shows alike on some machines, would count as a crash. What remains: while such a minion is down, recovery waits for it.

--- a/packages/nutmegproxy-owner/src/MachineReview.ts
+++ b/packages/nutmegproxy-owner/src/MachineReview.ts
@@ -10,6 +10,7 @@
 import type {Fleet, MachineId, MinionState} from '@nutmegproxy/scheduling';
 
 import {delay} from '@nutmegproxy/core';
+import {hasStoredTrial} from '@nutmegproxy/scheduling';
 
 import type {FleetOwnership} from './FleetOwnership.ts';
 import type {MachineList, MachineOccupants} from './MachineList.ts';
@@ -75,10 +76,10 @@
   }
 
   #apply(absent: readonly AbsentMinion[], occupants: MachineOccupants, requestedAt: Instant): void {
-    const {clock, events, onGone} = this.#options;
+    const {clock, events, fleet, onGone} = this.#options;
     for (const {machine, minion} of absent) {
       const occupant = occupants.get(machine);
-      if (occupant === minion.id || !isAbsent(minion)) {
+      if (occupant === minion.id || !isAbsent(fleet, minion)) {
         this.#sightings.delete(minion.id);
         continue;
       }
@@ -125,7 +126,7 @@
     }
     return [...fleet.minions.values()].flatMap((minion) => {
       const {machine} = minion.description;
-      return machine !== undefined && isAbsent(minion) && !minion.leaseClock.isExpired(now)
+      return machine !== undefined && isAbsent(fleet, minion) && !minion.leaseClock.isExpired(now)
         ? [{machine, minion}]
         : [];
     });
@@ -133,15 +134,17 @@
 }
 
 /**
- * Whether a minion that does not respond may have runs. One that has responded to this owner and does not
- * drain has crashed, which is judged when it is back or its lease has expired.
+ * Whether a minion that does not respond may have runs. One that does not drain and has responded to this
+ * owner, or is named by a trial, has crashed, which is judged when it is back or its lease has expired.
  */
-function isAbsent(minion: MinionState): boolean {
+function isAbsent(fleet: Fleet, minion: MinionState): boolean {
   const {areRunsKnown, formerSuspects, hasReported, missedCalls, runs, unlistedSince} = minion;
   const isSilent = missedCalls > 0 || unlistedSince !== undefined;
   const mayHaveRuns = runs.size > 0 || !areRunsKnown;
-  const mayHaveCrashed = formerSuspects !== undefined || (hasReported && !isLeaving(minion));
-  return isSilent && mayHaveRuns && !mayHaveCrashed;
+  if (!isSilent || !mayHaveRuns || formerSuspects !== undefined) {
+    return false;
+  }
+  return isLeaving(minion) || (!hasReported && !hasStoredTrial(fleet, minion));
 }
 
 function isLeaving({description, isRecordedDraining}: MinionState): boolean {
--- a/packages/nutmegproxy-scheduling/src/CrashRecorder.ts
+++ b/packages/nutmegproxy-scheduling/src/CrashRecorder.ts
@@ -123,6 +123,11 @@
   return stored;
 }
 
+/** Whether the store names a minion for a trial whose outcome is not known. */
+export function hasStoredTrial(fleet: Fleet, minion: MinionState): boolean {
+  return listTrialsOn(fleet, minion).length > 0;
+}
+
 /**
  * Records suspects of a former owner, and trials of one or of a lease that expired meanwhile, on a
  * minion that has crashed since. Whether the start was sent, and what else has failed, is not known.
--- a/packages/nutmegproxy-scheduling/src/index.ts
+++ b/packages/nutmegproxy-scheduling/src/index.ts
@@ -10,7 +10,7 @@
   FormerSuspect,
   MinionOutage,
 } from './CrashAttribution.ts';
-export {recordMinionCrash, recordReplacement} from './CrashRecorder.ts';
+export {hasStoredTrial, recordMinionCrash, recordReplacement} from './CrashRecorder.ts';
 export {computeTrialMs, CRASH_VERDICTS} from './CrashVerdict.ts';
 export type {TaskVerdict} from './CrashVerdict.ts';
 export {DurationEstimator} from './DurationEstimator.ts';
