A waiting VM dates stored records by every response of the store

What callers saw: a lasting task of a minion that had left did not run again within 9 s when its owner stopped as planned and the next one was killed half a second later.

Cause: the times of a closing record count from when the VM first knew of a later state of the store, and the VM noted changes of the ownership only. A record that is stored after the next acquisition was dated from the end of that ownership, which after a kill comes up to 2 s later.

A response that names a revision proves that the store had reached it when the response arrived, so a record of at most that revision was stored by then; responses that are late or stale date it later, which is safe. The log remembers 4,096 revisions in place of 64 changes of ownership, and its test records 10,000 in place of 200, again more than are remembered.

Test: PlannedStops, "does not delay a task of a minion that left when the account was stored after its acquisition".

--- a/packages/nutmegproxy-emulator/src/__tests__/unit/PlannedStops.test.ts
+++ b/packages/nutmegproxy-emulator/src/__tests__/unit/PlannedStops.test.ts
@@ -19,6 +19,8 @@
 const SETTLED_MS = 500;
 /** Time in milliseconds for which a planned stop leaves the fleet without an owner. */
 const TAKEOVER_MS = 500;
+/** Time in milliseconds for which a killed owner keeps the ownership. */
+const OWNERSHIP_KEPT_MS = 2_000;
 /** Time in milliseconds that passes in each step, and the real pause after it. */
 const STEP_MS = 250;
 const STEP_PAUSE_MS = 60;
@@ -83,6 +85,37 @@
     });
   });
 
+  describe('an owner that is killed right after a planned stop', () => {
+    it('does not delay a task of a minion that left when the account was stored after its acquisition', async () => {
+      let isDelayed = false;
+      const isFailing = (args: readonly unknown[]): boolean =>
+        isDelayed && isWriteOf(CLOSING_KEY, args);
+      const {started} = await harness.startKillable('vm-1', isFailing);
+      await runLastingTask();
+      const last = harness.startWaitingVm('vm-3');
+      isDelayed = true;
+      await harness.stopAsPlanned(started);
+      harness.fleet.remove(minion.description.id);
+      const second = await harness.startKillable('vm-2');
+      await sleep(SETTLED_MS);
+      isDelayed = false;
+      await waitForRecord(harness.store, CLOSING_KEY, (text) => text !== '');
+      await sleep(SETTLED_MS);
+      await last.observe();
+      harness.clock.advance(TAKEOVER_MS);
+      await second.kill(OWNERSHIP_KEPT_MS);
+      last.isAllowed = true;
+      await waitFor('the VM owns the fleet', () => last.ownership !== undefined);
+      const other = harness.addMinion('m2');
+      await waitFor('the minion has reported', () => other.answeredPolls > 0);
+      await sleep(SETTLED_MS);
+      const remainingMs = RESTART_DEADLINE_MS - TAKEOVER_MS - OWNERSHIP_KEPT_MS;
+      assert.ok(last.ownership);
+      await harness.passTime(last.ownership, remainingMs, STEP_MS, STEP_PAUSE_MS);
+      await waitFor('the task runs again', () => other.liveTasks.length === 1, REACTION_MS);
+    });
+  });
+
   describe('an owner that is stopped before it has received the closing record', () => {
     it('does not add the difference of two wall clocks to the lease of a silent minion', async () => {
       const first = await harness.start('vm-1');
--- a/packages/nutmegproxy-emulator/src/__tests__/unit/TakeoverHarness.ts
+++ b/packages/nutmegproxy-emulator/src/__tests__/unit/TakeoverHarness.ts
@@ -5,7 +5,7 @@
 import type {PlatformStore} from '@nutmegproxy/store';
 
 import {brand, ManualClock} from '@nutmegproxy/core';
-import {OwnerCandidate} from '@nutmegproxy/owner';
+import {OWNER_KEY, OwnerCandidate, RevisionLog} from '@nutmegproxy/owner';
 import {MemoryStore} from '@nutmegproxy/standins';
 
 import type {TaskBehaviour} from '../../EmulatedMinion.ts';
@@ -22,13 +22,16 @@
 
 /** An owner that can be killed: it stores nothing any more, and its ownership is free. */
 export interface KillableOwner {
-  readonly kill: () => Promise<void>;
+  /** Kills it; `keptMs` milliseconds pass until its ownership is free. */
+  readonly kill: (keptMs?: number) => Promise<void>;
   readonly started: StartedOwner;
 }
 
 /** A VM that acquires the ownership once it is allowed to. */
 export interface WaitingVm {
   isAllowed: boolean;
+  /** Makes a store call, whose response tells the VM the revision of the store. */
+  readonly observe: () => Promise<void>;
   /** Undefined until it has acquired it. */
   ownership: FleetOwnership | undefined;
 }
@@ -117,9 +120,10 @@
     let isIsolated = false;
     const view = createFailingStore(this.store, (args) => isIsolated || isFailing(args));
     const started = await this.start(vm, view);
-    const kill = async (): Promise<void> => {
+    const kill = async (keptMs = 0): Promise<void> => {
       isIsolated = true;
       started.owner.stop('killed');
+      this.clock.advance(keptMs);
       await this.store.revokeLease(started.ownership.lease);
     };
     return {kill, started};
@@ -129,7 +133,12 @@
   startWaitingVm(vm: string): WaitingVm {
     const {clock, fleet, store} = this;
     const events: EventSink = {record: (kind) => this.events.push(kind)};
-    const waiting: WaitingVm = {isAllowed: false, ownership: undefined};
+    const revisions = new RevisionLog();
+    const observe = async (): Promise<void> => {
+      const read = await store.commit({compare: [], then: [{key: OWNER_KEY, kind: 'get'}]});
+      revisions.record(read._unsafeUnwrap().revision, clock.monotonic());
+    };
+    const waiting: WaitingVm = {isAllowed: false, observe, ownership: undefined};
     const candidate = new OwnerCandidate({
       canOwn: () => waiting.isAllowed,
       clock,
@@ -141,6 +150,7 @@
       otherCores: () => [],
       ownCores: 1,
       random: () => 0,
+      revisions,
       store,
       vm: brand<VmId>(vm),
     });
--- a/packages/nutmegproxy-owner/src/OwnerCandidate.ts
+++ b/packages/nutmegproxy-owner/src/OwnerCandidate.ts
@@ -8,6 +8,7 @@
 
 import type {FleetOwnership} from './FleetOwnership.ts';
 import type {Owner} from './Owner.ts';
+import type {RevisionLog} from './RevisionLog.ts';
 
 import {
   HANDOVER_CHECK_INTERVAL_MS,
@@ -31,6 +32,8 @@
   readonly ownCores: number;
   /** Returns a random number from 0 to 1. */
   readonly random: () => number;
+  /** When this process knew which state of the store; default: by the changes of ownership alone. */
+  readonly revisions?: RevisionLog;
   readonly store: PlatformStore;
   readonly vm: VmId;
 }
--- a/packages/nutmegproxy-owner/src/OwnerElection.ts
+++ b/packages/nutmegproxy-owner/src/OwnerElection.ts
@@ -30,6 +30,8 @@
 export interface ElectionOptions {
   readonly clock: Clock;
   readonly events: EventSink;
+  /** Default: an empty one. */
+  readonly revisions?: RevisionLog;
   readonly store: PlatformStore;
   readonly vm: VmId;
 }
@@ -55,12 +57,13 @@
 }
 
 export class OwnerElection {
-  /** When this process knew which state of the store; candidates add the changes of ownership. */
-  readonly revisions = new RevisionLog();
+  /** When this process knew which state of the store; candidates and acquisitions add to it. */
+  readonly revisions: RevisionLog;
   readonly #options: ElectionOptions;
 
   constructor(options: ElectionOptions) {
     this.#options = options;
+    this.revisions = options.revisions ?? new RevisionLog();
   }
 
   /** Releases the ownership, so that another VM can acquire it at once. */
--- a/packages/nutmegproxy-owner/src/RevisionLog.ts
+++ b/packages/nutmegproxy-owner/src/RevisionLog.ts
@@ -5,8 +5,8 @@
 
 import type {Instant} from '@nutmegproxy/core';
 
-/** Ownership changes that are remembered; the leases of former owners end within a few of them. */
-const MAX_ENTRIES = 64;
+/** Revisions that are remembered: those of the longest minion lease at hundreds of changes a second. */
+const MAX_ENTRIES = 4_096;
 
 interface Sighting {
   readonly revision: number;
--- a/packages/nutmegproxy-owner/src/__tests__/unit/RevisionLog.test.ts
+++ b/packages/nutmegproxy-owner/src/__tests__/unit/RevisionLog.test.ts
@@ -5,8 +5,8 @@
 
 import {RevisionLog} from '../../RevisionLog.ts';
 
-/** More ownership changes than are remembered. */
-const MANY_CHANGES = 200;
+/** More revisions than are remembered. */
+const MANY_CHANGES = 10_000;
 const NOW = 90_000 as Instant;
 
 describe('RevisionLog', () => {
--- a/packages/nutmegproxy-owner/src/index.ts
+++ b/packages/nutmegproxy-owner/src/index.ts
@@ -30,5 +30,6 @@
 export {OWNER_EVENTS} from './OwnerEvents.ts';
 export {QUEUE_LENGTHS_KEY} from './QueueLengthPublisher.ts';
 export type {QueueLengths} from './QueueLengthPublisher.ts';
+export {RevisionLog} from './RevisionLog.ts';
 export {StartThrottle} from './StartThrottle.ts';
 export {parseJson} from './StoredJson.ts';
