The recovery record tells how long a lease lasts from its write

What callers saw: tasks of a minion that left when its owner was killed waited for the longest lease and 2.5 s more when the next owner was killed as well.

Cause: state/recovery gives the expiry of an awaited minion's lease as an instant by the writer's wall clock, to which each reader adds the largest difference of two such clocks.

The record now also holds the remaining time (heldForMs). It counts from when the reader first knew that the store had reached the record's revision, which is no earlier than the write, and the write is no earlier than the writer's reading of its clock. The earlier of both bounds counts. The time holds under the same conditions as the instant: it is left out or ignored where an owner may have renewed the lease since. Owners of earlier versions compose the entries that they write from the fields that they know, so they drop it; without it the instant alone counts.

Tests: RecoverySeries, "does not become later for a VM that knew the state of the store then": the task must not run a step before the longest lease has passed and must run a step after it. On the sources before: "condition not met within 5000 ms: the task runs again". UnrecordedRenewals, "when the next VM knows when the expiry before them was stored": passes before and after; with the time kept although an owner in between may have renewed the lease it fails.

--- a/packages/nutmegproxy-emulator/src/__tests__/unit/RecoverySeries.test.ts
+++ b/packages/nutmegproxy-emulator/src/__tests__/unit/RecoverySeries.test.ts
@@ -17,7 +17,7 @@
   submitJob,
   waitFor,
 } from './JobSamples.ts';
-import {isWriteOf} from './StoreSamples.ts';
+import {isWriteOf, waitForRecord} from './StoreSamples.ts';
 import {sleep, TakeoverHarness} from './TakeoverHarness.ts';
 
 /** Time in milliseconds after its last run within which a long-running task has to run again. */
@@ -30,10 +30,14 @@
 const RUN_NUMBERS_PER_TERM = 1_000;
 /** Time in real milliseconds in which an owner records what it knows and reaches its minions. */
 const SETTLED_MS = 500;
+/** Time in milliseconds that passes in each step, and the real pause after it. */
+const STEP_MS = 500;
+const STEP_PAUSE_MS = 60;
+const RECOVERY_KEY = `${STATE_PREFIX}recovery`;
 
 /** Whether the arguments of a store call are a write of the record of used minions. */
 function isRecoveryWrite(args: readonly unknown[]): boolean {
-  return isWriteOf(`${STATE_PREFIX}recovery`, args);
+  return isWriteOf(RECOVERY_KEY, args);
 }
 
 describe('Recovery in a series of takeovers', () => {
@@ -151,6 +155,36 @@
     });
   });
 
+  describe('the expiry of a lease that an owner stored before it was killed', () => {
+    it('does not become later for a VM that knew the state of the store then', async () => {
+      const leaving = harness.addMinion('m1');
+      const first = await harness.startKillable('vm-1');
+      await submitLastingJob();
+      await waitFor('the task runs', () => leaving.liveTasks.length === 1);
+      const last = harness.startWaitingVm('vm-3');
+      await first.kill();
+      harness.fleet.remove(leaving.description.id);
+      const second = await harness.startKillable('vm-2');
+      await waitForRecord(harness.store, RECOVERY_KEY, (text) => text.includes('"heldUntil"'));
+      await sleep(SETTLED_MS);
+      for (let elapsedMs = 0; elapsedMs < MAX_FORMER_LEASE_MS / 2; elapsedMs += STEP_MS) {
+        await last.observe();
+        await harness.passTime(second.started.ownership, STEP_MS, STEP_MS);
+      }
+      await second.kill();
+      last.isAllowed = true;
+      await waitFor('the VM owns the fleet', () => last.ownership !== undefined);
+      const other = harness.addMinion('m2');
+      assert.ok(await isIdle(other));
+      assert.ok(last.ownership);
+      const restMs = MAX_FORMER_LEASE_MS / 2;
+      await harness.passTime(last.ownership, restMs - STEP_MS, STEP_MS, STEP_PAUSE_MS);
+      assert.ok(await isIdle(other));
+      await harness.passTime(last.ownership, 2 * STEP_MS, STEP_MS, STEP_PAUSE_MS);
+      await waitFor('the task runs again', () => other.liveTasks.length === 1, REACTION_MS);
+    });
+  });
+
   describe('a minion that lists a result that no owner has stored', () => {
     it('is asked for it although its lease expired while no owner was up', async () => {
       const minion = new EmulatedMinion(createMinionDescription('m1'), () => ({
--- a/packages/nutmegproxy-emulator/src/__tests__/unit/UnrecordedRenewals.test.ts
+++ b/packages/nutmegproxy-emulator/src/__tests__/unit/UnrecordedRenewals.test.ts
@@ -158,6 +158,21 @@
     await assertRunsAgainUnder(third.ownership);
   });
 
+  it('do not let a task run twice when the next VM knows when the expiry before them was stored', async () => {
+    const first = await runLastingTask('vm-1');
+    const last = harness.startWaitingVm('vm-4');
+    await first.kill();
+    await storeExpiry('vm-2');
+    await last.observe();
+    await renewAndKill(
+      await harness.startKillable('vm-3', (args) => isWriteOf(RECOVERY_KEY, args)),
+    );
+    last.isAllowed = true;
+    await waitFor('the last VM owns the fleet', () => last.ownership !== undefined);
+    assert.ok(last.ownership);
+    await assertRunsAgainUnder(last.ownership);
+  });
+
   it('are not granted once the expiry of the lease may be stored', async () => {
     const first = await runLastingTask('vm-1');
     await first.kill();
--- a/packages/nutmegproxy-owner/src/MinionRecovery.ts
+++ b/packages/nutmegproxy-owner/src/MinionRecovery.ts
@@ -110,7 +110,7 @@
       return;
     }
     this.#unused.set(minion.id, {former, minion});
-    const remainingMs = findRecordedMs(former, clock.wall());
+    const remainingMs = findRecordedMs(former, now, clock.wall());
     // Owners of earlier versions grant leases that do not end with their confirmation.
     const isCapped = former.lastTerm >= ownership.recordingSince;
     const longestMs = isCapped ? MAX_FORMER_LEASE_MS : MAX_UNCAPPED_LEASE_MS;
@@ -315,6 +315,7 @@
       }
       const isHeld = this.#leases.get(id) === 'held';
       return {
+        heldForMs: isHeld ? Math.ceil(minion.leaseClock.expiresInMs(now)) : undefined,
         heldUntil: isHeld ? this.#findHeldUntil(minion, former, now, wall) : undefined,
         id,
         lastTerm: former.lastTerm,
@@ -341,6 +342,8 @@
 }
 
 /** Returns the time in milliseconds after which the lease of a minion has certainly expired. */
-function findRecordedMs({heldUntil = Infinity as WallTime}: FormerUse, wall: WallTime): number {
-  return Math.max(0, heldUntil + MAX_WALL_CLOCK_SKEW_MS - wall);
+function findRecordedMs({expiresAt, heldUntil}: FormerUse, now: Instant, wall: WallTime): number {
+  const byWallMs = heldUntil === undefined ? Infinity : heldUntil + MAX_WALL_CLOCK_SKEW_MS - wall;
+  const ownMs = expiresAt === undefined ? Infinity : expiresAt - now;
+  return Math.max(0, Math.min(byWallMs, ownMs));
 }
--- a/packages/nutmegproxy-owner/src/RecoveryRecord.ts
+++ b/packages/nutmegproxy-owner/src/RecoveryRecord.ts
@@ -9,11 +9,11 @@
  * that has stored one renews that lease only once the record names the minion as used.
  */
 
-import type {EventSink, MinionId, WallTime} from '@nutmegproxy/core';
+import type {Clock, EventSink, Instant, MinionId, WallTime} from '@nutmegproxy/core';
 import type {PlatformStore, StoreFailure} from '@nutmegproxy/store';
 import type {Result} from 'neverthrow';
 
-import {delay} from '@nutmegproxy/core';
+import {after, delay} from '@nutmegproxy/core';
 import {STATE_PREFIX} from '@nutmegproxy/jobs';
 import {err, ok} from 'neverthrow';
 
@@ -29,6 +29,8 @@
 
 /** What is known of a minion on which former owners may have left runs. */
 export interface FormerUse {
+  /** When its lease has certainly expired, by the clock of this process. */
+  readonly expiresAt?: Instant | undefined;
   /** When its lease has certainly expired, by the wall clock of the VM that wrote this. */
   readonly heldUntil?: undefined | WallTime;
   /** Last term in which an owner may have started runs on the minion. */
@@ -40,7 +42,12 @@
 }
 
 /** A minion that may have runs of former owners and that the writer of the record has not used. */
-export interface AwaitedMinion extends FormerUse {
+export interface AwaitedMinion extends Omit<FormerUse, 'expiresAt'> {
+  /**
+   * Time in milliseconds after which its lease has certainly expired, counted from the write of the
+   * record; absent in records of earlier versions.
+   */
+  readonly heldForMs?: number | undefined;
   readonly id: MinionId;
 }
 
@@ -53,6 +60,7 @@
 }
 
 export interface RecoveryRecordOptions {
+  readonly clock: Clock;
   readonly events: EventSink;
   readonly onFenced: () => void;
   readonly ownership: FleetOwnership;
@@ -95,7 +103,7 @@
 
   /** Reads what the former owners recorded. */
   async read(): Promise<Result<void, StoreFailure>> {
-    const {ownership} = this.#options;
+    const {clock, ownership} = this.#options;
     const stored = await this.#record.read();
     if (stored.isErr()) {
       return err(stored.error);
@@ -110,7 +118,11 @@
       }
       // An owner of an earlier version may have used any minion after the record was written.
       const isCurrent = former.term >= ownership.recordingSince;
-      this.#former = isCurrent ? indexFormerUses(former, ownership.formerLeaseTerm) : undefined;
+      const now = clock.monotonic();
+      const storedBy = ownership.revisions.findSeenAt(stored.value.modRevision, now);
+      this.#former = isCurrent
+        ? indexFormerUses(former, ownership.formerLeaseTerm, storedBy)
+        : undefined;
     }
     return ok(undefined);
   }
@@ -175,19 +187,21 @@
 
 /**
  * Returns what is known of each minion. The owners after the writer stored nothing, and those after
- * `formerLeaseTerm`, which the writer may be one of, granted no lease.
+ * `formerLeaseTerm`, which the writer may be one of, granted no lease. Durations count from `storedBy`.
  */
 function indexFormerUses(
   {awaited, term, used}: StoredRecovery,
   formerLeaseTerm: number,
+  storedBy: Instant,
 ): ReadonlyMap<MinionId, FormerUse> {
   const isLatest = term >= formerLeaseTerm;
   return new Map<MinionId, FormerUse>([
-    ...awaited.map((minion) => {
+    ...awaited.map(({heldForMs, id, ...former}) => {
+      const expiresAt = typeof heldForMs === 'number' ? after(storedBy, heldForMs) : undefined;
       const leases = isLatest
-        ? {leaseTerm: Math.min(minion.leaseTerm, formerLeaseTerm)}
+        ? {expiresAt, leaseTerm: Math.min(former.leaseTerm, formerLeaseTerm)}
         : {heldUntil: undefined, leaseTerm: formerLeaseTerm};
-      return [minion.id, {...minion, ...leases}] as const;
+      return [id, {...former, ...leases}] as const;
     }),
     ...used.map((id) => [id, {lastTerm: term, leaseTerm: formerLeaseTerm}] as const),
   ]);
