The roster tells how long a silent minion's lease lasts from its write

What callers saw: a lasting task of a minion that was cut off did not run again within 9 s when its owner was killed a second later.

Cause: the roster gives the expiry of a silent minion's lease as an instant by the wall clock of the owner, to which the next one adds the largest difference of two such clocks (2.5 s).

Each write of the roster now names the remaining time of these leases as well (heldForMs), as state/recovery does. It counts from when the reader first knew that the store had reached the roster's revision; the earlier bound counts. The lease of a silent minion is not renewed while its record is stored, so the time holds as the instant does. It is not named where a start may have reached a new incarnation, whose clock the lease was not computed for (as in closing records): there the instant alone counts, as before. The time stands beside the record, not in it: earlier versions then drop it when they replace the record, and closing records, from which they copy silent records, never hold it.

Tests: RecoverySeries, "does not keep its task from running again within the deadline, nor lets it run twice": on the sources before "condition not met within 5000 ms: the task runs again". "has a lease whose length is not stored, since that one has another clock" fails when starts are not looked at. Roster: the time is computed anew for each write, and goes with its record. The test of OwnerRecord passes the new argument as undefined; what it checks is as it was.

--- a/packages/nutmegproxy-emulator/src/__tests__/unit/RecoverySeries.test.ts
+++ b/packages/nutmegproxy-emulator/src/__tests__/unit/RecoverySeries.test.ts
@@ -3,6 +3,7 @@
 
 import {formatTaskName, STATE_PREFIX} from '@nutmegproxy/jobs';
 import {MAX_FORMER_LEASE_MS} from '@nutmegproxy/owner';
+import {SCHEDULING_EVENTS} from '@nutmegproxy/scheduling';
 import {getKey, put} from '@nutmegproxy/store';
 import assert from 'node:assert/strict';
 import {afterEach, beforeEach, describe, it} from 'node:test';
@@ -33,6 +34,12 @@
 /** Time in milliseconds that passes in each step, and the real pause after it. */
 const STEP_MS = 500;
 const STEP_PAUSE_MS = 60;
+const SHORT_STEP_MS = 250;
+/** Time in milliseconds for which a minion is silent before its owner is killed. */
+const SILENT_BEFORE_KILL_MS = 1_000;
+/** Time in milliseconds for which a killed owner keeps the ownership. */
+const OWNERSHIP_KEPT_MS = 2_000;
+const ROSTER_KEY = `${STATE_PREFIX}roster`;
 const RECOVERY_KEY = `${STATE_PREFIX}recovery`;
 
 /** Whether the arguments of a store call are a write of the record of used minions. */
@@ -185,6 +192,57 @@
     });
   });
 
+  describe('a minion that was silent for an owner that is killed', () => {
+    it('does not keep its task from running again within the deadline, nor lets it run twice', async () => {
+      const silent = harness.addMinion('m1');
+      const first = await harness.startKillable('vm-1');
+      await submitLastingJob();
+      await waitFor('the task runs', () => silent.liveTasks.length === 1);
+      const {answeredPolls} = silent;
+      await waitFor('the run is listed', () => silent.answeredPolls > answeredPolls + 1);
+      const last = harness.startWaitingVm('vm-2');
+      harness.fleet.faults(silent.description.id).isUnreachable = true;
+      await waitForRecord(harness.store, ROSTER_KEY, (text) => text.includes('"heldUntil"'));
+      await last.observe();
+      await harness.passTime(first.started.ownership, SILENT_BEFORE_KILL_MS, STEP_MS);
+      await first.kill(OWNERSHIP_KEPT_MS);
+      last.isAllowed = true;
+      await waitFor('the VM owns the fleet', () => last.ownership !== undefined);
+      const other = harness.addMinion('m2');
+      assert.ok(await isIdle(other));
+      assert.ok(last.ownership);
+      const remainingMs = RESTART_DEADLINE_MS - SILENT_BEFORE_KILL_MS - OWNERSHIP_KEPT_MS;
+      for (let elapsedMs = 0; elapsedMs < remainingMs; elapsedMs += SHORT_STEP_MS) {
+        await harness.passTime(last.ownership, SHORT_STEP_MS, SHORT_STEP_MS, STEP_PAUSE_MS);
+        silent.advance(harness.clock.monotonic());
+        assert.ok(silent.liveTasks.length + other.liveTasks.length <= 1);
+      }
+      await waitFor('the task runs again', () => other.liveTasks.length === 1, REACTION_MS);
+    });
+  });
+
+  describe('a silent minion with a start that may have reached a new incarnation', () => {
+    it('has a lease whose length is not stored, since that one has another clock', async () => {
+      const silent = harness.addMinion('m1');
+      await harness.start('vm-1');
+      await waitFor('the minion has reported', () => silent.answeredPolls > 2);
+      const faults = harness.fleet.faults(silent.description.id);
+      faults.startDelayMs = 60_000;
+      await submitLastingJob();
+      await waitFor('the task is sent', () =>
+        harness.events.includes(SCHEDULING_EVENTS.RUN_PLACED),
+      );
+      await sleep(SETTLED_MS);
+      faults.isUnreachable = true;
+      let stored = '';
+      await waitForRecord(harness.store, ROSTER_KEY, (text) => {
+        stored = text;
+        return text.includes('"heldUntil"');
+      });
+      assert.doesNotMatch(stored, /heldForMs/);
+    });
+  });
+
   describe('a minion that lists a result that no owner has stored', () => {
     it('is asked for it although its lease expired while no owner was up', async () => {
       const minion = new EmulatedMinion(createMinionDescription('m1'), () => ({
--- a/packages/nutmegproxy-owner/src/MinionRecovery.ts
+++ b/packages/nutmegproxy-owner/src/MinionRecovery.ts
@@ -23,6 +23,7 @@
 } from './OwnerConstants.ts';
 import {
   adoptRecordedRuns,
+  areStartsConfirmed,
   createSilentRecord,
   listPossibleRuns,
   resolveSilentRecord,
@@ -97,11 +98,14 @@
    * have used is not waited for.
    */
   expect(minion: MinionState, {draining, silent}: RosterEntry, now: Instant): void {
-    const {clock, fleet, ownership, record} = this.#options;
+    const {clock, fleet, ownership, record, roster} = this.#options;
     const former = record.findFormerUse(minion.id);
     if (silent !== undefined) {
       const {lastTerm = ownership.term - 1, leaseTerm = ownership.term - 1} = former ?? {};
-      adoptRecordedRuns(fleet, minion, resolveSilentRecord(silent, clock.wall()), now);
+      const recorded = resolveSilentRecord(silent, clock.wall());
+      const ownMs = (roster.findExpiry(minion.id) ?? Infinity) - now;
+      const remainingMs = Math.max(0, Math.min(recorded.remainingMs, ownMs));
+      adoptRecordedRuns(fleet, minion, {...recorded, remainingMs}, now);
       this.#unused.set(minion.id, {former: {...silent, lastTerm, leaseTerm}, minion});
       return;
     }
@@ -206,7 +210,7 @@
       const heldUntil = isCurrentLease
         ? record.heldUntil
         : (Math.ceil(clock.wall() + presentMs) as WallTime);
-      roster.markSilent(description, {...record, heldUntil});
+      roster.markSilent(description, {...record, heldUntil}, after(now, remainingMs));
     }
     void recoveryRecord.update();
   }
@@ -217,11 +221,7 @@
     unstoredResults: readonly RunResult[],
     now: Instant,
   ): MinionAccount {
-    // A start that no listing confirms may have reached a new incarnation. Its lease was computed for
-    // that one's clock only if the response shows the same clock.
-    const isCertain = [...minion.runs].every(
-      ({isClockConfirmed = false, knownFrom}) => knownFrom !== 'order' || isClockConfirmed,
-    );
+    const isCertain = areStartsConfirmed(minion);
     const leasedMs = Math.ceil(minion.leaseClock.expiresInMs(now));
     return {
       heldForMs: isCertain ? leasedMs : Math.max(leasedMs, MAX_UNCAPPED_LEASE_MS),
@@ -243,13 +243,15 @@
     if (former !== undefined) {
       adoptRecordedRuns(fleet, minion, former, time.now);
       const heldUntil = (time.wall + former.remainingMs) as WallTime;
-      roster.markSilent(minion.description, {heldUntil, runs: former.runs});
+      const expiresAt = after(time.now, former.remainingMs);
+      roster.markSilent(minion.description, {heldUntil, runs: former.runs}, expiresAt);
     } else if (minion.areRunsKnown) {
       minion.isRecordedUnreachable = true;
-      roster.markSilent(
-        minion.description,
-        createSilentRecord(fleet, minion, unstoredResults, time),
-      );
+      const silent = createSilentRecord(fleet, minion, unstoredResults, time);
+      const expiresAt = areStartsConfirmed(minion)
+        ? after(time.now, minion.leaseClock.expiresInMs(time.now))
+        : undefined;
+      roster.markSilent(minion.description, silent, expiresAt);
     } else if (this.#canHold(minion)) {
       void this.#options.record.update();
     }
--- a/packages/nutmegproxy-owner/src/Roster.ts
+++ b/packages/nutmegproxy-owner/src/Roster.ts
@@ -9,13 +9,13 @@
  * have, since the minion may have left before the next owner's first call.
  */
 
-import type {Clock, EventSink, MinionId, WallTime} from '@nutmegproxy/core';
+import type {Clock, EventSink, Instant, MinionId, WallTime} from '@nutmegproxy/core';
 import type {RunNumber} from '@nutmegproxy/jobs';
 import type {MinionDescription} from '@nutmegproxy/scheduling';
 import type {PlatformStore, StoreFailure} from '@nutmegproxy/store';
 import type {Result} from 'neverthrow';
 
-import {delay} from '@nutmegproxy/core';
+import {after, delay} from '@nutmegproxy/core';
 import {STATE_PREFIX} from '@nutmegproxy/jobs';
 import {checkMinion} from '@nutmegproxy/scheduling';
 import {err, ok} from 'neverthrow';
@@ -66,6 +66,16 @@
   readonly silent?: SilentMinionRecord;
 }
 
+/** Stored value: a list of these. */
+interface StoredRosterEntry extends RosterEntry {
+  /**
+   * Time in milliseconds after which a silent minion's lease has certainly expired, counted from the
+   * write of the roster; absent when it is not known, and in entries of earlier versions. These drop it
+   * with the silent record that it belongs to.
+   */
+  readonly heldForMs?: number | undefined;
+}
+
 export interface RosterOptions {
   readonly clock: Clock;
   readonly events: EventSink;
@@ -76,6 +86,8 @@
 
 export class Roster {
   readonly #entries = new Map<MinionId, RosterEntry>();
+  /** When the leases of silent minions have certainly expired, as far as that is known. */
+  readonly #expiries = new Map<MinionId, Instant>();
   #isStale = false;
   readonly #options: RosterOptions;
   readonly #record: OwnerRecord;
@@ -128,14 +140,26 @@
     return this.#entries.get(id);
   }
 
+  /**
+   * Returns when a silent minion's lease has certainly expired, by the clock of this process; undefined
+   * when only its record tells that.
+   */
+  findExpiry(id: MinionId): Instant | undefined {
+    return this.#expiries.get(id);
+  }
+
   /** Records what a draining minion may run. */
   markDraining(description: MinionDescription, draining: DrainingMinionRecord): void {
     void this.#replace({description, draining});
   }
 
-  /** Records that a minion does not respond. */
-  markSilent(description: MinionDescription, silent: SilentMinionRecord): void {
-    void this.#replace({description, silent});
+  /** Records that a minion does not respond; `expiresAt` as `findExpiry` returns it. */
+  markSilent(
+    description: MinionDescription,
+    silent: SilentMinionRecord,
+    expiresAt: Instant | undefined,
+  ): void {
+    void this.#replace({description, silent}, expiresAt);
   }
 
   /** Reads the former owner's roster. */
@@ -144,10 +168,18 @@
     if (stored.isErr()) {
       return err(stored.error);
     }
-    const entries = this.#decode(stored.value?.value.toString() ?? '[]');
-    for (const entry of entries) {
-      this.#entries.set(entry.description.id, entry);
-    }
+    const {clock, ownership} = this.#options;
+    const modRevision = stored.value?.modRevision ?? 0;
+    const storedBy = ownership.revisions.findSeenAt(modRevision, clock.monotonic());
+    const decoded = this.#decode(stored.value?.value.toString() ?? '[]');
+    const entries = decoded.map(({heldForMs, ...entry}): RosterEntry => {
+      const {id} = entry.description;
+      this.#entries.set(id, entry);
+      if (entry.silent !== undefined && typeof heldForMs === 'number') {
+        this.#expiries.set(id, after(storedBy, heldForMs));
+      }
+      return entry;
+    });
     this.#storedRecords = findRecorded(entries);
     return ok(entries);
   }
@@ -155,6 +187,7 @@
   /** Removes a minion on which nothing runs any more. */
   remove(id: MinionId): void {
     this.#isStale = this.#entries.delete(id) || this.#isStale;
+    this.#expiries.delete(id);
     this.#removed.add(id);
     void this.#flush();
   }
@@ -170,7 +203,7 @@
       former !== undefined &&
       describeCapacityChange(former, description.capacity) !== undefined
     ) {
-      void this.#replace({...entry, description});
+      void this.#replace({...entry, description}, this.findExpiry(description.id));
     }
   }
 
@@ -178,7 +211,7 @@
    * Decodes a stored roster. An entry whose description is not valid names no minion; earlier
    * versions stored entries of other writers unchecked.
    */
-  #decode(text: string): RosterEntry[] {
+  #decode(text: string): StoredRosterEntry[] {
     const {clock, events} = this.#options;
     const parsed = parseJson(text);
     if (parsed.isErr() || !Array.isArray(parsed.value)) {
@@ -186,7 +219,7 @@
       events.record(OWNER_EVENTS.RECORD_MALFORMED, {key: ROSTER_KEY, message});
       return [];
     }
-    const entries = parsed.value as RosterEntry[];
+    const entries = parsed.value as StoredRosterEntry[];
     const valid = entries.filter(
       ({description}) => checkMinion(description, clock.wall()) !== undefined,
     );
@@ -198,13 +231,28 @@
   }
 
   /** Replaces the records of a minion's entry; resolves once that is stored. */
-  #replace(entry: RosterEntry): Promise<void> {
+  #replace(entry: RosterEntry, expiresAt?: Instant): Promise<void> {
     const {id} = entry.description;
+    if (expiresAt === undefined) {
+      this.#expiries.delete(id);
+    } else {
+      this.#expiries.set(id, expiresAt);
+    }
     this.#entries.set(id, {...entry, firstBornAt: this.#entries.get(id)?.firstBornAt});
     this.#isStale = true;
     return this.#flush();
   }
 
+  #addRemainingTimes(entries: readonly RosterEntry[]): readonly StoredRosterEntry[] {
+    const now = this.#options.clock.monotonic();
+    return entries.map((entry) => {
+      const expiresAt = this.findExpiry(entry.description.id);
+      return expiresAt === undefined
+        ? entry
+        : {...entry, heldForMs: Math.ceil(Math.max(0, expiresAt - now))};
+    });
+  }
+
   /** Resolves once all changes made so far are stored. */
   async #flush(): Promise<void> {
     while ((this.#isStale || this.#writing !== undefined) && !this.#stopped) {
@@ -221,7 +269,8 @@
     const recorded = findRecorded(entries);
     const formerRecords = this.#storedRecords;
     this.#storedRecords = new Set([...formerRecords, ...recorded]);
-    const outcome = await this.#record.write(Buffer.from(JSON.stringify(entries)));
+    const value = Buffer.from(JSON.stringify(this.#addRemainingTimes(entries)));
+    const outcome = await this.#record.write(value);
     if (outcome === 'written') {
       this.#storedRecords = recorded;
     } else if (outcome === 'fenced') {
--- a/packages/nutmegproxy-owner/src/SilentRecords.ts
+++ b/packages/nutmegproxy-owner/src/SilentRecords.ts
@@ -95,6 +95,17 @@
   ]);
 }
 
+/**
+ * Whether no start can have granted a longer lease than it was meant to. A start that no listing
+ * confirms may have reached a new incarnation. Its lease was computed for that one's clock only if the
+ * response shows the same clock.
+ */
+export function areStartsConfirmed({runs}: MinionState): boolean {
+  return [...runs].every(
+    ({isClockConfirmed = false, knownFrom}) => knownFrom !== 'order' || isClockConfirmed,
+  );
+}
+
 /** Lists the runs that may have crashed a silent minion; a minion that drains may just have left. */
 function listSuspects(
   {runNumberBase}: Fleet,
--- a/packages/nutmegproxy-owner/src/__tests__/unit/OwnerRecord.test.ts
+++ b/packages/nutmegproxy-owner/src/__tests__/unit/OwnerRecord.test.ts
@@ -100,7 +100,7 @@
       });
       await roster.add([MINION]);
       const late = delayNextWrite(store);
-      roster.markSilent(MINION, {heldUntil: 1 as WallTime, runs: []});
+      roster.markSilent(MINION, {heldUntil: 1 as WallTime, runs: []}, undefined);
       while (late.length === 0) {
         await new Promise((resolve) => setImmediate(resolve));
       }
