The longest lease of a former owner counts from the end of its ownership

What callers saw: a lasting task of a minion that left when its owner was killed did not run again within 13 s of the kill (4 s that a kill excuses, and 9 s) when the VM that took over left the ownership to a larger one for 1.5 s first.

Cause: a lease of which nothing is known counted as 10 s (16.5 s after an earlier version) from the moment at which the next owner had read jobs, roster and directory, though it ends 9.5 s after the last confirmation of a former owner.

A VM now notes when it saw the owner's key removed. The acquisition reads that there is no owner and the term's revision, and fails if that has changed, and each owner writes the term with its key. So a removal at a later revision is that of the last owner's key, all owners before it had lost theirs earlier, and none was confirmed after it. Without such a sighting the instant after the read counts. The wait ends at the earlier of the bound so far and the longest lease, with 0.5 s more, from that instant. The 0.5 s keep what the later start covered: an order that was sent as the ownership ended may reach a new incarnation and grant it 10.46 s. So the gain is the time from the removal to the recovery less 0.5 s.

Tests: FormerLeases, "count from the end of the former ownership": with the wait as before it fails, "condition not met within 5000 ms: the task runs again". "have ended when an owner that takes over late starts a task ...": an owner acts on without the store; with a wait 2 s shorter than the longest lease it finds two live runs. OwnerElection: a removal before the last owner's term does not count.

--- a/packages/nutmegproxy-emulator/src/__tests__/unit/FormerLeases.test.ts
+++ b/packages/nutmegproxy-emulator/src/__tests__/unit/FormerLeases.test.ts
@@ -13,6 +13,7 @@
 
 import type {EmulatedFleet} from '../../EmulatedFleet.ts';
 import type {EmulatedMinion} from '../../EmulatedMinion.ts';
+import type {WaitingVm} from './TakeoverHarness.ts';
 
 import {createStepShape, createStoredJob, submitJob, waitFor} from './JobSamples.ts';
 import {createFailingStore} from './StoreSamples.ts';
@@ -26,6 +27,10 @@
 const TAKEOVER_AFTER_KILL_MS = 2_300;
 /** Longest duration in milliseconds of a store outage that the users' requirements list, and a takeover. */
 const OUTAGE_MS = 6_800;
+/** Time in milliseconds for which a killed owner keeps the ownership. */
+const OWNERSHIP_KEPT_MS = 2_000;
+/** Time in milliseconds for which a VM leaves the ownership to a larger one. */
+const LATE_TAKEOVER_MS = 1_500;
 const OTHER_MINION = 'm2';
 const SETTLED_MS = 500;
 const REACTION_MS = 5_000;
@@ -109,6 +114,29 @@
     });
   });
 
+  describe('after a takeover by a VM that leaves the ownership to a larger one at first', () => {
+    it('count from the end of the former ownership', async () => {
+      const first = await harness.startKillable('vm-1');
+      await runLastingTask();
+      const last = harness.startWaitingVm('vm-2');
+      await sleep(SETTLED_MS);
+      harness.fleet.remove(minion.description.id);
+      await first.kill(OWNERSHIP_KEPT_MS);
+      await sleep(SETTLED_MS);
+      harness.clock.advance(LATE_TAKEOVER_MS);
+      last.isAllowed = true;
+      await waitFor('the VM owns the fleet', () => last.ownership !== undefined);
+      const other = harness.addMinion(OTHER_MINION);
+      await waitFor('the minion has reported', () => other.answeredPolls > 0);
+      await sleep(SETTLED_MS);
+      assert.ok(last.ownership);
+      const passedMs = OWNERSHIP_KEPT_MS + LATE_TAKEOVER_MS;
+      const untilMs = KILL_AFTERMATH_MS + RESTART_DEADLINE_MS - passedMs;
+      await harness.passTime(last.ownership, untilMs, STEP_MS, STEP_PAUSE_MS);
+      await waitFor('the task runs again', () => other.liveTasks.length === 1, REACTION_MS);
+    });
+  });
+
   describe('of an earlier version', () => {
     it('are waited for to their full duration, since nothing limits them', async () => {
       const first = await harness.startKillable('vm-1');
@@ -131,6 +159,7 @@
 
   describe('that acts on without the store', () => {
     let isStoreDown: boolean;
+    let late: WaitingVm;
 
     function isDown(): boolean {
       return isStoreDown;
@@ -142,6 +171,8 @@
       const fleet = cutOff(harness.fleet, brand<MinionId>(OTHER_MINION));
       const first = await harness.start('vm-1', disconnect(harness.store, isDown), fleet);
       await runLastingTask();
+      late = harness.startWaitingVm('vm-3', cutOff(harness.fleet, minion.description.id));
+      await sleep(SETTLED_MS);
       isStoreDown = true;
       await sleep(SETTLED_MS);
       await harness.store.revokeLease(first.ownership.lease);
@@ -161,6 +192,19 @@
       await waitFor('the task runs again', () => other.liveTasks.length === 1, REACTION_MS);
     });
 
+    it('have ended when an owner that takes over late starts a task of a minion that it can not reach', async () => {
+      const other = harness.addMinion(OTHER_MINION);
+      for (let passedMs = 0; passedMs < LONGEST_WAIT_MS; passedMs += STEP_MS) {
+        harness.clock.advance(STEP_MS);
+        late.isAllowed = passedMs >= LATE_TAKEOVER_MS;
+        late.ownership?.confirm(harness.clock.monotonic(), harness.clock.wall());
+        await sleep(STEP_PAUSE_MS);
+        minion.advance(harness.clock.monotonic());
+        assert.ok(minion.liveTasks.length + other.liveTasks.length <= 1);
+      }
+      await waitFor('the task runs again', () => other.liveTasks.length === 1, REACTION_MS);
+    });
+
     it('last through an outage in which the ownership lapses, and the takeover after it', async () => {
       for (let passedMs = 0; passedMs < OUTAGE_MS; passedMs += STEP_MS) {
         harness.clock.advance(STEP_MS);
--- a/packages/nutmegproxy-emulator/src/__tests__/unit/TakeoverHarness.ts
+++ b/packages/nutmegproxy-emulator/src/__tests__/unit/TakeoverHarness.ts
@@ -130,8 +130,8 @@
   }
 
   /** Starts a VM that watches the ownership, and acquires it only once it is allowed to. */
-  startWaitingVm(vm: string): WaitingVm {
-    const {clock, fleet, store} = this;
+  startWaitingVm(vm: string, fleet: EmulatedFleet = this.fleet): WaitingVm {
+    const {clock, store} = this;
     const events: EventSink = {record: (kind) => this.events.push(kind)};
     const revisions = new RevisionLog();
     const observe = async (): Promise<void> => {
--- a/packages/nutmegproxy-owner/src/FleetOwnership.ts
+++ b/packages/nutmegproxy-owner/src/FleetOwnership.ts
@@ -22,6 +22,8 @@
 export interface OwnershipGrant {
   /** Default: the term before. */
   readonly formerLeaseTerm?: number;
+  /** Default: when the acquisition was requested, after a read without an owner. */
+  readonly formerReleasedAt?: Instant;
   readonly lease: LeaseId;
   /** Default: this owner is the first one. */
   readonly recordingSince?: number;
@@ -34,6 +36,8 @@
 export class FleetOwnership {
   /** Last term before this one in which an owner may have granted a minion lease; -1 for none. */
   readonly formerLeaseTerm: number;
+  /** No ownership before this one was confirmed after this instant. */
+  readonly formerReleasedAt: Instant;
   readonly lease: LeaseId;
   /** First term of the latest unbroken sequence of owners that record which minions they use. */
   readonly recordingSince: number;
@@ -49,6 +53,7 @@
 
   constructor(grant: OwnershipGrant, requestedAt: Instant, wall: WallTime) {
     this.formerLeaseTerm = grant.formerLeaseTerm ?? grant.term - 1;
+    this.formerReleasedAt = grant.formerReleasedAt ?? requestedAt;
     this.lease = grant.lease;
     this.recordingSince = grant.recordingSince ?? grant.term;
     this.revisions = grant.revisions ?? new RevisionLog();
--- a/packages/nutmegproxy-owner/src/MinionRecovery.ts
+++ b/packages/nutmegproxy-owner/src/MinionRecovery.ts
@@ -16,6 +16,7 @@
 import type {Roster, RosterEntry} from './Roster.ts';
 
 import {
+  FORMER_ORDER_MARGIN_MS,
   MAX_FORMER_LEASE_MS,
   MAX_UNCAPPED_LEASE_MS,
   MAX_WALL_CLOCK_SKEW_MS,
@@ -118,7 +119,9 @@
     // Owners of earlier versions grant leases that do not end with their confirmation.
     const isCapped = former.lastTerm >= ownership.recordingSince;
     const longestMs = isCapped ? MAX_FORMER_LEASE_MS : MAX_UNCAPPED_LEASE_MS;
-    const heldForMs = Math.min(longestMs, Math.max(REPORT_WAIT_MS, remainingMs));
+    const releasedForMs = now - ownership.formerReleasedAt;
+    const formerMs = Math.min(longestMs, longestMs + FORMER_ORDER_MARGIN_MS - releasedForMs);
+    const heldForMs = Math.max(REPORT_WAIT_MS, Math.min(formerMs, remainingMs));
     minion.leaseClock.assumeLeasedUntil(after(now, heldForMs));
     // An owner of an earlier version stores the record again but may start runs in spite of it.
     const isCurrent = draining !== undefined && draining.term >= former.lastTerm;
--- a/packages/nutmegproxy-owner/src/OwnerCandidate.ts
+++ b/packages/nutmegproxy-owner/src/OwnerCandidate.ts
@@ -111,7 +111,13 @@
             resolve();
           },
           onEvents: (changes, revision) => {
-            revisions.record(revision, clock.monotonic());
+            const now = clock.monotonic();
+            revisions.record(revision, now);
+            for (const change of changes) {
+              if (change.kind === 'delete' && change.key === OWNER_KEY) {
+                this.#election.recordRelease(change.modRevision, now);
+              }
+            }
             this.#setOwned(changes.at(-1)?.kind === 'put');
           },
         });
--- a/packages/nutmegproxy-owner/src/OwnerConstants.ts
+++ b/packages/nutmegproxy-owner/src/OwnerConstants.ts
@@ -95,6 +95,11 @@
  */
 export const MAX_UNCAPPED_LEASE_MS =
   OWNERSHIP_TTL_MS + UNCONFIRMED_GRACE_MS + MINION_LEASE_MS + FORMER_LEASE_MARGIN_MS;
+/**
+ * Added to these where they count from the end of the former ownership: an order that was sent just before
+ * may reach a new incarnation, which holds its lease for 10 s on its own clock.
+ */
+export const FORMER_ORDER_MARGIN_MS = 500;
 /**
  * Shortest wait for the report of a minion that a former owner used, although its lease has expired:
  * it may list results that no owner has stored.
--- a/packages/nutmegproxy-owner/src/OwnerElection.ts
+++ b/packages/nutmegproxy-owner/src/OwnerElection.ts
@@ -1,6 +1,6 @@
 /** Acquires, renews and releases the ownership of the fleet in the store. */
 
-import type {Clock, EventSink, VmId} from '@nutmegproxy/core';
+import type {Clock, EventSink, Instant, VmId} from '@nutmegproxy/core';
 import type {LeaseId, PlatformStore, StoredValue, StoreFailure} from '@nutmegproxy/store';
 import type {Result} from 'neverthrow';
 
@@ -60,12 +60,19 @@
   /** When this process knew which state of the store; candidates and acquisitions add to it. */
   readonly revisions: RevisionLog;
   readonly #options: ElectionOptions;
+  /** When this process knew of which removals of the owner's key. */
+  readonly #releases = new RevisionLog();
 
   constructor(options: ElectionOptions) {
     this.#options = options;
     this.revisions = options.revisions ?? new RevisionLog();
   }
 
+  /** Records that the owner's key was removed at a revision, which is known since `now`. */
+  recordRelease(revision: number, now: Instant): void {
+    this.#releases.record(revision, now);
+  }
+
   /** Releases the ownership, so that another VM can acquire it at once. */
   async resign(ownership: FleetOwnership, reason: string): Promise<void> {
     const {events, vm} = this.#options;
@@ -128,12 +135,26 @@
       await this.#revoke(lease.value.lease);
     }
     const {revisions} = this;
+    const formerReleasedAt = this.#findReleasedAt(records.value, requestedAt);
     return written.map((grant) => {
       revisions.record(grant.token, clock.monotonic());
-      return new FleetOwnership({lease: lease.value.lease, revisions, ...grant}, requestedAt, wall);
+      return new FleetOwnership(
+        {formerReleasedAt, lease: lease.value.lease, revisions, ...grant},
+        requestedAt,
+        wall,
+      );
     });
   }
 
+  /**
+   * Returns the earliest known instant by which the last owner's key had been removed; `requestedAt`
+   * is after the read, in which there was none. The acquisition fails if there was another owner since
+   * the read. An owner writes the term with its key, so a later removal is that of its key.
+   */
+  #findReleasedAt({term}: ElectionRecords, requestedAt: Instant): Instant {
+    return this.#releases.findSeenAt((term?.modRevision ?? Infinity) + 1, requestedAt);
+  }
+
   /**
    * Releases an ownership under which no minion lease was granted, and records that: for the next
    * owner the minions' leases are as the owner before left them.
--- /dev/null
+++ b/packages/nutmegproxy-owner/src/__tests__/unit/OwnerElection.test.ts
@@ -0,0 +1,65 @@
+import type {VmId} from '@nutmegproxy/core';
+
+import {brand, ManualClock, SILENT_EVENTS} from '@nutmegproxy/core';
+import {MemoryStore} from '@nutmegproxy/standins';
+import assert from 'node:assert/strict';
+import {afterEach, beforeEach, describe, it} from 'node:test';
+
+import type {FleetOwnership} from '../../FleetOwnership.ts';
+
+import {OwnerElection} from '../../OwnerElection.ts';
+
+describe('OwnerElection', () => {
+  let clock: ManualClock;
+  let store: MemoryStore;
+
+  beforeEach(() => {
+    clock = new ManualClock();
+    store = new MemoryStore();
+  });
+
+  afterEach(async () => {
+    await store.close();
+  });
+
+  function open(vm: string): OwnerElection {
+    return new OwnerElection({clock, events: SILENT_EVENTS, store, vm: brand<VmId>(vm)});
+  }
+
+  async function acquire(election: OwnerElection): Promise<FleetOwnership> {
+    return (await election.acquire())._unsafeUnwrap();
+  }
+
+  /** Acquires and releases the ownership for a VM; returns the revision of the release. */
+  async function acquireAndRelease(vm: string): Promise<number> {
+    const election = open(vm);
+    await election.resign(await acquire(election), 'planned stop');
+    const read = await store.commit({compare: [], then: [{key: 'none', kind: 'get'}]});
+    return read._unsafeUnwrap().revision;
+  }
+
+  describe('the end of the former ownership', () => {
+    it('is when the removal of its key was seen', async () => {
+      const election = open('vm-2');
+      const releasedAt = clock.monotonic();
+      election.recordRelease(await acquireAndRelease('vm-1'), releasedAt);
+      clock.advance(1_500);
+      assert.equal((await acquire(election)).formerReleasedAt, releasedAt);
+    });
+
+    it('is not that of an owner before the last one, whose end was not seen', async () => {
+      const election = open('vm-3');
+      election.recordRelease(await acquireAndRelease('vm-1'), clock.monotonic());
+      clock.advance(1_500);
+      await acquireAndRelease('vm-2');
+      clock.advance(1_500);
+      assert.equal((await acquire(election)).formerReleasedAt, clock.monotonic());
+    });
+
+    it('is the acquisition when no removal was seen', async () => {
+      await acquireAndRelease('vm-1');
+      clock.advance(1_500);
+      assert.equal((await acquire(open('vm-2'))).formerReleasedAt, clock.monotonic());
+    });
+  });
+});
