A VM that is stopped as it acquires the ownership passes on since when the former one has ended

Traced: an owner is killed; three VMs that were stopped as they acquired the ownership follow; the next one waits for the longest lease from the end of the third, though none of the three granted a lease and the killed owner's had ended 4 s before.

Cause: state/recording says that a term granted no lease and which one did last, but not since when that one has ended, so a VM that did not see its end counts from the last removal of the key.

The transaction that releases an unused ownership now also stores for how long the ownerships up to leaseTerm had ended (releasedForMs). The next VM subtracts it from when it first knew of the record's revision, which is no earlier than the write. It holds only if the record's last term is the last term: an acquisition replaces the record without it, and earlier versions write it without it or the term alone.

Tests: PlannedStops, "does not let a lease that nothing is known of count anew": on "condition not met within 5000 ms: the task runs again".

--- a/packages/nutmegproxy-emulator/src/__tests__/unit/PlannedStops.test.ts
+++ b/packages/nutmegproxy-emulator/src/__tests__/unit/PlannedStops.test.ts
@@ -2,7 +2,7 @@
 
 import {brand, SILENT_EVENTS} from '@nutmegproxy/core';
 import {STATE_PREFIX} from '@nutmegproxy/jobs';
-import {OwnerElection} from '@nutmegproxy/owner';
+import {OWNER_KEY, OwnerElection} from '@nutmegproxy/owner';
 import assert from 'node:assert/strict';
 import {afterEach, beforeEach, describe, it} from 'node:test';
 
@@ -21,6 +21,10 @@
 const TAKEOVER_MS = 500;
 /** Time in milliseconds for which a killed owner keeps the ownership. */
 const OWNERSHIP_KEPT_MS = 2_000;
+/** Time in milliseconds for which a VM leaves the ownership to a larger one. */
+const LATE_TAKEOVER_MS = 1_500;
+/** Time in milliseconds for which a kill excuses a task that doesn't run. */
+const KILL_AFTERMATH_MS = 4_000;
 /** Time in milliseconds that passes in each step, and the real pause after it. */
 const STEP_MS = 250;
 const STEP_PAUSE_MS = 60;
@@ -116,6 +120,30 @@
     });
   });
 
+  describe('a VM that is stopped while it acquires the ownership of an owner that was killed', () => {
+    it('does not let a lease that nothing is known of count anew', async () => {
+      const {clock, store} = harness;
+      const first = await harness.startKillable('vm-1');
+      await runLastingTask();
+      harness.fleet.remove(minion.description.id);
+      await first.kill(OWNERSHIP_KEPT_MS);
+      const vm = brand<VmId>('vm-2');
+      const election = new OwnerElection({clock, events: SILENT_EVENTS, store, vm});
+      const read = await store.commit({compare: [], then: [{key: OWNER_KEY, kind: 'get'}]});
+      election.recordRelease(read._unsafeUnwrap().revision, clock.monotonic());
+      clock.advance(LATE_TAKEOVER_MS);
+      await election.resign((await election.acquire())._unsafeUnwrap(), 'planned stop');
+      const other = harness.addMinion('m2');
+      const {ownership} = await harness.start('vm-3');
+      await waitFor('the minion has reported', () => other.answeredPolls > 0);
+      await sleep(SETTLED_MS);
+      const passedMs = OWNERSHIP_KEPT_MS + LATE_TAKEOVER_MS;
+      const remainingMs = KILL_AFTERMATH_MS + RESTART_DEADLINE_MS - passedMs;
+      await harness.passTime(ownership, remainingMs, STEP_MS, STEP_PAUSE_MS);
+      await waitFor('the task runs again', () => other.liveTasks.length === 1, REACTION_MS);
+    });
+  });
+
   describe('an owner that is stopped before it has received the closing record', () => {
     it('does not add the difference of two wall clocks to the lease of a silent minion', async () => {
       const first = await harness.start('vm-1');
--- a/packages/nutmegproxy-owner/src/FleetOwnership.ts
+++ b/packages/nutmegproxy-owner/src/FleetOwnership.ts
@@ -36,7 +36,7 @@
 export class FleetOwnership {
   /** Last term before this one in which an owner may have granted a minion lease; -1 for none. */
   readonly formerLeaseTerm: number;
-  /** No ownership before this one was confirmed after this instant. */
+  /** No ownership of `formerLeaseTerm` or an earlier term was confirmed after this instant. */
   readonly formerReleasedAt: Instant;
   readonly lease: LeaseId;
   /** First term of the latest unbroken sequence of owners that record which minions they use. */
--- a/packages/nutmegproxy-owner/src/OwnerElection.ts
+++ b/packages/nutmegproxy-owner/src/OwnerElection.ts
@@ -47,6 +47,11 @@
   readonly lastTerm: number;
   /** Last term in which an owner may have granted a minion lease; default: `lastTerm`. */
   readonly leaseTerm?: number;
+  /**
+   * Time in milliseconds for which the ownerships up to `leaseTerm` had ended when this was written;
+   * only after a term in which no lease was granted, and absent in records of earlier versions.
+   */
+  readonly releasedForMs?: number;
   readonly since: number;
 }
 
@@ -147,12 +152,19 @@
   }
 
   /**
-   * Returns the earliest known instant by which the last owner's key had been removed; `requestedAt`
-   * is after the read, in which there was none. The acquisition fails if there was another owner since
-   * the read. An owner writes the term with its key, so a later removal is that of its key.
+   * Returns the earliest known instant after which no ownership before was confirmed under which a
+   * minion lease may have been granted; `requestedAt` is after the read, in which there was no owner. The
+   * acquisition fails if there was another one since. An owner writes the term with its key, so a later
+   * removal is that of its key.
    */
-  #findReleasedAt({term}: ElectionRecords, requestedAt: Instant): Instant {
-    return this.#releases.findSeenAt((term?.modRevision ?? Infinity) + 1, requestedAt);
+  #findReleasedAt({recording, term}: ElectionRecords, requestedAt: Instant): Instant {
+    const seenAt = this.#releases.findSeenAt((term?.modRevision ?? Infinity) + 1, requestedAt);
+    const {lastTerm, releasedForMs} = parseRecordingTerms(recording);
+    if (typeof releasedForMs !== 'number' || lastTerm !== Number(term?.value.toString())) {
+      return seenAt;
+    }
+    const storedBy = this.revisions.findSeenAt(recording?.modRevision ?? Infinity, requestedAt);
+    return Math.min(seenAt, storedBy - releasedForMs) as Instant;
   }
 
   /**
@@ -161,14 +173,16 @@
    */
   async #releaseUnused({
     formerLeaseTerm,
+    formerReleasedAt,
     recordingSince,
     term,
     token,
   }: FleetOwnership): Promise<void> {
-    const {events, store} = this.#options;
+    const {clock, events, store} = this.#options;
     const terms: RecordingTerms = {
       lastTerm: term,
       leaseTerm: formerLeaseTerm,
+      releasedForMs: Math.floor(clock.monotonic() - formerReleasedAt),
       since: recordingSince,
     };
     const released = await store.commit({
@@ -251,6 +265,11 @@
   }
 }
 
+function parseRecordingTerms(recording: StoredValue | undefined): Partial<RecordingTerms> {
+  const parsed = parseJson(recording?.value.toString() ?? '{}');
+  return parsed.unwrapOr(undefined) ?? {};
+}
+
 /** Returns what an owner of `term` has to know of the terms before. */
 function findFormerTerms(
   recording: StoredValue | undefined,
@@ -265,8 +284,7 @@
   if (parsed.isErr()) {
     events.record(OWNER_EVENTS.RECORD_MALFORMED, {key: RECORDING_KEY, message: parsed.error});
   }
-  const {lastTerm, leaseTerm, since} = (parsed.unwrapOr(undefined) ??
-    {}) as Partial<RecordingTerms>;
+  const {lastTerm, leaseTerm, since} = parseRecordingTerms(recording);
   return lastTerm === term - 1
     ? {formerLeaseTerm: leaseTerm ?? term - 1, recordingSince: since ?? term}
     : unknown;
--- a/packages/nutmegproxy-owner/src/__tests__/unit/OwnerElection.test.ts
+++ b/packages/nutmegproxy-owner/src/__tests__/unit/OwnerElection.test.ts
@@ -1,7 +1,9 @@
 import type {VmId} from '@nutmegproxy/core';
 
 import {brand, ManualClock, SILENT_EVENTS} from '@nutmegproxy/core';
+import {STATE_PREFIX} from '@nutmegproxy/jobs';
 import {MemoryStore} from '@nutmegproxy/standins';
+import {getKey, put} from '@nutmegproxy/store';
 import assert from 'node:assert/strict';
 import {afterEach, beforeEach, describe, it} from 'node:test';
 
@@ -9,6 +11,8 @@
 
 import {OwnerElection} from '../../OwnerElection.ts';
 
+const TERM_KEY = `${STATE_PREFIX}term`;
+
 describe('OwnerElection', () => {
   let clock: ManualClock;
   let store: MemoryStore;
@@ -56,6 +60,38 @@
       assert.equal((await acquire(election)).formerReleasedAt, clock.monotonic());
     });
 
+    it('is passed on by a VM that granted no lease to one that saw nothing', async () => {
+      const second = open('vm-2');
+      second.recordRelease(await acquireAndRelease('vm-1'), clock.monotonic());
+      const releasedAt = clock.monotonic();
+      clock.advance(1_500);
+      await second.resign(await acquire(second), 'planned stop');
+      const third = open('vm-3');
+      assert.equal((await acquire(third)).formerReleasedAt, releasedAt);
+    });
+
+    it('is not that of the owner before a VM that may have granted leases', async () => {
+      const second = open('vm-2');
+      second.recordRelease(await acquireAndRelease('vm-1'), clock.monotonic());
+      clock.advance(1_500);
+      const ownership = await acquire(second);
+      ownership.recordLeaseGrant();
+      await second.resign(ownership, 'planned stop');
+      assert.equal((await acquire(open('vm-3'))).formerReleasedAt, clock.monotonic());
+    });
+
+    it('is not that of the owner before an earlier version, which says nothing of it', async () => {
+      const second = open('vm-2');
+      second.recordRelease(await acquireAndRelease('vm-1'), clock.monotonic());
+      clock.advance(1_500);
+      await second.resign(await acquire(second), 'planned stop');
+      // Versions before the record of the sequence increment the term alone.
+      const stored = (await getKey(store, TERM_KEY))._unsafeUnwrap();
+      const term = Number(stored?.value.toString()) + 1;
+      await put(store, TERM_KEY, Buffer.from(String(term)));
+      assert.equal((await acquire(open('vm-3'))).formerReleasedAt, clock.monotonic());
+    });
+
     it('is the acquisition when no removal was seen', async () => {
       await acquireAndRelease('vm-1');
       clock.advance(1_500);
