--- a/packages/nutmegproxy-emulator/src/__tests__/unit/PlannedStops.test.ts
+++ b/packages/nutmegproxy-emulator/src/__tests__/unit/PlannedStops.test.ts
@@ -2,7 +2,7 @@
 
 import {brand, SILENT_EVENTS} from '@nutmegproxy/core';
 import {STATE_PREFIX} from '@nutmegproxy/jobs';
-import {OwnerElection} from '@nutmegproxy/owner';
+import {OWNER_KEY, OwnerElection} from '@nutmegproxy/owner';
 import assert from 'node:assert/strict';
 import {afterEach, beforeEach, describe, it} from 'node:test';
 
@@ -19,6 +19,12 @@
 const SETTLED_MS = 500;
 /** Time in milliseconds for which a planned stop leaves the fleet without an owner. */
 const TAKEOVER_MS = 500;
+/** Time in milliseconds for which a killed owner keeps the ownership. */
+const OWNERSHIP_KEPT_MS = 2_000;
+/** Time in milliseconds for which a VM leaves the ownership to a larger one. */
+const LATE_TAKEOVER_MS = 1_500;
+/** Time in milliseconds for which a kill excuses a task that doesn't run. */
+const KILL_AFTERMATH_MS = 4_000;
 /** Time in milliseconds that passes in each step, and the real pause after it. */
 const STEP_MS = 250;
 const STEP_PAUSE_MS = 60;
@@ -83,6 +89,61 @@
     });
   });
 
+  describe('an owner that is killed right after a planned stop', () => {
+    it('does not delay a task of a minion that left when the account was stored after its acquisition', async () => {
+      let isDelayed = false;
+      const isFailing = (args: readonly unknown[]): boolean =>
+        isDelayed && isWriteOf(CLOSING_KEY, args);
+      const {started} = await harness.startKillable('vm-1', isFailing);
+      await runLastingTask();
+      const last = harness.startWaitingVm('vm-3');
+      isDelayed = true;
+      await harness.stopAsPlanned(started);
+      harness.fleet.remove(minion.description.id);
+      const second = await harness.startKillable('vm-2');
+      await sleep(SETTLED_MS);
+      isDelayed = false;
+      await waitForRecord(harness.store, CLOSING_KEY, (text) => text !== '');
+      await sleep(SETTLED_MS);
+      await last.observe();
+      harness.clock.advance(TAKEOVER_MS);
+      await second.kill(OWNERSHIP_KEPT_MS);
+      last.isAllowed = true;
+      await waitFor('the VM owns the fleet', () => last.ownership !== undefined);
+      const other = harness.addMinion('m2');
+      await waitFor('the minion has reported', () => other.answeredPolls > 0);
+      await sleep(SETTLED_MS);
+      const remainingMs = RESTART_DEADLINE_MS - TAKEOVER_MS - OWNERSHIP_KEPT_MS;
+      assert.ok(last.ownership);
+      await harness.passTime(last.ownership, remainingMs, STEP_MS, STEP_PAUSE_MS);
+      await waitFor('the task runs again', () => other.liveTasks.length === 1, REACTION_MS);
+    });
+  });
+
+  describe('a VM that is stopped while it acquires the ownership of an owner that was killed', () => {
+    it('does not let a lease that nothing is known of count anew', async () => {
+      const {clock, store} = harness;
+      const first = await harness.startKillable('vm-1');
+      await runLastingTask();
+      harness.fleet.remove(minion.description.id);
+      await first.kill(OWNERSHIP_KEPT_MS);
+      const vm = brand<VmId>('vm-2');
+      const election = new OwnerElection({clock, events: SILENT_EVENTS, store, vm});
+      const read = await store.commit({compare: [], then: [{key: OWNER_KEY, kind: 'get'}]});
+      election.recordRelease(read._unsafeUnwrap().revision, clock.monotonic());
+      clock.advance(LATE_TAKEOVER_MS);
+      await election.resign((await election.acquire())._unsafeUnwrap(), 'planned stop');
+      const other = harness.addMinion('m2');
+      const {ownership} = await harness.start('vm-3');
+      await waitFor('the minion has reported', () => other.answeredPolls > 0);
+      await sleep(SETTLED_MS);
+      const passedMs = OWNERSHIP_KEPT_MS + LATE_TAKEOVER_MS;
+      const remainingMs = KILL_AFTERMATH_MS + RESTART_DEADLINE_MS - passedMs;
+      await harness.passTime(ownership, remainingMs, STEP_MS, STEP_PAUSE_MS);
+      await waitFor('the task runs again', () => other.liveTasks.length === 1, REACTION_MS);
+    });
+  });
+
   describe('an owner that is stopped before it has received the closing record', () => {
     it('does not add the difference of two wall clocks to the lease of a silent minion', async () => {
       const first = await harness.start('vm-1');
--- a/packages/nutmegproxy-emulator/src/__tests__/unit/RecoverySeries.test.ts
+++ b/packages/nutmegproxy-emulator/src/__tests__/unit/RecoverySeries.test.ts
@@ -3,6 +3,7 @@
 
 import {formatTaskName, STATE_PREFIX} from '@nutmegproxy/jobs';
 import {MAX_FORMER_LEASE_MS} from '@nutmegproxy/owner';
+import {SCHEDULING_EVENTS} from '@nutmegproxy/scheduling';
 import {getKey, put} from '@nutmegproxy/store';
 import assert from 'node:assert/strict';
 import {afterEach, beforeEach, describe, it} from 'node:test';
@@ -17,7 +18,7 @@
   submitJob,
   waitFor,
 } from './JobSamples.ts';
-import {isWriteOf} from './StoreSamples.ts';
+import {isWriteOf, waitForRecord} from './StoreSamples.ts';
 import {sleep, TakeoverHarness} from './TakeoverHarness.ts';
 
 /** Time in milliseconds after its last run within which a long-running task has to run again. */
@@ -30,10 +31,20 @@
 const RUN_NUMBERS_PER_TERM = 1_000;
 /** Time in real milliseconds in which an owner records what it knows and reaches its minions. */
 const SETTLED_MS = 500;
+/** Time in milliseconds that passes in each step, and the real pause after it. */
+const STEP_MS = 500;
+const STEP_PAUSE_MS = 60;
+const SHORT_STEP_MS = 250;
+/** Time in milliseconds for which a minion is silent before its owner is killed. */
+const SILENT_BEFORE_KILL_MS = 1_000;
+/** Time in milliseconds for which a killed owner keeps the ownership. */
+const OWNERSHIP_KEPT_MS = 2_000;
+const ROSTER_KEY = `${STATE_PREFIX}roster`;
+const RECOVERY_KEY = `${STATE_PREFIX}recovery`;
 
 /** Whether the arguments of a store call are a write of the record of used minions. */
 function isRecoveryWrite(args: readonly unknown[]): boolean {
-  return isWriteOf(`${STATE_PREFIX}recovery`, args);
+  return isWriteOf(RECOVERY_KEY, args);
 }
 
 describe('Recovery in a series of takeovers', () => {
@@ -151,6 +162,87 @@
     });
   });
 
+  describe('the expiry of a lease that an owner stored before it was killed', () => {
+    it('does not become later for a VM that knew the state of the store then', async () => {
+      const leaving = harness.addMinion('m1');
+      const first = await harness.startKillable('vm-1');
+      await submitLastingJob();
+      await waitFor('the task runs', () => leaving.liveTasks.length === 1);
+      const last = harness.startWaitingVm('vm-3');
+      await first.kill();
+      harness.fleet.remove(leaving.description.id);
+      const second = await harness.startKillable('vm-2');
+      await waitForRecord(harness.store, RECOVERY_KEY, (text) => text.includes('"heldUntil"'));
+      await sleep(SETTLED_MS);
+      for (let elapsedMs = 0; elapsedMs < MAX_FORMER_LEASE_MS / 2; elapsedMs += STEP_MS) {
+        await last.observe();
+        await harness.passTime(second.started.ownership, STEP_MS, STEP_MS);
+      }
+      await second.kill();
+      last.isAllowed = true;
+      await waitFor('the VM owns the fleet', () => last.ownership !== undefined);
+      const other = harness.addMinion('m2');
+      assert.ok(await isIdle(other));
+      assert.ok(last.ownership);
+      const restMs = MAX_FORMER_LEASE_MS / 2;
+      await harness.passTime(last.ownership, restMs - STEP_MS, STEP_MS, STEP_PAUSE_MS);
+      assert.ok(await isIdle(other));
+      await harness.passTime(last.ownership, 2 * STEP_MS, STEP_MS, STEP_PAUSE_MS);
+      await waitFor('the task runs again', () => other.liveTasks.length === 1, REACTION_MS);
+    });
+  });
+
+  describe('a minion that was silent for an owner that is killed', () => {
+    it('does not keep its task from running again within the deadline, nor lets it run twice', async () => {
+      const silent = harness.addMinion('m1');
+      const first = await harness.startKillable('vm-1');
+      await submitLastingJob();
+      await waitFor('the task runs', () => silent.liveTasks.length === 1);
+      const {answeredPolls} = silent;
+      await waitFor('the run is listed', () => silent.answeredPolls > answeredPolls + 1);
+      const last = harness.startWaitingVm('vm-2');
+      harness.fleet.faults(silent.description.id).isUnreachable = true;
+      await waitForRecord(harness.store, ROSTER_KEY, (text) => text.includes('"heldUntil"'));
+      await last.observe();
+      await harness.passTime(first.started.ownership, SILENT_BEFORE_KILL_MS, STEP_MS);
+      await first.kill(OWNERSHIP_KEPT_MS);
+      last.isAllowed = true;
+      await waitFor('the VM owns the fleet', () => last.ownership !== undefined);
+      const other = harness.addMinion('m2');
+      assert.ok(await isIdle(other));
+      assert.ok(last.ownership);
+      const remainingMs = RESTART_DEADLINE_MS - SILENT_BEFORE_KILL_MS - OWNERSHIP_KEPT_MS;
+      for (let elapsedMs = 0; elapsedMs < remainingMs; elapsedMs += SHORT_STEP_MS) {
+        await harness.passTime(last.ownership, SHORT_STEP_MS, SHORT_STEP_MS, STEP_PAUSE_MS);
+        silent.advance(harness.clock.monotonic());
+        assert.ok(silent.liveTasks.length + other.liveTasks.length <= 1);
+      }
+      await waitFor('the task runs again', () => other.liveTasks.length === 1, REACTION_MS);
+    });
+  });
+
+  describe('a silent minion with a start that may have reached a new incarnation', () => {
+    it('has a lease whose length is not stored, since that one has another clock', async () => {
+      const silent = harness.addMinion('m1');
+      await harness.start('vm-1');
+      await waitFor('the minion has reported', () => silent.answeredPolls > 2);
+      const faults = harness.fleet.faults(silent.description.id);
+      faults.startDelayMs = 60_000;
+      await submitLastingJob();
+      await waitFor('the task is sent', () =>
+        harness.events.includes(SCHEDULING_EVENTS.RUN_PLACED),
+      );
+      await sleep(SETTLED_MS);
+      faults.isUnreachable = true;
+      let stored = '';
+      await waitForRecord(harness.store, ROSTER_KEY, (text) => {
+        stored = text;
+        return text.includes('"heldUntil"');
+      });
+      assert.doesNotMatch(stored, /heldForMs/);
+    });
+  });
+
   describe('a minion that lists a result that no owner has stored', () => {
     it('is asked for it although its lease expired while no owner was up', async () => {
       const minion = new EmulatedMinion(createMinionDescription('m1'), () => ({
--- a/packages/nutmegproxy-owner/src/MinionRecovery.ts
+++ b/packages/nutmegproxy-owner/src/MinionRecovery.ts
@@ -16,6 +16,7 @@
 import type {Roster, RosterEntry} from './Roster.ts';
 
 import {
+  FORMER_ORDER_MARGIN_MS,
   MAX_FORMER_LEASE_MS,
   MAX_UNCAPPED_LEASE_MS,
   MAX_WALL_CLOCK_SKEW_MS,
@@ -23,6 +24,7 @@
 } from './OwnerConstants.ts';
 import {
   adoptRecordedRuns,
+  areStartsConfirmed,
   createSilentRecord,
   listPossibleRuns,
   resolveSilentRecord,
@@ -97,11 +99,14 @@
    * have used is not waited for.
    */
   expect(minion: MinionState, {draining, silent}: RosterEntry, now: Instant): void {
-    const {clock, fleet, ownership, record} = this.#options;
+    const {clock, fleet, ownership, record, roster} = this.#options;
     const former = record.findFormerUse(minion.id);
     if (silent !== undefined) {
       const {lastTerm = ownership.term - 1, leaseTerm = ownership.term - 1} = former ?? {};
-      adoptRecordedRuns(fleet, minion, resolveSilentRecord(silent, clock.wall()), now);
+      const recorded = resolveSilentRecord(silent, clock.wall());
+      const ownMs = (roster.findExpiry(minion.id) ?? Infinity) - now;
+      const remainingMs = Math.max(0, Math.min(recorded.remainingMs, ownMs));
+      adoptRecordedRuns(fleet, minion, {...recorded, remainingMs}, now);
       this.#unused.set(minion.id, {former: {...silent, lastTerm, leaseTerm}, minion});
       return;
     }
@@ -110,11 +115,13 @@
       return;
     }
     this.#unused.set(minion.id, {former, minion});
-    const remainingMs = findRecordedMs(former, clock.wall());
+    const remainingMs = findRecordedMs(former, now, clock.wall());
     // Owners of earlier versions grant leases that do not end with their confirmation.
     const isCapped = former.lastTerm >= ownership.recordingSince;
     const longestMs = isCapped ? MAX_FORMER_LEASE_MS : MAX_UNCAPPED_LEASE_MS;
-    const heldForMs = Math.min(longestMs, Math.max(REPORT_WAIT_MS, remainingMs));
+    const releasedForMs = now - ownership.formerReleasedAt;
+    const formerMs = Math.min(longestMs, longestMs + FORMER_ORDER_MARGIN_MS - releasedForMs);
+    const heldForMs = Math.max(REPORT_WAIT_MS, Math.min(formerMs, remainingMs));
     minion.leaseClock.assumeLeasedUntil(after(now, heldForMs));
     // An owner of an earlier version stores the record again but may start runs in spite of it.
     const isCurrent = draining !== undefined && draining.term >= former.lastTerm;
@@ -206,7 +213,7 @@
       const heldUntil = isCurrentLease
         ? record.heldUntil
         : (Math.ceil(clock.wall() + presentMs) as WallTime);
-      roster.markSilent(description, {...record, heldUntil});
+      roster.markSilent(description, {...record, heldUntil}, after(now, remainingMs));
     }
     void recoveryRecord.update();
   }
@@ -217,11 +224,7 @@
     unstoredResults: readonly RunResult[],
     now: Instant,
   ): MinionAccount {
-    // A start that no listing confirms may have reached a new incarnation. Its lease was computed for
-    // that one's clock only if the response shows the same clock.
-    const isCertain = [...minion.runs].every(
-      ({isClockConfirmed = false, knownFrom}) => knownFrom !== 'order' || isClockConfirmed,
-    );
+    const isCertain = areStartsConfirmed(minion);
     const leasedMs = Math.ceil(minion.leaseClock.expiresInMs(now));
     return {
       heldForMs: isCertain ? leasedMs : Math.max(leasedMs, MAX_UNCAPPED_LEASE_MS),
@@ -243,13 +246,15 @@
     if (former !== undefined) {
       adoptRecordedRuns(fleet, minion, former, time.now);
       const heldUntil = (time.wall + former.remainingMs) as WallTime;
-      roster.markSilent(minion.description, {heldUntil, runs: former.runs});
+      const expiresAt = after(time.now, former.remainingMs);
+      roster.markSilent(minion.description, {heldUntil, runs: former.runs}, expiresAt);
     } else if (minion.areRunsKnown) {
       minion.isRecordedUnreachable = true;
-      roster.markSilent(
-        minion.description,
-        createSilentRecord(fleet, minion, unstoredResults, time),
-      );
+      const silent = createSilentRecord(fleet, minion, unstoredResults, time);
+      const expiresAt = areStartsConfirmed(minion)
+        ? after(time.now, minion.leaseClock.expiresInMs(time.now))
+        : undefined;
+      roster.markSilent(minion.description, silent, expiresAt);
     } else if (this.#canHold(minion)) {
       void this.#options.record.update();
     }
@@ -315,6 +320,7 @@
       }
       const isHeld = this.#leases.get(id) === 'held';
       return {
+        heldForMs: isHeld ? Math.ceil(minion.leaseClock.expiresInMs(now)) : undefined,
         heldUntil: isHeld ? this.#findHeldUntil(minion, former, now, wall) : undefined,
         id,
         lastTerm: former.lastTerm,
@@ -341,6 +347,8 @@
 }
 
 /** Returns the time in milliseconds after which the lease of a minion has certainly expired. */
-function findRecordedMs({heldUntil = Infinity as WallTime}: FormerUse, wall: WallTime): number {
-  return Math.max(0, heldUntil + MAX_WALL_CLOCK_SKEW_MS - wall);
+function findRecordedMs({expiresAt, heldUntil}: FormerUse, now: Instant, wall: WallTime): number {
+  const byWallMs = heldUntil === undefined ? Infinity : heldUntil + MAX_WALL_CLOCK_SKEW_MS - wall;
+  const ownMs = expiresAt === undefined ? Infinity : expiresAt - now;
+  return Math.max(0, Math.min(byWallMs, ownMs));
 }
--- a/packages/nutmegproxy-owner/src/OwnerElection.ts
+++ b/packages/nutmegproxy-owner/src/OwnerElection.ts
@@ -1,6 +1,6 @@
 /** Acquires, renews and releases the ownership of the fleet in the store. */
 
-import type {Clock, EventSink, VmId} from '@nutmegproxy/core';
+import type {Clock, EventSink, Instant, VmId} from '@nutmegproxy/core';
 import type {LeaseId, PlatformStore, StoredValue, StoreFailure} from '@nutmegproxy/store';
 import type {Result} from 'neverthrow';
 
@@ -30,6 +30,8 @@
 export interface ElectionOptions {
   readonly clock: Clock;
   readonly events: EventSink;
+  /** Default: an empty one. */
+  readonly revisions?: RevisionLog;
   readonly store: PlatformStore;
   readonly vm: VmId;
 }
@@ -45,6 +47,11 @@
   readonly lastTerm: number;
   /** Last term in which an owner may have granted a minion lease; default: `lastTerm`. */
   readonly leaseTerm?: number;
+  /**
+   * Time in milliseconds for which the ownerships up to `leaseTerm` had ended when this was written;
+   * only after a term in which no lease was granted, and absent in records of earlier versions.
+   */
+  readonly releasedForMs?: number;
   readonly since: number;
 }
 
@@ -55,12 +62,20 @@
 }
 
 export class OwnerElection {
-  /** When this process knew which state of the store; candidates add the changes of ownership. */
-  readonly revisions = new RevisionLog();
+  /** When this process knew which state of the store; candidates and acquisitions add to it. */
+  readonly revisions: RevisionLog;
   readonly #options: ElectionOptions;
+  /** When this process knew of which removals of the owner's key. */
+  readonly #releases = new RevisionLog();
 
   constructor(options: ElectionOptions) {
     this.#options = options;
+    this.revisions = options.revisions ?? new RevisionLog();
+  }
+
+  /** Records that the owner's key was removed at a revision, which is known since `now`. */
+  recordRelease(revision: number, now: Instant): void {
+    this.#releases.record(revision, now);
   }
 
   /** Releases the ownership, so that another VM can acquire it at once. */
@@ -125,26 +140,49 @@
       await this.#revoke(lease.value.lease);
     }
     const {revisions} = this;
+    const formerReleasedAt = this.#findReleasedAt(records.value, requestedAt);
     return written.map((grant) => {
       revisions.record(grant.token, clock.monotonic());
-      return new FleetOwnership({lease: lease.value.lease, revisions, ...grant}, requestedAt, wall);
+      return new FleetOwnership(
+        {formerReleasedAt, lease: lease.value.lease, revisions, ...grant},
+        requestedAt,
+        wall,
+      );
     });
   }
 
+  /**
+   * Returns the earliest known instant after which no ownership before was confirmed under which a
+   * minion lease may have been granted; `requestedAt` is after the read, in which there was no owner. The
+   * acquisition fails if there was another one since. An owner writes the term with its key, so a later
+   * removal is that of its key.
+   */
+  #findReleasedAt({recording, term}: ElectionRecords, requestedAt: Instant): Instant {
+    const seenAt = this.#releases.findSeenAt((term?.modRevision ?? Infinity) + 1, requestedAt);
+    const {lastTerm, releasedForMs} = parseRecordingTerms(recording);
+    if (typeof releasedForMs !== 'number' || lastTerm !== Number(term?.value.toString())) {
+      return seenAt;
+    }
+    const storedBy = this.revisions.findSeenAt(recording?.modRevision ?? Infinity, requestedAt);
+    return Math.min(seenAt, storedBy - releasedForMs) as Instant;
+  }
+
   /**
    * Releases an ownership under which no minion lease was granted, and records that: for the next
    * owner the minions' leases are as the owner before left them.
    */
   async #releaseUnused({
     formerLeaseTerm,
+    formerReleasedAt,
     recordingSince,
     term,
     token,
   }: FleetOwnership): Promise<void> {
-    const {events, store} = this.#options;
+    const {clock, events, store} = this.#options;
     const terms: RecordingTerms = {
       lastTerm: term,
       leaseTerm: formerLeaseTerm,
+      releasedForMs: Math.floor(clock.monotonic() - formerReleasedAt),
       since: recordingSince,
     };
     const released = await store.commit({
@@ -227,6 +265,11 @@
   }
 }
 
+function parseRecordingTerms(recording: StoredValue | undefined): Partial<RecordingTerms> {
+  const parsed = parseJson(recording?.value.toString() ?? '{}');
+  return parsed.unwrapOr(undefined) ?? {};
+}
+
 /** Returns what an owner of `term` has to know of the terms before. */
 function findFormerTerms(
   recording: StoredValue | undefined,
@@ -241,8 +284,7 @@
   if (parsed.isErr()) {
     events.record(OWNER_EVENTS.RECORD_MALFORMED, {key: RECORDING_KEY, message: parsed.error});
   }
-  const {lastTerm, leaseTerm, since} = (parsed.unwrapOr(undefined) ??
-    {}) as Partial<RecordingTerms>;
+  const {lastTerm, leaseTerm, since} = parseRecordingTerms(recording);
   return lastTerm === term - 1
     ? {formerLeaseTerm: leaseTerm ?? term - 1, recordingSince: since ?? term}
     : unknown;
