--- a/packages/nutmegproxy-emulator/src/__tests__/unit/GoneMinions.test.ts
+++ b/packages/nutmegproxy-emulator/src/__tests__/unit/GoneMinions.test.ts
@@ -124,6 +124,20 @@
     });
   });
 
+  describe('for now, as their machines are listed without a minion', () => {
+    it('keep their runs: they may start again under their ids', async () => {
+      const first = await harness.startKillable('vm-1');
+      await submitLastingJob();
+      await first.kill();
+      harness.fleet.faults(minion.description.id).isUnreachable = true;
+      machines.hidden.add(minion.description.id);
+      const {other} = await takeOver('vm-2');
+      await sleep(LISTS_MS);
+      assert.ok(machines.calls > 1);
+      assert.equal(other.liveTasks.length, 0);
+    });
+  });
+
   describe('by the directory alone', () => {
     it('keep their runs while their machines show them', async () => {
       const first = await harness.startKillable('vm-1');
--- a/scripts/mutants.mjs
+++ b/scripts/mutants.mjs
@@ -20,6 +20,20 @@
 const SCOPE = '@nutmegproxy';
 
 const MUTANTS = [
+  {
+    edits: [['lists < MACHINE_LISTS', 'lists < 1']],
+    file: 'nutmegproxy-owner/src/MachineReview.ts',
+    invariant: 'one place',
+    name: 'one list of machines suffices to take a minion for gone',
+    tests: ['nutmegproxy-emulator/src/__tests__/unit/GoneMinions.test.ts'],
+  },
+  {
+    edits: [['? occupants.get(machine) !== undefined', '? true']],
+    file: 'nutmegproxy-owner/src/MachineReview.ts',
+    invariant: 'one place',
+    name: 'a machine that is listed without a minion takes its minion for gone',
+    tests: ['nutmegproxy-emulator/src/__tests__/unit/GoneMinions.test.ts'],
+  },
   {
     edits: [
       ['if (slots === undefined || computeIdleSlots(slots) < 1) {', 'if (slots === undefined) {'],
