--- a/packages/nutmegproxy-emulator/src/__tests__/unit/FormerLeases.test.ts
+++ b/packages/nutmegproxy-emulator/src/__tests__/unit/FormerLeases.test.ts
@@ -15,7 +15,7 @@
 import type {EmulatedMinion} from '../../EmulatedMinion.ts';
 import type {WaitingVm} from './TakeoverHarness.ts';
 
-import {createStepShape, createStoredJob, submitJob, waitFor} from './JobSamples.ts';
+import {waitFor} from './JobSamples.ts';
 import {createFailingStore} from './StoreSamples.ts';
 import {sleep, TakeoverHarness} from './TakeoverHarness.ts';
 
@@ -89,18 +89,10 @@
     await harness.close();
   });
 
-  async function runLastingTask(): Promise<void> {
-    await submitJob(harness.store, createStoredJob(1, [createStepShape({longRunning: true})]));
-    await waitFor('the task runs', () => minion.liveTasks.length === 1);
-    const {answeredPolls} = minion;
-    await waitFor('the run is listed', () => minion.answeredPolls > answeredPolls + 1);
-    await sleep(SETTLED_MS);
-  }
-
   describe('of a minion that left while no owner was up', () => {
     it('do not keep its lasting task from running again within the deadline', async () => {
       const first = await harness.startKillable('vm-1');
-      await runLastingTask();
+      await harness.runLastingTask(minion);
       await first.kill();
       harness.fleet.remove(minion.description.id);
       harness.clock.advance(TAKEOVER_AFTER_KILL_MS);
@@ -117,7 +109,7 @@
   describe('after a takeover by a VM that leaves the ownership to a larger one at first', () => {
     it('count from the end of the former ownership', async () => {
       const first = await harness.startKillable('vm-1');
-      await runLastingTask();
+      await harness.runLastingTask(minion);
       const last = harness.startWaitingVm('vm-2');
       await sleep(SETTLED_MS);
       harness.fleet.remove(minion.description.id);
@@ -140,7 +132,7 @@
   describe('of an earlier version', () => {
     it('are waited for to their full duration, since nothing limits them', async () => {
       const first = await harness.startKillable('vm-1');
-      await runLastingTask();
+      await harness.runLastingTask(minion);
       const {term} = first.started.ownership;
       const recording = Buffer.from(JSON.stringify({since: term, term}));
       await put(harness.store, `${STATE_PREFIX}recording`, recording);
@@ -170,7 +162,7 @@
       // A minion that both owners reach would reject the orders of the former one.
       const fleet = cutOff(harness.fleet, brand<MinionId>(OTHER_MINION));
       const first = await harness.start('vm-1', disconnect(harness.store, isDown), fleet);
-      await runLastingTask();
+      await harness.runLastingTask(minion);
       late = harness.startWaitingVm('vm-3', cutOff(harness.fleet, minion.description.id));
       await sleep(SETTLED_MS);
       isStoreDown = true;
--- a/packages/nutmegproxy-emulator/src/__tests__/unit/GoneMinions.test.ts
+++ b/packages/nutmegproxy-emulator/src/__tests__/unit/GoneMinions.test.ts
@@ -38,14 +38,6 @@
     await harness.close();
   });
 
-  async function submitLastingJob(): Promise<void> {
-    await submitJob(harness.store, createStoredJob(1, [createStepShape({longRunning: true})]));
-    await waitFor('the task runs', () => minion.liveTasks.length === 1);
-    const {answeredPolls} = minion;
-    await waitFor('the run is listed', () => minion.answeredPolls > answeredPolls + 1);
-    await sleep(SETTLED_MS);
-  }
-
   /** Lets the minion drain and waits until the store says so. */
   async function drain(): Promise<void> {
     minion.description = {...minion.description, isDraining: true};
@@ -65,7 +57,7 @@
   describe('after they drained and left while no VM owned the fleet', () => {
     it('let a lasting task run again within its deadline when owners are killed in turn', async () => {
       const first = await harness.startKillable('vm-1');
-      await submitLastingJob();
+      await harness.runLastingTask(minion);
       await drain();
       await first.kill();
       harness.fleet.remove(minion.description.id);
@@ -83,7 +75,7 @@
   describe('after they crashed together with the owner and their machines started others', () => {
     it('let a lasting task run again although their entries are still listed', async () => {
       const first = await harness.startKillable('vm-1');
-      await submitLastingJob();
+      await harness.runLastingTask(minion);
       await first.kill();
       harness.fleet.faults(minion.description.id).isUnreachable = true;
       machines.replaced.add(minion.description.id);
@@ -94,7 +86,7 @@
 
     it('let a lasting task wait for the lease while the list is down', async () => {
       const first = await harness.startKillable('vm-1');
-      await submitLastingJob();
+      await harness.runLastingTask(minion);
       await first.kill();
       harness.fleet.faults(minion.description.id).isUnreachable = true;
       machines.replaced.add(minion.description.id);
@@ -111,7 +103,7 @@
   describe('for a single list only', () => {
     it('count as cut off: their tasks do not start a second time', async () => {
       const first = await harness.startKillable('vm-1');
-      await submitLastingJob();
+      await harness.runLastingTask(minion);
       await first.kill();
       harness.fleet.faults(minion.description.id).isUnreachable = true;
       machines.replaced.add(minion.description.id);
@@ -127,7 +119,7 @@
   describe('for now, as their machines are listed without a minion', () => {
     it('keep their runs: they may start again under their ids', async () => {
       const first = await harness.startKillable('vm-1');
-      await submitLastingJob();
+      await harness.runLastingTask(minion);
       await first.kill();
       harness.fleet.faults(minion.description.id).isUnreachable = true;
       machines.hidden.add(minion.description.id);
@@ -141,7 +133,7 @@
   describe('by the directory alone', () => {
     it('keep their runs while their machines show them', async () => {
       const first = await harness.startKillable('vm-1');
-      await submitLastingJob();
+      await harness.runLastingTask(minion);
       await drain();
       await first.kill();
       const {id} = minion.description;
@@ -157,7 +149,7 @@
   describe('after a crash that their owner saw', () => {
     it('are left to the judgement of the crash', async () => {
       await harness.start('vm-1');
-      await submitLastingJob();
+      await harness.runLastingTask(minion);
       const other = harness.addMinion('m2');
       await waitFor('the other minion has reported', () => other.answeredPolls > 0);
       minion.crash(Infinity, harness.clock.monotonic());
--- a/packages/nutmegproxy-emulator/src/__tests__/unit/PlannedStops.test.ts
+++ b/packages/nutmegproxy-emulator/src/__tests__/unit/PlannedStops.test.ts
@@ -8,7 +8,7 @@
 
 import type {EmulatedMinion} from '../../EmulatedMinion.ts';
 
-import {createStepShape, createStoredJob, submitJob, waitFor} from './JobSamples.ts';
+import {waitFor} from './JobSamples.ts';
 import {isWriteOf, waitForRecord, waitForRoster} from './StoreSamples.ts';
 import {sleep, TakeoverHarness} from './TakeoverHarness.ts';
 
@@ -43,14 +43,6 @@
     await harness.close();
   });
 
-  async function runLastingTask(): Promise<void> {
-    await submitJob(harness.store, createStoredJob(1, [createStepShape({longRunning: true})]));
-    await waitFor('the task runs', () => minion.liveTasks.length === 1);
-    const {answeredPolls} = minion;
-    await waitFor('the run is listed', () => minion.answeredPolls > answeredPolls + 1);
-    await sleep(SETTLED_MS);
-  }
-
   /** Acquires the ownership and gives it up, as a VM does that is stopped meanwhile. */
   async function acquireAndResign(vm: string): Promise<void> {
     const {clock, store} = harness;
@@ -67,7 +59,7 @@
   describe('VMs that are stopped one after the other', () => {
     it('do not lengthen the lease of a minion that left, which each counts from its own read', async () => {
       const first = await harness.start('vm-1');
-      await runLastingTask();
+      await harness.runLastingTask(minion);
       const last = harness.startWaitingVm('vm-5');
       await harness.stopAsPlanned(first);
       harness.fleet.remove(minion.description.id);
@@ -95,7 +87,7 @@
       const isFailing = (args: readonly unknown[]): boolean =>
         isDelayed && isWriteOf(CLOSING_KEY, args);
       const {started} = await harness.startKillable('vm-1', isFailing);
-      await runLastingTask();
+      await harness.runLastingTask(minion);
       const last = harness.startWaitingVm('vm-3');
       isDelayed = true;
       await harness.stopAsPlanned(started);
@@ -124,7 +116,7 @@
     it('does not let a lease that nothing is known of count anew', async () => {
       const {clock, store} = harness;
       const first = await harness.startKillable('vm-1');
-      await runLastingTask();
+      await harness.runLastingTask(minion);
       harness.fleet.remove(minion.description.id);
       await first.kill(OWNERSHIP_KEPT_MS);
       const vm = brand<VmId>('vm-2');
@@ -147,7 +139,7 @@
   describe('an owner that is stopped before it has received the closing record', () => {
     it('does not add the difference of two wall clocks to the lease of a silent minion', async () => {
       const first = await harness.start('vm-1');
-      await runLastingTask();
+      await harness.runLastingTask(minion);
       harness.fleet.remove(minion.description.id);
       await sleep(SETTLED_MS);
       await harness.stopAsPlanned(first);
@@ -168,7 +160,7 @@
       harness.fleet.remove(minion.description.id);
       minion = harness.addMinion('m2', harness.clock.wall());
       const first = await harness.start('vm-1');
-      await runLastingTask();
+      await harness.runLastingTask(minion);
       await harness.stopAsPlanned(first);
       await sleep(SETTLED_MS);
       const {answeredPolls} = minion;
@@ -188,7 +180,7 @@
       const isFailing = (args: readonly unknown[]): boolean =>
         isDelayed && isWriteOf(CLOSING_KEY, args);
       const {started} = await harness.startKillable('vm-1', isFailing);
-      await runLastingTask();
+      await harness.runLastingTask(minion);
       const other = harness.addMinion('m2');
       await waitFor('the other minion has reported', () => other.answeredPolls > 0);
       harness.fleet.remove(minion.description.id);
@@ -210,7 +202,7 @@
   describe('a VM that is stopped while it acquires the ownership', () => {
     it('does not delay a task of a minion that left until the longest lease has passed', async () => {
       const first = await harness.start('vm-1');
-      await runLastingTask();
+      await harness.runLastingTask(minion);
       await harness.stopAsPlanned(first);
       harness.fleet.remove(minion.description.id);
       await sleep(SETTLED_MS);
--- a/packages/nutmegproxy-emulator/src/__tests__/unit/RecoveryUnderFaults.test.ts
+++ b/packages/nutmegproxy-emulator/src/__tests__/unit/RecoveryUnderFaults.test.ts
@@ -12,7 +12,7 @@
 
 import type {EmulatedMinion} from '../../EmulatedMinion.ts';
 
-import {createStepShape, createStoredJob, submitJob, waitFor} from './JobSamples.ts';
+import {waitFor} from './JobSamples.ts';
 import {isWriteOf} from './StoreSamples.ts';
 import {sleep, TakeoverHarness} from './TakeoverHarness.ts';
 
@@ -80,18 +80,10 @@
     await harness.close();
   });
 
-  async function submitLastingJob(): Promise<void> {
-    await submitJob(harness.store, createStoredJob(1, [createStepShape({longRunning: true})]));
-    await waitFor('the task runs', () => minion.liveTasks.length === 1);
-    const {answeredPolls} = minion;
-    await waitFor('the run is listed', () => minion.answeredPolls > answeredPolls + 1);
-    await sleep(SETTLED_MS);
-  }
-
   describe('a task of a minion that left at an orderly end', () => {
     it('runs again within its deadline when the next owner is killed in its recovery', async () => {
       const first = await harness.start('vm-1');
-      await submitLastingJob();
+      await harness.runLastingTask(minion);
       await harness.stopAsPlanned(first);
       harness.fleet.remove(minion.description.id);
       await sleep(SETTLED_MS);
@@ -111,7 +103,7 @@
   describe('a store that is down right after a takeover', () => {
     it('does not let running work expire', async () => {
       const first = await harness.startKillable('vm-1');
-      await submitLastingJob();
+      await harness.runLastingTask(minion);
       await first.kill();
       harness.clock.advance(TAKEOVER_AFTER_KILL_MS);
       let isDown = false;
@@ -136,7 +128,7 @@
   describe('a slow store that loses one answer after a takeover', () => {
     it('does not let running work expire', async () => {
       const first = await harness.startKillable('vm-1');
-      await submitLastingJob();
+      await harness.runLastingTask(minion);
       await first.kill();
       harness.clock.advance(POLL_WAIT_MS + TAKEOVER_AFTER_KILL_MS);
       const passing = setInterval(() => {
@@ -216,7 +208,7 @@
   describe('a wall clock that is 2 s ahead of that of the VM before', () => {
     it('does not start a task while its last run may be live', async () => {
       const first = await harness.start('vm-1');
-      await submitLastingJob();
+      await harness.runLastingTask(minion);
       await harness.stopAsPlanned(first);
       harness.fleet.faults(minion.description.id).isUnreachable = true;
       await sleep(SETTLED_MS);
--- a/packages/nutmegproxy-emulator/src/__tests__/unit/TakeoverHarness.ts
+++ b/packages/nutmegproxy-emulator/src/__tests__/unit/TakeoverHarness.ts
@@ -13,10 +13,20 @@
 import {EmulatedFleet} from '../../EmulatedFleet.ts';
 import {EmulatedMachineList} from '../../EmulatedMachineList.ts';
 import {EmulatedMinion} from '../../EmulatedMinion.ts';
-import {createMinionDescription, createOwner, startOwner} from './JobSamples.ts';
+import {
+  createMinionDescription,
+  createOwner,
+  createStepShape,
+  createStoredJob,
+  startOwner,
+  submitJob,
+  waitFor,
+} from './JobSamples.ts';
 import {createFailingStore} from './StoreSamples.ts';
 
 const LEASE_RENEWAL_MS = 400;
+/** Time in real milliseconds in which an owner stores what has changed. */
+const SETTLED_MS = 500;
 
 export type StartedOwner = Awaited<ReturnType<typeof startOwner>>;
 
@@ -93,6 +103,15 @@
     }
   }
 
+  /** Submits a job with one long-running task and waits until the minion that runs it has listed the run. */
+  async runLastingTask(minion: EmulatedMinion): Promise<void> {
+    await submitJob(this.store, createStoredJob(1, [createStepShape({longRunning: true})]));
+    await waitFor('the task runs', () => minion.liveTasks.length === 1);
+    const {answeredPolls} = minion;
+    await waitFor('the run is listed', () => minion.answeredPolls > answeredPolls + 1);
+    await sleep(SETTLED_MS);
+  }
+
   /** Starts an owner whose ownership lease is renewed until the harness is closed. */
   async start(
     vm: string,
