--- a/review/4/run.mjs
+++ b/review/4/run.mjs
@@ -1,7 +1,8 @@
 /**
- * One minion of seven, the only one of its kind, fails all that it starts for 6.5 s and is sound again.
- * Checks the rule LOST for the jobs that came meanwhile and need this kind: `finish_s` after the end of
- * the traffic none is open with nothing running for 3 s, while the service is idle and there is room.
+ * One minion of seven, the only one of its kind, runs a task that lasts. It fails all that it starts for
+ * 6.5 s and is sound again. Checks the rule LOST for jobs that come after that and need this kind:
+ * `finish_s` after the end of the traffic none is open with nothing running for 3 s, while the service is
+ * idle and there is room.
  */
 
 import {dirname} from 'node:path';
@@ -25,6 +26,12 @@
   Phases: [{Count: 1, Cpu: 1_100, EstimateMs: TASK_MS, MemMb: 2_200, Requirements: 'fast'}],
   Spec: 'proof',
 };
+const LASTING_ID = '000000000001a575';
+const LASTING_JOB = {
+  Phases: [{Count: 1, Cpu: 3_200, LongRunning: true, MemMb: 6_400, Requirements: 'fast'}],
+  Spec: 'lasts',
+};
+const LATER_JOBS = 3;
 const FINAL_STATES = ['completed', 'failed'];
 
 const deployment = new Deployment(dirname(fileURLToPath(import.meta.url)));
@@ -34,9 +41,17 @@
     capacity: CAPACITY,
     kind: index === 0 ? 'fast' : 'plain',
     rack: `r${index % 2}`,
-    taskMs: () => TASK_MS,
+    taskMs: (_task, spec) => (spec === 'lasts' ? Infinity : TASK_MS),
   }));
   const routes = [
+    {
+      MaxAttempts: 2,
+      Name: 'catalogo',
+      Prefix: '/catalogo/',
+      Priority: 0,
+      Stretch: 2.2,
+      TargetDurationMs: 2_500,
+    },
     {
       MaxAttempts: 3,
       Name: 'proof',
@@ -50,19 +65,27 @@
     await sleep(2_000);
     const [fast] = deployment.minions;
     const ids = [];
-    const accepted = [];
+    const accepted = [await deployment.submit('/catalogo/', LASTING_ID, LASTING_JOB)];
+    await sleep(3_000);
+    const submit = async () => {
+      const id = (0xa0000 + accepted.length).toString(16).padStart(16, '0');
+      accepted.push(await deployment.submit(PREFIX, id, JOB, accepted.length));
+      return id;
+    };
     fast.failsAll = HAS_TROUBLE;
     const recovers = sleep(FAILING_MS).then(() => {
       fast.failsAll = false;
       deployment.log({event: 'minion is sound', minion: fast.id});
     });
     for (let index = 0; index < JOBS; index += 1) {
-      const id = (0xa0000 + index).toString(16).padStart(16, '0');
-      ids.push(id);
-      accepted.push(await deployment.submit(PREFIX, id, JOB, index));
+      await submit();
       await sleep(JOBS_EVERY_MS);
     }
     await recovers;
+    for (let index = 0; index < LATER_JOBS; index += 1) {
+      await sleep(JOBS_EVERY_MS);
+      ids.push(await submit());
+    }
     deployment.log({event: 'end of the traffic'});
     await sleep(FINISH_MS);
     const watchedFrom = deployment.now();
