--- a/review/standins/deployment.mjs
+++ b/review/standins/deployment.mjs
@@ -6,12 +6,12 @@
 import {spawn} from 'node:child_process';
 import {appendFileSync, mkdtempSync, openSync, rmSync, writeFileSync} from 'node:fs';
 import {createServer, request as httpRequest} from 'node:http';
-import {createServer as createTcpServer} from 'node:net';
 import {tmpdir} from 'node:os';
 import {dirname, join} from 'node:path';
 import {fileURLToPath} from 'node:url';
 
 import {Gangs, Minion} from './minion.mjs';
+import {findFreePort} from './ports.mjs';
 import {Store} from './store.mjs';
 
 const ROOT = join(dirname(fileURLToPath(import.meta.url)), '..', '..');
@@ -24,14 +24,6 @@
 /** Events of a minion that end a run. */
 const ENDS = new Set(['alone', 'done', 'failed', 'lapsed', 'lost', 'stopped']);
 
-async function findFreePort(host) {
-  const server = createTcpServer();
-  await new Promise((resolve) => server.listen(0, host, resolve));
-  const {port} = server.address();
-  await new Promise((resolve) => server.close(resolve));
-  return port;
-}
-
 export const sleep = (ms) => new Promise((resolve) => setTimeout(resolve, ms));
 
 /** Waits until the condition holds; false when it does not hold in time. */
@@ -121,7 +113,7 @@
         ...options,
       });
       this.minions.push(minion);
-      await minion.start();
+      await minion.start(await findFreePort(HOST));
     }
     for (let index = 0; index < vms; index += 1) {
       const vm = await this.#createVm(index, storeAddress, machinesAddress);
@@ -321,7 +313,8 @@
       response.writeHead(200, {'content-type': 'application/json'});
       response.end(JSON.stringify({Machines, NextToken: ''}));
     });
-    await new Promise((resolve) => this.#machineList.listen(0, HOST, resolve));
+    const port = await findFreePort(HOST);
+    await new Promise((resolve) => this.#machineList.listen(port, HOST, resolve));
     return `${HOST}:${this.#machineList.address().port}`;
   }
 }
--- a/review/standins/minion.mjs
+++ b/review/standins/minion.mjs
@@ -43,7 +43,7 @@
   failsAll = false;
 
   /** Starts a life; one after a crash has the same id and address and knows nothing of before. */
-  async start(port = 0) {
+  async start(port) {
     this.life += 1;
     this.acked = 0;
     this.born = Date.now();
--- a/review/standins/store.mjs
+++ b/review/standins/store.mjs
@@ -5,6 +5,8 @@
 
 import {createServer} from 'node:http';
 
+import {findFreePort} from './ports.mjs';
+
 const PAGE_ITEMS = 500;
 const MAX_TXN_ENTRIES = 32;
 const MAX_VALUE_BYTES = 1_048_576;
@@ -35,7 +37,8 @@
       response.on('error', () => undefined);
     });
     this.#server.keepAliveTimeout = 60_000;
-    await new Promise((resolve) => this.#server.listen(0, host, resolve));
+    const port = await findFreePort(host);
+    await new Promise((resolve) => this.#server.listen(port, host, resolve));
     this.#sweep = setInterval(() => this.#expire(), SWEEP_MS);
     return `${host}:${this.#server.address().port}`;
   }
