--- a/packages/nutmegproxy-owner/src/Owner.ts
+++ b/packages/nutmegproxy-owner/src/Owner.ts
@@ -18,6 +18,7 @@
   RunProgressMonitor,
   SharingPolicy,
   summarizeFleet,
+  UntrustedMinionLog,
   WithheldTaskLog,
 } from '@nutmegproxy/scheduling';
 
@@ -89,6 +90,7 @@
   #summarizedAt = -Infinity;
   readonly #queueLengths: QueueLengthPublisher;
   #wake: (() => void) | undefined;
+  readonly #untrustedMinions = new UntrustedMinionLog();
   readonly #withheldTasks = new WithheldTaskLog();
 
   constructor(options: OwnerOptions) {
@@ -242,6 +244,7 @@
       }
     }
     const recoveryMs = this.#minions.recovery.findRemainingMs(now);
+    this.#untrustedMinions.review(fleet, now);
     this.#withheldTasks.review(fleet, {now, recoveryMs, wall});
     this.#startThrottle.recordStarts(countDeferrable(fleet, starts));
     for (const run of starts) {
--- a/packages/nutmegproxy-scheduling/src/FleetSummary.ts
+++ b/packages/nutmegproxy-scheduling/src/FleetSummary.ts
@@ -4,6 +4,7 @@
 
 import type {Fleet} from './Fleet.ts';
 import type {WorkKind} from './MinionState.ts';
+import type {TrustLevel} from './MinionTrust.ts';
 
 import {classifyWork} from './MinionState.ts';
 import {isSchedulable} from './Placement.ts';
@@ -15,6 +16,7 @@
   for (const step of collectReadySteps(fleet, now, wall)) {
     waiting[classifyWork(step.shape)] += step.waiting.size;
   }
+  const levels: Record<TrustLevel, number> = {quarantined: 0, trial: 0, trusted: 0};
   let capacity = 0;
   let backfill = 0;
   let reserved = 0;
@@ -22,6 +24,7 @@
   let servingMinions = 0;
   let usable = 0;
   for (const minion of fleet.minions.values()) {
+    levels[minion.trust.level(now)] += 1;
     usable += isSchedulable(minion, now) ? 1 : 0;
     capacity += minion.description.capacity.cpuMilli;
     backfill += minion.backfillCpuMilli;
@@ -30,6 +33,7 @@
     servingMinions += minion.servingRuns > 0 ? 1 : 0;
   }
   return {
+    ...levels,
     capacityCores: Math.round(capacity / 1000),
     fillingCores: Math.round(backfill / 1000),
     heldTasks: countHeldTasks(fleet, wall),
--- a/packages/nutmegproxy-scheduling/src/SchedulingEvents.ts
+++ b/packages/nutmegproxy-scheduling/src/SchedulingEvents.ts
@@ -36,6 +36,11 @@
     level: 'info',
     text: 'The quarantine of a minion ended after a successful run.',
   },
+  MINION_UNTRUSTED: {
+    code: 8026,
+    level: 'warn',
+    text: 'A minion has not been trusted for a long time: its level, and what it runs.',
+  },
   RUN_ENDED: {code: 8011, level: 'info', text: 'A run ended.'},
   RUN_LOST: {code: 8013, level: 'warn', text: 'A run ended without a reported result.'},
   RUN_PLACED: {code: 8010, level: 'info', text: 'A task was placed on a minion.'},
--- a/packages/nutmegproxy-scheduling/src/WithheldTaskLog.ts
+++ b/packages/nutmegproxy-scheduling/src/WithheldTaskLog.ts
@@ -11,6 +11,7 @@
 import type {Fleet} from './Fleet.ts';
 import type {MinionState} from './MinionState.ts';
 
+import {surveyPlacement} from './PlacementSurvey.ts';
 import {listStartableTasks} from './ReadySteps.ts';
 import {SCHEDULING_EVENTS} from './SchedulingEvents.ts';
 
@@ -31,7 +32,8 @@
 type WithheldReason = 'lease' | 'placement' | 'recovery' | 'start' | 'stop';
 
 interface WithheldTask {
-  readonly fields: EventFields;
+  /** Called for a task that is logged only, as some reasons take a look at all minions. */
+  readonly describe: () => EventFields;
   readonly reason: WithheldReason;
 }
 
@@ -70,7 +72,7 @@
       if (withheld === undefined) {
         continue;
       }
-      const {fields, reason} = withheld;
+      const {reason} = withheld;
       const task = formatTaskName({
         index,
         job: step.job.id,
@@ -88,7 +90,7 @@
       wait.reason = reason;
       wait.recordedAt = now;
       const waitedMs = Math.round(now - wait.since);
-      const named = {...fields, job: step.job.id, reason, task, waitedMs};
+      const named = {...withheld.describe(), job: step.job.id, reason, task, waitedMs};
       fleet.events.record(SCHEDULING_EVENTS.TASK_WITHHELD, named);
     }
     this.#waits = waits;
@@ -123,8 +125,8 @@
 ): undefined | WithheldTask {
   if (step.waiting.has(index)) {
     return listStartableTasks(fleet, step).includes(index)
-      ? {fields: {}, reason: 'placement'}
-      : {fields: {untilMs: Math.round(recoveryMs)}, reason: 'recovery'};
+      ? {describe: () => surveyPlacement(fleet, step, now), reason: 'placement'}
+      : {describe: () => ({untilMs: Math.round(recoveryMs)}), reason: 'recovery'};
   }
   for (const run of step.runsOf(index)) {
     const minion = fleet.minions.get(run.minion);
@@ -134,7 +136,13 @@
   }
   const [run] = step.runsOf(index);
   const minion = run && fleet.minions.get(run.minion);
-  return run && minion && {fields: describe(run, minion, now), reason: findRunReason(run, minion)};
+  return (
+    run &&
+    minion && {
+      describe: () => describeRunOn(run, minion, now),
+      reason: findRunReason(run, minion),
+    }
+  );
 }
 
 function isResponding({missedCalls, unlistedSince}: MinionState): boolean {
@@ -152,7 +160,7 @@
   return phase === 'stopping' ? 'stop' : 'start';
 }
 
-function describe(
+function describeRunOn(
   {knownFrom, minion: id, number, phase}: Run,
   {description, leaseClock, missedCalls, unlistedSince}: MinionState,
   now: Instant,
--- a/packages/nutmegproxy-scheduling/src/__tests__/unit/WithheldTaskLog.test.ts
+++ b/packages/nutmegproxy-scheduling/src/__tests__/unit/WithheldTaskLog.test.ts
@@ -1,5 +1,5 @@
 import type {EventFields} from '@nutmegproxy/core';
-import type {JobState, RunNumber, StepState} from '@nutmegproxy/jobs';
+import type {JobState, RunNumber, ServiceId, StepState} from '@nutmegproxy/jobs';
 
 import assert from 'node:assert/strict';
 import {beforeEach, describe, it} from 'node:test';
@@ -92,6 +92,77 @@
     assert.equal(reviewUntil(1_500)[0]?.reason, 'placement');
   });
 
+  describe('a task that has found no minion', () => {
+    function fill(filled: MinionState, cpuMilli: number): void {
+      const resources = {cpuMilli, gpus: 0, memoryMb: 100};
+      const other = sample.addJob('proofs', [shape({longRunning: true, resources})]);
+      const [first] = [...other.openOccurrences(wallAt(0))].flat();
+      assert.ok(first);
+      sample.fleet.startRun(first, 0, filled, at(0));
+    }
+
+    /** Returns the fields of the first line about the waiting task. */
+    function survey(): EventFields {
+      return reviewUntil(1_500).find(({job: named}) => named === job.id) ?? {};
+    }
+
+    it('tells free pieces that are too small from room on minions that are passed over', () => {
+      fill(minion, 3_200);
+      fill(sample.addMinion('m2'), 3_700);
+      const trial = sample.addMinion('m3');
+      trial.trust.recordStall(at(-60_000));
+      fill(trial, 1_500);
+      sample.addMinion('m4', {isDraining: true});
+      sample.addMinion('m5').missedCalls = 1;
+      sample.addMinion('m6').trust.recordStall(at(0));
+      assert.deepEqual(survey(), {
+        allowed: 2,
+        fitting: 0,
+        freeCores: 0.8,
+        freeMb: 7_900,
+        freeMinion: 'm1',
+        job: job.id,
+        passedOver: 'draining=1:4 not-responding=1:4 quarantined=1:4 trial=1:2.5',
+        passedOverCores: 4,
+        passedOverMb: 8_000,
+        passedOverMinion: 'm4',
+        reason: 'placement',
+        task: `${job.id}.0.0.0`,
+        taskCores: 1,
+        taskMb: 100,
+        waitedMs: 1_500,
+      });
+    });
+
+    it('counts minions without the required label as passed over', () => {
+      job = sample.addJob('proofs', [shape({longRunning: true, requiredLabel: 'fast'})]);
+      const {allowed, passedOver, passedOverMinion} = survey();
+      assert.deepEqual(
+        {allowed, passedOver, passedOverMinion},
+        {allowed: 0, passedOver: 'label=1:4', passedOverMinion: 'm1'},
+      );
+    });
+
+    it('says how many minions fit a task that waits for another reason', () => {
+      const {allowed, fitting, passedOver} = survey();
+      assert.deepEqual({allowed, fitting, passedOver}, {allowed: 1, fitting: 1, passedOver: ''});
+    });
+
+    it('does not take a piece with more cores for the largest when its memory is reserved', () => {
+      fill(minion, 2_000);
+      const other = sample.addMinion('m2', {capacity: {cpuMilli: 4_000, gpus: 0, memoryMb: 50}});
+      const {fitting, freeMinion} = survey();
+      assert.deepEqual({fitting, freeMinion}, {fitting: 1, freeMinion: minion.id});
+      assert.equal(other.runs.size, 0);
+    });
+
+    it('counts only minions of its own service', () => {
+      const service = 'horno' as ServiceId;
+      sample.addMinion('m2', {isDraining: true, service});
+      assert.equal(survey().passedOver, '');
+    });
+  });
+
   it('repeats a line every 3 s, and at once when the reason changes', () => {
     assert.equal(reviewUntil(7_500).length, 3);
     adoptRun();
