isSchedulable uses the reasons that MinionAvailability names

One copy of the conditions under which a minion gets no work, for the planner and for the log. No change of behaviour; the tests of the package pass.

--- a/packages/nutmegproxy-scheduling/src/Placement.ts
+++ b/packages/nutmegproxy-scheduling/src/Placement.ts
@@ -11,10 +11,9 @@
 
 import type {MinionState, WorkKind} from './MinionState.ts';
 
+import {findUnavailability} from './MinionAvailability.ts';
 import {classifyWork} from './MinionState.ts';
 
-/** Time in milliseconds that a minion's entry may be missing before the minion gets no new work. */
-const UNLISTED_GRACE_MS = 2_500;
 /** Share of a backfill task's processors that must be unused on the minion. */
 const BACKFILL_UNUSED_SHARE = 1;
 /** Cost of a rack other than the preferred one, which holds the data, in thousandths of a core. */
@@ -69,23 +68,7 @@
 
 /** Whether the minion can get new work. */
 export function isSchedulable(minion: MinionState, now: Instant): boolean {
-  const {isDraining} = minion.description;
-  const isListed =
-    minion.unlistedSince === undefined || now - minion.unlistedSince < UNLISTED_GRACE_MS;
-  const level = minion.trust.level(now);
-  return (
-    minion.isRegistered &&
-    minion.hasReported &&
-    minion.leaseClock.hasReading &&
-    isListed &&
-    !isDraining &&
-    minion.missedCalls === 0 &&
-    !minion.isRecordedDraining &&
-    !minion.isRecordedUnreachable &&
-    minion.trialRun === undefined &&
-    minion.unknownRuns === 0 &&
-    (level === 'trusted' || (level === 'trial' && minion.runs.size === 0))
-  );
+  return findUnavailability(minion, now) === undefined;
 }
 
 /** Whether the constraints of a step allow one more of its tasks on the minion. */
