The last attempt of a task waits for 8 s at most for a minion without failures

What callers saw: on a lightly loaded fleet a job whose task had one attempt left was neither run nor shown as failed, for as long as no run succeeded on any minion.

Cause: PlanningRound.#isAllowed wants a minion without recent failures, and MinionTrust.hasRecentFailures ended only with a run that was done there.

Change: a failure counts as recent for 8 s, the longest time for which a faulty minion was kept from work until now. Ruled out: no wait at all (the last attempt then goes to the minion that has just failed it).

MinionTrust's test passes the time that hasRecentFailures now takes.

--- a/packages/nutmegproxy-scheduling/src/MinionTrust.ts
+++ b/packages/nutmegproxy-scheduling/src/MinionTrust.ts
@@ -11,19 +11,21 @@
 const FIRST_QUARANTINE_MS = 2_000;
 /** Longest quarantine in milliseconds; bounds how long a recovered minion stays unused. */
 const MAX_QUARANTINE_MS = 8_000;
+/** Time in milliseconds for which a failure speaks against the last attempt of a task. */
+const RECENT_FAILURE_MS = 8_000;
 
 /** `trusted`: gets any work. `trial`: gets one run at a time. `quarantined`: gets none. */
 export type TrustLevel = 'quarantined' | 'trial' | 'trusted';
 
 export class MinionTrust {
+  #failedAt = -Infinity;
   readonly #failedJobs = new Set<JobId>();
   #quarantineMs = FIRST_QUARANTINE_MS;
   #quarantinedUntil: Instant | undefined;
-  #stalls = 0;
 
-  /** Whether a run on the minion has failed or stalled since its last successful run. */
-  get hasRecentFailures(): boolean {
-    return this.#failedJobs.size > 0 || this.#stalls > 0 || this.#quarantinedUntil !== undefined;
+  /** Whether a run has failed or stalled a short time ago and none has succeeded since. */
+  hasRecentFailures(now: Instant): boolean {
+    return now - this.#failedAt < RECENT_FAILURE_MS;
   }
 
   level(now: Instant): TrustLevel {
@@ -35,6 +37,7 @@
 
   /** Records a failed run; returns true when this starts a quarantine. */
   recordFailure(job: JobId, now: Instant): boolean {
+    this.#failedAt = now;
     this.#failedJobs.add(job);
     return this.#failedJobs.size >= FAILURES_TO_QUARANTINE || this.#quarantinedUntil !== undefined
       ? this.#quarantine(now)
@@ -43,17 +46,17 @@
 
   /** Records a run without progress; returns true when this starts a quarantine. */
   recordStall(now: Instant): boolean {
-    this.#stalls += 1;
+    this.#failedAt = now;
     return this.#quarantine(now);
   }
 
   /** Records a successful run; returns true when this ends a quarantine. */
   recordSuccess(): boolean {
     const wasQuarantined = this.#quarantinedUntil !== undefined;
+    this.#failedAt = -Infinity;
     this.#failedJobs.clear();
     this.#quarantineMs = FIRST_QUARANTINE_MS;
     this.#quarantinedUntil = undefined;
-    this.#stalls = 0;
     return wasQuarantined;
   }
 
--- a/packages/nutmegproxy-scheduling/src/StartPlanner.ts
+++ b/packages/nutmegproxy-scheduling/src/StartPlanner.ts
@@ -165,7 +165,11 @@
     // The last attempt of a task goes to a minion without recent failures.
     const failures = step.failures.get(index)?.length ?? 0;
     const isLastAttempt = failures > 0 && failures >= maxAttempts - 1;
-    if (isLastAttempt && !step.shape.longRunning && minion.trust.hasRecentFailures) {
+    if (
+      isLastAttempt &&
+      !step.shape.longRunning &&
+      minion.trust.hasRecentFailures(this.#context.now)
+    ) {
       return false;
     }
     return policy === undefined || this.#context.advice.isPermitted(step, minion) === true;
--- a/packages/nutmegproxy-scheduling/src/__tests__/unit/MinionTrust.test.ts
+++ b/packages/nutmegproxy-scheduling/src/__tests__/unit/MinionTrust.test.ts
@@ -33,7 +33,7 @@
     trust.recordStall(at(0));
     assert.equal(trust.recordSuccess(), true);
     assert.equal(trust.level(at(1)), 'trusted');
-    assert.equal(trust.hasRecentFailures, false);
+    assert.equal(trust.hasRecentFailures(at(1)), false);
   });
 
   describe('with one minion on which every run fails', () => {
