A task avoids a minion on which it failed for 4 s instead of until it has failed on all others

Cause: a task returned to a minion that it avoids only once it avoided all minions of its service, also those that can't run it.

Change: StepState keeps until when the task avoids a minion. Ruled out: to count only the minions that can run the task (with one or two of a kind the attempts are used up within a second of a fault that lasts for some).

Calls of avoid() in tests pass the time.

--- a/packages/nutmegproxy-jobs/src/StepState.ts
+++ b/packages/nutmegproxy-jobs/src/StepState.ts
@@ -2,7 +2,7 @@
 
 import type {Instant, MinionId} from '@nutmegproxy/core';
 
-import {invariant} from '@nutmegproxy/core';
+import {after, invariant} from '@nutmegproxy/core';
 
 import type {Checkpoint, RunNumber, StepShape, TaskRef} from './JobModel.ts';
 import type {StepProgress} from './JobProgress.ts';
@@ -46,6 +46,12 @@
   readonly task: TaskRef;
 }
 
+/**
+ * Time in milliseconds for which a task avoids a minion. Other minions get it meanwhile; a task that
+ * only few can run returns to them.
+ */
+const AVOIDANCE_MS = 4_000;
+
 /** Tracks which tasks of a step are waiting, running or done. */
 export class StepState {
   readonly checkpoints = new Map<number, Checkpoint>();
@@ -54,8 +60,6 @@
   readonly done = new Set<number>();
   /** Numbers of the failed runs, by task index. */
   readonly failures = new Map<number, RunNumber[]>();
-  /** Minions on which a run of the task failed or stalled, by task index. */
-  readonly avoided = new Map<number, Set<MinionId>>();
   readonly job: JobState;
   readonly number: number;
   readonly occurrence: number;
@@ -75,6 +79,8 @@
   readonly unknownResults = new Map<number, Set<MinionId>>();
   /** Indexes of tasks that are not done and have no live run. */
   readonly waiting = new Set<number>();
+  /** Until when the task avoids minions on which it failed or stalled, by task index. */
+  readonly #avoidedUntil = new Map<number, Map<MinionId, Instant>>();
   readonly #lastRun = new Map<number, RunNumber>();
   readonly #perMinion = new Map<MinionId, number>();
   readonly #runs = new Map<number, Run[]>();
@@ -136,9 +142,14 @@
     return this.#perMinion.get(minion) ?? 0;
   }
 
-  avoid(index: number, minion: MinionId): void {
-    const minions = this.avoided.get(index) ?? new Set();
-    this.avoided.set(index, minions.add(minion));
+  /** Keeps the task off a minion for some time, since it failed, stalled or found no room there. */
+  avoid(index: number, minion: MinionId, now: Instant): void {
+    const minions = this.#avoidedUntil.get(index) ?? new Map<MinionId, Instant>();
+    this.#avoidedUntil.set(index, minions.set(minion, after(now, AVOIDANCE_MS)));
+  }
+
+  isAvoided(index: number, minion: MinionId, now: Instant): boolean {
+    return now < (this.#avoidedUntil.get(index)?.get(minion) ?? -Infinity);
   }
 
   /** Removes a minion whose results are known now, or never will be. */
--- a/packages/nutmegproxy-owner/src/RunOrders.ts
+++ b/packages/nutmegproxy-owner/src/RunOrders.ts
@@ -220,7 +220,7 @@
       this.#context.fleet.quarantineMinion(this.#minion, 'refuses starts', now);
     }
     if (kind === 'no-room' || kind === 'invalid') {
-      run.step.avoid(run.task.index, this.#minion.id);
+      run.step.avoid(run.task.index, this.#minion.id, now);
     }
     if (kind === 'no-ticket') {
       this.#context.onTicketRejected(run);
--- a/packages/nutmegproxy-scheduling/src/Fleet.ts
+++ b/packages/nutmegproxy-scheduling/src/Fleet.ts
@@ -96,7 +96,7 @@
     if (outcome === 'failed') {
       // Long-running tasks may fail at any time and restart on the capacity that they had.
       if (!run.step.shape.longRunning) {
-        run.step.avoid(run.task.index, run.minion);
+        run.step.avoid(run.task.index, run.minion, now);
       }
       if (minion?.trust.recordFailure(run.task.job, now)) {
         this.events.record(SCHEDULING_EVENTS.MINION_QUARANTINED, {
--- a/packages/nutmegproxy-scheduling/src/RunProgressMonitor.ts
+++ b/packages/nutmegproxy-scheduling/src/RunProgressMonitor.ts
@@ -61,7 +61,7 @@
       } else if (run.percent > previous.percent) {
         this.#measureSpeed(minion, run, previous, now);
       } else if (now - previous.at >= STALL_TIMEOUT_MS && run.paceShare > 0) {
-        run.step.avoid(run.task.index, minion.id);
+        run.step.avoid(run.task.index, minion.id, now);
         fleet.stopRun(run, 'stalled');
         // A backfill run may stall for lack of processors, which is no fault of the minion.
         hasStalled ||= !run.step.shape.fillsSpareCpu || minion.spareCpuMilli > 0;
--- a/packages/nutmegproxy-scheduling/src/StartPlanner.ts
+++ b/packages/nutmegproxy-scheduling/src/StartPlanner.ts
@@ -152,10 +152,11 @@
     return plan;
   }
 
-  /** Whether the task may run on the minion: it is permitted and the task has not failed there. */
+  /** Whether the task may run on the minion: it is permitted and the task has not just failed there. */
   #isAllowed(step: StepState, index: number, minion: MinionState): boolean {
+    const {now} = this.#context;
     const {advice: policy, maxAttempts} = this.#fleet.resolveQueuePolicy(step.job);
-    if (step.avoided.get(index)?.has(minion.id)) {
+    if (step.isAvoided(index, minion.id, now)) {
       return false;
     }
     // A run whose result is not known yet may have failed and counts as an attempt.
@@ -165,11 +166,7 @@
     // The last attempt of a task goes to a minion without recent failures.
     const failures = step.failures.get(index)?.length ?? 0;
     const isLastAttempt = failures > 0 && failures >= maxAttempts - 1;
-    if (
-      isLastAttempt &&
-      !step.shape.longRunning &&
-      minion.trust.hasRecentFailures(this.#context.now)
-    ) {
+    if (isLastAttempt && !step.shape.longRunning && minion.trust.hasRecentFailures(now)) {
       return false;
     }
     return policy === undefined || this.#context.advice.isPermitted(step, minion) === true;
@@ -220,9 +217,7 @@
       if (budget.isUsedUp) {
         return;
       }
-      const minion =
-        this.#choose(step, index, ranking) ??
-        this.#chooseAvoidedMinion(step, index, minions, ranking);
+      const minion = this.#choose(step, index, ranking);
       if (minion === undefined) {
         step.blockedAt = this.#context.now;
         if (step.shape.longRunning) {
@@ -244,21 +239,6 @@
     }
   }
 
-  /** Chooses a minion for a task that avoids all minions, by allowing all of them again. */
-  #chooseAvoidedMinion(
-    step: StepState,
-    index: number,
-    minions: readonly MinionState[],
-    ranking: MinionRanking,
-  ): MinionState | undefined {
-    const avoided = step.avoided.get(index);
-    if (avoided === undefined || minions.some(({id}) => !avoided.has(id))) {
-      return undefined;
-    }
-    step.avoided.delete(index);
-    return this.#choose(step, index, ranking);
-  }
-
   #tryPlaceGang(step: StepState, minions: readonly MinionState[]): boolean {
     const indexes = [...step.waiting];
     const number = Math.max(
--- a/packages/nutmegproxy-scheduling/src/__tests__/unit/CrashAttribution.test.ts
+++ b/packages/nutmegproxy-scheduling/src/__tests__/unit/CrashAttribution.test.ts
@@ -273,8 +273,8 @@
     assert.ok(step);
     for (const minion of sample.fleet.minions.values()) {
       const run = startOn(sample, job, minion, 0);
-      run.step.avoid(0, minion.id);
-      run.step.avoid(1, minion.id);
+      run.step.avoid(0, minion.id, at(10));
+      run.step.avoid(1, minion.id, at(10));
       crash(sample, minion, 10);
     }
     step.crashes.record(0, {...step.crashes.of(0)[0], run: 9} as TaskCrash, at(2_000));
--- a/packages/nutmegproxy-scheduling/src/__tests__/unit/ExclusionsEnd.test.ts
+++ b/packages/nutmegproxy-scheduling/src/__tests__/unit/ExclusionsEnd.test.ts
@@ -8,7 +8,7 @@
 import {describe, it} from 'node:test';
 
 import {RunProgressMonitor} from '../../RunProgressMonitor.ts';
-import {at, SampleFleet, shape} from './Samples.ts';
+import {at, queue, SampleFleet, shape} from './Samples.ts';
 
 const JOB_A = brand<JobId>('a');
 const TICK_MS = 100;
@@ -48,6 +48,31 @@
 }
 
 describe('A task that has failed', () => {
+  it('is tried again on the only minion that has its required label', () => {
+    const sample = new SampleFleet(2, [queue('proofs', {maxAttempts: 3})]);
+    sample.addMinion('fast', {labels: ['fast', 'r1']});
+    const job = sample.addJob('proofs', [shape({requiredLabel: 'fast'})]);
+    let failures = 0;
+    play(sample, 0, 30_000, () => {
+      failures += 1;
+      return failures === 1 ? 'failed' : 'done';
+    });
+    assert.equal(job.status, 'completed');
+  });
+
+  it('is tried again on the only minion that has room for it', () => {
+    const sample = new SampleFleet(0, [queue('proofs', {maxAttempts: 3})]);
+    sample.addMinion('small', {capacity: {cpuMilli: 500, gpus: 0, memoryMb: 8_000}});
+    sample.addMinion('large');
+    const job = sample.addJob('proofs', [shape()]);
+    let failures = 0;
+    play(sample, 0, 30_000, () => {
+      failures += 1;
+      return failures === 1 ? 'failed' : 'done';
+    });
+    assert.equal(job.status, 'completed');
+  });
+
   it('gets its last attempt although no minion has had a successful run since', () => {
     const sample = new SampleFleet(3);
     const hopeless = [1, 2, 3].map(() => sample.addJob('proofs', [shape()]));
--- a/packages/nutmegproxy-scheduling/src/__tests__/unit/TaskTrials.test.ts
+++ b/packages/nutmegproxy-scheduling/src/__tests__/unit/TaskTrials.test.ts
@@ -237,7 +237,7 @@
       minion.lastAnswerAt = at(round * 4_000 + 1_000);
       crash(sample, [minion], round * 4_000 + 1_000);
       // It stalled or found no room there, too.
-      step?.avoid(0, minion.id);
+      step?.avoid(0, minion.id, at(round * 4_000 + 1_000));
     }
     play(sample, 8_000, 60_000);
     assert.equal(step?.runsOf(0).length, 1);
