A minion with a lasting task gets work again after its quarantine

Cause: the level `trial` of a quarantined minion ended only with a run that is done, and a minion at that level had to be without runs to get one.

Change: only runs that were sent after the quarantine count as a trial. A minion on trial gets one run, also within one round of planning (dozens before), and none that a trusted minion has room for. The longest quarantine is 4 s, so that quarantine and trial together end within the time in which lasting tasks have to run again. A minion whose run has only gone on is quarantined again by one failure.

--- a/packages/nutmegproxy-scheduling/src/Fleet.ts
+++ b/packages/nutmegproxy-scheduling/src/Fleet.ts
@@ -73,6 +73,12 @@
     this.#stopAll(job, 'cancelled');
   }
 
+  /** Ends the trial of a minion whose run goes on without failing. */
+  endQuarantine({id, trust}: MinionState): void {
+    trust.endTrial();
+    this.events.record(SCHEDULING_EVENTS.MINION_TRUSTED, {minion: id, proof: 'live'});
+  }
+
   /** Quarantines a minion whose runs stall or that refuses starts. */
   quarantineMinion(minion: MinionState, reason: string, now: Instant): void {
     if (minion.trust.recordStall(now)) {
@@ -91,7 +97,7 @@
     this.applyResult(run.step, run.task, run.number, outcome, checkpoint ?? run.checkpoint);
     const minion = this.minions.get(run.minion);
     if (outcome === 'done' && minion?.trust.recordSuccess()) {
-      this.events.record(SCHEDULING_EVENTS.MINION_TRUSTED, {minion: run.minion});
+      this.events.record(SCHEDULING_EVENTS.MINION_TRUSTED, {minion: run.minion, proof: 'done'});
     }
     if (outcome === 'failed') {
       // Long-running tasks may fail at any time and restart on the capacity that they had.
--- a/packages/nutmegproxy-scheduling/src/MinionAvailability.ts
+++ b/packages/nutmegproxy-scheduling/src/MinionAvailability.ts
@@ -9,6 +9,7 @@
 
 /**
  * `recorded`: the store names it as draining or unreachable. `task-trial`: it runs a suspected task.
+ * `trial`: a run shows at present whether it is sound.
  * `unknown-runs`: it has runs that belong to no known task. `no-reading`: nothing is known of its clock.
  */
 export type Unavailability =
@@ -24,6 +25,15 @@
   | 'unregistered'
   | 'unreported';
 
+/** Whether the minion is trusted, or is on trial and has no run yet that shows whether it is sound. */
+export function isOpenToRuns({runs, trust}: MinionState, now: Instant): boolean {
+  const level = trust.level(now);
+  return (
+    level === 'trusted' ||
+    (level === 'trial' && ![...runs].some(({sentAt}) => trust.isTrial(sentAt)))
+  );
+}
+
 type Condition = (minion: MinionState, now: Instant) => boolean;
 
 /** In the order in which they are named: what the minion itself says comes before what the owner believes. */
@@ -35,7 +45,7 @@
   recorded: ({isRecordedDraining, isRecordedUnreachable}) =>
     isRecordedDraining || isRecordedUnreachable,
   'task-trial': ({trialRun}) => trialRun !== undefined,
-  trial: ({runs, trust}, now) => trust.level(now) === 'trial' && runs.size > 0,
+  trial: (minion, now) => minion.trust.level(now) === 'trial' && !isOpenToRuns(minion, now),
   'unknown-runs': ({unknownRuns}) => unknownRuns > 0,
   unlisted: ({unlistedSince}, now) => now - (unlistedSince ?? Infinity) >= UNLISTED_GRACE_MS,
   unregistered: ({isRegistered}) => !isRegistered,
--- a/packages/nutmegproxy-scheduling/src/MinionTrust.ts
+++ b/packages/nutmegproxy-scheduling/src/MinionTrust.ts
@@ -10,11 +10,14 @@
 /** First quarantine in milliseconds; most short faults are over after this time. */
 const FIRST_QUARANTINE_MS = 2_000;
 /** Longest quarantine in milliseconds; bounds how long a recovered minion stays unused. */
-const MAX_QUARANTINE_MS = 8_000;
+const MAX_QUARANTINE_MS = 4_000;
 /** Time in milliseconds for which a failure speaks against the last attempt of a task. */
 const RECENT_FAILURE_MS = 8_000;
 
-/** `trusted`: gets any work. `trial`: gets one run at a time. `quarantined`: gets none. */
+/**
+ * `trusted`: gets any work. `trial`: gets one run, until that has shown whether the minion is sound.
+ * `quarantined`: gets none.
+ */
 export type TrustLevel = 'quarantined' | 'trial' | 'trusted';
 
 export class MinionTrust {
@@ -28,6 +31,11 @@
     return now - this.#failedAt < RECENT_FAILURE_MS;
   }
 
+  /** Whether a run that was sent at `sentAt` shows if the minion is sound after its quarantine. */
+  isTrial(sentAt: Instant): boolean {
+    return this.#quarantinedUntil !== undefined && sentAt >= this.#quarantinedUntil;
+  }
+
   level(now: Instant): TrustLevel {
     if (this.#quarantinedUntil === undefined) {
       return 'trusted';
@@ -50,6 +58,14 @@
     return this.#quarantine(now);
   }
 
+  /**
+   * Ends the trial as its run has gone on for some time without failing. The failures count on: the
+   * next one starts a quarantine, unless a run succeeds before.
+   */
+  endTrial(): void {
+    this.#quarantinedUntil = undefined;
+  }
+
   /** Records a successful run; returns true when this ends a quarantine. */
   recordSuccess(): boolean {
     const wasQuarantined = this.#quarantinedUntil !== undefined;
--- a/packages/nutmegproxy-scheduling/src/Placement.ts
+++ b/packages/nutmegproxy-scheduling/src/Placement.ts
@@ -23,6 +23,8 @@
 const SLOW_SPEED_THRESHOLD = 0.45;
 /** Cost of a minion below that speed, in thousandths of a core. */
 const SLOW_MINION_COST = 200_000;
+/** Cost of a minion on trial, in thousandths of a core; it is used when no trusted one has capacity. */
+const TRIAL_MINION_COST = 400_000;
 
 /** Costs of running tasks of different kinds on the same minion. */
 export interface SharingCosts {
@@ -101,5 +103,6 @@
   const isRemote =
     shape.preferredRack !== undefined && shape.preferredRack !== minion.description.rack;
   const slowCost = minion.estimateSpeed(now) < SLOW_SPEED_THRESHOLD ? SLOW_MINION_COST : 0;
-  return kindCost + slowCost + (isRemote ? REMOTE_RACK_COST : 0);
+  const trialCost = minion.trust.level(now) === 'trusted' ? 0 : TRIAL_MINION_COST;
+  return kindCost + slowCost + trialCost + (isRemote ? REMOTE_RACK_COST : 0);
 }
--- a/packages/nutmegproxy-scheduling/src/RunProgressMonitor.ts
+++ b/packages/nutmegproxy-scheduling/src/RunProgressMonitor.ts
@@ -11,6 +11,8 @@
 const STALL_TIMEOUT_MS = 1_800;
 /** Multiple of the expected duration from which a run is overdue. */
 const OVERDUE_RATIO = 1.5;
+/** Time in milliseconds for which a run goes on without failing on a sound minion. */
+const TRIAL_RUN_MS = 3_000;
 /** Minimum time in milliseconds between two reports from which a speed is computed. */
 const MIN_SPEED_INTERVAL_MS = 300;
 /** Weight of a new measurement in the moving average of a minion's speed. */
@@ -24,6 +26,14 @@
   readonly percent: number;
 }
 
+/** Whether a run that was sent after the minion's quarantine has gone on for some time. */
+function hasProvenRun({runs, trust}: MinionState, now: Instant): boolean {
+  return [...runs].some(
+    ({confirmedAt, phase, sentAt}) =>
+      trust.isTrial(sentAt) && phase === 'running' && now - (confirmedAt ?? now) >= TRIAL_RUN_MS,
+  );
+}
+
 export class RunProgressMonitor {
   readonly #estimator: DurationEstimator;
   readonly #samples = new WeakMap<Run, ProgressSample>();
@@ -48,7 +58,7 @@
     return least;
   }
 
-  /** Measures the minion's speed from its latest reports, and stops stalled runs. */
+  /** Measures the minion's speed from its latest reports, stops stalled runs and ends its trial. */
   checkProgress(fleet: Fleet, minion: MinionState, now: Instant): void {
     let hasStalled = false;
     for (const run of [...minion.runs]) {
@@ -69,6 +79,8 @@
     }
     if (hasStalled) {
       fleet.quarantineMinion(minion, 'stalls', now);
+    } else if (hasProvenRun(minion, now)) {
+      fleet.endQuarantine(minion);
     }
   }
 
--- a/packages/nutmegproxy-scheduling/src/SchedulingEvents.ts
+++ b/packages/nutmegproxy-scheduling/src/SchedulingEvents.ts
@@ -34,7 +34,7 @@
   MINION_TRUSTED: {
     code: 8021,
     level: 'info',
-    text: 'The quarantine of a minion ended after a successful run.',
+    text: 'The quarantine of a minion ended: a run succeeded or goes on without failing.',
   },
   MINION_UNTRUSTED: {
     code: 8026,
--- a/packages/nutmegproxy-scheduling/src/SpeculationPlanner.ts
+++ b/packages/nutmegproxy-scheduling/src/SpeculationPlanner.ts
@@ -12,6 +12,7 @@
 import type {MinionState} from './MinionState.ts';
 import type {SharingCosts} from './Placement.ts';
 
+import {isOpenToRuns} from './MinionAvailability.ts';
 import {MinionRanking} from './MinionRanking.ts';
 
 /** Multiple of the expected duration from which a run is late enough for a speculative run. */
@@ -52,7 +53,10 @@
       }
       const {service} = fleet.resolveQueuePolicy(run.step.job);
       const chosen = new MinionRanking(run.step, minions, sharingCosts, now).choose(
-        ({description, id}) => id !== run.minion && description.service === service,
+        (minion) =>
+          minion.id !== run.minion &&
+          minion.description.service === service &&
+          isOpenToRuns(minion, now),
       );
       if (chosen !== undefined) {
         speculativeRuns.push(fleet.startRun(run.step, index, chosen, now));
--- a/packages/nutmegproxy-scheduling/src/StartPlanner.ts
+++ b/packages/nutmegproxy-scheduling/src/StartPlanner.ts
@@ -13,6 +13,7 @@
 import {listCrashes} from './CrashVerdict.ts';
 import {orderSteps} from './JobOrder.ts';
 import {LongRunningStarts} from './LongRunningStarts.ts';
+import {isOpenToRuns} from './MinionAvailability.ts';
 import {MinionRanking} from './MinionRanking.ts';
 import {computePlacementCost, isSchedulable} from './Placement.ts';
 import {collectReadySteps, listStartableTasks} from './ReadySteps.ts';
@@ -156,7 +157,7 @@
   #isAllowed(step: StepState, index: number, minion: MinionState): boolean {
     const {now} = this.#context;
     const {advice: policy, maxAttempts} = this.#fleet.resolveQueuePolicy(step.job);
-    if (step.isAvoided(index, minion.id, now)) {
+    if (step.isAvoided(index, minion.id, now) || !isOpenToRuns(minion, now)) {
       return false;
     }
     // A run whose result is not known yet may have failed and counts as an attempt.
