--- a/packages/nutmegproxy-owner/src/RunOrders.ts
+++ b/packages/nutmegproxy-owner/src/RunOrders.ts
@@ -10,7 +10,7 @@
 
 import {delay} from '@nutmegproxy/core';
 import {formatRunName, formatTaskName} from '@nutmegproxy/jobs';
-import {describeRun} from '@nutmegproxy/scheduling';
+import {describeRun, quarantineMinion} from '@nutmegproxy/scheduling';
 
 import type {MinionTarget, OrderFailure} from './MinionOrders.ts';
 import type {SessionContext} from './SessionContext.ts';
@@ -217,7 +217,7 @@
       return 'unknown';
     }
     if (kind === 'unhealthy') {
-      this.#context.fleet.quarantineMinion(this.#minion, 'refuses starts', now);
+      quarantineMinion(this.#context.fleet, this.#minion, 'refuses starts', now);
     }
     if (kind === 'no-room' || kind === 'invalid') {
       run.step.avoid(run.task.index, this.#minion.id, now);
--- a/packages/nutmegproxy-scheduling/src/Fleet.ts
+++ b/packages/nutmegproxy-scheduling/src/Fleet.ts
@@ -73,19 +73,6 @@
     this.#stopAll(job, 'cancelled');
   }
 
-  /** Ends the trial of a minion whose run goes on without failing. */
-  endQuarantine({id, trust}: MinionState): void {
-    trust.endTrial();
-    this.events.record(SCHEDULING_EVENTS.MINION_TRUSTED, {minion: id, proof: 'live'});
-  }
-
-  /** Quarantines a minion whose runs stall or that refuses starts. */
-  quarantineMinion(minion: MinionState, reason: string, now: Instant): void {
-    if (minion.trust.recordStall(now)) {
-      this.events.record(SCHEDULING_EVENTS.MINION_QUARANTINED, {minion: minion.id, reason});
-    }
-  }
-
   /** Removes a run and applies its result to its task, gang, job and minion. */
   finishRun(run: Run, outcome: RunOutcome, checkpoint: Checkpoint | undefined, now: Instant): void {
     this.#removeRun(run);
--- a/packages/nutmegproxy-scheduling/src/RunProgressMonitor.ts
+++ b/packages/nutmegproxy-scheduling/src/RunProgressMonitor.ts
@@ -7,6 +7,8 @@
 import type {Fleet} from './Fleet.ts';
 import type {MinionState} from './MinionState.ts';
 
+import {endTrial, quarantineMinion} from './MinionQuarantine.ts';
+
 /** Time in milliseconds without progress after which a run is stalled; tasks report it sooner. */
 const STALL_TIMEOUT_MS = 1_800;
 /** Multiple of the expected duration from which a run is overdue. */
@@ -78,9 +80,9 @@
       }
     }
     if (hasStalled) {
-      fleet.quarantineMinion(minion, 'stalls', now);
+      quarantineMinion(fleet, minion, 'stalls', now);
     } else if (hasProvenRun(minion, now)) {
-      fleet.endQuarantine(minion);
+      endTrial(fleet, minion);
     }
   }
 
--- a/packages/nutmegproxy-scheduling/src/index.ts
+++ b/packages/nutmegproxy-scheduling/src/index.ts
@@ -26,6 +26,7 @@
 export {findUnavailability} from './MinionAvailability.ts';
 export type {Unavailability} from './MinionAvailability.ts';
 export {checkMinion, isCallAddress} from './MinionCheck.ts';
+export {quarantineMinion} from './MinionQuarantine.ts';
 export {MinionRanking} from './MinionRanking.ts';
 export {classifyWork, MinionState} from './MinionState.ts';
 export type {MachineId, MinionDescription, WorkKind} from './MinionState.ts';
