A gang that does not fit still counts as waiting and uses no run numbers

Change: GangPlacement finds a minion for each member while it reserves room, and releases all of it; the members start only once all have one. A run number is recorded where a run is started or adopted, not where its room is reserved.

Read, not run: a task with more than 1,000 runs in one term reaches the numbers of the next term; that owner goes on from the highest number that a listing or a failed result names. If it knows none, a minion that had a higher one rejects its starts as outdated, and each costs one poll.

Tests: GangPlacement, three tests, failed before. Not changed: a job whose starts are all refused or not answered counts as begun.

--- a/packages/nutmegproxy-jobs/src/StepState.ts
+++ b/packages/nutmegproxy-jobs/src/StepState.ts
@@ -134,7 +134,6 @@
     this.#runs.set(index, runs);
     this.waiting.delete(index);
     this.#perMinion.set(run.minion, this.countRunsOn(run.minion) + 1);
-    this.recordRunNumber(index, run.number);
   }
 
   /** Returns the number of live runs of the step on a minion. */
--- a/packages/nutmegproxy-scheduling/src/Fleet.ts
+++ b/packages/nutmegproxy-scheduling/src/Fleet.ts
@@ -222,6 +222,7 @@
   ): Run {
     const run = createRun(step, task, number, minion.id, now);
     step.addRun(run);
+    step.recordRunNumber(task.index, number);
     minion.addRun(run);
     if (!step.job.hasStarted) {
       step.job.hasStarted = true;
--- a/packages/nutmegproxy-scheduling/src/StartPlanner.ts
+++ b/packages/nutmegproxy-scheduling/src/StartPlanner.ts
@@ -11,6 +11,7 @@
 import type {TrialPlan} from './TaskTrials.ts';
 
 import {listCrashes} from './CrashVerdict.ts';
+import {findGangMinions} from './GangPlacement.ts';
 import {orderSteps} from './JobOrder.ts';
 import {LongRunningStarts} from './LongRunningStarts.ts';
 import {isOpenToRuns} from './MinionAvailability.ts';
@@ -241,24 +242,21 @@
   }
 
   #tryPlaceGang(step: StepState, minions: readonly MinionState[]): boolean {
-    const indexes = [...step.waiting];
-    const number = Math.max(
-      ...indexes.map((index) => step.nextRunNumber(index, this.#fleet.runNumberBase)),
-    ) as RunNumber;
     const {now} = this.#context;
     const ranking = this.#rank(step, minions);
-    const runs: Run[] = [];
-    for (const index of indexes) {
-      const minion = this.#chooseForMember(step, index, ranking);
-      if (minion === undefined) {
-        for (const run of runs) {
-          this.#fleet.discardRun(run);
-        }
-        return false;
-      }
-      runs.push(this.#fleet.startRun(step, index, minion, now, number));
-      ranking.refresh(minion);
+    const choose = (index: number): MinionState | undefined =>
+      this.#chooseForMember(step, index, ranking);
+    const chosen = findGangMinions(step, {choose, now, ranking});
+    if (chosen === undefined) {
+      return false;
     }
+    const numbers = [...chosen.keys()].map((index) =>
+      step.nextRunNumber(index, this.#fleet.runNumberBase),
+    );
+    const number = Math.max(...numbers) as RunNumber;
+    const runs = [...chosen].map(([index, minion]) =>
+      this.#fleet.startRun(step, index, minion, now, number),
+    );
     if (!step.crashes.isEmpty) {
       for (const run of runs) {
         recordTrial(this.#fleet, run);
