First interface: a worker whose canary task is evicted gets another one

After its quarantine a worker gets one task, and nothing more until that one succeeds or fails. When it was evicted or refused instead, neither ever came, and the worker got no work again: a belief without an end.

Change: the quarantine knows the canary's attempt, and drops it when that ends in a way that says nothing about the worker.

Test: LearnedPlacement, "get another canary task when the first one is evicted", failed before. Open: only batch tasks serve as canaries, so in a fleet without batch work such a worker stays unused.

--- a/packages/nutmegproxy-placement/src/LearnedPlacement.ts
+++ b/packages/nutmegproxy-placement/src/LearnedPlacement.ts
@@ -144,7 +144,9 @@
     this.#recordEnd(attempt, now);
     this.#planner.recordEnd(id, now);
     const failed = WORKER_FAILURE_BY_OUTCOME[outcome];
-    if (failed !== undefined) {
+    if (failed === undefined) {
+      this.#quarantine.dropCanary(attempt.worker, id);
+    } else {
       this.#quarantine.recordOutcome(attempt.worker, attempt.entry, failed, now);
     }
     if (outcome === 'succeeded') {
@@ -307,7 +309,7 @@
     this.#recordStart(placed);
     this.#claims.remove(request.attempt);
     if (this.#quarantine.trust(worker, now) === 'canary') {
-      this.#quarantine.startCanary(worker);
+      this.#quarantine.startCanary(worker, request.attempt);
     }
     if (request.class === 'latency-critical') {
       this.#demand.add(reserved, now);
--- a/packages/nutmegproxy-placement/src/Quarantine.ts
+++ b/packages/nutmegproxy-placement/src/Quarantine.ts
@@ -3,7 +3,7 @@
  * for a time, then one canary task at a time.
  */
 
-import type {EntryId, Instant, WorkerId} from '@nutmegproxy/core';
+import type {AttemptId, EntryId, Instant, WorkerId} from '@nutmegproxy/core';
 
 import {after} from '@nutmegproxy/core';
 
@@ -19,10 +19,11 @@
 const WORKER_ENTRY_LIMIT = 256;
 
 interface WorkerRecord {
+  /** The one attempt on the worker after its quarantine; undefined while there is none. */
+  canary: AttemptId | undefined;
   readonly entryRates: FailureRates;
   readonly expected: DecayingCount;
   readonly failures: DecayingCount;
-  isCanaryRunning: boolean;
   quarantinedUntil: Instant | undefined;
   quarantineMs: number;
 }
@@ -62,8 +63,16 @@
   }
 
   /** Records that the canary task was placed on the worker. */
-  startCanary(worker: WorkerId): void {
-    this.#record(worker).isCanaryRunning = true;
+  startCanary(worker: WorkerId, attempt: AttemptId): void {
+    this.#record(worker).canary = attempt;
+  }
+
+  /** Records that an attempt ended in a way that says nothing about its worker, such as an eviction. */
+  dropCanary(worker: WorkerId, attempt: AttemptId): void {
+    const record = this.#workers.get(worker);
+    if (record?.canary === attempt) {
+      record.canary = undefined;
+    }
   }
 
   trust(worker: WorkerId, now: Instant): WorkerTrust {
@@ -71,15 +80,15 @@
     if (record?.quarantinedUntil === undefined) {
       return 'open';
     }
-    return record.isCanaryRunning || now < record.quarantinedUntil ? 'none' : 'canary';
+    return record.canary !== undefined || now < record.quarantinedUntil ? 'none' : 'canary';
   }
 
   #endCanary(record: WorkerRecord, failed: boolean, now: Instant): void {
     // Attempts started before the quarantine may end during it; only a canary's outcome counts.
-    if (!record.isCanaryRunning) {
+    if (record.canary === undefined) {
       return;
     }
-    record.isCanaryRunning = false;
+    record.canary = undefined;
     if (failed) {
       this.#quarantine(record, Math.min(record.quarantineMs * 2, MAX_QUARANTINE_MS), now);
       return;
@@ -113,10 +122,10 @@
       return known;
     }
     const record: WorkerRecord = {
+      canary: undefined,
       entryRates: new FailureRates(WORKER_ENTRY_LIMIT),
       expected: new DecayingCount(),
       failures: new DecayingCount(),
-      isCanaryRunning: false,
       quarantinedUntil: undefined,
       quarantineMs: INITIAL_QUARANTINE_MS,
     };
--- a/packages/nutmegproxy-placement/src/__tests__/unit/LearnedPlacement.test.ts
+++ b/packages/nutmegproxy-placement/src/__tests__/unit/LearnedPlacement.test.ts
@@ -238,6 +238,18 @@
       assert.equal(placement.decide(makeRequest('y'), at(41_000)).kind, 'placed');
     });
 
+    it('get another canary task when the first one is evicted', () => {
+      const placement = new LearnedPlacement();
+      placement.setWorker(makeWorker('bad'));
+      for (const index of [1, 2, 3, 4, 5]) {
+        placement.adopt(placedOn('bad', `b${index}`));
+        placement.release(attemptOf(`b${index}`), 'failed', at(30));
+      }
+      assert.equal(placement.decide(makeRequest('x'), at(40_000)).kind, 'placed');
+      placement.release(attemptOf('x'), 'evicted', at(41_000));
+      assert.equal(placement.decide(makeRequest('y'), at(42_000)).kind, 'placed');
+    });
+
     function placedOn(worker: string, name: string) {
       const request = makeRequest(name);
       return {...request, reserved: request.declared, startedAt: at(0), worker: workerOf(worker)};
