--- a/packages/nutmegproxy-jobs/src/StepCrashes.ts
+++ b/packages/nutmegproxy-jobs/src/StepCrashes.ts
@@ -8,8 +8,12 @@
  * `alone`: the minion ran no other job. `shared`: other jobs may be to blame. `coincident`: other
  * minions failed at the same time, so that the machines are likely to blame. `unconfirmed`: the
  * minion had not confirmed the start and may have been down before, or was cut off before it crashed.
+ * `unstable`: the minion crashed soon before or after when no run there could be to blame, too.
  */
-export type CrashEvidence = 'alone' | 'coincident' | 'shared' | 'unconfirmed';
+export type CrashEvidence = 'alone' | 'coincident' | 'shared' | 'unconfirmed' | 'unstable';
+
+/** Evidence of crashes that are likely due to the machine. */
+export type MachineEvidence = Extract<CrashEvidence, 'coincident' | 'unstable'>;
 
 /** A crash of a minion that had a run of the task; stored in the job's progress. */
 export interface TaskCrash {
@@ -95,14 +99,20 @@
     return true;
   }
 
-  /** Marks the crash under a run as coincident; returns whether that is a change. */
-  excuse(index: number, number: RunNumber): boolean {
+  /**
+   * Marks the crash under a run as one of the machine; returns whether that is a change. One that is
+   * `unstable` stays so.
+   */
+  excuse(index: number, number: RunNumber, evidence: MachineEvidence): boolean {
     const crashes = this.of(index);
-    const isChange = crashes.some(({evidence, run}) => run === number && evidence !== 'coincident');
+    const isChange = crashes.some(
+      (crash) =>
+        crash.run === number && crash.evidence !== evidence && crash.evidence !== 'unstable',
+    );
     if (isChange) {
       this.#crashes.set(
         index,
-        crashes.map((crash) => (crash.run === number ? {...crash, evidence: 'coincident'} : crash)),
+        crashes.map((crash) => (crash.run === number ? {...crash, evidence} : crash)),
       );
     }
     return isChange;
--- a/packages/nutmegproxy-jobs/src/index.ts
+++ b/packages/nutmegproxy-jobs/src/index.ts
@@ -32,7 +32,13 @@
 export {MAX_PAYLOAD_CHARACTERS, validateJob} from './JobValidation.ts';
 export type {JobValidationError} from './JobValidation.ts';
 export {StepCrashes} from './StepCrashes.ts';
-export type {CrashEvidence, StepCrashProgress, TaskCrash, TaskTrial} from './StepCrashes.ts';
+export type {
+  CrashEvidence,
+  MachineEvidence,
+  StepCrashProgress,
+  TaskCrash,
+  TaskTrial,
+} from './StepCrashes.ts';
 export {StepState} from './StepState.ts';
 export type {Run, RunPhase, RunSource} from './StepState.ts';
 export {formatRunName, formatTaskName, parseTaskName} from './TaskName.ts';
--- a/packages/nutmegproxy-scheduling/src/CrashRecorder.ts
+++ b/packages/nutmegproxy-scheduling/src/CrashRecorder.ts
@@ -1,15 +1,16 @@
 /** Records the crashes of minions under the tasks that may have caused them. */
 
 import type {Instant} from '@nutmegproxy/core';
-import type {StepState, TaskCrash, TaskTrial} from '@nutmegproxy/jobs';
+import type {MachineEvidence, Run, StepState, TaskCrash, TaskTrial} from '@nutmegproxy/jobs';
 
 import {formatTaskName} from '@nutmegproxy/jobs';
 
 import type {ExposedRun, MinionOutage} from './CrashAttribution.ts';
 import type {Fleet} from './Fleet.ts';
 import type {MinionState} from './MinionState.ts';
+import type {RecordedOutage} from './OutageLog.ts';
 
-import {CRASH_ATTRIBUTIONS, isSimultaneous, listJobs} from './CrashAttribution.ts';
+import {CRASH_ATTRIBUTIONS, FRESH_RUN_MS, isSimultaneous, listJobs} from './CrashAttribution.ts';
 import {judgeTask} from './CrashVerdict.ts';
 import {describeRun, describeRuns} from './RunFields.ts';
 import {SCHEDULING_EVENTS} from './SchedulingEvents.ts';
@@ -47,21 +48,53 @@
   return [...fleet.outages.findSimultaneous(outage), ...silent];
 }
 
+/** Weakens what a crash says of runs that were blamed for it. */
+function excuseRuns(
+  fleet: Fleet,
+  excused: readonly Run[],
+  evidence: MachineEvidence,
+  {minion}: MinionOutage,
+): void {
+  for (const run of excused) {
+    if (run.step.crashes.excuse(run.task.index, run.number, evidence)) {
+      fleet.dirtyJobs.add(run.step.job);
+      fleet.events.record(SCHEDULING_EVENTS.CRASH_EXCUSED, {
+        ...describeRun(run),
+        evidence,
+        otherMinion: minion,
+      });
+    }
+  }
+}
+
 /** Marks what a task was blamed for as coincident, once a machine is known to have failed then. */
-function excuseTasks(fleet: Fleet, outage: MinionOutage): void {
+function excuseCoincident(fleet: Fleet, outage: MinionOutage): void {
   for (const {blamed} of fleet.outages.findSimultaneous(outage)) {
-    for (const run of blamed) {
-      if (run.step.crashes.excuse(run.task.index, run.number)) {
-        fleet.dirtyJobs.add(run.step.job);
-        fleet.events.record(SCHEDULING_EVENTS.CRASH_EXCUSED, {
-          ...describeRun(run),
-          otherMinion: outage.minion,
-        });
-      }
-    }
+    const runs = blamed.map(({run}) => run);
+    excuseRuns(fleet, runs, 'coincident', outage);
   }
 }
 
+/** Returns for how long a run may have been live at most when its minion failed. */
+function computeLiveMs(fleet: Fleet, {ageMs, run}: ExposedRun, {until}: MinionOutage): number {
+  const isFormer = run.number < fleet.runNumberBase;
+  const liveMs = Math.round(until - (run.confirmedAt ?? run.sentAt));
+  return Math.max(ageMs, isFormer ? FRESH_RUN_MS : 0, liveMs);
+}
+
+function describeCrash(
+  fleet: Fleet,
+  {description: {address}}: MinionState,
+  outage: MinionOutage,
+  {exposed, recorded}: Readonly<Record<'exposed' | 'recorded', readonly ExposedRun[]>>,
+): RecordedOutage {
+  const blamed = recorded.map((each) => ({
+    liveMs: computeLiveMs(fleet, each, outage),
+    run: each.run,
+  }));
+  return {...outage, address, blamed, jobs: listJobs(exposed)};
+}
+
 /** Records the crash of a minion under a run of a task. */
 function recordTaskCrash(
   fleet: Fleet,
@@ -196,25 +229,29 @@
   for (const {run} of cause === 'unknown' ? [] : exposed) {
     run.step.crashes.endTrial(run.task.index, run.number);
   }
+  const crash = describeCrash(fleet, minion, outage, {exposed, recorded});
+  const explained = new Set(fleet.outages.listExplained(crash));
   for (const {ageMs, run} of recorded) {
     // When a minion that was cut off crashed is not known: its runs may have been over by then.
     const wasLive = run.confirmedAt !== undefined && !minion.mayBeCutOff;
     const isConfirmed = wasLive || evidence === 'coincident';
-    const crash = {
+    const confirmed = isConfirmed ? evidence : 'unconfirmed';
+    const taskCrash: TaskCrash = {
       address,
       ageMs,
-      evidence: isConfirmed ? evidence : ('unconfirmed' as const),
+      evidence: explained.has(run) ? 'unstable' : confirmed,
       minion: minion.id,
       run: run.number,
     };
-    recordTaskCrash(fleet, run.step, run.task.index, crash, now);
+    recordTaskCrash(fleet, run.step, run.task.index, taskCrash, now);
   }
   resolveTrials(fleet, minion, now);
   if (cause === 'machine' || cause === 'outage' || cause === 'task') {
-    fleet.outages.add({...outage, blamed: recorded.map(({run}) => run)});
+    excuseRuns(fleet, fleet.outages.listExplainedBy(crash), 'unstable', outage);
+    fleet.outages.add(crash);
   }
   if (cause === 'machine') {
-    excuseTasks(fleet, outage);
+    excuseCoincident(fleet, outage);
   }
   for (const run of minion.runs) {
     const wasSentBefore = minion.silentSince !== undefined && run.sentAt <= minion.silentSince;
--- a/packages/nutmegproxy-scheduling/src/CrashVerdict.ts
+++ b/packages/nutmegproxy-scheduling/src/CrashVerdict.ts
@@ -38,7 +38,13 @@
   return new Set(crashes.map(({run}) => run)).size;
 }
 
-function judgeByTrial(crashes: readonly TaskCrash[]): TaskVerdict {
+/** Leaves out the crashes of minions that crash without the task too. */
+function selectTelling(crashes: readonly TaskCrash[]): readonly TaskCrash[] {
+  return crashes.filter(({evidence}) => evidence !== 'unstable');
+}
+
+function judgeByTrial(recorded: readonly TaskCrash[]): TaskVerdict {
+  const crashes = selectTelling(recorded);
   const fresh = crashes.filter(({ageMs}) => ageMs < FRESH_RUN_MS);
   const blamed = crashes.filter(({evidence}) => evidence === 'alone' || evidence === 'shared');
   const alone = blamed.filter(({evidence}) => evidence === 'alone');
@@ -60,7 +66,7 @@
   if (isExhausted || isOverdue || (isConfirmed && (isProven || isRepeated || isOften))) {
     return 'guilty';
   }
-  return isStronglySuspected(crashes) || countStarts(crashes) > 1 ? 'suspect' : 'clear';
+  return isStronglySuspected(crashes) || countStarts(recorded) > 1 ? 'suspect' : 'clear';
 }
 
 /**
@@ -68,7 +74,7 @@
  * members are on many machines, so those that failed together count less than under one task.
  */
 function judgeGang(crashes: readonly TaskCrash[]): TaskVerdict {
-  const fresh = crashes.filter(({ageMs}) => ageMs < FRESH_RUN_MS);
+  const fresh = selectTelling(crashes).filter(({ageMs}) => ageMs < FRESH_RUN_MS);
   const blamed = fresh.filter(({evidence}) => evidence === 'alone' || evidence === 'shared');
   const isExhausted =
     countMinions(fresh) >= MIN_MINIONS &&
@@ -81,7 +87,7 @@
 
 /** Whether a task needs a trial; others start without one when no minion is free for it. */
 export function isStronglySuspected(crashes: readonly TaskCrash[]): boolean {
-  return crashes.some(
+  return selectTelling(crashes).some(
     ({ageMs, evidence}) =>
       evidence === 'alone' || (ageMs < FRESH_RUN_MS && evidence !== 'coincident'),
   );
--- a/packages/nutmegproxy-scheduling/src/SchedulingEvents.ts
+++ b/packages/nutmegproxy-scheduling/src/SchedulingEvents.ts
@@ -6,7 +6,7 @@
   CRASH_EXCUSED: {
     code: 8019,
     level: 'info',
-    text: 'The crash of a minion no longer speaks against a task: a machine failed at the same time.',
+    text: 'The crash of a minion no longer speaks against a task: a machine failed at that time, or this one by itself.',
   },
   CRASHED_RUNS: {code: 8023, level: 'info', text: 'Runs that a minion had when it crashed.'},
   JOB_CANCELLED: {code: 8003, level: 'info', text: 'A job was cancelled; its runs are stopped.'},
--- a/packages/nutmegproxy-scheduling/src/TaskTrials.ts
+++ b/packages/nutmegproxy-scheduling/src/TaskTrials.ts
@@ -5,7 +5,7 @@
  */
 
 import type {Instant} from '@nutmegproxy/core';
-import type {JobState, Run, StepState} from '@nutmegproxy/jobs';
+import type {JobState, Run, StepState, TaskCrash} from '@nutmegproxy/jobs';
 
 import {formatTaskName} from '@nutmegproxy/jobs';
 
@@ -25,12 +25,20 @@
 import {SCHEDULING_EVENTS} from './SchedulingEvents.ts';
 import {isApartFromSuspects} from './SuspectSeparation.ts';
 
-/** Time in milliseconds after a crash in which other machines may turn out to have failed with it. */
+/**
+ * Shortest time in milliseconds after a crash in which other machines may turn out to have failed with
+ * it, or its minion to crash without the task.
+ */
 const VERDICT_PAUSE_MS = 2_500;
 /** Time in milliseconds for which a trial waits for a minion without runs. */
 const EMPTY_MINION_WAIT_MS = 700;
 /** Time in milliseconds after which a task that is hardly suspected starts without a trial. */
 const MAX_TRIAL_WAIT_MS = 2_000;
+/** Crashes under a task that is not given up, from which on its trials have pauses before them. */
+const MIN_PAUSED_CRASHES = 3;
+/** What each of these crashes adds to the pause, and the longest pause, in milliseconds. */
+const TRIAL_PAUSE_MS = 1_000;
+const MAX_TRIAL_PAUSE_MS = 3_000;
 /** Largest share of the minions that are reserved for trials, and the least number of trials. */
 const MAX_TRIAL_SHARE = 0.15;
 const MIN_TRIALS = 2;
@@ -53,10 +61,21 @@
 
 interface Suspect {
   readonly index: number;
+  /** Time in milliseconds since the last crash after which its next trial is due. */
+  readonly pauseMs: number;
   readonly step: StepState;
   readonly waitedMs: number;
 }
 
+/**
+ * Returns how long a task waits before its next trial. Minions that fail by themselves are likely to do
+ * so meanwhile, and a task that crashes them does it less often.
+ */
+function computeTrialPause({length}: readonly TaskCrash[]): number {
+  const paused = Math.max(0, length - MIN_PAUSED_CRASHES + 1);
+  return Math.min(MAX_TRIAL_PAUSE_MS, paused * TRIAL_PAUSE_MS);
+}
+
 /** Gives up a task and with it its job. */
 function giveUpTask(fleet: Fleet, step: StepState, index: number): void {
   const {job} = step;
@@ -85,14 +104,19 @@
   return byTask || countCrashes(b.step) - countCrashes(a.step) || b.waitedMs - a.waitedMs;
 }
 
-/** Chooses a minion without runs; after a wait one with few of them, and without serving tasks. */
+/**
+ * Chooses a minion without runs; after a wait one under which few crashes are recorded, with few runs
+ * and without serving tasks.
+ */
 function chooseMinion(
   {index, step, waitedMs}: Suspect,
   minions: readonly MinionState[],
 ): MinionState | undefined {
-  const crashed = new Set(step.crashes.of(index).map(({address}) => address));
+  const crashed = step.crashes.of(index).map(({address}) => address);
+  const countAt = ({description}: MinionState): number =>
+    crashed.filter((address) => address === description.address).length;
   const able = minions.filter(({trialRun}) => trialRun === undefined);
-  const others = able.filter(({description}) => !crashed.has(description.address));
+  const others = able.filter((minion) => countAt(minion) === 0);
   // A minion that has been up for long is less likely to fail by itself.
   const [empty] = others
     .filter(({runs}) => runs.size === 0)
@@ -100,8 +124,8 @@
   if (empty !== undefined || waitedMs < EMPTY_MINION_WAIT_MS) {
     return empty;
   }
-  const [least] = [...(others.length > 0 ? others : able)].sort(
-    (a, b) => a.servingRuns - b.servingRuns || a.runs.size - b.runs.size,
+  const [least] = [...able].sort(
+    (a, b) => countAt(a) - countAt(b) || a.servingRuns - b.servingRuns || a.runs.size - b.runs.size,
   );
   return least;
 }
@@ -157,11 +181,12 @@
       const waitedMs = computeWaitedMs(step, index, now);
       if (verdict === 'guilty') {
         held.add(step.job);
-        if (waitedMs >= VERDICT_PAUSE_MS) {
+        if (waitedMs >= Math.max(VERDICT_PAUSE_MS, computeTrialMs(listCrashes(step, index)))) {
           giveUpTask(fleet, step, index);
         }
       } else if (!step.shape.gang) {
-        suspects.push({index, step, waitedMs});
+        const pauseMs = computeTrialPause(step.crashes.of(index));
+        suspects.push({index, pauseMs, step, waitedMs});
       }
     }
   }
@@ -178,13 +203,13 @@
   }
   const maxTrials = Math.max(MIN_TRIALS, Math.floor(fleet.minions.size * MAX_TRIAL_SHARE));
   for (const suspect of suspects.sort(compareSuspects)) {
-    const {index, step, waitedMs} = suspect;
+    const {index, pauseMs, step, waitedMs} = suspect;
     if (held.has(step.job)) {
       continue;
     }
     const able = context.listMinions(step, index);
     const apart = able.filter((minion) => isApartFromSuspects(step, index, minion, now));
-    const isPossible = trials < maxTrials && !triedJobs.has(step.job);
+    const isPossible = waitedMs >= pauseMs && trials < maxTrials && !triedJobs.has(step.job);
     const minion = isPossible ? chooseMinion(suspect, apart) : undefined;
     if (minion !== undefined) {
       trials += 1;
@@ -194,7 +219,8 @@
     // Without a minion that can run it, the task is left to the rules of all tasks.
     const crashes = step.crashes.of(index);
     const needsTrial = crashes.length > 1 && able.length > 0 && isStronglySuspected(crashes);
-    const needsNoTrial = minion === undefined && waitedMs >= MAX_TRIAL_WAIT_MS && !needsTrial;
+    const hasWaited = waitedMs >= Math.max(MAX_TRIAL_WAIT_MS, pauseMs);
+    const needsNoTrial = minion === undefined && hasWaited && !needsTrial;
     const waitsForOthers = able.length > 0 && apart.length === 0;
     if (needsNoTrial && !waitsForOthers) {
       continue;
@@ -221,7 +247,7 @@
       const crashes = step.crashes.of(index);
       const [only] = crashes;
       if (crashes.length === 1 && only !== undefined) {
-        step.crashes.excuse(index, only.run);
+        step.crashes.excuse(index, only.run, 'coincident');
       }
     }
   }
