--- a/packages/nutmegproxy-emulator/src/__tests__/unit/RecoverySeries.test.ts
+++ b/packages/nutmegproxy-emulator/src/__tests__/unit/RecoverySeries.test.ts
@@ -34,6 +34,8 @@
 /** Time in milliseconds that passes in each step, and the real pause after it. */
 const STEP_MS = 500;
 const STEP_PAUSE_MS = 60;
+/** Longest real time in milliseconds in which an owner makes no round, and a margin. */
+const IDLE_ROUND_MS = 350;
 const SHORT_STEP_MS = 250;
 /** Time in milliseconds for which a minion is silent before its owner is killed. */
 const SILENT_BEFORE_KILL_MS = 1_000;
@@ -151,13 +153,14 @@
       harness.fleet.remove(leaving.description.id);
       const second = await harness.startKillable('vm-2');
       await sleep(SETTLED_MS);
-      await harness.passTime(second.started.ownership, MAX_FORMER_LEASE_MS / 2, 500);
+      // A VM that did not watch counts from the last write, so the owner gets its turns to write.
+      await harness.passTime(second.started.ownership, MAX_FORMER_LEASE_MS / 2, 500, IDLE_ROUND_MS);
       await second.kill();
       const other = harness.addMinion('m2');
       const {ownership} = await harness.start('vm-3');
       assert.ok(await isIdle(other));
-      // Half of the time is left, and what the wall clocks of two VMs may differ by.
-      await harness.passTime(ownership, MAX_FORMER_LEASE_MS / 2 + 3_000, 500);
+      // Half of the time is left, and what has passed since the last write.
+      await harness.passTime(ownership, MAX_FORMER_LEASE_MS / 2 + 2_000, 500);
       await waitFor('the task runs again', () => other.liveTasks.length === 1, REACTION_MS);
     });
   });
--- a/packages/nutmegproxy-owner/src/MinionRecovery.ts
+++ b/packages/nutmegproxy-owner/src/MinionRecovery.ts
@@ -17,9 +17,9 @@
 
 import {
   FORMER_ORDER_MARGIN_MS,
+  LEASE_TIMES_INTERVAL_MS,
   MAX_FORMER_LEASE_MS,
   MAX_UNCAPPED_LEASE_MS,
-  MAX_WALL_CLOCK_SKEW_MS,
   REPORT_WAIT_MS,
 } from './OwnerConstants.ts';
 import {
@@ -27,7 +27,6 @@
   areStartsConfirmed,
   createSilentRecord,
   listPossibleRuns,
-  resolveSilentRecord,
 } from './SilentRecords.ts';
 import {UnreportedMinions} from './UnreportedMinions.ts';
 
@@ -57,6 +56,8 @@
    */
   readonly #leases = new Map<MinionId, 'held' | 'renewed'>();
   readonly #options: MinionRecoveryOptions;
+  /** When the times of the recovery record were last computed. */
+  #timesStoredAt = -Infinity as Instant;
   readonly #unreported = new UnreportedMinions();
   /** Minions on which former owners may have left runs, until this owner uses them. */
   readonly #unused = new Map<MinionId, UnusedMinion>();
@@ -99,15 +100,21 @@
    * have used is not waited for.
    */
   expect(minion: MinionState, {draining, silent}: RosterEntry, now: Instant): void {
-    const {clock, fleet, ownership, record, roster} = this.#options;
+    const {fleet, ownership, record, roster} = this.#options;
     const former = record.findFormerUse(minion.id);
     if (silent !== undefined) {
-      const {lastTerm = ownership.term - 1, leaseTerm = ownership.term - 1} = former ?? {};
-      const recorded = resolveSilentRecord(silent, clock.wall());
-      const ownMs = (roster.findExpiry(minion.id) ?? Infinity) - now;
-      const remainingMs = Math.max(0, Math.min(recorded.remainingMs, ownMs));
-      adoptRecordedRuns(fleet, minion, {...recorded, remainingMs}, now);
-      this.#unused.set(minion.id, {former: {...silent, lastTerm, leaseTerm}, minion});
+      const {runs, suspects} = silent;
+      const {expiresAt, ...terms} = former ?? {
+        lastTerm: ownership.term - 1,
+        leaseTerm: ownership.term - 1,
+      };
+      const remainingMs = Math.min(
+        this.#findFormerLeaseMs(terms, now),
+        findRemainingMs(expiresAt, now),
+        findRemainingMs(roster.findExpiry(minion.id), now),
+      );
+      adoptRecordedRuns(fleet, minion, {remainingMs, runs, suspects}, now);
+      this.#unused.set(minion.id, {former: {...terms, runs}, minion});
       return;
     }
     minion.isRecordedDraining = draining !== undefined;
@@ -115,12 +122,8 @@
       return;
     }
     this.#unused.set(minion.id, {former, minion});
-    const remainingMs = findRecordedMs(former, now, clock.wall());
-    // Owners of earlier versions grant leases that do not end with their confirmation.
-    const isCapped = former.lastTerm >= ownership.recordingSince;
-    const longestMs = isCapped ? MAX_FORMER_LEASE_MS : MAX_UNCAPPED_LEASE_MS;
-    const releasedForMs = now - ownership.formerReleasedAt;
-    const formerMs = Math.min(longestMs, longestMs + FORMER_ORDER_MARGIN_MS - releasedForMs);
+    const remainingMs = findRemainingMs(former.expiresAt, now);
+    const formerMs = this.#findFormerLeaseMs(former, now);
     const heldForMs = Math.max(REPORT_WAIT_MS, Math.min(formerMs, remainingMs));
     minion.leaseClock.assumeLeasedUntil(after(now, heldForMs));
     // An owner of an earlier version stores the record again but may start runs in spite of it.
@@ -137,7 +140,7 @@
 
   /**
    * Whether a former owner's account may end the wait for a minion whose runs are known: the lease in
-   * its record counts longer, since it is given by the wall clock of another VM.
+   * its record may count longer, from a later read, or its length may not be known.
    */
   isAccountAwaited(now: Instant): boolean {
     return [...this.#unused].some(
@@ -205,14 +208,11 @@
       ) {
         continue;
       }
-      const recorded = resolveSilentRecord(record, clock.wall());
-      const presentMs = minion.leaseClock.expiresInMs(now);
-      const isCurrentLease = isLeaseCurrent(minion.id);
-      const remainingMs = isCurrentLease ? Math.min(recorded.remainingMs, presentMs) : presentMs;
-      adoptRecordedRuns(fleet, minion, {...recorded, remainingMs}, now);
-      const heldUntil = isCurrentLease
-        ? record.heldUntil
-        : (Math.ceil(clock.wall() + presentMs) as WallTime);
+      // Its account above told the end of its lease, if that was known.
+      const {runs, suspects} = record;
+      const remainingMs = minion.leaseClock.expiresInMs(now);
+      adoptRecordedRuns(fleet, minion, {remainingMs, runs, suspects}, now);
+      const heldUntil = Math.ceil(clock.wall() + remainingMs) as WallTime;
       roster.markSilent(description, {...record, heldUntil}, after(now, remainingMs));
     }
     void recoveryRecord.update();
@@ -260,6 +260,21 @@
     }
   }
 
+  /** Stores the remaining times of leases anew from time to time, until they have expired. */
+  refreshLeaseTimes(now: Instant): void {
+    const storedAt = this.#timesStoredAt;
+    if (now - storedAt < LEASE_TIMES_INTERVAL_MS) {
+      return;
+    }
+    const isCounting = [...this.#unused].some(
+      ([id, {minion}]) =>
+        this.#leases.get(id) === 'held' && minion.leaseClock.expiresInMs(storedAt) > 0,
+    );
+    if (isCounting) {
+      void this.#options.record.update();
+    }
+  }
+
   /**
    * Keeps the record of a minion's runs in step with whether it drains: names its runs when it begins
    * to drain and once none is left, and removes the record when it no longer drains.
@@ -314,14 +329,16 @@
     const {clock, ownership} = this.#options;
     const now = clock.monotonic();
     const wall = clock.wall();
+    this.#timesStoredAt = now;
     return [...this.#unused].map(([id, {former, minion}]) => {
       if (this.#canHold(minion)) {
         this.#leases.set(id, 'held');
       }
       const isHeld = this.#leases.get(id) === 'held';
+      const heldForMs = isHeld ? Math.ceil(minion.leaseClock.expiresInMs(now)) : undefined;
       return {
-        heldForMs: isHeld ? Math.ceil(minion.leaseClock.expiresInMs(now)) : undefined,
-        heldUntil: isHeld ? this.#findHeldUntil(minion, former, now, wall) : undefined,
+        heldForMs,
+        heldUntil: heldForMs === undefined ? undefined : (Math.ceil(wall + heldForMs) as WallTime),
         id,
         lastTerm: former.lastTerm,
         leaseTerm: isHeld ? former.leaseTerm : ownership.term,
@@ -330,25 +347,18 @@
     });
   }
 
-  /**
-   * Returns when a minion's lease has certainly expired. A stored instant is kept, since each reading
-   * by another VM's clock would add to it, unless it is known better or the minion has restarted.
-   */
-  #findHeldUntil(
-    {leaseClock}: MinionState,
-    {heldUntil}: FormerUse,
-    now: Instant,
-    wall: WallTime,
-  ): WallTime {
-    const present = Math.ceil(wall + leaseClock.expiresInMs(now));
-    const isStored = heldUntil !== undefined && present <= heldUntil + MAX_WALL_CLOCK_SKEW_MS + 1;
-    return (isStored ? Math.min(heldUntil, present) : present) as WallTime;
+  /** Returns the time in milliseconds after which all leases of former owners have expired. */
+  #findFormerLeaseMs({lastTerm}: Pick<FormerUse, 'lastTerm'>, now: Instant): number {
+    const {formerReleasedAt, recordingSince} = this.#options.ownership;
+    // Owners of earlier versions grant leases that do not end with their confirmation.
+    const isCapped = lastTerm >= recordingSince;
+    const longestMs = isCapped ? MAX_FORMER_LEASE_MS : MAX_UNCAPPED_LEASE_MS;
+    const releasedForMs = now - formerReleasedAt;
+    return Math.max(0, Math.min(longestMs, longestMs + FORMER_ORDER_MARGIN_MS - releasedForMs));
   }
 }
 
-/** Returns the time in milliseconds after which the lease of a minion has certainly expired. */
-function findRecordedMs({expiresAt, heldUntil}: FormerUse, now: Instant, wall: WallTime): number {
-  const byWallMs = heldUntil === undefined ? Infinity : heldUntil + MAX_WALL_CLOCK_SKEW_MS - wall;
-  const ownMs = expiresAt === undefined ? Infinity : expiresAt - now;
-  return Math.max(0, Math.min(byWallMs, ownMs));
+/** Returns the time in milliseconds until an instant; Infinity when it is not known. */
+function findRemainingMs(instant: Instant | undefined, now: Instant): number {
+  return instant === undefined ? Infinity : Math.max(0, instant - now);
 }
--- a/packages/nutmegproxy-owner/src/MinionSessions.ts
+++ b/packages/nutmegproxy-owner/src/MinionSessions.ts
@@ -174,6 +174,7 @@
    */
   sweep(confirmedAt: Instant, now: Instant): void {
     const {events, fleet} = this.#options;
+    this.recovery.refreshLeaseTimes(now);
     for (const [id, session] of this.#sessions) {
       const {minion} = session;
       if (minion.description.isDraining || minion.isRecordedDraining) {
--- a/packages/nutmegproxy-owner/src/OwnerConstants.ts
+++ b/packages/nutmegproxy-owner/src/OwnerConstants.ts
@@ -24,8 +24,6 @@
 export const ESTABLISHED_AFTER_MS = 20_000;
 /** Consecutive calls without a response after which a minion is flagged as silent. */
 export const SILENT_AFTER_MISSED_CALLS = 2;
-/** Largest difference between the wall clocks of two VMs, including a step of one of them. */
-export const MAX_WALL_CLOCK_SKEW_MS = 2_500;
 /** Pause of a session after a poll that failed. */
 export const POLL_RETRY_MS = 150;
 /** Longest time that a poll waits on the minion for the result of a run. */
@@ -105,6 +103,11 @@
  * it may list results that no owner has stored.
  */
 export const REPORT_WAIT_MS = 2_000;
+/**
+ * Time between two writes of the recovery record while it names leases that have not expired: a VM that did
+ * not know when the record was stored counts them from its own read.
+ */
+export const LEASE_TIMES_INTERVAL_MS = 1_000;
 /** Pause between reads of the former owner's closing record while minions have not reported. */
 export const CLOSING_RECORD_READ_INTERVAL_MS = 300;
 /** Longest such pause; the record of a large fleet takes part of a slow link with each read. */
--- a/packages/nutmegproxy-owner/src/RecoveryRecord.ts
+++ b/packages/nutmegproxy-owner/src/RecoveryRecord.ts
@@ -31,8 +31,6 @@
 export interface FormerUse {
   /** When its lease has certainly expired, by the clock of this process. */
   readonly expiresAt?: Instant | undefined;
-  /** When its lease has certainly expired, by the wall clock of the VM that wrote this. */
-  readonly heldUntil?: undefined | WallTime;
   /** Last term in which an owner may have started runs on the minion. */
   readonly lastTerm: number;
   /** Last term in which an owner may have renewed its lease. */
@@ -48,6 +46,8 @@
    * record; absent in records of earlier versions.
    */
   readonly heldForMs?: number | undefined;
+  /** The same by the wall clock of the writer; only for owners of earlier versions. */
+  readonly heldUntil?: undefined | WallTime;
   readonly id: MinionId;
 }
 
@@ -196,12 +196,12 @@
 ): ReadonlyMap<MinionId, FormerUse> {
   const isLatest = term >= formerLeaseTerm;
   return new Map<MinionId, FormerUse>([
-    ...awaited.map(({heldForMs, id, ...former}) => {
+    ...awaited.map(({heldForMs, id, lastTerm, leaseTerm, runs}) => {
       const expiresAt = typeof heldForMs === 'number' ? after(storedBy, heldForMs) : undefined;
       const leases = isLatest
-        ? {expiresAt, leaseTerm: Math.min(former.leaseTerm, formerLeaseTerm)}
-        : {heldUntil: undefined, leaseTerm: formerLeaseTerm};
-      return [id, {...former, ...leases}] as const;
+        ? {expiresAt, leaseTerm: Math.min(leaseTerm, formerLeaseTerm)}
+        : {leaseTerm: formerLeaseTerm};
+      return [id, {lastTerm, runs, ...leases}] as const;
     }),
     ...used.map((id) => [id, {lastTerm: term, leaseTerm: formerLeaseTerm}] as const),
   ]);
--- a/packages/nutmegproxy-owner/src/Roster.ts
+++ b/packages/nutmegproxy-owner/src/Roster.ts
@@ -39,7 +39,10 @@
 
 /** What is stored of a minion that does not respond. */
 export interface SilentMinionRecord {
-  /** When its lease has certainly expired, by the wall clock of the VM that wrote this. */
+  /**
+   * When its lease has certainly expired, by the wall clock of the VM that wrote this; only for owners
+   * of earlier versions, since the clocks of two VMs may differ by any amount.
+   */
   readonly heldUntil: WallTime;
   /** Task names and run numbers of the runs that it may have. */
   readonly runs: readonly (readonly [task: string, number: RunNumber])[];
@@ -71,7 +74,7 @@
   /**
    * Time in milliseconds after which a silent minion's lease has certainly expired, counted from the
    * write of the roster; absent when it is not known, and in entries of earlier versions. These drop it
-   * with the silent record that it belongs to.
+   * with the silent record that it belongs to. Where it is absent, the longest lease counts.
    */
   readonly heldForMs?: number | undefined;
 }
--- a/packages/nutmegproxy-owner/src/SilentRecords.ts
+++ b/packages/nutmegproxy-owner/src/SilentRecords.ts
@@ -10,8 +10,6 @@
 
 import type {SilentMinionRecord, SuspectRuns} from './Roster.ts';
 
-import {MAX_WALL_CLOCK_SKEW_MS} from './OwnerConstants.ts';
-
 /** Runs that a minion may have, and the time after which its lease has certainly expired. */
 export interface RecordedRuns {
   readonly remainingMs: number;
@@ -25,14 +23,6 @@
   readonly wall: WallTime;
 }
 
-/** Converts a record by the wall clock, which may differ from that of the VM that wrote it. */
-export function resolveSilentRecord(
-  {heldUntil, runs, suspects}: SilentMinionRecord,
-  wall: WallTime,
-): RecordedRuns {
-  return {remainingMs: Math.max(0, heldUntil + MAX_WALL_CLOCK_SKEW_MS - wall), runs, suspects};
-}
-
 /** Finds the tasks of suspects whose jobs are not over. */
 function findSuspects(fleet: Fleet, {runs}: SuspectRuns): FormerSuspect[] {
   return runs.flatMap(([name, number]) => {
