--- a/packages/nutmegproxy-owner/src/MinionSession.ts
+++ b/packages/nutmegproxy-owner/src/MinionSession.ts
@@ -17,7 +17,6 @@
 import type {SessionContext} from './SessionContext.ts';
 
 import {
-  ESTABLISHED_AFTER_MS,
   MAX_UNCAPPED_LEASE_MS,
   POLL_RETRY_MS,
   SILENT_AFTER_MISSED_CALLS,
@@ -52,9 +51,7 @@
       isActing: () => this.#isActing(),
     });
     this.#bornAt = minion.description.bornAt;
-    if (context.clock.wall() - (this.#bornAt ?? Infinity) > ESTABLISHED_AFTER_MS) {
-      minion.leaseClock.assumeUsualLeases();
-    }
+    minion.leaseClock.assumeEstablished(context.clock.wall() - (this.#bornAt ?? Infinity));
   }
 
   /** Event fields that identify the minion and say where it is. */
--- a/packages/nutmegproxy-owner/src/OwnerConstants.ts
+++ b/packages/nutmegproxy-owner/src/OwnerConstants.ts
@@ -20,8 +20,6 @@
 export const TAKEOVER_JITTER_MS = 150;
 /** Pause after a failed attempt to acquire the ownership. */
 export const TAKEOVER_RETRY_MS = 300;
-/** Age of an incarnation from which no order that was meant for the one before can reach it. */
-export const ESTABLISHED_AFTER_MS = 20_000;
 /** Consecutive calls without a response after which a minion is flagged as silent. */
 export const SILENT_AFTER_MISSED_CALLS = 2;
 /** Pause of a session after a poll that failed. */
--- a/packages/nutmegproxy-scheduling/src/LeaseClock.ts
+++ b/packages/nutmegproxy-scheduling/src/LeaseClock.ts
@@ -8,6 +8,8 @@
 const MAX_LEASE_MS = 10_000;
 /** Duration of a minion lease in milliseconds; longer than a takeover in which one write is lost. */
 export const MINION_LEASE_MS = 7_500;
+/** Age of an incarnation in milliseconds from which no order that was meant for the one before can reach it. */
+const ESTABLISHED_AFTER_MS = 20_000;
 /** Added to the expiry of a lease, in milliseconds, because minions' timers fire slightly late. */
 const EXPIRY_MARGIN_MS = 250;
 
@@ -21,6 +23,7 @@
   /** Longest lease that a former owner may have granted. */
   #formerLeaseMs = MAX_LEASE_MS;
   #hasRestarted = false;
+  #isEstablished = false;
   #leaseEndMs = 0;
   #reading: ClockReading | undefined;
   /** Latest expiry of leases of unknown length, until the minion responds; undefined for none. */
@@ -40,6 +43,7 @@
     this.#reading = undefined;
     this.#formerLeaseUntil = instant;
     this.#hasRestarted = true;
+    this.#isEstablished = false;
   }
 
   /** Called when the minion is gone: all leases granted to it are void. */
@@ -55,6 +59,14 @@
     this.#formerLeaseMs = MINION_LEASE_MS;
   }
 
+  /**
+   * Assumes the same if the minion's own clock, which begins with its incarnation, agrees that the
+   * incarnation is old enough. Only the wall clocks of two machines tell its age before it responds.
+   */
+  assumeEstablished(ageMs: number): void {
+    this.#isEstablished = ageMs > ESTABLISHED_AFTER_MS;
+  }
+
   /** Until the minion responds, assumes that a former owner's leases expire at `instant`. */
   assumeLeasedUntil(instant: Instant): void {
     this.#formerLeaseUntil = instant;
@@ -87,7 +99,8 @@
   observe(clockMs: number, receivedAt: Instant): void {
     if (this.#reading === undefined) {
       // Another owner may have granted a lease before this one discovered the minion.
-      this.#leaseEndMs = clockMs + this.#formerLeaseMs;
+      const isUsual = this.#isEstablished && clockMs > ESTABLISHED_AFTER_MS;
+      this.#leaseEndMs = clockMs + (isUsual ? MINION_LEASE_MS : this.#formerLeaseMs);
       this.#formerLeaseUntil = undefined;
     }
     // Responses may arrive out of order; the latest clock value is the most accurate.
--- a/packages/nutmegproxy-scheduling/src/__tests__/unit/LeaseClock.test.ts
+++ b/packages/nutmegproxy-scheduling/src/__tests__/unit/LeaseClock.test.ts
@@ -26,6 +26,20 @@
       assert.equal(clock.isExpired(at(7_910)), true);
     });
 
+    it('keeps the longest lease when a clock that is ahead makes its incarnation look old', () => {
+      const clock = new LeaseClock();
+      clock.assumeEstablished(3_600_000);
+      clock.observe(19_000, at(0));
+      assert.equal(clock.isExpired(at(10_400)), false);
+    });
+
+    it('keeps a former lease of the usual duration only, when its own clock shows its age too', () => {
+      const clock = new LeaseClock();
+      clock.assumeEstablished(3_600_000);
+      clock.observe(21_000, at(0));
+      assert.equal(clock.isExpired(at(7_910)), true);
+    });
+
     it('counts as leased until the assumed expiry if it never answers', () => {
       const clock = new LeaseClock();
       clock.assumeLeasedUntil(at(16_000));
