--- a/packages/nutmegproxy-emulator/src/EmulatedMinion.ts
+++ b/packages/nutmegproxy-emulator/src/EmulatedMinion.ts
@@ -18,6 +18,9 @@
 import {parseTaskName} from '@nutmegproxy/jobs';
 import {err, ok} from 'neverthrow';
 
+/** Largest number of results in one listing. */
+const RESULTS_PER_LISTING = 500;
+
 /** How an emulated task behaves. */
 export interface TaskBehaviour {
   /** Time in milliseconds for which the minion is down, when the run crashes it at its end. */
@@ -110,7 +113,8 @@
     return ok({
       bornAt: this.description.bornAt,
       clockMs: nowMs,
-      ended: kept,
+      ended: kept.slice(0, RESULTS_PER_LISTING),
+      mayOmitResults: kept.length >= RESULTS_PER_LISTING,
       running: [...this.#liveRuns.values()].map(({checkpoint, record, task}) => ({
         checkpoint,
         number: record.number,
--- a/packages/nutmegproxy-jobs/src/StepState.ts
+++ b/packages/nutmegproxy-jobs/src/StepState.ts
@@ -22,7 +22,7 @@
  */
 export type RunSource = 'listing' | 'order' | 'record';
 
-/** A run of a task that is live or may be. */
+/** A run of a task that is live or may be, or is over and its result is not known yet. */
 export interface Run {
   checkpoint: Checkpoint | undefined;
   /** When the minion confirmed the run; undefined before. */
@@ -240,14 +240,14 @@
     }
   }
 
-  /** Iterates over all live runs of the step. */
+  /** Iterates over the same runs of all tasks. */
   *runs(): Generator<Run> {
     for (const runs of this.#runs.values()) {
       yield* runs;
     }
   }
 
-  /** Returns the live runs of one task. */
+  /** Returns the runs of one task: those that are live or may be, or whose results are not known yet. */
   runsOf(index: number): readonly Run[] {
     return this.#runs.get(index) ?? [];
   }
--- a/packages/nutmegproxy-owner/src/MachineReview.ts
+++ b/packages/nutmegproxy-owner/src/MachineReview.ts
@@ -178,8 +178,8 @@
  * drain has crashed, which is judged when it is back or its lease has expired.
  */
 function isAbsent(minion: MinionState): boolean {
-  const {areRunsKnown, hasReported, missedCalls, runs} = minion;
-  const mayHaveRuns = runs.size > 0 || !areRunsKnown;
+  const {areRunsKnown, endedRuns, hasReported, missedCalls, runs} = minion;
+  const mayHaveRuns = runs.size + endedRuns.size > 0 || !areRunsKnown;
   return missedCalls > 0 && mayHaveRuns && (!hasReported || isLeaving(minion));
 }
 
--- a/packages/nutmegproxy-owner/src/MinionRecovery.ts
+++ b/packages/nutmegproxy-owner/src/MinionRecovery.ts
@@ -293,7 +293,7 @@
     }
     const {term} = ownership;
     const recorded = roster.find(minion.id)?.draining;
-    const isRunless = minion.runs.size === 0 && unstoredResults.length === 0;
+    const isRunless = listPossibleRuns(minion, unstoredResults).length === 0;
     const isCurrent = recorded?.term === term && (recorded.runs.length === 0 || !isRunless);
     if (!isCurrent) {
       minion.isRecordedDraining = true;
--- a/packages/nutmegproxy-owner/src/MinionSession.ts
+++ b/packages/nutmegproxy-owner/src/MinionSession.ts
@@ -18,6 +18,7 @@
 
 import {
   MAX_UNCAPPED_LEASE_MS,
+  OMISSION_LOG_INTERVAL_MS,
   POLL_RETRY_MS,
   SILENT_AFTER_MISSED_CALLS,
   UNACKNOWLEDGED_PAUSE_MS,
@@ -35,6 +36,7 @@
   /** Start time of an incarnation that only the directory reports; the next poll decides whether it is. */
   #reportedBornAt: number | undefined;
   #appliedThrough = 0;
+  #omissionLoggedAt = -Infinity;
   /** Results of the last listing: all that this session has not acknowledged. */
   #listedResults: readonly RunResult[] = [];
   #stopped = false;
@@ -128,7 +130,7 @@
     this.minion.leaseClock.reset(after(clock.monotonic(), MAX_UNCAPPED_LEASE_MS));
     fleet.clearUnknownResults(this.minion);
     recordMinionCrash(fleet, this.minion, clock.monotonic());
-    for (const run of [...this.minion.runs]) {
+    for (const run of [...this.minion.runs, ...this.minion.endedRuns]) {
       // A start that was sent meanwhile may have reached the new incarnation, and so may a former
       // owner's start that only its record names; the next poll decides.
       const wasListed = this.minion.hasReported && run.knownFrom !== 'order';
@@ -180,6 +182,7 @@
   #applyListing(listing: MinionListing, requestedAt: Instant, now: Instant): void {
     const {fleet, onListed} = this.#context;
     this.minion.leaseClock.observe(listing.clockMs, now);
+    this.#recordOmission(listing, now);
     this.#recordDurations(listing, now);
     reconcileListing(fleet, this.minion, listing, {
       appliedThrough: this.#appliedThrough,
@@ -191,10 +194,12 @@
       this.#appliedThrough,
       ...listing.ended.map(({sequence}) => sequence),
     );
-    this.minion.areRunsKnown = true;
     this.minion.hasReported = true;
     this.#recordResponse(now);
-    fleet.clearUnknownResults(this.minion);
+    if (!listing.mayOmitResults) {
+      this.minion.areRunsKnown = true;
+      fleet.clearUnknownResults(this.minion);
+    }
     onListed(this.minion, now);
     this.#runOrders.resume();
   }
@@ -233,7 +238,7 @@
     if (answer.value.ended.length > 0) {
       await this.#awaitStored(journal);
     }
-    if (!this.minion.isRegistered) {
+    if (!this.minion.isRegistered && this.minion.areRunsKnown) {
       await this.#context.recordUse(this.minion);
     }
     await this.#awaitNextPoll(now);
@@ -301,13 +306,29 @@
     }
   }
 
+  /** Logs that a minion begins to omit results, at most once in an interval. */
+  #recordOmission({ended, mayOmitResults, running}: MinionListing, now: Instant): void {
+    const begins = mayOmitResults && !this.minion.mayOmitResults;
+    if (begins && now - this.#omissionLoggedAt >= OMISSION_LOG_INTERVAL_MS) {
+      this.#omissionLoggedAt = now;
+      this.#context.events.record(OWNER_EVENTS.RESULTS_OMITTED, {
+        acknowledgedThrough: this.#acknowledgedThrough,
+        listed: ended.length,
+        minion: this.minion.id,
+        running: running.length,
+      });
+    }
+  }
+
   #recordDurations({ended}: MinionListing, now: Instant): void {
     for (const {number, outcome, sequence, task} of ended) {
+      if (sequence <= this.#appliedThrough || outcome !== 'done') {
+        continue;
+      }
       const run = [...this.minion.runs].find(
         (each) => each.number === number && isSameTask(each.task, task),
       );
-      const isNew = run !== undefined && sequence > this.#appliedThrough && outcome === 'done';
-      if (isNew && run.step.checkpoints.get(task.index) === undefined) {
+      if (run !== undefined && run.step.checkpoints.get(task.index) === undefined) {
         this.#context.onRunDone(run, now - run.sentAt);
       }
     }
@@ -351,7 +372,8 @@
     recordReplacement(fleet, this.minion, clock.monotonic());
     this.minion.areRunsKnown = true;
     this.minion.hasReported = false;
-    for (const run of [...this.minion.runs]) {
+    this.minion.mayOmitResults = false;
+    for (const run of [...this.minion.runs, ...this.minion.endedRuns]) {
       fleet.recordLostRun(run, reason);
     }
   }
--- a/packages/nutmegproxy-owner/src/MinionSessions.ts
+++ b/packages/nutmegproxy-owner/src/MinionSessions.ts
@@ -183,13 +183,15 @@
       if (!minion.leaseClock.isExpired(confirmedAt)) {
         continue;
       }
-      if (minion.runs.size > 0) {
-        const fields = {minion: id, runs: minion.runs.size};
+      const runs = minion.listUnresolvedRuns().length;
+      if (runs > 0) {
+        const fields = {minion: id, runs};
         events.record(OWNER_EVENTS.LEASE_EXPIRED, fields);
         fleet.expireLease(minion);
       }
       if (
         minion.unlistedSince !== undefined &&
+        !minion.isListingResults &&
         now - minion.unlistedSince > REMOVE_UNLISTED_AFTER_MS
       ) {
         this.#removeMinion(id);
--- a/packages/nutmegproxy-owner/src/OwnerConstants.ts
+++ b/packages/nutmegproxy-owner/src/OwnerConstants.ts
@@ -34,6 +34,8 @@
 export const ESTIMATES_WRITE_INTERVAL_MS = 3_000;
 /** Pause between polls while results can't be persisted, since each poll would return at once. */
 export const UNACKNOWLEDGED_PAUSE_MS = 500;
+/** Shortest time between two log lines that a minion omits results. */
+export const OMISSION_LOG_INTERVAL_MS = 5_000;
 /** Consecutive attempts to send a start or stop; after them the next poll decides. */
 export const ORDER_ATTEMPTS = 4;
 /** Longest wait for the record of a suspected task's start; the task is then placed again. */
--- a/packages/nutmegproxy-owner/src/OwnerEvents.ts
+++ b/packages/nutmegproxy-owner/src/OwnerEvents.ts
@@ -93,6 +93,11 @@
     level: 'warn',
     text: 'A minion responds with its former start time, so a later one in its entry is ignored.',
   },
+  RESULTS_OMITTED: {
+    code: 8143,
+    level: 'warn',
+    text: 'A minion may have more unacknowledged results than it lists; tasks without a result wait for it.',
+  },
   SESSION_FAILED: {
     code: 8139,
     level: 'error',
--- a/packages/nutmegproxy-owner/src/PollPacing.ts
+++ b/packages/nutmegproxy-owner/src/PollPacing.ts
@@ -59,6 +59,7 @@
   const isUrgent =
     !minion.leaseClock.hasReading ||
     minion.missedCalls > 0 ||
+    minion.mayOmitResults ||
     minion.description.isDraining ||
     minion.trialRun !== undefined ||
     hasUrgentRuns(minion);
--- a/packages/nutmegproxy-owner/src/SilentRecords.ts
+++ b/packages/nutmegproxy-owner/src/SilentRecords.ts
@@ -84,7 +84,7 @@
   minion: MinionState,
   unstoredResults: readonly RunResult[],
 ): SilentMinionRecord['runs'] {
-  return [...minion.runs, ...unstoredResults].map(({number, task}) => [
+  return [...minion.runs, ...minion.endedRuns, ...unstoredResults].map(({number, task}) => [
     formatTaskName(task),
     number,
   ]);
--- a/packages/nutmegproxy-owner/src/UnreportedMinions.ts
+++ b/packages/nutmegproxy-owner/src/UnreportedMinions.ts
@@ -66,7 +66,8 @@
   /** Whether no minion is left; `confirmedAt` is when the ownership was last confirmed. */
   isEmpty(confirmedAt: Instant): boolean {
     for (const minion of this.#minions) {
-      if (minion.areRunsKnown || minion.leaseClock.isExpired(confirmedAt)) {
+      const isOver = minion.leaseClock.isExpired(confirmedAt) && !minion.isListingResults;
+      if (minion.areRunsKnown || isOver) {
         // Nothing runs there once every lease has expired.
         minion.areRunsKnown = true;
         this.#minions.delete(minion);
--- a/packages/nutmegproxy-relay/src/__tests__/unit/RelayedMinionOrders.test.ts
+++ b/packages/nutmegproxy-relay/src/__tests__/unit/RelayedMinionOrders.test.ts
@@ -24,6 +24,7 @@
   bornAt: 1,
   clockMs: 500,
   ended: [],
+  mayOmitResults: true,
   running: [
     {
       checkpoint: undefined,
--- a/packages/nutmegproxy-scheduling/src/Fleet.ts
+++ b/packages/nutmegproxy-scheduling/src/Fleet.ts
@@ -103,7 +103,7 @@
   /** Removes the runs of a silent minion whose lease has expired; their results are not known yet. */
   expireLease(minion: MinionState): void {
     minion.lapsedRuns = minion.listExposedRuns(this.runNumberBase);
-    for (const run of [...minion.runs]) {
+    for (const run of minion.listUnresolvedRuns()) {
       this.recordUnknownResult(run.step, run.task.index, minion);
       this.recordLostRun(run, 'hold lapsed');
     }
@@ -200,7 +200,7 @@
 
   /** Requests the stop of a run, which keeps its resources reserved until its result is known. */
   stopRun(run: Run, reason: StopReason): void {
-    if (run.phase === 'stopping') {
+    if (run.phase === 'stopping' || this.minions.get(run.minion)?.endedRuns.has(run) === true) {
       return;
     }
     run.phase = 'stopping';
--- a/packages/nutmegproxy-scheduling/src/ListingReconciler.ts
+++ b/packages/nutmegproxy-scheduling/src/ListingReconciler.ts
@@ -35,6 +35,8 @@
   readonly bornAt: number | undefined;
   readonly clockMs: number;
   readonly ended: readonly RunResult[];
+  /** Whether the minion may have more results than it lists: it lists a limited number at a time. */
+  readonly mayOmitResults: boolean;
   readonly running: readonly RunReport[];
 }
 
@@ -62,6 +64,18 @@
   }
 }
 
+/**
+ * Handles that a run is over. While results may be omitted, its own may be among them: its task must
+ * not start again before that is known, unless the task is to last and starts again in any case.
+ */
+function endUnlistedRun(fleet: Fleet, minion: MinionState, run: Run): void {
+  if (minion.mayOmitResults && !run.step.shape.longRunning) {
+    minion.endRun(run);
+  } else {
+    fleet.recordLostRun(run, 'not listed');
+  }
+}
+
 /** Whether a run that this owner doesn't know may continue. */
 function canAdopt(step: StepState, {task}: RunReport): boolean {
   return (
@@ -118,6 +132,9 @@
     }
     const known = findRun(step, minion, report);
     if (known !== undefined) {
+      if (minion.endedRuns.has(known)) {
+        minion.addRun(known);
+      }
       updateRun(known, report, now);
       listed.add(known);
       continue;
@@ -155,8 +172,8 @@
 
 /**
  * Applies the listing from the response to a call sent at `requestedAt`. Runs that were confirmed
- * before the call and are not listed are lost. Results up to sequence number `appliedThrough` were
- * applied before.
+ * before the call and are not listed are over; they are lost unless the listing may omit their
+ * results. Results up to sequence number `appliedThrough` were applied before.
  */
 export function reconcileListing(
   fleet: Fleet,
@@ -166,6 +183,8 @@
 ): void {
   const {appliedThrough, now, requestedAt} = times;
   const {trialRun} = minion;
+  const mayHaveOmitted = !minion.hasReported || minion.mayOmitResults;
+  minion.mayOmitResults = listing.mayOmitResults;
   minion.lapsedRuns = [];
   if (!minion.hasReported) {
     resolveTrials(fleet, minion, now);
@@ -176,13 +195,13 @@
     }
   }
   const listed = reconcileRuns(fleet, minion, listing.running, now);
-  for (const run of [...minion.runs]) {
+  for (const run of [...minion.runs, ...minion.endedRuns]) {
     const wasConfirmedBefore = run.confirmedAt !== undefined && run.confirmedAt < requestedAt;
     if (wasConfirmedBefore && !listed.has(run)) {
-      fleet.recordLostRun(run, 'not listed');
+      endUnlistedRun(fleet, minion, run);
     }
   }
-  if (!minion.hasReported) {
+  if (mayHaveOmitted && !listing.mayOmitResults) {
     dropUnsentTrials(fleet, minion);
   }
   reviewTrials(fleet, minion, listing, trialRun, now);
--- a/packages/nutmegproxy-scheduling/src/MinionState.ts
+++ b/packages/nutmegproxy-scheduling/src/MinionState.ts
@@ -69,6 +69,10 @@
    * names its runs or its leases have expired: others get no run before the stored roster names them.
    */
   areRunsKnown = true;
+  /** Runs that are over and whose results it has not listed yet; they reserve nothing. */
+  readonly endedRuns = new Set<Run>();
+  /** Whether it may have more results than it listed last. */
+  mayOmitResults = false;
   /** Whether it has reported its runs to this owner. */
   hasReported = false;
   /** Whether the store names it as used by this owner, so that the next one takes it for running something. */
@@ -150,7 +154,13 @@
     this.#speedAt = now;
   }
 
+  /** Whether further results follow as those that it listed are acknowledged. */
+  get isListingResults(): boolean {
+    return this.mayOmitResults && this.missedCalls === 0;
+  }
+
   addRun(run: Run): void {
+    this.endedRuns.delete(run);
     this.runs.add(run);
     this.#adjustReservations(run, 1);
   }
@@ -177,7 +187,19 @@
     return [...this.lapsedRuns, ...live];
   }
 
+  /** Releases what a run reserves that is over, and keeps it until its result is listed. */
+  endRun(run: Run): void {
+    this.removeRun(run);
+    this.endedRuns.add(run);
+  }
+
+  /** Returns the runs that are live or may be, and those that are over and whose results will not follow. */
+  listUnresolvedRuns(): readonly Run[] {
+    return [...this.runs, ...(this.isListingResults ? [] : this.endedRuns)];
+  }
+
   removeRun(run: Run): void {
+    this.endedRuns.delete(run);
     this.trialRun = this.trialRun === run ? undefined : this.trialRun;
     if (this.runs.delete(run)) {
       this.#adjustReservations(run, -1);
--- a/packages/nutmegproxy-scheduling/src/__tests__/unit/CrashSamples.ts
+++ b/packages/nutmegproxy-scheduling/src/__tests__/unit/CrashSamples.ts
@@ -40,6 +40,7 @@
     bornAt: minion.bornAt,
     clockMs: nowMs,
     ended: [],
+    mayOmitResults: false,
     running: [...minion.runs].map(({number, task}) => ({
       checkpoint: undefined,
       number,
--- a/packages/nutmegproxy-scheduling/src/__tests__/unit/ListingReconciler.test.ts
+++ b/packages/nutmegproxy-scheduling/src/__tests__/unit/ListingReconciler.test.ts
@@ -1,7 +1,7 @@
-import type {Checkpoint, JobState, RunNumber, StepState} from '@nutmegproxy/jobs';
+import type {Checkpoint, JobState, RunNumber, StepShape, StepState} from '@nutmegproxy/jobs';
 
 import assert from 'node:assert/strict';
-import {describe, it} from 'node:test';
+import {beforeEach, describe, it} from 'node:test';
 
 import type {MinionListing, RunReport, RunResult} from '../../ListingReconciler.ts';
 import type {MinionState} from '../../MinionState.ts';
@@ -41,7 +41,8 @@
   listing: Partial<MinionListing>,
   times = {appliedThrough: 0, now: at(101), requestedAt: at(100)},
 ): void {
-  const whole = {bornAt: 1, clockMs: 0, ended: [], running: [], ...listing};
+  const empty = {bornAt: 1, clockMs: 0, ended: [], mayOmitResults: false, running: []};
+  const whole = {...empty, ...listing};
   reconcileListing(sample.fleet, minion, whole, times);
 }
 
@@ -183,5 +184,90 @@
       reconcile(sample, minion, {});
       assert.equal(minion.runs.size, 1);
     });
+
+    describe('while the minion may omit results', () => {
+      const later = {appliedThrough: 0, now: at(201), requestedAt: at(200)};
+      let sample: SampleFleet;
+      let minion: MinionState;
+
+      function startConfirmed(change: Partial<StepShape> = {}): JobState {
+        const job = sample.addJob('proofs', [shape(change)]);
+        for (const run of sample.plan(0)) {
+          run.confirmedAt = at(50);
+        }
+        return job;
+      }
+
+      beforeEach(() => {
+        sample = new SampleFleet(1);
+        const [only] = sample.fleet.minions.values();
+        assert.ok(only);
+        minion = only;
+      });
+
+      it('does not let its task start a second time before its result is listed', () => {
+        const job = startConfirmed();
+        reconcile(sample, minion, {mayOmitResults: true});
+        assert.equal(sample.plan(150).length, 0, 'the task started again');
+        reconcile(sample, minion, {ended: [ended(job, 1, 'done')]}, later);
+        assert.equal(job.status, 'completed');
+        assert.equal(minion.endedRuns.size, 0);
+      });
+
+      it('counts as an attempt of its task when its result shows that it has failed', () => {
+        const job = startConfirmed();
+        reconcile(sample, minion, {mayOmitResults: true});
+        reconcile(sample, minion, {ended: [ended(job, 1, 'failed')]}, later);
+        assert.equal(getFirstStep(job).countPossibleFailures(0), 1);
+        assert.equal(minion.endedRuns.size, 0);
+      });
+
+      it('reserves nothing', () => {
+        startConfirmed();
+        reconcile(sample, minion, {mayOmitResults: true});
+        assert.equal(minion.runs.size, 0);
+        assert.equal(minion.reserved.cpuMilli, 0);
+      });
+
+      it('is lost once the minion lists all its results without its own', () => {
+        startConfirmed();
+        reconcile(sample, minion, {mayOmitResults: true});
+        reconcile(sample, minion, {}, later);
+        assert.equal(sample.plan(300).length, 1);
+      });
+
+      it('is live again when a later listing names it', () => {
+        const job = startConfirmed();
+        reconcile(sample, minion, {mayOmitResults: true});
+        reconcile(sample, minion, {running: [running(job, 1)]}, later);
+        assert.equal(minion.runs.size, 1);
+        assert.equal(minion.reserved.cpuMilli, 1_000);
+        assert.equal(minion.endedRuns.size, 0);
+      });
+
+      it('is not stopped with its job', () => {
+        const job = startConfirmed();
+        reconcile(sample, minion, {mayOmitResults: true});
+        sample.fleet.cancelJob(job);
+        assert.equal(sample.fleet.pendingStops.length, 0);
+      });
+
+      it('is lost at once when its task is to last, since that starts again in any case', () => {
+        startConfirmed({longRunning: true});
+        reconcile(sample, minion, {mayOmitResults: true});
+        assert.equal(sample.plan(150).length, 1);
+      });
+
+      it('is lost when the lease of the minion has expired and it does not respond', () => {
+        startConfirmed();
+        reconcile(sample, minion, {mayOmitResults: true});
+        sample.fleet.expireLease(minion);
+        assert.equal(sample.plan(150).length, 0, 'the minion still lists its results');
+        minion.missedCalls = 2;
+        sample.fleet.expireLease(minion);
+        minion.missedCalls = 0;
+        assert.equal(sample.plan(300).length, 1);
+      });
+    });
   });
 });
--- a/packages/nutmegproxy-scheduling/src/__tests__/unit/StartPlanner.test.ts
+++ b/packages/nutmegproxy-scheduling/src/__tests__/unit/StartPlanner.test.ts
@@ -90,7 +90,13 @@
       const task = {index: 1, job: job.id, occurrence: 0, step: 0};
       const number = 1001 as RunNumber;
       const report = {checkpoint: undefined, number, percent: 100, reading: 10, task};
-      const listing = {bornAt: 1, clockMs: 0, ended: [], running: [report]};
+      const listing = {
+        bornAt: 1,
+        clockMs: 0,
+        ended: [],
+        mayOmitResults: false,
+        running: [report],
+      };
       reconcileListing(sample.fleet, minion, listing, {
         appliedThrough: 0,
         now: at(1),
@@ -98,7 +104,13 @@
       });
       assert.equal(sample.plan(2).length, 0);
       const end = {checkpoint: undefined, number, outcome: 'failed' as const, sequence: 1, task};
-      const ended = {bornAt: 1, clockMs: 0, ended: [end], running: []};
+      const ended = {
+        bornAt: 1,
+        clockMs: 0,
+        ended: [end],
+        mayOmitResults: false,
+        running: [],
+      };
       reconcileListing(sample.fleet, minion, ended, {
         appliedThrough: 0,
         now: at(4),
@@ -124,7 +136,13 @@
       const task = {index: 0, job: job.id, occurrence: 0, step: 0};
       const number = 1001 as RunNumber;
       const end = {checkpoint: undefined, number, outcome: 'failed' as const, sequence: 1, task};
-      const ended = {bornAt: 1, clockMs: 0, ended: [end], running: []};
+      const ended = {
+        bornAt: 1,
+        clockMs: 0,
+        ended: [end],
+        mayOmitResults: false,
+        running: [],
+      };
       reconcileListing(sample.fleet, minion, ended, {
         appliedThrough: 0,
         now: at(1),
