--- a/packages/nutmegproxy-scheduling/src/LongRunningRoom.ts
+++ b/packages/nutmegproxy-scheduling/src/LongRunningRoom.ts
@@ -11,6 +11,10 @@
 /** Processors of a service, in thousandths of a core. */
 export interface LongRunningRoom {
   readonly capacityMilli: number;
+  /** Largest part that nothing but backfill uses on one minion. */
+  readonly largestFreeMilli: number;
+  /** Largest part that long-running tasks leave on one minion. */
+  readonly largestLeftMilli: number;
   /** Reservation of all kinds of work up to which long-running jobs start. */
   readonly limitMilli: number;
   /** Reserved by all kinds of work except backfill. */
@@ -27,13 +31,25 @@
  */
 export function measureLongRunningRoom(minions: readonly MinionState[]): LongRunningRoom {
   let capacityMilli = 0;
+  let largestFreeMilli = 0;
+  let largestLeftMilli = 0;
   let reservedMilli = 0;
   let servingMilli = 0;
   for (const {description, reserved, servingCpuMilli} of minions) {
-    capacityMilli += description.capacity.cpuMilli;
+    const {cpuMilli} = description.capacity;
+    capacityMilli += cpuMilli;
+    largestFreeMilli = Math.max(largestFreeMilli, cpuMilli - reserved.cpuMilli);
+    largestLeftMilli = Math.max(largestLeftMilli, cpuMilli - servingCpuMilli);
     reservedMilli += reserved.cpuMilli;
     servingMilli += servingCpuMilli;
   }
   const limitMilli = capacityMilli * MAX_LONG_RUNNING_SHARE;
-  return {capacityMilli, limitMilli, reservedMilli, servingMilli};
+  return {
+    capacityMilli,
+    largestFreeMilli,
+    largestLeftMilli,
+    limitMilli,
+    reservedMilli,
+    servingMilli,
+  };
 }
--- a/packages/nutmegproxy-scheduling/src/StartWaitLog.ts
+++ b/packages/nutmegproxy-scheduling/src/StartWaitLog.ts
@@ -42,10 +42,13 @@
     events.record(SCHEDULING_EVENTS.LONG_RUNNING_JOB_WAITING, {
       capacityCores: toCores(room.capacityMilli),
       job: job.id,
+      largestFreeMilli: room.largestFreeMilli,
+      largestLeftMilli: room.largestLeftMilli,
       limitCores: toCores(room.limitMilli),
       reason,
       reservedCores: toCores(room.reservedMilli),
       servingCores: toCores(room.servingMilli),
+      taskMilli: shape.resources.cpuMilli,
       tasks: shape.count,
       waitedMs: Math.round(waitedMs),
       waitingCores: toCores(waiting.size * shape.resources.cpuMilli),
