--- a/packages/nutmegproxy-jobs/src/StepState.ts
+++ b/packages/nutmegproxy-jobs/src/StepState.ts
@@ -27,6 +27,8 @@
   checkpoint: Checkpoint | undefined;
   /** When the minion confirmed the run; undefined before. */
   confirmedAt: Instant | undefined;
+  /** Whether its minion has listed it before this owner knew of it. */
+  isAdopted?: boolean;
   /** Whether the response to its start shows the clock for which the lease was computed. */
   isClockConfirmed?: boolean;
   /** How this owner knows of the run. */
@@ -142,9 +144,9 @@
   }
 
   /** Keeps the task off a minion for some time, since it failed, stalled or found no room there. */
-  avoid(index: number, minion: MinionId, now: Instant): void {
+  avoid(index: number, minion: MinionId, now: Instant, durationMs = AVOIDANCE_MS): void {
     const minions = this.#avoidedUntil.get(index) ?? new Map<MinionId, Instant>();
-    this.#avoidedUntil.set(index, minions.set(minion, after(now, AVOIDANCE_MS)));
+    this.#avoidedUntil.set(index, minions.set(minion, after(now, durationMs)));
   }
 
   isAvoided(index: number, minion: MinionId, now: Instant): boolean {
--- a/packages/nutmegproxy-owner/src/PollPacing.ts
+++ b/packages/nutmegproxy-owner/src/PollPacing.ts
@@ -7,7 +7,7 @@
 
 import type {MinionState} from '@nutmegproxy/scheduling';
 
-import {classifyWork} from '@nutmegproxy/scheduling';
+import {classifyWork, hasTrialRun} from '@nutmegproxy/scheduling';
 
 import {NEAR_TARGET_POLL_WAIT_MS, POLL_WAIT_MS, SHORT_POLL_WAIT_MS} from './OwnerConstants.ts';
 
@@ -30,7 +30,7 @@
   if (conditions.isNearTarget || minion.trialRun !== undefined) {
     return NEAR_TARGET_POLL_WAIT_MS;
   }
-  if (minion.servingRuns > 0 && minion.backfillCpuMilli > 0) {
+  if (hasTrialRun(minion) || (minion.servingRuns > 0 && minion.backfillCpuMilli > 0)) {
     return SHORT_POLL_WAIT_MS;
   }
   const untilOverdueMs = Math.max(SHORT_POLL_WAIT_MS, conditions.overdueInMs);
@@ -62,6 +62,7 @@
     minion.mayOmitResults ||
     minion.description.isDraining ||
     minion.trialRun !== undefined ||
+    hasTrialRun(minion) ||
     hasUrgentRuns(minion);
   return isUrgent
     ? 0
--- a/packages/nutmegproxy-scheduling/src/Fleet.ts
+++ b/packages/nutmegproxy-scheduling/src/Fleet.ts
@@ -17,6 +17,7 @@
 import type {StopReason, StopRequest} from './StopRequest.ts';
 
 import {createRun} from './FleetUtils.ts';
+import {recordFailure, recordSuccess} from './MinionQuarantine.ts';
 import {OutageLog} from './OutageLog.ts';
 import {DEFAULT_QUEUE_POLICY} from './QueuePolicy.ts';
 import {describeRun, describeRuns} from './RunFields.ts';
@@ -58,6 +59,7 @@
     now: Instant,
   ): Run {
     const run = this.#addRun(step, task, number, minion, now);
+    run.isAdopted = true;
     run.phase = 'running';
     run.confirmedAt = now;
     return run;
@@ -83,20 +85,10 @@
     });
     this.applyResult(run.step, run.task, run.number, outcome, checkpoint ?? run.checkpoint);
     const minion = this.minions.get(run.minion);
-    if (outcome === 'done' && minion?.trust.recordSuccess()) {
-      this.events.record(SCHEDULING_EVENTS.MINION_TRUSTED, {minion: run.minion, proof: 'done'});
-    }
-    if (outcome === 'failed') {
-      // Long-running tasks may fail at any time and restart on the capacity that they had.
-      if (!run.step.shape.longRunning) {
-        run.step.avoid(run.task.index, run.minion, now);
-      }
-      if (minion?.trust.recordFailure(run.task.job, now)) {
-        this.events.record(SCHEDULING_EVENTS.MINION_QUARANTINED, {
-          minion: run.minion,
-          reason: 'failures',
-        });
-      }
+    if (outcome === 'done') {
+      recordSuccess(this, minion, run);
+    } else if (outcome === 'failed') {
+      recordFailure(this, minion, run, now);
     }
   }
 
--- a/packages/nutmegproxy-scheduling/src/MinionAvailability.ts
+++ b/packages/nutmegproxy-scheduling/src/MinionAvailability.ts
@@ -1,6 +1,7 @@
 /** Names why a minion gets no new work. */
 
 import type {Instant} from '@nutmegproxy/core';
+import type {Run, StepState} from '@nutmegproxy/jobs';
 
 import type {MinionState} from './MinionState.ts';
 
@@ -25,13 +26,27 @@
   | 'unregistered'
   | 'unreported';
 
-/** Whether the minion is trusted, or is on trial and has no run yet that shows whether it is sound. */
-export function isOpenToRuns({runs, trust}: MinionState, now: Instant): boolean {
-  const level = trust.level(now);
-  return (
-    level === 'trusted' ||
-    (level === 'trial' && ![...runs].some(({sentAt}) => trust.isTrial(sentAt)))
-  );
+/** Whether a run shows if its minion is sound: the owner has sent it since the minion's quarantine. */
+export function isTrialRun({trust}: MinionState, {isAdopted, sentAt}: Run): boolean {
+  return isAdopted !== true && trust.isTrial(sentAt);
+}
+
+/** Whether the minion is on trial and has a run that shows if it is sound. */
+export function hasTrialRun(minion: MinionState): boolean {
+  return [...minion.runs].some((run) => isTrialRun(minion, run));
+}
+
+/**
+ * Whether the minion is trusted, or is on trial and has no run yet that shows whether it is sound. The
+ * members of a gang are one trial.
+ */
+export function isOpenToRuns(minion: MinionState, now: Instant, step?: StepState): boolean {
+  const level = minion.trust.level(now);
+  if (level !== 'trial') {
+    return level === 'trusted';
+  }
+  const others = [...minion.runs].filter((run) => !run.step.shape.gang || run.step !== step);
+  return !others.some((run) => isTrialRun(minion, run));
 }
 
 type Condition = (minion: MinionState, now: Instant) => boolean;
@@ -45,7 +60,7 @@
   recorded: ({isRecordedDraining, isRecordedUnreachable}) =>
     isRecordedDraining || isRecordedUnreachable,
   'task-trial': ({trialRun}) => trialRun !== undefined,
-  trial: (minion, now) => minion.trust.level(now) === 'trial' && !isOpenToRuns(minion, now),
+  trial: (minion, now) => minion.trust.level(now) === 'trial' && hasTrialRun(minion),
   'unknown-runs': ({unknownRuns}) => unknownRuns > 0,
   unlisted: ({unlistedSince}, now) => now - (unlistedSince ?? Infinity) >= UNLISTED_GRACE_MS,
   unregistered: ({isRegistered}) => !isRegistered,
--- a/packages/nutmegproxy-scheduling/src/MinionQuarantine.ts
+++ b/packages/nutmegproxy-scheduling/src/MinionQuarantine.ts
@@ -1,12 +1,20 @@
-/** Quarantines minions and ends their trials, each with a line in the log. */
+/** What the ends of runs say about their minions: quarantines and trials, each with a line in the log. */
 
 import type {Instant} from '@nutmegproxy/core';
+import type {Run} from '@nutmegproxy/jobs';
 
 import type {Fleet} from './Fleet.ts';
 import type {MinionState} from './MinionState.ts';
 
+import {isTrialRun} from './MinionAvailability.ts';
 import {SCHEDULING_EVENTS} from './SchedulingEvents.ts';
 
+/**
+ * Time in milliseconds for which a task avoids a minion whose trial it failed: longer than a quarantine,
+ * so that the next trial is another task's.
+ */
+const FAILED_TRIAL_AVOIDANCE_MS = 8_000;
+
 /**
  * Quarantines a minion whose runs stall or that refuses starts.
  *
@@ -29,3 +37,29 @@
   trust.endTrial();
   events.record(SCHEDULING_EVENTS.MINION_TRUSTED, {minion: id, proof: 'live'});
 }
+
+/** Records a run that is done; `minion` is undefined when it has left. */
+export function recordSuccess({events}: Fleet, minion: MinionState | undefined, run: Run): void {
+  if (minion?.trust.recordSuccess(run.sentAt)) {
+    events.record(SCHEDULING_EVENTS.MINION_TRUSTED, {minion: minion.id, proof: 'done'});
+  }
+}
+
+/** Records a run that has failed; `minion` is undefined when it has left. */
+export function recordFailure(
+  {events}: Fleet,
+  minion: MinionState | undefined,
+  run: Run,
+  now: Instant,
+): void {
+  const {step, task} = run;
+  if (minion !== undefined && isTrialRun(minion, run)) {
+    step.avoid(task.index, run.minion, now, FAILED_TRIAL_AVOIDANCE_MS);
+  } else if (!step.shape.longRunning) {
+    // Long-running tasks may fail at any time and restart on the capacity that they had.
+    step.avoid(task.index, run.minion, now);
+  }
+  if (minion?.trust.recordFailure(task.job, now)) {
+    events.record(SCHEDULING_EVENTS.MINION_QUARANTINED, {minion: minion.id, reason: 'failures'});
+  }
+}
--- a/packages/nutmegproxy-scheduling/src/MinionTrust.ts
+++ b/packages/nutmegproxy-scheduling/src/MinionTrust.ts
@@ -13,6 +13,8 @@
 const MAX_QUARANTINE_MS = 4_000;
 /** Time in milliseconds for which a failure speaks against the last attempt of a task. */
 const RECENT_FAILURE_MS = 8_000;
+/** Time in milliseconds after which a failure no longer counts together with another one. */
+const FAILURE_MEMORY_MS = 300_000;
 
 /**
  * `trusted`: gets any work. `trial`: gets one run, until that has shown whether the minion is sound.
@@ -45,6 +47,9 @@
 
   /** Records a failed run; returns true when this starts a quarantine. */
   recordFailure(job: JobId, now: Instant): boolean {
+    if (now - this.#failedAt >= FAILURE_MEMORY_MS) {
+      this.#failedJobs.clear();
+    }
     this.#failedAt = now;
     this.#failedJobs.add(job);
     return this.#failedJobs.size >= FAILURES_TO_QUARANTINE || this.#quarantinedUntil !== undefined
@@ -66,8 +71,14 @@
     this.#quarantinedUntil = undefined;
   }
 
-  /** Records a successful run; returns true when this ends a quarantine. */
-  recordSuccess(): boolean {
+  /**
+   * Records the success of a run that was sent at `sentAt`; returns true when this ends a quarantine. It
+   * says nothing about the minion if a run has failed since it was sent.
+   */
+  recordSuccess(sentAt: Instant): boolean {
+    if (sentAt < this.#failedAt) {
+      return false;
+    }
     const wasQuarantined = this.#quarantinedUntil !== undefined;
     this.#failedAt = -Infinity;
     this.#failedJobs.clear();
--- a/packages/nutmegproxy-scheduling/src/RunProgressMonitor.ts
+++ b/packages/nutmegproxy-scheduling/src/RunProgressMonitor.ts
@@ -7,6 +7,7 @@
 import type {Fleet} from './Fleet.ts';
 import type {MinionState} from './MinionState.ts';
 
+import {isTrialRun} from './MinionAvailability.ts';
 import {endTrial, quarantineMinion} from './MinionQuarantine.ts';
 
 /** Time in milliseconds without progress after which a run is stalled; tasks report it sooner. */
@@ -28,16 +29,10 @@
   readonly percent: number;
 }
 
-/** Whether a run that was sent after the minion's quarantine has gone on for some time. */
-function hasProvenRun({runs, trust}: MinionState, now: Instant): boolean {
-  return [...runs].some(
-    ({confirmedAt, phase, sentAt}) =>
-      trust.isTrial(sentAt) && phase === 'running' && now - (confirmedAt ?? now) >= TRIAL_RUN_MS,
-  );
-}
-
 export class RunProgressMonitor {
   readonly #estimator: DurationEstimator;
+  /** Runs that have made progress from one listing to another. */
+  readonly #progressing = new WeakSet<Run>();
   readonly #samples = new WeakMap<Run, ProgressSample>();
 
   constructor(estimator: DurationEstimator) {
@@ -71,6 +66,7 @@
       if (previous === undefined || run.percent < previous.percent) {
         this.#samples.set(run, {at: now, percent: run.percent});
       } else if (run.percent > previous.percent) {
+        this.#progressing.add(run);
         this.#measureSpeed(minion, run, previous, now);
       } else if (now - previous.at >= STALL_TIMEOUT_MS && run.paceShare > 0) {
         run.step.avoid(run.task.index, minion.id, now);
@@ -81,11 +77,22 @@
     }
     if (hasStalled) {
       quarantineMinion(fleet, minion, 'stalls', now);
-    } else if (hasProvenRun(minion, now)) {
+    } else if (this.#hasPassedTrial(minion, now)) {
       endTrial(fleet, minion);
     }
   }
 
+  /** Whether the run that shows if the minion is sound has worked for some time. */
+  #hasPassedTrial(minion: MinionState, now: Instant): boolean {
+    return [...minion.runs].some(
+      (run) =>
+        isTrialRun(minion, run) &&
+        run.phase === 'running' &&
+        (run.percent >= 100 || this.#progressing.has(run)) &&
+        now - (run.confirmedAt ?? now) >= TRIAL_RUN_MS,
+    );
+  }
+
   #measureSpeed(minion: MinionState, run: Run, previous: ProgressSample, now: Instant): void {
     const intervalMs = now - previous.at;
     if (intervalMs < MIN_SPEED_INTERVAL_MS) {
--- a/packages/nutmegproxy-scheduling/src/StartPlanner.ts
+++ b/packages/nutmegproxy-scheduling/src/StartPlanner.ts
@@ -154,11 +154,20 @@
     return plan;
   }
 
+  /** Whether tasks of the step may run on the minion. */
+  #isOpenTo(step: StepState, minion: MinionState): boolean {
+    const {advice: policy} = this.#fleet.resolveQueuePolicy(step.job);
+    return (
+      isOpenToRuns(minion, this.#context.now, step) &&
+      (policy === undefined || this.#context.advice.isPermitted(step, minion) === true)
+    );
+  }
+
   /** Whether the task may run on the minion: it is permitted and the task has not just failed there. */
   #isAllowed(step: StepState, index: number, minion: MinionState): boolean {
     const {now} = this.#context;
-    const {advice: policy, maxAttempts} = this.#fleet.resolveQueuePolicy(step.job);
-    if (step.isAvoided(index, minion.id, now) || !isOpenToRuns(minion, now)) {
+    const {maxAttempts} = this.#fleet.resolveQueuePolicy(step.job);
+    if (step.isAvoided(index, minion.id, now) || !this.#isOpenTo(step, minion)) {
       return false;
     }
     // A run whose result is not known yet may have failed and counts as an attempt.
@@ -168,10 +177,7 @@
     // The last attempt of a task goes to a minion without recent failures.
     const failures = step.failures.get(index)?.length ?? 0;
     const isLastAttempt = failures > 0 && failures >= maxAttempts - 1;
-    if (isLastAttempt && !step.shape.longRunning && minion.trust.hasRecentFailures(now)) {
-      return false;
-    }
-    return policy === undefined || this.#context.advice.isPermitted(step, minion) === true;
+    return !isLastAttempt || step.shape.longRunning || !minion.trust.hasRecentFailures(now);
   }
 
   #listMinions(step: StepState): readonly MinionState[] {
--- a/packages/nutmegproxy-scheduling/src/__tests__/unit/ExclusionsEnd.test.ts
+++ b/packages/nutmegproxy-scheduling/src/__tests__/unit/ExclusionsEnd.test.ts
@@ -1,68 +1,13 @@
 /** No belief about a minion excludes it for ever, nor one that is sound for longer than some seconds. */
 
-import type {JobId} from '@nutmegproxy/core';
-import type {JobState, Run} from '@nutmegproxy/jobs';
-
-import {brand, invariant} from '@nutmegproxy/core';
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
 
-import type {MinionState} from '../../MinionState.ts';
-
-import {RunProgressMonitor} from '../../RunProgressMonitor.ts';
+import {failTwice, findMinion, JOB_A, LASTING, play} from './ExclusionSamples.ts';
 import {at, queue, SampleFleet, shape} from './Samples.ts';
 
-const [JOB_A, JOB_B] = [brand<JobId>('a'), brand<JobId>('b')];
-const TICK_MS = 100;
 /** From 9 s after its last run a lasting task has to run on a sound minion with room, as the users specify. */
 const MAX_IDLE_MS = 9_000;
-const LASTING = shape({longRunning: true});
-
-function findMinion({fleet}: SampleFleet, index = 0): MinionState {
-  const minion = [...fleet.minions.values()][index];
-  invariant(minion !== undefined, 'tests: no such minion');
-  return minion;
-}
-
-/** Records failures of two jobs, which quarantine the minion. */
-function failTwice({trust}: MinionState, nowMs: number): void {
-  trust.recordFailure(JOB_A, at(nowMs));
-  trust.recordFailure(JOB_B, at(nowMs));
-}
-
-/**
- * Plans and lists at regular times up to `untilMs`, and ends runs as `resolve` says once they are
- * listed; runs without an outcome go on. Returns when each job's first run started, in milliseconds.
- */
-function play(
-  sample: SampleFleet,
-  fromMs: number,
-  untilMs: number,
-  resolve: (run: Run) => 'done' | 'failed' | undefined = () => undefined,
-): Map<JobState, number> {
-  const monitor = new RunProgressMonitor(sample.estimator);
-  const startedAt = new Map<JobState, number>();
-  for (let now = fromMs; now <= untilMs; now += TICK_MS) {
-    for (const run of sample.plan(now)) {
-      if (!startedAt.has(run.step.job)) {
-        startedAt.set(run.step.job, now);
-      }
-      run.phase = 'running';
-      run.confirmedAt = at(now);
-      run.percent = run.step.shape.longRunning ? 100 : 0;
-    }
-    for (const minion of sample.fleet.minions.values()) {
-      for (const run of [...minion.runs]) {
-        const outcome = now > run.sentAt ? resolve(run) : undefined;
-        if (outcome !== undefined) {
-          sample.fleet.finishRun(run, outcome, undefined, at(now));
-        }
-      }
-      monitor.checkProgress(sample.fleet, minion, at(now));
-    }
-  }
-  return startedAt;
-}
 
 describe('A minion that was quarantined and is sound again', () => {
   describe('with a lasting task', () => {
@@ -72,7 +17,7 @@
       play(sample, 0, 0);
       failTwice(findMinion(sample), 100);
       const job = sample.addJob('proofs', [LASTING], 200);
-      const startedAt = play(sample, 200, 200 + MAX_IDLE_MS).get(job);
+      const startedAt = play(sample, 200, 200 + MAX_IDLE_MS).get(job)?.[0];
       assert.ok(startedAt !== undefined && startedAt < 200 + MAX_IDLE_MS, `${startedAt}`);
     });
 
--- a/packages/nutmegproxy-scheduling/src/__tests__/unit/MinionTrust.test.ts
+++ b/packages/nutmegproxy-scheduling/src/__tests__/unit/MinionTrust.test.ts
@@ -31,7 +31,7 @@
   it('trusts a minion again after a successful run', () => {
     const trust = new MinionTrust();
     trust.recordStall(at(0));
-    assert.equal(trust.recordSuccess(), true);
+    assert.equal(trust.recordSuccess(at(1)), true);
     assert.equal(trust.level(at(1)), 'trusted');
     assert.equal(trust.hasRecentFailures(at(1)), false);
   });
--- a/packages/nutmegproxy-scheduling/src/__tests__/unit/UntrustedMinionLog.test.ts
+++ b/packages/nutmegproxy-scheduling/src/__tests__/unit/UntrustedMinionLog.test.ts
@@ -61,7 +61,7 @@
   it('counts anew once the minion was trusted', () => {
     minion.trust.recordStall(at(0));
     review(0, 14_000);
-    minion.trust.recordSuccess();
+    minion.trust.recordSuccess(at(14_000));
     review(14_500, 14_500);
     minion.trust.recordStall(at(15_000));
     assert.deepEqual(review(15_000, 29_500), []);
--- a/packages/nutmegproxy-scheduling/src/index.ts
+++ b/packages/nutmegproxy-scheduling/src/index.ts
@@ -23,7 +23,7 @@
 export {LeaseClock, MINION_LEASE_MS} from './LeaseClock.ts';
 export {dropSupersededRuns, findStep, reconcileListing} from './ListingReconciler.ts';
 export type {MinionListing, RunReport, RunResult} from './ListingReconciler.ts';
-export {findUnavailability} from './MinionAvailability.ts';
+export {findUnavailability, hasTrialRun} from './MinionAvailability.ts';
 export type {Unavailability} from './MinionAvailability.ts';
 export {checkMinion, isCallAddress} from './MinionCheck.ts';
 export {quarantineMinion} from './MinionQuarantine.ts';
