--- a/packages/nutmegproxy-jobs/src/StepState.ts
+++ b/packages/nutmegproxy-jobs/src/StepState.ts
@@ -60,6 +60,8 @@
   /** Crashes of minions under the tasks. */
   readonly crashes: StepCrashes;
   readonly done = new Set<number>();
+  /** When this owner learned of the last failure of a task, by task index. */
+  readonly failedAt = new Map<number, Instant>();
   /** Numbers of the failed runs, by task index. */
   readonly failures = new Map<number, RunNumber[]>();
   readonly job: JobState;
--- a/packages/nutmegproxy-scheduling/src/MinionQuarantine.ts
+++ b/packages/nutmegproxy-scheduling/src/MinionQuarantine.ts
@@ -53,6 +53,7 @@
   now: Instant,
 ): void {
   const {step, task} = run;
+  step.failedAt.set(task.index, now);
   if (minion !== undefined && isTrialRun(minion, run)) {
     step.avoid(task.index, run.minion, now, FAILED_TRIAL_AVOIDANCE_MS);
   } else if (!step.shape.longRunning) {
--- a/packages/nutmegproxy-scheduling/src/StartPlanner.ts
+++ b/packages/nutmegproxy-scheduling/src/StartPlanner.ts
@@ -13,6 +13,7 @@
 import {listCrashes} from './CrashVerdict.ts';
 import {findGangMinions} from './GangPlacement.ts';
 import {orderSteps} from './JobOrder.ts';
+import {shouldSaveLastAttempt} from './LastAttempt.ts';
 import {LongRunningStarts} from './LongRunningStarts.ts';
 import {isOpenToRuns} from './MinionAvailability.ts';
 import {MinionRanking} from './MinionRanking.ts';
@@ -174,10 +175,7 @@
     if (!step.shape.longRunning && step.countPossibleFailures(index) >= maxAttempts) {
       return false;
     }
-    // The last attempt of a task goes to a minion without recent failures.
-    const failures = step.failures.get(index)?.length ?? 0;
-    const isLastAttempt = failures > 0 && failures >= maxAttempts - 1;
-    return !isLastAttempt || step.shape.longRunning || !minion.trust.hasRecentFailures(now);
+    return !shouldSaveLastAttempt({index, maxAttempts, step}, minion, now);
   }
 
   #listMinions(step: StepState): readonly MinionState[] {
--- /dev/null
+++ b/packages/nutmegproxy-scheduling/src/__tests__/unit/LastAttempt.test.ts
@@ -0,0 +1,81 @@
+import type {Run} from '@nutmegproxy/jobs';
+
+import assert from 'node:assert/strict';
+import {describe, it} from 'node:test';
+
+import {failTwice, findMinion, JOB_A, JOB_B, LASTING, play} from './ExclusionSamples.ts';
+import {at, SampleFleet, shape} from './Samples.ts';
+
+describe('A task on its last attempt beside a minion that stays bad', () => {
+  it('waits for a trusted minion instead of being the trial of the bad one', () => {
+    const sample = new SampleFleet(1);
+    const bad = findMinion(sample);
+    const full = sample.addMinion('full');
+    sample.addJob('proofs', [
+      shape({
+        estimateMs: 12_000,
+        requiredLabel: 'full',
+        resources: {cpuMilli: 4_000, gpus: 0, memoryMb: 1},
+      }),
+    ]);
+    full.description = {...full.description, labels: ['full', 'r1']};
+    const [filler] = sample.plan(0);
+    assert.equal(filler?.minion, full.id);
+    const job = sample.addJob('proofs', [shape()], 100);
+    const step = job.occurrence(0)?.[0];
+    assert.ok(step);
+    step.failures.set(0, [1 as Run['number']]);
+    step.recordRunNumber(0, 1 as Run['number']);
+    failTwice(bad, 100);
+    play(sample, 200, 30_000, ({minion, sentAt, step: {job: other}}, now) => {
+      if (other === job) {
+        return minion === bad.id ? 'failed' : 'done';
+      }
+      return now - sentAt >= 12_000 ? 'done' : undefined;
+    });
+    assert.equal(job.status, 'completed');
+  });
+});
+
+describe('The last attempt of a task', () => {
+  it('starts although another job fails every few seconds on the only minion', () => {
+    const sample = new SampleFleet(1);
+    sample.addJob('proofs', [LASTING]);
+    const job = sample.addJob('proofs', [shape()]);
+    let failures = 0;
+    play(sample, 0, 120_000, ({sentAt, step}, now) => {
+      if (step.job !== job) {
+        return now - sentAt >= 3_500 ? 'failed' : undefined;
+      }
+      failures += 1;
+      return failures === 1 ? 'failed' : 'done';
+    });
+    assert.equal(job.status, 'completed');
+  });
+});
+
+describe('A task on its last attempt', () => {
+  it('avoids a failing minion on which a run from before the failures has ended since', () => {
+    const sample = new SampleFleet(1);
+    const minion = findMinion(sample);
+    sample.addJob('proofs', [shape({estimateMs: 3_000})]);
+    const [old] = sample.plan(0);
+    const job = sample.addJob('proofs', [shape()], 100);
+    const step = job.occurrence(0)?.[0];
+    assert.ok(old && step);
+    step.failures.set(0, [1 as Run['number']]);
+    step.recordRunNumber(0, 1 as Run['number']);
+    minion.trust.recordFailure(JOB_A, at(1_000));
+    sample.fleet.finishRun(old, 'done', undefined, at(1_100));
+    assert.equal(sample.plan(1_200).length, 0);
+  });
+});
+
+describe('A minion with lasting tasks only', () => {
+  it('is not quarantined for failures of two jobs an hour apart', () => {
+    const {trust} = findMinion(new SampleFleet(1));
+    trust.recordFailure(JOB_A, at(0));
+    trust.recordFailure(JOB_B, at(3_600_000));
+    assert.equal(trust.level(at(3_600_001)), 'trusted');
+  });
+});
