--- a/packages/nutmegproxy-scheduling/src/StartPlanner.ts
+++ b/packages/nutmegproxy-scheduling/src/StartPlanner.ts
@@ -31,6 +31,9 @@
  */
 const BACKFILL_RETRY_MS = 150;
 
+/** Tasks of a step that are passed over in one round before the step waits; bounds its duration. */
+const MAX_SKIPPED_TASKS = 100;
+
 /** Permissions of the external advisor, for queues that need them. */
 export interface AdviceLookup {
   /** Whether the step may run on the minion; undefined while that is not known. */
@@ -219,6 +222,7 @@
       ? this.#longRunningStarts.admit(step, waiting, minions)
       : waiting;
     let ranking = this.#rank(step, minions);
+    let skipped = 0;
     for (const [order, index] of startable.entries()) {
       if (budget.isUsedUp) {
         return;
@@ -229,11 +233,17 @@
         if (step.shape.longRunning) {
           this.#longRunningStarts.recordNoMinion(step, minions);
         }
+        skipped += 1;
+        // What keeps this task from the minions with room may not keep the others of its step.
+        const hasRoom = ranking.choose((each) => this.#isOpenTo(step, each)) !== undefined;
+        if (hasRoom && skipped < MAX_SKIPPED_TASKS) {
+          continue;
+        }
         return;
       }
       this.#starts.push(this.#fleet.startRun(step, index, minion, this.#context.now));
       budget.take(1);
-      if (order === 0 && step.shape.fillsSpareCpu) {
+      if (order === skipped && step.shape.fillsSpareCpu) {
         // Costs depend on how long the step has waited, and its first placed task resets that.
         ranking = this.#rank(step, minions);
       } else {
