A step whose tasks are passed over measures the room for 8024 once in a round

Each of up to 100 passed-over tasks measured all minions for the same line, which StartWaitLog writes once in 5 s for a step.

--- a/packages/nutmegproxy-scheduling/src/StartPlanner.ts
+++ b/packages/nutmegproxy-scheduling/src/StartPlanner.ts
@@ -230,7 +230,7 @@
       const minion = this.#choose(step, index, ranking);
       if (minion === undefined) {
         step.blockedAt = this.#context.now;
-        if (step.shape.longRunning) {
+        if (step.shape.longRunning && skipped === 0) {
           this.#longRunningStarts.recordNoMinion(step, minions);
         }
         skipped += 1;
