--- a/scripts/mutants.mjs
+++ b/scripts/mutants.mjs
@@ -20,6 +20,73 @@
 const SCOPE = '@nutmegproxy';
 
 const MUTANTS = [
+  {
+    edits: [['minion.mayOmitResults && !run.step.shape.longRunning', 'false']],
+    file: 'nutmegproxy-scheduling/src/ListingReconciler.ts',
+    invariant: 'at most once',
+    name: 'a full list of results takes each run that it does not name for lost',
+    tests: ['nutmegproxy-emulator/src/__tests__/unit/OmittedResults.test.ts'],
+  },
+  {
+    edits: [['minion.mayOmitResults && !run.step.shape.longRunning', 'false']],
+    file: 'nutmegproxy-scheduling/src/ListingReconciler.ts',
+    invariant: 'attempts',
+    name: 'a full list of results takes a failed run that it does not name for lost',
+    tests: ['nutmegproxy-emulator/src/__tests__/unit/OmittedFailures.test.ts'],
+  },
+  {
+    edits: [['if (!listing.mayOmitResults) {', 'if (listing.ended.length >= 0) {']],
+    file: 'nutmegproxy-owner/src/MinionSession.ts',
+    invariant: 'at most once',
+    name: 'an owner takes the runs of a minion for known after a full list of results',
+    tests: ['nutmegproxy-emulator/src/__tests__/unit/OmittedResults.test.ts'],
+  },
+  {
+    edits: [
+      ['return !others.some((run) => isTrialRun(minion, run));', 'return others.length === 0;'],
+    ],
+    file: 'nutmegproxy-scheduling/src/MinionAvailability.ts',
+    fileAlso: 'nutmegproxy-scheduling/src/MinionAvailability.ts',
+    editsAlso: [["'trial' && hasTrialRun(minion)", "'trial' && minion.runs.size > 0"]],
+    invariant: 'progress',
+    name: 'a minion on trial gets no work beside a run from before its quarantine',
+    tests: ['nutmegproxy-scheduling/src/__tests__/unit/ExclusionsEnd.test.ts'],
+  },
+  {
+    edits: [['now - (run.confirmedAt ?? now) >= TRIAL_RUN_MS', 'false']],
+    file: 'nutmegproxy-scheduling/src/RunProgressMonitor.ts',
+    invariant: 'progress',
+    name: 'only a run that is done passes a trial',
+    tests: ['nutmegproxy-scheduling/src/__tests__/unit/ExclusionsEnd.test.ts'],
+  },
+  {
+    edits: [['!run.step.shape.gang || run.step !== step', 'true']],
+    file: 'nutmegproxy-scheduling/src/MinionAvailability.ts',
+    invariant: 'progress',
+    name: 'a member of a gang closes a minion on trial to the other members',
+    tests: ['nutmegproxy-scheduling/src/__tests__/unit/MinionTrials.test.ts'],
+  },
+  {
+    edits: [['step.avoid(task.index, run.minion, now, FAILED_TRIAL_AVOIDANCE_MS);', '']],
+    file: 'nutmegproxy-scheduling/src/MinionQuarantine.ts',
+    invariant: 'progress',
+    name: 'a lasting task that fails a trial gets the next one too',
+    tests: ['nutmegproxy-scheduling/src/__tests__/unit/MinionTrials.test.ts'],
+  },
+  {
+    edits: [['const AVOIDANCE_MS = 4_000;', 'const AVOIDANCE_MS = Infinity;']],
+    file: 'nutmegproxy-jobs/src/StepState.ts',
+    invariant: 'progress',
+    name: 'a task avoids for ever a minion on which it has failed',
+    tests: ['nutmegproxy-scheduling/src/__tests__/unit/ExclusionsEnd.test.ts'],
+  },
+  {
+    edits: [['!isBetterMinion && now - waitsSince < MAX_WAIT_MS', '!isBetterMinion']],
+    file: 'nutmegproxy-scheduling/src/LastAttempt.ts',
+    invariant: 'progress',
+    name: 'a last attempt waits for a trusted minion without an end',
+    tests: ['nutmegproxy-scheduling/src/__tests__/unit/LastAttempt.test.ts'],
+  },
   {
     edits: [['lists < MACHINE_LISTS', 'lists < 1']],
     file: 'nutmegproxy-owner/src/MachineReview.ts',
