--- a/packages/nutmegproxy-jobs/src/StepState.ts
+++ b/packages/nutmegproxy-jobs/src/StepState.ts
@@ -68,6 +68,8 @@
   readonly number: number;
   readonly occurrence: number;
   readonly shape: StepShape;
+  /** Whether a task of the step has failed the trial of a minion, and none has shown since that it can work. */
+  hasFailedTrial = false;
   /** When no minion was last found for a task of the step; undefined before. */
   blockedAt: Instant | undefined;
   /** When a task of the step was last placed; undefined before. */
--- a/packages/nutmegproxy-scheduling/src/MinionQuarantine.ts
+++ b/packages/nutmegproxy-scheduling/src/MinionQuarantine.ts
@@ -33,13 +33,15 @@
 }
 
 /** Ends the trial of a minion whose run goes on without failing. */
-export function endTrial({events}: Fleet, {id, trust}: MinionState): void {
+export function endTrial({events}: Fleet, {id, trust}: MinionState, {step}: Run): void {
+  step.hasFailedTrial = false;
   trust.endTrial();
   events.record(SCHEDULING_EVENTS.MINION_TRUSTED, {minion: id, proof: 'live'});
 }
 
 /** Records a run that is done; `minion` is undefined when it has left. */
 export function recordSuccess({events}: Fleet, minion: MinionState | undefined, run: Run): void {
+  run.step.hasFailedTrial = false;
   if (minion?.trust.recordSuccess(run.sentAt)) {
     events.record(SCHEDULING_EVENTS.MINION_TRUSTED, {minion: minion.id, proof: 'done'});
   }
@@ -55,6 +57,7 @@
   const {step, task} = run;
   step.failedAt.set(task.index, now);
   if (minion !== undefined && isTrialRun(minion, run)) {
+    step.hasFailedTrial = true;
     step.avoid(task.index, run.minion, now, FAILED_TRIAL_AVOIDANCE_MS);
   } else if (!step.shape.longRunning) {
     // Long-running tasks may fail at any time and restart on the capacity that they had.
--- a/packages/nutmegproxy-scheduling/src/RunProgressMonitor.ts
+++ b/packages/nutmegproxy-scheduling/src/RunProgressMonitor.ts
@@ -77,14 +77,17 @@
     }
     if (hasStalled) {
       quarantineMinion(fleet, minion, 'stalls', now);
-    } else if (this.#hasPassedTrial(minion, now)) {
-      endTrial(fleet, minion);
+      return;
+    }
+    const proof = this.#findPassedTrial(minion, now);
+    if (proof !== undefined) {
+      endTrial(fleet, minion, proof);
     }
   }
 
-  /** Whether the run that shows if the minion is sound has worked for some time. */
-  #hasPassedTrial(minion: MinionState, now: Instant): boolean {
-    return [...minion.runs].some(
+  /** Returns the run that shows that the minion is sound, once it has worked for some time. */
+  #findPassedTrial(minion: MinionState, now: Instant): Run | undefined {
+    return [...minion.runs].find(
       (run) =>
         isTrialRun(minion, run) &&
         run.phase === 'running' &&
--- a/packages/nutmegproxy-scheduling/src/StartPlanner.ts
+++ b/packages/nutmegproxy-scheduling/src/StartPlanner.ts
@@ -8,19 +8,20 @@
 import type {MinionState} from './MinionState.ts';
 import type {SharingCosts} from './Placement.ts';
 import type {StartBudget} from './StartBudget.ts';
+import type {PermissionContext} from './StartPermissions.ts';
 import type {TrialPlan} from './TaskTrials.ts';
 
 import {listCrashes} from './CrashVerdict.ts';
 import {findGangMinions} from './GangPlacement.ts';
 import {orderSteps} from './JobOrder.ts';
-import {shouldSaveLastAttempt} from './LastAttempt.ts';
 import {LongRunningStarts} from './LongRunningStarts.ts';
 import {isOpenToRuns} from './MinionAvailability.ts';
 import {MinionRanking} from './MinionRanking.ts';
 import {computePlacementCost, isSchedulable} from './Placement.ts';
 import {collectReadySteps, listStartableTasks} from './ReadySteps.ts';
 import {planSpeculativeRuns} from './SpeculationPlanner.ts';
-import {isDeferrable, placeWithinBudget} from './StartBudget.ts';
+import {countDeferrable, isDeferrable, placeWithinBudget} from './StartBudget.ts';
+import {StartPermissions} from './StartPermissions.ts';
 import {isApartFromSuspects} from './SuspectSeparation.ts';
 import {planTrials, recordTrial} from './TaskTrials.ts';
 
@@ -34,18 +35,10 @@
 /** Tasks of a step that are passed over in one round before the step waits; bounds its duration. */
 const MAX_SKIPPED_TASKS = 100;
 
-/** Permissions of the external advisor, for queues that need them. */
-export interface AdviceLookup {
-  /** Whether the step may run on the minion; undefined while that is not known. */
-  readonly isPermitted: (step: StepState, minion: MinionState) => boolean | undefined;
-}
-
-export interface PlanContext {
-  readonly advice: AdviceLookup;
+export interface PlanContext extends PermissionContext {
   /** Most starts of deferrable work in this round; absent when they are not limited. */
   readonly deferrableStarts?: number;
   readonly estimator: DurationEstimator;
-  readonly now: Instant;
   readonly sharingCosts: SharingCosts;
   readonly wall: WallTime;
 }
@@ -57,12 +50,14 @@
   /** Suspected tasks that must not start like any others. */
   #heldTasks: TrialPlan['heldTasks'] = new Map();
   readonly #longRunningStarts: LongRunningStarts;
+  readonly #permissions: StartPermissions;
   readonly #starts: Run[] = [];
   readonly #schedulable = new Map<ServiceId, MinionState[]>();
 
   constructor(fleet: Fleet, context: PlanContext) {
     this.#fleet = fleet;
     this.#context = context;
+    this.#permissions = new StartPermissions(fleet, context);
     this.#longRunningStarts = new LongRunningStarts(fleet, context.now, context.wall);
     for (const minion of fleet.minions.values()) {
       if (isSchedulable(minion, context.now)) {
@@ -84,9 +79,26 @@
     this.#heldTasks = trials.heldTasks;
     const others = ready.filter(({job}) => !trials.held.has(job) && !job.isFinal);
     const ordered = orderSteps(this.#fleet, others, estimator, wall).map(({step}) => step);
-    placeWithinBudget(ordered, {
+    this.#permissions.admitsFailedTrials = false;
+    this.#place(ordered);
+    this.#permissions.admitsFailedTrials = true;
+    if (this.#hasOpenTrial(now)) {
+      this.#place(ordered.filter(({hasFailedTrial}) => hasFailedTrial));
+    }
+    const schedulable = [...this.#schedulable.values()].flat();
+    return [
+      ...trials.starts,
+      ...this.#starts,
+      ...planSpeculativeRuns(this.#fleet, schedulable, sharingCosts, estimator, now),
+    ];
+  }
+
+  /** Places the tasks of steps in the given order. */
+  #place(steps: readonly StepState[]): void {
+    const limit = this.#context.deferrableStarts ?? Infinity;
+    placeWithinBudget(steps, {
       isDeferrable: (step) => isDeferrable(this.#fleet, step),
-      limit: this.#context.deferrableStarts ?? Infinity,
+      limit: limit - countDeferrable(this.#fleet, this.#starts),
       place: (step, budget) => {
         if (step.shape.gang) {
           this.#placeGang(step, budget);
@@ -95,18 +107,19 @@
         }
       },
     });
-    const schedulable = [...this.#schedulable.values()].flat();
-    return [
-      ...trials.starts,
-      ...this.#starts,
-      ...planSpeculativeRuns(this.#fleet, schedulable, sharingCosts, estimator, now),
-    ];
+  }
+
+  /** Whether a minion on trial has no run yet that shows if it is sound. */
+  #hasOpenTrial(now: Instant): boolean {
+    return [...this.#schedulable.values()]
+      .flat()
+      .some((minion) => minion.trust.level(now) === 'trial' && isOpenToRuns(minion, now));
   }
 
   #choose(step: StepState, index: number, ranking: MinionRanking): MinionState | undefined {
     return ranking.choose(
       (minion) =>
-        this.#isAllowed(step, index, minion) &&
+        this.#permissions.isAllowed(step, index, minion) &&
         isApartFromSuspects(step, index, minion, this.#context.now),
     );
   }
@@ -123,7 +136,8 @@
     for (const crashes of [listCrashes(step, index), step.crashes.of(index)]) {
       const crashed = new Set(crashes.map(({address}) => address));
       const minion = ranking.choose(
-        (each) => !crashed.has(each.description.address) && this.#isAllowed(step, index, each),
+        (each) =>
+          !crashed.has(each.description.address) && this.#permissions.isAllowed(step, index, each),
       );
       if (minion !== undefined) {
         return minion;
@@ -143,7 +157,7 @@
       listMinions: (step, index) =>
         this.#listMinions(step).filter(
           (minion) =>
-            this.#isAllowed(step, index, minion) &&
+            this.#permissions.isAllowed(step, index, minion) &&
             computePlacementCost(step, minion, sharingCosts, now) !== undefined,
         ),
       listStartable: (step) => listStartableTasks(this.#fleet, step),
@@ -158,29 +172,6 @@
     return plan;
   }
 
-  /** Whether tasks of the step may run on the minion. */
-  #isOpenTo(step: StepState, minion: MinionState): boolean {
-    const {advice: policy} = this.#fleet.resolveQueuePolicy(step.job);
-    return (
-      isOpenToRuns(minion, this.#context.now, step) &&
-      (policy === undefined || this.#context.advice.isPermitted(step, minion) === true)
-    );
-  }
-
-  /** Whether the task may run on the minion: it is permitted and the task has not just failed there. */
-  #isAllowed(step: StepState, index: number, minion: MinionState): boolean {
-    const {now} = this.#context;
-    const {maxAttempts} = this.#fleet.resolveQueuePolicy(step.job);
-    if (step.isAvoided(index, minion.id, now) || !this.#isOpenTo(step, minion)) {
-      return false;
-    }
-    // A run whose result is not known yet may have failed and counts as an attempt.
-    if (!step.shape.longRunning && step.countPossibleFailures(index) >= maxAttempts) {
-      return false;
-    }
-    return !shouldSaveLastAttempt({index, maxAttempts, step}, minion, now);
-  }
-
   #listMinions(step: StepState): readonly MinionState[] {
     return this.#schedulable.get(this.#fleet.resolveQueuePolicy(step.job).service) ?? [];
   }
@@ -205,10 +196,10 @@
     }
   }
 
-  /** Whether a backfill step found no minion within the retry interval. */
+  /** Whether a backfill step found no minion within the retry interval, in an earlier round. */
   #isInBackoff({blockedAt, shape}: StepState): boolean {
     const blockedForMs = this.#context.now - (blockedAt ?? -Infinity);
-    return shape.fillsSpareCpu && blockedForMs < BACKFILL_RETRY_MS;
+    return shape.fillsSpareCpu && blockedForMs > 0 && blockedForMs < BACKFILL_RETRY_MS;
   }
 
   #placeTasks(step: StepState, budget: StartBudget): void {
@@ -235,7 +226,8 @@
         }
         skipped += 1;
         // What keeps this task from the minions with room may not keep the others of its step.
-        const hasRoom = ranking.choose((each) => this.#isOpenTo(step, each)) !== undefined;
+        const hasRoom =
+          ranking.choose((each) => this.#permissions.isOpenTo(step, each)) !== undefined;
         if (hasRoom && skipped < MAX_SKIPPED_TASKS) {
           continue;
         }
--- a/packages/nutmegproxy-scheduling/src/__tests__/unit/MinionTrials.test.ts
+++ b/packages/nutmegproxy-scheduling/src/__tests__/unit/MinionTrials.test.ts
@@ -7,7 +7,10 @@
 
 import {RunProgressMonitor} from '../../RunProgressMonitor.ts';
 import {failTwice, findMinion, LASTING, play} from './ExclusionSamples.ts';
-import {at, SampleFleet, shape} from './Samples.ts';
+import {at, queue, SampleFleet, shape} from './Samples.ts';
+
+/** Longest time in milliseconds from one trial of a minion that fails it to the next. */
+const MAX_BETWEEN_TRIALS_MS = 5_000;
 
 describe('A gang', () => {
   it('starts on sound minions that were all quarantined and each take several members', () => {
@@ -41,6 +44,79 @@
   });
 });
 
+describe('A sound task that only minions on trial can run', () => {
+  for (const faultyJobs of [3, 6]) {
+    // Guards against jobs that fail all their runs and take each trial before the sound one.
+    it(`gets a trial soon although ${faultyJobs} older lasting jobs fail in each trial`, () => {
+      const sample = new SampleFleet(1);
+      const faulty = Array.from({length: faultyJobs}, () => sample.addJob('proofs', [LASTING]));
+      const sound = sample.addJob('proofs', [LASTING]);
+      const end: EndOfRun = ({sentAt, step}, now) =>
+        faulty.includes(step.job) && now - sentAt >= 300 ? 'failed' : undefined;
+      failTwice(findMinion(sample), 0);
+      const startedAt = play(sample, 0, 120_000, end).get(sound)?.[0];
+      const withinMs = (faultyJobs + 1) * MAX_BETWEEN_TRIALS_MS;
+      assert.ok(startedAt !== undefined && startedAt <= withinMs, `${startedAt}`);
+    });
+  }
+
+  it('starts on the only minion with its label, which runs a lasting task', () => {
+    const sample = new SampleFleet(3);
+    const fast = sample.addMinion('fast', {labels: ['fast', 'r1']});
+    sample.addJob('proofs', [{...LASTING, requiredLabel: 'fast'}]);
+    play(sample, 0, 0);
+    failTwice(fast, 100);
+    const job = sample.addJob('proofs', [shape({requiredLabel: 'fast'})], 200);
+    const startedAt = play(sample, 200, 20_000).get(job)?.[0];
+    assert.ok(startedAt !== undefined && startedAt <= 200 + MAX_BETWEEN_TRIALS_MS, `${startedAt}`);
+  });
+
+  it('starts with its gang on the two minions with their label', () => {
+    const sample = new SampleFleet(2);
+    const labelled = ['fast-1', 'fast-2'].map((name) =>
+      sample.addMinion(name, {labels: ['fast', 'r1']}),
+    );
+    sample.addJob('proofs', [{...LASTING, count: 2, maxPerMinion: 1, requiredLabel: 'fast'}]);
+    play(sample, 0, 0);
+    labelled.forEach((minion) => {
+      failTwice(minion, 100);
+    });
+    const gang = sample.addJob(
+      'proofs',
+      [shape({count: 4, gang: true, maxPerMinion: 2, requiredLabel: 'fast'})],
+      200,
+    );
+    const startedAt = play(sample, 200, 20_000).get(gang)?.[0];
+    assert.ok(startedAt !== undefined && startedAt <= 200 + MAX_BETWEEN_TRIALS_MS, `${startedAt}`);
+  });
+});
+
+describe('A job whose task has failed the trial of a minion', () => {
+  for (const [kind, change] of Object.entries({
+    backfill: {fillsSpareCpu: true},
+    gang: {count: 2, gang: true},
+    lasting: {longRunning: true},
+    short: {},
+  })) {
+    it(`gets the next trial when no other work needs it (${kind})`, () => {
+      const sample = new SampleFleet(1, [queue('proofs', {maxAttempts: 3})]);
+      failTwice(findMinion(sample), 0);
+      const job = sample.addJob('proofs', [shape({estimateMs: 60_000, ...change})]);
+      let failures = 0;
+      play(sample, 0, 30_000, ({phase, task}) => {
+        if (phase === 'stopping') {
+          return 'stopped';
+        }
+        failures += task.index === 0 ? 1 : 0;
+        return task.index === 0 && failures === 1 ? 'failed' : undefined;
+      });
+      assert.equal(failures > 1, true, 'no second run');
+      assert.equal(job.isFinal, false);
+      assert.equal(findMinion(sample).trust.level(at(30_000)), 'trusted');
+    });
+  }
+});
+
 describe('A trial', () => {
   it('is not passed by a run that stands still', () => {
     const sample = new SampleFleet(1);
--- a/scripts/mutants.mjs
+++ b/scripts/mutants.mjs
@@ -73,6 +73,13 @@
     name: 'a lasting task that fails a trial gets the next one too',
     tests: ['nutmegproxy-scheduling/src/__tests__/unit/MinionTrials.test.ts'],
   },
+  {
+    edits: [['this.admitsFailedTrials || !step.hasFailedTrial', 'true']],
+    file: 'nutmegproxy-scheduling/src/StartPermissions.ts',
+    invariant: 'progress',
+    name: 'lasting jobs that fail in each trial come first in the next one',
+    tests: ['nutmegproxy-scheduling/src/__tests__/unit/MinionTrials.test.ts'],
+  },
   {
     edits: [['const AVOIDANCE_MS = 4_000;', 'const AVOIDANCE_MS = Infinity;']],
     file: 'nutmegproxy-jobs/src/StepState.ts',
