--- a/packages/nutmegproxy-emulator/src/__tests__/unit/FailingMinions.test.ts
+++ b/packages/nutmegproxy-emulator/src/__tests__/unit/FailingMinions.test.ts
@@ -11,10 +11,11 @@
   createMinionDescription,
   createStepShape,
   createStoredJob,
+  QUEUE,
   submitJob,
   waitFor,
 } from './JobSamples.ts';
-import {runForever, TakeoverHarness} from './TakeoverHarness.ts';
+import {runForever, sleep, TakeoverHarness} from './TakeoverHarness.ts';
 
 /** Time in milliseconds after its last run within which a lasting task has to run again. */
 const MAX_IDLE_MS = 9_000;
@@ -27,6 +28,8 @@
 const STEP_MS = 100;
 const PAUSE_MS = 20;
 const LATER_TASKS = 6;
+/** Time in real milliseconds in which an owner stores what has changed. */
+const SETTLED_MS = 500;
 
 describe('Minions that failed what they started for some seconds and are sound again', () => {
   let harness: TakeoverHarness;
@@ -118,3 +121,46 @@
     assert.ok(idleMs < MAX_IDLE_MS, `some task was idle for ${idleMs} ms`);
   });
 });
+
+describe('A task that has failed on the only minion with its label', () => {
+  const FAILED_MS = 50;
+  let harness: TakeoverHarness;
+
+  beforeEach(() => {
+    harness = new TakeoverHarness();
+  });
+
+  afterEach(async () => {
+    await harness.close();
+  });
+
+  for (const {count, outcome, runs} of [
+    {count: 1, outcome: 'done' as const, runs: 2},
+    {count: 1, outcome: 'failed' as const, runs: QUEUE.maxAttempts},
+    {count: 3, outcome: 'done' as const, runs: 6},
+  ]) {
+    // Guards against tasks that no owner starts again, and against attempts that a takeover forgets.
+    it(`starts again under the next owner (${count} tasks, then ${outcome})`, async () => {
+      const fast = new EmulatedMinion(
+        createMinionDescription('fast', {labels: ['fast', 'r1']}),
+        (_task, number) => ({durationMs: FAILED_MS, outcome: number === 1 ? 'failed' : outcome}),
+      );
+      harness.fleet.add(fast);
+      harness.addMinion('other');
+      const first = await harness.startKillable('vm-1');
+      await submitJob(
+        harness.store,
+        createStoredJob(1, [createStepShape({count, requiredLabel: 'fast'})]),
+      );
+      await waitFor('the tasks run', () => fast.records.length === count);
+      harness.clock.advance(FAILED_MS);
+      await sleep(SETTLED_MS);
+      await first.kill();
+      const {ownership} = await harness.start('vm-2');
+      await harness.passTime(ownership, MAX_IDLE_MS, STEP_MS, PAUSE_MS);
+      assert.equal(fast.records.length, runs);
+      await harness.passTime(ownership, MAX_IDLE_MS, STEP_MS, PAUSE_MS);
+      assert.equal(fast.records.length, runs);
+    });
+  }
+});
--- a/packages/nutmegproxy-scheduling/src/__tests__/unit/ExclusionsEnd.test.ts
+++ b/packages/nutmegproxy-scheduling/src/__tests__/unit/ExclusionsEnd.test.ts
@@ -1,5 +1,7 @@
 /** No belief about a minion excludes it for ever, nor one that is sound for longer than some seconds. */
 
+import type {MinionId} from '@nutmegproxy/core';
+
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
 
@@ -103,6 +105,50 @@
     assert.equal(job.status, 'completed');
   });
 
+  it('is tried again once it has failed on both minions that have its required label', () => {
+    const sample = new SampleFleet(2, [queue('proofs', {maxAttempts: 4})]);
+    sample.addMinion('fast-1', {labels: ['fast', 'r1']});
+    sample.addMinion('fast-2', {labels: ['fast', 'r1']});
+    const job = sample.addJob('proofs', [shape({requiredLabel: 'fast'})]);
+    const failedOn = new Set<MinionId>();
+    play(sample, 0, 30_000, ({minion}) => {
+      const isFirst = !failedOn.has(minion);
+      failedOn.add(minion);
+      return isFirst ? 'failed' : 'done';
+    });
+    assert.equal(failedOn.size, 2);
+    assert.equal(job.status, 'completed');
+  });
+
+  it('is tried again on the minion that its label and the limit per minion leave', () => {
+    const sample = new SampleFleet(2, [queue('proofs', {maxAttempts: 3})]);
+    sample.addMinion('fast-1', {labels: ['fast', 'r1']});
+    sample.addMinion('fast-2', {labels: ['fast', 'r1']});
+    const step = shape({
+      count: 2,
+      estimateMs: 60_000,
+      maxPerMinion: 1,
+      requiredLabel: 'fast',
+    });
+    const job = sample.addJob('proofs', [step]);
+    let failures = 0;
+    const starts = play(sample, 0, 30_000, ({task}) => {
+      failures += task.index === 0 ? 1 : 0;
+      return task.index === 0 && failures === 1 ? 'failed' : undefined;
+    });
+    assert.equal(starts.get(job)?.length, 3);
+  });
+
+  it('fails its job at once where the queue allows one attempt, and keeps no other job', () => {
+    const sample = new SampleFleet(0, [queue('proofs', {maxAttempts: 1})]);
+    sample.addMinion('fast', {labels: ['fast', 'r1']});
+    const failing = sample.addJob('proofs', [shape({requiredLabel: 'fast'})]);
+    const other = sample.addJob('proofs', [shape({requiredLabel: 'fast'})], 100);
+    play(sample, 0, 30_000, ({step}) => (step.job === failing ? 'failed' : 'done'));
+    assert.equal(failing.status, 'failed');
+    assert.equal(other.status, 'completed');
+  });
+
   it('is tried again on the only minion that has room for it', () => {
     const sample = new SampleFleet(0, [queue('proofs', {maxAttempts: 3})]);
     sample.addMinion('small', {capacity: {cpuMilli: 500, gpus: 0, memoryMb: 8_000}});
