--- a/packages/nutmegproxy-owner/src/MachineReview.ts
+++ b/packages/nutmegproxy-owner/src/MachineReview.ts
@@ -52,6 +52,8 @@
   readonly #options: MachineReviewOptions;
   /** Reviews left without a list, and how many there are after the next one. */
   #pause = {left: 0, next: 0};
+  /** Absent minions whose entries were missing at the last review. */
+  #unlisted: ReadonlySet<MinionId> = new Set();
 
   constructor(options: MachineReviewOptions) {
     this.#options = options;
@@ -97,6 +99,7 @@
       const lists = (this.#agreeing.get(minion.id) ?? 0) + 1;
       this.#agreeing.set(minion.id, lists);
       if (lists < MACHINE_LISTS) {
+        this.#pause = {left: 0, next: 0};
         continue;
       }
       this.#agreeing.delete(minion.id);
@@ -113,15 +116,23 @@
     }
   }
 
-  /** Whether a list is due. The pauses between lists grow while no other minion becomes absent. */
+  /**
+   * Whether a list is due. The pauses between lists grow while no list can show anything new: until
+   * another minion becomes absent, or the entry of an absent one is removed, so that it may count as gone.
+   */
   #isDue(absent: readonly AbsentMinion[]): boolean {
     const ids = new Set(absent.map(({minion}) => minion.id));
+    const unlisted = absent
+      .filter(({minion}) => minion.unlistedSince !== undefined)
+      .map(({minion}) => minion.id);
+    const hasLostEntry = unlisted.some((id) => !this.#unlisted.has(id));
+    this.#unlisted = new Set(unlisted);
     for (const id of this.#agreeing.keys()) {
       if (!ids.has(id)) {
         this.#agreeing.delete(id);
       }
     }
-    if (absent.some(({minion}) => !this.#agreeing.has(minion.id))) {
+    if (hasLostEntry || absent.some(({minion}) => !this.#agreeing.has(minion.id))) {
       this.#pause = {left: 0, next: 0};
     }
     for (const id of ids) {
--- a/scripts/mutants.mjs
+++ b/scripts/mutants.mjs
@@ -20,6 +20,13 @@
 const SCOPE = '@nutmegproxy';
 
 const MUTANTS = [
+  {
+    edits: [['hasLostEntry || ', '']],
+    file: 'nutmegproxy-owner/src/MachineReview.ts',
+    invariant: 'progress',
+    name: 'a list of machines waits for its pause although an entry was removed',
+    tests: ['nutmegproxy-owner/src/__tests__/unit/MachineReview.test.ts'],
+  },
   {
     edits: [['minion.mayOmitResults && !run.step.shape.longRunning', 'false']],
     file: 'nutmegproxy-scheduling/src/ListingReconciler.ts',
