--- a/packages/nutmegproxy-emulator/src/EmulatedMachineList.ts
+++ b/packages/nutmegproxy-emulator/src/EmulatedMachineList.ts
@@ -16,6 +16,8 @@
   calls = 0;
   isDown = false;
   readonly #clock: Clock;
+  /** Minions whose machine has left the platform; the entries of the minions may still be there. */
+  readonly gone = new Set<MinionId>();
   /** Minions whose machine is shown without a minion. */
   readonly hidden = new Set<MinionId>();
   /** Minions whose machine is shown with another minion. */
@@ -36,7 +38,7 @@
     const occupants = new Map<MachineId, MinionId | undefined>();
     for (const minion of this.#minions.values()) {
       const {id, machine} = minion.description;
-      if (machine !== undefined) {
+      if (machine !== undefined && !this.gone.has(id)) {
         const isUp = !minion.isDown(now) && !this.hidden.has(id);
         const occupant = this.replaced.has(id) ? brand<MinionId>(`after ${id}`) : id;
         occupants.set(machine, isUp ? occupant : undefined);
