--- a/packages/nutmegproxy-owner/src/MinionSession.ts
+++ b/packages/nutmegproxy-owner/src/MinionSession.ts
@@ -103,6 +103,7 @@
       const fields = {bornAt, entryBornAt: reportedBornAt, minion: this.minion.id};
       this.#context.events.record(OWNER_EVENTS.RESTART_DENIED, fields);
     }
+    this.minion.listedBornAt = bornAt;
     this.#observeIncarnation(bornAt ?? (isDecisive ? reportedBornAt : undefined));
   }
 
--- a/packages/nutmegproxy-scheduling/src/MinionState.ts
+++ b/packages/nutmegproxy-scheduling/src/MinionState.ts
@@ -85,6 +85,8 @@
   lastAnswerAt: Instant | undefined;
   /** Start of the latest known incarnation in Unix milliseconds. */
   bornAt: number | undefined;
+  /** Start of the incarnation that it reported itself last; undefined before. */
+  listedBornAt: number | undefined;
   /** Runs that were live when its lease expired, until it responds. */
   lapsedRuns: readonly ExposedRun[] = [];
   /**
@@ -154,6 +156,16 @@
     this.#speedAt = now;
   }
 
+  /**
+   * Whether it is known to have a label. A new incarnation may have another kind than the one that its
+   * entry describes until that is written again.
+   */
+  hasLabel(label: string): boolean {
+    const {bornAt, labels} = this.description;
+    const isEntryOutdated = (bornAt ?? Infinity) < (this.listedBornAt ?? -Infinity);
+    return !isEntryOutdated && labels.includes(label);
+  }
+
   /** Whether further results follow as those that it listed are acknowledged. */
   get isListingResults(): boolean {
     return this.mayOmitResults && this.missedCalls === 0;
--- a/packages/nutmegproxy-scheduling/src/Placement.ts
+++ b/packages/nutmegproxy-scheduling/src/Placement.ts
@@ -77,7 +77,7 @@
 export function meetsConstraints(step: StepState, minion: MinionState): boolean {
   const {maxPerMinion, requiredLabel} = step.shape;
   return (
-    (requiredLabel === undefined || minion.description.labels.includes(requiredLabel)) &&
+    (requiredLabel === undefined || minion.hasLabel(requiredLabel)) &&
     (maxPerMinion === undefined || step.countRunsOn(minion.id) < maxPerMinion)
   );
 }
--- a/packages/nutmegproxy-scheduling/src/PlacementSurvey.ts
+++ b/packages/nutmegproxy-scheduling/src/PlacementSurvey.ts
@@ -27,7 +27,7 @@
   if (unavailability !== undefined) {
     return unavailability;
   }
-  if (requiredLabel !== undefined && !minion.description.labels.includes(requiredLabel)) {
+  if (requiredLabel !== undefined && !minion.hasLabel(requiredLabel)) {
     return 'label';
   }
   return meetsConstraints(step, minion) ? undefined : 'per-minion';
