--- a/packages/nutmegproxy-owner/src/MinionSession.ts
+++ b/packages/nutmegproxy-owner/src/MinionSession.ts
@@ -229,7 +229,7 @@
     if (answer.isErr()) {
       // Nothing speaks against a restart that the directory reports.
       this.#observeIncarnation(this.#reportedBornAt);
-      this.#handleFailure(answer.error, 'hold');
+      this.#handleFailure(answer.error, 'hold', true);
       return false;
     }
     const hadReading = this.minion.leaseClock.hasReading;
@@ -335,7 +335,8 @@
     }
   }
 
-  #handleFailure(failure: OrderFailure, what: string): void {
+  /** A poll that a minion rejects as unhealthy has not renewed its lease, so it counts as missed. */
+  #handleFailure(failure: OrderFailure, what: string, isPoll = false): void {
     const {clockMs, isTimeout = false, kind, message} = failure;
     const {clock, events, onFenced, onSilent} = this.#context;
     const fields = {...this.eventFields, message, what};
@@ -348,11 +349,11 @@
       onFenced();
       return;
     }
-    if (kind === 'unanswered' || (kind === 'unhealthy' && !this.minion.hasReported)) {
+    if (kind === 'unanswered' || (kind === 'unhealthy' && isPoll)) {
       this.minion.missedCalls += 1;
       this.minion.silentSince ??= clock.monotonic();
       if (this.minion.missedCalls === 1) {
-        this.minion.mayBeCutOff = isTimeout;
+        this.minion.mayBeCutOff = isTimeout || kind === 'unhealthy';
         events.record(OWNER_EVENTS.MINION_UNREACHABLE, fields);
       }
       const isSilent = this.minion.missedCalls >= SILENT_AFTER_MISSED_CALLS;
