--- a/packages/nutmegproxy-jobs/src/StepState.ts
+++ b/packages/nutmegproxy-jobs/src/StepState.ts
@@ -56,7 +56,6 @@
 
 /** Tracks which tasks of a step are waiting, running or done. */
 export class StepState {
-  readonly checkpoints = new Map<number, Checkpoint>();
   /** Crashes of minions under the tasks. */
   readonly crashes: StepCrashes;
   readonly done = new Set<number>();
@@ -87,6 +86,8 @@
   readonly waiting = new Set<number>();
   /** Until when the task avoids minions on which it failed or stalled, by task index. */
   readonly #avoidedUntil = new Map<number, Map<MinionId, Instant>>();
+  /** Latest checkpoint by task index; one for all tasks of a gang, by the member that saved it. */
+  readonly #checkpoints = new Map<number, Checkpoint>();
   readonly #lastRun = new Map<number, RunNumber>();
   readonly #perMinion = new Map<MinionId, number>();
   readonly #runs = new Map<number, Run[]>();
@@ -110,7 +111,7 @@
       this.failures.set(Number(index), [...numbers]);
     }
     for (const [index, checkpoint] of Object.entries(progress?.checkpoints ?? {})) {
-      this.checkpoints.set(Number(index), checkpoint);
+      this.saveCheckpoint(Number(index), checkpoint);
     }
     for (let index = 0; index < shape.count; index += 1) {
       if (!this.done.has(index)) {
@@ -169,6 +170,19 @@
     return (this.failures.get(index)?.length ?? 0) + (this.unknownResults.get(index)?.size ?? 0);
   }
 
+  /** Returns the checkpoint from which the task resumes; all members of a gang resume from the same one. */
+  findCheckpoint(index: number): Checkpoint | undefined {
+    const [gangCheckpoint] = this.#checkpoints.values();
+    return this.shape.gang ? gangCheckpoint : this.#checkpoints.get(index);
+  }
+
+  saveCheckpoint(index: number, checkpoint: Checkpoint): void {
+    if (this.shape.gang) {
+      this.#checkpoints.clear();
+    }
+    this.#checkpoints.set(index, checkpoint);
+  }
+
   /** Whether a run of the task is known, live or over. */
   hasRun(index: number): boolean {
     return this.#lastRun.has(index) || this.failures.has(index);
@@ -201,7 +215,7 @@
     }
     this.done.add(index);
     this.waiting.delete(index);
-    this.checkpoints.delete(index);
+    this.#checkpoints.delete(index);
     this.crashes.clear(index);
     return true;
   }
@@ -217,12 +231,12 @@
 
   /** Returns the step's progress as it is stored; undefined when there is none. */
   exportProgress(): StepProgress | undefined {
-    const recorded = this.done.size + this.failures.size + this.checkpoints.size;
+    const recorded = this.done.size + this.failures.size + this.#checkpoints.size;
     if (recorded === 0 && this.crashes.isEmpty) {
       return undefined;
     }
     return {
-      checkpoints: Object.fromEntries(this.checkpoints),
+      checkpoints: Object.fromEntries(this.#checkpoints),
       done: [...this.done],
       failures: Object.fromEntries(this.failures),
       ...this.crashes.exportProgress(),
--- a/packages/nutmegproxy-owner/src/MinionSession.ts
+++ b/packages/nutmegproxy-owner/src/MinionSession.ts
@@ -329,7 +329,7 @@
       const run = [...this.minion.runs].find(
         (each) => each.number === number && isSameTask(each.task, task),
       );
-      if (run !== undefined && run.step.checkpoints.get(task.index) === undefined) {
+      if (run !== undefined && run.step.findCheckpoint(task.index) === undefined) {
         this.#context.onRunDone(run, now - run.sentAt);
       }
     }
--- a/packages/nutmegproxy-scheduling/src/Fleet.ts
+++ b/packages/nutmegproxy-scheduling/src/Fleet.ts
@@ -127,7 +127,7 @@
     this.#removeRun(run);
     this.events.record(SCHEDULING_EVENTS.RUN_LOST, {...describeRun(run), reason});
     if (run.checkpoint !== undefined && run.step.shape.checkpoints) {
-      run.step.checkpoints.set(run.task.index, run.checkpoint);
+      run.step.saveCheckpoint(run.task.index, run.checkpoint);
     }
     if (run.step.shape.gang) {
       this.#stopStep(run.step, 'gang-broken');
@@ -148,7 +148,7 @@
       return;
     }
     if (checkpoint !== undefined && !step.done.has(task.index) && step.shape.checkpoints) {
-      step.checkpoints.set(task.index, checkpoint);
+      step.saveCheckpoint(task.index, checkpoint);
     }
     if (outcome === 'failed') {
       this.#applyFailure(step, task.index, number);
@@ -179,7 +179,7 @@
     const task = {index, job: step.job.id, occurrence: step.occurrence, step: step.number};
     const chosen = number ?? step.nextRunNumber(index, this.runNumberBase);
     const run = this.#addRun(step, task, chosen, minion, now);
-    run.checkpoint = step.checkpoints.get(index);
+    run.checkpoint = step.findCheckpoint(index);
     step.placedAt = now;
     this.events.record(SCHEDULING_EVENTS.RUN_PLACED, {
       ...describeRun(run),
