--- a/packages/nutmegproxy-jobs/src/JobProgress.ts
+++ b/packages/nutmegproxy-jobs/src/JobProgress.ts
@@ -18,6 +18,8 @@
 
 /** Progress of a job; steps without progress are absent. */
 export interface JobProgress {
+  /** Attempts that the queue allowed when it was removed from the configuration; absent before. */
+  readonly maxAttempts?: number;
   readonly queue: QueueId;
   readonly status: JobStatus;
   /** Progress by `occurrence.step`. */
--- a/packages/nutmegproxy-jobs/src/JobState.ts
+++ b/packages/nutmegproxy-jobs/src/JobState.ts
@@ -23,6 +23,8 @@
   hasStarted: boolean;
   /** Whether a task of the job had started under a former owner. */
   readonly hadStarted: boolean;
+  /** Attempts that its queue allowed when that was removed from the configuration; undefined before. */
+  formerMaxAttempts: number | undefined;
   /** Whether starts of suspected tasks were stored for the job. */
   mayHaveTrials = false;
   readonly #finished = new Set<number>();
@@ -39,6 +41,7 @@
     this.status = progress.status;
     this.hadStarted = progress.status !== 'queued';
     this.hasStarted = this.hadStarted;
+    this.formerMaxAttempts = progress.maxAttempts;
     this.#progress = progress;
     for (const [key, {trials}] of Object.entries(progress.steps)) {
       if (trials !== undefined) {
@@ -142,7 +145,13 @@
         }
       }
     }
-    return {queue: this.request.queue, status: this.status, steps};
+    const {formerMaxAttempts: maxAttempts, request, status} = this;
+    return {
+      queue: request.queue,
+      status,
+      steps,
+      ...(maxAttempts === undefined ? {} : {maxAttempts}),
+    };
   }
 
   /** Iterates over the steps of the occurrences that are in memory. */
--- a/packages/nutmegproxy-owner/src/Owner.ts
+++ b/packages/nutmegproxy-owner/src/Owner.ts
@@ -15,6 +15,7 @@
   Fleet,
   planStarts,
   type QueuePolicy,
+  replaceQueues,
   RunProgressMonitor,
   SharingPolicy,
   summarizeFleet,
@@ -324,10 +325,7 @@
       return;
     }
     this.#queues = queues;
-    this.#fleet.queues.clear();
-    for (const queue of queues) {
-      this.#fleet.queues.set(queue.id, queue);
-    }
+    replaceQueues(this.#fleet, queues);
   }
 
   #wakeUp(): void {
--- a/packages/nutmegproxy-scheduling/src/Fleet.ts
+++ b/packages/nutmegproxy-scheduling/src/Fleet.ts
@@ -163,6 +163,7 @@
       this.queues.get(job.request.queue) ?? {
         ...DEFAULT_QUEUE_POLICY,
         advice: undefined,
+        maxAttempts: job.formerMaxAttempts ?? DEFAULT_QUEUE_POLICY.maxAttempts,
         service: job.request.service,
       }
     );
--- /dev/null
+++ b/packages/nutmegproxy-scheduling/src/QueueReplacement.ts
@@ -0,0 +1,27 @@
+/** Replaces the configured queues, with what remains of those that are removed. */
+
+import type {Fleet} from './Fleet.ts';
+import type {QueuePolicy} from './QueuePolicy.ts';
+
+/**
+ * Replaces the queues. Open jobs of a queue that is removed keep the number of attempts that it allowed,
+ * also under later owners: their failures so far were counted against it.
+ *
+ * @example
+ * replaceQueues(fleet, configuration.queues);
+ */
+export function replaceQueues(fleet: Fleet, queues: readonly QueuePolicy[]): void {
+  const former = new Map(fleet.queues);
+  fleet.queues.clear();
+  for (const queue of queues) {
+    fleet.queues.set(queue.id, queue);
+  }
+  for (const job of fleet.jobs.values()) {
+    const {queue} = job.request;
+    const removed = fleet.queues.has(queue) ? undefined : former.get(queue);
+    if (removed !== undefined && !job.isFinal) {
+      job.formerMaxAttempts = removed.maxAttempts;
+      fleet.dirtyJobs.add(job);
+    }
+  }
+}
--- a/packages/nutmegproxy-scheduling/src/index.ts
+++ b/packages/nutmegproxy-scheduling/src/index.ts
@@ -36,6 +36,7 @@
 export type {SharingCosts} from './Placement.ts';
 export {DEFAULT_QUEUE_POLICY} from './QueuePolicy.ts';
 export type {AdvicePolicy, QueuePolicy} from './QueuePolicy.ts';
+export {replaceQueues} from './QueueReplacement.ts';
 export {collectReadySteps} from './ReadySteps.ts';
 export {describeRun, findNamedJobs} from './RunFields.ts';
 export {RunProgressMonitor} from './RunProgressMonitor.ts';
