--- a/packages/nutmegproxy-scheduling/src/__tests__/unit/QueueReplacement.test.ts
+++ b/packages/nutmegproxy-scheduling/src/__tests__/unit/QueueReplacement.test.ts
@@ -6,6 +6,8 @@
 import {play} from './ExclusionSamples.ts';
 import {queue, SampleFleet, shape} from './Samples.ts';
 
+/** Time in milliseconds in which a task fails once. */
+const FIRST_RUN_MS = 100;
 const PLAYED_MS = 60_000;
 
 // Guards against attempts beyond those that a queue allowed before its route was removed.
@@ -14,9 +16,11 @@
     it(`fails after ${maxAttempts} attempts, as its queue allowed`, () => {
       const sample = new SampleFleet(3, [queue('proofs', {maxAttempts})]);
       const job = sample.addJob('proofs', [shape()]);
-      const first = play(sample, 0, 1_000, () => 'failed').get(job)?.length ?? 0;
+      const first = play(sample, 0, FIRST_RUN_MS, () => 'failed').get(job)?.length ?? 0;
+      assert.equal(first, 1);
       replaceQueues(sample.fleet, [queue('others')]);
-      const later = play(sample, 1_100, PLAYED_MS, () => 'failed').get(job)?.length ?? 0;
+      const later =
+        play(sample, FIRST_RUN_MS + 100, PLAYED_MS, () => 'failed').get(job)?.length ?? 0;
       assert.equal(job.status, 'failed');
       assert.equal(first + later, maxAttempts);
     });
--- a/scripts/mutants.mjs
+++ b/scripts/mutants.mjs
@@ -20,6 +20,44 @@
 const SCOPE = '@nutmegproxy';
 
 const MUTANTS = [
+  {
+    edits: [['job.formerMaxAttempts ?? DEFAULT_QUEUE_POLICY', 'DEFAULT_QUEUE_POLICY']],
+    file: 'nutmegproxy-scheduling/src/Fleet.ts',
+    invariant: 'attempts',
+    name: 'jobs of a removed queue get the default number of attempts',
+    tests: ['nutmegproxy-scheduling/src/__tests__/unit/QueueReplacement.test.ts'],
+  },
+  {
+    edits: [
+      [
+        'this.shape.gang ? gangCheckpoint : this.#checkpoints.get(index)',
+        'gangCheckpoint === undefined ? undefined : this.#checkpoints.get(index)',
+      ],
+    ],
+    file: 'nutmegproxy-jobs/src/StepState.ts',
+    invariant: 'resume once',
+    name: 'the members of a gang resume from their own checkpoints',
+    tests: ['nutmegproxy-scheduling/src/__tests__/unit/GangCheckpoints.test.ts'],
+  },
+  {
+    edits: [
+      [
+        "kind === 'unhealthy' && isPoll",
+        "kind === 'unhealthy' && isPoll && !this.minion.hasReported",
+      ],
+    ],
+    file: 'nutmegproxy-owner/src/MinionSession.ts',
+    invariant: 'progress',
+    name: 'a poll that is rejected as unhealthy renews a lease',
+    tests: ['nutmegproxy-emulator/src/__tests__/unit/UnhealthyMinions.test.ts'],
+  },
+  {
+    edits: [['!isEntryOutdated && labels', 'labels']],
+    file: 'nutmegproxy-scheduling/src/MinionState.ts',
+    invariant: 'placement',
+    name: 'tasks are placed by the labels of a former incarnation',
+    tests: ['nutmegproxy-emulator/src/__tests__/unit/ChangedMinions.test.ts'],
+  },
   {
     edits: [['hasLostEntry || ', '']],
     file: 'nutmegproxy-owner/src/MachineReview.ts',
