--- a/packages/nutmegproxy-emulator/src/__tests__/unit/Recovery.test.ts
+++ b/packages/nutmegproxy-emulator/src/__tests__/unit/Recovery.test.ts
@@ -14,6 +14,10 @@
 const RESTART_DEADLINE_MS = 9_000;
 /** Time in real milliseconds in which the owners under test act on what has happened. */
 const REACTION_MS = 5_000;
+/** Time in milliseconds for which a minion drains before its owner is killed, and the step in which it passes. */
+const DRAINED_FOR_MS = 2_400;
+const STEP_MS = 100;
+const LASTING_TASK = '0000000000000001.0.0.0';
 
 describe('Recovery after a takeover', () => {
   let harness: TakeoverHarness;
@@ -104,6 +108,20 @@
       await waitFor('the task runs', () => other.liveTasks.length === 1, REACTION_MS);
     });
 
+    it('does not delay an interrupted task whose end the former owner knew, beside a run that it may still have', async () => {
+      await submitJob(
+        harness.store,
+        createStoredJob(1, [createStepShape({longRunning: true}), createStepShape()]),
+      );
+      await waitFor('both tasks run', () => draining.liveTasks.length === 2);
+      await drain();
+      await waitFor('the lasting task is stopped', () => draining.liveTasks.length === 1);
+      await harness.passTime(first.started.ownership, DRAINED_FOR_MS, STEP_MS);
+      const other = await takeOver();
+      await waitFor('the task runs', () => other.liveTasks.length === 1, REACTION_MS);
+      assert.deepEqual(other.liveTasks, [LASTING_TASK]);
+    });
+
     it('delays the tasks that it may still run until its lease has expired', async () => {
       await submitJob(harness.store, createStoredJob(1, [createStepShape()]));
       await waitFor('the task runs', () => draining.liveTasks.length === 1);
--- a/packages/nutmegproxy-owner/src/MinionRecovery.ts
+++ b/packages/nutmegproxy-owner/src/MinionRecovery.ts
@@ -275,32 +275,6 @@
     }
   }
 
-  /**
-   * Keeps the record of a minion's runs in step with whether it drains: names its runs when it begins
-   * to drain and once none is left, and removes the record when it no longer drains.
-   */
-  updateDrainingRecord(minion: MinionState, unstoredResults: readonly RunResult[]): void {
-    const {ownership, roster} = this.#options;
-    const {description, isRecordedDraining, isRecordedUnreachable} = minion;
-    if (isRecordedUnreachable || !minion.areRunsKnown) {
-      return;
-    }
-    if (!description.isDraining) {
-      if (isRecordedDraining) {
-        this.clearRecord(minion);
-      }
-      return;
-    }
-    const {term} = ownership;
-    const recorded = roster.find(minion.id)?.draining;
-    const isRunless = listPossibleRuns(minion, unstoredResults).length === 0;
-    const isCurrent = recorded?.term === term && (recorded.runs.length === 0 || !isRunless);
-    if (!isCurrent) {
-      minion.isRecordedDraining = true;
-      roster.markDraining(description, {runs: listPossibleRuns(minion, unstoredResults), term});
-    }
-  }
-
   /** Removes the record of a minion's runs; it gets leases and work again once that is stored. */
   clearRecord(minion: MinionState): void {
     const {onChange, roster} = this.#options;
--- a/packages/nutmegproxy-owner/src/MinionSessions.ts
+++ b/packages/nutmegproxy-owner/src/MinionSessions.ts
@@ -17,6 +17,7 @@
 import type {SessionContext} from './SessionContext.ts';
 
 import {DirectoryAge} from './DirectoryAge.ts';
+import {DrainingRecords} from './DrainingRecords.ts';
 import {MachineReview} from './MachineReview.ts';
 import {MinionRecovery} from './MinionRecovery.ts';
 import {MinionSession} from './MinionSession.ts';
@@ -46,6 +47,7 @@
   readonly recovery: MinionRecovery;
   readonly #context: SessionContext;
   readonly #directoryAge = new DirectoryAge();
+  readonly #drainingRecords: DrainingRecords;
   readonly #machineReview: MachineReview;
   readonly #options: MinionSessionsOptions;
   readonly #sessions = new Map<MinionId, MinionSession>();
@@ -57,6 +59,13 @@
     const {session, store} = options;
     const record = new RecoveryRecord({...session, store});
     this.recovery = new MinionRecovery({...options, ownership: session.ownership, record});
+    this.#drainingRecords = new DrainingRecords({
+      ...options,
+      clearRecord: (minion) => {
+        this.recovery.clearRecord(minion);
+      },
+      ownership: session.ownership,
+    });
     this.#machineReview = new MachineReview({
       ...options,
       onGone: ({id}) => {
@@ -175,11 +184,8 @@
   sweep(confirmedAt: Instant, now: Instant): void {
     const {events, fleet} = this.#options;
     this.recovery.refreshLeaseTimes(now);
-    for (const [id, session] of this.#sessions) {
-      const {minion} = session;
-      if (minion.description.isDraining || minion.isRecordedDraining) {
-        this.recovery.updateDrainingRecord(minion, session.unstoredResults);
-      }
+    this.#drainingRecords.update(this.#listDraining(), now);
+    for (const [id, {minion}] of this.#sessions) {
       if (!minion.leaseClock.isExpired(confirmedAt)) {
         continue;
       }
@@ -299,6 +305,12 @@
     this.recovery.expect(minion, entry, now);
   }
 
+  #listDraining(): MinionSession[] {
+    return [...this.#sessions.values()].filter(
+      ({minion}) => minion.description.isDraining || minion.isRecordedDraining,
+    );
+  }
+
   #markUnlisted(id: MinionId, now: Instant): void {
     const minion = this.#sessions.get(id)?.minion;
     if (minion !== undefined && minion.unlistedSince === undefined) {
--- a/packages/nutmegproxy-owner/src/OwnerConstants.ts
+++ b/packages/nutmegproxy-owner/src/OwnerConstants.ts
@@ -108,6 +108,11 @@
  * not know when the record was stored counts them from its own read.
  */
 export const LEASE_TIMES_INTERVAL_MS = 1_000;
+/**
+ * Time between two comparisons of the records of draining minions with their runs: each change writes the
+ * whole roster, and most interrupted tasks run elsewhere by then.
+ */
+export const DRAINING_REVIEW_INTERVAL_MS = 250;
 /** Pause between reads of the former owner's closing record while minions have not reported. */
 export const CLOSING_RECORD_READ_INTERVAL_MS = 300;
 /** Longest such pause; the record of a large fleet takes part of a slow link with each read. */
--- a/scripts/mutants.mjs
+++ b/scripts/mutants.mjs
@@ -20,6 +20,16 @@
 const SCOPE = '@nutmegproxy';
 
 const MUTANTS = [
+  {
+    edits: [['(isReview && this.#namesWaitingTask(recorded.runs, runs))', 'false']],
+    file: 'nutmegproxy-owner/src/DrainingRecords.ts',
+    invariant: 'restart in time',
+    name: 'a draining record keeps naming runs that are over',
+    tests: [
+      'nutmegproxy-emulator/src/__tests__/unit/Recovery.test.ts',
+      'nutmegproxy-owner/src/__tests__/unit/DrainingRecords.test.ts',
+    ],
+  },
   {
     edits: [['job.formerMaxAttempts ?? DEFAULT_QUEUE_POLICY', 'DEFAULT_QUEUE_POLICY']],
     file: 'nutmegproxy-scheduling/src/Fleet.ts',
