--- a/packages/nutmegproxy-cli/src/Explain.ts
+++ b/packages/nutmegproxy-cli/src/Explain.ts
@@ -43,8 +43,9 @@
   SCHEDULING_EVENTS.MINION_TRUSTED.code,
 ]);
 
-/** Codes of events that name the runs that they concern. */
+/** Codes of events that name the jobs or runs that they concern. */
 const NAMING_EVENT_CODES: ReadonlySet<number> = new Set([
+  OWNER_EVENTS.JOBS_READ.code,
   SCHEDULING_EVENTS.CRASHED_RUNS.code,
   SCHEDULING_EVENTS.RUNS_ADOPTED.code,
 ]);
@@ -75,7 +76,7 @@
   return new Set([id, ...requestLines.flatMap(({fields}) => fields.job ?? [])]);
 }
 
-/** Whether a line is about one of the jobs: by its id, or by the runs that it names. */
+/** Whether a line is about one of the jobs: by its id, or by the jobs or runs that it names. */
 function concernsJob({code, fields}: LogLine, jobs: ReadonlySet<unknown>): boolean {
   return (
     jobs.has(fields.job) ||
--- a/packages/nutmegproxy-cli/src/__tests__/unit/Explain.test.ts
+++ b/packages/nutmegproxy-cli/src/__tests__/unit/Explain.test.ts
@@ -63,6 +63,22 @@
     }
   });
 
+  it('includes the line in which the next owner names the job, and no others of that owner', () => {
+    const job = '3f6718a4051e2adb';
+    const other = '778dbe0ed9382b09';
+    const log = [
+      formatLine(1_000, 'edge-a', 8211, {job, request: 'r1', revision: 20}),
+      formatLine(1_010, 'edge-b', 8120, {job, revision: 20, status: 'queued'}),
+      formatLine(60_000, 'edge-c', 8101, {fence: 40, term: 1}),
+      formatLine(60_010, 'edge-c', 8123, {fence: 40, jobs: 1, named: `${other}/running/19`}),
+      formatLine(60_011, 'edge-c', 8123, {fence: 40, jobs: 1, named: `${job}/queued/20`}),
+    ];
+    for (const id of ['r1', job]) {
+      const codes = explain(log, id).map((line) => / {2}(\d{4}) {2}/.exec(line)?.[1]);
+      assert.deepEqual(codes, ['8211', '8120', '8101', '8123']);
+    }
+  });
+
   it('includes the crashes of the minions under a task that was given up, and what ran there', () => {
     const job = '3f6718a4051e2adb';
     const task = `${job}.0.0.0`;
--- a/packages/nutmegproxy-owner/src/JobWatcher.ts
+++ b/packages/nutmegproxy-owner/src/JobWatcher.ts
@@ -15,6 +15,7 @@
   parseJobKey,
   PROGRESS_PREFIX,
 } from '@nutmegproxy/jobs';
+import {describeJobs} from '@nutmegproxy/scheduling';
 import {getPrefix} from '@nutmegproxy/store';
 import {err, ok} from 'neverthrow';
 
@@ -86,24 +87,17 @@
     return ok(undefined);
   }
 
-  #addJob(stored: StoredValue, progress?: JobProgress, progressRevision = 0): void {
-    const {clock, events, fleet} = this.#options;
+  /** Adds a job; returns undefined if it is known already or its record is malformed. */
+  #addJob(stored: StoredValue, progress?: JobProgress, progressRevision = 0): JobState | undefined {
+    const {fleet} = this.#options;
     const request = this.#decode(stored, decodeJob);
     if (request === undefined || fleet.jobs.has(request.id)) {
-      return;
+      return undefined;
     }
     const job = new JobState(request, stored.createRevision, progress);
     job.progressRevision = progressRevision;
     fleet.jobs.set(job.id, job);
-    const {queue, steps} = request;
-    events.record(OWNER_EVENTS.JOB_DISCOVERED, {
-      acceptedAgoMs: Math.round(clock.wall() - request.acceptedAt),
-      job: job.id,
-      queue,
-      revision: stored.modRevision,
-      status: job.status,
-      steps: steps.length,
-    });
+    return job;
   }
 
   #applyEvent(event: WatchEvent): void {
@@ -121,7 +115,10 @@
       return;
     }
     if (parsed.part === 'request') {
-      this.#addJob(event.stored);
+      const job = this.#addJob(event.stored);
+      if (job !== undefined) {
+        this.#recordDiscovery(job, revision);
+      }
     } else if (parsed.part === 'cancel') {
       const job = fleet.jobs.get(parsed.id);
       if (job !== undefined) {
@@ -131,7 +128,7 @@
   }
 
   #applySnapshot(values: readonly StoredValue[]): void {
-    const {fleet, onFenced, ownership} = this.#options;
+    const {events, fleet, onFenced, ownership} = this.#options;
     const owner = values.find(({key}) => key === OWNER_KEY);
     if (owner?.modRevision !== ownership.token) {
       onFenced();
@@ -147,10 +144,14 @@
         revisions.set(parsed.id, stored.modRevision);
       }
     }
-    for (const {parsed, stored} of parts) {
-      if (parsed?.part === 'request') {
-        this.#addJob(stored, progress.get(parsed.id), revisions.get(parsed.id));
-      }
+    const added = parts.flatMap(({parsed, stored}) =>
+      parsed?.part === 'request'
+        ? (this.#addJob(stored, progress.get(parsed.id), revisions.get(parsed.id)) ?? [])
+        : [],
+    );
+    // A line for each job would use up the log's allowance at the start of a term.
+    for (const fields of describeJobs(added)) {
+      events.record(OWNER_EVENTS.JOBS_READ, {...fields, fence: ownership.token});
     }
     for (const {parsed} of parts) {
       const job = parsed?.part === 'cancel' ? fleet.jobs.get(parsed.id) : undefined;
@@ -174,6 +175,19 @@
     );
   }
 
+  #recordDiscovery(job: JobState, revision: number): void {
+    const {clock, events} = this.#options;
+    const {acceptedAt, queue, steps} = job.request;
+    events.record(OWNER_EVENTS.JOB_DISCOVERED, {
+      acceptedAgoMs: Math.round(clock.wall() - acceptedAt),
+      job: job.id,
+      queue,
+      revision,
+      status: job.status,
+      steps: steps.length,
+    });
+  }
+
   /** Reads all jobs again after the watch has lost events. */
   async #restart(failure: StoreFailure): Promise<void> {
     const {events} = this.#options;
--- a/packages/nutmegproxy-owner/src/OwnerEvents.ts
+++ b/packages/nutmegproxy-owner/src/OwnerEvents.ts
@@ -26,6 +26,11 @@
   },
   FLEET_SUMMARY: {code: 8140, level: 'info', text: 'Capacity and workload of the fleet.'},
   JOB_DISCOVERED: {code: 8120, level: 'info', text: 'The owner received an accepted job.'},
+  JOBS_READ: {
+    code: 8123,
+    level: 'info',
+    text: 'Accepted jobs that the owner read at the start of its term, or after its watch broke.',
+  },
   JOBS_REMOVED: {
     code: 8112,
     level: 'info',
--- /dev/null
+++ b/packages/nutmegproxy-owner/src/__tests__/unit/JobWatcher.test.ts
@@ -0,0 +1,161 @@
+import type {EventFields, EventKind, JobId} from '@nutmegproxy/core';
+import type {StoredJob} from '@nutmegproxy/jobs';
+
+import {ManualClock} from '@nutmegproxy/core';
+import {encodeRecord, formatJobKey} from '@nutmegproxy/jobs';
+import {Fleet} from '@nutmegproxy/scheduling';
+import {MemoryStore} from '@nutmegproxy/standins';
+import {put} from '@nutmegproxy/store';
+import assert from 'node:assert/strict';
+import {afterEach, beforeEach, describe, it} from 'node:test';
+
+import type {FleetOwnership} from '../../FleetOwnership.ts';
+
+import {JobWatcher} from '../../JobWatcher.ts';
+import {OWNER_EVENTS} from '../../OwnerEvents.ts';
+import {acquireOwnership, createStep, waitForStore} from './OwnerSamples.ts';
+
+/** Jobs that a former owner left; more than two log lines name. */
+const FORMER_JOBS = 200;
+/** Size of a write to a pipe that is never split, less the other parts of a log line, in bytes. */
+const MAX_NAMED_BYTES = 3_584;
+
+interface NamedJob {
+  readonly id: string;
+  readonly revision: number;
+  readonly status: string;
+}
+
+describe('the jobs that an owner receives', () => {
+  const clock = new ManualClock();
+  let breakWatch: () => void;
+  let ownership: FleetOwnership;
+  let recorded: {fields: EventFields; kind: EventKind}[];
+  let reportBreak: () => void;
+  let store: MemoryStore;
+  let watcher: JobWatcher;
+
+  function find(kind: EventKind): EventFields[] {
+    return recorded.filter((event) => event.kind === kind).map(({fields}) => fields);
+  }
+
+  function createJob(number: number): StoredJob {
+    return {...createStep(number).job.request, acceptedAt: clock.wall()};
+  }
+
+  /** Stores a job and returns the revision of its record. */
+  async function submit(number: number): Promise<number> {
+    const job = createJob(number);
+    const written = await put(store, formatJobKey(job.id, 'request'), encodeRecord(job));
+    return written._unsafeUnwrap();
+  }
+
+  async function saveStatus(id: JobId, status: 'completed' | 'running'): Promise<void> {
+    const progress = {queue: createJob(1).queue, status, steps: {}};
+    await put(store, formatJobKey(id, 'progress'), encodeRecord(progress));
+  }
+
+  /** Returns the jobs that events name, in their order. */
+  function listNamedJobs(): NamedJob[] {
+    return find(OWNER_EVENTS.JOBS_READ).flatMap(({named}) =>
+      String(named)
+        .split(' ')
+        .map((name) => {
+          const [id = '', status = '', revision] = name.split('/');
+          return {id, revision: Number(revision), status};
+        }),
+    );
+  }
+
+  beforeEach(async () => {
+    recorded = [];
+    store = new MemoryStore(clock);
+    const events = {
+      record: (kind: EventKind, fields: EventFields) => {
+        recorded.push({fields, kind});
+      },
+    };
+    const watch = store.watch.bind(store);
+    store.watch = (prefix, fromRevision, handler) => {
+      const opened = watch(prefix, fromRevision, handler);
+      breakWatch = () => {
+        opened.close();
+      };
+      reportBreak = () => {
+        handler.onBroken({kind: 'unavailable', message: 'the watch broke'});
+      };
+      return opened;
+    };
+    ownership = await acquireOwnership(store);
+    watcher = new JobWatcher({
+      clock,
+      events,
+      fleet: new Fleet(events),
+      onChange: () => undefined,
+      onFenced: () => undefined,
+      ownership,
+      store,
+    });
+  });
+
+  afterEach(async () => {
+    watcher.close();
+    await store.close();
+  });
+
+  it('at the start of its term are named several to an event, each once with its status and revision', async () => {
+    const expected: NamedJob[] = [];
+    for (let number = 1; number <= FORMER_JOBS; number += 1) {
+      const {id} = createJob(number);
+      expected.push({id, revision: await submit(number), status: 'queued'});
+    }
+    const [ended, running] = expected;
+    assert.ok(ended && running);
+    await saveStatus(ended.id as JobId, 'completed');
+    await saveStatus(running.id as JobId, 'running');
+    (await watcher.start())._unsafeUnwrap();
+    assert.deepEqual(listNamedJobs(), [
+      {...ended, status: 'completed'},
+      {...running, status: 'running'},
+      ...expected.slice(2),
+    ]);
+    const events = find(OWNER_EVENTS.JOBS_READ);
+    assert.equal(events.length, 3);
+    assert.ok(events.every(({named}) => String(named).length <= MAX_NAMED_BYTES));
+    assert.ok(events.every(({fence}) => fence === ownership.token));
+    assert.equal(
+      events.reduce((sum, {jobs}) => sum + Number(jobs), 0),
+      FORMER_JOBS,
+    );
+    assert.deepEqual(find(OWNER_EVENTS.JOB_DISCOVERED), []);
+  });
+
+  it('later are recorded one to an event, with all fields', async () => {
+    (await watcher.start())._unsafeUnwrap();
+    const revision = await submit(1);
+    await waitForStore();
+    assert.deepEqual(find(OWNER_EVENTS.JOB_DISCOVERED), [
+      {
+        acceptedAgoMs: 0,
+        job: createJob(1).id,
+        queue: 'proofs',
+        revision,
+        status: 'queued',
+        steps: 1,
+      },
+    ]);
+    assert.deepEqual(find(OWNER_EVENTS.JOBS_READ), []);
+  });
+
+  it('while its watch is broken are named once it has read all jobs again, without those before', async () => {
+    await submit(1);
+    (await watcher.start())._unsafeUnwrap();
+    recorded = [];
+    breakWatch();
+    const revision = await submit(2);
+    reportBreak();
+    await waitForStore();
+    assert.deepEqual(listNamedJobs(), [{id: createJob(2).id, revision, status: 'queued'}]);
+    assert.deepEqual(find(OWNER_EVENTS.JOB_DISCOVERED), []);
+  });
+});
--- a/packages/nutmegproxy-scheduling/src/__tests__/unit/RunFields.test.ts
+++ b/packages/nutmegproxy-scheduling/src/__tests__/unit/RunFields.test.ts
@@ -6,7 +6,7 @@
 import {describe, it} from 'node:test';
 
 import {createRun} from '../../FleetUtils.ts';
-import {describeRuns, findNamedJobs} from '../../RunFields.ts';
+import {describeJobs, describeRuns, findNamedJobs} from '../../RunFields.ts';
 import {SampleFleet, shape} from './Samples.ts';
 
 /** Size of a write to a pipe that is never split, less the other parts of a log line, in bytes. */
@@ -44,7 +44,35 @@
   });
 });
 
+describe('describeJobs', () => {
+  it('names each job once with its status and revision, in lines that fit into one write', () => {
+    const fleet = new SampleFleet(0);
+    const jobs = Array.from({length: 250}, () => fleet.addJob('proofs', [shape()]));
+    const events = describeJobs(jobs);
+    const lines = events.map(({named}) => String(named));
+    assert.ok(lines.every((named) => named.length <= MAX_NAMED_BYTES));
+    assert.deepEqual(
+      lines.flatMap((named) => named.split(' ')),
+      jobs.map(({id, revision}) => `${id}/queued/${revision}`),
+    );
+    assert.deepEqual(
+      events.map((fields) => fields.jobs),
+      lines.map((named) => named.split(' ').length),
+    );
+  });
+});
+
 describe('findNamedJobs', () => {
+  it('returns each named job', () => {
+    const fleet = new SampleFleet(0);
+    const jobs = Array.from({length: 2}, () => fleet.addJob('proofs', [shape()]));
+    const [fields] = describeJobs(jobs);
+    assert.deepEqual(
+      findNamedJobs(fields ?? {}),
+      jobs.map(({id}) => id),
+    );
+  });
+
   it('returns the job of each named run', () => {
     const runs = createRuns(2);
     const [fields] = describeRuns(MINION, runs);
@@ -54,7 +82,7 @@
     );
   });
 
-  it('returns nothing for fields that name no run', () => {
+  it('returns nothing for fields that name no job and no run', () => {
     assert.deepEqual(findNamedJobs({minion: 'm1'}), []);
     assert.deepEqual(findNamedJobs({named: 'm1 m2'}), []);
   });
--- a/packages/nutmegproxy-scheduling/src/index.ts
+++ b/packages/nutmegproxy-scheduling/src/index.ts
@@ -38,7 +38,7 @@
 export type {AdvicePolicy, QueuePolicy} from './QueuePolicy.ts';
 export {replaceQueues} from './QueueReplacement.ts';
 export {collectReadySteps} from './ReadySteps.ts';
-export {describeRun, findNamedJobs} from './RunFields.ts';
+export {describeJobs, describeRun, findNamedJobs} from './RunFields.ts';
 export {RunProgressMonitor} from './RunProgressMonitor.ts';
 export {SCHEDULING_EVENTS} from './SchedulingEvents.ts';
 export {SharingPolicy} from './SharingPolicy.ts';
