--- a/packages/nutmegproxy-core/src/EventSink.ts
+++ b/packages/nutmegproxy-core/src/EventSink.ts
@@ -7,6 +7,11 @@
 export interface EventKind {
   /** Unique number; each package has its own range. */
   readonly code: number;
+  /**
+   * Whether the event comes in bulk, as once for each request, job or run. Its log lines are dropped
+   * first. Default: false.
+   */
+  readonly isFrequent?: boolean;
   readonly level: EventLevel;
   /** Plain English for the person on call. */
   readonly text: string;
--- a/packages/nutmegproxy-entry/src/EntryEvents.ts
+++ b/packages/nutmegproxy-entry/src/EntryEvents.ts
@@ -5,11 +5,22 @@
 export const ENTRY_EVENTS = {
   CALL_FORWARDED: {
     code: 8215,
+    isFrequent: true,
     level: 'info',
     text: 'A request was forwarded to an entry VM that may reach the store.',
   },
-  CALL_REFUSED: {code: 8210, level: 'info', text: 'This VM could not serve a request itself.'},
-  CANCEL_ACCEPTED: {code: 8213, level: 'info', text: 'The cancellation of a job was recorded.'},
+  CALL_REFUSED: {
+    code: 8210,
+    isFrequent: true,
+    level: 'info',
+    text: 'This VM could not serve a request itself.',
+  },
+  CANCEL_ACCEPTED: {
+    code: 8213,
+    isFrequent: true,
+    level: 'info',
+    text: 'The cancellation of a job was recorded.',
+  },
   CONFIGURATION_APPLIED: {code: 8201, level: 'info', text: 'A configuration was applied.'},
   CONFIGURATION_READ_FAILED: {
     code: 8207,
@@ -21,14 +32,21 @@
     level: 'info',
     text: 'The watch of the configuration broke; the newest configuration is read.',
   },
-  JOB_ACCEPTED: {code: 8211, level: 'info', text: 'A job was stored and accepted.'},
+  JOB_ACCEPTED: {
+    code: 8211,
+    isFrequent: true,
+    level: 'info',
+    text: 'A job was stored and accepted.',
+  },
   JOB_ALREADY_STORED: {
     code: 8212,
+    isFrequent: true,
     level: 'info',
     text: 'A job was submitted that was already stored.',
   },
   JOB_STATUS_RETURNED: {
     code: 8214,
+    isFrequent: true,
     level: 'info',
     text: "A job's status was returned to its caller.",
   },
@@ -37,11 +55,13 @@
   PROCESS_STOPPING: {code: 8203, level: 'info', text: 'A planned stop has begun.'},
   QUEUE_LENGTH_RETURNED: {
     code: 8216,
+    isFrequent: true,
     level: 'info',
     text: "A queue's length was returned to a caller.",
   },
   ROUTE_NOT_FOUND: {
     code: 8217,
+    isFrequent: true,
     level: 'info',
     text: 'A request matched no route of the configuration in effect.',
   },
--- a/packages/nutmegproxy-events/src/EventLog.ts
+++ b/packages/nutmegproxy-events/src/EventLog.ts
@@ -19,8 +19,8 @@
 
 /** Destination of log lines, which may drop lines before they are formatted. */
 export interface LogDestination extends DestinationStream {
-  /** Drops the next line if none can be written now; returns whether it did. */
-  dropIfExhausted?(): boolean;
+  /** Drops the next line if none of its frequency can be written now; returns whether it did. */
+  dropIfExhausted?(isFrequent: boolean): boolean;
 }
 
 export interface EventLogOptions {
@@ -58,7 +58,8 @@
     const redacted = redact(fields);
     this.#ring.add(kind, redacted, this.#clock.wall());
     const isLogged = this.#logger.isLevelEnabled(kind.level);
-    if (isLogged && this.#destination?.dropIfExhausted?.() === true) {
+    const isFrequent = kind.isFrequent === true;
+    if (isLogged && this.#destination?.dropIfExhausted?.(isFrequent) === true) {
       return;
     }
     // A gap in the sequence numbers shows that log lines were dropped or lost.
--- a/packages/nutmegproxy-events/src/LogStream.ts
+++ b/packages/nutmegproxy-events/src/LogStream.ts
@@ -1,6 +1,7 @@
 /**
  * Writes log lines to standard output without ever blocking on its reader. Lines above a rate limit
- * are counted and dropped; lines that do not fit into the buffer for a slow reader are dropped.
+ * are counted and dropped, those of frequent events first; lines that do not fit into the buffer for
+ * a slow reader are dropped.
  */
 
 import type {DestinationStream} from 'pino';
@@ -17,6 +18,8 @@
 const MIN_LINE_BYTES = 200;
 /** Burst above the rate limit that is allowed, in seconds at that rate. */
 const BURST_SECONDS = 2;
+/** Part of the burst that frequent lines leave to others, less one line, in seconds at that rate. */
+const RESERVED_SECONDS = 0.5;
 
 export interface LogStreamOptions {
   readonly bytesPerSecond: number;
@@ -55,10 +58,14 @@
     return this.#droppedLines;
   }
 
-  /** Drops the next line if none fits now, so that its text need not be produced. */
-  dropIfExhausted(): boolean {
+  /**
+   * Drops the next line if none fits now, so that its text need not be produced. A frequent line
+   * has to leave the reserve for others.
+   */
+  dropIfExhausted(isFrequent = false): boolean {
     this.#refill();
-    const isExhausted = this.#availableBytes < MIN_LINE_BYTES;
+    const reservedBytes = isFrequent ? this.#options.bytesPerSecond * RESERVED_SECONDS : 0;
+    const isExhausted = this.#availableBytes - reservedBytes < MIN_LINE_BYTES;
     this.#droppedLines += isExhausted ? 1 : 0;
     return isExhausted;
   }
--- a/packages/nutmegproxy-events/src/__tests__/unit/EventLog.test.ts
+++ b/packages/nutmegproxy-events/src/__tests__/unit/EventLog.test.ts
@@ -50,4 +50,23 @@
     assert.deepEqual(line.fields, {operatorToken: '[secret]', vm: 'entry-2'});
     assert.equal(log.readAfter(0, 10).events.length, 2);
   });
+
+  it('tells its destination which events are frequent, and keeps those that it drops in the ring', () => {
+    const lines: string[] = [];
+    const log = new EventLog({
+      clock: new ManualClock(),
+      destination: {
+        dropIfExhausted: (isFrequent) => isFrequent,
+        write: (line: string) => lines.push(line),
+      },
+      identity: IDENTITY,
+      level: 'info',
+      ringSize: 16,
+    });
+    log.record({...KIND, isFrequent: true}, {});
+    log.record(KIND, {});
+    assert.equal(lines.length, 1);
+    assert.match(lines[0] ?? '', /"sequence":2/);
+    assert.equal(log.readAfter(0, 10).events.length, 2);
+  });
 });
--- a/packages/nutmegproxy-events/src/__tests__/unit/LogStream.test.ts
+++ b/packages/nutmegproxy-events/src/__tests__/unit/LogStream.test.ts
@@ -67,6 +67,66 @@
     assert.match(lines.at(-2) ?? '', /"leftOutLines":1,/);
   });
 
+  describe('while frequent lines use up their part of the allowance', () => {
+    /** Bytes that only lines that are not frequent may use, at the rate of the streams under test. */
+    const RESERVED_BYTES = 500;
+    const BURST_BYTES = 2_000;
+
+    /** Writes as many lines as are not dropped; returns their number. */
+    function writeLines(stream: LogStream, count: number, isFrequent: boolean): number {
+      let written = 0;
+      for (let line = 0; line < count; line += 1) {
+        if (!stream.dropIfExhausted(isFrequent)) {
+          stream.write(LINE);
+          written += 1;
+        }
+      }
+      return written;
+    }
+
+    function sumBytes(lines: readonly string[]): number {
+      return lines.filter((line) => line === LINE).length * LINE.length;
+    }
+
+    it('keeps a part for the others', () => {
+      const {lines, stream} = createStream();
+      const frequent = writeLines(stream, 100, true);
+      assert.ok(frequent > 0);
+      assert.ok(frequent * LINE.length <= BURST_BYTES - RESERVED_BYTES);
+      assert.ok(writeLines(stream, 100, false) * LINE.length >= RESERVED_BYTES - 2 * LINE.length);
+      assert.ok(sumBytes(lines) <= BURST_BYTES);
+    });
+
+    it('gives what is refilled to the others first', () => {
+      const {advance, stream} = createStream();
+      writeLines(stream, 100, true);
+      writeLines(stream, 100, false);
+      advance(RESERVED_BYTES);
+      assert.equal(writeLines(stream, 1, true), 0);
+      assert.equal(writeLines(stream, 5, false), 5);
+      advance(2 * RESERVED_BYTES);
+      assert.equal(writeLines(stream, 1, true), 1);
+    });
+
+    it('counts each of them that is dropped', () => {
+      const {stream} = createStream();
+      const written = writeLines(stream, 100, true);
+      assert.equal(stream.droppedLines, 100 - written);
+    });
+
+    it('lets them use the rate in the long run', () => {
+      const {advance, lines, stream} = createStream();
+      writeLines(stream, 100, true);
+      lines.length = 0;
+      for (let step = 0; step < 100; step += 1) {
+        advance(100);
+        writeLines(stream, 10, true);
+      }
+      assert.ok(sumBytes(lines) >= 9_500);
+      assert.ok(sumBytes(lines) <= 10_000);
+    });
+  });
+
   it('never blocks on a reader that has stopped reading', async () => {
     const program = `
       import {LogStream} from ${JSON.stringify(new URL('../../LogStream.ts', import.meta.url).href)};
--- a/packages/nutmegproxy-owner/src/OwnerEvents.ts
+++ b/packages/nutmegproxy-owner/src/OwnerEvents.ts
@@ -25,9 +25,15 @@
     text: 'A stored closing record is not used: a later owner may have used minions without a record.',
   },
   FLEET_SUMMARY: {code: 8140, level: 'info', text: 'Capacity and workload of the fleet.'},
-  JOB_DISCOVERED: {code: 8120, level: 'info', text: 'The owner received an accepted job.'},
+  JOB_DISCOVERED: {
+    code: 8120,
+    isFrequent: true,
+    level: 'info',
+    text: 'The owner received an accepted job.',
+  },
   JOBS_READ: {
     code: 8123,
+    isFrequent: true,
     level: 'info',
     text: 'Accepted jobs that the owner read at the start of its term, or after its watch broke.',
   },
@@ -41,7 +47,12 @@
     level: 'warn',
     text: "A write of the owner's records to the store failed.",
   },
-  JOURNAL_WRITTEN: {code: 8110, level: 'info', text: 'Job progress was written to the store.'},
+  JOURNAL_WRITTEN: {
+    code: 8110,
+    isFrequent: true,
+    level: 'info',
+    text: 'Job progress was written to the store.',
+  },
   LEASE_EXPIRED: {
     code: 8131,
     level: 'warn',
@@ -57,7 +68,7 @@
     level: 'info',
     text: 'The machine of a silent minion runs another one or is gone; the runs of the minion are over.',
   },
-  MINION_REACHED: {code: 8133, level: 'info', text: 'A minion answers calls.'},
+  MINION_REACHED: {code: 8133, isFrequent: true, level: 'info', text: 'A minion answers calls.'},
   MINION_RESTARTED: {
     code: 8134,
     level: 'warn',
--- a/scripts/checkCatalogues.ts
+++ b/scripts/checkCatalogues.ts
@@ -47,12 +47,16 @@
 }
 
 function renderEvents(kinds: readonly EventKind[]): string {
+  const frequent = kinds.filter(({isFrequent}) => isFrequent === true).map(({code}) => code);
   const rows = kinds.map(({code, level, text}) => `| ${code} | ${level} | ${text} |`);
   return [
     '# Events',
     '',
     'Written by `npm run check:catalogues -- --write` from the `…Events.ts` files.',
     '',
+    'Frequent events, whose log lines are dropped first when more is logged than `log.bytesPerSecond` allows:',
+    `${frequent.join(', ')}.`,
+    '',
     '| code | level | meaning |',
     '| ---- | ----- | ------- |',
     ...rows,
