--- a/packages/nutmegproxy-scheduling/src/JobOrder.ts
+++ b/packages/nutmegproxy-scheduling/src/JobOrder.ts
@@ -13,6 +13,8 @@
 import type {DurationEstimator} from './DurationEstimator.ts';
 import type {Fleet} from './Fleet.ts';
 
+import {isInterruptedTask} from './InterruptedTaskStarts.ts';
+
 /** Multiple of its objective after which a job's result has no value left, as the users specify. */
 const OVERDUE_OBJECTIVE_RATIO = 3;
 /** Wait in milliseconds that halves a job's weight, so that large jobs don't starve. */
@@ -66,12 +68,9 @@
   return endMs <= job.objectiveMs * OVERDUE_OBJECTIVE_RATIO ? 'late' : 'overdue';
 }
 
-/** Whether tasks of a long-running step were interrupted, or may have been under a former owner. */
+/** Whether tasks of a long-running step were interrupted. */
 function isInterrupted(step: StepState): boolean {
-  return (
-    step.shape.longRunning &&
-    (step.job.hadStarted || [...step.waiting].some((index) => step.hasRun(index)))
-  );
+  return [...step.waiting].some((index) => isInterruptedTask(step, index));
 }
 
 /** A long-running job keeps its processors, so that its duration says nothing of what others wait for. */
--- a/packages/nutmegproxy-scheduling/src/LongRunningStarts.ts
+++ b/packages/nutmegproxy-scheduling/src/LongRunningStarts.ts
@@ -12,12 +12,12 @@
 import type {MinionState} from './MinionState.ts';
 import type {StartWaitReason} from './StartWaitLog.ts';
 
+import {isInterruptedTask} from './InterruptedTaskStarts.ts';
 import {measureLongRunningRoom} from './LongRunningRoom.ts';
 
 /**
  * Returns those of a long-running step's startable tasks that may start: interrupted ones in any
- * case, others within the limit, and none of these while an earlier job is held. Of a job that a
- * former owner had started, it is not known which tasks have run, so all count as interrupted.
+ * case, others within the limit, and none of these while an earlier job is held.
  */
 function admitTasks(
   step: StepState,
@@ -26,9 +26,8 @@
   isHeld: boolean,
 ): readonly number[] {
   const {cpuMilli} = step.shape.resources;
-  const isInterrupted = (index: number): boolean => step.job.hadStarted || step.hasRun(index);
-  const interrupted = startable.filter(isInterrupted);
-  const others = startable.filter((index) => !isInterrupted(index));
+  const interrupted = startable.filter((index) => isInterruptedTask(step, index));
+  const others = startable.filter((index) => !isInterruptedTask(step, index));
   const usedMilli = reservedMilli + interrupted.length * cpuMilli;
   const freeTasks = Math.floor((limitMilli - usedMilli) / Math.max(1, cpuMilli));
   return [...interrupted, ...others.slice(0, isHeld ? 0 : Math.max(0, freeTasks))];
--- a/packages/nutmegproxy-scheduling/src/MinionAvailability.ts
+++ b/packages/nutmegproxy-scheduling/src/MinionAvailability.ts
@@ -68,6 +68,8 @@
 };
 
 const ORDERED_CONDITIONS = Object.entries(CONDITIONS) as [Unavailability, Condition][];
+/** Conditions that rest on the failures of runs alone. */
+const TRUST_CONDITIONS: ReadonlySet<Unavailability> = new Set(['quarantined', 'trial']);
 
 /**
  * Returns the first reason for which the minion gets no new work; undefined when it can get some.
@@ -78,3 +80,9 @@
 export function findUnavailability(minion: MinionState, now: Instant): undefined | Unavailability {
   return ORDERED_CONDITIONS.find(([, isMet]) => isMet(minion, now))?.[0];
 }
+
+/** Whether the minion gets no new work for no other reason than that its runs have failed or stalled. */
+export function isOnlyUntrusted(minion: MinionState, now: Instant): boolean {
+  const met = ORDERED_CONDITIONS.filter(([, isMet]) => isMet(minion, now));
+  return met.length > 0 && met.every(([name]) => TRUST_CONDITIONS.has(name));
+}
--- a/packages/nutmegproxy-scheduling/src/MinionTrust.ts
+++ b/packages/nutmegproxy-scheduling/src/MinionTrust.ts
@@ -33,9 +33,20 @@
     return now - this.#failedAt < RECENT_FAILURE_MS;
   }
 
-  /** Whether a run that was sent at `sentAt` shows if the minion is sound after its quarantine. */
+  /**
+   * Whether interrupted tasks that find no other minion may start, although the minion may be
+   * quarantined for longer, because it failed its trial.
+   */
+  admitsInterruptedTasks(now: Instant): boolean {
+    return now - this.#failedAt >= FIRST_QUARANTINE_MS;
+  }
+
+  /** Whether a run that was sent at `sentAt` shows if the minion is sound. */
   isTrial(sentAt: Instant): boolean {
-    return this.#quarantinedUntil !== undefined && sentAt >= this.#quarantinedUntil;
+    return (
+      this.#quarantinedUntil !== undefined &&
+      (sentAt >= this.#quarantinedUntil || this.admitsInterruptedTasks(sentAt))
+    );
   }
 
   level(now: Instant): TrustLevel {
--- a/packages/nutmegproxy-scheduling/src/StartPermissions.ts
+++ b/packages/nutmegproxy-scheduling/src/StartPermissions.ts
@@ -31,6 +31,8 @@
    * others, so that tasks that fail on any minion don't take each trial.
    */
   admitsFailedTrials = true;
+  /** Whether minions that are not trusted may get work beside the run that is their trial. */
+  admitsUntrusted = false;
   readonly #context: PermissionContext;
   readonly #fleet: Fleet;
 
@@ -62,7 +64,7 @@
       return false;
     }
     return (
-      isOpenToRuns(minion, now, step) &&
+      (this.admitsUntrusted || isOpenToRuns(minion, now, step)) &&
       (policy === undefined || advice.isPermitted(step, minion) === true)
     );
   }
--- a/packages/nutmegproxy-scheduling/src/StartPlanner.ts
+++ b/packages/nutmegproxy-scheduling/src/StartPlanner.ts
@@ -13,6 +13,7 @@
 
 import {listCrashes} from './CrashVerdict.ts';
 import {findGangMinions} from './GangPlacement.ts';
+import {startInterruptedTasks} from './InterruptedTaskStarts.ts';
 import {orderSteps} from './JobOrder.ts';
 import {LongRunningStarts} from './LongRunningStarts.ts';
 import {isOpenToRuns} from './MinionAvailability.ts';
@@ -85,10 +86,18 @@
     if (this.#hasOpenTrial(now)) {
       this.#place(ordered.filter(({hasFailedTrial}) => hasFailedTrial));
     }
+    this.#permissions.admitsUntrusted = true;
+    const interrupted = startInterruptedTasks(this.#fleet, ordered, {
+      isAllowed: this.#isAllowed,
+      listStartable: this.#listStartable,
+      now,
+      sharingCosts,
+    });
     const schedulable = [...this.#schedulable.values()].flat();
     return [
       ...trials.starts,
       ...this.#starts,
+      ...interrupted,
       ...planSpeculativeRuns(this.#fleet, schedulable, sharingCosts, estimator, now),
     ];
   }
@@ -116,12 +125,18 @@
       .some((minion) => minion.trust.level(now) === 'trial' && isOpenToRuns(minion, now));
   }
 
+  readonly #isAllowed = (step: StepState, index: number, minion: MinionState): boolean =>
+    this.#permissions.isAllowed(step, index, minion) &&
+    isApartFromSuspects(step, index, minion, this.#context.now);
+
+  /** Returns the startable tasks of a step, without those that suspicion holds. */
+  readonly #listStartable = (step: StepState): number[] => {
+    const held = this.#heldTasks.get(step);
+    return listStartableTasks(this.#fleet, step).filter((index) => !held?.has(index));
+  };
+
   #choose(step: StepState, index: number, ranking: MinionRanking): MinionState | undefined {
-    return ranking.choose(
-      (minion) =>
-        this.#permissions.isAllowed(step, index, minion) &&
-        isApartFromSuspects(step, index, minion, this.#context.now),
-    );
+    return ranking.choose((minion) => this.#isAllowed(step, index, minion));
   }
 
   /**
@@ -207,8 +222,7 @@
     if (this.#isInBackoff(step)) {
       return;
     }
-    const held = this.#heldTasks.get(step);
-    const waiting = listStartableTasks(this.#fleet, step).filter((index) => !held?.has(index));
+    const waiting = this.#listStartable(step);
     const startable = step.shape.longRunning
       ? this.#longRunningStarts.admit(step, waiting, minions)
       : waiting;
--- a/scripts/mutants.mjs
+++ b/scripts/mutants.mjs
@@ -20,6 +20,20 @@
 const SCOPE = '@nutmegproxy';
 
 const MUTANTS = [
+  {
+    edits: [['this.#permissions.admitsUntrusted = true;', '']],
+    file: 'nutmegproxy-scheduling/src/StartPlanner.ts',
+    invariant: 'restart in time',
+    name: 'interrupted lasting tasks get no work beside the trial of a minion',
+    tests: ['nutmegproxy-scheduling/src/__tests__/unit/InterruptedTasks.test.ts'],
+  },
+  {
+    edits: [['return now - this.#failedAt >= FIRST_QUARANTINE_MS;', 'return true;']],
+    file: 'nutmegproxy-scheduling/src/MinionTrust.ts',
+    invariant: 'quarantine',
+    name: 'interrupted lasting tasks start on a minion as soon as others have failed there',
+    tests: ['nutmegproxy-scheduling/src/__tests__/unit/InterruptedTasks.test.ts'],
+  },
   {
     edits: [['(isReview && this.#namesWaitingTask(recorded.runs, runs))', 'false']],
     file: 'nutmegproxy-owner/src/DrainingRecords.ts',
