--- a/packages/nutmegproxy-owner/src/MinionSession.ts
+++ b/packages/nutmegproxy-owner/src/MinionSession.ts
@@ -12,16 +12,15 @@
   recordReplacement,
 } from '@nutmegproxy/scheduling';
 
-import type {Journal} from './Journal.ts';
 import type {MinionTarget, OrderFailure} from './MinionOrders.ts';
 import type {SessionContext} from './SessionContext.ts';
 
+import {ListedResults} from './ListedResults.ts';
 import {
   MAX_UNCAPPED_LEASE_MS,
   OMISSION_LOG_INTERVAL_MS,
   POLL_RETRY_MS,
   SILENT_AFTER_MISSED_CALLS,
-  UNACKNOWLEDGED_PAUSE_MS,
 } from './OwnerConstants.ts';
 import {OWNER_EVENTS} from './OwnerEvents.ts';
 import {isSameTask} from './OwnerUtils.ts';
@@ -30,15 +29,13 @@
 
 export class MinionSession {
   readonly minion: MinionState;
-  #acknowledgedThrough = 0;
   #bornAt: number | undefined;
   readonly #context: SessionContext;
   /** Start time of an incarnation that only the directory reports; the next poll decides whether it is. */
   #reportedBornAt: number | undefined;
-  #appliedThrough = 0;
   #omissionLoggedAt = -Infinity;
-  /** Results of the last listing: all that this session has not acknowledged. */
-  #listedResults: readonly RunResult[] = [];
+  /** Those of the present incarnation; what was begun for the one before still concerns only its own. */
+  #results = new ListedResults();
   #stopped = false;
   readonly #runOrders: RunOrders;
 
@@ -64,7 +61,7 @@
 
   /** Results that are applied but may not be stored yet; the minion lists them again. */
   get unstoredResults(): readonly RunResult[] {
-    return this.#listedResults.filter(({sequence}) => sequence > this.#acknowledgedThrough);
+    return this.#results.unstored;
   }
 
   get #target(): MinionTarget {
@@ -103,6 +100,11 @@
       const fields = {bornAt, entryBornAt: reportedBornAt, minion: this.minion.id};
       this.#context.events.record(OWNER_EVENTS.RESTART_DENIED, fields);
     }
+    const formerBornAt = this.minion.listedBornAt;
+    if (bornAt !== undefined && formerBornAt !== undefined && bornAt !== formerBornAt) {
+      // A new incarnation whose clock was set back has an earlier start time.
+      this.#results = new ListedResults();
+    }
     this.minion.listedBornAt = bornAt;
     this.#observeIncarnation(bornAt ?? (isDecisive ? reportedBornAt : undefined));
   }
@@ -125,9 +127,7 @@
   #handleRestart(bornAt: number): void {
     const {clock, events, fleet} = this.#context;
     events.record(OWNER_EVENTS.MINION_RESTARTED, {bornAt, minion: this.minion.id});
-    this.#acknowledgedThrough = 0;
-    this.#appliedThrough = 0;
-    this.#listedResults = [];
+    this.#results = new ListedResults();
     this.minion.leaseClock.reset(after(clock.monotonic(), MAX_UNCAPPED_LEASE_MS));
     fleet.clearUnknownResults(this.minion);
     recordMinionCrash(fleet, this.minion, clock.monotonic());
@@ -186,15 +186,11 @@
     this.#recordOmission(listing, now);
     this.#recordDurations(listing, now);
     reconcileListing(fleet, this.minion, listing, {
-      appliedThrough: this.#appliedThrough,
+      appliedThrough: this.#results.appliedThrough,
       now,
       requestedAt,
     });
-    this.#listedResults = listing.ended;
-    this.#appliedThrough = Math.max(
-      this.#appliedThrough,
-      ...listing.ended.map(({sequence}) => sequence),
-    );
+    this.#results.recordApplied(listing.ended);
     this.minion.hasReported = true;
     this.#recordResponse(now);
     if (!listing.mayOmitResults) {
@@ -215,9 +211,11 @@
     }
     load.recordPoll();
     const reportedBornAt = this.#reportedBornAt;
+    const results = this.#results;
+    const mayHaveRestarted = reportedBornAt !== undefined || this.minion.missedCalls > 0;
     const answer = await orders.poll(this.#target, {
       // A new incarnation numbers its results anew, and would drop those that this one acknowledges.
-      ackedThrough: reportedBornAt === undefined ? this.#acknowledgedThrough : 0,
+      ackedThrough: mayHaveRestarted ? 0 : results.acknowledgedThrough,
       token: ownership.token,
       untilMs: this.#grantLease(requestedAt),
       waitMs: this.#chooseWaitMs(requestedAt),
@@ -235,9 +233,13 @@
     const hadReading = this.minion.leaseClock.hasReading;
     this.#observeListing(answer.value.bornAt, reportedBornAt);
     this.#applyListing(answer.value, requestedAt, now);
+    if (results !== this.#results && (answer.value.bornAt ?? 0) < (this.#bornAt ?? 0)) {
+      // The listing was on its way when a restart became known; its numbers are the former ones.
+      this.#results = new ListedResults();
+    }
     onChange();
     if (answer.value.ended.length > 0) {
-      await this.#awaitStored(journal);
+      await this.#results.awaitStored(journal);
     }
     if (!this.minion.isRegistered && this.minion.areRunsKnown) {
       await this.#context.recordUse(this.minion);
@@ -246,15 +248,6 @@
     return hadReading || this.minion.leaseClock.hasReading;
   }
 
-  /** Waits until the listed results are stored, for a bounded time. */
-  async #awaitStored(journal: Journal): Promise<void> {
-    const appliedThrough = this.#appliedThrough;
-    const flushed = journal.flush().then(() => {
-      this.#acknowledgedThrough = Math.max(this.#acknowledgedThrough, appliedThrough);
-    });
-    await Promise.race([flushed, delay(UNACKNOWLEDGED_PAUSE_MS)]);
-  }
-
   #chooseWaitMs(now: Instant): number {
     const waitMs = choosePollWaitMs(this.minion, {
       isNearTarget: this.#context.isNearTarget(this.minion),
@@ -313,7 +306,7 @@
     if (begins && now - this.#omissionLoggedAt >= OMISSION_LOG_INTERVAL_MS) {
       this.#omissionLoggedAt = now;
       this.#context.events.record(OWNER_EVENTS.RESULTS_OMITTED, {
-        acknowledgedThrough: this.#acknowledgedThrough,
+        acknowledgedThrough: this.#results.acknowledgedThrough,
         listed: ended.length,
         minion: this.minion.id,
         running: running.length,
@@ -323,7 +316,7 @@
 
   #recordDurations({ended}: MinionListing, now: Instant): void {
     for (const {number, outcome, sequence, task} of ended) {
-      if (sequence <= this.#appliedThrough || outcome !== 'done') {
+      if (sequence <= this.#results.appliedThrough || outcome !== 'done') {
         continue;
       }
       const run = [...this.minion.runs].find(
@@ -372,6 +365,7 @@
   #endIncarnation(reason: string): void {
     const {clock, fleet} = this.#context;
     recordReplacement(fleet, this.minion, clock.monotonic());
+    this.#results = new ListedResults();
     this.minion.areRunsKnown = true;
     this.minion.hasReported = false;
     this.minion.mayOmitResults = false;
