Records of draining minions are written only when they change

Seen: no caller's fault; the whole roster was written again every 250 ms, with the same content, while a draining minion had two results of one waiting task that were not stored; and once for a task of a job that was cancelled, which no record holds.

Cause: `#namesWaitingTask` looked up the runs that a minion may have in a Map by task name, which keeps one of several runs of a task (a former run whose result is not stored, and a later one). The other counted as over. It also took tasks of jobs that are over for waiting: their step keeps them in `waiting`.

Change: a set of run names, as `formatRunName` writes them; jobs that are final cause no write.

Ruled out: comparing the new record with the stored one before the write. It would hide the wrong lookup and still write for jobs that are over.

Tests: DrainingRecords, two new cases, both fail before (the record changes at the next review). All of the file pass now. No figure of writes was taken.

--- a/packages/nutmegproxy-owner/src/DrainingRecords.ts
+++ b/packages/nutmegproxy-owner/src/DrainingRecords.ts
@@ -7,7 +7,7 @@
 import type {Instant} from '@nutmegproxy/core';
 import type {Fleet, MinionState, RunResult} from '@nutmegproxy/scheduling';
 
-import {parseTaskName} from '@nutmegproxy/jobs';
+import {formatRunName, parseTaskName} from '@nutmegproxy/jobs';
 import {findStep} from '@nutmegproxy/scheduling';
 
 import type {FleetOwnership} from './FleetOwnership.ts';
@@ -79,11 +79,18 @@
     possible: DrainingMinionRecord['runs'],
   ): boolean {
     const {fleet} = this.#options;
-    const numbers = new Map(possible);
-    return recorded.some(([name, number]) => {
-      const task = numbers.get(name) === number ? undefined : parseTaskName(name);
+    const possibleNames = new Set(possible.map(formatRecordedRun));
+    return recorded.some((run) => {
+      const task = possibleNames.has(formatRecordedRun(run)) ? undefined : parseTaskName(run[0]);
       const step = task && findStep(fleet, task);
-      return task !== undefined && step?.waiting.has(task.index) === true;
+      return task !== undefined && step?.job.isFinal === false && step.waiting.has(task.index);
     });
   }
 }
+
+/** Returns the name of a run as in the log; undefined for a task name of another scheduler. */
+function formatRecordedRun(run: DrainingMinionRecord['runs'][number]): string | undefined {
+  const [name, number] = run;
+  const task = parseTaskName(name);
+  return task && formatRunName(task, number);
+}
--- a/packages/nutmegproxy-owner/src/__tests__/unit/DrainingRecords.test.ts
+++ b/packages/nutmegproxy-owner/src/__tests__/unit/DrainingRecords.test.ts
@@ -21,6 +21,10 @@
 const SOON = 10 as Instant;
 const LATER = 1_000 as Instant;
 
+function createStopped({number, task}: Run, sequence: number): RunResult {
+  return {checkpoint: undefined, number, outcome: 'stopped', sequence, task};
+}
+
 describe('DrainingRecords', () => {
   let fleet: Fleet;
   let lasting: Run;
@@ -88,8 +92,7 @@
     });
 
     it('keep naming it while its result is not stored', () => {
-      const {number, task} = lasting;
-      unstoredResults = [{checkpoint: undefined, number, outcome: 'stopped', sequence: 1, task}];
+      unstoredResults = [createStopped(lasting, 1)];
       assert.deepEqual(listRecorded(LATER), [
         [LASTING_TASK, 1],
         [SHORT_TASK, 1],
@@ -108,6 +111,33 @@
     });
   });
 
+  it('are not written for a task of a job that is over', () => {
+    listRecorded(DRAINS_AT);
+    fleet.cancelJob(lasting.step.job);
+    fleet.finishRun(lasting, 'stopped', undefined, SOON);
+    assert.deepEqual(listRecorded(LATER), [
+      [LASTING_TASK, 1],
+      [SHORT_TASK, 1],
+    ]);
+  });
+
+  // Guards against an unchanged record that is written at each review.
+  it('are not written again while two results of one waiting task are not stored', () => {
+    unstoredResults = [createStopped(lasting, 1)];
+    fleet.finishRun(lasting, 'stopped', undefined, DRAINS_AT);
+    const again = startRun(lasting.step);
+    fleet.finishRun(again, 'stopped', undefined, DRAINS_AT);
+    unstoredResults.push(createStopped(again, 2));
+    const recorded = listRecorded(DRAINS_AT);
+    assert.deepEqual(recorded, [
+      [SHORT_TASK, 1],
+      [LASTING_TASK, 1],
+      [LASTING_TASK, 2],
+    ]);
+    // Each write makes a record of its own.
+    assert.equal(listRecorded(LATER), recorded);
+  });
+
   it('name nothing as soon as no run is left', () => {
     listRecorded(DRAINS_AT);
     fleet.finishRun(lasting, 'stopped', undefined, SOON);
