--- /dev/null
+++ b/packages/nutmegproxy-owner/src/LeaseEnds.ts
@@ -0,0 +1,65 @@
+/**
+ * Ends the leases of minions that do not respond, and tells the next owner so: the record of what a silent
+ * minion may run gives a time that counts from its write, or from the read of an owner that did not know
+ * when that was.
+ */
+
+import type {EventSink, Instant} from '@nutmegproxy/core';
+import type {Fleet, MinionState} from '@nutmegproxy/scheduling';
+
+import {after} from '@nutmegproxy/core';
+
+import type {Roster} from './Roster.ts';
+
+import {FORMER_ORDER_MARGIN_MS, MAX_FORMER_LEASE_MS, OWNERSHIP_TTL_MS} from './OwnerConstants.ts';
+import {OWNER_EVENTS} from './OwnerEvents.ts';
+import {listUnconfirmedStarts} from './SilentRecords.ts';
+
+/**
+ * Time in milliseconds after which no start holds a lease, whichever incarnation it reached: the time for which
+ * the next owner counts on leases of unknown length after the owner was killed right after the start.
+ */
+const MAX_START_LEASE_MS = OWNERSHIP_TTL_MS + MAX_FORMER_LEASE_MS + FORMER_ORDER_MARGIN_MS;
+
+export interface LeaseEndOptions {
+  readonly events: EventSink;
+  readonly fleet: Fleet;
+  readonly roster: Roster;
+}
+
+/**
+ * Ends the runs of a minion whose lease has certainly expired.
+ *
+ * @example
+ * if (minion.leaseClock.isExpired(ownership.confirmedAt)) expireLease({events, fleet, roster}, minion, now);
+ */
+export function expireLease(
+  {events, fleet, roster}: LeaseEndOptions,
+  minion: MinionState,
+  now: Instant,
+): void {
+  const runs = minion.listUnresolvedRuns().length;
+  if (runs === 0) {
+    return;
+  }
+  events.record(OWNER_EVENTS.LEASE_EXPIRED, {minion: minion.id, runs});
+  recordLeaseEnd(roster, minion, findLastStartEnd(minion, now));
+  fleet.expireLease(minion);
+}
+
+/** Returns when the starts of the minion that may have reached another incarnation hold no lease; at least `now`. */
+function findLastStartEnd(minion: MinionState, now: Instant): Instant {
+  const ends = listUnconfirmedStarts(minion).map(({sentAt}) => after(sentAt, MAX_START_LEASE_MS));
+  return Math.max(now, ...ends) as Instant;
+}
+
+/**
+ * Stores when the lease of a minion has ended, if it is recorded as silent. The runs stay named, since it may
+ * still list their results.
+ */
+function recordLeaseEnd(roster: Roster, {description}: MinionState, endedAt: Instant): void {
+  const silent = roster.find(description.id)?.silent;
+  if (silent !== undefined) {
+    roster.markSilent(description, silent, endedAt);
+  }
+}
--- a/packages/nutmegproxy-owner/src/MinionSessions.ts
+++ b/packages/nutmegproxy-owner/src/MinionSessions.ts
@@ -17,6 +17,7 @@
 import type {SessionContext} from './SessionContext.ts';
 
 import {DirectoryAge} from './DirectoryAge.ts';
+import {expireLease} from './LeaseEnds.ts';
 import {MachineReview} from './MachineReview.ts';
 import {MinionRecovery} from './MinionRecovery.ts';
 import {MinionSession} from './MinionSession.ts';
@@ -173,7 +174,6 @@
    * have renewed it since.
    */
   sweep(confirmedAt: Instant, now: Instant): void {
-    const {events, fleet} = this.#options;
     this.recovery.refreshLeaseTimes(now);
     for (const [id, session] of this.#sessions) {
       const {minion} = session;
@@ -183,12 +183,7 @@
       if (!minion.leaseClock.isExpired(confirmedAt)) {
         continue;
       }
-      const runs = minion.listUnresolvedRuns().length;
-      if (runs > 0) {
-        const fields = {minion: id, runs};
-        events.record(OWNER_EVENTS.LEASE_EXPIRED, fields);
-        fleet.expireLease(minion);
-      }
+      expireLease(this.#options, minion, now);
       if (
         minion.unlistedSince !== undefined &&
         !minion.isListingResults &&
--- a/packages/nutmegproxy-owner/src/SilentRecords.ts
+++ b/packages/nutmegproxy-owner/src/SilentRecords.ts
@@ -91,16 +91,21 @@
 }
 
 /**
- * Whether no start can have granted a longer lease than it was meant to. A start that no listing
+ * Lists the starts that may have granted a longer lease than they were meant to. A start that no listing
  * confirms may have reached a new incarnation. Its lease was computed for that one's clock only if the
  * response shows the same clock.
  */
-export function areStartsConfirmed({runs}: MinionState): boolean {
-  return [...runs].every(
-    ({isClockConfirmed = false, knownFrom}) => knownFrom !== 'order' || isClockConfirmed,
+export function listUnconfirmedStarts({runs}: MinionState): Run[] {
+  return [...runs].filter(
+    ({isClockConfirmed = false, knownFrom}) => knownFrom === 'order' && !isClockConfirmed,
   );
 }
 
+/** Whether no start can have granted a longer lease than it was meant to. */
+export function areStartsConfirmed(minion: MinionState): boolean {
+  return listUnconfirmedStarts(minion).length === 0;
+}
+
 /** Lists the runs that may have crashed a silent minion; a minion that drains may just have left. */
 function listSuspects(
   {runNumberBase}: Fleet,
