--- a/packages/nutmegproxy-emulator/src/__tests__/unit/EndedRuns.test.ts
+++ b/packages/nutmegproxy-emulator/src/__tests__/unit/EndedRuns.test.ts
@@ -7,6 +7,7 @@
 import assert from 'node:assert/strict';
 import {afterEach, beforeEach, describe, it} from 'node:test';
 
+import type {EmulatedMachineList} from '../../EmulatedMachineList.ts';
 import type {EmulatedMinion} from '../../EmulatedMinion.ts';
 import type {KillableOwner} from './TakeoverHarness.ts';
 
@@ -38,15 +39,14 @@
 for (const {hasList, name} of PLATFORMS) {
   describe(`A lasting task whose run an owner knew to be over before it was killed, ${name}`, () => {
     let harness: TakeoverHarness;
+    let machines: EmulatedMachineList | undefined;
     let minion: EmulatedMinion;
     let owner: KillableOwner;
     let owners: number;
 
     beforeEach(async () => {
       harness = new TakeoverHarness();
-      if (hasList) {
-        harness.addMachineList();
-      }
+      machines = hasList ? harness.addMachineList() : undefined;
       minion = harness.addMinion('m1');
       owners = 0;
       await startOwner();
@@ -154,5 +154,57 @@
         await takeOver();
       });
     });
+
+    if (hasList) {
+      describe('as its minion was gone, and the list is down after the takeover', () => {
+        async function waitUntilGone(): Promise<void> {
+          await waitFor('the minion is gone', () =>
+            harness.events.includes(OWNER_EVENTS.MINION_GONE),
+          );
+          assert.ok(machines);
+          machines.isDown = true;
+          await pass(STEP_MS);
+          await sleep(SETTLED_MS);
+        }
+
+        it('runs again within its deadline when the minion had drained and left', async () => {
+          minion.description = {...minion.description, isDraining: true};
+          harness.fleet.add(minion);
+          minion.crash(Infinity, harness.clock.monotonic());
+          harness.fleet.remove(minion.description.id);
+          await waitUntilGone();
+          await takeOver();
+        });
+
+        it('runs again within its deadline when its machine runs another minion', async () => {
+          harness.fleet.faults(minion.description.id).isUnreachable = true;
+          minion.description = {...minion.description, isDraining: true};
+          harness.fleet.add(minion);
+          minion.restart(2, harness.clock.monotonic());
+          machines?.replaced.add(minion.description.id);
+          await waitUntilGone();
+          await takeOver();
+        });
+
+        it('runs again within its deadline when a record of the owner before had named the run', async () => {
+          await cutOff();
+          minion.crash(Infinity, harness.clock.monotonic());
+          harness.fleet.remove(minion.description.id);
+          await owner.kill(OWNERSHIP_TTL_MS);
+          await startOwner();
+          await waitUntilGone();
+          await takeOver();
+        });
+
+        it('runs again within its deadline when the owner had taken over itself', async () => {
+          minion.crash(Infinity, harness.clock.monotonic());
+          harness.fleet.remove(minion.description.id);
+          await owner.kill(OWNERSHIP_TTL_MS);
+          await startOwner();
+          await waitUntilGone();
+          await takeOver();
+        });
+      });
+    }
   });
 }
--- a/packages/nutmegproxy-owner/src/LeaseEnds.ts
+++ b/packages/nutmegproxy-owner/src/LeaseEnds.ts
@@ -4,11 +4,12 @@
  * when that was.
  */
 
-import type {EventSink, Instant} from '@nutmegproxy/core';
+import type {Clock, EventSink, Instant} from '@nutmegproxy/core';
 import type {Fleet, MinionState} from '@nutmegproxy/scheduling';
 
 import {after} from '@nutmegproxy/core';
 
+import type {Journal} from './Journal.ts';
 import type {Roster} from './Roster.ts';
 
 import {FORMER_ORDER_MARGIN_MS, MAX_FORMER_LEASE_MS, OWNERSHIP_TTL_MS} from './OwnerConstants.ts';
@@ -47,6 +48,26 @@
   fleet.expireLease(minion);
 }
 
+/**
+ * Stores that nothing runs on a minion any more that is gone for good, whose life this owner has ended.
+ *
+ * @example
+ * session.endLife();
+ * void recordGone({clock, roster}, journal, minion);
+ */
+export async function recordGone(
+  {clock, roster}: {readonly clock: Clock; readonly roster: Roster},
+  journal: Journal,
+  minion: MinionState,
+): Promise<void> {
+  // The next owner does not judge a crash of the minion any more, so what this one found is stored first.
+  await journal.flush();
+  const now = clock.monotonic();
+  if (minion.leaseClock.isExpired(now)) {
+    recordLeaseEnd(roster, minion, now);
+  }
+}
+
 /** Returns when the starts of the minion that may have reached another incarnation hold no lease; at least `now`. */
 function findLastStartEnd(minion: MinionState, now: Instant): Instant {
   const ends = listUnconfirmedStarts(minion).map(({sentAt}) => after(sentAt, MAX_START_LEASE_MS));
--- a/packages/nutmegproxy-owner/src/MinionSessions.ts
+++ b/packages/nutmegproxy-owner/src/MinionSessions.ts
@@ -17,7 +17,7 @@
 import type {SessionContext} from './SessionContext.ts';
 
 import {DirectoryAge} from './DirectoryAge.ts';
-import {expireLease} from './LeaseEnds.ts';
+import {expireLease, recordGone} from './LeaseEnds.ts';
 import {MachineReview} from './MachineReview.ts';
 import {MinionRecovery} from './MinionRecovery.ts';
 import {MinionSession} from './MinionSession.ts';
@@ -60,8 +60,9 @@
     this.recovery = new MinionRecovery({...options, ownership: session.ownership, record});
     this.#machineReview = new MachineReview({
       ...options,
-      onGone: ({id}) => {
-        this.#sessions.get(id)?.endLife();
+      onGone: (minion) => {
+        this.#sessions.get(minion.id)?.endLife();
+        void recordGone(options, session.journal, minion);
         options.onChange();
       },
       ownership: session.ownership,
