--- a/packages/nutmegproxy-owner/src/MinionSessions.ts
+++ b/packages/nutmegproxy-owner/src/MinionSessions.ts
@@ -18,6 +18,7 @@
 
 import {DirectoryAge} from './DirectoryAge.ts';
 import {DrainingRecords} from './DrainingRecords.ts';
+import {expireLease, recordGone} from './LeaseEnds.ts';
 import {MachineReview} from './MachineReview.ts';
 import {MinionRecovery} from './MinionRecovery.ts';
 import {MinionSession} from './MinionSession.ts';
@@ -68,8 +69,9 @@
     });
     this.#machineReview = new MachineReview({
       ...options,
-      onGone: ({id}) => {
-        this.#sessions.get(id)?.endLife();
+      onGone: (minion) => {
+        this.#sessions.get(minion.id)?.endLife();
+        void recordGone(options, session.journal, minion);
         options.onChange();
       },
       ownership: session.ownership,
@@ -182,19 +184,13 @@
    * have renewed it since.
    */
   sweep(confirmedAt: Instant, now: Instant): void {
-    const {events, fleet} = this.#options;
     this.recovery.refreshLeaseTimes(now);
     this.#drainingRecords.update(this.#listDraining(), now);
     for (const [id, {minion}] of this.#sessions) {
       if (!minion.leaseClock.isExpired(confirmedAt)) {
         continue;
       }
-      const runs = minion.listUnresolvedRuns().length;
-      if (runs > 0) {
-        const fields = {minion: id, runs};
-        events.record(OWNER_EVENTS.LEASE_EXPIRED, fields);
-        fleet.expireLease(minion);
-      }
+      expireLease(this.#options, minion, now);
       if (
         minion.unlistedSince !== undefined &&
         !minion.isListingResults &&
