The checkpoint of a run that is over is stored before its result is acknowledged

Seen by callers: a task that had been stopped at a checkpoint (eviction, evacuation of a draining minion, lapse) began at the former stored checkpoint, or anew, when the owner was killed before the task ran again.

Cause: `Fleet.applyResult` kept the checkpoint in memory but did not mark the job as dirty. It showed only when nothing else of the job was written: the start's own write can hide it. `recordLostRun` had the same fault: the checkpoint that the minion had listed last was in the owner's memory only. No acknowledgement is concerned there, but nobody else has it once the minion is lost.

Change: one function keeps the checkpoint of a run that is over and marks the job, only if the value is another one than that from which the task resumes, and not for a job that is over.

Not changed, by design: checkpoints of live runs. The minion lists them to the next owner, and a write for each would be one for each poll. So a task whose minion and owner are lost together resumes from the last stored one.

Steps without `Checkpoints`, lasting tasks that save none, and runs that saved nothing new cause none. While the store is down such results stay on the minion's list like all others.

Tests: StoredCheckpoints (an owner is killed after the acknowledgement) fails before with `undefined` in place of `half`. DirtyCheckpoints: lapsed, stopped, lost and another checkpoint fail before. The emulated minion can save a checkpoint and records from which one a run resumed.

--- a/packages/nutmegproxy-emulator/src/EmulatedMinion.ts
+++ b/packages/nutmegproxy-emulator/src/EmulatedMinion.ts
@@ -23,6 +23,8 @@
 
 /** How an emulated task behaves. */
 export interface TaskBehaviour {
+  /** Checkpoint that a run saves; default: the one from which it resumed. */
+  readonly checkpoint?: Checkpoint;
   /** Time in milliseconds for which the minion is down, when the run crashes it at its end. */
   readonly crashDownMs?: number;
   /** Duration of a run in milliseconds; Infinity for a long-running task. */
@@ -32,6 +34,8 @@
 
 /** The emulated minion's record of a run. */
 export interface RecordedRun {
+  /** Checkpoint from which the run resumed. */
+  readonly checkpoint?: Checkpoint | undefined;
   endedAtMs: number | undefined;
   readonly number: RunNumber;
   outcome: RunOutcome | undefined;
@@ -165,8 +169,10 @@
     if (task === undefined) {
       return err(createFailure('invalid', nowMs));
     }
-    const {crashDownMs, durationMs, outcome} = this.#chooseBehaviour(task, order.number);
+    const behaviour = this.#chooseBehaviour(task, order.number);
+    const {checkpoint = order.checkpoint, crashDownMs, durationMs, outcome} = behaviour;
     const record: RecordedRun = {
+      checkpoint: order.checkpoint,
       endedAtMs: undefined,
       number: order.number,
       outcome: undefined,
@@ -174,7 +180,6 @@
       task: order.task,
     };
     this.records.push(record);
-    const {checkpoint} = order;
     const dueMs = nowMs + durationMs;
     this.#liveRuns.set(order.task, {checkpoint, crashDownMs, dueMs, outcome, record, task});
     return ok({clockMs: nowMs});
--- a/packages/nutmegproxy-scheduling/src/Fleet.ts
+++ b/packages/nutmegproxy-scheduling/src/Fleet.ts
@@ -126,9 +126,7 @@
   recordLostRun(run: Run, reason: string): void {
     this.#removeRun(run);
     this.events.record(SCHEDULING_EVENTS.RUN_LOST, {...describeRun(run), reason});
-    if (run.checkpoint !== undefined && run.step.shape.checkpoints) {
-      run.step.saveCheckpoint(run.task.index, run.checkpoint);
-    }
+    this.#saveCheckpoint(run.step, run.task.index, run.checkpoint);
     if (run.step.shape.gang) {
       this.#stopStep(run.step, 'gang-broken');
     }
@@ -147,9 +145,7 @@
       this.#applySuccess(step, task.index);
       return;
     }
-    if (checkpoint !== undefined && !step.done.has(task.index) && step.shape.checkpoints) {
-      step.saveCheckpoint(task.index, checkpoint);
-    }
+    this.#saveCheckpoint(step, task.index, checkpoint);
     if (outcome === 'failed') {
       this.#applyFailure(step, task.index, number);
     }
@@ -272,6 +268,16 @@
     this.minions.get(run.minion)?.removeRun(run);
   }
 
+  /** Keeps the checkpoint of a run that is over; its minion doesn't list it any more. */
+  #saveCheckpoint(step: StepState, index: number, checkpoint: Checkpoint | undefined): void {
+    const isNew = checkpoint !== undefined && checkpoint !== step.findCheckpoint(index);
+    const isOver = step.done.has(index) || step.job.isFinal;
+    if (isNew && !isOver && step.shape.checkpoints) {
+      step.saveCheckpoint(index, checkpoint);
+      this.dirtyJobs.add(step.job);
+    }
+  }
+
   #stopAll(job: JobState, reason: StopReason): void {
     for (const step of job.steps()) {
       this.#stopStep(step, reason);
