--- a/packages/nutmegproxy-emulator/src/__tests__/unit/StoreSamples.ts
+++ b/packages/nutmegproxy-emulator/src/__tests__/unit/StoreSamples.ts
@@ -5,7 +5,7 @@
 
 import {STATE_PREFIX} from '@nutmegproxy/jobs';
 import {getKey} from '@nutmegproxy/store';
-import {errAsync} from 'neverthrow';
+import {errAsync, ResultAsync} from 'neverthrow';
 
 import {waitFor} from './JobSamples.ts';
 
@@ -30,6 +30,51 @@
   });
 }
 
+/** A view of a store that holds back the writes of a key. */
+export interface HoldingStore {
+  /** Number of writes that were held back so far. */
+  readonly count: () => number;
+  /** Lets the writes go that are held back now. */
+  readonly release: () => void;
+  /** Holds back no more writes, and lets go those that are. */
+  readonly releaseAll: () => void;
+  readonly view: PlatformStore;
+}
+
+/** Returns a view of a store whose writes of a key wait until the test lets them go. */
+export function createHoldingStore(store: MemoryStore, key: string): HoldingStore {
+  let count = 0;
+  const held: (() => void)[] = [];
+  let isHolding = true;
+  const release = (): void => {
+    for (const resolve of held.splice(0)) {
+      resolve();
+    }
+  };
+  const hold = (): Promise<void> => {
+    count += 1;
+    return new Promise((resolve) => {
+      held.push(resolve);
+    });
+  };
+  const view = new Proxy<PlatformStore>(store, {
+    get: (target, name: keyof PlatformStore) => {
+      const method = target[name].bind(target) as (
+        ...args: unknown[]
+      ) => ResultAsync<unknown, unknown>;
+      return (...args: unknown[]) =>
+        name === 'commit' && isHolding && isWriteOf(key, args)
+          ? ResultAsync.fromSafePromise(hold()).andThen(() => method(...args))
+          : method(...args);
+    },
+  });
+  const releaseAll = (): void => {
+    isHolding = false;
+    release();
+  };
+  return {count: () => count, release, releaseAll, view};
+}
+
 /** Whether the arguments of a store call are a write of a key. */
 export function isWriteOf(key: string, args: readonly unknown[]): boolean {
   const text = JSON.stringify(args);
--- a/packages/nutmegproxy-owner/src/RecoveryRecord.ts
+++ b/packages/nutmegproxy-owner/src/RecoveryRecord.ts
@@ -13,16 +13,17 @@
 import type {PlatformStore, StoreFailure} from '@nutmegproxy/store';
 import type {Result} from 'neverthrow';
 
-import {after, delay} from '@nutmegproxy/core';
+import {after} from '@nutmegproxy/core';
 import {STATE_PREFIX} from '@nutmegproxy/jobs';
 import {err, ok} from 'neverthrow';
 
 import type {FleetOwnership} from './FleetOwnership.ts';
+import type {WriteOutcome} from './OwnerRecord.ts';
 import type {SilentMinionRecord} from './Roster.ts';
 
-import {JOURNAL_RETRY_MS} from './OwnerConstants.ts';
 import {OWNER_EVENTS} from './OwnerEvents.ts';
 import {OwnerRecord} from './OwnerRecord.ts';
+import {RecordWriter} from './RecordWriter.ts';
 import {parseJson} from './StoredJson.ts';
 
 const RECOVERY_KEY = `${STATE_PREFIX}recovery`;
@@ -70,22 +71,24 @@
 export class RecoveryRecord {
   #former: ReadonlyMap<MinionId, FormerUse> | undefined;
   #isMalformed = false;
-  #isStale = false;
   readonly #options: RecoveryRecordOptions;
   readonly #record: OwnerRecord;
-  #stopped = false;
   readonly #used = new Set<MinionId>();
   /** Returns the minions that this owner has not used and that may have runs of former owners. */
   listAwaited: () => readonly AwaitedMinion[] = () => [];
-  #writing: Promise<void> | undefined;
+  readonly #writer: RecordWriter;
 
   constructor(options: RecoveryRecordOptions) {
     this.#options = options;
     this.#record = new OwnerRecord({...options, key: RECOVERY_KEY});
+    this.#writer = new RecordWriter({
+      onFenced: options.onFenced,
+      write: () => this.#write(),
+    });
   }
 
   close(): void {
-    this.#stopped = true;
+    this.#writer.close();
   }
 
   /**
@@ -128,12 +131,12 @@
   }
 
   /** Records that this owner uses a minion; resolves once that is stored. */
-  async recordUse(id: MinionId): Promise<void> {
-    if (!this.#used.has(id)) {
-      this.#used.add(id);
-      this.#isStale = true;
+  recordUse(id: MinionId): Promise<void> {
+    if (this.#used.has(id)) {
+      return this.#writer.flush();
     }
-    await this.#flush();
+    this.#used.add(id);
+    return this.#writer.change();
   }
 
   /** Forgets a minion on which nothing runs any more. */
@@ -144,37 +147,18 @@
   }
 
   /** Stores the awaited minions as they are now. */
-  async update(): Promise<void> {
-    this.#isStale = true;
-    await this.#flush();
+  update(): Promise<void> {
+    return this.#writer.change();
   }
 
-  /** Resolves once all changes made so far are stored, or this owner has ended. */
-  async #flush(): Promise<void> {
-    while ((this.#isStale || this.#writing !== undefined) && !this.#stopped) {
-      this.#writing ??= this.#write();
-      await this.#writing;
-    }
-  }
-
-  async #write(): Promise<void> {
-    // Changes made in the same turn of the event loop go into one write.
-    await delay(0);
-    this.#isStale = false;
+  /** Tries once to write the record as it is now. */
+  #write(): Promise<WriteOutcome> {
     const record: StoredRecovery = {
       awaited: this.listAwaited(),
       term: this.#options.ownership.term,
       used: [...this.#used],
     };
-    const outcome = await this.#record.write(Buffer.from(JSON.stringify(record)));
-    if (outcome === 'fenced') {
-      this.#stopped = true;
-      this.#options.onFenced();
-    } else if (outcome !== 'written') {
-      this.#isStale = true;
-      await delay(JOURNAL_RETRY_MS);
-    }
-    this.#writing = undefined;
+    return this.#record.write(Buffer.from(JSON.stringify(record)));
   }
 }
 
--- a/packages/nutmegproxy-owner/src/Roster.ts
+++ b/packages/nutmegproxy-owner/src/Roster.ts
@@ -15,17 +15,18 @@
 import type {PlatformStore, StoreFailure} from '@nutmegproxy/store';
 import type {Result} from 'neverthrow';
 
-import {after, delay} from '@nutmegproxy/core';
+import {after} from '@nutmegproxy/core';
 import {STATE_PREFIX} from '@nutmegproxy/jobs';
 import {checkMinion} from '@nutmegproxy/scheduling';
 import {err, ok} from 'neverthrow';
 
 import type {FleetOwnership} from './FleetOwnership.ts';
+import type {WriteOutcome} from './OwnerRecord.ts';
 
-import {JOURNAL_RETRY_MS} from './OwnerConstants.ts';
 import {OWNER_EVENTS} from './OwnerEvents.ts';
 import {OwnerRecord} from './OwnerRecord.ts';
 import {describeCapacityChange} from './OwnerUtils.ts';
+import {RecordWriter} from './RecordWriter.ts';
 import {parseJson} from './StoredJson.ts';
 
 const ROSTER_KEY = `${STATE_PREFIX}roster`;
@@ -91,18 +92,20 @@
   readonly #entries = new Map<MinionId, RosterEntry>();
   /** When the leases of silent minions have certainly expired, as far as that is known. */
   readonly #expiries = new Map<MinionId, Instant>();
-  #isStale = false;
   readonly #options: RosterOptions;
   readonly #record: OwnerRecord;
   readonly #removed = new Set<MinionId>();
-  #stopped = false;
   /** Minions whose runs the stored roster may name. */
   #storedRecords: ReadonlySet<MinionId> = new Set();
-  #writing: Promise<void> | undefined;
+  readonly #writer: RecordWriter;
 
   constructor(options: RosterOptions) {
     this.#options = options;
     this.#record = new OwnerRecord({...options, key: ROSTER_KEY});
+    this.#writer = new RecordWriter({
+      onFenced: options.onFenced,
+      write: () => this.#write(),
+    });
   }
 
   /** The minions that are recorded as silent, whether or not the record is stored. */
@@ -114,16 +117,14 @@
    * Adds minions; resolves once the stored roster contains them. `areNew`: no owner before this one
    * can have sent them orders.
    */
-  async add(minions: readonly MinionDescription[], areNew = false): Promise<void> {
-    for (const description of minions) {
+  add(minions: readonly MinionDescription[], areNew = false): Promise<void> {
+    const added = minions.filter(({id}) => !this.#entries.has(id));
+    for (const description of added) {
       const {bornAt, id} = description;
-      if (!this.#entries.has(id)) {
-        const firstBornAt = areNew && !this.#removed.has(id) ? bornAt : undefined;
-        this.#entries.set(id, {description, firstBornAt});
-        this.#isStale = true;
-      }
+      const firstBornAt = areNew && !this.#removed.has(id) ? bornAt : undefined;
+      this.#entries.set(id, {description, firstBornAt});
     }
-    await this.#flush();
+    return added.length > 0 ? this.#writer.change() : this.#writer.flush();
   }
 
   /** Removes the record of a minion's runs; resolves once that is stored. */
@@ -135,7 +136,7 @@
   }
 
   close(): void {
-    this.#stopped = true;
+    this.#writer.close();
   }
 
   /** Returns the entry of a minion, whether or not it is stored. */
@@ -189,10 +190,11 @@
 
   /** Removes a minion on which nothing runs any more. */
   remove(id: MinionId): void {
-    this.#isStale = this.#entries.delete(id) || this.#isStale;
     this.#expiries.delete(id);
     this.#removed.add(id);
-    void this.#flush();
+    if (this.#entries.delete(id)) {
+      void this.#writer.change();
+    }
   }
 
   /**
@@ -242,8 +244,7 @@
       this.#expiries.set(id, expiresAt);
     }
     this.#entries.set(id, {...entry, firstBornAt: this.#entries.get(id)?.firstBornAt});
-    this.#isStale = true;
-    return this.#flush();
+    return this.#writer.change();
   }
 
   #addRemainingTimes(entries: readonly RosterEntry[]): readonly StoredRosterEntry[] {
@@ -256,18 +257,8 @@
     });
   }
 
-  /** Resolves once all changes made so far are stored. */
-  async #flush(): Promise<void> {
-    while ((this.#isStale || this.#writing !== undefined) && !this.#stopped) {
-      this.#writing ??= this.#write();
-      await this.#writing;
-    }
-  }
-
-  async #write(): Promise<void> {
-    // Changes made in the same turn of the event loop go into one write.
-    await delay(0);
-    this.#isStale = false;
+  /** Tries once to write the roster as it is now. */
+  async #write(): Promise<WriteOutcome> {
     const entries = [...this.#entries.values()];
     const recorded = findRecorded(entries);
     const formerRecords = this.#storedRecords;
@@ -276,16 +267,11 @@
     const outcome = await this.#record.write(value);
     if (outcome === 'written') {
       this.#storedRecords = recorded;
-    } else if (outcome === 'fenced') {
-      this.#stopped = true;
-      this.#options.onFenced();
-    } else {
-      this.#isStale = true;
-      // A write without a response may have been carried out, or may be later.
-      this.#storedRecords = outcome === 'unknown' ? this.#storedRecords : formerRecords;
-      await delay(JOURNAL_RETRY_MS);
+    } else if (outcome === 'failed') {
+      // Any other write may have been carried out, or may be later.
+      this.#storedRecords = formerRecords;
     }
-    this.#writing = undefined;
+    return outcome;
   }
 }
 
--- a/packages/nutmegproxy-owner/src/__tests__/unit/OwnerSamples.ts
+++ b/packages/nutmegproxy-owner/src/__tests__/unit/OwnerSamples.ts
@@ -8,7 +8,7 @@
 import {JobState} from '@nutmegproxy/jobs';
 import {MinionState} from '@nutmegproxy/scheduling';
 import {put} from '@nutmegproxy/store';
-import {errAsync} from 'neverthrow';
+import {errAsync, ResultAsync} from 'neverthrow';
 import assert from 'node:assert/strict';
 
 import type {OwnershipToken} from '../../MinionOrders.ts';
@@ -104,3 +104,63 @@
   };
   return late;
 }
+
+/** A write that is held back until the test lets it go. */
+export interface HeldWrite {
+  readonly release: () => void;
+  readonly text: string;
+}
+
+/** Holds back each write of a store until `release` is called; lists the writes, also released ones. */
+export function holdWrites(store: PlatformStore): HeldWrite[] {
+  const held: HeldWrite[] = [];
+  const commit = store.commit.bind(store);
+  store.commit = (transaction) => {
+    const value = transaction.then.find((operation) => operation.kind === 'put')?.value;
+    if (value === undefined) {
+      return commit(transaction);
+    }
+    const released = new Promise<void>((resolve) => {
+      held.push({release: resolve, text: value.toString()});
+    });
+    return ResultAsync.fromSafePromise(released).andThen(() => commit(transaction));
+  };
+  return held;
+}
+
+/** Waits until a number of writes were held back, and returns the last of these. */
+export async function waitForWrite(held: readonly HeldWrite[], count: number): Promise<HeldWrite> {
+  for (;;) {
+    const write = held[count - 1];
+    if (write !== undefined) {
+      return write;
+    }
+    await waitForStore();
+  }
+}
+
+/**
+ * Makes a change after each of `count` writes was sent and before it is done; returns the numbers of
+ * the writes after which the promises of the changes resolved, undefined for those that are pending.
+ */
+export async function changeBetweenWrites(
+  held: readonly HeldWrite[],
+  count: number,
+  change: (index: number) => Promise<void>,
+): Promise<(number | undefined)[]> {
+  const storedAfter = new Array<number | undefined>(count + 1).fill(undefined);
+  let released = 0;
+  const observe = async (index: number): Promise<void> => {
+    await change(index);
+    storedAfter[index] = released;
+  };
+  void observe(0);
+  while (released < count) {
+    const write = await waitForWrite(held, released + 1);
+    void observe(released + 1);
+    released += 1;
+    write.release();
+  }
+  await waitForWrite(held, released + 1);
+  return storedAfter;
+}
--- a/packages/nutmegproxy-owner/src/__tests__/unit/Roster.test.ts
+++ b/packages/nutmegproxy-owner/src/__tests__/unit/Roster.test.ts
@@ -14,7 +14,7 @@
 import {OWNER_KEY} from '../../OwnerElection.ts';
 import {RevisionLog} from '../../RevisionLog.ts';
 import {Roster} from '../../Roster.ts';
-import {createMinion} from './OwnerSamples.ts';
+import {changeBetweenWrites, createMinion, holdWrites, waitForWrite} from './OwnerSamples.ts';
 
 const ROSTER_KEY = `${STATE_PREFIX}roster`;
 const LEASE_MS = 7_000;
@@ -124,4 +124,47 @@
       assert.doesNotMatch(String(stored?.value), /heldForMs/);
     });
   });
+
+  describe('that changes while it is written', () => {
+    it('tells each minion when it is stored, not once no others come', async () => {
+      const roster = open();
+      const held = holdWrites(store);
+      const storedAfter = await changeBetweenWrites(held, 4, (index) =>
+        roster.add([describeMinion(`m${index}`)]),
+      );
+      assert.deepEqual(storedAfter, [1, 2, 3, 4, undefined]);
+      roster.close();
+    });
+
+    it('tells when a record is removed, not once no others change', async () => {
+      const roster = await storeSilent();
+      const held = holdWrites(store);
+      const storedAfter = await changeBetweenWrites(held, 4, (index) =>
+        index === 0
+          ? roster.clearRecord(describeMinion('m1'))
+          : roster.add([describeMinion(`other ${index}`)]),
+      );
+      assert.equal(storedAfter[0], 1);
+      roster.close();
+    });
+
+    it('does not take a record for removed while an earlier write may store it', async () => {
+      const roster = open();
+      const held = holdWrites(store);
+      roster.markSilent(describeMinion('m1'), SILENT, undefined);
+      const first = await waitForWrite(held, 1);
+      let isCleared = false;
+      const cleared = roster.clearRecord(describeMinion('m1')).then(() => {
+        isCleared = true;
+      });
+      first.release();
+      const second = await waitForWrite(held, 2);
+      assert.match(first.text, /"silent"/);
+      assert.doesNotMatch(second.text, /"silent"/);
+      assert.equal(isCleared, false);
+      second.release();
+      await cleared;
+      roster.close();
+    });
+  });
 });
