--- a/packages/nutmegproxy-scheduling/src/WithheldTaskLog.ts
+++ b/packages/nutmegproxy-scheduling/src/WithheldTaskLog.ts
@@ -31,6 +31,13 @@
  */
 type WithheldReason = 'lease' | 'placement' | 'recovery' | 'start' | 'stop';
 
+/** What the reasons of one review are found from. */
+interface Review {
+  readonly fleet: Fleet;
+  readonly recoveryMs: number;
+  readonly survey: (step: StepState) => EventFields;
+}
+
 interface WithheldTask {
   /** Called for a task that is logged only, as some reasons take a look at all minions. */
   readonly describe: () => EventFields;
@@ -66,9 +73,10 @@
     }
     this.#reviewedAt = now;
     const waits = new Map<string, Wait>();
+    const review = {fleet, recoveryMs, survey: createSurvey(fleet, now)};
     let lines = 0;
     for (const {index, step} of listLongRunningTasks(fleet, wall)) {
-      const withheld = findReason(fleet, step, index, now, recoveryMs);
+      const withheld = findReason(step, index, review, now);
       if (withheld === undefined) {
         continue;
       }
@@ -115,17 +123,29 @@
   }
 }
 
+/**
+ * Returns a survey that looks at all minions once for each step: a step may have twenty tasks to log
+ * in one review, and no minion changes meanwhile.
+ */
+function createSurvey(fleet: Fleet, now: Instant): Review['survey'] {
+  const known = new Map<StepState, EventFields>();
+  return (step) => {
+    const fields = known.get(step) ?? surveyPlacement(fleet, step, now);
+    known.set(step, fields);
+    return fields;
+  };
+}
+
 /** Returns why a task does not run, as far as this owner knows; undefined when it runs. */
 function findReason(
-  fleet: Fleet,
   step: StepState,
   index: number,
+  {fleet, recoveryMs, survey}: Review,
   now: Instant,
-  recoveryMs: number,
 ): undefined | WithheldTask {
   if (step.waiting.has(index)) {
     return listStartableTasks(fleet, step).includes(index)
-      ? {describe: () => surveyPlacement(fleet, step, now), reason: 'placement'}
+      ? {describe: () => survey(step), reason: 'placement'}
       : {describe: () => ({untilMs: Math.round(recoveryMs)}), reason: 'recovery'};
   }
   for (const run of step.runsOf(index)) {
--- a/packages/nutmegproxy-scheduling/src/__tests__/unit/WithheldTaskLog.test.ts
+++ b/packages/nutmegproxy-scheduling/src/__tests__/unit/WithheldTaskLog.test.ts
@@ -156,6 +156,20 @@
       assert.equal(other.runs.size, 0);
     });
 
+    it('looks at each minion once for all tasks of a step that it logs', (context) => {
+      const resources = {cpuMilli: 5_000, gpus: 0, memoryMb: 100};
+      job = sample.addJob('proofs', [shape({count: 12, longRunning: true, resources})]);
+      const looks = context.mock.method(minion, 'hasCapacity').mock;
+      const lines = reviewUntil(1_500).filter(({job: named}) => named === job.id);
+      const tasks = new Set(lines.map(({task}) => task));
+      const looksAtOtherSteps = 1;
+      assert.deepEqual(
+        {fitting: new Set(lines.map(({fitting}) => fitting)), tasks: tasks.size},
+        {fitting: new Set([0]), tasks: 12},
+      );
+      assert.equal(looks.callCount() - looksAtOtherSteps, 1);
+    });
+
     it('counts only minions of its own service', () => {
       const service = 'horno' as ServiceId;
       sample.addMinion('m2', {isDraining: true, service});
