--- a/packages/nutmegproxy-owner/src/MinionSessions.ts
+++ b/packages/nutmegproxy-owner/src/MinionSessions.ts
@@ -20,14 +20,10 @@
 import {DrainingRecords} from './DrainingRecords.ts';
 import {expireLease, recordGone} from './LeaseEnds.ts';
 import {MachineReview} from './MachineReview.ts';
+import {MinionEnrollment} from './MinionEnrollment.ts';
 import {MinionRecovery} from './MinionRecovery.ts';
 import {MinionSession} from './MinionSession.ts';
-import {
-  MAX_DIRECTORY_AGE_MS,
-  REMOVE_UNLISTED_AFTER_MS,
-  STORE_RETRY_MS,
-  UNACKNOWLEDGED_PAUSE_MS,
-} from './OwnerConstants.ts';
+import {MAX_DIRECTORY_AGE_MS, REMOVE_UNLISTED_AFTER_MS, STORE_RETRY_MS} from './OwnerConstants.ts';
 import {OWNER_EVENTS} from './OwnerEvents.ts';
 import {describeCapacityChange} from './OwnerUtils.ts';
 import {RecoveryRecord} from './RecoveryRecord.ts';
@@ -49,6 +45,7 @@
   readonly #context: SessionContext;
   readonly #directoryAge = new DirectoryAge();
   readonly #drainingRecords: DrainingRecords;
+  readonly #enrollment: MinionEnrollment;
   readonly #machineReview: MachineReview;
   readonly #options: MinionSessionsOptions;
   readonly #sessions = new Map<MinionId, MinionSession>();
@@ -60,6 +57,11 @@
     const {session, store} = options;
     const record = new RecoveryRecord({...session, store});
     this.recovery = new MinionRecovery({...options, ownership: session.ownership, record});
+    this.#enrollment = new MinionEnrollment({
+      ...options,
+      ownership: session.ownership,
+      recovery: this.recovery,
+    });
     this.#drainingRecords = new DrainingRecords({
       ...options,
       clearRecord: (minion) => {
@@ -80,7 +82,7 @@
       ...session,
       isDirectoryOutdated: (now) => this.isDirectoryOutdated(now),
       permitRenewal: (minion) => this.recovery.permitRenewal(minion),
-      recordUse: (minion) => this.#recordUse(minion),
+      recordUse: (minion) => this.#enrollment.recordUse(minion),
     };
   }
 
@@ -242,24 +244,11 @@
     for (const {id} of minions) {
       const minion = this.#sessions.get(id)?.minion;
       if (minion !== undefined && !minion.isRegistered && !this.recovery.isAwaited(id)) {
-        void this.#recordUse(minion);
+        void this.#enrollment.recordUse(minion);
       }
     }
   }
 
-  /** Lets a minion get work once it is stored that it may have runs of this owner. */
-  async #recordUse(minion: MinionState): Promise<void> {
-    const {onChange, roster} = this.#options;
-    const stored = Promise.all([
-      roster.add([minion.description]),
-      this.recovery.recordUse(minion),
-    ]).then(() => {
-      minion.isRegistered = true;
-      onChange();
-    });
-    await Promise.race([stored, delay(UNACKNOWLEDGED_PAUSE_MS)]);
-  }
-
   #removeMinion(id: MinionId): void {
     const {events, fleet, roster} = this.#options;
     const session = this.#sessions.get(id);
--- a/packages/nutmegproxy-owner/src/SessionContext.ts
+++ b/packages/nutmegproxy-owner/src/SessionContext.ts
@@ -39,7 +39,10 @@
   readonly ownership: FleetOwnership;
   /** Whether the lease of a minion may be renewed now. */
   readonly permitRenewal: (minion: MinionState) => boolean;
-  /** Records that this owner uses a minion; resolves once that is stored, or after a short time. */
+  /**
+   * Records that this owner uses a minion; resolves once that is stored, or after a short time. A
+   * draining minion needs a draining record first.
+   */
   readonly recordUse: (minion: MinionState) => Promise<void>;
   readonly startLimiter: StartLimiter;
 }
