--- a/packages/nutmegproxy-owner/src/FleetOwnership.ts
+++ b/packages/nutmegproxy-owner/src/FleetOwnership.ts
@@ -63,7 +63,7 @@
     this.#wallOffset = wall - requestedAt;
   }
 
-  /** When the last successful renewal was sent; no other VM owned the fleet until then. */
+  /** When the latest sent of the successful renewals was sent; no other VM owned the fleet until then. */
   get confirmedAt(): Instant {
     return this.#confirmedAt;
   }
@@ -82,8 +82,11 @@
     this.#hasGrantedLease = true;
   }
 
-  /** Records that a call sent at `requestedAt` renewed the lease. */
+  /** Records that a call sent at `requestedAt` renewed the lease; calls may be recorded in any order. */
   confirm(requestedAt: Instant, wall: WallTime): void {
+    if (requestedAt < this.#confirmedAt) {
+      return;
+    }
     this.#confirmedAt = requestedAt;
     this.#wallOffset = wall - requestedAt;
   }
--- a/packages/nutmegproxy-owner/src/OwnerConstants.ts
+++ b/packages/nutmegproxy-owner/src/OwnerConstants.ts
@@ -4,8 +4,12 @@
 
 /** Time to live of the ownership lease; bounds how long the fleet has no owner after a crash. */
 export const OWNERSHIP_TTL_MS = 2_000;
-/** Pause between renewals: four fit into the lease's time to live, so that two may be lost. */
+/** Pause after the response to a renewal. */
 export const OWNERSHIP_RENEWAL_INTERVAL_MS = 400;
+/** Pause after a renewal without a response: eight fit into the rest of the lease's time to live. */
+export const OWNERSHIP_RENEWAL_RETRY_MS = 200;
+/** Renewals that may be without a response at a time; a call that fails settles earlier. */
+export const MAX_PENDING_RENEWALS = 8;
 /**
  * Time for which an owner keeps acting after its lease could not be renewed, so that work continues
  * while the store is unavailable. Longer than the store outages that the users' requirements list.
--- a/packages/nutmegproxy-owner/src/OwnerElection.ts
+++ b/packages/nutmegproxy-owner/src/OwnerElection.ts
@@ -4,7 +4,6 @@
 import type {LeaseId, PlatformStore, StoredValue, StoreFailure} from '@nutmegproxy/store';
 import type {Result} from 'neverthrow';
 
-import {delay} from '@nutmegproxy/core';
 import {FLEET_PREFIX, STATE_PREFIX} from '@nutmegproxy/jobs';
 import {err, ok} from 'neverthrow';
 
@@ -12,8 +11,9 @@
 import type {OwnershipToken} from './MinionOrders.ts';
 
 import {FleetOwnership} from './FleetOwnership.ts';
-import {OWNERSHIP_RENEWAL_INTERVAL_MS, OWNERSHIP_TTL_MS} from './OwnerConstants.ts';
+import {OWNERSHIP_TTL_MS} from './OwnerConstants.ts';
 import {OWNER_EVENTS} from './OwnerEvents.ts';
+import {OwnershipRenewal} from './OwnershipRenewal.ts';
 import {RevisionLog} from './RevisionLog.ts';
 import {parseJson} from './StoredJson.ts';
 
@@ -90,32 +90,8 @@
   }
 
   /** Renews the lease until the ownership has ended. */
-  async renew(ownership: FleetOwnership): Promise<void> {
-    const {clock, events, store, vm} = this.#options;
-    let wasConfirmed = true;
-    while (ownership.state(clock.monotonic(), clock.wall()) !== 'over') {
-      await delay(OWNERSHIP_RENEWAL_INTERVAL_MS);
-      const requestedAt = clock.monotonic();
-      const wall = clock.wall();
-      const renewed = await store.keepLeaseAlive(ownership.lease);
-      if (renewed.isOk() && renewed.value.ttlSeconds === 0) {
-        ownership.end();
-        events.record(OWNER_EVENTS.OWNERSHIP_LOST, {
-          reason: 'lease ended',
-          term: ownership.term,
-          vm,
-        });
-        return;
-      }
-      if (renewed.isOk()) {
-        ownership.confirm(requestedAt, wall);
-      }
-      const isConfirmed = ownership.state(clock.monotonic(), clock.wall()) === 'proved';
-      if (wasConfirmed && !isConfirmed) {
-        events.record(OWNER_EVENTS.OWNERSHIP_UNCONFIRMED, {term: ownership.term, vm});
-      }
-      wasConfirmed = isConfirmed;
-    }
+  renew(ownership: FleetOwnership): Promise<void> {
+    return new OwnershipRenewal({...this.#options, ownership}).run();
   }
 
   /** Acquires the ownership if no VM has it. */
--- a/packages/nutmegproxy-owner/src/__tests__/unit/FleetOwnership.test.ts
+++ b/packages/nutmegproxy-owner/src/__tests__/unit/FleetOwnership.test.ts
@@ -68,6 +68,16 @@
     assert.equal(stateAfter(10, -5_000), 'proved');
   });
 
+  it('is as of the latest sent renewal, in whichever order renewals are recorded', () => {
+    const sent = [700, 400].map((elapsedMs) => (CONFIRMED_AT_MS + elapsedMs) as Instant);
+    for (const requestedAt of sent) {
+      ownership.confirm(requestedAt, (requestedAt + WALL_OFFSET_MS) as WallTime);
+    }
+    assert.equal(ownership.confirmedAt, sent[0]);
+    assert.equal(stateAfter(700 + OWNERSHIP_TTL_MS), 'proved');
+    assert.equal(stateAfter(700 + OWNERSHIP_TTL_MS + 1), 'unproved');
+  });
+
   it('stays over once it has ended', () => {
     ownership.end();
     assert.equal(stateAfter(0), 'over');
--- a/packages/nutmegproxy-standins/src/MemoryStore.ts
+++ b/packages/nutmegproxy-standins/src/MemoryStore.ts
@@ -14,11 +14,12 @@
 } from '@nutmegproxy/store';
 import type {Result} from 'neverthrow';
 
-import {SYSTEM_CLOCK} from '@nutmegproxy/core';
+import {delay, SYSTEM_CLOCK} from '@nutmegproxy/core';
 import {isWrite} from '@nutmegproxy/store';
 import {err, ok, ResultAsync} from 'neverthrow';
 import {setTimeout as sleep} from 'node:timers/promises';
 
+import {LATE_CALL_TIMEOUT_MS} from './StandinsConstants.ts';
 import {StoreEngine} from './StoreEngine.ts';
 import {StoreFaults} from './StoreFaults.ts';
 
@@ -160,6 +161,12 @@
     if (this.faults.down) {
       return err({kind: 'unavailable', message: 'the store is down'});
     }
+    const latenessMs = lostResponseKind === 'unknown' ? this.faults.drawLatenessMs() : 0;
+    if (latenessMs > 0) {
+      void delay(latenessMs).then(execute);
+      await delay(LATE_CALL_TIMEOUT_MS);
+      return err({kind: lostResponseKind, message: 'the call is carried out late'});
+    }
     const response = execute();
     return this.faults.shouldDropResponse()
       ? err({kind: lostResponseKind, message: 'the response was lost'})
--- a/packages/nutmegproxy-standins/src/StandinsConstants.ts
+++ b/packages/nutmegproxy-standins/src/StandinsConstants.ts
@@ -12,3 +12,8 @@
 export const WORKER_TICK_MS = 10;
 /** Interval in milliseconds between the parts of a response that is sent at a limited rate. */
 export const PART_INTERVAL_MS = 50;
+/** Time in milliseconds after which the caller of the in-memory store gives up on a late call. */
+export const LATE_CALL_TIMEOUT_MS = 900;
+/** Least and most time in milliseconds by which a late call is carried out late. */
+export const MIN_LATENESS_MS = 1_000;
+export const MAX_LATENESS_MS = 6_000;
