--- a/packages/nutmegproxy-entry/src/EntryConstants.ts
+++ b/packages/nutmegproxy-entry/src/EntryConstants.ts
@@ -27,8 +27,13 @@
 export const KILL_MARGIN_MS = 700;
 /** Time to live in milliseconds of this VM's entry in the list of VMs. */
 export const VM_LEASE_TTL_MS = 10_000;
-/** Interval in milliseconds between renewals of that entry: three fit into its time to live. */
+/** Pause in milliseconds after a successful renewal of that entry. */
 export const VM_RENEWAL_INTERVAL_MS = 3_000;
+/**
+ * Minimum time in milliseconds from a failed renewal to the next, longer than the timeout of a call: seven fit into the
+ * rest of the entry's time to live.
+ */
+export const VM_RENEWAL_RETRY_MS = 1_000;
 /** Interval in milliseconds between reads of the list of VMs, which changes rarely. */
 export const VM_LIST_INTERVAL_MS = 6_000;
 /** Maximum number of other VMs that a request is forwarded to, one after the other. */
--- a/packages/nutmegproxy-entry/src/VmRegistry.ts
+++ b/packages/nutmegproxy-entry/src/VmRegistry.ts
@@ -16,6 +16,7 @@
   VM_LEASE_TTL_MS,
   VM_LIST_INTERVAL_MS,
   VM_RENEWAL_INTERVAL_MS,
+  VM_RENEWAL_RETRY_MS,
 } from './EntryConstants.ts';
 import {ENTRY_EVENTS} from './EntryEvents.ts';
 
@@ -77,10 +78,10 @@
 
   /** Keeps this VM registered and refreshes the list of peers until `close` is called. */
   run(): void {
-    void this.#runPeriodically(VM_RENEWAL_INTERVAL_MS, () => this.#renew());
+    void this.#keepRegistered();
     // All VMs of a system start together, so they are registered only after a short delay.
     setTimeout(() => {
-      void this.#runPeriodically(VM_LIST_INTERVAL_MS, () => this.#refresh());
+      void this.#refreshPeriodically();
     }, VM_FIRST_LIST_DELAY_MS).unref();
   }
 
@@ -106,40 +107,54 @@
       .filter(({vm}) => vm !== self.vm);
   }
 
-  async #register(): Promise<void> {
+  async #refreshPeriodically(): Promise<void> {
+    while (!this.#stopped) {
+      await this.#refresh();
+      await delay(VM_LIST_INTERVAL_MS);
+    }
+  }
+
+  async #keepRegistered(): Promise<void> {
+    while (!this.#stopped) {
+      const retryPause = delay(VM_RENEWAL_RETRY_MS);
+      const isRegistered = await this.#renew();
+      await (isRegistered ? delay(VM_RENEWAL_INTERVAL_MS) : retryPause);
+    }
+  }
+
+  /** Returns whether this VM is registered. */
+  async #register(): Promise<boolean> {
     const {self, store} = this.#options;
     const granted = await store.grantLease(VM_LEASE_TTL_MS / 1000);
     if (granted.isErr()) {
       this.#reportFailure(granted.error.message);
-      return;
+      return false;
     }
     const {lease} = granted.value;
     const value = Buffer.from(JSON.stringify(self));
     const written = await put(store, `${VMS_PREFIX}${self.vm}`, value, lease);
     if (written.isErr()) {
       this.#reportFailure(written.error.message);
-      return;
+      return false;
     }
     this.#lease = lease;
+    return true;
   }
 
-  async #renew(): Promise<void> {
+  /** Renews the lease, or registers this VM if it has none; returns whether the store did so. */
+  async #renew(): Promise<boolean> {
     if (this.#lease === undefined) {
-      await this.#register();
-      return;
+      return this.#register();
     }
     const renewed = await this.#options.store.keepLeaseAlive(this.#lease);
-    if (renewed.isOk() && renewed.value.ttlSeconds === 0) {
-      this.#lease = undefined;
-      await this.#register();
+    if (renewed.isErr()) {
+      return false;
     }
-  }
-
-  async #runPeriodically(pauseMs: number, action: () => Promise<void>): Promise<void> {
-    while (!this.#stopped) {
-      await action();
-      await delay(pauseMs);
+    if (renewed.value.ttlSeconds === 0) {
+      this.#lease = undefined;
+      return this.#register();
     }
+    return true;
   }
 
   #reportFailure(message: string): void {
--- a/packages/nutmegproxy-entry/src/__tests__/unit/VmRegistry.test.ts
+++ b/packages/nutmegproxy-entry/src/__tests__/unit/VmRegistry.test.ts
@@ -1,19 +1,25 @@
 import type {DataCentreId, EventKind, VmId} from '@nutmegproxy/core';
 
-import {brand} from '@nutmegproxy/core';
+import {brand, ManualClock} from '@nutmegproxy/core';
 import {STATE_PREFIX} from '@nutmegproxy/jobs';
 import {MemoryStore} from '@nutmegproxy/standins';
 import {put} from '@nutmegproxy/store';
+import {err, ResultAsync} from 'neverthrow';
 import assert from 'node:assert/strict';
-import {afterEach, beforeEach, describe, it} from 'node:test';
+import {afterEach, beforeEach, describe, it, mock} from 'node:test';
 import {setTimeout as sleep} from 'node:timers/promises';
 
 import type {EntryVm} from '../../VmRegistry.ts';
 
+import {EXPECTED_OUTAGE_MS, VM_LEASE_TTL_MS} from '../../EntryConstants.ts';
 import {ENTRY_EVENTS} from '../../EntryEvents.ts';
 import {VmRegistry} from '../../VmRegistry.ts';
 
 const WAIT_ATTEMPTS = 500;
+const ENTRY_KEY = `${STATE_PREFIX}vms/vm-1`;
+const STEP_MS = 50;
+/** Time in milliseconds after which a call without a response fails. */
+const CALL_TIMEOUT_MS = 900;
 
 function createVm(name: string): EntryVm {
   return {
@@ -66,4 +72,105 @@
     const malformed = events.filter((kind) => kind === ENTRY_EVENTS.VM_ENTRY_MALFORMED);
     assert.equal(malformed.length, 5);
   });
+
+  describe('on a manual clock', () => {
+    let clock: ManualClock;
+
+    async function advance(milliseconds: number): Promise<void> {
+      for (let elapsedMs = 0; elapsedMs < milliseconds; elapsedMs += STEP_MS) {
+        clock.advance(STEP_MS);
+        mock.timers.tick(STEP_MS);
+        await new Promise(setImmediate);
+      }
+    }
+
+    function isListed(): boolean {
+      store.engine.expire(clock.monotonic());
+      return store.engine.values().some(({key}) => key === ENTRY_KEY);
+    }
+
+    async function runUntilListed(): Promise<void> {
+      registry.run();
+      await new Promise(setImmediate);
+      assert.ok(isListed());
+    }
+
+    /** Lets renewals have no effect and no response while `isLost()`; returns when they were sent. */
+    function loseRenewals(isLost: () => boolean): number[] {
+      const sentAtMs: number[] = [];
+      const keepLeaseAlive = store.keepLeaseAlive.bind(store);
+      store.keepLeaseAlive = (lease) => {
+        sentAtMs.push(clock.monotonic());
+        if (!isLost()) {
+          return keepLeaseAlive(lease);
+        }
+        const timeout = new Promise<void>((resolve) => {
+          setTimeout(resolve, CALL_TIMEOUT_MS);
+        });
+        return new ResultAsync(
+          timeout.then(() => err({kind: 'unavailable', message: 'no response'})),
+        );
+      };
+      return sentAtMs;
+    }
+
+    beforeEach(() => {
+      clock = new ManualClock();
+      store = new MemoryStore(clock);
+      registry = new VmRegistry({
+        events: {record: (kind) => events.push(kind)},
+        self: createVm('vm-1'),
+        store,
+      });
+      mock.timers.enable({apis: ['setTimeout']});
+    });
+
+    afterEach(() => {
+      mock.timers.reset();
+    });
+
+    it('stays listed through a store outage that begins at any time of its lease', async () => {
+      let downFromMs = Infinity;
+      loseRenewals(() => {
+        const now = clock.monotonic();
+        return now >= downFromMs && now < downFromMs + EXPECTED_OUTAGE_MS;
+      });
+      await runUntilListed();
+      for (let offsetMs = 0; offsetMs < VM_LEASE_TTL_MS; offsetMs += 450) {
+        downFromMs = clock.monotonic() + offsetMs;
+        for (let elapsedMs = 0; elapsedMs < 3 * VM_LEASE_TTL_MS; elapsedMs += STEP_MS) {
+          await advance(STEP_MS);
+          assert.ok(isListed(), `not listed ${String(elapsedMs - offsetMs)} ms after the start`);
+        }
+      }
+    });
+
+    it('renews seven times within its lease while the store does not respond', async () => {
+      const sentAtMs = loseRenewals(() => true);
+      await runUntilListed();
+      await advance(VM_LEASE_TTL_MS);
+      const inTime = sentAtMs.filter((each) => each < VM_LEASE_TTL_MS);
+      assert.ok(inTime.length >= 7, `${String(inTime.length)} renewals`);
+    });
+
+    it('renews once in 3 s while the store responds', async () => {
+      const sentAtMs = loseRenewals(() => false);
+      await runUntilListed();
+      await advance(60_000);
+      assert.ok(sentAtMs.length <= 20, `${String(sentAtMs.length)} renewals`);
+    });
+
+    it('calls a store that refuses calls at once no more than once a second', async () => {
+      let calls = 0;
+      await runUntilListed();
+      store.keepLeaseAlive = () => {
+        calls += 1;
+        return new ResultAsync(
+          Promise.resolve(err({kind: 'unavailable', message: 'refused'} as const)),
+        );
+      };
+      await advance(60_000);
+      assert.ok(calls <= 60, `${String(calls)} calls`);
+    });
+  });
 });
