--- a/packages/nutmegproxy-entry/src/VmRegistry.ts
+++ b/packages/nutmegproxy-entry/src/VmRegistry.ts
@@ -49,6 +49,8 @@
 }
 
 export class VmRegistry {
+  /** Whether the entry is certainly written under the lease. */
+  #isWritten = false;
   #lease: LeaseId | undefined;
   readonly #options: VmRegistryOptions;
   #peers: readonly EntryVm[] = [];
@@ -95,6 +97,10 @@
     return undefined;
   }
 
+  #formatOwnKey(): string {
+    return `${VMS_PREFIX}${this.#options.self.vm}`;
+  }
+
   async #refresh(): Promise<void> {
     const {self, store} = this.#options;
     const listed = await getPrefix(store, VMS_PREFIX);
@@ -102,6 +108,11 @@
       // The last list stays in use: it is needed most while the store is unavailable.
       return;
     }
+    const ownKey = this.#formatOwnKey();
+    if (!listed.value.values.some(({key}) => key === ownKey)) {
+      // A write of the process before may have put the entry under its own lease, which has ended.
+      this.#isWritten = false;
+    }
     this.#peers = listed.value.values
       .flatMap((stored) => this.#decode(stored) ?? [])
       .filter(({vm}) => vm !== self.vm);
@@ -122,38 +133,43 @@
     }
   }
 
-  /** Returns whether this VM is registered. */
-  async #register(): Promise<boolean> {
-    const {self, store} = this.#options;
-    const granted = await store.grantLease(VM_LEASE_TTL_MS / 1000);
-    if (granted.isErr()) {
-      this.#reportFailure(granted.error.message);
-      return false;
+  /**
+   * Renews the lease, or requests one, and writes the entry if it may not be written; returns whether this
+   * VM is registered. All attempts to write under a lease are the same, since each may be carried out late.
+   */
+  async #renew(): Promise<boolean> {
+    const {store} = this.#options;
+    if (this.#lease !== undefined) {
+      const renewed = await store.keepLeaseAlive(this.#lease);
+      if (renewed.isErr()) {
+        return false;
+      }
+      if (renewed.value.ttlSeconds === 0) {
+        this.#lease = undefined;
+      }
     }
-    const {lease} = granted.value;
-    const value = Buffer.from(JSON.stringify(self));
-    const written = await put(store, `${VMS_PREFIX}${self.vm}`, value, lease);
-    if (written.isErr()) {
-      this.#reportFailure(written.error.message);
-      return false;
+    if (this.#lease === undefined) {
+      const granted = await store.grantLease(VM_LEASE_TTL_MS / 1000);
+      if (granted.isErr()) {
+        this.#reportFailure(granted.error.message);
+        return false;
+      }
+      this.#lease = granted.value.lease;
+      this.#isWritten = false;
     }
-    this.#lease = lease;
-    return true;
+    return this.#isWritten || this.#write(this.#lease);
   }
 
-  /** Renews the lease, or registers this VM if it has none; returns whether the store did so. */
-  async #renew(): Promise<boolean> {
-    if (this.#lease === undefined) {
-      return this.#register();
-    }
-    const renewed = await this.#options.store.keepLeaseAlive(this.#lease);
-    if (renewed.isErr()) {
+  /** Writes the entry under the lease; returns whether it is written. */
+  async #write(lease: LeaseId): Promise<boolean> {
+    const {self, store} = this.#options;
+    const value = Buffer.from(JSON.stringify(self));
+    const written = await put(store, this.#formatOwnKey(), value, lease);
+    if (written.isErr()) {
+      this.#reportFailure(written.error.message);
       return false;
     }
-    if (renewed.value.ttlSeconds === 0) {
-      this.#lease = undefined;
-      return this.#register();
-    }
+    this.#isWritten = true;
     return true;
   }
 
--- a/packages/nutmegproxy-entry/src/__tests__/unit/VmRegistry.test.ts
+++ b/packages/nutmegproxy-entry/src/__tests__/unit/VmRegistry.test.ts
@@ -11,7 +11,12 @@
 
 import type {EntryVm} from '../../VmRegistry.ts';
 
-import {EXPECTED_OUTAGE_MS, VM_LEASE_TTL_MS} from '../../EntryConstants.ts';
+import {
+  EXPECTED_OUTAGE_MS,
+  VM_LEASE_TTL_MS,
+  VM_LIST_INTERVAL_MS,
+  VM_RENEWAL_INTERVAL_MS,
+} from '../../EntryConstants.ts';
 import {ENTRY_EVENTS} from '../../EntryEvents.ts';
 import {VmRegistry} from '../../VmRegistry.ts';
 
@@ -20,6 +25,8 @@
 const STEP_MS = 50;
 /** Time in milliseconds after which a call without a response fails. */
 const CALL_TIMEOUT_MS = 900;
+/** Time in milliseconds after which a late call is carried out. */
+const LATE_MS = 6_000;
 
 function createVm(name: string): EntryVm {
   return {
@@ -92,7 +99,7 @@
     async function runUntilListed(): Promise<void> {
       registry.run();
       await new Promise(setImmediate);
-      assert.ok(isListed());
+      assert.equal(isListed(), true);
     }
 
     /** Lets renewals have no effect and no response while `isLost()`; returns when they were sent. */
@@ -129,6 +136,39 @@
       mock.timers.reset();
     });
 
+    it('stays listed when its first registration is carried out after its second', async () => {
+      const commit = store.commit.bind(store);
+      let isFirst = true;
+      store.commit = (transaction) => {
+        const isRegistration = transaction.then.some(({kind}) => kind === 'put');
+        if (!isRegistration || !isFirst) {
+          return commit(transaction);
+        }
+        isFirst = false;
+        setTimeout(() => void commit(transaction), LATE_MS);
+        const timeout = new Promise<void>((resolve) => {
+          setTimeout(resolve, CALL_TIMEOUT_MS);
+        });
+        return new ResultAsync(timeout.then(() => err({kind: 'unknown', message: 'no response'})));
+      };
+      registry.run();
+      await advance(LATE_MS);
+      for (let elapsedMs = LATE_MS; elapsedMs < 3 * VM_LEASE_TTL_MS; elapsedMs += STEP_MS) {
+        await advance(STEP_MS);
+        assert.ok(isListed(), `not listed after ${String(elapsedMs)} ms`);
+      }
+    });
+
+    it('is listed again when its entry was under a lease of the process before', async () => {
+      const {lease} = store.engine.grantLease(1, clock.monotonic());
+      await runUntilListed();
+      await put(store, ENTRY_KEY, Buffer.from(JSON.stringify(createVm('vm-1'))), lease);
+      await advance(1_000);
+      assert.equal(isListed(), false);
+      await advance(VM_LIST_INTERVAL_MS + VM_RENEWAL_INTERVAL_MS);
+      assert.equal(isListed(), true);
+    });
+
     it('stays listed through a store outage that begins at any time of its lease', async () => {
       let downFromMs = Infinity;
       loseRenewals(() => {
