--- a/packages/nutmegproxy-entry/src/VmRegistry.ts
+++ b/packages/nutmegproxy-entry/src/VmRegistry.ts
@@ -16,6 +16,7 @@
   VM_LEASE_TTL_MS,
   VM_LIST_INTERVAL_MS,
   VM_RENEWAL_INTERVAL_MS,
+  VM_RENEWAL_RETRY_MS,
 } from './EntryConstants.ts';
 import {ENTRY_EVENTS} from './EntryEvents.ts';
 
@@ -48,6 +49,8 @@
 }
 
 export class VmRegistry {
+  /** Whether the entry is certainly written under the lease. */
+  #isWritten = false;
   #lease: LeaseId | undefined;
   readonly #options: VmRegistryOptions;
   #peers: readonly EntryVm[] = [];
@@ -77,10 +80,10 @@
 
   /** Keeps this VM registered and refreshes the list of peers until `close` is called. */
   run(): void {
-    void this.#runPeriodically(VM_RENEWAL_INTERVAL_MS, () => this.#renew());
+    void this.#keepRegistered();
     // All VMs of a system start together, so they are registered only after a short delay.
     setTimeout(() => {
-      void this.#runPeriodically(VM_LIST_INTERVAL_MS, () => this.#refresh());
+      void this.#refreshPeriodically();
     }, VM_FIRST_LIST_DELAY_MS).unref();
   }
 
@@ -94,6 +97,10 @@
     return undefined;
   }
 
+  #formatOwnKey(): string {
+    return `${VMS_PREFIX}${this.#options.self.vm}`;
+  }
+
   async #refresh(): Promise<void> {
     const {self, store} = this.#options;
     const listed = await getPrefix(store, VMS_PREFIX);
@@ -101,45 +108,69 @@
       // The last list stays in use: it is needed most while the store is unavailable.
       return;
     }
+    const ownKey = this.#formatOwnKey();
+    if (!listed.value.values.some(({key}) => key === ownKey)) {
+      // A write of the process before may have put the entry under its own lease, which has ended.
+      this.#isWritten = false;
+    }
     this.#peers = listed.value.values
       .flatMap((stored) => this.#decode(stored) ?? [])
       .filter(({vm}) => vm !== self.vm);
   }
 
-  async #register(): Promise<void> {
-    const {self, store} = this.#options;
-    const granted = await store.grantLease(VM_LEASE_TTL_MS / 1000);
-    if (granted.isErr()) {
-      this.#reportFailure(granted.error.message);
-      return;
+  async #refreshPeriodically(): Promise<void> {
+    while (!this.#stopped) {
+      await this.#refresh();
+      await delay(VM_LIST_INTERVAL_MS);
     }
-    const {lease} = granted.value;
-    const value = Buffer.from(JSON.stringify(self));
-    const written = await put(store, `${VMS_PREFIX}${self.vm}`, value, lease);
-    if (written.isErr()) {
-      this.#reportFailure(written.error.message);
-      return;
+  }
+
+  async #keepRegistered(): Promise<void> {
+    while (!this.#stopped) {
+      const retryPause = delay(VM_RENEWAL_RETRY_MS);
+      const isRegistered = await this.#renew();
+      await (isRegistered ? delay(VM_RENEWAL_INTERVAL_MS) : retryPause);
     }
-    this.#lease = lease;
   }
 
-  async #renew(): Promise<void> {
-    if (this.#lease === undefined) {
-      await this.#register();
-      return;
+  /**
+   * Renews the lease, or requests one, and writes the entry if it may not be written; returns whether this
+   * VM is registered. All attempts to write under a lease are the same, since each may be carried out late.
+   */
+  async #renew(): Promise<boolean> {
+    const {store} = this.#options;
+    if (this.#lease !== undefined) {
+      const renewed = await store.keepLeaseAlive(this.#lease);
+      if (renewed.isErr()) {
+        return false;
+      }
+      if (renewed.value.ttlSeconds === 0) {
+        this.#lease = undefined;
+      }
     }
-    const renewed = await this.#options.store.keepLeaseAlive(this.#lease);
-    if (renewed.isOk() && renewed.value.ttlSeconds === 0) {
-      this.#lease = undefined;
-      await this.#register();
+    if (this.#lease === undefined) {
+      const granted = await store.grantLease(VM_LEASE_TTL_MS / 1000);
+      if (granted.isErr()) {
+        this.#reportFailure(granted.error.message);
+        return false;
+      }
+      this.#lease = granted.value.lease;
+      this.#isWritten = false;
     }
+    return this.#isWritten || this.#write(this.#lease);
   }
 
-  async #runPeriodically(pauseMs: number, action: () => Promise<void>): Promise<void> {
-    while (!this.#stopped) {
-      await action();
-      await delay(pauseMs);
+  /** Writes the entry under the lease; returns whether it is written. */
+  async #write(lease: LeaseId): Promise<boolean> {
+    const {self, store} = this.#options;
+    const value = Buffer.from(JSON.stringify(self));
+    const written = await put(store, this.#formatOwnKey(), value, lease);
+    if (written.isErr()) {
+      this.#reportFailure(written.error.message);
+      return false;
     }
+    this.#isWritten = true;
+    return true;
   }
 
   #reportFailure(message: string): void {
