--- a/packages/nutmegproxy-owner/src/DrainingRecords.ts
+++ b/packages/nutmegproxy-owner/src/DrainingRecords.ts
@@ -59,10 +59,10 @@
   }
 
   #updateRecord({minion, unstoredResults}: MinionRuns, isReview: boolean): void {
-    const {ownership, roster} = this.#options;
+    const {fleet, ownership, roster} = this.#options;
     const {term} = ownership;
     const recorded = roster.find(minion.id)?.draining;
-    const runs = listPossibleRuns(minion, unstoredResults);
+    const runs = listPossibleRuns(fleet, minion, unstoredResults);
     const isOutdated =
       recorded?.term !== term ||
       (runs.length === 0 && recorded.runs.length > 0) ||
--- a/packages/nutmegproxy-owner/src/MinionRecovery.ts
+++ b/packages/nutmegproxy-owner/src/MinionRecovery.ts
@@ -233,7 +233,7 @@
       leaseTerm: this.#unused.get(minion.id)?.former.leaseTerm,
       mayBeRenewed: minion.leaseClock.hasReading || this.#leases.get(minion.id) === 'renewed',
       runs: minion.areRunsKnown
-        ? listPossibleRuns(minion, unstoredResults)
+        ? listPossibleRuns(this.#options.fleet, minion, unstoredResults)
         : this.#unreported.findRuns(minion, now)?.runs,
     };
   }
--- a/packages/nutmegproxy-owner/src/SilentRecords.ts
+++ b/packages/nutmegproxy-owner/src/SilentRecords.ts
@@ -77,14 +77,30 @@
 }
 
 /**
- * Lists the runs that a minion may have. Runs whose results are not stored count as well: the next
- * owner learns their results only from the minion.
+ * Whether the task of a result starts again however its run has ended. From a checkpoint that is not stored
+ * it can only do so once the minion has listed that to the next owner.
+ */
+function startsAgain(fleet: Fleet, {checkpoint, task}: RunResult): boolean {
+  const step = findStep(fleet, task);
+  return (
+    step?.shape.longRunning === true &&
+    !(step.shape.checkpoints && checkpoint !== undefined) &&
+    !step.job.isFinal &&
+    !step.done.has(task.index)
+  );
+}
+
+/**
+ * Lists the runs that a minion may have. Runs whose results are not stored count as well, since the next
+ * owner learns their results only from the minion; those of lasting tasks don't, which would wait in vain.
  */
 export function listPossibleRuns(
+  fleet: Fleet,
   minion: MinionState,
   unstoredResults: readonly RunResult[],
 ): SilentMinionRecord['runs'] {
-  return [...minion.runs, ...minion.endedRuns, ...unstoredResults].map(({number, task}) => [
+  const telling = unstoredResults.filter((result) => !startsAgain(fleet, result));
+  return [...minion.runs, ...minion.endedRuns, ...telling].map(({number, task}) => [
     formatTaskName(task),
     number,
   ]);
@@ -130,7 +146,7 @@
 ): SilentMinionRecord {
   return {
     heldUntil: (wall + minion.leaseClock.expiresInMs(now)) as WallTime,
-    runs: listPossibleRuns(minion, unstoredResults),
+    runs: listPossibleRuns(fleet, minion, unstoredResults),
     ...listSuspects(fleet, minion),
   };
 }
