--- /dev/null
+++ b/packages/nutmegproxy-emulator/src/__tests__/unit/UnconfirmedStarts.test.ts
@@ -0,0 +1,115 @@
+import {OWNER_EVENTS} from '@nutmegproxy/owner';
+import assert from 'node:assert/strict';
+import {afterEach, beforeEach, describe, it} from 'node:test';
+
+import type {EmulatedMinion} from '../../EmulatedMinion.ts';
+import type {KillableOwner, WaitingVm} from './TakeoverHarness.ts';
+
+import {createStepShape, createStoredJob, submitJob, waitFor} from './JobSamples.ts';
+import {waitForRoster} from './StoreSamples.ts';
+import {sleep, TakeoverHarness} from './TakeoverHarness.ts';
+
+/** Time in milliseconds after its last run within which a lasting task has to run again. */
+const RESTART_DEADLINE_MS = 9_000;
+/** Time in milliseconds for which a killed owner keeps the ownership. */
+const OWNERSHIP_KEPT_MS = 2_000;
+/** Time in milliseconds that a minion takes at most to end a lease of 10 s. */
+const LONGEST_LEASE_MS = 10_460;
+/** Time in milliseconds after which no lease of a former owner lasts. */
+const LONGEST_WAIT_MS = 20_000;
+/** Time in real milliseconds after which a minion carries out a start that it has not responded to. */
+const START_DELAY_MS = 1_500;
+/** Time in real milliseconds in which the owners under test act on what has happened. */
+const REACTION_MS = 5_000;
+const SETTLED_MS = 500;
+/** Time in milliseconds that passes in each step, and the real pause after it. */
+const STEP_MS = 250;
+const STEP_PAUSE_MS = 60;
+
+/** Lets a minion begin an incarnation on whose clock a start for the one before asks for the longest lease. */
+function beginLaterIncarnation(minion: EmulatedMinion, nowMs: number): void {
+  minion.restart(2, nowMs);
+  const start = minion.start.bind(minion);
+  minion.start = (order, sentAtMs) =>
+    start({...order, untilMs: sentAtMs + LONGEST_LEASE_MS}, sentAtMs);
+}
+
+describe('A start without a response to a minion that does not respond any more', () => {
+  let first: KillableOwner;
+  let harness: TakeoverHarness;
+  let listedTask: string;
+  let minion: EmulatedMinion;
+  let next: WaitingVm;
+
+  /** Lets the minion list a lasting run and not respond to the start of another one. */
+  beforeEach(async () => {
+    harness = new TakeoverHarness();
+    minion = harness.addMinion('m1');
+    first = await harness.startKillable('vm-1');
+    await harness.runLastingTask(minion);
+    listedTask = minion.liveTasks.join();
+    next = harness.startWaitingVm('vm-2');
+    harness.fleet.faults(minion.description.id).startDelayMs = START_DELAY_MS;
+    await submitJob(harness.store, createStoredJob(2, [createStepShape({longRunning: true})]));
+    await waitFor('a start got no response', () =>
+      harness.events.includes(OWNER_EVENTS.MINION_UNREACHABLE),
+    );
+    harness.fleet.faults(minion.description.id).isUnreachable = true;
+    await waitForRoster(harness.store, (roster) => roster.includes('"heldUntil"'));
+    await next.observe();
+  });
+
+  afterEach(async () => {
+    await harness.close();
+  });
+
+  /** Kills the owner and lets the next VM acquire the ownership, with another minion that has room. */
+  async function takeOver(): Promise<EmulatedMinion> {
+    await first.kill(OWNERSHIP_KEPT_MS);
+    next.isAllowed = true;
+    await waitFor('the VM owns the fleet', () => next.ownership !== undefined);
+    const other = harness.addMinion('m2');
+    await waitFor('the other minion has reported', () => other.answeredPolls > 0);
+    await sleep(SETTLED_MS);
+    return other;
+  }
+
+  /** Lets time pass; no task may have two live runs meanwhile. */
+  async function pass(totalMs: number, minions: readonly EmulatedMinion[]): Promise<void> {
+    assert.ok(next.ownership);
+    for (let passedMs = 0; passedMs < totalMs; passedMs += STEP_MS) {
+      await harness.passTime(next.ownership, STEP_MS, STEP_MS, STEP_PAUSE_MS);
+      const live = minions.flatMap((each) => {
+        each.advance(harness.clock.monotonic());
+        return each.liveTasks;
+      });
+      assert.equal(new Set(live).size, live.length, 'two live runs of a task');
+    }
+  }
+
+  describe('which is lost for good', () => {
+    it('does not hold the lasting task that the minion had listed', async () => {
+      minion.crash(Infinity, harness.clock.monotonic());
+      const other = await takeOver();
+      await pass(RESTART_DEADLINE_MS - OWNERSHIP_KEPT_MS, [other]);
+      await waitFor('it runs again', () => other.liveTasks.includes(listedTask), REACTION_MS);
+    });
+  });
+
+  describe('which the next owner does not reach', () => {
+    it('never leads to two live runs of a task when it reaches the same incarnation', async () => {
+      await waitFor('the start is carried out', () => minion.liveTasks.length === 2);
+      const other = await takeOver();
+      await pass(LONGEST_WAIT_MS, [minion, other]);
+      await waitFor('both tasks run again', () => other.liveTasks.length === 2, REACTION_MS);
+    });
+
+    it('never leads to two live runs of a task when it reaches a later incarnation', async () => {
+      beginLaterIncarnation(minion, harness.clock.monotonic());
+      await waitFor('the start is carried out', () => minion.liveTasks.length === 1);
+      const other = await takeOver();
+      await pass(LONGEST_WAIT_MS, [minion, other]);
+      await waitFor('both tasks run again', () => other.liveTasks.length === 2, REACTION_MS);
+    });
+  });
+});
--- a/packages/nutmegproxy-jobs/src/StepState.ts
+++ b/packages/nutmegproxy-jobs/src/StepState.ts
@@ -33,6 +33,8 @@
   isClockConfirmed?: boolean;
   /** How this owner knows of the run. */
   knownFrom: RunSource;
+  /** When its lease has certainly expired, if a record tells that it ends before others of its minion. */
+  leasedUntil?: Instant | undefined;
   readonly minion: MinionId;
   readonly number: RunNumber;
   /** Share of its full speed at which the minion lets the run work, in percent from 0 to 100. */
--- a/packages/nutmegproxy-owner/src/LeaseEnds.ts
+++ b/packages/nutmegproxy-owner/src/LeaseEnds.ts
@@ -44,10 +44,30 @@
     return;
   }
   events.record(OWNER_EVENTS.LEASE_EXPIRED, {minion: minion.id, runs});
-  recordLeaseEnd(roster, minion, findLastStartEnd(minion, now));
+  recordLeaseEnd(roster, minion, findLastStartEnd(minion, now), now);
   fleet.expireLease(minion);
 }
 
+/**
+ * Ends the runs of a minion whose own lease has certainly expired, while others may hold a longer one.
+ *
+ * @example
+ * expireRuns({events, fleet, roster}, minion, ownership.confirmedAt);
+ */
+export function expireRuns(
+  {events, fleet, roster}: LeaseEndOptions,
+  minion: MinionState,
+  confirmedAt: Instant,
+): void {
+  const expired = [...minion.runs].filter(({leasedUntil = Infinity}) => leasedUntil <= confirmedAt);
+  if (expired.length === 0) {
+    return;
+  }
+  events.record(OWNER_EVENTS.LEASE_EXPIRED, {minion: minion.id, runs: expired.length});
+  roster.storeTimes();
+  fleet.expireLease(minion, expired);
+}
+
 /**
  * Stores that nothing runs on a minion any more that is gone for good, whose life this owner has ended.
  *
@@ -64,7 +84,7 @@
   await journal.flush();
   const now = clock.monotonic();
   if (minion.leaseClock.isExpired(now)) {
-    recordLeaseEnd(roster, minion, now);
+    recordLeaseEnd(roster, minion, now, now);
   }
 }
 
@@ -75,12 +95,17 @@
 }
 
 /**
- * Stores when the lease of a minion has ended, if it is recorded as silent. The runs stay named, since it may
- * still list their results.
+ * Stores when the lease of a minion has ended, and that of its confirmed runs, if it is recorded as silent.
+ * The runs stay named, since it may still list their results.
  */
-function recordLeaseEnd(roster: Roster, {description}: MinionState, endedAt: Instant): void {
+function recordLeaseEnd(
+  roster: Roster,
+  {description}: MinionState,
+  endedAt: Instant,
+  confirmedEndedAt: Instant,
+): void {
   const silent = roster.find(description.id)?.silent;
   if (silent !== undefined) {
-    roster.markSilent(description, silent, endedAt);
+    roster.markSilent(description, silent, endedAt, confirmedEndedAt);
   }
 }
--- a/packages/nutmegproxy-owner/src/MinionRecovery.ts
+++ b/packages/nutmegproxy-owner/src/MinionRecovery.ts
@@ -103,7 +103,6 @@
     const {fleet, ownership, record, roster} = this.#options;
     const former = record.findFormerUse(minion.id);
     if (silent !== undefined) {
-      const {runs, suspects} = silent;
       const {expiresAt, ...terms} = former ?? {
         lastTerm: ownership.term - 1,
         leaseTerm: ownership.term - 1,
@@ -113,8 +112,9 @@
         findRemainingMs(expiresAt, now),
         findRemainingMs(roster.findExpiry(minion.id), now),
       );
-      adoptRecordedRuns(fleet, minion, {remainingMs, runs, suspects}, now);
-      this.#unused.set(minion.id, {former: {...terms, runs}, minion});
+      const confirmedMs = findRemainingMs(roster.findConfirmedExpiry(minion.id), now);
+      adoptRecordedRuns(fleet, minion, {...silent, confirmedMs, remainingMs}, now);
+      this.#unused.set(minion.id, {former: {...terms, runs: silent.runs}, minion});
       return;
     }
     minion.isRecordedDraining = draining !== undefined;
@@ -251,10 +251,9 @@
     } else if (minion.areRunsKnown) {
       minion.isRecordedUnreachable = true;
       const silent = createSilentRecord(fleet, minion, unstoredResults, time);
-      const expiresAt = areStartsConfirmed(minion)
-        ? after(time.now, minion.leaseClock.expiresInMs(time.now))
-        : undefined;
-      roster.markSilent(minion.description, silent, expiresAt);
+      const leasedUntil = after(time.now, minion.leaseClock.expiresInMs(time.now));
+      const expiresAt = silent.unconfirmed === undefined ? leasedUntil : undefined;
+      roster.markSilent(minion.description, silent, expiresAt, leasedUntil);
     } else if (this.#canHold(minion)) {
       void this.#options.record.update();
     }
--- a/packages/nutmegproxy-owner/src/MinionSessions.ts
+++ b/packages/nutmegproxy-owner/src/MinionSessions.ts
@@ -18,7 +18,7 @@
 
 import {DirectoryAge} from './DirectoryAge.ts';
 import {DrainingRecords} from './DrainingRecords.ts';
-import {expireLease, recordGone} from './LeaseEnds.ts';
+import {expireLease, expireRuns, recordGone} from './LeaseEnds.ts';
 import {MachineReview} from './MachineReview.ts';
 import {MinionEnrollment} from './MinionEnrollment.ts';
 import {MinionRecovery} from './MinionRecovery.ts';
@@ -190,6 +190,7 @@
     this.#drainingRecords.update(this.#listDraining(), now);
     for (const [id, {minion}] of this.#sessions) {
       if (!minion.leaseClock.isExpired(confirmedAt)) {
+        expireRuns(this.#options, minion, confirmedAt);
         continue;
       }
       expireLease(this.#options, minion, now);
--- a/packages/nutmegproxy-owner/src/Roster.ts
+++ b/packages/nutmegproxy-owner/src/Roster.ts
@@ -49,6 +49,11 @@
   readonly runs: readonly (readonly [task: string, number: RunNumber])[];
   /** Absent when there are none, and in records of earlier versions. */
   readonly suspects?: SuspectRuns;
+  /**
+   * Those of `runs` whose start may have reached a later incarnation, on whose clock its lease is longer;
+   * absent when there are none, and in records of earlier versions.
+   */
+  readonly unconfirmed?: SilentMinionRecord['runs'];
 }
 
 /** What is stored of a draining minion. */
@@ -70,8 +75,21 @@
   readonly silent?: SilentMinionRecord;
 }
 
+/** When the leases of a silent minion have certainly expired, by the clock of this process. */
+interface SilentExpiry {
+  /** Undefined when that is not known. */
+  readonly all: Instant | undefined;
+  /** The same for the runs that the record does not list as unconfirmed; undefined when that is not known. */
+  readonly confirmed?: Instant | undefined;
+}
+
 /** Stored value: a list of these. */
 interface StoredRosterEntry extends RosterEntry {
+  /**
+   * The same as `heldForMs` for the runs that the silent record does not list as unconfirmed; absent as
+   * that, and when it lists none.
+   */
+  readonly confirmedForMs?: number | undefined;
   /**
    * Time in milliseconds after which a silent minion's lease has certainly expired, counted from the
    * write of the roster; absent when it is not known, and in entries of earlier versions. These drop it
@@ -91,7 +109,7 @@
 export class Roster {
   readonly #entries = new Map<MinionId, RosterEntry>();
   /** When the leases of silent minions have certainly expired, as far as that is known. */
-  readonly #expiries = new Map<MinionId, Instant>();
+  readonly #expiries = new Map<MinionId, SilentExpiry>();
   readonly #options: RosterOptions;
   readonly #record: OwnerRecord;
   readonly #removed = new Set<MinionId>();
@@ -149,7 +167,12 @@
    * when only its record tells that.
    */
   findExpiry(id: MinionId): Instant | undefined {
-    return this.#expiries.get(id);
+    return this.#expiries.get(id)?.all;
+  }
+
+  /** Returns the same for the runs that the minion's record does not list as unconfirmed. */
+  findConfirmedExpiry(id: MinionId): Instant | undefined {
+    return this.#expiries.get(id)?.confirmed;
   }
 
   /** Records what a draining minion may run. */
@@ -157,13 +180,17 @@
     void this.#replace({description, draining});
   }
 
-  /** Records that a minion does not respond; `expiresAt` as `findExpiry` returns it. */
+  /**
+   * Records that a minion does not respond; `expiresAt` as `findExpiry` returns it and
+   * `confirmedExpiresAt` as `findConfirmedExpiry` does.
+   */
   markSilent(
     description: MinionDescription,
     silent: SilentMinionRecord,
     expiresAt: Instant | undefined,
+    confirmedExpiresAt?: Instant,
   ): void {
-    void this.#replace({description, silent}, expiresAt);
+    void this.#replace({description, silent}, {all: expiresAt, confirmed: confirmedExpiresAt});
   }
 
   /** Reads the former owner's roster. */
@@ -176,11 +203,12 @@
     const modRevision = stored.value?.modRevision ?? 0;
     const storedBy = ownership.revisions.findSeenAt(modRevision, clock.monotonic());
     const decoded = this.#decode(stored.value?.value.toString() ?? '[]');
-    const entries = decoded.map(({heldForMs, ...entry}): RosterEntry => {
+    const entries = decoded.map(({confirmedForMs, heldForMs, ...entry}): RosterEntry => {
       const {id} = entry.description;
       this.#entries.set(id, entry);
-      if (entry.silent !== undefined && typeof heldForMs === 'number') {
-        this.#expiries.set(id, after(storedBy, heldForMs));
+      if (entry.silent !== undefined) {
+        const all = findEnd(storedBy, heldForMs);
+        this.#expiries.set(id, {all, confirmed: findEnd(storedBy, confirmedForMs)});
       }
       return entry;
     });
@@ -197,6 +225,11 @@
     }
   }
 
+  /** Stores the remaining times of the leases of silent minions anew. */
+  storeTimes(): void {
+    void this.#writer.change();
+  }
+
   /**
    * Stores a minion's capacity if it has changed: the next owner places by it while the directory
    * lacks the minion's entry.
@@ -208,7 +241,7 @@
       former !== undefined &&
       describeCapacityChange(former, description.capacity) !== undefined
     ) {
-      void this.#replace({...entry, description}, this.findExpiry(description.id));
+      void this.#replace({...entry, description}, this.#expiries.get(description.id));
     }
   }
 
@@ -236,12 +269,12 @@
   }
 
   /** Replaces the records of a minion's entry; resolves once that is stored. */
-  #replace(entry: RosterEntry, expiresAt?: Instant): Promise<void> {
+  #replace(entry: RosterEntry, expiry?: SilentExpiry): Promise<void> {
     const {id} = entry.description;
-    if (expiresAt === undefined) {
+    if (expiry === undefined) {
       this.#expiries.delete(id);
     } else {
-      this.#expiries.set(id, expiresAt);
+      this.#expiries.set(id, expiry);
     }
     this.#entries.set(id, {...entry, firstBornAt: this.#entries.get(id)?.firstBornAt});
     return this.#writer.change();
@@ -250,10 +283,12 @@
   #addRemainingTimes(entries: readonly RosterEntry[]): readonly StoredRosterEntry[] {
     const now = this.#options.clock.monotonic();
     return entries.map((entry) => {
-      const expiresAt = this.findExpiry(entry.description.id);
-      return expiresAt === undefined
-        ? entry
-        : {...entry, heldForMs: Math.ceil(Math.max(0, expiresAt - now))};
+      const {all, confirmed} = this.#expiries.get(entry.description.id) ?? {};
+      return {
+        ...entry,
+        confirmedForMs: computeRemainingMs(confirmed, now),
+        heldForMs: computeRemainingMs(all, now),
+      };
     });
   }
 
@@ -275,6 +310,16 @@
   }
 }
 
+/** Returns the end of a stored duration that counts from `since`; undefined when it names none. */
+function findEnd(since: Instant, durationMs: unknown): Instant | undefined {
+  return typeof durationMs === 'number' ? after(since, durationMs) : undefined;
+}
+
+/** Returns the time in milliseconds until an instant, rounded up; undefined when it is not known. */
+function computeRemainingMs(instant: Instant | undefined, now: Instant): number | undefined {
+  return instant === undefined ? undefined : Math.ceil(Math.max(0, instant - now));
+}
+
 function findRecorded(entries: readonly RosterEntry[]): ReadonlySet<MinionId> {
   return new Set(
     entries
--- a/packages/nutmegproxy-owner/src/SilentRecords.ts
+++ b/packages/nutmegproxy-owner/src/SilentRecords.ts
@@ -10,11 +10,15 @@
 
 import type {SilentMinionRecord, SuspectRuns} from './Roster.ts';
 
-/** Runs that a minion may have, and the time after which its lease has certainly expired. */
+/** Runs that a minion may have, and the time in milliseconds after which its lease has certainly expired. */
 export interface RecordedRuns {
+  /** The same for the runs that are not unconfirmed, if some are; longer or absent when it is not known. */
+  readonly confirmedMs?: number | undefined;
   readonly remainingMs: number;
   readonly runs: SilentMinionRecord['runs'];
   readonly suspects?: SuspectRuns | undefined;
+  /** As in a silent record. */
+  readonly unconfirmed?: SilentMinionRecord['runs'] | undefined;
 }
 
 /** The present time on both clocks of this process. */
@@ -39,13 +43,28 @@
   return !step.shape.speculative && (step.findLastRun(index) ?? number) > number;
 }
 
+/** Returns how the time is found, in milliseconds, for which a recorded run may still hold its lease. */
+function createRemainingTimes({
+  confirmedMs = Infinity,
+  remainingMs,
+  unconfirmed,
+}: RecordedRuns): (task: string, number: RunNumber) => number {
+  if (unconfirmed === undefined || confirmedMs >= remainingMs) {
+    return () => remainingMs;
+  }
+  const longer = new Set(unconfirmed.map(([task, number]) => `${task} ${number}`));
+  return (task, number) => (longer.has(`${task} ${number}`) ? remainingMs : confirmedMs);
+}
+
 /** Reserves capacity for the runs that a silent minion may have until its lease has expired. */
 export function adoptRecordedRuns(
   fleet: Fleet,
   minion: MinionState,
-  {remainingMs, runs, suspects}: RecordedRuns,
+  recorded: RecordedRuns,
   now: Instant,
 ): void {
+  const {remainingMs, runs, suspects} = recorded;
+  const findRemainingMs = createRemainingTimes(recorded);
   minion.formerSuspects = suspects && {
     bornAt: suspects.bornAt,
     runs: findSuspects(fleet, suspects),
@@ -65,9 +84,11 @@
     if (!step.waiting.has(task.index)) {
       continue;
     }
-    if (remainingMs > 0 && !isSuperseded(step, task.index, number)) {
+    const runMs = findRemainingMs(name, number);
+    if (runMs > 0 && !isSuperseded(step, task.index, number)) {
       const run = fleet.adoptRun(step, task, number, minion, now);
       run.knownFrom = 'record';
+      run.leasedUntil = runMs < remainingMs ? after(now, runMs) : undefined;
       adopted.push(run);
     } else {
       fleet.recordUnknownResult(step, task.index, minion);
@@ -76,6 +97,10 @@
   fleet.recordAdoption(minion, adopted);
 }
 
+function nameRun({number, task}: Pick<Run, 'number' | 'task'>): readonly [string, RunNumber] {
+  return [formatTaskName(task), number];
+}
+
 /**
  * Lists the runs that a minion may have. Runs whose results are not stored count as well: the next
  * owner learns their results only from the minion.
@@ -84,10 +109,7 @@
   minion: MinionState,
   unstoredResults: readonly RunResult[],
 ): SilentMinionRecord['runs'] {
-  return [...minion.runs, ...minion.endedRuns, ...unstoredResults].map(({number, task}) => [
-    formatTaskName(task),
-    number,
-  ]);
+  return [...minion.runs, ...minion.endedRuns, ...unstoredResults].map(nameRun);
 }
 
 /**
@@ -128,9 +150,11 @@
   unstoredResults: readonly RunResult[],
   {now, wall}: PresentTime,
 ): SilentMinionRecord {
+  const unconfirmed = listUnconfirmedStarts(minion).map(nameRun);
   return {
     heldUntil: (wall + minion.leaseClock.expiresInMs(now)) as WallTime,
     runs: listPossibleRuns(minion, unstoredResults),
     ...listSuspects(fleet, minion),
+    ...(unconfirmed.length === 0 ? {} : {unconfirmed}),
   };
 }
--- a/packages/nutmegproxy-owner/src/__tests__/unit/Roster.test.ts
+++ b/packages/nutmegproxy-owner/src/__tests__/unit/Roster.test.ts
@@ -1,4 +1,5 @@
 import type {Instant, MinionId, WallTime} from '@nutmegproxy/core';
+import type {RunNumber} from '@nutmegproxy/jobs';
 import type {MinionDescription} from '@nutmegproxy/scheduling';
 
 import {brand, ManualClock, SILENT_EVENTS} from '@nutmegproxy/core';
@@ -19,6 +20,7 @@
 const ROSTER_KEY = `${STATE_PREFIX}roster`;
 const LEASE_MS = 7_000;
 const SILENT = {heldUntil: 1_000 as WallTime, runs: []};
+const UNCONFIRMED = [['3f6718a4051e2adb.0.0.0', 1 as RunNumber]] as const;
 /** Time in real milliseconds in which a change is stored. */
 const SETTLED_MS = 30;
 
@@ -125,6 +127,39 @@
     });
   });
 
+  describe('the lease of the confirmed runs of a silent minion with an unconfirmed start', () => {
+    /** Returns the time in milliseconds until it expires for the next owner. */
+    async function readConfirmedExpiry(roster: Roster): Promise<number | undefined> {
+      await roster.read();
+      const expiresAt = roster.findConfirmedExpiry(brand<MinionId>('m1'));
+      return expiresAt && expiresAt - clock.monotonic();
+    }
+
+    beforeEach(async () => {
+      const silent = {...SILENT, runs: UNCONFIRMED, unconfirmed: UNCONFIRMED};
+      const expiresAt = (clock.monotonic() + LEASE_MS) as Instant;
+      open().markSilent(describeMinion('m1'), silent, undefined, expiresAt);
+      await settle();
+      await observe();
+    });
+
+    it('does not count anew when the next owner stores the roster again', async () => {
+      clock.advance(1_000);
+      const next = open();
+      assert.equal(await readConfirmedExpiry(next), LEASE_MS - 1_000);
+      clock.advance(2_000);
+      await next.add([describeMinion('m2')]);
+      await observe();
+      assert.equal(await readConfirmedExpiry(open()), LEASE_MS - 3_000);
+    });
+
+    it('is not the lease of all runs for owners of earlier versions', async () => {
+      assert.equal(await readExpiry(), undefined);
+      const stored = (await getKey(store, ROSTER_KEY))._unsafeUnwrap();
+      assert.doesNotMatch(String(stored?.value), /heldForMs/);
+    });
+  });
+
   describe('that changes while it is written', () => {
     it('tells each minion when it is stored, not once no others come', async () => {
       const roster = open();
--- a/packages/nutmegproxy-scheduling/src/Fleet.ts
+++ b/packages/nutmegproxy-scheduling/src/Fleet.ts
@@ -92,10 +92,16 @@
     }
   }
 
-  /** Removes the runs of a silent minion whose lease has expired; their results are not known yet. */
-  expireLease(minion: MinionState): void {
-    minion.lapsedRuns = minion.listExposedRuns(this.runNumberBase);
-    for (const run of minion.listUnresolvedRuns()) {
+  /**
+   * Removes runs of a silent minion whose lease has expired, all by default; their results are not
+   * known yet.
+   */
+  expireLease(minion: MinionState, runs = minion.listUnresolvedRuns()): void {
+    const expired = new Set(runs);
+    minion.lapsedRuns = minion
+      .listExposedRuns(this.runNumberBase)
+      .filter(({run}) => expired.has(run) || !minion.runs.has(run));
+    for (const run of expired) {
       this.recordUnknownResult(run.step, run.task.index, minion);
       this.recordLostRun(run, 'hold lapsed');
     }
