--- a/packages/nutmegproxy-owner/src/OwnerConstants.ts
+++ b/packages/nutmegproxy-owner/src/OwnerConstants.ts
@@ -10,6 +10,10 @@
 export const OWNERSHIP_RENEWAL_RETRY_MS = 200;
 /** Renewals that may be without a response at a time; a call that fails settles earlier. */
 export const MAX_PENDING_RENEWALS = 8;
+/** Calls that end a lease, while none is answered; a stopping process waits for them. */
+export const REVOKE_ATTEMPTS = 4;
+/** Pause between these calls. */
+export const REVOKE_RETRY_MS = 200;
 /**
  * Time for which an owner keeps acting after its lease could not be renewed, so that work continues
  * while the store is unavailable. Longer than the store outages that the users' requirements list.
--- a/packages/nutmegproxy-owner/src/OwnerElection.ts
+++ b/packages/nutmegproxy-owner/src/OwnerElection.ts
@@ -11,9 +11,10 @@
 import type {OwnershipToken} from './MinionOrders.ts';
 
 import {FleetOwnership} from './FleetOwnership.ts';
-import {OWNERSHIP_TTL_MS} from './OwnerConstants.ts';
+import {OWNERSHIP_TTL_MS, REVOKE_ATTEMPTS, REVOKE_RETRY_MS} from './OwnerConstants.ts';
 import {OWNER_EVENTS} from './OwnerEvents.ts';
 import {OwnershipRenewal} from './OwnershipRenewal.ts';
+import {repeatUntilAnswered} from './RepeatedCall.ts';
 import {RevisionLog} from './RevisionLog.ts';
 import {parseJson} from './StoredJson.ts';
 
@@ -176,9 +177,12 @@
 
   async #revoke(lease: LeaseId): Promise<void> {
     const {events, store} = this.#options;
-    const revoked = await store.revokeLease(lease);
+    const revoked = await repeatUntilAnswered(() => store.revokeLease(lease), {
+      attempts: REVOKE_ATTEMPTS,
+      pauseMs: REVOKE_RETRY_MS,
+    });
     if (revoked.isErr()) {
-      // The lease expires by itself after its time to live.
+      // The lease expires by itself, its time to live after the last renewal that is carried out.
       const {kind, message} = revoked.error;
       events.record(OWNER_EVENTS.STORE_CALL_FAILED, {kind, message, what: 'end of lease'});
     }
--- a/packages/nutmegproxy-owner/src/__tests__/unit/OwnerElection.test.ts
+++ b/packages/nutmegproxy-owner/src/__tests__/unit/OwnerElection.test.ts
@@ -4,13 +4,18 @@
 import {STATE_PREFIX} from '@nutmegproxy/jobs';
 import {MemoryStore} from '@nutmegproxy/standins';
 import {getKey, put} from '@nutmegproxy/store';
+import {err, ResultAsync} from 'neverthrow';
 import assert from 'node:assert/strict';
-import {afterEach, beforeEach, describe, it} from 'node:test';
+import {afterEach, beforeEach, describe, it, mock} from 'node:test';
 
 import type {FleetOwnership} from '../../FleetOwnership.ts';
 
-import {OwnerElection} from '../../OwnerElection.ts';
+import {OWNERSHIP_TTL_MS, REVOKE_ATTEMPTS, REVOKE_RETRY_MS} from '../../OwnerConstants.ts';
+import {OWNER_KEY, OwnerElection} from '../../OwnerElection.ts';
 
+const STEP_MS = 10;
+/** Time in milliseconds after which a call without a response fails. */
+const CALL_TIMEOUT_MS = 900;
 const TERM_KEY = `${STATE_PREFIX}term`;
 
 describe('OwnerElection', () => {
@@ -98,4 +103,64 @@
       assert.equal((await acquire(open('vm-2'))).formerReleasedAt, clock.monotonic());
     });
   });
+
+  describe('the release of the ownership', () => {
+    let calls: number;
+
+    /** Resigns; each of the calls that end the lease fails for which `isLate` says so. */
+    async function resign(isLate: (call: number) => boolean): Promise<void> {
+      const election = open('vm-1');
+      const ownership = await acquire(election);
+      ownership.recordLeaseGrant();
+      const revokeLease = store.revokeLease.bind(store);
+      store.revokeLease = (lease) => {
+        calls += 1;
+        if (!isLate(calls)) {
+          return revokeLease(lease);
+        }
+        const timeout = new Promise<void>((resolve) => {
+          setTimeout(resolve, CALL_TIMEOUT_MS);
+        });
+        return new ResultAsync(timeout.then(() => err({kind: 'unknown', message: 'no response'})));
+      };
+      mock.timers.enable({apis: ['setTimeout']});
+      const resignation = {isOver: false};
+      void election.resign(ownership, 'planned stop').then(() => {
+        resignation.isOver = true;
+      });
+      for (let elapsedMs = 0; elapsedMs < OWNERSHIP_TTL_MS; elapsedMs += STEP_MS) {
+        await new Promise(setImmediate);
+        if (resignation.isOver) {
+          return;
+        }
+        mock.timers.tick(STEP_MS);
+        clock.advance(STEP_MS);
+      }
+      assert.fail('still pending after the time to live of the lease');
+    }
+
+    beforeEach(() => {
+      calls = 0;
+    });
+
+    afterEach(() => {
+      mock.timers.reset();
+    });
+
+    it('is not delayed to the end of its lease by a call without a response', async () => {
+      await resign((call) => call === 1);
+      assert.equal((await getKey(store, OWNER_KEY))._unsafeUnwrap(), undefined);
+      assert.ok(clock.monotonic() <= 2 * REVOKE_RETRY_MS, `${String(clock.monotonic())} ms`);
+    });
+
+    it('is one call when it is answered at once', async () => {
+      await resign(() => false);
+      assert.equal(calls, 1);
+    });
+
+    it('is given up after some calls without a response', async () => {
+      await resign(() => true);
+      assert.equal(calls, REVOKE_ATTEMPTS);
+    });
+  });
 });
