--- a/packages/nutmegproxy-owner/src/MinionSession.ts
+++ b/packages/nutmegproxy-owner/src/MinionSession.ts
@@ -125,20 +125,21 @@
 
   /** Handles a new incarnation of the minion: no run of the former one is live any more. */
   #handleRestart(bornAt: number): void {
-    const {clock, events, fleet} = this.#context;
+    const {clock, events, fleet, onRunsLost} = this.#context;
     events.record(OWNER_EVENTS.MINION_RESTARTED, {bornAt, minion: this.minion.id});
     this.#results = new ListedResults();
     this.minion.leaseClock.reset(after(clock.monotonic(), MAX_UNCAPPED_LEASE_MS));
     fleet.clearUnknownResults(this.minion);
     recordMinionCrash(fleet, this.minion, clock.monotonic());
-    for (const run of [...this.minion.runs, ...this.minion.endedRuns]) {
-      // A start that was sent meanwhile may have reached the new incarnation, and so may a former
-      // owner's start that only its record names; the next poll decides.
-      const wasListed = this.minion.hasReported && run.knownFrom !== 'order';
-      if (wasListed) {
-        fleet.recordLostRun(run, 'minion restarted');
-      }
+    // A start that was sent meanwhile may have reached the new incarnation, and so may a former
+    // owner's start that only its record names; the next poll decides.
+    const lost = [...this.minion.runs, ...this.minion.endedRuns].filter(
+      ({knownFrom}) => this.minion.hasReported && knownFrom !== 'order',
+    );
+    for (const run of lost) {
+      fleet.recordLostRun(run, 'minion restarted');
     }
+    onRunsLost(this.minion, lost);
   }
 
   /** Ends what ran on a minion that is gone for good, whatever leases it had. */
--- a/packages/nutmegproxy-owner/src/MinionSessions.ts
+++ b/packages/nutmegproxy-owner/src/MinionSessions.ts
@@ -26,6 +26,7 @@
 import {MAX_DIRECTORY_AGE_MS, REMOVE_UNLISTED_AFTER_MS, STORE_RETRY_MS} from './OwnerConstants.ts';
 import {OWNER_EVENTS} from './OwnerEvents.ts';
 import {describeCapacityChange} from './OwnerUtils.ts';
+import {recordRunEnds} from './RecordedRunEnds.ts';
 import {RecoveryRecord} from './RecoveryRecord.ts';
 
 export interface MinionSessionsOptions {
@@ -36,7 +37,10 @@
   readonly machines: MachineList | undefined;
   readonly onChange: () => void;
   readonly roster: Roster;
-  readonly session: Omit<SessionContext, 'isDirectoryOutdated' | 'permitRenewal' | 'recordUse'>;
+  readonly session: Omit<
+    SessionContext,
+    'isDirectoryOutdated' | 'onRunsLost' | 'permitRenewal' | 'recordUse'
+  >;
   readonly store: PlatformStore;
 }
 
@@ -81,6 +85,9 @@
     this.#context = {
       ...session,
       isDirectoryOutdated: (now) => this.isDirectoryOutdated(now),
+      onRunsLost: (minion, runs) => {
+        void recordRunEnds(options.roster, session.journal, minion, runs);
+      },
       permitRenewal: (minion) => this.recovery.permitRenewal(minion),
       recordUse: (minion) => this.#enrollment.recordUse(minion),
     };
--- a/packages/nutmegproxy-owner/src/SessionContext.ts
+++ b/packages/nutmegproxy-owner/src/SessionContext.ts
@@ -30,6 +30,8 @@
   /** Called after each listing was applied. */
   readonly onListed: (minion: MinionState, now: Instant) => void;
   readonly onRunDone: (run: Run, durationMs: number) => void;
+  /** Called when the incarnation of a minion that ran these has ended. */
+  readonly onRunsLost: (minion: MinionState, runs: readonly Run[]) => void;
   /** Called when a minion has not responded to several consecutive calls. */
   readonly onSilent: (minion: MinionState) => void;
   readonly onTicketRejected: (run: Run) => void;
