--- a/packages/nutmegproxy-owner/src/RecordedRunEnds.ts
+++ b/packages/nutmegproxy-owner/src/RecordedRunEnds.ts
@@ -46,6 +46,7 @@
     return run === undefined || possible.has(run) || !over.has(run);
   });
   if (runs.length < silent.runs.length) {
-    roster.markSilent(description, {...silent, runs}, roster.findExpiry(id));
+    const confirmedExpiresAt = roster.findConfirmedExpiry(id);
+    roster.markSilent(description, {...silent, runs}, roster.findExpiry(id), confirmedExpiresAt);
   }
 }
