--- a/packages/nutmegproxy-emulator/src/__tests__/unit/UnconfirmedStarts.test.ts
+++ b/packages/nutmegproxy-emulator/src/__tests__/unit/UnconfirmedStarts.test.ts
@@ -13,6 +13,8 @@
 const RESTART_DEADLINE_MS = 9_000;
 /** Time in milliseconds for which a killed owner keeps the ownership. */
 const OWNERSHIP_KEPT_MS = 2_000;
+/** Time in milliseconds for which the minion has been silent when its owner stops. */
+const SILENT_FOR_MS = 3_000;
 /** Time in milliseconds that a minion takes at most to end a lease of 10 s. */
 const LONGEST_LEASE_MS = 10_460;
 /** Time in milliseconds after which no lease of a former owner lasts. */
@@ -54,18 +56,24 @@
     await waitFor('a start got no response', () =>
       harness.events.includes(OWNER_EVENTS.MINION_UNREACHABLE),
     );
-    harness.fleet.faults(minion.description.id).isUnreachable = true;
-    await waitForRoster(harness.store, (roster) => roster.includes('"heldUntil"'));
-    await next.observe();
   });
 
   afterEach(async () => {
     await harness.close();
   });
 
-  /** Kills the owner and lets the next VM acquire the ownership, with another minion that has room. */
-  async function takeOver(): Promise<EmulatedMinion> {
+  async function loseContact(): Promise<void> {
+    harness.fleet.faults(minion.description.id).isUnreachable = true;
+    await waitForRoster(harness.store, (roster) => roster.includes('"heldUntil"'));
+    await next.observe();
+  }
+
+  async function killOwner(): Promise<void> {
     await first.kill(OWNERSHIP_KEPT_MS);
+  }
+
+  /** Lets the next VM acquire the ownership, with another minion that has room. */
+  async function takeOver(): Promise<EmulatedMinion> {
     next.isAllowed = true;
     await waitFor('the VM owns the fleet', () => next.ownership !== undefined);
     const other = harness.addMinion('m2');
@@ -89,24 +97,50 @@
 
   describe('which is lost for good', () => {
     it('does not hold the lasting task that the minion had listed', async () => {
+      await loseContact();
       minion.crash(Infinity, harness.clock.monotonic());
+      await killOwner();
       const other = await takeOver();
       await pass(RESTART_DEADLINE_MS - OWNERSHIP_KEPT_MS, [other]);
       await waitFor('it runs again', () => other.liveTasks.includes(listedTask), REACTION_MS);
     });
+
+    it('does not hold that task when the owner stops as planned at the same time', async () => {
+      minion.crash(Infinity, harness.clock.monotonic());
+      await harness.stopAsPlanned(first.started);
+      const other = await takeOver();
+      await pass(RESTART_DEADLINE_MS, [other]);
+      await waitFor('it runs again', () => other.liveTasks.includes(listedTask), REACTION_MS);
+    });
+
+    it('does not hold that task when the owner has recorded it as silent and stops as planned', async () => {
+      await loseContact();
+      minion.crash(Infinity, harness.clock.monotonic());
+      harness.clock.advance(SILENT_FOR_MS);
+      await harness.stopAsPlanned(first.started);
+      // This VM does not know when the records were stored.
+      next = harness.startWaitingVm('vm-3');
+      const other = await takeOver();
+      await pass(RESTART_DEADLINE_MS - SILENT_FOR_MS, [other]);
+      await waitFor('it runs again', () => other.liveTasks.includes(listedTask), REACTION_MS);
+    });
   });
 
   describe('which the next owner does not reach', () => {
     it('never leads to two live runs of a task when it reaches the same incarnation', async () => {
+      await loseContact();
       await waitFor('the start is carried out', () => minion.liveTasks.length === 2);
+      await killOwner();
       const other = await takeOver();
       await pass(LONGEST_WAIT_MS, [minion, other]);
       await waitFor('both tasks run again', () => other.liveTasks.length === 2, REACTION_MS);
     });
 
     it('never leads to two live runs of a task when it reaches a later incarnation', async () => {
+      await loseContact();
       beginLaterIncarnation(minion, harness.clock.monotonic());
       await waitFor('the start is carried out', () => minion.liveTasks.length === 1);
+      await killOwner();
       const other = await takeOver();
       await pass(LONGEST_WAIT_MS, [minion, other]);
       await waitFor('both tasks run again', () => other.liveTasks.length === 2, REACTION_MS);
--- a/packages/nutmegproxy-owner/src/ClosingRecordMerge.ts
+++ b/packages/nutmegproxy-owner/src/ClosingRecordMerge.ts
@@ -71,7 +71,10 @@
     const formerHeldForMs = unrenewed.has(id) ? formerAccount.heldForMs : Infinity;
     const leasedForMs = Math.min(heldForMs, formerHeldForMs);
     const {runs = formerAccount.runs} = account;
-    return {...formerAccount, heldForMs: leasedForMs, lastTerm, leaseTerm, runs};
+    const isFormerLease = account.runs === undefined && unrenewed.has(id);
+    const {confirmedForMs, unconfirmed} = isFormerLease ? formerAccount : account;
+    const leases = {confirmedForMs, heldForMs: leasedForMs, unconfirmed};
+    return {...formerAccount, ...leases, lastTerm, leaseTerm, runs};
   });
   for (const {description} of own.silent) {
     unrenewed.delete(description.id);
--- a/packages/nutmegproxy-owner/src/ClosingRecords.ts
+++ b/packages/nutmegproxy-owner/src/ClosingRecords.ts
@@ -33,6 +33,8 @@
 
 /** What an owner knew of the runs of a minion when its ownership ended. */
 export interface MinionAccount {
+  /** The same as `heldForMs` for the runs that are not unconfirmed; absent when there are no unconfirmed ones. */
+  readonly confirmedForMs?: number | undefined;
   /**
    * Time in milliseconds after which the minion's lease has certainly expired, counted from the
    * write of the record. A reader counts it from when it first knew of a later state of the store.
@@ -47,6 +49,8 @@
   readonly mayBeRenewed?: boolean;
   /** Runs that it may have; undefined when the owner did not know them. */
   readonly runs?: SilentMinionRecord['runs'] | undefined;
+  /** As in a silent record. */
+  readonly unconfirmed?: SilentMinionRecord['runs'] | undefined;
 }
 
 /** Stored value: what the owner of a term knew when its ownership ended. */
@@ -203,9 +207,11 @@
   since: Instant,
   now: Instant,
 ): MinionAccount[] {
-  return accounts.map((account) => ({
+  const subtract = (durationMs: number): number => Math.max(0, durationMs - (now - since));
+  return accounts.map(({confirmedForMs, ...account}) => ({
     ...account,
-    heldForMs: Math.max(0, account.heldForMs - (now - since)),
+    ...(typeof confirmedForMs === 'number' ? {confirmedForMs: subtract(confirmedForMs)} : {}),
+    heldForMs: subtract(account.heldForMs),
   }));
 }
 
--- a/packages/nutmegproxy-owner/src/MinionRecovery.ts
+++ b/packages/nutmegproxy-owner/src/MinionRecovery.ts
@@ -24,9 +24,11 @@
 } from './OwnerConstants.ts';
 import {
   adoptRecordedRuns,
-  areStartsConfirmed,
   createSilentRecord,
   listPossibleRuns,
+  listUnconfirmedStarts,
+  nameRun,
+  shortenRecordedLeases,
 } from './SilentRecords.ts';
 import {UnreportedMinions} from './UnreportedMinions.ts';
 
@@ -190,10 +192,17 @@
       (this.#unused.get(id)?.former.leaseTerm ?? Infinity) <= term;
     const current = accounts
       .filter(({id}) => isCurrent(id))
-      .map((each) => (isLeaseCurrent(each.id) ? each : {...each, heldForMs: Infinity}));
+      .map((each) =>
+        isLeaseCurrent(each.id) ? each : {...each, confirmedForMs: undefined, heldForMs: Infinity},
+      );
     this.#unreported.keepAccounts(current, now);
-    for (const {heldForMs, id} of current) {
-      this.#unused.get(id)?.minion.leaseClock.shortenAssumedLease(after(now, heldForMs));
+    for (const account of current) {
+      const {heldForMs, id} = account;
+      const minion = this.#unused.get(id)?.minion;
+      if (minion !== undefined) {
+        minion.leaseClock.shortenAssumedLease(after(now, heldForMs));
+        shortenRecordedLeases(minion, account, now);
+      }
       if (heldForMs < Infinity) {
         this.#accounted.add(id);
       }
@@ -209,11 +218,13 @@
         continue;
       }
       // Its account above told the end of its lease, if that was known.
-      const {runs, suspects} = record;
       const remainingMs = minion.leaseClock.expiresInMs(now);
-      adoptRecordedRuns(fleet, minion, {remainingMs, runs, suspects}, now);
+      const confirmedMs = current.find(({id}) => id === minion.id)?.confirmedForMs;
+      adoptRecordedRuns(fleet, minion, {...record, confirmedMs, remainingMs}, now);
       const heldUntil = Math.ceil(clock.wall() + remainingMs) as WallTime;
-      roster.markSilent(description, {...record, heldUntil}, after(now, remainingMs));
+      const expiresAt = after(now, remainingMs);
+      const confirmedAt = confirmedMs === undefined ? undefined : after(now, confirmedMs);
+      roster.markSilent(description, {...record, heldUntil}, expiresAt, confirmedAt);
     }
     void recoveryRecord.update();
   }
@@ -224,17 +235,19 @@
     unstoredResults: readonly RunResult[],
     now: Instant,
   ): MinionAccount {
-    const isCertain = areStartsConfirmed(minion);
+    const unconfirmed = listUnconfirmedStarts(minion).map(nameRun);
     const leasedMs = Math.ceil(minion.leaseClock.expiresInMs(now));
+    const isCertain = unconfirmed.length === 0;
+    const former = minion.areRunsKnown ? undefined : this.#unreported.findRuns(minion, now);
     return {
+      confirmedForMs: isCertain ? former?.confirmedMs : leasedMs,
       heldForMs: isCertain ? leasedMs : Math.max(leasedMs, MAX_UNCAPPED_LEASE_MS),
       id: minion.id,
       lastTerm: this.#unused.get(minion.id)?.former.lastTerm,
       leaseTerm: this.#unused.get(minion.id)?.former.leaseTerm,
       mayBeRenewed: minion.leaseClock.hasReading || this.#leases.get(minion.id) === 'renewed',
-      runs: minion.areRunsKnown
-        ? listPossibleRuns(minion, unstoredResults)
-        : this.#unreported.findRuns(minion, now)?.runs,
+      runs: minion.areRunsKnown ? listPossibleRuns(minion, unstoredResults) : former?.runs,
+      unconfirmed: isCertain ? former?.unconfirmed : unconfirmed,
     };
   }
 
@@ -245,9 +258,12 @@
     const former = this.#unreported.findRuns(minion, time.now);
     if (former !== undefined) {
       adoptRecordedRuns(fleet, minion, former, time.now);
-      const heldUntil = (time.wall + former.remainingMs) as WallTime;
-      const expiresAt = after(time.now, former.remainingMs);
-      roster.markSilent(minion.description, {heldUntil, runs: former.runs}, expiresAt);
+      const {confirmedMs, remainingMs, runs, unconfirmed} = former;
+      const heldUntil = (time.wall + remainingMs) as WallTime;
+      const expiresAt = after(time.now, remainingMs);
+      const confirmedAt = confirmedMs === undefined ? undefined : after(time.now, confirmedMs);
+      const silent = {heldUntil, runs, ...(unconfirmed && {unconfirmed})};
+      roster.markSilent(minion.description, silent, expiresAt, confirmedAt);
     } else if (minion.areRunsKnown) {
       minion.isRecordedUnreachable = true;
       const silent = createSilentRecord(fleet, minion, unstoredResults, time);
--- a/packages/nutmegproxy-owner/src/SilentRecords.ts
+++ b/packages/nutmegproxy-owner/src/SilentRecords.ts
@@ -8,6 +8,7 @@
 import {formatTaskName, parseTaskName} from '@nutmegproxy/jobs';
 import {dropSupersededRuns, findStep, FRESH_RUN_MS} from '@nutmegproxy/scheduling';
 
+import type {MinionAccount} from './ClosingRecords.ts';
 import type {SilentMinionRecord, SuspectRuns} from './Roster.ts';
 
 /** Runs that a minion may have, and the time in milliseconds after which its lease has certainly expired. */
@@ -48,12 +49,12 @@
   confirmedMs = Infinity,
   remainingMs,
   unconfirmed,
-}: RecordedRuns): (task: string, number: RunNumber) => number {
+}: RecordedRuns): (run: RecordedRuns['runs'][number]) => number {
   if (unconfirmed === undefined || confirmedMs >= remainingMs) {
     return () => remainingMs;
   }
-  const longer = new Set(unconfirmed.map(([task, number]) => `${task} ${number}`));
-  return (task, number) => (longer.has(`${task} ${number}`) ? remainingMs : confirmedMs);
+  const longer = new Set(unconfirmed.map(formatRecordedName));
+  return (run) => (longer.has(formatRecordedName(run)) ? remainingMs : confirmedMs);
 }
 
 /** Reserves capacity for the runs that a silent minion may have until its lease has expired. */
@@ -84,7 +85,7 @@
     if (!step.waiting.has(task.index)) {
       continue;
     }
-    const runMs = findRemainingMs(name, number);
+    const runMs = findRemainingMs([name, number]);
     if (runMs > 0 && !isSuperseded(step, task.index, number)) {
       const run = fleet.adoptRun(step, task, number, minion, now);
       run.knownFrom = 'record';
@@ -97,10 +98,44 @@
   fleet.recordAdoption(minion, adopted);
 }
 
-function nameRun({number, task}: Pick<Run, 'number' | 'task'>): readonly [string, RunNumber] {
+function formatRecordedName([task, number]: RecordedRuns['runs'][number]): string {
+  return `${task} ${number}`;
+}
+
+export function nameRun({
+  number,
+  task,
+}: Pick<Run, 'number' | 'task'>): readonly [string, RunNumber] {
   return [formatTaskName(task), number];
 }
 
+/**
+ * Lets the recorded runs of a minion end with their own lease where a later account, which was read at `now`,
+ * tells that it ends before that of unconfirmed runs.
+ */
+export function shortenRecordedLeases(
+  minion: MinionState,
+  {confirmedForMs, runs = [], unconfirmed}: MinionAccount,
+  now: Instant,
+): void {
+  if (confirmedForMs === undefined || unconfirmed === undefined) {
+    return;
+  }
+  const longer = new Set(unconfirmed.map(formatRecordedName));
+  const confirmed = new Set(runs.map(formatRecordedName).filter((name) => !longer.has(name)));
+  const until = after(now, confirmedForMs);
+  for (const run of minion.runs) {
+    const {knownFrom, leasedUntil = Infinity} = run;
+    if (
+      knownFrom === 'record' &&
+      until < leasedUntil &&
+      confirmed.has(formatRecordedName(nameRun(run)))
+    ) {
+      run.leasedUntil = until;
+    }
+  }
+}
+
 /**
  * Lists the runs that a minion may have. Runs whose results are not stored count as well: the next
  * owner learns their results only from the minion.
@@ -123,11 +158,6 @@
   );
 }
 
-/** Whether no start can have granted a longer lease than it was meant to. */
-export function areStartsConfirmed(minion: MinionState): boolean {
-  return listUnconfirmedStarts(minion).length === 0;
-}
-
 /** Lists the runs that may have crashed a silent minion; a minion that drains may just have left. */
 function listSuspects(
   {runNumberBase}: Fleet,
--- a/packages/nutmegproxy-owner/src/UnreportedMinions.ts
+++ b/packages/nutmegproxy-owner/src/UnreportedMinions.ts
@@ -15,17 +15,23 @@
 /** Maximum number of minions that a log line names. */
 const MAX_NAMED_MINIONS = 5;
 
+/** Runs that a minion may have, by a former owner's record. */
+interface FormerRuns extends Pick<RecordedRuns, 'runs' | 'unconfirmed'> {
+  /** When the lease of the runs that are not unconfirmed has certainly expired; undefined as there. */
+  readonly confirmedUntil?: Instant | undefined;
+}
+
 export class UnreportedMinions {
   readonly #minions = new Set<MinionState>();
   /** Runs that minions may have, as far as records of former owners name them. */
-  readonly #runs = new Map<MinionId, RecordedRuns['runs']>();
+  readonly #runs = new Map<MinionId, FormerRuns>();
 
   /** Adds a minion, with the runs that the roster names, if any. */
   add(minion: MinionState, runs?: RecordedRuns['runs']): void {
     minion.areRunsKnown = false;
     this.#minions.add(minion);
     if (runs !== undefined) {
-      this.#runs.set(minion.id, runs);
+      this.#runs.set(minion.id, {runs});
     }
   }
 
@@ -44,7 +50,10 @@
       }
       // The owner before may not have reached a minion whose runs the roster names.
       if (account?.runs !== undefined) {
-        this.#runs.set(id, account.runs);
+        const {confirmedForMs, runs, unconfirmed} = account;
+        const confirmedUntil =
+          confirmedForMs === undefined ? undefined : after(now, confirmedForMs);
+        this.#runs.set(id, {confirmedUntil, runs, unconfirmed});
       }
     }
   }
@@ -54,13 +63,20 @@
    * when recovery does not wait for the minion, or when its runs are not known.
    */
   findRuns(minion: MinionState, now: Instant): RecordedRuns | undefined {
-    const runs = this.has(minion) ? this.#runs.get(minion.id) : undefined;
-    return runs && {remainingMs: minion.leaseClock.expiresInMs(now), runs};
+    const former = this.has(minion) ? this.#runs.get(minion.id) : undefined;
+    if (former === undefined) {
+      return undefined;
+    }
+    const {confirmedUntil, runs, unconfirmed} = former;
+    const remainingMs = minion.leaseClock.expiresInMs(now);
+    return confirmedUntil === undefined || unconfirmed === undefined
+      ? {remainingMs, runs}
+      : {confirmedMs: Math.max(0, confirmedUntil - now), remainingMs, runs, unconfirmed};
   }
 
   /** Returns the runs that a record named for a minion, whether or not it was used since. */
   findNamedRuns(id: MinionId): RecordedRuns['runs'] | undefined {
-    return this.#runs.get(id);
+    return this.#runs.get(id)?.runs;
   }
 
   /** Whether no minion is left; `confirmedAt` is when the ownership was last confirmed. */
--- a/packages/nutmegproxy-owner/src/__tests__/unit/ClosingRecords.test.ts
+++ b/packages/nutmegproxy-owner/src/__tests__/unit/ClosingRecords.test.ts
@@ -232,6 +232,46 @@
       assert.deepEqual(silent, []);
     });
 
+    describe('with an unconfirmed start', () => {
+      const unconfirmed = createAccount('m1', 1).runs;
+
+      function createDivided(): MinionAccount {
+        return {...createAccount('m1', 2), confirmedForMs: 4_000, unconfirmed};
+      }
+
+      it('say how long the leases of the other runs last from the time of the write', async () => {
+        store.faults.change({down: true});
+        const sent = open(3).send([createDivided()], []);
+        await new Promise((resolve) => setTimeout(resolve, 20));
+        clock.advance(2_000);
+        store.faults.change({down: false});
+        await sent;
+        const account = (await receive(4))?.accounts?.[0];
+        assert.deepEqual([account?.confirmedForMs, account?.heldForMs], [2_000, 5_000]);
+        assert.deepEqual(account?.unconfirmed, unconfirmed);
+      });
+
+      it('keep that time for the next owner that did not reach the minion', async () => {
+        await open(3).send([createDivided()], []);
+        await open(4).send([createAccount('m1')], []);
+        assert.equal((await receive(5))?.accounts?.[0]?.confirmedForMs, 4_000);
+      });
+
+      it('do not keep it after an owner that may have renewed the lease', async () => {
+        await open(3).send([createDivided()], []);
+        await open(5).send([{...createAccount('m1'), lastTerm: 3, leaseTerm: 4}], []);
+        const account = (await receive(6))?.accounts?.[0];
+        assert.deepEqual([account?.confirmedForMs, account?.runs?.length], [undefined, 2]);
+      });
+
+      it('do not apply it to runs that a later account names', async () => {
+        await open(3).send([createDivided()], []);
+        await open(4).send([{...createAccount('m1', 1), lastTerm: 3, leaseTerm: 3}], []);
+        const account = (await receive(5))?.accounts?.[0];
+        assert.deepEqual([account?.confirmedForMs, account?.runs?.length], [undefined, 1]);
+      });
+    });
+
     it('omit runs that do not fit into a value of the store', async () => {
       await open(3).send([createAccount('m1', 15_000), createAccount('m2', 15_000)], []);
       assert.deepEqual(await readRuns(4), {m1: 15_000, m2: undefined});
--- a/packages/nutmegproxy-owner/src/__tests__/unit/RecordedLeases.test.ts
+++ b/packages/nutmegproxy-owner/src/__tests__/unit/RecordedLeases.test.ts
@@ -8,7 +8,7 @@
 import assert from 'node:assert/strict';
 import {beforeEach, describe, it} from 'node:test';
 
-import {adoptRecordedRuns, createSilentRecord} from '../../SilentRecords.ts';
+import {adoptRecordedRuns, createSilentRecord, shortenRecordedLeases} from '../../SilentRecords.ts';
 
 const JOB = brand<JobId>('3f6718a4051e2adb');
 const NOW = 1_000 as Instant;
@@ -76,6 +76,13 @@
       assert.deepEqual([findRun(0), findRun(1)?.number], [undefined, 1]);
     });
 
+    it('expire earlier for the runs that a later account does not list as unconfirmed', () => {
+      adoptRecordedRuns(fleet, minion, {remainingMs: 9_000, runs: RUNS}, NOW);
+      const account = {confirmedForMs: 2_000, heldForMs: 9_000, id: minion.id, runs: RUNS};
+      shortenRecordedLeases(minion, {...account, unconfirmed: [UNCONFIRMED]}, NOW);
+      assert.deepEqual([findRun(0)?.leasedUntil, findRun(1)?.leasedUntil], [3_000, undefined]);
+    });
+
     it('are the longest for all runs where no time is known', () => {
       adoptRecordedRuns(fleet, minion, {remainingMs: 9_000, runs: RUNS}, NOW);
       assert.deepEqual([findRun(0)?.leasedUntil, findRun(1)?.leasedUntil], [undefined, undefined]);
--- a/packages/nutmegproxy-owner/src/__tests__/unit/UnreportedMinions.test.ts
+++ b/packages/nutmegproxy-owner/src/__tests__/unit/UnreportedMinions.test.ts
@@ -1,4 +1,5 @@
 import type {Instant, MinionId} from '@nutmegproxy/core';
+import type {RunNumber} from '@nutmegproxy/jobs';
 import type {MinionDescription} from '@nutmegproxy/scheduling';
 
 import {brand} from '@nutmegproxy/core';
@@ -48,6 +49,18 @@
       assert.equal(unreported.findRuns(minion, now), undefined);
     });
 
+    it('tells how long the leases of all runs but unconfirmed ones last', () => {
+      const unconfirmed = [['3f6718a4051e2adb.0.0.0', 1 as RunNumber]] as const;
+      const account = {heldForMs: 5_000, id: minion.id, runs: unconfirmed, unconfirmed};
+      unreported.keepAccounts([{...account, confirmedForMs: 3_000}], now);
+      assert.deepEqual(unreported.findRuns(minion, 2_000 as Instant), {
+        confirmedMs: 2_000,
+        remainingMs: 4_000,
+        runs: unconfirmed,
+        unconfirmed,
+      });
+    });
+
     it('shortens the wait for a minion whose runs the former owner did not know', () => {
       unreported.keepAccounts([{heldForMs: 2_000, id: minion.id}], now);
       assert.equal(unreported.findRuns(minion, now), undefined);
