--- a/packages/nutmegproxy-owner/src/FleetOwnership.ts
+++ b/packages/nutmegproxy-owner/src/FleetOwnership.ts
@@ -41,6 +41,8 @@
   readonly lease: LeaseId;
   /** First term of the latest unbroken sequence of owners that record which minions they use. */
   readonly recordingSince: number;
+  /** When the acquisition of this ownership was requested. */
+  readonly requestedAt: Instant;
   /** When this process knew which state of the store. */
   readonly revisions: RevisionLog;
   /** Sequence number of this ownership among all of the fleet, from 0. */
@@ -56,6 +58,7 @@
     this.formerReleasedAt = grant.formerReleasedAt ?? requestedAt;
     this.lease = grant.lease;
     this.recordingSince = grant.recordingSince ?? grant.term;
+    this.requestedAt = requestedAt;
     this.revisions = grant.revisions ?? new RevisionLog();
     this.term = grant.term;
     this.token = grant.token;
--- a/packages/nutmegproxy-owner/src/Owner.ts
+++ b/packages/nutmegproxy-owner/src/Owner.ts
@@ -18,9 +18,6 @@
   replaceQueues,
   RunProgressMonitor,
   SharingPolicy,
-  summarizeFleet,
-  UntrustedMinionLog,
-  WithheldTaskLog,
 } from '@nutmegproxy/scheduling';
 
 import type {AdviceClient} from './AdviceClient.ts';
@@ -28,6 +25,7 @@
 import type {MachineList} from './MachineList.ts';
 import type {MinionDirectory} from './MinionDirectory.ts';
 import type {MinionOrders} from './MinionOrders.ts';
+import type {RoundHold} from './RoundLog.ts';
 
 import {AdvicePrefetcher} from './AdvicePrefetcher.ts';
 import {ClosingRecords} from './ClosingRecords.ts';
@@ -40,7 +38,6 @@
   RETENTION_MARGIN_MS,
   RUN_NUMBERS_PER_TERM,
   STORE_RETRY_MS,
-  SUMMARY_INTERVAL_MS,
 } from './OwnerConstants.ts';
 import {OWNER_EVENTS} from './OwnerEvents.ts';
 import {OwnerLoad} from './OwnerLoad.ts';
@@ -48,8 +45,10 @@
 import {QueueLengthPublisher} from './QueueLengthPublisher.ts';
 import {Retention} from './Retention.ts';
 import {Roster} from './Roster.ts';
+import {RoundLog} from './RoundLog.ts';
 import {StartLimiter} from './StartLimiter.ts';
 import {StartThrottle} from './StartThrottle.ts';
+import {TrackedOrders} from './TrackedOrders.ts';
 
 export interface OwnerOptions {
   /** Client of the advising service; undefined where the platform has none. */
@@ -84,28 +83,25 @@
   #queues: readonly QueuePolicy[] | undefined;
   readonly #retention: Retention;
   readonly #roster: Roster;
+  readonly #roundLog: RoundLog;
   readonly #sharing = new SharingPolicy(this.#estimator);
   readonly #startLimiter = new StartLimiter();
   readonly #startThrottle = new StartThrottle();
   #stopReason: string | undefined;
-  #summarizedAt = -Infinity;
   readonly #queueLengths: QueueLengthPublisher;
   #wake: (() => void) | undefined;
-  readonly #untrustedMinions = new UntrustedMinionLog();
-  readonly #withheldTasks = new WithheldTaskLog();
 
   constructor(options: OwnerOptions) {
-    const {clock, directory, events, orders, ownership, store} = options;
+    const {clock, directory, events, ownership, store} = options;
     this.#options = options;
+    const orders = new TrackedOrders(options.orders, clock);
     const onChange = (): void => {
       this.#wakeUp();
     };
     const onFenced = (): void => {
       this.stop('fenced');
     };
-    this.#fleet = new Fleet(events);
-    this.#fleet.runNumberBase = ownership.term * RUN_NUMBERS_PER_TERM + 1;
-    this.#fleet.recoveryRevision = ownership.token;
+    this.#fleet = createFleet(options);
     const fleet = this.#fleet;
     this.#journal = new Journal({dirtyJobs: fleet.dirtyJobs, events, onFenced, ownership, store});
     this.#roster = new Roster({clock, events, onFenced, ownership, store});
@@ -163,6 +159,7 @@
       },
       store,
     });
+    this.#roundLog = this.#createRoundLog(orders);
   }
 
   /** Owns the fleet until the ownership ends; returns the reason. */
@@ -199,11 +196,33 @@
     this.#wakeUp();
   }
 
+  #createRoundLog(orders: TrackedOrders): RoundLog {
+    const {events, ownership} = this.#options;
+    return new RoundLog({
+      events,
+      fleet: this.#fleet,
+      load: this.#load,
+      minions: this.#minions,
+      orders,
+      ownership,
+      startLimiter: this.#startLimiter,
+      startThrottle: this.#startThrottle,
+    });
+  }
+
   #isActing(): boolean {
     const {clock, ownership} = this.#options;
     return ownership.state(clock.monotonic(), clock.wall()) !== 'over';
   }
 
+  /** Returns why nothing may start now; undefined when starts are planned. */
+  #findHold(now: Instant): RoundHold | undefined {
+    if (this.#startLimiter.isBacklogged) {
+      return 'backlog';
+    }
+    return this.#minions.isDirectoryOutdated(now) ? 'directory' : undefined;
+  }
+
   /** Runs one round of planning and sends the resulting starts and stops. */
   #plan(): void {
     const {clock, events, ownership, queues} = this.#options;
@@ -220,36 +239,21 @@
       evacuateMinion(fleet, minion, this.#estimator, now);
     }
     const deferrableStarts = this.#startThrottle.getAllowance(now);
-    const isHeld = this.#startLimiter.isBacklogged || this.#minions.isDirectoryOutdated(now);
-    const starts = isHeld
-      ? []
-      : planStarts(fleet, {
-          advice: this.#advice.createLookup(now),
-          deferrableStarts,
-          estimator: this.#estimator,
-          now,
-          sharingCosts: this.#sharing,
-          wall,
-        });
-    if (now - this.#summarizedAt > SUMMARY_INTERVAL_MS) {
-      this.#summarizedAt = now;
-      events.record(OWNER_EVENTS.FLEET_SUMMARY, {
-        ...summarizeFleet(fleet, now, wall),
-        ...this.#startLimiter.eventFields,
-        ...this.#startThrottle.eventFields,
-        ...this.#load.takeFields(),
-        directoryAgeMs: Math.round(this.#minions.computeDirectoryAge(now)),
-      });
-      if (fleet.recoveryRevision > 0) {
-        events.record(OWNER_EVENTS.RECOVERY_WAITING, this.#minions.recovery.describe(now));
-      }
-    }
-    const recoveryMs = this.#minions.recovery.findRemainingMs(now);
-    this.#untrustedMinions.review(fleet, now);
-    this.#withheldTasks.review(fleet, {now, recoveryMs, wall});
+    const hold = this.#findHold(now);
+    const starts =
+      hold === undefined
+        ? planStarts(fleet, {
+            advice: this.#advice.createLookup(now),
+            deferrableStarts,
+            estimator: this.#estimator,
+            now,
+            sharingCosts: this.#sharing,
+            wall,
+          })
+        : [];
+    this.#roundLog.record({hold, now, starts, wall});
     this.#startThrottle.recordStarts(countDeferrable(fleet, starts));
     for (const run of starts) {
-      this.#load.recordPlaced(run, now);
       this.#minions.startRun(run);
     }
     for (const request of fleet.pendingStops.splice(0)) {
@@ -334,3 +338,11 @@
     this.#wake = undefined;
   }
 }
+
+/** Creates the state of a fleet whose minions may have runs of former owners. */
+function createFleet({events, ownership}: OwnerOptions): Fleet {
+  const fleet = new Fleet(events);
+  fleet.runNumberBase = ownership.term * RUN_NUMBERS_PER_TERM + 1;
+  fleet.recoveryRevision = ownership.token;
+  return fleet;
+}
--- a/packages/nutmegproxy-owner/src/OwnerEvents.ts
+++ b/packages/nutmegproxy-owner/src/OwnerEvents.ts
@@ -125,6 +125,11 @@
     text: 'A start was given up, since its minion has shrunk since the task was placed.',
   },
   STORE_CALL_FAILED: {code: 8122, level: 'warn', text: 'A call to the store or a watch failed.'},
+  TASKS_WITHHELD: {
+    code: 8144,
+    level: 'info',
+    text: 'How many tasks of long-running jobs do not run and why, and what the owner did since the last such line.',
+  },
   TRIAL_NOT_STORED: {
     code: 8138,
     level: 'warn',
--- /dev/null
+++ b/packages/nutmegproxy-owner/src/RoundLog.ts
@@ -0,0 +1,91 @@
+/** Logs, at bounded rates, what the rounds of planning have found and done. */
+
+import type {EventSink, Instant, WallTime} from '@nutmegproxy/core';
+import type {Run} from '@nutmegproxy/jobs';
+import type {Fleet} from '@nutmegproxy/scheduling';
+
+import {summarizeFleet, UntrustedMinionLog, WithheldTaskLog} from '@nutmegproxy/scheduling';
+
+import type {FleetOwnership} from './FleetOwnership.ts';
+import type {MinionSessions} from './MinionSessions.ts';
+import type {OwnerLoad} from './OwnerLoad.ts';
+import type {StartLimiter} from './StartLimiter.ts';
+import type {StartThrottle} from './StartThrottle.ts';
+import type {TrackedOrders} from './TrackedOrders.ts';
+
+import {SUMMARY_INTERVAL_MS} from './OwnerConstants.ts';
+import {OWNER_EVENTS} from './OwnerEvents.ts';
+import {TaskWaitLog} from './TaskWaitLog.ts';
+
+/**
+ * Why a round starts nothing. `backlog`: too many starts wait to be sent. `directory`: the view of the
+ * directory of minions is too old.
+ */
+export type RoundHold = 'backlog' | 'directory';
+
+/** A round of planning. */
+export interface Round {
+  readonly hold: RoundHold | undefined;
+  readonly now: Instant;
+  readonly starts: readonly Run[];
+  readonly wall: WallTime;
+}
+
+export interface RoundLogOptions {
+  readonly events: EventSink;
+  readonly fleet: Fleet;
+  readonly load: OwnerLoad;
+  readonly minions: MinionSessions;
+  readonly orders: TrackedOrders;
+  readonly ownership: FleetOwnership;
+  readonly startLimiter: StartLimiter;
+  readonly startThrottle: StartThrottle;
+}
+
+export class RoundLog {
+  readonly #options: RoundLogOptions;
+  #summarizedAt = -Infinity;
+  readonly #taskWaits: TaskWaitLog;
+  readonly #untrustedMinions = new UntrustedMinionLog();
+  readonly #withheldTasks = new WithheldTaskLog();
+
+  constructor(options: RoundLogOptions) {
+    this.#options = options;
+    this.#taskWaits = new TaskWaitLog(options);
+  }
+
+  /** Records a round, whose starts have not been sent yet. */
+  record(round: Round): void {
+    const {fleet, load, minions} = this.#options;
+    const {now, starts, wall} = round;
+    this.#summarize(now, wall);
+    const recoveryMs = minions.recovery.findRemainingMs(now);
+    this.#untrustedMinions.review(fleet, now);
+    this.#taskWaits.recordRound(round);
+    const withheld = this.#withheldTasks.review(fleet, {now, recoveryMs, wall});
+    if (withheld !== undefined) {
+      this.#taskWaits.review(withheld, now);
+    }
+    for (const run of starts) {
+      load.recordPlaced(run, now);
+    }
+  }
+
+  #summarize(now: Instant, wall: WallTime): void {
+    if (now - this.#summarizedAt <= SUMMARY_INTERVAL_MS) {
+      return;
+    }
+    this.#summarizedAt = now;
+    const {events, fleet, load, minions, startLimiter, startThrottle} = this.#options;
+    events.record(OWNER_EVENTS.FLEET_SUMMARY, {
+      ...summarizeFleet(fleet, now, wall),
+      ...startLimiter.eventFields,
+      ...startThrottle.eventFields,
+      ...load.takeFields(),
+      directoryAgeMs: Math.round(minions.computeDirectoryAge(now)),
+    });
+    if (fleet.recoveryRevision > 0) {
+      events.record(OWNER_EVENTS.RECOVERY_WAITING, minions.recovery.describe(now));
+    }
+  }
+}
--- a/packages/nutmegproxy-scheduling/src/ReadySteps.ts
+++ b/packages/nutmegproxy-scheduling/src/ReadySteps.ts
@@ -11,16 +11,22 @@
 }
 
 /**
- * Returns the waiting tasks of a step that can't have a live run from a former owner. During
- * recovery, these are the tasks whose last run this owner has seen itself.
+ * Whether a waiting task can't have a live run from a former owner. During recovery, that is so if
+ * this owner has seen its last run itself.
  */
-export function listStartableTasks(
-  fleet: Fleet,
-  {job, recoveredTasks, waiting}: StepState,
-): number[] {
-  const indexes = [...waiting];
-  return job.revision <= fleet.recoveryRevision
-    ? indexes.filter((index) => recoveredTasks.has(index))
+export function isStartableTask(
+  {recoveryRevision}: Fleet,
+  {job, recoveredTasks}: StepState,
+  index: number,
+): boolean {
+  return job.revision > recoveryRevision || recoveredTasks.has(index);
+}
+
+/** Returns the waiting tasks of a step that can't have a live run from a former owner. */
+export function listStartableTasks(fleet: Fleet, step: StepState): number[] {
+  const indexes = [...step.waiting];
+  return step.job.revision <= fleet.recoveryRevision
+    ? indexes.filter((index) => isStartableTask(fleet, step, index))
     : indexes;
 }
 
--- a/packages/nutmegproxy-scheduling/src/WithheldTaskLog.ts
+++ b/packages/nutmegproxy-scheduling/src/WithheldTaskLog.ts
@@ -10,10 +10,13 @@
 
 import type {Fleet} from './Fleet.ts';
 import type {MinionState} from './MinionState.ts';
+import type {WithheldReason} from './WithheldTaskSummary.ts';
 
+import {isInterruptedTask} from './InterruptedTaskStarts.ts';
 import {surveyPlacement} from './PlacementSurvey.ts';
-import {listStartableTasks} from './ReadySteps.ts';
+import {isStartableTask} from './ReadySteps.ts';
 import {SCHEDULING_EVENTS} from './SchedulingEvents.ts';
+import {WithheldTaskSummary} from './WithheldTaskSummary.ts';
 
 /** Time in milliseconds from which a task that does not run is logged. */
 const MIN_WAIT_MS = 1_500;
@@ -24,13 +27,6 @@
 /** Maximum number of lines of one review. */
 const MAX_LINES = 20;
 
-/**
- * `lease`: a run may be live on a minion that does not respond, until its lease has expired.
- * `placement`: it may start and has found no minion. `recovery`: minions that have not reported may
- * run it. `start`: its minion has not listed it yet. `stop`: the result of its stopped run is not listed.
- */
-type WithheldReason = 'lease' | 'placement' | 'recovery' | 'start' | 'stop';
-
 /** What the reasons of one review are found from. */
 interface Review {
   readonly fleet: Fleet;
@@ -42,9 +38,13 @@
   /** Called for a task that is logged only, as some reasons take a look at all minions. */
   readonly describe: () => EventFields;
   readonly reason: WithheldReason;
+  /** The run that may be live; undefined when none is known. */
+  readonly run?: Run;
 }
 
 interface Wait {
+  /** Whether the task was interrupted, as of the review that found first that it does not run. */
+  readonly isInterrupted: boolean;
   reason: WithheldReason;
   recordedAt: Instant | undefined;
   readonly since: Instant;
@@ -60,20 +60,22 @@
   #waits = new Map<string, Wait>();
 
   /**
-   * Reviews all long-running tasks and logs those that have not run for some time. `recoveryMs` is the
-   * longest time in milliseconds for which the recovery may still wait.
+   * Reviews all long-running tasks and logs those that have not run for some time; returns a summary, or
+   * undefined when the last review was a short time ago. `recoveryMs` is the longest time in milliseconds
+   * for which the recovery may still wait.
    */
   review(
     fleet: Fleet,
     time: {readonly now: Instant; readonly recoveryMs: number; readonly wall: WallTime},
-  ): void {
+  ): undefined | WithheldTaskSummary {
     const {now, recoveryMs, wall} = time;
     if (now - this.#reviewedAt < REVIEW_INTERVAL_MS) {
-      return;
+      return undefined;
     }
     this.#reviewedAt = now;
     const waits = new Map<string, Wait>();
     const review = {fleet, recoveryMs, survey: createSurvey(fleet, now)};
+    const summary = new WithheldTaskSummary();
     let lines = 0;
     for (const {index, step} of listLongRunningTasks(fleet, wall)) {
       const withheld = findReason(step, index, review, now);
@@ -87,8 +89,23 @@
         occurrence: step.occurrence,
         step: step.number,
       });
-      const wait = this.#waits.get(task) ?? {reason, recordedAt: undefined, since: now};
+      const wait = this.#waits.get(task) ?? {
+        isInterrupted: isInterruptedTask(step, index),
+        reason,
+        recordedAt: undefined,
+        since: now,
+      };
       waits.set(task, wait);
+      const waitedMs = Math.round(now - wait.since);
+      const describe = (): EventFields => ({
+        ...withheld.describe(),
+        job: step.job.id,
+        reason,
+        task,
+        waitedMs,
+      });
+      const {isInterrupted} = wait;
+      summary.add({describe, isInterrupted, knownFrom: withheld.run?.knownFrom, reason, waitedMs});
       const isRepeated =
         wait.reason === reason && now - (wait.recordedAt ?? -Infinity) < REPEAT_INTERVAL_MS;
       if (now - wait.since < MIN_WAIT_MS || isRepeated || lines >= MAX_LINES) {
@@ -97,11 +114,10 @@
       lines += 1;
       wait.reason = reason;
       wait.recordedAt = now;
-      const waitedMs = Math.round(now - wait.since);
-      const named = {...withheld.describe(), job: step.job.id, reason, task, waitedMs};
-      fleet.events.record(SCHEDULING_EVENTS.TASK_WITHHELD, named);
+      fleet.events.record(SCHEDULING_EVENTS.TASK_WITHHELD, describe());
     }
     this.#waits = waits;
+    return summary;
   }
 }
 
@@ -144,7 +160,7 @@
   now: Instant,
 ): undefined | WithheldTask {
   if (step.waiting.has(index)) {
-    return listStartableTasks(fleet, step).includes(index)
+    return isStartableTask(fleet, step, index)
       ? {describe: () => survey(step), reason: 'placement'}
       : {describe: () => ({untilMs: Math.round(recoveryMs)}), reason: 'recovery'};
   }
@@ -161,6 +177,7 @@
     minion && {
       describe: () => describeRunOn(run, minion, now),
       reason: findRunReason(run, minion),
+      run,
     }
   );
 }
--- a/packages/nutmegproxy-scheduling/src/__tests__/unit/WithheldTaskLog.test.ts
+++ b/packages/nutmegproxy-scheduling/src/__tests__/unit/WithheldTaskLog.test.ts
@@ -190,4 +190,74 @@
     sample.fleet.cancelJob(job);
     assert.deepEqual(reviewUntil(3_000), []);
   });
+
+  describe('the summary of a review', () => {
+    /** Returns the fields of a summary, and of the waits of interrupted tasks only those that count. */
+    function summarize(nowMs: number): EventFields {
+      const wall = wallAt(nowMs);
+      const summary = log.review(sample.fleet, {now: at(nowMs), recoveryMs: RECOVERY_MS, wall});
+      assert.ok(summary);
+      return Object.fromEntries(Object.entries(summary.describe()).filter(([, value]) => value));
+    }
+
+    it('counts a task that has not run as a first start', () => {
+      assert.deepEqual(summarize(0), {waitingFirst: 1});
+    });
+
+    it('is left out when the last review was a short time ago', () => {
+      summarize(0);
+      const time = {now: at(400), recoveryMs: RECOVERY_MS, wall: wallAt(400)};
+      assert.equal(log.review(sample.fleet, time), undefined);
+    });
+
+    it('counts no task that runs', () => {
+      adoptRun();
+      assert.deepEqual(summarize(0), {});
+    });
+
+    it('counts a task of a former owner that recovery holds', () => {
+      step.recordRunNumber(0, 7 as RunNumber);
+      sample.fleet.recoveryRevision = job.revision;
+      const {reason, waitingRecovery} = summarize(0);
+      assert.deepEqual({reason, waitingRecovery}, {reason: 'recovery', waitingRecovery: 1});
+    });
+
+    for (const [knownFrom, field] of [
+      ['record', 'waitingRecord'],
+      ['listing', 'waitingLease'],
+      ['order', 'waitingLease'],
+    ] as const) {
+      it(`counts the lease of a run that is known from: ${knownFrom}`, () => {
+        adoptRun();
+        for (const run of step.runs()) {
+          run.knownFrom = knownFrom;
+        }
+        minion.missedCalls = 2;
+        const {[field]: count, reason} = summarize(0);
+        assert.deepEqual({count, reason}, {count: 1, reason: 'lease'});
+      });
+    }
+
+    it('counts an interrupted task that finds no minion, and describes the longest wait', () => {
+      step.recordRunNumber(0, 7 as RunNumber);
+      minion.missedCalls = 2;
+      summarize(0);
+      const later = sample.addJob('proofs', [shape({count: 2, longRunning: true})]);
+      for (const each of [...later.openOccurrences(wallAt(0))].flat()) {
+        each.recordRunNumber(1, 7 as RunNumber);
+      }
+      const {passedOver, reason, task, waitedMs, waitingFirst, waitingPlacement} = summarize(900);
+      assert.deepEqual(
+        {passedOver, reason, task, waitedMs, waitingFirst, waitingPlacement},
+        {
+          passedOver: 'not-responding=1:4',
+          reason: 'placement',
+          task: `${job.id}.0.0.0`,
+          waitedMs: 900,
+          waitingFirst: 1,
+          waitingPlacement: 2,
+        },
+      );
+    });
+  });
 });
--- a/packages/nutmegproxy-scheduling/src/index.ts
+++ b/packages/nutmegproxy-scheduling/src/index.ts
@@ -51,3 +51,5 @@
 export type {InterferingTask, TailModelSnapshot} from './TailLatencyModel.ts';
 export {UntrustedMinionLog} from './UntrustedMinionLog.ts';
 export {WithheldTaskLog} from './WithheldTaskLog.ts';
+export {WithheldTaskSummary} from './WithheldTaskSummary.ts';
+export type {TaskWait, WithheldCause, WithheldReason} from './WithheldTaskSummary.ts';
