--- a/packages/nutmegproxy-emulator/src/__tests__/unit/SilentEndedRuns.test.ts
+++ b/packages/nutmegproxy-emulator/src/__tests__/unit/SilentEndedRuns.test.ts
@@ -2,6 +2,7 @@
 
 import {brand} from '@nutmegproxy/core';
 import {OWNER_EVENTS} from '@nutmegproxy/owner';
+import {SCHEDULING_EVENTS} from '@nutmegproxy/scheduling';
 import assert from 'node:assert/strict';
 import {afterEach, beforeEach, describe, it} from 'node:test';
 
@@ -83,6 +84,18 @@
       await takeOver();
     });
 
+    it('runs again in time when another minion had taken the address of the silent one', async () => {
+      await cutOff();
+      const faults = harness.fleet.faults(minion.description.id);
+      faults.rejection = {clockMs: undefined, kind: 'other-life', message: 'another minion'};
+      faults.isUnreachable = false;
+      minion.restart(2, harness.clock.monotonic());
+      await waitFor('its end is seen', () => harness.events.includes(SCHEDULING_EVENTS.RUN_LOST));
+      await sleep(SETTLED_MS);
+      faults.isUnreachable = true;
+      await takeOver();
+    });
+
     it('runs again in time when the end was listed and progress of other jobs was not stored', async () => {
       areJobsStored = false;
       await submitJob(harness.store, createStoredJob(2, [createStepShape()]));
--- a/packages/nutmegproxy-owner/src/MinionSession.ts
+++ b/packages/nutmegproxy-owner/src/MinionSession.ts
@@ -133,12 +133,10 @@
     recordMinionCrash(fleet, this.minion, clock.monotonic());
     // A start that was sent meanwhile may have reached the new incarnation, and so may a former
     // owner's start that only its record names; the next poll decides.
-    const lost = [...this.minion.runs, ...this.minion.endedRuns].filter(
+    const lost = this.#loseRuns(
+      'minion restarted',
       ({knownFrom}) => this.minion.hasReported && knownFrom !== 'order',
     );
-    for (const run of lost) {
-      fleet.recordLostRun(run, 'minion restarted');
-    }
     onRunsLost(this.minion, lost);
   }
 
@@ -358,20 +356,30 @@
     }
     events.record(OWNER_EVENTS.ORDER_FAILED, {...fields, kind});
     if (kind === 'other-life') {
-      this.#endIncarnation('address taken by another minion');
+      this.#context.onRunsLost(
+        this.minion,
+        this.#endIncarnation('address taken by another minion'),
+      );
     }
   }
 
-  /** Handles that no run of the minion is live any more. */
-  #endIncarnation(reason: string): void {
+  /** Handles that no run of the minion is live any more; returns those that were or may have been. */
+  #endIncarnation(reason: string): readonly Run[] {
     const {clock, fleet} = this.#context;
     recordReplacement(fleet, this.minion, clock.monotonic());
     this.#results = new ListedResults();
     this.minion.areRunsKnown = true;
     this.minion.hasReported = false;
     this.minion.mayOmitResults = false;
-    for (const run of [...this.minion.runs, ...this.minion.endedRuns]) {
-      fleet.recordLostRun(run, reason);
+    return this.#loseRuns(reason, () => true);
+  }
+
+  /** Handles that those runs are over that `isOver` returns true for, and returns them. */
+  #loseRuns(reason: string, isOver: (run: Run) => boolean): readonly Run[] {
+    const lost = [...this.minion.runs, ...this.minion.endedRuns].filter(isOver);
+    for (const run of lost) {
+      this.#context.fleet.recordLostRun(run, reason);
     }
+    return lost;
   }
 }
--- a/packages/nutmegproxy-owner/src/RecordedRunEnds.ts
+++ b/packages/nutmegproxy-owner/src/RecordedRunEnds.ts
@@ -31,6 +31,9 @@
   minion: MinionState,
   ended: readonly Run[],
 ): Promise<void> {
+  if (ended.length === 0) {
+    return;
+  }
   await journal.flush();
   const {description, id} = minion;
   const silent = roster.find(id)?.silent;
