--- a/packages/nutmegproxy-emulator/src/__tests__/unit/SilentEndedRuns.test.ts
+++ b/packages/nutmegproxy-emulator/src/__tests__/unit/SilentEndedRuns.test.ts
@@ -84,17 +84,22 @@
       await takeOver();
     });
 
-    it('runs again in time when another minion had taken the address of the silent one', async () => {
-      await cutOff();
-      const faults = harness.fleet.faults(minion.description.id);
-      faults.rejection = {clockMs: undefined, kind: 'other-life', message: 'another minion'};
-      faults.isUnreachable = false;
-      minion.restart(2, harness.clock.monotonic());
-      await waitFor('its end is seen', () => harness.events.includes(SCHEDULING_EVENTS.RUN_LOST));
-      await sleep(SETTLED_MS);
-      faults.isUnreachable = true;
-      await takeOver();
-    });
+    for (const isSilent of [true, false]) {
+      const before = isSilent ? 'it had fallen silent' : 'it had not';
+      it(`runs again in time when another minion had taken the address before the kill, and ${before}`, async () => {
+        if (isSilent) {
+          await cutOff();
+        }
+        const faults = harness.fleet.faults(minion.description.id);
+        faults.rejection = {clockMs: undefined, kind: 'other-life', message: 'another minion'};
+        faults.isUnreachable = false;
+        minion.restart(2, harness.clock.monotonic());
+        await waitFor('its end is seen', () => harness.events.includes(SCHEDULING_EVENTS.RUN_LOST));
+        await sleep(SETTLED_MS);
+        faults.isUnreachable = true;
+        await takeOver();
+      });
+    }
 
     it('runs again in time when the end was listed and progress of other jobs was not stored', async () => {
       areJobsStored = false;
--- a/packages/nutmegproxy-owner/src/MinionSession.ts
+++ b/packages/nutmegproxy-owner/src/MinionSession.ts
@@ -356,10 +356,11 @@
     }
     events.record(OWNER_EVENTS.ORDER_FAILED, {...fields, kind});
     if (kind === 'other-life') {
-      this.#context.onRunsLost(
-        this.minion,
-        this.#endIncarnation('address taken by another minion'),
-      );
+      const lost = this.#endIncarnation('address taken by another minion');
+      this.#context.onRunsLost(this.minion, lost);
+      if (!this.minion.isRecordedUnreachable && !this.#stopped) {
+        onSilent(this.minion);
+      }
     }
   }
 
