--- a/packages/nutmegproxy-emulator/src/__tests__/unit/RestartedSilentMinions.test.ts
+++ b/packages/nutmegproxy-emulator/src/__tests__/unit/RestartedSilentMinions.test.ts
@@ -103,22 +103,32 @@
       minion.description = description;
     }
 
-    it('does not start its task twice at once when it had denied that before', async () => {
-      writeOddEntry();
-      await waitFor('the restart is denied', () => countEvents(OWNER_EVENTS.RESTART_DENIED) === 1);
-      await cutOff();
-      await owner.kill(OWNERSHIP_TTL_MS);
-      const other = harness.addMinion('m2');
-      const {ownership} = await harness.start('vm-2');
-      await waitFor('the other minion has reported', () => other.answeredPolls > 0);
-      await sleep(SETTLED_MS);
-      for (let elapsedMs = 0; elapsedMs < LEASE_OVER_MS; elapsedMs += STEP_MS) {
-        await harness.passTime(ownership, STEP_MS, STEP_MS, STEP_PAUSE_MS);
-        minion.advance(harness.clock.monotonic());
-        assert.ok(minion.liveTasks.length + other.liveTasks.length <= 1);
-      }
-      await waitFor('the task runs again', () => other.liveTasks.length === 1);
-    });
+    for (const isRepeated of [false, true]) {
+      const repeated = isRepeated ? ', and it is written again' : '';
+      it(`does not start its task twice at once when it had denied that before${repeated}`, async () => {
+        writeOddEntry();
+        await waitFor(
+          'the restart is denied',
+          () => countEvents(OWNER_EVENTS.RESTART_DENIED) === 1,
+        );
+        await cutOff();
+        if (isRepeated) {
+          writeOddEntry();
+          await sleep(SETTLED_MS);
+        }
+        await owner.kill(OWNERSHIP_TTL_MS);
+        const other = harness.addMinion('m2');
+        const {ownership} = await harness.start('vm-2');
+        await waitFor('the other minion has reported', () => other.answeredPolls > 0);
+        await sleep(SETTLED_MS);
+        for (let elapsedMs = 0; elapsedMs < LEASE_OVER_MS; elapsedMs += STEP_MS) {
+          await harness.passTime(ownership, STEP_MS, STEP_MS, STEP_PAUSE_MS);
+          minion.advance(harness.clock.monotonic());
+          assert.ok(minion.liveTasks.length + other.liveTasks.length <= 1);
+        }
+        await waitFor('the task runs again', () => other.liveTasks.length === 1);
+      });
+    }
 
     it('does not start its task twice at once when it responds before a task is started', async () => {
       await cutOff();
--- a/packages/nutmegproxy-owner/src/MinionSession.ts
+++ b/packages/nutmegproxy-owner/src/MinionSession.ts
@@ -31,6 +31,8 @@
   readonly minion: MinionState;
   #bornAt: number | undefined;
   readonly #context: SessionContext;
+  /** Start time that the directory reported last and the minion denied: another writer's. */
+  #deniedBornAt: number | undefined;
   /** Start time of an incarnation that only the directory reports; the next poll decides whether it is. */
   #reportedBornAt: number | undefined;
   #omissionLoggedAt = -Infinity;
@@ -78,9 +80,12 @@
   /**
    * Detects a new incarnation of the minion by the start time in its entry. The entry may be another
    * writer's, so a minion that responds is asked first. It may also be older than a listing, so an
-   * earlier start time is ignored.
+   * earlier start time is ignored, and so is one that the minion has denied.
    */
   observeEntry(bornAt: number | undefined): void {
+    if (bornAt === this.#deniedBornAt) {
+      return;
+    }
     const isLater = bornAt !== undefined && bornAt > (this.#bornAt ?? Infinity);
     if (isLater && this.minion.hasReported && this.minion.missedCalls === 0) {
       this.#reportedBornAt = bornAt;
@@ -96,6 +101,7 @@
   #observeListing(bornAt: number | undefined, reportedBornAt: number | undefined): void {
     const isDecisive = reportedBornAt !== undefined && reportedBornAt === this.#reportedBornAt;
     if (isDecisive && bornAt !== undefined && bornAt <= (this.#bornAt ?? -Infinity)) {
+      this.#deniedBornAt = reportedBornAt;
       this.#reportedBornAt = undefined;
       const fields = {bornAt, entryBornAt: reportedBornAt, minion: this.minion.id};
       this.#context.events.record(OWNER_EVENTS.RESTART_DENIED, fields);
