--- a/packages/nutmegproxy-owner/src/MinionSession.ts
+++ b/packages/nutmegproxy-owner/src/MinionSession.ts
@@ -31,6 +31,8 @@
   readonly minion: MinionState;
   #bornAt: number | undefined;
   readonly #context: SessionContext;
+  /** Start time that the directory reported last and the minion denied: another writer's. */
+  #deniedBornAt: number | undefined;
   /** Start time of an incarnation that only the directory reports; the next poll decides whether it is. */
   #reportedBornAt: number | undefined;
   #omissionLoggedAt = -Infinity;
@@ -78,9 +80,12 @@
   /**
    * Detects a new incarnation of the minion by the start time in its entry. The entry may be another
    * writer's, so a minion that responds is asked first. It may also be older than a listing, so an
-   * earlier start time is ignored.
+   * earlier start time is ignored, and so is one that the minion has denied.
    */
   observeEntry(bornAt: number | undefined): void {
+    if (bornAt === this.#deniedBornAt) {
+      return;
+    }
     const isLater = bornAt !== undefined && bornAt > (this.#bornAt ?? Infinity);
     if (isLater && this.minion.hasReported && this.minion.missedCalls === 0) {
       this.#reportedBornAt = bornAt;
@@ -96,6 +101,7 @@
   #observeListing(bornAt: number | undefined, reportedBornAt: number | undefined): void {
     const isDecisive = reportedBornAt !== undefined && reportedBornAt === this.#reportedBornAt;
     if (isDecisive && bornAt !== undefined && bornAt <= (this.#bornAt ?? -Infinity)) {
+      this.#deniedBornAt = reportedBornAt;
       this.#reportedBornAt = undefined;
       const fields = {bornAt, entryBornAt: reportedBornAt, minion: this.minion.id};
       this.#context.events.record(OWNER_EVENTS.RESTART_DENIED, fields);
@@ -133,12 +139,10 @@
     recordMinionCrash(fleet, this.minion, clock.monotonic());
     // A start that was sent meanwhile may have reached the new incarnation, and so may a former
     // owner's start that only its record names; the next poll decides.
-    const lost = [...this.minion.runs, ...this.minion.endedRuns].filter(
+    const lost = this.#loseRuns(
+      'minion restarted',
       ({knownFrom}) => this.minion.hasReported && knownFrom !== 'order',
     );
-    for (const run of lost) {
-      fleet.recordLostRun(run, 'minion restarted');
-    }
     onRunsLost(this.minion, lost);
   }
 
@@ -358,20 +362,31 @@
     }
     events.record(OWNER_EVENTS.ORDER_FAILED, {...fields, kind});
     if (kind === 'other-life') {
-      this.#endIncarnation('address taken by another minion');
+      const lost = this.#endIncarnation('address taken by another minion');
+      this.#context.onRunsLost(this.minion, lost);
+      if (!this.minion.isRecordedUnreachable && !this.#stopped) {
+        onSilent(this.minion);
+      }
     }
   }
 
-  /** Handles that no run of the minion is live any more. */
-  #endIncarnation(reason: string): void {
+  /** Handles that no run of the minion is live any more; returns those that were or may have been. */
+  #endIncarnation(reason: string): readonly Run[] {
     const {clock, fleet} = this.#context;
     recordReplacement(fleet, this.minion, clock.monotonic());
     this.#results = new ListedResults();
     this.minion.areRunsKnown = true;
     this.minion.hasReported = false;
     this.minion.mayOmitResults = false;
-    for (const run of [...this.minion.runs, ...this.minion.endedRuns]) {
-      fleet.recordLostRun(run, reason);
+    return this.#loseRuns(reason, () => true);
+  }
+
+  /** Handles that those runs are over that `isOver` returns true for, and returns them. */
+  #loseRuns(reason: string, isOver: (run: Run) => boolean): readonly Run[] {
+    const lost = [...this.minion.runs, ...this.minion.endedRuns].filter(isOver);
+    for (const run of lost) {
+      this.#context.fleet.recordLostRun(run, reason);
     }
+    return lost;
   }
 }
