--- a/packages/nutmegproxy-emulator/src/EmulatedFleet.ts
+++ b/packages/nutmegproxy-emulator/src/EmulatedFleet.ts
@@ -73,6 +73,11 @@
     this.#notifyWatchers([{description: undefined, id}]);
   }
 
+  /** Removes the entry of a minion that still responds. */
+  removeEntry(id: MinionId): void {
+    this.#notifyWatchers([{description: undefined, id}]);
+  }
+
   /** Replaces a minion that has crashed: another one responds at its address. */
   replace(former: MinionId, minion: EmulatedMinion): void {
     this.faults(former).rejection = {
