--- a/packages/nutmegproxy-owner/src/OwnerConstants.ts
+++ b/packages/nutmegproxy-owner/src/OwnerConstants.ts
@@ -38,6 +38,8 @@
 export const OMISSION_LOG_INTERVAL_MS = 5_000;
 /** Consecutive attempts to send a start or stop; after them the next poll decides. */
 export const ORDER_ATTEMPTS = 4;
+/** Starts of one run without a response after which a minion that responds to polls does not get it again. */
+export const MAX_UNANSWERED_STARTS = 8;
 /** Longest wait for the record of a suspected task's start; the task is then placed again. */
 export const TRIAL_RECORD_TIMEOUT_MS = 1_000;
 /** Pause between two attempts to send an order. */
--- a/packages/nutmegproxy-owner/src/RunOrders.ts
+++ b/packages/nutmegproxy-owner/src/RunOrders.ts
@@ -15,7 +15,12 @@
 import type {MinionTarget, OrderFailure} from './MinionOrders.ts';
 import type {SessionContext} from './SessionContext.ts';
 
-import {ORDER_ATTEMPTS, ORDER_RETRY_MS, TRIAL_RECORD_TIMEOUT_MS} from './OwnerConstants.ts';
+import {
+  MAX_UNANSWERED_STARTS,
+  ORDER_ATTEMPTS,
+  ORDER_RETRY_MS,
+  TRIAL_RECORD_TIMEOUT_MS,
+} from './OwnerConstants.ts';
 import {OWNER_EVENTS} from './OwnerEvents.ts';
 import {isSameTask} from './OwnerUtils.ts';
 
@@ -36,8 +41,8 @@
   readonly #minion: MinionState;
   readonly #starting = new Set<Run>();
   readonly #stopping = new Set<string>();
-  /** Runs of which a start got no response, so that the minion may still carry it out. */
-  readonly #unansweredStarts = new WeakSet<Run>();
+  /** Starts without a response, by run: the minion may still carry one out. */
+  readonly #unansweredStarts = new WeakMap<Run, number>();
 
   constructor(context: SessionContext, minion: MinionState, hooks: OrderHooks) {
     this.#context = context;
@@ -50,6 +55,10 @@
     for (const run of this.#minion.runs) {
       if (run.phase === 'starting' && this.#isAbandoned(run)) {
         this.#context.fleet.stopRun(run, 'evacuated');
+      } else if (run.phase === 'starting' && this.#isUnreceived(run)) {
+        // Another minion may receive its start, and this one rejects it once the stop has arrived.
+        run.step.avoid(run.task.index, this.#minion.id, this.#context.clock.monotonic());
+        this.#context.fleet.stopRun(run, 'unknown');
       } else if (run.phase === 'starting') {
         void this.start(run);
       } else if (run.phase === 'stopping') {
@@ -93,6 +102,12 @@
     return isDraining && this.#unansweredStarts.has(run) && !this.#starting.has(run);
   }
 
+  /** Whether a start is not sent again, since its minion responds to polls but to none of the starts. */
+  #isUnreceived(run: Run): boolean {
+    const starts = this.#unansweredStarts.get(run) ?? 0;
+    return starts >= MAX_UNANSWERED_STARTS && !this.#starting.has(run);
+  }
+
   /**
    * Waits until a start that may crash the minion is stored, since the next owner has to know of it;
    * false when the store does not respond, so that the minion is free again.
@@ -204,7 +219,7 @@
   /** Handles a failed start; returns undefined when it has to be sent again. */
   #handleStartFailure(run: Run, {kind}: OrderFailure, now: Instant): StartResult | undefined {
     if (kind === 'unanswered') {
-      this.#unansweredStarts.add(run);
+      this.#unansweredStarts.set(run, (this.#unansweredStarts.get(run) ?? 0) + 1);
       return undefined;
     }
     if (kind === 'late') {
--- a/packages/nutmegproxy-owner/src/__tests__/unit/RunOrders.test.ts
+++ b/packages/nutmegproxy-owner/src/__tests__/unit/RunOrders.test.ts
@@ -158,6 +158,41 @@
     });
   });
 
+  describe('a start that its minion never receives', () => {
+    /** Sends the start until the attempts are used up, as after each listing. */
+    async function sendStarts(rounds: number): Promise<void> {
+      failure = UNANSWERED;
+      limiter.leave(1, 0);
+      // The pauses between the attempts do not keep the process alive.
+      const alive = setInterval(() => undefined, 1_000);
+      for (let round = 0; round < rounds; round += 1) {
+        await orders.start(run);
+      }
+      clearInterval(alive);
+    }
+
+    it('is stopped after eight attempts, and its task avoids the minion, so that it does not wait for ever', async () => {
+      await sendStarts(2);
+      orders.resume();
+      assert.equal(sent.length, 8);
+      assert.equal(run.phase, 'stopping');
+      assert.deepEqual(
+        fleet.pendingStops.map(({number, reason}) => ({number, reason})),
+        [{number: run.number, reason: 'unknown'}],
+      );
+      assert.ok(run.step.isAvoided(0, minion.id, SYSTEM_CLOCK.monotonic()));
+    });
+
+    it('is sent again after the first attempts, as the minion may just have been silent', async () => {
+      await sendStarts(1);
+      failure = undefined;
+      orders.resume();
+      await new Promise((resolve) => setImmediate(resolve));
+      assert.equal(sent.length, 5);
+      assert.equal(run.phase, 'running');
+    });
+  });
+
   describe('a start to a minion that shrinks meanwhile', () => {
     it('is not sent when its minion would be over its capacity, and its task waits again', async () => {
       const started = orders.start(run);
