--- a/packages/nutmegproxy-emulator/src/__tests__/unit/SettledOwnerOrders.test.ts
+++ b/packages/nutmegproxy-emulator/src/__tests__/unit/SettledOwnerOrders.test.ts
@@ -88,5 +88,17 @@
         }
       }
     });
+
+    describe(
+      'when calls take as long to fail as on the platform',
+      {concurrency: CONCURRENT_TESTS},
+      () => {
+        for (const startOutcome of OUTCOMES) {
+          const name = `a start lost on a minion that ${VERBS[startOutcome]} 1.5 s later`;
+          const times = {callTimeoutMs: 500, outcomeDelayMs: 1_500, startDelayMs: Infinity};
+          testOrder(name, {...NO_FAULTS, ...list, ...times, startOutcome});
+        }
+      },
+    );
   });
 }
--- a/packages/nutmegproxy-emulator/src/__tests__/unit/SettledOwnerScenario.ts
+++ b/packages/nutmegproxy-emulator/src/__tests__/unit/SettledOwnerScenario.ts
@@ -18,10 +18,8 @@
 
 /** Time in milliseconds from the beginning of the draining until the minion leaves. */
 export const DRAINING_MS = 3_000;
-/** Time in milliseconds from the beginning of the draining, or from a start, until the next fault. */
+/** Time in milliseconds from the beginning of the draining until the next fault. */
 const FAULT_DELAY_MS = 600;
-/** Time in milliseconds after which a call fails that gets no response; in real time. */
-const CALL_TIMEOUT_MS = 40;
 /** Time in milliseconds for which the owner has been in charge before the minion drains. */
 const SETTLED_MS = 1_500;
 /** Time in milliseconds for which the task is watched once it runs again. */
@@ -46,12 +44,16 @@
 export type EntryChange = 'kept' | 'removed' | 'removed early' | 'rewritten';
 
 export interface SettledOwnerFaults extends CallFaults {
+  /** Time in milliseconds after which a call fails that gets no response. */
+  readonly callTimeoutMs: number;
   /** Time in milliseconds from the beginning of the draining until the minion leaves. */
   readonly drainingMs: number;
   readonly entry: EntryChange;
   readonly hasList: boolean;
   /** Whether the minion is cut off before it leaves. */
   readonly isCutOff: boolean;
+  /** Time in milliseconds from the first start on that minion to its `startOutcome`. */
+  readonly outcomeDelayMs: number;
   /** Time in milliseconds after which starts on that minion are carried out, without a response. */
   readonly startDelayMs: number | undefined;
   readonly startOutcome: StartOutcome;
@@ -59,10 +61,12 @@
 
 export const NO_FAULTS: SettledOwnerFaults = {
   arePollAnswersLost: false,
+  callTimeoutMs: 40,
   drainingMs: DRAINING_MS,
   entry: 'removed',
   hasList: false,
   isCutOff: false,
+  outcomeDelayMs: 300,
   startDelayMs: undefined,
   startOutcome: 'answers',
   stopDelayMs: undefined,
@@ -83,10 +87,8 @@
 const UNHEALTHY: OrderFailure = {clockMs: undefined, kind: 'unhealthy', message: 'injected'};
 
 /** Returns a call that fails after its timeout. */
-function timeOut<Answer>(): ResultAsync<Answer, OrderFailure> {
-  return new ResultAsync(
-    sleep(CALL_TIMEOUT_MS).then(() => errAsync<Answer, OrderFailure>(UNANSWERED)),
-  );
+function timeOut<Answer>(timeoutMs: number): ResultAsync<Answer, OrderFailure> {
+  return new ResultAsync(sleep(timeoutMs).then(() => errAsync<Answer, OrderFailure>(UNANSWERED)));
 }
 
 export class SettledOwnerScenario extends LastingTaskScenario {
@@ -175,7 +177,8 @@
 
   #injectCallFaults(): void {
     const {fleet} = this.harness;
-    const {arePollAnswersLost, startDelayMs, stopDelayMs, stopsRejected} = this.#faults;
+    const {arePollAnswersLost, callTimeoutMs, startDelayMs, stopDelayMs, stopsRejected} =
+      this.#faults;
     const {id: drainingId} = this.draining.description;
     const poll = fleet.poll.bind(fleet);
     const start = fleet.start.bind(fleet);
@@ -183,7 +186,7 @@
     fleet.poll = (target, order: PollOrder) => {
       const isLost = arePollAnswersLost && this.#isDraining && target.id === drainingId;
       return isLost
-        ? poll(target, order).andThen(() => timeOut<MinionListing>())
+        ? poll(target, order).andThen(() => timeOut<MinionListing>(callTimeoutMs))
         : poll(target, order);
     };
     fleet.stop = (target, order: RunOrder) => {
@@ -200,7 +203,7 @@
       this.after(stopDelayMs, () => {
         this.#carryOut(target.id, (minion) => minion.stop(order, this.now));
       });
-      return timeOut();
+      return timeOut(callTimeoutMs);
     };
     fleet.start = (target, order: StartOrder) => {
       if (this.#startTarget === undefined) {
@@ -213,7 +216,7 @@
       this.after(startDelayMs, () => {
         this.#carryOut(target.id, (minion) => minion.start(order, this.now));
       });
-      return timeOut();
+      return timeOut(callTimeoutMs);
     };
   }
 
@@ -248,7 +251,7 @@
         fleet.faults(id).isUnreachable = true;
       },
     };
-    this.after(FAULT_DELAY_MS, handlers[this.#faults.startOutcome]);
+    this.after(this.#faults.outcomeDelayMs, handlers[this.#faults.startOutcome]);
   }
 
   #leaveWithEntry(): void {
