--- a/packages/nutmegproxy-owner/src/DirectoryAge.ts
+++ b/packages/nutmegproxy-owner/src/DirectoryAge.ts
@@ -12,6 +12,11 @@
   #listedAt = -Infinity as Instant;
   #watch: MinionWatch | undefined;
 
+  /** As of when the directory is known; -Infinity before it was listed. */
+  get seenAt(): Instant {
+    return Math.max(this.#listedAt, this.#watch?.currentAsOf ?? -Infinity) as Instant;
+  }
+
   /** Called when the directory has to be listed again, since its watch broke. */
   beginListing(): void {
     this.#isListing = true;
@@ -29,8 +34,7 @@
    * only until the store last confirmed the ownership: no minion can report to a store that is down.
    */
   compute(confirmedAt: Instant, now: Instant): number {
-    const currentAsOf = Math.max(this.#listedAt, this.#watch?.currentAsOf ?? -Infinity);
     const isFailing = this.#isListing || this.#watch?.isFailing === true;
-    return Math.max(0, (isFailing ? confirmedAt : now) - currentAsOf);
+    return Math.max(0, (isFailing ? confirmedAt : now) - this.seenAt);
   }
 }
--- a/packages/nutmegproxy-owner/src/FleetOwnership.ts
+++ b/packages/nutmegproxy-owner/src/FleetOwnership.ts
@@ -1,6 +1,6 @@
 /** The right of this process to give orders: a key in the store that is bound to the ownership lease. */
 
-import type {Instant, WallTime} from '@nutmegproxy/core';
+import type {EventFields, Instant, WallTime} from '@nutmegproxy/core';
 import type {LeaseId} from '@nutmegproxy/store';
 
 import type {OwnershipToken} from './MinionOrders.ts';
@@ -48,6 +48,8 @@
   /** Sequence number of this ownership among all of the fleet, from 0. */
   readonly term: number;
   readonly token: OwnershipToken;
+  /** As of when this owner last knew the directory of minions, also in the store; undefined before. */
+  directorySeenAt: Instant | undefined;
   #hasGrantedLease = false;
   #isOver = false;
   #confirmedAt: Instant;
@@ -76,6 +78,21 @@
     return this.#hasGrantedLease;
   }
 
+  /**
+   * Returns event fields with times in milliseconds: since the acquisition, since the last confirmation
+   * and since this owner last knew the directory, which is shorter while the store responds to other calls.
+   */
+  describe(now: Instant, wall: WallTime): EventFields {
+    const {ageMs, wasSuspended} = this.#measureAge(now, wall);
+    const seenAt = this.directorySeenAt;
+    return {
+      confirmedMs: Math.round(ageMs),
+      directorySeenMs: seenAt === undefined ? undefined : Math.round(now - seenAt),
+      termMs: Math.round(now - this.requestedAt),
+      wasSuspended,
+    };
+  }
+
   end(): void {
     this.#isOver = true;
   }
--- a/packages/nutmegproxy-owner/src/MinionSessions.ts
+++ b/packages/nutmegproxy-owner/src/MinionSessions.ts
@@ -143,6 +143,11 @@
     return ok(undefined);
   }
 
+  /** As of when the directory is known; -Infinity before it was listed. */
+  get directorySeenAt(): Instant {
+    return this.#directoryAge.seenAt;
+  }
+
   /** Returns the largest age of the view of the directory, see `DirectoryAge`. */
   computeDirectoryAge(now: Instant): number {
     return this.#directoryAge.compute(this.#options.session.ownership.confirmedAt, now);
--- a/packages/nutmegproxy-owner/src/Owner.ts
+++ b/packages/nutmegproxy-owner/src/Owner.ts
@@ -230,6 +230,7 @@
     const wall = clock.wall();
     const fleet = this.#fleet;
     this.#updateQueues(queues());
+    ownership.directorySeenAt = this.#minions.directorySeenAt;
     this.#minions.sweep(ownership.confirmedAt, now);
     if (fleet.recoveryRevision > 0 && this.#minions.recovery.isComplete(ownership.confirmedAt)) {
       fleet.recoveryRevision = 0;
--- a/packages/nutmegproxy-owner/src/OwnerElection.ts
+++ b/packages/nutmegproxy-owner/src/OwnerElection.ts
@@ -80,9 +80,11 @@
 
   /** Releases the ownership, so that another VM can acquire it at once. */
   async resign(ownership: FleetOwnership, reason: string): Promise<void> {
-    const {events, vm} = this.#options;
+    const {clock, events, vm} = this.#options;
+    const {term} = ownership;
     ownership.end();
-    events.record(OWNER_EVENTS.OWNERSHIP_LOST, {reason, term: ownership.term, vm});
+    const age = ownership.describe(clock.monotonic(), clock.wall());
+    events.record(OWNER_EVENTS.OWNERSHIP_LOST, {...age, reason, term, vm});
     if (!ownership.hasGrantedLease) {
       await this.#releaseUnused(ownership);
     }
--- a/packages/nutmegproxy-owner/src/__tests__/unit/FleetOwnership.test.ts
+++ b/packages/nutmegproxy-owner/src/__tests__/unit/FleetOwnership.test.ts
@@ -38,6 +38,33 @@
     assert.equal(stateAfter(MAX_ACTING_MS + 1), 'over');
   });
 
+  describe('its event fields', () => {
+    const now = (CONFIRMED_AT_MS + 3_000) as Instant;
+    const wall = (now + WALL_OFFSET_MS) as WallTime;
+
+    it('tell the age of the last confirmation from that of other calls to the store', () => {
+      ownership.confirm((now - 2_500) as Instant, (wall - 2_500) as WallTime);
+      ownership.directorySeenAt = (now - 120) as Instant;
+      assert.deepEqual(ownership.describe(now, wall), {
+        confirmedMs: 2_500,
+        directorySeenMs: 120,
+        termMs: 3_000,
+        wasSuspended: false,
+      });
+    });
+
+    it('count a suspension, and omit the directory before it was listed', () => {
+      const {confirmedMs, directorySeenMs, wasSuspended} = ownership.describe(
+        now,
+        (wall + 4_000) as WallTime,
+      );
+      assert.deepEqual(
+        {confirmedMs, directorySeenMs, wasSuspended},
+        {confirmedMs: 7_000, directorySeenMs: undefined, wasSuspended: true},
+      );
+    });
+  });
+
   describe('after a suspension, which the monotonic clock does not count', () => {
     it('is unproved until a renewal', () => {
       assert.equal(stateAfter(10, 1_000), 'unproved');
--- a/packages/nutmegproxy-owner/src/__tests__/unit/OwnerElection.test.ts
+++ b/packages/nutmegproxy-owner/src/__tests__/unit/OwnerElection.test.ts
@@ -1,4 +1,4 @@
-import type {VmId} from '@nutmegproxy/core';
+import type {EventFields, EventSink, VmId} from '@nutmegproxy/core';
 
 import {brand, ManualClock, SILENT_EVENTS} from '@nutmegproxy/core';
 import {STATE_PREFIX} from '@nutmegproxy/jobs';
@@ -10,6 +10,7 @@
 import type {FleetOwnership} from '../../FleetOwnership.ts';
 
 import {OwnerElection} from '../../OwnerElection.ts';
+import {OWNER_EVENTS} from '../../OwnerEvents.ts';
 
 const TERM_KEY = `${STATE_PREFIX}term`;
 
@@ -98,4 +99,34 @@
       assert.equal((await acquire(open('vm-2'))).formerReleasedAt, clock.monotonic());
     });
   });
+
+  it('logs at the end of an ownership how long ago it was confirmed, and the store responded otherwise', async () => {
+    const lost: EventFields[] = [];
+    const events: EventSink = {
+      record: (kind, fields) => {
+        if (kind === OWNER_EVENTS.OWNERSHIP_LOST) {
+          lost.push(fields);
+        }
+      },
+    };
+    const election = new OwnerElection({clock, events, store, vm: brand<VmId>('vm-1')});
+    const ownership = await acquire(election);
+    clock.advance(5_000);
+    ownership.confirm(clock.monotonic(), clock.wall());
+    clock.advance(8_400);
+    ownership.directorySeenAt = clock.monotonic();
+    clock.advance(200);
+    await election.resign(ownership, 'lease not renewed');
+    assert.deepEqual(lost, [
+      {
+        confirmedMs: 8_600,
+        directorySeenMs: 200,
+        reason: 'lease not renewed',
+        term: 0,
+        termMs: 13_600,
+        vm: 'vm-1',
+        wasSuspended: false,
+      },
+    ]);
+  });
 });
