--- a/packages/nutmegproxy-emulator/src/__tests__/unit/TakeoverHarness.ts
+++ b/packages/nutmegproxy-emulator/src/__tests__/unit/TakeoverHarness.ts
@@ -1,6 +1,6 @@
 /** Owners that follow one another on an emulated fleet, with a clock that stands still by itself. */
 
-import type {EventKind, EventSink, VmId} from '@nutmegproxy/core';
+import type {EventFields, EventKind, EventSink, VmId} from '@nutmegproxy/core';
 import type {FleetOwnership} from '@nutmegproxy/owner';
 import type {PlatformStore} from '@nutmegproxy/store';
 
@@ -60,6 +60,8 @@
   readonly clock = new ManualClock(Date.now());
   /** Kinds of the events of all owners. */
   readonly events: EventKind[] = [];
+  /** Fields of the events of the owners that were started by `start` or `startKillable`, by kind. */
+  readonly fields = new Map<EventKind, EventFields[]>();
   readonly fleet = new EmulatedFleet(this.clock);
   readonly store = new MemoryStore();
   readonly #stops: (() => void)[] = [];
@@ -119,7 +121,10 @@
     fleet: EmulatedFleet = this.fleet,
   ): Promise<StartedOwner> {
     const started = await startOwner(this.clock, store, fleet, vm, {
-      record: (kind) => this.events.push(kind),
+      record: (kind, fields) => {
+        this.events.push(kind);
+        this.fields.set(kind, [...(this.fields.get(kind) ?? []), fields]);
+      },
     });
     const renewal = setInterval(() => {
       void this.store.keepLeaseAlive(started.ownership.lease);
