--- a/packages/nutmegproxy-emulator/src/__tests__/unit/TakeoverHarness.ts
+++ b/packages/nutmegproxy-emulator/src/__tests__/unit/TakeoverHarness.ts
@@ -123,7 +123,9 @@
     const started = await startOwner(this.clock, store, fleet, vm, {
       record: (kind, fields) => {
         this.events.push(kind);
-        this.fields.set(kind, [...(this.fields.get(kind) ?? []), fields]);
+        const known = this.fields.get(kind) ?? [];
+        known.push(fields);
+        this.fields.set(kind, known);
       },
     });
     const renewal = setInterval(() => {
