--- a/packages/nutmegproxy-owner/src/OwnershipRenewal.ts
+++ b/packages/nutmegproxy-owner/src/OwnershipRenewal.ts
@@ -79,13 +79,14 @@
     const renewed = await store.keepLeaseAlive(ownership.lease);
     this.#pending -= 1;
     const now = clock.monotonic();
-    if (this.#isOver(now, clock.wall())) {
+    const nowWall = clock.wall();
+    if (this.#isOver(now, nowWall)) {
       return;
     }
     if (renewed.isOk() && renewed.value.ttlSeconds === 0) {
       ownership.end();
-      const {term} = ownership;
-      events.record(OWNER_EVENTS.OWNERSHIP_LOST, {reason: 'lease ended', term, vm});
+      const fields = {...ownership.describe(now, nowWall), reason: 'lease ended', vm};
+      events.record(OWNER_EVENTS.OWNERSHIP_LOST, {...fields, term: ownership.term});
       return;
     }
     if (renewed.isOk() && requestedAt > ownership.confirmedAt) {
--- a/packages/nutmegproxy-owner/src/__tests__/unit/OwnershipRenewal.test.ts
+++ b/packages/nutmegproxy-owner/src/__tests__/unit/OwnershipRenewal.test.ts
@@ -1,4 +1,4 @@
-import type {EventKind, EventSink, VmId} from '@nutmegproxy/core';
+import type {EventFields, EventKind, EventSink, VmId} from '@nutmegproxy/core';
 import type {LeaseResponse, StoreFailure} from '@nutmegproxy/store';
 import type {Result} from 'neverthrow';
 
@@ -38,13 +38,15 @@
 
 describe('OwnershipRenewal', () => {
   let clock: ManualClock;
+  let lastFields: EventFields;
   let lines: EventKind[];
   let store: MemoryStore;
 
   const events: EventSink = {
     ...SILENT_EVENTS,
-    record: (kind) => {
+    record: (kind, fields) => {
       lines.push(kind);
+      lastFields = fields;
     },
   };
 
@@ -206,6 +208,15 @@
       assert.equal(ownership.state(clock.monotonic(), clock.wall()), 'over');
     });
 
+    it('is logged with the age of the last confirmation', async () => {
+      const held = holdRenewals();
+      await own();
+      await advance(1_000);
+      held[0]?.respond(LEASE_ENDED);
+      await settle();
+      assert.equal(lastFields.confirmedMs, 1_000);
+    });
+
     it('is reported in one line however many renewals report it', async () => {
       const held = holdRenewals();
       await own();
