--- a/packages/nutmegproxy-emulator/src/__tests__/unit/UnconfirmedStarts.test.ts
+++ b/packages/nutmegproxy-emulator/src/__tests__/unit/UnconfirmedStarts.test.ts
@@ -83,10 +83,14 @@
   }
 
   /** Lets time pass; no task may have two live runs meanwhile. */
-  async function pass(totalMs: number, minions: readonly EmulatedMinion[]): Promise<void> {
-    assert.ok(next.ownership);
+  async function pass(
+    totalMs: number,
+    minions: readonly EmulatedMinion[],
+    ownership = next.ownership,
+  ): Promise<void> {
+    assert.ok(ownership);
     for (let passedMs = 0; passedMs < totalMs; passedMs += STEP_MS) {
-      await harness.passTime(next.ownership, STEP_MS, STEP_MS, STEP_PAUSE_MS);
+      await harness.passTime(ownership, STEP_MS, STEP_MS, STEP_PAUSE_MS);
       const live = minions.flatMap((each) => {
         each.advance(harness.clock.monotonic());
         return each.liveTasks;
@@ -126,6 +130,25 @@
     });
   });
 
+  describe('which its owner does not reach', () => {
+    it('never leads to two live runs of a task when it reaches a later incarnation', async () => {
+      await loseContact();
+      beginLaterIncarnation(minion, harness.clock.monotonic());
+      await waitFor('the start is carried out', () => minion.liveTasks.length === 1);
+      const other = harness.addMinion('m2');
+      await pass(LONGEST_WAIT_MS, [minion, other], first.started.ownership);
+      await waitFor('both tasks run again', () => other.liveTasks.length === 2, REACTION_MS);
+    });
+
+    it('does not hold the lasting task that the minion had listed', async () => {
+      await loseContact();
+      minion.crash(Infinity, harness.clock.monotonic());
+      const other = harness.addMinion('m2');
+      await pass(RESTART_DEADLINE_MS, [other], first.started.ownership);
+      await waitFor('it runs again', () => other.liveTasks.includes(listedTask), REACTION_MS);
+    });
+  });
+
   describe('which the next owner does not reach', () => {
     it('never leads to two live runs of a task when it reaches the same incarnation', async () => {
       await loseContact();
--- a/packages/nutmegproxy-owner/src/MachineReview.ts
+++ b/packages/nutmegproxy-owner/src/MachineReview.ts
@@ -157,7 +157,8 @@
     return [...fleet.minions.values()].flatMap((minion) => {
       const {bornAt, description} = minion;
       const {machine} = description;
-      return machine !== undefined && isAbsent(minion) && !minion.leaseClock.isExpired(now)
+      const isEnded = minion.leaseClock.isExpired(now) && minion.runs.size === 0;
+      return machine !== undefined && isAbsent(minion) && !isEnded
         ? [{bornAt, machine, minion}]
         : [];
     });
--- a/packages/nutmegproxy-owner/src/MinionRecovery.ts
+++ b/packages/nutmegproxy-owner/src/MinionRecovery.ts
@@ -25,6 +25,7 @@
 import {
   adoptRecordedRuns,
   createSilentRecord,
+  holdUnconfirmedStarts,
   listPossibleRuns,
   listUnconfirmedStarts,
   nameRun,
@@ -266,6 +267,7 @@
       roster.markSilent(minion.description, silent, expiresAt, confirmedAt);
     } else if (minion.areRunsKnown) {
       minion.isRecordedUnreachable = true;
+      holdUnconfirmedStarts(minion);
       const silent = createSilentRecord(fleet, minion, unstoredResults, time);
       const leasedUntil = after(time.now, minion.leaseClock.expiresInMs(time.now));
       const expiresAt = silent.unconfirmed === undefined ? leasedUntil : undefined;
--- a/packages/nutmegproxy-owner/src/MinionSessions.ts
+++ b/packages/nutmegproxy-owner/src/MinionSessions.ts
@@ -193,9 +193,10 @@
         expireRuns(this.#options, minion, confirmedAt);
         continue;
       }
-      expireLease(this.#options, minion, now);
+      expireLease(this.#options, minion, confirmedAt, now);
       if (
         minion.unlistedSince !== undefined &&
+        minion.runs.size === 0 &&
         !minion.isListingResults &&
         now - minion.unlistedSince > REMOVE_UNLISTED_AFTER_MS
       ) {
--- a/packages/nutmegproxy-owner/src/__tests__/unit/RecordedLeases.test.ts
+++ b/packages/nutmegproxy-owner/src/__tests__/unit/RecordedLeases.test.ts
@@ -8,10 +8,17 @@
 import assert from 'node:assert/strict';
 import {beforeEach, describe, it} from 'node:test';
 
-import {adoptRecordedRuns, createSilentRecord, shortenRecordedLeases} from '../../SilentRecords.ts';
+import {
+  adoptRecordedRuns,
+  createSilentRecord,
+  holdUnconfirmedStarts,
+  shortenRecordedLeases,
+} from '../../SilentRecords.ts';
 
 const JOB = brand<JobId>('3f6718a4051e2adb');
 const NOW = 1_000 as Instant;
+/** Time in milliseconds that a minion takes at most to end a lease of 10 s. */
+const LONGEST_LEASE_MS = 10_460;
 const SHAPE = {
   after: [],
   count: 2,
@@ -56,6 +63,14 @@
       assert.deepEqual(listUnconfirmed(), [UNCONFIRMED]);
     });
 
+    it('count for owners of earlier versions until that start holds none', () => {
+      fleet.startRun(step, 0, minion, NOW);
+      holdUnconfirmedStarts(minion);
+      const time = {now: NOW, wall: 50_000 as WallTime};
+      const {heldUntil} = createSilentRecord(fleet, minion, [], time);
+      assert.ok(heldUntil - time.wall >= LONGEST_LEASE_MS);
+    });
+
     it('are not longer for listed runs', () => {
       fleet.startRun(step, 0, minion, NOW).knownFrom = 'listing';
       assert.equal(listUnconfirmed(), undefined);
