--- a/packages/nutmegproxy-owner/src/MinionRecovery.ts
+++ b/packages/nutmegproxy-owner/src/MinionRecovery.ts
@@ -110,8 +110,9 @@
         lastTerm: ownership.term - 1,
         leaseTerm: ownership.term - 1,
       };
+      const startMs = silent.unconfirmed === undefined ? 0 : this.#findStartLeaseMs(now);
       const remainingMs = Math.min(
-        this.#findFormerLeaseMs(terms, now),
+        Math.max(this.#findFormerLeaseMs(terms, now), startMs),
         findRemainingMs(expiresAt, now),
         findRemainingMs(roster.findExpiry(minion.id), now),
       );
@@ -202,6 +203,7 @@
       const minion = this.#unused.get(id)?.minion;
       if (minion !== undefined) {
         minion.leaseClock.shortenAssumedLease(after(now, heldForMs));
+        this.#extendLease(minion, account, now);
         shortenRecordedLeases(minion, account, now);
       }
       if (heldForMs < Infinity) {
@@ -338,6 +340,24 @@
     });
   }
 
+  /** Counts the lease of a start that may have reached a later incarnation right before the former owner ended. */
+  #extendLease(
+    {leaseClock}: MinionState,
+    {heldForMs, unconfirmed}: MinionAccount,
+    now: Instant,
+  ): void {
+    if (unconfirmed !== undefined && !leaseClock.hasReading) {
+      const startMs = Math.min(this.#findStartLeaseMs(now), heldForMs);
+      leaseClock.assumeLeasedUntil(after(now, Math.max(leaseClock.expiresInMs(now), startMs)));
+    }
+  }
+
+  /** Returns the time in milliseconds after which no start of a former owner holds a lease in any incarnation. */
+  #findStartLeaseMs(now: Instant): number {
+    const releasedForMs = now - this.#options.ownership.formerReleasedAt;
+    return Math.max(0, MAX_FORMER_LEASE_MS + FORMER_ORDER_MARGIN_MS - releasedForMs);
+  }
+
   /** Returns the time in milliseconds after which all leases of former owners have expired. */
   #findFormerLeaseMs({lastTerm}: Pick<FormerUse, 'lastTerm'>, now: Instant): number {
     const {formerReleasedAt, recordingSince} = this.#options.ownership;
