--- a/packages/nutmegproxy-owner/src/__tests__/unit/RecordedRunEnds.test.ts
+++ b/packages/nutmegproxy-owner/src/__tests__/unit/RecordedRunEnds.test.ts
@@ -1,6 +1,6 @@
 import type {Instant, WallTime} from '@nutmegproxy/core';
 import type {Run} from '@nutmegproxy/jobs';
-import type {MinionState} from '@nutmegproxy/scheduling';
+import type {MinionState, RunResult} from '@nutmegproxy/scheduling';
 
 import {ManualClock, SILENT_EVENTS} from '@nutmegproxy/core';
 import {Fleet} from '@nutmegproxy/scheduling';
@@ -37,8 +37,8 @@
     return run;
   }
 
-  function markSilent(): SilentMinionRecord {
-    const silent = createSilentRecord(fleet, minion, [], {now: NOW, wall: WALL});
+  function markSilent(unstoredResults: readonly RunResult[] = []): SilentMinionRecord {
+    const silent = createSilentRecord(fleet, minion, unstoredResults, {now: NOW, wall: WALL});
     roster.markSilent(minion.description, silent, EXPIRES_AT);
     return silent;
   }
@@ -106,6 +106,26 @@
     ]);
   });
 
+  it('keeps a run whose result the minion has listed meanwhile, and that is not stored yet', async () => {
+    markSilent();
+    fleet.recordLostRun(first, 'minion restarted');
+    let finishFlush = (): void => undefined;
+    const flushed = new Promise<void>((resolve) => {
+      finishFlush = resolve;
+    });
+    const recorded = recordRunEnds(roster, {flush: () => flushed}, minion, [first]);
+    const {number, step, task} = first;
+    fleet.applyResult(step, task, number, 'done', undefined);
+    const result: RunResult = {checkpoint: undefined, number, outcome: 'done', sequence: 1, task};
+    markSilent([result]);
+    finishFlush();
+    await recorded;
+    assert.deepEqual(roster.find(minion.id)?.silent?.runs.toSorted(), [
+      [FIRST_TASK, 1],
+      [SECOND_TASK, 1],
+    ]);
+  });
+
   it('does not record a minion as silent that responds again', async () => {
     markSilent();
     fleet.recordLostRun(first, 'minion restarted');
