--- a/packages/nutmegproxy-owner/src/RecordedRunEnds.ts
+++ b/packages/nutmegproxy-owner/src/RecordedRunEnds.ts
@@ -31,19 +31,19 @@
   minion: MinionState,
   ended: readonly Run[],
 ): Promise<void> {
-  await journal.flush();
   const {description, id} = minion;
+  const former = roster.find(id)?.silent;
+  await journal.flush();
   const silent = roster.find(id)?.silent;
-  if (silent === undefined) {
+  // A record that was made meanwhile names what the minion has listed since.
+  if (silent === undefined || silent !== former) {
     return;
   }
   const over = listNames(ended);
-  // The minion may have responded meanwhile, listed one of them after all, and fallen silent again.
-  const possible = listNames([...minion.runs, ...minion.endedRuns]);
   const runs = silent.runs.filter(([name, number]) => {
     const task = parseTaskName(name);
     const run = task && formatRunName(task, number);
-    return run === undefined || possible.has(run) || !over.has(run);
+    return run === undefined || !over.has(run);
   });
   if (runs.length < silent.runs.length) {
     const confirmedExpiresAt = roster.findConfirmedExpiry(id);
