--- a/packages/nutmegproxy-entry/src/__tests__/unit/VmRegistry.test.ts
+++ b/packages/nutmegproxy-entry/src/__tests__/unit/VmRegistry.test.ts
@@ -185,6 +185,21 @@
       }
     });
 
+    it('is not listed again when its lease ended while it was being closed', async () => {
+      await runUntilListed();
+      const keepLeaseAlive = store.keepLeaseAlive.bind(store);
+      store.keepLeaseAlive = (lease) => {
+        const answered = new Promise<void>((resolve) => {
+          setTimeout(resolve, STEP_MS);
+        });
+        return new ResultAsync(answered.then(() => keepLeaseAlive(lease)));
+      };
+      await advance(VM_RENEWAL_INTERVAL_MS);
+      await registry.close();
+      await advance(STEP_MS);
+      assert.equal(isListed(), false);
+    });
+
     it('renews seven times within its lease while the store does not respond', async () => {
       const sentAtMs = loseRenewals(() => true);
       await runUntilListed();
