--- a/packages/nutmegproxy-entry/src/VmRegistry.ts
+++ b/packages/nutmegproxy-entry/src/VmRegistry.ts
@@ -157,7 +157,8 @@
       this.#lease = granted.value.lease;
       this.#isWritten = false;
     }
-    return this.#isWritten || this.#write(this.#lease);
+    // A VM that stops meanwhile stays removed.
+    return this.#isWritten || (!this.#stopped && (await this.#write(this.#lease)));
   }
 
   /** Writes the entry under the lease; returns whether it is written. */
