--- a/packages/nutmegproxy-owner/src/__tests__/unit/RecordedLeases.test.ts
+++ b/packages/nutmegproxy-owner/src/__tests__/unit/RecordedLeases.test.ts
@@ -4,10 +4,13 @@
 
 import {brand, SILENT_EVENTS} from '@nutmegproxy/core';
 import {JobState} from '@nutmegproxy/jobs';
-import {Fleet, MinionState} from '@nutmegproxy/scheduling';
+import {Fleet, MinionState, reconcileListing} from '@nutmegproxy/scheduling';
 import assert from 'node:assert/strict';
 import {beforeEach, describe, it} from 'node:test';
 
+import type {Roster} from '../../Roster.ts';
+
+import {expireRuns} from '../../LeaseEnds.ts';
 import {adoptRecordedRuns, createSilentRecord, shortenRecordedLeases} from '../../SilentRecords.ts';
 
 const JOB = brand<JobId>('3f6718a4051e2adb');
@@ -93,4 +96,43 @@
       assert.deepEqual([findRun(0)?.number, findRun(1)?.number], [1, 1]);
     });
   });
+
+  describe('in a record that an owner has adopted', () => {
+    let timesStored: number;
+
+    /** Ends the runs whose own leases have expired at `confirmedAt`. */
+    function expire(confirmedAt: Instant): void {
+      const roster = {
+        storeTimes: () => {
+          timesStored += 1;
+        },
+      } as Partial<Roster> as Roster;
+      expireRuns({events: SILENT_EVENTS, fleet, roster}, minion, confirmedAt);
+    }
+
+    beforeEach(() => {
+      timesStored = 0;
+      const recorded = {confirmedMs: 3_000, remainingMs: 9_000, runs: RUNS};
+      adoptRecordedRuns(fleet, minion, {...recorded, unconfirmed: [UNCONFIRMED]}, NOW);
+    });
+
+    it('end the runs that are not unconfirmed, and the next owner is told', () => {
+      expire(3_999 as Instant);
+      assert.deepEqual([findRun(0)?.number, timesStored], [1, 0]);
+      expire(4_000 as Instant);
+      assert.deepEqual([findRun(0), findRun(1)?.number, timesStored], [undefined, 1, 1]);
+    });
+
+    it('do not end a run that its minion has listed since', () => {
+      const run = findRun(0);
+      assert.ok(run);
+      const {number, task} = run;
+      const report = {checkpoint: undefined, number, percent: 100, reading: undefined, task};
+      const listing = {clockMs: 0, ended: [], mayOmitResults: false, running: [report]};
+      const times = {appliedThrough: 0, now: 2_000 as Instant, requestedAt: NOW};
+      reconcileListing(fleet, minion, {...listing, bornAt: undefined}, times);
+      expire(4_000 as Instant);
+      assert.equal(findRun(0), run);
+    });
+  });
 });
