--- /dev/null
+++ b/packages/nutmegproxy-owner/src/__tests__/unit/FormerAccounts.test.ts
@@ -0,0 +1,74 @@
+import type {Instant, WallTime} from '@nutmegproxy/core';
+import type {RunNumber, StepState} from '@nutmegproxy/jobs';
+
+import {ManualClock, SILENT_EVENTS} from '@nutmegproxy/core';
+import {formatTaskName} from '@nutmegproxy/jobs';
+import {Fleet} from '@nutmegproxy/scheduling';
+import {MemoryStore} from '@nutmegproxy/standins';
+import assert from 'node:assert/strict';
+import {afterEach, beforeEach, describe, it} from 'node:test';
+
+import type {RecoveryRecord} from '../../RecoveryRecord.ts';
+import type {SilentMinionRecord} from '../../Roster.ts';
+
+import {MinionRecovery} from '../../MinionRecovery.ts';
+import {Roster} from '../../Roster.ts';
+import {acquireOwnership, createMinion, createStep} from './OwnerSamples.ts';
+
+const LAST_TERM = 3;
+const CONFIRMED_MS = 1_000;
+
+describe('The account of a former owner on a silent minion', () => {
+  let roster: Roster;
+  let step: StepState;
+  let store: MemoryStore;
+
+  beforeEach(() => {
+    store = new MemoryStore();
+  });
+
+  afterEach(async () => {
+    roster.close();
+    await store.close();
+  });
+
+  /** Returns when the lease of the confirmed run ends; undefined when it ends with that of the minion. */
+  async function receive(leaseTerm: number): Promise<Instant | undefined> {
+    const clock = new ManualClock();
+    const fleet = new Fleet(SILENT_EVENTS);
+    const minion = createMinion();
+    fleet.minions.set(minion.id, minion);
+    step = createStep(1, {count: 2, longRunning: true});
+    fleet.jobs.set(step.job.id, step.job);
+    const names = [0, 1].map((index) =>
+      formatTaskName({index, job: step.job.id, occurrence: step.occurrence, step: step.number}),
+    );
+    const runs = names.map((name) => [name, 1 as RunNumber] as const);
+    const ownership = await acquireOwnership(store);
+    const onFenced = (): void => undefined;
+    roster = new Roster({clock, events: SILENT_EVENTS, onFenced, ownership, store});
+    const record = {
+      findFormerUse: () => ({lastTerm: LAST_TERM, leaseTerm, runs}),
+      update: () => Promise.resolve(),
+    } as Partial<RecoveryRecord> as RecoveryRecord;
+    const onChange = (): void => undefined;
+    const recovery = new MinionRecovery({clock, fleet, onChange, ownership, record, roster});
+    const silent: SilentMinionRecord = {heldUntil: 0 as WallTime, runs};
+    const {description, id} = minion;
+    recovery.expect(minion, {description, silent}, clock.monotonic());
+    const account = {confirmedForMs: CONFIRMED_MS, heldForMs: 9_000, id, runs};
+    const unconfirmed = runs.slice(1);
+    recovery.receive({accounts: [{...account, unconfirmed}], silent: [], term: LAST_TERM});
+    const [run] = step.runsOf(0);
+    assert.ok(run);
+    return run.leasedUntil;
+  }
+
+  it('tells when the leases of its confirmed runs end', async () => {
+    assert.equal(await receive(LAST_TERM), CONFIRMED_MS);
+  });
+
+  it('does not tell that when a later owner may have renewed them', async () => {
+    assert.equal(await receive(LAST_TERM + 1), undefined);
+  });
+});
