--- a/packages/nutmegproxy-emulator/src/__tests__/unit/RepeatedStarts.test.ts
+++ b/packages/nutmegproxy-emulator/src/__tests__/unit/RepeatedStarts.test.ts
@@ -1,5 +1,7 @@
 /** Starts of which the minion has listed one copy and carries out another one late. */
 
+import type {FleetOwnership} from '@nutmegproxy/owner';
+
 import {OWNER_EVENTS} from '@nutmegproxy/owner';
 import assert from 'node:assert/strict';
 import {afterEach, beforeEach, describe, it} from 'node:test';
@@ -80,8 +82,12 @@
     await waitFor('the other minion has reported', () => other.answeredPolls > 0);
     await sleep(SETTLED_MS);
     assert.ok(next.ownership);
+    await pass(next.ownership, other);
+  }
+
+  async function pass(ownership: FleetOwnership, other: EmulatedMinion): Promise<void> {
     for (let passedMs = 0; passedMs < LONGEST_WAIT_MS; passedMs += STEP_MS) {
-      await harness.passTime(next.ownership, STEP_MS, STEP_MS, STEP_PAUSE_MS);
+      await harness.passTime(ownership, STEP_MS, STEP_MS, STEP_PAUSE_MS);
       const live = [minion, other].flatMap((each) => {
         each.advance(harness.clock.monotonic());
         return each.liveTasks;
@@ -90,6 +96,12 @@
     }
   }
 
+  it('never leads to two live runs under its own owner', async () => {
+    await restartUnreached();
+    const other = harness.addMinion('m2');
+    await pass(first.started.ownership, other);
+  });
+
   it('never leads to two live runs after a takeover', async () => {
     await restartUnreached();
     await takeOverAndPass();
