--- a/packages/nutmegproxy-owner/src/Roster.ts
+++ b/packages/nutmegproxy-owner/src/Roster.ts
@@ -182,7 +182,7 @@
 
   /**
    * Records that a minion does not respond; `expiresAt` as `findExpiry` returns it and
-   * `confirmedExpiresAt` as `findConfirmedExpiry` does.
+   * `confirmedExpiresAt` as `findConfirmedExpiry` does, which is kept only beside unconfirmed runs.
    */
   markSilent(
     description: MinionDescription,
@@ -190,7 +190,8 @@
     expiresAt: Instant | undefined,
     confirmedExpiresAt?: Instant,
   ): void {
-    void this.#replace({description, silent}, {all: expiresAt, confirmed: confirmedExpiresAt});
+    const confirmed = silent.unconfirmed === undefined ? undefined : confirmedExpiresAt;
+    void this.#replace({description, silent}, {all: expiresAt, confirmed});
   }
 
   /** Reads the former owner's roster. */
--- a/packages/nutmegproxy-owner/src/__tests__/unit/Roster.test.ts
+++ b/packages/nutmegproxy-owner/src/__tests__/unit/Roster.test.ts
@@ -153,6 +153,14 @@
       assert.equal(await readConfirmedExpiry(open()), LEASE_MS - 3_000);
     });
 
+    it('is not stored beside the lease of all runs when no run is unconfirmed', async () => {
+      const now = clock.monotonic();
+      open().markSilent(describeMinion('m1'), SILENT, now, now);
+      await settle();
+      const stored = (await getKey(store, ROSTER_KEY))._unsafeUnwrap();
+      assert.doesNotMatch(String(stored?.value), /confirmedForMs/);
+    });
+
     it('is not the lease of all runs for owners of earlier versions', async () => {
       assert.equal(await readExpiry(), undefined);
       const stored = (await getKey(store, ROSTER_KEY))._unsafeUnwrap();
