--- a/packages/nutmegproxy-owner/src/RecordedRunEnds.ts
+++ b/packages/nutmegproxy-owner/src/RecordedRunEnds.ts
@@ -35,8 +35,7 @@
     return;
   }
   await journal.flush();
-  const {description, id} = minion;
-  const silent = roster.find(id)?.silent;
+  const silent = roster.find(minion.id)?.silent;
   if (silent === undefined) {
     return;
   }
@@ -49,6 +48,6 @@
     return run === undefined || possible.has(run) || !over.has(run);
   });
   if (runs.length < silent.runs.length) {
-    roster.markSilent(description, {...silent, runs}, roster.findExpiry(id));
+    roster.replaceSilentRuns(minion.id, runs);
   }
 }
--- a/packages/nutmegproxy-owner/src/Roster.ts
+++ b/packages/nutmegproxy-owner/src/Roster.ts
@@ -139,6 +139,14 @@
     this.#writer.close();
   }
 
+  /** Replaces the runs that the record of a silent minion names; what is stored of its lease stays. */
+  replaceSilentRuns(id: MinionId, runs: SilentMinionRecord['runs']): void {
+    const entry = this.#entries.get(id);
+    if (entry?.silent !== undefined) {
+      void this.#replace({...entry, silent: {...entry.silent, runs}}, this.#expiries.get(id));
+    }
+  }
+
   /** Returns the entry of a minion, whether or not it is stored. */
   find(id: MinionId): RosterEntry | undefined {
     return this.#entries.get(id);
