--- a/packages/nutmegproxy-owner/src/RecordedRunEnds.ts
+++ b/packages/nutmegproxy-owner/src/RecordedRunEnds.ts
@@ -34,7 +34,7 @@
   if (ended.length === 0) {
     return;
   }
-  const {description, id} = minion;
+  const {id} = minion;
   const former = roster.find(id)?.silent;
   await journal.flush();
   const silent = roster.find(id)?.silent;
@@ -49,7 +49,6 @@
     return run === undefined || !over.has(run);
   });
   if (runs.length < silent.runs.length) {
-    const confirmedExpiresAt = roster.findConfirmedExpiry(id);
-    roster.markSilent(description, {...silent, runs}, roster.findExpiry(id), confirmedExpiresAt);
+    roster.replaceSilentRuns(id, runs);
   }
 }
