--- a/packages/nutmegproxy-jobs/src/StepState.ts
+++ b/packages/nutmegproxy-jobs/src/StepState.ts
@@ -33,7 +33,7 @@
   isClockConfirmed?: boolean;
   /** How this owner knows of the run. */
   knownFrom: RunSource;
-  /** When its lease has certainly expired; undefined unless that differs from its minion's. */
+  /** When its lease has certainly expired, if a record tells that it ends before others of its minion. */
   leasedUntil?: Instant | undefined;
   readonly minion: MinionId;
   readonly number: RunNumber;
--- a/packages/nutmegproxy-owner/src/LeaseEnds.ts
+++ b/packages/nutmegproxy-owner/src/LeaseEnds.ts
@@ -7,11 +7,20 @@
 import type {Clock, EventSink, Instant} from '@nutmegproxy/core';
 import type {Fleet, MinionState} from '@nutmegproxy/scheduling';
 
+import {after} from '@nutmegproxy/core';
+
 import type {Journal} from './Journal.ts';
 import type {Roster} from './Roster.ts';
 
+import {FORMER_ORDER_MARGIN_MS, MAX_FORMER_LEASE_MS, OWNERSHIP_TTL_MS} from './OwnerConstants.ts';
 import {OWNER_EVENTS} from './OwnerEvents.ts';
-import {findLeaseEnd, findLongerLeaseEnd} from './SilentRecords.ts';
+import {listUnconfirmedStarts} from './SilentRecords.ts';
+
+/**
+ * Time in milliseconds after which no start holds a lease, whichever incarnation it reached: the time for which
+ * the next owner counts on leases of unknown length after the owner was killed right after the start.
+ */
+const MAX_START_LEASE_MS = OWNERSHIP_TTL_MS + MAX_FORMER_LEASE_MS + FORMER_ORDER_MARGIN_MS;
 
 export interface LeaseEndOptions {
   readonly events: EventSink;
@@ -20,27 +29,23 @@
 }
 
 /**
- * Ends the runs of a minion whose lease had certainly expired at `confirmedAt`, but those that hold a longer one.
+ * Ends the runs of a minion whose lease has certainly expired.
  *
  * @example
- * const {confirmedAt} = ownership;
- * if (minion.leaseClock.isExpired(confirmedAt)) expireLease({events, fleet, roster}, minion, confirmedAt, now);
+ * if (minion.leaseClock.isExpired(ownership.confirmedAt)) expireLease({events, fleet, roster}, minion, now);
  */
 export function expireLease(
   {events, fleet, roster}: LeaseEndOptions,
   minion: MinionState,
-  confirmedAt: Instant,
   now: Instant,
 ): void {
-  const expired = minion
-    .listUnresolvedRuns()
-    .filter((run) => findLongerLeaseEnd(run) <= confirmedAt);
-  if (expired.length === 0) {
+  const runs = minion.listUnresolvedRuns().length;
+  if (runs === 0) {
     return;
   }
-  events.record(OWNER_EVENTS.LEASE_EXPIRED, {minion: minion.id, runs: expired.length});
-  recordLeaseEnd(roster, minion, findLeaseEnd(minion, now), now);
-  fleet.expireLease(minion, expired);
+  events.record(OWNER_EVENTS.LEASE_EXPIRED, {minion: minion.id, runs});
+  recordLeaseEnd(roster, minion, findLastStartEnd(minion, now), now);
+  fleet.expireLease(minion);
 }
 
 /**
@@ -54,9 +59,6 @@
   minion: MinionState,
   confirmedAt: Instant,
 ): void {
-  if (!minion.isRecordedUnreachable) {
-    return;
-  }
   const expired = [...minion.runs].filter(({leasedUntil = Infinity}) => leasedUntil <= confirmedAt);
   if (expired.length === 0) {
     return;
@@ -86,6 +88,12 @@
   }
 }
 
+/** Returns when the starts of the minion that may have reached another incarnation hold no lease; at least `now`. */
+function findLastStartEnd(minion: MinionState, now: Instant): Instant {
+  const ends = listUnconfirmedStarts(minion).map(({sentAt}) => after(sentAt, MAX_START_LEASE_MS));
+  return Math.max(now, ...ends) as Instant;
+}
+
 /**
  * Stores when the lease of a minion has ended, and that of its confirmed runs, if it is recorded as silent.
  * The runs stay named, since it may still list their results.
--- a/packages/nutmegproxy-owner/src/MachineReview.ts
+++ b/packages/nutmegproxy-owner/src/MachineReview.ts
@@ -157,8 +157,7 @@
     return [...fleet.minions.values()].flatMap((minion) => {
       const {bornAt, description} = minion;
       const {machine} = description;
-      const isEnded = minion.leaseClock.isExpired(now) && minion.runs.size === 0;
-      return machine !== undefined && isAbsent(minion) && !isEnded
+      return machine !== undefined && isAbsent(minion) && !minion.leaseClock.isExpired(now)
         ? [{bornAt, machine, minion}]
         : [];
     });
--- a/packages/nutmegproxy-owner/src/MinionRecovery.ts
+++ b/packages/nutmegproxy-owner/src/MinionRecovery.ts
@@ -25,7 +25,6 @@
 import {
   adoptRecordedRuns,
   createSilentRecord,
-  holdUnconfirmedStarts,
   listPossibleRuns,
   listUnconfirmedStarts,
   nameRun,
@@ -270,7 +269,6 @@
       roster.markSilent(minion.description, silent, expiresAt, confirmedAt);
     } else if (minion.areRunsKnown) {
       minion.isRecordedUnreachable = true;
-      holdUnconfirmedStarts(minion);
       const silent = createSilentRecord(fleet, minion, unstoredResults, time);
       const leasedUntil = after(time.now, minion.leaseClock.expiresInMs(time.now));
       const expiresAt = silent.unconfirmed === undefined ? leasedUntil : undefined;
--- a/packages/nutmegproxy-owner/src/MinionSessions.ts
+++ b/packages/nutmegproxy-owner/src/MinionSessions.ts
@@ -205,10 +205,9 @@
         expireRuns(this.#options, minion, confirmedAt);
         continue;
       }
-      expireLease(this.#options, minion, confirmedAt, now);
+      expireLease(this.#options, minion, now);
       if (
         minion.unlistedSince !== undefined &&
-        minion.runs.size === 0 &&
         !minion.isListingResults &&
         now - minion.unlistedSince > REMOVE_UNLISTED_AFTER_MS
       ) {
--- a/packages/nutmegproxy-owner/src/SilentRecords.ts
+++ b/packages/nutmegproxy-owner/src/SilentRecords.ts
@@ -11,8 +11,6 @@
 import type {MinionAccount} from './ClosingRecords.ts';
 import type {SilentMinionRecord, SuspectRuns} from './Roster.ts';
 
-import {MAX_START_LEASE_MS} from './OwnerConstants.ts';
-
 /** Runs that a minion may have, and the time in milliseconds after which its lease has certainly expired. */
 export interface RecordedRuns {
   /** The same for the runs that are not unconfirmed, if some are; longer or absent when it is not known. */
@@ -176,24 +174,6 @@
   );
 }
 
-/** Holds the unconfirmed starts of a silent minion until no incarnation that they may have reached runs them. */
-export function holdUnconfirmedStarts(minion: MinionState): void {
-  for (const run of listUnconfirmedStarts(minion)) {
-    run.leasedUntil = after(run.sentAt, MAX_START_LEASE_MS);
-  }
-}
-
-/** Returns when a lease of the run has certainly expired that may last longer than its minion's; -Infinity for none. */
-export function findLongerLeaseEnd({knownFrom, leasedUntil = -Infinity as Instant}: Run): Instant {
-  return knownFrom === 'order' ? leasedUntil : (-Infinity as Instant);
-}
-
-/** Returns when the lease of a minion, and those of its runs that last longer, have certainly expired. */
-export function findLeaseEnd({leaseClock, runs}: MinionState, now: Instant): Instant {
-  const leasedUntil = after(now, leaseClock.expiresInMs(now));
-  return Math.max(leasedUntil, ...[...runs].map(findLongerLeaseEnd)) as Instant;
-}
-
 /** Lists the runs that may have crashed a silent minion; a minion that drains may just have left. */
 function listSuspects(
   {runNumberBase}: Fleet,
@@ -218,7 +198,7 @@
 ): SilentMinionRecord {
   const unconfirmed = listUnconfirmedStarts(minion).map(nameRun);
   return {
-    heldUntil: (wall + findLeaseEnd(minion, now) - now) as WallTime,
+    heldUntil: (wall + minion.leaseClock.expiresInMs(now)) as WallTime,
     runs: listPossibleRuns(fleet, minion, unstoredResults),
     ...listSuspects(fleet, minion),
     ...(unconfirmed.length === 0 ? {} : {unconfirmed}),
--- a/packages/nutmegproxy-scheduling/src/WithheldTaskLog.ts
+++ b/packages/nutmegproxy-scheduling/src/WithheldTaskLog.ts
@@ -198,7 +198,7 @@
 }
 
 function describeRunOn(
-  {knownFrom, leasedUntil, minion: id, number, phase}: Run,
+  {knownFrom, leasedUntil = Infinity as Instant, minion: id, number, phase}: Run,
   {description, leaseClock, missedCalls, unlistedSince}: MinionState,
   now: Instant,
 ): EventFields & {readonly minion: MinionId} {
@@ -210,8 +210,6 @@
     phase,
     run: number,
     unlistedMs: Math.round(now - (unlistedSince ?? now)),
-    untilMs: Math.round(
-      leasedUntil === undefined ? leaseClock.expiresInMs(now) : Math.max(0, leasedUntil - now),
-    ),
+    untilMs: Math.round(Math.min(leaseClock.expiresInMs(now), Math.max(0, leasedUntil - now))),
   };
 }
