--- a/packages/nutmegproxy-jobs/src/StepState.ts
+++ b/packages/nutmegproxy-jobs/src/StepState.ts
@@ -48,6 +48,8 @@
   sentAt: Instant;
   readonly step: StepState;
   readonly task: TaskRef;
+  /** When the latest of its starts without a response was sent; undefined when each had one. */
+  unansweredAt?: Instant;
 }
 
 /**
--- a/packages/nutmegproxy-owner/src/LeaseEnds.ts
+++ b/packages/nutmegproxy-owner/src/LeaseEnds.ts
@@ -12,16 +12,10 @@
 import type {Journal} from './Journal.ts';
 import type {Roster} from './Roster.ts';
 
-import {FORMER_ORDER_MARGIN_MS, MAX_FORMER_LEASE_MS, OWNERSHIP_TTL_MS} from './OwnerConstants.ts';
+import {MAX_START_LEASE_MS} from './OwnerConstants.ts';
 import {OWNER_EVENTS} from './OwnerEvents.ts';
 import {listUnconfirmedStarts} from './SilentRecords.ts';
 
-/**
- * Time in milliseconds after which no start holds a lease, whichever incarnation it reached: the time for which
- * the next owner counts on leases of unknown length after the owner was killed right after the start.
- */
-const MAX_START_LEASE_MS = OWNERSHIP_TTL_MS + MAX_FORMER_LEASE_MS + FORMER_ORDER_MARGIN_MS;
-
 export interface LeaseEndOptions {
   readonly events: EventSink;
   readonly fleet: Fleet;
@@ -90,7 +84,9 @@
 
 /** Returns when the starts of the minion that may have reached another incarnation hold no lease; at least `now`. */
 function findLastStartEnd(minion: MinionState, now: Instant): Instant {
-  const ends = listUnconfirmedStarts(minion).map(({sentAt}) => after(sentAt, MAX_START_LEASE_MS));
+  const ends = listUnconfirmedStarts(minion, now).map(({sentAt}) =>
+    after(sentAt, MAX_START_LEASE_MS),
+  );
   return Math.max(now, ...ends) as Instant;
 }
 
--- a/packages/nutmegproxy-owner/src/MinionRecovery.ts
+++ b/packages/nutmegproxy-owner/src/MinionRecovery.ts
@@ -238,7 +238,7 @@
     now: Instant,
   ): MinionAccount {
     const {fleet} = this.#options;
-    const unconfirmed = listUnconfirmedStarts(minion).map(nameRun);
+    const unconfirmed = listUnconfirmedStarts(minion, now).map(nameRun);
     const leasedMs = Math.ceil(minion.leaseClock.expiresInMs(now));
     const isCertain = unconfirmed.length === 0;
     const former = minion.areRunsKnown ? undefined : this.#unreported.findRuns(minion, now);
--- a/packages/nutmegproxy-owner/src/OwnerConstants.ts
+++ b/packages/nutmegproxy-owner/src/OwnerConstants.ts
@@ -108,6 +108,11 @@
  * may reach a new incarnation, which holds its lease for 10 s on its own clock.
  */
 export const FORMER_ORDER_MARGIN_MS = 500;
+/**
+ * Time in milliseconds after which no start holds a lease, whichever incarnation it reached: the time for which
+ * the next owner counts on leases of unknown length after the owner was killed right after the start.
+ */
+export const MAX_START_LEASE_MS = OWNERSHIP_TTL_MS + MAX_FORMER_LEASE_MS + FORMER_ORDER_MARGIN_MS;
 /**
  * Shortest wait for the report of a minion that a former owner used, although its lease has expired:
  * it may list results that no owner has stored.
--- a/packages/nutmegproxy-owner/src/RunOrders.ts
+++ b/packages/nutmegproxy-owner/src/RunOrders.ts
@@ -220,6 +220,7 @@
   #handleStartFailure(run: Run, {kind}: OrderFailure, now: Instant): StartResult | undefined {
     if (kind === 'unanswered') {
       this.#unansweredStarts.set(run, (this.#unansweredStarts.get(run) ?? 0) + 1);
+      run.unansweredAt = run.sentAt;
       return undefined;
     }
     if (kind === 'late') {
--- a/packages/nutmegproxy-owner/src/SilentRecords.ts
+++ b/packages/nutmegproxy-owner/src/SilentRecords.ts
@@ -11,6 +11,8 @@
 import type {MinionAccount} from './ClosingRecords.ts';
 import type {SilentMinionRecord, SuspectRuns} from './Roster.ts';
 
+import {MAX_START_LEASE_MS} from './OwnerConstants.ts';
+
 /** Runs that a minion may have, and the time in milliseconds after which its lease has certainly expired. */
 export interface RecordedRuns {
   /** The same for the runs that are not unconfirmed, if some are; longer or absent when it is not known. */
@@ -166,11 +168,12 @@
 /**
  * Lists the starts that may have granted a longer lease than they were meant to. A start that no listing
  * confirms may have reached a new incarnation. Its lease was computed for that one's clock only if the
- * response shows the same clock.
+ * response shows the same clock. One without a response may do so although the run was listed since.
  */
-export function listUnconfirmedStarts({runs}: MinionState): Run[] {
+export function listUnconfirmedStarts({runs}: MinionState, now: Instant): Run[] {
   return [...runs].filter(
-    ({isClockConfirmed = false, knownFrom}) => knownFrom === 'order' && !isClockConfirmed,
+    ({isClockConfirmed = false, knownFrom, unansweredAt = -Infinity}) =>
+      (knownFrom === 'order' && !isClockConfirmed) || now - unansweredAt < MAX_START_LEASE_MS,
   );
 }
 
@@ -196,7 +199,7 @@
   unstoredResults: readonly RunResult[],
   {now, wall}: PresentTime,
 ): SilentMinionRecord {
-  const unconfirmed = listUnconfirmedStarts(minion).map(nameRun);
+  const unconfirmed = listUnconfirmedStarts(minion, now).map(nameRun);
   return {
     heldUntil: (wall + minion.leaseClock.expiresInMs(now)) as WallTime,
     runs: listPossibleRuns(fleet, minion, unstoredResults),
--- a/packages/nutmegproxy-owner/src/__tests__/unit/RecordedLeases.test.ts
+++ b/packages/nutmegproxy-owner/src/__tests__/unit/RecordedLeases.test.ts
@@ -11,6 +11,7 @@
 import type {Roster} from '../../Roster.ts';
 
 import {expireRuns} from '../../LeaseEnds.ts';
+import {MAX_START_LEASE_MS} from '../../OwnerConstants.ts';
 import {adoptRecordedRuns, createSilentRecord, shortenRecordedLeases} from '../../SilentRecords.ts';
 
 const JOB = brand<JobId>('3f6718a4051e2adb');
@@ -59,6 +60,15 @@
       assert.deepEqual(listUnconfirmed(), [UNCONFIRMED]);
     });
 
+    it('are longer for a listed run of which another start had no response shortly before', () => {
+      const run = fleet.startRun(step, 1, minion, NOW);
+      run.knownFrom = 'listing';
+      run.unansweredAt = NOW;
+      assert.deepEqual(listUnconfirmed(), [UNCONFIRMED]);
+      run.unansweredAt = (NOW - MAX_START_LEASE_MS) as Instant;
+      assert.equal(listUnconfirmed(), undefined);
+    });
+
     it('are not longer for listed runs', () => {
       fleet.startRun(step, 0, minion, NOW).knownFrom = 'listing';
       assert.equal(listUnconfirmed(), undefined);
