--- a/packages/nutmegproxy-owner/src/ClosingRecords.ts
+++ b/packages/nutmegproxy-owner/src/ClosingRecords.ts
@@ -16,7 +16,7 @@
 import {err, ok} from 'neverthrow';
 
 import type {FleetOwnership} from './FleetOwnership.ts';
-import type {RosterEntry, SilentMinionRecord} from './Roster.ts';
+import type {RosterEntry, SilentMinionRecord} from './RosterEntry.ts';
 
 import {combineRecords} from './ClosingRecordMerge.ts';
 import {
--- a/packages/nutmegproxy-owner/src/DrainingRecords.ts
+++ b/packages/nutmegproxy-owner/src/DrainingRecords.ts
@@ -11,7 +11,8 @@
 import {findStep} from '@nutmegproxy/scheduling';
 
 import type {FleetOwnership} from './FleetOwnership.ts';
-import type {DrainingMinionRecord, Roster} from './Roster.ts';
+import type {Roster} from './Roster.ts';
+import type {DrainingMinionRecord} from './RosterEntry.ts';
 
 import {DRAINING_REVIEW_INTERVAL_MS} from './OwnerConstants.ts';
 import {listPossibleRuns} from './SilentRecords.ts';
--- a/packages/nutmegproxy-owner/src/MinionRecovery.ts
+++ b/packages/nutmegproxy-owner/src/MinionRecovery.ts
@@ -13,7 +13,8 @@
 import type {ClosingRecord, MinionAccount} from './ClosingRecords.ts';
 import type {FleetOwnership} from './FleetOwnership.ts';
 import type {AwaitedMinion, FormerUse, RecoveryRecord} from './RecoveryRecord.ts';
-import type {Roster, RosterEntry} from './Roster.ts';
+import type {Roster} from './Roster.ts';
+import type {RosterEntry} from './RosterEntry.ts';
 
 import {
   FORMER_ORDER_MARGIN_MS,
--- a/packages/nutmegproxy-owner/src/MinionSessions.ts
+++ b/packages/nutmegproxy-owner/src/MinionSessions.ts
@@ -13,7 +13,8 @@
 import type {MinionAccount} from './ClosingRecords.ts';
 import type {MachineList} from './MachineList.ts';
 import type {MinionChange, MinionDirectory, MinionWatch} from './MinionDirectory.ts';
-import type {Roster, RosterEntry} from './Roster.ts';
+import type {Roster} from './Roster.ts';
+import type {RosterEntry} from './RosterEntry.ts';
 import type {SessionContext} from './SessionContext.ts';
 
 import {DirectoryAge} from './DirectoryAge.ts';
--- a/packages/nutmegproxy-owner/src/OwnerConstants.ts
+++ b/packages/nutmegproxy-owner/src/OwnerConstants.ts
@@ -2,7 +2,7 @@
 
 import {MINION_LEASE_MS} from '@nutmegproxy/scheduling';
 
-/** Time to live of the ownership lease; bounds how long the fleet has no owner after a crash. */
+/** Time to live of the ownership lease: how long the fleet has no owner after a crash, unless renewals are carried out late. */
 export const OWNERSHIP_TTL_MS = 2_000;
 /** Pause after the response to a renewal. */
 export const OWNERSHIP_RENEWAL_INTERVAL_MS = 400;
--- a/packages/nutmegproxy-owner/src/RecoveryRecord.ts
+++ b/packages/nutmegproxy-owner/src/RecoveryRecord.ts
@@ -19,7 +19,7 @@
 
 import type {FleetOwnership} from './FleetOwnership.ts';
 import type {WriteOutcome} from './OwnerRecord.ts';
-import type {SilentMinionRecord} from './Roster.ts';
+import type {SilentMinionRecord} from './RosterEntry.ts';
 
 import {OWNER_EVENTS} from './OwnerEvents.ts';
 import {OwnerRecord} from './OwnerRecord.ts';
--- a/packages/nutmegproxy-owner/src/SilentRecords.ts
+++ b/packages/nutmegproxy-owner/src/SilentRecords.ts
@@ -9,7 +9,7 @@
 import {dropSupersededRuns, findStep, FRESH_RUN_MS} from '@nutmegproxy/scheduling';
 
 import type {MinionAccount} from './ClosingRecords.ts';
-import type {SilentMinionRecord, SuspectRuns} from './Roster.ts';
+import type {SilentMinionRecord, SuspectRuns} from './RosterEntry.ts';
 
 import {MAX_START_LEASE_MS} from './OwnerConstants.ts';
 
--- a/packages/nutmegproxy-owner/src/__tests__/unit/ClosingRecords.test.ts
+++ b/packages/nutmegproxy-owner/src/__tests__/unit/ClosingRecords.test.ts
@@ -11,7 +11,7 @@
 
 import type {ClosingRecord, MinionAccount} from '../../ClosingRecords.ts';
 import type {OwnershipToken} from '../../MinionOrders.ts';
-import type {RosterEntry} from '../../Roster.ts';
+import type {RosterEntry} from '../../RosterEntry.ts';
 
 import {ClosingRecords} from '../../ClosingRecords.ts';
 import {FleetOwnership} from '../../FleetOwnership.ts';
--- a/packages/nutmegproxy-owner/src/__tests__/unit/FormerAccounts.test.ts
+++ b/packages/nutmegproxy-owner/src/__tests__/unit/FormerAccounts.test.ts
@@ -9,7 +9,7 @@
 import {afterEach, beforeEach, describe, it} from 'node:test';
 
 import type {RecoveryRecord} from '../../RecoveryRecord.ts';
-import type {SilentMinionRecord} from '../../Roster.ts';
+import type {SilentMinionRecord} from '../../RosterEntry.ts';
 
 import {MinionRecovery} from '../../MinionRecovery.ts';
 import {Roster} from '../../Roster.ts';
--- a/packages/nutmegproxy-owner/src/__tests__/unit/RecordedRunEnds.test.ts
+++ b/packages/nutmegproxy-owner/src/__tests__/unit/RecordedRunEnds.test.ts
@@ -8,7 +8,7 @@
 import assert from 'node:assert/strict';
 import {afterEach, beforeEach, describe, it} from 'node:test';
 
-import type {SilentMinionRecord} from '../../Roster.ts';
+import type {SilentMinionRecord} from '../../RosterEntry.ts';
 
 import {recordRunEnds} from '../../RecordedRunEnds.ts';
 import {Roster} from '../../Roster.ts';
--- a/packages/nutmegproxy-owner/src/__tests__/unit/SilentSuspects.test.ts
+++ b/packages/nutmegproxy-owner/src/__tests__/unit/SilentSuspects.test.ts
@@ -8,7 +8,7 @@
 import assert from 'node:assert/strict';
 import {beforeEach, describe, it} from 'node:test';
 
-import type {SuspectRuns} from '../../Roster.ts';
+import type {SuspectRuns} from '../../RosterEntry.ts';
 
 import {createSilentRecord} from '../../SilentRecords.ts';
 
