Refactor: one name of recorded runs, one end of stored durations, one count from the end of the former ownership

DrainingRecords, RecordedRunEnds and SilentRecords each named recorded runs for comparison; Roster, UnreportedMinions and MinionRecovery each turned a stored duration into its end; MinionRecovery computed the time since the former ownership's end twice. No behaviour changes: records name tasks as formatTaskName writes them, so that their text compares as their parsed form did.

--- a/packages/nutmegproxy-emulator/src/EmulatedFleet.ts
+++ b/packages/nutmegproxy-emulator/src/EmulatedFleet.ts
@@ -70,7 +70,7 @@
   /** Removes a minion that has left: its runs are over and it no longer responds. */
   remove(id: MinionId): void {
     this.minions.delete(id);
-    this.#notifyWatchers([{description: undefined, id}]);
+    this.removeEntry(id);
   }
 
   /** Removes the entry of a minion that still responds. */
--- a/packages/nutmegproxy-owner/src/DrainingRecords.ts
+++ b/packages/nutmegproxy-owner/src/DrainingRecords.ts
@@ -7,7 +7,7 @@
 import type {Instant} from '@nutmegproxy/core';
 import type {Fleet, MinionState, RunResult} from '@nutmegproxy/scheduling';
 
-import {formatRunName, parseTaskName} from '@nutmegproxy/jobs';
+import {parseTaskName} from '@nutmegproxy/jobs';
 import {findStep} from '@nutmegproxy/scheduling';
 
 import type {FleetOwnership} from './FleetOwnership.ts';
@@ -15,7 +15,7 @@
 import type {DrainingMinionRecord} from './RosterEntry.ts';
 
 import {DRAINING_REVIEW_INTERVAL_MS} from './OwnerConstants.ts';
-import {listPossibleRuns} from './SilentRecords.ts';
+import {formatRecordedName, listPossibleRuns} from './SilentRecords.ts';
 
 export interface DrainingRecordsOptions {
   /** Removes the record of a minion that no longer drains. */
@@ -80,18 +80,11 @@
     possible: DrainingMinionRecord['runs'],
   ): boolean {
     const {fleet} = this.#options;
-    const possibleNames = new Set(possible.map(formatRecordedRun));
+    const possibleNames = new Set(possible.map(formatRecordedName));
     return recorded.some((run) => {
-      const task = possibleNames.has(formatRecordedRun(run)) ? undefined : parseTaskName(run[0]);
+      const task = possibleNames.has(formatRecordedName(run)) ? undefined : parseTaskName(run[0]);
       const step = task && findStep(fleet, task);
       return task !== undefined && step?.job.isFinal === false && step.waiting.has(task.index);
     });
   }
 }
-
-/** Returns the name of a run as in the log; undefined for a task name of another scheduler. */
-function formatRecordedRun(run: DrainingMinionRecord['runs'][number]): string | undefined {
-  const [name, number] = run;
-  const task = parseTaskName(name);
-  return task && formatRunName(task, number);
-}
--- a/packages/nutmegproxy-owner/src/MinionRecovery.ts
+++ b/packages/nutmegproxy-owner/src/MinionRecovery.ts
@@ -23,6 +23,7 @@
   MAX_UNCAPPED_LEASE_MS,
   REPORT_WAIT_MS,
 } from './OwnerConstants.ts';
+import {findEnd} from './OwnerUtils.ts';
 import {
   adoptRecordedRuns,
   createSilentRecord,
@@ -226,8 +227,8 @@
       adoptRecordedRuns(fleet, minion, {...record, confirmedMs, remainingMs}, now);
       const heldUntil = Math.ceil(clock.wall() + remainingMs) as WallTime;
       const expiresAt = after(now, remainingMs);
-      const confirmedAt = confirmedMs === undefined ? undefined : after(now, confirmedMs);
-      roster.markSilent(description, {...record, heldUntil}, expiresAt, confirmedAt);
+      const confirmedExpiresAt = findEnd(now, confirmedMs);
+      roster.markSilent(description, {...record, heldUntil}, expiresAt, confirmedExpiresAt);
     }
     void recoveryRecord.update();
   }
@@ -265,9 +266,9 @@
       const {confirmedMs, remainingMs, runs, unconfirmed} = former;
       const heldUntil = (time.wall + remainingMs) as WallTime;
       const expiresAt = after(time.now, remainingMs);
-      const confirmedAt = confirmedMs === undefined ? undefined : after(time.now, confirmedMs);
+      const confirmedExpiresAt = findEnd(time.now, confirmedMs);
       const silent = {heldUntil, runs, ...(unconfirmed && {unconfirmed})};
-      roster.markSilent(minion.description, silent, expiresAt, confirmedAt);
+      roster.markSilent(minion.description, silent, expiresAt, confirmedExpiresAt);
     } else if (minion.areRunsKnown) {
       minion.isRecordedUnreachable = true;
       const silent = createSilentRecord(fleet, minion, unstoredResults, time);
@@ -354,18 +355,21 @@
 
   /** Returns the time in milliseconds after which no start of a former owner holds a lease in any incarnation. */
   #findStartLeaseMs(now: Instant): number {
-    const releasedForMs = now - this.#options.ownership.formerReleasedAt;
-    return Math.max(0, MAX_FORMER_LEASE_MS + FORMER_ORDER_MARGIN_MS - releasedForMs);
+    return Math.max(0, this.#countFromRelease(MAX_FORMER_LEASE_MS, now));
+  }
+
+  /** Returns what is left of a lease, and of the margin for orders, that count from the end of the former ownership. */
+  #countFromRelease(leaseMs: number, now: Instant): number {
+    return leaseMs + FORMER_ORDER_MARGIN_MS - (now - this.#options.ownership.formerReleasedAt);
   }
 
   /** Returns the time in milliseconds after which all leases of former owners have expired. */
   #findFormerLeaseMs({lastTerm}: Pick<FormerUse, 'lastTerm'>, now: Instant): number {
-    const {formerReleasedAt, recordingSince} = this.#options.ownership;
+    const {recordingSince} = this.#options.ownership;
     // Owners of earlier versions grant leases that do not end with their confirmation.
     const isCapped = lastTerm >= recordingSince;
     const longestMs = isCapped ? MAX_FORMER_LEASE_MS : MAX_UNCAPPED_LEASE_MS;
-    const releasedForMs = now - formerReleasedAt;
-    return Math.max(0, Math.min(longestMs, longestMs + FORMER_ORDER_MARGIN_MS - releasedForMs));
+    return Math.max(0, Math.min(longestMs, this.#countFromRelease(longestMs, now)));
   }
 }
 
--- a/packages/nutmegproxy-owner/src/OwnerUtils.ts
+++ b/packages/nutmegproxy-owner/src/OwnerUtils.ts
@@ -1,11 +1,11 @@
 /** Functions that several parts of the owner share. */
 
-import type {EventFields} from '@nutmegproxy/core';
+import type {EventFields, Instant} from '@nutmegproxy/core';
 import type {Resources, TaskRef} from '@nutmegproxy/jobs';
 import type {PlatformStore, StoreFailure} from '@nutmegproxy/store';
 import type {Result} from 'neverthrow';
 
-import {delay} from '@nutmegproxy/core';
+import {after, delay} from '@nutmegproxy/core';
 import {getKey} from '@nutmegproxy/store';
 
 import type {FleetOwnership} from './FleetOwnership.ts';
@@ -42,6 +42,16 @@
   return Math.min(MAX_PLAN_PAUSE_MS, Math.max(MIN_PLAN_PAUSE_MS, roundMs * PLAN_PAUSE_RATIO));
 }
 
+/**
+ * Returns the end of a stored duration in milliseconds that counts from `since`; undefined when none is known.
+ *
+ * @example
+ * findEnd(1_000 as Instant, 500); // 1500
+ */
+export function findEnd(since: Instant, durationMs: unknown): Instant | undefined {
+  return typeof durationMs === 'number' ? after(since, durationMs) : undefined;
+}
+
 /** Whether two references name the same task. */
 export function isSameTask(a: TaskRef, b: TaskRef): boolean {
   return (
--- a/packages/nutmegproxy-owner/src/RecordedRunEnds.ts
+++ b/packages/nutmegproxy-owner/src/RecordedRunEnds.ts
@@ -3,20 +3,13 @@
  * task until the minion's lease has expired.
  */
 
-import type {Run, RunNumber, TaskRef} from '@nutmegproxy/jobs';
+import type {Run} from '@nutmegproxy/jobs';
 import type {MinionState} from '@nutmegproxy/scheduling';
 
-import {formatRunName, parseTaskName} from '@nutmegproxy/jobs';
-
 import type {Journal} from './Journal.ts';
 import type {Roster} from './Roster.ts';
 
-/** Returns the names of runs as in the log. */
-function listNames(
-  runs: Iterable<{readonly number: RunNumber; readonly task: TaskRef}>,
-): ReadonlySet<string> {
-  return new Set([...runs].map(({number, task}) => formatRunName(task, number)));
-}
+import {formatRecordedName, nameRun} from './SilentRecords.ts';
 
 /**
  * Removes runs that are over from the record of a silent minion. The record stays as it is while the store does
@@ -42,12 +35,8 @@
   if (silent === undefined || silent !== former) {
     return;
   }
-  const over = listNames(ended);
-  const runs = silent.runs.filter(([name, number]) => {
-    const task = parseTaskName(name);
-    const run = task && formatRunName(task, number);
-    return run === undefined || !over.has(run);
-  });
+  const over = new Set(ended.map(nameRun).map(formatRecordedName));
+  const runs = silent.runs.filter((run) => !over.has(formatRecordedName(run)));
   if (runs.length < silent.runs.length) {
     roster.replaceSilentRuns(id, runs);
   }
--- a/packages/nutmegproxy-owner/src/Roster.ts
+++ b/packages/nutmegproxy-owner/src/Roster.ts
@@ -14,7 +14,6 @@
 import type {PlatformStore, StoreFailure} from '@nutmegproxy/store';
 import type {Result} from 'neverthrow';
 
-import {after} from '@nutmegproxy/core';
 import {STATE_PREFIX} from '@nutmegproxy/jobs';
 import {checkMinion} from '@nutmegproxy/scheduling';
 import {err, ok} from 'neverthrow';
@@ -31,7 +30,7 @@
 
 import {OWNER_EVENTS} from './OwnerEvents.ts';
 import {OwnerRecord} from './OwnerRecord.ts';
-import {describeCapacityChange} from './OwnerUtils.ts';
+import {describeCapacityChange, findEnd} from './OwnerUtils.ts';
 import {RecordWriter} from './RecordWriter.ts';
 import {parseJson} from './StoredJson.ts';
 
@@ -258,11 +257,6 @@
   }
 }
 
-/** Returns the end of a stored duration that counts from `since`; undefined when it names none. */
-function findEnd(since: Instant, durationMs: unknown): Instant | undefined {
-  return typeof durationMs === 'number' ? after(since, durationMs) : undefined;
-}
-
 /** Returns the time in milliseconds until an instant, rounded up; undefined when it is not known. */
 function computeRemainingMs(instant: Instant | undefined, now: Instant): number | undefined {
   return instant === undefined ? undefined : Math.ceil(Math.max(0, instant - now));
--- a/packages/nutmegproxy-owner/src/SilentRecords.ts
+++ b/packages/nutmegproxy-owner/src/SilentRecords.ts
@@ -100,10 +100,12 @@
   fleet.recordAdoption(minion, adopted);
 }
 
-function formatRecordedName([task, number]: RecordedRuns['runs'][number]): string {
+/** Returns a name by which recorded runs are compared. */
+export function formatRecordedName([task, number]: RecordedRuns['runs'][number]): string {
   return `${task} ${number}`;
 }
 
+/** Returns a run as records name it. */
 export function nameRun({
   number,
   task,
--- a/packages/nutmegproxy-owner/src/UnreportedMinions.ts
+++ b/packages/nutmegproxy-owner/src/UnreportedMinions.ts
@@ -12,6 +12,8 @@
 import type {MinionAccount} from './ClosingRecords.ts';
 import type {RecordedRuns} from './SilentRecords.ts';
 
+import {findEnd} from './OwnerUtils.ts';
+
 /** Maximum number of minions that a log line names. */
 const MAX_NAMED_MINIONS = 5;
 
@@ -51,9 +53,7 @@
       // The owner before may not have reached a minion whose runs the roster names.
       if (account?.runs !== undefined) {
         const {confirmedForMs, runs, unconfirmed} = account;
-        const confirmedUntil =
-          confirmedForMs === undefined ? undefined : after(now, confirmedForMs);
-        this.#runs.set(id, {confirmedUntil, runs, unconfirmed});
+        this.#runs.set(id, {confirmedUntil: findEnd(now, confirmedForMs), runs, unconfirmed});
       }
     }
   }
