--- a/packages/nutmegproxy-emulator/src/__tests__/unit/EndedRuns.test.ts
+++ b/packages/nutmegproxy-emulator/src/__tests__/unit/EndedRuns.test.ts
@@ -12,13 +12,10 @@
 import type {KillableOwner} from './TakeoverHarness.ts';
 
 import {createStepShape, createStoredJob, submitJob, waitFor} from './JobSamples.ts';
+import {OWNERSHIP_TTL_MS, RESTART_DEADLINE_MS} from './LastingTaskScenario.ts';
 import {waitForRoster} from './StoreSamples.ts';
-import {sleep, TakeoverHarness} from './TakeoverHarness.ts';
+import {PLATFORMS, sleep, TakeoverHarness} from './TakeoverHarness.ts';
 
-/** Time in milliseconds after its last run within which a lasting task has to run again. */
-const RESTART_DEADLINE_MS = 9_000;
-/** Time in milliseconds until the ownership of a killed VM is free. */
-const OWNERSHIP_TTL_MS = 2_000;
 /** Time in milliseconds after which the lease of a minion that is cut off has certainly expired. */
 const LEASE_OVER_MS = 8_250;
 /** Longest time in milliseconds for which a start may hold a lease on a new incarnation of its minion. */
@@ -31,11 +28,6 @@
 const STEP_MS = 250;
 const STEP_PAUSE_MS = 60;
 
-const PLATFORMS = [
-  {hasList: false, name: 'without a list of machines'},
-  {hasList: true, name: 'with a list of machines'},
-];
-
 for (const {hasList, name} of PLATFORMS) {
   describe(`A lasting task whose run an owner knew to be over before it was killed, ${name}`, () => {
     let harness: TakeoverHarness;
@@ -78,12 +70,6 @@
       }
     }
 
-    /** Cuts the minion off and waits until the store names what it runs. */
-    async function cutOff(): Promise<void> {
-      harness.fleet.faults(minion.description.id).isUnreachable = true;
-      await waitForRoster(harness.store, (roster) => roster.includes('"silent"'));
-    }
-
     async function passUntilLeaseExpires(): Promise<void> {
       const count = (): number =>
         harness.events.filter((kind) => kind === OWNER_EVENTS.LEASE_EXPIRED).length;
@@ -108,7 +94,7 @@
 
     describe('as the lease of a silent minion had expired', () => {
       it('runs again within its deadline', async () => {
-        await cutOff();
+        await harness.cutOff(minion);
         await passUntilLeaseExpires();
         await takeOver();
       });
@@ -117,7 +103,7 @@
         const {id} = minion.description;
         harness.fleet.faults(id).startDelayMs = NEVER_MS;
         await submitJob(harness.store, createStoredJob(2, [createStepShape()]));
-        await cutOff();
+        await harness.cutOff(minion);
         await passUntilLeaseExpires();
         await takeOver();
       });
@@ -125,7 +111,7 @@
       it('is still held for as long as a start without a response may hold a lease', async () => {
         harness.fleet.faults(minion.description.id).startDelayMs = NEVER_MS;
         await submitJob(harness.store, createStoredJob(2, [createStepShape()]));
-        await cutOff();
+        await harness.cutOff(minion);
         const sentBy = harness.clock.monotonic();
         await passUntilLeaseExpires();
         const elapsedMs = harness.clock.monotonic() - sentBy;
@@ -136,7 +122,7 @@
       });
 
       it('runs again within its deadline when the owner had taken over itself', async () => {
-        await cutOff();
+        await harness.cutOff(minion);
         await owner.kill(OWNERSHIP_TTL_MS);
         await startOwner();
         await sleep(SETTLED_MS);
@@ -187,7 +173,7 @@
         });
 
         it('runs again within its deadline when a record of the owner before had named the run', async () => {
-          await cutOff();
+          await harness.cutOff(minion);
           minion.crash(Infinity, harness.clock.monotonic());
           harness.fleet.remove(minion.description.id);
           await owner.kill(OWNERSHIP_TTL_MS);
--- a/packages/nutmegproxy-emulator/src/__tests__/unit/JoiningMinions.test.ts
+++ b/packages/nutmegproxy-emulator/src/__tests__/unit/JoiningMinions.test.ts
@@ -6,7 +6,7 @@
 import type {HoldingStore} from './StoreSamples.ts';
 
 import {createStepShape, createStoredJob, submitJob, waitFor} from './JobSamples.ts';
-import {createHoldingStore, waitForRoster} from './StoreSamples.ts';
+import {createHoldingStore} from './StoreSamples.ts';
 import {TakeoverHarness} from './TakeoverHarness.ts';
 
 const ROSTER_KEY = `${STATE_PREFIX}roster`;
@@ -66,8 +66,7 @@
     const silent = harness.addMinion('m1');
     const owner = await harness.startKillable('vm-1');
     await waitFor('the minion has reported', () => silent.answeredPolls > 0);
-    harness.fleet.faults(silent.description.id).isUnreachable = true;
-    await waitForRoster(harness.store, (roster) => roster.includes('"silent"'));
+    await harness.cutOff(silent);
     await owner.kill();
     const held = createHoldingStore(harness.store, ROSTER_KEY);
     await harness.start('vm-2', held.view);
--- a/packages/nutmegproxy-emulator/src/__tests__/unit/RepeatedStarts.test.ts
+++ b/packages/nutmegproxy-emulator/src/__tests__/unit/RepeatedStarts.test.ts
@@ -11,7 +11,6 @@
 
 import {createStepShape, createStoredJob, submitJob, waitFor} from './JobSamples.ts';
 import {OWNERSHIP_TTL_MS} from './LastingTaskScenario.ts';
-import {waitForRoster} from './StoreSamples.ts';
 import {sleep, TakeoverHarness} from './TakeoverHarness.ts';
 
 /** Longest time in milliseconds for which a lease lasts on a clock that is 2% slow, and some more. */
@@ -64,8 +63,7 @@
 
   /** The first copy reaches the next incarnation, on whose clock its lease is the longest one. */
   async function restartUnreached(): Promise<void> {
-    harness.fleet.faults(minion.description.id).isUnreachable = true;
-    await waitForRoster(harness.store, (roster) => roster.includes('"silent"'));
+    await harness.cutOff(minion);
     await next.observe();
     minion.restart(2, harness.clock.monotonic());
     const start = minion.start.bind(minion);
--- a/packages/nutmegproxy-emulator/src/__tests__/unit/RestartedSilentMinions.test.ts
+++ b/packages/nutmegproxy-emulator/src/__tests__/unit/RestartedSilentMinions.test.ts
@@ -48,19 +48,14 @@
     return harness.events.filter((each) => each === kind).length;
   }
 
-  function setUnreachable(isUnreachable: boolean): void {
-    harness.fleet.faults(minion.description.id).isUnreachable = isUnreachable;
-  }
-
-  async function cutOff(): Promise<void> {
-    setUnreachable(true);
-    await waitForRoster(harness.store, (roster) => roster.includes('"silent"'));
+  function reconnect(): void {
+    harness.fleet.faults(minion.description.id).isUnreachable = false;
   }
 
   /** The minion crashes under the task, which had just started, and can't be reached after it either. */
   async function crashUnreached(): Promise<void> {
     minion.restart(BORN_LATER, harness.clock.monotonic());
-    await cutOff();
+    await harness.cutOff(minion);
     harness.fleet.add(minion);
     await waitFor('the crash counts', () => countEvents(SCHEDULING_EVENTS.TASK_CRASHED_MINION) > 0);
     await sleep(SETTLED_MS);
@@ -71,7 +66,7 @@
     await owner.kill(OWNERSHIP_TTL_MS);
     const {answeredPolls} = minion;
     await harness.start('vm-2');
-    setUnreachable(false);
+    reconnect();
     await waitFor('the minion reports', () => minion.answeredPolls > answeredPolls + 1);
     await sleep(SETTLED_MS);
   }
@@ -111,7 +106,7 @@
           'the restart is denied',
           () => countEvents(OWNER_EVENTS.RESTART_DENIED) === 1,
         );
-        await cutOff();
+        await harness.cutOff(minion);
         if (isRepeated) {
           writeOddEntry();
           await sleep(SETTLED_MS);
@@ -131,14 +126,14 @@
     }
 
     it('does not start its task twice at once when it responds before a task is started', async () => {
-      await cutOff();
+      await harness.cutOff(minion);
       writeOddEntry();
       await waitFor('it is believed', () => countEvents(OWNER_EVENTS.MINION_RESTARTED) === 1);
       await sleep(SETTLED_MS);
-      setUnreachable(false);
+      reconnect();
       const {answeredPolls} = minion;
       await waitFor('it responds', () => minion.answeredPolls > answeredPolls + 1);
-      await cutOff();
+      await harness.cutOff(minion);
       await sleep(SETTLED_MS);
       await owner.kill(OWNERSHIP_TTL_MS);
       const other = harness.addMinion('m2');
--- a/packages/nutmegproxy-emulator/src/__tests__/unit/SilentEndedRuns.test.ts
+++ b/packages/nutmegproxy-emulator/src/__tests__/unit/SilentEndedRuns.test.ts
@@ -10,8 +10,8 @@
 
 import {createStepShape, createStoredJob, submitJob, waitFor} from './JobSamples.ts';
 import {OWNERSHIP_TTL_MS, RESTART_DEADLINE_MS} from './LastingTaskScenario.ts';
-import {isWriteOf, waitForRoster} from './StoreSamples.ts';
-import {type KillableOwner, sleep, TakeoverHarness} from './TakeoverHarness.ts';
+import {isWriteOf} from './StoreSamples.ts';
+import {type KillableOwner, PLATFORMS, sleep, TakeoverHarness} from './TakeoverHarness.ts';
 
 /** Time in real milliseconds in which the owners under test act on what has happened. */
 const REACTION_MS = 5_000;
@@ -19,11 +19,6 @@
 const STEP_MS = 250;
 const STEP_PAUSE_MS = 60;
 
-const PLATFORMS = [
-  {hasList: false, name: 'without a list of machines'},
-  {hasList: true, name: 'with a list of machines'},
-];
-
 for (const {hasList, name} of PLATFORMS) {
   describe(`A lasting task of a silent minion whose run its owner knew to be over, ${name}`, () => {
     let areJobsStored: boolean;
@@ -49,11 +44,6 @@
       await harness.close();
     });
 
-    async function cutOff(): Promise<void> {
-      harness.fleet.faults(minion.description.id).isUnreachable = true;
-      await waitForRoster(harness.store, (roster) => roster.includes('"silent"'));
-    }
-
     /** Kills the owner; room for the task joins, and the next owner lets it run in time. */
     async function takeOver(): Promise<void> {
       const [record] = minion.records;
@@ -74,7 +64,7 @@
 
     it('runs again in time when its minion had restarted by its entry', async () => {
       minion.restart(2, harness.clock.monotonic());
-      await cutOff();
+      await harness.cutOff(minion);
       await harness.passTime(owner.started.ownership, STEP_MS, STEP_MS, STEP_PAUSE_MS);
       harness.fleet.add(minion);
       await waitFor('the restart is seen', () =>
@@ -88,7 +78,7 @@
       const before = isSilent ? 'it had fallen silent' : 'it had not';
       it(`runs again in time when another minion had taken the address before the kill, and ${before}`, async () => {
         if (isSilent) {
-          await cutOff();
+          await harness.cutOff(minion);
         }
         const faults = harness.fleet.faults(minion.description.id);
         faults.rejection = {clockMs: undefined, kind: 'other-life', message: 'another minion'};
@@ -116,7 +106,7 @@
       const {answeredPolls} = minion;
       await waitFor('the end is listed', () => minion.answeredPolls > answeredPolls + 1);
       await harness.passTime(owner.started.ownership, STEP_MS, STEP_MS, STEP_PAUSE_MS);
-      await cutOff();
+      await harness.cutOff(minion);
       areJobsStored = true;
       await sleep(SETTLED_MS);
       await takeOver();
--- a/packages/nutmegproxy-emulator/src/__tests__/unit/SilentMinions.test.ts
+++ b/packages/nutmegproxy-emulator/src/__tests__/unit/SilentMinions.test.ts
@@ -15,7 +15,7 @@
 import {CrashHarness} from './CrashHarness.ts';
 import {createStepShape, createStoredJob, submitJob, waitFor} from './JobSamples.ts';
 import {isWriteOf, waitForRoster} from './StoreSamples.ts';
-import {sleep, TakeoverHarness} from './TakeoverHarness.ts';
+import {PLATFORMS, sleep, TakeoverHarness} from './TakeoverHarness.ts';
 
 /** Time in milliseconds after its last run within which a long-running task has to run again. */
 const RESTART_DEADLINE_MS = 9_000;
@@ -32,11 +32,6 @@
 const DOWN_MS = 3_000;
 const ROSTER_KEY = `${STATE_PREFIX}roster`;
 
-const PLATFORMS = [
-  {hasList: false, name: 'without a list of machines'},
-  {hasList: true, name: 'with a list of machines'},
-];
-
 for (const {hasList, name} of PLATFORMS) {
   describe(`A minion that does not respond, ${name}`, () => {
     let harness: TakeoverHarness;
--- a/packages/nutmegproxy-emulator/src/__tests__/unit/TakeoverHarness.ts
+++ b/packages/nutmegproxy-emulator/src/__tests__/unit/TakeoverHarness.ts
@@ -22,7 +22,7 @@
   submitJob,
   waitFor,
 } from './JobSamples.ts';
-import {createFailingStore} from './StoreSamples.ts';
+import {createFailingStore, waitForRoster} from './StoreSamples.ts';
 
 const LEASE_RENEWAL_MS = 400;
 /** Time in real milliseconds in which an owner stores what has changed. */
@@ -56,6 +56,12 @@
   return new Promise((resolve) => setTimeout(resolve, milliseconds));
 }
 
+/** The platforms on which tasks of minions that are gone are tested. */
+export const PLATFORMS = [
+  {hasList: false, name: 'without a list of machines'},
+  {hasList: true, name: 'with a list of machines'},
+];
+
 export class TakeoverHarness {
   readonly clock = new ManualClock(Date.now());
   /** Kinds of the events of all owners. */
@@ -84,6 +90,12 @@
     return list;
   }
 
+  /** Cuts a minion off and waits until the store names what it runs. */
+  async cutOff(minion: EmulatedMinion): Promise<void> {
+    this.fleet.faults(minion.description.id).isUnreachable = true;
+    await waitForRoster(this.store, (roster) => roster.includes('"silent"'));
+  }
+
   async close(): Promise<void> {
     for (const stop of this.#stops.splice(0)) {
       stop();
--- a/packages/nutmegproxy-emulator/src/__tests__/unit/UnconfirmedStarts.test.ts
+++ b/packages/nutmegproxy-emulator/src/__tests__/unit/UnconfirmedStarts.test.ts
@@ -6,11 +6,10 @@
 import type {KillableOwner, WaitingVm} from './TakeoverHarness.ts';
 
 import {createStepShape, createStoredJob, submitJob, waitFor} from './JobSamples.ts';
+import {RESTART_DEADLINE_MS} from './LastingTaskScenario.ts';
 import {waitForRoster} from './StoreSamples.ts';
 import {sleep, TakeoverHarness} from './TakeoverHarness.ts';
 
-/** Time in milliseconds after its last run within which a lasting task has to run again. */
-const RESTART_DEADLINE_MS = 9_000;
 /** Time in milliseconds for which a killed owner keeps the ownership. */
 const OWNERSHIP_KEPT_MS = 2_000;
 /** Time in milliseconds for which the minion has been silent when its owner stops. */
