--- a/packages/nutmegproxy-core/src/index.ts
+++ b/packages/nutmegproxy-core/src/index.ts
@@ -36,5 +36,7 @@
 export {BrokenInvariant, invariant} from './Invariant.ts';
 export {DRAIN_STARTED} from './LifecycleCommands.ts';
 export type {DrainStart} from './LifecycleCommands.ts';
+export {DEFAULT_PLATFORM_BOUNDS} from './PlatformBounds.ts';
+export type {PlatformBounds} from './PlatformBounds.ts';
 export {mergeUnregister} from './Unregister.ts';
 export type {Unregister} from './Unregister.ts';
--- a/packages/nutmegproxy-emulator/src/FleetSimulation.ts
+++ b/packages/nutmegproxy-emulator/src/FleetSimulation.ts
@@ -11,6 +11,7 @@
 import {formatTaskName, JobState} from '@nutmegproxy/jobs';
 import {
   countDeferrable,
+  DEFAULT_LEASE_TIMES,
   DurationEstimator,
   findStep,
   Fleet,
@@ -128,7 +129,7 @@
   }
 
   #addMinion(description: MinionDescription, index: number): void {
-    const minion = new MinionState(description);
+    const minion = new MinionState(description, DEFAULT_LEASE_TIMES);
     minion.isRegistered = true;
     minion.hasReported = true;
     minion.leaseClock.observe(0, 0 as Instant);
--- a/packages/nutmegproxy-emulator/src/__tests__/unit/FormerLeases.test.ts
+++ b/packages/nutmegproxy-emulator/src/__tests__/unit/FormerLeases.test.ts
@@ -5,7 +5,7 @@
 
 import {brand} from '@nutmegproxy/core';
 import {STATE_PREFIX} from '@nutmegproxy/jobs';
-import {MAX_FORMER_LEASE_MS} from '@nutmegproxy/owner';
+import {DEFAULT_LEASE_TIMES} from '@nutmegproxy/scheduling';
 import {put} from '@nutmegproxy/store';
 import {errAsync} from 'neverthrow';
 import assert from 'node:assert/strict';
@@ -19,6 +19,8 @@
 import {createFailingStore} from './StoreSamples.ts';
 import {sleep, TakeoverHarness} from './TakeoverHarness.ts';
 
+const {maxFormerLeaseMs: MAX_FORMER_LEASE_MS} = DEFAULT_LEASE_TIMES;
+
 /** Time in milliseconds after its last run within which a long-running task has to run again. */
 const RESTART_DEADLINE_MS = 9_000;
 /** Time in milliseconds for which a kill excuses a task that doesn't run. */
--- a/packages/nutmegproxy-emulator/src/__tests__/unit/JobSamples.ts
+++ b/packages/nutmegproxy-emulator/src/__tests__/unit/JobSamples.ts
@@ -18,6 +18,7 @@
 import {brand, SILENT_EVENTS} from '@nutmegproxy/core';
 import {encodeRecord, formatJobKey} from '@nutmegproxy/jobs';
 import {type FleetOwnership, Owner, OwnerElection, type OwnerOptions} from '@nutmegproxy/owner';
+import {DEFAULT_LEASE_TIMES} from '@nutmegproxy/scheduling';
 import {put} from '@nutmegproxy/store';
 
 import type {EmulatedFleet} from '../../EmulatedFleet.ts';
@@ -109,13 +110,14 @@
   fleet: EmulatedFleet,
   vm = 'vm-1',
   events: EventSink = SILENT_EVENTS,
+  leaseTimes = DEFAULT_LEASE_TIMES,
 ): Promise<{
   ended: Promise<string>;
   owner: Owner;
   election: OwnerElection;
   ownership: FleetOwnership;
 }> {
-  const election = new OwnerElection({clock, events, store, vm: brand<VmId>(vm)});
+  const election = new OwnerElection({clock, events, leaseTimes, store, vm: brand<VmId>(vm)});
   const acquired = await election.acquire();
   if (acquired.isErr()) {
     throw new Error(acquired.error.message);
--- a/packages/nutmegproxy-emulator/src/__tests__/unit/PlannedStops.test.ts
+++ b/packages/nutmegproxy-emulator/src/__tests__/unit/PlannedStops.test.ts
@@ -3,6 +3,7 @@
 import {brand, SILENT_EVENTS} from '@nutmegproxy/core';
 import {STATE_PREFIX} from '@nutmegproxy/jobs';
 import {OWNER_KEY, OwnerElection} from '@nutmegproxy/owner';
+import {DEFAULT_LEASE_TIMES} from '@nutmegproxy/scheduling';
 import assert from 'node:assert/strict';
 import {afterEach, beforeEach, describe, it} from 'node:test';
 
@@ -49,6 +50,7 @@
     const election = new OwnerElection({
       clock,
       events: SILENT_EVENTS,
+      leaseTimes: DEFAULT_LEASE_TIMES,
       store,
       vm: brand<VmId>(vm),
     });
@@ -120,7 +122,13 @@
       harness.fleet.remove(minion.description.id);
       await first.kill(OWNERSHIP_KEPT_MS);
       const vm = brand<VmId>('vm-2');
-      const election = new OwnerElection({clock, events: SILENT_EVENTS, store, vm});
+      const election = new OwnerElection({
+        clock,
+        events: SILENT_EVENTS,
+        leaseTimes: DEFAULT_LEASE_TIMES,
+        store,
+        vm,
+      });
       const read = await store.commit({compare: [], then: [{key: OWNER_KEY, kind: 'get'}]});
       election.recordRelease(read._unsafeUnwrap().revision, clock.monotonic());
       clock.advance(LATE_TAKEOVER_MS);
--- a/packages/nutmegproxy-emulator/src/__tests__/unit/RecoverySeries.test.ts
+++ b/packages/nutmegproxy-emulator/src/__tests__/unit/RecoverySeries.test.ts
@@ -2,8 +2,7 @@
 import type {OwnershipToken} from '@nutmegproxy/owner';
 
 import {formatTaskName, STATE_PREFIX} from '@nutmegproxy/jobs';
-import {MAX_FORMER_LEASE_MS} from '@nutmegproxy/owner';
-import {SCHEDULING_EVENTS} from '@nutmegproxy/scheduling';
+import {DEFAULT_LEASE_TIMES, SCHEDULING_EVENTS} from '@nutmegproxy/scheduling';
 import {getKey, put} from '@nutmegproxy/store';
 import assert from 'node:assert/strict';
 import {afterEach, beforeEach, describe, it} from 'node:test';
@@ -21,6 +20,8 @@
 import {isWriteOf, waitForRecord} from './StoreSamples.ts';
 import {sleep, TakeoverHarness} from './TakeoverHarness.ts';
 
+const {maxFormerLeaseMs: MAX_FORMER_LEASE_MS} = DEFAULT_LEASE_TIMES;
+
 /** Time in milliseconds after its last run within which a long-running task has to run again. */
 const RESTART_DEADLINE_MS = 9_000;
 /** Time in real milliseconds in which the owners under test act on what has happened. */
--- a/packages/nutmegproxy-emulator/src/__tests__/unit/TakeoverHarness.ts
+++ b/packages/nutmegproxy-emulator/src/__tests__/unit/TakeoverHarness.ts
@@ -6,6 +6,7 @@
 
 import {brand, ManualClock} from '@nutmegproxy/core';
 import {OWNER_KEY, OwnerCandidate, RevisionLog} from '@nutmegproxy/owner';
+import {DEFAULT_LEASE_TIMES} from '@nutmegproxy/scheduling';
 import {MemoryStore} from '@nutmegproxy/standins';
 
 import type {TaskBehaviour} from '../../EmulatedMinion.ts';
@@ -69,6 +70,8 @@
   /** Fields of the events of the owners that were started by `start` or `startKillable`, by kind. */
   readonly fields = new Map<EventKind, EventFields[]>();
   readonly fleet = new EmulatedFleet(this.clock);
+  /** Lease times of the VMs that are started from now on. */
+  leaseTimes = DEFAULT_LEASE_TIMES;
   readonly store = new MemoryStore();
   readonly #stops: (() => void)[] = [];
 
@@ -132,14 +135,15 @@
     store: PlatformStore = this.store,
     fleet: EmulatedFleet = this.fleet,
   ): Promise<StartedOwner> {
-    const started = await startOwner(this.clock, store, fleet, vm, {
+    const events: EventSink = {
       record: (kind, fields) => {
         this.events.push(kind);
         const known = this.fields.get(kind) ?? [];
         known.push(fields);
         this.fields.set(kind, known);
       },
-    });
+    };
+    const started = await startOwner(this.clock, store, fleet, vm, events, this.leaseTimes);
     const renewal = setInterval(() => {
       void this.store.keepLeaseAlive(started.ownership.lease);
     }, LEASE_RENEWAL_MS);
@@ -169,7 +173,7 @@
 
   /** Starts a VM that watches the ownership, and acquires it only once it is allowed to. */
   startWaitingVm(vm: string, fleet: EmulatedFleet = this.fleet): WaitingVm {
-    const {clock, store} = this;
+    const {clock, leaseTimes, store} = this;
     const events: EventSink = {record: (kind) => this.events.push(kind)};
     const revisions = new RevisionLog();
     const observe = async (): Promise<void> => {
@@ -185,6 +189,7 @@
         return createOwner({clock, events, ownership, store}, fleet);
       },
       events,
+      leaseTimes,
       otherCores: () => [],
       ownCores: 1,
       random: () => 0,
--- a/packages/nutmegproxy-emulator/src/__tests__/unit/UnrecordedRenewals.test.ts
+++ b/packages/nutmegproxy-emulator/src/__tests__/unit/UnrecordedRenewals.test.ts
@@ -1,7 +1,7 @@
 import type {FleetOwnership, MinionTarget, PollOrder} from '@nutmegproxy/owner';
 
 import {STATE_PREFIX} from '@nutmegproxy/jobs';
-import {MAX_FORMER_LEASE_MS} from '@nutmegproxy/owner';
+import {DEFAULT_LEASE_TIMES} from '@nutmegproxy/scheduling';
 import {ResultAsync} from 'neverthrow';
 import assert from 'node:assert/strict';
 import {afterEach, beforeEach, describe, it} from 'node:test';
@@ -13,6 +13,8 @@
 import {isWriteOf, waitForRecord} from './StoreSamples.ts';
 import {sleep, TakeoverHarness} from './TakeoverHarness.ts';
 
+const {maxFormerLeaseMs: MAX_FORMER_LEASE_MS} = DEFAULT_LEASE_TIMES;
+
 /** Time in real milliseconds in which the owners under test act on what has happened. */
 const REACTION_MS = 5_000;
 const SETTLED_MS = 500;
--- a/packages/nutmegproxy-owner/src/ClosingRecords.ts
+++ b/packages/nutmegproxy-owner/src/ClosingRecords.ts
@@ -22,7 +22,6 @@
 import {
   CLOSING_RECORD_READ_INTERVAL_MS,
   MAX_CLOSING_RECORD_READ_INTERVAL_MS,
-  MAX_UNCAPPED_LEASE_MS,
   STORE_RETRY_MS,
 } from './OwnerConstants.ts';
 import {OWNER_EVENTS} from './OwnerEvents.ts';
@@ -124,7 +123,7 @@
     const {clock, events, ownership, store} = this.#options;
     const {term} = ownership;
     const endedAt = clock.monotonic();
-    const deadline = after(endedAt, MAX_UNCAPPED_LEASE_MS);
+    const deadline = after(endedAt, ownership.leaseTimes.maxUncappedLeaseMs);
     while (clock.monotonic() < deadline) {
       const stored = await getKey(store, CLOSING_RECORD_KEY);
       const present = stored.isOk() ? this.#decode(stored.value) : undefined;
--- a/packages/nutmegproxy-owner/src/FleetOwnership.ts
+++ b/packages/nutmegproxy-owner/src/FleetOwnership.ts
@@ -1,16 +1,12 @@
 /** The right of this process to give orders: a key in the store that is bound to the ownership lease. */
 
 import type {EventFields, Instant, WallTime} from '@nutmegproxy/core';
+import type {LeaseTimes} from '@nutmegproxy/scheduling';
 import type {LeaseId} from '@nutmegproxy/store';
 
 import type {OwnershipToken} from './MinionOrders.ts';
 
-import {
-  MAX_CLOCK_GAP_MS,
-  MAX_LEASE_SINCE_CONFIRMED_MS,
-  OWNERSHIP_TTL_MS,
-  UNCONFIRMED_GRACE_MS,
-} from './OwnerConstants.ts';
+import {MAX_CLOCK_GAP_MS} from './OwnerConstants.ts';
 import {RevisionLog} from './RevisionLog.ts';
 
 /**
@@ -25,6 +21,7 @@
   /** Default: when the acquisition was requested, after a read without an owner. */
   readonly formerReleasedAt?: Instant;
   readonly lease: LeaseId;
+  readonly leaseTimes: LeaseTimes;
   /** Default: this owner is the first one. */
   readonly recordingSince?: number;
   /** Default: an empty one. */
@@ -39,6 +36,7 @@
   /** No ownership of `formerLeaseTerm` or an earlier term was confirmed after this instant. */
   readonly formerReleasedAt: Instant;
   readonly lease: LeaseId;
+  readonly leaseTimes: LeaseTimes;
   /** First term of the latest unbroken sequence of owners that record which minions they use. */
   readonly recordingSince: number;
   /** When the acquisition of this ownership was requested. */
@@ -59,6 +57,7 @@
     this.formerLeaseTerm = grant.formerLeaseTerm ?? grant.term - 1;
     this.formerReleasedAt = grant.formerReleasedAt ?? requestedAt;
     this.lease = grant.lease;
+    this.leaseTimes = grant.leaseTimes;
     this.recordingSince = grant.recordingSince ?? grant.term;
     this.requestedAt = requestedAt;
     this.revisions = grant.revisions ?? new RevisionLog();
@@ -118,10 +117,11 @@
    */
   state(now: Instant, wall: WallTime): OwnershipState {
     const {ageMs, wasSuspended} = this.#measureAge(now, wall);
-    if (this.#isOver || ageMs > OWNERSHIP_TTL_MS + UNCONFIRMED_GRACE_MS) {
+    const {ownershipTtlMs, unconfirmedGraceMs} = this.leaseTimes;
+    if (this.#isOver || ageMs > ownershipTtlMs + unconfirmedGraceMs) {
       return 'over';
     }
-    return ageMs > OWNERSHIP_TTL_MS || wasSuspended ? 'unproved' : 'proved';
+    return ageMs > ownershipTtlMs || wasSuspended ? 'unproved' : 'proved';
   }
 
   /**
@@ -129,7 +129,8 @@
    * the leases of a minion have expired that it can't reach.
    */
   maxMinionLeaseMs(now: Instant, wall: WallTime): number {
-    return Math.max(0, MAX_LEASE_SINCE_CONFIRMED_MS - this.#measureAge(now, wall).ageMs);
+    const {maxLeaseSinceConfirmedMs} = this.leaseTimes;
+    return Math.max(0, maxLeaseSinceConfirmedMs - this.#measureAge(now, wall).ageMs);
   }
 
   /** Returns the time since the last confirmation; that for which the machine was suspended counts. */
--- a/packages/nutmegproxy-owner/src/LeaseEnds.ts
+++ b/packages/nutmegproxy-owner/src/LeaseEnds.ts
@@ -12,7 +12,6 @@
 import type {Journal} from './Journal.ts';
 import type {Roster} from './Roster.ts';
 
-import {MAX_START_LEASE_MS} from './OwnerConstants.ts';
 import {OWNER_EVENTS} from './OwnerEvents.ts';
 import {listUnconfirmedStarts} from './SilentRecords.ts';
 
@@ -85,7 +84,7 @@
 /** Returns when the starts of the minion that may have reached another incarnation hold no lease; at least `now`. */
 function findLastStartEnd(minion: MinionState, now: Instant): Instant {
   const ends = listUnconfirmedStarts(minion, now).map(({sentAt}) =>
-    after(sentAt, MAX_START_LEASE_MS),
+    after(sentAt, minion.leaseClock.times.maxStartLeaseMs),
   );
   return Math.max(now, ...ends) as Instant;
 }
--- a/packages/nutmegproxy-owner/src/MinionRecovery.ts
+++ b/packages/nutmegproxy-owner/src/MinionRecovery.ts
@@ -16,13 +16,7 @@
 import type {Roster} from './Roster.ts';
 import type {RosterEntry} from './RosterEntry.ts';
 
-import {
-  FORMER_ORDER_MARGIN_MS,
-  LEASE_TIMES_INTERVAL_MS,
-  MAX_FORMER_LEASE_MS,
-  MAX_UNCAPPED_LEASE_MS,
-  REPORT_WAIT_MS,
-} from './OwnerConstants.ts';
+import {LEASE_TIMES_INTERVAL_MS, REPORT_WAIT_MS} from './OwnerConstants.ts';
 import {findEnd} from './OwnerUtils.ts';
 import {
   adoptRecordedRuns,
@@ -239,14 +233,15 @@
     unstoredResults: readonly RunResult[],
     now: Instant,
   ): MinionAccount {
-    const {fleet} = this.#options;
+    const {fleet, ownership} = this.#options;
+    const {maxUncappedLeaseMs} = ownership.leaseTimes;
     const unconfirmed = listUnconfirmedStarts(minion, now).map(nameRun);
     const leasedMs = Math.ceil(minion.leaseClock.expiresInMs(now));
     const isCertain = unconfirmed.length === 0;
     const former = minion.areRunsKnown ? undefined : this.#unreported.findRuns(minion, now);
     return {
       confirmedForMs: isCertain ? former?.confirmedMs : leasedMs,
-      heldForMs: isCertain ? leasedMs : Math.max(leasedMs, MAX_UNCAPPED_LEASE_MS),
+      heldForMs: isCertain ? leasedMs : Math.max(leasedMs, maxUncappedLeaseMs),
       id: minion.id,
       lastTerm: this.#unused.get(minion.id)?.former.lastTerm,
       leaseTerm: this.#unused.get(minion.id)?.former.leaseTerm,
@@ -355,20 +350,23 @@
 
   /** Returns the time in milliseconds after which no start of a former owner holds a lease in any incarnation. */
   #findStartLeaseMs(now: Instant): number {
-    return Math.max(0, this.#countFromRelease(MAX_FORMER_LEASE_MS, now));
+    const {maxFormerLeaseMs} = this.#options.ownership.leaseTimes;
+    return Math.max(0, this.#countFromRelease(maxFormerLeaseMs, now));
   }
 
   /** Returns what is left of a lease, and of the margin for orders, that count from the end of the former ownership. */
   #countFromRelease(leaseMs: number, now: Instant): number {
-    return leaseMs + FORMER_ORDER_MARGIN_MS - (now - this.#options.ownership.formerReleasedAt);
+    const {formerReleasedAt, leaseTimes} = this.#options.ownership;
+    return leaseMs + leaseTimes.formerOrderMarginMs - (now - formerReleasedAt);
   }
 
   /** Returns the time in milliseconds after which all leases of former owners have expired. */
   #findFormerLeaseMs({lastTerm}: Pick<FormerUse, 'lastTerm'>, now: Instant): number {
-    const {recordingSince} = this.#options.ownership;
+    const {leaseTimes, recordingSince} = this.#options.ownership;
+    const {maxFormerLeaseMs, maxUncappedLeaseMs} = leaseTimes;
     // Owners of earlier versions grant leases that do not end with their confirmation.
     const isCapped = lastTerm >= recordingSince;
-    const longestMs = isCapped ? MAX_FORMER_LEASE_MS : MAX_UNCAPPED_LEASE_MS;
+    const longestMs = isCapped ? maxFormerLeaseMs : maxUncappedLeaseMs;
     return Math.max(0, Math.min(longestMs, this.#countFromRelease(longestMs, now)));
   }
 }
--- a/packages/nutmegproxy-owner/src/MinionSession.ts
+++ b/packages/nutmegproxy-owner/src/MinionSession.ts
@@ -5,19 +5,13 @@
 import type {MinionListing, MinionState, RunResult, StopRequest} from '@nutmegproxy/scheduling';
 
 import {after, BrokenInvariant, delay} from '@nutmegproxy/core';
-import {
-  MINION_LEASE_MS,
-  reconcileListing,
-  recordMinionCrash,
-  recordReplacement,
-} from '@nutmegproxy/scheduling';
+import {reconcileListing, recordMinionCrash, recordReplacement} from '@nutmegproxy/scheduling';
 
 import type {MinionTarget, OrderFailure} from './MinionOrders.ts';
 import type {SessionContext} from './SessionContext.ts';
 
 import {ListedResults} from './ListedResults.ts';
 import {
-  MAX_UNCAPPED_LEASE_MS,
   OMISSION_LOG_INTERVAL_MS,
   POLL_RETRY_MS,
   SILENT_AFTER_MISSED_CALLS,
@@ -131,10 +125,10 @@
 
   /** Handles a new incarnation of the minion: no run of the former one is live any more. */
   #handleRestart(bornAt: number): void {
-    const {clock, events, fleet, onRunsLost} = this.#context;
+    const {clock, events, fleet, onRunsLost, ownership} = this.#context;
     events.record(OWNER_EVENTS.MINION_RESTARTED, {bornAt, minion: this.minion.id});
     this.#results = new ListedResults();
-    this.minion.leaseClock.reset(after(clock.monotonic(), MAX_UNCAPPED_LEASE_MS));
+    this.minion.leaseClock.reset(after(clock.monotonic(), ownership.leaseTimes.maxUncappedLeaseMs));
     fleet.clearUnknownResults(this.minion);
     recordMinionCrash(fleet, this.minion, clock.monotonic());
     // A start that was sent meanwhile may have reached the new incarnation, and so may a former
@@ -283,7 +277,8 @@
       return undefined;
     }
     ownership.recordLeaseGrant();
-    const leaseMs = Math.min(MINION_LEASE_MS, ownership.maxMinionLeaseMs(now, clock.wall()));
+    const longestMs = ownership.maxMinionLeaseMs(now, clock.wall());
+    const leaseMs = Math.min(ownership.leaseTimes.minionLeaseMs, longestMs);
     return this.minion.leaseClock.grantLease(leaseMs, now);
   }
 
--- a/packages/nutmegproxy-owner/src/MinionSessions.ts
+++ b/packages/nutmegproxy-owner/src/MinionSessions.ts
@@ -324,7 +324,7 @@
     const session = this.#sessions.get(description.id);
     roster.updateCapacity(description);
     if (session === undefined) {
-      const minion = new MinionState(description);
+      const minion = new MinionState(description, this.#context.ownership.leaseTimes);
       minion.drainingSince = description.isDraining ? now : undefined;
       minion.leaseClock.assumeLeasedUntil(now);
       const opened = new MinionSession(this.#context, minion);
--- a/packages/nutmegproxy-owner/src/OwnerCandidate.ts
+++ b/packages/nutmegproxy-owner/src/OwnerCandidate.ts
@@ -1,6 +1,7 @@
 /** Acquires the ownership of the fleet whenever it is free and runs the owner until it is lost. */
 
 import type {Clock, EventSink, VmId} from '@nutmegproxy/core';
+import type {LeaseTimes} from '@nutmegproxy/scheduling';
 import type {PlatformStore, Watch} from '@nutmegproxy/store';
 
 import {delay} from '@nutmegproxy/core';
@@ -26,6 +27,7 @@
   readonly clock: Clock;
   readonly createOwner: (ownership: FleetOwnership) => Owner;
   readonly events: EventSink;
+  readonly leaseTimes: LeaseTimes;
   /** Cores of each other entry VM that is known. */
   readonly otherCores: () => readonly number[];
   /** Processor capacity of this VM in cores. */
--- a/packages/nutmegproxy-owner/src/OwnerConstants.ts
+++ b/packages/nutmegproxy-owner/src/OwnerConstants.ts
@@ -1,9 +1,5 @@
 /** Times and limits of the owner of the fleet. */
 
-import {MINION_LEASE_MS} from '@nutmegproxy/scheduling';
-
-/** Time to live of the ownership lease: how long the fleet has no owner after a crash, unless renewals are carried out late. */
-export const OWNERSHIP_TTL_MS = 2_000;
 /** Pause after the response to a renewal. */
 export const OWNERSHIP_RENEWAL_INTERVAL_MS = 400;
 /** Pause after a renewal without a response: eight fit into the rest of the lease's time to live. */
@@ -14,11 +10,6 @@
 export const REVOKE_ATTEMPTS = 4;
 /** Pause between these calls. */
 export const REVOKE_RETRY_MS = 200;
-/**
- * Time for which an owner keeps acting after its lease could not be renewed, so that work continues
- * while the store is unavailable. Longer than the store outages that the users' requirements list.
- */
-export const UNCONFIRMED_GRACE_MS = 6_500;
 /**
  * Largest lead of the wall clock over the monotonic clock; beyond it the machine may have been
  * suspended, and the ownership lease has to be renewed before it counts as valid.
@@ -88,31 +79,6 @@
 export const RETENTION_INTERVAL_MS = 250;
 /** Pause between checks for a larger VM to hand over to; the list of VMs is some seconds old anyway. */
 export const HANDOVER_CHECK_INTERVAL_MS = 1_000;
-/**
- * Longest time from the last confirmation of an ownership to the end of a minion lease granted under it. Leases that
- * are granted while the ownership is proved are not shortened by it.
- */
-export const MAX_LEASE_SINCE_CONFIRMED_MS = OWNERSHIP_TTL_MS + MINION_LEASE_MS;
-/** Upper bound of what slow clocks and network delays add to a former owner's minion leases. */
-const FORMER_LEASE_MARGIN_MS = 500;
-/** Longest time for which runs of a former owner may stay alive without being listed. */
-export const MAX_FORMER_LEASE_MS = MAX_LEASE_SINCE_CONFIRMED_MS + FORMER_LEASE_MARGIN_MS;
-/**
- * The same where leases may last for their full duration whenever they were granted: those of owners of earlier
- * versions, and those of starts that reached a new incarnation, which has another clock.
- */
-export const MAX_UNCAPPED_LEASE_MS =
-  OWNERSHIP_TTL_MS + UNCONFIRMED_GRACE_MS + MINION_LEASE_MS + FORMER_LEASE_MARGIN_MS;
-/**
- * Added to these where they count from the end of the former ownership: an order that was sent just before
- * may reach a new incarnation, which holds its lease for 10 s on its own clock.
- */
-export const FORMER_ORDER_MARGIN_MS = 500;
-/**
- * Time in milliseconds after which no start holds a lease, whichever incarnation it reached: the time for which
- * the next owner counts on leases of unknown length after the owner was killed right after the start.
- */
-export const MAX_START_LEASE_MS = OWNERSHIP_TTL_MS + MAX_FORMER_LEASE_MS + FORMER_ORDER_MARGIN_MS;
 /**
  * Shortest wait for the report of a minion that a former owner used, although its lease has expired:
  * it may list results that no owner has stored.
--- a/packages/nutmegproxy-owner/src/OwnerElection.ts
+++ b/packages/nutmegproxy-owner/src/OwnerElection.ts
@@ -1,6 +1,7 @@
 /** Acquires, renews and releases the ownership of the fleet in the store. */
 
 import type {Clock, EventSink, Instant, VmId} from '@nutmegproxy/core';
+import type {LeaseTimes} from '@nutmegproxy/scheduling';
 import type {LeaseId, PlatformStore, StoredValue, StoreFailure} from '@nutmegproxy/store';
 import type {Result} from 'neverthrow';
 
@@ -11,7 +12,7 @@
 import type {OwnershipToken} from './MinionOrders.ts';
 
 import {FleetOwnership} from './FleetOwnership.ts';
-import {OWNERSHIP_TTL_MS, REVOKE_ATTEMPTS, REVOKE_RETRY_MS} from './OwnerConstants.ts';
+import {REVOKE_ATTEMPTS, REVOKE_RETRY_MS} from './OwnerConstants.ts';
 import {OWNER_EVENTS} from './OwnerEvents.ts';
 import {OwnershipRenewal} from './OwnershipRenewal.ts';
 import {repeatUntilAnswered} from './RepeatedCall.ts';
@@ -31,6 +32,7 @@
 export interface ElectionOptions {
   readonly clock: Clock;
   readonly events: EventSink;
+  readonly leaseTimes: LeaseTimes;
   /** Default: an empty one. */
   readonly revisions?: RevisionLog;
   readonly store: PlatformStore;
@@ -99,7 +101,7 @@
 
   /** Acquires the ownership if no VM has it. */
   async acquire(): Promise<Result<FleetOwnership, AcquireFailure>> {
-    const {clock, store} = this.#options;
+    const {clock, leaseTimes, store} = this.#options;
     const records = await this.#read();
     if (records.isErr()) {
       return err(records.error);
@@ -109,7 +111,7 @@
     }
     const requestedAt = clock.monotonic();
     const wall = clock.wall();
-    const lease = await store.grantLease(OWNERSHIP_TTL_MS / 1000);
+    const lease = await store.grantLease(leaseTimes.ownershipTtlMs / 1000);
     if (lease.isErr()) {
       return err(lease.error);
     }
@@ -123,7 +125,7 @@
     return written.map((grant) => {
       revisions.record(grant.token, clock.monotonic());
       return new FleetOwnership(
-        {formerReleasedAt, lease: lease.value.lease, revisions, ...grant},
+        {formerReleasedAt, lease: lease.value.lease, leaseTimes, revisions, ...grant},
         requestedAt,
         wall,
       );
@@ -210,7 +212,7 @@
   async #write(
     lease: LeaseId,
     {recording, term: previous}: ElectionRecords,
-  ): Promise<Result<Omit<OwnershipGrant, 'lease' | 'revisions'>, AcquireFailure>> {
+  ): Promise<Result<Omit<OwnershipGrant, 'lease' | 'leaseTimes' | 'revisions'>, AcquireFailure>> {
     const {events, store, vm} = this.#options;
     const term = previous === undefined ? 0 : Number(previous.value.toString()) + 1;
     const former = findFormerTerms(recording, term, events);
--- a/packages/nutmegproxy-owner/src/SilentRecords.ts
+++ b/packages/nutmegproxy-owner/src/SilentRecords.ts
@@ -11,8 +11,6 @@
 import type {MinionAccount} from './ClosingRecords.ts';
 import type {SilentMinionRecord, SuspectRuns} from './RosterEntry.ts';
 
-import {MAX_START_LEASE_MS} from './OwnerConstants.ts';
-
 /** Runs that a minion may have, and the time in milliseconds after which its lease has certainly expired. */
 export interface RecordedRuns {
   /** The same for the runs that are not unconfirmed, if some are; longer or absent when it is not known. */
@@ -172,10 +170,11 @@
  * confirms may have reached a new incarnation. Its lease was computed for that one's clock only if the
  * response shows the same clock. One without a response may do so although the run was listed since.
  */
-export function listUnconfirmedStarts({runs}: MinionState, now: Instant): Run[] {
+export function listUnconfirmedStarts({leaseClock, runs}: MinionState, now: Instant): Run[] {
+  const {maxStartLeaseMs} = leaseClock.times;
   return [...runs].filter(
     ({isClockConfirmed = false, knownFrom, unansweredAt = -Infinity}) =>
-      (knownFrom === 'order' && !isClockConfirmed) || now - unansweredAt < MAX_START_LEASE_MS,
+      (knownFrom === 'order' && !isClockConfirmed) || now - unansweredAt < maxStartLeaseMs,
   );
 }
 
--- a/packages/nutmegproxy-owner/src/__tests__/unit/ClosingRecords.test.ts
+++ b/packages/nutmegproxy-owner/src/__tests__/unit/ClosingRecords.test.ts
@@ -4,6 +4,7 @@
 import type {LeaseId} from '@nutmegproxy/store';
 
 import {brand, ManualClock} from '@nutmegproxy/core';
+import {DEFAULT_LEASE_TIMES} from '@nutmegproxy/scheduling';
 import {MemoryStore} from '@nutmegproxy/standins';
 import {getPrefix, put} from '@nutmegproxy/store';
 import assert from 'node:assert/strict';
@@ -58,7 +59,12 @@
   let store: MemoryStore;
 
   function open(term: number): ClosingRecords {
-    const grant = {lease: '1' as LeaseId, term, token: term as OwnershipToken};
+    const grant = {
+      lease: '1' as LeaseId,
+      leaseTimes: DEFAULT_LEASE_TIMES,
+      term,
+      token: term as OwnershipToken,
+    };
     return new ClosingRecords({
       clock,
       events: {
--- a/packages/nutmegproxy-owner/src/__tests__/unit/CrashedOwner.test.ts
+++ b/packages/nutmegproxy-owner/src/__tests__/unit/CrashedOwner.test.ts
@@ -1,11 +1,11 @@
 import type {VmId} from '@nutmegproxy/core';
 
 import {brand, ManualClock, SILENT_EVENTS} from '@nutmegproxy/core';
+import {DEFAULT_LEASE_TIMES} from '@nutmegproxy/scheduling';
 import {MemoryStore} from '@nutmegproxy/standins';
 import assert from 'node:assert/strict';
 import {afterEach, beforeEach, describe, it, mock} from 'node:test';
 
-import {OWNERSHIP_TTL_MS} from '../../OwnerConstants.ts';
 import {OWNER_KEY, OwnerElection} from '../../OwnerElection.ts';
 
 const STEP_MS = 10;
@@ -46,7 +46,13 @@
   for (const seed of SEEDS) {
     it(`is free once the last late renewal has expired, with seed ${String(seed)}`, async () => {
       const vm = brand<VmId>('vm-1');
-      const election = new OwnerElection({clock, events: SILENT_EVENTS, store, vm});
+      const election = new OwnerElection({
+        clock,
+        events: SILENT_EVENTS,
+        leaseTimes: DEFAULT_LEASE_TIMES,
+        store,
+        vm,
+      });
       const ownership = (await election.acquire())._unsafeUnwrap();
       store.faults.change({lateShare: LATE_SHARE, seed});
       void election.renew(ownership);
@@ -59,7 +65,10 @@
         await advance(STEP_MS);
       }
       const ownedMs = clock.monotonic() - crashedAt;
-      assert.ok(ownedMs <= MAX_LATENESS_MS + OWNERSHIP_TTL_MS, `${String(ownedMs)} ms`);
+      assert.ok(
+        ownedMs <= MAX_LATENESS_MS + DEFAULT_LEASE_TIMES.ownershipTtlMs,
+        `${String(ownedMs)} ms`,
+      );
     });
   }
 });
--- a/packages/nutmegproxy-owner/src/__tests__/unit/FleetOwnership.test.ts
+++ b/packages/nutmegproxy-owner/src/__tests__/unit/FleetOwnership.test.ts
@@ -1,6 +1,7 @@
 import type {Instant, WallTime} from '@nutmegproxy/core';
 import type {LeaseId} from '@nutmegproxy/store';
 
+import {DEFAULT_LEASE_TIMES} from '@nutmegproxy/scheduling';
 import * as fc from 'fast-check';
 import assert from 'node:assert/strict';
 import {beforeEach, describe, it} from 'node:test';
@@ -8,11 +9,12 @@
 import type {OwnershipToken} from '../../MinionOrders.ts';
 
 import {FleetOwnership} from '../../FleetOwnership.ts';
-import {OWNERSHIP_TTL_MS, UNCONFIRMED_GRACE_MS} from '../../OwnerConstants.ts';
 
 const WALL_OFFSET_MS = 1_700_000_000_000;
 const CONFIRMED_AT_MS = 10_000;
 /** Time in milliseconds after the last renewal for which the next owner expects orders of this one. */
+const {ownershipTtlMs: OWNERSHIP_TTL_MS, unconfirmedGraceMs: UNCONFIRMED_GRACE_MS} =
+  DEFAULT_LEASE_TIMES;
 const MAX_ACTING_MS = OWNERSHIP_TTL_MS + UNCONFIRMED_GRACE_MS;
 
 describe('FleetOwnership', () => {
@@ -26,7 +28,7 @@
 
   beforeEach(() => {
     ownership = new FleetOwnership(
-      {lease: '1' as LeaseId, term: 0, token: 1 as OwnershipToken},
+      {lease: '1' as LeaseId, leaseTimes: DEFAULT_LEASE_TIMES, term: 0, token: 1 as OwnershipToken},
       CONFIRMED_AT_MS as Instant,
       (CONFIRMED_AT_MS + WALL_OFFSET_MS) as WallTime,
     );
--- a/packages/nutmegproxy-owner/src/__tests__/unit/OwnerCandidate.test.ts
+++ b/packages/nutmegproxy-owner/src/__tests__/unit/OwnerCandidate.test.ts
@@ -1,6 +1,7 @@
 import type {VmId} from '@nutmegproxy/core';
 
 import {brand, SILENT_EVENTS, SYSTEM_CLOCK} from '@nutmegproxy/core';
+import {DEFAULT_LEASE_TIMES} from '@nutmegproxy/scheduling';
 import {MemoryStore} from '@nutmegproxy/standins';
 import {getKey} from '@nutmegproxy/store';
 import {ResultAsync} from 'neverthrow';
@@ -32,6 +33,7 @@
         return {run, stop: () => undefined} as unknown as Owner;
       },
       events: SILENT_EVENTS,
+      leaseTimes: DEFAULT_LEASE_TIMES,
       otherCores: () => [],
       ownCores,
       random: () => 0,
--- a/packages/nutmegproxy-owner/src/__tests__/unit/OwnerElection.test.ts
+++ b/packages/nutmegproxy-owner/src/__tests__/unit/OwnerElection.test.ts
@@ -2,6 +2,7 @@
 
 import {brand, ManualClock, SILENT_EVENTS} from '@nutmegproxy/core';
 import {STATE_PREFIX} from '@nutmegproxy/jobs';
+import {DEFAULT_LEASE_TIMES} from '@nutmegproxy/scheduling';
 import {MemoryStore} from '@nutmegproxy/standins';
 import {getKey, put} from '@nutmegproxy/store';
 import {err, ResultAsync} from 'neverthrow';
@@ -10,7 +11,7 @@
 
 import type {FleetOwnership} from '../../FleetOwnership.ts';
 
-import {OWNERSHIP_TTL_MS, REVOKE_ATTEMPTS, REVOKE_RETRY_MS} from '../../OwnerConstants.ts';
+import {REVOKE_ATTEMPTS, REVOKE_RETRY_MS} from '../../OwnerConstants.ts';
 import {OWNER_KEY, OwnerElection} from '../../OwnerElection.ts';
 import {OWNER_EVENTS} from '../../OwnerEvents.ts';
 
@@ -33,7 +34,13 @@
   });
 
   function open(vm: string): OwnerElection {
-    return new OwnerElection({clock, events: SILENT_EVENTS, store, vm: brand<VmId>(vm)});
+    return new OwnerElection({
+      clock,
+      events: SILENT_EVENTS,
+      leaseTimes: DEFAULT_LEASE_TIMES,
+      store,
+      vm: brand<VmId>(vm),
+    });
   }
 
   async function acquire(election: OwnerElection): Promise<FleetOwnership> {
@@ -129,7 +136,11 @@
       void election.resign(ownership, 'planned stop').then(() => {
         resignation.isOver = true;
       });
-      for (let elapsedMs = 0; elapsedMs < OWNERSHIP_TTL_MS; elapsedMs += STEP_MS) {
+      for (
+        let elapsedMs = 0;
+        elapsedMs < DEFAULT_LEASE_TIMES.ownershipTtlMs;
+        elapsedMs += STEP_MS
+      ) {
         await new Promise(setImmediate);
         if (resignation.isOver) {
           return;
@@ -174,7 +185,13 @@
         }
       },
     };
-    const election = new OwnerElection({clock, events, store, vm: brand<VmId>('vm-1')});
+    const election = new OwnerElection({
+      clock,
+      events,
+      leaseTimes: DEFAULT_LEASE_TIMES,
+      store,
+      vm: brand<VmId>('vm-1'),
+    });
     const ownership = await acquire(election);
     clock.advance(5_000);
     ownership.confirm(clock.monotonic(), clock.wall());
--- a/packages/nutmegproxy-owner/src/__tests__/unit/OwnerSamples.ts
+++ b/packages/nutmegproxy-owner/src/__tests__/unit/OwnerSamples.ts
@@ -6,7 +6,7 @@
 
 import {brand} from '@nutmegproxy/core';
 import {JobState} from '@nutmegproxy/jobs';
-import {MinionState} from '@nutmegproxy/scheduling';
+import {DEFAULT_LEASE_TIMES, MinionState} from '@nutmegproxy/scheduling';
 import {put} from '@nutmegproxy/store';
 import {errAsync, ResultAsync} from 'neverthrow';
 import assert from 'node:assert/strict';
@@ -20,19 +20,22 @@
 
 /** Creates a minion of 16 cores that has not responded yet. */
 export function createMinion(): MinionState {
-  return new MinionState({
-    address: 'm1:1',
-    bornAt: 1,
-    capacity: {cpuMilli: 16_000, gpus: 0, memoryMb: 64_000},
-    dataCentre: brand<DataCentreId>('dc'),
-    id: brand<MinionId>('m1'),
-    isDraining: false,
-    labels: [],
-    leavesInMs: undefined,
-    machine: undefined,
-    rack: undefined,
-    service: SERVICE,
-  });
+  return new MinionState(
+    {
+      address: 'm1:1',
+      bornAt: 1,
+      capacity: {cpuMilli: 16_000, gpus: 0, memoryMb: 64_000},
+      dataCentre: brand<DataCentreId>('dc'),
+      id: brand<MinionId>('m1'),
+      isDraining: false,
+      labels: [],
+      leavesInMs: undefined,
+      machine: undefined,
+      rack: undefined,
+      service: SERVICE,
+    },
+    DEFAULT_LEASE_TIMES,
+  );
 }
 
 /** Creates the step of a job with one task; the number makes the job's ID. */
@@ -78,7 +81,11 @@
 /** Acquires the ownership in a store, without a lease. */
 export async function acquireOwnership(store: PlatformStore): Promise<FleetOwnership> {
   const token = (await put(store, OWNER_KEY, Buffer.from('vm')))._unsafeUnwrap() as OwnershipToken;
-  return new FleetOwnership({lease: '1' as LeaseId, term: 0, token}, 0 as Instant, 0 as WallTime);
+  return new FleetOwnership(
+    {lease: '1' as LeaseId, leaseTimes: DEFAULT_LEASE_TIMES, term: 0, token},
+    0 as Instant,
+    0 as WallTime,
+  );
 }
 
 /** A write without a response that has not been carried out yet. */
--- a/packages/nutmegproxy-owner/src/__tests__/unit/OwnershipRenewal.test.ts
+++ b/packages/nutmegproxy-owner/src/__tests__/unit/OwnershipRenewal.test.ts
@@ -3,6 +3,7 @@
 import type {Result} from 'neverthrow';
 
 import {brand, ManualClock, SILENT_EVENTS} from '@nutmegproxy/core';
+import {DEFAULT_LEASE_TIMES} from '@nutmegproxy/scheduling';
 import {MemoryStore} from '@nutmegproxy/standins';
 import {err, ok, ResultAsync} from 'neverthrow';
 import assert from 'node:assert/strict';
@@ -10,7 +11,6 @@
 
 import type {FleetOwnership} from '../../FleetOwnership.ts';
 
-import {OWNERSHIP_TTL_MS} from '../../OwnerConstants.ts';
 import {OwnerElection} from '../../OwnerElection.ts';
 import {OWNER_EVENTS} from '../../OwnerEvents.ts';
 
@@ -32,7 +32,10 @@
   readonly sentAtMs: number;
 }
 
-const RENEWED: Renewed = ok({lease: brand('1'), ttlSeconds: OWNERSHIP_TTL_MS / 1000});
+const RENEWED: Renewed = ok({
+  lease: brand('1'),
+  ttlSeconds: DEFAULT_LEASE_TIMES.ownershipTtlMs / 1000,
+});
 const LEASE_ENDED: Renewed = ok({lease: brand('1'), ttlSeconds: 0});
 const NO_RESPONSE: Renewed = err({kind: 'unavailable', message: 'no response'});
 
@@ -51,7 +54,13 @@
   };
 
   function open(vm: string, vmStore: MemoryStore): OwnerElection {
-    return new OwnerElection({clock, events, store: vmStore, vm: brand<VmId>(vm)});
+    return new OwnerElection({
+      clock,
+      events,
+      leaseTimes: DEFAULT_LEASE_TIMES,
+      store: vmStore,
+      vm: brand<VmId>(vm),
+    });
   }
 
   /** Acquires the ownership and renews it until it ends. */
@@ -260,7 +269,7 @@
     it('sends further renewals while the first has none', async () => {
       const held = holdRenewals();
       await own();
-      await advance(OWNERSHIP_TTL_MS);
+      await advance(DEFAULT_LEASE_TIMES.ownershipTtlMs);
       assert.ok(held.length >= 7, `${String(held.length)} in a lifetime`);
     });
 
--- a/packages/nutmegproxy-owner/src/__tests__/unit/PlannedWait.test.ts
+++ b/packages/nutmegproxy-owner/src/__tests__/unit/PlannedWait.test.ts
@@ -1,6 +1,6 @@
 import type {Instant} from '@nutmegproxy/core';
 
-import {LeaseClock, MINION_LEASE_MS} from '@nutmegproxy/scheduling';
+import {DEFAULT_LEASE_TIMES, LeaseClock} from '@nutmegproxy/scheduling';
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
 
@@ -15,10 +15,10 @@
 
 describe('The wait of a lasting task under planned stops', () => {
   it('is within its deadline as the sum of its parts', () => {
-    const leaseClock = new LeaseClock();
+    const leaseClock = new LeaseClock(DEFAULT_LEASE_TIMES);
     leaseClock.assumeUsualLeases();
     leaseClock.observe(CLOCK_MS, NOW);
-    leaseClock.grantLease(MINION_LEASE_MS, NOW);
+    leaseClock.grantLease(DEFAULT_LEASE_TIMES.minionLeaseMs, NOW);
     const planMs = MAX_PLAN_PAUSE_MS + MAX_PLAN_IDLE_MS;
     const sumMs = leaseClock.expiresInMs(NOW) + TAKEOVER_JITTER_MS + planMs + CALLS_MS;
     assert.ok(sumMs <= RESTART_DEADLINE_MS, `${sumMs} ms`);
--- a/packages/nutmegproxy-owner/src/__tests__/unit/RecordedLeases.test.ts
+++ b/packages/nutmegproxy-owner/src/__tests__/unit/RecordedLeases.test.ts
@@ -4,14 +4,13 @@
 
 import {brand, SILENT_EVENTS} from '@nutmegproxy/core';
 import {JobState} from '@nutmegproxy/jobs';
-import {Fleet, MinionState, reconcileListing} from '@nutmegproxy/scheduling';
+import {DEFAULT_LEASE_TIMES, Fleet, MinionState, reconcileListing} from '@nutmegproxy/scheduling';
 import assert from 'node:assert/strict';
 import {beforeEach, describe, it} from 'node:test';
 
 import type {Roster} from '../../Roster.ts';
 
 import {expireRuns} from '../../LeaseEnds.ts';
-import {MAX_START_LEASE_MS} from '../../OwnerConstants.ts';
 import {adoptRecordedRuns, createSilentRecord, shortenRecordedLeases} from '../../SilentRecords.ts';
 
 const JOB = brand<JobId>('3f6718a4051e2adb');
@@ -34,10 +33,13 @@
     fleet = new Fleet(SILENT_EVENTS);
     const job = new JobState({id: JOB, steps: [SHAPE]} as Partial<StoredJob> as StoredJob, 1);
     fleet.jobs.set(JOB, job);
-    minion = new MinionState({
-      capacity: {cpuMilli: 2_000, gpus: 0, memoryMb: 200},
-      id: brand<MinionId>('m1'),
-    } as Partial<MinionDescription> as MinionDescription);
+    minion = new MinionState(
+      {
+        capacity: {cpuMilli: 2_000, gpus: 0, memoryMb: 200},
+        id: brand<MinionId>('m1'),
+      } as Partial<MinionDescription> as MinionDescription,
+      DEFAULT_LEASE_TIMES,
+    );
     fleet.minions.set(minion.id, minion);
     const [first] = job.occurrence(0) ?? [];
     assert.ok(first);
@@ -65,7 +67,7 @@
       run.knownFrom = 'listing';
       run.unansweredAt = NOW;
       assert.deepEqual(listUnconfirmed(), [UNCONFIRMED]);
-      run.unansweredAt = (NOW - MAX_START_LEASE_MS) as Instant;
+      run.unansweredAt = (NOW - DEFAULT_LEASE_TIMES.maxStartLeaseMs) as Instant;
       assert.equal(listUnconfirmed(), undefined);
     });
 
--- a/packages/nutmegproxy-owner/src/__tests__/unit/Roster.test.ts
+++ b/packages/nutmegproxy-owner/src/__tests__/unit/Roster.test.ts
@@ -4,6 +4,7 @@
 
 import {brand, ManualClock, SILENT_EVENTS} from '@nutmegproxy/core';
 import {STATE_PREFIX} from '@nutmegproxy/jobs';
+import {DEFAULT_LEASE_TIMES} from '@nutmegproxy/scheduling';
 import {MemoryStore} from '@nutmegproxy/standins';
 import {getKey, put} from '@nutmegproxy/store';
 import assert from 'node:assert/strict';
@@ -50,7 +51,13 @@
   });
 
   function open(): Roster {
-    const grant = {lease: brand<FleetOwnership['lease']>('1'), revisions, term: 0, token};
+    const grant = {
+      lease: brand<FleetOwnership['lease']>('1'),
+      leaseTimes: DEFAULT_LEASE_TIMES,
+      revisions,
+      term: 0,
+      token,
+    };
     return new Roster({
       clock,
       events: SILENT_EVENTS,
--- a/packages/nutmegproxy-owner/src/__tests__/unit/SilentRecordEvents.test.ts
+++ b/packages/nutmegproxy-owner/src/__tests__/unit/SilentRecordEvents.test.ts
@@ -4,7 +4,7 @@
 
 import {brand} from '@nutmegproxy/core';
 import {JobState} from '@nutmegproxy/jobs';
-import {Fleet, MinionState, SCHEDULING_EVENTS} from '@nutmegproxy/scheduling';
+import {DEFAULT_LEASE_TIMES, Fleet, MinionState, SCHEDULING_EVENTS} from '@nutmegproxy/scheduling';
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
 
@@ -30,7 +30,10 @@
       JOB,
       new JobState({id: JOB, steps: [shape]} as Partial<StoredJob> as StoredJob, 1),
     );
-    const minion = new MinionState({id: brand<MinionId>('m1')} as MinionDescription);
+    const minion = new MinionState(
+      {id: brand<MinionId>('m1')} as MinionDescription,
+      DEFAULT_LEASE_TIMES,
+    );
     fleet.minions.set(minion.id, minion);
     const runs = [0, 1, 2].map((index): [string, RunNumber] => [
       `${JOB}.0.0.${index}`,
--- a/packages/nutmegproxy-owner/src/__tests__/unit/SilentSuspects.test.ts
+++ b/packages/nutmegproxy-owner/src/__tests__/unit/SilentSuspects.test.ts
@@ -4,7 +4,7 @@
 
 import {brand, SILENT_EVENTS} from '@nutmegproxy/core';
 import {JobState} from '@nutmegproxy/jobs';
-import {Fleet, MinionState} from '@nutmegproxy/scheduling';
+import {DEFAULT_LEASE_TIMES, Fleet, MinionState} from '@nutmegproxy/scheduling';
 import assert from 'node:assert/strict';
 import {beforeEach, describe, it} from 'node:test';
 
@@ -34,12 +34,15 @@
     fleet = new Fleet(SILENT_EVENTS);
     const job = new JobState({id: JOB, steps: [SHAPE]} as Partial<StoredJob> as StoredJob, 1);
     fleet.jobs.set(JOB, job);
-    minion = new MinionState({
-      bornAt: BORN_AT,
-      capacity: SHAPE.resources,
-      id: brand<MinionId>('m1'),
-      isDraining: false,
-    } as Partial<MinionDescription> as MinionDescription);
+    minion = new MinionState(
+      {
+        bornAt: BORN_AT,
+        capacity: SHAPE.resources,
+        id: brand<MinionId>('m1'),
+        isDraining: false,
+      } as Partial<MinionDescription> as MinionDescription,
+      DEFAULT_LEASE_TIMES,
+    );
     fleet.minions.set(minion.id, minion);
     const [step] = job.occurrence(0) ?? [];
     assert.ok(step);
--- a/packages/nutmegproxy-owner/src/__tests__/unit/UnreportedMinions.test.ts
+++ b/packages/nutmegproxy-owner/src/__tests__/unit/UnreportedMinions.test.ts
@@ -3,7 +3,7 @@
 import type {MinionDescription} from '@nutmegproxy/scheduling';
 
 import {brand} from '@nutmegproxy/core';
-import {MinionState} from '@nutmegproxy/scheduling';
+import {DEFAULT_LEASE_TIMES, MinionState} from '@nutmegproxy/scheduling';
 import assert from 'node:assert/strict';
 import {beforeEach, describe, it} from 'node:test';
 
@@ -15,7 +15,7 @@
   let unreported: UnreportedMinions;
 
   beforeEach(() => {
-    minion = new MinionState({id: brand<MinionId>('m1')} as MinionDescription);
+    minion = new MinionState({id: brand<MinionId>('m1')} as MinionDescription, DEFAULT_LEASE_TIMES);
     minion.leaseClock.assumeLeasedUntil(6_000 as Instant);
     unreported = new UnreportedMinions();
     unreported.add(minion);
--- a/packages/nutmegproxy-owner/src/index.ts
+++ b/packages/nutmegproxy-owner/src/index.ts
@@ -25,7 +25,6 @@
 export type {OwnerOptions} from './Owner.ts';
 export {OwnerCandidate} from './OwnerCandidate.ts';
 export type {CandidateOptions} from './OwnerCandidate.ts';
-export {MAX_FORMER_LEASE_MS} from './OwnerConstants.ts';
 export {OWNER_KEY, OwnerElection} from './OwnerElection.ts';
 export {OWNER_EVENTS} from './OwnerEvents.ts';
 export {QUEUE_LENGTHS_KEY} from './QueueLengthPublisher.ts';
--- a/packages/nutmegproxy-scheduling/src/LeaseClock.ts
+++ b/packages/nutmegproxy-scheduling/src/LeaseClock.ts
@@ -2,14 +2,10 @@
 
 import type {Instant} from '@nutmegproxy/core';
 
+import type {LeaseTimes} from './LeaseTimes.ts';
+
 /** Maximum rate by which a minion's clock may run slow, as the platform specifies. */
 const MAX_CLOCK_LAG_RATE = 0.02;
-/** Longest lease in milliseconds that a minion accepts, as the platform specifies. */
-const MAX_LEASE_MS = 10_000;
-/** Duration of a minion lease in milliseconds; longer than a takeover in which one write is lost. */
-export const MINION_LEASE_MS = 7_500;
-/** Age of an incarnation in milliseconds from which no order that was meant for the one before can reach it. */
-const ESTABLISHED_AFTER_MS = 20_000;
 /** Added to the expiry of a lease, in milliseconds, because minions' timers fire slightly late. */
 const EXPIRY_MARGIN_MS = 250;
 
@@ -21,13 +17,19 @@
 /** Tracks a minion's clock and the latest expiry of the leases granted to it. */
 export class LeaseClock {
   /** Longest lease that a former owner may have granted. */
-  #formerLeaseMs = MAX_LEASE_MS;
+  #formerLeaseMs: number;
   #hasRestarted = false;
   #isEstablished = false;
   #leaseEndMs = 0;
   #reading: ClockReading | undefined;
   /** Latest expiry of leases of unknown length, until the minion responds; undefined for none. */
   #formerLeaseUntil: Instant | undefined;
+  readonly times: LeaseTimes;
+
+  constructor(times: LeaseTimes) {
+    this.times = times;
+    this.#formerLeaseMs = times.maxMinionLeaseMs;
+  }
 
   get hasReading(): boolean {
     return this.#reading !== undefined;
@@ -38,7 +40,7 @@
    * responds, assumes that leases of orders that reached the new incarnation expire at `instant`.
    */
   reset(instant: Instant): void {
-    this.#formerLeaseMs = MAX_LEASE_MS;
+    this.#formerLeaseMs = this.times.maxMinionLeaseMs;
     this.#leaseEndMs = 0;
     this.#reading = undefined;
     this.#formerLeaseUntil = instant;
@@ -56,7 +58,7 @@
    * for the clock of a former incarnation last as long as the minion accepts.
    */
   assumeUsualLeases(): void {
-    this.#formerLeaseMs = MINION_LEASE_MS;
+    this.#formerLeaseMs = this.times.minionLeaseMs;
   }
 
   /**
@@ -64,7 +66,7 @@
    * incarnation is old enough. Only the wall clocks of two machines tell its age before it responds.
    */
   assumeEstablished(ageMs: number): void {
-    this.#isEstablished = ageMs > ESTABLISHED_AFTER_MS;
+    this.#isEstablished = ageMs > this.times.establishedAfterMs;
   }
 
   /** Until the minion responds, assumes that a former owner's leases expire at `instant`. */
@@ -98,9 +100,10 @@
   /** Records a reading of the minion's clock from a response received at `receivedAt`. */
   observe(clockMs: number, receivedAt: Instant): void {
     if (this.#reading === undefined) {
+      const {establishedAfterMs, minionLeaseMs} = this.times;
       // Another owner may have granted a lease before this one discovered the minion.
-      const isUsual = this.#isEstablished && clockMs > ESTABLISHED_AFTER_MS;
-      this.#leaseEndMs = clockMs + (isUsual ? MINION_LEASE_MS : this.#formerLeaseMs);
+      const isUsual = this.#isEstablished && clockMs > establishedAfterMs;
+      this.#leaseEndMs = clockMs + (isUsual ? minionLeaseMs : this.#formerLeaseMs);
       this.#formerLeaseUntil = undefined;
     }
     // Responses may arrive out of order; the latest clock value is the most accurate.
--- a/packages/nutmegproxy-scheduling/src/MinionState.ts
+++ b/packages/nutmegproxy-scheduling/src/MinionState.ts
@@ -4,6 +4,7 @@
 import type {Resources, Run, ServiceId, StepShape, StepState} from '@nutmegproxy/jobs';
 
 import type {ExposedRun, FormerSuspect} from './CrashAttribution.ts';
+import type {LeaseTimes} from './LeaseTimes.ts';
 
 import {computeProvenAge, FRESH_RUN_MS} from './CrashAttribution.ts';
 import {LeaseClock} from './LeaseClock.ts';
@@ -50,7 +51,7 @@
 }
 
 export class MinionState {
-  readonly leaseClock = new LeaseClock();
+  readonly leaseClock: LeaseClock;
   description: MinionDescription;
   /** When the minion was first known to be draining; undefined while it is not. */
   drainingSince: Instant | undefined;
@@ -112,7 +113,8 @@
   #speed = 1;
   #speedAt = -Infinity;
 
-  constructor(description: MinionDescription) {
+  constructor(description: MinionDescription, leaseTimes: LeaseTimes) {
+    this.leaseClock = new LeaseClock(leaseTimes);
     this.description = description;
     this.bornAt = description.bornAt;
   }
--- a/packages/nutmegproxy-scheduling/src/__tests__/unit/MinionAvailability.test.ts
+++ b/packages/nutmegproxy-scheduling/src/__tests__/unit/MinionAvailability.test.ts
@@ -9,6 +9,7 @@
 import type {MinionState} from '../../MinionState.ts';
 
 import {LeaseClock} from '../../LeaseClock.ts';
+import {DEFAULT_LEASE_TIMES} from '../../LeaseTimes.ts';
 import {findUnavailability} from '../../MinionAvailability.ts';
 import {isSchedulable} from '../../Placement.ts';
 import {at, SampleFleet, shape} from './Samples.ts';
@@ -35,7 +36,7 @@
     minion.description = {...minion.description, isDraining: true};
   },
   'no-reading': (sample) => {
-    Object.assign(findMinion(sample), {leaseClock: new LeaseClock()});
+    Object.assign(findMinion(sample), {leaseClock: new LeaseClock(DEFAULT_LEASE_TIMES)});
   },
   'not-responding': (sample) => {
     findMinion(sample).missedCalls = 1;
--- a/packages/nutmegproxy-scheduling/src/__tests__/unit/Samples.ts
+++ b/packages/nutmegproxy-scheduling/src/__tests__/unit/Samples.ts
@@ -22,6 +22,7 @@
 
 import {DurationEstimator} from '../../DurationEstimator.ts';
 import {Fleet} from '../../Fleet.ts';
+import {DEFAULT_LEASE_TIMES} from '../../LeaseTimes.ts';
 import {MinionState} from '../../MinionState.ts';
 import {planStarts} from '../../StartPlanner.ts';
 
@@ -123,20 +124,23 @@
   }
 
   addMinion(name: string, change: Partial<MinionDescription> = {}): MinionState {
-    const minion = new MinionState({
-      address: `${name}:1`,
-      bornAt: 1,
-      capacity: {cpuMilli: 4000, gpus: 0, memoryMb: 8000},
-      dataCentre: brand<DataCentreId>('dc'),
-      id: brand<MinionId>(name),
-      isDraining: false,
-      labels: ['a', 'r1'],
-      leavesInMs: undefined,
-      machine: undefined,
-      rack: brand<RackId>('r1'),
-      service: SERVICE,
-      ...change,
-    });
+    const minion = new MinionState(
+      {
+        address: `${name}:1`,
+        bornAt: 1,
+        capacity: {cpuMilli: 4000, gpus: 0, memoryMb: 8000},
+        dataCentre: brand<DataCentreId>('dc'),
+        id: brand<MinionId>(name),
+        isDraining: false,
+        labels: ['a', 'r1'],
+        leavesInMs: undefined,
+        machine: undefined,
+        rack: brand<RackId>('r1'),
+        service: SERVICE,
+        ...change,
+      },
+      DEFAULT_LEASE_TIMES,
+    );
     minion.isRegistered = true;
     minion.hasReported = true;
     minion.leaseClock.observe(0, at(0));
