--- a/packages/nutmegproxy-owner/src/MinionRecovery.ts
+++ b/packages/nutmegproxy-owner/src/MinionRecovery.ts
@@ -350,8 +350,8 @@
 
   /** Returns the time in milliseconds after which no start of a former owner holds a lease in any incarnation. */
   #findStartLeaseMs(now: Instant): number {
-    const {maxFormerLeaseMs} = this.#options.ownership.leaseTimes;
-    return Math.max(0, this.#countFromRelease(maxFormerLeaseMs, now));
+    const {formerReleasedAt, leaseTimes} = this.#options.ownership;
+    return Math.max(0, leaseTimes.maxFormerStartLeaseMs - (now - formerReleasedAt));
   }
 
   /** Returns what is left of a lease, and of the margin for orders, that count from the end of the former ownership. */
--- a/packages/nutmegproxy-scheduling/src/LeaseClock.ts
+++ b/packages/nutmegproxy-scheduling/src/LeaseClock.ts
@@ -4,10 +4,7 @@
 
 import type {LeaseTimes} from './LeaseTimes.ts';
 
-/** Maximum rate by which a minion's clock may run slow, as the platform specifies. */
-const MAX_CLOCK_LAG_RATE = 0.02;
-/** Added to the expiry of a lease, in milliseconds, because minions' timers fire slightly late. */
-const EXPIRY_MARGIN_MS = 250;
+import {EXPIRY_MARGIN_MS, MAX_CLOCK_LAG_RATE} from './LeaseTimes.ts';
 
 interface ClockReading {
   readonly clockMs: number;
--- a/packages/nutmegproxy-scheduling/src/LeaseTimes.ts
+++ b/packages/nutmegproxy-scheduling/src/LeaseTimes.ts
@@ -2,7 +2,7 @@
 
 import type {PlatformBounds} from '@nutmegproxy/core';
 
-import {DEFAULT_PLATFORM_BOUNDS} from '@nutmegproxy/core';
+import {DEFAULT_PLATFORM_BOUNDS, invariant} from '@nutmegproxy/core';
 
 /** Time to live of the ownership lease in milliseconds, unless the store has a longer minimum. */
 const OWNERSHIP_TTL_MS = 2_000;
@@ -10,24 +10,33 @@
 const UNCONFIRMED_GRACE_MS = 6_500;
 /** Duration of a minion lease in milliseconds; longer than a takeover in which one write is lost. */
 const MINION_LEASE_MS = 7_500;
-/** Age in milliseconds of an incarnation from which no order that was meant for the one before can reach it. */
-const ESTABLISHED_AFTER_MS = 20_000;
+/** Longest time in milliseconds after which an order that was meant for the incarnation before is carried out. */
+const MAX_ORDER_DELAY_MS = 9_500;
+/** Lower bound in milliseconds of the age from which an incarnation is established. */
+const MIN_ESTABLISHED_AFTER_MS = 20_000;
+/** Maximum rate by which a minion's clock may run slow, as the platform specifies. */
+export const MAX_CLOCK_LAG_RATE = 0.02;
+/** Added to the expiry of a lease, in milliseconds, because minions' timers fire slightly late. */
+export const EXPIRY_MARGIN_MS = 250;
 /** Upper bound in milliseconds of what slow clocks and network delays add to a former owner's minion leases. */
 const FORMER_LEASE_MARGIN_MS = 500;
-/**
- * Added in milliseconds to leases that count from the end of the former ownership: an order that was sent just
- * before may reach a new incarnation, which holds its lease for the longest time on its own clock.
- */
+/** Added in milliseconds to leases that count from the end of the former ownership: an order may be sent just before. */
 const FORMER_ORDER_MARGIN_MS = 500;
 
 /** Times in milliseconds. */
 export interface LeaseTimes {
-  /** Age of an incarnation from which no order that was meant for the one before can reach it. */
+  /** Age of an incarnation from which no order that was meant for the one before holds a lease in it. */
   readonly establishedAfterMs: number;
   /** Added to times that count from the end of the former ownership. */
   readonly formerOrderMarginMs: number;
   /** Longest time for which runs of a former owner may stay alive without being listed. */
   readonly maxFormerLeaseMs: number;
+  /**
+   * Time after which no start of a former owner holds a lease, whichever incarnation it reached: counts from the end
+   * of that ownership. The clock of a later incarnation is lower, so that a lease that was meant for the one before
+   * lasts there for as long as the minion accepts.
+   */
+  readonly maxFormerStartLeaseMs: number;
   /**
    * Longest time from the last confirmation of an ownership to the end of a minion lease granted under it. Leases
    * that are granted while the ownership is proved are not shortened by it.
@@ -61,24 +70,59 @@
  */
 export function deriveLeaseTimes({
   maxMinionLeaseMs,
-}: Pick<PlatformBounds, 'maxMinionLeaseMs'>): LeaseTimes {
-  const ownershipTtlMs = OWNERSHIP_TTL_MS;
-  const unconfirmedGraceMs = UNCONFIRMED_GRACE_MS;
-  const minionLeaseMs = MINION_LEASE_MS;
+  minStoreLeaseMs,
+}: Pick<PlatformBounds, 'maxMinionLeaseMs' | 'minStoreLeaseMs'>): LeaseTimes {
+  const ownershipTtlMs = Math.max(OWNERSHIP_TTL_MS, minStoreLeaseMs);
+  const minionLeaseMs = Math.min(MINION_LEASE_MS, maxMinionLeaseMs);
+  // Leases that are granted later than this would have ended already.
+  const unconfirmedGraceMs = Math.min(UNCONFIRMED_GRACE_MS, minionLeaseMs);
   const maxLeaseSinceConfirmedMs = ownershipTtlMs + minionLeaseMs;
   const maxFormerLeaseMs = maxLeaseSinceConfirmedMs + FORMER_LEASE_MARGIN_MS;
-  return {
-    establishedAfterMs: ESTABLISHED_AFTER_MS,
+  const longestLeaseMs = Math.ceil(stretchLease(maxMinionLeaseMs));
+  const maxFormerStartLeaseMs = Math.max(maxFormerLeaseMs + FORMER_ORDER_MARGIN_MS, longestLeaseMs);
+  const times: LeaseTimes = {
+    establishedAfterMs: Math.max(MIN_ESTABLISHED_AFTER_MS, MAX_ORDER_DELAY_MS + longestLeaseMs),
     formerOrderMarginMs: FORMER_ORDER_MARGIN_MS,
     maxFormerLeaseMs,
+    maxFormerStartLeaseMs,
     maxLeaseSinceConfirmedMs,
     maxMinionLeaseMs,
-    maxStartLeaseMs: ownershipTtlMs + maxFormerLeaseMs + FORMER_ORDER_MARGIN_MS,
+    maxStartLeaseMs: ownershipTtlMs + maxFormerStartLeaseMs,
     maxUncappedLeaseMs: unconfirmedGraceMs + maxFormerLeaseMs,
     minionLeaseMs,
     ownershipTtlMs,
     unconfirmedGraceMs,
   };
+  checkLeaseTimes(times);
+  return times;
+}
+
+/** Returns the longest time in milliseconds for which a minion with a slow clock holds a lease. */
+function stretchLease(leaseMs: number): number {
+  return leaseMs / (1 - MAX_CLOCK_LAG_RATE) + EXPIRY_MARGIN_MS;
+}
+
+/** Checks that what is waited for covers what may be granted. */
+function checkLeaseTimes(times: LeaseTimes): void {
+  const {maxFormerLeaseMs, maxFormerStartLeaseMs, maxMinionLeaseMs, minionLeaseMs} = times;
+  const {maxLeaseSinceConfirmedMs, ownershipTtlMs, unconfirmedGraceMs} = times;
+  const longestLeaseMs = stretchLease(maxMinionLeaseMs);
+  invariant(
+    minionLeaseMs <= maxMinionLeaseMs,
+    'leases: a minion would shorten the leases that owners grant',
+  );
+  invariant(
+    ownershipTtlMs + unconfirmedGraceMs <= maxLeaseSinceConfirmedMs,
+    'leases: an owner acts for longer than the leases last that it may grant',
+  );
+  invariant(
+    maxFormerLeaseMs >= ownershipTtlMs + stretchLease(minionLeaseMs),
+    'leases: the next owner does not wait for all leases of the owner before',
+  );
+  invariant(
+    maxFormerStartLeaseMs >= longestLeaseMs,
+    'leases: the next owner does not wait for a start in a later incarnation',
+  );
 }
 
 /** Times of a deployment whose settings tell no bounds. */
