--- a/packages/nutmegproxy-scheduling/src/LeaseTimes.ts
+++ b/packages/nutmegproxy-scheduling/src/LeaseTimes.ts
@@ -88,7 +88,7 @@
     maxLeaseSinceConfirmedMs,
     maxMinionLeaseMs,
     maxStartLeaseMs: ownershipTtlMs + maxFormerStartLeaseMs,
-    maxUncappedLeaseMs: unconfirmedGraceMs + maxFormerLeaseMs,
+    maxUncappedLeaseMs: unconfirmedGraceMs + Math.max(maxFormerLeaseMs, longestLeaseMs),
     minionLeaseMs,
     ownershipTtlMs,
     unconfirmedGraceMs,
@@ -105,7 +105,7 @@
 /** Checks that what is waited for covers what may be granted. */
 function checkLeaseTimes(times: LeaseTimes): void {
   const {maxFormerLeaseMs, maxFormerStartLeaseMs, maxMinionLeaseMs, minionLeaseMs} = times;
-  const {maxLeaseSinceConfirmedMs, ownershipTtlMs, unconfirmedGraceMs} = times;
+  const {maxLeaseSinceConfirmedMs, maxUncappedLeaseMs, ownershipTtlMs, unconfirmedGraceMs} = times;
   const longestLeaseMs = stretchLease(maxMinionLeaseMs);
   invariant(
     minionLeaseMs <= maxMinionLeaseMs,
@@ -123,6 +123,10 @@
     maxFormerStartLeaseMs >= longestLeaseMs,
     'leases: the next owner does not wait for a start in a later incarnation',
   );
+  invariant(
+    maxUncappedLeaseMs >= unconfirmedGraceMs + longestLeaseMs,
+    'leases: an order of an owner that had not noticed its end is not waited for',
+  );
 }
 
 /** Times of a deployment whose settings tell no bounds. */
--- a/packages/nutmegproxy-scheduling/src/__tests__/unit/LeaseTimes.test.ts
+++ b/packages/nutmegproxy-scheduling/src/__tests__/unit/LeaseTimes.test.ts
@@ -74,6 +74,12 @@
       });
     });
 
+    it('count an order of a former owner that had not noticed its end until any lease has ended', () => {
+      checkAll(({maxUncappedLeaseMs, unconfirmedGraceMs}, maxMinionLeaseMs) => {
+        assert.ok(maxUncappedLeaseMs >= unconfirmedGraceMs + stretch(maxMinionLeaseMs));
+      });
+    });
+
     it('take an incarnation for established only once no order for the one before holds a lease', () => {
       checkAll(({establishedAfterMs}, maxMinionLeaseMs) => {
         assert.ok(establishedAfterMs >= stretch(maxMinionLeaseMs));
