--- a/packages/nutmegproxy-emulator/src/__tests__/unit/UnconfirmedStarts.test.ts
+++ b/packages/nutmegproxy-emulator/src/__tests__/unit/UnconfirmedStarts.test.ts
@@ -168,6 +168,16 @@
       await waitFor('both tasks run again', () => other.liveTasks.length === 2, REACTION_MS);
     });
 
+    it('never leads to two live runs of a task when a later incarnation runs it as the former ownership ends', async () => {
+      harness.fleet.faults(minion.description.id).isUnreachable = true;
+      await killOwner();
+      beginLaterIncarnation(minion, harness.clock.monotonic());
+      await waitFor('the start is carried out', () => minion.liveTasks.length === 1);
+      const other = await takeOver();
+      await pass(LONGEST_WAIT_MS, [minion, other]);
+      await waitFor('both tasks run again', () => other.liveTasks.length === 2, REACTION_MS);
+    });
+
     it('never leads to two live runs of a task when the owner stops as planned', async () => {
       await loseContact();
       beginLaterIncarnation(minion, harness.clock.monotonic());
--- a/packages/nutmegproxy-owner/src/MinionRecovery.ts
+++ b/packages/nutmegproxy-owner/src/MinionRecovery.ts
@@ -122,7 +122,8 @@
     }
     this.#unused.set(minion.id, {former, minion});
     const remainingMs = findRemainingMs(former.expiresAt, now);
-    const formerMs = this.#findFormerLeaseMs(former, now);
+    // A start that no record names may have reached a later incarnation.
+    const formerMs = Math.max(this.#findFormerLeaseMs(former, now), this.#findStartLeaseMs(now));
     const heldForMs = Math.max(REPORT_WAIT_MS, Math.min(formerMs, remainingMs));
     minion.leaseClock.assumeLeasedUntil(after(now, heldForMs));
     // An owner of an earlier version stores the record again but may start runs in spite of it.
