--- a/packages/nutmegproxy-scheduling/src/LeaseTimes.ts
+++ b/packages/nutmegproxy-scheduling/src/LeaseTimes.ts
@@ -23,6 +23,21 @@
 /** Added in milliseconds to leases that count from the end of the former ownership: an order may be sent just before. */
 const FORMER_ORDER_MARGIN_MS = 500;
 
+/**
+ * Longest time in milliseconds without a renewal of a minion lease beside the time to live of the ownership
+ * lease, when an owner is lost and no call fails: the longest poll with the delay before the next one, the delay
+ * before another VM acquires the ownership, and the calls until its first poll.
+ */
+export const TAKEOVER_MS = 4_400;
+
+/** A promise to callers that the bounds of the platform don't allow; times in milliseconds. */
+export interface UnkeptPromise {
+  readonly availableMs: number;
+  readonly missingMs: number;
+  readonly neededMs: number;
+  readonly promise: string;
+}
+
 /** Times in milliseconds. */
 export interface LeaseTimes {
   /** Age of an incarnation from which no order that was meant for the one before holds a lease in it. */
@@ -125,5 +140,33 @@
   );
 }
 
+/** What each promise needs and what there is for it. */
+const PROMISES: Readonly<
+  Record<string, (times: LeaseTimes) => Pick<UnkeptPromise, 'availableMs' | 'neededMs'>>
+> = {
+  'running work outlives a store outage': ({maxLeaseSinceConfirmedMs}) => ({
+    availableMs: maxLeaseSinceConfirmedMs,
+    neededMs: UNCONFIRMED_GRACE_MS,
+  }),
+  'running work outlives a takeover': ({minionLeaseMs, ownershipTtlMs}) => ({
+    availableMs: minionLeaseMs,
+    neededMs: ownershipTtlMs + TAKEOVER_MS,
+  }),
+};
+
+/**
+ * Returns the promises that can't be kept under these times, with what they lack.
+ *
+ * @example
+ * findUnkeptPromises(DEFAULT_LEASE_TIMES); // []
+ */
+export function findUnkeptPromises(times: LeaseTimes): readonly UnkeptPromise[] {
+  return Object.entries(PROMISES).flatMap(([promise, compare]) => {
+    const {availableMs, neededMs} = compare(times);
+    const missingMs = neededMs - availableMs;
+    return missingMs > 0 ? [{availableMs, missingMs, neededMs, promise}] : [];
+  });
+}
+
 /** Times of a deployment whose settings tell no bounds. */
 export const DEFAULT_LEASE_TIMES = deriveLeaseTimes(DEFAULT_PLATFORM_BOUNDS);
--- a/packages/nutmegproxy-scheduling/src/index.ts
+++ b/packages/nutmegproxy-scheduling/src/index.ts
@@ -21,8 +21,13 @@
 export {classifyPunctuality, orderSteps} from './JobOrder.ts';
 export type {OrderedStep, Punctuality} from './JobOrder.ts';
 export {LeaseClock} from './LeaseClock.ts';
-export {DEFAULT_LEASE_TIMES, deriveLeaseTimes} from './LeaseTimes.ts';
-export type {LeaseTimes} from './LeaseTimes.ts';
+export {
+  DEFAULT_LEASE_TIMES,
+  deriveLeaseTimes,
+  findUnkeptPromises,
+  TAKEOVER_MS,
+} from './LeaseTimes.ts';
+export type {LeaseTimes, UnkeptPromise} from './LeaseTimes.ts';
 export {dropSupersededRuns, findStep, reconcileListing} from './ListingReconciler.ts';
 export type {MinionListing, RunReport, RunResult} from './ListingReconciler.ts';
 export {findUnavailability, hasTrialRun} from './MinionAvailability.ts';
--- a/packages/nutmegproxy-settings/src/SettingsUtils.ts
+++ b/packages/nutmegproxy-settings/src/SettingsUtils.ts
@@ -12,6 +12,7 @@
 const EXPECTATIONS: Readonly<Record<string, Expectation>> = {
   additionalProperties: () => 'unknown field',
   enum: ({allowedValues}) => `expected one of ${(allowedValues as unknown[]).join(', ')}`,
+  exclusiveMinimum: ({limit}) => `expected more than ${String(limit)}`,
   maximum: ({limit}) => `expected at most ${String(limit)}`,
   maxItems: ({limit}) => `expected at most ${String(limit)} items`,
   maxProperties: ({limit}) => `expected at most ${String(limit)} fields`,
