--- a/packages/nutmegproxy-emulator/src/__tests__/unit/JobSamples.ts
+++ b/packages/nutmegproxy-emulator/src/__tests__/unit/JobSamples.ts
@@ -15,7 +15,7 @@
 import type {MinionDescription, QueuePolicy} from '@nutmegproxy/scheduling';
 import type {PlatformStore} from '@nutmegproxy/store';
 
-import {brand, SILENT_EVENTS} from '@nutmegproxy/core';
+import {brand, DEFAULT_PLATFORM_BOUNDS, SILENT_EVENTS} from '@nutmegproxy/core';
 import {encodeRecord, formatJobKey} from '@nutmegproxy/jobs';
 import {type FleetOwnership, Owner, OwnerElection, type OwnerOptions} from '@nutmegproxy/owner';
 import {DEFAULT_LEASE_TIMES} from '@nutmegproxy/scheduling';
@@ -135,6 +135,7 @@
   return new Owner({
     ...options,
     advice: undefined,
+    bounds: DEFAULT_PLATFORM_BOUNDS,
     directory: fleet,
     machines: fleet.machineList,
     orders: fleet,
--- a/packages/nutmegproxy-owner/src/DirectoryAge.ts
+++ b/packages/nutmegproxy-owner/src/DirectoryAge.ts
@@ -7,11 +7,20 @@
 
 import type {MinionWatch} from './MinionDirectory.ts';
 
+/** Age in milliseconds beyond which nothing is started, unless a draining minion serves for a shorter time. */
+const MAX_DIRECTORY_AGE_MS = 2_000;
+
 export class DirectoryAge {
   #isListing = true;
   #listedAt = -Infinity as Instant;
+  readonly #maxAgeMs: number;
   #watch: MinionWatch | undefined;
 
+  /** `drainMs` is the time for which a draining minion serves. */
+  constructor(drainMs: number) {
+    this.#maxAgeMs = Math.min(MAX_DIRECTORY_AGE_MS, drainMs);
+  }
+
   /** As of when the directory is known; -Infinity before it was listed. */
   get seenAt(): Instant {
     return Math.max(this.#listedAt, this.#watch?.currentAsOf ?? -Infinity) as Instant;
@@ -37,4 +46,16 @@
     const isFailing = this.#isListing || this.#watch?.isFailing === true;
     return Math.max(0, (isFailing ? confirmedAt : now) - this.seenAt);
   }
+
+  /**
+   * Whether a minion may have begun to drain so long ago, unseen, that nothing may start now.
+   *
+   * @example
+   * const age = new DirectoryAge(500);
+   * age.finishListing(watch, listedAt);
+   * age.isOutdated(confirmedAt, after(listedAt, 501)); // true
+   */
+  isOutdated(confirmedAt: Instant, now: Instant): boolean {
+    return this.compute(confirmedAt, now) > this.#maxAgeMs;
+  }
 }
--- a/packages/nutmegproxy-owner/src/MinionSessions.ts
+++ b/packages/nutmegproxy-owner/src/MinionSessions.ts
@@ -1,6 +1,6 @@
 /** Keeps a session with every minion that the directory lists or that may have live runs. */
 
-import type {Clock, EventSink, Instant, MinionId} from '@nutmegproxy/core';
+import type {Clock, EventSink, Instant, MinionId, PlatformBounds} from '@nutmegproxy/core';
 import type {Run} from '@nutmegproxy/jobs';
 import type {Fleet, MinionDescription, StopRequest} from '@nutmegproxy/scheduling';
 import type {PlatformStore, StoreFailure} from '@nutmegproxy/store';
@@ -24,13 +24,14 @@
 import {MinionEnrollment} from './MinionEnrollment.ts';
 import {MinionRecovery} from './MinionRecovery.ts';
 import {MinionSession} from './MinionSession.ts';
-import {MAX_DIRECTORY_AGE_MS, REMOVE_UNLISTED_AFTER_MS, STORE_RETRY_MS} from './OwnerConstants.ts';
+import {REMOVE_UNLISTED_AFTER_MS, STORE_RETRY_MS} from './OwnerConstants.ts';
 import {OWNER_EVENTS} from './OwnerEvents.ts';
 import {describeCapacityChange} from './OwnerUtils.ts';
 import {recordRunEnds} from './RecordedRunEnds.ts';
 import {RecoveryRecord} from './RecoveryRecord.ts';
 
 export interface MinionSessionsOptions {
+  readonly bounds: Pick<PlatformBounds, 'drainMs'>;
   readonly clock: Clock;
   readonly directory: MinionDirectory;
   readonly events: EventSink;
@@ -48,7 +49,7 @@
 export class MinionSessions {
   readonly recovery: MinionRecovery;
   readonly #context: SessionContext;
-  readonly #directoryAge = new DirectoryAge();
+  readonly #directoryAge: DirectoryAge;
   readonly #drainingRecords: DrainingRecords;
   readonly #enrollment: MinionEnrollment;
   readonly #machineReview: MachineReview;
@@ -59,7 +60,8 @@
 
   constructor(options: MinionSessionsOptions) {
     this.#options = options;
-    const {session, store} = options;
+    const {bounds, session, store} = options;
+    this.#directoryAge = new DirectoryAge(bounds.drainMs);
     const record = new RecoveryRecord({...session, store});
     this.recovery = new MinionRecovery({...options, ownership: session.ownership, record});
     this.#enrollment = new MinionEnrollment({
@@ -163,7 +165,7 @@
 
   /** Whether a minion may have begun to drain so long ago, unseen, that nothing may start now. */
   isDirectoryOutdated(now: Instant): boolean {
-    return this.computeDirectoryAge(now) > MAX_DIRECTORY_AGE_MS;
+    return this.#directoryAge.isOutdated(this.#options.session.ownership.confirmedAt, now);
   }
 
   /** Returns what is known of the runs of each minion, those that may be leaving first. */
--- a/packages/nutmegproxy-owner/src/Owner.ts
+++ b/packages/nutmegproxy-owner/src/Owner.ts
@@ -3,7 +3,7 @@
  * then plans starts whenever something changes.
  */
 
-import type {Clock, EventSink, Instant} from '@nutmegproxy/core';
+import type {Clock, EventSink, Instant, PlatformBounds} from '@nutmegproxy/core';
 import type {MinionState} from '@nutmegproxy/scheduling';
 import type {PlatformStore} from '@nutmegproxy/store';
 
@@ -53,6 +53,8 @@
 export interface OwnerOptions {
   /** Client of the advising service; undefined where the platform has none. */
   readonly advice: AdviceClient | undefined;
+  /** Limits that the platform sets. */
+  readonly bounds: PlatformBounds;
   readonly clock: Clock;
   readonly directory: MinionDirectory;
   readonly events: EventSink;
@@ -92,7 +94,7 @@
   #wake: (() => void) | undefined;
 
   constructor(options: OwnerOptions) {
-    const {clock, directory, events, ownership, store} = options;
+    const {bounds, clock, directory, events, ownership, store} = options;
     this.#options = options;
     const orders = new TrackedOrders(options.orders, clock);
     const onChange = (): void => {
@@ -106,20 +108,14 @@
     this.#journal = new Journal({dirtyJobs: fleet.dirtyJobs, events, onFenced, ownership, store});
     this.#roster = new Roster({clock, events, onFenced, ownership, store});
     this.#closingRecords = new ClosingRecords({clock, events, ownership, store});
-    this.#learnedEstimates = new LearnedEstimates({
-      clock,
-      estimator: this.#estimator,
-      events,
-      model: this.#sharing.model,
-      ownership,
-      store,
-    });
+    this.#learnedEstimates = this.#createLearnedEstimates();
     const retentionMs = options.statusRetentionMs + RETENTION_MARGIN_MS;
     this.#retention = new Retention({clock, events, fleet, ownership, retentionMs, store});
     this.#queueLengths = new QueueLengthPublisher({events, fleet, ownership, store});
     this.#advice = new AdvicePrefetcher({client: options.advice, clock, events, fleet, onChange});
     this.#jobs = new JobWatcher({clock, events, fleet, onChange, onFenced, ownership, store});
     this.#minions = new MinionSessions({
+      bounds,
       clock,
       directory,
       events,
@@ -196,6 +192,18 @@
     this.#wakeUp();
   }
 
+  #createLearnedEstimates(): LearnedEstimates {
+    const {clock, events, ownership, store} = this.#options;
+    return new LearnedEstimates({
+      clock,
+      estimator: this.#estimator,
+      events,
+      model: this.#sharing.model,
+      ownership,
+      store,
+    });
+  }
+
   #createRoundLog(orders: TrackedOrders): RoundLog {
     const {events, ownership} = this.#options;
     return new RoundLog({
--- a/packages/nutmegproxy-owner/src/OwnerConstants.ts
+++ b/packages/nutmegproxy-owner/src/OwnerConstants.ts
@@ -98,11 +98,6 @@
 export const CLOSING_RECORD_READ_INTERVAL_MS = 300;
 /** Longest such pause; the record of a large fleet takes part of a slow link with each read. */
 export const MAX_CLOSING_RECORD_READ_INTERVAL_MS = 2_000;
-/**
- * Age in milliseconds of the view of the directory beyond which nothing is started: a draining
- * minion serves for no longer than this.
- */
-export const MAX_DIRECTORY_AGE_MS = 2_000;
 /** Pause between checks for minions that the list of machines may show to be gone. */
 export const MACHINE_REVIEW_INTERVAL_MS = 200;
 /** Most such checks between two lists of machines, for minions that stay cut off. */
