--- a/packages/nutmegproxy-entry/src/EntryConstants.ts
+++ b/packages/nutmegproxy-entry/src/EntryConstants.ts
@@ -25,7 +25,7 @@
 export const MIN_DRAIN_MS = 2_500;
 /** Time in milliseconds before the platform's kill at which a stopping process exits. */
 export const KILL_MARGIN_MS = 700;
-/** Time to live in milliseconds of this VM's entry in the list of VMs. */
+/** Time to live in milliseconds of this VM's entry in the list of VMs, unless the store has a longer minimum. */
 export const VM_LEASE_TTL_MS = 10_000;
 /** Pause in milliseconds after a successful renewal of that entry. */
 export const VM_RENEWAL_INTERVAL_MS = 3_000;
--- a/packages/nutmegproxy-entry/src/VmRegistry.ts
+++ b/packages/nutmegproxy-entry/src/VmRegistry.ts
@@ -1,6 +1,6 @@
 /** Registers this entry VM in the store under a lease, and lists the other registered VMs. */
 
-import type {DataCentreId, EventSink, VmId} from '@nutmegproxy/core';
+import type {DataCentreId, EventSink, PlatformBounds, VmId} from '@nutmegproxy/core';
 import type {RegisteredVm} from '@nutmegproxy/schema';
 import type {LeaseId, PlatformStore, StoredValue} from '@nutmegproxy/store';
 
@@ -35,6 +35,7 @@
 }
 
 export interface VmRegistryOptions {
+  readonly bounds: Pick<PlatformBounds, 'minStoreLeaseMs'>;
   readonly events: EventSink;
   readonly self: EntryVm;
   readonly store: PlatformStore;
@@ -138,7 +139,7 @@
    * VM is registered. All attempts to write under a lease are the same, since each may be carried out late.
    */
   async #renew(): Promise<boolean> {
-    const {store} = this.#options;
+    const {bounds, store} = this.#options;
     if (this.#lease !== undefined) {
       const renewed = await store.keepLeaseAlive(this.#lease);
       if (renewed.isErr()) {
@@ -149,7 +150,8 @@
       }
     }
     if (this.#lease === undefined) {
-      const granted = await store.grantLease(VM_LEASE_TTL_MS / 1000);
+      const ttlMs = Math.max(VM_LEASE_TTL_MS, bounds.minStoreLeaseMs);
+      const granted = await store.grantLease(ttlMs / 1000);
       if (granted.isErr()) {
         this.#reportFailure(granted.error.message);
         return false;
--- a/packages/nutmegproxy-entry/src/__tests__/unit/VmRegistry.test.ts
+++ b/packages/nutmegproxy-entry/src/__tests__/unit/VmRegistry.test.ts
@@ -1,10 +1,10 @@
 import type {DataCentreId, EventKind, VmId} from '@nutmegproxy/core';
 
-import {brand, ManualClock} from '@nutmegproxy/core';
+import {brand, DEFAULT_PLATFORM_BOUNDS, ManualClock} from '@nutmegproxy/core';
 import {STATE_PREFIX} from '@nutmegproxy/jobs';
 import {MemoryStore} from '@nutmegproxy/standins';
 import {put} from '@nutmegproxy/store';
-import {err, ResultAsync} from 'neverthrow';
+import {err, errAsync, ResultAsync} from 'neverthrow';
 import assert from 'node:assert/strict';
 import {afterEach, beforeEach, describe, it, mock} from 'node:test';
 import {setTimeout as sleep} from 'node:timers/promises';
@@ -47,6 +47,7 @@
     events = [];
     store = new MemoryStore();
     registry = new VmRegistry({
+      bounds: DEFAULT_PLATFORM_BOUNDS,
       events: {record: (kind) => events.push(kind)},
       self: createVm('vm-1'),
       store,
@@ -121,10 +122,24 @@
       return sentAtMs;
     }
 
+    /** Lets the store refuse leases below a time to live; returns the times that are requested. */
+    function refuseShortLeases(minMs: number): number[] {
+      const requestedMs: number[] = [];
+      const grantLease = store.grantLease.bind(store);
+      store.grantLease = (ttlSeconds) => {
+        requestedMs.push(ttlSeconds * 1_000);
+        return ttlSeconds * 1_000 < minMs
+          ? errAsync({kind: 'rejected', message: 'status 400'})
+          : grantLease(ttlSeconds);
+      };
+      return requestedMs;
+    }
+
     beforeEach(() => {
       clock = new ManualClock();
       store = new MemoryStore(clock);
       registry = new VmRegistry({
+        bounds: DEFAULT_PLATFORM_BOUNDS,
         events: {record: (kind) => events.push(kind)},
         self: createVm('vm-1'),
         store,
@@ -200,6 +215,26 @@
       assert.equal(isListed(), false);
     });
 
+    it('requests the usual time to live from a store that grants it', async () => {
+      const requestedMs = refuseShortLeases(1_000);
+      await runUntilListed();
+      assert.deepEqual(requestedMs, [VM_LEASE_TTL_MS]);
+    });
+
+    it('is listed in a store that refuses leases as short as the usual one', async () => {
+      const minStoreLeaseMs = VM_LEASE_TTL_MS + 2_000;
+      refuseShortLeases(minStoreLeaseMs);
+      registry = new VmRegistry({
+        bounds: {minStoreLeaseMs},
+        events: {record: (kind) => events.push(kind)},
+        self: createVm('vm-1'),
+        store,
+      });
+      await runUntilListed();
+      await advance(3 * minStoreLeaseMs);
+      assert.equal(isListed(), true);
+    });
+
     it('renews seven times within its lease while the store does not respond', async () => {
       const sentAtMs = loseRenewals(() => true);
       await runUntilListed();
