--- a/packages/nutmegproxy-entry/src/VmRegistry.ts
+++ b/packages/nutmegproxy-entry/src/VmRegistry.ts
@@ -36,6 +36,8 @@
 
 export interface VmRegistryOptions {
   readonly events: EventSink;
+  /** Shortest time to live in milliseconds of a lease in the store; default: none. */
+  readonly minStoreLeaseMs?: number;
   readonly self: EntryVm;
   readonly store: PlatformStore;
 }
@@ -138,7 +140,7 @@
    * VM is registered. All attempts to write under a lease are the same, since each may be carried out late.
    */
   async #renew(): Promise<boolean> {
-    const {store} = this.#options;
+    const {minStoreLeaseMs = 0, store} = this.#options;
     if (this.#lease !== undefined) {
       const renewed = await store.keepLeaseAlive(this.#lease);
       if (renewed.isErr()) {
@@ -149,7 +151,8 @@
       }
     }
     if (this.#lease === undefined) {
-      const granted = await store.grantLease(VM_LEASE_TTL_MS / 1000);
+      const ttlMs = Math.max(VM_LEASE_TTL_MS, minStoreLeaseMs);
+      const granted = await store.grantLease(ttlMs / 1000);
       if (granted.isErr()) {
         this.#reportFailure(granted.error.message);
         return false;
--- a/packages/nutmegproxy-entry/src/__tests__/unit/VmRegistry.test.ts
+++ b/packages/nutmegproxy-entry/src/__tests__/unit/VmRegistry.test.ts
@@ -80,6 +80,22 @@
     assert.equal(malformed.length, 5);
   });
 
+  it('requests no shorter lease than the store grants', async () => {
+    const minStoreLeaseMs = 2 * VM_LEASE_TTL_MS;
+    const grants = mock.method(store, 'grantLease');
+    registry = new VmRegistry({
+      events: {record: (kind) => events.push(kind)},
+      minStoreLeaseMs,
+      self: createVm('vm-1'),
+      store,
+    });
+    registry.run();
+    for (let attempt = 0; attempt < WAIT_ATTEMPTS && grants.mock.callCount() === 0; attempt += 1) {
+      await sleep(10);
+    }
+    assert.deepEqual(grants.mock.calls[0]?.arguments, [minStoreLeaseMs / 1_000]);
+  });
+
   describe('on a manual clock', () => {
     let clock: ManualClock;
 
