--- a/packages/nutmegproxy-owner/src/Owner.ts
+++ b/packages/nutmegproxy-owner/src/Owner.ts
@@ -71,7 +71,7 @@
 
 export class Owner {
   readonly #advice: AdvicePrefetcher;
-  readonly #estimator = new DurationEstimator();
+  readonly #estimator: DurationEstimator;
   readonly #fleet: Fleet;
   readonly #closingRecords: ClosingRecords;
   readonly #jobs: JobWatcher;
@@ -81,12 +81,12 @@
   readonly #load = new OwnerLoad();
   readonly #minions: MinionSessions;
   readonly #options: OwnerOptions;
-  readonly #progressMonitor = new RunProgressMonitor(this.#estimator);
+  readonly #progressMonitor: RunProgressMonitor;
   #queues: readonly QueuePolicy[] | undefined;
   readonly #retention: Retention;
   readonly #roster: Roster;
   readonly #roundLog: RoundLog;
-  readonly #sharing = new SharingPolicy(this.#estimator);
+  readonly #sharing: SharingPolicy;
   readonly #startLimiter = new StartLimiter();
   readonly #startThrottle = new StartThrottle();
   #stopReason: string | undefined;
@@ -96,6 +96,9 @@
   constructor(options: OwnerOptions) {
     const {bounds, clock, directory, events, ownership, store} = options;
     this.#options = options;
+    this.#estimator = new DurationEstimator(bounds);
+    this.#progressMonitor = new RunProgressMonitor(this.#estimator);
+    this.#sharing = new SharingPolicy(this.#estimator);
     const orders = new TrackedOrders(options.orders, clock);
     const onChange = (): void => {
       this.#wakeUp();
@@ -139,8 +142,8 @@
         onListed: (minion, now) => {
           this.#reviewRuns(minion, now);
         },
-        onRunDone: ({step}, durationMs) => {
-          this.#estimator.recordDuration(step.job.request.queue, step.shape, durationMs);
+        onRunDone: (run, durationMs) => {
+          this.#estimator.recordRun(this.#fleet, run, durationMs);
         },
         onSilent: (minion) => {
           this.#minions.recordSilent(minion);
@@ -149,7 +152,7 @@
           this.#advice.invalidate(step, minion);
         },
         orders,
-        overdueInMs: (minion, now) => this.#progressMonitor.overdueInMs(minion, now),
+        overdueInMs: (minion, now) => this.#progressMonitor.overdueInMs(fleet, minion, now),
         ownership,
         startLimiter: this.#startLimiter,
       },
--- a/packages/nutmegproxy-scheduling/src/DurationEstimator.ts
+++ b/packages/nutmegproxy-scheduling/src/DurationEstimator.ts
@@ -3,7 +3,14 @@
  * the ratio of measured to declared durations is learned for each queue and image.
  */
 
-import type {JobState, QueueId, StepShape, StepState} from '@nutmegproxy/jobs';
+import type {PlatformBounds} from '@nutmegproxy/core';
+import type {JobState, QueueId, Run, StepShape, StepState} from '@nutmegproxy/jobs';
+
+import {DEFAULT_PLATFORM_BOUNDS} from '@nutmegproxy/core';
+
+import type {Fleet} from './Fleet.ts';
+
+import {computeRackFactor} from './RackFactor.ts';
 
 /** Duration in milliseconds of a task without an estimate or a measurement. */
 const DEFAULT_TASK_MS = 1_000;
@@ -29,6 +36,13 @@
 
 export class DurationEstimator {
   readonly #learned = new Map<string, LearnedDuration>();
+  readonly #remoteRackFactor: number;
+
+  constructor({
+    remoteRackFactor,
+  }: Pick<PlatformBounds, 'remoteRackFactor'> = DEFAULT_PLATFORM_BOUNDS) {
+    this.#remoteRackFactor = remoteRackFactor;
+  }
 
   /** Returns a snapshot for the next owner. */
   export(): DurationSnapshot {
@@ -42,7 +56,14 @@
     }
   }
 
-  /** Records the duration of a completed run that did not resume from a checkpoint. */
+  /** Records the duration of a completed run that did not resume from a checkpoint, see `estimateRunMs`. */
+  recordRun(fleet: Fleet, run: Run, durationMs: number): void {
+    const {job, shape} = run.step;
+    const factor = computeRackFactor(fleet, run, this.#remoteRackFactor);
+    this.recordDuration(job.request.queue, shape, durationMs / factor);
+  }
+
+  /** Records the duration of a task that did not resume from a checkpoint. */
   recordDuration(queue: QueueId, shape: StepShape, durationMs: number): void {
     const key = formatKey(queue, shape.image);
     const ratio = Math.min(
@@ -62,7 +83,14 @@
     learned.ratio += LEARNING_RATE * (ratio - learned.ratio);
   }
 
-  /** Returns the expected duration of one task in milliseconds. */
+  /** Returns the expected duration of a run in milliseconds, on the racks where it and its gang are. */
+  estimateRunMs(fleet: Fleet, run: Run): number {
+    const {job, shape} = run.step;
+    const factor = computeRackFactor(fleet, run, this.#remoteRackFactor);
+    return this.estimateTaskMs(job.request.queue, shape) * factor;
+  }
+
+  /** Returns the expected duration of one task in milliseconds, wherever it is placed. */
   estimateTaskMs(queue: QueueId, shape: StepShape): number {
     const learned = this.#learned.get(formatKey(queue, shape.image));
     return shape.estimateMs === undefined
--- a/packages/nutmegproxy-scheduling/src/Evacuation.ts
+++ b/packages/nutmegproxy-scheduling/src/Evacuation.ts
@@ -15,12 +15,17 @@
 const DEFAULT_REMAINING_MS = 2_000;
 
 /** Whether stopping the run now loses less work than letting it run until its minion leaves. */
-function shouldStop(run: Run, remainingMs: number, estimator: DurationEstimator): boolean {
-  const {job, shape} = run.step;
+function shouldStop(
+  fleet: Fleet,
+  run: Run,
+  remainingMs: number,
+  estimator: DurationEstimator,
+): boolean {
+  const {shape} = run.step;
   if (shape.longRunning) {
     return true;
   }
-  const workMs = estimator.estimateTaskMs(job.request.queue, shape) * (1 - run.percent / 100);
+  const workMs = estimator.estimateRunMs(fleet, run) * (1 - run.percent / 100);
   // Without a checkpoint, a stop loses as much work as the departure, and the task may still
   // finish.
   return shape.checkpoints && workMs > remainingMs && remainingMs <= STOP_ALLOWANCE_MS;
@@ -39,7 +44,7 @@
   const elapsedMs = now - (minion.drainingSince ?? now);
   const remainingMs = (minion.description.leavesInMs ?? DEFAULT_REMAINING_MS) - elapsedMs;
   for (const run of minion.runs) {
-    if (run.phase === 'running' && shouldStop(run, remainingMs, estimator)) {
+    if (run.phase === 'running' && shouldStop(fleet, run, remainingMs, estimator)) {
       fleet.stopRun(run, 'evacuated');
     }
   }
--- a/packages/nutmegproxy-scheduling/src/RunProgressMonitor.ts
+++ b/packages/nutmegproxy-scheduling/src/RunProgressMonitor.ts
@@ -43,12 +43,11 @@
    * Returns the time in milliseconds until the first run of the minion is overdue; `Infinity`
    * without runs that end.
    */
-  overdueInMs(minion: MinionState, now: Instant): number {
+  overdueInMs(fleet: Fleet, minion: MinionState, now: Instant): number {
     let least = Infinity;
     for (const run of minion.runs) {
-      const {job, shape} = run.step;
-      if (!shape.longRunning) {
-        const workMs = this.#estimator.estimateTaskMs(job.request.queue, shape) * OVERDUE_RATIO;
+      if (!run.step.shape.longRunning) {
+        const workMs = this.#estimator.estimateRunMs(fleet, run) * OVERDUE_RATIO;
         least = Math.min(least, workMs - (now - run.sentAt));
       }
     }
@@ -67,7 +66,7 @@
         this.#samples.set(run, {at: now, percent: run.percent});
       } else if (run.percent > previous.percent) {
         this.#progressing.add(run);
-        this.#measureSpeed(minion, run, previous, now);
+        this.#measureSpeed(fleet, minion, run, previous, now);
       } else if (now - previous.at >= STALL_TIMEOUT_MS && run.paceShare > 0) {
         run.step.avoid(run.task.index, minion.id, now);
         fleet.stopRun(run, 'stalled');
@@ -96,20 +95,24 @@
     );
   }
 
-  #measureSpeed(minion: MinionState, run: Run, previous: ProgressSample, now: Instant): void {
+  #measureSpeed(
+    fleet: Fleet,
+    minion: MinionState,
+    run: Run,
+    previous: ProgressSample,
+    now: Instant,
+  ): void {
     const intervalMs = now - previous.at;
     if (intervalMs < MIN_SPEED_INTERVAL_MS) {
       return;
     }
     this.#samples.set(run, {at: now, percent: run.percent});
-    const {job, shape} = run.step;
+    const {shape} = run.step;
     if (shape.fillsSpareCpu || shape.longRunning) {
       return;
     }
-    const workMs =
-      (this.#estimator.estimateTaskMs(job.request.queue, shape) *
-        (run.percent - previous.percent)) /
-      100;
+    const progress = (run.percent - previous.percent) / 100;
+    const workMs = this.#estimator.estimateRunMs(fleet, run) * progress;
     const speed = Math.min(MAX_SPEED, workMs / intervalMs);
     minion.recordSpeed(speed, SPEED_SMOOTHING, now);
   }
--- a/packages/nutmegproxy-scheduling/src/SpeculationPlanner.ts
+++ b/packages/nutmegproxy-scheduling/src/SpeculationPlanner.ts
@@ -23,9 +23,8 @@
 /** Minimum time in milliseconds between two checks; lateness needs no resolution below 0.1 s. */
 const PLANNING_INTERVAL_MS = 100;
 
-function isLate(run: Run, estimator: DurationEstimator, now: Instant): boolean {
-  const {job, shape} = run.step;
-  const expectedMs = estimator.estimateTaskMs(job.request.queue, shape);
+function isLate(fleet: Fleet, run: Run, estimator: DurationEstimator, now: Instant): boolean {
+  const expectedMs = estimator.estimateRunMs(fleet, run);
   return run.phase === 'running' && now - run.sentAt > expectedMs * LATE_RATIO + LATE_MARGIN_MS;
 }
 
@@ -48,7 +47,11 @@
       const {index} = run.task;
       const isSuspect = run.step.crashes.of(index).length > 0;
       const canSpeculate = shape.speculative && !shape.gang && !shape.longRunning && !isSuspect;
-      if (!canSpeculate || run.step.runsOf(index).length > 1 || !isLate(run, estimator, now)) {
+      if (
+        !canSpeculate ||
+        run.step.runsOf(index).length > 1 ||
+        !isLate(fleet, run, estimator, now)
+      ) {
         continue;
       }
       const {service} = fleet.resolveQueuePolicy(run.step.job);
