--- a/packages/nutmegproxy-owner/src/Owner.ts
+++ b/packages/nutmegproxy-owner/src/Owner.ts
@@ -97,7 +97,7 @@
     const {bounds, clock, directory, events, ownership, store} = options;
     this.#options = options;
     this.#estimator = new DurationEstimator(bounds);
-    this.#progressMonitor = new RunProgressMonitor(this.#estimator);
+    this.#progressMonitor = new RunProgressMonitor(this.#estimator, bounds);
     this.#sharing = new SharingPolicy(this.#estimator);
     const orders = new TrackedOrders(options.orders, clock);
     const onChange = (): void => {
--- a/packages/nutmegproxy-scheduling/src/RunProgressMonitor.ts
+++ b/packages/nutmegproxy-scheduling/src/RunProgressMonitor.ts
@@ -1,8 +1,10 @@
 /** Detects slow minions and stalled runs from the progress that minions report. */
 
-import type {Instant} from '@nutmegproxy/core';
+import type {Instant, PlatformBounds} from '@nutmegproxy/core';
 import type {Run} from '@nutmegproxy/jobs';
 
+import {DEFAULT_PLATFORM_BOUNDS} from '@nutmegproxy/core';
+
 import type {DurationEstimator} from './DurationEstimator.ts';
 import type {Fleet} from './Fleet.ts';
 import type {MinionState} from './MinionState.ts';
@@ -12,6 +14,8 @@
 
 /** Time in milliseconds without progress after which a run is stalled; tasks report it sooner. */
 const STALL_TIMEOUT_MS = 1_800;
+/** Part of that time in milliseconds in which a run may resume from its checkpoint. */
+const STALL_RESTORE_MS = 600;
 /** Multiple of the expected duration from which a run is overdue. */
 const OVERDUE_RATIO = 1.5;
 /** Time in milliseconds for which a run goes on without failing on a sound minion. */
@@ -33,10 +37,15 @@
   readonly #estimator: DurationEstimator;
   /** Runs that have made progress from one listing to another. */
   readonly #progressing = new WeakSet<Run>();
+  readonly #restoreMs: number;
   readonly #samples = new WeakMap<Run, ProgressSample>();
 
-  constructor(estimator: DurationEstimator) {
+  constructor(
+    estimator: DurationEstimator,
+    {restoreMs}: Pick<PlatformBounds, 'restoreMs'> = DEFAULT_PLATFORM_BOUNDS,
+  ) {
     this.#estimator = estimator;
+    this.#restoreMs = restoreMs;
   }
 
   /**
@@ -67,7 +76,7 @@
       } else if (run.percent > previous.percent) {
         this.#progressing.add(run);
         this.#measureSpeed(fleet, minion, run, previous, now);
-      } else if (now - previous.at >= STALL_TIMEOUT_MS && run.paceShare > 0) {
+      } else if (now - previous.at >= this.#findStallTimeoutMs(run) && run.paceShare > 0) {
         run.step.avoid(run.task.index, minion.id, now);
         fleet.stopRun(run, 'stalled');
         // A backfill run may stall for lack of processors, which is no fault of the minion.
@@ -84,6 +93,12 @@
     }
   }
 
+  /** Returns the time without progress after which the run is stalled; longer while it may resume. */
+  #findStallTimeoutMs(run: Run): number {
+    const mayResume = run.checkpoint !== undefined && !this.#progressing.has(run);
+    return STALL_TIMEOUT_MS + (mayResume ? Math.max(0, this.#restoreMs - STALL_RESTORE_MS) : 0);
+  }
+
   /** Returns the run that shows that the minion is sound, once it has worked for some time. */
   #findPassedTrial(minion: MinionState, now: Instant): Run | undefined {
     return [...minion.runs].find(
