--- a/packages/nutmegproxy-owner/src/__tests__/unit/DirectoryAge.test.ts
+++ b/packages/nutmegproxy-owner/src/__tests__/unit/DirectoryAge.test.ts
@@ -39,6 +39,10 @@
     assert.equal(findOldest(4_000), 2_000);
   });
 
+  it('does not outdate a view that is as young as can be', () => {
+    assert.equal(findOldest(0), 200);
+  });
+
   it('outdates the view before the first listing', () => {
     assert.equal(new DirectoryAge(2_000).isOutdated(at(0), at(0)), true);
   });
