--- a/packages/nutmegproxy-owner/src/Owner.ts
+++ b/packages/nutmegproxy-owner/src/Owner.ts
@@ -236,7 +236,7 @@
 
   /** Runs one round of planning and sends the resulting starts and stops. */
   #plan(): void {
-    const {clock, events, ownership, queues} = this.#options;
+    const {bounds, clock, events, ownership, queues} = this.#options;
     const now = clock.monotonic();
     const wall = clock.wall();
     const fleet = this.#fleet;
@@ -248,7 +248,7 @@
       events.record(OWNER_EVENTS.RECOVERY_DONE, {term: ownership.term});
     }
     for (const minion of fleet.minions.values()) {
-      evacuateMinion(fleet, minion, this.#estimator, now);
+      evacuateMinion(fleet, minion, this.#estimator, bounds, now);
     }
     const deferrableStarts = this.#startThrottle.getAllowance(now);
     const hold = this.#findHold(now);
--- a/packages/nutmegproxy-scheduling/src/Evacuation.ts
+++ b/packages/nutmegproxy-scheduling/src/Evacuation.ts
@@ -2,24 +2,29 @@
  * Stops runs on draining minions before the minions leave, so that the work continues elsewhere.
  */
 
-import type {Instant} from '@nutmegproxy/core';
+import type {Instant, PlatformBounds} from '@nutmegproxy/core';
 import type {Run} from '@nutmegproxy/jobs';
 
 import type {DurationEstimator} from './DurationEstimator.ts';
 import type {Fleet} from './Fleet.ts';
 import type {MinionState} from './MinionState.ts';
 
-/** Maximum time in milliseconds of a stop, including its checkpoint and the calls to the minion. */
-const STOP_ALLOWANCE_MS = 1_200;
+/** Time in milliseconds before a minion leaves at which its runs are stopped, unless a stop takes longer. */
+const MIN_STOP_ALLOWANCE_MS = 1_200;
+/** Time in milliseconds that the calls of a stop add to it. */
+const STOP_CALLS_MS = 300;
 /** Assumed time in milliseconds until a draining minion leaves when it doesn't report one. */
 const DEFAULT_REMAINING_MS = 2_000;
 
+type EvacuationBounds = Pick<PlatformBounds, 'stopTimeoutMs'>;
+
 /** Whether stopping the run now loses less work than letting it run until its minion leaves. */
 function shouldStop(
   fleet: Fleet,
   run: Run,
   remainingMs: number,
   estimator: DurationEstimator,
+  {stopTimeoutMs}: EvacuationBounds,
 ): boolean {
   const {shape} = run.step;
   if (shape.longRunning) {
@@ -28,14 +33,21 @@
   const workMs = estimator.estimateRunMs(fleet, run) * (1 - run.percent / 100);
   // Without a checkpoint, a stop loses as much work as the departure, and the task may still
   // finish.
-  return shape.checkpoints && workMs > remainingMs && remainingMs <= STOP_ALLOWANCE_MS;
+  const allowanceMs = Math.max(MIN_STOP_ALLOWANCE_MS, stopTimeoutMs + STOP_CALLS_MS);
+  return shape.checkpoints && workMs > remainingMs && remainingMs <= allowanceMs;
 }
 
-/** Stops the runs on a draining minion that would not end before it leaves. */
+/**
+ * Stops the runs on a draining minion that would not end before it leaves.
+ *
+ * @example
+ * evacuateMinion(fleet, drainingMinion, estimator, bounds, now);
+ */
 export function evacuateMinion(
   fleet: Fleet,
   minion: MinionState,
   estimator: DurationEstimator,
+  bounds: EvacuationBounds,
   now: Instant,
 ): void {
   if (!minion.description.isDraining) {
@@ -44,7 +56,7 @@
   const elapsedMs = now - (minion.drainingSince ?? now);
   const remainingMs = (minion.description.leavesInMs ?? DEFAULT_REMAINING_MS) - elapsedMs;
   for (const run of minion.runs) {
-    if (run.phase === 'running' && shouldStop(fleet, run, remainingMs, estimator)) {
+    if (run.phase === 'running' && shouldStop(fleet, run, remainingMs, estimator, bounds)) {
       fleet.stopRun(run, 'evacuated');
     }
   }
--- /dev/null
+++ b/packages/nutmegproxy-scheduling/src/__tests__/unit/Evacuation.test.ts
@@ -0,0 +1,61 @@
+import type {PlatformBounds} from '@nutmegproxy/core';
+import type {StepShape} from '@nutmegproxy/jobs';
+
+import {DEFAULT_PLATFORM_BOUNDS} from '@nutmegproxy/core';
+import assert from 'node:assert/strict';
+import {describe, it} from 'node:test';
+
+import {evacuateMinion} from '../../Evacuation.ts';
+import {at, SampleFleet, shape} from './Samples.ts';
+
+const PLAN_INTERVAL_MS = 50;
+const CHECKPOINTED: Partial<StepShape> = {checkpoints: true, estimateMs: 60_000};
+
+/** Returns how long before a minion leaves its run is stopped; undefined when it is not. */
+function findStop(
+  change: Partial<StepShape>,
+  bounds: Partial<PlatformBounds>,
+  leavesInMs: number | undefined,
+): number | undefined {
+  const sample = new SampleFleet(0);
+  const minion = sample.addMinion('m1');
+  const job = sample.addJob('proofs', [shape(change)]);
+  for (const run of sample.plan(0)) {
+    run.phase = 'running';
+  }
+  minion.description = {...minion.description, isDraining: true, leavesInMs};
+  minion.drainingSince = at(0);
+  const all = {...DEFAULT_PLATFORM_BOUNDS, ...bounds};
+  const leavesMs = leavesInMs ?? all.drainMs;
+  for (let nowMs = 0; nowMs <= leavesMs; nowMs += PLAN_INTERVAL_MS) {
+    if (nowMs >= (change.estimateMs ?? Infinity)) {
+      sample.finishRuns(job, at(nowMs));
+    }
+    evacuateMinion(sample.fleet, minion, sample.estimator, all, at(nowMs));
+    if (sample.fleet.pendingStops.length > 0) {
+      return leavesMs - nowMs;
+    }
+  }
+  return undefined;
+}
+
+describe('evacuateMinion', () => {
+  it('stops a run with checkpoints so early that its stop ends before the minion leaves', () => {
+    assert.equal(findStop(CHECKPOINTED, {stopTimeoutMs: 2_500}, 6_000), 2_800);
+  });
+
+  it('stops it 1.2 s before the minion leaves where a stop takes 0.9 s or less', () => {
+    for (const stopTimeoutMs of [400, 900]) {
+      assert.equal(findStop(CHECKPOINTED, {stopTimeoutMs}, 6_000), 1_200);
+    }
+  });
+
+  it('lets a run without checkpoints or one that ends in time go on', () => {
+    assert.equal(findStop({estimateMs: 60_000}, {}, 6_000), undefined);
+    assert.equal(findStop({checkpoints: true, estimateMs: 100}, {}, 6_000), undefined);
+  });
+
+  it('stops long-running tasks at once', () => {
+    assert.equal(findStop({longRunning: true}, {}, 6_000), 6_000);
+  });
+});
