--- a/packages/nutmegproxy-scheduling/src/Evacuation.ts
+++ b/packages/nutmegproxy-scheduling/src/Evacuation.ts
@@ -13,10 +13,8 @@
 const MIN_STOP_ALLOWANCE_MS = 1_200;
 /** Time in milliseconds that the calls of a stop add to it. */
 const STOP_CALLS_MS = 300;
-/** Assumed time in milliseconds until a draining minion leaves when it doesn't report one. */
-const DEFAULT_REMAINING_MS = 2_000;
 
-type EvacuationBounds = Pick<PlatformBounds, 'stopTimeoutMs'>;
+type EvacuationBounds = Pick<PlatformBounds, 'drainMs' | 'stopTimeoutMs'>;
 
 /** Whether stopping the run now loses less work than letting it run until its minion leaves. */
 function shouldStop(
@@ -38,7 +36,8 @@
 }
 
 /**
- * Stops the runs on a draining minion that would not end before it leaves.
+ * Stops the runs on a draining minion that would not end before it leaves. The time that it reports until then
+ * counts, `drainMs` without one.
  *
  * @example
  * evacuateMinion(fleet, drainingMinion, estimator, bounds, now);
@@ -54,7 +53,7 @@
     return;
   }
   const elapsedMs = now - (minion.drainingSince ?? now);
-  const remainingMs = (minion.description.leavesInMs ?? DEFAULT_REMAINING_MS) - elapsedMs;
+  const remainingMs = (minion.description.leavesInMs ?? bounds.drainMs) - elapsedMs;
   for (const run of minion.runs) {
     if (run.phase === 'running' && shouldStop(fleet, run, remainingMs, estimator, bounds)) {
       fleet.stopRun(run, 'evacuated');
--- a/packages/nutmegproxy-scheduling/src/__tests__/unit/Evacuation.test.ts
+++ b/packages/nutmegproxy-scheduling/src/__tests__/unit/Evacuation.test.ts
@@ -50,6 +50,11 @@
     }
   });
 
+  it('expects a minion that does not say when it leaves to serve for drainMs', () => {
+    assert.equal(findStop(CHECKPOINTED, {drainMs: 4_000}, undefined), 1_200);
+    assert.equal(findStop(CHECKPOINTED, {drainMs: 1_000}, undefined), 1_000);
+  });
+
   it('lets a run without checkpoints or one that ends in time go on', () => {
     assert.equal(findStop({estimateMs: 60_000}, {}, 6_000), undefined);
     assert.equal(findStop({checkpoints: true, estimateMs: 100}, {}, 6_000), undefined);
