--- a/packages/nutmegproxy-emulator/src/EmulatedMinion.ts
+++ b/packages/nutmegproxy-emulator/src/EmulatedMinion.ts
@@ -18,6 +18,11 @@
 import {parseTaskName} from '@nutmegproxy/jobs';
 import {err, ok} from 'neverthrow';
 
+import type {MinionBounds} from './MinionBounds.ts';
+
+import {EmulatedClock} from './EmulatedClock.ts';
+import {DEFAULT_MINION_BOUNDS} from './MinionBounds.ts';
+
 /** Largest number of results in one listing. */
 const RESULTS_PER_LISTING = 500;
 
@@ -57,8 +62,11 @@
   readonly records: RecordedRun[] = [];
   /** Number of polls that the minion has responded to. */
   answeredPolls = 0;
+  readonly #bounds: MinionBounds;
   readonly #chooseBehaviour: (task: TaskRef, number: RunNumber) => TaskBehaviour;
+  readonly #clock: EmulatedClock;
   readonly #results: RunResult[] = [];
+  /** On the minion's clock. */
   #leaseExpiresMs = 0;
   readonly #liveRuns = new Map<string, LiveRun>();
   /** Highest number of the runs that were stopped or have ended, by task. */
@@ -70,9 +78,12 @@
   constructor(
     description: MinionDescription,
     chooseBehaviour: (task: TaskRef, number: RunNumber) => TaskBehaviour,
+    bounds: Partial<MinionBounds> = {},
   ) {
     this.description = description;
+    this.#bounds = {...DEFAULT_MINION_BOUNDS, ...bounds};
     this.#chooseBehaviour = chooseBehaviour;
+    this.#clock = new EmulatedClock(this.#bounds.clockLagRate);
   }
 
   /** Names of the tasks that have a live run. */
@@ -83,11 +94,13 @@
   /** Ends runs whose duration has passed, and all runs once the lease has expired. */
   advance(nowMs: number): void {
     this.#crashIfDue(nowMs);
+    const lapsesAtMs =
+      this.#clock.findInstant(this.#leaseExpiresMs) + this.#bounds.expiryLatenessMs;
     for (const [name, run] of this.#liveRuns) {
       if (run.dueMs <= nowMs) {
         this.#finishRun(name, run, run.outcome, run.dueMs);
-      } else if (this.#leaseExpiresMs <= nowMs) {
-        this.#finishRun(name, run, 'lapsed', this.#leaseExpiresMs);
+      } else if (lapsesAtMs <= nowMs) {
+        this.#finishRun(name, run, 'lapsed', lapsesAtMs);
       }
     }
   }
@@ -110,13 +123,13 @@
     if (rejection !== undefined) {
       return err(rejection);
     }
-    this.#extendLease(order.untilMs);
+    this.#extendLease(order.untilMs, nowMs);
     this.answeredPolls += 1;
     const kept = this.#results.filter(({sequence}) => sequence > order.ackedThrough);
     this.#results.splice(0, this.#results.length, ...kept);
     return ok({
       bornAt: this.description.bornAt,
-      clockMs: nowMs,
+      clockMs: this.#clock.read(nowMs),
       ended: kept.slice(0, RESULTS_PER_LISTING),
       mayOmitResults: kept.length >= RESULTS_PER_LISTING,
       running: [...this.#liveRuns.values()].map(({checkpoint, record, task}) => ({
@@ -145,6 +158,7 @@
     this.#sequence = 0;
     this.#token = 0;
     this.#leaseExpiresMs = 0;
+    this.#clock.restart(this.#bounds.restartClockMs ?? this.#clock.read(nowMs), nowMs);
     this.description = {...this.description, bornAt};
   }
 
@@ -155,19 +169,20 @@
       return err(rejection);
     }
     const running = this.#liveRuns.get(order.task);
+    const clockMs = this.#clock.read(nowMs);
     if (running?.record.number === order.number) {
-      return ok({clockMs: nowMs});
+      return ok({clockMs});
     }
-    if (order.untilMs <= nowMs) {
-      return err(createFailure('late', nowMs));
+    if (order.untilMs <= clockMs) {
+      return err(createFailure('late', clockMs));
     }
-    this.#extendLease(order.untilMs);
+    this.#extendLease(order.untilMs, nowMs);
     if (order.number <= (this.#usedNumbers.get(order.task) ?? 0)) {
-      return err(createFailure('outdated', nowMs));
+      return err(createFailure('outdated', clockMs));
     }
     const task = parseTaskName(order.task);
     if (task === undefined) {
-      return err(createFailure('invalid', nowMs));
+      return err(createFailure('invalid', clockMs));
     }
     const behaviour = this.#chooseBehaviour(task, order.number);
     const {checkpoint = order.checkpoint, crashDownMs, durationMs, outcome} = behaviour;
@@ -180,9 +195,10 @@
       task: order.task,
     };
     this.records.push(record);
-    const dueMs = nowMs + durationMs;
+    const restoreMs = order.checkpoint === undefined ? 0 : this.#bounds.restoreMs;
+    const dueMs = nowMs + restoreMs + durationMs;
     this.#liveRuns.set(order.task, {checkpoint, crashDownMs, dueMs, outcome, record, task});
-    return ok({clockMs: nowMs});
+    return ok({clockMs});
   }
 
   stop(order: RunOrder, nowMs: number): Result<OrderAnswer, OrderFailure> {
@@ -193,10 +209,10 @@
     }
     const run = this.#liveRuns.get(order.task);
     if (run !== undefined && run.record.number <= order.number) {
-      this.#finishRun(order.task, run, 'stopped', nowMs);
+      this.#stopRun(order.task, run, nowMs);
     }
     this.#recordUsedNumber(order.task, order.number);
-    return ok({clockMs: nowMs});
+    return ok({clockMs: this.#clock.read(nowMs)});
   }
 
   #crashIfDue(nowMs: number): void {
@@ -210,7 +226,7 @@
 
   #checkToken(token: number, nowMs: number): OrderFailure | undefined {
     if (token < this.#token) {
-      return createFailure('fenced', nowMs);
+      return createFailure('fenced', this.#clock.read(nowMs));
     }
     this.#token = token;
     return undefined;
@@ -231,8 +247,18 @@
     });
   }
 
-  #extendLease(untilMs: number | undefined): void {
-    this.#leaseExpiresMs = Math.max(this.#leaseExpiresMs, untilMs ?? 0);
+  #extendLease(untilMs: number | undefined, nowMs: number): void {
+    const longestMs = this.#clock.read(nowMs) + this.#bounds.maxMinionLeaseMs;
+    this.#leaseExpiresMs = Math.max(this.#leaseExpiresMs, Math.min(untilMs ?? 0, longestMs));
+  }
+
+  #stopRun(name: string, run: LiveRun, nowMs: number): void {
+    const dueMs = nowMs + this.#bounds.stopMs;
+    if (dueMs === nowMs) {
+      this.#finishRun(name, run, 'stopped', nowMs);
+    } else if (dueMs < run.dueMs) {
+      this.#liveRuns.set(name, {...run, crashDownMs: undefined, dueMs, outcome: 'stopped'});
+    }
   }
 
   #recordUsedNumber(name: string, number: number): void {
--- a/packages/nutmegproxy-emulator/src/__tests__/unit/LastingTaskScenario.ts
+++ b/packages/nutmegproxy-emulator/src/__tests__/unit/LastingTaskScenario.ts
@@ -5,6 +5,7 @@
 import assert from 'node:assert/strict';
 
 import type {EmulatedMinion, RecordedRun} from '../../EmulatedMinion.ts';
+import type {MinionBounds} from '../../MinionBounds.ts';
 import type {KillableOwner} from './TakeoverHarness.ts';
 
 import {TakeoverHarness} from './TakeoverHarness.ts';
@@ -48,8 +49,8 @@
     return this.#owner;
   }
 
-  addMinion(name: string): EmulatedMinion {
-    const minion = this.harness.addMinion(name);
+  addMinion(name: string, bounds: Partial<MinionBounds> = {}): EmulatedMinion {
+    const minion = this.harness.addMinion(name, undefined, bounds);
     this.minions.push(minion);
     return minion;
   }
--- a/packages/nutmegproxy-emulator/src/__tests__/unit/RepeatedStarts.test.ts
+++ b/packages/nutmegproxy-emulator/src/__tests__/unit/RepeatedStarts.test.ts
@@ -31,7 +31,7 @@
 
   beforeEach(async () => {
     harness = new TakeoverHarness();
-    minion = harness.addMinion('m1');
+    minion = harness.addMinion('m1', undefined, {maxMinionLeaseMs: LONGEST_LEASE_MS});
     first = await harness.startKillable('vm-1');
     await waitFor('the minion reports', () => minion.answeredPolls > 1);
     next = harness.startWaitingVm('vm-2');
--- a/packages/nutmegproxy-emulator/src/__tests__/unit/TakeoverHarness.ts
+++ b/packages/nutmegproxy-emulator/src/__tests__/unit/TakeoverHarness.ts
@@ -10,6 +10,7 @@
 import {MemoryStore} from '@nutmegproxy/standins';
 
 import type {TaskBehaviour} from '../../EmulatedMinion.ts';
+import type {MinionBounds} from '../../MinionBounds.ts';
 
 import {EmulatedFleet} from '../../EmulatedFleet.ts';
 import {EmulatedMachineList} from '../../EmulatedMachineList.ts';
@@ -76,11 +77,12 @@
   readonly #stops: (() => void)[] = [];
 
   /** Adds a minion that started at `bornAt`, in Unix milliseconds; default: long ago. */
-  addMinion(name: string, bornAt?: number): EmulatedMinion {
+  addMinion(name: string, bornAt?: number, bounds: Partial<MinionBounds> = {}): EmulatedMinion {
     const description = createMinionDescription(name, {machine: brand(`machine of ${name}`)});
     const minion = new EmulatedMinion(
       bornAt === undefined ? description : {...description, bornAt},
       runForever,
+      bounds,
     );
     this.fleet.add(minion);
     return minion;
--- a/packages/nutmegproxy-emulator/src/__tests__/unit/UnconfirmedStarts.test.ts
+++ b/packages/nutmegproxy-emulator/src/__tests__/unit/UnconfirmedStarts.test.ts
@@ -45,7 +45,7 @@
   /** Lets the minion list a lasting run and not respond to the start of another one. */
   beforeEach(async () => {
     harness = new TakeoverHarness();
-    minion = harness.addMinion('m1');
+    minion = harness.addMinion('m1', undefined, {maxMinionLeaseMs: LONGEST_LEASE_MS});
     first = await harness.startKillable('vm-1');
     await harness.runLastingTask(minion);
     listedTask = minion.liveTasks.join();
