--- a/packages/nutmegproxy-owner/src/Owner.ts
+++ b/packages/nutmegproxy-owner/src/Owner.ts
@@ -3,7 +3,7 @@
  * then plans starts whenever something changes.
  */
 
-import type {Clock, EventSink, Instant} from '@nutmegproxy/core';
+import type {Clock, EventSink, Instant, PlatformBounds} from '@nutmegproxy/core';
 import type {MinionState} from '@nutmegproxy/scheduling';
 import type {PlatformStore} from '@nutmegproxy/store';
 
@@ -53,6 +53,8 @@
 export interface OwnerOptions {
   /** Client of the advising service; undefined where the platform has none. */
   readonly advice: AdviceClient | undefined;
+  /** Limits that the platform sets. */
+  readonly bounds: PlatformBounds;
   readonly clock: Clock;
   readonly directory: MinionDirectory;
   readonly events: EventSink;
@@ -69,7 +71,7 @@
 
 export class Owner {
   readonly #advice: AdvicePrefetcher;
-  readonly #estimator = new DurationEstimator();
+  readonly #estimator: DurationEstimator;
   readonly #fleet: Fleet;
   readonly #closingRecords: ClosingRecords;
   readonly #jobs: JobWatcher;
@@ -79,12 +81,12 @@
   readonly #load = new OwnerLoad();
   readonly #minions: MinionSessions;
   readonly #options: OwnerOptions;
-  readonly #progressMonitor = new RunProgressMonitor(this.#estimator);
+  readonly #progressMonitor: RunProgressMonitor;
   #queues: readonly QueuePolicy[] | undefined;
   readonly #retention: Retention;
   readonly #roster: Roster;
   readonly #roundLog: RoundLog;
-  readonly #sharing = new SharingPolicy(this.#estimator);
+  readonly #sharing: SharingPolicy;
   readonly #startLimiter = new StartLimiter();
   readonly #startThrottle = new StartThrottle();
   #stopReason: string | undefined;
@@ -92,8 +94,11 @@
   #wake: (() => void) | undefined;
 
   constructor(options: OwnerOptions) {
-    const {clock, directory, events, ownership, store} = options;
+    const {bounds, clock, directory, events, ownership, store} = options;
     this.#options = options;
+    this.#estimator = new DurationEstimator(bounds);
+    this.#progressMonitor = new RunProgressMonitor(this.#estimator, bounds);
+    this.#sharing = new SharingPolicy(this.#estimator);
     const orders = new TrackedOrders(options.orders, clock);
     const onChange = (): void => {
       this.#wakeUp();
@@ -106,20 +111,14 @@
     this.#journal = new Journal({dirtyJobs: fleet.dirtyJobs, events, onFenced, ownership, store});
     this.#roster = new Roster({clock, events, onFenced, ownership, store});
     this.#closingRecords = new ClosingRecords({clock, events, ownership, store});
-    this.#learnedEstimates = new LearnedEstimates({
-      clock,
-      estimator: this.#estimator,
-      events,
-      model: this.#sharing.model,
-      ownership,
-      store,
-    });
+    this.#learnedEstimates = this.#createLearnedEstimates();
     const retentionMs = options.statusRetentionMs + RETENTION_MARGIN_MS;
     this.#retention = new Retention({clock, events, fleet, ownership, retentionMs, store});
     this.#queueLengths = new QueueLengthPublisher({events, fleet, ownership, store});
     this.#advice = new AdvicePrefetcher({client: options.advice, clock, events, fleet, onChange});
     this.#jobs = new JobWatcher({clock, events, fleet, onChange, onFenced, ownership, store});
     this.#minions = new MinionSessions({
+      bounds,
       clock,
       directory,
       events,
@@ -143,8 +142,8 @@
         onListed: (minion, now) => {
           this.#reviewRuns(minion, now);
         },
-        onRunDone: ({step}, durationMs) => {
-          this.#estimator.recordDuration(step.job.request.queue, step.shape, durationMs);
+        onRunDone: (run, durationMs) => {
+          this.#estimator.recordRun(this.#fleet, run, durationMs);
         },
         onSilent: (minion) => {
           this.#minions.recordSilent(minion);
@@ -153,7 +152,7 @@
           this.#advice.invalidate(step, minion);
         },
         orders,
-        overdueInMs: (minion, now) => this.#progressMonitor.overdueInMs(minion, now),
+        overdueInMs: (minion, now) => this.#progressMonitor.overdueInMs(fleet, minion, now),
         ownership,
         startLimiter: this.#startLimiter,
       },
@@ -196,6 +195,18 @@
     this.#wakeUp();
   }
 
+  #createLearnedEstimates(): LearnedEstimates {
+    const {clock, events, ownership, store} = this.#options;
+    return new LearnedEstimates({
+      clock,
+      estimator: this.#estimator,
+      events,
+      model: this.#sharing.model,
+      ownership,
+      store,
+    });
+  }
+
   #createRoundLog(orders: TrackedOrders): RoundLog {
     const {events, ownership} = this.#options;
     return new RoundLog({
--- a/packages/nutmegproxy-scheduling/src/RunProgressMonitor.ts
+++ b/packages/nutmegproxy-scheduling/src/RunProgressMonitor.ts
@@ -1,8 +1,10 @@
 /** Detects slow minions and stalled runs from the progress that minions report. */
 
-import type {Instant} from '@nutmegproxy/core';
+import type {Instant, PlatformBounds} from '@nutmegproxy/core';
 import type {Run} from '@nutmegproxy/jobs';
 
+import {DEFAULT_PLATFORM_BOUNDS} from '@nutmegproxy/core';
+
 import type {DurationEstimator} from './DurationEstimator.ts';
 import type {Fleet} from './Fleet.ts';
 import type {MinionState} from './MinionState.ts';
@@ -12,6 +14,8 @@
 
 /** Time in milliseconds without progress after which a run is stalled; tasks report it sooner. */
 const STALL_TIMEOUT_MS = 1_800;
+/** Part of that time in milliseconds in which a run may resume from its checkpoint. */
+const STALL_RESTORE_MS = 600;
 /** Multiple of the expected duration from which a run is overdue. */
 const OVERDUE_RATIO = 1.5;
 /** Time in milliseconds for which a run goes on without failing on a sound minion. */
@@ -33,22 +37,26 @@
   readonly #estimator: DurationEstimator;
   /** Runs that have made progress from one listing to another. */
   readonly #progressing = new WeakSet<Run>();
+  readonly #restoreMs: number;
   readonly #samples = new WeakMap<Run, ProgressSample>();
 
-  constructor(estimator: DurationEstimator) {
+  constructor(
+    estimator: DurationEstimator,
+    {restoreMs}: Pick<PlatformBounds, 'restoreMs'> = DEFAULT_PLATFORM_BOUNDS,
+  ) {
     this.#estimator = estimator;
+    this.#restoreMs = restoreMs;
   }
 
   /**
    * Returns the time in milliseconds until the first run of the minion is overdue; `Infinity`
    * without runs that end.
    */
-  overdueInMs(minion: MinionState, now: Instant): number {
+  overdueInMs(fleet: Fleet, minion: MinionState, now: Instant): number {
     let least = Infinity;
     for (const run of minion.runs) {
-      const {job, shape} = run.step;
-      if (!shape.longRunning) {
-        const workMs = this.#estimator.estimateTaskMs(job.request.queue, shape) * OVERDUE_RATIO;
+      if (!run.step.shape.longRunning) {
+        const workMs = this.#estimator.estimateRunMs(fleet, run) * OVERDUE_RATIO;
         least = Math.min(least, workMs - (now - run.sentAt));
       }
     }
@@ -67,8 +75,8 @@
         this.#samples.set(run, {at: now, percent: run.percent});
       } else if (run.percent > previous.percent) {
         this.#progressing.add(run);
-        this.#measureSpeed(minion, run, previous, now);
-      } else if (now - previous.at >= STALL_TIMEOUT_MS && run.paceShare > 0) {
+        this.#measureSpeed(fleet, minion, run, previous, now);
+      } else if (now - previous.at >= this.#findStallTimeoutMs(run) && run.paceShare > 0) {
         run.step.avoid(run.task.index, minion.id, now);
         fleet.stopRun(run, 'stalled');
         // A backfill run may stall for lack of processors, which is no fault of the minion.
@@ -85,6 +93,12 @@
     }
   }
 
+  /** Returns the time without progress after which the run is stalled; longer while it may resume. */
+  #findStallTimeoutMs(run: Run): number {
+    const mayResume = run.checkpoint !== undefined && !this.#progressing.has(run);
+    return STALL_TIMEOUT_MS + (mayResume ? Math.max(0, this.#restoreMs - STALL_RESTORE_MS) : 0);
+  }
+
   /** Returns the run that shows that the minion is sound, once it has worked for some time. */
   #findPassedTrial(minion: MinionState, now: Instant): Run | undefined {
     return [...minion.runs].find(
@@ -96,20 +110,24 @@
     );
   }
 
-  #measureSpeed(minion: MinionState, run: Run, previous: ProgressSample, now: Instant): void {
+  #measureSpeed(
+    fleet: Fleet,
+    minion: MinionState,
+    run: Run,
+    previous: ProgressSample,
+    now: Instant,
+  ): void {
     const intervalMs = now - previous.at;
     if (intervalMs < MIN_SPEED_INTERVAL_MS) {
       return;
     }
     this.#samples.set(run, {at: now, percent: run.percent});
-    const {job, shape} = run.step;
+    const {shape} = run.step;
     if (shape.fillsSpareCpu || shape.longRunning) {
       return;
     }
-    const workMs =
-      (this.#estimator.estimateTaskMs(job.request.queue, shape) *
-        (run.percent - previous.percent)) /
-      100;
+    const progress = (run.percent - previous.percent) / 100;
+    const workMs = this.#estimator.estimateRunMs(fleet, run) * progress;
     const speed = Math.min(MAX_SPEED, workMs / intervalMs);
     minion.recordSpeed(speed, SPEED_SMOOTHING, now);
   }
