--- a/packages/nutmegproxy-scheduling/src/LeaseTimes.ts
+++ b/packages/nutmegproxy-scheduling/src/LeaseTimes.ts
@@ -89,9 +89,9 @@
 }: Pick<PlatformBounds, 'maxMinionLeaseMs' | 'minStoreLeaseMs'>): LeaseTimes {
   const ownershipTtlMs = Math.max(OWNERSHIP_TTL_MS, minStoreLeaseMs);
   const minionLeaseMs = Math.min(MINION_LEASE_MS, maxMinionLeaseMs);
-  // Leases that are granted later than this would have ended already.
-  const unconfirmedGraceMs = Math.min(UNCONFIRMED_GRACE_MS, minionLeaseMs);
-  const maxLeaseSinceConfirmedMs = ownershipTtlMs + minionLeaseMs;
+  const unconfirmedGraceMs = UNCONFIRMED_GRACE_MS;
+  // A store outage lasts as long where minions accept shorter leases, and so may owners of earlier versions act.
+  const maxLeaseSinceConfirmedMs = ownershipTtlMs + MINION_LEASE_MS;
   const maxFormerLeaseMs = maxLeaseSinceConfirmedMs + FORMER_LEASE_MARGIN_MS;
   const longestLeaseMs = Math.ceil(stretchLease(maxMinionLeaseMs));
   const maxFormerStartLeaseMs = Math.max(maxFormerLeaseMs + FORMER_ORDER_MARGIN_MS, longestLeaseMs);
@@ -122,6 +122,7 @@
   const {maxFormerLeaseMs, maxFormerStartLeaseMs, maxMinionLeaseMs, minionLeaseMs} = times;
   const {maxLeaseSinceConfirmedMs, maxUncappedLeaseMs, ownershipTtlMs, unconfirmedGraceMs} = times;
   const longestLeaseMs = stretchLease(maxMinionLeaseMs);
+  const lastGrantMs = maxLeaseSinceConfirmedMs - minionLeaseMs;
   invariant(
     minionLeaseMs <= maxMinionLeaseMs,
     'leases: a minion would shorten the leases that owners grant',
@@ -131,7 +132,7 @@
     'leases: an owner acts for longer than the leases last that it may grant',
   );
   invariant(
-    maxFormerLeaseMs >= ownershipTtlMs + stretchLease(minionLeaseMs),
+    maxFormerLeaseMs >= lastGrantMs + stretchLease(minionLeaseMs),
     'leases: the next owner does not wait for all leases of the owner before',
   );
   invariant(
@@ -148,9 +149,10 @@
 const PROMISES: Readonly<
   Record<string, (times: LeaseTimes) => Pick<UnkeptPromise, 'availableMs' | 'neededMs'>>
 > = {
-  'running work outlives a store outage': ({maxLeaseSinceConfirmedMs}) => ({
-    availableMs: maxLeaseSinceConfirmedMs,
-    neededMs: UNCONFIRMED_GRACE_MS,
+  // The ownership may have ended meanwhile, so that another VM acquires it.
+  'running work outlives a store outage': ({minionLeaseMs}) => ({
+    availableMs: minionLeaseMs,
+    neededMs: TAKEOVER_MS,
   }),
   'running work outlives a takeover': ({minionLeaseMs, ownershipTtlMs}) => ({
     availableMs: minionLeaseMs,
