--- a/packages/nutmegproxy-owner/src/PollPacing.ts
+++ b/packages/nutmegproxy-owner/src/PollPacing.ts
@@ -15,6 +15,8 @@
 const UNDELAYED_POLLS_PER_SECOND = 1_500;
 /** Longest delay in milliseconds; it adds to the time until backfill jobs are completed. */
 const MAX_POLL_DELAY_MS = 400;
+/** Polls of the longest wait that begin while a lease lasts, so that one that is missed does not end it. */
+const POLLS_PER_LEASE = 3;
 
 /**
  * Returns the time in milliseconds that a poll waits on the minion for the end of a run.
@@ -27,14 +29,16 @@
   if (!minion.leaseClock.hasReading || minion.missedCalls > 0) {
     return 0;
   }
+  const {minionLeaseMs} = minion.leaseClock.times;
+  const longestMs = Math.min(POLL_WAIT_MS, Math.round(minionLeaseMs / POLLS_PER_LEASE));
   if (conditions.isNearTarget || minion.trialRun !== undefined) {
-    return NEAR_TARGET_POLL_WAIT_MS;
+    return Math.min(longestMs, NEAR_TARGET_POLL_WAIT_MS);
   }
   if (hasTrialRun(minion) || (minion.servingRuns > 0 && minion.backfillCpuMilli > 0)) {
-    return SHORT_POLL_WAIT_MS;
+    return Math.min(longestMs, SHORT_POLL_WAIT_MS);
   }
   const untilOverdueMs = Math.max(SHORT_POLL_WAIT_MS, conditions.overdueInMs);
-  return Math.round(Math.min(POLL_WAIT_MS, untilOverdueMs));
+  return Math.min(longestMs, Math.round(untilOverdueMs));
 }
 
 /** Whether somebody waits for the next result on the minion more than for those of backfill. */
