--- a/packages/nutmegproxy-owner/src/Owner.ts
+++ b/packages/nutmegproxy-owner/src/Owner.ts
@@ -98,7 +98,7 @@
     this.#options = options;
     this.#estimator = new DurationEstimator(bounds);
     this.#progressMonitor = new RunProgressMonitor(this.#estimator, bounds);
-    this.#sharing = new SharingPolicy(this.#estimator);
+    this.#sharing = new SharingPolicy(this.#estimator, bounds);
     const orders = new TrackedOrders(options.orders, clock);
     const onChange = (): void => {
       this.#wakeUp();
--- a/packages/nutmegproxy-scheduling/src/SharingPolicy.ts
+++ b/packages/nutmegproxy-scheduling/src/SharingPolicy.ts
@@ -6,9 +6,11 @@
  * is evicted.
  */
 
-import type {Instant} from '@nutmegproxy/core';
+import type {Instant, PlatformBounds} from '@nutmegproxy/core';
 import type {Run, StepShape, StepState} from '@nutmegproxy/jobs';
 
+import {DEFAULT_PLATFORM_BOUNDS} from '@nutmegproxy/core';
+
 import type {DurationEstimator} from './DurationEstimator.ts';
 import type {Fleet} from './Fleet.ts';
 import type {Estimate} from './LoadForecaster.ts';
@@ -33,11 +35,14 @@
 /** Time in milliseconds between two evictions on a minion; the next poll shows their effect. */
 const EVICTION_INTERVAL_MS = 600;
 /**
- * Time in milliseconds that a tail latency may exceed its threshold before all backfill runs of the
- * minion are evicted. With a poll and a stop it is well below the platform's limit of 4 s for
- * exceeded targets.
+ * Longest time in milliseconds that a tail latency may exceed its threshold before all backfill runs of
+ * the minion are evicted; less where a stop takes long.
  */
-const EVICT_ALL_AFTER_MS = 1_500;
+const MAX_EVICT_ALL_AFTER_MS = 1_500;
+/** Time in milliseconds for which the platform lets backfill keep a tail latency over its target. */
+const EXCEEDED_TARGET_LIMIT_MS = 4_000;
+/** Time in milliseconds that the age of a report, a poll and the calls of a stop take of that. */
+const EVICTION_DELAY_MS = 1_600;
 /** Cost of a utilization that just meets the latency target, in thousandths of a core. */
 const UTILIZATION_COST = 40_000;
 
@@ -84,6 +89,7 @@
 export class SharingPolicy {
   readonly model = new TailLatencyModel();
   readonly #estimator: DurationEstimator;
+  readonly #evictAllAfterMs: number;
   readonly #lastEvictedAt = new WeakMap<MinionState, Instant>();
   /** Last forecast peak load of each step, since one planning round needs it many times. */
   readonly #peaks = new WeakMap<StepState, PeakLoad>();
@@ -91,8 +97,13 @@
   readonly #servedSteps = new WeakMap<MinionState, ServedSteps>();
   readonly #nearTargetSince = new WeakMap<MinionState, Instant>();
 
-  constructor(estimator: DurationEstimator) {
+  constructor(
+    estimator: DurationEstimator,
+    {stopTimeoutMs}: Pick<PlatformBounds, 'stopTimeoutMs'> = DEFAULT_PLATFORM_BOUNDS,
+  ) {
     this.#estimator = estimator;
+    const roomMs = EXCEEDED_TARGET_LIMIT_MS - EVICTION_DELAY_MS - stopTimeoutMs;
+    this.#evictAllAfterMs = Math.min(MAX_EVICT_ALL_AFTER_MS, roomMs);
   }
 
   /**
@@ -166,7 +177,7 @@
     }
     const since = this.#nearTargetSince.get(minion) ?? now;
     this.#nearTargetSince.set(minion, since);
-    if (now - since >= EVICT_ALL_AFTER_MS) {
+    if (now - since >= this.#evictAllAfterMs) {
       for (const run of minion.runs) {
         if (run.step.shape.fillsSpareCpu) {
           fleet.stopRun(run, 'interference');
