--- a/packages/nutmegproxy-scheduling/src/SharingPolicy.ts
+++ b/packages/nutmegproxy-scheduling/src/SharingPolicy.ts
@@ -6,16 +6,18 @@
  * is evicted.
  */
 
-import type {Instant, PlatformBounds} from '@nutmegproxy/core';
+import type {Instant} from '@nutmegproxy/core';
 import type {Run, StepShape, StepState} from '@nutmegproxy/jobs';
 
 import {DEFAULT_PLATFORM_BOUNDS} from '@nutmegproxy/core';
 
 import type {DurationEstimator} from './DurationEstimator.ts';
+import type {EvictionBounds} from './EvictionTimes.ts';
 import type {Fleet} from './Fleet.ts';
 import type {Estimate} from './LoadForecaster.ts';
 import type {MinionState} from './MinionState.ts';
 
+import {computeEvictAllDelay} from './EvictionTimes.ts';
 import {TailLatencyModel, toReferenceCores} from './TailLatencyModel.ts';
 
 /** Highest planned utilization, as a share of the utilization at the latency target. */
@@ -34,15 +36,6 @@
 const FORECAST_INTERVALS = 4;
 /** Time in milliseconds between two evictions on a minion; the next poll shows their effect. */
 const EVICTION_INTERVAL_MS = 600;
-/**
- * Longest time in milliseconds that a tail latency may exceed its threshold before all backfill runs of
- * the minion are evicted; less where a stop takes long.
- */
-const MAX_EVICT_ALL_AFTER_MS = 1_500;
-/** Time in milliseconds for which the platform lets backfill keep a tail latency over its target. */
-const EXCEEDED_TARGET_LIMIT_MS = 4_000;
-/** Time in milliseconds that the age of a report, a poll and the calls of a stop take of that. */
-const EVICTION_DELAY_MS = 1_600;
 /** Cost of a utilization that just meets the latency target, in thousandths of a core. */
 const UTILIZATION_COST = 40_000;
 
@@ -97,13 +90,9 @@
   readonly #servedSteps = new WeakMap<MinionState, ServedSteps>();
   readonly #nearTargetSince = new WeakMap<MinionState, Instant>();
 
-  constructor(
-    estimator: DurationEstimator,
-    {stopTimeoutMs}: Pick<PlatformBounds, 'stopTimeoutMs'> = DEFAULT_PLATFORM_BOUNDS,
-  ) {
+  constructor(estimator: DurationEstimator, bounds: EvictionBounds = DEFAULT_PLATFORM_BOUNDS) {
     this.#estimator = estimator;
-    const roomMs = EXCEEDED_TARGET_LIMIT_MS - EVICTION_DELAY_MS - stopTimeoutMs;
-    this.#evictAllAfterMs = Math.min(MAX_EVICT_ALL_AFTER_MS, roomMs);
+    this.#evictAllAfterMs = computeEvictAllDelay(bounds);
   }
 
   /**
--- a/packages/nutmegproxy-scheduling/src/__tests__/unit/EvictionTimes.test.ts
+++ b/packages/nutmegproxy-scheduling/src/__tests__/unit/EvictionTimes.test.ts
@@ -26,9 +26,9 @@
 }
 
 /** Returns when all backfill beside a task that exceeds its target from 0 on has been told to stop. */
-function findLastEviction(stopTimeoutMs: number): number {
+function findLastEviction(stopTimeoutMs: number, maxExceededTargetMs = LIMIT_MS): number {
   const sample = new SampleFleet(1);
-  const policy = new SharingPolicy(sample.estimator, {stopTimeoutMs});
+  const policy = new SharingPolicy(sample.estimator, {maxExceededTargetMs, stopTimeoutMs});
   startRun(sample, {longRunning: true, tailTargetMs: TARGET_MS}).reading = TARGET_MS * 2;
   const backfill = Array.from({length: BACKFILL_RUNS}, () =>
     startRun(sample, {fillsSpareCpu: true}),
@@ -52,6 +52,13 @@
     }
   });
 
+  it('ends within a shorter limit too', () => {
+    for (const limitMs of [2_600, 3_000, 3_500]) {
+      const endsMs = SEEN_AFTER_MS + findLastEviction(900, limitMs) + 900;
+      assert.ok(endsMs < limitMs, `${String(endsMs)} ms with a limit of ${String(limitMs)}`);
+    }
+  });
+
   it('is ordered after 1.5 s where a stop takes 0.9 s or less', () => {
     assert.equal(findLastEviction(400), 1_500);
     assert.equal(findLastEviction(900), 1_500);
