--- a/packages/nutmegproxy-scheduling/src/LeaseTimes.ts
+++ b/packages/nutmegproxy-scheduling/src/LeaseTimes.ts
@@ -8,8 +8,12 @@
 const OWNERSHIP_TTL_MS = 2_000;
 /** Longer than the store outages that the users' requirements list, in milliseconds. */
 const UNCONFIRMED_GRACE_MS = 6_500;
-/** Duration of a minion lease in milliseconds; longer than a takeover in which one write is lost. */
-const MINION_LEASE_MS = 7_500;
+/** Shortest usual duration of a minion lease in milliseconds, unless minions accept less. */
+const MIN_USUAL_LEASE_MS = 7_500;
+/** Longest usual duration of a minion lease in milliseconds; what a lost minion runs is held for as long. */
+const MAX_USUAL_LEASE_MS = 60_000;
+/** Added in milliseconds to the time of a takeover: one write may be lost in it. */
+const TAKEOVER_MARGIN_MS = 1_100;
 /** Longest time in milliseconds after which an order that was meant for the incarnation before is carried out. */
 const MAX_ORDER_DELAY_MS = 9_500;
 /** Lower bound in milliseconds of the age from which an incarnation is established. */
@@ -18,8 +22,10 @@
 export const MAX_CLOCK_LAG_RATE = 0.02;
 /** Added to the expiry of a lease, in milliseconds, because minions' timers fire slightly late. */
 export const EXPIRY_MARGIN_MS = 250;
-/** Upper bound in milliseconds of what slow clocks and network delays add to a former owner's minion leases. */
-const FORMER_LEASE_MARGIN_MS = 500;
+/** Lower bound in milliseconds of what slow clocks and network delays add to a former owner's minion leases. */
+const MIN_FORMER_LEASE_MARGIN_MS = 500;
+/** What network delays add to them in milliseconds at most. */
+const NETWORK_MARGIN_MS = 90;
 /** Added in milliseconds to leases that count from the end of the former ownership: an order may be sent just before. */
 const FORMER_ORDER_MARGIN_MS = 500;
 
@@ -88,11 +94,15 @@
   minStoreLeaseMs,
 }: Pick<PlatformBounds, 'maxMinionLeaseMs' | 'minStoreLeaseMs'>): LeaseTimes {
   const ownershipTtlMs = Math.max(OWNERSHIP_TTL_MS, minStoreLeaseMs);
-  const minionLeaseMs = Math.min(MINION_LEASE_MS, maxMinionLeaseMs);
+  const takeoverMs = ownershipTtlMs + TAKEOVER_MS + TAKEOVER_MARGIN_MS;
+  const usualLeaseMs = Math.max(MIN_USUAL_LEASE_MS, Math.min(MAX_USUAL_LEASE_MS, takeoverMs));
+  const minionLeaseMs = Math.min(usualLeaseMs, maxMinionLeaseMs);
   const unconfirmedGraceMs = UNCONFIRMED_GRACE_MS;
   // A store outage lasts as long where minions accept shorter leases, and so may owners of earlier versions act.
-  const maxLeaseSinceConfirmedMs = ownershipTtlMs + MINION_LEASE_MS;
-  const maxFormerLeaseMs = maxLeaseSinceConfirmedMs + FORMER_LEASE_MARGIN_MS;
+  const maxLeaseSinceConfirmedMs = ownershipTtlMs + Math.max(MIN_USUAL_LEASE_MS, minionLeaseMs);
+  const lagMs = Math.ceil(stretchLease(minionLeaseMs) - minionLeaseMs);
+  const formerMarginMs = Math.max(MIN_FORMER_LEASE_MARGIN_MS, lagMs + NETWORK_MARGIN_MS);
+  const maxFormerLeaseMs = maxLeaseSinceConfirmedMs + formerMarginMs;
   const longestLeaseMs = Math.ceil(stretchLease(maxMinionLeaseMs));
   const maxFormerStartLeaseMs = Math.max(maxFormerLeaseMs + FORMER_ORDER_MARGIN_MS, longestLeaseMs);
   const times: LeaseTimes = {
