--- a/packages/nutmegproxy-scheduling/src/LeaseTimes.ts
+++ b/packages/nutmegproxy-scheduling/src/LeaseTimes.ts
@@ -103,6 +103,8 @@
   const lagMs = Math.ceil(stretchLease(minionLeaseMs) - minionLeaseMs);
   const formerMarginMs = Math.max(MIN_FORMER_LEASE_MARGIN_MS, lagMs + NETWORK_MARGIN_MS);
   const maxFormerLeaseMs = maxLeaseSinceConfirmedMs + formerMarginMs;
+  // When a lease has ended that was granted as the ownership might have expired.
+  const usualEndMs = ownershipTtlMs + minionLeaseMs + formerMarginMs;
   const longestLeaseMs = Math.ceil(stretchLease(maxMinionLeaseMs));
   const maxFormerStartLeaseMs = Math.max(maxFormerLeaseMs + FORMER_ORDER_MARGIN_MS, longestLeaseMs);
   const times: LeaseTimes = {
@@ -113,7 +115,7 @@
     maxLeaseSinceConfirmedMs,
     maxMinionLeaseMs,
     maxStartLeaseMs: ownershipTtlMs + maxFormerStartLeaseMs,
-    maxUncappedLeaseMs: unconfirmedGraceMs + Math.max(maxFormerLeaseMs, longestLeaseMs),
+    maxUncappedLeaseMs: unconfirmedGraceMs + Math.max(usualEndMs, longestLeaseMs),
     minionLeaseMs,
     ownershipTtlMs,
     unconfirmedGraceMs,
