--- a/packages/nutmegproxy-scheduling/src/LeaseTimes.ts
+++ b/packages/nutmegproxy-scheduling/src/LeaseTimes.ts
@@ -106,7 +106,7 @@
   // When a lease has ended that was granted as the ownership might have expired.
   const usualEndMs = ownershipTtlMs + minionLeaseMs + formerMarginMs;
   const longestLeaseMs = Math.ceil(stretchLease(maxMinionLeaseMs));
-  const maxFormerStartLeaseMs = Math.max(maxFormerLeaseMs, longestLeaseMs) + FORMER_ORDER_MARGIN_MS;
+  const maxFormerStartLeaseMs = Math.max(maxFormerLeaseMs + FORMER_ORDER_MARGIN_MS, longestLeaseMs);
   const times: LeaseTimes = {
     establishedAfterMs: Math.max(MIN_ESTABLISHED_AFTER_MS, MAX_ORDER_DELAY_MS + longestLeaseMs),
     formerOrderMarginMs: FORMER_ORDER_MARGIN_MS,
@@ -148,7 +148,7 @@
     'leases: the next owner does not wait for all leases of the owner before',
   );
   invariant(
-    maxFormerStartLeaseMs >= longestLeaseMs + FORMER_ORDER_MARGIN_MS,
+    maxFormerStartLeaseMs >= longestLeaseMs,
     'leases: the next owner does not wait for a start in a later incarnation',
   );
   invariant(
