--- a/packages/nutmegproxy-scheduling/src/SharingPolicy.ts
+++ b/packages/nutmegproxy-scheduling/src/SharingPolicy.ts
@@ -9,11 +9,15 @@
 import type {Instant} from '@nutmegproxy/core';
 import type {Run, StepShape, StepState} from '@nutmegproxy/jobs';
 
+import {DEFAULT_PLATFORM_BOUNDS} from '@nutmegproxy/core';
+
 import type {DurationEstimator} from './DurationEstimator.ts';
+import type {EvictionBounds} from './EvictionTimes.ts';
 import type {Fleet} from './Fleet.ts';
 import type {Estimate} from './LoadForecaster.ts';
 import type {MinionState} from './MinionState.ts';
 
+import {computeEvictAllDelay} from './EvictionTimes.ts';
 import {TailLatencyModel, toReferenceCores} from './TailLatencyModel.ts';
 
 /** Highest planned utilization, as a share of the utilization at the latency target. */
@@ -32,12 +36,6 @@
 const FORECAST_INTERVALS = 4;
 /** Time in milliseconds between two evictions on a minion; the next poll shows their effect. */
 const EVICTION_INTERVAL_MS = 600;
-/**
- * Time in milliseconds that a tail latency may exceed its threshold before all backfill runs of the
- * minion are evicted. With a poll and a stop it is well below the platform's limit of 4 s for
- * exceeded targets.
- */
-const EVICT_ALL_AFTER_MS = 1_500;
 /** Cost of a utilization that just meets the latency target, in thousandths of a core. */
 const UTILIZATION_COST = 40_000;
 
@@ -84,6 +82,7 @@
 export class SharingPolicy {
   readonly model = new TailLatencyModel();
   readonly #estimator: DurationEstimator;
+  readonly #evictAllAfterMs: number;
   readonly #lastEvictedAt = new WeakMap<MinionState, Instant>();
   /** Last forecast peak load of each step, since one planning round needs it many times. */
   readonly #peaks = new WeakMap<StepState, PeakLoad>();
@@ -91,8 +90,9 @@
   readonly #servedSteps = new WeakMap<MinionState, ServedSteps>();
   readonly #nearTargetSince = new WeakMap<MinionState, Instant>();
 
-  constructor(estimator: DurationEstimator) {
+  constructor(estimator: DurationEstimator, bounds: EvictionBounds = DEFAULT_PLATFORM_BOUNDS) {
     this.#estimator = estimator;
+    this.#evictAllAfterMs = computeEvictAllDelay(bounds);
   }
 
   /**
@@ -166,7 +166,7 @@
     }
     const since = this.#nearTargetSince.get(minion) ?? now;
     this.#nearTargetSince.set(minion, since);
-    if (now - since >= EVICT_ALL_AFTER_MS) {
+    if (now - since >= this.#evictAllAfterMs) {
       for (const run of minion.runs) {
         if (run.step.shape.fillsSpareCpu) {
           fleet.stopRun(run, 'interference');
