--- a/packages/nutmegproxy-owner/src/MinionRecovery.ts
+++ b/packages/nutmegproxy-owner/src/MinionRecovery.ts
@@ -105,9 +105,8 @@
         lastTerm: ownership.term - 1,
         leaseTerm: ownership.term - 1,
       };
-      const startMs = silent.unconfirmed === undefined ? 0 : this.#findStartLeaseMs(now);
       const remainingMs = Math.min(
-        Math.max(this.#findFormerLeaseMs(terms, now), startMs),
+        this.#findFormerLeaseMs(terms, now),
         findRemainingMs(expiresAt, now),
         findRemainingMs(roster.findExpiry(minion.id), now),
       );
@@ -122,8 +121,7 @@
     }
     this.#unused.set(minion.id, {former, minion});
     const remainingMs = findRemainingMs(former.expiresAt, now);
-    // A start that no record names may have reached a later incarnation.
-    const formerMs = Math.max(this.#findFormerLeaseMs(former, now), this.#findStartLeaseMs(now));
+    const formerMs = this.#findFormerLeaseMs(former, now);
     const heldForMs = Math.max(REPORT_WAIT_MS, Math.min(formerMs, remainingMs));
     minion.leaseClock.assumeLeasedUntil(after(now, heldForMs));
     // An owner of an earlier version stores the record again but may start runs in spite of it.
@@ -368,7 +366,9 @@
     // Owners of earlier versions grant leases that do not end with their confirmation.
     const isCapped = lastTerm >= recordingSince;
     const longestMs = isCapped ? maxFormerLeaseMs : maxUncappedLeaseMs;
-    return Math.max(0, Math.min(longestMs, this.#countFromRelease(longestMs, now)));
+    const grantedMs = Math.min(longestMs, this.#countFromRelease(longestMs, now));
+    // A start may have reached a later incarnation, where a former owner that did not send it may have found its lease.
+    return Math.max(grantedMs, this.#findStartLeaseMs(now));
   }
 }
 
