--- a/packages/nutmegproxy-emulator/src/FleetSimulation.ts
+++ b/packages/nutmegproxy-emulator/src/FleetSimulation.ts
@@ -7,7 +7,7 @@
 import type {Run} from '@nutmegproxy/jobs';
 import type {MinionDescription, SharingCosts} from '@nutmegproxy/scheduling';
 
-import {SILENT_EVENTS} from '@nutmegproxy/core';
+import {DEFAULT_PLATFORM_BOUNDS, SILENT_EVENTS} from '@nutmegproxy/core';
 import {formatTaskName, JobState} from '@nutmegproxy/jobs';
 import {
   countDeferrable,
@@ -86,13 +86,13 @@
 export class FleetSimulation {
   readonly fleet = new Fleet(SILENT_EVENTS);
   readonly #agenda = new Agenda();
-  readonly #estimator = new DurationEstimator();
+  readonly #estimator = new DurationEstimator(DEFAULT_PLATFORM_BOUNDS);
   readonly #histories = new Map<string, JobHistory>();
   readonly #live = new Map<Run, LiveRun>();
   readonly #options: FleetSimulationOptions;
   readonly #result = {lostCoreS: 0, overTargetS: 0, rounds: 0, starts: 0, stops: 0};
   readonly #saved = new Map<string, number>();
-  readonly #sharing = new SharingPolicy(this.#estimator);
+  readonly #sharing = new SharingPolicy(this.#estimator, DEFAULT_PLATFORM_BOUNDS);
   readonly #sharingCosts: SharingCosts;
   readonly #tails: SimulatedTailLatency;
   #nowMs = 0;
--- a/packages/nutmegproxy-owner/src/DirectoryAge.ts
+++ b/packages/nutmegproxy-owner/src/DirectoryAge.ts
@@ -10,7 +10,7 @@
 /** Age in milliseconds beyond which nothing is started, unless a draining minion serves for a shorter time. */
 const MAX_DIRECTORY_AGE_MS = 2_000;
 /** Shortest time in milliseconds for which a draining minion counts as serving; below it nothing would ever start. */
-export const MIN_DRAIN_MS = 200;
+export const SHORTEST_DRAIN_MS = 200;
 
 export class DirectoryAge {
   #isListing = true;
@@ -20,7 +20,7 @@
 
   /** `drainMs` is the time for which a draining minion serves. */
   constructor(drainMs: number) {
-    this.#maxAgeMs = Math.min(MAX_DIRECTORY_AGE_MS, Math.max(MIN_DRAIN_MS, drainMs));
+    this.#maxAgeMs = Math.min(MAX_DIRECTORY_AGE_MS, Math.max(SHORTEST_DRAIN_MS, drainMs));
   }
 
   /** As of when the directory is known; -Infinity before it was listed. */
--- a/packages/nutmegproxy-owner/src/index.ts
+++ b/packages/nutmegproxy-owner/src/index.ts
@@ -1,7 +1,7 @@
 /** Public API of the owner of the fleet. */
 
 export type {AdviceAnswer, AdviceClient, AdviceFailure} from './AdviceClient.ts';
-export {MIN_DRAIN_MS} from './DirectoryAge.ts';
+export {SHORTEST_DRAIN_MS} from './DirectoryAge.ts';
 export {FleetOwnership} from './FleetOwnership.ts';
 export type {MachineList, MachineOccupants} from './MachineList.ts';
 export type {
--- a/packages/nutmegproxy-scheduling/src/DurationEstimator.ts
+++ b/packages/nutmegproxy-scheduling/src/DurationEstimator.ts
@@ -6,8 +6,6 @@
 import type {PlatformBounds} from '@nutmegproxy/core';
 import type {JobState, QueueId, Run, StepShape, StepState} from '@nutmegproxy/jobs';
 
-import {DEFAULT_PLATFORM_BOUNDS} from '@nutmegproxy/core';
-
 import type {Fleet} from './Fleet.ts';
 
 import {computeRackFactor} from './RackFactor.ts';
@@ -38,9 +36,7 @@
   readonly #learned = new Map<string, LearnedDuration>();
   readonly #remoteRackFactor: number;
 
-  constructor({
-    remoteRackFactor,
-  }: Pick<PlatformBounds, 'remoteRackFactor'> = DEFAULT_PLATFORM_BOUNDS) {
+  constructor({remoteRackFactor}: Pick<PlatformBounds, 'remoteRackFactor'>) {
     this.#remoteRackFactor = remoteRackFactor;
   }
 
--- a/packages/nutmegproxy-scheduling/src/RunProgressMonitor.ts
+++ b/packages/nutmegproxy-scheduling/src/RunProgressMonitor.ts
@@ -3,8 +3,6 @@
 import type {Instant, PlatformBounds} from '@nutmegproxy/core';
 import type {Run} from '@nutmegproxy/jobs';
 
-import {DEFAULT_PLATFORM_BOUNDS} from '@nutmegproxy/core';
-
 import type {DurationEstimator} from './DurationEstimator.ts';
 import type {Fleet} from './Fleet.ts';
 import type {MinionState} from './MinionState.ts';
@@ -40,10 +38,7 @@
   readonly #restoreMs: number;
   readonly #samples = new WeakMap<Run, ProgressSample>();
 
-  constructor(
-    estimator: DurationEstimator,
-    {restoreMs}: Pick<PlatformBounds, 'restoreMs'> = DEFAULT_PLATFORM_BOUNDS,
-  ) {
+  constructor(estimator: DurationEstimator, {restoreMs}: Pick<PlatformBounds, 'restoreMs'>) {
     this.#estimator = estimator;
     this.#restoreMs = restoreMs;
   }
--- a/packages/nutmegproxy-scheduling/src/SharingPolicy.ts
+++ b/packages/nutmegproxy-scheduling/src/SharingPolicy.ts
@@ -9,8 +9,6 @@
 import type {Instant} from '@nutmegproxy/core';
 import type {Run, StepShape, StepState} from '@nutmegproxy/jobs';
 
-import {DEFAULT_PLATFORM_BOUNDS} from '@nutmegproxy/core';
-
 import type {DurationEstimator} from './DurationEstimator.ts';
 import type {EvictionBounds} from './EvictionTimes.ts';
 import type {Fleet} from './Fleet.ts';
@@ -90,7 +88,7 @@
   readonly #servedSteps = new WeakMap<MinionState, ServedSteps>();
   readonly #nearTargetSince = new WeakMap<MinionState, Instant>();
 
-  constructor(estimator: DurationEstimator, bounds: EvictionBounds = DEFAULT_PLATFORM_BOUNDS) {
+  constructor(estimator: DurationEstimator, bounds: EvictionBounds) {
     this.#estimator = estimator;
     this.#evictAllAfterMs = computeEvictAllDelay(bounds);
   }
--- a/packages/nutmegproxy-scheduling/src/__tests__/unit/ChangingCapacity.test.ts
+++ b/packages/nutmegproxy-scheduling/src/__tests__/unit/ChangingCapacity.test.ts
@@ -1,3 +1,4 @@
+import {DEFAULT_PLATFORM_BOUNDS} from '@nutmegproxy/core';
 import assert from 'node:assert/strict';
 import {beforeEach, describe, it} from 'node:test';
 
@@ -82,7 +83,7 @@
       run.percent = run.step === step ? 10 : 100;
     }
     resize(2_000);
-    const monitor = new RunProgressMonitor(sample.estimator);
+    const monitor = new RunProgressMonitor(sample.estimator, DEFAULT_PLATFORM_BOUNDS);
     monitor.checkProgress(sample.fleet, minion, at(100));
     monitor.checkProgress(sample.fleet, minion, at(2_000));
     assert.deepEqual(
@@ -93,7 +94,7 @@
   });
 
   it('leaves the estimates finite when it has no processors left', () => {
-    const policy = new SharingPolicy(sample.estimator);
+    const policy = new SharingPolicy(sample.estimator, DEFAULT_PLATFORM_BOUNDS);
     const serving = shape({image: 'serving', longRunning: true, tailTargetMs: 50});
     const backfill = shape({checkpoints: true, fillsSpareCpu: true, image: 'backfill'});
     sample.addJob('proofs', [serving]);
--- a/packages/nutmegproxy-scheduling/src/__tests__/unit/ExclusionSamples.ts
+++ b/packages/nutmegproxy-scheduling/src/__tests__/unit/ExclusionSamples.ts
@@ -3,7 +3,7 @@
 import type {JobId} from '@nutmegproxy/core';
 import type {JobState, Run} from '@nutmegproxy/jobs';
 
-import {brand, invariant} from '@nutmegproxy/core';
+import {brand, DEFAULT_PLATFORM_BOUNDS, invariant} from '@nutmegproxy/core';
 
 import type {MinionState} from '../../MinionState.ts';
 import type {SampleFleet} from './Samples.ts';
@@ -38,7 +38,7 @@
   untilMs: number,
   end: EndOfRun = () => undefined,
 ): Map<JobState, number[]> {
-  const monitor = new RunProgressMonitor(sample.estimator);
+  const monitor = new RunProgressMonitor(sample.estimator, DEFAULT_PLATFORM_BOUNDS);
   const starts = new Map<JobState, number[]>();
   for (let now = fromMs; now <= untilMs; now += TICK_MS) {
     for (const run of sample.plan(now)) {
--- a/packages/nutmegproxy-scheduling/src/__tests__/unit/MinionTrials.test.ts
+++ b/packages/nutmegproxy-scheduling/src/__tests__/unit/MinionTrials.test.ts
@@ -1,5 +1,6 @@
 /** A trial after a quarantine comes, and only a run that shows something passes it. */
 
+import {DEFAULT_PLATFORM_BOUNDS} from '@nutmegproxy/core';
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
 
@@ -127,7 +128,7 @@
     assert.ok(run);
     run.phase = 'running';
     run.confirmedAt = at(2_100);
-    const monitor = new RunProgressMonitor(sample.estimator);
+    const monitor = new RunProgressMonitor(sample.estimator, DEFAULT_PLATFORM_BOUNDS);
     // A poll waits for up to 2 s, so the first listing may be late.
     for (const listedAt of [4_000, 5_200]) {
       monitor.checkProgress(sample.fleet, minion, at(listedAt));
@@ -160,7 +161,11 @@
     assert.ok(step);
     const adopted = sample.fleet.adoptRun(step, run.task, run.number, minion, at(2_200));
     adopted.percent = 100;
-    new RunProgressMonitor(sample.estimator).checkProgress(sample.fleet, minion, at(6_000));
+    new RunProgressMonitor(sample.estimator, DEFAULT_PLATFORM_BOUNDS).checkProgress(
+      sample.fleet,
+      minion,
+      at(6_000),
+    );
     assert.equal(minion.trust.level(at(6_000)), 'trial');
   });
 });
--- a/packages/nutmegproxy-scheduling/src/__tests__/unit/RackFactor.test.ts
+++ b/packages/nutmegproxy-scheduling/src/__tests__/unit/RackFactor.test.ts
@@ -1,7 +1,7 @@
 import type {RackId} from '@nutmegproxy/core';
 import type {QueueId, Run, StepShape} from '@nutmegproxy/jobs';
 
-import {brand} from '@nutmegproxy/core';
+import {brand, DEFAULT_PLATFORM_BOUNDS} from '@nutmegproxy/core';
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
 
@@ -38,7 +38,10 @@
   remoteRackFactor: number,
 ): number {
   const {minion, run, sample} = start(change);
-  const monitor = new RunProgressMonitor(new DurationEstimator({remoteRackFactor}));
+  const monitor = new RunProgressMonitor(
+    new DurationEstimator({remoteRackFactor}),
+    DEFAULT_PLATFORM_BOUNDS,
+  );
   for (let nowMs = 0; nowMs <= 900; nowMs += 300) {
     run.percent = (nowMs * 100) / (ESTIMATE_MS * factor);
     monitor.checkProgress(sample.fleet, minion, at(nowMs));
@@ -74,7 +77,10 @@
 
     it('is not overdue before it takes longer than the factor explains', () => {
       const {minion, sample} = start(change);
-      const monitor = new RunProgressMonitor(new DurationEstimator({remoteRackFactor: FACTOR}));
+      const monitor = new RunProgressMonitor(
+        new DurationEstimator({remoteRackFactor: FACTOR}),
+        DEFAULT_PLATFORM_BOUNDS,
+      );
       assert.equal(monitor.overdueInMs(sample.fleet, minion, at(0)), 3_000);
     });
 
--- a/packages/nutmegproxy-scheduling/src/__tests__/unit/Samples.ts
+++ b/packages/nutmegproxy-scheduling/src/__tests__/unit/Samples.ts
@@ -13,7 +13,7 @@
 } from '@nutmegproxy/core';
 import type {JobStatus, QueueId, Run, ServiceId, StepShape} from '@nutmegproxy/jobs';
 
-import {brand, SILENT_EVENTS} from '@nutmegproxy/core';
+import {brand, DEFAULT_PLATFORM_BOUNDS, SILENT_EVENTS} from '@nutmegproxy/core';
 import {JobState} from '@nutmegproxy/jobs';
 
 import type {MinionDescription} from '../../MinionState.ts';
@@ -82,7 +82,7 @@
 
 /** A fleet of minions with four cores each that have reported their runs. */
 export class SampleFleet {
-  readonly estimator = new DurationEstimator();
+  readonly estimator = new DurationEstimator(DEFAULT_PLATFORM_BOUNDS);
   readonly fleet: Fleet;
   #jobs = 0;
 
--- a/packages/nutmegproxy-scheduling/src/__tests__/unit/SharingPolicy.test.ts
+++ b/packages/nutmegproxy-scheduling/src/__tests__/unit/SharingPolicy.test.ts
@@ -1,5 +1,6 @@
 import type {Run} from '@nutmegproxy/jobs';
 
+import {DEFAULT_PLATFORM_BOUNDS} from '@nutmegproxy/core';
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
 
@@ -20,7 +21,7 @@
 /** A fleet in which one backfill image interferes with serving tasks and another does not. */
 class SharingScenario {
   readonly sample = new SampleFleet(0);
-  readonly policy = new SharingPolicy(this.sample.estimator);
+  readonly policy = new SharingPolicy(this.sample.estimator, DEFAULT_PLATFORM_BOUNDS);
   #now = 0;
 
   get seconds(): number {
