--- a/packages/nutmegproxy-emulator/src/__tests__/unit/FormerLeases.test.ts
+++ b/packages/nutmegproxy-emulator/src/__tests__/unit/FormerLeases.test.ts
@@ -1,22 +1,18 @@
 import type {MinionId} from '@nutmegproxy/core';
-import type {MinionTarget, OrderFailure} from '@nutmegproxy/owner';
-import type {MemoryStore} from '@nutmegproxy/standins';
-import type {PlatformStore} from '@nutmegproxy/store';
 
 import {brand} from '@nutmegproxy/core';
 import {STATE_PREFIX} from '@nutmegproxy/jobs';
 import {DEFAULT_LEASE_TIMES} from '@nutmegproxy/scheduling';
 import {put} from '@nutmegproxy/store';
-import {errAsync} from 'neverthrow';
 import assert from 'node:assert/strict';
 import {afterEach, beforeEach, describe, it} from 'node:test';
 
-import type {EmulatedFleet} from '../../EmulatedFleet.ts';
 import type {EmulatedMinion} from '../../EmulatedMinion.ts';
 import type {WaitingVm} from './TakeoverHarness.ts';
 
+import {cutOff} from './FleetSamples.ts';
 import {waitFor} from './JobSamples.ts';
-import {createFailingStore} from './StoreSamples.ts';
+import {disconnect} from './StoreSamples.ts';
 import {sleep, TakeoverHarness} from './TakeoverHarness.ts';
 
 const {maxFormerLeaseMs: MAX_FORMER_LEASE_MS} = DEFAULT_LEASE_TIMES;
@@ -42,42 +38,6 @@
 /** Time in milliseconds after which no lease of a former owner lasts. */
 const LONGEST_WAIT_MS = 20_000;
 
-const UNANSWERED: OrderFailure = {clockMs: undefined, kind: 'unanswered', message: 'injected'};
-
-/** Returns a view of a fleet from which one minion can't be reached. */
-function cutOff(fleet: EmulatedFleet, id: MinionTarget['id']): EmulatedFleet {
-  return new Proxy(fleet, {
-    get: (target, name) => {
-      const member = Reflect.get(target, name) as unknown;
-      if (typeof member !== 'function') {
-        return member;
-      }
-      const method = (member as (...args: unknown[]) => unknown).bind(target);
-      return name === 'poll' || name === 'start' || name === 'stop'
-        ? (to: MinionTarget, ...args: unknown[]) =>
-            to.id === id ? errAsync(UNANSWERED) : method(to, ...args)
-        : method;
-    },
-  });
-}
-
-/** Returns a view of a store that gives no responses and no events while `isDown` returns true. */
-function disconnect(store: MemoryStore, isDown: () => boolean): PlatformStore {
-  const view = createFailingStore(store, isDown);
-  const watch: PlatformStore['watch'] = (prefix, fromRevision, handler) =>
-    view.watch(prefix, fromRevision, {
-      ...handler,
-      onEvents: (...changes) => {
-        if (!isDown()) {
-          handler.onEvents(...changes);
-        }
-      },
-    });
-  return new Proxy(view, {
-    get: (target, name) => (name === 'watch' ? watch : (Reflect.get(target, name) as unknown)),
-  });
-}
-
 describe('Leases of a former owner', () => {
   let harness: TakeoverHarness;
   let minion: EmulatedMinion;
--- a/packages/nutmegproxy-emulator/src/__tests__/unit/StoreSamples.ts
+++ b/packages/nutmegproxy-emulator/src/__tests__/unit/StoreSamples.ts
@@ -30,6 +30,23 @@
   });
 }
 
+/** Returns a view of a store that gives no responses and no events while `isDown` returns true. */
+export function disconnect(store: MemoryStore, isDown: () => boolean): PlatformStore {
+  const view = createFailingStore(store, isDown);
+  const watch: PlatformStore['watch'] = (prefix, fromRevision, handler) =>
+    view.watch(prefix, fromRevision, {
+      ...handler,
+      onEvents: (...changes) => {
+        if (!isDown()) {
+          handler.onEvents(...changes);
+        }
+      },
+    });
+  return new Proxy(view, {
+    get: (target, name) => (name === 'watch' ? watch : (Reflect.get(target, name) as unknown)),
+  });
+}
+
 /** A view of a store that holds back the writes of a key. */
 export interface HoldingStore {
   /** Number of writes that were held back so far. */
