--- a/packages/nutmegproxy-emulator/src/__tests__/unit/TakeoverHarness.ts
+++ b/packages/nutmegproxy-emulator/src/__tests__/unit/TakeoverHarness.ts
@@ -1,7 +1,7 @@
 /** Owners that follow one another on an emulated fleet, with a clock that stands still by itself. */
 
 import type {EventFields, EventKind, EventSink, VmId} from '@nutmegproxy/core';
-import type {FleetOwnership} from '@nutmegproxy/owner';
+import type {FleetOwnership, Owner} from '@nutmegproxy/owner';
 import type {PlatformStore} from '@nutmegproxy/store';
 
 import {brand, ManualClock} from '@nutmegproxy/core';
@@ -42,10 +42,14 @@
 /** A VM that acquires the ownership once it is allowed to. */
 export interface WaitingVm {
   isAllowed: boolean;
+  /** Kills it while it owns the fleet; `keptMs` milliseconds pass until its ownership is free. */
+  readonly kill: (keptMs: number) => Promise<void>;
   /** Makes a store call, whose response tells the VM the revision of the store. */
   readonly observe: () => Promise<void>;
   /** Undefined until it has acquired it. */
   ownership: FleetOwnership | undefined;
+  /** Stops it as planned. */
+  readonly stop: () => Promise<void>;
 }
 
 /** Behaviour of tasks that last. */
@@ -175,20 +179,32 @@
 
   /** Starts a VM that watches the ownership, and acquires it only once it is allowed to. */
   startWaitingVm(vm: string, fleet: EmulatedFleet = this.fleet): WaitingVm {
-    const {clock, leaseTimes, store} = this;
+    const {clock, leaseTimes} = this;
+    let isIsolated = false;
+    const store = createFailingStore(this.store, () => isIsolated);
+    let owner: Owner | undefined;
     const events: EventSink = {record: (kind) => this.events.push(kind)};
     const revisions = new RevisionLog();
     const observe = async (): Promise<void> => {
       const read = await store.commit({compare: [], then: [{key: OWNER_KEY, kind: 'get'}]});
       revisions.record(read._unsafeUnwrap().revision, clock.monotonic());
     };
-    const waiting: WaitingVm = {isAllowed: false, observe, ownership: undefined};
+    const kill = async (keptMs: number): Promise<void> => {
+      isIsolated = true;
+      waiting.isAllowed = false;
+      owner?.stop('killed');
+      clock.advance(keptMs);
+      await (waiting.ownership && this.store.revokeLease(waiting.ownership.lease));
+    };
+    const stop = (): Promise<void> => candidate.stop();
+    const waiting: WaitingVm = {isAllowed: false, kill, observe, ownership: undefined, stop};
     const candidate = new OwnerCandidate({
       canOwn: () => waiting.isAllowed,
       clock,
       createOwner: (ownership) => {
         waiting.ownership = ownership;
-        return createOwner({clock, events, ownership, store}, fleet);
+        owner = createOwner({clock, events, ownership, store}, fleet);
+        return owner;
       },
       events,
       leaseTimes,
