--- a/packages/nutmegproxy-scheduling/src/LeaseTimes.ts
+++ b/packages/nutmegproxy-scheduling/src/LeaseTimes.ts
@@ -14,7 +14,7 @@
 const MAX_USUAL_LEASE_MS = 60_000;
 /** Added in milliseconds to the time of a takeover: one write may be lost in it. */
 const TAKEOVER_MARGIN_MS = 1_100;
-/** Longest time in milliseconds after which an order that was meant for the incarnation before is carried out. */
+/** Assumed lateness in milliseconds of an order that was meant for the incarnation before; the platform gives no bound. */
 const MAX_ORDER_DELAY_MS = 9_500;
 /** Lower bound in milliseconds of the age from which an incarnation is established. */
 const MIN_ESTABLISHED_AFTER_MS = 20_000;
@@ -50,11 +50,11 @@
   readonly establishedAfterMs: number;
   /** Added to times that count from the end of the former ownership. */
   readonly formerOrderMarginMs: number;
-  /** Longest time for which runs of a former owner may stay alive without being listed. */
+  /** Longest time, from the end of the former ownership, for which leases that its owner granted on a known clock last. */
   readonly maxFormerLeaseMs: number;
   /**
-   * Time after which no start of a former owner holds a lease, whichever incarnation it reached: counts from the end
-   * of that ownership. The clock of a later incarnation is lower, so that a lease that was meant for the one before
+   * Time, from the end of the former ownership, after which no start of its owner holds a lease, whichever incarnation it
+   * reached. The clock of a later incarnation is lower, so that a lease that was meant for the one before
    * lasts there for as long as the minion accepts.
    */
   readonly maxFormerStartLeaseMs: number;
@@ -66,13 +66,14 @@
   /** Longest lease that a minion accepts, on its own clock. */
   readonly maxMinionLeaseMs: number;
   /**
-   * Time after which no start holds a lease, whichever incarnation it reached: the time for which the next owner
-   * counts on leases of unknown length after the owner was killed right after the start.
+   * Time, from the sending of a start, after which it holds no lease, whichever incarnation it reached: the time for
+   * which the next owner counts on such leases after the owner was killed right after the start.
    */
   readonly maxStartLeaseMs: number;
   /**
-   * As `maxFormerLeaseMs` where leases may last for their full duration whenever they were granted: those of owners
-   * of earlier versions, and those of starts that reached a new incarnation, which has another clock.
+   * Longest time, from when a restart or a takeover is known, for which leases last whose end does not depend on the
+   * ownership: those of owners of earlier versions, and those of starts that reached a new incarnation, which has another
+   * clock, sent by an owner that had not noticed its end.
    */
   readonly maxUncappedLeaseMs: number;
   /** Duration of the minion leases that owners grant. */
