--- /dev/null
+++ b/packages/nutmegproxy-core/src/WorkQueue.ts
@@ -0,0 +1,134 @@
+/**
+ * Runs the work of one event loop in turns of bounded length. Timers and I/O get their turn in between, so that
+ * no amount of queued work delays the renewal of a lease for longer than a turn and one piece of work.
+ */
+
+import type {Clock, Instant} from './Clock.ts';
+
+/** A turn of the event loop in which work was done, with all that ran in it. */
+export interface WorkTurn {
+  readonly durationMs: number;
+  /** Phase of the piece of work that took longest. */
+  readonly phase: string;
+  /** Time in milliseconds that this piece took; the rest of a turn may be of work that is not queued. */
+  readonly workMs: number;
+}
+
+export interface WorkQueueOptions {
+  readonly clock: Clock;
+  /** Time in milliseconds after which a turn leaves work to the next one. */
+  readonly maxTurnMs: number;
+  /** Called at the end of each turn in which work was done. */
+  readonly onTurn?: (turn: WorkTurn, now: Instant) => void;
+  /** Calls back in a later turn, after timers and I/O that are due; default: `setImmediate`. */
+  readonly schedule?: (callback: () => void) => void;
+}
+
+interface QueuedWork {
+  readonly perform: () => void;
+  readonly phase: string;
+}
+
+/**
+ * @example
+ * const queue = new WorkQueue({clock, maxTurnMs: 20});
+ * await queue.run('listings', () => adopt(listing));
+ */
+export class WorkQueue {
+  #longest: Omit<WorkTurn, 'durationMs'> = {phase: '', workMs: 0};
+  readonly #options: WorkQueueOptions;
+  readonly #queued: QueuedWork[] = [];
+  /** When the present turn began; undefined while no work was done in it. */
+  #turnStartedAt: Instant | undefined;
+
+  constructor(options: WorkQueueOptions) {
+    this.#options = options;
+  }
+
+  /** Number of pieces of work that wait for a later turn. */
+  get size(): number {
+    return this.#queued.length;
+  }
+
+  /**
+   * Runs a piece of work, at once if this turn has time left and no other work waits. `phase` names it in
+   * `WorkTurn`. The promise is rejected with what `work` throws.
+   */
+  run<Value>(phase: string, work: () => Value): Promise<Value> {
+    return new Promise((resolve, reject) => {
+      const perform = (): void => {
+        try {
+          resolve(work());
+        } catch (error) {
+          reject(error instanceof Error ? error : new Error(String(error)));
+        }
+      };
+      if (this.#turnStartedAt === undefined) {
+        this.#beginTurn(this.#options.clock.monotonic());
+      }
+      if (this.#queued.length === 0 && this.#hasTimeLeft()) {
+        this.#perform({perform, phase});
+      } else {
+        this.#queued.push({perform, phase});
+      }
+    });
+  }
+
+  /** Handles items in their order, each as a piece of work; resolves when all are handled. */
+  async forEach<Item>(
+    phase: string,
+    items: Iterable<Item>,
+    handle: (item: Item) => void,
+  ): Promise<void> {
+    for (const item of items) {
+      await this.run(phase, () => {
+        handle(item);
+      });
+    }
+  }
+
+  #beginTurn(now: Instant): void {
+    this.#turnStartedAt = now;
+    this.#longest = {phase: '', workMs: 0};
+    const schedule = this.#options.schedule ?? setImmediate;
+    schedule(() => {
+      this.#endTurn();
+    });
+  }
+
+  /** Ends a turn, and begins the next one if work waits. */
+  #endTurn(): void {
+    const {clock, onTurn} = this.#options;
+    const now = clock.monotonic();
+    const durationMs = now - (this.#turnStartedAt ?? now);
+    this.#turnStartedAt = undefined;
+    onTurn?.({...this.#longest, durationMs}, now);
+    if (this.#queued.length === 0) {
+      return;
+    }
+    this.#beginTurn(now);
+    while (this.#hasTimeLeft()) {
+      const next = this.#queued.shift();
+      if (next === undefined) {
+        return;
+      }
+      this.#perform(next);
+    }
+  }
+
+  #hasTimeLeft(): boolean {
+    const {clock, maxTurnMs} = this.#options;
+    const now = clock.monotonic();
+    return now - (this.#turnStartedAt ?? now) < maxTurnMs;
+  }
+
+  #perform({perform, phase}: QueuedWork): void {
+    const {clock} = this.#options;
+    const startedAt = clock.monotonic();
+    perform();
+    const workMs = clock.monotonic() - startedAt;
+    if (workMs >= this.#longest.workMs) {
+      this.#longest = {phase, workMs};
+    }
+  }
+}
--- a/packages/nutmegproxy-core/src/index.ts
+++ b/packages/nutmegproxy-core/src/index.ts
@@ -40,3 +40,5 @@
 export type {PlatformBounds} from './PlatformBounds.ts';
 export {mergeUnregister} from './Unregister.ts';
 export type {Unregister} from './Unregister.ts';
+export {WorkQueue} from './WorkQueue.ts';
+export type {WorkQueueOptions, WorkTurn} from './WorkQueue.ts';
