--- a/packages/nutmegproxy-owner/src/JobWatcher.ts
+++ b/packages/nutmegproxy-owner/src/JobWatcher.ts
@@ -1,6 +1,6 @@
 /** Watches jobs, cancellations and the owner's key in the store. */
 
-import type {Clock, EventSink} from '@nutmegproxy/core';
+import type {Clock, EventSink, WorkQueue} from '@nutmegproxy/core';
 import type {JobProgress, StoredJob} from '@nutmegproxy/jobs';
 import type {Fleet} from '@nutmegproxy/scheduling';
 import type {PlatformStore, StoredValue, StoreFailure, Watch, WatchEvent} from '@nutmegproxy/store';
@@ -34,6 +34,7 @@
   readonly onFenced: () => void;
   readonly ownership: FleetOwnership;
   readonly store: PlatformStore;
+  readonly work: WorkQueue;
 }
 
 export class JobWatcher {
@@ -57,7 +58,7 @@
 
   /** Reads all jobs and then watches for changes; returns an error when the jobs can't be read. */
   async start(): Promise<Result<void, StoreFailure>> {
-    const {onChange, store} = this.#options;
+    const {onChange, store, work} = this.#options;
     const [snapshot, progress] = await Promise.all([
       getPrefix(store, FLEET_PREFIX),
       getPrefix(store, PROGRESS_PREFIX),
@@ -69,7 +70,7 @@
       return err(progress.error);
     }
     const {revision, values} = snapshot.value;
-    this.#applySnapshot([...values, ...progress.value.values]);
+    await this.#applySnapshot([...values, ...progress.value.values]);
     if (!this.#stopped) {
       this.#watch = store.watch(FLEET_PREFIX, revision + 1, {
         onBroken: (failure) => {
@@ -77,9 +78,11 @@
         },
         onEvents: (events) => {
           for (const event of events) {
-            this.#applyEvent(event);
+            void work.run('jobs', () => {
+              this.#applyEvent(event);
+              onChange();
+            });
           }
-          onChange();
         },
       });
     }
@@ -127,8 +130,8 @@
     }
   }
 
-  #applySnapshot(values: readonly StoredValue[]): void {
-    const {events, fleet, onFenced, ownership} = this.#options;
+  async #applySnapshot(values: readonly StoredValue[]): Promise<void> {
+    const {events, fleet, onFenced, ownership, work} = this.#options;
     const owner = values.find(({key}) => key === OWNER_KEY);
     if (owner?.modRevision !== ownership.token) {
       onFenced();
@@ -137,18 +140,20 @@
     const parts = values.map((stored) => ({parsed: parseJobKey(stored.key), stored}));
     const progress = new Map<string, JobProgress>();
     const revisions = new Map<string, number>();
-    for (const {parsed, stored} of parts) {
+    await work.forEach('jobs', parts, ({parsed, stored}) => {
       const record = parsed?.part === 'progress' ? this.#decode(stored, decodeProgress) : undefined;
       if (parsed !== undefined && record !== undefined) {
         progress.set(parsed.id, record);
         revisions.set(parsed.id, stored.modRevision);
       }
-    }
-    const added = parts.flatMap(({parsed, stored}) =>
-      parsed?.part === 'request'
-        ? (this.#addJob(stored, progress.get(parsed.id), revisions.get(parsed.id)) ?? [])
-        : [],
-    );
+    });
+    const added: JobState[] = [];
+    await work.forEach('jobs', parts, ({parsed, stored}) => {
+      if (parsed?.part === 'request') {
+        const job = this.#addJob(stored, progress.get(parsed.id), revisions.get(parsed.id));
+        added.push(...(job === undefined ? [] : [job]));
+      }
+    });
     // A line for each job would use up the log's allowance at the start of a term.
     for (const fields of describeJobs(added)) {
       events.record(OWNER_EVENTS.JOBS_READ, {...fields, fence: ownership.token});
--- a/packages/nutmegproxy-owner/src/MinionSession.ts
+++ b/packages/nutmegproxy-owner/src/MinionSession.ts
@@ -3,6 +3,7 @@
 import type {EventFields, Instant} from '@nutmegproxy/core';
 import type {Run} from '@nutmegproxy/jobs';
 import type {MinionListing, MinionState, RunResult, StopRequest} from '@nutmegproxy/scheduling';
+import type {Result, ResultAsync} from 'neverthrow';
 
 import {after, BrokenInvariant, delay} from '@nutmegproxy/core';
 import {reconcileListing, recordMinionCrash, recordReplacement} from '@nutmegproxy/scheduling';
@@ -21,6 +22,15 @@
 import {choosePollDelayMs, choosePollWaitMs} from './PollPacing.ts';
 import {RunOrders} from './RunOrders.ts';
 
+/** A poll with what the session knew when it was sent. */
+interface SentPoll {
+  readonly answer: ResultAsync<MinionListing, OrderFailure>;
+  /** Start time of the minion that the directory alone reported. */
+  readonly reportedBornAt: number | undefined;
+  readonly requestedAt: Instant;
+  readonly results: ListedResults;
+}
+
 export class MinionSession {
   readonly minion: MinionState;
   #bornAt: number | undefined;
@@ -202,49 +212,80 @@
 
   /** Polls once; false when a pause has to follow. */
   async #poll(): Promise<boolean> {
-    const {clock, journal, load, onChange, orders, ownership} = this.#context;
-    const requestedAt = clock.monotonic();
+    const {clock, journal, work} = this.#context;
+    const sent = await work.run('polls', () => this.#sendPoll(clock.monotonic()));
+    if (sent === undefined) {
+      return false;
+    }
+    const answer = await sent.answer;
+    const hadReading = this.minion.leaseClock.hasReading;
+    const isAnswered = await work.run('listings', () =>
+      this.#handleAnswer(sent, answer, clock.monotonic()),
+    );
+    if (this.#stopped) {
+      return true;
+    }
+    if (!isAnswered) {
+      return false;
+    }
+    const answeredAt = clock.monotonic();
+    if (answer.isOk() && answer.value.ended.length > 0) {
+      await this.#results.awaitStored(journal);
+    }
+    if (!this.minion.isRegistered && this.minion.areRunsKnown) {
+      await this.#context.recordUse(this.minion);
+    }
+    await this.#awaitNextPoll(answeredAt);
+    return hadReading || this.minion.leaseClock.hasReading;
+  }
+
+  /** Sends a poll; returns undefined when the ownership has ended. */
+  #sendPoll(requestedAt: Instant): SentPoll | undefined {
+    const {clock, load, orders, ownership} = this.#context;
+    if (this.#stopped) {
+      return undefined;
+    }
     if (ownership.state(requestedAt, clock.wall()) === 'over') {
       this.#context.onFenced();
-      return false;
+      return undefined;
     }
     load.recordPoll();
     const reportedBornAt = this.#reportedBornAt;
     const results = this.#results;
     const mayHaveRestarted = reportedBornAt !== undefined || this.minion.missedCalls > 0;
-    const answer = await orders.poll(this.#target, {
+    const answer = orders.poll(this.#target, {
       // A new incarnation numbers its results anew, and would drop those that this one acknowledges.
       ackedThrough: mayHaveRestarted ? 0 : results.acknowledgedThrough,
       token: ownership.token,
       untilMs: this.#grantLease(requestedAt),
       waitMs: this.#chooseWaitMs(requestedAt),
     });
+    return {answer, reportedBornAt, requestedAt, results};
+  }
+
+  /** Handles the response to a poll; false when there was none or the session is closed. */
+  #handleAnswer(
+    {reportedBornAt, requestedAt, results}: SentPoll,
+    answer: Result<MinionListing, OrderFailure>,
+    now: Instant,
+  ): boolean {
     if (this.#stopped) {
-      return true;
+      return false;
     }
-    const now = clock.monotonic();
     if (answer.isErr()) {
       // Nothing speaks against a restart that the directory reports.
       this.#observeIncarnation(this.#reportedBornAt);
       this.#handleFailure(answer.error, 'hold', true);
       return false;
     }
-    const hadReading = this.minion.leaseClock.hasReading;
     this.#observeListing(answer.value.bornAt, reportedBornAt);
     this.#applyListing(answer.value, requestedAt, now);
     if (results !== this.#results && (answer.value.bornAt ?? 0) < (this.#bornAt ?? 0)) {
       // The listing was on its way when a restart became known; its numbers are the former ones.
       this.#results = new ListedResults();
     }
-    onChange();
-    if (answer.value.ended.length > 0) {
-      await this.#results.awaitStored(journal);
-    }
-    if (!this.minion.isRegistered && this.minion.areRunsKnown) {
-      await this.#context.recordUse(this.minion);
-    }
-    await this.#awaitNextPoll(now);
-    return hadReading || this.minion.leaseClock.hasReading;
+    this.#context.onChange();
+    return true;
   }
 
   #chooseWaitMs(now: Instant): number {
--- a/packages/nutmegproxy-owner/src/Owner.ts
+++ b/packages/nutmegproxy-owner/src/Owner.ts
@@ -7,7 +7,7 @@
 import type {MinionState} from '@nutmegproxy/scheduling';
 import type {PlatformStore} from '@nutmegproxy/store';
 
-import {delay} from '@nutmegproxy/core';
+import {delay, WorkQueue} from '@nutmegproxy/core';
 import {
   countDeferrable,
   DurationEstimator,
@@ -35,6 +35,7 @@
 import {MinionSessions} from './MinionSessions.ts';
 import {
   MAX_PLAN_IDLE_MS,
+  MAX_TURN_MS,
   RETENTION_MARGIN_MS,
   RUN_NUMBERS_PER_TERM,
   STORE_RETRY_MS,
@@ -49,6 +50,7 @@
 import {StartLimiter} from './StartLimiter.ts';
 import {StartThrottle} from './StartThrottle.ts';
 import {TrackedOrders} from './TrackedOrders.ts';
+import {TurnLog} from './TurnLog.ts';
 
 export interface OwnerOptions {
   /** Client of the advising service; undefined where the platform has none. */
@@ -92,6 +94,7 @@
   #stopReason: string | undefined;
   readonly #queueLengths: QueueLengthPublisher;
   #wake: (() => void) | undefined;
+  readonly #work: WorkQueue;
 
   constructor(options: OwnerOptions) {
     const {bounds, clock, directory, events, ownership, store} = options;
@@ -106,6 +109,8 @@
     const onFenced = (): void => {
       this.stop('fenced');
     };
+    this.#work = this.#createWorkQueue();
+    const work = this.#work;
     this.#fleet = createFleet(options);
     const fleet = this.#fleet;
     this.#journal = new Journal({dirtyJobs: fleet.dirtyJobs, events, onFenced, ownership, store});
@@ -116,7 +121,7 @@
     this.#retention = new Retention({clock, events, fleet, ownership, retentionMs, store});
     this.#queueLengths = new QueueLengthPublisher({events, fleet, ownership, store});
     this.#advice = new AdvicePrefetcher({client: options.advice, clock, events, fleet, onChange});
-    this.#jobs = new JobWatcher({clock, events, fleet, onChange, onFenced, ownership, store});
+    this.#jobs = new JobWatcher({clock, events, fleet, onChange, onFenced, ownership, store, work});
     this.#minions = new MinionSessions({
       bounds,
       clock,
@@ -155,6 +160,7 @@
         overdueInMs: (minion, now) => this.#progressMonitor.overdueInMs(fleet, minion, now),
         ownership,
         startLimiter: this.#startLimiter,
+        work,
       },
       store,
     });
@@ -174,9 +180,11 @@
     void this.#retention.run(() => this.#isActing());
     void this.#learnedEstimates.run(() => this.#isActing());
     while (this.#isActing()) {
-      const startedAt = clock.monotonic();
-      this.#plan();
-      const roundMs = clock.monotonic() - startedAt;
+      const roundMs = await this.#work.run('planning', () => {
+        const startedAt = clock.monotonic();
+        this.#plan();
+        return clock.monotonic() - startedAt;
+      });
       this.#load.recordRound(roundMs);
       await this.#sleep(choosePlanPause(roundMs));
     }
@@ -221,6 +229,18 @@
     });
   }
 
+  #createWorkQueue(): WorkQueue {
+    const {clock, events, ownership} = this.#options;
+    const log = new TurnLog({events, load: this.#load, term: ownership.term});
+    return new WorkQueue({
+      clock,
+      maxTurnMs: MAX_TURN_MS,
+      onTurn: (turn, now) => {
+        log.record(turn, now);
+      },
+    });
+  }
+
   #isActing(): boolean {
     const {clock, ownership} = this.#options;
     return ownership.state(clock.monotonic(), clock.wall()) !== 'over';
--- a/packages/nutmegproxy-owner/src/OwnerConstants.ts
+++ b/packages/nutmegproxy-owner/src/OwnerConstants.ts
@@ -49,6 +49,12 @@
 export const PLAN_PAUSE_RATIO = 4;
 /** Longest pause after a round; it adds to the delay of each start. */
 export const MAX_PLAN_PAUSE_MS = 60;
+/** Time after which the work of a turn of the event loop is left to the next one. */
+export const MAX_TURN_MS = 25;
+/** Duration of a turn of the event loop from which it is logged. */
+export const LONG_TURN_MS = 250;
+/** Minimum time between two such lines. */
+export const LONG_TURN_LOG_INTERVAL_MS = 1_000;
 /** Longest time without a round, for decisions that depend on time alone. */
 export const MAX_PLAN_IDLE_MS = 250;
 /** Time for which progress is collected into one write once a job has ended. */
--- a/packages/nutmegproxy-owner/src/OwnerEvents.ts
+++ b/packages/nutmegproxy-owner/src/OwnerEvents.ts
@@ -58,6 +58,11 @@
     level: 'warn',
     text: 'The lease of a silent minion has expired; its runs are over.',
   },
+  LONG_TURN: {
+    code: 8145,
+    level: 'warn',
+    text: 'A turn of the event loop took long; timers and calls waited meanwhile.',
+  },
   MINION_CHANGED: {
     code: 8132,
     level: 'info',
--- a/packages/nutmegproxy-owner/src/OwnerLoad.ts
+++ b/packages/nutmegproxy-owner/src/OwnerLoad.ts
@@ -3,7 +3,7 @@
  * summary of the fleet to the next.
  */
 
-import type {EventFields, Instant} from '@nutmegproxy/core';
+import type {EventFields, Instant, WorkTurn} from '@nutmegproxy/core';
 import type {Run, StepState} from '@nutmegproxy/jobs';
 import type {WorkKind} from '@nutmegproxy/scheduling';
 
@@ -47,6 +47,7 @@
 export class OwnerLoad {
   #firstStarts = createFirstStarts();
   #loop: LoopTimes;
+  #longestTurn: undefined | WorkTurn;
   #planMs = 0;
   #polls = 0;
   readonly #readLoop: () => LoopTimes;
@@ -69,6 +70,13 @@
     this.#planMs += durationMs;
   }
 
+  /** Records a turn of the event loop. */
+  recordTurn(turn: WorkTurn): void {
+    if (turn.durationMs >= (this.#longestTurn?.durationMs ?? 0)) {
+      this.#longestTurn = turn;
+    }
+  }
+
   /** Records a run that was placed. */
   recordPlaced(run: Run, now: Instant): void {
     const {step} = run;
@@ -100,6 +108,7 @@
     const activeMs = loop.active - this.#loop.active;
     const elapsedMs = Math.max(1, activeMs + loop.idle - this.#loop.idle);
     const fields: Record<string, number | undefined> = {
+      longestTurnMs: Math.round(this.#longestTurn?.durationMs ?? 0),
       loopBusyPercent: Math.round((100 * activeMs) / elapsedMs),
       planPercent: Math.round((100 * this.#planMs) / elapsedMs),
       pollsPerS: Math.round((1000 * this.#polls) / elapsedMs),
@@ -112,6 +121,7 @@
     }
     this.#firstStarts = createFirstStarts();
     this.#loop = loop;
+    this.#longestTurn = undefined;
     this.#planMs = 0;
     this.#polls = 0;
     this.#starts = 0;
--- a/packages/nutmegproxy-owner/src/RunOrders.ts
+++ b/packages/nutmegproxy-owner/src/RunOrders.ts
@@ -12,7 +12,7 @@
 import {formatRunName, formatTaskName} from '@nutmegproxy/jobs';
 import {describeRun, quarantineMinion} from '@nutmegproxy/scheduling';
 
-import type {MinionTarget, OrderFailure} from './MinionOrders.ts';
+import type {MinionOrders, MinionTarget, OrderFailure} from './MinionOrders.ts';
 import type {SessionContext} from './SessionContext.ts';
 
 import {
@@ -35,6 +35,17 @@
 /** Outcome of a start after its last attempt. */
 type StartResult = 'confirmed' | 'not-started' | 'unknown';
 
+interface SentStart {
+  readonly answer: ReturnType<MinionOrders['start']>;
+  readonly kind: 'sent';
+  readonly sentAt: Instant;
+}
+
+interface UnsentStart {
+  readonly kind: 'unsent';
+  readonly result: StartResult;
+}
+
 export class RunOrders {
   readonly #context: SessionContext;
   readonly #hooks: OrderHooks;
@@ -128,29 +139,16 @@
   }
 
   async #tryStart(run: Run): Promise<StartResult> {
-    const {clock, findTicket, load, orders, ownership, startLimiter} = this.#context;
+    const {clock, load, startLimiter, work} = this.#context;
     for (let attempt = 0; attempt < ORDER_ATTEMPTS; attempt += 1) {
       await startLimiter.enter();
-      const sentAt = clock.monotonic();
-      const untilMs = this.#hooks.grantLease(sentAt);
-      if (untilMs === undefined || !this.#canSend(run, sentAt)) {
-        startLimiter.leaveUnsent();
-        return this.#unansweredStarts.has(run) ? 'unknown' : 'not-started';
-      }
-      if (this.#minion.isOverCapacity) {
+      const sent = await work.run('starts', () => this.#sendStart(run, clock.monotonic()));
+      if (sent.kind === 'unsent') {
         startLimiter.leaveUnsent();
-        return this.#giveUp(run);
+        return sent.result;
       }
-      run.sentAt = sentAt;
-      const answer = await orders.start(this.#target, {
-        checkpoint: run.checkpoint,
-        number: run.number,
-        payload: run.step.job.request.payload,
-        task: formatTaskName(run.task),
-        ticket: findTicket(run),
-        token: ownership.token,
-        untilMs,
-      });
+      const {sentAt} = sent;
+      const answer = await sent.answer;
       const now = clock.monotonic();
       startLimiter.leave(now - sentAt, now);
       if (answer.isOk()) {
@@ -172,6 +170,30 @@
     return 'unknown';
   }
 
+  /** Sends a start unless that is not allowed any more. */
+  #sendStart(run: Run, now: Instant): SentStart | UnsentStart {
+    const {findTicket, orders, ownership} = this.#context;
+    const untilMs = this.#hooks.grantLease(now);
+    if (untilMs === undefined || !this.#canSend(run, now)) {
+      const result = this.#unansweredStarts.has(run) ? 'unknown' : 'not-started';
+      return {kind: 'unsent', result};
+    }
+    if (this.#minion.isOverCapacity) {
+      return {kind: 'unsent', result: this.#giveUp(run)};
+    }
+    run.sentAt = now;
+    const answer = orders.start(this.#target, {
+      checkpoint: run.checkpoint,
+      number: run.number,
+      payload: run.step.job.request.payload,
+      task: formatTaskName(run.task),
+      ticket: findTicket(run),
+      token: ownership.token,
+      untilMs,
+    });
+    return {answer, kind: 'sent', sentAt: now};
+  }
+
   /**
    * Whether the start may still be sent; while it waited, its run may have been given up, and its
    * minion may have begun to drain, also unseen.
@@ -249,13 +271,11 @@
   }
 
   async #tryStop({number, task}: StopRequest): Promise<void> {
-    const {clock, orders, ownership} = this.#context;
+    const {clock, orders, ownership, work} = this.#context;
+    const order = {number, task: formatTaskName(task), token: ownership.token};
     for (let attempt = 0; attempt < ORDER_ATTEMPTS && this.#hooks.isActing(); attempt += 1) {
-      const answer = await orders.stop(this.#target, {
-        number,
-        task: formatTaskName(task),
-        token: ownership.token,
-      });
+      const sent = await work.run('stops', () => ({answer: orders.stop(this.#target, order)}));
+      const answer = await sent.answer;
       if (answer.isOk()) {
         this.#minion.leaseClock.observe(answer.value.clockMs, clock.monotonic());
         this.#confirmStop(task, number, clock.monotonic());
--- a/packages/nutmegproxy-owner/src/SessionContext.ts
+++ b/packages/nutmegproxy-owner/src/SessionContext.ts
@@ -1,6 +1,6 @@
 /** Dependencies and callbacks that the sessions of all minions share. */
 
-import type {Clock, EventSink, Instant} from '@nutmegproxy/core';
+import type {Clock, EventSink, Instant, WorkQueue} from '@nutmegproxy/core';
 import type {Run} from '@nutmegproxy/jobs';
 import type {Fleet, MinionState, Ticket} from '@nutmegproxy/scheduling';
 
@@ -47,4 +47,5 @@
    */
   readonly recordUse: (minion: MinionState) => Promise<void>;
   readonly startLimiter: StartLimiter;
+  readonly work: WorkQueue;
 }
--- a/packages/nutmegproxy-owner/src/__tests__/unit/JobWatcher.test.ts
+++ b/packages/nutmegproxy-owner/src/__tests__/unit/JobWatcher.test.ts
@@ -1,7 +1,7 @@
 import type {EventFields, EventKind, JobId} from '@nutmegproxy/core';
 import type {StoredJob} from '@nutmegproxy/jobs';
 
-import {ManualClock} from '@nutmegproxy/core';
+import {ManualClock, WorkQueue} from '@nutmegproxy/core';
 import {encodeRecord, formatJobKey} from '@nutmegproxy/jobs';
 import {Fleet} from '@nutmegproxy/scheduling';
 import {MemoryStore} from '@nutmegproxy/standins';
@@ -95,6 +95,7 @@
       onFenced: () => undefined,
       ownership,
       store,
+      work: new WorkQueue({clock, maxTurnMs: Infinity}),
     });
   });
 
--- a/packages/nutmegproxy-owner/src/__tests__/unit/RunOrders.test.ts
+++ b/packages/nutmegproxy-owner/src/__tests__/unit/RunOrders.test.ts
@@ -2,7 +2,7 @@
 import type {Run} from '@nutmegproxy/jobs';
 import type {MinionState} from '@nutmegproxy/scheduling';
 
-import {SILENT_EVENTS, SYSTEM_CLOCK} from '@nutmegproxy/core';
+import {SILENT_EVENTS, SYSTEM_CLOCK, WorkQueue} from '@nutmegproxy/core';
 import {Fleet} from '@nutmegproxy/scheduling';
 import {MemoryStore} from '@nutmegproxy/standins';
 import {errAsync, okAsync} from 'neverthrow';
@@ -75,6 +75,7 @@
       orders: minionOrders as MinionOrders,
       ownership: await acquireOwnership(store),
       startLimiter: limiter,
+      work: new WorkQueue({clock: SYSTEM_CLOCK, maxTurnMs: Infinity}),
     };
     orders = new RunOrders(context as SessionContext, minion, {
       grantLease: () => 1_000,
