--- a/packages/nutmegproxy-owner/src/Owner.ts
+++ b/packages/nutmegproxy-owner/src/Owner.ts
@@ -14,6 +14,7 @@
   evacuateMinion,
   Fleet,
   planStarts,
+  PlanSweep,
   type QueuePolicy,
   replaceQueues,
   RunProgressMonitor,
@@ -34,6 +35,7 @@
 import {LearnedEstimates} from './LearnedEstimates.ts';
 import {MinionSessions} from './MinionSessions.ts';
 import {
+  MAX_PLACEMENT_MS,
   MAX_PLAN_IDLE_MS,
   MAX_TURN_MS,
   RETENTION_MARGIN_MS,
@@ -42,7 +44,7 @@
 } from './OwnerConstants.ts';
 import {OWNER_EVENTS} from './OwnerEvents.ts';
 import {OwnerLoad} from './OwnerLoad.ts';
-import {choosePlanPause} from './OwnerUtils.ts';
+import {choosePlanPause, createTimeLimit} from './OwnerUtils.ts';
 import {QueueLengthPublisher} from './QueueLengthPublisher.ts';
 import {Retention} from './Retention.ts';
 import {Roster} from './Roster.ts';
@@ -89,6 +91,7 @@
   readonly #roster: Roster;
   readonly #roundLog: RoundLog;
   readonly #sharing: SharingPolicy;
+  readonly #sweep = new PlanSweep();
   readonly #startLimiter = new StartLimiter();
   readonly #startThrottle = new StartThrottle();
   #stopReason: string | undefined;
@@ -278,8 +281,10 @@
             advice: this.#advice.createLookup(now),
             deferrableStarts,
             estimator: this.#estimator,
+            isTimeUp: createTimeLimit(clock, MAX_PLACEMENT_MS),
             now,
             sharingCosts: this.#sharing,
+            sweep: this.#sweep,
             wall,
           })
         : [];
@@ -294,6 +299,9 @@
     if (fleet.dirtyJobs.size > 0) {
       this.#journal.wake();
     }
+    if (this.#sweep.isOpen) {
+      this.#wakeUp();
+    }
   }
 
   /** Learns from the former owner what minions may run that do not report. */
--- a/packages/nutmegproxy-owner/src/OwnerConstants.ts
+++ b/packages/nutmegproxy-owner/src/OwnerConstants.ts
@@ -51,6 +51,8 @@
 export const MAX_PLAN_PAUSE_MS = 60;
 /** Time after which the work of a turn of the event loop is left to the next one. */
 export const MAX_TURN_MS = 25;
+/** Time for placement in a round of planning; the next round goes on with what is left. */
+export const MAX_PLACEMENT_MS = 60;
 /** Duration of a turn of the event loop from which it is logged. */
 export const LONG_TURN_MS = 250;
 /** Minimum time between two such lines. */
--- a/packages/nutmegproxy-owner/src/OwnerUtils.ts
+++ b/packages/nutmegproxy-owner/src/OwnerUtils.ts
@@ -1,6 +1,6 @@
 /** Functions that several parts of the owner share. */
 
-import type {EventFields, Instant} from '@nutmegproxy/core';
+import type {Clock, EventFields, Instant} from '@nutmegproxy/core';
 import type {Resources, TaskRef} from '@nutmegproxy/jobs';
 import type {PlatformStore, StoreFailure} from '@nutmegproxy/store';
 import type {Result} from 'neverthrow';
@@ -52,6 +52,21 @@
   return typeof durationMs === 'number' ? after(since, durationMs) : undefined;
 }
 
+/**
+ * Returns a function that says whether `limitMs` milliseconds have passed since its first call.
+ *
+ * @example
+ * const isTimeUp = createTimeLimit(clock, 60);
+ */
+export function createTimeLimit(clock: Clock, limitMs: number): () => boolean {
+  let startedAt: Instant | undefined;
+  return () => {
+    const now = clock.monotonic();
+    startedAt ??= now;
+    return now - startedAt >= limitMs;
+  };
+}
+
 /** Whether two references name the same task. */
 export function isSameTask(a: TaskRef, b: TaskRef): boolean {
   return (
--- a/packages/nutmegproxy-scheduling/src/StartBudget.ts
+++ b/packages/nutmegproxy-scheduling/src/StartBudget.ts
@@ -39,6 +39,8 @@
 
 export interface BudgetedPlacement {
   readonly isDeferrable: (step: StepState) => boolean;
+  /** Whether the time for placement is used up; checked before each step. */
+  readonly isTimeUp: () => boolean;
   /** Most starts of deferrable steps; Infinity does not limit them. */
   readonly limit: number;
   /** Places the tasks of a step while the budget is not used up. */
@@ -58,29 +60,36 @@
   return runs.filter(({step}) => isDeferrable(fleet, step)).length;
 }
 
+/** Returns whether the time was up before all steps were placed. */
 function placeAll(
   steps: readonly StepState[],
   budget: StartBudget,
-  {place}: BudgetedPlacement,
-): void {
+  {isTimeUp, place}: BudgetedPlacement,
+): boolean {
   for (const step of steps) {
     if (budget.isUsedUp) {
-      return;
+      return false;
+    }
+    if (isTimeUp()) {
+      return true;
     }
     place(step, budget);
   }
+  return false;
 }
 
-/** Places steps in the given order, and deferrable ones after the others if they are limited. */
+/**
+ * Places steps in the given order, and deferrable ones after the others if they are limited. Returns whether the
+ * time was up before all steps were placed.
+ */
 export function placeWithinBudget(
   ordered: readonly StepState[],
   placement: BudgetedPlacement,
-): void {
+): boolean {
   const {limit} = placement;
   const unlimited = new StartBudget(Infinity);
   if (limit === Infinity) {
-    placeAll(ordered, unlimited, placement);
-    return;
+    return placeAll(ordered, unlimited, placement);
   }
   const deferrable = ordered.filter(placement.isDeferrable);
   const urgent = ordered.filter((step) => !placement.isDeferrable(step));
@@ -89,8 +98,8 @@
   );
   const part = new StartBudget(Math.ceil(limit * LONGEST_WAITING_SHARE));
   const rest = new StartBudget(limit - part.remaining);
-  placeAll(urgent, unlimited, placement);
-  placeAll(longestWaiting, part, placement);
+  const wasCut =
+    placeAll(urgent, unlimited, placement) || placeAll(longestWaiting, part, placement);
   rest.take(-part.remaining);
-  placeAll(deferrable, rest, placement);
+  return wasCut || placeAll(deferrable, rest, placement);
 }
--- a/packages/nutmegproxy-scheduling/src/StartPlanner.ts
+++ b/packages/nutmegproxy-scheduling/src/StartPlanner.ts
@@ -7,6 +7,7 @@
 import type {Fleet} from './Fleet.ts';
 import type {MinionState} from './MinionState.ts';
 import type {SharingCosts} from './Placement.ts';
+import type {PlanSweep} from './PlanSweep.ts';
 import type {StartBudget} from './StartBudget.ts';
 import type {PermissionContext} from './StartPermissions.ts';
 import type {TrialPlan} from './TaskTrials.ts';
@@ -40,7 +41,11 @@
   /** Most starts of deferrable work in this round; absent when they are not limited. */
   readonly deferrableStarts?: number;
   readonly estimator: DurationEstimator;
+  /** Whether the time for placement in this round is used up; absent when it is not limited. */
+  readonly isTimeUp?: () => boolean;
   readonly sharingCosts: SharingCosts;
+  /** The pass over the steps that this round continues; required where the time is limited. */
+  readonly sweep?: PlanSweep;
   readonly wall: WallTime;
 }
 
@@ -48,6 +53,8 @@
 class PlanningRound {
   readonly #context: PlanContext;
   readonly #fleet: Fleet;
+  /** Whether a task was placed or tried; each round makes progress, however little time it has. */
+  #hasProgressed = false;
   /** Suspected tasks that must not start like any others. */
   #heldTasks: TrialPlan['heldTasks'] = new Map();
   readonly #longRunningStarts: LongRunningStarts;
@@ -81,11 +88,12 @@
     const others = ready.filter(({job}) => !trials.held.has(job) && !job.isFinal);
     const ordered = orderSteps(this.#fleet, others, estimator, wall).map(({step}) => step);
     this.#permissions.admitsFailedTrials = false;
-    this.#place(ordered);
+    const wasCut = this.#place(ordered);
     this.#permissions.admitsFailedTrials = true;
-    if (this.#hasOpenTrial(now)) {
+    if (!wasCut && this.#hasOpenTrial(now)) {
       this.#place(ordered.filter(({hasFailedTrial}) => hasFailedTrial));
     }
+    this.#context.sweep?.endRound(wasCut);
     this.#permissions.admitsUntrusted = true;
     const interrupted = startInterruptedTasks(this.#fleet, ordered, {
       isAllowed: this.#isAllowed,
@@ -102,22 +110,33 @@
     ];
   }
 
-  /** Places the tasks of steps in the given order. */
-  #place(steps: readonly StepState[]): void {
-    const limit = this.#context.deferrableStarts ?? Infinity;
-    placeWithinBudget(steps, {
+  /** Places the tasks of steps in the given order; returns whether the time was up before the last one. */
+  #place(steps: readonly StepState[]): boolean {
+    const {deferrableStarts = Infinity, sweep} = this.#context;
+    return placeWithinBudget(steps, {
       isDeferrable: (step) => isDeferrable(this.#fleet, step),
-      limit: limit - countDeferrable(this.#fleet, this.#starts),
+      isTimeUp: this.#isTimeUp,
+      limit: deferrableStarts - countDeferrable(this.#fleet, this.#starts),
       place: (step, budget) => {
+        if (sweep?.hasTried(step) === true) {
+          return;
+        }
+        const starts = this.#starts.length;
         if (step.shape.gang) {
           this.#placeGang(step, budget);
         } else {
           this.#placeTasks(step, budget);
         }
+        this.#hasProgressed = true;
+        if (this.#starts.length === starts && !budget.isUsedUp) {
+          sweep?.recordTried(step);
+        }
       },
     });
   }
 
+  readonly #isTimeUp = (): boolean => this.#hasProgressed && (this.#context.isTimeUp?.() ?? false);
+
   /** Whether a minion on trial has no run yet that shows if it is sound. */
   #hasOpenTrial(now: Instant): boolean {
     return [...this.#schedulable.values()]
@@ -229,10 +248,11 @@
     let ranking = this.#rank(step, minions);
     let skipped = 0;
     for (const [order, index] of startable.entries()) {
-      if (budget.isUsedUp) {
+      if (budget.isUsedUp || this.#isTimeUp()) {
         return;
       }
       const minion = this.#choose(step, index, ranking);
+      this.#hasProgressed = true;
       if (minion === undefined) {
         step.blockedAt = this.#context.now;
         if (step.shape.longRunning && skipped === 0) {
--- /dev/null
+++ b/packages/nutmegproxy-scheduling/src/__tests__/unit/PlanSweep.test.ts
@@ -0,0 +1,108 @@
+import assert from 'node:assert/strict';
+import {beforeEach, describe, it} from 'node:test';
+
+import {PlanSweep} from '../../PlanSweep.ts';
+import {planStarts} from '../../StartPlanner.ts';
+import {at, NO_SHARING_COSTS, queue, SampleFleet, shape, wallAt} from './Samples.ts';
+
+/** More processors than any minion has. */
+const TOO_LARGE = {cpuMilli: 64_000, gpus: 0, memoryMb: 100};
+
+describe('planStarts with a limited time for placement', () => {
+  let sample: SampleFleet;
+  let sweep: PlanSweep;
+
+  beforeEach(() => {
+    sample = new SampleFleet(10, [queue('proofs')]);
+    sweep = new PlanSweep();
+  });
+
+  /** Plays a round in which the time is up after `checks` checks of it. */
+  function plan(nowMs: number, checks: number): number {
+    let left = checks;
+    return planStarts(sample.fleet, {
+      advice: {isPermitted: () => undefined},
+      estimator: sample.estimator,
+      isTimeUp: () => {
+        left -= 1;
+        return left < 0;
+      },
+      now: at(nowMs),
+      sharingCosts: NO_SHARING_COSTS,
+      sweep,
+      wall: wallAt(nowMs),
+    }).length;
+  }
+
+  describe('a round that is cut', () => {
+    it('starts at least one task, and the next rounds the others', () => {
+      sample.addJob('proofs', [shape({count: 20})]);
+      let starts = 0;
+      for (let round = 0; round < 20; round += 1) {
+        const started = plan(round, 0);
+        assert.ok(started >= 1, `round ${round} started nothing`);
+        starts += started;
+      }
+      assert.equal(starts, 20);
+    });
+
+    it('leaves the pass open until a round has reached the last step', () => {
+      sample.addJob('proofs', [shape({count: 2})]);
+      sample.addJob('proofs', [shape({count: 2})]);
+      plan(0, 0);
+      assert.equal(sweep.isOpen, true);
+      plan(1, Infinity);
+      assert.equal(sweep.isOpen, false);
+    });
+
+    it('places first what became urgent meanwhile', () => {
+      sample = new SampleFleet(10, [
+        queue('proofs', {priority: 1}),
+        queue('alerts', {priority: 0}),
+      ]);
+      sample.addJob('proofs', [shape({count: 20})]);
+      plan(0, 2);
+      const urgent = sample.addJob('alerts', [shape({count: 1})]);
+      plan(1, 2);
+      assert.equal(urgent.occurrence(0)?.[0]?.liveRuns, 1);
+    });
+  });
+
+  describe('steps that find no minion', () => {
+    it('do not use up the time of each round before the others', () => {
+      for (let job = 0; job < 5; job += 1) {
+        sample.addJob('proofs', [shape({resources: TOO_LARGE})]);
+      }
+      const last = sample.addJob('proofs', [shape({count: 1, estimateMs: 100_000})]);
+      for (let round = 0; round < 6; round += 1) {
+        plan(round, 0);
+      }
+      assert.equal(last.occurrence(0)?.[0]?.liveRuns, 1);
+    });
+
+    it('are tried again after the pass', () => {
+      const blocked = sample.addJob('proofs', [shape({resources: TOO_LARGE})]);
+      sample.addJob('proofs', [shape({estimateMs: 100_000})]);
+      plan(0, 0);
+      plan(1, Infinity);
+      sample.addMinion('large', {capacity: {cpuMilli: 64_000, gpus: 0, memoryMb: 8000}});
+      plan(2, Infinity);
+      assert.equal(blocked.occurrence(0)?.[0]?.liveRuns, 1);
+    });
+  });
+
+  describe('interrupted tasks of long-running jobs', () => {
+    it('start in a round that is cut before their step', () => {
+      sample.addJob('proofs', [shape({count: 20})]);
+      const lasting = sample.addJob('proofs', [shape({longRunning: true})]);
+      const step = lasting.occurrence(0)?.[0];
+      assert.ok(step);
+      const [run] = sample.plan(0).filter((each) => each.step === step);
+      assert.ok(run);
+      sample.fleet.finishRun(run, 'failed', undefined, at(1));
+      sample.addJob('proofs', [shape({count: 20})]);
+      plan(10_000, 0);
+      assert.equal(step.liveRuns, 1);
+    });
+  });
+});
--- a/packages/nutmegproxy-scheduling/src/index.ts
+++ b/packages/nutmegproxy-scheduling/src/index.ts
@@ -41,6 +41,7 @@
 export type {TrustLevel} from './MinionTrust.ts';
 export {computePlacementCost, isSchedulable, meetsConstraints} from './Placement.ts';
 export type {SharingCosts} from './Placement.ts';
+export {PlanSweep} from './PlanSweep.ts';
 export {DEFAULT_QUEUE_POLICY} from './QueuePolicy.ts';
 export type {AdvicePolicy, QueuePolicy} from './QueuePolicy.ts';
 export {replaceQueues} from './QueueReplacement.ts';
