--- a/packages/nutmegproxy-emulator/src/Agenda.ts
+++ b/packages/nutmegproxy-emulator/src/Agenda.ts
@@ -9,6 +9,11 @@
   /** Latest first, so that the next one is removed from the end. */
   readonly #entries: AgendaEntry[] = [];
 
+  /** When the next action is due; Infinity when there is none. */
+  get nextMs(): number {
+    return this.#entries.at(-1)?.atMs ?? Infinity;
+  }
+
   /** Adds an action; of those with the same time, the first one added runs first. */
   add(atMs: number, action: () => void): void {
     let low = 0;
@@ -24,12 +29,15 @@
     this.#entries.splice(low, 0, {action, atMs});
   }
 
+  /** Runs the next action, whenever it is due. */
+  runNext(): void {
+    this.#entries.pop()?.action();
+  }
+
   /** Runs the actions that are due. */
   runUntil(nowMs: number): void {
-    for (let next = this.#entries.at(-1); next !== undefined && next.atMs <= nowMs;) {
-      this.#entries.pop();
-      next.action();
-      next = this.#entries.at(-1);
+    while (this.nextMs <= nowMs) {
+      this.runNext();
     }
   }
 }
