--- a/packages/nutmegproxy-emulator/src/__tests__/unit/SlowTakeover.ts
+++ b/packages/nutmegproxy-emulator/src/__tests__/unit/SlowTakeover.ts
@@ -68,6 +68,8 @@
 }
 
 export class SlowTakeover {
+  /** When a VM's event loop began to stand still. */
+  hungAtMs = NaN;
   readonly slowVms: SlowVm[] = [];
   readonly vms = new EmulatedVms();
   readonly #engine = new StoreEngine();
@@ -136,6 +138,7 @@
   hang(vm: string, durationMs: number): void {
     const loop = this.slowVms.find(({name}) => name === vm)?.loop;
     loop?.addImmediate(() => {
+      this.hungAtMs = loop.clock.monotonic();
       loop.charge(durationMs / this.#factor);
     });
   }
