--- a/packages/nutmegproxy-owner/src/Owner.ts
+++ b/packages/nutmegproxy-owner/src/Owner.ts
@@ -354,6 +354,7 @@
 /** Creates the state of a fleet whose minions may have runs of former owners. */
 function createFleet({events, ownership}: OwnerOptions): Fleet {
   const fleet = new Fleet(events);
+  fleet.formerReleasedAt = ownership.formerReleasedAt;
   fleet.runNumberBase = ownership.term * RUN_NUMBERS_PER_TERM + 1;
   fleet.recoveryRevision = ownership.token;
   return fleet;
--- a/packages/nutmegproxy-scheduling/src/Fleet.ts
+++ b/packages/nutmegproxy-scheduling/src/Fleet.ts
@@ -32,6 +32,8 @@
   readonly jobs = new Map<JobId, JobState>();
   readonly minions = new Map<MinionId, MinionState>();
   readonly queues = new Map<QueueId, QueuePolicy>();
+  /** When this VM knew that the last ownership with minion leases had ended; undefined when it is not known. */
+  formerReleasedAt: Instant | undefined;
   /** Jobs accepted up to this revision may have runs on minions that have not reported yet. */
   recoveryRevision = 0;
   /** Lowest run number that this owner may use for a task without a known run. */
--- a/packages/nutmegproxy-scheduling/src/LastAttempt.ts
+++ b/packages/nutmegproxy-scheduling/src/LastAttempt.ts
@@ -3,11 +3,17 @@
 import type {Instant} from '@nutmegproxy/core';
 import type {StepState} from '@nutmegproxy/jobs';
 
+import {after} from '@nutmegproxy/core';
+
+import type {Fleet} from './Fleet.ts';
 import type {MinionState} from './MinionState.ts';
 
+import {RECENT_FAILURE_MS} from './MinionTrust.ts';
+
 /**
  * Longest time in milliseconds, from the last failure of a task, for which its last attempt waits for a
- * trusted minion. A task that this owner has not seen fail counts from when its turn came.
+ * trusted minion. A task that this owner has not seen fail counts from when its turn came, unless the end of
+ * the former ownership is known.
  */
 const MAX_WAIT_MS = 12_000;
 
@@ -18,22 +24,38 @@
   readonly step: StepState;
 }
 
+/**
+ * Returns until when the last attempt of a task waits. What former owners saw fail before their ownership
+ * ended is not recent any more after the same time.
+ */
+function findWaitEnd(
+  {formerReleasedAt}: Fleet,
+  {index, step}: AttemptedTask,
+  now: Instant,
+): Instant {
+  const failedAt = step.failedAt.get(index);
+  return failedAt === undefined && formerReleasedAt !== undefined
+    ? after(formerReleasedAt, RECENT_FAILURE_MS)
+    : after(failedAt ?? step.readyAt ?? now, MAX_WAIT_MS);
+}
+
 /**
  * Whether the task has one attempt left that still waits for a better minion than this one.
  *
  * @example
- * if (shouldSaveLastAttempt({index, maxAttempts, step}, minion, now)) continue;
+ * if (shouldSaveLastAttempt(fleet, {index, maxAttempts, step}, minion, now)) continue;
  */
 export function shouldSaveLastAttempt(
-  {index, maxAttempts, step}: AttemptedTask,
+  fleet: Fleet,
+  task: AttemptedTask,
   {trust}: MinionState,
   now: Instant,
 ): boolean {
+  const {index, maxAttempts, step} = task;
   const failures = step.failures.get(index)?.length ?? 0;
   if (failures === 0 || failures < maxAttempts - 1 || step.shape.longRunning) {
     return false;
   }
-  const waitsSince = step.failedAt.get(index) ?? step.readyAt ?? now;
   const isBetterMinion = trust.level(now) === 'trusted' && !trust.hasRecentFailures(now);
-  return !isBetterMinion && now - waitsSince < MAX_WAIT_MS;
+  return !isBetterMinion && now < findWaitEnd(fleet, task, now);
 }
--- a/packages/nutmegproxy-scheduling/src/ListingReconciler.ts
+++ b/packages/nutmegproxy-scheduling/src/ListingReconciler.ts
@@ -167,6 +167,10 @@
     fleet.finishRun(run, result.outcome, result.checkpoint, now);
   } else if (step !== undefined) {
     dropSupersededRuns(fleet, step, result);
+    if (result.outcome === 'failed' && result.number >= fleet.runNumberBase) {
+      // A run of this owner that counted as lost; the failures of former owners' runs have no known time.
+      step.failedAt.set(result.task.index, now);
+    }
     fleet.applyResult(step, result.task, result.number, result.outcome, result.checkpoint);
   }
 }
--- a/packages/nutmegproxy-scheduling/src/MinionTrust.ts
+++ b/packages/nutmegproxy-scheduling/src/MinionTrust.ts
@@ -12,7 +12,7 @@
 /** Longest quarantine in milliseconds; bounds how long a recovered minion stays unused. */
 const MAX_QUARANTINE_MS = 4_000;
 /** Time in milliseconds for which a failure speaks against the last attempt of a task. */
-const RECENT_FAILURE_MS = 8_000;
+export const RECENT_FAILURE_MS = 8_000;
 /** Time in milliseconds after which a failure no longer counts together with another one. */
 const FAILURE_MEMORY_MS = 300_000;
 
--- a/packages/nutmegproxy-scheduling/src/StartPermissions.ts
+++ b/packages/nutmegproxy-scheduling/src/StartPermissions.ts
@@ -52,7 +52,7 @@
     if (!step.shape.longRunning && step.countPossibleFailures(index) >= maxAttempts) {
       return false;
     }
-    return !shouldSaveLastAttempt({index, maxAttempts, step}, minion, now);
+    return !shouldSaveLastAttempt(this.#fleet, {index, maxAttempts, step}, minion, now);
   }
 
   /** Whether tasks of the step may run on the minion. */
--- a/packages/nutmegproxy-scheduling/src/__tests__/unit/LastAttempt.test.ts
+++ b/packages/nutmegproxy-scheduling/src/__tests__/unit/LastAttempt.test.ts
@@ -3,9 +3,13 @@
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
 
+import {reconcileListing} from '../../ListingReconciler.ts';
 import {failTwice, findMinion, JOB_A, JOB_B, LASTING, play} from './ExclusionSamples.ts';
 import {at, SampleFleet, shape} from './Samples.ts';
 
+/** Time in milliseconds for which a failure on a minion speaks against a last attempt. */
+const RECENT_MS = 8_000;
+
 describe('A task on its last attempt beside a minion that stays bad', () => {
   it('waits for a trusted minion instead of being the trial of the bad one', () => {
     const sample = new SampleFleet(1);
@@ -52,6 +56,66 @@
     });
     assert.equal(job.status, 'completed');
   });
+
+  it('waits after a run of its owner that counted as lost and has failed', () => {
+    const sample = new SampleFleet(1);
+    sample.fleet.formerReleasedAt = at(-60_000);
+    const minion = findMinion(sample);
+    const job = sample.addJob('proofs', [shape()]);
+    const [run] = sample.plan(0);
+    assert.ok(run);
+    minion.missedCalls = 2;
+    sample.fleet.expireLease(minion);
+    minion.missedCalls = 0;
+    const {number, task} = run;
+    const result = {checkpoint: undefined, number, outcome: 'failed' as const, sequence: 1, task};
+    reconcileListing(
+      sample.fleet,
+      minion,
+      {bornAt: 1, clockMs: 20_000, ended: [result], mayOmitResults: false, running: []},
+      {appliedThrough: 0, now: at(20_000), requestedAt: at(20_000)},
+    );
+    sample.fleet.clearUnknownResults(minion);
+    failTwice(minion, 20_000);
+    const startedAt = play(sample, 20_100, 50_000, () => 'done').get(job)?.[0] ?? Infinity;
+    assert.ok(startedAt >= 20_000 + RECENT_MS, `started at ${startedAt} ms`);
+  });
+});
+
+describe('The last attempt of a task that failed under a former owner', () => {
+  const MAX_WAIT_MS = 10_000;
+
+  /**
+   * Returns after how many milliseconds it starts on the only minion, which has failed other tasks and has
+   * no other work that could show that it is sound; `turnAtMs` is when this owner may first start it.
+   */
+  function measureWait(turnAtMs: number): number {
+    const sample = new SampleFleet(1);
+    sample.fleet.formerReleasedAt = at(0);
+    const job = sample.addJob('proofs', [shape()]);
+    const step = job.occurrence(0)?.[0];
+    assert.ok(step);
+    step.failures.set(0, [1 as Run['number']]);
+    step.recordRunNumber(0, 1 as Run['number']);
+    failTwice(findMinion(sample), turnAtMs);
+    const starts = play(sample, turnAtMs, turnAtMs + 30_000, () => 'done');
+    return (starts.get(job)?.[0] ?? Infinity) - turnAtMs;
+  }
+
+  it('waits for a trusted minion', () => {
+    const waitedMs = measureWait(0);
+    assert.ok(waitedMs >= RECENT_MS, `started after ${waitedMs} ms`);
+  });
+
+  it('starts within ten seconds of the end of the former ownership', () => {
+    const waitedMs = measureWait(0);
+    assert.ok(waitedMs <= MAX_WAIT_MS, `started after ${waitedMs} ms`);
+  });
+
+  it('does not count its wait anew when its turn comes late under this owner', () => {
+    const waitedMs = measureWait(10_500);
+    assert.ok(waitedMs <= MAX_WAIT_MS, `started after ${waitedMs} ms`);
+  });
 });
 
 describe('A task on its last attempt', () => {
