--- a/packages/nutmegproxy-owner/src/MinionSession.ts
+++ b/packages/nutmegproxy-owner/src/MinionSession.ts
@@ -368,6 +368,7 @@
   /** Handles that no run of the minion is live any more; returns those that were or may have been. */
   #endIncarnation(reason: string): readonly Run[] {
     const {clock, fleet} = this.#context;
+    fleet.clearUnknownResults(this.minion);
     recordReplacement(fleet, this.minion, clock.monotonic());
     this.#results = new ListedResults();
     this.minion.areRunsKnown = true;
