--- a/packages/nutmegproxy-scheduling/src/__tests__/unit/SuspectSeparation.test.ts
+++ b/packages/nutmegproxy-scheduling/src/__tests__/unit/SuspectSeparation.test.ts
@@ -1,5 +1,4 @@
-import type {JobState} from '@nutmegproxy/jobs';
-
+import {JobState} from '@nutmegproxy/jobs';
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
 
@@ -55,6 +54,9 @@
 });
 
 describe('Suspects that are kept apart', () => {
+  /** Time in milliseconds from the last crash under a task, or from a takeover, within which it has to start. */
+  const MAX_WAIT_MS = 10_000;
+
   it('are not idle for nine seconds when there are more of them than minions', () => {
     const sample = new SampleFleet(12);
     const [first, second] = [...sample.fleet.minions.values()];
@@ -71,6 +73,44 @@
     assert.equal(jobs.filter(({status}) => status === 'running').length, jobs.length);
   });
 
+  for (const owner of ['the owner that saw its crashes', 'the next owner']) {
+    it(`wait for others for a bounded time, though there are new ones all the time, under ${owner}`, () => {
+      const sample = new SampleFleet(1);
+      const [only] = [...sample.fleet.minions.values()];
+      assert.ok(only);
+      const job = sample.addJob('proofs', [shape()]);
+      const others = ['m2:1', 'm3:1'].map((address, index) => ({
+        ...crashOf(only, 3_000, index + 1),
+        address,
+      }));
+      if (owner === 'the next owner') {
+        const steps = {'0.0': {checkpoints: {}, crashes: {0: others}, done: [], failures: {}}};
+        const progress = {queue: job.request.queue, status: 'running' as const, steps};
+        sample.fleet.jobs.set(job.id, new JobState(job.request, job.revision, progress));
+      } else {
+        for (const each of others) {
+          job.occurrence(0)?.[0]?.crashes.record(0, each, at(0));
+        }
+      }
+      let startedAt = Infinity;
+      for (let now = 0; now <= MAX_WAIT_MS && startedAt === Infinity; now += 500) {
+        const young = sample.addJob('proofs', [shape()]);
+        for (const each of others) {
+          young.occurrence(0)?.[0]?.crashes.record(0, each, at(now));
+        }
+        startOn(sample, young, only, now);
+        play(sample, now, now + 500, (playedMs) => {
+          const step = sample.fleet.jobs.get(job.id)?.occurrence(0)?.[0];
+          startedAt = step?.waiting.size === 0 ? Math.min(startedAt, playedMs) : startedAt;
+        });
+        for (const run of [...only.runs].filter(({step}) => step.job === young)) {
+          sample.fleet.finishRun(run, 'done', undefined, at(now + 500));
+        }
+      }
+      assert.ok(startedAt > 0 && startedAt <= MAX_WAIT_MS, `started after ${startedAt} ms`);
+    });
+  }
+
   it('do not keep other tasks of their job from starting', () => {
     const sample = new SampleFleet(1);
     const [only] = [...sample.fleet.minions.values()];
