--- a/packages/nutmegproxy-owner/src/Owner.ts
+++ b/packages/nutmegproxy-owner/src/Owner.ts
@@ -250,20 +250,17 @@
     for (const minion of fleet.minions.values()) {
       evacuateMinion(fleet, minion, this.#estimator, bounds, now);
     }
-    const deferrableStarts = this.#startThrottle.getAllowance(now);
+    const context = {
+      advice: this.#advice.createLookup(now),
+      deferrableStarts: this.#startThrottle.getAllowance(now),
+      estimator: this.#estimator,
+      now,
+      sharingCosts: this.#sharing,
+      wall,
+    };
     const hold = this.#findHold(now);
-    const starts =
-      hold === undefined
-        ? planStarts(fleet, {
-            advice: this.#advice.createLookup(now),
-            deferrableStarts,
-            estimator: this.#estimator,
-            now,
-            sharingCosts: this.#sharing,
-            wall,
-          })
-        : [];
-    this.#roundLog.record({hold, now, starts, wall});
+    const starts = hold === undefined ? planStarts(fleet, context) : [];
+    this.#roundLog.record({context, hold, now, starts, wall});
     this.#startThrottle.recordStarts(countDeferrable(fleet, starts));
     for (const run of starts) {
       this.#minions.startRun(run);
--- a/packages/nutmegproxy-owner/src/RoundLog.ts
+++ b/packages/nutmegproxy-owner/src/RoundLog.ts
@@ -2,11 +2,18 @@
 
 import type {EventSink, Instant, WallTime} from '@nutmegproxy/core';
 import type {Run} from '@nutmegproxy/jobs';
-import type {Fleet} from '@nutmegproxy/scheduling';
+import type {Fleet, PlanContext} from '@nutmegproxy/scheduling';
 
-import {summarizeFleet, UntrustedMinionLog, WithheldTaskLog} from '@nutmegproxy/scheduling';
+import {
+  countDeferrable,
+  PendingTaskLog,
+  summarizeFleet,
+  UntrustedMinionLog,
+  WithheldTaskLog,
+} from '@nutmegproxy/scheduling';
 
 import type {FleetOwnership} from './FleetOwnership.ts';
+import type {MinionRecovery} from './MinionRecovery.ts';
 import type {MinionSessions} from './MinionSessions.ts';
 import type {OwnerLoad} from './OwnerLoad.ts';
 import type {StartLimiter} from './StartLimiter.ts';
@@ -25,6 +32,8 @@
 
 /** A round of planning. */
 export interface Round {
+  /** What its starts were planned with, or would have been. */
+  readonly context: PlanContext;
   readonly hold: RoundHold | undefined;
   readonly now: Instant;
   readonly starts: readonly Run[];
@@ -35,15 +44,18 @@
   readonly events: EventSink;
   readonly fleet: Fleet;
   readonly load: OwnerLoad;
-  readonly minions: MinionSessions;
-  readonly orders: TrackedOrders;
-  readonly ownership: FleetOwnership;
+  readonly minions: Pick<MinionSessions, 'computeDirectoryAge'> & {
+    readonly recovery: Pick<MinionRecovery, 'describe' | 'findRemainingMs'>;
+  };
+  readonly orders: Pick<TrackedOrders, 'describe'>;
+  readonly ownership: Pick<FleetOwnership, 'requestedAt' | 'term'>;
   readonly startLimiter: StartLimiter;
   readonly startThrottle: StartThrottle;
 }
 
 export class RoundLog {
   readonly #options: RoundLogOptions;
+  readonly #pendingTasks = new PendingTaskLog();
   #summarizedAt = -Infinity;
   readonly #taskWaits: TaskWaitLog;
   readonly #untrustedMinions = new UntrustedMinionLog();
@@ -66,6 +78,18 @@
     if (withheld !== undefined) {
       this.#taskWaits.review(withheld, now);
     }
+    const {advice, deferrableStarts = Infinity, sharingCosts} = round.context;
+    const isBudgetUsedUp = deferrableStarts <= countDeferrable(fleet, starts);
+    this.#pendingTasks.review({
+      advice,
+      fleet,
+      hold: round.hold,
+      isBudgetUsedUp,
+      now,
+      recoveryMs,
+      sharingCosts,
+      wall,
+    });
     for (const run of starts) {
       load.recordPlaced(run, now);
     }
--- /dev/null
+++ b/packages/nutmegproxy-owner/src/__tests__/unit/RoundLog.test.ts
@@ -0,0 +1,117 @@
+import type {EventFields, Instant, WallTime} from '@nutmegproxy/core';
+import type {StepState} from '@nutmegproxy/jobs';
+
+import {DEFAULT_PLATFORM_BOUNDS} from '@nutmegproxy/core';
+import {
+  DEFAULT_QUEUE_POLICY,
+  DurationEstimator,
+  Fleet,
+  SCHEDULING_EVENTS,
+} from '@nutmegproxy/scheduling';
+import assert from 'node:assert/strict';
+import {beforeEach, describe, it} from 'node:test';
+
+import type {Round, RoundHold} from '../../RoundLog.ts';
+
+import {OwnerLoad} from '../../OwnerLoad.ts';
+import {RoundLog} from '../../RoundLog.ts';
+import {StartLimiter} from '../../StartLimiter.ts';
+import {StartThrottle} from '../../StartThrottle.ts';
+import {createMinion, createStep} from './OwnerSamples.ts';
+
+const RECOVERY_MS = 2_500;
+
+describe('RoundLog', () => {
+  let fleet: Fleet;
+  let lines: EventFields[];
+  let log: RoundLog;
+  let step: StepState;
+
+  beforeEach(() => {
+    lines = [];
+    const events = {
+      record: (kind: unknown, fields: EventFields) => {
+        if (kind === SCHEDULING_EVENTS.TASKS_PENDING) {
+          lines.push(fields);
+        }
+      },
+    };
+    fleet = new Fleet(events);
+    step = createStep(1);
+    fleet.jobs.set(step.job.id, step.job);
+    const minion = createMinion();
+    minion.isRegistered = true;
+    minion.hasReported = true;
+    minion.leaseClock.observe(0, 0 as Instant);
+    fleet.minions.set(minion.id, minion);
+    log = new RoundLog({
+      events,
+      fleet,
+      load: new OwnerLoad(),
+      minions: {
+        computeDirectoryAge: () => 0,
+        recovery: {describe: () => ({}), findRemainingMs: () => RECOVERY_MS},
+      },
+      orders: {describe: () => ({})},
+      ownership: {requestedAt: 0 as Instant, term: 0},
+      startLimiter: new StartLimiter(),
+      startThrottle: new StartThrottle(),
+    });
+  });
+
+  /** Records two rounds that start nothing, 3 s apart; returns the line about pending tasks. */
+  function recordRounds(hold: RoundHold | undefined, deferrableStarts?: number): EventFields {
+    for (const ms of [0, 3_000]) {
+      const now = ms as Instant;
+      const wall = ms as WallTime;
+      const context: Round['context'] = {
+        advice: {isPermitted: () => undefined},
+        ...(deferrableStarts !== undefined && {deferrableStarts}),
+        estimator: new DurationEstimator(DEFAULT_PLATFORM_BOUNDS),
+        now,
+        sharingCosts: {backfillCost: () => 0, ordinaryCost: () => 0, servingCost: () => 0},
+        wall,
+      };
+      step.readyAt = 0 as Instant;
+      log.record({context, hold, now, starts: [], wall});
+    }
+    const [line, ...others] = lines;
+    assert.ok(line);
+    assert.deepEqual(others, []);
+    return line;
+  }
+
+  describe('of a task that could start', () => {
+    it('says that the view of the directory is too old', () => {
+      assert.equal(recordRounds('directory').pendingDirectory, 1);
+    });
+
+    it('says that too many starts wait to be sent', () => {
+      assert.equal(recordRounds('backlog').pendingStartLimit, 1);
+    });
+
+    it('says that the starts of deferrable work are used up', () => {
+      assert.equal(recordRounds(undefined, 0).pendingStartLimit, 1);
+    });
+
+    it('says no start limit while starts of deferrable work are left', () => {
+      assert.equal(recordRounds(undefined, 1).pendingPlacement, 1);
+    });
+
+    it('says no start limit where the work is urgent', () => {
+      const id = step.job.request.queue;
+      const policy = {...DEFAULT_QUEUE_POLICY, advice: undefined, priority: 0};
+      fleet.queues.set(id, {...policy, id: id, service: step.job.request.service});
+      assert.equal(recordRounds(undefined, 0).pendingPlacement, 1);
+    });
+  });
+
+  describe('of a task that waits for the recovery', () => {
+    it('says how long that may still take', () => {
+      fleet.recoveryRevision = step.job.revision;
+      const line = recordRounds('backlog');
+      assert.equal(line.pendingRecovery, 1);
+      assert.match(String(line.named), /\/recovery\/3000\/until=2500$/);
+    });
+  });
+});
--- a/packages/nutmegproxy-scheduling/src/Fleet.ts
+++ b/packages/nutmegproxy-scheduling/src/Fleet.ts
@@ -41,6 +41,8 @@
   /** Recent crashes of minions. */
   readonly outages = new OutageLog();
   readonly startWaits = new StartWaitLog();
+  /** Jobs of which planning has last withheld all tasks, since one is suspected of crashes. */
+  suspectedJobs: ReadonlySet<JobState> = new Set();
   readonly events: EventSink;
 
   constructor(events: EventSink) {
--- a/packages/nutmegproxy-scheduling/src/LastAttempt.ts
+++ b/packages/nutmegproxy-scheduling/src/LastAttempt.ts
@@ -33,7 +33,12 @@
   if (failures === 0 || failures < maxAttempts - 1 || step.shape.longRunning) {
     return false;
   }
-  const waitsSince = step.failedAt.get(index) ?? step.readyAt ?? now;
   const isBetterMinion = trust.level(now) === 'trusted' && !trust.hasRecentFailures(now);
-  return !isBetterMinion && now - waitsSince < MAX_WAIT_MS;
+  return !isBetterMinion && findLastAttemptWaitMs(step, index, now) > 0;
+}
+
+/** Returns the time in milliseconds for which the last attempt of a task may still be saved. */
+export function findLastAttemptWaitMs(step: StepState, index: number, now: Instant): number {
+  const waitsSince = step.failedAt.get(index) ?? step.readyAt ?? now;
+  return Math.max(0, MAX_WAIT_MS - (now - waitsSince));
 }
--- /dev/null
+++ b/packages/nutmegproxy-scheduling/src/PendingTaskReason.ts
@@ -0,0 +1,289 @@
+/**
+ * Says why a task that is not long-running does not run though its turn has come. Rules of the task
+ * itself come before what holds all tasks of a round, which ends by itself.
+ */
+
+import type {Instant, MinionId} from '@nutmegproxy/core';
+import type {Run, ServiceId, StepState} from '@nutmegproxy/jobs';
+
+import type {Fleet} from './Fleet.ts';
+import type {Unavailability} from './MinionAvailability.ts';
+import type {MinionState} from './MinionState.ts';
+import type {SharingCosts} from './Placement.ts';
+import type {AdviceLookup} from './StartPermissions.ts';
+
+import {findLastAttemptWaitMs, shouldSaveLastAttempt} from './LastAttempt.ts';
+import {findUnavailability, isOnlyUntrusted} from './MinionAvailability.ts';
+import {meetsConstraints} from './Placement.ts';
+import {isStartableTask, listStartableTasks} from './ReadySteps.ts';
+import {isDeferrable} from './StartBudget.ts';
+import {isApartFromSuspects} from './SuspectSeparation.ts';
+
+/**
+ * `advice`: the advisor permits no minion with room, or has not answered. `availability`: all minions
+ * with room get no new work. `avoidance`: it has failed or stalled a short time ago on those that are
+ * left. `directory`: the view of the directory of minions is too old for any start. `gang`: members of
+ * its gang have runs that are not over. `last-attempt`: its last attempt is kept for a better minion.
+ * `lease`: its run may be live on a minion that does not respond. `placement`: none of these; it was not
+ * reached, or its gang does not fit as a whole. `recovery`: minions that have not reported may run it.
+ * `room`: no minion has room. `sharing`: it would disturb serving tasks. `start`: its start is not
+ * confirmed. `start-limit`: the owner starts no more now. `stop`: its run is being stopped. `suspicion`:
+ * a task of its job is suspected of crashes. `trust`: the minions with room are not trusted.
+ * `unknown-result`: runs whose results are not known may have been its last attempts.
+ */
+export type PendingReason =
+  | 'advice'
+  | 'availability'
+  | 'avoidance'
+  | 'directory'
+  | 'gang'
+  | 'last-attempt'
+  | 'lease'
+  | 'placement'
+  | 'recovery'
+  | 'room'
+  | 'sharing'
+  | 'start'
+  | 'start-limit'
+  | 'stop'
+  | 'suspicion'
+  | 'trust'
+  | 'unknown-result';
+
+/** What a reason rests on. */
+export interface PendingDetails {
+  /** The minion that is waited for. */
+  readonly minion?: MinionId | undefined;
+  /** Longest time in milliseconds for which the reason lasts; undefined where nothing limits it. */
+  readonly untilMs?: number | undefined;
+}
+
+export interface PendingCause extends PendingDetails {
+  readonly reason: PendingReason;
+}
+
+export interface PendingTask {
+  readonly index: number;
+  readonly step: StepState;
+}
+
+/** The last round of planning. */
+export interface PendingContext {
+  readonly advice: AdviceLookup;
+  readonly fleet: Fleet;
+  /** Why the round started nothing at all. */
+  readonly hold: 'backlog' | 'directory' | undefined;
+  /** Whether the round has used up its starts of deferrable work. */
+  readonly isBudgetUsedUp: boolean;
+  readonly now: Instant;
+  /** Longest time in milliseconds for which the recovery may still wait. */
+  readonly recoveryMs: number;
+  readonly sharingCosts: SharingCosts;
+}
+
+type TaskRule = (task: PendingTask, context: PendingContext) => PendingDetails | undefined;
+type MinionRule = (task: PendingTask, minion: MinionState, judge: PendingTaskJudge) => boolean;
+
+function findUnknownResult(
+  {index, step}: PendingTask,
+  {fleet}: PendingContext,
+): PendingDetails | undefined {
+  const {maxAttempts} = fleet.resolveQueuePolicy(step.job);
+  const [minion] = step.unknownResults.get(index) ?? [];
+  return minion !== undefined && step.countPossibleFailures(index) >= maxAttempts
+    ? {minion}
+    : undefined;
+}
+
+function findGangRun({step}: PendingTask, {fleet}: PendingContext): PendingDetails | undefined {
+  if (!step.shape.gang) {
+    return undefined;
+  }
+  const [run] = step.runs();
+  const isWhole = listStartableTasks(fleet, step).length === step.waiting.size;
+  return run === undefined && isWhole ? undefined : {minion: run?.minion};
+}
+
+/** What withholds a task whatever minions there are, in the order in which it binds. */
+const TASK_RULES: readonly (readonly [PendingReason, TaskRule])[] = [
+  [
+    'recovery',
+    ({index, step}, {fleet, recoveryMs}) =>
+      isStartableTask(fleet, step, index) ? undefined : {untilMs: recoveryMs},
+  ],
+  ['unknown-result', findUnknownResult],
+  ['suspicion', ({step}, {fleet}) => (fleet.suspectedJobs.has(step.job) ? {} : undefined)],
+  ['gang', findGangRun],
+];
+
+function hasRoom({step}: PendingTask, minion: MinionState): boolean {
+  const {fillsSpareCpu, resources} = step.shape;
+  const hasSpareCpu = !fillsSpareCpu || minion.spareCpuMilli >= resources.cpuMilli;
+  return hasSpareCpu && minion.hasCapacity(step.shape) && meetsConstraints(step, minion);
+}
+
+/** What a minion has to meet, in order; the reason is the first rule that no minion meets with all before. */
+const MINION_RULES: readonly (readonly [PendingReason, MinionRule])[] = [
+  ['room', hasRoom],
+  [
+    'availability',
+    (_task, minion, judge) =>
+      judge.findUnavailability(minion) === undefined || isOnlyUntrusted(minion, judge.context.now),
+  ],
+  ['trust', (_task, minion, judge) => judge.findUnavailability(minion) === undefined],
+  [
+    'advice',
+    ({step}, minion, {context: {advice, fleet}}) =>
+      fleet.resolveQueuePolicy(step.job).advice === undefined ||
+      advice.isPermitted(step, minion) === true,
+  ],
+  ['avoidance', ({index, step}, {id}, {context: {now}}) => !step.isAvoided(index, id, now)],
+  [
+    'last-attempt',
+    ({index, step}, minion, {context: {fleet, now}}) => {
+      const {maxAttempts} = fleet.resolveQueuePolicy(step.job);
+      return !shouldSaveLastAttempt({index, maxAttempts, step}, minion, now);
+    },
+  ],
+  [
+    'suspicion',
+    // The separation counts from when planning first considers the task, so not from a review before that.
+    ({index, step}, minion, {context: {hold, now}}) =>
+      hold !== undefined || isApartFromSuspects(step, index, minion, now),
+  ],
+  [
+    'sharing',
+    ({step}, minion, {context: {now, sharingCosts}}) =>
+      !step.shape.fillsSpareCpu || sharingCosts.backfillCost(minion, step, now) !== undefined,
+  ],
+];
+
+/** Details of reasons that name a minion, one that meets all rules before. */
+const MINION_RULE_DETAILS: Readonly<
+  Partial<
+    Record<PendingReason, (task: PendingTask, minion: MinionState, now: Instant) => PendingDetails>
+  >
+> = {
+  availability: (_task, {id}) => ({minion: id}),
+  'last-attempt': ({index, step}, {id}, now) => ({
+    minion: id,
+    untilMs: findLastAttemptWaitMs(step, index, now),
+  }),
+  trust: (_task, {id}) => ({minion: id}),
+};
+
+/** What withholds a task that could start otherwise. */
+const ROUND_RULES: readonly (readonly [PendingReason, TaskRule])[] = [
+  ['directory', (_task, {hold}) => (hold === 'directory' ? {} : undefined)],
+  [
+    'start-limit',
+    ({step}, {fleet, hold, isBudgetUsedUp}) =>
+      hold === 'backlog' || (isBudgetUsedUp && isDeferrable(fleet, step)) ? {} : undefined,
+  ],
+];
+
+function applyTaskRules(
+  rules: readonly (readonly [PendingReason, TaskRule])[],
+  task: PendingTask,
+  context: PendingContext,
+): PendingCause | undefined {
+  for (const [reason, rule] of rules) {
+    const details = rule(task, context);
+    if (details !== undefined) {
+      return {...details, reason};
+    }
+  }
+  return undefined;
+}
+
+/**
+ * @example
+ * const judge = new PendingTaskJudge({advice, fleet, hold, isBudgetUsedUp, now, recoveryMs, sharingCosts});
+ * judge.findCause({index: 0, step}); // {minion: 'm1', reason: 'last-attempt', untilMs: 7_200}
+ */
+export class PendingTaskJudge {
+  readonly context: PendingContext;
+  readonly #minions = new Map<ServiceId, MinionState[]>();
+  readonly #unavailability = new Map<MinionState, undefined | Unavailability>();
+
+  constructor(context: PendingContext) {
+    this.context = context;
+    const {fleet, now} = context;
+    for (const minion of fleet.minions.values()) {
+      const {service} = minion.description;
+      const minions = this.#minions.get(service) ?? [];
+      minions.push(minion);
+      this.#minions.set(service, minions);
+      this.#unavailability.set(minion, findUnavailability(minion, now));
+    }
+  }
+
+  /** Returns why a waiting task does not start. */
+  findCause(task: PendingTask): PendingCause {
+    return (
+      applyTaskRules(TASK_RULES, task, this.context) ??
+      this.#findMinionCause(task) ??
+      applyTaskRules(ROUND_RULES, task, this.context) ?? {reason: 'placement'}
+    );
+  }
+
+  findUnavailability(minion: MinionState): undefined | Unavailability {
+    return this.#unavailability.get(minion);
+  }
+
+  #findMinionCause(task: PendingTask): PendingCause | undefined {
+    const {fleet, now} = this.context;
+    const {service} = fleet.resolveQueuePolicy(task.step.job);
+    let closest: MinionState | undefined;
+    let met = -1;
+    for (const minion of this.#minions.get(service) ?? []) {
+      const failed = MINION_RULES.findIndex(([, rule]) => !rule(task, minion, this));
+      if (failed === -1) {
+        return undefined;
+      }
+      if (failed > met) {
+        closest = minion;
+        met = failed;
+      }
+    }
+    const reason = MINION_RULES[met]?.[0] ?? 'room';
+    const details = closest && MINION_RULE_DETAILS[reason]?.(task, closest, now);
+    return {...details, reason};
+  }
+}
+
+/** Whether it does not respond. A minion whose entry is missing may respond all the same. */
+function isSilent({lastAnswerAt, missedCalls, unlistedSince}: MinionState): boolean {
+  return missedCalls > 0 || (lastAnswerAt ?? -Infinity) < (unlistedSince ?? -Infinity);
+}
+
+type RunRule = (run: Run, minion: MinionState) => boolean;
+
+/** Why a task with a run does not run, in the order in which it binds. */
+const RUN_RULES: readonly (readonly [PendingReason, RunRule])[] = [
+  ['unknown-result', (run, {endedRuns}) => endedRuns.has(run)],
+  ['lease', (_run, minion) => isSilent(minion)],
+  ['stop', ({phase}) => phase === 'stopping'],
+  ['start', ({knownFrom, phase}) => phase === 'starting' || knownFrom === 'record'],
+];
+
+/**
+ * Returns why a task whose run is on the minion may not run; undefined when it runs.
+ *
+ * @example
+ * findRunCause(run, minion, now); // {minion: 'm1', reason: 'lease', untilMs: 2_300}
+ */
+export function findRunCause(
+  run: Run,
+  minion: MinionState,
+  now: Instant,
+): PendingCause | undefined {
+  const reason = RUN_RULES.find(([, isMet]) => isMet(run, minion))?.[0];
+  if (reason === undefined) {
+    return undefined;
+  }
+  const leasedMs = Math.max(0, (run.leasedUntil ?? Infinity) - now);
+  const untilMs =
+    reason === 'lease' ? Math.min(minion.leaseClock.expiresInMs(now), leasedMs) : undefined;
+  return {minion: minion.id, reason, untilMs};
+}
--- a/packages/nutmegproxy-scheduling/src/ReadySteps.ts
+++ b/packages/nutmegproxy-scheduling/src/ReadySteps.ts
@@ -6,7 +6,7 @@
 import type {Fleet} from './Fleet.ts';
 
 /** Whether all steps that the step depends on are completed. */
-function isReady(step: StepState, siblings: readonly StepState[]): boolean {
+export function isReady(step: StepState, siblings: readonly StepState[]): boolean {
   return step.shape.after.every((earlier) => siblings[earlier]?.isDone ?? false);
 }
 
--- a/packages/nutmegproxy-scheduling/src/SchedulingEvents.ts
+++ b/packages/nutmegproxy-scheduling/src/SchedulingEvents.ts
@@ -76,6 +76,11 @@
     level: 'info',
     text: 'A task of a long-running job does not run: what it waits for and for how long.',
   },
+  TASKS_PENDING: {
+    code: 8027,
+    level: 'info',
+    text: 'How many tasks that are not long-running do not run for over 3 s after their turn came, and why.',
+  },
   TRIAL_PASSED: {
     code: 8017,
     level: 'info',
--- a/packages/nutmegproxy-scheduling/src/StartPlanner.ts
+++ b/packages/nutmegproxy-scheduling/src/StartPlanner.ts
@@ -78,6 +78,7 @@
     const ready = collectReadySteps(this.#fleet, now, wall);
     const trials = this.#planTrials(ready);
     this.#heldTasks = trials.heldTasks;
+    this.#fleet.suspectedJobs = trials.held;
     const others = ready.filter(({job}) => !trials.held.has(job) && !job.isFinal);
     const ordered = orderSteps(this.#fleet, others, estimator, wall).map(({step}) => step);
     this.#permissions.admitsFailedTrials = false;
--- a/packages/nutmegproxy-scheduling/src/index.ts
+++ b/packages/nutmegproxy-scheduling/src/index.ts
@@ -39,6 +39,15 @@
 export type {MachineId, MinionDescription, WorkKind} from './MinionState.ts';
 export {MinionTrust} from './MinionTrust.ts';
 export type {TrustLevel} from './MinionTrust.ts';
+export {PendingTaskLog} from './PendingTaskLog.ts';
+export type {PendingReview} from './PendingTaskLog.ts';
+export {findRunCause, PendingTaskJudge} from './PendingTaskReason.ts';
+export type {
+  PendingCause,
+  PendingContext,
+  PendingReason,
+  PendingTask,
+} from './PendingTaskReason.ts';
 export {computePlacementCost, isSchedulable, meetsConstraints} from './Placement.ts';
 export type {SharingCosts} from './Placement.ts';
 export {DEFAULT_QUEUE_POLICY} from './QueuePolicy.ts';
