--- a/packages/nutmegproxy-cli/src/Explain.ts
+++ b/packages/nutmegproxy-cli/src/Explain.ts
@@ -48,8 +48,12 @@
   OWNER_EVENTS.JOBS_READ.code,
   SCHEDULING_EVENTS.CRASHED_RUNS.code,
   SCHEDULING_EVENTS.RUNS_ADOPTED.code,
+  SCHEDULING_EVENTS.TASKS_PENDING.code,
 ]);
 
+/** Matches the minion that a task waits for, at the end of its name in a line about pending tasks. */
+const AWAITED_MINION = /\/on=(\S+)$/;
+
 /**
  * Parses a log line; returns undefined if it is none. Text before the JSON, such as a prefix added
  * by a log collector, is skipped.
@@ -84,10 +88,25 @@
   );
 }
 
+/** Reduces a line about the pending tasks of all jobs to the tasks of the given ones. */
+function selectPendingTasks(line: LogLine, jobs: ReadonlySet<unknown>): LogLine {
+  const {code, fields} = line;
+  if (code !== SCHEDULING_EVENTS.TASKS_PENDING.code) {
+    return line;
+  }
+  const named = String(fields.named)
+    .split(' ')
+    .filter((name) => findNamedJobs({named: name}).some((job) => jobs.has(job)));
+  const minion = named.flatMap((name) => AWAITED_MINION.exec(name)?.[1] ?? [])[0];
+  return {...line, fields: {...(minion !== undefined && {minion}), named: named.join(' ')}};
+}
+
 /** Returns the lines about a request or job and the events that affected it, oldest first. */
 export function selectRelevantLines(lines: readonly LogLine[], id: string): readonly LogLine[] {
   const jobs = findJobIds(lines, id);
-  const ownLines = lines.filter((line) => concernsJob(line, jobs) || line.fields.request === id);
+  const ownLines = lines
+    .filter((line) => concernsJob(line, jobs) || line.fields.request === id)
+    .map((line) => selectPendingTasks(line, jobs));
   if (ownLines.length === 0) {
     return [];
   }
--- a/packages/nutmegproxy-cli/src/__tests__/unit/Explain.test.ts
+++ b/packages/nutmegproxy-cli/src/__tests__/unit/Explain.test.ts
@@ -39,6 +39,30 @@
     assert.doesNotMatch(explanation, /m2|term=2/);
   });
 
+  it('says for what the tasks of the job wait, and includes events of the minion that is waited for', () => {
+    const job = '3f6718a4051e2adb';
+    const other = '778dbe0ed9382b09';
+    const log = [
+      formatLine(1_000, 'edge-a', 8211, {job, request: 'r1'}),
+      formatLine(5_000, 'edge-c', 8027, {
+        named: `${other}.0.0.0/room/9000 ${job}.0.0.0/unknown-result/4000/on=m2`,
+        pending: 2,
+      }),
+      formatLine(5_010, 'edge-c', 8135, {minion: 'm1'}),
+      formatLine(5_011, 'edge-c', 8135, {minion: 'm2'}),
+    ];
+    for (const id of ['r1', job]) {
+      const explanation = explain(log, id);
+      assert.equal(explanation.length, 3);
+      assert.match(
+        explanation[1] ?? '',
+        /8027 .* minion=m2 named=3f6718a4051e2adb\.0\.0\.0\/unknown-/,
+      );
+      assert.doesNotMatch(explanation[1] ?? '', /room|pending=/);
+      assert.match(explanation[2] ?? '', /8135 .*minion=m2/);
+    }
+  });
+
   it('includes the adoption of a run by the next owner, and events of the minion that listed it', () => {
     const job = '3f6718a4051e2adb';
     const other = '778dbe0ed9382b09';
