--- a/packages/nutmegproxy-scheduling/src/LastAttempt.ts
+++ b/packages/nutmegproxy-scheduling/src/LastAttempt.ts
@@ -30,7 +30,7 @@
  */
 function findWaitEnd(
   {formerReleasedAt}: Fleet,
-  {index, step}: AttemptedTask,
+  {index, step}: Pick<AttemptedTask, 'index' | 'step'>,
   now: Instant,
 ): Instant {
   const failedAt = step.failedAt.get(index);
@@ -57,5 +57,14 @@
     return false;
   }
   const isBetterMinion = trust.level(now) === 'trusted' && !trust.hasRecentFailures(now);
-  return !isBetterMinion && now < findWaitEnd(fleet, task, now);
+  return !isBetterMinion && findLastAttemptWaitMs(fleet, task, now) > 0;
+}
+
+/** Returns the time in milliseconds for which the last attempt of a task may still be saved. */
+export function findLastAttemptWaitMs(
+  fleet: Fleet,
+  task: Pick<AttemptedTask, 'index' | 'step'>,
+  now: Instant,
+): number {
+  return Math.max(0, findWaitEnd(fleet, task, now) - now);
 }
