--- a/packages/nutmegproxy-owner/src/AdvicePrefetcher.ts
+++ b/packages/nutmegproxy-owner/src/AdvicePrefetcher.ts
@@ -91,8 +91,8 @@
     const wall = clock.wall();
     const ready: StepState[] = [];
     const later: StepState[] = [];
-    for (const job of fleet.jobs.values()) {
-      if (job.isFinal || fleet.resolveQueuePolicy(job).advice === undefined) {
+    for (const job of fleet.jobs.open()) {
+      if (fleet.resolveQueuePolicy(job).advice === undefined) {
         continue;
       }
       for (const steps of job.openOccurrences(wall)) {
--- a/packages/nutmegproxy-owner/src/QueueLengthPublisher.ts
+++ b/packages/nutmegproxy-owner/src/QueueLengthPublisher.ts
@@ -47,8 +47,8 @@
 
   #count(): QueueLengths {
     const counts: Record<string, number> = {};
-    for (const job of this.#options.fleet.jobs.values()) {
-      if (!job.hasStarted && !job.isFinal) {
+    for (const job of this.#options.fleet.jobs.open()) {
+      if (!job.hasStarted) {
         const {queue} = job.request;
         counts[queue] = (counts[queue] ?? 0) + 1;
       }
--- a/packages/nutmegproxy-scheduling/src/CrashRecorder.ts
+++ b/packages/nutmegproxy-scheduling/src/CrashRecorder.ts
@@ -142,10 +142,7 @@
 /** Lists the stored trials on a minion. */
 function listTrialsOn(fleet: Fleet, {id}: MinionState): StoredTrial[] {
   const stored: StoredTrial[] = [];
-  for (const job of fleet.jobs.values()) {
-    if (!job.mayHaveTrials) {
-      continue;
-    }
+  for (const job of fleet.jobs.tried) {
     for (const step of job.steps()) {
       for (const [index, trial] of step.crashes.trials) {
         if (trial.minion === id) {
--- a/packages/nutmegproxy-scheduling/src/Fleet.ts
+++ b/packages/nutmegproxy-scheduling/src/Fleet.ts
@@ -1,6 +1,6 @@
 /** The owner's state of the fleet: jobs, minions and runs. All changes of runs are made here. */
 
-import type {EventSink, Instant, JobId, MinionId} from '@nutmegproxy/core';
+import type {EventSink, Instant, MinionId} from '@nutmegproxy/core';
 import type {
   Checkpoint,
   JobState,
@@ -17,6 +17,7 @@
 import type {StopReason, StopRequest} from './StopRequest.ts';
 
 import {createRun} from './FleetUtils.ts';
+import {JobTable} from './JobTable.ts';
 import {recordFailure, recordSuccess} from './MinionQuarantine.ts';
 import {OutageLog} from './OutageLog.ts';
 import {DEFAULT_QUEUE_POLICY} from './QueuePolicy.ts';
@@ -29,7 +30,7 @@
   speculationPlannedAt = -Infinity;
   /** Jobs whose progress has to be written to the store. */
   readonly dirtyJobs = new Set<JobState>();
-  readonly jobs = new Map<JobId, JobState>();
+  readonly jobs = new JobTable();
   readonly minions = new Map<MinionId, MinionState>();
   readonly queues = new Map<QueueId, QueuePolicy>();
   /** Jobs accepted up to this revision may have runs on minions that have not reported yet. */
@@ -70,6 +71,7 @@
       return;
     }
     job.status = 'cancelled';
+    this.jobs.recordEnd(job);
     this.dirtyJobs.add(job);
     this.events.record(SCHEDULING_EVENTS.JOB_CANCELLED, {job: job.id});
     this.#stopAll(job, 'cancelled');
@@ -231,6 +233,7 @@
 
   finishJob(job: JobState, status: 'completed' | 'failed'): void {
     job.status = status;
+    this.jobs.recordEnd(job);
     this.dirtyJobs.add(job);
     const kind = status === 'completed' ? 'JOB_COMPLETED' : 'JOB_FAILED';
     this.events.record(SCHEDULING_EVENTS[kind], {job: job.id});
--- a/packages/nutmegproxy-scheduling/src/QueueReplacement.ts
+++ b/packages/nutmegproxy-scheduling/src/QueueReplacement.ts
@@ -16,10 +16,10 @@
   for (const queue of queues) {
     fleet.queues.set(queue.id, queue);
   }
-  for (const job of fleet.jobs.values()) {
+  for (const job of fleet.jobs.open()) {
     const {queue} = job.request;
     const removed = fleet.queues.has(queue) ? undefined : former.get(queue);
-    if (removed !== undefined && !job.isFinal) {
+    if (removed !== undefined) {
       job.formerMaxAttempts = removed.maxAttempts;
       fleet.dirtyJobs.add(job);
     }
--- a/packages/nutmegproxy-scheduling/src/ReadySteps.ts
+++ b/packages/nutmegproxy-scheduling/src/ReadySteps.ts
@@ -24,22 +24,28 @@
 
 /** Returns the waiting tasks of a step that can't have a live run from a former owner. */
 export function listStartableTasks(fleet: Fleet, step: StepState): number[] {
-  const indexes = [...step.waiting];
-  return step.job.revision <= fleet.recoveryRevision
-    ? indexes.filter((index) => isStartableTask(fleet, step, index))
-    : indexes;
+  if (step.job.revision > fleet.recoveryRevision) {
+    return [...step.waiting];
+  }
+  return step.recoveredTasks.size === 0
+    ? []
+    : [...step.waiting].filter((index) => step.recoveredTasks.has(index));
+}
+
+/** Whether `listStartableTasks` returns any, without a list of them. */
+function hasStartableTasks(fleet: Fleet, step: StepState): boolean {
+  return step.job.revision > fleet.recoveryRevision
+    ? step.waiting.size > 0
+    : listStartableTasks(fleet, step).length > 0;
 }
 
 /** Returns the steps with waiting tasks that may start. */
 export function collectReadySteps(fleet: Fleet, now: Instant, wall: WallTime): StepState[] {
   const ready: StepState[] = [];
-  for (const job of fleet.jobs.values()) {
-    if (job.isFinal) {
-      continue;
-    }
+  for (const job of fleet.jobs.open()) {
     for (const steps of job.openOccurrences(wall)) {
       for (const step of steps) {
-        if (listStartableTasks(fleet, step).length > 0 && isReady(step, steps)) {
+        if (hasStartableTasks(fleet, step) && isReady(step, steps)) {
           step.readyAt ??= now;
           ready.push(step);
         }
@@ -52,8 +58,11 @@
 /** Returns the number of tasks whose turn has come and that wait for the recovery to complete. */
 export function countHeldTasks(fleet: Fleet, wall: WallTime): number {
   let held = 0;
-  for (const job of fleet.jobs.values()) {
-    if (job.isFinal || job.revision > fleet.recoveryRevision) {
+  if (fleet.recoveryRevision === 0) {
+    return held;
+  }
+  for (const job of fleet.jobs.open()) {
+    if (job.revision > fleet.recoveryRevision) {
       continue;
     }
     for (const steps of job.openOccurrences(wall)) {
--- a/packages/nutmegproxy-scheduling/src/TaskTrials.ts
+++ b/packages/nutmegproxy-scheduling/src/TaskTrials.ts
@@ -138,7 +138,7 @@
     minion: run.minion,
     run: run.number,
   });
-  run.step.job.mayHaveTrials = true;
+  fleet.jobs.recordTrial(run.step.job);
   fleet.dirtyJobs.add(run.step.job);
 }
 
