--- a/packages/nutmegproxy-scheduling/src/MinionRanking.ts
+++ b/packages/nutmegproxy-scheduling/src/MinionRanking.ts
@@ -20,6 +20,8 @@
 
 export class MinionRanking {
   readonly #candidates: readonly Candidate[];
+  /** The candidate that was chosen last, which is refreshed most often. */
+  #chosen: Candidate | undefined;
   readonly #now: Instant;
   readonly #step: StepState;
   readonly #sharingCosts: SharingCosts;
@@ -55,12 +57,16 @@
         best = candidate;
       }
     }
+    this.#chosen = best;
     return best?.minion;
   }
 
   /** Recomputes a minion's cost after a run was added to it or removed from it. */
   refresh(minion: MinionState): void {
-    const candidate = this.#candidates.find((each) => each.minion === minion);
+    const candidate =
+      this.#chosen?.minion === minion
+        ? this.#chosen
+        : this.#candidates.find((each) => each.minion === minion);
     if (candidate !== undefined) {
       candidate.cost = computePlacementCost(this.#step, minion, this.#sharingCosts, this.#now);
     }
--- a/packages/nutmegproxy-scheduling/src/Placement.ts
+++ b/packages/nutmegproxy-scheduling/src/Placement.ts
@@ -33,6 +33,10 @@
    * with serving tasks.
    */
   readonly backfillCost: (minion: MinionState, step: StepState, now: Instant) => number | undefined;
+  /**
+   * Whether the costs of a backfill step may change once a task of it is placed, since it has waited; default: true.
+   */
+  readonly dependsOnWait?: (step: StepState, now: Instant) => boolean;
   /** Cost of an ordinary task, in thousandths of a core. */
   readonly ordinaryCost: (minion: MinionState, shape: StepShape) => number;
   /** Cost of a serving task, in thousandths of a core. */
--- a/packages/nutmegproxy-scheduling/src/SharingPolicy.ts
+++ b/packages/nutmegproxy-scheduling/src/SharingPolicy.ts
@@ -122,6 +122,11 @@
     return worst * UTILIZATION_COST;
   }
 
+  /** Whether a backfill step has waited so long that minions admit it which would not admit others. */
+  dependsOnWait(step: StepState, now: Instant): boolean {
+    return this.#describeBackfill(step, now).utilizationLimit !== MAX_PLANNED_SHARE;
+  }
+
   /**
    * Returns the cost of an ordinary task on a minion: the room that is not reserved on it, so that
    * tasks are packed and minions with much room are left to large tasks, and the processors that
--- a/packages/nutmegproxy-scheduling/src/StartPlanner.ts
+++ b/packages/nutmegproxy-scheduling/src/StartPlanner.ts
@@ -217,6 +217,12 @@
     return shape.fillsSpareCpu && blockedForMs > 0 && blockedForMs < BACKFILL_RETRY_MS;
   }
 
+  /** Whether the costs of a step depend on how long it has waited. */
+  #dependsOnWait(step: StepState): boolean {
+    const {now, sharingCosts} = this.#context;
+    return step.shape.fillsSpareCpu && (sharingCosts.dependsOnWait?.(step, now) ?? true);
+  }
+
   #placeTasks(step: StepState, budget: StartBudget): void {
     const minions = this.#listMinions(step);
     if (this.#isInBackoff(step)) {
@@ -247,10 +253,11 @@
         }
         return;
       }
+      const mustRankAgain = order === skipped && this.#dependsOnWait(step);
       this.#starts.push(this.#fleet.startRun(step, index, minion, this.#context.now));
       budget.take(1);
-      if (order === skipped && step.shape.fillsSpareCpu) {
-        // Costs depend on how long the step has waited, and its first placed task resets that.
+      if (mustRankAgain) {
+        // Its first placed task resets how long the step has waited.
         ranking = this.#rank(step, minions);
       } else {
         ranking.refresh(minion);
