--- a/packages/nutmegproxy-owner/src/LeaseEnds.ts
+++ b/packages/nutmegproxy-owner/src/LeaseEnds.ts
@@ -5,6 +5,7 @@
  */
 
 import type {Clock, EventSink, Instant} from '@nutmegproxy/core';
+import type {Run} from '@nutmegproxy/jobs';
 import type {Fleet, MinionState} from '@nutmegproxy/scheduling';
 
 import {after} from '@nutmegproxy/core';
@@ -52,7 +53,12 @@
   minion: MinionState,
   confirmedAt: Instant,
 ): void {
-  const expired = [...minion.runs].filter(({leasedUntil = Infinity}) => leasedUntil <= confirmedAt);
+  const expired: Run[] = [];
+  for (const run of minion.runs) {
+    if (run.leasedUntil !== undefined && run.leasedUntil <= confirmedAt) {
+      expired.push(run);
+    }
+  }
   if (expired.length === 0) {
     return;
   }
--- a/packages/nutmegproxy-scheduling/src/JobOrder.ts
+++ b/packages/nutmegproxy-scheduling/src/JobOrder.ts
@@ -70,7 +70,9 @@
 
 /** Whether tasks of a long-running step were interrupted. */
 function isInterrupted(step: StepState): boolean {
-  return [...step.waiting].some((index) => isInterruptedTask(step, index));
+  return (
+    step.shape.longRunning && [...step.waiting].some((index) => isInterruptedTask(step, index))
+  );
 }
 
 /** A long-running job keeps its processors, so that its duration says nothing of what others wait for. */
--- a/packages/nutmegproxy-scheduling/src/MinionAvailability.ts
+++ b/packages/nutmegproxy-scheduling/src/MinionAvailability.ts
@@ -33,7 +33,12 @@
 
 /** Whether the minion is on trial and has a run that shows if it is sound. */
 export function hasTrialRun(minion: MinionState): boolean {
-  return [...minion.runs].some((run) => isTrialRun(minion, run));
+  for (const run of minion.runs) {
+    if (isTrialRun(minion, run)) {
+      return true;
+    }
+  }
+  return false;
 }
 
 /**
@@ -83,6 +88,9 @@
 
 /** Whether the minion gets no new work for no other reason than that its runs have failed or stalled. */
 export function isOnlyUntrusted(minion: MinionState, now: Instant): boolean {
+  if (minion.trust.level(now) === 'trusted') {
+    return false;
+  }
   const met = ORDERED_CONDITIONS.filter(([, isMet]) => isMet(minion, now));
   return met.length > 0 && met.every(([name]) => TRUST_CONDITIONS.has(name));
 }
--- a/packages/nutmegproxy-scheduling/src/SpeculationPlanner.ts
+++ b/packages/nutmegproxy-scheduling/src/SpeculationPlanner.ts
@@ -44,9 +44,12 @@
   for (const minion of fleet.minions.values()) {
     for (const run of [...minion.runs]) {
       const {shape} = run.step;
+      if (!shape.speculative) {
+        continue;
+      }
       const {index} = run.task;
       const isSuspect = run.step.crashes.of(index).length > 0;
-      const canSpeculate = shape.speculative && !shape.gang && !shape.longRunning && !isSuspect;
+      const canSpeculate = !shape.gang && !shape.longRunning && !isSuspect;
       if (
         !canSpeculate ||
         run.step.runsOf(index).length > 1 ||
