--- a/packages/nutmegproxy-owner/src/Owner.ts
+++ b/packages/nutmegproxy-owner/src/Owner.ts
@@ -7,13 +7,14 @@
 import type {MinionState} from '@nutmegproxy/scheduling';
 import type {PlatformStore} from '@nutmegproxy/store';
 
-import {delay} from '@nutmegproxy/core';
+import {delay, WorkQueue} from '@nutmegproxy/core';
 import {
   countDeferrable,
   DurationEstimator,
   evacuateMinion,
   Fleet,
   planStarts,
+  PlanSweep,
   type QueuePolicy,
   replaceQueues,
   RunProgressMonitor,
@@ -34,14 +35,16 @@
 import {LearnedEstimates} from './LearnedEstimates.ts';
 import {MinionSessions} from './MinionSessions.ts';
 import {
+  MAX_PLACEMENT_MS,
   MAX_PLAN_IDLE_MS,
+  MAX_TURN_MS,
   RETENTION_MARGIN_MS,
   RUN_NUMBERS_PER_TERM,
   STORE_RETRY_MS,
 } from './OwnerConstants.ts';
 import {OWNER_EVENTS} from './OwnerEvents.ts';
 import {OwnerLoad} from './OwnerLoad.ts';
-import {choosePlanPause} from './OwnerUtils.ts';
+import {choosePlanPause, createTimeLimit} from './OwnerUtils.ts';
 import {QueueLengthPublisher} from './QueueLengthPublisher.ts';
 import {Retention} from './Retention.ts';
 import {Roster} from './Roster.ts';
@@ -49,6 +52,7 @@
 import {StartLimiter} from './StartLimiter.ts';
 import {StartThrottle} from './StartThrottle.ts';
 import {TrackedOrders} from './TrackedOrders.ts';
+import {TurnLog} from './TurnLog.ts';
 
 export interface OwnerOptions {
   /** Client of the advising service; undefined where the platform has none. */
@@ -87,11 +91,13 @@
   readonly #roster: Roster;
   readonly #roundLog: RoundLog;
   readonly #sharing: SharingPolicy;
+  readonly #sweep = new PlanSweep();
   readonly #startLimiter = new StartLimiter();
   readonly #startThrottle = new StartThrottle();
   #stopReason: string | undefined;
   readonly #queueLengths: QueueLengthPublisher;
   #wake: (() => void) | undefined;
+  readonly #work: WorkQueue;
 
   constructor(options: OwnerOptions) {
     const {bounds, clock, directory, events, ownership, store} = options;
@@ -106,6 +112,8 @@
     const onFenced = (): void => {
       this.stop('fenced');
     };
+    this.#work = this.#createWorkQueue();
+    const work = this.#work;
     this.#fleet = createFleet(options);
     const fleet = this.#fleet;
     this.#journal = new Journal({dirtyJobs: fleet.dirtyJobs, events, onFenced, ownership, store});
@@ -116,7 +124,7 @@
     this.#retention = new Retention({clock, events, fleet, ownership, retentionMs, store});
     this.#queueLengths = new QueueLengthPublisher({events, fleet, ownership, store});
     this.#advice = new AdvicePrefetcher({client: options.advice, clock, events, fleet, onChange});
-    this.#jobs = new JobWatcher({clock, events, fleet, onChange, onFenced, ownership, store});
+    this.#jobs = new JobWatcher({clock, events, fleet, onChange, onFenced, ownership, store, work});
     this.#minions = new MinionSessions({
       bounds,
       clock,
@@ -155,6 +163,7 @@
         overdueInMs: (minion, now) => this.#progressMonitor.overdueInMs(fleet, minion, now),
         ownership,
         startLimiter: this.#startLimiter,
+        work,
       },
       store,
     });
@@ -174,9 +183,11 @@
     void this.#retention.run(() => this.#isActing());
     void this.#learnedEstimates.run(() => this.#isActing());
     while (this.#isActing()) {
-      const startedAt = clock.monotonic();
-      this.#plan();
-      const roundMs = clock.monotonic() - startedAt;
+      const roundMs = await this.#work.run('planning', () => {
+        const startedAt = clock.monotonic();
+        this.#plan();
+        return clock.monotonic() - startedAt;
+      });
       this.#load.recordRound(roundMs);
       await this.#sleep(choosePlanPause(roundMs));
     }
@@ -221,6 +232,18 @@
     });
   }
 
+  #createWorkQueue(): WorkQueue {
+    const {clock, events, ownership} = this.#options;
+    const log = new TurnLog({events, load: this.#load, term: ownership.term});
+    return new WorkQueue({
+      clock,
+      maxTurnMs: MAX_TURN_MS,
+      onTurn: (turn, now) => {
+        log.record(turn, now);
+      },
+    });
+  }
+
   #isActing(): boolean {
     const {clock, ownership} = this.#options;
     return ownership.state(clock.monotonic(), clock.wall()) !== 'over';
@@ -254,8 +277,10 @@
       advice: this.#advice.createLookup(now),
       deferrableStarts: this.#startThrottle.getAllowance(now),
       estimator: this.#estimator,
+      isTimeUp: createTimeLimit(clock, MAX_PLACEMENT_MS),
       now,
       sharingCosts: this.#sharing,
+      sweep: this.#sweep,
       wall,
     };
     const hold = this.#findHold(now);
@@ -271,6 +296,9 @@
     if (fleet.dirtyJobs.size > 0) {
       this.#journal.wake();
     }
+    if (this.#sweep.isOpen) {
+      this.#wakeUp();
+    }
   }
 
   /** Learns from the former owner what minions may run that do not report. */
