--- a/packages/nutmegproxy-scheduling/src/__tests__/unit/TaskTrials.test.ts
+++ b/packages/nutmegproxy-scheduling/src/__tests__/unit/TaskTrials.test.ts
@@ -8,7 +8,7 @@
 import type {MinionState} from '../../MinionState.ts';
 
 import {CRASH_VERDICTS} from '../../CrashVerdict.ts';
-import {confirm, crash, play, respond, startOn} from './CrashSamples.ts';
+import {confirm, crash, crashOf, play, respond, startOn} from './CrashSamples.ts';
 import {at, SampleFleet, shape} from './Samples.ts';
 
 describe('A task that crashes its minion some time after its start', () => {
@@ -243,3 +243,66 @@
     assert.equal(step?.runsOf(0).length, 1);
   });
 });
+
+describe('Suspects that wait for trials', () => {
+  /** Time in milliseconds from the last crash under a task within which it has to start. */
+  const MAX_WAIT_MS = 10_000;
+  /** All of them together take less than half of the capacity. */
+  const RESOURCES = {cpuMilli: 200, gpus: 0, memoryMb: 10};
+
+  /** Adds jobs with a suspected task each, as an owner reads them that has not seen the crashes. */
+  function addSuspects(sample: SampleFleet, count: number, longRunning: boolean): JobState[] {
+    const minions = [...sample.fleet.minions.values()].slice(0, 2);
+    return Array.from({length: count}, () => {
+      const job = sample.addJob('proofs', [shape({longRunning, resources: RESOURCES})]);
+      const crashes = job.occurrence(0)?.[0]?.crashes;
+      for (const [index, minion] of minions.entries()) {
+        const crash = {...crashOf(minion, 490, index + 1), evidence: 'unconfirmed' as const};
+        crashes?.record(0, crash, at(0));
+      }
+      return job;
+    });
+  }
+
+  /** Returns when the last of the jobs starts, in milliseconds. */
+  function findLastStart(sample: SampleFleet, jobs: readonly JobState[]): number {
+    const startedAt = new Map<JobState, number>();
+    play(sample, 0, 60_000, (now) => {
+      for (const run of [...sample.fleet.minions.values()].flatMap(({runs}) => [...runs])) {
+        const {
+          job,
+          shape: {longRunning},
+        } = run.step;
+        startedAt.set(job, startedAt.get(job) ?? now);
+        if (!longRunning && now - run.sentAt >= 1_000) {
+          sample.fleet.finishRun(run, 'done', undefined, at(now));
+        }
+      }
+    });
+    return Math.max(...jobs.map((job) => startedAt.get(job) ?? Infinity));
+  }
+
+  for (const longRunning of [false, true]) {
+    it(`start in time though the fleet has few trials for them (lasting: ${longRunning})`, () => {
+      const sample = new SampleFleet(12);
+      const lastMs = findLastStart(sample, addSuspects(sample, 100, longRunning));
+      assert.ok(lastMs <= MAX_WAIT_MS, `the last one started after ${lastMs} ms`);
+    });
+  }
+
+  it('start in time though they are tasks of one lasting job, which has one trial at a time', () => {
+    const sample = new SampleFleet(12);
+    const job = sample.addJob('proofs', [
+      shape({count: 40, longRunning: true, resources: RESOURCES}),
+    ]);
+    const step = job.occurrence(0)?.[0];
+    const [first, second] = [...sample.fleet.minions.values()];
+    assert.ok(step && first && second);
+    for (let index = 0; index < 40; index += 1) {
+      step.crashes.record(index, crashOf(first, 490, 1), at(0));
+      step.crashes.record(index, crashOf(second, 490, 2), at(0));
+    }
+    play(sample, 0, MAX_WAIT_MS);
+    assert.equal(step.waiting.size, 0);
+  });
+});
