--- a/packages/nutmegproxy-owner/src/JobWatcher.ts
+++ b/packages/nutmegproxy-owner/src/JobWatcher.ts
@@ -78,6 +78,10 @@
         },
         onEvents: (events) => {
           for (const event of events) {
+            if (findKey(event) === OWNER_KEY) {
+              this.#checkOwner(event);
+              continue;
+            }
             void work.run('jobs', () => {
               this.#applyEvent(event);
               onChange();
@@ -104,23 +108,15 @@
   }
 
   #applyEvent(event: WatchEvent): void {
-    const {fleet, onFenced, ownership} = this.#options;
-    const key = event.kind === 'put' ? event.stored.key : event.key;
-    const revision = event.kind === 'put' ? event.stored.modRevision : event.modRevision;
-    if (key === OWNER_KEY) {
-      if (revision > ownership.token) {
-        onFenced();
-      }
-      return;
-    }
-    const parsed = parseJobKey(key);
+    const {fleet} = this.#options;
+    const parsed = parseJobKey(findKey(event));
     if (parsed === undefined || event.kind !== 'put') {
       return;
     }
     if (parsed.part === 'request') {
       const job = this.#addJob(event.stored);
       if (job !== undefined) {
-        this.#recordDiscovery(job, revision);
+        this.#recordDiscovery(job, event.stored.modRevision);
       }
     } else if (parsed.part === 'cancel') {
       const job = fleet.jobs.get(parsed.id);
@@ -130,6 +126,15 @@
     }
   }
 
+  /** Learns at once, before work that waits, that another VM owns the fleet. */
+  #checkOwner(event: WatchEvent): void {
+    const {onFenced, ownership} = this.#options;
+    const revision = event.kind === 'put' ? event.stored.modRevision : event.modRevision;
+    if (revision > ownership.token) {
+      onFenced();
+    }
+  }
+
   async #applySnapshot(values: readonly StoredValue[]): Promise<void> {
     const {events, fleet, onFenced, ownership, work} = this.#options;
     const owner = values.find(({key}) => key === OWNER_KEY);
@@ -207,3 +212,7 @@
     }
   }
 }
+
+function findKey(event: WatchEvent): string {
+  return event.kind === 'put' ? event.stored.key : event.key;
+}
--- a/packages/nutmegproxy-owner/src/__tests__/unit/JobWatcher.test.ts
+++ b/packages/nutmegproxy-owner/src/__tests__/unit/JobWatcher.test.ts
@@ -12,6 +12,7 @@
 import type {FleetOwnership} from '../../FleetOwnership.ts';
 
 import {JobWatcher} from '../../JobWatcher.ts';
+import {OWNER_KEY} from '../../OwnerElection.ts';
 import {OWNER_EVENTS} from '../../OwnerEvents.ts';
 import {acquireOwnership, createStep, waitForStore} from './OwnerSamples.ts';
 
@@ -29,6 +30,11 @@
 describe('the jobs that an owner receives', () => {
   const clock = new ManualClock();
   let breakWatch: () => void;
+  /** Whether work waits for a later turn of the event loop. */
+  let isBusy: boolean;
+  /** Uses up the present turn; the next one does not come. */
+  let fillTurn: () => void;
+  let isFenced: boolean;
   let ownership: FleetOwnership;
   let recorded: {fields: EventFields; kind: EventKind}[];
   let reportBreak: () => void;
@@ -68,6 +74,8 @@
   }
 
   beforeEach(async () => {
+    isBusy = false;
+    isFenced = false;
     recorded = [];
     store = new MemoryStore(clock);
     const events = {
@@ -87,15 +95,32 @@
       return opened;
     };
     ownership = await acquireOwnership(store);
+    const work = new WorkQueue({
+      clock,
+      maxTurnMs: 1,
+      schedule: (callback) => {
+        if (!isBusy) {
+          setImmediate(callback);
+        }
+      },
+    });
+    fillTurn = () => {
+      isBusy = true;
+      void work.run('planning', () => {
+        clock.advance(1);
+      });
+    };
     watcher = new JobWatcher({
       clock,
       events,
       fleet: new Fleet(events),
       onChange: () => undefined,
-      onFenced: () => undefined,
+      onFenced: () => {
+        isFenced = true;
+      },
       ownership,
       store,
-      work: new WorkQueue({clock, maxTurnMs: Infinity}),
+      work,
     });
   });
 
@@ -148,6 +173,17 @@
     assert.deepEqual(find(OWNER_EVENTS.JOBS_READ), []);
   });
 
+  it('wait for a later turn, while the end of its ownership does not', async () => {
+    (await watcher.start())._unsafeUnwrap();
+    await waitForStore();
+    fillTurn();
+    await submit(1);
+    await put(store, OWNER_KEY, Buffer.from('another VM'));
+    await waitForStore();
+    assert.deepEqual(find(OWNER_EVENTS.JOB_DISCOVERED), []);
+    assert.equal(isFenced, true);
+  });
+
   it('while its watch is broken are named once it has read all jobs again, without those before', async () => {
     await submit(1);
     (await watcher.start())._unsafeUnwrap();
