--- a/packages/nutmegproxy-owner/src/RoundLog.ts
+++ b/packages/nutmegproxy-owner/src/RoundLog.ts
@@ -78,13 +78,14 @@
     if (withheld !== undefined) {
       this.#taskWaits.review(withheld, now);
     }
-    const {advice, deferrableStarts = Infinity, sharingCosts} = round.context;
+    const {advice, deferrableStarts = Infinity, sharingCosts, sweep} = round.context;
     const isBudgetUsedUp = deferrableStarts <= countDeferrable(fleet, starts);
     this.#pendingTasks.review({
       advice,
       fleet,
       hold: round.hold,
       isBudgetUsedUp,
+      isCut: sweep?.isOpen ?? false,
       now,
       recoveryMs,
       sharingCosts,
--- a/packages/nutmegproxy-owner/src/__tests__/unit/RoundLog.test.ts
+++ b/packages/nutmegproxy-owner/src/__tests__/unit/RoundLog.test.ts
@@ -6,6 +6,7 @@
   DEFAULT_QUEUE_POLICY,
   DurationEstimator,
   Fleet,
+  PlanSweep,
   SCHEDULING_EVENTS,
 } from '@nutmegproxy/scheduling';
 import assert from 'node:assert/strict';
@@ -60,17 +61,20 @@
   });
 
   /** Records two rounds that start nothing, 3 s apart; returns the line about pending tasks. */
-  function recordRounds(hold: RoundHold | undefined, deferrableStarts?: number): EventFields {
+  function recordRounds(
+    hold: RoundHold | undefined,
+    change: Partial<Round['context']> = {},
+  ): EventFields {
     for (const ms of [0, 3_000]) {
       const now = ms as Instant;
       const wall = ms as WallTime;
       const context: Round['context'] = {
         advice: {isPermitted: () => undefined},
-        ...(deferrableStarts !== undefined && {deferrableStarts}),
         estimator: new DurationEstimator(DEFAULT_PLATFORM_BOUNDS),
         now,
         sharingCosts: {backfillCost: () => 0, ordinaryCost: () => 0, servingCost: () => 0},
         wall,
+        ...change,
       };
       step.readyAt = 0 as Instant;
       log.record({context, hold, now, starts: [], wall});
@@ -91,18 +95,24 @@
     });
 
     it('says that the starts of deferrable work are used up', () => {
-      assert.equal(recordRounds(undefined, 0).pendingStartLimit, 1);
+      assert.equal(recordRounds(undefined, {deferrableStarts: 0}).pendingStartLimit, 1);
+    });
+
+    it('says that the time for placement is used up', () => {
+      const sweep = new PlanSweep();
+      sweep.endRound(true);
+      assert.equal(recordRounds(undefined, {sweep}).pendingStartLimit, 1);
     });
 
     it('says no start limit while starts of deferrable work are left', () => {
-      assert.equal(recordRounds(undefined, 1).pendingPlacement, 1);
+      assert.equal(recordRounds(undefined, {deferrableStarts: 1}).pendingPlacement, 1);
     });
 
     it('says no start limit where the work is urgent', () => {
       const id = step.job.request.queue;
       const policy = {...DEFAULT_QUEUE_POLICY, advice: undefined, priority: 0};
       fleet.queues.set(id, {...policy, id: id, service: step.job.request.service});
-      assert.equal(recordRounds(undefined, 0).pendingPlacement, 1);
+      assert.equal(recordRounds(undefined, {deferrableStarts: 0}).pendingPlacement, 1);
     });
   });
 
--- a/packages/nutmegproxy-scheduling/src/PendingTaskLog.ts
+++ b/packages/nutmegproxy-scheduling/src/PendingTaskLog.ts
@@ -42,7 +42,7 @@
 /**
  * @example
  * const log = new PendingTaskLog();
- * log.review({advice, fleet, hold: undefined, isBudgetUsedUp: false, now, recoveryMs, sharingCosts, wall});
+ * log.review({advice, fleet, hold, isBudgetUsedUp, isCut, now, recoveryMs, sharingCosts, wall});
  */
 export class PendingTaskLog {
   #hasWaits = false;
--- a/packages/nutmegproxy-scheduling/src/PendingTaskReason.ts
+++ b/packages/nutmegproxy-scheduling/src/PendingTaskReason.ts
@@ -75,6 +75,8 @@
   readonly hold: 'backlog' | 'directory' | undefined;
   /** Whether the round has used up its starts of deferrable work. */
   readonly isBudgetUsedUp: boolean;
+  /** Whether its time for placement was used up before all steps were placed. */
+  readonly isCut: boolean;
   readonly now: Instant;
   /** Longest time in milliseconds for which the recovery may still wait. */
   readonly recoveryMs: number;
@@ -177,8 +179,8 @@
   ['directory', (_task, {hold}) => (hold === 'directory' ? {} : undefined)],
   [
     'start-limit',
-    ({step}, {fleet, hold, isBudgetUsedUp}) =>
-      hold === 'backlog' || (isBudgetUsedUp && isDeferrable(fleet, step)) ? {} : undefined,
+    ({step}, {fleet, hold, isBudgetUsedUp, isCut}) =>
+      hold === 'backlog' || isCut || (isBudgetUsedUp && isDeferrable(fleet, step)) ? {} : undefined,
   ],
 ];
 
@@ -198,7 +200,7 @@
 
 /**
  * @example
- * const judge = new PendingTaskJudge({advice, fleet, hold, isBudgetUsedUp, now, recoveryMs, sharingCosts});
+ * const judge = new PendingTaskJudge({advice, fleet, hold, isBudgetUsedUp, isCut, now, recoveryMs, sharingCosts});
  * judge.findCause({index: 0, step}); // {minion: 'm1', reason: 'last-attempt', untilMs: 7_200}
  */
 export class PendingTaskJudge {
--- a/packages/nutmegproxy-scheduling/src/__tests__/unit/PendingTaskLog.test.ts
+++ b/packages/nutmegproxy-scheduling/src/__tests__/unit/PendingTaskLog.test.ts
@@ -55,6 +55,7 @@
       fleet: sample.fleet,
       hold: undefined,
       isBudgetUsedUp: false,
+      isCut: false,
       now: at(nowMs),
       recoveryMs: Math.max(0, 10_000 - nowMs),
       sharingCosts: NO_SHARING_COSTS,
--- a/packages/nutmegproxy-scheduling/src/__tests__/unit/PendingTaskReason.test.ts
+++ b/packages/nutmegproxy-scheduling/src/__tests__/unit/PendingTaskReason.test.ts
@@ -44,6 +44,7 @@
       fleet: sample.fleet,
       hold: undefined,
       isBudgetUsedUp: false,
+      isCut: false,
       now: NOW,
       recoveryMs: 4_000,
       sharingCosts: NO_SHARING_COSTS,
@@ -189,6 +190,10 @@
       assert.deepEqual(findCause(addStep(), {hold: 'backlog'}), {reason: 'start-limit'});
     });
 
+    it('says that the time of the round was used up before all steps were placed', () => {
+      assert.deepEqual(findCause(addStep(), {isCut: true}), {reason: 'start-limit'});
+    });
+
     it('says that the round has used up its starts of deferrable work, but not of urgent work', () => {
       const deferrable = findCause(addStep({}, 'later'), {isBudgetUsedUp: true});
       const urgent = findCause(addStep(), {isBudgetUsedUp: true});
--- a/packages/nutmegproxy-scheduling/src/__tests__/unit/PendingTasksOverTakeovers.test.ts
+++ b/packages/nutmegproxy-scheduling/src/__tests__/unit/PendingTasksOverTakeovers.test.ts
@@ -71,6 +71,7 @@
         fleet,
         hold: undefined,
         isBudgetUsedUp: false,
+        isCut: false,
         now: at(nowMs),
         recoveryMs: Math.max(0, RECOVERY_MS - nowMs),
         sharingCosts: NO_SHARING_COSTS,
