--- a/packages/nutmegproxy-owner/src/Owner.ts
+++ b/packages/nutmegproxy-owner/src/Owner.ts
@@ -36,7 +36,6 @@
 import {MinionSessions} from './MinionSessions.ts';
 import {
   MAX_PLACEMENT_MS,
-  MAX_PLAN_IDLE_MS,
   MAX_TURN_MS,
   RETENTION_MARGIN_MS,
   RUN_NUMBERS_PER_TERM,
@@ -44,7 +43,7 @@
 } from './OwnerConstants.ts';
 import {OWNER_EVENTS} from './OwnerEvents.ts';
 import {OwnerLoad} from './OwnerLoad.ts';
-import {choosePlanPause, createTimeLimit} from './OwnerUtils.ts';
+import {choosePlanIdle, choosePlanPause, createTimeLimit} from './OwnerUtils.ts';
 import {QueueLengthPublisher} from './QueueLengthPublisher.ts';
 import {Retention} from './Retention.ts';
 import {Roster} from './Roster.ts';
@@ -189,7 +188,7 @@
         return clock.monotonic() - startedAt;
       });
       this.#load.recordRound(roundMs);
-      await this.#sleep(choosePlanPause(roundMs));
+      await this.#sleep(choosePlanPause(roundMs, {hasOtherWork: this.#work.size > 0}));
     }
     this.#jobs.close();
     this.#minions.close();
@@ -351,7 +350,7 @@
   async #sleep(pauseMs: number): Promise<void> {
     await delay(pauseMs);
     await new Promise<void>((resolve) => {
-      const timer = setTimeout(resolve, MAX_PLAN_IDLE_MS);
+      const timer = setTimeout(resolve, choosePlanIdle(pauseMs));
       this.#wake = () => {
         clearTimeout(timer);
         resolve();
--- a/packages/nutmegproxy-owner/src/OwnerConstants.ts
+++ b/packages/nutmegproxy-owner/src/OwnerConstants.ts
@@ -49,6 +49,8 @@
 export const PLAN_PAUSE_RATIO = 4;
 /** Longest pause after a round; it adds to the delay of each start. */
 export const MAX_PLAN_PAUSE_MS = 60;
+/** The same while other work waits for the event loop. */
+export const MAX_BUSY_PLAN_PAUSE_MS = 250;
 /** Time after which the work of a turn of the event loop is left to the next one. */
 export const MAX_TURN_MS = 25;
 /** Time for placement in a round of planning; the next round goes on with what is left. */
--- a/packages/nutmegproxy-owner/src/OwnerUtils.ts
+++ b/packages/nutmegproxy-owner/src/OwnerUtils.ts
@@ -10,7 +10,13 @@
 
 import type {FleetOwnership} from './FleetOwnership.ts';
 
-import {MAX_PLAN_PAUSE_MS, MIN_PLAN_PAUSE_MS, PLAN_PAUSE_RATIO} from './OwnerConstants.ts';
+import {
+  MAX_BUSY_PLAN_PAUSE_MS,
+  MAX_PLAN_IDLE_MS,
+  MAX_PLAN_PAUSE_MS,
+  MIN_PLAN_PAUSE_MS,
+  PLAN_PAUSE_RATIO,
+} from './OwnerConstants.ts';
 import {OWNER_KEY} from './OwnerElection.ts';
 
 /** Returns a write condition that fails once another VM has acquired the ownership. */
@@ -33,13 +39,29 @@
 
 /**
  * Returns the pause after a round of planning, in milliseconds. It grows with the round, since long
- * rounds in a large fleet would otherwise delay the sending of the orders that they decide on.
+ * rounds in a large fleet would otherwise delay the sending of the orders that they decide on; the more
+ * so while other work waits for the event loop.
  *
  * @example
- * choosePlanPause(5); // 20
+ * choosePlanPause(5, {hasOtherWork: false}); // 20
  */
-export function choosePlanPause(roundMs: number): number {
-  return Math.min(MAX_PLAN_PAUSE_MS, Math.max(MIN_PLAN_PAUSE_MS, roundMs * PLAN_PAUSE_RATIO));
+export function choosePlanPause(
+  roundMs: number,
+  {hasOtherWork}: {readonly hasOtherWork: boolean},
+): number {
+  const longestMs = hasOtherWork ? MAX_BUSY_PLAN_PAUSE_MS : MAX_PLAN_PAUSE_MS;
+  return Math.min(longestMs, Math.max(MIN_PLAN_PAUSE_MS, roundMs * PLAN_PAUSE_RATIO));
+}
+
+/**
+ * Returns the time in milliseconds for which a change is waited for after the pause, before the next round. The
+ * longest time from a round to the next is the same for all pauses.
+ *
+ * @example
+ * choosePlanIdle(20); // 250
+ */
+export function choosePlanIdle(pauseMs: number): number {
+  return Math.min(MAX_PLAN_IDLE_MS, MAX_PLAN_PAUSE_MS + MAX_PLAN_IDLE_MS - pauseMs);
 }
 
 /**
