--- a/packages/nutmegproxy-core/src/WorkQueue.ts
+++ b/packages/nutmegproxy-core/src/WorkQueue.ts
@@ -24,7 +24,13 @@
   readonly schedule?: (callback: () => void) => void;
 }
 
+export interface WorkOptions {
+  /** Urgent work gets half of the time while other work waits as well, and all of it otherwise. */
+  readonly isUrgent?: boolean;
+}
+
 interface QueuedWork {
+  readonly isUrgent: boolean;
   readonly perform: () => void;
   readonly phase: string;
 }
@@ -38,6 +44,9 @@
   #longest: Omit<WorkTurn, 'durationMs'> = {phase: '', workMs: 0};
   readonly #options: WorkQueueOptions;
   readonly #queued: QueuedWork[] = [];
+  readonly #queuedUrgent: QueuedWork[] = [];
+  /** Time in milliseconds that urgent work has had more than other work while both waited. */
+  #urgentLeadMs = 0;
   /** When the present turn began; undefined while no work was done in it. */
   #turnStartedAt: Instant | undefined;
 
@@ -47,14 +56,18 @@
 
   /** Number of pieces of work that wait for a later turn. */
   get size(): number {
-    return this.#queued.length;
+    return this.#queued.length + this.#queuedUrgent.length;
   }
 
   /**
    * Runs a piece of work, at once if this turn has time left and no other work waits. `phase` names it in
    * `WorkTurn`. The promise is rejected with what `work` throws.
    */
-  run<Value>(phase: string, work: () => Value): Promise<Value> {
+  run<Value>(
+    phase: string,
+    work: () => Value,
+    {isUrgent = false}: WorkOptions = {},
+  ): Promise<Value> {
     return new Promise((resolve, reject) => {
       const perform = (): void => {
         try {
@@ -66,10 +79,11 @@
       if (this.#turnStartedAt === undefined) {
         this.#beginTurn(this.#options.clock.monotonic());
       }
-      if (this.#queued.length === 0 && this.#hasTimeLeft()) {
-        this.#perform({perform, phase});
+      const queued = {isUrgent, perform, phase};
+      if (this.size === 0 && this.#hasTimeLeft()) {
+        this.#perform(queued);
       } else {
-        this.#queued.push({perform, phase});
+        (isUrgent ? this.#queuedUrgent : this.#queued).push(queued);
       }
     });
   }
@@ -103,12 +117,12 @@
     const durationMs = now - (this.#turnStartedAt ?? now);
     this.#turnStartedAt = undefined;
     onTurn?.({...this.#longest, durationMs}, now);
-    if (this.#queued.length === 0) {
+    if (this.size === 0) {
       return;
     }
     this.#beginTurn(now);
     while (this.#hasTimeLeft()) {
-      const next = this.#queued.shift();
+      const next = this.#takeNext();
       if (next === undefined) {
         return;
       }
@@ -116,19 +130,34 @@
     }
   }
 
+  /** Counts the time of a piece of work; work that nothing of the other kind waits for owes it no time. */
+  #countTime(isUrgent: boolean, workMs: number): void {
+    const leadMs = this.#urgentLeadMs + (isUrgent ? workMs : -workMs);
+    const isAwaited = (isUrgent ? this.#queued : this.#queuedUrgent).length > 0;
+    const limit = isUrgent ? Math.min : Math.max;
+    this.#urgentLeadMs = isAwaited ? leadMs : limit(0, leadMs);
+  }
+
   #hasTimeLeft(): boolean {
     const {clock, maxTurnMs} = this.#options;
     const now = clock.monotonic();
     return now - (this.#turnStartedAt ?? now) < maxTurnMs;
   }
 
-  #perform({perform, phase}: QueuedWork): void {
+  #perform({isUrgent, perform, phase}: QueuedWork): void {
     const {clock} = this.#options;
     const startedAt = clock.monotonic();
     perform();
     const workMs = clock.monotonic() - startedAt;
+    this.#countTime(isUrgent, workMs);
     if (workMs >= this.#longest.workMs) {
       this.#longest = {phase, workMs};
     }
   }
+
+  #takeNext(): QueuedWork | undefined {
+    return this.#urgentLeadMs <= 0
+      ? (this.#queuedUrgent.shift() ?? this.#queued.shift())
+      : (this.#queued.shift() ?? this.#queuedUrgent.shift());
+  }
 }
--- a/packages/nutmegproxy-core/src/__tests__/unit/WorkQueue.test.ts
+++ b/packages/nutmegproxy-core/src/__tests__/unit/WorkQueue.test.ts
@@ -100,6 +100,78 @@
     });
   });
 
+  describe('urgent work', () => {
+    function urgent(name: string, durationMs: number): void {
+      void queue.run('polls', () => (clock.advance(durationMs), done.push(name)), {isUrgent: true});
+    }
+
+    beforeEach(() => {
+      void work('first', MAX_TURN_MS);
+      done.length = 0;
+    });
+
+    it('goes before other work that waits', () => {
+      void work('a', MAX_TURN_MS);
+      urgent('U', MAX_TURN_MS);
+      assert.equal(queue.size, 2);
+      nextTurn();
+      nextTurn();
+      assert.deepEqual(done, ['U', 'a']);
+    });
+
+    it('keeps its order', () => {
+      urgent('U', 1);
+      urgent('V', 1);
+      nextTurn();
+      assert.deepEqual(done, ['U', 'V']);
+    });
+
+    it('gets half of the time while other work waits', () => {
+      for (let count = 0; count < 10; count += 1) {
+        urgent('U', 10);
+        void work('a', 5);
+      }
+      for (let turn = 0; turn < 4; turn += 1) {
+        nextTurn();
+      }
+      const urgentMs = done.filter((name) => name === 'U').length * 10;
+      const otherMs = done.filter((name) => name === 'a').length * 5;
+      assert.ok(Math.abs(urgentMs - otherMs) <= 10, `${urgentMs} and ${otherMs} ms`);
+    });
+
+    it('gets as much time as a long piece of other work took', () => {
+      for (let count = 0; count < 6; count += 1) {
+        void work('long', 40);
+        urgent('U', 10);
+      }
+      for (let turn = 0; turn < 6; turn += 1) {
+        nextTurn();
+      }
+      assert.deepEqual(done.slice(0, 7), ['U', 'long', 'U', 'U', 'U', 'U', 'long']);
+    });
+
+    it('leaves half of the time to other work when it comes piece by piece', () => {
+      for (let count = 0; count < 10; count += 1) {
+        void work('a', MAX_TURN_MS);
+      }
+      for (let turn = 0; turn < 10; turn += 1) {
+        urgent('U', MAX_TURN_MS);
+        nextTurn();
+      }
+      assert.equal(done.filter((name) => name === 'a').length, 5);
+    });
+
+    it('saves up no time while it waits alone', () => {
+      urgent('U', 100);
+      nextTurn();
+      void work('a', MAX_TURN_MS);
+      urgent('V', MAX_TURN_MS);
+      nextTurn();
+      nextTurn();
+      assert.deepEqual(done, ['U', 'V', 'a']);
+    });
+  });
+
   describe('failures', () => {
     it('rejects with what the work throws and goes on with the next', async () => {
       const failed = queue.run('listings', () => {
--- a/packages/nutmegproxy-owner/src/MinionSession.ts
+++ b/packages/nutmegproxy-owner/src/MinionSession.ts
@@ -19,9 +19,12 @@
 } from './OwnerConstants.ts';
 import {OWNER_EVENTS} from './OwnerEvents.ts';
 import {isSameTask} from './OwnerUtils.ts';
-import {choosePollDelayMs, choosePollWaitMs} from './PollPacing.ts';
+import {choosePollDelayMs, choosePollWaitMs, isRenewalDue} from './PollPacing.ts';
 import {RunOrders} from './RunOrders.ts';
 
+/** Polls until a lease was renewed: the first one only reads the minion's clock. */
+const FIRST_POLLS = 2;
+
 /** A poll with what the session knew when it was sent. */
 interface SentPoll {
   readonly answer: ResultAsync<MinionListing, OrderFailure>;
@@ -44,6 +47,7 @@
   #results = new ListedResults();
   #stopped = false;
   readonly #runOrders: RunOrders;
+  #sentPolls = 0;
 
   constructor(context: SessionContext, minion: MinionState) {
     this.#context = context;
@@ -213,14 +217,18 @@
   /** Polls once; false when a pause has to follow. */
   async #poll(): Promise<boolean> {
     const {clock, journal, work} = this.#context;
-    const sent = await work.run('polls', () => this.#sendPoll(clock.monotonic()));
+    const isFirst = this.#sentPolls < FIRST_POLLS;
+    const isUrgent = isFirst || isRenewalDue(this.minion, clock.monotonic());
+    const sent = await work.run('polls', () => this.#sendPoll(clock.monotonic()), {isUrgent});
     if (sent === undefined) {
       return false;
     }
     const answer = await sent.answer;
     const hadReading = this.minion.leaseClock.hasReading;
-    const isAnswered = await work.run('listings', () =>
-      this.#handleAnswer(sent, answer, clock.monotonic()),
+    const isAnswered = await work.run(
+      'listings',
+      () => this.#handleAnswer(sent, answer, clock.monotonic()),
+      {isUrgent},
     );
     if (this.#stopped) {
       return true;
@@ -250,6 +258,7 @@
       return undefined;
     }
     load.recordPoll();
+    this.#sentPolls += 1;
     const reportedBornAt = this.#reportedBornAt;
     const results = this.#results;
     const mayHaveRestarted = reportedBornAt !== undefined || this.minion.missedCalls > 0;
--- a/packages/nutmegproxy-owner/src/PollPacing.ts
+++ b/packages/nutmegproxy-owner/src/PollPacing.ts
@@ -5,6 +5,7 @@
  * each task. The delay lets one poll report several of them.
  */
 
+import type {Instant} from '@nutmegproxy/core';
 import type {MinionState} from '@nutmegproxy/scheduling';
 
 import {classifyWork, hasTrialRun} from '@nutmegproxy/scheduling';
@@ -72,3 +73,13 @@
     ? 0
     : Math.min(MAX_POLL_DELAY_MS, Math.round((minions * 1_000) / UNDELAYED_POLLS_PER_SECOND));
 }
+
+/** Returns the time in milliseconds until half of the lease of a minion has passed. */
+function computeRenewalDueInMs({leaseClock}: MinionState, now: Instant): number {
+  return leaseClock.expiresInMs(now) - leaseClock.times.minionLeaseMs / 2;
+}
+
+/** Whether the lease of a minion should be renewed before other work is done; a silent one is granted none. */
+export function isRenewalDue(minion: MinionState, now: Instant): boolean {
+  return minion.missedCalls === 0 && computeRenewalDueInMs(minion, now) <= 0;
+}
--- a/packages/nutmegproxy-owner/src/__tests__/unit/PollPacing.test.ts
+++ b/packages/nutmegproxy-owner/src/__tests__/unit/PollPacing.test.ts
@@ -3,12 +3,12 @@
 import type {MinionState} from '@nutmegproxy/scheduling';
 
 import {SILENT_EVENTS} from '@nutmegproxy/core';
-import {Fleet} from '@nutmegproxy/scheduling';
+import {DEFAULT_LEASE_TIMES, Fleet} from '@nutmegproxy/scheduling';
 import assert from 'node:assert/strict';
 import {beforeEach, describe, it} from 'node:test';
 
 import {POLL_WAIT_MS, SHORT_POLL_WAIT_MS} from '../../OwnerConstants.ts';
-import {choosePollDelayMs, choosePollWaitMs} from '../../PollPacing.ts';
+import {choosePollDelayMs, choosePollWaitMs, isRenewalDue} from '../../PollPacing.ts';
 import {createMinion, createStep} from './OwnerSamples.ts';
 
 const NOW = 0 as Instant;
@@ -16,6 +16,7 @@
 const LARGE_FLEET = 600;
 const ORDINARY = {};
 const BACKFILL = {fillsSpareCpu: true};
+const {minionLeaseMs} = DEFAULT_LEASE_TIMES;
 const SERVING = {longRunning: true, tailTargetMs: 50};
 
 describe('Pacing of polls', () => {
@@ -28,6 +29,16 @@
     fleet.startRun(createStep(jobs, shape), 0, minion, NOW);
   }
 
+  /** Returns a minion whose lease was renewed a time ago. */
+  function renew(beforeMs: number): MinionState {
+    const renewed = createMinion();
+    const renewedAt = (NOW - beforeMs) as Instant;
+    renewed.leaseClock.assumeUsualLeases();
+    renewed.leaseClock.observe(0, renewedAt);
+    renewed.leaseClock.grantLease(minionLeaseMs, renewedAt);
+    return renewed;
+  }
+
   beforeEach(() => {
     jobs = 0;
     fleet = new Fleet(SILENT_EVENTS);
@@ -36,6 +47,19 @@
     fleet.minions.set(minion.id, minion);
   });
 
+  describe('the renewal of a lease', () => {
+    it('is due once half of the lease has passed', () => {
+      assert.ok(!isRenewalDue(renew(minionLeaseMs * 0.3), NOW));
+      assert.ok(isRenewalDue(renew(minionLeaseMs * 0.6), NOW));
+    });
+
+    it('is not due for a silent minion, which is granted none', () => {
+      const silent = renew(minionLeaseMs);
+      silent.missedCalls = 1;
+      assert.ok(!isRenewalDue(silent, NOW));
+    });
+  });
+
   describe('the delay of the next poll', () => {
     it('grows with the fleet while only backfill and serving tasks run', () => {
       run(BACKFILL);
