--- a/packages/nutmegproxy-owner/src/MinionSession.ts
+++ b/packages/nutmegproxy-owner/src/MinionSession.ts
@@ -9,6 +9,7 @@
 import {reconcileListing, recordMinionCrash, recordReplacement} from '@nutmegproxy/scheduling';
 
 import type {MinionTarget, OrderFailure} from './MinionOrders.ts';
+import type {PollLimiter} from './PollLimiter.ts';
 import type {SessionContext} from './SessionContext.ts';
 
 import {ListedResults} from './ListedResults.ts';
@@ -19,7 +20,7 @@
 } from './OwnerConstants.ts';
 import {OWNER_EVENTS} from './OwnerEvents.ts';
 import {isSameTask} from './OwnerUtils.ts';
-import {choosePollDelayMs, choosePollWaitMs, isRenewalDue} from './PollPacing.ts';
+import {choosePollDelayMs, choosePollDue, choosePollWaitMs, isRenewalDue} from './PollPacing.ts';
 import {RunOrders} from './RunOrders.ts';
 
 /** Polls until a lease was renewed: the first one only reads the minion's clock. */
@@ -34,6 +35,15 @@
   readonly results: ListedResults;
 }
 
+/** A poll whose response was handled. */
+interface HandledPoll {
+  readonly answer: Result<MinionListing, OrderFailure>;
+  /** Whether the minion's clock had been read before. */
+  readonly hadReading: boolean;
+  /** Whether the minion has responded, to a session that is open. */
+  readonly isAnswered: boolean;
+}
+
 export class MinionSession {
   readonly minion: MinionState;
   #bornAt: number | undefined;
@@ -216,20 +226,17 @@
 
   /** Polls once; false when a pause has to follow. */
   async #poll(): Promise<boolean> {
-    const {clock, journal, work} = this.#context;
+    const {clock, journal} = this.#context;
+    const limiter = this.#findPollLimiter();
     const isFirst = this.#sentPolls < FIRST_POLLS;
-    const isUrgent = isFirst || isRenewalDue(this.minion, clock.monotonic());
-    const sent = await work.run('polls', () => this.#sendPoll(clock.monotonic()), {isUrgent});
-    if (sent === undefined) {
+    await limiter.enter(choosePollDue(this.minion, {isFirst}, clock.monotonic()));
+    const outcome = await this.#exchangePoll(limiter, isFirst).finally(() => {
+      limiter.leave();
+    });
+    if (outcome === undefined) {
       return false;
     }
-    const answer = await sent.answer;
-    const hadReading = this.minion.leaseClock.hasReading;
-    const isAnswered = await work.run(
-      'listings',
-      () => this.#handleAnswer(sent, answer, clock.monotonic()),
-      {isUrgent},
-    );
+    const {answer, hadReading, isAnswered} = outcome;
     if (this.#stopped) {
       return true;
     }
@@ -247,9 +254,35 @@
     return hadReading || this.minion.leaseClock.hasReading;
   }
 
+  /** Sends a poll and handles its response; returns undefined when the ownership has ended. */
+  async #exchangePoll(limiter: PollLimiter, isFirst: boolean): Promise<HandledPoll | undefined> {
+    const {clock, work} = this.#context;
+    const isUrgent = isFirst || isRenewalDue(this.minion, clock.monotonic());
+    const sent = await work.run('polls', () => this.#sendPoll(limiter, clock.monotonic()), {
+      isUrgent,
+    });
+    if (sent === undefined) {
+      return undefined;
+    }
+    const answer = await sent.answer;
+    limiter.recordResponse();
+    const hadReading = this.minion.leaseClock.hasReading;
+    const isAnswered = await work.run(
+      'listings',
+      () => this.#handleAnswer(sent, answer, clock.monotonic()),
+      {isUrgent},
+    );
+    return {answer, hadReading, isAnswered};
+  }
+
+  #findPollLimiter(): PollLimiter {
+    const {answering, silent} = this.#context.pollLimiters;
+    return this.minion.missedCalls > 0 ? silent : answering;
+  }
+
   /** Sends a poll; returns undefined when the ownership has ended. */
-  #sendPoll(requestedAt: Instant): SentPoll | undefined {
-    const {clock, load, orders, ownership} = this.#context;
+  #sendPoll(limiter: PollLimiter, requestedAt: Instant): SentPoll | undefined {
+    const {clock, fleet, load, orders, ownership} = this.#context;
     if (this.#stopped) {
       return undefined;
     }
@@ -267,7 +300,7 @@
       ackedThrough: mayHaveRestarted ? 0 : results.acknowledgedThrough,
       token: ownership.token,
       untilMs: this.#grantLease(requestedAt),
-      waitMs: this.#chooseWaitMs(requestedAt),
+      waitMs: limiter.shortenWait(this.#chooseWaitMs(requestedAt), fleet.minions.size),
     });
     return {answer, reportedBornAt, requestedAt, results};
   }
--- a/packages/nutmegproxy-owner/src/Owner.ts
+++ b/packages/nutmegproxy-owner/src/Owner.ts
@@ -44,6 +44,7 @@
 import {OWNER_EVENTS} from './OwnerEvents.ts';
 import {OwnerLoad} from './OwnerLoad.ts';
 import {choosePlanIdle, choosePlanPause, createTimeLimit} from './OwnerUtils.ts';
+import {PollLimiter} from './PollLimiter.ts';
 import {QueueLengthPublisher} from './QueueLengthPublisher.ts';
 import {Retention} from './Retention.ts';
 import {Roster} from './Roster.ts';
@@ -84,6 +85,7 @@
   readonly #load = new OwnerLoad();
   readonly #minions: MinionSessions;
   readonly #options: OwnerOptions;
+  readonly #pollLimiters = {answering: new PollLimiter(), silent: new PollLimiter()};
   readonly #progressMonitor: RunProgressMonitor;
   #queues: readonly QueuePolicy[] | undefined;
   readonly #retention: Retention;
@@ -119,8 +121,7 @@
     this.#roster = new Roster({clock, events, onFenced, ownership, store});
     this.#closingRecords = new ClosingRecords({clock, events, ownership, store});
     this.#learnedEstimates = this.#createLearnedEstimates();
-    const retentionMs = options.statusRetentionMs + RETENTION_MARGIN_MS;
-    this.#retention = new Retention({clock, events, fleet, ownership, retentionMs, store});
+    this.#retention = this.#createRetention();
     this.#queueLengths = new QueueLengthPublisher({events, fleet, ownership, store});
     this.#advice = new AdvicePrefetcher({client: options.advice, clock, events, fleet, onChange});
     this.#jobs = new JobWatcher({clock, events, fleet, onChange, onFenced, ownership, store, work});
@@ -161,6 +162,7 @@
         orders,
         overdueInMs: (minion, now) => this.#progressMonitor.overdueInMs(fleet, minion, now),
         ownership,
+        pollLimiters: this.#pollLimiters,
         startLimiter: this.#startLimiter,
         work,
       },
@@ -217,6 +219,19 @@
     });
   }
 
+  #createRetention(): Retention {
+    const {clock, events, ownership, statusRetentionMs, store} = this.#options;
+    const retentionMs = statusRetentionMs + RETENTION_MARGIN_MS;
+    return new Retention({
+      clock,
+      events,
+      fleet: this.#fleet,
+      ownership,
+      retentionMs,
+      store,
+    });
+  }
+
   #createRoundLog(orders: TrackedOrders): RoundLog {
     const {events, ownership} = this.#options;
     return new RoundLog({
@@ -226,6 +241,7 @@
       minions: this.#minions,
       orders,
       ownership,
+      pollLimiter: this.#pollLimiters.answering,
       startLimiter: this.#startLimiter,
       startThrottle: this.#startThrottle,
     });
@@ -239,6 +255,8 @@
       maxTurnMs: MAX_TURN_MS,
       onTurn: (turn, now) => {
         log.record(turn, now);
+        this.#pollLimiters.answering.recordTurn(turn);
+        this.#pollLimiters.silent.recordTurn(turn);
       },
     });
   }
--- a/packages/nutmegproxy-owner/src/PollPacing.ts
+++ b/packages/nutmegproxy-owner/src/PollPacing.ts
@@ -8,8 +8,11 @@
 import type {Instant} from '@nutmegproxy/core';
 import type {MinionState} from '@nutmegproxy/scheduling';
 
+import {after} from '@nutmegproxy/core';
 import {classifyWork, hasTrialRun} from '@nutmegproxy/scheduling';
 
+import type {PollDue} from './PollLimiter.ts';
+
 import {NEAR_TARGET_POLL_WAIT_MS, POLL_WAIT_MS, SHORT_POLL_WAIT_MS} from './OwnerConstants.ts';
 
 /** Polls per second of all minions up to which the next poll of a minion is not delayed. */
@@ -52,6 +55,19 @@
   return false;
 }
 
+/** Whether the next listing of the minion matters sooner than the renewal of its lease. */
+function isPollUrgent(minion: MinionState): boolean {
+  return (
+    !minion.leaseClock.hasReading ||
+    minion.missedCalls > 0 ||
+    minion.mayOmitResults ||
+    minion.description.isDraining ||
+    minion.trialRun !== undefined ||
+    hasTrialRun(minion) ||
+    hasUrgentRuns(minion)
+  );
+}
+
 /**
  * Returns the delay of the next poll of a minion after a response, in milliseconds. It keeps the
  * polls of a fleet of that many minions near a constant rate; a minion with urgent runs is not
@@ -61,15 +77,7 @@
  * choosePollDelayMs(minion, 300); // 200
  */
 export function choosePollDelayMs(minion: MinionState, minions: number): number {
-  const isUrgent =
-    !minion.leaseClock.hasReading ||
-    minion.missedCalls > 0 ||
-    minion.mayOmitResults ||
-    minion.description.isDraining ||
-    minion.trialRun !== undefined ||
-    hasTrialRun(minion) ||
-    hasUrgentRuns(minion);
-  return isUrgent
+  return isPollUrgent(minion)
     ? 0
     : Math.min(MAX_POLL_DELAY_MS, Math.round((minions * 1_000) / UNDELAYED_POLLS_PER_SECOND));
 }
@@ -83,3 +91,27 @@
 export function isRenewalDue(minion: MinionState, now: Instant): boolean {
   return minion.missedCalls === 0 && computeRenewalDueInMs(minion, now) <= 0;
 }
+
+/**
+ * Returns when the next poll of a minion is due, which decides on the order of polls while their number is
+ * limited: at once where its listing is urgent, otherwise when half of its lease has passed. The first polls
+ * go before all others, and in a slow event loop those that renew the lease of a former owner before those
+ * that read a clock: such leases may end soon, and the clocks of all minions are not read in time.
+ *
+ * @example
+ * choosePollDue(minion, {isFirst: false}, now).at; // now, if an ordinary task runs on it
+ */
+export function choosePollDue(
+  minion: MinionState,
+  {isFirst}: {readonly isFirst: boolean},
+  now: Instant,
+): PollDue {
+  const {hasReading, times} = minion.leaseClock;
+  if (isFirst) {
+    const at = after(now, -times.maxMinionLeaseMs);
+    return {at, inSlowLoopAt: hasReading ? after(at, -times.maxMinionLeaseMs) : at};
+  }
+  const renewalDueInMs = computeRenewalDueInMs(minion, now);
+  const at = after(now, isPollUrgent(minion) ? Math.min(0, renewalDueInMs) : renewalDueInMs);
+  return {at, inSlowLoopAt: at};
+}
--- a/packages/nutmegproxy-owner/src/RoundLog.ts
+++ b/packages/nutmegproxy-owner/src/RoundLog.ts
@@ -9,6 +9,7 @@
 import type {FleetOwnership} from './FleetOwnership.ts';
 import type {MinionSessions} from './MinionSessions.ts';
 import type {OwnerLoad} from './OwnerLoad.ts';
+import type {PollLimiter} from './PollLimiter.ts';
 import type {StartLimiter} from './StartLimiter.ts';
 import type {StartThrottle} from './StartThrottle.ts';
 import type {TrackedOrders} from './TrackedOrders.ts';
@@ -38,6 +39,7 @@
   readonly minions: MinionSessions;
   readonly orders: TrackedOrders;
   readonly ownership: FleetOwnership;
+  readonly pollLimiter: PollLimiter;
   readonly startLimiter: StartLimiter;
   readonly startThrottle: StartThrottle;
 }
@@ -76,9 +78,10 @@
       return;
     }
     this.#summarizedAt = now;
-    const {events, fleet, load, minions, startLimiter, startThrottle} = this.#options;
+    const {events, fleet, load, minions, pollLimiter, startLimiter, startThrottle} = this.#options;
     events.record(OWNER_EVENTS.FLEET_SUMMARY, {
       ...summarizeFleet(fleet, now, wall),
+      ...pollLimiter.eventFields,
       ...startLimiter.eventFields,
       ...startThrottle.eventFields,
       ...load.takeFields(),
--- a/packages/nutmegproxy-owner/src/SessionContext.ts
+++ b/packages/nutmegproxy-owner/src/SessionContext.ts
@@ -8,8 +8,15 @@
 import type {Journal} from './Journal.ts';
 import type {MinionOrders} from './MinionOrders.ts';
 import type {OwnerLoad} from './OwnerLoad.ts';
+import type {PollLimiter} from './PollLimiter.ts';
 import type {StartLimiter} from './StartLimiter.ts';
 
+/** Polls of silent minions have a limit of their own, since each takes as long as its timeout. */
+export interface PollLimiters {
+  readonly answering: PollLimiter;
+  readonly silent: PollLimiter;
+}
+
 export interface SessionContext {
   readonly clock: Clock;
   readonly events: EventSink;
@@ -41,6 +48,7 @@
   readonly ownership: FleetOwnership;
   /** Whether the lease of a minion may be renewed now. */
   readonly permitRenewal: (minion: MinionState) => boolean;
+  readonly pollLimiters: PollLimiters;
   /**
    * Records that this owner uses a minion; resolves once that is stored, or after a short time. A
    * draining minion needs a draining record first.
--- a/packages/nutmegproxy-owner/src/__tests__/unit/PollPacing.test.ts
+++ b/packages/nutmegproxy-owner/src/__tests__/unit/PollPacing.test.ts
@@ -8,7 +8,12 @@
 import {beforeEach, describe, it} from 'node:test';
 
 import {POLL_WAIT_MS, SHORT_POLL_WAIT_MS} from '../../OwnerConstants.ts';
-import {choosePollDelayMs, choosePollWaitMs, isRenewalDue} from '../../PollPacing.ts';
+import {
+  choosePollDelayMs,
+  choosePollDue,
+  choosePollWaitMs,
+  isRenewalDue,
+} from '../../PollPacing.ts';
 import {createMinion, createStep} from './OwnerSamples.ts';
 
 const NOW = 0 as Instant;
@@ -60,6 +65,39 @@
     });
   });
 
+  describe('the order of polls while their number is limited', () => {
+    const FIRST = {isFirst: true};
+    const LATER = {isFirst: false};
+    it('begins with the lease that ends first', () => {
+      const [early, late] = [renew(3_000), renew(1_000)];
+      assert.ok(choosePollDue(early, LATER, NOW).at < choosePollDue(late, LATER, NOW).at);
+    });
+
+    it('puts an urgent listing before the renewal of a new lease', () => {
+      run(ORDINARY);
+      assert.ok(choosePollDue(minion, LATER, NOW).at < choosePollDue(renew(0), LATER, NOW).at);
+    });
+
+    it('puts the renewal of a lease of which more than half has passed before an urgent listing', () => {
+      run(ORDINARY);
+      const due = renew(minionLeaseMs * 0.6);
+      assert.ok(choosePollDue(due, LATER, NOW).at < choosePollDue(minion, LATER, NOW).at);
+    });
+
+    it('begins with the first polls of a minion', () => {
+      const first = choosePollDue(createMinion(), FIRST, NOW);
+      const due = choosePollDue(renew(minionLeaseMs), LATER, NOW);
+      assert.ok(first.at < due.at && first.inSlowLoopAt < due.inSlowLoopAt);
+    });
+
+    it('renews leases of a former owner first in a slow event loop', () => {
+      const unread = choosePollDue(createMinion(), FIRST, NOW);
+      const read = choosePollDue(minion, FIRST, NOW);
+      assert.equal(read.at, unread.at);
+      assert.ok(read.inSlowLoopAt < unread.inSlowLoopAt);
+    });
+  });
+
   describe('the delay of the next poll', () => {
     it('grows with the fleet while only backfill and serving tasks run', () => {
       run(BACKFILL);
