--- a/packages/nutmegproxy-owner/src/RoundLog.ts
+++ b/packages/nutmegproxy-owner/src/RoundLog.ts
@@ -16,6 +16,7 @@
 import type {MinionRecovery} from './MinionRecovery.ts';
 import type {MinionSessions} from './MinionSessions.ts';
 import type {OwnerLoad} from './OwnerLoad.ts';
+import type {PollLimiter} from './PollLimiter.ts';
 import type {StartLimiter} from './StartLimiter.ts';
 import type {StartThrottle} from './StartThrottle.ts';
 import type {TrackedOrders} from './TrackedOrders.ts';
@@ -49,6 +50,7 @@
   };
   readonly orders: Pick<TrackedOrders, 'describe'>;
   readonly ownership: Pick<FleetOwnership, 'requestedAt' | 'term'>;
+  readonly pollLimiter: Pick<PollLimiter, 'eventFields'>;
   readonly startLimiter: StartLimiter;
   readonly startThrottle: StartThrottle;
 }
@@ -101,9 +103,10 @@
       return;
     }
     this.#summarizedAt = now;
-    const {events, fleet, load, minions, startLimiter, startThrottle} = this.#options;
+    const {events, fleet, load, minions, pollLimiter, startLimiter, startThrottle} = this.#options;
     events.record(OWNER_EVENTS.FLEET_SUMMARY, {
       ...summarizeFleet(fleet, now, wall),
+      ...pollLimiter.eventFields,
       ...startLimiter.eventFields,
       ...startThrottle.eventFields,
       ...load.takeFields(),
--- a/packages/nutmegproxy-owner/src/__tests__/unit/RoundLog.test.ts
+++ b/packages/nutmegproxy-owner/src/__tests__/unit/RoundLog.test.ts
@@ -15,6 +15,7 @@
 import type {Round, RoundHold} from '../../RoundLog.ts';
 
 import {OwnerLoad} from '../../OwnerLoad.ts';
+import {PollLimiter} from '../../PollLimiter.ts';
 import {RoundLog} from '../../RoundLog.ts';
 import {StartLimiter} from '../../StartLimiter.ts';
 import {StartThrottle} from '../../StartThrottle.ts';
@@ -55,6 +56,7 @@
       },
       orders: {describe: () => ({})},
       ownership: {requestedAt: 0 as Instant, term: 0},
+      pollLimiter: new PollLimiter(),
       startLimiter: new StartLimiter(),
       startThrottle: new StartThrottle(),
     });
