--- a/packages/nutmegproxy-owner/src/RunOrders.ts
+++ b/packages/nutmegproxy-owner/src/RunOrders.ts
@@ -274,7 +274,12 @@
     const {clock, orders, ownership, work} = this.#context;
     const order = {number, task: formatTaskName(task), token: ownership.token};
     for (let attempt = 0; attempt < ORDER_ATTEMPTS && this.#hooks.isActing(); attempt += 1) {
-      const sent = await work.run('stops', () => ({answer: orders.stop(this.#target, order)}));
+      const sent = await work.run('stops', () =>
+        this.#hooks.isActing() ? {answer: orders.stop(this.#target, order)} : undefined,
+      );
+      if (sent === undefined) {
+        return;
+      }
       const answer = await sent.answer;
       if (answer.isOk()) {
         this.#minion.leaseClock.observe(answer.value.clockMs, clock.monotonic());
--- a/packages/nutmegproxy-owner/src/__tests__/unit/RunOrders.test.ts
+++ b/packages/nutmegproxy-owner/src/__tests__/unit/RunOrders.test.ts
@@ -28,6 +28,7 @@
   let events: {readonly fields: EventFields; readonly kind: EventKind}[];
   let failure: OrderFailure | undefined;
   let fleet: Fleet;
+  let isActing: boolean;
   let isDirectoryOutdated: boolean;
   let limiter: StartLimiter;
   let minion: MinionState;
@@ -35,6 +36,7 @@
   let run: Run;
   let sent: string[];
   let store: MemoryStore;
+  let turnLimitMs: number;
 
   /** Changes the minion's processors as its entry does; it has 16 cores at first. */
   function resize(cpuMilli: number): void {
@@ -45,8 +47,10 @@
   beforeEach(async () => {
     events = [];
     failure = undefined;
+    isActing = true;
     isDirectoryOutdated = false;
     sent = [];
+    turnLimitMs = Infinity;
     store = new MemoryStore();
     fleet = new Fleet(SILENT_EVENTS);
     limiter = new StartLimiter();
@@ -59,6 +63,10 @@
         sent.push(task);
         return failure === undefined ? okAsync(answer) : errAsync(failure);
       },
+      stop: (_target, {task}) => {
+        sent.push(task);
+        return okAsync(answer);
+      },
     };
     const context: Partial<SessionContext> = {
       clock: SYSTEM_CLOCK,
@@ -75,12 +83,17 @@
       orders: minionOrders as MinionOrders,
       ownership: await acquireOwnership(store),
       startLimiter: limiter,
-      work: new WorkQueue({clock: SYSTEM_CLOCK, maxTurnMs: Infinity}),
+      work: new WorkQueue({
+        clock: SYSTEM_CLOCK,
+        get maxTurnMs() {
+          return turnLimitMs;
+        },
+      }),
     };
     orders = new RunOrders(context as SessionContext, minion, {
       grantLease: () => 1_000,
       handleFailure: () => undefined,
-      isActing: () => true,
+      isActing: () => isActing,
     });
     for (let index = 0; index < limiter.limit; index += 1) {
       await limiter.enter();
@@ -159,6 +172,18 @@
     });
   });
 
+  describe('a stop that waits for other work', () => {
+    it('is not sent when the ownership ends meanwhile, since the next owner may keep the run', async () => {
+      turnLimitMs = 0;
+      const {minion: id, number, task} = run;
+      const stopped = orders.stop({minion: id, number, reason: 'unknown', task});
+      isActing = false;
+      turnLimitMs = Infinity;
+      await stopped;
+      assert.deepEqual(sent, []);
+    });
+  });
+
   describe('a start that its minion never receives', () => {
     /** Sends the start until the attempts are used up, as after each listing. */
     async function sendStarts(rounds: number): Promise<void> {
