--- a/packages/nutmegproxy-owner/src/JobWatcher.ts
+++ b/packages/nutmegproxy-owner/src/JobWatcher.ts
@@ -77,7 +77,11 @@
           void this.#restart(failure);
         },
         onEvents: (events) => {
-          for (const event of events) {
+          // No work may keep this owner from learning that another one has replaced it.
+          for (const event of events.filter(isOwnerChange)) {
+            this.#applyEvent(event);
+          }
+          for (const event of events.filter((each) => !isOwnerChange(each))) {
             void work.run('jobs', () => {
               this.#applyEvent(event);
               onChange();
@@ -105,15 +109,14 @@
 
   #applyEvent(event: WatchEvent): void {
     const {fleet, onFenced, ownership} = this.#options;
-    const key = event.kind === 'put' ? event.stored.key : event.key;
     const revision = event.kind === 'put' ? event.stored.modRevision : event.modRevision;
-    if (key === OWNER_KEY) {
+    if (isOwnerChange(event)) {
       if (revision > ownership.token) {
         onFenced();
       }
       return;
     }
-    const parsed = parseJobKey(key);
+    const parsed = parseJobKey(findKey(event));
     if (parsed === undefined || event.kind !== 'put') {
       return;
     }
@@ -207,3 +210,12 @@
     }
   }
 }
+
+function findKey(event: WatchEvent): string {
+  return event.kind === 'put' ? event.stored.key : event.key;
+}
+
+/** Whether an event is about the key of the ownership. */
+function isOwnerChange(event: WatchEvent): boolean {
+  return findKey(event) === OWNER_KEY;
+}
--- a/packages/nutmegproxy-owner/src/__tests__/unit/JobWatcher.test.ts
+++ b/packages/nutmegproxy-owner/src/__tests__/unit/JobWatcher.test.ts
@@ -12,6 +12,7 @@
 import type {FleetOwnership} from '../../FleetOwnership.ts';
 
 import {JobWatcher} from '../../JobWatcher.ts';
+import {OWNER_KEY} from '../../OwnerElection.ts';
 import {OWNER_EVENTS} from '../../OwnerEvents.ts';
 import {acquireOwnership, createStep, waitForStore} from './OwnerSamples.ts';
 
@@ -29,10 +30,13 @@
 describe('the jobs that an owner receives', () => {
   const clock = new ManualClock();
   let breakWatch: () => void;
+  let isFenced: boolean;
   let ownership: FleetOwnership;
   let recorded: {fields: EventFields; kind: EventKind}[];
   let reportBreak: () => void;
   let store: MemoryStore;
+  let turnLimitMs: number;
+  let turns: (() => void)[];
   let watcher: JobWatcher;
 
   function find(kind: EventKind): EventFields[] {
@@ -68,7 +72,10 @@
   }
 
   beforeEach(async () => {
+    isFenced = false;
     recorded = [];
+    turnLimitMs = Infinity;
+    turns = [];
     store = new MemoryStore(clock);
     const events = {
       record: (kind: EventKind, fields: EventFields) => {
@@ -92,10 +99,18 @@
       events,
       fleet: new Fleet(events),
       onChange: () => undefined,
-      onFenced: () => undefined,
+      onFenced: () => {
+        isFenced = true;
+      },
       ownership,
       store,
-      work: new WorkQueue({clock, maxTurnMs: Infinity}),
+      work: new WorkQueue({
+        clock,
+        get maxTurnMs() {
+          return turnLimitMs;
+        },
+        schedule: (callback) => turns.push(callback),
+      }),
     });
   });
 
@@ -159,4 +174,15 @@
     assert.deepEqual(listNamedJobs(), [{id: createJob(2).id, revision, status: 'queued'}]);
     assert.deepEqual(find(OWNER_EVENTS.JOB_DISCOVERED), []);
   });
+
+  it('do not delay the end of its term: another owner is seen before them', async () => {
+    (await watcher.start())._unsafeUnwrap();
+    turnLimitMs = 0;
+    for (let number = 1; number <= 10; number += 1) {
+      await submit(number);
+    }
+    (await put(store, OWNER_KEY, Buffer.from('other')))._unsafeUnwrap();
+    await waitForStore();
+    assert.equal(isFenced, true);
+  });
 });
