--- a/packages/nutmegproxy-core/src/WorkQueue.ts
+++ b/packages/nutmegproxy-core/src/WorkQueue.ts
@@ -74,15 +74,25 @@
     });
   }
 
-  /** Handles items in their order, each as a piece of work; resolves when all are handled. */
+  /**
+   * Handles items in their order, in pieces of work of at most half a turn, so that a series of short items does
+   * not wait for all other work before each of them; resolves when all are handled.
+   */
   async forEach<Item>(
     phase: string,
     items: Iterable<Item>,
     handle: (item: Item) => void,
   ): Promise<void> {
-    for (const item of items) {
+    const {clock, maxTurnMs} = this.#options;
+    const iterator = items[Symbol.iterator]();
+    let next = iterator.next();
+    while (next.done !== true) {
       await this.run(phase, () => {
-        handle(item);
+        const startedAt = clock.monotonic();
+        do {
+          handle(next.value as Item);
+          next = iterator.next();
+        } while (next.done !== true && clock.monotonic() - startedAt < maxTurnMs / 2);
       });
     }
   }
--- a/packages/nutmegproxy-core/src/__tests__/unit/WorkQueue.test.ts
+++ b/packages/nutmegproxy-core/src/__tests__/unit/WorkQueue.test.ts
@@ -98,6 +98,32 @@
       await series;
       assert.deepEqual(done, ['1', 'a', '2', '3']);
     });
+
+    it('gives a series of short items as much time as longer pieces of other work', async () => {
+      const others = 50;
+      const otherMs = 2;
+      const items = 200;
+      const repeat = async (): Promise<void> => {
+        for (;;) {
+          await work('other', otherMs);
+        }
+      };
+      for (let index = 0; index < others; index += 1) {
+        void repeat();
+      }
+      let left = items;
+      void queue.forEach('jobs', Array.from({length: items}), () => {
+        clock.advance(1);
+        left -= 1;
+      });
+      // The time in which each of the others does as much work as the series.
+      const untilMs = clock.monotonic() + (others + 1) * items;
+      while (left > 0 && clock.monotonic() <= untilMs) {
+        nextTurn();
+        await new Promise(setImmediate);
+      }
+      assert.equal(left, 0);
+    });
   });
 
   describe('failures', () => {
