--- a/packages/nutmegproxy-scheduling/src/StartPlanner.ts
+++ b/packages/nutmegproxy-scheduling/src/StartPlanner.ts
@@ -55,6 +55,8 @@
   readonly #fleet: Fleet;
   /** Whether a task was placed or tried; each round makes progress, however little time it has. */
   #hasProgressed = false;
+  /** Whether the time was up before all tasks of a step were tried. */
+  #isStepCut = false;
   /** Suspected tasks that must not start like any others. */
   #heldTasks: TrialPlan['heldTasks'] = new Map();
   readonly #longRunningStarts: LongRunningStarts;
@@ -94,7 +96,7 @@
     if (!wasCut && this.#hasOpenTrial(now)) {
       this.#place(ordered.filter(({hasFailedTrial}) => hasFailedTrial));
     }
-    this.#context.sweep?.endRound(wasCut);
+    this.#context.sweep?.endRound(wasCut || this.#isStepCut);
     this.#permissions.admitsUntrusted = true;
     const interrupted = startInterruptedTasks(this.#fleet, ordered, {
       isAllowed: this.#isAllowed,
@@ -255,7 +257,11 @@
     let ranking = this.#rank(step, minions);
     let skipped = 0;
     for (const [order, index] of startable.entries()) {
-      if (budget.isUsedUp || this.#isTimeUp()) {
+      if (budget.isUsedUp) {
+        return;
+      }
+      if (this.#isTimeUp()) {
+        this.#isStepCut = true;
         return;
       }
       const minion = this.#choose(step, index, ranking);
--- a/packages/nutmegproxy-scheduling/src/__tests__/unit/PlanSweep.test.ts
+++ b/packages/nutmegproxy-scheduling/src/__tests__/unit/PlanSweep.test.ts
@@ -91,6 +91,14 @@
     });
   });
 
+  describe('a round that is cut within its last step', () => {
+    it('leaves the pass open, so that another round follows at once', () => {
+      sample.addJob('proofs', [shape({count: 20})]);
+      assert.equal(plan(0, 0), 1);
+      assert.equal(sweep.isOpen, true);
+    });
+  });
+
   describe('interrupted tasks of long-running jobs', () => {
     it('start in a round that is cut before their step', () => {
       sample.addJob('proofs', [shape({count: 20})]);
