--- a/packages/nutmegproxy-scheduling/src/PlanSweep.ts
+++ b/packages/nutmegproxy-scheduling/src/PlanSweep.ts
@@ -8,6 +8,7 @@
 export class PlanSweep {
   #isOpen = false;
   #tried = new WeakSet<StepState>();
+  #triedWithTrials = new WeakSet<StepState>();
 
   /** Whether the last round was cut, so that the next one continues it. */
   get isOpen(): boolean {
@@ -18,15 +19,23 @@
     this.#isOpen = wasCut;
     if (!wasCut) {
       this.#tried = new WeakSet();
+      this.#triedWithTrials = new WeakSet();
     }
   }
 
-  /** Whether the step found no minion in an earlier round of this pass. */
-  hasTried(step: StepState): boolean {
-    return this.#isOpen && this.#tried.has(step);
+  /**
+   * Whether the step found no minion in an earlier round of this pass. Steps that have failed trials are tried
+   * twice in a pass, at last with minions on trial (`admitsFailedTrials`).
+   */
+  hasTried(step: StepState, admitsFailedTrials: boolean): boolean {
+    return this.#isOpen && this.#findTried(admitsFailedTrials).has(step);
   }
 
-  recordTried(step: StepState): void {
-    this.#tried.add(step);
+  recordTried(step: StepState, admitsFailedTrials: boolean): void {
+    this.#findTried(admitsFailedTrials).add(step);
+  }
+
+  #findTried(admitsFailedTrials: boolean): WeakSet<StepState> {
+    return admitsFailedTrials ? this.#triedWithTrials : this.#tried;
   }
 }
--- a/packages/nutmegproxy-scheduling/src/StartPlanner.ts
+++ b/packages/nutmegproxy-scheduling/src/StartPlanner.ts
@@ -91,10 +91,10 @@
     const others = ready.filter(({job}) => !trials.held.has(job) && !job.isFinal);
     const ordered = orderSteps(this.#fleet, others, estimator, wall).map(({step}) => step);
     this.#permissions.admitsFailedTrials = false;
-    const wasCut = this.#place(ordered);
+    let wasCut = this.#place(ordered);
     this.#permissions.admitsFailedTrials = true;
     if (!wasCut && this.#hasOpenTrial(now)) {
-      this.#place(ordered.filter(({hasFailedTrial}) => hasFailedTrial));
+      wasCut = this.#place(ordered.filter(({hasFailedTrial}) => hasFailedTrial));
     }
     this.#context.sweep?.endRound(wasCut || this.#isStepCut);
     this.#permissions.admitsUntrusted = true;
@@ -116,12 +116,13 @@
   /** Places the tasks of steps in the given order; returns whether the time was up before the last one. */
   #place(steps: readonly StepState[]): boolean {
     const {deferrableStarts = Infinity, sweep} = this.#context;
+    const {admitsFailedTrials} = this.#permissions;
     return placeWithinBudget(steps, {
       isDeferrable: (step) => isDeferrable(this.#fleet, step),
       isTimeUp: this.#isTimeUp,
       limit: deferrableStarts - countDeferrable(this.#fleet, this.#starts),
       place: (step, budget) => {
-        if (sweep?.hasTried(step) === true) {
+        if (sweep?.hasTried(step, admitsFailedTrials) === true) {
           return;
         }
         const starts = this.#starts.length;
@@ -132,7 +133,7 @@
         }
         this.#hasProgressed = true;
         if (this.#starts.length === starts && !budget.isUsedUp) {
-          sweep?.recordTried(step);
+          sweep?.recordTried(step, admitsFailedTrials);
         }
       },
     });
--- a/packages/nutmegproxy-scheduling/src/__tests__/unit/PlanSweep.test.ts
+++ b/packages/nutmegproxy-scheduling/src/__tests__/unit/PlanSweep.test.ts
@@ -99,6 +99,24 @@
     });
   });
 
+  describe('steps that have failed the trial of a minion', () => {
+    it('get a minion on trial though each pass takes several rounds', () => {
+      sample = new SampleFleet(1);
+      for (const {trust} of sample.fleet.minions.values()) {
+        trust.recordStall(at(0));
+      }
+      const failed = sample.addJob('proofs', [shape({})]).occurrence(0)?.[0];
+      assert.ok(failed);
+      failed.hasFailedTrial = true;
+      sample.addJob('proofs', [shape({resources: TOO_LARGE})]);
+      sample.addJob('proofs', [shape({resources: TOO_LARGE})]);
+      for (let round = 0; round < 12; round += 1) {
+        plan(100_000 + round, 0);
+      }
+      assert.equal(failed.liveRuns, 1);
+    });
+  });
+
   describe('interrupted tasks of long-running jobs', () => {
     it('start in a round that is cut before their step', () => {
       sample.addJob('proofs', [shape({count: 20})]);
