--- a/packages/nutmegproxy-scheduling/src/__tests__/unit/PlanSweep.test.ts
+++ b/packages/nutmegproxy-scheduling/src/__tests__/unit/PlanSweep.test.ts
@@ -117,6 +117,23 @@
     });
   });
 
+  describe('an urgent step that finds no minion at the begin of a pass', () => {
+    it('gets the first room that becomes free, before less urgent work', () => {
+      sample = new SampleFleet(1, [queue('proofs', {priority: 1}), queue('alerts', {priority: 0})]);
+      const jobs = [1, 2].map(() => sample.addJob('proofs', [shape({count: 20})]));
+      const runs = sample.plan(0);
+      const urgent = sample.addJob('alerts', [shape({count: 1})]);
+      plan(1, 0);
+      assert.equal(urgent.occurrence(0)?.[0]?.liveRuns, 0);
+      const [first] = runs;
+      assert.ok(first);
+      sample.fleet.finishRun(first, 'done', undefined, at(2));
+      plan(3, 0);
+      assert.equal(jobs.length, 2);
+      assert.equal(urgent.occurrence(0)?.[0]?.liveRuns, 1);
+    });
+  });
+
   describe('interrupted tasks of long-running jobs', () => {
     it('start in a round that is cut before their step', () => {
       sample.addJob('proofs', [shape({count: 20})]);
