--- a/packages/nutmegproxy-owner/src/JobWatcher.ts
+++ b/packages/nutmegproxy-owner/src/JobWatcher.ts
@@ -77,11 +77,11 @@
           void this.#restart(failure);
         },
         onEvents: (events) => {
-          for (const event of events) {
-            if (findKey(event) === OWNER_KEY) {
-              this.#checkOwner(event);
-              continue;
-            }
+          // No work may keep this owner from learning that another one has replaced it.
+          for (const event of events.filter(isOwnerChange)) {
+            this.#applyEvent(event);
+          }
+          for (const event of events.filter((each) => !isOwnerChange(each))) {
             void work.run('jobs', () => {
               this.#applyEvent(event);
               onChange();
@@ -108,7 +108,14 @@
   }
 
   #applyEvent(event: WatchEvent): void {
-    const {fleet} = this.#options;
+    const {fleet, onFenced, ownership} = this.#options;
+    const revision = event.kind === 'put' ? event.stored.modRevision : event.modRevision;
+    if (isOwnerChange(event)) {
+      if (revision > ownership.token) {
+        onFenced();
+      }
+      return;
+    }
     const parsed = parseJobKey(findKey(event));
     if (parsed === undefined || event.kind !== 'put') {
       return;
@@ -116,7 +123,7 @@
     if (parsed.part === 'request') {
       const job = this.#addJob(event.stored);
       if (job !== undefined) {
-        this.#recordDiscovery(job, event.stored.modRevision);
+        this.#recordDiscovery(job, revision);
       }
     } else if (parsed.part === 'cancel') {
       const job = fleet.jobs.get(parsed.id);
@@ -126,15 +133,6 @@
     }
   }
 
-  /** Learns at once, before work that waits, that another VM owns the fleet. */
-  #checkOwner(event: WatchEvent): void {
-    const {onFenced, ownership} = this.#options;
-    const revision = event.kind === 'put' ? event.stored.modRevision : event.modRevision;
-    if (revision > ownership.token) {
-      onFenced();
-    }
-  }
-
   async #applySnapshot(values: readonly StoredValue[]): Promise<void> {
     const {events, fleet, onFenced, ownership, work} = this.#options;
     const owner = values.find(({key}) => key === OWNER_KEY);
@@ -216,3 +214,8 @@
 function findKey(event: WatchEvent): string {
   return event.kind === 'put' ? event.stored.key : event.key;
 }
+
+/** Whether an event is about the key of the ownership. */
+function isOwnerChange(event: WatchEvent): boolean {
+  return findKey(event) === OWNER_KEY;
+}
--- a/packages/nutmegproxy-owner/src/RunOrders.ts
+++ b/packages/nutmegproxy-owner/src/RunOrders.ts
@@ -273,7 +273,7 @@
   async #tryStop({number, task}: StopRequest): Promise<void> {
     const {clock, orders, ownership, work} = this.#context;
     const order = {number, task: formatTaskName(task), token: ownership.token};
-    for (let attempt = 0; attempt < ORDER_ATTEMPTS; attempt += 1) {
+    for (let attempt = 0; attempt < ORDER_ATTEMPTS && this.#hooks.isActing(); attempt += 1) {
       const sent = await work.run('stops', () =>
         this.#hooks.isActing() ? {answer: orders.stop(this.#target, order)} : undefined,
       );
--- a/packages/nutmegproxy-owner/src/__tests__/unit/JobWatcher.test.ts
+++ b/packages/nutmegproxy-owner/src/__tests__/unit/JobWatcher.test.ts
@@ -30,15 +30,13 @@
 describe('the jobs that an owner receives', () => {
   const clock = new ManualClock();
   let breakWatch: () => void;
-  /** Whether work waits for a later turn of the event loop. */
-  let isBusy: boolean;
-  /** Uses up the present turn; the next one does not come. */
-  let fillTurn: () => void;
   let isFenced: boolean;
   let ownership: FleetOwnership;
   let recorded: {fields: EventFields; kind: EventKind}[];
   let reportBreak: () => void;
   let store: MemoryStore;
+  let turnLimitMs: number;
+  let turns: (() => void)[];
   let watcher: JobWatcher;
 
   function find(kind: EventKind): EventFields[] {
@@ -74,9 +72,10 @@
   }
 
   beforeEach(async () => {
-    isBusy = false;
     isFenced = false;
     recorded = [];
+    turnLimitMs = Infinity;
+    turns = [];
     store = new MemoryStore(clock);
     const events = {
       record: (kind: EventKind, fields: EventFields) => {
@@ -95,21 +94,6 @@
       return opened;
     };
     ownership = await acquireOwnership(store);
-    const work = new WorkQueue({
-      clock,
-      maxTurnMs: 1,
-      schedule: (callback) => {
-        if (!isBusy) {
-          setImmediate(callback);
-        }
-      },
-    });
-    fillTurn = () => {
-      isBusy = true;
-      void work.run('planning', () => {
-        clock.advance(1);
-      });
-    };
     watcher = new JobWatcher({
       clock,
       events,
@@ -120,7 +104,13 @@
       },
       ownership,
       store,
-      work,
+      work: new WorkQueue({
+        clock,
+        get maxTurnMs() {
+          return turnLimitMs;
+        },
+        schedule: (callback) => turns.push(callback),
+      }),
     });
   });
 
@@ -173,17 +163,6 @@
     assert.deepEqual(find(OWNER_EVENTS.JOBS_READ), []);
   });
 
-  it('wait for a later turn, while the end of its ownership does not', async () => {
-    (await watcher.start())._unsafeUnwrap();
-    await waitForStore();
-    fillTurn();
-    await submit(1);
-    await put(store, OWNER_KEY, Buffer.from('another VM'));
-    await waitForStore();
-    assert.deepEqual(find(OWNER_EVENTS.JOB_DISCOVERED), []);
-    assert.equal(isFenced, true);
-  });
-
   it('while its watch is broken are named once it has read all jobs again, without those before', async () => {
     await submit(1);
     (await watcher.start())._unsafeUnwrap();
@@ -195,4 +174,15 @@
     assert.deepEqual(listNamedJobs(), [{id: createJob(2).id, revision, status: 'queued'}]);
     assert.deepEqual(find(OWNER_EVENTS.JOB_DISCOVERED), []);
   });
+
+  it('do not delay the end of its term: another owner is seen before them', async () => {
+    (await watcher.start())._unsafeUnwrap();
+    turnLimitMs = 0;
+    for (let number = 1; number <= 10; number += 1) {
+      await submit(number);
+    }
+    (await put(store, OWNER_KEY, Buffer.from('other')))._unsafeUnwrap();
+    await waitForStore();
+    assert.equal(isFenced, true);
+  });
 });
--- a/packages/nutmegproxy-scheduling/src/__tests__/unit/PlanSweep.test.ts
+++ b/packages/nutmegproxy-scheduling/src/__tests__/unit/PlanSweep.test.ts
@@ -91,6 +91,49 @@
     });
   });
 
+  describe('a round that is cut within its last step', () => {
+    it('leaves the pass open, so that another round follows at once', () => {
+      sample.addJob('proofs', [shape({count: 20})]);
+      assert.equal(plan(0, 0), 1);
+      assert.equal(sweep.isOpen, true);
+    });
+  });
+
+  describe('steps that have failed the trial of a minion', () => {
+    it('get a minion on trial though each pass takes several rounds', () => {
+      sample = new SampleFleet(1);
+      for (const {trust} of sample.fleet.minions.values()) {
+        trust.recordStall(at(0));
+      }
+      const failed = sample.addJob('proofs', [shape({})]).occurrence(0)?.[0];
+      assert.ok(failed);
+      failed.hasFailedTrial = true;
+      sample.addJob('proofs', [shape({resources: TOO_LARGE})]);
+      sample.addJob('proofs', [shape({resources: TOO_LARGE})]);
+      for (let round = 0; round < 12; round += 1) {
+        plan(100_000 + round, 0);
+      }
+      assert.equal(failed.liveRuns, 1);
+    });
+  });
+
+  describe('an urgent step that finds no minion at the begin of a pass', () => {
+    it('gets the first room that becomes free, before less urgent work', () => {
+      sample = new SampleFleet(1, [queue('proofs', {priority: 1}), queue('alerts', {priority: 0})]);
+      const jobs = [1, 2].map(() => sample.addJob('proofs', [shape({count: 20})]));
+      const runs = sample.plan(0);
+      const urgent = sample.addJob('alerts', [shape({count: 1})]);
+      plan(1, 0);
+      assert.equal(urgent.occurrence(0)?.[0]?.liveRuns, 0);
+      const [first] = runs;
+      assert.ok(first);
+      sample.fleet.finishRun(first, 'done', undefined, at(2));
+      plan(3, 0);
+      assert.equal(jobs.length, 2);
+      assert.equal(urgent.occurrence(0)?.[0]?.liveRuns, 1);
+    });
+  });
+
   describe('interrupted tasks of long-running jobs', () => {
     it('start in a round that is cut before their step', () => {
       sample.addJob('proofs', [shape({count: 20})]);
