--- a/packages/nutmegproxy-owner/src/MinionSession.ts
+++ b/packages/nutmegproxy-owner/src/MinionSession.ts
@@ -191,7 +191,6 @@
 
   #applyListing(listing: MinionListing, requestedAt: Instant, now: Instant): void {
     const {fleet, onListed} = this.#context;
-    this.minion.leaseClock.observe(listing.clockMs, now);
     this.#recordOmission(listing, now);
     this.#recordDurations(listing, now);
     reconcileListing(fleet, this.minion, listing, {
@@ -218,9 +217,10 @@
       return false;
     }
     const answer = await sent.answer;
+    const receivedAt = clock.monotonic();
     const hadReading = this.minion.leaseClock.hasReading;
     const isAnswered = await work.run('listings', () =>
-      this.#handleAnswer(sent, answer, clock.monotonic()),
+      this.#handleAnswer(sent, answer, receivedAt, clock.monotonic()),
     );
     if (this.#stopped) {
       return true;
@@ -267,6 +267,7 @@
   #handleAnswer(
     {reportedBornAt, requestedAt, results}: SentPoll,
     answer: Result<MinionListing, OrderFailure>,
+    receivedAt: Instant,
     now: Instant,
   ): boolean {
     if (this.#stopped) {
@@ -279,6 +280,7 @@
       return false;
     }
     this.#observeListing(answer.value.bornAt, reportedBornAt);
+    this.minion.leaseClock.observe(answer.value.clockMs, receivedAt);
     this.#applyListing(answer.value, requestedAt, now);
     if (results !== this.#results && (answer.value.bornAt ?? 0) < (this.#bornAt ?? 0)) {
       // The listing was on its way when a restart became known; its numbers are the former ones.
