--- a/packages/nutmegproxy-owner/src/MinionSession.ts
+++ b/packages/nutmegproxy-owner/src/MinionSession.ts
@@ -205,7 +205,6 @@
 
   #applyListing(listing: MinionListing, requestedAt: Instant, now: Instant): void {
     const {fleet, onListed} = this.#context;
-    this.minion.leaseClock.observe(listing.clockMs, now);
     this.#recordOmission(listing, now);
     this.#recordDurations(listing, now);
     reconcileListing(fleet, this.minion, listing, {
@@ -265,11 +264,12 @@
       return undefined;
     }
     const answer = await sent.answer;
+    const receivedAt = clock.monotonic();
     limiter.recordResponse();
     const hadReading = this.minion.leaseClock.hasReading;
     const isAnswered = await work.run(
       'listings',
-      () => this.#handleAnswer(sent, answer, clock.monotonic()),
+      () => this.#handleAnswer(sent, answer, receivedAt, clock.monotonic()),
       {isUrgent},
     );
     return {answer, hadReading, isAnswered};
@@ -309,6 +309,7 @@
   #handleAnswer(
     {reportedBornAt, requestedAt, results}: SentPoll,
     answer: Result<MinionListing, OrderFailure>,
+    receivedAt: Instant,
     now: Instant,
   ): boolean {
     if (this.#stopped) {
@@ -321,6 +322,7 @@
       return false;
     }
     this.#observeListing(answer.value.bornAt, reportedBornAt);
+    this.minion.leaseClock.observe(answer.value.clockMs, receivedAt);
     this.#applyListing(answer.value, requestedAt, now);
     if (results !== this.#results && (answer.value.bornAt ?? 0) < (this.#bornAt ?? 0)) {
       // The listing was on its way when a restart became known; its numbers are the former ones.
