--- a/packages/nutmegproxy-owner/src/OwnerUtils.ts
+++ b/packages/nutmegproxy-owner/src/OwnerUtils.ts
@@ -75,17 +75,17 @@
 }
 
 /**
- * Returns a function that says whether `limitMs` milliseconds have passed since its first call.
+ * Returns a function that says whether `limitMs` milliseconds, or a share of them, have passed since its first call.
  *
  * @example
  * const isTimeUp = createTimeLimit(clock, 60);
  */
-export function createTimeLimit(clock: Clock, limitMs: number): () => boolean {
+export function createTimeLimit(clock: Clock, limitMs: number): (share?: number) => boolean {
   let startedAt: Instant | undefined;
-  return () => {
+  return (share = 1) => {
     const now = clock.monotonic();
     startedAt ??= now;
-    return now - startedAt >= limitMs;
+    return now - startedAt >= limitMs * share;
   };
 }
 
--- a/packages/nutmegproxy-scheduling/src/StartPlanner.ts
+++ b/packages/nutmegproxy-scheduling/src/StartPlanner.ts
@@ -34,6 +34,9 @@
  */
 const BACKFILL_RETRY_MS = 150;
 
+/** Share of the time for placement in which steps that found no minion in the same pass are tried again. */
+const RETRY_SHARE = 1 / 3;
+
 /** Tasks of a step that are passed over in one round before the step waits; bounds its duration. */
 const MAX_SKIPPED_TASKS = 100;
 
@@ -41,8 +44,8 @@
   /** Most starts of deferrable work in this round; absent when they are not limited. */
   readonly deferrableStarts?: number;
   readonly estimator: DurationEstimator;
-  /** Whether the time for placement in this round is used up; absent when it is not limited. */
-  readonly isTimeUp?: () => boolean;
+  /** Whether the time for placement in this round, or a share of it, is used up; absent when it is not limited. */
+  readonly isTimeUp?: (share?: number) => boolean;
   readonly sharingCosts: SharingCosts;
   /** The pass over the steps that this round continues; required where the time is limited. */
   readonly sweep?: PlanSweep;
@@ -59,6 +62,8 @@
   #isStepCut = false;
   /** Suspected tasks that must not start like any others. */
   #heldTasks: TrialPlan['heldTasks'] = new Map();
+  /** Whether a step that found no minion in this pass was tried again in this round. */
+  #hasRetried = false;
   readonly #longRunningStarts: LongRunningStarts;
   readonly #permissions: StartPermissions;
   readonly #starts: Run[] = [];
@@ -122,23 +127,33 @@
       isTimeUp: this.#isTimeUp,
       limit: deferrableStarts - countDeferrable(this.#fleet, this.#starts),
       place: (step, budget) => {
-        if (sweep?.hasTried(step, admitsFailedTrials) === true) {
+        const isRetry = sweep?.hasTried(step, admitsFailedTrials) ?? false;
+        if (isRetry && !this.#mayRetry()) {
           return;
         }
+        const hadProgressed = this.#hasProgressed;
         const starts = this.#starts.length;
         if (step.shape.gang) {
           this.#placeGang(step, budget);
         } else {
           this.#placeTasks(step, budget);
         }
-        this.#hasProgressed = true;
-        if (this.#starts.length === starts && !budget.isUsedUp) {
+        const hasStarted = this.#starts.length > starts;
+        this.#hasProgressed = hasStarted || !isRetry || hadProgressed;
+        if (!hasStarted && !budget.isUsedUp) {
           sweep?.recordTried(step, admitsFailedTrials);
         }
       },
     });
   }
 
+  /** Whether a step that found no minion in this pass is tried once more, as room may have become free. */
+  #mayRetry(): boolean {
+    const isAllowed = !this.#hasRetried || this.#context.isTimeUp?.(RETRY_SHARE) !== true;
+    this.#hasRetried = true;
+    return isAllowed;
+  }
+
   readonly #isTimeUp = (): boolean => this.#hasProgressed && (this.#context.isTimeUp?.() ?? false);
 
   /** Whether a minion on trial has no run yet that shows if it is sound. */
