--- a/packages/nutmegproxy-core/src/WorkQueue.ts
+++ b/packages/nutmegproxy-core/src/WorkQueue.ts
@@ -140,7 +140,7 @@
     }
   }
 
-  /** Counts the time of a piece of work; work that nothing of the other kind waits for owes it no time. */
+  /** Counts the time of a piece of work. A lead of its kind counts only while work of the other kind waits. */
   #countTime(isUrgent: boolean, workMs: number): void {
     const leadMs = this.#urgentLeadMs + (isUrgent ? workMs : -workMs);
     const isAwaited = (isUrgent ? this.#queued : this.#queuedUrgent).length > 0;
