--- a/packages/nutmegproxy-owner/src/__tests__/unit/RoundLog.test.ts
+++ b/packages/nutmegproxy-owner/src/__tests__/unit/RoundLog.test.ts
@@ -87,23 +87,32 @@
     return line;
   }
 
+  /** Asserts that the task waits for the limit of the starts, by one of its causes alone. */
+  function assertLimit(line: EventFields, cause: 'Allowance' | 'Backlog' | 'Time'): void {
+    assert.equal(line.pendingStartLimit, 1);
+    for (const each of ['Allowance', 'Backlog', 'Time']) {
+      assert.equal(line[`startLimit${each}`], Number(each === cause), each);
+    }
+    assert.match(String(line.named), new RegExp(`/start-limit/3000/by=${cause.toLowerCase()}$`));
+  }
+
   describe('of a task that could start', () => {
     it('says that the view of the directory is too old', () => {
       assert.equal(recordRounds('directory').pendingDirectory, 1);
     });
 
     it('says that too many starts wait to be sent', () => {
-      assert.equal(recordRounds('backlog').pendingStartLimit, 1);
+      assertLimit(recordRounds('backlog'), 'Backlog');
     });
 
     it('says that the starts of deferrable work are used up', () => {
-      assert.equal(recordRounds(undefined, {deferrableStarts: 0}).pendingStartLimit, 1);
+      assertLimit(recordRounds(undefined, {deferrableStarts: 0}), 'Allowance');
     });
 
     it('says that the time for placement is used up', () => {
       const sweep = new PlanSweep();
       sweep.endRound(true);
-      assert.equal(recordRounds(undefined, {sweep}).pendingStartLimit, 1);
+      assertLimit(recordRounds(undefined, {sweep}), 'Time');
     });
 
     it('says no start limit while starts of deferrable work are left', () => {
--- a/packages/nutmegproxy-scheduling/src/PendingTaskReason.ts
+++ b/packages/nutmegproxy-scheduling/src/PendingTaskReason.ts
@@ -50,8 +50,16 @@
   | 'trust'
   | 'unknown-result';
 
+/**
+ * What limits the starts of a round. `allowance`: the starts of deferrable work are used up. `backlog`: too
+ * many starts wait to be sent. `time`: the time for placement was used up before all steps were placed.
+ */
+export type StartLimit = 'allowance' | 'backlog' | 'time';
+
 /** What a reason rests on. */
 export interface PendingDetails {
+  /** What limits the starts; of `start-limit` alone. */
+  readonly limit?: StartLimit | undefined;
   /** The minion that is waited for. */
   readonly minion?: MinionId | undefined;
   /** Longest time in milliseconds for which the reason lasts; undefined where nothing limits it. */
@@ -177,13 +185,28 @@
   trust: (_task, {id}) => ({minion: id}),
 };
 
+function findStartLimit(
+  {step}: PendingTask,
+  {fleet, hold, isBudgetUsedUp, isCut}: PendingContext,
+): StartLimit | undefined {
+  if (hold === 'backlog') {
+    return 'backlog';
+  }
+  if (isCut) {
+    return 'time';
+  }
+  return isBudgetUsedUp && isDeferrable(fleet, step) ? 'allowance' : undefined;
+}
+
 /** What withholds a task that could start otherwise. */
 const ROUND_RULES: readonly (readonly [PendingReason, TaskRule])[] = [
   ['directory', (_task, {hold}) => (hold === 'directory' ? {} : undefined)],
   [
     'start-limit',
-    ({step}, {fleet, hold, isBudgetUsedUp, isCut}) =>
-      hold === 'backlog' || isCut || (isBudgetUsedUp && isDeferrable(fleet, step)) ? {} : undefined,
+    (task, context) => {
+      const limit = findStartLimit(task, context);
+      return limit && {limit};
+    },
   ],
 ];
 
--- a/packages/nutmegproxy-scheduling/src/PendingTaskSummary.ts
+++ b/packages/nutmegproxy-scheduling/src/PendingTaskSummary.ts
@@ -5,7 +5,7 @@
 
 import {formatTaskName} from '@nutmegproxy/jobs';
 
-import type {PendingCause, PendingReason, PendingTask} from './PendingTaskReason.ts';
+import type {PendingCause, PendingReason, PendingTask, StartLimit} from './PendingTaskReason.ts';
 
 /** Maximum number of jobs that a line names beside the longest wait of each reason. */
 const MAX_OTHER_NAMES = 16;
@@ -31,6 +31,13 @@
   'unknown-result': 'pendingUnknownResult',
 };
 
+/** The same of each limit of the starts; together they are `pendingStartLimit`. */
+const LIMIT_FIELD_NAMES: Readonly<Record<StartLimit, string>> = {
+  allowance: 'startLimitAllowance',
+  backlog: 'startLimitBacklog',
+  time: 'startLimitTime',
+};
+
 /** A task that waits, and how many others of its step wait for the same reason. */
 export interface PendingWait extends PendingTask {
   readonly cause: PendingCause;
@@ -39,9 +46,9 @@
   readonly waitedMs: number;
 }
 
-/** Returns `TASK/REASON/WAITED_MS`, with `/until=MS` and `/on=MINION` where they are known. */
+/** Returns `TASK/REASON/WAITED_MS`, with `/until=MS`, `/on=MINION` and `/by=LIMIT` where they are known. */
 function nameWait({cause, index, step, waitedMs}: PendingWait): string {
-  const {minion, reason, untilMs = Infinity} = cause;
+  const {limit, minion, reason, untilMs = Infinity} = cause;
   const task = formatTaskName({
     index,
     job: step.job.id,
@@ -50,7 +57,8 @@
   });
   const until = untilMs < Infinity ? `/until=${Math.round(untilMs)}` : '';
   const on = minion === undefined ? '' : `/on=${minion}`;
-  return `${task}/${reason}/${Math.round(waitedMs)}${until}${on}`;
+  const by = limit === undefined ? '' : `/by=${limit}`;
+  return `${task}/${reason}/${Math.round(waitedMs)}${until}${on}${by}`;
 }
 
 /**
@@ -61,6 +69,7 @@
  */
 export class PendingTaskSummary {
   readonly #counts = new Map<PendingReason, number>();
+  readonly #limits = new Map<StartLimit, number>();
   readonly #longest = new Map<PendingReason, PendingWait>();
   readonly #longestOfJobs = new Map<JobId, PendingWait>();
   #unexamined = 0;
@@ -70,9 +79,13 @@
   }
 
   add(wait: PendingWait): void {
-    const {reason} = wait.cause;
+    const {limit, reason} = wait.cause;
     const {id} = wait.step.job;
-    this.#counts.set(reason, (this.#counts.get(reason) ?? 0) + 1 + wait.others);
+    const count = 1 + wait.others;
+    this.#counts.set(reason, (this.#counts.get(reason) ?? 0) + count);
+    if (limit !== undefined) {
+      this.#limits.set(limit, (this.#limits.get(limit) ?? 0) + count);
+    }
     if (wait.waitedMs > (this.#longest.get(reason)?.waitedMs ?? -Infinity)) {
       this.#longest.set(reason, wait);
     }
@@ -90,9 +103,11 @@
   describe(): EventFields {
     const reasons = Object.entries(FIELD_NAMES) as [PendingReason, string][];
     const counts = reasons.map(([reason, name]) => [name, this.#counts.get(reason) ?? 0] as const);
+    const names = Object.entries(LIMIT_FIELD_NAMES) as [StartLimit, string][];
+    const limits = names.map(([limit, name]) => [name, this.#limits.get(limit) ?? 0] as const);
     const waits = [...this.#longest.values()].map(({waitedMs}) => waitedMs);
     return {
-      ...Object.fromEntries(counts),
+      ...Object.fromEntries([...counts, ...limits]),
       longestPendingMs: Math.round(Math.max(0, ...waits)),
       pending: counts.reduce((sum, [, count]) => sum + count, this.#unexamined),
       pendingUnexamined: this.#unexamined,
--- a/packages/nutmegproxy-scheduling/src/__tests__/unit/PendingTaskReason.test.ts
+++ b/packages/nutmegproxy-scheduling/src/__tests__/unit/PendingTaskReason.test.ts
@@ -187,17 +187,21 @@
     });
 
     it('says that too many starts wait to be sent', () => {
-      assert.deepEqual(findCause(addStep(), {hold: 'backlog'}), {reason: 'start-limit'});
+      assert.deepEqual(findCause(addStep(), {hold: 'backlog'}), {
+        limit: 'backlog',
+        reason: 'start-limit',
+      });
     });
 
     it('says that the time of the round was used up before all steps were placed', () => {
-      assert.deepEqual(findCause(addStep(), {isCut: true}), {reason: 'start-limit'});
+      assert.deepEqual(findCause(addStep(), {isCut: true}), {limit: 'time', reason: 'start-limit'});
     });
 
     it('says that the round has used up its starts of deferrable work, but not of urgent work', () => {
       const deferrable = findCause(addStep({}, 'later'), {isBudgetUsedUp: true});
       const urgent = findCause(addStep(), {isBudgetUsedUp: true});
-      assert.deepEqual([deferrable.reason, urgent.reason], ['start-limit', 'placement']);
+      assert.deepEqual(deferrable, {limit: 'allowance', reason: 'start-limit'});
+      assert.equal(urgent.reason, 'placement');
     });
 
     it('names what withholds the task itself before them', () => {
