--- a/packages/nutmegproxy-jobs/src/JobRecords.ts
+++ b/packages/nutmegproxy-jobs/src/JobRecords.ts
@@ -6,26 +6,29 @@
 import {brand} from '@nutmegproxy/core';
 import {err, ok} from 'neverthrow';
 
+import type {CellIndex} from './CellKeys.ts';
 import type {StoredJob} from './JobModel.ts';
 import type {JobProgress} from './JobProgress.ts';
 
-/** Prefix of the keys that the owner of the fleet watches: its own key, jobs and cancellations. */
-export const FLEET_PREFIX = 'nutmegproxy/fleet/';
-/** Prefix of the keys that the owner writes and doesn't watch. */
-export const STATE_PREFIX = 'nutmegproxy/state/';
-/** Prefix of the keys of job progress, one per job. */
-export const PROGRESS_PREFIX = 'nutmegproxy/progress/';
+import {FIRST_CELL, formatFleetPrefix, formatProgressPrefix, MAX_CELLS} from './CellKeys.ts';
 
 /** A part of a job that has its own key. */
 export type JobPart = 'cancel' | 'progress' | 'request';
 
-const KEY_FORMATS: Readonly<Record<JobPart, (id: JobId) => string>> = {
-  cancel: (id) => `${FLEET_PREFIX}jobs/${id}/cancel`,
-  progress: (id) => `${PROGRESS_PREFIX}${id}`,
-  request: (id) => `${FLEET_PREFIX}jobs/${id}/request`,
+const KEY_FORMATS: Readonly<Record<JobPart, (id: JobId, cell: CellIndex) => string>> = {
+  cancel: (id, cell) => `${formatJobPrefix(id, cell)}cancel`,
+  progress: (id, cell) => `${formatProgressPrefix(cell)}${id}`,
+  request: (id, cell) => `${formatJobPrefix(id, cell)}request`,
 };
 const JOB_KEY =
-  /^nutmegproxy\/(?:fleet\/jobs\/([0-9a-f]{16})\/(cancel|request)|progress\/([0-9a-f]{16}))$/;
+  /^nutmegproxy\/(?:cell\/([1-9]\d*)\/)?(?:fleet\/jobs\/([0-9a-f]{16})\/(cancel|request)|progress\/([0-9a-f]{16}))$/;
+
+/** What the key of a part of a job names. */
+export interface JobKey {
+  readonly cell: CellIndex;
+  readonly id: JobId;
+  readonly part: JobPart;
+}
 
 /**
  * Returns the key of one part of a job.
@@ -33,25 +36,29 @@
  * @example
  * formatJobKey(id, 'request'); // 'nutmegproxy/fleet/jobs/5c0e7a21d94b36f8/request'
  */
-export function formatJobKey(id: JobId, part: JobPart): string {
-  return KEY_FORMATS[part](id);
+export function formatJobKey(id: JobId, part: JobPart, cell: CellIndex = FIRST_CELL): string {
+  return KEY_FORMATS[part](id, cell);
 }
 
 /** Returns the prefix of the keys of a job's request and cancellation. */
-export function formatJobPrefix(id: JobId): string {
-  return `${FLEET_PREFIX}jobs/${id}/`;
+export function formatJobPrefix(id: JobId, cell: CellIndex = FIRST_CELL): string {
+  return `${formatFleetPrefix(cell)}jobs/${id}/`;
 }
 
-/** Returns the job and part that a key names; undefined for other keys. */
-export function parseJobKey(key: string): undefined | {readonly id: JobId; readonly part: JobPart} {
+/** Returns the cell, job and part that a key names; undefined for other keys. */
+export function parseJobKey(key: string): JobKey | undefined {
   const match = JOB_KEY.exec(key);
   if (match === null) {
     return undefined;
   }
-  const [, ofFleet, part, ofProgress = ''] = match;
+  const [, number = '0', ofFleet, part, ofProgress = ''] = match;
+  const cell = Number(number) as CellIndex;
+  if (cell >= MAX_CELLS) {
+    return undefined;
+  }
   return ofFleet === undefined
-    ? {id: brand<JobId>(ofProgress), part: 'progress'}
-    : {id: brand<JobId>(ofFleet), part: part as JobPart};
+    ? {cell, id: brand<JobId>(ofProgress), part: 'progress'}
+    : {cell, id: brand<JobId>(ofFleet), part: part as JobPart};
 }
 
 export function encodeRecord(record: JobProgress | StoredJob): Buffer {
--- a/packages/nutmegproxy-jobs/src/index.ts
+++ b/packages/nutmegproxy-jobs/src/index.ts
@@ -1,5 +1,16 @@
 /** Public API of the jobs. */
 
+export {
+  FIRST_CELL,
+  formatFleetPrefix,
+  formatOwnerKey,
+  formatProgressPrefix,
+  formatRecordKey,
+  MAX_CELLS,
+  PROGRESS_PREFIX,
+  STATE_PREFIX,
+} from './CellKeys.ts';
+export type {CellIndex, CellRecord} from './CellKeys.ts';
 export type {
   Checkpoint,
   JobRequest,
@@ -20,14 +31,11 @@
   decodeJob,
   decodeProgress,
   encodeRecord,
-  FLEET_PREFIX,
   formatJobKey,
   formatJobPrefix,
   parseJobKey,
-  PROGRESS_PREFIX,
-  STATE_PREFIX,
 } from './JobRecords.ts';
-export type {JobPart} from './JobRecords.ts';
+export type {JobKey, JobPart} from './JobRecords.ts';
 export {JobState} from './JobState.ts';
 export {MAX_PAYLOAD_CHARACTERS, validateJob} from './JobValidation.ts';
 export type {JobValidationError} from './JobValidation.ts';
--- a/packages/nutmegproxy-owner/src/ClosingRecords.ts
+++ b/packages/nutmegproxy-owner/src/ClosingRecords.ts
@@ -11,7 +11,7 @@
 import type {Result} from 'neverthrow';
 
 import {after, delay} from '@nutmegproxy/core';
-import {STATE_PREFIX} from '@nutmegproxy/jobs';
+import {formatRecordKey} from '@nutmegproxy/jobs';
 import {getKey} from '@nutmegproxy/store';
 import {err, ok} from 'neverthrow';
 
@@ -28,8 +28,6 @@
 import {awaitChange} from './OwnerUtils.ts';
 import {parseJson} from './StoredJson.ts';
 
-const CLOSING_RECORD_KEY = `${STATE_PREFIX}closing`;
-
 /** What an owner knew of the runs of a minion when its ownership ended. */
 export interface MinionAccount {
   /** The same as `heldForMs` for the runs that are not unconfirmed; absent when there are no unconfirmed ones. */
@@ -69,9 +67,11 @@
 }
 
 export class ClosingRecords {
+  readonly #key: string;
   readonly #options: ClosingRecordsOptions;
 
   constructor(options: ClosingRecordsOptions) {
+    this.#key = formatRecordKey('closing', options.ownership.cell);
     this.#options = options;
   }
 
@@ -90,7 +90,7 @@
     while (isAwaited()) {
       const stored = await store.commit({
         compare: [],
-        then: [{key: CLOSING_RECORD_KEY, kind: 'get'}],
+        then: [{key: this.#key, kind: 'get'}],
       });
       const first = stored.isOk() ? stored.value.responses[0] : undefined;
       const value = first?.kind === 'get' ? first.values[0] : undefined;
@@ -109,7 +109,7 @@
         this.#recordFailure(stored.error.message);
       }
       await (stored.isOk()
-        ? awaitChange(store, CLOSING_RECORD_KEY, stored.value.revision, pauseMs)
+        ? awaitChange(store, this.#key, stored.value.revision, pauseMs)
         : delay(pauseMs));
       pauseMs = Math.min(pauseMs * 2, MAX_CLOSING_RECORD_READ_INTERVAL_MS);
     }
@@ -125,7 +125,7 @@
     const endedAt = clock.monotonic();
     const deadline = after(endedAt, ownership.leaseTimes.maxUncappedLeaseMs);
     while (clock.monotonic() < deadline) {
-      const stored = await getKey(store, CLOSING_RECORD_KEY);
+      const stored = await getKey(store, this.#key);
       const present = stored.isOk() ? this.#decode(stored.value) : undefined;
       const own = {accounts: subtractElapsed(accounts, endedAt, clock.monotonic()), silent, term};
       const record = combineRecords(own, present);
@@ -135,10 +135,8 @@
       const value = Buffer.from(JSON.stringify(record));
       const written = await stored.asyncAndThen((replaced) =>
         store.commit({
-          compare: [
-            {key: CLOSING_RECORD_KEY, kind: 'modRevision', modRevision: replaced?.modRevision ?? 0},
-          ],
-          then: [{key: CLOSING_RECORD_KEY, kind: 'put', value}],
+          compare: [{key: this.#key, kind: 'modRevision', modRevision: replaced?.modRevision ?? 0}],
+          then: [{key: this.#key, kind: 'put', value}],
         }),
       );
       if (written.isOk() && written.value.succeeded) {
@@ -183,7 +181,7 @@
       }),
       (message) => {
         this.#options.events.record(OWNER_EVENTS.RECORD_MALFORMED, {
-          key: CLOSING_RECORD_KEY,
+          key: this.#key,
           message,
         });
         return undefined;
--- a/packages/nutmegproxy-owner/src/FleetOwnership.ts
+++ b/packages/nutmegproxy-owner/src/FleetOwnership.ts
@@ -1,9 +1,12 @@
 /** The right of this process to give orders: a key in the store that is bound to the ownership lease. */
 
 import type {EventFields, Instant, WallTime} from '@nutmegproxy/core';
+import type {CellIndex} from '@nutmegproxy/jobs';
 import type {LeaseTimes} from '@nutmegproxy/scheduling';
 import type {LeaseId} from '@nutmegproxy/store';
 
+import {FIRST_CELL} from '@nutmegproxy/jobs';
+
 import type {OwnershipToken} from './MinionOrders.ts';
 
 import {MAX_CLOCK_GAP_MS} from './OwnerConstants.ts';
@@ -16,6 +19,8 @@
 export type OwnershipState = 'over' | 'proved' | 'unproved';
 
 export interface OwnershipGrant {
+  /** Default: the first one. */
+  readonly cell?: CellIndex;
   /** Default: the term before. */
   readonly formerLeaseTerm?: number;
   /** Default: when the acquisition was requested, after a read without an owner. */
@@ -31,6 +36,8 @@
 }
 
 export class FleetOwnership {
+  /** The part of the fleet that is owned. */
+  readonly cell: CellIndex;
   /** Last term before this one in which an owner may have granted a minion lease; -1 for none. */
   readonly formerLeaseTerm: number;
   /** No ownership of `formerLeaseTerm` or an earlier term was confirmed after this instant. */
@@ -43,7 +50,7 @@
   readonly requestedAt: Instant;
   /** When this process knew which state of the store. */
   readonly revisions: RevisionLog;
-  /** Sequence number of this ownership among all of the fleet, from 0. */
+  /** Sequence number of this ownership among all of the cell, from 0. */
   readonly term: number;
   readonly token: OwnershipToken;
   /** As of when this owner last knew the directory of minions, also in the store; undefined before. */
@@ -54,6 +61,7 @@
   #wallOffset: number;
 
   constructor(grant: OwnershipGrant, requestedAt: Instant, wall: WallTime) {
+    this.cell = grant.cell ?? FIRST_CELL;
     this.formerLeaseTerm = grant.formerLeaseTerm ?? grant.term - 1;
     this.formerReleasedAt = grant.formerReleasedAt ?? requestedAt;
     this.lease = grant.lease;
--- a/packages/nutmegproxy-owner/src/JobWatcher.ts
+++ b/packages/nutmegproxy-owner/src/JobWatcher.ts
@@ -10,10 +10,11 @@
 import {
   decodeJob,
   decodeProgress,
-  FLEET_PREFIX,
+  formatFleetPrefix,
+  formatOwnerKey,
+  formatProgressPrefix,
   JobState,
   parseJobKey,
-  PROGRESS_PREFIX,
 } from '@nutmegproxy/jobs';
 import {describeJobs} from '@nutmegproxy/scheduling';
 import {getPrefix} from '@nutmegproxy/store';
@@ -22,7 +23,6 @@
 import type {FleetOwnership} from './FleetOwnership.ts';
 
 import {STORE_RETRY_MS} from './OwnerConstants.ts';
-import {OWNER_KEY} from './OwnerElection.ts';
 import {OWNER_EVENTS} from './OwnerEvents.ts';
 
 export interface JobWatcherOptions {
@@ -39,11 +39,13 @@
 
 export class JobWatcher {
   readonly #options: JobWatcherOptions;
+  readonly #ownerKey: string;
   #stopped = false;
   #watch: undefined | Watch;
 
   constructor(options: JobWatcherOptions) {
     this.#options = options;
+    this.#ownerKey = formatOwnerKey(options.ownership.cell);
   }
 
   close(): void {
@@ -58,10 +60,11 @@
 
   /** Reads all jobs and then watches for changes; returns an error when the jobs can't be read. */
   async start(): Promise<Result<void, StoreFailure>> {
-    const {onChange, store, work} = this.#options;
+    const {onChange, ownership, store, work} = this.#options;
+    const fleetPrefix = formatFleetPrefix(ownership.cell);
     const [snapshot, progress] = await Promise.all([
-      getPrefix(store, FLEET_PREFIX),
-      getPrefix(store, PROGRESS_PREFIX),
+      getPrefix(store, fleetPrefix),
+      getPrefix(store, formatProgressPrefix(ownership.cell)),
     ]);
     if (snapshot.isErr()) {
       return err(snapshot.error);
@@ -72,16 +75,16 @@
     const {revision, values} = snapshot.value;
     await this.#applySnapshot([...values, ...progress.value.values]);
     if (!this.#stopped) {
-      this.#watch = store.watch(FLEET_PREFIX, revision + 1, {
+      this.#watch = store.watch(fleetPrefix, revision + 1, {
         onBroken: (failure) => {
           void this.#restart(failure);
         },
         onEvents: (events) => {
           // No work may keep this owner from learning that another one has replaced it.
-          for (const event of events.filter(isOwnerChange)) {
+          for (const event of events.filter((each) => this.#isOwnerChange(each))) {
             this.#checkOwner(event);
           }
-          for (const event of events.filter((each) => !isOwnerChange(each))) {
+          for (const event of events.filter((each) => !this.#isOwnerChange(each))) {
             void work.run('jobs', () => {
               this.#applyEvent(event);
               onChange();
@@ -137,7 +140,7 @@
 
   async #applySnapshot(values: readonly StoredValue[]): Promise<void> {
     const {events, fleet, onFenced, ownership, work} = this.#options;
-    const owner = values.find(({key}) => key === OWNER_KEY);
+    const owner = values.find(({key}) => key === this.#ownerKey);
     if (owner?.modRevision !== ownership.token) {
       onFenced();
       return;
@@ -185,6 +188,11 @@
     );
   }
 
+  /** Whether an event is about the key of the ownership. */
+  #isOwnerChange(event: WatchEvent): boolean {
+    return findKey(event) === this.#ownerKey;
+  }
+
   #recordDiscovery(job: JobState, revision: number): void {
     const {clock, events} = this.#options;
     const {acceptedAt, queue, steps} = job.request;
@@ -216,8 +224,3 @@
 function findKey(event: WatchEvent): string {
   return event.kind === 'put' ? event.stored.key : event.key;
 }
-
-/** Whether an event is about the key of the ownership. */
-function isOwnerChange(event: WatchEvent): boolean {
-  return findKey(event) === OWNER_KEY;
-}
--- a/packages/nutmegproxy-owner/src/Journal.ts
+++ b/packages/nutmegproxy-owner/src/Journal.ts
@@ -114,13 +114,13 @@
       compare: [
         createFencingCondition(ownership),
         ...batch.map(({id, progressRevision}) => ({
-          key: formatJobKey(id, 'progress'),
+          key: formatJobKey(id, 'progress', ownership.cell),
           kind: 'modRevision' as const,
           modRevision: progressRevision,
         })),
       ],
       then: batch.map((job) => ({
-        key: formatJobKey(job.id, 'progress'),
+        key: formatJobKey(job.id, 'progress', ownership.cell),
         kind: 'put' as const,
         value: encodeRecord(job.exportProgress()),
       })),
@@ -154,7 +154,7 @@
       return;
     }
     for (const job of batch) {
-      const stored = await getKey(store, formatJobKey(job.id, 'progress'));
+      const stored = await getKey(store, formatJobKey(job.id, 'progress', ownership.cell));
       if (stored.isOk()) {
         job.progressRevision = stored.value?.modRevision ?? 0;
       }
--- a/packages/nutmegproxy-owner/src/LearnedEstimates.ts
+++ b/packages/nutmegproxy-owner/src/LearnedEstimates.ts
@@ -10,7 +10,7 @@
 import type {PlatformStore} from '@nutmegproxy/store';
 
 import {delay} from '@nutmegproxy/core';
-import {STATE_PREFIX} from '@nutmegproxy/jobs';
+import {formatRecordKey} from '@nutmegproxy/jobs';
 
 import type {FleetOwnership} from './FleetOwnership.ts';
 
@@ -18,8 +18,6 @@
 import {OWNER_EVENTS} from './OwnerEvents.ts';
 import {OwnerRecord} from './OwnerRecord.ts';
 
-const ESTIMATES_KEY = `${STATE_PREFIX}knowledge`;
-
 interface EstimatesRecord {
   readonly durations: DurationSnapshot;
   readonly tails: TailModelSnapshot;
@@ -35,13 +33,15 @@
 }
 
 export class LearnedEstimates {
+  readonly #key: string;
   readonly #options: LearnedEstimatesOptions;
   readonly #record: OwnerRecord;
   #written = '';
 
   constructor(options: LearnedEstimatesOptions) {
     this.#options = options;
-    this.#record = new OwnerRecord({...options, key: ESTIMATES_KEY});
+    this.#key = formatRecordKey('knowledge', options.ownership.cell);
+    this.#record = new OwnerRecord({...options, key: this.#key});
   }
 
   /** Imports the former owner's estimates; without them, this owner starts with none. */
@@ -62,7 +62,7 @@
       model.import(tails, clock.monotonic(), clock.wall());
     } catch (error) {
       const message = error instanceof Error ? error.message : String(error);
-      events.record(OWNER_EVENTS.RECORD_MALFORMED, {key: ESTIMATES_KEY, message});
+      events.record(OWNER_EVENTS.RECORD_MALFORMED, {key: this.#key, message});
     }
   }
 
--- a/packages/nutmegproxy-owner/src/OwnerCandidate.ts
+++ b/packages/nutmegproxy-owner/src/OwnerCandidate.ts
@@ -1,10 +1,12 @@
 /** Acquires the ownership of the fleet whenever it is free and runs the owner until it is lost. */
 
 import type {Clock, EventSink, VmId} from '@nutmegproxy/core';
+import type {CellIndex} from '@nutmegproxy/jobs';
 import type {LeaseTimes} from '@nutmegproxy/scheduling';
 import type {PlatformStore, Watch} from '@nutmegproxy/store';
 
 import {delay} from '@nutmegproxy/core';
+import {FIRST_CELL, formatOwnerKey} from '@nutmegproxy/jobs';
 import {getKey} from '@nutmegproxy/store';
 
 import type {FleetOwnership} from './FleetOwnership.ts';
@@ -17,13 +19,15 @@
   TAKEOVER_JITTER_MS,
   TAKEOVER_RETRY_MS,
 } from './OwnerConstants.ts';
-import {OWNER_KEY, OwnerElection} from './OwnerElection.ts';
+import {OwnerElection} from './OwnerElection.ts';
 import {OWNER_EVENTS} from './OwnerEvents.ts';
 import {chooseTakeoverDelayMs, shouldHandOver} from './OwnerPreference.ts';
 
 export interface CandidateOptions {
   /** Whether this VM can own the fleet now; a VM without a configuration can't. */
   readonly canOwn: () => boolean;
+  /** The part of the fleet that is to be owned; default: the first one. */
+  readonly cell?: CellIndex;
   readonly clock: Clock;
   readonly createOwner: (ownership: FleetOwnership) => Owner;
   readonly events: EventSink;
@@ -45,6 +49,7 @@
   readonly #options: CandidateOptions;
   #owner: Owner | undefined;
   readonly #election: OwnerElection;
+  readonly #ownerKey: string;
   #stopped = false;
   #ownership: FleetOwnership | undefined;
   #wake: (() => void) | undefined;
@@ -53,6 +58,7 @@
   constructor(options: CandidateOptions) {
     this.#options = options;
     this.#election = new OwnerElection(options);
+    this.#ownerKey = formatOwnerKey(options.cell ?? FIRST_CELL);
   }
 
   async run(): Promise<void> {
@@ -96,7 +102,7 @@
     const {clock, events, store} = this.#options;
     const {revisions} = this.#election;
     while (!this.#stopped) {
-      const read = await store.commit({compare: [], then: [{key: OWNER_KEY, kind: 'get'}]});
+      const read = await store.commit({compare: [], then: [{key: this.#ownerKey, kind: 'get'}]});
       if (read.isErr()) {
         const {message} = read.error;
         events.record(OWNER_EVENTS.STORE_CALL_FAILED, {message, what: 'owner'});
@@ -107,7 +113,7 @@
       const first = read.value.responses[0];
       this.#setOwned(first?.kind === 'get' && first.values.length > 0);
       await new Promise<void>((resolve) => {
-        this.#watch = store.watch(OWNER_KEY, read.value.revision + 1, {
+        this.#watch = store.watch(this.#ownerKey, read.value.revision + 1, {
           onBroken: () => {
             this.#watch?.close();
             resolve();
@@ -116,7 +122,7 @@
             const now = clock.monotonic();
             revisions.record(revision, now);
             for (const change of changes) {
-              if (change.kind === 'delete' && change.key === OWNER_KEY) {
+              if (change.kind === 'delete' && change.key === this.#ownerKey) {
                 this.#election.recordRelease(change.modRevision, now);
               }
             }
@@ -187,7 +193,7 @@
   /** Reads whether the fleet has an owner, since that may have changed during the attempt. */
   async #readOwner(): Promise<void> {
     while (!this.#stopped) {
-      const read = await getKey(this.#options.store, OWNER_KEY);
+      const read = await getKey(this.#options.store, this.#ownerKey);
       if (read.isOk()) {
         this.#setOwned(read.value !== undefined);
         return;
--- a/packages/nutmegproxy-owner/src/OwnerElection.ts
+++ b/packages/nutmegproxy-owner/src/OwnerElection.ts
@@ -1,11 +1,12 @@
 /** Acquires, renews and releases the ownership of the fleet in the store. */
 
 import type {Clock, EventSink, Instant, VmId} from '@nutmegproxy/core';
+import type {CellIndex} from '@nutmegproxy/jobs';
 import type {LeaseTimes} from '@nutmegproxy/scheduling';
 import type {LeaseId, PlatformStore, StoredValue, StoreFailure} from '@nutmegproxy/store';
 import type {Result} from 'neverthrow';
 
-import {FLEET_PREFIX, STATE_PREFIX} from '@nutmegproxy/jobs';
+import {FIRST_CELL, formatOwnerKey, formatRecordKey} from '@nutmegproxy/jobs';
 import {err, ok} from 'neverthrow';
 
 import type {OwnershipGrant} from './FleetOwnership.ts';
@@ -19,17 +20,12 @@
 import {RevisionLog} from './RevisionLog.ts';
 import {parseJson} from './StoredJson.ts';
 
-/** Key of the current owner; bound to the ownership lease. */
-export const OWNER_KEY = `${FLEET_PREFIX}owner`;
-/** Key of the latest term; not bound to a lease. */
-const TERM_KEY = `${STATE_PREFIX}term`;
-/**
- * Key of the sequence of owners that record which minions they use. An earlier version increments
- * the term alone, which interrupts the sequence.
- */
-const RECORDING_KEY = `${STATE_PREFIX}recording`;
+/** Key of the current owner of the first cell; bound to the ownership lease. */
+export const OWNER_KEY = formatOwnerKey(FIRST_CELL);
 
 export interface ElectionOptions {
+  /** The part of the fleet whose ownership it is about; default: the first one. */
+  readonly cell?: CellIndex;
   readonly clock: Clock;
   readonly events: EventSink;
   readonly leaseTimes: LeaseTimes;
@@ -64,14 +60,35 @@
   readonly term: StoredValue | undefined;
 }
 
+/** Keys of one cell's ownership. */
+interface ElectionKeys {
+  /** The current owner; bound to the ownership lease. */
+  readonly owner: string;
+  /**
+   * The sequence of owners that record which minions they use. An earlier version increments the term
+   * alone, which interrupts the sequence.
+   */
+  readonly recording: string;
+  /** The latest term; not bound to a lease. */
+  readonly term: string;
+}
+
 export class OwnerElection {
   /** When this process knew which state of the store; candidates and acquisitions add to it. */
   readonly revisions: RevisionLog;
+  readonly #cell: CellIndex;
+  readonly #keys: ElectionKeys;
   readonly #options: ElectionOptions;
   /** When this process knew of which removals of the owner's key. */
   readonly #releases = new RevisionLog();
 
   constructor(options: ElectionOptions) {
+    this.#cell = options.cell ?? FIRST_CELL;
+    this.#keys = {
+      owner: formatOwnerKey(this.#cell),
+      recording: formatRecordKey('recording', this.#cell),
+      term: formatRecordKey('term', this.#cell),
+    };
     this.#options = options;
     this.revisions = options.revisions ?? new RevisionLog();
   }
@@ -125,7 +142,14 @@
     return written.map((grant) => {
       revisions.record(grant.token, clock.monotonic());
       return new FleetOwnership(
-        {formerReleasedAt, lease: lease.value.lease, leaseTimes, revisions, ...grant},
+        {
+          cell: this.#cell,
+          formerReleasedAt,
+          lease: lease.value.lease,
+          leaseTimes,
+          revisions,
+          ...grant,
+        },
         requestedAt,
         wall,
       );
@@ -167,10 +191,10 @@
       since: recordingSince,
     };
     const released = await store.commit({
-      compare: [{key: OWNER_KEY, kind: 'modRevision', modRevision: token}],
+      compare: [{key: this.#keys.owner, kind: 'modRevision', modRevision: token}],
       then: [
-        {key: RECORDING_KEY, kind: 'put', value: Buffer.from(JSON.stringify(terms))},
-        {key: OWNER_KEY, kind: 'delete'},
+        {key: this.#keys.recording, kind: 'put', value: Buffer.from(JSON.stringify(terms))},
+        {key: this.#keys.owner, kind: 'delete'},
       ],
     });
     if (released.isErr()) {
@@ -197,9 +221,9 @@
     const answer = await store.commit({
       compare: [],
       then: [
-        {key: OWNER_KEY, kind: 'get'},
-        {key: TERM_KEY, kind: 'get'},
-        {key: RECORDING_KEY, kind: 'get'},
+        {key: this.#keys.owner, kind: 'get'},
+        {key: this.#keys.term, kind: 'get'},
+        {key: this.#keys.recording, kind: 'get'},
       ],
     });
     return answer.map(({responses: [owner, term, recording]}) => ({
@@ -220,13 +244,13 @@
     const owner = JSON.stringify({lease, vm});
     const written = await store.commit({
       compare: [
-        {key: OWNER_KEY, kind: 'modRevision', modRevision: 0},
-        {key: TERM_KEY, kind: 'modRevision', modRevision: previous?.modRevision ?? 0},
+        {key: this.#keys.owner, kind: 'modRevision', modRevision: 0},
+        {key: this.#keys.term, kind: 'modRevision', modRevision: previous?.modRevision ?? 0},
       ],
       then: [
-        {key: OWNER_KEY, kind: 'put', lease, value: Buffer.from(owner)},
-        {key: TERM_KEY, kind: 'put', value: Buffer.from(String(term))},
-        {key: RECORDING_KEY, kind: 'put', value: Buffer.from(JSON.stringify(terms))},
+        {key: this.#keys.owner, kind: 'put', lease, value: Buffer.from(owner)},
+        {key: this.#keys.term, kind: 'put', value: Buffer.from(String(term))},
+        {key: this.#keys.recording, kind: 'put', value: Buffer.from(JSON.stringify(terms))},
       ],
     });
     if (written.isOk()) {
@@ -266,7 +290,7 @@
   }
   const parsed = parseJson(recording.value.toString());
   if (parsed.isErr()) {
-    events.record(OWNER_EVENTS.RECORD_MALFORMED, {key: RECORDING_KEY, message: parsed.error});
+    events.record(OWNER_EVENTS.RECORD_MALFORMED, {key: recording.key, message: parsed.error});
   }
   const {lastTerm, leaseTerm, since} = parseRecordingTerms(recording);
   return lastTerm === term - 1
--- a/packages/nutmegproxy-owner/src/OwnerUtils.ts
+++ b/packages/nutmegproxy-owner/src/OwnerUtils.ts
@@ -6,6 +6,7 @@
 import type {Result} from 'neverthrow';
 
 import {after, delay} from '@nutmegproxy/core';
+import {formatOwnerKey} from '@nutmegproxy/jobs';
 import {getKey} from '@nutmegproxy/store';
 
 import type {FleetOwnership} from './FleetOwnership.ts';
@@ -17,7 +18,6 @@
   MIN_PLAN_PAUSE_MS,
   PLAN_PAUSE_RATIO,
 } from './OwnerConstants.ts';
-import {OWNER_KEY} from './OwnerElection.ts';
 
 /** Returns a write condition that fails once another VM has acquired the ownership. */
 export function createFencingCondition(ownership: FleetOwnership): {
@@ -25,7 +25,8 @@
   kind: 'modRevision';
   modRevision: number;
 } {
-  return {key: OWNER_KEY, kind: 'modRevision', modRevision: ownership.token};
+  const key = formatOwnerKey(ownership.cell);
+  return {key, kind: 'modRevision', modRevision: ownership.token};
 }
 
 /** Whether the store still holds the key of this ownership. */
@@ -33,7 +34,7 @@
   store: PlatformStore,
   ownership: FleetOwnership,
 ): Promise<Result<boolean, StoreFailure>> {
-  const owner = await getKey(store, OWNER_KEY);
+  const owner = await getKey(store, formatOwnerKey(ownership.cell));
   return owner.map((stored) => stored?.modRevision === ownership.token);
 }
 
--- a/packages/nutmegproxy-owner/src/QueueLengthPublisher.ts
+++ b/packages/nutmegproxy-owner/src/QueueLengthPublisher.ts
@@ -5,15 +5,15 @@
 import type {PlatformStore} from '@nutmegproxy/store';
 
 import {delay} from '@nutmegproxy/core';
-import {STATE_PREFIX} from '@nutmegproxy/jobs';
+import {FIRST_CELL, formatRecordKey} from '@nutmegproxy/jobs';
 
 import type {FleetOwnership} from './FleetOwnership.ts';
 
 import {QUEUE_LENGTHS_INTERVAL_MS} from './OwnerConstants.ts';
 import {OwnerRecord} from './OwnerRecord.ts';
 
-/** Key of the queue lengths, which are stored as JSON. */
-export const QUEUE_LENGTHS_KEY = `${STATE_PREFIX}waiting`;
+/** Key of the queue lengths of the first cell, which are stored as JSON. */
+export const QUEUE_LENGTHS_KEY = formatRecordKey('waiting', FIRST_CELL);
 
 /** Number of accepted jobs of which no minion has begun a task, by queue. */
 export interface QueueLengths {
@@ -34,7 +34,8 @@
 
   constructor(options: QueueLengthPublisherOptions) {
     this.#options = options;
-    this.#record = new OwnerRecord({...options, key: QUEUE_LENGTHS_KEY});
+    const key = formatRecordKey('waiting', options.ownership.cell);
+    this.#record = new OwnerRecord({...options, key});
   }
 
   /** Publishes changed lengths while `isActing` returns true. */
--- a/packages/nutmegproxy-owner/src/RecoveryRecord.ts
+++ b/packages/nutmegproxy-owner/src/RecoveryRecord.ts
@@ -14,7 +14,7 @@
 import type {Result} from 'neverthrow';
 
 import {after} from '@nutmegproxy/core';
-import {STATE_PREFIX} from '@nutmegproxy/jobs';
+import {formatRecordKey} from '@nutmegproxy/jobs';
 import {err, ok} from 'neverthrow';
 
 import type {FleetOwnership} from './FleetOwnership.ts';
@@ -26,8 +26,6 @@
 import {RecordWriter} from './RecordWriter.ts';
 import {parseJson} from './StoredJson.ts';
 
-const RECOVERY_KEY = `${STATE_PREFIX}recovery`;
-
 /** What is known of a minion on which former owners may have left runs. */
 export interface FormerUse {
   /** When its lease has certainly expired, by the clock of this process. */
@@ -71,6 +69,7 @@
 export class RecoveryRecord {
   #former: ReadonlyMap<MinionId, FormerUse> | undefined;
   #isMalformed = false;
+  readonly #key: string;
   readonly #options: RecoveryRecordOptions;
   readonly #record: OwnerRecord;
   readonly #used = new Set<MinionId>();
@@ -79,8 +78,9 @@
   readonly #writer: RecordWriter;
 
   constructor(options: RecoveryRecordOptions) {
+    this.#key = formatRecordKey('recovery', options.ownership.cell);
     this.#options = options;
-    this.#record = new OwnerRecord({...options, key: RECOVERY_KEY});
+    this.#record = new OwnerRecord({...options, key: this.#key});
     this.#writer = new RecordWriter({
       onFenced: options.onFenced,
       write: () => this.#write(),
@@ -116,7 +116,7 @@
       this.#isMalformed = former === undefined;
       if (former === undefined) {
         const message = 'term, awaited or used is missing';
-        this.#options.events.record(OWNER_EVENTS.RECORD_MALFORMED, {key: RECOVERY_KEY, message});
+        this.#options.events.record(OWNER_EVENTS.RECORD_MALFORMED, {key: this.#key, message});
         return ok(undefined);
       }
       // An owner of an earlier version may have used any minion after the record was written.
--- a/packages/nutmegproxy-owner/src/Retention.ts
+++ b/packages/nutmegproxy-owner/src/Retention.ts
@@ -52,7 +52,10 @@
     const removed = await store.commit({
       compare: [createFencingCondition(ownership)],
       then: expired.flatMap((id) =>
-        PARTS.map((part) => ({key: formatJobKey(id, part), kind: 'delete' as const})),
+        PARTS.map((part) => ({
+          key: formatJobKey(id, part, ownership.cell),
+          kind: 'delete' as const,
+        })),
       ),
     });
     if (removed.isErr()) {
--- a/packages/nutmegproxy-owner/src/Roster.ts
+++ b/packages/nutmegproxy-owner/src/Roster.ts
@@ -14,7 +14,7 @@
 import type {PlatformStore, StoreFailure} from '@nutmegproxy/store';
 import type {Result} from 'neverthrow';
 
-import {STATE_PREFIX} from '@nutmegproxy/jobs';
+import {formatRecordKey} from '@nutmegproxy/jobs';
 import {checkMinion} from '@nutmegproxy/scheduling';
 import {err, ok} from 'neverthrow';
 
@@ -34,8 +34,6 @@
 import {RecordWriter} from './RecordWriter.ts';
 import {parseJson} from './StoredJson.ts';
 
-const ROSTER_KEY = `${STATE_PREFIX}roster`;
-
 export interface RosterOptions {
   readonly clock: Clock;
   readonly events: EventSink;
@@ -48,6 +46,7 @@
   readonly #entries = new Map<MinionId, RosterEntry>();
   /** When the leases of silent minions have certainly expired, as far as that is known. */
   readonly #expiries = new Map<MinionId, SilentExpiry>();
+  readonly #key: string;
   readonly #options: RosterOptions;
   readonly #record: OwnerRecord;
   readonly #removed = new Set<MinionId>();
@@ -56,8 +55,9 @@
   readonly #writer: RecordWriter;
 
   constructor(options: RosterOptions) {
+    this.#key = formatRecordKey('roster', options.ownership.cell);
     this.#options = options;
-    this.#record = new OwnerRecord({...options, key: ROSTER_KEY});
+    this.#record = new OwnerRecord({...options, key: this.#key});
     this.#writer = new RecordWriter({
       onFenced: options.onFenced,
       write: () => this.#write(),
@@ -201,7 +201,7 @@
     const parsed = parseJson(text);
     if (parsed.isErr() || !Array.isArray(parsed.value)) {
       const message = parsed.isErr() ? parsed.error : 'not a list';
-      events.record(OWNER_EVENTS.RECORD_MALFORMED, {key: ROSTER_KEY, message});
+      events.record(OWNER_EVENTS.RECORD_MALFORMED, {key: this.#key, message});
       return [];
     }
     const entries = parsed.value as StoredRosterEntry[];
@@ -210,7 +210,7 @@
     );
     if (valid.length < entries.length) {
       const message = `${entries.length - valid.length} entries name no minion`;
-      events.record(OWNER_EVENTS.RECORD_MALFORMED, {key: ROSTER_KEY, message});
+      events.record(OWNER_EVENTS.RECORD_MALFORMED, {key: this.#key, message});
     }
     return valid;
   }
