--- a/packages/nutmegproxy-entry/src/EntryConstants.ts
+++ b/packages/nutmegproxy-entry/src/EntryConstants.ts
@@ -2,6 +2,8 @@
 
 /** Delay in milliseconds before the configuration is read again after a read or watch failed. */
 export const CONFIGURATION_RETRY_DELAY_MS = 200;
+/** Pause in milliseconds before the number of cells is read again. */
+export const CELL_COUNT_RETRY_MS = 200;
 /** Time in milliseconds within which a failed call to the store is retried. */
 export const STORE_RETRY_BUDGET_MS = 1_000;
 /** Delay in milliseconds between attempts of a call to the store. */
--- a/packages/nutmegproxy-entry/src/EntryEvents.ts
+++ b/packages/nutmegproxy-entry/src/EntryEvents.ts
@@ -21,6 +21,11 @@
     level: 'info',
     text: 'The cancellation of a job was recorded.',
   },
+  CELL_COUNT_MALFORMED: {
+    code: 8224,
+    level: 'error',
+    text: 'The stored number of cells is malformed; this VM serves nothing until it is replaced.',
+  },
   CONFIGURATION_APPLIED: {code: 8201, level: 'info', text: 'A configuration was applied.'},
   CONFIGURATION_READ_FAILED: {
     code: 8207,
--- a/packages/nutmegproxy-entry/src/JobApi.ts
+++ b/packages/nutmegproxy-entry/src/JobApi.ts
@@ -1,20 +1,18 @@
 /** The operations that an entry VM offers to callers: submit a job, read its status, cancel it. */
 
 import type {Clock, EventSink, JobId, RequestId} from '@nutmegproxy/core';
-import type {JobRequest, JobStatus, QueueId, StoredJob} from '@nutmegproxy/jobs';
-import type {QueueLengths} from '@nutmegproxy/owner';
+import type {JobPart, JobRequest, JobStatus, QueueId, StoredJob} from '@nutmegproxy/jobs';
 import type {PlatformStore, StoredValue, StoreFailure} from '@nutmegproxy/store';
 import type {Result} from 'neverthrow';
 
 import {delay} from '@nutmegproxy/core';
 import {
-  decodeJob,
   decodeProgress,
   encodeRecord,
+  findJobCell,
   formatJobKey,
   formatJobPrefix,
 } from '@nutmegproxy/jobs';
-import {QUEUE_LENGTHS_KEY} from '@nutmegproxy/owner';
 import {getKey, getPrefix} from '@nutmegproxy/store';
 import {err, ok} from 'neverthrow';
 
@@ -27,6 +25,8 @@
   STORE_RETRY_DELAY_MS,
 } from './EntryConstants.ts';
 import {ENTRY_EVENTS} from './EntryEvents.ts';
+import {decodeRecords} from './JobRequestRecords.ts';
+import {readQueueLengths} from './QueueLengthReader.ts';
 import {chooseRetryAfter} from './RetryAfter.ts';
 
 /** `not-run`: the call had and will have no effect. `unknown`: the call may have taken effect. */
@@ -37,6 +37,8 @@
 }
 
 export interface JobApiOptions {
+  /** Returns the number of cells of the fleet; default: one. */
+  readonly cells?: () => number;
   readonly clock: Clock;
   readonly events: EventSink;
   readonly health: StoreHealth;
@@ -70,12 +72,12 @@
   async cancel(route: QueueRoute, id: JobId, call: CallContext): Promise<Result<boolean, Refusal>> {
     const {events} = this.#options;
     const read = await this.#retryStoreCall(call, () =>
-      getPrefix(this.#options.store, formatJobPrefix(id)),
+      getPrefix(this.#options.store, this.#formatPrefix(id)),
     );
     if (read.isErr()) {
       return err(this.#refuseAfterFailure(call, read.error, {job: id, what: 'cancel'}));
     }
-    const records = this.#decodeRecords(id, read.value.values);
+    const records = decodeRecords(read.value.values);
     if (records.queue !== route.id) {
       return ok(false);
     }
@@ -84,7 +86,7 @@
         this.#options.store.commit({
           compare: [],
           then: [
-            {key: formatJobKey(id, 'cancel'), kind: 'put', value: Buffer.from(call.requestId)},
+            {key: this.#formatKey(id, 'cancel'), kind: 'put', value: Buffer.from(call.requestId)},
           ],
         }),
       );
@@ -111,13 +113,13 @@
       this.#queueLengths === undefined ||
       now - this.#queueLengths.readAt > QUEUE_LENGTH_CACHE_MS
     ) {
-      const read = await this.#retryStoreCall(call, () => getKey(store, QUEUE_LENGTHS_KEY));
+      const read = await this.#retryStoreCall(call, () =>
+        readQueueLengths(store, this.#countCells()),
+      );
       if (read.isErr()) {
         return err(this.#refuseAfterFailure(call, read.error, {queue, what: 'count'}));
       }
-      const text = read.value?.value.toString();
-      const counts = text === undefined ? {} : (JSON.parse(text) as QueueLengths).counts;
-      this.#queueLengths = {counts, readAt: now};
+      this.#queueLengths = {counts: read.value, readAt: now};
     }
     return ok(this.#queueLengths.counts[queue] ?? 0);
   }
@@ -143,7 +145,7 @@
   ): Promise<Result<JobStatus | undefined, Refusal>> {
     const {events, store} = this.#options;
     const progress = await this.#retryStoreCall(call, () =>
-      getKey(store, formatJobKey(id, 'progress')),
+      getKey(store, this.#formatKey(id, 'progress')),
     );
     if (progress.isErr()) {
       return err(this.#refuseAfterFailure(call, progress.error, {job: id, what: 'status'}));
@@ -178,7 +180,7 @@
       queue: route.id,
       service: route.service,
     };
-    const key = formatJobKey(job.id, 'request');
+    const key = this.#formatKey(job.id, 'request');
     const written = await this.#retryStoreCall(call, () =>
       store.commit({
         compare: [{key, kind: 'modRevision', modRevision: 0}],
@@ -199,6 +201,18 @@
     return ok(undefined);
   }
 
+  #countCells(): number {
+    return this.#options.cells?.() ?? 1;
+  }
+
+  #formatKey(id: JobId, part: JobPart): string {
+    return formatJobKey(id, part, findJobCell(id, this.#countCells()));
+  }
+
+  #formatPrefix(id: JobId): string {
+    return formatJobPrefix(id, findJobCell(id, this.#countCells()));
+  }
+
   #chooseRetryAfter(): number {
     const {clock, health, random} = this.#options;
     return chooseRetryAfter(health.getOutageMs(clock.monotonic()), random());
@@ -215,32 +229,15 @@
     call: CallContext,
   ): Promise<Result<JobSummary | undefined, StoreFailure>> {
     const read = await this.#retryStoreCall(call, () =>
-      getPrefix(this.#options.store, formatJobPrefix(id)),
+      getPrefix(this.#options.store, this.#formatPrefix(id)),
     );
     return read.map(({values}) => {
-      const {isCancelled, queue} = this.#decodeRecords(id, values);
+      const {isCancelled, queue} = decodeRecords(values);
       const status = isCancelled ? 'cancelled' : 'queued';
       return queue === undefined ? undefined : {queue, status};
     });
   }
 
-  #decodeRecords(
-    id: JobId,
-    values: readonly StoredValue[],
-  ): {isCancelled: boolean; queue: QueueId | undefined} {
-    const request = values.find(({key}) => key === formatJobKey(id, 'request'))?.value;
-    return {
-      isCancelled: values.some(({key}) => key === formatJobKey(id, 'cancel')),
-      queue:
-        request === undefined
-          ? undefined
-          : decodeJob(request).match(
-              ({queue}) => queue,
-              () => undefined,
-            ),
-    };
-  }
-
   #refuseAfterFailure(
     call: CallContext,
     failure: StoreFailure,
--- a/packages/nutmegproxy-entry/src/index.ts
+++ b/packages/nutmegproxy-entry/src/index.ts
@@ -1,5 +1,7 @@
 /** Public API of the entry VM. */
 
+export {CELL_COUNT_KEY, decodeCellCount, readCellCount} from './CellCount.ts';
+export type {CellCountOptions, CellCountRecord} from './CellCount.ts';
 export type {
   CallLimits,
   Configuration,
@@ -18,6 +20,7 @@
 export {JobApi} from './JobApi.ts';
 export type {CallContext, JobApiOptions, Refusal} from './JobApi.ts';
 export {PeerSelector} from './PeerSelector.ts';
+export {readQueueLengths} from './QueueLengthReader.ts';
 export {chooseRetryAfter} from './RetryAfter.ts';
 export {RouteTable} from './RouteTable.ts';
 export {StoreHealth} from './StoreHealth.ts';
--- a/packages/nutmegproxy-jobs/src/index.ts
+++ b/packages/nutmegproxy-jobs/src/index.ts
@@ -1,5 +1,6 @@
 /** Public API of the jobs. */
 
+export {findJobCell, findMinionCell, listCells} from './CellChoice.ts';
 export {
   FIRST_CELL,
   formatFleetPrefix,
