--- a/packages/nutmegproxy-emulator/src/__tests__/unit/JobSamples.ts
+++ b/packages/nutmegproxy-emulator/src/__tests__/unit/JobSamples.ts
@@ -17,7 +17,13 @@
 
 import {brand, DEFAULT_PLATFORM_BOUNDS, SILENT_EVENTS} from '@nutmegproxy/core';
 import {encodeRecord, formatJobKey} from '@nutmegproxy/jobs';
-import {type FleetOwnership, Owner, OwnerElection, type OwnerOptions} from '@nutmegproxy/owner';
+import {
+  type FleetOwnership,
+  type MinionDirectory,
+  Owner,
+  OwnerElection,
+  type OwnerOptions,
+} from '@nutmegproxy/owner';
 import {DEFAULT_LEASE_TIMES} from '@nutmegproxy/scheduling';
 import {put} from '@nutmegproxy/store';
 
@@ -127,16 +133,17 @@
   return {election, ended: owner.run(), owner, ownership};
 }
 
-/** Creates an owner of a fleet with one queue. */
+/** Creates an owner of a fleet with one queue; default: of all its minions. */
 export function createOwner(
   options: Pick<OwnerOptions, 'clock' | 'events' | 'ownership' | 'store'>,
   fleet: EmulatedFleet,
+  directory: MinionDirectory = fleet,
 ): Owner {
   return new Owner({
     ...options,
     advice: undefined,
     bounds: DEFAULT_PLATFORM_BOUNDS,
-    directory: fleet,
+    directory,
     machines: fleet.machineList,
     orders: fleet,
     queues: () => [QUEUE],
--- a/packages/nutmegproxy-owner/src/OwnerCandidate.ts
+++ b/packages/nutmegproxy-owner/src/OwnerCandidate.ts
@@ -1,9 +1,9 @@
 /** Acquires the ownership of the fleet whenever it is free and runs the owner until it is lost. */
 
-import type {Clock, EventSink, VmId} from '@nutmegproxy/core';
+import type {Clock, EventSink, Instant, VmId} from '@nutmegproxy/core';
 import type {CellIndex} from '@nutmegproxy/jobs';
 import type {LeaseTimes} from '@nutmegproxy/scheduling';
-import type {PlatformStore, Watch} from '@nutmegproxy/store';
+import type {PlatformStore, StoredValue, Watch} from '@nutmegproxy/store';
 
 import {delay} from '@nutmegproxy/core';
 import {FIRST_CELL, formatOwnerKey} from '@nutmegproxy/jobs';
@@ -19,9 +19,9 @@
   TAKEOVER_JITTER_MS,
   TAKEOVER_RETRY_MS,
 } from './OwnerConstants.ts';
-import {OwnerElection} from './OwnerElection.ts';
+import {OwnerElection, readOwnerVm} from './OwnerElection.ts';
 import {OWNER_EVENTS} from './OwnerEvents.ts';
-import {chooseTakeoverDelayMs, shouldHandOver} from './OwnerPreference.ts';
+import {chooseSpreadDelayMs, chooseTakeoverDelayMs, shouldHandOver} from './OwnerPreference.ts';
 
 export interface CandidateOptions {
   /** Whether this VM can own the fleet now; a VM without a configuration can't. */
@@ -32,6 +32,8 @@
   readonly createOwner: (ownership: FleetOwnership) => Owner;
   readonly events: EventSink;
   readonly leaseTimes: LeaseTimes;
+  /** Number of other cells that this VM owns or tries to acquire; default: none. */
+  readonly otherCells?: () => number;
   /** Cores of each other entry VM that is known. */
   readonly otherCores: () => readonly number[];
   /** Processor capacity of this VM in cores. */
@@ -45,11 +47,13 @@
 }
 
 export class OwnerCandidate {
+  #isAcquiring = false;
   #isOwned = true;
   readonly #options: CandidateOptions;
   #owner: Owner | undefined;
   readonly #election: OwnerElection;
   readonly #ownerKey: string;
+  #ownerVm: undefined | VmId;
   #stopped = false;
   #ownership: FleetOwnership | undefined;
   #wake: (() => void) | undefined;
@@ -61,6 +65,26 @@
     this.#ownerKey = formatOwnerKey(options.cell ?? FIRST_CELL);
   }
 
+  /** Whether this VM owns the cell or tries to acquire it. */
+  get isEngaged(): boolean {
+    return this.#isAcquiring || this.#owner !== undefined;
+  }
+
+  /** The VM that owns the cell, as far as this one knows. */
+  get ownerVm(): undefined | VmId {
+    return this.#ownerVm;
+  }
+
+  /** When this VM acquired the ownership that it has; undefined without one. */
+  get ownedSince(): Instant | undefined {
+    return this.#ownership?.requestedAt;
+  }
+
+  /** Ends the ownership if this VM has it; the cell is then free. */
+  release(reason: string): void {
+    this.#owner?.stop(reason);
+  }
+
   async run(): Promise<void> {
     void this.#watchOwner();
     while (!this.#stopped) {
@@ -78,8 +102,11 @@
       }
       const takeoverDelayMs = chooseTakeoverDelayMs(ownCores, otherCores());
       await delay(takeoverDelayMs + random() * TAKEOVER_JITTER_MS);
+      await delay(chooseSpreadDelayMs(this.#options.otherCells?.() ?? 0));
       if (this.#canAcquire()) {
+        this.#isAcquiring = true;
         await this.#tryAcquire();
+        this.#isAcquiring = false;
       }
     }
   }
@@ -111,7 +138,7 @@
       }
       revisions.record(read.value.revision, clock.monotonic());
       const first = read.value.responses[0];
-      this.#setOwned(first?.kind === 'get' && first.values.length > 0);
+      this.#setOwner(first?.kind === 'get' ? first.values[0] : undefined);
       await new Promise<void>((resolve) => {
         this.#watch = store.watch(this.#ownerKey, read.value.revision + 1, {
           onBroken: () => {
@@ -126,7 +153,8 @@
                 this.#election.recordRelease(change.modRevision, now);
               }
             }
-            this.#setOwned(changes.at(-1)?.kind === 'put');
+            const last = changes.at(-1);
+            this.#setOwner(last?.kind === 'put' ? last.stored : undefined);
           },
         });
       });
@@ -134,8 +162,10 @@
     }
   }
 
-  #setOwned(isOwned: boolean): void {
-    this.#isOwned = isOwned;
+  /** Records the stored value of the owner's key; undefined when there is no owner. */
+  #setOwner(stored: StoredValue | undefined): void {
+    this.#isOwned = stored !== undefined;
+    this.#ownerVm = stored === undefined ? undefined : readOwnerVm(stored);
     this.#wake?.();
     this.#wake = undefined;
   }
@@ -171,8 +201,8 @@
     const {events, vm} = this.#options;
     const acquired = await this.#election.acquire();
     if (acquired.isOk()) {
-      const {term, token: fence} = acquired.value;
-      events.record(OWNER_EVENTS.OWNERSHIP_ACQUIRED, {fence, term, vm});
+      const {cell, term, token: fence} = acquired.value;
+      events.record(OWNER_EVENTS.OWNERSHIP_ACQUIRED, {cell, fence, term, vm});
       // An owner in a process that is about to exit would only delay the takeover by another VM.
       await (this.#stopped
         ? this.#election.resign(acquired.value, 'planned stop')
@@ -195,7 +225,7 @@
     while (!this.#stopped) {
       const read = await getKey(this.#options.store, this.#ownerKey);
       if (read.isOk()) {
-        this.#setOwned(read.value !== undefined);
+        this.#setOwner(read.value);
         return;
       }
       await delay(TAKEOVER_RETRY_MS);
--- a/packages/nutmegproxy-owner/src/OwnerElection.ts
+++ b/packages/nutmegproxy-owner/src/OwnerElection.ts
@@ -273,6 +273,12 @@
   }
 }
 
+/** Returns the VM that a stored owner's key names; undefined if it is malformed. */
+export function readOwnerVm({value}: StoredValue): undefined | VmId {
+  const {vm} = (parseJson(value.toString()).unwrapOr(undefined) ?? {}) as {readonly vm?: VmId};
+  return vm;
+}
+
 function parseRecordingTerms(recording: StoredValue | undefined): Partial<RecordingTerms> {
   const parsed = parseJson(recording?.value.toString() ?? '{}');
   return parsed.unwrapOr(undefined) ?? {};
--- a/packages/nutmegproxy-owner/src/OwnerPreference.ts
+++ b/packages/nutmegproxy-owner/src/OwnerPreference.ts
@@ -11,6 +11,8 @@
 const DELAY_MS_PER_MISSING_CORE = 350;
 /** Cores from which a VM that knows no other VM doesn't wait. */
 const UNDELAYED_CORES = 2;
+/** Delay for each other cell that a VM owns, so that VMs that own fewer acquire a free one first. */
+const OWNED_CELL_DELAY_MS = 700;
 /** Shortest time for which a VM owns the fleet before a handover; a failed handover costs a takeover. */
 const MIN_HANDOVER_INTERVAL_MS = 15_000;
 
@@ -20,7 +22,7 @@
 }
 
 /**
- * Returns the delay before this VM tries to acquire a free ownership, in milliseconds.
+ * Returns the delay before this VM tries to acquire a free ownership, in milliseconds, without that for other cells.
  *
  * @example
  * chooseTakeoverDelayMs(0.3, [1.3, 0.3]); // 1_500
@@ -40,3 +42,39 @@
 ): boolean {
   return ownedMs >= MIN_HANDOVER_INTERVAL_MS && hasLargerVm(ownCores, otherCores);
 }
+
+/**
+ * Returns the delay in milliseconds by which a VM that owns other cells lets VMs that own fewer go first.
+ *
+ * @example
+ * chooseSpreadDelayMs(2); // 1_400
+ */
+export function chooseSpreadDelayMs(ownedCells: number): number {
+  return ownedCells * OWNED_CELL_DELAY_MS;
+}
+
+/** An entry VM that may own cells. */
+export interface CellHolder {
+  /** Number of cells that it owns. */
+  readonly cells: number;
+  /** Processor time in cores. */
+  readonly cores: number;
+}
+
+/**
+ * Whether a VM gives up one of its cells: another one, not clearly smaller, owns at least two fewer, so that it
+ * acquires the cell first and the same does not hold for it then.
+ *
+ * @example
+ * shouldSpread({cells: 2, cores: 1}, [{cells: 0, cores: 1}], 20_000); // true
+ */
+export function shouldSpread(
+  self: CellHolder,
+  others: readonly CellHolder[],
+  ownedMs: number,
+): boolean {
+  return (
+    ownedMs >= MIN_HANDOVER_INTERVAL_MS &&
+    others.some(({cells, cores}) => cells + 2 <= self.cells && !hasLargerVm(cores, [self.cores]))
+  );
+}
--- /dev/null
+++ b/packages/nutmegproxy-owner/src/__tests__/unit/CellCandidates.test.ts
@@ -0,0 +1,135 @@
+import type {VmId} from '@nutmegproxy/core';
+import type {CellIndex} from '@nutmegproxy/jobs';
+
+import {brand, SILENT_EVENTS, SYSTEM_CLOCK} from '@nutmegproxy/core';
+import {formatOwnerKey, listCells} from '@nutmegproxy/jobs';
+import {DEFAULT_LEASE_TIMES} from '@nutmegproxy/scheduling';
+import {MemoryStore} from '@nutmegproxy/standins';
+import {getKey} from '@nutmegproxy/store';
+import assert from 'node:assert/strict';
+import {afterEach, beforeEach, describe, it} from 'node:test';
+
+import type {FleetOwnership} from '../../FleetOwnership.ts';
+import type {Owner} from '../../Owner.ts';
+
+import {CellCandidates} from '../../CellCandidates.ts';
+import {readOwnerVm} from '../../OwnerElection.ts';
+
+const CELLS = 3;
+const WAIT_MS = 15_000;
+
+describe('CellCandidates', () => {
+  let keepAlive: NodeJS.Timeout;
+  let running: Map<string, CellCandidates>;
+  let store: MemoryStore;
+  let tokens: number[];
+
+  beforeEach(() => {
+    // The timers under test do not keep the process alive.
+    keepAlive = setInterval(() => undefined, 1_000);
+    running = new Map();
+    store = new MemoryStore();
+    tokens = [];
+  });
+
+  afterEach(async () => {
+    await Promise.all([...running.values()].map((each) => each.stop()));
+    clearInterval(keepAlive);
+    await store.close();
+  });
+
+  /** Creates an owner that does nothing until it is stopped. */
+  function createOwner(ownership: FleetOwnership): Owner {
+    let end: (reason: string) => void = () => undefined;
+    const ended = new Promise<string>((resolve) => {
+      end = resolve;
+    });
+    tokens.push(ownership.token);
+    return {run: () => ended, stop: end} as unknown as Owner;
+  }
+
+  function start(vm: string, names: readonly string[], cells = CELLS): CellCandidates {
+    const candidates = new CellCandidates({
+      canOwn: () => true,
+      cells: () => cells,
+      clock: SYSTEM_CLOCK,
+      createOwner,
+      events: SILENT_EVENTS,
+      leaseTimes: DEFAULT_LEASE_TIMES,
+      others: () =>
+        names.filter((name) => name !== vm).map((name) => ({cores: 1, vm: brand<VmId>(name)})),
+      ownCores: 1,
+      random: Math.random,
+      store,
+      vm: brand<VmId>(vm),
+    });
+    running.set(vm, candidates);
+    void candidates.run();
+    return candidates;
+  }
+
+  async function readOwner(cell: CellIndex): Promise<string | undefined> {
+    const stored = (await getKey(store, formatOwnerKey(cell)))._unsafeUnwrap();
+    return stored && readOwnerVm(stored);
+  }
+
+  /** Waits until each cell has an owner, and returns them. */
+  async function waitForOwners(isExpected: (owners: readonly string[]) => boolean): Promise<void> {
+    let owners: (string | undefined)[] = [];
+    for (const startedAt = Date.now(); Date.now() - startedAt < WAIT_MS;) {
+      owners = await Promise.all(listCells(CELLS).map(readOwner));
+      const known = owners.filter((each) => each !== undefined);
+      if (known.length === CELLS && isExpected(known)) {
+        return;
+      }
+      await new Promise((resolve) => setTimeout(resolve, 50));
+    }
+    assert.fail(`the owners are ${owners.join(' ')}`);
+  }
+
+  it('lets a VM own all cells while it is alone', async () => {
+    start('vm-1', ['vm-1']);
+    await waitForOwners((owners) => new Set(owners).size === 1);
+    assert.equal(new Set(tokens).size, CELLS);
+  });
+
+  it('spreads the cells of a fleet that starts over its VMs', async () => {
+    const names = ['vm-1', 'vm-2', 'vm-3', 'vm-4'];
+    for (const name of names) {
+      start(name, names);
+    }
+    await waitForOwners((owners) => new Set(owners).size === CELLS);
+  });
+
+  it('lets a VM that owns a cell take over others when their owners stop in a series', async () => {
+    const names = ['vm-1', 'vm-2', 'vm-3'];
+    for (const name of names) {
+      start(name, names);
+    }
+    await waitForOwners(() => true);
+    await running.get('vm-1')?.stop();
+    await waitForOwners((owners) => !owners.includes('vm-1'));
+    await running.get('vm-2')?.stop();
+    await waitForOwners((owners) => owners.every((owner) => owner === 'vm-3'));
+    assert.equal(new Set(tokens).size, tokens.length, 'a token was used twice');
+  });
+
+  it('owns nothing any more once it is stopped', async () => {
+    const candidates = start('vm-1', ['vm-1']);
+    await waitForOwners(() => true);
+    await candidates.stop();
+    for (const cell of listCells(CELLS)) {
+      assert.equal(await readOwner(cell), undefined);
+    }
+  });
+
+  it('owns the first cell alone in a fleet that is not divided', async () => {
+    start('vm-1', ['vm-1'], 1);
+    while (tokens.length === 0) {
+      await new Promise((resolve) => setTimeout(resolve, 20));
+    }
+    await new Promise((resolve) => setTimeout(resolve, 1_000));
+    const owners = await Promise.all(listCells(CELLS).map(readOwner));
+    assert.deepEqual(owners, ['vm-1', undefined, undefined]);
+  });
+});
--- a/packages/nutmegproxy-owner/src/index.ts
+++ b/packages/nutmegproxy-owner/src/index.ts
@@ -1,6 +1,8 @@
 /** Public API of the owner of the fleet. */
 
 export type {AdviceAnswer, AdviceClient, AdviceFailure} from './AdviceClient.ts';
+export {CellCandidates} from './CellCandidates.ts';
+export type {CellCandidatesOptions} from './CellCandidates.ts';
 export {CellDirectory} from './CellDirectory.ts';
 export type {CellDirectoryOptions} from './CellDirectory.ts';
 export {SHORTEST_DRAIN_MS} from './DirectoryAge.ts';
