--- a/packages/nutmegproxy-entry/src/CellCount.ts
+++ b/packages/nutmegproxy-entry/src/CellCount.ts
@@ -1,20 +1,22 @@
-/** Reads into how many cells the fleet is divided. */
+/** Finds out into how many cells the fleet is divided; the first VM of a new fleet decides it for good. */
 
 import type {EventSink} from '@nutmegproxy/core';
+import type {MachineList} from '@nutmegproxy/owner';
 import type {PlatformStore, StoredValue} from '@nutmegproxy/store';
 import type {Result} from 'neverthrow';
 
 import {delay} from '@nutmegproxy/core';
-import {MAX_CELLS, STATE_PREFIX} from '@nutmegproxy/jobs';
-import {parseJson} from '@nutmegproxy/owner';
+import {FIRST_CELL, formatRecordKey, MAX_CELLS, STATE_PREFIX} from '@nutmegproxy/jobs';
+import {chooseCellCount, chooseTakeoverDelayMs, parseJson} from '@nutmegproxy/owner';
 import {getKey} from '@nutmegproxy/store';
 import {err, ok} from 'neverthrow';
 
-import {CELL_COUNT_RETRY_MS} from './EntryConstants.ts';
+import {CELL_COUNT_JITTER_MS, CELL_COUNT_RETRY_MS, MAX_CELL_COUNT_WAITS} from './EntryConstants.ts';
 import {ENTRY_EVENTS} from './EntryEvents.ts';
 
-/** Key of the number of cells, which is stored as JSON. A fleet without it has one cell. */
+/** Key of the number of cells, which is stored as JSON. A fleet that has had an owner without it has one cell. */
 export const CELL_COUNT_KEY = `${STATE_PREFIX}cells`;
+const TERM_KEY = formatRecordKey('term', FIRST_CELL);
 
 /** Stored value of the key. */
 export interface CellCountRecord {
@@ -25,45 +27,127 @@
   readonly events: EventSink;
   /** Whether to give up, as a process that stops does. */
   readonly isStopping: () => boolean;
+  /** The platform's list of machines; a new fleet without it is not divided. */
+  readonly machines: MachineList | undefined;
+  /** Processor capacity of this VM in cores. */
+  readonly ownCores: number;
+  /** Returns a random number from 0 to 1. */
+  readonly random: () => number;
+  /** Reads the list of VMs and returns the cores of each other one. */
+  readonly readOtherCores: () => Promise<readonly number[]>;
   readonly store: PlatformStore;
 }
 
-/**
- * Returns the number of cells once it has been read. A value that names no such number is reported once and read
- * again until it does: with another number than other VMs have, this one would order their minions about.
- */
-export async function readCellCount({
-  events,
-  isStopping,
-  store,
-}: CellCountOptions): Promise<number | undefined> {
-  let reported: number | undefined;
-  while (!isStopping()) {
-    const read = await getKey(store, CELL_COUNT_KEY);
-    if (read.isOk()) {
-      const count = decodeCellCount(read.value);
-      if (count.isOk()) {
-        return count.value;
+type CellCountState =
+  | {readonly cells: number; readonly kind: 'known'}
+  | {readonly kind: 'malformed' | 'unread'}
+  | {readonly kind: 'undecided'};
+
+export class CellCount {
+  readonly #options: CellCountOptions;
+  #reported: number | undefined;
+  /** Number of times that the decision was put off. */
+  #waits = 0;
+
+  constructor(options: CellCountOptions) {
+    this.#options = options;
+  }
+
+  /**
+   * Returns the number of cells once it is known; undefined when the process stops before. A value that names no
+   * such number is reported once and read again until it does: with another number than other VMs have, this one
+   * would order their minions about.
+   */
+  async find(): Promise<number | undefined> {
+    const {isStopping, ownCores, random} = this.#options;
+    let mayDecide = false;
+    while (!isStopping()) {
+      const state = await this.#read();
+      if (state.kind === 'known') {
+        return state.cells;
       }
-      const revision = read.value?.modRevision;
-      if (revision !== reported) {
-        const fields = {key: CELL_COUNT_KEY, message: count.error, revision};
-        events.record(ENTRY_EVENTS.CELL_COUNT_MALFORMED, fields);
-        reported = revision;
+      if (state.kind === 'undecided' && mayDecide) {
+        await this.#decide();
+      } else if (state.kind === 'undecided') {
+        // Larger VMs of a fleet that starts decide first, as they own it first.
+        await delay(chooseTakeoverDelayMs(ownCores, []) + random() * CELL_COUNT_JITTER_MS);
+        mayDecide = true;
+        continue;
       }
+      await delay(CELL_COUNT_RETRY_MS);
+    }
+    return undefined;
+  }
+
+  /** Stores the number for a fleet that has never had an owner, unless another VM has. */
+  async #decide(): Promise<void> {
+    const {events, store} = this.#options;
+    const cells = await this.#choose();
+    if (cells === undefined) {
+      return;
+    }
+    const record: CellCountRecord = {cells};
+    // Whether it was written, by this VM or another one, the next read tells.
+    const written = await store.commit({
+      compare: [
+        {key: CELL_COUNT_KEY, kind: 'modRevision', modRevision: 0},
+        {key: TERM_KEY, kind: 'modRevision', modRevision: 0},
+      ],
+      then: [{key: CELL_COUNT_KEY, kind: 'put', value: Buffer.from(JSON.stringify(record))}],
+    });
+    if (written.isOk() && written.value.succeeded) {
+      events.record(ENTRY_EVENTS.CELLS_CHOSEN, {cells, revision: written.value.revision});
     }
-    await delay(CELL_COUNT_RETRY_MS);
   }
-  return undefined;
-}
 
-/** Returns the number that a stored value names; 1 for a fleet without one. */
-export function decodeCellCount(stored: StoredValue | undefined): Result<number, string> {
-  if (stored === undefined) {
-    return ok(1);
+  /**
+   * Chooses the number; undefined while the machines can't be listed, or fewer VMs are registered than a fleet
+   * with VMs like this one needs: those of a fleet that starts register one after the other.
+   */
+  async #choose(): Promise<number | undefined> {
+    const {machines, ownCores, readOtherCores} = this.#options;
+    const listed = await machines?.list();
+    const minions = listed?.map((occupants) => occupants.size).unwrapOr(0) ?? 0;
+    const needed = chooseCellCount(minions, Array<number>(MAX_CELLS).fill(ownCores));
+    const others = needed > 1 ? await readOtherCores() : [];
+    const cells = chooseCellCount(minions, [ownCores, ...others]);
+    const isComplete = listed?.isErr() !== true && others.length + 1 >= needed;
+    if (!isComplete && this.#waits < MAX_CELL_COUNT_WAITS) {
+      this.#waits += 1;
+      return undefined;
+    }
+    return cells;
   }
-  return parseJson(stored.value.toString()).andThen((value) => {
-    const {cells} = (value ?? {}) as Partial<CellCountRecord>;
+
+  /** Reads the term first: a number that was decided is stored before it. */
+  async #read(): Promise<CellCountState> {
+    const {events, store} = this.#options;
+    const term = await getKey(store, TERM_KEY);
+    const stored = await getKey(store, CELL_COUNT_KEY);
+    if (term.isErr() || stored.isErr()) {
+      return {kind: 'unread'};
+    }
+    if (stored.value === undefined) {
+      return term.value === undefined ? {kind: 'undecided'} : {cells: 1, kind: 'known'};
+    }
+    const decoded = decodeCellCount(stored.value);
+    if (decoded.isOk()) {
+      return {cells: decoded.value, kind: 'known'};
+    }
+    const revision = stored.value.modRevision;
+    if (revision !== this.#reported) {
+      const fields = {key: CELL_COUNT_KEY, message: decoded.error, revision};
+      events.record(ENTRY_EVENTS.CELL_COUNT_MALFORMED, fields);
+      this.#reported = revision;
+    }
+    return {kind: 'malformed'};
+  }
+}
+
+/** Returns the number that a stored value names. */
+function decodeCellCount({value}: StoredValue): Result<number, string> {
+  return parseJson(value.toString()).andThen((record) => {
+    const {cells} = (record ?? {}) as Partial<CellCountRecord>;
     return cells !== undefined && Number.isInteger(cells) && cells >= 1 && cells <= MAX_CELLS
       ? ok(cells)
       : err(`cells is no integer from 1 to ${MAX_CELLS}`);
--- a/packages/nutmegproxy-entry/src/EntryConstants.ts
+++ b/packages/nutmegproxy-entry/src/EntryConstants.ts
@@ -4,6 +4,10 @@
 export const CONFIGURATION_RETRY_DELAY_MS = 200;
 /** Pause in milliseconds before the number of cells is read again. */
 export const CELL_COUNT_RETRY_MS = 200;
+/** Upper bound in milliseconds of the random delay before the number is decided; spreads the VMs' writes. */
+export const CELL_COUNT_JITTER_MS = 150;
+/** Most such pauses for which the decision is put off until the machines and enough VMs are known. */
+export const MAX_CELL_COUNT_WAITS = 10;
 /** Time in milliseconds within which a failed call to the store is retried. */
 export const STORE_RETRY_BUDGET_MS = 1_000;
 /** Delay in milliseconds between attempts of a call to the store. */
--- a/packages/nutmegproxy-entry/src/EntryEvents.ts
+++ b/packages/nutmegproxy-entry/src/EntryEvents.ts
@@ -26,6 +26,11 @@
     level: 'error',
     text: 'The stored number of cells is malformed; this VM serves nothing until it is replaced.',
   },
+  CELLS_CHOSEN: {
+    code: 8225,
+    level: 'info',
+    text: 'This VM has decided into how many cells a new fleet is divided.',
+  },
   CONFIGURATION_APPLIED: {code: 8201, level: 'info', text: 'A configuration was applied.'},
   CONFIGURATION_READ_FAILED: {
     code: 8207,
--- a/packages/nutmegproxy-entry/src/VmRegistry.ts
+++ b/packages/nutmegproxy-entry/src/VmRegistry.ts
@@ -102,7 +102,8 @@
     return `${VMS_PREFIX}${this.#options.self.vm}`;
   }
 
-  async #refresh(): Promise<void> {
+  /** Reads the list of VMs. */
+  async refresh(): Promise<void> {
     const {self, store} = this.#options;
     const listed = await getPrefix(store, VMS_PREFIX);
     if (listed.isErr()) {
@@ -121,7 +122,7 @@
 
   async #refreshPeriodically(): Promise<void> {
     while (!this.#stopped) {
-      await this.#refresh();
+      await this.refresh();
       await delay(VM_LIST_INTERVAL_MS);
     }
   }
--- a/packages/nutmegproxy-entry/src/__tests__/unit/CellCount.test.ts
+++ b/packages/nutmegproxy-entry/src/__tests__/unit/CellCount.test.ts
@@ -1,16 +1,24 @@
-import type {EventKind} from '@nutmegproxy/core';
+import type {EventKind, MinionId} from '@nutmegproxy/core';
+import type {MachineList, MachineOccupants} from '@nutmegproxy/owner';
+import type {MachineId} from '@nutmegproxy/scheduling';
 
-import {MAX_CELLS} from '@nutmegproxy/jobs';
+import {brand} from '@nutmegproxy/core';
+import {FIRST_CELL, formatRecordKey, MAX_CELLS} from '@nutmegproxy/jobs';
 import {MemoryStore} from '@nutmegproxy/standins';
-import {put} from '@nutmegproxy/store';
+import {getKey, put} from '@nutmegproxy/store';
+import {errAsync, okAsync} from 'neverthrow';
 import assert from 'node:assert/strict';
 import {after, beforeEach, describe, it} from 'node:test';
 
-import {CELL_COUNT_KEY, readCellCount} from '../../CellCount.ts';
+import type {CellCountOptions} from '../../CellCount.ts';
+
+import {CELL_COUNT_KEY, CellCount} from '../../CellCount.ts';
 import {ENTRY_EVENTS} from '../../EntryEvents.ts';
 
 /** Time in milliseconds of some reads. */
 const SOME_READS_MS = 700;
+const SMALL_VM_CORES = 0.12;
+const LARGE_VM_CORES = 1.35;
 
 describe('The number of cells', () => {
   const keepAlive = setInterval(() => undefined, 1_000);
@@ -27,28 +35,135 @@
     store = new MemoryStore();
   });
 
-  function read(): Promise<number | undefined> {
-    return readCellCount({
+  function find(change: Partial<CellCountOptions> = {}): Promise<number | undefined> {
+    const count = new CellCount({
       events: {record: (kind) => events.push(kind)},
       isStopping: () => isStopping,
+      machines: undefined,
+      ownCores: LARGE_VM_CORES,
+      random: () => 0,
+      readOtherCores: () => Promise.resolve([]),
       store,
+      ...change,
     });
+    return count.find();
   }
 
-  async function write(value: string): Promise<void> {
-    (await put(store, CELL_COUNT_KEY, Buffer.from(value)))._unsafeUnwrap();
+  function createMachines(minions: number): MachineList {
+    const occupants: MachineOccupants = new Map(
+      Array.from({length: minions}, (_, number) => [
+        brand<MachineId>(`machine-${number}`),
+        brand<MinionId>(`m${number}`),
+      ]),
+    );
+    return {list: () => okAsync(occupants)};
   }
 
-  it('is one where none is stored, as after a former version', async () => {
-    assert.equal(await read(), 1);
-    assert.deepEqual(events, []);
+  async function write(value: string, key = CELL_COUNT_KEY): Promise<void> {
+    (await put(store, key, Buffer.from(value)))._unsafeUnwrap();
+  }
+
+  async function readStored(): Promise<string | undefined> {
+    return (await getKey(store, CELL_COUNT_KEY))._unsafeUnwrap()?.value.toString();
+  }
+
+  describe('of a fleet that has had an owner', () => {
+    it('is one where none is stored, as after a former version, and none is stored then', async () => {
+      await write('4', formatRecordKey('term', FIRST_CELL));
+      const change = {
+        machines: createMachines(500),
+        readOtherCores: () => Promise.resolve([0.12, 0.12, 0.12]),
+      };
+      assert.equal(await find({...change, ownCores: SMALL_VM_CORES}), 1);
+      assert.equal(await readStored(), undefined);
+      assert.deepEqual(events, []);
+    });
+
+    it('is what is stored, up to the bound', async () => {
+      await write('4', formatRecordKey('term', FIRST_CELL));
+      await write('{"cells":3}');
+      assert.equal(await find(), 3);
+      await write(`{"cells":${MAX_CELLS}}`);
+      assert.equal(await find(), MAX_CELLS);
+    });
   });
 
-  it('is what is stored, up to the bound', async () => {
-    await write('{"cells":3}');
-    assert.equal(await read(), 3);
-    await write(`{"cells":${MAX_CELLS}}`);
-    assert.equal(await read(), MAX_CELLS);
+  describe('of a new fleet', () => {
+    it('is one where a VM carries the fleet, or the platform has no list of machines', async () => {
+      assert.equal(await find({machines: createMachines(490)}), 1);
+      assert.equal(await readStored(), '{"cells":1}');
+      store = new MemoryStore();
+      assert.equal(
+        await find({ownCores: SMALL_VM_CORES, readOtherCores: () => Promise.resolve([0.12, 0.12])}),
+        1,
+      );
+    });
+
+    it('is the same for all VMs that start together, whatever each knows', async () => {
+      const found = await Promise.all(
+        [[], [0.12], [0.12, 0.12], [0.12, 0.12, 0.12, 0.12]].map((others) =>
+          find({
+            machines: createMachines(300),
+            ownCores: SMALL_VM_CORES,
+            random: Math.random,
+            readOtherCores: () => Promise.resolve(others),
+          }),
+        ),
+      );
+      assert.equal(new Set(found).size, 1);
+      assert.equal(await readStored(), `{"cells":${found[0] ?? 0}}`);
+      assert.deepEqual(events, [ENTRY_EVENTS.CELLS_CHOSEN]);
+    });
+
+    it('is not decided by a small VM before enough of the others have registered', async () => {
+      let others: number[] = [];
+      for (const atMs of [700, 1_000, 1_300]) {
+        setTimeout(() => {
+          others = [...others, SMALL_VM_CORES];
+        }, atMs);
+      }
+      const change = {machines: createMachines(205), ownCores: SMALL_VM_CORES};
+      assert.equal(await find({...change, readOtherCores: () => Promise.resolve(others)}), 3);
+    });
+
+    it('is decided without further VMs when they do not come', async () => {
+      const change = {machines: createMachines(205), ownCores: SMALL_VM_CORES};
+      assert.equal(await find({...change, readOtherCores: () => Promise.resolve([0.12])}), 2);
+    });
+
+    it('is decided once the machines can be listed', async () => {
+      let lists = 0;
+      const machines: MachineList = {
+        list: () => {
+          lists += 1;
+          return lists < 3
+            ? errAsync({kind: 'unavailable', message: 'down'})
+            : createMachines(205).list();
+        },
+      };
+      const change = {
+        machines,
+        ownCores: SMALL_VM_CORES,
+        readOtherCores: () => Promise.resolve([0.12, 0.12]),
+      };
+      assert.equal(await find(change), 3);
+    });
+
+    it('stays one when a former version acquires the ownership first', async () => {
+      const machines: MachineList = {
+        list: () => {
+          void write('0', formatRecordKey('term', FIRST_CELL));
+          return createMachines(205).list();
+        },
+      };
+      const change = {
+        machines,
+        ownCores: SMALL_VM_CORES,
+        readOtherCores: () => Promise.resolve([0.12, 0.12]),
+      };
+      assert.equal(await find(change), 1);
+      assert.equal(await readStored(), undefined);
+    });
   });
 
   const malformed = ['0', '-1', '1.5', String(MAX_CELLS + 1), '"3"', 'null', '1e400'].map(
@@ -58,31 +173,32 @@
     it(`is reported once and not guessed when it is malformed: ${value}`, async () => {
       await write(value);
       let known: number | undefined;
-      const reading = read().then((cells) => {
+      const finding = find().then((cells) => {
         known = cells;
       });
       await new Promise((resolve) => setTimeout(resolve, SOME_READS_MS));
       assert.equal(known, undefined);
       assert.deepEqual(events, [ENTRY_EVENTS.CELL_COUNT_MALFORMED]);
       await write('{"cells":2}');
-      await reading;
+      await finding;
       assert.equal(known, 2);
     });
   }
 
   it('is not read any more by a process that stops', async () => {
     await write('{');
-    const reading = read();
+    const finding = find();
     isStopping = true;
-    assert.equal(await reading, undefined);
+    assert.equal(await finding, undefined);
   });
 
   it('is read again while the store does not answer', async () => {
+    await write('{"cells":2}');
     store.faults.change({down: true});
-    const reading = read();
+    const finding = find();
     await new Promise((resolve) => setTimeout(resolve, SOME_READS_MS));
     store.faults.change({down: false});
-    assert.equal(await reading, 1);
+    assert.equal(await finding, 2);
     assert.deepEqual(events, []);
   });
 });
--- a/packages/nutmegproxy-entry/src/index.ts
+++ b/packages/nutmegproxy-entry/src/index.ts
@@ -1,6 +1,6 @@
 /** Public API of the entry VM. */
 
-export {CELL_COUNT_KEY, decodeCellCount, readCellCount} from './CellCount.ts';
+export {CELL_COUNT_KEY, CellCount} from './CellCount.ts';
 export type {CellCountOptions, CellCountRecord} from './CellCount.ts';
 export type {
   CallLimits,
--- a/packages/nutmegproxy-owner/src/OwnerPreference.ts
+++ b/packages/nutmegproxy-owner/src/OwnerPreference.ts
@@ -3,6 +3,8 @@
  * behind with lease renewals and polls, and nothing is started.
  */
 
+import {MAX_CELLS} from '@nutmegproxy/jobs';
+
 /** Factor by which another VM's cores have to exceed this VM's for it to be preferred. */
 const LARGER_VM_FACTOR = 1.3;
 /** Delay that lets a larger VM acquire the ownership first; larger VMs need much less time. */
@@ -16,6 +18,11 @@
 /** Shortest time for which a VM owns the fleet before a handover; a failed handover costs a takeover. */
 const MIN_HANDOVER_INTERVAL_MS = 15_000;
 
+/** Minions for each core of the largest VM beyond which it does not carry the fleet. */
+const MINIONS_PER_CORE = 700;
+/** Fewest minions of a cell on the average, so that it holds wide steps of tasks that may not share minions. */
+const MIN_MINIONS_PER_CELL = 64;
+
 /** Whether one of the other VMs has clearly more cores. */
 export function hasLargerVm(ownCores: number, otherCores: readonly number[]): boolean {
   return otherCores.some((cores) => cores >= ownCores * LARGER_VM_FACTOR);
@@ -78,3 +85,18 @@
     others.some(({cells, cores}) => cells + 2 <= self.cells && !hasLargerVm(cores, [self.cores]))
   );
 }
+
+/**
+ * Returns into how many cells a fleet is divided: as many as its largest VMs can carry it with, one where a
+ * single VM can, and never more than there are such VMs or than leaves each cell enough minions.
+ *
+ * @example
+ * chooseCellCount(205, [0.12, 0.12, 0.12, 0.12]); // 3
+ */
+export function chooseCellCount(minions: number, cores: readonly number[]): number {
+  const largest = Math.max(0, ...cores);
+  const owners = cores.filter((each) => !hasLargerVm(each, [largest])).length;
+  const needed = Math.ceil(minions / (largest * MINIONS_PER_CORE));
+  const filled = Math.floor(minions / MIN_MINIONS_PER_CELL);
+  return Math.max(1, Math.min(needed, owners, filled, MAX_CELLS));
+}
--- a/packages/nutmegproxy-owner/src/__tests__/unit/CellSpread.test.ts
+++ b/packages/nutmegproxy-owner/src/__tests__/unit/CellSpread.test.ts
@@ -1,10 +1,11 @@
+import {MAX_CELLS} from '@nutmegproxy/jobs';
 import fc from 'fast-check';
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
 
 import type {CellHolder} from '../../OwnerPreference.ts';
 
-import {chooseSpreadDelayMs, shouldSpread} from '../../OwnerPreference.ts';
+import {chooseCellCount, chooseSpreadDelayMs, shouldSpread} from '../../OwnerPreference.ts';
 
 const LONG_MS = 60_000;
 const holders = fc.array(
@@ -76,3 +77,52 @@
     assert.equal(shouldSpread(self, [{cells: 0, cores: 1.35}], LONG_MS), true);
   });
 });
+
+describe('The choice of the number of cells', () => {
+  const fleets = fc.record({
+    cores: fc.array(fc.constantFrom(0.001, 0.12, 0.324, 0.675, 1.35), {
+      maxLength: 40,
+      minLength: 1,
+    }),
+    minions: fc.nat({max: 3_000}),
+  });
+
+  it('is a number of cells that there can be, and leaves each one enough minions and an owner', () => {
+    fc.assert(
+      fc.property(fleets, ({cores, minions}) => {
+        const cells = chooseCellCount(minions, cores);
+        assert.ok(Number.isInteger(cells) && cells >= 1 && cells <= MAX_CELLS);
+        assert.ok(cells === 1 || minions / cells >= 64);
+        assert.ok(cells <= cores.length);
+      }),
+    );
+  });
+
+  it('does not grow with larger VMs, nor shrink with more minions', () => {
+    fc.assert(
+      fc.property(fleets, ({cores, minions}) => {
+        const cells = chooseCellCount(minions, cores);
+        assert.ok(
+          chooseCellCount(
+            minions,
+            cores.map((each) => each * 2),
+          ) <= cells,
+        );
+        assert.ok(chooseCellCount(minions + 100, cores) >= cells);
+      }),
+    );
+  });
+
+  it('is one where the largest VM carries the fleet, and for small fleets', () => {
+    assert.equal(chooseCellCount(890, [1.35, 1.35, 0.324, 0.324]), 1);
+    assert.equal(chooseCellCount(66, [0.675, 0.675, 0.675]), 1);
+    assert.equal(chooseCellCount(60, [0.12, 0.12, 0.12]), 1);
+    assert.equal(chooseCellCount(0, [0.12, 0.12]), 1);
+    assert.equal(chooseCellCount(10, []), 1);
+  });
+
+  it('is more where no VM carries the fleet alone', () => {
+    assert.equal(chooseCellCount(205, Array<number>(34).fill(0.12)), 3);
+    assert.equal(chooseCellCount(135, Array<number>(36).fill(0.12)), 2);
+  });
+});
--- a/packages/nutmegproxy-owner/src/index.ts
+++ b/packages/nutmegproxy-owner/src/index.ts
@@ -33,6 +33,7 @@
 export {OWNER_KEY, OwnerElection} from './OwnerElection.ts';
 export {OWNER_EVENTS} from './OwnerEvents.ts';
 export {OwnerLoad} from './OwnerLoad.ts';
+export {chooseCellCount, chooseTakeoverDelayMs} from './OwnerPreference.ts';
 export {QUEUE_LENGTHS_KEY} from './QueueLengthPublisher.ts';
 export type {QueueLengths} from './QueueLengthPublisher.ts';
 export {RevisionLog} from './RevisionLog.ts';
