--- a/packages/nutmegproxy-entry/src/CellCount.ts
+++ b/packages/nutmegproxy-entry/src/CellCount.ts
@@ -44,6 +44,8 @@
   | {readonly kind: 'undecided'};
 
 export class CellCount {
+  /** Whether the first cell had a term before the next read of the number. */
+  #hasTerm = false;
   readonly #options: CellCountOptions;
   #reported: number | undefined;
   /** Number of times that the decision was put off. */
@@ -119,16 +121,15 @@
     return cells;
   }
 
-  /** Reads the term first: a number that was decided is stored before it. */
+  /** Reads the number again once there is a term: a number that was decided is stored before any term. */
   async #read(): Promise<CellCountState> {
     const {events, store} = this.#options;
-    const term = await getKey(store, TERM_KEY);
     const stored = await getKey(store, CELL_COUNT_KEY);
-    if (term.isErr() || stored.isErr()) {
+    if (stored.isErr()) {
       return {kind: 'unread'};
     }
     if (stored.value === undefined) {
-      return term.value === undefined ? {kind: 'undecided'} : {cells: 1, kind: 'known'};
+      return this.#hasTerm ? {cells: 1, kind: 'known'} : this.#readTerm();
     }
     const decoded = decodeCellCount(stored.value);
     if (decoded.isOk()) {
@@ -142,6 +143,15 @@
     }
     return {kind: 'malformed'};
   }
+
+  async #readTerm(): Promise<CellCountState> {
+    const term = await getKey(this.#options.store, TERM_KEY);
+    if (term.isErr()) {
+      return {kind: 'unread'};
+    }
+    this.#hasTerm = term.value !== undefined;
+    return this.#hasTerm ? this.#read() : {kind: 'undecided'};
+  }
 }
 
 /** Returns the number that a stored value names. */
--- a/packages/nutmegproxy-entry/src/__tests__/unit/CellCount.test.ts
+++ b/packages/nutmegproxy-entry/src/__tests__/unit/CellCount.test.ts
@@ -166,6 +166,34 @@
     });
   });
 
+  it('is not taken for one when it is decided, and the fleet owned, between two reads', async () => {
+    const commit = store.commit.bind(store);
+    let reads = 0;
+    store.commit = (transaction) => {
+      const read = commit(transaction);
+      if (transaction.then.some(({kind}) => kind === 'get')) {
+        reads += 1;
+        return reads === 1
+          ? read.andThen((answer) =>
+              commit({
+                compare: [],
+                then: [
+                  {key: CELL_COUNT_KEY, kind: 'put', value: Buffer.from('{"cells":3}')},
+                  {
+                    key: formatRecordKey('term', FIRST_CELL),
+                    kind: 'put',
+                    value: Buffer.from('0'),
+                  },
+                ],
+              }).map(() => answer),
+            )
+          : read;
+      }
+      return read;
+    };
+    assert.equal(await find(), 3);
+  });
+
   const malformed = ['0', '-1', '1.5', String(MAX_CELLS + 1), '"3"', 'null', '1e400'].map(
     (cells) => `{"cells":${cells}}`,
   );
