--- a/packages/nutmegproxy-relay/src/OwnerLink.ts
+++ b/packages/nutmegproxy-relay/src/OwnerLink.ts
@@ -1,8 +1,10 @@
 /** A relay's side of its link to an owner. */
 
 import type {Clock, EventSink} from '@nutmegproxy/core';
+import type {Result} from 'neverthrow';
 import type {WebSocket} from 'ws';
 
+import type {RelayEncoding} from './RelayEncoding.ts';
 import type {OrderBatch, RelayedOrder, RelayedOutcome} from './RelayMessages.ts';
 
 import {
@@ -13,11 +15,13 @@
 } from './RelayConstants.ts';
 import {RELAY_EVENTS} from './RelayEvents.ts';
 import {decodeOrders, encodeBatch} from './RelayMessages.ts';
+import {ReceivedPayloads} from './RelayPayloads.ts';
 
 export interface OwnerLinkOptions {
   /** IP address of the owner. */
   readonly address: string;
   readonly clock: Clock;
+  readonly encoding: RelayEncoding;
   readonly events: EventSink;
   /** Carries out an order; never rejects. */
   readonly execute: (order: RelayedOrder) => Promise<RelayedOutcome>;
@@ -31,6 +35,7 @@
   /** Smallest difference between this VM's clock at the receipt of a batch and the owner's at its sending. */
   #leastDelayMs = Infinity;
   #outcomes: RelayedOutcome[] = [];
+  readonly #payloads = new ReceivedPayloads();
 
   constructor(options: OwnerLinkOptions) {
     this.#options = options;
@@ -56,14 +61,20 @@
     this.#options.socket.terminate();
   }
 
+  #decode(bytes: Buffer): Result<OrderBatch, string> {
+    const {encoding} = this.#options;
+    const batch = decodeOrders(bytes, encoding);
+    return encoding === 'inline' ? batch : batch.andThen((each) => this.#payloads.restore(each));
+  }
+
   #flush(): void {
-    const {socket} = this.#options;
+    const {encoding, socket} = this.#options;
     if (socket.readyState !== socket.OPEN) {
       return;
     }
     const outcomes = this.#outcomes;
     this.#outcomes = [];
-    socket.send(encodeBatch({outcomes}));
+    socket.send(encodeBatch({outcomes}, encoding));
     if (socket.bufferedAmount > MAX_BUFFERED_BYTES) {
       this.close();
     }
@@ -81,7 +92,7 @@
 
   #receive(bytes: Buffer): void {
     const {address, events, execute} = this.#options;
-    const batch = decodeOrders(bytes);
+    const batch = this.#decode(bytes);
     if (batch.isErr()) {
       events.record(RELAY_EVENTS.MESSAGE_MALFORMED, {address, message: batch.error});
       this.close();
--- a/packages/nutmegproxy-relay/src/RelayLink.ts
+++ b/packages/nutmegproxy-relay/src/RelayLink.ts
@@ -6,6 +6,7 @@
 import {invariant} from '@nutmegproxy/core';
 import {WebSocket} from 'ws';
 
+import type {RelayEncoding} from './RelayEncoding.ts';
 import type {RelayedOrder, RelayedOutcome} from './RelayMessages.ts';
 import type {Relay} from './RelayRoutes.ts';
 
@@ -17,8 +18,10 @@
   MAX_MESSAGE_BYTES,
   OUTCOME_MARGIN_MS,
 } from './RelayConstants.ts';
+import {ENCODING_HEADER, PREFERRED_ENCODING, readEncoding} from './RelayEncoding.ts';
 import {RELAY_EVENTS} from './RelayEvents.ts';
 import {decodeOutcomes, encodeBatch} from './RelayMessages.ts';
+import {SentPayloads} from './RelayPayloads.ts';
 
 export interface RelayLinkOptions {
   readonly clock: Clock;
@@ -44,11 +47,13 @@
   #batch: RelayedOrder[] = [];
   #batchStartedAt = 0;
   #checkedAt: Instant;
+  #encoding: RelayEncoding = 'inline';
   #isLost = false;
   #lastId = 0;
   /** Resolves when the link is open or lost. */
   readonly opened: Promise<void>;
   readonly #options: RelayLinkOptions;
+  readonly #payloads = new SentPayloads();
   readonly #pending = new Map<number, PendingOrder>();
   #receivedAt: Instant;
   readonly #socket: WebSocket;
@@ -61,13 +66,20 @@
     this.#checkedAt = this.#receivedAt;
     this.#socket = new WebSocket(`ws://${relay.relayAddress}`, {
       handshakeTimeout: LINK_CONNECT_TIMEOUT_MS,
+      headers: {[ENCODING_HEADER]: PREFERRED_ENCODING},
       maxPayload: MAX_MESSAGE_BYTES,
       perMessageDeflate: false,
     });
+    this.#socket.on('upgrade', ({headers}) => {
+      this.#encoding = readEncoding(headers);
+    });
     this.opened = new Promise((resolve) => {
       this.#socket.on('open', () => {
         this.#receivedAt = clock.monotonic();
-        options.events.record(RELAY_EVENTS.LINK_OPEN, this.#fields);
+        options.events.record(RELAY_EVENTS.LINK_OPEN, {
+          ...this.#fields,
+          encoding: this.#encoding,
+        });
         resolve();
       });
       this.#socket.on('close', () => {
@@ -150,16 +162,18 @@
     if (!this.isOpen) {
       return;
     }
-    const orders = this.#batch;
+    const batch = {orders: this.#batch, sentAt: this.#batchStartedAt};
     this.#batch = [];
-    this.#socket.send(encodeBatch({orders, sentAt: this.#batchStartedAt}));
+    const isNumbered = this.#encoding !== 'inline';
+    const message = isNumbered ? this.#payloads.number(batch) : batch;
+    this.#socket.send(encodeBatch(message, this.#encoding));
     if (this.#socket.bufferedAmount > MAX_BUFFERED_BYTES) {
       this.#lose('does not read');
     }
   }
 
   #receive(bytes: Buffer): void {
-    const batch = decodeOutcomes(bytes);
+    const batch = decodeOutcomes(bytes, this.#encoding);
     if (batch.isErr()) {
       const {events} = this.#options;
       events.record(RELAY_EVENTS.MESSAGE_MALFORMED, {...this.#fields, message: batch.error});
--- a/packages/nutmegproxy-relay/src/RelayMessages.ts
+++ b/packages/nutmegproxy-relay/src/RelayMessages.ts
@@ -13,9 +13,13 @@
 import type {Result} from 'neverthrow';
 
 import {validateOrderBatch, validateOutcomeBatch} from '@nutmegproxy/schema';
-import {Packr} from 'msgpackr';
 import {err, ok} from 'neverthrow';
 
+import type {RelayEncoding} from './RelayEncoding.ts';
+import type {NumberedPayload} from './RelayPayloads.ts';
+
+import {PACKRS} from './RelayEncoding.ts';
+
 /** The orders that are relayed, by kind. */
 export interface OrderByKind {
   readonly pace: PaceOrder;
@@ -38,6 +42,8 @@
 
 export interface OrderBatch {
   readonly orders: readonly RelayedOrder[];
+  /** Payloads that starts name by their numbers; absent where no new one is named. */
+  readonly payloads?: readonly NumberedPayload[];
   /** When the first of the orders was issued, in milliseconds of the owner's wall clock. */
   readonly sentAt: number;
 }
@@ -55,18 +61,19 @@
   readonly outcomes: readonly RelayedOutcome[];
 }
 
-// Records shorten the many objects of one shape in a message.
-const PACKR = new Packr({useRecords: true});
-
 /** Encodes a batch of either direction as MessagePack. */
-export function encodeBatch(batch: OrderBatch | OutcomeBatch): Buffer {
-  return PACKR.pack(batch);
+export function encodeBatch(batch: OrderBatch | OutcomeBatch, encoding: RelayEncoding): Buffer {
+  return PACKRS[encoding].pack(batch);
 }
 
-function decode<Batch>(bytes: Buffer, isValid: Validator<unknown>): Result<Batch, string> {
+function decode<Batch>(
+  bytes: Buffer,
+  encoding: RelayEncoding,
+  isValid: Validator<unknown>,
+): Result<Batch, string> {
   let batch: unknown;
   try {
-    batch = PACKR.unpack(bytes);
+    batch = PACKRS[encoding].unpack(bytes);
   } catch (error) {
     return err(error instanceof Error ? error.message : String(error));
   }
@@ -75,11 +82,14 @@
 }
 
 /** Decodes a message of an owner; the error says what is malformed. */
-export function decodeOrders(bytes: Buffer): Result<OrderBatch, string> {
-  return decode(bytes, validateOrderBatch);
+export function decodeOrders(bytes: Buffer, encoding: RelayEncoding): Result<OrderBatch, string> {
+  return decode(bytes, encoding, validateOrderBatch);
 }
 
 /** Decodes a message of a relay; the error says what is malformed. */
-export function decodeOutcomes(bytes: Buffer): Result<OutcomeBatch, string> {
-  return decode(bytes, validateOutcomeBatch);
+export function decodeOutcomes(
+  bytes: Buffer,
+  encoding: RelayEncoding,
+): Result<OutcomeBatch, string> {
+  return decode(bytes, encoding, validateOutcomeBatch);
 }
--- a/packages/nutmegproxy-relay/src/RelayServer.ts
+++ b/packages/nutmegproxy-relay/src/RelayServer.ts
@@ -5,6 +5,7 @@
 
 import type {Clock, EventSink, Instant, MinionId} from '@nutmegproxy/core';
 import type {MinionOrders, MinionTarget, OrderAnswer, OrderFailure} from '@nutmegproxy/owner';
+import type {IncomingMessage} from 'node:http';
 import type {WebSocket} from 'ws';
 
 import {ResultAsync} from 'neverthrow';
@@ -14,6 +15,7 @@
 
 import {OwnerLink} from './OwnerLink.ts';
 import {IDLE_MINION_MS, MAX_MESSAGE_BYTES} from './RelayConstants.ts';
+import {ENCODING_HEADER, PREFERRED_ENCODING, readEncoding} from './RelayEncoding.ts';
 import {RELAY_EVENTS} from './RelayEvents.ts';
 
 type OutcomeFields = Omit<RelayedOutcome, 'id'>;
@@ -80,8 +82,13 @@
       port,
     });
     this.#server = server;
+    server.on('headers', (headers, request) => {
+      if (readEncoding(request.headers) === PREFERRED_ENCODING) {
+        headers.push(`${ENCODING_HEADER}: ${PREFERRED_ENCODING}`);
+      }
+    });
     server.on('connection', (socket, request) => {
-      this.#accept(socket, request.socket.remoteAddress ?? '');
+      this.#accept(socket, request);
     });
     this.#sweepTimer = setInterval(() => {
       this.#disconnectIdle(this.#options.clock.monotonic());
@@ -98,11 +105,12 @@
     });
   }
 
-  #accept(socket: WebSocket, address: string): void {
+  #accept(socket: WebSocket, request: IncomingMessage): void {
     const {clock, events} = this.#options;
     const link = new OwnerLink({
-      address,
+      address: request.socket.remoteAddress ?? '',
       clock,
+      encoding: readEncoding(request.headers),
       events,
       execute: (order) => this.#execute(order),
       onClosed: () => {
--- a/packages/nutmegproxy-relay/src/__tests__/unit/RelayedMinionOrders.test.ts
+++ b/packages/nutmegproxy-relay/src/__tests__/unit/RelayedMinionOrders.test.ts
@@ -233,7 +233,10 @@
     });
 
     it('closes a link on which a message is malformed, and serves others', async () => {
-      for (const bytes of [Buffer.from([0xc1]), encodeBatch({orders: [{}] as never, sentAt: 1})]) {
+      for (const bytes of [
+        Buffer.from([0xc1]),
+        encodeBatch({orders: [{}] as never, sentAt: 1}, 'inline'),
+      ]) {
         const socket = new WebSocket(`ws://${HOST}:${relay.port}`);
         await new Promise((resolve) => socket.once('open', resolve));
         const closed = new Promise((resolve) => socket.once('close', resolve));
