--- a/packages/nutmegproxy-owner/src/SilentRecords.ts
+++ b/packages/nutmegproxy-owner/src/SilentRecords.ts
@@ -83,6 +83,10 @@
     // Of several recorded runs of a task only the last may be live.
     dropSupersededRuns(fleet, step, {number, task});
     if (!step.waiting.has(task.index)) {
+      // A later run is known; this one may have failed, which only its minion can tell.
+      if (!step.done.has(task.index) && isSuperseded(step, task.index, number)) {
+        fleet.recordUnknownResult(step, task.index, minion);
+      }
       continue;
     }
     const runMs = findRemainingMs([name, number]);
--- a/packages/nutmegproxy-owner/src/__tests__/unit/OwnerSamples.ts
+++ b/packages/nutmegproxy-owner/src/__tests__/unit/OwnerSamples.ts
@@ -19,14 +19,14 @@
 const SERVICE = 'mesa' as ServiceId;
 
 /** Creates a minion of 16 cores that has not responded yet. */
-export function createMinion(): MinionState {
+export function createMinion(name = 'm1'): MinionState {
   return new MinionState(
     {
-      address: 'm1:1',
+      address: `${name}:1`,
       bornAt: 1,
       capacity: {cpuMilli: 16_000, gpus: 0, memoryMb: 64_000},
       dataCentre: brand<DataCentreId>('dc'),
-      id: brand<MinionId>('m1'),
+      id: brand<MinionId>(name),
       isDraining: false,
       labels: [],
       leavesInMs: undefined,
