--- a/packages/nutmegproxy-scheduling/src/CrashAttribution.ts
+++ b/packages/nutmegproxy-scheduling/src/CrashAttribution.ts
@@ -11,6 +11,8 @@
 export const FRESH_RUN_MS = 500;
 /** Age in milliseconds from which a run is not suspected, however often its minions crash. */
 export const MAX_CRASH_AGE_MS = 10_000;
+/** Longest trial in milliseconds. */
+export const MAX_TRIAL_MS = 5_000;
 /** Uncertainty in milliseconds of the times between which a minion failed. */
 const OUTAGE_MARGIN_MS = 500;
 
@@ -24,6 +26,8 @@
 export interface ExposedRun {
   /** Time in milliseconds for which the run is known to have been live before the crash. */
   readonly ageMs: number;
+  /** Whether it has passed a trial that was shorter than the longest one, and is not older than that. */
+  readonly hasPassedTrial?: boolean;
   readonly isOnTrial: boolean;
   /** Whether the run is young enough, or on trial. */
   readonly isSuspect: boolean;
@@ -40,7 +44,7 @@
 /** The failure of a minion, some time between its last response and its first missed call. */
 export interface MinionOutage {
   readonly from: Instant;
-  /** Whether a run on it was on trial. */
+  /** Whether a run on it was on trial, or had been a short time before. */
   readonly hasTrial: boolean;
   readonly minion: MinionId;
   /** Jobs of the runs that may be to blame. */
@@ -95,6 +99,11 @@
   return new Set(exposed.map(({run}) => run.task.job));
 }
 
+/** Whether one of the runs is on trial, or was a short time before. */
+export function hasTrial(exposed: readonly ExposedRun[]): boolean {
+  return exposed.some(({hasPassedTrial, isOnTrial}) => isOnTrial || hasPassedTrial === true);
+}
+
 /**
  * Returns the other outages that may show that machines failed together. Tasks that are suspected at the
  * same time crash their minions at the same time again, so one trial says nothing of another.
@@ -103,8 +112,7 @@
   exposed: readonly ExposedRun[],
   others: readonly MinionOutage[],
 ): readonly MinionOutage[] {
-  const hasTrial = exposed.some(({isOnTrial}) => isOnTrial);
-  return hasTrial ? others.filter((other) => !other.hasTrial) : others;
+  return hasTrial(exposed) ? others.filter((other) => !other.hasTrial) : others;
 }
 
 /** Whether no job can be to blame for all outages, so that the machines failed together. */
@@ -127,6 +135,11 @@
   if (suspects.length === 0 && !areRunsKnown) {
     return {cause: 'unknown', evidence: 'coincident', recorded: []};
   }
+  if (suspects.length === 0 && others.length > 0 && selectTelling(exposed, others).length === 0) {
+    // Their trials were too short for tasks that now crash their minions later, and together.
+    const passed = exposed.filter(({hasPassedTrial}) => hasPassedTrial);
+    return {cause: 'task', evidence: 'shared', recorded: passed};
+  }
   if (suspects.length === 0) {
     // A task that crashes its minion late in its run is only found by the next crash under it.
     const recorded = exposed.filter(({ageMs}) => ageMs < MAX_CRASH_AGE_MS);
--- a/packages/nutmegproxy-scheduling/src/CrashRecorder.ts
+++ b/packages/nutmegproxy-scheduling/src/CrashRecorder.ts
@@ -10,7 +10,13 @@
 import type {MinionState} from './MinionState.ts';
 import type {RecordedOutage} from './OutageLog.ts';
 
-import {CRASH_ATTRIBUTIONS, FRESH_RUN_MS, isSimultaneous, listJobs} from './CrashAttribution.ts';
+import {
+  CRASH_ATTRIBUTIONS,
+  FRESH_RUN_MS,
+  hasTrial,
+  isSimultaneous,
+  listJobs,
+} from './CrashAttribution.ts';
 import {judgeTask} from './CrashVerdict.ts';
 import {describeRun, describeRuns} from './RunFields.ts';
 import {SCHEDULING_EVENTS} from './SchedulingEvents.ts';
@@ -29,7 +35,7 @@
   const until = minion.silentSince ?? now;
   return {
     from: Math.min(minion.lastProofAt, until) as Instant,
-    hasTrial: exposed.some(({isOnTrial}) => isOnTrial),
+    hasTrial: hasTrial(exposed),
     minion: minion.id,
     suspectJobs: listJobs(exposed.filter(({isSuspect}) => isSuspect)),
     until,
--- a/packages/nutmegproxy-scheduling/src/CrashVerdict.ts
+++ b/packages/nutmegproxy-scheduling/src/CrashVerdict.ts
@@ -3,7 +3,7 @@
 import type {Instant} from '@nutmegproxy/core';
 import type {StepState, TaskCrash} from '@nutmegproxy/jobs';
 
-import {FRESH_RUN_MS} from './CrashAttribution.ts';
+import {FRESH_RUN_MS, MAX_TRIAL_MS} from './CrashAttribution.ts';
 
 /** Number of minions that have crashed under a task that is given up. */
 const MIN_MINIONS = 2;
@@ -17,9 +17,8 @@
 const MAX_BLAMED_CRASHES = 4;
 /** The same for runs of any age where no machine is known to have failed and the minions may have been cut off. */
 const MAX_UNCONFIRMED_CRASHES = 5;
-/** Shortest and longest trial in milliseconds. */
+/** Shortest trial in milliseconds. */
 const MIN_TRIAL_MS = 500;
-const MAX_TRIAL_MS = 5_000;
 /** Length of a trial as a multiple of the age at which minions crashed before. */
 const TRIAL_AGE_RATIO = 1.5;
 
--- a/packages/nutmegproxy-scheduling/src/MinionState.ts
+++ b/packages/nutmegproxy-scheduling/src/MinionState.ts
@@ -6,7 +6,7 @@
 import type {ExposedRun, FormerSuspect} from './CrashAttribution.ts';
 import type {LeaseTimes} from './LeaseTimes.ts';
 
-import {computeProvenAge, FRESH_RUN_MS} from './CrashAttribution.ts';
+import {computeProvenAge, FRESH_RUN_MS, MAX_TRIAL_MS} from './CrashAttribution.ts';
 import {LeaseClock} from './LeaseClock.ts';
 import {MinionTrust} from './MinionTrust.ts';
 
@@ -101,6 +101,8 @@
   silentSince: Instant | undefined;
   /** Whether the first of these calls timed out, so that it may have been cut off before it crashed. */
   mayBeCutOff = false;
+  /** Runs of suspected tasks that were live until their trials ended. */
+  readonly passedTrials = new WeakSet<Run>();
   /** Run of a suspected task, beside which nothing is placed. */
   trialRun: Run | undefined;
   /** Reserved resources; the processors of backfill tasks are not included. */
@@ -196,7 +198,9 @@
     const live = [...this.runs].map((run) => {
       const ageMs = computeProvenAge(run, times);
       const isOnTrial = run.step.crashes.trials.get(run.task.index)?.run === run.number;
-      return {ageMs, isOnTrial, isSuspect: ageMs < FRESH_RUN_MS || isOnTrial, run};
+      const hasPassedTrial = ageMs < MAX_TRIAL_MS && this.passedTrials.has(run);
+      const isSuspect = ageMs < FRESH_RUN_MS || isOnTrial;
+      return {ageMs, hasPassedTrial, isOnTrial, isSuspect, run};
     });
     return [...this.lapsedRuns, ...live];
   }
--- a/packages/nutmegproxy-scheduling/src/TaskTrials.ts
+++ b/packages/nutmegproxy-scheduling/src/TaskTrials.ts
@@ -237,6 +237,7 @@
 /** Ends a trial that the minion has survived; single crashes no longer speak against the job. */
 function passTrial(fleet: Fleet, minion: MinionState, run: Run, now: Instant): void {
   minion.trialRun = undefined;
+  minion.passedTrials.add(run);
   run.step.crashes.endTrial(run.task.index, run.number);
   fleet.events.record(SCHEDULING_EVENTS.TRIAL_PASSED, {
     ...describeRun(run),
