--- a/packages/nutmegproxy-emulator/src/__tests__/unit/FullOwnerPlay.ts
+++ b/packages/nutmegproxy-emulator/src/__tests__/unit/FullOwnerPlay.ts
@@ -23,6 +23,8 @@
   callMs: number,
   /** Time in milliseconds for which it goes on after the last arrival. */
   finishMs: number,
+  /** Whether the starts of deferrable tasks are limited. */
+  isThrottled = true,
 ): FleetSimulation {
   const ownerTime = new SimulatedOwnerTime(callMs);
   let nowMs = 0;
@@ -38,7 +40,7 @@
     throttle: {
       getAllowance: (now) => {
         nowMs = now;
-        return throttle.getAllowance(now);
+        return isThrottled ? throttle.getAllowance(now) : Infinity;
       },
       recordStarts: (count) => {
         throttle.recordStarts(count);
--- a/packages/nutmegproxy-owner/src/StartThrottle.ts
+++ b/packages/nutmegproxy-owner/src/StartThrottle.ts
@@ -1,8 +1,11 @@
 /**
  * Limits the rate of deferrable starts by the use of this process's event loop. Starts and reports
  * of urgent and of deferrable tasks go through the same loop, first come first served: once it is
- * full, the most numerous kind of work delays all others. The rate falls while the loop's use is
- * above the target and rises while it is below.
+ * full, the most numerous kind of work delays all others.
+ *
+ * Half of a start's work comes seconds later, with the report of its end. So the rate follows the
+ * means of the starts and of the use over some seconds, and only a share of it is used while the
+ * loop is full at the moment.
  */
 
 import type {EventFields, Instant} from '@nutmegproxy/core';
@@ -20,25 +23,32 @@
 const MAX_RATE = 5_000;
 /** Rate of a new owner, whose loop takes some time to fill: calls for more starts would wait in it. */
 const INITIAL_RATE = 1_000;
-/** Weight of a sample in the smoothed use and rate; single samples are full while a round is planned. */
+/** Weight of a sample in the present use; single samples are full while a round is planned. */
 const SMOOTHING = 0.3;
-/** Relative reduction of the rate by a sample, for each unit of use above the target. */
-const BACKOFF_GAIN = 5;
-/** Relative growth of the rate by a sample, for each unit of use below the target. */
+/** Time constant in milliseconds of the means, which cover the tasks' starts and their ends. */
+const MEAN_MS = 5_000;
+/** Reduction of the share of the rate for each unit of the present use above the target. */
+const PAUSE_GAIN = 10;
+/** The rate stays above the sustained one by this factor, since the loop is not full all the time. */
+const HEADROOM = 1.5;
+/** Relative growth of the rate by a sample, for each unit of present and mean use below the target. */
 const GROWTH_GAIN = 0.5;
 /** Growth by a sample, in starts per second. */
-const GROWTH_PER_SAMPLE = 5;
+const GROWTH_PER_SAMPLE = 1;
 /** Time in milliseconds whose unused starts may be made at once. */
 const BURST_MS = 250;
 
 export class StartThrottle {
   #available = (INITIAL_RATE * BURST_MS) / 1_000;
   #loop: LoopTimes;
+  #meanStartsPerS = 0;
+  #meanUse = 0;
   #rate = INITIAL_RATE;
   readonly #readLoop: () => LoopTimes;
   #sampledAt: Instant | undefined;
+  /** Share of the rate that may be used at the moment. */
+  #share = 1;
   #started = 0;
-  #startedPerS = 0;
   #updatedAt: Instant | undefined;
   #use = 0;
 
@@ -57,9 +67,10 @@
     this.#sample(now);
     const elapsedMs = now - (this.#updatedAt ?? now);
     this.#updatedAt = now;
-    const burst = (this.#rate * BURST_MS) / 1_000;
-    this.#available = Math.min(burst, this.#available + (this.#rate * elapsedMs) / 1_000);
-    return this.#rate >= MAX_RATE ? Infinity : Math.floor(Math.max(0, this.#available));
+    const rate = Math.max(MIN_RATE, this.#rate * this.#share);
+    const burst = (rate * BURST_MS) / 1_000;
+    this.#available = Math.min(burst, this.#available + (rate * elapsedMs) / 1_000);
+    return rate >= MAX_RATE ? Infinity : Math.floor(Math.max(0, this.#available));
   }
 
   /** Records deferrable starts. */
@@ -78,22 +89,29 @@
     const use = activeMs / Math.max(1, activeMs + loop.idle - this.#loop.idle);
     this.#loop = loop;
     if (this.#sampledAt !== undefined) {
+      const weight = 1 - Math.exp(-elapsedMs / MEAN_MS);
       this.#use += SMOOTHING * (use - this.#use);
-      this.#startedPerS += SMOOTHING * ((this.#started * 1_000) / elapsedMs - this.#startedPerS);
-      this.#adjustRate(this.#use - TARGET_USE);
+      this.#meanUse += weight * (use - this.#meanUse);
+      this.#meanStartsPerS += weight * ((this.#started * 1_000) / elapsedMs - this.#meanStartsPerS);
+      this.#adjust();
     }
     this.#sampledAt = now;
     this.#started = 0;
   }
 
-  #adjustRate(excess: number): void {
-    if (excess <= 0) {
-      const grown = this.#rate * (1 - GROWTH_GAIN * excess) + GROWTH_PER_SAMPLE;
+  #adjust(): void {
+    const excess = Math.max(0, this.#use - TARGET_USE);
+    // With few starts, other work fills the loop.
+    const isLimiting = excess > 0 && this.#meanStartsPerS >= MIN_RATE;
+    this.#share = isLimiting ? Math.max(0, 1 - PAUSE_GAIN * excess) : 1;
+    const spare = TARGET_USE - Math.max(this.#use, this.#meanUse);
+    if (spare > 0) {
+      const grown = this.#rate * (1 + GROWTH_GAIN * spare) + GROWTH_PER_SAMPLE;
       this.#rate = Math.min(MAX_RATE, grown);
-    } else if (this.#startedPerS >= MIN_RATE) {
-      // A rate above what is started limits nothing. With few starts, other work fills the loop.
-      const limiting = Math.min(this.#rate, this.#startedPerS);
-      this.#rate = Math.max(MIN_RATE, limiting * (1 - BACKOFF_GAIN * excess));
+    }
+    if (isLimiting) {
+      const sustained = (this.#meanStartsPerS * TARGET_USE) / this.#meanUse;
+      this.#rate = Math.max(MIN_RATE, Math.min(this.#rate, HEADROOM * sustained));
     }
   }
 }
--- a/packages/nutmegproxy-owner/src/__tests__/unit/StartThrottle.test.ts
+++ b/packages/nutmegproxy-owner/src/__tests__/unit/StartThrottle.test.ts
@@ -84,4 +84,66 @@
     passSeconds(5, 0.5, 60);
     assert.equal(passSeconds(1, 0.5, 60), 600);
   });
+
+  describe('beside bursts of urgent work, with starts whose ends come seconds later', () => {
+    /** Time in milliseconds that a start takes, and the report of its end. */
+    const CALL_MS = 2.5;
+    const DURATION_S = 40;
+    const ENDS_AFTER_MS = [1_000, 1_500, 2_000, 2_500, 3_000];
+    /** Most starts in a round of planning. */
+    const MAX_STARTS = 20;
+    const ROUND_MS = 30;
+    /** Seconds after which the rate must have settled. */
+    const SETTLING_S = 20;
+    const TARGET_USE = 0.9;
+    /** Time in milliseconds that a burst of urgent work takes. */
+    const URGENT_MS = 300;
+    /** Rounds from one burst of urgent work to the next. */
+    const URGENT_ROUNDS = 33;
+
+    /** Passes a round in which the loop does as much of the queued work as it can; returns the rest. */
+    function passRound(queuedMs: number): number {
+      const activeMs = Math.min(queuedMs, ROUND_MS);
+      loop.active += activeMs;
+      loop.idle += ROUND_MS - activeMs;
+      return queuedMs - activeMs;
+    }
+
+    /** Returns the starts of each second while more tasks wait than the loop has time for. */
+    function playStarts(): readonly number[] {
+      const ends = new Map<number, number>();
+      const startsPerS = Array.from({length: DURATION_S}, () => 0);
+      let queuedMs = 0;
+      for (let round = 0; round * ROUND_MS < DURATION_S * 1_000; round += 1) {
+        nowMs = round * ROUND_MS;
+        const starts = Math.min(MAX_STARTS, throttle.getAllowance(nowMs as Instant));
+        throttle.recordStarts(starts);
+        const second = Math.floor(nowMs / 1_000);
+        startsPerS[second] = (startsPerS[second] ?? 0) + starts;
+        for (let start = 0; start < starts; start += 1) {
+          const delayMs = ENDS_AFTER_MS[start % ENDS_AFTER_MS.length] ?? 0;
+          const endRound = round + Math.round(delayMs / ROUND_MS);
+          ends.set(endRound, (ends.get(endRound) ?? 0) + 1);
+        }
+        const urgentMs = round % URGENT_ROUNDS === 0 ? URGENT_MS : 0;
+        const callsMs = (starts + (ends.get(round) ?? 0)) * CALL_MS;
+        queuedMs = passRound(queuedMs + callsMs + urgentMs);
+      }
+      return startsPerS.slice(SETTLING_S);
+    }
+
+    it('settles instead of alternating between too many and too few starts', () => {
+      const starts = playStarts();
+      const [least, most] = [Math.min(...starts), Math.max(...starts)];
+      assert.ok(most <= 2 * least, `${least} to ${most} starts a second`);
+    });
+
+    it('makes nine tenths of the starts that the loop has time for', () => {
+      const starts = playStarts();
+      const mean = starts.reduce((sum, each) => sum + each, 0) / starts.length;
+      const urgentUse = URGENT_MS / (URGENT_ROUNDS * ROUND_MS);
+      const carried = ((TARGET_USE - urgentUse) * 1_000) / (2 * CALL_MS);
+      assert.ok(mean >= 0.9 * carried, `${mean} of ${carried} starts a second`);
+    });
+  });
 });
