--- a/packages/nutmegproxy-core/src/PlatformBounds.ts
+++ b/packages/nutmegproxy-core/src/PlatformBounds.ts
@@ -3,6 +3,8 @@
 export interface PlatformBounds {
   /** Time in milliseconds for which a minion keeps serving after it has reported that it drains. */
   readonly drainMs: number;
+  /** Time in milliseconds after the end of the traffic in which accepted work with free room has to run. */
+  readonly finishMs: number;
   /** Longest time in milliseconds for which backfill may keep a serving task's tail latency over its target. */
   readonly maxExceededTargetMs: number;
   /** Longest lease in milliseconds that a minion accepts, measured on its own clock. */
@@ -20,6 +22,7 @@
 /** Used for each figure that the settings lack. */
 export const DEFAULT_PLATFORM_BOUNDS: PlatformBounds = {
   drainMs: 2_000,
+  finishMs: 14_000,
   maxExceededTargetMs: 4_000,
   maxMinionLeaseMs: 10_000,
   minStoreLeaseMs: 1_000,
--- a/packages/nutmegproxy-owner/src/Owner.ts
+++ b/packages/nutmegproxy-owner/src/Owner.ts
@@ -294,6 +294,7 @@
       advice: this.#advice.createLookup(now),
       deferrableStarts: this.#startThrottle.getAllowance(now),
       estimator: this.#estimator,
+      finishMs: bounds.finishMs,
       isTimeUp: createTimeLimit(clock, MAX_PLACEMENT_MS),
       now,
       sharingCosts: this.#sharing,
@@ -379,11 +380,10 @@
 
   /** Copies the queues into the fleet when they have changed. */
   #updateQueues(queues: readonly QueuePolicy[]): void {
-    if (queues === this.#queues) {
-      return;
+    if (queues !== this.#queues) {
+      this.#queues = queues;
+      replaceQueues(this.#fleet, queues);
     }
-    this.#queues = queues;
-    replaceQueues(this.#fleet, queues);
   }
 
   #wakeUp(): void {
--- a/packages/nutmegproxy-scheduling/src/MinionTrust.ts
+++ b/packages/nutmegproxy-scheduling/src/MinionTrust.ts
@@ -56,6 +56,14 @@
     return now < this.#quarantinedUntil ? 'quarantined' : 'trial';
   }
 
+  /** Puts off the next trial, as a run was started before it that may fail as well. */
+  postponeTrial(now: Instant): void {
+    if (this.#quarantinedUntil !== undefined) {
+      const untilMs = Math.max(now, this.#quarantinedUntil);
+      this.#quarantinedUntil = (untilMs + this.#quarantineMs) as Instant;
+    }
+  }
+
   /** Records a failed run; returns true when this starts a quarantine. */
   recordFailure(job: JobId, now: Instant): boolean {
     if (now - this.#failedAt >= FAILURE_MEMORY_MS) {
--- /dev/null
+++ b/packages/nutmegproxy-scheduling/src/OverdueSteps.ts
@@ -0,0 +1,63 @@
+/**
+ * Finds steps that have waited for long beside free room. Other work may fail again and again on the minions
+ * with room, so that each trial is followed by another quarantine: a wait for trust alone would have no end.
+ */
+
+import type {Instant} from '@nutmegproxy/core';
+import type {ServiceId, StepState} from '@nutmegproxy/jobs';
+
+import type {Fleet} from './Fleet.ts';
+import type {MinionState} from './MinionState.ts';
+
+import {isOnlyUntrusted} from './MinionAvailability.ts';
+
+/** Share of a service's processors in use from which its work waits for room, as the users specify. */
+const FULL_SHARE = 0.5;
+
+/** Returns since when a step waits: for its turn, since a start or a failure. Lasting tasks wait each for itself. */
+function findWaitStart({failedAt, placedAt, readyAt, shape, waiting}: StepState): number {
+  const turnAt = readyAt ?? Infinity;
+  if (!shape.longRunning) {
+    return Math.max(turnAt, placedAt ?? -Infinity, ...failedAt.values());
+  }
+  const failures = [...waiting].map((index) => failedAt.get(index) ?? -Infinity);
+  return Math.max(turnAt, Math.min(...failures));
+}
+
+/** Returns the services of which so few processors are in use that their work does not wait for room. */
+function findFreeServices({minions}: Fleet): ReadonlySet<ServiceId> {
+  const unused = new Map<ServiceId, number>();
+  for (const {description, reserved} of minions.values()) {
+    const {capacity, service} = description;
+    const ofMinion = capacity.cpuMilli * FULL_SHARE - reserved.cpuMilli;
+    unused.set(service, (unused.get(service) ?? 0) + ofMinion);
+  }
+  return new Set([...unused].flatMap(([service, milli]) => (milli > 0 ? [service] : [])));
+}
+
+/**
+ * Returns those of the steps that have waited for `maxWaitMs` beside free room, in the same order.
+ *
+ * @example
+ * const steps = findOverdueSteps(fleet, ordered, deriveMaxTrustWait(bounds), now);
+ */
+export function findOverdueSteps(
+  fleet: Fleet,
+  ordered: readonly StepState[],
+  maxWaitMs: number,
+  now: Instant,
+): readonly StepState[] {
+  const waiting = ordered.filter(
+    (step) => step.waiting.size > 0 && now - findWaitStart(step) >= maxWaitMs,
+  );
+  if (waiting.length === 0) {
+    return waiting;
+  }
+  const free = findFreeServices(fleet);
+  return waiting.filter(({job}) => free.has(fleet.resolveQueuePolicy(job).service));
+}
+
+/** Returns the minions that get no new work for no other reason than that their runs have failed or stalled. */
+export function listUntrustedMinions({minions}: Fleet, now: Instant): readonly MinionState[] {
+  return [...minions.values()].filter((minion) => isOnlyUntrusted(minion, now));
+}
--- a/packages/nutmegproxy-scheduling/src/ReadySteps.ts
+++ b/packages/nutmegproxy-scheduling/src/ReadySteps.ts
@@ -5,6 +5,19 @@
 
 import type {Fleet} from './Fleet.ts';
 
+/**
+ * Time in milliseconds after which placement of a backfill step that found no minion is retried.
+ * Otherwise such steps would take most of the planning time in a backlog. The serving loads that
+ * they depend on change within seconds, so the pause delays them little.
+ */
+const BACKFILL_RETRY_MS = 150;
+
+/** Whether a backfill step found no minion within the retry interval, in an earlier round. */
+export function isInBackoff({blockedAt, shape}: StepState, now: Instant): boolean {
+  const blockedForMs = now - (blockedAt ?? -Infinity);
+  return shape.fillsSpareCpu && blockedForMs > 0 && blockedForMs < BACKFILL_RETRY_MS;
+}
+
 /** Whether all steps that the step depends on are completed. */
 export function isReady(step: StepState, siblings: readonly StepState[]): boolean {
   return step.shape.after.every((earlier) => siblings[earlier]?.isDone ?? false);
--- a/packages/nutmegproxy-scheduling/src/StartPlanner.ts
+++ b/packages/nutmegproxy-scheduling/src/StartPlanner.ts
@@ -1,7 +1,9 @@
 /** Decides which tasks start now and on which minions. */
 
-import type {Instant, WallTime} from '@nutmegproxy/core';
-import type {Run, RunNumber, ServiceId, StepState} from '@nutmegproxy/jobs';
+import type {WallTime} from '@nutmegproxy/core';
+import type {Run, RunNumber, StepState} from '@nutmegproxy/jobs';
+
+import {DEFAULT_PLATFORM_BOUNDS} from '@nutmegproxy/core';
 
 import type {DurationEstimator} from './DurationEstimator.ts';
 import type {Fleet} from './Fleet.ts';
@@ -17,23 +19,18 @@
 import {startInterruptedTasks} from './InterruptedTaskStarts.ts';
 import {orderSteps} from './JobOrder.ts';
 import {LongRunningStarts} from './LongRunningStarts.ts';
-import {isOpenToRuns} from './MinionAvailability.ts';
 import {MinionRanking} from './MinionRanking.ts';
+import {findOverdueSteps, listUntrustedMinions} from './OverdueSteps.ts';
+import {deriveMaxTrustWait} from './PendingBounds.ts';
 import {computePlacementCost, isSchedulable} from './Placement.ts';
-import {collectReadySteps, listStartableTasks} from './ReadySteps.ts';
+import {collectReadySteps, isInBackoff, listStartableTasks} from './ReadySteps.ts';
+import {SchedulableMinions} from './SchedulableMinions.ts';
 import {planSpeculativeRuns} from './SpeculationPlanner.ts';
 import {countDeferrable, isDeferrable, placeWithinBudget} from './StartBudget.ts';
 import {StartPermissions} from './StartPermissions.ts';
 import {isApartFromSuspects} from './SuspectSeparation.ts';
 import {planTrials, recordTrial} from './TaskTrials.ts';
 
-/**
- * Time in milliseconds after which placement of a backfill step that found no minion is retried.
- * Otherwise such steps would take most of the planning time in a backlog. The serving loads that
- * they depend on change within seconds, so the pause delays them little.
- */
-const BACKFILL_RETRY_MS = 150;
-
 /** Share of the time for placement in which steps that found no minion in the same pass are tried again. */
 const RETRY_SHARE = 1 / 3;
 
@@ -44,6 +41,8 @@
   /** Most starts of deferrable work in this round; absent when they are not limited. */
   readonly deferrableStarts?: number;
   readonly estimator: DurationEstimator;
+  /** Time in milliseconds in which accepted work with free room has to run; absent for its default. */
+  readonly finishMs?: number;
   /** Whether the time for placement in this round, or a share of it, is used up; absent when it is not limited. */
   readonly isTimeUp?: (share?: number) => boolean;
   readonly sharingCosts: SharingCosts;
@@ -67,24 +66,17 @@
   readonly #longRunningStarts: LongRunningStarts;
   readonly #permissions: StartPermissions;
   readonly #starts: Run[] = [];
-  readonly #schedulable = new Map<ServiceId, MinionState[]>();
+  readonly #schedulable: SchedulableMinions;
 
   constructor(fleet: Fleet, context: PlanContext) {
     this.#fleet = fleet;
     this.#context = context;
     this.#permissions = new StartPermissions(fleet, context);
     this.#longRunningStarts = new LongRunningStarts(fleet, context.now, context.wall);
-    for (const minion of fleet.minions.values()) {
-      if (isSchedulable(minion, context.now)) {
-        const {service} = minion.description;
-        const others = this.#schedulable.get(service);
-        if (others === undefined) {
-          this.#schedulable.set(service, [minion]);
-        } else {
-          others.push(minion);
-        }
-      }
-    }
+    const minions = [...fleet.minions.values()];
+    this.#schedulable = new SchedulableMinions(
+      minions.filter((minion) => isSchedulable(minion, context.now)),
+    );
   }
 
   run(): Run[] {
@@ -101,7 +93,7 @@
     let wasCut = this.#place(ordered);
     this.#permissions.admitsFailedTrials = true;
     const failedTrials = ordered.filter(({hasFailedTrial}) => hasFailedTrial);
-    if (!wasCut && failedTrials.length > 0 && this.#hasOpenTrial(now)) {
+    if (!wasCut && failedTrials.length > 0 && this.#schedulable.hasOpenTrial(now)) {
       wasCut = this.#place(failedTrials);
     }
     this.#context.sweep?.endRound(wasCut || this.#isStepCut);
@@ -112,7 +104,8 @@
       now,
       sharingCosts,
     });
-    const schedulable = [...this.#schedulable.values()].flat();
+    const schedulable = this.#schedulable.list();
+    this.#placeOverdue(ordered);
     return [
       ...trials.starts,
       ...this.#starts,
@@ -156,6 +149,21 @@
     });
   }
 
+  /** Places steps that have waited for too long on minions that are not trusted, in place of their next trials. */
+  #placeOverdue(ordered: readonly StepState[]): void {
+    const {finishMs = DEFAULT_PLATFORM_BOUNDS.finishMs, now} = this.#context;
+    const steps = findOverdueSteps(this.#fleet, ordered, deriveMaxTrustWait({finishMs}), now);
+    if (steps.length === 0) {
+      return;
+    }
+    this.#schedulable.add(listUntrustedMinions(this.#fleet, now));
+    const placed = this.#starts.length;
+    this.#place(steps);
+    for (const {minion} of this.#starts.slice(placed)) {
+      this.#fleet.minions.get(minion)?.trust.postponeTrial(now);
+    }
+  }
+
   /** Whether a step that found no minion in this pass is tried once more, as room may have become free. */
   #mayRetry(): boolean {
     const isAllowed = !this.#hasRetried || this.#context.isTimeUp?.(RETRY_SHARE) !== true;
@@ -165,16 +173,6 @@
 
   readonly #isTimeUp = (): boolean => this.#hasProgressed && (this.#context.isTimeUp?.() ?? false);
 
-  /** Whether a minion on trial has no run yet that shows if it is sound. */
-  #hasOpenTrial(now: Instant): boolean {
-    for (const minions of this.#schedulable.values()) {
-      if (minions.some((each) => each.trust.level(now) === 'trial' && isOpenToRuns(each, now))) {
-        return true;
-      }
-    }
-    return false;
-  }
-
   readonly #isAllowed = (step: StepState, index: number, minion: MinionState): boolean =>
     this.#permissions.isAllowed(step, index, minion) &&
     isApartFromSuspects(step, index, minion, this.#context.now);
@@ -230,16 +228,13 @@
       now,
     });
     if (plan.starts.length > 0) {
-      for (const [service, minions] of this.#schedulable) {
-        const free = minions.filter(({trialRun}) => trialRun === undefined);
-        this.#schedulable.set(service, free);
-      }
+      this.#schedulable.removeTrialMinions();
     }
     return plan;
   }
 
   #listMinions(step: StepState): readonly MinionState[] {
-    return this.#schedulable.get(this.#fleet.resolveQueuePolicy(step.job).service) ?? [];
+    return this.#schedulable.of(this.#fleet.resolveQueuePolicy(step.job).service);
   }
 
   /** Places all tasks of a gang or none; rack-local gangs on a single rack if one has capacity. */
@@ -262,12 +257,6 @@
     }
   }
 
-  /** Whether a backfill step found no minion within the retry interval, in an earlier round. */
-  #isInBackoff({blockedAt, shape}: StepState): boolean {
-    const blockedForMs = this.#context.now - (blockedAt ?? -Infinity);
-    return shape.fillsSpareCpu && blockedForMs > 0 && blockedForMs < BACKFILL_RETRY_MS;
-  }
-
   /** Whether a step's first placed task, which ends its wait, changes its costs; undefined when that is not known. */
   #dependsOnWait(step: StepState): boolean | undefined {
     const {now, sharingCosts} = this.#context;
@@ -276,7 +265,7 @@
 
   #placeTasks(step: StepState, budget: StartBudget): void {
     const minions = this.#listMinions(step);
-    if (this.#isInBackoff(step)) {
+    if (isInBackoff(step, this.#context.now)) {
       return;
     }
     const waiting = this.#listStartable(step);
