--- a/packages/nutmegproxy-scheduling/src/OverdueSteps.ts
+++ b/packages/nutmegproxy-scheduling/src/OverdueSteps.ts
@@ -1,6 +1,7 @@
 /**
  * Finds steps that have waited for long beside free room. Other work may fail again and again on the minions
- * with room, so that each trial is followed by another quarantine: a wait for trust alone would have no end.
+ * with room, so that each trial is followed by another quarantine, and serving tasks may stay over their targets:
+ * a wait for trust or for tolerant minions alone would have no end.
  */
 
 import type {Instant} from '@nutmegproxy/core';
@@ -8,12 +9,16 @@
 
 import type {Fleet} from './Fleet.ts';
 import type {MinionState} from './MinionState.ts';
+import type {SharingCosts} from './Placement.ts';
 
 import {isOnlyUntrusted} from './MinionAvailability.ts';
 
 /** Share of a service's processors in use from which its work waits for room, as the users specify. */
 const FULL_SHARE = 0.5;
 
+/** Cost of a backfill task that disturbs serving tasks, in thousandths of a core: more than any other. */
+const INTERFERENCE_COST = 1_000_000;
+
 /** Returns since when a step waits: for its turn, since a start or a failure. Lasting tasks wait each for itself. */
 function findWaitStart({failedAt, placedAt, readyAt, shape, waiting}: StepState): number {
   const turnAt = readyAt ?? Infinity;
@@ -39,7 +44,7 @@
  * Returns those of the steps that have waited for `maxWaitMs` beside free room, in the same order.
  *
  * @example
- * const steps = findOverdueSteps(fleet, ordered, deriveMaxTrustWait(bounds), now);
+ * const steps = findOverdueSteps(fleet, ordered, deriveMaxWait(bounds), now);
  */
 export function findOverdueSteps(
   fleet: Fleet,
@@ -61,3 +66,15 @@
 export function listUntrustedMinions({minions}: Fleet, now: Instant): readonly MinionState[] {
   return [...minions.values()].filter((minion) => isOnlyUntrusted(minion, now));
 }
+
+/**
+ * Returns costs under which backfill may disturb serving tasks where no minion tolerates it. It is evicted before a
+ * tail latency has been over its target for longer than the platform allows.
+ */
+export function tolerateInterference(costs: SharingCosts): SharingCosts {
+  return {
+    backfillCost: (minion, step, now) => costs.backfillCost(minion, step, now) ?? INTERFERENCE_COST,
+    ordinaryCost: (minion, shape) => costs.ordinaryCost(minion, shape),
+    servingCost: (minion, shape) => costs.servingCost(minion, shape),
+  };
+}
--- a/packages/nutmegproxy-scheduling/src/StartPlanner.ts
+++ b/packages/nutmegproxy-scheduling/src/StartPlanner.ts
@@ -10,7 +10,6 @@
 import type {MinionState} from './MinionState.ts';
 import type {SharingCosts} from './Placement.ts';
 import type {PlanSweep} from './PlanSweep.ts';
-import type {StartBudget} from './StartBudget.ts';
 import type {PermissionContext} from './StartPermissions.ts';
 import type {TrialPlan} from './TaskTrials.ts';
 
@@ -20,13 +19,13 @@
 import {orderSteps} from './JobOrder.ts';
 import {LongRunningStarts} from './LongRunningStarts.ts';
 import {MinionRanking} from './MinionRanking.ts';
-import {findOverdueSteps, listUntrustedMinions} from './OverdueSteps.ts';
-import {deriveMaxTrustWait} from './PendingBounds.ts';
+import {findOverdueSteps, listUntrustedMinions, tolerateInterference} from './OverdueSteps.ts';
+import {deriveMaxWait} from './PendingBounds.ts';
 import {computePlacementCost, isSchedulable} from './Placement.ts';
 import {collectReadySteps, isInBackoff, listStartableTasks} from './ReadySteps.ts';
 import {SchedulableMinions} from './SchedulableMinions.ts';
 import {planSpeculativeRuns} from './SpeculationPlanner.ts';
-import {countDeferrable, isDeferrable, placeWithinBudget} from './StartBudget.ts';
+import {countDeferrable, isDeferrable, placeWithinBudget, StartBudget} from './StartBudget.ts';
 import {StartPermissions} from './StartPermissions.ts';
 import {isApartFromSuspects} from './SuspectSeparation.ts';
 import {planTrials, recordTrial} from './TaskTrials.ts';
@@ -67,10 +66,12 @@
   readonly #permissions: StartPermissions;
   readonly #starts: Run[] = [];
   readonly #schedulable: SchedulableMinions;
+  #sharingCosts: SharingCosts;
 
   constructor(fleet: Fleet, context: PlanContext) {
     this.#fleet = fleet;
     this.#context = context;
+    this.#sharingCosts = context.sharingCosts;
     this.#permissions = new StartPermissions(fleet, context);
     this.#longRunningStarts = new LongRunningStarts(fleet, context.now, context.wall);
     const minions = [...fleet.minions.values()];
@@ -120,8 +121,11 @@
     return deferrableStarts > 0 || !isDeferrable(this.#fleet, step);
   }
 
-  /** Places the tasks of steps in the given order; returns whether the time was up before the last one. */
-  #place(steps: readonly StepState[]): boolean {
+  /**
+   * Places the tasks of steps in the given order, `mostTasks` of each at most; returns whether the time was up
+   * before the last one.
+   */
+  #place(steps: readonly StepState[], mostTasks = Infinity): boolean {
     const {deferrableStarts = Infinity, sweep} = this.#context;
     const {admitsFailedTrials} = this.#permissions;
     return placeWithinBudget(steps, {
@@ -135,11 +139,14 @@
         }
         const hadProgressed = this.#hasProgressed;
         const starts = this.#starts.length;
+        const most = step.shape.longRunning ? Infinity : mostTasks;
+        const ofStep = new StartBudget(Math.min(budget.remaining, most));
         if (step.shape.gang) {
-          this.#placeGang(step, budget);
+          this.#placeGang(step, ofStep);
         } else {
-          this.#placeTasks(step, budget);
+          this.#placeTasks(step, ofStep);
         }
+        budget.take(this.#starts.length - starts);
         const hasStarted = this.#starts.length > starts;
         this.#hasProgressed = hasStarted || !isRetry || hadProgressed;
         if (!hasStarted && !budget.isUsedUp) {
@@ -149,16 +156,19 @@
     });
   }
 
-  /** Places steps that have waited for too long on minions that are not trusted, in place of their next trials. */
+  /**
+   * Places a task of each step that has waited for too long: on minions that are not trusted, in place of their next
+   * trials, and backfill beside serving tasks that it may disturb.
+   */
   #placeOverdue(ordered: readonly StepState[]): void {
-    const {finishMs = DEFAULT_PLATFORM_BOUNDS.finishMs, now} = this.#context;
-    const steps = findOverdueSteps(this.#fleet, ordered, deriveMaxTrustWait({finishMs}), now);
-    if (steps.length === 0) {
-      return;
-    }
-    this.#schedulable.add(listUntrustedMinions(this.#fleet, now));
+    const {finishMs = DEFAULT_PLATFORM_BOUNDS.finishMs, now, sharingCosts} = this.#context;
+    const steps = findOverdueSteps(this.#fleet, ordered, deriveMaxWait({finishMs}), now);
+    const untrusted = steps.length === 0 ? [] : listUntrustedMinions(this.#fleet, now);
+    this.#schedulable.add(untrusted);
+    this.#sharingCosts = tolerateInterference(sharingCosts);
     const placed = this.#starts.length;
-    this.#place(steps);
+    const mayStart = steps.filter(({shape}) => shape.fillsSpareCpu || untrusted.length > 0);
+    this.#place(mayStart, 1);
     for (const {minion} of this.#starts.slice(placed)) {
       this.#fleet.minions.get(minion)?.trust.postponeTrial(now);
     }
@@ -211,8 +221,7 @@
   }
 
   #rank(step: StepState, minions: readonly MinionState[]): MinionRanking {
-    const {now, sharingCosts} = this.#context;
-    return new MinionRanking(step, minions, sharingCosts, now);
+    return new MinionRanking(step, minions, this.#sharingCosts, this.#context.now);
   }
 
   #planTrials(ready: readonly StepState[]): TrialPlan {
@@ -259,8 +268,8 @@
 
   /** Whether a step's first placed task, which ends its wait, changes its costs; undefined when that is not known. */
   #dependsOnWait(step: StepState): boolean | undefined {
-    const {now, sharingCosts} = this.#context;
-    return step.shape.fillsSpareCpu ? sharingCosts.dependsOnWait?.(step, now) : false;
+    const {now} = this.#context;
+    return step.shape.fillsSpareCpu ? this.#sharingCosts.dependsOnWait?.(step, now) : false;
   }
 
   #placeTasks(step: StepState, budget: StartBudget): void {
