--- a/packages/nutmegproxy-jobs/src/StepState.ts
+++ b/packages/nutmegproxy-jobs/src/StepState.ts
@@ -159,7 +159,12 @@
   }
 
   isAvoided(index: number, minion: MinionId, now: Instant): boolean {
-    return now < (this.#avoidedUntil.get(index)?.get(minion) ?? -Infinity);
+    return now < this.findAvoidedUntil(index, minion);
+  }
+
+  /** Returns until when the task avoids the minion; -Infinity if it doesn't. */
+  findAvoidedUntil(index: number, minion: MinionId): number {
+    return this.#avoidedUntil.get(index)?.get(minion) ?? -Infinity;
   }
 
   /** Removes a minion whose results are known now, or never will be. */
--- a/packages/nutmegproxy-owner/src/RoundLog.ts
+++ b/packages/nutmegproxy-owner/src/RoundLog.ts
@@ -80,10 +80,11 @@
     if (withheld !== undefined) {
       this.#taskWaits.review(withheld, now);
     }
-    const {advice, deferrableStarts = Infinity, sharingCosts, sweep} = round.context;
+    const {advice, deferrableStarts = Infinity, finishMs, sharingCosts, sweep} = round.context;
     const isBudgetUsedUp = deferrableStarts <= countDeferrable(fleet, starts);
     this.#pendingTasks.review({
       advice,
+      finishMs,
       fleet,
       hold: round.hold,
       isBudgetUsedUp,
--- a/packages/nutmegproxy-scheduling/src/LastAttempt.ts
+++ b/packages/nutmegproxy-scheduling/src/LastAttempt.ts
@@ -15,7 +15,7 @@
  * trusted minion. A task that this owner has not seen fail counts from when its turn came, unless the end of
  * the former ownership is known.
  */
-const MAX_WAIT_MS = 12_000;
+export const MAX_LAST_ATTEMPT_WAIT_MS = 12_000;
 
 /** A task with the number of attempts that its queue allows. */
 export interface AttemptedTask {
@@ -36,7 +36,7 @@
   const failedAt = step.failedAt.get(index);
   return failedAt === undefined && formerReleasedAt !== undefined
     ? after(formerReleasedAt, RECENT_FAILURE_MS)
-    : after(failedAt ?? step.readyAt ?? now, MAX_WAIT_MS);
+    : after(failedAt ?? step.readyAt ?? now, MAX_LAST_ATTEMPT_WAIT_MS);
 }
 
 /**
--- a/packages/nutmegproxy-scheduling/src/MinionQuarantine.ts
+++ b/packages/nutmegproxy-scheduling/src/MinionQuarantine.ts
@@ -13,7 +13,7 @@
  * Time in milliseconds for which a task avoids a minion whose trial it failed: longer than a quarantine,
  * so that the next trial is another task's.
  */
-const FAILED_TRIAL_AVOIDANCE_MS = 8_000;
+export const FAILED_TRIAL_AVOIDANCE_MS = 8_000;
 
 /**
  * Quarantines a minion whose runs stall or that refuses starts.
--- a/packages/nutmegproxy-scheduling/src/OverdueSteps.ts
+++ b/packages/nutmegproxy-scheduling/src/OverdueSteps.ts
@@ -62,6 +62,24 @@
   return waiting.filter(({job}) => free.has(fleet.resolveQueuePolicy(job).service));
 }
 
+/**
+ * Returns the time in milliseconds until the step is overdue; undefined where its service is too full for that.
+ *
+ * @example
+ * findOverdueInMs(fleet, step, deriveMaxWait(bounds), now); // 9_500
+ */
+export function findOverdueInMs(
+  fleet: Fleet,
+  step: StepState,
+  maxWaitMs: number,
+  now: Instant,
+): number | undefined {
+  const {service} = fleet.resolveQueuePolicy(step.job);
+  return step.readyAt !== undefined && findFreeServices(fleet).has(service)
+    ? Math.max(0, findWaitStart(step) + maxWaitMs - now)
+    : undefined;
+}
+
 /** Returns the minions that get no new work for no other reason than that their runs have failed or stalled. */
 export function listUntrustedMinions({minions}: Fleet, now: Instant): readonly MinionState[] {
   return [...minions.values()].filter((minion) => isOnlyUntrusted(minion, now));
--- /dev/null
+++ b/packages/nutmegproxy-scheduling/src/PendingDetails.ts
@@ -0,0 +1,43 @@
+/** Says which minion a reason is about, and how long the reason may last. */
+
+import {DEFAULT_PLATFORM_BOUNDS} from '@nutmegproxy/core';
+
+import type {MinionState} from './MinionState.ts';
+import type {
+  PendingContext,
+  PendingDetails,
+  PendingReason,
+  PendingTask,
+} from './PendingTaskReason.ts';
+
+import {findLastAttemptWaitMs} from './LastAttempt.ts';
+import {findOverdueInMs} from './OverdueSteps.ts';
+import {deriveMaxWait} from './PendingBounds.ts';
+
+type DetailsFinder = (
+  task: PendingTask,
+  minion: MinionState,
+  context: PendingContext,
+) => PendingDetails;
+
+/** Until the step is overdue; without a time where its service is too full for that. */
+function describePreference({step}: PendingTask, context: PendingContext): PendingDetails {
+  const {finishMs = DEFAULT_PLATFORM_BOUNDS.finishMs, fleet, now} = context;
+  const untilMs = findOverdueInMs(fleet, step, deriveMaxWait({finishMs}), now);
+  return untilMs === undefined ? {} : {untilMs};
+}
+
+/** Details of the reasons that are about a minion, one that meets all rules before. */
+export const PENDING_DETAILS: Readonly<Partial<Record<PendingReason, DetailsFinder>>> = {
+  availability: (_task, {id}) => ({minion: id}),
+  avoidance: ({index, step}, {id}, {now}) => ({
+    minion: id,
+    untilMs: Math.max(0, step.findAvoidedUntil(index, id) - now),
+  }),
+  'last-attempt': (task, {id}, {fleet, now}) => ({
+    minion: id,
+    untilMs: findLastAttemptWaitMs(fleet, task, now),
+  }),
+  sharing: (task, _minion, context) => describePreference(task, context),
+  trust: (task, {id}, context) => ({minion: id, ...describePreference(task, context)}),
+};
--- a/packages/nutmegproxy-scheduling/src/PendingTaskReason.ts
+++ b/packages/nutmegproxy-scheduling/src/PendingTaskReason.ts
@@ -12,8 +12,9 @@
 import type {SharingCosts} from './Placement.ts';
 import type {AdviceLookup} from './StartPermissions.ts';
 
-import {findLastAttemptWaitMs, shouldSaveLastAttempt} from './LastAttempt.ts';
+import {shouldSaveLastAttempt} from './LastAttempt.ts';
 import {findUnavailability, isOnlyUntrusted} from './MinionAvailability.ts';
+import {PENDING_DETAILS} from './PendingDetails.ts';
 import {meetsConstraints} from './Placement.ts';
 import {isStartableTask, listStartableTasks} from './ReadySteps.ts';
 import {isDeferrable} from './StartBudget.ts';
@@ -78,6 +79,8 @@
 /** The last round of planning. */
 export interface PendingContext {
   readonly advice: AdviceLookup;
+  /** Time in milliseconds in which accepted work with free room has to run; absent for its default. */
+  readonly finishMs?: number | undefined;
   readonly fleet: Fleet;
   /** Why the round started nothing at all. */
   readonly hold: 'backlog' | 'directory' | undefined;
@@ -168,23 +171,6 @@
   ],
 ];
 
-/** Details of reasons that name a minion, one that meets all rules before. */
-const MINION_RULE_DETAILS: Readonly<
-  Partial<
-    Record<
-      PendingReason,
-      (task: PendingTask, minion: MinionState, context: PendingContext) => PendingDetails
-    >
-  >
-> = {
-  availability: (_task, {id}) => ({minion: id}),
-  'last-attempt': (task, {id}, {fleet, now}) => ({
-    minion: id,
-    untilMs: findLastAttemptWaitMs(fleet, task, now),
-  }),
-  trust: (_task, {id}) => ({minion: id}),
-};
-
 function findStartLimit(
   {step}: PendingTask,
   {fleet, hold, isBudgetUsedUp, isCut}: PendingContext,
@@ -283,7 +269,7 @@
       }
     }
     const reason = MINION_RULES[met]?.[0] ?? 'room';
-    const details = closest && MINION_RULE_DETAILS[reason]?.(task, closest, this.context);
+    const details = closest && PENDING_DETAILS[reason]?.(task, closest, this.context);
     return {...details, reason};
   }
 }
--- a/packages/nutmegproxy-scheduling/src/__tests__/unit/PendingTaskReason.test.ts
+++ b/packages/nutmegproxy-scheduling/src/__tests__/unit/PendingTaskReason.test.ts
@@ -133,9 +133,11 @@
 
     it('names a minion with room that is quarantined, and one whose trial is not over', () => {
       quarantine(4_000);
-      assert.deepEqual(findCause(addStep()), {minion: 'm1', reason: 'trust'});
+      const expected = {minion: 'm1', reason: 'trust'};
+      assert.deepEqual(findCause(addStep()), {...expected, untilMs: 8_500});
       startOn(sample, addStep().job, minion, 6_500);
-      assert.deepEqual(findCause(addStep(), {now: at(7_000)}), {minion: 'm1', reason: 'trust'});
+      const later = findCause(addStep(), {now: at(7_000)});
+      assert.deepEqual(later, {...expected, untilMs: 6_500});
     });
 
     it('says that the advisor permits no minion or has not answered', () => {
@@ -149,7 +151,7 @@
     it('says that the task has stalled on the only minion a short time ago', () => {
       const step = addStep();
       step.avoid(0, minion.id, at(4_000));
-      assert.deepEqual(findCause(step), {reason: 'avoidance'});
+      assert.deepEqual(findCause(step), {minion: 'm1', reason: 'avoidance', untilMs: 3_000});
     });
 
     it('says for how long the last attempt is saved for a better minion', () => {
@@ -175,6 +177,14 @@
     });
 
     it('says that backfill would disturb serving tasks', () => {
+      const sharingCosts = {...NO_SHARING_COSTS, backfillCost: () => undefined};
+      const cause = findCause(addStep({fillsSpareCpu: true}), {sharingCosts});
+      assert.deepEqual(cause, {reason: 'sharing', untilMs: 8_500});
+    });
+
+    it('says no time for a preference where half of the room is in use', () => {
+      const half = {cpuMilli: 2_000, gpus: 0, memoryMb: 100};
+      startOn(sample, addStep({resources: half}).job, minion, 0);
       const sharingCosts = {...NO_SHARING_COSTS, backfillCost: () => undefined};
       const cause = findCause(addStep({fillsSpareCpu: true}), {sharingCosts});
       assert.deepEqual(cause, {reason: 'sharing'});
