--- a/packages/nutmegproxy-entry/src/EntryConstants.ts
+++ b/packages/nutmegproxy-entry/src/EntryConstants.ts
@@ -40,5 +40,7 @@
 export const MAX_FORWARD_ATTEMPTS = 2;
 /** Timeout in milliseconds of a forwarded request. */
 export const FORWARD_TIMEOUT_MS = 1_200;
+/** Time in milliseconds between two lines with the counts of callers' requests. */
+export const CALLS_LOG_INTERVAL_MS = 1_000;
 /** Delay in milliseconds before a VM that starts first reads the list of VMs. */
 export const VM_FIRST_LIST_DELAY_MS = 700;
--- a/packages/nutmegproxy-entry/src/EntryEvents.ts
+++ b/packages/nutmegproxy-entry/src/EntryEvents.ts
@@ -15,6 +15,7 @@
     level: 'info',
     text: 'This VM could not serve a request itself.',
   },
+  CALLS_COUNTED: {code: 8218, level: 'info', text: "Callers' requests of the last seconds."},
   CANCEL_ACCEPTED: {
     code: 8213,
     isFrequent: true,
--- a/packages/nutmegproxy-entry/src/index.ts
+++ b/packages/nutmegproxy-entry/src/index.ts
@@ -1,5 +1,7 @@
 /** Public API of the entry VM. */
 
+export {CallLog} from './CallLog.ts';
+export type {CallOutcome, OpenCall} from './CallLog.ts';
 export type {
   CallLimits,
   Configuration,
@@ -9,6 +11,7 @@
 } from './Configuration.ts';
 export {ConfigurationFollower} from './ConfigurationFollower.ts';
 export {
+  CALLS_LOG_INTERVAL_MS,
   FORWARD_TIMEOUT_MS,
   KILL_MARGIN_MS,
   MAX_FORWARD_ATTEMPTS,
