--- a/packages/nutmegproxy-entry/src/index.ts
+++ b/packages/nutmegproxy-entry/src/index.ts
@@ -2,6 +2,8 @@
 
 export {CallLog} from './CallLog.ts';
 export type {CallOutcome, OpenCall} from './CallLog.ts';
+export {CELL_COUNT_KEY, decodeCellCount, readCellCount} from './CellCount.ts';
+export type {CellCountOptions, CellCountRecord} from './CellCount.ts';
 export type {
   CallLimits,
   Configuration,
@@ -21,6 +23,7 @@
 export {JobApi} from './JobApi.ts';
 export type {CallContext, JobApiOptions, Refusal} from './JobApi.ts';
 export {PeerSelector} from './PeerSelector.ts';
+export {readQueueLengths} from './QueueLengthReader.ts';
 export {chooseRetryAfter} from './RetryAfter.ts';
 export {RouteTable} from './RouteTable.ts';
 export {StoreHealth} from './StoreHealth.ts';
