--- a/packages/nutmegproxy-jobs/src/StepState.ts
+++ b/packages/nutmegproxy-jobs/src/StepState.ts
@@ -84,8 +84,8 @@
    * can be live.
    */
   readonly recoveredTasks = new Set<number>();
-  /** Minions on which a run of the task is over and its result unknown, by task index. */
-  readonly unknownResults = new Map<number, Set<MinionId>>();
+  /** Runs that are over and whose results are unknown, with their minions, by task index. */
+  readonly unknownResults = new Map<number, Map<RunNumber, MinionId>>();
   /** Indexes of tasks that are not done and have no live run. */
   readonly waiting = new Set<number>();
   /** Until when the task avoids minions on which it failed or stalled, by task index. */
@@ -169,14 +169,20 @@
 
   /** Removes a minion whose results are known now, or never will be. */
   clearUnknownResults(minion: MinionId): void {
-    for (const minions of this.unknownResults.values()) {
-      minions.delete(minion);
+    for (const runs of this.unknownResults.values()) {
+      for (const [number, each] of runs) {
+        if (each === minion) {
+          runs.delete(number);
+        }
+      }
     }
   }
 
   /** Returns the number of runs of the task that have failed or may have. */
   countPossibleFailures(index: number): number {
-    return (this.failures.get(index)?.length ?? 0) + (this.unknownResults.get(index)?.size ?? 0);
+    const failed = this.failures.get(index) ?? [];
+    const unknown = this.unknownResults.get(index)?.keys() ?? [];
+    return new Set([...failed, ...unknown]).size;
   }
 
   /** Returns the checkpoint from which the task resumes; all members of a gang resume from the same one. */
@@ -202,9 +208,9 @@
     return this.#lastRun.get(index);
   }
 
-  recordUnknownResult(index: number, minion: MinionId): void {
-    const minions = this.unknownResults.get(index) ?? new Set();
-    this.unknownResults.set(index, minions.add(minion));
+  recordUnknownResult(index: number, number: RunNumber, minion: MinionId): void {
+    const runs = this.unknownResults.get(index) ?? new Map<RunNumber, MinionId>();
+    this.unknownResults.set(index, runs.set(number, minion));
   }
 
   /** Records a failed run; returns false when it was recorded before. */
--- a/packages/nutmegproxy-owner/src/SilentRecords.ts
+++ b/packages/nutmegproxy-owner/src/SilentRecords.ts
@@ -85,7 +85,7 @@
     if (!step.waiting.has(task.index)) {
       // A later run is known; this one may have failed, which only its minion can tell.
       if (!step.done.has(task.index) && isSuperseded(step, task.index, number)) {
-        fleet.recordUnknownResult(step, task.index, minion);
+        fleet.recordUnknownResult(step, task.index, number, minion);
       }
       continue;
     }
@@ -96,7 +96,7 @@
       run.leasedUntil = runMs < remainingMs ? after(now, runMs) : undefined;
       adopted.push(run);
     } else {
-      fleet.recordUnknownResult(step, task.index, minion);
+      fleet.recordUnknownResult(step, task.index, number, minion);
     }
   }
   fleet.recordAdoption(minion, adopted);
--- a/packages/nutmegproxy-owner/src/__tests__/unit/SupersededRuns.test.ts
+++ b/packages/nutmegproxy-owner/src/__tests__/unit/SupersededRuns.test.ts
@@ -78,4 +78,21 @@
     fail(later, SECOND);
     assert.equal(step.countPossibleFailures(0), 1);
   });
+
+  it('counts two runs on one minion as two attempts once its lease has expired', () => {
+    adopt(earlier, FIRST);
+    adopt(earlier, SECOND);
+    const [run] = step.runsOf(0);
+    assert.ok(run);
+    fleet.recordUnknownResult(step, 0, run.number, earlier);
+    fleet.recordLostRun(run, 'hold lapsed');
+    assert.equal(step.countPossibleFailures(0), 2);
+  });
+
+  it('counts a failure once that a record names too', () => {
+    adopt(later, SECOND);
+    adopt(earlier, FIRST);
+    step.markFailed(0, FIRST);
+    assert.equal(step.countPossibleFailures(0), 1);
+  });
 });
--- a/packages/nutmegproxy-scheduling/src/Fleet.ts
+++ b/packages/nutmegproxy-scheduling/src/Fleet.ts
@@ -108,7 +108,7 @@
       .listExposedRuns(this.runNumberBase)
       .filter(({run}) => expired.has(run) || !minion.runs.has(run));
     for (const run of expired) {
-      this.recordUnknownResult(run.step, run.task.index, minion);
+      this.recordUnknownResult(run.step, run.task.index, run.number, minion);
       this.recordLostRun(run, 'hold lapsed');
     }
   }
@@ -121,8 +121,13 @@
   }
 
   /** Records that a run may have failed on a minion that can still report its result. */
-  recordUnknownResult(step: StepState, index: number, minion: MinionState): void {
-    step.recordUnknownResult(index, minion.id);
+  recordUnknownResult(
+    step: StepState,
+    index: number,
+    number: RunNumber,
+    minion: MinionState,
+  ): void {
+    step.recordUnknownResult(index, number, minion.id);
     minion.unknownResultSteps.add(step);
   }
 
--- a/packages/nutmegproxy-scheduling/src/ListingReconciler.ts
+++ b/packages/nutmegproxy-scheduling/src/ListingReconciler.ts
@@ -103,7 +103,7 @@
     if (run.knownFrom === 'record' && run.number < number) {
       const minion = fleet.minions.get(run.minion);
       if (minion !== undefined) {
-        fleet.recordUnknownResult(step, task.index, minion);
+        fleet.recordUnknownResult(step, task.index, run.number, minion);
       }
       fleet.recordLostRun(run, 'superseded');
     }
--- a/packages/nutmegproxy-scheduling/src/PendingTaskReason.ts
+++ b/packages/nutmegproxy-scheduling/src/PendingTaskReason.ts
@@ -102,7 +102,7 @@
   {fleet}: PendingContext,
 ): PendingDetails | undefined {
   const {maxAttempts} = fleet.resolveQueuePolicy(step.job);
-  const [minion] = step.unknownResults.get(index) ?? [];
+  const [minion] = step.unknownResults.get(index)?.values() ?? [];
   return minion !== undefined && step.countPossibleFailures(index) >= maxAttempts
     ? {minion}
     : undefined;
--- a/packages/nutmegproxy-scheduling/src/__tests__/unit/PendingTaskLog.test.ts
+++ b/packages/nutmegproxy-scheduling/src/__tests__/unit/PendingTaskLog.test.ts
@@ -133,7 +133,7 @@
       const [minion] = sample.fleet.minions.values();
       assert.ok(minion);
       step.failures.set(1, [1 as Run['number']]);
-      sample.fleet.recordUnknownResult(step, 1, minion);
+      sample.fleet.recordUnknownResult(step, 1, 2 as Run['number'], minion);
       const [line] = play(0, 3_000);
       assert.deepEqual([line?.pendingRoom, line?.pendingUnknownResult], [2, 1]);
       assert.match(String(line?.named), /\.0\.0\.1\/unknown-result\/3000\/on=m1/);
--- a/packages/nutmegproxy-scheduling/src/__tests__/unit/PendingTaskReason.test.ts
+++ b/packages/nutmegproxy-scheduling/src/__tests__/unit/PendingTaskReason.test.ts
@@ -76,13 +76,13 @@
     it('names the minion on which a run has ended whose result is not known', () => {
       const step = addStep();
       fail(step, 1);
-      sample.fleet.recordUnknownResult(step, 0, minion);
+      sample.fleet.recordUnknownResult(step, 0, 2 as Run['number'], minion);
       assert.deepEqual(findCause(step), {minion: 'm1', reason: 'unknown-result'});
     });
 
     it('says no unknown result while attempts are left beside it', () => {
       const step = addStep();
-      sample.fleet.recordUnknownResult(step, 0, minion);
+      sample.fleet.recordUnknownResult(step, 0, 2 as Run['number'], minion);
       assert.deepEqual(findCause(step), {reason: 'placement'});
     });
 
@@ -217,7 +217,7 @@
     it('names what withholds the task itself before them', () => {
       const step = addStep();
       fail(step, 1);
-      sample.fleet.recordUnknownResult(step, 0, minion);
+      sample.fleet.recordUnknownResult(step, 0, 2 as Run['number'], minion);
       assert.equal(findCause(step, {hold: 'backlog'}).reason, 'unknown-result');
     });
 
--- a/packages/nutmegproxy-scheduling/src/__tests__/unit/PendingTasksOverTakeovers.test.ts
+++ b/packages/nutmegproxy-scheduling/src/__tests__/unit/PendingTasksOverTakeovers.test.ts
@@ -48,7 +48,7 @@
     for (const step of [lastAttempt, unknownResult]) {
       step.failures.set(0, [...(failures ?? [1 as Run['number']])]);
     }
-    this.sample.fleet.recordUnknownResult(unknownResult, 0, this.minion);
+    this.sample.fleet.recordUnknownResult(unknownResult, 0, 2 as Run['number'], this.minion);
     this.sample.fleet.recoveryRevision = Infinity;
   }
 
