--- a/packages/nutmegproxy-scheduling/src/ListingReconciler.ts
+++ b/packages/nutmegproxy-scheduling/src/ListingReconciler.ts
@@ -7,7 +7,7 @@
 import type {MinionState} from './MinionState.ts';
 
 import {dropUnsentTrials, resolveTrials} from './CrashRecorder.ts';
-import {reviewTrials} from './TaskTrials.ts';
+import {reviewTrials} from './TrialReview.ts';
 
 /** Progress of a live run, as listed by its minion. */
 export interface RunReport {
--- a/packages/nutmegproxy-scheduling/src/SchedulingEvents.ts
+++ b/packages/nutmegproxy-scheduling/src/SchedulingEvents.ts
@@ -89,6 +89,6 @@
   TRIAL_STARTED: {
     code: 8016,
     level: 'info',
-    text: 'A suspected task was placed on a minion that gets no other work meanwhile.',
+    text: 'A suspected task was started on trial; its minion gets no other work meanwhile, unless the task had waited for long.',
   },
 } satisfies Record<string, EventKind>;
--- a/packages/nutmegproxy-scheduling/src/SuspectSeparation.ts
+++ b/packages/nutmegproxy-scheduling/src/SuspectSeparation.ts
@@ -18,7 +18,7 @@
 }
 
 /** Whether a run of a suspect is too young to show that it does not crash its minion. */
-function isOnProbation({confirmedAt, step, task: {index}}: Run, now: Instant): boolean {
+export function isOnProbation({confirmedAt, step, task: {index}}: Run, now: Instant): boolean {
   const liveMs = now - (confirmedAt ?? now);
   return isSuspected(step, index) && liveMs < computeTrialMs(listCrashes(step, index));
 }
--- /dev/null
+++ b/packages/nutmegproxy-scheduling/src/TrialPacing.ts
@@ -0,0 +1,67 @@
+/** Decides how many suspected tasks are on trial at once, so that all of them start within a bound. */
+
+/**
+ * Longest time in milliseconds from the last crash under a task, or from when an owner first considers
+ * it, to its start, while a minion has room for it.
+ */
+export const SUSPICION_BOUND_MS = 10_000;
+/** The part of it after which a suspect starts on any minion that can run it; the rest is for planning. */
+export const MAX_TRIAL_DELAY_MS = 8_000;
+/** Time in milliseconds from the end of a trial to the start of the next one on its minion. */
+const TRIAL_GAP_MS = 250;
+/** Largest share of the minions that are reserved for trials, and the least number of trials. */
+const MAX_TRIAL_SHARE = 0.15;
+const MIN_TRIALS = 2;
+/** The same while not all suspects would start in time otherwise. */
+const MAX_URGENT_TRIAL_SHARE = 0.5;
+
+/** A suspected task that waits. */
+export interface TrialCandidate {
+  /** Length of its trial in milliseconds. */
+  readonly trialMs: number;
+  /** Time in milliseconds since the last crash under it. */
+  readonly waitedMs: number;
+}
+
+export interface TrialPace {
+  /** Most suspects that start on a minion at once. */
+  readonly groupSize: number;
+  /** Most minions that are reserved for trials. */
+  readonly minions: number;
+}
+
+/**
+ * Returns how many suspects have to be on trial at once so that the last of them starts in time.
+ *
+ * @example
+ * countNeededTrials([{trialMs: 3_750, waitedMs: 0}, {trialMs: 3_750, waitedMs: 0}]); // 1
+ */
+export function countNeededTrials(candidates: readonly TrialCandidate[]): number {
+  let longestWaitMs = 0;
+  let totalMs = 0;
+  for (const {trialMs, waitedMs} of candidates) {
+    longestWaitMs = Math.max(longestWaitMs, waitedMs);
+    totalMs += trialMs + TRIAL_GAP_MS;
+  }
+  const leftMs = Math.max(0, MAX_TRIAL_DELAY_MS - longestWaitMs);
+  const rounds =
+    candidates.length === 0 ? 1 : 1 + Math.floor((leftMs * candidates.length) / totalMs);
+  return Math.ceil(candidates.length / rounds);
+}
+
+/**
+ * Returns how many minions are reserved for trials, and how many suspects share one.
+ *
+ * @example
+ * computeTrialPace(candidates, fleet.minions.size); // {groupSize: 1, minions: 7}
+ */
+export function computeTrialPace(
+  candidates: readonly TrialCandidate[],
+  minions: number,
+): TrialPace {
+  const needed = countNeededTrials(candidates);
+  const usual = Math.max(MIN_TRIALS, Math.floor(minions * MAX_TRIAL_SHARE));
+  const urgent = Math.min(needed, Math.floor(minions * MAX_URGENT_TRIAL_SHARE));
+  const reserved = Math.max(usual, urgent);
+  return {groupSize: Math.max(1, Math.ceil(needed / reserved)), minions: reserved};
+}
--- a/packages/nutmegproxy-scheduling/src/index.ts
+++ b/packages/nutmegproxy-scheduling/src/index.ts
@@ -66,6 +66,7 @@
 export type {StopReason, StopRequest} from './StopRequest.ts';
 export {TailLatencyModel, toReferenceCores} from './TailLatencyModel.ts';
 export type {InterferingTask, TailModelSnapshot} from './TailLatencyModel.ts';
+export {SUSPICION_BOUND_MS} from './TrialPacing.ts';
 export {UntrustedMinionLog} from './UntrustedMinionLog.ts';
 export {WithheldTaskLog} from './WithheldTaskLog.ts';
 export {WithheldTaskSummary} from './WithheldTaskSummary.ts';
