--- a/packages/nutmegproxy-scheduling/src/CrashAttribution.ts
+++ b/packages/nutmegproxy-scheduling/src/CrashAttribution.ts
@@ -28,6 +28,7 @@
   readonly ageMs: number;
   /** Whether it has passed a trial that was shorter than the longest one, and is not older than that. */
   readonly hasPassedTrial?: boolean;
+  /** Whether it is tried, or belongs to a suspected task and started without a trial as long ago. */
   readonly isOnTrial: boolean;
   /** Whether the run is young enough, or on trial. */
   readonly isSuspect: boolean;
@@ -155,7 +156,11 @@
     return {cause: 'outage', evidence: 'coincident', recorded: suspects};
   }
   const evidence = listJobs(exposed).size === 1 ? 'alone' : 'shared';
-  return {cause: 'task', evidence, recorded: suspects};
+  // A task that has passed its trial may be to blame rather than one that has just started beside it.
+  const recorded = exposed.filter(
+    ({hasPassedTrial, isSuspect}) => isSuspect || hasPassedTrial === true,
+  );
+  return {cause: 'task', evidence, recorded};
 }
 
 /** Ways of attributing the crash of a minion. */
--- a/packages/nutmegproxy-scheduling/src/MinionState.ts
+++ b/packages/nutmegproxy-scheduling/src/MinionState.ts
@@ -103,6 +103,8 @@
   mayBeCutOff = false;
   /** Runs of suspected tasks that were live until their trials ended. */
   readonly passedTrials = new WeakSet<Run>();
+  /** Runs of suspected tasks that started without a trial, for as long as one would take. */
+  readonly watchedRuns = new WeakSet<Run>();
   /** Run of a suspected task, beside which nothing is placed. */
   trialRun: Run | undefined;
   /** Reserved resources; the processors of backfill tasks are not included. */
@@ -197,7 +199,8 @@
     const times = {provenAt: this.lastProofAt, runNumberBase};
     const live = [...this.runs].map((run) => {
       const ageMs = computeProvenAge(run, times);
-      const isOnTrial = run.step.crashes.trials.get(run.task.index)?.run === run.number;
+      const isRecorded = run.step.crashes.trials.get(run.task.index)?.run === run.number;
+      const isOnTrial = isRecorded || this.watchedRuns.has(run);
       const hasPassedTrial = ageMs < MAX_TRIAL_MS && this.passedTrials.has(run);
       const isSuspect = ageMs < FRESH_RUN_MS || isOnTrial;
       return {ageMs, hasPassedTrial, isOnTrial, isSuspect, run};
--- a/packages/nutmegproxy-scheduling/src/StartPlanner.ts
+++ b/packages/nutmegproxy-scheduling/src/StartPlanner.ts
@@ -26,6 +26,7 @@
 import {StartPermissions} from './StartPermissions.ts';
 import {isApartFromSuspects} from './SuspectSeparation.ts';
 import {planTrials, recordTrial} from './TaskTrials.ts';
+import {watchSuspects} from './TrialReview.ts';
 
 /**
  * Time in milliseconds after which placement of a backfill step that found no minion is retried.
@@ -112,6 +113,7 @@
       now,
       sharingCosts,
     });
+    watchSuspects(this.#fleet, [...this.#starts, ...interrupted]);
     const schedulable = [...this.#schedulable.values()].flat();
     return [
       ...trials.starts,
--- a/packages/nutmegproxy-scheduling/src/TrialReview.ts
+++ b/packages/nutmegproxy-scheduling/src/TrialReview.ts
@@ -10,7 +10,7 @@
 import type {MinionState} from './MinionState.ts';
 
 import {MAX_CRASH_AGE_MS} from './CrashAttribution.ts';
-import {computeTrialMs} from './CrashVerdict.ts';
+import {computeTrialMs, judgeTask} from './CrashVerdict.ts';
 import {describeRun} from './RunFields.ts';
 import {SCHEDULING_EVENTS} from './SchedulingEvents.ts';
 
@@ -19,6 +19,16 @@
   return !step.shape.gang && step.crashes.trials.get(task.index)?.run === number;
 }
 
+/** Counts runs of suspected tasks that started without a trial as on trial when their minions crash. */
+export function watchSuspects({minions}: Fleet, runs: readonly Run[]): void {
+  for (const run of runs) {
+    const {step, task} = run;
+    if (!step.shape.gang && !step.crashes.isEmpty && judgeTask(step, task.index) === 'suspect') {
+      minions.get(run.minion)?.watchedRuns.add(run);
+    }
+  }
+}
+
 /** Ends a trial that the minion has survived; single crashes no longer speak against the job. */
 function passTrial(fleet: Fleet, minion: MinionState, run: Run, now: Instant): void {
   minion.trialRun = minion.trialRun === run ? undefined : minion.trialRun;
@@ -62,8 +72,12 @@
   for (const run of minion.runs) {
     const {confirmedAt, step, task} = run;
     const ageMs = now - (confirmedAt ?? now);
-    if (isTrial(run) && ageMs >= computeTrialMs(step.crashes.of(task.index))) {
-      passTrial(fleet, minion, run, now);
+    if (ageMs >= computeTrialMs(step.crashes.of(task.index))) {
+      if (isTrial(run)) {
+        passTrial(fleet, minion, run, now);
+      } else if (minion.watchedRuns.delete(run)) {
+        minion.passedTrials.add(run);
+      }
     }
     if (!step.crashes.isEmpty && ageMs >= MAX_CRASH_AGE_MS && step.crashes.clear(task.index)) {
       fleet.dirtyJobs.add(step.job);
--- a/packages/nutmegproxy-scheduling/src/__tests__/unit/ManySuspects.test.ts
+++ b/packages/nutmegproxy-scheduling/src/__tests__/unit/ManySuspects.test.ts
@@ -9,6 +9,8 @@
 import {crash, crashOf, play} from './CrashSamples.ts';
 import {at, SampleFleet, shape} from './Samples.ts';
 
+/** A task that crashes its minions is started at most this often. */
+const MAX_STARTS = 5;
 /** All suspects together take less than half of the capacity. */
 const RESOURCES = {cpuMilli: 200, gpus: 0, memoryMb: 10};
 const MINIONS = 20;
@@ -110,18 +112,27 @@
       [300, 490],
       [2_000, 490],
       [2_000, 2_000],
+      [4_000, 2_000],
     ] as const) {
       describe(`${ageMs} ms after its start, ${formerAgeMs} ms before (lasting: ${isLasting})`, () => {
         for (const seed of [1, 2, 3]) {
           it(`start in time, and no other is given up, in play ${seed}`, () => {
             const suspects = new SuspectPlay({ageMs, formerAgeMs, isLasting, seed});
-            suspects.play(45_000);
+            suspects.play(60_000);
             assert.deepEqual(listFailed(suspects.sound), []);
             assert.ok(
               suspects.longestWaitMs <= SUSPICION_BOUND_MS,
               `waited for ${suspects.longestWaitMs} ms`,
             );
           });
+
+          it(`that crash them are given up after few starts in play ${seed}`, () => {
+            const suspects = new SuspectPlay({ageMs, formerAgeMs, isLasting, seed});
+            suspects.play(60_000);
+            const starts = [...suspects.deadly].map((job) => suspects.starts.get(job) ?? 0);
+            assert.equal(listFailed(suspects.deadly).length, suspects.deadly.size);
+            assert.ok(Math.max(...starts) <= MAX_STARTS, `${starts.join(', ')} starts`);
+          });
         }
       });
     }
