--- a/packages/nutmegproxy-scheduling/src/PendingBounds.ts
+++ b/packages/nutmegproxy-scheduling/src/PendingBounds.ts
@@ -7,13 +7,12 @@
 
 import {MAX_LAST_ATTEMPT_WAIT_MS} from './LastAttempt.ts';
 import {FAILED_TRIAL_AVOIDANCE_MS} from './MinionQuarantine.ts';
+import {SUSPICION_BOUND_MS} from './TrialPacing.ts';
 
 /** Time in milliseconds that is left for the start itself. */
 const START_MARGIN_MS = 500;
 /** Shortest wait in milliseconds for something better: as long as a quarantine may last. */
 const MIN_WAIT_MS = 4_000;
-/** Longest wait in milliseconds of a task for its trial. */
-const SUSPICION_BOUND_MS = 10_000;
 
 /**
  * `capacity`: there is no room, or the owner has no time. `policy`: something better is waited for. `safety`: a run
--- a/packages/nutmegproxy-scheduling/src/StartPlanner.ts
+++ b/packages/nutmegproxy-scheduling/src/StartPlanner.ts
@@ -29,6 +29,7 @@
 import {StartPermissions} from './StartPermissions.ts';
 import {isApartFromSuspects} from './SuspectSeparation.ts';
 import {planTrials, recordTrial} from './TaskTrials.ts';
+import {watchSuspects} from './TrialReview.ts';
 
 /** Share of the time for placement in which steps that found no minion in the same pass are tried again. */
 const RETRY_SHARE = 1 / 3;
@@ -107,6 +108,7 @@
     });
     const schedulable = this.#schedulable.list();
     this.#placeOverdue(ordered);
+    watchSuspects(this.#fleet, [...this.#starts, ...interrupted]);
     return [
       ...trials.starts,
       ...this.#starts,
