--- a/packages/nutmegproxy-owner/src/AdvicePrefetcher.ts
+++ b/packages/nutmegproxy-owner/src/AdvicePrefetcher.ts
@@ -1,11 +1,11 @@
 /** Calls the advising service before its responses are needed, one call at a time. */
 
-import type {Clock, EventSink, Instant, MinionId} from '@nutmegproxy/core';
+import type {Clock, EventSink, Instant, MinionId, PlatformBounds} from '@nutmegproxy/core';
 import type {StepState} from '@nutmegproxy/jobs';
 import type {AdviceLookup, AdviceQuery, Fleet, Ticket} from '@nutmegproxy/scheduling';
 
 import {delay} from '@nutmegproxy/core';
-import {AdviceCache, isSchedulable} from '@nutmegproxy/scheduling';
+import {AdviceCache, chooseAdviceQuery} from '@nutmegproxy/scheduling';
 
 import type {AdviceClient} from './AdviceClient.ts';
 
@@ -13,7 +13,8 @@
 import {OWNER_EVENTS} from './OwnerEvents.ts';
 
 export interface AdvicePrefetcherOptions {
-  readonly client: AdviceClient | undefined;
+  readonly advice: AdviceClient | undefined;
+  readonly bounds: Pick<PlatformBounds, 'finishMs'>;
   readonly clock: Clock;
   readonly events: EventSink;
   readonly fleet: Fleet;
@@ -40,10 +41,11 @@
 
   /** Calls the service while `isActing` returns true. */
   async run(isActing: () => boolean): Promise<void> {
-    const {client, clock} = this.#options;
-    while (client !== undefined && isActing()) {
-      const query = this.#chooseQuery(clock.monotonic());
-      if (query === undefined || !(await this.#ask(client, query))) {
+    const {advice, bounds, clock, fleet} = this.#options;
+    while (advice !== undefined && isActing()) {
+      const now = clock.monotonic();
+      const query = chooseAdviceQuery(this.#cache, fleet, {bounds, now, wall: clock.wall()});
+      if (query === undefined || !(await this.#ask(advice, query))) {
         await delay(ADVICE_IDLE_PAUSE_MS);
       }
     }
@@ -84,25 +86,4 @@
     onChange();
     return true;
   }
-
-  /** Chooses a query; steps whose earlier steps have ended come before the others. */
-  #chooseQuery(now: Instant): AdviceQuery | undefined {
-    const {clock, fleet} = this.#options;
-    const wall = clock.wall();
-    const ready: StepState[] = [];
-    const later: StepState[] = [];
-    for (const job of fleet.jobs.open()) {
-      if (fleet.resolveQueuePolicy(job).advice === undefined) {
-        continue;
-      }
-      for (const steps of job.openOccurrences(wall)) {
-        for (const step of steps) {
-          const isReady = step.shape.after.every((earlier) => steps[earlier]?.isDone ?? false);
-          (isReady ? ready : later).push(step);
-        }
-      }
-    }
-    const schedulable = [...fleet.minions.values()].filter((minion) => isSchedulable(minion, now));
-    return this.#cache.chooseQuery(fleet, [...ready, ...later], schedulable, now);
-  }
 }
--- a/packages/nutmegproxy-owner/src/Owner.ts
+++ b/packages/nutmegproxy-owner/src/Owner.ts
@@ -101,7 +101,7 @@
   readonly #work: WorkQueue;
 
   constructor(options: OwnerOptions) {
-    const {bounds, clock, directory, events, ownership, store} = options;
+    const {advice, bounds, clock, directory, events, ownership, store} = options;
     this.#options = options;
     this.#estimator = new DurationEstimator(bounds);
     this.#progressMonitor = new RunProgressMonitor(this.#estimator, bounds);
@@ -123,7 +123,7 @@
     this.#learnedEstimates = this.#createLearnedEstimates();
     this.#retention = this.#createRetention();
     this.#queueLengths = new QueueLengthPublisher({events, fleet, ownership, store});
-    this.#advice = new AdvicePrefetcher({client: options.advice, clock, events, fleet, onChange});
+    this.#advice = new AdvicePrefetcher({advice, bounds, clock, events, fleet, onChange});
     this.#jobs = new JobWatcher({clock, events, fleet, onChange, onFenced, ownership, store, work});
     this.#minions = new MinionSessions({
       bounds,
--- a/packages/nutmegproxy-scheduling/src/index.ts
+++ b/packages/nutmegproxy-scheduling/src/index.ts
@@ -2,6 +2,8 @@
 
 export {AdviceCache} from './AdviceCache.ts';
 export type {AdviceQuery, Ticket} from './AdviceCache.ts';
+export {chooseAdviceQuery} from './AdviceQueries.ts';
+export type {AdviceContext} from './AdviceQueries.ts';
 export {computeProvenAge, CRASH_ATTRIBUTIONS, FRESH_RUN_MS} from './CrashAttribution.ts';
 export type {
   CrashAttribution,
