--- a/packages/nutmegproxy-jobs/src/JobState.ts
+++ b/packages/nutmegproxy-jobs/src/JobState.ts
@@ -157,6 +157,16 @@
     };
   }
 
+  /** Whether a run of the job is live. */
+  get hasLiveRuns(): boolean {
+    for (const step of this.steps()) {
+      if (step.hasLiveRuns) {
+        return true;
+      }
+    }
+    return false;
+  }
+
   /** Iterates over the steps of the occurrences that are in memory. */
   *steps(): Generator<StepState> {
     for (const states of this.#occurrences.values()) {
--- a/packages/nutmegproxy-jobs/src/StepState.ts
+++ b/packages/nutmegproxy-jobs/src/StepState.ts
@@ -129,6 +129,15 @@
     return this.done.size >= this.shape.count;
   }
 
+  get hasLiveRuns(): boolean {
+    for (const runs of this.#runs.values()) {
+      if (runs.length > 0) {
+        return true;
+      }
+    }
+    return false;
+  }
+
   /** Number of live runs. */
   get liveRuns(): number {
     let count = 0;
--- a/packages/nutmegproxy-scheduling/src/StartBudget.ts
+++ b/packages/nutmegproxy-scheduling/src/StartBudget.ts
@@ -9,9 +9,11 @@
 
 /** Priority of the queues whose work is never deferred. */
 const URGENT_PRIORITY = 0;
+/** Share of a limited budget for jobs of which nothing runs, so that no accepted job is withheld. */
+const IDLE_SHARE = 1 / 2;
 /**
- * Share of a limited budget for the jobs that have waited longest. Otherwise the jobs with the most
- * work, which come last in the usual order, would not start while the owner is full.
+ * Share of a limited budget for these and for the jobs that have waited longest. Otherwise the jobs with
+ * the most work, which come last in the usual order, would not start while the owner is full.
  */
 const LONGEST_WAITING_SHARE = 2 / 3;
 
@@ -78,6 +80,28 @@
   return false;
 }
 
+/** Places one task of each job of which nothing runs; returns whether the time was up before. */
+function placeOneEach(
+  steps: readonly StepState[],
+  budget: StartBudget,
+  {isTimeUp, place}: BudgetedPlacement,
+): boolean {
+  for (const step of steps) {
+    if (budget.isUsedUp) {
+      return false;
+    }
+    if (isTimeUp()) {
+      return true;
+    }
+    if (!step.job.hasLiveRuns) {
+      const single = new StartBudget(1);
+      place(step, single);
+      budget.take(1 - single.remaining);
+    }
+  }
+  return false;
+}
+
 /**
  * Places steps in the given order, and deferrable ones after the others if they are limited. Returns whether the
  * time was up before all steps were placed.
@@ -99,10 +123,14 @@
   const longestWaiting = deferrable.toSorted(
     (a, b) => a.job.dueAt(a.occurrence) - b.job.dueAt(b.occurrence),
   );
-  const part = new StartBudget(Math.ceil(limit * LONGEST_WAITING_SHARE));
-  const rest = new StartBudget(limit - part.remaining);
-  const wasCut =
-    placeAll(urgent, unlimited, placement) || placeAll(longestWaiting, part, placement);
+  const idle = new StartBudget(Math.ceil(limit * IDLE_SHARE));
+  const part = new StartBudget(Math.ceil(limit * LONGEST_WAITING_SHARE) - idle.remaining);
+  const rest = new StartBudget(limit - part.remaining - idle.remaining);
+  if (placeAll(urgent, unlimited, placement) || placeOneEach(longestWaiting, idle, placement)) {
+    return true;
+  }
+  part.take(-idle.remaining);
+  const wasCut = placeAll(longestWaiting, part, placement);
   rest.take(-part.remaining);
   return wasCut || placeAll(deferrable, rest, placement);
 }
--- /dev/null
+++ b/packages/nutmegproxy-scheduling/src/__tests__/unit/StartBudget.test.ts
@@ -0,0 +1,79 @@
+import type {JobState, Run} from '@nutmegproxy/jobs';
+
+import * as fc from 'fast-check';
+import assert from 'node:assert/strict';
+import {describe, it} from 'node:test';
+
+import {planStarts} from '../../StartPlanner.ts';
+import {at, NO_SHARING_COSTS, queue, SampleFleet, shape, wallAt} from './Samples.ts';
+
+const DIGESTS = queue('digests', {priority: 2});
+
+/** Plans a round that may make `deferrableStarts` starts of deferrable tasks. */
+function plan(sample: SampleFleet, nowMs: number, deferrableStarts: number): readonly Run[] {
+  return planStarts(sample.fleet, {
+    advice: {isPermitted: () => undefined},
+    deferrableStarts,
+    estimator: sample.estimator,
+    now: at(nowMs),
+    sharingCosts: NO_SHARING_COSTS,
+    wall: wallAt(nowMs),
+  });
+}
+
+function hasLiveRun(job: JobState): boolean {
+  return [...job.steps()].some(({liveRuns}) => liveRuns > 0);
+}
+
+describe('A limited number of deferrable starts', () => {
+  it('does not withhold a job of which nothing runs beside an older one that runs', () => {
+    const sample = new SampleFleet(10, [DIGESTS]);
+    sample.addJob('digests', [shape({count: 30})]);
+    plan(sample, 0, 2);
+    const idle = sample.addJob('digests', [shape({count: 30})], 10);
+    plan(sample, 20, 2);
+    assert.ok(hasLiveRun(idle));
+  });
+
+  it('does not withhold the rest of the job that has waited longest from idle jobs', () => {
+    const sample = new SampleFleet(10, [DIGESTS]);
+    const oldest = sample.addJob('digests', [shape({count: 30})]);
+    plan(sample, 0, 2);
+    for (let index = 0; index < 20; index += 1) {
+      sample.addJob('digests', [shape()], 10);
+    }
+    const starts = plan(sample, 20, 6);
+    assert.ok(starts.some(({step}) => step.job === oldest));
+  });
+
+  it('lets every job run something, whatever their tasks, once there were starts for all', () => {
+    const counts = fc.array(fc.integer({max: 20, min: 1}), {maxLength: 8, minLength: 1});
+    fc.assert(
+      fc.property(counts, fc.integer({max: 6, min: 1}), (tasks, limit) => {
+        const sample = new SampleFleet(40, [DIGESTS]);
+        const jobs = tasks.map((count, index) => sample.addJob('digests', [shape({count})], index));
+        for (let round = 1; round <= jobs.length; round += 1) {
+          plan(sample, 10 * round, limit);
+        }
+        assert.deepEqual(
+          jobs.filter((job) => !hasLiveRun(job)),
+          [],
+        );
+      }),
+      {seed: 70},
+    );
+  });
+
+  it('is not exceeded by jobs of which nothing runs', () => {
+    fc.assert(
+      fc.property(fc.integer({max: 9, min: 0}), fc.integer({max: 9, min: 1}), (limit, jobs) => {
+        const sample = new SampleFleet(20, [DIGESTS]);
+        for (let index = 0; index < jobs; index += 1) {
+          sample.addJob('digests', [shape({count: 3})], index);
+        }
+        assert.ok(plan(sample, 10, limit).length <= limit);
+      }),
+      {seed: 71},
+    );
+  });
+});
