--- a/packages/nutmegproxy-owner/src/Owner.ts
+++ b/packages/nutmegproxy-owner/src/Owner.ts
@@ -101,7 +101,7 @@
   readonly #work: WorkQueue;
 
   constructor(options: OwnerOptions) {
-    const {bounds, clock, directory, events, ownership, store} = options;
+    const {advice, bounds, clock, directory, events, ownership, store} = options;
     this.#options = options;
     this.#estimator = new DurationEstimator(bounds);
     this.#progressMonitor = new RunProgressMonitor(this.#estimator, bounds);
@@ -123,7 +123,7 @@
     this.#learnedEstimates = this.#createLearnedEstimates();
     this.#retention = this.#createRetention();
     this.#queueLengths = new QueueLengthPublisher({events, fleet, ownership, store});
-    this.#advice = new AdvicePrefetcher({client: options.advice, clock, events, fleet, onChange});
+    this.#advice = new AdvicePrefetcher({advice, bounds, clock, events, fleet, onChange});
     this.#jobs = new JobWatcher({clock, events, fleet, onChange, onFenced, ownership, store, work});
     this.#minions = new MinionSessions({
       bounds,
@@ -294,6 +294,7 @@
       advice: this.#advice.createLookup(now),
       deferrableStarts: this.#startThrottle.getAllowance(now),
       estimator: this.#estimator,
+      finishMs: bounds.finishMs,
       isTimeUp: createTimeLimit(clock, MAX_PLACEMENT_MS),
       now,
       sharingCosts: this.#sharing,
@@ -379,11 +380,10 @@
 
   /** Copies the queues into the fleet when they have changed. */
   #updateQueues(queues: readonly QueuePolicy[]): void {
-    if (queues === this.#queues) {
-      return;
+    if (queues !== this.#queues) {
+      this.#queues = queues;
+      replaceQueues(this.#fleet, queues);
     }
-    this.#queues = queues;
-    replaceQueues(this.#fleet, queues);
   }
 
   #wakeUp(): void {
--- a/packages/nutmegproxy-scheduling/src/ListingReconciler.ts
+++ b/packages/nutmegproxy-scheduling/src/ListingReconciler.ts
@@ -7,7 +7,7 @@
 import type {MinionState} from './MinionState.ts';
 
 import {dropUnsentTrials, resolveTrials} from './CrashRecorder.ts';
-import {reviewTrials} from './TaskTrials.ts';
+import {reviewTrials} from './TrialReview.ts';
 
 /** Progress of a live run, as listed by its minion. */
 export interface RunReport {
@@ -103,7 +103,7 @@
     if (run.knownFrom === 'record' && run.number < number) {
       const minion = fleet.minions.get(run.minion);
       if (minion !== undefined) {
-        fleet.recordUnknownResult(step, task.index, minion);
+        fleet.recordUnknownResult(step, task.index, run.number, minion);
       }
       fleet.recordLostRun(run, 'superseded');
     }
--- /dev/null
+++ b/packages/nutmegproxy-scheduling/src/OverdueSteps.ts
@@ -0,0 +1,98 @@
+/**
+ * Finds steps that have waited for long beside free room. Other work may fail again and again on the minions
+ * with room, so that each trial is followed by another quarantine, and serving tasks may stay over their targets:
+ * a wait for trust or for tolerant minions alone would have no end.
+ */
+
+import type {Instant} from '@nutmegproxy/core';
+import type {ServiceId, StepState} from '@nutmegproxy/jobs';
+
+import type {Fleet} from './Fleet.ts';
+import type {MinionState} from './MinionState.ts';
+import type {SharingCosts} from './Placement.ts';
+
+import {isOnlyUntrusted} from './MinionAvailability.ts';
+
+/** Share of a service's processors in use from which its work waits for room, as the users specify. */
+const FULL_SHARE = 0.5;
+
+/** Cost of a backfill task that disturbs serving tasks, in thousandths of a core: more than any other. */
+const INTERFERENCE_COST = 1_000_000;
+
+/** Returns since when a step waits: for its turn, since a start or a failure. Lasting tasks wait each for itself. */
+function findWaitStart({failedAt, placedAt, readyAt, shape, waiting}: StepState): number {
+  const turnAt = readyAt ?? Infinity;
+  if (!shape.longRunning) {
+    return Math.max(turnAt, placedAt ?? -Infinity, ...failedAt.values());
+  }
+  const failures = [...waiting].map((index) => failedAt.get(index) ?? -Infinity);
+  return Math.max(turnAt, Math.min(...failures));
+}
+
+/** Returns the services of which so few processors are in use that their work does not wait for room. */
+function findFreeServices({minions}: Fleet): ReadonlySet<ServiceId> {
+  const unused = new Map<ServiceId, number>();
+  for (const {description, reserved} of minions.values()) {
+    const {capacity, service} = description;
+    const ofMinion = capacity.cpuMilli * FULL_SHARE - reserved.cpuMilli;
+    unused.set(service, (unused.get(service) ?? 0) + ofMinion);
+  }
+  return new Set([...unused].flatMap(([service, milli]) => (milli > 0 ? [service] : [])));
+}
+
+/**
+ * Returns those of the steps that have waited for `maxWaitMs` beside free room, in the same order.
+ *
+ * @example
+ * const steps = findOverdueSteps(fleet, ordered, deriveMaxWait(bounds), now);
+ */
+export function findOverdueSteps(
+  fleet: Fleet,
+  ordered: readonly StepState[],
+  maxWaitMs: number,
+  now: Instant,
+): readonly StepState[] {
+  const waiting = ordered.filter(
+    (step) => step.waiting.size > 0 && now - findWaitStart(step) >= maxWaitMs,
+  );
+  if (waiting.length === 0) {
+    return waiting;
+  }
+  const free = findFreeServices(fleet);
+  return waiting.filter(({job}) => free.has(fleet.resolveQueuePolicy(job).service));
+}
+
+/**
+ * Returns the time in milliseconds until the step is overdue; undefined where its service is too full for that.
+ *
+ * @example
+ * findOverdueInMs(fleet, step, deriveMaxWait(bounds), now); // 9_500
+ */
+export function findOverdueInMs(
+  fleet: Fleet,
+  step: StepState,
+  maxWaitMs: number,
+  now: Instant,
+): number | undefined {
+  const {service} = fleet.resolveQueuePolicy(step.job);
+  return step.readyAt !== undefined && findFreeServices(fleet).has(service)
+    ? Math.max(0, findWaitStart(step) + maxWaitMs - now)
+    : undefined;
+}
+
+/** Returns the minions that get no new work for no other reason than that their runs have failed or stalled. */
+export function listUntrustedMinions({minions}: Fleet, now: Instant): readonly MinionState[] {
+  return [...minions.values()].filter((minion) => isOnlyUntrusted(minion, now));
+}
+
+/**
+ * Returns costs under which backfill may disturb serving tasks where no minion tolerates it. It is evicted before a
+ * tail latency has been over its target for longer than the platform allows.
+ */
+export function tolerateInterference(costs: SharingCosts): SharingCosts {
+  return {
+    backfillCost: (minion, step, now) => costs.backfillCost(minion, step, now) ?? INTERFERENCE_COST,
+    ordinaryCost: (minion, shape) => costs.ordinaryCost(minion, shape),
+    servingCost: (minion, shape) => costs.servingCost(minion, shape),
+  };
+}
--- a/packages/nutmegproxy-scheduling/src/index.ts
+++ b/packages/nutmegproxy-scheduling/src/index.ts
@@ -2,6 +2,8 @@
 
 export {AdviceCache} from './AdviceCache.ts';
 export type {AdviceQuery, Ticket} from './AdviceCache.ts';
+export {chooseAdviceQuery} from './AdviceQueries.ts';
+export type {AdviceContext} from './AdviceQueries.ts';
 export {computeProvenAge, CRASH_ATTRIBUTIONS, FRESH_RUN_MS} from './CrashAttribution.ts';
 export type {
   CrashAttribution,
@@ -66,6 +68,7 @@
 export type {StopReason, StopRequest} from './StopRequest.ts';
 export {TailLatencyModel, toReferenceCores} from './TailLatencyModel.ts';
 export type {InterferingTask, TailModelSnapshot} from './TailLatencyModel.ts';
+export {SUSPICION_BOUND_MS} from './TrialPacing.ts';
 export {UntrustedMinionLog} from './UntrustedMinionLog.ts';
 export {WithheldTaskLog} from './WithheldTaskLog.ts';
 export {WithheldTaskSummary} from './WithheldTaskSummary.ts';
