--- a/packages/nutmegproxy-scheduling/src/OverdueSteps.ts
+++ b/packages/nutmegproxy-scheduling/src/OverdueSteps.ts
@@ -29,6 +29,12 @@
   return Math.max(turnAt, Math.min(...failures));
 }
 
+/** Whether a step has waited since the given instant or longer; most steps are told from their turn alone. */
+function hasWaitedSince(step: StepState, since: number): boolean {
+  const {readyAt = Infinity, waiting} = step;
+  return readyAt <= since && waiting.size > 0 && findWaitStart(step) <= since;
+}
+
 /** Returns the services of which so few processors are in use that their work does not wait for room. */
 function findFreeServices({minions}: Fleet): ReadonlySet<ServiceId> {
   const unused = new Map<ServiceId, number>();
@@ -52,9 +58,7 @@
   maxWaitMs: number,
   now: Instant,
 ): readonly StepState[] {
-  const waiting = ordered.filter(
-    (step) => step.waiting.size > 0 && now - findWaitStart(step) >= maxWaitMs,
-  );
+  const waiting = ordered.filter((step) => hasWaitedSince(step, now - maxWaitMs));
   if (waiting.length === 0) {
     return waiting;
   }
