--- a/packages/nutmegproxy-entry/src/VmRegistry.ts
+++ b/packages/nutmegproxy-entry/src/VmRegistry.ts
@@ -14,13 +14,11 @@
 import {
   VM_FIRST_LIST_DELAY_MS,
   VM_LEASE_TTL_MS,
-  VM_LIST_CONFIRMATION_MS,
   VM_LIST_INTERVAL_MS,
   VM_RENEWAL_INTERVAL_MS,
   VM_RENEWAL_RETRY_MS,
 } from './EntryConstants.ts';
 import {ENTRY_EVENTS} from './EntryEvents.ts';
-import {VmCensus} from './VmCensus.ts';
 
 const VMS_PREFIX = `${STATE_PREFIX}vms/`;
 
@@ -52,7 +50,6 @@
 }
 
 export class VmRegistry {
-  readonly #census: VmCensus;
   /** Whether the entry is certainly written under the lease. */
   #isWritten = false;
   #lease: LeaseId | undefined;
@@ -61,15 +58,9 @@
   #stopped = false;
 
   constructor(options: VmRegistryOptions) {
-    this.#census = new VmCensus(options.self);
     this.#options = options;
   }
 
-  /** Whether callers are served better by another data centre; see `VmCensus`. */
-  get leavesCallers(): boolean {
-    return this.#census.leavesCallers;
-  }
-
   /** The other entry VMs, by the last successful read. */
   get peers(): readonly EntryVm[] {
     return this.#peers;
@@ -112,7 +103,7 @@
   }
 
   async #refresh(): Promise<void> {
-    const {events, self, store} = this.#options;
+    const {self, store} = this.#options;
     const listed = await getPrefix(store, VMS_PREFIX);
     if (listed.isErr()) {
       // The last list stays in use: it is needed most while the store is unavailable.
@@ -126,18 +117,12 @@
     this.#peers = listed.value.values
       .flatMap((stored) => this.#decode(stored) ?? [])
       .filter(({vm}) => vm !== self.vm);
-    const didLeaveCallers = this.leavesCallers;
-    this.#census.record(this.#peers);
-    if (this.leavesCallers !== didLeaveCallers) {
-      const fields = {leavesCallers: this.leavesCallers, vms: listed.value.values.length};
-      events.record(ENTRY_EVENTS.CALLERS_LEFT, fields);
-    }
   }
 
   async #refreshPeriodically(): Promise<void> {
     while (!this.#stopped) {
       await this.#refresh();
-      await delay(this.#census.isUnconfirmed ? VM_LIST_CONFIRMATION_MS : VM_LIST_INTERVAL_MS);
+      await delay(VM_LIST_INTERVAL_MS);
     }
   }
 
