--- a/packages/nutmegproxy-owner/src/StartThrottle.ts
+++ b/packages/nutmegproxy-owner/src/StartThrottle.ts
@@ -23,7 +23,7 @@
 const MAX_RATE = 5_000;
 /** Rate of a new owner, whose loop takes some time to fill: calls for more starts would wait in it. */
 const INITIAL_RATE = 1_000;
-/** Weight of a sample in the present use; single samples are full while a round is planned. */
+/** Weight of a sample in the present use and starts; single samples are full while a round is planned. */
 const SMOOTHING = 0.3;
 /** Time constant in milliseconds of the means, which cover the tasks' starts and their ends. */
 const MEAN_MS = 5_000;
@@ -49,6 +49,7 @@
   /** Share of the rate that may be used at the moment. */
   #share = 1;
   #started = 0;
+  #startsPerS = 0;
   #updatedAt: Instant | undefined;
   #use = 0;
 
@@ -90,9 +91,11 @@
     this.#loop = loop;
     if (this.#sampledAt !== undefined) {
       const weight = 1 - Math.exp(-elapsedMs / MEAN_MS);
+      const startsPerS = (this.#started * 1_000) / elapsedMs;
       this.#use += SMOOTHING * (use - this.#use);
+      this.#startsPerS += SMOOTHING * (startsPerS - this.#startsPerS);
       this.#meanUse += weight * (use - this.#meanUse);
-      this.#meanStartsPerS += weight * ((this.#started * 1_000) / elapsedMs - this.#meanStartsPerS);
+      this.#meanStartsPerS += weight * (startsPerS - this.#meanStartsPerS);
       this.#adjust();
     }
     this.#sampledAt = now;
@@ -102,7 +105,7 @@
   #adjust(): void {
     const excess = Math.max(0, this.#use - TARGET_USE);
     // With few starts, other work fills the loop.
-    const isLimiting = excess > 0 && this.#meanStartsPerS >= MIN_RATE;
+    const isLimiting = excess > 0 && Math.max(this.#startsPerS, this.#meanStartsPerS) >= MIN_RATE;
     this.#share = isLimiting ? Math.max(0, 1 - PAUSE_GAIN * excess) : 1;
     const spare = TARGET_USE - Math.max(this.#use, this.#meanUse);
     if (spare > 0) {
--- a/packages/nutmegproxy-owner/src/__tests__/unit/StartThrottle.test.ts
+++ b/packages/nutmegproxy-owner/src/__tests__/unit/StartThrottle.test.ts
@@ -67,6 +67,22 @@
     assert.equal(pass(1, 60), 60);
   });
 
+  it('lowers the rate for the first starts that are made while other work fills the loop', () => {
+    passSeconds(5, 1, 0);
+    pass(1, 60);
+    assert.ok(pass(1, 60) < 60);
+    assert.ok(passSeconds(2, 1, 60) < 120);
+  });
+
+  it('lowers the rate for few starts while other work fills the loop', () => {
+    passSeconds(5, 1, 0);
+    for (let second = 0; second < 5; second += 1) {
+      pass(1, 10);
+      passSeconds(0.9, 1, 0);
+    }
+    assert.ok(pass(1, 60) < 60);
+  });
+
   it('uses the time that the loop has left within a second', () => {
     passSeconds(5, 1, 60);
     passSeconds(1, 0.6, 60);
