--- a/packages/nutmegproxy-scheduling/src/MinionTrust.ts
+++ b/packages/nutmegproxy-scheduling/src/MinionTrust.ts
@@ -11,6 +11,8 @@
 const FIRST_QUARANTINE_MS = 2_000;
 /** Longest quarantine in milliseconds; bounds how long a recovered minion stays unused. */
 const MAX_QUARANTINE_MS = 4_000;
+/** Longest time in milliseconds by which runs that are started before the next trial put it off. */
+const MAX_POSTPONEMENT_MS = 2 * MAX_QUARANTINE_MS;
 /** Time in milliseconds for which a failure speaks against the last attempt of a task. */
 export const RECENT_FAILURE_MS = 8_000;
 /** Time in milliseconds after which a failure no longer counts together with another one. */
@@ -59,8 +61,9 @@
   /** Puts off the next trial, as a run was started before it that may fail as well. */
   postponeTrial(now: Instant): void {
     if (this.#quarantinedUntil !== undefined) {
-      const untilMs = Math.max(now, this.#quarantinedUntil);
-      this.#quarantinedUntil = (untilMs + this.#quarantineMs) as Instant;
+      const untilMs = Math.max(now, this.#quarantinedUntil) + this.#quarantineMs;
+      const latestMs = Math.max(this.#quarantinedUntil, now + MAX_POSTPONEMENT_MS);
+      this.#quarantinedUntil = Math.min(untilMs, latestMs) as Instant;
     }
   }
 
--- a/packages/nutmegproxy-scheduling/src/StartPlanner.ts
+++ b/packages/nutmegproxy-scheduling/src/StartPlanner.ts
@@ -171,7 +171,7 @@
     const placed = this.#starts.length;
     const mayStart = steps.filter(({shape}) => shape.fillsSpareCpu || untrusted.length > 0);
     this.#place(mayStart, 1);
-    for (const {minion} of this.#starts.slice(placed)) {
+    for (const minion of new Set(this.#starts.slice(placed).map((run) => run.minion))) {
       this.#fleet.minions.get(minion)?.trust.postponeTrial(now);
     }
   }
--- a/packages/nutmegproxy-scheduling/src/__tests__/unit/MinionTrust.test.ts
+++ b/packages/nutmegproxy-scheduling/src/__tests__/unit/MinionTrust.test.ts
@@ -28,6 +28,16 @@
     assert.equal(trust.level(at(6_200)), 'trial');
   });
 
+  it('puts off the next trial for 8 s at most, however many runs are started before it', () => {
+    const trust = new MinionTrust();
+    trust.recordStall(at(0));
+    for (let run = 0; run < 8; run += 1) {
+      trust.postponeTrial(at(1_000));
+    }
+    assert.equal(trust.level(at(8_999)), 'quarantined');
+    assert.equal(trust.level(at(9_000)), 'trial');
+  });
+
   it('trusts a minion again after a successful run', () => {
     const trust = new MinionTrust();
     trust.recordStall(at(0));
