--- a/packages/nutmegproxy-entry/src/CellCount.ts
+++ b/packages/nutmegproxy-entry/src/CellCount.ts
@@ -7,11 +7,16 @@
 
 import {delay} from '@nutmegproxy/core';
 import {FIRST_CELL, formatRecordKey, MAX_CELLS, STATE_PREFIX} from '@nutmegproxy/jobs';
-import {chooseCellCount, chooseTakeoverDelayMs, parseJson} from '@nutmegproxy/owner';
+import {chooseCellCount, chooseTakeoverDelayMs, OWNER_EVENTS, parseJson} from '@nutmegproxy/owner';
 import {getKey} from '@nutmegproxy/store';
 import {err, ok} from 'neverthrow';
 
-import {CELL_COUNT_JITTER_MS, CELL_COUNT_RETRY_MS, MAX_CELL_COUNT_WAITS} from './EntryConstants.ts';
+import {
+  CELL_COUNT_JITTER_MS,
+  CELL_COUNT_RETRY_MS,
+  MAX_CELL_COUNT_WAITS,
+  MIN_EQUAL_VM_READS,
+} from './EntryConstants.ts';
 import {ENTRY_EVENTS} from './EntryEvents.ts';
 
 /** Key of the number of cells, which is stored as JSON. A fleet that has had an owner without it has one cell. */
@@ -44,9 +49,12 @@
   | {readonly kind: 'undecided'};
 
 export class CellCount {
+  /** Number of reads in a row that have listed as many other VMs as the last one. */
+  #equalReads = 0;
   /** Whether the first cell had a term before the next read of the number. */
   #hasTerm = false;
   readonly #options: CellCountOptions;
+  #otherVms = 0;
   #reported: number | undefined;
   /** Number of times that the decision was put off. */
   #waits = 0;
@@ -97,7 +105,9 @@
       ],
       then: [{key: CELL_COUNT_KEY, kind: 'put', value: Buffer.from(JSON.stringify(record))}],
     });
-    if (written.isOk() && written.value.succeeded) {
+    if (written.isErr()) {
+      this.#reportFailure(written.error.message);
+    } else if (written.value.succeeded) {
       events.record(ENTRY_EVENTS.CELLS_CHOSEN, {cells, revision: written.value.revision});
     }
   }
@@ -118,7 +128,14 @@
       this.#waits += 1;
       return undefined;
     }
-    return cells;
+    return cells === 1 || this.#hasSettled(others.length) ? cells : undefined;
+  }
+
+  /** Whether the list of VMs has not grown for some reads; a larger VM may carry the fleet alone. */
+  #hasSettled(otherVms: number): boolean {
+    this.#equalReads = otherVms === this.#otherVms ? this.#equalReads + 1 : 1;
+    this.#otherVms = otherVms;
+    return this.#equalReads >= MIN_EQUAL_VM_READS;
   }
 
   /** Reads the number again once there is a term: a number that was decided is stored before any term. */
@@ -126,6 +143,7 @@
     const {events, store} = this.#options;
     const stored = await getKey(store, CELL_COUNT_KEY);
     if (stored.isErr()) {
+      this.#reportFailure(stored.error.message);
       return {kind: 'unread'};
     }
     if (stored.value === undefined) {
@@ -144,9 +162,15 @@
     return {kind: 'malformed'};
   }
 
+  #reportFailure(message: string): void {
+    const {events} = this.#options;
+    events.record(OWNER_EVENTS.STORE_CALL_FAILED, {message, what: 'number of cells'});
+  }
+
   async #readTerm(): Promise<CellCountState> {
     const term = await getKey(this.#options.store, TERM_KEY);
     if (term.isErr()) {
+      this.#reportFailure(term.error.message);
       return {kind: 'unread'};
     }
     this.#hasTerm = term.value !== undefined;
--- a/packages/nutmegproxy-entry/src/EntryConstants.ts
+++ b/packages/nutmegproxy-entry/src/EntryConstants.ts
@@ -8,6 +8,8 @@
 export const CELL_COUNT_JITTER_MS = 150;
 /** Most such pauses for which the decision is put off until the machines and enough VMs are known. */
 export const MAX_CELL_COUNT_WAITS = 10;
+/** Reads in a row that have to list the same VMs before a fleet is divided: larger ones may register later. */
+export const MIN_EQUAL_VM_READS = 6;
 /** Time in milliseconds within which a failed call to the store is retried. */
 export const STORE_RETRY_BUDGET_MS = 1_000;
 /** Delay in milliseconds between attempts of a call to the store. */
