One loop places steps within a budget; no pass over overdue steps where there are none

placeOneEach in StartBudget repeated the loop of placeAll; it is now placeAll with a placement that is limited to idle jobs. A round without overdue steps counted its deferrable starts again and made costs that nothing read.

--- a/packages/nutmegproxy-scheduling/src/StartBudget.ts
+++ b/packages/nutmegproxy-scheduling/src/StartBudget.ts
@@ -80,26 +80,18 @@
   return false;
 }
 
-/** Places one task of each job of which nothing runs; returns whether the time was up before. */
-function placeOneEach(
-  steps: readonly StepState[],
-  budget: StartBudget,
-  {isTimeUp, place}: BudgetedPlacement,
-): boolean {
-  for (const step of steps) {
-    if (budget.isUsedUp) {
-      return false;
-    }
-    if (isTimeUp()) {
-      return true;
-    }
-    if (!step.job.hasLiveRuns) {
-      const single = new StartBudget(1);
-      place(step, single);
-      budget.take(1 - single.remaining);
-    }
-  }
-  return false;
+/** Limits a placement to one task of each job of which nothing runs. */
+function limitToIdleJobs(placement: BudgetedPlacement): BudgetedPlacement {
+  return {
+    ...placement,
+    place: (step, budget) => {
+      if (!step.job.hasLiveRuns) {
+        const single = new StartBudget(1);
+        placement.place(step, single);
+        budget.take(1 - single.remaining);
+      }
+    },
+  };
 }
 
 /**
@@ -126,7 +118,10 @@
   const idle = new StartBudget(Math.ceil(limit * IDLE_SHARE));
   const part = new StartBudget(Math.ceil(limit * LONGEST_WAITING_SHARE) - idle.remaining);
   const rest = new StartBudget(limit - part.remaining - idle.remaining);
-  if (placeAll(urgent, unlimited, placement) || placeOneEach(longestWaiting, idle, placement)) {
+  if (
+    placeAll(urgent, unlimited, placement) ||
+    placeAll(longestWaiting, idle, limitToIdleJobs(placement))
+  ) {
     return true;
   }
   part.take(-idle.remaining);
--- a/packages/nutmegproxy-scheduling/src/StartPlanner.ts
+++ b/packages/nutmegproxy-scheduling/src/StartPlanner.ts
@@ -165,7 +165,10 @@
   #placeOverdue(ordered: readonly StepState[]): void {
     const {finishMs = DEFAULT_PLATFORM_BOUNDS.finishMs, now, sharingCosts} = this.#context;
     const steps = findOverdueSteps(this.#fleet, ordered, deriveMaxWait({finishMs}), now);
-    const untrusted = steps.length === 0 ? [] : listUntrustedMinions(this.#fleet, now);
+    if (steps.length === 0) {
+      return;
+    }
+    const untrusted = listUntrustedMinions(this.#fleet, now);
     this.#schedulable.add(untrusted);
     this.#sharingCosts = tolerateInterference(sharingCosts);
     const placed = this.#starts.length;
