A closing record is never replaced by an older view of a minion's runs

Cause: an owner knew that a run was over before it was stopped as planned, and its closing record does not name the run. The draining record of the minion does: it was written before, and another run kept it from being written again. The next owner ended before it had read the closing record, so it knew the draining record only, and what it stored as its own view replaced the better one: its closing record after a planned stop, its silent record in any case. The owners after it took the run for live until its lease had expired. Ruled out: results that were not stored; listPossibleRuns leaves those of lasting tasks out. Change: each list of the runs that a minion may have of former owners names at least those that it has, and nobody starts others there before it has recorded that it uses the minion. So lists are intersected, wherever two of them meet: draining or silent record with the recovery record, a closing record with the former one, an account with what a record named. Recorded runs that an account does not name are removed when it is read, also from the stored silent record.

--- a/packages/nutmegproxy-owner/src/ClosingRecordMerge.ts
+++ b/packages/nutmegproxy-owner/src/ClosingRecordMerge.ts
@@ -4,6 +4,8 @@
 
 import type {ClosingRecord, MinionAccount} from './ClosingRecords.ts';
 
+import {intersectRuns} from './PossibleRuns.ts';
+
 /** Maximum number of runs in a record, so that it fits into a value of the store. */
 const MAX_RECORDED_RUNS = 20_000;
 
@@ -70,7 +72,10 @@
     }
     const formerHeldForMs = unrenewed.has(id) ? formerAccount.heldForMs : Infinity;
     const leasedForMs = Math.min(heldForMs, formerHeldForMs);
-    const {runs = formerAccount.runs} = account;
+    // This owner may have ended before it had read the former account.
+    const runs = account.runs
+      ? intersectRuns(account.runs, formerAccount.runs)
+      : formerAccount.runs;
     const isFormerLease = account.runs === undefined && unrenewed.has(id);
     const {confirmedForMs, unconfirmed} = isFormerLease ? formerAccount : account;
     const leases = {confirmedForMs, heldForMs: leasedForMs, unconfirmed};
--- a/packages/nutmegproxy-owner/src/MinionRecovery.ts
+++ b/packages/nutmegproxy-owner/src/MinionRecovery.ts
@@ -18,6 +18,7 @@
 
 import {LEASE_TIMES_INTERVAL_MS, REPORT_WAIT_MS} from './OwnerConstants.ts';
 import {findEnd} from './OwnerUtils.ts';
+import {dropEndedRuns, intersectRuns} from './PossibleRuns.ts';
 import {
   adoptRecordedRuns,
   createSilentRecord,
@@ -111,8 +112,9 @@
         findRemainingMs(roster.findExpiry(minion.id), now),
       );
       const confirmedMs = findRemainingMs(roster.findConfirmedExpiry(minion.id), now);
-      adoptRecordedRuns(fleet, minion, {...silent, confirmedMs, remainingMs}, now);
-      this.#unused.set(minion.id, {former: {...terms, runs: silent.runs}, minion});
+      const runs = intersectRuns(silent.runs, former?.runs);
+      adoptRecordedRuns(fleet, minion, {...silent, confirmedMs, remainingMs, runs}, now);
+      this.#unused.set(minion.id, {former: {...terms, runs}, minion});
       return;
     }
     minion.isRecordedDraining = draining !== undefined;
@@ -126,7 +128,10 @@
     minion.leaseClock.assumeLeasedUntil(after(now, heldForMs));
     // An owner of an earlier version stores the record again but may start runs in spite of it.
     const isCurrent = draining !== undefined && draining.term >= former.lastTerm;
-    this.#unreported.add(minion, isCurrent ? draining.runs : former.runs);
+    this.#unreported.add(
+      minion,
+      isCurrent ? intersectRuns(draining.runs, former.runs) : former.runs,
+    );
   }
 
   /** Forgets a minion on which nothing runs any more. */
@@ -199,6 +204,7 @@
         minion.leaseClock.shortenAssumedLease(after(now, heldForMs));
         this.#extendLease(minion, account, term, now);
         shortenRecordedLeases(minion, account, now);
+        this.#dropEndedRuns(minion, account);
       }
       if (heldForMs < Infinity) {
         this.#accounted.add(id);
@@ -216,12 +222,14 @@
       }
       // Its account above told the end of its lease, if that was known.
       const remainingMs = minion.leaseClock.expiresInMs(now);
-      const confirmedMs = current.find(({id}) => id === minion.id)?.confirmedForMs;
-      adoptRecordedRuns(fleet, minion, {...record, confirmedMs, remainingMs}, now);
+      const account = current.find(({id}) => id === minion.id);
+      const confirmedMs = account?.confirmedForMs;
+      const runs = intersectRuns(record.runs, account?.runs);
+      adoptRecordedRuns(fleet, minion, {...record, confirmedMs, remainingMs, runs}, now);
       const heldUntil = Math.ceil(clock.wall() + remainingMs) as WallTime;
       const expiresAt = after(now, remainingMs);
       const confirmedExpiresAt = findEnd(now, confirmedMs);
-      roster.markSilent(description, {...record, heldUntil}, expiresAt, confirmedExpiresAt);
+      roster.markSilent(description, {...record, heldUntil, runs}, expiresAt, confirmedExpiresAt);
     }
     void recoveryRecord.update();
   }
@@ -312,6 +320,23 @@
     return isSilent && this.#unused.has(id) && !this.#leases.has(id);
   }
 
+  /** Removes the recorded runs of a minion that the account of a former owner does not name. */
+  #dropEndedRuns(minion: MinionState, {id, runs}: MinionAccount): void {
+    const unused = this.#unused.get(id);
+    if (unused === undefined || runs === undefined) {
+      return;
+    }
+    const {fleet, roster} = this.#options;
+    dropEndedRuns(fleet, minion, runs);
+    const {former} = unused;
+    this.#unused.set(id, {former: {...former, runs: intersectRuns(runs, former.runs)}, minion});
+    const recorded = roster.find(id)?.silent?.runs ?? [];
+    const possible = intersectRuns(recorded, runs);
+    if (possible.length < recorded.length) {
+      roster.replaceSilentRuns(id, possible);
+    }
+  }
+
   /** Lists the minions on which former owners may have left runs and that this owner has not used. */
   #listAwaited(): AwaitedMinion[] {
     const {clock, ownership} = this.#options;
--- a/packages/nutmegproxy-owner/src/UnreportedMinions.ts
+++ b/packages/nutmegproxy-owner/src/UnreportedMinions.ts
@@ -13,6 +13,7 @@
 import type {RecordedRuns} from './SilentRecords.ts';
 
 import {findEnd} from './OwnerUtils.ts';
+import {intersectRuns} from './PossibleRuns.ts';
 
 /** Maximum number of minions that a log line names. */
 const MAX_NAMED_MINIONS = 5;
@@ -52,7 +53,8 @@
       }
       // The owner before may not have reached a minion whose runs the roster names.
       if (account?.runs !== undefined) {
-        const {confirmedForMs, runs, unconfirmed} = account;
+        const {confirmedForMs, unconfirmed} = account;
+        const runs = intersectRuns(account.runs, this.#runs.get(id)?.runs);
         this.#runs.set(id, {confirmedUntil: findEnd(now, confirmedForMs), runs, unconfirmed});
       }
     }
--- a/packages/nutmegproxy-owner/src/__tests__/unit/FormerAccounts.test.ts
+++ b/packages/nutmegproxy-owner/src/__tests__/unit/FormerAccounts.test.ts
@@ -32,8 +32,12 @@
     await store.close();
   });
 
-  /** Returns when the lease of the confirmed run ends; undefined when it ends with that of the minion. */
-  async function receive(leaseTerm: number): Promise<Instant | undefined> {
+  /** Receives an account of two recorded runs, of which it names as many as given, after the last use in a term. */
+  async function receiveAccount({
+    lastTerm = LAST_TERM,
+    leaseTerm = LAST_TERM,
+    named = 2,
+  }): Promise<void> {
     const clock = new ManualClock();
     const fleet = new Fleet(SILENT_EVENTS);
     const minion = createMinion();
@@ -48,22 +52,38 @@
     const onFenced = (): void => undefined;
     roster = new Roster({clock, events: SILENT_EVENTS, onFenced, ownership, store});
     const record = {
-      findFormerUse: () => ({lastTerm: LAST_TERM, leaseTerm, runs}),
+      findFormerUse: () => ({lastTerm, leaseTerm, runs}),
       update: () => Promise.resolve(),
     } as Partial<RecoveryRecord> as RecoveryRecord;
     const onChange = (): void => undefined;
     const recovery = new MinionRecovery({clock, fleet, onChange, ownership, record, roster});
     const silent: SilentMinionRecord = {heldUntil: 0 as WallTime, runs};
     const {description, id} = minion;
+    roster.markSilent(description, silent, undefined, undefined);
     recovery.expect(minion, {description, silent}, clock.monotonic());
-    const account = {confirmedForMs: CONFIRMED_MS, heldForMs: 9_000, id, runs};
+    const account = {
+      confirmedForMs: CONFIRMED_MS,
+      heldForMs: 9_000,
+      id,
+      runs: runs.slice(0, named),
+    };
     const unconfirmed = runs.slice(1);
     recovery.receive({accounts: [{...account, unconfirmed}], silent: [], term: LAST_TERM});
+  }
+
+  /** Returns when the lease of the confirmed run ends; undefined when it ends with that of the minion. */
+  async function receive(leaseTerm: number): Promise<Instant | undefined> {
+    await receiveAccount({leaseTerm});
     const [run] = step.runsOf(0);
     assert.ok(run);
     return run.leasedUntil;
   }
 
+  async function countLiveRuns(lastTerm: number, named: number): Promise<number> {
+    await receiveAccount({lastTerm, named});
+    return [0, 1].filter((index) => step.runsOf(index).length > 0).length;
+  }
+
   it('tells when the leases of its confirmed runs end', async () => {
     assert.equal(await receive(LAST_TERM), CONFIRMED_MS);
   });
@@ -71,4 +91,14 @@
   it('does not tell that when a later owner may have renewed them', async () => {
     assert.equal(await receive(LAST_TERM + 1), undefined);
   });
+
+  it('ends the recorded runs that it does not name', async () => {
+    assert.equal(await countLiveRuns(LAST_TERM, 1), 1);
+    const names = roster.find(createMinion().id)?.silent?.runs ?? [];
+    assert.equal(names.length, 1);
+  });
+
+  it('ends no recorded run when a later owner may have started others', async () => {
+    assert.equal(await countLiveRuns(LAST_TERM + 1, 1), 2);
+  });
 });
