An owner that is stopped keeps the fleet until another VM can acquire it

Cause: a VM gave up the ownership as its planned stop began and served callers for 2.5 s more, with nobody to own the fleet: the next VM was still starting (1.7 s from its start to its acquisition). In these gaps minions that drain leave with their runs, and the owner after them waits for their leases. Change: a VM that stops reads the list of VMs and gives up its ownership at once if another one can own the fleet (as before), otherwise once one can, after 2.5 s at the latest, 1 s and the margin before the platform's kill. VMs tell in their entries whether they can own the fleet (canOwn); entries of former versions, which don't, count as VMs that can. 8226 tells how long it took. Why it works: the store decides who owns; the owner only releases later. It exits at most 1 s later than before, and only if nobody could follow it.

--- a/packages/nutmegproxy-entry/src/ConfigurationFollower.ts
+++ b/packages/nutmegproxy-entry/src/ConfigurationFollower.ts
@@ -13,16 +13,22 @@
 import {RouteTable} from './RouteTable.ts';
 
 export class ConfigurationFollower {
+  /** Resolves once a configuration is applied. */
+  readonly applied: Promise<void>;
   #configuration: Configuration | undefined;
   readonly #events: EventSink;
   readonly #source: ConfigurationSource;
   #stopped = false;
+  #resolveApplied: () => void = () => undefined;
   #routeTable: RouteTable | undefined;
   #watch: undefined | Watch;
 
   constructor(source: ConfigurationSource, events: EventSink) {
     this.#source = source;
     this.#events = events;
+    this.applied = new Promise((resolve) => {
+      this.#resolveApplied = resolve;
+    });
   }
 
   get configuration(): Configuration | undefined {
@@ -73,6 +79,7 @@
     const former = this.#configuration?.version;
     this.#configuration = configuration;
     this.#routeTable = new RouteTable(configuration);
+    this.#resolveApplied();
     const fields = {former, routes: routes.length, version};
     this.#events.record(ENTRY_EVENTS.CONFIGURATION_APPLIED, fields);
   }
--- a/packages/nutmegproxy-entry/src/EntryConstants.ts
+++ b/packages/nutmegproxy-entry/src/EntryConstants.ts
@@ -31,6 +31,12 @@
 export const RETRY_AFTER_JITTER_MS = 1_000;
 /** Minimum time in milliseconds for which a stopping process still accepts requests. */
 export const MIN_DRAIN_MS = 2_500;
+/** Longest time in milliseconds for which a VM that stops owns the fleet while no other VM can. */
+export const MAX_SUCCESSOR_WAIT_MS = 2_500;
+/** Interval in milliseconds at which it reads the list of VMs meanwhile. */
+export const SUCCESSOR_CHECK_INTERVAL_MS = 150;
+/** Time in milliseconds from the end of its ownership to its exit, in which it stores its closing record. */
+export const CLOSING_MS = 1_000;
 /** Time in milliseconds before the platform's kill at which a stopping process exits. */
 export const KILL_MARGIN_MS = 700;
 /** Time to live in milliseconds of this VM's entry in the list of VMs, unless the store has a longer minimum. */
--- a/packages/nutmegproxy-entry/src/EntryEvents.ts
+++ b/packages/nutmegproxy-entry/src/EntryEvents.ts
@@ -80,6 +80,11 @@
   SETTINGS_RELOADED: {code: 8205, level: 'info', text: 'The settings file was reloaded.'},
   STORE_RECOVERED: {code: 8221, level: 'info', text: 'The store answers again.'},
   STORE_UNAVAILABLE: {code: 8220, level: 'warn', text: 'The store does not answer.'},
+  SUCCESSOR_AWAITED: {
+    code: 8226,
+    level: 'info',
+    text: 'A VM that stops has kept its ownership until another VM could acquire it, or too long.',
+  },
   VM_ENTRY_MALFORMED: {
     code: 8223,
     level: 'warn',
--- a/packages/nutmegproxy-entry/src/VmRegistry.ts
+++ b/packages/nutmegproxy-entry/src/VmRegistry.ts
@@ -26,6 +26,8 @@
 export interface EntryVm {
   /** IP number and port. */
   readonly address: string;
+  /** Whether it can own the fleet; absent in entries of former versions, which don't tell. */
+  readonly canOwn?: boolean;
   /** Processor time in cores. */
   readonly cores: number;
   readonly dataCentre: DataCentreId;
@@ -37,7 +39,7 @@
 export interface VmRegistryOptions {
   readonly bounds: Pick<PlatformBounds, 'minStoreLeaseMs'>;
   readonly events: EventSink;
-  readonly self: EntryVm;
+  readonly self: Omit<EntryVm, 'canOwn'>;
   readonly store: PlatformStore;
 }
 
@@ -50,12 +52,14 @@
 }
 
 export class VmRegistry {
+  #canOwn = false;
   /** Whether the entry is certainly written under the lease. */
   #isWritten = false;
   #lease: LeaseId | undefined;
   readonly #options: VmRegistryOptions;
   #peers: readonly EntryVm[] = [];
   #stopped = false;
+  #wake: () => void = () => undefined;
 
   constructor(options: VmRegistryOptions) {
     this.#options = options;
@@ -66,6 +70,18 @@
     return this.#peers;
   }
 
+  /** Whether another VM is listed that can own the fleet. */
+  get hasSuccessor(): boolean {
+    return this.#peers.some(({canOwn = true}) => canOwn);
+  }
+
+  /** Tells the other VMs that this one can own the fleet. */
+  announce(): void {
+    this.#canOwn = true;
+    this.#isWritten = false;
+    this.#wake();
+  }
+
   /** Removes this VM from the list. */
   async close(): Promise<void> {
     this.#stopped = true;
@@ -98,6 +114,10 @@
     return undefined;
   }
 
+  #formatEntry(): string {
+    return JSON.stringify({...this.#options.self, canOwn: this.#canOwn});
+  }
+
   #formatOwnKey(): string {
     return `${VMS_PREFIX}${this.#options.self.vm}`;
   }
@@ -111,8 +131,10 @@
       return;
     }
     const ownKey = this.#formatOwnKey();
-    if (!listed.value.values.some(({key}) => key === ownKey)) {
-      // A write of the process before may have put the entry under its own lease, which has ended.
+    const own = listed.value.values.find(({key}) => key === ownKey);
+    if (own?.value.toString() !== this.#formatEntry()) {
+      // A write of the process before may have put the entry under its own lease, which has ended, and an
+      // earlier write of this one may have been carried out late.
       this.#isWritten = false;
     }
     this.#peers = listed.value.values
@@ -131,13 +153,16 @@
     while (!this.#stopped) {
       const retryPause = delay(VM_RENEWAL_RETRY_MS);
       const isRegistered = await this.#renew();
-      await (isRegistered ? delay(VM_RENEWAL_INTERVAL_MS) : retryPause);
+      const announced = new Promise<void>((resolve) => {
+        this.#wake = resolve;
+      });
+      await (isRegistered ? Promise.race([delay(VM_RENEWAL_INTERVAL_MS), announced]) : retryPause);
     }
   }
 
   /**
    * Renews the lease, or requests one, and writes the entry if it may not be written; returns whether this
-   * VM is registered. All attempts to write under a lease are the same, since each may be carried out late.
+   * VM is registered. Each attempt to write may be carried out late; the next read of the list shows that.
    */
   async #renew(): Promise<boolean> {
     const {bounds, store} = this.#options;
@@ -166,15 +191,15 @@
 
   /** Writes the entry under the lease; returns whether it is written. */
   async #write(lease: LeaseId): Promise<boolean> {
-    const {self, store} = this.#options;
-    const value = Buffer.from(JSON.stringify(self));
-    const written = await put(store, this.#formatOwnKey(), value, lease);
+    const {store} = this.#options;
+    const entry = this.#formatEntry();
+    const written = await put(store, this.#formatOwnKey(), Buffer.from(entry), lease);
     if (written.isErr()) {
       this.#reportFailure(written.error.message);
       return false;
     }
-    this.#isWritten = true;
-    return true;
+    this.#isWritten = entry === this.#formatEntry();
+    return this.#isWritten;
   }
 
   #reportFailure(message: string): void {
--- a/packages/nutmegproxy-entry/src/__tests__/unit/VmRegistry.test.ts
+++ b/packages/nutmegproxy-entry/src/__tests__/unit/VmRegistry.test.ts
@@ -81,6 +81,29 @@
     assert.equal(malformed.length, 5);
   });
 
+  describe('the list of VMs that can own the fleet', () => {
+    async function hasSuccessor(entry: Partial<EntryVm>): Promise<boolean> {
+      const value = JSON.stringify({...createVm('vm-2'), ...entry});
+      await put(store, `${STATE_PREFIX}vms/vm-2`, Buffer.from(value));
+      await registry.refresh();
+      return registry.hasSuccessor;
+    }
+
+    it('names no VM that is starting, but one of a former version, which does not tell', async () => {
+      assert.equal(await hasSuccessor({canOwn: false}), false);
+      assert.equal(await hasSuccessor({canOwn: true}), true);
+      assert.equal(await hasSuccessor({}), true);
+    });
+
+    it('does not name this VM', async () => {
+      registry.run();
+      registry.announce();
+      await sleep(STEP_MS);
+      await registry.refresh();
+      assert.equal(registry.hasSuccessor, false);
+    });
+  });
+
   describe('on a manual clock', () => {
     let clock: ManualClock;
 
@@ -174,6 +197,31 @@
       }
     });
 
+    function canOwn(): unknown {
+      const entry = store.engine.values().find(({key}) => key === ENTRY_KEY);
+      return (JSON.parse(entry?.value.toString() ?? '{}') as Partial<EntryVm>).canOwn;
+    }
+
+    it('tells at once that it can own the fleet', async () => {
+      await runUntilListed();
+      assert.equal(canOwn(), false);
+      registry.announce();
+      await advance(STEP_MS);
+      assert.equal(canOwn(), true);
+    });
+
+    it('tells so again when an earlier entry is written late', async () => {
+      await runUntilListed();
+      const earlier = store.engine.values().find(({key}) => key === ENTRY_KEY);
+      assert.ok(earlier);
+      registry.announce();
+      await advance(STEP_MS);
+      await put(store, ENTRY_KEY, earlier.value);
+      assert.equal(canOwn(), false);
+      await advance(VM_LIST_INTERVAL_MS + VM_RENEWAL_INTERVAL_MS);
+      assert.equal(canOwn(), true);
+    });
+
     it('is listed again when its entry was under a lease of the process before', async () => {
       const {lease} = store.engine.grantLease(1, clock.monotonic());
       await runUntilListed();
--- a/packages/nutmegproxy-owner/src/CellCandidates.ts
+++ b/packages/nutmegproxy-owner/src/CellCandidates.ts
@@ -39,6 +39,11 @@
     this.#options = options;
   }
 
+  /** Whether this VM owns a part of the fleet. */
+  get isOwner(): boolean {
+    return this.#findLatestOwned() !== undefined;
+  }
+
   async run(): Promise<void> {
     const {cells, others} = this.#options;
     this.#candidates = listCells(cells()).map(
