The time that is left to a draining minion counts from its last report

What callers saw: work with checkpoints on a minion that drains is stopped earlier than needed, and starts again elsewhere. Cause: RemainingMs is reported anew with each entry, and the time since the minion began to drain was subtracted from the newest one, so that it counted twice. Change: the instant from which the time counts is that of the report that told it (MinionState.update). The test failed before: a minion with 6 s left that reports every 0.4 s was evacuated 3,600 ms before it left, now 1,200 ms, as with one report.

--- a/packages/nutmegproxy-owner/src/MinionSessions.ts
+++ b/packages/nutmegproxy-owner/src/MinionSessions.ts
@@ -327,7 +327,7 @@
     roster.updateCapacity(description);
     if (session === undefined) {
       const minion = new MinionState(description, this.#context.ownership.leaseTimes);
-      minion.drainingSince = description.isDraining ? now : undefined;
+      minion.update(description, now);
       minion.leaseClock.assumeLeasedUntil(now);
       const opened = new MinionSession(this.#context, minion);
       this.#sessions.set(minion.id, opened);
@@ -340,7 +340,7 @@
     }
     const {minion} = session;
     const former = minion.description;
-    minion.description = description;
+    minion.update(description, now);
     if (minion.unlistedSince !== undefined || former.isDraining !== description.isDraining) {
       const change = description.isDraining ? 'draining' : 'listed';
       const unlistedMs = Math.round(now - (minion.unlistedSince ?? now));
@@ -353,7 +353,6 @@
       events.record(OWNER_EVENTS.MINION_CHANGED, {change: 'capacity', ...resized, ...load});
     }
     minion.unlistedSince = undefined;
-    minion.drainingSince = description.isDraining ? (minion.drainingSince ?? now) : undefined;
     session.observeEntry(description.bornAt);
   }
 }
--- a/packages/nutmegproxy-scheduling/src/MinionState.ts
+++ b/packages/nutmegproxy-scheduling/src/MinionState.ts
@@ -53,7 +53,7 @@
 export class MinionState {
   readonly leaseClock: LeaseClock;
   description: MinionDescription;
-  /** When the minion was first known to be draining; undefined while it is not. */
+  /** When it became known when the minion will leave; undefined while it does not drain. */
   drainingSince: Instant | undefined;
   /** Processors requested by backfill tasks, in thousandths of a core. */
   backfillCpuMilli = 0;
@@ -123,6 +123,14 @@
     this.bornAt = description.bornAt;
   }
 
+  /** Takes over what the minion says of itself at `now`. */
+  update(description: MinionDescription, now: Instant): void {
+    const isAsBefore = description.leavesInMs === this.description.leavesInMs;
+    const since = isAsBefore ? (this.drainingSince ?? now) : now;
+    this.drainingSince = description.isDraining ? since : undefined;
+    this.description = description;
+  }
+
   get id(): MinionId {
     return this.description.id;
   }
--- a/packages/nutmegproxy-scheduling/src/__tests__/unit/Evacuation.test.ts
+++ b/packages/nutmegproxy-scheduling/src/__tests__/unit/Evacuation.test.ts
@@ -16,6 +16,7 @@
   change: Partial<StepShape>,
   bounds: Partial<PlatformBounds>,
   leavesInMs: number | undefined,
+  reportIntervalMs = Infinity,
 ): number | undefined {
   const sample = new SampleFleet(0);
   const minion = sample.addMinion('m1');
@@ -23,14 +24,20 @@
   for (const run of sample.plan(0)) {
     run.phase = 'running';
   }
-  minion.description = {...minion.description, isDraining: true, leavesInMs};
-  minion.drainingSince = at(0);
+  const report = (nowMs: number): void => {
+    const leftMs = leavesInMs === undefined ? undefined : leavesInMs - nowMs;
+    minion.update({...minion.description, isDraining: true, leavesInMs: leftMs}, at(nowMs));
+  };
+  report(0);
   const all = {...DEFAULT_PLATFORM_BOUNDS, ...bounds};
   const leavesMs = leavesInMs ?? all.drainMs;
   for (let nowMs = 0; nowMs <= leavesMs; nowMs += PLAN_INTERVAL_MS) {
     if (nowMs >= (change.estimateMs ?? Infinity)) {
       sample.finishRuns(job, at(nowMs));
     }
+    if (nowMs % reportIntervalMs === 0) {
+      report(nowMs);
+    }
     evacuateMinion(sample.fleet, minion, sample.estimator, all, at(nowMs));
     if (sample.fleet.pendingStops.length > 0) {
       return leavesMs - nowMs;
@@ -55,6 +62,10 @@
     assert.equal(findStop(CHECKPOINTED, {drainMs: 1_000}, undefined), 1_000);
   });
 
+  it('counts from the last report of a minion that says again and again when it leaves', () => {
+    assert.equal(findStop(CHECKPOINTED, {}, 6_000, 400), 1_200);
+  });
+
   it('lets a run without checkpoints or one that ends in time go on', () => {
     assert.equal(findStop({estimateMs: 60_000}, {}, 6_000), undefined);
     assert.equal(findStop({checkpoints: true, estimateMs: 100}, {}, 6_000), undefined);
