The leases of a minion that drains end soon after it leaves

Cause: an owner renews a lease of 7.5 s until the minion leaves, though its work ends there with it; what the owner has no time to move is held for that lease. Change: while a minion drains its leases end 3.5 s after the time that is left to it (RemainingMs, or the platform's drain time). Ruled out: shorter leases in general, which running work needs to outlive a takeover; a minion's work that drains is to end with it. Why it is sound: leases only become shorter, and what is waited for follows from what was granted (LeaseClock).

--- a/packages/nutmegproxy-owner/src/MinionSession.ts
+++ b/packages/nutmegproxy-owner/src/MinionSession.ts
@@ -6,7 +6,12 @@
 import type {Result, ResultAsync} from 'neverthrow';
 
 import {after, BrokenInvariant, delay} from '@nutmegproxy/core';
-import {reconcileListing, recordMinionCrash, recordReplacement} from '@nutmegproxy/scheduling';
+import {
+  findLeavesInMs,
+  reconcileListing,
+  recordMinionCrash,
+  recordReplacement,
+} from '@nutmegproxy/scheduling';
 
 import type {MinionTarget, OrderFailure} from './MinionOrders.ts';
 import type {PollLimiter} from './PollLimiter.ts';
@@ -14,6 +19,7 @@
 
 import {ListedResults} from './ListedResults.ts';
 import {
+  LEASE_AFTER_DRAIN_MS,
   OMISSION_LOG_INTERVAL_MS,
   POLL_RETRY_MS,
   SILENT_AFTER_MISSED_CALLS,
@@ -356,14 +362,17 @@
    * record may name the expiry.
    */
   #grantLease(now: Instant): number | undefined {
-    const {clock, ownership} = this.#context;
+    const {bounds, clock, ownership} = this.#context;
     const isSilent = this.minion.missedCalls > 0 || this.minion.isRecordedUnreachable;
     if (isSilent || !this.#context.permitRenewal(this.minion)) {
       return undefined;
     }
     ownership.recordLeaseGrant();
     const longestMs = ownership.maxMinionLeaseMs(now, clock.wall());
-    const leaseMs = Math.min(ownership.leaseTimes.minionLeaseMs, longestMs);
+    // What a minion that has left may run is held for as long.
+    const leavesInMs = findLeavesInMs(this.minion, bounds, now) ?? Infinity;
+    const neededMs = Math.max(0, leavesInMs) + LEASE_AFTER_DRAIN_MS;
+    const leaseMs = Math.min(ownership.leaseTimes.minionLeaseMs, neededMs, longestMs);
     return this.minion.leaseClock.grantLease(leaseMs, now);
   }
 
--- a/packages/nutmegproxy-owner/src/MinionSessions.ts
+++ b/packages/nutmegproxy-owner/src/MinionSessions.ts
@@ -41,7 +41,7 @@
   readonly roster: Roster;
   readonly session: Omit<
     SessionContext,
-    'isDirectoryOutdated' | 'onRunsLost' | 'permitRenewal' | 'recordUse'
+    'bounds' | 'isDirectoryOutdated' | 'onRunsLost' | 'permitRenewal' | 'recordUse'
   >;
   readonly store: PlatformStore;
 }
@@ -87,6 +87,7 @@
     });
     this.#context = {
       ...session,
+      bounds,
       isDirectoryOutdated: (now) => this.isDirectoryOutdated(now),
       onRunsLost: (minion, runs) => {
         void recordRunEnds(options.roster, session.journal, minion, runs);
--- a/packages/nutmegproxy-owner/src/OwnerConstants.ts
+++ b/packages/nutmegproxy-owner/src/OwnerConstants.ts
@@ -29,6 +29,8 @@
 export const SHORT_POLL_WAIT_MS = 900;
 /** The same while a serving task's tail latency is near or over its target. */
 export const NEAR_TARGET_POLL_WAIT_MS = 400;
+/** Time in milliseconds for which leases last once a minion was to leave; longer than the longest poll and a missed one. */
+export const LEASE_AFTER_DRAIN_MS = 3_500;
 /** Pause between two writes of the learned estimates. */
 export const ESTIMATES_WRITE_INTERVAL_MS = 3_000;
 /** Pause between polls while results can't be persisted, since each poll would return at once. */
--- a/packages/nutmegproxy-owner/src/SessionContext.ts
+++ b/packages/nutmegproxy-owner/src/SessionContext.ts
@@ -1,6 +1,6 @@
 /** Dependencies and callbacks that the sessions of all minions share. */
 
-import type {Clock, EventSink, Instant, WorkQueue} from '@nutmegproxy/core';
+import type {Clock, EventSink, Instant, PlatformBounds, WorkQueue} from '@nutmegproxy/core';
 import type {Run} from '@nutmegproxy/jobs';
 import type {Fleet, MinionState, Ticket} from '@nutmegproxy/scheduling';
 
@@ -18,6 +18,7 @@
 }
 
 export interface SessionContext {
+  readonly bounds: Pick<PlatformBounds, 'drainMs'>;
   readonly clock: Clock;
   readonly events: EventSink;
   readonly findTicket: (run: Run) => Ticket | undefined;
--- a/packages/nutmegproxy-owner/src/__tests__/unit/QueuedListings.test.ts
+++ b/packages/nutmegproxy-owner/src/__tests__/unit/QueuedListings.test.ts
@@ -1,6 +1,6 @@
 import type {MinionState} from '@nutmegproxy/scheduling';
 
-import {ManualClock, SILENT_EVENTS, WorkQueue} from '@nutmegproxy/core';
+import {DEFAULT_PLATFORM_BOUNDS, ManualClock, SILENT_EVENTS, WorkQueue} from '@nutmegproxy/core';
 import {Fleet} from '@nutmegproxy/scheduling';
 import {MemoryStore} from '@nutmegproxy/standins';
 import {okAsync} from 'neverthrow';
@@ -39,6 +39,7 @@
       running: [],
     };
     const context = {
+      bounds: DEFAULT_PLATFORM_BOUNDS,
       clock,
       events: SILENT_EVENTS,
       fleet: new Fleet(SILENT_EVENTS),
--- a/packages/nutmegproxy-scheduling/src/Evacuation.ts
+++ b/packages/nutmegproxy-scheduling/src/Evacuation.ts
@@ -36,8 +36,20 @@
 }
 
 /**
- * Stops the runs on a draining minion that would not end before it leaves. The time that it reports until then
- * counts, `drainMs` without one.
+ * Returns the time in milliseconds until a minion that drains leaves, negative once it has passed; undefined when it
+ * does not drain. The time that it reports counts, `drainMs` without one.
+ */
+export function findLeavesInMs(
+  {description, drainingSince}: MinionState,
+  {drainMs}: Pick<PlatformBounds, 'drainMs'>,
+  now: Instant,
+): number | undefined {
+  const {isDraining, leavesInMs = drainMs} = description;
+  return isDraining ? leavesInMs - (now - (drainingSince ?? now)) : undefined;
+}
+
+/**
+ * Stops the runs on a draining minion that would not end before it leaves.
  *
  * @example
  * evacuateMinion(fleet, drainingMinion, estimator, bounds, now);
@@ -49,11 +61,10 @@
   bounds: EvacuationBounds,
   now: Instant,
 ): void {
-  if (!minion.description.isDraining) {
+  const remainingMs = findLeavesInMs(minion, bounds, now);
+  if (remainingMs === undefined) {
     return;
   }
-  const elapsedMs = now - (minion.drainingSince ?? now);
-  const remainingMs = (minion.description.leavesInMs ?? bounds.drainMs) - elapsedMs;
   for (const run of minion.runs) {
     if (run.phase === 'running' && shouldStop(fleet, run, remainingMs, estimator, bounds)) {
       fleet.stopRun(run, 'evacuated');
--- a/packages/nutmegproxy-scheduling/src/index.ts
+++ b/packages/nutmegproxy-scheduling/src/index.ts
@@ -17,7 +17,7 @@
 export type {TaskVerdict} from './CrashVerdict.ts';
 export {DurationEstimator} from './DurationEstimator.ts';
 export type {DurationSnapshot} from './DurationEstimator.ts';
-export {evacuateMinion} from './Evacuation.ts';
+export {evacuateMinion, findLeavesInMs} from './Evacuation.ts';
 export {Fleet} from './Fleet.ts';
 export {summarizeFleet} from './FleetSummary.ts';
 export {classifyPunctuality, orderSteps} from './JobOrder.ts';
