An owner that is stopped finishes its recovery and its stops before it hands the fleet over

Cause: each owner of a series was stopped 0.4 to 0.9 s after its takeover, in its recovery or 80 ms after it had ordered a stop, and gave the fleet up at once. The minion then left; the next owners knew of the run and not of its end, and held it for its lease. Change: a VM that stops keeps its ownership until recovery is complete and no minion that responds is stopping a run, for 1.5 s at the most; it serves callers for 2.5 s anyway. 8226 tells why it gave the ownership up. Why it works: the owner goes on as before meanwhile; what it would leave half done is what the next one has to do again or to wait for. Ruled out: a bound by the records, since the owner before was killed and may have renewed the lease. The tests failed before: handOver gave the ownership up at once ("keeps the ownership until its recovery is complete and its stops are listed").

--- a/packages/nutmegproxy-entry/src/EntryConstants.ts
+++ b/packages/nutmegproxy-entry/src/EntryConstants.ts
@@ -33,6 +33,11 @@
 export const MIN_DRAIN_MS = 2_500;
 /** Longest time in milliseconds for which a VM that stops owns the fleet while no other VM can. */
 export const MAX_SUCCESSOR_WAIT_MS = 2_500;
+/**
+ * Longest time in milliseconds for which it owns the fleet although another VM can, until its recovery is complete
+ * and the stops that it has ordered are listed.
+ */
+export const MAX_SETTLE_MS = 1_500;
 /** Interval in milliseconds at which it reads the list of VMs meanwhile. */
 export const SUCCESSOR_CHECK_INTERVAL_MS = 150;
 /** Time in milliseconds from the end of its ownership to its exit, in which it stores its closing record. */
--- a/packages/nutmegproxy-entry/src/PlannedHandover.ts
+++ b/packages/nutmegproxy-entry/src/PlannedHandover.ts
@@ -1,6 +1,7 @@
 /**
- * Lets a VM that stops own the fleet until another VM can acquire the ownership. Where all VMs are restarted one after
- * the other, the next one may still be starting when the owner is stopped.
+ * Lets a VM that stops own the fleet until another VM can acquire the ownership and it has finished what that one would
+ * begin anew. Where all VMs are restarted one after the other, the next one may still be starting when the owner is
+ * stopped, and each one is stopped soon after its takeover.
  */
 
 import type {Clock, EventSink, Instant} from '@nutmegproxy/core';
@@ -10,32 +11,37 @@
 
 import type {VmRegistry} from './VmRegistry.ts';
 
-import {SUCCESSOR_CHECK_INTERVAL_MS} from './EntryConstants.ts';
+import {MAX_SETTLE_MS, SUCCESSOR_CHECK_INTERVAL_MS} from './EntryConstants.ts';
 import {ENTRY_EVENTS} from './EntryEvents.ts';
 
 export interface HandoverOptions {
-  readonly candidates: Pick<CellCandidates, 'isOwner' | 'stop'>;
+  readonly candidates: Pick<CellCandidates, 'isOwner' | 'isSettled' | 'stop'>;
   readonly clock: Clock;
   readonly events: EventSink;
   readonly vms: Pick<VmRegistry, 'hasSuccessor' | 'refresh'>;
 }
 
 /** Why the ownership is given up. */
-type HandoverReason = 'another VM can own' | 'not owner' | 'too late';
+type HandoverReason = 'another VM can own' | 'not owner' | 'not settled' | 'too late';
 
 async function awaitSuccessor(
   {candidates, clock, vms}: HandoverOptions,
   deadline: Instant,
 ): Promise<HandoverReason> {
+  const settledBy = Math.min(deadline, clock.monotonic() + MAX_SETTLE_MS);
   while (candidates.isOwner) {
     // The list of the last read may name VMs that have been stopped since.
     await Promise.race([vms.refresh(), delay(SUCCESSOR_CHECK_INTERVAL_MS)]);
-    if (vms.hasSuccessor) {
+    if (vms.hasSuccessor && candidates.isSettled) {
       return 'another VM can own';
     }
-    if (clock.monotonic() >= deadline) {
+    const now = clock.monotonic();
+    if (now >= deadline) {
       return 'too late';
     }
+    if (vms.hasSuccessor && now >= settledBy) {
+      return 'not settled';
+    }
     await delay(SUCCESSOR_CHECK_INTERVAL_MS);
   }
   return 'not owner';
--- a/packages/nutmegproxy-entry/src/__tests__/unit/PlannedHandover.test.ts
+++ b/packages/nutmegproxy-entry/src/__tests__/unit/PlannedHandover.test.ts
@@ -11,7 +11,7 @@
 const FAR_MS = 60_000;
 
 describe('handOver', () => {
-  let candidates: {isOwner: boolean; readonly stop: () => Promise<void>};
+  let candidates: {isOwner: boolean; isSettled: boolean; readonly stop: () => Promise<void>};
   let fields: EventFields[];
   let isStopped: boolean;
   let keepAlive: NodeJS.Timeout;
@@ -26,6 +26,7 @@
     listed = false;
     candidates = {
       isOwner: true,
+      isSettled: true,
       stop: () => {
         isStopped = true;
         return Promise.resolve();
@@ -72,6 +73,24 @@
     assert.equal(fields[0]?.reason, 'too late');
   });
 
+  it('keeps the ownership until its recovery is complete and its stops are listed', async () => {
+    listed = true;
+    candidates.isSettled = false;
+    const handed = start(after(SYSTEM_CLOCK.monotonic(), FAR_MS));
+    await sleep(PAUSE_MS);
+    assert.ok(!isStopped);
+    candidates.isSettled = true;
+    await handed;
+    assert.equal(fields[0]?.reason, 'another VM can own');
+  });
+
+  it('gives it up in the end although they are not', async () => {
+    listed = true;
+    candidates.isSettled = false;
+    await start(after(SYSTEM_CLOCK.monotonic(), FAR_MS));
+    assert.equal(fields[0]?.reason, 'not settled');
+  });
+
   it('does not wait for a store that does not respond', async () => {
     vms.refresh = () => new Promise(() => undefined);
     vms.hasSuccessor = false;
--- a/packages/nutmegproxy-owner/src/CellCandidates.ts
+++ b/packages/nutmegproxy-owner/src/CellCandidates.ts
@@ -44,6 +44,11 @@
     return this.#findLatestOwned() !== undefined;
   }
 
+  /** Whether the next owners of what this VM owns would begin little anew. */
+  get isSettled(): boolean {
+    return this.#candidates.every((candidate) => candidate.isSettled);
+  }
+
   async run(): Promise<void> {
     const {cells, others} = this.#options;
     this.#candidates = listCells(cells()).map(
--- a/packages/nutmegproxy-owner/src/Owner.ts
+++ b/packages/nutmegproxy-owner/src/Owner.ts
@@ -49,6 +49,7 @@
 import {Retention} from './Retention.ts';
 import {Roster} from './Roster.ts';
 import {RoundLog} from './RoundLog.ts';
+import {isSettled} from './SettledFleet.ts';
 import {StartLimiter} from './StartLimiter.ts';
 import {StartThrottle} from './StartThrottle.ts';
 import {TrackedOrders} from './TrackedOrders.ts';
@@ -171,6 +172,11 @@
     this.#roundLog = this.#createRoundLog(orders);
   }
 
+  /** Whether the next owner would begin little anew. */
+  get isSettled(): boolean {
+    return isSettled(this.#fleet);
+  }
+
   /** Owns the fleet until the ownership ends; returns the reason. */
   async run(): Promise<string> {
     const {clock, events, ownership} = this.#options;
--- a/packages/nutmegproxy-owner/src/OwnerCandidate.ts
+++ b/packages/nutmegproxy-owner/src/OwnerCandidate.ts
@@ -70,6 +70,11 @@
     return this.#isAcquiring || this.#owner !== undefined;
   }
 
+  /** Whether the next owner of the cell would begin little anew; true if this VM doesn't own it. */
+  get isSettled(): boolean {
+    return this.#owner?.isSettled !== false;
+  }
+
   /** The VM that owns the cell, as far as this one knows. */
   get ownerVm(): undefined | VmId {
     return this.#ownerVm;
