A closing record names the runs of which only their minion can tell whether they failed (BUDGET)

What callers saw: since a task could get more attempts than its queue allows: the third of two in the test. Cause: when the lease of a silent minion expires, its owner removes the runs and counts them as attempts until the minion reports. The silent record goes on naming them, so that the next owner does so too, but the closing record did not. Since what the closing record omits is removed from the silent record, and the owner after the next knew of no such attempt. Ruled out: results that are applied and not stored; a closing record names those. Change: listPossibleRuns names runs with unknown results, but for lasting tasks, which have no limit of attempts, and jobs that are over. A reader leaves those on record that it knows to be unknown, as owners of earlier versions omit them. Why it works: each list that is intersected then names them. The lease of such a run is over, so naming it holds no task but the last attempt. The tests failed before: that one; "names a task that does not last, since the run may have failed" and "does not name a run of another minion" of PossibleRuns; "leaves those on record that may have failed ..." of FormerAccounts (0 named instead of 2).

--- a/packages/nutmegproxy-emulator/src/__tests__/unit/UnknownResults.test.ts
+++ b/packages/nutmegproxy-emulator/src/__tests__/unit/UnknownResults.test.ts
@@ -1,3 +1,4 @@
+import {STATE_PREFIX} from '@nutmegproxy/jobs';
 import assert from 'node:assert/strict';
 import {afterEach, beforeEach, describe, it} from 'node:test';
 
@@ -11,8 +12,11 @@
   submitJob,
   waitFor,
 } from './JobSamples.ts';
+import {waitForRecord} from './StoreSamples.ts';
 import {sleep, TakeoverHarness} from './TakeoverHarness.ts';
 
+const CLOSING_KEY = `${STATE_PREFIX}closing`;
+const RECOVERY_KEY = `${STATE_PREFIX}recovery`;
 const FAILED_MS = 50;
 /** Longer than the last attempt of a task waits. */
 const RETRY_MS = 13_000;
@@ -93,6 +97,21 @@
     await assertStarts(owner.started);
   });
 
+  it('does not start under owners after a planned stop while the minion is silent', async () => {
+    await sleep(SETTLED_MS);
+    await harness.stopAsPlanned(owner.started);
+    await waitForRecord(harness.store, CLOSING_KEY, (text) => text.includes('"term":0'));
+    const second = await harness.startKillable('vm-2');
+    await waitForRecord(harness.store, RECOVERY_KEY, (text) => text.includes('"term":1'));
+    await sleep(SETTLED_MS);
+    await second.kill();
+    const third = await harness.start('vm-3');
+    await pass(third, LEASE_MS);
+    assert.equal(countRuns(), 2, 'runs while the result of the last attempt is not known');
+    harness.fleet.faults(minion.description.id).isUnreachable = false;
+    await assertStarts(third);
+  });
+
   it('starts within ten seconds of the return of the minion under the next owner', async () => {
     await sleep(SETTLED_MS);
     await owner.kill();
--- a/packages/nutmegproxy-owner/src/MinionRecovery.ts
+++ b/packages/nutmegproxy-owner/src/MinionRecovery.ts
@@ -24,6 +24,7 @@
   createSilentRecord,
   listPossibleRuns,
   listUnconfirmedStarts,
+  listUnknownResults,
   nameRun,
   shortenRecordedLeases,
 } from './SilentRecords.ts';
@@ -328,10 +329,18 @@
     }
     const {fleet, roster} = this.#options;
     dropEndedRuns(fleet, minion, runs);
+    // An owner of an earlier version does not name those whose results are not known.
+    const named = [...runs, ...listUnknownResults(minion)];
     const {former} = unused;
-    this.#unused.set(id, {former: {...former, runs: intersectRuns(runs, former.runs)}, minion});
+    this.#unused.set(id, {
+      former: {
+        ...former,
+        runs: former.runs === undefined ? runs : intersectRuns(former.runs, named),
+      },
+      minion,
+    });
     const recorded = roster.find(id)?.silent?.runs ?? [];
-    const possible = intersectRuns(recorded, runs);
+    const possible = intersectRuns(recorded, named);
     if (possible.length < recorded.length) {
       roster.replaceSilentRuns(id, possible);
     }
--- a/packages/nutmegproxy-owner/src/PossibleRuns.ts
+++ b/packages/nutmegproxy-owner/src/PossibleRuns.ts
@@ -1,6 +1,7 @@
 /**
- * Combines lists of the runs that a minion may have of former owners. Each list names at least those that it has, and
- * no owner starts others there before it has recorded that it uses the minion: a run that one list omits is over.
+ * Combines lists of the runs that a minion may have of former owners. Each list names at least those that it has and
+ * those that may have failed, which only the minion can tell, and no owner starts others there before it has recorded
+ * that it uses the minion: a run that one list omits is over, and its result is known.
  */
 
 import type {Fleet, MinionState} from '@nutmegproxy/scheduling';
--- a/packages/nutmegproxy-owner/src/SilentRecords.ts
+++ b/packages/nutmegproxy-owner/src/SilentRecords.ts
@@ -156,9 +156,26 @@
   );
 }
 
+/** Lists runs that are over and may have failed, which only the minion can tell; lasting tasks start again in any case. */
+export function listUnknownResults({
+  id,
+  unknownResultSteps,
+}: Pick<MinionState, 'id' | 'unknownResultSteps'>): SilentMinionRecord['runs'] {
+  return [...unknownResultSteps].flatMap(
+    ({done, job, number: step, occurrence, shape, unknownResults}) =>
+      shape.longRunning || job.isFinal
+        ? []
+        : [...unknownResults].flatMap(([index, runs]) =>
+            [...runs]
+              .filter(([, minion]) => minion === id && !done.has(index))
+              .map(([number]) => nameRun({number, task: {index, job: job.id, occurrence, step}})),
+          ),
+  );
+}
+
 /**
- * Lists the runs that a minion may have. Runs whose results are not stored count as well, since the next
- * owner learns their results only from the minion; those of lasting tasks don't, which would wait in vain.
+ * Lists the runs that a minion may have. Runs whose results are not known or not stored count as well, since
+ * the next owner learns them only from the minion; those of lasting tasks don't, which would wait in vain.
  */
 export function listPossibleRuns(
   fleet: Fleet,
@@ -166,7 +183,10 @@
   unstoredResults: readonly RunResult[],
 ): SilentMinionRecord['runs'] {
   const telling = unstoredResults.filter((result) => !startsAgain(fleet, result));
-  return [...minion.runs, ...minion.endedRuns, ...telling].map(nameRun);
+  const named = [...minion.runs, ...minion.endedRuns, ...telling].map(nameRun);
+  const names = new Set(named.map(formatRecordedName));
+  const unknown = listUnknownResults(minion);
+  return [...named, ...unknown.filter((run) => !names.has(formatRecordedName(run)))];
 }
 
 /**
--- a/packages/nutmegproxy-owner/src/__tests__/unit/FormerAccounts.test.ts
+++ b/packages/nutmegproxy-owner/src/__tests__/unit/FormerAccounts.test.ts
@@ -34,15 +34,17 @@
 
   /** Receives an account of two recorded runs, of which it names as many as given, after the last use in a term. */
   async function receiveAccount({
+    isExpired = false,
     lastTerm = LAST_TERM,
     leaseTerm = LAST_TERM,
+    longRunning = true,
     named = 2,
   }): Promise<void> {
     const clock = new ManualClock();
     const fleet = new Fleet(SILENT_EVENTS);
     const minion = createMinion();
     fleet.minions.set(minion.id, minion);
-    step = createStep(1, {count: 2, longRunning: true});
+    step = createStep(1, {count: 2, longRunning});
     fleet.jobs.set(step.job.id, step.job);
     const names = [0, 1].map((index) =>
       formatTaskName({index, job: step.job.id, occurrence: step.occurrence, step: step.number}),
@@ -59,7 +61,7 @@
     const recovery = new MinionRecovery({clock, fleet, onChange, ownership, record, roster});
     const silent: SilentMinionRecord = {heldUntil: 0 as WallTime, runs};
     const {description, id} = minion;
-    roster.markSilent(description, silent, undefined, undefined);
+    roster.markSilent(description, silent, isExpired ? clock.monotonic() : undefined);
     recovery.expect(minion, {description, silent}, clock.monotonic());
     const account = {
       confirmedForMs: CONFIRMED_MS,
@@ -84,6 +86,10 @@
     return [0, 1].filter((index) => step.runsOf(index).length > 0).length;
   }
 
+  function countRecordedRuns(): number {
+    return roster.find(createMinion().id)?.silent?.runs.length ?? 0;
+  }
+
   it('tells when the leases of its confirmed runs end', async () => {
     assert.equal(await receive(LAST_TERM), CONFIRMED_MS);
   });
@@ -94,8 +100,12 @@
 
   it('ends the recorded runs that it does not name', async () => {
     assert.equal(await countLiveRuns(LAST_TERM, 1), 1);
-    const names = roster.find(createMinion().id)?.silent?.runs ?? [];
-    assert.equal(names.length, 1);
+    assert.equal(countRecordedRuns(), 1);
+  });
+
+  it('leaves those on record that may have failed, which it omits if an earlier version made it', async () => {
+    await receiveAccount({isExpired: true, longRunning: false, named: 0});
+    assert.equal(countRecordedRuns(), 2);
   });
 
   it('ends no recorded run when a later owner may have started others', async () => {
--- a/packages/nutmegproxy-owner/src/__tests__/unit/PossibleRuns.test.ts
+++ b/packages/nutmegproxy-owner/src/__tests__/unit/PossibleRuns.test.ts
@@ -1,5 +1,5 @@
 import type {Instant} from '@nutmegproxy/core';
-import type {Checkpoint, RunOutcome, StepState} from '@nutmegproxy/jobs';
+import type {Checkpoint, Run, RunNumber, RunOutcome, StepState} from '@nutmegproxy/jobs';
 import type {MinionState, RunResult} from '@nutmegproxy/scheduling';
 
 import {SILENT_EVENTS} from '@nutmegproxy/core';
@@ -100,4 +100,62 @@
       assert.deepEqual(listAfterRun(step, 'stopped', startAgain), [[TASK, 2]]);
     });
   });
+
+  describe('of a minion whose lease has expired', () => {
+    /** Lists what is named after the lease of a run has expired. */
+    function listAfterLease(
+      step: StepState,
+      change: (run: Run) => void = () => undefined,
+    ): unknown {
+      fleet.jobs.set(step.job.id, step.job);
+      const run = fleet.startRun(step, 0, minion, NOW);
+      fleet.expireLease(minion);
+      change(run);
+      return listPossibleRuns(fleet, minion, []);
+    }
+
+    it('names a task that does not last, since the run may have failed', () => {
+      assert.deepEqual(listAfterLease(createStep(JOB)), [[TASK, 1]]);
+    });
+
+    it('names a task once whose run it has listed again', () => {
+      const listed = listAfterLease(createStep(JOB), ({number, step, task}) => {
+        fleet.adoptRun(step, task, number, minion, NOW);
+      });
+      assert.deepEqual(listed, [[TASK, 1]]);
+    });
+
+    it('does not name a task once its results are known', () => {
+      const listed = listAfterLease(createStep(JOB), () => {
+        fleet.clearUnknownResults(minion);
+      });
+      assert.deepEqual(listed, []);
+    });
+
+    it('does not name a run of another minion', () => {
+      const other = createMinion('m2');
+      const step = createStep(JOB);
+      fleet.recordUnknownResult(step, 0, 7 as RunNumber, other);
+      assert.deepEqual(listAfterLease(step), [[TASK, 1]]);
+    });
+
+    it('does not name a task that is done', () => {
+      const step = createStep(JOB, {count: 2});
+      assert.deepEqual(
+        listAfterLease(step, () => step.markDone(0)),
+        [],
+      );
+    });
+
+    it('does not name the task of a job that is over', () => {
+      const listed = listAfterLease(createStep(JOB), ({step}) => {
+        fleet.finishJob(step.job, 'failed');
+      });
+      assert.deepEqual(listed, []);
+    });
+
+    it('does not name a lasting task', () => {
+      assert.deepEqual(listAfterLease(createStep(JOB, {longRunning: true})), []);
+    });
+  });
 });
