A gang goes on when an earlier run of a member turns out to be over

Cause: the end of any run of a gang's member stops all runs of the gang, also those of a later start. The members start under one number, and an owner starts them only once all earlier runs are over. Ruled out: RunOrders.stopGang, which concerns a start that was not sent; the planner, which starts no gang beside a live run of it. Change: only members with the run's number or a lower one are stopped. Why it works: the later start has runs of its own for all members, whose ends still stop the others.

--- a/packages/nutmegproxy-scheduling/src/Fleet.ts
+++ b/packages/nutmegproxy-scheduling/src/Fleet.ts
@@ -144,9 +144,7 @@
     this.#removeRun(run);
     this.events.record(SCHEDULING_EVENTS.RUN_LOST, {...describeRun(run), reason});
     this.#saveCheckpoint(run.step, run.task.index, run.checkpoint);
-    if (run.step.shape.gang) {
-      this.#stopStep(run.step, 'gang-broken');
-    }
+    this.#breakGang(run.step, run.number);
   }
 
   /** Applies the result of a run to its task, whether or not the run is known. */
@@ -167,9 +165,7 @@
     if (outcome === 'failed') {
       this.#applyFailure(step, task.index, number);
     }
-    if (step.shape.gang) {
-      this.#stopStep(step, 'gang-broken');
-    }
+    this.#breakGang(step, number);
   }
 
   resolveQueuePolicy(job: JobState): Omit<QueuePolicy, 'id'> {
@@ -282,6 +278,14 @@
     }
   }
 
+  /** Stops the members of a gang of which a run is over; those that were started after it do not need it. */
+  #breakGang(step: StepState, number: RunNumber): void {
+    const needing = step.shape.gang ? [...step.runs()].filter((run) => run.number <= number) : [];
+    for (const run of needing) {
+      this.stopRun(run, 'gang-broken');
+    }
+  }
+
   #removeRun(run: Run): void {
     run.step.removeRun(run);
     this.minions.get(run.minion)?.removeRun(run);
