--- a/packages/nutmegproxy-owner/src/RunOrders.ts
+++ b/packages/nutmegproxy-owner/src/RunOrders.ts
@@ -10,10 +10,11 @@
 
 import {delay} from '@nutmegproxy/core';
 import {formatRunName, formatTaskName} from '@nutmegproxy/jobs';
-import {describeRun, quarantineMinion} from '@nutmegproxy/scheduling';
+import {describeRun, isDeferrable, quarantineMinion} from '@nutmegproxy/scheduling';
 
 import type {MinionOrders, MinionTarget, OrderFailure} from './MinionOrders.ts';
 import type {SessionContext} from './SessionContext.ts';
+import type {StartRequest} from './StartLimiter.ts';
 
 import {
   MAX_UNANSWERED_STARTS,
@@ -133,6 +134,16 @@
     return isStored;
   }
 
+  /** Returns how urgent a start is. */
+  #describeRequest({step}: Run): StartRequest {
+    const isGang = step.shape.gang;
+    const hasBegun = isGang && [...step.runs()].some(({phase}) => phase === 'running');
+    return {
+      gang: isGang ? step : undefined,
+      isUrgent: hasBegun || !isDeferrable(this.#context.fleet, step),
+    };
+  }
+
   get #target(): MinionTarget {
     const {address, dataCentre, id} = this.#minion.description;
     return {address, dataCentre, id};
@@ -141,7 +152,7 @@
   async #tryStart(run: Run): Promise<StartResult> {
     const {clock, load, startLimiter, work} = this.#context;
     for (let attempt = 0; attempt < ORDER_ATTEMPTS; attempt += 1) {
-      await startLimiter.enter();
+      await startLimiter.enter(this.#describeRequest(run));
       const sent = await work.run('starts', () => this.#sendStart(run, clock.monotonic()));
       if (sent.kind === 'unsent') {
         startLimiter.leaveUnsent();
--- a/packages/nutmegproxy-owner/src/StartLimiter.ts
+++ b/packages/nutmegproxy-owner/src/StartLimiter.ts
@@ -6,6 +6,9 @@
  * The limit follows the duration of the calls, which includes the delay of this process: it rises
  * while calls are fast, and falls when most of them take long. A few slow calls are due to their
  * minions.
+ *
+ * Urgent starts overtake deferrable ones, which may wait by the hundred. Starts of one kind are sent in the
+ * order in which they were requested.
  */
 
 import type {EventFields} from '@nutmegproxy/core';
@@ -28,20 +31,36 @@
 const SLOW_SHARE_SMOOTHING = 1 / 16;
 /** Time in milliseconds after a reduction in which no other follows: the calls in flight are slow too. */
 const BACKOFF_INTERVAL_MS = 100;
+/** Urgent starts that are sent in a row while deferrable ones wait. */
+const URGENT_PER_DEFERRABLE = 3;
+
+export interface StartRequest {
+  /** What the members of a gang share. Once one was sent, the others are urgent: it waits for them. */
+  readonly gang?: object | undefined;
+  readonly isUrgent?: boolean;
+}
+
+interface WaitingStart {
+  readonly gang: object | undefined;
+  readonly proceed: () => void;
+}
 
 export class StartLimiter {
+  #deferrable: WaitingStart[] = [];
   #inFlight = 0;
   #limit = INITIAL_LIMIT;
   #reducedAtMs = -Infinity;
   #slowShare = 0;
-  readonly #waiting: (() => void)[] = [];
+  readonly #urgent: WaitingStart[] = [];
+  /** Urgent starts since the last deferrable one. */
+  #urgentInRow = 0;
 
   /**
    * Whether more starts wait than are in flight. Further tasks are then not placed: they would be
    * sent after these, however urgent they are.
    */
   get isBacklogged(): boolean {
-    return this.#waiting.length >= this.#limit;
+    return this.#waiting >= this.#limit;
   }
 
   /** Most starts that may be in flight now. */
@@ -51,20 +70,20 @@
 
   /** Event fields that say what the limit is and how many starts wait for it. */
   get eventFields(): EventFields {
-    return {startLimit: this.limit, startsWaiting: this.#waiting.length};
+    return {startLimit: this.limit, startsWaiting: this.#waiting};
   }
 
   /**
    * Resolves when the caller may send a start. It calls `leave` after the call has ended, or
    * `leaveUnsent` if it sends none.
    */
-  async enter(): Promise<void> {
+  async enter({gang, isUrgent = false}: StartRequest = {}): Promise<void> {
     if (this.#inFlight < this.limit) {
       this.#inFlight += 1;
       return;
     }
-    await new Promise<void>((resolve) => {
-      this.#waiting.push(resolve);
+    await new Promise<void>((proceed) => {
+      (isUrgent ? this.#urgent : this.#deferrable).push({gang, proceed});
     });
   }
 
@@ -78,15 +97,40 @@
   leaveUnsent(): void {
     this.#inFlight -= 1;
     while (this.#inFlight < this.limit) {
-      const next = this.#waiting.shift();
+      const next = this.#takeNext();
       if (next === undefined) {
         return;
       }
       this.#inFlight += 1;
-      next();
+      next.proceed();
     }
   }
 
+  get #waiting(): number {
+    return this.#deferrable.length + this.#urgent.length;
+  }
+
+  #takeNext(): undefined | WaitingStart {
+    const isUrgent = this.#urgentInRow < URGENT_PER_DEFERRABLE || this.#deferrable.length === 0;
+    const urgent = isUrgent ? this.#urgent.shift() : undefined;
+    if (urgent !== undefined) {
+      this.#urgentInRow += 1;
+      return urgent;
+    }
+    this.#urgentInRow = 0;
+    const next = this.#deferrable.shift();
+    if (next?.gang !== undefined) {
+      this.#promote(next.gang);
+    }
+    return next;
+  }
+
+  /** Makes the other members of a gang urgent. */
+  #promote(gang: object): void {
+    this.#urgent.push(...this.#deferrable.filter((each) => each.gang === gang));
+    this.#deferrable = this.#deferrable.filter((each) => each.gang !== gang);
+  }
+
   #adjustLimit(durationMs: number, nowMs: number): void {
     const isSlow = durationMs >= SLOW_CALL_MS;
     this.#slowShare += SLOW_SHARE_SMOOTHING * (Number(isSlow) - this.#slowShare);
--- a/packages/nutmegproxy-owner/src/__tests__/unit/RunOrders.test.ts
+++ b/packages/nutmegproxy-owner/src/__tests__/unit/RunOrders.test.ts
@@ -163,6 +163,18 @@
       assert.equal(limiter.limit, before);
     });
 
+    it('does not wait for deferrable ones that were decided on before, when callers wait for it', async () => {
+      const waiting = [2, 3, 4, 5, 6].map((job) =>
+        orders.start(fleet.startRun(createStep(job), 0, minion, 0 as Instant)),
+      );
+      const urgent = fleet.startRun(createStep(7, {longRunning: true}), 0, minion, 0 as Instant);
+      const started = orders.start(urgent);
+      limiter.leave(200, 0);
+      await started;
+      assert.deepEqual(sent.slice(0, 1), ['0000000000000007.0.0.0']);
+      await Promise.all(waiting);
+    });
+
     it('lets the next one be sent also when it is not sent itself', async () => {
       const started = orders.start(run);
       const next = limiter.enter();
--- a/packages/nutmegproxy-owner/src/__tests__/unit/StartLimiter.test.ts
+++ b/packages/nutmegproxy-owner/src/__tests__/unit/StartLimiter.test.ts
@@ -1,6 +1,8 @@
 import assert from 'node:assert/strict';
 import {beforeEach, describe, it} from 'node:test';
 
+import type {StartRequest} from '../../StartLimiter.ts';
+
 import {StartLimiter} from '../../StartLimiter.ts';
 
 /** Timeout of a call in milliseconds. */
@@ -97,6 +99,76 @@
     assert.ok(order.length >= limiter.limit + 1);
   });
 
+  describe('a backlog of deferrable starts', () => {
+    const URGENT = 5;
+    /** Starts that may be sent in place of an urgent one while both kinds wait, and the one itself. */
+    const MAX_SENT_PER_URGENT = 2;
+    const MAX_URGENT_PER_DEFERRABLE = 4;
+    const BACKLOG = 200;
+    let limiter: StartLimiter;
+    let sent: string[];
+
+    function request(name: string, options: StartRequest = {}): void {
+      void limiter.enter(options).then(() => sent.push(name));
+    }
+
+    function requestDeferrable(prefix: string, count = BACKLOG): void {
+      for (let index = 0; index < count; index += 1) {
+        request(`${prefix}${index}`);
+      }
+    }
+
+    async function end(calls: number): Promise<void> {
+      for (let index = 0; index < calls; index += 1) {
+        limiter.leave(200, 0);
+        await settle();
+      }
+    }
+
+    beforeEach(() => {
+      limiter = new StartLimiter();
+      sent = [];
+      for (let index = 0; index < limiter.limit; index += 1) {
+        void limiter.enter();
+      }
+    });
+
+    it('does not delay urgent starts that are requested later', async () => {
+      requestDeferrable('d');
+      for (let index = 0; index < URGENT; index += 1) {
+        request(`u${index}`, {isUrgent: true});
+      }
+      await end(MAX_SENT_PER_URGENT * URGENT);
+      const urgent = sent.filter((name) => name.startsWith('u'));
+      assert.deepEqual(urgent, ['u0', 'u1', 'u2', 'u3', 'u4']);
+    });
+
+    it('is sent in the order in which it was requested', async () => {
+      requestDeferrable('d', URGENT);
+      await end(URGENT);
+      assert.deepEqual(sent, ['d0', 'd1', 'd2', 'd3', 'd4']);
+    });
+
+    it('goes on beside urgent starts without an end', async () => {
+      requestDeferrable('d');
+      for (let index = 0; index < BACKLOG; index += 1) {
+        request(`u${index}`, {isUrgent: true});
+      }
+      await end(BACKLOG);
+      const deferrable = sent.filter((name) => name.startsWith('d'));
+      assert.ok(deferrable.length >= BACKLOG / (MAX_URGENT_PER_DEFERRABLE + 1), `${sent.length}`);
+    });
+
+    it('does not delay the other members of a gang of which one was sent', async () => {
+      const gang = {};
+      request('g0', {gang});
+      requestDeferrable('d');
+      request('g1', {gang});
+      await end(1 + MAX_SENT_PER_URGENT);
+      assert.ok(sent.includes('g1'), sent.join());
+    });
+  });
+
   describe('the limit', () => {
     let limiter: StartLimiter;
 
--- a/packages/nutmegproxy-scheduling/src/index.ts
+++ b/packages/nutmegproxy-scheduling/src/index.ts
@@ -61,7 +61,7 @@
 export {RunProgressMonitor} from './RunProgressMonitor.ts';
 export {SCHEDULING_EVENTS} from './SchedulingEvents.ts';
 export {SharingPolicy} from './SharingPolicy.ts';
-export {countDeferrable} from './StartBudget.ts';
+export {countDeferrable, isDeferrable} from './StartBudget.ts';
 export type {AdviceLookup} from './StartPermissions.ts';
 export {planStarts} from './StartPlanner.ts';
 export type {PlanContext} from './StartPlanner.ts';
