--- a/packages/nutmegproxy-emulator/src/__tests__/unit/LoopMinions.ts
+++ b/packages/nutmegproxy-emulator/src/__tests__/unit/LoopMinions.ts
@@ -49,6 +49,8 @@
   onStart: () => void = () => undefined;
   /** Called when a minion has carried out a start. */
   onStarted: () => void = () => undefined;
+  /** Time in milliseconds after which minions carry out a start. */
+  startsAfterMs = 0;
   readonly #loop: EmulatedLoop;
   readonly #minions: EmulatedMinions;
   readonly #vms: EmulatedVms;
@@ -108,7 +110,7 @@
         }),
       receiveMs: 0,
       sendMs: SENT_ORDER_MS,
-      waitMs: 0,
+      waitMs: this.startsAfterMs,
     });
   }
 
--- a/packages/nutmegproxy-emulator/src/__tests__/unit/SlowTakeover.ts
+++ b/packages/nutmegproxy-emulator/src/__tests__/unit/SlowTakeover.ts
@@ -4,8 +4,9 @@
  */
 
 import type {EventFields, EventKind, EventSink, JobId, MinionId, VmId} from '@nutmegproxy/core';
-import type {StepShape} from '@nutmegproxy/jobs';
+import type {QueueId, StepShape} from '@nutmegproxy/jobs';
 import type {FleetOwnership} from '@nutmegproxy/owner';
+import type {QueuePolicy} from '@nutmegproxy/scheduling';
 import type {PlatformStore} from '@nutmegproxy/store';
 
 import {brand, DEFAULT_PLATFORM_BOUNDS} from '@nutmegproxy/core';
@@ -42,6 +43,8 @@
 /** Jobs that are submitted while nobody owns the fleet. */
 const WAITING_JOBS = 200;
 const WAITING_TASKS_PER_JOB = 20;
+/** The queue of deferrable jobs. */
+const DEFERRABLE_QUEUE: QueuePolicy = {...QUEUE, id: 'digests' as QueueId, priority: 2};
 const RUNNING_TASKS = FORMER_JOBS * RUNNING_TASKS_PER_JOB;
 /** Expected duration of a task in milliseconds; longer than a play. */
 const TASK_MS = 120_000;
@@ -67,6 +70,21 @@
   readonly name: string;
 }
 
+/** Jobs that are submitted while nobody owns the fleet. */
+export interface WaitingWork {
+  /** Whether their starts may be delayed in favour of other queues. */
+  readonly isDeferrable: boolean;
+  /** Time in milliseconds after which minions carry out a start. */
+  readonly startsAfterMs: number;
+  readonly tasksPerJob: number;
+}
+
+const URGENT_WORK: WaitingWork = {
+  isDeferrable: false,
+  startsAfterMs: 0,
+  tasksPerJob: WAITING_TASKS_PER_JOB,
+};
+
 export class SlowTakeover {
   /** When a VM's event loop began to stand still. */
   hungAtMs = NaN;
@@ -76,13 +94,17 @@
   readonly #factor: number;
   readonly #minions = new Map<MinionId, EmulatedMinion>();
   /** When each of the waiting tasks was first started, in milliseconds. */
+  #startsAfterMs = 0;
   readonly #startedMs = new Map<string, number>();
   readonly #store: MemoryStore;
   readonly #termLog = new TermLog();
+  #submitted = 0;
   readonly #waitingJobs = new Set<JobId>();
+  readonly #waitingWork: WaitingWork;
 
-  constructor(factor: number) {
+  constructor(factor: number, waitingWork = URGENT_WORK) {
     this.#factor = factor;
+    this.#waitingWork = waitingWork;
     this.#store = new MemoryStore(this.vms.clock, this.#engine);
     for (let index = 0; index < MINIONS; index += 1) {
       this.#addMinion(`m${index}`);
@@ -111,9 +133,11 @@
     assert.equal(this.countLiveRuns(), RUNNING_TASKS);
     former.kill();
     this.#termLog.clear();
-    await this.#submitJobs(FORMER_JOBS, WAITING_JOBS, [
-      createStepShape({count: WAITING_TASKS_PER_JOB, estimateMs: TASK_MS}),
-    ]);
+    const {isDeferrable, startsAfterMs, tasksPerJob} = this.#waitingWork;
+    this.#startsAfterMs = startsAfterMs;
+    const step = createStepShape({count: tasksPerJob, estimateMs: TASK_MS});
+    const queue = isDeferrable ? DEFERRABLE_QUEUE : QUEUE;
+    await this.#submitJobs(FORMER_JOBS, WAITING_JOBS, [step], queue.id);
     for (let index = 1; index <= SLOW_VMS; index += 1) {
       const name = `slow-${index}`;
       this.slowVms.push({loop: this.#startVm(name, this.#factor, index / SLOW_VMS), name});
@@ -143,6 +167,19 @@
     });
   }
 
+  /** Submits a job of one task for which callers wait; returns the task. */
+  async submitUrgentTask(): Promise<string> {
+    const number = FORMER_JOBS + WAITING_JOBS + this.#submitted;
+    this.#submitted += 1;
+    await this.#submitJobs(number, 1, [createStepShape({estimateMs: TASK_MS})]);
+    return formatTaskName({index: 0, job: createStoredJob(number, []).id, occurrence: 0, step: 0});
+  }
+
+  /** Returns when one of the waiting tasks was first started, in milliseconds. */
+  findStartedMs(task: string): number | undefined {
+    return this.#startedMs.get(task);
+  }
+
   close(): void {
     this.vms.restoreTimers();
   }
@@ -195,6 +232,7 @@
 
   #createOwner({events, loop, store}: VmParts, ownership: FleetOwnership): Owner {
     const minions = new LoopMinions(this.vms, loop, this.#minions);
+    minions.startsAfterMs = this.#startsAfterMs;
     const term = this.#termLog.find(ownership.term);
     minions.onStart = () => {
       if (term?.lostMs !== undefined) {
@@ -206,7 +244,7 @@
         term.lastStartedMs = this.vms.nowMs;
       }
     };
-    const queues = [QUEUE];
+    const queues = [QUEUE, DEFERRABLE_QUEUE];
     let hasPlanned = false;
     return new Owner({
       advice: undefined,
@@ -270,9 +308,14 @@
     return loop;
   }
 
-  async #submitJobs(first: number, count: number, steps: readonly StepShape[]): Promise<void> {
+  async #submitJobs(
+    first: number,
+    count: number,
+    steps: readonly StepShape[],
+    queue = QUEUE.id,
+  ): Promise<void> {
     for (let number = first; number < first + count; number += 1) {
-      const job = {...createStoredJob(number, steps), acceptedAt: this.vms.clock.wall()};
+      const job = {...createStoredJob(number, steps), acceptedAt: this.vms.clock.wall(), queue};
       await submitJob(this.#store, job);
       if (number >= FORMER_JOBS) {
         this.#waitingJobs.add(job.id);
--- a/packages/nutmegproxy-owner/src/Owner.ts
+++ b/packages/nutmegproxy-owner/src/Owner.ts
@@ -268,7 +268,7 @@
 
   /** Returns why nothing may start now; undefined when starts are planned. */
   #findHold(now: Instant): RoundHold | undefined {
-    if (this.#startLimiter.isBacklogged) {
+    if (this.#startLimiter.isFull) {
       return 'backlog';
     }
     return this.#minions.isDirectoryOutdated(now) ? 'directory' : undefined;
@@ -290,9 +290,10 @@
     for (const minion of fleet.minions.values()) {
       evacuateMinion(fleet, minion, this.#estimator, bounds, now);
     }
+    const allowance = this.#startThrottle.getAllowance(now);
     const context = {
       advice: this.#advice.createLookup(now),
-      deferrableStarts: this.#startThrottle.getAllowance(now),
+      deferrableStarts: this.#startLimiter.isBacklogged ? 0 : allowance,
       estimator: this.#estimator,
       finishMs: bounds.finishMs,
       isTimeUp: createTimeLimit(clock, MAX_PLACEMENT_MS),
--- a/packages/nutmegproxy-owner/src/RoundLog.ts
+++ b/packages/nutmegproxy-owner/src/RoundLog.ts
@@ -26,7 +26,7 @@
 import {TaskWaitLog} from './TaskWaitLog.ts';
 
 /**
- * Why a round starts nothing. `backlog`: too many starts wait to be sent. `directory`: the view of the
+ * Why a round starts nothing. `backlog`: too many urgent starts wait to be sent. `directory`: the view of the
  * directory of minions is too old.
  */
 export type RoundHold = 'backlog' | 'directory';
@@ -70,7 +70,7 @@
 
   /** Records a round, whose starts have not been sent yet. */
   record(round: Round): void {
-    const {fleet, load, minions} = this.#options;
+    const {fleet, load, minions, startLimiter} = this.#options;
     const {now, starts, wall} = round;
     this.#summarize(now, wall);
     const recoveryMs = minions.recovery.findRemainingMs(now);
@@ -87,6 +87,7 @@
       finishMs,
       fleet,
       hold: round.hold,
+      isBacklogged: startLimiter.isBacklogged,
       isBudgetUsedUp,
       isCut: sweep?.isOpen ?? false,
       now,
--- a/packages/nutmegproxy-owner/src/StartLimiter.ts
+++ b/packages/nutmegproxy-owner/src/StartLimiter.ts
@@ -55,14 +55,16 @@
   /** Urgent starts since the last deferrable one. */
   #urgentInRow = 0;
 
-  /**
-   * Whether more starts wait than are in flight. Further tasks are then not placed: they would be
-   * sent after these, however urgent they are.
-   */
+  /** Whether so many starts wait that no deferrable task is placed: its start would be sent after these. */
   get isBacklogged(): boolean {
     return this.#waiting >= this.#limit;
   }
 
+  /** The same for all tasks: so many urgent starts wait. */
+  get isFull(): boolean {
+    return this.#urgent.length >= this.#limit;
+  }
+
   /** Most starts that may be in flight now. */
   get limit(): number {
     return Math.floor(this.#limit);
--- a/packages/nutmegproxy-owner/src/__tests__/unit/StartLimiter.test.ts
+++ b/packages/nutmegproxy-owner/src/__tests__/unit/StartLimiter.test.ts
@@ -223,4 +223,17 @@
     await settle();
     assert.equal(limiter.isBacklogged, true);
   });
+
+  it('is full only when more urgent starts wait than may be in flight', async () => {
+    const limiter = new StartLimiter();
+    for (let index = 0; index < 3 * limiter.limit; index += 1) {
+      void limiter.enter();
+    }
+    for (let index = 0; index < limiter.limit; index += 1) {
+      assert.equal(limiter.isFull, false);
+      void limiter.enter({isUrgent: true});
+    }
+    await settle();
+    assert.equal(limiter.isFull, true);
+  });
 });
--- a/packages/nutmegproxy-scheduling/src/PendingTaskReason.ts
+++ b/packages/nutmegproxy-scheduling/src/PendingTaskReason.ts
@@ -84,6 +84,8 @@
   readonly fleet: Fleet;
   /** Why the round started nothing at all. */
   readonly hold: 'backlog' | 'directory' | undefined;
+  /** Whether the round started nothing deferrable, since too many starts wait to be sent. */
+  readonly isBacklogged?: boolean;
   /** Whether the round has used up its starts of deferrable work. */
   readonly isBudgetUsedUp: boolean;
   /** Whether its time for placement was used up before all steps were placed. */
@@ -173,15 +175,16 @@
 
 function findStartLimit(
   {step}: PendingTask,
-  {fleet, hold, isBudgetUsedUp, isCut}: PendingContext,
+  {fleet, hold, isBacklogged = false, isBudgetUsedUp, isCut}: PendingContext,
 ): StartLimit | undefined {
-  if (hold === 'backlog') {
+  const isWithheld = isDeferrable(fleet, step);
+  if (hold === 'backlog' || (isBacklogged && isWithheld)) {
     return 'backlog';
   }
   if (isCut) {
     return 'time';
   }
-  return isBudgetUsedUp && isDeferrable(fleet, step) ? 'allowance' : undefined;
+  return isBudgetUsedUp && isWithheld ? 'allowance' : undefined;
 }
 
 /** What withholds a task that could start otherwise. */
--- a/packages/nutmegproxy-scheduling/src/__tests__/unit/PendingTaskReason.test.ts
+++ b/packages/nutmegproxy-scheduling/src/__tests__/unit/PendingTaskReason.test.ts
@@ -203,6 +203,16 @@
       });
     });
 
+    it('says that too many starts wait for deferrable ones to be planned, but not for urgent ones', () => {
+      const deferrable = findCause(addStep({}, 'later'), {
+        isBacklogged: true,
+        isBudgetUsedUp: true,
+      });
+      const urgent = findCause(addStep(), {isBacklogged: true, isBudgetUsedUp: true});
+      assert.deepEqual(deferrable, {limit: 'backlog', reason: 'start-limit'});
+      assert.equal(urgent.reason, 'placement');
+    });
+
     it('says that the time of the round was used up before all steps were placed', () => {
       assert.deepEqual(findCause(addStep(), {isCut: true}), {limit: 'time', reason: 'start-limit'});
     });
