--- a/packages/nutmegproxy-owner/src/__tests__/unit/StartThrottle.test.ts
+++ b/packages/nutmegproxy-owner/src/__tests__/unit/StartThrottle.test.ts
@@ -101,6 +101,33 @@
     assert.equal(passSeconds(1, 0.5, 60), 600);
   });
 
+  describe('after a burst of starts and 3 s of a full loop', () => {
+    const BURST = 250;
+    const BEFORE_S = 5;
+    const FULL_S = 3;
+    /** Time in seconds within which the starts have to be as many as before. */
+    const RECOVERY_S = 5;
+    const OBSERVED_S = 15;
+
+    for (const perSample of [10, 60, 150]) {
+      for (const use of [0.7, 0.85]) {
+        it(`makes ${10 * perSample} starts a second again at a use of ${use}, and does not swing`, () => {
+          passSeconds(BEFORE_S, 0.6, perSample);
+          assert.equal(pass(0.6, BURST), BURST);
+          passSeconds(FULL_S, 1, perSample);
+          const starts = Array.from({length: OBSERVED_S}, () => passSeconds(1, use, perSample));
+          const later = starts.slice(RECOVERY_S);
+          assert.ok(
+            later.every((each) => each === 10 * perSample),
+            starts.join(),
+          );
+          const rising = starts.toSorted((a, b) => a - b);
+          assert.deepEqual(starts, rising);
+        });
+      }
+    }
+  });
+
   describe('beside bursts of urgent work, with starts whose ends come seconds later', () => {
     /** Time in milliseconds that a start takes, and the report of its end. */
     const CALL_MS = 2.5;
