--- a/packages/nutmegproxy-jobs/src/StepState.ts
+++ b/packages/nutmegproxy-jobs/src/StepState.ts
@@ -48,6 +48,8 @@
   sentAt: Instant;
   readonly step: StepState;
   readonly task: TaskRef;
+  /** When it was started for an overdue step of backfill, for which serving tasks have to bear it; absent otherwise. */
+  toleratedSince?: Instant;
   /** When the latest of its starts without a response was sent; undefined when each had one. */
   unansweredAt?: Instant;
 }
@@ -75,6 +77,8 @@
   hasFailedTrial = false;
   /** When no minion was last found for a task of the step; undefined before. */
   blockedAt: Instant | undefined;
+  /** When a task of the step was last done; undefined before. */
+  doneAt: Instant | undefined;
   /** When a task of the step was last placed; undefined before. */
   placedAt: Instant | undefined;
   /** When all earlier steps that this one depends on were done; undefined before. */
--- a/packages/nutmegproxy-scheduling/src/Fleet.ts
+++ b/packages/nutmegproxy-scheduling/src/Fleet.ts
@@ -92,6 +92,7 @@
     this.applyResult(run.step, run.task, run.number, outcome, checkpoint ?? run.checkpoint);
     const minion = this.minions.get(run.minion);
     if (outcome === 'done') {
+      run.step.doneAt = now;
       recordSuccess(this, minion, run);
     } else if (outcome === 'failed') {
       recordFailure(this, minion, run, now);
--- a/packages/nutmegproxy-scheduling/src/OverdueSteps.ts
+++ b/packages/nutmegproxy-scheduling/src/OverdueSteps.ts
@@ -19,20 +19,37 @@
 /** Cost of a backfill task that disturbs serving tasks, in thousandths of a core: more than any other. */
 const INTERFERENCE_COST = 1_000_000;
 
-/** Returns since when a step waits: for its turn, since a start or a failure. Lasting tasks wait each for itself. */
-function findWaitStart({failedAt, placedAt, readyAt, shape, waiting}: StepState): number {
+/**
+ * Returns since when a step waits: for its turn, since a start or a failure. Lasting tasks wait each for itself.
+ * Backfill that has been evicted waits on, or each eviction would begin another wait.
+ */
+function findWaitStart({
+  doneAt = -Infinity as Instant,
+  failedAt,
+  placedAt = -Infinity as Instant,
+  readyAt,
+  shape,
+  waiting,
+}: StepState): number {
   const turnAt = readyAt ?? Infinity;
   if (!shape.longRunning) {
-    return Math.max(turnAt, placedAt ?? -Infinity, ...failedAt.values());
+    return Math.max(turnAt, shape.fillsSpareCpu ? doneAt : placedAt, ...failedAt.values());
   }
   const failures = [...waiting].map((index) => failedAt.get(index) ?? -Infinity);
   return Math.max(turnAt, Math.min(...failures));
 }
 
+/** Whether other work of its job runs, so that its backfill may wait on. */
+function hasOtherRuns({job, shape}: StepState): boolean {
+  return shape.fillsSpareCpu && job.hasLiveRuns;
+}
+
 /** Whether a step has waited since the given instant or longer; most steps are told from their turn alone. */
 function hasWaitedSince(step: StepState, since: number): boolean {
   const {readyAt = Infinity, waiting} = step;
-  return readyAt <= since && waiting.size > 0 && findWaitStart(step) <= since;
+  return (
+    readyAt <= since && waiting.size > 0 && findWaitStart(step) <= since && !hasOtherRuns(step)
+  );
 }
 
 /** Returns the services of which so few processors are in use that their work does not wait for room. */
@@ -79,7 +96,7 @@
   now: Instant,
 ): number | undefined {
   const {service} = fleet.resolveQueuePolicy(step.job);
-  return step.readyAt !== undefined && findFreeServices(fleet).has(service)
+  return step.readyAt !== undefined && !hasOtherRuns(step) && findFreeServices(fleet).has(service)
     ? Math.max(0, findWaitStart(step) + maxWaitMs - now)
     : undefined;
 }
@@ -89,13 +106,13 @@
   return [...minions.values()].filter((minion) => isOnlyUntrusted(minion, now));
 }
 
-/**
- * Returns costs under which backfill may disturb serving tasks where no minion tolerates it. It is evicted before a
- * tail latency has been over its target for longer than the platform allows.
- */
+/** Returns costs under which backfill may disturb serving tasks where no minion tolerates it. */
 export function tolerateInterference(costs: SharingCosts): SharingCosts {
   return {
-    backfillCost: (minion, step, now) => costs.backfillCost(minion, step, now) ?? INTERFERENCE_COST,
+    backfillCost: (minion, step, now) =>
+      costs.overdueCost === undefined
+        ? (costs.backfillCost(minion, step, now) ?? INTERFERENCE_COST)
+        : costs.overdueCost(minion, step, now),
     ordinaryCost: (minion, shape) => costs.ordinaryCost(minion, shape),
     servingCost: (minion, shape) => costs.servingCost(minion, shape),
   };
--- a/packages/nutmegproxy-scheduling/src/Placement.ts
+++ b/packages/nutmegproxy-scheduling/src/Placement.ts
@@ -40,6 +40,8 @@
   readonly dependsOnWait?: (step: StepState, now: Instant) => boolean;
   /** Cost of an ordinary task, in thousandths of a core. */
   readonly ordinaryCost: (minion: MinionState, shape: StepShape) => number;
+  /** Cost of a task of an overdue backfill step; without it, minions that admit no other backfill are alike. */
+  readonly overdueCost?: (minion: MinionState, step: StepState, now: Instant) => number | undefined;
   /** Cost of a serving task, in thousandths of a core. */
   readonly servingCost: (minion: MinionState, shape: StepShape) => number;
 }
--- a/packages/nutmegproxy-scheduling/src/SharingPolicy.ts
+++ b/packages/nutmegproxy-scheduling/src/SharingPolicy.ts
@@ -17,6 +17,7 @@
 import {computeEvictAllDelay} from './EvictionTimes.ts';
 import {ServingOutlook} from './ServingOutlook.ts';
 import {TailLatencyModel, toReferenceCores} from './TailLatencyModel.ts';
+import {ToleratedBackfill} from './ToleratedBackfill.ts';
 
 /** Highest planned utilization, as a share of the utilization at the latency target. */
 const MAX_PLANNED_SHARE = 1;
@@ -31,6 +32,13 @@
 /** Cost of a utilization that just meets the latency target, in thousandths of a core. */
 const UTILIZATION_COST = 40_000;
 
+/**
+ * Costs of an overdue backfill task beside serving tasks that are over their targets without backfill, and beside
+ * others that it brings over them, in thousandths of a core: more than any other. The users count the latter as harm.
+ */
+const OVER_TARGET_COST = 500_000;
+const INTERFERENCE_COST = 1_000_000;
+
 /**
  * Cost of each other image among a minion's serving tasks, in thousandths of a core. It exceeds the
  * cost of an empty minion, which is therefore preferred.
@@ -59,10 +67,12 @@
   #lastBackfill: BackfillDescription | undefined;
   readonly #nearTargetSince = new WeakMap<MinionState, Instant>();
   readonly #outlook = new ServingOutlook(this.model);
+  readonly #tolerated: ToleratedBackfill;
 
   constructor(estimator: DurationEstimator, bounds: EvictionBounds) {
     this.#estimator = estimator;
     this.#evictAllAfterMs = computeEvictAllDelay(bounds);
+    this.#tolerated = new ToleratedBackfill(this.#evictAllAfterMs);
   }
 
   /**
@@ -73,19 +83,28 @@
     if (minion.servingRuns === 0) {
       return 0;
     }
-    const {cpuMilli} = step.shape.resources;
-    const image = step.shape.image ?? '';
-    const cores = toReferenceCores(cpuMilli, minion);
-    const {durationMs, utilizationLimit} = this.#describeBackfill(step, now);
-    const worst = this.#outlook.computeWorstShare(
-      minion,
-      {cores, durationMs, image},
-      utilizationLimit,
-      now,
-    );
+    const {utilizationLimit} = this.#describeBackfill(step, now);
+    const worst = this.#computeWorstShare(minion, step, utilizationLimit, now);
     return worst === undefined ? undefined : worst * UTILIZATION_COST;
   }
 
+  /**
+   * Returns the cost of a task of an overdue backfill step, which serving tasks have to bear: least where it harms them
+   * least. Undefined where another one works or has just worked, so that tail latencies fall in between.
+   */
+  overdueCost(minion: MinionState, step: StepState, now: Instant): number | undefined {
+    const isNearTarget = this.isNearTarget(minion);
+    if (minion.servingRuns === 0) {
+      return 0;
+    }
+    if (!this.#tolerated.mayStart(minion, isNearTarget, now)) {
+      return undefined;
+    }
+    const worst = this.#computeWorstShare(minion, step, Infinity, now) ?? 0;
+    const harmCost = worst > MAX_PLANNED_SHARE ? INTERFERENCE_COST : 0;
+    return worst * UTILIZATION_COST + (isNearTarget ? OVER_TARGET_COST : harmCost);
+  }
+
   /** Whether a backfill step has waited so long that minions admit it which would not admit others. */
   dependsOnWait(step: StepState, now: Instant): boolean {
     return this.#describeBackfill(step, now).utilizationLimit !== MAX_PLANNED_SHARE;
@@ -127,34 +146,57 @@
    */
   evictInterferingRuns(fleet: Fleet, minion: MinionState, now: Instant): void {
     const affected = findMostAffectedRun(minion);
+    this.#tolerated.review(minion, affected !== undefined, now);
     if (affected === undefined) {
       this.#nearTargetSince.delete(minion);
       return;
     }
     const since = this.#nearTargetSince.get(minion) ?? now;
     this.#nearTargetSince.set(minion, since);
+    const evictable = [...minion.runs].filter(
+      (run) => run.step.shape.fillsSpareCpu && !this.#tolerated.isTolerated(fleet, run, since, now),
+    );
     if (now - since >= this.#evictAllAfterMs) {
-      for (const run of minion.runs) {
-        if (run.step.shape.fillsSpareCpu) {
-          fleet.stopRun(run, 'interference');
+      for (const run of evictable) {
+        fleet.stopRun(run, 'interference');
+        if (run.toleratedSince !== undefined) {
+          this.#tolerated.endTurn(minion);
         }
       }
       return;
     }
     const isPaused = now - (this.#lastEvictedAt.get(minion) ?? -Infinity) < EVICTION_INTERVAL_MS;
-    const interfering = isPaused ? undefined : this.#findWorstInterferingRun(minion, affected);
+    const interfering = isPaused
+      ? undefined
+      : this.#findWorstInterferingRun(minion, evictable, affected);
     if (interfering !== undefined) {
       this.#lastEvictedAt.set(minion, now);
       fleet.stopRun(interfering, 'interference');
     }
   }
 
-  /** Returns the backfill run with the highest pressure on a serving run. */
-  #findWorstInterferingRun(minion: MinionState, affected: Run): Run | undefined {
+  #computeWorstShare(
+    minion: MinionState,
+    step: StepState,
+    limit: number,
+    now: Instant,
+  ): number | undefined {
+    const {image = '', resources} = step.shape;
+    const {durationMs} = this.#describeBackfill(step, now);
+    const cores = toReferenceCores(resources.cpuMilli, minion);
+    return this.#outlook.computeWorstShare(minion, {cores, durationMs, image}, limit, now);
+  }
+
+  /** Returns the one of the backfill runs with the highest pressure on a serving run. */
+  #findWorstInterferingRun(
+    minion: MinionState,
+    backfill: readonly Run[],
+    affected: Run,
+  ): Run | undefined {
     let worst: Run | undefined;
     let worstPressure = 0;
-    for (const run of minion.runs) {
-      if (!run.step.shape.fillsSpareCpu || run.phase !== 'running') {
+    for (const run of backfill) {
+      if (run.phase !== 'running') {
         continue;
       }
       const cores = toReferenceCores(run.reading ?? 0, minion);
--- a/packages/nutmegproxy-scheduling/src/StartPlanner.ts
+++ b/packages/nutmegproxy-scheduling/src/StartPlanner.ts
@@ -64,15 +64,15 @@
   /** Whether a step that found no minion in this pass was tried again in this round. */
   #hasRetried = false;
   readonly #longRunningStarts: LongRunningStarts;
+  /** Steps of backfill that serving tasks have to bear; one task of each starts in a round. */
+  #overdueBackfill: ReadonlySet<StepState> = new Set();
   readonly #permissions: StartPermissions;
   readonly #starts: Run[] = [];
   readonly #schedulable: SchedulableMinions;
-  #sharingCosts: SharingCosts;
 
   constructor(fleet: Fleet, context: PlanContext) {
     this.#fleet = fleet;
     this.#context = context;
-    this.#sharingCosts = context.sharingCosts;
     this.#permissions = new StartPermissions(fleet, context);
     this.#longRunningStarts = new LongRunningStarts(fleet, context.now, context.wall);
     const minions = [...fleet.minions.values()];
@@ -91,6 +91,9 @@
       (step) => !trials.held.has(step.job) && !step.job.isFinal && this.#mayStart(step),
     );
     const ordered = orderSteps(this.#fleet, others, estimator, wall).map(({step}) => step);
+    this.#overdueBackfill = new Set(
+      this.#findOverdue(ordered.filter(({shape}) => shape.fillsSpareCpu)),
+    );
     this.#permissions.admitsFailedTrials = false;
     let wasCut = this.#place(ordered);
     this.#permissions.admitsFailedTrials = true;
@@ -141,7 +144,8 @@
         }
         const hadProgressed = this.#hasProgressed;
         const starts = this.#starts.length;
-        const most = step.shape.longRunning ? Infinity : mostTasks;
+        const mostOfKind = step.shape.longRunning ? Infinity : mostTasks;
+        const most = this.#overdueBackfill.has(step) ? 1 : mostOfKind;
         const ofStep = new StartBudget(Math.min(budget.remaining, most));
         if (step.shape.gang) {
           this.#placeGang(step, ofStep);
@@ -158,22 +162,25 @@
     });
   }
 
+  #findOverdue(steps: readonly StepState[]): readonly StepState[] {
+    const {finishMs = DEFAULT_PLATFORM_BOUNDS.finishMs, now} = this.#context;
+    return findOverdueSteps(this.#fleet, steps, deriveMaxWait({finishMs}), now);
+  }
+
   /**
-   * Places a task of each step that has waited for too long: on minions that are not trusted, in place of their next
-   * trials, and backfill beside serving tasks that it may disturb.
+   * Places a task of each step that has waited for too long on minions that are not trusted, in place of their next
+   * trials.
    */
   #placeOverdue(ordered: readonly StepState[]): void {
-    const {finishMs = DEFAULT_PLATFORM_BOUNDS.finishMs, now, sharingCosts} = this.#context;
-    const steps = findOverdueSteps(this.#fleet, ordered, deriveMaxWait({finishMs}), now);
-    if (steps.length === 0) {
+    const {now} = this.#context;
+    const steps = this.#findOverdue(ordered);
+    const untrusted = steps.length === 0 ? [] : listUntrustedMinions(this.#fleet, now);
+    if (untrusted.length === 0) {
       return;
     }
-    const untrusted = listUntrustedMinions(this.#fleet, now);
     this.#schedulable.add(untrusted);
-    this.#sharingCosts = tolerateInterference(sharingCosts);
     const placed = this.#starts.length;
-    const mayStart = steps.filter(({shape}) => shape.fillsSpareCpu || untrusted.length > 0);
-    this.#place(mayStart, 1);
+    this.#place(steps, 1);
     for (const minion of new Set(this.#starts.slice(placed).map((run) => run.minion))) {
       this.#fleet.minions.get(minion)?.trust.postponeTrial(now);
     }
@@ -226,7 +233,11 @@
   }
 
   #rank(step: StepState, minions: readonly MinionState[]): MinionRanking {
-    return new MinionRanking(step, minions, this.#sharingCosts, this.#context.now);
+    const {now, sharingCosts} = this.#context;
+    const costs = this.#overdueBackfill.has(step)
+      ? tolerateInterference(sharingCosts)
+      : sharingCosts;
+    return new MinionRanking(step, minions, costs, now);
   }
 
   #planTrials(ready: readonly StepState[]): TrialPlan {
@@ -274,7 +285,7 @@
   /** Whether a step's first placed task, which ends its wait, changes its costs; undefined when that is not known. */
   #dependsOnWait(step: StepState): boolean | undefined {
     const {now} = this.#context;
-    return step.shape.fillsSpareCpu ? this.#sharingCosts.dependsOnWait?.(step, now) : false;
+    return step.shape.fillsSpareCpu ? this.#context.sharingCosts.dependsOnWait?.(step, now) : false;
   }
 
   #placeTasks(step: StepState, budget: StartBudget): void {
@@ -314,7 +325,7 @@
         return;
       }
       const mayHaveRisen = order === skipped ? this.#dependsOnWait(step) : false;
-      this.#starts.push(this.#fleet.startRun(step, index, minion, this.#context.now));
+      this.#starts.push(this.#startRun(step, index, minion));
       budget.take(1);
       if (mayHaveRisen === undefined) {
         ranking = undefined;
@@ -330,6 +341,15 @@
     }
   }
 
+  #startRun(step: StepState, index: number, minion: MinionState, number?: RunNumber): Run {
+    const {now} = this.#context;
+    const run = this.#fleet.startRun(step, index, minion, now, number);
+    if (this.#overdueBackfill.has(step)) {
+      run.toleratedSince = now;
+    }
+    return run;
+  }
+
   #tryPlaceGang(step: StepState, minions: readonly MinionState[]): boolean {
     const {now} = this.#context;
     const ranking = this.#rank(step, minions);
@@ -343,9 +363,7 @@
       step.nextRunNumber(index, this.#fleet.runNumberBase),
     );
     const number = Math.max(...numbers) as RunNumber;
-    const runs = [...chosen].map(([index, minion]) =>
-      this.#fleet.startRun(step, index, minion, now, number),
-    );
+    const runs = [...chosen].map(([index, minion]) => this.#startRun(step, index, minion, number));
     if (!step.crashes.isEmpty) {
       for (const run of runs) {
         recordTrial(this.#fleet, run);
