--- a/packages/nutmegproxy-scheduling/src/OverdueSteps.ts
+++ b/packages/nutmegproxy-scheduling/src/OverdueSteps.ts
@@ -39,6 +39,15 @@
   return Math.max(turnAt, Math.min(...failures));
 }
 
+/** Whether a lasting task has waited itself since the given instant or longer; others wait with their step. */
+export function hasTaskWaitedSince(
+  {failedAt, readyAt = Infinity as Instant, shape}: StepState,
+  index: number,
+  since: number,
+): boolean {
+  return !shape.longRunning || Math.max(readyAt, failedAt.get(index) ?? -Infinity) <= since;
+}
+
 /** Whether other work of its job runs, so that its backfill may wait on. */
 function hasOtherRuns({job, shape}: StepState): boolean {
   return shape.fillsSpareCpu && job.hasLiveRuns;
--- a/packages/nutmegproxy-scheduling/src/StartPlanner.ts
+++ b/packages/nutmegproxy-scheduling/src/StartPlanner.ts
@@ -19,7 +19,12 @@
 import {orderSteps} from './JobOrder.ts';
 import {LongRunningStarts} from './LongRunningStarts.ts';
 import {MinionRanking} from './MinionRanking.ts';
-import {findOverdueSteps, listUntrustedMinions, tolerateInterference} from './OverdueSteps.ts';
+import {
+  findOverdueSteps,
+  hasTaskWaitedSince,
+  listUntrustedMinions,
+  tolerateInterference,
+} from './OverdueSteps.ts';
 import {deriveMaxWait} from './PendingBounds.ts';
 import {computePlacementCost, isSchedulable} from './Placement.ts';
 import {collectReadySteps, isInBackoff, listStartableTasks} from './ReadySteps.ts';
@@ -64,6 +69,8 @@
   /** Whether a step that found no minion in this pass was tried again in this round. */
   #hasRetried = false;
   readonly #longRunningStarts: LongRunningStarts;
+  /** Lasting tasks that wait since later are left out; Infinity leaves out none. */
+  #lastingSince = Infinity;
   /** Steps of backfill that serving tasks have to bear; one task of each starts in a round. */
   #overdueBackfill: ReadonlySet<StepState> = new Set();
   readonly #permissions: StartPermissions;
@@ -163,8 +170,12 @@
   }
 
   #findOverdue(steps: readonly StepState[]): readonly StepState[] {
-    const {finishMs = DEFAULT_PLATFORM_BOUNDS.finishMs, now} = this.#context;
-    return findOverdueSteps(this.#fleet, steps, deriveMaxWait({finishMs}), now);
+    return findOverdueSteps(this.#fleet, steps, this.#maxWaitMs, this.#context.now);
+  }
+
+  get #maxWaitMs(): number {
+    const {finishMs = DEFAULT_PLATFORM_BOUNDS.finishMs} = this.#context;
+    return deriveMaxWait({finishMs});
   }
 
   /**
@@ -180,6 +191,7 @@
     }
     this.#schedulable.add(untrusted);
     const placed = this.#starts.length;
+    this.#lastingSince = now - this.#maxWaitMs;
     this.#place(steps, 1);
     for (const minion of new Set(this.#starts.slice(placed).map((run) => run.minion))) {
       this.#fleet.minions.get(minion)?.trust.postponeTrial(now);
@@ -199,11 +211,16 @@
     this.#permissions.isAllowed(step, index, minion) &&
     isApartFromSuspects(step, index, minion, this.#context.now);
 
-  /** Returns the startable tasks of a step, without those that suspicion holds. */
+  /** Returns the startable tasks of a step, without those that suspicion holds and lasting ones that are not overdue. */
   readonly #listStartable = (step: StepState): number[] => {
     const held = this.#heldTasks.get(step);
     const startable = listStartableTasks(this.#fleet, step);
-    return held === undefined ? startable : startable.filter((index) => !held.has(index));
+    return held === undefined && this.#lastingSince === Infinity
+      ? startable
+      : startable.filter(
+          (index) =>
+            held?.has(index) !== true && hasTaskWaitedSince(step, index, this.#lastingSince),
+        );
   };
 
   #choose(step: StepState, index: number, ranking: MinionRanking): MinionState | undefined {
