--- a/packages/nutmegproxy-scheduling/src/AdviceQueries.ts
+++ b/packages/nutmegproxy-scheduling/src/AdviceQueries.ts
@@ -3,6 +3,8 @@
 import type {Instant, PlatformBounds, WallTime} from '@nutmegproxy/core';
 import type {StepState} from '@nutmegproxy/jobs';
 
+import {after} from '@nutmegproxy/core';
+
 import type {AdviceCache, AdviceQuery} from './AdviceCache.ts';
 import type {Fleet} from './Fleet.ts';
 
@@ -59,8 +61,12 @@
 ): AdviceQuery | undefined {
   const {later, ready} = listAdvisedSteps(fleet, wall);
   const schedulable = [...fleet.minions.values()].filter((minion) => isSchedulable(minion, now));
-  const waitMs = deriveMaxWait(bounds) - OVERDUE_LEAD_MS;
-  const overdue = findOverdueSteps(fleet, ready, waitMs, now);
+  const overdue = findOverdueSteps(
+    fleet,
+    ready,
+    deriveMaxWait(bounds),
+    after(now, OVERDUE_LEAD_MS),
+  );
   const untrusted = overdue.length === 0 ? [] : listUntrustedMinions(fleet, now);
   return (
     cache.chooseQuery(fleet, overdue, [...schedulable, ...untrusted], now) ??
--- a/packages/nutmegproxy-scheduling/src/Fleet.ts
+++ b/packages/nutmegproxy-scheduling/src/Fleet.ts
@@ -17,6 +17,7 @@
 import type {StopReason, StopRequest} from './StopRequest.ts';
 
 import {createRun} from './FleetUtils.ts';
+import {FreeRoom} from './FreeRoom.ts';
 import {JobTable} from './JobTable.ts';
 import {recordFailure, recordSuccess} from './MinionQuarantine.ts';
 import {OutageLog} from './OutageLog.ts';
@@ -41,6 +42,8 @@
   runNumberBase = 1;
   /** Stop requests that have not been sent yet. */
   readonly pendingStops: StopRequest[] = [];
+  /** Since when services have had free room; the rounds of planning keep it up to date. */
+  readonly freeRoom = new FreeRoom();
   /** Recent crashes of minions. */
   readonly outages = new OutageLog();
   readonly startWaits = new StartWaitLog();
--- a/packages/nutmegproxy-scheduling/src/OverdueSteps.ts
+++ b/packages/nutmegproxy-scheduling/src/OverdueSteps.ts
@@ -5,7 +5,7 @@
  */
 
 import type {Instant} from '@nutmegproxy/core';
-import type {ServiceId, StepState} from '@nutmegproxy/jobs';
+import type {JobState, StepState} from '@nutmegproxy/jobs';
 
 import type {Fleet} from './Fleet.ts';
 import type {MinionState} from './MinionState.ts';
@@ -13,8 +13,11 @@
 
 import {isOnlyUntrusted} from './MinionAvailability.ts';
 
-/** Share of a service's processors in use from which its work waits for room, as the users specify. */
-const FULL_SHARE = 0.5;
+/**
+ * Time in milliseconds of free room before a step that has waited passes the preferences: work that waited for room gets
+ * time for a better minion, and is started before the 3 s are over in which it may wait beside room.
+ */
+const MIN_FREE_MS = 2_000;
 
 /** Cost of a backfill task that disturbs serving tasks, in thousandths of a core: more than any other. */
 const INTERFERENCE_COST = 1_000_000;
@@ -61,19 +64,14 @@
   );
 }
 
-/** Returns the services of which so few processors are in use that their work does not wait for room. */
-function findFreeServices({minions}: Fleet): ReadonlySet<ServiceId> {
-  const unused = new Map<ServiceId, number>();
-  for (const {description, reserved} of minions.values()) {
-    const {capacity, service} = description;
-    const ofMinion = capacity.cpuMilli * FULL_SHARE - reserved.cpuMilli;
-    unused.set(service, (unused.get(service) ?? 0) + ofMinion);
-  }
-  return new Set([...unused].flatMap(([service, milli]) => (milli > 0 ? [service] : [])));
+/** Returns from when room has been free for long enough for the work of a job; Infinity while it isn't. */
+function findPassingAt(fleet: Fleet, job: JobState): number {
+  const {service} = fleet.resolveQueuePolicy(job);
+  return (fleet.freeRoom.findSince(service) ?? Infinity) + MIN_FREE_MS;
 }
 
 /**
- * Returns those of the steps that have waited for `maxWaitMs` beside free room, in the same order.
+ * Returns those of the steps that have waited for `maxWaitMs`, the last of it beside free room, in the same order.
  *
  * @example
  * const steps = findOverdueSteps(fleet, ordered, deriveMaxWait(bounds), now);
@@ -85,11 +83,7 @@
   now: Instant,
 ): readonly StepState[] {
   const waiting = ordered.filter((step) => hasWaitedSince(step, now - maxWaitMs));
-  if (waiting.length === 0) {
-    return waiting;
-  }
-  const free = findFreeServices(fleet);
-  return waiting.filter(({job}) => free.has(fleet.resolveQueuePolicy(job).service));
+  return waiting.filter(({job}) => findPassingAt(fleet, job) <= now);
 }
 
 /**
@@ -104,9 +98,10 @@
   maxWaitMs: number,
   now: Instant,
 ): number | undefined {
-  const {service} = fleet.resolveQueuePolicy(step.job);
-  return step.readyAt !== undefined && !hasOtherRuns(step) && findFreeServices(fleet).has(service)
-    ? Math.max(0, findWaitStart(step) + maxWaitMs - now)
+  fleet.freeRoom.observe(fleet.minions.values(), now);
+  const passingAt = findPassingAt(fleet, step.job);
+  return step.readyAt !== undefined && !hasOtherRuns(step) && passingAt < Infinity
+    ? Math.max(0, passingAt - now, findWaitStart(step) + maxWaitMs - now)
     : undefined;
 }
 
--- a/packages/nutmegproxy-scheduling/src/__tests__/unit/OverdueTasks.test.ts
+++ b/packages/nutmegproxy-scheduling/src/__tests__/unit/OverdueTasks.test.ts
@@ -22,9 +22,14 @@
 }
 
 /** Returns when each task of the step starts first, by its index, in milliseconds. */
-function playStarts(sample: SampleFleet, step: StepState, untilMs: number): Map<number, number> {
+function playStarts(
+  sample: SampleFleet,
+  step: StepState,
+  untilMs: number,
+  fromMs = 0,
+): Map<number, number> {
   const starts = new Map<number, number>();
-  for (let nowMs = 0; nowMs <= untilMs; nowMs += ROUND_MS) {
+  for (let nowMs = fromMs; nowMs <= untilMs; nowMs += ROUND_MS) {
     keepUntrusted(sample, nowMs);
     for (const run of sample.plan(nowMs).filter((each) => each.step === step)) {
       starts.set(run.task.index, nowMs);
@@ -49,3 +54,24 @@
     );
   });
 });
+
+describe('A step that has waited for room for long', () => {
+  /** Time beside free room after which work that waits counts as lost, as the users specify. */
+  const LOST_MS = 3_000;
+  const FREE_AT_MS = 20_000;
+
+  // Guards against a crowd of work that passes trust at once when a full service gets room.
+  it('waits for a better minion once there is room, and not until it is lost', () => {
+    const sample = new SampleFleet(2);
+    const resources = {cpuMilli: 4_000, gpus: 0, memoryMb: 1};
+    sample.addJob('proofs', [shape({resources})]);
+    const [long] = sample.plan(0);
+    const [step] = sample.addJob('proofs', [shape()]).occurrence(0) ?? [];
+    assert.ok(long && step);
+    assert.equal(playStarts(sample, step, FREE_AT_MS - ROUND_MS).size, 0);
+    sample.fleet.finishRun(long, 'stopped', undefined, at(FREE_AT_MS));
+    const startedAt = playStarts(sample, step, FREE_AT_MS + LOST_MS, FREE_AT_MS).get(0) ?? Infinity;
+    assert.ok(startedAt >= FREE_AT_MS + LOST_MS / 2, `${startedAt}`);
+    assert.ok(startedAt < FREE_AT_MS + LOST_MS, `${startedAt}`);
+  });
+});
