--- a/packages/nutmegproxy-scheduling/src/__tests__/unit/BoundedWaits.test.ts
+++ b/packages/nutmegproxy-scheduling/src/__tests__/unit/BoundedWaits.test.ts
@@ -10,6 +10,10 @@
 
 /** Time after the traffic from which each job with free room has to run something, as the users specify. */
 const FINISH_MS = 14_000;
+/** Time for which nothing of a job runs after that until it is lost, as the users specify. */
+const IDLE_MS = 3_000;
+/** The same for a lasting task, from its last run. */
+const LASTING_IDLE_MS = 9_000;
 const PLAY_MS = 60_000;
 const LAST_FAULT_MS = 20_000;
 
@@ -87,4 +91,18 @@
       {numRuns: 300, seed: 70},
     );
   });
+
+  // Guards against waits that begin anew with each failure of the task itself.
+  it('is not without a run later on either, however often it fails itself', () => {
+    fc.assert(
+      fc.property(PLAY, (play) => {
+        const late = measureWaits(play, PLAY_MS).filter(({job, lateMs}) => {
+          const isLasting = play.jobs[job]?.change.longRunning === true;
+          return lateMs >= (isLasting ? LASTING_IDLE_MS : IDLE_MS);
+        });
+        assert.deepEqual(late, []);
+      }),
+      {endOnFailure: true, numRuns: 300, seed: 71},
+    );
+  });
 });
--- a/packages/nutmegproxy-scheduling/src/__tests__/unit/WaitPlay.ts
+++ b/packages/nutmegproxy-scheduling/src/__tests__/unit/WaitPlay.ts
@@ -20,6 +20,8 @@
 const RUNS_OF_OWNER = 1_000;
 /** Share of the processors that may be in use while a wait counts, as the users specify. */
 const MAX_USED_SHARE = 0.5;
+/** Time after the last event from which a job counts as lost of which nothing runs, as the users specify. */
+const FINISH_MS = 14_000;
 /** How many times over there has to be room, as the users specify. */
 const ROOM_RATIO = 2;
 
@@ -47,8 +49,10 @@
       this.#start(now);
       this.#list(now);
       for (const wait of this.#measure(now, lastEventMs)) {
-        if (wait.waitedMs > (longest.get(wait.job)?.waitedMs ?? 0)) {
-          longest.set(wait.job, wait);
+        const known = longest.get(wait.job);
+        const longer = wait.waitedMs > (known?.waitedMs ?? 0) ? wait : known;
+        if (longer !== undefined) {
+          longest.set(wait.job, {...longer, lateMs: Math.max(wait.lateMs, known?.lateMs ?? 0)});
         }
       }
     }
@@ -170,6 +174,7 @@
       measured.push({
         fromMs: wait.fromMs,
         job,
+        lateMs: Math.max(0, now - Math.max(wait.fromMs, lastEventMs + FINISH_MS)),
         reasons: [...wait.reasons],
         waitedMs: now - wait.fromMs,
       });
--- a/packages/nutmegproxy-scheduling/src/__tests__/unit/WaitSamples.ts
+++ b/packages/nutmegproxy-scheduling/src/__tests__/unit/WaitSamples.ts
@@ -44,6 +44,8 @@
 export interface MeasuredWait {
   readonly fromMs: number;
   readonly job: number;
+  /** Longest part of a wait of the job from when work may be lost. */
+  readonly lateMs: number;
   /** Reasons in the order in which they were first told. */
   readonly reasons: readonly string[];
   readonly waitedMs: number;
