--- a/packages/nutmegproxy-emulator/src/__tests__/unit/CellOwners.test.ts
+++ b/packages/nutmegproxy-emulator/src/__tests__/unit/CellOwners.test.ts
@@ -44,6 +44,7 @@
     return new OwnerElection({
       cell,
       clock: SYSTEM_CLOCK,
+      count: {cells: 2, revision: 0},
       events: SILENT_EVENTS,
       leaseTimes: DEFAULT_LEASE_TIMES,
       store,
--- a/packages/nutmegproxy-emulator/src/__tests__/unit/CellTakeovers.test.ts
+++ b/packages/nutmegproxy-emulator/src/__tests__/unit/CellTakeovers.test.ts
@@ -80,7 +80,8 @@
       const vm = brand<never>(`vm-${terms}`);
       const events = SILENT_EVENTS;
       const leaseTimes = DEFAULT_LEASE_TIMES;
-      const election = new OwnerElection({cell, clock, events, leaseTimes, store: view, vm});
+      const count = {cells, revision: 0};
+      const election = new OwnerElection({cell, clock, count, events, leaseTimes, store: view, vm});
       const ownership = (await election.acquire())._unsafeUnwrap();
       const owner = createOwner(
         {clock, events, ownership, store: view},
--- a/packages/nutmegproxy-entry/src/CellCount.ts
+++ b/packages/nutmegproxy-entry/src/CellCount.ts
@@ -1,15 +1,20 @@
 /** Finds out into how many cells the fleet is divided; the first VM of a new fleet decides it for good. */
 
 import type {EventSink} from '@nutmegproxy/core';
-import type {MachineList} from '@nutmegproxy/owner';
-import type {PlatformStore, StoredValue} from '@nutmegproxy/store';
-import type {Result} from 'neverthrow';
+import type {CellCountRecord, KnownCellCount, MachineList} from '@nutmegproxy/owner';
+import type {PlatformStore} from '@nutmegproxy/store';
 
 import {delay} from '@nutmegproxy/core';
-import {FIRST_CELL, formatRecordKey, MAX_CELLS, STATE_PREFIX} from '@nutmegproxy/jobs';
-import {chooseCellCount, chooseTakeoverDelayMs, OWNER_EVENTS, parseJson} from '@nutmegproxy/owner';
+import {FIRST_CELL, formatRecordKey, MAX_CELLS} from '@nutmegproxy/jobs';
+import {
+  CELL_COUNT_KEY,
+  chooseCellCount,
+  chooseTakeoverDelayMs,
+  decodeCellCount,
+  OWNER_EVENTS,
+  UNDIVIDED,
+} from '@nutmegproxy/owner';
 import {getKey} from '@nutmegproxy/store';
-import {err, ok} from 'neverthrow';
 
 import {
   CELL_COUNT_JITTER_MS,
@@ -19,15 +24,8 @@
 } from './EntryConstants.ts';
 import {ENTRY_EVENTS} from './EntryEvents.ts';
 
-/** Key of the number of cells, which is stored as JSON. A fleet that has had an owner without it has one cell. */
-export const CELL_COUNT_KEY = `${STATE_PREFIX}cells`;
 const TERM_KEY = formatRecordKey('term', FIRST_CELL);
 
-/** Stored value of the key. */
-export interface CellCountRecord {
-  readonly cells: number;
-}
-
 export interface CellCountOptions {
   readonly events: EventSink;
   /** Whether to give up, as a process that stops does. */
@@ -44,7 +42,7 @@
 }
 
 type CellCountState =
-  | {readonly cells: number; readonly kind: 'known'}
+  | {readonly count: KnownCellCount; readonly kind: 'known'}
   | {readonly kind: 'malformed' | 'unread'}
   | {readonly kind: 'undecided'};
 
@@ -68,13 +66,16 @@
    * such number is reported once and read again until it does: with another number than other VMs have, this one
    * would order their minions about.
    */
-  async find(): Promise<number | undefined> {
+  async find(): Promise<KnownCellCount | undefined> {
     const {isStopping, ownCores, random} = this.#options;
     let mayDecide = false;
+    this.#equalReads = 0;
+    this.#hasTerm = false;
+    this.#waits = 0;
     while (!isStopping()) {
       const state = await this.#read();
       if (state.kind === 'known') {
-        return state.cells;
+        return state.count;
       }
       if (state.kind === 'undecided' && mayDecide) {
         await this.#decide();
@@ -147,13 +148,13 @@
       return {kind: 'unread'};
     }
     if (stored.value === undefined) {
-      return this.#hasTerm ? {cells: 1, kind: 'known'} : this.#readTerm();
+      return this.#hasTerm ? {count: UNDIVIDED, kind: 'known'} : this.#readTerm();
     }
     const decoded = decodeCellCount(stored.value);
+    const revision = stored.value.modRevision;
     if (decoded.isOk()) {
-      return {cells: decoded.value, kind: 'known'};
+      return {count: {cells: decoded.value, revision}, kind: 'known'};
     }
-    const revision = stored.value.modRevision;
     if (revision !== this.#reported) {
       const fields = {key: CELL_COUNT_KEY, message: decoded.error, revision};
       events.record(ENTRY_EVENTS.CELL_COUNT_MALFORMED, fields);
@@ -177,13 +178,3 @@
     return this.#hasTerm ? this.#read() : {kind: 'undecided'};
   }
 }
-
-/** Returns the number that a stored value names. */
-function decodeCellCount({value}: StoredValue): Result<number, string> {
-  return parseJson(value.toString()).andThen((record) => {
-    const {cells} = (record ?? {}) as Partial<CellCountRecord>;
-    return cells !== undefined && Number.isInteger(cells) && cells >= 1 && cells <= MAX_CELLS
-      ? ok(cells)
-      : err(`cells is no integer from 1 to ${MAX_CELLS}`);
-  });
-}
--- a/packages/nutmegproxy-entry/src/__tests__/unit/CellCount.test.ts
+++ b/packages/nutmegproxy-entry/src/__tests__/unit/CellCount.test.ts
@@ -4,7 +4,7 @@
 
 import {brand} from '@nutmegproxy/core';
 import {FIRST_CELL, formatRecordKey, MAX_CELLS} from '@nutmegproxy/jobs';
-import {OWNER_EVENTS} from '@nutmegproxy/owner';
+import {CELL_COUNT_KEY, OWNER_EVENTS} from '@nutmegproxy/owner';
 import {MemoryStore} from '@nutmegproxy/standins';
 import {getKey, put} from '@nutmegproxy/store';
 import {errAsync, okAsync} from 'neverthrow';
@@ -13,7 +13,7 @@
 
 import type {CellCountOptions} from '../../CellCount.ts';
 
-import {CELL_COUNT_KEY, CellCount} from '../../CellCount.ts';
+import {CellCount} from '../../CellCount.ts';
 import {ENTRY_EVENTS} from '../../EntryEvents.ts';
 
 /** Time in milliseconds of some reads. */
@@ -36,8 +36,16 @@
     store = new MemoryStore();
   });
 
-  function find(change: Partial<CellCountOptions> = {}): Promise<number | undefined> {
-    const count = new CellCount({
+  async function find(change: Partial<CellCountOptions> = {}): Promise<number | undefined> {
+    const count = createCellCount(change);
+    const found = await count.find();
+    const stored = (await getKey(store, CELL_COUNT_KEY))._unsafeUnwrap();
+    assert.ok(found === undefined || found.revision === (stored?.modRevision ?? 0));
+    return found?.cells;
+  }
+
+  function createCellCount(change: Partial<CellCountOptions>): CellCount {
+    return new CellCount({
       events: {record: (kind) => events.push(kind)},
       isStopping: () => isStopping,
       machines: undefined,
@@ -47,7 +55,6 @@
       store,
       ...change,
     });
-    return count.find();
   }
 
   function createMachines(minions: number): MachineList {
@@ -223,6 +230,18 @@
     });
   }
 
+  it('is read anew each time, so that a key that was removed is not assumed from the last time', async () => {
+    await write('0', formatRecordKey('term', FIRST_CELL));
+    const count = createCellCount({machines: createMachines(490)});
+    assert.deepEqual(await count.find(), {cells: 1, revision: 0});
+    await store.commit({
+      compare: [],
+      then: [{key: formatRecordKey('term', FIRST_CELL), kind: 'delete'}],
+    });
+    await count.find();
+    assert.equal(await readStored(), '{"cells":1}');
+  });
+
   it('is not read any more by a process that stops', async () => {
     await write('{');
     const finding = find();
--- a/packages/nutmegproxy-entry/src/index.ts
+++ b/packages/nutmegproxy-entry/src/index.ts
@@ -2,8 +2,8 @@
 
 export {CallLog} from './CallLog.ts';
 export type {CallOutcome, OpenCall} from './CallLog.ts';
-export {CELL_COUNT_KEY, CellCount} from './CellCount.ts';
-export type {CellCountOptions, CellCountRecord} from './CellCount.ts';
+export {CellCount} from './CellCount.ts';
+export type {CellCountOptions} from './CellCount.ts';
 export type {
   CallLimits,
   Configuration,
--- a/packages/nutmegproxy-owner/src/CellCandidates.ts
+++ b/packages/nutmegproxy-owner/src/CellCandidates.ts
@@ -8,9 +8,11 @@
 
 import type {CandidateOptions} from './OwnerCandidate.ts';
 import type {CellHolder} from './OwnerPreference.ts';
+import type {KnownCellCount} from './StoredCellCount.ts';
 
 import {OwnerCandidate} from './OwnerCandidate.ts';
 import {HANDOVER_CHECK_INTERVAL_MS} from './OwnerConstants.ts';
+import {OWNER_EVENTS} from './OwnerEvents.ts';
 import {shouldSpread} from './OwnerPreference.ts';
 
 /** Another entry VM that may own cells. */
@@ -22,16 +24,19 @@
 
 export interface CellCandidatesOptions extends Omit<
   CandidateOptions,
-  'cell' | 'otherCells' | 'otherCores'
+  'cell' | 'count' | 'onCountChange' | 'otherCells' | 'otherCores'
 > {
-  /** Number of cells of the fleet. */
-  readonly cells: () => number;
+  /** The number of cells that this VM goes by. */
+  readonly count: () => KnownCellCount;
   /** The other entry VMs that are known. */
   readonly others: () => readonly CellVm[];
 }
 
+const COUNT_CHANGED = 'another number of cells is stored';
+
 export class CellCandidates {
   #candidates: readonly OwnerCandidate[] = [];
+  #endRun: (() => void) | undefined;
   readonly #options: CellCandidatesOptions;
   #stopped = false;
 
@@ -39,19 +44,41 @@
     this.#options = options;
   }
 
+  /**
+   * Acquires ownerships until `stop` is called, or until another number of cells is stored: then all ownerships
+   * have ended, and it can be called again.
+   */
   async run(): Promise<void> {
-    const {cells, others} = this.#options;
-    this.#candidates = listCells(cells()).map(
+    const {count, events, others, vm} = this.#options;
+    const known = count();
+    const candidates = listCells(this.#stopped ? 0 : known.cells).map(
       (cell) =>
         new OwnerCandidate({
           ...this.#options,
           cell,
+          count: known,
+          onCountChange: () => {
+            this.#endRun?.();
+          },
           otherCells: () => this.#countEngaged(cell),
           otherCores: () => others().map(({cores}) => cores),
         }),
     );
-    const runs = this.#candidates.map((candidate) => candidate.run());
-    await Promise.all(runs.length > 1 ? [...runs, this.#spread()] : runs);
+    const changed = new Promise<void>((resolve) => {
+      this.#endRun = resolve;
+    });
+    this.#candidates = candidates;
+    const runs = candidates.map((candidate) => candidate.run());
+    if (runs.length > 1) {
+      void this.#spread(candidates);
+    }
+    const ended = Promise.all(runs);
+    await Promise.race([ended, changed]);
+    if (!this.#stopped) {
+      events.record(OWNER_EVENTS.CELL_COUNT_CHANGED, {...known, vm});
+      await Promise.all(candidates.map((candidate) => candidate.stop(COUNT_CHANGED)));
+    }
+    await ended;
   }
 
   /** Releases the ownerships that this VM has, and acquires none again. */
@@ -86,10 +113,13 @@
   }
 
   /** Gives up a cell at a time while another VM owns two fewer. */
-  async #spread(): Promise<void> {
+  async #spread(candidates: readonly OwnerCandidate[]): Promise<void> {
     const {clock, ownCores} = this.#options;
     while (!this.#stopped) {
       await delay(HANDOVER_CHECK_INTERVAL_MS);
+      if (this.#candidates !== candidates) {
+        return;
+      }
       const latest = this.#findLatestOwned();
       const owned = this.#candidates.filter(({ownedSince}) => ownedSince !== undefined).length;
       const self = {cells: owned, cores: ownCores};
--- a/packages/nutmegproxy-owner/src/OwnerCandidate.ts
+++ b/packages/nutmegproxy-owner/src/OwnerCandidate.ts
@@ -12,6 +12,7 @@
 import type {FleetOwnership} from './FleetOwnership.ts';
 import type {Owner} from './Owner.ts';
 import type {RevisionLog} from './RevisionLog.ts';
+import type {KnownCellCount} from './StoredCellCount.ts';
 
 import {
   HANDOVER_CHECK_INTERVAL_MS,
@@ -29,9 +30,13 @@
   /** The part of the fleet that is to be owned; default: the first one. */
   readonly cell?: CellIndex;
   readonly clock: Clock;
+  /** The number of cells that this VM goes by; default: that of a fleet which is not divided. */
+  readonly count?: KnownCellCount;
   readonly createOwner: (ownership: FleetOwnership) => Owner;
   readonly events: EventSink;
   readonly leaseTimes: LeaseTimes;
+  /** Called when another number of cells is stored than this VM goes by. */
+  readonly onCountChange?: () => void;
   /** Number of other cells that this VM owns or tries to acquire; default: none. */
   readonly otherCells?: () => number;
   /** Cores of each other entry VM that is known. */
@@ -47,6 +52,7 @@
 }
 
 export class OwnerCandidate {
+  #hasReportedFormerCount = false;
   #isAcquiring = false;
   #isOwned = true;
   readonly #options: CandidateOptions;
@@ -55,6 +61,7 @@
   readonly #ownerKey: string;
   #ownerVm: undefined | VmId;
   #stopped = false;
+  #stopReason = '';
   #ownership: FleetOwnership | undefined;
   #wake: (() => void) | undefined;
   #watch: undefined | Watch;
@@ -112,12 +119,14 @@
   }
 
   /** Releases the ownership if this VM has it, and doesn't acquire it again. */
-  async stop(): Promise<void> {
+  async stop(reason = 'planned stop'): Promise<void> {
     this.#stopped = true;
+    this.#stopReason = reason;
     this.#watch?.close();
-    this.#owner?.stop('planned stop');
+    this.#wake?.();
+    this.#owner?.stop(reason);
     if (this.#ownership !== undefined) {
-      await this.#election.resign(this.#ownership, 'planned stop');
+      await this.#election.resign(this.#ownership, reason);
     }
   }
 
@@ -125,6 +134,10 @@
     return !this.#isOwned && !this.#stopped;
   }
 
+  #isStopped(): boolean {
+    return this.#stopped;
+  }
+
   async #watchOwner(): Promise<void> {
     const {clock, events, store} = this.#options;
     const {revisions} = this.#election;
@@ -136,6 +149,9 @@
         await delay(STORE_RETRY_MS);
         continue;
       }
+      if (this.#isStopped()) {
+        return;
+      }
       revisions.record(read.value.revision, clock.monotonic());
       const first = read.value.responses[0];
       this.#setOwner(first?.kind === 'get' ? first.values[0] : undefined);
@@ -198,14 +214,14 @@
   }
 
   async #tryAcquire(): Promise<void> {
-    const {events, vm} = this.#options;
+    const {events, onCountChange, vm} = this.#options;
     const acquired = await this.#election.acquire();
     if (acquired.isOk()) {
       const {cell, term, token: fence} = acquired.value;
       events.record(OWNER_EVENTS.OWNERSHIP_ACQUIRED, {cell, fence, term, vm});
       // An owner in a process that is about to exit would only delay the takeover by another VM.
       await (this.#stopped
-        ? this.#election.resign(acquired.value, 'planned stop')
+        ? this.#election.resign(acquired.value, this.#stopReason)
         : this.#runOwner(acquired.value));
       await this.#readOwner();
       return;
@@ -216,10 +232,25 @@
       return;
     }
     const {kind, message} = acquired.error;
-    events.record(OWNER_EVENTS.STORE_CALL_FAILED, {kind, message, what: 'take'});
+    if (kind === 'countChanged') {
+      onCountChange?.();
+    } else if (kind === 'formerCount') {
+      this.#reportFormerCount(message);
+    } else {
+      events.record(OWNER_EVENTS.STORE_CALL_FAILED, {kind, message, what: 'take'});
+    }
     await delay(TAKEOVER_RETRY_MS);
   }
 
+  /** Reports once that the cell is not acquired beside an ownership under another number of cells. */
+  #reportFormerCount(message: string): void {
+    const {cell, events, vm} = this.#options;
+    if (!this.#hasReportedFormerCount) {
+      events.record(OWNER_EVENTS.FORMER_CELL_COUNT, {cell, message, vm});
+      this.#hasReportedFormerCount = true;
+    }
+  }
+
   /** Reads whether the fleet has an owner, since that may have changed during the attempt. */
   async #readOwner(): Promise<void> {
     while (!this.#stopped) {
--- a/packages/nutmegproxy-owner/src/OwnerElection.ts
+++ b/packages/nutmegproxy-owner/src/OwnerElection.ts
@@ -11,6 +11,7 @@
 
 import type {OwnershipGrant} from './FleetOwnership.ts';
 import type {OwnershipToken} from './MinionOrders.ts';
+import type {KnownCellCount} from './StoredCellCount.ts';
 
 import {FleetOwnership} from './FleetOwnership.ts';
 import {REVOKE_ATTEMPTS, REVOKE_RETRY_MS} from './OwnerConstants.ts';
@@ -18,6 +19,13 @@
 import {OwnershipRenewal} from './OwnershipRenewal.ts';
 import {repeatUntilAnswered} from './RepeatedCall.ts';
 import {RevisionLog} from './RevisionLog.ts';
+import {
+  CELL_COUNT_KEY,
+  isOfOtherCount,
+  isSameCellCount,
+  OWNER_KEYS,
+  UNDIVIDED,
+} from './StoredCellCount.ts';
 import {parseJson} from './StoredJson.ts';
 
 /** Key of the current owner of the first cell; bound to the ownership lease. */
@@ -27,6 +35,8 @@
   /** The part of the fleet whose ownership it is about; default: the first one. */
   readonly cell?: CellIndex;
   readonly clock: Clock;
+  /** The number of cells that this VM goes by; default: that of a fleet which is not divided. */
+  readonly count?: KnownCellCount;
   readonly events: EventSink;
   readonly leaseTimes: LeaseTimes;
   /** Default: an empty one. */
@@ -35,8 +45,13 @@
   readonly vm: VmId;
 }
 
-/** Why the ownership was not acquired: another VM owns the fleet, or the store call failed. */
-export type AcquireFailure = StoreFailure | {readonly kind: 'taken'; readonly message: string};
+/**
+ * Why the ownership was not acquired. `taken`: another VM owns the cell. `countChanged`: another number of cells is
+ * stored. `formerCount`: a VM still owns a cell under another number. Otherwise the store call failed.
+ */
+export type AcquireFailure =
+  | StoreFailure
+  | {readonly kind: 'countChanged' | 'formerCount' | 'taken'; readonly message: string};
 
 /**
  * Stored value of the sequence: its first and its last term. Earlier versions, which take a stored
@@ -55,7 +70,11 @@
 }
 
 interface ElectionRecords {
+  /** The number of cells. */
+  readonly count: StoredValue | undefined;
   readonly owner: StoredValue | undefined;
+  /** Owners of all cells, by the cell. */
+  readonly owners: readonly (StoredValue | undefined)[];
   readonly recording: StoredValue | undefined;
   readonly term: StoredValue | undefined;
 }
@@ -77,6 +96,7 @@
   /** When this process knew which state of the store; candidates and acquisitions add to it. */
   readonly revisions: RevisionLog;
   readonly #cell: CellIndex;
+  readonly #count: KnownCellCount;
   readonly #keys: ElectionKeys;
   readonly #options: ElectionOptions;
   /** When this process knew of which removals of the owner's key. */
@@ -84,6 +104,7 @@
 
   constructor(options: ElectionOptions) {
     this.#cell = options.cell ?? FIRST_CELL;
+    this.#count = options.count ?? UNDIVIDED;
     this.#keys = {
       owner: formatOwnerKey(this.#cell),
       recording: formatRecordKey('recording', this.#cell),
@@ -123,8 +144,9 @@
     if (records.isErr()) {
       return err(records.error);
     }
-    if (records.value.owner !== undefined) {
-      return err({kind: 'taken', message: records.value.owner.value.toString()});
+    const obstacle = this.#findObstacle(records.value);
+    if (obstacle !== undefined) {
+      return err(obstacle);
     }
     const requestedAt = clock.monotonic();
     const wall = clock.wall();
@@ -156,6 +178,21 @@
     });
   }
 
+  /** Returns why the ownership can't be acquired, by the records. */
+  #findObstacle({count, owner, owners}: ElectionRecords): AcquireFailure | undefined {
+    if (!isSameCellCount(this.#count, count)) {
+      const message = count?.value.toString() ?? 'no number of cells is stored';
+      return {kind: 'countChanged', message};
+    }
+    const former = owners.find((each, cell) =>
+      isOfOtherCount(this.#count, cell as CellIndex, each),
+    );
+    if (former !== undefined) {
+      return {kind: 'formerCount', message: `${former.key}: ${former.value.toString()}`};
+    }
+    return owner && {kind: 'taken', message: owner.value.toString()};
+  }
+
   /**
    * Returns the earliest known instant after which no ownership before was confirmed under which a
    * minion lease may have been granted; `requestedAt` is after the read, in which there was no owner. The
@@ -221,21 +258,23 @@
     const answer = await store.commit({
       compare: [],
       then: [
-        {key: this.#keys.owner, kind: 'get'},
         {key: this.#keys.term, kind: 'get'},
         {key: this.#keys.recording, kind: 'get'},
+        {key: CELL_COUNT_KEY, kind: 'get'},
+        ...OWNER_KEYS.map((key) => ({key, kind: 'get'}) as const),
       ],
     });
-    return answer.map(({responses: [owner, term, recording]}) => ({
-      owner: owner?.kind === 'get' ? owner.values[0] : undefined,
-      recording: recording?.kind === 'get' ? recording.values[0] : undefined,
-      term: term?.kind === 'get' ? term.values[0] : undefined,
-    }));
+    return answer.map(({responses}) => {
+      const [term, recording, count, ...owners] = responses.map((each) =>
+        each.kind === 'get' ? each.values[0] : undefined,
+      );
+      return {count, owner: owners[this.#cell], owners, recording, term};
+    });
   }
 
   async #write(
     lease: LeaseId,
-    {recording, term: previous}: ElectionRecords,
+    {count, recording, term: previous}: ElectionRecords,
   ): Promise<Result<Omit<OwnershipGrant, 'lease' | 'leaseTimes' | 'revisions'>, AcquireFailure>> {
     const {events, store, vm} = this.#options;
     const term = previous === undefined ? 0 : Number(previous.value.toString()) + 1;
@@ -246,6 +285,7 @@
       compare: [
         {key: this.#keys.owner, kind: 'modRevision', modRevision: 0},
         {key: this.#keys.term, kind: 'modRevision', modRevision: previous?.modRevision ?? 0},
+        {key: CELL_COUNT_KEY, kind: 'modRevision', modRevision: count?.modRevision ?? 0},
       ],
       then: [
         {key: this.#keys.owner, kind: 'put', lease, value: Buffer.from(owner)},
--- a/packages/nutmegproxy-owner/src/OwnerEvents.ts
+++ b/packages/nutmegproxy-owner/src/OwnerEvents.ts
@@ -9,6 +9,11 @@
     level: 'info',
     text: 'The advising service answered on which minions a step may run.',
   },
+  CELL_COUNT_CHANGED: {
+    code: 8113,
+    level: 'warn',
+    text: 'Another number of cells is stored than this VM goes by; it ends its ownerships and reads the number again.',
+  },
   CLOSING_RECORD_RECEIVED: {
     code: 8106,
     level: 'info',
@@ -25,6 +30,11 @@
     text: 'A stored closing record is not used: a later owner may have used minions without a record.',
   },
   FLEET_SUMMARY: {code: 8140, level: 'info', text: 'Capacity and workload of the fleet.'},
+  FORMER_CELL_COUNT: {
+    code: 8114,
+    level: 'warn',
+    text: 'A free cell is not acquired while another VM owns a cell under another number of cells.',
+  },
   JOB_DISCOVERED: {
     code: 8120,
     isFrequent: true,
--- a/packages/nutmegproxy-owner/src/__tests__/unit/CellCandidates.test.ts
+++ b/packages/nutmegproxy-owner/src/__tests__/unit/CellCandidates.test.ts
@@ -1,11 +1,12 @@
 import type {VmId} from '@nutmegproxy/core';
 import type {CellIndex} from '@nutmegproxy/jobs';
+import type {LeaseId} from '@nutmegproxy/store';
 
-import {brand, SILENT_EVENTS, SYSTEM_CLOCK} from '@nutmegproxy/core';
-import {formatOwnerKey, listCells} from '@nutmegproxy/jobs';
+import {brand, SYSTEM_CLOCK} from '@nutmegproxy/core';
+import {FIRST_CELL, formatOwnerKey, listCells} from '@nutmegproxy/jobs';
 import {DEFAULT_LEASE_TIMES} from '@nutmegproxy/scheduling';
 import {MemoryStore} from '@nutmegproxy/standins';
-import {getKey} from '@nutmegproxy/store';
+import {getKey, put} from '@nutmegproxy/store';
 import assert from 'node:assert/strict';
 import {afterEach, beforeEach, describe, it} from 'node:test';
 
@@ -14,6 +15,8 @@
 
 import {CellCandidates} from '../../CellCandidates.ts';
 import {readOwnerVm} from '../../OwnerElection.ts';
+import {OWNER_EVENTS} from '../../OwnerEvents.ts';
+import {CELL_COUNT_KEY} from '../../StoredCellCount.ts';
 
 const CELLS = 3;
 const WAIT_MS = 15_000;
@@ -22,6 +25,7 @@
 
 describe('CellCandidates', () => {
   let keepAlive: NodeJS.Timeout;
+  let lost: unknown[];
   let running: Map<string, CellCandidates>;
   let store: MemoryStore;
   let tokens: number[];
@@ -29,6 +33,7 @@
   beforeEach(() => {
     // The timers under test do not keep the process alive.
     keepAlive = setInterval(() => undefined, 1_000);
+    lost = [];
     running = new Map();
     store = new MemoryStore();
     tokens = [];
@@ -40,23 +45,43 @@
     await store.close();
   });
 
-  /** Creates an owner that does nothing until it is stopped. */
+  /** Creates an owner that does nothing until it is stopped or its ownership has ended. */
   function createOwner(ownership: FleetOwnership): Owner {
     let end: (reason: string) => void = () => undefined;
     const ended = new Promise<string>((resolve) => {
       end = resolve;
     });
     tokens.push(ownership.token);
+    const check = setInterval(() => {
+      if (ownership.state(SYSTEM_CLOCK.monotonic(), SYSTEM_CLOCK.wall()) === 'over') {
+        end('lease ended');
+      }
+    }, 50);
+    void ended.then(() => {
+      clearInterval(check);
+    });
     return {run: () => ended, stop: end} as unknown as Owner;
   }
 
-  function start(vm: string, names: readonly string[], cells = CELLS): CellCandidates {
+  /** Starts a VM that goes by a number of cells without reading it. */
+  function start(
+    vm: string,
+    names: readonly string[],
+    cells = CELLS,
+    revision = 0,
+  ): CellCandidates {
     const candidates = new CellCandidates({
       canOwn: () => true,
-      cells: () => cells,
       clock: SYSTEM_CLOCK,
+      count: () => ({cells, revision}),
       createOwner,
-      events: SILENT_EVENTS,
+      events: {
+        record: (kind, {reason}) => {
+          if (kind === OWNER_EVENTS.OWNERSHIP_LOST) {
+            lost.push(reason);
+          }
+        },
+      },
       leaseTimes: DEFAULT_LEASE_TIMES,
       others: () =>
         names.filter((name) => name !== vm).map((name) => ({cores: 1, vm: brand<VmId>(name)})),
@@ -70,6 +95,13 @@
     return candidates;
   }
 
+  /** Ends the ownership of a cell, as when its owner is killed. */
+  async function endOwnership(cell: CellIndex): Promise<void> {
+    const stored = (await getKey(store, formatOwnerKey(cell)))._unsafeUnwrap();
+    const {lease} = JSON.parse(String(stored?.value)) as {readonly lease: LeaseId};
+    await store.revokeLease(lease);
+  }
+
   async function readOwner(cell: CellIndex): Promise<string | undefined> {
     const stored = (await getKey(store, formatOwnerKey(cell)))._unsafeUnwrap();
     return stored && readOwnerVm(stored);
@@ -128,6 +160,48 @@
     }
   });
 
+  describe('when the stored number is replaced beside running VMs', () => {
+    async function storeCount(cells: number): Promise<number> {
+      return (
+        await put(store, CELL_COUNT_KEY, Buffer.from(JSON.stringify({cells})))
+      )._unsafeUnwrap();
+    }
+
+    it('never gives a minion two owners, whichever VM acquires a free cell first', async () => {
+      const former = await storeCount(CELLS);
+      start('vm-1', ['vm-1'], CELLS, former);
+      await waitForOwners((owners) => owners.every((owner) => owner === 'vm-1'));
+      start('vm-2', ['vm-1', 'vm-2'], 2, await storeCount(2));
+      await endOwnership(FIRST_CELL);
+      for (let read = 0; read < 300; read += 1) {
+        const owners = await Promise.all(listCells(CELLS).map(readOwner));
+        assert.ok(new Set(owners.filter((each) => each !== undefined)).size <= 1, owners.join(' '));
+        await new Promise((resolve) => setTimeout(resolve, 10));
+      }
+    });
+
+    it('ends the ownerships of a VM with the former number once it finds that out', async () => {
+      start('vm-1', ['vm-1'], CELLS, await storeCount(CELLS));
+      await waitForOwners((owners) => owners.every((owner) => owner === 'vm-1'));
+      const revision = await storeCount(2);
+      await endOwnership(FIRST_CELL);
+      start('vm-2', ['vm-1', 'vm-2'], 2, revision);
+      for (const cell of listCells(2)) {
+        const startedAt = Date.now();
+        while ((await readOwner(cell)) !== 'vm-2') {
+          assert.ok(Date.now() - startedAt < WAIT_MS);
+          await new Promise((resolve) => setTimeout(resolve, 20));
+        }
+      }
+      assert.equal(await readOwner(2 as CellIndex), undefined);
+      assert.ok(lost.length >= 2);
+      assert.deepEqual(
+        new Set(lost),
+        new Set(['another number of cells is stored', 'lease ended']),
+      );
+    });
+  });
+
   it('owns the first cell alone in a fleet that is not divided', async () => {
     start('vm-1', ['vm-1'], 1);
     while (tokens.length === 0) {
--- a/packages/nutmegproxy-owner/src/__tests__/unit/OwnerElection.test.ts
+++ b/packages/nutmegproxy-owner/src/__tests__/unit/OwnerElection.test.ts
@@ -1,4 +1,5 @@
 import type {EventFields, EventSink, VmId} from '@nutmegproxy/core';
+import type {CellIndex} from '@nutmegproxy/jobs';
 
 import {brand, ManualClock, SILENT_EVENTS} from '@nutmegproxy/core';
 import {STATE_PREFIX} from '@nutmegproxy/jobs';
@@ -10,10 +11,13 @@
 import {afterEach, beforeEach, describe, it, mock} from 'node:test';
 
 import type {FleetOwnership} from '../../FleetOwnership.ts';
+import type {ElectionOptions} from '../../OwnerElection.ts';
+import type {KnownCellCount} from '../../StoredCellCount.ts';
 
 import {REVOKE_ATTEMPTS, REVOKE_RETRY_MS} from '../../OwnerConstants.ts';
 import {OWNER_KEY, OwnerElection} from '../../OwnerElection.ts';
 import {OWNER_EVENTS} from '../../OwnerEvents.ts';
+import {CELL_COUNT_KEY} from '../../StoredCellCount.ts';
 
 const STEP_MS = 10;
 /** Time in milliseconds after which a call without a response fails. */
@@ -33,8 +37,12 @@
     await store.close();
   });
 
-  function open(vm: string): OwnerElection {
+  function open(
+    vm: string,
+    change: Partial<Pick<ElectionOptions, 'cell' | 'count'>> = {},
+  ): OwnerElection {
     return new OwnerElection({
+      ...change,
       clock,
       events: SILENT_EVENTS,
       leaseTimes: DEFAULT_LEASE_TIMES,
@@ -112,6 +120,71 @@
     });
   });
 
+  describe('an acquisition', () => {
+    const SECOND_CELL = 1 as CellIndex;
+    const THIRD_CELL = 2 as CellIndex;
+
+    async function storeCount(cells: number): Promise<KnownCellCount> {
+      const value = Buffer.from(JSON.stringify({cells}));
+      return {cells, revision: (await put(store, CELL_COUNT_KEY, value))._unsafeUnwrap()};
+    }
+
+    async function findFailure(election: OwnerElection): Promise<string> {
+      return (await election.acquire())._unsafeUnwrapErr().kind;
+    }
+
+    it('fails for a VM that goes by another number of cells than is stored', async () => {
+      const count = await storeCount(3);
+      await storeCount(2);
+      assert.equal(await findFailure(open('vm-1', {count})), 'countChanged');
+      assert.equal(await findFailure(open('vm-1')), 'countChanged');
+    });
+
+    it('fails once the number was removed, and for another number at the same revision', async () => {
+      const count = await storeCount(3);
+      const other = {cells: 2, revision: count.revision};
+      assert.equal(await findFailure(open('vm-1', {count: other})), 'countChanged');
+      await store.commit({compare: [], then: [{key: CELL_COUNT_KEY, kind: 'delete'}]});
+      assert.equal(await findFailure(open('vm-1', {count})), 'countChanged');
+    });
+
+    it('fails when the number is stored between its read and its write', async () => {
+      const grantLease = store.grantLease.bind(store);
+      store.grantLease = (ttlSeconds) =>
+        put(store, CELL_COUNT_KEY, Buffer.from('{"cells":3}')).andThen(() =>
+          grantLease(ttlSeconds),
+        );
+      assert.equal(await findFailure(open('vm-1')), 'taken');
+      assert.equal((await getKey(store, OWNER_KEY))._unsafeUnwrap(), undefined);
+    });
+
+    it('fails while another cell is owned under a former number, a removed one too', async () => {
+      const former = await storeCount(3);
+      const second = open('vm-1', {cell: SECOND_CELL, count: former});
+      const third = open('vm-1', {cell: THIRD_CELL, count: former});
+      const [owned, owned3] = [await acquire(second), await acquire(third)];
+      const count = await storeCount(2);
+      assert.equal(await findFailure(open('vm-2', {count})), 'formerCount');
+      await third.resign(owned3, 'end');
+      assert.equal(await findFailure(open('vm-2', {count})), 'formerCount');
+      await store.commit({compare: [], then: [{key: CELL_COUNT_KEY, kind: 'delete'}]});
+      assert.equal(await findFailure(open('vm-2')), 'formerCount');
+      await second.resign(owned, 'end');
+      await acquire(open('vm-2'));
+    });
+
+    it('asks the store for as much as before: a read, a lease and a write', async () => {
+      const commit = store.commit.bind(store);
+      let commits = 0;
+      store.commit = (transaction) => {
+        commits += 1;
+        return commit(transaction);
+      };
+      await acquire(open('vm-1'));
+      assert.equal(commits, 2);
+    });
+  });
+
   describe('the release of the ownership', () => {
     let calls: number;
 
--- a/packages/nutmegproxy-owner/src/index.ts
+++ b/packages/nutmegproxy-owner/src/index.ts
@@ -41,4 +41,6 @@
 export type {Round, RoundHold, RoundLogOptions} from './RoundLog.ts';
 export {StartLimiter} from './StartLimiter.ts';
 export {StartThrottle} from './StartThrottle.ts';
+export {CELL_COUNT_KEY, decodeCellCount, UNDIVIDED} from './StoredCellCount.ts';
+export type {CellCountRecord, KnownCellCount} from './StoredCellCount.ts';
 export {parseJson} from './StoredJson.ts';
