--- a/packages/nutmegproxy-entry/src/VmRegistry.ts
+++ b/packages/nutmegproxy-entry/src/VmRegistry.ts
@@ -6,10 +6,10 @@
 
 import {delay} from '@nutmegproxy/core';
 import {STATE_PREFIX} from '@nutmegproxy/jobs';
-import {parseJson} from '@nutmegproxy/owner';
+import {CELL_COUNT_KEY, parseJson} from '@nutmegproxy/owner';
 import {isCallAddress} from '@nutmegproxy/scheduling';
 import {validateRegisteredVm} from '@nutmegproxy/schema';
-import {getPrefix, put} from '@nutmegproxy/store';
+import {put} from '@nutmegproxy/store';
 
 import {
   VM_FIRST_LIST_DELAY_MS,
@@ -37,6 +37,8 @@
 export interface VmRegistryOptions {
   readonly bounds: Pick<PlatformBounds, 'minStoreLeaseMs'>;
   readonly events: EventSink;
+  /** Receives the stored number of cells with each list; undefined when none is stored. */
+  readonly onCellCount?: (stored: StoredValue | undefined) => void;
   readonly self: EntryVm;
   readonly store: PlatformStore;
 }
@@ -104,18 +106,28 @@
 
   /** Reads the list of VMs. */
   async refresh(): Promise<void> {
-    const {self, store} = this.#options;
-    const listed = await getPrefix(store, VMS_PREFIX);
+    const {onCellCount, self, store} = this.#options;
+    const listed = await store.commit({
+      compare: [],
+      then: [
+        {key: VMS_PREFIX, kind: 'get', prefix: true},
+        {key: CELL_COUNT_KEY, kind: 'get'},
+      ],
+    });
     if (listed.isErr()) {
       // The last list stays in use: it is needed most while the store is unavailable.
       return;
     }
+    const [entries = [], counts = []] = listed.value.responses.map((response) =>
+      response.kind === 'get' ? response.values : [],
+    );
+    onCellCount?.(counts[0]);
     const ownKey = this.#formatOwnKey();
-    if (!listed.value.values.some(({key}) => key === ownKey)) {
+    if (!entries.some(({key}) => key === ownKey)) {
       // A write of the process before may have put the entry under its own lease, which has ended.
       this.#isWritten = false;
     }
-    this.#peers = listed.value.values
+    this.#peers = entries
       .flatMap((stored) => this.#decode(stored) ?? [])
       .filter(({vm}) => vm !== self.vm);
   }
--- a/packages/nutmegproxy-entry/src/__tests__/unit/VmRegistry.test.ts
+++ b/packages/nutmegproxy-entry/src/__tests__/unit/VmRegistry.test.ts
@@ -1,7 +1,8 @@
 import type {DataCentreId, EventKind, VmId} from '@nutmegproxy/core';
 
-import {brand, DEFAULT_PLATFORM_BOUNDS, ManualClock} from '@nutmegproxy/core';
+import {brand, DEFAULT_PLATFORM_BOUNDS, ManualClock, SILENT_EVENTS} from '@nutmegproxy/core';
 import {STATE_PREFIX} from '@nutmegproxy/jobs';
+import {CELL_COUNT_KEY} from '@nutmegproxy/owner';
 import {MemoryStore} from '@nutmegproxy/standins';
 import {put} from '@nutmegproxy/store';
 import {err, errAsync, ResultAsync} from 'neverthrow';
@@ -263,4 +264,33 @@
       assert.ok(calls <= 60, `${String(calls)} calls`);
     });
   });
+
+  it('hands the stored number of cells on with each list, without another call to the store', async () => {
+    const seen: (string | undefined)[] = [];
+    registry = new VmRegistry({
+      bounds: DEFAULT_PLATFORM_BOUNDS,
+      events: SILENT_EVENTS,
+      onCellCount: (stored) => seen.push(stored?.value.toString()),
+      self: createVm('vm-1'),
+      store,
+    });
+    await put(store, `${STATE_PREFIX}vms/vm-2`, Buffer.from(JSON.stringify(createVm('vm-2'))));
+    const commit = store.commit.bind(store);
+    let commits = 0;
+    store.commit = (transaction) => {
+      commits += 1;
+      return commit(transaction);
+    };
+    await registry.refresh();
+    assert.equal(commits, 1);
+    await put(store, CELL_COUNT_KEY, Buffer.from('{"cells":3}'));
+    await registry.refresh();
+    store.faults.change({down: true});
+    await registry.refresh();
+    assert.deepEqual(seen, [undefined, '{"cells":3}']);
+    assert.deepEqual(
+      registry.peers.map(({vm}) => vm),
+      ['vm-2'],
+    );
+  });
 });
--- a/packages/nutmegproxy-owner/src/CellCandidates.ts
+++ b/packages/nutmegproxy-owner/src/CellCandidates.ts
@@ -2,9 +2,11 @@
 
 import type {Instant, VmId} from '@nutmegproxy/core';
 import type {CellIndex} from '@nutmegproxy/jobs';
+import type {StoredValue} from '@nutmegproxy/store';
 
 import {delay} from '@nutmegproxy/core';
 import {listCells} from '@nutmegproxy/jobs';
+import {getKey} from '@nutmegproxy/store';
 
 import type {CandidateOptions} from './OwnerCandidate.ts';
 import type {CellHolder} from './OwnerPreference.ts';
@@ -14,6 +16,7 @@
 import {HANDOVER_CHECK_INTERVAL_MS} from './OwnerConstants.ts';
 import {OWNER_EVENTS} from './OwnerEvents.ts';
 import {shouldSpread} from './OwnerPreference.ts';
+import {CELL_COUNT_KEY, compareCellCount} from './StoredCellCount.ts';
 
 /** Another entry VM that may own cells. */
 export interface CellVm {
@@ -37,6 +40,8 @@
 export class CellCandidates {
   #candidates: readonly OwnerCandidate[] = [];
   #endRun: (() => void) | undefined;
+  /** The number that the candidates go by. */
+  #known: KnownCellCount | undefined;
   readonly #options: CellCandidatesOptions;
   #stopped = false;
 
@@ -68,12 +73,14 @@
       this.#endRun = resolve;
     });
     this.#candidates = candidates;
+    this.#known = known;
     const runs = candidates.map((candidate) => candidate.run());
     if (runs.length > 1) {
       void this.#spread(candidates);
     }
     const ended = Promise.all(runs);
     await Promise.race([ended, changed]);
+    this.#known = undefined;
     if (!this.#stopped) {
       events.record(OWNER_EVENTS.CELL_COUNT_CHANGED, {...known, vm});
       await Promise.all(candidates.map((candidate) => candidate.stop(COUNT_CHANGED)));
@@ -81,6 +88,23 @@
     await ended;
   }
 
+  /**
+   * Ends all ownerships if the store has another number of cells than this VM goes by. The value comes from a
+   * read that may be older than the number, so it is confirmed. A malformed one ends none: it gives no VM another
+   * number.
+   */
+  async checkCount(stored: StoredValue | undefined): Promise<void> {
+    const known = this.#known;
+    if (known === undefined || compareCellCount(known, stored) !== 'other') {
+      return;
+    }
+    const read = await getKey(this.#options.store, CELL_COUNT_KEY);
+    const isOther = read.isOk() && compareCellCount(known, read.value) === 'other';
+    if (isOther && known === this.#known) {
+      this.#endRun?.();
+    }
+  }
+
   /** Releases the ownerships that this VM has, and acquires none again. */
   async stop(): Promise<void> {
     this.#stopped = true;
--- a/packages/nutmegproxy-owner/src/OwnerCandidate.ts
+++ b/packages/nutmegproxy-owner/src/OwnerCandidate.ts
@@ -1,6 +1,6 @@
 /** Acquires the ownership of the fleet whenever it is free and runs the owner until it is lost. */
 
-import type {Clock, EventSink, Instant, VmId} from '@nutmegproxy/core';
+import type {Clock, EventKind, EventSink, Instant, VmId} from '@nutmegproxy/core';
 import type {CellIndex} from '@nutmegproxy/jobs';
 import type {LeaseTimes} from '@nutmegproxy/scheduling';
 import type {PlatformStore, StoredValue, Watch} from '@nutmegproxy/store';
@@ -23,6 +23,7 @@
 import {OwnerElection, readOwnerVm} from './OwnerElection.ts';
 import {OWNER_EVENTS} from './OwnerEvents.ts';
 import {chooseSpreadDelayMs, chooseTakeoverDelayMs, shouldHandOver} from './OwnerPreference.ts';
+import {CELL_COUNT_KEY} from './StoredCellCount.ts';
 
 export interface CandidateOptions {
   /** Whether this VM can own the fleet now; a VM without a configuration can't. */
@@ -52,7 +53,6 @@
 }
 
 export class OwnerCandidate {
-  #hasReportedFormerCount = false;
   #isAcquiring = false;
   #isOwned = true;
   readonly #options: CandidateOptions;
@@ -60,6 +60,7 @@
   readonly #election: OwnerElection;
   readonly #ownerKey: string;
   #ownerVm: undefined | VmId;
+  readonly #reported = new Set<EventKind>();
   #stopped = false;
   #stopReason = '';
   #ownership: FleetOwnership | undefined;
@@ -235,19 +236,21 @@
     if (kind === 'countChanged') {
       onCountChange?.();
     } else if (kind === 'formerCount') {
-      this.#reportFormerCount(message);
+      this.#reportOnce(OWNER_EVENTS.FORMER_CELL_COUNT, message);
+    } else if (kind === 'countMalformed') {
+      this.#reportOnce(OWNER_EVENTS.RECORD_MALFORMED, message);
     } else {
       events.record(OWNER_EVENTS.STORE_CALL_FAILED, {kind, message, what: 'take'});
     }
     await delay(TAKEOVER_RETRY_MS);
   }
 
-  /** Reports once that the cell is not acquired beside an ownership under another number of cells. */
-  #reportFormerCount(message: string): void {
+  /** Reports once why the number of cells does not allow to acquire the cell; attempts go on. */
+  #reportOnce(kind: EventKind, message: string): void {
     const {cell, events, vm} = this.#options;
-    if (!this.#hasReportedFormerCount) {
-      events.record(OWNER_EVENTS.FORMER_CELL_COUNT, {cell, message, vm});
-      this.#hasReportedFormerCount = true;
+    if (!this.#reported.has(kind)) {
+      events.record(kind, {cell, key: CELL_COUNT_KEY, message, vm});
+      this.#reported.add(kind);
     }
   }
 
--- a/packages/nutmegproxy-owner/src/OwnerElection.ts
+++ b/packages/nutmegproxy-owner/src/OwnerElection.ts
@@ -21,8 +21,8 @@
 import {RevisionLog} from './RevisionLog.ts';
 import {
   CELL_COUNT_KEY,
+  compareCellCount,
   isOfOtherCount,
-  isSameCellCount,
   OWNER_KEYS,
   UNDIVIDED,
 } from './StoredCellCount.ts';
@@ -45,13 +45,15 @@
   readonly vm: VmId;
 }
 
+type CellFailureKind = 'countChanged' | 'countMalformed' | 'formerCount' | 'taken';
+
 /**
  * Why the ownership was not acquired. `taken`: another VM owns the cell. `countChanged`: another number of cells is
- * stored. `formerCount`: a VM still owns a cell under another number. Otherwise the store call failed.
+ * stored. `countMalformed`: what is stored is no number. `formerCount`: a VM still owns a cell under another number.
+ * Otherwise the store call failed.
  */
 export type AcquireFailure =
-  | StoreFailure
-  | {readonly kind: 'countChanged' | 'formerCount' | 'taken'; readonly message: string};
+  StoreFailure | {readonly kind: CellFailureKind; readonly message: string};
 
 /**
  * Stored value of the sequence: its first and its last term. Earlier versions, which take a stored
@@ -180,9 +182,10 @@
 
   /** Returns why the ownership can't be acquired, by the records. */
   #findObstacle({count, owner, owners}: ElectionRecords): AcquireFailure | undefined {
-    if (!isSameCellCount(this.#count, count)) {
+    const comparison = compareCellCount(this.#count, count);
+    if (comparison !== 'same') {
       const message = count?.value.toString() ?? 'no number of cells is stored';
-      return {kind: 'countChanged', message};
+      return {kind: comparison === 'other' ? 'countChanged' : 'countMalformed', message};
     }
     const former = owners.find((each, cell) =>
       isOfOtherCount(this.#count, cell as CellIndex, each),
--- a/packages/nutmegproxy-owner/src/StoredCellCount.ts
+++ b/packages/nutmegproxy-owner/src/StoredCellCount.ts
@@ -38,14 +38,20 @@
 }
 
 /**
- * Whether a value of the key is the one that this VM knows. A store that was restored may have another value at the
- * same revision.
+ * Compares a value of the key with the number that this VM knows; a malformed one names no other number. A store that
+ * was restored may have another value at the same revision.
  */
-export function isSameCellCount(known: KnownCellCount, stored: StoredValue | undefined): boolean {
-  return stored === undefined
-    ? known.revision === 0
-    : stored.modRevision === known.revision &&
-        decodeCellCount(stored).unwrapOr(undefined) === known.cells;
+export function compareCellCount(
+  known: KnownCellCount,
+  stored: StoredValue | undefined,
+): 'malformed' | 'other' | 'same' {
+  if (stored === undefined) {
+    return known.revision === 0 ? 'same' : 'other';
+  }
+  return decodeCellCount(stored).match(
+    (cells) => (stored.modRevision === known.revision && cells === known.cells ? 'same' : 'other'),
+    () => 'malformed',
+  );
 }
 
 /**
--- a/packages/nutmegproxy-owner/src/__tests__/unit/CellCandidates.test.ts
+++ b/packages/nutmegproxy-owner/src/__tests__/unit/CellCandidates.test.ts
@@ -180,6 +180,26 @@
       }
     });
 
+    it('ends the ownerships of a VM that has no cell to acquire when it reads the number', async () => {
+      const candidates = start('vm-1', ['vm-1'], CELLS, await storeCount(CELLS));
+      const known = (await getKey(store, CELL_COUNT_KEY))._unsafeUnwrap();
+      await waitForOwners((owners) => owners.every((owner) => owner === 'vm-1'));
+      // A response to a read before the number was stored.
+      await candidates.checkCount(undefined);
+      await candidates.checkCount(known);
+      // A malformed number stops no owner.
+      await put(store, CELL_COUNT_KEY, Buffer.from('{'));
+      await candidates.checkCount((await getKey(store, CELL_COUNT_KEY))._unsafeUnwrap());
+      assert.deepEqual(lost, []);
+      await storeCount(2);
+      await candidates.checkCount((await getKey(store, CELL_COUNT_KEY))._unsafeUnwrap());
+      while (lost.length < CELLS) {
+        await new Promise((resolve) => setTimeout(resolve, 20));
+      }
+      const owners = await Promise.all(listCells(CELLS).map(readOwner));
+      assert.deepEqual(owners, [undefined, undefined, undefined]);
+    });
+
     it('ends the ownerships of a VM with the former number once it finds that out', async () => {
       start('vm-1', ['vm-1'], CELLS, await storeCount(CELLS));
       await waitForOwners((owners) => owners.every((owner) => owner === 'vm-1'));
--- a/packages/nutmegproxy-owner/src/__tests__/unit/OwnerElection.test.ts
+++ b/packages/nutmegproxy-owner/src/__tests__/unit/OwnerElection.test.ts
@@ -148,6 +148,12 @@
       assert.equal(await findFailure(open('vm-1', {count})), 'countChanged');
     });
 
+    it('fails while what is stored is no number, since a VM may know a former one', async () => {
+      const count = await storeCount(3);
+      await put(store, CELL_COUNT_KEY, Buffer.from('{"cells":"3"}'));
+      assert.equal(await findFailure(open('vm-1', {count})), 'countMalformed');
+    });
+
     it('fails when the number is stored between its read and its write', async () => {
       const grantLease = store.grantLease.bind(store);
       store.grantLease = (ttlSeconds) =>
