--- a/packages/nutmegproxy-owner/src/CellCandidates.ts
+++ b/packages/nutmegproxy-owner/src/CellCandidates.ts
@@ -15,7 +15,7 @@
 import {OwnerCandidate} from './OwnerCandidate.ts';
 import {HANDOVER_CHECK_INTERVAL_MS} from './OwnerConstants.ts';
 import {OWNER_EVENTS} from './OwnerEvents.ts';
-import {shouldSpread} from './OwnerPreference.ts';
+import {countCellsOfLarger, shouldSpread} from './OwnerPreference.ts';
 import {CELL_COUNT_KEY, compareCellCount} from './StoredCellCount.ts';
 
 /** Another entry VM that may own cells. */
@@ -27,7 +27,7 @@
 
 export interface CellCandidatesOptions extends Omit<
   CandidateOptions,
-  'cell' | 'count' | 'onCountChange' | 'otherCells' | 'otherCores'
+  'cell' | 'cellsOfLarger' | 'count' | 'onCountChange' | 'otherCells' | 'otherCores'
 > {
   /** The number of cells that this VM goes by. */
   readonly count: () => KnownCellCount;
@@ -54,13 +54,14 @@
    * have ended, and it can be called again.
    */
   async run(): Promise<void> {
-    const {count, events, others, vm} = this.#options;
+    const {count, events, others, ownCores, vm} = this.#options;
     const known = count();
     const candidates = listCells(this.#stopped ? 0 : known.cells).map(
       (cell) =>
         new OwnerCandidate({
           ...this.#options,
           cell,
+          cellsOfLarger: () => countCellsOfLarger(ownCores, this.#listOthers()),
           count: known,
           onCountChange: () => {
             this.#endRun?.();
--- a/packages/nutmegproxy-owner/src/OwnerCandidate.ts
+++ b/packages/nutmegproxy-owner/src/OwnerCandidate.ts
@@ -30,6 +30,8 @@
   readonly canOwn: () => boolean;
   /** The part of the fleet that is to be owned; default: the first one. */
   readonly cell?: CellIndex;
+  /** Largest number of cells that a larger VM owns; default: none. */
+  readonly cellsOfLarger?: () => number;
   readonly clock: Clock;
   /** The number of cells that this VM goes by; default: that of a fleet which is not divided. */
   readonly count?: KnownCellCount;
@@ -102,7 +104,7 @@
         });
         continue;
       }
-      const {canOwn, otherCores, ownCores, random} = this.#options;
+      const {canOwn, cellsOfLarger, otherCells, otherCores, ownCores, random} = this.#options;
       // The delays of all VMs have to begin with the same event, or they would not order them.
       if (!canOwn()) {
         await delay(TAKEOVER_RETRY_MS);
@@ -110,7 +112,8 @@
       }
       const takeoverDelayMs = chooseTakeoverDelayMs(ownCores, otherCores());
       await delay(takeoverDelayMs + random() * TAKEOVER_JITTER_MS);
-      await delay(chooseSpreadDelayMs(this.#options.otherCells?.() ?? 0));
+      // By now an owner that has ended is known not to own the other cells either.
+      await delay(chooseSpreadDelayMs(otherCells?.() ?? 0, cellsOfLarger?.()));
       if (this.#canAcquire()) {
         this.#isAcquiring = true;
         await this.#tryAcquire();
--- a/packages/nutmegproxy-owner/src/OwnerPreference.ts
+++ b/packages/nutmegproxy-owner/src/OwnerPreference.ts
@@ -51,13 +51,14 @@
 }
 
 /**
- * Returns the delay in milliseconds by which a VM that owns other cells lets VMs that own fewer go first.
+ * Returns the delay in milliseconds by which a VM that owns other cells lets VMs that own fewer go first, and a
+ * smaller VM larger ones that delay their own attempt for the cells that they own.
  *
  * @example
  * chooseSpreadDelayMs(2); // 1_400
  */
-export function chooseSpreadDelayMs(ownedCells: number): number {
-  return ownedCells * OWNED_CELL_DELAY_MS;
+export function chooseSpreadDelayMs(ownedCells: number, cellsOfLarger = 0): number {
+  return (ownedCells + cellsOfLarger) * OWNED_CELL_DELAY_MS;
 }
 
 /** An entry VM that may own cells. */
@@ -68,6 +69,12 @@
   readonly cores: number;
 }
 
+/** Returns the largest number of cells that one of the clearly larger VMs owns. */
+export function countCellsOfLarger(ownCores: number, others: readonly CellHolder[]): number {
+  const larger = others.filter(({cores}) => hasLargerVm(ownCores, [cores]));
+  return Math.max(0, ...larger.map(({cells}) => cells));
+}
+
 /**
  * Whether a VM gives up one of its cells: another one, not clearly smaller, owns at least two fewer, so that it
  * acquires the cell first and the same does not hold for it then.
--- a/packages/nutmegproxy-owner/src/__tests__/unit/CellCandidates.test.ts
+++ b/packages/nutmegproxy-owner/src/__tests__/unit/CellCandidates.test.ts
@@ -69,6 +69,7 @@
     names: readonly string[],
     cells = CELLS,
     revision = 0,
+    cores: (name: string) => number = () => 1,
   ): CellCandidates {
     const candidates = new CellCandidates({
       canOwn: () => true,
@@ -84,8 +85,10 @@
       },
       leaseTimes: DEFAULT_LEASE_TIMES,
       others: () =>
-        names.filter((name) => name !== vm).map((name) => ({cores: 1, vm: brand<VmId>(name)})),
-      ownCores: 1,
+        names
+          .filter((name) => name !== vm)
+          .map((name) => ({cores: cores(name), vm: brand<VmId>(name)})),
+      ownCores: cores(vm),
       random: Math.random,
       store,
       vm: brand<VmId>(vm),
@@ -107,6 +110,13 @@
     return stored && readOwnerVm(stored);
   }
 
+  async function waitUntil(isReached: () => Promise<boolean>): Promise<void> {
+    for (const startedAt = Date.now(); !(await isReached());) {
+      assert.ok(Date.now() - startedAt < WAIT_MS, 'condition not met');
+      await new Promise((resolve) => setTimeout(resolve, 20));
+    }
+  }
+
   /** Waits until each cell has an owner, and returns them. */
   async function waitForOwners(
     isExpected: (owners: readonly string[]) => boolean,
@@ -138,6 +148,27 @@
     await waitForOwners((owners) => new Set(owners).size === CELLS, SPREAD_MS);
   });
 
+  it('leaves a cell that gets free to a larger VM that owns three others, not to a smaller one', async () => {
+    const names = ['large', 'small'];
+    const cells = listCells(4);
+    const cores = (vm: string): number => (vm === 'large' ? 1.35 : 0.324);
+    const isOwnedBy = async (cell: CellIndex, vm: string): Promise<boolean> =>
+      (await readOwner(cell)) === vm;
+    start('large', names, cells.length, 0, cores);
+    for (const cell of cells) {
+      await waitUntil(() => isOwnedBy(cell, 'large'));
+    }
+    start('small', names, cells.length, 0, cores);
+    await endOwnership(FIRST_CELL);
+    await waitUntil(async () => (await readOwner(FIRST_CELL)) !== undefined);
+    assert.equal(await readOwner(FIRST_CELL), 'large');
+    // Where the larger one is gone, the smaller one does not wait for what it owned.
+    const stoppedAt = Date.now();
+    await running.get('large')?.stop();
+    await waitUntil(() => isOwnedBy(FIRST_CELL, 'small'));
+    assert.ok(Date.now() - stoppedAt < 2_500, `${Date.now() - stoppedAt} ms`);
+  });
+
   it('lets a VM that owns a cell take over others when their owners stop in a series', async () => {
     const names = ['vm-1', 'vm-2', 'vm-3'];
     for (const name of names) {
@@ -207,11 +238,7 @@
       await endOwnership(FIRST_CELL);
       start('vm-2', ['vm-1', 'vm-2'], 2, revision);
       for (const cell of listCells(2)) {
-        const startedAt = Date.now();
-        while ((await readOwner(cell)) !== 'vm-2') {
-          assert.ok(Date.now() - startedAt < WAIT_MS);
-          await new Promise((resolve) => setTimeout(resolve, 20));
-        }
+        await waitUntil(async () => (await readOwner(cell)) === 'vm-2');
       }
       assert.equal(await readOwner(2 as CellIndex), undefined);
       assert.ok(lost.length >= 2);
--- a/packages/nutmegproxy-owner/src/__tests__/unit/CellSpread.test.ts
+++ b/packages/nutmegproxy-owner/src/__tests__/unit/CellSpread.test.ts
@@ -5,7 +5,14 @@
 
 import type {CellHolder} from '../../OwnerPreference.ts';
 
-import {chooseCellCount, chooseSpreadDelayMs, shouldSpread} from '../../OwnerPreference.ts';
+import {TAKEOVER_JITTER_MS} from '../../OwnerConstants.ts';
+import {
+  chooseCellCount,
+  chooseSpreadDelayMs,
+  chooseTakeoverDelayMs,
+  countCellsOfLarger,
+  shouldSpread,
+} from '../../OwnerPreference.ts';
 
 const LONG_MS = 60_000;
 const holders = fc.array(
@@ -69,6 +76,30 @@
     );
   });
 
+  it('leaves a free cell to one of the largest VMs, however many cells they own', () => {
+    fc.assert(
+      fc.property(holders, (vms) => {
+        const waits = vms.map(({cells, cores}, index) => {
+          const others = vms.filter((_, other) => other !== index);
+          const otherCores = others.map((other) => other.cores);
+          return (
+            chooseTakeoverDelayMs(cores, otherCores) +
+            chooseSpreadDelayMs(cells, countCellsOfLarger(cores, others))
+          );
+        });
+        const largest = Math.max(...vms.map(({cores}) => cores));
+        const longestOfLargest = Math.max(
+          ...waits.filter((_, index) => vms[index]?.cores === largest),
+        );
+        for (const [index, {cores}] of vms.entries()) {
+          assert.ok(
+            cores === largest || (waits[index] ?? 0) > longestOfLargest + TAKEOVER_JITTER_MS,
+          );
+        }
+      }),
+    );
+  });
+
   it('does not give a cell up alone, early, or to a clearly smaller VM', () => {
     const self = {cells: 3, cores: 1.35};
     assert.equal(shouldSpread(self, [], LONG_MS), false);
