--- a/packages/nutmegproxy-owner/src/OwnerPreference.ts
+++ b/packages/nutmegproxy-owner/src/OwnerPreference.ts
@@ -75,9 +75,18 @@
   return Math.max(0, ...larger.map(({cells}) => cells));
 }
 
+/** Returns the delay in milliseconds before a VM tries to acquire a free cell, without the random one. */
+function chooseDelayMs({cells, cores}: CellHolder, others: readonly CellHolder[]): number {
+  const otherCores = others.map((other) => other.cores);
+  return (
+    chooseTakeoverDelayMs(cores, otherCores) +
+    chooseSpreadDelayMs(cells, countCellsOfLarger(cores, others))
+  );
+}
+
 /**
- * Whether a VM gives up one of its cells: another one, not clearly smaller, owns at least two fewer, so that it
- * acquires the cell first and the same does not hold for it then.
+ * Whether a VM gives up one of its cells: another one, not clearly smaller, owns at least two fewer, and acquires the
+ * cell before this one does, so that the same does not hold for it then.
  *
  * @example
  * shouldSpread({cells: 2, cores: 1}, [{cells: 0, cores: 1}], 20_000); // true
@@ -87,9 +96,17 @@
   others: readonly CellHolder[],
   ownedMs: number,
 ): boolean {
+  const {cells, cores} = self;
+  const selfAfter = {cells: cells - 1, cores};
+  const latestMs = chooseDelayMs(selfAfter, others) - OWNED_CELL_DELAY_MS;
   return (
     ownedMs >= MIN_HANDOVER_INTERVAL_MS &&
-    others.some(({cells, cores}) => cells + 2 <= self.cells && !hasLargerVm(cores, [self.cores]))
+    others.some(
+      (other) =>
+        other.cells + 2 <= cells &&
+        !hasLargerVm(other.cores, [cores]) &&
+        chooseDelayMs(other, [selfAfter, ...others.filter((each) => each !== other)]) <= latestMs,
+    )
   );
 }
 
--- a/packages/nutmegproxy-owner/src/__tests__/unit/CellSpread.test.ts
+++ b/packages/nutmegproxy-owner/src/__tests__/unit/CellSpread.test.ts
@@ -100,6 +100,16 @@
     );
   });
 
+  it('gives no cell up for a VM that lets larger ones go first, so that the giver would acquire it again', () => {
+    const self = {cells: 2, cores: 1};
+    const others = [
+      {cells: 0, cores: 0.8},
+      {cells: 2, cores: 1.2},
+    ];
+    assert.equal(shouldSpread(self, others, LONG_MS), false);
+    assert.equal(shouldSpread(self, others.slice(0, 1), LONG_MS), true);
+  });
+
   it('does not give a cell up alone, early, or to a clearly smaller VM', () => {
     const self = {cells: 3, cores: 1.35};
     assert.equal(shouldSpread(self, [], LONG_MS), false);
