--- a/packages/nutmegproxy-owner/src/CellCandidates.ts
+++ b/packages/nutmegproxy-owner/src/CellCandidates.ts
@@ -137,7 +137,10 @@
     }));
   }
 
-  /** Gives up a cell at a time while another VM owns two fewer. */
+  /**
+   * Gives up a cell at a time while another VM owns two fewer: until a cell that was given up has an owner, the
+   * numbers that VMs own are not known.
+   */
   async #spread(candidates: readonly OwnerCandidate[]): Promise<void> {
     const {clock, ownCores} = this.#options;
     while (!this.#stopped) {
@@ -149,7 +152,8 @@
       const owned = this.#candidates.filter(({ownedSince}) => ownedSince !== undefined).length;
       const self = {cells: owned, cores: ownCores};
       const ownedMs = latest === undefined ? 0 : clock.monotonic() - latest.since;
-      if (shouldSpread(self, this.#listOthers(), ownedMs)) {
+      const areSettled = candidates.every(({isSettled}) => isSettled);
+      if (areSettled && shouldSpread(self, this.#listOthers(), ownedMs)) {
         latest?.candidate.release('another VM owns fewer cells');
       }
     }
--- a/packages/nutmegproxy-owner/src/OwnerCandidate.ts
+++ b/packages/nutmegproxy-owner/src/OwnerCandidate.ts
@@ -90,6 +90,12 @@
     return this.#ownership?.requestedAt;
   }
 
+  /** Whether the cell has an owner, and this VM knows which one it is. */
+  get isSettled(): boolean {
+    const isOwn = this.#ownerVm === this.#options.vm;
+    return this.#ownerVm !== undefined && isOwn === (this.#ownership !== undefined);
+  }
+
   /** Ends the ownership if this VM has it; the cell is then free. */
   release(reason: string): void {
     this.#owner?.stop(reason);
--- a/packages/nutmegproxy-owner/src/__tests__/unit/CellCandidates.test.ts
+++ b/packages/nutmegproxy-owner/src/__tests__/unit/CellCandidates.test.ts
@@ -22,6 +22,8 @@
 const WAIT_MS = 15_000;
 /** Time in milliseconds in which cells are spread: a VM that has acquired two at once keeps them for 15 s. */
 const SPREAD_MS = 25_000;
+/** Time in milliseconds in which a VM gives up a cell, and might give up another one. */
+const HANDOVERS_MS = 19_000;
 
 describe('CellCandidates', () => {
   let keepAlive: NodeJS.Timeout;
@@ -182,6 +184,21 @@
     assert.equal(new Set(tokens).size, tokens.length, 'a token was used twice');
   });
 
+  it('gives up no second cell before the first one has an owner', async () => {
+    // The other VM is listed and acquires nothing, as while it has no configuration.
+    start('vm-1', ['vm-1', 'vm-2']);
+    await waitForOwners((owners) => owners.every((owner) => owner === 'vm-1'));
+    let freeReads = 0;
+    for (const startedAt = Date.now(); Date.now() - startedAt < HANDOVERS_MS;) {
+      const owners = await Promise.all(listCells(CELLS).map(readOwner));
+      const free = owners.filter((each) => each === undefined).length;
+      freeReads += free;
+      assert.ok(free <= 1, `${free} cells are free`);
+      await new Promise((resolve) => setTimeout(resolve, 20));
+    }
+    assert.ok(freeReads > 0, 'no cell was given up');
+  });
+
   it('owns nothing any more once it is stopped', async () => {
     const candidates = start('vm-1', ['vm-1']);
     await waitForOwners(() => true);
