--- a/packages/nutmegproxy-entry/src/PlannedHandover.ts
+++ b/packages/nutmegproxy-entry/src/PlannedHandover.ts
@@ -15,7 +15,7 @@
 import {ENTRY_EVENTS} from './EntryEvents.ts';
 
 export interface HandoverOptions {
-  readonly candidates: Pick<CellCandidates, 'isOwner' | 'isSettled' | 'stop'>;
+  readonly candidates: Pick<CellCandidates, 'isOwner' | 'mayHandOver' | 'stop'>;
   readonly clock: Clock;
   readonly events: EventSink;
   readonly vms: Pick<VmRegistry, 'hasSuccessor' | 'refresh'>;
@@ -32,7 +32,7 @@
   while (candidates.isOwner) {
     // The list of the last read may name VMs that have been stopped since.
     await Promise.race([vms.refresh(), delay(SUCCESSOR_CHECK_INTERVAL_MS)]);
-    if (vms.hasSuccessor && candidates.isSettled) {
+    if (vms.hasSuccessor && candidates.mayHandOver) {
       return 'another VM can own';
     }
     const now = clock.monotonic();
--- a/packages/nutmegproxy-owner/src/CellCandidates.ts
+++ b/packages/nutmegproxy-owner/src/CellCandidates.ts
@@ -2,16 +2,21 @@
 
 import type {Instant, VmId} from '@nutmegproxy/core';
 import type {CellIndex} from '@nutmegproxy/jobs';
+import type {StoredValue} from '@nutmegproxy/store';
 
 import {delay} from '@nutmegproxy/core';
 import {listCells} from '@nutmegproxy/jobs';
+import {getKey} from '@nutmegproxy/store';
 
 import type {CandidateOptions} from './OwnerCandidate.ts';
 import type {CellHolder} from './OwnerPreference.ts';
+import type {KnownCellCount} from './StoredCellCount.ts';
 
 import {OwnerCandidate} from './OwnerCandidate.ts';
 import {HANDOVER_CHECK_INTERVAL_MS} from './OwnerConstants.ts';
-import {shouldSpread} from './OwnerPreference.ts';
+import {OWNER_EVENTS} from './OwnerEvents.ts';
+import {countCellsOfLarger, shouldSpread} from './OwnerPreference.ts';
+import {CELL_COUNT_KEY, compareCellCount} from './StoredCellCount.ts';
 
 /** Another entry VM that may own cells. */
 export interface CellVm {
@@ -22,16 +27,21 @@
 
 export interface CellCandidatesOptions extends Omit<
   CandidateOptions,
-  'cell' | 'otherCells' | 'otherCores'
+  'cell' | 'cellsOfLarger' | 'count' | 'onCountChange' | 'otherCells' | 'otherCores'
 > {
-  /** Number of cells of the fleet. */
-  readonly cells: () => number;
+  /** The number of cells that this VM goes by. */
+  readonly count: () => KnownCellCount;
   /** The other entry VMs that are known. */
   readonly others: () => readonly CellVm[];
 }
 
+const COUNT_CHANGED = 'another number of cells is stored';
+
 export class CellCandidates {
   #candidates: readonly OwnerCandidate[] = [];
+  #endRun: (() => void) | undefined;
+  /** The number that the candidates go by. */
+  #known: KnownCellCount | undefined;
   readonly #options: CellCandidatesOptions;
   #stopped = false;
 
@@ -45,23 +55,65 @@
   }
 
   /** Whether the next owners of what this VM owns would begin little anew. */
-  get isSettled(): boolean {
-    return this.#candidates.every((candidate) => candidate.isSettled);
+  get mayHandOver(): boolean {
+    return this.#candidates.every((candidate) => candidate.mayHandOver);
   }
 
+  /**
+   * Acquires ownerships until `stop` is called, or until another number of cells is stored: then all ownerships
+   * have ended, and it can be called again.
+   */
   async run(): Promise<void> {
-    const {cells, others} = this.#options;
-    this.#candidates = listCells(cells()).map(
+    const {count, events, others, ownCores, vm} = this.#options;
+    const known = count();
+    const candidates = listCells(this.#stopped ? 0 : known.cells).map(
       (cell) =>
         new OwnerCandidate({
           ...this.#options,
           cell,
+          cellsOfLarger: () => countCellsOfLarger(ownCores, this.#listOthers()),
+          count: known,
+          onCountChange: () => {
+            this.#endRun?.();
+          },
           otherCells: () => this.#countEngaged(cell),
           otherCores: () => others().map(({cores}) => cores),
         }),
     );
-    const runs = this.#candidates.map((candidate) => candidate.run());
-    await Promise.all(runs.length > 1 ? [...runs, this.#spread()] : runs);
+    const changed = new Promise<void>((resolve) => {
+      this.#endRun = resolve;
+    });
+    this.#candidates = candidates;
+    this.#known = known;
+    const runs = candidates.map((candidate) => candidate.run());
+    if (runs.length > 1) {
+      void this.#spread(candidates);
+    }
+    const ended = Promise.all(runs);
+    await Promise.race([ended, changed]);
+    this.#known = undefined;
+    if (!this.#stopped) {
+      events.record(OWNER_EVENTS.CELL_COUNT_CHANGED, {...known, vm});
+      await Promise.all(candidates.map((candidate) => candidate.stop(COUNT_CHANGED)));
+    }
+    await ended;
+  }
+
+  /**
+   * Ends all ownerships if the store has another number of cells than this VM goes by. The value comes from a
+   * read that may be older than the number, so it is confirmed. A malformed one ends none: it gives no VM another
+   * number.
+   */
+  async checkCount(stored: StoredValue | undefined): Promise<void> {
+    const known = this.#known;
+    if (known === undefined || compareCellCount(known, stored) !== 'other') {
+      return;
+    }
+    const read = await getKey(this.#options.store, CELL_COUNT_KEY);
+    const isOther = read.isOk() && compareCellCount(known, read.value) === 'other';
+    if (isOther && known === this.#known) {
+      this.#endRun?.();
+    }
   }
 
   /** Releases the ownerships that this VM has, and acquires none again. */
@@ -95,16 +147,23 @@
     }));
   }
 
-  /** Gives up a cell at a time while another VM owns two fewer. */
-  async #spread(): Promise<void> {
+  /**
+   * Gives up a cell at a time while another VM owns two fewer: until a cell that was given up has an owner, the
+   * numbers that VMs own are not known.
+   */
+  async #spread(candidates: readonly OwnerCandidate[]): Promise<void> {
     const {clock, ownCores} = this.#options;
     while (!this.#stopped) {
       await delay(HANDOVER_CHECK_INTERVAL_MS);
+      if (this.#candidates !== candidates) {
+        return;
+      }
       const latest = this.#findLatestOwned();
       const owned = this.#candidates.filter(({ownedSince}) => ownedSince !== undefined).length;
       const self = {cells: owned, cores: ownCores};
       const ownedMs = latest === undefined ? 0 : clock.monotonic() - latest.since;
-      if (shouldSpread(self, this.#listOthers(), ownedMs)) {
+      const areSettled = candidates.every(({isSettled}) => isSettled);
+      if (areSettled && shouldSpread(self, this.#listOthers(), ownedMs)) {
         latest?.candidate.release('another VM owns fewer cells');
       }
     }
--- a/packages/nutmegproxy-owner/src/OwnerPreference.ts
+++ b/packages/nutmegproxy-owner/src/OwnerPreference.ts
@@ -51,13 +51,14 @@
 }
 
 /**
- * Returns the delay in milliseconds by which a VM that owns other cells lets VMs that own fewer go first.
+ * Returns the delay in milliseconds by which a VM that owns other cells lets VMs that own fewer go first, and a
+ * smaller VM larger ones that delay their own attempt for the cells that they own.
  *
  * @example
  * chooseSpreadDelayMs(2); // 1_400
  */
-export function chooseSpreadDelayMs(ownedCells: number): number {
-  return ownedCells * OWNED_CELL_DELAY_MS;
+export function chooseSpreadDelayMs(ownedCells: number, cellsOfLarger = 0): number {
+  return (ownedCells + cellsOfLarger) * OWNED_CELL_DELAY_MS;
 }
 
 /** An entry VM that may own cells. */
@@ -68,9 +69,24 @@
   readonly cores: number;
 }
 
+/** Returns the largest number of cells that one of the clearly larger VMs owns. */
+export function countCellsOfLarger(ownCores: number, others: readonly CellHolder[]): number {
+  const larger = others.filter(({cores}) => hasLargerVm(ownCores, [cores]));
+  return Math.max(0, ...larger.map(({cells}) => cells));
+}
+
+/** Returns the delay in milliseconds before a VM tries to acquire a free cell, without the random one. */
+function chooseDelayMs({cells, cores}: CellHolder, others: readonly CellHolder[]): number {
+  const otherCores = others.map((other) => other.cores);
+  return (
+    chooseTakeoverDelayMs(cores, otherCores) +
+    chooseSpreadDelayMs(cells, countCellsOfLarger(cores, others))
+  );
+}
+
 /**
- * Whether a VM gives up one of its cells: another one, not clearly smaller, owns at least two fewer, so that it
- * acquires the cell first and the same does not hold for it then.
+ * Whether a VM gives up one of its cells: another one, not clearly smaller, owns at least two fewer, and acquires the
+ * cell before this one does, so that the same does not hold for it then.
  *
  * @example
  * shouldSpread({cells: 2, cores: 1}, [{cells: 0, cores: 1}], 20_000); // true
@@ -80,9 +96,17 @@
   others: readonly CellHolder[],
   ownedMs: number,
 ): boolean {
+  const {cells, cores} = self;
+  const selfAfter = {cells: cells - 1, cores};
+  const latestMs = chooseDelayMs(selfAfter, others) - OWNED_CELL_DELAY_MS;
   return (
     ownedMs >= MIN_HANDOVER_INTERVAL_MS &&
-    others.some(({cells, cores}) => cells + 2 <= self.cells && !hasLargerVm(cores, [self.cores]))
+    others.some(
+      (other) =>
+        other.cells + 2 <= cells &&
+        !hasLargerVm(other.cores, [cores]) &&
+        chooseDelayMs(other, [selfAfter, ...others.filter((each) => each !== other)]) <= latestMs,
+    )
   );
 }
 
