--- a/packages/nutmegproxy-owner/src/AdvicePrefetcher.ts
+++ b/packages/nutmegproxy-owner/src/AdvicePrefetcher.ts
@@ -67,6 +67,7 @@
     const requestedAt = clock.monotonic();
     const name = `${step.job.id}.${step.occurrence}.${step.number}`;
     const ids = minions.map(({id}) => id);
+    this.#cache.recordCall(query, requestedAt);
     const answer = await client.ask(name, ids, expectedMs + ADVICE_TIMEOUT_MARGIN_MS);
     if (answer.isErr()) {
       events.record(OWNER_EVENTS.ADVICE_FAILED, {...answer.error, job: step.job.id, step: name});
--- a/packages/nutmegproxy-scheduling/src/AdviceCache.ts
+++ b/packages/nutmegproxy-scheduling/src/AdviceCache.ts
@@ -34,16 +34,23 @@
 }
 
 export class AdviceCache {
+  /** When a step was last asked for, also by a call that failed. */
+  readonly #askedAt = new WeakMap<StepState, Instant>();
   readonly #permissions = new WeakMap<StepState, Map<MinionId, Permission>>();
 
-  /** Returns the next call, for the first step with fewer permitted minions than waiting tasks. */
+  /**
+   * Returns the next call, for a step with fewer permitted minions than waiting tasks: the one that has waited longest
+   * for its turn or since its last call. Otherwise a step that is permitted on few minions, or whose calls fail, would
+   * keep the steps after it from being asked for.
+   */
   chooseQuery(
     fleet: Fleet,
     steps: readonly StepState[],
     minions: readonly MinionState[],
     now: Instant,
   ): AdviceQuery | undefined {
-    for (const step of steps) {
+    const inTurn = steps.toSorted((a, b) => this.findWaitStart(a) - this.findWaitStart(b));
+    for (const step of inTurn) {
       const policy = fleet.resolveQueuePolicy(step.job);
       if (policy.advice === undefined) {
         continue;
@@ -77,6 +84,16 @@
     return now < known.validUntil - TICKET_EXPIRY_MARGIN_MS ? true : undefined;
   }
 
+  /** Returns since when a step waits for its next call. */
+  findWaitStart(step: StepState): number {
+    return this.#askedAt.get(step) ?? step.readyAt ?? 0;
+  }
+
+  /** Called before the response to a call. */
+  recordCall({step}: AdviceQuery, now: Instant): void {
+    this.#askedAt.set(step, now);
+  }
+
   /** Stores the advisor's response; minions without a ticket are not permitted. */
   recordResponse(
     {minions, step}: AdviceQuery,
--- a/packages/nutmegproxy-scheduling/src/AdviceQueries.ts
+++ b/packages/nutmegproxy-scheduling/src/AdviceQueries.ts
@@ -48,8 +48,7 @@
 
 /**
  * Returns the next call; undefined when all that is needed is known. Steps whose earlier steps have ended come
- * before the others; steps that
- * will be overdue come first, and are asked for minions that are not trusted.
+ * before the others. Steps that will be overdue have waited longest, and are asked for minions that are not trusted too.
  *
  * @example
  * const query = chooseAdviceQuery(cache, fleet, {bounds, now, wall});
@@ -68,8 +67,14 @@
     after(now, OVERDUE_LEAD_MS),
   );
   const untrusted = overdue.length === 0 ? [] : listUntrustedMinions(fleet, now);
-  return (
-    cache.chooseQuery(fleet, overdue, [...schedulable, ...untrusted], now) ??
-    cache.chooseQuery(fleet, [...ready, ...later], schedulable, now)
-  );
+  const forOverdue = cache.chooseQuery(fleet, overdue, [...schedulable, ...untrusted], now);
+  const forReady =
+    cache.chooseQuery(fleet, ready, schedulable, now) ??
+    cache.chooseQuery(fleet, later, schedulable, now);
+  // Otherwise an overdue step whose calls fail would keep all others from being asked for.
+  const isReadyFirst =
+    forOverdue !== undefined &&
+    forReady !== undefined &&
+    cache.findWaitStart(forReady.step) < cache.findWaitStart(forOverdue.step);
+  return isReadyFirst ? forReady : (forOverdue ?? forReady);
 }
