--- a/packages/nutmegproxy-scheduling/src/PendingDetails.ts
+++ b/packages/nutmegproxy-scheduling/src/PendingDetails.ts
@@ -10,9 +10,11 @@
   PendingTask,
 } from './PendingTaskReason.ts';
 
+import {computeWaitedMs, listCrashes} from './CrashVerdict.ts';
 import {findLastAttemptWaitMs} from './LastAttempt.ts';
 import {findOverdueInMs} from './OverdueSteps.ts';
 import {deriveMaxWait} from './PendingBounds.ts';
+import {SUSPICION_BOUND_MS} from './TrialPacing.ts';
 
 type DetailsFinder = (
   task: PendingTask,
@@ -27,6 +29,18 @@
   return untilMs === undefined ? {} : {untilMs};
 }
 
+/**
+ * Until when the suspicion against a task itself may withhold it; the other tasks of its job wait for the verdict. The time counts from when planning first considers a crash, so a review before that tells none.
+ */
+export function describeSuspicion(
+  {index, step}: PendingTask,
+  {hold, now}: Pick<PendingContext, 'hold' | 'now'>,
+): PendingDetails {
+  return hold === undefined && listCrashes(step, index).length > 0
+    ? {untilMs: Math.max(0, SUSPICION_BOUND_MS - computeWaitedMs(step, index, now))}
+    : {};
+}
+
 /** Details of the reasons that are about a minion, one that meets all rules before. */
 export const PENDING_DETAILS: Readonly<Partial<Record<PendingReason, DetailsFinder>>> = {
   availability: (_task, {id}) => ({minion: id}),
@@ -39,5 +53,6 @@
     untilMs: findLastAttemptWaitMs(fleet, task, now),
   }),
   sharing: (task, _minion, context) => describePreference(task, context),
+  suspicion: (task, _minion, context) => describeSuspicion(task, context),
   trust: (task, {id}, context) => ({minion: id, ...describePreference(task, context)}),
 };
--- a/packages/nutmegproxy-scheduling/src/PendingTaskReason.ts
+++ b/packages/nutmegproxy-scheduling/src/PendingTaskReason.ts
@@ -14,7 +14,7 @@
 
 import {shouldSaveLastAttempt} from './LastAttempt.ts';
 import {findUnavailability, isOnlyUntrusted} from './MinionAvailability.ts';
-import {PENDING_DETAILS} from './PendingDetails.ts';
+import {describeSuspicion, PENDING_DETAILS} from './PendingDetails.ts';
 import {meetsConstraints} from './Placement.ts';
 import {isStartableTask, listStartableTasks} from './ReadySteps.ts';
 import {isDeferrable} from './StartBudget.ts';
@@ -125,7 +125,11 @@
       isStartableTask(fleet, step, index) ? undefined : {untilMs: recoveryMs},
   ],
   ['unknown-result', findUnknownResult],
-  ['suspicion', ({step}, {fleet}) => (fleet.suspectedJobs.has(step.job) ? {} : undefined)],
+  [
+    'suspicion',
+    (task, context) =>
+      context.fleet.suspectedJobs.has(task.step.job) ? describeSuspicion(task, context) : undefined,
+  ],
   ['gang', findGangRun],
 ];
 
--- a/packages/nutmegproxy-scheduling/src/__tests__/unit/PendingTaskReason.test.ts
+++ b/packages/nutmegproxy-scheduling/src/__tests__/unit/PendingTaskReason.test.ts
@@ -99,6 +99,19 @@
       assert.deepEqual(findCause(step), {reason: 'suspicion'});
     });
 
+    it('says until when the suspicion against the task itself may last', () => {
+      const step = addStep();
+      const other = sample.addMinion('m2');
+      step.crashes.record(0, crashOf(minion, 300, 1), at(4_900));
+      step.crashes.record(0, crashOf(other, 300, 2), at(4_900));
+      for (const each of [minion, other]) {
+        startOn(sample, addStep().job, each, 4_950);
+      }
+      assert.deepEqual(sample.plan(NOW), []);
+      assert.deepEqual(findCause(step), {reason: 'suspicion', untilMs: 9_900});
+      assert.deepEqual(findCause(step, {hold: 'backlog'}), {reason: 'suspicion'});
+    });
+
     it('names a run of its gang that is not over', () => {
       const step = addStep({count: 2, gang: true});
       const run = startOn(sample, step.job, minion, 0, 1);
@@ -173,7 +186,7 @@
       for (const [order, each] of rest.entries()) {
         startOn(sample, each.job, order === 0 ? minion : other, 4_950);
       }
-      assert.deepEqual(findCause(step), {reason: 'suspicion'});
+      assert.deepEqual(findCause(step), {reason: 'suspicion', untilMs: 9_900});
     });
 
     it('says that backfill would disturb serving tasks', () => {
