--- a/packages/nutmegproxy-entry/src/CellCount.ts
+++ b/packages/nutmegproxy-entry/src/CellCount.ts
@@ -1,6 +1,6 @@
 /** Finds out into how many cells the fleet is divided; the first VM of a new fleet decides it for good. */
 
-import type {EventSink} from '@nutmegproxy/core';
+import type {Clock, EventSink, Instant} from '@nutmegproxy/core';
 import type {CellCountRecord, KnownCellCount, MachineList} from '@nutmegproxy/owner';
 import type {PlatformStore} from '@nutmegproxy/store';
 
@@ -19,14 +19,16 @@
 import {
   CELL_COUNT_JITTER_MS,
   CELL_COUNT_RETRY_MS,
-  MAX_CELL_COUNT_WAITS,
-  MIN_EQUAL_VM_READS,
+  CELL_COUNT_WAIT_MS,
+  EQUAL_VMS_MS,
+  MAX_CELL_COUNT_WAIT_MS,
 } from './EntryConstants.ts';
 import {ENTRY_EVENTS} from './EntryEvents.ts';
 
 const TERM_KEY = formatRecordKey('term', FIRST_CELL);
 
 export interface CellCountOptions {
+  readonly clock: Clock;
   readonly events: EventSink;
   /** Whether to give up, as a process that stops does. */
   readonly isStopping: () => boolean;
@@ -47,15 +49,14 @@
   | {readonly kind: 'undecided'};
 
 export class CellCount {
-  /** Number of reads in a row that have listed as many other VMs as the last one. */
-  #equalReads = 0;
+  /** How many other VMs are listed, and since when as many were. */
+  #equalVms: undefined | {readonly otherVms: number; readonly since: Instant};
   /** Whether the first cell had a term before the next read of the number. */
   #hasTerm = false;
   readonly #options: CellCountOptions;
-  #otherVms = 0;
   #reported: number | undefined;
-  /** Number of times that the decision was put off. */
-  #waits = 0;
+  /** When this VM first tried to decide. */
+  #startedAt: Instant | undefined;
 
   constructor(options: CellCountOptions) {
     this.#options = options;
@@ -69,9 +70,9 @@
   async find(): Promise<KnownCellCount | undefined> {
     const {isStopping, ownCores, random} = this.#options;
     let mayDecide = false;
-    this.#equalReads = 0;
+    this.#equalVms = undefined;
     this.#hasTerm = false;
-    this.#waits = 0;
+    this.#startedAt = undefined;
     while (!isStopping()) {
       const state = await this.#read();
       if (state.kind === 'known') {
@@ -114,29 +115,36 @@
   }
 
   /**
-   * Chooses the number; undefined while the machines can't be listed, or fewer VMs are registered than a fleet
+   * Chooses the number; undefined for a limited time while the machines can't be listed, or fewer VMs are registered than a fleet
    * with VMs like this one needs: those of a fleet that starts register one after the other.
    */
   async #choose(): Promise<number | undefined> {
-    const {machines, ownCores, readOtherCores} = this.#options;
+    const {clock, machines, ownCores, readOtherCores} = this.#options;
+    const startedAt = this.#startedAt ?? clock.monotonic();
+    this.#startedAt = startedAt;
     const listed = await machines?.list();
     const minions = listed?.map((occupants) => occupants.size).unwrapOr(0) ?? 0;
     const needed = chooseCellCount(minions, Array<number>(MAX_CELLS).fill(ownCores));
     const others = needed > 1 ? await readOtherCores() : [];
     const cells = chooseCellCount(minions, [ownCores, ...others]);
     const isComplete = listed?.isErr() !== true && others.length + 1 >= needed;
-    if (!isComplete && this.#waits < MAX_CELL_COUNT_WAITS) {
-      this.#waits += 1;
+    const now = clock.monotonic();
+    const waitedMs = now - startedAt;
+    const equalMs = this.#measureEqualMs(others.length, now);
+    if (!isComplete && waitedMs < CELL_COUNT_WAIT_MS) {
       return undefined;
     }
-    return cells === 1 || this.#hasSettled(others.length) ? cells : undefined;
+    return cells === 1 || equalMs >= EQUAL_VMS_MS || waitedMs >= MAX_CELL_COUNT_WAIT_MS
+      ? cells
+      : undefined;
   }
 
-  /** Whether the list of VMs has not grown for some reads; a larger VM may carry the fleet alone. */
-  #hasSettled(otherVms: number): boolean {
-    this.#equalReads = otherVms === this.#otherVms ? this.#equalReads + 1 : 1;
-    this.#otherVms = otherVms;
-    return this.#equalReads >= MIN_EQUAL_VM_READS;
+  /** Returns for how long as many VMs have been listed; a larger VM that registers may carry the fleet alone. */
+  #measureEqualMs(otherVms: number, now: Instant): number {
+    if (this.#equalVms?.otherVms !== otherVms) {
+      this.#equalVms = {otherVms, since: now};
+    }
+    return now - this.#equalVms.since;
   }
 
   /** Reads the number again once there is a term: a number that was decided is stored before any term. */
--- a/packages/nutmegproxy-entry/src/EntryConstants.ts
+++ b/packages/nutmegproxy-entry/src/EntryConstants.ts
@@ -6,10 +6,12 @@
 export const CELL_COUNT_RETRY_MS = 200;
 /** Upper bound in milliseconds of the random delay before the number is decided; spreads the VMs' writes. */
 export const CELL_COUNT_JITTER_MS = 150;
-/** Most such pauses for which the decision is put off until the machines and enough VMs are known. */
-export const MAX_CELL_COUNT_WAITS = 10;
-/** Reads in a row that have to list the same VMs before a fleet is divided: larger ones may register later. */
-export const MIN_EQUAL_VM_READS = 6;
+/** Time in milliseconds for which the decision is put off until the machines and enough VMs are known. */
+export const CELL_COUNT_WAIT_MS = 2_000;
+/** Time in milliseconds for which as many VMs have to be listed before a fleet is divided: larger ones may register later. */
+export const EQUAL_VMS_MS = 1_000;
+/** Longest time in milliseconds for which the decision is put off while the list of VMs changes. */
+export const MAX_CELL_COUNT_WAIT_MS = 6_000;
 /** Time in milliseconds within which a failed call to the store is retried. */
 export const STORE_RETRY_BUDGET_MS = 1_000;
 /** Delay in milliseconds between attempts of a call to the store. */
--- a/packages/nutmegproxy-entry/src/__tests__/unit/CellCount.test.ts
+++ b/packages/nutmegproxy-entry/src/__tests__/unit/CellCount.test.ts
@@ -2,7 +2,7 @@
 import type {MachineList, MachineOccupants} from '@nutmegproxy/owner';
 import type {MachineId} from '@nutmegproxy/scheduling';
 
-import {brand} from '@nutmegproxy/core';
+import {brand, ManualClock, SYSTEM_CLOCK} from '@nutmegproxy/core';
 import {FIRST_CELL, formatRecordKey, MAX_CELLS} from '@nutmegproxy/jobs';
 import {CELL_COUNT_KEY, OWNER_EVENTS} from '@nutmegproxy/owner';
 import {MemoryStore} from '@nutmegproxy/standins';
@@ -46,6 +46,7 @@
 
   function createCellCount(change: Partial<CellCountOptions>): CellCount {
     return new CellCount({
+      clock: SYSTEM_CLOCK,
       events: {record: (kind) => events.push(kind)},
       isStopping: () => isStopping,
       machines: undefined,
@@ -166,6 +167,62 @@
       assert.equal(await find(change), 3);
     });
 
+    describe('is put off for a time, not for a number of attempts:', () => {
+      let clock: ManualClock;
+      let reads: number;
+
+      beforeEach(() => {
+        clock = new ManualClock();
+        reads = 0;
+      });
+
+      /** Finds the number in a fleet of 205 minions; each list of machines or VMs takes a time. */
+      function findSlowly(
+        listMs: number,
+        isListed: boolean,
+        readMs: number,
+        countVms: () => number,
+      ): Promise<number | undefined> {
+        const machines: MachineList = {
+          list: () => {
+            clock.advance(listMs);
+            return isListed
+              ? createMachines(205).list()
+              : errAsync({kind: 'unavailable', message: 'no response'});
+          },
+        };
+        const readOtherCores = (): Promise<number[]> => {
+          reads += 1;
+          clock.advance(readMs);
+          return Promise.resolve(Array<number>(countVms()).fill(SMALL_VM_CORES));
+        };
+        return find({clock, machines, ownCores: SMALL_VM_CORES, readOtherCores});
+      }
+
+      it('two seconds and a call while the machines can not be listed', async () => {
+        assert.equal(await findSlowly(1_000, false, 0, () => 4), 1);
+        assert.ok(clock.monotonic() <= 3_000, `${clock.monotonic()} ms`);
+      });
+
+      it('two seconds and some calls while too few VMs are registered', async () => {
+        assert.equal(await findSlowly(300, true, 300, () => 1), 2);
+        assert.ok(clock.monotonic() <= 4_000, `${clock.monotonic()} ms`);
+      });
+
+      it('a second and a call after the list of VMs has grown last', async () => {
+        assert.equal(await findSlowly(0, true, 600, () => Math.min(reads, 3)), 3);
+        assert.ok(
+          clock.monotonic() >= 2_000 && clock.monotonic() <= 3_600,
+          `${clock.monotonic()} ms`,
+        );
+      });
+
+      it('six seconds and a call while the list of VMs changes all the time', async () => {
+        assert.equal(await findSlowly(0, true, 500, () => 3 + (reads % 2)), 3);
+        assert.ok(clock.monotonic() <= 6_500, `${clock.monotonic()} ms`);
+      });
+    });
+
     it('stays one when a former version acquires the ownership first', async () => {
       const machines: MachineList = {
         list: () => {
