--- a/packages/nutmegproxy-events/src/EventMetrics.ts
+++ b/packages/nutmegproxy-events/src/EventMetrics.ts
@@ -11,7 +11,7 @@
 export interface EventMetricsOptions {
   /** Field that is recorded in the duration histogram, in milliseconds, by the event's code. */
   readonly durationFieldByCode: Readonly<Record<number, string>>;
-  /** Kinds of events whose numeric fields are exported as gauges. */
+  /** Kinds of events whose numeric fields are exported as gauges, with the field `cell` as a label. */
   readonly gaugedKinds: readonly EventKind[];
   readonly registry: Registry;
   /** Receives every event as well. */
@@ -30,7 +30,7 @@
 /** An event sink that updates metrics and passes each event on to another sink. */
 export class EventMetrics implements EventSink {
   readonly #counter: Counter<'code' | 'level' | 'outcome'>;
-  readonly #gauge: Gauge<'what'>;
+  readonly #gauge: Gauge<'cell' | 'what'>;
   readonly #gaugedCodes: ReadonlySet<number>;
   readonly #options: EventMetricsOptions;
   readonly #durations: Histogram<'code' | 'field'>;
@@ -59,7 +59,7 @@
     });
     this.#gauge = new Gauge({
       help: 'Newest numbers of the fleet, as its owner sees it.',
-      labelNames: ['what'],
+      labelNames: ['what', 'cell'],
       name: 'nutmegproxy_fleet',
       registers,
     });
@@ -83,9 +83,11 @@
       this.#findDurations(code, field).observe(milliseconds / 1000);
     }
     if (this.#gaugedCodes.has(code)) {
-      for (const [what, value] of Object.entries(fields)) {
+      const {cell, ...values} = fields;
+      const labels = cell === undefined ? {} : {cell: String(cell)};
+      for (const [what, value] of Object.entries(values)) {
         if (typeof value === 'number') {
-          this.#gauge.set({what}, value);
+          this.#gauge.set({what, ...labels}, value);
         }
       }
     }
--- a/packages/nutmegproxy-events/src/__tests__/unit/EventMetrics.test.ts
+++ b/packages/nutmegproxy-events/src/__tests__/unit/EventMetrics.test.ts
@@ -97,4 +97,16 @@
       'nutmegproxy_fleet{what="minions"} 4',
     ]);
   });
+
+  it('exports the newest numbers of each cell that a VM owns, those of the first one without a label', async () => {
+    metrics.record(SUMMARY, {minions: 3});
+    metrics.record(SUMMARY, {cell: 1, minions: 4});
+    metrics.record(SUMMARY, {cell: 2, minions: 6});
+    metrics.record(SUMMARY, {cell: 1, minions: 5});
+    assert.deepEqual(await readSeries('nutmegproxy_fleet'), [
+      'nutmegproxy_fleet{what="minions"} 3',
+      'nutmegproxy_fleet{what="minions",cell="1"} 5',
+      'nutmegproxy_fleet{what="minions",cell="2"} 6',
+    ]);
+  });
 });
