--- a/packages/nutmegproxy-entry/src/CellCount.ts
+++ b/packages/nutmegproxy-entry/src/CellCount.ts
@@ -98,7 +98,7 @@
     if (cells === undefined) {
       return;
     }
-    const record: CellCountRecord = {cells};
+    const record: CellCountRecord = cells === 1 ? {cells} : {cells, ownersNameCells: true};
     // Whether it was written, by this VM or another one, the next read tells.
     const written = await store.commit({
       compare: [
@@ -161,7 +161,7 @@
     const decoded = decodeCellCount(stored.value);
     const revision = stored.value.modRevision;
     if (decoded.isOk()) {
-      return {count: {cells: decoded.value, revision}, kind: 'known'};
+      return {count: decoded.value, kind: 'known'};
     }
     if (revision !== this.#reported) {
       const fields = {key: CELL_COUNT_KEY, message: decoded.error, revision};
--- a/packages/nutmegproxy-entry/src/__tests__/unit/CellCount.test.ts
+++ b/packages/nutmegproxy-entry/src/__tests__/unit/CellCount.test.ts
@@ -1,5 +1,5 @@
 import type {EventKind, MinionId} from '@nutmegproxy/core';
-import type {MachineList, MachineOccupants} from '@nutmegproxy/owner';
+import type {CellCountRecord, MachineList, MachineOccupants} from '@nutmegproxy/owner';
 import type {MachineId} from '@nutmegproxy/scheduling';
 
 import {brand, ManualClock, SYSTEM_CLOCK} from '@nutmegproxy/core';
@@ -72,6 +72,11 @@
     (await put(store, key, Buffer.from(value)))._unsafeUnwrap();
   }
 
+  /** Returns the record of a new fleet; owners of a divided one name the number. */
+  function formatRecord(cells: number): CellCountRecord {
+    return cells === 1 ? {cells} : {cells, ownersNameCells: true};
+  }
+
   async function readStored(): Promise<string | undefined> {
     return (await getKey(store, CELL_COUNT_KEY))._unsafeUnwrap()?.value.toString();
   }
@@ -120,7 +125,8 @@
         ),
       );
       assert.equal(new Set(found).size, 1);
-      assert.equal(await readStored(), `{"cells":${found[0] ?? 0}}`);
+      const cells = found[0] ?? 0;
+      assert.equal(await readStored(), JSON.stringify(formatRecord(cells)));
       assert.deepEqual(events, [ENTRY_EVENTS.CELLS_CHOSEN]);
     });
 
@@ -147,6 +153,7 @@
     it('is decided without further VMs when they do not come', async () => {
       const change = {machines: createMachines(205), ownCores: SMALL_VM_CORES};
       assert.equal(await find({...change, readOtherCores: () => Promise.resolve([0.12])}), 2);
+      assert.equal(await readStored(), '{"cells":2,"ownersNameCells":true}');
     });
 
     it('is decided once the machines can be listed', async () => {
--- a/packages/nutmegproxy-owner/src/CellCandidates.ts
+++ b/packages/nutmegproxy-owner/src/CellCandidates.ts
@@ -16,7 +16,7 @@
 import {HANDOVER_CHECK_INTERVAL_MS} from './OwnerConstants.ts';
 import {OWNER_EVENTS} from './OwnerEvents.ts';
 import {countCellsOfLarger, shouldSpread} from './OwnerPreference.ts';
-import {CELL_COUNT_KEY, compareCellCount} from './StoredCellCount.ts';
+import {CELL_COUNT_KEY, compareCellCount, isOfOtherCount} from './StoredCellCount.ts';
 
 /** Another entry VM that may own cells. */
 export interface CellVm {
@@ -27,7 +27,14 @@
 
 export interface CellCandidatesOptions extends Omit<
   CandidateOptions,
-  'cell' | 'cellsOfLarger' | 'count' | 'onCountChange' | 'otherCells' | 'otherCores'
+  | 'cell'
+  | 'cellsOfLarger'
+  | 'count'
+  | 'isBlocked'
+  | 'onCountChange'
+  | 'onOwnerChange'
+  | 'otherCells'
+  | 'otherCores'
 > {
   /** The number of cells that this VM goes by. */
   readonly count: () => KnownCellCount;
@@ -35,6 +42,7 @@
   readonly others: () => readonly CellVm[];
 }
 
+const OTHER_COUNT_OWNS = 'a VM owns a cell under another number of cells';
 const COUNT_CHANGED = 'another number of cells is stored';
 
 export class CellCandidates {
@@ -63,9 +71,13 @@
           cell,
           cellsOfLarger: () => countCellsOfLarger(ownCores, this.#listOthers()),
           count: known,
+          isBlocked: () => this.#isBlocked(),
           onCountChange: () => {
             this.#endRun?.();
           },
+          onOwnerChange: () => {
+            this.#releaseIfBlocked();
+          },
           otherCells: () => this.#countEngaged(cell),
           otherCores: () => others().map(({cores}) => cores),
         }),
@@ -130,6 +142,26 @@
       );
   }
 
+  /** Whether a cell has an owner under another number of cells, as one of a version has that knows one cell. */
+  #isBlocked(): boolean {
+    const known = this.#known;
+    return (
+      known !== undefined &&
+      this.#candidates.some(({ownerValue}, cell) =>
+        isOfOtherCount(known, cell as CellIndex, ownerValue),
+      )
+    );
+  }
+
+  /** Ends all ownerships beside such an owner: it takes their minions for its own. */
+  #releaseIfBlocked(): void {
+    if (this.#isBlocked()) {
+      for (const candidate of this.#candidates) {
+        candidate.release(OTHER_COUNT_OWNS);
+      }
+    }
+  }
+
   #listOthers(): readonly CellHolder[] {
     return this.#options.others().map(({cores, vm}) => ({
       cells: this.#candidates.filter(({ownerVm}) => ownerVm === vm).length,
--- a/packages/nutmegproxy-owner/src/OwnerCandidate.ts
+++ b/packages/nutmegproxy-owner/src/OwnerCandidate.ts
@@ -37,9 +37,13 @@
   readonly count?: KnownCellCount;
   readonly createOwner: (ownership: FleetOwnership) => Owner;
   readonly events: EventSink;
+  /** Whether a cell is known to have an owner under another number of cells; default: none. */
+  readonly isBlocked?: () => boolean;
   readonly leaseTimes: LeaseTimes;
   /** Called when another number of cells is stored than this VM goes by. */
   readonly onCountChange?: () => void;
+  /** Called when another owner of the cell is known than before. */
+  readonly onOwnerChange?: () => void;
   /** Number of other cells that this VM owns or tries to acquire; default: none. */
   readonly otherCells?: () => number;
   /** Cores of each other entry VM that is known. */
@@ -61,6 +65,7 @@
   #owner: Owner | undefined;
   readonly #election: OwnerElection;
   readonly #ownerKey: string;
+  #ownerValue: StoredValue | undefined;
   #ownerVm: undefined | VmId;
   readonly #reported = new Set<EventKind>();
   #stopped = false;
@@ -80,6 +85,11 @@
     return this.#isAcquiring || this.#owner !== undefined;
   }
 
+  /** The stored value of the owner's key, as far as this VM knows. */
+  get ownerValue(): StoredValue | undefined {
+    return this.#ownerValue;
+  }
+
   /** The VM that owns the cell, as far as this one knows. */
   get ownerVm(): undefined | VmId {
     return this.#ownerVm;
@@ -110,9 +120,10 @@
         });
         continue;
       }
-      const {canOwn, cellsOfLarger, otherCells, otherCores, ownCores, random} = this.#options;
+      const {canOwn, cellsOfLarger, isBlocked, otherCells, otherCores, ownCores, random} =
+        this.#options;
       // The delays of all VMs have to begin with the same event, or they would not order them.
-      if (!canOwn()) {
+      if (!canOwn() || isBlocked?.() === true) {
         await delay(TAKEOVER_RETRY_MS);
         continue;
       }
@@ -191,9 +202,11 @@
   /** Records the stored value of the owner's key; undefined when there is no owner. */
   #setOwner(stored: StoredValue | undefined): void {
     this.#isOwned = stored !== undefined;
+    this.#ownerValue = stored;
     this.#ownerVm = stored === undefined ? undefined : readOwnerVm(stored);
     this.#wake?.();
     this.#wake = undefined;
+    this.#options.onOwnerChange?.();
   }
 
   async #runOwner(ownership: FleetOwnership): Promise<void> {
--- a/packages/nutmegproxy-owner/src/OwnerElection.ts
+++ b/packages/nutmegproxy-owner/src/OwnerElection.ts
@@ -283,7 +283,8 @@
     const term = previous === undefined ? 0 : Number(previous.value.toString()) + 1;
     const former = findFormerTerms(recording, term, events);
     const terms: RecordingTerms = {lastTerm: term, since: former.recordingSince};
-    const owner = JSON.stringify({lease, vm});
+    const {cells, ownersNameCells} = this.#count;
+    const owner = JSON.stringify(ownersNameCells === true ? {cells, lease, vm} : {lease, vm});
     const written = await store.commit({
       compare: [
         {key: this.#keys.owner, kind: 'modRevision', modRevision: 0},
--- a/packages/nutmegproxy-owner/src/StoredCellCount.ts
+++ b/packages/nutmegproxy-owner/src/StoredCellCount.ts
@@ -15,11 +15,15 @@
 /** Stored value of the key. */
 export interface CellCountRecord {
   readonly cells: number;
+  /**
+   * Whether the owner's key names the number by which it was acquired. A VM of a version that knows one cell names none;
+   * records of the first version with cells don't say this, nor do its owners name it.
+   */
+  readonly ownersNameCells?: boolean;
 }
 
 /** The number of cells as this VM has read it. */
-export interface KnownCellCount {
-  readonly cells: number;
+export interface KnownCellCount extends CellCountRecord {
   /** Store revision of the last change of its key; 0 when the key is absent. */
   readonly revision: number;
 }
@@ -28,11 +32,11 @@
 export const UNDIVIDED: KnownCellCount = {cells: 1, revision: 0};
 
 /** Returns the number that a stored value names. */
-export function decodeCellCount({value}: StoredValue): Result<number, string> {
+export function decodeCellCount({modRevision, value}: StoredValue): Result<KnownCellCount, string> {
   return parseJson(value.toString()).andThen((record) => {
-    const {cells} = (record ?? {}) as Partial<CellCountRecord>;
+    const {cells, ownersNameCells} = (record ?? {}) as Partial<CellCountRecord>;
     return cells !== undefined && Number.isInteger(cells) && cells >= 1 && cells <= MAX_CELLS
-      ? ok(cells)
+      ? ok({cells, ownersNameCells: ownersNameCells === true, revision: modRevision})
       : err(`cells is no integer from 1 to ${MAX_CELLS}`);
   });
 }
@@ -49,21 +53,31 @@
     return known.revision === 0 ? 'same' : 'other';
   }
   return decodeCellCount(stored).match(
-    (cells) => (stored.modRevision === known.revision && cells === known.cells ? 'same' : 'other'),
+    ({cells, revision}) =>
+      revision === known.revision && cells === known.cells ? 'same' : 'other',
     () => 'malformed',
   );
 }
 
 /**
- * Whether the owner of a cell acquired it under another number of cells: it may have acquired any minion's cell
- * then, so that no cell may be acquired beside it.
+ * Whether the owner of a cell acquired it under another number of cells, as a version does that knows one cell: it
+ * may have any minion in its cell, so that no cell may be acquired beside it.
  */
 export function isOfOtherCount(
   known: KnownCellCount,
   cell: CellIndex,
   owner: StoredValue | undefined,
 ): boolean {
-  return owner !== undefined && (cell >= known.cells || owner.modRevision < known.revision);
+  if (owner === undefined) {
+    return false;
+  }
+  const isNamed = known.ownersNameCells !== true || readOwnerCells(owner) === known.cells;
+  return cell >= known.cells || owner.modRevision < known.revision || !isNamed;
+}
+
+function readOwnerCells({value}: StoredValue): unknown {
+  const owner = parseJson(value.toString()).unwrapOr(undefined) ?? {};
+  return (owner as Partial<CellCountRecord>).cells;
 }
 
 /** Keys of the owners of all cells that there may be, by the cell. */
--- a/packages/nutmegproxy-owner/src/__tests__/unit/CellCandidates.test.ts
+++ b/packages/nutmegproxy-owner/src/__tests__/unit/CellCandidates.test.ts
@@ -72,11 +72,12 @@
     cells = CELLS,
     revision = 0,
     cores: (name: string) => number = () => 1,
+    ownersNameCells = false,
   ): CellCandidates {
     const candidates = new CellCandidates({
       canOwn: () => true,
       clock: SYSTEM_CLOCK,
-      count: () => ({cells, revision}),
+      count: () => ({cells, ownersNameCells, revision}),
       createOwner,
       events: {
         record: (kind, {reason}) => {
@@ -199,6 +200,24 @@
     assert.ok(freeReads > 0, 'no cell was given up');
   });
 
+  it('owns no cell of a new fleet while a VM of a former version, which knows one cell, owns the first one', async () => {
+    const value = Buffer.from(JSON.stringify({cells: CELLS, ownersNameCells: true}));
+    const revision = (await put(store, CELL_COUNT_KEY, value))._unsafeUnwrap();
+    start('vm-1', ['vm-1'], CELLS, revision, undefined, true);
+    await waitForOwners((owners) => owners.every((owner) => owner === 'vm-1'));
+    await endOwnership(FIRST_CELL);
+    const key = formatOwnerKey(FIRST_CELL);
+    await put(store, key, Buffer.from('{"lease":"1","vm":"former"}'));
+    const [second, third] = [1 as CellIndex, 2 as CellIndex];
+    await waitUntil(async () => (await readOwner(second)) === undefined);
+    await waitUntil(async () => (await readOwner(third)) === undefined);
+    await new Promise((resolve) => setTimeout(resolve, 3_000));
+    const owners = await Promise.all(listCells(CELLS).map(readOwner));
+    assert.deepEqual(owners, ['former', undefined, undefined]);
+    await store.commit({compare: [], then: [{key, kind: 'delete'}]});
+    await waitForOwners((found) => found.every((owner) => owner === 'vm-1'));
+  });
+
   it('owns nothing any more once it is stopped', async () => {
     const candidates = start('vm-1', ['vm-1']);
     await waitForOwners(() => true);
--- a/packages/nutmegproxy-owner/src/__tests__/unit/OwnerElection.test.ts
+++ b/packages/nutmegproxy-owner/src/__tests__/unit/OwnerElection.test.ts
@@ -179,6 +179,23 @@
       await acquire(open('vm-2'));
     });
 
+    it('fails beside an owner that names no number, where owners name it', async () => {
+      const value = Buffer.from('{"cells":3,"ownersNameCells":true}');
+      const revision = (await put(store, CELL_COUNT_KEY, value))._unsafeUnwrap();
+      const count = {cells: 3, ownersNameCells: true, revision};
+      await put(store, OWNER_KEY, Buffer.from('{"lease":"1","vm":"former"}'));
+      assert.equal(await findFailure(open('vm-1', {cell: SECOND_CELL, count})), 'formerCount');
+      await store.commit({compare: [], then: [{key: OWNER_KEY, kind: 'delete'}]});
+      await acquire(open('vm-1', {count}));
+      await acquire(open('vm-1', {cell: SECOND_CELL, count}));
+    });
+
+    it('does not fail beside an owner of the first version with cells, which names no number', async () => {
+      const count = await storeCount(3);
+      await put(store, OWNER_KEY, Buffer.from('{"lease":"1","vm":"former"}'));
+      await acquire(open('vm-1', {cell: SECOND_CELL, count}));
+    });
+
     it('asks the store for as much as before: a read, a lease and a write', async () => {
       const commit = store.commit.bind(store);
       let commits = 0;
