An owner does not replace learned estimates that it could not read

Cause: the read is not repeated, and the first write, 3 s later, reads the revision only and replaces the value. Ruled out: the roster, the recovery record and the jobs; recovery repeats their reads until all succeed and writes nothing before. Queue lengths: the owner counts them anew. Change: while they are not read, they are read instead of written at each interval. A malformed value may still be replaced.

--- a/packages/nutmegproxy-owner/src/LearnedEstimates.ts
+++ b/packages/nutmegproxy-owner/src/LearnedEstimates.ts
@@ -33,6 +33,8 @@
 }
 
 export class LearnedEstimates {
+  /** Whether this owner knows what the former one has stored, so that it may replace it. */
+  #isRead = false;
   readonly #key: string;
   readonly #options: LearnedEstimatesOptions;
   readonly #record: OwnerRecord;
@@ -44,7 +46,7 @@
     this.#record = new OwnerRecord({...options, key: this.#key});
   }
 
-  /** Imports the former owner's estimates; without them, this owner starts with none. */
+  /** Imports the former owner's estimates; without them, this owner starts with none until it can read them. */
   async read(): Promise<void> {
     const {clock, estimator, events, model} = this.#options;
     const stored = await this.#record.read();
@@ -53,6 +55,7 @@
       events.record(OWNER_EVENTS.STORE_CALL_FAILED, {message, what: 'knowledge'});
       return;
     }
+    this.#isRead = true;
     if (stored.value === undefined) {
       return;
     }
@@ -74,6 +77,10 @@
       if (!isActing()) {
         return;
       }
+      if (!this.#isRead) {
+        await this.read();
+        continue;
+      }
       const tails = model.export(clock.monotonic(), clock.wall());
       const record: EstimatesRecord = {durations: estimator.export(), tails};
       const text = JSON.stringify(record);
