A silent record from a closing record is stored with what its reader knows of the minion

Cause: the entry of the former owner was stored as it was, its description too. The owner after takes the roster's for a minion that the directory does not list then. Change: the description that this owner has is stored.

--- a/packages/nutmegproxy-owner/src/MinionRecovery.ts
+++ b/packages/nutmegproxy-owner/src/MinionRecovery.ts
@@ -230,7 +230,12 @@
       const heldUntil = Math.ceil(clock.wall() + remainingMs) as WallTime;
       const expiresAt = after(now, remainingMs);
       const confirmedExpiresAt = findEnd(now, confirmedMs);
-      roster.markSilent(description, {...record, heldUntil, runs}, expiresAt, confirmedExpiresAt);
+      roster.markSilent(
+        minion.description,
+        {...record, heldUntil, runs},
+        expiresAt,
+        confirmedExpiresAt,
+      );
     }
     void recoveryRecord.update();
   }
