--- a/packages/nutmegproxy-entry/src/VmRegistry.ts
+++ b/packages/nutmegproxy-entry/src/VmRegistry.ts
@@ -6,10 +6,10 @@
 
 import {delay} from '@nutmegproxy/core';
 import {STATE_PREFIX} from '@nutmegproxy/jobs';
-import {parseJson} from '@nutmegproxy/owner';
+import {CELL_COUNT_KEY, parseJson} from '@nutmegproxy/owner';
 import {isCallAddress} from '@nutmegproxy/scheduling';
 import {validateRegisteredVm} from '@nutmegproxy/schema';
-import {getPrefix, put} from '@nutmegproxy/store';
+import {put} from '@nutmegproxy/store';
 
 import {
   VM_FIRST_LIST_DELAY_MS,
@@ -26,6 +26,8 @@
 export interface EntryVm {
   /** IP number and port. */
   readonly address: string;
+  /** Whether it can own the fleet; absent in entries of former versions, which don't tell. */
+  readonly canOwn?: boolean;
   /** Processor time in cores. */
   readonly cores: number;
   readonly dataCentre: DataCentreId;
@@ -37,7 +39,9 @@
 export interface VmRegistryOptions {
   readonly bounds: Pick<PlatformBounds, 'minStoreLeaseMs'>;
   readonly events: EventSink;
-  readonly self: EntryVm;
+  /** Receives the stored number of cells with each list; undefined when none is stored. */
+  readonly onCellCount?: (stored: StoredValue | undefined) => void;
+  readonly self: Omit<EntryVm, 'canOwn'>;
   readonly store: PlatformStore;
 }
 
@@ -50,12 +54,14 @@
 }
 
 export class VmRegistry {
+  #canOwn = false;
   /** Whether the entry is certainly written under the lease. */
   #isWritten = false;
   #lease: LeaseId | undefined;
   readonly #options: VmRegistryOptions;
   #peers: readonly EntryVm[] = [];
   #stopped = false;
+  #wake: () => void = () => undefined;
 
   constructor(options: VmRegistryOptions) {
     this.#options = options;
@@ -66,6 +72,18 @@
     return this.#peers;
   }
 
+  /** Whether another VM is listed that can own the fleet. */
+  get hasSuccessor(): boolean {
+    return this.#peers.some(({canOwn = true}) => canOwn);
+  }
+
+  /** Tells the other VMs that this one can own the fleet. */
+  announce(): void {
+    this.#canOwn = true;
+    this.#isWritten = false;
+    this.#wake();
+  }
+
   /** Removes this VM from the list. */
   async close(): Promise<void> {
     this.#stopped = true;
@@ -98,24 +116,40 @@
     return undefined;
   }
 
+  #formatEntry(): string {
+    return JSON.stringify({...this.#options.self, canOwn: this.#canOwn});
+  }
+
   #formatOwnKey(): string {
     return `${VMS_PREFIX}${this.#options.self.vm}`;
   }
 
   /** Reads the list of VMs. */
   async refresh(): Promise<void> {
-    const {self, store} = this.#options;
-    const listed = await getPrefix(store, VMS_PREFIX);
+    const {onCellCount, self, store} = this.#options;
+    const listed = await store.commit({
+      compare: [],
+      then: [
+        {key: VMS_PREFIX, kind: 'get', prefix: true},
+        {key: CELL_COUNT_KEY, kind: 'get'},
+      ],
+    });
     if (listed.isErr()) {
       // The last list stays in use: it is needed most while the store is unavailable.
       return;
     }
+    const [entries = [], counts = []] = listed.value.responses.map((response) =>
+      response.kind === 'get' ? response.values : [],
+    );
+    onCellCount?.(counts[0]);
     const ownKey = this.#formatOwnKey();
-    if (!listed.value.values.some(({key}) => key === ownKey)) {
-      // A write of the process before may have put the entry under its own lease, which has ended.
+    const own = entries.find(({key}) => key === ownKey);
+    if (own?.value.toString() !== this.#formatEntry()) {
+      // A write of the process before may have put the entry under its own lease, which has ended, and an
+      // earlier write of this one may have been carried out late.
       this.#isWritten = false;
     }
-    this.#peers = listed.value.values
+    this.#peers = entries
       .flatMap((stored) => this.#decode(stored) ?? [])
       .filter(({vm}) => vm !== self.vm);
   }
@@ -131,13 +165,16 @@
     while (!this.#stopped) {
       const retryPause = delay(VM_RENEWAL_RETRY_MS);
       const isRegistered = await this.#renew();
-      await (isRegistered ? delay(VM_RENEWAL_INTERVAL_MS) : retryPause);
+      const announced = new Promise<void>((resolve) => {
+        this.#wake = resolve;
+      });
+      await (isRegistered ? Promise.race([delay(VM_RENEWAL_INTERVAL_MS), announced]) : retryPause);
     }
   }
 
   /**
    * Renews the lease, or requests one, and writes the entry if it may not be written; returns whether this
-   * VM is registered. All attempts to write under a lease are the same, since each may be carried out late.
+   * VM is registered. Each attempt to write may be carried out late; the next read of the list shows that.
    */
   async #renew(): Promise<boolean> {
     const {bounds, store} = this.#options;
@@ -166,15 +203,15 @@
 
   /** Writes the entry under the lease; returns whether it is written. */
   async #write(lease: LeaseId): Promise<boolean> {
-    const {self, store} = this.#options;
-    const value = Buffer.from(JSON.stringify(self));
-    const written = await put(store, this.#formatOwnKey(), value, lease);
+    const {store} = this.#options;
+    const entry = this.#formatEntry();
+    const written = await put(store, this.#formatOwnKey(), Buffer.from(entry), lease);
     if (written.isErr()) {
       this.#reportFailure(written.error.message);
       return false;
     }
-    this.#isWritten = true;
-    return true;
+    this.#isWritten = entry === this.#formatEntry();
+    return this.#isWritten;
   }
 
   #reportFailure(message: string): void {
--- a/packages/nutmegproxy-owner/src/Owner.ts
+++ b/packages/nutmegproxy-owner/src/Owner.ts
@@ -49,6 +49,7 @@
 import {Retention} from './Retention.ts';
 import {Roster} from './Roster.ts';
 import {RoundLog} from './RoundLog.ts';
+import {isSettled} from './SettledFleet.ts';
 import {StartLimiter} from './StartLimiter.ts';
 import {StartThrottle} from './StartThrottle.ts';
 import {TrackedOrders} from './TrackedOrders.ts';
@@ -171,6 +172,11 @@
     this.#roundLog = this.#createRoundLog(orders);
   }
 
+  /** Whether the next owner would begin little anew. */
+  get isSettled(): boolean {
+    return isSettled(this.#fleet);
+  }
+
   /** Owns the fleet until the ownership ends; returns the reason. */
   async run(): Promise<string> {
     const {clock, events, ownership} = this.#options;
@@ -268,7 +274,7 @@
 
   /** Returns why nothing may start now; undefined when starts are planned. */
   #findHold(now: Instant): RoundHold | undefined {
-    if (this.#startLimiter.isBacklogged) {
+    if (this.#startLimiter.isFull) {
       return 'backlog';
     }
     return this.#minions.isDirectoryOutdated(now) ? 'directory' : undefined;
@@ -290,9 +296,10 @@
     for (const minion of fleet.minions.values()) {
       evacuateMinion(fleet, minion, this.#estimator, bounds, now);
     }
+    const allowance = this.#startThrottle.getAllowance(now);
     const context = {
       advice: this.#advice.createLookup(now),
-      deferrableStarts: this.#startThrottle.getAllowance(now),
+      deferrableStarts: this.#startLimiter.isBacklogged ? 0 : allowance,
       estimator: this.#estimator,
       finishMs: bounds.finishMs,
       isTimeUp: createTimeLimit(clock, MAX_PLACEMENT_MS),
--- a/packages/nutmegproxy-owner/src/OwnerCandidate.ts
+++ b/packages/nutmegproxy-owner/src/OwnerCandidate.ts
@@ -1,6 +1,6 @@
 /** Acquires the ownership of the fleet whenever it is free and runs the owner until it is lost. */
 
-import type {Clock, EventSink, Instant, VmId} from '@nutmegproxy/core';
+import type {Clock, EventKind, EventSink, Instant, VmId} from '@nutmegproxy/core';
 import type {CellIndex} from '@nutmegproxy/jobs';
 import type {LeaseTimes} from '@nutmegproxy/scheduling';
 import type {PlatformStore, StoredValue, Watch} from '@nutmegproxy/store';
@@ -12,6 +12,7 @@
 import type {FleetOwnership} from './FleetOwnership.ts';
 import type {Owner} from './Owner.ts';
 import type {RevisionLog} from './RevisionLog.ts';
+import type {KnownCellCount} from './StoredCellCount.ts';
 
 import {
   HANDOVER_CHECK_INTERVAL_MS,
@@ -22,16 +23,23 @@
 import {OwnerElection, readOwnerVm} from './OwnerElection.ts';
 import {OWNER_EVENTS} from './OwnerEvents.ts';
 import {chooseSpreadDelayMs, chooseTakeoverDelayMs, shouldHandOver} from './OwnerPreference.ts';
+import {CELL_COUNT_KEY} from './StoredCellCount.ts';
 
 export interface CandidateOptions {
   /** Whether this VM can own the fleet now; a VM without a configuration can't. */
   readonly canOwn: () => boolean;
   /** The part of the fleet that is to be owned; default: the first one. */
   readonly cell?: CellIndex;
+  /** Largest number of cells that a larger VM owns; default: none. */
+  readonly cellsOfLarger?: () => number;
   readonly clock: Clock;
+  /** The number of cells that this VM goes by; default: that of a fleet which is not divided. */
+  readonly count?: KnownCellCount;
   readonly createOwner: (ownership: FleetOwnership) => Owner;
   readonly events: EventSink;
   readonly leaseTimes: LeaseTimes;
+  /** Called when another number of cells is stored than this VM goes by. */
+  readonly onCountChange?: () => void;
   /** Number of other cells that this VM owns or tries to acquire; default: none. */
   readonly otherCells?: () => number;
   /** Cores of each other entry VM that is known. */
@@ -54,7 +62,9 @@
   readonly #election: OwnerElection;
   readonly #ownerKey: string;
   #ownerVm: undefined | VmId;
+  readonly #reported = new Set<EventKind>();
   #stopped = false;
+  #stopReason = '';
   #ownership: FleetOwnership | undefined;
   #wake: (() => void) | undefined;
   #watch: undefined | Watch;
@@ -70,6 +80,11 @@
     return this.#isAcquiring || this.#owner !== undefined;
   }
 
+  /** Whether the next owner of the cell would begin little anew; true if this VM doesn't own it. */
+  get mayHandOver(): boolean {
+    return this.#owner?.isSettled !== false;
+  }
+
   /** The VM that owns the cell, as far as this one knows. */
   get ownerVm(): undefined | VmId {
     return this.#ownerVm;
@@ -80,6 +95,12 @@
     return this.#ownership?.requestedAt;
   }
 
+  /** Whether the cell has an owner, and this VM knows which one it is. */
+  get isSettled(): boolean {
+    const isOwn = this.#ownerVm === this.#options.vm;
+    return this.#ownerVm !== undefined && isOwn === (this.#ownership !== undefined);
+  }
+
   /** Ends the ownership if this VM has it; the cell is then free. */
   release(reason: string): void {
     this.#owner?.stop(reason);
@@ -94,7 +115,7 @@
         });
         continue;
       }
-      const {canOwn, otherCores, ownCores, random} = this.#options;
+      const {canOwn, cellsOfLarger, otherCells, otherCores, ownCores, random} = this.#options;
       // The delays of all VMs have to begin with the same event, or they would not order them.
       if (!canOwn()) {
         await delay(TAKEOVER_RETRY_MS);
@@ -102,7 +123,8 @@
       }
       const takeoverDelayMs = chooseTakeoverDelayMs(ownCores, otherCores());
       await delay(takeoverDelayMs + random() * TAKEOVER_JITTER_MS);
-      await delay(chooseSpreadDelayMs(this.#options.otherCells?.() ?? 0));
+      // By now an owner that has ended is known not to own the other cells either.
+      await delay(chooseSpreadDelayMs(otherCells?.() ?? 0, cellsOfLarger?.()));
       if (this.#canAcquire()) {
         this.#isAcquiring = true;
         await this.#tryAcquire();
@@ -112,12 +134,14 @@
   }
 
   /** Releases the ownership if this VM has it, and doesn't acquire it again. */
-  async stop(): Promise<void> {
+  async stop(reason = 'planned stop'): Promise<void> {
     this.#stopped = true;
+    this.#stopReason = reason;
     this.#watch?.close();
-    this.#owner?.stop('planned stop');
+    this.#wake?.();
+    this.#owner?.stop(reason);
     if (this.#ownership !== undefined) {
-      await this.#election.resign(this.#ownership, 'planned stop');
+      await this.#election.resign(this.#ownership, reason);
     }
   }
 
@@ -125,6 +149,10 @@
     return !this.#isOwned && !this.#stopped;
   }
 
+  #isStopped(): boolean {
+    return this.#stopped;
+  }
+
   async #watchOwner(): Promise<void> {
     const {clock, events, store} = this.#options;
     const {revisions} = this.#election;
@@ -136,6 +164,9 @@
         await delay(STORE_RETRY_MS);
         continue;
       }
+      if (this.#isStopped()) {
+        return;
+      }
       revisions.record(read.value.revision, clock.monotonic());
       const first = read.value.responses[0];
       this.#setOwner(first?.kind === 'get' ? first.values[0] : undefined);
@@ -198,14 +229,14 @@
   }
 
   async #tryAcquire(): Promise<void> {
-    const {events, vm} = this.#options;
+    const {events, onCountChange, vm} = this.#options;
     const acquired = await this.#election.acquire();
     if (acquired.isOk()) {
       const {cell, term, token: fence} = acquired.value;
       events.record(OWNER_EVENTS.OWNERSHIP_ACQUIRED, {cell, fence, term, vm});
       // An owner in a process that is about to exit would only delay the takeover by another VM.
       await (this.#stopped
-        ? this.#election.resign(acquired.value, 'planned stop')
+        ? this.#election.resign(acquired.value, this.#stopReason)
         : this.#runOwner(acquired.value));
       await this.#readOwner();
       return;
@@ -216,10 +247,27 @@
       return;
     }
     const {kind, message} = acquired.error;
-    events.record(OWNER_EVENTS.STORE_CALL_FAILED, {kind, message, what: 'take'});
+    if (kind === 'countChanged') {
+      onCountChange?.();
+    } else if (kind === 'formerCount') {
+      this.#reportOnce(OWNER_EVENTS.FORMER_CELL_COUNT, message);
+    } else if (kind === 'countMalformed') {
+      this.#reportOnce(OWNER_EVENTS.RECORD_MALFORMED, message);
+    } else {
+      events.record(OWNER_EVENTS.STORE_CALL_FAILED, {kind, message, what: 'take'});
+    }
     await delay(TAKEOVER_RETRY_MS);
   }
 
+  /** Reports once why the number of cells does not allow to acquire the cell; attempts go on. */
+  #reportOnce(kind: EventKind, message: string): void {
+    const {cell, events, vm} = this.#options;
+    if (!this.#reported.has(kind)) {
+      events.record(kind, {cell, key: CELL_COUNT_KEY, message, vm});
+      this.#reported.add(kind);
+    }
+  }
+
   /** Reads whether the fleet has an owner, since that may have changed during the attempt. */
   async #readOwner(): Promise<void> {
     while (!this.#stopped) {
--- a/packages/nutmegproxy-scheduling/src/OverdueSteps.ts
+++ b/packages/nutmegproxy-scheduling/src/OverdueSteps.ts
@@ -5,7 +5,7 @@
  */
 
 import type {Instant} from '@nutmegproxy/core';
-import type {ServiceId, StepState} from '@nutmegproxy/jobs';
+import type {JobState, StepState} from '@nutmegproxy/jobs';
 
 import type {Fleet} from './Fleet.ts';
 import type {MinionState} from './MinionState.ts';
@@ -13,41 +13,65 @@
 
 import {isOnlyUntrusted} from './MinionAvailability.ts';
 
-/** Share of a service's processors in use from which its work waits for room, as the users specify. */
-const FULL_SHARE = 0.5;
+/**
+ * Time in milliseconds of free room before a step that has waited passes the preferences: work that waited for room gets
+ * time for a better minion, and is started before the 3 s are over in which it may wait beside room.
+ */
+const MIN_FREE_MS = 2_000;
 
 /** Cost of a backfill task that disturbs serving tasks, in thousandths of a core: more than any other. */
 const INTERFERENCE_COST = 1_000_000;
 
-/** Returns since when a step waits: for its turn, since a start or a failure. Lasting tasks wait each for itself. */
-function findWaitStart({failedAt, placedAt, readyAt, shape, waiting}: StepState): number {
+/**
+ * Returns since when a step waits: for its turn, since a start or a failure. Lasting tasks wait each for itself.
+ * Backfill that has been evicted waits on, or each eviction would begin another wait.
+ */
+function findWaitStart({
+  doneAt = -Infinity as Instant,
+  failedAt,
+  placedAt = -Infinity as Instant,
+  readyAt,
+  shape,
+  waiting,
+}: StepState): number {
   const turnAt = readyAt ?? Infinity;
   if (!shape.longRunning) {
-    return Math.max(turnAt, placedAt ?? -Infinity, ...failedAt.values());
+    return Math.max(turnAt, shape.fillsSpareCpu ? doneAt : placedAt, ...failedAt.values());
   }
   const failures = [...waiting].map((index) => failedAt.get(index) ?? -Infinity);
   return Math.max(turnAt, Math.min(...failures));
 }
 
+/** Whether a lasting task has waited itself since the given instant or longer; others wait with their step. */
+export function hasTaskWaitedSince(
+  {failedAt, readyAt = Infinity as Instant, shape}: StepState,
+  index: number,
+  since: number,
+): boolean {
+  return !shape.longRunning || Math.max(readyAt, failedAt.get(index) ?? -Infinity) <= since;
+}
+
+/** Whether other work of its job runs, so that its backfill may wait on. */
+function hasOtherRuns({job, shape}: StepState): boolean {
+  return shape.fillsSpareCpu && job.hasLiveRuns;
+}
+
 /** Whether a step has waited since the given instant or longer; most steps are told from their turn alone. */
 function hasWaitedSince(step: StepState, since: number): boolean {
   const {readyAt = Infinity, waiting} = step;
-  return readyAt <= since && waiting.size > 0 && findWaitStart(step) <= since;
+  return (
+    readyAt <= since && waiting.size > 0 && findWaitStart(step) <= since && !hasOtherRuns(step)
+  );
 }
 
-/** Returns the services of which so few processors are in use that their work does not wait for room. */
-function findFreeServices({minions}: Fleet): ReadonlySet<ServiceId> {
-  const unused = new Map<ServiceId, number>();
-  for (const {description, reserved} of minions.values()) {
-    const {capacity, service} = description;
-    const ofMinion = capacity.cpuMilli * FULL_SHARE - reserved.cpuMilli;
-    unused.set(service, (unused.get(service) ?? 0) + ofMinion);
-  }
-  return new Set([...unused].flatMap(([service, milli]) => (milli > 0 ? [service] : [])));
+/** Returns from when room has been free for long enough for the work of a job; Infinity while it isn't. */
+function findPassingAt(fleet: Fleet, job: JobState): number {
+  const {service} = fleet.resolveQueuePolicy(job);
+  return (fleet.freeRoom.findSince(service) ?? Infinity) + MIN_FREE_MS;
 }
 
 /**
- * Returns those of the steps that have waited for `maxWaitMs` beside free room, in the same order.
+ * Returns those of the steps that have waited for `maxWaitMs`, the last of it beside free room, in the same order.
  *
  * @example
  * const steps = findOverdueSteps(fleet, ordered, deriveMaxWait(bounds), now);
@@ -59,11 +83,7 @@
   now: Instant,
 ): readonly StepState[] {
   const waiting = ordered.filter((step) => hasWaitedSince(step, now - maxWaitMs));
-  if (waiting.length === 0) {
-    return waiting;
-  }
-  const free = findFreeServices(fleet);
-  return waiting.filter(({job}) => free.has(fleet.resolveQueuePolicy(job).service));
+  return waiting.filter(({job}) => findPassingAt(fleet, job) <= now);
 }
 
 /**
@@ -78,9 +98,10 @@
   maxWaitMs: number,
   now: Instant,
 ): number | undefined {
-  const {service} = fleet.resolveQueuePolicy(step.job);
-  return step.readyAt !== undefined && findFreeServices(fleet).has(service)
-    ? Math.max(0, findWaitStart(step) + maxWaitMs - now)
+  fleet.freeRoom.observe(fleet.minions.values(), now);
+  const passingAt = findPassingAt(fleet, step.job);
+  return step.readyAt !== undefined && !hasOtherRuns(step) && passingAt < Infinity
+    ? Math.max(0, passingAt - now, findWaitStart(step) + maxWaitMs - now)
     : undefined;
 }
 
@@ -89,13 +110,13 @@
   return [...minions.values()].filter((minion) => isOnlyUntrusted(minion, now));
 }
 
-/**
- * Returns costs under which backfill may disturb serving tasks where no minion tolerates it. It is evicted before a
- * tail latency has been over its target for longer than the platform allows.
- */
+/** Returns costs under which backfill may disturb serving tasks where no minion tolerates it. */
 export function tolerateInterference(costs: SharingCosts): SharingCosts {
   return {
-    backfillCost: (minion, step, now) => costs.backfillCost(minion, step, now) ?? INTERFERENCE_COST,
+    backfillCost: (minion, step, now) =>
+      costs.overdueCost === undefined
+        ? (costs.backfillCost(minion, step, now) ?? INTERFERENCE_COST)
+        : costs.overdueCost(minion, step, now),
     ordinaryCost: (minion, shape) => costs.ordinaryCost(minion, shape),
     servingCost: (minion, shape) => costs.servingCost(minion, shape),
   };
--- /dev/null
+++ b/packages/nutmegproxy-scheduling/src/__tests__/unit/OverdueTasks.test.ts
@@ -0,0 +1,77 @@
+/** What is overdue beside free room passes the rules of preference, and nothing else does. */
+
+import type {StepState} from '@nutmegproxy/jobs';
+
+import assert from 'node:assert/strict';
+import {describe, it} from 'node:test';
+
+import {failTwice} from './ExclusionSamples.ts';
+import {at, SampleFleet, shape} from './Samples.ts';
+
+/** Time after which a task counts as overdue beside free room. */
+const OVERDUE_MS = 13_500;
+const ROUND_MS = 100;
+
+/** Lets all minions fail again as soon as they are on trial, so that none is ever trusted. */
+function keepUntrusted(sample: SampleFleet, nowMs: number): void {
+  for (const minion of sample.fleet.minions.values()) {
+    if (minion.trust.level(at(nowMs)) !== 'quarantined') {
+      failTwice(minion, nowMs);
+    }
+  }
+}
+
+/** Returns when each task of the step starts first, by its index, in milliseconds. */
+function playStarts(
+  sample: SampleFleet,
+  step: StepState,
+  untilMs: number,
+  fromMs = 0,
+): Map<number, number> {
+  const starts = new Map<number, number>();
+  for (let nowMs = fromMs; nowMs <= untilMs; nowMs += ROUND_MS) {
+    keepUntrusted(sample, nowMs);
+    for (const run of sample.plan(nowMs).filter((each) => each.step === step)) {
+      starts.set(run.task.index, nowMs);
+    }
+  }
+  return starts;
+}
+
+describe('A lasting step of which a task is overdue', () => {
+  // Guards against tasks that pass trust as another one of their step has waited.
+  it('starts no other task that has failed since', () => {
+    const sample = new SampleFleet(2);
+    const [step] =
+      sample.addJob('proofs', [shape({count: 3, longRunning: true})]).occurrence(0) ?? [];
+    assert.ok(step);
+    step.failedAt.set(1, at(6_000));
+    step.failedAt.set(2, at(9_000));
+    const starts = playStarts(sample, step, 30_000);
+    assert.deepEqual(
+      [0, 1, 2].map((index) => starts.get(index)),
+      [OVERDUE_MS, 6_000 + OVERDUE_MS, 9_000 + OVERDUE_MS],
+    );
+  });
+});
+
+describe('A step that has waited for room for long', () => {
+  /** Time beside free room after which work that waits counts as lost, as the users specify. */
+  const LOST_MS = 3_000;
+  const FREE_AT_MS = 20_000;
+
+  // Guards against a crowd of work that passes trust at once when a full service gets room.
+  it('waits for a better minion once there is room, and not until it is lost', () => {
+    const sample = new SampleFleet(2);
+    const resources = {cpuMilli: 4_000, gpus: 0, memoryMb: 1};
+    sample.addJob('proofs', [shape({resources})]);
+    const [long] = sample.plan(0);
+    const [step] = sample.addJob('proofs', [shape()]).occurrence(0) ?? [];
+    assert.ok(long && step);
+    assert.equal(playStarts(sample, step, FREE_AT_MS - ROUND_MS).size, 0);
+    sample.fleet.finishRun(long, 'stopped', undefined, at(FREE_AT_MS));
+    const startedAt = playStarts(sample, step, FREE_AT_MS + LOST_MS, FREE_AT_MS).get(0) ?? Infinity;
+    assert.ok(startedAt >= FREE_AT_MS + LOST_MS / 2, `${startedAt}`);
+    assert.ok(startedAt < FREE_AT_MS + LOST_MS, `${startedAt}`);
+  });
+});
