A VM acquires a free fleet soon after its configuration arrives

What callers saw: nothing is started while nobody owns the fleet; after a restart of all VMs the first one acquires it up to 0.3 s later than it could. Cause: a VM without a configuration checked every 300 ms, the pause after a failed acquisition, whether it has one. Change: it checks every 50 ms, without a call to the store. Why it works: the delay that orders the VMs begins at the check, which is now closer to the configuration on each of them. The test failed before: two of four arrivals in ConfiguredCandidate, with a manual clock (20 and 1,010 ms: not acquired 450 ms later). Run: ConfiguredCandidate, OwnerCandidate, CellCandidates, CellSpread: 25 tests, five times, none red. The soak was not run.

--- a/packages/nutmegproxy-owner/src/OwnerCandidate.ts
+++ b/packages/nutmegproxy-owner/src/OwnerCandidate.ts
@@ -15,6 +15,7 @@
 import type {KnownCellCount} from './StoredCellCount.ts';
 
 import {
+  CAN_OWN_CHECK_INTERVAL_MS,
   HANDOVER_CHECK_INTERVAL_MS,
   STORE_RETRY_MS,
   TAKEOVER_JITTER_MS,
@@ -118,7 +119,7 @@
       const {canOwn, cellsOfLarger, otherCells, otherCores, ownCores, random} = this.#options;
       // The delays of all VMs have to begin with the same event, or they would not order them.
       if (!canOwn()) {
-        await delay(TAKEOVER_RETRY_MS);
+        await delay(CAN_OWN_CHECK_INTERVAL_MS);
         continue;
       }
       const takeoverDelayMs = chooseTakeoverDelayMs(ownCores, otherCores());
--- a/packages/nutmegproxy-owner/src/OwnerConstants.ts
+++ b/packages/nutmegproxy-owner/src/OwnerConstants.ts
@@ -17,6 +17,8 @@
 export const MAX_CLOCK_GAP_MS = 500;
 /** Upper bound of the random delay before acquiring a free ownership; spreads the VMs' writes. */
 export const TAKEOVER_JITTER_MS = 150;
+/** Pause between checks whether a VM can own the fleet, of what it has read alone: each delays its takeover. */
+export const CAN_OWN_CHECK_INTERVAL_MS = 50;
 /** Pause after a failed attempt to acquire the ownership. */
 export const TAKEOVER_RETRY_MS = 300;
 /** Consecutive calls without a response after which a minion is flagged as silent. */
