--- a/packages/nutmegproxy-owner/src/Owner.ts
+++ b/packages/nutmegproxy-owner/src/Owner.ts
@@ -290,13 +290,15 @@
     for (const minion of fleet.minions.values()) {
       evacuateMinion(fleet, minion, this.#estimator, bounds, now);
     }
+    const isTimeUp = createTimeLimit(clock, MAX_PLACEMENT_MS);
+    const lastStart = fleet.plannedStarts + this.#startLimiter.takeRoom();
     const allowance = this.#startThrottle.getAllowance(now);
     const context = {
       advice: this.#advice.createLookup(now),
       deferrableStarts: this.#startLimiter.isBacklogged ? 0 : allowance,
       estimator: this.#estimator,
       finishMs: bounds.finishMs,
-      isTimeUp: createTimeLimit(clock, MAX_PLACEMENT_MS),
+      isTimeUp: (share?: number) => isTimeUp(share) || fleet.plannedStarts >= lastStart,
       now,
       sharingCosts: this.#sharing,
       sweep: this.#sweep,
@@ -304,7 +306,8 @@
     };
     const hold = this.#findHold(now);
     const starts = hold === undefined ? planStarts(fleet, context) : [];
-    this.#roundLog.record({context, hold, now, starts, wall});
+    const isRoomUsedUp = fleet.plannedStarts >= lastStart;
+    this.#roundLog.record({context, hold, isRoomUsedUp, now, starts, wall});
     this.#startThrottle.recordStarts(countDeferrable(fleet, starts));
     for (const run of starts) {
       this.#minions.startRun(run);
--- a/packages/nutmegproxy-owner/src/RoundLog.ts
+++ b/packages/nutmegproxy-owner/src/RoundLog.ts
@@ -36,6 +36,8 @@
   /** What its starts were planned with, or would have been. */
   readonly context: PlanContext;
   readonly hold: RoundHold | undefined;
+  /** Whether as many starts were planned as may wait to be sent. */
+  readonly isRoomUsedUp?: boolean;
   readonly now: Instant;
   readonly starts: readonly Run[];
   readonly wall: WallTime;
@@ -90,6 +92,7 @@
       isBacklogged: startLimiter.isBacklogged,
       isBudgetUsedUp,
       isCut: sweep?.isOpen ?? false,
+      isRoomUsedUp: round.isRoomUsedUp,
       now,
       recoveryMs,
       sharingCosts,
--- a/packages/nutmegproxy-owner/src/StartLimiter.ts
+++ b/packages/nutmegproxy-owner/src/StartLimiter.ts
@@ -50,6 +50,8 @@
   #inFlight = 0;
   #limit = INITIAL_LIMIT;
   #reducedAtMs = -Infinity;
+  /** Starts since the last round. */
+  #sent = 0;
   #slowShare = 0;
   readonly #urgent: WaitingStart[] = [];
   /** Urgent starts since the last deferrable one. */
@@ -65,6 +67,17 @@
     return this.#urgent.length >= this.#limit;
   }
 
+  /**
+   * Returns how many starts may be planned in a round: as many as were sent since the last one and may be in
+   * flight, without those that are and the urgent ones that wait. More would be sent after later rounds, which
+   * know better what is urgent.
+   */
+  takeRoom(): number {
+    const room = this.limit + Math.max(this.limit, this.#sent);
+    this.#sent = 0;
+    return Math.max(1, room - this.#inFlight - this.#urgent.length);
+  }
+
   /** Most starts that may be in flight now. */
   get limit(): number {
     return Math.floor(this.#limit);
@@ -82,6 +95,7 @@
   async enter({gang, isUrgent = false}: StartRequest = {}): Promise<void> {
     if (this.#inFlight < this.limit) {
       this.#inFlight += 1;
+      this.#sent += 1;
       return;
     }
     await new Promise<void>((proceed) => {
@@ -104,6 +118,7 @@
         return;
       }
       this.#inFlight += 1;
+      this.#sent += 1;
       next.proceed();
     }
   }
--- a/packages/nutmegproxy-owner/src/__tests__/unit/StartLimiter.test.ts
+++ b/packages/nutmegproxy-owner/src/__tests__/unit/StartLimiter.test.ts
@@ -236,4 +236,28 @@
     await settle();
     assert.equal(limiter.isFull, true);
   });
+
+  it('has room for as many starts as were sent since the last round, but for urgent ones that wait and those in flight', async () => {
+    const limiter = new StartLimiter();
+    const {limit} = limiter;
+    assert.equal(limiter.takeRoom(), 2 * limit);
+    for (let index = 0; index < limit + 10; index += 1) {
+      void limiter.enter({isUrgent: true});
+    }
+    assert.equal(limiter.takeRoom(), limit - 10);
+    for (let index = 0; index < 3 * limit; index += 1) {
+      void limiter.enter({isUrgent: true});
+      limiter.leave(200, 0);
+    }
+    await settle();
+    assert.equal(limiter.takeRoom(), 3 * limit - 10);
+    for (let index = 0; index < limit; index += 1) {
+      void limiter.enter();
+    }
+    assert.equal(limiter.takeRoom(), limit - 10);
+    for (let index = 0; index < limit; index += 1) {
+      void limiter.enter({isUrgent: true});
+    }
+    assert.equal(limiter.takeRoom(), 1);
+  });
 });
--- a/packages/nutmegproxy-scheduling/src/Fleet.ts
+++ b/packages/nutmegproxy-scheduling/src/Fleet.ts
@@ -37,6 +37,8 @@
   formerReleasedAt: Instant | undefined;
   /** Jobs accepted up to this revision may have runs on minions that have not reported yet. */
   recoveryRevision = 0;
+  /** Number of starts that were decided on. */
+  plannedStarts = 0;
   /** Lowest run number that this owner may use for a task without a known run. */
   runNumberBase = 1;
   /** Stop requests that have not been sent yet. */
@@ -195,6 +197,7 @@
     const chosen = number ?? step.nextRunNumber(index, this.runNumberBase);
     const run = this.#addRun(step, task, chosen, minion, now);
     run.checkpoint = step.findCheckpoint(index);
+    this.plannedStarts += 1;
     step.placedAt = now;
     this.events.record(SCHEDULING_EVENTS.RUN_PLACED, {
       ...describeRun(run),
--- a/packages/nutmegproxy-scheduling/src/PendingTaskReason.ts
+++ b/packages/nutmegproxy-scheduling/src/PendingTaskReason.ts
@@ -88,8 +88,10 @@
   readonly isBacklogged?: boolean;
   /** Whether the round has used up its starts of deferrable work. */
   readonly isBudgetUsedUp: boolean;
-  /** Whether its time for placement was used up before all steps were placed. */
+  /** Whether it ended before all steps were placed. */
   readonly isCut: boolean;
+  /** Whether it ended since it had planned as many starts as may wait to be sent, and not for its time. */
+  readonly isRoomUsedUp?: boolean | undefined;
   readonly now: Instant;
   /** Longest time in milliseconds for which the recovery may still wait. */
   readonly recoveryMs: number;
@@ -175,14 +177,14 @@
 
 function findStartLimit(
   {step}: PendingTask,
-  {fleet, hold, isBacklogged = false, isBudgetUsedUp, isCut}: PendingContext,
+  {fleet, hold, isBacklogged = false, isBudgetUsedUp, isCut, isRoomUsedUp = false}: PendingContext,
 ): StartLimit | undefined {
   const isWithheld = isDeferrable(fleet, step);
   if (hold === 'backlog' || (isBacklogged && isWithheld)) {
     return 'backlog';
   }
   if (isCut) {
-    return 'time';
+    return isRoomUsedUp ? 'backlog' : 'time';
   }
   return isBudgetUsedUp && isWithheld ? 'allowance' : undefined;
 }
--- a/packages/nutmegproxy-scheduling/src/__tests__/unit/PendingTaskReason.test.ts
+++ b/packages/nutmegproxy-scheduling/src/__tests__/unit/PendingTaskReason.test.ts
@@ -217,6 +217,11 @@
       assert.deepEqual(findCause(addStep(), {isCut: true}), {limit: 'time', reason: 'start-limit'});
     });
 
+    it('says that the round had planned as many starts as may wait, not that its time was used up', () => {
+      const cause = findCause(addStep(), {isCut: true, isRoomUsedUp: true});
+      assert.deepEqual(cause, {limit: 'backlog', reason: 'start-limit'});
+    });
+
     it('says that the round has used up its starts of deferrable work, but not of urgent work', () => {
       const deferrable = findCause(addStep({}, 'later'), {isBudgetUsedUp: true});
       const urgent = findCause(addStep(), {isBudgetUsedUp: true});
