--- a/packages/nutmegproxy-owner/src/RunOrders.ts
+++ b/packages/nutmegproxy-owner/src/RunOrders.ts
@@ -136,11 +136,9 @@
 
   /** Returns how urgent a start is. */
   #describeRequest({step}: Run): StartRequest {
-    const isGang = step.shape.gang;
-    const hasBegun = isGang && [...step.runs()].some(({phase}) => phase === 'running');
     return {
-      gang: isGang ? step : undefined,
-      isUrgent: hasBegun || !isDeferrable(this.#context.fleet, step),
+      gang: step.shape.gang ? step : undefined,
+      isUrgent: !isDeferrable(this.#context.fleet, step),
     };
   }
 
--- a/packages/nutmegproxy-owner/src/StartLimiter.ts
+++ b/packages/nutmegproxy-owner/src/StartLimiter.ts
@@ -46,6 +46,8 @@
 }
 
 export class StartLimiter {
+  /** Gangs of which a member was sent. */
+  readonly #begunGangs = new WeakSet<object>();
   #deferrable: WaitingStart[] = [];
   #inFlight = 0;
   #limit = INITIAL_LIMIT;
@@ -94,12 +96,12 @@
    */
   async enter({gang, isUrgent = false}: StartRequest = {}): Promise<void> {
     if (this.#inFlight < this.limit) {
-      this.#inFlight += 1;
-      this.#sent += 1;
+      this.#recordSent(gang);
       return;
     }
+    const hasBegun = gang !== undefined && this.#begunGangs.has(gang);
     await new Promise<void>((proceed) => {
-      (isUrgent ? this.#urgent : this.#deferrable).push({gang, proceed});
+      (isUrgent || hasBegun ? this.#urgent : this.#deferrable).push({gang, proceed});
     });
   }
 
@@ -117,8 +119,7 @@
       if (next === undefined) {
         return;
       }
-      this.#inFlight += 1;
-      this.#sent += 1;
+      this.#recordSent(next.gang);
       next.proceed();
     }
   }
@@ -135,17 +136,17 @@
       return urgent;
     }
     this.#urgentInRow = 0;
-    const next = this.#deferrable.shift();
-    if (next?.gang !== undefined) {
-      this.#promote(next.gang);
-    }
-    return next;
+    return this.#deferrable.shift();
   }
 
-  /** Makes the other members of a gang urgent. */
-  #promote(gang: object): void {
-    this.#urgent.push(...this.#deferrable.filter((each) => each.gang === gang));
-    this.#deferrable = this.#deferrable.filter((each) => each.gang !== gang);
+  #recordSent(gang: object | undefined): void {
+    this.#inFlight += 1;
+    this.#sent += 1;
+    if (gang !== undefined && !this.#begunGangs.has(gang)) {
+      this.#begunGangs.add(gang);
+      this.#urgent.push(...this.#deferrable.filter((each) => each.gang === gang));
+      this.#deferrable = this.#deferrable.filter((each) => each.gang !== gang);
+    }
   }
 
   #adjustLimit(durationMs: number, nowMs: number): void {
--- a/packages/nutmegproxy-owner/src/__tests__/unit/StartLimiter.test.ts
+++ b/packages/nutmegproxy-owner/src/__tests__/unit/StartLimiter.test.ts
@@ -159,6 +159,16 @@
       assert.ok(deferrable.length >= BACKLOG / (MAX_URGENT_PER_DEFERRABLE + 1), `${sent.length}`);
     });
 
+    it('does not delay the other members of a gang of which one was sent without waiting', async () => {
+      const gang = {};
+      limiter.leave(200, 0);
+      request('g0', {gang});
+      requestDeferrable('d');
+      request('g1', {gang});
+      await end(MAX_SENT_PER_URGENT);
+      assert.ok(sent.includes('g1'), sent.join());
+    });
+
     it('does not delay the other members of a gang of which one was sent', async () => {
       const gang = {};
       request('g0', {gang});
