--- a/packages/nutmegproxy-owner/src/StartLimiter.ts
+++ b/packages/nutmegproxy-owner/src/StartLimiter.ts
@@ -46,10 +46,14 @@
 }
 
 export class StartLimiter {
+  /** Gangs of which a member was sent. */
+  readonly #begunGangs = new WeakSet<object>();
   #deferrable: WaitingStart[] = [];
   #inFlight = 0;
   #limit = INITIAL_LIMIT;
   #reducedAtMs = -Infinity;
+  /** Starts since the last round. */
+  #sent = 0;
   #slowShare = 0;
   readonly #urgent: WaitingStart[] = [];
   /** Urgent starts since the last deferrable one. */
@@ -65,6 +69,17 @@
     return this.#urgent.length >= this.#limit;
   }
 
+  /**
+   * Returns how many starts may be planned in a round: as many as were sent since the last one and may be in
+   * flight, without those that are and the urgent ones that wait. More would be sent after later rounds, which
+   * know better what is urgent.
+   */
+  takeRoom(): number {
+    const room = this.limit + Math.max(this.limit, this.#sent);
+    this.#sent = 0;
+    return Math.max(1, room - this.#inFlight - this.#urgent.length);
+  }
+
   /** Most starts that may be in flight now. */
   get limit(): number {
     return Math.floor(this.#limit);
@@ -81,11 +96,12 @@
    */
   async enter({gang, isUrgent = false}: StartRequest = {}): Promise<void> {
     if (this.#inFlight < this.limit) {
-      this.#inFlight += 1;
+      this.#recordSent(gang);
       return;
     }
+    const hasBegun = gang !== undefined && this.#begunGangs.has(gang);
     await new Promise<void>((proceed) => {
-      (isUrgent ? this.#urgent : this.#deferrable).push({gang, proceed});
+      (isUrgent || hasBegun ? this.#urgent : this.#deferrable).push({gang, proceed});
     });
   }
 
@@ -103,7 +119,7 @@
       if (next === undefined) {
         return;
       }
-      this.#inFlight += 1;
+      this.#recordSent(next.gang);
       next.proceed();
     }
   }
@@ -120,17 +136,17 @@
       return urgent;
     }
     this.#urgentInRow = 0;
-    const next = this.#deferrable.shift();
-    if (next?.gang !== undefined) {
-      this.#promote(next.gang);
-    }
-    return next;
+    return this.#deferrable.shift();
   }
 
-  /** Makes the other members of a gang urgent. */
-  #promote(gang: object): void {
-    this.#urgent.push(...this.#deferrable.filter((each) => each.gang === gang));
-    this.#deferrable = this.#deferrable.filter((each) => each.gang !== gang);
+  #recordSent(gang: object | undefined): void {
+    this.#inFlight += 1;
+    this.#sent += 1;
+    if (gang !== undefined && !this.#begunGangs.has(gang)) {
+      this.#begunGangs.add(gang);
+      this.#urgent.push(...this.#deferrable.filter((each) => each.gang === gang));
+      this.#deferrable = this.#deferrable.filter((each) => each.gang !== gang);
+    }
   }
 
   #adjustLimit(durationMs: number, nowMs: number): void {
--- a/packages/nutmegproxy-owner/src/__tests__/unit/StartLimiter.test.ts
+++ b/packages/nutmegproxy-owner/src/__tests__/unit/StartLimiter.test.ts
@@ -159,6 +159,16 @@
       assert.ok(deferrable.length >= BACKLOG / (MAX_URGENT_PER_DEFERRABLE + 1), `${sent.length}`);
     });
 
+    it('does not delay the other members of a gang of which one was sent without waiting', async () => {
+      const gang = {};
+      limiter.leave(200, 0);
+      request('g0', {gang});
+      requestDeferrable('d');
+      request('g1', {gang});
+      await end(MAX_SENT_PER_URGENT);
+      assert.ok(sent.includes('g1'), sent.join());
+    });
+
     it('does not delay the other members of a gang of which one was sent', async () => {
       const gang = {};
       request('g0', {gang});
@@ -236,4 +246,28 @@
     await settle();
     assert.equal(limiter.isFull, true);
   });
+
+  it('has room for as many starts as were sent since the last round, but for urgent ones that wait and those in flight', async () => {
+    const limiter = new StartLimiter();
+    const {limit} = limiter;
+    assert.equal(limiter.takeRoom(), 2 * limit);
+    for (let index = 0; index < limit + 10; index += 1) {
+      void limiter.enter({isUrgent: true});
+    }
+    assert.equal(limiter.takeRoom(), limit - 10);
+    for (let index = 0; index < 3 * limit; index += 1) {
+      void limiter.enter({isUrgent: true});
+      limiter.leave(200, 0);
+    }
+    await settle();
+    assert.equal(limiter.takeRoom(), 3 * limit - 10);
+    for (let index = 0; index < limit; index += 1) {
+      void limiter.enter();
+    }
+    assert.equal(limiter.takeRoom(), limit - 10);
+    for (let index = 0; index < limit; index += 1) {
+      void limiter.enter({isUrgent: true});
+    }
+    assert.equal(limiter.takeRoom(), 1);
+  });
 });
