The VM that accepts a job chooses its cell, and a place names it where that is not its home

Change: owners publish the room of their cell with the queue lengths; chooseJobCell, a pure function, chooses of the cells that hold the job two by hash and the one with clearly fewer waiting jobs; the transaction that stores the job stores its place, unless a request at the home or a place is there. Lookups read the home, then the place. A malformed place is reported (8226) and refused, never 410. Retention removes a place with its job.

--- a/packages/nutmegproxy-emulator/src/__tests__/unit/Retention.test.ts
+++ b/packages/nutmegproxy-emulator/src/__tests__/unit/Retention.test.ts
@@ -1,6 +1,8 @@
-import {formatJobKey} from '@nutmegproxy/jobs';
+import type {Transaction} from '@nutmegproxy/store';
+
+import {encodePlace, FIRST_CELL, formatJobKey, formatPlaceKey} from '@nutmegproxy/jobs';
 import {MemoryStore} from '@nutmegproxy/standins';
-import {getKey} from '@nutmegproxy/store';
+import {getKey, getPrefix, put} from '@nutmegproxy/store';
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
 
@@ -15,6 +17,10 @@
   submitJob,
   waitFor,
 } from './JobSamples.ts';
+import {createFailingStore} from './StoreSamples.ts';
+
+/** Most conditions and operations of one write. */
+const MAX_STORE_ENTRIES = 32;
 
 describe('Retention', () => {
   it('removes an ended job after its retention time, and no other', async () => {
@@ -53,4 +59,55 @@
     owner.stop('end of test');
     await store.close();
   });
+
+  it('removes the places of ended jobs with them, and within the size of a write', async () => {
+    const clock = createFastClock(40);
+    const store = new MemoryStore();
+    const sizes: number[] = [];
+    const view = createFailingStore(store, ([call]) => {
+      const {compare, then} = (call ?? {}) as Partial<Transaction>;
+      if (then?.some(({kind}) => kind === 'delete') === true) {
+        sizes.push(then.length + (compare?.length ?? 0));
+      }
+      return false;
+    });
+    const fleet = new EmulatedFleet(clock);
+    fleet.add(
+      new EmulatedMinion(createMinionDescription('m1'), ({job}) => ({
+        durationMs: job.endsWith('0') ? Infinity : 100,
+        outcome: 'done',
+      })),
+    );
+    const {owner, ownership} = await startOwner(clock, view, fleet);
+    const renewal = setInterval(() => {
+      ownership.confirm(clock.monotonic(), clock.wall());
+    }, 10);
+    const lasting = createStoredJob(0, [createStepShape({longRunning: true})]);
+    const ended = Array.from({length: 12}, (_, number) =>
+      createStoredJob(number + 1, [createStepShape()]),
+    );
+    for (const job of [lasting, ...ended]) {
+      await submitJob(store, {...job, isPlaced: true});
+      (await put(store, formatPlaceKey(job.id), encodePlace(FIRST_CELL)))._unsafeUnwrap();
+    }
+    let left: readonly string[] | undefined;
+    const poll = setInterval(() => {
+      void getPrefix(store, 'nutmegproxy/place/').then((read) => {
+        left = read.map(({values}) => values.map(({key}) => key)).unwrapOr(left);
+      });
+    }, 20);
+    await waitFor('the places are removed', () => left?.length === 1);
+    assert.deepEqual(left, [formatPlaceKey(lasting.id)]);
+    const requests = (await getPrefix(store, 'nutmegproxy/fleet/jobs/'))._unsafeUnwrap().values;
+    assert.deepEqual(
+      requests.map(({key}) => key),
+      [formatJobKey(lasting.id, 'request')],
+      'no place is removed before its job',
+    );
+    assert.ok(sizes.length > 1 && Math.max(...sizes) <= MAX_STORE_ENTRIES);
+    clearInterval(poll);
+    clearInterval(renewal);
+    owner.stop('end of test');
+    await store.close();
+  });
 });
--- a/packages/nutmegproxy-entry/src/CellCount.ts
+++ b/packages/nutmegproxy-entry/src/CellCount.ts
@@ -26,6 +26,8 @@
 /** Stored value of the key. */
 export interface CellCountRecord {
   readonly cells: number;
+  /** Whether jobs may be in another cell than their home, so that their places are looked up; absent otherwise. */
+  readonly places?: true;
 }
 
 export interface CellCountOptions {
@@ -44,13 +46,14 @@
 }
 
 type CellCountState =
-  | {readonly cells: number; readonly kind: 'known'}
+  | {readonly cells: number; readonly hasPlaces: boolean; readonly kind: 'known'}
   | {readonly kind: 'malformed' | 'unread'}
   | {readonly kind: 'undecided'};
 
 export class CellCount {
   /** Number of reads in a row that have listed as many other VMs as the last one. */
   #equalReads = 0;
+  #hasPlaces = false;
   /** Whether the first cell had a term before the next read of the number. */
   #hasTerm = false;
   readonly #options: CellCountOptions;
@@ -63,6 +66,14 @@
     this.#options = options;
   }
 
+  /**
+   * Whether jobs of the fleet may have places, once the number is known. Those that a version without places has
+   * divided have none: its VMs would not find such jobs.
+   */
+  get hasPlaces(): boolean {
+    return this.#hasPlaces;
+  }
+
   /**
    * Returns the number of cells once it is known; undefined when the process stops before. A value that names no
    * such number is reported once and read again until it does: with another number than other VMs have, this one
@@ -74,6 +85,7 @@
     while (!isStopping()) {
       const state = await this.#read();
       if (state.kind === 'known') {
+        this.#hasPlaces = state.hasPlaces;
         return state.cells;
       }
       if (state.kind === 'undecided' && mayDecide) {
@@ -96,7 +108,7 @@
     if (cells === undefined) {
       return;
     }
-    const record: CellCountRecord = {cells};
+    const record: CellCountRecord = cells === 1 ? {cells} : {cells, places: true};
     // Whether it was written, by this VM or another one, the next read tells.
     const written = await store.commit({
       compare: [
@@ -147,11 +159,12 @@
       return {kind: 'unread'};
     }
     if (stored.value === undefined) {
-      return this.#hasTerm ? {cells: 1, kind: 'known'} : this.#readTerm();
+      return this.#hasTerm ? {cells: 1, hasPlaces: false, kind: 'known'} : this.#readTerm();
     }
     const decoded = decodeCellCount(stored.value);
     if (decoded.isOk()) {
-      return {cells: decoded.value, kind: 'known'};
+      const {cells, places = false} = decoded.value;
+      return {cells, hasPlaces: places, kind: 'known'};
     }
     const revision = stored.value.modRevision;
     if (revision !== this.#reported) {
@@ -178,12 +191,16 @@
   }
 }
 
-/** Returns the number that a stored value names. */
-function decodeCellCount({value}: StoredValue): Result<number, string> {
+/** Returns the record of a stored value. */
+function decodeCellCount({value}: StoredValue): Result<CellCountRecord, string> {
   return parseJson(value.toString()).andThen((record) => {
-    const {cells} = (record ?? {}) as Partial<CellCountRecord>;
-    return cells !== undefined && Number.isInteger(cells) && cells >= 1 && cells <= MAX_CELLS
-      ? ok(cells)
-      : err(`cells is no integer from 1 to ${MAX_CELLS}`);
+    const {cells, places} = (record ?? {}) as {cells?: number; places?: unknown};
+    if (cells === undefined || !Number.isInteger(cells) || cells < 1 || cells > MAX_CELLS) {
+      return err(`cells is no integer from 1 to ${MAX_CELLS}`);
+    }
+    if (places === undefined) {
+      return ok({cells});
+    }
+    return places === true ? ok({cells, places}) : err('places is neither true nor absent');
   });
 }
--- a/packages/nutmegproxy-entry/src/EntryConstants.ts
+++ b/packages/nutmegproxy-entry/src/EntryConstants.ts
@@ -16,6 +16,12 @@
 export const STORE_RETRY_DELAY_MS = 80;
 /** Maximum age in milliseconds of cached queue lengths. */
 export const QUEUE_LENGTH_CACHE_MS = 400;
+/** Maximum age in milliseconds of the forecasts by which the cells of new jobs are chosen. */
+export const FORECAST_CACHE_MS = 1_500;
+/** Time in milliseconds for which a submitted job waits for new forecasts, of the seconds that its caller has. */
+export const FORECAST_READ_MS = 250;
+/** Number of reported places from which they may be reported again, to bound the memory that they take. */
+export const MAX_REPORTED_PLACES = 1_000;
 /**
  * Time in milliseconds without a response from the store after which it counts as unavailable and
  * calls that need it are refused at once.
--- a/packages/nutmegproxy-entry/src/EntryEvents.ts
+++ b/packages/nutmegproxy-entry/src/EntryEvents.ts
@@ -61,6 +61,11 @@
     level: 'info',
     text: "A job's status was returned to its caller.",
   },
+  PLACE_MALFORMED: {
+    code: 8226,
+    level: 'error',
+    text: 'The stored place of a job is malformed; calls that need it are refused.',
+  },
   PROCESS_STARTED: {code: 8202, level: 'info', text: 'The process has started.'},
   PROCESS_STOPPED: {code: 8204, level: 'info', text: 'The process is exiting.'},
   PROCESS_STOPPING: {code: 8203, level: 'info', text: 'A planned stop has begun.'},
--- a/packages/nutmegproxy-entry/src/JobApi.ts
+++ b/packages/nutmegproxy-entry/src/JobApi.ts
@@ -1,31 +1,26 @@
 /** The operations that an entry VM offers to callers: submit a job, read its status, cancel it. */
 
 import type {Clock, EventSink, JobId, RequestId} from '@nutmegproxy/core';
-import type {JobPart, JobRequest, JobStatus, QueueId, StoredJob} from '@nutmegproxy/jobs';
-import type {PlatformStore, StoredValue, StoreFailure} from '@nutmegproxy/store';
+import type {CellIndex, JobRequest, JobStatus, QueueId, StoredJob} from '@nutmegproxy/jobs';
+import type {Operation, PlatformStore, StoreFailure, Transaction} from '@nutmegproxy/store';
 import type {Result} from 'neverthrow';
 
 import {delay} from '@nutmegproxy/core';
-import {
-  decodeProgress,
-  encodeRecord,
-  findJobCell,
-  formatJobKey,
-  formatJobPrefix,
-} from '@nutmegproxy/jobs';
-import {getKey, getPrefix} from '@nutmegproxy/store';
+import {encodePlace, encodeRecord, formatJobKey, formatPlaceKey} from '@nutmegproxy/jobs';
 import {err, ok} from 'neverthrow';
 
 import type {QueueRoute} from './Configuration.ts';
+import type {FleetDivision, StoreRetry} from './JobLookup.ts';
 import type {StoreHealth} from './StoreHealth.ts';
 
+import {CellRouter} from './CellRouter.ts';
 import {
   QUEUE_LENGTH_CACHE_MS,
   STORE_RETRY_BUDGET_MS,
   STORE_RETRY_DELAY_MS,
 } from './EntryConstants.ts';
 import {ENTRY_EVENTS} from './EntryEvents.ts';
-import {decodeRecords} from './JobRequestRecords.ts';
+import {JobLookup} from './JobLookup.ts';
 import {readQueueLengths} from './QueueLengthReader.ts';
 import {chooseRetryAfter} from './RetryAfter.ts';
 
@@ -37,9 +32,9 @@
 }
 
 export interface JobApiOptions {
-  /** Returns the number of cells of the fleet; default: one. */
-  readonly cells?: () => number;
   readonly clock: Clock;
+  /** Returns into how many cells the fleet is divided; default: one. */
+  readonly division?: () => FleetDivision;
   readonly events: EventSink;
   readonly health: StoreHealth;
   /** A number from 0 to 1. */
@@ -54,40 +49,42 @@
   readonly timeoutMs: number | undefined;
 }
 
-/** The part of a job that callers may read. */
-interface JobSummary {
-  readonly queue: QueueId;
-  readonly status: JobStatus;
-}
+const UNDIVIDED: FleetDivision = {cells: 1, hasPlaces: false};
 
 export class JobApi {
+  readonly #lookup: JobLookup;
   readonly #options: JobApiOptions;
+  readonly #router: CellRouter;
   #queueLengths: {readAt: number; counts: Readonly<Record<string, number>>} | undefined;
 
   constructor(options: JobApiOptions) {
     this.#options = options;
+    const division = (): FleetDivision => this.#division;
+    this.#lookup = new JobLookup({...options, division});
+    this.#router = new CellRouter({...options, cells: () => this.#division.cells});
+  }
+
+  get #division(): FleetDivision {
+    return this.#options.division?.() ?? UNDIVIDED;
   }
 
   /** Requests the cancellation of a job; returns false when the queue has no such job. */
   async cancel(route: QueueRoute, id: JobId, call: CallContext): Promise<Result<boolean, Refusal>> {
     const {events} = this.#options;
-    const read = await this.#retryStoreCall(call, () =>
-      getPrefix(this.#options.store, this.#formatPrefix(id)),
-    );
+    const read = await this.#lookup.findRequest(id, this.#createRetry(call));
     if (read.isErr()) {
       return err(this.#refuseAfterFailure(call, read.error, {job: id, what: 'cancel'}));
     }
-    const records = decodeRecords(read.value.values);
-    if (records.queue !== route.id) {
+    const found = read.value;
+    if (found?.queue !== route.id) {
       return ok(false);
     }
-    if (!records.isCancelled) {
+    if (!found.isCancelled) {
+      const key = formatJobKey(id, 'cancel', found.cell);
       const written = await this.#retryStoreCall(call, () =>
         this.#options.store.commit({
           compare: [],
-          then: [
-            {key: this.#formatKey(id, 'cancel'), kind: 'put', value: Buffer.from(call.requestId)},
-          ],
+          then: [{key, kind: 'put', value: Buffer.from(call.requestId)}],
         }),
       );
       if (written.isErr()) {
@@ -97,7 +94,7 @@
     events.record(ENTRY_EVENTS.CANCEL_ACCEPTED, {
       job: id,
       request: call.requestId,
-      revision: read.value.revision,
+      revision: found.revision,
     });
     return ok(true);
   }
@@ -114,7 +111,7 @@
       now - this.#queueLengths.readAt > QUEUE_LENGTH_CACHE_MS
     ) {
       const read = await this.#retryStoreCall(call, () =>
-        readQueueLengths(store, this.#countCells()),
+        readQueueLengths(store, this.#division.cells),
       );
       if (read.isErr()) {
         return err(this.#refuseAfterFailure(call, read.error, {queue, what: 'count'}));
@@ -143,15 +140,8 @@
     id: JobId,
     call: CallContext,
   ): Promise<Result<JobStatus | undefined, Refusal>> {
-    const {events, store} = this.#options;
-    const progress = await this.#retryStoreCall(call, () =>
-      getKey(store, this.#formatKey(id, 'progress')),
-    );
-    if (progress.isErr()) {
-      return err(this.#refuseAfterFailure(call, progress.error, {job: id, what: 'status'}));
-    }
-    const reported = this.#decodeProgress(progress.value);
-    const summary = reported === undefined ? await this.#readQueuedJob(id, call) : ok(reported);
+    const {events} = this.#options;
+    const summary = await this.#lookup.readStatus(id, this.#createRetry(call));
     if (summary.isErr()) {
       return err(this.#refuseAfterFailure(call, summary.error, {job: id, what: 'status'}));
     }
@@ -161,7 +151,7 @@
     events.record(ENTRY_EVENTS.JOB_STATUS_RETURNED, {
       job: id,
       request: call.requestId,
-      revision: progress.value?.modRevision,
+      revision: summary.value.revision,
       status: summary.value.status,
     });
     return ok(summary.value.status);
@@ -180,18 +170,23 @@
       queue: route.id,
       service: route.service,
     };
-    const key = this.#formatKey(job.id, 'request');
-    const written = await this.#retryStoreCall(call, () =>
-      store.commit({
-        compare: [{key, kind: 'modRevision', modRevision: 0}],
-        then: [{key, kind: 'put', value: encodeRecord(job)}],
-      }),
-    );
+    const cell = await this.#chooseCell(job);
+    const transaction = this.#createSubmission(job, cell);
+    const written = await this.#retryStoreCall(call, () => store.commit(transaction));
     if (written.isErr()) {
       return err(this.#refuseAfterFailure(call, written.error, {job: job.id, what: 'submit'}));
     }
     const {revision, succeeded} = written.value;
+    if (!succeeded && this.#division.hasPlaces) {
+      const place = await this.#lookup.readPlace(job.id, this.#createRetry(call));
+      if (place.isErr()) {
+        // It may have been accepted before.
+        const failure: StoreFailure = {...place.error, kind: 'unknown'};
+        return err(this.#refuseAfterFailure(call, failure, {job: job.id, what: 'submit'}));
+      }
+    }
     events.record(succeeded ? ENTRY_EVENTS.JOB_ACCEPTED : ENTRY_EVENTS.JOB_ALREADY_STORED, {
+      ...(succeeded && this.#division.hasPlaces ? {cell} : {}),
       job: job.id,
       queue: route.id,
       request: call.requestId,
@@ -201,16 +196,30 @@
     return ok(undefined);
   }
 
-  #countCells(): number {
-    return this.#options.cells?.() ?? 1;
+  async #chooseCell(job: StoredJob): Promise<CellIndex> {
+    const {clock, health} = this.#options;
+    return this.#division.hasPlaces && health.isAvailable(clock.monotonic())
+      ? this.#router.choose(job)
+      : this.#lookup.findHome(job.id);
   }
 
-  #formatKey(id: JobId, part: JobPart): string {
-    return formatJobKey(id, part, findJobCell(id, this.#countCells()));
+  /** Returns the transaction that stores a job in a cell, unless it is stored in any. */
+  #createSubmission(job: StoredJob, cell: CellIndex): Transaction {
+    const home = this.#lookup.findHome(job.id);
+    const key = formatJobKey(job.id, 'request', cell);
+    const homeKey = formatJobKey(job.id, 'request', home);
+    const placeKey = formatPlaceKey(job.id);
+    const stored = cell === home ? job : {...job, isPlaced: true as const};
+    const mustBeAbsent = this.#division.hasPlaces ? [homeKey, placeKey] : [homeKey];
+    const place: Operation = {key: placeKey, kind: 'put', value: encodePlace(cell)};
+    return {
+      compare: mustBeAbsent.map((each) => ({key: each, kind: 'modRevision', modRevision: 0})),
+      then: [{key, kind: 'put', value: encodeRecord(stored)}, ...(cell === home ? [] : [place])],
+    };
   }
 
-  #formatPrefix(id: JobId): string {
-    return formatJobPrefix(id, findJobCell(id, this.#countCells()));
+  #createRetry(call: CallContext): StoreRetry {
+    return (attempt) => this.#retryStoreCall(call, attempt);
   }
 
   #chooseRetryAfter(): number {
@@ -218,26 +227,6 @@
     return chooseRetryAfter(health.getOutageMs(clock.monotonic()), random());
   }
 
-  /** Ignores a record that can't be decoded: the owner reports it and writes it again. */
-  #decodeProgress(stored: StoredValue | undefined): JobSummary | undefined {
-    return stored === undefined ? undefined : decodeProgress(stored.value).unwrapOr(undefined);
-  }
-
-  /** Reads a job for which the owner has not written any progress yet. */
-  async #readQueuedJob(
-    id: JobId,
-    call: CallContext,
-  ): Promise<Result<JobSummary | undefined, StoreFailure>> {
-    const read = await this.#retryStoreCall(call, () =>
-      getPrefix(this.#options.store, this.#formatPrefix(id)),
-    );
-    return read.map(({values}) => {
-      const {isCancelled, queue} = decodeRecords(values);
-      const status = isCancelled ? 'cancelled' : 'queued';
-      return queue === undefined ? undefined : {queue, status};
-    });
-  }
-
   #refuseAfterFailure(
     call: CallContext,
     failure: StoreFailure,
--- a/packages/nutmegproxy-entry/src/QueueLengthReader.ts
+++ b/packages/nutmegproxy-entry/src/QueueLengthReader.ts
@@ -1,5 +1,6 @@
-/** Reads the queue lengths that the owners of the fleet's cells publish. */
+/** Reads what the owners of the fleet's cells publish: queue lengths and outlooks. */
 
+import type {CellForecast} from '@nutmegproxy/jobs';
 import type {QueueLengths} from '@nutmegproxy/owner';
 import type {PlatformStore, StoredValue, StoreFailure} from '@nutmegproxy/store';
 import type {Result} from 'neverthrow';
@@ -18,15 +19,49 @@
   store: PlatformStore,
   cells: number,
 ): Promise<Result<Readonly<Record<string, number>>, StoreFailure>> {
+  const read = await readLengths(store, cells);
+  return read.andThen((stored) => addCounts(stored.flatMap((each) => each ?? [])));
+}
+
+/**
+ * Returns the forecast of each cell, in their order; undefined for one that publishes none.
+ *
+ * @example
+ * const [first] = (await readCellForecasts(store, 3)).unwrapOr([]);
+ */
+export async function readCellForecasts(
+  store: PlatformStore,
+  cells: number,
+): Promise<Result<readonly (CellForecast | undefined)[], StoreFailure>> {
+  const read = await readLengths(store, cells);
+  return read.map((stored) => stored.map((each) => each && decodeForecast(each)));
+}
+
+/** Reads the record of each cell, in their order. */
+async function readLengths(
+  store: PlatformStore,
+  cells: number,
+): Promise<Result<readonly (StoredValue | undefined)[], StoreFailure>> {
   const read = await store.commit({
     compare: [],
     then: listCells(cells).map((cell) => ({key: formatRecordKey('waiting', cell), kind: 'get'})),
   });
-  return read.andThen(({responses}) =>
-    addCounts(responses.flatMap((each) => (each.kind === 'get' ? each.values : []))),
+  return read.map(({responses}) =>
+    responses.map((each) => (each.kind === 'get' ? each.values[0] : undefined)),
   );
 }
 
+/** Only this program writes it, so only its main fields are checked; a malformed one is as none. */
+function decodeForecast({value}: StoredValue): CellForecast | undefined {
+  const record = (parseJson(value.toString()).unwrapOr(null) ?? {}) as Partial<QueueLengths>;
+  const {counts, outlook} = record;
+  if (counts === undefined || typeof outlook?.writtenAt !== 'number') {
+    return undefined;
+  }
+  const waitingJobs = Object.values(counts).reduce((sum, count) => sum + count, 0);
+  return Array.isArray(outlook.groups) ? {...outlook, waitingJobs} : undefined;
+}
+
 function addCounts(
   stored: readonly StoredValue[],
 ): Result<Readonly<Record<string, number>>, StoreFailure> {
--- a/packages/nutmegproxy-entry/src/index.ts
+++ b/packages/nutmegproxy-entry/src/index.ts
@@ -22,6 +22,7 @@
 export {ENTRY_EVENTS} from './EntryEvents.ts';
 export {JobApi} from './JobApi.ts';
 export type {CallContext, JobApiOptions, Refusal} from './JobApi.ts';
+export type {FleetDivision} from './JobLookup.ts';
 export {PeerSelector} from './PeerSelector.ts';
 export {readQueueLengths} from './QueueLengthReader.ts';
 export {chooseRetryAfter} from './RetryAfter.ts';
--- a/packages/nutmegproxy-jobs/src/CellChoice.ts
+++ b/packages/nutmegproxy-jobs/src/CellChoice.ts
@@ -8,7 +8,7 @@
 const FNV_PRIME = 0x01000193;
 
 /** Returns a 32-bit hash: FNV-1a, with the upper bits mixed into the lower ones. */
-function hash(text: string): number {
+export function hash(text: string): number {
   let value = FNV_OFFSET;
   for (let index = 0; index < text.length; index += 1) {
     value = Math.imul(value ^ text.charCodeAt(index), FNV_PRIME);
--- a/packages/nutmegproxy-jobs/src/JobModel.ts
+++ b/packages/nutmegproxy-jobs/src/JobModel.ts
@@ -71,6 +71,8 @@
 /** An accepted job as it is stored. */
 export interface StoredJob extends JobRequest {
   readonly acceptedAt: WallTime;
+  /** Whether it is in another cell than its home, so that a place names the cell; otherwise absent. */
+  readonly isPlaced?: true;
   readonly queue: QueueId;
   /** Pool of minions that the queue used when the job was accepted. */
   readonly service: ServiceId;
--- a/packages/nutmegproxy-jobs/src/index.ts
+++ b/packages/nutmegproxy-jobs/src/index.ts
@@ -12,6 +12,12 @@
   STATE_PREFIX,
 } from './CellKeys.ts';
 export type {CellIndex, CellRecord} from './CellKeys.ts';
+export {decodePlace, encodePlace, formatPlaceKey} from './CellPlaces.ts';
+export type {PlaceRecord} from './CellPlaces.ts';
+export {countHeldTasks} from './CellRoom.ts';
+export type {CellOutlook, RoomGroup} from './CellRoom.ts';
+export {chooseJobCell, MAX_OUTLOOK_AGE_MS} from './CellRouting.ts';
+export type {CellForecast} from './CellRouting.ts';
 export type {
   Checkpoint,
   JobRequest,
--- a/packages/nutmegproxy-owner/src/Owner.ts
+++ b/packages/nutmegproxy-owner/src/Owner.ts
@@ -66,6 +66,8 @@
   readonly machines: MachineList | undefined;
   readonly orders: MinionOrders;
   readonly ownership: FleetOwnership;
+  /** Whether the outlook of the cell is published for the choice of the cells of new jobs; default: it is not. */
+  readonly publishesOutlook?: boolean;
   /** Returns the configured queues; a new array after each change of the configuration. */
   readonly queues: () => readonly QueuePolicy[];
   /** Time in milliseconds for which callers can query the state of an ended job. */
@@ -122,7 +124,7 @@
     this.#closingRecords = new ClosingRecords({clock, events, ownership, store});
     this.#learnedEstimates = this.#createLearnedEstimates();
     this.#retention = this.#createRetention();
-    this.#queueLengths = new QueueLengthPublisher({events, fleet, ownership, store});
+    this.#queueLengths = new QueueLengthPublisher({...options, fleet});
     this.#advice = new AdvicePrefetcher({advice, bounds, clock, events, fleet, onChange});
     this.#jobs = new JobWatcher({clock, events, fleet, onChange, onFenced, ownership, store, work});
     this.#minions = new MinionSessions({
--- a/packages/nutmegproxy-owner/src/OwnerConstants.ts
+++ b/packages/nutmegproxy-owner/src/OwnerConstants.ts
@@ -71,6 +71,10 @@
 export const JOURNAL_BATCH_JOBS = 15;
 /** Pause between publications of the queue lengths; the lengths that callers get may be 2 s old. */
 export const QUEUE_LENGTHS_INTERVAL_MS = 700;
+/** Time after which the outlook of a cell is written again; several times within its longest age. */
+export const OUTLOOK_INTERVAL_MS = 2_000;
+/** Most groups of minions in the outlook of a cell, some 80 bytes each. */
+export const MAX_ROOM_GROUPS = 16;
 /** Pause after a read or watch of the store failed. */
 export const STORE_RETRY_MS = 200;
 /** Run numbers reserved for each owner; no owner starts one task this often. */
@@ -83,8 +87,8 @@
 export const ADVICE_IDLE_PAUSE_MS = 20;
 /** Time added to the expected duration of a call to the advising service to get its timeout. */
 export const ADVICE_TIMEOUT_MARGIN_MS = 1_000;
-/** Jobs removed in one write: three keys each, within the store's 32 entries. */
-export const RETENTION_BATCH_JOBS = 10;
+/** Keys of ended jobs removed in one write, which has a condition too, within the store's 32 entries. */
+export const RETENTION_BATCH_KEYS = 30;
 /** Pause between removals of old jobs: ten jobs per 250 ms keep up with 40 jobs per second. */
 export const RETENTION_INTERVAL_MS = 250;
 /** Pause between checks for a larger VM to hand over to; the list of VMs is some seconds old anyway. */
--- a/packages/nutmegproxy-owner/src/QueueLengthPublisher.ts
+++ b/packages/nutmegproxy-owner/src/QueueLengthPublisher.ts
@@ -1,6 +1,10 @@
-/** Writes the length of each queue to the store, so that every entry VM can report it. */
+/**
+ * Writes the length of each queue to the store, so that every entry VM can report it, and the outlook of the cell,
+ * so that the entry VMs can choose the cells of new jobs.
+ */
 
-import type {EventSink} from '@nutmegproxy/core';
+import type {Clock, EventSink} from '@nutmegproxy/core';
+import type {CellOutlook} from '@nutmegproxy/jobs';
 import type {Fleet} from '@nutmegproxy/scheduling';
 import type {PlatformStore} from '@nutmegproxy/store';
 
@@ -9,7 +13,8 @@
 
 import type {FleetOwnership} from './FleetOwnership.ts';
 
-import {QUEUE_LENGTHS_INTERVAL_MS} from './OwnerConstants.ts';
+import {summarizeRoom} from './CellRoomSummary.ts';
+import {OUTLOOK_INTERVAL_MS, QUEUE_LENGTHS_INTERVAL_MS} from './OwnerConstants.ts';
 import {OwnerRecord} from './OwnerRecord.ts';
 
 /** Key of the queue lengths of the first cell, which are stored as JSON. */
@@ -18,18 +23,25 @@
 /** Number of accepted jobs of which no minion has begun a task, by queue. */
 export interface QueueLengths {
   readonly counts: Readonly<Record<string, number>>;
+  /** Only where jobs are given places. */
+  readonly outlook?: CellOutlook;
 }
 
 export interface QueueLengthPublisherOptions {
+  readonly clock: Clock;
   readonly events: EventSink;
   readonly fleet: Fleet;
   readonly ownership: FleetOwnership;
+  /** Whether the outlook of the cell is published; default: it is not. */
+  readonly publishesOutlook?: boolean;
   readonly store: PlatformStore;
 }
 
 export class QueueLengthPublisher {
   readonly #options: QueueLengthPublisherOptions;
+  /** The lengths that were last written, as JSON. */
   #published = '';
+  #publishedAt = -Infinity;
   readonly #record: OwnerRecord;
 
   constructor(options: QueueLengthPublisherOptions) {
@@ -58,9 +70,28 @@
   }
 
   async #publish(): Promise<void> {
-    const text = JSON.stringify(this.#count());
-    if (text !== this.#published && (await this.#record.write(Buffer.from(text))) === 'written') {
+    const {clock, publishesOutlook = false} = this.#options;
+    const lengths = this.#count();
+    const text = JSON.stringify(lengths);
+    const now = clock.monotonic();
+    const isOutlookDue = publishesOutlook && now - this.#publishedAt >= OUTLOOK_INTERVAL_MS;
+    if (text === this.#published && !isOutlookDue) {
+      return;
+    }
+    const written = publishesOutlook
+      ? JSON.stringify({...lengths, outlook: this.#createOutlook()} satisfies QueueLengths)
+      : text;
+    if ((await this.#record.write(Buffer.from(written))) === 'written') {
       this.#published = text;
+      this.#publishedAt = now;
     }
   }
+
+  #createOutlook(): CellOutlook {
+    const {clock, fleet} = this.#options;
+    return {
+      groups: summarizeRoom(fleet.minions.values(), clock.monotonic()),
+      writtenAt: clock.wall(),
+    };
+  }
 }
--- a/packages/nutmegproxy-owner/src/Retention.ts
+++ b/packages/nutmegproxy-owner/src/Retention.ts
@@ -5,11 +5,11 @@
 import type {PlatformStore} from '@nutmegproxy/store';
 
 import {delay} from '@nutmegproxy/core';
-import {formatJobKey, type JobPart} from '@nutmegproxy/jobs';
+import {formatJobKey, formatPlaceKey, type JobPart, type JobState} from '@nutmegproxy/jobs';
 
 import type {FleetOwnership} from './FleetOwnership.ts';
 
-import {RETENTION_BATCH_JOBS, RETENTION_INTERVAL_MS} from './OwnerConstants.ts';
+import {RETENTION_BATCH_KEYS, RETENTION_INTERVAL_MS} from './OwnerConstants.ts';
 import {OWNER_EVENTS} from './OwnerEvents.ts';
 import {createFencingCondition} from './OwnerUtils.ts';
 
@@ -51,11 +51,8 @@
     }
     const removed = await store.commit({
       compare: [createFencingCondition(ownership)],
-      then: expired.flatMap((id) =>
-        PARTS.map((part) => ({
-          key: formatJobKey(id, part, ownership.cell),
-          kind: 'delete' as const,
-        })),
+      then: expired.flatMap((job) =>
+        this.#listKeys(job).map((key) => ({key, kind: 'delete' as const})),
       ),
     });
     if (removed.isErr()) {
@@ -63,28 +60,38 @@
       events.record(OWNER_EVENTS.JOURNAL_FAILED, {kind, message, what: 'removal of old jobs'});
       return;
     }
-    for (const id of expired) {
+    for (const {id} of expired) {
       fleet.jobs.delete(id);
       this.#endedAt.delete(id);
     }
-    events.record(OWNER_EVENTS.JOBS_REMOVED, {jobs: expired.join(' ')});
+    events.record(OWNER_EVENTS.JOBS_REMOVED, {jobs: expired.map(({id}) => id).join(' ')});
   }
 
-  #chooseExpired(now: Instant): JobId[] {
+  #chooseExpired(now: Instant): JobState[] {
     const {fleet, retentionMs} = this.#options;
-    const expired: JobId[] = [];
+    const expired: JobState[] = [];
+    let keys = 0;
     for (const job of fleet.jobs.values()) {
       if (!job.isFinal || fleet.dirtyJobs.has(job) || hasRuns(job)) {
         continue;
       }
       const endedAt = this.#endedAt.get(job.id) ?? now;
       this.#endedAt.set(job.id, endedAt);
-      if (now - endedAt > retentionMs && expired.length < RETENTION_BATCH_JOBS) {
-        expired.push(job.id);
+      const isOver = now - endedAt > retentionMs;
+      keys += isOver ? this.#listKeys(job).length : 0;
+      if (isOver && keys <= RETENTION_BATCH_KEYS) {
+        expired.push(job);
       }
     }
     return expired;
   }
+
+  /** Returns the keys of a job, with its place: one that is left would name a cell without the job. */
+  #listKeys({id, request}: JobState): string[] {
+    const {cell} = this.#options.ownership;
+    const keys = PARTS.map((part) => formatJobKey(id, part, cell));
+    return request.isPlaced === true ? [...keys, formatPlaceKey(id)] : keys;
+  }
 }
 
 function hasRuns(job: {readonly steps: () => Iterable<{readonly liveRuns: number}>}): boolean {
