A cell whose minions have many labels and unlike room is not said to have none

Cause: the summary groups minions by room and labels and doubles its units until there are 16 groups. Labels name racks, so with unlike room there are always more, and with the largest units all room is rounded down to nothing. Evidence: cell 0 had 113 cores of lasting tasks in unlike parts, cell 1 none. Ruled out: waits, which were none.

Change: labels are counted apart, and no unit is larger than half of the largest room of a minion. A label is taken to have as much room as the others on its minions. Test: CellRoomSummary, "is not said to be nothing ...".

--- a/packages/nutmegproxy-entry/src/QueueLengthReader.ts
+++ b/packages/nutmegproxy-entry/src/QueueLengthReader.ts
@@ -59,7 +59,8 @@
     return undefined;
   }
   const waitingJobs = Object.values(counts).reduce((sum, count) => sum + count, 0);
-  return Array.isArray(outlook.groups) ? {...outlook, waitingJobs} : undefined;
+  const {groups, labels} = outlook as Partial<CellForecast>;
+  return Array.isArray(groups) && labels instanceof Object ? {...outlook, waitingJobs} : undefined;
 }
 
 function addCounts(
--- a/packages/nutmegproxy-entry/src/__tests__/unit/JobApiPlaces.test.ts
+++ b/packages/nutmegproxy-entry/src/__tests__/unit/JobApiPlaces.test.ts
@@ -97,8 +97,8 @@
 
   /** Publishes that a cell has so many minions. */
   async function publish(cell: number, minions: number): Promise<void> {
-    const group = {cpuMilli: 16_000, gpus: 0, labels: [], memoryMb: 64_000, service: 'mesa'};
-    const outlook = {groups: [{...group, minions}], writtenAt: SYSTEM_CLOCK.wall()};
+    const group = {cpuMilli: 16_000, gpus: 0, memoryMb: 64_000, service: 'mesa'};
+    const outlook = {groups: [{...group, minions}], labels: {}, writtenAt: SYSTEM_CLOCK.wall()};
     const text = JSON.stringify({counts: {}, outlook});
     await write(formatRecordKey('waiting', cell as CellIndex), text);
   }
@@ -318,7 +318,7 @@
   });
 
   it('stores jobs in their homes while what is published is malformed or old', async () => {
-    const old = {groups: [], writtenAt: 0 as WallTime};
+    const old = {groups: [], labels: {}, writtenAt: 0 as WallTime};
     for (const text of [
       '{',
       '{"counts":{},"outlook":7}',
--- a/packages/nutmegproxy-jobs/src/CellRouting.ts
+++ b/packages/nutmegproxy-jobs/src/CellRouting.ts
@@ -67,9 +67,9 @@
 /** Returns the part of the tasks of a job's widest step that a cell holds at once, from 0 to 1. */
 function computeHeldShare(
   {service, steps}: Pick<StoredJob, 'service' | 'steps'>,
-  {groups}: CellOutlook,
+  outlook: CellOutlook,
 ): number {
-  const shares = steps.map((shape) => countHeldTasks(groups, shape, service) / shape.count);
+  const shares = steps.map((shape) => countHeldTasks(outlook, shape, service) / shape.count);
   return Math.min(1, ...shares);
 }
 
--- a/packages/nutmegproxy-jobs/src/__tests__/unit/CellRouting.test.ts
+++ b/packages/nutmegproxy-jobs/src/__tests__/unit/CellRouting.test.ts
@@ -48,7 +48,6 @@
   return {
     cpuMilli: 16_000,
     gpus: 0,
-    labels: ['a'],
     memoryMb: 64_000,
     minions: 40,
     service: SERVICE,
@@ -57,7 +56,9 @@
 }
 
 function createForecast(group: Partial<RoomGroup> = {}, waitingJobs = 0, ageMs = 0): CellForecast {
-  return {groups: [createGroup(group)], waitingJobs, writtenAt: (NOW - ageMs) as WallTime};
+  const full = createGroup(group);
+  const labels = {a: full.minions};
+  return {groups: [full], labels, waitingJobs, writtenAt: (NOW - ageMs) as WallTime};
 }
 
 function choose(
@@ -84,13 +85,13 @@
 const groups = fc.record({
   cpuMilli: fc.integer({max: 32_000, min: 0}),
   gpus: fc.integer({max: 2, min: 0}),
-  labels: fc.subarray(['a', 'b']),
   memoryMb: fc.integer({max: 64_000, min: 0}),
   minions: fc.integer({max: 40, min: 1}),
   service: fc.constantFrom(SERVICE, 'other' as ServiceId),
 });
 const forecasts = fc.record({
   groups: fc.array(groups, {maxLength: 4}),
+  labels: fc.dictionary(fc.constantFrom('a', 'b'), fc.nat(100)),
   waitingJobs: fc.nat(50),
   writtenAt: fc.integer({max: 20_000, min: -20_000}).map((age) => (NOW - age) as WallTime),
 });
@@ -142,7 +143,9 @@
     const full = createForecast({}, 500);
     const labelled = createStep({requiredLabel: 'a'});
     assert.ok(
-      !chooseMany([createForecast({labels: []}), full, full], labelled).includes(0 as CellIndex),
+      !chooseMany([{...createForecast(), labels: {}}, full, full], labelled).includes(
+        0 as CellIndex,
+      ),
     );
     const other = createForecast({service: 'other' as ServiceId});
     assert.ok(!chooseMany([full, other, full]).includes(1 as CellIndex));
@@ -159,7 +162,7 @@
   });
 
   it('is the home where no cell can run a task', () => {
-    const none = createForecast({labels: []});
+    const none = {...createForecast(), labels: {}};
     assert.ok(areAllHome(chooseMany([none, none], createStep({requiredLabel: 'a'})), 2));
   });
 
@@ -209,7 +212,7 @@
         fc.nat(1_000),
         (published, step, number) => {
           const cell = choose(number, published, step);
-          const held = published.map((each) => countHeldTasks(each.groups, step, SERVICE));
+          const held = published.map((each) => countHeldTasks(each, step, SERVICE));
           const most = Math.min(step.count, Math.max(...held));
           assert.equal(Math.min(step.count, held[cell] ?? 0), most);
         },
@@ -221,7 +224,7 @@
 describe('the tasks that a cell holds at once', () => {
   it('are bounded by each resource of each minion and by the limit for each', () => {
     const count = (change: Partial<StepShape>, group: Partial<RoomGroup> = {}): number =>
-      countHeldTasks([createGroup({minions: 3, ...group})], createStep(change), SERVICE);
+      countHeldTasks(createForecast({minions: 3, ...group}), createStep(change), SERVICE);
     assert.equal(count({}), 12);
     assert.equal(count({maxPerMinion: 1}), 3);
     assert.equal(count({}, {memoryMb: 8_191}), 6);
@@ -230,4 +233,12 @@
     assert.equal(count({resources: {cpuMilli: 0, gpus: 0, memoryMb: 0}}), 30);
     assert.equal(count({}, {cpuMilli: 0}), 0);
   });
+
+  it('are as many as there are minions with the label', () => {
+    const {groups} = createForecast();
+    const step = createStep({maxPerMinion: 1, requiredLabel: 'a'});
+    assert.equal(countHeldTasks({groups, labels: {a: 7}}, step, SERVICE), 7);
+    assert.equal(countHeldTasks({groups, labels: {b: 7}}, step, SERVICE), 0);
+    assert.equal(countHeldTasks({groups: [], labels: {a: 7}}, step, SERVICE), 0);
+  });
 });
--- a/packages/nutmegproxy-owner/src/CellRoomSummary.ts
+++ b/packages/nutmegproxy-owner/src/CellRoomSummary.ts
@@ -1,51 +1,72 @@
 /** Sums up the room of a cell's minions for the choice of the cells of new jobs, in a record of bounded size. */
 
 import type {Instant} from '@nutmegproxy/core';
-import type {Resources, RoomGroup} from '@nutmegproxy/jobs';
+import type {CellOutlook, Resources, RoomGroup, ServiceId} from '@nutmegproxy/jobs';
 import type {MinionState} from '@nutmegproxy/scheduling';
 
-import {MAX_ROOM_GROUPS} from './OwnerConstants.ts';
+import {MAX_ROOM_GROUPS, MAX_ROOM_LABELS} from './OwnerConstants.ts';
 
 /** Units to which room is rounded down at first; they are doubled until there are few enough groups. */
 const CPU_UNIT_MILLI = 500;
 const MEMORY_UNIT_MB = 1_024;
-const MAX_DOUBLINGS = 8;
+
+interface MinionRoom extends Resources {
+  readonly service: ServiceId;
+}
 
 /**
- * Returns the room that tasks which run until their job is cancelled leave on the minions, rounded down, so that
- * the cell holds at least what is said. Minions that get no work for longer are left out.
+ * Returns the room that tasks which run until their job is cancelled leave on the minions, rounded down to halves of
+ * the largest one at the most. Minions that get no work for longer are left out.
  *
  * @example
- * summarizeRoom(fleet.minions.values(), now);
+ * const {groups, labels} = summarizeRoom(fleet.minions.values(), now);
  */
-export function summarizeRoom(minions: Iterable<MinionState>, now: Instant): RoomGroup[] {
-  const rooms = [...minions]
-    .filter((minion) => isUsable(minion, now))
-    .map(({description: {capacity, labels, service}, runs}) => ({
-      labels: [...labels].sort(),
-      left: subtractLasting(capacity, runs),
-      service,
-    }));
-  for (let doublings = 0; ; doublings += 1) {
+export function summarizeRoom(
+  minions: Iterable<MinionState>,
+  now: Instant,
+): Pick<CellOutlook, 'groups' | 'labels'> {
+  const usable = [...minions].filter((minion) => isUsable(minion, now));
+  const rooms = usable.map(({description: {capacity, service}, runs}) => ({
+    ...subtractLasting(capacity, runs),
+    service,
+  }));
+  return {groups: groupRooms(rooms), labels: countLabels(usable)};
+}
+
+function groupRooms(rooms: readonly MinionRoom[]): RoomGroup[] {
+  const largestCpuUnit = Math.max(CPU_UNIT_MILLI, ...rooms.map(({cpuMilli}) => cpuMilli / 2));
+  const largestMemoryUnit = Math.max(MEMORY_UNIT_MB, ...rooms.map(({memoryMb}) => memoryMb / 2));
+  for (let factor = 1; ; factor *= 2) {
+    const cpuUnit = Math.min(largestCpuUnit, CPU_UNIT_MILLI * factor);
+    const memoryUnit = Math.min(largestMemoryUnit, MEMORY_UNIT_MB * factor);
     const groups = new Map<string, RoomGroup>();
-    for (const {labels, left, service} of rooms) {
+    for (const {cpuMilli, gpus, memoryMb, service} of rooms) {
       const room = {
-        cpuMilli: roundDown(left.cpuMilli, CPU_UNIT_MILLI * 2 ** doublings),
-        gpus: Math.max(0, left.gpus),
-        labels,
-        memoryMb: roundDown(left.memoryMb, MEMORY_UNIT_MB * 2 ** doublings),
+        cpuMilli: roundDown(cpuMilli, cpuUnit),
+        gpus: Math.max(0, gpus),
+        memoryMb: roundDown(memoryMb, memoryUnit),
         service,
       };
       const name = JSON.stringify(room);
       groups.set(name, {...room, minions: (groups.get(name)?.minions ?? 0) + 1});
     }
-    if (groups.size <= MAX_ROOM_GROUPS || doublings === MAX_DOUBLINGS) {
-      const largestFirst = [...groups.values()].sort((a, b) => b.minions - a.minions);
-      return largestFirst.slice(0, MAX_ROOM_GROUPS);
+    const isCoarsest = cpuUnit === largestCpuUnit && memoryUnit === largestMemoryUnit;
+    if (groups.size <= MAX_ROOM_GROUPS || isCoarsest) {
+      return [...groups.values()].sort((a, b) => b.minions - a.minions).slice(0, MAX_ROOM_GROUPS);
     }
   }
 }
 
+/** Returns the most common labels, with their minions. */
+function countLabels(minions: readonly MinionState[]): Record<string, number> {
+  const counts = new Map<string, number>();
+  for (const label of minions.flatMap(({description}) => description.labels)) {
+    counts.set(label, (counts.get(label) ?? 0) + 1);
+  }
+  const mostFirst = [...counts].sort(([, a], [, b]) => b - a);
+  return Object.fromEntries(mostFirst.slice(0, MAX_ROOM_LABELS));
+}
+
 /** Whether the minion is expected to get work; one that has not reported yet is. */
 function isUsable(minion: MinionState, now: Instant): boolean {
   const {description, isRecordedDraining, isRecordedUnreachable, trust, unlistedSince} = minion;
--- a/packages/nutmegproxy-owner/src/OwnerConstants.ts
+++ b/packages/nutmegproxy-owner/src/OwnerConstants.ts
@@ -75,6 +75,8 @@
 export const OUTLOOK_INTERVAL_MS = 2_000;
 /** Most groups of minions in the outlook of a cell, some 80 bytes each. */
 export const MAX_ROOM_GROUPS = 16;
+/** Most labels in the outlook of a cell. */
+export const MAX_ROOM_LABELS = 64;
 /** Pause after a read or watch of the store failed. */
 export const STORE_RETRY_MS = 200;
 /** Run numbers reserved for each owner; no owner starts one task this often. */
--- a/packages/nutmegproxy-owner/src/QueueLengthPublisher.ts
+++ b/packages/nutmegproxy-owner/src/QueueLengthPublisher.ts
@@ -90,7 +90,7 @@
   #createOutlook(): CellOutlook {
     const {clock, fleet} = this.#options;
     return {
-      groups: summarizeRoom(fleet.minions.values(), clock.monotonic()),
+      ...summarizeRoom(fleet.minions.values(), clock.monotonic()),
       writtenAt: clock.wall(),
     };
   }
--- a/packages/nutmegproxy-owner/src/__tests__/unit/CellRoomSummary.test.ts
+++ b/packages/nutmegproxy-owner/src/__tests__/unit/CellRoomSummary.test.ts
@@ -36,15 +36,18 @@
   }
 
   it('is that of all minions, in groups of alike ones', () => {
-    assert.deepEqual(summarizeRoom(minions, NOW), [
-      {cpuMilli: 16_000, gpus: 0, labels: [], memoryMb: 63_488, minions: 4, service: 'mesa'},
+    assert.deepEqual(summarizeRoom(minions, NOW).groups, [
+      {cpuMilli: 16_000, gpus: 0, memoryMb: 63_488, minions: 4, service: 'mesa'},
     ]);
   });
 
   it('is less by what runs until it is cancelled, and not by what ends', () => {
     start(getMinion(0), {longRunning: true, resources: {cpuMilli: 5_200, gpus: 0, memoryMb: 100}});
     start(getMinion(1), {resources: {cpuMilli: 5_200, gpus: 0, memoryMb: 100}});
-    const room = summarizeRoom(minions, NOW).map(({cpuMilli, minions: count}) => [cpuMilli, count]);
+    const room = summarizeRoom(minions, NOW).groups.map(({cpuMilli, minions: count}) => [
+      cpuMilli,
+      count,
+    ]);
     assert.deepEqual(room, [
       [16_000, 3],
       [10_500, 1],
@@ -56,11 +59,26 @@
     getMinion(1).unlistedSince = NOW;
     getMinion(2).isRecordedUnreachable = true;
     assert.deepEqual(
-      summarizeRoom(minions, NOW).map(({minions: count}) => count),
+      summarizeRoom(minions, NOW).groups.map(({minions: count}) => count),
       [1],
     );
     getMinion(3).isRecordedDraining = true;
-    assert.deepEqual(summarizeRoom(minions, NOW), []);
+    assert.deepEqual(summarizeRoom(minions, NOW), {groups: [], labels: {}});
+  });
+
+  it('is not said to be nothing where the minions have many labels and unlike room', () => {
+    const unlike = Array.from({length: 50}, (_, number) => {
+      const minion = createMinion(`m${number}`);
+      const capacity = {cpuMilli: 9_000 + 310 * number, gpus: 0, memoryMb: 30_000 + 700 * number};
+      const labels = ['a', `rack-${number % 20}`];
+      minion.description = {...minion.description, capacity, labels};
+      return minion;
+    });
+    const summary = summarizeRoom(unlike, NOW);
+    const {shape} = createStep(1, {count: 50, maxPerMinion: 1});
+    assert.ok(countHeldTasks(summary, shape, 'mesa' as ServiceId) >= 40);
+    assert.equal(summary.labels.a, 50);
+    assert.equal(summary.labels['rack-19'], 2);
   });
 
   it('is never said to be more than it is, in a record of bounded size', () => {
@@ -79,7 +97,7 @@
             return minion;
           });
           const summary = summarizeRoom(drawn, NOW);
-          assert.ok(summary.length <= MAX_ROOM_GROUPS);
+          assert.ok(summary.groups.length <= MAX_ROOM_GROUPS);
           assert.ok(JSON.stringify(summary).length <= MAX_RECORD_BYTES);
           const {shape} = createStep(1, {
             count: 1_000,
