--- a/packages/nutmegproxy-owner/src/OwnerPreference.ts
+++ b/packages/nutmegproxy-owner/src/OwnerPreference.ts
@@ -20,7 +20,7 @@
 
 /** Minions for each core of the largest VM beyond which it does not carry the fleet. */
 const MINIONS_PER_CORE = 700;
-/** Fewest minions of a cell on the average, so that it holds wide steps of tasks that may not share minions. */
+/** Fewest minions of a cell on the average: the largest cell holds wide steps of tasks that may not share minions. */
 const MIN_MINIONS_PER_CELL = 40;
 
 /** Whether one of the other VMs has clearly more cores. */
