--- a/packages/nutmegproxy-entry/src/CellCount.ts
+++ b/packages/nutmegproxy-entry/src/CellCount.ts
@@ -98,7 +98,8 @@
     if (cells === undefined) {
       return;
     }
-    const record: CellCountRecord = cells === 1 ? {cells} : {cells, ownersNameCells: true};
+    const record: CellCountRecord =
+      cells === 1 ? {cells} : {cells, ownersNameCells: true, places: true};
     // Whether it was written, by this VM or another one, the next read tells.
     const written = await store.commit({
       compare: [
--- a/packages/nutmegproxy-entry/src/__tests__/unit/CellCount.test.ts
+++ b/packages/nutmegproxy-entry/src/__tests__/unit/CellCount.test.ts
@@ -74,7 +74,7 @@
 
   /** Returns the record of a new fleet; owners of a divided one name the number. */
   function formatRecord(cells: number): CellCountRecord {
-    return cells === 1 ? {cells} : {cells, ownersNameCells: true};
+    return cells === 1 ? {cells} : {cells, ownersNameCells: true, places: true};
   }
 
   async function readStored(): Promise<string | undefined> {
@@ -102,6 +102,18 @@
     });
   });
 
+  it('says that jobs have places only where the version that divided the fleet finds them', async () => {
+    for (const [value, hasPlaces] of [
+      ['{"cells":3}', false],
+      ['{"cells":1}', false],
+      ['{"cells":3,"places":true}', true],
+    ] as const) {
+      await write(value);
+      const count = await createCellCount({}).find();
+      assert.equal(count?.hasPlaces, hasPlaces, value);
+    }
+  });
+
   describe('of a new fleet', () => {
     it('is one where a VM carries the fleet, or the platform has no list of machines', async () => {
       assert.equal(await find({machines: createMachines(490)}), 1);
@@ -278,7 +290,7 @@
   const malformed = ['0', '-1', '1.5', String(MAX_CELLS + 1), '"3"', 'null', '1e400'].map(
     (cells) => `{"cells":${cells}}`,
   );
-  for (const value of [...malformed, '', '{', 'null', '7', '[]', '{}']) {
+  for (const value of [...malformed, '{"cells":3,"places":1}', '', '{', 'null', '7', '[]', '{}']) {
     it(`is reported once and not guessed when it is malformed: ${value}`, async () => {
       await write(value);
       let known: number | undefined;
--- a/packages/nutmegproxy-owner/src/StoredCellCount.ts
+++ b/packages/nutmegproxy-owner/src/StoredCellCount.ts
@@ -20,24 +20,40 @@
    * records of the first version with cells don't say this, nor do its owners name it.
    */
   readonly ownersNameCells?: boolean;
+  /** Whether jobs may be in another cell than their home, so that their places are looked up; absent otherwise. */
+  readonly places?: true;
 }
 
 /** The number of cells as this VM has read it. */
-export interface KnownCellCount extends CellCountRecord {
+export interface KnownCellCount extends Omit<CellCountRecord, 'places'> {
+  readonly hasPlaces: boolean;
   /** Store revision of the last change of its key; 0 when the key is absent. */
   readonly revision: number;
 }
 
 /** A fleet without the key. */
-export const UNDIVIDED: KnownCellCount = {cells: 1, revision: 0};
+export const UNDIVIDED: KnownCellCount = {cells: 1, hasPlaces: false, revision: 0};
 
 /** Returns the number that a stored value names. */
 export function decodeCellCount({modRevision, value}: StoredValue): Result<KnownCellCount, string> {
   return parseJson(value.toString()).andThen((record) => {
-    const {cells, ownersNameCells} = (record ?? {}) as Partial<CellCountRecord>;
-    return cells !== undefined && Number.isInteger(cells) && cells >= 1 && cells <= MAX_CELLS
-      ? ok({cells, ownersNameCells: ownersNameCells === true, revision: modRevision})
-      : err(`cells is no integer from 1 to ${MAX_CELLS}`);
+    const {cells, ownersNameCells, places} = (record ?? {}) as {
+      cells?: number;
+      ownersNameCells?: unknown;
+      places?: unknown;
+    };
+    if (cells === undefined || !Number.isInteger(cells) || cells < 1 || cells > MAX_CELLS) {
+      return err(`cells is no integer from 1 to ${MAX_CELLS}`);
+    }
+    if (places !== undefined && places !== true) {
+      return err('places is neither true nor absent');
+    }
+    return ok({
+      cells,
+      hasPlaces: places === true,
+      ownersNameCells: ownersNameCells === true,
+      revision: modRevision,
+    });
   });
 }
 
--- a/packages/nutmegproxy-owner/src/__tests__/unit/CellCandidates.test.ts
+++ b/packages/nutmegproxy-owner/src/__tests__/unit/CellCandidates.test.ts
@@ -77,7 +77,7 @@
     const candidates = new CellCandidates({
       canOwn: () => true,
       clock: SYSTEM_CLOCK,
-      count: () => ({cells, ownersNameCells, revision}),
+      count: () => ({cells, hasPlaces: false, ownersNameCells, revision}),
       createOwner,
       events: {
         record: (kind, {reason}) => {
--- a/packages/nutmegproxy-owner/src/__tests__/unit/OwnerElection.test.ts
+++ b/packages/nutmegproxy-owner/src/__tests__/unit/OwnerElection.test.ts
@@ -126,7 +126,11 @@
 
     async function storeCount(cells: number): Promise<KnownCellCount> {
       const value = Buffer.from(JSON.stringify({cells}));
-      return {cells, revision: (await put(store, CELL_COUNT_KEY, value))._unsafeUnwrap()};
+      return {
+        cells,
+        hasPlaces: false,
+        revision: (await put(store, CELL_COUNT_KEY, value))._unsafeUnwrap(),
+      };
     }
 
     async function findFailure(election: OwnerElection): Promise<string> {
@@ -142,7 +146,7 @@
 
     it('fails once the number was removed, and for another number at the same revision', async () => {
       const count = await storeCount(3);
-      const other = {cells: 2, revision: count.revision};
+      const other = {cells: 2, hasPlaces: false, revision: count.revision};
       assert.equal(await findFailure(open('vm-1', {count: other})), 'countChanged');
       await store.commit({compare: [], then: [{key: CELL_COUNT_KEY, kind: 'delete'}]});
       assert.equal(await findFailure(open('vm-1', {count})), 'countChanged');
@@ -182,7 +186,7 @@
     it('fails beside an owner that names no number, where owners name it', async () => {
       const value = Buffer.from('{"cells":3,"ownersNameCells":true}');
       const revision = (await put(store, CELL_COUNT_KEY, value))._unsafeUnwrap();
-      const count = {cells: 3, ownersNameCells: true, revision};
+      const count = {cells: 3, hasPlaces: false, ownersNameCells: true, revision};
       await put(store, OWNER_KEY, Buffer.from('{"lease":"1","vm":"former"}'));
       assert.equal(await findFailure(open('vm-1', {cell: SECOND_CELL, count})), 'formerCount');
       await store.commit({compare: [], then: [{key: OWNER_KEY, kind: 'delete'}]});
