An owner that is about to hand the fleet over starts nothing any more

Change: once another VM can own the fleet, the owner that is stopped plans no starts. It finishes its recovery and its stops as before. While no other VM can, it goes on in full. Ruled out: waiting until all starts are listed; in a busy fleet some never are, so that each planned stop would take 1.5 s. The tests failed before: WindingDown (no such method), handOver "keeps the ownership until its recovery is complete and its stops are listed" asks for it.

--- a/packages/nutmegproxy-entry/src/PlannedHandover.ts
+++ b/packages/nutmegproxy-entry/src/PlannedHandover.ts
@@ -15,7 +15,7 @@
 import {ENTRY_EVENTS} from './EntryEvents.ts';
 
 export interface HandoverOptions {
-  readonly candidates: Pick<CellCandidates, 'isOwner' | 'mayHandOver' | 'stop'>;
+  readonly candidates: Pick<CellCandidates, 'isOwner' | 'mayHandOver' | 'stop' | 'windDown'>;
   readonly clock: Clock;
   readonly events: EventSink;
   readonly vms: Pick<VmRegistry, 'hasSuccessor' | 'refresh'>;
@@ -32,6 +32,10 @@
   while (candidates.isOwner) {
     // The list of the last read may name VMs that have been stopped since.
     await Promise.race([vms.refresh(), delay(SUCCESSOR_CHECK_INTERVAL_MS)]);
+    if (vms.hasSuccessor) {
+      // The next owner would not know whether what is started now has arrived, nor count it if it crashes its minion.
+      candidates.windDown();
+    }
     if (vms.hasSuccessor && candidates.mayHandOver) {
       return 'another VM can own';
     }
--- a/packages/nutmegproxy-entry/src/__tests__/unit/PlannedHandover.test.ts
+++ b/packages/nutmegproxy-entry/src/__tests__/unit/PlannedHandover.test.ts
@@ -11,9 +11,15 @@
 const FAR_MS = 60_000;
 
 describe('handOver', () => {
-  let candidates: {isOwner: boolean; mayHandOver: boolean; readonly stop: () => Promise<void>};
+  let candidates: {
+    isOwner: boolean;
+    mayHandOver: boolean;
+    readonly stop: () => Promise<void>;
+    readonly windDown: () => void;
+  };
   let fields: EventFields[];
   let isStopped: boolean;
+  let isWindingDown: boolean;
   let keepAlive: NodeJS.Timeout;
   let listed: boolean;
   let vms: {hasSuccessor: boolean; refresh: () => Promise<void>};
@@ -23,6 +29,7 @@
     keepAlive = setInterval(() => undefined, 1_000);
     fields = [];
     isStopped = false;
+    isWindingDown = false;
     listed = false;
     candidates = {
       isOwner: true,
@@ -31,6 +38,9 @@
         isStopped = true;
         return Promise.resolve();
       },
+      windDown: () => {
+        isWindingDown = true;
+      },
     };
     // The last read of the list is old: it names a VM that has been stopped since.
     vms = {
@@ -62,6 +72,7 @@
     const handed = start(after(SYSTEM_CLOCK.monotonic(), FAR_MS));
     await sleep(PAUSE_MS);
     assert.ok(!isStopped);
+    assert.ok(!isWindingDown, 'work starts on while nobody else can start it');
     listed = true;
     await handed;
     assert.ok(isStopped);
@@ -79,6 +90,7 @@
     const handed = start(after(SYSTEM_CLOCK.monotonic(), FAR_MS));
     await sleep(PAUSE_MS);
     assert.ok(!isStopped);
+    assert.ok(isWindingDown, 'nothing starts right before the handover');
     candidates.mayHandOver = true;
     await handed;
     assert.equal(fields[0]?.reason, 'another VM can own');
--- a/packages/nutmegproxy-owner/src/CellCandidates.ts
+++ b/packages/nutmegproxy-owner/src/CellCandidates.ts
@@ -128,6 +128,13 @@
     }
   }
 
+  /** Starts nothing any more on what this VM owns. */
+  windDown(): void {
+    for (const candidate of this.#candidates) {
+      candidate.windDown();
+    }
+  }
+
   /** Releases the ownerships that this VM has, and acquires none again. */
   async stop(): Promise<void> {
     this.#stopped = true;
--- a/packages/nutmegproxy-owner/src/Owner.ts
+++ b/packages/nutmegproxy-owner/src/Owner.ts
@@ -84,6 +84,7 @@
   readonly #jobs: JobWatcher;
   readonly #journal: Journal;
   #hasChanged = false;
+  #isWindingDown = false;
   readonly #learnedEstimates: LearnedEstimates;
   readonly #load = new OwnerLoad();
   readonly #minions: MinionSessions;
@@ -208,6 +209,11 @@
     return this.#stopReason ?? 'lease not renewed';
   }
 
+  /** Starts nothing any more; another VM is about to own the fleet. */
+  windDown(): void {
+    this.#isWindingDown = true;
+  }
+
   /** Stops the owner; it sends no further orders. */
   stop(reason: string): void {
     this.#stopReason ??= reason;
@@ -276,6 +282,9 @@
 
   /** Returns why nothing may start now; undefined when starts are planned. */
   #findHold(now: Instant): RoundHold | undefined {
+    if (this.#isWindingDown) {
+      return 'handover';
+    }
     if (this.#startLimiter.isFull) {
       return 'backlog';
     }
--- a/packages/nutmegproxy-owner/src/OwnerCandidate.ts
+++ b/packages/nutmegproxy-owner/src/OwnerCandidate.ts
@@ -112,6 +112,11 @@
     return this.#ownerVm !== undefined && isOwn === (this.#ownership !== undefined);
   }
 
+  /** Lets the owner of the cell, if this VM is it, start nothing any more. */
+  windDown(): void {
+    this.#owner?.windDown();
+  }
+
   /** Ends the ownership if this VM has it; the cell is then free. */
   release(reason: string): void {
     this.#owner?.stop(reason);
--- a/packages/nutmegproxy-owner/src/RoundLog.ts
+++ b/packages/nutmegproxy-owner/src/RoundLog.ts
@@ -27,9 +27,9 @@
 
 /**
  * Why a round starts nothing. `backlog`: too many urgent starts wait to be sent. `directory`: the view of the
- * directory of minions is too old.
+ * directory of minions is too old. `handover`: the VM stops, and another one is about to own the fleet.
  */
-export type RoundHold = 'backlog' | 'directory';
+export type RoundHold = 'backlog' | 'directory' | 'handover';
 
 /** A round of planning. */
 export interface Round {
@@ -88,7 +88,7 @@
       advice,
       finishMs,
       fleet,
-      hold: round.hold,
+      hold: round.hold === 'handover' ? undefined : round.hold,
       isBacklogged: startLimiter.isBacklogged,
       isBudgetUsedUp,
       isCut: sweep?.isOpen ?? false,
--- a/packages/nutmegproxy-owner/src/TaskWaitLog.ts
+++ b/packages/nutmegproxy-owner/src/TaskWaitLog.ts
@@ -29,7 +29,7 @@
 
 /** What the owner has done since an instant. */
 class RoundCounts {
-  readonly held: Record<RoundHold, number> = {backlog: 0, directory: 0};
+  readonly held: Record<RoundHold, number> = {backlog: 0, directory: 0, handover: 0};
   lastingStarts = 0;
   longestGapMs = 0;
   rounds = 0;
