--- a/packages/nutmegproxy-emulator/src/__tests__/unit/Retention.test.ts
+++ b/packages/nutmegproxy-emulator/src/__tests__/unit/Retention.test.ts
@@ -1,5 +1,7 @@
+import type {FleetOwnership} from '@nutmegproxy/owner';
 import type {Transaction} from '@nutmegproxy/store';
 
+import {ManualClock} from '@nutmegproxy/core';
 import {encodePlace, FIRST_CELL, formatJobKey, formatPlaceKey} from '@nutmegproxy/jobs';
 import {MemoryStore} from '@nutmegproxy/standins';
 import {getKey, getPrefix, put} from '@nutmegproxy/store';
@@ -9,7 +11,6 @@
 import {EmulatedFleet} from '../../EmulatedFleet.ts';
 import {EmulatedMinion} from '../../EmulatedMinion.ts';
 import {
-  createFastClock,
   createMinionDescription,
   createStepShape,
   createStoredJob,
@@ -22,11 +23,27 @@
 /** Most conditions and operations of one write. */
 const MAX_STORE_ENTRIES = 32;
 
+/** Real time in milliseconds between two steps of the clock, and how far it goes: the retention time passes in a second. */
+const STEP_PAUSE_MS = 10;
+const STEP_MS = 400;
+
+/** Lets time pass only as the ownership is confirmed, so that a process that gets no turn does not end it. */
+function passTime(clock: ManualClock, ownership: FleetOwnership): NodeJS.Timeout {
+  return setInterval(() => {
+    clock.advance(STEP_MS);
+    ownership.confirm(clock.monotonic(), clock.wall());
+  }, STEP_PAUSE_MS);
+}
+
+/** Creates a store whose clock stands still, so that the lease of the ownership does not expire, which nobody renews. */
+function createStore(): MemoryStore {
+  return new MemoryStore(new ManualClock());
+}
+
 describe('Retention', () => {
   it('removes an ended job after its retention time, and no other', async () => {
-    // The clock runs 40 times as fast as time, so that the retention time passes in a second.
-    const clock = createFastClock(40);
-    const store = new MemoryStore();
+    const clock = new ManualClock(Date.now());
+    const store = createStore();
     const fleet = new EmulatedFleet(clock);
     fleet.add(
       new EmulatedMinion(createMinionDescription('m1'), ({job}) => ({
@@ -35,9 +52,7 @@
       })),
     );
     const {owner, ownership} = await startOwner(clock, store, fleet);
-    const renewal = setInterval(() => {
-      ownership.confirm(clock.monotonic(), clock.wall());
-    }, 10);
+    const passing = passTime(clock, ownership);
     const ended = createStoredJob(1, [createStepShape()]);
     const lasting = createStoredJob(2, [createStepShape({longRunning: true})]);
     await submitJob(store, ended);
@@ -55,14 +70,14 @@
       undefined,
     );
     clearInterval(poll);
-    clearInterval(renewal);
+    clearInterval(passing);
     owner.stop('end of test');
     await store.close();
   });
 
   it('removes the places of ended jobs with them, and within the size of a write', async () => {
-    const clock = createFastClock(40);
-    const store = new MemoryStore();
+    const clock = new ManualClock(Date.now());
+    const store = createStore();
     const sizes: number[] = [];
     const view = createFailingStore(store, ([call]) => {
       const {compare, then} = (call ?? {}) as Partial<Transaction>;
@@ -79,9 +94,7 @@
       })),
     );
     const {owner, ownership} = await startOwner(clock, view, fleet);
-    const renewal = setInterval(() => {
-      ownership.confirm(clock.monotonic(), clock.wall());
-    }, 10);
+    const passing = passTime(clock, ownership);
     const lasting = createStoredJob(0, [createStepShape({longRunning: true})]);
     const ended = Array.from({length: 12}, (_, number) =>
       createStoredJob(number + 1, [createStepShape()]),
@@ -106,7 +119,7 @@
     );
     assert.ok(sizes.length > 1 && Math.max(...sizes) <= MAX_STORE_ENTRIES);
     clearInterval(poll);
-    clearInterval(renewal);
+    clearInterval(passing);
     owner.stop('end of test');
     await store.close();
   });
