An acquisition of a fleet that is not divided reads five keys, not nineteen

A fleet that is not divided has no key of another cell, so one read of their common prefix finds any owner among them. A divided one reads as before. What an acquisition decides is the same.

--- a/packages/nutmegproxy-jobs/src/CellKeys.ts
+++ b/packages/nutmegproxy-jobs/src/CellKeys.ts
@@ -23,8 +23,11 @@
 /** Prefix of the keys of job progress in the first cell. */
 export const PROGRESS_PREFIX = `${ROOT}progress/`;
 
+/** Prefix of all keys of cells but the first one; a fleet that is not divided has none. */
+export const CELLS_PREFIX = `${ROOT}cell/`;
+
 function formatCellPrefix(cell: CellIndex): string {
-  return cell === FIRST_CELL ? ROOT : `${ROOT}cell/${cell}/`;
+  return cell === FIRST_CELL ? ROOT : `${CELLS_PREFIX}${cell}/`;
 }
 
 /**
--- a/packages/nutmegproxy-jobs/src/index.ts
+++ b/packages/nutmegproxy-jobs/src/index.ts
@@ -2,6 +2,7 @@
 
 export {findJobCell, findMinionCell, listCells} from './CellChoice.ts';
 export {
+  CELLS_PREFIX,
   FIRST_CELL,
   formatFleetPrefix,
   formatOwnerKey,
--- a/packages/nutmegproxy-owner/src/OwnerElection.ts
+++ b/packages/nutmegproxy-owner/src/OwnerElection.ts
@@ -3,10 +3,16 @@
 import type {Clock, EventSink, Instant, VmId} from '@nutmegproxy/core';
 import type {CellIndex} from '@nutmegproxy/jobs';
 import type {LeaseTimes} from '@nutmegproxy/scheduling';
-import type {LeaseId, PlatformStore, StoredValue, StoreFailure} from '@nutmegproxy/store';
+import type {
+  LeaseId,
+  Operation,
+  PlatformStore,
+  StoredValue,
+  StoreFailure,
+} from '@nutmegproxy/store';
 import type {Result} from 'neverthrow';
 
-import {FIRST_CELL, formatOwnerKey, formatRecordKey} from '@nutmegproxy/jobs';
+import {CELLS_PREFIX, FIRST_CELL, formatOwnerKey, formatRecordKey} from '@nutmegproxy/jobs';
 import {err, ok} from 'neverthrow';
 
 import type {OwnershipGrant} from './FleetOwnership.ts';
@@ -264,17 +270,35 @@
         {key: this.#keys.term, kind: 'get'},
         {key: this.#keys.recording, kind: 'get'},
         {key: CELL_COUNT_KEY, kind: 'get'},
-        ...OWNER_KEYS.map((key) => ({key, kind: 'get'}) as const),
+        ...this.#listOwnerReads(),
       ],
     });
     return answer.map(({responses}) => {
-      const [term, recording, count, ...owners] = responses.map((each) =>
-        each.kind === 'get' ? each.values[0] : undefined,
+      const [term = [], recording = [], count = [], ...found] = responses.map((each) =>
+        each.kind === 'get' ? each.values : [],
       );
-      return {count, owner: owners[this.#cell], owners, recording, term};
+      const ownerByKey = new Map(found.flat().map((stored) => [stored.key, stored]));
+      const owners = OWNER_KEYS.map((key) => ownerByKey.get(key));
+      return {
+        count: count[0],
+        owner: owners[this.#cell],
+        owners,
+        recording: recording[0],
+        term: term[0],
+      };
     });
   }
 
+  /** Returns the reads of the owners of all cells; each may be a call to the store. */
+  #listOwnerReads(): readonly Operation[] {
+    return this.#count.cells === 1
+      ? [
+          {key: this.#keys.owner, kind: 'get'},
+          {key: CELLS_PREFIX, kind: 'get', prefix: true},
+        ]
+      : OWNER_KEYS.map((key) => ({key, kind: 'get'}));
+  }
+
   async #write(
     lease: LeaseId,
     {count, recording, term: previous}: ElectionRecords,
--- a/packages/nutmegproxy-owner/src/__tests__/unit/OwnerElection.test.ts
+++ b/packages/nutmegproxy-owner/src/__tests__/unit/OwnerElection.test.ts
@@ -210,6 +210,17 @@
       await acquire(open('vm-1'));
       assert.equal(commits, 2);
     });
+
+    it('reads few keys and prefixes of a fleet that is not divided, each of which may be a call', async () => {
+      const commit = store.commit.bind(store);
+      let reads = 0;
+      store.commit = (transaction) => {
+        reads += transaction.then.filter(({kind}) => kind === 'get').length;
+        return commit(transaction);
+      };
+      await acquire(open('vm-1'));
+      assert.equal(reads, 5);
+    });
   });
 
   describe('the release of the ownership', () => {
