--- a/packages/nutmegproxy-jobs/src/CellPlaces.ts
+++ b/packages/nutmegproxy-jobs/src/CellPlaces.ts
@@ -3,10 +3,12 @@
 import type {JobId} from '@nutmegproxy/core';
 import type {Result} from 'neverthrow';
 
-import {err, ok, Result as Results} from 'neverthrow';
+import {err, ok} from 'neverthrow';
 
 import type {CellIndex} from './CellKeys.ts';
 
+import {parseStored} from './JobRecords.ts';
+
 /** Prefix of the keys of places. They belong to no cell, since a job is looked for before its cell is known. */
 export const PLACE_PREFIX = 'nutmegproxy/place/';
 
@@ -30,11 +32,9 @@
   return Buffer.from(JSON.stringify(record));
 }
 
-const parseJson = Results.fromThrowable((text: string): unknown => JSON.parse(text), String);
-
 /** Returns the cell that a stored place names, of a fleet with that many. */
 export function decodePlace(value: Buffer, cells: number): Result<CellIndex, string> {
-  return parseJson(value.toString()).andThen((record) => {
+  return parseStored(value).andThen((record) => {
     const {cell} = (record ?? {}) as Partial<PlaceRecord>;
     return cell !== undefined && Number.isInteger(cell) && cell >= 0 && cell < cells
       ? ok(cell)
--- a/packages/nutmegproxy-jobs/src/JobRecords.ts
+++ b/packages/nutmegproxy-jobs/src/JobRecords.ts
@@ -65,7 +65,8 @@
   return Buffer.from(JSON.stringify(record));
 }
 
-function decode(value: Buffer): Result<unknown, string> {
+/** Parses a stored value, which is JSON. */
+export function parseStored(value: Buffer): Result<unknown, string> {
   try {
     return ok(JSON.parse(value.toString()));
   } catch (error) {
@@ -79,7 +80,7 @@
 
 /** Decodes a stored job. Only this program writes it, so only its main fields are checked. */
 export function decodeJob(value: Buffer): Result<StoredJob, string> {
-  return decode(value).andThen((record) =>
+  return parseStored(value).andThen((record) =>
     isObject(record) && typeof record.id === 'string' && Array.isArray(record.steps)
       ? ok(record as unknown as StoredJob)
       : err('stored job is not an object with an id and steps'),
@@ -88,7 +89,7 @@
 
 /** Decodes a job's stored progress; checks only its main fields. */
 export function decodeProgress(value: Buffer): Result<JobProgress, string> {
-  return decode(value).andThen((record) =>
+  return parseStored(value).andThen((record) =>
     isObject(record) && typeof record.status === 'string' && isObject(record.steps)
       ? ok(record as unknown as JobProgress)
       : err('stored progress is not an object with a status and steps'),
--- a/packages/nutmegproxy-owner/src/CellCandidates.ts
+++ b/packages/nutmegproxy-owner/src/CellCandidates.ts
@@ -201,8 +201,8 @@
       const owned = this.#candidates.filter(({ownedSince}) => ownedSince !== undefined).length;
       const self = {cells: owned, cores: ownCores};
       const ownedMs = latest === undefined ? 0 : clock.monotonic() - latest.since;
-      const areSettled = candidates.every(({isSettled}) => isSettled);
-      if (areSettled && shouldSpread(self, this.#listOthers(), ownedMs)) {
+      const areOwnersKnown = candidates.every(({isOwnerKnown}) => isOwnerKnown);
+      if (areOwnersKnown && shouldSpread(self, this.#listOthers(), ownedMs)) {
         latest?.candidate.release('another VM owns fewer cells');
       }
     }
--- a/packages/nutmegproxy-owner/src/OwnerCandidate.ts
+++ b/packages/nutmegproxy-owner/src/OwnerCandidate.ts
@@ -107,7 +107,7 @@
   }
 
   /** Whether the cell has an owner, and this VM knows which one it is. */
-  get isSettled(): boolean {
+  get isOwnerKnown(): boolean {
     const isOwn = this.#ownerVm === this.#options.vm;
     return this.#ownerVm !== undefined && isOwn === (this.#ownership !== undefined);
   }
--- a/packages/nutmegproxy-owner/src/Retention.ts
+++ b/packages/nutmegproxy-owner/src/Retention.ts
@@ -72,7 +72,7 @@
     const expired: JobState[] = [];
     let keys = 0;
     for (const job of fleet.jobs.values()) {
-      if (!job.isFinal || fleet.dirtyJobs.has(job) || hasRuns(job)) {
+      if (!job.isFinal || fleet.dirtyJobs.has(job) || job.hasLiveRuns) {
         continue;
       }
       const endedAt = this.#endedAt.get(job.id) ?? now;
@@ -93,12 +93,3 @@
     return request.isPlaced === true ? [...keys, formatPlaceKey(id)] : keys;
   }
 }
-
-function hasRuns(job: {readonly steps: () => Iterable<{readonly liveRuns: number}>}): boolean {
-  for (const step of job.steps()) {
-    if (step.liveRuns > 0) {
-      return true;
-    }
-  }
-  return false;
-}
