One copy of minions by service, of the default of finish_s and of the cost of harm; free room is looked at once a review

The review of pending tasks grouped the minions by service as planning does; SchedulableMinions serves both as MinionsByService. The default of finish_s stood before two calls of deriveMaxWait, and INTERFERENCE_COST in two files. Each detail of a task that waits for trust or sharing went over all minions to see what room is free; the review does so once as it begins, also where no such task waits. What starts, and when, is decided by planning as before.

--- a/packages/nutmegproxy-scheduling/src/SchedulableMinions.ts
+++ b/packages/nutmegproxy-scheduling/src/MinionsByService.ts
@@ -1,4 +1,4 @@
-/** The minions that can get new work in one planning round, by service. */
+/** Minions by their service, such as those that can get new work in one planning round. */
 
 import type {Instant} from '@nutmegproxy/core';
 import type {ServiceId} from '@nutmegproxy/jobs';
@@ -9,10 +9,10 @@
 
 /**
  * @example
- * const schedulable = new SchedulableMinions([...fleet.minions.values()].filter((each) => isSchedulable(each, now)));
+ * const schedulable = new MinionsByService([...fleet.minions.values()].filter((each) => isSchedulable(each, now)));
  * schedulable.of(service);
  */
-export class SchedulableMinions {
+export class MinionsByService {
   readonly #byService = new Map<ServiceId, MinionState[]>();
 
   constructor(minions: Iterable<MinionState>) {
--- a/packages/nutmegproxy-scheduling/src/OverdueSteps.ts
+++ b/packages/nutmegproxy-scheduling/src/OverdueSteps.ts
@@ -12,6 +12,7 @@
 import type {SharingCosts} from './Placement.ts';
 
 import {isOnlyUntrusted} from './MinionAvailability.ts';
+import {INTERFERENCE_COST} from './Placement.ts';
 
 /**
  * Time in milliseconds of free room before a step that has waited passes the preferences: work that waited for room gets
@@ -19,9 +20,6 @@
  */
 const MIN_FREE_MS = 2_000;
 
-/** Cost of a backfill task that disturbs serving tasks, in thousandths of a core: more than any other. */
-const INTERFERENCE_COST = 1_000_000;
-
 /**
  * Returns since when a step waits: for its turn, since a start or a failure. Lasting tasks wait each for itself.
  * Backfill that has been evicted waits on, or each eviction would begin another wait.
@@ -98,7 +96,6 @@
   maxWaitMs: number,
   now: Instant,
 ): number | undefined {
-  fleet.freeRoom.observe(fleet.minions.values(), now);
   const passingAt = findPassingAt(fleet, step.job);
   return step.readyAt !== undefined && !hasOtherRuns(step) && passingAt < Infinity
     ? Math.max(0, passingAt - now, findWaitStart(step) + maxWaitMs - now)
--- a/packages/nutmegproxy-scheduling/src/PendingBounds.ts
+++ b/packages/nutmegproxy-scheduling/src/PendingBounds.ts
@@ -2,6 +2,8 @@
 
 import type {PlatformBounds} from '@nutmegproxy/core';
 
+import {DEFAULT_PLATFORM_BOUNDS} from '@nutmegproxy/core';
+
 import type {LeaseTimes} from './LeaseTimes.ts';
 import type {PendingReason} from './PendingTaskReason.ts';
 
@@ -44,7 +46,11 @@
  * @example
  * deriveMaxWait({finishMs: 14_000}); // 13_500
  */
-export function deriveMaxWait({finishMs}: Pick<PlatformBounds, 'finishMs'>): number {
+export function deriveMaxWait({
+  finishMs = DEFAULT_PLATFORM_BOUNDS.finishMs,
+}: {
+  readonly finishMs?: number | undefined;
+}): number {
   return Math.max(MIN_WAIT_MS, finishMs - START_MARGIN_MS);
 }
 
--- a/packages/nutmegproxy-scheduling/src/PendingDetails.ts
+++ b/packages/nutmegproxy-scheduling/src/PendingDetails.ts
@@ -1,7 +1,5 @@
 /** Says which minion a reason is about, and how long the reason may last. */
 
-import {DEFAULT_PLATFORM_BOUNDS} from '@nutmegproxy/core';
-
 import type {MinionState} from './MinionState.ts';
 import type {
   PendingContext,
@@ -24,8 +22,8 @@
 
 /** Until the step is overdue; without a time where its service is too full for that. */
 function describePreference({step}: PendingTask, context: PendingContext): PendingDetails {
-  const {finishMs = DEFAULT_PLATFORM_BOUNDS.finishMs, fleet, now} = context;
-  const untilMs = findOverdueInMs(fleet, step, deriveMaxWait({finishMs}), now);
+  const {fleet, now} = context;
+  const untilMs = findOverdueInMs(fleet, step, deriveMaxWait(context), now);
   return untilMs === undefined ? {} : {untilMs};
 }
 
--- a/packages/nutmegproxy-scheduling/src/PendingTaskReason.ts
+++ b/packages/nutmegproxy-scheduling/src/PendingTaskReason.ts
@@ -4,7 +4,7 @@
  */
 
 import type {Instant, MinionId} from '@nutmegproxy/core';
-import type {Run, ServiceId, StepState} from '@nutmegproxy/jobs';
+import type {Run, StepState} from '@nutmegproxy/jobs';
 
 import type {Fleet} from './Fleet.ts';
 import type {Unavailability} from './MinionAvailability.ts';
@@ -14,6 +14,7 @@
 
 import {shouldSaveLastAttempt} from './LastAttempt.ts';
 import {findUnavailability, isOnlyUntrusted} from './MinionAvailability.ts';
+import {MinionsByService} from './MinionsByService.ts';
 import {describeSuspicion, PENDING_DETAILS} from './PendingDetails.ts';
 import {meetsConstraints} from './Placement.ts';
 import {isStartableTask, listStartableTasks} from './ReadySteps.ts';
@@ -226,21 +227,16 @@
  */
 export class PendingTaskJudge {
   readonly context: PendingContext;
-  readonly #minions = new Map<ServiceId, MinionState[]>();
+  readonly #minions: MinionsByService;
   /** Found only for the minions that a task asks for. */
   readonly #unavailability = new Map<MinionState, undefined | Unavailability>();
 
   constructor(context: PendingContext) {
     this.context = context;
-    for (const minion of context.fleet.minions.values()) {
-      const {service} = minion.description;
-      const minions = this.#minions.get(service);
-      if (minions === undefined) {
-        this.#minions.set(service, [minion]);
-      } else {
-        minions.push(minion);
-      }
-    }
+    const {fleet, now} = context;
+    this.#minions = new MinionsByService(fleet.minions.values());
+    // A round that starts nothing does not look for free room.
+    fleet.freeRoom.observe(fleet.minions.values(), now);
   }
 
   /** Returns why a waiting task does not start. */
@@ -267,7 +263,7 @@
     const {service} = fleet.resolveQueuePolicy(task.step.job);
     let closest: MinionState | undefined;
     let met = -1;
-    for (const minion of this.#minions.get(service) ?? []) {
+    for (const minion of this.#minions.of(service)) {
       const failed = MINION_RULES.findIndex(([, rule]) => !rule(task, minion, this));
       if (failed === -1) {
         return undefined;
--- a/packages/nutmegproxy-scheduling/src/Placement.ts
+++ b/packages/nutmegproxy-scheduling/src/Placement.ts
@@ -26,6 +26,9 @@
 /** Cost of a minion on trial, in thousandths of a core; it is used when no trusted one has capacity. */
 const TRIAL_MINION_COST = 400_000;
 
+/** Cost of a backfill task that brings serving tasks over their targets, in thousandths of a core: more than any other. */
+export const INTERFERENCE_COST = 1_000_000;
+
 /** Costs of running tasks of different kinds on the same minion. */
 export interface SharingCosts {
   /**
--- a/packages/nutmegproxy-scheduling/src/SharingPolicy.ts
+++ b/packages/nutmegproxy-scheduling/src/SharingPolicy.ts
@@ -15,6 +15,7 @@
 import type {MinionState} from './MinionState.ts';
 
 import {computeEvictAllDelay} from './EvictionTimes.ts';
+import {INTERFERENCE_COST} from './Placement.ts';
 import {ServingOutlook} from './ServingOutlook.ts';
 import {TailLatencyModel, toReferenceCores} from './TailLatencyModel.ts';
 import {ToleratedBackfill} from './ToleratedBackfill.ts';
@@ -33,11 +34,10 @@
 const UTILIZATION_COST = 40_000;
 
 /**
- * Costs of an overdue backfill task beside serving tasks that are over their targets without backfill, and beside
- * others that it brings over them, in thousandths of a core: more than any other. The users count the latter as harm.
+ * Cost of an overdue backfill task beside serving tasks that are over their targets without backfill, in thousandths
+ * of a core. Beside others that it brings over them it costs more, as the users count that as harm.
  */
 const OVER_TARGET_COST = 500_000;
-const INTERFERENCE_COST = 1_000_000;
 
 /**
  * Cost of each other image among a minion's serving tasks, in thousandths of a core. It exceeds the
--- a/packages/nutmegproxy-scheduling/src/StartPlanner.ts
+++ b/packages/nutmegproxy-scheduling/src/StartPlanner.ts
@@ -3,8 +3,6 @@
 import type {WallTime} from '@nutmegproxy/core';
 import type {Run, RunNumber, StepState} from '@nutmegproxy/jobs';
 
-import {DEFAULT_PLATFORM_BOUNDS} from '@nutmegproxy/core';
-
 import type {DurationEstimator} from './DurationEstimator.ts';
 import type {Fleet} from './Fleet.ts';
 import type {MinionState} from './MinionState.ts';
@@ -19,6 +17,7 @@
 import {orderSteps} from './JobOrder.ts';
 import {LongRunningStarts} from './LongRunningStarts.ts';
 import {MinionRanking} from './MinionRanking.ts';
+import {MinionsByService} from './MinionsByService.ts';
 import {
   findOverdueSteps,
   hasTaskWaitedSince,
@@ -28,7 +27,6 @@
 import {deriveMaxWait} from './PendingBounds.ts';
 import {computePlacementCost, isSchedulable} from './Placement.ts';
 import {collectReadySteps, isInBackoff, listStartableTasks} from './ReadySteps.ts';
-import {SchedulableMinions} from './SchedulableMinions.ts';
 import {planSpeculativeRuns} from './SpeculationPlanner.ts';
 import {countDeferrable, isDeferrable, placeWithinBudget, StartBudget} from './StartBudget.ts';
 import {StartPermissions} from './StartPermissions.ts';
@@ -75,7 +73,7 @@
   #overdueBackfill: ReadonlySet<StepState> = new Set();
   readonly #permissions: StartPermissions;
   readonly #starts: Run[] = [];
-  readonly #schedulable: SchedulableMinions;
+  readonly #schedulable: MinionsByService;
 
   constructor(fleet: Fleet, context: PlanContext) {
     this.#fleet = fleet;
@@ -83,7 +81,7 @@
     this.#permissions = new StartPermissions(fleet, context);
     this.#longRunningStarts = new LongRunningStarts(fleet, context.now, context.wall);
     const minions = [...fleet.minions.values()];
-    this.#schedulable = new SchedulableMinions(
+    this.#schedulable = new MinionsByService(
       minions.filter((minion) => isSchedulable(minion, context.now)),
     );
   }
@@ -175,8 +173,7 @@
   }
 
   get #maxWaitMs(): number {
-    const {finishMs = DEFAULT_PLATFORM_BOUNDS.finishMs} = this.#context;
-    return deriveMaxWait({finishMs});
+    return deriveMaxWait(this.#context);
   }
 
   /**
