--- a/packages/nutmegproxy-entry/src/__tests__/unit/JobApi.test.ts
+++ b/packages/nutmegproxy-entry/src/__tests__/unit/JobApi.test.ts
@@ -1,5 +1,5 @@
-import type {Instant, JobId, RequestId} from '@nutmegproxy/core';
-import type {JobRequest, QueueId, ServiceId} from '@nutmegproxy/jobs';
+import type {Instant, JobId} from '@nutmegproxy/core';
+import type {JobRequest, QueueId} from '@nutmegproxy/jobs';
 import type {StoreFailure} from '@nutmegproxy/store';
 
 import {brand, SILENT_EVENTS, SYSTEM_CLOCK} from '@nutmegproxy/core';
@@ -10,24 +10,11 @@
 import assert from 'node:assert/strict';
 import {after, beforeEach, describe, it} from 'node:test';
 
-import type {QueueRoute} from '../../Configuration.ts';
-
 import {JobApi} from '../../JobApi.ts';
 import {chooseRetryAfter} from '../../RetryAfter.ts';
 import {StoreHealth} from '../../StoreHealth.ts';
+import {CALL, ROUTE} from './JobApiSamples.ts';
 
-const ROUTE: QueueRoute = {
-  advice: undefined,
-  host: 'host',
-  id: 'proofs' as QueueId,
-  maxAttempts: 2,
-  pathPrefix: '/p/',
-  priority: 0,
-  service: 'mesa' as ServiceId,
-  stretch: 2,
-  targetDurationMs: 1000,
-};
-const CALL = {requestId: brand<RequestId>('request-1'), timeoutMs: 400};
 const UNAVAILABLE: StoreFailure = {kind: 'unavailable', message: 'down'};
 const ID = brand<JobId>('00000000000000a1');
 const JOB: JobRequest = {id: ID, payload: '', recurrence: undefined, steps: []};
--- a/packages/nutmegproxy-entry/src/__tests__/unit/JobApiCells.test.ts
+++ b/packages/nutmegproxy-entry/src/__tests__/unit/JobApiCells.test.ts
@@ -1,5 +1,5 @@
-import type {JobId, RequestId} from '@nutmegproxy/core';
-import type {CellIndex, JobRequest, QueueId, ServiceId} from '@nutmegproxy/jobs';
+import type {JobId} from '@nutmegproxy/core';
+import type {CellIndex, JobRequest} from '@nutmegproxy/jobs';
 
 import {brand, SILENT_EVENTS, SYSTEM_CLOCK} from '@nutmegproxy/core';
 import {encodeRecord, findJobCell, formatJobKey, formatRecordKey} from '@nutmegproxy/jobs';
@@ -8,23 +8,10 @@
 import assert from 'node:assert/strict';
 import {after, beforeEach, describe, it} from 'node:test';
 
-import type {QueueRoute} from '../../Configuration.ts';
-
 import {JobApi} from '../../JobApi.ts';
 import {StoreHealth} from '../../StoreHealth.ts';
+import {CALL, ROUTE} from './JobApiSamples.ts';
 
-const ROUTE: QueueRoute = {
-  advice: undefined,
-  host: 'host',
-  id: 'proofs' as QueueId,
-  maxAttempts: 2,
-  pathPrefix: '/p/',
-  priority: 0,
-  service: 'mesa' as ServiceId,
-  stretch: 2,
-  targetDurationMs: 1000,
-};
-const CALL = {requestId: brand<RequestId>('request-1'), timeoutMs: 400};
 const JOBS = 20;
 
 function createJob(number: number): JobRequest {
--- a/packages/nutmegproxy-entry/src/__tests__/unit/JobApiPlaces.test.ts
+++ b/packages/nutmegproxy-entry/src/__tests__/unit/JobApiPlaces.test.ts
@@ -1,5 +1,5 @@
-import type {EventKind, JobId, RequestId, WallTime} from '@nutmegproxy/core';
-import type {CellIndex, JobRequest, QueueId, ServiceId, StepShape} from '@nutmegproxy/jobs';
+import type {EventKind, JobId, WallTime} from '@nutmegproxy/core';
+import type {CellIndex, JobRequest, QueueId, StepShape} from '@nutmegproxy/jobs';
 import type {PlatformStore, Transaction} from '@nutmegproxy/store';
 
 import {brand, SYSTEM_CLOCK} from '@nutmegproxy/core';
@@ -20,24 +20,11 @@
 import assert from 'node:assert/strict';
 import {after, beforeEach, describe, it} from 'node:test';
 
-import type {QueueRoute} from '../../Configuration.ts';
-
 import {ENTRY_EVENTS} from '../../EntryEvents.ts';
 import {JobApi} from '../../JobApi.ts';
 import {StoreHealth} from '../../StoreHealth.ts';
+import {CALL, ROUTE} from './JobApiSamples.ts';
 
-const ROUTE: QueueRoute = {
-  advice: undefined,
-  host: 'host',
-  id: 'proofs' as QueueId,
-  maxAttempts: 2,
-  pathPrefix: '/p/',
-  priority: 0,
-  service: 'mesa' as ServiceId,
-  stretch: 2,
-  targetDurationMs: 1000,
-};
-const CALL = {requestId: brand<RequestId>('request-1'), timeoutMs: 400};
 const CELLS = 3;
 const JOBS = 30;
 const STEP: StepShape = {
