A job of which nothing has run for 2 s starts a task beyond the limit of deferrable starts

Cause: the limit of deferrable starts has no bound on what it withholds. Half of it keeps one task of each job running, oldest job first whatever had run of it, so that with 20 starts a second and 245 jobs the same jobs started again and again. Change: jobs of which nothing runs are placed in the order of the time since something of them ran, and one task of each that has been idle for 2 s starts whatever the limit is: a job may stand still beside free room for 3 s. Such starts count, so that others get less. Nothing deferrable is started while too many starts wait to be sent, as before; `isBacklogged` says so, since an allowance of 0 does not mean that any more. Why it works: the wait is bounded by the job, not by a rate that follows the use of the process. The simulated owner: other work may take a share of its time, and no more starts are planned than may wait to be sent, as StartLimiter has it (without that, starts beyond the limit would queue without end, which no owner does).

--- a/packages/nutmegproxy-emulator/src/FleetSimulation.ts
+++ b/packages/nutmegproxy-emulator/src/FleetSimulation.ts
@@ -17,6 +17,7 @@
   Fleet,
   MinionState,
   planStarts,
+  PlanSweep,
   SharingPolicy,
 } from '@nutmegproxy/scheduling';
 
@@ -54,6 +55,8 @@
   /** Returns how many deferrable starts a round may make; absent when they are not limited. */
   readonly throttle?: {
     readonly getAllowance: (now: Instant) => number;
+    /** Returns how many starts of all kinds a round may make. */
+    readonly getRoom: (now: Instant) => number;
     readonly recordStarts: (count: number) => void;
   };
 }
@@ -94,6 +97,7 @@
   readonly #saved = new Map<string, number>();
   readonly #sharing = new SharingPolicy(this.#estimator, DEFAULT_PLATFORM_BOUNDS);
   readonly #sharingCosts: SharingCosts;
+  readonly #sweep = new PlanSweep();
   readonly #tails: SimulatedTailLatency;
   #nowMs = 0;
 
@@ -167,13 +171,17 @@
   #plan(): void {
     this.#result.rounds += 1;
     const {throttle} = this.#options;
+    const wall = this.#nowMs as WallTime;
+    const lastStart = this.fleet.plannedStarts + (throttle?.getRoom(this.#now) ?? Infinity);
     const starts = planStarts(this.fleet, {
       advice: {isPermitted: () => undefined},
       deferrableStarts: throttle?.getAllowance(this.#now) ?? Infinity,
       estimator: this.#estimator,
+      isTimeUp: () => this.fleet.plannedStarts >= lastStart,
       now: this.#now,
       sharingCosts: this.#sharingCosts,
-      wall: this.#nowMs as WallTime,
+      sweep: this.#sweep,
+      wall,
     });
     throttle?.recordStarts(countDeferrable(this.fleet, starts));
     for (const run of starts) {
--- a/packages/nutmegproxy-emulator/src/__tests__/unit/FullOwnerPlay.ts
+++ b/packages/nutmegproxy-emulator/src/__tests__/unit/FullOwnerPlay.ts
@@ -14,8 +14,10 @@
   WATCHER_CLASS,
 } from './LargeFleetLoad.ts';
 
-const ARRIVALS_MS = 30_000;
+export const ARRIVALS_MS = 30_000;
 const ROUND_MS = 30;
+/** Calls that may wait in the owner's process before nothing more is started, as `StartLimiter` limits them. */
+const MAX_WAITING_CALLS = 128;
 
 /** Creates a simulation whose jobs arrive within 30 s; `callMs` is the time of a call in milliseconds. */
 export function createFullOwner(
@@ -25,8 +27,10 @@
   finishMs: number,
   /** Whether the starts of deferrable tasks are limited. */
   isThrottled = true,
+  /** Share of the owner's time that work takes which does not depend on the calls. */
+  otherShare = 0,
 ): FleetSimulation {
-  const ownerTime = new SimulatedOwnerTime(callMs);
+  const ownerTime = new SimulatedOwnerTime(callMs, otherShare);
   let nowMs = 0;
   const throttle = new StartThrottle(() => ownerTime.readLoop(nowMs));
   const classes = [ALERT_CLASS, DIGEST_CLASS, WATCHER_CLASS];
@@ -42,6 +46,8 @@
         nowMs = now;
         return isThrottled ? throttle.getAllowance(now) : Infinity;
       },
+      getRoom: (now) =>
+        isThrottled ? Math.max(1, MAX_WAITING_CALLS - ownerTime.countWaiting(now)) : Infinity,
       recordStarts: (count) => {
         throttle.recordStarts(count);
       },
--- a/packages/nutmegproxy-owner/src/Owner.ts
+++ b/packages/nutmegproxy-owner/src/Owner.ts
@@ -309,12 +309,12 @@
     }
     const isTimeUp = createTimeLimit(clock, MAX_PLACEMENT_MS);
     const lastStart = fleet.plannedStarts + this.#startLimiter.takeRoom();
-    const allowance = this.#startThrottle.getAllowance(now);
     const context = {
       advice: this.#advice.createLookup(now),
-      deferrableStarts: this.#startLimiter.isBacklogged ? 0 : allowance,
+      deferrableStarts: this.#startThrottle.getAllowance(now),
       estimator: this.#estimator,
       finishMs: bounds.finishMs,
+      isBacklogged: this.#startLimiter.isBacklogged,
       isTimeUp: (share?: number) => isTimeUp(share) || fleet.plannedStarts >= lastStart,
       now,
       sharingCosts: this.#sharing,
--- a/packages/nutmegproxy-scheduling/src/StartBudget.ts
+++ b/packages/nutmegproxy-scheduling/src/StartBudget.ts
@@ -3,7 +3,8 @@
  * fewer of them, so that it has time for urgent work.
  */
 
-import type {Run, StepState} from '@nutmegproxy/jobs';
+import type {Instant} from '@nutmegproxy/core';
+import type {JobState, Run, StepState} from '@nutmegproxy/jobs';
 
 import type {Fleet} from './Fleet.ts';
 
@@ -17,6 +18,12 @@
  */
 const LONGEST_WAITING_SHARE = 2 / 3;
 
+/**
+ * Time in milliseconds without a run from which a task of the job starts beyond the limit: less than the 3 s for which
+ * accepted work may stand still beside free room.
+ */
+const MAX_IDLE_MS = 2_000;
+
 /** Number of starts that may still be made; Infinity does not limit them. */
 export class StartBudget {
   #remaining: number;
@@ -45,6 +52,7 @@
   readonly isTimeUp: () => boolean;
   /** Most starts of deferrable steps; Infinity does not limit them. */
   readonly limit: number;
+  readonly now: Instant;
   /** Places the tasks of a step while the budget is not used up. */
   readonly place: (step: StepState, budget: StartBudget) => void;
 }
@@ -80,6 +88,42 @@
   return false;
 }
 
+/**
+ * Returns since when nothing of a job has run, as far as this owner knows; undefined while something does. It counts
+ * from the last start where its end was none of a done task.
+ */
+function findIdleSince(job: JobState): number | undefined {
+  let idleSince = -Infinity;
+  for (const step of job.steps()) {
+    if (step.hasLiveRuns) {
+      return undefined;
+    }
+    const {doneAt = -Infinity, placedAt = -Infinity, readyAt = -Infinity} = step;
+    idleSince = Math.max(idleSince, doneAt, placedAt, readyAt);
+  }
+  return idleSince;
+}
+
+/** Whether nothing of a job has run for so long that one of its tasks starts beyond the limit. */
+export function isIdleForLong(job: JobState, now: Instant): boolean {
+  return now - (findIdleSince(job) ?? Infinity) >= MAX_IDLE_MS;
+}
+
+interface IdleStep {
+  readonly idleSince: number;
+  readonly step: StepState;
+}
+
+/** Returns the steps of jobs of which nothing runs, those first of which nothing has run for longest. */
+function orderByIdleTime(steps: readonly StepState[]): readonly IdleStep[] {
+  return steps
+    .flatMap((step) => {
+      const idleSince = findIdleSince(step.job);
+      return idleSince === undefined ? [] : [{idleSince, step}];
+    })
+    .sort((a, b) => a.idleSince - b.idleSince);
+}
+
 /** Limits a placement to one task of each job of which nothing runs. */
 function limitToIdleJobs(placement: BudgetedPlacement): BudgetedPlacement {
   return {
@@ -94,6 +138,35 @@
   };
 }
 
+/**
+ * Places a task of each job of which nothing runs: of all that have been idle for long, and of others while the budget
+ * is not used up. Returns whether the time was up before.
+ */
+function placeIdleJobs(
+  deferrable: readonly StepState[],
+  budget: StartBudget,
+  placement: BudgetedPlacement,
+): boolean {
+  const ofIdleJobs = limitToIdleJobs(placement);
+  const idle = orderByIdleTime(deferrable);
+  const overdue = idle.filter(({idleSince}) => placement.now - idleSince >= MAX_IDLE_MS);
+  const beyond = new StartBudget(overdue.length);
+  const wasCut = placeAll(
+    overdue.map(({step}) => step),
+    beyond,
+    ofIdleJobs,
+  );
+  budget.take(overdue.length - beyond.remaining);
+  return (
+    wasCut ||
+    placeAll(
+      idle.map(({step}) => step),
+      budget,
+      ofIdleJobs,
+    )
+  );
+}
+
 /**
  * Places steps in the given order, and deferrable ones after the others if they are limited. Returns whether the
  * time was up before all steps were placed.
@@ -118,10 +191,7 @@
   const idle = new StartBudget(Math.ceil(limit * IDLE_SHARE));
   const part = new StartBudget(Math.ceil(limit * LONGEST_WAITING_SHARE) - idle.remaining);
   const rest = new StartBudget(limit - part.remaining - idle.remaining);
-  if (
-    placeAll(urgent, unlimited, placement) ||
-    placeAll(longestWaiting, idle, limitToIdleJobs(placement))
-  ) {
+  if (placeAll(urgent, unlimited, placement) || placeIdleJobs(deferrable, idle, placement)) {
     return true;
   }
   part.take(-idle.remaining);
--- a/packages/nutmegproxy-scheduling/src/StartPlanner.ts
+++ b/packages/nutmegproxy-scheduling/src/StartPlanner.ts
@@ -28,7 +28,13 @@
 import {computePlacementCost, isSchedulable} from './Placement.ts';
 import {collectReadySteps, isInBackoff, listStartableTasks} from './ReadySteps.ts';
 import {planSpeculativeRuns} from './SpeculationPlanner.ts';
-import {countDeferrable, isDeferrable, placeWithinBudget, StartBudget} from './StartBudget.ts';
+import {
+  countDeferrable,
+  isDeferrable,
+  isIdleForLong,
+  placeWithinBudget,
+  StartBudget,
+} from './StartBudget.ts';
 import {StartPermissions} from './StartPermissions.ts';
 import {isApartFromSuspects} from './SuspectSeparation.ts';
 import {planTrials, recordTrial} from './TaskTrials.ts';
@@ -46,6 +52,8 @@
   readonly estimator: DurationEstimator;
   /** Time in milliseconds in which accepted work with free room has to run; absent for its default. */
   readonly finishMs?: number;
+  /** Whether so many starts wait to be sent that no deferrable work is started; default: they don't. */
+  readonly isBacklogged?: boolean;
   /** Whether the time for placement in this round, or a share of it, is used up; absent when it is not limited. */
   readonly isTimeUp?: (share?: number) => boolean;
   readonly sharingCosts: SharingCosts;
@@ -128,8 +136,11 @@
 
   /** Whether this round may start tasks of the step at all. */
   #mayStart(step: StepState): boolean {
-    const {deferrableStarts = Infinity} = this.#context;
-    return deferrableStarts > 0 || !isDeferrable(this.#fleet, step);
+    const {deferrableStarts = Infinity, isBacklogged = false, now} = this.#context;
+    if (!isDeferrable(this.#fleet, step)) {
+      return true;
+    }
+    return !isBacklogged && (deferrableStarts > 0 || isIdleForLong(step.job, now));
   }
 
   /**
@@ -137,12 +148,13 @@
    * before the last one.
    */
   #place(steps: readonly StepState[], mostTasks = Infinity): boolean {
-    const {deferrableStarts = Infinity, sweep} = this.#context;
+    const {deferrableStarts = Infinity, now, sweep} = this.#context;
     const {admitsFailedTrials} = this.#permissions;
     return placeWithinBudget(steps, {
       isDeferrable: (step) => isDeferrable(this.#fleet, step),
       isTimeUp: this.#isTimeUp,
-      limit: deferrableStarts - countDeferrable(this.#fleet, this.#starts),
+      limit: Math.max(0, deferrableStarts - countDeferrable(this.#fleet, this.#starts)),
+      now,
       place: (step, budget) => {
         const isRetry = sweep?.hasTried(step, admitsFailedTrials) ?? false;
         if (isRetry && !this.#mayRetry()) {
--- a/packages/nutmegproxy-scheduling/src/__tests__/unit/StartBudget.test.ts
+++ b/packages/nutmegproxy-scheduling/src/__tests__/unit/StartBudget.test.ts
@@ -10,11 +10,17 @@
 const DIGESTS = queue('digests', {priority: 2});
 
 /** Plans a round that may make `deferrableStarts` starts of deferrable tasks. */
-function plan(sample: SampleFleet, nowMs: number, deferrableStarts: number): readonly Run[] {
+function plan(
+  sample: SampleFleet,
+  nowMs: number,
+  deferrableStarts: number,
+  isBacklogged = false,
+): readonly Run[] {
   return planStarts(sample.fleet, {
     advice: {isPermitted: () => undefined},
     deferrableStarts,
     estimator: sample.estimator,
+    isBacklogged,
     now: at(nowMs),
     sharingCosts: NO_SHARING_COSTS,
     wall: wallAt(nowMs),
@@ -76,4 +82,49 @@
       {seed: 71},
     );
   });
+
+  describe('that are used up', () => {
+    /** Time in milliseconds after which a job of which nothing runs starts a task beyond the limit. */
+    const MAX_IDLE_MS = 2_000;
+
+    it('does not withhold a job of which nothing has run for 2 s', () => {
+      const sample = new SampleFleet(10, [DIGESTS]);
+      const jobs = Array.from({length: 5}, () => sample.addJob('digests', [shape({count: 30})]));
+      assert.deepEqual(plan(sample, 0, 0), []);
+      assert.deepEqual(plan(sample, MAX_IDLE_MS - 1, 0), []);
+      const starts = plan(sample, MAX_IDLE_MS, 0);
+      assert.deepEqual(new Set(starts.map(({step}) => step.job)), new Set(jobs));
+      assert.equal(starts.length, jobs.length);
+    });
+
+    it('count from the end of the last task', () => {
+      const sample = new SampleFleet(10, [DIGESTS]);
+      const job = sample.addJob('digests', [shape({count: 30})]);
+      const [run] = plan(sample, 0, 1);
+      assert.ok(run);
+      sample.fleet.finishRun(run, 'done', undefined, at(1_500));
+      plan(sample, 1_500 + MAX_IDLE_MS - 1, 0);
+      assert.ok(!hasLiveRun(job));
+      plan(sample, 1_500 + MAX_IDLE_MS, 0);
+      assert.ok(hasLiveRun(job));
+    });
+
+    it('withhold all deferrable work while too many starts wait to be sent', () => {
+      const sample = new SampleFleet(10, [DIGESTS]);
+      sample.addJob('digests', [shape({count: 30})]);
+      plan(sample, 0, 0);
+      assert.deepEqual(plan(sample, MAX_IDLE_MS, 1, true), []);
+    });
+  });
+
+  it('goes first to the job of which nothing has run for longest', () => {
+    const sample = new SampleFleet(10, [DIGESTS]);
+    const older = sample.addJob('digests', [shape({count: 30})]);
+    const younger = sample.addJob('digests', [shape({count: 30})], 10);
+    const [run] = plan(sample, 20, 1);
+    assert.equal(run?.step.job, older);
+    sample.fleet.finishRun(run, 'done', undefined, at(100));
+    plan(sample, 110, 1);
+    assert.ok(hasLiveRun(younger));
+  });
 });
