Deferrable starts are not limited by the use of the loop while there is no urgent work

Cause: StartThrottle holds the loop at 0.9 so that urgent work is not delayed, whether there is any or not. Where other work takes 0.85 of the loop, what is left below 0.9 is the lowest rate, 20 a second. Ruled out: a share of the loop that starts take for themselves as the basis of the rate: with steady other work the rate settles as it should (UsedOwner with other work of 0.4 to 0.75, passes before and after). Change: once nothing urgent has run or has had its turn within 5 s, for 1 s, a round may make as many starts as StartLimiter sends; idle jobs still go first. With the first urgent step the former limit is back at once. FullOwner (urgent work in time beside more than the owner can start) passes.

--- a/packages/nutmegproxy-emulator/src/FleetSimulation.ts
+++ b/packages/nutmegproxy-emulator/src/FleetSimulation.ts
@@ -15,6 +15,7 @@
   DurationEstimator,
   findStep,
   Fleet,
+  hasUrgentWork,
   MinionState,
   planStarts,
   PlanSweep,
@@ -54,7 +55,7 @@
   readonly seed: number;
   /** Returns how many deferrable starts a round may make; absent when they are not limited. */
   readonly throttle?: {
-    readonly getAllowance: (now: Instant) => number;
+    readonly getAllowance: (now: Instant, work: {readonly hasUrgentWork: boolean}) => number;
     /** Returns how many starts of all kinds a round may make. */
     readonly getRoom: (now: Instant) => number;
     readonly recordStarts: (count: number) => void;
@@ -175,7 +176,10 @@
     const lastStart = this.fleet.plannedStarts + (throttle?.getRoom(this.#now) ?? Infinity);
     const starts = planStarts(this.fleet, {
       advice: {isPermitted: () => undefined},
-      deferrableStarts: throttle?.getAllowance(this.#now) ?? Infinity,
+      deferrableStarts:
+        throttle?.getAllowance(this.#now, {
+          hasUrgentWork: hasUrgentWork(this.fleet, this.#now, wall),
+        }) ?? Infinity,
       estimator: this.#estimator,
       isTimeUp: () => this.fleet.plannedStarts >= lastStart,
       now: this.#now,
--- a/packages/nutmegproxy-emulator/src/__tests__/unit/FullOwnerPlay.ts
+++ b/packages/nutmegproxy-emulator/src/__tests__/unit/FullOwnerPlay.ts
@@ -42,9 +42,9 @@
     roundMs: ROUND_MS,
     seed,
     throttle: {
-      getAllowance: (now) => {
+      getAllowance: (now, work) => {
         nowMs = now;
-        return isThrottled ? throttle.getAllowance(now) : Infinity;
+        return isThrottled ? throttle.getAllowance(now, work) : Infinity;
       },
       getRoom: (now) =>
         isThrottled ? Math.max(1, MAX_WAITING_CALLS - ownerTime.countWaiting(now)) : Infinity,
--- a/packages/nutmegproxy-owner/src/Owner.ts
+++ b/packages/nutmegproxy-owner/src/Owner.ts
@@ -13,6 +13,7 @@
   DurationEstimator,
   evacuateMinion,
   Fleet,
+  hasUrgentWork,
   planStarts,
   PlanSweep,
   type QueuePolicy,
@@ -311,7 +312,9 @@
     const lastStart = fleet.plannedStarts + this.#startLimiter.takeRoom();
     const context = {
       advice: this.#advice.createLookup(now),
-      deferrableStarts: this.#startThrottle.getAllowance(now),
+      deferrableStarts: this.#startThrottle.getAllowance(now, {
+        hasUrgentWork: hasUrgentWork(fleet, now, wall),
+      }),
       estimator: this.#estimator,
       finishMs: bounds.finishMs,
       isBacklogged: this.#startLimiter.isBacklogged,
--- a/packages/nutmegproxy-owner/src/StartThrottle.ts
+++ b/packages/nutmegproxy-owner/src/StartThrottle.ts
@@ -37,6 +37,10 @@
 const GROWTH_PER_SAMPLE = 1;
 /** Time in milliseconds whose unused starts may be made at once. */
 const BURST_MS = 250;
+/** Starts in a round while the rate is not limited and the loop is not idle either: idle jobs go before others. */
+const MAX_BURST = (MAX_RATE * BURST_MS) / 1_000;
+/** Time in milliseconds without urgent work from which the rate is not limited: urgent jobs come in series. */
+const LULL_MS = 1_000;
 
 export class StartThrottle {
   #available = (INITIAL_RATE * BURST_MS) / 1_000;
@@ -50,6 +54,8 @@
   #share = 1;
   #started = 0;
   #startsPerS = 0;
+  /** When there was urgent work last; undefined before the first round. */
+  #urgentAt: Instant | undefined;
   #updatedAt: Instant | undefined;
   #use = 0;
 
@@ -63,21 +69,28 @@
     return {deferrableStartsPerS: Math.round(this.#rate)};
   }
 
-  /** Returns the number of deferrable starts that may be made now; Infinity when it is not limited. */
-  getAllowance(now: Instant): number {
+  /**
+   * Returns the number of deferrable starts that may be made now; Infinity when it is not limited. A full loop delays
+   * nobody but them where there is no urgent work.
+   */
+  getAllowance(now: Instant, {hasUrgentWork = true} = {}): number {
     this.#sample(now);
+    this.#urgentAt = hasUrgentWork ? now : (this.#urgentAt ?? now);
     const elapsedMs = now - (this.#updatedAt ?? now);
     this.#updatedAt = now;
     const rate = Math.max(MIN_RATE, this.#rate * this.#share);
     const burst = (rate * BURST_MS) / 1_000;
     this.#available = Math.min(burst, this.#available + (rate * elapsedMs) / 1_000);
+    if (rate < MAX_RATE && now - this.#urgentAt >= LULL_MS) {
+      return MAX_BURST;
+    }
     return rate >= MAX_RATE ? Infinity : Math.floor(Math.max(0, this.#available));
   }
 
   /** Records deferrable starts. */
   recordStarts(count: number): void {
     this.#started += count;
-    this.#available -= count;
+    this.#available = Math.max(this.#available - count, (-this.#rate * BURST_MS) / 1_000);
   }
 
   #sample(now: Instant): void {
--- a/packages/nutmegproxy-owner/src/__tests__/unit/StartThrottle.test.ts
+++ b/packages/nutmegproxy-owner/src/__tests__/unit/StartThrottle.test.ts
@@ -101,6 +101,32 @@
     assert.equal(passSeconds(1, 0.5, 60), 600);
   });
 
+  describe('without urgent work', () => {
+    /** Time in milliseconds without urgent work from which starts are not limited. */
+    const LULL_MS = 1_000;
+
+    function getAllowance(afterMs: number, hasUrgentWork: boolean): number {
+      nowMs += afterMs;
+      loop.active += afterMs;
+      return throttle.getAllowance(nowMs as Instant, {hasUrgentWork});
+    }
+
+    beforeEach(() => {
+      passSeconds(10, 1, 60);
+      assert.ok(getAllowance(SAMPLE_MS, true) < 10);
+    });
+
+    it('does not limit starts beside a full loop', () => {
+      assert.ok(getAllowance(LULL_MS - 1, false) < 10);
+      assert.ok(getAllowance(1, false) >= 1_000);
+    });
+
+    it('limits them again as soon as there is some', () => {
+      getAllowance(LULL_MS, false);
+      assert.ok(getAllowance(SAMPLE_MS, true) < 10);
+    });
+  });
+
   describe('after a burst of starts and 3 s of a full loop', () => {
     const BURST = 250;
     const BEFORE_S = 5;
--- /dev/null
+++ b/packages/nutmegproxy-scheduling/src/UrgentWork.ts
@@ -0,0 +1,36 @@
+/** Says whether callers wait for work that deferrable starts may delay. */
+
+import type {Instant, WallTime} from '@nutmegproxy/core';
+import type {StepState} from '@nutmegproxy/jobs';
+
+import type {Fleet} from './Fleet.ts';
+
+import {isDeferrable} from './StartBudget.ts';
+
+/** Time in milliseconds for which an urgent step that waits asks for a process that is not full. */
+const MAX_WAIT_MS = 5_000;
+
+/** Whether something of an urgent step runs, or its turn came a short time ago. */
+function isUrgentNow(fleet: Fleet, step: StepState, now: Instant): boolean {
+  const isUrgent = !step.shape.longRunning && !isDeferrable(fleet, step);
+  return (
+    isUrgent && !step.isDone && (step.hasLiveRuns || now - (step.readyAt ?? now) < MAX_WAIT_MS)
+  );
+}
+
+/**
+ * Whether there is work that deferrable starts may delay.
+ *
+ * @example
+ * throttle.getAllowance(now, {hasUrgentWork: hasUrgentWork(fleet, now, wall)});
+ */
+export function hasUrgentWork(fleet: Fleet, now: Instant, wall: WallTime): boolean {
+  for (const job of fleet.jobs.open()) {
+    for (const steps of job.openOccurrences(wall)) {
+      if (steps.some((step) => isUrgentNow(fleet, step, now))) {
+        return true;
+      }
+    }
+  }
+  return false;
+}
--- a/packages/nutmegproxy-scheduling/src/index.ts
+++ b/packages/nutmegproxy-scheduling/src/index.ts
@@ -70,6 +70,7 @@
 export type {InterferingTask, TailModelSnapshot} from './TailLatencyModel.ts';
 export {SUSPICION_BOUND_MS} from './TrialPacing.ts';
 export {UntrustedMinionLog} from './UntrustedMinionLog.ts';
+export {hasUrgentWork} from './UrgentWork.ts';
 export {WithheldTaskLog} from './WithheldTaskLog.ts';
 export {WithheldTaskSummary} from './WithheldTaskSummary.ts';
 export type {TaskWait, WithheldCause, WithheldReason} from './WithheldTaskSummary.ts';
