--- a/packages/nutmegproxy-owner/src/StartThrottle.ts
+++ b/packages/nutmegproxy-owner/src/StartThrottle.ts
@@ -44,6 +44,8 @@
 
 export class StartThrottle {
   #available = (INITIAL_RATE * BURST_MS) / 1_000;
+  /** Whether there has been no urgent work for so long that the rate is not limited. */
+  #isLull = false;
   #loop: LoopTimes;
   #meanStartsPerS = 0;
   #meanUse = 0;
@@ -66,7 +68,7 @@
 
   /** Event fields that say how many deferrable starts a second are allowed. */
   get eventFields(): EventFields {
-    return {deferrableStartsPerS: Math.round(this.#rate)};
+    return {deferrableStartsPerS: this.#isLull ? MAX_RATE : Math.round(this.#rate)};
   }
 
   /**
@@ -81,7 +83,8 @@
     const rate = Math.max(MIN_RATE, this.#rate * this.#share);
     const burst = (rate * BURST_MS) / 1_000;
     this.#available = Math.min(burst, this.#available + (rate * elapsedMs) / 1_000);
-    if (rate < MAX_RATE && now - this.#urgentAt >= LULL_MS) {
+    this.#isLull = now - this.#urgentAt >= LULL_MS;
+    if (rate < MAX_RATE && this.#isLull) {
       return MAX_BURST;
     }
     return rate >= MAX_RATE ? Infinity : Math.floor(Math.max(0, this.#available));
--- a/packages/nutmegproxy-owner/src/__tests__/unit/StartThrottle.test.ts
+++ b/packages/nutmegproxy-owner/src/__tests__/unit/StartThrottle.test.ts
@@ -121,6 +121,11 @@
       assert.ok(getAllowance(1, false) >= 1_000);
     });
 
+    it('says that nothing is held back', () => {
+      getAllowance(LULL_MS, false);
+      assert.deepEqual(throttle.eventFields, {deferrableStartsPerS: 5_000});
+    });
+
     it('limits them again as soon as there is some', () => {
       getAllowance(LULL_MS, false);
       assert.ok(getAllowance(SAMPLE_MS, true) < 10);
