An owner of a cell relays for no other owner where another VM of its data centre can

Cause: the relays of a data centre were chosen among its largest VMs by a hash of names; who owns a cell did not count. Change: each VM knows who owns which cell by the watches of ownership. These are relays only where no other VM of the data centre has a relay. A cell that is free counts for its last owner, so that routes move once, when the next owner is known. The choice still depends on the VMs and the owners alone, not on who asks. Why it works: all VMs see the same owners, so a relay changes only if an owner does, and then only the minions of the VM that became an owner move, with the share of the relay that takes its place.

--- a/packages/nutmegproxy-owner/src/CellCandidates.ts
+++ b/packages/nutmegproxy-owner/src/CellCandidates.ts
@@ -51,6 +51,9 @@
   /** The number that the candidates go by. */
   #known: KnownCellCount | undefined;
   readonly #options: CellCandidatesOptions;
+  /** The last owner of each cell that this VM knows of. */
+  #ownerByCell = new Map<CellIndex, VmId>();
+  #ownerVms: ReadonlySet<VmId> = new Set();
   #stopped = false;
 
   constructor(options: CellCandidatesOptions) {
@@ -67,6 +70,11 @@
     return this.#candidates.every((candidate) => candidate.mayHandOver);
   }
 
+  /** The VMs that own cells or did last, as far as this one knows; a new set after each change. */
+  get ownerVms(): ReadonlySet<VmId> {
+    return this.#ownerVms;
+  }
+
   /**
    * Acquires ownerships until `stop` is called, or until another number of cells is stored: then all ownerships
    * have ended, and it can be called again.
@@ -86,6 +94,7 @@
             this.#endRun?.();
           },
           onOwnerChange: () => {
+            this.#recordOwner(cell);
             this.#releaseIfBlocked();
           },
           otherCells: () => this.#countEngaged(cell),
@@ -97,6 +106,7 @@
     });
     this.#candidates = candidates;
     this.#known = known;
+    this.#ownerByCell = new Map();
     const runs = candidates.map((candidate) => candidate.run());
     if (runs.length > 1) {
       void this.#spread(candidates);
@@ -186,6 +196,15 @@
     }));
   }
 
+  /** Notes who owns a cell; while it is free, its last owner counts, so that a change is made once. */
+  #recordOwner(cell: CellIndex): void {
+    const vm = this.#candidates[cell]?.ownerVm;
+    if (vm !== undefined && vm !== this.#ownerByCell.get(cell)) {
+      this.#ownerByCell.set(cell, vm);
+      this.#ownerVms = new Set(this.#ownerByCell.values());
+    }
+  }
+
   /**
    * Gives up a cell at a time while another VM owns two fewer: until a cell that was given up has an owner, the
    * numbers that VMs own are not known.
--- a/packages/nutmegproxy-owner/src/__tests__/unit/CellCandidates.test.ts
+++ b/packages/nutmegproxy-owner/src/__tests__/unit/CellCandidates.test.ts
@@ -185,6 +185,26 @@
     assert.equal(new Set(tokens).size, tokens.length, 'a token was used twice');
   });
 
+  it('names the VMs that own cells, and counts the last owner of a free one until it has another', async () => {
+    const cells = listCells(CELLS);
+    for (const cell of cells) {
+      await put(store, formatOwnerKey(cell), Buffer.from('{"lease":"1","vm":"vm-2"}'));
+    }
+    const candidates = start('vm-1', ['vm-1', 'vm-2']);
+    await waitUntil(() => Promise.resolve(candidates.ownerVms.size === 1));
+    assert.deepEqual([...candidates.ownerVms], ['vm-2']);
+    const seen = new Set<ReadonlySet<VmId>>();
+    await store.commit({compare: [], then: [{key: formatOwnerKey(FIRST_CELL), kind: 'delete'}]});
+    await waitUntil(async () => {
+      seen.add(candidates.ownerVms);
+      return (await readOwner(FIRST_CELL)) === 'vm-1' && candidates.ownerVms.size === 2;
+    });
+    assert.deepEqual(
+      [...seen].map((vms) => [...vms].sort()),
+      [['vm-2'], ['vm-1', 'vm-2']],
+    );
+  });
+
   it('gives up no second cell before the first one has an owner', async () => {
     // The other VM is listed and acquires nothing, as while it has no configuration.
     start('vm-1', ['vm-1', 'vm-2']);
--- a/packages/nutmegproxy-relay/src/RelayRoutes.ts
+++ b/packages/nutmegproxy-relay/src/RelayRoutes.ts
@@ -1,7 +1,7 @@
 /**
  * Decides which entry VM carries out the orders for a minion: one of the largest VMs of the minion's
- * data centre, so that polls stay inside it. The choice doesn't depend on who owns the fleet, so
- * that relays keep their connections to minions across takeovers.
+ * data centre, so that polls stay inside it. The choice doesn't depend on who asks, so that relays keep
+ * their connections to minions across takeovers; a VM that owns a cell itself has little time for others.
  */
 
 import type {DataCentreId, Instant, MinionId, VmId} from '@nutmegproxy/core';
@@ -47,8 +47,11 @@
     )?.relay;
 }
 
+const NO_OWNERS: ReadonlySet<VmId> = new Set();
+
 /**
- * Returns the relays of a data centre with that many minions, most of them among its largest VMs.
+ * Returns the relays of a data centre with that many minions, most of them among its largest VMs. One that
+ * owns a cell is none unless all do.
  *
  * @example
  * chooseRelays(vms, 'dc-a' as DataCentreId, 125).map(({vm}) => vm); // ['edge-3']
@@ -57,10 +60,13 @@
   candidates: readonly RelayCandidate[],
   dataCentre: DataCentreId,
   minions: number,
+  owners = NO_OWNERS,
 ): readonly Relay[] {
   const local = candidates.filter(hasRelay).filter((each) => each.dataCentre === dataCentre);
-  const mostCores = Math.max(0, ...local.map(({cores}) => cores));
-  return local
+  const others = local.filter(({vm}) => !owners.has(vm));
+  const usable = others.length > 0 ? others : local;
+  const mostCores = Math.max(0, ...usable.map(({cores}) => cores));
+  return usable
     .filter(({cores}) => cores >= mostCores * MIN_RELAY_CORES_SHARE)
     .map((relay) => ({relay, weight: hash(relay.vm, dataCentre)}))
     .sort((a, b) => (a.weight < b.weight ? 1 : -1))
@@ -73,6 +79,8 @@
   readonly candidates: () => readonly RelayCandidate[];
   /** Processor time of this VM in cores. */
   readonly ownCores: number;
+  /** Returns the VMs that own cells; a new set after each change. Default: none is known. */
+  readonly owners?: () => ReadonlySet<VmId>;
 }
 
 export class RelayRoutes {
@@ -83,6 +91,7 @@
   readonly #lostAt = new Map<VmId, Instant>();
   #isRelaying = false;
   readonly #options: RelayRoutesOptions;
+  #owners = NO_OWNERS;
   readonly #routes = new Map<MinionId, Relay | undefined>();
 
   constructor(options: RelayRoutesOptions) {
@@ -108,8 +117,10 @@
       return undefined;
     }
     const candidates = this.#options.candidates();
-    if (candidates !== this.#candidates) {
+    const owners = this.#options.owners?.() ?? NO_OWNERS;
+    if (candidates !== this.#candidates || owners !== this.#owners) {
       this.#candidates = candidates;
+      this.#owners = owners;
       this.#clear();
     }
     if (!this.#routes.has(id)) {
@@ -166,6 +177,6 @@
       ({vm}) => now - (this.#lostAt.get(vm) ?? -Infinity) >= RELAY_COOLDOWN_MS,
     );
     const minions = this.#dataCentres.get(dataCentre)?.size ?? 0;
-    return chooseRelays(usable, dataCentre, minions);
+    return chooseRelays(usable, dataCentre, minions, this.#owners);
   }
 }
--- a/packages/nutmegproxy-relay/src/RelayedMinionOrders.ts
+++ b/packages/nutmegproxy-relay/src/RelayedMinionOrders.ts
@@ -50,6 +50,8 @@
   readonly events: EventSink;
   /** See `RelayRoutesOptions`. */
   readonly ownCores: number;
+  /** See `RelayRoutesOptions`. */
+  readonly owners?: () => ReadonlySet<VmId>;
 }
 
 export class RelayedMinionOrders implements MinionOrders {
--- a/packages/nutmegproxy-relay/src/__tests__/unit/RelayRoutes.test.ts
+++ b/packages/nutmegproxy-relay/src/__tests__/unit/RelayRoutes.test.ts
@@ -1,4 +1,4 @@
-import type {DataCentreId, Instant} from '@nutmegproxy/core';
+import type {DataCentreId, Instant, VmId} from '@nutmegproxy/core';
 
 import {brand} from '@nutmegproxy/core';
 import assert from 'node:assert/strict';
@@ -14,6 +14,7 @@
 
 describe('RelayRoutes', () => {
   let candidates: readonly RelayCandidate[];
+  let owners: ReadonlySet<VmId>;
   let routes: RelayRoutes;
 
   /** Makes the fleet too large for an owner with a tenth of a core. */
@@ -25,7 +26,8 @@
 
   beforeEach(() => {
     candidates = ['vm-1', 'vm-2', 'vm-3'].map((name) => createCandidate(name));
-    routes = new RelayRoutes({candidates: () => candidates, ownCores: 0.1});
+    owners = new Set();
+    routes = new RelayRoutes({candidates: () => candidates, ownCores: 0.1, owners: () => owners});
   });
 
   it('leaves a small fleet to the owner', () => {
@@ -56,6 +58,28 @@
       assert.deepEqual(later, relay);
     });
 
+    it('moves the minions of a relay that becomes the owner of a cell, and few others', () => {
+      addMinions(MINIONS_PER_RELAY + 10);
+      const ids = Array.from({length: MINIONS_PER_RELAY + 10}, (_, index) => `m${index}`);
+      const find = (id: string): undefined | VmId => routes.find(createTarget(id), at(0))?.vm;
+      // The relays are chosen for the number of minions that is known now.
+      candidates = [...candidates];
+      const before = new Map(ids.map((id) => [id, find(id)]));
+      const relays = [...new Set(before.values())];
+      assert.equal(relays.length, 2);
+      const [owner, other] = relays;
+      owners = new Set(owner === undefined ? [] : [owner]);
+      const after = new Map(ids.map((id) => [id, find(id)]));
+      assert.ok(![...after.values()].includes(owner), `${owner} relays beside its cell`);
+      const [added] = candidates.filter(({vm}) => !relays.includes(vm));
+      for (const id of ids.filter((each) => before.get(each) === other)) {
+        assert.ok([added?.vm, other].includes(after.get(id)));
+      }
+      assert.ok(
+        ids.filter((id) => before.get(id) === other && after.get(id) === other).length > 40,
+      );
+    });
+
     it('leaves a minion to the owner when its data centre has no relay', () => {
       assert.equal(routes.find(createTarget('other', 'dc-b'), at(0)), undefined);
     });
@@ -90,5 +114,19 @@
       const chosen = chooseRelays([small, former, remote, ...candidates], dataCentre, 1_000);
       assert.deepEqual(chosen.map(({vm}) => vm).sort(), ['vm-1', 'vm-2', 'vm-3']);
     });
+
+    it('own no cell where another VM can be a relay, even a smaller one', () => {
+      const large = createCandidate('large', {cores: 4});
+      const owned = new Set([brand<VmId>('large')]);
+      const chosen = chooseRelays([large, ...candidates], dataCentre, 1, owned);
+      assert.equal(chosen.length, 1);
+      assert.ok(!owned.has(chosen[0]?.vm ?? large.vm));
+    });
+
+    it('own cells where all VMs do', () => {
+      const all = new Set(candidates.map(({vm}) => vm));
+      const chosen = chooseRelays(candidates, dataCentre, 2 * MINIONS_PER_RELAY, all);
+      assert.deepEqual(chosen, chooseRelays(candidates, dataCentre, 2 * MINIONS_PER_RELAY));
+    });
   });
 });
