8025 tells room that backfill holds and first starts from interrupted tasks; 8140 names the largest free piece

New in 8025: fittingWithoutBackfill, backfillCores, interrupted; in 8140 of each cell: largestFreeMilli, on the minions that its owner uses.

Before: the fields are undefined.

--- a/packages/nutmegproxy-scheduling/src/FleetSummary.ts
+++ b/packages/nutmegproxy-scheduling/src/FleetSummary.ts
@@ -19,14 +19,19 @@
   const levels: Record<TrustLevel, number> = {quarantined: 0, trial: 0, trusted: 0};
   let capacity = 0;
   let backfill = 0;
+  let largestFree = 0;
   let reserved = 0;
   let serving = 0;
   let servingMinions = 0;
   let usable = 0;
   for (const minion of fleet.minions.values()) {
+    const {cpuMilli} = minion.description.capacity;
     levels[minion.trust.level(now)] += 1;
-    usable += isSchedulable(minion, now) ? 1 : 0;
-    capacity += minion.description.capacity.cpuMilli;
+    if (isSchedulable(minion, now)) {
+      usable += 1;
+      largestFree = Math.max(largestFree, cpuMilli - minion.reserved.cpuMilli);
+    }
+    capacity += cpuMilli;
     backfill += minion.backfillCpuMilli;
     reserved += minion.reserved.cpuMilli;
     serving += minion.servingCpuMilli;
@@ -38,6 +43,7 @@
     fillingCores: Math.round(backfill / 1000),
     heldTasks: countHeldTasks(fleet, wall),
     jobs: fleet.jobs.size,
+    largestFreeMilli: largestFree,
     minions: fleet.minions.size,
     reservedCores: Math.round(reserved / 1000),
     servingCores: Math.round(serving / 1000),
--- a/packages/nutmegproxy-scheduling/src/MinionState.ts
+++ b/packages/nutmegproxy-scheduling/src/MinionState.ts
@@ -192,14 +192,20 @@
   }
 
   /** Whether a task of the shape fits in the capacity that is not reserved. */
-  hasCapacity({fillsSpareCpu, resources}: StepShape): boolean {
-    const {capacity} = this.description;
-    const cpuMilli = fillsSpareCpu ? 0 : resources.cpuMilli;
-    return (
-      this.reserved.cpuMilli + cpuMilli <= capacity.cpuMilli &&
-      this.reserved.memoryMb + resources.memoryMb <= capacity.memoryMb &&
-      this.reserved.gpus + resources.gpus <= capacity.gpus
-    );
+  hasCapacity(shape: StepShape): boolean {
+    return this.#fits(shape, this.reserved);
+  }
+
+  /** Whether a task of the shape would fit if no backfill ran, of which memory and GPUs are reserved. */
+  hasCapacityWithoutBackfill(shape: StepShape): boolean {
+    const reserved = {...this.reserved};
+    for (const {step} of this.runs) {
+      if (step.shape.fillsSpareCpu) {
+        reserved.gpus -= step.shape.resources.gpus;
+        reserved.memoryMb -= step.shape.resources.memoryMb;
+      }
+    }
+    return this.#fits(shape, reserved);
   }
 
   /** Returns the runs that end when it crashes; `runNumberBase` is the lowest of this owner. */
@@ -235,6 +241,16 @@
     }
   }
 
+  #fits({fillsSpareCpu, resources}: StepShape, reserved: Resources): boolean {
+    const {capacity} = this.description;
+    const cpuMilli = fillsSpareCpu ? 0 : resources.cpuMilli;
+    return (
+      reserved.cpuMilli + cpuMilli <= capacity.cpuMilli &&
+      reserved.memoryMb + resources.memoryMb <= capacity.memoryMb &&
+      reserved.gpus + resources.gpus <= capacity.gpus
+    );
+  }
+
   #adjustReservations({step: {shape}}: Run, sign: -1 | 1): void {
     const {cpuMilli, gpus, memoryMb} = shape.resources;
     this.runChanges += 1;
--- a/packages/nutmegproxy-scheduling/src/PlacementSurvey.ts
+++ b/packages/nutmegproxy-scheduling/src/PlacementSurvey.ts
@@ -15,8 +15,12 @@
 
 /** What is free on one minion. */
 interface FreePiece {
+  /** Processors requested by backfill, of which none are reserved. */
+  readonly backfillMilli: number;
   readonly cpuMilli: number;
   readonly fits: boolean;
+  /** Whether the task fits once backfill has stopped, whose memory and GPUs are reserved. */
+  readonly fitsWithoutBackfill: boolean;
   readonly memoryMb: number;
   readonly minion: MinionId;
 }
@@ -34,10 +38,12 @@
 }
 
 function measureFree({shape}: StepState, minion: MinionState): FreePiece {
-  const {description, id, reserved} = minion;
+  const {backfillCpuMilli, description, id, reserved} = minion;
   return {
+    backfillMilli: backfillCpuMilli,
     cpuMilli: description.capacity.cpuMilli - reserved.cpuMilli,
     fits: minion.hasCapacity(shape),
+    fitsWithoutBackfill: minion.hasCapacityWithoutBackfill(shape),
     memoryMb: description.capacity.memoryMb - reserved.memoryMb,
     minion: id,
   };
@@ -71,7 +77,8 @@
 
 /**
  * Returns event fields on the minions of the step's service: the largest free piece of those that may
- * get its tasks and of those that are passed over, how many fit a task, and the numbers by reason.
+ * get its tasks and of those that are passed over, how many fit a task, and the numbers by reason. The cores of
+ * backfill count as free.
  *
  * @example
  * surveyPlacement(fleet, step, now); // {freeCores: 2.4, passedOver: 'draining=1:16 trial=2:7.2', ...}
@@ -99,7 +106,9 @@
   const {cpuMilli, memoryMb} = step.shape.resources;
   return {
     allowed: allowed.length,
+    backfillCores: toCores(free?.backfillMilli ?? 0),
     fitting: allowed.filter(({fits}) => fits).length,
+    fittingWithoutBackfill: allowed.filter((piece) => piece.fitsWithoutBackfill).length,
     freeCores: toCores(free?.cpuMilli ?? 0),
     freeMb: free?.memoryMb ?? 0,
     freeMinion: free?.minion,
--- a/packages/nutmegproxy-scheduling/src/WithheldTaskLog.ts
+++ b/packages/nutmegproxy-scheduling/src/WithheldTaskLog.ts
@@ -158,7 +158,10 @@
 ): undefined | WithheldTask {
   if (step.waiting.has(index)) {
     return isStartableTask(fleet, step, index)
-      ? {describe: () => survey(step), reason: 'placement'}
+      ? {
+          describe: () => ({...survey(step), interrupted: isInterruptedTask(step, index)}),
+          reason: 'placement',
+        }
       : {describe: () => ({untilMs: Math.round(recoveryMs)}), reason: 'recovery'};
   }
   for (const run of step.runsOf(index)) {
--- a/packages/nutmegproxy-scheduling/src/__tests__/unit/WithheldTaskLog.test.ts
+++ b/packages/nutmegproxy-scheduling/src/__tests__/unit/WithheldTaskLog.test.ts
@@ -117,10 +117,13 @@
       sample.addMinion('m6').trust.recordStall(at(0));
       assert.deepEqual(survey(), {
         allowed: 2,
+        backfillCores: 0,
         fitting: 0,
+        fittingWithoutBackfill: 0,
         freeCores: 0.8,
         freeMb: 7_900,
         freeMinion: 'm1',
+        interrupted: false,
         job: job.id,
         passedOver: 'draining=1:4 not-responding=1:4 quarantined=1:4 trial=1:2.5',
         passedOverCores: 4,
@@ -134,6 +137,31 @@
       });
     });
 
+    it('tells room that backfill holds from room that others hold', () => {
+      const resources = {cpuMilli: 3_000, gpus: 0, memoryMb: 7_950};
+      const backfill = sample.addJob('proofs', [shape({fillsSpareCpu: true, resources})]);
+      const [first] = [...backfill.openOccurrences(wallAt(0))].flat();
+      assert.ok(first);
+      sample.fleet.startRun(first, 0, minion, at(0));
+      fill(sample.addMinion('m2'), 4_000);
+      const {backfillCores, fitting, fittingWithoutBackfill, freeCores, freeMb} = survey();
+      assert.deepEqual(
+        {backfillCores, fitting, fittingWithoutBackfill, freeCores, freeMb},
+        {backfillCores: 3, fitting: 0, fittingWithoutBackfill: 1, freeCores: 4, freeMb: 50},
+      );
+    });
+
+    it('tells a task that was interrupted from one that waits for the limit of first starts', () => {
+      job = sample.addJob('proofs', [shape({count: 2, longRunning: true})]);
+      const [first] = [...job.openOccurrences(wallAt(0))].flat();
+      first?.recordRunNumber(1, 7 as RunNumber);
+      const lines = reviewUntil(1_500).filter(({job: named}) => named === job.id);
+      assert.deepEqual(
+        lines.map(({interrupted}) => interrupted),
+        [false, true],
+      );
+    });
+
     it('counts minions without the required label as passed over', () => {
       job = sample.addJob('proofs', [shape({longRunning: true, requiredLabel: 'fast'})]);
       const {allowed, passedOver, passedOverMinion} = survey();
