--- a/packages/nutmegproxy-jobs/src/StepState.ts
+++ b/packages/nutmegproxy-jobs/src/StepState.ts
@@ -67,6 +67,8 @@
   readonly done = new Set<number>();
   /** When this owner learned of the last failure of a task, by task index. */
   readonly failedAt = new Map<number, Instant>();
+  /** Indexes of the tasks of which this owner learned of failures, by minion; empty for lasting tasks. */
+  readonly failedOn = new Map<MinionId, Set<number>>();
   /** Numbers of the failed runs, by task index. */
   readonly failures = new Map<number, RunNumber[]>();
   readonly job: JobState;
@@ -134,12 +136,7 @@
   }
 
   get hasLiveRuns(): boolean {
-    for (const runs of this.#runs.values()) {
-      if (runs.length > 0) {
-        return true;
-      }
-    }
-    return false;
+    return this.#runs.size > 0;
   }
 
   /** Number of live runs. */
--- a/packages/nutmegproxy-scheduling/src/AdviceQueries.ts
+++ b/packages/nutmegproxy-scheduling/src/AdviceQueries.ts
@@ -8,7 +8,7 @@
 import type {AdviceCache, AdviceQuery} from './AdviceCache.ts';
 import type {Fleet} from './Fleet.ts';
 
-import {findOverdueSteps, listUntrustedMinions} from './OverdueSteps.ts';
+import {findIdleSteps, findOverdueSteps, listUntrustedMinions} from './OverdueSteps.ts';
 import {deriveMaxWait} from './PendingBounds.ts';
 import {isSchedulable} from './Placement.ts';
 import {isReady} from './ReadySteps.ts';
@@ -60,11 +60,8 @@
 ): AdviceQuery | undefined {
   const {later, ready} = listAdvisedSteps(fleet, wall);
   const schedulable = [...fleet.minions.values()].filter((minion) => isSchedulable(minion, now));
-  const overdue = findOverdueSteps(
-    fleet,
-    ready,
-    deriveMaxWait(bounds),
-    after(now, OVERDUE_LEAD_MS),
+  const overdue = [findOverdueSteps, findIdleSteps].flatMap((find) =>
+    find(fleet, ready, deriveMaxWait(bounds), after(now, OVERDUE_LEAD_MS)),
   );
   const untrusted = overdue.length === 0 ? [] : listUntrustedMinions(fleet, now);
   const forOverdue = cache.chooseQuery(fleet, overdue, [...schedulable, ...untrusted], now);
--- a/packages/nutmegproxy-scheduling/src/LastAttempt.ts
+++ b/packages/nutmegproxy-scheduling/src/LastAttempt.ts
@@ -10,6 +10,12 @@
 
 import {RECENT_FAILURE_MS} from './MinionTrust.ts';
 
+/**
+ * Time in milliseconds after a failure for which a job of which nothing runs waits for a better minion, once it has
+ * waited since its turn: shorter than the 3 s in which callers count it as lost.
+ */
+export const RETRY_WAIT_MS = 2_000;
+
 /**
  * Longest time in milliseconds, from the last failure of a task, for which its last attempt waits for a
  * trusted minion. A task that this owner has not seen fail counts from when its turn came, unless the end of
@@ -17,6 +23,22 @@
  */
 export const MAX_LAST_ATTEMPT_WAIT_MS = 12_000;
 
+/**
+ * Whether the minion may be what made a task fail: its step, or this member of a gang, has failed on no other that is
+ * known.
+ */
+export function mayBeCause(
+  {failedOn, shape}: StepState,
+  index: number,
+  {id}: MinionState,
+): boolean {
+  if (failedOn.size !== 1) {
+    return failedOn.size === 0;
+  }
+  const failed = failedOn.get(id);
+  return failed !== undefined && (!shape.gang || failed.has(index));
+}
+
 /** A task with the number of attempts that its queue allows. */
 export interface AttemptedTask {
   readonly index: number;
@@ -25,18 +47,27 @@
 }
 
 /**
- * Returns until when the last attempt of a task waits. What former owners saw fail before their ownership
- * ended is not recent any more after the same time.
+ * Returns until when the last attempt of a task waits for a better minion than this one. What former owners saw fail
+ * before their ownership ended is not recent any more after the same time.
  */
 function findWaitEnd(
   {formerReleasedAt}: Fleet,
   {index, step}: Pick<AttemptedTask, 'index' | 'step'>,
+  minion: MinionState,
   now: Instant,
-): Instant {
+): number {
   const failedAt = step.failedAt.get(index);
-  return failedAt === undefined && formerReleasedAt !== undefined
-    ? after(formerReleasedAt, RECENT_FAILURE_MS)
-    : after(failedAt ?? step.readyAt ?? now, MAX_LAST_ATTEMPT_WAIT_MS);
+  if (failedAt === undefined && formerReleasedAt !== undefined) {
+    return after(formerReleasedAt, RECENT_FAILURE_MS);
+  }
+  const latestAt = after(failedAt ?? step.readyAt ?? now, MAX_LAST_ATTEMPT_WAIT_MS);
+  // A gang that waits has no runs but those that reserve room while its minions are chosen.
+  const hasRuns = step.job.hasLiveRuns && !step.shape.gang;
+  if (failedAt === undefined || hasRuns || mayBeCause(step, index, minion)) {
+    return latestAt;
+  }
+  const turnAt = step.readyAt ?? now;
+  return Math.min(latestAt, Math.max(turnAt + MAX_LAST_ATTEMPT_WAIT_MS, failedAt + RETRY_WAIT_MS));
 }
 
 /**
@@ -48,23 +79,25 @@
 export function shouldSaveLastAttempt(
   fleet: Fleet,
   task: AttemptedTask,
-  {trust}: MinionState,
+  minion: MinionState,
   now: Instant,
 ): boolean {
+  const {trust} = minion;
   const {index, maxAttempts, step} = task;
   const failures = step.failures.get(index)?.length ?? 0;
   if (failures === 0 || failures < maxAttempts - 1 || step.shape.longRunning) {
     return false;
   }
   const isBetterMinion = trust.level(now) === 'trusted' && !trust.hasRecentFailures(now);
-  return !isBetterMinion && findLastAttemptWaitMs(fleet, task, now) > 0;
+  return !isBetterMinion && findLastAttemptWaitMs(fleet, task, minion, now) > 0;
 }
 
 /** Returns the time in milliseconds for which the last attempt of a task may still be saved. */
 export function findLastAttemptWaitMs(
   fleet: Fleet,
   task: Pick<AttemptedTask, 'index' | 'step'>,
+  minion: MinionState,
   now: Instant,
 ): number {
-  return Math.max(0, findWaitEnd(fleet, task, now) - now);
+  return Math.max(0, findWaitEnd(fleet, task, minion, now) - now);
 }
--- a/packages/nutmegproxy-scheduling/src/ListingReconciler.ts
+++ b/packages/nutmegproxy-scheduling/src/ListingReconciler.ts
@@ -7,6 +7,7 @@
 import type {MinionState} from './MinionState.ts';
 
 import {dropUnsentTrials, resolveTrials} from './CrashRecorder.ts';
+import {recordFailureOf} from './MinionQuarantine.ts';
 import {reviewTrials} from './TrialReview.ts';
 
 /** Progress of a live run, as listed by its minion. */
@@ -170,7 +171,7 @@
     dropSupersededRuns(fleet, step, result);
     if (result.outcome === 'failed' && result.number >= fleet.runNumberBase) {
       // A run of this owner that counted as lost; the failures of former owners' runs have no known time.
-      step.failedAt.set(result.task.index, now);
+      recordFailureOf(step, result.task.index, minion.id, now);
     }
     fleet.applyResult(step, result.task, result.number, result.outcome, result.checkpoint);
   }
--- a/packages/nutmegproxy-scheduling/src/MinionQuarantine.ts
+++ b/packages/nutmegproxy-scheduling/src/MinionQuarantine.ts
@@ -1,7 +1,7 @@
 /** What the ends of runs say about their minions: quarantines and trials, each with a line in the log. */
 
-import type {Instant} from '@nutmegproxy/core';
-import type {Run} from '@nutmegproxy/jobs';
+import type {Instant, MinionId} from '@nutmegproxy/core';
+import type {Run, StepState} from '@nutmegproxy/jobs';
 
 import type {Fleet} from './Fleet.ts';
 import type {MinionState} from './MinionState.ts';
@@ -47,6 +47,19 @@
   }
 }
 
+/** Records when a task failed, and where unless it is to last: such a task may fail on any number of minions. */
+export function recordFailureOf(
+  {failedAt, failedOn, shape}: StepState,
+  index: number,
+  minion: MinionId,
+  now: Instant,
+): void {
+  failedAt.set(index, now);
+  if (!shape.longRunning) {
+    failedOn.set(minion, (failedOn.get(minion) ?? new Set()).add(index));
+  }
+}
+
 /** Records a run that has failed; `minion` is undefined when it has left. */
 export function recordFailure(
   {events}: Fleet,
@@ -55,7 +68,7 @@
   now: Instant,
 ): void {
   const {step, task} = run;
-  step.failedAt.set(task.index, now);
+  recordFailureOf(step, task.index, run.minion, now);
   if (minion !== undefined && isTrialRun(minion, run)) {
     step.hasFailedTrial = true;
     step.avoid(task.index, run.minion, now, FAILED_TRIAL_AVOIDANCE_MS);
--- a/packages/nutmegproxy-scheduling/src/OverdueSteps.ts
+++ b/packages/nutmegproxy-scheduling/src/OverdueSteps.ts
@@ -11,6 +11,7 @@
 import type {MinionState} from './MinionState.ts';
 import type {SharingCosts} from './Placement.ts';
 
+import {RETRY_WAIT_MS} from './LastAttempt.ts';
 import {isOnlyUntrusted} from './MinionAvailability.ts';
 import {INTERFERENCE_COST} from './Placement.ts';
 
@@ -62,6 +63,19 @@
   );
 }
 
+/** Whether nothing of a job runs after a failure, although the turn of its step came at the given instant or before. */
+function isIdle(step: StepState, turnBefore: number, now: Instant): boolean {
+  const {failedAt, job, readyAt = Infinity, shape, waiting} = step;
+  return (
+    readyAt <= turnBefore &&
+    failedAt.size > 0 &&
+    waiting.size > 0 &&
+    !shape.longRunning &&
+    findWaitStart(step) + RETRY_WAIT_MS <= now &&
+    !job.hasLiveRuns
+  );
+}
+
 /** Returns from when room has been free for long enough for the work of a job; Infinity while it isn't. */
 function findPassingAt(fleet: Fleet, job: JobState): number {
   const {service} = fleet.resolveQueuePolicy(job);
@@ -84,6 +98,24 @@
   return waiting.filter(({job}) => findPassingAt(fleet, job) <= now);
 }
 
+/**
+ * Returns those of the steps whose turn came `maxWaitMs` ago and that have failed since, while nothing of their jobs
+ * runs, in the same order and without those that are overdue: a wait that began anew with each failure would have no
+ * end, as callers see it.
+ */
+export function findIdleSteps(
+  fleet: Fleet,
+  ordered: readonly StepState[],
+  maxWaitMs: number,
+  now: Instant,
+): readonly StepState[] {
+  const since = now - maxWaitMs;
+  const waiting = ordered.filter(
+    (step) => isIdle(step, since, now) && !hasWaitedSince(step, since),
+  );
+  return waiting.filter(({job}) => findPassingAt(fleet, job) <= now);
+}
+
 /**
  * Returns the time in milliseconds until the step is overdue; undefined where its service is too full for that.
  *
--- a/packages/nutmegproxy-scheduling/src/PendingDetails.ts
+++ b/packages/nutmegproxy-scheduling/src/PendingDetails.ts
@@ -46,9 +46,9 @@
     minion: id,
     untilMs: Math.max(0, step.findAvoidedUntil(index, id) - now),
   }),
-  'last-attempt': (task, {id}, {fleet, now}) => ({
-    minion: id,
-    untilMs: findLastAttemptWaitMs(fleet, task, now),
+  'last-attempt': (task, minion, {fleet, now}) => ({
+    minion: minion.id,
+    untilMs: findLastAttemptWaitMs(fleet, task, minion, now),
   }),
   sharing: (task, _minion, context) => describePreference(task, context),
   suspicion: (task, _minion, context) => describeSuspicion(task, context),
--- a/packages/nutmegproxy-scheduling/src/StartPermissions.ts
+++ b/packages/nutmegproxy-scheduling/src/StartPermissions.ts
@@ -6,7 +6,7 @@
 import type {Fleet} from './Fleet.ts';
 import type {MinionState} from './MinionState.ts';
 
-import {shouldSaveLastAttempt} from './LastAttempt.ts';
+import {mayBeCause, shouldSaveLastAttempt} from './LastAttempt.ts';
 import {isOpenToRuns} from './MinionAvailability.ts';
 
 /** Permissions of the external advisor, for queues that need them. */
@@ -20,6 +20,15 @@
   readonly now: Instant;
 }
 
+/** Failures of a task from which it waits in full, so that minions that fail everything get few runs. */
+const MAX_QUICK_FAILURES = 4;
+
+/**
+ * Which minions that are not trusted get work beside their trials. `other`: those that a task has not failed on, and
+ * all of them once its step has failed on two, as the cause is more likely its own; it avoids none any more then.
+ */
+export type TrustPass = 'all' | 'none' | 'other';
+
 /**
  * @example
  * const permissions = new StartPermissions(fleet, {advice, now});
@@ -31,8 +40,8 @@
    * others, so that tasks that fail on any minion don't take each trial.
    */
   admitsFailedTrials = true;
-  /** Whether minions that are not trusted may get work beside the run that is their trial. */
-  admitsUntrusted = false;
+  /** Which minions that are not trusted may get work beside the run that is their trial. */
+  passesTrust: TrustPass = 'none';
   readonly #context: PermissionContext;
   readonly #fleet: Fleet;
 
@@ -45,7 +54,7 @@
   isAllowed(step: StepState, index: number, minion: MinionState): boolean {
     const {now} = this.#context;
     const {maxAttempts} = this.#fleet.resolveQueuePolicy(step.job);
-    if (step.isAvoided(index, minion.id, now) || !this.isOpenTo(step, minion)) {
+    if (this.#isAvoided(step, index, minion) || !this.isOpenTo(step, minion)) {
       return false;
     }
     // A run whose result is not known yet may have failed and counts as an attempt.
@@ -55,6 +64,20 @@
     return !shouldSaveLastAttempt(this.#fleet, {index, maxAttempts, step}, minion, now);
   }
 
+  /** Whether the task has failed on the minion, so that it waits for another one. */
+  #isAvoided(step: StepState, index: number, minion: MinionState): boolean {
+    const isAvoided = step.isAvoided(index, minion.id, this.#context.now);
+    if (this.passesTrust !== 'other') {
+      return isAvoided;
+    }
+    const failures = step.failures.get(index)?.length ?? 0;
+    return (
+      failures >= MAX_QUICK_FAILURES ||
+      mayBeCause(step, index, minion) ||
+      (isAvoided && step.failedOn.size < 2)
+    );
+  }
+
   /** Whether tasks of the step may run on the minion. */
   isOpenTo(step: StepState, minion: MinionState): boolean {
     const {advice, now} = this.#context;
@@ -64,7 +87,7 @@
       return false;
     }
     return (
-      (this.admitsUntrusted || isOpenToRuns(minion, now, step)) &&
+      (this.passesTrust !== 'none' || isOpenToRuns(minion, now, step)) &&
       (policy === undefined || advice.isPermitted(step, minion) === true)
     );
   }
--- a/packages/nutmegproxy-scheduling/src/StartPlanner.ts
+++ b/packages/nutmegproxy-scheduling/src/StartPlanner.ts
@@ -19,6 +19,7 @@
 import {MinionRanking} from './MinionRanking.ts';
 import {MinionsByService} from './MinionsByService.ts';
 import {
+  findIdleSteps,
   findOverdueSteps,
   hasTaskWaitedSince,
   listUntrustedMinions,
@@ -97,9 +98,8 @@
       (step) => !trials.held.has(step.job) && !step.job.isFinal && this.#mayStart(step),
     );
     const ordered = orderSteps(this.#fleet, others, estimator, wall).map(({step}) => step);
-    this.#overdueBackfill = new Set(
-      this.#findOverdue(ordered.filter(({shape}) => shape.fillsSpareCpu)),
-    );
+    const backfill = ordered.filter(({shape}) => shape.fillsSpareCpu);
+    this.#overdueBackfill = new Set(findOverdueSteps(this.#fleet, backfill, this.#maxWaitMs, now));
     this.#permissions.admitsFailedTrials = false;
     let wasCut = this.#place(ordered);
     this.#permissions.admitsFailedTrials = true;
@@ -108,7 +108,7 @@
       wasCut = this.#place(failedTrials);
     }
     this.#context.sweep?.endRound(wasCut || this.#isStepCut);
-    this.#permissions.admitsUntrusted = true;
+    this.#permissions.passesTrust = 'all';
     const interrupted = startInterruptedTasks(this.#fleet, ordered, {
       isAllowed: this.#isAllowed,
       listStartable: this.#listStartable,
@@ -168,32 +168,29 @@
     });
   }
 
-  #findOverdue(steps: readonly StepState[]): readonly StepState[] {
-    return findOverdueSteps(this.#fleet, steps, this.#maxWaitMs, this.#context.now);
-  }
-
   get #maxWaitMs(): number {
     return deriveMaxWait(this.#context);
   }
 
   /**
    * Places a task of each step that has waited for too long on minions that are not trusted, in place of their next
-   * trials.
+   * trials; then one of each idle step on any but those that may be what made it fail.
    */
   #placeOverdue(ordered: readonly StepState[]): void {
     const {now} = this.#context;
-    const steps = this.#findOverdue(ordered);
-    const untrusted = steps.length === 0 ? [] : listUntrustedMinions(this.#fleet, now);
-    if (untrusted.length === 0) {
-      return;
-    }
+    const overdue = findOverdueSteps(this.#fleet, ordered, this.#maxWaitMs, now);
+    const idle = findIdleSteps(this.#fleet, ordered, this.#maxWaitMs, now);
+    const isNeeded = overdue.length + idle.length > 0;
+    const untrusted = isNeeded ? listUntrustedMinions(this.#fleet, now) : [];
     this.#schedulable.add(untrusted);
     const placed = this.#starts.length;
     this.#lastingSince = now - this.#maxWaitMs;
-    this.#place(steps, 1);
+    this.#place(untrusted.length > 0 ? overdue : [], 1);
     for (const minion of new Set(this.#starts.slice(placed).map((run) => run.minion))) {
       this.#fleet.minions.get(minion)?.trust.postponeTrial(now);
     }
+    this.#permissions.passesTrust = 'other';
+    this.#place(idle, 1);
   }
 
   /** Whether a step that found no minion in this pass is tried once more, as room may have become free. */
--- a/packages/nutmegproxy-scheduling/src/__tests__/unit/ExclusionsEnd.test.ts
+++ b/packages/nutmegproxy-scheduling/src/__tests__/unit/ExclusionsEnd.test.ts
@@ -90,6 +90,22 @@
     assert.equal(minion.runs.size <= 1, true);
     assert.ok(failures <= 3 + 40_000 / 4_000 + 1, `${failures}`);
   });
+
+  // Jobs that fail on both minions are tried again before their quarantines are over, a few times each.
+  it('gets no more than that and two runs of each job beside another one that does the same', () => {
+    const sample = new SampleFleet(2, [queue('proofs', {maxAttempts: 1_000})]);
+    for (let number = 0; number < 6; number += 1) {
+      sample.addJob('proofs', [shape()]);
+    }
+    sample.addJob('proofs', [LASTING]);
+    const failures = new Map<MinionId, number>();
+    play(sample, 0, 40_000, ({minion}) => {
+      failures.set(minion, (failures.get(minion) ?? 0) + 1);
+      return 'failed';
+    });
+    const most = Math.max(...failures.values());
+    assert.ok(most <= 3 + 40_000 / 4_000 + 1 + 6 * 2, `${most}`);
+  });
 });
 
 describe('A task that has failed', () => {
--- a/packages/nutmegproxy-scheduling/src/__tests__/unit/LastAttempt.test.ts
+++ b/packages/nutmegproxy-scheduling/src/__tests__/unit/LastAttempt.test.ts
@@ -118,6 +118,42 @@
   });
 });
 
+describe('The last attempt of a task whose turn came long ago', () => {
+  const FAILED_AT_MS = 13_500;
+  /** Time for which nothing of a job runs until callers count it as lost, as the users specify. */
+  const LOST_MS = 3_000;
+
+  /** Returns how long it waits after a failure for the other minion, which has failed another task just then. */
+  function measureWait(count: number): number {
+    const sample = new SampleFleet(2);
+    const job = sample.addJob('proofs', [shape({count, estimateMs: 60_000, maxPerMinion: 1})]);
+    const failedOn: string[] = [];
+    const starts = play(sample, 0, FAILED_AT_MS + 20_000, ({minion, task}, now) => {
+      if (task.index > 0 || now < FAILED_AT_MS || failedOn.length > 0) {
+        return undefined;
+      }
+      failedOn.push(minion);
+      for (const {id, trust} of sample.fleet.minions.values()) {
+        if (id !== minion) {
+          trust.recordFailure(JOB_A, at(now));
+        }
+      }
+      return 'failed';
+    });
+    return (starts.get(job)?.at(-1) ?? Infinity) - FAILED_AT_MS;
+  }
+
+  it('waits no longer than until its job counts as lost, if nothing of that runs', () => {
+    const waitedMs = measureWait(1);
+    assert.ok(waitedMs > 0 && waitedMs < LOST_MS, `${waitedMs} ms`);
+  });
+
+  it('is kept for a better minion while another task of its job runs', () => {
+    const waitedMs = measureWait(2);
+    assert.ok(waitedMs >= RECENT_MS, `${waitedMs} ms`);
+  });
+});
+
 describe('A task on its last attempt', () => {
   it('avoids a failing minion on which a run from before the failures has ended since', () => {
     const sample = new SampleFleet(1);
