--- a/packages/nutmegproxy-scheduling/src/StartBudget.ts
+++ b/packages/nutmegproxy-scheduling/src/StartBudget.ts
@@ -57,12 +57,17 @@
   readonly place: (step: StepState, budget: StartBudget) => void;
 }
 
+/** Whether the queue of a job gives way to no other. */
+export function isUrgent(fleet: Fleet, job: JobState): boolean {
+  return fleet.resolveQueuePolicy(job).priority <= URGENT_PRIORITY;
+}
+
 /**
  * Whether the starts of a step may be delayed in favour of other queues. Long-running tasks are not:
  * somebody relies on them at all times.
  */
 export function isDeferrable(fleet: Fleet, {job, shape}: StepState): boolean {
-  return fleet.resolveQueuePolicy(job).priority > URGENT_PRIORITY && !shape.longRunning;
+  return !isUrgent(fleet, job) && !shape.longRunning;
 }
 
 /** Returns how many of the runs belong to deferrable steps. */
--- a/packages/nutmegproxy-scheduling/src/StartPlanner.ts
+++ b/packages/nutmegproxy-scheduling/src/StartPlanner.ts
@@ -1,14 +1,10 @@
 /** Decides which tasks start now and on which minions. */
 
-import type {WallTime} from '@nutmegproxy/core';
 import type {Run, RunNumber, StepState} from '@nutmegproxy/jobs';
 
-import type {DurationEstimator} from './DurationEstimator.ts';
 import type {Fleet} from './Fleet.ts';
 import type {MinionState} from './MinionState.ts';
-import type {SharingCosts} from './Placement.ts';
-import type {PlanSweep} from './PlanSweep.ts';
-import type {PermissionContext} from './StartPermissions.ts';
+import type {PlanContext} from './PlanContext.ts';
 import type {TrialPlan} from './TaskTrials.ts';
 
 import {listCrashes} from './CrashVerdict.ts';
@@ -47,22 +43,6 @@
 /** Tasks of a step that are passed over in one round before the step waits; bounds its duration. */
 const MAX_SKIPPED_TASKS = 100;
 
-export interface PlanContext extends PermissionContext {
-  /** Most starts of deferrable work in this round; absent when they are not limited. */
-  readonly deferrableStarts?: number;
-  readonly estimator: DurationEstimator;
-  /** Time in milliseconds in which accepted work with free room has to run; absent for its default. */
-  readonly finishMs?: number;
-  /** Whether so many starts wait to be sent that no deferrable work is started; default: they don't. */
-  readonly isBacklogged?: boolean;
-  /** Whether the time for placement in this round, or a share of it, is used up; absent when it is not limited. */
-  readonly isTimeUp?: (share?: number) => boolean;
-  readonly sharingCosts: SharingCosts;
-  /** The pass over the steps that this round continues; required where the time is limited. */
-  readonly sweep?: PlanSweep;
-  readonly wall: WallTime;
-}
-
 /** One planning round. */
 class PlanningRound {
   readonly #context: PlanContext;
--- a/packages/nutmegproxy-scheduling/src/UrgentWork.ts
+++ b/packages/nutmegproxy-scheduling/src/UrgentWork.ts
@@ -5,17 +5,14 @@
 
 import type {Fleet} from './Fleet.ts';
 
-import {isDeferrable} from './StartBudget.ts';
+import {isUrgent} from './StartBudget.ts';
 
 /** Time in milliseconds for which an urgent step that waits asks for a process that is not full. */
 const MAX_WAIT_MS = 5_000;
 
-/** Whether something of an urgent step runs, or its turn came a short time ago. */
-function isUrgentNow(fleet: Fleet, step: StepState, now: Instant): boolean {
-  const isUrgent = !step.shape.longRunning && !isDeferrable(fleet, step);
-  return (
-    isUrgent && !step.isDone && (step.hasLiveRuns || now - (step.readyAt ?? now) < MAX_WAIT_MS)
-  );
+/** Whether something of a step runs, or its turn came a short time ago. Long-running tasks wait for room, if at all. */
+function isAwaited({hasLiveRuns, isDone, readyAt, shape}: StepState, now: Instant): boolean {
+  return !shape.longRunning && !isDone && (hasLiveRuns || now - (readyAt ?? now) < MAX_WAIT_MS);
 }
 
 /**
@@ -26,8 +23,8 @@
  */
 export function hasUrgentWork(fleet: Fleet, now: Instant, wall: WallTime): boolean {
   for (const job of fleet.jobs.open()) {
-    for (const steps of job.openOccurrences(wall)) {
-      if (steps.some((step) => isUrgentNow(fleet, step, now))) {
+    for (const steps of isUrgent(fleet, job) ? job.openOccurrences(wall) : []) {
+      if (steps.some((step) => isAwaited(step, now))) {
         return true;
       }
     }
--- a/packages/nutmegproxy-scheduling/src/index.ts
+++ b/packages/nutmegproxy-scheduling/src/index.ts
@@ -52,6 +52,7 @@
 } from './PendingTaskReason.ts';
 export {computePlacementCost, isSchedulable, meetsConstraints} from './Placement.ts';
 export type {SharingCosts} from './Placement.ts';
+export type {PlanContext} from './PlanContext.ts';
 export {PlanSweep} from './PlanSweep.ts';
 export {DEFAULT_QUEUE_POLICY} from './QueuePolicy.ts';
 export type {AdvicePolicy, QueuePolicy} from './QueuePolicy.ts';
@@ -64,7 +65,6 @@
 export {countDeferrable, isDeferrable} from './StartBudget.ts';
 export type {AdviceLookup} from './StartPermissions.ts';
 export {planStarts} from './StartPlanner.ts';
-export type {PlanContext} from './StartPlanner.ts';
 export type {StopReason, StopRequest} from './StopRequest.ts';
 export {TailLatencyModel, toReferenceCores} from './TailLatencyModel.ts';
 export type {InterferingTask, TailModelSnapshot} from './TailLatencyModel.ts';
