--- a/packages/nutmegproxy-scheduling/src/UrgentWork.ts
+++ b/packages/nutmegproxy-scheduling/src/UrgentWork.ts
@@ -8,7 +8,7 @@
 import {isUrgent} from './StartBudget.ts';
 
 /** Time in milliseconds for which an urgent step that waits asks for a process that is not full. */
-const MAX_WAIT_MS = 5_000;
+const MAX_WAIT_MS = 2_000;
 
 /** Whether something of a step runs, or its turn came a short time ago. Long-running tasks wait for room, if at all. */
 function isAwaited({hasLiveRuns, isDone, readyAt, shape}: StepState, now: Instant): boolean {
