Backfill that is withheld by serving tasks waits 2 s between the tasks of its job, not 13.5 s

What callers would see: a job whose tasks are backfill runs one, then nothing for 13.5 s, then one, beside minions of which most room is free, while serving tasks there are over their targets. A job that does so from finish_s after the traffic on is LOST after 3 s. Cause: the wait for minions that tolerate backfill (`sharing`) counted from the last end of a task of the step, so that each task that was done began another one. Of the class of withheld-after-own-failures: waits that begin anew with events of the task itself. Change: as after failures, a step of backfill whose turn came 13.5 s ago and of which nothing runs for 2 s is overdue. It works in turns as before (ToleratedBackfill), so that HarmMs is kept. Test before: WithheldBackfill "is not without a run until it is lost between its tasks either": nothing ran for 13500,13500 ms; now under 3,000.

--- a/packages/nutmegproxy-scheduling/src/OverdueSteps.ts
+++ b/packages/nutmegproxy-scheduling/src/OverdueSteps.ts
@@ -63,12 +63,16 @@
   );
 }
 
-/** Whether nothing of a job runs after a failure, although the turn of its step came at the given instant or before. */
+/**
+ * Whether nothing of a job runs after a failure, or between tasks of backfill, although the turn of its step came at
+ * the given instant or before.
+ */
 function isIdle(step: StepState, turnBefore: number, now: Instant): boolean {
-  const {failedAt, job, readyAt = Infinity, shape, waiting} = step;
+  const {doneAt, failedAt, job, readyAt = Infinity, shape, waiting} = step;
+  const hasEnds = failedAt.size > 0 || (shape.fillsSpareCpu && doneAt !== undefined);
   return (
     readyAt <= turnBefore &&
-    failedAt.size > 0 &&
+    hasEnds &&
     waiting.size > 0 &&
     !shape.longRunning &&
     findWaitStart(step) + RETRY_WAIT_MS <= now &&
@@ -99,9 +103,9 @@
 }
 
 /**
- * Returns those of the steps whose turn came `maxWaitMs` ago and that have failed since, while nothing of their jobs
- * runs, in the same order and without those that are overdue: a wait that began anew with each failure would have no
- * end, as callers see it.
+ * Returns those of the steps whose turn came `maxWaitMs` ago and of which tasks have failed since, or backfill is done,
+ * while nothing of their jobs runs, in the same order and without those that are overdue: a wait that began anew with
+ * each end would have no end, as callers see it.
  */
 export function findIdleSteps(
   fleet: Fleet,
--- a/packages/nutmegproxy-scheduling/src/PendingBounds.ts
+++ b/packages/nutmegproxy-scheduling/src/PendingBounds.ts
@@ -102,7 +102,7 @@
     kind: 'policy',
     maxMs: ({bounds}) => deriveMaxWait(bounds),
     since:
-      'its turn, or the last end of a task of its step, while nothing of its job runs and under half of the room is in use',
+      'its turn, later 2 s from the last end of a task of its step, while nothing of its job runs and under half of the room is in use',
   },
   start: {
     kind: 'safety',
--- a/packages/nutmegproxy-scheduling/src/StartPlanner.ts
+++ b/packages/nutmegproxy-scheduling/src/StartPlanner.ts
@@ -87,7 +87,11 @@
     );
     const ordered = orderSteps(this.#fleet, others, estimator, wall).map(({step}) => step);
     const backfill = ordered.filter(({shape}) => shape.fillsSpareCpu);
-    this.#overdueBackfill = new Set(findOverdueSteps(this.#fleet, backfill, this.#maxWaitMs, now));
+    this.#overdueBackfill = new Set(
+      [findOverdueSteps, findIdleSteps].flatMap((find) =>
+        find(this.#fleet, backfill, this.#maxWaitMs, now),
+      ),
+    );
     this.#permissions.admitsFailedTrials = false;
     let wasCut = this.#place(ordered);
     this.#permissions.admitsFailedTrials = true;
--- a/packages/nutmegproxy-scheduling/src/__tests__/unit/WithheldBackfill.test.ts
+++ b/packages/nutmegproxy-scheduling/src/__tests__/unit/WithheldBackfill.test.ts
@@ -1,13 +1,13 @@
 /** Backfill that would disturb serving tasks is not withheld for ever beside free room. */
 
-import type {StepShape} from '@nutmegproxy/jobs';
+import type {Run, StepShape} from '@nutmegproxy/jobs';
 
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
 
 import type {SharingCosts} from '../../Placement.ts';
 
-import {NO_SHARING_COSTS, queue, SampleFleet, shape} from './Samples.ts';
+import {at, NO_SHARING_COSTS, queue, SampleFleet, shape} from './Samples.ts';
 
 /** Time after which callers count work as lost that waits beside free room, as the users specify. */
 const FINISH_MS = 14_000;
@@ -20,8 +20,22 @@
   backfillCost: ({servingRuns}) => (servingRuns > 0 ? undefined : 0),
 };
 
-/** Returns when tasks of a backfill step of three start beside serving tasks of the given size. */
-function playBackfill(servingCpuMilli: number, change: Partial<StepShape> = {}): number[] {
+/** Time for which nothing of a job runs until callers count it as lost, as the users specify. */
+const LOST_MS = 3_000;
+const RUN_MS = 1_000;
+
+interface BackfillStarts {
+  readonly change?: Partial<StepShape>;
+  readonly playMs?: number;
+  readonly servingCpuMilli: number;
+}
+
+/** Returns when tasks of a backfill step of three start beside serving tasks of the given size; each runs for 1 s. */
+function playBackfill({
+  change = {},
+  playMs = FINISH_MS,
+  servingCpuMilli,
+}: BackfillStarts): number[] {
   const sample = new SampleFleet(2, [queue('proofs')]);
   const resources = {cpuMilli: servingCpuMilli, gpus: 0, memoryMb: 1};
   sample.addJob('proofs', [shape({count: 2, longRunning: true, maxPerMinion: 1, resources})]);
@@ -34,25 +48,40 @@
   }
   sample.addJob('proofs', [shape({count: 3, fillsSpareCpu: true, ...change})]);
   const starts: number[] = [];
-  for (let nowMs = 0; nowMs <= FINISH_MS; nowMs += ROUND_MS) {
-    starts.push(...sample.plan(nowMs, OVERLOADED).map(() => nowMs));
+  const ends = new Map<number, Run[]>();
+  for (let nowMs = 0; nowMs <= playMs; nowMs += ROUND_MS) {
+    for (const run of ends.get(nowMs) ?? []) {
+      sample.fleet.finishRun(run, 'done', undefined, at(nowMs));
+    }
+    const runs = sample.plan(nowMs, OVERLOADED);
+    ends.set(nowMs + RUN_MS, [...runs]);
+    starts.push(...runs.map(() => nowMs));
   }
   return starts;
 }
 
 describe('Backfill beside serving tasks that stay over their targets', () => {
   it('starts before it is lost, where most of the room is free', () => {
-    const [startedAt = Infinity] = playBackfill(1_000);
+    const [startedAt = Infinity] = playBackfill({servingCpuMilli: 1_000});
     assert.ok(startedAt < FINISH_MS, `${startedAt}`);
   });
 
   it('starts with one task of a step, and not before it has waited for others', () => {
-    const starts = playBackfill(1_000);
+    const starts = playBackfill({servingCpuMilli: 1_000});
     assert.equal(starts.length, 1);
     assert.ok(starts.every((startedAt) => startedAt >= MIN_WAIT_MS));
   });
 
   it('does not disturb them where half of the room is in use', () => {
-    assert.deepEqual(playBackfill(2_000), []);
+    assert.deepEqual(playBackfill({servingCpuMilli: 2_000}), []);
+  });
+
+  it('is not without a run until it is lost between its tasks either', () => {
+    const starts = playBackfill({playMs: 4 * FINISH_MS, servingCpuMilli: 1_000});
+    const idleMs = starts
+      .slice(1)
+      .map((startedAt, index) => startedAt - (starts[index] ?? 0) - RUN_MS);
+    assert.equal(starts.length, 3);
+    assert.ok(Math.max(...idleMs) < LOST_MS, `nothing ran for ${idleMs.join()} ms`);
   });
 });
