--- a/packages/nutmegproxy-scheduling/src/SharingPolicy.ts
+++ b/packages/nutmegproxy-scheduling/src/SharingPolicy.ts
@@ -72,7 +72,7 @@
   constructor(estimator: DurationEstimator, bounds: EvictionBounds) {
     this.#estimator = estimator;
     this.#evictAllAfterMs = computeEvictAllDelay(bounds);
-    this.#tolerated = new ToleratedBackfill(this.#evictAllAfterMs);
+    this.#tolerated = new ToleratedBackfill(bounds);
   }
 
   /**
@@ -97,7 +97,7 @@
     if (minion.servingRuns === 0) {
       return 0;
     }
-    if (!this.#tolerated.mayStart(minion, isNearTarget, now)) {
+    if (!this.#tolerated.mayStart(minion, step, isNearTarget, now)) {
       return undefined;
     }
     const worst = this.#computeWorstShare(minion, step, Infinity, now) ?? 0;
@@ -159,9 +159,7 @@
     if (now - since >= this.#evictAllAfterMs) {
       for (const run of evictable) {
         fleet.stopRun(run, 'interference');
-        if (run.toleratedSince !== undefined) {
-          this.#tolerated.endTurn(minion);
-        }
+        this.#tolerated.endTurn(minion, run, now);
       }
       return;
     }
@@ -172,6 +170,7 @@
     if (interfering !== undefined) {
       this.#lastEvictedAt.set(minion, now);
       fleet.stopRun(interfering, 'interference');
+      this.#tolerated.endTurn(minion, interfering, now);
     }
   }
 
--- a/packages/nutmegproxy-scheduling/src/__tests__/unit/OverdueBackfill.test.ts
+++ b/packages/nutmegproxy-scheduling/src/__tests__/unit/OverdueBackfill.test.ts
@@ -1,6 +1,7 @@
 /** Backfill that is overdue runs beside serving tasks over their targets, and keeps what they are promised. */
 
 import {DEFAULT_PLATFORM_BOUNDS} from '@nutmegproxy/core';
+import fc from 'fast-check';
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
 
@@ -37,6 +38,28 @@
   'with loads of their own': {sharesLoad: false},
 };
 
+const share = (min: number, max: number): fc.Arbitrary<number> =>
+  fc.double({max, min, noNaN: true});
+
+const DRAWN: fc.Arbitrary<BackfillPlay> = fc
+  .record({
+    jobs: fc.integer({max: 3, min: 1}),
+    mean: share(0.55, 0.9),
+    minions: fc.integer({max: 5, min: 2}),
+    periodMs: share(3_000, 28_000),
+    phase: share(0, 2 * Math.PI),
+    pressure: share(0.1, 0.5),
+    sharesLoad: fc.boolean(),
+    swing: share(0, 0.25),
+    workMs: fc.integer({max: 65, min: 5}).map((tenths) => tenths * 100),
+  })
+  .map(({mean, periodMs, phase, swing, ...drawn}) => ({
+    ...drawn,
+    checkpoints: false,
+    load: (nowMs) => mean + swing * Math.sin((2 * Math.PI * nowMs) / periodMs + phase),
+    playMs: PLAY.playMs,
+  }));
+
 describe('Overdue backfill beside serving tasks', () => {
   for (const [name, change] of Object.entries(LOADS)) {
     const play = {...PLAY, ...change};
@@ -78,6 +101,33 @@
     }
   });
 
+  it('runs to its end without checkpoints too where that takes less time than it may do harm', () => {
+    const {endedMs, longestHarmMs} = playBackfill({
+      ...PLAY,
+      checkpoints: false,
+      load: () => 0.75,
+    });
+    assert.ok(
+      Math.max(...endedMs) <= FINISH_MS + maxExceededTargetMs,
+      `ended at ${endedMs.join()}`,
+    );
+    assert.ok(longestHarmMs < maxExceededTargetMs, `${longestHarmMs} ms`);
+  });
+
+  // It saves nothing in its turns, which only show whether the serving tasks tolerate it by now.
+  it('does little harm without checkpoints where it can’t end in time', () => {
+    for (const workMs of [3_500, 8_000]) {
+      const {causedS, longestIdleMs} = playBackfill({
+        ...PLAY,
+        checkpoints: false,
+        load: () => 0.75,
+        workMs,
+      });
+      assert.ok(longestIdleMs < IDLE_MS, `nothing ran for ${longestIdleMs} ms`);
+      assert.ok(causedS * 1_000 < (PLAY.playMs - FINISH_MS) / 2, `${causedS} s over the target`);
+    }
+  });
+
   // Such a task would need more time on end than it may do harm, and saves nothing.
   it('does not stay without a run without checkpoints either', () => {
     const {longestHarmMs, longestIdleMs} = playBackfill({
@@ -88,4 +138,14 @@
     assert.ok(longestIdleMs < IDLE_MS, `nothing ran for ${longestIdleMs} ms`);
     assert.ok(longestHarmMs < maxExceededTargetMs, `${longestHarmMs} ms`);
   });
+
+  it('keeps no serving task over its target for too long without checkpoints, whatever the load', () => {
+    fc.assert(
+      fc.property(DRAWN, (drawn) => {
+        const {longestHarmMs} = playBackfill(drawn);
+        assert.ok(longestHarmMs < maxExceededTargetMs, `${longestHarmMs} ms`);
+      }),
+      {endOnFailure: true, numRuns: 300, seed: 73},
+    );
+  });
 });
--- a/packages/nutmegproxy-scheduling/src/__tests__/unit/OverdueBackfillPlay.ts
+++ b/packages/nutmegproxy-scheduling/src/__tests__/unit/OverdueBackfillPlay.ts
@@ -211,10 +211,19 @@
     }
   }
 
+  #reportProgress(minion: MinionState): void {
+    for (const {run, workedMs} of this.#working.values()) {
+      if (run.minion === minion.id) {
+        run.percent = Math.floor((FULL_PERCENT * workedMs) / this.#drawn.workMs);
+      }
+    }
+  }
+
   #report(now: number): void {
     for (const [minion, run] of this.#serving) {
       const tails = this.#tails.get(minion) ?? [];
       run.reading = tails[Math.max(0, tails.length - 1 - REPORT_AGE_MS / TICK_MS)];
+      this.#reportProgress(minion);
       this.#policy.model.observe(minion, at(now));
       this.#policy.evictInterferingRuns(this.#sample.fleet, minion, at(now));
     }
