No jobs are looked through for advice while no queue needs it

Change: while the queues are known and none needs advice, the prefetcher looks at the configuration alone, each 250 ms. Queries with a queue that needs advice are as before; a configuration that adds one is seen within 250 ms. At the start of a term, while no queue is known yet, it looks again after 20 ms as before. Test before: 'looks through no jobs while no queue needs advice': 51 !== 0 walks in a second.

--- a/packages/nutmegproxy-owner/src/AdvicePrefetcher.ts
+++ b/packages/nutmegproxy-owner/src/AdvicePrefetcher.ts
@@ -9,7 +9,11 @@
 
 import type {AdviceClient} from './AdviceClient.ts';
 
-import {ADVICE_IDLE_PAUSE_MS, ADVICE_TIMEOUT_MARGIN_MS} from './OwnerConstants.ts';
+import {
+  ADVICE_IDLE_PAUSE_MS,
+  ADVICE_TIMEOUT_MARGIN_MS,
+  ADVICE_UNUSED_PAUSE_MS,
+} from './OwnerConstants.ts';
 import {OWNER_EVENTS} from './OwnerEvents.ts';
 
 export interface AdvicePrefetcherOptions {
@@ -43,6 +47,10 @@
   async run(isActing: () => boolean): Promise<void> {
     const {advice, bounds, clock, fleet} = this.#options;
     while (advice !== undefined && isActing()) {
+      if (this.#isUnused()) {
+        await delay(ADVICE_UNUSED_PAUSE_MS);
+        continue;
+      }
       const now = clock.monotonic();
       const query = chooseAdviceQuery(this.#cache, fleet, {bounds, now, wall: clock.wall()});
       if (query === undefined || !(await this.#ask(advice, query))) {
@@ -58,6 +66,12 @@
     }
   }
 
+  /** Whether queues are known of which none needs advice, until the configuration changes. */
+  #isUnused(): boolean {
+    const {queues} = this.#options.fleet;
+    return queues.size > 0 && [...queues.values()].every(({advice}) => advice === undefined);
+  }
+
   /** Calls the service once; false when a pause has to follow. */
   async #ask(client: AdviceClient, query: AdviceQuery): Promise<boolean> {
     const {clock, events, fleet, onChange} = this.#options;
--- a/packages/nutmegproxy-owner/src/OwnerConstants.ts
+++ b/packages/nutmegproxy-owner/src/OwnerConstants.ts
@@ -91,6 +91,8 @@
 export const SUMMARY_INTERVAL_MS = 2_000;
 /** Pause between checks for queries to the advising service. */
 export const ADVICE_IDLE_PAUSE_MS = 20;
+/** Pause between checks for a configuration in which a queue needs advice. */
+export const ADVICE_UNUSED_PAUSE_MS = 250;
 /** Time added to the expected duration of a call to the advising service to get its timeout. */
 export const ADVICE_TIMEOUT_MARGIN_MS = 1_000;
 /** Keys of ended jobs removed in one write, which has a condition too, within the store's 32 entries. */
