A relay that sends outcomes sends no heartbeats beside them

Cause: a relay sent a message each 250 ms to show that it is up, also where outcomes had just shown that. Change: the heartbeat is due 250 ms after the last message. The longest silence of a relay that is up is 250 ms as before; owners take a link for lost after 1,000 ms.

--- a/packages/nutmegproxy-relay/src/OwnerLink.ts
+++ b/packages/nutmegproxy-relay/src/OwnerLink.ts
@@ -30,7 +30,7 @@
 }
 
 export class OwnerLink {
-  readonly #heartbeatTimer: NodeJS.Timeout;
+  #heartbeatTimer: NodeJS.Timeout | undefined;
   readonly #options: OwnerLinkOptions;
   /** Smallest difference between this VM's clock at the receipt of a batch and the owner's at its sending. */
   #leastDelayMs = Infinity;
@@ -47,20 +47,26 @@
     // A close event follows each error.
     socket.on('error', () => undefined);
     socket.on('close', () => {
-      clearInterval(this.#heartbeatTimer);
+      clearTimeout(this.#heartbeatTimer);
       events.record(RELAY_EVENTS.OWNER_UNLINKED, {address});
       onClosed();
     });
-    this.#heartbeatTimer = setInterval(() => {
-      this.#flush();
-    }, RELAY_HEARTBEAT_MS);
-    this.#heartbeatTimer.unref();
+    this.#awaitHeartbeat();
   }
 
   close(): void {
     this.#options.socket.terminate();
   }
 
+  /** Sends the next message that shows that the relay is up, unless outcomes are sent before. */
+  #awaitHeartbeat(): void {
+    clearTimeout(this.#heartbeatTimer);
+    this.#heartbeatTimer = setTimeout(() => {
+      this.#flush();
+    }, RELAY_HEARTBEAT_MS);
+    this.#heartbeatTimer.unref();
+  }
+
   #decode(bytes: Buffer): Result<OrderBatch, string> {
     const {encoding} = this.#options;
     const batch = decodeOrders(bytes, encoding);
@@ -75,6 +81,7 @@
     const outcomes = this.#outcomes;
     this.#outcomes = [];
     socket.send(encodeBatch({outcomes}, encoding));
+    this.#awaitHeartbeat();
     if (socket.bufferedAmount > MAX_BUFFERED_BYTES) {
       this.close();
     }
--- a/packages/nutmegproxy-relay/src/RelayConstants.ts
+++ b/packages/nutmegproxy-relay/src/RelayConstants.ts
@@ -10,7 +10,7 @@
 export const MIN_RELAY_CORES_SHARE = 0.9;
 /** Time in milliseconds for which outcomes are collected into one message. */
 export const OUTCOME_DELAY_MS = 8;
-/** Interval in milliseconds of the messages that show that a relay is up. */
+/** Time in milliseconds without outcomes after which a message shows that a relay is up. */
 export const RELAY_HEARTBEAT_MS = 250;
 /** Interval in milliseconds of the checks for silent relays and overdue orders. */
 export const LINK_CHECK_INTERVAL_MS = 200;
