Jobs that are kept for queries are passed over by one look

Change: a job whose retention time is known to run is passed over; the same is looked at when it is seen as ended first, and before it is removed. What is removed, and when, is the same. Test before: 'looks for live runs when a job has ended and before it is removed, not in between': 88 !== 8.

--- a/packages/nutmegproxy-owner/src/Retention.ts
+++ b/packages/nutmegproxy-owner/src/Retention.ts
@@ -72,10 +72,13 @@
     const expired: JobState[] = [];
     let keys = 0;
     for (const job of fleet.jobs.values()) {
-      if (!job.isFinal || fleet.dirtyJobs.has(job) || job.hasLiveRuns) {
+      const knownEnd = this.#endedAt.get(job.id);
+      const isKept = knownEnd !== undefined && now - knownEnd <= retentionMs;
+      // Most jobs are kept ones, of which nothing else has to be looked at.
+      if (isKept || !job.isFinal || fleet.dirtyJobs.has(job) || job.hasLiveRuns) {
         continue;
       }
-      const endedAt = this.#endedAt.get(job.id) ?? now;
+      const endedAt = knownEnd ?? now;
       this.#endedAt.set(job.id, endedAt);
       const isOver = now - endedAt > retentionMs;
       keys += isOver ? this.#listKeys(job).length : 0;
