The open occurrence of a job that runs once needs no generator

Each round, query for advice and review walks over the open occurrences of all open jobs. Cause: a generator and a closure for each job and walk, though nearly all jobs have one occurrence. Change: a job without recurrence returns one list, or none once its steps are done; recurring ones are as before.

--- a/packages/nutmegproxy-jobs/src/JobState.ts
+++ b/packages/nutmegproxy-jobs/src/JobState.ts
@@ -11,6 +11,8 @@
 /** Most occurrences of a recurring job that are open at the same time. */
 const MAX_OPEN_OCCURRENCES = 256;
 
+const NO_OCCURRENCES: readonly (readonly StepState[])[] = [];
+
 /** Tracks the occurrences and steps of a job. */
 export class JobState {
   readonly request: StoredJob;
@@ -30,6 +32,8 @@
   /** Whether starts of suspected tasks were stored for the job. */
   mayHaveTrials = false;
   readonly #finished = new Set<number>();
+  /** The occurrence of a job without recurrence, once it was asked for. */
+  #only: readonly [readonly StepState[]] | undefined;
   readonly #occurrences = new Map<number, readonly StepState[]>();
   readonly #progress: JobProgress;
 
@@ -92,30 +96,13 @@
     return steps;
   }
 
-  /** Iterates over the occurrences that are due and not finished, oldest first. */
-  *openOccurrences(wall: WallTime): Generator<readonly StepState[]> {
-    let open = 0;
-    for (
-      let number = 0;
-      number < this.occurrenceCount && open < MAX_OPEN_OCCURRENCES;
-      number += 1
-    ) {
-      if (this.#finished.has(number)) {
-        continue;
-      }
-      if (this.request.recurrence !== undefined && this.dueAt(number) > wall) {
-        return;
-      }
-      const steps = this.occurrence(number);
-      if (steps?.every((step) => step.isDone)) {
-        this.#finished.add(number);
-        continue;
-      }
-      if (steps !== undefined) {
-        open += 1;
-        yield steps;
-      }
+  /** Returns the occurrences that are due and not finished, oldest first; the only one of most jobs always as one list. */
+  openOccurrences(wall: WallTime): Iterable<readonly StepState[]> {
+    if (this.request.recurrence !== undefined) {
+      return this.#dueOccurrences(wall);
     }
+    this.#only ??= [this.occurrence(0) ?? []];
+    return this.#isFinished(0, this.#only[0]) ? NO_OCCURRENCES : this.#only;
   }
 
   /** Whether every task of every occurrence is done. */
@@ -174,6 +161,42 @@
     }
   }
 
+  /** Iterates over the open occurrences of a recurring job. */
+  *#dueOccurrences(wall: WallTime): Generator<readonly StepState[]> {
+    let open = 0;
+    for (
+      let number = 0;
+      number < this.occurrenceCount && open < MAX_OPEN_OCCURRENCES;
+      number += 1
+    ) {
+      if (this.#finished.has(number)) {
+        continue;
+      }
+      if (this.dueAt(number) > wall) {
+        return;
+      }
+      const steps = this.occurrence(number);
+      if (steps !== undefined && !this.#isFinished(number, steps)) {
+        open += 1;
+        yield steps;
+      }
+    }
+  }
+
+  /** Whether all steps of an occurrence are done, which stays so. */
+  #isFinished(number: number, steps: readonly StepState[] = []): boolean {
+    if (this.#finished.has(number)) {
+      return true;
+    }
+    for (const step of steps) {
+      if (!step.isDone) {
+        return false;
+      }
+    }
+    this.#finished.add(number);
+    return true;
+  }
+
   #wasDone(occurrence: number): boolean {
     return this.request.steps.every(
       (shape, step) =>
