A VM that watched counts the times of a closing record from the end of the ownership, not from its own acquisition

Callers saw: nothing but late restarts.

The VMs that watch see the release at once, but learn of a later revision only at the next change of the ownership, which is their own acquisition. So each owner counted the leases of the record from there, and wrote what was left into its own record: the time without an owner, 0.7 to 2.2 s, was added at each handover.

Change: the record tells how long before its computation the ownership certainly still lasted (sinceEndMs). A reader that saw the release knows then by when it was computed. An owner that gives the ownership up while its lease is certainly valid counts from there, any other one from its last confirmation; of the monotonic clock and the time of day the longer time counts, so that a suspended machine can't make it too short. Records of earlier versions, and those that the owner before has completed, are read as before. A lease that was over long ago is read as that (a negative time), since it has to be over when the ownership was last confirmed: it took the next renewal (0.4 s) before.

Ruled out: a closing record before the release (another VM would wait for two store calls), and a watch of its key (one more call of each VM and cell).

--- a/packages/nutmegproxy-emulator/src/__tests__/unit/TakeoverHarness.ts
+++ b/packages/nutmegproxy-emulator/src/__tests__/unit/TakeoverHarness.ts
@@ -41,7 +41,11 @@
 
 /** A VM that acquires the ownership once it is allowed to. */
 export interface WaitingVm {
+  /** Lets its store calls fail, or not any more. */
+  readonly cutStore: (isCut: boolean) => void;
   isAllowed: boolean;
+  /** Ends its process; its ownership is kept in the store until `kill` is called. */
+  readonly isolate: () => void;
   /** Kills it while it owns the fleet; `keptMs` milliseconds pass until its ownership is free. */
   readonly kill: (keptMs: number) => Promise<void>;
   /** Makes a store call, whose response tells the VM the revision of the store. */
@@ -69,17 +73,22 @@
 ];
 
 export class TakeoverHarness {
-  readonly clock = new ManualClock(Date.now());
+  readonly clock: ManualClock;
   /** Kinds of the events of all owners. */
   readonly events: EventKind[] = [];
   /** Fields of the events of the owners that were started by `start` or `startKillable`, by kind. */
   readonly fields = new Map<EventKind, EventFields[]>();
-  readonly fleet = new EmulatedFleet(this.clock);
+  readonly fleet: EmulatedFleet;
   /** Lease times of the VMs that are started from now on. */
   leaseTimes = DEFAULT_LEASE_TIMES;
   readonly store = new MemoryStore();
   readonly #stops: (() => void)[] = [];
 
+  constructor(clock = new ManualClock(Date.now())) {
+    this.clock = clock;
+    this.fleet = new EmulatedFleet(clock);
+  }
+
   /** Adds a minion that started at `bornAt`, in Unix milliseconds; default: long ago. */
   addMinion(name: string, bornAt?: number, bounds: Partial<MinionBounds> = {}): EmulatedMinion {
     const description = createMinionDescription(name, {machine: brand(`machine of ${name}`)});
@@ -177,27 +186,53 @@
     return {kill, started};
   }
 
-  /** Starts a VM that watches the ownership, and acquires it only once it is allowed to. */
-  startWaitingVm(vm: string, fleet: EmulatedFleet = this.fleet): WaitingVm {
+  /**
+   * Starts a VM that watches the ownership, and acquires it only once it is allowed to. `adapt` returns its
+   * view of the store.
+   */
+  startWaitingVm(
+    vm: string,
+    fleet: EmulatedFleet = this.fleet,
+    adapt: (store: PlatformStore) => PlatformStore = (store) => store,
+    onEvent: (kind: EventKind, fields: EventFields) => void = () => undefined,
+  ): WaitingVm {
     const {clock, leaseTimes} = this;
     let isIsolated = false;
-    const store = createFailingStore(this.store, () => isIsolated);
+    const store = adapt(createFailingStore(this.store, () => isIsolated));
     let owner: Owner | undefined;
-    const events: EventSink = {record: (kind) => this.events.push(kind)};
+    const events: EventSink = {
+      record: (kind, fields) => {
+        this.events.push(kind);
+        onEvent(kind, fields);
+      },
+    };
     const revisions = new RevisionLog();
     const observe = async (): Promise<void> => {
       const read = await store.commit({compare: [], then: [{key: OWNER_KEY, kind: 'get'}]});
       revisions.record(read._unsafeUnwrap().revision, clock.monotonic());
     };
-    const kill = async (keptMs: number): Promise<void> => {
+    const isolate = (): void => {
       isIsolated = true;
       waiting.isAllowed = false;
       owner?.stop('killed');
+    };
+    const kill = async (keptMs: number): Promise<void> => {
+      isolate();
       clock.advance(keptMs);
       await (waiting.ownership && this.store.revokeLease(waiting.ownership.lease));
     };
     const stop = (): Promise<void> => candidate.stop();
-    const waiting: WaitingVm = {isAllowed: false, kill, observe, ownership: undefined, stop};
+    const waiting: WaitingVm = {
+      cutStore: (isCut) => {
+        isIsolated = isCut;
+      },
+      isAllowed: false,
+      isolate,
+      kill,
+      observe,
+      ownership: undefined,
+      stop,
+    };
     const candidate = new OwnerCandidate({
       canOwn: () => waiting.isAllowed,
       clock,
--- a/packages/nutmegproxy-owner/src/ClosingRecords.ts
+++ b/packages/nutmegproxy-owner/src/ClosingRecords.ts
@@ -56,6 +56,11 @@
   readonly accounts?: readonly MinionAccount[] | undefined;
   /** Entries of the minions that did not respond. */
   readonly silent: readonly RosterEntry[];
+  /**
+   * Longest time in milliseconds from the end of the ownership of this term to the computation of the times;
+   * absent when it is not known, and in records of earlier versions.
+   */
+  readonly sinceEndMs?: number | undefined;
   readonly term: number;
 }
 
@@ -127,12 +132,17 @@
     while (clock.monotonic() < deadline) {
       const stored = await getKey(store, this.#key);
       const present = stored.isOk() ? this.#decode(stored.value) : undefined;
-      const own = {accounts: subtractElapsed(accounts, endedAt, clock.monotonic()), silent, term};
+      const now = clock.monotonic();
+      const own = {accounts: subtractElapsed(accounts, endedAt, now), silent, term};
       const record = combineRecords(own, present);
       if (record === undefined) {
         return;
       }
-      const value = Buffer.from(JSON.stringify(record));
+      const sinceEndMs =
+        record.term === term
+          ? Math.ceil(ownership.measureSinceEndMs(now, clock.wall()))
+          : undefined;
+      const value = Buffer.from(JSON.stringify({...record, sinceEndMs}));
       const written = await stored.asyncAndThen((replaced) =>
         store.commit({
           compare: [{key: this.#key, kind: 'modRevision', modRevision: replaced?.modRevision ?? 0}],
@@ -161,6 +171,20 @@
     return term >= ownership.recordingSince - 1 && term < ownership.term;
   }
 
+  /**
+   * Returns by when the times of a record were computed that was stored by `seenAt`. A watching VM knows the end of the
+   * ownership at once, but a record that is stored after it only at its own acquisition.
+   */
+  #findComputedBy({sinceEndMs, term}: ClosingRecord, seenAt: Instant): Instant {
+    const {ownership} = this.#options;
+    if (typeof sinceEndMs !== 'number' || term >= ownership.term) {
+      return seenAt;
+    }
+    const {formerLeaseTerm, formerReleasedAt, lastReleasedAt} = ownership;
+    const endedBy = term <= formerLeaseTerm ? formerReleasedAt : lastReleasedAt;
+    return Math.min(seenAt, after(endedBy, sinceEndMs)) as Instant;
+  }
+
   #recordFailure(message: string): void {
     const fields = {message, what: 'closing record'};
     this.#options.events.record(OWNER_EVENTS.STORE_CALL_FAILED, fields);
@@ -173,11 +197,13 @@
     }
     const {clock, ownership} = this.#options;
     const now = clock.monotonic();
-    const storedBy = ownership.revisions.findSeenAt(stored.modRevision, now);
+    const seenAt = ownership.revisions.findSeenAt(stored.modRevision, now);
     return parseRecord(stored.value.toString()).match(
       (record): ClosingRecord | undefined => ({
         ...record,
-        accounts: record.accounts && subtractElapsed(record.accounts, storedBy, now),
+        accounts:
+          record.accounts &&
+          subtractElapsed(record.accounts, this.#findComputedBy(record, seenAt), now),
       }),
       (message) => {
         this.#options.events.record(OWNER_EVENTS.RECORD_MALFORMED, {
@@ -192,19 +218,20 @@
 
 function parseRecord(text: string): Result<ClosingRecord, string> {
   return parseJson(text).andThen((value) => {
-    const {accounts, silent, term} = (value ?? {}) as Partial<ClosingRecord>;
+    const {accounts, silent, sinceEndMs, term} = (value ?? {}) as Partial<ClosingRecord>;
     return term === undefined || silent === undefined
       ? err('term or silent is missing')
-      : ok({accounts, silent, term});
+      : ok({accounts, silent, sinceEndMs, term});
   });
 }
 
+/** Durations that are over become negative: what matters is whether they were when the ownership was last confirmed. */
 function subtractElapsed(
   accounts: readonly MinionAccount[],
   since: Instant,
   now: Instant,
 ): MinionAccount[] {
-  const subtract = (durationMs: number): number => Math.max(0, durationMs - (now - since));
+  const subtract = (durationMs: number): number => durationMs - (now - since);
   return accounts.map(({confirmedForMs, ...account}) => ({
     ...account,
     ...(typeof confirmedForMs === 'number' ? {confirmedForMs: subtract(confirmedForMs)} : {}),
--- a/packages/nutmegproxy-owner/src/FleetOwnership.ts
+++ b/packages/nutmegproxy-owner/src/FleetOwnership.ts
@@ -25,6 +25,8 @@
   readonly formerLeaseTerm?: number;
   /** Default: when the acquisition was requested, after a read without an owner. */
   readonly formerReleasedAt?: Instant;
+  /** Default: as `formerReleasedAt`. */
+  readonly lastReleasedAt?: Instant;
   readonly lease: LeaseId;
   readonly leaseTimes: LeaseTimes;
   /** Default: this owner is the first one. */
@@ -42,6 +44,8 @@
   readonly formerLeaseTerm: number;
   /** No ownership of `formerLeaseTerm` or an earlier term was confirmed after this instant. */
   readonly formerReleasedAt: Instant;
+  /** The ownership of the term before had ended by this instant. */
+  readonly lastReleasedAt: Instant;
   readonly lease: LeaseId;
   readonly leaseTimes: LeaseTimes;
   /** First term of the latest unbroken sequence of owners that record which minions they use. */
@@ -58,12 +62,15 @@
   #hasGrantedLease = false;
   #isOver = false;
   #confirmedAt: Instant;
+  /** When this process gave it up, by both clocks; undefined when it may have ended before that. */
+  #givenUpAt: undefined | {readonly now: Instant; readonly wall: WallTime};
   #wallOffset: number;
 
   constructor(grant: OwnershipGrant, requestedAt: Instant, wall: WallTime) {
     this.cell = grant.cell ?? FIRST_CELL;
     this.formerLeaseTerm = grant.formerLeaseTerm ?? grant.term - 1;
     this.formerReleasedAt = grant.formerReleasedAt ?? requestedAt;
+    this.lastReleasedAt = grant.lastReleasedAt ?? this.formerReleasedAt;
     this.lease = grant.lease;
     this.leaseTimes = grant.leaseTimes;
     this.recordingSince = grant.recordingSince ?? grant.term;
@@ -104,6 +111,15 @@
     this.#isOver = true;
   }
 
+  /** Ends it by a decision of this process, which releases it after that. */
+  giveUp(now: Instant, wall: WallTime): void {
+    const isValid = this.measureSinceEndMs(now, wall) <= this.leaseTimes.ownershipTtlMs;
+    if (isValid && this.state(now, wall) === 'proved') {
+      this.#givenUpAt = {now, wall};
+    }
+    this.end();
+  }
+
   /** Records that a minion lease may be granted from now on. */
   recordLeaseGrant(): void {
     this.#hasGrantedLease = true;
@@ -141,6 +157,19 @@
     return Math.max(0, maxLeaseSinceConfirmedMs - this.#measureAge(now, wall).ageMs);
   }
 
+  /**
+   * Returns the longest time in milliseconds for which another VM may have owned the fleet. Time for which the machine was
+   * suspended counts, however short, unless its time of day was set back meanwhile.
+   */
+  measureSinceEndMs(now: Instant, wall: WallTime): number {
+    const confirmedWall = this.#confirmedAt + this.#wallOffset;
+    const {now: endedAt, wall: endedWall} = this.#givenUpAt ?? {
+      now: this.#confirmedAt,
+      wall: confirmedWall,
+    };
+    return Math.max(now - endedAt, wall - endedWall);
+  }
+
   /** Returns the time since the last confirmation; that for which the machine was suspended counts. */
   #measureAge(
     now: Instant,
--- a/packages/nutmegproxy-owner/src/Owner.ts
+++ b/packages/nutmegproxy-owner/src/Owner.ts
@@ -115,7 +115,7 @@
       this.#wakeUp();
     };
     const onFenced = (): void => {
-      this.stop('fenced');
+      this.#end('fenced');
     };
     this.#work = this.#createWorkQueue();
     const work = this.#work;
@@ -216,9 +216,9 @@
 
   /** Stops the owner; it sends no further orders. */
   stop(reason: string): void {
-    this.#stopReason ??= reason;
-    this.#options.ownership.end();
-    this.#wakeUp();
+    const {clock, ownership} = this.#options;
+    ownership.giveUp(clock.monotonic(), clock.wall());
+    this.#end(reason);
   }
 
   #createLearnedEstimates(): LearnedEstimates {
@@ -280,6 +280,12 @@
     return ownership.state(clock.monotonic(), clock.wall()) !== 'over';
   }
 
+  #end(reason: string): void {
+    this.#stopReason ??= reason;
+    this.#options.ownership.end();
+    this.#wakeUp();
+  }
+
   /** Returns why nothing may start now; undefined when starts are planned. */
   #findHold(now: Instant): RoundHold | undefined {
     if (this.#isWindingDown) {
--- a/packages/nutmegproxy-owner/src/OwnerElection.ts
+++ b/packages/nutmegproxy-owner/src/OwnerElection.ts
@@ -168,13 +168,13 @@
       await this.#revoke(lease.value.lease);
     }
     const {revisions} = this;
-    const formerReleasedAt = this.#findReleasedAt(records.value, requestedAt);
+    const released = this.#findReleases(records.value, requestedAt);
     return written.map((grant) => {
       revisions.record(grant.token, clock.monotonic());
       return new FleetOwnership(
         {
+          ...released,
           cell: this.#cell,
-          formerReleasedAt,
           lease: lease.value.lease,
           leaseTimes,
           revisions,
@@ -203,19 +203,26 @@
   }
 
   /**
-   * Returns the earliest known instant after which no ownership before was confirmed under which a
+   * Returns when the ownership before had ended, and the earliest known instant after which no ownership before was confirmed under which a
    * minion lease may have been granted; `requestedAt` is after the read, in which there was no owner. The
    * acquisition fails if there was another one since. An owner writes the term with its key, so a later
    * removal is that of its key.
    */
-  #findReleasedAt({recording, term}: ElectionRecords, requestedAt: Instant): Instant {
-    const seenAt = this.#releases.findSeenAt((term?.modRevision ?? Infinity) + 1, requestedAt);
+  #findReleases(
+    {recording, term}: ElectionRecords,
+    requestedAt: Instant,
+  ): Pick<FleetOwnership, 'formerReleasedAt' | 'lastReleasedAt'> {
+    const lastReleasedAt = this.#releases.findSeenAt(
+      (term?.modRevision ?? Infinity) + 1,
+      requestedAt,
+    );
     const {lastTerm, releasedForMs} = parseRecordingTerms(recording);
     if (typeof releasedForMs !== 'number' || lastTerm !== Number(term?.value.toString())) {
-      return seenAt;
+      return {formerReleasedAt: lastReleasedAt, lastReleasedAt};
     }
     const storedBy = this.revisions.findSeenAt(recording?.modRevision ?? Infinity, requestedAt);
-    return Math.min(seenAt, storedBy - releasedForMs) as Instant;
+    const formerReleasedAt = Math.min(lastReleasedAt, storedBy - releasedForMs) as Instant;
+    return {formerReleasedAt, lastReleasedAt};
   }
 
   /**
