The next owner does not take lasting tasks that have not run for interrupted ones

Cause: of a job that a former owner had started it was not known which tasks had run, so all counted as interrupted. They start above the limit of first starts (0.85) and come before all other work, so that after each takeover they fill what is kept free for short work and for tasks that are interrupted, and compete with those that were running.

Ruled out: a rule that keeps an interrupted task from room in its own cell.

Change: the progress of a job names which lasting tasks have begun (begun), written as before, after the starts; a first start makes the job dirty, later ones don't. Absent (a former version): all count as interrupted, as before.

Why it works: a first start is limited by the same rule under each owner. Runs that minions or records name count as before.

--- a/packages/nutmegproxy-jobs/src/JobProgress.ts
+++ b/packages/nutmegproxy-jobs/src/JobProgress.ts
@@ -1,13 +1,14 @@
 /**
  * The stored progress of a job: completed tasks, failed runs, checkpoints and crashes
- * of minions, but no starts other than those of suspected tasks.
+ * of minions, but no starts other than those of suspected tasks and which long-running ones have begun.
  */
 
+import type {BegunProgress} from './BegunTasks.ts';
 import type {Checkpoint, JobStatus, QueueId, RunNumber} from './JobModel.ts';
 import type {StepCrashProgress} from './StepCrashes.ts';
 
 /** Progress of one step of one occurrence. */
-export interface StepProgress extends StepCrashProgress {
+export interface StepProgress extends BegunProgress, StepCrashProgress {
   /** Latest checkpoint by task index. */
   readonly checkpoints: Readonly<Record<number, Checkpoint>>;
   /** Indexes of the tasks that are done. */
--- a/packages/nutmegproxy-jobs/src/JobState.ts
+++ b/packages/nutmegproxy-jobs/src/JobState.ts
@@ -133,6 +133,14 @@
     return true;
   }
 
+  /** Called when a start of a task is decided on; returns whether it is the first one. */
+  recordStart(): boolean {
+    const isFirst = !this.hasStarted;
+    this.hasStarted = true;
+    this.status = isFirst && this.status === 'queued' ? 'running' : this.status;
+    return isFirst;
+  }
+
   /** Returns the job's progress as it is stored. */
   exportProgress(): JobProgress {
     const steps: Record<string, StepProgress> = {...this.#progress.steps};
--- a/packages/nutmegproxy-jobs/src/StepState.ts
+++ b/packages/nutmegproxy-jobs/src/StepState.ts
@@ -4,56 +4,14 @@
 
 import {after, invariant} from '@nutmegproxy/core';
 
-import type {Checkpoint, RunNumber, StepShape, TaskRef} from './JobModel.ts';
+import type {Checkpoint, RunNumber, StepShape} from './JobModel.ts';
 import type {StepProgress} from './JobProgress.ts';
 import type {JobState} from './JobState.ts';
+import type {Run} from './Run.ts';
 
+import {BegunTasks} from './BegunTasks.ts';
 import {StepCrashes} from './StepCrashes.ts';
 
-/**
- * `starting`: not yet confirmed by its minion. `running`: confirmed by its minion. `stopping`: a
- * stop was ordered; the run keeps its capacity until its result is listed.
- */
-export type RunPhase = 'running' | 'starting' | 'stopping';
-
-/**
- * `order`: this owner started the run. `record`: a former owner's roster names it. `listing`: its
- * minion has listed it.
- */
-export type RunSource = 'listing' | 'order' | 'record';
-
-/** A run of a task that is live or may be, or is over and its result is not known yet. */
-export interface Run {
-  checkpoint: Checkpoint | undefined;
-  /** When the minion confirmed the run; undefined before. */
-  confirmedAt: Instant | undefined;
-  /** Whether its minion has listed it before this owner knew of it. */
-  isAdopted?: boolean;
-  /** Whether the response to its start shows the clock for which the lease was computed. */
-  isClockConfirmed?: boolean;
-  /** How this owner knows of the run. */
-  knownFrom: RunSource;
-  /** When its lease has certainly expired, if a record tells that it ends before others of its minion. */
-  leasedUntil?: Instant | undefined;
-  readonly minion: MinionId;
-  readonly number: RunNumber;
-  /** Share of its full speed at which the minion lets the run work, in percent from 0 to 100. */
-  paceShare: number;
-  /** Last reported progress in percent; 100 for a long-running task that is working. */
-  percent: number;
-  phase: RunPhase;
-  /** Tail latency in milliseconds of a serving run; processor use in thousandths of a core of others. */
-  reading: number | undefined;
-  /** When the start was last sent; when it was decided on before that. */
-  sentAt: Instant;
-  readonly step: StepState;
-  readonly task: TaskRef;
-  /** When it was started for an overdue step of backfill, for which serving tasks have to bear it; absent otherwise. */
-  toleratedSince?: Instant;
-  /** When the latest of its starts without a response was sent; undefined when each had one. */
-  unansweredAt?: Instant;
-}
-
 /**
  * Time in milliseconds for which a task avoids a minion. Other minions get it meanwhile; a task that
  * only few can run returns to them.
@@ -62,6 +20,8 @@
 
 /** Tracks which tasks of a step are waiting, running or done. */
 export class StepState {
+  /** Which tasks of a long-running step have begun, under this owner or a former one. */
+  readonly begun: BegunTasks;
   /** Crashes of minions under the tasks. */
   readonly crashes: StepCrashes;
   readonly done = new Set<number>();
@@ -111,6 +71,7 @@
     this.occurrence = occurrence;
     this.number = number;
     this.shape = shape;
+    this.begun = new BegunTasks(job, shape, progress);
     this.crashes = new StepCrashes(progress);
     for (const index of progress?.done ?? []) {
       this.done.add(index);
@@ -216,6 +177,11 @@
     return this.#lastRun.has(index) || this.failures.has(index);
   }
 
+  /** Whether a run of the task is known, or a former owner may have started one of a long-running task. */
+  mayHaveRun(index: number): boolean {
+    return this.hasRun(index) || this.begun.mayInclude(index);
+  }
+
   /** Returns the highest known number of a run of the task, live or over. */
   findLastRun(index: number): RunNumber | undefined {
     return this.#lastRun.get(index);
@@ -260,10 +226,11 @@
   /** Returns the step's progress as it is stored; undefined when there is none. */
   exportProgress(): StepProgress | undefined {
     const recorded = this.done.size + this.failures.size + this.#checkpoints.size;
-    if (recorded === 0 && this.crashes.isEmpty) {
+    if (recorded === 0 && this.begun.isEmpty && this.crashes.isEmpty) {
       return undefined;
     }
     return {
+      ...this.begun.exportProgress(),
       checkpoints: Object.fromEntries(this.#checkpoints),
       done: [...this.done],
       failures: Object.fromEntries(this.failures),
--- a/packages/nutmegproxy-jobs/src/index.ts
+++ b/packages/nutmegproxy-jobs/src/index.ts
@@ -47,6 +47,7 @@
 export {JobState} from './JobState.ts';
 export {MAX_PAYLOAD_CHARACTERS, validateJob} from './JobValidation.ts';
 export type {JobValidationError} from './JobValidation.ts';
+export type {Run, RunPhase, RunSource} from './Run.ts';
 export {StepCrashes} from './StepCrashes.ts';
 export type {
   CrashEvidence,
@@ -56,5 +57,4 @@
   TaskTrial,
 } from './StepCrashes.ts';
 export {StepState} from './StepState.ts';
-export type {Run, RunPhase, RunSource} from './StepState.ts';
 export {formatRunName, formatTaskName, parseTaskName} from './TaskName.ts';
--- a/packages/nutmegproxy-scheduling/src/Fleet.ts
+++ b/packages/nutmegproxy-scheduling/src/Fleet.ts
@@ -234,11 +234,8 @@
     step.addRun(run);
     step.recordRunNumber(task.index, number);
     minion.addRun(run);
-    if (!step.job.hasStarted) {
-      step.job.hasStarted = true;
-      if (step.job.status === 'queued') {
-        step.job.status = 'running';
-      }
+    const isFirst = step.job.recordStart();
+    if (step.begun.add(task.index) || isFirst) {
       this.dirtyJobs.add(step.job);
     }
     return run;
--- a/packages/nutmegproxy-scheduling/src/InterruptedTaskStarts.ts
+++ b/packages/nutmegproxy-scheduling/src/InterruptedTaskStarts.ts
@@ -23,11 +23,11 @@
 }
 
 /**
- * Whether a task of a long-running step was interrupted. Of a job that a former owner had started, it
- * is not known which tasks have run, so all count as interrupted.
+ * Whether a task of a long-running step was interrupted. Where a former version has not stored which tasks of a
+ * job have begun, all count as interrupted.
  */
 export function isInterruptedTask(step: StepState, index: number): boolean {
-  return step.shape.longRunning && (step.job.hadStarted || step.hasRun(index));
+  return step.shape.longRunning && step.mayHaveRun(index);
 }
 
 /** Returns the minions of each service that only lack trust, and on which no run has failed just now. */
