Later steps of an urgent job whose first one finds no minion don't hold deferrable starts back

What callers saw: nothing measured; found by review. hasUrgentWork stayed true for as long as such a job was open, so that deferrable starts were limited although a process that is not full helps nobody. Cause: a step whose turn has not come has no readyAt, which counted as a turn that had come just now. Change: without readyAt a step counts only if the steps before it are done, as before its first round.

--- a/packages/nutmegproxy-scheduling/src/UrgentWork.ts
+++ b/packages/nutmegproxy-scheduling/src/UrgentWork.ts
@@ -5,14 +5,23 @@
 
 import type {Fleet} from './Fleet.ts';
 
+import {isReady} from './ReadySteps.ts';
 import {isUrgent} from './StartBudget.ts';
 
 /** Time in milliseconds for which an urgent step that waits asks for a process that is not full. */
 const MAX_WAIT_MS = 2_000;
 
-/** Whether something of a step runs, or its turn came a short time ago. Long-running tasks wait for room, if at all. */
-function isAwaited({hasLiveRuns, isDone, readyAt, shape}: StepState, now: Instant): boolean {
-  return !shape.longRunning && !isDone && (hasLiveRuns || now - (readyAt ?? now) < MAX_WAIT_MS);
+/**
+ * Whether something of a step runs, or its turn came a short time ago or is not noted yet. Long-running tasks wait for room,
+ * if at all, and a step whose turn has not come for those before it.
+ */
+function isAwaited(step: StepState, siblings: readonly StepState[], now: Instant): boolean {
+  const {hasLiveRuns, isDone, readyAt, shape} = step;
+  if (shape.longRunning || isDone) {
+    return false;
+  }
+  const hasTurn = readyAt === undefined ? isReady(step, siblings) : now - readyAt < MAX_WAIT_MS;
+  return hasLiveRuns || hasTurn;
 }
 
 /**
@@ -24,7 +33,7 @@
 export function hasUrgentWork(fleet: Fleet, now: Instant, wall: WallTime): boolean {
   for (const job of fleet.jobs.open()) {
     for (const steps of isUrgent(fleet, job) ? job.openOccurrences(wall) : []) {
-      if (steps.some((step) => isAwaited(step, now))) {
+      if (steps.some((step) => isAwaited(step, steps, now))) {
         return true;
       }
     }
--- a/packages/nutmegproxy-scheduling/src/__tests__/unit/StartBudget.test.ts
+++ b/packages/nutmegproxy-scheduling/src/__tests__/unit/StartBudget.test.ts
@@ -115,6 +115,18 @@
       plan(sample, 0, 0);
       assert.deepEqual(plan(sample, MAX_IDLE_MS, 1, true), []);
     });
+
+    it('withhold no job that has been idle for long beside a gang that has', () => {
+      const sample = new SampleFleet(10, [DIGESTS]);
+      sample.addJob('digests', [shape({count: 8, gang: true})]);
+      const others = Array.from({length: 5}, () => sample.addJob('digests', [shape()], 10));
+      plan(sample, 0, 0);
+      plan(sample, MAX_IDLE_MS, 0);
+      assert.deepEqual(
+        others.filter((job) => !hasLiveRun(job)),
+        [],
+      );
+    });
   });
 
   it('goes first to the job of which nothing has run for longest', () => {
