Idle jobs start beside an idle gang: its members don't use up the starts of others

What callers saw: nothing measured; found by review. Of jobs of which nothing has run for 2 s each starts a task beyond the limit; a gang that was idle for longer used up as many of these starts as it has members, so that the jobs behind it waited for another round each gang. Cause: the budget beyond the limit was the number of idle steps, and a gang counts with all its members. Change: it has no bound of its own, since each job gets one task or gang already; the room of StartLimiter and the time of the round bound it. Test before: StartBudget 'withhold no job that has been idle for long beside a gang that has': 5 of 5 jobs withheld (not deepEqual to []). The other tests of the file pass before and after.

--- a/packages/nutmegproxy-scheduling/src/StartBudget.ts
+++ b/packages/nutmegproxy-scheduling/src/StartBudget.ts
@@ -155,13 +155,14 @@
   const ofIdleJobs = limitToIdleJobs(placement);
   const idle = orderByIdleTime(deferrable);
   const overdue = idle.filter(({idleSince}) => placement.now - idleSince >= MAX_IDLE_MS);
-  const beyond = new StartBudget(overdue.length);
+  // Not one start for each: the members of a gang would use up those of others.
+  const beyond = new StartBudget(Number.MAX_SAFE_INTEGER);
   const wasCut = placeAll(
     overdue.map(({step}) => step),
     beyond,
     ofIdleJobs,
   );
-  budget.take(overdue.length - beyond.remaining);
+  budget.take(Number.MAX_SAFE_INTEGER - beyond.remaining);
   return (
     wasCut ||
     placeAll(
--- a/packages/nutmegproxy-scheduling/src/__tests__/unit/StartBudget.test.ts
+++ b/packages/nutmegproxy-scheduling/src/__tests__/unit/StartBudget.test.ts
@@ -119,9 +119,10 @@
     it('withhold no job that has been idle for long beside a gang that has', () => {
       const sample = new SampleFleet(10, [DIGESTS]);
       sample.addJob('digests', [shape({count: 8, gang: true})]);
-      const others = Array.from({length: 5}, () => sample.addJob('digests', [shape()], 10));
       plan(sample, 0, 0);
-      plan(sample, MAX_IDLE_MS, 0);
+      const others = Array.from({length: 5}, () => sample.addJob('digests', [shape()], 10));
+      plan(sample, 10, 0);
+      plan(sample, 10 + MAX_IDLE_MS, 0);
       assert.deepEqual(
         others.filter((job) => !hasLiveRun(job)),
         [],
