Occurrences that were not due at a takeover have no interrupted tasks

What callers saw: nothing measured; found by review. Cause: the stored progress names no step of such an occurrence, which was read as that of a version that does not store what has begun. Change: where any step of the progress names what has begun, a step that it leaves out has not begun. Test before: FirstStartsAfterTakeover 'has no interrupted tasks in an occurrence that was not due yet': actual 0, 1, 2, 3. After: pass; so do the tests of jobs, LastingFirstStarts and InterruptedTasks.

--- a/packages/nutmegproxy-jobs/src/BegunTasks.ts
+++ b/packages/nutmegproxy-jobs/src/BegunTasks.ts
@@ -4,6 +4,7 @@
  */
 
 import type {StepShape} from './JobModel.ts';
+import type {JobState} from './JobState.ts';
 
 /** Indexes of the tasks that have begun, as they are stored; absent when they are not known. */
 export interface BegunProgress {
@@ -20,12 +21,14 @@
   readonly #isTracked: boolean;
 
   constructor(
-    {hadStarted}: {readonly hadStarted: boolean},
+    {hadStarted, hadStoredBegun}: Pick<JobState, 'hadStarted' | 'hadStoredBegun'>,
     {longRunning}: Pick<StepShape, 'longRunning'>,
-    {begun}: BegunProgress = {},
+    progress: BegunProgress | undefined,
   ) {
     this.#isTracked = longRunning;
-    this.#indexes = hadStarted && begun === undefined ? undefined : new Set(begun);
+    // An owner that stores what has begun leaves out only the steps of occurrences that were not due.
+    const isKnown = !hadStarted || (progress ? progress.begun !== undefined : hadStoredBegun);
+    this.#indexes = isKnown ? new Set(progress?.begun) : undefined;
   }
 
   /** Whether nothing is to be stored. */
--- a/packages/nutmegproxy-jobs/src/JobState.ts
+++ b/packages/nutmegproxy-jobs/src/JobState.ts
@@ -27,6 +27,8 @@
   hasStarted: boolean;
   /** Whether a task of the job had started under a former owner. */
   readonly hadStarted: boolean;
+  /** Whether the former owner stored which tasks of long-running steps had begun. */
+  readonly hadStoredBegun: boolean;
   /** Attempts that its queue allowed when that was removed from the configuration; undefined before. */
   formerMaxAttempts: number | undefined;
   /** Whether starts of suspected tasks were stored for the job. */
@@ -48,6 +50,7 @@
     this.hadStarted = progress.status !== 'queued';
     this.hasBegun = this.hadStarted;
     this.hasStarted = this.hadStarted;
+    this.hadStoredBegun = Object.values(progress.steps).some(({begun}) => begun !== undefined);
     this.formerMaxAttempts = progress.maxAttempts;
     this.#progress = progress;
     for (const [key, {trials}] of Object.entries(progress.steps)) {
--- a/packages/nutmegproxy-scheduling/src/__tests__/unit/FirstStartsAfterTakeover.test.ts
+++ b/packages/nutmegproxy-scheduling/src/__tests__/unit/FirstStartsAfterTakeover.test.ts
@@ -84,4 +84,35 @@
     const interrupted = [...step.waiting].filter((index) => isInterruptedTask(step, index));
     assert.equal(interrupted.length, STARTED);
   });
+
+  describe('that recurs', () => {
+    /** Returns the interrupted tasks of the second occurrence for the owner that reads the progress. */
+    function listInterrupted(adapt: (progress: JobProgress) => JobProgress): readonly number[] {
+      const sample = new SampleFleet(MINIONS);
+      const {request, revision} = sample.addJob('proofs', [shape({count: 4, longRunning: true})]);
+      const recurrence = {count: 2, firstAt: wallAt(0), intervalMs: 1_000};
+      const former = new JobState({...request, recurrence}, revision);
+      sample.fleet.jobs.set(former.id, former);
+      assert.equal(sample.plan(0).length, 4);
+      const job = new JobState(former.request, revision, adapt(former.exportProgress()));
+      const [, second] = [...job.openOccurrences(wallAt(1_000))];
+      const [step] = second ?? [];
+      assert.ok(step);
+      return [...step.waiting].filter((index) => isInterruptedTask(step, index));
+    }
+
+    it('has no interrupted tasks in an occurrence that was not due yet', () => {
+      assert.deepEqual(
+        listInterrupted((progress) => progress),
+        [],
+      );
+    });
+
+    it('may have some in each that a former version has not stored', () => {
+      assert.deepEqual(
+        listInterrupted((progress) => ({...progress, steps: {}})),
+        [0, 1, 2, 3],
+      );
+    });
+  });
 });
