A job whose start was never sent counts as waiting under the next owner, too

Cause: the status `running` is stored once a start is decided on. The next owner took such a job for begun, also where the start had waited for its turn in a full owner and was never sent.

Change: the progress of a job tells whether a minion was known to have begun a task, where no progress of a step does (no additional write: it goes with the writes that there are). For the next owner a job has begun if its progress says so, if a minion lists a run or a result of it, or if a record names a run on a silent minion whose start was confirmed. In the first publication of a recovery, when no minion has reported, started jobs still count as begun. `hadStarted`, which recovery holds tasks by, is as before. Records of earlier versions lack the field; their jobs count as begun once a minion reports.

Ruled out: marking a job as changed when it has begun (one more write of each job).

Test: QueueLengths, "under the next owner".

--- a/packages/nutmegproxy-jobs/src/JobProgress.ts
+++ b/packages/nutmegproxy-jobs/src/JobProgress.ts
@@ -18,6 +18,11 @@
 
 /** Progress of a job; steps without progress are absent. */
 export interface JobProgress {
+  /**
+   * Whether a minion was known to have begun a task; absent when none was, when the progress of a step tells so, and in
+   * records of earlier versions. A status tells only that a start was decided on.
+   */
+  readonly hasBegun?: boolean;
   /** Attempts that the queue allowed when it was removed from the configuration; absent before. */
   readonly maxAttempts?: number;
   readonly queue: QueueId;
--- a/packages/nutmegproxy-jobs/src/JobState.ts
+++ b/packages/nutmegproxy-jobs/src/JobState.ts
@@ -23,7 +23,7 @@
   hasBegun: boolean;
   /** Whether a start of a task was decided on, under this owner or a former one; it may never be sent. */
   hasStarted: boolean;
-  /** Whether a task of the job had started under a former owner. */
+  /** Whether a start of a task was decided on under a former owner, so that a minion may have a run. */
   readonly hadStarted: boolean;
   /** Attempts that its queue allowed when that was removed from the configuration; undefined before. */
   formerMaxAttempts: number | undefined;
@@ -42,7 +42,7 @@
     this.revision = revision;
     this.status = progress.status;
     this.hadStarted = progress.status !== 'queued';
-    this.hasBegun = this.hadStarted;
+    this.hasBegun = progress.hasBegun === true || Object.keys(progress.steps).length > 0;
     this.hasStarted = this.hadStarted;
     this.formerMaxAttempts = progress.maxAttempts;
     this.#progress = progress;
@@ -153,6 +153,7 @@
       queue: request.queue,
       status,
       steps,
+      ...(this.hasBegun && Object.keys(steps).length === 0 ? {hasBegun: true} : {}),
       ...(maxAttempts === undefined ? {} : {maxAttempts}),
     };
   }
--- a/packages/nutmegproxy-owner/src/QueueLengthPublisher.ts
+++ b/packages/nutmegproxy-owner/src/QueueLengthPublisher.ts
@@ -38,6 +38,7 @@
 }
 
 export class QueueLengthPublisher {
+  #hasCounted = false;
   readonly #options: QueueLengthPublisherOptions;
   /** The lengths that were last written, as JSON. */
   #published = '';
@@ -60,8 +61,12 @@
 
   #count(): QueueLengths {
     const counts: Record<string, number> = {};
-    for (const job of this.#options.fleet.jobs.open()) {
-      if (!job.hasBegun) {
+    const {fleet} = this.#options;
+    // Which of the jobs that a former owner had started have begun, minions tell as they report.
+    const areBegun = !this.#hasCounted && fleet.recoveryRevision > 0;
+    this.#hasCounted = true;
+    for (const job of fleet.jobs.open()) {
+      if (!job.hasBegun && !(areBegun && job.hadStarted)) {
         const {queue} = job.request;
         counts[queue] = (counts[queue] ?? 0) + 1;
       }
--- a/packages/nutmegproxy-owner/src/SilentRecords.ts
+++ b/packages/nutmegproxy-owner/src/SilentRecords.ts
@@ -66,6 +66,7 @@
 ): void {
   const {remainingMs, runs, suspects} = recorded;
   const findRemainingMs = createRemainingTimes(recorded);
+  const unconfirmed = new Set(recorded.unconfirmed?.map(formatRecordedName));
   minion.formerSuspects = suspects && {
     bornAt: suspects.bornAt,
     runs: findSuspects(fleet, suspects),
@@ -80,6 +81,7 @@
     if (task === undefined || step === undefined || step.job.isFinal) {
       continue;
     }
+    step.job.hasBegun ||= !unconfirmed.has(formatRecordedName([name, number]));
     // Of several recorded runs of a task only the last may be live.
     dropSupersededRuns(fleet, step, {number, task});
     if (!step.waiting.has(task.index)) {
--- a/packages/nutmegproxy-owner/src/__tests__/unit/QueueLengths.test.ts
+++ b/packages/nutmegproxy-owner/src/__tests__/unit/QueueLengths.test.ts
@@ -1,8 +1,9 @@
 import type {Clock, Instant, WallTime} from '@nutmegproxy/core';
-import type {Run, StepState} from '@nutmegproxy/jobs';
+import type {Run, RunNumber, StepState} from '@nutmegproxy/jobs';
 import type {MinionState, RunReport} from '@nutmegproxy/scheduling';
 
 import {SILENT_EVENTS, SYSTEM_CLOCK} from '@nutmegproxy/core';
+import {formatTaskName, JobState} from '@nutmegproxy/jobs';
 import {Fleet, reconcileListing} from '@nutmegproxy/scheduling';
 import {MemoryStore} from '@nutmegproxy/standins';
 import {getKey} from '@nutmegproxy/store';
@@ -13,6 +14,7 @@
 
 import {OUTLOOK_INTERVAL_MS} from '../../OwnerConstants.ts';
 import {QUEUE_LENGTHS_KEY, QueueLengthPublisher} from '../../QueueLengthPublisher.ts';
+import {adoptRecordedRuns} from '../../SilentRecords.ts';
 import {acquireOwnership, createMinion, createStep} from './OwnerSamples.ts';
 
 const NOW = 1_000 as Instant;
@@ -38,8 +40,8 @@
     run = fleet.startRun(step, 0, minion, NOW);
   });
 
-  /** Publishes once and returns the number of jobs that are said to wait. */
-  async function publish(): Promise<number> {
+  /** Publishes, once by default, and returns the number of jobs that are said to wait. */
+  async function publish(times = 1): Promise<number> {
     const store = new MemoryStore();
     const ownership = await acquireOwnership(store);
     let rounds = 0;
@@ -51,7 +53,7 @@
       store,
     }).run(() => {
       rounds += 1;
-      return rounds === 1;
+      return rounds <= times;
     });
     const stored = (await getKey(store, QUEUE_LENGTHS_KEY))._unsafeUnwrap();
     const {counts} = JSON.parse(stored?.value.toString() ?? '') as {counts: {proofs?: number}};
@@ -98,6 +100,76 @@
     });
   });
 
+  describe('under the next owner', () => {
+    let name: string;
+
+    /** Lets another owner read the stored job. */
+    function takeOver(): void {
+      const {request, revision} = step.job;
+      const job = new JobState(request, revision, step.job.exportProgress());
+      fleet = new Fleet(SILENT_EVENTS);
+      minion = createMinion();
+      fleet.minions.set(minion.id, minion);
+      fleet.jobs.set(job.id, job);
+      step = job.occurrence(0)?.[0] ?? step;
+    }
+
+    beforeEach(() => {
+      name = formatTaskName(run.task);
+    });
+
+    it('count a job whose start was never sent', async () => {
+      takeOver();
+      assert.equal(await publish(), 1);
+    });
+
+    it('count it while others are recovered, once the minions could report', async () => {
+      takeOver();
+      fleet.recoveryRevision = step.job.revision + 1;
+      assert.equal(await publish(2), 1);
+    });
+
+    it('count one whose start may not have reached a silent minion', async () => {
+      takeOver();
+      const runs = [[name, run.number]] as const;
+      adoptRecordedRuns(fleet, minion, {remainingMs: 5_000, runs, unconfirmed: runs}, NOW);
+      assert.equal(await publish(), 1);
+    });
+
+    it('do not count a job of which minions could not report yet', async () => {
+      takeOver();
+      fleet.recoveryRevision = step.job.revision + 1;
+      assert.equal(await publish(), 0);
+    });
+
+    it('do not count one that a minion had begun when its progress was stored', async () => {
+      const {number, task} = run;
+      list([{checkpoint: undefined, number, percent: 0, reading: 0, task}], undefined);
+      takeOver();
+      assert.equal(await publish(), 0);
+    });
+
+    it('do not count one with a stored result', async () => {
+      list([], 'failed');
+      takeOver();
+      assert.equal(await publish(), 0);
+    });
+
+    it('do not count one of which a minion lists a run', async () => {
+      takeOver();
+      const {number, task} = run;
+      list([{checkpoint: undefined, number, percent: 0, reading: 0, task}], undefined);
+      assert.equal(await publish(), 0);
+    });
+
+    it('do not count one of which a silent minion has a run', async () => {
+      takeOver();
+      const runs = [[name, 1 as RunNumber]] as const;
+      adoptRecordedRuns(fleet, minion, {remainingMs: 5_000, runs}, NOW);
+      assert.equal(await publish(), 0);
+    });
+  });
+
   describe('with the outlook of the cell', () => {
     /** Publishes some times and returns what was written. */
     async function publishRounds(count: number, publishesOutlook: boolean): Promise<string[]> {
