A lasting job whose start was never sent counts as waiting under the next owner

Test before: QueueLengths "count a job that is to last and whose start was never sent" fails (0 in place of 1).

--- a/packages/nutmegproxy-jobs/src/JobProgress.ts
+++ b/packages/nutmegproxy-jobs/src/JobProgress.ts
@@ -42,6 +42,15 @@
   return `${occurrence}.${step}`;
 }
 
+/**
+ * Whether the progress of a step shows that a minion has begun a task of it; `begun` tells only that starts were
+ * decided on.
+ */
+export function showsBegun({crashes, done, failures, checkpoints, trials}: StepProgress): boolean {
+  const records = [crashes, failures, checkpoints, trials];
+  return done.length > 0 || records.some((each = {}) => Object.keys(each).length > 0);
+}
+
 /** Whether a job with this status has ended. */
 export function isFinal(status: JobStatus): boolean {
   return status === 'cancelled' || status === 'completed' || status === 'failed';
--- a/packages/nutmegproxy-jobs/src/JobState.ts
+++ b/packages/nutmegproxy-jobs/src/JobState.ts
@@ -5,7 +5,7 @@
 import type {JobStatus, StoredJob} from './JobModel.ts';
 import type {JobProgress, StepProgress} from './JobProgress.ts';
 
-import {formatStepKey, isFinal} from './JobProgress.ts';
+import {formatStepKey, isFinal, showsBegun} from './JobProgress.ts';
 import {StepState} from './StepState.ts';
 
 /** Most occurrences of a recurring job that are open at the same time. */
@@ -48,7 +48,8 @@
     this.revision = revision;
     this.status = progress.status;
     this.hadStarted = progress.status !== 'queued';
-    this.hasBegun = progress.hasBegun === true || Object.keys(progress.steps).length > 0;
+    this.hasBegun =
+      progress.hasBegun === true || Object.values(progress.steps).some((step) => showsBegun(step));
     this.hasStarted = this.hadStarted;
     this.hadStoredBegun = Object.values(progress.steps).some(({begun}) => begun !== undefined);
     this.formerMaxAttempts = progress.maxAttempts;
@@ -151,7 +152,9 @@
       queue: request.queue,
       status,
       steps,
-      ...(this.hasBegun && Object.keys(steps).length === 0 ? {hasBegun: true} : {}),
+      ...(this.hasBegun && !Object.values(steps).some((step) => showsBegun(step))
+        ? {hasBegun: true}
+        : {}),
       ...(maxAttempts === undefined ? {} : {maxAttempts}),
     };
   }
--- a/packages/nutmegproxy-owner/src/__tests__/unit/QueueLengths.test.ts
+++ b/packages/nutmegproxy-owner/src/__tests__/unit/QueueLengths.test.ts
@@ -123,6 +123,13 @@
       assert.equal(await publish(), 1);
     });
 
+    it('count a job that is to last and whose start was never sent', async () => {
+      step = createStep(2, {count: 2, longRunning: true});
+      fleet.startRun(step, 0, minion, NOW);
+      takeOver();
+      assert.equal(await publish(), 1);
+    });
+
     it('count it while others are recovered, once the minions could report', async () => {
       takeOver();
       fleet.recoveryRevision = step.job.revision + 1;
