--- a/packages/nutmegproxy-jobs/src/JobProgress.ts
+++ b/packages/nutmegproxy-jobs/src/JobProgress.ts
@@ -46,7 +46,7 @@
  * Whether the progress of a step shows that a minion has begun a task of it; `begun` tells only that starts were
  * decided on.
  */
-export function showsBegun({crashes, done, failures, checkpoints, trials}: StepProgress): boolean {
+export function showsBegun({checkpoints, crashes, done, failures, trials}: StepProgress): boolean {
   const records = [crashes, failures, checkpoints, trials];
   return done.length > 0 || records.some((each = {}) => Object.keys(each).length > 0);
 }
