Backfill gives way to interrupted lasting tasks with its memory and GPUs, too

Callers lacked an interrupted lasting task for as long as backfill waited, where a minion had the processors for it and backfill the memory.

Cause: backfill reserves no processors but memory and GPUs, and nothing stops it for these. Each run that ends frees less than the task needs, and the next backfill takes it.

Change: where no minion was found for an interrupted task, the fewest runs of backfill that hold enough on one minion are stopped (8014 displaced, those with least progress first), and the minion gets no backfill for 3 s. Again on the same minion 10 s after that at the earliest, so that backfill ends where other work takes the room. Runs with a DisruptionBudget or of gangs stay, and nothing is stopped for queues that need advice or for tasks that have not run.

Why it works: interrupted tasks are placed first in a round, so that the task gets the room when the last of these runs has ended.

Tests: BackfillRelease; before: 'runs again within 3 s on a minion that has room for it once backfill has stopped': waited for 9600 ms.

--- a/packages/nutmegproxy-scheduling/src/LongRunningStarts.ts
+++ b/packages/nutmegproxy-scheduling/src/LongRunningStarts.ts
@@ -12,6 +12,7 @@
 import type {MinionState} from './MinionState.ts';
 import type {StartWaitReason} from './StartWaitLog.ts';
 
+import {releaseBackfill} from './BackfillRelease.ts';
 import {isInterruptedTask} from './InterruptedTaskStarts.ts';
 import {measureLongRunningRoom} from './LongRunningRoom.ts';
 
@@ -73,8 +74,9 @@
     }
   }
 
-  /** Logs that no minion can take a task of the step. */
+  /** Logs that no minion can take a task of the step, and makes room for one that was interrupted. */
   recordNoMinion(step: StepState, minions: readonly MinionState[]): void {
+    releaseBackfill(this.#fleet, step, minions, this.#now);
     this.#recordWait(step, 'no-minion', measureLongRunningRoom(minions));
   }
 
--- a/packages/nutmegproxy-scheduling/src/MinionState.ts
+++ b/packages/nutmegproxy-scheduling/src/MinionState.ts
@@ -57,6 +57,8 @@
   drainingSince: Instant | undefined;
   /** Processors requested by backfill tasks, in thousandths of a core. */
   backfillCpuMilli = 0;
+  /** Until when it gets no new backfill, as what has stopped there makes room for other work. */
+  backfillHeldUntil = -Infinity as Instant;
   /** Number of runs that were added or removed so far; shows whether a derived value is current. */
   runChanges = 0;
   /** Number of runs that belong to no known task; nothing is placed on the minion beside them. */
@@ -198,12 +200,18 @@
 
   /** Whether a task of the shape would fit if no backfill ran, of which memory and GPUs are reserved. */
   hasCapacityWithoutBackfill(shape: StepShape): boolean {
+    return this.hasCapacityWithout(
+      shape,
+      [...this.runs].filter(({step}) => step.shape.fillsSpareCpu),
+    );
+  }
+
+  /** Whether a task of the shape would fit without some backfill runs. */
+  hasCapacityWithout(shape: StepShape, backfill: readonly Run[]): boolean {
     const reserved = {...this.reserved};
-    for (const {step} of this.runs) {
-      if (step.shape.fillsSpareCpu) {
-        reserved.gpus -= step.shape.resources.gpus;
-        reserved.memoryMb -= step.shape.resources.memoryMb;
-      }
+    for (const {step} of backfill) {
+      reserved.gpus -= step.shape.resources.gpus;
+      reserved.memoryMb -= step.shape.resources.memoryMb;
     }
     return this.#fits(shape, reserved);
   }
--- a/packages/nutmegproxy-scheduling/src/Placement.ts
+++ b/packages/nutmegproxy-scheduling/src/Placement.ts
@@ -62,8 +62,9 @@
 const KIND_PLACEMENTS: Readonly<Record<WorkKind, KindPlacement>> = {
   filling: {
     cost: (minion, step, sharingCosts, now) => {
+      const isOpen = now >= minion.backfillHeldUntil;
       const sharing =
-        minion.spareCpuMilli >= step.shape.resources.cpuMilli * BACKFILL_UNUSED_SHARE
+        isOpen && minion.spareCpuMilli >= step.shape.resources.cpuMilli * BACKFILL_UNUSED_SHARE
           ? sharingCosts.backfillCost(minion, step, now)
           : undefined;
       return sharing === undefined ? undefined : sharing - minion.spareCpuMilli;
--- a/packages/nutmegproxy-scheduling/src/StopRequest.ts
+++ b/packages/nutmegproxy-scheduling/src/StopRequest.ts
@@ -6,6 +6,7 @@
 /** Why a run is stopped. */
 export type StopReason =
   | 'cancelled'
+  | 'displaced'
   | 'duplicate'
   | 'evacuated'
   | 'gang-broken'
