--- a/packages/nutmegproxy-scheduling/src/__tests__/unit/PlanSweep.test.ts
+++ b/packages/nutmegproxy-scheduling/src/__tests__/unit/PlanSweep.test.ts
@@ -18,10 +18,11 @@
   });
 
   /** Plays a round in which the time is up after `checks` checks of it. */
-  function plan(nowMs: number, checks: number): number {
+  function plan(nowMs: number, checks: number, deferrableStarts = Infinity): number {
     let left = checks;
     return planStarts(sample.fleet, {
       advice: {isPermitted: () => undefined},
+      deferrableStarts,
       estimator: sample.estimator,
       isTimeUp: () => {
         left -= 1;
@@ -91,6 +92,40 @@
     });
   });
 
+  describe('deferrable steps that find no minion and are idle for long', () => {
+    const JOBS = 20;
+    const IDLE_MS = 2_000;
+
+    /** Returns in how many rounds something of the last job starts, after jobs of which nothing can. */
+    function countRounds(deferrableStarts: number, lastAcceptedAtMs: number): number {
+      sample = new SampleFleet(10, [queue('digests', {priority: 2})]);
+      for (let job = 0; job < JOBS; job += 1) {
+        sample.addJob('digests', [shape({resources: TOO_LARGE})]);
+      }
+      plan(0, Infinity, 0);
+      const last = sample.addJob('digests', [shape({estimateMs: 100_000})], lastAcceptedAtMs);
+      plan(lastAcceptedAtMs, Infinity, 0);
+      for (let round = 1; round <= 10 * JOBS; round += 1) {
+        plan(IDLE_MS + 100 + round, 0, deferrableStarts);
+        if (last.hasLiveRuns) {
+          return round;
+        }
+      }
+      return Infinity;
+    }
+
+    for (const {acceptedAtMs, deferrableStarts, name} of [
+      {acceptedAtMs: 100, deferrableStarts: 0, name: 'another idle job, with no start left'},
+      {acceptedAtMs: 100, deferrableStarts: 1, name: 'another idle job'},
+      {acceptedAtMs: 2_000, deferrableStarts: 1, name: 'a job that has just come'},
+    ]) {
+      it(`do not use up the time of each round before ${name}`, () => {
+        const rounds = countRounds(deferrableStarts, acceptedAtMs);
+        assert.ok(rounds <= JOBS + 1, `${rounds} rounds`);
+      });
+    }
+  });
+
   describe('a round that is cut within its last step', () => {
     it('leaves the pass open, so that another round follows at once', () => {
       sample.addJob('proofs', [shape({count: 20})]);
