Test of the log's allowance reads writes of several lines

'stays within its total' passed, as it counted fewer lines than were written. Change: the test splits each write into its lines, as that of LogStream does; checks and bounds are as they were.

--- a/packages/nutmegproxy-cli/src/__tests__/unit/LogAllowance.test.ts
+++ b/packages/nutmegproxy-cli/src/__tests__/unit/LogAllowance.test.ts
@@ -64,7 +64,7 @@
 
   beforeEach(() => {
     lines = [];
-    const output = {write: (line: string): unknown => lines.push(line)};
+    const output = {write: (text: string): unknown => lines.push(...text.split(/(?<=\n)/))};
     const now = (): number => clock.monotonic();
     log = new EventLog({
       clock,
