The time for which nothing of a job has run does not begin anew with each occurrence

Cause: the idle time counted from the latest turn of all steps in memory, so each occurrence began it anew, and put the job behind others in the order by idle time. The former order, by due time, did not. Also: the walk over all occurrences for each ready step, before the time limit of a round is looked at. Ruled out: the earliest turn of the open steps of the job, which is one more walk. Change: the idle time of a step counts from its own turn, and from the last start and end of any task of its job, which the job keeps, as it does the number of its live runs. Later steps of a job get their turn with such an end.

--- a/packages/nutmegproxy-jobs/src/JobState.ts
+++ b/packages/nutmegproxy-jobs/src/JobState.ts
@@ -1,6 +1,6 @@
 /** The state of a job in the owner's memory. */
 
-import type {JobId, WallTime} from '@nutmegproxy/core';
+import type {Instant, JobId, WallTime} from '@nutmegproxy/core';
 
 import type {JobStatus, StoredJob} from './JobModel.ts';
 import type {JobProgress, StepProgress} from './JobProgress.ts';
@@ -21,6 +21,10 @@
   /** Revision of the stored progress; 0 while there is none. */
   progressRevision = 0;
   status: JobStatus;
+  /** When a task of the job was last placed or done, as far as this owner knows; undefined before. */
+  activeAt: Instant | undefined;
+  /** Number of live runs of all steps. */
+  liveRuns = 0;
   /** Whether a minion has begun a task of the job, as far as this owner or a former one knows. */
   hasBegun: boolean;
   /** Whether a start of a task was decided on, under this owner or a former one; it may never be sent. */
@@ -161,12 +165,7 @@
 
   /** Whether a run of the job is live. */
   get hasLiveRuns(): boolean {
-    for (const step of this.steps()) {
-      if (step.hasLiveRuns) {
-        return true;
-      }
-    }
-    return false;
+    return this.liveRuns > 0;
   }
 
   /** Iterates over the steps of the occurrences that are in memory. */
--- a/packages/nutmegproxy-scheduling/src/Fleet.ts
+++ b/packages/nutmegproxy-scheduling/src/Fleet.ts
@@ -98,6 +98,7 @@
     const minion = this.minions.get(run.minion);
     if (outcome === 'done') {
       run.step.doneAt = now;
+      run.step.job.activeAt = now;
       recordSuccess(this, minion, run);
     } else if (outcome === 'failed') {
       recordFailure(this, minion, run, now);
@@ -199,6 +200,7 @@
     run.checkpoint = step.findCheckpoint(index);
     this.plannedStarts += 1;
     step.placedAt = now;
+    step.job.activeAt = now;
     this.events.record(SCHEDULING_EVENTS.RUN_PLACED, {
       ...describeRun(run),
       reportAgeMs: Math.round(now - (minion.lastAnswerAt ?? now)),
--- a/packages/nutmegproxy-scheduling/src/StartBudget.ts
+++ b/packages/nutmegproxy-scheduling/src/StartBudget.ts
@@ -94,24 +94,17 @@
 }
 
 /**
- * Returns since when nothing of a job has run, as far as this owner knows; undefined while something does. It counts
- * from the last start where its end was none of a done task.
+ * Returns since when nothing of a step's job has run while it was the step's turn, as far as this owner knows; undefined
+ * while something does. It counts from the last start where its end was none of a done task. The turns of other steps
+ * don't count: those of a recurring job may come at any rate.
  */
-function findIdleSince(job: JobState): number | undefined {
-  let idleSince = -Infinity;
-  for (const step of job.steps()) {
-    if (step.hasLiveRuns) {
-      return undefined;
-    }
-    const {doneAt = -Infinity, placedAt = -Infinity, readyAt = -Infinity} = step;
-    idleSince = Math.max(idleSince, doneAt, placedAt, readyAt);
-  }
-  return idleSince;
+function findIdleSince({job, readyAt}: StepState): number | undefined {
+  return job.hasLiveRuns ? undefined : Math.max(readyAt ?? -Infinity, job.activeAt ?? -Infinity);
 }
 
-/** Whether nothing of a job has run for so long that one of its tasks starts beyond the limit. */
-export function isIdleForLong(job: JobState, now: Instant): boolean {
-  return now - (findIdleSince(job) ?? Infinity) >= MAX_IDLE_MS;
+/** Whether nothing of a step's job has run for so long that one of its tasks starts beyond the limit. */
+export function isIdleForLong(step: StepState, now: Instant): boolean {
+  return now - (findIdleSince(step) ?? Infinity) >= MAX_IDLE_MS;
 }
 
 interface IdleStep {
@@ -123,7 +116,7 @@
 function orderByIdleTime(steps: readonly StepState[]): readonly IdleStep[] {
   return steps
     .flatMap((step) => {
-      const idleSince = findIdleSince(step.job);
+      const idleSince = findIdleSince(step);
       return idleSince === undefined ? [] : [{idleSince, step}];
     })
     .sort((a, b) => a.idleSince - b.idleSince);
--- a/packages/nutmegproxy-scheduling/src/StartPlanner.ts
+++ b/packages/nutmegproxy-scheduling/src/StartPlanner.ts
@@ -124,7 +124,7 @@
     if (!isDeferrable(this.#fleet, step)) {
       return true;
     }
-    return !isBacklogged && (deferrableStarts > 0 || isIdleForLong(step.job, now));
+    return !isBacklogged && (deferrableStarts > 0 || isIdleForLong(step, now));
   }
 
   /**
--- a/packages/nutmegproxy-scheduling/src/__tests__/unit/StartBudget.test.ts
+++ b/packages/nutmegproxy-scheduling/src/__tests__/unit/StartBudget.test.ts
@@ -1,5 +1,6 @@
-import type {JobState, Run} from '@nutmegproxy/jobs';
+import type {Run} from '@nutmegproxy/jobs';
 
+import {JobState} from '@nutmegproxy/jobs';
 import * as fc from 'fast-check';
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
@@ -27,6 +28,14 @@
   });
 }
 
+function addRecurringJob(sample: SampleFleet, intervalMs: number, firstAtMs = 0): JobState {
+  const {request, revision} = sample.addJob('digests', [shape()], firstAtMs);
+  const recurrence = {count: 1_000, firstAt: wallAt(firstAtMs), intervalMs};
+  const job = new JobState({...request, recurrence}, revision);
+  sample.fleet.jobs.set(job.id, job);
+  return job;
+}
+
 function hasLiveRun(job: JobState): boolean {
   return [...job.steps()].some(({liveRuns}) => liveRuns > 0);
 }
@@ -109,6 +118,17 @@
       assert.ok(hasLiveRun(job));
     });
 
+    for (const intervalMs of [0, 500, 1_500, 1_900, 2_500]) {
+      it(`do not withhold a job that recurs each ${intervalMs} ms for over 2 s`, () => {
+        const sample = new SampleFleet(10, [DIGESTS]);
+        const job = addRecurringJob(sample, intervalMs);
+        for (let nowMs = 0; nowMs <= MAX_IDLE_MS; nowMs += 100) {
+          plan(sample, nowMs, 0);
+        }
+        assert.ok(hasLiveRun(job));
+      });
+    }
+
     it('withhold all deferrable work while too many starts wait to be sent', () => {
       const sample = new SampleFleet(10, [DIGESTS]);
       sample.addJob('digests', [shape({count: 30})]);
@@ -140,4 +160,25 @@
     plan(sample, 110, 1);
     assert.ok(hasLiveRun(younger));
   });
+
+  it('goes to a recurring job before younger ones, whenever its last occurrence was due', () => {
+    const sample = new SampleFleet(10, [DIGESTS]);
+    const recurring = addRecurringJob(sample, 100);
+    plan(sample, 0, 0);
+    for (let nowMs = 100; nowMs <= 1_000; nowMs += 100) {
+      sample.addJob('digests', [shape()], nowMs);
+      plan(sample, nowMs, 0);
+    }
+    plan(sample, 1_100, 1);
+    assert.ok(hasLiveRun(recurring));
+  });
+
+  it('does not look through the occurrences of a job for each of its steps', (context) => {
+    const sample = new SampleFleet(1, [DIGESTS]);
+    const job = addRecurringJob(sample, 0);
+    plan(sample, 0, 1);
+    const {mock} = context.mock.method(job, 'steps');
+    plan(sample, 100, 1);
+    assert.ok(mock.callCount() < 10, String(mock.callCount()));
+  });
 });
