Jobs that run count as begun until their minions have reported to the next owner

Cause: `hasBegun` does not make a job dirty. QueueLengthPublisher took such jobs for begun in its first publication only.

Ruled out: - marking a job as changed when it has begun: one more write of each job whose start is confirmed after its first write; not measured - all of the recovery (`recoveryRevision > 0`) without a look at the minions: as a trial, it fails QueueLengths "count it while others are recovered, once the minions could report" - waiting only for the minions of a job's starts: the store does not name them

Change: during a recovery, started jobs count as begun in the first publication (as before) and while the runs of a minion are not known (`areRunsKnown`, false for minions that recovery waits for).

Why it works: a run of a former owner is on a minion that has listed it, whose record names it (both set `hasBegun`), or whose runs are not known.

Tests: QueueLengths, "that awaits the report of a minion". Before: ✖ do not count one that a minion began after its start was stored (1 !== 0) The other two there pass before, too.

--- a/packages/nutmegproxy-owner/src/QueueLengthPublisher.ts
+++ b/packages/nutmegproxy-owner/src/QueueLengthPublisher.ts
@@ -61,11 +61,8 @@
 
   #count(): QueueLengths {
     const counts: Record<string, number> = {};
-    const {fleet} = this.#options;
-    // Which of the jobs that a former owner had started have begun, minions tell as they report.
-    const areBegun = !this.#hasCounted && fleet.recoveryRevision > 0;
-    this.#hasCounted = true;
-    for (const job of fleet.jobs.open()) {
+    const areBegun = this.#areReportsAwaited();
+    for (const job of this.#options.fleet.jobs.open()) {
       if (!job.hasBegun && !(areBegun && job.hadStarted)) {
         const {queue} = job.request;
         counts[queue] = (counts[queue] ?? 0) + 1;
@@ -74,6 +71,18 @@
     return {counts};
   }
 
+  /**
+   * Whether minions have yet to tell which jobs that a former owner had started have begun: that is not stored where a
+   * start was confirmed after its job was written, and the store does not name the minions of starts.
+   */
+  #areReportsAwaited(): boolean {
+    const {minions, recoveryRevision} = this.#options.fleet;
+    const isFirst = !this.#hasCounted;
+    this.#hasCounted = true;
+    const isAwaited = isFirst || [...minions.values()].some(({areRunsKnown}) => !areRunsKnown);
+    return recoveryRevision > 0 && isAwaited;
+  }
+
   async #publish(): Promise<void> {
     const {clock, publishesOutlook = false} = this.#options;
     const lengths = this.#count();
--- a/packages/nutmegproxy-owner/src/__tests__/unit/QueueLengths.test.ts
+++ b/packages/nutmegproxy-owner/src/__tests__/unit/QueueLengths.test.ts
@@ -1,9 +1,9 @@
 import type {Clock, Instant, WallTime} from '@nutmegproxy/core';
-import type {Run, RunNumber, StepState} from '@nutmegproxy/jobs';
+import type {JobProgress, Run, RunNumber, StepState} from '@nutmegproxy/jobs';
 import type {MinionState, RunReport} from '@nutmegproxy/scheduling';
 
 import {SILENT_EVENTS, SYSTEM_CLOCK} from '@nutmegproxy/core';
-import {formatTaskName, JobState} from '@nutmegproxy/jobs';
+import {decodeProgress, formatJobKey, formatTaskName, JobState} from '@nutmegproxy/jobs';
 import {Fleet, reconcileListing} from '@nutmegproxy/scheduling';
 import {MemoryStore} from '@nutmegproxy/standins';
 import {getKey} from '@nutmegproxy/store';
@@ -12,9 +12,11 @@
 
 import type {QueueLengths} from '../../QueueLengthPublisher.ts';
 
+import {Journal} from '../../Journal.ts';
 import {OUTLOOK_INTERVAL_MS} from '../../OwnerConstants.ts';
 import {QUEUE_LENGTHS_KEY, QueueLengthPublisher} from '../../QueueLengthPublisher.ts';
 import {adoptRecordedRuns} from '../../SilentRecords.ts';
+import {UnreportedMinions} from '../../UnreportedMinions.ts';
 import {acquireOwnership, createMinion, createStep} from './OwnerSamples.ts';
 
 const NOW = 1_000 as Instant;
@@ -104,9 +106,9 @@
     let name: string;
 
     /** Lets another owner read the stored job. */
-    function takeOver(): void {
+    function takeOver(progress: JobProgress = step.job.exportProgress()): void {
       const {request, revision} = step.job;
-      const job = new JobState(request, revision, step.job.exportProgress());
+      const job = new JobState(request, revision, progress);
       fleet = new Fleet(SILENT_EVENTS);
       minion = createMinion();
       fleet.minions.set(minion.id, minion);
@@ -175,6 +177,54 @@
       adoptRecordedRuns(fleet, minion, {remainingMs: 5_000, runs}, NOW);
       assert.equal(await publish(), 0);
     });
+
+    describe('that awaits the report of a minion', () => {
+      /** Lets the journal store the job, changes it, and lets another owner read what is stored in the end. */
+      async function takeOverStored(change: () => void): Promise<void> {
+        const store = new MemoryStore();
+        const ownership = await acquireOwnership(store);
+        const onFenced = (): void => assert.fail('another owner');
+        const {dirtyJobs} = fleet;
+        const journal = new Journal({
+          dirtyJobs,
+          events: SILENT_EVENTS,
+          onFenced,
+          ownership,
+          store,
+        });
+        void journal.run();
+        await journal.flush();
+        change();
+        await journal.flush();
+        journal.stop();
+        const stored = (await getKey(store, formatJobKey(step.job.id, 'progress')))._unsafeUnwrap();
+        takeOver(stored && decodeProgress(stored.value)._unsafeUnwrap());
+        new UnreportedMinions().add(minion);
+        fleet.recoveryRevision = step.job.revision + 1;
+      }
+
+      it('do not count one that a minion began after its start was stored', async () => {
+        const {number, task} = run;
+        await takeOverStored(() => {
+          list([{checkpoint: undefined, number, percent: 0, reading: 0, task}], undefined);
+        });
+        assert.equal(await publish(3), 0);
+      });
+
+      it('count one of which no start was decided on', async () => {
+        step = createStep(2);
+        fleet.jobs.set(step.job.id, step.job);
+        await takeOverStored(() => undefined);
+        assert.equal(await publish(3), 1);
+      });
+
+      it('count one whose start was never sent, once the minion has reported', async () => {
+        await takeOverStored(() => undefined);
+        list([], undefined);
+        minion.areRunsKnown = true;
+        assert.equal(await publish(2), 1);
+      });
+    });
   });
 
   describe('with the outlook of the cell', () => {
