--- a/packages/nutmegproxy-scheduling/src/OverdueSteps.ts
+++ b/packages/nutmegproxy-scheduling/src/OverdueSteps.ts
@@ -64,18 +64,16 @@
 }
 
 /**
- * Whether nothing of a job runs after a failure, or between tasks of backfill, although the turn of its step came at
- * the given instant or before.
+ * Whether nothing of a job runs since a start or an end some time ago, although the turn of its step came at the given
+ * instant or before.
  */
 function isIdle(step: StepState, turnBefore: number, now: Instant): boolean {
-  const {doneAt, failedAt, job, readyAt = Infinity, shape, waiting} = step;
-  const hasEnds = failedAt.size > 0 || (shape.fillsSpareCpu && doneAt !== undefined);
+  const {doneAt = -Infinity, job, readyAt = Infinity, shape, waiting} = step;
   return (
     readyAt <= turnBefore &&
-    hasEnds &&
     waiting.size > 0 &&
     !shape.longRunning &&
-    findWaitStart(step) + RETRY_WAIT_MS <= now &&
+    Math.max(doneAt, findWaitStart(step)) + RETRY_WAIT_MS <= now &&
     !job.hasLiveRuns
   );
 }
@@ -103,9 +101,9 @@
 }
 
 /**
- * Returns those of the steps whose turn came `maxWaitMs` ago and of which tasks have failed since, or backfill is done,
- * while nothing of their jobs runs, in the same order and without those that are overdue: a wait that began anew with
- * each end would have no end, as callers see it.
+ * Returns those of the steps whose turn came `maxWaitMs` ago and of which tasks have started or ended since, while
+ * nothing of their jobs runs, in the same order and without those that are overdue: a wait that began anew with each
+ * start or end would have no end, as callers see it.
  */
 export function findIdleSteps(
   fleet: Fleet,
--- a/packages/nutmegproxy-scheduling/src/StartPermissions.ts
+++ b/packages/nutmegproxy-scheduling/src/StartPermissions.ts
@@ -73,7 +73,7 @@
     const failures = step.failures.get(index)?.length ?? 0;
     return (
       failures >= MAX_QUICK_FAILURES ||
-      mayBeCause(step, index, minion) ||
+      (step.failedOn.size > 0 && mayBeCause(step, index, minion)) ||
       (isAvoided && step.failedOn.size < 2)
     );
   }
