--- a/packages/nutmegproxy-scheduling/src/OverdueSteps.ts
+++ b/packages/nutmegproxy-scheduling/src/OverdueSteps.ts
@@ -64,13 +64,14 @@
 }
 
 /**
- * Whether nothing of a job runs since a start or an end some time ago, although the turn of its step came at the given
- * instant or before.
+ * Whether nothing of a job runs since a turn, a start or an end some time ago, although the first turn in the occurrence
+ * of its step came at the given instant or before.
  */
 function isIdle(step: StepState, turnBefore: number, now: Instant): boolean {
-  const {doneAt = -Infinity, job, readyAt = Infinity, shape, waiting} = step;
+  const {doneAt = -Infinity, job, shape, waiting} = step;
+  const siblings = job.occurrence(step.occurrence) ?? [];
   return (
-    readyAt <= turnBefore &&
+    siblings.some(({readyAt = Infinity}) => readyAt <= turnBefore) &&
     waiting.size > 0 &&
     !shape.longRunning &&
     Math.max(doneAt, findWaitStart(step)) + RETRY_WAIT_MS <= now &&
@@ -101,9 +102,9 @@
 }
 
 /**
- * Returns those of the steps whose turn came `maxWaitMs` ago and of which tasks have started or ended since, while
- * nothing of their jobs runs, in the same order and without those that are overdue: a wait that began anew with each
- * start or end would have no end, as callers see it.
+ * Returns those of the steps in whose occurrence the first turn came `maxWaitMs` ago and of which turns came or tasks
+ * started or ended since, while nothing of their jobs runs, in the same order and without those that are overdue: a wait
+ * that began anew with each of these would have no end, as callers see it.
  */
 export function findIdleSteps(
   fleet: Fleet,
--- a/packages/nutmegproxy-scheduling/src/__tests__/unit/SoundJobWaits.test.ts
+++ b/packages/nutmegproxy-scheduling/src/__tests__/unit/SoundJobWaits.test.ts
@@ -105,7 +105,7 @@
 });
 
 describe('A later step of a job that has never failed', () => {
-  // Guards against waits for trust that begin anew with each step (KNOWN-RED later-steps-wait-for-trust).
+  // Guards against waits for trust that begin anew with each step.
   it('starts where no minion is trusted, when nothing of its job has run for 2 s', () => {
     const sample = new SampleFleet(2, [queue('proofs')]);
     sample.plan(0);
