One copy of the failing lasting job of the wait tests; idle steps are told from live runs first

SoundJobWaits had the job of BoundedWaits under another name; WaitSamples has it now, checks are unchanged. The same conditions in another order, none of which changes anything.

--- a/packages/nutmegproxy-scheduling/src/OverdueSteps.ts
+++ b/packages/nutmegproxy-scheduling/src/OverdueSteps.ts
@@ -71,11 +71,11 @@
   const {doneAt = -Infinity, job, shape, waiting} = step;
   const siblings = job.occurrence(step.occurrence) ?? [];
   return (
-    siblings.some(({readyAt = Infinity}) => readyAt <= turnBefore) &&
-    waiting.size > 0 &&
+    !job.hasLiveRuns &&
     !shape.longRunning &&
-    Math.max(doneAt, findWaitStart(step)) + RETRY_WAIT_MS <= now &&
-    !job.hasLiveRuns
+    waiting.size > 0 &&
+    siblings.some(({readyAt = Infinity}) => readyAt <= turnBefore) &&
+    Math.max(doneAt, findWaitStart(step)) + RETRY_WAIT_MS <= now
   );
 }
 
--- a/packages/nutmegproxy-scheduling/src/__tests__/unit/BoundedWaits.test.ts
+++ b/packages/nutmegproxy-scheduling/src/__tests__/unit/BoundedWaits.test.ts
@@ -7,6 +7,7 @@
 import type {DrawnJob, DrawnPlay} from './WaitSamples.ts';
 
 import {measureWaits} from './WaitPlay.ts';
+import {FAILING_LASTING} from './WaitSamples.ts';
 
 /** Time after the traffic from which each job with free room has to run something, as the users specify. */
 const FINISH_MS = 14_000;
@@ -59,14 +60,6 @@
   }),
 });
 
-const FAILING_LASTING: DrawnJob = {
-  acceptedAtMs: 0,
-  attempts: 2,
-  change: {count: 2, longRunning: true},
-  failsAfterMs: 0,
-  runMs: 100,
-};
-
 describe('A job with free room', () => {
   for (const [kind, job] of Object.entries({
     'a gang': {change: {count: 2, gang: true, maxPerMinion: 1}, failsAfterMs: undefined},
--- a/packages/nutmegproxy-scheduling/src/__tests__/unit/SoundJobWaits.test.ts
+++ b/packages/nutmegproxy-scheduling/src/__tests__/unit/SoundJobWaits.test.ts
@@ -9,6 +9,7 @@
 import {failTwice, findMinion} from './ExclusionSamples.ts';
 import {at, queue, SampleFleet, shape, wallAt} from './Samples.ts';
 import {measureWaits} from './WaitPlay.ts';
+import {FAILING_LASTING} from './WaitSamples.ts';
 
 /** Time for which nothing of a job runs beside free room until it is lost, as the users specify. */
 const LOST_MS = 3_000;
@@ -18,21 +19,13 @@
 /** Time without a run after which a job goes to minions that are not trusted. */
 const IDLE_MS = 2_000;
 
-const RIVAL: DrawnJob = {
-  acceptedAtMs: 0,
-  attempts: 2,
-  change: {count: 2, longRunning: true},
-  failsAfterMs: 0,
-  runMs: 100,
-};
-
 /** Returns how long the job is without a run beside lasting jobs that fail in each trial. */
 function measureLate(
   rivals: number,
   job: Pick<DrawnJob, 'acceptedAtMs' | 'change' | 'runMs'>,
 ): number {
   const sound: DrawnJob = {...job, attempts: 4, failsAfterMs: undefined};
-  const jobs = [...Array.from({length: rivals}, () => RIVAL), sound];
+  const jobs = [...Array.from({length: rivals}, () => FAILING_LASTING), sound];
   const waits = measureWaits({faults: [], jobs, minions: 4, takeovers: []}, PLAY_MS);
   return waits.find(({job: number}) => number === rivals)?.lateMs ?? 0;
 }
--- a/packages/nutmegproxy-scheduling/src/__tests__/unit/WaitSamples.ts
+++ b/packages/nutmegproxy-scheduling/src/__tests__/unit/WaitSamples.ts
@@ -107,3 +107,12 @@
     }
   }
 }
+
+/** A lasting job whose tasks fail at once, so that it takes each trial of a minion. */
+export const FAILING_LASTING: DrawnJob = {
+  acceptedAtMs: 0,
+  attempts: 2,
+  change: {count: 2, longRunning: true},
+  failsAfterMs: 0,
+  runMs: 100,
+};
