--- a/packages/nutmegproxy-scheduling/src/MinionState.ts
+++ b/packages/nutmegproxy-scheduling/src/MinionState.ts
@@ -50,6 +50,16 @@
   return shape.longRunning ? 'serving' : 'ordinary';
 }
 
+/** Whether backfill runs on a minion, also backfill that is being stopped. */
+export function hasBackfill({runs}: Pick<MinionState, 'runs'>): boolean {
+  for (const {step} of runs) {
+    if (step.shape.fillsSpareCpu) {
+      return true;
+    }
+  }
+  return false;
+}
+
 export class MinionState {
   readonly leaseClock: LeaseClock;
   description: MinionDescription;
--- a/packages/nutmegproxy-scheduling/src/SchedulingEvents.ts
+++ b/packages/nutmegproxy-scheduling/src/SchedulingEvents.ts
@@ -61,6 +61,11 @@
     level: 'info',
     text: 'Runs of a minion that this owner did not start were adopted.',
   },
+  SERVING_NEAR_TARGET: {
+    code: 8028,
+    level: 'info',
+    text: 'A serving task is near or over its target beside backfill: since when, and what is let work there.',
+  },
   TASK_CRASHED_MINION: {
     code: 8015,
     level: 'warn',
--- a/packages/nutmegproxy-scheduling/src/SharingPolicy.ts
+++ b/packages/nutmegproxy-scheduling/src/SharingPolicy.ts
@@ -13,7 +13,9 @@
 import type {EvictionBounds} from './EvictionTimes.ts';
 import type {Fleet} from './Fleet.ts';
 import type {MinionState} from './MinionState.ts';
+import type {Tolerance} from './ToleratedBackfill.ts';
 
+import {BackfillExposure} from './BackfillExposure.ts';
 import {computeEvictAllDelay} from './EvictionTimes.ts';
 import {INTERFERENCE_COST} from './Placement.ts';
 import {ServingOutlook} from './ServingOutlook.ts';
@@ -59,13 +61,25 @@
   readonly waitsSince: Instant;
 }
 
+/** A minion with backfill beside tail latencies that are near or over their targets. */
+export interface ExposedMinion {
+  /** The serving run that exceeds its target the most. */
+  readonly affected: Run;
+  readonly backfill: readonly (Tolerance & {readonly run: Run})[];
+  readonly firstReportAt: Instant;
+  /** Report that showed it first. */
+  readonly nearSince: Instant;
+  /** Since when it may be so; -Infinity where no report of the minion has shown anything else. */
+  readonly since: number;
+}
+
 export class SharingPolicy {
   readonly model = new TailLatencyModel();
   readonly #estimator: DurationEstimator;
   readonly #evictAllAfterMs: number;
   readonly #lastEvictedAt = new WeakMap<MinionState, Instant>();
   #lastBackfill: BackfillDescription | undefined;
-  readonly #nearTargetSince = new WeakMap<MinionState, Instant>();
+  readonly #exposure = new BackfillExposure();
   readonly #outlook = new ServingOutlook(this.model);
   readonly #tolerated: ToleratedBackfill;
 
@@ -137,7 +151,24 @@
 
   /** Whether a tail latency on the minion is near or over its target; it is then polled often. */
   isNearTarget(minion: MinionState): boolean {
-    return this.#nearTargetSince.has(minion);
+    return this.#exposure.findNearSince(minion) !== undefined;
+  }
+
+  /** Returns what is known of backfill beside tail latencies near or over their targets; undefined without any. */
+  describeExposure(minion: MinionState): ExposedMinion | undefined {
+    const affected = findMostAffectedRun(minion);
+    const firstReportAt = this.#exposure.findFirstReport(minion);
+    const nearSince = this.#exposure.findNearSince(minion);
+    if (affected === undefined || firstReportAt === undefined || nearSince === undefined) {
+      return undefined;
+    }
+    const backfill = [...minion.runs]
+      .filter(({step}) => step.shape.fillsSpareCpu)
+      .map((run) => ({...this.#tolerated.describe(run), run}));
+    const since = this.#exposure.findSince(minion) ?? nearSince;
+    return backfill.length === 0
+      ? undefined
+      : {affected, backfill, firstReportAt, nearSince, since};
   }
 
   /**
@@ -146,13 +177,12 @@
    */
   evictInterferingRuns(fleet: Fleet, minion: MinionState, now: Instant): void {
     const affected = findMostAffectedRun(minion);
+    this.#exposure.review(minion, affected !== undefined, now);
     this.#tolerated.review(minion, affected !== undefined, now);
-    if (affected === undefined) {
-      this.#nearTargetSince.delete(minion);
+    const since = this.#exposure.findNearSince(minion);
+    if (affected === undefined || since === undefined) {
       return;
     }
-    const since = this.#nearTargetSince.get(minion) ?? now;
-    this.#nearTargetSince.set(minion, since);
     const evictable = [...minion.runs].filter(
       (run) => run.step.shape.fillsSpareCpu && !this.#tolerated.isTolerated(fleet, run, since, now),
     );
--- a/packages/nutmegproxy-scheduling/src/ToleratedBackfill.ts
+++ b/packages/nutmegproxy-scheduling/src/ToleratedBackfill.ts
@@ -18,6 +18,7 @@
 import type {MinionState} from './MinionState.ts';
 
 import {computeEvictAllDelay} from './EvictionTimes.ts';
+import {hasBackfill} from './MinionState.ts';
 
 /** Longest time in milliseconds without backfill before a minion gets its next turn; a report shows it by then. */
 const PAUSE_MS = 1_000;
@@ -35,10 +36,6 @@
 /** Progress from which a run that would not end in time is worth its turn, as the load may fall meanwhile. */
 const WORTHWHILE_PERCENT = 35;
 
-function hasBackfill({runs}: MinionState): boolean {
-  return [...runs].some(({step}) => step.shape.fillsSpareCpu);
-}
-
 function isOverTarget({reading = 0, step}: Run): boolean {
   const {tailTargetMs = Infinity} = step.shape;
   return reading >= tailTargetMs;
@@ -52,6 +49,12 @@
     : now + (workedMs * (FULL_PERCENT - percent)) / percent;
 }
 
+/** Whether a run is in a turn, and since when the tasks beside it were last over their targets without it. */
+export interface Tolerance {
+  readonly harmlessAt: Instant | undefined;
+  readonly toleratedSince: Instant | undefined;
+}
+
 export class ToleratedBackfill {
   /** When a report last came from each minion that had backfill. */
   readonly #backfillAt = new WeakMap<MinionState, Instant>();
@@ -120,6 +123,11 @@
     }
   }
 
+  /** Returns why a run may work beside tasks that are near or over their targets. */
+  describe(run: Run): Tolerance {
+    return {harmlessAt: this.#harmlessAt.get(run), toleratedSince: run.toleratedSince};
+  }
+
   /** Called for each report of a minion. */
   review(minion: MinionState, isNearTarget: boolean, now: Instant): void {
     if (hasBackfill(minion)) {
--- a/packages/nutmegproxy-scheduling/src/index.ts
+++ b/packages/nutmegproxy-scheduling/src/index.ts
@@ -61,6 +61,7 @@
 export {describeJobs, describeRun, findNamedJobs} from './RunFields.ts';
 export {RunProgressMonitor} from './RunProgressMonitor.ts';
 export {SCHEDULING_EVENTS} from './SchedulingEvents.ts';
+export {ServingLatencyLog} from './ServingLatencyLog.ts';
 export {SharingPolicy} from './SharingPolicy.ts';
 export {countDeferrable, isDeferrable} from './StartBudget.ts';
 export type {AdviceLookup} from './StartPermissions.ts';
