--- a/packages/nutmegproxy-emulator/src/FleetSimulation.ts
+++ b/packages/nutmegproxy-emulator/src/FleetSimulation.ts
@@ -173,6 +173,9 @@
     this.#result.rounds += 1;
     const {throttle} = this.#options;
     const wall = this.#nowMs as WallTime;
+    for (const minion of this.fleet.minions.values()) {
+      this.#sharing.evictExpiredRuns(this.fleet, minion, this.#now);
+    }
     const lastStart = this.fleet.plannedStarts + (throttle?.getRoom(this.#now) ?? Infinity);
     const starts = planStarts(this.fleet, {
       advice: {isPermitted: () => undefined},
--- a/packages/nutmegproxy-owner/src/Owner.ts
+++ b/packages/nutmegproxy-owner/src/Owner.ts
@@ -315,6 +315,7 @@
     }
     for (const minion of fleet.minions.values()) {
       evacuateMinion(fleet, minion, this.#estimator, bounds, now);
+      this.#sharing.evictExpiredRuns(fleet, minion, now);
     }
     const isTimeUp = createTimeLimit(clock, MAX_PLACEMENT_MS);
     const lastStart = fleet.plannedStarts + this.#startLimiter.takeRoom();
--- a/packages/nutmegproxy-scheduling/src/BackfillExposure.ts
+++ b/packages/nutmegproxy-scheduling/src/BackfillExposure.ts
@@ -1,6 +1,7 @@
 /**
- * Tracks since when backfill may have kept serving tasks of a minion over their targets. The tail latencies of a report
- * say nothing of the time since the former report, nor, to an owner that has just taken over, of the time before it.
+ * Tracks since when backfill may have kept serving tasks of a minion over their targets. What a report shows may have
+ * been so since the former report, and to an owner that has just taken over, for any time. Backfill that follows other
+ * backfill closely continues its time, since tail latencies do not fall in between.
  */
 
 import type {Instant} from '@nutmegproxy/core';
@@ -9,20 +10,42 @@
 
 import {hasBackfill} from './MinionState.ts';
 
+/** Time in milliseconds without backfill after which a report shows nothing of it. */
+const CLEAR_REPORT_MS = 800;
+
 /** What the reports of a minion have shown. */
 interface Reports {
+  /** Start of the backfill that has worked since without a pause; -Infinity when it is not known, undefined without any. */
+  backfillSince: number | undefined;
   /** Report that showed no tail latency near its target last; -Infinity before one has. */
   belowAt: number;
+  /** Report since which reports have shown no backfill; Infinity while they show some. */
+  clearSince: number;
   readonly firstAt: Instant;
   /** Report that showed first that a tail latency is near its target; undefined while none is. */
-  nearAt: Instant | undefined;
+  nearSince: Instant | undefined;
+}
+
+/** Returns when the earliest of the backfill on a minion started; -Infinity if a former owner started it. */
+function findEarliestStart({runs}: MinionState): number {
+  const starts = [...runs]
+    .filter(({step}) => step.shape.fillsSpareCpu)
+    .map(({isAdopted, sentAt}) => (isAdopted === true ? -Infinity : sentAt));
+  return Math.min(...starts);
+}
+
+/** Returns since when backfill has worked on a minion that has some, without a pause in which tail latencies fall. */
+function findBackfillSince(minion: MinionState, {backfillSince, clearSince}: Reports): number {
+  const startedAt = findEarliestStart(minion);
+  const hasPaused = startedAt - clearSince >= CLEAR_REPORT_MS;
+  return hasPaused ? startedAt : (backfillSince ?? startedAt);
 }
 
 /**
  * @example
  * const exposure = new BackfillExposure();
  * exposure.review(minion, true, now);
- * exposure.findSince(minion); // -Infinity, as nothing is known of the time before
+ * exposure.findSince(minion); // -Infinity if it has backfill, as nothing is known of the time before
  */
 export class BackfillExposure {
   readonly #reports = new WeakMap<MinionState, Reports>();
@@ -30,13 +53,24 @@
   /** Called for each report of a minion, with whether it shows a tail latency near or over its target. */
   review(minion: MinionState, isNearTarget: boolean, now: Instant): void {
     const reports = this.#reports.get(minion) ?? {
+      backfillSince: hasBackfill(minion) ? findEarliestStart(minion) : -Infinity,
       belowAt: -Infinity,
+      clearSince: Infinity,
       firstAt: now,
-      nearAt: undefined,
+      nearSince: undefined,
     };
     this.#reports.set(minion, reports);
-    reports.nearAt = isNearTarget ? (reports.nearAt ?? now) : undefined;
+    reports.nearSince = isNearTarget ? (reports.nearSince ?? now) : undefined;
     reports.belowAt = isNearTarget ? reports.belowAt : now;
+    if (hasBackfill(minion)) {
+      reports.backfillSince = findBackfillSince(minion, reports);
+      reports.clearSince = Infinity;
+      return;
+    }
+    reports.clearSince = Math.min(reports.clearSince, now);
+    if (this.isClear(minion, now)) {
+      reports.backfillSince = undefined;
+    }
   }
 
   /** Returns when this owner got the first report of a minion; undefined before. */
@@ -46,7 +80,7 @@
 
   /** Returns since when reports show a tail latency near its target; undefined while none is. */
   findNearSince(minion: MinionState): Instant | undefined {
-    return this.#reports.get(minion)?.nearAt;
+    return this.#reports.get(minion)?.nearSince;
   }
 
   /**
@@ -55,6 +89,19 @@
    */
   findSince(minion: MinionState): number | undefined {
     const reports = this.#reports.get(minion);
-    return reports?.nearAt === undefined || !hasBackfill(minion) ? undefined : reports.belowAt;
+    if (reports?.nearSince === undefined || !hasBackfill(minion)) {
+      return undefined;
+    }
+    return Math.max(reports.belowAt, findBackfillSince(minion, reports));
+  }
+
+  /** Returns for how long in milliseconds reports have shown no backfill; negative while they show some. */
+  computeClearMs(minion: MinionState, now: Instant): number {
+    return now - (this.#reports.get(minion)?.clearSince ?? Infinity);
+  }
+
+  /** Whether the last report of a minion shows nothing of former backfill, and none has started since. */
+  isClear(minion: MinionState, now: Instant): boolean {
+    return this.computeClearMs(minion, now) >= CLEAR_REPORT_MS && !hasBackfill(minion);
   }
 }
--- a/packages/nutmegproxy-scheduling/src/EvictionTimes.ts
+++ b/packages/nutmegproxy-scheduling/src/EvictionTimes.ts
@@ -6,6 +6,8 @@
 const MAX_EVICT_ALL_AFTER_MS = 1_500;
 /** Time in milliseconds that the age of a report, a poll and the calls of a stop take. */
 const EVICTION_CALLS_MS = 1_600;
+/** Time in milliseconds that the age of a report and the calls of a stop take. */
+const REPORT_AND_STOP_CALLS_MS = 800;
 
 export type EvictionBounds = Pick<PlatformBounds, 'maxExceededTargetMs' | 'stopTimeoutMs'>;
 
@@ -19,3 +21,14 @@
 export function computeEvictAllDelay({maxExceededTargetMs, stopTimeoutMs}: EvictionBounds): number {
   return Math.min(MAX_EVICT_ALL_AFTER_MS, maxExceededTargetMs - EVICTION_CALLS_MS - stopTimeoutMs);
 }
+
+/**
+ * Returns the longest time in milliseconds for which a tail latency may have been over its target, as far as reports tell,
+ * before all backfill of the minion is stopped; negative where the time that the platform allows can't be met.
+ *
+ * @example
+ * computeMaxExposure({maxExceededTargetMs: 4_000, stopTimeoutMs: 900}); // 2_300
+ */
+export function computeMaxExposure({maxExceededTargetMs, stopTimeoutMs}: EvictionBounds): number {
+  return maxExceededTargetMs - REPORT_AND_STOP_CALLS_MS - stopTimeoutMs;
+}
--- a/packages/nutmegproxy-scheduling/src/SharingPolicy.ts
+++ b/packages/nutmegproxy-scheduling/src/SharingPolicy.ts
@@ -16,7 +16,7 @@
 import type {Tolerance} from './ToleratedBackfill.ts';
 
 import {BackfillExposure} from './BackfillExposure.ts';
-import {computeEvictAllDelay} from './EvictionTimes.ts';
+import {computeEvictAllDelay, computeMaxExposure} from './EvictionTimes.ts';
 import {INTERFERENCE_COST} from './Placement.ts';
 import {ServingOutlook} from './ServingOutlook.ts';
 import {TailLatencyModel, toReferenceCores} from './TailLatencyModel.ts';
@@ -77,6 +77,7 @@
   readonly model = new TailLatencyModel();
   readonly #estimator: DurationEstimator;
   readonly #evictAllAfterMs: number;
+  readonly #maxExposureMs: number;
   readonly #lastEvictedAt = new WeakMap<MinionState, Instant>();
   #lastBackfill: BackfillDescription | undefined;
   readonly #exposure = new BackfillExposure();
@@ -86,7 +87,8 @@
   constructor(estimator: DurationEstimator, bounds: EvictionBounds) {
     this.#estimator = estimator;
     this.#evictAllAfterMs = computeEvictAllDelay(bounds);
-    this.#tolerated = new ToleratedBackfill(bounds);
+    this.#maxExposureMs = computeMaxExposure(bounds);
+    this.#tolerated = new ToleratedBackfill(bounds, this.#exposure);
   }
 
   /**
@@ -97,6 +99,9 @@
     if (minion.servingRuns === 0) {
       return 0;
     }
+    if (this.isNearTarget(minion)) {
+      return undefined;
+    }
     const {utilizationLimit} = this.#describeBackfill(step, now);
     const worst = this.#computeWorstShare(minion, step, utilizationLimit, now);
     return worst === undefined ? undefined : worst * UTILIZATION_COST;
@@ -172,24 +177,22 @@
   }
 
   /**
-   * Stops backfill runs on a minion with a tail latency near or over its target: one at a time,
-   * starting with the run that interferes most, and all of them when this lasts too long.
+   * Stops backfill runs on a minion that has reported a tail latency near or over its target: one at a time, starting with
+   * the run that interferes most, and all of them when this lasts too long.
    */
   evictInterferingRuns(fleet: Fleet, minion: MinionState, now: Instant): void {
     const affected = findMostAffectedRun(minion);
     this.#exposure.review(minion, affected !== undefined, now);
-    this.#tolerated.review(minion, affected !== undefined, now);
-    const since = this.#exposure.findNearSince(minion);
-    if (affected === undefined || since === undefined) {
+    this.#tolerated.review(minion, now);
+    if (affected === undefined) {
       return;
     }
     const evictable = [...minion.runs].filter(
-      (run) => run.step.shape.fillsSpareCpu && !this.#tolerated.isTolerated(fleet, run, since, now),
+      (run) => run.step.shape.fillsSpareCpu && !this.#tolerated.isTolerated(fleet, run, now),
     );
-    if (now - since >= this.#evictAllAfterMs) {
+    if (this.#isTimeUp(minion, now)) {
       for (const run of evictable) {
-        fleet.stopRun(run, 'interference');
-        this.#tolerated.endTurn(minion, run, now);
+        this.#evict(fleet, run, now);
       }
       return;
     }
@@ -199,9 +202,35 @@
       : this.#findWorstInterferingRun(minion, evictable, affected);
     if (interfering !== undefined) {
       this.#lastEvictedAt.set(minion, now);
-      fleet.stopRun(interfering, 'interference');
-      this.#tolerated.endTurn(minion, interfering, now);
+      this.#evict(fleet, interfering, now);
+    }
+  }
+
+  /** Stops the backfill whose time beside tail latencies near or over their targets is up before the next report. */
+  evictExpiredRuns(fleet: Fleet, minion: MinionState, now: Instant): void {
+    if (!this.#isTimeUp(minion, now)) {
+      return;
     }
+    for (const run of minion.runs) {
+      if (run.step.shape.fillsSpareCpu && !this.#tolerated.isInTurn(run, now)) {
+        this.#evict(fleet, run, now);
+      }
+    }
+  }
+
+  #evict(fleet: Fleet, run: Run, now: Instant): void {
+    if (run.phase === 'stopping') {
+      return;
+    }
+    fleet.stopRun(run, 'interference');
+    this.#tolerated.endTurn(run, now);
+  }
+
+  /** Whether all backfill that is in no turn has to be stopped, as a tail latency has been near its target for long. */
+  #isTimeUp(minion: MinionState, now: Instant): boolean {
+    const since = this.#exposure.findSince(minion) ?? now;
+    const shownSince = Math.max(since, this.#exposure.findNearSince(minion) ?? now);
+    return now - shownSince >= this.#evictAllAfterMs || now - since >= this.#maxExposureMs;
   }
 
   #computeWorstShare(
--- a/packages/nutmegproxy-scheduling/src/ToleratedBackfill.ts
+++ b/packages/nutmegproxy-scheduling/src/ToleratedBackfill.ts
@@ -2,10 +2,10 @@
  * Lets backfill that is overdue work for a time beside serving tasks that are over their targets. Two promises meet:
  * accepted work does not stay without a run, and backfill does not keep a tail latency over its target for longer than
  * the platform allows. Neither goes first: such backfill works in turns that are shorter than that time, with pauses
- * that are shorter than the time after which a job without a run is lost. A serving task that is over its target
- * without backfill too is not harmed by it in that sense, so that its turn lasts on. Work that saves nothing would do in
- * vain what it does in such a turn: it works to its end if its progress shows that this comes in time, and is stopped as
- * soon as it shows that it does not.
+ * that are shorter than the time after which a job without a run is lost. A turn is that of the minion, whatever works in it.
+ * A serving task that is over its target without backfill too is not harmed by it in that sense, so that its turn lasts
+ * on. Work that saves nothing would do in vain what it does in such a turn: it works to its end if its progress shows that
+ * this comes in time, and is stopped as soon as it shows that it does not.
  */
 
 import type {Instant} from '@nutmegproxy/core';
@@ -13,12 +13,12 @@
 
 import {after} from '@nutmegproxy/core';
 
+import type {BackfillExposure} from './BackfillExposure.ts';
 import type {EvictionBounds} from './EvictionTimes.ts';
 import type {Fleet} from './Fleet.ts';
 import type {MinionState} from './MinionState.ts';
 
 import {computeEvictAllDelay} from './EvictionTimes.ts';
-import {hasBackfill} from './MinionState.ts';
 
 /** Longest time in milliseconds without backfill before a minion gets its next turn; a report shows it by then. */
 const PAUSE_MS = 1_000;
@@ -28,10 +28,8 @@
 const MIN_PROGRESS_MS = 500;
 /** Longest time in milliseconds for which a tail latency may be over its target before a report shows it. */
 const REPORT_DELAY_MS = 800;
-/** Time in milliseconds until the next report of a minion with such a tail latency, which shows whether the run lags. */
-const REPORT_INTERVAL_MS = 300;
-/** Time in milliseconds after which a report covers no time from before the last one. */
-const CLEAR_REPORT_MS = REPORT_DELAY_MS + REPORT_INTERVAL_MS;
+/** Time in milliseconds that the calls of a stop add to it. */
+const STOP_CALLS_MS = 300;
 const FULL_PERCENT = 100;
 /** Progress from which a run that would not end in time is worth its turn, as the load may fall meanwhile. */
 const WORTHWHILE_PERCENT = 35;
@@ -56,22 +54,24 @@
 }
 
 export class ToleratedBackfill {
-  /** When a report last came from each minion that had backfill. */
-  readonly #backfillAt = new WeakMap<MinionState, Instant>();
-  /** Since when a review has shown minions without backfill that have had a turn; Infinity while they have backfill. */
-  readonly #clearSince = new WeakMap<MinionState, number>();
+  readonly #exposure: BackfillExposure;
   /** When the serving tasks beside a run were last over their targets without it. */
   readonly #harmlessAt = new WeakMap<Run, Instant>();
   /** Time in milliseconds in which a run has to end by itself that keeps tasks over their targets. */
   readonly #endMs: number;
+  /** Whether serving runs were over their targets when a report last showed them without backfill. */
+  readonly #overAlone = new WeakMap<Run, boolean>();
   /** Until when steps pause of which a run would not have ended in time. */
   readonly #pausedUntil = new WeakMap<StepState, Instant>();
   /** Time in milliseconds for which a run may work beside tasks that it keeps over their targets. */
   readonly #turnMs: number;
+  /** Until when runs may work beside tasks over their targets, as of the last reports of their minions. */
+  readonly #workUntil = new WeakMap<Run, number>();
 
-  constructor(bounds: EvictionBounds) {
+  constructor(bounds: EvictionBounds, exposure: BackfillExposure) {
+    this.#exposure = exposure;
     this.#turnMs = computeEvictAllDelay(bounds);
-    this.#endMs = bounds.maxExceededTargetMs - bounds.stopTimeoutMs - REPORT_INTERVAL_MS;
+    this.#endMs = bounds.maxExceededTargetMs - bounds.stopTimeoutMs - STOP_CALLS_MS;
   }
 
   /** Whether a minion may get overdue backfill: one run at a time, and beside tasks over their targets alone. */
@@ -79,8 +79,7 @@
     if (now < (this.#pausedUntil.get(step) ?? -Infinity)) {
       return false;
     }
-    const clearSince = this.#clearSince.get(minion);
-    if (clearSince !== undefined && now - clearSince < PAUSE_MS) {
+    if (isNearTarget && this.#exposure.computeClearMs(minion, now) < PAUSE_MS) {
       return false;
     }
     for (const {step, toleratedSince} of minion.runs) {
@@ -91,34 +90,26 @@
     return true;
   }
 
-  /** Returns whether a run may work on beside tasks that are near or over their targets. */
-  isTolerated(fleet: Fleet, run: Run, nearTargetSince: Instant, now: Instant): boolean {
-    const {toleratedSince} = run;
+  /** Returns whether a run may work on beside tasks that a report shows near or over their targets. */
+  isTolerated(fleet: Fleet, run: Run, now: Instant): boolean {
     const minion = fleet.minions.get(run.minion);
-    if (toleratedSince === undefined || minion === undefined) {
+    if (run.toleratedSince === undefined || minion === undefined) {
       return false;
     }
-    if (this.#areOverAlone(fleet, minion, now)) {
-      this.#harmlessAt.set(run, now);
-    }
-    const harmlessAt = this.#harmlessAt.get(run) ?? -Infinity;
-    const seenAt = Math.max(nearTargetSince, harmlessAt);
-    const endsAt = harmlessAt === now ? undefined : findEnd(run, now);
-    const isInTurn = now - Math.max(toleratedSince, seenAt) < this.#turnMs;
-    if (endsAt === undefined) {
-      return isInTurn;
-    }
-    const endsInTime = endsAt - Math.max(toleratedSince, seenAt - REPORT_DELAY_MS) <= this.#endMs;
-    return endsInTime || (isInTurn && run.percent >= WORTHWHILE_PERCENT);
+    const workUntil = this.#findWorkUntil(fleet, run, minion, now);
+    this.#workUntil.set(run, workUntil);
+    return now < workUntil;
   }
 
-  /** Records that a turn is over: the minion gets the next one once it has been without backfill. */
-  endTurn(minion: MinionState, run: Run, now: Instant): void {
-    if (run.toleratedSince === undefined) {
-      return;
-    }
-    this.#clearSince.set(minion, Infinity);
-    if (findEnd(run, now) !== undefined) {
+  /** Whether a run may work on until the next report of its minion. */
+  isInTurn(run: Run, now: Instant): boolean {
+    const {toleratedSince = -Infinity} = run;
+    return now < (this.#workUntil.get(run) ?? toleratedSince + this.#turnMs);
+  }
+
+  /** Records that a turn is over: a run that saves nothing and would not have ended gets the next one later. */
+  endTurn(run: Run, now: Instant): void {
+    if (run.toleratedSince !== undefined && findEnd(run, now) !== undefined) {
       this.#pausedUntil.set(run.step, after(now, HOPELESS_PAUSE_MS));
     }
   }
@@ -129,19 +120,31 @@
   }
 
   /** Called for each report of a minion. */
-  review(minion: MinionState, isNearTarget: boolean, now: Instant): void {
-    if (hasBackfill(minion)) {
-      this.#backfillAt.set(minion, now);
+  review(minion: MinionState, now: Instant): void {
+    if (this.#exposure.isClear(minion, now)) {
+      for (const run of minion.runs) {
+        this.#overAlone.set(run, isOverTarget(run));
+      }
     }
-    const clearSince = this.#clearSince.get(minion);
-    if (clearSince === undefined || hasBackfill(minion)) {
-      return;
+  }
+
+  #findWorkUntil(fleet: Fleet, run: Run, minion: MinionState, now: Instant): number {
+    if (this.#areOverAlone(fleet, minion, now)) {
+      this.#harmlessAt.set(run, now);
+      return now + this.#turnMs;
     }
-    if (isNearTarget) {
-      this.#clearSince.set(minion, Math.min(clearSince, now));
-    } else {
-      this.#clearSince.delete(minion);
+    const since = this.#exposure.findSince(minion) ?? now;
+    const harmlessAt = this.#harmlessAt.get(run) ?? -Infinity;
+    const turnUntil = Math.max(since, harmlessAt) + this.#turnMs;
+    const endsAt = findEnd(run, now);
+    if (endsAt === undefined) {
+      return turnUntil;
+    }
+    const endUntil = Math.max(since, harmlessAt - REPORT_DELAY_MS) + this.#endMs;
+    if (endsAt <= endUntil) {
+      return endUntil;
     }
+    return run.percent >= WORTHWHILE_PERCENT ? turnUntil : now;
   }
 
   /** Whether all tasks on the minion that are over their targets would be without backfill. */
@@ -150,17 +153,19 @@
     return over.length > 0 && over.every((run) => this.#isOverAlone(fleet, run, now));
   }
 
-  /** Whether a task of the same step, and so of the same load, is over its target without any backfill beside it. */
-  #isOverAlone(fleet: Fleet, {step}: Run, now: Instant): boolean {
-    return [...step.runs()].some((run) => {
-      const minion = fleet.minions.get(run.minion);
-      return minion !== undefined && isOverTarget(run) && this.#isClear(minion, now);
+  /**
+   * Whether a task is over its target without any backfill beside it: it was when its minion last had none, and so are
+   * now all tasks of its step, and so of its load, that have none. One alone may be on a slow minion.
+   */
+  #isOverAlone(fleet: Fleet, run: Run, now: Instant): boolean {
+    const clear = [...run.step.runs()].filter(({minion: id}) => {
+      const minion = fleet.minions.get(id);
+      return minion !== undefined && this.#exposure.isClear(minion, now);
     });
-  }
-
-  /** Whether the last report of a minion shows nothing of former backfill. */
-  #isClear(minion: MinionState, now: Instant): boolean {
-    const backfillAt = this.#backfillAt.get(minion) ?? -Infinity;
-    return !hasBackfill(minion) && now - backfillAt >= CLEAR_REPORT_MS;
+    return (
+      this.#overAlone.get(run) === true &&
+      clear.length > 0 &&
+      clear.every((other) => isOverTarget(other))
+    );
   }
 }
--- a/packages/nutmegproxy-scheduling/src/__tests__/unit/OverdueBackfill.test.ts
+++ b/packages/nutmegproxy-scheduling/src/__tests__/unit/OverdueBackfill.test.ts
@@ -13,7 +13,7 @@
 const FINISH_MS = 14_000;
 /** Time for which nothing of a job runs until it counts as lost, as the users specify. */
 const IDLE_MS = 3_000;
-const {maxExceededTargetMs} = DEFAULT_PLATFORM_BOUNDS;
+const {maxExceededTargetMs, stopTimeoutMs} = DEFAULT_PLATFORM_BOUNDS;
 /** Turns in which the work of `PLAY` is done; each is shorter, with its pause, than backfill may do harm on end. */
 const TURNS = 2;
 
@@ -38,6 +38,39 @@
   'with loads of their own': {sharesLoad: false},
 };
 
+/** What may lengthen the time for which backfill works beside tasks over their targets. */
+const TROUBLES: Readonly<Record<string, Partial<BackfillPlay>>> = {
+  'with a slow minion': {slowness: 1.4},
+  'with a slow minion and slow stops': {slowness: 1.4, stopMs: stopTimeoutMs},
+  'with late reports': {reportIntervalMs: 600},
+  'with late reports and slow stops': {reportIntervalMs: 600, stopMs: stopTimeoutMs},
+  'with one owner': {},
+  'with owners that follow one another each 3 s': {ownerMs: 3_000},
+  'with owners that follow one another each 7 s': {ownerMs: 7_000},
+  'with slow stops': {stopMs: stopTimeoutMs},
+};
+
+const LATENCIES = {load: [0.65, 0.72, 0.79], pressure: [0.1, 0.3, 0.8]};
+const WORK_MS = [300, 1_200, 2_700, 6_000];
+
+/** Plays of one to four minions, with and without checkpoints, of each length of work and load. */
+function* listPlays(jobs: readonly number[]): Generator<BackfillPlay> {
+  for (const checkpoints of [false, true]) {
+    for (const minions of [1, 2, 4]) {
+      for (const load of LATENCIES.load) {
+        for (const pressure of LATENCIES.pressure) {
+          for (const workMs of WORK_MS) {
+            for (const each of jobs) {
+              const {playMs} = PLAY;
+              yield {checkpoints, jobs: each, load: () => load, minions, playMs, pressure, workMs};
+            }
+          }
+        }
+      }
+    }
+  }
+}
+
 const share = (min: number, max: number): fc.Arbitrary<number> =>
   fc.double({max, min, noNaN: true});
 
@@ -152,4 +185,46 @@
       );
     });
   }
+
+  // Those that were stopped would come first again.
+  it('gets a turn for each job where there are many more jobs than minions', () => {
+    const {startedMs} = playBackfill({
+      ...PLAY,
+      checkpoints: false,
+      jobs: 40,
+      load: () => 0.75,
+      minions: 10,
+      workMs: 8_000,
+    });
+    assert.ok(Math.max(...startedMs) < PLAY.playMs, `started at ${startedMs.join()}`);
+  });
+
+  // Tail latencies are measured over half a second, so that a shorter gap between two runs ends nothing.
+  describe('keeps no serving task over its target for longer than the platform allows, short gaps included', () => {
+    for (const [name, trouble] of Object.entries(TROUBLES)) {
+      it(name, () => {
+        for (const play of listPlays([2, 8])) {
+          const {longestMeasuredHarmMs} = playBackfill({...play, ...trouble});
+          assert.ok(
+            longestMeasuredHarmMs < maxExceededTargetMs,
+            `${longestMeasuredHarmMs} ms: ${JSON.stringify({...play, ...trouble, load: play.load(0)})}`,
+          );
+        }
+      });
+    }
+  });
+
+  describe('does not stay without a run where there is a minion for each job', () => {
+    for (const [name, trouble] of Object.entries(TROUBLES).filter(([, {ownerMs}]) => !ownerMs)) {
+      it(name, () => {
+        for (const play of listPlays([1])) {
+          const {longestIdleMs} = playBackfill({...play, ...trouble, jobs: play.minions});
+          assert.ok(
+            longestIdleMs < IDLE_MS,
+            `${longestIdleMs} ms: ${JSON.stringify({...play, ...trouble, load: play.load(0)})}`,
+          );
+        }
+      });
+    }
+  });
 });
--- a/packages/nutmegproxy-scheduling/src/__tests__/unit/OverdueBackfillPlay.ts
+++ b/packages/nutmegproxy-scheduling/src/__tests__/unit/OverdueBackfillPlay.ts
@@ -15,6 +15,8 @@
 const REPORT_INTERVAL_MS = 300;
 /** Duration of a stop, in which its run works on. */
 const STOP_MS = 300;
+/** Time over which a tail latency is measured: a shorter gap between two runs of backfill does not end its harm. */
+const TAIL_WINDOW_MS = 500;
 const RESTORE_MS = 600;
 const TARGET_MS = 50;
 const IDLE_MS = 10;
@@ -29,11 +31,17 @@
   /** Load of the serving tasks, as a share of what they can serve; they are over their target from 0.8 on. */
   readonly load: (nowMs: number) => number;
   readonly minions: number;
+  /** Time between two owners, of which each knows only what minions report to it; by default there is one. */
+  readonly ownerMs?: number;
   readonly playMs: number;
   /** How much a backfill task adds to the utilization of a serving task beside it, as a share of it. */
   readonly pressure: number;
+  readonly reportIntervalMs?: number;
   /** Whether all serving tasks are of one step. */
   readonly sharesLoad?: boolean;
+  /** Load of the first minion's serving task relative to the others, as of a slow one. */
+  readonly slowness?: number;
+  readonly stopMs?: number;
   readonly workMs: number;
 }
 
@@ -46,6 +54,8 @@
   readonly longestHarmMs: number;
   /** Longest time on end for which nothing of a job ran, counted from when work may be lost. */
   readonly longestIdleMs: number;
+  /** The same where gaps that are shorter than the time over which a tail latency is measured do not end it. */
+  readonly longestMeasuredHarmMs: number;
   /** Most runs at once on a minion that were started as they were overdue. */
   readonly mostTolerated: number;
   /** Time in seconds, summed over serving tasks, that they were over their target. */
@@ -71,7 +81,9 @@
   readonly #harmMs = new Map<MinionState, number>();
   readonly #idleMs = new Map<JobState, number>();
   readonly #jobs: JobState[] = [];
-  readonly #policy: SharingPolicy;
+  readonly #gapMs = new Map<MinionState, number>();
+  readonly #measuredHarmMs = new Map<MinionState, number>();
+  #policy: SharingPolicy;
   readonly #sample = new SampleFleet(0);
   readonly #saved = new Map<JobState, number>();
   readonly #serving = new Map<MinionState, Run>();
@@ -83,6 +95,7 @@
     causedS: 0,
     longestHarmMs: 0,
     longestIdleMs: 0,
+    longestMeasuredHarmMs: 0,
     mostTolerated: 0,
     overTargetS: 0,
     starts: 0,
@@ -90,7 +103,7 @@
 
   constructor(drawn: BackfillPlay) {
     this.#drawn = drawn;
-    this.#policy = new SharingPolicy(this.#sample.estimator, DEFAULT_PLATFORM_BOUNDS);
+    this.#policy = this.#createPolicy();
     this.#addServing();
     for (let job = 0; job < drawn.jobs; job += 1) {
       const {checkpoints, workMs} = drawn;
@@ -103,12 +116,24 @@
   }
 
   play(): PlayedBackfill {
-    for (let now = 0; now <= this.#drawn.playMs; now += TICK_MS) {
+    const {
+      ownerMs = Infinity,
+      playMs,
+      reportIntervalMs = REPORT_INTERVAL_MS,
+      stopMs = STOP_MS,
+    } = this.#drawn;
+    for (let now = 0; now <= playMs; now += TICK_MS) {
+      if (now > 0 && now % ownerMs === 0) {
+        this.#takeOver(now);
+      }
       this.#work(now);
       this.#measure(now);
-      if (now % REPORT_INTERVAL_MS === 0) {
+      if (now % reportIntervalMs === 0) {
         this.#report(now);
       }
+      for (const minion of this.#serving.keys()) {
+        this.#policy.evictExpiredRuns(this.#sample.fleet, minion, at(now));
+      }
       for (const run of this.#sample.plan(now, this.#policy)) {
         this.#start(run, now);
       }
@@ -116,7 +141,7 @@
         for (const working of this.#working.values()) {
           const {run} = working;
           if (run.task.job === task.job && run.number === number) {
-            working.stopsAtMs = Math.min(working.stopsAtMs, now + STOP_MS);
+            working.stopsAtMs = Math.min(working.stopsAtMs, now + stopMs);
           }
         }
       }
@@ -128,6 +153,20 @@
     };
   }
 
+  #createPolicy(): SharingPolicy {
+    return new SharingPolicy(this.#sample.estimator, DEFAULT_PLATFORM_BOUNDS);
+  }
+
+  /** Replaces the owner: the next one does not know which runs are in a turn, and reads all reports before it starts any. */
+  #takeOver(now: number): void {
+    this.#policy = this.#createPolicy();
+    for (const run of this.#working.keys()) {
+      run.isAdopted = true;
+      delete run.toleratedSince;
+    }
+    this.#report(now);
+  }
+
   #addServing(): void {
     const {minions, sharesLoad = true} = this.#drawn;
     const serving = shape({
@@ -187,16 +226,19 @@
   }
 
   #measure(now: number): void {
-    const load = this.#drawn.load(now);
+    const {pressure, slowness = 1} = this.#drawn;
+    const [first] = this.#serving.keys();
     for (const minion of this.#serving.keys()) {
+      const load = this.#drawn.load(now) * (minion === first ? slowness : 1);
       const backfill = this.#countBackfill(minion);
       const tails = this.#tails.get(minion) ?? [];
-      const tailMs = toTailMs(load * (1 + this.#drawn.pressure * backfill));
+      const tailMs = toTailMs(load * (1 + pressure * backfill));
       this.#tails.set(minion, [...tails, tailMs]);
       const isOver = tailMs > TARGET_MS;
       const isCaused = isOver && toTailMs(load) <= TARGET_MS && backfill > 0;
       const harmMs = isCaused ? (this.#harmMs.get(minion) ?? 0) + TICK_MS : 0;
       this.#harmMs.set(minion, harmMs);
+      this.#measureInWindow(minion, {isCaused, isOverAlone: toTailMs(load) > TARGET_MS});
       this.#result.overTargetS += isOver ? TICK_MS / 1_000 : 0;
       this.#result.causedS += isCaused ? TICK_MS / 1_000 : 0;
       this.#result.longestHarmMs = Math.max(this.#result.longestHarmMs, harmMs);
@@ -211,6 +253,19 @@
     }
   }
 
+  #measureInWindow(
+    minion: MinionState,
+    {isCaused, isOverAlone}: {readonly isCaused: boolean; readonly isOverAlone: boolean},
+  ): void {
+    const gapMs = isCaused ? 0 : (this.#gapMs.get(minion) ?? 0) + TICK_MS;
+    this.#gapMs.set(minion, gapMs);
+    const formerMs = isOverAlone || gapMs >= TAIL_WINDOW_MS ? 0 : this.#measuredHarmMs.get(minion);
+    const harmMs = isCaused || (formerMs ?? 0) > 0 ? (formerMs ?? 0) + TICK_MS : 0;
+    this.#measuredHarmMs.set(minion, harmMs);
+    const longestMs = Math.max(this.#result.longestMeasuredHarmMs, harmMs - gapMs);
+    this.#result.longestMeasuredHarmMs = longestMs;
+  }
+
   #reportProgress(minion: MinionState): void {
     for (const {run, workedMs} of this.#working.values()) {
       if (run.minion === minion.id) {
--- a/packages/nutmegproxy-scheduling/src/__tests__/unit/ServingLatencyLog.test.ts
+++ b/packages/nutmegproxy-scheduling/src/__tests__/unit/ServingLatencyLog.test.ts
@@ -22,6 +22,7 @@
       }
       assert.equal(sample.lines.length, 1);
       const [line] = sample.lines;
+      assert.ok(line);
       assert.equal(line.minion, 'm1');
       assert.equal(line.sinceMs, 2_100);
       assert.equal(line.nearMs, 1_800);
@@ -33,7 +34,9 @@
     it('tells that nothing is known of the time before the first report', () => {
       const sample = new ServingSample(DEFAULT_PLATFORM_BOUNDS);
       const minion = sample.addServingMinion('m1');
-      sample.addBackfill(minion, 1, 0);
+      const [run] = sample.addBackfill(minion, 1, 0);
+      assert.ok(run);
+      run.isAdopted = true;
       sample.report(minion, 60, 0);
       assert.equal(sample.lines.length, 1);
       assert.equal(sample.lines[0]?.sinceMs, undefined);
--- a/packages/nutmegproxy-scheduling/src/__tests__/unit/SharingPolicy.test.ts
+++ b/packages/nutmegproxy-scheduling/src/__tests__/unit/SharingPolicy.test.ts
@@ -81,12 +81,22 @@
   }
 
   #observeOnce(minion: MinionState, utilization: number): void {
+    this.#read(minion, utilization);
+    this.policy.model.observe(minion, at(this.#now));
+    this.policy.evictInterferingRuns(this.sample.fleet, minion, at(this.#now));
+  }
+
+  #read(minion: MinionState, utilization: number): void {
     for (const run of minion.runs) {
       if (run.step.shape.longRunning) {
         run.reading = IDLE_MS / (1 - Math.min(0.98, utilization));
       }
     }
-    this.policy.model.observe(minion, at(this.#now));
+  }
+
+  /** A report that the model does not learn from. */
+  #report(minion: MinionState, utilization: number): void {
+    this.#read(minion, utilization);
     this.policy.evictInterferingRuns(this.sample.fleet, minion, at(this.#now));
   }
 
@@ -99,6 +109,7 @@
     this.observe(serving, 10, pressure);
     this.sample.fleet.finishRun(run, 'done', undefined, at(this.#now));
     this.sample.fleet.pendingStops.length = 0;
+    this.#report(serving, LOAD);
   }
 
   cost(minion: MinionState, step: Run['step'], waitedMs = 0): number | undefined {
