Overdue backfill takes turns in the order of its last starts

Seen: with many more overdue jobs than minions, those that were stopped came first again, so that some never got a turn (40 jobs of 8 s without checkpoints on 10 minions: 10 jobs without a start in 31 s).

The order of jobs does not change while they wait. Overdue backfill now starts in the order of its last starts, in the places of these steps among all others.

--- a/packages/nutmegproxy-scheduling/src/OverdueSteps.ts
+++ b/packages/nutmegproxy-scheduling/src/OverdueSteps.ts
@@ -137,6 +137,22 @@
     : undefined;
 }
 
+/**
+ * Returns the steps with some of them in the order of their last starts, in the places of these: backfill that works in
+ * turns is stopped and waits again, and those that come first otherwise would take each turn.
+ *
+ * @example
+ * orderByLastStart([ordinary, stopped, waiting], new Set([stopped, waiting])); // [ordinary, waiting, stopped]
+ */
+export function orderByLastStart(
+  ordered: readonly StepState[],
+  taken: ReadonlySet<StepState>,
+): readonly StepState[] {
+  const byLastStart = [...taken].sort(({placedAt: a = 0}, {placedAt: b = 0}) => a - b);
+  const next = byLastStart.values();
+  return ordered.map((step) => (taken.has(step) ? (next.next().value ?? step) : step));
+}
+
 /** Returns the minions that get no new work for no other reason than that their runs have failed or stalled. */
 export function listUntrustedMinions({minions}: Fleet, now: Instant): readonly MinionState[] {
   return [...minions.values()].filter((minion) => isOnlyUntrusted(minion, now));
--- a/packages/nutmegproxy-scheduling/src/StartPlanner.ts
+++ b/packages/nutmegproxy-scheduling/src/StartPlanner.ts
@@ -19,6 +19,7 @@
   findOverdueSteps,
   hasTaskWaitedSince,
   listUntrustedMinions,
+  orderByLastStart,
   tolerateInterference,
 } from './OverdueSteps.ts';
 import {deriveMaxWait} from './PendingBounds.ts';
@@ -93,7 +94,7 @@
       ),
     );
     this.#permissions.admitsFailedTrials = false;
-    let wasCut = this.#place(ordered);
+    let wasCut = this.#place(orderByLastStart(ordered, this.#overdueBackfill));
     this.#permissions.admitsFailedTrials = true;
     const failedTrials = ordered.filter(({hasFailedTrial}) => hasFailedTrial);
     if (!wasCut && failedTrials.length > 0 && this.#schedulable.hasOpenTrial(now)) {
