--- a/packages/nutmegproxy-scheduling/src/SharingPolicy.ts
+++ b/packages/nutmegproxy-scheduling/src/SharingPolicy.ts
@@ -16,6 +16,7 @@
 import type {Tolerance} from './ToleratedBackfill.ts';
 
 import {BackfillExposure} from './BackfillExposure.ts';
+import {isDisruptionExcluded} from './DisruptionBudget.ts';
 import {computeEvictAllDelay, computeMaxExposure} from './EvictionTimes.ts';
 import {INTERFERENCE_COST} from './Placement.ts';
 import {ServingOutlook} from './ServingOutlook.ts';
@@ -200,7 +201,7 @@
     const interfering = isPaused
       ? undefined
       : this.#findWorstInterferingRun(minion, evictable, affected);
-    if (interfering !== undefined) {
+    if (interfering !== undefined && !isDisruptionExcluded(interfering)) {
       this.#lastEvictedAt.set(minion, now);
       this.#evict(fleet, interfering, now);
     }
@@ -219,7 +220,7 @@
   }
 
   #evict(fleet: Fleet, run: Run, now: Instant): void {
-    if (run.phase === 'stopping') {
+    if (run.phase === 'stopping' || isDisruptionExcluded(run)) {
       return;
     }
     fleet.stopRun(run, 'interference');
--- a/packages/nutmegproxy-scheduling/src/__tests__/unit/ServingSamples.ts
+++ b/packages/nutmegproxy-scheduling/src/__tests__/unit/ServingSamples.ts
@@ -1,7 +1,7 @@
 /** Minions with serving tasks and backfill whose reports are given by the tests. */
 
 import type {EventFields} from '@nutmegproxy/core';
-import type {Run} from '@nutmegproxy/jobs';
+import type {Run, StepState} from '@nutmegproxy/jobs';
 
 import type {EvictionBounds} from '../../EvictionTimes.ts';
 import type {MinionState} from '../../MinionState.ts';
@@ -60,6 +60,25 @@
     });
   }
 
+  /** Adds a job of backfill that lasts. */
+  addLastingBackfill(count: number, disruptionBudget: number | undefined): StepState {
+    const job = this.#sample.addJob('proofs', [
+      shape({count, disruptionBudget, fillsSpareCpu: true, image: 'noisy', longRunning: true}),
+    ]);
+    const [step] = job.occurrence(0) ?? [];
+    if (step === undefined) {
+      throw new Error('the job has no step');
+    }
+    return step;
+  }
+
+  /** Starts a lasting task, which is at work at once. */
+  startLasting(step: StepState, index: number, minion: MinionState, now: number): Run {
+    const run = this.#sample.fleet.startRun(step, index, minion, at(now));
+    const phase = 'running' as const;
+    return Object.assign(run, {confirmedAt: at(now), percent: FULL_PERCENT, phase, reading: 1_000});
+  }
+
   /** Adds a minion with a serving task of a job of its own. */
   addServingMinion(name: string): MinionState {
     const minion = this.#sample.addMinion(name);
