A job keeps the attempts of a queue that is removed when no owner sees it go

Cause: how often a task may fail stood in the configuration alone. An owner that saw the queue go stored it with the jobs' progress (replaceQueues); where none did, the next one had neither the queue nor the record and took the default of 3. Ruled out: that the results were lost (all ends had been taken note of); storing it in the owner at the discovery of a job (a write for each job, and the owner may be killed before it). Change: the entry VM stores it with the accepted job (`queuePolicy`, an object, so that other settings of the queue can stand beside it). Fleet.resolveQueuePolicy takes, for a queue that is not configured: what an owner stored as the queue went, what the job was accepted with, the default (records of earlier versions). An owner that sees the queue go stores it only where that differs, so the removal of a route costs no write for most jobs any more. No store call is added. Why it works: the record of the job is read by each owner before it can start anything of it.

--- a/packages/nutmegproxy-entry/src/JobApi.ts
+++ b/packages/nutmegproxy-entry/src/JobApi.ts
@@ -168,6 +168,7 @@
       ...request,
       acceptedAt: clock.wall(),
       queue: route.id,
+      queuePolicy: {maxAttempts: route.maxAttempts},
       service: route.service,
     };
     const cell = await this.#chooseCell(job);
--- a/packages/nutmegproxy-entry/src/__tests__/unit/JobApi.test.ts
+++ b/packages/nutmegproxy-entry/src/__tests__/unit/JobApi.test.ts
@@ -3,7 +3,8 @@
 import type {StoreFailure} from '@nutmegproxy/store';
 
 import {brand, SILENT_EVENTS, SYSTEM_CLOCK} from '@nutmegproxy/core';
-import {formatJobKey} from '@nutmegproxy/jobs';
+import {decodeJob, formatJobKey, JobState} from '@nutmegproxy/jobs';
+import {Fleet} from '@nutmegproxy/scheduling';
 import {MemoryStore} from '@nutmegproxy/standins';
 import {getKey, put} from '@nutmegproxy/store';
 import {errAsync} from 'neverthrow';
@@ -17,6 +18,7 @@
 
 const UNAVAILABLE: StoreFailure = {kind: 'unavailable', message: 'down'};
 const ID = brand<JobId>('00000000000000a1');
+const OTHER_ID = brand<JobId>('00000000000000a2');
 const JOB: JobRequest = {id: ID, payload: '', recurrence: undefined, steps: []};
 
 describe('JobApi', () => {
@@ -54,6 +56,21 @@
       assert.equal(second?.modRevision, first?.modRevision);
     });
 
+    // Guards against attempts beyond those of a queue that is removed when no owner sees it go.
+    it('stores with a job how many attempts its queue allows', async () => {
+      for (const [maxAttempts, id] of [[2, ID] as const, [5, OTHER_ID] as const]) {
+        await api.submit({...ROUTE, maxAttempts}, {...JOB, id}, CALL);
+        const stored = (await getKey(store, formatJobKey(id, 'request')))._unsafeUnwrap();
+        assert.ok(stored);
+        const request = decodeJob(stored.value)._unsafeUnwrap();
+        const withoutQueues = new Fleet(SILENT_EVENTS);
+        const {maxAttempts: kept} = withoutQueues.resolveQueuePolicy(
+          new JobState(request, stored.createRevision),
+        );
+        assert.equal(kept, maxAttempts);
+      }
+    });
+
     it('refuses with not-run when the write can not have taken effect', async () => {
       store.faults.change({down: true});
       const refused = await api.submit(ROUTE, JOB, CALL);
--- a/packages/nutmegproxy-jobs/src/JobModel.ts
+++ b/packages/nutmegproxy-jobs/src/JobModel.ts
@@ -68,12 +68,20 @@
   readonly steps: readonly StepShape[];
 }
 
+/** Settings of a job's queue that hold for the job also once the queue is not configured any more. */
+export interface StoredQueuePolicy {
+  /** Number of failed runs of one task after which the job fails. */
+  readonly maxAttempts: number;
+}
+
 /** An accepted job as it is stored. */
 export interface StoredJob extends JobRequest {
   readonly acceptedAt: WallTime;
   /** Whether it is in another cell than its home, so that a place names the cell; otherwise absent. */
   readonly isPlaced?: true;
   readonly queue: QueueId;
+  /** As configured when the job was accepted; absent in records of earlier versions. */
+  readonly queuePolicy?: StoredQueuePolicy;
   /** Pool of minions that the queue used when the job was accepted. */
   readonly service: ServiceId;
 }
--- a/packages/nutmegproxy-jobs/src/JobProgress.ts
+++ b/packages/nutmegproxy-jobs/src/JobProgress.ts
@@ -24,7 +24,10 @@
    * records of earlier versions. A status tells only that a start was decided on.
    */
   readonly hasBegun?: boolean;
-  /** Attempts that the queue allowed when it was removed from the configuration; absent before. */
+  /**
+   * Attempts that the queue allowed when it was removed from the configuration; absent before, and where the stored
+   * job tells them.
+   */
   readonly maxAttempts?: number;
   readonly queue: QueueId;
   readonly status: JobStatus;
--- a/packages/nutmegproxy-jobs/src/JobState.ts
+++ b/packages/nutmegproxy-jobs/src/JobState.ts
@@ -33,7 +33,7 @@
   readonly hadStarted: boolean;
   /** Whether the former owner stored which tasks of long-running steps had begun. */
   readonly hadStoredBegun: boolean;
-  /** Attempts that its queue allowed when that was removed from the configuration; undefined before. */
+  /** Attempts that its queue allowed when that was removed, unless the request tells them; undefined before. */
   formerMaxAttempts: number | undefined;
   /** Whether starts of suspected tasks were stored for the job. */
   mayHaveTrials = false;
--- a/packages/nutmegproxy-jobs/src/index.ts
+++ b/packages/nutmegproxy-jobs/src/index.ts
@@ -31,6 +31,7 @@
   ServiceId,
   StepShape,
   StoredJob,
+  StoredQueuePolicy,
   TaskRef,
 } from './JobModel.ts';
 export {isFinal} from './JobProgress.ts';
--- a/packages/nutmegproxy-scheduling/src/Fleet.ts
+++ b/packages/nutmegproxy-scheduling/src/Fleet.ts
@@ -175,13 +175,16 @@
     this.#breakGang(step, number);
   }
 
+  /** Returns the settings of a job's queue; those that the job keeps where the queue is not configured. */
   resolveQueuePolicy(job: JobState): Omit<QueuePolicy, 'id'> {
+    const {queue, queuePolicy, service} = job.request;
+    const {maxAttempts} = queuePolicy ?? DEFAULT_QUEUE_POLICY;
     return (
-      this.queues.get(job.request.queue) ?? {
+      this.queues.get(queue) ?? {
         ...DEFAULT_QUEUE_POLICY,
         advice: undefined,
-        maxAttempts: job.formerMaxAttempts ?? DEFAULT_QUEUE_POLICY.maxAttempts,
-        service: job.request.service,
+        maxAttempts: job.formerMaxAttempts ?? maxAttempts,
+        service,
       }
     );
   }
--- a/packages/nutmegproxy-scheduling/src/QueueReplacement.ts
+++ b/packages/nutmegproxy-scheduling/src/QueueReplacement.ts
@@ -5,7 +5,8 @@
 
 /**
  * Replaces the queues. Open jobs of a queue that is removed keep the number of attempts that it allowed,
- * also under later owners: their failures so far were counted against it.
+ * also under later owners: their failures so far were counted against it. It is stored here only for jobs
+ * that don't keep it already, as earlier versions accepted them or the queue allowed another number then.
  *
  * @example
  * replaceQueues(fleet, configuration.queues);
@@ -19,7 +20,10 @@
   for (const job of fleet.jobs.open()) {
     const {queue} = job.request;
     const removed = fleet.queues.has(queue) ? undefined : former.get(queue);
-    if (removed !== undefined) {
+    if (
+      removed !== undefined &&
+      fleet.resolveQueuePolicy(job).maxAttempts !== removed.maxAttempts
+    ) {
       job.formerMaxAttempts = removed.maxAttempts;
       fleet.dirtyJobs.add(job);
     }
--- a/packages/nutmegproxy-scheduling/src/__tests__/unit/QueueReplacement.test.ts
+++ b/packages/nutmegproxy-scheduling/src/__tests__/unit/QueueReplacement.test.ts
@@ -1,7 +1,10 @@
+import type {StoredJob} from '@nutmegproxy/jobs';
+
 import {JobState} from '@nutmegproxy/jobs';
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
 
+import {DEFAULT_QUEUE_POLICY} from '../../QueuePolicy.ts';
 import {replaceQueues} from '../../QueueReplacement.ts';
 import {play} from './ExclusionSamples.ts';
 import {queue, SampleFleet, shape} from './Samples.ts';
@@ -43,3 +46,50 @@
     assert.equal(sample.fleet.resolveQueuePolicy(job).maxAttempts, 2);
   });
 });
+
+// Guards against a default number of attempts under an owner that never had the queue, as the owner before was killed
+// when the route was removed.
+describe('A job whose queue was removed before its owner took over', () => {
+  for (const maxAttempts of [2, 5]) {
+    it(`fails after the ${maxAttempts} attempts that were stored with it`, () => {
+      const sample = new SampleFleet(3, [queue('others')]);
+      const job = addStoredJob(sample, {queuePolicy: {maxAttempts}});
+      const starts = play(sample, 0, PLAYED_MS, () => 'failed').get(job) ?? [];
+      assert.equal(job.status, 'failed');
+      assert.equal(starts.length, maxAttempts);
+    });
+  }
+
+  it('needs no other record of their number', () => {
+    const sample = new SampleFleet(1, [queue('proofs', {maxAttempts: 5})]);
+    const job = addStoredJob(sample, {queuePolicy: {maxAttempts: 5}});
+    replaceQueues(sample.fleet, []);
+    assert.equal(sample.fleet.dirtyJobs.has(job), false);
+    assert.equal(job.exportProgress().maxAttempts, undefined);
+  });
+
+  it('keeps the number that its queue allowed last', () => {
+    const sample = new SampleFleet(1, [queue('proofs', {maxAttempts: 5})]);
+    const job = addStoredJob(sample, {queuePolicy: {maxAttempts: 2}});
+    replaceQueues(sample.fleet, []);
+    const next = new JobState(job.request, job.revision, job.exportProgress());
+    assert.equal(sample.fleet.resolveQueuePolicy(next).maxAttempts, 5);
+  });
+
+  it('gets the default where an earlier version accepted it', () => {
+    const sample = new SampleFleet(1, []);
+    const job = addStoredJob(sample, {});
+    assert.equal(
+      sample.fleet.resolveQueuePolicy(job).maxAttempts,
+      DEFAULT_QUEUE_POLICY.maxAttempts,
+    );
+  });
+});
+
+/** Adds a job of one task whose stored request has these fields besides. */
+function addStoredJob(sample: SampleFleet, change: Partial<StoredJob>): JobState {
+  const {request, revision} = sample.addJob('proofs', [shape()]);
+  const job = new JobState({...request, ...change}, revision);
+  sample.fleet.jobs.set(job.id, job);
+  return job;
+}
--- a/scripts/mutants.mjs
+++ b/scripts/mutants.mjs
@@ -45,7 +45,7 @@
     ],
   },
   {
-    edits: [['job.formerMaxAttempts ?? DEFAULT_QUEUE_POLICY', 'DEFAULT_QUEUE_POLICY']],
+    edits: [['job.formerMaxAttempts ?? maxAttempts', 'maxAttempts']],
     file: 'nutmegproxy-scheduling/src/Fleet.ts',
     invariant: 'attempts',
     name: 'jobs of a removed queue get the default number of attempts',
