A job whose cancellation was acknowledged is not stored by a submission that is still under way

Cause: a cancellation was stored only for a job that was stored already, and a submission was conditional on the keys of the request and the place alone. So nothing ordered the two. By unit tests the same holds for a submission that the store carries out late, and for a job that is stored between the read and the write of its cancellation. Ruled out: a bound on the age of what a VM reads after it stood still (it doesn't know when a request was sent, and the store's late calls remain); storing the late job as cancelled (the owner would have to read it, for an answer that nobody waits for). Change: the cancellation of a job that is not stored is stored at its home (`fleet/jobs/ID/cancel`, the key that exists), on the condition that request and place are absent; the submission is conditional on its absence too. The one that comes first is found by the other: a job stored meanwhile is cancelled (200), a cancelled one is not stored and its submission refused as not run (503), which is not forwarded, since each VM refuses it. The answer to the cancel stays 410, and 8228 is logged. The owner removes such marks after the retention time of ended jobs, in the same batches, and cancels a job that a VM of an earlier version stores beside one. Cost: a cancel of a job that is unknown or removed writes once (repeated ones only read) and a part of a removal; a submission of a job that is stored already reads the job's records once more, to tell it from a cancelled one. Left: a VM of an earlier version that stores a cancelled job in another cell than its home; marks are at the home of the present number of cells, as requests are. Checks changed: JobApiPlaces "makes the same calls to the store as before ..." names each call; it names the new condition and the one more read, as strictly, and is called "calls the store only for what is needed ...". JobWatcher and KeptJobs tests pass the marks. Tests, before: EarlyCancellation 12 of 18 (four in each of one cell, three cells, three with places: "is not stored by a submission that comes later", "... that the store carries out later", "is cancelled when it is stored while its cancellation looks for it", "is cancelled by one write ..."), JobWatcher "never run when they were cancelled ..., before they were stored" (2), KeptJobs "ends for cancellations without a job ..." (1).

--- a/packages/nutmegproxy-entry/src/EntryConstants.ts
+++ b/packages/nutmegproxy-entry/src/EntryConstants.ts
@@ -16,6 +16,8 @@
 export const STORE_RETRY_BUDGET_MS = 1_000;
 /** Delay in milliseconds between attempts of a call to the store. */
 export const STORE_RETRY_DELAY_MS = 80;
+/** Times that a cancellation looks for a job, which may be stored between the read and the write. */
+export const MAX_CANCEL_ATTEMPTS = 2;
 /** Maximum age in milliseconds of cached queue lengths. */
 export const QUEUE_LENGTH_CACHE_MS = 400;
 /** Maximum age in milliseconds of the forecasts by which the cells of new jobs are chosen. */
--- a/packages/nutmegproxy-entry/src/EntryEvents.ts
+++ b/packages/nutmegproxy-entry/src/EntryEvents.ts
@@ -22,6 +22,12 @@
     level: 'info',
     text: 'The cancellation of a job was recorded.',
   },
+  CANCELLED_EARLY: {
+    code: 8228,
+    isFrequent: true,
+    level: 'info',
+    text: 'A job that is not stored was cancelled; a submission of it that is under way stores nothing.',
+  },
   CELL_COUNT_MALFORMED: {
     code: 8224,
     level: 'error',
--- a/packages/nutmegproxy-entry/src/JobApi.ts
+++ b/packages/nutmegproxy-entry/src/JobApi.ts
@@ -2,30 +2,34 @@
 
 import type {Clock, EventSink, JobId, RequestId} from '@nutmegproxy/core';
 import type {CellIndex, JobRequest, JobStatus, QueueId, StoredJob} from '@nutmegproxy/jobs';
-import type {Operation, PlatformStore, StoreFailure, Transaction} from '@nutmegproxy/store';
+import type {PlatformStore, StoreFailure} from '@nutmegproxy/store';
 import type {Result} from 'neverthrow';
 
 import {delay} from '@nutmegproxy/core';
-import {encodePlace, encodeRecord, formatJobKey, formatPlaceKey} from '@nutmegproxy/jobs';
 import {err, ok} from 'neverthrow';
 
 import type {QueueRoute} from './Configuration.ts';
-import type {FleetDivision, StoreRetry} from './JobLookup.ts';
+import type {FleetDivision, FoundRequest, StoreRetry} from './JobLookup.ts';
+import type {JobHome} from './JobTransactions.ts';
 import type {StoreHealth} from './StoreHealth.ts';
 
 import {CellRouter} from './CellRouter.ts';
 import {
+  MAX_CANCEL_ATTEMPTS,
   QUEUE_LENGTH_CACHE_MS,
   STORE_RETRY_BUDGET_MS,
   STORE_RETRY_DELAY_MS,
 } from './EntryConstants.ts';
 import {ENTRY_EVENTS} from './EntryEvents.ts';
 import {JobLookup} from './JobLookup.ts';
+import {createCancellation, createEarlyCancellation, createSubmission} from './JobTransactions.ts';
 import {readQueueLengths} from './QueueLengthReader.ts';
 import {chooseRetryAfter} from './RetryAfter.ts';
 
 /** `not-run`: the call had and will have no effect. `unknown`: the call may have taken effect. */
 export interface Refusal {
+  /** Whether each VM would refuse the call, so that it need not be forwarded. */
+  readonly isByAll?: true;
   readonly kind: 'not-run' | 'unknown';
   readonly reason: string;
   readonly retryAfterMs: number;
@@ -68,35 +72,40 @@
     return this.#options.division?.() ?? UNDIVIDED;
   }
 
-  /** Requests the cancellation of a job; returns false when the queue has no such job. */
+  /**
+   * Cancels a job; returns false when the queue has no such job. A submission that is still under way does not store
+   * it after that.
+   */
   async cancel(route: QueueRoute, id: JobId, call: CallContext): Promise<Result<boolean, Refusal>> {
-    const {events} = this.#options;
-    const read = await this.#lookup.findRequest(id, this.#createRetry(call));
-    if (read.isErr()) {
-      return err(this.#refuseAfterFailure(call, read.error, {job: id, what: 'cancel'}));
-    }
-    const found = read.value;
-    if (found?.queue !== route.id) {
-      return ok(false);
-    }
-    if (!found.isCancelled) {
-      const key = formatJobKey(id, 'cancel', found.cell);
-      const written = await this.#retryStoreCall(call, () =>
-        this.#options.store.commit({
-          compare: [],
-          then: [{key, kind: 'put', value: Buffer.from(call.requestId)}],
-        }),
-      );
+    const {events, store} = this.#options;
+    const retry = this.#createRetry(call);
+    const fail = (failure: StoreFailure): Result<boolean, Refusal> =>
+      err(this.#refuseAfterFailure(call, failure, {job: id, what: 'cancel'}));
+    for (let attempt = 1; attempt <= MAX_CANCEL_ATTEMPTS; attempt += 1) {
+      const read = await this.#lookup.findRequest(id, retry);
+      if (read.isErr()) {
+        return fail(read.error);
+      }
+      const found = read.value;
+      if (typeof found === 'object') {
+        return found.queue === route.id ? this.#cancelStored(id, found, call) : ok(false);
+      }
+      if (found === 'cancelled-early') {
+        return ok(false);
+      }
+      const cancellation = createEarlyCancellation(id, this.#findHome(id), call.requestId);
+      const written = await retry(() => store.commit(cancellation));
       if (written.isErr()) {
-        return err(this.#refuseAfterFailure(call, written.error, {job: id, what: 'cancel'}));
+        return fail(written.error);
       }
+      const {revision, succeeded} = written.value;
+      if (succeeded) {
+        events.record(ENTRY_EVENTS.CANCELLED_EARLY, {job: id, request: call.requestId, revision});
+        return ok(false);
+      }
+      // The job has been stored since the read.
     }
-    events.record(ENTRY_EVENTS.CANCEL_ACCEPTED, {
-      job: id,
-      request: call.requestId,
-      revision: found.revision,
-    });
-    return ok(true);
+    return fail({kind: 'unknown', message: 'the job is being stored or removed'});
   }
 
   /**
@@ -122,10 +131,15 @@
   }
 
   /** Refuses a call without a call to the store, for instance because there is no configuration. */
-  refuse(call: CallContext, reason: string): Refusal {
+  refuse(
+    call: CallContext,
+    reason: string,
+    fields: Readonly<Record<string, string>> = {},
+  ): Refusal {
     const {events} = this.#options;
     const retryAfterMs = this.#chooseRetryAfter();
     events.record(ENTRY_EVENTS.CALL_REFUSED, {
+      ...fields,
       kind: 'not-run',
       reason,
       request: call.requestId,
@@ -172,18 +186,16 @@
       service: route.service,
     };
     const cell = await this.#chooseCell(job);
-    const transaction = this.#createSubmission(job, cell);
+    const transaction = createSubmission(job, cell, this.#findHome(job.id));
     const written = await this.#retryStoreCall(call, () => store.commit(transaction));
     if (written.isErr()) {
       return err(this.#refuseAfterFailure(call, written.error, {job: job.id, what: 'submit'}));
     }
     const {revision, succeeded} = written.value;
-    if (!succeeded && this.#division.hasPlaces) {
-      const place = await this.#lookup.readPlace(job.id, this.#createRetry(call));
-      if (place.isErr()) {
-        // It may have been accepted before.
-        const failure: StoreFailure = {...place.error, kind: 'unknown'};
-        return err(this.#refuseAfterFailure(call, failure, {job: job.id, what: 'submit'}));
+    if (!succeeded) {
+      const refusal = await this.#checkStored(job.id, call);
+      if (refusal !== undefined) {
+        return err(refusal);
       }
     }
     events.record(succeeded ? ENTRY_EVENTS.JOB_ACCEPTED : ENTRY_EVENTS.JOB_ALREADY_STORED, {
@@ -204,19 +216,40 @@
       : this.#lookup.findHome(job.id);
   }
 
-  /** Returns the transaction that stores a job in a cell, unless it is stored in any. */
-  #createSubmission(job: StoredJob, cell: CellIndex): Transaction {
-    const home = this.#lookup.findHome(job.id);
-    const key = formatJobKey(job.id, 'request', cell);
-    const homeKey = formatJobKey(job.id, 'request', home);
-    const placeKey = formatPlaceKey(job.id);
-    const stored = cell === home ? job : {...job, isPlaced: true as const};
-    const mustBeAbsent = this.#division.hasPlaces ? [homeKey, placeKey] : [homeKey];
-    const place: Operation = {key: placeKey, kind: 'put', value: encodePlace(cell)};
-    return {
-      compare: mustBeAbsent.map((each) => ({key: each, kind: 'modRevision', modRevision: 0})),
-      then: [{key, kind: 'put', value: encodeRecord(stored)}, ...(cell === home ? [] : [place])],
-    };
+  async #cancelStored(
+    id: JobId,
+    {cell, isCancelled, revision}: FoundRequest,
+    call: CallContext,
+  ): Promise<Result<boolean, Refusal>> {
+    const {events, store} = this.#options;
+    if (!isCancelled) {
+      const cancellation = createCancellation(id, cell, call.requestId);
+      const written = await this.#retryStoreCall(call, () => store.commit(cancellation));
+      if (written.isErr()) {
+        return err(this.#refuseAfterFailure(call, written.error, {job: id, what: 'cancel'}));
+      }
+    }
+    events.record(ENTRY_EVENTS.CANCEL_ACCEPTED, {job: id, request: call.requestId, revision});
+    return ok(true);
+  }
+
+  /** Returns why a job was not stored; undefined when it is stored already. */
+  async #checkStored(id: JobId, call: CallContext): Promise<Refusal | undefined> {
+    const read = await this.#lookup.findRequest(id, this.#createRetry(call));
+    if (read.isOk() && read.value === 'cancelled-early') {
+      const refusal = this.refuse(call, 'the job was cancelled before it was stored', {job: id});
+      return {...refusal, isByAll: true};
+    }
+    if (read.isOk() && read.value !== undefined) {
+      return undefined;
+    }
+    // It may have been accepted before.
+    const message = read.isErr() ? read.error.message : 'the job has been removed';
+    return this.#refuseAfterFailure(call, {kind: 'unknown', message}, {job: id, what: 'submit'});
+  }
+
+  #findHome(id: JobId): JobHome {
+    return {cell: this.#lookup.findHome(id), hasPlaces: this.#division.hasPlaces};
   }
 
   #createRetry(call: CallContext): StoreRetry {
--- a/packages/nutmegproxy-entry/src/JobLookup.ts
+++ b/packages/nutmegproxy-entry/src/JobLookup.ts
@@ -48,6 +48,9 @@
   readonly revision: number;
 }
 
+/** `cancelled-early`: there is no such job, and it was cancelled, so that none is stored any more. */
+export type RequestLookup = 'cancelled-early' | FoundRequest | undefined;
+
 export interface JobLookupOptions {
   readonly division: () => FleetDivision;
   readonly events: EventSink;
@@ -68,14 +71,13 @@
   }
 
   /** Returns a job's request; undefined when there is no such job. */
-  async findRequest(
-    id: JobId,
-    retry: StoreRetry,
-  ): Promise<Result<FoundRequest | undefined, StoreFailure>> {
+  async findRequest(id: JobId, retry: StoreRetry): Promise<Result<RequestLookup, StoreFailure>> {
     const found = await this.#readRequest(id, this.findHome(id), retry);
-    return found.isErr() || found.value !== undefined
-      ? found
-      : this.#findPlaced(id, retry, (cell) => this.#readRequest(id, cell, retry));
+    if (found.isErr() || typeof found.value === 'object') {
+      return found;
+    }
+    const placed = await this.#findPlaced(id, retry, (cell) => this.#readRequest(id, cell, retry));
+    return placed.map((request) => request ?? found.value);
   }
 
   /** Returns the state of a job; undefined when there is no such job. */
@@ -135,12 +137,15 @@
     id: JobId,
     cell: CellIndex,
     retry: StoreRetry,
-  ): Promise<Result<FoundRequest | undefined, StoreFailure>> {
+  ): Promise<Result<RequestLookup, StoreFailure>> {
     const {store} = this.#options;
     const read = await retry(() => getPrefix(store, formatJobPrefix(id, cell)));
     return read.map(({revision, values}) => {
-      const {isCancelled, queue} = decodeRecords(values);
-      return queue === undefined ? undefined : {cell, isCancelled, queue, revision};
+      const {hasRequest, isCancelled, queue} = decodeRecords(values);
+      if (queue !== undefined) {
+        return {cell, isCancelled, queue, revision};
+      }
+      return isCancelled && !hasRequest ? 'cancelled-early' : undefined;
     });
   }
 
@@ -162,13 +167,10 @@
     }
     // The owner has not written any progress yet.
     const request = await this.#readRequest(id, cell, retry);
-    return request.map(
-      (found) =>
-        found && {
-          queue: found.queue,
-          revision,
-          status: found.isCancelled ? 'cancelled' : 'queued',
-        },
+    return request.map((found) =>
+      typeof found === 'object'
+        ? {queue: found.queue, revision, status: found.isCancelled ? 'cancelled' : 'queued'}
+        : undefined,
     );
   }
 
--- a/packages/nutmegproxy-owner/src/JobWatcher.ts
+++ b/packages/nutmegproxy-owner/src/JobWatcher.ts
@@ -1,6 +1,6 @@
 /** Watches jobs, cancellations and the owner's key in the store. */
 
-import type {Clock, EventSink, WorkQueue} from '@nutmegproxy/core';
+import type {Clock, EventSink, JobId, WorkQueue} from '@nutmegproxy/core';
 import type {JobProgress, StoredJob} from '@nutmegproxy/jobs';
 import type {Fleet} from '@nutmegproxy/scheduling';
 import type {PlatformStore, StoredValue, StoreFailure, Watch, WatchEvent} from '@nutmegproxy/store';
@@ -20,6 +20,7 @@
 import {getPrefix} from '@nutmegproxy/store';
 import {err, ok} from 'neverthrow';
 
+import type {CancellationMarks} from './CancellationMarks.ts';
 import type {FleetOwnership} from './FleetOwnership.ts';
 
 import {STORE_RETRY_MS} from './OwnerConstants.ts';
@@ -29,6 +30,7 @@
   readonly clock: Clock;
   readonly events: EventSink;
   readonly fleet: Fleet;
+  readonly marks: CancellationMarks;
   readonly onChange: () => void;
   /** Called when the store shows that another VM owns the fleet. */
   readonly onFenced: () => void;
@@ -111,7 +113,7 @@
   }
 
   #applyEvent(event: WatchEvent): void {
-    const {fleet} = this.#options;
+    const {marks} = this.#options;
     const parsed = parseJobKey(findKey(event));
     if (parsed === undefined || event.kind !== 'put') {
       return;
@@ -121,11 +123,12 @@
       if (job !== undefined) {
         this.#recordDiscovery(job, event.stored.modRevision);
       }
-    } else if (parsed.part === 'cancel') {
-      const job = fleet.jobs.get(parsed.id);
-      if (job !== undefined) {
-        fleet.cancelJob(job);
+      if (marks.has(parsed.id)) {
+        // A VM of an earlier version stores a job although it was cancelled before.
+        this.#cancel(parsed.id);
       }
+    } else if (parsed.part === 'cancel') {
+      this.#cancel(parsed.id);
     }
   }
 
@@ -139,7 +142,7 @@
   }
 
   async #applySnapshot(values: readonly StoredValue[]): Promise<void> {
-    const {events, fleet, onFenced, ownership, work} = this.#options;
+    const {events, onFenced, ownership, work} = this.#options;
     const owner = values.find(({key}) => key === this.#ownerKey);
     if (owner?.modRevision !== ownership.token) {
       onFenced();
@@ -167,13 +170,24 @@
       events.record(OWNER_EVENTS.JOBS_READ, {...fields, fence: ownership.token});
     }
     for (const {parsed} of parts) {
-      const job = parsed?.part === 'cancel' ? fleet.jobs.get(parsed.id) : undefined;
-      if (job !== undefined) {
-        fleet.cancelJob(job);
+      if (parsed?.part === 'cancel') {
+        this.#cancel(parsed.id);
       }
     }
   }
 
+  /** Cancels a job, or remembers that it must not run if it is not stored. */
+  #cancel(id: JobId): void {
+    const {clock, fleet, marks} = this.#options;
+    const job = fleet.jobs.get(id);
+    if (job === undefined) {
+      marks.add(id, clock.monotonic());
+    } else {
+      marks.delete(id);
+      fleet.cancelJob(job);
+    }
+  }
+
   #decode<Value extends JobProgress | StoredJob>(
     stored: StoredValue,
     decode: (value: Buffer) => Result<Value, string>,
--- a/packages/nutmegproxy-owner/src/Owner.ts
+++ b/packages/nutmegproxy-owner/src/Owner.ts
@@ -30,6 +30,7 @@
 import type {RoundHold} from './RoundLog.ts';
 
 import {AdvicePrefetcher} from './AdvicePrefetcher.ts';
+import {CancellationMarks} from './CancellationMarks.ts';
 import {ClosingRecords} from './ClosingRecords.ts';
 import {JobWatcher} from './JobWatcher.ts';
 import {Journal} from './Journal.ts';
@@ -88,6 +89,7 @@
   #isWindingDown = false;
   readonly #learnedEstimates: LearnedEstimates;
   readonly #load = new OwnerLoad();
+  readonly #marks = new CancellationMarks();
   readonly #minions: MinionSessions;
   readonly #options: OwnerOptions;
   readonly #pollLimiters = {answering: new PollLimiter(), silent: new PollLimiter()};
@@ -129,7 +131,7 @@
     this.#retention = this.#createRetention();
     this.#queueLengths = new QueueLengthPublisher({...options, fleet});
     this.#advice = new AdvicePrefetcher({advice, bounds, clock, events, fleet, onChange});
-    this.#jobs = new JobWatcher({clock, events, fleet, onChange, onFenced, ownership, store, work});
+    this.#jobs = this.#createJobWatcher(onChange, onFenced);
     this.#minions = new MinionSessions({
       bounds,
       clock,
@@ -222,6 +224,17 @@
     this.#end(reason);
   }
 
+  #createJobWatcher(onChange: () => void, onFenced: () => void): JobWatcher {
+    return new JobWatcher({
+      ...this.#options,
+      fleet: this.#fleet,
+      marks: this.#marks,
+      onChange,
+      onFenced,
+      work: this.#work,
+    });
+  }
+
   #createLearnedEstimates(): LearnedEstimates {
     const {clock, events, ownership, store} = this.#options;
     return new LearnedEstimates({
@@ -241,6 +254,7 @@
       clock,
       events,
       fleet: this.#fleet,
+      marks: this.#marks,
       ownership,
       retentionMs,
       store,
--- a/packages/nutmegproxy-owner/src/Retention.ts
+++ b/packages/nutmegproxy-owner/src/Retention.ts
@@ -1,4 +1,7 @@
-/** Removes records of ended jobs after their retention time, to bound the store and the owner's memory. */
+/**
+ * Removes records of ended jobs, and of cancellations without a job, after their retention time, to bound the store and
+ * the owner's memory.
+ */
 
 import type {Clock, EventSink, Instant, JobId} from '@nutmegproxy/core';
 import type {Fleet} from '@nutmegproxy/scheduling';
@@ -7,6 +10,7 @@
 import {delay} from '@nutmegproxy/core';
 import {formatJobKey, formatPlaceKey, type JobPart, type JobState} from '@nutmegproxy/jobs';
 
+import type {CancellationMarks} from './CancellationMarks.ts';
 import type {FleetOwnership} from './FleetOwnership.ts';
 
 import {RETENTION_BATCH_KEYS, RETENTION_INTERVAL_MS} from './OwnerConstants.ts';
@@ -19,8 +23,9 @@
   readonly clock: Clock;
   readonly events: EventSink;
   readonly fleet: Fleet;
+  readonly marks: CancellationMarks;
   readonly ownership: FleetOwnership;
-  /** Time in milliseconds for which the records of an ended job are kept. */
+  /** Time in milliseconds for which the records of an ended job and cancellations without one are kept. */
   readonly retentionMs: number;
   readonly store: PlatformStore;
 }
@@ -42,18 +47,21 @@
     }
   }
 
-  /** Removes one batch of the jobs whose retention time has passed. */
+  /** Removes one batch of the jobs, and of the cancellations without one, whose retention time has passed. */
   async sweep(now: Instant): Promise<void> {
-    const {events, fleet, ownership, store} = this.#options;
+    const {events, fleet, marks, ownership, retentionMs, store} = this.#options;
     const expired = this.#chooseExpired(now);
-    if (expired.length === 0) {
+    const jobKeys = expired.flatMap((job) => this.#listKeys(job));
+    const expiredMarks = marks
+      .listOlderThan(retentionMs, now)
+      .slice(0, RETENTION_BATCH_KEYS - jobKeys.length);
+    const markKeys = expiredMarks.map((id) => formatJobKey(id, 'cancel', ownership.cell));
+    if (expired.length + expiredMarks.length === 0) {
       return;
     }
     const removed = await store.commit({
       compare: [createFencingCondition(ownership)],
-      then: expired.flatMap((job) =>
-        this.#listKeys(job).map((key) => ({key, kind: 'delete' as const})),
-      ),
+      then: [...jobKeys, ...markKeys].map((key) => ({key, kind: 'delete' as const})),
     });
     if (removed.isErr()) {
       const {kind, message} = removed.error;
@@ -64,7 +72,13 @@
       fleet.jobs.delete(id);
       this.#endedAt.delete(id);
     }
-    events.record(OWNER_EVENTS.JOBS_REMOVED, {jobs: expired.map(({id}) => id).join(' ')});
+    for (const id of expiredMarks) {
+      marks.delete(id);
+    }
+    events.record(OWNER_EVENTS.JOBS_REMOVED, {
+      jobs: expired.map(({id}) => id).join(' '),
+      ...(expiredMarks.length > 0 ? {cancellations: expiredMarks.join(' ')} : {}),
+    });
   }
 
   #chooseExpired(now: Instant): JobState[] {
