Queue lengths that no owner writes any more are not given to callers

Cause: an entry VM gave what stood in `state/waiting`, whatever its age. An owner wrote it only when a length changed, so its age could not be told from the record, and neither a gap without an owner nor an owner in recovery showed. Ruled out: the first publication of a new owner (the wrong answers came before it); a clock time in the record (wall clocks of two machines are not compared); the ownership's key beside the record (one more read each time, and an owner that can't write is believed). Change: the owner writes unchanged lengths again at each second publication (1.4 s) and says for how long they hold (`validMs`, 2.5 s). An entry VM counts that from when it knew of the write (RevisionLog, which its watches feed), and refuses a count without valid lengths of each cell at once: 503 with Retry-After of 0.5 to 1.5 s, not forwarded. Records of earlier versions have no `validMs` and are given as before. The outlook of a cell is written as often. Why it works: a write is known within 1.5 s and an answer shares a read for 0.4 s, so no length is older than 4.4 s; the rule allows 5 s. Cost: 0.7 writes a second and cell while no length changes. No further reads. Left in waiting-after-a-takeover: jobs that a former owner had decided to start count as begun until the minions have reported.

--- a/packages/nutmegproxy-entry/src/JobApi.ts
+++ b/packages/nutmegproxy-entry/src/JobApi.ts
@@ -2,6 +2,7 @@
 
 import type {Clock, EventSink, JobId, RequestId} from '@nutmegproxy/core';
 import type {CellIndex, JobRequest, JobStatus, QueueId, StoredJob} from '@nutmegproxy/jobs';
+import type {RevisionLog} from '@nutmegproxy/owner';
 import type {PlatformStore, StoreFailure} from '@nutmegproxy/store';
 import type {Result} from 'neverthrow';
 
@@ -16,14 +17,15 @@
 import {CellRouter} from './CellRouter.ts';
 import {
   MAX_CANCEL_ATTEMPTS,
-  QUEUE_LENGTH_CACHE_MS,
+  MIN_RETRY_AFTER_MS,
+  RETRY_AFTER_JITTER_MS,
   STORE_RETRY_BUDGET_MS,
   STORE_RETRY_DELAY_MS,
 } from './EntryConstants.ts';
 import {ENTRY_EVENTS} from './EntryEvents.ts';
 import {JobLookup} from './JobLookup.ts';
 import {createCancellation, createEarlyCancellation, createSubmission} from './JobTransactions.ts';
-import {readQueueLengths} from './QueueLengthReader.ts';
+import {QueueLengthCache} from './QueueLengthCache.ts';
 import {chooseRetryAfter} from './RetryAfter.ts';
 
 /** `not-run`: the call had and will have no effect. `unknown`: the call may have taken effect. */
@@ -43,6 +45,8 @@
   readonly health: StoreHealth;
   /** A number from 0 to 1. */
   readonly random: () => number;
+  /** When this VM knew which revisions of the store; default: it learns them as it reads queue lengths. */
+  readonly revisions?: RevisionLog;
   readonly store: PlatformStore;
 }
 
@@ -59,12 +63,13 @@
   readonly #lookup: JobLookup;
   readonly #options: JobApiOptions;
   readonly #router: CellRouter;
-  #queueLengths: {readAt: number; counts: Readonly<Record<string, number>>} | undefined;
+  readonly #queueLengths: QueueLengthCache;
 
   constructor(options: JobApiOptions) {
     this.#options = options;
     const division = (): FleetDivision => this.#division;
     this.#lookup = new JobLookup({...options, division});
+    this.#queueLengths = new QueueLengthCache({...options, division});
     this.#router = new CellRouter({...options, cells: () => this.#division.cells});
   }
 
@@ -109,25 +114,21 @@
   }
 
   /**
-   * Returns the number of accepted jobs of the queue that have not started. It is up to about two
-   * seconds old.
+   * Returns the number of accepted jobs of the queue that have not started, which may be some seconds old. Refuses at
+   * once while the owner does not say how many they are, as after a takeover: callers would hear too few.
    */
   async countQueued(queue: QueueId, call: CallContext): Promise<Result<number, Refusal>> {
-    const {clock, store} = this.#options;
-    const now = clock.monotonic();
-    if (
-      this.#queueLengths === undefined ||
-      now - this.#queueLengths.readAt > QUEUE_LENGTH_CACHE_MS
-    ) {
-      const read = await this.#retryStoreCall(call, () =>
-        readQueueLengths(store, this.#division.cells),
-      );
-      if (read.isErr()) {
-        return err(this.#refuseAfterFailure(call, read.error, {queue, what: 'count'}));
-      }
-      this.#queueLengths = {counts: read.value, readAt: now};
+    const fields = {queue, what: 'count'};
+    const read = await this.#queueLengths.read(this.#createRetry(call));
+    if (read.isErr()) {
+      return err(this.#refuseAfterFailure(call, read.error, fields));
     }
-    return ok(this.#queueLengths.counts[queue] ?? 0);
+    if (read.value === 'outdated') {
+      const retryAfterMs = MIN_RETRY_AFTER_MS + this.#options.random() * RETRY_AFTER_JITTER_MS;
+      const refusal = this.refuse(call, 'the queue lengths are outdated', fields, retryAfterMs);
+      return err({...refusal, isByAll: true});
+    }
+    return ok(read.value[queue] ?? 0);
   }
 
   /** Refuses a call without a call to the store, for instance because there is no configuration. */
@@ -135,9 +136,9 @@
     call: CallContext,
     reason: string,
     fields: Readonly<Record<string, string>> = {},
+    retryAfterMs = this.#chooseRetryAfter(),
   ): Refusal {
     const {events} = this.#options;
-    const retryAfterMs = this.#chooseRetryAfter();
     events.record(ENTRY_EVENTS.CALL_REFUSED, {
       ...fields,
       kind: 'not-run',
--- a/packages/nutmegproxy-entry/src/__tests__/unit/JobApiCells.test.ts
+++ b/packages/nutmegproxy-entry/src/__tests__/unit/JobApiCells.test.ts
@@ -91,10 +91,20 @@
       assert.equal((await createApi().countQueued(ROUTE.id, CALL))._unsafeUnwrap(), 4 * cells);
     });
 
-    it('counts nothing in a cell that has not published, nor in one that the fleet does not have', async () => {
-      await publishLengths(0, '{"counts":{"proofs":4}}');
-      await publishLengths(cells, '{"counts":{"proofs":4}}');
-      assert.equal((await createApi().countQueued(ROUTE.id, CALL))._unsafeUnwrap(), 4);
+    it('counts nothing in a cell that the fleet does not have', async () => {
+      for (let cell = 0; cell <= cells; cell += 1) {
+        await publishLengths(cell, '{"counts":{"proofs":4}}');
+      }
+      assert.equal((await createApi().countQueued(ROUTE.id, CALL))._unsafeUnwrap(), 4 * cells);
+    });
+
+    it('refuses to count while a cell has not published: nobody knows how many jobs wait there', async () => {
+      for (let cell = 0; cell < cells; cell += 1) {
+        const refused = await createApi().countQueued(ROUTE.id, CALL);
+        assert.equal(refused._unsafeUnwrapErr().kind, 'not-run');
+        await publishLengths(cell, '{"counts":{"proofs":4}}');
+      }
+      assert.ok((await createApi().countQueued(ROUTE.id, CALL)).isOk());
     });
 
     it('refuses to count while the lengths of a cell are malformed', async () => {
--- a/packages/nutmegproxy-owner/src/OwnerConstants.ts
+++ b/packages/nutmegproxy-owner/src/OwnerConstants.ts
@@ -75,8 +75,10 @@
 export const JOURNAL_BATCH_JOBS = 15;
 /** Pause between publications of the queue lengths; the lengths that callers get may be 2 s old. */
 export const QUEUE_LENGTHS_INTERVAL_MS = 700;
-/** Time after which the outlook of a cell is written again; several times within its longest age. */
-export const OUTLOOK_INTERVAL_MS = 2_000;
+/** Time after which unchanged lengths, and the outlook of a cell, are written again: at every second publication. */
+export const QUEUE_LENGTHS_REPEAT_MS = 1_300;
+/** Time from their write after which lengths are outdated: two publications and a call of a slow store. */
+export const QUEUE_LENGTHS_VALID_MS = 2_500;
 /** Most groups of minions in the outlook of a cell, some 80 bytes each. */
 export const MAX_ROOM_GROUPS = 16;
 /** Most labels in the outlook of a cell. */
--- a/packages/nutmegproxy-owner/src/QueueLengthPublisher.ts
+++ b/packages/nutmegproxy-owner/src/QueueLengthPublisher.ts
@@ -14,7 +14,11 @@
 import type {FleetOwnership} from './FleetOwnership.ts';
 
 import {summarizeRoom} from './CellRoomSummary.ts';
-import {OUTLOOK_INTERVAL_MS, QUEUE_LENGTHS_INTERVAL_MS} from './OwnerConstants.ts';
+import {
+  QUEUE_LENGTHS_INTERVAL_MS,
+  QUEUE_LENGTHS_REPEAT_MS,
+  QUEUE_LENGTHS_VALID_MS,
+} from './OwnerConstants.ts';
 import {OwnerRecord} from './OwnerRecord.ts';
 
 /** Key of the queue lengths of the first cell, which are stored as JSON. */
@@ -25,6 +29,11 @@
   readonly counts: Readonly<Record<string, number>>;
   /** Only where jobs are given places. */
   readonly outlook?: CellOutlook;
+  /**
+   * Time in milliseconds from the write after which they are outdated, as the owner that wrote them writes no more;
+   * absent in records of earlier versions, which were written only when changed.
+   */
+  readonly validMs?: number;
 }
 
 export interface QueueLengthPublisherOptions {
@@ -51,7 +60,7 @@
     this.#record = new OwnerRecord({...options, key});
   }
 
-  /** Publishes changed lengths while `isActing` returns true. */
+  /** Publishes the lengths while `isActing` returns true: when they have changed, and before they are outdated. */
   async run(isActing: () => boolean): Promise<void> {
     while (isActing()) {
       await this.#publish();
@@ -68,7 +77,7 @@
         counts[queue] = (counts[queue] ?? 0) + 1;
       }
     }
-    return {counts};
+    return {counts, validMs: QUEUE_LENGTHS_VALID_MS};
   }
 
   /**
@@ -88,8 +97,7 @@
     const lengths = this.#count();
     const text = JSON.stringify(lengths);
     const now = clock.monotonic();
-    const isOutlookDue = publishesOutlook && now - this.#publishedAt >= OUTLOOK_INTERVAL_MS;
-    if (text === this.#published && !isOutlookDue) {
+    if (text === this.#published && now - this.#publishedAt < QUEUE_LENGTHS_REPEAT_MS) {
       return;
     }
     const written = publishesOutlook
--- a/packages/nutmegproxy-owner/src/__tests__/unit/QueueLengths.test.ts
+++ b/packages/nutmegproxy-owner/src/__tests__/unit/QueueLengths.test.ts
@@ -13,7 +13,7 @@
 import type {QueueLengths} from '../../QueueLengthPublisher.ts';
 
 import {Journal} from '../../Journal.ts';
-import {OUTLOOK_INTERVAL_MS} from '../../OwnerConstants.ts';
+import {QUEUE_LENGTHS_REPEAT_MS, QUEUE_LENGTHS_VALID_MS} from '../../OwnerConstants.ts';
 import {QUEUE_LENGTHS_KEY, QueueLengthPublisher} from '../../QueueLengthPublisher.ts';
 import {adoptRecordedRuns} from '../../SilentRecords.ts';
 import {UnreportedMinions} from '../../UnreportedMinions.ts';
@@ -229,7 +229,11 @@
 
   describe('with the outlook of the cell', () => {
     /** Publishes some times and returns what was written. */
-    async function publishRounds(count: number, publishesOutlook: boolean): Promise<string[]> {
+    async function publishRounds(
+      count: number,
+      publishesOutlook: boolean,
+      intervalMs = QUEUE_LENGTHS_REPEAT_MS,
+    ): Promise<string[]> {
       const store = new MemoryStore();
       const ownership = await acquireOwnership(store);
       const written: string[] = [];
@@ -239,7 +243,6 @@
         written.push(...(value === undefined ? [] : [value.toString()]));
         return commit(transaction);
       };
-      // A round takes longer than the outlook is left as it is.
       let now = 0;
       const clock: Clock = {monotonic: () => now as Instant, wall: () => (1_000 + now) as WallTime};
       let rounds = 0;
@@ -252,7 +255,7 @@
         store,
       }).run(() => {
         rounds += 1;
-        now = rounds * OUTLOOK_INTERVAL_MS;
+        now = rounds * intervalMs;
         return rounds <= count;
       });
       return written;
@@ -264,7 +267,7 @@
       );
       assert.deepEqual(
         written.map(({outlook}) => outlook?.writtenAt),
-        [1, 2, 3].map((round) => 1_000 + round * OUTLOOK_INTERVAL_MS),
+        [1, 2, 3].map((round) => 1_000 + round * QUEUE_LENGTHS_REPEAT_MS),
       );
       for (const {counts, outlook} of written) {
         assert.deepEqual(counts, {proofs: 1});
@@ -272,8 +275,15 @@
       }
     });
 
-    it('are written as before in a fleet whose jobs have no places', async () => {
-      assert.deepEqual(await publishRounds(3, false), ['{"counts":{"proofs":1}}']);
+    it('are written without it in a fleet whose jobs have no places', async () => {
+      const text = `{"counts":{"proofs":1},"validMs":${QUEUE_LENGTHS_VALID_MS}}`;
+      assert.deepEqual(await publishRounds(3, false), [text, text, text]);
+    });
+
+    it('are left as they are until then, where they have not changed', async () => {
+      const intervalMs = QUEUE_LENGTHS_REPEAT_MS - 1;
+      assert.equal((await publishRounds(2, false, intervalMs)).length, 1);
+      assert.equal((await publishRounds(3, false, intervalMs)).length, 2);
     });
   });
 });
