--- a/scripts/mutants.mjs
+++ b/scripts/mutants.mjs
@@ -51,6 +51,34 @@
     name: 'jobs of a removed queue get the default number of attempts',
     tests: ['nutmegproxy-scheduling/src/__tests__/unit/QueueReplacement.test.ts'],
   },
+  {
+    edits: [['queuePolicy ?? DEFAULT_QUEUE_POLICY', 'DEFAULT_QUEUE_POLICY']],
+    file: 'nutmegproxy-scheduling/src/Fleet.ts',
+    invariant: 'attempts',
+    name: 'jobs get the default number of attempts where no owner saw their queue go',
+    tests: ['nutmegproxy-scheduling/src/__tests__/unit/QueueReplacement.test.ts'],
+  },
+  {
+    edits: [[', requireAbsent(formatMarkKey(job.id, home))', '']],
+    file: 'nutmegproxy-entry/src/JobTransactions.ts',
+    invariant: 'cancel',
+    name: 'a submission does not notice that its job was cancelled before',
+    tests: ['nutmegproxy-entry/src/__tests__/unit/EarlyCancellation.test.ts'],
+  },
+  {
+    edits: [['compare: requireNoJob(id, home),', 'compare: [],']],
+    file: 'nutmegproxy-entry/src/JobTransactions.ts',
+    invariant: 'cancel',
+    name: 'a cancellation does not notice that its job has just been stored',
+    tests: ['nutmegproxy-entry/src/__tests__/unit/EarlyCancellation.test.ts'],
+  },
+  {
+    edits: [['each.validMs ?? Infinity', 'Infinity']],
+    file: 'nutmegproxy-entry/src/QueueLengthReader.ts',
+    invariant: 'true answers',
+    name: 'queue lengths are given however old they are',
+    tests: ['nutmegproxy-entry/src/__tests__/unit/QueueLengthAge.test.ts'],
+  },
   {
     edits: [
       [
