--- a/packages/nutmegproxy-scheduling/src/SchedulingEvents.ts
+++ b/packages/nutmegproxy-scheduling/src/SchedulingEvents.ts
@@ -62,7 +62,7 @@
     text: 'Runs of a minion that this owner did not start were adopted.',
   },
   SERVING_NEAR_TARGET: {
-    code: 8028,
+    code: 8029,
     level: 'info',
     text: 'A serving task is near or over its target beside backfill: since when, and what is let work there.',
   },
