--- a/packages/nutmegproxy-emulator/src/__tests__/unit/CrashHarness.ts
+++ b/packages/nutmegproxy-emulator/src/__tests__/unit/CrashHarness.ts
@@ -54,6 +54,11 @@
     return this.events.filter((each) => each.kind === kind).length;
   }
 
+  /** Counts the crashes after which a task was found guilty. */
+  countGuiltyVerdicts(): number {
+    return this.events.filter(({fields}) => fields.verdict === 'guilty').length;
+  }
+
   /** Returns how often the most started task of a job was started. */
   countStarts(job: StoredJob): number {
     const counts = new Map<string, number>();
--- a/packages/nutmegproxy-scheduling/src/CrashRecorder.ts
+++ b/packages/nutmegproxy-scheduling/src/CrashRecorder.ts
@@ -17,7 +17,8 @@
   isSimultaneous,
   listJobs,
 } from './CrashAttribution.ts';
-import {judgeTask} from './CrashVerdict.ts';
+import {findCrashPause} from './CrashPauses.ts';
+import {judgeTask, listCrashes} from './CrashVerdict.ts';
 import {describeRun, describeRuns} from './RunFields.ts';
 import {SCHEDULING_EVENTS} from './SchedulingEvents.ts';
 
@@ -114,17 +115,29 @@
     return;
   }
   fleet.dirtyJobs.add(job);
-  const crashes = step.crashes.of(index);
+  const crashes = listCrashes(step, index);
+  const task = formatTaskName({index, job: job.id, occurrence: step.occurrence, step: step.number});
   fleet.events.record(SCHEDULING_EVENTS.TASK_CRASHED_MINION, {
     ageMs: crash.ageMs,
-    crashes: crashes.length,
+    crashes: step.crashes.of(index).length,
     evidence: crash.evidence,
     job: job.id,
     minion: crash.minion,
     run: crash.run,
-    task: formatTaskName({index, job: job.id, occurrence: step.occurrence, step: step.number}),
+    task,
     verdict: judgeTask(step, index),
   });
+  const {isRestrained, pauseMs} = findCrashPause(fleet, step, index, now);
+  if (isRestrained) {
+    fleet.events.record(SCHEDULING_EVENTS.TASK_RESTRAINED, {
+      crashes: crashes.length,
+      evidence: crashes.map(({evidence}) => evidence).join(' '),
+      job: job.id,
+      minions: crashes.map(({minion}) => minion).join(' '),
+      pauseMs,
+      task,
+    });
+  }
 }
 
 /**
@@ -246,6 +259,7 @@
       minion: minion.id,
       run: run.number,
     };
+    fleet.crashSuspects.set(taskCrash, recorded.length);
     recordTaskCrash(fleet, run.step, run.task.index, taskCrash, now);
   }
   resolveTrials(fleet, minion, now);
--- a/packages/nutmegproxy-scheduling/src/CrashVerdict.ts
+++ b/packages/nutmegproxy-scheduling/src/CrashVerdict.ts
@@ -1,13 +1,13 @@
-/** Judges a task by the crashes of minions under its runs. */
+/** Judges a task by the crashes of minions under its runs; the verdict decides how it starts again, not its job's state. */
 
 import type {Instant} from '@nutmegproxy/core';
 import type {StepState, TaskCrash} from '@nutmegproxy/jobs';
 
 import {FRESH_RUN_MS, MAX_TRIAL_MS} from './CrashAttribution.ts';
 
-/** Number of minions that have crashed under a task that is given up. */
+/** Number of minions that have crashed under a task that is found guilty. */
 const MIN_MINIONS = 2;
-/** Crashes under young runs after which a task is given up though other jobs ran beside it. */
+/** Crashes under young runs after which a task is found guilty though other jobs ran beside it. */
 const MAX_SHARED_CRASHES = 3;
 /** The same where machines may have failed each time. Each owner that is killed may leave one uncounted. */
 const MAX_CONFIRMED_CRASHES = 3;
@@ -23,7 +23,7 @@
 const TRIAL_AGE_RATIO = 1.5;
 
 /**
- * `clear`: starts like any other. `suspect`: its next start is a trial. `guilty`: it is given up.
+ * `clear`: starts like any other. `suspect`: its next start is a trial. `guilty`: a trial after a longer pause.
  */
 export type TaskVerdict = 'clear' | 'guilty' | 'suspect';
 
--- a/packages/nutmegproxy-scheduling/src/Fleet.ts
+++ b/packages/nutmegproxy-scheduling/src/Fleet.ts
@@ -9,6 +9,7 @@
   RunNumber,
   RunOutcome,
   StepState,
+  TaskCrash,
   TaskRef,
 } from '@nutmegproxy/jobs';
 
@@ -48,6 +49,8 @@
   readonly freeRoom = new FreeRoom();
   /** Recent crashes of minions. */
   readonly outages = new OutageLog();
+  /** Number of runs that may be to blame for each crash that this owner saw. */
+  readonly crashSuspects = new WeakMap<TaskCrash, number>();
   readonly startWaits = new StartWaitLog();
   /** Jobs of which planning has last withheld all tasks, since one is suspected of crashes. */
   suspectedJobs: ReadonlySet<JobState> = new Set();
--- a/packages/nutmegproxy-scheduling/src/OutageLog.ts
+++ b/packages/nutmegproxy-scheduling/src/OutageLog.ts
@@ -1,20 +1,37 @@
 /** Recent crashes of minions and the tasks that were blamed for them. */
 
-import type {JobId} from '@nutmegproxy/core';
-import type {Run} from '@nutmegproxy/jobs';
+import type {Instant, JobId} from '@nutmegproxy/core';
+import type {Run, StepState} from '@nutmegproxy/jobs';
 
 import type {MinionOutage} from './CrashAttribution.ts';
 
 import {isSimultaneous} from './CrashAttribution.ts';
+import {judgeTask} from './CrashVerdict.ts';
 
 /** Time in milliseconds for which a crash may still be seen to be one of several. */
 const KEPT_MS = 15_000;
+/** Time in milliseconds over which crashes are counted, and the least, as an owner has seen none before. */
+const RATE_SPAN_MS = 60_000;
+const MIN_RATE_SPAN_MS = 30_000;
 /**
  * Longest time between two crashes of a minion, as a multiple of the time for which a run was live, so
  * that the crash under the run is no surprise.
  */
 const MAX_SPACING_RATIO = 30;
 
+/** A task whose crashes may be due to chance. */
+export interface ExposedTask {
+  readonly index: number;
+  readonly step: StepState;
+}
+
+/** How often minions crash, in crashes for each millisecond. */
+export interface CrashRates {
+  /** Times at which one minion or several of the fleet crash. */
+  readonly perFleet: number;
+  readonly perMinion: number;
+}
+
 /** A run that was blamed for a crash. */
 export interface BlamedRun {
   /** Longest time in milliseconds for which the run may have been live before the crash. */
@@ -45,10 +62,13 @@
 }
 
 export class OutageLog {
+  #firstAt: Instant | undefined;
   #outages: readonly RecordedOutage[] = [];
 
   add(outage: RecordedOutage): void {
-    this.#outages = [...this.#outages.filter(({until}) => outage.until - until < KEPT_MS), outage];
+    this.#firstAt ??= outage.until;
+    const kept = this.#outages.filter(({until}) => outage.until - until < RATE_SPAN_MS);
+    this.#outages = [...kept, outage];
   }
 
   /** Returns the runs that are not to blame for a crash, since their minion crashed by itself before. */
@@ -64,8 +84,43 @@
   /** Returns the outages of other minions that may have been at the same time. */
   findSimultaneous(outage: Omit<MinionOutage, 'suspectJobs'>): readonly RecordedOutage[] {
     return this.#outages.filter(
-      (other) => other.minion !== outage.minion && isSimultaneous(other, outage),
+      (other) =>
+        other.minion !== outage.minion &&
+        outage.until - other.until < KEPT_MS &&
+        isSimultaneous(other, outage),
+    );
+  }
+
+  /**
+   * Returns how often minions crash without a young run of a task or its job. Crashes under trials tell of suspects
+   * rather than of machines. One crash more is counted than was seen, as more may follow.
+   */
+  measureRates({index, step}: ExposedTask, minions: number, now: Instant): CrashRates {
+    const recent = this.#outages.filter(({until}) => now - until < RATE_SPAN_MS);
+    const own = recent.filter(
+      ({blamed, hasTrial, suspectJobs}) =>
+        hasTrial ||
+        suspectJobs.has(step.job.id) ||
+        blamed.some(
+          ({run}) =>
+            (run.step === step && run.task.index === index) ||
+            judgeTask(run.step, run.task.index) === 'guilty',
+        ),
     );
+    const others = recent.filter((outage) => !own.includes(outage));
+    const apart = others
+      .filter((other) => !own.some((each) => isSimultaneous(each, other)))
+      .sort((a, b) => a.until - b.until);
+    const times = apart.filter((other, index) => {
+      const former = apart[index - 1];
+      return former === undefined || !isSimultaneous(former, other);
+    });
+    const watchedMs = now - (this.#firstAt ?? now);
+    const spanMs = Math.min(RATE_SPAN_MS, Math.max(MIN_RATE_SPAN_MS, watchedMs));
+    return {
+      perFleet: (times.length + 1) / spanMs,
+      perMinion: (others.length + 1) / spanMs / Math.max(1, minions),
+    };
   }
 
   #listFormer({address, until}: RecordedOutage): readonly RecordedOutage[] {
--- a/packages/nutmegproxy-scheduling/src/PendingBounds.ts
+++ b/packages/nutmegproxy-scheduling/src/PendingBounds.ts
@@ -122,7 +122,7 @@
   suspicion: {
     kind: 'policy',
     maxMs: () => SUSPICION_BOUND_MS,
-    since: 'the last crash under it',
+    since: 'the last crash under it, later where chance is no likely cause of its crashes',
   },
   trust: {
     kind: 'policy',
--- a/packages/nutmegproxy-scheduling/src/PendingDetails.ts
+++ b/packages/nutmegproxy-scheduling/src/PendingDetails.ts
@@ -8,6 +8,7 @@
   PendingTask,
 } from './PendingTaskReason.ts';
 
+import {findCrashPause} from './CrashPauses.ts';
 import {computeWaitedMs, listCrashes} from './CrashVerdict.ts';
 import {findLastAttemptWaitMs} from './LastAttempt.ts';
 import {findOverdueInMs} from './OverdueSteps.ts';
@@ -28,13 +29,17 @@
 }
 
 /**
- * Until when the suspicion against a task itself may withhold it; the other tasks of its job wait for the verdict. The time counts from when planning first considers a crash, so a review before that tells none.
+ * Until when the suspicion against a task itself may withhold it, unless it is restrained; the other tasks of its job wait for the verdict. The time counts from when planning first considers a crash, so a review before that tells none.
  */
 export function describeSuspicion(
   {index, step}: PendingTask,
-  {hold, now}: Pick<PendingContext, 'hold' | 'now'>,
+  {fleet, hold, now}: Pick<PendingContext, 'fleet' | 'hold' | 'now'>,
 ): PendingDetails {
-  return hold === undefined && listCrashes(step, index).length > 0
+  const isBounded =
+    hold === undefined &&
+    listCrashes(step, index).length > 0 &&
+    !findCrashPause(fleet, step, index, now).isRestrained;
+  return isBounded
     ? {untilMs: Math.max(0, SUSPICION_BOUND_MS - computeWaitedMs(step, index, now))}
     : {};
 }
--- a/packages/nutmegproxy-scheduling/src/SchedulingEvents.ts
+++ b/packages/nutmegproxy-scheduling/src/SchedulingEvents.ts
@@ -19,7 +19,7 @@
   JOB_FAILED: {
     code: 8002,
     level: 'warn',
-    text: 'A job failed: one of its tasks failed as often as its queue allows, or was given up.',
+    text: 'A job failed: one of its tasks failed as often as its queue allows.',
   },
   LONG_RUNNING_JOB_WAITING: {
     code: 8024,
@@ -66,10 +66,10 @@
     level: 'warn',
     text: 'A task is suspected of the crash of its minion, or may be if another one crashes.',
   },
-  TASK_GIVEN_UP: {
-    code: 8018,
+  TASK_RESTRAINED: {
+    code: 8028,
     level: 'error',
-    text: 'A task was given up because minions crash under it; its job fails.',
+    text: 'Minions crash under a task, hardly by chance: it starts only alone and after ever longer pauses.',
   },
   TASK_WITHHELD: {
     code: 8025,
--- a/packages/nutmegproxy-scheduling/src/TaskTrials.ts
+++ b/packages/nutmegproxy-scheduling/src/TaskTrials.ts
@@ -94,15 +94,18 @@
 
   run(ready: readonly StepState[]): void {
     const fleet = this.#fleet;
-    const {guilty, suspects} = collectSuspects(fleet, ready, this.#context);
-    for (const job of guilty) {
+    const {pausing, suspects} = collectSuspects(fleet, ready, this.#context);
+    for (const job of pausing) {
       this.held.add(job);
     }
-    const timely = suspects.filter(({isOverdue}) => !isOverdue);
+    const timely = suspects.filter(({isOverdue, isRestrained}) => !isOverdue && !isRestrained);
     const pace = computeTrialPace(timely, fleet.minions.size);
     for (const [job, each] of groupByJob(timely)) {
       this.#allowances.set(job, countNeededTrials(each));
     }
+    for (const {step} of suspects.filter(({isRestrained}) => isRestrained)) {
+      this.#allowances.set(step.job, this.#allowances.get(step.job) ?? 1);
+    }
     this.#countTrials();
     for (const suspect of suspects) {
       this.#consider(suspect, pace);
@@ -131,8 +134,12 @@
   }
 
   #consider(suspect: Suspect, pace: TrialPace): void {
-    const {index, isOverdue, pauseMs, step, waitedMs} = suspect;
+    const {index, isOverdue, isRestrained, pauseMs, step, waitedMs} = suspect;
     const {now} = this.#context;
+    if (isRestrained) {
+      this.#considerRestrained(suspect, pace);
+      return;
+    }
     const isEarly = waitedMs < MAX_TRIAL_WAIT_MS || this.held.has(step.job);
     if (isEarly && !isOverdue && !this.#mayBegin(suspect)) {
       this.#hold(suspect, step.shape.longRunning);
@@ -159,6 +166,23 @@
     this.#hold(suspect, needsNoTrial || step.shape.longRunning);
   }
 
+  /** Starts a restrained task, if it is its turn, and holds its job, of which a lasting one goes on without it. */
+  #considerRestrained(suspect: Suspect, pace: TrialPace): void {
+    const {index, isOverdue, step} = suspect;
+    const {now} = this.#context;
+    if (this.#mayBegin(suspect) && (isOverdue || this.#minions < pace.minions)) {
+      const able = this.#context.listMinions(step, index);
+      const apart = able.filter((minion) => isApartFromSuspects(step, index, minion, now));
+      const minion = isOverdue
+        ? chooseOverdueMinion(suspect, able, now)
+        : chooseTrialMinion(suspect, apart);
+      if (minion !== undefined) {
+        this.#start(suspect, minion);
+      }
+    }
+    this.#hold(suspect, step.shape.longRunning);
+  }
+
   /** Holds a suspect alone or its whole job. */
   #hold({index, step}: Suspect, isAlone: boolean): void {
     if (isAlone) {
@@ -230,7 +254,7 @@
   return groups;
 }
 
-/** Plans the trials of the steps that are ready, and gives up tasks that are found guilty. */
+/** Plans the trials of the steps that are ready. */
 export function planTrials(
   fleet: Fleet,
   ready: readonly StepState[],
--- a/packages/nutmegproxy-scheduling/src/TrialReview.ts
+++ b/packages/nutmegproxy-scheduling/src/TrialReview.ts
@@ -23,7 +23,7 @@
 export function watchSuspects({minions}: Fleet, runs: readonly Run[]): void {
   for (const run of runs) {
     const {step, task} = run;
-    if (!step.shape.gang && !step.crashes.isEmpty && judgeTask(step, task.index) === 'suspect') {
+    if (!step.shape.gang && !step.crashes.isEmpty && judgeTask(step, task.index) !== 'clear') {
       minions.get(run.minion)?.watchedRuns.add(run);
     }
   }
--- a/packages/nutmegproxy-scheduling/src/TrialSuspects.ts
+++ b/packages/nutmegproxy-scheduling/src/TrialSuspects.ts
@@ -1,31 +1,22 @@
 /** Finds the suspected tasks that wait, and chooses minions for their trials. */
 
 import type {Instant} from '@nutmegproxy/core';
-import type {JobState, StepState, TaskCrash} from '@nutmegproxy/jobs';
-
-import {formatTaskName} from '@nutmegproxy/jobs';
+import type {JobState, StepState} from '@nutmegproxy/jobs';
 
 import type {Fleet} from './Fleet.ts';
 import type {MinionState} from './MinionState.ts';
 import type {TrialCandidate} from './TrialPacing.ts';
 
-import {computeTrialMs, computeWaitedMs, judgeTask, listCrashes} from './CrashVerdict.ts';
-import {SCHEDULING_EVENTS} from './SchedulingEvents.ts';
+import {FRESH_RUN_MS} from './CrashAttribution.ts';
+import {findCrashPause} from './CrashPauses.ts';
+import {computeTrialMs, computeWaitedMs, judgeTask} from './CrashVerdict.ts';
 import {isOnProbation} from './SuspectSeparation.ts';
 import {MAX_TRIAL_DELAY_MS} from './TrialPacing.ts';
 
-/**
- * Shortest time in milliseconds after a crash in which other machines may turn out to have failed with
- * it, or its minion to crash without the task.
- */
-const VERDICT_PAUSE_MS = 2_500;
 /** Time in milliseconds for which a trial waits for a minion without runs. */
 const EMPTY_MINION_WAIT_MS = 700;
-/** Crashes under a task that is not given up, from which on its trials have pauses before them. */
-const MIN_PAUSED_CRASHES = 3;
-/** What each of these crashes adds to the pause, and the longest pause, in milliseconds. */
-const TRIAL_PAUSE_MS = 1_000;
-const MAX_TRIAL_PAUSE_MS = 3_000;
+/** Crashes of minions under a task from which on it is tried alone. */
+const MIN_SEPARATE_CRASHES = 3;
 
 export interface SuspectContext {
   /** Indexes of the tasks of a step that may start now. */
@@ -38,6 +29,8 @@
   readonly index: number;
   /** Whether it has waited for too long for a trial on a minion of its own. */
   readonly isOverdue: boolean;
+  /** Whether it starts only on trial and ever less often, as chance is no likely cause of its crashes. */
+  readonly isRestrained: boolean;
   /** Whether it may share the minion of its trial with suspects of other jobs. */
   readonly mayShareMinion: boolean;
   /** Time in milliseconds since the last crash after which its next trial is due. */
@@ -45,24 +38,17 @@
   readonly step: StepState;
 }
 
-/**
- * Returns how long a task waits before its next trial. Minions that fail by themselves are likely to do
- * so meanwhile, and a task that crashes them does it less often.
- */
-function computeTrialPause({length}: readonly TaskCrash[]): number {
-  const paused = Math.max(0, length - MIN_PAUSED_CRASHES + 1);
-  return Math.min(MAX_TRIAL_PAUSE_MS, paused * TRIAL_PAUSE_MS);
-}
-
-function describeSuspect(step: StepState, index: number, now: Instant): Suspect {
+function describeSuspect(fleet: Fleet, step: StepState, index: number, now: Instant): Suspect {
   const crashes = step.crashes.of(index);
   const waitedMs = computeWaitedMs(step, index, now);
+  const {isRestrained, pauseMs} = findCrashPause(fleet, step, index, now);
   return {
     index,
-    isOverdue: waitedMs >= MAX_TRIAL_DELAY_MS,
+    isOverdue: waitedMs >= MAX_TRIAL_DELAY_MS + (isRestrained ? pauseMs : 0),
+    isRestrained,
     // A crash beside others tells less, so a task with many crashes is tried alone.
-    mayShareMinion: crashes.length < MIN_PAUSED_CRASHES,
-    pauseMs: computeTrialPause(crashes),
+    mayShareMinion: !isRestrained && crashes.length < MIN_SEPARATE_CRASHES,
+    pauseMs,
     step,
     trialMs: computeTrialMs(crashes),
     waitedMs,
@@ -83,50 +69,59 @@
   return byTask || countCrashes(b.step) - countCrashes(a.step) || b.waitedMs - a.waitedMs;
 }
 
-/** Gives up a task and with it its job. */
-function giveUpTask(fleet: Fleet, step: StepState, index: number): void {
-  const {job} = step;
-  const crashes = listCrashes(step, index);
-  fleet.events.record(SCHEDULING_EVENTS.TASK_GIVEN_UP, {
-    crashes: crashes.length,
-    evidence: crashes.map(({evidence}) => evidence).join(' '),
-    job: job.id,
-    minions: crashes.map(({minion}) => minion).join(' '),
-    task: formatTaskName({index, job: job.id, occurrence: step.occurrence, step: step.number}),
+/** Whether a sibling of a restrained task is suspected of the same: a minion crashed as it had just started. */
+function isAlike({index, step}: Suspect): boolean {
+  return step.crashes
+    .of(index)
+    .some(({ageMs, evidence}) => evidence === 'alone' && ageMs < FRESH_RUN_MS);
+}
+
+/** Restrains the tasks of restrained jobs that behave alike: they are tried one at a time. */
+function restrainSiblings(suspects: readonly Suspect[]): readonly Suspect[] {
+  const pauses = new Map<JobState, number>();
+  for (const {isRestrained, pauseMs, step} of suspects.filter((each) => each.isRestrained)) {
+    pauses.set(step.job, Math.max(isRestrained ? pauseMs : 0, pauses.get(step.job) ?? 0));
+  }
+  return suspects.map((suspect) => {
+    const pauseMs = pauses.get(suspect.step.job);
+    return pauseMs === undefined || suspect.isRestrained || !isAlike(suspect)
+      ? suspect
+      : {
+          ...suspect,
+          isOverdue: suspect.waitedMs >= MAX_TRIAL_DELAY_MS + pauseMs,
+          isRestrained: true,
+          mayShareMinion: false,
+          pauseMs,
+        };
   });
-  fleet.finishJob(job, 'failed');
 }
 
 /**
- * Returns the suspects that wait, in the order in which they are tried, and the jobs with tasks that are found
- * guilty. A task is given up once other machines would have turned out to have failed with its minions.
+ * Returns the suspects that wait, in the order in which they are tried, and the jobs with gangs whose pause after
+ * crashes is not over.
  */
 export function collectSuspects(
   fleet: Fleet,
   ready: readonly StepState[],
   {listStartable, now}: SuspectContext,
-): {readonly guilty: ReadonlySet<JobState>; readonly suspects: readonly Suspect[]} {
-  const guilty = new Set<JobState>();
+): {readonly pausing: ReadonlySet<JobState>; readonly suspects: readonly Suspect[]} {
+  const pausing = new Set<JobState>();
   const suspects: Suspect[] = [];
   for (const step of ready.filter(({crashes}) => !crashes.isEmpty)) {
+    const {gang} = step.shape;
     for (const index of listStartable(step)) {
-      const verdict = judgeTask(step, index);
-      if (verdict === 'clear' || step.job.isFinal) {
+      if (judgeTask(step, index) === 'clear' || step.job.isFinal) {
         continue;
       }
-      if (verdict === 'guilty') {
-        guilty.add(step.job);
-        const pauseMs = Math.max(VERDICT_PAUSE_MS, computeTrialMs(listCrashes(step, index)));
-        if (computeWaitedMs(step, index, now) >= pauseMs) {
-          giveUpTask(fleet, step, index);
-        }
-      } else if (!step.shape.gang) {
-        suspects.push(describeSuspect(step, index, now));
+      const suspect = describeSuspect(fleet, step, index, now);
+      if (!gang) {
+        suspects.push(suspect);
+      } else if (suspect.waitedMs < suspect.pauseMs) {
+        pausing.add(step.job);
       }
     }
   }
-  const others = suspects.filter(({step}) => !guilty.has(step.job));
-  return {guilty, suspects: others.sort(compareSuspects)};
+  return {pausing, suspects: [...restrainSiblings(suspects)].sort(compareSuspects)};
 }
 
 /** Returns how many of the crashes under a suspect are recorded of a minion. */
@@ -149,7 +144,8 @@
   const [empty] = others
     .filter(({runs}) => runs.size === 0)
     .sort((a, b) => (a.bornAt ?? Infinity) - (b.bornAt ?? Infinity));
-  if (empty !== undefined || suspect.waitedMs < EMPTY_MINION_WAIT_MS) {
+  const waitMs = EMPTY_MINION_WAIT_MS + (suspect.isRestrained ? suspect.pauseMs : 0);
+  if (empty !== undefined || suspect.waitedMs < waitMs) {
     return empty;
   }
   const [least] = [...able].sort(
