--- a/packages/nutmegproxy-jobs/src/StepState.ts
+++ b/packages/nutmegproxy-jobs/src/StepState.ts
@@ -16,7 +16,7 @@
  * Time in milliseconds for which a task avoids a minion. Other minions get it meanwhile; a task that
  * only few can run returns to them.
  */
-const AVOIDANCE_MS = 4_000;
+export const AVOIDANCE_MS = 4_000;
 
 /** Tracks which tasks of a step are waiting, running or done. */
 export class StepState {
--- a/packages/nutmegproxy-jobs/src/index.ts
+++ b/packages/nutmegproxy-jobs/src/index.ts
@@ -57,5 +57,5 @@
   TaskCrash,
   TaskTrial,
 } from './StepCrashes.ts';
-export {StepState} from './StepState.ts';
+export {AVOIDANCE_MS, StepState} from './StepState.ts';
 export {formatRunName, formatTaskName, parseTaskName} from './TaskName.ts';
--- a/packages/nutmegproxy-scheduling/src/PendingDetails.ts
+++ b/packages/nutmegproxy-scheduling/src/PendingDetails.ts
@@ -10,7 +10,7 @@
 
 import {findCrashPause} from './CrashPauses.ts';
 import {computeWaitedMs, listCrashes} from './CrashVerdict.ts';
-import {findLastAttemptWaitMs} from './LastAttempt.ts';
+import {findAvoidanceEnd, findLastAttemptWaitMs} from './LastAttempt.ts';
 import {findOverdueInMs} from './OverdueSteps.ts';
 import {deriveMaxWait} from './PendingBounds.ts';
 import {SUSPICION_BOUND_MS} from './TrialPacing.ts';
@@ -47,9 +47,9 @@
 /** Details of the reasons that are about a minion, one that meets all rules before. */
 export const PENDING_DETAILS: Readonly<Partial<Record<PendingReason, DetailsFinder>>> = {
   availability: (_task, {id}) => ({minion: id}),
-  avoidance: ({index, step}, {id}, {now}) => ({
-    minion: id,
-    untilMs: Math.max(0, step.findAvoidedUntil(index, id) - now),
+  avoidance: (task, minion, {fleet, now}) => ({
+    minion: minion.id,
+    untilMs: Math.max(0, findAvoidanceEnd(fleet, task, minion, now) - now),
   }),
   'last-attempt': (task, minion, {fleet, now}) => ({
     minion: minion.id,
--- a/packages/nutmegproxy-scheduling/src/PendingTaskReason.ts
+++ b/packages/nutmegproxy-scheduling/src/PendingTaskReason.ts
@@ -12,7 +12,7 @@
 import type {SharingCosts} from './Placement.ts';
 import type {AdviceLookup} from './StartPermissions.ts';
 
-import {shouldSaveLastAttempt} from './LastAttempt.ts';
+import {findAvoidanceEnd, shouldSaveLastAttempt} from './LastAttempt.ts';
 import {findUnavailability, isOnlyUntrusted} from './MinionAvailability.ts';
 import {MinionsByService} from './MinionsByService.ts';
 import {describeSuspicion, PENDING_DETAILS} from './PendingDetails.ts';
@@ -159,7 +159,10 @@
       fleet.resolveQueuePolicy(step.job).advice === undefined ||
       advice.isPermitted(step, minion) === true,
   ],
-  ['avoidance', ({index, step}, {id}, {context: {now}}) => !step.isAvoided(index, id, now)],
+  [
+    'avoidance',
+    (task, minion, {context: {fleet, now}}) => now >= findAvoidanceEnd(fleet, task, minion, now),
+  ],
   [
     'last-attempt',
     ({index, step}, minion, {context: {fleet, now}}) => {
--- a/packages/nutmegproxy-scheduling/src/StartPermissions.ts
+++ b/packages/nutmegproxy-scheduling/src/StartPermissions.ts
@@ -6,7 +6,12 @@
 import type {Fleet} from './Fleet.ts';
 import type {MinionState} from './MinionState.ts';
 
-import {mayBeCause, shouldSaveLastAttempt} from './LastAttempt.ts';
+import {
+  findAvoidanceEnd,
+  MAX_QUICK_FAILURES,
+  mayBeCause,
+  shouldSaveLastAttempt,
+} from './LastAttempt.ts';
 import {isOpenToRuns} from './MinionAvailability.ts';
 
 /** Permissions of the external advisor, for queues that need them. */
@@ -20,9 +25,6 @@
   readonly now: Instant;
 }
 
-/** Failures of a task from which it waits in full, so that minions that fail everything get few runs. */
-const MAX_QUICK_FAILURES = 4;
-
 /**
  * Which minions that are not trusted get work beside their trials. `other`: those that a task has not failed on, and
  * all of them once its step has failed on two, as the cause is more likely its own; it avoids none any more then.
@@ -66,7 +68,8 @@
 
   /** Whether the task has failed on the minion, so that it waits for another one. */
   #isAvoided(step: StepState, index: number, minion: MinionState): boolean {
-    const isAvoided = step.isAvoided(index, minion.id, this.#context.now);
+    const {now} = this.#context;
+    const isAvoided = now < findAvoidanceEnd(this.#fleet, {index, step}, minion, now);
     if (this.passesTrust !== 'other') {
       return isAvoided;
     }
--- a/packages/nutmegproxy-scheduling/src/__tests__/unit/LastAttempt.test.ts
+++ b/packages/nutmegproxy-scheduling/src/__tests__/unit/LastAttempt.test.ts
@@ -5,7 +5,7 @@
 
 import {reconcileListing} from '../../ListingReconciler.ts';
 import {failTwice, findMinion, JOB_A, JOB_B, LASTING, play} from './ExclusionSamples.ts';
-import {at, SampleFleet, shape} from './Samples.ts';
+import {at, queue, SampleFleet, shape} from './Samples.ts';
 
 /** Time in milliseconds for which a failure on a minion speaks against a last attempt. */
 const RECENT_MS = 8_000;
@@ -154,6 +154,60 @@
   });
 });
 
+describe('A task that has failed on the only minion that can run it', () => {
+  /** Time for which nothing of a job runs until callers count it as lost, as the users specify. */
+  const LOST_MS = 3_000;
+
+  /** Plays a job on the one minion with its label, beside idle ones; returns how long it waits after its first end. */
+  function measureWait(
+    maxAttempts: number,
+    change: {readonly failsOthers?: boolean; readonly isFull?: boolean} = {},
+  ): number {
+    const sample = new SampleFleet(3, [queue('proofs', {maxAttempts})]);
+    const only = sample.addMinion('only', {labels: ['only', 'r1']});
+    if (change.isFull === true) {
+      const resources = {cpuMilli: 4_000, gpus: 0, memoryMb: 1};
+      sample.addJob('proofs', [
+        shape({count: 3, longRunning: true, requiredLabel: 'a', resources}),
+      ]);
+    }
+    const job = sample.addJob('proofs', [shape({requiredLabel: 'only'})]);
+    let failedAt: number | undefined;
+    const starts = play(sample, 0, 30_000, ({step}, now) => {
+      if (step.job !== job) {
+        return undefined;
+      }
+      if (failedAt === undefined) {
+        failedAt = now;
+        if (change.failsOthers === true) {
+          only.trust.recordFailure(JOB_B, at(now));
+        }
+        return 'failed';
+      }
+      return 'done';
+    });
+    return (starts.get(job)?.[1] ?? Infinity) - (failedAt ?? 0);
+  }
+
+  for (const maxAttempts of [2, 3]) {
+    // Guards against a last attempt that is kept for a better minion where there is none.
+    it(`starts there again before its job counts as lost, beside free room (${maxAttempts} attempts)`, () => {
+      const waitedMs = measureWait(maxAttempts);
+      assert.ok(waitedMs < LOST_MS, `${waitedMs} ms`);
+    });
+  }
+
+  it('keeps its last attempt while the minion fails other jobs too', () => {
+    const waitedMs = measureWait(2, {failsOthers: true});
+    assert.ok(waitedMs >= RECENT_MS, `${waitedMs} ms`);
+  });
+
+  it('keeps its last attempt while over half of the service is in use', () => {
+    const waitedMs = measureWait(2, {isFull: true});
+    assert.ok(waitedMs >= RECENT_MS, `${waitedMs} ms`);
+  });
+});
+
 describe('A task on its last attempt', () => {
   it('avoids a failing minion on which a run from before the failures has ended since', () => {
     const sample = new SampleFleet(1);
--- a/packages/nutmegproxy-scheduling/src/__tests__/unit/PendingTaskReason.test.ts
+++ b/packages/nutmegproxy-scheduling/src/__tests__/unit/PendingTaskReason.test.ts
@@ -168,6 +168,8 @@
     });
 
     it('says for how long the last attempt is saved for a better minion', () => {
+      const resources = {cpuMilli: 4_000, gpus: 0, memoryMb: 1};
+      startOn(sample, addStep({resources}).job, sample.addMinion('m2'), 0);
       const step = addStep();
       fail(step, 1);
       step.failedAt.set(0, at(3_000));
@@ -176,6 +178,15 @@
       assert.deepEqual(findCause(step), expected);
     });
 
+    it('says for how long it is saved where no other minion can run the task', () => {
+      const step = addStep();
+      fail(step, 1);
+      step.failedAt.set(0, at(4_000));
+      minion.trust.recordFailure(step.job.id, at(4_000));
+      const expected = {minion: 'm1', reason: 'last-attempt', untilMs: 1_000};
+      assert.deepEqual(findCause(step), expected);
+    });
+
     it('names the suspicion against a task that waits for a minion without other suspects', () => {
       const other = sample.addMinion('m2');
       const [step, ...rest] = [addStep(), addStep(), addStep()];
