--- a/packages/nutmegproxy-scheduling/src/PendingDetails.ts
+++ b/packages/nutmegproxy-scheduling/src/PendingDetails.ts
@@ -8,8 +8,9 @@
   PendingTask,
 } from './PendingTaskReason.ts';
 
+import {findCrashPause} from './CrashPauses.ts';
 import {computeWaitedMs, listCrashes} from './CrashVerdict.ts';
-import {findLastAttemptWaitMs} from './LastAttempt.ts';
+import {findAvoidanceEnd, findLastAttemptWaitMs} from './LastAttempt.ts';
 import {findOverdueInMs} from './OverdueSteps.ts';
 import {deriveMaxWait} from './PendingBounds.ts';
 import {SUSPICION_BOUND_MS} from './TrialPacing.ts';
@@ -28,13 +29,17 @@
 }
 
 /**
- * Until when the suspicion against a task itself may withhold it; the other tasks of its job wait for the verdict. The time counts from when planning first considers a crash, so a review before that tells none.
+ * Until when the suspicion against a task itself may withhold it, unless it is restrained; the other tasks of its job wait for the verdict. The time counts from when planning first considers a crash, so a review before that tells none.
  */
 export function describeSuspicion(
   {index, step}: PendingTask,
-  {hold, now}: Pick<PendingContext, 'hold' | 'now'>,
+  {fleet, hold, now}: Pick<PendingContext, 'fleet' | 'hold' | 'now'>,
 ): PendingDetails {
-  return hold === undefined && listCrashes(step, index).length > 0
+  const isBounded =
+    hold === undefined &&
+    listCrashes(step, index).length > 0 &&
+    !findCrashPause(fleet, step, index, now).isRestrained;
+  return isBounded
     ? {untilMs: Math.max(0, SUSPICION_BOUND_MS - computeWaitedMs(step, index, now))}
     : {};
 }
@@ -42,9 +47,9 @@
 /** Details of the reasons that are about a minion, one that meets all rules before. */
 export const PENDING_DETAILS: Readonly<Partial<Record<PendingReason, DetailsFinder>>> = {
   availability: (_task, {id}) => ({minion: id}),
-  avoidance: ({index, step}, {id}, {now}) => ({
-    minion: id,
-    untilMs: Math.max(0, step.findAvoidedUntil(index, id) - now),
+  avoidance: (task, minion, {fleet, now}) => ({
+    minion: minion.id,
+    untilMs: Math.max(0, findAvoidanceEnd(fleet, task, minion, now) - now),
   }),
   'last-attempt': (task, minion, {fleet, now}) => ({
     minion: minion.id,
