--- a/packages/nutmegproxy-entry/src/ConfigurationFollower.ts
+++ b/packages/nutmegproxy-entry/src/ConfigurationFollower.ts
@@ -52,6 +52,8 @@
   async run(): Promise<void> {
     let isReadable = true;
     while (!this.#stopped) {
+      // A watch that breaks later than this after its read is followed by the next read at once.
+      const period = delay(CONFIGURATION_RETRY_DELAY_MS);
       const read = await this.#source.read();
       // Only the first of successive failures is logged.
       if (read.isErr() && isReadable) {
@@ -66,8 +68,10 @@
           this.#apply(configuration);
         }
         await this.#follow(revision + 1);
+        await period;
+      } else {
+        await delay(CONFIGURATION_RETRY_DELAY_MS);
       }
-      await delay(CONFIGURATION_RETRY_DELAY_MS);
     }
   }
 
--- a/packages/nutmegproxy-standins/src/HttpListener.ts
+++ b/packages/nutmegproxy-standins/src/HttpListener.ts
@@ -58,14 +58,20 @@
   response: ServerResponse,
   value: unknown,
   bytesPerSecond: number,
+  onSent: (bytes: number) => void = () => undefined,
 ): Promise<void> {
   const body = Buffer.from(JSON.stringify(value));
   const partBytes = Math.ceil((bytesPerSecond * PART_INTERVAL_MS) / 1_000);
+  const writePart = (from: number): void => {
+    const part = body.subarray(from, from + partBytes);
+    response.write(part);
+    onSent(part.length);
+  };
   response.writeHead(200, {'content-length': body.length, 'content-type': 'application/json'});
-  response.write(body.subarray(0, partBytes));
+  writePart(0);
   for (let sent = partBytes; sent < body.length && !response.destroyed; sent += partBytes) {
     await delay(PART_INTERVAL_MS);
-    response.write(body.subarray(sent, sent + partBytes));
+    writePart(sent);
   }
   response.end();
 }
