Line 8011 says how late an end may be known and a start was confirmed

Ruled out: the time of the end itself, which minions do not list.

RunEndEvents failed before (confirmMs and reportAgeMs undefined).

--- a/packages/nutmegproxy-scheduling/src/Fleet.ts
+++ b/packages/nutmegproxy-scheduling/src/Fleet.ts
@@ -89,13 +89,15 @@
   /** Removes a run and applies its result to its task, gang, job and minion. */
   finishRun(run: Run, outcome: RunOutcome, checkpoint: Checkpoint | undefined, now: Instant): void {
     this.#removeRun(run);
+    const minion = this.minions.get(run.minion);
     this.events.record(SCHEDULING_EVENTS.RUN_ENDED, {
       ...describeRun(run),
+      confirmMs: Math.round((run.confirmedAt ?? now) - run.sentAt),
       ms: Math.round(now - run.sentAt),
       outcome,
+      reportAgeMs: Math.round(now - (minion?.lastAnswerAt ?? now)),
     });
     this.applyResult(run.step, run.task, run.number, outcome, checkpoint ?? run.checkpoint);
-    const minion = this.minions.get(run.minion);
     if (outcome === 'done') {
       run.step.doneAt = now;
       run.step.job.activeAt = now;
