Jobs count as standing still from the expected end of their last run

Until it knows of the end the job has a live run, so that its next task goes behind those of all others, and only then the 2 s of MAX_IDLE_MS begin.

Change: where starts are limited, a job is idle from when its last run was expected to end, by the listed progress or the estimated duration, less the time that a report and a start take, which the fleet measures at confirmations. A start that is not confirmed counts as work, so that a job gets no second one for the same gap. Of the budget this uses the share for idle jobs.

Why it works: the next task is on its way when the last one ends.

--- a/packages/nutmegproxy-emulator/src/FleetSimulation.ts
+++ b/packages/nutmegproxy-emulator/src/FleetSimulation.ts
@@ -38,6 +38,8 @@
 const RESTORE_MS = 600;
 /** Time in milliseconds between two reports of a minion with serving tasks. */
 const REPORT_INTERVAL_MS = 900;
+/** Time in milliseconds between the listings of one minion and of the next one. */
+const LISTING_PHASE_MS = 37;
 /** Progress of a serving task that is at work. */
 const WORKING_PERCENT = 100;
 
@@ -46,6 +48,8 @@
   readonly createSharingCosts?: (policy: SharingPolicy) => SharingCosts;
   readonly durationMs: number;
   readonly jobs: readonly SimulatedJob[];
+  /** Time in milliseconds from one listing of a minion to the next; absent for minions that list each end at once. */
+  readonly listingIntervalMs?: number | undefined;
   readonly minions: readonly MinionDescription[];
   /** Processor time of the owner; absent for an owner that takes none. */
   readonly ownerTime?: SimulatedOwnerTime;
@@ -53,6 +57,8 @@
   readonly roundMs: number;
   /** Seed of the phases of serving loads and of the pressures of image pairs. */
   readonly seed: number;
+  /** Time in milliseconds from the sending of a start to its run; absent for the shortest one. */
+  readonly startDelayMs?: number | undefined;
   /** Returns how many deferrable starts a round may make; absent when they are not limited. */
   readonly throttle?: {
     readonly getAllowance: (now: Instant, work: {readonly hasUrgentWork: boolean}) => number;
@@ -68,6 +74,14 @@
   readonly job: SimulatedJob;
   /** Time for which tasks of a long-running job were at work, summed over its tasks. */
   servedTaskMs: number;
+  /** When runs of the job were at work on minions, in the order of their ends. */
+  readonly spans: WorkSpan[];
+}
+
+/** Time in which a run was at work, in milliseconds of the simulation. */
+export interface WorkSpan {
+  readonly fromMs: number;
+  readonly untilMs: number;
 }
 
 export interface SimulationResult {
@@ -92,6 +106,8 @@
   readonly #agenda = new Agenda();
   readonly #estimator = new DurationEstimator(DEFAULT_PLATFORM_BOUNDS);
   readonly #histories = new Map<string, JobHistory>();
+  /** Times in milliseconds that set the minions' listings apart. */
+  readonly #listingOrder = new Map<MinionId, number>();
   readonly #live = new Map<Run, LiveRun>();
   readonly #options: FleetSimulationOptions;
   readonly #result = {lostCoreS: 0, overTargetS: 0, rounds: 0, starts: 0, stops: 0};
@@ -133,12 +149,23 @@
     return this.#nowMs as Instant;
   }
 
+  /** Returns when a minion next lists its runs. */
+  #findListingMs(minion: MinionId, fromMs: number): number {
+    const {listingIntervalMs} = this.#options;
+    if (listingIntervalMs === undefined) {
+      return fromMs;
+    }
+    const phaseMs = (this.#listingOrder.get(minion) ?? 0) % listingIntervalMs;
+    return phaseMs + Math.ceil((fromMs - phaseMs) / listingIntervalMs) * listingIntervalMs;
+  }
+
   #addMinion(description: MinionDescription, index: number): void {
     const minion = new MinionState(description, DEFAULT_LEASE_TIMES);
     minion.isRegistered = true;
     minion.hasReported = true;
     minion.leaseClock.observe(0, 0 as Instant);
     this.fleet.minions.set(minion.id, minion);
+    this.#listingOrder.set(minion.id, index * LISTING_PHASE_MS);
     this.#scheduleReport(minion.id, index % REPORT_INTERVAL_MS);
   }
 
@@ -166,7 +193,7 @@
   #submit(job: SimulatedJob): void {
     const state = new JobState(job.request, 1);
     this.fleet.jobs.set(state.id, state);
-    this.#histories.set(state.id, {completedMs: undefined, job, servedTaskMs: 0});
+    this.#histories.set(state.id, {completedMs: undefined, job, servedTaskMs: 0, spans: []});
   }
 
   #plan(): void {
@@ -216,13 +243,12 @@
     const history = this.#histories.get(run.task.job);
     const workMs = history?.job.taskMs[run.task.step] ?? 0;
     const savedMs = this.#saved.get(formatTaskName(run.task)) ?? 0;
-    const startsMs = this.#spendOwnerTime() + START_DELAY_MS;
+    const startsMs = this.#spendOwnerTime() + (this.#options.startDelayMs ?? START_DELAY_MS);
     const durationMs = workMs - savedMs + (savedMs > 0 ? RESTORE_MS : 0);
     this.#live.set(run, {durationMs, run, startsMs});
-    run.phase = 'running';
-    run.percent = run.step.shape.longRunning ? WORKING_PERCENT : 0;
-    run.confirmedAt = startsMs as Instant;
-    const reportedMs = startsMs + durationMs + REPORT_DELAY_MS;
+    this.#confirm(run, startsMs);
+    const listedMs = this.#findListingMs(run.minion, startsMs + durationMs);
+    const reportedMs = listedMs + REPORT_DELAY_MS;
     this.#agenda.add(reportedMs, () => {
       this.#agenda.add(this.#spendOwnerTime(reportedMs), () => {
         this.#finish(run);
@@ -230,6 +256,29 @@
     });
   }
 
+  /** Lets the minion confirm a start: at once, or when the run begins if starts are delayed. */
+  #confirm(run: Run, startsMs: number): void {
+    const {startDelayMs} = this.#options;
+    const confirm = (): void => {
+      run.phase = 'running';
+      run.percent = run.step.shape.longRunning ? WORKING_PERCENT : 0;
+      run.confirmedAt = startsMs as Instant;
+    };
+    this.#agenda.add(startsMs, () => {
+      this.fleet.startDelay.recordConfirmed(run, startsMs as Instant);
+    });
+    if (startDelayMs === undefined) {
+      confirm();
+    } else {
+      run.sentAt = (startsMs - startDelayMs) as Instant;
+      this.#agenda.add(startsMs, () => {
+        if (run.phase === 'starting') {
+          confirm();
+        }
+      });
+    }
+  }
+
   /** Returns the time in milliseconds at which the owner has made or received a call. */
   #spendOwnerTime(nowMs = this.#nowMs): number {
     return this.#options.ownerTime?.spend(nowMs) ?? nowMs;
@@ -251,7 +300,9 @@
       return;
     }
     const {job, shape} = run.step;
-    this.#estimator.recordDuration(job.request.queue, shape, live.durationMs);
+    const {startDelayMs} = this.#options;
+    const measuredMs = startDelayMs === undefined ? live.durationMs : this.#nowMs - run.sentAt;
+    this.#estimator.recordDuration(job.request.queue, shape, measuredMs);
     this.fleet.finishRun(run, 'done', undefined, this.#now);
     const history = this.#histories.get(job.id);
     if (job.isFinal && history !== undefined) {
@@ -275,8 +326,9 @@
     this.fleet.finishRun(run, 'stopped', undefined, this.#now);
   }
 
-  #countService({run, startsMs}: LiveRun, untilMs: number): void {
+  #countService({durationMs, run, startsMs}: LiveRun, untilMs: number): void {
     const history = this.#histories.get(run.task.job);
+    history?.spans.push({fromMs: startsMs, untilMs: Math.min(untilMs, startsMs + durationMs)});
     if (run.step.shape.longRunning && history !== undefined) {
       history.servedTaskMs += Math.max(0, untilMs - startsMs);
     }
--- a/packages/nutmegproxy-emulator/src/__tests__/unit/FullOwnerPlay.ts
+++ b/packages/nutmegproxy-emulator/src/__tests__/unit/FullOwnerPlay.ts
@@ -2,6 +2,8 @@
 
 import {StartThrottle} from '@nutmegproxy/owner';
 
+import type {FleetSimulationOptions} from '../../FleetSimulation.ts';
+
 import {FleetSimulation} from '../../FleetSimulation.ts';
 import {SimulatedOwnerTime} from '../../SimulatedOwnerTime.ts';
 import {drawJobs} from '../../Workload.ts';
@@ -29,12 +31,15 @@
   isThrottled = true,
   /** Share of the owner's time that work takes which does not depend on the calls. */
   otherShare = 0,
+  /** How late the owner learns of ends, and minions of starts. */
+  lateness: Pick<FleetSimulationOptions, 'listingIntervalMs' | 'startDelayMs'> = {},
 ): FleetSimulation {
   const ownerTime = new SimulatedOwnerTime(callMs, otherShare);
   let nowMs = 0;
   const throttle = new StartThrottle(() => ownerTime.readLoop(nowMs));
   const classes = [ALERT_CLASS, DIGEST_CLASS, WATCHER_CLASS];
   return new FleetSimulation({
+    ...lateness,
     durationMs: ARRIVALS_MS + finishMs,
     jobs: drawJobs({classes, durationMs: ARRIVALS_MS, seed, service: SERVICE}),
     minions: createMinions(FULL_FLEET),
--- a/packages/nutmegproxy-jobs/src/JobState.ts
+++ b/packages/nutmegproxy-jobs/src/JobState.ts
@@ -4,6 +4,7 @@
 
 import type {JobStatus, StoredJob} from './JobModel.ts';
 import type {JobProgress, StepProgress} from './JobProgress.ts';
+import type {Run} from './Run.ts';
 
 import {formatStepKey, isFinal, showsBegun} from './JobProgress.ts';
 import {StepState} from './StepState.ts';
@@ -23,8 +24,8 @@
   status: JobStatus;
   /** When a task of the job was last placed or done, as far as this owner knows; undefined before. */
   activeAt: Instant | undefined;
-  /** Number of live runs of all steps. */
-  liveRuns = 0;
+  /** Live runs of all steps. */
+  readonly liveRuns = new Set<Run>();
   /** Whether a minion has begun a task of the job, as far as this owner or a former one knows. */
   hasBegun: boolean;
   /** Whether a start of a task was decided on, under this owner or a former one; it may never be sent. */
@@ -165,7 +166,7 @@
 
   /** Whether a run of the job is live. */
   get hasLiveRuns(): boolean {
-    return this.liveRuns > 0;
+    return this.liveRuns.size > 0;
   }
 
   /** Iterates over the steps of the occurrences that are in memory. */
--- a/packages/nutmegproxy-jobs/src/Run.ts
+++ b/packages/nutmegproxy-jobs/src/Run.ts
@@ -37,6 +37,8 @@
   /** Last reported progress in percent; 100 for a long-running task that is working. */
   percent: number;
   phase: RunPhase;
+  /** When its start was decided on. */
+  readonly placedAt: Instant;
   /** Tail latency in milliseconds of a serving run; processor use in thousandths of a core of others. */
   reading: number | undefined;
   /** When the start was last sent; when it was decided on before that. */
--- a/packages/nutmegproxy-jobs/src/StepState.ts
+++ b/packages/nutmegproxy-jobs/src/StepState.ts
@@ -115,7 +115,7 @@
     runs.push(run);
     this.#runs.set(index, runs);
     this.waiting.delete(index);
-    this.job.liveRuns += 1;
+    this.job.liveRuns.add(run);
     this.#perMinion.set(run.minion, this.countRunsOn(run.minion) + 1);
   }
 
@@ -246,7 +246,7 @@
     const position = runs?.indexOf(run) ?? -1;
     invariant(runs !== undefined && position >= 0, 'jobs: a run was removed twice');
     runs.splice(position, 1);
-    this.job.liveRuns -= 1;
+    this.job.liveRuns.delete(run);
     this.#perMinion.set(run.minion, this.countRunsOn(run.minion) - 1);
     this.crashes.endTrial(index, run.number);
     if (runs.length === 0) {
--- a/packages/nutmegproxy-owner/src/RunOrders.ts
+++ b/packages/nutmegproxy-owner/src/RunOrders.ts
@@ -167,6 +167,7 @@
         run.confirmedAt ??= now;
         run.step.job.hasBegun = true;
         load.recordConfirmed(run, now);
+        this.#context.fleet.startDelay.recordConfirmed(run, now);
         markRunning(run);
         return 'confirmed';
       }
--- a/packages/nutmegproxy-scheduling/src/Fleet.ts
+++ b/packages/nutmegproxy-scheduling/src/Fleet.ts
@@ -24,6 +24,7 @@
 import {DEFAULT_QUEUE_POLICY} from './QueuePolicy.ts';
 import {describeRun, describeRuns} from './RunFields.ts';
 import {SCHEDULING_EVENTS} from './SchedulingEvents.ts';
+import {StartDelay} from './StartDelay.ts';
 import {StartWaitLog} from './StartWaitLog.ts';
 
 export class Fleet {
@@ -48,6 +49,7 @@
   readonly freeRoom = new FreeRoom();
   /** Recent crashes of minions. */
   readonly outages = new OutageLog();
+  readonly startDelay = new StartDelay();
   readonly startWaits = new StartWaitLog();
   /** Jobs of which planning has last withheld all tasks, since one is suspected of crashes. */
   suspectedJobs: ReadonlySet<JobState> = new Set();
--- a/packages/nutmegproxy-scheduling/src/FleetUtils.ts
+++ b/packages/nutmegproxy-scheduling/src/FleetUtils.ts
@@ -20,6 +20,7 @@
     paceShare: 100,
     percent: 0,
     phase: 'starting',
+    placedAt: now,
     reading: undefined,
     sentAt: now,
     step,
--- a/packages/nutmegproxy-scheduling/src/StartBudget.ts
+++ b/packages/nutmegproxy-scheduling/src/StartBudget.ts
@@ -6,8 +6,11 @@
 import type {Instant} from '@nutmegproxy/core';
 import type {JobState, Run, StepState} from '@nutmegproxy/jobs';
 
+import type {WorkOutlook} from './ExpectedWork.ts';
 import type {Fleet} from './Fleet.ts';
 
+import {findIdleSince, findSoonIdleSince} from './ExpectedWork.ts';
+
 /** Priority of the queues whose work is never deferred. */
 const URGENT_PRIORITY = 0;
 /** Share of a limited budget for jobs of which nothing runs, so that no accepted job is withheld. */
@@ -19,7 +22,7 @@
 const LONGEST_WAITING_SHARE = 2 / 3;
 
 /**
- * Time in milliseconds without a run from which a task of the job starts beyond the limit: less than the 3 s for which
+ * Time in milliseconds without work from which a task of the job starts beyond the limit: less than the 3 s for which
  * accepted work may stand still beside free room.
  */
 const MAX_IDLE_MS = 2_000;
@@ -53,6 +56,8 @@
   /** Most starts of deferrable steps; Infinity does not limit them. */
   readonly limit: number;
   readonly now: Instant;
+  /** What the ends of runs are expected by. */
+  readonly outlook: WorkOutlook;
   /** Places the tasks of a step while the budget is not used up. */
   readonly place: (step: StepState, budget: StartBudget) => void;
 }
@@ -93,18 +98,9 @@
   return false;
 }
 
-/**
- * Returns since when nothing of a step's job has run while it was the step's turn, as far as this owner knows; undefined
- * while something does. It counts from the last start where its end was none of a done task. The turns of other steps
- * don't count: those of a recurring job may come at any rate.
- */
-function findIdleSince({job, readyAt}: StepState): number | undefined {
-  return job.hasLiveRuns ? undefined : Math.max(readyAt ?? -Infinity, job.activeAt ?? -Infinity);
-}
-
-/** Whether nothing of a step's job has run for so long that one of its tasks starts beyond the limit. */
-export function isIdleForLong(step: StepState, now: Instant): boolean {
-  return now - (findIdleSince(step) ?? Infinity) >= MAX_IDLE_MS;
+/** Whether nothing of a step's job has been at work for so long that one of its tasks starts beyond the limit. */
+export function isIdleForLong(step: StepState, outlook: WorkOutlook, now: Instant): boolean {
+  return now - findIdleSince(step, outlook, now) >= MAX_IDLE_MS;
 }
 
 interface IdleStep {
@@ -112,22 +108,24 @@
   readonly step: StepState;
 }
 
-/** Returns the steps of jobs of which nothing runs, those first of which nothing has run for longest. */
-function orderByIdleTime(steps: readonly StepState[]): readonly IdleStep[] {
+/** Returns the steps of jobs of which nothing is at work soon, those first of which nothing has been for longest. */
+function orderByIdleTime(
+  steps: readonly StepState[],
+  {now, outlook}: BudgetedPlacement,
+): readonly IdleStep[] {
   return steps
-    .flatMap((step) => {
-      const idleSince = findIdleSince(step);
-      return idleSince === undefined ? [] : [{idleSince, step}];
-    })
+    .map((step) => ({idleSince: findSoonIdleSince(step, outlook, now), step}))
+    .filter(({idleSince}) => idleSince < Infinity)
     .sort((a, b) => a.idleSince - b.idleSince);
 }
 
-/** Limits a placement to one task of each job of which nothing runs. */
+/** Limits a placement to one task of each job of which nothing is at work soon. */
 function limitToIdleJobs(placement: BudgetedPlacement): BudgetedPlacement {
+  const {now, outlook} = placement;
   return {
     ...placement,
     place: (step, budget) => {
-      if (!step.job.hasLiveRuns) {
+      if (findSoonIdleSince(step, outlook, now) < Infinity) {
         const single = new StartBudget(1);
         placement.place(step, single);
         budget.take(1 - single.remaining);
@@ -146,7 +144,7 @@
   placement: BudgetedPlacement,
 ): boolean {
   const ofIdleJobs = limitToIdleJobs(placement);
-  const idle = orderByIdleTime(deferrable);
+  const idle = orderByIdleTime(deferrable, placement);
   const overdue = idle.filter(({idleSince}) => placement.now - idleSince >= MAX_IDLE_MS);
   // Not one start for each: the members of a gang would use up those of others.
   const beyond = new StartBudget(Number.MAX_SAFE_INTEGER);
--- a/packages/nutmegproxy-scheduling/src/StartPlanner.ts
+++ b/packages/nutmegproxy-scheduling/src/StartPlanner.ts
@@ -2,6 +2,7 @@
 
 import type {Run, RunNumber, StepState} from '@nutmegproxy/jobs';
 
+import type {WorkOutlook} from './ExpectedWork.ts';
 import type {Fleet} from './Fleet.ts';
 import type {MinionState} from './MinionState.ts';
 import type {PlanContext} from './PlanContext.ts';
@@ -124,7 +125,7 @@
     if (!isDeferrable(this.#fleet, step)) {
       return true;
     }
-    return !isBacklogged && (deferrableStarts > 0 || isIdleForLong(step, now));
+    return !isBacklogged && (deferrableStarts > 0 || isIdleForLong(step, this.#outlook, now));
   }
 
   /**
@@ -139,6 +140,7 @@
       isTimeUp: this.#isTimeUp,
       limit: Math.max(0, deferrableStarts - countDeferrable(this.#fleet, this.#starts)),
       now,
+      outlook: this.#outlook,
       place: (step, budget) => {
         const isRetry = sweep?.hasTried(step, admitsFailedTrials) ?? false;
         if (isRetry && !this.#mayRetry()) {
@@ -164,6 +166,10 @@
     });
   }
 
+  get #outlook(): WorkOutlook {
+    return {estimator: this.#context.estimator, fleet: this.#fleet};
+  }
+
   get #maxWaitMs(): number {
     return deriveMaxWait(this.#context);
   }
