Starts of jobs of which nothing else is at work overtake deferrable starts that wait

Change: such a start is taken before other deferrable ones, three of them for each other one, so that none waits for ever. Urgent starts go before both, as they did.

Failed before: StartLimiter 'does not delay starts of jobs of which nothing else is at work'.

--- a/packages/nutmegproxy-jobs/src/Run.ts
+++ b/packages/nutmegproxy-jobs/src/Run.ts
@@ -24,6 +24,8 @@
   confirmedAt: Instant | undefined;
   /** Whether its minion has listed it before this owner knew of it. */
   isAdopted?: boolean;
+  /** Whether little or nothing else of its job was likely to be at work when it was placed; absent for no. */
+  isAwaited?: boolean;
   /** Whether the response to its start shows the clock for which the lease was computed. */
   isClockConfirmed?: boolean;
   /** How this owner knows of the run. */
--- a/packages/nutmegproxy-owner/src/RunOrders.ts
+++ b/packages/nutmegproxy-owner/src/RunOrders.ts
@@ -135,9 +135,10 @@
   }
 
   /** Returns how urgent a start is. */
-  #describeRequest({step}: Run): StartRequest {
+  #describeRequest({isAwaited, step}: Run): StartRequest {
     return {
       gang: step.shape.gang ? step : undefined,
+      isAwaited,
       isUrgent: !isDeferrable(this.#context.fleet, step),
     };
   }
--- a/packages/nutmegproxy-owner/src/StartLimiter.ts
+++ b/packages/nutmegproxy-owner/src/StartLimiter.ts
@@ -7,8 +7,8 @@
  * while calls are fast, and falls when most of them take long. A few slow calls are due to their
  * minions.
  *
- * Urgent starts overtake deferrable ones, which may wait by the hundred. Starts of one kind are sent in the
- * order in which they were requested.
+ * Urgent starts overtake deferrable ones, which may wait by the hundred, and so do those of jobs of which nothing else
+ * is at work. Starts of one kind are sent in the order in which they were requested.
  */
 
 import type {EventFields} from '@nutmegproxy/core';
@@ -33,10 +33,14 @@
 const BACKOFF_INTERVAL_MS = 100;
 /** Urgent starts that are sent in a row while deferrable ones wait. */
 const URGENT_PER_DEFERRABLE = 3;
+/** Starts of jobs of which nothing else is at work that are sent in a row while other deferrable ones wait. */
+const AWAITED_PER_OTHER = 3;
 
 export interface StartRequest {
   /** What the members of a gang share. Once one was sent, the others are urgent: it waits for them. */
   readonly gang?: object | undefined;
+  /** Whether nothing else of its job is at work, so that it goes before other deferrable ones. */
+  readonly isAwaited?: boolean | undefined;
   readonly isUrgent?: boolean;
 }
 
@@ -48,6 +52,9 @@
 export class StartLimiter {
   /** Gangs of which a member was sent. */
   readonly #begunGangs = new WeakSet<object>();
+  #awaited: WaitingStart[] = [];
+  /** Awaited starts since the last other deferrable one. */
+  #awaitedInRow = 0;
   #deferrable: WaitingStart[] = [];
   #inFlight = 0;
   #limit = INITIAL_LIMIT;
@@ -94,14 +101,15 @@
    * Resolves when the caller may send a start. It calls `leave` after the call has ended, or
    * `leaveUnsent` if it sends none.
    */
-  async enter({gang, isUrgent = false}: StartRequest = {}): Promise<void> {
+  async enter({gang, isAwaited = false, isUrgent = false}: StartRequest = {}): Promise<void> {
     if (this.#inFlight < this.limit) {
       this.#recordSent(gang);
       return;
     }
     const hasBegun = gang !== undefined && this.#begunGangs.has(gang);
+    const rest = isAwaited ? this.#awaited : this.#deferrable;
     await new Promise<void>((proceed) => {
-      (isUrgent || hasBegun ? this.#urgent : this.#deferrable).push({gang, proceed});
+      (isUrgent || hasBegun ? this.#urgent : rest).push({gang, proceed});
     });
   }
 
@@ -125,18 +133,26 @@
   }
 
   get #waiting(): number {
-    return this.#deferrable.length + this.#urgent.length;
+    return this.#awaited.length + this.#deferrable.length + this.#urgent.length;
   }
 
   #takeNext(): undefined | WaitingStart {
-    const isUrgent = this.#urgentInRow < URGENT_PER_DEFERRABLE || this.#deferrable.length === 0;
+    const hasOthers = this.#awaited.length + this.#deferrable.length > 0;
+    const isUrgent = this.#urgentInRow < URGENT_PER_DEFERRABLE || !hasOthers;
     const urgent = isUrgent ? this.#urgent.shift() : undefined;
     if (urgent !== undefined) {
       this.#urgentInRow += 1;
       return urgent;
     }
     this.#urgentInRow = 0;
-    return this.#deferrable.shift();
+    return this.#takeDeferrable();
+  }
+
+  #takeDeferrable(): undefined | WaitingStart {
+    const isAwaited = this.#awaitedInRow < AWAITED_PER_OTHER || this.#deferrable.length === 0;
+    const awaited = isAwaited ? this.#awaited.shift() : undefined;
+    this.#awaitedInRow = awaited === undefined ? 0 : this.#awaitedInRow + 1;
+    return awaited ?? this.#deferrable.shift();
   }
 
   #recordSent(gang: object | undefined): void {
@@ -144,7 +160,9 @@
     this.#sent += 1;
     if (gang !== undefined && !this.#begunGangs.has(gang)) {
       this.#begunGangs.add(gang);
-      this.#urgent.push(...this.#deferrable.filter((each) => each.gang === gang));
+      const waiting = [...this.#awaited, ...this.#deferrable];
+      this.#urgent.push(...waiting.filter((each) => each.gang === gang));
+      this.#awaited = this.#awaited.filter((each) => each.gang !== gang);
       this.#deferrable = this.#deferrable.filter((each) => each.gang !== gang);
     }
   }
--- a/packages/nutmegproxy-owner/src/__tests__/unit/StartLimiter.test.ts
+++ b/packages/nutmegproxy-owner/src/__tests__/unit/StartLimiter.test.ts
@@ -159,6 +159,35 @@
       assert.ok(deferrable.length >= BACKLOG / (MAX_URGENT_PER_DEFERRABLE + 1), `${sent.length}`);
     });
 
+    it('does not delay starts of jobs of which nothing else is at work', async () => {
+      requestDeferrable('d');
+      for (let index = 0; index < URGENT; index += 1) {
+        request(`a${index}`, {isAwaited: true});
+      }
+      await end(MAX_SENT_PER_URGENT * URGENT);
+      const awaited = sent.filter((name) => name.startsWith('a'));
+      assert.deepEqual(awaited, ['a0', 'a1', 'a2', 'a3', 'a4']);
+    });
+
+    it('goes on beside starts of such jobs without an end', async () => {
+      requestDeferrable('d');
+      for (let index = 0; index < BACKLOG; index += 1) {
+        request(`a${index}`, {isAwaited: true});
+      }
+      await end(BACKLOG);
+      const deferrable = sent.filter((name) => name.startsWith('d'));
+      assert.ok(deferrable.length >= BACKLOG / (MAX_URGENT_PER_DEFERRABLE + 1), `${sent.length}`);
+    });
+
+    it('does not delay a member of a gang that is awaited after another was sent', async () => {
+      const gang = {};
+      request('g0', {gang, isAwaited: true});
+      requestDeferrable('d');
+      request('g1', {gang, isAwaited: true});
+      await end(1 + MAX_SENT_PER_URGENT);
+      assert.ok(sent.includes('g1'), sent.join());
+    });
+
     it('does not delay the other members of a gang of which one was sent without waiting', async () => {
       const gang = {};
       limiter.leave(200, 0);
--- a/packages/nutmegproxy-scheduling/src/StartPlanner.ts
+++ b/packages/nutmegproxy-scheduling/src/StartPlanner.ts
@@ -9,6 +9,7 @@
 import type {TrialPlan} from './TaskTrials.ts';
 
 import {listCrashes} from './CrashVerdict.ts';
+import {findSoonIdleSince} from './ExpectedWork.ts';
 import {findGangMinions} from './GangPlacement.ts';
 import {startInterruptedTasks} from './InterruptedTaskStarts.ts';
 import {orderSteps} from './JobOrder.ts';
@@ -357,7 +358,9 @@
 
   #startRun(step: StepState, index: number, minion: MinionState, number?: RunNumber): Run {
     const {now} = this.#context;
+    const isAwaited = findSoonIdleSince(step, this.#outlook, now) < Infinity;
     const run = this.#fleet.startRun(step, index, minion, now, number);
+    run.isAwaited = isAwaited;
     if (this.#overdueBackfill.has(step)) {
       run.toleratedSince = now;
     }
