--- a/packages/nutmegproxy-jobs/src/Run.ts
+++ b/packages/nutmegproxy-jobs/src/Run.ts
@@ -24,6 +24,8 @@
   confirmedAt: Instant | undefined;
   /** Whether its minion has listed it before this owner knew of it. */
   isAdopted?: boolean;
+  /** Whether little or nothing else of its job was likely to be at work when it was placed; absent for no. */
+  isAwaited?: boolean;
   /** Whether the response to its start shows the clock for which the lease was computed. */
   isClockConfirmed?: boolean;
   /** How this owner knows of the run. */
@@ -37,6 +39,8 @@
   /** Last reported progress in percent; 100 for a long-running task that is working. */
   percent: number;
   phase: RunPhase;
+  /** When its start was decided on. */
+  readonly placedAt: Instant;
   /** Tail latency in milliseconds of a serving run; processor use in thousandths of a core of others. */
   reading: number | undefined;
   /** When the start was last sent; when it was decided on before that. */
--- a/packages/nutmegproxy-owner/src/RunOrders.ts
+++ b/packages/nutmegproxy-owner/src/RunOrders.ts
@@ -135,9 +135,10 @@
   }
 
   /** Returns how urgent a start is. */
-  #describeRequest({step}: Run): StartRequest {
+  #describeRequest({isAwaited, step}: Run): StartRequest {
     return {
       gang: step.shape.gang ? step : undefined,
+      isAwaited,
       isUrgent: !isDeferrable(this.#context.fleet, step),
     };
   }
@@ -167,6 +168,7 @@
         run.confirmedAt ??= now;
         run.step.job.hasBegun = true;
         load.recordConfirmed(run, now);
+        this.#context.fleet.startDelay.recordConfirmed(run, now);
         markRunning(run);
         return 'confirmed';
       }
--- a/packages/nutmegproxy-scheduling/src/Fleet.ts
+++ b/packages/nutmegproxy-scheduling/src/Fleet.ts
@@ -25,6 +25,7 @@
 import {DEFAULT_QUEUE_POLICY} from './QueuePolicy.ts';
 import {describeRun, describeRuns} from './RunFields.ts';
 import {SCHEDULING_EVENTS} from './SchedulingEvents.ts';
+import {StartDelay} from './StartDelay.ts';
 import {StartWaitLog} from './StartWaitLog.ts';
 
 export class Fleet {
@@ -51,6 +52,7 @@
   readonly outages = new OutageLog();
   /** Number of runs that may be to blame for each crash that this owner saw. */
   readonly crashSuspects = new WeakMap<TaskCrash, number>();
+  readonly startDelay = new StartDelay();
   readonly startWaits = new StartWaitLog();
   /** Jobs of which planning has last withheld all tasks, since one is suspected of crashes. */
   suspectedJobs: ReadonlySet<JobState> = new Set();
@@ -92,13 +94,15 @@
   /** Removes a run and applies its result to its task, gang, job and minion. */
   finishRun(run: Run, outcome: RunOutcome, checkpoint: Checkpoint | undefined, now: Instant): void {
     this.#removeRun(run);
+    const minion = this.minions.get(run.minion);
     this.events.record(SCHEDULING_EVENTS.RUN_ENDED, {
       ...describeRun(run),
+      confirmMs: Math.round((run.confirmedAt ?? now) - run.sentAt),
       ms: Math.round(now - run.sentAt),
       outcome,
+      reportAgeMs: Math.round(now - (minion?.lastAnswerAt ?? now)),
     });
     this.applyResult(run.step, run.task, run.number, outcome, checkpoint ?? run.checkpoint);
-    const minion = this.minions.get(run.minion);
     if (outcome === 'done') {
       run.step.doneAt = now;
       run.step.job.activeAt = now;
--- a/packages/nutmegproxy-scheduling/src/StartPlanner.ts
+++ b/packages/nutmegproxy-scheduling/src/StartPlanner.ts
@@ -2,12 +2,14 @@
 
 import type {Run, RunNumber, StepState} from '@nutmegproxy/jobs';
 
+import type {WorkOutlook} from './ExpectedWork.ts';
 import type {Fleet} from './Fleet.ts';
 import type {MinionState} from './MinionState.ts';
 import type {PlanContext} from './PlanContext.ts';
 import type {TrialPlan} from './TaskTrials.ts';
 
 import {listCrashes} from './CrashVerdict.ts';
+import {findSoonIdleSince} from './ExpectedWork.ts';
 import {findGangMinions} from './GangPlacement.ts';
 import {startInterruptedTasks} from './InterruptedTaskStarts.ts';
 import {orderSteps} from './JobOrder.ts';
@@ -125,7 +127,7 @@
     if (!isDeferrable(this.#fleet, step)) {
       return true;
     }
-    return !isBacklogged && (deferrableStarts > 0 || isIdleForLong(step, now));
+    return !isBacklogged && (deferrableStarts > 0 || isIdleForLong(step, this.#outlook, now));
   }
 
   /**
@@ -140,6 +142,7 @@
       isTimeUp: this.#isTimeUp,
       limit: Math.max(0, deferrableStarts - countDeferrable(this.#fleet, this.#starts)),
       now,
+      outlook: this.#outlook,
       place: (step, budget) => {
         const isRetry = sweep?.hasTried(step, admitsFailedTrials) ?? false;
         if (isRetry && !this.#mayRetry()) {
@@ -165,6 +168,10 @@
     });
   }
 
+  get #outlook(): WorkOutlook {
+    return {estimator: this.#context.estimator, fleet: this.#fleet};
+  }
+
   get #maxWaitMs(): number {
     return deriveMaxWait(this.#context);
   }
@@ -352,7 +359,9 @@
 
   #startRun(step: StepState, index: number, minion: MinionState, number?: RunNumber): Run {
     const {now} = this.#context;
+    const isAwaited = findSoonIdleSince(step, this.#outlook, now) < Infinity;
     const run = this.#fleet.startRun(step, index, minion, now, number);
+    run.isAwaited = isAwaited;
     if (this.#overdueBackfill.has(step)) {
       run.toleratedSince = now;
     }
