--- a/packages/nutmegproxy-scheduling/src/BackfillExposure.ts
+++ b/packages/nutmegproxy-scheduling/src/BackfillExposure.ts
@@ -13,6 +13,9 @@
 /** Time in milliseconds without backfill after which a report shows nothing of it. */
 const CLEAR_REPORT_MS = 800;
 
+/** How the highest tail latency of a report compares with its target. */
+export type TailLevel = 'below' | 'near' | 'over';
+
 /** What the reports of a minion have shown. */
 interface Reports {
   /** Start of the backfill that has worked since without a pause; -Infinity when it is not known, undefined without any. */
@@ -22,6 +25,7 @@
   /** Report since which reports have shown no backfill; Infinity while they show some. */
   clearSince: number;
   readonly firstAt: Instant;
+  level: TailLevel;
   /** Report that showed first that a tail latency is near its target; undefined while none is. */
   nearSince: Instant | undefined;
 }
@@ -44,24 +48,26 @@
 /**
  * @example
  * const exposure = new BackfillExposure();
- * exposure.review(minion, true, now);
+ * exposure.review(minion, 'near', now);
  * exposure.findSince(minion); // -Infinity if it has backfill, as nothing is known of the time before
  */
 export class BackfillExposure {
   readonly #reports = new WeakMap<MinionState, Reports>();
 
-  /** Called for each report of a minion, with whether it shows a tail latency near or over its target. */
-  review(minion: MinionState, isNearTarget: boolean, now: Instant): void {
+  /** Called for each report of a minion. */
+  review(minion: MinionState, level: TailLevel, now: Instant): void {
     const reports = this.#reports.get(minion) ?? {
       backfillSince: hasBackfill(minion) ? findEarliestStart(minion) : -Infinity,
       belowAt: -Infinity,
       clearSince: Infinity,
       firstAt: now,
+      level,
       nearSince: undefined,
     };
     this.#reports.set(minion, reports);
-    reports.nearSince = isNearTarget ? (reports.nearSince ?? now) : undefined;
-    reports.belowAt = isNearTarget ? reports.belowAt : now;
+    reports.level = level;
+    reports.nearSince = level === 'below' ? undefined : (reports.nearSince ?? now);
+    reports.belowAt = level === 'below' ? now : reports.belowAt;
     if (hasBackfill(minion)) {
       reports.backfillSince = findBackfillSince(minion, reports);
       reports.clearSince = Infinity;
@@ -73,6 +79,11 @@
     }
   }
 
+  /** Whether the last report of a minion shows a tail latency over its target. */
+  isOver(minion: MinionState): boolean {
+    return this.#reports.get(minion)?.level === 'over';
+  }
+
   /** Returns when this owner got the first report of a minion; undefined before. */
   findFirstReport(minion: MinionState): Instant | undefined {
     return this.#reports.get(minion)?.firstAt;
--- a/packages/nutmegproxy-scheduling/src/SharingPolicy.ts
+++ b/packages/nutmegproxy-scheduling/src/SharingPolicy.ts
@@ -9,6 +9,7 @@
 import type {Instant} from '@nutmegproxy/core';
 import type {Run, StepShape, StepState} from '@nutmegproxy/jobs';
 
+import type {TailLevel} from './BackfillExposure.ts';
 import type {DurationEstimator} from './DurationEstimator.ts';
 import type {EvictionBounds} from './EvictionTimes.ts';
 import type {Fleet} from './Fleet.ts';
@@ -21,7 +22,7 @@
 import {INTERFERENCE_COST} from './Placement.ts';
 import {ServingOutlook} from './ServingOutlook.ts';
 import {TailLatencyModel, toReferenceCores} from './TailLatencyModel.ts';
-import {ToleratedBackfill} from './ToleratedBackfill.ts';
+import {isOverTarget, ToleratedBackfill} from './ToleratedBackfill.ts';
 
 /** Highest planned utilization, as a share of the utilization at the latency target. */
 const MAX_PLANNED_SHARE = 1;
@@ -100,7 +101,7 @@
     if (minion.servingRuns === 0) {
       return 0;
     }
-    if (this.isNearTarget(minion)) {
+    if (this.#exposure.isOver(minion) && !this.#tolerated.hasPaused(minion, now)) {
       return undefined;
     }
     const {utilizationLimit} = this.#describeBackfill(step, now);
@@ -183,7 +184,7 @@
    */
   evictInterferingRuns(fleet: Fleet, minion: MinionState, now: Instant): void {
     const affected = findMostAffectedRun(minion);
-    this.#exposure.review(minion, affected !== undefined, now);
+    this.#exposure.review(minion, findTailLevel(affected), now);
     this.#tolerated.review(minion, now);
     if (affected === undefined) {
       return;
@@ -207,9 +208,9 @@
     }
   }
 
-  /** Stops the backfill whose time beside tail latencies near or over their targets is up before the next report. */
+  /** Stops the backfill whose time beside tail latencies over their targets is up before the next report. */
   evictExpiredRuns(fleet: Fleet, minion: MinionState, now: Instant): void {
-    if (!this.#isTimeUp(minion, now)) {
+    if (!this.#exposure.isOver(minion) || !this.#isTimeUp(minion, now)) {
       return;
     }
     for (const run of minion.runs) {
@@ -288,6 +289,13 @@
   }
 }
 
+function findTailLevel(affected: Run | undefined): TailLevel {
+  if (affected === undefined) {
+    return 'below';
+  }
+  return isOverTarget(affected) ? 'over' : 'near';
+}
+
 /** Returns the share up to which utilization may be planned for a step that waited `waitedMs`. */
 function chooseUtilizationLimit(waitedMs: number): number {
   return MAX_PLANNED_SHARE + (Math.max(0, waitedMs - STRICT_LIMIT_MS) / 1_000) * LIMIT_RISE_PER_S;
--- a/packages/nutmegproxy-scheduling/src/ToleratedBackfill.ts
+++ b/packages/nutmegproxy-scheduling/src/ToleratedBackfill.ts
@@ -19,6 +19,7 @@
 import type {MinionState} from './MinionState.ts';
 
 import {computeEvictAllDelay} from './EvictionTimes.ts';
+import {hasBackfill} from './MinionState.ts';
 
 /** Longest time in milliseconds without backfill before a minion gets its next turn; a report shows it by then. */
 const PAUSE_MS = 1_000;
@@ -34,7 +35,8 @@
 /** Progress from which a run that would not end in time is worth its turn, as the load may fall meanwhile. */
 const WORTHWHILE_PERCENT = 35;
 
-function isOverTarget({reading = 0, step}: Run): boolean {
+/** Whether the last report of a serving run shows its tail latency at its target or over it. */
+export function isOverTarget({reading = 0, step}: Run): boolean {
   const {tailTargetMs = Infinity} = step.shape;
   return reading >= tailTargetMs;
 }
@@ -79,7 +81,7 @@
     if (now < (this.#pausedUntil.get(step) ?? -Infinity)) {
       return false;
     }
-    if (isNearTarget && this.#exposure.computeClearMs(minion, now) < PAUSE_MS) {
+    if (isNearTarget && !this.hasPaused(minion, now)) {
       return false;
     }
     for (const {step, toleratedSince} of minion.runs) {
@@ -90,6 +92,11 @@
     return true;
   }
 
+  /** Whether a minion has had no backfill for long enough that its next one begins another turn. */
+  hasPaused(minion: MinionState, now: Instant): boolean {
+    return this.#exposure.computeClearMs(minion, now) >= PAUSE_MS && !hasBackfill(minion);
+  }
+
   /** Returns whether a run may work on beside tasks that a report shows near or over their targets. */
   isTolerated(fleet: Fleet, run: Run, now: Instant): boolean {
     const minion = fleet.minions.get(run.minion);
--- a/packages/nutmegproxy-scheduling/src/__tests__/unit/BackfillExposure.test.ts
+++ b/packages/nutmegproxy-scheduling/src/__tests__/unit/BackfillExposure.test.ts
@@ -14,8 +14,8 @@
 
 const OVER_MS = TARGET_MS * 2;
 const BELOW_MS = TARGET_MS / 2;
-const NEAR = true;
-const BELOW = false;
+const NEAR = 'near';
+const BELOW = 'below';
 
 describe('BackfillExposure', () => {
   function createMinion(): {
