--- a/packages/nutmegproxy-jobs/src/Run.ts
+++ b/packages/nutmegproxy-jobs/src/Run.ts
@@ -41,6 +41,8 @@
   phase: RunPhase;
   /** When its start was decided on. */
   readonly placedAt: Instant;
+  /** When it was decided on; its start may be sent more than once. */
+  readonly plannedAt: Instant;
   /** Tail latency in milliseconds of a serving run; processor use in thousandths of a core of others. */
   reading: number | undefined;
   /** When the start was last sent; when it was decided on before that. */
--- a/packages/nutmegproxy-load/src/PlanningBench.ts
+++ b/packages/nutmegproxy-load/src/PlanningBench.ts
@@ -65,7 +65,7 @@
   return (system + user) / 1_000;
 }
 
-function createRoundLog({fleet}: PlanningLoad): RoundLog {
+function createRoundLog({fleet, sharing}: PlanningLoad): RoundLog {
   const noTime = {active: 0, idle: 0};
   const readLoop = (): typeof noTime => noTime;
   return new RoundLog({
@@ -79,6 +79,7 @@
     orders: {describe: () => ({})},
     ownership: {requestedAt: BEGUN_AT as Instant, term: 1},
     pollLimiter: {eventFields: {}},
+    sharing,
     startLimiter: new StartLimiter(),
     startThrottle: new StartThrottle(readLoop),
   });
--- a/packages/nutmegproxy-owner/src/Owner.ts
+++ b/packages/nutmegproxy-owner/src/Owner.ts
@@ -19,7 +19,6 @@
   type QueuePolicy,
   replaceQueues,
   RunProgressMonitor,
-  ServingLatencyLog,
   SharingPolicy,
 } from '@nutmegproxy/scheduling';
 
@@ -99,7 +98,6 @@
   readonly #retention: Retention;
   readonly #roster: Roster;
   readonly #roundLog: RoundLog;
-  readonly #servingLatencyLog = new ServingLatencyLog();
   readonly #sharing: SharingPolicy;
   readonly #sweep = new PlanSweep();
   readonly #startLimiter = new StartLimiter();
@@ -273,6 +271,7 @@
       orders,
       ownership,
       pollLimiter: this.#pollLimiters.answering,
+      sharing: this.#sharing,
       startLimiter: this.#startLimiter,
       startThrottle: this.#startThrottle,
     });
@@ -351,7 +350,6 @@
     const starts = hold === undefined ? planStarts(fleet, context) : [];
     const isRoomUsedUp = fleet.plannedStarts >= lastStart;
     this.#roundLog.record({context, hold, isRoomUsedUp, now, starts, wall});
-    this.#servingLatencyLog.review(fleet, this.#sharing, now);
     this.#startThrottle.recordStarts(countDeferrable(fleet, starts));
     for (const run of starts) {
       this.#minions.startRun(run);
--- a/packages/nutmegproxy-owner/src/RoundLog.ts
+++ b/packages/nutmegproxy-owner/src/RoundLog.ts
@@ -2,11 +2,12 @@
 
 import type {EventSink, Instant, WallTime} from '@nutmegproxy/core';
 import type {Run} from '@nutmegproxy/jobs';
-import type {Fleet, PlanContext} from '@nutmegproxy/scheduling';
+import type {Fleet, PlanContext, SharingPolicy} from '@nutmegproxy/scheduling';
 
 import {
   countDeferrable,
   PendingTaskLog,
+  ServingLatencyLog,
   summarizeFleet,
   UntrustedMinionLog,
   WithheldTaskLog,
@@ -53,6 +54,7 @@
   readonly orders: Pick<TrackedOrders, 'describe'>;
   readonly ownership: Pick<FleetOwnership, 'requestedAt' | 'term'>;
   readonly pollLimiter: Pick<PollLimiter, 'eventFields'>;
+  readonly sharing: Pick<SharingPolicy, 'describeExposure'>;
   readonly startLimiter: StartLimiter;
   readonly startThrottle: StartThrottle;
 }
@@ -60,6 +62,7 @@
 export class RoundLog {
   readonly #options: RoundLogOptions;
   readonly #pendingTasks = new PendingTaskLog();
+  readonly #servingLatencies = new ServingLatencyLog();
   #summarizedAt = -Infinity;
   readonly #taskWaits: TaskWaitLog;
   readonly #untrustedMinions = new UntrustedMinionLog();
@@ -72,10 +75,11 @@
 
   /** Records a round, whose starts have not been sent yet. */
   record(round: Round): void {
-    const {fleet, load, minions, startLimiter} = this.#options;
+    const {fleet, load, minions, sharing, startLimiter} = this.#options;
     const {now, starts, wall} = round;
     this.#summarize(now, wall);
     const recoveryMs = minions.recovery.findRemainingMs(now);
+    this.#servingLatencies.review(fleet, sharing, now);
     this.#untrustedMinions.review(fleet, now);
     this.#taskWaits.recordRound(round);
     const withheld = this.#withheldTasks.review(fleet, {now, recoveryMs, wall});
--- a/packages/nutmegproxy-owner/src/__tests__/unit/RoundLog.test.ts
+++ b/packages/nutmegproxy-owner/src/__tests__/unit/RoundLog.test.ts
@@ -57,6 +57,7 @@
       orders: {describe: () => ({})},
       ownership: {requestedAt: 0 as Instant, term: 0},
       pollLimiter: new PollLimiter(),
+      sharing: {describeExposure: () => undefined},
       startLimiter: new StartLimiter(),
       startThrottle: new StartThrottle(),
     });
--- a/packages/nutmegproxy-scheduling/src/BackfillExposure.ts
+++ b/packages/nutmegproxy-scheduling/src/BackfillExposure.ts
@@ -20,11 +20,14 @@
 interface Reports {
   /** Start of the backfill that has worked since without a pause; -Infinity when it is not known, undefined without any. */
   backfillSince: number | undefined;
+  /** Number of backfill runs that were added until the last report. */
+  backfillStarts: number;
   /** Report that showed no tail latency near its target last; -Infinity before one has. */
   belowAt: number;
   /** Report since which reports have shown no backfill; Infinity while they show some. */
   clearSince: number;
   readonly firstAt: Instant;
+  lastAt: Instant;
   level: TailLevel;
   /** Report that showed first that a tail latency is near its target; undefined while none is. */
   nearSince: Instant | undefined;
@@ -34,7 +37,7 @@
 function findEarliestStart({runs}: MinionState): number {
   const starts = [...runs]
     .filter(({step}) => step.shape.fillsSpareCpu)
-    .map(({isAdopted, sentAt}) => (isAdopted === true ? -Infinity : sentAt));
+    .map(({isAdopted, plannedAt}) => (isAdopted === true ? -Infinity : plannedAt));
   return Math.min(...starts);
 }
 
@@ -58,13 +61,18 @@
   review(minion: MinionState, level: TailLevel, now: Instant): void {
     const reports = this.#reports.get(minion) ?? {
       backfillSince: hasBackfill(minion) ? findEarliestStart(minion) : -Infinity,
+      backfillStarts: minion.backfillStarts,
       belowAt: -Infinity,
       clearSince: Infinity,
       firstAt: now,
+      lastAt: now,
       level,
       nearSince: undefined,
     };
     this.#reports.set(minion, reports);
+    const {backfillStarts, lastAt} = reports;
+    reports.backfillStarts = minion.backfillStarts;
+    reports.lastAt = now;
     reports.level = level;
     reports.nearSince = level === 'below' ? undefined : (reports.nearSince ?? now);
     reports.belowAt = level === 'below' ? now : reports.belowAt;
@@ -73,6 +81,11 @@
       reports.clearSince = Infinity;
       return;
     }
+    if (backfillStarts !== minion.backfillStarts) {
+      // Some has come and gone since the last report.
+      reports.backfillSince ??= lastAt;
+      reports.clearSince = now;
+    }
     reports.clearSince = Math.min(reports.clearSince, now);
     if (this.isClear(minion, now)) {
       reports.backfillSince = undefined;
--- a/packages/nutmegproxy-scheduling/src/FleetUtils.ts
+++ b/packages/nutmegproxy-scheduling/src/FleetUtils.ts
@@ -21,6 +21,7 @@
     percent: 0,
     phase: 'starting',
     placedAt: now,
+    plannedAt: now,
     reading: undefined,
     sentAt: now,
     step,
--- a/packages/nutmegproxy-scheduling/src/MinionState.ts
+++ b/packages/nutmegproxy-scheduling/src/MinionState.ts
@@ -69,6 +69,8 @@
   backfillCpuMilli = 0;
   /** Until when it gets no new backfill, as what has stopped there makes room for other work. */
   backfillHeldUntil = -Infinity as Instant;
+  /** Number of backfill runs that were added so far; shows whether some came and went between two reports. */
+  backfillStarts = 0;
   /** Number of runs that were added or removed so far; shows whether a derived value is current. */
   runChanges = 0;
   /** Number of runs that belong to no known task; nothing is placed on the minion beside them. */
@@ -276,6 +278,7 @@
     this.reserved.memoryMb += sign * memoryMb;
     const kind = classifyWork(shape);
     if (kind === 'filling') {
+      this.backfillStarts += Math.max(0, sign);
       this.backfillCpuMilli += sign * cpuMilli;
       return;
     }
--- a/packages/nutmegproxy-scheduling/src/OverdueSteps.ts
+++ b/packages/nutmegproxy-scheduling/src/OverdueSteps.ts
@@ -5,7 +5,7 @@
  */
 
 import type {Instant} from '@nutmegproxy/core';
-import type {JobState, StepState} from '@nutmegproxy/jobs';
+import type {JobState, QueueId, StepState} from '@nutmegproxy/jobs';
 
 import type {Fleet} from './Fleet.ts';
 import type {MinionState} from './MinionState.ts';
@@ -138,8 +138,8 @@
 }
 
 /**
- * Returns the steps with some of them in the order of their last starts, in the places of these: backfill that works in
- * turns is stopped and waits again, and those that come first otherwise would take each turn.
+ * Returns the steps with some of them in the order of their last starts, in the places of these of their queue: backfill
+ * that works in turns is stopped and waits again, and those that come first otherwise would take each turn.
  *
  * @example
  * orderByLastStart([ordinary, stopped, waiting], new Set([stopped, waiting])); // [ordinary, waiting, stopped]
@@ -148,9 +148,14 @@
   ordered: readonly StepState[],
   taken: ReadonlySet<StepState>,
 ): readonly StepState[] {
-  const byLastStart = [...taken].sort(({placedAt: a = 0}, {placedAt: b = 0}) => a - b);
-  const next = byLastStart.values();
-  return ordered.map((step) => (taken.has(step) ? (next.next().value ?? step) : step));
+  const byQueue = new Map<QueueId, StepState[]>();
+  for (const step of [...taken].sort(({placedAt: a = 0}, {placedAt: b = 0}) => b - a)) {
+    const {queue} = step.job.request;
+    byQueue.set(queue, [...(byQueue.get(queue) ?? []), step]);
+  }
+  return ordered.map((step) =>
+    taken.has(step) ? (byQueue.get(step.job.request.queue)?.pop() ?? step) : step,
+  );
 }
 
 /** Returns the minions that get no new work for no other reason than that their runs have failed or stalled. */
--- a/packages/nutmegproxy-scheduling/src/SharingPolicy.ts
+++ b/packages/nutmegproxy-scheduling/src/SharingPolicy.ts
@@ -190,7 +190,10 @@
       return;
     }
     const evictable = [...minion.runs].filter(
-      (run) => run.step.shape.fillsSpareCpu && !this.#tolerated.isTolerated(fleet, run, now),
+      (run) =>
+        run.step.shape.fillsSpareCpu &&
+        !isDisruptionExcluded(run) &&
+        !this.#tolerated.isTolerated(fleet, run, now),
     );
     if (this.#isTimeUp(minion, now)) {
       for (const run of evictable) {
@@ -202,7 +205,7 @@
     const interfering = isPaused
       ? undefined
       : this.#findWorstInterferingRun(minion, evictable, affected);
-    if (interfering !== undefined && !isDisruptionExcluded(interfering)) {
+    if (interfering !== undefined) {
       this.#lastEvictedAt.set(minion, now);
       this.#evict(fleet, interfering, now);
     }
@@ -232,7 +235,8 @@
   #isTimeUp(minion: MinionState, now: Instant): boolean {
     const since = this.#exposure.findSince(minion) ?? now;
     const shownSince = Math.max(since, this.#exposure.findNearSince(minion) ?? now);
-    return now - shownSince >= this.#evictAllAfterMs || now - since >= this.#maxExposureMs;
+    const isOverForLong = this.#exposure.isOver(minion) && now - since >= this.#maxExposureMs;
+    return isOverForLong || now - shownSince >= this.#evictAllAfterMs;
   }
 
   #computeWorstShare(
--- a/packages/nutmegproxy-scheduling/src/ToleratedBackfill.ts
+++ b/packages/nutmegproxy-scheduling/src/ToleratedBackfill.ts
@@ -32,6 +32,8 @@
 /** Time in milliseconds that the calls of a stop add to it. */
 const STOP_CALLS_MS = 300;
 const FULL_PERCENT = 100;
+/** Minions without backfill whose tasks have to be over their targets too. */
+const MIN_WITNESSES = 2;
 /** Progress from which a run that would not end in time is worth its turn, as the load may fall meanwhile. */
 const WORTHWHILE_PERCENT = 35;
 
@@ -162,7 +164,7 @@
 
   /**
    * Whether a task is over its target without any backfill beside it: it was when its minion last had none, and so are
-   * now all tasks of its step, and so of its load, that have none. One alone may be on a slow minion.
+   * now all tasks of its step, and so of its load, that have none: two at least, as one may be on a slow minion.
    */
   #isOverAlone(fleet: Fleet, run: Run, now: Instant): boolean {
     const clear = [...run.step.runs()].filter(({minion: id}) => {
@@ -171,7 +173,7 @@
     });
     return (
       this.#overAlone.get(run) === true &&
-      clear.length > 0 &&
+      clear.length >= MIN_WITNESSES &&
       clear.every((other) => isOverTarget(other))
     );
   }
--- a/packages/nutmegproxy-scheduling/src/__tests__/unit/DisruptionBudget.test.ts
+++ b/packages/nutmegproxy-scheduling/src/__tests__/unit/DisruptionBudget.test.ts
@@ -47,4 +47,15 @@
   it('is stopped as a whole without a budget', () => {
     assert.deepEqual(play(undefined), {mostAway: TASKS, stopped: TASKS});
   });
+
+  it('does not keep other backfill beside it from being stopped', () => {
+    const sample = new ServingSample(DEFAULT_PLATFORM_BOUNDS);
+    const minion = sample.addServingMinion('m1');
+    sample.report(minion, TARGET_MS / 2, 0);
+    const lasting = sample.startLasting(sample.addLastingBackfill(1, 0), 0, minion, 0);
+    lasting.reading = 3_000;
+    const [other] = sample.addBackfill(minion, 1, 0);
+    sample.report(minion, TARGET_MS * 2, REPORT_INTERVAL_MS);
+    assert.deepEqual([lasting.phase, other?.phase], ['running', 'stopping']);
+  });
 });
