--- a/packages/nutmegproxy-scheduling/src/__tests__/unit/HarmlessBackfill.test.ts
+++ b/packages/nutmegproxy-scheduling/src/__tests__/unit/HarmlessBackfill.test.ts
@@ -1,5 +1,7 @@
 /** Backfill is harmless beside a task only for as long as others show that it would be over its target without it. */
 
+import type {RunPhase} from '@nutmegproxy/jobs';
+
 import {DEFAULT_PLATFORM_BOUNDS} from '@nutmegproxy/core';
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
@@ -24,7 +26,7 @@
       Object.assign(sample.fleet.startRun(step, index, minion, at(0)), {
         confirmedAt: at(0),
         percent: 100,
-        phase: 'running' as const,
+        phase: 'running' as RunPhase,
       }),
     );
     const report = (now: number, tails: readonly number[]): void => {
@@ -48,7 +50,7 @@
     assert.ok(backfill && minions[0]);
     const run = Object.assign(sample.fleet.startRun(backfill, 0, minions[0], at(3_000)), {
       confirmedAt: at(3_000),
-      phase: 'running' as const,
+      phase: 'running' as RunPhase,
       reading: 1_000,
       toleratedSince: at(3_000),
     });
