--- a/packages/nutmegproxy-entry/src/JobApi.ts
+++ b/packages/nutmegproxy-entry/src/JobApi.ts
@@ -177,7 +177,10 @@
       ...request,
       acceptedAt: clock.wall(),
       queue: route.id,
-      queuePolicy: {maxAttempts: route.maxAttempts},
+      queuePolicy: {
+        ...(route.advice !== undefined && {advice: route.advice}),
+        maxAttempts: route.maxAttempts,
+      },
       service: route.service,
     };
     const cell = await this.#chooseCell(job);
--- a/packages/nutmegproxy-entry/src/__tests__/unit/JobApi.test.ts
+++ b/packages/nutmegproxy-entry/src/__tests__/unit/JobApi.test.ts
@@ -71,6 +71,19 @@
       }
     });
 
+    // Guards against starts without tickets once the queue is removed, which minions reject for good.
+    it('stores with a job which advice its queue needs', async () => {
+      const advice = {callMs: 20, perMinionMs: 2, validMs: 5_000};
+      for (const [each, id] of [[advice, ID] as const, [undefined, OTHER_ID] as const]) {
+        await api.submit({...ROUTE, advice: each}, {...JOB, id}, CALL);
+        const stored = (await getKey(store, formatJobKey(id, 'request')))._unsafeUnwrap();
+        assert.ok(stored);
+        const request = decodeJob(stored.value)._unsafeUnwrap();
+        const job = new JobState(request, stored.createRevision);
+        assert.deepEqual(new Fleet(SILENT_EVENTS).resolveQueuePolicy(job).advice, each);
+      }
+    });
+
     it('refuses with not-run when the write can not have taken effect', async () => {
       store.faults.change({down: true});
       const refused = await api.submit(ROUTE, JOB, CALL);
--- a/packages/nutmegproxy-jobs/src/JobModel.ts
+++ b/packages/nutmegproxy-jobs/src/JobModel.ts
@@ -68,8 +68,18 @@
   readonly steps: readonly StepShape[];
 }
 
+/** Settings of a queue whose steps only run on minions that the external advisor permits. */
+export interface AdvicePolicy {
+  readonly callMs: number;
+  readonly perMinionMs: number;
+  /** Validity of a ticket, in milliseconds. */
+  readonly validMs: number;
+}
+
 /** Settings of a job's queue that hold for the job also once the queue is not configured any more. */
 export interface StoredQueuePolicy {
+  /** Absent where the queue needs no advice, and in records of earlier versions. */
+  readonly advice?: AdvicePolicy;
   /** Number of failed runs of one task after which the job fails. */
   readonly maxAttempts: number;
 }
--- a/packages/nutmegproxy-jobs/src/JobProgress.ts
+++ b/packages/nutmegproxy-jobs/src/JobProgress.ts
@@ -4,7 +4,7 @@
  */
 
 import type {BegunProgress} from './BegunTasks.ts';
-import type {Checkpoint, JobStatus, QueueId, RunNumber} from './JobModel.ts';
+import type {AdvicePolicy, Checkpoint, JobStatus, QueueId, RunNumber} from './JobModel.ts';
 import type {StepCrashProgress} from './StepCrashes.ts';
 
 /** Progress of one step of one occurrence. */
@@ -19,6 +19,11 @@
 
 /** Progress of a job; steps without progress are absent. */
 export interface JobProgress {
+  /**
+   * The advice that the queue needed when it was removed from the configuration, null for none; absent before, and
+   * where the stored job tells it.
+   */
+  readonly advice?: AdvicePolicy | null;
   /**
    * Whether a minion was known to have begun a task; absent when none was, when the progress of a step tells so, and in
    * records of earlier versions. A status tells only that a start was decided on.
--- a/packages/nutmegproxy-jobs/src/JobState.ts
+++ b/packages/nutmegproxy-jobs/src/JobState.ts
@@ -2,7 +2,7 @@
 
 import type {Instant, JobId, WallTime} from '@nutmegproxy/core';
 
-import type {JobStatus, StoredJob} from './JobModel.ts';
+import type {AdvicePolicy, JobStatus, StoredJob} from './JobModel.ts';
 import type {JobProgress, StepProgress} from './JobProgress.ts';
 
 import {formatStepKey, isFinal, showsBegun} from './JobProgress.ts';
@@ -33,6 +33,8 @@
   readonly hadStarted: boolean;
   /** Whether the former owner stored which tasks of long-running steps had begun. */
   readonly hadStoredBegun: boolean;
+  /** Advice that its queue needed when that was removed, null for none; undefined where the request tells it. */
+  formerAdvice: AdvicePolicy | null | undefined;
   /** Attempts that its queue allowed when that was removed, unless the request tells them; undefined before. */
   formerMaxAttempts: number | undefined;
   /** Whether starts of suspected tasks were stored for the job. */
@@ -56,6 +58,7 @@
       progress.hasBegun === true || Object.values(progress.steps).some((step) => showsBegun(step));
     this.hasStarted = this.hadStarted;
     this.hadStoredBegun = Object.values(progress.steps).some(({begun}) => begun !== undefined);
+    this.formerAdvice = progress.advice;
     this.formerMaxAttempts = progress.maxAttempts;
     this.#progress = progress;
     for (const [key, {trials}] of Object.entries(progress.steps)) {
@@ -151,7 +154,7 @@
         }
       }
     }
-    const {formerMaxAttempts: maxAttempts, request, status} = this;
+    const {formerAdvice: advice, formerMaxAttempts: maxAttempts, request, status} = this;
     return {
       queue: request.queue,
       status,
@@ -159,10 +162,17 @@
       ...(this.hasBegun && !Object.values(steps).some((step) => showsBegun(step))
         ? {hasBegun: true}
         : {}),
+      ...(advice === undefined ? {} : {advice}),
       ...(maxAttempts === undefined ? {} : {maxAttempts}),
     };
   }
 
+  /** The advice that the job needs once its queue is not configured; undefined for none. */
+  get keptAdvice(): AdvicePolicy | undefined {
+    const {formerAdvice, request} = this;
+    return formerAdvice === undefined ? request.queuePolicy?.advice : (formerAdvice ?? undefined);
+  }
+
   /** Whether a run of the job is live. */
   get hasLiveRuns(): boolean {
     return this.liveRuns > 0;
--- a/packages/nutmegproxy-jobs/src/index.ts
+++ b/packages/nutmegproxy-jobs/src/index.ts
@@ -20,6 +20,7 @@
 export {chooseJobCell, MAX_OUTLOOK_AGE_MS} from './CellRouting.ts';
 export type {CellForecast} from './CellRouting.ts';
 export type {
+  AdvicePolicy,
   Checkpoint,
   JobRequest,
   JobStatus,
--- a/packages/nutmegproxy-owner/src/AdvicePrefetcher.ts
+++ b/packages/nutmegproxy-owner/src/AdvicePrefetcher.ts
@@ -66,10 +66,11 @@
     }
   }
 
-  /** Whether queues are known of which none needs advice, until the configuration changes. */
+  /** Whether queues are known of which none needs advice, nor a job whose queue may have been removed. */
   #isUnused(): boolean {
-    const {queues} = this.#options.fleet;
-    return queues.size > 0 && [...queues.values()].every(({advice}) => advice === undefined);
+    const {jobs, queues} = this.#options.fleet;
+    const isQueueAdvised = [...queues.values()].some(({advice}) => advice !== undefined);
+    return queues.size > 0 && jobs.advised.size === 0 && !isQueueAdvised;
   }
 
   /** Calls the service once; false when a pause has to follow. */
--- a/packages/nutmegproxy-owner/src/RunOrders.ts
+++ b/packages/nutmegproxy-owner/src/RunOrders.ts
@@ -272,6 +272,10 @@
     }
     if (kind === 'no-ticket') {
       this.#context.onTicketRejected(run);
+      if (this.#context.fleet.resolveQueuePolicy(run.step.job).advice === undefined) {
+        // Nothing is asked for a ticket, so the next start would be rejected at once too.
+        run.step.avoid(run.task.index, this.#minion.id, now);
+      }
     }
     if (this.#unansweredStarts.has(run)) {
       this.#context.fleet.stopRun(run, 'unknown');
--- a/packages/nutmegproxy-owner/src/__tests__/unit/AdvicePrefetcher.test.ts
+++ b/packages/nutmegproxy-owner/src/__tests__/unit/AdvicePrefetcher.test.ts
@@ -2,6 +2,7 @@
 import type {QueueId} from '@nutmegproxy/jobs';
 
 import {DEFAULT_PLATFORM_BOUNDS, SILENT_EVENTS} from '@nutmegproxy/core';
+import {JobState} from '@nutmegproxy/jobs';
 import {DEFAULT_QUEUE_POLICY, Fleet} from '@nutmegproxy/scheduling';
 import {errAsync} from 'neverthrow';
 import assert from 'node:assert/strict';
@@ -78,6 +79,44 @@
     await ended;
   });
 
+  // Guards against jobs that wait for good for tickets once the route of their queue is removed.
+  it('asks for a job whose queue is not configured any more', async () => {
+    const fleet = new Fleet(SILENT_EVENTS);
+    const minion = createMinion();
+    minion.isRegistered = true;
+    minion.hasReported = true;
+    minion.leaseClock.observe(0, 0 as Instant);
+    fleet.minions.set(minion.id, minion);
+    const {id, request, revision} = createStep(1).job;
+    const queuePolicy = {advice: {callMs: 1, perMinionMs: 1, validMs: 1_000}, maxAttempts: 2};
+    fleet.jobs.set(id, new JobState({...request, queuePolicy}, revision));
+    const others = 'others' as QueueId;
+    const {service} = minion.description;
+    fleet.queues.set(others, {...DEFAULT_QUEUE_POLICY, advice: undefined, id: others, service});
+    const asked: string[] = [];
+    const prefetcher = new AdvicePrefetcher({
+      advice: {
+        ask: (step) => {
+          asked.push(step);
+          return errAsync({kind: 'unanswered', message: 'injected'});
+        },
+      },
+      bounds: DEFAULT_PLATFORM_BOUNDS,
+      clock: {monotonic: () => 1 as Instant, wall: () => 1 as WallTime},
+      events: SILENT_EVENTS,
+      fleet,
+      onChange: () => undefined,
+    });
+    mock.timers.enable({apis: ['setTimeout']});
+    let isActing = true;
+    const ended = prefetcher.run(() => isActing);
+    await pass(300);
+    isActing = false;
+    await pass(300);
+    await ended;
+    assert.equal(asked[0], `${id}.0.0`);
+  });
+
   // Guards against a step whose calls fail and keeps the others from being asked for.
   it('asks for each step in turn while all calls fail', async () => {
     const fleet = new Fleet(SILENT_EVENTS);
--- a/packages/nutmegproxy-owner/src/__tests__/unit/RunOrders.test.ts
+++ b/packages/nutmegproxy-owner/src/__tests__/unit/RunOrders.test.ts
@@ -24,6 +24,8 @@
   message: 'deadline exceeded',
 };
 
+const TICKETLESS: OrderFailure = {clockMs: 1, kind: 'no-ticket', message: 'ticket'};
+
 describe('RunOrders', () => {
   let events: {readonly fields: EventFields; readonly kind: EventKind}[];
   let failure: OrderFailure | undefined;
@@ -80,6 +82,7 @@
       isDirectoryOutdated: () => isDirectoryOutdated,
       load: new OwnerLoad(),
       onChange: () => undefined,
+      onTicketRejected: () => undefined,
       orders: minionOrders as MinionOrders,
       ownership: await acquireOwnership(store),
       startLimiter: limiter,
@@ -263,6 +266,15 @@
       assert.equal(minion.reserved.cpuMilli, 2_000);
     });
 
+    // Guards against a hundred starts a second, each rejected at once.
+    it('is not repeated at once when it is rejected for want of a ticket that nothing is asked for', async () => {
+      failure = TICKETLESS;
+      limiter.leave(1, 0);
+      await orders.start(run);
+      assert.equal(sent.length, 1);
+      assert.ok(run.step.isAvoided(0, minion.id, SYSTEM_CLOCK.monotonic()));
+    });
+
     it('is not sent while what is being stopped there leaves no room', async () => {
       const stopping = fleet.startRun(createStep(2), 0, minion, 0 as Instant);
       fleet.stopRun(stopping, 'cancelled');
--- a/packages/nutmegproxy-scheduling/src/Fleet.ts
+++ b/packages/nutmegproxy-scheduling/src/Fleet.ts
@@ -185,7 +185,7 @@
     return (
       this.queues.get(queue) ?? {
         ...DEFAULT_QUEUE_POLICY,
-        advice: undefined,
+        advice: job.keptAdvice,
         maxAttempts: job.formerMaxAttempts ?? maxAttempts,
         service,
       }
--- a/packages/nutmegproxy-scheduling/src/QueuePolicy.ts
+++ b/packages/nutmegproxy-scheduling/src/QueuePolicy.ts
@@ -1,6 +1,6 @@
 /** Scheduling settings of a queue. */
 
-import type {QueueId, ServiceId} from '@nutmegproxy/jobs';
+import type {AdvicePolicy, QueueId, ServiceId} from '@nutmegproxy/jobs';
 
 export interface QueuePolicy {
   readonly advice: AdvicePolicy | undefined;
@@ -16,14 +16,6 @@
   readonly targetDurationMs: number;
 }
 
-/** Settings of a queue whose steps only run on minions that the external advisor permits. */
-export interface AdvicePolicy {
-  readonly callMs: number;
-  readonly perMinionMs: number;
-  /** Validity of a ticket, in milliseconds. */
-  readonly validMs: number;
-}
-
 /** Defaults of a queue's settings, also used to finish jobs whose queue is no longer configured. */
 export const DEFAULT_QUEUE_POLICY = {
   maxAttempts: 3,
--- a/packages/nutmegproxy-scheduling/src/__tests__/unit/QueueReplacement.test.ts
+++ b/packages/nutmegproxy-scheduling/src/__tests__/unit/QueueReplacement.test.ts
@@ -86,6 +86,52 @@
   });
 });
 
+// Guards against starts without tickets, which minions reject for good, once the route of an advised queue is removed.
+describe('A job of an advised queue that is removed', () => {
+  const advice = {callMs: 20, perMinionMs: 2, validMs: 5_000};
+
+  it('needs the advice that was stored with it, under an owner that never had the queue', () => {
+    const sample = new SampleFleet(3, [queue('others')]);
+    const job = addStoredJob(sample, {queuePolicy: {advice, maxAttempts: 2}});
+    assert.deepEqual(sample.fleet.resolveQueuePolicy(job).advice, advice);
+    assert.deepEqual([...sample.fleet.jobs.advised], [job]);
+    assert.deepEqual(sample.plan(0), []);
+  });
+
+  it('keeps it under the next owner where an earlier version accepted it', () => {
+    const sample = new SampleFleet(1, [queue('proofs', {advice})]);
+    const job = addStoredJob(sample, {});
+    replaceQueues(sample.fleet, []);
+    assert.ok(sample.fleet.dirtyJobs.has(job));
+    assert.deepEqual([...sample.fleet.jobs.advised], [job]);
+    const next = new JobState(job.request, job.revision, job.exportProgress());
+    assert.deepEqual(sample.fleet.resolveQueuePolicy(next).advice, advice);
+  });
+
+  it('needs no other record of it', () => {
+    const sample = new SampleFleet(1, [queue('proofs', {advice, maxAttempts: 2})]);
+    const job = addStoredJob(sample, {queuePolicy: {advice, maxAttempts: 2}});
+    replaceQueues(sample.fleet, []);
+    assert.equal(sample.fleet.dirtyJobs.has(job), false);
+  });
+
+  it('needs none if its queue needed none any more', () => {
+    const sample = new SampleFleet(1, [queue('proofs')]);
+    const job = addStoredJob(sample, {queuePolicy: {advice, maxAttempts: 2}});
+    replaceQueues(sample.fleet, []);
+    const next = new JobState(job.request, job.revision, job.exportProgress());
+    assert.equal(sample.fleet.resolveQueuePolicy(next).advice, undefined);
+    assert.equal(sample.fleet.jobs.advised.size, 0);
+  });
+
+  it('is not listed any more once it has ended', () => {
+    const sample = new SampleFleet(1, []);
+    const job = addStoredJob(sample, {queuePolicy: {advice, maxAttempts: 2}});
+    sample.fleet.finishJob(job, 'failed');
+    assert.equal(sample.fleet.jobs.advised.size, 0);
+  });
+});
+
 /** Adds a job of one task whose stored request has these fields besides. */
 function addStoredJob(sample: SampleFleet, change: Partial<StoredJob>): JobState {
   const {request, revision} = sample.addJob('proofs', [shape()]);
--- a/packages/nutmegproxy-scheduling/src/index.ts
+++ b/packages/nutmegproxy-scheduling/src/index.ts
@@ -55,7 +55,7 @@
 export type {PlanContext} from './PlanContext.ts';
 export {PlanSweep} from './PlanSweep.ts';
 export {DEFAULT_QUEUE_POLICY} from './QueuePolicy.ts';
-export type {AdvicePolicy, QueuePolicy} from './QueuePolicy.ts';
+export type {QueuePolicy} from './QueuePolicy.ts';
 export {replaceQueues} from './QueueReplacement.ts';
 export {collectReadySteps} from './ReadySteps.ts';
 export {describeJobs, describeRun, findNamedJobs} from './RunFields.ts';
