--- a/packages/nutmegproxy-scheduling/src/__tests__/unit/HarmlessBackfill.test.ts
+++ b/packages/nutmegproxy-scheduling/src/__tests__/unit/HarmlessBackfill.test.ts
@@ -26,7 +26,7 @@
       Object.assign(sample.fleet.startRun(step, index, minion, at(0)), {
         confirmedAt: at(0),
         percent: 100,
-        phase: 'running' as RunPhase,
+        phase: 'running',
       }),
     );
     const report = (now: number, tails: readonly number[]): void => {
@@ -50,7 +50,7 @@
     assert.ok(backfill && minions[0]);
     const run = Object.assign(sample.fleet.startRun(backfill, 0, minions[0], at(3_000)), {
       confirmedAt: at(3_000),
-      phase: 'running' as RunPhase,
+      phase: 'running',
       reading: 1_000,
       toleratedSince: at(3_000),
     });
