--- a/packages/nutmegproxy-scheduling/src/__tests__/unit/HarmlessBackfill.test.ts
+++ b/packages/nutmegproxy-scheduling/src/__tests__/unit/HarmlessBackfill.test.ts
@@ -1,7 +1,5 @@
 /** Backfill is harmless beside a task only for as long as others show that it would be over its target without it. */
 
-import type {RunPhase} from '@nutmegproxy/jobs';
-
 import {DEFAULT_PLATFORM_BOUNDS} from '@nutmegproxy/core';
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
