--- a/packages/nutmegproxy-scheduling/src/BackfillExposure.ts
+++ b/packages/nutmegproxy-scheduling/src/BackfillExposure.ts
@@ -7,15 +7,13 @@
 import type {Instant} from '@nutmegproxy/core';
 
 import type {MinionState} from './MinionState.ts';
+import type {TailLevel} from './TailLevel.ts';
 
 import {hasBackfill} from './MinionState.ts';
 
 /** Time in milliseconds without backfill after which a report shows nothing of it. */
 const CLEAR_REPORT_MS = 800;
 
-/** How the highest tail latency of a report compares with its target. */
-export type TailLevel = 'below' | 'near' | 'over';
-
 /** What the reports of a minion have shown. */
 interface Reports {
   /** Start of the backfill that has worked since without a pause; -Infinity when it is not known, undefined without any. */
--- a/packages/nutmegproxy-scheduling/src/SharingPolicy.ts
+++ b/packages/nutmegproxy-scheduling/src/SharingPolicy.ts
@@ -9,7 +9,6 @@
 import type {Instant} from '@nutmegproxy/core';
 import type {Run, StepShape, StepState} from '@nutmegproxy/jobs';
 
-import type {TailLevel} from './BackfillExposure.ts';
 import type {DurationEstimator} from './DurationEstimator.ts';
 import type {EvictionBounds} from './EvictionTimes.ts';
 import type {Fleet} from './Fleet.ts';
@@ -22,7 +21,8 @@
 import {INTERFERENCE_COST} from './Placement.ts';
 import {ServingOutlook} from './ServingOutlook.ts';
 import {TailLatencyModel, toReferenceCores} from './TailLatencyModel.ts';
-import {isOverTarget, ToleratedBackfill} from './ToleratedBackfill.ts';
+import {findMostAffectedRun, findTailLevel} from './TailLevel.ts';
+import {ToleratedBackfill} from './ToleratedBackfill.ts';
 
 /** Highest planned utilization, as a share of the utilization at the latency target. */
 const MAX_PLANNED_SHARE = 1;
@@ -30,8 +30,6 @@
 const STRICT_LIMIT_MS = 4_000;
 /** Increase of that share per second of further waiting, so that every step runs eventually. */
 const LIMIT_RISE_PER_S = 0.15;
-/** Share of its target at which a tail latency triggers evictions; reports are 0.5 s old. */
-const EVICTION_THRESHOLD_SHARE = 0.95;
 /** Time in milliseconds between two evictions on a minion; the next poll shows their effect. */
 const EVICTION_INTERVAL_MS = 600;
 /** Cost of a utilization that just meets the latency target, in thousandths of a core. */
@@ -293,32 +291,7 @@
   }
 }
 
-function findTailLevel(affected: Run | undefined): TailLevel {
-  if (affected === undefined) {
-    return 'below';
-  }
-  return isOverTarget(affected) ? 'over' : 'near';
-}
-
 /** Returns the share up to which utilization may be planned for a step that waited `waitedMs`. */
 function chooseUtilizationLimit(waitedMs: number): number {
   return MAX_PLANNED_SHARE + (Math.max(0, waitedMs - STRICT_LIMIT_MS) / 1_000) * LIMIT_RISE_PER_S;
 }
-
-/**
- * Returns the serving run whose tail latency exceeds the eviction threshold the most; undefined
- * when none does.
- */
-function findMostAffectedRun(minion: MinionState): Run | undefined {
-  let affected: Run | undefined;
-  let worst = EVICTION_THRESHOLD_SHARE;
-  for (const run of minion.runs) {
-    const target = run.step.shape.tailTargetMs;
-    const share = target === undefined ? 0 : (run.reading ?? 0) / target;
-    if (share > worst) {
-      affected = run;
-      worst = share;
-    }
-  }
-  return affected;
-}
--- a/packages/nutmegproxy-scheduling/src/ToleratedBackfill.ts
+++ b/packages/nutmegproxy-scheduling/src/ToleratedBackfill.ts
@@ -20,6 +20,7 @@
 
 import {computeEvictAllDelay} from './EvictionTimes.ts';
 import {hasBackfill} from './MinionState.ts';
+import {isOverTarget} from './TailLevel.ts';
 
 /** Longest time in milliseconds without backfill before a minion gets its next turn; a report shows it by then. */
 const PAUSE_MS = 1_000;
@@ -37,12 +38,6 @@
 /** Progress from which a run that would not end in time is worth its turn, as the load may fall meanwhile. */
 const WORTHWHILE_PERCENT = 35;
 
-/** Whether the last report of a serving run shows its tail latency at its target or over it. */
-export function isOverTarget({reading = 0, step}: Run): boolean {
-  const {tailTargetMs = Infinity} = step.shape;
-  return reading >= tailTargetMs;
-}
-
 /** Returns when a run ends if it goes on as it has until now; undefined while that is not known, or it saves its work. */
 function findEnd({percent, sentAt, step}: Run, now: Instant): number | undefined {
   const workedMs = now - sentAt;
