--- a/packages/nutmegproxy-standins/src/TcpRelay.ts
+++ b/packages/nutmegproxy-standins/src/TcpRelay.ts
@@ -63,14 +63,14 @@
     }
   }
 
-  /** Starts listening; the control API has a separate port. */
-  async start(port = 0): Promise<Standin & {readonly controlPort: number}> {
+  /** Starts listening on a loopback address; the control API has a separate port at 127.0.0.1. */
+  async start(port = 0, host = '127.0.0.1'): Promise<Standin & {readonly controlPort: number}> {
     const server = createServer((client) => {
       this.#open(client);
     });
     await new Promise<void>((resolve, reject) => {
       server.once('error', reject);
-      server.listen(port, '127.0.0.1', resolve);
+      server.listen(port, host, resolve);
     });
     const control = await listen(0, {
       'POST /control': ({body, response}) => {
