Waits of stored work count on over takeovers

What callers saw: in a series of takeovers closer than 13.5 s accepted work beside free room waits without a bound (LOST): each owner is within every bound, the next one begins them anew.

Cause: since when a step is ready, and when a crash or failure under a former owner was, counted from this owner's first look; room had to be free for 2 s under each owner; a failure under a former owner counted from that owner's end (8 s, so never over in terms of 7 s).

Change: told by the revisions of the store, nothing new stored. Overdue and idle steps, the last attempt and the pauses after crashes count from there (StepState.turnAt). Not changed: what counts from this owner's first look on purpose (start limit, urgent work, the share of utilization that backfill is admitted to: after a long wait that is anything, though it was placed just before), leases, attempts, run numbers.

Ruled out: wall clocks of other VMs; ages in the progress of jobs (a job that only waits is not written); state/knowledge (each 3 s: never in a term of 3 s); the recovery record (a line for each waiting step).

Tests: WaitsOverTakeovers, owners each 3 and 7 s: 11 of 12 failed before, with Infinity (no start in 60 s) for trust, tolerant minions and the last attempt.

--- a/packages/nutmegproxy-jobs/src/StepState.ts
+++ b/packages/nutmegproxy-jobs/src/StepState.ts
@@ -39,11 +39,13 @@
   hasFailedTrial = false;
   /** When no minion was last found for a task of the step; undefined before. */
   blockedAt: Instant | undefined;
+  /** Since when the step is known to have waited under former owners; undefined when it is not known. */
+  heldSince: Instant | undefined;
   /** When a task of the step was last done; undefined before. */
   doneAt: Instant | undefined;
   /** When a task of the step was last placed; undefined before. */
   placedAt: Instant | undefined;
-  /** When all earlier steps that this one depends on were done; undefined before. */
+  /** When this owner first saw that all earlier steps that this one depends on were done; undefined before. */
   readyAt: Instant | undefined;
   /**
    * Indexes of the tasks whose last run this owner saw live, so that no other run of a former owner
@@ -61,6 +63,8 @@
   readonly #lastRun = new Map<number, RunNumber>();
   readonly #perMinion = new Map<MinionId, number>();
   readonly #runs = new Map<number, Run[]>();
+  /** Numbers of failures that were stored under former owners, by task index. */
+  readonly #storedFailures = new Map<number, number>();
 
   constructor(
     job: JobState,
@@ -80,6 +84,7 @@
     }
     for (const [index, numbers] of Object.entries(progress?.failures ?? {})) {
       this.failures.set(Number(index), [...numbers]);
+      this.#storedFailures.set(Number(index), numbers.length);
     }
     for (const [index, checkpoint] of Object.entries(progress?.checkpoints ?? {})) {
       this.saveCheckpoint(Number(index), checkpoint);
@@ -100,6 +105,11 @@
     return this.#runs.size > 0;
   }
 
+  /** When the turn of the step came, as far as it is known: also under former owners; undefined before. */
+  get turnAt(): Instant | undefined {
+    return this.heldSince ?? this.readyAt;
+  }
+
   /** Number of live runs. */
   get liveRuns(): number {
     let count = 0;
@@ -173,6 +183,11 @@
     this.#checkpoints.set(index, checkpoint);
   }
 
+  /** Whether all known failures of the task were stored under former owners. */
+  hasOnlyStoredFailures(index: number): boolean {
+    return this.failures.get(index)?.length === this.#storedFailures.get(index);
+  }
+
   /** Whether a run of the task is known, live or over. */
   hasRun(index: number): boolean {
     return this.#lastRun.has(index) || this.failures.has(index);
