A series of versions of the configuration leaves half of a slow link to other calls

Cause: while versions of 50 KB come each 80 to 200 ms (6 to 11 s), all VMs take all of their links of 2 Mbit/s for them. A watch response with three or more versions is given up when its length is known, and the newest is read; on such a link what was on its way arrives nevertheless, some 100 KB (0.54 to 0.69 s from giving up to the end of a read of 66 KB, of which 0.27 s are its own), and the next watch has three versions again: 95 to 100 watches given up in 6 s by 16 VMs. Starts and listings wait behind that: the owners confirm a start after 0.4 to 1.2 s (60 to 100 ms before), half of the minions count as slow, and the owners' loops are used by 35 to 60 % at 20 to 60 starts a second each in place of 100 to 150. The tasks that wait since then (400 to 600) are not caught up with until the end.

Change: a watch pauses for 300 ms after a version, and a read that brought a newer version is followed by another read after the same pause, in place of a watch, until one brings nothing new. Above 80 KB the watch is used as before: reading again would cost more than a watch that is given up.

--- a/packages/nutmegproxy-entry/src/Configuration.ts
+++ b/packages/nutmegproxy-entry/src/Configuration.ts
@@ -24,6 +24,8 @@
 }
 
 export interface ConfigurationSnapshot {
+  /** Size in bytes as stored. */
+  readonly bytes: number;
   /** Undefined until the operator has written one. */
   readonly configuration: Configuration | undefined;
   /** Revision of the store at the read; start a watch at `revision + 1` to miss no change. */
--- a/packages/nutmegproxy-entry/src/ConfigurationFollower.ts
+++ b/packages/nutmegproxy-entry/src/ConfigurationFollower.ts
@@ -8,7 +8,11 @@
 
 import type {Configuration, ConfigurationSource} from './Configuration.ts';
 
-import {CONFIGURATION_RETRY_DELAY_MS} from './EntryConstants.ts';
+import {
+  CONFIGURATION_PAUSE_MS,
+  CONFIGURATION_RETRY_DELAY_MS,
+  MAX_REPEATED_CONFIGURATION_BYTES,
+} from './EntryConstants.ts';
 import {ENTRY_EVENTS} from './EntryEvents.ts';
 import {RouteTable} from './RouteTable.ts';
 
@@ -63,22 +67,27 @@
       }
       isReadable = read.isOk();
       if (read.isOk()) {
-        const {configuration, revision} = read.value;
-        if (configuration !== undefined) {
-          this.#apply(configuration);
+        const {bytes, configuration, revision} = read.value;
+        const isFirst = this.#configuration === undefined;
+        const isNewer = configuration !== undefined && this.#apply(configuration);
+        if (isNewer && !isFirst && bytes <= MAX_REPEATED_CONFIGURATION_BYTES) {
+          // In a series of versions a watch would get all that are written meanwhile.
+          await delay(CONFIGURATION_PAUSE_MS);
+        } else {
+          await this.#follow(revision + 1);
+          await period;
         }
-        await this.#follow(revision + 1);
-        await period;
       } else {
         await delay(CONFIGURATION_RETRY_DELAY_MS);
       }
     }
   }
 
-  #apply(configuration: Configuration): void {
+  /** Applies a configuration if it is newer; returns whether it is. */
+  #apply(configuration: Configuration): boolean {
     const {routes, version} = configuration;
     if (this.#configuration !== undefined && version <= this.#configuration.version) {
-      return;
+      return false;
     }
     const former = this.#configuration?.version;
     this.#configuration = configuration;
@@ -86,6 +95,7 @@
     this.#resolveApplied();
     const fields = {former, routes: routes.length, version};
     this.#events.record(ENTRY_EVENTS.CONFIGURATION_APPLIED, fields);
+    return true;
   }
 
   /** Watches for changes; resolves when the watch breaks. */
--- a/packages/nutmegproxy-entry/src/EntryConstants.ts
+++ b/packages/nutmegproxy-entry/src/EntryConstants.ts
@@ -2,6 +2,16 @@
 
 /** Delay in milliseconds before the configuration is read again after a read or watch failed. */
 export const CONFIGURATION_RETRY_DELAY_MS = 200;
+/**
+ * Pause in milliseconds after a version of the configuration was received, before the next one is: versions in a
+ * series leave room for other calls on a slow link.
+ */
+export const CONFIGURATION_PAUSE_MS = 300;
+/**
+ * Size in bytes up to which the configuration is read again while versions follow each other; about what a slow
+ * link still carries of a watch response after it was given up.
+ */
+export const MAX_REPEATED_CONFIGURATION_BYTES = 80 * 1024;
 /** Pause in milliseconds before the number of cells is read again. */
 export const CELL_COUNT_RETRY_MS = 200;
 /** Upper bound in milliseconds of the random delay before the number is decided; spreads the VMs' writes. */
--- a/packages/nutmegproxy-entry/src/__tests__/unit/ConfigurationFollower.test.ts
+++ b/packages/nutmegproxy-entry/src/__tests__/unit/ConfigurationFollower.test.ts
@@ -41,7 +41,8 @@
 
   beforeEach(async () => {
     const source: ConfigurationSource = {
-      read: () => okAsync({configuration: createConfiguration(5, '/a/', '/a/b/'), revision: 1}),
+      read: () =>
+        okAsync({bytes: 1, configuration: createConfiguration(5, '/a/', '/a/b/'), revision: 1}),
       watch: (_from, handler) => {
         notifyChange = handler.onChange;
         return {close: () => undefined};
@@ -70,7 +71,7 @@
     let breakWatch: (() => void) | undefined;
     const reader = new ConfigurationFollower(
       {
-        read: () => outcomes.pop() ?? okAsync({configuration: undefined, revision: 1}),
+        read: () => outcomes.pop() ?? okAsync({bytes: 0, configuration: undefined, revision: 1}),
         watch: (_from, handler) => {
           breakWatch = () => {
             handler.onBroken(failure);
@@ -99,4 +100,45 @@
     assert.equal(getRouteTable(follower).version, 9);
     assert.equal(getRouteTable(follower).find('queue.example', '/a/1'), undefined);
   });
+
+  describe('in a series of versions', () => {
+    const LARGE_BYTES = 1_000_000;
+
+    /** Returns after which reads a watch was begun, where the reads return versions of a size in turn. */
+    async function listWatches(versions: readonly number[], bytes: number): Promise<number[]> {
+      const watchedAfter: number[] = [];
+      let reads = 0;
+      const reader = new ConfigurationFollower(
+        {
+          read: () => {
+            const version = versions[Math.min(reads, versions.length - 1)] ?? 0;
+            reads += 1;
+            return okAsync({bytes, configuration: createConfiguration(version), revision: version});
+          },
+          watch: (_from, {onBroken}) => {
+            watchedAfter.push(reads);
+            if (reads < versions.length) {
+              onBroken({kind: 'unavailable', message: 'the missed changes are too long'});
+            }
+            return {close: () => undefined};
+          },
+        },
+        SILENT_EVENTS,
+      );
+      void reader.run();
+      while (watchedAfter.at(-1) !== versions.length) {
+        await new Promise((resolve) => setTimeout(resolve, 10));
+      }
+      reader.close();
+      return watchedAfter;
+    }
+
+    it('reads the newest until it is known, and only then watches, which would get each of them', async () => {
+      assert.deepEqual(await listWatches([1, 5, 9, 9], 1), [1, 4]);
+    });
+
+    it('does not read a large one again', async () => {
+      assert.deepEqual(await listWatches([1, 5, 9, 9], LARGE_BYTES), [1, 2, 3, 4]);
+    });
+  });
 });
--- a/packages/nutmegproxy-entry/src/index.ts
+++ b/packages/nutmegproxy-entry/src/index.ts
@@ -15,6 +15,7 @@
 export {
   CALLS_LOG_INTERVAL_MS,
   CLOSING_MS,
+  CONFIGURATION_PAUSE_MS,
   FORWARD_TIMEOUT_MS,
   KILL_MARGIN_MS,
   MAX_FORWARD_ATTEMPTS,
