--- a/packages/nutmegproxy-owner/src/Owner.ts
+++ b/packages/nutmegproxy-owner/src/Owner.ts
@@ -440,8 +440,8 @@
 }
 
 /** Creates the state of a fleet whose minions may have runs of former owners. */
-function createFleet({events, ownership}: OwnerOptions): Fleet {
-  const fleet = new Fleet(events);
+function createFleet({bounds, events, ownership}: OwnerOptions): Fleet {
+  const fleet = new Fleet(events, bounds);
   fleet.formerReleasedAt = ownership.formerReleasedAt;
   fleet.runNumberBase = ownership.term * RUN_NUMBERS_PER_TERM + 1;
   fleet.recoveryRevision = ownership.token;
--- a/packages/nutmegproxy-scheduling/src/CrashPauses.ts
+++ b/packages/nutmegproxy-scheduling/src/CrashPauses.ts
@@ -5,12 +5,14 @@
  */
 
 import type {Instant} from '@nutmegproxy/core';
-import type {StepState, TaskCrash} from '@nutmegproxy/jobs';
+import type {CrashRates, StepState, TaskCrash} from '@nutmegproxy/jobs';
 
 import type {Fleet} from './Fleet.ts';
-import type {CrashRates} from './OutageLog.ts';
+import type {SeenCrash} from './SeenCrashes.ts';
 
-import {CRASH_VERDICTS, listCrashes} from './CrashVerdict.ts';
+import {CRASH_VERDICTS} from './CrashVerdict.ts';
+import {deriveMaxWait} from './PendingBounds.ts';
+import {MAX_TRIAL_DELAY_MS} from './TrialPacing.ts';
 
 /** Time in milliseconds for which a run may have been live at most after its minion last responded. */
 const AGE_MARGIN_MS = 300;
@@ -18,7 +20,8 @@
 const UNCONFIRMED_MARGIN_MS = 1_500;
 /** Least probability that a run is not to blame for a crash for which others may be to blame. */
 const MIN_SHARED_CHANCE = 0.03;
-/** Probability of the crashes by chance from which on a task is restrained. */
+/** Starts with crashes, and the probability of these by chance, from which on a task is restrained. */
+const MIN_RESTRAINED_STARTS = 2;
 const MAX_CHANCE = 3e-4;
 /** Crashes under a task that is not restrained, from which on its trials have pauses before them. */
 const MIN_PAUSED_CRASHES = 3;
@@ -27,35 +30,55 @@
 const MAX_TRIAL_PAUSE_MS = 3_000;
 /** The pause in milliseconds where crashes under the task are many, but may be due to chance. */
 const GUILTY_PAUSE_MS = 5_000;
-/** Pauses in milliseconds after two crashes and more under a restrained task. */
-const RESTRAINED_PAUSES_MS = [4_000, 8_000, 20_000, 120_000];
-const LONGEST_PAUSE_MS = 300_000;
+/** The pause in milliseconds after two crashes under a restrained task; after more it is the longest. */
+const FIRST_RESTRAINT_MS = 4_000;
+/** Time in milliseconds from the longest pause until a restrained task starts on any minion. */
+const RESTRAINED_TRIAL_WAIT_MS = 1_000;
+/** The same from then on to the end of the bound, for planning. */
+const PLANNING_MARGIN_MS = 1_000;
+/** Starts with crashes, and the probability of these by chance, from which on a task is deadly; at several addresses. */
+const DEADLY_LEVELS = [
+  {maxChance: 1e-5, starts: 4},
+  {maxChance: 1.5e-4, starts: 5},
+];
+const MIN_DEADLY_ADDRESSES = 2;
 
 /** When a task may start again after crashes under it. */
 export interface CrashPause {
-  /** Whether chance is no likely cause of its crashes, so that it starts only alone and ever less often. */
+  /** Whether chance is excluded as the cause of its crashes, so that it does not start while that is so. */
+  readonly isDeadly: boolean;
+  /** Whether chance is no likely cause of its crashes, so that it starts only alone and after longer pauses. */
   readonly isRestrained: boolean;
+  /** Time in milliseconds from the last crash after which it starts on any minion, unless it is deadly. */
+  readonly overdueMs: number;
   /** Time in milliseconds from the last crash. */
   readonly pauseMs: number;
 }
 
 /** Knows how often minions crash, and which crashes other tasks may have caused. */
 export interface CrashContext {
+  /** Time in milliseconds in which accepted work with free room has to run; absent for its default. */
+  readonly finishMs?: number | undefined;
+  /** Whether an owner knew how often minions crashed then. */
+  readonly isKnown: (crash: TaskCrash) => boolean;
+  readonly isLasting: boolean;
   /** Whether the run of the task is the only one that may be to blame. */
   readonly isSoleSuspect: (crash: TaskCrash) => boolean;
-  readonly rates: CrashRates;
+  /** Returns how often minions crashed without the task around the time of a crash. */
+  readonly ratesAt: (crash: TaskCrash) => CrashRates;
 }
 
 /** Returns the probability that a task is not to blame for a crash of its minion, at most 1. */
 function computeChance(
   crash: TaskCrash,
-  {isSoleSuspect, rates}: CrashContext,
+  {isKnown, isSoleSuspect, ratesAt}: CrashContext,
   members: number,
 ): number {
   const {ageMs, evidence} = crash;
+  const rates = ratesAt(crash);
   const marginMs = evidence === 'unconfirmed' ? UNCONFIRMED_MARGIN_MS : AGE_MARGIN_MS;
   const perMs = evidence === 'coincident' ? rates.perFleet : rates.perMinion * members;
-  const leastChance = isSoleSuspect(crash) ? 0 : MIN_SHARED_CHANCE;
+  const leastChance = isKnown(crash) && isSoleSuspect(crash) ? 0 : MIN_SHARED_CHANCE;
   return Math.min(1, Math.max(leastChance, perMs * (ageMs + marginMs)));
 }
 
@@ -76,22 +99,64 @@
   return probability;
 }
 
-/** Returns the pause after crashes of which chance is no likely cause; undefined after others. */
-function findRestraint(
+/** How little chance explains crashes. */
+type Suspicion = 'deadly' | 'explained' | 'restrained';
+
+interface CrashWeight {
+  /** Probability of all crashes by chance. */
+  readonly chance: number;
+  /** Number of starts that ended so. */
+  readonly starts: number;
+}
+
+/** Returns the probability by chance of the crashes under a task, or under the members of a gang. */
+function weighCrashes(
   crashes: readonly TaskCrash[],
   context: CrashContext,
   members: number,
-): number | undefined {
+): CrashWeight {
   // The members of a gang start under one number, and one of them is enough to end all.
-  const starts = new Map<number, number>();
-  for (const crash of crashes.filter(({evidence}) => evidence !== 'unstable')) {
+  const chances = new Map<number, number>();
+  for (const crash of crashes) {
     const chance = computeChance(crash, context, members);
-    starts.set(crash.run, Math.min(chance, starts.get(crash.run) ?? 1));
+    chances.set(crash.run, Math.min(chance, chances.get(crash.run) ?? 1));
   }
-  if (starts.size < 2 || combineChances([...starts.values()]) > MAX_CHANCE) {
-    return undefined;
+  return {chance: combineChances([...chances.values()]), starts: chances.size};
+}
+
+/** Returns how little chance explains crashes. */
+function judgeChance(
+  crashes: readonly TaskCrash[],
+  context: CrashContext,
+  members: number,
+): {readonly starts: number; readonly suspicion: Suspicion} {
+  const counted = crashes.filter(({evidence}) => evidence !== 'unstable');
+  const {chance, starts} = weighCrashes(counted, context, members);
+  const addresses = new Set(counted.map(({address}) => address)).size;
+  const isDeadly = DEADLY_LEVELS.some(
+    (level) => starts >= level.starts && chance <= level.maxChance,
+  );
+  if (isDeadly && addresses >= MIN_DEADLY_ADDRESSES) {
+    return {starts, suspicion: 'deadly'};
   }
-  return RESTRAINED_PAUSES_MS[starts.size - 2] ?? LONGEST_PAUSE_MS;
+  const isRestrained = starts >= MIN_RESTRAINED_STARTS && chance <= MAX_CHANCE;
+  return {starts, suspicion: isRestrained ? 'restrained' : 'explained'};
+}
+
+/**
+ * Returns the bounds of a restrained task, which is a preference: the time from the last crash to the start
+ * ends before callers count the work as lost. Lasting tasks are missed sooner, so they wait no longer than other suspects.
+ */
+function describeRestraint(
+  {finishMs, isLasting}: CrashContext,
+  {starts, suspicion}: ReturnType<typeof judgeChance>,
+): CrashPause {
+  const overdueMs = isLasting
+    ? MAX_TRIAL_DELAY_MS
+    : Math.max(MAX_TRIAL_DELAY_MS, deriveMaxWait({finishMs}) - PLANNING_MARGIN_MS);
+  const longestMs = isLasting ? GUILTY_PAUSE_MS : overdueMs - RESTRAINED_TRIAL_WAIT_MS;
+  const pauseMs = starts > MIN_RESTRAINED_STARTS ? longestMs : FIRST_RESTRAINT_MS;
+  return {isDeadly: suspicion === 'deadly', isRestrained: true, overdueMs, pauseMs};
 }
 
 /**
@@ -99,40 +164,64 @@
  * so meanwhile, and a task that crashes them does it less often.
  *
  * @example
- * computeCrashPause(step.crashes.of(index), {isSoleSuspect, rates}); // {isRestrained: true, pauseMs: 4_000}
+ * computeCrashPause(step.crashes.of(index), {isLasting: false, isSoleSuspect, perMinion}).pauseMs; // 4_000
  */
 export function computeCrashPause(
   crashes: readonly TaskCrash[],
   context: CrashContext,
 ): CrashPause {
-  const restraintMs = findRestraint(crashes, context, 1);
-  if (restraintMs !== undefined) {
-    return {isRestrained: true, pauseMs: restraintMs};
+  const weight = judgeChance(crashes, context, 1);
+  if (weight.suspicion !== 'explained') {
+    return describeRestraint(context, weight);
   }
   const paused = Math.max(0, crashes.length - MIN_PAUSED_CRASHES + 1);
   const isGuilty = CRASH_VERDICTS.byTrial(crashes) === 'guilty';
   const suspectMs = Math.min(MAX_TRIAL_PAUSE_MS, paused * TRIAL_PAUSE_MS);
-  return {isRestrained: false, pauseMs: isGuilty ? GUILTY_PAUSE_MS : suspectMs};
+  const pauseMs = isGuilty ? GUILTY_PAUSE_MS : suspectMs;
+  return {isDeadly: false, isRestrained: false, overdueMs: MAX_TRIAL_DELAY_MS, pauseMs};
+}
+
+/** Returns the pause of a gang, which the crashes under all members or under one of them may speak for. */
+function computeGangPause({crashes, shape}: StepState, context: CrashContext): CrashPause {
+  const all = crashes.indexes.flatMap((each) => crashes.of(each));
+  const weights = [
+    judgeChance(all, context, shape.count),
+    ...crashes.indexes.map((each) => judgeChance(crashes.of(each), context, 1)),
+  ].filter(({suspicion}) => suspicion !== 'explained');
+  const pauses = weights.map((weight) => describeRestraint(context, weight));
+  return pauses.reduce(
+    (longest, each) => ({
+      isDeadly: longest.isDeadly || each.isDeadly,
+      isRestrained: true,
+      overdueMs: Math.max(longest.overdueMs, each.overdueMs),
+      pauseMs: Math.max(longest.pauseMs, each.pauseMs),
+    }),
+    {isDeadly: false, isRestrained: false, overdueMs: MAX_TRIAL_DELAY_MS, pauseMs: 0},
+  );
 }
 
 /** Returns the pause of a task, or of its whole gang. */
 export function findCrashPause(
-  {crashSuspects, minions, outages}: Fleet,
+  {finishMs, minions, outages, seenCrashes}: Fleet,
   step: StepState,
   index: number,
   now: Instant,
 ): CrashPause {
   const {crashes, shape} = step;
+  const find = (crash: TaskCrash): SeenCrash | undefined => seenCrashes.find(step, index, crash);
   const context: CrashContext = {
+    finishMs,
+    isKnown: (crash) => find(crash) !== undefined || crash.rates !== undefined,
+    isLasting: shape.longRunning,
     isSoleSuspect: (crash) =>
-      (crashSuspects.get(crash) ?? (crash.evidence === 'alone' ? 1 : Infinity)) === 1,
-    rates: outages.measureRates({index, step}, minions.size, now),
+      (find(crash)?.suspects ?? (crash.evidence === 'alone' ? 1 : Infinity)) === 1,
+    ratesAt: (crash) => {
+      const at = find(crash)?.at;
+      const stored = at === undefined ? crash.rates : undefined;
+      return stored ?? outages.measureRates({at: at ?? now, index, step}, minions.size, now);
+    },
   };
-  if (!shape.gang) {
-    return computeCrashPause(crashes.of(index), context);
-  }
-  const pooledMs = findRestraint(listCrashes(step, index), context, shape.count) ?? 0;
-  const membersMs = crashes.indexes.map((each) => findRestraint(crashes.of(each), context, 1) ?? 0);
-  const pauseMs = Math.max(pooledMs, ...membersMs);
-  return {isRestrained: pauseMs > 0, pauseMs};
+  return shape.gang
+    ? computeGangPause(step, context)
+    : computeCrashPause(crashes.of(index), context);
 }
--- a/packages/nutmegproxy-scheduling/src/CrashRecorder.ts
+++ b/packages/nutmegproxy-scheduling/src/CrashRecorder.ts
@@ -1,7 +1,14 @@
 /** Records the crashes of minions under the tasks that may have caused them. */
 
 import type {Instant} from '@nutmegproxy/core';
-import type {MachineEvidence, Run, StepState, TaskCrash, TaskTrial} from '@nutmegproxy/jobs';
+import type {
+  CrashRates,
+  MachineEvidence,
+  Run,
+  StepState,
+  TaskCrash,
+  TaskTrial,
+} from '@nutmegproxy/jobs';
 
 import {formatTaskName} from '@nutmegproxy/jobs';
 
@@ -102,6 +109,11 @@
   return {...outage, address, blamed, jobs: listJobs(exposed)};
 }
 
+/** Returns how often minions crash now without the task of a run. */
+function measureRates({minions, outages}: Fleet, {step, task}: Run, now: Instant): CrashRates {
+  return outages.measureRates({at: now, index: task.index, step}, minions.size, now);
+}
+
 /** Records the crash of a minion under a run of a task. */
 function recordTaskCrash(
   fleet: Fleet,
@@ -127,11 +139,12 @@
     task,
     verdict: judgeTask(step, index),
   });
-  const {isRestrained, pauseMs} = findCrashPause(fleet, step, index, now);
+  const {isDeadly, isRestrained, pauseMs} = findCrashPause(fleet, step, index, now);
   if (isRestrained) {
     fleet.events.record(SCHEDULING_EVENTS.TASK_RESTRAINED, {
       crashes: crashes.length,
       evidence: crashes.map(({evidence}) => evidence).join(' '),
+      isDeadly,
       job: job.id,
       minions: crashes.map(({minion}) => minion).join(' '),
       pauseMs,
@@ -252,15 +265,20 @@
     const wasLive = run.confirmedAt !== undefined && !minion.mayBeCutOff;
     const isConfirmed = wasLive || evidence === 'coincident';
     const confirmed = isConfirmed ? evidence : 'unconfirmed';
+    const {step, task} = run;
     const taskCrash: TaskCrash = {
       address,
       ageMs,
       evidence: explained.has(run) ? 'unstable' : confirmed,
       minion: minion.id,
+      rates: measureRates(fleet, run, now),
       run: run.number,
     };
-    fleet.crashSuspects.set(taskCrash, recorded.length);
-    recordTaskCrash(fleet, run.step, run.task.index, taskCrash, now);
+    fleet.seenCrashes.add(step, task.index, taskCrash, {
+      at: now,
+      suspects: listJobs(recorded).size,
+    });
+    recordTaskCrash(fleet, step, task.index, taskCrash, now);
   }
   resolveTrials(fleet, minion, now);
   if (cause === 'machine' || cause === 'outage' || cause === 'task') {
--- a/packages/nutmegproxy-scheduling/src/Fleet.ts
+++ b/packages/nutmegproxy-scheduling/src/Fleet.ts
@@ -1,6 +1,6 @@
 /** The owner's state of the fleet: jobs, minions and runs. All changes of runs are made here. */
 
-import type {EventSink, Instant, MinionId} from '@nutmegproxy/core';
+import type {EventSink, Instant, MinionId, PlatformBounds} from '@nutmegproxy/core';
 import type {
   Checkpoint,
   JobState,
@@ -9,10 +9,11 @@
   RunNumber,
   RunOutcome,
   StepState,
-  TaskCrash,
   TaskRef,
 } from '@nutmegproxy/jobs';
 
+import {DEFAULT_PLATFORM_BOUNDS} from '@nutmegproxy/core';
+
 import type {MinionState} from './MinionState.ts';
 import type {QueuePolicy} from './QueuePolicy.ts';
 import type {StopReason, StopRequest} from './StopRequest.ts';
@@ -25,9 +26,12 @@
 import {DEFAULT_QUEUE_POLICY} from './QueuePolicy.ts';
 import {describeRun, describeRuns} from './RunFields.ts';
 import {SCHEDULING_EVENTS} from './SchedulingEvents.ts';
+import {SeenCrashes} from './SeenCrashes.ts';
 import {StartDelay} from './StartDelay.ts';
 import {StartWaitLog} from './StartWaitLog.ts';
 
+type FleetBounds = Pick<PlatformBounds, 'finishMs'>;
+
 export class Fleet {
   /** When speculative runs were last planned. */
   speculationPlannedAt = -Infinity;
@@ -50,16 +54,21 @@
   readonly freeRoom = new FreeRoom();
   /** Recent crashes of minions. */
   readonly outages = new OutageLog();
-  /** Number of runs that may be to blame for each crash that this owner saw. */
-  readonly crashSuspects = new WeakMap<TaskCrash, number>();
+  /** What this owner saw of crashes under tasks. */
+  readonly seenCrashes = new SeenCrashes();
   readonly startDelay = new StartDelay();
   readonly startWaits = new StartWaitLog();
   /** Jobs of which planning has last withheld all tasks, since one is suspected of crashes. */
   suspectedJobs: ReadonlySet<JobState> = new Set();
+  /** Jobs of which planning has last withheld all tasks, since chance is excluded as the cause of crashes under one. */
+  deadlyJobs: ReadonlySet<JobState> = new Set();
   readonly events: EventSink;
+  /** Time in milliseconds in which accepted work with free room has to run. */
+  readonly finishMs: number;
 
-  constructor(events: EventSink) {
+  constructor(events: EventSink, {finishMs}: FleetBounds = DEFAULT_PLATFORM_BOUNDS) {
     this.events = events;
+    this.finishMs = finishMs;
   }
 
   /**
--- a/packages/nutmegproxy-scheduling/src/PendingBounds.ts
+++ b/packages/nutmegproxy-scheduling/src/PendingBounds.ts
@@ -71,6 +71,12 @@
     maxMs: () => FAILED_TRIAL_AVOIDANCE_MS,
     since: 'its last failure, stall or refusal',
   },
+  // Its starts would crash minions, and its job can't be completed.
+  deadly: {
+    kind: 'safety',
+    maxMs: UNLIMITED,
+    since: 'until other crashes explain those under it, or its job is cancelled',
+  },
   directory: {kind: 'safety', maxMs: UNLIMITED, since: 'until the store answers'},
   gang: {
     kind: 'safety',
@@ -121,8 +127,8 @@
   },
   suspicion: {
     kind: 'policy',
-    maxMs: () => SUSPICION_BOUND_MS,
-    since: 'the last crash under it, later where chance is no likely cause of its crashes',
+    maxMs: ({bounds}) => Math.max(SUSPICION_BOUND_MS, deriveMaxWait(bounds)),
+    since: 'the last crash under it',
   },
   trust: {
     kind: 'policy',
--- a/packages/nutmegproxy-scheduling/src/PendingDetails.ts
+++ b/packages/nutmegproxy-scheduling/src/PendingDetails.ts
@@ -29,19 +29,29 @@
 }
 
 /**
- * Until when the suspicion against a task itself may withhold it, unless it is restrained; the other tasks of its job wait for the verdict. The time counts from when planning first considers a crash, so a review before that tells none.
+ * Until when the suspicion against a task itself may withhold it; the other tasks of its job wait for the
+ * verdict. The time counts from when planning first considers a crash, so a review before that tells none.
  */
 export function describeSuspicion(
   {index, step}: PendingTask,
   {fleet, hold, now}: Pick<PendingContext, 'fleet' | 'hold' | 'now'>,
 ): PendingDetails {
-  const isBounded =
-    hold === undefined &&
-    listCrashes(step, index).length > 0 &&
-    !findCrashPause(fleet, step, index, now).isRestrained;
-  return isBounded
-    ? {untilMs: Math.max(0, SUSPICION_BOUND_MS - computeWaitedMs(step, index, now))}
-    : {};
+  if (hold !== undefined || listCrashes(step, index).length === 0) {
+    return {};
+  }
+  const {isRestrained} = findCrashPause(fleet, step, index, now);
+  const boundMs =
+    isRestrained && !step.shape.longRunning ? deriveMaxWait(fleet) : SUSPICION_BOUND_MS;
+  const maxMs = Math.max(SUSPICION_BOUND_MS, boundMs);
+  return {untilMs: Math.max(0, maxMs - computeWaitedMs(step, index, now))};
+}
+
+/** Whether chance is excluded as the cause of crashes under a task, or under one for which its job waits. */
+export function isHeldAsDeadly({index, step}: PendingTask, {fleet, now}: PendingContext): boolean {
+  return (
+    fleet.deadlyJobs.has(step.job) ||
+    (listCrashes(step, index).length > 0 && findCrashPause(fleet, step, index, now).isDeadly)
+  );
 }
 
 /** Details of the reasons that are about a minion, one that meets all rules before. */
--- a/packages/nutmegproxy-scheduling/src/PendingTaskReason.ts
+++ b/packages/nutmegproxy-scheduling/src/PendingTaskReason.ts
@@ -15,7 +15,7 @@
 import {findAvoidanceEnd, shouldSaveLastAttempt} from './LastAttempt.ts';
 import {findUnavailability, isOnlyUntrusted} from './MinionAvailability.ts';
 import {MinionsByService} from './MinionsByService.ts';
-import {describeSuspicion, PENDING_DETAILS} from './PendingDetails.ts';
+import {describeSuspicion, isHeldAsDeadly, PENDING_DETAILS} from './PendingDetails.ts';
 import {meetsConstraints} from './Placement.ts';
 import {isStartableTask, listStartableTasks} from './ReadySteps.ts';
 import {isDeferrable} from './StartBudget.ts';
@@ -24,8 +24,8 @@
 /**
  * `advice`: the advisor permits no minion with room, or has not answered. `availability`: all minions
  * with room get no new work. `avoidance`: it has failed or stalled a short time ago on those that are
- * left. `directory`: the view of the directory of minions is too old for any start. `gang`: members of
- * its gang have runs that are not over. `last-attempt`: its last attempt is kept for a better minion.
+ * left. `deadly`: minions crash under it or a task of its job, and chance is excluded. `directory`: the view of the
+ * directory of minions is too old for any start. `gang`: members of its gang have runs that are not over. `last-attempt`: its last attempt is kept for a better minion.
  * `lease`: its run may be live on a minion that does not respond. `placement`: none of these; it was not
  * reached, or its gang does not fit as a whole. `recovery`: minions that have not reported may run it.
  * `room`: no minion has room. `sharing`: it would disturb serving tasks. `start`: its start is not
@@ -37,6 +37,7 @@
   | 'advice'
   | 'availability'
   | 'avoidance'
+  | 'deadly'
   | 'directory'
   | 'gang'
   | 'last-attempt'
@@ -130,6 +131,7 @@
       isStartableTask(fleet, step, index) ? undefined : {untilMs: recoveryMs},
   ],
   ['unknown-result', findUnknownResult],
+  ['deadly', (task, context) => (isHeldAsDeadly(task, context) ? {} : undefined)],
   [
     'suspicion',
     (task, context) =>
--- a/packages/nutmegproxy-scheduling/src/PendingTaskSummary.ts
+++ b/packages/nutmegproxy-scheduling/src/PendingTaskSummary.ts
@@ -15,6 +15,7 @@
   advice: 'pendingAdvice',
   availability: 'pendingAvailability',
   avoidance: 'pendingAvoidance',
+  deadly: 'pendingDeadly',
   directory: 'pendingDirectory',
   gang: 'pendingGang',
   'last-attempt': 'pendingLastAttempt',
--- a/packages/nutmegproxy-scheduling/src/StartPlanner.ts
+++ b/packages/nutmegproxy-scheduling/src/StartPlanner.ts
@@ -84,6 +84,7 @@
     const ready = collectReadySteps(this.#fleet, now, wall);
     const trials = this.#planTrials(ready);
     this.#heldTasks = trials.heldTasks;
+    this.#fleet.deadlyJobs = trials.deadly;
     this.#fleet.suspectedJobs = trials.held;
     const others = ready.filter(
       (step) => !trials.held.has(step.job) && !step.job.isFinal && this.#mayStart(step),
--- a/packages/nutmegproxy-scheduling/src/TaskTrials.ts
+++ b/packages/nutmegproxy-scheduling/src/TaskTrials.ts
@@ -30,6 +30,8 @@
 }
 
 export interface TrialPlan {
+  /** Those of the held jobs that are held as a task of theirs is deadly. */
+  readonly deadly: ReadonlySet<JobState>;
   /** Jobs whose tasks must not start otherwise. */
   readonly held: ReadonlySet<JobState>;
   /** Tasks of other jobs that must not start otherwise, by step. */
@@ -75,6 +77,7 @@
 
 /** The trials of a round. */
 class TrialRound {
+  readonly deadly = new Set<JobState>();
   readonly held = new Set<JobState>();
   readonly heldTasks = new Map<StepState, Set<number>>();
   readonly starts: Run[] = [];
@@ -94,7 +97,11 @@
 
   run(ready: readonly StepState[]): void {
     const fleet = this.#fleet;
-    const {pausing, suspects} = collectSuspects(fleet, ready, this.#context);
+    const {deadly, pausing, suspects} = collectSuspects(fleet, ready, this.#context);
+    for (const job of deadly) {
+      this.deadly.add(job);
+      this.held.add(job);
+    }
     for (const job of pausing) {
       this.held.add(job);
     }
@@ -168,9 +175,13 @@
 
   /** Starts a restrained task, if it is its turn, and holds its job, of which a lasting one goes on without it. */
   #considerRestrained(suspect: Suspect, pace: TrialPace): void {
-    const {index, isOverdue, step} = suspect;
+    const {index, isDeadly, isOverdue, step} = suspect;
     const {now} = this.#context;
-    if (this.#mayBegin(suspect) && (isOverdue || this.#minions < pace.minions)) {
+    if (isDeadly) {
+      this.#holdDeadly(suspect);
+      return;
+    }
+    if (isOverdue || (this.#mayBegin(suspect) && this.#minions < pace.minions)) {
       const able = this.#context.listMinions(step, index);
       const apart = able.filter((minion) => isApartFromSuspects(step, index, minion, now));
       const minion = isOverdue
@@ -183,6 +194,15 @@
     this.#hold(suspect, step.shape.longRunning);
   }
 
+  /** Holds a deadly task and its job, which can't be completed without it; a lasting job goes on. */
+  #holdDeadly(suspect: Suspect): void {
+    const {job, shape} = suspect.step;
+    this.#hold(suspect, shape.longRunning);
+    if (!shape.longRunning) {
+      this.deadly.add(job);
+    }
+  }
+
   /** Holds a suspect alone or its whole job. */
   #hold({index, step}: Suspect, isAlone: boolean): void {
     if (isAlone) {
--- a/packages/nutmegproxy-scheduling/src/TrialSuspects.ts
+++ b/packages/nutmegproxy-scheduling/src/TrialSuspects.ts
@@ -11,7 +11,6 @@
 import {findCrashPause} from './CrashPauses.ts';
 import {computeTrialMs, computeWaitedMs, judgeTask} from './CrashVerdict.ts';
 import {isOnProbation} from './SuspectSeparation.ts';
-import {MAX_TRIAL_DELAY_MS} from './TrialPacing.ts';
 
 /** Time in milliseconds for which a trial waits for a minion without runs. */
 const EMPTY_MINION_WAIT_MS = 700;
@@ -27,12 +26,16 @@
 /** A suspected task that waits for its start. */
 export interface Suspect extends TrialCandidate {
   readonly index: number;
+  /** Whether it does not start, as chance is excluded as the cause of its crashes. */
+  readonly isDeadly: boolean;
   /** Whether it has waited for too long for a trial on a minion of its own. */
   readonly isOverdue: boolean;
   /** Whether it starts only on trial and ever less often, as chance is no likely cause of its crashes. */
   readonly isRestrained: boolean;
   /** Whether it may share the minion of its trial with suspects of other jobs. */
   readonly mayShareMinion: boolean;
+  /** Time in milliseconds since the last crash after which it is overdue. */
+  readonly overdueMs: number;
   /** Time in milliseconds since the last crash after which its next trial is due. */
   readonly pauseMs: number;
   readonly step: StepState;
@@ -41,13 +44,15 @@
 function describeSuspect(fleet: Fleet, step: StepState, index: number, now: Instant): Suspect {
   const crashes = step.crashes.of(index);
   const waitedMs = computeWaitedMs(step, index, now);
-  const {isRestrained, pauseMs} = findCrashPause(fleet, step, index, now);
+  const {isDeadly, isRestrained, overdueMs, pauseMs} = findCrashPause(fleet, step, index, now);
   return {
     index,
-    isOverdue: waitedMs >= MAX_TRIAL_DELAY_MS + (isRestrained ? pauseMs : 0),
+    isDeadly,
+    isOverdue: !isDeadly && waitedMs >= overdueMs,
     isRestrained,
     // A crash beside others tells less, so a task with many crashes is tried alone.
     mayShareMinion: !isRestrained && crashes.length < MIN_SEPARATE_CRASHES,
+    overdueMs,
     pauseMs,
     step,
     trialMs: computeTrialMs(crashes),
@@ -76,35 +81,41 @@
     .some(({ageMs, evidence}) => evidence === 'alone' && ageMs < FRESH_RUN_MS);
 }
 
-/** Restrains the tasks of restrained jobs that behave alike: they are tried one at a time. */
+/** Restrains the tasks of restrained jobs that behave alike: they are tried one at a time, within the same bound. */
 function restrainSiblings(suspects: readonly Suspect[]): readonly Suspect[] {
-  const pauses = new Map<JobState, number>();
-  for (const {isRestrained, pauseMs, step} of suspects.filter((each) => each.isRestrained)) {
-    pauses.set(step.job, Math.max(isRestrained ? pauseMs : 0, pauses.get(step.job) ?? 0));
+  const restrained = new Map<JobState, Suspect>();
+  for (const suspect of suspects.filter((each) => each.isRestrained)) {
+    const {job} = suspect.step;
+    const longest = restrained.get(job);
+    if (longest === undefined || longest.pauseMs < suspect.pauseMs) {
+      restrained.set(job, suspect);
+    }
   }
   return suspects.map((suspect) => {
-    const pauseMs = pauses.get(suspect.step.job);
-    return pauseMs === undefined || suspect.isRestrained || !isAlike(suspect)
-      ? suspect
-      : {
-          ...suspect,
-          isOverdue: suspect.waitedMs >= MAX_TRIAL_DELAY_MS + pauseMs,
-          isRestrained: true,
-          mayShareMinion: false,
-          pauseMs,
-        };
+    const alike = restrained.get(suspect.step.job);
+    if (alike === undefined || suspect.isRestrained || !isAlike(suspect)) {
+      return suspect;
+    }
+    const {overdueMs, pauseMs} = alike;
+    const isOverdue = suspect.waitedMs >= overdueMs;
+    return {...suspect, isOverdue, isRestrained: true, mayShareMinion: false, overdueMs, pauseMs};
   });
 }
 
 /**
- * Returns the suspects that wait, in the order in which they are tried, and the jobs with gangs whose pause after
- * crashes is not over.
+ * Returns the suspects that wait, in the order in which they are tried, and the jobs with gangs that are deadly, or whose
+ * pause after crashes is not over.
  */
 export function collectSuspects(
   fleet: Fleet,
   ready: readonly StepState[],
   {listStartable, now}: SuspectContext,
-): {readonly pausing: ReadonlySet<JobState>; readonly suspects: readonly Suspect[]} {
+): {
+  readonly deadly: ReadonlySet<JobState>;
+  readonly pausing: ReadonlySet<JobState>;
+  readonly suspects: readonly Suspect[];
+} {
+  const deadly = new Set<JobState>();
   const pausing = new Set<JobState>();
   const suspects: Suspect[] = [];
   for (const step of ready.filter(({crashes}) => !crashes.isEmpty)) {
@@ -116,12 +127,14 @@
       const suspect = describeSuspect(fleet, step, index, now);
       if (!gang) {
         suspects.push(suspect);
+      } else if (suspect.isDeadly) {
+        deadly.add(step.job);
       } else if (suspect.waitedMs < suspect.pauseMs) {
         pausing.add(step.job);
       }
     }
   }
-  return {pausing, suspects: [...restrainSiblings(suspects)].sort(compareSuspects)};
+  return {deadly, pausing, suspects: [...restrainSiblings(suspects)].sort(compareSuspects)};
 }
 
 /** Returns how many of the crashes under a suspect are recorded of a minion. */
