Crashes under first starts count although the owner is stopped as planned before it finds the minion silent

Change: an account in the closing record names the confirmed runs younger than 0.5 s (`suspects`, with the start of the incarnation, as in silent records; no further store call). The next owner counts an `unconfirmed` crash under them when the minion comes back in another incarnation, and hands them on, in its own records, when it ends without a response. Not counted: a minion that drains, and one that is found failing only after the time of a drain (`mayLeaveInMs`), as it may have drained and left unseen while nobody owned the fleet. The age of the record counts from the last revision that the VM knew before it; a VM that knew none counts nothing. Why it works: a minion serves for 2 s after it began to drain, so one that fails sooner has crashed. Failed on the way: times that count from the VM's own read (a VM that had just started blamed a minion that may have drained), and times cut off at 0 (the failure seems later than the limit's end).

--- a/packages/nutmegproxy-emulator/src/__tests__/unit/CrashHarness.ts
+++ b/packages/nutmegproxy-emulator/src/__tests__/unit/CrashHarness.ts
@@ -6,6 +6,8 @@
 
 import {brand, SYSTEM_CLOCK} from '@nutmegproxy/core';
 import {decodeProgress, formatJobKey} from '@nutmegproxy/jobs';
+import {RevisionLog} from '@nutmegproxy/owner';
+import {DEFAULT_LEASE_TIMES} from '@nutmegproxy/scheduling';
 import {MemoryStore} from '@nutmegproxy/standins';
 import {getKey} from '@nutmegproxy/store';
 
@@ -20,6 +22,13 @@
 export const MAX_STARTS = 5;
 export const LASTING: TaskBehaviour = {durationMs: Infinity, outcome: 'done'};
 
+/** A running owner. */
+export interface CrashOwner {
+  readonly kill: () => Promise<void>;
+  /** Stops it with a record of what it knows for the next owner. */
+  readonly stopAsPlanned: () => Promise<void>;
+}
+
 export class CrashHarness {
   /** Behaviours of tasks by job; others end after 20 ms. */
   readonly behaviours = new Map<string, TaskBehaviour>();
@@ -27,8 +36,18 @@
   readonly fleet = new EmulatedFleet(SYSTEM_CLOCK);
   isStoreDown = false;
   readonly store = new MemoryStore();
+  readonly #revisions = new RevisionLog();
   readonly #stops: (() => void)[] = [];
 
+  constructor() {
+    this.store.watch('', 1, {
+      onBroken: () => undefined,
+      onEvents: (_changes, revision) => {
+        this.#revisions.record(revision, SYSTEM_CLOCK.monotonic());
+      },
+    });
+  }
+
   addMinion(name: string, address = `${name}:1`): EmulatedMinion {
     const minion = new EmulatedMinion(
       createMinionDescription(name, {address, machine: brand<MachineId>(`machine of ${name}`)}),
@@ -82,24 +101,44 @@
 
   /** Starts an owner whose ownership counts as confirmed; returns a function that kills it. */
   async start(vm: string): Promise<() => Promise<void>> {
+    const {kill} = await this.startStoppable(vm);
+    return kill;
+  }
+
+  /** Starts an owner whose ownership counts as confirmed, on a VM that watched the store since the start by default. */
+  async startStoppable(vm: string, revisions = this.#revisions): Promise<CrashOwner> {
     let isIsolated = false;
     const view = createFailingStore(this.store, () => isIsolated || this.isStoreDown);
-    const {owner, ownership} = await startOwner(SYSTEM_CLOCK, view, this.fleet, vm, {
-      record: (kind, fields) => this.events.push({fields, kind}),
-    });
+    const {election, owner, ownership} = await startOwner(
+      SYSTEM_CLOCK,
+      view,
+      this.fleet,
+      vm,
+      {record: (kind, fields) => this.events.push({fields, kind})},
+      DEFAULT_LEASE_TIMES,
+      revisions,
+    );
     const renewal = setInterval(() => {
       ownership.confirm(SYSTEM_CLOCK.monotonic(), SYSTEM_CLOCK.wall());
       void this.store.keepLeaseAlive(ownership.lease);
     }, 200);
-    const stop = (): void => {
+    const stop = (reason: string): void => {
       clearInterval(renewal);
-      owner.stop('killed');
+      owner.stop(reason);
     };
-    this.#stops.push(stop);
-    return async () => {
-      isIsolated = true;
-      stop();
-      await this.store.revokeLease(ownership.lease);
+    this.#stops.push(() => {
+      stop('closed');
+    });
+    return {
+      kill: async () => {
+        isIsolated = true;
+        stop('killed');
+        await this.store.revokeLease(ownership.lease);
+      },
+      stopAsPlanned: async () => {
+        stop('planned stop');
+        await election.resign(ownership, 'planned stop');
+      },
     };
   }
 
--- a/packages/nutmegproxy-emulator/src/__tests__/unit/JobSamples.ts
+++ b/packages/nutmegproxy-emulator/src/__tests__/unit/JobSamples.ts
@@ -23,6 +23,7 @@
   Owner,
   OwnerElection,
   type OwnerOptions,
+  RevisionLog,
 } from '@nutmegproxy/owner';
 import {DEFAULT_LEASE_TIMES} from '@nutmegproxy/scheduling';
 import {put} from '@nutmegproxy/store';
@@ -117,13 +118,21 @@
   vm = 'vm-1',
   events: EventSink = SILENT_EVENTS,
   leaseTimes = DEFAULT_LEASE_TIMES,
+  revisions = new RevisionLog(),
 ): Promise<{
   ended: Promise<string>;
   owner: Owner;
   election: OwnerElection;
   ownership: FleetOwnership;
 }> {
-  const election = new OwnerElection({clock, events, leaseTimes, store, vm: brand<VmId>(vm)});
+  const election = new OwnerElection({
+    clock,
+    events,
+    leaseTimes,
+    revisions,
+    store,
+    vm: brand<VmId>(vm),
+  });
   const acquired = await election.acquire();
   if (acquired.isErr()) {
     throw new Error(acquired.error.message);
--- a/packages/nutmegproxy-owner/src/ClosingRecordMerge.ts
+++ b/packages/nutmegproxy-owner/src/ClosingRecordMerge.ts
@@ -79,7 +79,13 @@
     const isFormerLease = account.runs === undefined && unrenewed.has(id);
     const {confirmedForMs, unconfirmed} = isFormerLease ? formerAccount : account;
     const leases = {confirmedForMs, heldForMs: leasedForMs, unconfirmed};
-    return {...formerAccount, ...leases, lastTerm, leaseTerm, runs};
+    // It may have found a minion silent in time that the former one did not.
+    const {mayLeaveInMs, suspects} = account.suspects ? account : formerAccount;
+    const crash = {
+      ...(mayLeaveInMs === undefined ? {} : {mayLeaveInMs}),
+      ...(suspects && {suspects}),
+    };
+    return {...formerAccount, ...leases, ...crash, lastTerm, leaseTerm, runs};
   });
   for (const {description} of own.silent) {
     unrenewed.delete(description.id);
@@ -92,8 +98,9 @@
 function limitRuns(record: ClosingRecord): ClosingRecord {
   let total = record.silent.reduce((sum, {silent}) => sum + (silent?.runs.length ?? 0), 0);
   const accounts = record.accounts?.map((account) => {
-    total += account.runs?.length ?? 0;
-    return total <= MAX_RECORDED_RUNS ? account : {...account, runs: undefined};
+    const {suspects, ...others} = account;
+    total += (account.runs?.length ?? 0) + (suspects?.runs.length ?? 0);
+    return total <= MAX_RECORDED_RUNS ? account : {...others, runs: undefined};
   });
   return {...record, accounts};
 }
--- a/packages/nutmegproxy-owner/src/ClosingRecords.ts
+++ b/packages/nutmegproxy-owner/src/ClosingRecords.ts
@@ -16,7 +16,7 @@
 import {err, ok} from 'neverthrow';
 
 import type {FleetOwnership} from './FleetOwnership.ts';
-import type {RosterEntry, SilentMinionRecord} from './RosterEntry.ts';
+import type {RosterEntry, SilentMinionRecord, SuspectRuns} from './RosterEntry.ts';
 
 import {combineRecords} from './ClosingRecordMerge.ts';
 import {
@@ -44,8 +44,15 @@
   readonly leaseTerm?: number | undefined;
   /** Whether the owner may have renewed the lease although it did not know the runs. */
   readonly mayBeRenewed?: boolean;
+  /**
+   * Time in milliseconds after which the minion may have drained unseen and left, counted as `heldForMs`; absent
+   * without suspects, and when the owner found it silent.
+   */
+  readonly mayLeaveInMs?: number;
   /** Runs that it may have; undefined when the owner did not know them. */
   readonly runs?: SilentMinionRecord['runs'] | undefined;
+  /** Runs that had just started there, also when it responds; absent as in a silent record. */
+  readonly suspects?: SuspectRuns;
   /** As in a silent record. */
   readonly unconfirmed?: SilentMinionRecord['runs'] | undefined;
 }
@@ -198,12 +205,13 @@
     const {clock, ownership} = this.#options;
     const now = clock.monotonic();
     const seenAt = ownership.revisions.findSeenAt(stored.modRevision, now);
+    const unseenAt = ownership.revisions.findUnseenAt(stored.modRevision);
     return parseRecord(stored.value.toString()).match(
       (record): ClosingRecord | undefined => ({
         ...record,
         accounts:
           record.accounts &&
-          subtractElapsed(record.accounts, this.#findComputedBy(record, seenAt), now),
+          subtractElapsed(record.accounts, this.#findComputedBy(record, seenAt), now, unseenAt),
       }),
       (message) => {
         this.#options.events.record(OWNER_EVENTS.RECORD_MALFORMED, {
@@ -225,20 +233,35 @@
   });
 }
 
-/** Durations that are over become negative: what matters is whether they were when the ownership was last confirmed. */
+/**
+ * Leases that are over become negative: what matters is whether they were when the ownership was last confirmed.
+ * `unseenAt` is the earliest instant at which the times may have been computed.
+ */
 function subtractElapsed(
   accounts: readonly MinionAccount[],
   since: Instant,
   now: Instant,
+  unseenAt = since,
 ): MinionAccount[] {
   const subtract = (durationMs: number): number => durationMs - (now - since);
   return accounts.map(({confirmedForMs, ...account}) => ({
-    ...account,
+    ...subtractUnseen(account, now - unseenAt),
     ...(typeof confirmedForMs === 'number' ? {confirmedForMs: subtract(confirmedForMs)} : {}),
     heldForMs: subtract(account.heldForMs),
   }));
 }
 
+/** Omits the suspects when it is not known how old the record is at most. */
+function subtractUnseen(account: MinionAccount, elapsedMs: number): MinionAccount {
+  const {mayLeaveInMs, suspects, ...others} = account;
+  if (typeof mayLeaveInMs !== 'number') {
+    return account;
+  }
+  return elapsedMs === Infinity || suspects === undefined
+    ? others
+    : {...others, mayLeaveInMs: mayLeaveInMs - elapsedMs, suspects};
+}
+
 function describeRecord({accounts = [], silent, term}: ClosingRecord): EventFields {
   const known = accounts.filter(({runs}) => runs !== undefined).length;
   return {accounts: known, minions: silent.length, term};
--- a/packages/nutmegproxy-owner/src/MinionRecovery.ts
+++ b/packages/nutmegproxy-owner/src/MinionRecovery.ts
@@ -28,6 +28,7 @@
   nameRun,
   shortenRecordedLeases,
 } from './SilentRecords.ts';
+import {listSuspects, receiveSuspects} from './SuspectRecords.ts';
 import {UnreportedMinions} from './UnreportedMinions.ts';
 
 export interface MinionRecoveryOptions {
@@ -198,6 +199,7 @@
         isLeaseCurrent(each.id) ? each : {...each, confirmedForMs: undefined, heldForMs: Infinity},
       );
     this.#unreported.keepAccounts(current, now);
+    this.#receiveSuspects(accounts, term, now);
     for (const account of current) {
       const {heldForMs, id} = account;
       const minion = this.#unused.get(id)?.minion;
@@ -275,7 +277,13 @@
       const heldUntil = (time.wall + remainingMs) as WallTime;
       const expiresAt = after(time.now, remainingMs);
       const confirmedExpiresAt = findEnd(time.now, confirmedMs);
-      const silent = {heldUntil, runs, ...(unconfirmed && {unconfirmed})};
+      const suspects = listSuspects(fleet, minion);
+      const silent = {
+        heldUntil,
+        runs,
+        ...(suspects && {suspects}),
+        ...(unconfirmed && {unconfirmed}),
+      };
       roster.markSilent(minion.description, silent, expiresAt, confirmedExpiresAt);
     } else if (minion.areRunsKnown) {
       minion.isRecordedUnreachable = true;
@@ -351,6 +359,19 @@
     }
   }
 
+  /** Learns which runs had just started on minions that no owner has used since, or only this one. */
+  #receiveSuspects(accounts: readonly MinionAccount[], term: number, now: Instant): void {
+    const {fleet, ownership} = this.#options;
+    const isLast = term === ownership.term - 1;
+    for (const account of accounts) {
+      const minion = fleet.minions.get(account.id);
+      const lastTerm = this.#unused.get(account.id)?.former.lastTerm ?? Infinity;
+      if (minion !== undefined && (isLast || lastTerm <= term)) {
+        receiveSuspects(fleet, minion, account, now);
+      }
+    }
+  }
+
   /** Lists the minions on which former owners may have left runs and that this owner has not used. */
   #listAwaited(): AwaitedMinion[] {
     const {clock, ownership} = this.#options;
--- a/packages/nutmegproxy-owner/src/MinionSessions.ts
+++ b/packages/nutmegproxy-owner/src/MinionSessions.ts
@@ -29,6 +29,7 @@
 import {describeCapacityChange} from './OwnerUtils.ts';
 import {recordRunEnds} from './RecordedRunEnds.ts';
 import {RecoveryRecord} from './RecoveryRecord.ts';
+import {describeSuspects} from './SuspectRecords.ts';
 
 export interface MinionSessionsOptions {
   readonly bounds: Pick<PlatformBounds, 'drainMs'>;
@@ -171,10 +172,15 @@
 
   /** Returns what is known of the runs of each minion, those that may be leaving first. */
   listAccounts(): MinionAccount[] {
-    const now = this.#options.clock.monotonic();
+    const {bounds, clock, fleet} = this.#options;
+    const now = clock.monotonic();
+    const mayLeaveInMs = this.directorySeenAt + bounds.drainMs - now;
     return [...this.#sessions.values()]
       .sort((a, b) => Number(mayBeLeaving(b.minion)) - Number(mayBeLeaving(a.minion)))
-      .map(({minion, unstoredResults}) => this.recovery.getAccount(minion, unstoredResults, now));
+      .map(({minion, unstoredResults}) => ({
+        ...this.recovery.getAccount(minion, unstoredResults, now),
+        ...describeSuspects(fleet, minion, mayLeaveInMs, now),
+      }));
   }
 
   /** Records for the next owner what a silent minion may run. */
--- a/packages/nutmegproxy-owner/src/RevisionLog.ts
+++ b/packages/nutmegproxy-owner/src/RevisionLog.ts
@@ -37,4 +37,16 @@
   findSeenAt(revision: number, now: Instant): Instant {
     return this.#sightings.find((each) => each.revision >= revision)?.seenAt ?? now;
   }
+
+  /**
+   * Returns the latest known instant at which the store was not known to have reached a revision; -Infinity when
+   * this process knew none before.
+   *
+   * @example
+   * log.findUnseenAt(7); // when revision 6 was recorded last
+   */
+  findUnseenAt(revision: number): Instant {
+    const last = this.#sightings.findLast((each) => each.revision < revision);
+    return last?.seenAt ?? (-Infinity as Instant);
+  }
 }
--- a/packages/nutmegproxy-owner/src/SilentRecords.ts
+++ b/packages/nutmegproxy-owner/src/SilentRecords.ts
@@ -2,15 +2,17 @@
 
 import type {Instant, WallTime} from '@nutmegproxy/core';
 import type {Run, RunNumber, StepState} from '@nutmegproxy/jobs';
-import type {Fleet, FormerSuspect, MinionState, RunResult} from '@nutmegproxy/scheduling';
+import type {Fleet, MinionState, RunResult} from '@nutmegproxy/scheduling';
 
 import {after} from '@nutmegproxy/core';
 import {formatTaskName, parseTaskName} from '@nutmegproxy/jobs';
-import {dropSupersededRuns, findStep, FRESH_RUN_MS} from '@nutmegproxy/scheduling';
+import {dropSupersededRuns, findStep} from '@nutmegproxy/scheduling';
 
 import type {MinionAccount} from './ClosingRecords.ts';
 import type {SilentMinionRecord, SuspectRuns} from './RosterEntry.ts';
 
+import {findSuspects, listSuspects} from './SuspectRecords.ts';
+
 /** Runs that a minion may have, and the time in milliseconds after which its lease has certainly expired. */
 export interface RecordedRuns {
   /** The same for the runs that are not unconfirmed, if some are; longer or absent when it is not known. */
@@ -28,17 +30,6 @@
   readonly wall: WallTime;
 }
 
-/** Finds the tasks of suspects whose jobs are not over. */
-function findSuspects(fleet: Fleet, {runs}: SuspectRuns): FormerSuspect[] {
-  return runs.flatMap(([name, number]) => {
-    const task = parseTaskName(name);
-    const step = task && findStep(fleet, task);
-    return task === undefined || step === undefined || step.job.isFinal
-      ? []
-      : [{index: task.index, number, step}];
-  });
-}
-
 /** Whether a later run of the task is known: the owner that started it was certain that this one was over. */
 function isSuperseded(step: StepState, index: number, number: RunNumber): boolean {
   return !step.shape.speculative && (step.findLastRun(index) ?? number) > number;
@@ -67,10 +58,7 @@
   const {remainingMs, runs, suspects} = recorded;
   const findRemainingMs = createRemainingTimes(recorded);
   const unconfirmed = new Set(recorded.unconfirmed?.map(formatRecordedName));
-  minion.formerSuspects = suspects && {
-    bornAt: suspects.bornAt,
-    runs: findSuspects(fleet, suspects),
-  };
+  minion.formerSuspects = suspects ? findSuspects(fleet, suspects) : minion.formerSuspects;
   minion.isRecordedUnreachable = true;
   minion.areRunsKnown = true;
   minion.leaseClock.assumeLeasedUntil(after(now, remainingMs));
@@ -204,21 +192,6 @@
   );
 }
 
-/** Lists the runs that may have crashed a silent minion; a minion that drains may just have left. */
-function listSuspects(
-  {runNumberBase}: Fleet,
-  minion: MinionState,
-): Pick<SilentMinionRecord, 'suspects'> {
-  const {bornAt, description} = minion;
-  const runs = minion
-    .listExposedRuns(runNumberBase)
-    .filter(({ageMs, run}) => ageMs < FRESH_RUN_MS && run.confirmedAt !== undefined)
-    .map(({run}) => [formatTaskName(run.task), run.number] as const);
-  return bornAt === undefined || description.isDraining || runs.length === 0
-    ? {}
-    : {suspects: {bornAt, runs}};
-}
-
 /** Returns the record of what a silent minion may run, and until when. */
 export function createSilentRecord(
   fleet: Fleet,
@@ -226,11 +199,12 @@
   unstoredResults: readonly RunResult[],
   {now, wall}: PresentTime,
 ): SilentMinionRecord {
+  const suspects = listSuspects(fleet, minion);
   const unconfirmed = listUnconfirmedStarts(minion, now).map(nameRun);
   return {
     heldUntil: (wall + minion.leaseClock.expiresInMs(now)) as WallTime,
     runs: listPossibleRuns(fleet, minion, unstoredResults),
-    ...listSuspects(fleet, minion),
+    ...(suspects && {suspects}),
     ...(unconfirmed.length === 0 ? {} : {unconfirmed}),
   };
 }
--- a/packages/nutmegproxy-owner/src/__tests__/unit/RevisionLog.test.ts
+++ b/packages/nutmegproxy-owner/src/__tests__/unit/RevisionLog.test.ts
@@ -25,6 +25,12 @@
     assert.equal(log.findSeenAt(21, NOW), NOW);
   });
 
+  it('tells when a state was not known to be stored yet, if it knew an earlier one', () => {
+    assert.equal(log.findUnseenAt(10), -Infinity);
+    assert.equal(log.findUnseenAt(20), 1_000);
+    assert.equal(log.findUnseenAt(21), 2_000);
+  });
+
   it('keeps the first instant when a state is reported again or late', () => {
     log.record(20, 3_000 as Instant);
     log.record(15, 4_000 as Instant);
--- a/packages/nutmegproxy-scheduling/src/CrashAttribution.ts
+++ b/packages/nutmegproxy-scheduling/src/CrashAttribution.ts
@@ -42,6 +42,15 @@
   readonly step: StepState;
 }
 
+/** Runs that had just started on a minion, in one incarnation of it, when its owner ended. */
+export interface FormerSuspects {
+  /** Start of the incarnation in Unix milliseconds. */
+  readonly bornAt: number;
+  /** The minion can't have left as planned before; undefined when the former owner found it silent. */
+  readonly failsBefore?: Instant;
+  readonly runs: readonly FormerSuspect[];
+}
+
 /** The failure of a minion, some time between its last response and its first missed call. */
 export interface MinionOutage {
   readonly from: Instant;
@@ -95,6 +104,17 @@
   return one.from <= other.until + OUTAGE_MARGIN_MS && other.from <= one.until + OUTAGE_MARGIN_MS;
 }
 
+/**
+ * Whether a minion that failed at an instant, undefined while it has not, must have crashed. One that fails later
+ * may have drained and left while nobody owned the fleet.
+ */
+export function hasFailedInTime(
+  {failsBefore = Infinity as Instant}: Pick<FormerSuspects, 'failsBefore'>,
+  failedAt: Instant | undefined,
+): boolean {
+  return failsBefore === Infinity || (failedAt !== undefined && failedAt < failsBefore);
+}
+
 /** Returns the jobs of runs. */
 export function listJobs(exposed: readonly ExposedRun[]): ReadonlySet<JobId> {
   return new Set(exposed.map(({run}) => run.task.job));
--- a/packages/nutmegproxy-scheduling/src/CrashRecorder.ts
+++ b/packages/nutmegproxy-scheduling/src/CrashRecorder.ts
@@ -13,6 +13,7 @@
 import {
   CRASH_ATTRIBUTIONS,
   FRESH_RUN_MS,
+  hasFailedInTime,
   hasTrial,
   isSimultaneous,
   listJobs,
@@ -141,14 +142,19 @@
 }
 
 /**
- * Records the crash of a minion that a former owner found silent. Whether other machines failed with
- * it is not known.
+ * Records the crash of a minion under runs that a former owner suspected. Whether other machines failed
+ * with it is not known.
  */
 function resolveFormerSuspects(fleet: Fleet, minion: MinionState, now: Instant): void {
-  const {formerSuspects, id} = minion;
+  const {formerSuspects, id, silentSince = now} = minion;
   const {address, isDraining} = minion.description;
   minion.formerSuspects = undefined;
-  if (formerSuspects === undefined || formerSuspects.bornAt === minion.bornAt || isDraining) {
+  if (
+    formerSuspects === undefined ||
+    formerSuspects.bornAt === minion.bornAt ||
+    isDraining ||
+    !hasFailedInTime(formerSuspects, silentSince)
+  ) {
     return;
   }
   for (const {index, number, step} of formerSuspects.runs) {
@@ -158,6 +164,13 @@
   }
 }
 
+/** Resolves suspects that became known after the minion had responded. */
+export function resolveLateSuspects(fleet: Fleet, minion: MinionState, now: Instant): void {
+  if (minion.hasReported) {
+    resolveFormerSuspects(fleet, minion, now);
+  }
+}
+
 /** Lists the stored trials on a minion. */
 function listTrialsOn(fleet: Fleet, {id}: MinionState): StoredTrial[] {
   const stored: StoredTrial[] = [];
--- a/packages/nutmegproxy-scheduling/src/MinionState.ts
+++ b/packages/nutmegproxy-scheduling/src/MinionState.ts
@@ -3,7 +3,7 @@
 import type {Branded, DataCentreId, Instant, MinionId, RackId} from '@nutmegproxy/core';
 import type {Resources, Run, ServiceId, StepShape, StepState} from '@nutmegproxy/jobs';
 
-import type {ExposedRun, FormerSuspect} from './CrashAttribution.ts';
+import type {ExposedRun, FormerSuspects} from './CrashAttribution.ts';
 import type {LeaseTimes} from './LeaseTimes.ts';
 
 import {computeProvenAge, FRESH_RUN_MS, MAX_TRIAL_MS} from './CrashAttribution.ts';
@@ -105,10 +105,10 @@
   /** Runs that were live when its lease expired, until it responds. */
   lapsedRuns: readonly ExposedRun[] = [];
   /**
-   * Runs that a former owner's record names as suspects if the minion has crashed since, in the
-   * incarnation that started at `bornAt`; undefined once it has responded.
+   * Runs that a former owner's record names as suspects if the minion has crashed since; undefined once
+   * it has responded.
    */
-  formerSuspects: {readonly bornAt: number; readonly runs: readonly FormerSuspect[]} | undefined;
+  formerSuspects: FormerSuspects | undefined;
   /** Calls without a response since the last response. */
   missedCalls = 0;
   /** When the first of these calls failed; undefined while it responds. */
--- a/packages/nutmegproxy-scheduling/src/index.ts
+++ b/packages/nutmegproxy-scheduling/src/index.ts
@@ -4,15 +4,21 @@
 export type {AdviceQuery, Ticket} from './AdviceCache.ts';
 export {chooseAdviceQuery} from './AdviceQueries.ts';
 export type {AdviceContext} from './AdviceQueries.ts';
-export {computeProvenAge, CRASH_ATTRIBUTIONS, FRESH_RUN_MS} from './CrashAttribution.ts';
+export {
+  computeProvenAge,
+  CRASH_ATTRIBUTIONS,
+  FRESH_RUN_MS,
+  hasFailedInTime,
+} from './CrashAttribution.ts';
 export type {
   CrashAttribution,
   CrashCause,
   ExposedRun,
   FormerSuspect,
+  FormerSuspects,
   MinionOutage,
 } from './CrashAttribution.ts';
-export {recordMinionCrash, recordReplacement} from './CrashRecorder.ts';
+export {recordMinionCrash, recordReplacement, resolveLateSuspects} from './CrashRecorder.ts';
 export {computeTrialMs, CRASH_VERDICTS} from './CrashVerdict.ts';
 export type {TaskVerdict} from './CrashVerdict.ts';
 export {DurationEstimator} from './DurationEstimator.ts';
