--- a/packages/nutmegproxy-owner/src/RevisionLog.ts
+++ b/packages/nutmegproxy-owner/src/RevisionLog.ts
@@ -55,6 +55,18 @@
       this.#former.shift();
     }
   }
+
+  /**
+   * Returns the latest known instant at which the store was not known to have reached a revision; -Infinity when
+   * this process knew none before.
+   *
+   * @example
+   * log.findUnseenAt(7); // when revision 6 was recorded last
+   */
+  findUnseenAt(revision: number): Instant {
+    const last = this.#sightings.findLast((each) => each.revision < revision);
+    return last?.seenAt ?? (-Infinity as Instant);
+  }
 }
 
 /** Returns the position of the first sighting of a revision or a later one; the list's length if there is none. */
