Owners pass on how long ago the store had reached which revision

Cause: when a revision was reached was known to each VM by its own watches alone.

Change: the record that each owner writes with its term (state/recording) names revisions and their ages in milliseconds, one a second for 20 s (knownRevisions); the next owner counts them from when its VM knew of the record. What was passed on once stays, or each term would round again. Used for JobState.heldSince alone (RevisionAges): leases go on by the VM's own sightings, as clocks of several VMs run at different rates.

Records of earlier versions name none, and earlier versions take no notice of it; malformed ones count as none.

Ruled out: wall clocks; only the points at some ages (each term rounds down again, so a series has no bound).

--- a/packages/nutmegproxy-owner/src/JobWatcher.ts
+++ b/packages/nutmegproxy-owner/src/JobWatcher.ts
@@ -110,7 +110,7 @@
     job.progressRevision = progressRevision;
     if (job.revision < ownership.token) {
       const revision = Math.max(job.revision, progressRevision);
-      job.heldSince = ownership.revisions.findSeenAt(revision, clock.monotonic());
+      job.heldSince = ownership.ages.findSeenAt(revision, clock.monotonic());
     }
     fleet.jobs.set(job.id, job);
     return job;
--- a/packages/nutmegproxy-owner/src/RevisionLog.ts
+++ b/packages/nutmegproxy-owner/src/RevisionLog.ts
@@ -45,6 +45,11 @@
     return list[findFirst(list, revision)]?.seenAt ?? now;
   }
 
+  /** Returns what is remembered, oldest first. */
+  list(): readonly Sighting[] {
+    return [...this.#former, ...this.#sightings];
+  }
+
   /** Keeps one of the sightings that are over in each interval. */
   #thin(sighting: Sighting): void {
     if (sighting.seenAt - (this.#former.at(-1)?.seenAt ?? -Infinity) < FORMER_GAP_MS) {
