A result that no former owner has stored begins waits anew

Cause: counts waits from what was read of a job. A run that ended under a former owner, and whose result it had not stored, is learned from a listing: its step counted as overdue although it had worked until a moment ago, and the last attempt of a task that has just failed did not wait for a minion that has not failed.

StepState.hasOnlyStoredFailures is needless then.

--- a/packages/nutmegproxy-jobs/src/JobState.ts
+++ b/packages/nutmegproxy-jobs/src/JobState.ts
@@ -167,6 +167,17 @@
     return isFirst;
   }
 
+  /** Records that what this owner read of the job was out of date: its waits count from now. */
+  endHeldWaits(now: Instant): void {
+    if (this.heldSince === undefined) {
+      return;
+    }
+    this.heldSince = now;
+    for (const step of this.steps()) {
+      step.heldSince = step.heldSince === undefined ? undefined : now;
+    }
+  }
+
   /** Returns the job's progress as it is stored. */
   exportProgress(): JobProgress {
     const steps: Record<string, StepProgress> = {...this.#progress.steps};
--- a/packages/nutmegproxy-jobs/src/StepState.ts
+++ b/packages/nutmegproxy-jobs/src/StepState.ts
@@ -63,8 +63,6 @@
   readonly #lastRun = new Map<number, RunNumber>();
   readonly #perMinion = new Map<MinionId, number>();
   readonly #runs = new Map<number, Run[]>();
-  /** Numbers of failures that were stored under former owners, by task index. */
-  readonly #storedFailures = new Map<number, number>();
 
   constructor(
     job: JobState,
@@ -84,7 +82,6 @@
     }
     for (const [index, numbers] of Object.entries(progress?.failures ?? {})) {
       this.failures.set(Number(index), [...numbers]);
-      this.#storedFailures.set(Number(index), numbers.length);
     }
     for (const [index, checkpoint] of Object.entries(progress?.checkpoints ?? {})) {
       this.saveCheckpoint(Number(index), checkpoint);
@@ -183,11 +180,6 @@
     this.#checkpoints.set(index, checkpoint);
   }
 
-  /** Whether all known failures of the task were stored under former owners. */
-  hasOnlyStoredFailures(index: number): boolean {
-    return this.failures.get(index)?.length === this.#storedFailures.get(index);
-  }
-
   /** Whether a run of the task is known, live or over. */
   hasRun(index: number): boolean {
     return this.#lastRun.has(index) || this.failures.has(index);
--- a/packages/nutmegproxy-scheduling/src/LastAttempt.ts
+++ b/packages/nutmegproxy-scheduling/src/LastAttempt.ts
@@ -132,8 +132,7 @@
   const turnAt = step.turnAt ?? now;
   if (failedAt === undefined && formerReleasedAt !== undefined) {
     const {heldSince = formerReleasedAt} = step.job;
-    const knownAt = step.hasOnlyStoredFailures(index) ? heldSince : formerReleasedAt;
-    return after(Math.min(formerReleasedAt, knownAt) as Instant, RECENT_FAILURE_MS);
+    return after(Math.min(formerReleasedAt, heldSince) as Instant, RECENT_FAILURE_MS);
   }
   const latestAt = after(failedAt ?? turnAt, MAX_LAST_ATTEMPT_WAIT_MS);
   // A gang that waits has no runs but those that reserve room while its minions are chosen.
