--- a/packages/nutmegproxy-entry/src/EntryConstants.ts
+++ b/packages/nutmegproxy-entry/src/EntryConstants.ts
@@ -65,6 +65,8 @@
 export const VM_RENEWAL_RETRY_MS = 1_000;
 /** Interval in milliseconds between reads of the list of VMs, which changes rarely. */
 export const VM_LIST_INTERVAL_MS = 6_000;
+/** The same after a list with few VMs: those that reach the store again after an outage have registered by then. */
+export const VM_LIST_CONFIRMATION_MS = 2_000;
 /** Maximum number of other VMs that a request is forwarded to, one after the other. */
 export const MAX_FORWARD_ATTEMPTS = 2;
 /** Timeout in milliseconds of a forwarded request. */
--- a/packages/nutmegproxy-entry/src/EntryEvents.ts
+++ b/packages/nutmegproxy-entry/src/EntryEvents.ts
@@ -15,6 +15,11 @@
     level: 'info',
     text: 'This VM could not serve a request itself.',
   },
+  CALLERS_LEFT: {
+    code: 8219,
+    level: 'warn',
+    text: 'This VM leaves new callers to another data centre, or no longer does.',
+  },
   CALLS_COUNTED: {code: 8218, level: 'info', text: "Callers' requests of the last seconds."},
   CANCEL_ACCEPTED: {
     code: 8213,
--- a/packages/nutmegproxy-entry/src/VmRegistry.ts
+++ b/packages/nutmegproxy-entry/src/VmRegistry.ts
@@ -1,6 +1,6 @@
 /** Registers this entry VM in the store under a lease, and lists the other registered VMs. */
 
-import type {DataCentreId, EventSink, PlatformBounds, VmId} from '@nutmegproxy/core';
+import type {Clock, DataCentreId, EventSink, PlatformBounds, VmId} from '@nutmegproxy/core';
 import type {RegisteredVm} from '@nutmegproxy/schema';
 import type {LeaseId, PlatformStore, StoredValue} from '@nutmegproxy/store';
 
@@ -14,11 +14,13 @@
 import {
   VM_FIRST_LIST_DELAY_MS,
   VM_LEASE_TTL_MS,
+  VM_LIST_CONFIRMATION_MS,
   VM_LIST_INTERVAL_MS,
   VM_RENEWAL_INTERVAL_MS,
   VM_RENEWAL_RETRY_MS,
 } from './EntryConstants.ts';
 import {ENTRY_EVENTS} from './EntryEvents.ts';
+import {VmCensus} from './VmCensus.ts';
 
 const VMS_PREFIX = `${STATE_PREFIX}vms/`;
 
@@ -38,6 +40,7 @@
 
 export interface VmRegistryOptions {
   readonly bounds: Pick<PlatformBounds, 'minStoreLeaseMs'>;
+  readonly clock: Clock;
   readonly events: EventSink;
   /** Receives the stored number of cells with each list; undefined when none is stored. */
   readonly onCellCount?: (stored: StoredValue | undefined) => void;
@@ -55,6 +58,7 @@
 
 export class VmRegistry {
   #canOwn = false;
+  readonly #census: VmCensus;
   /** Whether the entry is certainly written under the lease. */
   #isWritten = false;
   #lease: LeaseId | undefined;
@@ -64,6 +68,7 @@
   #wake: () => void = () => undefined;
 
   constructor(options: VmRegistryOptions) {
+    this.#census = new VmCensus(options.self);
     this.#options = options;
   }
 
@@ -72,6 +77,11 @@
     return this.#peers;
   }
 
+  /** Whether callers are served better by another data centre; see `VmCensus`. */
+  get leavesCallers(): boolean {
+    return this.#census.leavesCallers;
+  }
+
   /** Whether another VM is listed that can own the fleet. */
   get hasSuccessor(): boolean {
     return this.#peers.some(({canOwn = true}) => canOwn);
@@ -126,7 +136,7 @@
 
   /** Reads the list of VMs. */
   async refresh(): Promise<void> {
-    const {onCellCount, self, store} = this.#options;
+    const {clock, events, onCellCount, self, store} = this.#options;
     const listed = await store.commit({
       compare: [],
       then: [
@@ -152,12 +162,18 @@
     this.#peers = entries
       .flatMap((stored) => this.#decode(stored) ?? [])
       .filter(({vm}) => vm !== self.vm);
+    const didLeaveCallers = this.leavesCallers;
+    this.#census.record(this.#peers, clock.monotonic());
+    if (this.leavesCallers !== didLeaveCallers) {
+      const fields = {leavesCallers: this.leavesCallers, vms: entries.length};
+      events.record(ENTRY_EVENTS.CALLERS_LEFT, fields);
+    }
   }
 
   async #refreshPeriodically(): Promise<void> {
     while (!this.#stopped) {
       await this.refresh();
-      await delay(VM_LIST_INTERVAL_MS);
+      await delay(this.#census.isUnconfirmed ? VM_LIST_CONFIRMATION_MS : VM_LIST_INTERVAL_MS);
     }
   }
 
--- a/packages/nutmegproxy-entry/src/__tests__/unit/VmRegistry.test.ts
+++ b/packages/nutmegproxy-entry/src/__tests__/unit/VmRegistry.test.ts
@@ -1,6 +1,12 @@
 import type {DataCentreId, EventKind, VmId} from '@nutmegproxy/core';
 
-import {brand, DEFAULT_PLATFORM_BOUNDS, ManualClock, SILENT_EVENTS} from '@nutmegproxy/core';
+import {
+  brand,
+  DEFAULT_PLATFORM_BOUNDS,
+  ManualClock,
+  SILENT_EVENTS,
+  SYSTEM_CLOCK,
+} from '@nutmegproxy/core';
 import {STATE_PREFIX} from '@nutmegproxy/jobs';
 import {CELL_COUNT_KEY} from '@nutmegproxy/owner';
 import {MemoryStore} from '@nutmegproxy/standins';
@@ -49,6 +55,7 @@
     store = new MemoryStore();
     registry = new VmRegistry({
       bounds: DEFAULT_PLATFORM_BOUNDS,
+      clock: SYSTEM_CLOCK,
       events: {record: (kind) => events.push(kind)},
       self: createVm('vm-1'),
       store,
@@ -164,6 +171,7 @@
       store = new MemoryStore(clock);
       registry = new VmRegistry({
         bounds: DEFAULT_PLATFORM_BOUNDS,
+        clock: SYSTEM_CLOCK,
         events: {record: (kind) => events.push(kind)},
         self: createVm('vm-1'),
         store,
@@ -275,6 +283,7 @@
       refuseShortLeases(minStoreLeaseMs);
       registry = new VmRegistry({
         bounds: {minStoreLeaseMs},
+        clock: SYSTEM_CLOCK,
         events: {record: (kind) => events.push(kind)},
         self: createVm('vm-1'),
         store,
@@ -317,6 +326,7 @@
     const seen: (string | undefined)[] = [];
     registry = new VmRegistry({
       bounds: DEFAULT_PLATFORM_BOUNDS,
+      clock: SYSTEM_CLOCK,
       events: SILENT_EVENTS,
       onCellCount: (stored) => seen.push(stored?.value.toString()),
       self: createVm('vm-1'),
