--- a/packages/nutmegproxy-owner/src/OwnerCandidate.ts
+++ b/packages/nutmegproxy-owner/src/OwnerCandidate.ts
@@ -131,8 +131,7 @@
         });
         continue;
       }
-      const {canOwn, cellsOfLarger, isBlocked, otherCells, otherCores, ownCores, random} =
-        this.#options;
+      const {canOwn, isBlocked, otherCores, ownCores, random} = this.#options;
       // The delays of all VMs have to begin with the same event, or they would not order them.
       if (!canOwn() || isBlocked?.() === true) {
         await delay(CAN_OWN_CHECK_INTERVAL_MS);
@@ -141,7 +140,7 @@
       const takeoverDelayMs = chooseTakeoverDelayMs(ownCores, otherCores());
       await delay(takeoverDelayMs + random() * TAKEOVER_JITTER_MS);
       // By now an owner that has ended is known not to own the other cells either.
-      await delay(chooseSpreadDelayMs(otherCells?.() ?? 0, cellsOfLarger?.()));
+      await this.#leaveToOthers();
       if (this.#canAcquire()) {
         this.#isAcquiring = true;
         await this.#tryAcquire();
@@ -166,6 +165,22 @@
     return !this.#isOwned && !this.#stopped;
   }
 
+  /**
+   * Waits for VMs that own fewer cells. What this VM owns is counted again after each delay: on a VM with little
+   * processor time the delays of several cells end in one turn of the event loop.
+   */
+  async #leaveToOthers(): Promise<void> {
+    const {cellsOfLarger, otherCells} = this.#options;
+    for (let waitedMs = 0; ;) {
+      const delayMs = chooseSpreadDelayMs(otherCells?.() ?? 0, cellsOfLarger?.()) - waitedMs;
+      if (delayMs <= 0) {
+        return;
+      }
+      await delay(delayMs);
+      waitedMs += delayMs;
+    }
+  }
+
   #isStopped(): boolean {
     return this.#stopped;
   }
--- a/packages/nutmegproxy-owner/src/__tests__/unit/CellCandidates.test.ts
+++ b/packages/nutmegproxy-owner/src/__tests__/unit/CellCandidates.test.ts
@@ -24,10 +24,15 @@
 const SPREAD_MS = 25_000;
 /** Time in milliseconds in which a VM gives up a cell, and might give up another one. */
 const HANDOVERS_MS = 19_000;
+/** Time in milliseconds after which the other VMs of a fleet that starts can own cells. */
+const LATER_MS = 300;
+/** Time in milliseconds in which they acquire what is free. */
+const STARTED_MS = 5_000;
 
 describe('CellCandidates', () => {
   let keepAlive: NodeJS.Timeout;
   let lost: unknown[];
+  let random: () => number;
   let running: Map<string, CellCandidates>;
   let store: MemoryStore;
   let tokens: number[];
@@ -36,6 +41,7 @@
     // The timers under test do not keep the process alive.
     keepAlive = setInterval(() => undefined, 1_000);
     lost = [];
+    random = Math.random;
     running = new Map();
     store = new MemoryStore();
     tokens = [];
@@ -73,9 +79,11 @@
     revision = 0,
     cores: (name: string) => number = () => 1,
     ownersNameCells = false,
+    startMs = 0,
   ): CellCandidates {
+    const startedAt = SYSTEM_CLOCK.monotonic();
     const candidates = new CellCandidates({
-      canOwn: () => true,
+      canOwn: () => SYSTEM_CLOCK.monotonic() - startedAt >= startMs,
       clock: SYSTEM_CLOCK,
       count: () => ({cells, hasPlaces: false, ownersNameCells, revision}),
       createOwner,
@@ -92,7 +100,7 @@
           .filter((name) => name !== vm)
           .map((name) => ({cores: cores(name), vm: brand<VmId>(name)})),
       ownCores: cores(vm),
-      random: Math.random,
+      random,
       store,
       vm: brand<VmId>(vm),
     });
@@ -151,6 +159,15 @@
     await waitForOwners((owners) => new Set(owners).size === CELLS, SPREAD_MS);
   });
 
+  it('acquires one cell at a time when the delays of several end at once, as on a VM with little processor time', async () => {
+    random = () => 0;
+    const names = ['vm-1', 'vm-2', 'vm-3'];
+    for (const name of names) {
+      start(name, names, CELLS, 0, undefined, false, name === 'vm-1' ? 0 : LATER_MS);
+    }
+    await waitForOwners((owners) => new Set(owners).size === CELLS, STARTED_MS);
+  });
+
   it('leaves a cell that gets free to a larger VM that owns three others, not to a smaller one', async () => {
     const names = ['large', 'small'];
     const cells = listCells(4);
