--- a/packages/nutmegproxy-scheduling/src/__tests__/unit/UnstableMinions.test.ts
+++ b/packages/nutmegproxy-scheduling/src/__tests__/unit/UnstableMinions.test.ts
@@ -23,6 +23,8 @@
 const FLAPPING_END_MS = 16_500;
 /** Time in milliseconds in which a task that lasts has to run again in the calm. */
 const MAX_IDLE_MS = 9_000;
+/** Longest time in milliseconds for which crashes by chance may keep a task from its start. */
+const MAX_RESTRAINT_MS = 330_000;
 /** Time in milliseconds for which a crash of a minion by itself may explain others. */
 const EXPLAINED_MS = 15_000;
 
@@ -173,6 +175,16 @@
     });
   }
 
+  it('each 4000 ms for a minute do not stop six harmless lasting jobs for good', () => {
+    const untilMs = 60_000;
+    const jobs = Array.from({length: 6}, () => fleet.addJob(true));
+    fleet.play(untilMs + MAX_RESTRAINT_MS, [{atMs: 1_500, gapMs: 4_000, untilMs}]);
+    assert.deepEqual(
+      jobs.map((job) => job.occurrence(0)?.[0]?.liveRuns),
+      Array(jobs.length).fill(1),
+    );
+  });
+
   it('let a harmless batch job be completed and a lasting one run once they stay up', () => {
     const [batch, lasting] = [fleet.addJob(false), fleet.addJob(true)];
     fleet.play(45_000, listEpisodes(0, 1_400));
