--- a/packages/nutmegproxy-jobs/src/StepCrashes.ts
+++ b/packages/nutmegproxy-jobs/src/StepCrashes.ts
@@ -15,13 +15,6 @@
 /** Evidence of crashes that are likely due to the machine. */
 export type MachineEvidence = Extract<CrashEvidence, 'coincident' | 'unstable'>;
 
-/** How often minions crash, in crashes for each millisecond. */
-export interface CrashRates {
-  /** Times at which one minion or several of the fleet crash. */
-  readonly perFleet: number;
-  readonly perMinion: number;
-}
-
 /** A crash of a minion that had a run of the task; stored in the job's progress. */
 export interface TaskCrash {
   /** Address of the minion, which it may keep under another id. */
@@ -30,8 +23,6 @@
   readonly ageMs: number;
   readonly evidence: CrashEvidence;
   readonly minion: MinionId;
-  /** How often minions crashed then without the task; absent where no owner knew. */
-  readonly rates?: CrashRates;
   readonly run: RunNumber;
 }
 
--- a/packages/nutmegproxy-jobs/src/index.ts
+++ b/packages/nutmegproxy-jobs/src/index.ts
@@ -53,7 +53,6 @@
 export {StepCrashes} from './StepCrashes.ts';
 export type {
   CrashEvidence,
-  CrashRates,
   MachineEvidence,
   StepCrashProgress,
   TaskCrash,
--- a/packages/nutmegproxy-scheduling/src/CrashPauses.ts
+++ b/packages/nutmegproxy-scheduling/src/CrashPauses.ts
@@ -5,14 +5,14 @@
  */
 
 import type {Instant} from '@nutmegproxy/core';
-import type {CrashRates, StepState, TaskCrash} from '@nutmegproxy/jobs';
+import type {StepState, TaskCrash} from '@nutmegproxy/jobs';
 
 import type {Fleet} from './Fleet.ts';
-import type {SeenCrash} from './SeenCrashes.ts';
+import type {CrashRates} from './OutageLog.ts';
 
-import {CRASH_VERDICTS} from './CrashVerdict.ts';
+import {computeWaitedMs, CRASH_VERDICTS} from './CrashVerdict.ts';
 import {deriveMaxWait} from './PendingBounds.ts';
-import {MAX_TRIAL_DELAY_MS} from './TrialPacing.ts';
+import {DEADLY_HOLD_MS, MAX_TRIAL_DELAY_MS} from './TrialPacing.ts';
 
 /** Time in milliseconds for which a run may have been live at most after its minion last responded. */
 const AGE_MARGIN_MS = 300;
@@ -35,11 +35,11 @@
 /** Time in milliseconds from the longest pause until a restrained task starts on any minion. */
 const RESTRAINED_TRIAL_WAIT_MS = 1_000;
 /** The same from then on to the end of the bound, for planning. */
-const PLANNING_MARGIN_MS = 1_000;
+const PLANNING_MARGIN_MS = 2_000;
 /** Starts with crashes, and the probability of these by chance, from which on a task is deadly; at several addresses. */
 const DEADLY_LEVELS = [
   {maxChance: 1e-5, starts: 4},
-  {maxChance: 1.5e-4, starts: 5},
+  {maxChance: 3e-4, starts: 5},
 ];
 const MIN_DEADLY_ADDRESSES = 2;
 
@@ -59,26 +59,22 @@
 export interface CrashContext {
   /** Time in milliseconds in which accepted work with free room has to run; absent for its default. */
   readonly finishMs?: number | undefined;
-  /** Whether an owner knew how often minions crashed then. */
-  readonly isKnown: (crash: TaskCrash) => boolean;
   readonly isLasting: boolean;
   /** Whether the run of the task is the only one that may be to blame. */
   readonly isSoleSuspect: (crash: TaskCrash) => boolean;
-  /** Returns how often minions crashed without the task around the time of a crash. */
-  readonly ratesAt: (crash: TaskCrash) => CrashRates;
+  readonly rates: CrashRates;
 }
 
 /** Returns the probability that a task is not to blame for a crash of its minion, at most 1. */
 function computeChance(
   crash: TaskCrash,
-  {isKnown, isSoleSuspect, ratesAt}: CrashContext,
+  {isSoleSuspect, rates}: CrashContext,
   members: number,
 ): number {
   const {ageMs, evidence} = crash;
-  const rates = ratesAt(crash);
   const marginMs = evidence === 'unconfirmed' ? UNCONFIRMED_MARGIN_MS : AGE_MARGIN_MS;
   const perMs = evidence === 'coincident' ? rates.perFleet : rates.perMinion * members;
-  const leastChance = isKnown(crash) && isSoleSuspect(crash) ? 0 : MIN_SHARED_CHANCE;
+  const leastChance = isSoleSuspect(crash) ? 0 : MIN_SHARED_CHANCE;
   return Math.min(1, Math.max(leastChance, perMs * (ageMs + marginMs)));
 }
 
@@ -164,7 +160,7 @@
  * so meanwhile, and a task that crashes them does it less often.
  *
  * @example
- * computeCrashPause(step.crashes.of(index), {isLasting: false, isSoleSuspect, perMinion}).pauseMs; // 4_000
+ * computeCrashPause(step.crashes.of(index), {isLasting: false, isSoleSuspect, rates}).pauseMs; // 4_000
  */
 export function computeCrashPause(
   crashes: readonly TaskCrash[],
@@ -202,26 +198,23 @@
 
 /** Returns the pause of a task, or of its whole gang. */
 export function findCrashPause(
-  {finishMs, minions, outages, seenCrashes}: Fleet,
+  {crashSuspects, finishMs, minions, outages}: Fleet,
   step: StepState,
   index: number,
   now: Instant,
 ): CrashPause {
   const {crashes, shape} = step;
-  const find = (crash: TaskCrash): SeenCrash | undefined => seenCrashes.find(step, index, crash);
   const context: CrashContext = {
     finishMs,
-    isKnown: (crash) => find(crash) !== undefined || crash.rates !== undefined,
     isLasting: shape.longRunning,
     isSoleSuspect: (crash) =>
-      (find(crash)?.suspects ?? (crash.evidence === 'alone' ? 1 : Infinity)) === 1,
-    ratesAt: (crash) => {
-      const at = find(crash)?.at;
-      const stored = at === undefined ? crash.rates : undefined;
-      return stored ?? outages.measureRates({at: at ?? now, index, step}, minions.size, now);
-    },
+      (crashSuspects.get(crash) ?? (crash.evidence === 'alone' ? 1 : Infinity)) === 1,
+    rates: outages.measureRates({index, step}, minions.size, now),
   };
-  return shape.gang
+  const pause = shape.gang
     ? computeGangPause(step, context)
     : computeCrashPause(crashes.of(index), context);
+  return pause.isDeadly && computeWaitedMs(step, index, now) >= DEADLY_HOLD_MS
+    ? {...pause, isDeadly: false}
+    : pause;
 }
--- a/packages/nutmegproxy-scheduling/src/CrashRecorder.ts
+++ b/packages/nutmegproxy-scheduling/src/CrashRecorder.ts
@@ -1,14 +1,7 @@
 /** Records the crashes of minions under the tasks that may have caused them. */
 
 import type {Instant} from '@nutmegproxy/core';
-import type {
-  CrashRates,
-  MachineEvidence,
-  Run,
-  StepState,
-  TaskCrash,
-  TaskTrial,
-} from '@nutmegproxy/jobs';
+import type {MachineEvidence, Run, StepState, TaskCrash, TaskTrial} from '@nutmegproxy/jobs';
 
 import {formatTaskName} from '@nutmegproxy/jobs';
 
@@ -17,6 +10,7 @@
 import type {MinionState} from './MinionState.ts';
 import type {RecordedOutage} from './OutageLog.ts';
 
+import {countCleanMinions} from './CleanMinions.ts';
 import {
   CRASH_ATTRIBUTIONS,
   FRESH_RUN_MS,
@@ -107,12 +101,13 @@
     liveMs: computeLiveMs(fleet, each, outage),
     run: each.run,
   }));
-  return {...outage, address, blamed, jobs: listJobs(exposed)};
-}
-
-/** Returns how often minions crash now without the task of a run. */
-function measureRates({minions, outages}: Fleet, {step, task}: Run, now: Instant): CrashRates {
-  return outages.measureRates({at: now, index: task.index, step}, minions.size, now);
+  return {
+    ...outage,
+    address,
+    blamed,
+    cleanMinions: countCleanMinions(fleet),
+    jobs: listJobs(exposed),
+  };
 }
 
 /** Records the crash of a minion under a run of a task. */
@@ -284,13 +279,9 @@
       ageMs,
       evidence: explained.has(run) ? 'unstable' : confirmed,
       minion: minion.id,
-      rates: measureRates(fleet, run, now),
       run: run.number,
     };
-    fleet.seenCrashes.add(step, task.index, taskCrash, {
-      at: now,
-      suspects: listJobs(recorded).size,
-    });
+    fleet.crashSuspects.set(taskCrash, recorded.length);
     recordTaskCrash(fleet, step, task.index, taskCrash, now);
   }
   resolveTrials(fleet, minion, now);
--- a/packages/nutmegproxy-scheduling/src/Fleet.ts
+++ b/packages/nutmegproxy-scheduling/src/Fleet.ts
@@ -9,6 +9,7 @@
   RunNumber,
   RunOutcome,
   StepState,
+  TaskCrash,
   TaskRef,
 } from '@nutmegproxy/jobs';
 
@@ -26,7 +27,6 @@
 import {DEFAULT_QUEUE_POLICY} from './QueuePolicy.ts';
 import {describeRun, describeRuns} from './RunFields.ts';
 import {SCHEDULING_EVENTS} from './SchedulingEvents.ts';
-import {SeenCrashes} from './SeenCrashes.ts';
 import {StartDelay} from './StartDelay.ts';
 import {StartWaitLog} from './StartWaitLog.ts';
 
@@ -54,8 +54,8 @@
   readonly freeRoom = new FreeRoom();
   /** Recent crashes of minions. */
   readonly outages = new OutageLog();
-  /** What this owner saw of crashes under tasks. */
-  readonly seenCrashes = new SeenCrashes();
+  /** Number of runs that may be to blame for each crash that this owner saw. */
+  readonly crashSuspects = new WeakMap<TaskCrash, number>();
   readonly startDelay = new StartDelay();
   readonly startWaits = new StartWaitLog();
   /** Jobs of which planning has last withheld all tasks, since one is suspected of crashes. */
--- a/packages/nutmegproxy-scheduling/src/OutageLog.ts
+++ b/packages/nutmegproxy-scheduling/src/OutageLog.ts
@@ -1,7 +1,7 @@
 /** Recent crashes of minions and the tasks that were blamed for them. */
 
 import type {Instant, JobId} from '@nutmegproxy/core';
-import type {CrashRates, Run, StepState} from '@nutmegproxy/jobs';
+import type {Run, StepState} from '@nutmegproxy/jobs';
 
 import type {MinionOutage} from './CrashAttribution.ts';
 
@@ -10,25 +10,28 @@
 
 /** Time in milliseconds for which a crash may still be seen to be one of several. */
 const KEPT_MS = 15_000;
-/** Time in milliseconds before and after an instant over which crashes are counted, and for which they are kept. */
+/** Time in milliseconds over which crashes are counted, and the least, as an owner has seen none before. */
 const RATE_SPAN_MS = 60_000;
-const RATE_KEPT_MS = 180_000;
-/** Shortest time in milliseconds over which crashes are counted. */
-const MIN_WATCHED_MS = 10_000;
+const MIN_RATE_SPAN_MS = 30_000;
 /**
  * Longest time between two crashes of a minion, as a multiple of the time for which a run was live, so
  * that the crash under the run is no surprise.
  */
 const MAX_SPACING_RATIO = 30;
 
-/** A task whose crash may be due to chance. */
+/** A task whose crashes may be due to chance. */
 export interface ExposedTask {
-  /** When the crash was recorded. */
-  readonly at: Instant;
   readonly index: number;
   readonly step: StepState;
 }
 
+/** How often minions crash, in crashes for each millisecond. */
+export interface CrashRates {
+  /** Times at which one minion or several of the fleet crash. */
+  readonly perFleet: number;
+  readonly perMinion: number;
+}
+
 /** A run that was blamed for a crash. */
 export interface BlamedRun {
   /** Longest time in milliseconds for which the run may have been live before the crash. */
@@ -40,6 +43,8 @@
   /** Address of the minion, which it may keep under another id. */
   readonly address: string;
   readonly blamed: readonly BlamedRun[];
+  /** Number of minions that were up then without a young run, one on trial or one of a task found guilty. */
+  readonly cleanMinions: number;
   /** Jobs with a run on the minion. */
   readonly jobs: ReadonlySet<JobId>;
 }
@@ -64,15 +69,13 @@
 }
 
 export class OutageLog {
-  #counted: {readonly now: Instant; readonly outages: readonly RecordedOutage[]} | undefined;
   #firstAt: Instant | undefined;
   #outages: readonly RecordedOutage[] = [];
 
   add(outage: RecordedOutage): void {
     this.#firstAt ??= outage.until;
-    const kept = this.#outages.filter(({until}) => outage.until - until < RATE_KEPT_MS);
+    const kept = this.#outages.filter(({until}) => outage.until - until < RATE_SPAN_MS);
     this.#outages = [...kept, outage];
-    this.#counted = undefined;
   }
 
   /** Returns the runs that are not to blame for a crash, since their minion crashed by itself before. */
@@ -96,52 +99,38 @@
   }
 
   /**
-   * Returns how often minions crashed around an instant without a young run of a task or its job. Crashes under
-   * trials tell of suspects rather than of machines, unless other machines failed at the same time. One crash a minute
-   * is counted beside those seen, as more may follow.
+   * Returns how often minions crash without a young run of a task or its job. Crashes under trials tell of suspects
+   * rather than of machines, and several suspects may crash their minions together: times at which machines failed
+   * together are those at which a minion without suspects did. One crash more is counted than was seen, as more may follow.
    *
    * @example
-   * outages.measureRates({at: now, index, step}, fleet.minions.size, now); // {perFleet: 3.3e-5, perMinion: 4e-6}
+   * outages.measureRates({index, step}, fleet.minions.size, now); // {perFleet: 3.3e-5, perMinion: 4e-6}
    */
-  measureRates({at, index, step}: ExposedTask, minions: number, now: Instant): CrashRates {
-    const from = Math.max(this.#firstAt ?? now, at - RATE_SPAN_MS);
-    const to = Math.min(now, at + RATE_SPAN_MS);
+  measureRates({index, step}: ExposedTask, minions: number, now: Instant): CrashRates {
+    const recent = this.#outages.filter(({until}) => now - until < RATE_SPAN_MS);
     const isOwn = ({blamed, suspectJobs}: RecordedOutage): boolean =>
       suspectJobs.has(step.job.id) ||
       blamed.some(({run}) => run.step === step && run.task.index === index);
-    const recent = this.#outages.filter(({until}) => until >= from && until <= to);
     const own = recent.filter(isOwn);
-    const others = this.#listCounted(now).filter(
-      (outage) => outage.until >= from && outage.until <= to && !isOwn(outage),
+    const others = recent.filter(
+      (outage) => outage.suspectJobs.size === 0 && !isOwn(outage) && !isUnderSuspects(outage),
     );
-    const apart = others.filter((other) => !own.some((each) => isSimultaneous(each, other)));
-    const times = apart.filter((other, number) => {
-      const former = apart[number - 1];
+    const machines = others
+      .filter((outage) => !own.some((each) => isSimultaneous(each, outage)))
+      .sort((a, b) => a.until - b.until);
+    const times = machines.filter((other, number) => {
+      const former = machines[number - 1];
       return former === undefined || !isSimultaneous(former, other);
     });
-    const watchedMs = Math.max(MIN_WATCHED_MS, to - from);
-    const unseen = 1 / RATE_SPAN_MS;
+    const seen = others.reduce((sum, {cleanMinions}) => sum + 1 / Math.max(1, cleanMinions), 0);
+    const watchedMs = now - (this.#firstAt ?? now);
+    const spanMs = Math.min(RATE_SPAN_MS, Math.max(MIN_RATE_SPAN_MS, watchedMs));
     return {
-      perFleet: times.length / watchedMs + unseen,
-      perMinion: (others.length / watchedMs + unseen) / Math.max(1, minions),
+      perFleet: (times.length + 1) / spanMs,
+      perMinion: (seen + 1 / Math.max(1, minions)) / spanMs,
     };
   }
 
-  /** Lists the crashes that tell how often minions crash, once for each instant. */
-  #listCounted(now: Instant): readonly RecordedOutage[] {
-    if (this.#counted?.now !== now) {
-      const machines = this.#outages.filter((outage) => !isUnderSuspects(outage));
-      const known = new Set(machines);
-      const outages = this.#outages
-        .filter(
-          (outage) => known.has(outage) || machines.some((other) => isSimultaneous(outage, other)),
-        )
-        .sort((a, b) => a.until - b.until);
-      this.#counted = {now, outages};
-    }
-    return this.#counted.outages;
-  }
-
   #listFormer({address, until}: RecordedOutage): readonly RecordedOutage[] {
     return this.#outages.filter(
       (former) => former.address === address && until - former.until < KEPT_MS,
--- a/packages/nutmegproxy-scheduling/src/PendingBounds.ts
+++ b/packages/nutmegproxy-scheduling/src/PendingBounds.ts
@@ -9,7 +9,7 @@
 
 import {MAX_LAST_ATTEMPT_WAIT_MS} from './LastAttempt.ts';
 import {FAILED_TRIAL_AVOIDANCE_MS} from './MinionQuarantine.ts';
-import {SUSPICION_BOUND_MS} from './TrialPacing.ts';
+import {DEADLY_HOLD_MS, SUSPICION_BOUND_MS} from './TrialPacing.ts';
 
 /** Time in milliseconds that is left for the start itself. */
 const START_MARGIN_MS = 500;
@@ -74,8 +74,8 @@
   // Its starts would crash minions, and its job can't be completed.
   deadly: {
     kind: 'safety',
-    maxMs: UNLIMITED,
-    since: 'until other crashes explain those under it, or its job is cancelled',
+    maxMs: () => DEADLY_HOLD_MS,
+    since: 'the last crash under it, unless other crashes explain those before',
   },
   directory: {kind: 'safety', maxMs: UNLIMITED, since: 'until the store answers'},
   gang: {
--- a/packages/nutmegproxy-scheduling/src/TrialPacing.ts
+++ b/packages/nutmegproxy-scheduling/src/TrialPacing.ts
@@ -7,6 +7,11 @@
 export const SUSPICION_BOUND_MS = 10_000;
 /** The part of it after which a suspect starts on any minion that can run it; the rest is for planning. */
 export const MAX_TRIAL_DELAY_MS = 8_000;
+/**
+ * Time in milliseconds from the last crash after which a deadly task starts again: one that does not start sees no crash
+ * that could speak for it.
+ */
+export const DEADLY_HOLD_MS = 300_000;
 /** Time in milliseconds from the end of a trial to the start of the next one on its minion. */
 const TRIAL_GAP_MS = 250;
 /** Largest share of the minions that are reserved for trials, and the least number of trials. */
