--- a/packages/nutmegproxy-scheduling/src/CrashPauses.ts
+++ b/packages/nutmegproxy-scheduling/src/CrashPauses.ts
@@ -35,7 +35,7 @@
 /** Time in milliseconds from the longest pause until a restrained task starts on any minion. */
 const RESTRAINED_TRIAL_WAIT_MS = 1_000;
 /** The same from then on to the end of the bound, for planning. */
-const PLANNING_MARGIN_MS = 1_000;
+const PLANNING_MARGIN_MS = 2_000;
 /** Starts with crashes, and the probability of these by chance, from which on a task is deadly; at several addresses. */
 const DEADLY_LEVELS = [
   {maxChance: 1e-5, starts: 4},
--- a/packages/nutmegproxy-scheduling/src/CrashRecorder.ts
+++ b/packages/nutmegproxy-scheduling/src/CrashRecorder.ts
@@ -23,6 +23,7 @@
   hasTrial,
   isSimultaneous,
   listJobs,
+  MAX_CRASH_AGE_MS,
 } from './CrashAttribution.ts';
 import {findCrashPause} from './CrashPauses.ts';
 import {judgeTask, listCrashes} from './CrashVerdict.ts';
@@ -96,6 +97,19 @@
   return Math.max(ageMs, isFormer ? FRESH_RUN_MS : 0, liveMs);
 }
 
+/** Counts the minions that are up without a young run, one on trial or one of a task found guilty. */
+function countCleanMinions({minions, runNumberBase}: Fleet): number {
+  return [...minions.values()].filter((minion) => {
+    const exposed = minion.listExposedRuns(runNumberBase);
+    const isTelling = ({ageMs, isSuspect, run: {step, task}}: ExposedRun): boolean =>
+      isSuspect ||
+      (ageMs < MAX_CRASH_AGE_MS &&
+        !step.crashes.isEmpty &&
+        judgeTask(step, task.index) === 'guilty');
+    return minion.silentSince === undefined && !hasTrial(exposed) && !exposed.some(isTelling);
+  }).length;
+}
+
 function describeCrash(
   fleet: Fleet,
   {description: {address}}: MinionState,
@@ -106,7 +120,13 @@
     liveMs: computeLiveMs(fleet, each, outage),
     run: each.run,
   }));
-  return {...outage, address, blamed, jobs: listJobs(exposed)};
+  return {
+    ...outage,
+    address,
+    blamed,
+    cleanMinions: countCleanMinions(fleet),
+    jobs: listJobs(exposed),
+  };
 }
 
 /** Returns how often minions crash now without the task of a run. */
--- a/packages/nutmegproxy-scheduling/src/OutageLog.ts
+++ b/packages/nutmegproxy-scheduling/src/OutageLog.ts
@@ -40,6 +40,8 @@
   /** Address of the minion, which it may keep under another id. */
   readonly address: string;
   readonly blamed: readonly BlamedRun[];
+  /** Number of minions that were up then without a young run, one on trial or one of a task found guilty. */
+  readonly cleanMinions: number;
   /** Jobs with a run on the minion. */
   readonly jobs: ReadonlySet<JobId>;
 }
@@ -64,7 +66,7 @@
 }
 
 export class OutageLog {
-  #counted: {readonly now: Instant; readonly outages: readonly RecordedOutage[]} | undefined;
+  #clean: {readonly now: Instant; readonly outages: readonly RecordedOutage[]} | undefined;
   #firstAt: Instant | undefined;
   #outages: readonly RecordedOutage[] = [];
 
@@ -72,7 +74,7 @@
     this.#firstAt ??= outage.until;
     const kept = this.#outages.filter(({until}) => outage.until - until < RATE_KEPT_MS);
     this.#outages = [...kept, outage];
-    this.#counted = undefined;
+    this.#clean = undefined;
   }
 
   /** Returns the runs that are not to blame for a crash, since their minion crashed by itself before. */
@@ -96,9 +98,8 @@
   }
 
   /**
-   * Returns how often minions crashed around an instant without a young run of a task or its job. Crashes under
-   * trials tell of suspects rather than of machines, unless other machines failed at the same time. One crash a minute
-   * is counted beside those seen, as more may follow.
+   * Returns how often minions crashed around an instant without a young run of a task or its job. Minions with a young
+   * run, one on trial or one of a guilty task may tell of suspects, so neither they nor their crashes are counted. One crash a minute is counted beside those seen, as more may follow.
    *
    * @example
    * outages.measureRates({at: now, index, step}, fleet.minions.size, now); // {perFleet: 3.3e-5, perMinion: 4e-6}
@@ -111,7 +112,7 @@
       blamed.some(({run}) => run.step === step && run.task.index === index);
     const recent = this.#outages.filter(({until}) => until >= from && until <= to);
     const own = recent.filter(isOwn);
-    const others = this.#listCounted(now).filter(
+    const others = this.#listClean(now).filter(
       (outage) => outage.until >= from && outage.until <= to && !isOwn(outage),
     );
     const apart = others.filter((other) => !own.some((each) => isSimultaneous(each, other)));
@@ -120,26 +121,22 @@
       return former === undefined || !isSimultaneous(former, other);
     });
     const watchedMs = Math.max(MIN_WATCHED_MS, to - from);
-    const unseen = 1 / RATE_SPAN_MS;
+    const seen = others.reduce((sum, {cleanMinions}) => sum + 1 / Math.max(1, cleanMinions), 0);
     return {
-      perFleet: times.length / watchedMs + unseen,
-      perMinion: (others.length / watchedMs + unseen) / Math.max(1, minions),
+      perFleet: times.length / watchedMs + 1 / RATE_SPAN_MS,
+      perMinion: seen / watchedMs + 1 / RATE_SPAN_MS / Math.max(1, minions),
     };
   }
 
-  /** Lists the crashes that tell how often minions crash, once for each instant. */
-  #listCounted(now: Instant): readonly RecordedOutage[] {
-    if (this.#counted?.now !== now) {
-      const machines = this.#outages.filter((outage) => !isUnderSuspects(outage));
-      const known = new Set(machines);
+  /** Lists the crashes without suspects by their times, once for each instant. */
+  #listClean(now: Instant): readonly RecordedOutage[] {
+    if (this.#clean?.now !== now) {
       const outages = this.#outages
-        .filter(
-          (outage) => known.has(outage) || machines.some((other) => isSimultaneous(outage, other)),
-        )
+        .filter((outage) => !isUnderSuspects(outage))
         .sort((a, b) => a.until - b.until);
-      this.#counted = {now, outages};
+      this.#clean = {now, outages};
     }
-    return this.#counted.outages;
+    return this.#clean.outages;
   }
 
   #listFormer({address, until}: RecordedOutage): readonly RecordedOutage[] {
--- a/packages/nutmegproxy-scheduling/src/TrialSuspects.ts
+++ b/packages/nutmegproxy-scheduling/src/TrialSuspects.ts
@@ -153,10 +153,11 @@
 ): MinionState | undefined {
   const able = minions.filter(({trialRun}) => trialRun === undefined);
   const others = able.filter((minion) => countCrashesAt(suspect, minion) === 0);
-  // A minion that has been up for long is less likely to fail by itself.
-  const [empty] = others
+  // A minion that has crashed of late may do so again, and where they restart in turn the oldest one is the next.
+  const free = others
     .filter(({runs}) => runs.size === 0)
     .sort((a, b) => (a.bornAt ?? Infinity) - (b.bornAt ?? Infinity));
+  const empty = free[Math.floor((free.length - 1) / 2)];
   const waitMs = EMPTY_MINION_WAIT_MS + (suspect.isRestrained ? suspect.pauseMs : 0);
   if (empty !== undefined || suspect.waitedMs < waitMs) {
     return empty;
