--- a/packages/nutmegproxy-scheduling/src/CrashPauses.ts
+++ b/packages/nutmegproxy-scheduling/src/CrashPauses.ts
@@ -1,7 +1,8 @@
 /**
  * Decides for how long a task waits after crashes of minions under it. Crashes alone never end a job: minions
  * crash by chance too, and under tasks that run again each time however many crashes are seen. So a task that
- * crashes minions is started ever less often, but only where chance is no likely cause of its crashes.
+ * crashes minions waits longer between its starts where chance is no likely cause of its crashes, but no longer than
+ * callers do, and for minutes where chance is excluded.
  */
 
 import type {Instant} from '@nutmegproxy/core';
--- a/packages/nutmegproxy-scheduling/src/PendingTaskReason.ts
+++ b/packages/nutmegproxy-scheduling/src/PendingTaskReason.ts
@@ -25,7 +25,8 @@
  * `advice`: the advisor permits no minion with room, or has not answered. `availability`: all minions
  * with room get no new work. `avoidance`: it has failed or stalled a short time ago on those that are
  * left. `deadly`: minions crash under it or a task of its job, and chance is excluded. `directory`: the view of the
- * directory of minions is too old for any start. `gang`: members of its gang have runs that are not over. `last-attempt`: its last attempt is kept for a better minion.
+ * directory of minions is too old for any start. `gang`: members of its gang have runs that are not over.
+ * `last-attempt`: its last attempt is kept for a better minion.
  * `lease`: its run may be live on a minion that does not respond. `placement`: none of these; it was not
  * reached, or its gang does not fit as a whole. `recovery`: minions that have not reported may run it.
  * `room`: no minion has room. `sharing`: it would disturb serving tasks. `start`: its start is not
--- a/packages/nutmegproxy-scheduling/src/SchedulingEvents.ts
+++ b/packages/nutmegproxy-scheduling/src/SchedulingEvents.ts
@@ -74,7 +74,7 @@
   TASK_RESTRAINED: {
     code: 8028,
     level: 'error',
-    text: 'Minions crash under a task, hardly by chance: it starts only alone and after pauses, or not at all once it counts as deadly.',
+    text: 'Minions crash under a task, hardly by chance: it starts only alone and after pauses, and not for minutes once it counts as deadly.',
   },
   TASK_WITHHELD: {
     code: 8025,
