Lasting jobs rise together by their shares at work

Cause: among lasting jobs the one that lacks the fewest processors was first, and ageing divides all alike. Narrow jobs start whole in the first seconds, what lasts gives nothing back, and narrow ones that come later take what ebbs.

Change: each first start goes to the step with the smallest share of its tasks at work, without ageing; equal shares by arrival, then id. RoomDivision deals out the room below the limit once a round for each service and priority, after short work has been placed, so that minions are ranked once for a step. While the step with the smallest share waits for the limit, nobody else takes what ebbs, unless no minion could take its task if it were empty; a step that finds no minion gives its part to the others in the same round. Interrupted tasks keep their place, order and pass above the limit; other tasks of their step no longer go with them before short work.

Ruled out: a sixth of a step's tasks a round (the users' trial) depends on the interval of rounds. A ranking of minions for each single task costs a ranking for each.

Remains: a job that comes to a full room waits until as much has ended as one of its tasks needs; nothing that runs is stopped for it.

--- a/packages/nutmegproxy-emulator/src/__tests__/unit/ServingFleetLoad.ts
+++ b/packages/nutmegproxy-emulator/src/__tests__/unit/ServingFleetLoad.ts
@@ -48,3 +48,9 @@
   initialJobs: 20,
   jobsPerS: 0.1,
 };
+
+/** Long-running jobs that ask one and a half times the processors from the start. */
+export const CROWDING_CATALOGUE_CLASS: JobClass = {
+  ...CATALOGUE_CLASS,
+  initialJobs: 40,
+};
--- a/packages/nutmegproxy-scheduling/src/InterruptedTaskStarts.ts
+++ b/packages/nutmegproxy-scheduling/src/InterruptedTaskStarts.ts
@@ -30,6 +30,18 @@
   return step.shape.longRunning && step.mayHaveRun(index);
 }
 
+/** Whether tasks of a long-running step were interrupted, so that its users lack them. */
+export function hasInterruptedTask(step: StepState): boolean {
+  if (step.shape.longRunning) {
+    for (const index of step.waiting) {
+      if (isInterruptedTask(step, index)) {
+        return true;
+      }
+    }
+  }
+  return false;
+}
+
 /** Returns the minions of each service that only lack trust, and on which no run has failed just now. */
 function findCandidates({minions}: Fleet, now: Instant): ReadonlyMap<ServiceId, MinionState[]> {
   const candidates = new Map<ServiceId, MinionState[]>();
--- a/packages/nutmegproxy-scheduling/src/JobOrder.ts
+++ b/packages/nutmegproxy-scheduling/src/JobOrder.ts
@@ -4,7 +4,7 @@
  * can still meet their objective precede those that can only be late, and these precede jobs whose
  * result has no value left. Among equals, the job with the least remaining work is first, so that
  * the most jobs finish in time. Long-running tasks that have not run follow work whose result has
- * value left; among these, the job that lacks the least processors is first.
+ * value left; among these, the step with the smallest share of its tasks at work is first.
  */
 
 import type {WallTime} from '@nutmegproxy/core';
@@ -13,7 +13,8 @@
 import type {DurationEstimator} from './DurationEstimator.ts';
 import type {Fleet} from './Fleet.ts';
 
-import {isInterruptedTask} from './InterruptedTaskStarts.ts';
+import {hasInterruptedTask, isInterruptedTask} from './InterruptedTaskStarts.ts';
+import {compareArrivals, computeShareAtWork} from './LongRunningShares.ts';
 
 /** Multiple of its objective after which a job's result has no value left, as the users specify. */
 const OVERDUE_OBJECTIVE_RATIO = 3;
@@ -43,8 +44,8 @@
   readonly rank: number;
   readonly step: StepState;
   /**
-   * Remaining core-milliseconds, or the processors that a long-running step lacks, reduced for the
-   * time that the job has waited.
+   * Remaining core-milliseconds, or the processors that interrupted long-running work lacks, reduced for the
+   * time that the job has waited; for first starts of a long-running step the share of its tasks at work.
    */
   readonly weight: number;
 }
@@ -68,18 +69,6 @@
   return endMs <= job.objectiveMs * OVERDUE_OBJECTIVE_RATIO ? 'late' : 'overdue';
 }
 
-/** Whether tasks of a long-running step were interrupted. */
-function isInterrupted(step: StepState): boolean {
-  if (step.shape.longRunning) {
-    for (const index of step.waiting) {
-      if (isInterruptedTask(step, index)) {
-        return true;
-      }
-    }
-  }
-  return false;
-}
-
 /** A long-running job keeps its processors, so that its duration says nothing of what others wait for. */
 function weigh({shape, waiting}: StepState, remainingCoreMs: number): number {
   return shape.longRunning ? waiting.size * shape.resources.cpuMilli : remainingCoreMs;
@@ -90,11 +79,15 @@
     a.priority - b.priority ||
     Number(b.isInterrupted) - Number(a.isInterrupted) ||
     a.rank - b.rank ||
-    a.weight - b.weight
+    a.weight - b.weight ||
+    (a.step.shape.longRunning && b.step.shape.longRunning ? compareArrivals(a.step, b.step) : 0)
   );
 }
 
-/** Returns the steps in the order in which their tasks are placed, most urgent first. */
+/**
+ * Returns the steps in the order in which their tasks are placed, most urgent first. A long-running step of
+ * which some tasks were interrupted and others have not run is there twice, at the place of each kind.
+ */
 export function orderSteps(
   fleet: Fleet,
   steps: readonly StepState[],
@@ -102,7 +95,7 @@
   wall: WallTime,
 ): OrderedStep[] {
   return steps
-    .map((step): OrderedStep => {
+    .flatMap((step): OrderedStep[] => {
       const {job, occurrence} = step;
       const {priority, stretch, targetDurationMs} = fleet.resolveQueuePolicy(job);
       const elapsedMs = Math.max(0, wall - job.dueAt(occurrence));
@@ -113,13 +106,26 @@
         objectiveMs,
         remainingMs: remaining.criticalPathMs,
       });
-      return {
-        isInterrupted: isInterrupted(step),
+      const ordered: OrderedStep = {
+        isInterrupted: hasInterruptedTask(step),
         priority,
         rank: step.shape.longRunning ? LONG_RUNNING_RANK : PUNCTUALITY_RANKS[punctuality],
         step,
         weight: weigh(step, remaining.coreMs) / (1 + elapsedMs / AGING_HALF_WEIGHT_MS),
       };
+      if (!step.shape.longRunning) {
+        return [ordered];
+      }
+      const firstStarts = {
+        ...ordered,
+        isInterrupted: false,
+        weight: computeShareAtWork(fleet, step),
+      };
+      const hasFirstStarts = [...step.waiting].some((index) => !isInterruptedTask(step, index));
+      return [
+        ...(ordered.isInterrupted ? [ordered] : []),
+        ...(hasFirstStarts ? [firstStarts] : []),
+      ];
     })
     .sort(compareSteps);
 }
--- a/packages/nutmegproxy-scheduling/src/LongRunningStarts.ts
+++ b/packages/nutmegproxy-scheduling/src/LongRunningStarts.ts
@@ -1,7 +1,7 @@
 /**
  * Decides which tasks of long-running jobs may start in one planning round. They start one by one,
- * so that a wide job works with what there is. While one of them waits for the limit, no later job
- * of its service takes what becomes free.
+ * so that a wide job works with what there is. While the step with the smallest share of its tasks at work
+ * waits for the limit, no other one of its service takes what becomes free.
  */
 
 import type {Instant, WallTime} from '@nutmegproxy/core';
@@ -9,47 +9,71 @@
 
 import type {Fleet} from './Fleet.ts';
 import type {LongRunningRoom} from './LongRunningRoom.ts';
+import type {ShareClaim} from './LongRunningShares.ts';
 import type {MinionState} from './MinionState.ts';
 import type {StartWaitReason} from './StartWaitLog.ts';
 
 import {releaseBackfill} from './BackfillRelease.ts';
-import {isInterruptedTask} from './InterruptedTaskStarts.ts';
+import {hasInterruptedTask, isInterruptedTask} from './InterruptedTaskStarts.ts';
 import {measureLongRunningRoom} from './LongRunningRoom.ts';
+import {countTasksAtWork, RoomDivision} from './LongRunningShares.ts';
+import {meetsConstraints} from './Placement.ts';
+import {isInBackoff} from './ReadySteps.ts';
 
-/**
- * Returns those of a long-running step's startable tasks that may start: interrupted ones in any
- * case, others within the limit, and none of these while an earlier job is held.
- */
-function admitTasks(
-  step: StepState,
-  startable: readonly number[],
-  {limitMilli, reservedMilli}: LongRunningRoom,
-  isHeld: boolean,
-): readonly number[] {
-  const {cpuMilli} = step.shape.resources;
-  const interrupted = startable.filter((index) => isInterruptedTask(step, index));
-  const others = startable.filter((index) => !isInterruptedTask(step, index));
-  const usedMilli = reservedMilli + interrupted.length * cpuMilli;
-  const freeTasks = Math.floor((limitMilli - usedMilli) / Math.max(1, cpuMilli));
-  return [...interrupted, ...others.slice(0, isHeld ? 0 : Math.max(0, freeTasks))];
+/** Whether a minion could take one more task of the step if nothing ran there but its own tasks. */
+function isPlaceable(step: StepState, minions: readonly MinionState[]): boolean {
+  const {cpuMilli, gpus, memoryMb} = step.shape.resources;
+  return minions.some((minion) => {
+    const {capacity} = minion.description;
+    return (
+      cpuMilli <= capacity.cpuMilli &&
+      gpus <= capacity.gpus &&
+      memoryMb <= capacity.memoryMb &&
+      meetsConstraints(step, minion)
+    );
+  });
 }
 
 /** The starts of long-running tasks in one planning round. */
 export class LongRunningStarts {
+  /** Room of each service, by priority. */
+  readonly #divisions = new Map<ServiceId, Map<number, RoomDivision>>();
   readonly #fleet: Fleet;
-  /** Services in which a long-running task waits for the limit. */
-  readonly #heldServices = new Set<ServiceId>();
+  readonly #listStartable: (step: StepState) => readonly number[];
   readonly #now: Instant;
+  /** Steps whose interrupted tasks had their turn. */
+  readonly #restarted = new Set<StepState>();
   readonly #wall: WallTime;
+  /** Steps of the present pass, without gangs. */
+  #steps: ReadonlySet<StepState> = new Set();
 
-  constructor(fleet: Fleet, now: Instant, wall: WallTime) {
+  constructor(
+    fleet: Fleet,
+    listStartable: (step: StepState) => readonly number[],
+    now: Instant,
+    wall: WallTime,
+  ) {
     this.#fleet = fleet;
+    this.#listStartable = listStartable;
     this.#now = now;
     this.#wall = wall;
   }
 
+  /** Begins a pass over steps, among which the room is divided unless a step of an earlier pass waits for it. */
+  begin(steps: Iterable<StepState>): void {
+    for (const divisions of this.#divisions.values()) {
+      for (const [priority, division] of divisions) {
+        if (!division.isHeld) {
+          divisions.delete(priority);
+        }
+      }
+    }
+    this.#steps = new Set([...steps].filter(({shape}) => shape.longRunning && !shape.gang));
+  }
+
   /**
-   * Returns the tasks that may start without taking capacity that is kept free for short work.
+   * Returns the tasks that may start: at first the interrupted ones, in any case; then others, without taking
+   * capacity that is kept free for short work.
    *
    * @example
    * for (const index of starts.admit(step, waiting, minions)) place(step, index);
@@ -59,18 +83,42 @@
     startable: readonly number[],
     minions: readonly MinionState[],
   ): readonly number[] {
+    const {cpuMilli} = step.shape.resources;
+    const interrupted = startable.filter((index) => isInterruptedTask(step, index));
+    if (hasInterruptedTask(step) && !this.#restarted.has(step)) {
+      this.#restarted.add(step);
+      return interrupted;
+    }
+    const others = startable.filter((index) => !isInterruptedTask(step, index));
     const room = measureLongRunningRoom(minions);
-    const admitted = admitTasks(step, startable, room, this.#heldServices.has(this.#service(step)));
-    if (admitted.length < startable.length) {
+    const freeMilli = room.limitMilli - room.reservedMilli - interrupted.length * cpuMilli;
+    const freeTasks = Math.max(0, Math.floor(freeMilli / Math.max(1, cpuMilli)));
+    const division = this.#findDivision(step, minions, room);
+    const admitted = others.slice(0, division.take(step, Math.min(freeTasks, others.length)));
+    if (admitted.length < others.length) {
       this.#recordWait(step, 'limit', room);
     }
-    return admitted;
+    return [...interrupted, ...admitted];
+  }
+
+  /** Gives the room of admitted tasks for which there is no minion to the other steps of the pass. */
+  release(step: StepState, admitted: readonly number[], minions: readonly MinionState[]): void {
+    const isUnused = (index: number): boolean =>
+      step.waiting.has(index) && !isInterruptedTask(step, index);
+    const unused = admitted.filter(isUnused).length;
+    if (unused > 0) {
+      this.#findDivision(step, minions, measureLongRunningRoom(minions)).release(step, unused);
+    }
   }
 
-  /** Holds later jobs until the step's tasks fit, unless one of these exceeds the limit by itself. */
-  holdLaterJobs(step: StepState, minions: readonly MinionState[]): void {
-    if (step.shape.resources.cpuMilli <= measureLongRunningRoom(minions).limitMilli) {
-      this.#heldServices.add(this.#service(step));
+  /** Gives the room of a step to the others where this round passes it over, as it has found no minion. */
+  skip(step: StepState, minions: readonly MinionState[]): void {
+    const {blockedAt = -Infinity, placedAt = -Infinity} = step;
+    const isFirstVisit = hasInterruptedTask(step) && !this.#restarted.has(step);
+    this.#restarted.add(step);
+    if (this.#steps.has(step) && !isFirstVisit && blockedAt > -Infinity && blockedAt >= placedAt) {
+      const division = this.#findDivision(step, minions, measureLongRunningRoom(minions));
+      division.release(step, division.take(step, Infinity));
     }
   }
 
@@ -80,12 +128,44 @@
     this.#recordWait(step, 'no-minion', measureLongRunningRoom(minions));
   }
 
+  /** Returns the room of the step's service and priority, divided when a step first asks for it. */
+  #findDivision(
+    step: StepState,
+    minions: readonly MinionState[],
+    {limitMilli, reservedMilli}: LongRunningRoom,
+  ): RoomDivision {
+    const {priority, service} = this.#fleet.resolveQueuePolicy(step.job);
+    const divisions = this.#divisions.get(service) ?? new Map<number, RoomDivision>();
+    this.#divisions.set(service, divisions);
+    const known = divisions.get(priority);
+    if (known !== undefined) {
+      return known;
+    }
+    const isHeld = [...divisions.values()].some((each) => each.isHeld);
+    const freeMilli = isHeld ? 0 : limitMilli - reservedMilli;
+    const claims = [...this.#steps]
+      .filter((each) => {
+        const policy = this.#fleet.resolveQueuePolicy(each.job);
+        return policy.service === service && policy.priority === priority;
+      })
+      .map((each) => this.#describeClaim(each, minions, limitMilli));
+    const division = new RoomDivision(claims, freeMilli);
+    divisions.set(priority, division);
+    return division;
+  }
+
+  #describeClaim(step: StepState, minions: readonly MinionState[], limitMilli: number): ShareClaim {
+    const waiting = isInBackoff(step, this.#now) ? [] : this.#listStartable(step);
+    return {
+      atWork: countTasksAtWork(this.#fleet, step),
+      isPlaceable: step.shape.resources.cpuMilli <= limitMilli && isPlaceable(step, minions),
+      step,
+      tasks: waiting.filter((index) => !isInterruptedTask(step, index)).length,
+    };
+  }
+
   #recordWait(step: StepState, reason: StartWaitReason, room: LongRunningRoom): void {
     const waitedMs = this.#wall - step.job.dueAt(step.occurrence);
     this.#fleet.startWaits.record({reason, room, step, waitedMs}, this.#fleet.events, this.#now);
   }
-
-  #service(step: StepState): ServiceId {
-    return this.#fleet.resolveQueuePolicy(step.job).service;
-  }
 }
--- a/packages/nutmegproxy-scheduling/src/StartPlanner.ts
+++ b/packages/nutmegproxy-scheduling/src/StartPlanner.ts
@@ -71,7 +71,8 @@
     this.#fleet = fleet;
     this.#context = context;
     this.#permissions = new StartPermissions(fleet, context);
-    this.#longRunningStarts = new LongRunningStarts(fleet, context.now, context.wall);
+    const {now, wall} = context;
+    this.#longRunningStarts = new LongRunningStarts(fleet, this.#listStartable, now, wall);
     const minions = [...fleet.minions.values()];
     this.#schedulable = new MinionsByService(
       minions.filter((minion) => isSchedulable(minion, context.now)),
@@ -89,7 +90,8 @@
     const others = ready.filter(
       (step) => !trials.held.has(step.job) && !step.job.isFinal && this.#mayStart(step),
     );
-    const ordered = orderSteps(this.#fleet, others, estimator, wall).map(({step}) => step);
+    const visits = orderSteps(this.#fleet, others, estimator, wall).map(({step}) => step);
+    const ordered = [...new Set(visits)];
     const backfill = ordered.filter(({shape}) => shape.fillsSpareCpu);
     this.#overdueBackfill = new Set(
       [findOverdueSteps, findIdleSteps].flatMap((find) =>
@@ -97,7 +99,7 @@
       ),
     );
     this.#permissions.admitsFailedTrials = false;
-    let wasCut = this.#place(orderByLastStart(ordered, this.#overdueBackfill));
+    let wasCut = this.#place(orderByLastStart(visits, this.#overdueBackfill));
     this.#permissions.admitsFailedTrials = true;
     const failedTrials = ordered.filter(({hasFailedTrial}) => hasFailedTrial);
     if (!wasCut && failedTrials.length > 0 && this.#schedulable.hasOpenTrial(now)) {
@@ -138,6 +140,7 @@
   #place(steps: readonly StepState[], mostTasks = Infinity): boolean {
     const {deferrableStarts = Infinity, now, sweep} = this.#context;
     const {admitsFailedTrials} = this.#permissions;
+    this.#longRunningStarts.begin(steps);
     return placeWithinBudget(steps, {
       isDeferrable: (step) => isDeferrable(this.#fleet, step),
       isTimeUp: this.#isTimeUp,
@@ -147,6 +150,7 @@
       place: (step, budget) => {
         const isRetry = sweep?.hasTried(step, admitsFailedTrials) ?? false;
         if (isRetry && !this.#mayRetry()) {
+          this.#longRunningStarts.skip(step, this.#listMinions(step));
           return;
         }
         const hadProgressed = this.#hasProgressed;
@@ -339,7 +343,7 @@
         if (hasRoom && skipped < MAX_SKIPPED_TASKS) {
           continue;
         }
-        return;
+        break;
       }
       const mayHaveRisen = order === skipped ? this.#dependsOnWait(step) : false;
       this.#starts.push(this.#startRun(step, index, minion));
@@ -353,8 +357,8 @@
       }
       ranking.refresh(minion);
     }
-    if (startable.length < waiting.length) {
-      this.#longRunningStarts.holdLaterJobs(step, minions);
+    if (skipped > 0 && step.shape.longRunning) {
+      this.#longRunningStarts.release(step, startable, minions);
     }
   }
 
--- a/packages/nutmegproxy-scheduling/src/__tests__/unit/PlanSweep.test.ts
+++ b/packages/nutmegproxy-scheduling/src/__tests__/unit/PlanSweep.test.ts
@@ -81,6 +81,20 @@
       assert.equal(last.occurrence(0)?.[0]?.liveRuns, 1);
     });
 
+    it('do not keep the room of long-running jobs from others while the pass lasts', () => {
+      const half = {cpuMilli: 2_000, gpus: 0, memoryMb: 100};
+      sample.addJob('proofs', [shape({count: 10, maxPerMinion: 1, resources: half})]);
+      plan(0, Infinity);
+      const resources = {cpuMilli: 3_000, gpus: 0, memoryMb: 100};
+      const unfit = shape({longRunning: true, resources});
+      const jobs = Array.from({length: 20}, () => sample.addJob('proofs', [unfit]));
+      const last = sample.addJob('proofs', [shape({longRunning: true})], 1);
+      for (let round = 1; round <= jobs.length + 2; round += 1) {
+        plan(round, 0);
+      }
+      assert.equal(last.occurrence(0)?.[0]?.liveRuns, 1);
+    });
+
     it('are tried again after the pass', () => {
       const blocked = sample.addJob('proofs', [shape({resources: TOO_LARGE})]);
       sample.addJob('proofs', [shape({estimateMs: 100_000})]);
