--- a/packages/nutmegproxy-scheduling/src/__tests__/unit/StartPlanner.test.ts
+++ b/packages/nutmegproxy-scheduling/src/__tests__/unit/StartPlanner.test.ts
@@ -380,6 +380,9 @@
       for (const tasks of narrow) {
         assert.ok((tasks - 1) / 2 <= wide / TASKS, `${wide} of ${TASKS}, ${tasks} of 2`);
       }
+      const all = narrow.reduce((sum, tasks) => sum + tasks / 2, wide / TASKS);
+      const average = all / (narrow.length + 1);
+      assert.ok(wide / TASKS >= average / 2, `${wide} of ${TASKS}, average ${average}`);
     });
   });
 
