Restrained tasks count in the pace of trials, and their pauses count from when their minion fell silent (restrained-beyond-callers)

Cause: computeTrialPace left restrained tasks out, so that they had the usual trials only and waited to be overdue. Their pauses counted from the record of the crash, made when the minion is back, while callers count from the last run.

Change: restrained tasks whose pause is over count in computeTrialPace beside the other suspects, by the time left until they start on any minion (TrialCandidate.remainingMs; the same as before for other suspects). StepCrashes keeps since when a task is idle: when the minion of the last crash fell silent, or the record where it may only have been cut off or the crash is a former owner's. The pauses and bounds of restrained tasks count from then; those of other suspects and of deadly tasks as before. Nothing more is stored or sent.

Why it works: a lasting task starts 5 to 8 s after its minion fell silent, a batch task 10.5 to 11.5 s, once the minion's crash is recorded. After three crashes a task still starts at most each 5 s, so not three times within 10 s.

CrashSamples.crash has a down time as an argument, 2 s by default as before; no other test or bound changed.

Ruled out: pauses of all suspects from the silence (a minion that crashes by itself would not show it meanwhile).

--- a/packages/nutmegproxy-jobs/src/StepCrashes.ts
+++ b/packages/nutmegproxy-jobs/src/StepCrashes.ts
@@ -46,6 +46,8 @@
   readonly #crashes = new Map<number, readonly TaskCrash[]>();
   /** When this owner recorded or first considered the last crash under a task. */
   readonly #consideredAt = new Map<number, Instant>();
+  /** When the minion of the last crash under a task fell silent, if this owner recorded it. */
+  readonly #idleSince = new Map<number, Instant>();
 
   constructor(progress: StepCrashProgress = {}) {
     for (const [index, crashes] of Object.entries(progress.crashes ?? {})) {
@@ -72,9 +74,15 @@
     return at;
   }
 
+  /** Returns since when a task does not run after the last crash under it, as far as this owner knows. */
+  idleSince(index: number, now: Instant): Instant {
+    return this.#idleSince.get(index) ?? this.consideredAt(index, now);
+  }
+
   /** Drops all that is recorded of a task; returns whether there was anything. */
   clear(index: number): boolean {
     this.#consideredAt.delete(index);
+    this.#idleSince.delete(index);
     const hadTrial = this.trials.delete(index);
     return this.#crashes.delete(index) || hadTrial;
   }
@@ -88,14 +96,18 @@
     return this.#crashes.get(index) ?? [];
   }
 
-  /** Records a crash; returns false when the crash under this run was recorded before. */
-  record(index: number, crash: TaskCrash, now: Instant): boolean {
+  /**
+   * Records a crash of a minion that fell silent at `silentSince`; returns false when the crash under this run was
+   * recorded before.
+   */
+  record(index: number, crash: TaskCrash, now: Instant, silentSince = now): boolean {
     const crashes = this.of(index);
     if (crashes.some(({run}) => run === crash.run)) {
       return false;
     }
     this.#crashes.set(index, [...crashes, crash]);
     this.#consideredAt.set(index, now);
+    this.#idleSince.set(index, silentSince);
     return true;
   }
 
--- a/packages/nutmegproxy-scheduling/src/CrashRecorder.ts
+++ b/packages/nutmegproxy-scheduling/src/CrashRecorder.ts
@@ -117,9 +117,10 @@
   index: number,
   crash: TaskCrash,
   now: Instant,
+  silentSince = now,
 ): void {
   const {job} = step;
-  if (job.isFinal || step.done.has(index) || !step.crashes.record(index, crash, now)) {
+  if (job.isFinal || step.done.has(index) || !step.crashes.record(index, crash, now, silentSince)) {
     return;
   }
   fleet.dirtyJobs.add(job);
@@ -282,7 +283,9 @@
       run: run.number,
     };
     fleet.crashSuspects.set(taskCrash, recorded.length);
-    recordTaskCrash(fleet, step, task.index, taskCrash, now);
+    // A run on a minion that was cut off may have gone on until the crash.
+    const silentSince = minion.mayBeCutOff ? now : outage.until;
+    recordTaskCrash(fleet, step, task.index, taskCrash, now, silentSince);
   }
   resolveTrials(fleet, minion, now);
   if (cause === 'machine' || cause === 'outage' || cause === 'task') {
--- a/packages/nutmegproxy-scheduling/src/CrashVerdict.ts
+++ b/packages/nutmegproxy-scheduling/src/CrashVerdict.ts
@@ -124,6 +124,12 @@
   return isGangGuilty ? 'guilty' : verdict;
 }
 
+/** Returns for how long a task, or its whole gang, has been idle: since the minion of the last crash fell silent. */
+export function computeIdleMs({crashes, shape}: StepState, index: number, now: Instant): number {
+  const indexes = shape.gang ? crashes.indexes : [index];
+  return Math.min(...indexes.map((each) => now - crashes.idleSince(each, now)));
+}
+
 /** Returns for how long a task, or its whole gang, has waited since the last crash under it. */
 export function computeWaitedMs({crashes, shape}: StepState, index: number, now: Instant): number {
   const indexes = shape.gang ? crashes.indexes : [index];
--- a/packages/nutmegproxy-scheduling/src/TaskTrials.ts
+++ b/packages/nutmegproxy-scheduling/src/TaskTrials.ts
@@ -106,7 +106,11 @@
       this.held.add(job);
     }
     const timely = suspects.filter(({isOverdue, isRestrained}) => !isOverdue && !isRestrained);
-    const pace = computeTrialPace(timely, fleet.minions.size);
+    const restrained = suspects.filter(
+      ({isDeadly, isOverdue, isRestrained, pauseMs, waitedMs}) =>
+        isRestrained && !isDeadly && !isOverdue && waitedMs >= pauseMs,
+    );
+    const pace = computeTrialPace({restrained, suspects: timely}, fleet.minions.size);
     for (const [job, each] of groupByJob(timely)) {
       this.#allowances.set(job, countNeededTrials(each));
     }
--- a/packages/nutmegproxy-scheduling/src/TrialPacing.ts
+++ b/packages/nutmegproxy-scheduling/src/TrialPacing.ts
@@ -22,10 +22,10 @@
 
 /** A suspected task that waits. */
 export interface TrialCandidate {
+  /** Time in milliseconds until it starts on any minion; negative once it does. */
+  readonly remainingMs: number;
   /** Length of its trial in milliseconds. */
   readonly trialMs: number;
-  /** Time in milliseconds since the last crash under it. */
-  readonly waitedMs: number;
 }
 
 export interface TrialPace {
@@ -39,32 +39,33 @@
  * Returns how many suspects have to be on trial at once so that the last of them starts in time.
  *
  * @example
- * countNeededTrials([{trialMs: 3_750, waitedMs: 0}, {trialMs: 3_750, waitedMs: 0}]); // 1
+ * countNeededTrials([{remainingMs: 8_000, trialMs: 3_750}, {remainingMs: 8_000, trialMs: 3_750}]); // 1
  */
 export function countNeededTrials(candidates: readonly TrialCandidate[]): number {
-  let longestWaitMs = 0;
+  let leastMs = MAX_TRIAL_DELAY_MS;
   let totalMs = 0;
-  for (const {trialMs, waitedMs} of candidates) {
-    longestWaitMs = Math.max(longestWaitMs, waitedMs);
+  for (const {remainingMs, trialMs} of candidates) {
+    leastMs = Math.min(leastMs, remainingMs);
     totalMs += trialMs + TRIAL_GAP_MS;
   }
-  const leftMs = Math.max(0, MAX_TRIAL_DELAY_MS - longestWaitMs);
+  const leftMs = Math.max(0, leastMs);
   const rounds =
     candidates.length === 0 ? 1 : 1 + Math.floor((leftMs * candidates.length) / totalMs);
   return Math.ceil(candidates.length / rounds);
 }
 
 /**
- * Returns how many minions are reserved for trials, and how many suspects share one.
+ * Returns how many minions are reserved for trials, and how many suspects share one. Restrained tasks whose pause is
+ * over need trials beside those of other suspects.
  *
  * @example
- * computeTrialPace(candidates, fleet.minions.size); // {groupSize: 1, minions: 7}
+ * computeTrialPace({restrained: [], suspects}, fleet.minions.size); // {groupSize: 1, minions: 7}
  */
 export function computeTrialPace(
-  candidates: readonly TrialCandidate[],
+  {restrained, suspects}: Readonly<Record<'restrained' | 'suspects', readonly TrialCandidate[]>>,
   minions: number,
 ): TrialPace {
-  const needed = countNeededTrials(candidates);
+  const needed = countNeededTrials(suspects) + countNeededTrials(restrained);
   const usual = Math.max(MIN_TRIALS, Math.floor(minions * MAX_TRIAL_SHARE));
   const urgent = Math.min(needed, Math.floor(minions * MAX_URGENT_TRIAL_SHARE));
   const reserved = Math.max(usual, urgent);
--- a/packages/nutmegproxy-scheduling/src/TrialSuspects.ts
+++ b/packages/nutmegproxy-scheduling/src/TrialSuspects.ts
@@ -9,7 +9,7 @@
 
 import {FRESH_RUN_MS} from './CrashAttribution.ts';
 import {findCrashPause} from './CrashPauses.ts';
-import {computeTrialMs, computeWaitedMs, judgeTask} from './CrashVerdict.ts';
+import {computeIdleMs, computeTrialMs, computeWaitedMs, judgeTask} from './CrashVerdict.ts';
 import {isOnProbation} from './SuspectSeparation.ts';
 
 /** Time in milliseconds for which a trial waits for a minion without runs. */
@@ -39,12 +39,16 @@
   /** Time in milliseconds since the last crash after which its next trial is due. */
   readonly pauseMs: number;
   readonly step: StepState;
+  /** Time in milliseconds since the last crash under it; if it is restrained, since its minion fell silent then. */
+  readonly waitedMs: number;
 }
 
 function describeSuspect(fleet: Fleet, step: StepState, index: number, now: Instant): Suspect {
   const crashes = step.crashes.of(index);
-  const waitedMs = computeWaitedMs(step, index, now);
   const {isDeadly, isRestrained, overdueMs, pauseMs} = findCrashPause(fleet, step, index, now);
+  const waitedMs = isRestrained
+    ? computeIdleMs(step, index, now)
+    : computeWaitedMs(step, index, now);
   return {
     index,
     isDeadly,
@@ -54,6 +58,7 @@
     mayShareMinion: !isRestrained && crashes.length < MIN_SEPARATE_CRASHES,
     overdueMs,
     pauseMs,
+    remainingMs: overdueMs - waitedMs,
     step,
     trialMs: computeTrialMs(crashes),
     waitedMs,
@@ -82,7 +87,7 @@
 }
 
 /** Restrains the tasks of restrained jobs that behave alike: they are tried one at a time, within the same bound. */
-function restrainSiblings(suspects: readonly Suspect[]): readonly Suspect[] {
+function restrainSiblings(suspects: readonly Suspect[], now: Instant): readonly Suspect[] {
   const restrained = new Map<JobState, Suspect>();
   for (const suspect of suspects.filter((each) => each.isRestrained)) {
     const {job} = suspect.step;
@@ -97,8 +102,18 @@
       return suspect;
     }
     const {overdueMs, pauseMs} = alike;
-    const isOverdue = suspect.waitedMs >= overdueMs;
-    return {...suspect, isOverdue, isRestrained: true, mayShareMinion: false, overdueMs, pauseMs};
+    const waitedMs = computeIdleMs(suspect.step, suspect.index, now);
+    const remainingMs = overdueMs - waitedMs;
+    return {
+      ...suspect,
+      isOverdue: remainingMs <= 0,
+      isRestrained: true,
+      mayShareMinion: false,
+      overdueMs,
+      pauseMs,
+      remainingMs,
+      waitedMs,
+    };
   });
 }
 
@@ -134,7 +149,7 @@
       }
     }
   }
-  return {deadly, pausing, suspects: [...restrainSiblings(suspects)].sort(compareSuspects)};
+  return {deadly, pausing, suspects: [...restrainSiblings(suspects, now)].sort(compareSuspects)};
 }
 
 /** Returns how many of the crashes under a suspect are recorded of a minion. */
--- a/packages/nutmegproxy-scheduling/src/__tests__/unit/CrashSamples.ts
+++ b/packages/nutmegproxy-scheduling/src/__tests__/unit/CrashSamples.ts
@@ -53,16 +53,21 @@
   reconcileListing(fleet, minion, listing, times);
 }
 
-/** Crashes minions at the same time; each is back two seconds later. */
-export function crash({fleet}: SampleFleet, minions: readonly MinionState[], atMs: number): void {
+/** Crashes minions at the same time; each is back after a time, by default two seconds. */
+export function crash(
+  {fleet}: SampleFleet,
+  minions: readonly MinionState[],
+  atMs: number,
+  downMs = 2_000,
+): void {
   for (const minion of minions) {
     minion.lastAnswerAt ??= at(atMs);
-    upAt.set(minion, atMs + 2_000);
+    upAt.set(minion, atMs + downMs);
     minion.silentSince = at(atMs + 20);
   }
   for (const minion of minions) {
     minion.bornAt = (minion.bornAt ?? 0) + 1;
-    recordMinionCrash(fleet, minion, at(atMs + 2_000));
+    recordMinionCrash(fleet, minion, at(atMs + downMs));
     for (const run of [...minion.runs]) {
       fleet.recordLostRun(run, 'minion restarted');
     }
