Trial: overdue backfill starts where it is tolerated, its other turns are bounded

And steps without a start of this owner came in the reverse of their order.

Change: tasks go first where serving tasks tolerate them, as those of any other backfill; only a step for which there is no such minion begins a turn. Steps without a start are ordered by when their turn came.

--- a/packages/nutmegproxy-scheduling/src/OverdueSteps.ts
+++ b/packages/nutmegproxy-scheduling/src/OverdueSteps.ts
@@ -140,6 +140,18 @@
     : undefined;
 }
 
+/** Whether overdue backfill works in its turn on a minion. */
+export function hasTurn({runs}: MinionState): boolean {
+  return [...runs].some(({toleratedSince}) => toleratedSince !== undefined);
+}
+
+/** Orders steps by their last start under this owner; those without one come first, by their turns. */
+function compareLastStart(a: StepState, b: StepState): number {
+  const [startA, startB] = [a.placedAt ?? -Infinity, b.placedAt ?? -Infinity];
+  const [turnA, turnB] = [a.turnAt ?? Infinity, b.turnAt ?? Infinity];
+  return startA === startB ? Number(turnA > turnB) - Number(turnA < turnB) : startA - startB;
+}
+
 /**
  * Returns the steps with some of them in the order of their last starts, in the places of these of their queue: backfill
  * that works in turns is stopped and waits again, and those that come first otherwise would take each turn.
@@ -152,9 +164,14 @@
   taken: ReadonlySet<StepState>,
 ): readonly StepState[] {
   const byQueue = new Map<QueueId, StepState[]>();
-  for (const step of [...taken].sort(({placedAt: a = 0}, {placedAt: b = 0}) => b - a)) {
+  for (const step of ordered
+    .filter((each) => taken.has(each))
+    .sort(compareLastStart)
+    .reverse()) {
     const {queue} = step.job.request;
-    byQueue.set(queue, [...(byQueue.get(queue) ?? []), step]);
+    const steps = byQueue.get(queue) ?? [];
+    steps.push(step);
+    byQueue.set(queue, steps);
   }
   return ordered.map((step) =>
     taken.has(step) ? (byQueue.get(step.job.request.queue)?.pop() ?? step) : step,
--- a/packages/nutmegproxy-scheduling/src/StartPlanner.ts
+++ b/packages/nutmegproxy-scheduling/src/StartPlanner.ts
@@ -20,6 +20,7 @@
   findIdleSteps,
   findOverdueSteps,
   hasTaskWaitedSince,
+  hasTurn,
   listUntrustedMinions,
   orderByLastStart,
   tolerateInterference,
@@ -32,6 +33,7 @@
   countDeferrable,
   isDeferrable,
   isIdleForLong,
+  limitTurns,
   placeWithinBudget,
   StartBudget,
 } from './StartBudget.ts';
@@ -61,17 +63,22 @@
   readonly #longRunningStarts: LongRunningStarts;
   /** Lasting tasks that wait since later are left out; Infinity leaves out none. */
   #lastingSince = Infinity;
-  /** Steps of backfill that serving tasks have to bear; one task of each starts in a round. */
-  #overdueBackfill: ReadonlySet<StepState> = new Set();
+  /** Step of which serving tasks have to bear a task now. */
+  #borne: StepState | undefined;
+  /** Steps of backfill of which serving tasks have to bear a task in each turn. */
+  readonly #overdueBackfill = new Set<StepState>();
   readonly #permissions: StartPermissions;
   readonly #starts: Run[] = [];
   readonly #schedulable: MinionsByService;
+  /** Turns of overdue backfill that may still begin in this round. */
+  readonly #turns: StartBudget;
 
   constructor(fleet: Fleet, context: PlanContext) {
     this.#fleet = fleet;
     this.#context = context;
     this.#permissions = new StartPermissions(fleet, context);
     this.#longRunningStarts = new LongRunningStarts(fleet, context.now, context.wall);
+    this.#turns = new StartBudget(limitTurns(context.deferrableStarts));
     const minions = [...fleet.minions.values()];
     this.#schedulable = new MinionsByService(
       minions.filter((minion) => isSchedulable(minion, context.now)),
@@ -91,11 +98,11 @@
     );
     const ordered = orderSteps(this.#fleet, others, estimator, wall).map(({step}) => step);
     const backfill = ordered.filter(({shape}) => shape.fillsSpareCpu);
-    this.#overdueBackfill = new Set(
-      [findOverdueSteps, findIdleSteps].flatMap((find) =>
-        find(this.#fleet, backfill, this.#maxWaitMs, now),
-      ),
-    );
+    for (const find of [findOverdueSteps, findIdleSteps]) {
+      for (const step of find(this.#fleet, backfill, this.#maxWaitMs, now)) {
+        this.#overdueBackfill.add(step);
+      }
+    }
     this.#permissions.admitsFailedTrials = false;
     let wasCut = this.#place(orderByLastStart(ordered, this.#overdueBackfill));
     this.#permissions.admitsFailedTrials = true;
@@ -152,13 +159,8 @@
         const hadProgressed = this.#hasProgressed;
         const starts = this.#starts.length;
         const mostOfKind = step.shape.longRunning ? Infinity : mostTasks;
-        const most = this.#overdueBackfill.has(step) ? 1 : mostOfKind;
-        const ofStep = new StartBudget(Math.min(budget.remaining, most));
-        if (step.shape.gang) {
-          this.#placeGang(step, ofStep);
-        } else {
-          this.#placeTasks(step, ofStep);
-        }
+        const ofStep = new StartBudget(Math.min(budget.remaining, mostOfKind));
+        this.#placeStep(step, ofStep);
         budget.take(this.#starts.length - starts);
         const hasStarted = this.#starts.length > starts;
         this.#hasProgressed = hasStarted || !isRetry || hadProgressed;
@@ -169,6 +171,29 @@
     });
   }
 
+  /** Places tasks of a step where serving tasks tolerate them; if it is overdue and none do, one that they have to bear. */
+  #placeStep(step: StepState, budget: StartBudget): void {
+    const {gang, longRunning} = step.shape;
+    const starts = this.#starts.length;
+    const mayBegin = this.#overdueBackfill.has(step) && !this.#turns.isUsedUp;
+    if (!mayBegin || !(gang || longRunning)) {
+      this.#placeTasksOrGang(step, budget);
+    }
+    if (mayBegin && this.#starts.length === starts) {
+      this.#borne = step;
+      this.#placeTasksOrGang(step, new StartBudget(Math.min(1, budget.remaining)));
+      this.#borne = undefined;
+    }
+  }
+
+  #placeTasksOrGang(step: StepState, budget: StartBudget): void {
+    if (step.shape.gang) {
+      this.#placeGang(step, budget);
+    } else {
+      this.#placeTasks(step, budget);
+    }
+  }
+
   get #outlook(): WorkOutlook {
     return {estimator: this.#context.estimator, fleet: this.#fleet};
   }
@@ -251,9 +276,7 @@
 
   #rank(step: StepState, minions: readonly MinionState[]): MinionRanking {
     const {now, sharingCosts} = this.#context;
-    const costs = this.#overdueBackfill.has(step)
-      ? tolerateInterference(sharingCosts)
-      : sharingCosts;
+    const costs = this.#borne === step ? tolerateInterference(sharingCosts) : sharingCosts;
     return new MinionRanking(step, minions, costs, now);
   }
 
@@ -363,9 +386,12 @@
     const isAwaited = findSoonIdleSince(step, this.#outlook, now) < Infinity;
     const run = this.#fleet.startRun(step, index, minion, now, number);
     run.isAwaited = isAwaited;
-    if (this.#overdueBackfill.has(step)) {
+    const isBorne = this.#borne === step;
+    const isTurn = isBorne || (this.#overdueBackfill.has(step) && step.liveRuns === 1);
+    if (isTurn && (step.shape.gang || !hasTurn(minion))) {
       run.toleratedSince = now;
     }
+    this.#turns.take(Number(isBorne));
     return run;
   }
 
