--- a/packages/nutmegproxy-jobs/src/StepCrashes.ts
+++ b/packages/nutmegproxy-jobs/src/StepCrashes.ts
@@ -44,7 +44,7 @@
   /** Starts of suspected tasks whose outcome is not known, by task index. */
   readonly trials = new Map<number, TaskTrial>();
   readonly #crashes = new Map<number, readonly TaskCrash[]>();
-  /** When this owner recorded the last crash under a task, or since when that counts which it read. */
+  /** When this owner recorded or first considered the last crash under a task. */
   readonly #consideredAt = new Map<number, Instant>();
 
   constructor(progress: StepCrashProgress = {}) {
@@ -65,12 +65,9 @@
     return [...this.#crashes.keys()];
   }
 
-  /**
-   * Returns when this owner recorded the last crash under a task, or since when that which it read is known to have been
-   * stored; where that is not known, when it was first considered.
-   */
-  consideredAt(index: number, now: Instant, storedAt = now): Instant {
-    const at = this.#consideredAt.get(index) ?? storedAt;
+  /** Returns when the last crash under a task was recorded, or first considered after a takeover. */
+  consideredAt(index: number, now: Instant): Instant {
+    const at = this.#consideredAt.get(index) ?? now;
     this.#consideredAt.set(index, at);
     return at;
   }
--- a/packages/nutmegproxy-owner/src/JobWatcher.ts
+++ b/packages/nutmegproxy-owner/src/JobWatcher.ts
@@ -101,17 +101,13 @@
 
   /** Adds a job; returns undefined if it is known already or its record is malformed. */
   #addJob(stored: StoredValue, progress?: JobProgress, progressRevision = 0): JobState | undefined {
-    const {clock, fleet, ownership} = this.#options;
+    const {fleet} = this.#options;
     const request = this.#decode(stored, decodeJob);
     if (request === undefined || fleet.jobs.has(request.id)) {
       return undefined;
     }
     const job = new JobState(request, stored.createRevision, progress);
     job.progressRevision = progressRevision;
-    if (job.revision < ownership.token) {
-      const revision = Math.max(job.revision, progressRevision);
-      job.heldSince = ownership.ages.findSeenAt(revision, clock.monotonic());
-    }
     fleet.jobs.set(job.id, job);
     return job;
   }
--- a/packages/nutmegproxy-scheduling/src/Fleet.ts
+++ b/packages/nutmegproxy-scheduling/src/Fleet.ts
@@ -86,7 +86,6 @@
     run.isAdopted = true;
     run.phase = 'running';
     run.confirmedAt = now;
-    step.placedAt ??= now;
     return run;
   }
 
--- a/packages/nutmegproxy-scheduling/src/OverdueSteps.ts
+++ b/packages/nutmegproxy-scheduling/src/OverdueSteps.ts
@@ -5,7 +5,7 @@
  */
 
 import type {Instant} from '@nutmegproxy/core';
-import type {QueueId, StepState} from '@nutmegproxy/jobs';
+import type {JobState, QueueId, StepState} from '@nutmegproxy/jobs';
 
 import type {Fleet} from './Fleet.ts';
 import type {MinionState} from './MinionState.ts';
@@ -29,10 +29,11 @@
   doneAt = -Infinity as Instant,
   failedAt,
   placedAt = -Infinity as Instant,
+  readyAt,
   shape,
-  turnAt = Infinity as Instant,
   waiting,
 }: StepState): number {
+  const turnAt = readyAt ?? Infinity;
   if (!shape.longRunning) {
     return Math.max(turnAt, shape.fillsSpareCpu ? doneAt : placedAt, ...failedAt.values());
   }
@@ -42,11 +43,11 @@
 
 /** Whether a lasting task has waited itself since the given instant or longer; others wait with their step. */
 export function hasTaskWaitedSince(
-  {failedAt, shape, turnAt = Infinity as Instant}: StepState,
+  {failedAt, readyAt = Infinity as Instant, shape}: StepState,
   index: number,
   since: number,
 ): boolean {
-  return !shape.longRunning || Math.max(turnAt, failedAt.get(index) ?? -Infinity) <= since;
+  return !shape.longRunning || Math.max(readyAt, failedAt.get(index) ?? -Infinity) <= since;
 }
 
 /** Whether other work of its job runs, so that its backfill may wait on. */
@@ -56,8 +57,10 @@
 
 /** Whether a step has waited since the given instant or longer; most steps are told from their turn alone. */
 function hasWaitedSince(step: StepState, since: number): boolean {
-  const {turnAt = Infinity, waiting} = step;
-  return turnAt <= since && waiting.size > 0 && findWaitStart(step) <= since && !hasOtherRuns(step);
+  const {readyAt = Infinity, waiting} = step;
+  return (
+    readyAt <= since && waiting.size > 0 && findWaitStart(step) <= since && !hasOtherRuns(step)
+  );
 }
 
 /**
@@ -71,21 +74,15 @@
     !job.hasLiveRuns &&
     !shape.longRunning &&
     waiting.size > 0 &&
-    siblings.some(({turnAt = Infinity}) => turnAt <= turnBefore) &&
+    siblings.some(({readyAt = Infinity}) => readyAt <= turnBefore) &&
     Math.max(doneAt, findWaitStart(step)) + RETRY_WAIT_MS <= now
   );
 }
 
-/**
- * Returns from when room has been free for long enough for the work of a step; Infinity while it isn't. What has waited
- * under former owners, too, waits no longer for room that has been free since this owner took over.
- */
-function findPassingAt(fleet: Fleet, step: StepState): number {
-  const {freeRoom} = fleet;
-  const {service} = fleet.resolveQueuePolicy(step.job);
-  const since = freeRoom.findSince(service) ?? Infinity;
-  const mayBeLonger = step.heldSince !== undefined && freeRoom.isFreeSinceRecovery(service);
-  return mayBeLonger ? since : since + MIN_FREE_MS;
+/** Returns from when room has been free for long enough for the work of a job; Infinity while it isn't. */
+function findPassingAt(fleet: Fleet, job: JobState): number {
+  const {service} = fleet.resolveQueuePolicy(job);
+  return (fleet.freeRoom.findSince(service) ?? Infinity) + MIN_FREE_MS;
 }
 
 /**
@@ -101,7 +98,7 @@
   now: Instant,
 ): readonly StepState[] {
   const waiting = ordered.filter((step) => hasWaitedSince(step, now - maxWaitMs));
-  return waiting.filter((step) => findPassingAt(fleet, step) <= now);
+  return waiting.filter(({job}) => findPassingAt(fleet, job) <= now);
 }
 
 /**
@@ -119,7 +116,7 @@
   const waiting = ordered.filter(
     (step) => isIdle(step, since, now) && !hasWaitedSince(step, since),
   );
-  return waiting.filter((step) => findPassingAt(fleet, step) <= now);
+  return waiting.filter(({job}) => findPassingAt(fleet, job) <= now);
 }
 
 /**
@@ -134,24 +131,12 @@
   maxWaitMs: number,
   now: Instant,
 ): number | undefined {
-  const passingAt = findPassingAt(fleet, step);
-  return step.turnAt !== undefined && !hasOtherRuns(step) && passingAt < Infinity
+  const passingAt = findPassingAt(fleet, step.job);
+  return step.readyAt !== undefined && !hasOtherRuns(step) && passingAt < Infinity
     ? Math.max(0, passingAt - now, findWaitStart(step) + maxWaitMs - now)
     : undefined;
 }
 
-/** Whether overdue backfill works in its turn on a minion. */
-export function hasTurn({runs}: MinionState): boolean {
-  return [...runs].some(({toleratedSince}) => toleratedSince !== undefined);
-}
-
-/** Orders steps by their last start under this owner; those without one come first, by their turns. */
-function compareLastStart(a: StepState, b: StepState): number {
-  const [startA, startB] = [a.placedAt ?? -Infinity, b.placedAt ?? -Infinity];
-  const [turnA, turnB] = [a.turnAt ?? Infinity, b.turnAt ?? Infinity];
-  return startA === startB ? Number(turnA > turnB) - Number(turnA < turnB) : startA - startB;
-}
-
 /**
  * Returns the steps with some of them in the order of their last starts, in the places of these of their queue: backfill
  * that works in turns is stopped and waits again, and those that come first otherwise would take each turn.
@@ -164,14 +149,9 @@
   taken: ReadonlySet<StepState>,
 ): readonly StepState[] {
   const byQueue = new Map<QueueId, StepState[]>();
-  for (const step of ordered
-    .filter((each) => taken.has(each))
-    .sort(compareLastStart)
-    .reverse()) {
+  for (const step of [...taken].sort(({placedAt: a = 0}, {placedAt: b = 0}) => b - a)) {
     const {queue} = step.job.request;
-    const steps = byQueue.get(queue) ?? [];
-    steps.push(step);
-    byQueue.set(queue, steps);
+    byQueue.set(queue, [...(byQueue.get(queue) ?? []), step]);
   }
   return ordered.map((step) =>
     taken.has(step) ? (byQueue.get(step.job.request.queue)?.pop() ?? step) : step,
--- a/packages/nutmegproxy-scheduling/src/SharingPolicy.ts
+++ b/packages/nutmegproxy-scheduling/src/SharingPolicy.ts
@@ -109,21 +109,19 @@
 
   /**
    * Returns the cost of a task of an overdue backfill step, which serving tasks have to bear: least where it harms them
-   * least. Undefined where it harms them while another one works or has just worked, so that tail latencies fall in between.
+   * least. Undefined where another one works or has just worked, so that tail latencies fall in between.
    */
   overdueCost(minion: MinionState, step: StepState, now: Instant): number | undefined {
     const isNearTarget = this.isNearTarget(minion);
     if (minion.servingRuns === 0) {
       return 0;
     }
-    const worst = this.#computeWorstShare(minion, step, Infinity, now) ?? 0;
-    const cost = worst * UTILIZATION_COST;
-    if (!isNearTarget && worst <= MAX_PLANNED_SHARE) {
-      return cost;
+    if (!this.#tolerated.mayStart(minion, step, isNearTarget, now)) {
+      return undefined;
     }
-    return this.#tolerated.mayStart(minion, step, isNearTarget, now)
-      ? cost + (isNearTarget ? OVER_TARGET_COST : INTERFERENCE_COST)
-      : undefined;
+    const worst = this.#computeWorstShare(minion, step, Infinity, now) ?? 0;
+    const harmCost = worst > MAX_PLANNED_SHARE ? INTERFERENCE_COST : 0;
+    return worst * UTILIZATION_COST + (isNearTarget ? OVER_TARGET_COST : harmCost);
   }
 
   /** Whether a backfill step has waited so long that minions admit it which would not admit others. */
--- a/packages/nutmegproxy-scheduling/src/StartBudget.ts
+++ b/packages/nutmegproxy-scheduling/src/StartBudget.ts
@@ -27,14 +27,6 @@
  */
 const MAX_IDLE_MS = 2_000;
 
-/**
- * Turns of overdue backfill that begin in one round. Each costs the owner a start and, where serving tasks do not tolerate
- * it, a stop; after a takeover all that is stored may be overdue at once.
- */
-const MAX_TURNS = 8;
-/** Share of a limited budget for these turns. */
-const TURNS_SHARE = 1 / 2;
-
 /** Number of starts that may still be made; Infinity does not limit them. */
 export class StartBudget {
   #remaining: number;
@@ -83,16 +75,6 @@
   return !isUrgent(fleet, job) && !shape.longRunning;
 }
 
-/**
- * Returns how many turns of overdue backfill may begin in a round with a limit for deferrable starts.
- *
- * @example
- * limitTurns(6); // 3
- */
-export function limitTurns(deferrableStarts = Infinity): number {
-  return Math.max(1, Math.min(MAX_TURNS, Math.floor(deferrableStarts * TURNS_SHARE)));
-}
-
 /** Returns how many of the runs belong to deferrable steps. */
 export function countDeferrable(fleet: Fleet, runs: readonly Run[]): number {
   return runs.reduce((count, {step}) => count + Number(isDeferrable(fleet, step)), 0);
--- a/packages/nutmegproxy-scheduling/src/StartPlanner.ts
+++ b/packages/nutmegproxy-scheduling/src/StartPlanner.ts
@@ -20,7 +20,6 @@
   findIdleSteps,
   findOverdueSteps,
   hasTaskWaitedSince,
-  hasTurn,
   listUntrustedMinions,
   orderByLastStart,
   tolerateInterference,
@@ -33,7 +32,6 @@
   countDeferrable,
   isDeferrable,
   isIdleForLong,
-  limitTurns,
   placeWithinBudget,
   StartBudget,
 } from './StartBudget.ts';
@@ -63,22 +61,17 @@
   readonly #longRunningStarts: LongRunningStarts;
   /** Lasting tasks that wait since later are left out; Infinity leaves out none. */
   #lastingSince = Infinity;
-  /** Step of which serving tasks have to bear a task now. */
-  #borne: StepState | undefined;
-  /** Steps of backfill of which serving tasks have to bear a task in each turn. */
-  readonly #overdueBackfill = new Set<StepState>();
+  /** Steps of backfill that serving tasks have to bear; one task of each starts in a round. */
+  #overdueBackfill: ReadonlySet<StepState> = new Set();
   readonly #permissions: StartPermissions;
   readonly #starts: Run[] = [];
   readonly #schedulable: MinionsByService;
-  /** Turns of overdue backfill that may still begin in this round. */
-  readonly #turns: StartBudget;
 
   constructor(fleet: Fleet, context: PlanContext) {
     this.#fleet = fleet;
     this.#context = context;
     this.#permissions = new StartPermissions(fleet, context);
     this.#longRunningStarts = new LongRunningStarts(fleet, context.now, context.wall);
-    this.#turns = new StartBudget(limitTurns(context.deferrableStarts));
     const minions = [...fleet.minions.values()];
     this.#schedulable = new MinionsByService(
       minions.filter((minion) => isSchedulable(minion, context.now)),
@@ -87,7 +80,7 @@
 
   run(): Run[] {
     const {estimator, now, sharingCosts, wall} = this.#context;
-    this.#fleet.freeRoom.observe(this.#fleet, now);
+    this.#fleet.freeRoom.observe(this.#fleet.minions.values(), now);
     const ready = collectReadySteps(this.#fleet, now, wall);
     const trials = this.#planTrials(ready);
     this.#heldTasks = trials.heldTasks;
@@ -98,11 +91,11 @@
     );
     const ordered = orderSteps(this.#fleet, others, estimator, wall).map(({step}) => step);
     const backfill = ordered.filter(({shape}) => shape.fillsSpareCpu);
-    for (const find of [findOverdueSteps, findIdleSteps]) {
-      for (const step of find(this.#fleet, backfill, this.#maxWaitMs, now)) {
-        this.#overdueBackfill.add(step);
-      }
-    }
+    this.#overdueBackfill = new Set(
+      [findOverdueSteps, findIdleSteps].flatMap((find) =>
+        find(this.#fleet, backfill, this.#maxWaitMs, now),
+      ),
+    );
     this.#permissions.admitsFailedTrials = false;
     let wasCut = this.#place(orderByLastStart(ordered, this.#overdueBackfill));
     this.#permissions.admitsFailedTrials = true;
@@ -159,8 +152,13 @@
         const hadProgressed = this.#hasProgressed;
         const starts = this.#starts.length;
         const mostOfKind = step.shape.longRunning ? Infinity : mostTasks;
-        const ofStep = new StartBudget(Math.min(budget.remaining, mostOfKind));
-        this.#placeStep(step, ofStep);
+        const most = this.#overdueBackfill.has(step) ? 1 : mostOfKind;
+        const ofStep = new StartBudget(Math.min(budget.remaining, most));
+        if (step.shape.gang) {
+          this.#placeGang(step, ofStep);
+        } else {
+          this.#placeTasks(step, ofStep);
+        }
         budget.take(this.#starts.length - starts);
         const hasStarted = this.#starts.length > starts;
         this.#hasProgressed = hasStarted || !isRetry || hadProgressed;
@@ -171,29 +169,6 @@
     });
   }
 
-  /** Places tasks of a step where serving tasks tolerate them; if it is overdue and none do, one that they have to bear. */
-  #placeStep(step: StepState, budget: StartBudget): void {
-    const {gang, longRunning} = step.shape;
-    const starts = this.#starts.length;
-    const mayBegin = this.#overdueBackfill.has(step) && !this.#turns.isUsedUp;
-    if (!mayBegin || !(gang || longRunning)) {
-      this.#placeTasksOrGang(step, budget);
-    }
-    if (mayBegin && this.#starts.length === starts) {
-      this.#borne = step;
-      this.#placeTasksOrGang(step, new StartBudget(Math.min(1, budget.remaining)));
-      this.#borne = undefined;
-    }
-  }
-
-  #placeTasksOrGang(step: StepState, budget: StartBudget): void {
-    if (step.shape.gang) {
-      this.#placeGang(step, budget);
-    } else {
-      this.#placeTasks(step, budget);
-    }
-  }
-
   get #outlook(): WorkOutlook {
     return {estimator: this.#context.estimator, fleet: this.#fleet};
   }
@@ -276,7 +251,9 @@
 
   #rank(step: StepState, minions: readonly MinionState[]): MinionRanking {
     const {now, sharingCosts} = this.#context;
-    const costs = this.#borne === step ? tolerateInterference(sharingCosts) : sharingCosts;
+    const costs = this.#overdueBackfill.has(step)
+      ? tolerateInterference(sharingCosts)
+      : sharingCosts;
     return new MinionRanking(step, minions, costs, now);
   }
 
@@ -386,12 +363,9 @@
     const isAwaited = findSoonIdleSince(step, this.#outlook, now) < Infinity;
     const run = this.#fleet.startRun(step, index, minion, now, number);
     run.isAwaited = isAwaited;
-    const isBorne = this.#borne === step;
-    const isTurn = isBorne || (this.#overdueBackfill.has(step) && step.liveRuns === 1);
-    if (isTurn && (step.shape.gang || !hasTurn(minion))) {
+    if (this.#overdueBackfill.has(step)) {
       run.toleratedSince = now;
     }
-    this.#turns.take(Number(isBorne));
     return run;
   }
 
--- a/packages/nutmegproxy-scheduling/src/__tests__/unit/WaitsOverTakeovers.test.ts
+++ b/packages/nutmegproxy-scheduling/src/__tests__/unit/WaitsOverTakeovers.test.ts
@@ -63,14 +63,11 @@
   'ordinary work that waits for trust': {failing: [JOB_A, JOB_B]},
 };
 
-/** Returns the job as an owner reads it that took over at `termAt`. */
-function readJob(sample: SampleFleet, wait: Wait, storedAtMs: number, termAt: number): JobState {
+/** Returns the job as an owner reads it. */
+function readJob(sample: SampleFleet, wait: Wait, storedAtMs: number): JobState {
   const {request} = sample.addJob('proofs', [shape(wait.change)], storedAtMs);
   const steps = {'0.0': {...NO_PROGRESS, ...wait.progress}};
   const job = new Job(request, 1, {queue: request.queue, status: 'running', steps});
-  if (storedAtMs < termAt) {
-    job.heldSince = at(storedAtMs);
-  }
   sample.fleet.jobs.set(job.id, job);
   return job;
 }
@@ -88,11 +85,11 @@
       sample.fleet.formerReleasedAt = at(now);
       sample.fleet.recoveryRevision = Infinity;
       if (now > storedAtMs) {
-        readJob(sample, wait, storedAtMs, now);
+        readJob(sample, wait, storedAtMs);
       }
     }
     if (now === storedAtMs) {
-      readJob(sample, wait, storedAtMs, now - (now % ownerMs));
+      readJob(sample, wait, storedAtMs);
     }
     if (now % ownerMs === recoveryMs) {
       sample.fleet.recoveryRevision = 0;
