A lasting step's next task counts at its middle, and no step holds room while under half is in use

Cause: with atWork/count every newcomer is at 0, however large a part of it one task is. A hold had no condition on the room in use.

Change: the next task counts at its middle, (atWork + 0.5)/count, as in the Sainte-Laguë method. A step without room holds the rest only while half of the capacity is in use, with what this round grants; otherwise the next ones are tried.

--- a/packages/nutmegproxy-scheduling/src/JobOrder.ts
+++ b/packages/nutmegproxy-scheduling/src/JobOrder.ts
@@ -14,7 +14,7 @@
 import type {Fleet} from './Fleet.ts';
 
 import {hasInterruptedTask, isInterruptedTask} from './InterruptedTaskStarts.ts';
-import {compareArrivals, computeShareAtWork} from './LongRunningShares.ts';
+import {compareArrivals, computeNextShare, countTasksAtWork} from './LongRunningShares.ts';
 
 /** Multiple of its objective after which a job's result has no value left, as the users specify. */
 const OVERDUE_OBJECTIVE_RATIO = 3;
@@ -119,7 +119,7 @@
       const firstStarts = {
         ...ordered,
         isInterrupted: false,
-        weight: computeShareAtWork(fleet, step),
+        weight: computeNextShare(countTasksAtWork(fleet, step), step.shape.count),
       };
       const hasFirstStarts = [...step.waiting].some((index) => !isInterruptedTask(step, index));
       return [
--- a/packages/nutmegproxy-scheduling/src/LongRunningShares.ts
+++ b/packages/nutmegproxy-scheduling/src/LongRunningShares.ts
@@ -22,13 +22,15 @@
 }
 
 /**
- * Returns the share of a long-running step's tasks at work.
+ * Returns the share of a step's tasks that its next one is counted at: the middle of that task, as in the
+ * Sainte-Laguë method. At its end a wide step would starve narrow ones, and at its beginning each new step would
+ * precede all that have a task at work.
  *
  * @example
- * computeShareAtWork(fleet, step); // 0.25, with 3 of 12 tasks
+ * computeNextShare(3, 12); // 3.5 of 12
  */
-export function computeShareAtWork(fleet: Fleet, step: StepState): number {
-  return countTasksAtWork(fleet, step) / step.shape.count;
+export function computeNextShare(atWork: number, count: number): number {
+  return (atWork + 0.5) / count;
 }
 
 /** Orders steps by arrival, so that each owner comes to the same order. */
@@ -52,9 +54,17 @@
   readonly tasks: number;
 }
 
+/** Processors in thousandths of a core. */
+export interface DividedRoom {
+  readonly freeMilli: number;
+  /** Free room above which no step holds it, as others beside so much have to run. */
+  readonly maxHeldMilli: number;
+}
+
 function compareClaims(a: ShareClaim, b: ShareClaim): number {
-  const difference = a.atWork / a.step.shape.count - b.atWork / b.step.shape.count;
-  return difference || compareArrivals(a.step, b.step);
+  const shareOfA = computeNextShare(a.atWork, a.step.shape.count);
+  const shareOfB = computeNextShare(b.atWork, b.step.shape.count);
+  return shareOfA - shareOfB || compareArrivals(a.step, b.step);
 }
 
 /** Inserts a claim into claims in the order of their shares. */
@@ -78,7 +88,7 @@
  * room, no other one gets what is left.
  *
  * @example
- * const division = new RoomDivision(claims, limitMilli - reservedMilli);
+ * const division = new RoomDivision(claims, {freeMilli, maxHeldMilli});
  * division.take(step, 12); // 2
  */
 export class RoomDivision {
@@ -86,16 +96,19 @@
   readonly #claims: ShareClaim[];
   readonly #granted = new Map<StepState, number>();
   #freeMilli: number;
+  #isHeld = false;
+  readonly #maxHeldMilli: number;
 
-  constructor(claims: readonly ShareClaim[], freeMilli: number) {
+  constructor(claims: readonly ShareClaim[], {freeMilli, maxHeldMilli}: DividedRoom) {
     this.#claims = claims.filter(({tasks}) => tasks > 0).sort(compareClaims);
     this.#freeMilli = freeMilli;
+    this.#maxHeldMilli = maxHeldMilli;
     this.#divide();
   }
 
   /** Whether a step waits for room that others may not take. */
   get isHeld(): boolean {
-    return this.#claims.length > 0;
+    return this.#isHeld;
   }
 
   /** Returns how many of a step's tasks may start, `mostTasks` at most; these are not granted again. */
@@ -117,20 +130,23 @@
   }
 
   #divide(): void {
-    for (let [claim] = this.#claims; claim !== undefined; [claim] = this.#claims) {
+    this.#isHeld = false;
+    let index = 0;
+    for (let [claim] = this.#claims; claim !== undefined; claim = this.#claims[index]) {
       const {atWork, isPlaceable, step, tasks} = claim;
       const {cpuMilli} = step.shape.resources;
-      const hasRoom = cpuMilli <= this.#freeMilli;
-      if (!hasRoom && isPlaceable) {
-        return;
-      }
-      this.#claims.shift();
-      if (hasRoom) {
+      if (cpuMilli <= this.#freeMilli) {
+        this.#claims.splice(index, 1);
         this.#freeMilli -= cpuMilli;
         this.#granted.set(step, (this.#granted.get(step) ?? 0) + 1);
         if (tasks > 1) {
           insertClaim(this.#claims, {...claim, atWork: atWork + 1, tasks: tasks - 1});
         }
+      } else if (isPlaceable && this.#freeMilli <= this.#maxHeldMilli) {
+        this.#isHeld = true;
+        return;
+      } else {
+        index += 1;
       }
     }
   }
--- a/packages/nutmegproxy-scheduling/src/LongRunningStarts.ts
+++ b/packages/nutmegproxy-scheduling/src/LongRunningStarts.ts
@@ -20,6 +20,9 @@
 import {meetsConstraints} from './Placement.ts';
 import {isInBackoff} from './ReadySteps.ts';
 
+/** Share of a service's processors in use below which no step holds the rest, as others have to run beside so much. */
+const MIN_HOLDING_SHARE = 0.5;
+
 /** Whether a minion could take one more task of the step if nothing ran there but its own tasks. */
 function isPlaceable(step: StepState, minions: readonly MinionState[]): boolean {
   const {cpuMilli, gpus, memoryMb} = step.shape.resources;
@@ -132,7 +135,7 @@
   #findDivision(
     step: StepState,
     minions: readonly MinionState[],
-    {limitMilli, reservedMilli}: LongRunningRoom,
+    {capacityMilli, limitMilli, reservedMilli}: LongRunningRoom,
   ): RoomDivision {
     const {priority, service} = this.#fleet.resolveQueuePolicy(step.job);
     const divisions = this.#divisions.get(service) ?? new Map<number, RoomDivision>();
@@ -149,7 +152,10 @@
         return policy.service === service && policy.priority === priority;
       })
       .map((each) => this.#describeClaim(each, minions, limitMilli));
-    const division = new RoomDivision(claims, freeMilli);
+    const division = new RoomDivision(claims, {
+      freeMilli,
+      maxHeldMilli: limitMilli - capacityMilli * MIN_HOLDING_SHARE,
+    });
     divisions.set(priority, division);
     return division;
   }
