Backfill: after a run has ended, the first steps in backoff are tried

Cause: a backfill step that found no minion is not tried for 150 ms, each from its own instant, and rounds follow each other faster. What becomes free goes to whichever step's backoff ends next, so in a backlog the order of jobs has little effect. Change: a round tries up to eight steps in backoff, the first in their order, if a run has ended since they found no minion. Why it works: the most urgent steps see freed room before others; the work of a round stays bounded.

--- a/packages/nutmegproxy-scheduling/src/Fleet.ts
+++ b/packages/nutmegproxy-scheduling/src/Fleet.ts
@@ -42,6 +42,8 @@
   readonly queues = new Map<QueueId, QueuePolicy>();
   /** When this VM knew that the last ownership with minion leases had ended; undefined when it is not known. */
   formerReleasedAt: Instant | undefined;
+  /** When the last run ended, so that its room became free. */
+  lastEndAt = -Infinity as Instant;
   /** Jobs accepted up to this revision may have runs on minions that have not reported yet. */
   recoveryRevision = 0;
   /** Number of starts that were decided on. */
@@ -103,6 +105,7 @@
   /** Removes a run and applies its result to its task, gang, job and minion. */
   finishRun(run: Run, outcome: RunOutcome, checkpoint: Checkpoint | undefined, now: Instant): void {
     this.#removeRun(run);
+    this.lastEndAt = now;
     const minion = this.minions.get(run.minion);
     this.events.record(SCHEDULING_EVENTS.RUN_ENDED, {
       ...describeRun(run),
--- a/packages/nutmegproxy-scheduling/src/StartPlanner.ts
+++ b/packages/nutmegproxy-scheduling/src/StartPlanner.ts
@@ -1,5 +1,6 @@
 /** Decides which tasks start now and on which minions. */
 
+import type {Instant} from '@nutmegproxy/core';
 import type {Run, RunNumber, StepState} from '@nutmegproxy/jobs';
 
 import type {WorkOutlook} from './ExpectedWork.ts';
@@ -43,6 +44,12 @@
 /** Share of the time for placement in which steps that found no minion in the same pass are tried again. */
 const RETRY_SHARE = 1 / 3;
 
+/**
+ * Number of backfill steps in backoff, the first in their order, that a round tries after a run has ended. Otherwise the
+ * room would go to whichever step's backoff ends next.
+ */
+const MAX_EARLY_RETRIES = 8;
+
 /** Tasks of a step that are passed over in one round before the step waits; bounds its duration. */
 const MAX_SKIPPED_TASKS = 100;
 
@@ -50,6 +57,7 @@
 class PlanningRound {
   readonly #context: PlanContext;
   readonly #fleet: Fleet;
+  #earlyRetries = 0;
   /** Whether a task was placed or tried; each round makes progress, however little time it has. */
   #hasProgressed = false;
   /** Whether the time was up before all tasks of a step were tried. */
@@ -205,6 +213,15 @@
     return isAllowed;
   }
 
+  /** Whether a step in backoff is tried, as a run has ended since it found no minion. */
+  #mayRetryEarly({blockedAt = -Infinity as Instant}: StepState): boolean {
+    if (this.#fleet.lastEndAt < blockedAt) {
+      return false;
+    }
+    this.#earlyRetries += 1;
+    return this.#earlyRetries <= MAX_EARLY_RETRIES;
+  }
+
   readonly #isTimeUp = (): boolean => this.#hasProgressed && (this.#context.isTimeUp?.() ?? false);
 
   readonly #isAllowed = (step: StepState, index: number, minion: MinionState): boolean =>
@@ -307,7 +324,7 @@
 
   #placeTasks(step: StepState, budget: StartBudget): void {
     const minions = this.#listMinions(step);
-    if (isInBackoff(step, this.#context.now)) {
+    if (isInBackoff(step, this.#context.now) && !this.#mayRetryEarly(step)) {
       return;
     }
     const waiting = this.#listStartable(step);
