A planned stop accepts what waits to be accepted before it closes its listener

Cause: where requests keep arriving, the listener closes after 5 s (MAX_STOP_IDLE_WAIT_MS), from a timer. Timers come before the process polls again, so connections that were made since the last poll still wait to be accepted, and closing resets them. Ruled out: a request that was accepted (the listener waits for those), the stall check (the slice was on time within its bound).

Change: before closing, the listener waits until it has polled within the last 2 ms (100 polls at most). What is accepted gets its refusal, as Node closes no connection that has yet to send its request.

A connection that is made in the last 2 ms can still be reset; nothing can be accepted from a listener that is closed.

--- a/packages/nutmegproxy-requests/src/CallerListener.ts
+++ b/packages/nutmegproxy-requests/src/CallerListener.ts
@@ -9,7 +9,7 @@
 import {ResultAsync} from 'neverthrow';
 import {once} from 'node:events';
 import {createServer} from 'node:http';
-import {setTimeout as sleep} from 'node:timers/promises';
+import {setImmediate, setTimeout as sleep} from 'node:timers/promises';
 
 import type {Refusal} from './Refusal.ts';
 
@@ -21,8 +21,10 @@
   MAX_CALLER_CONNECTIONS,
   MAX_CALLER_HEADER_BYTES,
   MAX_STOP_IDLE_WAIT_MS,
+  MAX_STOP_POLLS,
   STOP_IDLE_PERIOD_MS,
   STOP_IDLE_SLICE_MS,
+  STOP_POLL_MS,
 } from './RequestsConstants.ts';
 import {REQUESTS_EVENTS} from './RequestsEvents.ts';
 
@@ -133,6 +135,7 @@
       await sleep(DRAIN_POLL_INTERVAL_MS);
     }
     await this.#waitUntilIdle();
+    await this.#acceptPending();
     const closeEvent = this.#server.listening ? once(this.#server, 'close') : undefined;
     this.#server.close();
     this.#server.closeIdleConnections();
@@ -146,6 +149,21 @@
     this.#server.closeAllConnections();
   }
 
+  /**
+   * Waits until the process has just polled, so that no connection waits to be accepted: closing would reset it.
+   * Connections that are accepted get their response.
+   */
+  async #acceptPending(): Promise<void> {
+    const {clock} = this.#node;
+    for (let polls = 0; polls < MAX_STOP_POLLS; polls += 1) {
+      const startedAt = clock.monotonic();
+      await setImmediate();
+      if (clock.monotonic() - startedAt < STOP_POLL_MS) {
+        return;
+      }
+    }
+  }
+
   #createRequestId(): RequestId {
     this.#requestCount += 1;
     return brand<RequestId>(
--- a/packages/nutmegproxy-requests/src/RequestsConstants.ts
+++ b/packages/nutmegproxy-requests/src/RequestsConstants.ts
@@ -34,6 +34,10 @@
 export const STOP_IDLE_SLICE_MS = 50;
 /** Maximum time for which new requests delay the closing of the listener. */
 export const MAX_STOP_IDLE_WAIT_MS = 5000;
+/** Time since a poll for connections within which hardly any new one waits to be accepted. */
+export const STOP_POLL_MS = 2;
+/** Maximum number of polls before the listener closes; a stalled process may take longer for each of them. */
+export const MAX_STOP_POLLS = 100;
 export const DEFAULT_STOP_DELAY_MS = 5000;
 export const DRAIN_POLL_INTERVAL_MS = 20;
 
--- a/packages/nutmegproxy-requests/src/__tests__/unit/PlannedStop.test.ts
+++ b/packages/nutmegproxy-requests/src/__tests__/unit/PlannedStop.test.ts
@@ -1,10 +1,12 @@
 import {DRAIN_STARTED} from '@nutmegproxy/core';
 import assert from 'node:assert/strict';
+import {request} from 'node:http';
 import {describe, it} from 'node:test';
-import {setTimeout as sleep} from 'node:timers/promises';
+import {setImmediate, setTimeout as sleep} from 'node:timers/promises';
 
 import type {RequestsHarness} from './RequestsHarness.ts';
 
+import {MAX_STOP_IDLE_WAIT_MS} from '../../RequestsConstants.ts';
 import {FakeMinion, respondWith, waitUntil, withHarness} from './RequestsHarness.ts';
 
 function send(harness: RequestsHarness, path: string): Promise<Response> {
@@ -15,6 +17,25 @@
   });
 }
 
+/** Sends a request whose connection waits to be accepted; resolves to the status, or to the error code. */
+function sendUnaccepted(harness: RequestsHarness): Promise<number | string | undefined> {
+  return new Promise((resolve) => {
+    const call = request(harness.url('/entries/alerts/'), {agent: false, method: 'POST'});
+    call.on('response', (response) => {
+      response.resume();
+      resolve(response.statusCode);
+    });
+    call.on('error', ({code}: NodeJS.ErrnoException) => {
+      resolve(code);
+    });
+    call.end('send');
+  });
+}
+
+function stallUntil(untilMs: number): void {
+  while (performance.now() < untilMs);
+}
+
 describe('planned stop', () => {
   it('waits for a request that is still running when no new ones arrive', async () => {
     const minion = new FakeMinion('m1', () => undefined);
@@ -40,8 +61,7 @@
         const late = await send(harness, '');
         assert.equal(late.status, 503);
         await late.text();
-        const stalledUntil = performance.now() + 400;
-        while (performance.now() < stalledUntil);
+        stallUntil(performance.now() + 400);
       }
       await Promise.all(waits);
     });
@@ -60,4 +80,25 @@
       await Promise.all(waits);
     });
   });
+
+  it('responds to a request that arrives while the wait for the last ones ends', async () => {
+    await withHarness({minions: []}, async (harness) => {
+      const waits: Promise<void>[] = [];
+      harness.bus.dispatch(DRAIN_STARTED, {wait: (work) => waits.push(work)});
+      const endsAt = performance.now() + MAX_STOP_IDLE_WAIT_MS;
+      while (performance.now() < endsAt - 200) {
+        await (await send(harness, '')).text();
+        await sleep(20);
+      }
+      // After immediates come timers, and only then is a connection accepted that was made in the next tick.
+      await setImmediate();
+      const last = sendUnaccepted(harness);
+      await new Promise<void>((resolve) => {
+        process.nextTick(resolve);
+      });
+      stallUntil(endsAt + 100);
+      assert.equal(await last, 503);
+      await Promise.all(waits);
+    });
+  });
 });
