Overdue backfill starts with all its tasks where serving tasks tolerate them

Seen: StoredBackfill (known failure waits-begin-anew), red: 300 jobs of four tasks that are all overdue start 60 tasks in a round, 1,200 if they are not.

Cause: a step of overdue backfill was placed only under the costs that serving tasks have to bear, which allow one such run a minion, and one task a round, also where serving tasks tolerate more. So work became slower by being overdue.

Change: its tasks are placed as those of any other backfill first. Only a step that finds no such minion gets one task that serving tasks have to bear. The first run of a step, and each member of a gang, is in a turn as before, if its minion has none, so that it isn't evicted over and over.

Ruled out: the limit of deferrable starts (none in the test).

Test: StoredBackfill failed on each run before (60 of 1,200) and passes; OverdueBackfill (34), OverdueTasks, StartPlanner, StartBudget pass.

--- a/packages/nutmegproxy-scheduling/src/OverdueSteps.ts
+++ b/packages/nutmegproxy-scheduling/src/OverdueSteps.ts
@@ -137,6 +137,11 @@
     : undefined;
 }
 
+/** Whether overdue backfill works in its turn on a minion. */
+export function hasTurn({runs}: MinionState): boolean {
+  return [...runs].some(({toleratedSince}) => toleratedSince !== undefined);
+}
+
 /**
  * Returns the steps with some of them in the order of their last starts, in the places of these of their queue: backfill
  * that works in turns is stopped and waits again, and those that come first otherwise would take each turn.
--- a/packages/nutmegproxy-scheduling/src/StartPlanner.ts
+++ b/packages/nutmegproxy-scheduling/src/StartPlanner.ts
@@ -20,6 +20,7 @@
   findIdleSteps,
   findOverdueSteps,
   hasTaskWaitedSince,
+  hasTurn,
   listUntrustedMinions,
   orderByLastStart,
   tolerateInterference,
@@ -61,7 +62,9 @@
   readonly #longRunningStarts: LongRunningStarts;
   /** Lasting tasks that wait since later are left out; Infinity leaves out none. */
   #lastingSince = Infinity;
-  /** Steps of backfill that serving tasks have to bear; one task of each starts in a round. */
+  /** Step of overdue backfill of which serving tasks have to bear a task. */
+  #borne: StepState | undefined;
+  /** Steps of backfill of which serving tasks have to bear a task where they tolerate none. */
   #overdueBackfill: ReadonlySet<StepState> = new Set();
   readonly #permissions: StartPermissions;
   readonly #starts: Run[] = [];
@@ -155,14 +158,8 @@
         }
         const hadProgressed = this.#hasProgressed;
         const starts = this.#starts.length;
-        const mostOfKind = step.shape.longRunning ? Infinity : mostTasks;
-        const most = this.#overdueBackfill.has(step) ? 1 : mostOfKind;
-        const ofStep = new StartBudget(Math.min(budget.remaining, most));
-        if (step.shape.gang) {
-          this.#placeGang(step, ofStep);
-        } else {
-          this.#placeTasks(step, ofStep);
-        }
+        const most = step.shape.longRunning ? Infinity : mostTasks;
+        this.#placeStep(step, new StartBudget(Math.min(budget.remaining, most)));
         budget.take(this.#starts.length - starts);
         const hasStarted = this.#starts.length > starts;
         this.#hasProgressed = hasStarted || !isRetry || hadProgressed;
@@ -173,6 +170,25 @@
     });
   }
 
+  /** Places tasks of a step where serving tasks tolerate them; of overdue backfill otherwise one that they have to bear. */
+  #placeStep(step: StepState, budget: StartBudget): void {
+    const starts = this.#starts.length;
+    this.#placeTasksOrGang(step, budget);
+    if (this.#overdueBackfill.has(step) && this.#starts.length === starts && !this.#isTimeUp()) {
+      this.#borne = step;
+      this.#placeTasksOrGang(step, new StartBudget(Math.min(1, budget.remaining)));
+      this.#borne = undefined;
+    }
+  }
+
+  #placeTasksOrGang(step: StepState, budget: StartBudget): void {
+    if (step.shape.gang) {
+      this.#placeGang(step, budget);
+    } else {
+      this.#placeTasks(step, budget);
+    }
+  }
+
   get #outlook(): WorkOutlook {
     return {estimator: this.#context.estimator, fleet: this.#fleet};
   }
@@ -255,9 +271,7 @@
 
   #rank(step: StepState, minions: readonly MinionState[]): MinionRanking {
     const {now, sharingCosts} = this.#context;
-    const costs = this.#overdueBackfill.has(step)
-      ? tolerateInterference(sharingCosts)
-      : sharingCosts;
+    const costs = this.#borne === step ? tolerateInterference(sharingCosts) : sharingCosts;
     return new MinionRanking(step, minions, costs, now);
   }
 
@@ -367,7 +381,9 @@
     const isAwaited = findSoonIdleSince(step, this.#outlook, now) < Infinity;
     const run = this.#fleet.startRun(step, index, minion, now, number);
     run.isAwaited = isAwaited;
-    if (this.#overdueBackfill.has(step)) {
+    const isFirst = step.liveRuns === 1 || step.shape.gang;
+    const isTurn = this.#borne === step || (isFirst && !hasTurn(minion));
+    if (isTurn && this.#overdueBackfill.has(step)) {
       run.toleratedSince = now;
     }
     return run;
