Overdue backfill that has no start under its owner keeps its order

Cause: orderByLastStart sorts by the last start, latest first, and takes from the end; equal ones (none has started) keep their order in the sort and so are taken in reverse.

Change: sorted earliest first, by the order of the round, and taken from the front. Steps without a start come first, as before.

Test: "keep their order while none has started, as after a takeover" failed before; OverdueBackfill (34) passes.

--- a/packages/nutmegproxy-scheduling/src/OverdueSteps.ts
+++ b/packages/nutmegproxy-scheduling/src/OverdueSteps.ts
@@ -154,12 +154,18 @@
   taken: ReadonlySet<StepState>,
 ): readonly StepState[] {
   const byQueue = new Map<QueueId, StepState[]>();
-  for (const step of [...taken].sort(({placedAt: a = 0}, {placedAt: b = 0}) => b - a)) {
+  const byLastStart = ordered
+    .filter((step) => taken.has(step))
+    .sort(({placedAt: a = -Infinity}, {placedAt: b = -Infinity}) => Number(a > b) - Number(a < b));
+  for (const step of byLastStart) {
     const {queue} = step.job.request;
-    byQueue.set(queue, [...(byQueue.get(queue) ?? []), step]);
+    const steps = byQueue.get(queue) ?? [];
+    steps.push(step);
+    byQueue.set(queue, steps);
   }
+  const next = new Map([...byQueue].map(([queue, steps]) => [queue, steps.values()]));
   return ordered.map((step) =>
-    taken.has(step) ? (byQueue.get(step.job.request.queue)?.pop() ?? step) : step,
+    taken.has(step) ? (next.get(step.job.request.queue)?.next().value ?? step) : step,
   );
 }
 
--- a/packages/nutmegproxy-scheduling/src/__tests__/unit/OverdueTasks.test.ts
+++ b/packages/nutmegproxy-scheduling/src/__tests__/unit/OverdueTasks.test.ts
@@ -5,6 +5,7 @@
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
 
+import {orderByLastStart} from '../../OverdueSteps.ts';
 import {failTwice} from './ExclusionSamples.ts';
 import {at, SampleFleet, shape} from './Samples.ts';
 
@@ -75,3 +76,27 @@
     assert.ok(startedAt < FREE_AT_MS + LOST_MS, `${startedAt}`);
   });
 });
+
+describe('Overdue steps of a queue', () => {
+  function addSteps(count: number): StepState[] {
+    const sample = new SampleFleet(1);
+    return Array.from({length: count}, () => {
+      const [step] = sample.addJob('proofs', [shape({fillsSpareCpu: true})]).occurrence(0) ?? [];
+      assert.ok(step);
+      return step;
+    });
+  }
+
+  it('keep their order while none has started, as after a takeover', () => {
+    const steps = addSteps(3);
+    assert.deepEqual(orderByLastStart(steps, new Set(steps)), steps);
+  });
+
+  it('come in the order of their last starts, after those without one', () => {
+    const [late, none, early] = addSteps(3) as [StepState, StepState, StepState];
+    late.placedAt = at(200);
+    early.placedAt = at(100);
+    const steps = [late, none, early];
+    assert.deepEqual(orderByLastStart(steps, new Set(steps)), [none, early, late]);
+  });
+});
