One way to measure a task's time since its crashes, and one to describe a suspect

No change of behaviour. computeIdleMs and computeWaitedMs share what they do; restrainSiblings derives a sibling's wait as describeSuspect does, from the pause of the restrained task.

--- a/packages/nutmegproxy-scheduling/src/CrashVerdict.ts
+++ b/packages/nutmegproxy-scheduling/src/CrashVerdict.ts
@@ -124,14 +124,23 @@
   return isGangGuilty ? 'guilty' : verdict;
 }
 
-/** Returns for how long a task, or its whole gang, has been idle: since the minion of the last crash fell silent. */
-export function computeIdleMs({crashes, shape}: StepState, index: number, now: Instant): number {
+/** Returns the time in milliseconds since the latest of the instants of a task, or of all members of its gang. */
+function computeSince(
+  {crashes, shape}: StepState,
+  index: number,
+  now: Instant,
+  findInstant: (index: number) => Instant,
+): number {
   const indexes = shape.gang ? crashes.indexes : [index];
-  return Math.min(...indexes.map((each) => now - crashes.idleSince(each, now)));
+  return now - Math.max(...indexes.map(findInstant));
+}
+
+/** Returns for how long a task, or its whole gang, has been idle: since the minion of the last crash fell silent. */
+export function computeIdleMs(step: StepState, index: number, now: Instant): number {
+  return computeSince(step, index, now, (each) => step.crashes.idleSince(each, now));
 }
 
 /** Returns for how long a task, or its whole gang, has waited since the last crash under it. */
-export function computeWaitedMs({crashes, shape}: StepState, index: number, now: Instant): number {
-  const indexes = shape.gang ? crashes.indexes : [index];
-  return Math.min(...indexes.map((each) => now - crashes.consideredAt(each, now)));
+export function computeWaitedMs(step: StepState, index: number, now: Instant): number {
+  return computeSince(step, index, now, (each) => step.crashes.consideredAt(each, now));
 }
--- a/packages/nutmegproxy-scheduling/src/TrialSuspects.ts
+++ b/packages/nutmegproxy-scheduling/src/TrialSuspects.ts
@@ -3,6 +3,7 @@
 import type {Instant} from '@nutmegproxy/core';
 import type {JobState, StepState} from '@nutmegproxy/jobs';
 
+import type {CrashPause} from './CrashPauses.ts';
 import type {Fleet} from './Fleet.ts';
 import type {MinionState} from './MinionState.ts';
 import type {TrialCandidate} from './TrialPacing.ts';
@@ -43,9 +44,13 @@
   readonly waitedMs: number;
 }
 
-function describeSuspect(fleet: Fleet, step: StepState, index: number, now: Instant): Suspect {
+function describeSuspect(
+  step: StepState,
+  index: number,
+  {isDeadly, isRestrained, overdueMs, pauseMs}: CrashPause,
+  now: Instant,
+): Suspect {
   const crashes = step.crashes.of(index);
-  const {isDeadly, isRestrained, overdueMs, pauseMs} = findCrashPause(fleet, step, index, now);
   const waitedMs = isRestrained
     ? computeIdleMs(step, index, now)
     : computeWaitedMs(step, index, now);
@@ -101,19 +106,9 @@
     if (alike === undefined || suspect.isRestrained || !isAlike(suspect)) {
       return suspect;
     }
+    const {index, isDeadly, step} = suspect;
     const {overdueMs, pauseMs} = alike;
-    const waitedMs = computeIdleMs(suspect.step, suspect.index, now);
-    const remainingMs = overdueMs - waitedMs;
-    return {
-      ...suspect,
-      isOverdue: remainingMs <= 0,
-      isRestrained: true,
-      mayShareMinion: false,
-      overdueMs,
-      pauseMs,
-      remainingMs,
-      waitedMs,
-    };
+    return describeSuspect(step, index, {isDeadly, isRestrained: true, overdueMs, pauseMs}, now);
   });
 }
 
@@ -139,7 +134,8 @@
       if (judgeTask(step, index) === 'clear' || step.job.isFinal) {
         continue;
       }
-      const suspect = describeSuspect(fleet, step, index, now);
+      const pause = findCrashPause(fleet, step, index, now);
+      const suspect = describeSuspect(step, index, pause, now);
       if (!gang) {
         suspects.push(suspect);
       } else if (suspect.isDeadly) {
