Room that a lasting job holds on trusted minions no longer keeps overdue ones from the others

Cause: the first pass of a round divides the room of the trusted minions, and a step that waits for the limit there holds it. begin() kept that division for the pass of overdue steps, which adds the minions that are not trusted, so that these had no room to give.

Change: a division belongs to the number of minions among which the room was measured. Minions are only added within a round, so that a later pass with more of them divides anew, of that service alone; with the same ones (the pass of failed trials) a hold stays.

Ruled out: subtracting the held room of the trusted minions in the later pass. A step is only overdue while under half of its service is in use, untrusted minions included, and no step holds room then (MIN_HOLDING_SHARE).

Test: LongRunningWaits "starts when it is overdue on minions that are not trusted, although the trusted one is full" failed ("started at Infinity", after 60 s) and passes (13600, the bound). LongRunningShares, StartPlanner, JobOrder, LastingFirstStarts, FleetSimulation, FullOwner, OverdueSteps, InterruptedTasks and BoundedWaits of their packages pass.

--- a/packages/nutmegproxy-scheduling/src/LongRunningStarts.ts
+++ b/packages/nutmegproxy-scheduling/src/LongRunningStarts.ts
@@ -37,10 +37,16 @@
   });
 }
 
+/** The room of one service in one planning round. */
+interface ServiceDivisions {
+  readonly byPriority: Map<number, RoomDivision>;
+  /** Number of minions among which the room was measured. */
+  readonly minions: number;
+}
+
 /** The starts of long-running tasks in one planning round. */
 export class LongRunningStarts {
-  /** Room of each service, by priority. */
-  readonly #divisions = new Map<ServiceId, Map<number, RoomDivision>>();
+  readonly #divisions = new Map<ServiceId, ServiceDivisions>();
   readonly #fleet: Fleet;
   readonly #listStartable: (step: StepState) => readonly number[];
   readonly #now: Instant;
@@ -62,12 +68,15 @@
     this.#wall = wall;
   }
 
-  /** Begins a pass over steps, among which the room is divided unless a step of an earlier pass waits for it. */
+  /**
+   * Begins a pass over steps, among which the room is divided unless a step of an earlier pass waits for it. What
+   * such a step holds is of the minions of its pass: where a later pass has more, all their room is divided.
+   */
   begin(steps: Iterable<StepState>): void {
-    for (const divisions of this.#divisions.values()) {
-      for (const [priority, division] of divisions) {
+    for (const {byPriority} of this.#divisions.values()) {
+      for (const [priority, division] of byPriority) {
         if (!division.isHeld) {
-          divisions.delete(priority);
+          byPriority.delete(priority);
         }
       }
     }
@@ -138,13 +147,12 @@
     {capacityMilli, limitMilli, reservedMilli}: LongRunningRoom,
   ): RoomDivision {
     const {priority, service} = this.#fleet.resolveQueuePolicy(step.job);
-    const divisions = this.#divisions.get(service) ?? new Map<number, RoomDivision>();
-    this.#divisions.set(service, divisions);
-    const known = divisions.get(priority);
+    const {byPriority} = this.#findDivisions(service, minions.length);
+    const known = byPriority.get(priority);
     if (known !== undefined) {
       return known;
     }
-    const isHeld = [...divisions.values()].some((each) => each.isHeld);
+    const isHeld = [...byPriority.values()].some((each) => each.isHeld);
     const freeMilli = isHeld ? 0 : limitMilli - reservedMilli;
     const claims = [...this.#steps]
       .filter((each) => {
@@ -156,10 +164,21 @@
       freeMilli,
       maxHeldMilli: limitMilli - capacityMilli * MIN_HOLDING_SHARE,
     });
-    divisions.set(priority, division);
+    byPriority.set(priority, division);
     return division;
   }
 
+  /** Returns the divisions of a service's room among so many minions, which only become more within a round. */
+  #findDivisions(service: ServiceId, minions: number): ServiceDivisions {
+    const known = this.#divisions.get(service);
+    if (known?.minions === minions) {
+      return known;
+    }
+    const divisions = {byPriority: new Map<number, RoomDivision>(), minions};
+    this.#divisions.set(service, divisions);
+    return divisions;
+  }
+
   #describeClaim(step: StepState, minions: readonly MinionState[], limitMilli: number): ShareClaim {
     const waiting = isInBackoff(step, this.#now) ? [] : this.#listStartable(step);
     return {
