A lasting job that waits for the limit keeps its room though it once found no minion

Cause: LongRunningStarts.skip gives the room of a step that a cut round passes over to the others if it was blocked and not placed since. blockedAt is never cleared, so that a step that found no minion once, however long ago, counted as without one from then on.

Change: a step records when it last got no room below the limit; skip releases it only if it has found no minion since then.

Ruled out: clearing blockedAt on such a visit, as isInBackoff reads it, and a step that is blocked and then limited in one round would lose its pause.

Test: LongRunningWaits "keeps what ebbs from later ones, although it once found no minion" failed (1 later job started, none allowed) and passes. LongRunningShares, StartPlanner, JobOrder, PlanSweep, BoundedWaits (scheduling), InterruptedTaskOrders, StartWaitLog, StepState, LastingFirstStarts, FleetSimulation and FullOwner pass.

--- a/packages/nutmegproxy-jobs/src/StepState.ts
+++ b/packages/nutmegproxy-jobs/src/StepState.ts
@@ -41,6 +41,8 @@
   blockedAt: Instant | undefined;
   /** When a task of the step was last done; undefined before. */
   doneAt: Instant | undefined;
+  /** When the step of a long-running job last got no room below the limit; undefined before. */
+  limitedAt: Instant | undefined;
   /** When a task of the step was last placed; undefined before. */
   placedAt: Instant | undefined;
   /** When all earlier steps that this one depends on were done; undefined before. */
--- a/packages/nutmegproxy-scheduling/src/LongRunningStarts.ts
+++ b/packages/nutmegproxy-scheduling/src/LongRunningStarts.ts
@@ -108,6 +108,9 @@
     const division = this.#findDivision(step, minions, room);
     const admitted = others.slice(0, division.take(step, Math.min(freeTasks, others.length)));
     if (admitted.length < others.length) {
+      if (admitted.length === 0) {
+        step.limitedAt = this.#now;
+      }
       this.#recordWait(step, 'limit', room);
     }
     return [...interrupted, ...admitted];
@@ -123,12 +126,16 @@
     }
   }
 
-  /** Gives the room of a step to the others where this round passes it over, as it has found no minion. */
+  /**
+   * Gives the room of a step to the others where this round passes it over, as it has found no minion. A step that
+   * got no room below the limit since then keeps what it gets.
+   */
   skip(step: StepState, minions: readonly MinionState[]): void {
-    const {blockedAt = -Infinity, placedAt = -Infinity} = step;
+    const {blockedAt = -Infinity, limitedAt = -Infinity, placedAt = -Infinity} = step;
+    const isBlocked = blockedAt > -Infinity && blockedAt >= Math.max(limitedAt, placedAt);
     const isFirstVisit = hasInterruptedTask(step) && !this.#restarted.has(step);
     this.#restarted.add(step);
-    if (this.#steps.has(step) && !isFirstVisit && blockedAt > -Infinity && blockedAt >= placedAt) {
+    if (this.#steps.has(step) && !isFirstVisit && isBlocked) {
       const division = this.#findDivision(step, minions, measureLongRunningRoom(minions));
       division.release(step, division.take(step, Infinity));
     }
