Say when nothing is held for lasting jobs and at what their next task counts; name its middle

Texts only: the header of LongRunningStarts did not say that nothing is held while under half of the capacity is in use, and the comment on OrderedStep.weight named the share at work, not the one that the next task counts at, since. The 0.5 of computeNextShare has a name; its reason stands there. No change of behaviour: LongRunningWaits (but for the gang), LongRunningShares, StartPlanner and JobOrder pass.

--- a/packages/nutmegproxy-scheduling/src/JobOrder.ts
+++ b/packages/nutmegproxy-scheduling/src/JobOrder.ts
@@ -45,7 +45,7 @@
   readonly step: StepState;
   /**
    * Remaining core-milliseconds, or the processors that interrupted long-running work lacks, reduced for the
-   * time that the job has waited; for first starts of a long-running step the share of its tasks at work.
+   * time that the job has waited; for first starts of a long-running step the share that its next task counts at.
    */
   readonly weight: number;
 }
--- a/packages/nutmegproxy-scheduling/src/LongRunningShares.ts
+++ b/packages/nutmegproxy-scheduling/src/LongRunningShares.ts
@@ -9,6 +9,9 @@
 
 import {isStartableTask} from './ReadySteps.ts';
 
+/** Part of a task at which it counts. */
+const MIDDLE_OF_TASK = 0.5;
+
 /**
  * Returns the number of a long-running step's tasks at work. One that has begun and may have a live run of a
  * former owner counts until its minion is heard.
@@ -30,7 +33,7 @@
  * computeNextShare(3, 12); // 3.5 of 12
  */
 export function computeNextShare(atWork: number, count: number): number {
-  return (atWork + 0.5) / count;
+  return (atWork + MIDDLE_OF_TASK) / count;
 }
 
 /** Orders steps by arrival, so that each owner comes to the same order. */
--- a/packages/nutmegproxy-scheduling/src/LongRunningStarts.ts
+++ b/packages/nutmegproxy-scheduling/src/LongRunningStarts.ts
@@ -1,7 +1,8 @@
 /**
  * Decides which tasks of long-running jobs may start in one planning round. They start one by one,
  * so that a wide job works with what there is. While the step with the smallest share of its tasks at work
- * waits for the limit, no other one of its service takes what becomes free.
+ * waits for the limit, no other one of its service takes what becomes free. Nothing is held while under half of
+ * the capacity is in use.
  */
 
 import type {Instant, WallTime} from '@nutmegproxy/core';
