A lasting gang holds what ebbs below the limit until all its tasks fit

Cause: gangs were left out of the division of the room: nothing held any for them, and they started without the limit wherever all tasks found minions at once.

It gets room below the limit for all its tasks or for none, holds the rest as others do (half of the capacity in use, and minions that could take all of it if they were empty), and gives it up in a round in which it finds no minions. Interrupted gangs pass the limit as before. So does one that is larger than the limit, which would never start otherwise.

Changed besides: a lasting gang that has not run no longer starts above the limit, like other lasting tasks (PLATFORM.md said so of gangs).

New in LongRunningShares: seven.

Not done: a gang that fits in sum but not by minions gives up what it held, and starts to gather anew; one that needs more than 0.35 of the capacity is not held for beyond that.

--- a/packages/nutmegproxy-scheduling/src/__tests__/unit/LongRunningShares.test.ts
+++ b/packages/nutmegproxy-scheduling/src/__tests__/unit/LongRunningShares.test.ts
@@ -80,6 +80,86 @@
   });
 });
 
+describe('A long-running gang', () => {
+  const GANG = shape({count: 4, gang: true, longRunning: true});
+
+  /** Fills a fleet of ten minions up to the limit with jobs of one task of one core. */
+  function fill(jobs: number): {
+    readonly narrow: readonly JobState[];
+    readonly sample: SampleFleet;
+  } {
+    const sample = new SampleFleet(10);
+    const narrow = Array.from({length: jobs}, () =>
+      sample.addJob('proofs', [shape({longRunning: true})]),
+    );
+    assert.equal(sample.plan(0).length, 34);
+    return {narrow, sample};
+  }
+
+  /** Ends the first live jobs, one a round; returns how many tasks start in each round. */
+  function ebb(sample: SampleFleet, narrow: readonly JobState[], ended: number): number[] {
+    const live = narrow.filter(({hasLiveRuns}) => hasLiveRuns);
+    return live.slice(0, ended).map((job, index) => {
+      sample.finishRuns(job, at(index + 1));
+      sample.fleet.jobs.delete(job.id);
+      return sample.plan(index + 1).length;
+    });
+  }
+
+  it('holds what ebbs until all its tasks fit below the limit', () => {
+    const {narrow, sample} = fill(40);
+    const gang = sample.addJob('proofs', [GANG], -1);
+    assert.deepEqual(ebb(sample, narrow, 4), [0, 0, 0, 4]);
+    assert.equal(gang.liveRuns.size, 4);
+  });
+
+  it('does not start above the limit, although minions have room', () => {
+    const {sample} = fill(34);
+    sample.addJob('proofs', [GANG], -1);
+    assert.equal(sample.plan(1).length, 0);
+  });
+
+  for (const change of [
+    {resources: {cpuMilli: 1_000, gpus: 0, memoryMb: 5_000}},
+    {maxPerMinion: 1},
+  ]) {
+    it(`does not hold what ebbs when its tasks fit on no minions at once (${Object.keys(change)[0]})`, () => {
+      const {narrow, sample} = fill(40);
+      sample.addJob('proofs', [{...GANG, ...change, count: 11}], -1);
+      assert.deepEqual(ebb(sample, narrow, 2), [1, 1]);
+    });
+  }
+
+  it('gives what it has held to others when it finds no minions', () => {
+    const {narrow, sample} = fill(40);
+    const large = {cpuMilli: 0, gpus: 0, memoryMb: 7_000};
+    sample.addJob('proofs', [shape({count: 10, resources: large})], -1);
+    const resources = {cpuMilli: 1_000, gpus: 0, memoryMb: 2_000};
+    const gang = sample.addJob('proofs', [{...GANG, resources}], -1);
+    assert.equal(sample.plan(0).length, 10);
+    assert.deepEqual(ebb(sample, narrow, 4), [0, 0, 0, 4]);
+    assert.equal(gang.liveRuns.size, 0);
+  });
+
+  it('starts all the same when it is larger than the limit', () => {
+    const sample = new SampleFleet(1);
+    sample.addJob('proofs', [GANG]);
+    assert.equal(sample.plan(0).length, 4);
+  });
+
+  // Guards against users that lack a gang because the fleet has shrunk.
+  it('restarts above the limit when it was interrupted', () => {
+    const {sample} = fill(34);
+    const gang = sample.addJob('proofs', [GANG]);
+    const [step] = gang.occurrence(0) ?? [];
+    assert.ok(step);
+    for (let index = 0; index < step.shape.count; index += 1) {
+      step.begun.add(index);
+    }
+    assert.equal(sample.plan(1).length, 4);
+  });
+});
+
 describe('Long-running jobs after a takeover', () => {
   const WIDE = shape({count: 12, longRunning: true});
   const NARROW = shape({count: 4, longRunning: true});
