--- a/packages/nutmegproxy-scheduling/src/LongRunningStarts.ts
+++ b/packages/nutmegproxy-scheduling/src/LongRunningStarts.ts
@@ -1,7 +1,8 @@
 /**
  * Decides which tasks of long-running jobs may start in one planning round. They start one by one,
  * so that a wide job works with what there is. While the step with the smallest share of its tasks at work
- * waits for the limit, no other one of its service takes what becomes free.
+ * waits for the limit, no other one of its service takes what becomes free. Nothing is held while under half of
+ * the capacity is in use.
  */
 
 import type {Instant, WallTime} from '@nutmegproxy/core';
@@ -23,31 +24,49 @@
 /** Share of a service's processors in use below which no step holds the rest, as others have to run beside so much. */
 const MIN_HOLDING_SHARE = 0.5;
 
-/** Whether a minion could take one more task of the step if nothing ran there but its own tasks. */
-function isPlaceable(step: StepState, minions: readonly MinionState[]): boolean {
-  const {cpuMilli, gpus, memoryMb} = step.shape.resources;
+/** Returns how many tasks of the step a minion could take if nothing else ran there. */
+function countFitting({shape}: StepState, {description}: MinionState): number {
+  const {cpuMilli, gpus, memoryMb} = shape.resources;
+  const {capacity} = description;
+  return Math.min(
+    shape.maxPerMinion ?? Infinity,
+    Math.floor(capacity.cpuMilli / Math.max(1, cpuMilli)),
+    gpus > 0 ? Math.floor(capacity.gpus / gpus) : Infinity,
+    memoryMb > 0 ? Math.floor(capacity.memoryMb / memoryMb) : Infinity,
+  );
+}
+
+/** Whether minions could take so many tasks of the step at once if nothing else ran there. */
+function isPlaceable(step: StepState, minions: readonly MinionState[], tasks: number): boolean {
+  let fitting = 0;
   return minions.some((minion) => {
-    const {capacity} = minion.description;
-    return (
-      cpuMilli <= capacity.cpuMilli &&
-      gpus <= capacity.gpus &&
-      memoryMb <= capacity.memoryMb &&
-      meetsConstraints(step, minion)
-    );
+    fitting += meetsConstraints(step, minion) ? countFitting(step, minion) : 0;
+    return fitting >= tasks;
   });
 }
 
+/** Returns the processors that the waiting tasks of a gang need. */
+function measureGang({shape, waiting}: StepState): number {
+  return waiting.size * shape.resources.cpuMilli;
+}
+
+/** The room of one service in one planning round. */
+interface ServiceDivisions {
+  readonly byPriority: Map<number, RoomDivision>;
+  /** Number of minions among which the room was measured. */
+  readonly minions: number;
+}
+
 /** The starts of long-running tasks in one planning round. */
 export class LongRunningStarts {
-  /** Room of each service, by priority. */
-  readonly #divisions = new Map<ServiceId, Map<number, RoomDivision>>();
+  readonly #divisions = new Map<ServiceId, ServiceDivisions>();
   readonly #fleet: Fleet;
   readonly #listStartable: (step: StepState) => readonly number[];
   readonly #now: Instant;
   /** Steps whose interrupted tasks had their turn. */
   readonly #restarted = new Set<StepState>();
   readonly #wall: WallTime;
-  /** Steps of the present pass, without gangs. */
+  /** Steps of the present pass. */
   #steps: ReadonlySet<StepState> = new Set();
 
   constructor(
@@ -62,16 +81,19 @@
     this.#wall = wall;
   }
 
-  /** Begins a pass over steps, among which the room is divided unless a step of an earlier pass waits for it. */
+  /**
+   * Begins a pass over steps, among which the room is divided unless a step of an earlier pass waits for it. What
+   * such a step holds is of the minions of its pass: where a later pass has more, all their room is divided.
+   */
   begin(steps: Iterable<StepState>): void {
-    for (const divisions of this.#divisions.values()) {
-      for (const [priority, division] of divisions) {
+    for (const {byPriority} of this.#divisions.values()) {
+      for (const [priority, division] of byPriority) {
         if (!division.isHeld) {
-          divisions.delete(priority);
+          byPriority.delete(priority);
         }
       }
     }
-    this.#steps = new Set([...steps].filter(({shape}) => shape.longRunning && !shape.gang));
+    this.#steps = new Set([...steps].filter(({shape}) => shape.longRunning));
   }
 
   /**
@@ -99,11 +121,42 @@
     const division = this.#findDivision(step, minions, room);
     const admitted = others.slice(0, division.take(step, Math.min(freeTasks, others.length)));
     if (admitted.length < others.length) {
+      if (admitted.length === 0) {
+        step.limitedAt = this.#now;
+      }
       this.#recordWait(step, 'limit', room);
     }
     return [...interrupted, ...admitted];
   }
 
+  /**
+   * Whether all tasks of a gang may start: where some were interrupted in any case, otherwise below the limit. A gang
+   * that is larger than the limit would never start below it.
+   */
+  admitsGang(step: StepState, minions: readonly MinionState[]): boolean {
+    const room = measureLongRunningRoom(minions);
+    const neededMilli = measureGang(step);
+    if (hasInterruptedTask(step) || neededMilli > room.limitMilli) {
+      return true;
+    }
+    const division = this.#findDivision(step, minions, room);
+    const isFree = neededMilli <= room.limitMilli - room.reservedMilli;
+    const isAdmitted = isFree && division.take(step, Infinity) > 0;
+    if (!isAdmitted) {
+      step.limitedAt = this.#now;
+      this.#recordWait(step, 'limit', room);
+    }
+    return isAdmitted;
+  }
+
+  /** Gives the room of a gang that was admitted and for which there are no minions to the other steps of the pass. */
+  releaseGang(step: StepState, minions: readonly MinionState[]): void {
+    step.blockedAt = this.#now;
+    if (measureGang(step) <= measureLongRunningRoom(minions).limitMilli) {
+      this.release(step, [...step.waiting], minions);
+    }
+  }
+
   /** Gives the room of admitted tasks for which there is no minion to the other steps of the pass. */
   release(step: StepState, admitted: readonly number[], minions: readonly MinionState[]): void {
     const isUnused = (index: number): boolean =>
@@ -114,12 +167,16 @@
     }
   }
 
-  /** Gives the room of a step to the others where this round passes it over, as it has found no minion. */
+  /**
+   * Gives the room of a step to the others where this round passes it over, as it has found no minion. A step that
+   * got no room below the limit since then keeps what it gets.
+   */
   skip(step: StepState, minions: readonly MinionState[]): void {
-    const {blockedAt = -Infinity, placedAt = -Infinity} = step;
+    const {blockedAt = -Infinity, limitedAt = -Infinity, placedAt = -Infinity} = step;
+    const isBlocked = blockedAt > -Infinity && blockedAt >= Math.max(limitedAt, placedAt);
     const isFirstVisit = hasInterruptedTask(step) && !this.#restarted.has(step);
     this.#restarted.add(step);
-    if (this.#steps.has(step) && !isFirstVisit && blockedAt > -Infinity && blockedAt >= placedAt) {
+    if (this.#steps.has(step) && !isFirstVisit && isBlocked) {
       const division = this.#findDivision(step, minions, measureLongRunningRoom(minions));
       division.release(step, division.take(step, Infinity));
     }
@@ -138,13 +195,12 @@
     {capacityMilli, limitMilli, reservedMilli}: LongRunningRoom,
   ): RoomDivision {
     const {priority, service} = this.#fleet.resolveQueuePolicy(step.job);
-    const divisions = this.#divisions.get(service) ?? new Map<number, RoomDivision>();
-    this.#divisions.set(service, divisions);
-    const known = divisions.get(priority);
+    const {byPriority} = this.#findDivisions(service, minions.length);
+    const known = byPriority.get(priority);
     if (known !== undefined) {
       return known;
     }
-    const isHeld = [...divisions.values()].some((each) => each.isHeld);
+    const isHeld = [...byPriority.values()].some((each) => each.isHeld);
     const freeMilli = isHeld ? 0 : limitMilli - reservedMilli;
     const claims = [...this.#steps]
       .filter((each) => {
@@ -156,17 +212,34 @@
       freeMilli,
       maxHeldMilli: limitMilli - capacityMilli * MIN_HOLDING_SHARE,
     });
-    divisions.set(priority, division);
+    byPriority.set(priority, division);
     return division;
   }
 
+  /** Returns the divisions of a service's room among so many minions, which only become more within a round. */
+  #findDivisions(service: ServiceId, minions: number): ServiceDivisions {
+    const known = this.#divisions.get(service);
+    if (known?.minions === minions) {
+      return known;
+    }
+    const divisions = {byPriority: new Map<number, RoomDivision>(), minions};
+    this.#divisions.set(service, divisions);
+    return divisions;
+  }
+
   #describeClaim(step: StepState, minions: readonly MinionState[], limitMilli: number): ShareClaim {
     const waiting = isInBackoff(step, this.#now) ? [] : this.#listStartable(step);
+    const {gang, resources} = step.shape;
+    const tasks = waiting.filter((index) => !isInterruptedTask(step, index)).length;
+    const isWhole = step.liveRuns === 0 && tasks === step.waiting.size;
+    const together = gang ? tasks : 1;
     return {
       atWork: countTasksAtWork(this.#fleet, step),
-      isPlaceable: step.shape.resources.cpuMilli <= limitMilli && isPlaceable(step, minions),
+      isPlaceable:
+        together * resources.cpuMilli <= limitMilli && isPlaceable(step, minions, together),
       step,
-      tasks: waiting.filter((index) => !isInterruptedTask(step, index)).length,
+      tasks: gang && !isWhole ? 0 : tasks,
+      together,
     };
   }
 
