--- a/packages/nutmegproxy-jobs/src/JobState.ts
+++ b/packages/nutmegproxy-jobs/src/JobState.ts
@@ -24,6 +24,11 @@
   status: JobStatus;
   /** When a task of the job was last placed or done, as far as this owner knows; undefined before. */
   activeAt: Instant | undefined;
+  /**
+   * Since when what this owner read of the job is known to have been stored, so that what waits by it has waited since;
+   * undefined for jobs that it saw accepted.
+   */
+  heldSince: Instant | undefined;
   /** Live runs of all steps. */
   readonly liveRuns = new Set<Run>();
   /** Whether a minion has begun a task of the job, as far as this owner or a former one knows. */
@@ -91,6 +96,28 @@
       : ((recurrence.firstAt + occurrence * recurrence.intervalMs) as WallTime);
   }
 
+  /**
+   * Returns since when a step is known to have waited under former owners; undefined where its turn came under this one.
+   *
+   * @example
+   * step.heldSince = job.findHeldSince(step, now, wall);
+   */
+  findHeldSince(
+    {number, occurrence}: StepState,
+    now: Instant,
+    wall: WallTime,
+  ): Instant | undefined {
+    const {heldSince, request} = this;
+    const earlier = request.steps[number]?.after ?? [];
+    if (heldSince === undefined || !earlier.every((each) => this.#wasStepDone(occurrence, each))) {
+      return undefined;
+    }
+    // An occurrence is due by the clock of this machine; a job was accepted by that of another one.
+    const dueSince =
+      request.recurrence === undefined ? -Infinity : now - (wall - this.dueAt(occurrence));
+    return Math.max(heldSince, Math.min(now, dueSince)) as Instant;
+  }
+
   /** Returns the steps of an occurrence, created by the first call; undefined if it doesn't exist. */
   occurrence(number: number): readonly StepState[] | undefined {
     if (number < 0 || number >= this.occurrenceCount) {
@@ -140,6 +167,17 @@
     return isFirst;
   }
 
+  /** Records that what this owner read of the job was out of date: its waits count from now. */
+  endHeldWaits(now: Instant): void {
+    if (this.heldSince === undefined) {
+      return;
+    }
+    this.heldSince = now;
+    for (const step of this.steps()) {
+      step.heldSince = step.heldSince === undefined ? undefined : now;
+    }
+  }
+
   /** Returns the job's progress as it is stored. */
   exportProgress(): JobProgress {
     const steps: Record<string, StepProgress> = {...this.#progress.steps};
@@ -223,9 +261,12 @@
   }
 
   #wasDone(occurrence: number): boolean {
-    return this.request.steps.every(
-      (shape, step) =>
-        (this.#progress.steps[formatStepKey(occurrence, step)]?.done.length ?? 0) >= shape.count,
-    );
+    return this.request.steps.every((_, step) => this.#wasStepDone(occurrence, step));
+  }
+
+  /** Whether what this owner read of the job shows that all tasks of a step are done. */
+  #wasStepDone(occurrence: number, step: number): boolean {
+    const done = this.#progress.steps[formatStepKey(occurrence, step)]?.done.length ?? 0;
+    return done >= (this.request.steps[step]?.count ?? 0);
   }
 }
--- a/packages/nutmegproxy-jobs/src/StepCrashes.ts
+++ b/packages/nutmegproxy-jobs/src/StepCrashes.ts
@@ -44,7 +44,7 @@
   /** Starts of suspected tasks whose outcome is not known, by task index. */
   readonly trials = new Map<number, TaskTrial>();
   readonly #crashes = new Map<number, readonly TaskCrash[]>();
-  /** When this owner recorded or first considered the last crash under a task. */
+  /** When this owner recorded the last crash under a task, or since when that counts which it read. */
   readonly #consideredAt = new Map<number, Instant>();
   /** When the minion of the last crash under a task fell silent, if this owner recorded it. */
   readonly #idleSince = new Map<number, Instant>();
@@ -67,16 +67,19 @@
     return [...this.#crashes.keys()];
   }
 
-  /** Returns when the last crash under a task was recorded, or first considered after a takeover. */
-  consideredAt(index: number, now: Instant): Instant {
-    const at = this.#consideredAt.get(index) ?? now;
+  /**
+   * Returns when this owner recorded the last crash under a task, or since when that which it read is known to have been
+   * stored; where that is not known, when it was first considered.
+   */
+  consideredAt(index: number, now: Instant, storedAt = now): Instant {
+    const at = this.#consideredAt.get(index) ?? storedAt;
     this.#consideredAt.set(index, at);
     return at;
   }
 
-  /** Returns since when a task does not run after the last crash under it, as far as this owner knows. */
-  idleSince(index: number, now: Instant): Instant {
-    return this.#idleSince.get(index) ?? this.consideredAt(index, now);
+  /** Returns since when a task does not run after the last crash under it, as far as that is known. */
+  idleSince(index: number, now: Instant, storedAt = now): Instant {
+    return this.#idleSince.get(index) ?? this.consideredAt(index, now, storedAt);
   }
 
   /** Drops all that is recorded of a task; returns whether there was anything. */
--- a/packages/nutmegproxy-jobs/src/StepState.ts
+++ b/packages/nutmegproxy-jobs/src/StepState.ts
@@ -39,11 +39,13 @@
   hasFailedTrial = false;
   /** When no minion was last found for a task of the step; undefined before. */
   blockedAt: Instant | undefined;
+  /** Since when the step is known to have waited under former owners; undefined when it is not known. */
+  heldSince: Instant | undefined;
   /** When a task of the step was last done; undefined before. */
   doneAt: Instant | undefined;
   /** When a task of the step was last placed; undefined before. */
   placedAt: Instant | undefined;
-  /** When all earlier steps that this one depends on were done; undefined before. */
+  /** When this owner first saw that all earlier steps that this one depends on were done; undefined before. */
   readyAt: Instant | undefined;
   /**
    * Indexes of the tasks whose last run this owner saw live, so that no other run of a former owner
@@ -100,6 +102,11 @@
     return this.#runs.size > 0;
   }
 
+  /** When the turn of the step came, as far as it is known: also under former owners; undefined before. */
+  get turnAt(): Instant | undefined {
+    return this.heldSince ?? this.readyAt;
+  }
+
   /** Number of live runs. */
   get liveRuns(): number {
     let count = 0;
--- a/packages/nutmegproxy-owner/src/FleetOwnership.ts
+++ b/packages/nutmegproxy-owner/src/FleetOwnership.ts
@@ -10,6 +10,7 @@
 import type {OwnershipToken} from './MinionOrders.ts';
 
 import {MAX_CLOCK_GAP_MS} from './OwnerConstants.ts';
+import {RevisionAges} from './RevisionAges.ts';
 import {RevisionLog} from './RevisionLog.ts';
 
 /**
@@ -19,6 +20,8 @@
 export type OwnershipState = 'over' | 'proved' | 'unproved';
 
 export interface OwnershipGrant {
+  /** Default: what `revisions` tell. */
+  readonly ages?: RevisionAges;
   /** Default: the first one. */
   readonly cell?: CellIndex;
   /** Default: the term before. */
@@ -38,6 +41,8 @@
 }
 
 export class FleetOwnership {
+  /** Since when which state of the store is known, by former owners, too; only waits for something better rest on it. */
+  readonly ages: RevisionAges;
   /** The part of the fleet that is owned. */
   readonly cell: CellIndex;
   /** Last term before this one in which an owner may have granted a minion lease; -1 for none. */
@@ -76,6 +81,7 @@
     this.recordingSince = grant.recordingSince ?? grant.term;
     this.requestedAt = requestedAt;
     this.revisions = grant.revisions ?? new RevisionLog();
+    this.ages = grant.ages ?? new RevisionAges(this.revisions);
     this.term = grant.term;
     this.token = grant.token;
     this.#confirmedAt = requestedAt;
--- a/packages/nutmegproxy-owner/src/JobWatcher.ts
+++ b/packages/nutmegproxy-owner/src/JobWatcher.ts
@@ -101,13 +101,17 @@
 
   /** Adds a job; returns undefined if it is known already or its record is malformed. */
   #addJob(stored: StoredValue, progress?: JobProgress, progressRevision = 0): JobState | undefined {
-    const {fleet} = this.#options;
+    const {clock, fleet, ownership} = this.#options;
     const request = this.#decode(stored, decodeJob);
     if (request === undefined || fleet.jobs.has(request.id)) {
       return undefined;
     }
     const job = new JobState(request, stored.createRevision, progress);
     job.progressRevision = progressRevision;
+    if (job.revision < ownership.token) {
+      const revision = Math.max(job.revision, progressRevision);
+      job.heldSince = ownership.ages.findSeenAt(revision, clock.monotonic());
+    }
     fleet.jobs.set(job.id, job);
     return job;
   }
--- a/packages/nutmegproxy-owner/src/OwnerElection.ts
+++ b/packages/nutmegproxy-owner/src/OwnerElection.ts
@@ -17,6 +17,7 @@
 
 import type {OwnershipGrant} from './FleetOwnership.ts';
 import type {OwnershipToken} from './MinionOrders.ts';
+import type {RevisionAge} from './RevisionAges.ts';
 import type {KnownCellCount} from './StoredCellCount.ts';
 
 import {FleetOwnership} from './FleetOwnership.ts';
@@ -24,6 +25,7 @@
 import {OWNER_EVENTS} from './OwnerEvents.ts';
 import {OwnershipRenewal} from './OwnershipRenewal.ts';
 import {repeatUntilAnswered} from './RepeatedCall.ts';
+import {RevisionAges} from './RevisionAges.ts';
 import {RevisionLog} from './RevisionLog.ts';
 import {
   CELL_COUNT_KEY,
@@ -66,6 +68,8 @@
  * expiry of a lease for valid after any number of owners, look for the last one as `term`.
  */
 interface RecordingTerms {
+  /** Revisions that the store had reached before this was written; absent in records of earlier versions. */
+  readonly knownRevisions?: readonly RevisionAge[];
   readonly lastTerm: number;
   /** Last term in which an owner may have granted a minion lease; default: `lastTerm`. */
   readonly leaseTerm?: number;
@@ -162,7 +166,8 @@
     if (lease.isErr()) {
       return err(lease.error);
     }
-    const written = await this.#write(lease.value.lease, records.value);
+    const ages = this.#readAges(records.value, requestedAt);
+    const written = await this.#write(lease.value.lease, records.value, ages);
     if (written.isErr()) {
       // A write that is carried out later fails without its lease.
       await this.#revoke(lease.value.lease);
@@ -174,6 +179,7 @@
       return new FleetOwnership(
         {
           ...released,
+          ages,
           cell: this.#cell,
           lease: lease.value.lease,
           leaseTimes,
@@ -186,6 +192,16 @@
     });
   }
 
+  /** Returns since when which revisions are known; by an earlier read, so that nothing is too old. */
+  #readAges({recording}: ElectionRecords, now: Instant): RevisionAges {
+    const storedBy = this.revisions.findSeenAt(recording?.modRevision ?? Infinity, now);
+    return new RevisionAges(
+      this.revisions,
+      parseRecordingTerms(recording).knownRevisions,
+      storedBy,
+    );
+  }
+
   /** Returns why the ownership can't be acquired, by the records. */
   #findObstacle({count, owner, owners}: ElectionRecords): AcquireFailure | undefined {
     const comparison = compareCellCount(this.#count, count);
@@ -230,6 +246,7 @@
    * owner the minions' leases are as the owner before left them.
    */
   async #releaseUnused({
+    ages,
     formerLeaseTerm,
     formerReleasedAt,
     recordingSince,
@@ -237,10 +254,12 @@
     token,
   }: FleetOwnership): Promise<void> {
     const {clock, events, store} = this.#options;
+    const now = clock.monotonic();
     const terms: RecordingTerms = {
+      knownRevisions: ages.export(now),
       lastTerm: term,
       leaseTerm: formerLeaseTerm,
-      releasedForMs: Math.floor(clock.monotonic() - formerReleasedAt),
+      releasedForMs: Math.floor(now - formerReleasedAt),
       since: recordingSince,
     };
     const released = await store.commit({
@@ -309,11 +328,18 @@
   async #write(
     lease: LeaseId,
     {count, recording, term: previous}: ElectionRecords,
-  ): Promise<Result<Omit<OwnershipGrant, 'lease' | 'leaseTimes' | 'revisions'>, AcquireFailure>> {
-    const {events, store, vm} = this.#options;
+    ages: RevisionAges,
+  ): Promise<
+    Result<Omit<OwnershipGrant, 'ages' | 'lease' | 'leaseTimes' | 'revisions'>, AcquireFailure>
+  > {
+    const {clock, events, store, vm} = this.#options;
     const term = previous === undefined ? 0 : Number(previous.value.toString()) + 1;
     const former = findFormerTerms(recording, term, events);
-    const terms: RecordingTerms = {lastTerm: term, since: former.recordingSince};
+    const terms: RecordingTerms = {
+      knownRevisions: ages.export(clock.monotonic()),
+      lastTerm: term,
+      since: former.recordingSince,
+    };
     const {cells, ownersNameCells} = this.#count;
     const owner = JSON.stringify(ownersNameCells === true ? {cells, lease, vm} : {lease, vm});
     const written = await store.commit({
--- a/packages/nutmegproxy-owner/src/RevisionLog.ts
+++ b/packages/nutmegproxy-owner/src/RevisionLog.ts
@@ -7,6 +7,9 @@
 
 /** Revisions that are remembered: those of the longest minion lease at hundreds of changes a second. */
 const MAX_ENTRIES = 4_096;
+/** Least time in milliseconds between two revisions before these that are remembered, and their number: for a minute. */
+const FORMER_GAP_MS = 250;
+const MAX_FORMER_ENTRIES = 240;
 
 interface Sighting {
   readonly revision: number;
@@ -20,6 +23,8 @@
  * log.findSeenAt(6, clock.monotonic()); // when revision 7 was recorded
  */
 export class RevisionLog {
+  /** Some of the sightings before the others. */
+  readonly #former: Sighting[] = [];
   readonly #sightings: Sighting[] = [];
 
   /** Records that the store had reached a revision by `now`. */
@@ -28,14 +33,32 @@
       return;
     }
     this.#sightings.push({revision, seenAt: now});
-    if (this.#sightings.length > MAX_ENTRIES) {
-      this.#sightings.shift();
+    const oldest = this.#sightings.length > MAX_ENTRIES ? this.#sightings.shift() : undefined;
+    if (oldest !== undefined) {
+      this.#thin(oldest);
     }
   }
 
   /** Returns the earliest known instant by which the store had reached a revision; at most `now`. */
   findSeenAt(revision: number, now: Instant): Instant {
-    return this.#sightings.find((each) => each.revision >= revision)?.seenAt ?? now;
+    const list = revision <= (this.#former.at(-1)?.revision ?? -1) ? this.#former : this.#sightings;
+    return list[findFirst(list, revision)]?.seenAt ?? now;
+  }
+
+  /** Returns what is remembered, oldest first. */
+  list(): readonly Sighting[] {
+    return [...this.#former, ...this.#sightings];
+  }
+
+  /** Keeps one of the sightings that are over in each interval. */
+  #thin(sighting: Sighting): void {
+    if (sighting.seenAt - (this.#former.at(-1)?.seenAt ?? -Infinity) < FORMER_GAP_MS) {
+      return;
+    }
+    this.#former.push(sighting);
+    if (this.#former.length > MAX_FORMER_ENTRIES) {
+      this.#former.shift();
+    }
   }
 
   /**
@@ -50,3 +73,18 @@
     return last?.seenAt ?? (-Infinity as Instant);
   }
 }
+
+/** Returns the position of the first sighting of a revision or a later one; the list's length if there is none. */
+function findFirst(list: readonly Sighting[], revision: number): number {
+  let start = 0;
+  let end = list.length;
+  while (start < end) {
+    const middle = Math.floor((start + end) / 2);
+    if ((list[middle]?.revision ?? Infinity) < revision) {
+      start = middle + 1;
+    } else {
+      end = middle;
+    }
+  }
+  return start;
+}
--- a/packages/nutmegproxy-owner/src/__tests__/unit/JobWatcher.test.ts
+++ b/packages/nutmegproxy-owner/src/__tests__/unit/JobWatcher.test.ts
@@ -9,9 +9,10 @@
 import assert from 'node:assert/strict';
 import {afterEach, beforeEach, describe, it} from 'node:test';
 
-import type {FleetOwnership} from '../../FleetOwnership.ts';
+import type {OwnershipToken} from '../../MinionOrders.ts';
 
 import {CancellationMarks} from '../../CancellationMarks.ts';
+import {FleetOwnership} from '../../FleetOwnership.ts';
 import {JobWatcher} from '../../JobWatcher.ts';
 import {OWNER_KEY} from '../../OwnerElection.ts';
 import {OWNER_EVENTS} from '../../OwnerEvents.ts';
@@ -78,17 +79,40 @@
     );
   }
 
+  const events = {
+    record: (kind: EventKind, fields: EventFields) => {
+      recorded.push({fields, kind});
+    },
+  };
+
+  function createWatcher(): JobWatcher {
+    return new JobWatcher({
+      clock,
+      events,
+      fleet,
+      marks,
+      onChange: () => undefined,
+      onFenced: () => {
+        isFenced = true;
+      },
+      ownership,
+      store,
+      work: new WorkQueue({
+        clock,
+        get maxTurnMs() {
+          return turnLimitMs;
+        },
+        schedule: (callback) => turns.push(callback),
+      }),
+    });
+  }
+
   beforeEach(async () => {
     isFenced = false;
     recorded = [];
     turnLimitMs = Infinity;
     turns = [];
     store = new MemoryStore(clock);
-    const events = {
-      record: (kind: EventKind, fields: EventFields) => {
-        recorded.push({fields, kind});
-      },
-    };
     fleet = new Fleet(events);
     marks = new CancellationMarks();
     const watch = store.watch.bind(store);
@@ -103,25 +127,7 @@
       return opened;
     };
     ownership = await acquireOwnership(store);
-    watcher = new JobWatcher({
-      clock,
-      events,
-      fleet,
-      marks,
-      onChange: () => undefined,
-      onFenced: () => {
-        isFenced = true;
-      },
-      ownership,
-      store,
-      work: new WorkQueue({
-        clock,
-        get maxTurnMs() {
-          return turnLimitMs;
-        },
-        schedule: (callback) => turns.push(callback),
-      }),
-    });
+    watcher = createWatcher();
   });
 
   afterEach(async () => {
@@ -185,6 +191,40 @@
     assert.deepEqual(find(OWNER_EVENTS.JOB_DISCOVERED), []);
   });
 
+  // Guards against waits that begin anew with each owner.
+  it('at the start of its term have waited since this process knew that they were stored as they are', async () => {
+    const {revisions} = ownership;
+    const first = await submit(1);
+    revisions.record(first, clock.monotonic());
+    const storedAt = clock.monotonic();
+    const changed = await submit(2);
+    revisions.record(changed, clock.monotonic());
+    clock.advance(2_000);
+    await saveStatus(createJob(2).id, 'running');
+    revisions.record(changed + 1, clock.monotonic());
+    const changedAt = clock.monotonic();
+    clock.advance(3_000);
+    // The next owner is another process that has watched the store meanwhile.
+    ownership = new FleetOwnership(
+      {
+        lease: ownership.lease,
+        leaseTimes: ownership.leaseTimes,
+        revisions,
+        term: 1,
+        token: (await put(store, OWNER_KEY, Buffer.from('vm-2')))._unsafeUnwrap() as OwnershipToken,
+      },
+      clock.monotonic(),
+      clock.wall(),
+    );
+    watcher = createWatcher();
+    (await watcher.start())._unsafeUnwrap();
+    await submit(3);
+    await waitForStore();
+    assert.equal(fleet.jobs.get(createJob(1).id)?.heldSince, storedAt);
+    assert.equal(fleet.jobs.get(createJob(2).id)?.heldSince, changedAt);
+    assert.equal(fleet.jobs.get(createJob(3).id)?.heldSince, undefined);
+  });
+
   // Guards against a job that runs for good, as a VM of an earlier version stores it after its cancellation.
   for (const isKnownAtStart of [true, false]) {
     it(`never run when they were cancelled ${isKnownAtStart ? 'in a term before' : 'in its term'}, before they were stored`, async () => {
--- a/packages/nutmegproxy-scheduling/src/CrashVerdict.ts
+++ b/packages/nutmegproxy-scheduling/src/CrashVerdict.ts
@@ -125,13 +125,21 @@
 }
 
 /** Returns for how long a task, or its whole gang, has been idle: since the minion of the last crash fell silent. */
-export function computeIdleMs({crashes, shape}: StepState, index: number, now: Instant): number {
+export function computeIdleMs(
+  {crashes, job, shape}: StepState,
+  index: number,
+  now: Instant,
+): number {
   const indexes = shape.gang ? crashes.indexes : [index];
-  return Math.min(...indexes.map((each) => now - crashes.idleSince(each, now)));
+  return Math.min(...indexes.map((each) => now - crashes.idleSince(each, now, job.heldSince)));
 }
 
 /** Returns for how long a task, or its whole gang, has waited since the last crash under it. */
-export function computeWaitedMs({crashes, shape}: StepState, index: number, now: Instant): number {
+export function computeWaitedMs(
+  {crashes, job, shape}: StepState,
+  index: number,
+  now: Instant,
+): number {
   const indexes = shape.gang ? crashes.indexes : [index];
-  return Math.min(...indexes.map((each) => now - crashes.consideredAt(each, now)));
+  return Math.min(...indexes.map((each) => now - crashes.consideredAt(each, now, job.heldSince)));
 }
--- a/packages/nutmegproxy-scheduling/src/Fleet.ts
+++ b/packages/nutmegproxy-scheduling/src/Fleet.ts
@@ -86,6 +86,7 @@
     run.isAdopted = true;
     run.phase = 'running';
     run.confirmedAt = now;
+    step.placedAt ??= now;
     return run;
   }
 
--- a/packages/nutmegproxy-scheduling/src/FreeRoom.ts
+++ b/packages/nutmegproxy-scheduling/src/FreeRoom.ts
@@ -3,6 +3,7 @@
 import type {Instant} from '@nutmegproxy/core';
 import type {ServiceId} from '@nutmegproxy/jobs';
 
+import type {Fleet} from './Fleet.ts';
 import type {MinionState} from './MinionState.ts';
 
 /** Share of a service's processors in use from which its work waits for room, as the users specify. */
@@ -21,14 +22,22 @@
 
 /**
  * @example
- * room.observe(fleet.minions.values(), now); // in each round of planning
+ * room.observe(fleet, now); // in each round of planning
  * room.findSince(service); // undefined while it has none
  */
 export class FreeRoom {
+  /** Services that have had it since the recovery; undefined before. */
+  #sinceRecovery: Set<ServiceId> | undefined;
   readonly #since = new Map<ServiceId, Instant>();
 
-  observe(minions: Iterable<MinionState>, now: Instant): void {
-    const free = findFreeServices(minions);
+  observe({minions, recoveryRevision}: Fleet, now: Instant): void {
+    const free = findFreeServices(minions.values());
+    // Until the runs of all minions are known, room may look free that is not.
+    if (recoveryRevision === 0) {
+      this.#sinceRecovery = new Set(
+        [...(this.#sinceRecovery ?? free)].filter((service) => free.has(service)),
+      );
+    }
     for (const service of this.#since.keys()) {
       if (!free.has(service)) {
         this.#since.delete(service);
@@ -39,6 +48,11 @@
     }
   }
 
+  /** Whether a service has had free room ever since this owner knew, so that it may have had it under the former one. */
+  isFreeSinceRecovery(service: ServiceId): boolean {
+    return this.#sinceRecovery?.has(service) ?? false;
+  }
+
   findSince(service: ServiceId): Instant | undefined {
     return this.#since.get(service);
   }
--- a/packages/nutmegproxy-scheduling/src/LastAttempt.ts
+++ b/packages/nutmegproxy-scheduling/src/LastAttempt.ts
@@ -118,7 +118,7 @@
 
 /**
  * Returns until when the last attempt of a task waits for a better minion than this one. What former owners saw fail
- * before their ownership ended is not recent any more after the same time.
+ * before their ownership ended, or before it was stored, is not recent any more after the same time.
  */
 function findWaitEnd(
   fleet: Fleet,
@@ -129,16 +129,17 @@
   const {formerReleasedAt} = fleet;
   const {index, step} = task;
   const failedAt = step.failedAt.get(index);
+  const turnAt = step.turnAt ?? now;
   if (failedAt === undefined && formerReleasedAt !== undefined) {
-    return after(formerReleasedAt, RECENT_FAILURE_MS);
+    const {heldSince = formerReleasedAt} = step.job;
+    return after(Math.min(formerReleasedAt, heldSince) as Instant, RECENT_FAILURE_MS);
   }
-  const latestAt = after(failedAt ?? step.readyAt ?? now, MAX_LAST_ATTEMPT_WAIT_MS);
+  const latestAt = after(failedAt ?? turnAt, MAX_LAST_ATTEMPT_WAIT_MS);
   // A gang that waits has no runs but those that reserve room while its minions are chosen.
   const hasRuns = step.job.hasLiveRuns && !step.shape.gang;
   if (failedAt === undefined || hasRuns || mayBeCause(step, index, minion)) {
     return Math.min(latestAt, findRetryAt(fleet, task, minion, now));
   }
-  const turnAt = step.readyAt ?? now;
   return Math.min(latestAt, Math.max(turnAt + MAX_LAST_ATTEMPT_WAIT_MS, failedAt + RETRY_WAIT_MS));
 }
 
--- a/packages/nutmegproxy-scheduling/src/ListingReconciler.ts
+++ b/packages/nutmegproxy-scheduling/src/ListingReconciler.ts
@@ -162,6 +162,12 @@
   return listed;
 }
 
+/** Whether the result was known before, or tells of no work that has ended: backfill that was evicted waits on. */
+function isStored({done, failures}: StepState, {number, outcome, task}: RunResult): boolean {
+  const isKnownFailure = failures.get(task.index)?.includes(number) ?? false;
+  return done.has(task.index) || isKnownFailure || (outcome !== 'done' && outcome !== 'failed');
+}
+
 function applyRunResult(fleet: Fleet, minion: MinionState, result: RunResult, now: Instant): void {
   const step = findStep(fleet, result.task);
   const run = step === undefined ? undefined : findRun(step, minion, result);
@@ -173,6 +179,9 @@
       // A run of this owner that counted as lost; the failures of former owners' runs have no known time.
       recordFailureOf(step, result.task.index, minion.id, now);
     }
+    if (!isStored(step, result)) {
+      step.job.endHeldWaits(now);
+    }
     fleet.applyResult(step, result.task, result.number, result.outcome, result.checkpoint);
   }
 }
--- a/packages/nutmegproxy-scheduling/src/OverdueSteps.ts
+++ b/packages/nutmegproxy-scheduling/src/OverdueSteps.ts
@@ -5,7 +5,7 @@
  */
 
 import type {Instant} from '@nutmegproxy/core';
-import type {JobState, QueueId, StepState} from '@nutmegproxy/jobs';
+import type {QueueId, StepState} from '@nutmegproxy/jobs';
 
 import type {Fleet} from './Fleet.ts';
 import type {MinionState} from './MinionState.ts';
@@ -29,11 +29,10 @@
   doneAt = -Infinity as Instant,
   failedAt,
   placedAt = -Infinity as Instant,
-  readyAt,
   shape,
+  turnAt = Infinity as Instant,
   waiting,
 }: StepState): number {
-  const turnAt = readyAt ?? Infinity;
   if (!shape.longRunning) {
     return Math.max(turnAt, shape.fillsSpareCpu ? doneAt : placedAt, ...failedAt.values());
   }
@@ -43,11 +42,11 @@
 
 /** Whether a lasting task has waited itself since the given instant or longer; others wait with their step. */
 export function hasTaskWaitedSince(
-  {failedAt, readyAt = Infinity as Instant, shape}: StepState,
+  {failedAt, shape, turnAt = Infinity as Instant}: StepState,
   index: number,
   since: number,
 ): boolean {
-  return !shape.longRunning || Math.max(readyAt, failedAt.get(index) ?? -Infinity) <= since;
+  return !shape.longRunning || Math.max(turnAt, failedAt.get(index) ?? -Infinity) <= since;
 }
 
 /** Whether other work of its job runs, so that its backfill may wait on. */
@@ -57,10 +56,8 @@
 
 /** Whether a step has waited since the given instant or longer; most steps are told from their turn alone. */
 function hasWaitedSince(step: StepState, since: number): boolean {
-  const {readyAt = Infinity, waiting} = step;
-  return (
-    readyAt <= since && waiting.size > 0 && findWaitStart(step) <= since && !hasOtherRuns(step)
-  );
+  const {turnAt = Infinity, waiting} = step;
+  return turnAt <= since && waiting.size > 0 && findWaitStart(step) <= since && !hasOtherRuns(step);
 }
 
 /**
@@ -74,15 +71,21 @@
     !job.hasLiveRuns &&
     !shape.longRunning &&
     waiting.size > 0 &&
-    siblings.some(({readyAt = Infinity}) => readyAt <= turnBefore) &&
+    siblings.some(({turnAt = Infinity}) => turnAt <= turnBefore) &&
     Math.max(doneAt, findWaitStart(step)) + RETRY_WAIT_MS <= now
   );
 }
 
-/** Returns from when room has been free for long enough for the work of a job; Infinity while it isn't. */
-function findPassingAt(fleet: Fleet, job: JobState): number {
-  const {service} = fleet.resolveQueuePolicy(job);
-  return (fleet.freeRoom.findSince(service) ?? Infinity) + MIN_FREE_MS;
+/**
+ * Returns from when room has been free for long enough for the work of a step; Infinity while it isn't. What has waited
+ * under former owners, too, waits no longer for room that has been free since this owner took over.
+ */
+function findPassingAt(fleet: Fleet, step: StepState): number {
+  const {freeRoom} = fleet;
+  const {service} = fleet.resolveQueuePolicy(step.job);
+  const since = freeRoom.findSince(service) ?? Infinity;
+  const mayBeLonger = step.heldSince !== undefined && freeRoom.isFreeSinceRecovery(service);
+  return mayBeLonger ? since : since + MIN_FREE_MS;
 }
 
 /**
@@ -98,7 +101,7 @@
   now: Instant,
 ): readonly StepState[] {
   const waiting = ordered.filter((step) => hasWaitedSince(step, now - maxWaitMs));
-  return waiting.filter(({job}) => findPassingAt(fleet, job) <= now);
+  return waiting.filter((step) => findPassingAt(fleet, step) <= now);
 }
 
 /**
@@ -116,7 +119,7 @@
   const waiting = ordered.filter(
     (step) => isIdle(step, since, now) && !hasWaitedSince(step, since),
   );
-  return waiting.filter(({job}) => findPassingAt(fleet, job) <= now);
+  return waiting.filter((step) => findPassingAt(fleet, step) <= now);
 }
 
 /**
@@ -131,8 +134,8 @@
   maxWaitMs: number,
   now: Instant,
 ): number | undefined {
-  const passingAt = findPassingAt(fleet, step.job);
-  return step.readyAt !== undefined && !hasOtherRuns(step) && passingAt < Infinity
+  const passingAt = findPassingAt(fleet, step);
+  return step.turnAt !== undefined && !hasOtherRuns(step) && passingAt < Infinity
     ? Math.max(0, passingAt - now, findWaitStart(step) + maxWaitMs - now)
     : undefined;
 }
--- a/packages/nutmegproxy-scheduling/src/PendingTaskReason.ts
+++ b/packages/nutmegproxy-scheduling/src/PendingTaskReason.ts
@@ -242,7 +242,7 @@
     const {fleet, now} = context;
     this.#minions = new MinionsByService(fleet.minions.values());
     // A round that starts nothing does not look for free room.
-    fleet.freeRoom.observe(fleet.minions.values(), now);
+    fleet.freeRoom.observe(fleet, now);
   }
 
   /** Returns why a waiting task does not start. */
--- a/packages/nutmegproxy-scheduling/src/ReadySteps.ts
+++ b/packages/nutmegproxy-scheduling/src/ReadySteps.ts
@@ -52,6 +52,14 @@
     : listStartableTasks(fleet, step).length > 0;
 }
 
+/** Records when this owner first saw that it is a step's turn, and since when that is known. */
+function recordTurn(step: StepState, now: Instant, wall: WallTime): void {
+  if (step.readyAt === undefined) {
+    step.readyAt = now;
+    step.heldSince = step.job.findHeldSince(step, now, wall);
+  }
+}
+
 /** Returns the steps with waiting tasks that may start. */
 export function collectReadySteps(fleet: Fleet, now: Instant, wall: WallTime): StepState[] {
   const ready: StepState[] = [];
@@ -59,7 +67,7 @@
     for (const steps of job.openOccurrences(wall)) {
       for (const step of steps) {
         if (hasStartableTasks(fleet, step) && isReady(step, steps)) {
-          step.readyAt ??= now;
+          recordTurn(step, now, wall);
           ready.push(step);
         }
       }
--- a/packages/nutmegproxy-scheduling/src/StartPlanner.ts
+++ b/packages/nutmegproxy-scheduling/src/StartPlanner.ts
@@ -84,7 +84,7 @@
 
   run(): Run[] {
     const {estimator, now, sharingCosts, wall} = this.#context;
-    this.#fleet.freeRoom.observe(this.#fleet.minions.values(), now);
+    this.#fleet.freeRoom.observe(this.#fleet, now);
     const ready = collectReadySteps(this.#fleet, now, wall);
     const trials = this.#planTrials(ready);
     this.#heldTasks = trials.heldTasks;
--- a/packages/nutmegproxy-scheduling/src/__tests__/unit/ListingReconciler.test.ts
+++ b/packages/nutmegproxy-scheduling/src/__tests__/unit/ListingReconciler.test.ts
@@ -47,6 +47,31 @@
 }
 
 describe('reconcileListing', () => {
+  describe('a result of a run under a former owner', () => {
+    // Guards against work that counts as overdue although it ran until a moment ago.
+    for (const [outcome, heldSince] of [
+      ['done', 101],
+      ['failed', 101],
+      ['stopped', 0],
+    ] as const) {
+      it(`begins the waits of its job anew unless it was stopped (${outcome})`, () => {
+        const sample = new SampleFleet(0);
+        const minion = sample.addMinion('m1');
+        const job = sample.addJob('proofs', [shape({count: 2})]);
+        job.heldSince = at(0);
+        const step = getFirstStep(job);
+        step.heldSince = at(0);
+        reconcile(sample, minion, {ended: [ended(job, 1, outcome)]});
+        assert.deepEqual([job.heldSince, step.heldSince], [heldSince, heldSince]);
+        assert.equal(step.turnAt, heldSince);
+        // Stored by then, the same result tells nothing new.
+        const later = {appliedThrough: 0, now: at(301), requestedAt: at(300)};
+        reconcile(sample, minion, {ended: [ended(job, 1, outcome)]}, later);
+        assert.equal(job.heldSince, heldSince);
+      });
+    }
+  });
+
   describe('a run that this owner did not start', () => {
     it('is adopted when its task has no other run', () => {
       const sample = new SampleFleet(0);
--- a/packages/nutmegproxy-scheduling/src/__tests__/unit/StoredBackfill.test.ts
+++ b/packages/nutmegproxy-scheduling/src/__tests__/unit/StoredBackfill.test.ts
@@ -44,7 +44,7 @@
     assert.ok(step);
     step.readyAt = at(-heldMs);
   }
-  fleet.freeRoom.observe(fleet.minions.values(), at(-HELD_MS));
+  fleet.freeRoom.observe(fleet, at(-HELD_MS));
   return sample.plan(0, policy).length;
 }
 
--- a/packages/nutmegproxy-scheduling/src/__tests__/unit/WaitsOverTakeovers.test.ts
+++ b/packages/nutmegproxy-scheduling/src/__tests__/unit/WaitsOverTakeovers.test.ts
@@ -63,11 +63,14 @@
   'ordinary work that waits for trust': {failing: [JOB_A, JOB_B]},
 };
 
-/** Returns the job as an owner reads it. */
-function readJob(sample: SampleFleet, wait: Wait, storedAtMs: number): JobState {
+/** Returns the job as an owner reads it that took over at `termAt`. */
+function readJob(sample: SampleFleet, wait: Wait, storedAtMs: number, termAt: number): JobState {
   const {request} = sample.addJob('proofs', [shape(wait.change)], storedAtMs);
   const steps = {'0.0': {...NO_PROGRESS, ...wait.progress}};
   const job = new Job(request, 1, {queue: request.queue, status: 'running', steps});
+  if (storedAtMs < termAt) {
+    job.heldSince = at(storedAtMs);
+  }
   sample.fleet.jobs.set(job.id, job);
   return job;
 }
@@ -85,11 +88,11 @@
       sample.fleet.formerReleasedAt = at(now);
       sample.fleet.recoveryRevision = Infinity;
       if (now > storedAtMs) {
-        readJob(sample, wait, storedAtMs);
+        readJob(sample, wait, storedAtMs, now);
       }
     }
     if (now === storedAtMs) {
-      readJob(sample, wait, storedAtMs);
+      readJob(sample, wait, storedAtMs, now - (now % ownerMs));
     }
     if (now % ownerMs === recoveryMs) {
       sample.fleet.recoveryRevision = 0;
