--- a/packages/nutmegproxy-jobs/src/__tests__/unit/StepCrashes.test.ts
+++ b/packages/nutmegproxy-jobs/src/__tests__/unit/StepCrashes.test.ts
@@ -46,6 +46,17 @@
     assert.deepEqual(step.crashes.trials.get(1), TRIAL);
   });
 
+  // Guards against waits that begin anew under an owner that asks for one of the two times before the other.
+  for (const first of ['consideredAt', 'idleSince'] as const) {
+    it(`that are read count since they were stored, whichever time is asked for first (${first})`, () => {
+      const storedAt = 400 as Instant;
+      const crashes = reload(createJobWithCrash()).occurrence(3)?.[0]?.crashes;
+      assert.equal(crashes?.[first](1, NOW, storedAt), storedAt);
+      assert.equal(crashes.idleSince(1, NOW, storedAt), storedAt);
+      assert.equal(crashes.consideredAt(1, NOW, storedAt), storedAt);
+    });
+  }
+
   it('leave the stored progress when they are dropped', () => {
     const job = reload(createJobWithCrash());
     job.occurrence(3)?.[0]?.crashes.clear(1);
