--- a/packages/nutmegproxy-scheduling/src/CrashVerdict.ts
+++ b/packages/nutmegproxy-scheduling/src/CrashVerdict.ts
@@ -137,10 +137,14 @@
 
 /** Returns for how long a task, or its whole gang, has been idle: since the minion of the last crash fell silent. */
 export function computeIdleMs(step: StepState, index: number, now: Instant): number {
-  return computeSince(step, index, now, (each) => step.crashes.idleSince(each, now));
+  return computeSince(step, index, now, (each) =>
+    step.crashes.idleSince(each, now, step.job.heldSince),
+  );
 }
 
 /** Returns for how long a task, or its whole gang, has waited since the last crash under it. */
 export function computeWaitedMs(step: StepState, index: number, now: Instant): number {
-  return computeSince(step, index, now, (each) => step.crashes.consideredAt(each, now));
+  return computeSince(step, index, now, (each) =>
+    step.crashes.consideredAt(each, now, step.job.heldSince),
+  );
 }
