--- a/packages/nutmegproxy-scheduling/src/__tests__/unit/MinionQuarantine.test.ts
+++ b/packages/nutmegproxy-scheduling/src/__tests__/unit/MinionQuarantine.test.ts
@@ -57,9 +57,9 @@
     owner.addBad('3');
     owner.add('good');
     assert.deepEqual(owner.review(bad), []);
-    const ends = owner.events.events.filter(({fields}) => fields['proof'] === 'others');
+    const ends = owner.events.events.filter(({fields}) => fields.proof === 'others');
     assert.deepEqual(
-      ends.map(({fields}) => fields['minion']),
+      ends.map(({fields}) => fields.minion),
       ['bad-1', 'bad-2', 'bad-3'],
     );
   });
