--- a/packages/nutmegproxy-requests/src/__tests__/unit/PlannedStop.test.ts
+++ b/packages/nutmegproxy-requests/src/__tests__/unit/PlannedStop.test.ts
@@ -101,4 +101,29 @@
       await Promise.all(waits);
     });
   });
+
+  // A poll may accept fewer connections than wait.
+  it('responds to all requests that arrive together while the wait for the last ones ends', async () => {
+    await withHarness({minions: []}, async (harness) => {
+      const waits: Promise<void>[] = [];
+      harness.bus.dispatch(DRAIN_STARTED, {wait: (work) => waits.push(work)});
+      const endsAt = performance.now() + MAX_STOP_IDLE_WAIT_MS;
+      while (performance.now() < endsAt - 200) {
+        await (await send(harness, '')).text();
+        await sleep(20);
+      }
+      await setImmediate();
+      const last = Array.from({length: 20}, () => sendUnaccepted(harness));
+      await new Promise<void>((resolve) => {
+        process.nextTick(resolve);
+      });
+      stallUntil(endsAt + 100);
+      const results = await Promise.all(last);
+      assert.deepEqual(
+        results,
+        results.map(() => 503),
+      );
+      await Promise.all(waits);
+    });
+  });
 });
