--- a/packages/nutmegproxy-scheduling/src/__tests__/unit/OverdueTasks.test.ts
+++ b/packages/nutmegproxy-scheduling/src/__tests__/unit/OverdueTasks.test.ts
@@ -6,8 +6,10 @@
 import {describe, it} from 'node:test';
 
 import {orderByLastStart} from '../../OverdueSteps.ts';
+import {PlanSweep} from '../../PlanSweep.ts';
+import {planStarts} from '../../StartPlanner.ts';
 import {failTwice} from './ExclusionSamples.ts';
-import {at, SampleFleet, shape} from './Samples.ts';
+import {at, NO_SHARING_COSTS, SampleFleet, shape, wallAt} from './Samples.ts';
 
 /** Time after which a task counts as overdue beside free room. */
 const OVERDUE_MS = 13_500;
@@ -100,3 +102,62 @@
     assert.deepEqual(orderByLastStart(steps, new Set(steps)), [none, early, late]);
   });
 });
+
+describe('Overdue backfill that serving tasks tolerate nowhere', () => {
+  const JOBS = 20;
+  const PLACEMENT_MS = 60;
+  /** Time that the costs of a step take on all minions, as in a large fleet on a slow machine. */
+  const RANKING_MS = 35;
+
+  // Guards against steps that count as tried before they were placed where serving tasks have to bear them.
+  it('starts in the round that tries it, also where its time is up meanwhile', () => {
+    const sample = new SampleFleet(JOBS);
+    const {estimator, fleet} = sample;
+    const jobs = Array.from({length: JOBS}, () =>
+      sample.addJob('proofs', [shape({fillsSpareCpu: true})]),
+    );
+    fleet.freeRoom.observe(fleet.minions.values(), at(0));
+    for (const job of jobs) {
+      const [step] = job.occurrence(0) ?? [];
+      assert.ok(step);
+      step.readyAt = at(0);
+    }
+    const sweep = new PlanSweep();
+    let clockMs = OVERDUE_MS;
+    for (let round = 0; round < JOBS; round += 1) {
+      const tried = new Set<StepState>();
+      const computeCost = (step: StepState): void => {
+        tried.add(step);
+        clockMs += RANKING_MS / JOBS;
+      };
+      const nowMs = clockMs;
+      let sinceMs: number | undefined;
+      planStarts(fleet, {
+        advice: {isPermitted: () => undefined},
+        estimator,
+        isTimeUp: (share = 1) => {
+          sinceMs ??= clockMs;
+          return clockMs - sinceMs >= PLACEMENT_MS * share;
+        },
+        now: at(nowMs),
+        sharingCosts: {
+          ...NO_SHARING_COSTS,
+          backfillCost: (_, step) => {
+            computeCost(step);
+            return undefined;
+          },
+          dependsOnWait: () => false,
+          overdueCost: (_, step) => {
+            computeCost(step);
+            return 0;
+          },
+        },
+        sweep,
+        wall: wallAt(nowMs),
+      });
+      const waiting = [...tried].filter(({job}) => !job.hasLiveRuns);
+      assert.equal(waiting.length, 0, `round ${round} tried ${tried.size} steps`);
+    }
+    assert.ok(jobs.every(({hasLiveRuns}) => hasLiveRuns));
+  });
+});
