Test of turns of overdue jobs of several tasks (fails)

60 jobs of four tasks on ten minions over their targets: one does not start within 45 s. The play may have several tasks a job; with one it is as before.

--- a/packages/nutmegproxy-scheduling/src/__tests__/unit/OverdueBackfill.test.ts
+++ b/packages/nutmegproxy-scheduling/src/__tests__/unit/OverdueBackfill.test.ts
@@ -199,6 +199,21 @@
     assert.ok(Math.max(...startedMs) < PLAY.playMs, `started at ${startedMs.join()}`);
   });
 
+  // Guards against tasks beyond the first that use up the turns of other jobs and are stopped at once.
+  for (const load of [0.85, 0.9]) {
+    it(`gets a turn for each job where there are many more jobs, of several tasks each (${load})`, () => {
+      const {startedMs} = playBackfill({
+        ...PLAY,
+        jobs: 60,
+        load: () => load,
+        minions: 10,
+        tasks: 4,
+        workMs: 1_200,
+      });
+      assert.ok(Math.max(...startedMs) < PLAY.playMs, `started at ${startedMs.join()}`);
+    });
+  }
+
   // Tail latencies are measured over half a second, so that a shorter gap between two runs ends nothing.
   describe('keeps no serving task over its target for longer than the platform allows, short gaps included', () => {
     for (const [name, trouble] of Object.entries(TROUBLES)) {
--- a/packages/nutmegproxy-scheduling/src/__tests__/unit/OverdueBackfillPlay.ts
+++ b/packages/nutmegproxy-scheduling/src/__tests__/unit/OverdueBackfillPlay.ts
@@ -42,6 +42,7 @@
   /** Load of the first minion's serving task relative to the others, as of a slow one. */
   readonly slowness?: number;
   readonly stopMs?: number;
+  readonly tasks?: number;
   readonly workMs: number;
 }
 
@@ -75,6 +76,10 @@
   return IDLE_MS / (1 - Math.min(MAX_UTILIZATION, utilization));
 }
 
+function toTaskKey({task}: Pick<Run, 'task'>): string {
+  return `${task.job}.${task.index}`;
+}
+
 class Play {
   readonly #drawn: BackfillPlay;
   readonly #endedMs = new Map<JobState, number>();
@@ -85,7 +90,7 @@
   readonly #measuredHarmMs = new Map<MinionState, number>();
   #policy: SharingPolicy;
   readonly #sample = new SampleFleet(0);
-  readonly #saved = new Map<JobState, number>();
+  readonly #saved = new Map<string, number>();
   readonly #serving = new Map<MinionState, Run>();
   readonly #startedMs = new Map<JobState, number>();
   /** Tail latencies by time, of which reports show the former ones. */
@@ -106,10 +111,10 @@
     this.#policy = this.#createPolicy();
     this.#addServing();
     for (let job = 0; job < drawn.jobs; job += 1) {
-      const {checkpoints, workMs} = drawn;
+      const {checkpoints, tasks: count = 1, workMs} = drawn;
       this.#jobs.push(
         this.#sample.addJob('proofs', [
-          shape({checkpoints, estimateMs: workMs, fillsSpareCpu: true, image: 'noisy'}),
+          shape({checkpoints, count, estimateMs: workMs, fillsSpareCpu: true, image: 'noisy'}),
         ]),
       );
     }
@@ -140,7 +145,7 @@
       for (const {number, task} of this.#sample.fleet.pendingStops.splice(0)) {
         for (const working of this.#working.values()) {
           const {run} = working;
-          if (run.task.job === task.job && run.number === number) {
+          if (toTaskKey(run) === toTaskKey({task}) && run.number === number) {
             working.stopsAtMs = Math.min(working.stopsAtMs, now + stopMs);
           }
         }
@@ -200,7 +205,7 @@
     run.phase = 'running';
     run.confirmedAt = at(now);
     run.reading = run.step.shape.resources.cpuMilli;
-    const savedMs = this.#saved.get(job) ?? 0;
+    const savedMs = this.#saved.get(toTaskKey(run)) ?? 0;
     const workedMs = savedMs - (savedMs > 0 ? RESTORE_MS : 0);
     this.#working.set(run, {run, stopsAtMs: Infinity, workedMs});
     this.#result.starts += 1;
@@ -211,16 +216,17 @@
     const {checkpoints, workMs} = this.#drawn;
     for (const working of [...this.#working.values()]) {
       const {run, stopsAtMs} = working;
-      const {job} = run.step;
+      const {step} = run;
       working.workedMs += TICK_MS;
       const isDone = working.workedMs >= workMs;
-      if (isDone) {
-        this.#endedMs.set(job, now);
-      } else if (now < stopsAtMs) {
+      if (isDone && step.done.size === step.shape.count - 1) {
+        this.#endedMs.set(step.job, now);
+      } else if (!isDone && now < stopsAtMs) {
         continue;
       }
       this.#working.delete(run);
-      this.#saved.set(job, checkpoints ? Math.max(working.workedMs, this.#saved.get(job) ?? 0) : 0);
+      const key = toTaskKey(run);
+      this.#saved.set(key, checkpoints ? Math.max(working.workedMs, this.#saved.get(key) ?? 0) : 0);
       this.#sample.fleet.finishRun(run, isDone ? 'done' : 'stopped', undefined, at(now));
     }
   }
