A planned stop closes its listener once a poll has found no connection that waits

Seen (by the review): waits for one poll; libuv accepts one connection a poll, so of 20 requests that wait together 2 got 503 and 18 ECONNRESET.

Change: the listener polls until one poll has accepted nothing and was within the last 2 ms, 1,000 polls at most (more than the backlog of 511).

--- a/packages/nutmegproxy-requests/src/CallerListener.ts
+++ b/packages/nutmegproxy-requests/src/CallerListener.ts
@@ -150,15 +150,19 @@
   }
 
   /**
-   * Waits until the process has just polled, so that no connection waits to be accepted: closing would reset it.
-   * Connections that are accepted get their response.
+   * Waits until the process has just polled and found no connection that waits to be accepted: closing would reset it.
+   * A poll may accept one of many. Connections that are accepted get their response.
    */
   async #acceptPending(): Promise<void> {
     const {clock} = this.#node;
+    let accepted = 0;
+    this.#server.on('connection', () => {
+      accepted += 1;
+    });
     for (let polls = 0; polls < MAX_STOP_POLLS; polls += 1) {
-      const startedAt = clock.monotonic();
+      const before = {accepted, at: clock.monotonic()};
       await setImmediate();
-      if (clock.monotonic() - startedAt < STOP_POLL_MS) {
+      if (accepted === before.accepted && clock.monotonic() - before.at < STOP_POLL_MS) {
         return;
       }
     }
--- a/packages/nutmegproxy-requests/src/RequestsConstants.ts
+++ b/packages/nutmegproxy-requests/src/RequestsConstants.ts
@@ -36,8 +36,8 @@
 export const MAX_STOP_IDLE_WAIT_MS = 5000;
 /** Time since a poll for connections within which hardly any new one waits to be accepted. */
 export const STOP_POLL_MS = 2;
-/** Maximum number of polls before the listener closes; a stalled process may take longer for each of them. */
-export const MAX_STOP_POLLS = 100;
+/** Maximum number of polls before the listener closes: more than connections that may wait to be accepted. */
+export const MAX_STOP_POLLS = 1000;
 export const DEFAULT_STOP_DELAY_MS = 5000;
 export const DRAIN_POLL_INTERVAL_MS = 20;
 
