Overdue backfill goes first only where serving tasks are sure to tolerate it, and both its placements are one try

Cause: (a) the first placement went by the costs of other backfill, which rise with a step's wait and admit minions whose serving tasks have just been over their targets. Runs without a turn are stopped there after 200 ms, and the minion then pauses for 1.3 s without a turn for others. (b) the time was checked between the placements and before the second one's task.

Change: (a) SharingPolicy.toleratedCost: below the targets, within the planned utilization, however long a step has waited. (b) the second placement, one task, is not cut; the round ends after it.

--- a/packages/nutmegproxy-scheduling/src/OverdueSteps.ts
+++ b/packages/nutmegproxy-scheduling/src/OverdueSteps.ts
@@ -177,14 +177,31 @@
   return [...minions.values()].filter((minion) => isOnlyUntrusted(minion, now));
 }
 
+function bindCosts(costs: SharingCosts): Omit<SharingCosts, 'backfillCost'> {
+  return {
+    ordinaryCost: (minion, shape) => costs.ordinaryCost(minion, shape),
+    servingCost: (minion, shape) => costs.servingCost(minion, shape),
+  };
+}
+
+/** Returns costs under which backfill disturbs no serving tasks. */
+export function avoidInterference(costs: SharingCosts): SharingCosts {
+  return {
+    ...bindCosts(costs),
+    backfillCost: (minion, step, now) =>
+      costs.toleratedCost === undefined
+        ? costs.backfillCost(minion, step, now)
+        : costs.toleratedCost(minion, step, now),
+  };
+}
+
 /** Returns costs under which backfill may disturb serving tasks where no minion tolerates it. */
 export function tolerateInterference(costs: SharingCosts): SharingCosts {
   return {
+    ...bindCosts(costs),
     backfillCost: (minion, step, now) =>
       costs.overdueCost === undefined
         ? (costs.backfillCost(minion, step, now) ?? INTERFERENCE_COST)
         : costs.overdueCost(minion, step, now),
-    ordinaryCost: (minion, shape) => costs.ordinaryCost(minion, shape),
-    servingCost: (minion, shape) => costs.servingCost(minion, shape),
   };
 }
--- a/packages/nutmegproxy-scheduling/src/Placement.ts
+++ b/packages/nutmegproxy-scheduling/src/Placement.ts
@@ -47,6 +47,12 @@
   readonly overdueCost?: (minion: MinionState, step: StepState, now: Instant) => number | undefined;
   /** Cost of a serving task, in thousandths of a core. */
   readonly servingCost: (minion: MinionState, shape: StepShape) => number;
+  /** Cost of such a task where serving tasks tolerate it; without it, they tolerate what they admit. */
+  readonly toleratedCost?: (
+    minion: MinionState,
+    step: StepState,
+    now: Instant,
+  ) => number | undefined;
 }
 
 interface KindPlacement {
--- a/packages/nutmegproxy-scheduling/src/SharingPolicy.ts
+++ b/packages/nutmegproxy-scheduling/src/SharingPolicy.ts
@@ -124,6 +124,20 @@
     return worst * UTILIZATION_COST + (isNearTarget ? OVER_TARGET_COST : harmCost);
   }
 
+  /**
+   * Returns the cost of a task of an overdue backfill step where serving tasks tolerate it: beside tails below their
+   * targets, within the planned utilization. Undefined elsewhere, however long the step has waited.
+   */
+  toleratedCost(minion: MinionState, step: StepState, now: Instant): number | undefined {
+    if (minion.servingRuns === 0) {
+      return 0;
+    }
+    const worst = this.isNearTarget(minion)
+      ? undefined
+      : this.#computeWorstShare(minion, step, MAX_PLANNED_SHARE, now);
+    return worst === undefined ? undefined : worst * UTILIZATION_COST;
+  }
+
   /** Whether a backfill step has waited so long that minions admit it which would not admit others. */
   dependsOnWait(step: StepState, now: Instant): boolean {
     return this.#describeBackfill(step, now).utilizationLimit !== MAX_PLANNED_SHARE;
--- a/packages/nutmegproxy-scheduling/src/StartPlanner.ts
+++ b/packages/nutmegproxy-scheduling/src/StartPlanner.ts
@@ -17,6 +17,7 @@
 import {MinionRanking} from './MinionRanking.ts';
 import {MinionsByService} from './MinionsByService.ts';
 import {
+  avoidInterference,
   findIdleSteps,
   findOverdueSteps,
   hasTaskWaitedSince,
@@ -174,7 +175,7 @@
   #placeStep(step: StepState, budget: StartBudget): void {
     const starts = this.#starts.length;
     this.#placeTasksOrGang(step, budget);
-    if (this.#overdueBackfill.has(step) && this.#starts.length === starts && !this.#isTimeUp()) {
+    if (this.#overdueBackfill.has(step) && this.#starts.length === starts) {
       this.#borne = step;
       this.#placeTasksOrGang(step, new StartBudget(Math.min(1, budget.remaining)));
       this.#borne = undefined;
@@ -271,8 +272,11 @@
 
   #rank(step: StepState, minions: readonly MinionState[]): MinionRanking {
     const {now, sharingCosts} = this.#context;
-    const costs = this.#borne === step ? tolerateInterference(sharingCosts) : sharingCosts;
-    return new MinionRanking(step, minions, costs, now);
+    if (!this.#overdueBackfill.has(step)) {
+      return new MinionRanking(step, minions, sharingCosts, now);
+    }
+    const adjust = this.#borne === step ? tolerateInterference : avoidInterference;
+    return new MinionRanking(step, minions, adjust(sharingCosts), now);
   }
 
   #planTrials(ready: readonly StepState[]): TrialPlan {
@@ -344,7 +348,7 @@
       if (budget.isUsedUp) {
         return;
       }
-      if (this.#isTimeUp()) {
+      if (this.#borne !== step && this.#isTimeUp()) {
         this.#isStepCut = true;
         return;
       }
