--- a/packages/nutmegproxy-scheduling/src/JobOrder.ts
+++ b/packages/nutmegproxy-scheduling/src/JobOrder.ts
@@ -119,7 +119,7 @@
       const firstStarts = {
         ...ordered,
         isInterrupted: false,
-        weight: computeNextShare(countTasksAtWork(fleet, step), step.shape),
+        weight: computeNextShare(countTasksAtWork(fleet, step), step.shape.count),
       };
       const hasFirstStarts = [...step.waiting].some((index) => !isInterruptedTask(step, index));
       return [
--- a/packages/nutmegproxy-scheduling/src/LongRunningShares.ts
+++ b/packages/nutmegproxy-scheduling/src/LongRunningShares.ts
@@ -3,14 +3,14 @@
  * at work, so each task goes to the step with the smallest share, and steps that arrive together rise together.
  */
 
-import type {StepShape, StepState} from '@nutmegproxy/jobs';
+import type {StepState} from '@nutmegproxy/jobs';
 
 import type {Fleet} from './Fleet.ts';
 
 import {isStartableTask} from './ReadySteps.ts';
 
-/** Part of a task, or of a gang, at which it counts. */
-const MIDDLE = 0.5;
+/** Part of a task at which it counts. */
+const MIDDLE_OF_TASK = 0.5;
 
 /**
  * Returns the number of a long-running step's tasks at work. One that has begun and may have a live run of a
@@ -27,13 +27,13 @@
 /**
  * Returns the share of a step's tasks that its next one is counted at: the middle of that task, as in the
  * Sainte-Laguë method. At its end a wide step would starve narrow ones, and at its beginning each new step would
- * precede all that have a task at work. A gang, which starts as a whole, counts at its own middle.
+ * precede all that have a task at work.
  *
  * @example
- * computeNextShare(3, {...shape, count: 12}); // 3.5 of 12
+ * computeNextShare(3, 12); // 3.5 of 12
  */
-export function computeNextShare(atWork: number, {count, gang}: StepShape): number {
-  return (atWork + (gang ? count : 1) * MIDDLE) / count;
+export function computeNextShare(atWork: number, count: number): number {
+  return (atWork + MIDDLE_OF_TASK) / count;
 }
 
 /** Orders steps by arrival, so that each owner comes to the same order. */
@@ -50,13 +50,11 @@
 export interface ShareClaim {
   /** Number of tasks at work. */
   readonly atWork: number;
-  /** Whether minions could take a task of the step, or its gang, if they were empty. */
+  /** Whether a minion could take a task of the step if it were empty. */
   readonly isPlaceable: boolean;
   readonly step: StepState;
   /** Number of tasks that may start. */
   readonly tasks: number;
-  /** Number of tasks that start together. */
-  readonly together: number;
 }
 
 /** Processors in thousandths of a core. */
@@ -67,8 +65,8 @@
 }
 
 function compareClaims(a: ShareClaim, b: ShareClaim): number {
-  const shareOfA = computeNextShare(a.atWork, a.step.shape);
-  const shareOfB = computeNextShare(b.atWork, b.step.shape);
+  const shareOfA = computeNextShare(a.atWork, a.step.shape.count);
+  const shareOfB = computeNextShare(b.atWork, b.step.shape.count);
   return shareOfA - shareOfB || compareArrivals(a.step, b.step);
 }
 
@@ -138,15 +136,14 @@
     this.#isHeld = false;
     let index = 0;
     for (let [claim] = this.#claims; claim !== undefined; claim = this.#claims[index]) {
-      const {atWork, isPlaceable, step, tasks, together} = claim;
-      const neededMilli = together * step.shape.resources.cpuMilli;
-      if (neededMilli <= this.#freeMilli) {
+      const {atWork, isPlaceable, step, tasks} = claim;
+      const {cpuMilli} = step.shape.resources;
+      if (cpuMilli <= this.#freeMilli) {
         this.#claims.splice(index, 1);
-        this.#freeMilli -= neededMilli;
-        this.#granted.set(step, (this.#granted.get(step) ?? 0) + together);
-        if (tasks > together) {
-          const rest = {atWork: atWork + together, tasks: tasks - together};
-          insertClaim(this.#claims, {...claim, ...rest});
+        this.#freeMilli -= cpuMilli;
+        this.#granted.set(step, (this.#granted.get(step) ?? 0) + 1);
+        if (tasks > 1) {
+          insertClaim(this.#claims, {...claim, atWork: atWork + 1, tasks: tasks - 1});
         }
       } else if (isPlaceable && this.#freeMilli <= this.#maxHeldMilli) {
         this.#isHeld = true;
--- a/packages/nutmegproxy-scheduling/src/LongRunningStarts.ts
+++ b/packages/nutmegproxy-scheduling/src/LongRunningStarts.ts
@@ -24,32 +24,20 @@
 /** Share of a service's processors in use below which no step holds the rest, as others have to run beside so much. */
 const MIN_HOLDING_SHARE = 0.5;
 
-/** Returns how many tasks of the step a minion could take if nothing else ran there. */
-function countFitting({shape}: StepState, {description}: MinionState): number {
-  const {cpuMilli, gpus, memoryMb} = shape.resources;
-  const {capacity} = description;
-  return Math.min(
-    shape.maxPerMinion ?? Infinity,
-    Math.floor(capacity.cpuMilli / Math.max(1, cpuMilli)),
-    gpus > 0 ? Math.floor(capacity.gpus / gpus) : Infinity,
-    memoryMb > 0 ? Math.floor(capacity.memoryMb / memoryMb) : Infinity,
-  );
-}
-
-/** Whether minions could take so many tasks of the step at once if nothing else ran there. */
-function isPlaceable(step: StepState, minions: readonly MinionState[], tasks: number): boolean {
-  let fitting = 0;
+/** Whether a minion could take one more task of the step if nothing ran there but its own tasks. */
+function isPlaceable(step: StepState, minions: readonly MinionState[]): boolean {
+  const {cpuMilli, gpus, memoryMb} = step.shape.resources;
   return minions.some((minion) => {
-    fitting += meetsConstraints(step, minion) ? countFitting(step, minion) : 0;
-    return fitting >= tasks;
+    const {capacity} = minion.description;
+    return (
+      cpuMilli <= capacity.cpuMilli &&
+      gpus <= capacity.gpus &&
+      memoryMb <= capacity.memoryMb &&
+      meetsConstraints(step, minion)
+    );
   });
 }
 
-/** Returns the processors that the waiting tasks of a gang need. */
-function measureGang({shape, waiting}: StepState): number {
-  return waiting.size * shape.resources.cpuMilli;
-}
-
 /** The room of one service in one planning round. */
 interface ServiceDivisions {
   readonly byPriority: Map<number, RoomDivision>;
@@ -66,7 +54,7 @@
   /** Steps whose interrupted tasks had their turn. */
   readonly #restarted = new Set<StepState>();
   readonly #wall: WallTime;
-  /** Steps of the present pass. */
+  /** Steps of the present pass, without gangs. */
   #steps: ReadonlySet<StepState> = new Set();
 
   constructor(
@@ -93,7 +81,7 @@
         }
       }
     }
-    this.#steps = new Set([...steps].filter(({shape}) => shape.longRunning));
+    this.#steps = new Set([...steps].filter(({shape}) => shape.longRunning && !shape.gang));
   }
 
   /**
@@ -129,34 +117,6 @@
     return [...interrupted, ...admitted];
   }
 
-  /**
-   * Whether all tasks of a gang may start: where some were interrupted in any case, otherwise below the limit. A gang
-   * that is larger than the limit would never start below it.
-   */
-  admitsGang(step: StepState, minions: readonly MinionState[]): boolean {
-    const room = measureLongRunningRoom(minions);
-    const neededMilli = measureGang(step);
-    if (hasInterruptedTask(step) || neededMilli > room.limitMilli) {
-      return true;
-    }
-    const division = this.#findDivision(step, minions, room);
-    const isFree = neededMilli <= room.limitMilli - room.reservedMilli;
-    const isAdmitted = isFree && division.take(step, Infinity) > 0;
-    if (!isAdmitted) {
-      step.limitedAt = this.#now;
-      this.#recordWait(step, 'limit', room);
-    }
-    return isAdmitted;
-  }
-
-  /** Gives the room of a gang that was admitted and for which there are no minions to the other steps of the pass. */
-  releaseGang(step: StepState, minions: readonly MinionState[]): void {
-    step.blockedAt = this.#now;
-    if (measureGang(step) <= measureLongRunningRoom(minions).limitMilli) {
-      this.release(step, [...step.waiting], minions);
-    }
-  }
-
   /** Gives the room of admitted tasks for which there is no minion to the other steps of the pass. */
   release(step: StepState, admitted: readonly number[], minions: readonly MinionState[]): void {
     const isUnused = (index: number): boolean =>
@@ -229,17 +189,11 @@
 
   #describeClaim(step: StepState, minions: readonly MinionState[], limitMilli: number): ShareClaim {
     const waiting = isInBackoff(step, this.#now) ? [] : this.#listStartable(step);
-    const {gang, resources} = step.shape;
-    const tasks = waiting.filter((index) => !isInterruptedTask(step, index)).length;
-    const isWhole = step.liveRuns === 0 && tasks === step.waiting.size;
-    const together = gang ? tasks : 1;
     return {
       atWork: countTasksAtWork(this.#fleet, step),
-      isPlaceable:
-        together * resources.cpuMilli <= limitMilli && isPlaceable(step, minions, together),
+      isPlaceable: step.shape.resources.cpuMilli <= limitMilli && isPlaceable(step, minions),
       step,
-      tasks: gang && !isWhole ? 0 : tasks,
-      together,
+      tasks: waiting.filter((index) => !isInterruptedTask(step, index)).length,
     };
   }
 
--- a/packages/nutmegproxy-scheduling/src/StartPlanner.ts
+++ b/packages/nutmegproxy-scheduling/src/StartPlanner.ts
@@ -308,9 +308,6 @@
       return;
     }
     const minions = this.#listMinions(step);
-    if (step.shape.longRunning && !this.#longRunningStarts.admitsGang(step, minions)) {
-      return;
-    }
     const racks = step.shape.rackLocal
       ? [...new Set(minions.map(({description}) => description.rack))].map((rack) =>
           minions.filter(({description}) => description.rack === rack),
@@ -322,9 +319,6 @@
         return;
       }
     }
-    if (step.shape.longRunning) {
-      this.#longRunningStarts.releaseGang(step, minions);
-    }
   }
 
   /** Whether a step's first placed task, which ends its wait, changes its costs; undefined when that is not known. */
