--- a/packages/nutmegproxy-owner/src/RecoveryRecord.ts
+++ b/packages/nutmegproxy-owner/src/RecoveryRecord.ts
@@ -10,7 +10,6 @@
  */
 
 import type {Clock, EventSink, Instant, MinionId, WallTime} from '@nutmegproxy/core';
-import type {TrustSnapshot} from '@nutmegproxy/scheduling';
 import type {PlatformStore, StoreFailure} from '@nutmegproxy/store';
 import type {Result} from 'neverthrow';
 
@@ -51,23 +50,10 @@
   readonly id: MinionId;
 }
 
-/** A minion that the writer of the record does not trust; its times count from the write. */
-export interface UntrustedMinion extends TrustSnapshot {
-  readonly id: MinionId;
-}
-
-/** What a former owner stored of a minion that it did not trust. */
-export interface FormerTrust {
-  readonly snapshot: TrustSnapshot;
-  readonly storedBy: Instant;
-}
-
-/** Stored value. A minion that is neither awaited nor used has no run of the writer's term or an earlier one. */
+/** Stored value. A minion in neither list has no run of the writer's term or an earlier one. */
 interface StoredRecovery {
   readonly awaited: readonly AwaitedMinion[];
   readonly term: number;
-  /** Absent in records of earlier versions. */
-  readonly untrusted?: readonly UntrustedMinion[] | undefined;
   /** Minions that the writer may have used. */
   readonly used: readonly MinionId[];
 }
@@ -82,7 +68,6 @@
 
 export class RecoveryRecord {
   #former: ReadonlyMap<MinionId, FormerUse> | undefined;
-  #formerTrust: ReadonlyMap<MinionId, FormerTrust> = new Map();
   #isMalformed = false;
   readonly #key: string;
   readonly #options: RecoveryRecordOptions;
@@ -90,8 +75,6 @@
   readonly #used = new Set<MinionId>();
   /** Returns the minions that this owner has not used and that may have runs of former owners. */
   listAwaited: () => readonly AwaitedMinion[] = () => [];
-  /** Returns the minions that this owner does not trust. */
-  listUntrusted: () => readonly UntrustedMinion[] = () => [];
   readonly #writer: RecordWriter;
 
   constructor(options: RecoveryRecordOptions) {
@@ -121,11 +104,6 @@
       : this.#former.get(id);
   }
 
-  /** Returns what the last owner that wrote the record knew of a minion that it did not trust. */
-  findFormerTrust(id: MinionId): FormerTrust | undefined {
-    return this.#formerTrust.get(id);
-  }
-
   /** Reads what the former owners recorded. */
   async read(): Promise<Result<void, StoreFailure>> {
     const {clock, ownership} = this.#options;
@@ -148,7 +126,6 @@
       this.#former = isCurrent
         ? indexFormerUses(former, ownership.formerLeaseTerm, storedBy)
         : undefined;
-      this.#formerTrust = indexFormerTrust(former, storedBy);
     }
     return ok(undefined);
   }
@@ -179,7 +156,6 @@
     const record: StoredRecovery = {
       awaited: this.listAwaited(),
       term: this.#options.ownership.term,
-      untrusted: this.listUntrusted(),
       used: [...this.#used],
     };
     return this.#record.write(Buffer.from(JSON.stringify(record)));
@@ -187,20 +163,12 @@
 }
 
 function parseRecovery(text: string): StoredRecovery | undefined {
-  const stored = (parseJson(text).unwrapOr(null) ?? {}) as Partial<StoredRecovery>;
-  const {awaited, term, untrusted = [], used} = stored;
+  const {awaited, term, used} = (parseJson(text).unwrapOr(null) ?? {}) as Partial<StoredRecovery>;
   return Array.isArray(awaited) && Array.isArray(used) && term !== undefined
-    ? {awaited, term, untrusted: Array.isArray(untrusted) ? untrusted : [], used}
+    ? {awaited, term, used}
     : undefined;
 }
 
-function indexFormerTrust(
-  {untrusted = []}: StoredRecovery,
-  storedBy: Instant,
-): ReadonlyMap<MinionId, FormerTrust> {
-  return new Map(untrusted.map(({id, ...snapshot}) => [id, {snapshot, storedBy}]));
-}
-
 /**
  * Returns what is known of each minion. The owners after the writer stored nothing, and those after
  * `formerLeaseTerm`, which the writer may be one of, granted no lease. Durations count from `storedBy`.
