--- a/packages/nutmegproxy-scheduling/src/__tests__/unit/LongRunningGangHolds.test.ts
+++ b/packages/nutmegproxy-scheduling/src/__tests__/unit/LongRunningGangHolds.test.ts
@@ -31,6 +31,27 @@
   });
 });
 
+describe('A lasting gang that needs most of the room', () => {
+  // Guards against half of a fleet that stands free for a gang which never gets enough of it.
+  it('starts within a hundred ends of others, or leaves them the room', () => {
+    const sample = new SampleFleet(10);
+    const narrow = addNarrow(sample, 200);
+    assert.equal(sample.plan(0).length, LIMIT);
+    const gang = sample.addJob('proofs', [shape({count: 24, gang: true, longRunning: true})], -1);
+    let sum = 0;
+    for (let round = 1; round <= 100; round += 1) {
+      const ended = narrow.find((job) => job.hasLiveRuns && sample.fleet.jobs.has(job.id));
+      assert.ok(ended);
+      sample.finishRuns(ended, at(round * 1_000));
+      sample.fleet.jobs.delete(ended.id);
+      sample.plan(round * 1_000);
+      sum += narrow.filter(({hasLiveRuns}) => hasLiveRuns).length;
+    }
+    const mean = sum / 100;
+    assert.ok(gang.hasLiveRuns || mean >= LIMIT - 4, `${mean} of 40 cores are in use, on average`);
+  });
+});
+
 describe('A lasting gang of which a task was interrupted', () => {
   // Guards against room that was never given to the gang and that others get when it finds no minions.
   it('gives others no room that a larger job holds when it finds no minions', () => {
