Overdue backfill whose first placement is cut is not placed where it disturbs; stored ages have a bound

Seen (by the review, tests): (a) since, where the time is up within the first placement, the second one puts the step on a minion whose serving tasks have to bear it, though one that tolerates it was not tried (OverdueCut). (b) a stored age of a revision of any size is taken as it is, so that a malformed record makes all work overdue (RevisionAgesBounds).

(b) ages over MAX_AGE_MS, which no owner stores, are left out.

Both tests failed before and pass; OverdueTasks (5), StoredBackfill, RevisionAges (6), WaitsOverTakeovers (12) pass.

--- a/packages/nutmegproxy-owner/src/RevisionAges.ts
+++ b/packages/nutmegproxy-owner/src/RevisionAges.ts
@@ -25,7 +25,8 @@
   const pairs: readonly unknown[] = Array.isArray(stored) ? stored : [];
   return pairs.filter((pair): pair is RevisionAge => {
     const [revision, ageMs] = Array.isArray(pair) ? (pair as readonly unknown[]) : [];
-    return Number.isFinite(revision) && Number.isFinite(ageMs) && Number(ageMs) >= 0;
+    const isAge = Number.isFinite(ageMs) && Number(ageMs) >= 0 && Number(ageMs) <= MAX_AGE_MS;
+    return Number.isFinite(revision) && isAge;
   });
 }
 
--- a/packages/nutmegproxy-scheduling/src/StartPlanner.ts
+++ b/packages/nutmegproxy-scheduling/src/StartPlanner.ts
@@ -175,7 +175,9 @@
   #placeStep(step: StepState, budget: StartBudget): void {
     const starts = this.#starts.length;
     this.#placeTasksOrGang(step, budget);
-    if (this.#overdueBackfill.has(step) && this.#starts.length === starts) {
+    const hasStarted = this.#starts.length > starts;
+    // Where the first placement was cut, a minion that tolerates the step may not have been tried.
+    if (this.#overdueBackfill.has(step) && !hasStarted && !this.#isStepCut) {
       this.#borne = step;
       this.#placeTasksOrGang(step, new StartBudget(Math.min(1, budget.remaining)));
       this.#borne = undefined;
