--- a/packages/nutmegproxy-scheduling/src/LongRunningStarts.ts
+++ b/packages/nutmegproxy-scheduling/src/LongRunningStarts.ts
@@ -106,7 +106,7 @@
     const room = measureLongRunningRoom(minions);
     const freeMilli = room.limitMilli - room.reservedMilli - interrupted.length * cpuMilli;
     const freeTasks = Math.max(0, Math.floor(freeMilli / Math.max(1, cpuMilli)));
-    const division = this.#findDivision(step, minions, room);
+    const division = this.#findDivision(step, minions);
     const admitted = others.slice(0, division.take(step, Math.min(freeTasks, others.length)));
     if (admitted.length < others.length) {
       if (admitted.length === 0) {
@@ -123,7 +123,7 @@
       step.waiting.has(index) && !isInterruptedTask(step, index);
     const unused = admitted.filter(isUnused).length;
     if (unused > 0) {
-      this.#findDivision(step, minions, measureLongRunningRoom(minions)).release(step, unused);
+      this.#findDivision(step, minions).release(step, unused);
     }
   }
 
@@ -137,7 +137,7 @@
     const isFirstVisit = hasInterruptedTask(step) && !this.#restarted.has(step);
     this.#restarted.add(step);
     if (this.#steps.has(step) && !isFirstVisit && isBlocked) {
-      const division = this.#findDivision(step, minions, measureLongRunningRoom(minions));
+      const division = this.#findDivision(step, minions);
       division.release(step, division.take(step, Infinity));
     }
   }
@@ -149,17 +149,14 @@
   }
 
   /** Returns the room of the step's service and priority, divided when a step first asks for it. */
-  #findDivision(
-    step: StepState,
-    minions: readonly MinionState[],
-    {capacityMilli, limitMilli, reservedMilli}: LongRunningRoom,
-  ): RoomDivision {
+  #findDivision(step: StepState, minions: readonly MinionState[]): RoomDivision {
     const {priority, service} = this.#fleet.resolveQueuePolicy(step.job);
     const {byPriority} = this.#findDivisions(service, minions.length);
     const known = byPriority.get(priority);
     if (known !== undefined) {
       return known;
     }
+    const {capacityMilli, limitMilli, reservedMilli} = measureLongRunningRoom(minions);
     const isHeld = [...byPriority.values()].some((each) => each.isHeld);
     const freeMilli = isHeld ? 0 : limitMilli - reservedMilli;
     const claims = [...this.#steps]
