Long-running steps are ordered without estimates that they don't use

Their remaining work and punctuality were computed and thrown away, and first starts were a copy of the interrupted ones with another weight.

--- a/packages/nutmegproxy-scheduling/src/JobOrder.ts
+++ b/packages/nutmegproxy-scheduling/src/JobOrder.ts
@@ -69,11 +69,6 @@
   return endMs <= job.objectiveMs * OVERDUE_OBJECTIVE_RATIO ? 'late' : 'overdue';
 }
 
-/** A long-running job keeps its processors, so that its duration says nothing of what others wait for. */
-function weigh({shape, waiting}: StepState, remainingCoreMs: number): number {
-  return shape.longRunning ? waiting.size * shape.resources.cpuMilli : remainingCoreMs;
-}
-
 function compareSteps(a: OrderedStep, b: OrderedStep): number {
   return (
     a.priority - b.priority ||
@@ -84,6 +79,32 @@
   );
 }
 
+/** Reduces a weight for the time that a job has waited. */
+function ageWeight(weight: number, elapsedMs: number): number {
+  return weight / (1 + elapsedMs / AGING_HALF_WEIGHT_MS);
+}
+
+/** A long-running job keeps its processors, so that its duration says nothing of what others wait for. */
+function describeLongRunning(
+  fleet: Fleet,
+  step: StepState,
+  priority: number,
+  elapsedMs: number,
+): OrderedStep[] {
+  const {shape, waiting} = step;
+  const common = {priority, rank: LONG_RUNNING_RANK, step};
+  const described: OrderedStep[] = [];
+  if (hasInterruptedTask(step)) {
+    const weight = ageWeight(waiting.size * shape.resources.cpuMilli, elapsedMs);
+    described.push({...common, isInterrupted: true, weight});
+  }
+  if ([...waiting].some((index) => !isInterruptedTask(step, index))) {
+    const weight = computeNextShare(countTasksAtWork(fleet, step), shape.count);
+    described.push({...common, isInterrupted: false, weight});
+  }
+  return described;
+}
+
 /**
  * Returns the steps in the order in which their tasks are placed, most urgent first. A long-running step of
  * which some tasks were interrupted and others have not run is there twice, at the place of each kind.
@@ -99,6 +120,9 @@
       const {job, occurrence} = step;
       const {priority, stretch, targetDurationMs} = fleet.resolveQueuePolicy(job);
       const elapsedMs = Math.max(0, wall - job.dueAt(occurrence));
+      if (step.shape.longRunning) {
+        return describeLongRunning(fleet, step, priority, elapsedMs);
+      }
       const remaining = estimator.estimateRemaining(job.occurrence(occurrence) ?? []);
       const objectiveMs = stretch * estimator.estimateCriticalPathMs(job) + targetDurationMs;
       const punctuality = classifyPunctuality({
@@ -106,26 +130,9 @@
         objectiveMs,
         remainingMs: remaining.criticalPathMs,
       });
-      const ordered: OrderedStep = {
-        isInterrupted: hasInterruptedTask(step),
-        priority,
-        rank: step.shape.longRunning ? LONG_RUNNING_RANK : PUNCTUALITY_RANKS[punctuality],
-        step,
-        weight: weigh(step, remaining.coreMs) / (1 + elapsedMs / AGING_HALF_WEIGHT_MS),
-      };
-      if (!step.shape.longRunning) {
-        return [ordered];
-      }
-      const firstStarts = {
-        ...ordered,
-        isInterrupted: false,
-        weight: computeNextShare(countTasksAtWork(fleet, step), step.shape.count),
-      };
-      const hasFirstStarts = [...step.waiting].some((index) => !isInterruptedTask(step, index));
-      return [
-        ...(ordered.isInterrupted ? [ordered] : []),
-        ...(hasFirstStarts ? [firstStarts] : []),
-      ];
+      const rank = PUNCTUALITY_RANKS[punctuality];
+      const weight = ageWeight(remaining.coreMs, elapsedMs);
+      return [{isInterrupted: false, priority, rank, step, weight}];
     })
     .sort(compareSteps);
 }
