--- a/packages/nutmegproxy-core/src/index.ts
+++ b/packages/nutmegproxy-core/src/index.ts
@@ -38,6 +38,7 @@
 export type {DrainStart} from './LifecycleCommands.ts';
 export {DEFAULT_PLATFORM_BOUNDS} from './PlatformBounds.ts';
 export type {PlatformBounds} from './PlatformBounds.ts';
+export {findFirstIndex} from './SortedSearch.ts';
 export {mergeUnregister} from './Unregister.ts';
 export type {Unregister} from './Unregister.ts';
 export {WorkQueue} from './WorkQueue.ts';
--- a/packages/nutmegproxy-emulator/src/Agenda.ts
+++ b/packages/nutmegproxy-emulator/src/Agenda.ts
@@ -1,5 +1,7 @@
 /** Actions of a simulation in the order of their time. */
 
+import {findFirstIndex} from '@nutmegproxy/core';
+
 interface AgendaEntry {
   readonly action: () => void;
   readonly atMs: number;
@@ -16,17 +18,8 @@
 
   /** Adds an action; of those with the same time, the first one added runs first. */
   add(atMs: number, action: () => void): void {
-    let low = 0;
-    let high = this.#entries.length;
-    while (low < high) {
-      const middle = (low + high) >> 1;
-      if ((this.#entries[middle]?.atMs ?? 0) > atMs) {
-        low = middle + 1;
-      } else {
-        high = middle;
-      }
-    }
-    this.#entries.splice(low, 0, {action, atMs});
+    const index = findFirstIndex(this.#entries, (entry) => entry.atMs > atMs);
+    this.#entries.splice(index, 0, {action, atMs});
   }
 
   /** Runs the next action, whenever it is due. */
--- a/packages/nutmegproxy-owner/src/RevisionLog.ts
+++ b/packages/nutmegproxy-owner/src/RevisionLog.ts
@@ -5,6 +5,8 @@
 
 import type {Instant} from '@nutmegproxy/core';
 
+import {findFirstIndex} from '@nutmegproxy/core';
+
 /** Revisions that are remembered: those of the longest minion lease at hundreds of changes a second. */
 const MAX_ENTRIES = 4_096;
 /** Least time in milliseconds between two revisions before these that are remembered, and their number: for a minute. */
@@ -42,7 +44,7 @@
   /** Returns the earliest known instant by which the store had reached a revision; at most `now`. */
   findSeenAt(revision: number, now: Instant): Instant {
     const list = revision <= (this.#former.at(-1)?.revision ?? -1) ? this.#former : this.#sightings;
-    return list[findFirst(list, revision)]?.seenAt ?? now;
+    return list[findFirstIndex(list, (each) => each.revision < revision)]?.seenAt ?? now;
   }
 
   /** Returns what is remembered, oldest first. */
@@ -73,18 +75,3 @@
     return last?.seenAt ?? (-Infinity as Instant);
   }
 }
-
-/** Returns the position of the first sighting of a revision or a later one; the list's length if there is none. */
-function findFirst(list: readonly Sighting[], revision: number): number {
-  let start = 0;
-  let end = list.length;
-  while (start < end) {
-    const middle = Math.floor((start + end) / 2);
-    if ((list[middle]?.revision ?? Infinity) < revision) {
-      start = middle + 1;
-    } else {
-      end = middle;
-    }
-  }
-  return start;
-}
--- a/packages/nutmegproxy-scheduling/src/LongRunningShares.ts
+++ b/packages/nutmegproxy-scheduling/src/LongRunningShares.ts
@@ -5,6 +5,8 @@
 
 import type {StepState} from '@nutmegproxy/jobs';
 
+import {findFirstIndex} from '@nutmegproxy/core';
+
 import type {Fleet} from './Fleet.ts';
 
 import {isStartableTask} from './ReadySteps.ts';
@@ -72,18 +74,8 @@
 
 /** Inserts a claim into claims in the order of their shares. */
 function insertClaim(claims: ShareClaim[], claim: ShareClaim): void {
-  let low = 0;
-  let high = claims.length;
-  while (low < high) {
-    const middle = (low + high) >>> 1;
-    const other = claims[middle];
-    if (other !== undefined && compareClaims(other, claim) < 0) {
-      low = middle + 1;
-    } else {
-      high = middle;
-    }
-  }
-  claims.splice(low, 0, claim);
+  const index = findFirstIndex(claims, (other) => compareClaims(other, claim) < 0);
+  claims.splice(index, 0, claim);
 }
 
 /**
