A test of silent minions keeps the roster it waits for, whatever polls see of it

Cause: the test waits for the record that names a draining minion's run, and only then lets further writes fail. Change: the store itself keeps the record: the write that names the run is the last one of the roster that succeeds. What the test asks of the next owner is unchanged; the replaced record was never stored before either.

--- a/packages/nutmegproxy-emulator/src/__tests__/unit/SilentMinions.test.ts
+++ b/packages/nutmegproxy-emulator/src/__tests__/unit/SilentMinions.test.ts
@@ -14,7 +14,7 @@
 import {EmulatedMachineList} from '../../EmulatedMachineList.ts';
 import {CrashHarness} from './CrashHarness.ts';
 import {createStepShape, createStoredJob, submitJob, waitFor} from './JobSamples.ts';
-import {isWriteOf, waitForRoster} from './StoreSamples.ts';
+import {readWrite, waitForRoster} from './StoreSamples.ts';
 import {PLATFORMS, sleep, TakeoverHarness} from './TakeoverHarness.ts';
 
 /** Time in milliseconds after its last run within which a long-running task has to run again. */
@@ -101,9 +101,14 @@
     });
 
     it('does not hold a task whose later run has ended on a minion that reports', async () => {
-      let draining = 0;
-      const isFailing = (args: readonly unknown[]): boolean =>
-        draining > 0 && isWriteOf(ROSTER_KEY, args);
+      // The store keeps the record that names the run; what replaces it is not stored any more.
+      let isKept = false;
+      const isFailing = (args: readonly unknown[]): boolean => {
+        const roster = readWrite(ROSTER_KEY, args);
+        const fails = isKept && roster !== undefined;
+        isKept ||= roster?.includes('"draining":{"runs":[[') ?? false;
+        return fails;
+      };
       const first = await harness.startKillable('vm-1', isFailing);
       await submitLastingJob();
       await waitFor('the task runs', () => minion.liveTasks.length === 1);
@@ -112,11 +117,7 @@
       await sleep(SETTLED_MS);
       minion.description = {...minion.description, isDraining: true};
       harness.fleet.add(minion);
-      // The store keeps the record that names the run; what replaces it is not stored any more.
-      await waitForRoster(harness.store, (roster) => {
-        draining += Number(roster.includes('"draining":{"runs":[['));
-        return draining > 0;
-      });
+      await waitForRoster(harness.store, (roster) => roster.includes('"draining":{"runs":[['));
       await waitFor('the task runs on the other minion', () => other.liveTasks.length === 1);
       await sleep(SETTLED_MS);
       await first.kill();
--- a/packages/nutmegproxy-emulator/src/__tests__/unit/StoreSamples.ts
+++ b/packages/nutmegproxy-emulator/src/__tests__/unit/StoreSamples.ts
@@ -1,7 +1,7 @@
 /** Views of a store for the tests of this package. */
 
 import type {MemoryStore} from '@nutmegproxy/standins';
-import type {PlatformStore} from '@nutmegproxy/store';
+import type {Operation, PlatformStore, Transaction} from '@nutmegproxy/store';
 
 import {STATE_PREFIX} from '@nutmegproxy/jobs';
 import {getKey} from '@nutmegproxy/store';
@@ -98,6 +98,23 @@
   return text.includes('"put"') && text.includes(key);
 }
 
+/** Returns the text that the arguments of a store call write to a key; undefined if they don't. */
+export function readWrite(key: string, args: readonly unknown[]): string | undefined {
+  const read = (operation: Operation): string | undefined => {
+    switch (operation.kind) {
+      case 'put':
+        return operation.key === key ? operation.value.toString() : undefined;
+      case 'transaction':
+        return readAll(operation.transaction);
+      default:
+        return undefined;
+    }
+  };
+  const readAll = ({then}: Transaction): string | undefined =>
+    then.map(read).find((text) => text !== undefined);
+  return isWriteOf(key, args) ? readAll(args[0] as Transaction) : undefined;
+}
+
 /** Waits until the stored roster meets a condition. */
 export function waitForRoster(
   store: MemoryStore,
