A recovery record with a malformed awaited minion no longer ends the read of its owner

What callers would see: nobody owns the cell: each VM that takes over throws while it reads the record ("Cannot destructure property 'heldForMs' of 'object null'") and does not act. Cause: parseRecovery checked that `awaited` is a list, not its entries. Change: a record with an entry that names no minion is malformed as a whole and logged as such; then any former owner may have used any minion, which is safe. No change for records that owners write.

--- a/packages/nutmegproxy-owner/src/RecoveryRecord.ts
+++ b/packages/nutmegproxy-owner/src/RecoveryRecord.ts
@@ -115,7 +115,7 @@
       const former = parseRecovery(stored.value.value.toString());
       this.#isMalformed = former === undefined;
       if (former === undefined) {
-        const message = 'term, awaited or used is missing';
+        const message = 'term, awaited or used is missing or malformed';
         this.#options.events.record(OWNER_EVENTS.RECORD_MALFORMED, {key: this.#key, message});
         return ok(undefined);
       }
@@ -162,11 +162,15 @@
   }
 }
 
+/** Whether an entry names a minion. */
+function isNamed(entry: unknown): boolean {
+  return typeof (Object(entry) as {readonly id?: unknown}).id === 'string';
+}
+
 function parseRecovery(text: string): StoredRecovery | undefined {
   const {awaited, term, used} = (parseJson(text).unwrapOr(null) ?? {}) as Partial<StoredRecovery>;
-  return Array.isArray(awaited) && Array.isArray(used) && term !== undefined
-    ? {awaited, term, used}
-    : undefined;
+  const isWhole = Array.isArray(awaited) && awaited.every(isNamed) && Array.isArray(used);
+  return isWhole && term !== undefined ? {awaited, term, used} : undefined;
 }
 
 /**
