Owners pass on which minions they do not trust: aged, checked, and only where others can do the work

What callers saw: attempts used up. Cause: MinionTrust and MinionQuarantine are memory of one owner. Ruled out: counting the age by wall clocks, which differ between VMs; writing the record again only to renew ages, as it names all used minions.

--- a/packages/nutmegproxy-owner/src/MinionSessions.ts
+++ b/packages/nutmegproxy-owner/src/MinionSessions.ts
@@ -30,6 +30,7 @@
 import {recordRunEnds} from './RecordedRunEnds.ts';
 import {RecoveryRecord} from './RecoveryRecord.ts';
 import {describeSuspects} from './SuspectRecords.ts';
+import {TrustHandover} from './TrustHandover.ts';
 
 export interface MinionSessionsOptions {
   readonly bounds: Pick<PlatformBounds, 'drainMs'>;
@@ -57,6 +58,7 @@
   readonly #options: MinionSessionsOptions;
   readonly #sessions = new Map<MinionId, MinionSession>();
   #stopped = false;
+  readonly #trust: TrustHandover;
   #watch: MinionWatch | undefined;
 
   constructor(options: MinionSessionsOptions) {
@@ -64,6 +66,7 @@
     const {bounds, session, store} = options;
     this.#directoryAge = new DirectoryAge(bounds.drainMs);
     const record = new RecoveryRecord({...session, store});
+    this.#trust = new TrustHandover({...options, record});
     this.recovery = new MinionRecovery({...options, ownership: session.ownership, record});
     this.#enrollment = new MinionEnrollment({
       ...options,
@@ -209,6 +212,7 @@
    */
   sweep(confirmedAt: Instant, now: Instant): void {
     this.recovery.refreshLeaseTimes(now);
+    this.#trust.refresh(now);
     this.#drainingRecords.update(this.#listDraining(), now);
     for (const [id, {minion}] of this.#sessions) {
       if (!minion.leaseClock.isExpired(confirmedAt)) {
@@ -311,6 +315,7 @@
     }
     this.#assumeUsualLeases(minion.id);
     this.recovery.expect(minion, entry, now);
+    this.#trust.receive(minion);
   }
 
   #listDraining(): MinionSession[] {
--- a/packages/nutmegproxy-owner/src/RecoveryRecord.ts
+++ b/packages/nutmegproxy-owner/src/RecoveryRecord.ts
@@ -10,11 +10,13 @@
  */
 
 import type {Clock, EventSink, Instant, MinionId, WallTime} from '@nutmegproxy/core';
+import type {TrustSnapshot} from '@nutmegproxy/scheduling';
 import type {PlatformStore, StoreFailure} from '@nutmegproxy/store';
 import type {Result} from 'neverthrow';
 
-import {after} from '@nutmegproxy/core';
+import {after, brand} from '@nutmegproxy/core';
 import {formatRecordKey} from '@nutmegproxy/jobs';
+import {parseTrustSnapshot} from '@nutmegproxy/scheduling';
 import {err, ok} from 'neverthrow';
 
 import type {FleetOwnership} from './FleetOwnership.ts';
@@ -50,10 +52,22 @@
   readonly id: MinionId;
 }
 
-/** Stored value. A minion in neither list has no run of the writer's term or an earlier one. */
+/** A minion that the writer of the record does not trust; its times count from the write. */
+export interface UntrustedMinion extends TrustSnapshot {
+  readonly id: MinionId;
+}
+
+/** What a former owner stored of a minion that it did not trust. */
+export interface FormerTrust {
+  readonly snapshot: TrustSnapshot;
+  readonly storedBy: Instant;
+}
+
+/** Stored value. A minion that is neither awaited nor used has no run of the writer's term or an earlier one. */
 interface StoredRecovery {
   readonly awaited: readonly AwaitedMinion[];
   readonly term: number;
+  readonly untrusted: readonly UntrustedMinion[];
   /** Minions that the writer may have used. */
   readonly used: readonly MinionId[];
 }
@@ -68,6 +82,7 @@
 
 export class RecoveryRecord {
   #former: ReadonlyMap<MinionId, FormerUse> | undefined;
+  #formerTrust: ReadonlyMap<MinionId, FormerTrust> = new Map();
   #isMalformed = false;
   readonly #key: string;
   readonly #options: RecoveryRecordOptions;
@@ -75,6 +90,8 @@
   readonly #used = new Set<MinionId>();
   /** Returns the minions that this owner has not used and that may have runs of former owners. */
   listAwaited: () => readonly AwaitedMinion[] = () => [];
+  /** Returns the minions that this owner does not trust. */
+  listUntrusted: () => readonly UntrustedMinion[] = () => [];
   readonly #writer: RecordWriter;
 
   constructor(options: RecoveryRecordOptions) {
@@ -104,6 +121,11 @@
       : this.#former.get(id);
   }
 
+  /** Returns what the last owner that wrote the record knew of a minion that it did not trust. */
+  findFormerTrust(id: MinionId): FormerTrust | undefined {
+    return this.#formerTrust.get(id);
+  }
+
   /** Reads what the former owners recorded. */
   async read(): Promise<Result<void, StoreFailure>> {
     const {clock, ownership} = this.#options;
@@ -126,6 +148,8 @@
       this.#former = isCurrent
         ? indexFormerUses(former, ownership.formerLeaseTerm, storedBy)
         : undefined;
+      const trustedBy = ownership.ages.findSeenAt(stored.value.modRevision, now);
+      this.#formerTrust = indexFormerTrust(former, trustedBy);
     }
     return ok(undefined);
   }
@@ -156,6 +180,7 @@
     const record: StoredRecovery = {
       awaited: this.listAwaited(),
       term: this.#options.ownership.term,
+      untrusted: this.listUntrusted(),
       used: [...this.#used],
     };
     return this.#record.write(Buffer.from(JSON.stringify(record)));
@@ -163,12 +188,32 @@
 }
 
 function parseRecovery(text: string): StoredRecovery | undefined {
-  const {awaited, term, used} = (parseJson(text).unwrapOr(null) ?? {}) as Partial<StoredRecovery>;
+  const stored = (parseJson(text).unwrapOr(null) ?? {}) as Partial<StoredRecovery>;
+  const {awaited, term, untrusted, used} = stored;
   return Array.isArray(awaited) && Array.isArray(used) && term !== undefined
-    ? {awaited, term, used}
+    ? {awaited, term, untrusted: parseUntrusted(untrusted), used}
     : undefined;
 }
 
+/** Returns the well-formed entries; none in records of earlier versions. */
+function parseUntrusted(stored: unknown): readonly UntrustedMinion[] {
+  const entries: readonly unknown[] = Array.isArray(stored) ? stored : [];
+  return entries.flatMap((entry) => {
+    const snapshot = parseTrustSnapshot(entry);
+    const {id} = Object(entry) as {readonly id?: unknown};
+    return snapshot === undefined || typeof id !== 'string'
+      ? []
+      : [{...snapshot, id: brand<MinionId>(id)}];
+  });
+}
+
+function indexFormerTrust(
+  {untrusted}: StoredRecovery,
+  storedBy: Instant,
+): ReadonlyMap<MinionId, FormerTrust> {
+  return new Map(untrusted.map(({id, ...snapshot}) => [id, {snapshot, storedBy}]));
+}
+
 /**
  * Returns what is known of each minion. The owners after the writer stored nothing, and those after
  * `formerLeaseTerm`, which the writer may be one of, granted no lease. Durations count from `storedBy`.
--- a/packages/nutmegproxy-scheduling/src/ListingReconciler.ts
+++ b/packages/nutmegproxy-scheduling/src/ListingReconciler.ts
@@ -7,7 +7,7 @@
 import type {MinionState} from './MinionState.ts';
 
 import {dropUnsentTrials, resolveTrials} from './CrashRecorder.ts';
-import {recordFailureOf} from './MinionQuarantine.ts';
+import {recordFailureOf, reviewFormerDistrust} from './MinionQuarantine.ts';
 import {reviewTrials} from './TrialReview.ts';
 
 /** Progress of a live run, as listed by its minion. */
@@ -202,6 +202,7 @@
   const mayHaveOmitted = !minion.hasReported || minion.mayOmitResults;
   minion.mayOmitResults = listing.mayOmitResults;
   minion.lapsedRuns = [];
+  reviewFormerDistrust(fleet, minion, now);
   if (!minion.hasReported) {
     resolveTrials(fleet, minion, now);
   }
--- a/packages/nutmegproxy-scheduling/src/SchedulingEvents.ts
+++ b/packages/nutmegproxy-scheduling/src/SchedulingEvents.ts
@@ -39,7 +39,7 @@
   MINION_TRUSTED: {
     code: 8021,
     level: 'info',
-    text: 'The quarantine of a minion ended: a run succeeded or goes on without failing.',
+    text: 'A minion is trusted again: a run succeeded or goes on, or what a former owner stored has ended.',
   },
   MINION_UNTRUSTED: {
     code: 8026,
--- a/packages/nutmegproxy-scheduling/src/__tests__/unit/MinionTrust.test.ts
+++ b/packages/nutmegproxy-scheduling/src/__tests__/unit/MinionTrust.test.ts
@@ -46,6 +46,72 @@
     assert.equal(trust.hasRecentFailures(at(1)), false);
   });
 
+  describe('that a former owner passed on', () => {
+    const BORN_AT = 1_000;
+
+    /** Returns the trust of the next owner in a minion that has failed just before the takeover at 0 ms. */
+    function passOn(bornAt: number | undefined = BORN_AT): MinionTrust {
+      const former = new MinionTrust();
+      former.recordFailure(JOB_A, at(-100));
+      former.recordFailure(JOB_B, at(-100));
+      const snapshot = former.export(bornAt, at(0));
+      assert.ok(snapshot);
+      const trust = new MinionTrust();
+      trust.import(snapshot, at(0));
+      return trust;
+    }
+
+    it('allows the next trial when it was due', () => {
+      const trust = passOn();
+      assert.equal(trust.level(at(1_899)), 'quarantined');
+      assert.equal(trust.level(at(1_900)), 'trial');
+    });
+
+    it('is quarantined anew by one failure', () => {
+      const trust = passOn();
+      assert.ok(trust.recordFailure(JOB_A, at(2_000)));
+      assert.equal(trust.level(at(5_999)), 'quarantined');
+      assert.equal(trust.level(at(6_000)), 'trial');
+    });
+
+    it('ends 8 s after the last failure, however many owners pass it on', () => {
+      let trust = passOn();
+      for (let now = 3_000; now < 7_900; now += 1_000) {
+        const snapshot = trust.export(BORN_AT, at(now));
+        assert.ok(snapshot);
+        trust = new MinionTrust();
+        trust.import(snapshot, at(now));
+      }
+      assert.equal(trust.level(at(7_899)), 'trial');
+      assert.equal(trust.level(at(7_900)), 'trusted');
+      assert.equal(trust.hasRecentFailures(at(7_900)), false);
+      assert.equal(trust.export(BORN_AT, at(7_900)), undefined);
+      assert.equal(trust.endFormerDistrust(BORN_AT, at(7_900)), 'time');
+    });
+
+    it('ends when the minion is found restarted, and is kept while it is not', () => {
+      const trust = passOn();
+      assert.equal(trust.endFormerDistrust(BORN_AT, at(100)), undefined);
+      assert.equal(trust.level(at(100)), 'quarantined');
+      assert.equal(trust.endFormerDistrust(BORN_AT + 1, at(100)), 'restart');
+      assert.equal(trust.level(at(100)), 'trusted');
+      assert.equal(trust.recordFailure(JOB_A, at(200)), false);
+    });
+
+    it('does not end by the restart of a minion that has failed since', () => {
+      const trust = passOn();
+      trust.recordFailure(JOB_A, at(2_000));
+      assert.equal(trust.endFormerDistrust(BORN_AT + 1, at(2_100)), undefined);
+      assert.equal(trust.level(at(2_100)), 'quarantined');
+    });
+
+    it('is nothing for a minion that is trusted', () => {
+      const trust = new MinionTrust();
+      trust.recordFailure(JOB_A, at(0));
+      assert.equal(trust.export(BORN_AT, at(1)), undefined);
+    });
+  });
+
   describe('with one minion on which every run fails', () => {
     /** Runs jobs of one task on four minions; every run on m1 fails. Returns the failed jobs. */
     function countFailedJobs(jobs: number): number {
--- a/packages/nutmegproxy-scheduling/src/__tests__/unit/WaitPlay.ts
+++ b/packages/nutmegproxy-scheduling/src/__tests__/unit/WaitPlay.ts
@@ -9,6 +9,7 @@
 import type {DrawnFault, DrawnPlay, MeasuredWait} from './WaitSamples.ts';
 
 import {findUnavailability} from '../../MinionAvailability.ts';
+import {describeDistrust, receiveDistrust, reviewFormerDistrust} from '../../MinionQuarantine.ts';
 import {PendingTaskJudge} from '../../PendingTaskReason.ts';
 import {meetsConstraints} from '../../Placement.ts';
 import {RunProgressMonitor} from '../../RunProgressMonitor.ts';
@@ -39,8 +40,8 @@
     this.#sample = this.#createSample();
   }
 
-  /** Returns the longest wait of each job after the last event. */
-  play(forMs: number): readonly MeasuredWait[] {
+  /** Returns the longest wait of each job from `sinceMs` until some time after the last event. */
+  play(forMs: number, sinceMs: number): readonly MeasuredWait[] {
     const lastEventMs = findLastEvent(this.#drawn);
     const longest = new Map<number, MeasuredWait>();
     for (let now = 0; now <= lastEventMs + forMs; now += TICK_MS) {
@@ -48,7 +49,7 @@
       this.#addJobs(now);
       this.#start(now);
       this.#list(now);
-      for (const wait of this.#measure(now, lastEventMs)) {
+      for (const wait of this.#measure(now, sinceMs)) {
         const known = longest.get(wait.job);
         const longer = wait.waitedMs > (known?.waitedMs ?? 0) ? wait : known;
         if (longer !== undefined) {
@@ -79,7 +80,7 @@
     }
   }
 
-  /** A new owner knows what is stored and what minions list, and no beliefs of the former one. */
+  /** A new owner knows what is stored and what minions list, and no other beliefs of the former one. */
   #takeOver(now: number): void {
     const {fleet} = this.#sample;
     fleet.recoveryRevision = now < this.#recoveredAtMs ? Infinity : 0;
@@ -88,6 +89,7 @@
       return;
     }
     const former = this.#jobs.splice(0);
+    const {minions} = this.#sample.fleet;
     this.#sample = this.#createSample();
     const next = this.#sample;
     this.#owners += 1;
@@ -101,6 +103,17 @@
       this.#jobs.push(known);
       copyJob(job, known, next, at(now));
     }
+    for (const minion of next.fleet.minions.values()) {
+      const known = minions.get(minion.id);
+      const snapshot = known && describeDistrust(known, at(now));
+      if (snapshot !== undefined && this.#drawn.forgetsTrust !== true) {
+        receiveDistrust(next.fleet, minion, snapshot, at(now));
+      }
+    }
+    // Minions report before they get work.
+    for (const minion of next.fleet.minions.values()) {
+      reviewFormerDistrust(next.fleet, minion, at(now));
+    }
   }
 
   #start(now: number): void {
@@ -155,13 +168,14 @@
           fleet.finishRun(run, outcome, undefined, at(now));
         }
       }
+      reviewFormerDistrust(fleet, minion, at(now));
       monitor.checkProgress(fleet, minion, at(now));
     }
     fleet.pendingStops.length = 0;
   }
 
-  #measure(now: number, lastEventMs: number): readonly MeasuredWait[] {
-    const waiting = now < lastEventMs ? [] : this.#jobs.flatMap((job) => listWaiting(job));
+  #measure(now: number, sinceMs: number): readonly MeasuredWait[] {
+    const waiting = now < sinceMs ? [] : this.#jobs.flatMap((job) => listWaiting(job));
     const names = new Set<string>();
     const measured: MeasuredWait[] = [];
     for (const {index, step} of waiting.filter(({step: each}) => this.#hasRoom(each))) {
@@ -174,7 +188,7 @@
       measured.push({
         fromMs: wait.fromMs,
         job,
-        lateMs: Math.max(0, now - Math.max(wait.fromMs, lastEventMs + FINISH_MS)),
+        lateMs: Math.max(0, now - Math.max(wait.fromMs, sinceMs + FINISH_MS)),
         reasons: [...wait.reasons],
         waitedMs: now - wait.fromMs,
       });
@@ -224,11 +238,15 @@
 }
 
 /**
- * Returns the longest wait of each job after the last event of the play.
+ * Returns the longest wait of each job from `sinceMs`, by default from the last event of the play.
  *
  * @example
  * measureWaits({faults: [], jobs, minions: 3, takeovers: []}, 30_000);
  */
-export function measureWaits(drawn: DrawnPlay, forMs: number): readonly MeasuredWait[] {
-  return new WaitPlay(drawn).play(forMs);
+export function measureWaits(
+  drawn: DrawnPlay,
+  forMs: number,
+  sinceMs = findLastEvent(drawn),
+): readonly MeasuredWait[] {
+  return new WaitPlay(drawn).play(forMs, sinceMs);
 }
--- a/packages/nutmegproxy-scheduling/src/__tests__/unit/WaitSamples.ts
+++ b/packages/nutmegproxy-scheduling/src/__tests__/unit/WaitSamples.ts
@@ -35,6 +35,8 @@
 
 export interface DrawnPlay {
   readonly faults: readonly DrawnFault[];
+  /** Whether owners pass on nothing of the trust in minions. */
+  readonly forgetsTrust?: boolean;
   readonly jobs: readonly DrawnJob[];
   readonly minions: number;
   readonly takeovers: readonly DrawnTakeover[];
