--- a/packages/nutmegproxy-owner/src/RecoveryRecord.ts
+++ b/packages/nutmegproxy-owner/src/RecoveryRecord.ts
@@ -14,7 +14,7 @@
 import type {PlatformStore, StoreFailure} from '@nutmegproxy/store';
 import type {Result} from 'neverthrow';
 
-import {after, brand} from '@nutmegproxy/core';
+import {after} from '@nutmegproxy/core';
 import {formatRecordKey} from '@nutmegproxy/jobs';
 import {parseTrustSnapshot} from '@nutmegproxy/scheduling';
 import {err, ok} from 'neverthrow';
@@ -137,7 +137,7 @@
       const former = parseRecovery(stored.value.value.toString());
       this.#isMalformed = former === undefined;
       if (former === undefined) {
-        const message = 'term, awaited or used is missing';
+        const message = 'term, awaited or used is missing or malformed';
         this.#options.events.record(OWNER_EVENTS.RECORD_MALFORMED, {key: this.#key, message});
         return ok(undefined);
       }
@@ -149,7 +149,7 @@
         ? indexFormerUses(former, ownership.formerLeaseTerm, storedBy)
         : undefined;
       const trustedBy = ownership.ages.findSeenAt(stored.value.modRevision, now);
-      this.#formerTrust = indexFormerTrust(former, trustedBy);
+      this.#formerTrust = isCurrent ? indexFormerTrust(former, trustedBy) : new Map();
     }
     return ok(undefined);
   }
@@ -190,20 +190,27 @@
 function parseRecovery(text: string): StoredRecovery | undefined {
   const stored = (parseJson(text).unwrapOr(null) ?? {}) as Partial<StoredRecovery>;
   const {awaited, term, untrusted, used} = stored;
-  return Array.isArray(awaited) && Array.isArray(used) && term !== undefined
+  return Array.isArray(awaited) &&
+    awaited.every(isNamed) &&
+    Array.isArray(used) &&
+    term !== undefined
     ? {awaited, term, untrusted: parseUntrusted(untrusted), used}
     : undefined;
 }
 
+/** Whether an entry names a minion. */
+function isNamed(entry: unknown): boolean {
+  return typeof (Object(entry) as {readonly id?: unknown}).id === 'string';
+}
+
 /** Returns the well-formed entries; none in records of earlier versions. */
 function parseUntrusted(stored: unknown): readonly UntrustedMinion[] {
   const entries: readonly unknown[] = Array.isArray(stored) ? stored : [];
   return entries.flatMap((entry) => {
     const snapshot = parseTrustSnapshot(entry);
-    const {id} = Object(entry) as {readonly id?: unknown};
-    return snapshot === undefined || typeof id !== 'string'
+    return snapshot === undefined || !isNamed(entry)
       ? []
-      : [{...snapshot, id: brand<MinionId>(id)}];
+      : [{...snapshot, id: (entry as UntrustedMinion).id}];
   });
 }
 
--- a/packages/nutmegproxy-owner/src/TrustHandover.ts
+++ b/packages/nutmegproxy-owner/src/TrustHandover.ts
@@ -67,7 +67,7 @@
       }
     }
     return found
-      .sort((a, b) => a.snapshot.failedForMs - b.snapshot.failedForMs)
+      .sort((a, b) => b.minion.trust.failedAt - a.minion.trust.failedAt)
       .slice(0, MAX_MINIONS);
   }
 
--- a/packages/nutmegproxy-scheduling/src/MinionTrust.ts
+++ b/packages/nutmegproxy-scheduling/src/MinionTrust.ts
@@ -55,8 +55,10 @@
     (bornAt === undefined || Number.isFinite(bornAt)) &&
     isTime(failedForMs, RECENT_FAILURE_MS) &&
     Number.isInteger(handovers) &&
+    Number(handovers) >= 0 &&
     isTime(heldForMs, MAX_POSTPONEMENT_MS) &&
     Array.isArray(jobs) &&
+    jobs.length <= MAX_SNAPSHOT_JOBS &&
     jobs.every((job) => typeof job === 'string');
   return isSnapshot ? (stored as TrustSnapshot) : undefined;
 }
@@ -141,7 +143,8 @@
 
   /**
    * Takes over what a former owner stored by `storedBy`. Without another failure it ends once the last one is no
-   * longer recent, so that no series of owners prolongs it.
+   * longer recent. Each owner in a series that has seen none waits half as long for the next trial, as the age may
+   * have been lost.
    *
    * @example
    * trust.import(snapshot, storedBy);
@@ -153,7 +156,7 @@
     this.#failedAt = failedAt;
     this.#former = {bornAt, endsAt, handovers: handovers + 1};
     this.#quarantineMs = MAX_QUARANTINE_MS;
-    this.#quarantinedUntil = (storedBy + heldForMs) as Instant;
+    this.#quarantinedUntil = (storedBy + heldForMs / 2 ** handovers) as Instant;
     for (const job of jobs) {
       this.#failedJobs.add(job);
     }
