--- a/packages/nutmegproxy-owner/src/__tests__/unit/StoredDistrustBounds.test.ts
+++ b/packages/nutmegproxy-owner/src/__tests__/unit/StoredDistrustBounds.test.ts
@@ -91,5 +91,11 @@
     const quarantinedMs = await measureQuarantine(3_500);
     assert.ok(quarantinedMs <= FINISH_MS, `${quarantinedMs} ms`);
   });
+
+  // Guards against a count that does not bound the distrust, as it was stored below zero.
+  it('of how many owners passed distrust on bounds it where that is negative', async () => {
+    const quarantinedMs = await measureQuarantine(3_500, {handovers: -1_000});
+    assert.ok(quarantinedMs <= 8 * 3_500, `${quarantinedMs} ms`);
+  });
 });
 
