--- a/packages/nutmegproxy-owner/src/__tests__/unit/StoredDistrustBounds.test.ts
+++ b/packages/nutmegproxy-owner/src/__tests__/unit/StoredDistrustBounds.test.ts
@@ -60,6 +60,13 @@
     jobs: ['a', 'b'],
   };
 
+  // Guards against owners that stop at each takeover by what a former one stored.
+  it('ends no process where an awaited minion is malformed', async () => {
+    await write({awaited: [null], term: 0, untrusted: [], used: []});
+    const record = open(await acquireOwnership(store));
+    await assert.doesNotReject(async () => record.read());
+  });
+
   /** Returns for how long after the last failure the minion gets nothing under owners that are all new processes. */
   async function measureQuarantine(ownerMs: number, change: object = {}): Promise<number> {
     let quarantinedMs = 0;
