--- a/packages/nutmegproxy-owner/src/__tests__/unit/StoredDistrustBounds.test.ts
+++ b/packages/nutmegproxy-owner/src/__tests__/unit/StoredDistrustBounds.test.ts
@@ -67,6 +67,16 @@
     await assert.doesNotReject(async () => record.read());
   });
 
+  // Guards against distrust from before an owner of an earlier version, which kept no account of it.
+  it('of distrust counts no more once an owner of an earlier version has followed', async () => {
+    await write({awaited: [], term: 0, untrusted: [UNTRUSTED], used: [ID]});
+    const {lease, leaseTimes, token} = await acquireOwnership(store);
+    const grant = {lease, leaseTimes, recordingSince: 2, term: 2, token};
+    const record = open(new FleetOwnership(grant, clock.monotonic(), clock.wall()));
+    (await record.read())._unsafeUnwrap();
+    assert.equal(record.findFormerTrust(ID), undefined);
+  });
+
   /** Returns for how long after the last failure the minion gets nothing under owners that are all new processes. */
   async function measureQuarantine(ownerMs: number, change: object = {}): Promise<number> {
     let quarantinedMs = 0;
