--- a/packages/nutmegproxy-owner/src/__tests__/unit/StoredDistrustBounds.test.ts
+++ b/packages/nutmegproxy-owner/src/__tests__/unit/StoredDistrustBounds.test.ts
@@ -114,5 +114,14 @@
     const quarantinedMs = await measureQuarantine(3_500, {handovers: -1_000});
     assert.ok(quarantinedMs <= 8 * 3_500, `${quarantinedMs} ms`);
   });
+
+  it('of failed jobs is bounded where it is huge', async () => {
+    const jobs = Array.from({length: 100_000}, (_, job) => brand<JobId>(`job-${job}`));
+    await write({awaited: [], term: 0, untrusted: [{...UNTRUSTED, jobs}], used: [ID]});
+    const record = open(await acquireOwnership(store));
+    (await record.read())._unsafeUnwrap();
+    const taken = record.findFormerTrust(ID)?.snapshot.jobs.length ?? 0;
+    assert.ok(taken <= 100, `${taken} jobs`);
+  });
 });
 
