Two tests of draining minions that are gone keep the roster that names the run

Cause: drain() reads each 5 ms until the roster says "draining", and the test then kills the owner. As in the record that names the run is soon replaced by one without it; a late read kills the owner after that, so that nothing is held and no list is asked for. The test of owners that are killed in turn passes then without its case. Ruled out: a fault of the owner; it stores the record and then the run's end. Change: the first owner stores nothing after the record that names the run, as if killed right after it. Assertions and bounds are unchanged.

--- a/packages/nutmegproxy-emulator/src/__tests__/unit/GoneMinions.test.ts
+++ b/packages/nutmegproxy-emulator/src/__tests__/unit/GoneMinions.test.ts
@@ -1,16 +1,19 @@
 import type {FleetOwnership} from '@nutmegproxy/owner';
 
+import {STATE_PREFIX} from '@nutmegproxy/jobs';
 import {OWNER_EVENTS} from '@nutmegproxy/owner';
 import assert from 'node:assert/strict';
 import {afterEach, beforeEach, describe, it} from 'node:test';
 
 import type {EmulatedMachineList} from '../../EmulatedMachineList.ts';
 import type {EmulatedMinion} from '../../EmulatedMinion.ts';
+import type {KillableOwner} from './TakeoverHarness.ts';
 
 import {createStepShape, createStoredJob, submitJob, waitFor} from './JobSamples.ts';
-import {waitForRoster} from './StoreSamples.ts';
+import {readWrite, waitForRoster} from './StoreSamples.ts';
 import {sleep, TakeoverHarness} from './TakeoverHarness.ts';
 
+const ROSTER_KEY = `${STATE_PREFIX}roster`;
 /** Time in milliseconds after its last run within which a long-running task has to run again. */
 const RESTART_DEADLINE_MS = 9_000;
 /** Time in milliseconds for which nobody owns the fleet after a kill. */
@@ -45,6 +48,16 @@
     await waitForRoster(harness.store, (roster) => roster.includes('"draining"'));
   }
 
+  /** Starts an owner that stores nothing after the record that names a run of a draining minion. */
+  function startUntilDraining(): Promise<KillableOwner> {
+    let isStored = false;
+    return harness.startKillable('vm-1', (args) => {
+      const fails = isStored;
+      isStored ||= readWrite(ROSTER_KEY, args)?.includes('"draining":{"runs":[[') ?? false;
+      return fails;
+    });
+  }
+
   /** Adds another minion for the next owner and starts it. */
   async function takeOver(vm: string): Promise<{other: EmulatedMinion; ownership: FleetOwnership}> {
     harness.clock.advance(TAKEOVER_AFTER_KILL_MS);
@@ -56,7 +69,7 @@
 
   describe('after they drained and left while no VM owned the fleet', () => {
     it('let a lasting task run again within its deadline when owners are killed in turn', async () => {
-      const first = await harness.startKillable('vm-1');
+      const first = await startUntilDraining();
       await harness.runLastingTask(minion);
       await drain();
       await first.kill();
@@ -132,7 +145,7 @@
 
   describe('by the directory alone', () => {
     it('keep their runs while their machines show them', async () => {
-      const first = await harness.startKillable('vm-1');
+      const first = await startUntilDraining();
       await harness.runLastingTask(minion);
       await drain();
       await first.kill();
