A test of blameless tasks cuts minions off at the start of a run of 60 ms

BlamelessTasks, "on which it had ended before", looks each 5 ms for a run that lasts 60 ms in real time and cuts its minion off. A process that gets no turn for 60 ms never sees it, the job ends, and the test fails: "the task runs" not met within 20 s. Ruled out: a fault of the product; the job ended as it should. Change: the minion is cut off by its start itself, once the response has gone out; the two rounds, the crash while cut off and the check are as before.

--- a/packages/nutmegproxy-emulator/src/__tests__/unit/BlamelessTasks.test.ts
+++ b/packages/nutmegproxy-emulator/src/__tests__/unit/BlamelessTasks.test.ts
@@ -4,6 +4,8 @@
 import assert from 'node:assert/strict';
 import {afterEach, beforeEach, describe, it} from 'node:test';
 
+import type {EmulatedMinion} from '../../EmulatedMinion.ts';
+
 import {CrashHarness, LASTING} from './CrashHarness.ts';
 import {createStepShape, createStoredJob, submitJob, waitFor} from './JobSamples.ts';
 
@@ -52,13 +54,28 @@
     await harness.start('vm-1');
     const good = createStoredJob(1, [createStepShape()]);
     harness.behaviours.set(good.id, {durationMs: 60, outcome: 'done'});
+    const cut: EmulatedMinion[] = [];
+    let round = 1;
+    for (const minion of minions) {
+      const start = minion.start.bind(minion);
+      minion.start = (...args) => {
+        const answer = start(...args);
+        if (answer.isOk() && cut.length < round) {
+          cut.push(minion);
+          // The minion is cut off once the response has arrived; its run ends there; later it crashes.
+          setImmediate(() => {
+            harness.fleet.faults(minion.description.id).isUnreachable = true;
+          });
+        }
+        return answer;
+      };
+    }
     await submitJob(harness.store, good);
-    for (let round = 1; round <= 2; round += 1) {
-      await waitFor('the task runs', () => minions.some(({liveTasks}) => liveTasks.length > 0));
-      const minion = minions.find(({liveTasks}) => liveTasks.length > 0);
+    for (const awaited of [1, 2]) {
+      round = awaited;
+      await waitFor('the task runs', () => cut.length === round);
+      const minion = cut.at(-1);
       assert.ok(minion);
-      // The minion is cut off; its run ends there; later the minion crashes.
-      harness.fleet.faults(minion.description.id).isUnreachable = true;
       await new Promise((resolve) => setTimeout(resolve, 300));
       minion.advance(SYSTEM_CLOCK.monotonic());
       assert.equal(minion.liveTasks.length, 0);
