Leases in the stores of test harnesses end only when they are revoked, not when the test process gets no turn

Cause: TakeoverHarness and CrashHarness held their MemoryStore on the system clock. An owner's lease of 2 s, renewed in real time each 400 or 200 ms, lapses when the process gets no turn for 2 s; then the owner is fenced in the middle of a test about something else. The renewals of a VM of startWaitingVm go by the manual clock, so that its lease lapses without a stall, too, when that clock stands still (by reading). Change: both stores go by a manual clock that nobody advances. The harness's own clock could not be used: tests advance it by more than a lease at once, while renewals are sent in real time. Kills, resignations and the tests' own revokeLease still free the ownership; by reading, no test of these harnesses waits for a lapse in the store (isolated VMs keep theirs until `kill`, as the harness says). No bound and no check is changed.

--- a/packages/nutmegproxy-emulator/src/__tests__/unit/CrashHarness.ts
+++ b/packages/nutmegproxy-emulator/src/__tests__/unit/CrashHarness.ts
@@ -4,7 +4,7 @@
 import type {JobProgress, StoredJob} from '@nutmegproxy/jobs';
 import type {MachineId} from '@nutmegproxy/scheduling';
 
-import {brand, SYSTEM_CLOCK} from '@nutmegproxy/core';
+import {brand, ManualClock, SYSTEM_CLOCK} from '@nutmegproxy/core';
 import {decodeProgress, formatJobKey} from '@nutmegproxy/jobs';
 import {RevisionLog} from '@nutmegproxy/owner';
 import {DEFAULT_LEASE_TIMES} from '@nutmegproxy/scheduling';
@@ -35,7 +35,8 @@
   readonly events: {readonly fields: EventFields; readonly kind: EventKind}[] = [];
   readonly fleet = new EmulatedFleet(SYSTEM_CLOCK);
   isStoreDown = false;
-  readonly store = new MemoryStore();
+  /** By a clock that stands still: its leases end only when they are revoked, also if this process gets no turn. */
+  readonly store = new MemoryStore(new ManualClock());
   readonly #revisions = new RevisionLog();
   readonly #stops: (() => void)[] = [];
 
--- a/packages/nutmegproxy-emulator/src/__tests__/unit/TakeoverHarness.ts
+++ b/packages/nutmegproxy-emulator/src/__tests__/unit/TakeoverHarness.ts
@@ -81,7 +81,8 @@
   readonly fleet: EmulatedFleet;
   /** Lease times of the VMs that are started from now on. */
   leaseTimes = DEFAULT_LEASE_TIMES;
-  readonly store = new MemoryStore();
+  /** By a clock that stands still: its leases end only when they are revoked, also if this process gets no turn. */
+  readonly store = new MemoryStore(new ManualClock());
   readonly #stops: (() => void)[] = [];
 
   constructor(clock = new ManualClock(Date.now())) {
