--- a/packages/nutmegproxy-owner/src/RevisionAges.ts
+++ b/packages/nutmegproxy-owner/src/RevisionAges.ts
@@ -6,7 +6,7 @@
 
 import type {Instant} from '@nutmegproxy/core';
 
-import type {RevisionLog} from './RevisionLog.ts';
+import type {RevisionLog, Sighting} from './RevisionLog.ts';
 
 /** Least time in milliseconds between two revisions that are passed on, and the longest time of one. */
 const GAP_MS = 1_000;
@@ -15,11 +15,6 @@
 /** A revision, and for how long in milliseconds the store is known to have reached it. */
 export type RevisionAge = readonly [revision: number, ageMs: number];
 
-interface Sighting {
-  readonly revision: number;
-  readonly seenAt: Instant;
-}
-
 /** Returns what a record names; nothing where it is malformed or of an earlier version. */
 function parseAges(stored: unknown): readonly RevisionAge[] {
   const pairs: readonly unknown[] = Array.isArray(stored) ? stored : [];
--- a/packages/nutmegproxy-owner/src/RevisionLog.ts
+++ b/packages/nutmegproxy-owner/src/RevisionLog.ts
@@ -13,7 +13,8 @@
 const FORMER_GAP_MS = 250;
 const MAX_FORMER_ENTRIES = 240;
 
-interface Sighting {
+/** A revision, and an instant by which the store had reached it. */
+export interface Sighting {
   readonly revision: number;
   readonly seenAt: Instant;
 }
