Elections of tests are created in one place

RevisionAges, OwnerElection (twice) and CrashedOwner built the same election. `createElection` of OwnerSamples serves the four.

--- a/packages/nutmegproxy-owner/src/__tests__/unit/CrashedOwner.test.ts
+++ b/packages/nutmegproxy-owner/src/__tests__/unit/CrashedOwner.test.ts
@@ -1,12 +1,11 @@
-import type {VmId} from '@nutmegproxy/core';
-
-import {brand, ManualClock, SILENT_EVENTS} from '@nutmegproxy/core';
+import {ManualClock} from '@nutmegproxy/core';
 import {DEFAULT_LEASE_TIMES} from '@nutmegproxy/scheduling';
 import {MemoryStore} from '@nutmegproxy/standins';
 import assert from 'node:assert/strict';
 import {afterEach, beforeEach, describe, it, mock} from 'node:test';
 
-import {OWNER_KEY, OwnerElection} from '../../OwnerElection.ts';
+import {OWNER_KEY} from '../../OwnerElection.ts';
+import {createElection} from './OwnerSamples.ts';
 
 const STEP_MS = 10;
 /** What the platform's users see of a store that loses responses: a share, and the longest lateness. */
@@ -45,14 +44,7 @@
 
   for (const seed of SEEDS) {
     it(`is free once the last late renewal has expired, with seed ${String(seed)}`, async () => {
-      const vm = brand<VmId>('vm-1');
-      const election = new OwnerElection({
-        clock,
-        events: SILENT_EVENTS,
-        leaseTimes: DEFAULT_LEASE_TIMES,
-        store,
-        vm,
-      });
+      const election = createElection({clock, store}, 'vm-1');
       const ownership = (await election.acquire())._unsafeUnwrap();
       store.faults.change({lateShare: LATE_SHARE, seed});
       void election.renew(ownership);
--- a/packages/nutmegproxy-owner/src/__tests__/unit/OwnerElection.test.ts
+++ b/packages/nutmegproxy-owner/src/__tests__/unit/OwnerElection.test.ts
@@ -1,7 +1,7 @@
-import type {EventFields, EventSink, VmId} from '@nutmegproxy/core';
+import type {EventFields, EventSink} from '@nutmegproxy/core';
 import type {CellIndex} from '@nutmegproxy/jobs';
 
-import {brand, ManualClock, SILENT_EVENTS} from '@nutmegproxy/core';
+import {ManualClock} from '@nutmegproxy/core';
 import {STATE_PREFIX} from '@nutmegproxy/jobs';
 import {DEFAULT_LEASE_TIMES} from '@nutmegproxy/scheduling';
 import {MemoryStore} from '@nutmegproxy/standins';
@@ -11,13 +11,14 @@
 import {afterEach, beforeEach, describe, it, mock} from 'node:test';
 
 import type {FleetOwnership} from '../../FleetOwnership.ts';
-import type {ElectionOptions} from '../../OwnerElection.ts';
+import type {ElectionOptions, OwnerElection} from '../../OwnerElection.ts';
 import type {KnownCellCount} from '../../StoredCellCount.ts';
 
 import {REVOKE_ATTEMPTS, REVOKE_RETRY_MS} from '../../OwnerConstants.ts';
-import {OWNER_KEY, OwnerElection} from '../../OwnerElection.ts';
+import {OWNER_KEY} from '../../OwnerElection.ts';
 import {OWNER_EVENTS} from '../../OwnerEvents.ts';
 import {CELL_COUNT_KEY} from '../../StoredCellCount.ts';
+import {createElection} from './OwnerSamples.ts';
 
 const STEP_MS = 10;
 /** Time in milliseconds after which a call without a response fails. */
@@ -41,14 +42,7 @@
     vm: string,
     change: Partial<Pick<ElectionOptions, 'cell' | 'count'>> = {},
   ): OwnerElection {
-    return new OwnerElection({
-      ...change,
-      clock,
-      events: SILENT_EVENTS,
-      leaseTimes: DEFAULT_LEASE_TIMES,
-      store,
-      vm: brand<VmId>(vm),
-    });
+    return createElection({clock, store}, vm, change);
   }
 
   async function acquire(election: OwnerElection): Promise<FleetOwnership> {
@@ -296,13 +290,7 @@
         }
       },
     };
-    const election = new OwnerElection({
-      clock,
-      events,
-      leaseTimes: DEFAULT_LEASE_TIMES,
-      store,
-      vm: brand<VmId>('vm-1'),
-    });
+    const election = createElection({clock, store}, 'vm-1', {events});
     const ownership = await acquire(election);
     clock.advance(5_000);
     ownership.confirm(clock.monotonic(), clock.wall());
--- a/packages/nutmegproxy-owner/src/__tests__/unit/OwnerSamples.ts
+++ b/packages/nutmegproxy-owner/src/__tests__/unit/OwnerSamples.ts
@@ -1,10 +1,10 @@
 /** Helpers for the tests of the owner's records. */
 
-import type {DataCentreId, Instant, JobId, MinionId, WallTime} from '@nutmegproxy/core';
+import type {DataCentreId, Instant, JobId, MinionId, VmId, WallTime} from '@nutmegproxy/core';
 import type {QueueId, ServiceId, StepShape, StepState} from '@nutmegproxy/jobs';
 import type {LeaseId, PlatformStore} from '@nutmegproxy/store';
 
-import {brand} from '@nutmegproxy/core';
+import {brand, SILENT_EVENTS} from '@nutmegproxy/core';
 import {JobState} from '@nutmegproxy/jobs';
 import {DEFAULT_LEASE_TIMES, MinionState} from '@nutmegproxy/scheduling';
 import {put} from '@nutmegproxy/store';
@@ -12,9 +12,10 @@
 import assert from 'node:assert/strict';
 
 import type {OwnershipToken} from '../../MinionOrders.ts';
+import type {ElectionOptions} from '../../OwnerElection.ts';
 
 import {FleetOwnership} from '../../FleetOwnership.ts';
-import {OWNER_KEY} from '../../OwnerElection.ts';
+import {OWNER_KEY, OwnerElection} from '../../OwnerElection.ts';
 
 const SERVICE = 'mesa' as ServiceId;
 
@@ -78,6 +79,22 @@
   await new Promise((resolve) => setTimeout(resolve, 20));
 }
 
+/** Creates the election of a VM; `change` tells what differs from the default. */
+export function createElection(
+  {clock, store}: Pick<ElectionOptions, 'clock' | 'store'>,
+  vm: string,
+  change: Partial<ElectionOptions> = {},
+): OwnerElection {
+  return new OwnerElection({
+    clock,
+    events: SILENT_EVENTS,
+    leaseTimes: DEFAULT_LEASE_TIMES,
+    store,
+    vm: brand<VmId>(vm),
+    ...change,
+  });
+}
+
 /** Acquires the ownership in a store, without a lease. */
 export async function acquireOwnership(store: PlatformStore): Promise<FleetOwnership> {
   const token = (await put(store, OWNER_KEY, Buffer.from('vm')))._unsafeUnwrap() as OwnershipToken;
--- a/packages/nutmegproxy-owner/src/__tests__/unit/RevisionAges.test.ts
+++ b/packages/nutmegproxy-owner/src/__tests__/unit/RevisionAges.test.ts
@@ -1,18 +1,18 @@
-import type {Instant, VmId} from '@nutmegproxy/core';
+import type {Instant} from '@nutmegproxy/core';
 
-import {brand, ManualClock, SILENT_EVENTS} from '@nutmegproxy/core';
+import {ManualClock} from '@nutmegproxy/core';
 import {STATE_PREFIX} from '@nutmegproxy/jobs';
-import {DEFAULT_LEASE_TIMES} from '@nutmegproxy/scheduling';
 import {MemoryStore} from '@nutmegproxy/standins';
 import {getKey, put} from '@nutmegproxy/store';
 import assert from 'node:assert/strict';
 import {afterEach, beforeEach, describe, it} from 'node:test';
 
 import type {FleetOwnership} from '../../FleetOwnership.ts';
+import type {OwnerElection} from '../../OwnerElection.ts';
 
-import {OwnerElection} from '../../OwnerElection.ts';
 import {RevisionAges} from '../../RevisionAges.ts';
 import {RevisionLog} from '../../RevisionLog.ts';
+import {createElection} from './OwnerSamples.ts';
 
 const RECORDING_KEY = `${STATE_PREFIX}recording`;
 /** Time in milliseconds after a takeover until the next VM is up; it then knows of the next change. */
@@ -40,14 +40,7 @@
   });
 
   function open(vm: string, revisions: RevisionLog): OwnerElection {
-    return new OwnerElection({
-      clock,
-      events: SILENT_EVENTS,
-      leaseTimes: DEFAULT_LEASE_TIMES,
-      revisions,
-      store,
-      vm: brand<VmId>(vm),
-    });
+    return createElection({clock, store}, vm, {revisions});
   }
 
   /** Changes the store and shows it to those that watch. */
