Jobs of tests whose turn has come are added in one place

OverdueCut, OverdueTasks, StoredBackfill and PendingTaskReason set the turn of a new job's step by hand. `addReadyJob` of SampleFleet serves the four.

--- a/packages/nutmegproxy-scheduling/src/__tests__/unit/OverdueCut.test.ts
+++ b/packages/nutmegproxy-scheduling/src/__tests__/unit/OverdueCut.test.ts
@@ -7,6 +7,7 @@
 import {at, NO_SHARING_COSTS, SampleFleet, shape, wallAt} from './Samples.ts';
 
 const OVERDUE_MS = 20_000;
+const JOBS = 3;
 const MOST_CALLS = 12;
 
 describe('Overdue backfill in a round that is cut', () => {
@@ -17,15 +18,10 @@
       const {estimator, fleet} = sample;
       const [serving, tolerant] = [...fleet.minions.values()];
       assert.ok(serving && tolerant);
-      const jobs = Array.from({length: 3}, () =>
-        sample.addJob('proofs', [shape({fillsSpareCpu: true})]),
-      );
-      fleet.freeRoom.observe(fleet, at(0));
-      for (const job of jobs) {
-        const [step] = job.occurrence(0) ?? [];
-        assert.ok(step);
-        step.readyAt = at(0);
+      for (let job = 0; job < JOBS; job += 1) {
+        sample.addReadyJob('proofs', shape({fillsSpareCpu: true}), 0);
       }
+      fleet.freeRoom.observe(fleet, at(0));
       let called = 0;
       planStarts(fleet, {
         advice: {isPermitted: () => undefined},
--- a/packages/nutmegproxy-scheduling/src/__tests__/unit/OverdueTasks.test.ts
+++ b/packages/nutmegproxy-scheduling/src/__tests__/unit/OverdueTasks.test.ts
@@ -114,14 +114,9 @@
     const sample = new SampleFleet(JOBS);
     const {estimator, fleet} = sample;
     const jobs = Array.from({length: JOBS}, () =>
-      sample.addJob('proofs', [shape({fillsSpareCpu: true})]),
+      sample.addReadyJob('proofs', shape({fillsSpareCpu: true}), 0),
     );
     fleet.freeRoom.observe(fleet, at(0));
-    for (const job of jobs) {
-      const [step] = job.occurrence(0) ?? [];
-      assert.ok(step);
-      step.readyAt = at(0);
-    }
     const sweep = new PlanSweep();
     let clockMs = OVERDUE_MS;
     for (let round = 0; round < JOBS; round += 1) {
--- a/packages/nutmegproxy-scheduling/src/__tests__/unit/PendingTaskReason.test.ts
+++ b/packages/nutmegproxy-scheduling/src/__tests__/unit/PendingTaskReason.test.ts
@@ -32,9 +32,8 @@
   });
 
   function addStep(change: Partial<StepShape> = {}, queueId = 'proofs'): StepState {
-    const step = sample.addJob(queueId, [shape(change)]).occurrence(0)?.[0];
+    const step = sample.addReadyJob(queueId, shape(change), 0).occurrence(0)?.[0];
     assert.ok(step);
-    step.readyAt = at(0);
     return step;
   }
 
--- a/packages/nutmegproxy-scheduling/src/__tests__/unit/Samples.ts
+++ b/packages/nutmegproxy-scheduling/src/__tests__/unit/Samples.ts
@@ -148,6 +148,15 @@
     return minion;
   }
 
+  /** Adds a job of one step whose turn has come. */
+  addReadyJob(queueId: string, step: StepShape, readyAtMs: number): JobState {
+    const job = this.addJob(queueId, [step]);
+    for (const each of job.occurrence(0) ?? []) {
+      each.readyAt = at(readyAtMs);
+    }
+    return job;
+  }
+
   /** Completes all live runs of a job. */
   finishRuns(job: JobState, now: Instant): void {
     for (const step of job.steps()) {
--- a/packages/nutmegproxy-scheduling/src/__tests__/unit/StoredBackfill.test.ts
+++ b/packages/nutmegproxy-scheduling/src/__tests__/unit/StoredBackfill.test.ts
@@ -37,12 +37,8 @@
     policy.evictInterferingRuns(fleet, minion, at(0));
   }
   for (let number = 0; number < JOBS; number += 1) {
-    const job = sample.addJob('proofs', [
-      shape({count: TASKS, fillsSpareCpu: true, image: 'noisy', resources: RESOURCES}),
-    ]);
-    const [step] = job.occurrence(0) ?? [];
-    assert.ok(step);
-    step.readyAt = at(-heldMs);
+    const step = shape({count: TASKS, fillsSpareCpu: true, image: 'noisy', resources: RESOURCES});
+    sample.addReadyJob('proofs', step, -heldMs);
   }
   fleet.freeRoom.observe(fleet, at(-HELD_MS));
   return sample.plan(0, policy).length;
