Tests that keep a record, and stores whose leases stand still, share their code

SilentMinions and GoneMinions wrote the same state by hand (`failAfterWrite`), CrashHarness and TakeoverHarness the same store (`createStillStore`), and seven files and `waitForRoster` the roster's key (`ROSTER_KEY`). What the calls fail on is unchanged: writes of the roster in the first, all in the second. Assertions are unchanged.

--- a/packages/nutmegproxy-emulator/src/__tests__/unit/ChangingCapacity.test.ts
+++ b/packages/nutmegproxy-emulator/src/__tests__/unit/ChangingCapacity.test.ts
@@ -2,7 +2,6 @@
 import type {MinionDescription} from '@nutmegproxy/scheduling';
 
 import {SYSTEM_CLOCK} from '@nutmegproxy/core';
-import {STATE_PREFIX} from '@nutmegproxy/jobs';
 import {OWNER_EVENTS} from '@nutmegproxy/owner';
 import {MemoryStore} from '@nutmegproxy/standins';
 import {getPrefix} from '@nutmegproxy/store';
@@ -19,10 +18,9 @@
   submitJob,
   waitFor,
 } from './JobSamples.ts';
+import {ROSTER_KEY} from './StoreSamples.ts';
 import {runForever} from './TakeoverHarness.ts';
 
-const ROSTER_KEY = `${STATE_PREFIX}roster`;
-
 type StoredRoster = readonly {readonly description: MinionDescription}[];
 
 describe('A minion whose capacity changes while it runs', () => {
--- a/packages/nutmegproxy-emulator/src/__tests__/unit/ClocksApart.test.ts
+++ b/packages/nutmegproxy-emulator/src/__tests__/unit/ClocksApart.test.ts
@@ -8,11 +8,10 @@
 import type {EmulatedMinion} from '../../EmulatedMinion.ts';
 
 import {waitFor} from './JobSamples.ts';
-import {isWriteOf, waitForRecord} from './StoreSamples.ts';
+import {isWriteOf, ROSTER_KEY, waitForRecord} from './StoreSamples.ts';
 import {sleep, TakeoverHarness} from './TakeoverHarness.ts';
 
 const RECOVERY_KEY = `${STATE_PREFIX}recovery`;
-const ROSTER_KEY = `${STATE_PREFIX}roster`;
 /** Error of each wall clock in milliseconds, in opposite directions. */
 const CLOCK_ERROR_MS = 2_000;
 /** The same when the clocks of two VMs have nothing in common. */
--- a/packages/nutmegproxy-emulator/src/__tests__/unit/CrashHarness.ts
+++ b/packages/nutmegproxy-emulator/src/__tests__/unit/CrashHarness.ts
@@ -4,11 +4,10 @@
 import type {JobProgress, StoredJob} from '@nutmegproxy/jobs';
 import type {MachineId} from '@nutmegproxy/scheduling';
 
-import {brand, ManualClock, SYSTEM_CLOCK} from '@nutmegproxy/core';
+import {brand, SYSTEM_CLOCK} from '@nutmegproxy/core';
 import {decodeProgress, formatJobKey} from '@nutmegproxy/jobs';
 import {RevisionLog} from '@nutmegproxy/owner';
 import {DEFAULT_LEASE_TIMES} from '@nutmegproxy/scheduling';
-import {MemoryStore} from '@nutmegproxy/standins';
 import {getKey} from '@nutmegproxy/store';
 
 import type {RecordedRun, TaskBehaviour} from '../../EmulatedMinion.ts';
@@ -16,7 +15,7 @@
 import {EmulatedFleet} from '../../EmulatedFleet.ts';
 import {EmulatedMinion} from '../../EmulatedMinion.ts';
 import {createMinionDescription, startOwner, waitFor} from './JobSamples.ts';
-import {createFailingStore} from './StoreSamples.ts';
+import {createFailingStore, createStillStore} from './StoreSamples.ts';
 
 /** A task is started at most this often: three crashes, and fewer than three starts more. */
 export const MAX_STARTS = 5;
@@ -35,8 +34,7 @@
   readonly events: {readonly fields: EventFields; readonly kind: EventKind}[] = [];
   readonly fleet = new EmulatedFleet(SYSTEM_CLOCK);
   isStoreDown = false;
-  /** By a clock that stands still: its leases end only when they are revoked, also if this process gets no turn. */
-  readonly store = new MemoryStore(new ManualClock());
+  readonly store = createStillStore();
   readonly #revisions = new RevisionLog();
   readonly #stops: (() => void)[] = [];
 
--- a/packages/nutmegproxy-emulator/src/__tests__/unit/DrainingTakeovers.test.ts
+++ b/packages/nutmegproxy-emulator/src/__tests__/unit/DrainingTakeovers.test.ts
@@ -6,10 +6,9 @@
 import type {KillableOwner} from './TakeoverHarness.ts';
 
 import {createStepShape, createStoredJob, submitJob, waitFor} from './JobSamples.ts';
-import {isWriteOf, waitForRecord, waitForRoster} from './StoreSamples.ts';
+import {isWriteOf, ROSTER_KEY, waitForRecord, waitForRoster} from './StoreSamples.ts';
 import {TakeoverHarness} from './TakeoverHarness.ts';
 
-const ROSTER_KEY = `${STATE_PREFIX}roster`;
 const RECOVERY_KEY = `${STATE_PREFIX}recovery`;
 /** Time in real milliseconds in which the owners under test act on what has happened. */
 const REACTION_MS = 5_000;
--- a/packages/nutmegproxy-emulator/src/__tests__/unit/GoneMinions.test.ts
+++ b/packages/nutmegproxy-emulator/src/__tests__/unit/GoneMinions.test.ts
@@ -1,6 +1,5 @@
 import type {FleetOwnership} from '@nutmegproxy/owner';
 
-import {STATE_PREFIX} from '@nutmegproxy/jobs';
 import {OWNER_EVENTS} from '@nutmegproxy/owner';
 import assert from 'node:assert/strict';
 import {afterEach, beforeEach, describe, it} from 'node:test';
@@ -10,10 +9,9 @@
 import type {KillableOwner} from './TakeoverHarness.ts';
 
 import {createStepShape, createStoredJob, submitJob, waitFor} from './JobSamples.ts';
-import {readWrite, waitForRoster} from './StoreSamples.ts';
+import {DRAINING_RUN, failAfterWrite, ROSTER_KEY, waitForRoster} from './StoreSamples.ts';
 import {sleep, TakeoverHarness} from './TakeoverHarness.ts';
 
-const ROSTER_KEY = `${STATE_PREFIX}roster`;
 /** Time in milliseconds after its last run within which a long-running task has to run again. */
 const RESTART_DEADLINE_MS = 9_000;
 /** Time in milliseconds for which nobody owns the fleet after a kill. */
@@ -50,12 +48,10 @@
 
   /** Starts an owner that stores nothing after the record that names a run of a draining minion. */
   function startUntilDraining(): Promise<KillableOwner> {
-    let isStored = false;
-    return harness.startKillable('vm-1', (args) => {
-      const fails = isStored;
-      isStored ||= readWrite(ROSTER_KEY, args)?.includes('"draining":{"runs":[[') ?? false;
-      return fails;
-    });
+    return harness.startKillable(
+      'vm-1',
+      failAfterWrite(ROSTER_KEY, DRAINING_RUN, () => true),
+    );
   }
 
   /** Adds another minion for the next owner and starts it. */
--- a/packages/nutmegproxy-emulator/src/__tests__/unit/JoiningMinions.test.ts
+++ b/packages/nutmegproxy-emulator/src/__tests__/unit/JoiningMinions.test.ts
@@ -6,10 +6,9 @@
 import type {HoldingStore} from './StoreSamples.ts';
 
 import {createStepShape, createStoredJob, submitJob, waitFor} from './JobSamples.ts';
-import {createHoldingStore} from './StoreSamples.ts';
+import {createHoldingStore, ROSTER_KEY} from './StoreSamples.ts';
 import {TakeoverHarness} from './TakeoverHarness.ts';
 
-const ROSTER_KEY = `${STATE_PREFIX}roster`;
 const RECOVERY_KEY = `${STATE_PREFIX}recovery`;
 /** Time in real milliseconds in which the owners under test act on what has happened. */
 const REACTION_MS = 5_000;
--- a/packages/nutmegproxy-emulator/src/__tests__/unit/RecoverySeries.test.ts
+++ b/packages/nutmegproxy-emulator/src/__tests__/unit/RecoverySeries.test.ts
@@ -17,7 +17,7 @@
   submitJob,
   waitFor,
 } from './JobSamples.ts';
-import {isWriteOf, waitForRecord} from './StoreSamples.ts';
+import {isWriteOf, ROSTER_KEY, waitForRecord} from './StoreSamples.ts';
 import {sleep, TakeoverHarness} from './TakeoverHarness.ts';
 
 const {maxFormerLeaseMs: MAX_FORMER_LEASE_MS} = DEFAULT_LEASE_TIMES;
@@ -42,7 +42,6 @@
 const SILENT_BEFORE_KILL_MS = 1_000;
 /** Time in milliseconds for which a killed owner keeps the ownership. */
 const OWNERSHIP_KEPT_MS = 2_000;
-const ROSTER_KEY = `${STATE_PREFIX}roster`;
 const RECOVERY_KEY = `${STATE_PREFIX}recovery`;
 
 /** Whether the arguments of a store call are a write of the record of used minions. */
--- a/packages/nutmegproxy-emulator/src/__tests__/unit/SilentMinions.test.ts
+++ b/packages/nutmegproxy-emulator/src/__tests__/unit/SilentMinions.test.ts
@@ -3,7 +3,6 @@
 import type {MachineId} from '@nutmegproxy/scheduling';
 
 import {brand, SYSTEM_CLOCK} from '@nutmegproxy/core';
-import {STATE_PREFIX} from '@nutmegproxy/jobs';
 import {SCHEDULING_EVENTS} from '@nutmegproxy/scheduling';
 import {okAsync, ResultAsync} from 'neverthrow';
 import assert from 'node:assert/strict';
@@ -14,7 +13,13 @@
 import {EmulatedMachineList} from '../../EmulatedMachineList.ts';
 import {CrashHarness} from './CrashHarness.ts';
 import {createStepShape, createStoredJob, submitJob, waitFor} from './JobSamples.ts';
-import {readWrite, waitForRoster} from './StoreSamples.ts';
+import {
+  DRAINING_RUN,
+  failAfterWrite,
+  readWrite,
+  ROSTER_KEY,
+  waitForRoster,
+} from './StoreSamples.ts';
 import {PLATFORMS, sleep, TakeoverHarness} from './TakeoverHarness.ts';
 
 /** Time in milliseconds after its last run within which a long-running task has to run again. */
@@ -30,7 +35,6 @@
 const START_DELAY_MS = 4_000;
 /** Time in milliseconds for which a crashed minion is down: an owner asks for several lists. */
 const DOWN_MS = 3_000;
-const ROSTER_KEY = `${STATE_PREFIX}roster`;
 
 for (const {hasList, name} of PLATFORMS) {
   describe(`A minion that does not respond, ${name}`, () => {
@@ -102,13 +106,11 @@
 
     it('does not hold a task whose later run has ended on a minion that reports', async () => {
       // The store keeps the record that names the run; what replaces it is not stored any more.
-      let isKept = false;
-      const isFailing = (args: readonly unknown[]): boolean => {
-        const roster = readWrite(ROSTER_KEY, args);
-        const fails = isKept && roster !== undefined;
-        isKept ||= roster?.includes('"draining":{"runs":[[') ?? false;
-        return fails;
-      };
+      const isFailing = failAfterWrite(
+        ROSTER_KEY,
+        DRAINING_RUN,
+        (args) => readWrite(ROSTER_KEY, args) !== undefined,
+      );
       const first = await harness.startKillable('vm-1', isFailing);
       await submitLastingJob();
       await waitFor('the task runs', () => minion.liveTasks.length === 1);
@@ -117,7 +119,7 @@
       await sleep(SETTLED_MS);
       minion.description = {...minion.description, isDraining: true};
       harness.fleet.add(minion);
-      await waitForRoster(harness.store, (roster) => roster.includes('"draining":{"runs":[['));
+      await waitForRoster(harness.store, (roster) => roster.includes(DRAINING_RUN));
       await waitFor('the task runs on the other minion', () => other.liveTasks.length === 1);
       await sleep(SETTLED_MS);
       await first.kill();
--- a/packages/nutmegproxy-emulator/src/__tests__/unit/StoreSamples.ts
+++ b/packages/nutmegproxy-emulator/src/__tests__/unit/StoreSamples.ts
@@ -1,19 +1,28 @@
 /** Views of a store for the tests of this package. */
 
-import type {MemoryStore} from '@nutmegproxy/standins';
 import type {Operation, PlatformStore, Transaction} from '@nutmegproxy/store';
 
+import {ManualClock} from '@nutmegproxy/core';
 import {STATE_PREFIX} from '@nutmegproxy/jobs';
+import {MemoryStore} from '@nutmegproxy/standins';
 import {getKey} from '@nutmegproxy/store';
 import {errAsync, ResultAsync} from 'neverthrow';
 
 import {waitFor} from './JobSamples.ts';
 
+export const ROSTER_KEY = `${STATE_PREFIX}roster`;
+/** Part of a roster that names a run of a draining minion. */
+export const DRAINING_RUN = '"draining":{"runs":[[';
 /** Time in milliseconds between two reads of a record. */
 const READ_INTERVAL_MS = 5;
 /** Time in milliseconds in which an owner stores a record. */
 const STORED_WITHIN_MS = 5_000;
 
+/** Creates a store whose leases end only when they are revoked, also if this process gets no turn. */
+export function createStillStore(): MemoryStore {
+  return new MemoryStore(new ManualClock());
+}
+
 /** Returns a view of a store whose calls fail while `isFailing` returns true for their arguments. */
 export function createFailingStore(
   store: MemoryStore,
@@ -115,12 +124,26 @@
   return isWriteOf(key, args) ? readAll(args[0] as Transaction) : undefined;
 }
 
+/** Returns which calls fail so that a record stays from the first write of a key on whose text includes `part`. */
+export function failAfterWrite(
+  key: string,
+  part: string,
+  isFailing: (args: readonly unknown[]) => boolean,
+): (args: readonly unknown[]) => boolean {
+  let isKept = false;
+  return (args) => {
+    const fails = isKept && isFailing(args);
+    isKept ||= readWrite(key, args)?.includes(part) ?? false;
+    return fails;
+  };
+}
+
 /** Waits until the stored roster meets a condition. */
 export function waitForRoster(
   store: MemoryStore,
   isExpected: (roster: string) => boolean,
 ): Promise<void> {
-  return waitForRecord(store, `${STATE_PREFIX}roster`, isExpected);
+  return waitForRecord(store, ROSTER_KEY, isExpected);
 }
 
 /** Waits until the stored value of a key meets a condition. */
--- a/packages/nutmegproxy-emulator/src/__tests__/unit/TakeoverHarness.ts
+++ b/packages/nutmegproxy-emulator/src/__tests__/unit/TakeoverHarness.ts
@@ -7,7 +7,6 @@
 import {brand, ManualClock} from '@nutmegproxy/core';
 import {OWNER_KEY, OwnerCandidate, RevisionLog} from '@nutmegproxy/owner';
 import {DEFAULT_LEASE_TIMES} from '@nutmegproxy/scheduling';
-import {MemoryStore} from '@nutmegproxy/standins';
 
 import type {TaskBehaviour} from '../../EmulatedMinion.ts';
 import type {MinionBounds} from '../../MinionBounds.ts';
@@ -24,7 +23,7 @@
   submitJob,
   waitFor,
 } from './JobSamples.ts';
-import {createFailingStore, waitForRoster} from './StoreSamples.ts';
+import {createFailingStore, createStillStore, waitForRoster} from './StoreSamples.ts';
 
 const LEASE_RENEWAL_MS = 400;
 /** Time in real milliseconds in which an owner stores what has changed. */
@@ -81,8 +80,7 @@
   readonly fleet: EmulatedFleet;
   /** Lease times of the VMs that are started from now on. */
   leaseTimes = DEFAULT_LEASE_TIMES;
-  /** By a clock that stands still: its leases end only when they are revoked, also if this process gets no turn. */
-  readonly store = new MemoryStore(new ManualClock());
+  readonly store = createStillStore();
   readonly #stops: (() => void)[] = [];
 
   constructor(clock = new ManualClock(Date.now())) {
